--- a/eslint.config.js
+++ b/eslint.config.js
@@ -16,7 +16,7 @@
 })).filter(rule => rule.rules['no-restricted-imports'][1].patterns.length > 0)
 
 export default [
-  ...neostandard({ ts: true, ignores: ['**/dist/**', '**/generated/**', 'results/**'] }),
+  ...neostandard({ ts: true, ignores: ['**/dist/**', '**/generated/**', 'results/**', 'target/**'] }),
   // A type and a value may share a name, as Ok and Err do.
   { files: ['**/*.ts'], rules: { '@typescript-eslint/no-redeclare': 'off' } },
   {
--- a/packages/common/src/result.ts
+++ b/packages/common/src/result.ts
@@ -1,10 +1,12 @@
 /**
- * Results of operations that can fail for expected reasons. The one place that imports ts-results, whose
- * CommonJS build gives native ES modules no named exports.
+ * Results of operations that can fail for expected reasons. The one place that imports ts-results: its CommonJS build
+ * gives native ES modules a default export only, its ES build, which a bundler takes, only named ones.
  */
-import tsResults from 'ts-results'
+import * as module from 'ts-results'
 import type { Result as TsResult, Ok as TsOk, Err as TsErr } from 'ts-results'
 
+const tsResults: typeof module = 'default' in module ? module.default as typeof module : module
+
 export type Result<T, E> = TsResult<T, E>
 export type Ok<T> = TsOk<T>
 export type Err<E> = TsErr<E>
--- /dev/null
+++ b/packages/gateway/src/coordination/connection-pool.ts
@@ -0,0 +1,137 @@
+/**
+ * The connections that this gateway holds to one database. A connection belongs to one workspace for its whole life;
+ * what is set and prepared on it is remembered, so that the next session sends only what differs.
+ */
+import { Err, Ok } from '@egretyoke/common'
+import type { Result } from '@egretyoke/common'
+import type { ConnectDatabase, ConnectFailure, DatabaseCommand, DatabaseConnection } from './database-connection.js'
+
+/** A connection of the pool, with what is known of its session state. */
+export type PooledConnection = {
+  workspace: string
+  connection: DatabaseConnection
+  values: Map<string, string>
+  /** Names of prepared statements. */
+  prepared: Set<string>
+  idleSinceMs: number
+}
+
+/** Session state that a statement needs. */
+export type WantedState = {
+  values: ReadonlyArray<{ name: string, value: string }>
+  prepared?: { name: string, access: 'read' | 'write', shape: string }
+}
+
+/** The connections to one database. */
+export type ConnectionPool = {
+  /** True when `take` would find or make room for a connection. */
+  hasRoom: (workspace: string) => boolean
+  take: (workspace: string, timeoutMs: number) => Promise<Result<PooledConnection, ConnectFailure>>
+  /** Gives a connection back for the next session of its workspace. */
+  giveBack: (pooled: PooledConnection) => void
+  /** Ends a connection whose state is not known or that is not wanted. */
+  discard: (pooled: PooledConnection) => void
+  size: () => number
+  idleCount: () => number
+  close: () => void
+}
+
+/** Limits and ways of a pool. */
+export type PoolOptions = {
+  connect: (workspace: string, timeoutMs: number) => ReturnType<ConnectDatabase>
+  maxConnections: () => number
+  nowMs: () => number
+}
+
+/** The commands that bring a connection to the wanted state, in order. */
+export const commandsToReach = (pooled: PooledConnection, wanted: WantedState): DatabaseCommand[] => {
+  const commands: DatabaseCommand[] = []
+  const wantedNames = new Set(wanted.values.map(({ name }) => name))
+  const hasForeignValue = [...pooled.values.keys()].some(name => !wantedNames.has(name))
+  if (hasForeignValue) commands.push({ kind: 'reset' })
+  for (const { name, value } of wanted.values) {
+    if (hasForeignValue || pooled.values.get(name) !== value) commands.push({ kind: 'set', name, value })
+  }
+  const { prepared } = wanted
+  if (prepared !== undefined && (hasForeignValue || !pooled.prepared.has(prepared.name))) {
+    commands.push({ kind: 'prepare', ...prepared })
+  }
+  return commands
+}
+
+/** Notes that a command of `commandsToReach` was done. */
+export const noteDone = (pooled: PooledConnection, command: DatabaseCommand): void => {
+  if (command.kind === 'set') pooled.values.set(command.name, command.value)
+  if (command.kind === 'prepare') pooled.prepared.add(command.name)
+  if (command.kind !== 'reset') return
+  pooled.values.clear()
+  pooled.prepared.clear()
+}
+
+/** Creates an empty pool. */
+export const createConnectionPool = ({ connect, maxConnections, nowMs }: PoolOptions): ConnectionPool => {
+  const idle: PooledConnection[] = []
+  const all = new Set<PooledConnection>()
+  let opening = 0
+  let isClosed = false
+
+  const forget = (pooled: PooledConnection) => {
+    all.delete(pooled)
+    const index = idle.indexOf(pooled)
+    if (index >= 0) idle.splice(index, 1)
+  }
+
+  const discard = (pooled: PooledConnection) => {
+    forget(pooled)
+    pooled.connection.close()
+  }
+
+  const size = () => all.size + opening
+
+  const makeRoom = () => {
+    if (size() < maxConnections()) return
+    const leastRecentlyUsed = idle[0]
+    if (leastRecentlyUsed !== undefined) discard(leastRecentlyUsed)
+  }
+
+  const open = async (workspace: string, timeoutMs: number): Promise<Result<PooledConnection, ConnectFailure>> => {
+    makeRoom()
+    opening++
+    const connected = await connect(workspace, timeoutMs)
+    opening--
+    if (connected.err) return Err(connected.val)
+    const connection = connected.val
+    const pooled: PooledConnection =
+      { workspace, connection, values: new Map(), prepared: new Set(), idleSinceMs: nowMs() }
+    all.add(pooled)
+    connection.onClosed(() => forget(pooled))
+    if (isClosed) connection.close()
+    return Ok(pooled)
+  }
+
+  const take = async (workspace: string, timeoutMs: number): Promise<Result<PooledConnection, ConnectFailure>> => {
+    const own = idle.findLast(pooled => pooled.workspace === workspace)
+    if (own === undefined) return await open(workspace, timeoutMs)
+    idle.splice(idle.indexOf(own), 1)
+    return Ok(own)
+  }
+
+  const giveBack = (pooled: PooledConnection) => {
+    if (isClosed || !pooled.connection.isOpen() || size() > maxConnections()) return discard(pooled)
+    pooled.idleSinceMs = nowMs()
+    idle.push(pooled)
+  }
+
+  return {
+    hasRoom: () => size() < maxConnections() || idle.length > 0,
+    take,
+    giveBack,
+    discard,
+    size,
+    idleCount: () => idle.length,
+    close: () => {
+      isClosed = true
+      for (const pooled of [...all]) discard(pooled)
+    }
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/coordination/database-holder.ts
@@ -0,0 +1,245 @@
+/**
+ * Runs statements at one database: a fair queue for work that has not begun, as many statements at once as the database
+ * has slots, connections that are kept for their workspaces, and transactions that keep their connection.
+ */
+import type { Logger } from '@egretyoke/common'
+import { createFairQueue } from '@egretyoke/limits'
+import type { DropReason, FairQueue } from '@egretyoke/limits'
+import { events } from '../events.js'
+import type { Database } from '../state/configuration.js'
+import type { AgeClock } from '../state/contact.js'
+import { laterPosition } from '../state/position.js'
+import { createConnectionPool } from './connection-pool.js'
+import type { ConnectionPool, PooledConnection } from './connection-pool.js'
+import type { ConnectDatabase } from './database-connection.js'
+import type { GroupPositions } from './group-positions.js'
+import type { GroupRecords } from './group-records.js'
+import { createPinnedTransactions } from './pinned-transactions.js'
+import { runOnConnection } from './run-on-connection.js'
+import { notRun, unknownOutcome } from './statement.js'
+import type { StatementOutcome, StatementRequest } from './statement.js'
+
+const maxQueued = 512
+const maxQueuedPerWorkspace = 256
+/** Priorities that have queues of their own; higher numbers share the last one. */
+const queueCount = 3
+const connectTimeoutMs = 700
+/** Connections of a database that stay free for orders and for a second holder. */
+const spareConnections = 2
+/** What a statement costs a slot when its real time is not known yet. */
+const assumedCostMs = 20
+const upkeepIntervalMs = 50
+const settlePollMs = 10
+
+/** Statements at one database, and orders to it. */
+export type DatabaseHolder = {
+  run: (request: StatementRequest) => Promise<StatementOutcome>
+  abandon: (session: string) => void
+  /** Begins nothing new for the time; what waits keeps its place. */
+  pause: (forMs: number) => void
+  /** Resolves when nothing runs and no transaction is open, or after the time; true if it is so. */
+  settle: (timeoutMs: number) => Promise<boolean>
+  load: () => number
+  openTransactions: () => number
+  connections: () => number
+  close: () => void
+}
+
+/** What a holder works with. */
+export type HolderOptions = {
+  database: () => Database
+  maxConnections: () => number
+  transactionIdleMs: () => number
+  connect: ConnectDatabase
+  /** False while nothing new may go to the database. */
+  takesWork: () => boolean
+  records: GroupRecords
+  positions: GroupPositions
+  clock: AgeClock
+  nowMs: () => number
+  log: Logger
+}
+
+/** A statement that waits for a slot. */
+type Waiting = { request: StatementRequest, arrivedAtMs: number, answer: (outcome: StatementOutcome) => void }
+
+/** Creates a holder without connections. */
+export const createDatabaseHolder = (options: HolderOptions): DatabaseHolder => {
+  const { database, connect, records, positions, clock, nowMs, log } = options
+  const { id, group } = database()
+  let inFlight = 0
+  let isClosed = false
+  let pausedUntilMs = -Infinity
+  const continuing: Waiting[] = []
+
+  const pool: ConnectionPool = createConnectionPool({
+    connect: (workspace, timeoutMs) =>
+      connect({ databaseId: id, address: database().address, group, workspace }, timeoutMs),
+    maxConnections: () => Math.max(1, options.maxConnections() - spareConnections),
+    nowMs
+  })
+  const pinned = createPinnedTransactions({ pool, idleMs: options.transactionIdleMs, nowMs, database: id, log })
+
+  const drop = (waiting: Waiting, reason: DropReason) => {
+    const queuedMs = Math.round(nowMs() - waiting.arrivedAtMs)
+    log(events.notOffered, { request: waiting.request.requestId, database: id, reason, queuedMs, load: load() })
+    waiting.answer({ ...notRun(reason === 'expired' ? 'queuedTooLong' : 'busy'), queuedMs })
+  }
+  const queues: Array<FairQueue<Waiting>> = Array.from({ length: queueCount }, () =>
+    createFairQueue<Waiting>({ maxQueued, maxQueuedPerWorkspace, onDropped: drop, clock: nowMs }))
+  const queueOf = ({ priority }: StatementRequest) => queues[Math.min(priority, queueCount - 1)]
+  const queued = () => queues.reduce((sum, queue) => sum + queue.size(), 0)
+  const load = () => inFlight + queued() + continuing.length
+
+  const requiredPosition = async (request: StatementRequest): Promise<string | undefined> => {
+    if (request.needsPrimary) return ''
+    const { maxStalenessMs, ownPosition } = request
+    const fresh = maxStalenessMs > 0 ? await positions.require(group, maxStalenessMs) : ''
+    if (fresh === undefined) return undefined
+    return laterPosition(fresh, ownPosition)
+  }
+
+  const begin = async (request: StatementRequest, leftMs: number): Promise<StatementOutcome> => {
+    const required = await requiredPosition(request)
+    if (required === undefined) return notRun('lagging')
+    const taken = await pool.take(request.workspace, Math.min(connectTimeoutMs, leftMs))
+    if (taken.err) {
+      log(events.connectFailed, { request: request.requestId, database: id, reason: taken.val.reason, message: taken.val.message })
+      return notRun(taken.val.reason === 'full' ? 'busy' : 'unreachable')
+    }
+    const pooled = taken.val
+    const outcome = await runGuarded(pooled, request, required, leftMs)
+    finishOn(pooled, request, outcome)
+    return outcome
+  }
+
+  const finishOn = (pooled: PooledConnection, request: StatementRequest, outcome: StatementOutcome) => {
+    if (request.transaction !== 'SINGLE' && outcome.transactionOpen) return pinned.pin(request.session, pooled)
+    if (outcome.status === 'UNKNOWN' || outcome.reason === 'silent') return pool.discard(pooled)
+    if (outcome.status === 'DONE' || request.transaction === 'SINGLE') return pool.giveBack(pooled)
+    void pinned.rollBack(pooled).then(dispatch)
+  }
+
+  /** Runs a statement, and tells its outcome only if the primary was in force from its sending to its answer. */
+  const runGuarded = async (
+    pooled: PooledConnection, request: StatementRequest, position: string, leftMs: number
+  ): Promise<StatementOutcome> => {
+    const atPrimary = request.needsPrimary || records.mayUse(group, id)
+    if (request.needsPrimary && !records.mayUse(group, id)) return notRun('moved')
+    const coversUntil = clock.now()
+    const outcome = await runOnConnection(pooled, request, position, leftMs)
+    if (!atPrimary) return outcome
+    if (records.mayUse(group, id)) {
+      if (outcome.position !== '') positions.note(group, { position: outcome.position, coversUntil })
+      return outcome
+    }
+    if (outcome.status === 'NOT_RUN' || !request.needsPrimary) return outcome
+    log(events.primaryChangedMeanwhile, { request: request.requestId, database: id, status: outcome.status })
+    const mayBeKept = request.verb === 'COMMIT' || (request.access === 'WRITE' && request.transaction === 'SINGLE')
+    return mayBeKept ? unknownOutcome('moved') : notRun('moved')
+  }
+
+  const resume = async (request: StatementRequest, leftMs: number): Promise<StatementOutcome> => {
+    const pooled = pinned.take(request.session)
+    if (pooled === undefined) return notRun('transactionGone')
+    const outcome = await runGuarded(pooled, request, '', leftMs)
+    finishOn(pooled, request, outcome)
+    return outcome
+  }
+
+  const serve = async (waiting: Waiting) => {
+    const { request, arrivedAtMs, answer } = waiting
+    inFlight++
+    const queuedMs = Math.round(nowMs() - arrivedAtMs)
+    const leftMs = request.timeoutMs - queuedMs
+    const startedAtMs = nowMs()
+    const outcome = await (request.transaction === 'CONTINUE' ? resume : begin)(request, leftMs)
+    inFlight--
+    queueOf(request).charge(request.workspace, nowMs() - startedAtMs - assumedCostMs)
+    answer({ ...outcome, load: load(), queuedMs })
+    dispatch()
+  }
+
+  const isPaused = () => nowMs() < pausedUntilMs
+
+  const nextWaiting = (): Waiting | undefined => {
+    const continued = continuing.shift()
+    if (continued !== undefined || isPaused()) return continued
+    for (const queue of queues) {
+      if (queue.size() === 0) continue
+      const waiting = queue.pop()
+      if (waiting !== undefined) return waiting
+    }
+    return undefined
+  }
+
+  const dispatch = () => {
+    while (inFlight < database().slots) {
+      if (continuing.length === 0 && !pool.hasRoom('')) {
+        pinned.endIdle()
+        return
+      }
+      const waiting = nextWaiting()
+      if (waiting === undefined) return
+      void serve(waiting)
+    }
+  }
+
+  const run = async (request: StatementRequest): Promise<StatementOutcome> => {
+    if (isClosed) return notRun('moved')
+    if (request.transaction !== 'CONTINUE' && !options.takesWork()) return notRun('moved')
+    const joins = request.needsPrimary && request.transaction !== 'CONTINUE'
+    if (joins && !await records.become(group, id)) return notRun('moved')
+    return await new Promise<StatementOutcome>(resolve => {
+      const waiting: Waiting = { request, arrivedAtMs: nowMs(), answer: resolve }
+      if (request.transaction === 'CONTINUE') {
+        continuing.push(waiting)
+        return dispatch()
+      }
+      const { workspace, maxQueuedMs } = request
+      const as = { workspace, weight: 1, cost: assumedCostMs, deadlineMs: nowMs() + maxQueuedMs }
+      const pushed = queueOf(request).push(waiting, as)
+      if (pushed.err) {
+        log(events.notOffered, { request: request.requestId, database: id, reason: pushed.val.reason, queuedMs: 0, load: load() })
+        return resolve({ ...notRun('busy'), load: load() })
+      }
+      dispatch()
+    })
+  }
+
+  const settle = async (timeoutMs: number): Promise<boolean> => {
+    const endAtMs = nowMs() + timeoutMs
+    while (nowMs() < endAtMs) {
+      if (inFlight === 0 && pinned.size() === 0) return true
+      await new Promise(resolve => setTimeout(resolve, settlePollMs))
+    }
+    return false
+  }
+
+  const upkeep = setInterval(() => {
+    for (const queue of queues) queue.dropExpired()
+    pinned.endIdle()
+    dispatch()
+  }, upkeepIntervalMs)
+
+  return {
+    run,
+    abandon: session => {
+      const pooled = pinned.take(session)
+      if (pooled !== undefined) void pinned.rollBack(pooled).then(dispatch)
+    },
+    pause: forMs => { pausedUntilMs = nowMs() + forMs },
+    settle,
+    load,
+    openTransactions: pinned.size,
+    connections: pool.size,
+    close: () => {
+      isClosed = true
+      clearInterval(upkeep)
+      for (const queue of queues) queue.close()
+      for (const waiting of continuing.splice(0)) waiting.answer(notRun('transactionGone'))
+      pinned.close()
+      pool.close()
+    }
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/coordination/holders.ts
@@ -0,0 +1,78 @@
+/**
+ * The holders of all databases whose connections this gateway holds, made when they are first needed.
+ */
+import type { Database } from '../state/configuration.js'
+import type { FleetView } from '../state/fleet-view.js'
+import { createDatabaseHolder } from './database-holder.js'
+import type { DatabaseHolder, HolderOptions } from './database-holder.js'
+import { takesWork } from './database-duty.js'
+import { notRun } from './statement.js'
+import type { StatementOutcome, StatementRequest } from './statement.js'
+
+/** All holders of this gateway. */
+export type Holders = {
+  run: (request: StatementRequest) => Promise<StatementOutcome>
+  abandon: (database: string, session: string) => void
+  get: (database: string) => DatabaseHolder | undefined
+  all: () => DatabaseHolder[]
+  /** Closes the holders of databases that are gone or have started anew. */
+  retainKnown: () => void
+  close: () => void
+}
+
+/** What the holders work with. */
+export type HoldersOptions = Omit<HolderOptions, 'database' | 'maxConnections' | 'transactionIdleMs' | 'takesWork'> & {
+  view: FleetView
+}
+
+/** Used when the configuration does not name a limit. */
+const defaultTransactionIdleMs = 3000
+const defaultMaxConnections = 10
+
+/** Creates the table. */
+export const createHolders = (options: HoldersOptions): Holders => {
+  const { view } = options
+  const holders = new Map<string, { holder: DatabaseHolder, database: Database }>()
+
+  const holderOf = (id: string): DatabaseHolder | undefined => {
+    const known = holders.get(id)
+    if (known !== undefined) return known.holder
+    const database = view.databases().get(id)
+    if (database === undefined) return undefined
+    const current = () => view.databases().get(id) ?? database
+    const holder = createDatabaseHolder({
+      ...options,
+      database: current,
+      maxConnections: () => view.configuration()?.groups.get(database.group)?.maxConnections ?? defaultMaxConnections,
+      transactionIdleMs: () => view.configuration()?.transactionIdleMs ?? defaultTransactionIdleMs,
+      takesWork: () => view.databases().has(id) && takesWork(view, current())
+    })
+    holders.set(id, { holder, database })
+    return holder
+  }
+
+  const isSame = (database: Database) => {
+    const now = view.databases().get(database.id)
+    return now !== undefined && now.address === database.address && now.bornMs === database.bornMs
+  }
+
+  const end = (id: string) => {
+    holders.get(id)?.holder.close()
+    holders.delete(id)
+  }
+
+  return {
+    run: async request => await holderOf(request.database)?.run(request) ?? notRun('moved'),
+    abandon: (database, session) => holders.get(database)?.holder.abandon(session),
+    get: id => holders.get(id)?.holder,
+    all: () => [...holders.values()].map(({ holder }) => holder),
+    retainKnown: () => {
+      for (const [id, { database, holder }] of holders) {
+        const isGone = !view.databases().has(id)
+        // A database without an entry may still finish what it was given.
+        if (isGone ? holder.load() === 0 && holder.openTransactions() === 0 : !isSame(database)) end(id)
+      }
+    },
+    close: () => { for (const id of [...holders.keys()]) end(id) }
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/coordination/membership.ts
@@ -0,0 +1,88 @@
+/**
+ * This gateway's place in the fleet: a record on a lease, renewed while the process runs.
+ */
+import { sleepMs } from '@egretyoke/common'
+import type { Logger } from '@egretyoke/common'
+import { events } from '../events.js'
+import type { AgeClock, Moment } from '../state/contact.js'
+import { recordKeys, writeRecord } from '../state/stored-records.js'
+import type { Member } from '../state/stored-records.js'
+import type { SharedStore } from './shared-store.js'
+
+/** A VM that is silent for longer is taken out of the fleet. */
+export const leaseTtlMs = 3000
+const renewIntervalMs = 800
+const storeTimeoutMs = 900
+/** What this process does on the strength of its lease ends this long before the lease can. */
+const leaseMarginMs = 400
+
+/** This gateway's membership. */
+export type Membership = {
+  /** The lease for records that end with this process; undefined while none is held. */
+  leaseId: () => number | undefined
+  /** True while no other process can have been given what hangs on this process's lease. */
+  isLeaseHeld: () => boolean
+  /** Announces that no new work is wanted. */
+  startDraining: () => Promise<void>
+  /** Renews the lease until the signal aborts. */
+  run: (signal: AbortSignal) => Promise<void>
+  /** Ends the lease. */
+  leave: () => Promise<void>
+}
+
+/** Creates the membership; nothing is announced before `run`. */
+export const createMembership = (
+  self: Member, store: SharedStore, clock: AgeClock, log: Logger
+): Membership => {
+  const key = recordKeys.vms + self.name
+  let member = self
+  let lease: { id: number, heldFrom: Moment } | undefined
+
+  const announce = async (leaseId: number): Promise<boolean> => {
+    const stored = await store.get(key, storeTimeoutMs)
+    if (stored.err) return false
+    const expectedRevision = stored.val?.revision ?? 0
+    const swap = await store.compareAndSwap({ key, expectedRevision, value: writeRecord(member), leaseId }, storeTimeoutMs)
+    return swap.ok && swap.val.swapped
+  }
+
+  const join = async () => {
+    const heldFrom = clock.now()
+    const granted = await store.grantLease(leaseTtlMs, storeTimeoutMs)
+    if (granted.err) return
+    if (!await announce(granted.val)) return
+    lease = { id: granted.val, heldFrom }
+    log(events.joined, { lease: lease.id, incarnation: member.incarnation })
+  }
+
+  const renew = async (id: number) => {
+    const heldFrom = clock.now()
+    const kept = await store.keepAlive(id, storeTimeoutMs)
+    if (kept.err) return
+    if (kept.val) {
+      lease = { id, heldFrom }
+      return
+    }
+    log(events.leaseLost, { lease: id })
+    lease = undefined
+  }
+
+  return {
+    leaseId: () => lease?.id,
+    isLeaseHeld: () => lease !== undefined && clock.ageMs(lease.heldFrom) < leaseTtlMs - leaseMarginMs,
+    startDraining: async () => {
+      member = { ...member, draining: true }
+      if (lease !== undefined) await announce(lease.id)
+    },
+    run: async signal => {
+      while (!signal.aborted) {
+        await (lease === undefined ? join() : renew(lease.id))
+        await sleepMs(lease === undefined ? renewIntervalMs / 4 : renewIntervalMs, signal)
+      }
+    },
+    leave: async () => {
+      if (lease !== undefined) await store.revokeLease(lease.id, storeTimeoutMs)
+      lease = undefined
+    }
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/coordination/pinned-transactions.ts
@@ -0,0 +1,73 @@
+/**
+ * Connections that are kept for their session until its transaction ends.
+ */
+import type { Logger } from '@egretyoke/common'
+import { events } from '../events.js'
+import type { ConnectionPool, PooledConnection } from './connection-pool.js'
+
+const rollBackTimeoutMs = 500
+
+/** Open transactions by session. */
+export type PinnedTransactions = {
+  pin: (session: string, pooled: PooledConnection) => void
+  /** The session's connection, not pinned any more; undefined when its transaction has ended. */
+  take: (session: string) => PooledConnection | undefined
+  /** Rolls back what is open on a connection and gives it back to the pool. */
+  rollBack: (pooled: PooledConnection) => Promise<void>
+  /** Ends transactions that have rested for too long. */
+  endIdle: () => void
+  size: () => number
+  close: () => void
+}
+
+/** What the transactions work with. */
+export type PinnedOptions = {
+  pool: ConnectionPool
+  idleMs: () => number
+  nowMs: () => number
+  database: string
+  log: Logger
+}
+
+/** Creates an empty table. */
+export const createPinnedTransactions = ({ pool, idleMs, nowMs, database, log }: PinnedOptions): PinnedTransactions => {
+  const bySession = new Map<string, { pooled: PooledConnection, sinceMs: number }>()
+
+  const rollBack = async (pooled: PooledConnection) => {
+    if (!pooled.connection.isOpen()) return pool.discard(pooled)
+    const [reply] = await pooled.connection.run([{ kind: 'rollback' }], rollBackTimeoutMs)
+    if (reply?.transaction === 'none' && reply.outcome !== 'lost') return pool.giveBack(pooled)
+    pool.discard(pooled)
+  }
+
+  const take = (session: string) => {
+    const kept = bySession.get(session)
+    bySession.delete(session)
+    if (kept === undefined || kept.pooled.connection.isOpen()) return kept?.pooled
+    pool.discard(kept.pooled)
+    return undefined
+  }
+
+  const endIdle = () => {
+    const longestMs = idleMs()
+    for (const [session, { pooled, sinceMs }] of bySession) {
+      const idleForMs = nowMs() - sinceMs
+      if (idleForMs < longestMs) continue
+      bySession.delete(session)
+      log(events.idleTransactionEnded, { session, database, idleForMs: Math.round(idleForMs) })
+      void rollBack(pooled)
+    }
+  }
+
+  return {
+    pin: (session, pooled) => { bySession.set(session, { pooled, sinceMs: nowMs() }) },
+    take,
+    rollBack,
+    endIdle,
+    size: () => bySession.size,
+    close: () => {
+      for (const { pooled } of bySession.values()) pool.discard(pooled)
+      bySession.clear()
+    }
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/coordination/primary-change.ts
@@ -0,0 +1,198 @@
+/**
+ * Replaces a group's primary.
+ *
+ * The group's record is set to `changing` first, under a condition; its revision is the fence of everything that
+ * follows. Then every gateway that may use the old primary has to stop: it says so, its process has ended, or the time
+ * has passed after which it stops by itself. Only then another database is made the primary, so that no write that the
+ * old one does afterwards can be confirmed, and no read of it can miss what the new one confirms.
+ */
+import { sleepMs } from '@egretyoke/common'
+import type { Logger, Result, TypedError } from '@egretyoke/common'
+import { events } from '../events.js'
+import type { Database } from '../state/configuration.js'
+import type { Contact } from '../state/contact.js'
+import type { FleetView, Versioned } from '../state/fleet-view.js'
+import { comparePositions } from '../state/position.js'
+import type { GroupRecord, Member } from '../state/stored-records.js'
+import type { DatabaseStatus } from './database-connection.js'
+import type { DatabaseOrders } from './database-orders.js'
+import { livingUsers, primaryContactMs } from './group-records.js'
+import type { GroupRecords } from './group-records.js'
+import type { RelayCalls } from './relay-calls.js'
+
+/** Asks the platform to make a database the primary. `declined`: it does not run. */
+export type PromoteDatabase = (
+  group: string, database: string, fence: number, timeoutMs: number
+) => Promise<Result<void, TypedError<'declined' | 'refused' | 'noAnswer'>>>
+
+/** What a change works with. */
+export type PrimaryChangeOptions = {
+  /** NAME/INCARNATION of this process. */
+  self: string
+  view: FleetView
+  records: GroupRecords
+  contact: Contact
+  isLeaseHeld: () => boolean
+  orders: DatabaseOrders
+  relay: RelayCalls
+  promote: PromoteDatabase
+  log: Logger
+}
+
+/** Why a primary is replaced. */
+export type ChangeReason = 'failed' | 'draining' | 'evacuated' | 'gone' | 'unfinished'
+
+const orderTimeoutMs = 350
+const promoteTimeoutMs = 900
+/** A primary that is handed over may finish for this long what it has begun. */
+const settleTimeMs = 900
+/** How long a successor may take to receive what the old primary had when it was stopped. */
+const catchUpTimeMs = 600
+/** How long a database may take to lead after the platform was asked. */
+const leadTimeMs = 3000
+const pollMs = 50
+const attemptPauseMs = 150
+/** A change that found no successor for so long is left to the next round. */
+const changeTimeMs = 8000
+/** Older contact is not enough to ask for a promotion. */
+const promoteContactMs = 1500
+
+type Candidate = { database: Database, status: DatabaseStatus }
+
+/** Replaces the primary of the group; true when a primary is in force afterwards. */
+export const changePrimary = async (
+  options: PrimaryChangeOptions, group: string, known: Versioned<GroupRecord>, reason: ChangeReason
+): Promise<boolean> => {
+  const { self, view, records, contact, orders, relay, promote, log } = options
+  const old = known.record
+  const isPlanned = reason === 'draining' || reason === 'evacuated'
+  const endAtMs = performance.now() + changeTimeMs
+  // A promotion that was asked for may take effect late, so that the old primary cannot simply go on.
+  let hasAsked = false
+
+  const memberOf = (user: string): Member | undefined => view.members().get(user.split('/')[0] ?? '')
+
+  const stopUser = async (user: string, revision: number, finish: boolean): Promise<string | undefined> => {
+    const member = memberOf(user)
+    if (member === undefined) return undefined
+    const answer = await relay.ask(member, { stopPrimary: { group, revision, finish } }, orderTimeoutMs + (finish ? settleTimeMs : 0))
+    const stopped = answer.ok ? answer.val.primaryStopped : undefined
+    return stopped?.stopped ? stopped.position : undefined
+  }
+
+  const settleUsers = async () => {
+    await Promise.all(livingUsers(old.users, view).map(user => stopUser(user, 0, true)))
+  }
+
+  /** Resolves when no gateway uses the old primary any more. */
+  const stopUsers = async (revision: number) => {
+    const startedAtMs = performance.now()
+    const remaining = new Set(livingUsers(old.users, view))
+    while (remaining.size > 0 && performance.now() - startedAtMs < primaryContactMs) {
+      await Promise.all([...remaining].map(async user => {
+        if (await stopUser(user, revision, false) !== undefined) remaining.delete(user)
+      }))
+      const living = livingUsers([...remaining], view)
+      for (const user of remaining) if (!living.includes(user)) remaining.delete(user)
+      if (remaining.size > 0) await sleepMs(pollMs)
+    }
+    log(events.primaryUsersStopped, { group, revision, users: old.users, unanswered: [...remaining], tookMs: Math.round(performance.now() - startedAtMs) })
+  }
+
+  const statusOf = async (database: Database): Promise<Candidate | undefined> => {
+    const status = await orders.give(database, { kind: 'status' }, orderTimeoutMs)
+    return status.ok ? { database, status: status.val } : undefined
+  }
+
+  const askAll = async (): Promise<Candidate[]> => {
+    const asked = await Promise.all(view.databasesOf(group).map(statusOf))
+    return asked.flatMap(candidate => candidate ?? [])
+  }
+
+  const maySucceed = ({ database }: Candidate) => database.id !== old.primary && !database.draining &&
+    !view.evacuated().has(database.dataCentre)
+
+  const received = ({ status }: Candidate) => status.receivedPosition
+
+  const bestOf = (candidates: readonly Candidate[]): Candidate | undefined => candidates
+    .filter(maySucceed)
+    .sort((one, other) => comparePositions(received(other), received(one)))[0]
+
+  /** A database that already leads a later term: an earlier change got that far. */
+  const newLeader = (candidates: readonly Candidate[]) =>
+    candidates.find(({ status }) => status.role === 'primary' && status.term > old.term)
+
+  const waitForCatchUp = async (position: string) => {
+    const untilMs = performance.now() + catchUpTimeMs
+    while (performance.now() < untilMs) {
+      const best = bestOf(await askAll())
+      if (best !== undefined && comparePositions(received(best), position) >= 0) return
+      await sleepMs(pollMs)
+    }
+  }
+
+  const waitForLead = async (database: Database): Promise<Candidate | undefined> => {
+    const firstTerm = database.id === old.primary ? old.term : old.term + 1
+    const untilMs = performance.now() + leadTimeMs
+    while (performance.now() < untilMs) {
+      const candidate = await statusOf(database)
+      if (candidate?.status.role === 'primary' && candidate.status.term >= firstTerm) return candidate
+      await sleepMs(pollMs)
+    }
+    return undefined
+  }
+
+  const isStillMine = (revision: number) => view.group(group)?.revision === revision &&
+    contact.ageMs() < promoteContactMs && options.isLeaseHeld()
+
+  const putInForce = async (primary: string, term: number, revision: number): Promise<boolean> => {
+    const record: GroupRecord = { primary, term, phase: 'serving', users: [], keeper: self }
+    const stored = await records.store(group, record, revision)
+    if (stored === undefined) return false
+    log(events.primaryInForce, { group, primary, term, before: old.primary, reason })
+    const former = view.databases().get(old.primary)
+    if (former !== undefined && primary !== old.primary) void orders.give(former, { kind: 'demote', term }, orderTimeoutMs)
+    return true
+  }
+
+  const attempt = async (revision: number): Promise<boolean> => {
+    const candidates = await askAll()
+    const leader = newLeader(candidates)
+    if (leader !== undefined) return await putInForce(leader.database.id, leader.status.term, revision)
+    const former = candidates.find(({ database }) => database.id === old.primary)
+    const isFormerGood = former?.status.role === 'primary' && former.status.term >= old.term
+    const best = bestOf(candidates)
+    if (isFormerGood && reason === 'failed' && !hasAsked) {
+      return await putInForce(old.primary, former.status.term, revision)
+    }
+    const chosen = best ?? (isFormerGood ? former : undefined)
+    if (chosen === undefined || !isStillMine(revision)) return false
+    hasAsked = true
+    const asked = await promote(group, chosen.database.id, revision, promoteTimeoutMs)
+    log(events.promotionAsked, { group, database: chosen.database.id, fence: revision, received: received(chosen), outcome: asked.ok ? 'accepted' : asked.val.reason })
+    if (asked.err && asked.val.reason !== 'noAnswer') return false
+    const leading = await waitForLead(chosen.database)
+    return leading !== undefined && await putInForce(leading.database.id, leading.status.term, revision)
+  }
+
+  if (isPlanned && bestOf(await askAll()) === undefined) {
+    log(events.noSuccessor, { group, primary: old.primary, reason })
+    return false
+  }
+  if (isPlanned) await settleUsers()
+  const changing = await records.store(group, { ...old, phase: 'changing', keeper: self }, known.revision)
+  if (changing === undefined) return false
+  log(events.primaryChangeBegun, { group, primary: old.primary, term: old.term, reason, fence: changing.revision })
+  await stopUsers(changing.revision)
+  if (isPlanned) {
+    const former = view.databases().get(old.primary)
+    const last = former === undefined ? undefined : await statusOf(former)
+    if (last !== undefined) await waitForCatchUp(last.status.appliedPosition)
+  }
+  while (performance.now() < endAtMs && view.group(group)?.revision === changing.revision) {
+    if (await attempt(changing.revision)) return true
+    await sleepMs(attemptPauseMs)
+  }
+  log(events.primaryChangeLeft, { group, reason, fence: changing.revision })
+  return false
+}
--- /dev/null
+++ b/packages/gateway/src/coordination/relay-handler.ts
@@ -0,0 +1,97 @@
+/**
+ * Answers what other gateways ask of this one.
+ */
+import type { RelayMessages } from '@egretyoke/protocol'
+import type { Contact } from '../state/contact.js'
+import type { AgeClock } from '../state/contact.js'
+import type { FleetView } from '../state/fleet-view.js'
+import type { DatabaseOrders } from './database-orders.js'
+import type { GroupPositions } from './group-positions.js'
+import type { GroupRecords } from './group-records.js'
+import type { Holders } from './holders.js'
+import type { LimitKeeper } from './limit-keeper.js'
+import type { RelayAnswer } from './relay-calls.js'
+
+/** What the handler works with. */
+export type RelayHandlerOptions = {
+  view: FleetView
+  records: GroupRecords
+  holders: Holders
+  positions: GroupPositions
+  limits: LimitKeeper
+  orders: DatabaseOrders
+  contact: Contact
+  clock: AgeClock
+  isDraining: () => boolean
+}
+
+/** A position younger than this is passed on without asking the primary. */
+const freshPositionMs = 150
+const statusTimeoutMs = 400
+const probeTimeoutMs = 500
+/** How long a primary's work is held back for a handover; the change of its record follows sooner. */
+const handoverPauseMs = 2000
+const settleTimeMs = 900
+
+type Answer = Partial<Omit<RelayAnswer, 'number'>>
+
+/** The newest position of a group whose primary is used here, with its age; undefined when there is none. */
+export const readPrimaryPosition = async (
+  { view, records, positions, orders, clock }: Pick<RelayHandlerOptions, 'view' | 'records' | 'positions' | 'orders' | 'clock'>,
+  group: string
+): Promise<{ position: string, ageMs: number } | undefined> => {
+  const primary = view.group(group)?.record.primary ?? ''
+  const database = view.databases().get(primary)
+  if (database === undefined || !await records.become(group, primary)) return undefined
+  const known = positions.newest(group)
+  if (known !== undefined && clock.ageMs(known.coversUntil) < freshPositionMs) {
+    return { position: known.position, ageMs: clock.ageMs(known.coversUntil) }
+  }
+  const coversUntil = clock.now()
+  const status = await orders.give(database, { kind: 'status' }, statusTimeoutMs)
+  if (status.err || !records.mayUse(group, primary)) return undefined
+  const position = status.val.appliedPosition
+  positions.note(group, { position, coversUntil })
+  return { position, ageMs: clock.ageMs(coversUntil) }
+}
+
+/** Creates the handler; `undefined` is no answer. */
+export const createRelayHandler = (options: RelayHandlerOptions) => {
+  const { view, records, holders, limits, orders, isDraining } = options
+
+  const positionOf = async ({ group }: RelayMessages.AskPosition__Output): Promise<Answer> => {
+    const read = await readPrimaryPosition(options, group)
+    return { position: read === undefined ? { position: '', ageMs: 0 } : { position: read.position, ageMs: Math.ceil(read.ageMs) } }
+  }
+
+  const stopPrimary = async ({ group, revision, finish }: RelayMessages.StopPrimary__Output): Promise<Answer> => {
+    const holder = holders.get(view.group(group)?.record.primary ?? '')
+    if (finish) {
+      holder?.pause(handoverPauseMs)
+      const stopped = await holder?.settle(settleTimeMs) ?? true
+      return { primaryStopped: { stopped, position: '' } }
+    }
+    records.stop(group, revision)
+    return { primaryStopped: { stopped: true, position: options.positions.newest(group)?.position ?? '' } }
+  }
+
+  const probe = async ({ database: id }: RelayMessages.ProbeDatabase__Output): Promise<Answer> => {
+    const database = view.databases().get(id)
+    if (database === undefined) return { databaseProbe: { reachable: false } }
+    const status = await orders.give(database, { kind: 'status' }, probeTimeoutMs)
+    return { databaseProbe: { reachable: status.ok || status.val.reason === 'declined' } }
+  }
+
+  return async (request: RelayMessages.RelayRequest__Output): Promise<Answer | undefined> => {
+    if (request.run) return { statement: await holders.run(request.run) }
+    if (request.takeTokens) return { tokens: limits.take(request.takeTokens) }
+    if (request.askPosition) return await positionOf(request.askPosition)
+    if (request.stopPrimary) return await stopPrimary(request.stopPrimary)
+    if (request.probeDatabase) return await probe(request.probeDatabase)
+    if (request.abandon) {
+      holders.abandon(request.abandon.database, request.abandon.session)
+      return undefined
+    }
+    return { pong: { draining: isDraining() } }
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/coordination/run-on-connection.ts
@@ -0,0 +1,80 @@
+/**
+ * Runs one statement on one connection: brings the connection's session state to what the statement needs, opens the
+ * transaction if the statement is its first, and reads the outcome from the database's replies.
+ */
+import { commandsToReach, noteDone } from './connection-pool.js'
+import type { PooledConnection, WantedState } from './connection-pool.js'
+import type { DatabaseCommand, DatabaseReply } from './database-connection.js'
+import { failed, isRead, notRun, unknownOutcome } from './statement.js'
+import type { StatementOutcome, StatementReason, StatementRequest } from './statement.js'
+
+/** Prepared statements are named by what they do, so that all sessions of a workspace share them. */
+export const preparedName = (access: 'read' | 'write', shape: string): string => `${access}_${shape}`
+
+const preparedOf = ({ verb, shape, shapeAccess }: StatementRequest): WantedState['prepared'] => {
+  if (verb !== 'EXECUTE') return undefined
+  const access = shapeAccess === 'WRITE' ? 'write' : 'read'
+  return { name: preparedName(access, shape), access, shape }
+}
+
+const commandOf = (request: StatementRequest, positionAtLeast: string): DatabaseCommand => {
+  const { requestId, verb, text } = request
+  if (verb === 'COMMIT') return { kind: 'commit', requestId }
+  const prepared = preparedOf(request)
+  if (prepared === undefined) return { kind: 'text', requestId, text, positionAtLeast }
+  return { kind: 'execute', requestId, name: prepared.name, operands: text, positionAtLeast }
+}
+
+const declinedFor: Record<NonNullable<DatabaseReply['declineReason']>, StatementReason> = {
+  busy: 'busy',
+  lagging: 'lagging',
+  readOnly: 'readOnly',
+  unknownStatement: 'moved',
+  malformed: 'failed',
+  aborted: 'transactionGone'
+}
+
+const outcomeOf = (request: StatementRequest, reply: DatabaseReply): StatementOutcome => {
+  const transactionOpen = reply.transaction === 'open'
+  if (reply.outcome === 'done') {
+    const { rows, signature, position } = reply
+    return { ...notRun(''), status: 'DONE', rows, signature, position, transactionOpen }
+  }
+  if (reply.outcome === 'declined') return notRun(declinedFor[reply.declineReason ?? 'malformed'])
+  if (reply.outcome === 'failed') return failed('failed')
+  return isRead(request) ? notRun('silent') : unknownOutcome('silent')
+}
+
+const outcomeOfPreparation = (reply: DatabaseReply): StatementOutcome =>
+  notRun(reply.outcome === 'declined' ? declinedFor[reply.declineReason ?? 'malformed'] : 'unreachable')
+
+/**
+ * Runs the statement. `positionAtLeast` goes with the first command that reads. Nothing is sent behind a command whose
+ * refusal would let a later one run where it must not.
+ */
+export const runOnConnection = async (
+  pooled: PooledConnection, request: StatementRequest, positionAtLeast: string, timeoutMs: number
+): Promise<StatementOutcome> => {
+  const opens = request.transaction === 'OPEN_READ_WRITE' || request.transaction === 'OPEN_READ_ONLY'
+  const readOnly = request.transaction === 'OPEN_READ_ONLY'
+  const before = commandsToReach(pooled, { values: request.values, prepared: preparedOf(request) })
+  if (opens) before.push({ kind: 'begin', readOnly, positionAtLeast })
+  const startedAtMs = performance.now()
+
+  if (before.length > 0) {
+    const replies = await pooled.connection.run(before, timeoutMs)
+    for (const [index, command] of before.entries()) {
+      const reply = replies[index]
+      if (reply?.outcome !== 'done') return reply === undefined ? notRun('unreachable') : outcomeOfPreparation(reply)
+      noteDone(pooled, command)
+    }
+  }
+
+  const leftMs = timeoutMs - (performance.now() - startedAtMs)
+  if (leftMs <= 0) return notRun('silent')
+  const mayDecline = request.transaction === 'SINGLE' && request.access === 'READ'
+  const [reply] = await pooled.connection.run([commandOf(request, mayDecline ? positionAtLeast : '')], leftMs)
+  if (reply === undefined) return unknownOutcome('silent')
+  if (reply.declineReason === 'unknownStatement') pooled.prepared.clear()
+  return outcomeOf(request, reply)
+}
--- /dev/null
+++ b/packages/gateway/src/index.ts
@@ -0,0 +1,12 @@
+/**
+ * The gateway and the interfaces that the adapter of a platform implements.
+ */
+export * from './coordination/database-connection.js'
+export type { PromoteDatabase } from './coordination/primary-change.js'
+export type { Session, SessionAnswer, SessionError, SessionStatement } from './coordination/session.js'
+export type { Changes, Listing, SharedStore, StoreError } from './coordination/shared-store.js'
+export { events } from './events.js'
+export { startGateway } from './gateway.js'
+export type { Gateway, GatewayPlatform, GatewaySettings } from './gateway.js'
+export type { Configuration, Database, Group, Route, RouteKind, Workspace } from './state/configuration.js'
+export type { PlatformFact, ReadFact } from './state/fleet-view.js'
--- /dev/null
+++ b/packages/gateway/src/state/fleet-view.ts
@@ -0,0 +1,134 @@
+/**
+ * What this gateway knows of the platform's store: configuration, databases, evacuations, and the gateways' own records.
+ */
+import type { Logger } from '@egretyoke/common'
+import type { StoredEntry } from '@egretyoke/fleet'
+import { events } from '../events.js'
+import type { Configuration, Database } from './configuration.js'
+import { readGroupRecord, readLimitRecord, readMember, recordKeys } from './stored-records.js'
+import type { GroupRecord, LimitRecord, Member } from './stored-records.js'
+
+/** What an entry that the platform, the operators or the databases wrote says. */
+export type PlatformFact =
+  | { kind: 'configuration', configuration: Configuration | undefined }
+  | { kind: 'database', id: string, database: Database | undefined }
+  | { kind: 'evacuation', dataCentre: string }
+
+/** Reads an entry; undefined for keys that mean nothing to the gateway. A deleted entry is read by its key. */
+export type ReadFact = (key: string, value: Buffer) => PlatformFact | undefined
+
+/** A record with the store revision that it was read at. */
+export type Versioned<T> = { record: T, revision: number }
+
+/** The view, brought up to date by `apply`. */
+export type FleetView = {
+  configuration: () => Configuration | undefined
+  databases: () => ReadonlyMap<string, Database>
+  databasesOf: (group: string) => Database[]
+  /** Data centres that are out, with the monotonic time at which this gateway learned of it. */
+  evacuated: () => ReadonlyMap<string, number>
+  /** Monotonic time at which this gateway learned that the database leaves. */
+  drainingSince: (database: string) => number | undefined
+  members: () => ReadonlyMap<string, Member>
+  group: (name: string) => Versioned<GroupRecord> | undefined
+  limitKeeper: (shard: number) => LimitRecord | undefined
+  apply: (entry: StoredEntry) => void
+  /** Takes in a complete listing: what it lacks is gone. */
+  replaceAll: (entries: readonly StoredEntry[]) => void
+  /** Called with the name of a group whose primary is not the one that it was. */
+  onGroupChange: (listener: (group: string) => void) => void
+}
+
+/** Creates an empty view. */
+export const createFleetView = (readFact: ReadFact, log: Logger): FleetView => {
+  let configuration: Configuration | undefined
+  const revisions = new Map<string, number>()
+  const databases = new Map<string, Database>()
+  const evacuated = new Map<string, number>()
+  const drainingSince = new Map<string, number>()
+  const members = new Map<string, Member>()
+  const groups = new Map<string, Versioned<GroupRecord>>()
+  const limits = new Map<number, LimitRecord>()
+  const listeners: Array<(group: string) => void> = []
+
+  const applyOwn = ({ key, value, deleted, revision }: StoredEntry): boolean => {
+    const put = <K, T>(map: Map<K, T>, id: K, record: T | undefined) => {
+      if (record === undefined) map.delete(id)
+      else map.set(id, record)
+      return true
+    }
+    const unreadable = (message: string) => {
+      log(events.recordUnreadable, { key, revision, message })
+      return undefined
+    }
+    if (key.startsWith(recordKeys.vms)) {
+      const member = deleted ? undefined : readMember(value).mapErr(error => unreadable(error.message)).unwrapOr(undefined)
+      return put(members, key.slice(recordKeys.vms.length), member)
+    }
+    if (key.startsWith(recordKeys.groups)) {
+      const record = deleted ? undefined : readGroupRecord(value).mapErr(e => unreadable(e.message)).unwrapOr(undefined)
+      const name = key.slice(recordKeys.groups.length)
+      const isOther = groups.get(name)?.record.primary !== record?.primary
+      put(groups, name, record && { record, revision })
+      if (isOther) for (const listener of listeners) listener(name)
+      return true
+    }
+    if (key.startsWith(recordKeys.limits)) {
+      const record = deleted ? undefined : readLimitRecord(value).mapErr(e => unreadable(e.message)).unwrapOr(undefined)
+      return put(limits, Number(key.slice(recordKeys.limits.length)), record)
+    }
+    return false
+  }
+
+  const applyFact = ({ key, value, deleted, revision }: StoredEntry) => {
+    const fact = readFact(key, value)
+    if (fact === undefined) return
+    if (fact.kind === 'evacuation') {
+      if (deleted) evacuated.delete(fact.dataCentre)
+      else evacuated.set(fact.dataCentre, performance.now())
+      return log(events.evacuationKnown, { dataCentre: fact.dataCentre, evacuated: !deleted, revision })
+    }
+    if (fact.kind === 'database') {
+      const { id, database } = fact
+      if (deleted || database === undefined) databases.delete(id)
+      else databases.set(id, database)
+      if (database?.draining !== true) drainingSince.delete(id)
+      else if (!drainingSince.has(id)) drainingSince.set(id, performance.now())
+      return log(events.databaseKnown, { database: id, group: database?.group, gone: deleted, revision, role: database?.role, draining: database?.draining, address: database?.address })
+    }
+    if (deleted || fact.configuration === undefined) return log(events.configurationUnreadable, { key, revision, deleted })
+    if (configuration !== undefined && fact.configuration.version < configuration.version) return
+    configuration = fact.configuration
+    log(events.configurationInForce, { version: configuration.version, revision, routes: configuration.routes.size })
+  }
+
+  const apply = (entry: StoredEntry) => {
+    if ((revisions.get(entry.key) ?? 0) >= entry.revision) return
+    if (entry.deleted) revisions.delete(entry.key)
+    else revisions.set(entry.key, entry.revision)
+    if (!applyOwn(entry)) applyFact(entry)
+  }
+
+  const replaceAll = (entries: readonly StoredEntry[]) => {
+    const listed = new Set(entries.map(({ key }) => key))
+    for (const [key, revision] of revisions) {
+      if (listed.has(key)) continue
+      apply({ key, value: Buffer.alloc(0), revision: revision + 1, deleted: true })
+    }
+    for (const entry of entries) apply(entry)
+  }
+
+  return {
+    configuration: () => configuration,
+    databases: () => databases,
+    databasesOf: group => [...databases.values()].filter(database => database.group === group),
+    evacuated: () => evacuated,
+    drainingSince: database => drainingSince.get(database),
+    members: () => members,
+    group: name => groups.get(name),
+    limitKeeper: shard => limits.get(shard),
+    apply,
+    replaceAll,
+    onGroupChange: listener => { listeners.push(listener) }
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/transport/relay-links.ts
@@ -0,0 +1,74 @@
+/**
+ * Links to other gateways by address, and the listener for theirs.
+ */
+import type { Server, ServerDuplexStream } from '@grpc/grpc-js'
+import type { Logger } from '@egretyoke/common'
+import { relayProto } from '@egretyoke/protocol'
+import type { ChannelSettings, RelayMessages } from '@egretyoke/protocol'
+import type { RelayAnswer, RelayCalls } from '../coordination/relay-calls.js'
+import { events } from '../events.js'
+import { createRelayLink } from './relay-link.js'
+import type { RelayLink } from './relay-link.js'
+
+const maxLinks = 2048
+
+/** Links, to be closed. */
+export type RelayLinks = RelayCalls & {
+  /** Closes the links to addresses that are not in the list. */
+  retain: (addresses: ReadonlySet<string>) => void
+  close: () => void
+}
+
+/** Creates the links. */
+export const createRelayLinks = (channels: ChannelSettings, log: Logger): RelayLinks => {
+  const links = new Map<string, RelayLink>()
+
+  const linkTo = (address: string): RelayLink => {
+    const known = links.get(address)
+    if (known !== undefined) return known
+    if (links.size >= maxLinks) retain(new Set())
+    const link = createRelayLink(address, channels, reason => log(events.peerLost, { address, reason }))
+    links.set(address, link)
+    return link
+  }
+
+  const retain = (addresses: ReadonlySet<string>) => {
+    for (const [address, link] of links) {
+      if (addresses.has(address)) continue
+      links.delete(address)
+      link.close()
+    }
+  }
+
+  return {
+    ask: ({ address }, question, timeoutMs) => linkTo(address).ask(question, timeoutMs),
+    isUsable: ({ address }) => links.get(address)?.isUsable() ?? true,
+    retain,
+    close: () => retain(new Set())
+  }
+}
+
+/** Answers a request of another gateway; undefined when it wants no answer. */
+export type HandleRelayed =
+  (request: RelayMessages.RelayRequest__Output) => Promise<Omit<RelayAnswer, 'number'> | undefined>
+
+/** Adds the service to a listener. Requests of a stream are answered as they finish. */
+export const addRelayService = (server: Server, handle: HandleRelayed): void => {
+  type Call = ServerDuplexStream<RelayMessages.RelayRequest__Output, RelayMessages.RelayReply>
+  server.addService(relayProto.Relay.service, {
+    Exchange: (call: Call) => {
+      let isOpen = true
+      const end = () => { isOpen = false }
+      call.on('data', async (request: RelayMessages.RelayRequest__Output) => {
+        const reply = await handle(request)
+        if (isOpen && reply !== undefined) call.write({ number: request.number, ...reply })
+      })
+      call.on('end', () => {
+        end()
+        call.end()
+      })
+      call.on('cancelled', end)
+      call.on('error', end)
+    }
+  })
+}
--- a/packages/protocol/src/load-protos.ts
+++ b/packages/protocol/src/load-protos.ts
@@ -8,6 +8,7 @@
 import type { ProtoGrpcType as EndpointTypes } from './generated/endpoint.js'
 import type { ProtoGrpcType as PeerTypes } from './generated/peer.js'
 import type { ProtoGrpcType as PlatformTypes } from './generated/platform.js'
+import type { ProtoGrpcType as RelayTypes } from './generated/relay.js'
 import type { ProtoGrpcType as StandinTypes } from './generated/standin.js'
 
 const protoDir = fileURLToPath(new URL('../proto', import.meta.url))
@@ -28,5 +29,7 @@
 export const peerProto = (load('peer.proto') as PeerTypes).egretyoke.peer.v1
 /** Services of the platform. */
 export const platformProto = (load('platform.proto') as PlatformTypes).egretyoke.platform.v1
+/** Services between gateways. */
+export const relayProto = (load('relay.proto') as RelayTypes).egretyoke.relay.v1
 /** Control of the stand-ins. */
 export const standinProto = (load('standin.proto') as StandinTypes).egretyoke.standin.v1
