Gateway: spare the primaries' probes, and refuse sooner at a used-up limit

Change: keepers ask a primary's user whether it has just had an answer, and probe only if not; an operation waits for a token a share of its latency objective.

--- a/packages/gateway/src/coordination/admission.ts
+++ b/packages/gateway/src/coordination/admission.ts
@@ -12,9 +12,7 @@
 const fetchAheadMs = 400
 /** Tokens that were not used this long after they were fetched are void. */
 const tokenLifeMs = 1000
-/** How long an operation waits for a token. */
-const maxWaitMs = 300
-const retryDelayMs = 60
+const retryDelayMs = 80
 /** How long the last known part of a rate is used while no keeper answers. */
 const fallbackMs = 8000
 const maxWaiting = 256
@@ -26,8 +24,8 @@
 
 /** Admission of operations. */
 export type Admission = {
-  /** False: the workspace has used up its limit, or nobody can tell. */
-  admit: (workspace: string) => Promise<boolean>
+  /** False: the workspace has used up its limit, or nobody can tell. An answer that takes longer is refused. */
+  admit: (workspace: string, maxWaitMs: number) => Promise<boolean>
   /** Forgets workspaces that are not in the list. */
   retain: (workspaces: ReadonlySet<string>) => void
 }
@@ -39,7 +37,7 @@
   arrivals: number
   secondStartedMs: number
   isFetching: boolean
-  waiting: Array<{ sinceMs: number, settle: (admitted: boolean) => void }>
+  waiting: Array<{ untilMs: number, settle: (admitted: boolean) => void }>
   lastKeptMs: number
   fallback: TokenBucket
 }
@@ -87,7 +85,7 @@
   }
 
   const refuseLate = (workspace: string, account: Account) => {
-    while (account.waiting.length > 0 && nowMs() - account.waiting[0].sinceMs >= maxWaitMs) {
+    while (account.waiting.length > 0 && nowMs() >= account.waiting[0].untilMs) {
       account.waiting.shift()?.settle(false)
       log(events.limitReached, { workspace, keeperAgeMs: Math.round(nowMs() - account.lastKeptMs) })
     }
@@ -119,10 +117,10 @@
     account.isFetching = false
   }
 
-  const admit = (workspace: string) => new Promise<boolean>(resolve => {
+  const admit = (workspace: string, maxWaitMs: number) => new Promise<boolean>(resolve => {
     const account = accountOf(workspace)
     noteArrival(account)
-    account.waiting.push({ sinceMs: nowMs(), settle: resolve })
+    account.waiting.push({ untilMs: nowMs() + maxWaitMs, settle: resolve })
     serveWaiting(account)
     if (account.waiting.length > maxWaiting) account.waiting.pop()?.settle(false)
     const low = account.demandPerSec * fetchAheadMs / 2000
--- a/packages/gateway/src/coordination/database-holder.ts
+++ b/packages/gateway/src/coordination/database-holder.ts
@@ -29,6 +29,8 @@
 /** What a statement costs a slot when its real time is not known yet. */
 const assumedCostMs = 20
 const upkeepIntervalMs = 50
+/** An answer that is not older shows that the database lives. */
+const recentAnswerMs = 400
 const settlePollMs = 10
 
 /** Statements at one database, and orders to it. */
@@ -40,6 +42,8 @@
   /** Resolves when nothing runs and no transaction is open, or after the time; true if it is so. */
   settle: (timeoutMs: number) => Promise<boolean>
   load: () => number
+  /** Whether the database has answered a statement within the last moments. */
+  hasAnsweredLately: () => boolean
   openTransactions: () => number
   connections: () => number
   close: () => void
@@ -70,6 +74,7 @@
   let inFlight = 0
   let isClosed = false
   let pausedUntilMs = -Infinity
+  let lastAnswerMs = -Infinity
   const continuing: Waiting[] = []
 
   const pool: ConnectionPool = createConnectionPool({
@@ -128,6 +133,7 @@
     if (request.needsPrimary && !records.mayUse(group, id)) return notRun('moved')
     const coversUntil = clock.now()
     const outcome = await runOnConnection(pooled, request, position, leftMs)
+    if (outcome.reason !== 'silent' && outcome.reason !== 'unreachable') lastAnswerMs = nowMs()
     if (!atPrimary) return outcome
     if (records.mayUse(group, id)) {
       if (outcome.position !== '') positions.note(group, { position: outcome.position, coversUntil })
@@ -231,6 +237,7 @@
     pause: forMs => { pausedUntilMs = nowMs() + forMs },
     settle,
     load,
+    hasAnsweredLately: () => nowMs() - lastAnswerMs < recentAnswerMs,
     openTransactions: pinned.size,
     connections: pool.size,
     close: () => {
--- a/packages/gateway/src/coordination/group-keeper.ts
+++ b/packages/gateway/src/coordination/group-keeper.ts
@@ -9,6 +9,7 @@
 import type { Versioned } from '../state/fleet-view.js'
 import { processName } from '../state/stored-records.js'
 import type { GroupRecord, Member } from '../state/stored-records.js'
+import { livingUsers } from './group-records.js'
 import { changePrimary } from './primary-change.js'
 import type { ChangeReason, PrimaryChangeOptions } from './primary-change.js'
 
@@ -29,11 +30,15 @@
 export type GroupKeeper = { run: (signal: AbortSignal) => Promise<void> }
 
 /** What the keeper works with. */
-export type GroupKeeperOptions = PrimaryChangeOptions & { name: string }
+export type GroupKeeperOptions = PrimaryChangeOptions & {
+  name: string
+  /** Whether the database has answered a statement here just now. */
+  hasAnsweredLately: (database: string) => boolean
+}
 
 /** Creates the keeper. */
 export const createGroupKeeper = (options: GroupKeeperOptions): GroupKeeper => {
-  const { name, self, view, records, contact, orders, relay, log } = options
+  const { name, self, view, records, contact, orders, relay, hasAnsweredLately, log } = options
   const failures = new Map<string, { refused: number, silent: number }>()
   const seenChangingMs = new Map<number, number>()
   const missingSinceMs = new Map<string, number>()
@@ -57,7 +62,21 @@
     await records.store(group, { primary: database.id, term: status.term, phase: 'serving', users: [], keeper: self }, 0)
   }
 
-  const probe = async (database: Database): Promise<boolean> => {
+  /** Whether a gateway that uses the primary has had an answer of it just now; spares the primary a probe. */
+  const isUsedWell = async (database: Database, users: readonly string[]): Promise<boolean> => {
+    const user = livingUsers(users, view).at(-1)?.split('/')[0] ?? ''
+    if (user === name) return hasAnsweredLately(database.id)
+    const member = view.members().get(user)
+    if (member === undefined) return false
+    const answer = await relay.ask(member, { probeDatabase: { database: database.id, onlyByUse: true } }, probeTimeoutMs)
+    return answer.ok && answer.val.databaseProbe?.reachable === true
+  }
+
+  const probe = async (database: Database, users: readonly string[]): Promise<boolean> => {
+    if (await isUsedWell(database, users)) {
+      failures.delete(database.id)
+      return true
+    }
     const status = await orders.give(database, { kind: 'status' }, probeTimeoutMs)
     if (status.ok || status.val.reason === 'declined') {
       failures.delete(database.id)
@@ -98,7 +117,7 @@
     missingSinceMs.delete(group)
     if (view.evacuated().has(database.dataCentre)) return 'evacuated'
     if (database.draining) return 'draining'
-    if (await probe(database)) return undefined
+    if (await probe(database, record.users)) return undefined
     return await isSeenByOthers(database) ? undefined : 'failed'
   }
 
--- a/packages/gateway/src/coordination/holders.ts
+++ b/packages/gateway/src/coordination/holders.ts
@@ -15,6 +15,8 @@
   abandon: (database: string, session: string) => void
   get: (database: string) => DatabaseHolder | undefined
   all: () => DatabaseHolder[]
+  /** Whether the database has answered a statement of this gateway within the last moments. */
+  hasAnsweredLately: (database: string) => boolean
   /** Closes the holders of databases that are gone or have started anew. */
   retainKnown: () => void
   close: () => void
@@ -66,6 +68,7 @@
     abandon: (database, session) => holders.get(database)?.holder.abandon(session),
     get: id => holders.get(id)?.holder,
     all: () => [...holders.values()].map(({ holder }) => holder),
+    hasAnsweredLately: id => holders.get(id)?.holder.hasAnsweredLately() ?? false,
     retainKnown: () => {
       for (const [id, { database, holder }] of holders) {
         const isGone = !view.databases().has(id)
--- a/packages/gateway/src/coordination/relay-handler.ts
+++ b/packages/gateway/src/coordination/relay-handler.ts
@@ -75,8 +75,9 @@
     return { primaryStopped: { stopped: true, position: options.positions.newest(group)?.position ?? '' } }
   }
 
-  const probe = async ({ database: id }: RelayMessages.ProbeDatabase__Output): Promise<Answer> => {
+  const probe = async ({ database: id, onlyByUse }: RelayMessages.ProbeDatabase__Output): Promise<Answer> => {
     const database = view.databases().get(id)
+    if (onlyByUse) return { databaseProbe: { reachable: holders.hasAnsweredLately(id) } }
     if (database === undefined) return { databaseProbe: { reachable: false } }
     const status = await orders.give(database, { kind: 'status' }, probeTimeoutMs)
     return { databaseProbe: { reachable: status.ok || status.val.reason === 'declined' } }
--- a/packages/gateway/src/coordination/session.ts
+++ b/packages/gateway/src/coordination/session.ts
@@ -75,6 +75,8 @@
 const maxPrepared = 256
 /** Part of the latency objective that a statement may wait before it is offered to a database. */
 const maxQueuedFraction = 0.5
+/** Part of the latency objective that an operation may wait for a token of its workspace's limit. */
+const maxTokenWaitFraction = 0.15
 /** After a refusal for the limit, suggested to the caller. */
 const limitRetryMs = 500
 const busyRetryMs = 100
@@ -162,7 +164,8 @@
   }
 
   /** Callers without a workspace, on routes that are open to all, have no limit. */
-  const isAdmitted = async ({ workspace }: Identity) => workspace === undefined || await admission.admit(workspace.name)
+  const isAdmitted = async ({ route, workspace }: Identity) => workspace === undefined ||
+    await admission.admit(workspace.name, route.targetLatencyMs * maxTokenWaitFraction)
 
   /** A statement of its own. */
   const runSingle = async (identity: Identity, request: StatementRequest): Promise<SessionAnswer> => {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -145,7 +145,8 @@
     self, view, holders: holderChoice, relay: links, regionOf, runHere: holders.run, abandonHere: holders.abandon, log
   })
   const keeper = createGroupKeeper({
-    self: selfName, name: self.name, view, records, contact, isLeaseHeld, orders, relay: links, promote: platform.promote, log
+    self: selfName, name: self.name, view, records, contact, isLeaseHeld, orders, relay: links, promote: platform.promote,
+    hasAnsweredLately: holders.hasAnsweredLately, log
   })
 
   view.onGroupChange(group => positions.forget(group))
