--- a/packages/common/src/line-logger.ts
+++ b/packages/common/src/line-logger.ts
@@ -1,6 +1,6 @@
 /**
- * Numbered events as JSON lines on standard output, written in the background by `pino`. When nobody reads them, or when
- * there are too many, lines are left out and counted: logging never holds the program up.
+ * Numbered events as JSON lines on standard output, written in the background by `pino`. When nobody reads them, or
+ * when there are too many, lines are left out and counted: logging never holds the program up.
  */
 import { pino } from 'pino'
 import type { EventFields, Logger } from './log.js'
--- a/packages/gateway/src/coordination/admission.ts
+++ b/packages/gateway/src/coordination/admission.ts
@@ -43,7 +43,9 @@
 }
 
 /** Creates the admission of one gateway. `startingRate` is its part of a rate that it knows nothing of. */
-export const createAdmission = (ask: AskForTokens, startingRate: (workspace: string) => number, log: Logger): Admission => {
+export const createAdmission = (
+  ask: AskForTokens, startingRate: (workspace: string) => number, log: Logger
+): Admission => {
   const accounts = new Map<string, Account>()
   const nowMs = () => performance.now()
 
@@ -52,8 +54,15 @@
     if (known !== undefined) return known
     const fallback = createTokenBucket({ ratePerSec: startingRate(workspace), burst: 1 })
     const account: Account = {
-      tokens: 0, fetchedAtMs: 0, demandPerSec: 0, arrivals: 0, secondStartedMs: nowMs(), isFetching: false, waiting: [],
-      lastKeptMs: nowMs(), fallback
+      tokens: 0,
+      fetchedAtMs: 0,
+      demandPerSec: 0,
+      arrivals: 0,
+      secondStartedMs: nowMs(),
+      isFetching: false,
+      waiting: [],
+      lastKeptMs: nowMs(),
+      fallback
     }
     accounts.set(workspace, account)
     return account
@@ -124,7 +133,7 @@
     serveWaiting(account)
     if (account.waiting.length > maxWaiting) account.waiting.pop()?.settle(false)
     const low = account.demandPerSec * fetchAheadMs / 2000
-    if (account.waiting.length > 0 || usableTokens(account) < low) void fetchFor(workspace, account)
+    if (account.waiting.length > 0 || usableTokens(account) < low) fetchFor(workspace, account)
   })
 
   return {
--- a/packages/gateway/src/coordination/database-holder.ts
+++ b/packages/gateway/src/coordination/database-holder.ts
@@ -109,7 +109,9 @@
     if (required === undefined) return notRun('lagging')
     const taken = await pool.take(request.workspace, Math.min(connectTimeoutMs, leftMs))
     if (taken.err) {
-      log(events.connectFailed, { request: request.requestId, database: id, reason: taken.val.reason, message: taken.val.message })
+      log(events.connectFailed, {
+        request: request.requestId, database: id, reason: taken.val.reason, message: taken.val.message
+      })
       return notRun(taken.val.reason === 'full' ? 'busy' : 'unreachable')
     }
     const pooled = taken.val
@@ -122,7 +124,7 @@
     if (request.transaction !== 'SINGLE' && outcome.transactionOpen) return pinned.pin(request.session, pooled)
     if (outcome.status === 'UNKNOWN' || outcome.reason === 'silent') return pool.discard(pooled)
     if (outcome.status === 'DONE' || request.transaction === 'SINGLE') return pool.giveBack(pooled)
-    void pinned.rollBack(pooled).then(dispatch)
+    pinned.rollBack(pooled).then(dispatch)
   }
 
   /** Runs a statement, and tells its outcome only if the primary was in force from its sending to its answer. */
@@ -187,7 +189,7 @@
       }
       const waiting = nextWaiting()
       if (waiting === undefined) return
-      void serve(waiting)
+      serve(waiting)
     }
   }
 
@@ -206,7 +208,9 @@
       const as = { workspace, weight: 1, cost: assumedCostMs, deadlineMs: nowMs() + maxQueuedMs }
       const pushed = queueOf(request).push(waiting, as)
       if (pushed.err) {
-        log(events.notOffered, { request: request.requestId, database: id, reason: pushed.val.reason, queuedMs: 0, load: load() })
+        log(events.notOffered, {
+          request: request.requestId, database: id, reason: pushed.val.reason, queuedMs: 0, load: load()
+        })
         return resolve({ ...notRun('busy'), load: load() })
       }
       dispatch()
@@ -232,7 +236,7 @@
     run,
     abandon: session => {
       const pooled = pinned.take(session)
-      if (pooled !== undefined) void pinned.rollBack(pooled).then(dispatch)
+      if (pooled !== undefined) pinned.rollBack(pooled).then(dispatch)
     },
     pause: forMs => { pausedUntilMs = nowMs() + forMs },
     settle,
--- a/packages/gateway/src/coordination/database-orders.ts
+++ b/packages/gateway/src/coordination/database-orders.ts
@@ -12,8 +12,8 @@
 const unusedCloseMs = 10_000
 
 /**
- * Why an order brought nothing. `unreachable`: nothing listens at the address, or the connection was reset. `silent`: no
- * answer in time. `declined`: the database lives but did not do it.
+ * Why an order brought nothing. `unreachable`: nothing listens at the address, or the connection was reset. `silent`:
+ * no answer in time. `declined`: the database lives but did not do it.
  */
 export type OrderError = TypedError<'unreachable' | 'silent' | 'declined'>
 
@@ -34,7 +34,9 @@
     kept.delete(id)
   }
 
-  const connectionTo = async (database: Database, timeoutMs: number): Promise<Result<DatabaseConnection, OrderError>> => {
+  const connectionTo = async (
+    database: Database, timeoutMs: number
+  ): Promise<Result<DatabaseConnection, OrderError>> => {
     const { id, address, group } = database
     const known = kept.get(id)
     if (known !== undefined && known.connection.isOpen() && known.address === address) {
--- a/packages/gateway/src/coordination/group-keeper.ts
+++ b/packages/gateway/src/coordination/group-keeper.ts
@@ -1,6 +1,6 @@
 /**
- * Looks after the groups' primaries: of all gateways the one that ranks first for a group watches its primary and has it
- * replaced when it has failed or is leaving.
+ * Looks after the groups' primaries: of all gateways the one that ranks first for a group watches its primary and has
+ * it replaced when it has failed or is leaving.
  */
 import { sleepMs } from '@egretyoke/common'
 import { rankByRendezvous } from '@egretyoke/limits'
@@ -59,7 +59,9 @@
       .sort((one, other) => other.status.term - one.status.term)[0]
     if (leading === undefined) return
     const { database, status } = leading
-    await records.store(group, { primary: database.id, term: status.term, phase: 'serving', users: [], keeper: self }, 0)
+    await records.store(group, {
+      primary: database.id, term: status.term, phase: 'serving', users: [], keeper: self
+    }, 0)
   }
 
   /** Whether a gateway that uses the primary has had an answer of it just now; spares the primary a probe. */
@@ -68,7 +70,9 @@
     if (user === name) return hasAnsweredLately(database.id)
     const member = view.members().get(user)
     if (member === undefined) return false
-    const answer = await relay.ask(member, { probeDatabase: { database: database.id, onlyByUse: true } }, probeTimeoutMs)
+    const answer = await relay.ask(member, {
+      probeDatabase: { database: database.id, onlyByUse: true }
+    }, probeTimeoutMs)
     return answer.ok && answer.val.databaseProbe?.reachable === true
   }
 
@@ -86,7 +90,9 @@
     if (status.val.reason === 'unreachable') failure.refused++
     else failure.silent++
     failures.set(database.id, failure)
-    log(events.primaryProbeFailed, { group: database.group, database: database.id, reason: status.val.reason, ...failure })
+    log(events.primaryProbeFailed, {
+      group: database.group, database: database.id, reason: status.val.reason, ...failure
+    })
     return failure.refused < refusalsToDoubt && failure.silent < silencesToDoubt
   }
 
@@ -166,7 +172,7 @@
   return {
     run: async signal => {
       while (!signal.aborted) {
-        for (const group of view.configuration()?.groups.keys() ?? []) void keepOnce(group)
+        for (const group of view.configuration()?.groups.keys() ?? []) keepOnce(group)
         await sleepMs(probeIntervalMs, signal)
       }
     }
--- a/packages/gateway/src/coordination/group-positions.ts
+++ b/packages/gateway/src/coordination/group-positions.ts
@@ -31,7 +31,7 @@
 
   const note = (group: string, sample: PositionSample) => {
     const known = samples.get(group)
-    if (known === undefined) return void samples.set(group, sample)
+    if (known === undefined) return samples.set(group, sample)
     const newer = clock.ageMs(sample.coversUntil) < clock.ageMs(known.coversUntil) ? sample : known
     samples.set(group, { ...newer, position: laterPosition(sample.position, known.position) })
   }
--- a/packages/gateway/src/coordination/holder-choice.ts
+++ b/packages/gateway/src/coordination/holder-choice.ts
@@ -15,7 +15,10 @@
 
 /** Ranks the gateways for databases. */
 export type HolderChoice = {
-  /** Gateways to try, best first. Those outside `regions` are left out, but for this one; no regions: all are allowed. */
+  /**
+   * Gateways to try, best first. Those outside `regions` are left out, but for this one; no regions: all are
+   * allowed.
+   */
   candidates: (database: Database, regions: readonly string[]) => Member[]
 }
 
--- a/packages/gateway/src/coordination/limit-keeper.ts
+++ b/packages/gateway/src/coordination/limit-keeper.ts
@@ -47,7 +47,9 @@
   log: Logger
 }
 
-type Account = { bucket: TokenBucket, grantedBy: Map<string, number>, windowSinceMs: number, parts: Map<string, number> }
+type Account = {
+  bucket: TokenBucket, grantedBy: Map<string, number>, windowSinceMs: number, parts: Map<string, number>
+}
 
 /** Creates a keeper without shards. */
 export const createLimitKeeper = (options: LimitKeeperOptions): LimitKeeper => {
--- a/packages/gateway/src/coordination/membership.ts
+++ b/packages/gateway/src/coordination/membership.ts
@@ -42,7 +42,9 @@
     const stored = await store.get(key, storeTimeoutMs)
     if (stored.err) return false
     const expectedRevision = stored.val?.revision ?? 0
-    const swap = await store.compareAndSwap({ key, expectedRevision, value: writeRecord(member), leaseId }, storeTimeoutMs)
+    const swap = await store.compareAndSwap({
+      key, expectedRevision, value: writeRecord(member), leaseId
+    }, storeTimeoutMs)
     return swap.ok && swap.val.swapped
   }
 
--- a/packages/gateway/src/coordination/pinned-transactions.ts
+++ b/packages/gateway/src/coordination/pinned-transactions.ts
@@ -55,7 +55,7 @@
       if (idleForMs < longestMs) continue
       bySession.delete(session)
       log(events.idleTransactionEnded, { session, database, idleForMs: Math.round(idleForMs) })
-      void rollBack(pooled)
+      rollBack(pooled)
     }
   }
 
--- a/packages/gateway/src/coordination/primary-change.ts
+++ b/packages/gateway/src/coordination/primary-change.ts
@@ -75,7 +75,9 @@
   const stopUser = async (user: string, revision: number, finish: boolean): Promise<string | undefined> => {
     const member = memberOf(user)
     if (member === undefined) return undefined
-    const answer = await relay.ask(member, { stopPrimary: { group, revision, finish } }, orderTimeoutMs + (finish ? settleTimeMs : 0))
+    const answer = await relay.ask(member, {
+      stopPrimary: { group, revision, finish }
+    }, orderTimeoutMs + (finish ? settleTimeMs : 0))
     const stopped = answer.ok ? answer.val.primaryStopped : undefined
     return stopped?.stopped ? stopped.position : undefined
   }
@@ -96,7 +98,13 @@
       for (const user of remaining) if (!living.includes(user)) remaining.delete(user)
       if (remaining.size > 0) await sleepMs(pollMs)
     }
-    log(events.primaryUsersStopped, { group, revision, users: old.users, unanswered: [...remaining], tookMs: Math.round(performance.now() - startedAtMs) })
+    log(events.primaryUsersStopped, {
+      group,
+      revision,
+      users: old.users,
+      unanswered: [...remaining],
+      tookMs: Math.round(performance.now() - startedAtMs)
+    })
   }
 
   const statusOf = async (database: Database): Promise<Candidate | undefined> => {
@@ -151,7 +159,11 @@
     if (stored === undefined) return false
     log(events.primaryInForce, { group, primary, term, before: old.primary, reason })
     const former = view.databases().get(old.primary)
-    if (former !== undefined && primary !== old.primary) void orders.give(former, { kind: 'demote', term }, orderTimeoutMs)
+    if (former !== undefined && primary !== old.primary) {
+      orders.give(
+        former, { kind: 'demote', term }, orderTimeoutMs
+      )
+    }
     return true
   }
 
@@ -169,7 +181,13 @@
     if (chosen === undefined || !isStillMine(revision)) return false
     hasAsked = true
     const asked = await promote(group, chosen.database.id, revision, promoteTimeoutMs)
-    log(events.promotionAsked, { group, database: chosen.database.id, fence: revision, received: received(chosen), outcome: asked.ok ? 'accepted' : asked.val.reason })
+    log(events.promotionAsked, {
+      group,
+      database: chosen.database.id,
+      fence: revision,
+      received: received(chosen),
+      outcome: asked.ok ? 'accepted' : asked.val.reason
+    })
     if (asked.err && asked.val.reason !== 'noAnswer') return false
     const leading = await waitForLead(chosen.database)
     return leading !== undefined && await putInForce(leading.database.id, leading.status.term, revision)
--- a/packages/gateway/src/coordination/relay-handler.ts
+++ b/packages/gateway/src/coordination/relay-handler.ts
@@ -2,8 +2,7 @@
  * Answers what other gateways ask of this one.
  */
 import type { RelayMessages } from '@egretyoke/protocol'
-import type { Contact } from '../state/contact.js'
-import type { AgeClock } from '../state/contact.js'
+import type { Contact, AgeClock } from '../state/contact.js'
 import type { FleetView } from '../state/fleet-view.js'
 import type { DatabaseOrders } from './database-orders.js'
 import type { GroupPositions } from './group-positions.js'
@@ -37,7 +36,9 @@
 
 /** The newest position of a group whose primary is used here, with its age; undefined when there is none. */
 export const readPrimaryPosition = async (
-  { view, records, positions, orders, clock }: Pick<RelayHandlerOptions, 'view' | 'records' | 'positions' | 'orders' | 'clock'>,
+  {
+    view, records, positions, orders, clock
+  }: Pick<RelayHandlerOptions, 'view' | 'records' | 'positions' | 'orders' | 'clock'>,
   group: string
 ): Promise<{ position: string, ageMs: number } | undefined> => {
   const primary = view.group(group)?.record.primary ?? ''
@@ -61,7 +62,8 @@
 
   const positionOf = async ({ group }: RelayMessages.AskPosition__Output): Promise<Answer> => {
     const read = await readPrimaryPosition(options, group)
-    return { position: read === undefined ? { position: '', ageMs: 0 } : { position: read.position, ageMs: Math.ceil(read.ageMs) } }
+    const { position, ageMs } = read ?? { position: '', ageMs: 0 }
+    return { position: { position, ageMs: Math.ceil(ageMs) } }
   }
 
   const stopPrimary = async ({ group, revision, finish }: RelayMessages.StopPrimary__Output): Promise<Answer> => {
--- a/packages/gateway/src/coordination/session.ts
+++ b/packages/gateway/src/coordination/session.ts
@@ -160,7 +160,9 @@
     if (outcome.status === 'DONE') return
     const { requestId, workspace, transaction: use, verb, access } = request
     const { status, reason, queuedMs, load } = outcome
-    log(events.statementNotDone, { request: requestId, workspace, group: request.group, use, verb, access, status, reason, queuedMs, load })
+    log(events.statementNotDone, {
+      request: requestId, workspace, group: request.group, use, verb, access, status, reason, queuedMs, load
+    })
   }
 
   /** Callers without a workspace, on routes that are open to all, have no limit. */
@@ -187,7 +189,9 @@
   ): Promise<StatementOutcome> => {
     const { route } = opened
     const needsPrimary = route.kind === 'primary' || !opened.readOnly
-    const opening = { ...request, transaction: opened.readOnly ? 'OPEN_READ_ONLY' as const : 'OPEN_READ_WRITE' as const }
+    const opening = {
+      ...request, transaction: opened.readOnly ? 'OPEN_READ_ONLY' as const : 'OPEN_READ_WRITE' as const
+    }
     const regions = homesOf({ ...identity, route })
     let routed = await router.route({ request: opening, route, regions, needsPrimary })
     if (routed.outcome.reason === 'lagging' && !needsPrimary) {
@@ -203,7 +207,9 @@
     if (opened.isFailed) return refuse('malformed', 'the transaction has failed; end it first')
     const outcome = opened.at === undefined
       ? await runFirst(identity, opened, request)
-      : await router.continueAt({ ...request, database: opened.at.database, needsPrimary: isAtPrimary(opened), transaction: 'CONTINUE' }, opened.at)
+      : await router.continueAt({
+        ...request, database: opened.at.database, needsPrimary: isAtPrimary(opened), transaction: 'CONTINUE'
+      }, opened.at)
     logOutcome(request, outcome)
     if (outcome.status === 'DONE' && outcome.transactionOpen) return succeed(outcome, false)
     opened.isFailed = true
@@ -222,7 +228,9 @@
     const request = requestOf(requestId, { ...identity, route: opened.route }, { verb: 'COMMIT', access: 'WRITE' })
     const outcome = opened.at === undefined
       ? await runFirst(identity, opened, request)
-      : await router.continueAt({ ...request, database: opened.at.database, needsPrimary: isAtPrimary(opened), transaction: 'CONTINUE' }, opened.at)
+      : await router.continueAt({
+        ...request, database: opened.at.database, needsPrimary: isAtPrimary(opened), transaction: 'CONTINUE'
+      }, opened.at)
     transaction = undefined
     logOutcome(request, outcome)
     if (outcome.status === 'DONE') return succeed(outcome, !opened.readOnly)
@@ -250,7 +258,9 @@
     return answer()
   }
 
-  const runData = async (requestId: string, identity: Identity, rest: Partial<StatementRequest>): Promise<SessionAnswer> => {
+  const runData = async (
+    requestId: string, identity: Identity, rest: Partial<StatementRequest>
+  ): Promise<SessionAnswer> => {
     const route = transaction?.route ?? identity.route
     const request = requestOf(requestId, { ...identity, route }, rest)
     if (transaction === undefined) return await runSingle(identity, request)
@@ -261,13 +271,17 @@
     const known = prepared.get(name)
     if (known === undefined) return refuse('noSuchStatement', name)
     const access = known.access === 'write' ? 'WRITE' as const : 'READ' as const
-    return await runData(requestId, identity, { verb: 'EXECUTE', access, text: operands, shape: known.shape, shapeAccess: access })
+    return await runData(requestId, identity, {
+      verb: 'EXECUTE', access, text: operands, shape: known.shape, shapeAccess: access
+    })
   }
 
   const handle = async (requestId: string, statement: SessionStatement): Promise<SessionAnswer> => {
     const identity = identify()
     if (typeof identity === 'string') {
-      log(events.sessionRefused, { request: requestId, database, reason: identity, version: options.configuration()?.version })
+      log(events.sessionRefused, {
+        request: requestId, database, reason: identity, version: options.configuration()?.version
+      })
       const isOver = identity === 'keyUnknown' || (identity === 'noSuchDatabase' && transaction === undefined)
       if (transaction !== undefined) {
         rollBack()
@@ -277,19 +291,27 @@
     }
     switch (statement.kind) {
       case 'begin': return await begin(identity, statement.readOnly)
-      case 'commit': return transaction === undefined ? refuse('malformed', 'no transaction is open') : await commit(requestId, identity, transaction)
+      case 'commit': return transaction === undefined
+        ? refuse(
+          'malformed', 'no transaction is open'
+        )
+        : await commit(requestId, identity, transaction)
       case 'rollback': return rollBack()
       case 'text': {
         const access = statement.access === 'write' ? 'WRITE' as const : 'READ' as const
         return await runData(requestId, identity, { access, text: statement.text })
       }
       case 'execute': return await execute(requestId, identity, statement.name, statement.operands)
-      case 'set': return setLocally(() => values.set(statement.name, statement.value), values, statement.name, maxValues)
+      case 'set': return setLocally(
+        () => values.set(statement.name, statement.value), values, statement.name, maxValues
+      )
       case 'prepare': {
         const { name, access, shape } = statement
         return setLocally(() => prepared.set(name, { access, shape }), prepared, name, maxPrepared)
       }
-      case 'deallocate': return setLocally(() => prepared.delete(statement.name), prepared, statement.name, maxPrepared + 1)
+      case 'deallocate': return setLocally(
+        () => prepared.delete(statement.name), prepared, statement.name, maxPrepared + 1
+      )
       case 'malformed': return refuse('malformed', 'not a statement')
     }
   }
--- a/packages/gateway/src/coordination/statement-router.ts
+++ b/packages/gateway/src/coordination/statement-router.ts
@@ -1,6 +1,6 @@
 /**
- * Finds a database for a statement and the gateway that holds its connections, and tries another where the first did not
- * run it.
+ * Finds a database for a statement and the gateway that holds its connections, and tries another where the first did
+ * not run it.
  */
 import type { Logger } from '@egretyoke/common'
 import { events } from '../events.js'
@@ -110,9 +110,10 @@
   /** Databases that may run the statement, best first. */
   const choices = ({ route, regions, needsPrimary }: RouteQuestion): Database[] => {
     const primary = primaryOf(route.group)
-    if (needsPrimary) return primary !== undefined && isHome(primary, regions) && takesWork(view, primary) ? [primary] : []
+    const mayTake = (database: Database) => isHome(database, regions) && takesWork(view, database)
+    if (needsPrimary) return [primary].flatMap(database => database ?? []).filter(mayTake)
     return view.databasesOf(route.group)
-      .filter(database => isHome(database, regions) && takesWork(view, database))
+      .filter(mayTake)
       .sort((one, other) => costOf(one) - costOf(other))
   }
 
@@ -121,12 +122,20 @@
     const needsPrimary = question.needsPrimary || primaryOf(route.group)?.id === database.id
     let outcome = notRun('unreachable')
     for (const holder of holders.candidates(database, regions)) {
-      const request = { ...question.request, database: database.id, needsPrimary, timeoutMs: Math.max(1, Math.round(leftMs())) }
+      const request = {
+        ...question.request, database: database.id, needsPrimary, timeoutMs: Math.max(1, Math.round(leftMs()))
+      }
       outcome = await runAt(holder, request)
       noteOutcome(database.id, outcome)
       log(events.routed, {
-        request: request.requestId, database: database.id, holder: holder.name, status: outcome.status,
-        reason: outcome.reason, load: outcome.load, queuedMs: outcome.queuedMs, needsPrimary
+        request: request.requestId,
+        database: database.id,
+        holder: holder.name,
+        status: outcome.status,
+        reason: outcome.reason,
+        load: outcome.load,
+        queuedMs: outcome.queuedMs,
+        needsPrimary
       })
       const at = { database: database.id, holder }
       const isOtherHolderWorthIt = outcome.reason === 'holderSilent' || outcome.reason === 'unreachable'
@@ -143,7 +152,8 @@
     while (leftMs() > 0 && tried.size < maxDatabases) {
       const next = choices(question).find(({ id }) => !tried.has(id))
       if (next === undefined) {
-        if (!question.needsPrimary || tried.size > 0 && last.outcome.reason !== 'moved') break
+        const mayComeIntoForce = tried.size === 0 || last.outcome.reason === 'moved'
+        if (!question.needsPrimary || !mayComeIntoForce) break
         tried.clear()
         await new Promise(resolve => setTimeout(resolve, primaryPollMs))
         continue
@@ -160,7 +170,7 @@
     continueAt: async (request, { holder }) => await runAt(holder, request),
     abandon: (session, { database, holder }) => {
       if (holder.name === self.name) return options.abandonHere(database, session)
-      void relay.ask(holder, { abandon: { database, session } }, relayAllowanceMs)
+      relay.ask(holder, { abandon: { database, session } }, relayAllowanceMs)
     }
   }
 }
--- a/packages/gateway/src/coordination/statement.ts
+++ b/packages/gateway/src/coordination/statement.ts
@@ -30,7 +30,7 @@
   | 'holderSilent'
 
 /** What became of a statement. */
-export type StatementOutcome = Required<Omit<RelayMessages.StatementReply__Output, 'reason'>> & { reason: StatementReason }
+export type StatementOutcome = Omit<RelayMessages.StatementReply__Output, 'reason'> & { reason: StatementReason }
 
 const nothing: StatementOutcome = {
   status: 'NOT_RUN', reason: '', rows: [], signature: '', position: '', transactionOpen: false, load: 0, queuedMs: 0
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -34,8 +34,20 @@
   gauge('egretyoke_open_transactions', 'Transactions that keep a connection', readings.openTransactions)
   gauge('egretyoke_statements_waiting', 'Statements that wait or run at databases', readings.queuedStatements)
   return {
-    statements: new Counter({ name: 'egretyoke_statements_total', help: 'Statements answered, by result', labelNames: ['result'], registers }),
-    statementSeconds: new Histogram({ name: 'egretyoke_statement_seconds', help: 'Time from a statement to its answer', labelNames: ['kind'], buckets: latencyBounds, registers }),
-    logLinesDropped: new Counter({ name: 'egretyoke_log_lines_dropped_total', help: 'Log lines left out because nobody read them or they were too many', registers })
+    statements: new Counter({
+      name: 'egretyoke_statements_total', help: 'Statements answered, by result', labelNames: ['result'], registers
+    }),
+    statementSeconds: new Histogram({
+      name: 'egretyoke_statement_seconds',
+      help: 'Time from a statement to its answer',
+      labelNames: ['kind'],
+      buckets: latencyBounds,
+      registers
+    }),
+    logLinesDropped: new Counter({
+      name: 'egretyoke_log_lines_dropped_total',
+      help: 'Log lines left out because nobody read them or they were too many',
+      registers
+    })
   }
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,6 +1,6 @@
 /**
- * The gateway: serves callers' sessions, holds connections to databases for itself and for other gateways, and takes its
- * part in keeping limits and primaries. Everything that must outlast it lies in the platform's store.
+ * The gateway: serves callers' sessions, holds connections to databases for itself and for other gateways, and takes
+ * its part in keeping limits and primaries. Everything that must outlast it lies in the platform's store.
  */
 import { createRegistry, sleepMs } from '@egretyoke/common'
 import type { Logger } from '@egretyoke/common'
@@ -82,13 +82,19 @@
 const holderGraceFraction = 0.6
 
 /** Starts a gateway. Rejects when its address is in use. */
-export const startGateway = async (settings: GatewaySettings, platform: GatewayPlatform, log: Logger): Promise<Gateway> => {
+export const startGateway = async (
+  settings: GatewaySettings, platform: GatewayPlatform, log: Logger
+): Promise<Gateway> => {
   const { store, connect } = platform
   const incarnation = nanoid(8)
   const regionOf = (dataCentre: string) => settings.regionByDataCentre.get(dataCentre) ?? dataCentre
   const self: Member = {
-    name: settings.name, dataCentre: settings.dataCentre, region: regionOf(settings.dataCentre),
-    address: settings.relayAddress, incarnation, draining: false
+    name: settings.name,
+    dataCentre: settings.dataCentre,
+    region: regionOf(settings.dataCentre),
+    address: settings.relayAddress,
+    incarnation,
+    draining: false
   }
   const selfName = processName(self)
   const stopping = new AbortController()
@@ -145,8 +151,17 @@
     self, view, holders: holderChoice, relay: links, regionOf, runHere: holders.run, abandonHere: holders.abandon, log
   })
   const keeper = createGroupKeeper({
-    self: selfName, name: self.name, view, records, contact, isLeaseHeld, orders, relay: links, promote: platform.promote,
-    hasAnsweredLately: holders.hasAnsweredLately, log
+    self: selfName,
+    name: self.name,
+    view,
+    records,
+    contact,
+    isLeaseHeld,
+    orders,
+    relay: links,
+    promote: platform.promote,
+    hasAnsweredLately: holders.hasAnsweredLately,
+    log
   })
 
   view.onGroupChange(group => positions.forget(group))
@@ -154,7 +169,9 @@
   const handle = createRelayHandler({
     view, records, holders, positions, limits, orders, contact, clock, isDraining: () => isDraining
   })
-  const listener = await listenGrpc(settings.relayAddress, { channels: settings.channels }, server => addRelayService(server, handle as never))
+  const listener = await listenGrpc(
+    settings.relayAddress, { channels: settings.channels }, server => addRelayService(server, handle as never)
+  )
 
   const registry = createRegistry()
   const metrics = createGatewayMetrics(registry, {
@@ -166,7 +183,8 @@
   })
 
   const knowsKeys = () => contact.ageMs() < keyWithdrawalMs - keyMarginMs
-  const isReady = () => !isDraining && knowsKeys() && view.configuration() !== undefined && membership.leaseId() !== undefined
+  const isReady = () =>
+    !isDraining && knowsKeys() && view.configuration() !== undefined && membership.leaseId() !== undefined
 
   const watchReadiness = async () => {
     let was: boolean | undefined
@@ -174,7 +192,9 @@
       if (isReady() !== was) {
         was = isReady()
         const configuration = view.configuration()?.version
-        log(events.gatewayReady, { ready: was, draining: isDraining, contactAgeMs: Math.round(contact.ageMs()), configuration })
+        log(events.gatewayReady, {
+          ready: was, draining: isDraining, contactAgeMs: Math.round(contact.ageMs()), configuration
+        })
       }
       await sleepMs(upkeepIntervalMs / 10, signal)
     }
@@ -215,7 +235,14 @@
 
   return {
     openSession: (database, key) => openSession({
-      id: `${selfName}/${sessionNumber++}`, database, key, configuration: view.configuration, knowsKeys, admission, router, log
+      id: `${selfName}/${sessionNumber++}`,
+      database,
+      key,
+      configuration: view.configuration,
+      knowsKeys,
+      admission,
+      router,
+      log
     }),
     isReady,
     isDraining: () => isDraining,
--- /dev/null
+++ b/packages/gateway/src/session.test.ts
@@ -0,0 +1,179 @@
+/**
+ * Sessions over a small fleet: what a caller sees of its statements, transactions, values and prepared names.
+ */
+import test from 'ava'
+import { openTestSession, read, standardConfiguration, startMemoryFleet, waitUntil, write } from './testing/memory-fleet.js'
+
+test('a statement is answered with the rows and the signature of a database', async t => {
+  const fleet = await startMemoryFleet(2)
+  const session = openTestSession(fleet.gateways[0], 'boards')
+  const answer = await session.send(read('7'))
+  t.is(answer.error, undefined)
+  t.deepEqual(answer.rows, ['row of READ 7'])
+  t.is(answer.signature, `signed ${session.lastRequest()}`)
+  t.is(fleet.group.ran[0].text, 'READ 7')
+  await fleet.close()
+})
+
+test('databases learn the workspace of the key, never the key', async t => {
+  const fleet = await startMemoryFleet(2)
+  await openTestSession(fleet.gateways[1], 'slots', 'key-b').send(write('1'))
+  t.deepEqual(fleet.group.ran.map(({ workspace }) => workspace), ['yard-b'])
+  t.false(JSON.stringify([fleet.group.ran, fleet.events]).includes('key-b'))
+  await fleet.close()
+})
+
+test('a transaction keeps its connection, and its session values go with it', async t => {
+  const fleet = await startMemoryFleet(3)
+  const session = openTestSession(fleet.gateways[1], 'slots')
+  const other = openTestSession(fleet.gateways[2], 'slots')
+  await session.send({ kind: 'set', name: 'zone', value: 'quay' })
+  t.is((await session.send({ kind: 'begin', readOnly: false })).transaction, 'open')
+  await session.send(write('1'))
+  await Promise.all([other.send(read('2')), session.send(write('3'))])
+  t.is((await session.send({ kind: 'commit' })).error, undefined)
+  const own = fleet.group.ran.filter(({ inTransaction }) => inTransaction)
+  t.is(new Set(own.map(({ connection }) => connection)).size, 1)
+  t.deepEqual(own.map(({ values }) => values), [{ zone: 'quay' }, { zone: 'quay' }])
+  t.false(fleet.group.ran.some(({ text, connection }) => text === 'READ 2' && connection === own[0].connection))
+  await fleet.close()
+})
+
+test('the next session on a connection does not see the values of the one before', async t => {
+  const fleet = await startMemoryFleet(1)
+  const first = openTestSession(fleet.gateways[0], 'slots')
+  await first.send({ kind: 'set', name: 'zone', value: 'quay' })
+  await first.send(write('1'))
+  await openTestSession(fleet.gateways[0], 'slots').send(write('2'))
+  const [one, other] = fleet.group.ran
+  t.is(one.connection, other.connection)
+  t.deepEqual([one.values, other.values], [{ zone: 'quay' }, {}])
+  await fleet.close()
+})
+
+test('prepared names of sessions do not collide, also where one connection serves both', async t => {
+  const fleet = await startMemoryFleet(1)
+  const one = openTestSession(fleet.gateways[0], 'slots')
+  const other = openTestSession(fleet.gateways[0], 'slots')
+  await one.send({ kind: 'prepare', name: 's1', access: 'write', shape: 'q2c' })
+  await other.send({ kind: 'prepare', name: 's1', access: 'read', shape: 'q9' })
+  await one.send({ kind: 'execute', name: 's1', operands: '1 x' })
+  await other.send({ kind: 'execute', name: 's1', operands: '2' })
+  t.deepEqual(fleet.group.ran.map(({ text }) => text), ['write_q2c 1 x', 'read_q9 2'])
+  await other.send({ kind: 'deallocate', name: 's1' })
+  t.is((await other.send({ kind: 'execute', name: 's1', operands: '2' })).error, 'noSuchStatement')
+  await fleet.close()
+})
+
+test('a failed transaction takes nothing but its end, and its end keeps nothing', async t => {
+  const fleet = await startMemoryFleet(1)
+  const session = openTestSession(fleet.gateways[0], 'slots')
+  await session.send({ kind: 'begin', readOnly: true })
+  t.is((await session.send(write('1'))).error, 'aborted')
+  t.is((await session.send(read('1'))).error, 'malformed')
+  const end = await session.send({ kind: 'commit' })
+  t.deepEqual([end.error, end.transaction, end.signature], ['aborted', 'none', ''])
+  t.is(fleet.group.databases.get('db-1')?.log.length, 0)
+  await fleet.close()
+})
+
+test('a caller that leaves in the middle of a transaction leaves nothing open', async t => {
+  const fleet = await startMemoryFleet(2)
+  const session = openTestSession(fleet.gateways[1], 'slots')
+  await session.send({ kind: 'begin', readOnly: false })
+  await session.send(write('1'))
+  session.close()
+  await openTestSession(fleet.gateways[0], 'slots').send(write('2'))
+  await waitUntil(() => fleet.group.databases.get('db-1')?.log.length === 1)
+  t.pass()
+  await fleet.close()
+})
+
+test('a transaction that rests too long is ended, and its caller is told that nothing is kept', async t => {
+  const fleet = await startMemoryFleet(1)
+  const session = openTestSession(fleet.gateways[0], 'slots')
+  await session.send({ kind: 'begin', readOnly: false })
+  await session.send(write('1'))
+  await waitUntil(() => fleet.events.some(({ name }) => name === 'idleTransactionEnded'))
+  t.is((await session.send(write('2'))).error, 'aborted')
+  t.is(fleet.group.databases.get('db-1')?.log.length, 0)
+  await fleet.close()
+})
+
+test('a write whose answer is lost is in doubt; a read is tried elsewhere', async t => {
+  const fleet = await startMemoryFleet(1)
+  const primary = fleet.group.databases.get('db-1')!
+  const session = openTestSession(fleet.gateways[0], 'ledger')
+  await session.send(write('1'))
+  primary.losesAnswers = true
+  const [written, readAnswer] = [await session.send(write('2')), await session.send(read('3'))]
+  t.is(written.error, 'inDoubt')
+  t.is(readAnswer.error, undefined)
+  t.is(fleet.group.ran.filter(({ text }) => text === 'WRITE 2 x').length, 1)
+  await fleet.close()
+})
+
+test('an unknown key and an unknown database are refused by name', async t => {
+  const fleet = await startMemoryFleet(1)
+  const [{ gateway }] = fleet.gateways
+  t.is(gateway.openSession('slots', 'no-key'), 'keyUnknown')
+  t.is(gateway.openSession('nothing', 'key-a'), 'noSuchDatabase')
+  await fleet.close()
+})
+
+test('a key that is withdrawn stops working for sessions that are open', async t => {
+  const fleet = await startMemoryFleet(2)
+  const session = openTestSession(fleet.gateways[1], 'slots')
+  await session.send({ kind: 'begin', readOnly: false })
+  await session.send(write('1'))
+  fleet.configure({ workspaces: standardConfiguration.workspaces.map(workspace => ({ ...workspace, keys: [] })) })
+  await waitUntil(() => !session.isAllowed())
+  const answer = await session.send(write('2'))
+  t.deepEqual([answer.error, answer.isOver], ['keyUnknown', true])
+  t.deepEqual(fleet.group.ran.map(({ text }) => text), ['WRITE 1 x'])
+  await fleet.close()
+})
+
+test('a route that is removed serves the open transaction and nothing after it', async t => {
+  const fleet = await startMemoryFleet(1)
+  const session = openTestSession(fleet.gateways[0], 'slots')
+  await session.send({ kind: 'begin', readOnly: false })
+  await session.send(write('1'))
+  fleet.configure({ routes: standardConfiguration.routes.filter(({ database }) => database !== 'slots') })
+  await waitUntil(() => typeof fleet.gateways[0].gateway.openSession('slots', 'key-a') === 'string')
+  t.is((await session.send({ kind: 'commit' })).error, undefined)
+  t.is((await session.send(write('2'))).error, 'noSuchDatabase')
+  await fleet.close()
+})
+
+test('a session reads its own write, also where the replicas lag', async t => {
+  const fleet = await startMemoryFleet(3)
+  fleet.group.holdsBack = true
+  const session = openTestSession(fleet.gateways[2], 'ledger')
+  await session.send(write('1'))
+  t.is((await session.send(read('1'))).error, undefined)
+  t.is(fleet.group.ran.find(({ text }) => text === 'READ 1')?.database, 'db-1')
+  await fleet.close()
+})
+
+test('what was confirmed longer ago than the route allows is never missed by a replica', async t => {
+  const fleet = await startMemoryFleet(3)
+  fleet.group.holdsBack = true
+  await openTestSession(fleet.gateways[0], 'slots').send(write('1'))
+  await new Promise(resolve => setTimeout(resolve, 1600))
+  t.is((await openTestSession(fleet.gateways[1], 'boards').send(read('1'))).error, undefined)
+  t.is(fleet.group.ran.find(({ text }) => text === 'READ 1')?.database, 'db-1')
+  await fleet.close()
+})
+
+test('a workspace without tokens is refused, and nothing of it runs', async t => {
+  const [workspace] = standardConfiguration.workspaces
+  const fleet = await startMemoryFleet(2, {
+    ...standardConfiguration, workspaces: [{ ...workspace, ratePerSec: 0, burst: 0 }]
+  })
+  const session = openTestSession(fleet.gateways[0], 'slots')
+  t.is((await session.send(write('1'))).error, 'refused')
+  t.is((await session.send({ kind: 'begin', readOnly: false })).error, 'refused')
+  t.deepEqual(fleet.group.ran, [])
+  await fleet.close()
+})
--- a/packages/gateway/src/state/fleet-view.ts
+++ b/packages/gateway/src/state/fleet-view.ts
@@ -1,5 +1,6 @@
 /**
- * What this gateway knows of the platform's store: configuration, databases, evacuations, and the gateways' own records.
+ * What this gateway knows of the platform's store: configuration, databases, evacuations, and the gateways' own
+ * records.
  */
 import type { Logger } from '@egretyoke/common'
 import type { StoredEntry } from '@egretyoke/fleet'
@@ -62,7 +63,11 @@
       return undefined
     }
     if (key.startsWith(recordKeys.vms)) {
-      const member = deleted ? undefined : readMember(value).mapErr(error => unreadable(error.message)).unwrapOr(undefined)
+      const member = deleted
+        ? undefined
+        : readMember(value).mapErr(
+          error => unreadable(error.message)
+        ).unwrapOr(undefined)
       return put(members, key.slice(recordKeys.vms.length), member)
     }
     if (key.startsWith(recordKeys.groups)) {
@@ -94,9 +99,21 @@
       else databases.set(id, database)
       if (database?.draining !== true) drainingSince.delete(id)
       else if (!drainingSince.has(id)) drainingSince.set(id, performance.now())
-      return log(events.databaseKnown, { database: id, group: database?.group, gone: deleted, revision, role: database?.role, draining: database?.draining, address: database?.address })
+      return log(events.databaseKnown, {
+        database: id,
+        group: database?.group,
+        gone: deleted,
+        revision,
+        role: database?.role,
+        draining: database?.draining,
+        address: database?.address
+      })
+    }
+    if (deleted || fact.configuration === undefined) {
+      return log(
+        events.configurationUnreadable, { key, revision, deleted }
+      )
     }
-    if (deleted || fact.configuration === undefined) return log(events.configurationUnreadable, { key, revision, deleted })
     if (configuration !== undefined && fact.configuration.version < configuration.version) return
     configuration = fact.configuration
     log(events.configurationInForce, { version: configuration.version, revision, routes: configuration.routes.size })
--- a/packages/gateway/src/state/token-bucket.ts
+++ b/packages/gateway/src/state/token-bucket.ts
@@ -1,6 +1,6 @@
 /**
- * A token bucket that is empty at a given time: what an earlier keeper of the limit may have handed out until then counts
- * as spent.
+ * A token bucket that is empty at a given time: what an earlier keeper of the limit may have handed out until then
+ * counts as spent.
  */
 import { monotonicMs } from '@egretyoke/common'
 import type { Clock } from '@egretyoke/common'
--- /dev/null
+++ b/packages/gateway/src/testing/memory-fleet.ts
@@ -0,0 +1,165 @@
+/**
+ * Gateways over stores and databases in memory, talking to each other over loopback, for tests.
+ */
+import { createServer } from 'node:net'
+import type { AddressInfo } from 'node:net'
+import { sleepMs } from '@egretyoke/common'
+import type { EventDefinition, EventFields } from '@egretyoke/common'
+import { startGateway } from '../gateway.js'
+import type { Gateway } from '../gateway.js'
+import type { Session, SessionAnswer, SessionStatement } from '../coordination/session.js'
+import type { Configuration, Route, Workspace } from '../state/configuration.js'
+import type { ReadFact } from '../state/fleet-view.js'
+import { createMemoryGroup } from './memory-group.js'
+import type { MemoryGroup } from './memory-group.js'
+import { createMemoryStore } from './memory-store.js'
+import type { MemoryStore, StoreMode } from './memory-store.js'
+
+/** One line of a gateway's log. */
+export type LoggedEvent = { gateway: string, name: string, fields: EventFields }
+
+/** A gateway of the fleet. */
+export type FleetGateway = { name: string, gateway: Gateway, setStoreMode: (mode: StoreMode) => void }
+
+/** A small fleet before one group. */
+export type MemoryFleet = {
+  store: MemoryStore
+  group: MemoryGroup
+  gateways: FleetGateway[]
+  events: LoggedEvent[]
+  configure: (change: Partial<StoredConfiguration>) => void
+  start: (name: string, dataCentre: string) => Promise<FleetGateway>
+  close: () => Promise<void>
+}
+
+/** What operators store, for tests. */
+export type StoredConfiguration = { version: number, routes: Route[], workspaces: Array<Workspace & { keys: string[] }> }
+
+const groupName = 'bookings'
+
+const routeOf = (database: string, kind: Route['kind']): Route => ({
+  database,
+  kind,
+  group: groupName,
+  timeoutMs: 2000,
+  targetLatencyMs: 1000,
+  priority: 1,
+  maxStalenessMs: kind === 'primary' ? 0 : 1500,
+  openToAll: false,
+  homeRegions: []
+})
+
+/** Routes `slots` (primary), `boards` (bounded staleness) and `ledger` (read your writes), and two workspaces. */
+export const standardConfiguration: StoredConfiguration = {
+  version: 1,
+  routes: [routeOf('slots', 'primary'), routeOf('boards', 'boundedStaleness'), routeOf('ledger', 'readYourWrites')],
+  workspaces: [
+    { name: 'yard-a', ratePerSec: 1000, burst: 1000, homeRegions: [], keys: ['key-a'] },
+    { name: 'yard-b', ratePerSec: 1000, burst: 1000, homeRegions: [], keys: ['key-b'] }
+  ]
+}
+
+const toConfiguration = (stored: StoredConfiguration): Configuration => ({
+  version: stored.version,
+  routes: new Map(stored.routes.map(route => [route.database, route])),
+  groups: new Map([[groupName, { name: groupName, maxConnections: 10 }]]),
+  workspaces: new Map(stored.workspaces.map(workspace => [workspace.name, workspace])),
+  workspaceByKey: new Map(stored.workspaces.flatMap(workspace => workspace.keys.map(key => [key, workspace]))),
+  transactionIdleMs: 1000
+})
+
+const readFact: ReadFact = (key, value) => {
+  if (key === 'configuration') {
+    const configuration = value.length === 0 ? undefined : toConfiguration(JSON.parse(value.toString('utf8')))
+    return { kind: 'configuration', configuration }
+  }
+  if (key.startsWith('out/')) return { kind: 'evacuation', dataCentre: key.slice('out/'.length) }
+  if (!key.startsWith('database/')) return undefined
+  const database = value.length === 0 ? undefined : JSON.parse(value.toString('utf8'))
+  return { kind: 'database', id: key.slice('database/'.length), database }
+}
+
+/** A port that was free a moment ago. */
+const freePort = () => new Promise<number>(resolve => {
+  const server = createServer().listen(0, '127.0.0.1', () => {
+    const { port } = server.address() as AddressInfo
+    server.close(() => resolve(port))
+  })
+})
+
+/** Waits until the condition holds; throws after the time. */
+export const waitUntil = async (isMet: () => boolean, timeoutMs = 10_000): Promise<void> => {
+  const endAtMs = performance.now() + timeoutMs
+  while (!isMet()) {
+    if (performance.now() > endAtMs) throw new Error('waited in vain')
+    await sleepMs(5)
+  }
+}
+
+/** Starts a fleet of gateways in data centres `dc-1`, `dc-2` and so on. */
+export const startMemoryFleet = async (size: number, stored = standardConfiguration): Promise<MemoryFleet> => {
+  const store = createMemoryStore()
+  const group = createMemoryGroup(groupName)
+  const events: LoggedEvent[] = []
+  const gateways: FleetGateway[] = []
+  let configuration = stored
+  store.put('configuration', configuration)
+  for (const { description } of group.databases.values()) store.put(`database/${description.id}`, description)
+
+  const start = async (name: string, dataCentre: string): Promise<FleetGateway> => {
+    const client = store.client()
+    const log = (event: EventDefinition, fields: EventFields | (() => EventFields) = {}) => {
+      events.push({ gateway: name, name: event.name, fields: typeof fields === 'function' ? fields() : fields })
+    }
+    const gateway = await startGateway({
+      name,
+      dataCentre,
+      regionByDataCentre: new Map([['dc-1', 'north'], ['dc-2', 'south'], ['dc-3', 'west']]),
+      relayAddress: `127.0.0.1:${await freePort()}`,
+      channels: { allowPlainText: false },
+      keyWithdrawalMs: 5000,
+      graceMs: 2000
+    }, { store: client, connect: group.connect, promote: group.promote, readFact }, log)
+    const started = { name, gateway, setStoreMode: client.setMode }
+    gateways.push(started)
+    return started
+  }
+
+  for (let index = 1; index <= size; index++) await start(`vm-${index}`, `dc-${(index - 1) % 3 + 1}`)
+  await waitUntil(() => gateways.every(({ gateway }) => gateway.isReady()) && store.read(`egretyoke/group/${groupName}`) !== undefined)
+
+  return {
+    store,
+    group,
+    gateways,
+    events,
+    configure: change => {
+      configuration = { ...configuration, version: configuration.version + 1, ...change }
+      store.put('configuration', configuration)
+    },
+    start,
+    close: async () => { await Promise.all(gateways.map(({ gateway }) => gateway.close())) }
+  }
+}
+
+/** A session with numbered requests. */
+export type TestSession = Session & { send: (statement: SessionStatement) => Promise<SessionAnswer>, lastRequest: () => string }
+
+let sessionCount = 0
+
+/** Opens a session; throws when it is refused. */
+export const openTestSession = ({ gateway }: FleetGateway, database: string, key = 'key-a'): TestSession => {
+  const session = gateway.openSession(database, key)
+  if (typeof session === 'string') throw new Error(`refused: ${session}`)
+  const number = ++sessionCount
+  let requests = 0
+  return {
+    ...session,
+    send: statement => session.handle(`s${number}r${++requests}`, statement),
+    lastRequest: () => `s${number}r${requests}`
+  }
+}
+
+/** A read, and a write. */
+export const read = (item: string): SessionStatement => ({ kind: 'text', access: 'read', text: `READ ${item}` })
+export const write = (item: string): SessionStatement => ({ kind: 'text', access: 'write', text: `WRITE ${item} x` })
--- /dev/null
+++ b/packages/gateway/src/testing/memory-group.ts
@@ -0,0 +1,258 @@
+/**
+ * A group of databases in memory, for tests: a log with terms, replicas that are fed by hand or at once, connections
+ * with session state, and a record of everything that ran.
+ */
+import { Err, Ok, sleepMs, typedError } from '@egretyoke/common'
+import type {
+  ConnectDatabase, DatabaseCommand, DatabaseConnection, DatabaseOrder, DatabaseReply, DeclineReason
+} from '../coordination/database-connection.js'
+import type { PromoteDatabase } from '../coordination/primary-change.js'
+import type { Database } from '../state/configuration.js'
+import { comparePositions } from '../state/position.js'
+
+type LogEntry = { position: string, requestId: string }
+
+/** What a database ran, in order. */
+export type RunStatement = {
+  database: string
+  connection: number
+  workspace: string
+  requestId: string
+  text: string
+  values: Record<string, string>
+  inTransaction: boolean
+}
+
+/** One database of the group and its faults. */
+export type MemoryDatabase = {
+  description: Database
+  log: LogEntry[]
+  role: 'primary' | 'replica'
+  term: number
+  /** `dead` refuses connections, `dark` never answers. */
+  state: 'alive' | 'dead' | 'dark'
+  /** Runs statements but does not answer them. */
+  losesAnswers: boolean
+  workMs: number
+  running: number
+  mostRunning: number
+  connections: number
+}
+
+/** The group. */
+export type MemoryGroup = {
+  databases: Map<string, MemoryDatabase>
+  connect: ConnectDatabase
+  promote: PromoteDatabase
+  ran: RunStatement[]
+  /** Fences of the promotions that were asked for, in order. */
+  fences: number[]
+  /** Brings the replicas up to the primary's log; it happens by itself unless `holdsBack` is set. */
+  replicate: () => void
+  holdsBack: boolean
+}
+
+const promoteDelayMs = 30
+
+const positionOf = (database: MemoryDatabase) => database.log.at(-1)?.position ?? `${database.term}.0`
+
+const describe = (id: string, index: number, group: string): MemoryDatabase => ({
+  description: {
+    id,
+    group,
+    address: `127.0.0.1:${index + 1}`,
+    dataCentre: `dc-${index + 1}`,
+    slots: 2,
+    draining: false,
+    role: index === 0 ? 'primary' : 'replica',
+    bornMs: 1
+  },
+  log: [],
+  role: index === 0 ? 'primary' : 'replica',
+  term: 1,
+  state: 'alive',
+  losesAnswers: false,
+  workMs: 1,
+  running: 0,
+  mostRunning: 0,
+  connections: 0
+})
+
+/** Creates a group of three; the first is the primary. */
+export const createMemoryGroup = (group = 'bookings'): MemoryGroup => {
+  const ids = ['db-1', 'db-2', 'db-3']
+  const databases = new Map(ids.map((id, index) => [id, describe(id, index, group)]))
+  const ran: RunStatement[] = []
+  const fences: number[] = []
+  let connectionCount = 0
+
+  const replicate = () => {
+    const primary = [...databases.values()].find(({ role, state }) => role === 'primary' && state === 'alive')
+    if (primary === undefined) return
+    for (const replica of databases.values()) {
+      if (replica.role !== 'replica' || replica.state !== 'alive') continue
+      replica.log = [...primary.log]
+      replica.term = primary.term
+    }
+  }
+
+  const append = (database: MemoryDatabase, requestId: string) => {
+    const number = Number(positionOf(database).split('.')[1]) + 1
+    database.log.push({ position: `${database.term}.${number}`, requestId })
+    if (!memory.holdsBack) replicate()
+  }
+
+  const connect: ConnectDatabase = async ({ databaseId, workspace }, timeoutMs) => {
+    const database = databases.get(databaseId)
+    await sleepMs(1)
+    if (database === undefined || database.state === 'dead') return Err(typedError('unreachable', 'refused'))
+    if (database.state === 'dark') {
+      await sleepMs(timeoutMs)
+      return Err(typedError('silent', 'timeout'))
+    }
+    return Ok(open(database, workspace))
+  }
+
+  const open = (database: MemoryDatabase, workspace: string): DatabaseConnection => {
+    const connection = ++connectionCount
+    const values = new Map<string, string>()
+    const prepared = new Map<string, 'read' | 'write'>()
+    let transaction: DatabaseReply['transaction'] = 'none'
+    let isReadOnly = false
+    let written: string[] = []
+    let isOpen = true
+    const listeners: Array<() => void> = []
+    database.connections++
+
+    const reply = (rest: Partial<DatabaseReply> = {}): DatabaseReply => ({
+      outcome: 'done', message: '', rows: [], signature: '', position: positionOf(database), transaction, ...rest
+    })
+    const decline = (declineReason: DeclineReason) => {
+      if (transaction === 'open') transaction = 'failed'
+      return reply({ outcome: 'declined', declineReason, message: declineReason })
+    }
+    const lacks = (position: string) => position !== '' && comparePositions(positionOf(database), position) < 0
+
+    const runStatement = async (requestId: string, text: string, access: 'read' | 'write', positionAtLeast: string) => {
+      if (lacks(positionAtLeast)) return decline('lagging')
+      if (access === 'write' && (database.role !== 'primary' || isReadOnly)) return decline('readOnly')
+      database.running++
+      database.mostRunning = Math.max(database.mostRunning, database.running)
+      await sleepMs(database.workMs)
+      database.running--
+      const inTransaction = transaction === 'open'
+      ran.push({
+        database: database.description.id, connection, workspace, requestId, text, values: Object.fromEntries(values), inTransaction
+      })
+      if (access === 'write') {
+        if (inTransaction) written.push(requestId)
+        else append(database, requestId)
+      }
+      return reply({ rows: access === 'read' ? [`row of ${text}`] : [], signature: `signed ${requestId}` })
+    }
+
+    const finish = (requestId: string, isCommit: boolean) => {
+      const wasFailed = transaction === 'failed'
+      if (isCommit && !wasFailed) for (const _ of written) append(database, requestId)
+      written = []
+      transaction = 'none'
+      isReadOnly = false
+      return isCommit && wasFailed ? decline('aborted') : reply({ signature: isCommit ? `signed ${requestId}` : '' })
+    }
+
+    const runCommand = async (command: DatabaseCommand): Promise<DatabaseReply> => {
+      if (transaction === 'failed' && command.kind !== 'rollback' && command.kind !== 'commit') return decline('malformed')
+      switch (command.kind) {
+        case 'begin':
+          if (lacks(command.positionAtLeast)) return decline('lagging')
+          if (!command.readOnly && database.role !== 'primary') return decline('readOnly')
+          transaction = 'open'
+          isReadOnly = command.readOnly
+          return reply()
+        case 'text':
+          return await runStatement(
+            command.requestId, command.text, command.text.startsWith('WRITE') ? 'write' : 'read', command.positionAtLeast
+          )
+        case 'execute': {
+          const access = prepared.get(command.name)
+          if (access === undefined) return decline('unknownStatement')
+          return await runStatement(command.requestId, `${command.name} ${command.operands}`, access, command.positionAtLeast)
+        }
+        case 'commit': return finish(command.requestId, true)
+        case 'rollback': return finish('', false)
+        case 'set':
+          values.set(command.name, command.value)
+          return reply()
+        case 'prepare':
+          prepared.set(command.name, command.access)
+          return reply()
+        case 'reset':
+          values.clear()
+          prepared.clear()
+          return reply()
+      }
+    }
+
+    const end = () => {
+      if (!isOpen) return
+      isOpen = false
+      database.connections--
+      for (const listener of listeners) listener()
+    }
+
+    const lost = (message: string): DatabaseReply =>
+      ({ outcome: 'lost', message, rows: [], signature: '', position: '', transaction: 'none' })
+
+    const run = async (commands: readonly DatabaseCommand[], timeoutMs: number): Promise<DatabaseReply[]> => {
+      const replies: DatabaseReply[] = []
+      for (const command of commands) {
+        if (!isOpen || database.state === 'dead') {
+          end()
+          return [...replies, lost('closed')]
+        }
+        if (database.state === 'alive') replies.push(await runCommand(command))
+        const isUnheard = database.losesAnswers && (command.kind === 'text' || command.kind === 'commit')
+        if (database.state === 'alive' && !isUnheard) continue
+        await sleepMs(timeoutMs)
+        end()
+        return [...replies.slice(0, -1), lost('timeout')]
+      }
+      return replies
+    }
+
+    const order = async (given: DatabaseOrder, timeoutMs: number) => {
+      await sleepMs(1)
+      if (database.state === 'dark') await sleepMs(timeoutMs)
+      if (!isOpen || database.state !== 'alive') {
+        end()
+        return Err(typedError('lost' as const, 'lost', { timedOut: database.state === 'dark' }))
+      }
+      if (given.kind === 'demote' && given.term > database.term) database.role = 'replica'
+      const { role, term } = database
+      return Ok({ role, term, receivedPosition: positionOf(database), appliedPosition: positionOf(database) })
+    }
+
+    return {
+      run,
+      order,
+      isOpen: () => isOpen && database.state !== 'dead',
+      onClosed: listener => { listeners.push(listener) },
+      close: end
+    }
+  }
+
+  const promote: PromoteDatabase = async (_group, id, fence) => {
+    fences.push(fence)
+    const database = databases.get(id)
+    if (database === undefined || database.state !== 'alive') return Err(typedError('declined', 'not running'))
+    if (database.role === 'primary') return Ok(undefined)
+    setTimeout(() => {
+      database.term = Math.max(...[...databases.values()].map(({ term }) => term)) + 1
+      database.role = 'primary'
+    }, promoteDelayMs)
+    return Ok(undefined)
+  }
+
+  const memory: MemoryGroup = { databases, connect, promote, ran, fences, replicate, holdsBack: false }
+  return memory
+}
--- /dev/null
+++ b/packages/gateway/src/testing/memory-store.ts
@@ -0,0 +1,105 @@
+/**
+ * The shared store in memory, with faults, for tests.
+ */
+import { Err, Ok, sleepMs, typedError } from '@egretyoke/common'
+import { createPlatformStore } from '@egretyoke/standins'
+import type { KeptEntry } from '@egretyoke/standins'
+import type { SharedStore } from '../coordination/shared-store.js'
+
+/** How the store treats calls: `silent` brings no answer, `lost` carries out what is asked and does not answer. */
+export type StoreMode = 'serving' | 'silent' | 'refusing' | 'lost'
+
+/** A store that several gateways of one test share. */
+export type MemoryStore = {
+  /** A client; its mode can differ from that of others. */
+  client: () => SharedStore & { setMode: (mode: StoreMode) => void }
+  put: (key: string, value: unknown) => number
+  remove: (key: string) => void
+  read: (key: string) => unknown
+  /** Forgets changes up to now: watches from before are told that history is gone. */
+  compact: () => void
+}
+
+const noAnswer = () => Err(typedError('noAnswer' as const, 'no answer'))
+
+/** Creates an empty store. */
+export const createMemoryStore = (): MemoryStore => {
+  const store = createPlatformStore()
+  let compactedAt = 0
+
+  const put = (key: string, value: unknown) => {
+    const expectedRevision = store.get(key)?.revision ?? 0
+    const bytes = Buffer.from(JSON.stringify(value))
+    return store.compareAndSwap({ key, expectedRevision, value: bytes, delete: false, leaseId: 0 }).current?.revision ?? 0
+  }
+
+  const remove = (key: string) => {
+    const expectedRevision = store.get(key)?.revision ?? 0
+    store.compareAndSwap({ key, expectedRevision, value: Buffer.alloc(0), delete: true, leaseId: 0 })
+  }
+
+  const client = () => {
+    let mode: StoreMode = 'serving'
+
+    const call = async <T>(run: () => T, timeoutMs: number) => {
+      await sleepMs(1)
+      if (mode === 'refusing') return noAnswer()
+      if (mode === 'silent') await sleepMs(timeoutMs)
+      if (mode === 'silent') return noAnswer()
+      const result = run()
+      if (mode === 'lost') await sleepMs(timeoutMs)
+      return mode === 'lost' ? noAnswer() : Ok(result)
+    }
+
+    const waitForChange = (afterRevision: number, waitMs: number) => new Promise<void>(resolve => {
+      if (store.range('', afterRevision).length > 0) return resolve()
+      const finish = () => {
+        clearTimeout(timer)
+        stopListening()
+        resolve()
+      }
+      const timer = setTimeout(finish, waitMs)
+      const stopListening = store.listen(finish)
+    })
+
+    const changes: SharedStore['changes'] = async (prefix, afterRevision, waitMs, timeoutMs) => {
+      if (mode === 'serving') await waitForChange(afterRevision, waitMs)
+      if (afterRevision < compactedAt) return Err(typedError('historyGone' as const, 'history is gone'))
+      const read = () => ({ entries: store.range(prefix, afterRevision) as KeptEntry[], revision: store.revision() })
+      return await call(read, timeoutMs)
+    }
+
+    return {
+      setMode: (next: StoreMode) => { mode = next },
+      list: async (prefix: string, timeoutMs: number) => await call(() => {
+        const entries = store.range(prefix, 0).filter(entry => !entry.deleted)
+        return { entries, revision: store.revision() }
+      }, timeoutMs),
+      changes,
+      get: async (key: string, timeoutMs: number) => await call(() => store.get(key), timeoutMs),
+      compareAndSwap: async (swap: Parameters<SharedStore['compareAndSwap']>[0], timeoutMs: number) => await call(() => {
+        const { key, expectedRevision, value, delete: isDelete = false, leaseId = 0 } = swap
+        const outcome = store.compareAndSwap({ key, expectedRevision, value, delete: isDelete, leaseId })
+        return { ...outcome, storeRevision: store.revision() }
+      }, timeoutMs),
+      grantLease: async (ttlMs: number, timeoutMs: number) => await call(() => store.grantLease(ttlMs), timeoutMs),
+      keepAlive: async (id: number, timeoutMs: number) => await call(() => store.keepAlive(id), timeoutMs),
+      revokeLease: async (id: number, timeoutMs: number) => await call(() => {
+        store.revokeLease(id)
+        return true
+      }, timeoutMs),
+      close: () => {}
+    }
+  }
+
+  return {
+    client,
+    put,
+    remove,
+    read: key => {
+      const entry = store.get(key)
+      return entry === undefined ? undefined : JSON.parse(entry.value.toString('utf8'))
+    },
+    compact: () => { compactedAt = store.revision() }
+  }
+}
--- a/scripts/bundle-platform.mjs
+++ b/scripts/bundle-platform.mjs
@@ -16,5 +16,7 @@
   keepNames: true,
   // Their CommonJS builds load their parts in a way that cannot be bundled.
   alias: { 'jsonc-parser': 'jsonc-parser/lib/esm/main.js', 'ts-results': 'ts-results/esm/index.js' },
-  banner: { js: "import { createRequire as bundleRequire } from 'node:module'; const require = bundleRequire(import.meta.url);" }
+  banner: {
+    js: "import { createRequire as bundleRequire } from 'node:module'\nconst require = bundleRequire(import.meta.url)"
+  }
 })
