Gateway: connections that a successor needs are given up

Ruled out: slots (queuedTooLong 320, of other causes) and the statements' own time. Change: a pool keeps 10 idle connections at most, closes them after 1 s where the gateway is not the first holder or has no contact, grows no further for 250 ms after a refusal, and waits for room instead of refusing.

--- a/packages/gateway/src/coordination/connection-pool.ts
+++ b/packages/gateway/src/coordination/connection-pool.ts
@@ -25,17 +25,23 @@
 /** The connections to one database. */
 export type ConnectionPool = {
   /** True when `take` would find or make room for a connection. */
-  hasRoom: (workspace: string) => boolean
+  hasRoom: () => boolean
   take: (workspace: string, timeoutMs: number) => Promise<Result<PooledConnection, ConnectFailure>>
   /** Gives a connection back for the next session of its workspace. */
   giveBack: (pooled: PooledConnection) => void
   /** Ends a connection whose state is not known or that is not wanted. */
   discard: (pooled: PooledConnection) => void
   size: () => number
-  idleCount: () => number
+  /** Closes the connections that have been idle for longer than the time. */
+  closeIdle: (idleForMs: number) => void
   close: () => void
 }
 
+/** How long a pool grows no further after the database has refused a connection as one too many. */
+const fullRestMs = 250
+/** Connections that are kept idle at most. What a holder keeps, its successor lacks until the database notices its end. */
+const maxIdle = 10
+
 /** Limits and ways of a pool. */
 export type PoolOptions = {
   connect: (workspace: string, timeoutMs: number) => ReturnType<ConnectDatabase>
@@ -74,6 +80,7 @@
   const all = new Set<PooledConnection>()
   let opening = 0
   let isClosed = false
+  let fullUntilMs = -Infinity
 
   const forget = (pooled: PooledConnection) => {
     all.delete(pooled)
@@ -88,8 +95,11 @@
 
   const size = () => all.size + opening
 
+  /** Others may hold connections to the database too: after a refusal the pool makes do with what it has. */
+  const mayGrow = () => size() < maxConnections() && nowMs() >= fullUntilMs
+
   const makeRoom = () => {
-    if (size() < maxConnections()) return
+    if (mayGrow()) return
     const leastRecentlyUsed = idle[0]
     if (leastRecentlyUsed !== undefined) discard(leastRecentlyUsed)
   }
@@ -99,7 +109,10 @@
     opening++
     const connected = await connect(workspace, timeoutMs)
     opening--
-    if (connected.err) return Err(connected.val)
+    if (connected.err) {
+      if (connected.val.reason === 'full') fullUntilMs = nowMs() + fullRestMs
+      return Err(connected.val)
+    }
     const connection = connected.val
     const pooled: PooledConnection =
       { workspace, connection, values: new Map(), prepared: new Set(), idleSinceMs: nowMs() }
@@ -120,15 +133,18 @@
     if (isClosed || !pooled.connection.isOpen() || size() > maxConnections()) return discard(pooled)
     pooled.idleSinceMs = nowMs()
     idle.push(pooled)
+    if (idle.length > maxIdle) discard(idle[0])
   }
 
   return {
-    hasRoom: () => size() < maxConnections() || idle.length > 0,
+    hasRoom: () => mayGrow() || idle.length > 0,
     take,
     giveBack,
     discard,
     size,
-    idleCount: () => idle.length,
+    closeIdle: idleForMs => {
+      for (const pooled of [...idle]) if (nowMs() - pooled.idleSinceMs > idleForMs) discard(pooled)
+    },
     close: () => {
       isClosed = true
       for (const pooled of [...all]) discard(pooled)
--- a/packages/gateway/src/coordination/database-holder.ts
+++ b/packages/gateway/src/coordination/database-holder.ts
@@ -2,6 +2,7 @@
  * Runs statements at one database: a fair queue for work that has not begun, as many statements at once as the database
  * has slots, connections that are kept for their workspaces, and transactions that keep their connection.
  */
+import { sleepMs } from '@egretyoke/common'
 import type { Logger } from '@egretyoke/common'
 import { createFairQueue } from '@egretyoke/limits'
 import type { DropReason, FairQueue } from '@egretyoke/limits'
@@ -32,6 +33,9 @@
 /** An answer that is not older shows that the database lives. */
 const recentAnswerMs = 400
 const settlePollMs = 10
+const roomPollMs = 10
+/** Idle connections of a gateway that others do not, or cannot, send statements to are closed after this time. */
+const secondaryIdleMs = 1000
 
 /** Statements at one database, and orders to it. */
 export type DatabaseHolder = {
@@ -55,6 +59,8 @@
   maxConnections: () => number
   transactionIdleMs: () => number
   connect: ConnectDatabase
+  /** True while other gateways send their statements for the database here first. */
+  isFirstHolder: () => boolean
   /** False while nothing new may go to the database. */
   takesWork: () => boolean
   records: GroupRecords
@@ -104,10 +110,21 @@
     return laterPosition(fresh, ownPosition)
   }
 
+  /** Waits for room while the database refuses connections as too many. */
+  const takeConnection = async (request: StatementRequest, leftMs: number) => {
+    const untilMs = nowMs() + Math.min(leftMs, request.maxQueuedMs)
+    for (;;) {
+      const taken = await pool.take(request.workspace, Math.min(connectTimeoutMs, leftMs))
+      if (taken.ok || taken.val.reason !== 'full') return taken
+      while (!pool.hasRoom() && nowMs() < untilMs) await sleepMs(roomPollMs)
+      if (nowMs() >= untilMs) return taken
+    }
+  }
+
   const begin = async (request: StatementRequest, leftMs: number): Promise<StatementOutcome> => {
     const required = await requiredPosition(request)
     if (required === undefined) return notRun('lagging')
-    const taken = await pool.take(request.workspace, Math.min(connectTimeoutMs, leftMs))
+    const taken = await takeConnection(request, leftMs)
     if (taken.err) {
       log(events.connectFailed, {
         request: request.requestId, database: id, reason: taken.val.reason, message: taken.val.message
@@ -183,7 +200,7 @@
 
   const dispatch = () => {
     while (inFlight < database().slots) {
-      if (continuing.length === 0 && !pool.hasRoom('')) {
+      if (continuing.length === 0 && !pool.hasRoom()) {
         pinned.endIdle()
         return
       }
@@ -221,7 +238,7 @@
     const endAtMs = nowMs() + timeoutMs
     while (nowMs() < endAtMs) {
       if (inFlight === 0 && pinned.size() === 0) return true
-      await new Promise(resolve => setTimeout(resolve, settlePollMs))
+      await sleepMs(settlePollMs)
     }
     return false
   }
@@ -229,6 +246,7 @@
   const upkeep = setInterval(() => {
     for (const queue of queues) queue.dropExpired()
     pinned.endIdle()
+    if (!options.isFirstHolder()) pool.closeIdle(secondaryIdleMs)
     dispatch()
   }, upkeepIntervalMs)
 
--- a/packages/gateway/src/coordination/holders.ts
+++ b/packages/gateway/src/coordination/holders.ts
@@ -23,8 +23,9 @@
 }
 
 /** What the holders work with. */
-export type HoldersOptions = Omit<HolderOptions, 'database' | 'maxConnections' | 'transactionIdleMs' | 'takesWork'> & {
+export type HoldersOptions = Omit<HolderOptions, 'database' | 'maxConnections' | 'transactionIdleMs' | 'takesWork' | 'isFirstHolder'> & {
   view: FleetView
+  isFirstHolder: (database: Database) => boolean
 }
 
 /** Used when the configuration does not name a limit. */
@@ -47,6 +48,7 @@
       database: current,
       maxConnections: () => view.configuration()?.groups.get(database.group)?.maxConnections ?? defaultMaxConnections,
       transactionIdleMs: () => view.configuration()?.transactionIdleMs ?? defaultTransactionIdleMs,
+      isFirstHolder: () => options.isFirstHolder(current()),
       takesWork: () => view.databases().has(id) && takesWork(view, current())
     })
     holders.set(id, { holder, database })
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -29,6 +29,7 @@
 import { createGatewayMetrics } from './gateway-metrics.js'
 import type { GatewayMetrics } from './gateway-metrics.js'
 import { createAgeClock, createContact } from './state/contact.js'
+import type { Database } from './state/configuration.js'
 import { createFleetView } from './state/fleet-view.js'
 import type { ReadFact } from './state/fleet-view.js'
 import { processName } from './state/stored-records.js'
@@ -75,6 +76,8 @@
 
 /** Kept free of the time in which a key's withdrawal must be known, for the way of a statement. */
 const keyMarginMs = 900
+/** With an older view a gateway sends callers elsewhere and lets others hold its connections. */
+const readyContactMs = 2000
 const tokenTimeoutMs = 250
 const positionTimeoutMs = 400
 const upkeepIntervalMs = 1000
@@ -132,7 +135,9 @@
   }
   const positions = createGroupPositions(clock, askPosition)
 
-  const holders = createHolders({ view, connect, records, positions, clock, nowMs: () => performance.now(), log })
+  const isFirstHolder = (database: Database) => contact.ageMs() < readyContactMs &&
+    holderChoice.candidates(database, [])[0]?.name === self.name
+  const holders = createHolders({ view, isFirstHolder, connect, records, positions, clock, nowMs: () => performance.now(), log })
   const limits = createLimitKeeper({ self: selfName, name: self.name, view, membership, store, log })
   const askForTokens = async (workspace: string, wanted: number) => {
     const keeper = view.limitKeeper(shardOf(workspace))?.keeper
--- a/packages/gateway/src/session.test.ts
+++ b/packages/gateway/src/session.test.ts
@@ -2,7 +2,9 @@
  * Sessions over a small fleet: what a caller sees of its statements, transactions, values and prepared names.
  */
 import test from 'ava'
-import { openTestSession, read, standardConfiguration, startMemoryFleet, waitUntil, write } from './testing/memory-fleet.js'
+import {
+  openTestSession, read, standardConfiguration, startMemoryFleet, waitUntil, write
+} from './testing/memory-fleet.js'
 
 test('a statement is answered with the rows and the signature of a database', async t => {
   const fleet = await startMemoryFleet(2)
--- a/packages/gateway/src/testing/memory-fleet.ts
+++ b/packages/gateway/src/testing/memory-fleet.ts
@@ -33,7 +33,9 @@
 }
 
 /** What operators store, for tests. */
-export type StoredConfiguration = { version: number, routes: Route[], workspaces: Array<Workspace & { keys: string[] }> }
+export type StoredConfiguration = {
+  version: number, routes: Route[], workspaces: Array<Workspace & { keys: string[] }>
+}
 
 const groupName = 'bookings'
 
@@ -126,7 +128,9 @@
   }
 
   for (let index = 1; index <= size; index++) await start(`vm-${index}`, `dc-${(index - 1) % 3 + 1}`)
-  await waitUntil(() => gateways.every(({ gateway }) => gateway.isReady()) && store.read(`egretyoke/group/${groupName}`) !== undefined)
+  await waitUntil(
+    () => gateways.every(({ gateway }) => gateway.isReady()) && store.read(`egretyoke/group/${groupName}`) !== undefined
+  )
 
   return {
     store,
@@ -143,7 +147,9 @@
 }
 
 /** A session with numbered requests. */
-export type TestSession = Session & { send: (statement: SessionStatement) => Promise<SessionAnswer>, lastRequest: () => string }
+export type TestSession = Session & {
+  send: (statement: SessionStatement) => Promise<SessionAnswer>, lastRequest: () => string
+}
 
 let sessionCount = 0
 
--- a/packages/gateway/src/testing/memory-group.ts
+++ b/packages/gateway/src/testing/memory-group.ts
@@ -161,7 +161,9 @@
     }
 
     const runCommand = async (command: DatabaseCommand): Promise<DatabaseReply> => {
-      if (transaction === 'failed' && command.kind !== 'rollback' && command.kind !== 'commit') return decline('malformed')
+      if (
+        transaction === 'failed' && command.kind !== 'rollback' && command.kind !== 'commit'
+      ) return decline('malformed')
       switch (command.kind) {
         case 'begin':
           if (lacks(command.positionAtLeast)) return decline('lagging')
@@ -176,7 +178,9 @@
         case 'execute': {
           const access = prepared.get(command.name)
           if (access === undefined) return decline('unknownStatement')
-          return await runStatement(command.requestId, `${command.name} ${command.operands}`, access, command.positionAtLeast)
+          return await runStatement(
+            command.requestId, `${command.name} ${command.operands}`, access, command.positionAtLeast
+          )
         }
         case 'commit': return finish(command.requestId, true)
         case 'rollback': return finish('', false)
--- a/packages/gateway/src/testing/memory-store.ts
+++ b/packages/gateway/src/testing/memory-store.ts
@@ -30,7 +30,9 @@
   const put = (key: string, value: unknown) => {
     const expectedRevision = store.get(key)?.revision ?? 0
     const bytes = Buffer.from(JSON.stringify(value))
-    return store.compareAndSwap({ key, expectedRevision, value: bytes, delete: false, leaseId: 0 }).current?.revision ?? 0
+    return store.compareAndSwap({
+      key, expectedRevision, value: bytes, delete: false, leaseId: 0
+    }).current?.revision ?? 0
   }
 
   const remove = (key: string) => {
@@ -77,7 +79,9 @@
       }, timeoutMs),
       changes,
       get: async (key: string, timeoutMs: number) => await call(() => store.get(key), timeoutMs),
-      compareAndSwap: async (swap: Parameters<SharedStore['compareAndSwap']>[0], timeoutMs: number) => await call(() => {
+      compareAndSwap: async (
+        swap: Parameters<SharedStore['compareAndSwap']>[0], timeoutMs: number
+      ) => await call(() => {
         const { key, expectedRevision, value, delete: isDelete = false, leaseId = 0 } = swap
         const outcome = store.compareAndSwap({ key, expectedRevision, value, delete: isDelete, leaseId })
         return { ...outcome, storeRevision: store.revision() }
