Limits: a new keeper begins with a small allowance

Change: a claimed bucket holds a tenth of the rate and 5 tokens; a VM that succeeds its own earlier process counts from its process's start; an operation waits for a token up to 0.24 of its latency objective.

--- a/packages/gateway/src/coordination/limit-keeper.ts
+++ b/packages/gateway/src/coordination/limit-keeper.ts
@@ -1,7 +1,8 @@
 /**
  * Hands out the tokens of the workspaces' limits for the whole fleet. Workspaces are spread over shards; each shard has
  * one keeper, which claims it with a record on its lease, and which answers only while that lease is surely held. So
- * two keepers never hand out the same tokens, and a new keeper begins with empty buckets.
+ * two keepers never hand out the same tokens. A new keeper's buckets are empty but for a small allowance: what its
+ * predecessor may have handed out until its end counts as spent.
  */
 import { createHash } from 'node:crypto'
 import { monotonicMs, sleepMs } from '@egretyoke/common'
@@ -10,16 +11,24 @@
 import type { RelayMessages } from '@egretyoke/protocol'
 import { events } from '../events.js'
 import type { FleetView } from '../state/fleet-view.js'
-import { recordKeys, writeRecord } from '../state/stored-records.js'
+import { readLimitRecord, recordKeys, writeRecord } from '../state/stored-records.js'
 import { createTokenBucket } from '../state/token-bucket.js'
 import type { TokenBucket } from '../state/token-bucket.js'
 import type { Membership } from './membership.js'
 import type { SharedStore } from './shared-store.js'
 
+/** The process's start on the monotonic clock. */
+const processStartMs = 0
+
 /** Shards of the workspaces. A shard's keeper serves all gateways, so that more shards spread its work. */
 export const limitShards = 8
 const claimIntervalMs = 250
 const storeTimeoutMs = 900
+/**
+ * What a new keeper's bucket holds at once, as a part of the rate and in tokens. It may come on top of all that its
+ * predecessor handed out, and stays a fraction of what limits may be exceeded by.
+ */
+const firstTokens = { ofRate: 0.1, atLeast: 5 } as const
 /** Over this time the askers' parts of a rate are worked out, in milliseconds. */
 const partWindowMs = 2000
 
@@ -68,6 +77,7 @@
     }
     const emptyAtMs = claimedAtMs.get(shardOf(workspace))
     const bucket = createTokenBucket({ ratePerSec, burst }, monotonicMs, emptyAtMs)
+    bucket.add(firstTokens.ofRate * ratePerSec + firstTokens.atLeast)
     const account = { bucket, grantedBy: new Map(), windowSinceMs: monotonicMs(), parts: new Map() }
     accounts.set(workspace, account)
     return account
@@ -119,7 +129,10 @@
     if (swap.err || !swap.val.swapped || swap.val.current === undefined) return
     view.apply(swap.val.current)
     for (const workspace of accounts.keys()) if (shardOf(workspace) === shard) accounts.delete(workspace)
-    claimedAtMs.set(shard, monotonicMs())
+    // An earlier process of this VM handed out nothing since this one started.
+    const isOwnSuccessor = stored.val !== undefined &&
+      readLimitRecord(stored.val.value).map(({ keeper }) => keeper.split('/')[0] === name).unwrapOr(false)
+    claimedAtMs.set(shard, isOwnSuccessor ? processStartMs : monotonicMs())
     log(events.limitsClaimed, { shard, revision: swap.val.current.revision })
   }
 
--- a/packages/gateway/src/coordination/session.ts
+++ b/packages/gateway/src/coordination/session.ts
@@ -76,7 +76,7 @@
 /** Part of the latency objective that a statement may wait before it is offered to a database. */
 const maxQueuedFraction = 0.5
 /** Part of the latency objective that an operation may wait for a token of its workspace's limit. */
-const maxTokenWaitFraction = 0.15
+const maxTokenWaitFraction = 0.24
 /** After a refusal for the limit, suggested to the caller. */
 const limitRetryMs = 500
 const busyRetryMs = 100
--- a/packages/gateway/src/state/token-bucket.ts
+++ b/packages/gateway/src/state/token-bucket.ts
@@ -12,6 +12,8 @@
 export type TokenBucket = {
   /** Takes up to `wanted` whole tokens. */
   take: (wanted: number) => number
+  /** Adds tokens, up to the depth. */
+  add: (tokens: number) => void
   /** Changes the terms; tokens beyond the new depth are lost. */
   setTerms: (terms: BucketTerms) => void
 }
@@ -37,6 +39,10 @@
       tokens -= taken
       return taken
     },
+    add: added => {
+      fill()
+      tokens = Math.min(Math.max(1, terms.burst), tokens + added)
+    },
     setTerms: next => {
       fill()
       terms = next
