Gateway: route around gateways that cannot be reached or may not use the primary

Ruled out: the databases' slots; lag (its refusals went on to the primary at once). Change: a lost link is reopened in the background and not used until it answers (silence 600 ms); a holder that failed comes last for 400 ms, and 'moved' goes to the next one; the position is asked for before the statement queues; tokens are not asked of a keeper whose link is down; a workspace with rate 0 gets no token.

--- a/packages/gateway/src/coordination/database-holder.ts
+++ b/packages/gateway/src/coordination/database-holder.ts
@@ -71,7 +71,13 @@
 }
 
 /** A statement that waits for a slot. */
-type Waiting = { request: StatementRequest, arrivedAtMs: number, answer: (outcome: StatementOutcome) => void }
+type Waiting = {
+  request: StatementRequest
+  /** The position that the database must have. */
+  position: string
+  arrivedAtMs: number
+  answer: (outcome: StatementOutcome) => void
+}
 
 /** Creates a holder without connections. */
 export const createDatabaseHolder = (options: HolderOptions): DatabaseHolder => {
@@ -121,9 +127,7 @@
     }
   }
 
-  const begin = async (request: StatementRequest, leftMs: number): Promise<StatementOutcome> => {
-    const required = await requiredPosition(request)
-    if (required === undefined) return notRun('lagging')
+  const begin = async ({ request, position }: Waiting, leftMs: number): Promise<StatementOutcome> => {
     const taken = await takeConnection(request, leftMs)
     if (taken.err) {
       log(events.connectFailed, {
@@ -132,7 +136,7 @@
       return notRun(taken.val.reason === 'full' ? 'busy' : 'unreachable')
     }
     const pooled = taken.val
-    const outcome = await runGuarded(pooled, request, required, leftMs)
+    const outcome = await runGuarded(pooled, request, position, leftMs)
     finishOn(pooled, request, outcome)
     return outcome
   }
@@ -164,7 +168,7 @@
     return mayBeKept ? unknownOutcome('moved') : notRun('moved')
   }
 
-  const resume = async (request: StatementRequest, leftMs: number): Promise<StatementOutcome> => {
+  const resume = async ({ request }: Waiting, leftMs: number): Promise<StatementOutcome> => {
     const pooled = pinned.take(request.session)
     if (pooled === undefined) return notRun('transactionGone')
     const outcome = await runGuarded(pooled, request, '', leftMs)
@@ -178,7 +182,7 @@
     const queuedMs = Math.round(nowMs() - arrivedAtMs)
     const leftMs = request.timeoutMs - queuedMs
     const startedAtMs = nowMs()
-    const outcome = await (request.transaction === 'CONTINUE' ? resume : begin)(request, leftMs)
+    const outcome = await (request.transaction === 'CONTINUE' ? resume : begin)(waiting, leftMs)
     inFlight--
     queueOf(request).charge(request.workspace, nowMs() - startedAtMs - assumedCostMs)
     answer({ ...outcome, load: load(), queuedMs })
@@ -215,8 +219,12 @@
     if (request.transaction !== 'CONTINUE' && !options.takesWork()) return notRun('moved')
     const joins = request.needsPrimary && request.transaction !== 'CONTINUE'
     if (joins && !await records.become(group, id)) return notRun('moved')
+    const arrivedAtMs = nowMs()
+    // What was confirmed while the statement waits is not owed to it: it was asked for before.
+    const position = request.transaction === 'CONTINUE' ? '' : await requiredPosition(request)
+    if (position === undefined) return notRun('lagging')
     return await new Promise<StatementOutcome>(resolve => {
-      const waiting: Waiting = { request, arrivedAtMs: nowMs(), answer: resolve }
+      const waiting: Waiting = { request, position, arrivedAtMs, answer: resolve }
       if (request.transaction === 'CONTINUE') {
         continuing.push(waiting)
         return dispatch()
--- a/packages/gateway/src/coordination/statement-router.ts
+++ b/packages/gateway/src/coordination/statement-router.ts
@@ -64,6 +64,9 @@
 /** Beyond the statement's own time, for the way to the holder and back. */
 const relayAllowanceMs = 150
 
+/** Reasons that lie with the gateway that holds the connections. */
+const otherHolderMayDo: ReadonlySet<StatementReason> = new Set(['holderSilent', 'unreachable', 'moved'])
+
 const worthAnother: ReadonlySet<StatementReason> =
   new Set(['busy', 'queuedTooLong', 'lagging', 'readOnly', 'moved', 'unreachable', 'silent', 'holderSilent'])
 
@@ -72,6 +75,7 @@
   const { self, view, holders, relay, regionOf, log } = options
   const loads = new Map<string, number>()
   const restUntilMs = new Map<string, number>()
+  const holderRestUntilMs = new Map<string, number>()
   const nowMs = () => performance.now()
 
   const runAt = async (holder: Member, request: StatementRequest): Promise<StatementOutcome> => {
@@ -117,11 +121,18 @@
       .sort((one, other) => costOf(one) - costOf(other))
   }
 
+  /** Holders that have just failed at the database come last. */
+  const holdersOf = (database: Database, regions: readonly string[]): Member[] => {
+    const isResting = ({ name }: Member) => (holderRestUntilMs.get(`${name} ${database.id}`) ?? 0) > nowMs()
+    const all = holders.candidates(database, regions)
+    return [...all.filter(holder => !isResting(holder)), ...all.filter(isResting)]
+  }
+
   const tryDatabase = async (database: Database, question: RouteQuestion, leftMs: () => number): Promise<Routed> => {
     const { route, regions } = question
     const needsPrimary = question.needsPrimary || primaryOf(route.group)?.id === database.id
     let outcome = notRun('unreachable')
-    for (const holder of holders.candidates(database, regions)) {
+    for (const holder of holdersOf(database, regions)) {
       const request = {
         ...question.request, database: database.id, needsPrimary, timeoutMs: Math.max(1, Math.round(leftMs()))
       }
@@ -138,7 +149,8 @@
         needsPrimary
       })
       const at = { database: database.id, holder }
-      const isOtherHolderWorthIt = outcome.reason === 'holderSilent' || outcome.reason === 'unreachable'
+      const isOtherHolderWorthIt = otherHolderMayDo.has(outcome.reason)
+      if (isOtherHolderWorthIt) holderRestUntilMs.set(`${holder.name} ${database.id}`, nowMs() + failureRestMs)
       if (outcome.status !== 'NOT_RUN' || !isOtherHolderWorthIt || leftMs() <= 0) return { outcome, at }
     }
     return { outcome, at: undefined }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -149,7 +149,8 @@
     const request = { workspace, wanted, asker: self.name }
     if (keeper === selfName) return limits.take(request)
     const member = view.members().get(keeper.split('/')[0] ?? '')
-    if (member === undefined) return undefined
+    // A keeper that does not answer is not waited for: the part of the rate known last serves meanwhile.
+    if (member === undefined || !links.isUsable(member)) return undefined
     const answer = await links.ask(member, { takeTokens: request }, tokenTimeoutMs)
     return answer.ok ? answer.val.tokens ?? undefined : undefined
   }
--- a/packages/gateway/src/state/token-bucket.ts
+++ b/packages/gateway/src/state/token-bucket.ts
@@ -26,9 +26,12 @@
   let tokens = 0
   let filledAtMs = emptyAtMs
 
+  /** Whoever has a rate gets a whole token at some time. */
+  const depth = () => Math.max(terms.ratePerSec > 0 ? 1 : 0, terms.burst)
+
   const fill = () => {
     const nowMs = clock()
-    tokens = Math.min(Math.max(1, terms.burst), tokens + (nowMs - filledAtMs) / 1000 * terms.ratePerSec)
+    tokens = Math.min(depth(), tokens + (nowMs - filledAtMs) / 1000 * terms.ratePerSec)
     filledAtMs = nowMs
   }
 
@@ -41,12 +44,12 @@
     },
     add: added => {
       fill()
-      tokens = Math.min(Math.max(1, terms.burst), tokens + added)
+      tokens = Math.min(depth(), tokens + added)
     },
     setTerms: next => {
       fill()
       terms = next
-      tokens = Math.min(tokens, terms.burst)
+      tokens = Math.min(tokens, depth())
     }
   }
 }
--- a/packages/gateway/src/transport/relay-link.ts
+++ b/packages/gateway/src/transport/relay-link.ts
@@ -10,12 +10,12 @@
 import type { RelayAnswer, RelayFailure, RelayQuestion } from '../coordination/relay-calls.js'
 
 /** A peer that is silent for longer is taken for unreachable. */
-const silenceMs = 900
-const pingIntervalMs = 300
+const silenceMs = 600
+const pingIntervalMs = 200
 /** A link that was not used for longer is closed. */
 const unusedCloseMs = 15_000
-/** How long a link that failed is not tried again, unless there is no other way. */
-const restMs = 500
+/** A link that failed is opened again after this time, for as long as it was in use, and counts as usable once it is. */
+const reopenMs = 400
 const maxPending = 4096
 
 type Stream = ClientDuplexStream<RelayMessages.RelayRequest, RelayMessages.RelayReply__Output>
@@ -38,9 +38,11 @@
   let service: InstanceType<typeof relayProto.Relay> | undefined
   let stream: Stream | undefined
   let isEstablished = false
+  let isClosed = false
   let lastHeardMs = 0
   let lastUsedMs = 0
-  let downSinceMs = -Infinity
+  let isDown = false
+  let reopenTimer: NodeJS.Timeout | undefined
   let nextNumber = 1
   let pingTimer: NodeJS.Timeout | undefined
   const pending = new Map<number, Pending>()
@@ -57,13 +59,21 @@
   const goDown = (reason: string) => {
     if (stream === undefined) return
     tearDown()
-    downSinceMs = performance.now()
-    onDown(reason)
+    if (!isDown) onDown(reason)
+    isDown = true
+    reopenLater()
     const lost = [...pending.values()]
     pending.clear()
     for (const { isSent, settle } of lost) settle(failure(isSent ? 'lost' : 'unsent', address))
   }
 
+  /** Tries the peer again without a request that would have to wait for it. */
+  const reopenLater = () => {
+    clearTimeout(reopenTimer)
+    if (isClosed || performance.now() - lastUsedMs > unusedCloseMs) return
+    reopenTimer = setTimeout(() => { if (stream === undefined) open() }, reopenMs)
+  }
+
   const send = (number: number, waiting: Pending) => {
     waiting.isSent = true
     stream?.write({ number, ...waiting.question })
@@ -73,7 +83,7 @@
     lastHeardMs = performance.now()
     if (!isEstablished) {
       isEstablished = true
-      downSinceMs = -Infinity
+      isDown = false
       for (const [number, waiting] of pending) send(number, waiting)
     }
     const waiting = pending.get(reply.number)
@@ -122,7 +132,11 @@
 
   return {
     ask,
-    isUsable: () => performance.now() - downSinceMs > restMs,
-    close: () => goDown('closed')
+    isUsable: () => !isDown,
+    close: () => {
+      isClosed = true
+      clearTimeout(reopenTimer)
+      goDown('closed')
+    }
   }
 }
