Gateway: callers leave a gateway without contact

Ruled out: serving them there: after 3 s without a way to the store nothing there is owed. Change: a gateway is not ready with a view older than 2 s, and 2.2 s later lets resting sessions go if a peer is ready. Kept for the callers: a resting session is not refused for seconds.

--- a/packages/gateway/src/coordination/relay-handler.ts
+++ b/packages/gateway/src/coordination/relay-handler.ts
@@ -21,7 +21,7 @@
   orders: DatabaseOrders
   contact: Contact
   clock: AgeClock
-  isDraining: () => boolean
+  isReady: () => boolean
 }
 
 /** A position younger than this is passed on without asking the primary. */
@@ -58,7 +58,7 @@
 
 /** Creates the handler; `undefined` is no answer. */
 export const createRelayHandler = (options: RelayHandlerOptions) => {
-  const { view, records, holders, limits, orders, isDraining } = options
+  const { view, records, holders, limits, orders, isReady } = options
 
   const positionOf = async ({ group }: RelayMessages.AskPosition__Output): Promise<Answer> => {
     const read = await readPrimaryPosition(options, group)
@@ -95,6 +95,6 @@
       holders.abandon(request.abandon.database, request.abandon.session)
       return undefined
     }
-    return { pong: { draining: isDraining() } }
+    return { pong: { ready: isReady() } }
   }
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -66,6 +66,8 @@
   /** False: callers should go elsewhere. */
   isReady: () => boolean
   isDraining: () => boolean
+  /** True while callers are better served elsewhere: this gateway has not been ready for a while, and others are. */
+  shouldLetGo: () => boolean
   metrics: GatewayMetrics
   registry: Registry
   noteSessionCount: (count: number) => void
@@ -78,6 +80,8 @@
 
 /** Kept free of the time in which a key's withdrawal must be known, for the way of a statement. */
 const keyMarginMs = 900
+/** The balancer sends new callers elsewhere this long after a gateway is not ready. */
+const balancerNoticeMs = 2200
 /** With an older view a gateway sends callers elsewhere and lets others hold its connections. */
 const readyContactMs = 2000
 const tokenTimeoutMs = 250
@@ -108,6 +112,7 @@
   let { keyWithdrawalMs, graceMs } = settings
   let isDraining = false
   let hasBeenReady = false
+  let lastReadyMs = 0
   let sessionCount = 0
   let sessionNumber = 0
 
@@ -177,7 +182,7 @@
   view.onGroupChange(group => positions.forget(group))
 
   const handle = createRelayHandler({
-    view, records, holders, positions, limits, orders, contact, clock, isDraining: () => isDraining
+    view, records, holders, positions, limits, orders, contact, clock, isReady: () => isReady()
   })
   const listener = await listenGrpc(
     settings.relayAddress, { channels: settings.channels }, server => addRelayService(server, handle as never)
@@ -194,11 +199,13 @@
 
   const knowsKeys = () => contact.ageMs() < keyWithdrawalMs - keyMarginMs
   const isInformed = () => knowsKeys() && view.configuration() !== undefined
-  const isReady = () => !isDraining && isInformed() && membership.leaseId() !== undefined
+  const isReady = () => !isDraining && isInformed() && contact.ageMs() < readyContactMs &&
+    membership.leaseId() !== undefined
 
   const watchReadiness = async () => {
     let was: boolean | undefined
     while (!signal.aborted) {
+      if (isReady()) lastReadyMs = performance.now()
       if (isReady() !== was) {
         was = isReady()
         hasBeenReady ||= was
@@ -261,6 +268,7 @@
     },
     isReady,
     isDraining: () => isDraining,
+    shouldLetGo: () => hasBeenReady && performance.now() - lastReadyMs > balancerNoticeMs && links.isAnyReady(),
     metrics,
     registry,
     noteSessionCount: count => { sessionCount = count },
--- a/packages/gateway/src/transport/relay-link.ts
+++ b/packages/gateway/src/transport/relay-link.ts
@@ -25,6 +25,8 @@
 export type RelayLink = {
   ask: (question: RelayQuestion, timeoutMs: number) => Promise<Result<RelayAnswer, RelayFailure>>
   isUsable: () => boolean
+  /** Whether the peer has just said that it takes new sessions. */
+  isPeerReady: () => boolean
   close: () => void
 }
 
@@ -38,6 +40,7 @@
   let service: InstanceType<typeof relayProto.Relay> | undefined
   let stream: Stream | undefined
   let isEstablished = false
+  let isPeerReady = false
   let isClosed = false
   let lastHeardMs = 0
   let lastUsedMs = 0
@@ -81,6 +84,7 @@
 
   const receive = (reply: RelayMessages.RelayReply__Output) => {
     lastHeardMs = performance.now()
+    if (reply.pong) isPeerReady = reply.pong.ready
     if (!isEstablished) {
       isEstablished = true
       isDown = false
@@ -133,6 +137,7 @@
   return {
     ask,
     isUsable: () => !isDown,
+    isPeerReady: () => isEstablished && isPeerReady,
     close: () => {
       isClosed = true
       clearTimeout(reopenTimer)
--- a/packages/gateway/src/transport/relay-links.ts
+++ b/packages/gateway/src/transport/relay-links.ts
@@ -14,6 +14,8 @@
 
 /** Links, to be closed. */
 export type RelayLinks = RelayCalls & {
+  /** Whether some peer takes new sessions. */
+  isAnyReady: () => boolean
   /** Closes the links to addresses that are not in the list. */
   retain: (addresses: ReadonlySet<string>) => void
   close: () => void
@@ -43,6 +45,7 @@
   return {
     ask: ({ address }, question, timeoutMs) => linkTo(address).ask(question, timeoutMs),
     isUsable: ({ address }) => links.get(address)?.isUsable() ?? true,
+    isAnyReady: () => [...links.values()].some(link => link.isPeerReady()),
     retain,
     close: () => retain(new Set())
   }
