--- a/packages/common/src/event-catalogue.test.ts
+++ b/packages/common/src/event-catalogue.test.ts
@@ -11,16 +11,17 @@
 type Catalogue = { packageName: string, events: Record<string, EventDefinition> }
 
 const catalogues: Catalogue[] = []
-for (const packageName of readdirSync(`${root}packages`)) {
-  const file = `${root}packages/${packageName}/dist/events.js`
+const folders = [...readdirSync(`${root}packages`).map(name => `packages/${name}`), 'platform']
+for (const packageName of folders) {
+  const file = `${root}${packageName}/dist/events.js`
   if (existsSync(file)) catalogues.push({ packageName, events: (await import(file)).events })
 }
 const all = catalogues.flatMap(({ events }) => Object.values(events))
 
 const sourceOf = (packageName: string): string =>
-  readdirSync(`${root}packages/${packageName}/src`, { recursive: true, encoding: 'utf8' })
+  readdirSync(`${root}${packageName}/src`, { recursive: true, encoding: 'utf8' })
     .filter(file => file.endsWith('.ts') && !file.endsWith('.test.ts') && file !== 'events.ts')
-    .map(file => readFileSync(`${root}packages/${packageName}/src/${file}`, 'utf8'))
+    .map(file => readFileSync(`${root}${packageName}/src/${file}`, 'utf8'))
     .join('\n')
 
 test('numbers and names are unique', t => {
--- a/packages/gateway/src/coordination/connection-pool.test.ts
+++ b/packages/gateway/src/coordination/connection-pool.test.ts
@@ -63,7 +63,7 @@
   t.true(pool.hasRoom())
 })
 
-test('after the database has refused a connection as too many, the pool makes do with what it has for a while', async t => {
+test('after a connection was refused as one too many, the pool makes do with what it has for a while', async t => {
   const { pool, time, take } = createPool(5)
   await take('a')
   time.isFull = true
--- a/packages/gateway/src/coordination/connection-pool.ts
+++ b/packages/gateway/src/coordination/connection-pool.ts
@@ -39,7 +39,10 @@
 
 /** How long a pool grows no further after the database has refused a connection as one too many. */
 const fullRestMs = 250
-/** Connections that are kept idle at most. What a holder keeps, its successor lacks until the database notices its end. */
+/**
+ * Connections that are kept idle at most. What a holder keeps, its successor lacks until the database notices its
+ * end.
+ */
 const maxIdle = 10
 
 /** Limits and ways of a pool. */
--- a/packages/gateway/src/coordination/holders.ts
+++ b/packages/gateway/src/coordination/holders.ts
@@ -22,8 +22,11 @@
   close: () => void
 }
 
+/** What differs from database to database. */
+type OfOneDatabase = 'database' | 'maxConnections' | 'transactionIdleMs' | 'takesWork' | 'isFirstHolder'
+
 /** What the holders work with. */
-export type HoldersOptions = Omit<HolderOptions, 'database' | 'maxConnections' | 'transactionIdleMs' | 'takesWork' | 'isFirstHolder'> & {
+export type HoldersOptions = Omit<HolderOptions, OfOneDatabase> & {
   view: FleetView
   isFirstHolder: (database: Database) => boolean
 }
--- a/packages/gateway/src/coordination/limits.test.ts
+++ b/packages/gateway/src/coordination/limits.test.ts
@@ -1,5 +1,6 @@
 /**
- * Limits of the whole fleet: what all gateways admit together, through floods, keepers that end, and stores that are away.
+ * Limits of the whole fleet: what all gateways admit together, through floods, keepers that end, and stores that are
+ * away.
  */
 import { sleepMs } from '@egretyoke/common'
 import test from 'ava'
@@ -20,7 +21,10 @@
   let done = 0
   const sendAll = async (index: number) => {
     const session = openTestSession(fleet.gateways[index % fleet.gateways.length], 'slots')
-    while (performance.now() < endAtMs) if ((await session.send(write('1'))).error === undefined) done++
+    while (performance.now() < endAtMs) {
+      const answer = await session.send(write('1'))
+      if (answer.error === undefined) done++
+    }
   }
   await Promise.all(Array.from({ length: 9 }, (_, index) => sendAll(index)))
   return done
@@ -34,7 +38,7 @@
   await fleet.close()
 })
 
-test('when all processes end and come back, nothing is admitted twice beyond the allowance of a new keeper', async t => {
+test('when all processes end and come back, no more is admitted than the allowance of new keepers', async t => {
   const fleet = await startMemoryFleet(3, limited(40, 40))
   const first = await flood(fleet, 1000)
   await Promise.all(fleet.gateways.map(({ gateway }) => gateway.close()))
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -146,7 +146,9 @@
 
   const isFirstHolder = (database: Database) => contact.ageMs() < readyContactMs &&
     holderChoice.candidates(database, [])[0]?.name === self.name
-  const holders = createHolders({ view, isFirstHolder, connect, records, positions, clock, nowMs: () => performance.now(), log })
+  const holders = createHolders({
+    view, isFirstHolder, connect, records, positions, clock, nowMs: () => performance.now(), log
+  })
   const limits = createLimitKeeper({ self: selfName, name: self.name, view, membership, store, log })
   const askForTokens = async (workspace: string, wanted: number) => {
     const keeper = view.limitKeeper(shardOf(workspace))?.keeper
--- a/packages/gateway/src/store.test.ts
+++ b/packages/gateway/src/store.test.ts
@@ -5,7 +5,7 @@
 import test from 'ava'
 import { openTestSession, startMemoryFleet, waitUntil, write } from './testing/memory-fleet.js'
 
-test('without the store a gateway refuses within the time of a key\'s withdrawal, and says so to the balancer before', async t => {
+test('without the store a gateway refuses in the time of a key\'s withdrawal, and is not ready before', async t => {
   const fleet = await startMemoryFleet(1)
   const [only] = fleet.gateways
   const session = openTestSession(only, 'boards')
@@ -56,7 +56,9 @@
   fleet.store.put('other', {})
   fleet.store.compact()
   only.setStoreMode('serving')
-  await waitUntil(() => fleet.events.some(({ name, fields }) => name === 'evacuationKnown' && fields.evacuated === false))
+  await waitUntil(
+    () => fleet.events.some(({ name, fields }) => name === 'evacuationKnown' && fields.evacuated === false)
+  )
   t.pass()
   await fleet.close()
 })
--- a/packages/gateway/src/transport/relay-link.ts
+++ b/packages/gateway/src/transport/relay-link.ts
@@ -14,7 +14,9 @@
 const pingIntervalMs = 200
 /** A link that was not used for longer is closed. */
 const unusedCloseMs = 15_000
-/** A link that failed is opened again after this time, for as long as it was in use, and counts as usable once it is. */
+/**
+ * A link that failed is opened again after this time, for as long as it was in use, and counts as usable once it is.
+ */
 const reopenMs = 400
 const maxPending = 4096
 
