--- a/packages/gateway/src/coordination/membership.ts
+++ b/packages/gateway/src/coordination/membership.ts
@@ -65,7 +65,7 @@
       lease = { id, heldFrom }
       return
     }
-    log(events.leaseLost, { lease: id })
+    log(events.membershipLost, { lease: id })
     lease = undefined
   }
 
--- a/packages/gateway/src/coordination/statement-router.ts
+++ b/packages/gateway/src/coordination/statement-router.ts
@@ -138,7 +138,7 @@
       }
       outcome = await runAt(holder, request)
       noteOutcome(database.id, outcome)
-      log(events.routed, {
+      log(events.statementRouted, {
         request: request.requestId,
         database: database.id,
         holder: holder.name,
--- a/packages/gateway/src/testing/memory-group.ts
+++ b/packages/gateway/src/testing/memory-group.ts
@@ -142,7 +142,13 @@
       database.running--
       const inTransaction = transaction === 'open'
       ran.push({
-        database: database.description.id, connection, workspace, requestId, text, values: Object.fromEntries(values), inTransaction
+        database: database.description.id,
+        connection,
+        workspace,
+        requestId,
+        text,
+        values: Object.fromEntries(values),
+        inTransaction
       })
       if (access === 'write') {
         if (inTransaction) written.push(requestId)
@@ -171,10 +177,10 @@
           transaction = 'open'
           isReadOnly = command.readOnly
           return reply()
-        case 'text':
-          return await runStatement(
-            command.requestId, command.text, command.text.startsWith('WRITE') ? 'write' : 'read', command.positionAtLeast
-          )
+        case 'text': {
+          const access = command.text.startsWith('WRITE') ? 'write' : 'read'
+          return await runStatement(command.requestId, command.text, access, command.positionAtLeast)
+        }
         case 'execute': {
           const access = prepared.get(command.name)
           if (access === undefined) return decline('unknownStatement')
--- a/scripts/bundle-platform.mjs
+++ b/scripts/bundle-platform.mjs
@@ -1,5 +1,5 @@
-// Bundles the program for the platform's VMs into target/, with the code that V8 has compiled: a process that was killed
-// is back in half the time.
+// Bundles the program for the platform's VMs into target/, with the code that V8 has compiled: a process that was
+// killed is back in half the time.
 import { cpSync, mkdirSync, readFileSync, writeFileSync } from 'node:fs'
 import { createRequire } from 'node:module'
 import { Script } from 'node:vm'
