Gateway: remove orders that nobody gives, and a cast

Cause: read-through of the change: two orders to databases and a reading of the gateway had no caller, the handler of relayed requests was cast to its type. Change: they are gone; the handler's type is that of the messages it makes. Measured: 102 tests of gateway and adapter pass, lint and types are clean.

--- a/packages/gateway/src/coordination/database-connection.ts
+++ b/packages/gateway/src/coordination/database-connection.ts
@@ -40,11 +40,9 @@
   appliedPosition: string
 }
 
-/** Orders to a database. `hold`: receive nothing more until `resume` or a promotion. */
+/** Orders to a database. `demote`: lead no earlier term than this one. */
 export type DatabaseOrder =
   | { kind: 'status' }
-  | { kind: 'hold', term: number }
-  | { kind: 'resume' }
   | { kind: 'demote', term: number }
 
 /** Why an order brought no status. */
--- a/packages/gateway/src/coordination/group-keeper.ts
+++ b/packages/gateway/src/coordination/group-keeper.ts
@@ -16,8 +16,8 @@
 const probeIntervalMs = 250
 const probeTimeoutMs = 500
 /** Failed probes after which the others are asked. Refused connections say more than silence. */
-const refusalsToDoubt = 2
-const silencesToDoubt = 2
+const refusalsBeforeDoubt = 2
+const silencesBeforeDoubt = 2
 /** Gateways that are asked whether they reach the primary, and how long they have. */
 const witnesses = 4
 const witnessTimeoutMs = 900
@@ -93,7 +93,7 @@
     log(events.primaryProbeFailed, {
       group: database.group, database: database.id, reason: status.val.reason, ...failure
     })
-    return failure.refused < refusalsToDoubt && failure.silent < silencesToDoubt
+    return failure.refused < refusalsBeforeDoubt && failure.silent < silencesBeforeDoubt
   }
 
   /** One gateway of each data centre first, then any. */
--- a/packages/gateway/src/coordination/relay-handler.ts
+++ b/packages/gateway/src/coordination/relay-handler.ts
@@ -9,7 +9,6 @@
 import type { GroupRecords } from './group-records.js'
 import type { Holders } from './holders.js'
 import type { LimitKeeper } from './limit-keeper.js'
-import type { RelayAnswer } from './relay-calls.js'
 
 /** What the handler works with. */
 export type RelayHandlerOptions = {
@@ -32,7 +31,7 @@
 const handoverPauseMs = 2000
 const settleTimeMs = 900
 
-type Answer = Partial<Omit<RelayAnswer, 'number'>>
+type Answer = Omit<RelayMessages.RelayReply, 'number'>
 
 /** The newest position of a group whose primary is used here, with its age; undefined when there is none. */
 export const readPrimaryPosition = async (
--- a/packages/gateway/src/coordination/shared-store.ts
+++ b/packages/gateway/src/coordination/shared-store.ts
@@ -7,7 +7,7 @@
 /** Everything below a prefix, read page by page. Changes after `revision` may or may not be in it. */
 export type Listing = { entries: StoredEntry[], revision: number }
 
-/** Changes after a revision. `waitedMs`: the store is known to have had none until this long after the question. */
+/** All changes after a revision, and the revision up to which they are complete. */
 export type Changes = { entries: StoredEntry[], revision: number }
 
 /**
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -65,7 +65,6 @@
   whenInformed: (timeoutMs: number) => Promise<void>
   /** False: callers should go elsewhere. */
   isReady: () => boolean
-  isDraining: () => boolean
   /** True while callers are better served elsewhere: this gateway has not been ready for a while, and others are. */
   shouldLetGo: () => boolean
   metrics: GatewayMetrics
@@ -187,7 +186,7 @@
     view, records, holders, positions, limits, orders, contact, clock, isReady: () => isReady()
   })
   const listener = await listenGrpc(
-    settings.relayAddress, { channels: settings.channels }, server => addRelayService(server, handle as never)
+    settings.relayAddress, { channels: settings.channels }, server => addRelayService(server, handle)
   )
 
   const registry = createRegistry()
@@ -269,7 +268,6 @@
       while (!hasBeenReady && !isInformed() && performance.now() < untilMs) await sleepMs(informedPollMs)
     },
     isReady,
-    isDraining: () => isDraining,
     shouldLetGo: () => hasBeenReady && performance.now() - lastReadyMs > balancerNoticeMs && links.isAnyReady(),
     metrics,
     registry,
--- a/packages/gateway/src/transport/relay-links.ts
+++ b/packages/gateway/src/transport/relay-links.ts
@@ -5,7 +5,7 @@
 import type { Logger } from '@egretyoke/common'
 import { relayProto } from '@egretyoke/protocol'
 import type { ChannelSettings, RelayMessages } from '@egretyoke/protocol'
-import type { RelayAnswer, RelayCalls } from '../coordination/relay-calls.js'
+import type { RelayCalls } from '../coordination/relay-calls.js'
 import { events } from '../events.js'
 import { createRelayLink } from './relay-link.js'
 import type { RelayLink } from './relay-link.js'
@@ -53,7 +53,7 @@
 
 /** Answers a request of another gateway; undefined when it wants no answer. */
 export type HandleRelayed =
-  (request: RelayMessages.RelayRequest__Output) => Promise<Omit<RelayAnswer, 'number'> | undefined>
+  (request: RelayMessages.RelayRequest__Output) => Promise<Omit<RelayMessages.RelayReply, 'number'> | undefined>
 
 /** Adds the service to a listener. Requests of a stream are answered as they finish. */
 export const addRelayService = (server: Server, handle: HandleRelayed): void => {
