Gateway: what no gateway may run is refused at once, and a refusal for the limit carries its request's id

Ruled out: a change of the primary under way: the record was in force all the while. Change: holders of a primary in force are asked in two more rounds at most; event 7046 names the request. Tests first: both new tests of store.test.ts failed before, and pass.

--- a/packages/gateway/src/coordination/session.ts
+++ b/packages/gateway/src/coordination/session.ts
@@ -81,6 +81,8 @@
 const limitRetryMs = 500
 const busyRetryMs = 100
 
+const limitMessage = `limit reached, retry after ${limitRetryMs} ms`
+
 /** Workspace name of callers without a key, on routes that are open to all. */
 const openWorkspace = '-'
 
@@ -166,13 +168,22 @@
   }
 
   /** Callers without a workspace, on routes that are open to all, have no limit. */
-  const isAdmitted = async ({ route, workspace }: Identity) => workspace === undefined ||
-    await admission.admit(workspace.name, route.targetLatencyMs * maxTokenWaitFraction)
+  const isAdmitted = async (requestId: string, { route, workspace }: Identity): Promise<boolean> => {
+    if (workspace === undefined) return true
+    if (await admission.admit(workspace.name, route.targetLatencyMs * maxTokenWaitFraction)) return true
+    const { name, ratePerSec, burst } = workspace
+    log(events.limitRefused, { request: requestId, workspace: name, database, ratePerSec, burst })
+    return false
+  }
 
   /** A statement of its own. */
   const runSingle = async (identity: Identity, request: StatementRequest): Promise<SessionAnswer> => {
     const { route } = identity
-    if (!await isAdmitted(identity)) return refuse('refused', `limit reached, retry after ${limitRetryMs} ms`)
+    if (!await isAdmitted(request.requestId, identity)) {
+      return refuse(
+        'refused', `limit reached, retry after ${limitRetryMs} ms`
+      )
+    }
     const needsPrimary = route.kind === 'primary' || request.access === 'WRITE'
     let { outcome } = await router.route({ request, route, regions: homesOf(identity), needsPrimary })
     if (outcome.reason === 'lagging' && !needsPrimary) {
@@ -244,9 +255,13 @@
     return answer()
   }
 
-  const begin = async (identity: Identity, readOnly: boolean): Promise<SessionAnswer> => {
+  const begin = async (requestId: string, identity: Identity, readOnly: boolean): Promise<SessionAnswer> => {
     if (transaction !== undefined) return refuse('malformed', 'a transaction is open already')
-    if (!await isAdmitted(identity)) return refuse('refused', `limit reached, retry after ${limitRetryMs} ms`)
+    if (!await isAdmitted(requestId, identity)) {
+      return refuse(
+        'refused', `limit reached, retry after ${limitRetryMs} ms`
+      )
+    }
     transaction = { readOnly, route: identity.route, at: undefined, isFailed: false }
     return answer()
   }
@@ -290,7 +305,7 @@
       return refuse(identity, 'not allowed', isOver)
     }
     switch (statement.kind) {
-      case 'begin': return await begin(identity, statement.readOnly)
+      case 'begin': return await begin(requestId, identity, statement.readOnly)
       case 'commit': return transaction === undefined
         ? refuse(
           'malformed', 'no transaction is open'
--- a/packages/gateway/src/coordination/statement-router.ts
+++ b/packages/gateway/src/coordination/statement-router.ts
@@ -61,6 +61,8 @@
 const maxDatabases = 3
 /** Waited for a primary to come into force, in small steps, while the statement's time lasts. */
 const primaryPollMs = 25
+/** How often the holders of a primary in force are asked again when none of them may use it. */
+const maxRoundsInForce = 2
 /** Beyond the statement's own time, for the way to the holder and back. */
 const relayAllowanceMs = 150
 
@@ -156,16 +158,25 @@
     return { outcome, at: undefined }
   }
 
+  /**
+   * Whether it is worth waiting: a primary is being changed, or the holders may know a newer record than this
+   * gateway.
+   */
+  const mayComeIntoForce = (group: string, { reason }: StatementOutcome, rounds: number) => {
+    if (view.group(group)?.record.phase !== 'serving') return true
+    return reason === 'moved' && rounds < maxRoundsInForce
+  }
+
   const route = async (question: RouteQuestion): Promise<Routed> => {
     const endAtMs = nowMs() + question.request.timeoutMs
     const leftMs = () => endAtMs - nowMs()
     const tried = new Set<string>()
+    let rounds = 0
     let last: Routed = { outcome: notRun('moved'), at: undefined }
     while (leftMs() > 0 && tried.size < maxDatabases) {
       const next = choices(question).find(({ id }) => !tried.has(id))
       if (next === undefined) {
-        const mayComeIntoForce = tried.size === 0 || last.outcome.reason === 'moved'
-        if (!question.needsPrimary || !mayComeIntoForce) break
+        if (!question.needsPrimary || !mayComeIntoForce(question.route.group, last.outcome, rounds++)) break
         tried.clear()
         await new Promise(resolve => setTimeout(resolve, primaryPollMs))
         continue
--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -70,5 +70,7 @@
   sessionRefused: defineEvent(7044, 'sessionRefused',
     'A session was refused or ended: unknown key or database, or no contact.'),
   idleTransactionEnded: defineEvent(7045, 'idleTransactionEnded',
-    'A transaction rested for too long and was rolled back.')
+    'A transaction rested for too long and was rolled back.'),
+  limitRefused: defineEvent(7046, 'limitRefused',
+    'A request was refused because its workspace has used up its limit; event 7025 says what the keeper knew.')
 }
--- a/packages/gateway/src/store.test.ts
+++ b/packages/gateway/src/store.test.ts
@@ -3,7 +3,11 @@
  */
 import { sleepMs } from '@egretyoke/common'
 import test from 'ava'
-import { openTestSession, startMemoryFleet, waitUntil, write } from './testing/memory-fleet.js'
+import {
+  openTestSession, standardConfiguration, startMemoryFleet, waitUntil, write
+} from './testing/memory-fleet.js'
+
+const emptyWorkspace = { name: 'yard-a', ratePerSec: 0, burst: 0, homeRegions: [], keys: ['key-a'] }
 
 test('without the store a gateway refuses in the time of a key\'s withdrawal, and is not ready before', async t => {
   const fleet = await startMemoryFleet(1)
@@ -32,6 +36,29 @@
   await fleet.close()
 })
 
+test('a write that no gateway may run without the store is refused at once, not at the end of its time', async t => {
+  const fleet = await startMemoryFleet(2)
+  const session = openTestSession(fleet.gateways[0], 'slots')
+  await session.send(write('1'))
+  for (const gateway of fleet.gateways) gateway.setStoreMode('silent')
+  await sleepMs(3200)
+  const startedAtMs = performance.now()
+  t.is((await session.send(write('2'))).error, 'refused')
+  t.true(performance.now() - startedAtMs < 1000)
+  await fleet.close()
+})
+
+test('a refusal for the limit is logged under the request\'s id', async t => {
+  const fleet = await startMemoryFleet(1, { ...standardConfiguration, workspaces: [emptyWorkspace] })
+  const session = openTestSession(fleet.gateways[0], 'slots')
+  t.is((await session.send(write('1'))).error, 'refused')
+  const line = fleet.events.find(
+    ({ name, fields }) => name === 'limitRefused' && fields.request === session.lastRequest()
+  )
+  t.is(line?.fields.workspace, 'yard-a')
+  await fleet.close()
+})
+
 test('a gap in the history is filled by reading everything again', async t => {
   const fleet = await startMemoryFleet(1)
   const [only] = fleet.gateways
