Gateway: one text for refusals for the limit

Change: both places use the constant. Measured: lint and types are clean, 15 tests of sessions pass.

--- a/packages/gateway/src/coordination/session.ts
+++ b/packages/gateway/src/coordination/session.ts
@@ -179,11 +179,7 @@
   /** A statement of its own. */
   const runSingle = async (identity: Identity, request: StatementRequest): Promise<SessionAnswer> => {
     const { route } = identity
-    if (!await isAdmitted(request.requestId, identity)) {
-      return refuse(
-        'refused', `limit reached, retry after ${limitRetryMs} ms`
-      )
-    }
+    if (!await isAdmitted(request.requestId, identity)) return refuse('refused', limitMessage)
     const needsPrimary = route.kind === 'primary' || request.access === 'WRITE'
     let { outcome } = await router.route({ request, route, regions: homesOf(identity), needsPrimary })
     if (outcome.reason === 'lagging' && !needsPrimary) {
@@ -257,11 +253,7 @@
 
   const begin = async (requestId: string, identity: Identity, readOnly: boolean): Promise<SessionAnswer> => {
     if (transaction !== undefined) return refuse('malformed', 'a transaction is open already')
-    if (!await isAdmitted(requestId, identity)) {
-      return refuse(
-        'refused', `limit reached, retry after ${limitRetryMs} ms`
-      )
-    }
+    if (!await isAdmitted(requestId, identity)) return refuse('refused', limitMessage)
     transaction = { readOnly, route: identity.route, at: undefined, isFailed: false }
     return answer()
   }
