Gateway: one gateway of a data centre watches the store for the others

Cause: each gateway kept a watch of its own on the store, 1.65 priced calls a second a VM.

Ruled out: longer watches (contact would be too old for primaries), heartbeats of databases as the source of the calls (entries change only when more than their counter does; a quiet watch ends by its own time).

Change: the first gateway of a data centre by rendezvous order asks the store; the others ask it, and get changes and confirmations as they come, with their ages added up. A watcher that is silent, out of contact or too far ahead is passed over: the store is asked at once, with a short wait while the last confirmation is old. Values over 32 KB are read from the store by each gateway, so that no watcher's link carries them for all.

--- a/packages/gateway/src/coordination/relay-handler.ts
+++ b/packages/gateway/src/coordination/relay-handler.ts
@@ -4,15 +4,18 @@
 import type { RelayMessages } from '@egretyoke/protocol'
 import type { Contact, AgeClock } from '../state/contact.js'
 import type { FleetView } from '../state/fleet-view.js'
+import type { StoreHistory } from '../state/store-history.js'
 import type { DatabaseOrders } from './database-orders.js'
 import type { GroupPositions } from './group-positions.js'
 import type { GroupRecords } from './group-records.js'
 import type { Holders } from './holders.js'
 import type { LimitKeeper } from './limit-keeper.js'
+import { tellFollower } from './store-sources.js'
 
 /** What the handler works with. */
 export type RelayHandlerOptions = {
   view: FleetView
+  history: StoreHistory
   records: GroupRecords
   holders: Holders
   positions: GroupPositions
@@ -90,6 +93,7 @@
     if (request.askPosition) return await positionOf(request.askPosition)
     if (request.stopPrimary) return await stopPrimary(request.stopPrimary)
     if (request.probeDatabase) return await probe(request.probeDatabase)
+    if (request.followStore) return { storeNews: await tellFollower(options, request.followStore) }
     if (request.abandon) {
       holders.abandon(request.abandon.database, request.abandon.session)
       return undefined
--- a/packages/gateway/src/coordination/store-follower.ts
+++ b/packages/gateway/src/coordination/store-follower.ts
@@ -1,23 +1,25 @@
 /**
- * Keeps the fleet view equal to the store: one listing, then one watch after the other on everything in the store.
- * A watch that ends without news confirms the view as of the end of its waiting time.
+ * Keeps the fleet view equal to the store: one listing, then one question for changes after the other. News that come
+ * without changes confirm the view.
  */
 import { sleepMs } from '@egretyoke/common'
-import type { Logger } from '@egretyoke/common'
+import type { Logger, Result } from '@egretyoke/common'
 import { events } from '../events.js'
-import type { AgeClock, Contact, Moment } from '../state/contact.js'
+import type { AgeClock, Contact } from '../state/contact.js'
 import type { FleetView } from '../state/fleet-view.js'
-import type { SharedStore } from './shared-store.js'
+import type { StoreHistory } from '../state/store-history.js'
+import type { SharedStore, StoreError } from './shared-store.js'
+import { storeAnswerMs } from './store-sources.js'
+import type { News } from './store-sources.js'
 
-/** How long a watch waits for news; the view is confirmed about this often. */
-const watchWaitMs = 1000
-/** Beyond the waiting time, for the way there and back and a slow store. */
-const answerTimeoutMs = 1200
 const retryDelayMs = 200
 
 /** What the follower works with. */
 export type FollowerOptions = {
   store: SharedStore
+  /** Resolves with the changes after a revision or, without any, after some time. */
+  nextNews: (after: number) => Promise<Result<News, StoreError>>
+  history: StoreHistory
   view: FleetView
   contact: Contact
   clock: AgeClock
@@ -26,7 +28,7 @@
 
 /** Follows the store until the signal aborts. */
 export const followStore = async (options: FollowerOptions, signal: AbortSignal): Promise<void> => {
-  const { store, view, contact, clock, log } = options
+  const { store, nextNews, history, view, contact, clock, log } = options
   let isConnected = false
 
   const noteConnection = (connected: boolean, reason: string) => {
@@ -37,41 +39,41 @@
 
   const listAll = async (): Promise<number | undefined> => {
     const asked = clock.now()
-    const listing = await store.list('', answerTimeoutMs)
+    const listing = await store.list('', storeAnswerMs)
     if (listing.err) {
       noteConnection(false, listing.val.reason)
       return undefined
     }
-    view.replaceAll(listing.val.entries)
+    const { entries, revision } = listing.val
+    view.replaceAll(entries)
     noteConnection(true, 'listed')
     contact.confirm(asked)
-    return listing.val.revision
+    history.restart(revision)
+    return revision
   }
 
-  /** The moment until which a watch that brought nothing is known to have had nothing to bring. */
-  const confirmedAt = (asked: Moment, sawNews: boolean): Moment => {
-    if (sawNews || clock.ageMs(asked) < watchWaitMs) return asked
-    return { monotonicMs: asked.monotonicMs + watchWaitMs, wallMs: asked.wallMs + watchWaitMs }
+  const takeIn = (news: News) => {
+    for (const entry of news.entries) view.apply(entry)
+    noteConnection(true, 'watching')
+    contact.confirm(news.confirmed)
+    // After the confirmation, which is passed on together with the changes.
+    history.note(news)
   }
 
   async function * watch (from: number): AsyncGenerator<number> {
     let revision = from
     while (!signal.aborted) {
-      const asked = clock.now()
-      const changes = await store.changes('', revision, watchWaitMs, watchWaitMs + answerTimeoutMs)
-      if (changes.err) {
-        if (changes.val.reason === 'historyGone') return
-        noteConnection(false, changes.val.reason)
+      const news = await nextNews(revision)
+      if (news.err) {
+        if (news.val.reason === 'historyGone') return
+        noteConnection(false, news.val.reason)
         await sleepMs(retryDelayMs, signal)
         continue
       }
-      const { entries, revision: newest } = changes.val
-      // A revision without its events: the watch missed something.
-      if (entries.length === 0 && newest > revision) return
-      for (const entry of entries) view.apply(entry)
-      revision = newest
-      noteConnection(true, 'watching')
-      contact.confirm(confirmedAt(asked, entries.length > 0))
+      // A revision without its changes: the watch missed something.
+      if (news.val.entries.length === 0 && news.val.revision > revision) return
+      takeIn(news.val)
+      revision = news.val.revision
       yield revision
     }
   }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -25,6 +25,7 @@
 import type { SharedStore } from './coordination/shared-store.js'
 import { createStatementRouter } from './coordination/statement-router.js'
 import { followStore } from './coordination/store-follower.js'
+import { createStoreSources } from './coordination/store-sources.js'
 import { events } from './events.js'
 import { createGatewayMetrics } from './gateway-metrics.js'
 import type { GatewayMetrics } from './gateway-metrics.js'
@@ -32,6 +33,7 @@
 import type { Database } from './state/configuration.js'
 import { createFleetView } from './state/fleet-view.js'
 import type { ReadFact } from './state/fleet-view.js'
+import { createStoreHistory } from './state/store-history.js'
 import { processName } from './state/stored-records.js'
 import type { Member } from './state/stored-records.js'
 import { addRelayService, createRelayLinks } from './transport/relay-links.js'
@@ -118,9 +120,11 @@
   const clock = createAgeClock()
   const contact = createContact(clock)
   const view = createFleetView(platform.readFact, log)
+  const history = createStoreHistory()
   const membership = createMembership(self, store, clock, log)
   const links = createRelayLinks(settings.channels, log)
   const orders = createDatabaseOrders(connect)
+  const sources = createStoreSources({ ...self, store, view, contact, clock, relay: links })
   const { isLeaseHeld } = membership
   const records = createGroupRecords({ self: selfName, view, contact, isLeaseHeld, store, log })
   const holderChoice = createHolderChoice(self, view, regionOf, links.isUsable)
@@ -183,7 +187,7 @@
   view.onGroupChange(group => positions.forget(group))
 
   const handle = createRelayHandler({
-    view, records, holders, positions, limits, orders, contact, clock, isReady: () => isReady()
+    view, history, records, holders, positions, limits, orders, contact, clock, isReady: () => isReady()
   })
   const listener = await listenGrpc(
     settings.relayAddress, { channels: settings.channels }, server => addRelayService(server, handle)
@@ -229,8 +233,12 @@
   }
 
   const running = [
-    followStore({ store, view, contact, clock, log }, signal), membership.run(signal), limits.run(signal),
-    keeper.run(signal), watchReadiness(), upkeep()
+    followStore({ store, nextNews: sources.next, history, view, contact, clock, log }, signal),
+    membership.run(signal),
+    limits.run(signal),
+    keeper.run(signal),
+    watchReadiness(),
+    upkeep()
   ]
   log(events.gatewayStarted, { incarnation, address: settings.relayAddress, dataCentre: settings.dataCentre })
 
--- /dev/null
+++ b/packages/gateway/src/state/store-history.test.ts
@@ -0,0 +1,44 @@
+/**
+ * What gateways learn that follow the store through another.
+ */
+import test from 'ava'
+import { createStoreHistory } from './store-history.js'
+
+const change = (key: string, revision: number) => ({ key, value: Buffer.from(`${revision}`), revision, deleted: false })
+
+test('only what came after the listing is told', t => {
+  const history = createStoreHistory()
+  t.is(history.since(3), undefined)
+  history.restart(5)
+  history.note({ entries: [change('a', 6), change('b', 7)], revision: 7 })
+  t.is(history.since(4), undefined)
+  t.deepEqual(history.since(6), { entries: [change('b', 7)], revision: 7 })
+  t.deepEqual(history.since(9), { entries: [], revision: 7 })
+})
+
+test('of a key only the newest change is kept', t => {
+  const history = createStoreHistory()
+  history.restart(0)
+  history.note({ entries: [change('a', 1), change('b', 2), change('a', 3)], revision: 3 })
+  t.deepEqual(history.since(0)?.entries.map(({ revision }) => revision), [2, 3])
+})
+
+test('who asks from before the oldest change that is kept is told that changes are missing', t => {
+  const history = createStoreHistory()
+  history.restart(0)
+  const entries = Array.from({ length: 5000 }, (_, index) => change(`key-${index}`, index + 1))
+  history.note({ entries, revision: 5000 })
+  t.is(history.since(0), undefined)
+  t.is(history.since(1000)?.entries.length, 4000)
+})
+
+test('who waits is woken by a change, and by the end of the time', async t => {
+  const history = createStoreHistory()
+  history.restart(0)
+  const woken = history.untilWoken(60_000)
+  history.note({ entries: [], revision: 0 })
+  await woken
+  const startedAtMs = performance.now()
+  await history.untilWoken(30)
+  t.true(performance.now() - startedAtMs >= 25)
+})
--- /dev/null
+++ b/packages/gateway/src/store-watchers.test.ts
@@ -0,0 +1,84 @@
+/**
+ * One gateway of a data centre watches the store for the others: what that spares, and what happens when it ends or is
+ * turned away.
+ */
+import { sleepMs } from '@egretyoke/common'
+import test from 'ava'
+import { startMemoryFleet, waitUntil } from './testing/memory-fleet.js'
+import type { FleetGateway, MemoryFleet } from './testing/memory-fleet.js'
+
+/** A fleet whose gateways are all in one data centre. */
+const startDataCentre = async (size: number): Promise<MemoryFleet> => {
+  const fleet = await startMemoryFleet(1)
+  for (let index = 2; index <= size; index++) await fleet.start(`vm-${index}`, 'dc-1')
+  await waitUntil(() => fleet.gateways.every(({ gateway }) => gateway.isReady()))
+  // Until all have seen each other.
+  await sleepMs(1200)
+  return fleet
+}
+
+const knowsVersion = (fleet: MemoryFleet, { name }: FleetGateway, version: number) => fleet.events.some(event =>
+  event.gateway === name && event.name === 'configurationInForce' && event.fields.version === version)
+
+/** The gateway that asked the store for changes most often in the time. */
+const findWatcher = async (fleet: MemoryFleet, forMs: number) => {
+  const before = fleet.gateways.map(gateway => gateway.watchCalls())
+  await sleepMs(forMs)
+  const calls = fleet.gateways.map((gateway, index) => gateway.watchCalls() - before[index])
+  return { calls, watcher: fleet.gateways[calls.indexOf(Math.max(...calls))] }
+}
+
+test('one gateway of a data centre watches the store, and all learn of a change', async t => {
+  const fleet = await startDataCentre(4)
+  const { calls } = await findWatcher(fleet, 3000)
+  t.is(calls.filter(count => count > 0).length, 1, calls.join())
+  fleet.configure({})
+  await waitUntil(() => fleet.gateways.every(gateway => knowsVersion(fleet, gateway, 2)), 1000)
+  t.pass()
+  await fleet.close()
+})
+
+test('a value that is too long to be passed on reaches all gateways', async t => {
+  const fleet = await startDataCentre(3)
+  fleet.configure({
+    workspaces: [{
+      name: 'y'.repeat(40_000), ratePerSec: 1, burst: 1, homeRegions: [], keys: ['key-long']
+    }]
+  })
+  await waitUntil(() => fleet.gateways.every(gateway => knowsVersion(fleet, gateway, 2)), 1500)
+  t.true(fleet.gateways.every(({ gateway }) => typeof gateway.openSession('slots', 'key-long') !== 'string'))
+  await fleet.close()
+})
+
+test('when the watcher ends, the others stay ready and go on learning', async t => {
+  const fleet = await startDataCentre(4)
+  const { watcher } = await findWatcher(fleet, 2000)
+  const others = fleet.gateways.filter(gateway => gateway !== watcher)
+  let wereReady = true
+  const look = setInterval(() => { wereReady &&= others.every(({ gateway }) => gateway.isReady()) }, 20)
+  await watcher.gateway.close()
+  fleet.configure({})
+  await waitUntil(() => others.every(gateway => knowsVersion(fleet, gateway, 2)), 3000)
+  await sleepMs(2000)
+  clearInterval(look)
+  t.true(wereReady)
+  fleet.gateways.splice(fleet.gateways.indexOf(watcher), 1)
+  await fleet.close()
+})
+
+test('when the store turns the watcher away, the others stay ready and go on learning', async t => {
+  const fleet = await startDataCentre(3)
+  const { watcher } = await findWatcher(fleet, 2000)
+  const others = fleet.gateways.filter(gateway => gateway !== watcher)
+  watcher.setStoreMode('refusing')
+  let wereReady = true
+  const look = setInterval(() => { wereReady &&= others.every(({ gateway }) => gateway.isReady()) }, 20)
+  await sleepMs(2000)
+  fleet.configure({})
+  await waitUntil(() => others.every(gateway => knowsVersion(fleet, gateway, 2)), 2000)
+  await sleepMs(2000)
+  clearInterval(look)
+  t.true(wereReady)
+  t.false(watcher.gateway.isReady())
+  await fleet.close()
+})
--- a/packages/gateway/src/testing/memory-fleet.ts
+++ b/packages/gateway/src/testing/memory-fleet.ts
@@ -19,7 +19,9 @@
 export type LoggedEvent = { gateway: string, name: string, fields: EventFields }
 
 /** A gateway of the fleet. */
-export type FleetGateway = { name: string, gateway: Gateway, setStoreMode: (mode: StoreMode) => void }
+export type FleetGateway = {
+  name: string, gateway: Gateway, setStoreMode: (mode: StoreMode) => void, watchCalls: () => number
+}
 
 /** A small fleet before one group. */
 export type MemoryFleet = {
@@ -122,7 +124,7 @@
       keyWithdrawalMs: 5000,
       graceMs: 2000
     }, { store: client, connect: group.connect, promote: group.promote, readFact }, log)
-    const started = { name, gateway, setStoreMode: client.setMode }
+    const started = { name, gateway, setStoreMode: client.setMode, watchCalls: client.watchCalls }
     gateways.push(started)
     return started
   }
--- a/packages/gateway/src/testing/memory-store.ts
+++ b/packages/gateway/src/testing/memory-store.ts
@@ -9,10 +9,13 @@
 /** How the store treats calls: `silent` brings no answer, `lost` carries out what is asked and does not answer. */
 export type StoreMode = 'serving' | 'silent' | 'refusing' | 'lost'
 
+/** One gateway's way to the store. */
+export type MemoryClient = SharedStore & { setMode: (mode: StoreMode) => void, watchCalls: () => number }
+
 /** A store that several gateways of one test share. */
 export type MemoryStore = {
   /** A client; its mode can differ from that of others. */
-  client: () => SharedStore & { setMode: (mode: StoreMode) => void }
+  client: () => MemoryClient
   put: (key: string, value: unknown) => number
   remove: (key: string) => void
   read: (key: string) => unknown
@@ -42,6 +45,7 @@
 
   const client = () => {
     let mode: StoreMode = 'serving'
+    let watchCalls = 0
 
     const call = async <T>(run: () => T, timeoutMs: number) => {
       await sleepMs(1)
@@ -65,6 +69,7 @@
     })
 
     const changes: SharedStore['changes'] = async (prefix, afterRevision, waitMs, timeoutMs) => {
+      watchCalls++
       if (mode === 'serving') await waitForChange(afterRevision, waitMs)
       if (afterRevision < compactedAt) return Err(typedError('historyGone' as const, 'history is gone'))
       const read = () => ({ entries: store.range(prefix, afterRevision) as KeptEntry[], revision: store.revision() })
@@ -73,6 +78,7 @@
 
     return {
       setMode: (next: StoreMode) => { mode = next },
+      watchCalls: () => watchCalls,
       list: async (prefix: string, timeoutMs: number) => await call(() => {
         const entries = store.range(prefix, 0).filter(entry => !entry.deleted)
         return { entries, revision: store.revision() }
