--- a/packages/gateway/src/coordination/connection-pool.test.ts
+++ b/packages/gateway/src/coordination/connection-pool.test.ts
@@ -55,6 +55,13 @@
   t.is(pool.size(), 2)
 })
 
+test('a database that takes many connections has many kept, and room for a successor\'s', async t => {
+  const { pool, take } = createPool(100)
+  const taken = await Promise.all(Array.from({ length: 90 }, (_, index) => take(`workspace-${index}`)))
+  for (const pooled of taken) pool.giveBack(pooled)
+  t.is(pool.size(), 45)
+})
+
 test('without an idle connection at the limit there is no room', async t => {
   const { pool, take } = createPool(1)
   const only = await take('a')
--- a/packages/gateway/src/transport/relay-link.ts
+++ b/packages/gateway/src/transport/relay-link.ts
@@ -9,9 +9,14 @@
 import type { ChannelSettings, RelayMessages } from '@egretyoke/protocol'
 import type { RelayAnswer, RelayFailure, RelayQuestion } from '../coordination/relay-calls.js'
 
-/** A peer that is silent for longer is taken for unreachable. */
-const silenceMs = 600
-const pingIntervalMs = 200
+/** A peer that does not answer a ping for longer is taken for unreachable. */
+const silenceMs = 500
+/** How often a link is looked at. While answers are awaited, a silent peer is pinged as often. */
+const tickMs = 200
+/** A peer of whom nothing is awaited is pinged after this time. */
+const idlePingMs = 600
+/** A tick that comes later than this was held up here, and says nothing of the peer. */
+const lateTickMs = 2 * tickMs
 /** A link that was not used for longer is closed. */
 const unusedCloseMs = 15_000
 /**
@@ -49,11 +54,14 @@
   let isDown = false
   let reopenTimer: NodeJS.Timeout | undefined
   let nextNumber = 1
-  let pingTimer: NodeJS.Timeout | undefined
+  let tickTimer: NodeJS.Timeout | undefined
+  let lastTickMs = 0
+  /** When the first ping was sent that nothing was heard after; undefined when something was. */
+  let pingedMs: number | undefined
   const pending = new Map<number, Pending>()
 
   const tearDown = () => {
-    clearInterval(pingTimer)
+    clearInterval(tickTimer)
     stream?.cancel()
     service?.close()
     stream = undefined
@@ -86,6 +94,7 @@
 
   const receive = (reply: RelayMessages.RelayReply__Output) => {
     lastHeardMs = performance.now()
+    pingedMs = undefined
     if (reply.pong) isPeerReady = reply.pong.ready
     if (!isEstablished) {
       isEstablished = true
@@ -97,11 +106,19 @@
     waiting?.settle(Ok(reply))
   }
 
+  const ping = () => {
+    pingedMs ??= performance.now()
+    stream?.write({ number: 0, ping: {} })
+  }
+
   const tick = () => {
     const nowMs = performance.now()
-    if (nowMs - lastHeardMs > silenceMs) return goDown('silent')
+    if (nowMs - lastTickMs > lateTickMs && pingedMs !== undefined) pingedMs = nowMs
+    lastTickMs = nowMs
+    if (pingedMs !== undefined && nowMs - pingedMs > silenceMs) return goDown('silent')
     if (nowMs - lastUsedMs > unusedCloseMs && pending.size === 0) return tearDown()
-    stream?.write({ number: 0, ping: {} })
+    const quietMs = nowMs - lastHeardMs
+    if (quietMs >= (pending.size > 0 ? tickMs : idlePingMs)) ping()
   }
 
   const open = () => {
@@ -109,11 +126,13 @@
     const opened: Stream = service.Exchange()
     stream = opened
     lastHeardMs = performance.now()
+    lastTickMs = lastHeardMs
+    pingedMs = undefined
     opened.on('data', reply => { if (opened === stream) receive(reply) })
     opened.on('error', error => { if (opened === stream) goDown(error.message) })
     opened.on('end', () => { if (opened === stream) goDown('ended') })
-    opened.write({ number: 0, ping: {} })
-    pingTimer = setInterval(tick, pingIntervalMs)
+    ping()
+    tickTimer = setInterval(tick, tickMs)
   }
 
   const ask = (question: RelayQuestion, timeoutMs: number) =>
