--- a/packages/gateway/src/coordination/database-holder.ts
+++ b/packages/gateway/src/coordination/database-holder.ts
@@ -18,7 +18,7 @@
 import { createPinnedTransactions } from './pinned-transactions.js'
 import { runOnConnection } from './run-on-connection.js'
 import { notRun, unknownOutcome } from './statement.js'
-import type { StatementOutcome, StatementRequest } from './statement.js'
+import type { StatementOutcome, StatementReason, StatementRequest } from './statement.js'
 
 const maxQueued = 512
 const maxQueuedPerWorkspace = 256
@@ -70,6 +70,9 @@
   log: Logger
 }
 
+/** Reasons with which the database has not answered; the state of the connection is not known. */
+const withoutAnswer: ReadonlySet<StatementReason> = new Set(['silent', 'answerLost', 'unreachable'])
+
 /** A statement that waits for a slot. */
 type Waiting = {
   request: StatementRequest
@@ -143,7 +146,7 @@
 
   const finishOn = (pooled: PooledConnection, request: StatementRequest, outcome: StatementOutcome) => {
     if (request.transaction !== 'SINGLE' && outcome.transactionOpen) return pinned.pin(request.session, pooled)
-    if (outcome.status === 'UNKNOWN' || outcome.reason === 'silent') return pool.discard(pooled)
+    if (outcome.status === 'UNKNOWN' || withoutAnswer.has(outcome.reason)) return pool.discard(pooled)
     if (outcome.status === 'DONE' || request.transaction === 'SINGLE') return pool.giveBack(pooled)
     pinned.rollBack(pooled).then(dispatch)
   }
@@ -156,7 +159,7 @@
     if (request.needsPrimary && !records.mayUse(group, id)) return notRun('moved')
     const coversUntil = clock.now()
     const outcome = await runOnConnection(pooled, request, position, leftMs)
-    if (outcome.reason !== 'silent' && outcome.reason !== 'unreachable') lastAnswerMs = nowMs()
+    if (!withoutAnswer.has(outcome.reason)) lastAnswerMs = nowMs()
     if (!atPrimary) return outcome
     if (records.mayUse(group, id)) {
       if (outcome.position !== '') positions.note(group, { position: outcome.position, coversUntil })
--- a/packages/gateway/src/coordination/run-on-connection.ts
+++ b/packages/gateway/src/coordination/run-on-connection.ts
@@ -42,6 +42,7 @@
   }
   if (reply.outcome === 'declined') return notRun(declinedFor[reply.declineReason ?? 'malformed'])
   if (reply.outcome === 'failed') return failed('failed')
+  if (request.transaction !== 'SINGLE' && request.verb !== 'COMMIT') return notRun('answerLost')
   return isRead(request) ? notRun('silent') : unknownOutcome('silent')
 }
 
--- a/packages/gateway/src/coordination/statement-router.ts
+++ b/packages/gateway/src/coordination/statement-router.ts
@@ -84,10 +84,9 @@
     if (holder.name === self.name) return await options.runHere(request)
     const reply = await relay.ask(holder, { run: request }, request.timeoutMs + relayAllowanceMs)
     if (reply.ok) return (reply.val.statement ?? notRun('moved')) as StatementOutcome
-    if (reply.val.reason === 'unsent' || isRead(request)) return notRun('holderSilent')
-    return request.transaction === 'SINGLE' || request.verb === 'COMMIT'
-      ? unknownOutcome('holderSilent')
-      : notRun('holderSilent')
+    if (reply.val.reason === 'unsent') return notRun('holderSilent')
+    if (request.transaction !== 'SINGLE' && request.verb !== 'COMMIT') return notRun('answerLost')
+    return isRead(request) ? notRun('holderSilent') : unknownOutcome('holderSilent')
   }
 
   const noteOutcome = (database: string, { reason, load }: StatementOutcome) => {
--- a/packages/gateway/src/coordination/statement.ts
+++ b/packages/gateway/src/coordination/statement.ts
@@ -28,6 +28,8 @@
   | 'silent'
   /** The gateway that holds the connections did not answer. */
   | 'holderSilent'
+  /** It may have run, but in a transaction that is not committed; it must not run in a second one. */
+  | 'answerLost'
 
 /** What became of a statement. */
 export type StatementOutcome = Omit<RelayMessages.StatementReply__Output, 'reason'> & { reason: StatementReason }
--- a/packages/gateway/src/session.test.ts
+++ b/packages/gateway/src/session.test.ts
@@ -102,6 +102,16 @@
   await fleet.close()
 })
 
+test('a statement that opens a transaction and may have run is not run in a second one', async t => {
+  const fleet = await startMemoryFleet(2)
+  const session = openTestSession(fleet.gateways[0], 'ledger')
+  for (const database of fleet.group.databases.values()) database.losesAnswers = true
+  await session.send({ kind: 'begin', readOnly: true })
+  t.is((await session.send(read('1'))).error, 'aborted')
+  t.is(fleet.group.ran.filter(({ requestId }) => requestId === session.lastRequest()).length, 1)
+  await fleet.close()
+})
+
 test('a write whose answer is lost is in doubt; a read is tried elsewhere', async t => {
   const fleet = await startMemoryFleet(1)
   const primary = fleet.group.databases.get('db-1')!
