Gateway: ranks worked out once for each change of the members, and two shared timers

With 81 members each statement and each look of a keeper sorted and hashed all names, and each database and each link had a timer of its own: some 400 wake-ups a second in each gateway.

Ruled out: the statements themselves (about 10 a second a gateway), the watch (1 call a second).

Change: one election that all parts share keeps ranks until the members change; holders of one gateway share one timer that looks only at queues and open transactions, links share another; unused connections are looked at once a second. And all but 12 of a database's connections may be kept idle instead of 45%: what a successor needs is a number, not a part.

--- a/packages/gateway/src/coordination/connection-pool.ts
+++ b/packages/gateway/src/coordination/connection-pool.ts
@@ -40,10 +40,10 @@
 /** How long a pool grows no further after the database has refused a connection as one too many. */
 const fullRestMs = 250
 /**
- * Connections that are kept idle at most, as a part of those that the pool may have. What a holder keeps, its successor
- * lacks until the database notices its end.
+ * Connections that are kept idle at most: all but what a successor needs, which lacks the others until the database
+ * notices the holder's end; but some in any case.
  */
-const maxIdle = { fraction: 0.45, atLeast: 10 } as const
+const maxIdle = { allBut: 12, atLeast: 10 } as const
 
 /** Limits and ways of a pool. */
 export type PoolOptions = {
@@ -136,7 +136,7 @@
     if (isClosed || !pooled.connection.isOpen() || size() > maxConnections()) return discard(pooled)
     pooled.idleSinceMs = nowMs()
     idle.push(pooled)
-    if (idle.length > Math.max(maxIdle.atLeast, maxConnections() * maxIdle.fraction)) discard(idle[0])
+    if (idle.length > Math.max(maxIdle.atLeast, maxConnections() - maxIdle.allBut)) discard(idle[0])
   }
 
   return {
--- a/packages/gateway/src/coordination/database-holder.ts
+++ b/packages/gateway/src/coordination/database-holder.ts
@@ -29,7 +29,6 @@
 const spareConnections = 2
 /** What a statement costs a slot when its real time is not known yet. */
 const assumedCostMs = 20
-const upkeepIntervalMs = 50
 /** An answer that is not older shows that the database lives. */
 const recentAnswerMs = 400
 const settlePollMs = 10
@@ -50,6 +49,10 @@
   hasAnsweredLately: () => boolean
   openTransactions: () => number
   connections: () => number
+  /** Ends what has waited or rested for too long, and goes on with what waits; to be called often. */
+  upkeep: () => void
+  /** Closes connections that others do not, or cannot, send statements to; to be called now and then. */
+  closeUnused: () => void
   close: () => void
 }
 
@@ -254,12 +257,12 @@
     return false
   }
 
-  const upkeep = setInterval(() => {
+  const upkeep = () => {
+    if (pinned.size() > 0) pinned.endIdle()
+    if (queued() + continuing.length === 0) return
     for (const queue of queues) queue.dropExpired()
-    pinned.endIdle()
-    if (!options.isFirstHolder()) pool.closeIdle(secondaryIdleMs)
     dispatch()
-  }, upkeepIntervalMs)
+  }
 
   return {
     run,
@@ -273,9 +276,10 @@
     hasAnsweredLately: () => nowMs() - lastAnswerMs < recentAnswerMs,
     openTransactions: pinned.size,
     connections: pool.size,
+    upkeep,
+    closeUnused: () => { if (pool.size() > 0 && !options.isFirstHolder()) pool.closeIdle(secondaryIdleMs) },
     close: () => {
       isClosed = true
-      clearInterval(upkeep)
       for (const queue of queues) queue.close()
       for (const waiting of continuing.splice(0)) waiting.answer(notRun('transactionGone'))
       pinned.close()
--- a/packages/gateway/src/coordination/group-keeper.ts
+++ b/packages/gateway/src/coordination/group-keeper.ts
@@ -3,12 +3,12 @@
  * it replaced when it has failed or is leaving.
  */
 import { sleepMs } from '@egretyoke/common'
-import { rankByRendezvous } from '@egretyoke/limits'
 import { events } from '../events.js'
 import type { Database } from '../state/configuration.js'
 import type { Versioned } from '../state/fleet-view.js'
 import { processName } from '../state/stored-records.js'
 import type { GroupRecord, Member } from '../state/stored-records.js'
+import type { Election } from './election.js'
 import { livingUsers } from './group-records.js'
 import { changePrimary } from './primary-change.js'
 import type { ChangeReason, PrimaryChangeOptions } from './primary-change.js'
@@ -32,6 +32,7 @@
 /** What the keeper works with. */
 export type GroupKeeperOptions = PrimaryChangeOptions & {
   name: string
+  election: Election
   /** Whether the database has answered a statement here just now. */
   hasAnsweredLately: (database: string) => boolean
 }
@@ -44,10 +45,7 @@
   const missingSinceMs = new Map<string, number>()
   const busy = new Set<string>()
 
-  const isKeeperOf = (group: string): boolean => {
-    const willing = [...view.members().values()].filter(member => !member.draining).map(member => member.name)
-    return rankByRendezvous(`group ${group}`, willing)[0] === name
-  }
+  const isKeeperOf = (group: string): boolean => options.election.first(`group ${group}`) === name
 
   /** Puts the database in force that says it leads, when nothing was ever recorded. */
   const begin = async (group: string) => {
--- a/packages/gateway/src/coordination/holder-choice.ts
+++ b/packages/gateway/src/coordination/holder-choice.ts
@@ -2,10 +2,9 @@
  * Which gateways hold the connections to a database: a few of its own data centre, ranked alike by everybody. Others
  * pass their statements on to the first that answers, so that few connections serve all workspaces.
  */
-import { rankByRendezvous } from '@egretyoke/limits'
 import type { Database } from '../state/configuration.js'
-import type { FleetView } from '../state/fleet-view.js'
 import type { Member } from '../state/stored-records.js'
+import type { Election } from './election.js'
 
 /** Gateways that are tried for one statement, this one included. */
 const maxCandidates = 3
@@ -22,40 +21,44 @@
   candidates: (database: Database, regions: readonly string[]) => Member[]
 }
 
-/** Creates the choice. `regionOf` maps data centres to regions. */
-export const createHolderChoice = (
-  self: Place,
-  view: FleetView,
-  regionOf: (dataCentre: string) => string,
+/** What the choice is made from. */
+export type HolderChoiceOptions = {
+  self: Member
+  election: Election
+  /** The region of a data centre. */
+  regionOf: (dataCentre: string) => string
   isUsable: (member: Member) => boolean
-): HolderChoice => {
-  const ranked = new Map<string, { members: string, order: string[] }>()
-
-  const rank = (database: Database): string[] => {
-    const names = [...view.members().keys()].sort()
-    const members = names.join()
-    const known = ranked.get(database.id)
-    if (known?.members === members) return known.order
-    const order = rankByRendezvous(database.id, names)
-    ranked.set(database.id, { members, order })
-    return order
-  }
+}
+
+/** Creates the choice. */
+export const createHolderChoice = ({ self, election, regionOf, isUsable }: HolderChoiceOptions): HolderChoice => {
+  const byDistance = new WeakMap<readonly Member[], readonly Member[]>()
 
   const distance = (member: Member, database: Database) => {
     if (member.dataCentre === database.dataCentre) return 0
     return member.region === regionOf(database.dataCentre) ? 1 : 2
   }
 
+  /** The ranked members, those near the database first. */
+  const near = (database: Database): readonly Member[] => {
+    const ranked = election.ranked(`${database.id} ${database.dataCentre}`)
+    const known = byDistance.get(ranked)
+    if (known !== undefined) return known
+    const sorted = [...ranked].sort((one, other) => distance(one, database) - distance(other, database))
+    byDistance.set(ranked, sorted)
+    return sorted
+  }
+
   const candidates = (database: Database, regions: readonly string[]): Member[] => {
-    const isAllowed = (member: Member) =>
-      member.name === self.name || regions.length === 0 || regions.includes(member.region)
-    const known = view.members()
-    const members = rank(database).flatMap(name => known.get(name) ?? []).filter(isAllowed)
-    const near = members
-      .filter(member => !member.draining && isUsable(member))
-      .sort((one, other) => distance(one, database) - distance(other, database))
-    const own = members.filter(({ name }) => name === self.name)
-    return [...new Set([...near.slice(0, maxCandidates - 1), ...own])]
+    const chosen: Member[] = []
+    for (const member of near(database)) {
+      if (chosen.length === maxCandidates - 1) break
+      const isSelf = member.name === self.name
+      const isAllowed = isSelf || regions.length === 0 || regions.includes(member.region)
+      if (isAllowed && !member.draining && (isSelf || isUsable(member))) chosen.push(member)
+    }
+    const own = near(database).filter(({ name }) => name === self.name)
+    return [...new Set([...chosen, ...own])]
   }
 
   return { candidates }
--- a/packages/gateway/src/coordination/holders.ts
+++ b/packages/gateway/src/coordination/holders.ts
@@ -17,7 +17,7 @@
   all: () => DatabaseHolder[]
   /** Whether the database has answered a statement of this gateway within the last moments. */
   hasAnsweredLately: (database: string) => boolean
-  /** Closes the holders of databases that are gone or have started anew. */
+  /** Closes the holders of databases that are gone or have started anew, and connections that nobody needs here. */
   retainKnown: () => void
   close: () => void
 }
@@ -31,6 +31,8 @@
   isFirstHolder: (database: Database) => boolean
 }
 
+/** How often queues and open transactions are looked at. */
+const upkeepIntervalMs = 50
 /** Used when the configuration does not name a limit. */
 const defaultTransactionIdleMs = 3000
 const defaultMaxConnections = 10
@@ -58,6 +60,10 @@
     return holder
   }
 
+  const upkeep = setInterval(() => {
+    for (const { holder } of holders.values()) holder.upkeep()
+  }, upkeepIntervalMs)
+
   const isSame = (database: Database) => {
     const now = view.databases().get(database.id)
     return now !== undefined && now.address === database.address && now.bornMs === database.bornMs
@@ -79,8 +85,12 @@
         const isGone = !view.databases().has(id)
         // A database without an entry may still finish what it was given.
         if (isGone ? holder.load() === 0 && holder.openTransactions() === 0 : !isSame(database)) end(id)
+        else holder.closeUnused()
       }
     },
-    close: () => { for (const id of [...holders.keys()]) end(id) }
+    close: () => {
+      clearInterval(upkeep)
+      for (const id of [...holders.keys()]) end(id)
+    }
   }
 }
--- a/packages/gateway/src/coordination/limit-keeper.ts
+++ b/packages/gateway/src/coordination/limit-keeper.ts
@@ -7,13 +7,13 @@
 import { createHash } from 'node:crypto'
 import { monotonicMs, sleepMs } from '@egretyoke/common'
 import type { Logger } from '@egretyoke/common'
-import { rankByRendezvous } from '@egretyoke/limits'
 import type { RelayMessages } from '@egretyoke/protocol'
 import { events } from '../events.js'
 import type { FleetView } from '../state/fleet-view.js'
 import { readLimitRecord, recordKeys, writeRecord } from '../state/stored-records.js'
 import { createTokenBucket } from '../state/token-bucket.js'
 import type { TokenBucket } from '../state/token-bucket.js'
+import type { Election } from './election.js'
 import type { Membership } from './membership.js'
 import type { SharedStore } from './shared-store.js'
 
@@ -51,6 +51,7 @@
   self: string
   name: string
   view: FleetView
+  election: Election
   membership: Membership
   store: SharedStore
   log: Logger
@@ -62,7 +63,7 @@
 
 /** Creates a keeper without shards. */
 export const createLimitKeeper = (options: LimitKeeperOptions): LimitKeeper => {
-  const { self, name, view, membership, store, log } = options
+  const { self, name, view, election, membership, store, log } = options
   const accounts = new Map<string, Account>()
   const claimedAtMs = new Map<number, number>()
   let isLeaving = false
@@ -136,10 +137,7 @@
     log(events.limitsClaimed, { shard, revision: swap.val.current.revision })
   }
 
-  const shouldClaim = (shard: number) => {
-    const willing = [...view.members().values()].filter(member => !member.draining).map(member => member.name)
-    return !isKept(shard) && rankByRendezvous(`limit ${shard}`, willing)[0] === name
-  }
+  const shouldClaim = (shard: number) => !isKept(shard) && election.first(`limit ${shard}`) === name
 
   return {
     take,
--- a/packages/gateway/src/coordination/store-sources.ts
+++ b/packages/gateway/src/coordination/store-sources.ts
@@ -6,12 +6,11 @@
 import { Err, Ok } from '@egretyoke/common'
 import type { Result } from '@egretyoke/common'
 import type { StoredEntry } from '@egretyoke/fleet'
-import { rankByRendezvous } from '@egretyoke/limits'
 import type { RelayMessages } from '@egretyoke/protocol'
 import type { AgeClock, Contact, Moment } from '../state/contact.js'
-import type { FleetView } from '../state/fleet-view.js'
 import type { FollowedChanges, StoreHistory } from '../state/store-history.js'
 import type { Member } from '../state/stored-records.js'
+import type { Election } from './election.js'
 import type { RelayCalls } from './relay-calls.js'
 import type { SharedStore, StoreError } from './shared-store.js'
 
@@ -37,19 +36,16 @@
   name: string
   dataCentre: string
   store: SharedStore
-  view: FleetView
+  election: Election
   contact: Contact
   clock: AgeClock
   relay: RelayCalls
 }
 
-/** The gateways of the data centre that can be reached, this one included, in the order in which they watch. */
-const watchersOf = ({ name, dataCentre, view, relay }: StoreSourcesOptions): Member[] => {
-  const willing = [...view.members().values()].filter(member =>
-    member.dataCentre === dataCentre && (member.name === name || (!member.draining && relay.isUsable(member))))
-  const ranked = rankByRendezvous(`watch ${dataCentre}`, willing.map(member => member.name))
-  return ranked.flatMap(watcher => view.members().get(watcher) ?? [])
-}
+/** The first gateway of the data centre that can be reached; it may be this one. */
+const watcherOf = ({ name, dataCentre, election, relay }: StoreSourcesOptions): Member | undefined =>
+  election.ranked(`watch ${dataCentre}`).find(member => member.dataCentre === dataCentre &&
+    (member.name === name || (!member.draining && relay.isUsable(member))))
 
 /** Creates the question for the next changes; it resolves with them or, without any, after some waiting time. */
 export const createStoreSources = (options: StoreSourcesOptions) => {
@@ -91,7 +87,7 @@
   }
 
   const next = async (after: number): Promise<Result<News, StoreError>> => {
-    const [watcher] = watchersOf(options)
+    const watcher = watcherOf(options)
     const told = watcher === undefined || watcher.name === name ? undefined : await fromWatcher(watcher, after)
     return told === undefined ? await fromStore(after) : Ok(told)
   }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -11,6 +11,7 @@
 import { createAdmission } from './coordination/admission.js'
 import type { ConnectDatabase } from './coordination/database-connection.js'
 import { createDatabaseOrders } from './coordination/database-orders.js'
+import { createElection } from './coordination/election.js'
 import { createGroupKeeper } from './coordination/group-keeper.js'
 import { createGroupPositions } from './coordination/group-positions.js'
 import { createGroupRecords } from './coordination/group-records.js'
@@ -124,10 +125,11 @@
   const membership = createMembership(self, store, clock, log)
   const links = createRelayLinks(settings.channels, log)
   const orders = createDatabaseOrders(connect)
-  const sources = createStoreSources({ ...self, store, view, contact, clock, relay: links })
+  const election = createElection(view)
+  const sources = createStoreSources({ ...self, store, election, contact, clock, relay: links })
   const { isLeaseHeld } = membership
   const records = createGroupRecords({ self: selfName, view, contact, isLeaseHeld, store, log })
-  const holderChoice = createHolderChoice(self, view, regionOf, links.isUsable)
+  const holderChoice = createHolderChoice({ self, election, regionOf, isUsable: links.isUsable })
 
   const askPosition = async (group: string) => {
     const primary = view.databases().get(view.group(group)?.record.primary ?? '')
@@ -152,7 +154,7 @@
   const holders = createHolders({
     view, isFirstHolder, connect, records, positions, clock, nowMs: () => performance.now(), log
   })
-  const limits = createLimitKeeper({ self: selfName, name: self.name, view, membership, store, log })
+  const limits = createLimitKeeper({ self: selfName, name: self.name, view, election, membership, store, log })
   const askForTokens = async (workspace: string, wanted: number) => {
     const keeper = view.limitKeeper(shardOf(workspace))?.keeper
     if (keeper === undefined) return undefined
@@ -174,6 +176,7 @@
     self: selfName,
     name: self.name,
     view,
+    election,
     records,
     contact,
     isLeaseHeld,
--- a/packages/gateway/src/state/fleet-view.ts
+++ b/packages/gateway/src/state/fleet-view.ts
@@ -31,6 +31,8 @@
   /** Monotonic time at which this gateway learned that the database leaves. */
   drainingSince: (database: string) => number | undefined
   members: () => ReadonlyMap<string, Member>
+  /** Another number whenever the members have changed. */
+  membersVersion: () => number
   group: (name: string) => Versioned<GroupRecord> | undefined
   limitKeeper: (shard: number) => LimitRecord | undefined
   apply: (entry: StoredEntry) => void
@@ -48,6 +50,7 @@
   const evacuated = new Map<string, number>()
   const drainingSince = new Map<string, number>()
   const members = new Map<string, Member>()
+  let membersVersion = 0
   const groups = new Map<string, Versioned<GroupRecord>>()
   const limits = new Map<number, LimitRecord>()
   const listeners: Array<(group: string) => void> = []
@@ -68,6 +71,7 @@
         : readMember(value).mapErr(
           error => unreadable(error.message)
         ).unwrapOr(undefined)
+      membersVersion++
       return put(members, key.slice(recordKeys.vms.length), member)
     }
     if (key.startsWith(recordKeys.groups)) {
@@ -142,6 +146,7 @@
     evacuated: () => evacuated,
     drainingSince: database => drainingSince.get(database),
     members: () => members,
+    membersVersion: () => membersVersion,
     group: name => groups.get(name),
     limitKeeper: shard => limits.get(shard),
     apply,
--- a/packages/gateway/src/transport/relay-link.ts
+++ b/packages/gateway/src/transport/relay-link.ts
@@ -11,8 +11,8 @@
 
 /** A peer that does not answer a ping for longer is taken for unreachable. */
 const silenceMs = 500
-/** How often a link is looked at. While answers are awaited, a silent peer is pinged as often. */
-const tickMs = 200
+/** How often a link has to be looked at. While answers are awaited, a silent peer is pinged as often. */
+export const tickMs = 200
 /** A peer of whom nothing is awaited is pinged after this time. */
 const idlePingMs = 600
 /** A tick that comes later than this was held up here, and says nothing of the peer. */
@@ -34,6 +34,8 @@
   isUsable: () => boolean
   /** Whether the peer has just said that it takes new sessions. */
   isPeerReady: () => boolean
+  /** Pings the peer, or gives the link up; to be called every `tickMs`. */
+  tick: () => void
   close: () => void
 }
 
@@ -54,14 +56,12 @@
   let isDown = false
   let reopenTimer: NodeJS.Timeout | undefined
   let nextNumber = 1
-  let tickTimer: NodeJS.Timeout | undefined
   let lastTickMs = 0
   /** When the first ping was sent that nothing was heard after; undefined when something was. */
   let pingedMs: number | undefined
   const pending = new Map<number, Pending>()
 
   const tearDown = () => {
-    clearInterval(tickTimer)
     stream?.cancel()
     service?.close()
     stream = undefined
@@ -112,6 +112,7 @@
   }
 
   const tick = () => {
+    if (stream === undefined) return
     const nowMs = performance.now()
     if (nowMs - lastTickMs > lateTickMs && pingedMs !== undefined) pingedMs = nowMs
     lastTickMs = nowMs
@@ -132,7 +133,6 @@
     opened.on('error', error => { if (opened === stream) goDown(error.message) })
     opened.on('end', () => { if (opened === stream) goDown('ended') })
     ping()
-    tickTimer = setInterval(tick, tickMs)
   }
 
   const ask = (question: RelayQuestion, timeoutMs: number) =>
@@ -159,6 +159,7 @@
     ask,
     isUsable: () => !isDown,
     isPeerReady: () => isEstablished && isPeerReady,
+    tick,
     close: () => {
       isClosed = true
       clearTimeout(reopenTimer)
--- a/packages/gateway/src/transport/relay-links.ts
+++ b/packages/gateway/src/transport/relay-links.ts
@@ -7,7 +7,7 @@
 import type { ChannelSettings, RelayMessages } from '@egretyoke/protocol'
 import type { RelayCalls } from '../coordination/relay-calls.js'
 import { events } from '../events.js'
-import { createRelayLink } from './relay-link.js'
+import { createRelayLink, tickMs } from './relay-link.js'
 import type { RelayLink } from './relay-link.js'
 
 const maxLinks = 2048
@@ -42,12 +42,19 @@
     }
   }
 
+  const ticking = setInterval(() => {
+    for (const link of links.values()) link.tick()
+  }, tickMs)
+
   return {
     ask: ({ address }, question, timeoutMs) => linkTo(address).ask(question, timeoutMs),
     isUsable: ({ address }) => links.get(address)?.isUsable() ?? true,
     isAnyReady: () => [...links.values()].some(link => link.isPeerReady()),
     retain,
-    close: () => retain(new Set())
+    close: () => {
+      clearInterval(ticking)
+      retain(new Set())
+    }
   }
 }
 
