Gateway: only a watcher that is connected is followed

Cause: after many processes were killed at once the watcher's record is still there. A follower asked it first and waited until the link was given up (up to 0.7 s), so that new records of limits and primaries came late. Change: the link to the watcher is opened, and the store is watched until the watcher has answered on it.

--- a/packages/gateway/src/coordination/relay-calls.ts
+++ b/packages/gateway/src/coordination/relay-calls.ts
@@ -17,4 +17,6 @@
   ask: (peer: Member, question: RelayQuestion, timeoutMs: number) => Promise<Result<RelayAnswer, RelayFailure>>
   /** False for a while after a peer did not answer or could not be reached. */
   isUsable: (peer: Member) => boolean
+  /** Whether the peer has answered on the connection that is open to it; one is opened if there is none. */
+  isConnected: (peer: Member) => boolean
 }
--- a/packages/gateway/src/coordination/store-sources.ts
+++ b/packages/gateway/src/coordination/store-sources.ts
@@ -88,7 +88,9 @@
 
   const next = async (after: number): Promise<Result<News, StoreError>> => {
     const watcher = watcherOf(options)
-    const told = watcher === undefined || watcher.name === name ? undefined : await fromWatcher(watcher, after)
+    // A watcher that is not connected yet is not waited for: it may have ended with its record still there.
+    const isFollowed = watcher !== undefined && watcher.name !== name && relay.isConnected(watcher)
+    const told = isFollowed ? await fromWatcher(watcher, after) : undefined
     return told === undefined ? await fromStore(after) : Ok(told)
   }
 
--- a/packages/gateway/src/transport/relay-link.ts
+++ b/packages/gateway/src/transport/relay-link.ts
@@ -32,6 +32,8 @@
 export type RelayLink = {
   ask: (question: RelayQuestion, timeoutMs: number) => Promise<Result<RelayAnswer, RelayFailure>>
   isUsable: () => boolean
+  /** Whether the peer has answered; opens the link if need be. */
+  isConnected: () => boolean
   /** Whether the peer has just said that it takes new sessions. */
   isPeerReady: () => boolean
   /** Pings the peer, or gives the link up; to be called every `tickMs`. */
@@ -158,6 +160,11 @@
   return {
     ask,
     isUsable: () => !isDown,
+    isConnected: () => {
+      lastUsedMs = performance.now()
+      if (stream === undefined && !isDown) open()
+      return isEstablished
+    },
     isPeerReady: () => isEstablished && isPeerReady,
     tick,
     close: () => {
--- a/packages/gateway/src/transport/relay-links.ts
+++ b/packages/gateway/src/transport/relay-links.ts
@@ -49,6 +49,7 @@
   return {
     ask: ({ address }, question, timeoutMs) => linkTo(address).ask(question, timeoutMs),
     isUsable: ({ address }) => links.get(address)?.isUsable() ?? true,
+    isConnected: ({ address }) => linkTo(address).isConnected(),
     isAnyReady: () => [...links.values()].some(link => link.isPeerReady()),
     retain,
     close: () => {
