Gateway: a budget of pings for idle links, and a lease renewed each second

Of 1,297 priced calls to the store 466 are renewals. Ruled out: the starts (about 32 s), the watches (303 calls). Change: all idle links of a gateway together are pinged 25 times a second, so that 9 VMs find a dark peer as soon as before and 81 VMs spend no more. The lease is renewed each second instead of each 0.8 s, and a renewal that failed is tried again after 0.4 s, so that one lost answer still leaves the lease held.

--- a/packages/gateway/src/coordination/membership.ts
+++ b/packages/gateway/src/coordination/membership.ts
@@ -11,7 +11,8 @@
 
 /** A VM that is silent for longer is taken out of the fleet. */
 export const leaseTtlMs = 3000
-const renewIntervalMs = 800
+const renewIntervalMs = 1000
+const retryDelayMs = 400
 const storeTimeoutMs = 900
 /** What this process does on the strength of its lease ends this long before the lease can. */
 const leaseMarginMs = 400
@@ -48,25 +49,27 @@
     return swap.ok && swap.val.swapped
   }
 
-  const join = async () => {
+  const join = async (): Promise<boolean> => {
     const heldFrom = clock.now()
     const granted = await store.grantLease(leaseTtlMs, storeTimeoutMs)
-    if (granted.err) return
-    if (!await announce(granted.val)) return
+    if (granted.err || !await announce(granted.val)) return false
     lease = { id: granted.val, heldFrom }
     log(events.joined, { lease: lease.id, incarnation: member.incarnation })
+    return true
   }
 
-  const renew = async (id: number) => {
+  /** False when the renewal has to be tried again soon. */
+  const renew = async (id: number): Promise<boolean> => {
     const heldFrom = clock.now()
     const kept = await store.keepAlive(id, storeTimeoutMs)
-    if (kept.err) return
+    if (kept.err) return false
     if (kept.val) {
       lease = { id, heldFrom }
-      return
+      return true
     }
     log(events.membershipLost, { lease: id })
     lease = undefined
+    return false
   }
 
   return {
@@ -78,8 +81,8 @@
     },
     run: async signal => {
       while (!signal.aborted) {
-        await (lease === undefined ? join() : renew(lease.id))
-        await sleepMs(lease === undefined ? renewIntervalMs / 4 : renewIntervalMs, signal)
+        const isHeld = lease === undefined ? await join() : await renew(lease.id)
+        await sleepMs(isHeld ? renewIntervalMs : retryDelayMs, signal)
       }
     },
     leave: async () => {
--- a/packages/gateway/src/transport/relay-link.ts
+++ b/packages/gateway/src/transport/relay-link.ts
@@ -13,8 +13,6 @@
 const silenceMs = 500
 /** How often a link has to be looked at. While answers are awaited, a silent peer is pinged as often. */
 export const tickMs = 200
-/** A peer of whom nothing is awaited is pinged after this time. */
-const idlePingMs = 600
 /** A tick that comes later than this was held up here, and says nothing of the peer. */
 const lateTickMs = 2 * tickMs
 /** A link that was not used for longer is closed. */
@@ -36,8 +34,8 @@
   isConnected: () => boolean
   /** Whether the peer has just said that it takes new sessions. */
   isPeerReady: () => boolean
-  /** Pings the peer, or gives the link up; to be called every `tickMs`. */
-  tick: () => void
+  /** Pings a peer that is silent, or gives the link up; to be called every `tickMs`. */
+  tick: (idlePingMs: number) => void
   close: () => void
 }
 
@@ -113,7 +111,8 @@
     stream?.write({ number: 0, ping: {} })
   }
 
-  const tick = () => {
+  /** A peer of whom nothing is awaited is pinged after `idlePingMs`. */
+  const tick = (idlePingMs: number) => {
     if (stream === undefined) return
     const nowMs = performance.now()
     if (nowMs - lastTickMs > lateTickMs && pingedMs !== undefined) pingedMs = nowMs
--- a/packages/gateway/src/transport/relay-links.ts
+++ b/packages/gateway/src/transport/relay-links.ts
@@ -11,6 +11,8 @@
 import type { RelayLink } from './relay-link.js'
 
 const maxLinks = 2048
+/** Pings that all idle links together may send; with many links each is pinged less often. */
+const maxIdlePingsPerSec = 25
 
 /** Links, to be closed. */
 export type RelayLinks = RelayCalls & {
@@ -43,7 +45,8 @@
   }
 
   const ticking = setInterval(() => {
-    for (const link of links.values()) link.tick()
+    const idlePingMs = links.size * 1000 / maxIdlePingsPerSec
+    for (const link of links.values()) link.tick(idlePingMs)
   }, tickMs)
 
   return {
