egretyokectl: explain a request from log files

Cause: from a failed request to its cause an engineer had to grep for the id, then for the database, the group and the VMs that its lines name, and order what was found by hand. Ruled out: a service that collects lines (the platform has none for it), ids in more lines (what a process believes is not about one request). Change: `explain REQUEST FILES...` shows the request's own lines and, from 4 s before, what changed the beliefs of the processes and of the database, group and workspace that they name, in order of time, with the reason in words; `--json` gives the same as data. Nothing is asked of the platform.

--- /dev/null
+++ b/packages/ctl/src/commands/explain.ts
@@ -0,0 +1,44 @@
+/**
+ * `explain`: tells what became of a request and why, from log files alone.
+ */
+import { readFile } from 'node:fs/promises'
+import { messageOf } from '@egretyoke/common'
+import { findingsReport, success, usageReport } from '../report.js'
+import type { Report } from '../report.js'
+import { readLogLines, requestStory } from '../request-story.js'
+import type { LogLine } from '../request-story.js'
+
+/** Fields that every line has, or that only the program needs. */
+const commonFields: ReadonlySet<string> = new Set(['time', 'timeMs', 'vm', 'event', 'name', 'level', 'program'])
+
+const formatLine = (line: LogLine, own: ReadonlySet<LogLine>): string => {
+  const fields = Object.entries(line)
+    .filter(([name]) => !commonFields.has(name))
+    .map(([name, value]) => `${name}=${typeof value === 'object' ? JSON.stringify(value) : value}`)
+  const mark = own.has(line) ? '*' : ' '
+  return `${mark} ${line.time.slice(11, 23)} ${line.vm} ${line.event} ${line.name} ${fields.join(' ')}`
+}
+
+/** Reads the files and tells the request's story in order of time; its own lines are marked. */
+export const explain = async (request: string, files: readonly string[]): Promise<Report> => {
+  const texts: string[] = []
+  const unread = []
+  for (const file of files) {
+    try {
+      texts.push(await readFile(file, 'utf8'))
+    } catch (thrown) {
+      unread.push({ file, line: 1, column: 1, message: messageOf(thrown) })
+    }
+  }
+  if (unread.length > 0) return findingsReport(unread)
+  const { lines, unreadable } = readLogLines(texts)
+  const { own, around, leftOut, cause } = requestStory(lines, request)
+  if (own.length === 0) return usageReport(`none of ${lines.length} lines names the request ${request}`)
+  const marked = new Set(own)
+  const all = [...own, ...around].sort((one, other) => one.timeMs - other.timeMs)
+  return success({ request, cause, lines: all, leftOut, unreadable }, [
+    ...all.map(line => formatLine(line, marked)),
+    ...(leftOut > 0 ? [`  ${leftOut} more lines of the same kinds`] : []),
+    `cause: ${cause}`
+  ])
+}
--- a/packages/ctl/src/program.ts
+++ b/packages/ctl/src/program.ts
@@ -7,6 +7,7 @@
 import type { ApplyOptions } from './commands/apply.js'
 import { setDataCentre } from './commands/data-centre.js'
 import { diff } from './commands/diff.js'
+import { explain } from './commands/explain.js'
 import { get } from './commands/get.js'
 import { createWorkspaceKey, withdrawWorkspaceKey } from './commands/keys.js'
 import { settle } from './commands/settle.js'
@@ -33,7 +34,7 @@
 const exitCodeText = `
 Exit codes:
   0   done
-  2   wrong usage; nothing was changed
+  2   wrong usage, or nothing was found; nothing was changed
   3   findings in the documents or settings, each with file:line:column; nothing was changed
   4   conflict: another change came first, both sides are shown; nothing was changed
   5   the platform or a VM does not answer, or a change's outcome is not known; the text says which
@@ -106,6 +107,8 @@
 
   addCommand(program, 'validate <dir>', 'check a folder of documents without asking the platform')
     .action(directory => finish(validate(directory)))
+  addCommand(program, 'explain <request> <files...>', 'tell from log files what became of a request, and why')
+    .action((request, files) => finish(explain(request, files)))
   addCommand(program, 'diff <dir>', 'compare a folder with the documents in force')
     .action(directory => withPlatform(context => diff(context, directory)))
   addCommand(program, 'apply <dir>', 'make a folder the configuration in force')
--- /dev/null
+++ b/packages/ctl/src/request-story.test.ts
@@ -0,0 +1,63 @@
+/**
+ * `explain`: the story of a request from the lines of several processes.
+ */
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import test from 'ava'
+import { exitCodes } from '@egretyoke/common'
+import { explain } from './commands/explain.js'
+import { readLogLines, requestStory } from './request-story.js'
+
+const startMs = 1_800_000_000_000
+
+const line = (atMs: number, vm: string, name: string, rest: object = {}) => JSON.stringify({
+  level: 30, time: new Date(startMs + atMs).toISOString(), program: 'egretyoke', vm, event: 7000, name, ...rest
+})
+
+const taker = [
+  line(9000, 'vm-1', 'statementRouted', {
+    request: 'r1', database: 'db-1', holder: 'vm-2', status: 'NOT_RUN', reason: 'moved'
+  }),
+  line(9001, 'vm-1', 'statementNotDone', { request: 'r1', group: 'g1', status: 'NOT_RUN', reason: 'moved' }),
+  line(9000, 'vm-1', 'statementRouted', { request: 'r2', database: 'db-9', holder: 'vm-3', status: 'DONE' }),
+  'not a line of the program'
+]
+const holder = [
+  line(1000, 'vm-2', 'storeLost', { reason: 'early' }),
+  line(7000, 'vm-2', 'storeLost', { reason: 'noAnswer' }),
+  line(8000, 'vm-3', 'storeLost', { reason: 'elsewhere' }),
+  line(8500, 'vm-3', 'primaryChangeBegun', { group: 'g1', reason: 'failed' }),
+  line(8600, 'vm-3', 'primaryChangeBegun', { group: 'g9', reason: 'failed' })
+]
+
+test('own lines come with what the processes and the subjects of the request went through', t => {
+  const { lines, unreadable } = readLogLines([taker.join('\n'), holder.join('\n')])
+  const story = requestStory(lines, 'r1')
+  t.is(unreadable, 1)
+  t.deepEqual(story.own.map(({ name }) => name), ['statementRouted', 'statementNotDone'])
+  t.deepEqual(story.around.map(({ vm, name, reason }) => `${vm} ${name} ${reason}`), [
+    'vm-2 storeLost noAnswer', 'vm-3 primaryChangeBegun failed'
+  ])
+  t.regex(story.cause, /in force/)
+})
+
+test('lines of one kind are shown a few times and counted', t => {
+  const many = Array.from({ length: 9 }, (_, index) => line(8000 + index, 'vm-2', 'peerLost', { address: 'a' }))
+  const { lines } = readLogLines([taker.join('\n'), many.join('\n')])
+  const story = requestStory(lines, 'r1')
+  t.is(story.around.length, 4)
+  t.is(story.leftOut, 5)
+})
+
+test('the command reads files and says when it finds nothing', async t => {
+  const folder = mkdtempSync(join(tmpdir(), 'egretyoke-explain-'))
+  t.teardown(() => rmSync(folder, { recursive: true }))
+  const file = join(folder, 'vm-1.log')
+  writeFileSync(file, taker.join('\n'))
+  const found = await explain('r1', [file])
+  t.is(found.exitCode, exitCodes.ok)
+  t.regex(found.lines.join('\n'), /\* .* vm-1 7000 statementNotDone request=r1/)
+  t.is((await explain('r7', [file])).exitCode, exitCodes.badUsage)
+  t.is((await explain('r1', [join(folder, 'none')])).exitCode, exitCodes.badSettings)
+})
