Soak: a workspace of its own, and the same faults for the same seed

Change: soak/ holds processes, callers, databases, faults and checks; platform/ keeps the stand-in of the store. Faults draw from a source of their own.

--- a/ava.config.js
+++ b/ava.config.js
@@ -1,5 +1,5 @@
 export default {
-  files: ['packages/*/dist/**/*.test.js', 'platform/dist/**/*.test.js'],
+  files: ['packages/*/dist/**/*.test.js', 'platform/dist/**/*.test.js', 'soak/dist/**/*.test.js'],
   nodeArguments: ['--enable-source-maps'],
   workerThreads: false,
   concurrency: 4,
--- a/platform/src/soak/gateway-process.ts
+++ b/soak/src/gateway-process.ts
@@ -7,7 +7,7 @@
 import { writeFileSync } from 'node:fs'
 import { join } from 'node:path'
 import { fileURLToPath } from 'node:url'
-import { settingsPathVariable } from '../boot-settings.js'
+import { settingsPathVariable } from '@egretyoke/platform/testing'
 
 /** Where one gateway runs. */
 export type GatewayPlace = {
--- a/platform/src/soak/soak-callers.ts
+++ b/soak/src/soak-callers.ts
@@ -5,7 +5,7 @@
 import { connect } from 'node:net'
 import type { Socket } from 'node:net'
 import type { Random } from '@egretyoke/common'
-import { createLineReader } from '../line-reader.js'
+import { createLineReader } from '@egretyoke/platform/testing'
 import { lastConfirmed } from './soak-record.js'
 import type { CallerOutcome, SoakRecord } from './soak-record.js'
 
--- a/platform/src/soak/soak-databases.ts
+++ b/soak/src/soak-databases.ts
@@ -5,7 +5,7 @@
 import { createServer } from 'node:net'
 import type { AddressInfo, Socket } from 'node:net'
 import type { Random } from '@egretyoke/common'
-import { createLineReader, splitFields } from '../line-reader.js'
+import { createLineReader, splitFields } from '@egretyoke/platform/testing'
 import type { SoakRecord } from './soak-record.js'
 
 type LogEntry = { term: number, number: number, requestId: string }
--- a/platform/src/soak/soak-faults.ts
+++ b/soak/src/soak-faults.ts
@@ -3,7 +3,7 @@
  */
 import type { Random } from '@egretyoke/common'
 import type { Link } from '@egretyoke/standins'
-import type { StoreStandin } from '../testing/store-standin.js'
+import type { StoreStandin } from '@egretyoke/platform/testing'
 import type { GatewayProcess } from './gateway-process.js'
 import type { SoakDatabase, SoakDatabases } from './soak-databases.js'
 
--- a/platform/src/soak/soak.ts
+++ b/soak/src/soak.ts
@@ -8,10 +8,9 @@
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { createRandom, sleepMs } from '@egretyoke/common'
-import type { Random } from '@egretyoke/common'
 import { startLink } from '@egretyoke/standins'
 import type { Link } from '@egretyoke/standins'
-import { startStoreStandin } from '../testing/store-standin.js'
+import { startStoreStandin } from '@egretyoke/platform/testing'
 import { soakTimes, startGatewayProcess } from './gateway-process.js'
 import type { GatewayProcess } from './gateway-process.js'
 import { maxStalenessMs, startSoakCaller } from './soak-callers.js'
@@ -45,6 +44,7 @@
   { database: 'ledger', routeType: 'read_your_writes' }
 ]
 const startTimeoutMs = 20_000
+const versionStep = 3
 /** After the last fault everything has to be served again within this time, and for some time it is looked at. */
 const recoveryMs = 12_000
 const lookMs = 2000
@@ -63,7 +63,7 @@
 const keyOf = (workspace: string) => `key-of-${workspace}`
 
 /** The operators' side: configurations and withdrawn keys. */
-const createOperators = (write: (key: string, value: unknown) => void, record: SoakRecord, random: Random) => {
+const createOperators = (write: (key: string, value: unknown) => void, record: SoakRecord) => {
   let version = 1
   const withdrawn = new Set<string>()
   const store = () => write('op/config', {
@@ -83,7 +83,7 @@
     }))
   })
   const change = () => {
-    version += random.integer(1, 5)
+    version += versionStep
     store()
   }
   return {
@@ -143,7 +143,9 @@
 
 /** Runs one soak. */
 export const runSoakOnce = async (plan: SoakPlan, log: (line: string) => void): Promise<SoakResult> => {
-  const random = createRandom(plan.seed)
+  // The faults have a source of their own, so that a seed brings the same ones whatever the processes do meanwhile.
+  const faultRandom = createRandom(plan.seed)
+  const random = createRandom(plan.seed + 1)
   const record = createSoakRecord()
   const folder = mkdtempSync(join(tmpdir(), `egretyoke-soak-${plan.seed}-`))
   const faultLog = createWriteStream(join(folder, 'faults.log'))
@@ -165,7 +167,7 @@
     dbRole: database.role,
     born: database.bornMs
   })
-  const operators = createOperators(store.write, record, random)
+  const operators = createOperators(store.write, record)
   operators.store()
   for (const database of databases.databases) announce(database)
   const { links, gateways } = await startFleet(plan, store.address, folder)
@@ -184,7 +186,7 @@
       workspace,
       key: keyOf(workspace),
       choosePort,
-      random: createRandom(plan.seed + index),
+      random: createRandom(plan.seed + 2 + index),
       record
     })
     return [caller, workspace] as const
@@ -207,7 +209,7 @@
     changeConfiguration: operators.change,
     withdrawKey: operators.withdrawKey,
     log: note
-  }, random, plan.seconds * 1000)
+  }, faultRandom, plan.seconds * 1000)
   note('all faults taken back')
   await checkRecovery(callers, operators.isWithdrawn, record)
 
--- a/platform/src/soak/start-program.ts
+++ b/soak/src/start-program.ts
@@ -1,6 +1,6 @@
 /**
  * Runs the program as its bundle does, from the compiled modules.
  */
-import { runPlatformProgram } from '../program.js'
+import { runPlatformProgram } from '@egretyoke/platform/testing'
 
 await runPlatformProgram()
