Gateway: a watcher that does not keep a follower's changes says so at once

Cause: a watcher that was asked for changes from before its own listing waited the whole time of the question, up to 1.15 s, before it said that it could not help, and the follower learned nothing meanwhile. After all processes were killed each has listed the store at another revision, so that this was the rule then: records of limits and primaries came late. Change: the question is answered at once. And a watcher is relied on for 1.3 s instead of 1.15 s without a confirmation, so that followers of a slow store (200 ms an answer) do not all go to it. Test: "a follower from before what the watcher keeps is told so at once" fails on the parent after 5 s.

--- /dev/null
+++ b/packages/gateway/src/coordination/store-sources.test.ts
@@ -0,0 +1,50 @@
+/**
+ * What a watcher tells the gateways that follow the store through it.
+ */
+import test from 'ava'
+import { createAgeClock, createContact } from '../state/contact.js'
+import { createStoreHistory } from '../state/store-history.js'
+import { tellFollower } from './store-sources.js'
+
+const createWatcher = () => {
+  const clock = createAgeClock()
+  return { clock, history: createStoreHistory(), contact: createContact(clock) }
+}
+
+const change = (revision: number, bytes = 1) =>
+  ({ key: `key-${revision}`, value: Buffer.alloc(bytes), revision, deleted: false })
+
+test('a follower from before what the watcher keeps is told so at once', async t => {
+  const watcher = createWatcher()
+  watcher.history.restart(72)
+  watcher.contact.confirm(watcher.clock.now())
+  const startedAtMs = performance.now()
+  const news = await tellFollower(watcher, { afterRevision: 70, waitMs: 5000 })
+  t.false(news.complete)
+  t.true(performance.now() - startedAtMs < 1000)
+})
+
+test('a confirmation without changes ends the wait, and is told with its age', async t => {
+  const watcher = createWatcher()
+  watcher.history.restart(72)
+  const told = tellFollower(watcher, { afterRevision: 72, waitMs: 60_000 })
+  watcher.contact.confirm(watcher.clock.now())
+  watcher.history.note({ entries: [], revision: 72 })
+  const { complete, confirmed, changes, ageMs = 0 } = await told
+  t.deepEqual([complete, confirmed, changes], [true, true, []])
+  t.true(ageMs < 1000)
+})
+
+test('a watcher without contact says so', async t => {
+  const watcher = createWatcher()
+  watcher.history.restart(72)
+  t.false((await tellFollower(watcher, { afterRevision: 72, waitMs: 10 })).confirmed)
+})
+
+test('a long value is left out, and its change is told', async t => {
+  const watcher = createWatcher()
+  watcher.history.restart(0)
+  watcher.history.note({ entries: [change(1), change(2, 40_000)], revision: 2 })
+  const { changes = [] } = await tellFollower(watcher, { afterRevision: 0, waitMs: 10 })
+  t.deepEqual(changes.map(({ revision, valueLeftOut }) => [revision, valueLeftOut]), [[1, false], [2, true]])
+})
--- a/packages/gateway/src/coordination/store-sources.ts
+++ b/packages/gateway/src/coordination/store-sources.ts
@@ -21,8 +21,8 @@
 const hurriedWaitMs = 50
 /** Beyond the waiting time, for the way there and back and a slow store. */
 export const storeAnswerMs = 1200
-/** A watcher passes on each confirmation; without one for so long it is not relied on. */
-const followWaitMs = watchWaitMs + 150
+/** A watcher passes on each confirmation; without one for so long, even from a slow store, it is not relied on. */
+const followWaitMs = watchWaitMs + 300
 /** Beyond the waiting time, for the way within the data centre. */
 const peerAnswerMs = 400
 /** Longer values are read from the store by each gateway, so that no watcher's link has to carry them for all. */
@@ -79,7 +79,7 @@
     const question = { followStore: { afterRevision: after, waitMs: followWaitMs } }
     const answer = await relay.ask(watcher, question, followWaitMs + peerAnswerMs)
     const told = answer.ok ? answer.val.storeNews : undefined
-    if (!told?.complete || !told.confirmed || told.ageMs > watchWaitMs) return undefined
+    if (!told?.complete || !told.confirmed || told.ageMs > followWaitMs) return undefined
     const entries = await Promise.all(told.changes.map(entryOf))
     if (entries.includes(undefined)) return undefined
     const confirmed = later(asked, told.waitedMs - told.ageMs)
@@ -103,7 +103,7 @@
   { afterRevision, waitMs }: RelayMessages.FollowStore__Output
 ): Promise<RelayMessages.StoreNews> => {
   const askedMs = performance.now()
-  if ((history.since(afterRevision)?.entries.length ?? 0) === 0) await history.untilWoken(waitMs)
+  if (history.since(afterRevision)?.entries.length === 0) await history.untilWoken(waitMs)
   const changes = history.since(afterRevision)
   const ageMs = contact.ageMs()
   const confirmed = Number.isFinite(ageMs)
