Limits and stand-ins: options, upkeep and member state declared once

Change: the permit table's options are those of the share table without its policy, both keep the same rounds of renewal, and the stand-in's member tells the fleet package's state. No behaviour changes. Tests: limits and stand-ins, 93 passed.

--- a/packages/limits/src/permit-table.ts
+++ b/packages/limits/src/permit-table.ts
@@ -6,7 +6,6 @@
  * going to be added is named as joining while the larger slot count is taken, so that the order is known beforehand.
  */
 import { isDeepStrictEqual } from 'node:util'
-import type { Clock, Logger } from '@egretyoke/common'
 import { monotonicMs } from '@egretyoke/common'
 import { events } from './events.js'
 import { noLoan } from './borrow-messages.js'
@@ -16,28 +15,12 @@
 import { createPermitShare } from './permit-share.js'
 import type { Permit, PermitLimit, PermitShare, PermitSnapshot } from './permit-share.js'
 import { rankByRendezvous } from './rendezvous.js'
-import type { Roster } from './share-table.js'
+import { maintenanceRoundsPerLoan } from './share-table.js'
+import type { Roster, ShareTableOptions } from './share-table.js'
 import { afterMs } from './timers.js'
-import type { After } from './timers.js'
-
-/** Rounds of renewal within the time of a loan. */
-const maintenanceRoundsPerLoan = 8
-
-/** What a permit table is made with; see ShareTableOptions. */
-export type PermitTableOptions = {
-  vm: string
-  incarnation: number
-  loanTtlMs: number
-  loanMarginMs: number
-  growthDelayMs?: number
-  maxLimits: number
-  askPeer: (peer: string, request: BorrowRequest) => Promise<BorrowReply | undefined>
-  log: Logger
-  startupHold: boolean
-  clock?: Clock
-  wallClock?: Clock
-  after?: After
-}
+
+/** What a permit table is made with: there is one way to lend permits. */
+export type PermitTableOptions = Omit<ShareTableOptions, 'policy'>
 
 /** The VM's shares of all limits on held permits. */
 export type PermitTable = {
--- a/packages/limits/src/share-table.ts
+++ b/packages/limits/src/share-table.ts
@@ -23,7 +23,7 @@
 import type { RateLimit } from './token-share.js'
 
 /** Rounds of renewal within the time of a loan. */
-const maintenanceRoundsPerLoan = 8
+export const maintenanceRoundsPerLoan = 8
 
 /** Time for which a refused request waits when its limit is not known, in milliseconds. */
 const unknownLimitRetryAfterMs = 1000
--- a/packages/standins/src/database-member.ts
+++ b/packages/standins/src/database-member.ts
@@ -3,27 +3,13 @@
  * business: it does what fences and promotions tell it, and refuses those of older terms.
  */
 import { monotonicMs } from '@egretyoke/common'
+import type { MemberState } from '@egretyoke/fleet'
 import { createDatabaseLog } from './database-log.js'
 import type { LogEntry, TermStart } from './database-log.js'
 
 /** Where a replica gets its log from. */
 export type Upstream = { name: string, address: string }
 
-/** What a member tells of itself. */
-export type MemberState = {
-  name: string
-  group: string
-  term: number
-  isPrimary: boolean
-  fencedTerm: number
-  receivedPosition: number
-  appliedPosition: number
-  lastEntryTerm: number
-  primaryName: string
-  lineage: TermStart[]
-  leaving: boolean
-}
-
 /** A batch for a replica. `truncateAfter` -1 keeps all. */
 export type LogBatch = {
   term: number
