Tests: home regions and ranks of gateways

Homes of route, workspace and both are proved over a fleet in memory: databases and gateways outside them see nothing, and what only a primary outside could run is refused. The shared ranks get their own tests.

--- /dev/null
+++ b/packages/gateway/src/coordination/election.test.ts
@@ -0,0 +1,73 @@
+/**
+ * Ranks of gateways, and which of them hold the connections to a database.
+ */
+import test from 'ava'
+import type { Database } from '../state/configuration.js'
+import type { Member } from '../state/stored-records.js'
+import { createElection } from './election.js'
+import { createHolderChoice } from './holder-choice.js'
+
+const member = (name: string, dataCentre: string, draining = false): Member =>
+  ({ name, dataCentre, region: `region of ${dataCentre}`, address: name, incarnation: '1', draining })
+
+const createView = (first: Member[]) => {
+  let members = new Map(first.map(each => [each.name, each]))
+  let version = 0
+  const set = (next: Member[]) => {
+    members = new Map(next.map(each => [each.name, each]))
+    version++
+  }
+  return { view: { members: () => members, membersVersion: () => version }, set }
+}
+
+const fleet = ['a1', 'a2', 'a3', 'b1', 'b2', 'c1'].map(name => member(name, name.slice(0, 1)))
+const database = { id: 'db', dataCentre: 'a' } as Database
+
+test('whoever knows the same members ranks them alike, in whatever order they were learned', t => {
+  const one = createElection(createView(fleet).view)
+  const other = createElection(createView([...fleet].reverse()).view)
+  t.deepEqual(one.ranked('key'), other.ranked('key'))
+  t.is(one.first('key'), other.first('key'))
+})
+
+test('a change of the members counts at once, and one that drains is not first', t => {
+  const { view, set } = createView(fleet)
+  const election = createElection(view)
+  const first = election.first('key')
+  set(fleet.map(each => each.name === first ? { ...each, draining: true } : each))
+  t.not(election.first('key'), first)
+  t.is(election.ranked('key').length, fleet.length)
+  set([])
+  t.is(election.first('key'), undefined)
+})
+
+const choiceOf = (name: string, members = fleet, usable = (_member: Member) => true) => {
+  const self = members.find(each => each.name === name) ?? member(name, 'c')
+  const election = createElection(createView(members).view)
+  return createHolderChoice({ self, election, regionOf: dataCentre => `region of ${dataCentre}`, isUsable: usable })
+}
+
+test('gateways of the database\'s data centre come first, this one last', t => {
+  const names = choiceOf('c1').candidates(database, []).map(({ name }) => name)
+  t.is(names.length, 3)
+  t.true(names.slice(0, 2).every(name => name.startsWith('a')), names.join())
+  t.is(names[2], 'c1')
+})
+
+test('gateways that cannot be reached or are leaving are passed over', t => {
+  const members = fleet.map(each => each.name === 'a1' ? { ...each, draining: true } : each)
+  const names = choiceOf('c1', members, ({ name }) => name !== 'a2').candidates(database, []).map(({ name }) => name)
+  t.is(names[0], 'a3')
+  t.false(names.includes('a1') || names.includes('a2'))
+})
+
+test('no gateway outside the allowed regions is asked but this one', t => {
+  const names = choiceOf('c1').candidates(database, ['region of b']).map(({ name }) => name)
+  t.true(names.every(name => ['b1', 'b2', 'c1'].includes(name)), names.join())
+  t.true(names.some(name => name.startsWith('b')))
+})
+
+test('a gateway without a record is not a holder', t => {
+  const names = choiceOf('c9').candidates(database, []).map(({ name }) => name)
+  t.false(names.includes('c9'))
+})
--- /dev/null
+++ b/packages/gateway/src/homes.test.ts
@@ -0,0 +1,39 @@
+/**
+ * Regions that a route's or a workspace's data may reach.
+ */
+import test from 'ava'
+import { openTestSession, read, standardConfiguration, startMemoryFleet, write } from './testing/memory-fleet.js'
+
+const withHomes = (routeHomes: string[], workspaceHomes: string[]) => ({
+  ...standardConfiguration,
+  routes: standardConfiguration.routes.map(route => ({ ...route, homeRegions: routeHomes })),
+  workspaces: standardConfiguration.workspaces.map(workspace => ({ ...workspace, homeRegions: workspaceHomes }))
+})
+
+const dataCentreOf: Record<string, string> = { 'db-1': 'dc-1', 'db-2': 'dc-2', 'db-3': 'dc-3' }
+
+test('statements run only in the home regions of their route, whichever gateway takes them', async t => {
+  const fleet = await startMemoryFleet(3, withHomes(['south'], []))
+  for (const gateway of fleet.gateways) {
+    t.is((await openTestSession(gateway, 'boards').send(read('1'))).error, undefined)
+  }
+  t.deepEqual([...new Set(fleet.group.ran.map(({ database }) => dataCentreOf[database]))], ['dc-2'])
+  const holders = fleet.events.filter(({ name }) => name === 'statementRouted').map(({ fields }) => fields.holder)
+  // Beside the gateway that took the request only one in the home region may see it.
+  t.true(holders.every(holder => holder === 'vm-2'), holders.join())
+  await fleet.close()
+})
+
+test('where route and workspace both have homes, both bind', async t => {
+  const fleet = await startMemoryFleet(3, withHomes(['south', 'west'], ['west', 'north']))
+  t.is((await openTestSession(fleet.gateways[0], 'boards').send(read('1'))).error, undefined)
+  t.deepEqual(fleet.group.ran.map(({ database }) => dataCentreOf[database]), ['dc-3'])
+  await fleet.close()
+})
+
+test('what only a primary outside the homes could run is refused and does not run', async t => {
+  const fleet = await startMemoryFleet(3, withHomes(['south'], []))
+  t.is((await openTestSession(fleet.gateways[1], 'slots').send(write('1'))).error, 'refused')
+  t.deepEqual(fleet.group.ran, [])
+  await fleet.close()
+})
