--- a/soak/src/soak-callers.ts
+++ b/soak/src/soak-callers.ts
@@ -2,15 +2,12 @@
  * Callers of a soak: sessions over the wire protocol that read, write and run transactions, reconnect when their
  * connection ends, and note what they sent and were told.
  */
-import { connect } from 'node:net'
-import type { Socket } from 'node:net'
 import type { Random } from '@egretyoke/common'
-import { createLineReader } from '@egretyoke/platform/testing'
+import { openCallerConnection } from './caller-connection.js'
+import type { CallerAnswer, CallerConnection } from './caller-connection.js'
 import { lastConfirmed } from './soak-record.js'
 import type { CallerOutcome, SoakRecord } from './soak-record.js'
 
-const answerTimeoutMs = 4000
-const connectTimeoutMs = 2000
 /** Codes that promise that nothing of the attempt is kept. */
 const promises = new Set(['BUSY', 'ABORTED', 'LAGGING', 'READONLY', 'MISROUTED', 'CONNLIMIT'])
 const maxPauseMs = 60
@@ -18,9 +15,6 @@
 /** Age that the routes allow. */
 export const maxStalenessMs = 1500
 
-/** What a caller is told of one statement; undefined: nothing. */
-type Answer = { error: string, signature: string, rows: string[], state: string }
-
 /** A caller's place in the run. */
 export type SoakCallerOptions = {
   name: string
@@ -36,57 +30,7 @@
 /** A caller that runs until it is stopped. */
 export type SoakCaller = { stop: () => Promise<void>, counts: () => { done: number, refused: number, unknown: number } }
 
-type Connection = { ask: (line: string) => Promise<Answer | undefined>, close: () => void, isOpen: () => boolean }
-
-const readAnswer = (lines: readonly string[]): Answer => {
-  const answer: Answer = { error: '', signature: '', rows: [], state: 'I' }
-  for (const line of lines) {
-    const [word, first = ''] = line.split(' ')
-    if (word === 'ROW') answer.rows.push(line.slice('ROW '.length))
-    if (word === 'COMPLETE') answer.signature = first
-    if (word === 'ERROR') answer.error = first
-    if (word === 'READY') answer.state = first
-  }
-  return answer
-}
-
-/** Undefined when no session came about. */
-const openConnection = (port: number, startLine: string): Promise<Connection | undefined> => new Promise(resolve => {
-  const socket: Socket = connect({ host: '127.0.0.1', port, noDelay: true })
-  const reader = createLineReader()
-  let lines: string[] = []
-  let settle: ((answer: Answer | undefined) => void) | undefined
-  const finish = (answer: Answer | undefined) => {
-    const waiting = settle
-    settle = undefined
-    lines = []
-    waiting?.(answer)
-  }
-  const ask = async (line: string, timeoutMs = answerTimeoutMs) => {
-    const timer = setTimeout(() => socket.destroy(), timeoutMs)
-    const answer = new Promise<Answer | undefined>(resolve => { settle = resolve })
-    if (socket.destroyed) finish(undefined)
-    else socket.write(`${line}\r\n`)
-    return await answer.finally(() => clearTimeout(timer))
-  }
-  socket.on('data', chunk => {
-    for (const line of reader.push(chunk) ?? []) {
-      lines.push(line)
-      if (line.startsWith('READY')) finish(readAnswer(lines))
-    }
-  })
-  socket.on('error', () => socket.destroy())
-  socket.on('close', () => finish(lines.length > 0 ? readAnswer(lines) : undefined))
-  ask(startLine, connectTimeoutMs).then(answer => {
-    if (answer !== undefined && answer.error === '' && !socket.destroyed) {
-      return resolve({ ask, close: () => socket.destroy(), isOpen: () => !socket.destroyed })
-    }
-    socket.destroy()
-    resolve(undefined)
-  })
-})
-
-const outcomeOf = (answer: Answer | undefined): CallerOutcome => {
+const outcomeOf = (answer: CallerAnswer | undefined): CallerOutcome => {
   if (answer === undefined) return 'unknown'
   if (answer.error === '') return 'done'
   return promises.has(answer.error) ? 'nothingKept' : 'unknown'
@@ -115,7 +59,7 @@
 
   /** Sends a statement that a database runs; the text is the one that the database is to see. */
   const sendData = async (
-    connection: Connection, text: string, transaction: string, seen = mustSee(), textAtDatabase = text
+    connection: CallerConnection, text: string, transaction: string, seen = mustSee(), textAtDatabase = text
   ) => {
     const requestId = `${name}-${++requests}`
     record.sent.set(requestId, {
@@ -127,7 +71,7 @@
   }
 
   /** An answer has to be the one that a database gave to this statement. */
-  const checkAnswer = (requestId: string, text: string, answer: Answer | undefined) => {
+  const checkAnswer = (requestId: string, text: string, answer: CallerAnswer | undefined) => {
     if (answer === undefined || answer.error !== '') return
     if (!answer.signature.endsWith(`.${requestId}`)) record.breach('mixed', `${requestId} got ${answer.signature}`)
     const isRead = text.startsWith('READ')
@@ -153,13 +97,13 @@
     count(outcome)
   }
 
-  const runSingle = async (connection: Connection) => {
+  const runSingle = async (connection: CallerConnection) => {
     if (random.chance(0.6)) return count(outcomeOf((await sendData(connection, `READ ${item()}`, '')).answer))
     const { requestId, answer } = await sendData(connection, `WRITE ${item()} ${name}`, '')
     noteWrite([requestId], outcomeOf(answer))
   }
 
-  const runPrepared = async (connection: Connection) => {
+  const runPrepared = async (connection: CallerConnection) => {
     const shape = `shape-${random.integer(0, 2)}`
     const local = `mine-${random.integer(0, 1)}`
     const prepared = await connection.ask(`QUERY - PREPARE ${local} READ ${shape}`)
@@ -170,12 +114,12 @@
     count(outcomeOf(answer))
   }
 
-  const setValue = async (connection: Connection) => {
+  const setValue = async (connection: CallerConnection) => {
     const value = `${random.integer(0, 2)}`
     if (outcomeOf(await connection.ask(`QUERY - SET zone ${value}`)) === 'done') values.set('zone', value)
   }
 
-  const runTransaction = async (connection: Connection) => {
+  const runTransaction = async (connection: CallerConnection) => {
     const transaction = `${name}-t${requests}`
     const seen = mustSee()
     if (outcomeOf(await connection.ask('QUERY - BEGIN')) !== 'done') return
@@ -201,7 +145,7 @@
     noteWrite(written, outcomeOf(commit))
   }
 
-  const runOperation = async (connection: Connection) => {
+  const runOperation = async (connection: CallerConnection) => {
     const kind = random.fraction()
     if (kind < 0.1) return await setValue(connection)
     if (kind < 0.2) return await runPrepared(connection)
@@ -212,7 +156,7 @@
   const run = async () => {
     while (!isStopping) {
       const port = choosePort()
-      const connection = port === undefined ? undefined : await openConnection(port, `START ${route} ${key}`)
+      const connection = port === undefined ? undefined : await openCallerConnection(port, route, key)
       values = new Map()
       ownWrite = []
       if (connection === undefined) {
--- /dev/null
+++ b/soak/src/soak-world.ts
@@ -0,0 +1,191 @@
+/**
+ * What a soak works on: stand-ins of the platform's store and of a database group, loopback links, the operators'
+ * configuration, and gateways as processes of their own.
+ */
+import { createWriteStream } from 'node:fs'
+import { createServer } from 'node:net'
+import type { AddressInfo } from 'node:net'
+import { join } from 'node:path'
+import { sleepMs } from '@egretyoke/common'
+import type { Random } from '@egretyoke/common'
+import { startStoreStandin } from '@egretyoke/platform/testing'
+import type { StoreStandin } from '@egretyoke/platform/testing'
+import { startLink } from '@egretyoke/standins'
+import type { Link } from '@egretyoke/standins'
+import { startGatewayProcess } from './gateway-process.js'
+import type { GatewayProcess } from './gateway-process.js'
+import { maxStalenessMs } from './soak-callers.js'
+import { slotsPerDatabase, startSoakDatabases } from './soak-databases.js'
+import type { SoakDatabase, SoakDatabases } from './soak-databases.js'
+import type { SoakRecord } from './soak-record.js'
+
+/** The workspaces, and the names that callers connect to. */
+export const workspaces = ['yard-a', 'yard-b', 'yard-c', 'yard-d'] as const
+export const routes = [
+  { database: 'slots', routeType: 'primary' },
+  { database: 'boards', routeType: 'bounded_staleness' },
+  { database: 'ledger', routeType: 'read_your_writes' }
+] as const
+
+/** The key of a workspace. */
+export const keyOf = (workspace: string): string => `key-of-${workspace}`
+
+/** The world of a run. */
+export type SoakWorld = {
+  store: StoreStandin
+  databases: SoakDatabases
+  /** A link before each database, in the order of the databases, and one for each gateway's way to the store. */
+  databaseLinks: readonly Link[]
+  storeLinks: readonly Link[]
+  gateways: readonly GatewayProcess[]
+  operators: Operators
+  /** Writes a database's entry into the store, or takes it away. */
+  announce: (database: SoakDatabase) => void
+  leave: (database: SoakDatabase) => void
+  closeGateways: () => Promise<void>
+  /** Ends the stand-ins; gateways first. */
+  close: () => Promise<void>
+}
+
+/** The operators' side: configurations and withdrawn keys. */
+export type Operators = {
+  store: () => void
+  change: () => void
+  isWithdrawn: (workspace: string) => boolean
+  withdrawKey: () => void
+}
+
+/** What a world is made with; logs of the gateways go into the folder. */
+export type SoakWorldOptions = { gateways: number, folder: string, record: SoakRecord, random: Random }
+
+const service = 'bookings'
+const dataCentres = ['quay', 'yard', 'dock']
+const regionByDataCentre = { quay: 'north', yard: 'south', dock: 'west' }
+const startTimeoutMs = 20_000
+const versionStep = 3
+const maxConnections = 22
+const portsOfGateway = 5
+
+const freePorts = async (count: number): Promise<number[]> => {
+  const servers = await Promise.all(Array.from({ length: count }, () => new Promise<ReturnType<typeof createServer>>(
+    resolve => { const server = createServer().listen(0, '127.0.0.1', () => resolve(server)) })))
+  const ports = servers.map(server => (server.address() as AddressInfo).port)
+  await Promise.all(servers.map(server => new Promise(resolve => server.close(resolve))))
+  return ports
+}
+
+const linkTo = (target: string): Promise<Link> =>
+  startLink({ listen: '127.0.0.1:0', control: '127.0.0.1:0', target, delayMs: 0 })
+
+const createOperators = (write: (key: string, value: unknown) => void, record: SoakRecord): Operators => {
+  let version = 1
+  const withdrawn = new Set<string>()
+  const store = () => write('op/config', {
+    version,
+    routes: routes.map(route => ({
+      ...route,
+      service,
+      timeoutMs: 1500,
+      targetLatencyMs: 1000,
+      priority: 1,
+      maxStalenessMs: route.routeType === 'primary' ? 0 : maxStalenessMs
+    })),
+    services: [{ name: service, maxConns: maxConnections }],
+    limits: { txIdleMs: 1500 },
+    tenants: workspaces.map(name => ({
+      name, apiKeys: withdrawn.has(name) ? [] : [keyOf(name)], ratePerS: 2000, burstSize: 2000
+    }))
+  })
+  const change = () => {
+    version += versionStep
+    store()
+  }
+  return {
+    store,
+    change,
+    isWithdrawn: (workspace: string) => withdrawn.has(workspace),
+    withdrawKey: () => {
+      // One workspace keeps its key for the whole run.
+      const next = workspaces.slice(1).find(workspace => !withdrawn.has(workspace))
+      if (next === undefined) return
+      withdrawn.add(next)
+      change()
+      record.withdrawnMs.set(next, performance.now())
+    }
+  }
+}
+
+const startFleet = async (count: number, storeAddress: string, folder: string) => {
+  const links = await Promise.all(Array.from({ length: count }, () => linkTo(storeAddress)))
+  const ports = await freePorts(count * portsOfGateway)
+  const gateways = links.map((link, index) => {
+    const name = `vm-${index + 1}`
+    const [callerPort, readinessPort, relayPort, metricsPort] = ports.slice(index * portsOfGateway)
+    const log = createWriteStream(join(folder, `${name}.log`))
+    return startGatewayProcess({
+      name,
+      dataCentre: dataCentres[index % dataCentres.length],
+      regionByDataCentre,
+      callerPort,
+      readinessPort,
+      relayPort,
+      metricsPort,
+      storeAddress: link.address,
+      failoverAddress: storeAddress
+    }, folder, line => { log.write(line) })
+  })
+  return { links, gateways }
+}
+
+const waitUntilServed = async (gateways: readonly GatewayProcess[]) => {
+  const endAtMs = performance.now() + startTimeoutMs
+  while (!gateways.every(gateway => gateway.isInRotation()) && performance.now() < endAtMs) await sleepMs(50)
+}
+
+/** Starts everything; resolves when all gateways are in rotation. */
+export const startSoakWorld = async (
+  { gateways: count, folder, record, random }: SoakWorldOptions
+): Promise<SoakWorld> => {
+  const databases = await startSoakDatabases({
+    service, dataCentres, record, random, lagMs: () => random.integer(2, 30)
+  })
+  const store = await startStoreStandin({ pageSize: 500, onFailover: databases.promote })
+  const databaseLinks = await Promise.all(databases.databases.map(({ port }) => linkTo(`127.0.0.1:${port}`)))
+
+  const announce = (database: SoakDatabase) => store.write(`servers/${database.id}`, {
+    service,
+    address: databaseLinks[databases.databases.indexOf(database)].address,
+    zone: database.dataCentre,
+    version: '1',
+    slots: slotsPerDatabase,
+    state: 'ready',
+    coldRemainingMs: 0,
+    seqNum: 1,
+    dbRole: database.role,
+    born: database.bornMs
+  })
+  const operators = createOperators(store.write, record)
+  operators.store()
+  for (const database of databases.databases) announce(database)
+  const { links, gateways } = await startFleet(count, store.address, folder)
+  await waitUntilServed(gateways)
+
+  const closeGateways = async () => { await Promise.all(gateways.map(gateway => gateway.close())) }
+  return {
+    store,
+    databases,
+    databaseLinks,
+    storeLinks: links,
+    gateways,
+    operators,
+    announce,
+    leave: database => store.write(`servers/${database.id}`, undefined),
+    closeGateways,
+    close: async () => {
+      await closeGateways()
+      await Promise.all([...links, ...databaseLinks].map(link => link.close()))
+      await store.close()
+      databases.close()
+    }
+  }
+}
