Gateway: 20 connections of a database are left to a holder's successor

Idle connections had gone from 10 to 13 and 18 of 32: after a power cut the database counts them for 3 s more, and the successors of all workspaces open theirs at once.

--- a/packages/gateway/src/coordination/connection-pool.ts
+++ b/packages/gateway/src/coordination/connection-pool.ts
@@ -43,7 +43,7 @@
  * Connections that are kept idle at most: all but what a successor needs, which lacks the others until the database
  * notices the holder's end; but some in any case.
  */
-const maxIdle = { allBut: 12, atLeast: 10 } as const
+const maxIdle = { allBut: 20, atLeast: 10 } as const
 
 /** Limits and ways of a pool. */
 export type PoolOptions = {
