--- a/soak/src/gateway-process.ts
+++ b/soak/src/gateway-process.ts
@@ -57,9 +57,16 @@
   cloudApi: { address: place.failoverAddress }
 }, undefined, 2)
 
+/** Writes the settings file of a gateway into the folder; its path. */
+export const writeGatewaySettings = (place: GatewayPlace, folder: string): string => {
+  const file = join(folder, `${place.name}.yaml`)
+  writeFileSync(file, `${settingsText(place)}\n`)
+  return file
+}
+
 /** Starts a gateway; its log goes into a file of the folder. */
 export const startGatewayProcess = (place: GatewayPlace, folder: string, logTo: (line: Buffer) => void) => {
-  const settingsFile = join(folder, `${place.name}.yaml`)
+  const settingsFile = writeGatewaySettings(place, folder)
   const crashes: string[] = []
   let child: ChildProcess | undefined
   let restartTimer: NodeJS.Timeout | undefined
@@ -67,8 +74,6 @@
   let misses = missesUntilOut
   let wasSignalled = false
 
-  const touchSettings = () => writeFileSync(settingsFile, `${settingsText(place)}\n`)
-
   const start = () => {
     wasSignalled = false
     const started = spawn(process.execPath, [launcher, '--metrics-port', `${place.metricsPort}`], {
@@ -101,14 +106,13 @@
     child?.kill(given)
   }
 
-  touchSettings()
   start()
   return {
     name: place.name,
     callerPort: place.callerPort,
     signal,
     isInRotation: () => misses < missesUntilOut,
-    touchSettings,
+    touchSettings: () => { writeGatewaySettings(place, folder) },
     crashes,
     close: async () => {
       isClosed = true
--- a/soak/src/soak-world.ts
+++ b/soak/src/soak-world.ts
@@ -13,7 +13,7 @@
 import { startLink } from '@egretyoke/standins'
 import type { Link } from '@egretyoke/standins'
 import { startGatewayProcess } from './gateway-process.js'
-import type { GatewayProcess } from './gateway-process.js'
+import type { GatewayPlace, GatewayProcess } from './gateway-process.js'
 import { maxStalenessMs } from './soak-callers.js'
 import { slotsPerDatabase, startSoakDatabases } from './soak-databases.js'
 import type { SoakDatabase, SoakDatabases } from './soak-databases.js'
@@ -115,24 +115,32 @@
   }
 }
 
-const startFleet = async (count: number, storeAddress: string, folder: string) => {
-  const links = await Promise.all(Array.from({ length: count }, () => linkTo(storeAddress)))
+/** Places for gateways on free ports, spread over the data centres. */
+export const placeGateways = async (count: number, storeAddress: string): Promise<GatewayPlace[]> => {
   const ports = await freePorts(count * portsOfGateway)
-  const gateways = links.map((link, index) => {
-    const name = `vm-${index + 1}`
+  return Array.from({ length: count }, (_, index) => {
     const [callerPort, readinessPort, relayPort, metricsPort] = ports.slice(index * portsOfGateway)
-    const log = createWriteStream(join(folder, `${name}.log`))
-    return startGatewayProcess({
-      name,
+    return {
+      name: `vm-${index + 1}`,
       dataCentre: dataCentres[index % dataCentres.length],
       regionByDataCentre,
       callerPort,
       readinessPort,
       relayPort,
       metricsPort,
-      storeAddress: link.address,
+      storeAddress,
       failoverAddress: storeAddress
-    }, folder, line => { log.write(line) })
+    }
+  })
+}
+
+/** Each gateway reaches the store over a link of its own, and the failover call directly. */
+const startFleet = async (count: number, storeAddress: string, folder: string) => {
+  const links = await Promise.all(Array.from({ length: count }, () => linkTo(storeAddress)))
+  const places = await placeGateways(count, storeAddress)
+  const gateways = places.map((place, index) => {
+    const log = createWriteStream(join(folder, `${place.name}.log`))
+    return startGatewayProcess({ ...place, storeAddress: links[index].address }, folder, line => { log.write(line) })
   })
   return { links, gateways }
 }
