--- a/scripts/bundle-platform.mjs
+++ b/scripts/bundle-platform.mjs
@@ -33,8 +33,6 @@
 const evaluated = { exports: {} }
 const require = createRequire(import.meta.url)
 script.runInThisContext()(evaluated.exports, require, evaluated, `${process.cwd()}/${bundleFile}`, 'target/bin')
-const { rehearse } = await import('../soak/dist/rehearsal.js')
-await rehearse(evaluated.exports.runPlatformProgram)
 writeFileSync(cacheFile, script.createCachedData())
 
 writeFileSync(launcherFile, `// Runs the bundle with its compiled code; without it where V8 does not take it.
