Soak: the program starts again after its move

The bin still named the folder of before the move, so that 'npm run soak:gateway' ended at once; nothing tested it.

--- a/soak/bin/egretyoke-gateway-soak.js
+++ b/soak/bin/egretyoke-gateway-soak.js
@@ -1,4 +1,4 @@
 #!/usr/bin/env node
-import { runSoakProgram } from '../dist/soak/soak-program.js'
+import { runSoakProgram } from '../dist/soak-program.js'
 
 process.exit(await runSoakProgram(process.argv.slice(2)))
