Gateway and program: two findings of the soak

Change: the caller is told that the transaction is gone. Test: "SIGHUP does not end a program that has only begun to start" fails on the parent.

--- a/packages/gateway/src/coordination/database-holder.ts
+++ b/packages/gateway/src/coordination/database-holder.ts
@@ -171,7 +171,9 @@
     if (outcome.status === 'NOT_RUN' || !request.needsPrimary) return outcome
     log(events.primaryChangedMeanwhile, { request: request.requestId, database: id, status: outcome.status })
     const mayBeKept = request.verb === 'COMMIT' || (request.access === 'WRITE' && request.transaction === 'SINGLE')
-    return mayBeKept ? unknownOutcome('moved') : notRun('moved')
+    if (mayBeKept) return unknownOutcome('moved')
+    // What has run in a transaction must not run in a second one.
+    return notRun(request.transaction === 'SINGLE' ? 'moved' : 'answerLost')
   }
 
   const resume = async ({ request }: Waiting, leftMs: number): Promise<StatementOutcome> => {
--- a/packages/gateway/src/session.test.ts
+++ b/packages/gateway/src/session.test.ts
@@ -112,6 +112,21 @@
   await fleet.close()
 })
 
+test('nor is one that ran while the primary\'s record changed', async t => {
+  const fleet = await startMemoryFleet(1)
+  const session = openTestSession(fleet.gateways[0], 'slots')
+  await session.send(write('0'))
+  for (const database of fleet.group.databases.values()) database.workMs = 200
+  await session.send({ kind: 'begin', readOnly: false })
+  const sending = session.send(write('1'))
+  await waitUntil(() => [...fleet.group.databases.values()].some(({ running }) => running > 0))
+  const key = 'egretyoke/group/bookings'
+  fleet.store.put(key, { ...fleet.store.read(key) as object, users: [] })
+  t.is((await sending).error, 'aborted')
+  t.is(fleet.group.ran.filter(({ requestId }) => requestId === session.lastRequest()).length, 1)
+  await fleet.close()
+})
+
 test('a write whose answer is lost is in doubt; a read is tried elsewhere', async t => {
   const fleet = await startMemoryFleet(1)
   const primary = fleet.group.databases.get('db-1')!
--- a/scripts/bundle-platform.mjs
+++ b/scripts/bundle-platform.mjs
@@ -36,6 +36,8 @@
 writeFileSync(cacheFile, script.createCachedData())
 
 writeFileSync(launcherFile, `// Runs the bundle with its compiled code; without it where V8 does not take it.
+// Loading takes a while; until then a changed settings file must not end the process.
+process.on('SIGHUP', () => {})
 const { readFileSync } = require('node:fs')
 const { join } = require('node:path')
 const { Script } = require('node:vm')
--- /dev/null
+++ b/soak/src/hangup.test.ts
@@ -0,0 +1,51 @@
+/**
+ * A changed settings file is announced by SIGHUP at any moment, also while the program starts.
+ */
+import { spawn } from 'node:child_process'
+import { mkdtempSync, readFileSync, rmSync } from 'node:fs'
+import { connect } from 'node:net'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { fileURLToPath } from 'node:url'
+import { sleepMs } from '@egretyoke/common'
+import { settingsPathVariable, startStoreStandin } from '@egretyoke/platform/testing'
+import test from 'ava'
+import { writeGatewaySettings } from './gateway-process.js'
+import { placeGateways } from './soak-world.js'
+
+const launcher = fileURLToPath(new URL('start-program.js', import.meta.url))
+const hangupBit = 1n
+
+/** Whether the process has a handler for SIGHUP. */
+const catchesHangup = (pid: number): boolean => {
+  const mask = /SigCgt:\s*([0-9a-f]+)/.exec(readFileSync(`/proc/${pid}/status`, 'utf8'))?.[1] ?? '0'
+  return (BigInt(`0x${mask}`) & hangupBit) !== 0n
+}
+
+const listens = (port: number) => new Promise<boolean>(resolve => {
+  const socket = connect({ host: '127.0.0.1', port })
+  socket.on('connect', () => {
+    socket.destroy()
+    resolve(true)
+  })
+  socket.on('error', () => resolve(false))
+})
+
+test('SIGHUP does not end a program that has only begun to start', async t => {
+  const folder = mkdtempSync(join(tmpdir(), 'egretyoke-hangup-'))
+  const store = await startStoreStandin()
+  const [place] = await placeGateways(1, store.address)
+  const child = spawn(process.execPath, [launcher, '--metrics-port', `${place.metricsPort}`], {
+    env: { PATH: process.env.PATH, [settingsPathVariable]: writeGatewaySettings(place, folder) }, stdio: 'ignore'
+  })
+  t.teardown(async () => {
+    child.kill('SIGKILL')
+    await store.close()
+    rmSync(folder, { recursive: true })
+  })
+  while (!catchesHangup(child.pid!)) await sleepMs(1)
+  t.false(await listens(place.callerPort), 'the handler is there before the program listens')
+  child.kill('SIGHUP')
+  while (!await listens(place.callerPort) && child.signalCode === null) await sleepMs(20)
+  t.is(child.signalCode, null)
+})
--- a/soak/src/start-program.ts
+++ b/soak/src/start-program.ts
@@ -1,6 +1,7 @@
 /**
- * Runs the program as its bundle does, from the compiled modules.
+ * Runs the program as its bundle does, from the compiled modules: loading takes a while, and until then a changed
+ * settings file must not end the process.
  */
-import { runPlatformProgram } from '@egretyoke/platform/testing'
-
+process.on('SIGHUP', () => {})
+const { runPlatformProgram } = await import('@egretyoke/platform/testing')
 await runPlatformProgram()
