Soak: gateways end with the soak, also when a signal ends it

Cause: a soak that was ended by SIGTERM left its gateways running, eight of them for some minutes. Change: they are ended on exit, and SIGINT, SIGTERM and SIGHUP exit. Seen by hand: a soak that was ended after 12 s left none.

--- a/soak/src/gateway-process.ts
+++ b/soak/src/gateway-process.ts
@@ -7,6 +7,7 @@
 import { readFileSync, writeFileSync } from 'node:fs'
 import { join } from 'node:path'
 import { fileURLToPath } from 'node:url'
+import { exitCodes } from '@egretyoke/common'
 import { settingsPathVariable } from '@egretyoke/platform/testing'
 
 /** Where one gateway runs. */
@@ -57,6 +58,19 @@
   cloudApi: { address: place.failoverAddress }
 }, undefined, 2)
 
+const living = new Set<ChildProcess>()
+const endingSignals = ['SIGINT', 'SIGTERM', 'SIGHUP'] as const
+
+let endsChildren = false
+
+/** Ends the gateways with the soak, also when a signal ends it. */
+const endWithThisProcess = () => {
+  if (endsChildren) return
+  endsChildren = true
+  process.once('exit', () => { for (const child of living) child.kill('SIGKILL') })
+  for (const signal of endingSignals) process.once(signal, () => process.exit(exitCodes.internal))
+}
+
 const hangupBit = 1n
 
 /** Whether the process has a handler for SIGHUP. */
@@ -94,9 +108,12 @@
     })
     let errors = ''
     child = started
+    endWithThisProcess()
+    living.add(started)
     started.stdout.on('data', logTo)
     started.stderr.on('data', (chunk: Buffer) => { errors = (errors + chunk).slice(-keptErrorCharacters) })
     started.on('exit', (code, signal) => {
+      living.delete(started)
       misses = missesUntilOut
       if (!wasSignalled) crashes.push(`${place.name} ended by itself (${code ?? signal}): ${errors}`)
       if (!isClosed) restartTimer = setTimeout(start, restartDelayMs)
