Gateway: a line when the source of the store's changes is another

Change: event 7018 names the source, the watcher and the age of the last confirmation; explain shows it. Test: in "when the watcher ends, the others stay ready" both sources are told.

--- a/packages/ctl/src/request-story.ts
+++ b/packages/ctl/src/request-story.ts
@@ -20,8 +20,9 @@
 
 /** Events that change what a process believes or may do. */
 const beliefs: ReadonlySet<string> = new Set([
-  'gatewayStarted', 'gatewayReady', 'gatewayDraining', 'storeLost', 'storeRegained', 'historyMissed',
-  'configurationInForce', 'configurationUnreadable', 'databaseKnown', 'evacuationKnown', 'membershipLost', 'peerLost',
+  'gatewayStarted', 'gatewayReady', 'gatewayDraining', 'storeLost', 'storeRegained', 'storeSourceChanged',
+  'historyMissed', 'configurationInForce', 'configurationUnreadable', 'databaseKnown', 'evacuationKnown',
+  'membershipLost', 'peerLost',
   'limitsClaimed', 'tokensShort', 'limitReached', 'groupRecordStored', 'primaryProbeFailed', 'noSuccessor',
   'primaryChangeBegun', 'primaryUsersStopped', 'promotionAsked', 'primaryInForce', 'primaryChangeLeft',
   'programStarted', 'programStopping', 'platformSilent', 'platformRefused', 'taskFailed'
--- a/packages/gateway/src/coordination/store-sources.ts
+++ b/packages/gateway/src/coordination/store-sources.ts
@@ -4,9 +4,10 @@
  * gateways.
  */
 import { Err, Ok } from '@egretyoke/common'
-import type { Result } from '@egretyoke/common'
+import type { Logger, Result } from '@egretyoke/common'
 import type { StoredEntry } from '@egretyoke/fleet'
 import type { RelayMessages } from '@egretyoke/protocol'
+import { events } from '../events.js'
 import type { AgeClock, Contact, Moment } from '../state/contact.js'
 import type { FollowedChanges, StoreHistory } from '../state/store-history.js'
 import type { Member } from '../state/stored-records.js'
@@ -40,6 +41,7 @@
   contact: Contact
   clock: AgeClock
   relay: RelayCalls
+  log: Logger
 }
 
 /** The first gateway of the data centre that can be reached; it may be this one. */
@@ -49,7 +51,8 @@
 
 /** Creates the question for the next changes; it resolves with them or, without any, after some waiting time. */
 export const createStoreSources = (options: StoreSourcesOptions) => {
-  const { name, store, contact, clock, relay } = options
+  const { name, store, contact, clock, relay, log } = options
+  let source = ''
 
   const later = (moment: Moment, ms: number): Moment =>
     ({ monotonicMs: moment.monotonicMs + ms, wallMs: moment.wallMs + ms })
@@ -86,11 +89,18 @@
     return { entries: entries.flatMap(entry => entry ?? []), revision: Math.max(after, told.revision), confirmed }
   }
 
+  const noteSource = (now: string, watcher: string | undefined) => {
+    if (now === source) return
+    source = now
+    log(events.storeSourceChanged, { source, watcher, confirmedAgeMs: Math.round(contact.ageMs()) })
+  }
+
   const next = async (after: number): Promise<Result<News, StoreError>> => {
     const watcher = watcherOf(options)
     // A watcher that is not connected yet is not waited for: it may have ended with its record still there.
     const isFollowed = watcher !== undefined && watcher.name !== name && relay.isConnected(watcher)
     const told = isFollowed ? await fromWatcher(watcher, after) : undefined
+    noteSource(told === undefined ? 'store' : watcher?.name ?? '', watcher?.name)
     return told === undefined ? await fromStore(after) : Ok(told)
   }
 
--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -19,6 +19,8 @@
     'The platform\'s store answers.'),
   historyMissed: defineEvent(7012, 'historyMissed',
     'Changes of the store were missed; everything is read again.'),
+  storeSourceChanged: defineEvent(7018, 'storeSourceChanged',
+    'Changes of the store come from the named gateway of the data centre from now on, or from the store itself.'),
   recordUnreadable: defineEvent(7013, 'recordUnreadable',
     'A record of the gateways cannot be read and counts as absent.'),
   configurationInForce: defineEvent(7014, 'configurationInForce',
--- a/packages/gateway/src/store-watchers.test.ts
+++ b/packages/gateway/src/store-watchers.test.ts
@@ -62,6 +62,8 @@
   await sleepMs(2000)
   clearInterval(look)
   t.true(wereReady)
+  const sources = fleet.events.filter(({ name }) => name === 'storeSourceChanged').map(({ fields }) => fields.source)
+  t.true(sources.includes(watcher.name) && sources.includes('store'), sources.join())
   fleet.gateways.splice(fleet.gateways.indexOf(watcher), 1)
   await fleet.close()
 })
