--- a/packages/entry/src/coordination/admission.ts
+++ b/packages/entry/src/coordination/admission.ts
@@ -1,6 +1,6 @@
 /**
- * Admission: the key, route and profile of a request against the configuration in force, and whether this VM may
- * start work at all. The key is checked on each request and again before the request is sent on.
+ * Admission control: checks whether this VM may start requests, and validates the key, route and profile of a request
+ * against the active configuration. The key is checked on arrival and again before the request is sent to an endpoint.
  */
 import { Err, Ok } from '@egretyoke/common'
 import type { Clock, Result } from '@egretyoke/common'
@@ -10,7 +10,7 @@
 import type { Outcome, RefusalReason } from '../state/outcome.js'
 import type { CallerRequest } from './caller-request.js'
 
-/** What a request's key, route and profile name. */
+/** Workspace, route and profile that a request refers to. */
 type Resolved = {
   workspaceName: string
   workspace: Workspace
@@ -20,25 +20,25 @@
   profile: Profile
 }
 
-/** A request that may go on. */
+/** A request that passed admission. */
 export type Admitted = Resolved & {
-  /** On the VM's monotonic clock, in milliseconds. */
+  /** Deadline on this VM's monotonic clock, in milliseconds. */
   deadlineMs: number
-  /** Checks the key and the route again, against the configuration in force now. */
+  /** Checks the key and the route again, against the configuration that is active now. */
   isStillAllowed: () => boolean
 }
 
-/** What admission depends on. */
+/** Dependencies of admission. */
 export type AdmissionOptions = {
   clock: Clock
   configuration: () => Configuration | undefined
   isInContact: () => boolean
   isDraining: () => boolean
-  /** True when this VM's data centre has been out for longer than the balancer needs to notice. */
+  /** True if this VM's data centre has been out of service for longer than the load balancer needs to react. */
   isDataCentreOut: () => boolean
 }
 
-/** Admits requests. */
+/** Admits a request, or fails with its outcome. */
 export type Admission = (request: CallerRequest) => Result<Admitted, Outcome>
 
 const shortRetryMs = 500
@@ -46,7 +46,7 @@
 
 type Owner = { workspaceName: string, workspace: Workspace }
 
-/** Workspace of each key id; built once for each version of the configuration. */
+/** Creates an index of workspaces by key id, which is rebuilt once for each version of the configuration. */
 const createKeyIndex = () => {
   let indexed: Configuration | undefined
   let owners = new Map<string, Owner>()
@@ -59,7 +59,7 @@
   }
 }
 
-/** Creates the admission of one VM. */
+/** Creates the admission control of this VM. */
 export const createAdmission = (options: AdmissionOptions): Admission => {
   const ownersOf = createKeyIndex()
 
@@ -71,7 +71,10 @@
     return isKeyValid(key, owner.workspace.keys[key.keyId]) ? Ok(owner) : Err('keyRefused')
   }
 
-  /** The route's owner: WORKSPACE/ROUTE names a route open to all, ROUTE one of the key's own workspace. */
+  /**
+   * Finds the workspace that owns the route. WORKSPACE/ROUTE names a route that is open to all or belongs to the key's
+   * workspace; ROUTE names a route of the key's workspace.
+   */
   const ownerOfRoute = (configuration: Configuration, request: CallerRequest): Result<Owner, RefusalReason> => {
     const slash = request.routeName.indexOf('/')
     if (slash < 0) return ownerOfKey(configuration, request.keyText)
@@ -114,7 +117,7 @@
     return Ok({ ...owner.val, routeName, route, profileName, profile: configuration.profiles[profileName] })
   }
 
-  /** Whether a request that was admitted under an earlier configuration would still run for its workspace. */
+  /** True if a request admitted under an earlier configuration would be admitted for the same workspace now. */
   const isStillAllowed = (request: CallerRequest, admittedUnder: Configuration, workspaceName: string): boolean => {
     const configuration = options.configuration()
     if (!configuration) return false
--- a/packages/entry/src/coordination/answer-check.ts
+++ b/packages/entry/src/coordination/answer-check.ts
@@ -1,5 +1,5 @@
 /**
- * Checks an endpoint's answer against what this VM knows at that moment. Nothing is told to a caller before.
+ * Checks an endpoint's answer against the current group record, before anything of it is sent to the caller.
  */
 import type { GroupRecord, Profile } from '@egretyoke/config'
 import type { PrimaryHistory } from '../state/primary-history.js'
@@ -7,27 +7,27 @@
 import { holdsPlace, isInLineage } from './routing.js'
 import type { ReadNeed } from './routing.js'
 
-/** What checks depend on, for one group. */
+/** Dependencies of the answer checks of one group. */
 export type AnswerCheckOptions = {
   record: () => GroupRecord | undefined
-  /** Resolves to false when the VM is not in contact and does not regain it within a moment. */
+  /** Waits a short time for contact. Resolves to false if the VM is still not in contact. */
   waitForContact: () => Promise<boolean>
-  /** Terms below this are not confirmed, by the word of a steward. */
+  /** Lowest term whose writes may be confirmed, as set by stewards that replace a primary. */
   stoppedBelow: () => number
 }
 
-/** What a check found. */
+/** Result of a check. */
 export type CheckResult = 'good' | 'tooOld' | 'primaryReplaced' | 'outOfContact'
 
-/** Checks of one group's answers. */
+/** Checks the answers of one group's endpoints. */
 export type AnswerCheck = {
-  /** Whether the answer comes from the primary that leads now. Also counts for reads that need the primary. */
+  /** Checks that a write or read was answered by the current primary. */
   ofPrimary: (answer: LogPlace) => Promise<CheckResult>
-  /** Whether a replica's answer is part of the group's log and fresh enough. */
+  /** Checks that a replica's answer is based on the group's log and is fresh enough. */
   ofReplica: (answer: LogPlace, need: ReadNeed) => Promise<CheckResult>
 }
 
-/** Creates the checks of one group. */
+/** Creates the answer checks of one group. */
 export const createAnswerCheck = (options: AnswerCheckOptions): AnswerCheck => {
   const ofPrimary: AnswerCheck['ofPrimary'] = async answer => {
     if (!await options.waitForContact()) return 'outOfContact'
@@ -49,7 +49,7 @@
   return { ofPrimary, ofReplica }
 }
 
-/** What a read under a profile needs of a replica; undefined: only the primary will do. */
+/** Freshness that a read with this profile requires of a replica; undefined if only the primary may serve it. */
 export const readNeedOf = (
   profile: Profile,
   session: SessionState,
@@ -62,7 +62,7 @@
   if (freshness.kind === 'primary') return undefined
   if (session.isUnsettled) return undefined
   const place = session.positions.get(group)
-  // The session may have written in this group at a place that is not known.
+  // The session may have written in this group at an unknown position.
   if (!place && !session.isComplete) return undefined
   if (freshness.kind === 'session') return { place, minPosition: undefined }
   const minPosition = history.positionAtAge(term, freshness.maxAgeMs, nowMs)
--- a/packages/entry/src/coordination/caller-request.ts
+++ b/packages/entry/src/coordination/caller-request.ts
@@ -1,14 +1,14 @@
 /**
- * A caller's request as it came in, before it is admitted.
+ * A caller's request before admission.
  */
 import type { SessionState } from '../state/session-positions.js'
 
-/** What came with a request. */
+/** Parsed metadata of a request. */
 export type CallerRequest = {
   keyText: string | undefined
   routeName: string
   profileName: string | undefined
-  /** NaN: the profile's. */
+  /** Timeout requested by the caller in milliseconds; NaN if the profile's timeout applies. */
   timeoutMs: number
   session: SessionState
 }
--- a/packages/entry/src/coordination/concurrency-limit.ts
+++ b/packages/entry/src/coordination/concurrency-limit.ts
@@ -1,17 +1,17 @@
 /**
- * Requests of one workspace under one profile that this VM runs or queues at the same time.
+ * Limits the requests of one workspace and profile that this VM runs or queues concurrently.
  */
 
-/** Counts requests in hand by workspace and profile. */
+/** Counts requests in flight, by workspace and profile. */
 export type ConcurrencyLimit = {
-  /** False when the workspace has `most` in hand already. */
+  /** Returns false if the workspace already has `maxRequests` in flight under the profile. */
   enter: (workspace: string, profile: string, most: number) => boolean
   leave: (workspace: string, profile: string) => void
-  /** All requests in hand. */
+  /** Number of all requests in flight. */
   total: () => number
 }
 
-/** Creates the counters; there is one for each workspace and profile that has requests in hand. */
+/** Creates the limit. It stores a counter only for workspaces and profiles with requests in flight. */
 export const createConcurrencyLimit = (): ConcurrencyLimit => {
   const counts = new Map<string, number>()
   let total = 0
--- a/packages/entry/src/coordination/confirmation-stops.ts
+++ b/packages/entry/src/coordination/confirmation-stops.ts
@@ -1,19 +1,22 @@
 /**
- * Terms whose writes this VM no longer confirms, by the word of stewards that replace a primary.
+ * Lowest term of each group whose writes this VM still confirms. Stewards raise it before they replace a primary.
  */
 
-/** Most groups that are remembered. */
+/** Maximum number of groups in the table. */
 const maxGroups = 10_000
 
-/** Stops by group. */
+/** Lowest confirmable term, by group. */
 export type ConfirmationStops = {
-  /** Stops confirming terms below the given one. False when there is no room to remember it. */
+  /** Stops confirming writes of terms below the given one. Returns false if the table is full. */
   stop: (group: string, term: number) => boolean
-  /** Terms below this are not confirmed. */
+  /** Lowest term whose writes may be confirmed; 0 if no steward has set one. */
   stoppedBelow: (group: string) => number
 }
 
-/** Creates an empty record; a restarted VM relies on the groups' records, which it learns before it serves. */
+/**
+ * Creates an empty table. It need not survive a restart, because a restarted VM loads the group records before it
+ * serves.
+ */
 export const createConfirmationStops = (): ConfirmationStops => {
   const terms = new Map<string, number>()
   const stoppedBelow = (group: string) => terms.get(group) ?? 0
--- a/packages/entry/src/coordination/connection-permits.ts
+++ b/packages/entry/src/coordination/connection-permits.ts
@@ -1,6 +1,6 @@
 /**
- * Permits for connections to endpoints: each endpoint's connections are a limit of the whole fleet, of which every VM
- * has its share and may borrow more from peers.
+ * Permits for connections to endpoints. The limit on an endpoint's connections applies to the whole fleet; every VM has
+ * a share of it and may borrow more from peers.
  */
 import type { Clock, Logger } from '@egretyoke/common'
 import { sharingNames } from '@egretyoke/config'
@@ -15,13 +15,13 @@
 const maxLimits = 10_000
 const limitPrefix = 'connections:'
 
-/** Name of the limit on connections to an endpoint; no workspace's name has a colon. */
+/** Name of the limit on connections to an endpoint. It is distinct from all workspace names, which have no colon. */
 const limitName = (group: string, endpoint: string): string => `${limitPrefix}${group}/${endpoint}`
 
-/** True for limits of this module, false for workspaces' rates. */
+/** True if the name is that of a connection limit, false if it is that of a workspace's rate limit. */
 export const isConnectionLimit = (limit: string): boolean => limit.startsWith(limitPrefix)
 
-/** What permits depend on. */
+/** Dependencies of connection permits. */
 export type ConnectionPermitsOptions = {
   identity: Identity
   state: KnownState
@@ -31,17 +31,17 @@
   contactTtlMs: number
 }
 
-/** The permits of this VM. */
+/** Connection permits of this VM. */
 export type ConnectionPermits = {
   source: (group: string, endpoint: string) => PermitSource
   lend: PermitTable['lend']
   expireLoans: () => void
-  /** Follows the configuration and the roster in force. */
+  /** Applies the limits of the active configuration and the members of the active roster. */
   update: () => void
   close: () => void
 }
 
-/** Creates the permits. */
+/** Creates the connection permits of this VM. */
 export const createConnectionPermits = (options: ConnectionPermitsOptions): ConnectionPermits => {
   const { identity, state, calls, clock, log } = options
   const table = createPermitTable({
--- a/packages/entry/src/coordination/contact.test.ts
+++ b/packages/entry/src/coordination/contact.test.ts
@@ -1,5 +1,5 @@
 /**
- * Contact: each way to have it, and each way to lose it.
+ * Contact: every condition under which it is gained or lost.
  */
 import test from 'ava'
 import { createPeerTable } from '../state/peer-table.js'
@@ -45,12 +45,12 @@
 const cases: Case[] = [
   { title: 'just started', bring: () => {}, expected: 'starting' },
   {
-    title: 'the platform has answered',
+    title: 'the platform has replied',
     bring: ({ nowMs }, contact) => contact.notePlatformAnswer(nowMs()),
     expected: 'platform'
   },
   {
-    title: 'the platform\'s answer has aged, counted from when it was asked',
+    title: 'the platform\'s reply has expired, counted from when the request was sent',
     bring: ({ nowMs, pass }, contact) => {
       contact.notePlatformAnswer(nowMs())
       pass(ttlMs)
@@ -58,28 +58,28 @@
     expected: 'silence'
   },
   {
-    title: 'a peer passes on a young confirmation',
+    title: 'a peer forwards a recent confirmation',
     bring: ({ hear, nowMs }) => hear('vm-2', { confirmedAtMs: nowMs() - 500 }),
     expected: 'peers'
   },
   {
-    title: 'a peer passes on a confirmation that has aged on the way',
+    title: 'a peer forwards a confirmation that has expired on the way',
     bring: ({ hear, nowMs }) => hear('vm-2', { confirmedAtMs: nowMs() - ttlMs }),
     expected: 'silence'
   },
   {
-    title: 'a peer that is starting vouches for nothing',
+    title: 'the confirmation of a starting peer does not count',
     bring: ({ hear, nowMs }) => hear('vm-2', { confirmedAtMs: nowMs(), starting: true }),
     expected: 'silence'
   },
   {
-    title: 'a majority answers while the platform is silent',
+    title: 'a majority replies while the platform is silent',
     bring: ({ hear }) => ['vm-2', 'vm-3'].forEach(vm => hear(vm)),
     expected: 'majority'
   },
-  { title: 'less than a majority answers', bring: ({ hear }) => hear('vm-2'), expected: 'silence' },
+  { title: 'less than a majority replies', bring: ({ hear }) => hear('vm-2'), expected: 'silence' },
   {
-    title: 'the majority\'s answers have aged',
+    title: 'the majority\'s replies have expired',
     bring: ({ hear, pass }) => {
       ['vm-2', 'vm-3', 'vm-4', 'vm-5'].forEach(vm => hear(vm))
       pass(ttlMs)
@@ -87,7 +87,7 @@
     expected: 'silence'
   },
   {
-    title: 'anybody knows a newer revision',
+    title: 'a newer revision was reported',
     bring: ({ nowMs }, contact) => {
       contact.notePlatformAnswer(nowMs())
       contact.noteRevision(knownRevision + 1)
@@ -95,7 +95,7 @@
     expected: 'newerRevision'
   },
   {
-    title: 'a newer process of the same name runs',
+    title: 'a newer process with the same name is running',
     bring: ({ nowMs, peers }, contact) => {
       contact.notePlatformAnswer(nowMs())
       peers.noteIncarnation('vm-1', 6)
@@ -103,7 +103,7 @@
     expected: 'superseded'
   },
   {
-    title: 'the host was paused with its clock',
+    title: 'the host was paused together with its clock',
     bring: ({ nowMs, hear }, contact) => {
       contact.notePlatformAnswer(nowMs())
       ;['vm-2', 'vm-3'].forEach(vm => hear(vm))
@@ -123,7 +123,7 @@
   })
 }
 
-test('a VM that the roster does not list is not in contact, whoever answers', t => {
+test('a VM that is not in the roster is not in contact, even if the platform replies', t => {
   const world = createWorld(['vm-2', 'vm-3', 'vm-4'])
   world.contact.noteStarted()
   world.contact.notePlatformAnswer(world.nowMs())
--- a/packages/entry/src/coordination/contact.ts
+++ b/packages/entry/src/coordination/contact.ts
@@ -1,16 +1,16 @@
 /**
- * Contact: does this VM know what the platform knows?
+ * Contact: whether this VM's copy of the platform's records is recently confirmed as current.
  *
- * A VM is in contact while it holds every record that anyone told it of and one of these is younger than the
- * contact time: a confirmation by the platform, directly or through peers, with the ages added up; or answers of
- * a majority of the roster, none of which knows a newer record. The second keeps the fleet serving while the
- * platform is silent. It is safe for terms, because a promotion waits until a majority knows of it, and any
- * two majorities share a VM.
+ * A VM is in contact while it has applied every revision that it has heard of, and one of the following is younger
+ * than the contact TTL: a confirmation by the platform, received directly or through peers, with the ages added up;
+ * or heartbeat replies of a majority of the roster, none of which reports a newer revision. The second condition keeps
+ * the fleet serving while the platform is unreachable. It is safe for terms, because a promotion waits until a
+ * majority knows of it, and any two majorities have a VM in common.
  */
 import type { Clock } from '@egretyoke/common'
 import type { PeerTable } from '../state/peer-table.js'
 
-/** How contact came about, or why there is none. */
+/** Reason why the VM is in contact, or why it is not. */
 export type ContactBasis =
   | 'platform'
   | 'peers'
@@ -21,26 +21,26 @@
   | 'notListed'
   | 'silence'
 
-/** This VM's contact. */
+/** Contact state of this VM. */
 export type Contact = {
   isInContact: () => boolean
   basis: () => ContactBasis
-  /** Age of the newest confirmation by the platform, in milliseconds; Infinity: none. */
+  /** Age of the newest confirmation by the platform in milliseconds; Infinity if there is none. */
   confirmedAgeMs: () => number
-  /** The platform was asked at the given time and everything that it named is known. */
+  /** Records that a platform request sent at the given time succeeded and that all records in its reply are applied. */
   notePlatformAnswer: (askedAtMs: number) => void
-  /** Somebody knows the revision; contact ends until this VM knows it too. */
+  /** Records that another process has seen the revision. Contact is lost until this VM has applied it too. */
   noteRevision: (revision: number) => void
-  /** The newest revision that this VM has heard of, known or not. */
+  /** Newest revision that this VM has heard of, whether it has been applied or not. */
   newestHeardRevision: () => number
-  /** This VM has learned the state after its start. */
+  /** Ends the startup phase, after the state has been loaded. */
   noteStarted: () => void
   isStarting: () => boolean
-  /** Ends contact until new answers come, after a pause of the host. */
+  /** Invalidates all confirmations received so far, because the host was paused. */
   expire: () => void
 }
 
-/** What contact depends on. */
+/** Dependencies of contact. */
 export type ContactOptions = {
   vm: string
   incarnation: () => number
@@ -51,10 +51,10 @@
   rosterNames: () => readonly string[]
 }
 
-/** Number of VMs that make a majority of a roster. */
+/** Number of VMs that form a majority of a roster. */
 export const majorityOf = (rosterSize: number): number => Math.floor(rosterSize / 2) + 1
 
-/** Creates the contact of a VM that has just started. */
+/** Creates the contact state of a VM that has just started. */
 export const createContact = (options: ContactOptions): Contact => {
   const { peers, clock } = options
   let platformAskedAtMs = -Infinity
@@ -62,7 +62,7 @@
   let starting = true
   let notBeforeMs = -Infinity
 
-  /** Newest time at which the platform is known to have had nothing newer than this VM knows. */
+  /** Latest time at which the platform is known to have had no revision newer than those applied here. */
   const confirmedAtMs = (): number => {
     let newest = platformAskedAtMs
     for (const report of peers.reports()) {
@@ -88,7 +88,7 @@
     if (peers.newestIncarnation(options.vm) > options.incarnation()) return 'superseded'
     if (starting) return 'starting'
     if (newestHeard > options.knownRevision()) return 'newerRevision'
-    // Stewards ask the listed VMs only to stop confirming, so that no other may confirm.
+    // Stewards send StopConfirming only to the VMs in the roster, so a VM outside it must not confirm writes.
     if (!options.rosterNames().includes(options.vm)) return 'notListed'
     if (platformAskedAtMs > freshAfterMs()) return 'platform'
     if (confirmedAtMs() > freshAfterMs()) return 'peers'
--- a/packages/entry/src/coordination/endpoint-pool.ts
+++ b/packages/entry/src/coordination/endpoint-pool.ts
@@ -1,7 +1,7 @@
 /**
- * Connections to one endpoint: opened when needed, each under a permit out of the fleet's share of the endpoint's
- * connections. A connection whose state is not known is closed and never given back. When a permit that was borrowed
- * is called back, an idle connection ends for it, or else the next one that is given back.
+ * Connection pool for one endpoint. Connections are opened on demand, each under a permit that counts against the
+ * fleet-wide limit on connections to the endpoint. A connection in an unknown state is closed instead of being returned
+ * to the pool. When a borrowed permit is revoked, an idle connection is closed, or else the next one that is released.
  */
 import { Err, Ok, typedError } from '@egretyoke/common'
 import type { Clock, Result } from '@egretyoke/common'
@@ -10,58 +10,58 @@
 import type { FlightOutcome, Permit } from '@egretyoke/limits'
 
 const openTimeoutMs = 1_000
-/** A connection or permit that nobody used for so long is given up, so that peers may have its permit. */
+/** A connection that is idle for this long is closed and its permit released, so that peers can use the permit. */
 const idleCloseMs = 10_000
 const trimIntervalMs = 1_000
-/** Time that a connection in use has to finish after its permit was called back. */
+/** Time for connections in use to finish after a permit was revoked; then the longest-running one is closed. */
 const revokeGraceMs = 150
 const borrowWaitMs = 200
 
-/** Permits for connections to one endpoint. `onRevoked` asks for the permit back. */
+/** Source of permits for connections to one endpoint. `onRevoked` is called when the permit must be released. */
 export type PermitSource = {
   tryAcquire: (onRevoked: () => void) => Permit | undefined
   acquire: (onRevoked: () => void, maxWaitMs: number) => Promise<Permit | undefined>
 }
 
-/** What a connection is taken for: a statement, or a transaction or stream that its caller may draw out. */
+/** Purpose of a connection: `statement`, or `held` for a transaction or stream, whose duration the caller controls. */
 export type ConnectionUse = 'statement' | 'held'
 
-/** How a turn on a connection ended, for the adaptive limit on what is in flight. */
+/** Result of the use of a connection, as input to the adaptive limit on statements in flight. */
 export type TurnEnd = {
   outcome: FlightOutcome
   latencyMs: number
-  /** Statements of one kind take about the same time. */
+  /** Key of statements that are expected to take about the same time. */
   kind: string
 }
 
-/** A pool of connections. */
+/** Connection pool for one endpoint. */
 export type EndpointPool = {
-  /** True when a connection could be taken now. */
+  /** True if a connection can be acquired now. */
   hasRoom: () => boolean
   inUse: () => number
   /**
-   * Reserves a place at once; the promise brings an idle connection or a new one. Transactions and streams do not count
-   * for the adaptive limit: how long they take is up to their callers.
+   * Reserves capacity synchronously and resolves to an idle connection or a new one. Transactions and streams do not
+   * count towards the adaptive limit, because their duration depends on their callers.
    */
   take: (use: ConnectionUse) => Promise<Result<EndpointConnection, ConnectionError>>
-  /** Gives a connection back; one that is not usable is closed. */
+  /** Returns a connection to the pool, or closes it if it is not usable. */
   give: (connection: EndpointConnection, end: TurnEnd) => void
-  /** Asks peers for a permit in the background, because requests wait. */
+  /** Requests a permit from peers in the background. Called while requests are queued. */
   requestMore: () => void
   strayReplies: () => number
   close: () => void
 }
 
-/** What a pool depends on. */
+/** Dependencies of a pool. */
 export type EndpointPoolOptions = {
   connector: EndpointConnector
   permits: PermitSource
-  /** Statements in flight before anything is known of the endpoint's load. */
+  /** Initial limit on statements in flight, used until the endpoint's load is known. */
   initialInFlight: number
-  /** Statements in flight that keep all of the endpoint's slots busy; more would only queue there. */
+  /** Maximum limit on statements in flight. It keeps all slots of the endpoint busy; more would only queue there. */
   maxInFlight: number
   clock: Clock
-  /** Called when there may be room where there was none. */
+  /** Called when a permit was borrowed, so that capacity may be available again. */
   onRoom: () => void
 }
 
@@ -73,7 +73,7 @@
   const flights = createAdaptiveLimit({ initial: options.initialInFlight, max: options.maxInFlight, clock })
   const inHand = new Map<EndpointConnection, ConnectionUse>()
   let idle: Idle[] = []
-  /** Permits that no connection uses. */
+  /** Permits without a connection. */
   let spare: Permit[] = []
   let used: Permit[] = []
   let opening = 0
@@ -97,7 +97,7 @@
     longest?.close()
   }
 
-  /** Permits are alike: any connection may end for the one that is called back. */
+  /** Permits are interchangeable, so closing any connection frees a permit for the revoked one. */
   const revoke = (permit: Permit) => {
     if (spare.includes(permit)) {
       spare = spare.filter(other => other !== permit)
--- a/packages/entry/src/coordination/entry-context.ts
+++ b/packages/entry/src/coordination/entry-context.ts
@@ -1,5 +1,5 @@
 /**
- * What the tasks of all requests on this VM share.
+ * Components shared by all requests on this VM.
  */
 import type { Clock, Logger } from '@egretyoke/common'
 import type { RetryBudget, Taken } from '@egretyoke/limits'
@@ -13,10 +13,10 @@
 import type { GroupRecord } from '@egretyoke/config'
 import type { RequestCounters } from './request-counters.js'
 
-/** How reads choose and check replicas; `uncheckedReplicas` is for comparison only. */
+/** How reads select and check replicas. `uncheckedReplicas` exists for comparison in experiments only. */
 export type ReadPolicy = 'checkedReplicas' | 'uncheckedReplicas' | 'primaryOnly'
 
-/** One group as requests see it. */
+/** Components of one group that requests use. */
 export type GroupContext = {
   name: string
   record: () => GroupRecord | undefined
@@ -25,21 +25,21 @@
   check: AnswerCheck
 }
 
-/** What requests share. */
+/** Components shared by all requests. */
 export type EntryContext = {
   clock: Clock
   log: Logger
   limits: EntryLimits
   admit: Admission
-  /** Resolves to false when the VM is not in contact and does not regain it within a moment. */
+  /** Waits a short time for contact. Resolves to false if the VM is still not in contact. */
   waitForContact: () => Promise<boolean>
-  /** Takes one token of the workspace's rate, waiting a moment for a loan. */
+  /** Acquires one token of the workspace's rate limit, waiting a short time for a loan from a peer if needed. */
   takeRate: (workspace: string) => Promise<Taken>
   concurrency: ConcurrencyLimit
   group: (name: string) => GroupContext | undefined
   readPolicy: ReadPolicy
   retryPolicy: RetryPolicy
-  /** Bounds retries to a part of the requests. */
+  /** Limits retries to a fraction of the requests. */
   retryBudget: RetryBudget
   counters: RequestCounters
 }
--- a/packages/entry/src/coordination/group-dispatcher.ts
+++ b/packages/entry/src/coordination/group-dispatcher.ts
@@ -1,6 +1,6 @@
 /**
- * Gives requests their turn at the endpoints of one group. Requests wait in fair queues on this VM, where they can
- * still be refused truthfully, and leave them only when an endpoint has a connection free.
+ * Assigns requests to the endpoints of one group. Requests wait in fair queues on this VM, where it is certain that a
+ * refused request did not run, and are dequeued only when an endpoint has a free connection.
  */
 import { Err, Ok } from '@egretyoke/common'
 import type { Clock, Logger, Result } from '@egretyoke/common'
@@ -17,43 +17,43 @@
 
 const pumpIntervalMs = 20
 const busyRetryMs = 50
-/** Reads that wait for replicas beyond this number may use an idle primary. */
+/** When more reads than this wait for replicas, reads may also use a primary that has capacity. */
 const maxReadsWaitingForReplicas = 8
 
-/** One request for a turn. */
+/** Request for a connection to an endpoint. */
 export type TurnRequest = {
   requestId: string
   workspace: string
   weight: number
-  /** Expected time at an endpoint, in milliseconds. */
+  /** Expected time on the connection, in milliseconds. */
   costMs: number
   deadlineMs: number
   use: ConnectionUse
-  /** Undefined: only the primary will do. */
+  /** Undefined if only the primary may serve the request. */
   read: ReadNeed | undefined
   isStillAllowed: () => boolean
 }
 
-/** A connection for one request or transaction. */
+/** Connection assigned to one request or transaction. */
 export type Turn = {
   endpoint: string
   isPrimary: boolean
   connection: EndpointConnection
-  /** Ends the turn; its time is charged to the workspace. */
+  /** Returns the connection to its pool and charges the time used to the workspace. */
   release: (end: TurnEnd) => void
 }
 
-/** The dispatcher of one group. */
+/** Dispatcher of one group. */
 export type GroupDispatcher = {
-  /** Resolves to a turn, or to the outcome if the request did not get one. */
+  /** Queues a request for a connection. Fails with the request's outcome if it does not get one. */
   turn: (request: TurnRequest) => Promise<Result<Turn, Outcome>>
-  /** Looks for turns to give, after capacity or health may have changed. */
+  /** Assigns free connections to queued requests. Called when capacity or health may have changed. */
   pump: () => void
   queued: () => number
   close: () => void
 }
 
-/** What a dispatcher depends on. */
+/** Dependencies of a dispatcher. */
 export type GroupDispatcherOptions = {
   group: string
   endpoints: GroupEndpoints
@@ -62,7 +62,7 @@
   discipline: Discipline
   maxQueued: number
   maxQueuedPerWorkspace: number
-  /** No work starts out of contact; what waits is kept until its deadline. */
+  /** While this is false, no request is assigned; queued requests wait until their deadlines. */
   isInContact: () => boolean
 }
 
@@ -121,7 +121,7 @@
 
   const mayServe = (view: EndpointView): boolean => !view.isOut && view.reachable
 
-  /** Asks peers for connections while requests wait for want of them. */
+  /** Requests connection permits from peers while requests are queued for lack of connections. */
   const requestMore = (views: readonly EndpointView[], queue: FairQueue<Waiting>) => {
     if (queue.size() === 0) return
     for (const view of views) endpoints.endpoint(view.name)?.pool.requestMore()
@@ -169,7 +169,7 @@
     pumpPrimary()
   }
 
-  /** Opens or takes the connection that was assigned. The place in the pool is reserved at once. */
+  /** Acquires a connection to the chosen endpoint. Its capacity in the pool is reserved synchronously. */
   const connect = async (assigned: Assigned, use: ConnectionUse): Promise<Result<Turn, Outcome>> => {
     const endpoint = endpoints.endpoint(assigned.view.name)
     if (!endpoint) return Err(notRun('endpointNotConnected', busyRetryMs))
--- a/packages/entry/src/coordination/group-endpoints.ts
+++ b/packages/entry/src/coordination/group-endpoints.ts
@@ -1,6 +1,6 @@
 /**
- * The endpoints of one group: their pools, their health, and who leads. One task for each endpoint asks for its
- * position, so that routing knows replicas that serve nothing yet.
+ * The endpoints of one group: their connection pools, their health, and which one is the primary. One task per endpoint
+ * polls its status, so that routing also knows the positions of replicas that serve no requests yet.
  */
 import { createTicker } from '@egretyoke/common'
 import type { Clock, Logger } from '@egretyoke/common'
@@ -16,41 +16,41 @@
 import type { EndpointPool, PermitSource } from './endpoint-pool.js'
 import type { EndpointView } from './routing.js'
 
-/** Between questions for an endpoint's position while its group serves, and while it is idle. */
+/** Intervals between status polls of an endpoint while its group serves requests, and while the group is idle. */
 const busyStatusIntervalMs = 200
 const idleStatusIntervalMs = 1_000
-/** A group that served a request within this time is busy. */
+/** A group is busy if an endpoint answered a request within this time. */
 const busyForMs = 2_000
-/** Timers fire a little early or late. */
+/** Tolerance for timers that fire slightly early or late. */
 const scheduleMarginMs = 20
 const statusTimeoutMs = 500
-/** A primary that is to hand over serves for so long after the news, then no more. */
+/** A primary that is leaving or out of service keeps serving for at most this long, until it has been replaced. */
 const handOverGraceMs = 4_000
 
-/** An endpoint's own account of itself. */
+/** Status of an endpoint, as reported by the endpoint. */
 export type EndpointStatus = { term: number, appliedPosition: number, isPrimary: boolean }
 
-/** Opens the ways to one endpoint; passed in by the transport layer. */
+/** Channels to one endpoint, provided by the transport layer. */
 export type EndpointTransport = {
   connector: EndpointConnector
   status: (timeoutMs: number) => Promise<EndpointStatus | undefined>
   close: () => void
 }
 
-/** What a group's endpoints depend on. */
+/** Dependencies of a group's endpoints. */
 export type GroupEndpointsOptions = {
   group: string
   clock: Clock
   log: Logger
   record: () => GroupRecord | undefined
-  /** True when the endpoint is leaving or in a data centre that is out. */
+  /** True if the endpoint is leaving, or its data centre is out of service. */
   isOut: (name: string, config: EndpointConfig) => boolean
   /** Permits for connections to an endpoint. */
   permits: (endpoint: string) => PermitSource
-  /** Statements in flight at an endpoint before anything is known of its load. */
+  /** Initial limit on statements in flight at an endpoint, used until its load is known. */
   initialInFlight: (config: EndpointConfig) => number
   openTransport: (config: EndpointConfig) => EndpointTransport
-  /** True while what the record says may be relied upon. */
+  /** True while the group record is known to be current. */
   isInContact: () => boolean
   /** Called when capacity or health may have changed. */
   onChange: () => void
@@ -73,15 +73,15 @@
 
 /** The endpoints of one group. */
 export type GroupEndpoints = {
-  /** Opens new endpoints and closes those that are gone. */
+  /** Opens endpoints that are new, and closes those that were removed or have another address. */
   setEndpoints: (endpoints: Readonly<Record<string, EndpointConfig>>) => void
   endpoint: (name: string) => GroupEndpoint | undefined
   views: () => EndpointView[]
   history: PrimaryHistory
-  /** Takes in what an answer tells of its endpoint. `askedAtMs` is when the request was sent. */
+  /** Updates the health of an endpoint from its answer to a request that was sent at `sentAtMs`. */
   noteAnswer: (name: string, answer: EndpointAnswer, askedAtMs: number) => void
   noteFailure: (name: string) => void
-  /** Calls back once if the endpoint stops answering; the returned function ends the watch. */
+  /** Calls back once if the endpoint becomes unreachable. The returned function removes the callback. */
   onLost: (name: string, callback: () => void) => () => void
   sightings: () => PeerMessages.EndpointSighting[]
   close: () => void
@@ -129,14 +129,14 @@
     return () => callbacks?.delete(callback)
   }
 
-  /** Answers to requests tell as much as a question would. */
+  /** A poll is skipped while answers to requests report the endpoint's position often enough. */
   const isQuestionDue = (endpoint: KeptEndpoint): boolean => {
     const unseenMs = clock() - endpoint.health.current().seenAtMs
     const isBusy = clock() - lastAnswerMs < busyForMs
     return unseenMs >= (isBusy ? busyStatusIntervalMs : idleStatusIntervalMs) - scheduleMarginMs
   }
 
-  /** The task of one endpoint: asks for its position until the endpoint is gone. */
+  /** Polls the status of one endpoint until the endpoint is closed. */
   const watch = async (endpoint: KeptEndpoint) => {
     for await (const _ of createTicker(busyStatusIntervalMs).ticks(endpoint.stop.signal)) {
       if (!isQuestionDue(endpoint)) continue
@@ -191,7 +191,7 @@
     }
   }
 
-  /** Out at once for replicas; a primary serves on until it has been replaced, but not for long. */
+  /** A replica is out of service immediately; a primary only after the handover grace period. */
   const isOutNow = (endpoint: KeptEndpoint, isRecordPrimary: boolean): boolean => {
     if (!options.isOut(endpoint.name, endpoint.config)) {
       endpoint.outSinceMs = Infinity
--- a/packages/entry/src/coordination/groups.ts
+++ b/packages/entry/src/coordination/groups.ts
@@ -1,5 +1,5 @@
 /**
- * The groups of the configuration in force: endpoints, dispatcher and checks of each.
+ * The groups of the active configuration, each with its endpoints, dispatcher and answer checker.
  */
 import type { Clock, Logger } from '@egretyoke/common'
 import type { EndpointConfig } from '@egretyoke/config'
@@ -15,7 +15,7 @@
 
 const minInFlight = 2
 
-/** What the groups depend on. */
+/** Dependencies of the groups. */
 export type GroupsOptions = {
   state: KnownState
   clock: Clock
@@ -29,16 +29,16 @@
   openTransport: (group: string, config: EndpointConfig) => EndpointTransport
 }
 
-/** All groups. */
+/** The groups of the active configuration. */
 export type Groups = {
   group: (name: string) => GroupContext | undefined
   all: () => GroupContext[]
-  /** Follows the configuration in force. */
+  /** Adds, updates and removes groups according to the active configuration. */
   update: () => void
   close: () => void
 }
 
-/** Creates the groups; `update` fills them. */
+/** Creates an empty set of groups; `update` adds them. */
 export const createGroups = (options: GroupsOptions): Groups => {
   const { state, clock, log, limits } = options
   const groups = new Map<string, GroupContext>()
@@ -47,7 +47,7 @@
     state.leaving().endpoints.includes(endpoint) ||
     state.configuration()?.dataCentres[config.dataCentre]?.state === 'out'
 
-  /** This VM's part of twice the endpoint's slots: one statement runs while the next one is on its way. */
+  /** This VM's share of twice the endpoint's slots, so that one statement runs while the next one is in transit. */
   const initialInFlight = ({ slots }: EndpointConfig): number =>
     Math.max(minInFlight, Math.ceil(2 * slots / (state.roster()?.members.length ?? 1)))
 
--- a/packages/entry/src/coordination/identity.ts
+++ b/packages/entry/src/coordination/identity.ts
@@ -1,17 +1,17 @@
 /**
- * This process's name and incarnation. The incarnation rises with each start of a VM's process.
+ * Name and incarnation of this process. The incarnation increases with each start of a VM's process.
  */
 
-/** Who this process is. */
+/** Identity of this process. */
 export type Identity = {
   vm: string
   dataCentre: string
   incarnation: () => number
-  /** Takes an incarnation above the given one; only before the VM has served anything. */
+  /** Raises the incarnation above the given one. Permitted only before the VM has served any request. */
   riseAbove: (incarnation: number) => void
 }
 
-/** Creates an identity from wall time, so that a later start of the same name is higher. */
+/** Creates an identity. Its incarnation is the wall time, so that a later start of the same VM has a higher one. */
 export const createIdentity = (vm: string, dataCentre: string, wallMs: number = Date.now()): Identity => {
   let own = wallMs
   return {
--- a/packages/entry/src/coordination/loan-terms.ts
+++ b/packages/entry/src/coordination/loan-terms.ts
@@ -1,36 +1,37 @@
 /**
- * What loans of all kinds have in common: their length, and how peers are asked.
+ * Durations and peer calls shared by loans of rate limits and of connection permits.
  */
 import type { BorrowReply, BorrowRequest } from '@egretyoke/limits'
 import type { KnownState } from '../state/known-state.js'
 import type { PeerCalls } from './peer-calls.js'
 
-/** Longest loan, in milliseconds. */
+/** Maximum duration of a loan, in milliseconds. */
 export const loanTtlMs = 1_000
 
-/** How much later than the borrower a lender counts a loan as over, in milliseconds. */
+/** Time in milliseconds by which the lender treats a loan as expired later than the borrower does. */
 export const loanMarginMs = 200
 
 const contactMarginMs = 300
 const borrowTimeoutMs = 200
 
 /**
- * How long a larger part of a limit waits until it is in force: the contact time and the longest loan, with their
- * margins.
+ * Delay in milliseconds before an increased share of a limit takes effect: the contact TTL plus the maximum loan
+ * duration, each with its margin.
  *
- * Say that a roster is stored at S which takes a VM's part away, because the VM was removed or is suspended, and that
- * the VM is alive. Until it knows that roster it admits requests and grants loans only while it is in contact, which is
- * until S and the contact time at the latest. Its last loan, and whatever a borrower lent on out of it, is over a loan
- * time later. Nobody learns of the roster before S, so nobody's larger part is in force before all of that is over.
- * The contact time alone would not do: the last loan is granted at its very end.
+ * Suppose that a roster stored at time S removes a VM's share, because the VM was removed or suspended, while the VM is
+ * still running. Until the VM receives that roster it admits requests and grants loans only while it is in contact, at
+ * the latest until S plus the contact TTL. Its last loan, including any part that the borrower lent on, expires one
+ * loan duration later. No VM receives the roster before S, so no increased share takes effect before that. The contact
+ * TTL alone would be too short, because the last loan can be granted at its very end.
  *
- * This leans on contact ending in time, and so does not hold while a majority of the roster can reach neither the
- * platform nor anybody who knows the new roster: that majority then vouches for each other (see contact.ts).
+ * The guarantee depends on contact ending in time. It does not hold while a majority of the roster can reach neither
+ * the platform nor any VM that has the new roster, because that majority then keeps each other in contact (see
+ * contact.ts).
  */
 export const growthDelayMsFor = (contactTtlMs: number): number =>
   contactTtlMs + contactMarginMs + loanTtlMs + loanMarginMs
 
-/** Asks a peer of the roster for a loan. */
+/** Creates the function that requests a loan from a peer in the roster; it resolves to undefined without a reply. */
 export const createAskPeer = (state: KnownState, calls: PeerCalls) =>
   async (peer: string, request: BorrowRequest): Promise<BorrowReply | undefined> => {
     const address = state.roster()?.members.find(member => member.name === peer)?.address
--- a/packages/entry/src/coordination/membership.ts
+++ b/packages/entry/src/coordination/membership.ts
@@ -1,6 +1,6 @@
 /**
- * Membership: one heartbeat task for each peer of the roster, and what a starting VM learns while the platform
- * is silent.
+ * Membership: one heartbeat task for each peer in the roster, and startup from peers while the platform is
+ * unreachable.
  */
 import { createTicker, sleepMs } from '@egretyoke/common'
 import type { Clock, Logger, Ticker } from '@egretyoke/common'
@@ -18,7 +18,7 @@
 
 const seedIntervalMs = 300
 
-/** What membership needs. */
+/** Dependencies and options of membership. */
 export type MembershipOptions = {
   identity: Identity
   state: KnownState
@@ -29,7 +29,7 @@
   log: Logger
   intervalMs: number
   timeoutMs: number
-  /** A peer that has not answered for so long does not count as alive. */
+  /** A peer that has not answered a heartbeat for this long does not count as alive. */
   aliveMs: number
   seedPeers: readonly string[]
   isDraining: () => boolean
@@ -37,17 +37,17 @@
   fetchFrom: (address: string) => Promise<void>
 }
 
-/** The running membership. */
+/** Heartbeats to and from the peers of this VM. */
 export type Membership = {
-  /** This VM's heartbeat, as sent and as answered. */
+  /** Creates this VM's heartbeat message, which is both the request and the base of the reply. */
   ownMessage: () => PeerMessages.HeartbeatMessage
-  /** Takes in a peer's heartbeat and returns the answer. */
+  /** Processes a peer's heartbeat and returns the reply. */
   answer: (message: PeerMessages.HeartbeatMessage__Output) => PeerMessages.HeartbeatMessage
-  /** True when this VM is one of those in its data centre that ask the platform. */
+  /** True if this VM is one of the relays of its data centre, which poll the platform. */
   isRelay: () => boolean
   /** Members of the roster that have answered no heartbeat of this VM for longer than the contact time. */
   silentPeers: () => string[]
-  /** Sends heartbeats now, when there is news. */
+  /** Sends heartbeats immediately, because records have changed. */
   announce: () => void
   run: (signal: AbortSignal) => Promise<void>
 }
@@ -56,11 +56,11 @@
   ticker: Ticker
   stop: AbortController
   address: string
-  /** When the newest question was sent that was answered; at first, when the task began. */
+  /** Send time of the latest heartbeat that was answered; the start time of the task before the first reply. */
   answeredMs: number
 }
 
-/** Creates the membership; `run` ends with its signal. */
+/** Creates the membership; `run` ends when its signal is aborted. */
 export const createMembership = (options: MembershipOptions): Membership => {
   const { identity, state, contact, peers, calls, clock, log } = options
   const tasks = new Map<string, PeerTask>()
@@ -119,7 +119,7 @@
     return { ...ownMessage(), newestIncarnationOfAsker: peers.newestIncarnation(message.vm) }
   }
 
-  /** The task of one peer: asks it at every interval until it leaves the roster. */
+  /** Sends a heartbeat to one peer at every interval until the task is stopped. */
   const runPeer = async (vm: string, task: PeerTask) => {
     for await (const _ of task.ticker.ticks(task.stop.signal)) {
       const askedAtMs = clock()
@@ -166,7 +166,7 @@
     return alive.indexOf(identity.vm) < relaysPerDataCentre
   }
 
-  /** While the platform is silent, a starting VM needs the answers of a majority other than itself. */
+  /** Starts without the platform if peers that form a majority of the roster, not counting this VM, are alive. */
   const tryStartFromPeers = async () => {
     await Promise.all(options.seedPeers.map(options.fetchFrom))
     const roster = members()
--- a/packages/entry/src/coordination/peer-calls.ts
+++ b/packages/entry/src/coordination/peer-calls.ts
@@ -1,9 +1,9 @@
 /**
- * Calls to peers, passed in by the transport layer. No answer is `undefined`.
+ * Calls to peers, provided by the transport layer. They resolve to undefined if there is no reply in time.
  */
 import type { PeerMessages } from '@egretyoke/protocol'
 
-/** Calls by peer address and timeout in milliseconds. */
+/** Calls to a peer by its address, with a timeout in milliseconds. */
 export type PeerCalls = {
   heartbeat: (
     address: string,
--- a/packages/entry/src/coordination/rate-limits.ts
+++ b/packages/entry/src/coordination/rate-limits.ts
@@ -1,5 +1,5 @@
 /**
- * The workspaces' rate limits as shares of this VM.
+ * Rate limits of the workspaces. Each limit applies to the whole fleet, and this VM has a share of it.
  */
 import { crc32 } from 'node:zlib'
 import type { Clock, Logger } from '@egretyoke/common'
@@ -14,10 +14,10 @@
 const maxWaitMs = 60
 const maxLimits = 10_000
 
-/** Loan policies by their name in the settings. */
+/** Loan policies, by their names in the settings. */
 export const loanPolicies = { loans, staticSlices, tokenLoans } as const
 
-/** What rate limits depend on. */
+/** Dependencies of rate limits. */
 export type RateLimitsOptions = {
   identity: Identity
   state: KnownState
@@ -28,19 +28,22 @@
   policy: keyof typeof loanPolicies
 }
 
-/** The rate limits of this VM. */
+/** Rate limits of this VM. */
 export type RateLimits = {
   take: (workspace: string) => Promise<Taken>
   lend: ShareTable['lend']
   expireLoans: () => void
-  /** Follows the configuration and the roster in force. */
+  /** Applies the limits of the active configuration and the members of the active roster. */
   update: () => void
-  /** False until the loans of this VM's predecessor are over, and whenever its own part is not in force. */
+  /**
+   * False until the loans of this VM's previous process have expired and its own shares have taken effect; false again
+   * while the VM has no share.
+   */
   isReady: () => boolean
   close: () => void
 }
 
-/** Creates the rate limits. */
+/** Creates the rate limits of this VM. */
 export const createRateLimits = (options: RateLimitsOptions): RateLimits => {
   const { identity, state, calls, clock, log } = options
   const growthDelayMs = growthDelayMsFor(options.contactTtlMs)
@@ -74,7 +77,7 @@
       ({ name, ratePerSec, burst, version: crc32(`${ratePerSec}/${burst}`) })))
   }
 
-  /** The part comes into force a while after the hold, so the table itself is asked. */
+  /** Shares take effect some time after the startup hold, so the table is checked as well. */
   const isReady = () => {
     if (isStarted) return true
     const isHoldOver = clock() - sharingSinceMs > growthDelayMs
--- a/packages/entry/src/coordination/request-counters.ts
+++ b/packages/entry/src/coordination/request-counters.ts
@@ -1,11 +1,11 @@
 /**
- * Counters of requests, as metrics.
+ * Metrics of requests.
  */
 import { Counter, Histogram } from 'prom-client'
 import type { Registry } from 'prom-client'
 import type { Outcome } from '../state/outcome.js'
 
-/** Counts what became of requests. */
+/** Counters of request outcomes, retries and latencies. */
 export type RequestCounters = {
   outcome: (workspace: string, outcome: Outcome) => void
   served: (isRead: boolean, fromReplica: boolean) => void
@@ -16,7 +16,7 @@
 
 const latencyBucketsMs = [0.5, 1, 2, 5, 10, 20, 50, 100, 200, 500, 1_000, 5_000, 20_000]
 
-/** Registers the counters. */
+/** Creates the metrics in a registry. */
 export const createRequestCounters = (registry: Registry): RequestCounters => {
   const registers = [registry]
   const outcomes = new Counter({
@@ -27,19 +27,19 @@
   })
   const reads = new Counter({
     name: 'egretyoke_served_total',
-    help: 'Requests served, by access and by the role of the endpoint.',
+    help: 'Requests served, by access and role of the endpoint.',
     labelNames: ['access', 'role'],
     registers
   })
   const tooOld = new Counter({
     name: 'egretyoke_answers_too_old_total',
-    help: 'Answers of replicas that were thrown away.',
+    help: 'Answers of replicas that were too old and were discarded.',
     registers
   })
-  const retries = new Counter({ name: 'egretyoke_retries_total', help: 'Attempts after the first.', registers })
+  const retries = new Counter({ name: 'egretyoke_retries_total', help: 'Retries of requests.', registers })
   const latency = new Histogram({
     name: 'egretyoke_request_duration_ms',
-    help: 'Time from a request to its outcome.',
+    help: 'Time from the arrival of a request to its outcome.',
     buckets: latencyBucketsMs,
     registers
   })
--- a/packages/entry/src/coordination/retry-policy.ts
+++ b/packages/entry/src/coordination/retry-policy.ts
@@ -1,35 +1,35 @@
 /**
- * When a request is tried again. An endpoint's "not run" is true for every request, so all may be tried again. After
- * an unknown outcome only those may that do no harm when they run twice: the rule of "Retry 429 on every request, 502
- * on reads only", measured by the experiment `retries`.
+ * Decides whether a request is retried. If an endpoint reports that a request did not run, any request may be retried.
+ * After an unknown outcome, only requests that are safe to run twice may be retried. This corresponds to the HTTP rule
+ * "Retry 429 on every request, 502 on reads only". The experiment `retries` compares the policies.
  */
 import type { Outcome } from '../state/outcome.js'
 
-/** What a policy decides on. */
+/** Input of a retry policy. */
 export type RetrySituation = {
   outcome: Outcome
-  /** Reads, and writes on routes that are marked so. */
+  /** True for reads, and for writes on routes that are marked as repeatable. */
   isRepeatable: boolean
 }
 
-/** Decides whether a request is tried again. */
+/** Returns true if the request may be retried. */
 export type RetryPolicy = (situation: RetrySituation) => boolean
 
-/** Refusals by endpoints, which another attempt may avoid. */
+/** True if an endpoint refused the request or could not be reached, so that it did not run. */
 const isEndpointRefusal = (outcome: Outcome): boolean =>
   outcome.kind === 'notRun' && (outcome.reason === 'endpointDeclined' || outcome.reason === 'endpointNotConnected')
 
-/** The rule in use. */
+/** Retries refusals by endpoints, and unknown outcomes of repeatable requests. This is the default. */
 export const retryByOutcome: RetryPolicy = ({ outcome, isRepeatable }) =>
   isEndpointRefusal(outcome) || (outcome.kind === 'outcomeUnknown' && isRepeatable)
 
-/** For comparison: nothing is tried again. */
+/** Never retries. For comparison in experiments. */
 export const retryNever: RetryPolicy = () => false
 
-/** For comparison only: repeats writes whose outcome is unknown. */
+/** Retries all unknown outcomes, including those of writes. For comparison in experiments only. */
 export const retryAlways: RetryPolicy = ({ outcome }) => isEndpointRefusal(outcome) || outcome.kind === 'outcomeUnknown'
 
-/** Policies by their name in the settings. */
+/** Retry policies, by their names in the settings. */
 export const retryPolicies = {
   byOutcome: retryByOutcome,
   never: retryNever,
@@ -40,9 +40,9 @@
 const maxDelayMs = 500
 const maxAttempts = 8
 
-/** Delay before the next attempt: no less than the schedule, no more than the cap. */
+/** Delay before the next attempt: the exponential backoff or `retryAfterMs`, whichever is longer, up to a maximum. */
 export const retryDelayMs = (attempt: number, retryAfterMs: number): number =>
   Math.min(maxDelayMs, Math.max(retryAfterMs, firstDelayMs * 2 ** (attempt - 1)))
 
-/** Attempts that one request makes at the most. */
+/** Maximum number of attempts of one request, including the first. */
 export const maxRequestAttempts = maxAttempts
--- a/packages/entry/src/coordination/routing.ts
+++ b/packages/entry/src/coordination/routing.ts
@@ -1,53 +1,53 @@
 /**
- * Routing: which endpoint serves a request. Cached positions only choose; every answer is checked afterwards.
+ * Routing: selects the endpoint for a request. Cached positions only guide the selection; every answer is checked.
  */
 import type { GroupRecord } from '@egretyoke/config'
 import type { LogPlace } from '../state/session-positions.js'
 
-/** An endpoint as routing sees it. */
+/** State of an endpoint that routing depends on. */
 export type EndpointView = {
   name: string
   isRecordPrimary: boolean
   reachable: boolean
-  /** Announced as leaving, or in a data centre that is out. */
+  /** True if the endpoint is leaving, or its data centre is out of service. */
   isOut: boolean
   term: number
   appliedPosition: number
-  /** True when a connection could be taken now. */
+  /** True if a connection can be acquired now. */
   hasRoom: () => boolean
   inUse: number
   latencyMs: number
 }
 
-/** What a read needs of the endpoint that serves it. */
+/** Freshness that a read requires of the endpoint that serves it. */
 export type ReadNeed = {
-  /** The session's place in the group; undefined: it has none. */
+  /** The session's log position in the group; undefined if it has none. */
   place: LogPlace | undefined
-  /** Smallest position that is fresh enough; undefined: any. */
+  /** Smallest position that is fresh enough; undefined if any position is. */
   minPosition: number | undefined
 }
 
-/** An endpoint that was passed over, as `NAME: REASON`. */
+/** An endpoint that may not serve a read, as `NAME: REASON`. */
 export type PassedOver = string
 
-/** The endpoints that may serve a read, best first. */
+/** Endpoints that may serve a read, best first, and those that may not. */
 export type ReadRoute = {
   eligible: EndpointView[]
   passedOver: PassedOver[]
 }
 
 /**
- * The term's place at which data of an earlier term stops being part of the group's log; undefined: the term is
- * not older than the record's.
+ * Last position of a term that is part of the group's log: the start position of the next term in the record's
+ * lineage. Undefined if the lineage has no later term.
  */
 export const endOfTerm = (record: GroupRecord, term: number): number | undefined =>
   record.lineage.find(start => start.term > term)?.startPosition
 
-/** True when data at a place holds all that a session's place asks for. Positions count through all terms. */
+/** True if data at one log position includes all data up to another. Positions increase across terms. */
 export const holdsPlace = (data: LogPlace, place: LogPlace): boolean =>
   data.position >= place.position && data.term >= place.term
 
-/** True when data at a place is part of the log that the record describes. */
+/** True if a log position is part of the log that the group record describes. */
 export const isInLineage = (record: GroupRecord, data: LogPlace): boolean => {
   const end = endOfTerm(record, data.term)
   return data.term <= record.term && (end === undefined || data.position <= end)
@@ -66,7 +66,7 @@
 const byLoad = (left: EndpointView, right: EndpointView): number =>
   left.inUse - right.inUse || left.latencyMs - right.latencyMs
 
-/** Chooses replicas for a read: fewest requests in flight first, then the quickest. */
+/** Selects the replicas for a read, ordered by connections in use, then by latency. */
 export const routeRead = (views: readonly EndpointView[], need: ReadNeed): ReadRoute => {
   const eligible: EndpointView[] = []
   const passedOver: PassedOver[] = []
@@ -78,6 +78,6 @@
   return { eligible: eligible.sort(byLoad), passedOver }
 }
 
-/** The endpoint that leads the group now, if work may go there. */
+/** Finds the primary according to the group record. */
 export const findPrimary = (views: readonly EndpointView[]): EndpointView | undefined =>
   views.find(view => view.isRecordPrimary)
--- a/packages/entry/src/coordination/rows-passage.ts
+++ b/packages/entry/src/coordination/rows-passage.ts
@@ -1,34 +1,34 @@
 /**
- * Passes the rows of one streamed answer on to the caller, once they are known to be fresh enough, and for as long as
- * the caller's key and this VM's contact hold.
+ * Forwards the rows of one streamed answer to the caller. The first rows are checked for freshness; forwarding stops
+ * when the caller's key is withdrawn or this VM loses contact.
  */
 import type { EndpointRows, OnRows } from '@egretyoke/fleet'
 import type { Outcome } from '../state/outcome.js'
 import type { CheckResult } from './answer-check.js'
 
-/** How the passing of rows stands. */
+/** Forwards the rows of one answer, with its progress. */
 export type RowsPassage = {
   onRows: OnRows
-  /** Why rows were stopped on this VM's side; undefined: they were not. */
+  /** Outcome if this VM stopped forwarding; undefined if it did not. */
   stopped: () => Outcome | undefined
   isTooOld: () => boolean
-  /** True when the caller took no more. */
+  /** True if the caller did not accept the last rows. */
   isGivenUp: () => boolean
-  /** True once rows have gone out, which cannot be taken back. */
+  /** True once rows have been sent to the caller, which cannot be undone. */
   hasSentRows: () => boolean
-  /** No rows of this answer go out any more. */
+  /** Stops forwarding rows of this answer. */
   end: () => void
 }
 
-/** What a passage depends on. */
+/** Dependencies of a row forwarder. */
 export type RowsPassageOptions = {
   sendRows: ((rows: Buffer) => Promise<boolean>) | undefined
   check: (rows: EndpointRows) => Promise<CheckResult>
-  /** Why no more rows may go to the caller, though its statement was admitted. */
+  /** Resolves to an outcome if no more rows may be sent to the caller, although its statement was admitted. */
   reasonToStop: () => Promise<Outcome | undefined>
 }
 
-/** Creates the passage of one answer. */
+/** Creates the forwarder of one answer. */
 export const createRowsPassage = (options: RowsPassageOptions): RowsPassage => {
   let stopped: Outcome | undefined
   let isTooOld = false
--- a/packages/entry/src/coordination/serving-state.ts
+++ b/packages/entry/src/coordination/serving-state.ts
@@ -1,5 +1,6 @@
 /**
- * Whether this VM may serve: contact, pauses of the host, draining, and its data centre or itself being taken out.
+ * Whether this VM may serve requests: contact, pauses of the host, draining, and whether the VM is leaving or its data
+ * centre is out of service.
  */
 import { sleepMs, ticks } from '@egretyoke/common'
 import type { Clock, Logger, PauseDetector } from '@egretyoke/common'
@@ -8,14 +9,14 @@
 import type { Contact } from './contact.js'
 import type { Identity } from './identity.js'
 
-/** A VM in a data centre that is out still takes calls for so long, while the balancer notices. */
+/** A VM whose data centre is out of service accepts calls for this long, until the load balancer stops sending them. */
 const outGraceMs = 1_500
 const checkIntervalMs = 100
-/** Contact that is lost because of news comes back within a few messages between VMs. */
+/** Contact lost because of a newer revision is usually regained after a few messages between VMs. */
 const maxContactWaitMs = 300
 const contactWaitStepMs = 5
 
-/** What the serving state depends on. */
+/** Dependencies of the serving state. */
 export type ServingStateOptions = {
   identity: Identity
   state: KnownState
@@ -23,21 +24,24 @@
   clock: Clock
   log: Logger
   pauseDetector: PauseDetector
-  /** Called when the host seems to have been paused. */
+  /** Called when a pause of the host is detected. */
   onPause: () => void
 }
 
 /** Whether this VM may serve. */
 export type ServingState = {
   isInContact: () => boolean
-  /** Waits a moment for contact, as between the news of a change and the change itself. */
+  /**
+   * Waits a short time for contact if it is lost only because a newer revision has been announced but not yet applied.
+   * Resolves to false if the VM is still not in contact.
+   */
   waitForContact: () => Promise<boolean>
   isDraining: () => boolean
-  /** True once draining has gone on long enough that new calls are refused. */
+  /** True once new calls are refused, which begins some time after draining. */
   isRefusingCalls: () => boolean
-  /** True when the data centre has been out for longer than the balancer needs. */
+  /** True if the data centre has been out of service for longer than the load balancer needs to react. */
   isDataCentreOut: () => boolean
-  /** False tells the balancer to send no more calls. */
+  /** False if the load balancer should stop sending calls, which it learns from the readiness check. */
   mayGetWork: () => boolean
   startDraining: () => void
   refuseCalls: () => void
--- a/packages/entry/src/coordination/session-rules.ts
+++ b/packages/entry/src/coordination/session-rules.ts
@@ -1,5 +1,5 @@
 /**
- * What sessions are owed, and what they are told.
+ * Session consistency: the freshness that a session's reads require, and the session state after an answer.
  */
 import type { LogPlace, SessionState } from '../state/session-positions.js'
 import { sessionAfter } from '../state/session-positions.js'
@@ -9,7 +9,10 @@
 import { isInLineage } from './routing.js'
 import type { ReadNeed } from './routing.js'
 
-/** The session after an answer. A session need not follow what it merely read, unless its own writes are not known. */
+/**
+ * Returns the session state after an answer. A read changes the state only if it was served by the primary and the
+ * positions of the session's own writes in the group are unknown.
+ */
 export const sessionAfterAnswer = (
   session: SessionState,
   isRead: boolean,
@@ -22,7 +25,7 @@
   return sessionAfter(session, group, { term: answer.term, position: answer.position })
 }
 
-/** A write that the session was told of and that a failover has dropped. */
+/** Position of the session's last confirmed write in the group if a failover has lost it, otherwise undefined. */
 export const lostPlace = (group: GroupContext, session: SessionState): LogPlace | undefined => {
   const place = session.positions.get(group.name)
   const record = group.record()
@@ -30,14 +33,14 @@
   return place
 }
 
-/** The session once it has been told of the loss: it goes on from what the group kept. */
+/** Returns the session state after a lost write was reported: it continues from the start of the newest term. */
 export const sessionAfterLoss = (group: GroupContext, session: SessionState): SessionState => {
   const start = group.record()!.lineage.at(-1)!
   const kept = new Map(session.positions).set(group.name, { term: start.term, position: start.startPosition })
   return { ...session, positions: kept }
 }
 
-/** What a read needs of a replica; undefined: only the primary will do. */
+/** Freshness that a request requires of a replica; undefined if only the primary may serve it. */
 export const readNeed = (
   context: EntryContext,
   group: GroupContext,
--- a/packages/entry/src/coordination/state-follower.ts
+++ b/packages/entry/src/coordination/state-follower.ts
@@ -1,6 +1,7 @@
 /**
- * Follows the platform's records. Two VMs of each data centre ask the platform; all others learn from peers.
- * Calls of the platform therefore grow with data centres and not with VMs.
+ * Keeps the local copy of the platform's records up to date. Two VMs in each data centre, the relays, poll the
+ * platform; all others receive changes from peers. The load on the platform therefore grows with the number of data
+ * centres and not with the number of VMs.
  */
 import { createTicker } from '@egretyoke/common'
 import type { Clock, Logger } from '@egretyoke/common'
@@ -11,16 +12,16 @@
 import type { Contact } from './contact.js'
 import type { PeerCalls } from './peer-calls.js'
 
-/** A VM whose newest confirmation is older than this part of the contact time asks for itself, though seldom. */
+/** A VM whose newest confirmation is older than this fraction of the contact TTL polls the platform itself, rarely. */
 const staleFraction = 0.5
 
-/** When all peers announce the same news, asking a few of them is enough. */
+/** When many peers announce the same revision, fetching it from a few of them is enough. */
 const maxFetchesAtOnce = 3
 
-/** VMs of a data centre that ask the platform. */
+/** Number of VMs in each data centre that poll the platform. */
 export const relaysPerDataCentre = 2
 
-/** What the follower needs. */
+/** Dependencies and options of the follower. */
 export type StateFollowerOptions = {
   platform: Platform
   state: KnownState
@@ -31,22 +32,22 @@
   pollIntervalMs: number
   timeoutMs: number
   contactTtlMs: number
-  /** True when this VM is one that asks the platform. */
+  /** True if this VM polls the platform for its data centre. */
   isRelay: () => boolean
-  /** VMs that would ask all at once if each asked for itself. */
+  /** Number of VMs that share the fallback polling rate. */
   rosterSize: () => number
 }
 
-/** The running follower. */
+/** Follows changes of the platform's records. */
 export type StateFollower = {
-  /** Asks the platform now. */
+  /** Polls the platform immediately. */
   pollNow: () => void
-  /** Learns from a peer that knows a newer revision. */
+  /** Fetches newer records from a peer. */
   fetchFrom: (address: string) => Promise<void>
   run: (signal: AbortSignal) => Promise<void>
 }
 
-/** Creates a follower; `run` ends with its signal. */
+/** Creates a follower; `run` ends when its signal is aborted. */
 export const createStateFollower = (options: StateFollowerOptions): StateFollower => {
   const { platform, state, contact, calls, clock, log, timeoutMs } = options
   const ticker = createTicker(options.pollIntervalMs)
@@ -90,8 +91,8 @@
   }
 
   /**
-   * When the relays cannot reach the platform, the others ask for themselves, so seldom that all of them together
-   * ask no more often than the relays would.
+   * When the relays cannot reach the platform, all other VMs poll it themselves, at an interval long enough that
+   * together they poll no more often than the relays would.
    */
   const isOwnTurn = (): boolean => {
     if (contact.confirmedAgeMs() < options.contactTtlMs * staleFraction) return false
--- a/packages/entry/src/coordination/statement-attempt.ts
+++ b/packages/entry/src/coordination/statement-attempt.ts
@@ -1,5 +1,5 @@
 /**
- * One attempt at one statement: a turn at an endpoint, the statement, and the check of its answer.
+ * One attempt to run a statement: acquires a connection to an endpoint, runs the statement and checks the answer.
  */
 import type { Result } from '@egretyoke/common'
 import type { ConnectionError, EndpointAction, EndpointAnswer } from '@egretyoke/fleet'
@@ -17,33 +17,33 @@
 import type { RowsPassage } from './rows-passage.js'
 import { lostPlace, readNeed, sessionAfterAnswer, sessionAfterLoss } from './session-rules.js'
 
-/** A statement that was admitted. */
+/** A statement that passed admission. */
 export type StatementTask = {
   requestId: string
   admitted: Admitted
   text: Buffer
   session: SessionState
-  /** Takes the rows of a streamed answer; undefined: the answer comes as a whole. */
+  /** Receives the rows of a streamed answer; undefined if the answer is not streamed. */
   onRows: ((rows: Buffer) => Promise<boolean>) | undefined
-  /** True once the caller is gone. */
+  /** True once the caller has cancelled the call. */
   isCancelled: () => boolean
 }
 
-/** What one attempt came to. */
+/** Result of one attempt. */
 export type AttemptResult = {
   outcome: Outcome
   session: SessionState
   endpoint: string
   fromReplica: boolean
   retryAfterMs: number
-  /** True when rows have gone to the caller, so that the statement must not be tried again. */
+  /** True if rows have been sent to the caller, so that the statement must not be retried. */
   hasSentRows: boolean
 }
 
-/** Expected time of a statement at an endpoint before it is known, in milliseconds. */
+/** Expected time of a statement on a connection in milliseconds; the dispatcher corrects it after the statement. */
 const expectedCostMs = 2
 
-/** One attempt, as its steps share it. */
+/** Data shared by the steps of one attempt. */
 type Attempt = {
   context: EntryContext
   task: StatementTask
@@ -110,7 +110,7 @@
   return ran.val.verdict === 'declined' ? 'declined' : 'answered'
 }
 
-/** The outcome of a statement whose answer did not come; undefined: it came, but its rows were too old. */
+/** Outcome of a statement without an answer; undefined if it was stopped because a replica's rows were too old. */
 const outcomeOfLoss = (attempt: Attempt, turn: Turn, error: ConnectionError, rows: RowsPassage) => {
   const stopped = rows.stopped()
   if (stopped) return stopped
@@ -120,7 +120,7 @@
   return outcomeUnknown(error.reason === 'timeout' ? 'timeout' : 'connectionLost')
 }
 
-/** The outcome of an answer; undefined: a replica's answer was too old and may be asked for again. */
+/** Outcome of an answer; undefined if a replica's answer was too old, so that the primary may run the statement. */
 const outcomeOfAnswer = async (
   attempt: Attempt,
   turn: Turn,
@@ -131,14 +131,14 @@
   if (answer.verdict === 'declined') return notRun('endpointDeclined', answer.retryAfterMs)
   if (answer.verdict === 'unconfirmed') return outcomeUnknown('unconfirmed')
   const check = await checkAnswer(attempt, answer, turn.isPrimary, need)
-  // Rows that have gone out cannot be taken back, so the answer must not start over.
+  // Rows that have been sent cannot be undone, so the statement must not be restarted.
   if (check === 'tooOld' && !hasSentRows) return undefined
   if (check !== 'good') return unknownOf(check)
   if (answer.verdict === 'failed') return failed('endpointError', answer.reason)
   return { kind: 'done', result: answer.result }
 }
 
-/** Runs the statement in one turn; undefined: a replica's answer was too old. */
+/** Runs the statement on an acquired connection. Resolves to undefined if a replica's answer was too old. */
 const useTurn = async (
   attempt: Attempt,
   turn: Turn,
@@ -152,7 +152,8 @@
     check: chunk => checkAnswer(attempt, chunk, turn.isPrimary, need),
     reasonToStop: () => reasonToStopRows(attempt)
   })
-  // A read is better tried elsewhere than waited for; a write's outcome may still come.
+  // A read is aborted when its endpoint becomes unreachable, because it can be retried elsewhere. A write is not,
+  // because its outcome may still arrive.
   const stopWatching = isWriteOf(task) ? () => {} : group.endpoints.onLost(turn.endpoint, turn.connection.close)
   const ran = await turn.connection.run(actionOf(attempt, timeoutMs), timeoutMs, rows.onRows)
   stopWatching()
@@ -175,7 +176,10 @@
   return resultOf(task, outcome, { ...served, session, retryAfterMs: answer.retryAfterMs })
 }
 
-/** Asks the primary after a replica's answer was thrown away. What has run may not be called "not run". */
+/**
+ * Runs the statement at the primary after a replica's answer was discarded. The outcome is never "not run", because the
+ * statement has already run at the replica.
+ */
 const askPrimaryInstead = async (attempt: Attempt): Promise<AttemptResult> => {
   const { task } = attempt
   const turn = await takeTurn(attempt, undefined)
@@ -183,7 +187,7 @@
   return await useTurn(attempt, turn.val, undefined) ?? resultOf(task, outcomeUnknown('primaryReplaced'))
 }
 
-/** Makes one attempt. */
+/** Runs one attempt, which may use a replica and then the primary. */
 export const attemptStatement = async (context: EntryContext, task: StatementTask): Promise<AttemptResult> => {
   const { admitted, session } = task
   const group = context.group(admitted.route.group)
--- a/packages/entry/src/coordination/statement-runner.ts
+++ b/packages/entry/src/coordination/statement-runner.ts
@@ -1,5 +1,5 @@
 /**
- * Runs single statements: admission, rate, attempts, outcome.
+ * Runs single statements: admission, rate limit, attempts with retries, and the outcome.
  */
 import { sleepMs } from '@egretyoke/common'
 import { events } from '../events.js'
@@ -12,7 +12,7 @@
 import { attemptStatement } from './statement-attempt.js'
 import type { AttemptResult, StatementTask } from './statement-attempt.js'
 
-/** A statement as it came from a caller. */
+/** A caller's statement before admission. */
 export type StatementCall = {
   request: CallerRequest
   text: Buffer
@@ -22,13 +22,13 @@
 
 let lastRequestNumber = 0
 
-/** A name for a request, unique on this VM while it runs. */
+/** Creates a request id, which is unique within this process. */
 export const nextRequestId = (): string => String(++lastRequestNumber)
 
-/** A request that got through admission, rate and concurrency; `leave` must be called when it ends. */
+/** A request that passed admission, rate and concurrency limits. `release` must be called when it ends. */
 export type Entered = { admitted: Admitted, leave: () => void }
 
-/** Admits a request, or says why it did not run. */
+/** Applies admission, concurrency and rate limits to a request. Resolves to its outcome if it is refused. */
 export const enter = async (context: EntryContext, request: CallerRequest): Promise<Entered | Outcome> => {
   await context.waitForContact()
   const admitted = context.admit(request)
@@ -44,7 +44,7 @@
   return notRun('rate', taken.retryAfterMs)
 }
 
-/** Yields the number of each attempt that may be made, waiting before it as the schedule says. */
+/** Yields the number of each permitted attempt, after waiting for its retry delay. */
 async function * attempts (context: EntryContext, task: StatementTask, last: () => AttemptResult | undefined) {
   const { route, deadlineMs } = task.admitted
   const isRepeatable = route.access === 'read' || route.repeatable
@@ -71,13 +71,13 @@
   context.log(events.outcomeUnknown, { request: requestId, route, reason: outcome.reason })
 }
 
-/** Something that has run may not be called "not run" by a later attempt that was refused. */
+/** Keeps the unknown outcome of an earlier attempt if a later one did not run, because the earlier one may have run. */
 const worstOf = (earlier: Outcome | undefined, later: AttemptResult): Outcome => {
   if (earlier?.kind === 'outcomeUnknown' && later.outcome.kind === 'notRun') return earlier
   return later.outcome
 }
 
-/** Runs one statement to its outcome. */
+/** Runs one statement, with retries. */
 export const runStatement = async (context: EntryContext, call: StatementCall): Promise<Served> => {
   const { request } = call
   const requestId = nextRequestId()
--- a/packages/entry/src/coordination/transaction-runner.ts
+++ b/packages/entry/src/coordination/transaction-runner.ts
@@ -1,6 +1,6 @@
 /**
- * Interactive transactions: one connection from begin to end. The key is checked at each step, and every end that is
- * not the caller's commit closes the transaction at the endpoint.
+ * Interactive transactions. A transaction uses one connection from begin to end. The key is checked at each step, and a
+ * transaction that ends without the caller's commit is rolled back at the endpoint.
  */
 import type { EndpointAction, EndpointAnswer } from '@egretyoke/fleet'
 import { events } from '../events.js'
@@ -14,28 +14,28 @@
 import type { Turn } from './group-dispatcher.js'
 import { enter, nextRequestId } from './statement-runner.js'
 
-/** A caller's step. */
+/** Action of a caller's step. */
 export type TransactionAction =
   | { kind: 'begin' }
   | { kind: 'execute', text: Buffer }
   | { kind: 'commit' }
   | { kind: 'rollback' }
-  /** Malformed, or larger than the limit. */
+  /** Malformed, or larger than the size limit. */
   | { kind: 'invalid' }
 
-/** A numbered step; its answer carries the same number. */
+/** A step with its id, which its answer repeats. */
 export type TransactionStep = { stepId: number, action: TransactionAction }
 
-/** The answer to a step. The transaction has ended when `isLast` is set. */
+/** Answer to a step. If `isLast` is set, the transaction has ended. */
 export type TransactionAnswer = { stepId: number, served: Served, isLast: boolean }
 
 const expectedTransactionCostMs = 10
 const rollbackTimeoutMs = 1_000
 
-/** What a begun transaction holds. */
+/** State of an open transaction. */
 type OpenTransaction = { admitted: Admitted, group: GroupContext, turn: Turn, term: number, startedMs: number }
 
-/** Runs one transaction: takes steps, yields an answer for each, and cleans up when it ends in any way. */
+/** Runs one transaction: executes its steps, yields an answer for each, and cleans up however it ends. */
 export async function * runTransaction (
   context: EntryContext,
   request: CallerRequest,
@@ -75,7 +75,7 @@
     open = { admitted, group, turn: turn.val, term, startedMs: clock() }
     const begun = await run({ kind: 'begin', expectedTerm: term })
     if (begun.kind === 'answer' && begun.answer.verdict === 'done') return { kind: 'done', result: Buffer.alloc(0) }
-    // Nothing but the begin has been sent, so nothing can have taken effect.
+    // Only the begin has been sent, so nothing can have taken effect.
     isSettled = begun.kind === 'answer'
     return notRun('endpointDeclined')
   }
@@ -95,7 +95,7 @@
     return { kind: 'noAnswer', outcome: outcomeUnknown(reason) }
   }
 
-  /** Why the next step may not run, though the transaction was begun. */
+  /** Checks contact, key and deadline before a step. Resolves to the refusal, or undefined if the step may run. */
   const refusalNow = async (admitted: Admitted): Promise<Outcome | undefined> => {
     if (!await context.waitForContact()) return notRun('outOfContact')
     if (!admitted.isStillAllowed()) return notRun('keyRefused')
@@ -158,7 +158,10 @@
     return action.kind === 'commit' ? await commit() : await rollback()
   }
 
-  /** A statement that merely failed leaves the transaction open; all else that is not done ends it. */
+  /**
+   * True if the outcome of a step ends the transaction. A failed statement and a refusal by the rate limit leave it
+   * open.
+   */
   const endsWith = (action: TransactionAction, outcome: Outcome): boolean => {
     if (action.kind === 'commit' || action.kind === 'rollback') return true
     if (outcome.kind === 'done') return false
@@ -166,7 +169,7 @@
     return outcome.kind !== 'notRun' || outcome.reason !== 'rate'
   }
 
-  /** Leaves nothing of the transaction on a connection that others will use. */
+  /** Rolls back an unfinished transaction, so that the connection returns to the pool without one. */
   const cleanUp = async () => {
     leave()
     if (!open) return
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -1,5 +1,5 @@
 /**
- * Puts an entry together: state, coordination and transport, from its settings.
+ * Composition root of the entry: creates state, coordination and transport from the settings and connects them.
  */
 import {
   createLogger, createPauseDetector, createRegistry, monotonicMs, sleepMs, startHealthServer
@@ -37,7 +37,7 @@
 const drainCheckMs = 20
 const messageOverheadBytes = 4_096
 
-/** Starts an entry; resolves once it listens, which may be before it serves. */
+/** Starts an entry. Resolves once it listens, which may be before the VM is in contact and serves requests. */
 export const startEntry = async (settings: EntrySettings): Promise<RunningProgram> => {
   const { channels, limits, policies } = settings
   const clock = monotonicMs
@@ -189,7 +189,10 @@
   }
   log(events.started, { ...addresses, incarnation: identity.incarnation() })
 
-  /** Fails readiness, serves on while the balancer notices, refuses new calls, and finishes those in hand. */
+  /**
+   * Fails readiness, keeps serving until the load balancer has stopped sending calls, then refuses new calls and waits
+   * for the open ones.
+   */
   const close = async () => {
     serving.startDraining()
     log(events.draining, { openCalls: callers.openCalls() })
--- a/packages/entry/src/protocol/answers.ts
+++ b/packages/entry/src/protocol/answers.ts
@@ -1,5 +1,5 @@
 /**
- * Writes outcomes as messages to callers.
+ * Encodes request results as answers to callers.
  */
 import type { CallerMessages } from '@egretyoke/protocol'
 import type { Outcome, Served } from '../state/outcome.js'
@@ -14,7 +14,7 @@
   }
 }
 
-/** Writes an answer. */
+/** Encodes the answer to one request. */
 export const answerToWire = (served: Served): CallerMessages.Answer => ({
   ...outcomeToWire(served.outcome),
   sessionToken: encodeToken(served.session),
--- a/packages/entry/src/protocol/caller-metadata.test.ts
+++ b/packages/entry/src/protocol/caller-metadata.test.ts
@@ -8,7 +8,7 @@
 const seed = 22
 const fuzzRuns = 2_000
 
-/** Values that HTTP/2 headers can carry. */
+/** Values that are valid in HTTP/2 headers. */
 const headerText = fc.string({ unit: 'grapheme-ascii', maxLength: 200 })
 const textNames = ['key', 'route', 'profile', 'timeout-ms', 'new-session', 'unsettled-write', 'unknown-field']
 
@@ -18,7 +18,7 @@
   return metadata
 }
 
-test('any metadata is read without an error', t => {
+test('arbitrary metadata is parsed without an error', t => {
   const field = fc.tuple(fc.constantFrom(...textNames), headerText)
   const tokens = fc.array(fc.uint8Array({ maxLength: 200 }), { maxLength: 2 })
   fc.assert(fc.property(fc.array(field, { maxLength: 12 }), tokens, (fields, tokenBytes) => {
@@ -32,7 +32,7 @@
   t.pass()
 })
 
-test('only a caller without a token is taken for a new session', t => {
+test('a session is new only if the caller says so and sends no token', t => {
   const token = encodeToken(newSession)
   const damaged = Buffer.from(token)
   damaged[0] ^= 1
--- a/packages/entry/src/protocol/caller-metadata.ts
+++ b/packages/entry/src/protocol/caller-metadata.ts
@@ -1,5 +1,5 @@
 /**
- * Reads the metadata of a caller's request.
+ * Parses the gRPC metadata of a caller's request.
  */
 import type { Metadata } from '@grpc/grpc-js'
 import type { CallerRequest } from '../coordination/caller-request.js'
@@ -11,7 +11,10 @@
   return value === undefined ? undefined : value.toString()
 }
 
-/** Reads a request's metadata. Whatever is missing or damaged is left for admission to judge. */
+/**
+ * Parses a request's metadata. Missing or malformed values do not fail here: admission checks them, and an unreadable
+ * session token gives an unknown session.
+ */
 export const readCallerMetadata = (metadata: Metadata): CallerRequest => {
   const token = metadata.get('egretyoke-session-bin').at(0)
   const isNew = token === undefined && textOf(metadata, 'egretyoke-new-session') === '1'
--- a/packages/entry/src/protocol/session-token.test.ts
+++ b/packages/entry/src/protocol/session-token.test.ts
@@ -16,7 +16,7 @@
   isUnsettled: fc.constant(false)
 })
 
-test('a token is read as it was written, whatever the groups are called', t => {
+test('a token decodes to the session that was encoded, for any group names', t => {
   fc.assert(fc.property(sessions, session => {
     const { positions, isComplete } = decodeToken(encodeToken(session))
     return isComplete === session.isComplete &&
@@ -27,7 +27,7 @@
   t.pass()
 })
 
-test('the largest token is read', t => {
+test('the largest possible token is decoded', t => {
   const positions = new Map(Array.from({ length: maxSessionGroups }, (_, index) => [
     String(index).padStart(63, 'g'), { term: Number.MAX_SAFE_INTEGER, position: Number.MAX_SAFE_INTEGER }]))
   const token = encodeToken({ positions, isComplete: true, isUnsettled: false })
@@ -35,7 +35,7 @@
   t.deepEqual(decodeToken(token).positions, positions)
 })
 
-test('a token with any byte damaged makes the session unknown', t => {
+test('a token with any damaged byte gives the unknown session', t => {
   fc.assert(fc.property(sessions, fc.nat(), fc.integer({ min: 1, max: 255 }), (session, at, mask) => {
     const token = encodeToken(session)
     token[at % token.length] ^= mask
@@ -44,7 +44,7 @@
   t.pass()
 })
 
-test('any bytes are read without an error', t => {
+test('arbitrary bytes are decoded without an error', t => {
   fc.assert(fc.property(fc.uint8Array({ maxLength: 300 }), bytes => decodeToken(Buffer.from(bytes)) === unknownSession),
     { seed, numRuns: fuzzRuns })
   t.is(decodeToken(undefined), unknownSession)
--- a/packages/entry/src/protocol/session-token.ts
+++ b/packages/entry/src/protocol/session-token.ts
@@ -1,15 +1,14 @@
 /**
- * Sessions as the tokens that callers carry.
+ * Encoding of session state as the tokens that callers store and send with each request.
  */
 import { decodeSessionToken, encodeSessionToken } from '@egretyoke/protocol'
 import { unknownSession } from '../state/session-positions.js'
 import type { SessionState } from '../state/session-positions.js'
 
-/** Writes a token. */
 export const encodeToken = ({ isComplete, positions }: SessionState): Buffer =>
   encodeSessionToken({ complete: isComplete, groups: Object.fromEntries(positions) })
 
-/** Reads a token. One that is missing or damaged makes the session unknown, so that it reads at the primaries. */
+/** Decodes a token. A missing or damaged token gives the unknown session, whose reads go to the primaries. */
 export const decodeToken = (bytes: Buffer | undefined): SessionState => {
   const token = bytes && decodeSessionToken(bytes)
   if (!token) return unknownSession
--- a/packages/entry/src/protocol/transaction-steps.test.ts
+++ b/packages/entry/src/protocol/transaction-steps.test.ts
@@ -22,7 +22,7 @@
   return steps
 }
 
-test('any steps are read in order, each as one known action, and no statement beyond the limit', async t => {
+test('arbitrary steps are read in order, and no statement is empty or exceeds the size limit', async t => {
   await fc.assert(fc.asyncProperty(wireSteps, async wire => {
     const steps = await collect(Readable.from(wire))
     t.deepEqual(steps.map(step => step.stepId), wire.map(step => step.stepId))
@@ -33,12 +33,12 @@
   }), { seed, numRuns: fuzzRuns })
 })
 
-test('a step with nothing in it is invalid', async t => {
+test('a step without an action or with an empty statement is invalid', async t => {
   const steps = await collect(Readable.from([{ stepId: 1 }, { stepId: 2, execute: { text: Buffer.alloc(0) } }]))
   t.deepEqual(steps.map(step => step.action.kind), ['invalid', 'invalid'])
 })
 
-test('a caller that sends nothing, or whose stream breaks, ends the steps', async t => {
+test('the steps end when the caller is idle or its stream breaks', async t => {
   t.deepEqual(await collect(new PassThrough({ objectMode: true })), [])
   const broken = new PassThrough({ objectMode: true })
   broken.write({ stepId: 1, begin: {} })
--- a/packages/entry/src/protocol/transaction-steps.ts
+++ b/packages/entry/src/protocol/transaction-steps.ts
@@ -1,6 +1,6 @@
 /**
- * Reads the steps of an interactive transaction from a caller's stream. The steps end with the stream, or
- * when the caller has been idle for too long.
+ * Reads the steps of an interactive transaction from a caller's stream. The sequence ends with the stream, or when the
+ * caller has sent no step for the idle timeout.
  */
 import type { Readable } from 'node:stream'
 import type { CallerMessages } from '@egretyoke/protocol'
@@ -8,7 +8,7 @@
 
 type WireStep = CallerMessages.TransactionStep__Output
 
-/** Limits on steps. */
+/** Limits on the steps of a transaction. */
 export type StepLimits = { transactionIdleMs: number, maxStatementBytes: number }
 
 const actionOf = (step: WireStep, limits: StepLimits): TransactionAction => {
@@ -20,7 +20,7 @@
   return { kind: 'execute', text }
 }
 
-/** Yields steps in order. */
+/** Yields the steps in the order of arrival. */
 export async function * readTransactionSteps (
   stream: Readable,
   limits: StepLimits
--- a/packages/entry/src/settings.ts
+++ b/packages/entry/src/settings.ts
@@ -4,32 +4,32 @@
 import { channelSettingsSchema, loopbackChannels } from '@egretyoke/protocol'
 import { z } from 'zod'
 
-const address = z.string().regex(/:\d+$/, 'HOST:PORT; port 0 asks for a free one')
+const address = z.string().regex(/:\d+$/, 'must be HOST:PORT; port 0 selects a free port')
 const intervalMs = z.number().int().min(10).max(600_000)
 
-/** Limits of memory and time; every queue, map and buffer of the program has one. */
+/** Limits on memory and time. Every queue, map and buffer of the program is bounded. */
 export const entryLimitsSchema = z.strictObject({
   maxStatementBytes: z.number().int().min(1).default(256 * 1024),
   maxOpenCalls: z.number().int().min(1).default(20_000),
   maxQueuedPerGroup: z.number().int().min(1).default(2_000),
   maxQueuedPerWorkspace: z.number().int().min(1).default(500),
   maxOpenTransactions: z.number().int().min(1).default(200),
-  /** A transaction in which the caller does nothing for so long is rolled back. */
+  /** A transaction is rolled back when its caller sends no step for this long. */
   transactionIdleMs: intervalMs.default(5_000),
-  /** A caller that takes no row for so long loses its answer. */
+  /** A streamed answer is aborted when the caller reads no rows for this long. */
   slowReaderMs: intervalMs.default(5_000)
 })
 
-/** Times of contact with the platform and the peers. */
+/** Intervals and timeouts of heartbeats and platform polls, which keep the VM in contact. */
 export const contactSettingsSchema = z.strictObject({
-  /** Age up to which a confirmation of the newest revision counts. */
+  /** Maximum age of a confirmation of the newest revision for the VM to stay in contact. */
   ttlMs: intervalMs.default(2_000),
   heartbeatIntervalMs: intervalMs.default(500),
   platformPollIntervalMs: intervalMs.default(400),
   platformTimeoutMs: intervalMs.default(1_000)
 })
 
-/** Policies by name, so that experiments can compare them. */
+/** Names of the policies in use. The alternatives to the defaults exist for comparison in experiments. */
 export const policySettingsSchema = z.strictObject({
   queue: z.enum(['deficitRoundRobin', 'firstComeFirstServed']).default('deficitRoundRobin'),
   reads: z.enum(['checkedReplicas', 'uncheckedReplicas', 'primaryOnly']).default('checkedReplicas'),
@@ -39,22 +39,22 @@
 
 /** Settings of one entry. */
 export const entrySettingsSchema = z.strictObject({
-  /** The VM's name; it stays the same when the VM is replaced. */
+  /** Name of the VM. It is kept when the VM is replaced. */
   name: z.string().min(1).max(63),
   dataCentre: z.string().min(1).max(63),
   callerListen: address,
   peerListen: address,
   healthListen: address,
   platformAddress: address,
-  /** Peers to ask when the platform is silent at start. */
+  /** Addresses of peers from which the state is fetched when the platform does not answer at startup. */
   seedPeers: z.array(address).max(1_000).default([]),
   channels: channelSettingsSchema.default(loopbackChannels),
   limits: entryLimitsSchema.prefault({}),
   contact: contactSettingsSchema.prefault({}),
   policies: policySettingsSchema.prefault({}),
-  /** Time from SIGTERM until no new call is accepted, so that the balancer notices first. */
+  /** Time from SIGTERM until new calls are refused, so that the load balancer stops sending calls first. */
   drainNoticeMs: z.number().int().min(0).default(1_000),
-  /** Longest time for open calls to finish after that. */
+  /** Maximum time for open calls to finish after `drainNoticeMs`. */
   drainTimeoutMs: z.number().int().min(0).default(30_000)
 })
 
--- a/packages/entry/src/state/endpoint-health.ts
+++ b/packages/entry/src/state/endpoint-health.ts
@@ -1,9 +1,9 @@
 /**
- * What is known of one endpoint from its own answers. Cached positions choose an endpoint; they never vouch for an
- * answer.
+ * Health and replication position of one endpoint, as last reported by the endpoint. Cached positions only select an
+ * endpoint; they never prove that an answer is valid.
  */
 
-/** What an endpoint last said of itself. Times are on this VM's monotonic clock. */
+/** Last known state of an endpoint. Times are on this VM's monotonic clock. */
 export type EndpointHealth = {
   reachable: boolean
   term: number
@@ -14,18 +14,18 @@
   latencyMs: number
 }
 
-/** Health of one endpoint, kept up to date. */
+/** Mutable health state of one endpoint. */
 export type HealthRecord = {
   current: () => Readonly<EndpointHealth>
   notePosition: (term: number, position: number, isPrimary: boolean, nowMs: number) => void
   noteLatency: (latencyMs: number) => void
-  /** Returns true when the endpoint was reachable before. */
+  /** Marks the endpoint as unreachable. Returns true if it was reachable before. */
   noteFailure: () => boolean
 }
 
 const latencyWeight = 0.1
 
-/** Creates the record of an endpoint that has not answered yet. */
+/** Creates the health state of an endpoint that has not answered yet. */
 export const createHealthRecord = (): HealthRecord => {
   const health: EndpointHealth = {
     reachable: false, term: 0, appliedPosition: 0, isPrimary: false, seenAtMs: -Infinity, latencyMs: 0
--- a/packages/entry/src/state/known-state.ts
+++ b/packages/entry/src/state/known-state.ts
@@ -1,6 +1,7 @@
 /**
- * What this VM knows of the platform's records: the configuration in force, the groups' terms, the roster and
- * who is leaving. Records are taken in together or not at all, and never go back to an older revision.
+ * Local copy of the platform's records: the active configuration, the group records with their terms, the roster, and
+ * the endpoints and VMs that are leaving. A batch of records is applied as a whole or not at all, and a record is never
+ * replaced by an older revision.
  */
 import {
   configHeadSchema,
@@ -17,27 +18,27 @@
 import type { Result, TypedError } from '@egretyoke/common'
 import type { StoredEntry } from '@egretyoke/fleet'
 
-/** Most records that a VM follows. */
+/** Maximum number of records that a VM stores. */
 export const maxKnownEntries = 20_000
 
-/** Fetches a document's text by its hash; undefined when it cannot be had now. */
+/** Fetches a document's text by its hash. Resolves to undefined if it is not available now. */
 export type FetchDocument = (hash: string) => Promise<string | undefined>
 
-/** Why records were not taken in. */
+/** Reason why a batch of records was not applied. */
 export type LearnError = TypedError<'documentMissing' | 'invalidRecord' | 'tooManyRecords'>
 
-/** The records that this VM knows. */
+/** Local copy of the platform's records. */
 export type KnownState = {
-  /** Newest revision among the known records; 0 before the first. */
+  /** Newest revision among the applied records; 0 before the first one. */
   revision: () => number
   configuration: () => Configuration | undefined
   group: (name: string) => GroupRecord | undefined
   groupNames: () => string[]
   roster: () => Roster | undefined
   leaving: () => Leaving
-  /** Known records after a revision, and the documents of the configuration in force. */
+  /** Records newer than a revision, with the documents of the active configuration if its head is among them. */
   copyAfter: (revision: number) => StoredEntry[]
-  /** Takes in records. Resolves to true when something changed. */
+  /** Applies a batch of records. Resolves to true if any of them was newer than the stored one. */
   learn: (entries: StoredEntry[], fetchDocument: FetchDocument) => Promise<Result<boolean, LearnError>>
   onChange: (listener: () => void) => void
 }
@@ -73,12 +74,12 @@
     return Ok({ configuration: read.val, documents: fetched })
   }
 
-  /** Decodes one record and returns the step that takes it in. */
+  /** Decodes one record and returns the function that applies it. */
   const prepare = async (entry: StoredEntry, fetchDocument: FetchDocument): Promise<Result<() => void, LearnError>> => {
     if (entry.key === storeKeys.head && !entry.deleted) {
       const head = decodeRecord(entry.key, entry.value, configHeadSchema)
       if (!head.ok) return Err(invalid(entry.key, formatFinding(head.val[0])))
-      if (head.val.version < (configuration?.version ?? 0)) return Err(invalid(entry.key, 'version went back'))
+      if (head.val.version < (configuration?.version ?? 0)) return Err(invalid(entry.key, 'the version decreased'))
       const read = await readConfiguration(head.val, fetchDocument)
       if (!read.ok) return read
       return Ok(() => {
@@ -132,7 +133,7 @@
     return Ok(true)
   }
 
-  // One learning at a time: a slow document must not let an older record overtake a newer one.
+  // Batches are applied one at a time, so that a slow document fetch does not let an older record replace a newer one.
   let last: Promise<unknown> = Promise.resolve()
   const learn: KnownState['learn'] = (incoming, fetchDocument) => {
     const next = last.then(() => learnNow(incoming, fetchDocument))
--- a/packages/entry/src/state/outcome.ts
+++ b/packages/entry/src/state/outcome.ts
@@ -1,9 +1,9 @@
 /**
- * Outcomes of requests, as callers are told.
+ * Outcomes of requests, as reported to callers.
  */
 import type { SessionState } from './session-positions.js'
 
-/** Why a request did not run. docs/OPERATIONS.md says what to do about each. */
+/** Reasons why a request did not run. docs/OPERATIONS.md describes the remedy for each. */
 export type RefusalReason =
   | 'outOfContact'
   | 'draining'
@@ -22,10 +22,10 @@
   | 'endpointNotConnected'
   | 'tooManyTransactions'
 
-/** Why it is not known whether a request took effect. */
+/** Reasons why it is unknown whether a request took effect. */
 export type UnknownReason = 'connectionLost' | 'timeout' | 'unconfirmed' | 'primaryReplaced' | 'outOfContact'
 
-/** Why a request failed. `sessionWriteLost`: a failover lost a write that this session had been told of. */
+/** Reasons why a request failed. `sessionWriteLost`: a failover lost a write that was confirmed to this session. */
 export type FailureReason = 'endpointError' | 'keyRefused' | 'sessionWriteLost' | 'slowReader' | 'transactionClosed'
 
 /** The outcome of a request. */
@@ -35,7 +35,7 @@
   | { kind: 'outcomeUnknown', reason: UnknownReason }
   | { kind: 'failed', reason: FailureReason, detail: string }
 
-/** An outcome with what the session carries on, and who served it. */
+/** Result of a request: its outcome, the session state after it, and the endpoint that served it. */
 export type Served = {
   outcome: Outcome
   session: SessionState
@@ -43,11 +43,11 @@
   fromReplica: boolean
 }
 
-/** Builds a refusal. */
+/** Creates the outcome of a request that did not run. */
 export const notRun = (reason: RefusalReason, retryAfterMs = 0): Outcome => ({ kind: 'notRun', reason, retryAfterMs })
 
-/** Builds an unknown outcome. */
+/** Creates an unknown outcome. */
 export const outcomeUnknown = (reason: UnknownReason): Outcome => ({ kind: 'outcomeUnknown', reason })
 
-/** Builds a failure. */
+/** Creates the outcome of a request that failed. */
 export const failed = (reason: FailureReason, detail: string): Outcome => ({ kind: 'failed', reason, detail })
--- a/packages/entry/src/state/peer-table.ts
+++ b/packages/entry/src/state/peer-table.ts
@@ -1,18 +1,18 @@
 /**
- * What this VM has heard from its peers, by name. Bounded by the roster.
+ * Latest heartbeat reports of this VM's peers, by name. The number of reports is bounded by the roster.
  */
 
-/** Age that stands for "not known". */
+/** Age that means "unknown" in heartbeat messages. */
 export const unknownAgeMs = 4_294_967_295
 
-/** What one peer said last. Times are on this VM's monotonic clock, in milliseconds. */
+/** Latest report of one peer. Times are on this VM's monotonic clock, in milliseconds. */
 export type PeerReport = {
   vm: string
   incarnation: number
-  /** When the question was sent that this report answers. */
+  /** Send time of the heartbeat request that this report answers. */
   askedAtMs: number
   knownRevision: number
-  /** When the platform was asked that confirmed `knownRevision` as newest; -Infinity: not known. */
+  /** Time at which the platform request was sent that confirmed `knownRevision` as newest; -Infinity: unknown. */
   confirmedAtMs: number
   starting: boolean
   draining: boolean
@@ -20,19 +20,19 @@
   slotCount: number
 }
 
-/** Reports by peer, and the newest incarnation heard of each name. */
+/** Latest report of each peer, and the newest observed incarnation of each VM name. */
 export type PeerTable = {
   note: (report: PeerReport) => void
-  /** Remembers an incarnation that was heard of in any way. */
+  /** Records an incarnation, which may come from any kind of message. */
   noteIncarnation: (vm: string, incarnation: number) => void
   report: (vm: string) => PeerReport | undefined
   reports: () => PeerReport[]
   newestIncarnation: (vm: string) => number
-  /** Forgets peers that are not in the list. */
+  /** Removes the reports of peers that are not in the list. */
   retain: (vms: readonly string[]) => void
 }
 
-/** Most peers that are remembered. */
+/** Maximum number of peers in the table. */
 export const maxPeers = 10_000
 
 /** Creates an empty table. */
--- a/packages/entry/src/state/primary-history.ts
+++ b/packages/entry/src/state/primary-history.ts
@@ -1,19 +1,19 @@
 /**
- * Positions of a group's primary over time. If the primary was asked at time t and stood at position p, then data
- * at or past p lacks nothing that was written before t.
+ * Log positions of a group's primary over time. If a status request sent to the primary at time t returned position p,
+ * then data at or after p includes everything that was written before t.
  */
 
-/** A position that bounds the age of data. */
+/** A log position that bounds the age of data. */
 type Sample = { askedAtMs: number, position: number }
 
-/** Positions of one group's primary in one term. */
+/** Log positions of one group's primary within one term. */
 export type PrimaryHistory = {
   note: (term: number, askedAtMs: number, position: number) => void
-  /** Smallest position known to be no older than the age; undefined when none is known. */
+  /** Smallest recorded position at which data is no older than `maxAgeMs`; undefined if there is none. */
   positionAtAge: (term: number, maxAgeMs: number, nowMs: number) => number | undefined
 }
 
-/** Shortest time between two samples that are kept. */
+/** Minimum time between two stored samples. */
 const minSpacingMs = 20
 const maxSamples = 1_024
 
--- a/packages/entry/src/state/session-positions.test.ts
+++ b/packages/entry/src/state/session-positions.test.ts
@@ -10,26 +10,26 @@
   return session
 }
 
-test('a session that wrote in as many groups as it carries knows all of them', t => {
+test('a session that wrote in the maximum number of groups has a position for all of them', t => {
   const session = sessionOf(maxSessionGroups)
   t.true(session.isComplete)
   t.is(session.positions.size, maxSessionGroups)
 })
 
-test('a session that wrote in more groups than it carries is no longer complete', t => {
+test('a session that wrote in more than the maximum number of groups is no longer complete', t => {
   const session = sessionOf(maxSessionGroups + 1)
   t.false(session.positions.has('group-0'))
   t.false(session.isComplete)
   t.is(session.positions.size, maxSessionGroups)
 })
 
-test('a place never moves back', t => {
+test('a log position never moves backwards', t => {
   const later = sessionAfter(newSession, 'group-1', { term: 2, position: 5 })
   const after = sessionAfter(later, 'group-1', { term: 1, position: 9 })
   t.deepEqual(after.positions.get('group-1'), { term: 2, position: 5 })
 })
 
-test('a session with an unknown outcome keeps only the place that a primary told it', t => {
+test('after an unknown outcome, a session keeps only the position that a primary reported', t => {
   const unsettled = { ...sessionOf(3), isUnsettled: true }
   const settled = sessionAfter(unsettled, 'group-1', placeOf(40))
   t.deepEqual([...settled.positions], [['group-1', placeOf(40)]])
--- a/packages/entry/src/state/session-positions.ts
+++ b/packages/entry/src/state/session-positions.ts
@@ -1,37 +1,43 @@
 /**
- * What a session has seen: for each group, the term and log position that its reads must reach.
+ * State of a session: for each group, the term and log position that its reads must include.
  */
 import { maxTokenGroups } from '@egretyoke/protocol'
 
-/** A place in a group's log. */
+/** A position in a group's log, with the term in which it was written. */
 export type LogPlace = { term: number, position: number }
 
-/** A session's places by group. */
+/** Log positions of a session, by group. */
 export type SessionPositions = ReadonlyMap<string, LogPlace>
 
-/** Most groups that a session carries; beyond it the oldest is dropped and read at the primary. */
+/**
+ * Maximum number of groups in a session's state. When it is exceeded, the oldest group is dropped, and the session
+ * reads that group at its primary.
+ */
 export const maxSessionGroups = maxTokenGroups
 
-/** What a request's token tells of its session. */
+/** State of a session, as decoded from a request's token. */
 export type SessionState = {
   positions: SessionPositions
-  /** True when the session has written in no group that has no place here. */
+  /** True if `positions` contains every group in which the session has written. */
   isComplete: boolean
-  /** True when the outcome of the session's last write is unknown: only primaries can tell. */
+  /** True if the outcome of the session's last write is unknown, so that its reads must go to primaries. */
   isUnsettled: boolean
 }
 
-/** A session of which nothing is known: its reads go to the primaries, group by group. */
+/** A session whose state is unknown: its first read in each group goes to the primary. */
 export const unknownSession: SessionState = { positions: new Map(), isComplete: false, isUnsettled: false }
 
-/** A session that has done nothing yet. */
+/** A session that has not run any request yet. */
 export const newSession: SessionState = { positions: new Map(), isComplete: true, isUnsettled: false }
 
-/** True when a place is at or past another one. */
+/** True if a log position is equal to or after another one. */
 export const isAtOrPast = (place: LogPlace, other: LogPlace): boolean =>
   place.term > other.term || (place.term === other.term && place.position >= other.position)
 
-/** The session after it was told of a place: after a write, or a read at the primary that it needed. */
+/**
+ * Returns the session after it has observed a log position: after a write, or after a read that had to go to the
+ * primary.
+ */
 export const sessionAfter = (session: SessionState, group: string, place: LogPlace): SessionState => {
   if (!session.isUnsettled) {
     const positions = withPlace(session.positions, group, place)
@@ -41,7 +47,7 @@
   return { positions: withPlace(new Map(), group, place), isComplete: false, isUnsettled: false }
 }
 
-/** The positions with a group's place moved forward; never back. */
+/** Returns the positions with a group's position advanced. A position never moves backwards. */
 export const withPlace = (positions: SessionPositions, group: string, place: LogPlace): SessionPositions => {
   const known = positions.get(group)
   if (known && isAtOrPast(known, place)) return positions
--- a/packages/entry/src/transport/caller-server.ts
+++ b/packages/entry/src/transport/caller-server.ts
@@ -1,5 +1,5 @@
 /**
- * Serves callers: single statements, streamed answers and interactive transactions. One task for each call.
+ * gRPC service for callers: single statements, streamed answers and interactive transactions.
  */
 import { once } from 'node:events'
 import { status } from '@grpc/grpc-js'
@@ -24,7 +24,7 @@
 type StreamCall = ServerWritableStream<Statement, CallerMessages.StreamPart>
 type TransactCall = ServerDuplexStream<CallerMessages.TransactionStep__Output, CallerMessages.TransactionAnswer>
 
-/** The callers' service, and how many calls it has in hand. */
+/** The callers' service, with the number of its open calls. */
 export type CallerService = {
   add: (server: Server) => void
   openCalls: () => number
@@ -39,7 +39,7 @@
   const refusal = (request: CallerRequest, outcome: Outcome): Served =>
     ({ outcome, session: request.session, endpoint: '', fromReplica: false })
 
-  /** Why a call is refused before anything else is looked at. */
+  /** Checks limits and statement size before admission. Returns the refusal, or undefined if the call may proceed. */
   const refusalOf = (text: Buffer): Outcome | undefined => {
     if (openCalls > limits.maxOpenCalls) return notRun('concurrency')
     if (text.length > limits.maxStatementBytes) return notRun('statementTooLarge')
@@ -65,7 +65,7 @@
     }
   }
 
-  /** Passes rows on; false when the caller is gone or has taken nothing for too long. */
+  /** Sends rows to the caller. Resolves to false if the call was cancelled or the caller read nothing for too long. */
   const sendRows = async (call: StreamCall, rows: Buffer): Promise<boolean> => {
     if (call.cancelled) return false
     if (call.write({ chunk: rows })) return true
--- a/packages/entry/src/transport/endpoint-transport.ts
+++ b/packages/entry/src/transport/endpoint-transport.ts
@@ -1,5 +1,5 @@
 /**
- * Ways to one endpoint: database connections, and questions for its position.
+ * Channels to one endpoint: database connections, and status requests for its log position.
  */
 import { createEndpointConnector } from '@egretyoke/fleet'
 import type { EndpointConfig } from '@egretyoke/config'
@@ -7,7 +7,7 @@
 import type { ChannelSettings } from '@egretyoke/protocol'
 import type { EndpointTransport } from '../coordination/group-endpoints.js'
 
-/** Opens the ways to an endpoint of a group. */
+/** Opens the channels to an endpoint of a group. */
 export const openEndpointTransport = (
   group: string,
   config: EndpointConfig,
--- a/packages/entry/src/transport/peer-client.ts
+++ b/packages/entry/src/transport/peer-client.ts
@@ -1,5 +1,5 @@
 /**
- * Calls to peers: one channel for each address, opened when it is first used.
+ * gRPC clients for peers: one channel for each address, opened on first use.
  */
 import { callUnary, connectGrpc, createStreamCaller, peerProto } from '@egretyoke/protocol'
 import type { ChannelSettings, PeerMessages, StreamCaller } from '@egretyoke/protocol'
@@ -8,10 +8,10 @@
 
 type HeartbeatCaller = StreamCaller<PeerMessages.HeartbeatMessage, PeerMessages.HeartbeatMessage__Output>
 
-/** The ways to one peer. */
+/** Channel and heartbeat stream to one peer. */
 type PeerClient = { service: InstanceType<typeof peerProto.Peer>, heartbeats: HeartbeatCaller }
 
-/** Calls to peers, to be closed. */
+/** Calls to peers, with management of their channels. */
 export type PeerClients = PeerCalls & {
   /** Closes channels to addresses that are not in the list. */
   retain: (addresses: readonly string[]) => void
--- a/packages/entry/src/transport/peer-server.ts
+++ b/packages/entry/src/transport/peer-server.ts
@@ -1,5 +1,5 @@
 /**
- * Serves peers and stewards.
+ * gRPC service for peers and stewards.
  */
 import type { sendUnaryData, Server, ServerDuplexStream, ServerUnaryCall } from '@grpc/grpc-js'
 import { peerProto } from '@egretyoke/protocol'
@@ -7,7 +7,7 @@
 
 type HeartbeatStream = ServerDuplexStream<PeerMessages.HeartbeatMessage__Output, PeerMessages.HeartbeatMessage>
 
-/** What peers may ask. */
+/** Handlers of the calls that peers and stewards may make. */
 export type PeerHandlers = {
   heartbeat: (message: PeerMessages.HeartbeatMessage__Output) => PeerMessages.HeartbeatMessage
   fetchState: (request: PeerMessages.FetchStateRequest__Output) => PeerMessages.FetchStateReply
