--- a/packages/entry/src/coordination/admission.ts
+++ b/packages/entry/src/coordination/admission.ts
@@ -11,7 +11,7 @@
 import type { CallerRequest } from './caller-request.js'
 
 /** Workspace, route and profile that a request refers to. */
-type Resolved = {
+type RequestTarget = {
   workspaceName: string
   workspace: Workspace
   routeName: string
@@ -21,7 +21,7 @@
 }
 
 /** A request that passed admission. */
-export type Admitted = Resolved & {
+export type AdmittedRequest = RequestTarget & {
   /** Deadline on this VM's monotonic clock, in milliseconds. */
   deadlineMs: number
   /** Checks the key and the route again, against the configuration that is active now. */
@@ -35,38 +35,41 @@
   isInContact: () => boolean
   isDraining: () => boolean
   /** True if this VM's data centre has been out of service for longer than the load balancer needs to react. */
-  isDataCentreOut: () => boolean
+  isDataCentreOutOfService: () => boolean
 }
 
 /** Admits a request, or fails with its outcome. */
-export type Admission = (request: CallerRequest) => Result<Admitted, Outcome>
+export type Admission = (request: CallerRequest) => Result<AdmittedRequest, Outcome>
 
 const shortRetryMs = 500
 const longRetryMs = 5_000
 
-type Owner = { workspaceName: string, workspace: Workspace }
+type NamedWorkspace = { workspaceName: string, workspace: Workspace }
 
 /** Creates an index of workspaces by key id, which is rebuilt once for each version of the configuration. */
 const createKeyIndex = () => {
   let indexed: Configuration | undefined
-  let owners = new Map<string, Owner>()
-  return (configuration: Configuration): Map<string, Owner> => {
-    if (configuration === indexed) return owners
+  let index = new Map<string, NamedWorkspace>()
+  return (configuration: Configuration): Map<string, NamedWorkspace> => {
+    if (configuration === indexed) return index
     indexed = configuration
-    owners = new Map(Object.entries(configuration.workspaces).flatMap(([workspaceName, workspace]) =>
+    index = new Map(Object.entries(configuration.workspaces).flatMap(([workspaceName, workspace]) =>
       Object.keys(workspace.keys).map(keyId => [keyId, { workspaceName, workspace }] as const)))
-    return owners
+    return index
   }
 }
 
 /** Creates the admission control of this VM. */
 export const createAdmission = (options: AdmissionOptions): Admission => {
-  const ownersOf = createKeyIndex()
+  const workspacesByKeyId = createKeyIndex()
 
-  const ownerOfKey = (configuration: Configuration, keyText: string | undefined): Result<Owner, RefusalReason> => {
+  const ownerOfKey = (
+    configuration: Configuration,
+    keyText: string | undefined
+  ): Result<NamedWorkspace, RefusalReason> => {
     if (keyText === undefined) return Err('keyMissing')
     const key = parseKey(keyText)
-    const owner = key && ownersOf(configuration).get(key.keyId)
+    const owner = key && workspacesByKeyId(configuration).get(key.keyId)
     if (!key || !owner) return Err('keyRefused')
     return isKeyValid(key, owner.workspace.keys[key.keyId]) ? Ok(owner) : Err('keyRefused')
   }
@@ -75,7 +78,10 @@
    * Finds the workspace that owns the route. WORKSPACE/ROUTE names a route that is open to all or belongs to the key's
    * workspace; ROUTE names a route of the key's workspace.
    */
-  const ownerOfRoute = (configuration: Configuration, request: CallerRequest): Result<Owner, RefusalReason> => {
+  const ownerOfRoute = (
+    configuration: Configuration,
+    request: CallerRequest
+  ): Result<NamedWorkspace, RefusalReason> => {
     const slash = request.routeName.indexOf('/')
     if (slash < 0) return ownerOfKey(configuration, request.keyText)
     const workspaceName = request.routeName.slice(0, slash)
@@ -91,10 +97,10 @@
     return keyOwner.val.workspaceName === workspaceName ? keyOwner : Err('keyRefused')
   }
 
-  const refusalByVm = (): RefusalReason | undefined => {
+  const vmRefusalReason = (): RefusalReason | undefined => {
     if (!options.isInContact()) return 'outOfContact'
     if (options.isDraining()) return 'draining'
-    if (options.isDataCentreOut()) return 'dataCentreOut'
+    if (options.isDataCentreOutOfService()) return 'dataCentreOut'
     return undefined
   }
 
@@ -105,7 +111,7 @@
 
   const refuse = (reason: RefusalReason) => Err(notRun(reason, retryAfterMs(reason)))
 
-  const resolve = (configuration: Configuration, request: CallerRequest): Result<Resolved, RefusalReason> => {
+  const resolve = (configuration: Configuration, request: CallerRequest): Result<RequestTarget, RefusalReason> => {
     const owner = ownerOfRoute(configuration, request)
     if (!owner.ok) return owner
     const { workspace } = owner.val
@@ -118,26 +124,30 @@
   }
 
   /** True if a request admitted under an earlier configuration would be admitted for the same workspace now. */
-  const isStillAllowed = (request: CallerRequest, admittedUnder: Configuration, workspaceName: string): boolean => {
+  const isStillAllowed = (
+    request: CallerRequest,
+    admittedConfiguration: Configuration,
+    workspaceName: string
+  ): boolean => {
     const configuration = options.configuration()
     if (!configuration) return false
-    if (configuration === admittedUnder) return true
-    const again = resolve(configuration, request)
-    return again.ok && again.val.workspaceName === workspaceName
+    if (configuration === admittedConfiguration) return true
+    const current = resolve(configuration, request)
+    return current.ok && current.val.workspaceName === workspaceName
   }
 
   return request => {
     const configuration = options.configuration()
-    const vmRefusal = refusalByVm()
+    const vmRefusal = vmRefusalReason()
     if (vmRefusal) return refuse(vmRefusal)
     if (!configuration) return refuse('outOfContact')
     const resolved = resolve(configuration, request)
     if (!resolved.ok) return refuse(resolved.val)
     const { workspaceName, profile } = resolved.val
-    const wantedMs = request.timeoutMs > 0 ? request.timeoutMs : profile.timeoutMs
+    const requestedTimeoutMs = request.timeoutMs > 0 ? request.timeoutMs : profile.timeoutMs
     return Ok({
       ...resolved.val,
-      deadlineMs: options.clock() + Math.min(wantedMs, profile.timeoutMs),
+      deadlineMs: options.clock() + Math.min(requestedTimeoutMs, profile.timeoutMs),
       isStillAllowed: () => isStillAllowed(request, configuration, workspaceName)
     })
   }
--- a/packages/entry/src/coordination/answer-check.ts
+++ b/packages/entry/src/coordination/answer-check.ts
@@ -3,68 +3,68 @@
  */
 import type { GroupRecord, Profile } from '@egretyoke/config'
 import type { PrimaryHistory } from '../state/primary-history.js'
-import type { LogPlace, SessionState } from '../state/session-positions.js'
-import { holdsPlace, isInLineage } from './routing.js'
-import type { ReadNeed } from './routing.js'
+import type { LogPosition, SessionState } from '../state/session-positions.js'
+import { includesPosition, isInLineage } from './routing.js'
+import type { ReadRequirement } from './routing.js'
 
 /** Dependencies of the answer checks of one group. */
-export type AnswerCheckOptions = {
+export type AnswerCheckerOptions = {
   record: () => GroupRecord | undefined
   /** Waits a short time for contact. Resolves to false if the VM is still not in contact. */
   waitForContact: () => Promise<boolean>
   /** Lowest term whose writes may be confirmed, as set by stewards that replace a primary. */
-  stoppedBelow: () => number
+  minConfirmableTerm: () => number
 }
 
 /** Result of a check. */
 export type CheckResult = 'good' | 'tooOld' | 'primaryReplaced' | 'outOfContact'
 
 /** Checks the answers of one group's endpoints. */
-export type AnswerCheck = {
+export type AnswerChecker = {
   /** Checks that a write or read was answered by the current primary. */
-  ofPrimary: (answer: LogPlace) => Promise<CheckResult>
+  checkPrimary: (answer: LogPosition) => Promise<CheckResult>
   /** Checks that a replica's answer is based on the group's log and is fresh enough. */
-  ofReplica: (answer: LogPlace, need: ReadNeed) => Promise<CheckResult>
+  checkReplica: (answer: LogPosition, requirement: ReadRequirement) => Promise<CheckResult>
 }
 
 /** Creates the answer checks of one group. */
-export const createAnswerCheck = (options: AnswerCheckOptions): AnswerCheck => {
-  const ofPrimary: AnswerCheck['ofPrimary'] = async answer => {
+export const createAnswerChecker = (options: AnswerCheckerOptions): AnswerChecker => {
+  const checkPrimary: AnswerChecker['checkPrimary'] = async answer => {
     if (!await options.waitForContact()) return 'outOfContact'
     const record = options.record()
     if (!record || record.phase !== 'active' || record.term !== answer.term) return 'primaryReplaced'
-    if (answer.term < options.stoppedBelow()) return 'primaryReplaced'
+    if (answer.term < options.minConfirmableTerm()) return 'primaryReplaced'
     return 'good'
   }
 
-  const ofReplica: AnswerCheck['ofReplica'] = async (answer, need) => {
+  const checkReplica: AnswerChecker['checkReplica'] = async (answer, requirement) => {
     if (!await options.waitForContact()) return 'outOfContact'
     const record = options.record()
     if (!record || !isInLineage(record, answer)) return 'tooOld'
-    if (need.place && !holdsPlace(answer, need.place)) return 'tooOld'
-    if (need.minPosition !== undefined && answer.position < need.minPosition) return 'tooOld'
+    if (requirement.sessionPosition && !includesPosition(answer, requirement.sessionPosition)) return 'tooOld'
+    if (requirement.minPosition !== undefined && answer.position < requirement.minPosition) return 'tooOld'
     return 'good'
   }
 
-  return { ofPrimary, ofReplica }
+  return { checkPrimary, checkReplica }
 }
 
 /** Freshness that a read with this profile requires of a replica; undefined if only the primary may serve it. */
-export const readNeedOf = (
+export const freshnessRequirement = (
   profile: Profile,
   session: SessionState,
   group: string,
   history: PrimaryHistory,
   term: number,
   nowMs: number
-): ReadNeed | undefined => {
+): ReadRequirement | undefined => {
   const { freshness } = profile
   if (freshness.kind === 'primary') return undefined
   if (session.isUnsettled) return undefined
-  const place = session.positions.get(group)
+  const sessionPosition = session.positions.get(group)
   // The session may have written in this group at an unknown position.
-  if (!place && !session.isComplete) return undefined
-  if (freshness.kind === 'session') return { place, minPosition: undefined }
+  if (!sessionPosition && !session.isComplete) return undefined
+  if (freshness.kind === 'session') return { sessionPosition, minPosition: undefined }
   const minPosition = history.positionAtAge(term, freshness.maxAgeMs, nowMs)
-  return minPosition === undefined ? undefined : { place, minPosition }
+  return minPosition === undefined ? undefined : { sessionPosition, minPosition }
 }
--- a/packages/entry/src/coordination/concurrency-limit.ts
+++ b/packages/entry/src/coordination/concurrency-limit.ts
@@ -5,8 +5,8 @@
 /** Counts requests in flight, by workspace and profile. */
 export type ConcurrencyLimit = {
   /** Returns false if the workspace already has `maxRequests` in flight under the profile. */
-  enter: (workspace: string, profile: string, most: number) => boolean
-  leave: (workspace: string, profile: string) => void
+  tryAcquire: (workspace: string, profile: string, maxRequests: number) => boolean
+  release: (workspace: string, profile: string) => void
   /** Number of all requests in flight. */
   total: () => number
 }
@@ -17,16 +17,16 @@
   let total = 0
   const keyOf = (workspace: string, profile: string) => `${workspace}/${profile}`
 
-  const enter: ConcurrencyLimit['enter'] = (workspace, profile, most) => {
+  const tryAcquire: ConcurrencyLimit['tryAcquire'] = (workspace, profile, maxRequests) => {
     const key = keyOf(workspace, profile)
     const count = counts.get(key) ?? 0
-    if (count >= most) return false
+    if (count >= maxRequests) return false
     counts.set(key, count + 1)
     total++
     return true
   }
 
-  const leave: ConcurrencyLimit['leave'] = (workspace, profile) => {
+  const release: ConcurrencyLimit['release'] = (workspace, profile) => {
     const key = keyOf(workspace, profile)
     const count = (counts.get(key) ?? 0) - 1
     if (count > 0) counts.set(key, count)
@@ -34,5 +34,5 @@
     total--
   }
 
-  return { enter, leave, total: () => total }
+  return { tryAcquire, release, total: () => total }
 }
--- a/packages/entry/src/coordination/confirmation-stops.ts
+++ b/packages/entry/src/coordination/confirmation-stops.ts
@@ -10,7 +10,7 @@
   /** Stops confirming writes of terms below the given one. Returns false if the table is full. */
   stop: (group: string, term: number) => boolean
   /** Lowest term whose writes may be confirmed; 0 if no steward has set one. */
-  stoppedBelow: (group: string) => number
+  minConfirmableTerm: (group: string) => number
 }
 
 /**
@@ -19,11 +19,11 @@
  */
 export const createConfirmationStops = (): ConfirmationStops => {
   const terms = new Map<string, number>()
-  const stoppedBelow = (group: string) => terms.get(group) ?? 0
+  const minConfirmableTerm = (group: string) => terms.get(group) ?? 0
   const stop = (group: string, term: number) => {
     if (!terms.has(group) && terms.size >= maxGroups) return false
-    terms.set(group, Math.max(term, stoppedBelow(group)))
+    terms.set(group, Math.max(term, minConfirmableTerm(group)))
     return true
   }
-  return { stop, stoppedBelow }
+  return { stop, minConfirmableTerm }
 }
--- a/packages/entry/src/coordination/connection-permits.ts
+++ b/packages/entry/src/coordination/connection-permits.ts
@@ -6,10 +6,10 @@
 import { sharingNames } from '@egretyoke/config'
 import { createPermitTable } from '@egretyoke/limits'
 import type { PermitTable } from '@egretyoke/limits'
-import type { KnownState } from '../state/known-state.js'
+import type { PlatformState } from '../state/platform-state.js'
 import type { PermitSource } from './endpoint-pool.js'
 import type { Identity } from './identity.js'
-import { createAskPeer, growthDelayMsFor, loanMarginMs, loanTtlMs } from './loan-terms.js'
+import { createBorrowCall, growthDelayMsFor, loanMarginMs, loanTtlMs } from './loan-terms.js'
 import type { PeerCalls } from './peer-calls.js'
 
 const maxLimits = 10_000
@@ -24,7 +24,7 @@
 /** Dependencies of connection permits. */
 export type ConnectionPermitsOptions = {
   identity: Identity
-  state: KnownState
+  state: PlatformState
   calls: PeerCalls
   clock: Clock
   log: Logger
@@ -54,7 +54,7 @@
     startupHold: true,
     clock,
     log,
-    askPeer: createAskPeer(state, calls)
+    askPeer: createBorrowCall(state, calls)
   })
 
   const update = () => {
--- a/packages/entry/src/coordination/contact.test.ts
+++ b/packages/entry/src/coordination/contact.test.ts
@@ -11,7 +11,7 @@
 const knownRevision = 10
 const roster = ['vm-1', 'vm-2', 'vm-3', 'vm-4', 'vm-5']
 
-const createWorld = (rosterNames: readonly string[] = roster) => {
+const createFixture = (rosterNames: readonly string[] = roster) => {
   let nowMs = 100_000
   const peers = createPeerTable()
   const contact = createContact({
@@ -23,10 +23,10 @@
     knownRevision: () => knownRevision,
     rosterNames: () => rosterNames
   })
-  const hear = (vm: string, report: Partial<PeerReport> = {}) => peers.note({
+  const receiveReport = (vm: string, report: Partial<PeerReport> = {}) => peers.recordReport({
     vm,
     incarnation: 1,
-    askedAtMs: nowMs,
+    sentAtMs: nowMs,
     knownRevision,
     confirmedAtMs: -Infinity,
     starting: false,
@@ -35,98 +35,98 @@
     slotCount: 5,
     ...report
   })
-  const pass = (ms: number) => { nowMs += ms }
-  return { contact, peers, hear, pass, nowMs: () => nowMs }
+  const advanceClock = (ms: number) => { nowMs += ms }
+  return { contact, peers, receiveReport, advanceClock, nowMs: () => nowMs }
 }
 
-type World = ReturnType<typeof createWorld>
-type Case = { title: string, bring: (world: World, contact: Contact) => void, expected: ContactBasis }
+type Fixture = ReturnType<typeof createFixture>
+type Case = { title: string, arrange: (fixture: Fixture, contact: Contact) => void, expected: ContactBasis }
 
 const cases: Case[] = [
-  { title: 'just started', bring: () => {}, expected: 'starting' },
+  { title: 'just started', arrange: () => {}, expected: 'starting' },
   {
     title: 'the platform has replied',
-    bring: ({ nowMs }, contact) => contact.notePlatformAnswer(nowMs()),
+    arrange: ({ nowMs }, contact) => contact.recordPlatformConfirmation(nowMs()),
     expected: 'platform'
   },
   {
     title: 'the platform\'s reply has expired, counted from when the request was sent',
-    bring: ({ nowMs, pass }, contact) => {
-      contact.notePlatformAnswer(nowMs())
-      pass(ttlMs)
+    arrange: ({ nowMs, advanceClock }, contact) => {
+      contact.recordPlatformConfirmation(nowMs())
+      advanceClock(ttlMs)
     },
     expected: 'silence'
   },
   {
     title: 'a peer forwards a recent confirmation',
-    bring: ({ hear, nowMs }) => hear('vm-2', { confirmedAtMs: nowMs() - 500 }),
+    arrange: ({ receiveReport, nowMs }) => receiveReport('vm-2', { confirmedAtMs: nowMs() - 500 }),
     expected: 'peers'
   },
   {
     title: 'a peer forwards a confirmation that has expired on the way',
-    bring: ({ hear, nowMs }) => hear('vm-2', { confirmedAtMs: nowMs() - ttlMs }),
+    arrange: ({ receiveReport, nowMs }) => receiveReport('vm-2', { confirmedAtMs: nowMs() - ttlMs }),
     expected: 'silence'
   },
   {
     title: 'the confirmation of a starting peer does not count',
-    bring: ({ hear, nowMs }) => hear('vm-2', { confirmedAtMs: nowMs(), starting: true }),
+    arrange: ({ receiveReport, nowMs }) => receiveReport('vm-2', { confirmedAtMs: nowMs(), starting: true }),
     expected: 'silence'
   },
   {
     title: 'a majority replies while the platform is silent',
-    bring: ({ hear }) => ['vm-2', 'vm-3'].forEach(vm => hear(vm)),
+    arrange: ({ receiveReport }) => ['vm-2', 'vm-3'].forEach(vm => receiveReport(vm)),
     expected: 'majority'
   },
-  { title: 'less than a majority replies', bring: ({ hear }) => hear('vm-2'), expected: 'silence' },
+  { title: 'less than a majority replies', arrange: ({ receiveReport }) => receiveReport('vm-2'), expected: 'silence' },
   {
     title: 'the majority\'s replies have expired',
-    bring: ({ hear, pass }) => {
-      ['vm-2', 'vm-3', 'vm-4', 'vm-5'].forEach(vm => hear(vm))
-      pass(ttlMs)
+    arrange: ({ receiveReport, advanceClock }) => {
+      ['vm-2', 'vm-3', 'vm-4', 'vm-5'].forEach(vm => receiveReport(vm))
+      advanceClock(ttlMs)
     },
     expected: 'silence'
   },
   {
     title: 'a newer revision was reported',
-    bring: ({ nowMs }, contact) => {
-      contact.notePlatformAnswer(nowMs())
-      contact.noteRevision(knownRevision + 1)
+    arrange: ({ nowMs }, contact) => {
+      contact.recordPlatformConfirmation(nowMs())
+      contact.recordRevision(knownRevision + 1)
     },
     expected: 'newerRevision'
   },
   {
     title: 'a newer process with the same name is running',
-    bring: ({ nowMs, peers }, contact) => {
-      contact.notePlatformAnswer(nowMs())
-      peers.noteIncarnation('vm-1', 6)
+    arrange: ({ nowMs, peers }, contact) => {
+      contact.recordPlatformConfirmation(nowMs())
+      peers.recordIncarnation('vm-1', 6)
     },
     expected: 'superseded'
   },
   {
     title: 'the host was paused together with its clock',
-    bring: ({ nowMs, hear }, contact) => {
-      contact.notePlatformAnswer(nowMs())
-      ;['vm-2', 'vm-3'].forEach(vm => hear(vm))
+    arrange: ({ nowMs, receiveReport }, contact) => {
+      contact.recordPlatformConfirmation(nowMs())
+      ;['vm-2', 'vm-3'].forEach(vm => receiveReport(vm))
       contact.expire()
     },
     expected: 'silence'
   }
 ]
 
-for (const { title, bring, expected } of cases) {
+for (const { title, arrange, expected } of cases) {
   test(`${title}: ${expected}`, t => {
-    const world = createWorld()
-    if (expected !== 'starting') world.contact.noteStarted()
-    bring(world, world.contact)
-    t.is(world.contact.basis(), expected)
-    t.is(world.contact.isInContact(), ['platform', 'peers', 'majority'].includes(expected))
+    const fixture = createFixture()
+    if (expected !== 'starting') fixture.contact.completeStartup()
+    arrange(fixture, fixture.contact)
+    t.is(fixture.contact.basis(), expected)
+    t.is(fixture.contact.isInContact(), ['platform', 'peers', 'majority'].includes(expected))
   })
 }
 
 test('a VM that is not in the roster is not in contact, even if the platform replies', t => {
-  const world = createWorld(['vm-2', 'vm-3', 'vm-4'])
-  world.contact.noteStarted()
-  world.contact.notePlatformAnswer(world.nowMs())
-  t.is(world.contact.basis(), 'notListed')
-  t.false(world.contact.isInContact())
+  const fixture = createFixture(['vm-2', 'vm-3', 'vm-4'])
+  fixture.contact.completeStartup()
+  fixture.contact.recordPlatformConfirmation(fixture.nowMs())
+  t.is(fixture.contact.basis(), 'notListed')
+  t.false(fixture.contact.isInContact())
 })
--- a/packages/entry/src/coordination/contact.ts
+++ b/packages/entry/src/coordination/contact.ts
@@ -28,13 +28,13 @@
   /** Age of the newest confirmation by the platform in milliseconds; Infinity if there is none. */
   confirmedAgeMs: () => number
   /** Records that a platform request sent at the given time succeeded and that all records in its reply are applied. */
-  notePlatformAnswer: (askedAtMs: number) => void
+  recordPlatformConfirmation: (sentAtMs: number) => void
   /** Records that another process has seen the revision. Contact is lost until this VM has applied it too. */
-  noteRevision: (revision: number) => void
+  recordRevision: (revision: number) => void
   /** Newest revision that this VM has heard of, whether it has been applied or not. */
-  newestHeardRevision: () => number
+  newestObservedRevision: () => number
   /** Ends the startup phase, after the state has been loaded. */
-  noteStarted: () => void
+  completeStartup: () => void
   isStarting: () => boolean
   /** Invalidates all confirmations received so far, because the host was paused. */
   expire: () => void
@@ -57,14 +57,14 @@
 /** Creates the contact state of a VM that has just started. */
 export const createContact = (options: ContactOptions): Contact => {
   const { peers, clock } = options
-  let platformAskedAtMs = -Infinity
-  let newestHeard = 0
+  let platformPolledAtMs = -Infinity
+  let newestObserved = 0
   let starting = true
-  let notBeforeMs = -Infinity
+  let invalidBeforeMs = -Infinity
 
   /** Latest time at which the platform is known to have had no revision newer than those applied here. */
   const confirmedAtMs = (): number => {
-    let newest = platformAskedAtMs
+    let newest = platformPolledAtMs
     for (const report of peers.reports()) {
       if (report.starting || report.knownRevision > options.knownRevision()) continue
       newest = Math.max(newest, report.confirmedAtMs)
@@ -72,25 +72,25 @@
     return newest
   }
 
-  const freshAfterMs = () => Math.max(clock() - options.ttlMs, notBeforeMs)
+  const freshAfterMs = () => Math.max(clock() - options.ttlMs, invalidBeforeMs)
 
   const hasMajority = (): boolean => {
     const roster = options.rosterNames()
-    const answering = roster.filter(name => {
+    const respondingMembers = roster.filter(name => {
       if (name === options.vm) return true
       const report = peers.report(name)
-      return report !== undefined && !report.starting && report.askedAtMs > freshAfterMs()
+      return report !== undefined && !report.starting && report.sentAtMs > freshAfterMs()
     })
-    return answering.length >= majorityOf(roster.length)
+    return respondingMembers.length >= majorityOf(roster.length)
   }
 
   const basis = (): ContactBasis => {
     if (peers.newestIncarnation(options.vm) > options.incarnation()) return 'superseded'
     if (starting) return 'starting'
-    if (newestHeard > options.knownRevision()) return 'newerRevision'
+    if (newestObserved > options.knownRevision()) return 'newerRevision'
     // Stewards send StopConfirming only to the VMs in the roster, so a VM outside it must not confirm writes.
     if (!options.rosterNames().includes(options.vm)) return 'notListed'
-    if (platformAskedAtMs > freshAfterMs()) return 'platform'
+    if (platformPolledAtMs > freshAfterMs()) return 'platform'
     if (confirmedAtMs() > freshAfterMs()) return 'peers'
     if (hasMajority()) return 'majority'
     return 'silence'
@@ -102,14 +102,14 @@
     isInContact: () => contactBases.includes(basis()),
     basis,
     confirmedAgeMs: () => clock() - confirmedAtMs(),
-    notePlatformAnswer: askedAtMs => { platformAskedAtMs = Math.max(platformAskedAtMs, askedAtMs) },
-    noteRevision: revision => { newestHeard = Math.max(newestHeard, revision) },
-    newestHeardRevision: () => Math.max(newestHeard, options.knownRevision()),
-    noteStarted: () => { starting = false },
+    recordPlatformConfirmation: sentAtMs => { platformPolledAtMs = Math.max(platformPolledAtMs, sentAtMs) },
+    recordRevision: revision => { newestObserved = Math.max(newestObserved, revision) },
+    newestObservedRevision: () => Math.max(newestObserved, options.knownRevision()),
+    completeStartup: () => { starting = false },
     isStarting: () => starting,
     expire: () => {
-      platformAskedAtMs = -Infinity
-      notBeforeMs = clock()
+      platformPolledAtMs = -Infinity
+      invalidBeforeMs = clock()
     }
   }
 }
--- a/packages/entry/src/coordination/endpoint-pool.ts
+++ b/packages/entry/src/coordination/endpoint-pool.ts
@@ -11,8 +11,8 @@
 
 const openTimeoutMs = 1_000
 /** A connection that is idle for this long is closed and its permit released, so that peers can use the permit. */
-const idleCloseMs = 10_000
-const trimIntervalMs = 1_000
+const idleTimeoutMs = 10_000
+const idleCheckIntervalMs = 1_000
 /** Time for connections in use to finish after a permit was revoked; then the longest-running one is closed. */
 const revokeGraceMs = 150
 const borrowWaitMs = 200
@@ -24,10 +24,10 @@
 }
 
 /** Purpose of a connection: `statement`, or `held` for a transaction or stream, whose duration the caller controls. */
-export type ConnectionUse = 'statement' | 'held'
+export type ConnectionPurpose = 'statement' | 'held'
 
 /** Result of the use of a connection, as input to the adaptive limit on statements in flight. */
-export type TurnEnd = {
+export type ConnectionUseResult = {
   outcome: FlightOutcome
   latencyMs: number
   /** Key of statements that are expected to take about the same time. */
@@ -37,17 +37,17 @@
 /** Connection pool for one endpoint. */
 export type EndpointPool = {
   /** True if a connection can be acquired now. */
-  hasRoom: () => boolean
+  hasCapacity: () => boolean
   inUse: () => number
   /**
    * Reserves capacity synchronously and resolves to an idle connection or a new one. Transactions and streams do not
    * count towards the adaptive limit, because their duration depends on their callers.
    */
-  take: (use: ConnectionUse) => Promise<Result<EndpointConnection, ConnectionError>>
+  acquire: (purpose: ConnectionPurpose) => Promise<Result<EndpointConnection, ConnectionError>>
   /** Returns a connection to the pool, or closes it if it is not usable. */
-  give: (connection: EndpointConnection, end: TurnEnd) => void
+  release: (connection: EndpointConnection, useResult: ConnectionUseResult) => void
   /** Requests a permit from peers in the background. Called while requests are queued. */
-  requestMore: () => void
+  borrowPermit: () => void
   strayReplies: () => number
   close: () => void
 }
@@ -62,148 +62,151 @@
   maxInFlight: number
   clock: Clock
   /** Called when a permit was borrowed, so that capacity may be available again. */
-  onRoom: () => void
+  onCapacity: () => void
 }
 
-type Idle = { connection: EndpointConnection, sinceMs: number }
+type IdleConnection = { connection: EndpointConnection, sinceMs: number }
 
 /** Creates an empty pool. */
 export const createEndpointPool = (options: EndpointPoolOptions): EndpointPool => {
-  const { connector, permits, clock, onRoom } = options
-  const flights = createAdaptiveLimit({ initial: options.initialInFlight, max: options.maxInFlight, clock })
-  const inHand = new Map<EndpointConnection, ConnectionUse>()
-  let idle: Idle[] = []
+  const { connector, permits, clock, onCapacity } = options
+  const inFlightLimit = createAdaptiveLimit({ initial: options.initialInFlight, max: options.maxInFlight, clock })
+  const activeConnections = new Map<EndpointConnection, ConnectionPurpose>()
+  let idle: IdleConnection[] = []
   /** Permits without a connection. */
-  let spare: Permit[] = []
-  let used: Permit[] = []
+  let unusedPermits: Permit[] = []
+  let usedPermits: Permit[] = []
   let opening = 0
-  let owed = 0
-  let asking = false
+  let pendingRevocations = 0
+  let isBorrowing = false
   let closed = false
 
-  const releaseUsed = () => {
-    used.pop()?.release()
-    owed = Math.max(0, owed - 1)
+  const releaseUsedPermit = () => {
+    usedPermits.pop()?.release()
+    pendingRevocations = Math.max(0, pendingRevocations - 1)
   }
 
   const closeConnection = (connection: EndpointConnection) => {
     connection.close()
-    releaseUsed()
+    releaseUsedPermit()
   }
 
-  const closeLongestInHand = () => {
-    if (owed === 0) return
-    const longest = inHand.keys().next().value
-    longest?.close()
+  const closeOldestActive = () => {
+    if (pendingRevocations === 0) return
+    const oldest = activeConnections.keys().next().value
+    oldest?.close()
   }
 
   /** Permits are interchangeable, so closing any connection frees a permit for the revoked one. */
   const revoke = (permit: Permit) => {
-    if (spare.includes(permit)) {
-      spare = spare.filter(other => other !== permit)
+    if (unusedPermits.includes(permit)) {
+      unusedPermits = unusedPermits.filter(other => other !== permit)
       return permit.release()
     }
-    if (!used.includes(permit)) return
-    used = [...used.filter(other => other !== permit), permit]
-    owed++
-    const unused = idle.shift()
-    if (unused) return closeConnection(unused.connection)
-    setTimeout(closeLongestInHand, revokeGraceMs)
+    if (!usedPermits.includes(permit)) return
+    usedPermits = [...usedPermits.filter(other => other !== permit), permit]
+    pendingRevocations++
+    const idleConnection = idle.shift()
+    if (idleConnection) return closeConnection(idleConnection.connection)
+    setTimeout(closeOldestActive, revokeGraceMs)
   }
 
-  const keep = (acquire: (onRevoked: () => void) => Permit | undefined): boolean => {
-    const permit: Permit | undefined = acquire(() => permit && revoke(permit))
-    if (permit) spare.push(permit)
+  const storePermit = (tryAcquire: (onRevoked: () => void) => Permit | undefined): boolean => {
+    const permit: Permit | undefined = tryAcquire(() => permit && revoke(permit))
+    if (permit) unusedPermits.push(permit)
     return permit !== undefined
   }
 
-  const dropUnusable = () => {
-    const broken = idle.filter(({ connection }) => !connection.isUsable())
-    if (broken.length === 0) return
+  const closeUnusable = () => {
+    const unusable = idle.filter(({ connection }) => !connection.isUsable())
+    if (unusable.length === 0) return
     idle = idle.filter(({ connection }) => connection.isUsable())
-    for (const { connection } of broken) closeConnection(connection)
+    for (const { connection } of unusable) closeConnection(connection)
   }
 
-  const hasRoom = (): boolean => {
-    if (closed || flights.inFlight() >= flights.limit()) return false
-    dropUnusable()
-    return idle.length > 0 || spare.length > 0 || keep(permits.tryAcquire)
+  const hasCapacity = (): boolean => {
+    if (closed || inFlightLimit.inFlight() >= inFlightLimit.limit()) return false
+    closeUnusable()
+    return idle.length > 0 || unusedPermits.length > 0 || storePermit(permits.tryAcquire)
   }
 
-  const endFlight = (use: ConnectionUse | undefined, { outcome, latencyMs, kind }: TurnEnd) => {
-    if (use === 'statement') flights.release(outcome, latencyMs, kind)
+  const releaseInFlight = (
+    purpose: ConnectionPurpose | undefined,
+    { outcome, latencyMs, kind }: ConnectionUseResult
+  ) => {
+    if (purpose === 'statement') inFlightLimit.release(outcome, latencyMs, kind)
   }
 
-  const open = async (use: ConnectionUse): Promise<Result<EndpointConnection, ConnectionError>> => {
+  const open = async (purpose: ConnectionPurpose): Promise<Result<EndpointConnection, ConnectionError>> => {
     opening++
     const opened = await connector.open(openTimeoutMs)
     opening--
     if (opened.ok) return opened
-    releaseUsed()
-    endFlight(use, { outcome: 'ignored', latencyMs: 0, kind: '' })
+    releaseUsedPermit()
+    releaseInFlight(purpose, { outcome: 'ignored', latencyMs: 0, kind: '' })
     return opened
   }
 
-  const take = async (use: ConnectionUse): Promise<Result<EndpointConnection, ConnectionError>> => {
-    if (!hasRoom()) return Err(typedError('notSent', 'no connection is free'))
-    if (use === 'statement') flights.tryAcquire()
-    const unused = idle.pop()
-    if (unused) {
-      inHand.set(unused.connection, use)
-      return Ok(unused.connection)
+  const acquire = async (purpose: ConnectionPurpose): Promise<Result<EndpointConnection, ConnectionError>> => {
+    if (!hasCapacity()) return Err(typedError('notSent', 'no connection is free'))
+    if (purpose === 'statement') inFlightLimit.tryAcquire()
+    const idleConnection = idle.pop()
+    if (idleConnection) {
+      activeConnections.set(idleConnection.connection, purpose)
+      return Ok(idleConnection.connection)
     }
-    used.push(spare.pop()!)
-    const opened = await open(use)
-    if (opened.ok) inHand.set(opened.val, use)
+    usedPermits.push(unusedPermits.pop()!)
+    const opened = await open(purpose)
+    if (opened.ok) activeConnections.set(opened.val, purpose)
     return opened
   }
 
-  const give = (connection: EndpointConnection, end: TurnEnd) => {
-    endFlight(inHand.get(connection), end)
-    inHand.delete(connection)
-    if (closed || owed > 0 || !connection.isUsable()) return closeConnection(connection)
+  const release = (connection: EndpointConnection, useResult: ConnectionUseResult) => {
+    releaseInFlight(activeConnections.get(connection), useResult)
+    activeConnections.delete(connection)
+    if (closed || pendingRevocations > 0 || !connection.isUsable()) return closeConnection(connection)
     idle.push({ connection, sinceMs: clock() })
   }
 
-  const requestMore = () => {
-    if (asking || closed || flights.inFlight() >= flights.limit()) return
-    asking = true
+  const borrowPermit = () => {
+    if (isBorrowing || closed || inFlightLimit.inFlight() >= inFlightLimit.limit()) return
+    isBorrowing = true
     let permit: Permit | undefined
-    const arrived = (borrowed: Permit | undefined) => {
-      asking = false
+    const onBorrowed = (borrowed: Permit | undefined) => {
+      isBorrowing = false
       permit = borrowed
       if (!permit) return
       if (closed) return permit.release()
-      spare.push(permit)
-      onRoom()
+      unusedPermits.push(permit)
+      onCapacity()
     }
-    permits.acquire(() => permit && revoke(permit), borrowWaitMs).then(arrived)
+    permits.acquire(() => permit && revoke(permit), borrowWaitMs).then(onBorrowed)
   }
 
-  const trim = () => {
-    dropUnusable()
-    const longUnused = idle.filter(({ sinceMs }) => clock() - sinceMs > idleCloseMs)
-    idle = idle.filter(({ sinceMs }) => clock() - sinceMs <= idleCloseMs)
-    for (const { connection } of longUnused) closeConnection(connection)
-    for (const permit of spare.splice(0)) permit.release()
+  const closeIdle = () => {
+    closeUnusable()
+    const expired = idle.filter(({ sinceMs }) => clock() - sinceMs > idleTimeoutMs)
+    idle = idle.filter(({ sinceMs }) => clock() - sinceMs <= idleTimeoutMs)
+    for (const { connection } of expired) closeConnection(connection)
+    for (const permit of unusedPermits.splice(0)) permit.release()
   }
 
-  const trimming = setInterval(trim, trimIntervalMs)
+  const idleTimer = setInterval(closeIdle, idleCheckIntervalMs)
 
   const close = () => {
     closed = true
-    clearInterval(trimming)
+    clearInterval(idleTimer)
     for (const { connection } of idle.splice(0)) closeConnection(connection)
-    for (const permit of spare.splice(0)) permit.release()
+    for (const permit of unusedPermits.splice(0)) permit.release()
     connector.close()
   }
 
   return {
-    hasRoom,
-    inUse: () => inHand.size + opening,
-    take,
-    give,
-    requestMore,
+    hasCapacity,
+    inUse: () => activeConnections.size + opening,
+    acquire,
+    release,
+    borrowPermit,
     strayReplies: connector.strayReplies,
     close
   }
--- a/packages/entry/src/coordination/entry-context.ts
+++ b/packages/entry/src/coordination/entry-context.ts
@@ -5,7 +5,7 @@
 import type { RetryBudget, Taken } from '@egretyoke/limits'
 import type { EntryLimits } from '../settings.js'
 import type { Admission } from './admission.js'
-import type { AnswerCheck } from './answer-check.js'
+import type { AnswerChecker } from './answer-check.js'
 import type { ConcurrencyLimit } from './concurrency-limit.js'
 import type { GroupDispatcher } from './group-dispatcher.js'
 import type { GroupEndpoints } from './group-endpoints.js'
@@ -22,7 +22,7 @@
   record: () => GroupRecord | undefined
   endpoints: GroupEndpoints
   dispatcher: GroupDispatcher
-  check: AnswerCheck
+  answerChecker: AnswerChecker
 }
 
 /** Components shared by all requests. */
@@ -34,7 +34,7 @@
   /** Waits a short time for contact. Resolves to false if the VM is still not in contact. */
   waitForContact: () => Promise<boolean>
   /** Acquires one token of the workspace's rate limit, waiting a short time for a loan from a peer if needed. */
-  takeRate: (workspace: string) => Promise<Taken>
+  acquireRateToken: (workspace: string) => Promise<Taken>
   concurrency: ConcurrencyLimit
   group: (name: string) => GroupContext | undefined
   readPolicy: ReadPolicy
--- a/packages/entry/src/coordination/group-dispatcher.ts
+++ b/packages/entry/src/coordination/group-dispatcher.ts
@@ -10,45 +10,45 @@
 import { events } from '../events.js'
 import { notRun } from '../state/outcome.js'
 import type { Outcome } from '../state/outcome.js'
-import type { ConnectionUse, TurnEnd } from './endpoint-pool.js'
+import type { ConnectionPurpose, ConnectionUseResult } from './endpoint-pool.js'
 import type { GroupEndpoints } from './group-endpoints.js'
 import { findPrimary, routeRead } from './routing.js'
-import type { EndpointView, PassedOver, ReadNeed } from './routing.js'
+import type { EndpointCandidate, RejectedEndpoint, ReadRequirement } from './routing.js'
 
-const pumpIntervalMs = 20
-const busyRetryMs = 50
+const dispatchIntervalMs = 20
+const refusalRetryMs = 50
 /** When more reads than this wait for replicas, reads may also use a primary that has capacity. */
 const maxReadsWaitingForReplicas = 8
 
 /** Request for a connection to an endpoint. */
-export type TurnRequest = {
+export type ConnectionRequest = {
   requestId: string
   workspace: string
   weight: number
   /** Expected time on the connection, in milliseconds. */
   costMs: number
   deadlineMs: number
-  use: ConnectionUse
+  purpose: ConnectionPurpose
   /** Undefined if only the primary may serve the request. */
-  read: ReadNeed | undefined
+  readRequirement: ReadRequirement | undefined
   isStillAllowed: () => boolean
 }
 
 /** Connection assigned to one request or transaction. */
-export type Turn = {
+export type AssignedConnection = {
   endpoint: string
   isPrimary: boolean
   connection: EndpointConnection
   /** Returns the connection to its pool and charges the time used to the workspace. */
-  release: (end: TurnEnd) => void
+  release: (useResult: ConnectionUseResult) => void
 }
 
 /** Dispatcher of one group. */
 export type GroupDispatcher = {
   /** Queues a request for a connection. Fails with the request's outcome if it does not get one. */
-  turn: (request: TurnRequest) => Promise<Result<Turn, Outcome>>
+  acquire: (request: ConnectionRequest) => Promise<Result<AssignedConnection, Outcome>>
   /** Assigns free connections to queued requests. Called when capacity or health may have changed. */
-  pump: () => void
+  dispatch: () => void
   queued: () => number
   close: () => void
 }
@@ -66,154 +66,161 @@
   isInContact: () => boolean
 }
 
-type Assigned = { view: EndpointView, reason: string, passedOver: PassedOver[] }
-type Waiting = TurnRequest & { assign: (assigned: Assigned) => void, refuse: (outcome: Outcome) => void }
+type EndpointChoice = { candidate: EndpointCandidate, reason: string, rejected: RejectedEndpoint[] }
+type QueuedRequest = ConnectionRequest & {
+  assign: (choice: EndpointChoice) => void
+  refuse: (outcome: Outcome) => void
+}
 
-const outcomeOfDrop = (reason: DropReason): Outcome => {
+const dropOutcome = (reason: DropReason): Outcome => {
   if (reason === 'expired') return notRun('deadline')
   if (reason === 'notAllowed') return notRun('keyRefused')
   if (reason === 'closed') return notRun('draining')
-  return notRun('queueFull', busyRetryMs)
+  return notRun('queueFull', refusalRetryMs)
 }
 
 /** Creates the dispatcher of a group. */
 export const createGroupDispatcher = (options: GroupDispatcherOptions): GroupDispatcher => {
   const { group, endpoints, clock, log } = options
 
-  const createQueue = (): FairQueue<Waiting> => createFairQueue<Waiting>({
+  const createQueue = (): FairQueue<QueuedRequest> => createFairQueue<QueuedRequest>({
     maxQueued: options.maxQueued,
     maxQueuedPerWorkspace: options.maxQueuedPerWorkspace,
     discipline: options.discipline,
-    isStillAllowed: waiting => waiting.isStillAllowed(),
-    onDropped: (waiting, reason) => waiting.refuse(outcomeOfDrop(reason)),
+    isStillAllowed: queuedRequest => queuedRequest.isStillAllowed(),
+    onDropped: (queuedRequest, reason) => queuedRequest.refuse(dropOutcome(reason)),
     clock
   })
   const primaryQueue = createQueue()
   const replicaQueue = createQueue()
 
-  const assign = (waiting: Waiting, assigned: Assigned) => {
+  const assign = (queuedRequest: QueuedRequest, choice: EndpointChoice) => {
     log(events.routed, () => ({
       group,
-      request: waiting.requestId,
-      workspace: waiting.workspace,
-      endpoint: assigned.view.name,
-      reason: assigned.reason,
-      passedOver: assigned.passedOver
+      request: queuedRequest.requestId,
+      workspace: queuedRequest.workspace,
+      endpoint: choice.candidate.name,
+      reason: choice.reason,
+      passedOver: choice.rejected
     }))
-    waiting.assign(assigned)
+    queuedRequest.assign(choice)
   }
 
-  const push = (queue: FairQueue<Waiting>, waiting: Waiting) => {
-    const queued = queue.push(waiting, {
-      workspace: waiting.workspace,
-      weight: waiting.weight,
-      cost: waiting.costMs,
-      deadlineMs: waiting.deadlineMs
+  const push = (queue: FairQueue<QueuedRequest>, queuedRequest: QueuedRequest) => {
+    const queued = queue.push(queuedRequest, {
+      workspace: queuedRequest.workspace,
+      weight: queuedRequest.weight,
+      cost: queuedRequest.costMs,
+      deadlineMs: queuedRequest.deadlineMs
     })
     if (queued.ok) return
-    waiting.refuse(queued.val.reason === 'expired' ? notRun('deadline') : notRun('queueFull', busyRetryMs))
+    queuedRequest.refuse(queued.val.reason === 'expired' ? notRun('deadline') : notRun('queueFull', refusalRetryMs))
   }
 
-  const enqueue = (waiting: Waiting) => {
-    const isForReplica = waiting.read && routeRead(endpoints.views(), waiting.read).eligible.length > 0
-    push(isForReplica ? replicaQueue : primaryQueue, waiting)
+  const enqueue = (queuedRequest: QueuedRequest) => {
+    const isForReplica = queuedRequest.readRequirement &&
+      routeRead(endpoints.candidates(), queuedRequest.readRequirement).eligible.length > 0
+    push(isForReplica ? replicaQueue : primaryQueue, queuedRequest)
   }
 
-  const mayServe = (view: EndpointView): boolean => !view.isOut && view.reachable
+  const canServe = (candidate: EndpointCandidate): boolean => !candidate.isOutOfService && candidate.reachable
 
   /** Requests connection permits from peers while requests are queued for lack of connections. */
-  const requestMore = (views: readonly EndpointView[], queue: FairQueue<Waiting>) => {
+  const borrowPermits = (candidates: readonly EndpointCandidate[], queue: FairQueue<QueuedRequest>) => {
     if (queue.size() === 0) return
-    for (const view of views) endpoints.endpoint(view.name)?.pool.requestMore()
+    for (const candidate of candidates) endpoints.endpoint(candidate.name)?.pool.borrowPermit()
   }
 
-  const pumpPrimary = () => {
+  const dispatchToPrimary = () => {
     for (;;) {
-      const primary = findPrimary(endpoints.views())
-      if (!primary || !mayServe(primary)) return
-      if (!primary.hasRoom()) return requestMore([primary], primaryQueue)
-      const waiting = primaryQueue.pop()
-      if (!waiting) return
-      const reason = waiting.read ? 'noReplicaFreshEnough' : 'primaryNeeded'
-      assign(waiting, { view: primary, reason, passedOver: [] })
+      const primary = findPrimary(endpoints.candidates())
+      if (!primary || !canServe(primary)) return
+      if (!primary.hasCapacity()) return borrowPermits([primary], primaryQueue)
+      const queuedRequest = primaryQueue.pop()
+      if (!queuedRequest) return
+      const reason = queuedRequest.readRequirement ? 'noReplicaFreshEnough' : 'primaryNeeded'
+      assign(queuedRequest, { candidate: primary, reason, rejected: [] })
     }
   }
 
-  const pumpReplicas = () => {
+  const dispatchToReplicas = () => {
     while (replicaQueue.size() > 0) {
-      const views = endpoints.views()
-      const primary = findPrimary(views)
-      const replicas = views.filter(view => !view.isRecordPrimary && mayServe(view))
-      const isReplicaFree = replicas.some(view => view.hasRoom())
-      const mayUsePrimary = primary !== undefined && replicaQueue.size() > maxReadsWaitingForReplicas &&
-        mayServe(primary) && primary.hasRoom()
-      if (!isReplicaFree && !mayUsePrimary) return requestMore(replicas, replicaQueue)
-      const waiting = replicaQueue.pop()
-      if (!waiting) return
-      const { eligible, passedOver } = routeRead(views, waiting.read!)
-      const free = eligible.find(view => view.hasRoom())
-      if (free) assign(waiting, { view: free, reason: 'freshEnough', passedOver })
-      else if (mayUsePrimary) assign(waiting, { view: primary, reason: 'replicasBusy', passedOver })
-      else push(primaryQueue, waiting)
+      const candidates = endpoints.candidates()
+      const primary = findPrimary(candidates)
+      const replicas = candidates.filter(candidate => !candidate.isRecordPrimary && canServe(candidate))
+      const hasFreeReplica = replicas.some(candidate => candidate.hasCapacity())
+      const canUsePrimary = primary !== undefined && replicaQueue.size() > maxReadsWaitingForReplicas &&
+        canServe(primary) && primary.hasCapacity()
+      if (!hasFreeReplica && !canUsePrimary) return borrowPermits(replicas, replicaQueue)
+      const queuedRequest = replicaQueue.pop()
+      if (!queuedRequest) return
+      const { eligible, rejected } = routeRead(candidates, queuedRequest.readRequirement!)
+      const freeReplica = eligible.find(candidate => candidate.hasCapacity())
+      if (freeReplica) assign(queuedRequest, { candidate: freeReplica, reason: 'freshEnough', rejected })
+      else if (canUsePrimary) assign(queuedRequest, { candidate: primary, reason: 'replicasBusy', rejected })
+      else push(primaryQueue, queuedRequest)
     }
   }
 
   const queued = () => primaryQueue.size() + replicaQueue.size()
 
-  const pump = () => {
+  const dispatch = () => {
     if (queued() === 0) return
     primaryQueue.dropExpired()
     replicaQueue.dropExpired()
     if (!options.isInContact()) return
-    pumpReplicas()
-    pumpPrimary()
+    dispatchToReplicas()
+    dispatchToPrimary()
   }
 
   /** Acquires a connection to the chosen endpoint. Its capacity in the pool is reserved synchronously. */
-  const connect = async (assigned: Assigned, use: ConnectionUse): Promise<Result<Turn, Outcome>> => {
-    const endpoint = endpoints.endpoint(assigned.view.name)
-    if (!endpoint) return Err(notRun('endpointNotConnected', busyRetryMs))
-    const taken = await endpoint.pool.take(use)
-    if (!taken.ok) {
-      if (!taken.val.metadata.refused) endpoints.noteFailure(endpoint.name)
-      pump()
-      return Err(notRun('endpointNotConnected', busyRetryMs))
+  const connect = async (
+    choice: EndpointChoice,
+    purpose: ConnectionPurpose
+  ): Promise<Result<AssignedConnection, Outcome>> => {
+    const endpoint = endpoints.endpoint(choice.candidate.name)
+    if (!endpoint) return Err(notRun('endpointNotConnected', refusalRetryMs))
+    const acquired = await endpoint.pool.acquire(purpose)
+    if (!acquired.ok) {
+      if (!acquired.val.metadata.refused) endpoints.recordFailure(endpoint.name)
+      dispatch()
+      return Err(notRun('endpointNotConnected', refusalRetryMs))
     }
-    const connection = taken.val
-    const release = (end: TurnEnd) => {
-      endpoint.pool.give(connection, end)
-      pump()
+    const connection = acquired.val
+    const release = (useResult: ConnectionUseResult) => {
+      endpoint.pool.release(connection, useResult)
+      dispatch()
     }
-    return Ok({ endpoint: endpoint.name, isPrimary: assigned.view.isRecordPrimary, connection, release })
+    return Ok({ endpoint: endpoint.name, isPrimary: choice.candidate.isRecordPrimary, connection, release })
   }
 
-  const turn = async (request: TurnRequest): Promise<Result<Turn, Outcome>> => {
-    const given = await new Promise<Result<Promise<Result<Turn, Outcome>>, Outcome>>(resolve => {
+  const acquire = async (request: ConnectionRequest): Promise<Result<AssignedConnection, Outcome>> => {
+    const assignment = await new Promise<Result<Promise<Result<AssignedConnection, Outcome>>, Outcome>>(resolve => {
       enqueue({
         ...request,
-        assign: assigned => resolve(Ok(connect(assigned, request.use))),
+        assign: choice => resolve(Ok(connect(choice, request.purpose))),
         refuse: outcome => resolve(Err(outcome))
       })
-      pump()
+      dispatch()
     })
-    if (!given.ok) return given
-    const connected = await given.val
+    if (!assignment.ok) return assignment
+    const connected = await assignment.val
     if (!connected.ok) return connected
     const { release, ...rest } = connected.val
-    const charge = (end: TurnEnd) => {
+    const releaseAndCharge = (useResult: ConnectionUseResult) => {
       const queue = connected.val.isPrimary ? primaryQueue : replicaQueue
-      queue.charge(request.workspace, end.latencyMs - request.costMs)
-      release(end)
+      queue.charge(request.workspace, useResult.latencyMs - request.costMs)
+      release(useResult)
     }
-    return Ok({ ...rest, release: charge })
+    return Ok({ ...rest, release: releaseAndCharge })
   }
 
-  const timer = setInterval(pump, pumpIntervalMs)
+  const timer = setInterval(dispatch, dispatchIntervalMs)
   const close = () => {
     clearInterval(timer)
     primaryQueue.close()
     replicaQueue.close()
   }
 
-  return { turn, pump, queued, close }
+  return { acquire, dispatch, queued, close }
 }
--- a/packages/entry/src/coordination/group-endpoints.ts
+++ b/packages/entry/src/coordination/group-endpoints.ts
@@ -14,18 +14,18 @@
 import type { PrimaryHistory } from '../state/primary-history.js'
 import { createEndpointPool } from './endpoint-pool.js'
 import type { EndpointPool, PermitSource } from './endpoint-pool.js'
-import type { EndpointView } from './routing.js'
+import type { EndpointCandidate } from './routing.js'
 
 /** Intervals between status polls of an endpoint while its group serves requests, and while the group is idle. */
 const busyStatusIntervalMs = 200
 const idleStatusIntervalMs = 1_000
 /** A group is busy if an endpoint answered a request within this time. */
-const busyForMs = 2_000
+const busyPeriodMs = 2_000
 /** Tolerance for timers that fire slightly early or late. */
 const scheduleMarginMs = 20
 const statusTimeoutMs = 500
 /** A primary that is leaving or out of service keeps serving for at most this long, until it has been replaced. */
-const handOverGraceMs = 4_000
+const handoverGraceMs = 4_000
 
 /** Status of an endpoint, as reported by the endpoint. */
 export type EndpointStatus = { term: number, appliedPosition: number, isPrimary: boolean }
@@ -44,7 +44,7 @@
   log: Logger
   record: () => GroupRecord | undefined
   /** True if the endpoint is leaving, or its data centre is out of service. */
-  isOut: (name: string, config: EndpointConfig) => boolean
+  isOutOfService: (name: string, config: EndpointConfig) => boolean
   /** Permits for connections to an endpoint. */
   permits: (endpoint: string) => PermitSource
   /** Initial limit on statements in flight at an endpoint, used until its load is known. */
@@ -64,10 +64,10 @@
   health: HealthRecord
 }
 
-type KeptEndpoint = GroupEndpoint & {
+type OpenEndpoint = GroupEndpoint & {
   transport: EndpointTransport
   stop: AbortController
-  outSinceMs: number
+  outOfServiceSinceMs: number
   lostCallbacks: Set<() => void>
 }
 
@@ -76,11 +76,11 @@
   /** Opens endpoints that are new, and closes those that were removed or have another address. */
   setEndpoints: (endpoints: Readonly<Record<string, EndpointConfig>>) => void
   endpoint: (name: string) => GroupEndpoint | undefined
-  views: () => EndpointView[]
+  candidates: () => EndpointCandidate[]
   history: PrimaryHistory
   /** Updates the health of an endpoint from its answer to a request that was sent at `sentAtMs`. */
-  noteAnswer: (name: string, answer: EndpointAnswer, askedAtMs: number) => void
-  noteFailure: (name: string) => void
+  recordAnswer: (name: string, answer: EndpointAnswer, sentAtMs: number) => void
+  recordFailure: (name: string) => void
   /** Calls back once if the endpoint becomes unreachable. The returned function removes the callback. */
   onLost: (name: string, callback: () => void) => () => void
   sightings: () => PeerMessages.EndpointSighting[]
@@ -90,33 +90,34 @@
 /** Creates the endpoints of a group; none are open yet. */
 export const createGroupEndpoints = (options: GroupEndpointsOptions): GroupEndpoints => {
   const { group, clock, log, record } = options
-  const kept = new Map<string, KeptEndpoint>()
+  const openEndpoints = new Map<string, OpenEndpoint>()
   const history = createPrimaryHistory()
   let lastAnswerMs = -Infinity
 
-  const notePosition = (endpoint: GroupEndpoint, status: EndpointStatus, askedAtMs: number) => {
+  const recordStatus = (endpoint: GroupEndpoint, status: EndpointStatus, sentAtMs: number) => {
     const wasReachable = endpoint.health.current().reachable
-    endpoint.health.notePosition(status.term, status.appliedPosition, status.isPrimary, clock())
+    endpoint.health.recordPosition(status.term, status.appliedPosition, status.isPrimary, clock())
     if (!wasReachable) log(events.endpointBack, { group, endpoint: endpoint.name })
     const current = record()
-    const leads = current?.phase === 'active' && current.primary === endpoint.name && current.term === status.term
-    if (leads && status.isPrimary && options.isInContact()) {
-      history.note(status.term, askedAtMs, status.appliedPosition)
+    const isCurrentPrimary =
+      current?.phase === 'active' && current.primary === endpoint.name && current.term === status.term
+    if (isCurrentPrimary && status.isPrimary && options.isInContact()) {
+      history.record(status.term, sentAtMs, status.appliedPosition)
     }
   }
 
-  const noteAnswer: GroupEndpoints['noteAnswer'] = (name, answer, askedAtMs) => {
-    const endpoint = kept.get(name)
+  const recordAnswer: GroupEndpoints['recordAnswer'] = (name, answer, sentAtMs) => {
+    const endpoint = openEndpoints.get(name)
     lastAnswerMs = clock()
     if (!endpoint || answer.verdict === 'declined') return
-    endpoint.health.noteLatency(clock() - askedAtMs)
+    endpoint.health.recordLatency(clock() - sentAtMs)
     const { term, position: appliedPosition, fromPrimary: isPrimary } = answer
-    notePosition(endpoint, { term, appliedPosition, isPrimary }, askedAtMs)
+    recordStatus(endpoint, { term, appliedPosition, isPrimary }, sentAtMs)
   }
 
-  const noteFailure = (name: string) => {
-    const endpoint = kept.get(name)
-    if (!endpoint?.health.noteFailure()) return
+  const recordFailure = (name: string) => {
+    const endpoint = openEndpoints.get(name)
+    if (!endpoint?.health.recordFailure()) return
     log(events.endpointLost, { group, endpoint: name })
     for (const callback of [...endpoint.lostCallbacks]) callback()
     endpoint.lostCallbacks.clear()
@@ -124,32 +125,32 @@
   }
 
   const onLost: GroupEndpoints['onLost'] = (name, callback) => {
-    const callbacks = kept.get(name)?.lostCallbacks
+    const callbacks = openEndpoints.get(name)?.lostCallbacks
     callbacks?.add(callback)
     return () => callbacks?.delete(callback)
   }
 
   /** A poll is skipped while answers to requests report the endpoint's position often enough. */
-  const isQuestionDue = (endpoint: KeptEndpoint): boolean => {
-    const unseenMs = clock() - endpoint.health.current().seenAtMs
-    const isBusy = clock() - lastAnswerMs < busyForMs
-    return unseenMs >= (isBusy ? busyStatusIntervalMs : idleStatusIntervalMs) - scheduleMarginMs
+  const isStatusPollDue = (endpoint: OpenEndpoint): boolean => {
+    const sinceSeenMs = clock() - endpoint.health.current().seenAtMs
+    const isBusy = clock() - lastAnswerMs < busyPeriodMs
+    return sinceSeenMs >= (isBusy ? busyStatusIntervalMs : idleStatusIntervalMs) - scheduleMarginMs
   }
 
   /** Polls the status of one endpoint until the endpoint is closed. */
-  const watch = async (endpoint: KeptEndpoint) => {
+  const pollStatus = async (endpoint: OpenEndpoint) => {
     for await (const _ of createTicker(busyStatusIntervalMs).ticks(endpoint.stop.signal)) {
-      if (!isQuestionDue(endpoint)) continue
-      const askedAtMs = clock()
+      if (!isStatusPollDue(endpoint)) continue
+      const sentAtMs = clock()
       const status = await endpoint.transport.status(statusTimeoutMs)
       if (endpoint.stop.signal.aborted) return
-      if (status) notePosition(endpoint, status, askedAtMs)
-      else noteFailure(endpoint.name)
+      if (status) recordStatus(endpoint, status, sentAtMs)
+      else recordFailure(endpoint.name)
       options.onChange()
     }
   }
 
-  const open = (name: string, config: EndpointConfig) => {
+  const openEndpoint = (name: string, config: EndpointConfig) => {
     const transport = options.openTransport(config)
     const pool = createEndpointPool({
       connector: transport.connector,
@@ -157,51 +158,51 @@
       initialInFlight: options.initialInFlight(config),
       maxInFlight: config.slots + 1,
       clock,
-      onRoom: options.onChange
+      onCapacity: options.onChange
     })
     const stop = new AbortController()
-    const endpoint: KeptEndpoint = {
+    const endpoint: OpenEndpoint = {
       name,
       config,
       transport,
       pool,
       health: createHealthRecord(),
       stop,
-      outSinceMs: Infinity,
+      outOfServiceSinceMs: Infinity,
       lostCallbacks: new Set()
     }
-    kept.set(name, endpoint)
-    watch(endpoint)
+    openEndpoints.set(name, endpoint)
+    pollStatus(endpoint)
   }
 
-  const closeEndpoint = (endpoint: KeptEndpoint) => {
-    kept.delete(endpoint.name)
+  const closeEndpoint = (endpoint: OpenEndpoint) => {
+    openEndpoints.delete(endpoint.name)
     endpoint.stop.abort()
     endpoint.pool.close()
     endpoint.transport.close()
   }
 
   const setEndpoints: GroupEndpoints['setEndpoints'] = endpoints => {
-    for (const endpoint of kept.values()) {
+    for (const endpoint of openEndpoints.values()) {
       if (endpoints[endpoint.name]?.address !== endpoint.config.address) closeEndpoint(endpoint)
       else endpoint.config = endpoints[endpoint.name]
     }
     for (const [name, config] of Object.entries(endpoints)) {
-      if (!kept.has(name)) open(name, config)
+      if (!openEndpoints.has(name)) openEndpoint(name, config)
     }
   }
 
   /** A replica is out of service immediately; a primary only after the handover grace period. */
-  const isOutNow = (endpoint: KeptEndpoint, isRecordPrimary: boolean): boolean => {
-    if (!options.isOut(endpoint.name, endpoint.config)) {
-      endpoint.outSinceMs = Infinity
+  const isCurrentlyOutOfService = (endpoint: OpenEndpoint, isRecordPrimary: boolean): boolean => {
+    if (!options.isOutOfService(endpoint.name, endpoint.config)) {
+      endpoint.outOfServiceSinceMs = Infinity
       return false
     }
-    endpoint.outSinceMs = Math.min(endpoint.outSinceMs, clock())
-    return !isRecordPrimary || clock() - endpoint.outSinceMs > handOverGraceMs
+    endpoint.outOfServiceSinceMs = Math.min(endpoint.outOfServiceSinceMs, clock())
+    return !isRecordPrimary || clock() - endpoint.outOfServiceSinceMs > handoverGraceMs
   }
 
-  const view = (endpoint: KeptEndpoint): EndpointView => {
+  const toCandidate = (endpoint: OpenEndpoint): EndpointCandidate => {
     const current = record()
     const isRecordPrimary = current?.phase === 'active' && current.primary === endpoint.name
     const { reachable, term, appliedPosition, latencyMs } = endpoint.health.current()
@@ -209,16 +210,16 @@
       name: endpoint.name,
       isRecordPrimary,
       reachable,
-      isOut: isOutNow(endpoint, isRecordPrimary),
+      isOutOfService: isCurrentlyOutOfService(endpoint, isRecordPrimary),
       term,
       appliedPosition,
-      hasRoom: endpoint.pool.hasRoom,
+      hasCapacity: endpoint.pool.hasCapacity,
       inUse: endpoint.pool.inUse(),
       latencyMs
     }
   }
 
-  const sightings = (): PeerMessages.EndpointSighting[] => [...kept.values()].map(endpoint => {
+  const sightings = (): PeerMessages.EndpointSighting[] => [...openEndpoints.values()].map(endpoint => {
     const { reachable, seenAtMs, term, appliedPosition, isPrimary } = endpoint.health.current()
     const ageMs = Math.min(0xffffffff, Math.max(0, Math.round(clock() - seenAtMs)))
     return { endpoint: endpoint.name, reachable, ageMs, term, appliedPosition, isPrimary }
@@ -226,15 +227,15 @@
 
   return {
     setEndpoints,
-    endpoint: name => kept.get(name),
-    views: () => [...kept.values()].map(view),
+    endpoint: name => openEndpoints.get(name),
+    candidates: () => [...openEndpoints.values()].map(toCandidate),
     history,
-    noteAnswer,
-    noteFailure,
+    recordAnswer,
+    recordFailure,
     onLost,
     sightings,
     close: () => {
-      for (const endpoint of kept.values()) closeEndpoint(endpoint)
+      for (const endpoint of openEndpoints.values()) closeEndpoint(endpoint)
     }
   }
 }
--- a/packages/entry/src/coordination/groups.ts
+++ b/packages/entry/src/coordination/groups.ts
@@ -5,8 +5,8 @@
 import type { EndpointConfig } from '@egretyoke/config'
 import type { Discipline } from '@egretyoke/limits'
 import type { EntryLimits } from '../settings.js'
-import type { KnownState } from '../state/known-state.js'
-import { createAnswerCheck } from './answer-check.js'
+import type { PlatformState } from '../state/platform-state.js'
+import { createAnswerChecker } from './answer-check.js'
 import type { PermitSource } from './endpoint-pool.js'
 import type { GroupContext } from './entry-context.js'
 import { createGroupDispatcher } from './group-dispatcher.js'
@@ -17,14 +17,14 @@
 
 /** Dependencies of the groups. */
 export type GroupsOptions = {
-  state: KnownState
+  state: PlatformState
   clock: Clock
   log: Logger
   limits: EntryLimits
   discipline: Discipline
   isInContact: () => boolean
   waitForContact: () => Promise<boolean>
-  stoppedBelow: (group: string) => number
+  minConfirmableTerm: (group: string) => number
   permits: (group: string, endpoint: string) => PermitSource
   openTransport: (group: string, config: EndpointConfig) => EndpointTransport
 }
@@ -43,7 +43,7 @@
   const { state, clock, log, limits } = options
   const groups = new Map<string, GroupContext>()
 
-  const isOut = (endpoint: string, config: EndpointConfig): boolean =>
+  const isOutOfService = (endpoint: string, config: EndpointConfig): boolean =>
     state.leaving().endpoints.includes(endpoint) ||
     state.configuration()?.dataCentres[config.dataCentre]?.state === 'out'
 
@@ -58,12 +58,12 @@
       clock,
       log,
       record,
-      isOut,
+      isOutOfService,
       permits: endpoint => options.permits(name, endpoint),
       initialInFlight,
       openTransport: config => options.openTransport(name, config),
       isInContact: options.isInContact,
-      onChange: () => dispatcher.pump()
+      onChange: () => dispatcher.dispatch()
     })
     const dispatcher = createGroupDispatcher({
       group: name,
@@ -75,12 +75,12 @@
       maxQueued: limits.maxQueuedPerGroup,
       maxQueuedPerWorkspace: limits.maxQueuedPerWorkspace
     })
-    const check = createAnswerCheck({
+    const answerChecker = createAnswerChecker({
       record,
       waitForContact: options.waitForContact,
-      stoppedBelow: () => options.stoppedBelow(name)
+      minConfirmableTerm: () => options.minConfirmableTerm(name)
     })
-    return { name, record, endpoints, dispatcher, check }
+    return { name, record, endpoints, dispatcher, answerChecker }
   }
 
   const closeGroup = (group: GroupContext) => {
@@ -90,15 +90,15 @@
   }
 
   const update = () => {
-    const wanted = state.configuration()?.groups ?? {}
+    const configuredGroups = state.configuration()?.groups ?? {}
     for (const group of groups.values()) {
-      if (!Object.hasOwn(wanted, group.name)) closeGroup(group)
+      if (!Object.hasOwn(configuredGroups, group.name)) closeGroup(group)
     }
-    for (const [name, config] of Object.entries(wanted)) {
+    for (const [name, config] of Object.entries(configuredGroups)) {
       const group = groups.get(name) ?? create(name)
       groups.set(name, group)
       group.endpoints.setEndpoints(config.endpoints)
-      group.dispatcher.pump()
+      group.dispatcher.dispatch()
     }
   }
 
--- a/packages/entry/src/coordination/identity.ts
+++ b/packages/entry/src/coordination/identity.ts
@@ -8,16 +8,16 @@
   dataCentre: string
   incarnation: () => number
   /** Raises the incarnation above the given one. Permitted only before the VM has served any request. */
-  riseAbove: (incarnation: number) => void
+  raiseAbove: (incarnation: number) => void
 }
 
 /** Creates an identity. Its incarnation is the wall time, so that a later start of the same VM has a higher one. */
 export const createIdentity = (vm: string, dataCentre: string, wallMs: number = Date.now()): Identity => {
-  let own = wallMs
+  let current = wallMs
   return {
     vm,
     dataCentre,
-    incarnation: () => own,
-    riseAbove: other => { own = Math.max(own, other + 1) }
+    incarnation: () => current,
+    raiseAbove: other => { current = Math.max(current, other + 1) }
   }
 }
--- a/packages/entry/src/coordination/loan-terms.ts
+++ b/packages/entry/src/coordination/loan-terms.ts
@@ -2,7 +2,7 @@
  * Durations and peer calls shared by loans of rate limits and of connection permits.
  */
 import type { BorrowReply, BorrowRequest } from '@egretyoke/limits'
-import type { KnownState } from '../state/known-state.js'
+import type { PlatformState } from '../state/platform-state.js'
 import type { PeerCalls } from './peer-calls.js'
 
 /** Maximum duration of a loan, in milliseconds. */
@@ -32,7 +32,7 @@
   contactTtlMs + contactMarginMs + loanTtlMs + loanMarginMs
 
 /** Creates the function that requests a loan from a peer in the roster; it resolves to undefined without a reply. */
-export const createAskPeer = (state: KnownState, calls: PeerCalls) =>
+export const createBorrowCall = (state: PlatformState, calls: PeerCalls) =>
   async (peer: string, request: BorrowRequest): Promise<BorrowReply | undefined> => {
     const address = state.roster()?.members.find(member => member.name === peer)?.address
     return address === undefined ? undefined : await calls.borrow(address, request, borrowTimeoutMs)
--- a/packages/entry/src/coordination/membership.ts
+++ b/packages/entry/src/coordination/membership.ts
@@ -7,7 +7,7 @@
 import type { RosterMember } from '@egretyoke/config'
 import type { PeerMessages } from '@egretyoke/protocol'
 import { events } from '../events.js'
-import type { KnownState } from '../state/known-state.js'
+import type { PlatformState } from '../state/platform-state.js'
 import { unknownAgeMs } from '../state/peer-table.js'
 import type { PeerTable } from '../state/peer-table.js'
 import { majorityOf } from './contact.js'
@@ -16,12 +16,12 @@
 import type { PeerCalls } from './peer-calls.js'
 import { relaysPerDataCentre } from './state-follower.js'
 
-const seedIntervalMs = 300
+const seedPollIntervalMs = 300
 
 /** Dependencies and options of membership. */
 export type MembershipOptions = {
   identity: Identity
-  state: KnownState
+  state: PlatformState
   contact: Contact
   peers: PeerTable
   calls: PeerCalls
@@ -30,7 +30,7 @@
   intervalMs: number
   timeoutMs: number
   /** A peer that has not answered a heartbeat for this long does not count as alive. */
-  aliveMs: number
+  aliveTimeoutMs: number
   seedPeers: readonly string[]
   isDraining: () => boolean
   slotCount: () => number
@@ -40,15 +40,15 @@
 /** Heartbeats to and from the peers of this VM. */
 export type Membership = {
   /** Creates this VM's heartbeat message, which is both the request and the base of the reply. */
-  ownMessage: () => PeerMessages.HeartbeatMessage
+  createHeartbeat: () => PeerMessages.HeartbeatMessage
   /** Processes a peer's heartbeat and returns the reply. */
-  answer: (message: PeerMessages.HeartbeatMessage__Output) => PeerMessages.HeartbeatMessage
+  handleHeartbeat: (message: PeerMessages.HeartbeatMessage__Output) => PeerMessages.HeartbeatMessage
   /** True if this VM is one of the relays of its data centre, which poll the platform. */
   isRelay: () => boolean
   /** Members of the roster that have answered no heartbeat of this VM for longer than the contact time. */
   silentPeers: () => string[]
   /** Sends heartbeats immediately, because records have changed. */
-  announce: () => void
+  sendHeartbeats: () => void
   run: (signal: AbortSignal) => Promise<void>
 }
 
@@ -57,7 +57,7 @@
   stop: AbortController
   address: string
   /** Send time of the latest heartbeat that was answered; the start time of the task before the first reply. */
-  answeredMs: number
+  lastAnsweredSentAtMs: number
 }
 
 /** Creates the membership; `run` ends when its signal is aborted. */
@@ -68,12 +68,12 @@
   const members = (): readonly RosterMember[] => state.roster()?.members ?? []
   const addressOf = (vm: string) => members().find(member => member.name === vm)?.address
 
-  const ownMessage = (): PeerMessages.HeartbeatMessage => {
-    const ageMs = contact.newestHeardRevision() > state.revision() ? Infinity : contact.confirmedAgeMs()
+  const createHeartbeat = (): PeerMessages.HeartbeatMessage => {
+    const ageMs = contact.newestObservedRevision() > state.revision() ? Infinity : contact.confirmedAgeMs()
     return {
       vm: identity.vm,
       incarnation: identity.incarnation(),
-      knownRevision: contact.newestHeardRevision(),
+      knownRevision: contact.newestObservedRevision(),
       confirmedAgeMs: Math.min(unknownAgeMs, Math.ceil(ageMs)),
       starting: contact.isStarting(),
       configVersion: state.configuration()?.version ?? 0,
@@ -82,79 +82,81 @@
     }
   }
 
-  const noteRevision = (vm: string, revision: number) => {
-    contact.noteRevision(revision)
+  const handleRevision = (vm: string, revision: number) => {
+    contact.recordRevision(revision)
     const address = addressOf(vm)
     if (revision > state.revision() && address) options.fetchFrom(address)
   }
 
-  const noteOwnIncarnation = (newest: number) => {
+  const handleOwnIncarnation = (newest: number) => {
     if (newest <= identity.incarnation()) return
-    if (contact.isStarting()) return identity.riseAbove(newest)
+    if (contact.isStarting()) return identity.raiseAbove(newest)
     if (peers.newestIncarnation(identity.vm) >= newest) return
-    peers.noteIncarnation(identity.vm, newest)
+    peers.recordIncarnation(identity.vm, newest)
     log(events.superseded, { newest, own: identity.incarnation() })
   }
 
-  const noteReply = (reply: PeerMessages.HeartbeatMessage__Output, askedAtMs: number) => {
-    noteOwnIncarnation(reply.newestIncarnationOfAsker)
-    peers.note({
+  const handleReply = (reply: PeerMessages.HeartbeatMessage__Output, sentAtMs: number) => {
+    handleOwnIncarnation(reply.newestIncarnationOfAsker)
+    peers.recordReport({
       vm: reply.vm,
       incarnation: reply.incarnation,
-      askedAtMs,
+      sentAtMs,
       knownRevision: reply.knownRevision,
-      confirmedAtMs: reply.confirmedAgeMs === unknownAgeMs ? -Infinity : askedAtMs - reply.confirmedAgeMs,
+      confirmedAtMs: reply.confirmedAgeMs === unknownAgeMs ? -Infinity : sentAtMs - reply.confirmedAgeMs,
       starting: reply.starting,
       draining: reply.draining,
       configVersion: reply.configVersion,
       slotCount: reply.slotCount
     })
-    if (!reply.starting) noteRevision(reply.vm, reply.knownRevision)
+    if (!reply.starting) handleRevision(reply.vm, reply.knownRevision)
   }
 
-  const answer = (message: PeerMessages.HeartbeatMessage__Output): PeerMessages.HeartbeatMessage => {
-    if (message.vm === '') return ownMessage()
-    peers.noteIncarnation(message.vm, message.incarnation)
-    if (!message.starting) noteRevision(message.vm, message.knownRevision)
-    return { ...ownMessage(), newestIncarnationOfAsker: peers.newestIncarnation(message.vm) }
+  const handleHeartbeat = (message: PeerMessages.HeartbeatMessage__Output): PeerMessages.HeartbeatMessage => {
+    if (message.vm === '') return createHeartbeat()
+    peers.recordIncarnation(message.vm, message.incarnation)
+    if (!message.starting) handleRevision(message.vm, message.knownRevision)
+    return { ...createHeartbeat(), newestIncarnationOfAsker: peers.newestIncarnation(message.vm) }
   }
 
   /** Sends a heartbeat to one peer at every interval until the task is stopped. */
   const runPeer = async (vm: string, task: PeerTask) => {
     for await (const _ of task.ticker.ticks(task.stop.signal)) {
-      const askedAtMs = clock()
-      const reply = await calls.heartbeat(task.address, ownMessage(), options.timeoutMs)
+      const sentAtMs = clock()
+      const reply = await calls.heartbeat(task.address, createHeartbeat(), options.timeoutMs)
       if (!reply || reply.vm !== vm) continue
-      task.answeredMs = askedAtMs
-      noteReply(reply, askedAtMs)
+      task.lastAnsweredSentAtMs = sentAtMs
+      handleReply(reply, sentAtMs)
     }
   }
 
   const reconcile = () => {
-    const wanted = new Map(members().filter(member => member.name !== identity.vm).map(member => [member.name, member]))
+    const rosterPeers = new Map(members()
+      .filter(member => member.name !== identity.vm)
+      .map(member => [member.name, member]))
     for (const [vm, task] of tasks) {
-      if (wanted.get(vm)?.address === task.address) continue
+      if (rosterPeers.get(vm)?.address === task.address) continue
       task.stop.abort()
       tasks.delete(vm)
     }
-    for (const [vm, member] of wanted) {
+    for (const [vm, member] of rosterPeers) {
       if (tasks.has(vm)) continue
       const task = {
         ticker: createTicker(options.intervalMs),
         stop: new AbortController(),
         address: member.address,
-        answeredMs: clock()
+        lastAnsweredSentAtMs: clock()
       }
       tasks.set(vm, task)
       runPeer(vm, task)
     }
-    peers.retain([...wanted.keys()])
+    peers.retain([...rosterPeers.keys()])
   }
 
   const isAlive = (vm: string): boolean => {
     if (vm === identity.vm) return true
     const report = peers.report(vm)
-    return report !== undefined && !report.starting && clock() - report.askedAtMs < options.aliveMs
+    return report !== undefined && !report.starting && clock() - report.sentAtMs < options.aliveTimeoutMs
   }
 
   const isRelay = (): boolean => {
@@ -170,17 +172,17 @@
   const tryStartFromPeers = async () => {
     await Promise.all(options.seedPeers.map(options.fetchFrom))
     const roster = members()
-    const vouching = roster.filter(member => member.name !== identity.vm && isAlive(member.name))
-    if (roster.length === 0 || vouching.length < majorityOf(roster.length)) return
-    if (contact.newestHeardRevision() > state.revision()) return
-    contact.noteStarted()
+    const alivePeers = roster.filter(member => member.name !== identity.vm && isAlive(member.name))
+    if (roster.length === 0 || alivePeers.length < majorityOf(roster.length)) return
+    if (contact.newestObservedRevision() > state.revision()) return
+    contact.completeStartup()
   }
 
   const silentPeers = () => [...tasks]
-    .filter(([, task]) => clock() - task.answeredMs > options.aliveMs)
+    .filter(([, task]) => clock() - task.lastAnsweredSentAtMs > options.aliveTimeoutMs)
     .map(([vm]) => vm)
 
-  const announce = () => {
+  const sendHeartbeats = () => {
     for (const task of tasks.values()) task.ticker.wake()
   }
 
@@ -188,15 +190,15 @@
     state.onChange(() => {
       if (signal.aborted) return
       reconcile()
-      announce()
+      sendHeartbeats()
     })
     reconcile()
-    while (contact.isStarting() && await sleepMs(seedIntervalMs, signal)) {
+    while (contact.isStarting() && await sleepMs(seedPollIntervalMs, signal)) {
       if (contact.isStarting()) await tryStartFromPeers()
     }
     if (!signal.aborted) await new Promise(resolve => signal.addEventListener('abort', resolve, { once: true }))
     for (const task of tasks.values()) task.stop.abort()
   }
 
-  return { ownMessage, answer, isRelay, silentPeers, announce, run }
+  return { createHeartbeat, handleHeartbeat, isRelay, silentPeers, sendHeartbeats, run }
 }
--- a/packages/entry/src/coordination/rate-limits.ts
+++ b/packages/entry/src/coordination/rate-limits.ts
@@ -6,9 +6,9 @@
 import { sharingNames } from '@egretyoke/config'
 import { createShareTable, loans, staticSlices, tokenLoans } from '@egretyoke/limits'
 import type { ShareTable, Taken } from '@egretyoke/limits'
-import type { KnownState } from '../state/known-state.js'
+import type { PlatformState } from '../state/platform-state.js'
 import type { Identity } from './identity.js'
-import { createAskPeer, growthDelayMsFor, loanMarginMs, loanTtlMs } from './loan-terms.js'
+import { createBorrowCall, growthDelayMsFor, loanMarginMs, loanTtlMs } from './loan-terms.js'
 import type { PeerCalls } from './peer-calls.js'
 
 const maxWaitMs = 60
@@ -20,7 +20,7 @@
 /** Dependencies of rate limits. */
 export type RateLimitsOptions = {
   identity: Identity
-  state: KnownState
+  state: PlatformState
   calls: PeerCalls
   clock: Clock
   log: Logger
@@ -30,7 +30,7 @@
 
 /** Rate limits of this VM. */
 export type RateLimits = {
-  take: (workspace: string) => Promise<Taken>
+  acquire: (workspace: string) => Promise<Taken>
   lend: ShareTable['lend']
   expireLoans: () => void
   /** Applies the limits of the active configuration and the members of the active roster. */
@@ -60,7 +60,7 @@
     startupHold: true,
     clock,
     log,
-    askPeer: createAskPeer(state, calls)
+    askPeer: createBorrowCall(state, calls)
   })
 
   const update = () => {
@@ -86,7 +86,7 @@
   }
 
   return {
-    take: workspace => table.take(workspace, maxWaitMs),
+    acquire: workspace => table.take(workspace, maxWaitMs),
     lend: table.lend,
     expireLoans: table.expireLoans,
     update,
--- a/packages/entry/src/coordination/request-counters.ts
+++ b/packages/entry/src/coordination/request-counters.ts
@@ -25,13 +25,13 @@
     labelNames: ['workspace', 'outcome', 'reason'],
     registers
   })
-  const reads = new Counter({
+  const servedRequests = new Counter({
     name: 'egretyoke_served_total',
     help: 'Requests served, by access and role of the endpoint.',
     labelNames: ['access', 'role'],
     registers
   })
-  const tooOld = new Counter({
+  const staleAnswers = new Counter({
     name: 'egretyoke_answers_too_old_total',
     help: 'Answers of replicas that were too old and were discarded.',
     registers
@@ -48,9 +48,9 @@
       outcomes.inc({ workspace, outcome: outcome.kind, reason: 'reason' in outcome ? outcome.reason : '' })
     },
     served: (isRead, fromReplica) => {
-      reads.inc({ access: isRead ? 'read' : 'write', role: fromReplica ? 'replica' : 'primary' })
+      servedRequests.inc({ access: isRead ? 'read' : 'write', role: fromReplica ? 'replica' : 'primary' })
     },
-    answerTooOld: () => tooOld.inc(),
+    answerTooOld: () => staleAnswers.inc(),
     retry: () => retries.inc(),
     latency: latencyMs => latency.observe(latencyMs)
   }
--- a/packages/entry/src/coordination/retry-policy.ts
+++ b/packages/entry/src/coordination/retry-policy.ts
@@ -6,14 +6,14 @@
 import type { Outcome } from '../state/outcome.js'
 
 /** Input of a retry policy. */
-export type RetrySituation = {
+export type RetryInput = {
   outcome: Outcome
   /** True for reads, and for writes on routes that are marked as repeatable. */
   isRepeatable: boolean
 }
 
 /** Returns true if the request may be retried. */
-export type RetryPolicy = (situation: RetrySituation) => boolean
+export type RetryPolicy = (input: RetryInput) => boolean
 
 /** True if an endpoint refused the request or could not be reached, so that it did not run. */
 const isEndpointRefusal = (outcome: Outcome): boolean =>
--- a/packages/entry/src/coordination/rows-passage.ts
+++ b/packages/entry/src/coordination/row-forwarder.ts
@@ -7,13 +7,13 @@
 import type { CheckResult } from './answer-check.js'
 
 /** Forwards the rows of one answer, with its progress. */
-export type RowsPassage = {
+export type RowForwarder = {
   onRows: OnRows
   /** Outcome if this VM stopped forwarding; undefined if it did not. */
-  stopped: () => Outcome | undefined
+  stopOutcome: () => Outcome | undefined
   isTooOld: () => boolean
   /** True if the caller did not accept the last rows. */
-  isGivenUp: () => boolean
+  isAbandoned: () => boolean
   /** True once rows have been sent to the caller, which cannot be undone. */
   hasSentRows: () => boolean
   /** Stops forwarding rows of this answer. */
@@ -21,35 +21,35 @@
 }
 
 /** Dependencies of a row forwarder. */
-export type RowsPassageOptions = {
+export type RowForwarderOptions = {
   sendRows: ((rows: Buffer) => Promise<boolean>) | undefined
   check: (rows: EndpointRows) => Promise<CheckResult>
   /** Resolves to an outcome if no more rows may be sent to the caller, although its statement was admitted. */
-  reasonToStop: () => Promise<Outcome | undefined>
+  stopReason: () => Promise<Outcome | undefined>
 }
 
 /** Creates the forwarder of one answer. */
-export const createRowsPassage = (options: RowsPassageOptions): RowsPassage => {
-  let stopped: Outcome | undefined
+export const createRowForwarder = (options: RowForwarderOptions): RowForwarder => {
+  let stopOutcome: Outcome | undefined
   let isTooOld = false
-  let isGivenUp = false
+  let isAbandoned = false
   let hasSentRows = false
   let isOver = false
 
   const onRows: OnRows = async rows => {
-    stopped = await options.reasonToStop()
-    isTooOld = !stopped && !hasSentRows && await options.check(rows) !== 'good'
-    if (stopped || isTooOld || isOver || !options.sendRows) return false
+    stopOutcome = await options.stopReason()
+    isTooOld = !stopOutcome && !hasSentRows && await options.check(rows) !== 'good'
+    if (stopOutcome || isTooOld || isOver || !options.sendRows) return false
     hasSentRows = true
-    isGivenUp = !await options.sendRows(rows.rows)
-    return !isGivenUp
+    isAbandoned = !await options.sendRows(rows.rows)
+    return !isAbandoned
   }
 
   return {
     onRows,
-    stopped: () => stopped,
+    stopOutcome: () => stopOutcome,
     isTooOld: () => isTooOld,
-    isGivenUp: () => isGivenUp,
+    isAbandoned: () => isAbandoned,
     hasSentRows: () => hasSentRows,
     end: () => { isOver = true }
   }
--- a/packages/entry/src/coordination/serving-state.ts
+++ b/packages/entry/src/coordination/serving-state.ts
@@ -5,21 +5,21 @@
 import { sleepMs, ticks } from '@egretyoke/common'
 import type { Clock, Logger, PauseDetector } from '@egretyoke/common'
 import { events } from '../events.js'
-import type { KnownState } from '../state/known-state.js'
+import type { PlatformState } from '../state/platform-state.js'
 import type { Contact } from './contact.js'
 import type { Identity } from './identity.js'
 
 /** A VM whose data centre is out of service accepts calls for this long, until the load balancer stops sending them. */
-const outGraceMs = 1_500
+const outOfServiceGraceMs = 1_500
 const checkIntervalMs = 100
 /** Contact lost because of a newer revision is usually regained after a few messages between VMs. */
 const maxContactWaitMs = 300
-const contactWaitStepMs = 5
+const contactPollIntervalMs = 5
 
 /** Dependencies of the serving state. */
 export type ServingStateOptions = {
   identity: Identity
-  state: KnownState
+  state: PlatformState
   contact: Contact
   clock: Clock
   log: Logger
@@ -40,9 +40,9 @@
   /** True once new calls are refused, which begins some time after draining. */
   isRefusingCalls: () => boolean
   /** True if the data centre has been out of service for longer than the load balancer needs to react. */
-  isDataCentreOut: () => boolean
+  isDataCentreOutOfService: () => boolean
   /** False if the load balancer should stop sending calls, which it learns from the readiness check. */
-  mayGetWork: () => boolean
+  isReadyForCalls: () => boolean
   startDraining: () => void
   refuseCalls: () => void
   run: (signal: AbortSignal) => Promise<void>
@@ -53,7 +53,7 @@
   const { identity, state, contact, clock, log } = options
   let draining = false
   let refusing = false
-  let outSinceMs = Infinity
+  let outOfServiceSinceMs = Infinity
   let wasInContact = false
 
   const isInContact = (): boolean => {
@@ -68,23 +68,23 @@
   const waitForContact = async (): Promise<boolean> => {
     if (isInContact()) return true
     if (contact.basis() !== 'newerRevision') return false
-    for (const untilMs = clock() + maxContactWaitMs; clock() < untilMs;) {
-      await sleepMs(contactWaitStepMs)
+    for (const deadlineMs = clock() + maxContactWaitMs; clock() < deadlineMs;) {
+      await sleepMs(contactPollIntervalMs)
       if (isInContact()) return true
     }
     return false
   }
 
-  const isOut = () => state.configuration()?.dataCentres[identity.dataCentre]?.state === 'out'
+  const isOutOfService = () => state.configuration()?.dataCentres[identity.dataCentre]?.state === 'out'
 
-  const noteOut = () => {
-    if (!isOut()) outSinceMs = Infinity
-    else outSinceMs = Math.min(outSinceMs, clock())
+  const updateOutOfService = () => {
+    if (!isOutOfService()) outOfServiceSinceMs = Infinity
+    else outOfServiceSinceMs = Math.min(outOfServiceSinceMs, clock())
   }
 
   const run = async (signal: AbortSignal) => {
     for await (const _ of ticks(checkIntervalMs, signal)) {
-      noteOut()
+      updateOutOfService()
       const inContact = isInContact()
       if (inContact === wasInContact) continue
       wasInContact = inContact
@@ -97,8 +97,8 @@
     waitForContact,
     isDraining: () => draining,
     isRefusingCalls: () => refusing,
-    isDataCentreOut: () => clock() - outSinceMs > outGraceMs,
-    mayGetWork: () => !draining && !isOut() && !state.leaving().vms.includes(identity.vm),
+    isDataCentreOutOfService: () => clock() - outOfServiceSinceMs > outOfServiceGraceMs,
+    isReadyForCalls: () => !draining && !isOutOfService() && !state.leaving().vms.includes(identity.vm),
     startDraining: () => { draining = true },
     refuseCalls: () => { refusing = true },
     run
--- a/packages/entry/src/coordination/state-follower.ts
+++ b/packages/entry/src/coordination/state-follower.ts
@@ -8,7 +8,7 @@
 import { storeKeys } from '@egretyoke/config'
 import type { Platform, StoredEntry } from '@egretyoke/fleet'
 import { events } from '../events.js'
-import type { KnownState } from '../state/known-state.js'
+import type { PlatformState } from '../state/platform-state.js'
 import type { Contact } from './contact.js'
 import type { PeerCalls } from './peer-calls.js'
 
@@ -16,7 +16,7 @@
 const staleFraction = 0.5
 
 /** When many peers announce the same revision, fetching it from a few of them is enough. */
-const maxFetchesAtOnce = 3
+const maxConcurrentFetches = 3
 
 /** Number of VMs in each data centre that poll the platform. */
 export const relaysPerDataCentre = 2
@@ -24,7 +24,7 @@
 /** Dependencies and options of the follower. */
 export type StateFollowerOptions = {
   platform: Platform
-  state: KnownState
+  state: PlatformState
   contact: Contact
   calls: PeerCalls
   clock: Clock
@@ -51,42 +51,42 @@
 export const createStateFollower = (options: StateFollowerOptions): StateFollower => {
   const { platform, state, contact, calls, clock, log, timeoutMs } = options
   const ticker = createTicker(options.pollIntervalMs)
-  let isPollWanted = true
+  let isPollRequested = true
   let lastPollMs = -Infinity
-  let fetching = 0
+  let activeFetches = 0
 
   const fetchDocument = async (hash: string): Promise<string | undefined> => {
     const found = await platform.get(storeKeys.document(hash), timeoutMs)
     return found.ok ? found.val?.value.toString('utf8') : undefined
   }
 
-  const learn = async (entries: StoredEntry[], source: string): Promise<boolean> => {
-    for (const entry of entries) contact.noteRevision(entry.revision)
-    const learned = await state.learn(entries, fetchDocument)
-    if (!learned.ok) {
-      log(events.stateRefused, { source, reason: learned.val.reason, detail: learned.val.message })
+  const applyRecords = async (entries: StoredEntry[], source: string): Promise<boolean> => {
+    for (const entry of entries) contact.recordRevision(entry.revision)
+    const applied = await state.applyRecords(entries, fetchDocument)
+    if (!applied.ok) {
+      log(events.stateRefused, { source, reason: applied.val.reason, detail: applied.val.message })
       return false
     }
-    if (learned.val) log(events.stateLearned, { source, revision: state.revision() })
+    if (applied.val) log(events.stateLearned, { source, revision: state.revision() })
     return true
   }
 
   const poll = async () => {
-    const askedAtMs = clock()
+    const sentAtMs = clock()
     const changes = await platform.range(storeKeys.followed, state.revision(), timeoutMs)
-    if (!changes.ok || !await learn(changes.val.entries, 'platform')) return
-    contact.notePlatformAnswer(askedAtMs)
-    contact.noteStarted()
+    if (!changes.ok || !await applyRecords(changes.val.entries, 'platform')) return
+    contact.recordPlatformConfirmation(sentAtMs)
+    contact.completeStartup()
   }
 
   const fetchFrom = async (address: string) => {
-    if (fetching >= maxFetchesAtOnce) return
-    fetching++
+    if (activeFetches >= maxConcurrentFetches) return
+    activeFetches++
     try {
       const reply = await calls.fetchState(address, state.revision(), timeoutMs)
-      if (reply && !reply.starting) await learn(reply.entries, address)
+      if (reply && !reply.starting) await applyRecords(reply.entries, address)
     } finally {
-      fetching--
+      activeFetches--
     }
   }
 
@@ -94,24 +94,24 @@
    * When the relays cannot reach the platform, all other VMs poll it themselves, at an interval long enough that
    * together they poll no more often than the relays would.
    */
-  const isOwnTurn = (): boolean => {
+  const isFallbackPollDue = (): boolean => {
     if (contact.confirmedAgeMs() < options.contactTtlMs * staleFraction) return false
     return clock() - lastPollMs >= options.pollIntervalMs * options.rosterSize() / relaysPerDataCentre
   }
 
-  const shouldPoll = () => isPollWanted || contact.isStarting() || options.isRelay() || isOwnTurn()
+  const shouldPoll = () => isPollRequested || contact.isStarting() || options.isRelay() || isFallbackPollDue()
 
   const run = async (signal: AbortSignal) => {
     for await (const _ of ticker.ticks(signal)) {
       if (!shouldPoll()) continue
-      isPollWanted = false
+      isPollRequested = false
       lastPollMs = clock()
       await poll()
     }
   }
 
   const pollNow = () => {
-    isPollWanted = true
+    isPollRequested = true
     ticker.wake()
   }
 
--- a/packages/entry/src/coordination/statement-runner.ts
+++ b/packages/entry/src/coordination/statement-runner.ts
@@ -4,8 +4,8 @@
 import { sleepMs } from '@egretyoke/common'
 import { events } from '../events.js'
 import { notRun } from '../state/outcome.js'
-import type { Outcome, Served } from '../state/outcome.js'
-import type { Admitted } from './admission.js'
+import type { Outcome, RequestResult } from '../state/outcome.js'
+import type { AdmittedRequest } from './admission.js'
 import type { CallerRequest } from './caller-request.js'
 import type { EntryContext } from './entry-context.js'
 import { maxRequestAttempts, retryDelayMs } from './retry-policy.js'
@@ -26,32 +26,35 @@
 export const nextRequestId = (): string => String(++lastRequestNumber)
 
 /** A request that passed admission, rate and concurrency limits. `release` must be called when it ends. */
-export type Entered = { admitted: Admitted, leave: () => void }
+export type StartedRequest = { admitted: AdmittedRequest, release: () => void }
 
 /** Applies admission, concurrency and rate limits to a request. Resolves to its outcome if it is refused. */
-export const enter = async (context: EntryContext, request: CallerRequest): Promise<Entered | Outcome> => {
+export const startRequest = async (
+  context: EntryContext,
+  request: CallerRequest
+): Promise<StartedRequest | Outcome> => {
   await context.waitForContact()
   const admitted = context.admit(request)
   if (!admitted.ok) return admitted.val
   const { workspaceName, profileName, profile } = admitted.val
-  if (!context.concurrency.enter(workspaceName, profileName, profile.maxConcurrency)) {
+  if (!context.concurrency.tryAcquire(workspaceName, profileName, profile.maxConcurrency)) {
     return notRun('concurrency', retryDelayMs(1, 0))
   }
-  const leave = () => context.concurrency.leave(workspaceName, profileName)
-  const taken = await context.takeRate(workspaceName)
-  if (taken.admitted) return { admitted: admitted.val, leave }
-  leave()
-  return notRun('rate', taken.retryAfterMs)
+  const release = () => context.concurrency.release(workspaceName, profileName)
+  const rateResult = await context.acquireRateToken(workspaceName)
+  if (rateResult.admitted) return { admitted: admitted.val, release }
+  release()
+  return notRun('rate', rateResult.retryAfterMs)
 }
 
 /** Yields the number of each permitted attempt, after waiting for its retry delay. */
-async function * attempts (context: EntryContext, task: StatementTask, last: () => AttemptResult | undefined) {
+async function * attempts (context: EntryContext, task: StatementTask, lastResult: () => AttemptResult | undefined) {
   const { route, deadlineMs } = task.admitted
   const isRepeatable = route.access === 'read' || route.repeatable
   context.retryBudget.request()
   yield 1
   for (let number = 2; number <= maxRequestAttempts; number++) {
-    const result = last()
+    const result = lastResult()
     if (!result || result.hasSentRows || task.isCancelled()) return
     if (!context.retryPolicy({ outcome: result.outcome, isRepeatable })) return
     const delayMs = retryDelayMs(number - 1, result.retryAfterMs)
@@ -72,24 +75,24 @@
 }
 
 /** Keeps the unknown outcome of an earlier attempt if a later one did not run, because the earlier one may have run. */
-const worstOf = (earlier: Outcome | undefined, later: AttemptResult): Outcome => {
+const combinedOutcome = (earlier: Outcome | undefined, later: AttemptResult): Outcome => {
   if (earlier?.kind === 'outcomeUnknown' && later.outcome.kind === 'notRun') return earlier
   return later.outcome
 }
 
 /** Runs one statement, with retries. */
-export const runStatement = async (context: EntryContext, call: StatementCall): Promise<Served> => {
+export const runStatement = async (context: EntryContext, call: StatementCall): Promise<RequestResult> => {
   const { request } = call
   const requestId = nextRequestId()
   const startedMs = context.clock()
-  const unserved = { session: request.session, endpoint: '', fromReplica: false }
-  const entered = await enter(context, request)
-  if ('kind' in entered) {
-    logEnd(context, requestId, request.routeName, entered)
-    context.counters.outcome('', entered)
-    return { outcome: entered, ...unserved }
+  const notServed = { session: request.session, endpoint: '', fromReplica: false }
+  const started = await startRequest(context, request)
+  if ('kind' in started) {
+    logEnd(context, requestId, request.routeName, started)
+    context.counters.outcome('', started)
+    return { outcome: started, ...notServed }
   }
-  const { admitted, leave } = entered
+  const { admitted, release } = started
   const task: StatementTask = {
     requestId,
     admitted,
@@ -98,21 +101,21 @@
     onRows: call.onRows,
     isCancelled: call.isCancelled
   }
-  let last: AttemptResult | undefined
+  let lastResult: AttemptResult | undefined
   let outcome: Outcome | undefined
   try {
-    for await (const _ of attempts(context, task, () => last)) {
-      last = await attemptStatement(context, task)
-      outcome = worstOf(outcome, last)
+    for await (const _ of attempts(context, task, () => lastResult)) {
+      lastResult = await attemptStatement(context, task)
+      outcome = combinedOutcome(outcome, lastResult)
       if (outcome.kind === 'done' || outcome.kind === 'failed') break
     }
   } finally {
-    leave()
+    release()
   }
-  const served = { ...unserved, ...last, outcome: outcome! }
-  logEnd(context, requestId, request.routeName, served.outcome)
-  context.counters.outcome(admitted.workspaceName, served.outcome)
+  const result = { ...notServed, ...lastResult, outcome: outcome! }
+  logEnd(context, requestId, request.routeName, result.outcome)
+  context.counters.outcome(admitted.workspaceName, result.outcome)
   context.counters.latency(context.clock() - startedMs)
-  if (served.outcome.kind === 'done') context.counters.served(admitted.route.access === 'read', served.fromReplica)
-  return served
+  if (result.outcome.kind === 'done') context.counters.served(admitted.route.access === 'read', result.fromReplica)
+  return result
 }
--- a/packages/entry/src/coordination/transaction-runner.ts
+++ b/packages/entry/src/coordination/transaction-runner.ts
@@ -5,14 +5,14 @@
 import type { EndpointAction, EndpointAnswer } from '@egretyoke/fleet'
 import { events } from '../events.js'
 import { failed, notRun, outcomeUnknown } from '../state/outcome.js'
-import type { Outcome, Served } from '../state/outcome.js'
-import { sessionAfter } from '../state/session-positions.js'
+import type { Outcome, RequestResult } from '../state/outcome.js'
+import { advanceSession } from '../state/session-positions.js'
 import type { SessionState } from '../state/session-positions.js'
-import type { Admitted } from './admission.js'
+import type { AdmittedRequest } from './admission.js'
 import type { CallerRequest } from './caller-request.js'
 import type { EntryContext, GroupContext } from './entry-context.js'
-import type { Turn } from './group-dispatcher.js'
-import { enter, nextRequestId } from './statement-runner.js'
+import type { AssignedConnection } from './group-dispatcher.js'
+import { startRequest, nextRequestId } from './statement-runner.js'
 
 /** Action of a caller's step. */
 export type TransactionAction =
@@ -27,13 +27,19 @@
 export type TransactionStep = { stepId: number, action: TransactionAction }
 
 /** Answer to a step. If `isLast` is set, the transaction has ended. */
-export type TransactionAnswer = { stepId: number, served: Served, isLast: boolean }
+export type TransactionAnswer = { stepId: number, result: RequestResult, isLast: boolean }
 
 const expectedTransactionCostMs = 10
 const rollbackTimeoutMs = 1_000
 
 /** State of an open transaction. */
-type OpenTransaction = { admitted: Admitted, group: GroupContext, turn: Turn, term: number, startedMs: number }
+type OpenTransaction = {
+  admitted: AdmittedRequest
+  group: GroupContext
+  assigned: AssignedConnection
+  term: number
+  startedMs: number
+}
 
 /** Runs one transaction: executes its steps, yields an answer for each, and cleans up however it ends. */
 export async function * runTransaction (
@@ -46,57 +52,58 @@
   const requestId = nextRequestId()
   let session: SessionState = request.session
   let open: OpenTransaction | undefined
-  let leave = () => {}
+  let release = () => {}
   let isSettled = false
 
-  const served = (outcome: Outcome): Served =>
-    ({ outcome, session, endpoint: open?.turn.endpoint ?? '', fromReplica: false })
+  const resultOf = (outcome: Outcome): RequestResult =>
+    ({ outcome, session, endpoint: open?.assigned.endpoint ?? '', fromReplica: false })
 
   const begin = async (): Promise<Outcome> => {
-    const entered = await enter(context, request)
-    if ('kind' in entered) return entered
-    leave = entered.leave
-    const { admitted } = entered
+    const started = await startRequest(context, request)
+    if ('kind' in started) return started
+    release = started.release
+    const { admitted } = started
     const group = context.group(admitted.route.group)
     if (!group) return notRun('unknownRoute')
     if (admitted.route.access !== 'write') return notRun('invalidRequest')
-    const turn = await group.dispatcher.turn({
+    const assigned = await group.dispatcher.acquire({
       requestId,
       workspace: admitted.workspaceName,
       weight: admitted.workspace.weight,
       costMs: expectedTransactionCostMs,
-      use: 'held',
+      purpose: 'held',
       deadlineMs: admitted.deadlineMs,
-      read: undefined,
+      readRequirement: undefined,
       isStillAllowed: () => !isCancelled() && admitted.isStillAllowed()
     })
-    if (!turn.ok) return turn.val
+    if (!assigned.ok) return assigned.val
     const term = group.record()?.term ?? 0
-    open = { admitted, group, turn: turn.val, term, startedMs: clock() }
-    const begun = await run({ kind: 'begin', expectedTerm: term })
-    if (begun.kind === 'answer' && begun.answer.verdict === 'done') return { kind: 'done', result: Buffer.alloc(0) }
+    open = { admitted, group, assigned: assigned.val, term, startedMs: clock() }
+    const beginReply = await run({ kind: 'begin', expectedTerm: term })
+    if (beginReply.kind === 'answer' &&
+      beginReply.answer.verdict === 'done') return { kind: 'done', result: Buffer.alloc(0) }
     // Only the begin has been sent, so nothing can have taken effect.
-    isSettled = begun.kind === 'answer'
+    isSettled = beginReply.kind === 'answer'
     return notRun('endpointDeclined')
   }
 
-  type Ran = { kind: 'answer', answer: EndpointAnswer } | { kind: 'noAnswer', outcome: Outcome }
+  type RunResult = { kind: 'answer', answer: EndpointAnswer } | { kind: 'noAnswer', outcome: Outcome }
 
-  const run = async (action: EndpointAction): Promise<Ran> => {
-    const { turn, admitted, group } = open!
+  const run = async (action: EndpointAction): Promise<RunResult> => {
+    const { assigned, admitted, group } = open!
     const timeoutMs = Math.max(1, Math.ceil(admitted.deadlineMs - clock()))
-    const askedAtMs = clock()
-    const ran = await turn.connection.run(action, timeoutMs)
-    if (ran.ok) {
-      group.endpoints.noteAnswer(turn.endpoint, ran.val, askedAtMs)
-      return { kind: 'answer', answer: ran.val }
+    const sentAtMs = clock()
+    const runResult = await assigned.connection.run(action, timeoutMs)
+    if (runResult.ok) {
+      group.endpoints.recordAnswer(assigned.endpoint, runResult.val, sentAtMs)
+      return { kind: 'answer', answer: runResult.val }
     }
-    const reason = ran.val.reason === 'timeout' ? 'timeout' : 'connectionLost'
+    const reason = runResult.val.reason === 'timeout' ? 'timeout' : 'connectionLost'
     return { kind: 'noAnswer', outcome: outcomeUnknown(reason) }
   }
 
   /** Checks contact, key and deadline before a step. Resolves to the refusal, or undefined if the step may run. */
-  const refusalNow = async (admitted: Admitted): Promise<Outcome | undefined> => {
+  const stepRefusal = async (admitted: AdmittedRequest): Promise<Outcome | undefined> => {
     if (!await context.waitForContact()) return notRun('outOfContact')
     if (!admitted.isStillAllowed()) return notRun('keyRefused')
     return clock() >= admitted.deadlineMs ? notRun('deadline') : undefined
@@ -104,11 +111,11 @@
 
   const execute = async (text: Buffer): Promise<Outcome> => {
     const { admitted, group, term } = open!
-    const refused = await refusalNow(admitted)
-    if (refused) return refused
-    const taken = await context.takeRate(admitted.workspaceName)
-    if (!taken.admitted) return notRun('rate', taken.retryAfterMs)
-    const ran = await run({
+    const refusal = await stepRefusal(admitted)
+    if (refusal) return refusal
+    const rateResult = await context.acquireRateToken(admitted.workspaceName)
+    if (!rateResult.admitted) return notRun('rate', rateResult.retryAfterMs)
+    const reply = await run({
       kind: 'execute',
       statement: text,
       writes: true,
@@ -117,41 +124,41 @@
       timeoutMs: Math.max(1, Math.ceil(admitted.deadlineMs - clock())),
       streamed: false
     })
-    if (ran.kind === 'noAnswer') return failed('transactionClosed', 'the connection was lost; nothing took effect')
-    const { answer } = ran
+    if (reply.kind === 'noAnswer') return failed('transactionClosed', 'the connection was lost; nothing took effect')
+    const { answer } = reply
     if (answer.verdict === 'declined') return notRun('endpointDeclined', answer.retryAfterMs)
     if (answer.verdict !== 'done') return failed('endpointError', answer.reason)
-    const check = await group.check.ofPrimary(answer)
+    const check = await group.answerChecker.checkPrimary(answer)
     if (check !== 'good') return failed('transactionClosed', 'the primary was replaced; nothing took effect')
     return { kind: 'done', result: answer.result }
   }
 
   const commit = async (): Promise<Outcome> => {
     const { admitted, group } = open!
-    const refused = await refusalNow(admitted)
-    if (refused) return refused
+    const refusal = await stepRefusal(admitted)
+    if (refusal) return refusal
     const timeoutMs = Math.max(1, Math.ceil(admitted.deadlineMs - clock()))
-    const ran = await run({ kind: 'commit', confirmation: admitted.profile.confirmation, timeoutMs })
-    if (ran.kind === 'noAnswer') return ran.outcome
-    const { answer } = ran
+    const reply = await run({ kind: 'commit', confirmation: admitted.profile.confirmation, timeoutMs })
+    if (reply.kind === 'noAnswer') return reply.outcome
+    const { answer } = reply
     isSettled = true
     if (answer.verdict === 'declined') return notRun('endpointDeclined', answer.retryAfterMs)
     if (answer.verdict === 'failed') return failed('endpointError', answer.reason)
     if (answer.verdict === 'unconfirmed') return outcomeUnknown('unconfirmed')
-    const check = await group.check.ofPrimary(answer)
+    const check = await group.answerChecker.checkPrimary(answer)
     if (check === 'outOfContact') return outcomeUnknown('outOfContact')
     if (check !== 'good') return outcomeUnknown('primaryReplaced')
-    session = sessionAfter(session, group.name, { term: answer.term, position: answer.position })
+    session = advanceSession(session, group.name, { term: answer.term, position: answer.position })
     return { kind: 'done', result: Buffer.alloc(0) }
   }
 
   const rollback = async (): Promise<Outcome> => {
-    const ran = await run({ kind: 'rollback' })
-    isSettled = ran.kind === 'answer'
+    const reply = await run({ kind: 'rollback' })
+    isSettled = reply.kind === 'answer'
     return { kind: 'done', result: Buffer.alloc(0) }
   }
 
-  const take = async (action: TransactionAction): Promise<Outcome> => {
+  const executeStep = async (action: TransactionAction): Promise<Outcome> => {
     if (action.kind === 'begin') return open ? notRun('invalidRequest') : await begin()
     if (!open || action.kind === 'invalid') return notRun('invalidRequest')
     if (action.kind === 'execute') return await execute(action.text)
@@ -162,7 +169,7 @@
    * True if the outcome of a step ends the transaction. A failed statement and a refusal by the rate limit leave it
    * open.
    */
-  const endsWith = (action: TransactionAction, outcome: Outcome): boolean => {
+  const endsTransaction = (action: TransactionAction, outcome: Outcome): boolean => {
     if (action.kind === 'commit' || action.kind === 'rollback') return true
     if (outcome.kind === 'done') return false
     if (outcome.kind === 'failed') return outcome.reason !== 'endpointError'
@@ -171,23 +178,23 @@
 
   /** Rolls back an unfinished transaction, so that the connection returns to the pool without one. */
   const cleanUp = async () => {
-    leave()
+    release()
     if (!open) return
-    const { turn, startedMs } = open
+    const { assigned, startedMs } = open
     if (!isSettled) {
-      const rolledBack = await turn.connection.run({ kind: 'rollback' }, rollbackTimeoutMs)
-      log(events.transactionEnded, { request: requestId, endpoint: turn.endpoint, rolledBack: rolledBack.ok })
-      if (!rolledBack.ok) turn.connection.close()
+      const rolledBack = await assigned.connection.run({ kind: 'rollback' }, rollbackTimeoutMs)
+      log(events.transactionEnded, { request: requestId, endpoint: assigned.endpoint, rolledBack: rolledBack.ok })
+      if (!rolledBack.ok) assigned.connection.close()
     }
-    turn.release({ outcome: 'ignored', latencyMs: clock() - startedMs, kind: '' })
+    assigned.release({ outcome: 'ignored', latencyMs: clock() - startedMs, kind: '' })
   }
 
   try {
     for await (const { stepId, action } of steps) {
-      const outcome = await take(action)
-      const isLast = endsWith(action, outcome)
+      const outcome = await executeStep(action)
+      const isLast = endsTransaction(action, outcome)
       context.counters.outcome(open?.admitted.workspaceName ?? '', outcome)
-      yield { stepId, served: served(outcome), isLast }
+      yield { stepId, result: resultOf(outcome), isLast }
       if (isLast) return
     }
   } finally {
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -26,7 +26,7 @@
 import { events } from './events.js'
 import { registerStateMetrics } from './state-metrics.js'
 import type { EntrySettings } from './settings.js'
-import { createKnownState } from './state/known-state.js'
+import { createPlatformState } from './state/platform-state.js'
 import { createPeerTable } from './state/peer-table.js'
 import { createCallerService } from './transport/caller-server.js'
 import { openEndpointTransport } from './transport/endpoint-transport.js'
@@ -34,7 +34,7 @@
 import { addPeerService } from './transport/peer-server.js'
 
 const disciplines = { deficitRoundRobin, firstComeFirstServed } as const
-const drainCheckMs = 20
+const drainPollIntervalMs = 20
 const messageOverheadBytes = 4_096
 
 /** Starts an entry. Resolves once it listens, which may be before the VM is in contact and serves requests. */
@@ -46,7 +46,7 @@
   const stopping = new AbortController()
   const platform = connectPlatform(settings.platformAddress, channels)
   const calls = createPeerClients(channels)
-  const state = createKnownState()
+  const state = createPlatformState()
   const peers = createPeerTable()
   const contact = createContact({
     vm: identity.vm,
@@ -71,7 +71,7 @@
   const serving = createServingState({
     identity, state, contact, clock, log, pauseDetector: createPauseDetector(), onPause: expireLoans
   })
-  const stops = createConfirmationStops()
+  const confirmationStops = createConfirmationStops()
   const follower = createStateFollower({
     platform,
     state,
@@ -95,7 +95,7 @@
     log,
     intervalMs: settings.contact.heartbeatIntervalMs,
     timeoutMs: settings.contact.platformTimeoutMs,
-    aliveMs: settings.contact.ttlMs,
+    aliveTimeoutMs: settings.contact.ttlMs,
     seedPeers: settings.seedPeers,
     isDraining: serving.isDraining,
     slotCount: () => sharingNames(state.roster()).length,
@@ -109,7 +109,7 @@
     discipline: disciplines[policies.queue],
     isInContact: serving.isInContact,
     waitForContact: serving.waitForContact,
-    stoppedBelow: stops.stoppedBelow,
+    minConfirmableTerm: confirmationStops.minConfirmableTerm,
     permits: permits.source,
     openTransport: (group, config) => openEndpointTransport(group, config, channels)
   })
@@ -123,10 +123,10 @@
       configuration: state.configuration,
       isInContact: serving.isInContact,
       isDraining: serving.isRefusingCalls,
-      isDataCentreOut: serving.isDataCentreOut
+      isDataCentreOutOfService: serving.isDataCentreOutOfService
     }),
     waitForContact: serving.waitForContact,
-    takeRate: rates.take,
+    acquireRateToken: rates.acquire,
     concurrency: createConcurrencyLimit(),
     group: groups.group,
     readPolicy: policies.reads,
@@ -137,32 +137,32 @@
   const callers = createCallerService(context)
   registerStateMetrics(registry, { contact, state, groups, callers })
 
-  let versionInForce = 0
+  let activeVersion = 0
   state.onChange(() => {
     rates.update()
     permits.update()
     groups.update()
     const version = state.configuration()?.version ?? 0
-    if (version === versionInForce) return
-    versionInForce = version
+    if (version === activeVersion) return
+    activeVersion = version
     log(events.configInForce, { version, revision: state.revision() })
   })
 
   const peerListener = await listenGrpc(settings.peerListen, { channels }, server => addPeerService(server, {
     heartbeat: message => {
-      const answer = membership.answer(message)
-      if (message.vm !== '') return answer
+      const reply = membership.handleHeartbeat(message)
+      if (message.vm !== '') return reply
       const sightings = groups.all().flatMap(group => group.endpoints.sightings())
-      return { ...answer, sightings, silentPeers: membership.silentPeers() }
+      return { ...reply, sightings, silentPeers: membership.silentPeers() }
     },
     fetchState: request => ({
-      entries: state.copyAfter(request.afterRevision),
+      entries: state.entriesAfter(request.afterRevision),
       knownRevision: state.revision(),
       starting: contact.isStarting()
     }),
     stopConfirming: request => {
-      const acknowledged = stops.stop(request.group, request.term)
-      contact.noteRevision(request.revision)
+      const acknowledged = confirmationStops.stop(request.group, request.term)
+      contact.recordRevision(request.revision)
       log(events.stopConfirming, { group: request.group, term: request.term, revision: request.revision })
       follower.pollNow()
       return { acknowledged, vm: identity.vm, incarnation: identity.incarnation() }
@@ -177,7 +177,7 @@
     { channels, audience: 'anyone', maxMessageBytes: limits.maxStatementBytes + messageOverheadBytes },
     callers.add
   )
-  const isReady = () => serving.isInContact() && rates.isReady() && serving.mayGetWork()
+  const isReady = () => serving.isInContact() && rates.isReady() && serving.isReadyForCalls()
   const health = await startHealthServer(settings.healthListen, { isReady }, registry)
   follower.run(stopping.signal)
   membership.run(stopping.signal)
@@ -198,8 +198,8 @@
     log(events.draining, { openCalls: callers.openCalls() })
     await sleepMs(settings.drainNoticeMs)
     serving.refuseCalls()
-    const untilMs = clock() + settings.drainTimeoutMs
-    while (callers.openCalls() > 0 && clock() < untilMs) await sleepMs(drainCheckMs)
+    const deadlineMs = clock() + settings.drainTimeoutMs
+    while (callers.openCalls() > 0 && clock() < deadlineMs) await sleepMs(drainPollIntervalMs)
     log(events.drained, { openCalls: callers.openCalls() })
     await callerListener.close(settings.drainNoticeMs)
     stopping.abort()
--- a/packages/entry/src/protocol/answers.ts
+++ b/packages/entry/src/protocol/answers.ts
@@ -2,10 +2,10 @@
  * Encodes request results as answers to callers.
  */
 import type { CallerMessages } from '@egretyoke/protocol'
-import type { Outcome, Served } from '../state/outcome.js'
+import type { Outcome, RequestResult } from '../state/outcome.js'
 import { encodeToken } from './session-token.js'
 
-const outcomeToWire = (outcome: Outcome): Partial<CallerMessages.Answer> => {
+const encodeOutcome = (outcome: Outcome): Partial<CallerMessages.Answer> => {
   switch (outcome.kind) {
     case 'done': return { done: { result: outcome.result } }
     case 'notRun': return { notRun: { reason: outcome.reason, retryAfterMs: Math.ceil(outcome.retryAfterMs) } }
@@ -15,9 +15,9 @@
 }
 
 /** Encodes the answer to one request. */
-export const answerToWire = (served: Served): CallerMessages.Answer => ({
-  ...outcomeToWire(served.outcome),
-  sessionToken: encodeToken(served.session),
-  endpoint: served.endpoint,
-  fromReplica: served.fromReplica
+export const encodeAnswer = (result: RequestResult): CallerMessages.Answer => ({
+  ...encodeOutcome(result.outcome),
+  sessionToken: encodeToken(result.session),
+  endpoint: result.endpoint,
+  fromReplica: result.fromReplica
 })
--- a/packages/entry/src/protocol/session-token.test.ts
+++ b/packages/entry/src/protocol/session-token.test.ts
@@ -7,11 +7,11 @@
 const seed = 20
 const fuzzRuns = 3_000
 
-const place = fc.record({ term: fc.nat(), position: fc.nat() })
+const logPosition = fc.record({ term: fc.nat(), position: fc.nat() })
 const sessions = fc.record({
-  positions: fc.uniqueArray(fc.tuple(fc.string({ maxLength: 63 }), place), {
+  positions: fc.uniqueArray(fc.tuple(fc.string({ maxLength: 63 }), logPosition), {
     maxLength: maxSessionGroups, selector: ([group]) => group
-  }).map(places => new Map(places)),
+  }).map(entries => new Map(entries)),
   isComplete: fc.boolean(),
   isUnsettled: fc.constant(false)
 })
--- a/packages/entry/src/state-metrics.ts
+++ b/packages/entry/src/state-metrics.ts
@@ -5,13 +5,13 @@
 import type { Registry } from 'prom-client'
 import type { Contact } from './coordination/contact.js'
 import type { Groups } from './coordination/groups.js'
-import type { KnownState } from './state/known-state.js'
+import type { PlatformState } from './state/platform-state.js'
 import type { CallerService } from './transport/caller-server.js'
 
 /** Components that the gauges read. */
-export type MeasuredParts = {
+export type MetricSources = {
   contact: Contact
-  state: KnownState
+  state: PlatformState
   groups: Groups
   callers: CallerService
 }
@@ -19,8 +19,8 @@
 const unknownAgeMetricMs = -1
 
 /** Registers the gauges. */
-export const registerStateMetrics = (registry: Registry, parts: MeasuredParts): void => {
-  const { contact, state, groups, callers } = parts
+export const registerStateMetrics = (registry: Registry, sources: MetricSources): void => {
+  const { contact, state, groups, callers } = sources
   const gauge = (name: string, help: string, read: () => number) => {
     const metric: Gauge = new Gauge({ name, help, registers: [registry], collect: () => metric.set(read()) })
   }
--- a/packages/entry/src/state/endpoint-health.ts
+++ b/packages/entry/src/state/endpoint-health.ts
@@ -17,10 +17,10 @@
 /** Mutable health state of one endpoint. */
 export type HealthRecord = {
   current: () => Readonly<EndpointHealth>
-  notePosition: (term: number, position: number, isPrimary: boolean, nowMs: number) => void
-  noteLatency: (latencyMs: number) => void
+  recordPosition: (term: number, position: number, isPrimary: boolean, nowMs: number) => void
+  recordLatency: (latencyMs: number) => void
   /** Marks the endpoint as unreachable. Returns true if it was reachable before. */
-  noteFailure: () => boolean
+  recordFailure: () => boolean
 }
 
 const latencyWeight = 0.1
@@ -31,7 +31,7 @@
     reachable: false, term: 0, appliedPosition: 0, isPrimary: false, seenAtMs: -Infinity, latencyMs: 0
   }
 
-  const notePosition: HealthRecord['notePosition'] = (term, position, isPrimary, nowMs) => {
+  const recordPosition: HealthRecord['recordPosition'] = (term, position, isPrimary, nowMs) => {
     health.reachable = true
     health.seenAtMs = nowMs
     if (term < health.term) return
@@ -40,15 +40,15 @@
     health.isPrimary = isPrimary
   }
 
-  const noteLatency = (latencyMs: number) => {
+  const recordLatency = (latencyMs: number) => {
     health.latencyMs += latencyWeight * (latencyMs - health.latencyMs)
   }
 
-  const noteFailure = () => {
-    const was = health.reachable
+  const recordFailure = () => {
+    const wasReachable = health.reachable
     health.reachable = false
-    return was
+    return wasReachable
   }
 
-  return { current: () => health, notePosition, noteLatency, noteFailure }
+  return { current: () => health, recordPosition, recordLatency, recordFailure }
 }
--- a/packages/entry/src/state/outcome.ts
+++ b/packages/entry/src/state/outcome.ts
@@ -36,7 +36,7 @@
   | { kind: 'failed', reason: FailureReason, detail: string }
 
 /** Result of a request: its outcome, the session state after it, and the endpoint that served it. */
-export type Served = {
+export type RequestResult = {
   outcome: Outcome
   session: SessionState
   endpoint: string
--- a/packages/entry/src/state/peer-table.ts
+++ b/packages/entry/src/state/peer-table.ts
@@ -10,7 +10,7 @@
   vm: string
   incarnation: number
   /** Send time of the heartbeat request that this report answers. */
-  askedAtMs: number
+  sentAtMs: number
   knownRevision: number
   /** Time at which the platform request was sent that confirmed `knownRevision` as newest; -Infinity: unknown. */
   confirmedAtMs: number
@@ -22,9 +22,9 @@
 
 /** Latest report of each peer, and the newest observed incarnation of each VM name. */
 export type PeerTable = {
-  note: (report: PeerReport) => void
+  recordReport: (report: PeerReport) => void
   /** Records an incarnation, which may come from any kind of message. */
-  noteIncarnation: (vm: string, incarnation: number) => void
+  recordIncarnation: (vm: string, incarnation: number) => void
   report: (vm: string) => PeerReport | undefined
   reports: () => PeerReport[]
   newestIncarnation: (vm: string) => number
@@ -40,30 +40,30 @@
   const reports = new Map<string, PeerReport>()
   const incarnations = new Map<string, number>()
 
-  const noteIncarnation = (vm: string, incarnation: number) => {
+  const recordIncarnation = (vm: string, incarnation: number) => {
     if (!incarnations.has(vm) && incarnations.size >= maxPeers) return
     incarnations.set(vm, Math.max(incarnation, incarnations.get(vm) ?? 0))
   }
 
-  const note = (report: PeerReport) => {
-    noteIncarnation(report.vm, report.incarnation)
+  const recordReport = (report: PeerReport) => {
+    recordIncarnation(report.vm, report.incarnation)
     if (report.incarnation < (incarnations.get(report.vm) ?? 0)) return
-    const known = reports.get(report.vm)
-    if (known && known.incarnation === report.incarnation && known.askedAtMs > report.askedAtMs) return
-    if (!known && reports.size >= maxPeers) return
+    const previous = reports.get(report.vm)
+    if (previous && previous.incarnation === report.incarnation && previous.sentAtMs > report.sentAtMs) return
+    if (!previous && reports.size >= maxPeers) return
     reports.set(report.vm, report)
   }
 
   const retain = (vms: readonly string[]) => {
-    const kept = new Set(vms)
+    const retained = new Set(vms)
     for (const vm of reports.keys()) {
-      if (!kept.has(vm)) reports.delete(vm)
+      if (!retained.has(vm)) reports.delete(vm)
     }
   }
 
   return {
-    note,
-    noteIncarnation,
+    recordReport,
+    recordIncarnation,
     report: vm => reports.get(vm),
     reports: () => [...reports.values()],
     newestIncarnation: vm => incarnations.get(vm) ?? 0,
--- a/packages/entry/src/state/known-state.ts
+++ b/packages/entry/src/state/platform-state.ts
@@ -19,16 +19,16 @@
 import type { StoredEntry } from '@egretyoke/fleet'
 
 /** Maximum number of records that a VM stores. */
-export const maxKnownEntries = 20_000
+export const maxRecords = 20_000
 
 /** Fetches a document's text by its hash. Resolves to undefined if it is not available now. */
 export type FetchDocument = (hash: string) => Promise<string | undefined>
 
 /** Reason why a batch of records was not applied. */
-export type LearnError = TypedError<'documentMissing' | 'invalidRecord' | 'tooManyRecords'>
+export type ApplyError = TypedError<'documentMissing' | 'invalidRecord' | 'tooManyRecords'>
 
 /** Local copy of the platform's records. */
-export type KnownState = {
+export type PlatformState = {
   /** Newest revision among the applied records; 0 before the first one. */
   revision: () => number
   configuration: () => Configuration | undefined
@@ -37,26 +37,26 @@
   roster: () => Roster | undefined
   leaving: () => Leaving
   /** Records newer than a revision, with the documents of the active configuration if its head is among them. */
-  copyAfter: (revision: number) => StoredEntry[]
+  entriesAfter: (revision: number) => StoredEntry[]
   /** Applies a batch of records. Resolves to true if any of them was newer than the stored one. */
-  learn: (entries: StoredEntry[], fetchDocument: FetchDocument) => Promise<Result<boolean, LearnError>>
+  applyRecords: (entries: StoredEntry[], fetchDocument: FetchDocument) => Promise<Result<boolean, ApplyError>>
   onChange: (listener: () => void) => void
 }
 
 const documentKeyPrefix = storeKeys.document('')
-const noneLeaving: Leaving = { endpoints: [], vms: [] }
+const emptyLeaving: Leaving = { endpoints: [], vms: [] }
 
-const invalid = (key: string, detail: string): LearnError => typedError('invalidRecord', `${key}: ${detail}`, { key })
+const invalid = (key: string, detail: string): ApplyError => typedError('invalidRecord', `${key}: ${detail}`, { key })
 
 /** Creates an empty state. */
-export const createKnownState = (): KnownState => {
+export const createPlatformState = (): PlatformState => {
   const entries = new Map<string, StoredEntry>()
   const groups = new Map<string, GroupRecord>()
   const listeners = new Set<() => void>()
   let documents = new Map<string, string>()
   let configuration: Configuration | undefined
   let roster: Roster | undefined
-  let leaving: Leaving = noneLeaving
+  let leaving: Leaving = emptyLeaving
   let revision = 0
 
   const readConfiguration = async (head: ConfigHead, fetchDocument: FetchDocument) => {
@@ -75,7 +75,10 @@
   }
 
   /** Decodes one record and returns the function that applies it. */
-  const prepare = async (entry: StoredEntry, fetchDocument: FetchDocument): Promise<Result<() => void, LearnError>> => {
+  const decodeEntry = async (
+    entry: StoredEntry,
+    fetchDocument: FetchDocument
+  ): Promise<Result<() => void, ApplyError>> => {
     if (entry.key === storeKeys.head && !entry.deleted) {
       const head = decodeRecord(entry.key, entry.value, configHeadSchema)
       if (!head.ok) return Err(invalid(entry.key, formatFinding(head.val[0])))
@@ -100,7 +103,7 @@
       return Ok(() => { roster = read.val })
     }
     if (entry.key === storeKeys.leaving) {
-      if (entry.deleted) return Ok(() => { leaving = noneLeaving })
+      if (entry.deleted) return Ok(() => { leaving = emptyLeaving })
       const read = decodeRecord(entry.key, entry.value, leavingSchema)
       if (!read.ok) return Err(invalid(entry.key, formatFinding(read.val[0])))
       return Ok(() => { leaving = read.val })
@@ -108,24 +111,24 @@
     return Ok(() => {})
   }
 
-  const learnNow: KnownState['learn'] = async (incoming, fetchDocument) => {
-    const fresh = incoming
+  const applyBatch: PlatformState['applyRecords'] = async (incoming, fetchDocument) => {
+    const newer = incoming
       .filter(entry => !entry.key.startsWith(documentKeyPrefix))
       .filter(entry => entry.revision > (entries.get(entry.key)?.revision ?? 0))
-    if (fresh.length === 0) return Ok(false)
-    if (entries.size + fresh.length > maxKnownEntries) return Err(typedError('tooManyRecords', 'too many records'))
-    const carried = new Map(incoming
+    if (newer.length === 0) return Ok(false)
+    if (entries.size + newer.length > maxRecords) return Err(typedError('tooManyRecords', 'too many records'))
+    const includedDocuments = new Map(incoming
       .filter(entry => entry.key.startsWith(documentKeyPrefix))
       .map(entry => [entry.key.slice(documentKeyPrefix.length), entry.value.toString('utf8')]))
-    const fetchAny: FetchDocument = async hash => carried.get(hash) ?? await fetchDocument(hash)
+    const findDocument: FetchDocument = async hash => includedDocuments.get(hash) ?? await fetchDocument(hash)
     const steps: Array<() => void> = []
-    for (const entry of fresh) {
-      const step = await prepare(entry, fetchAny)
+    for (const entry of newer) {
+      const step = await decodeEntry(entry, findDocument)
       if (!step.ok) return step
       steps.push(step.val)
     }
     for (const step of steps) step()
-    for (const entry of fresh) {
+    for (const entry of newer) {
       entries.set(entry.key, entry)
       revision = Math.max(revision, entry.revision)
     }
@@ -134,15 +137,15 @@
   }
 
   // Batches are applied one at a time, so that a slow document fetch does not let an older record replace a newer one.
-  let last: Promise<unknown> = Promise.resolve()
-  const learn: KnownState['learn'] = (incoming, fetchDocument) => {
-    const next = last.then(() => learnNow(incoming, fetchDocument))
-    last = next.catch(() => undefined)
+  let lastBatch: Promise<unknown> = Promise.resolve()
+  const applyRecords: PlatformState['applyRecords'] = (incoming, fetchDocument) => {
+    const next = lastBatch.then(() => applyBatch(incoming, fetchDocument))
+    lastBatch = next.catch(() => undefined)
     return next
   }
 
-  const copyAfter = (after: number): StoredEntry[] => {
-    const changed = [...entries.values()].filter(entry => entry.revision > after)
+  const entriesAfter = (afterRevision: number): StoredEntry[] => {
+    const changed = [...entries.values()].filter(entry => entry.revision > afterRevision)
     if (!changed.some(entry => entry.key === storeKeys.head)) return changed
     const texts = [...documents].map(([hash, text]) =>
       ({ key: storeKeys.document(hash), value: Buffer.from(text), revision: 0, deleted: false }))
@@ -156,8 +159,8 @@
     groupNames: () => [...groups.keys()],
     roster: () => roster,
     leaving: () => leaving,
-    copyAfter,
-    learn,
+    entriesAfter,
+    applyRecords,
     onChange: listener => { listeners.add(listener) }
   }
 }
--- a/packages/entry/src/state/primary-history.ts
+++ b/packages/entry/src/state/primary-history.ts
@@ -4,11 +4,11 @@
  */
 
 /** A log position that bounds the age of data. */
-type Sample = { askedAtMs: number, position: number }
+type Sample = { sentAtMs: number, position: number }
 
 /** Log positions of one group's primary within one term. */
 export type PrimaryHistory = {
-  note: (term: number, askedAtMs: number, position: number) => void
+  record: (term: number, sentAtMs: number, position: number) => void
   /** Smallest recorded position at which data is no older than `maxAgeMs`; undefined if there is none. */
   positionAtAge: (term: number, maxAgeMs: number, nowMs: number) => number | undefined
 }
@@ -20,24 +20,24 @@
 /** Creates an empty history. */
 export const createPrimaryHistory = (): PrimaryHistory => {
   let samples: Sample[] = []
-  let ofTerm = 0
+  let sampledTerm = 0
 
-  const note = (term: number, askedAtMs: number, position: number) => {
-    if (term < ofTerm) return
-    if (term > ofTerm) {
+  const record = (term: number, sentAtMs: number, position: number) => {
+    if (term < sampledTerm) return
+    if (term > sampledTerm) {
       samples = []
-      ofTerm = term
+      sampledTerm = term
     }
     const newest = samples.at(-1)
-    if (newest && askedAtMs - newest.askedAtMs < minSpacingMs) return
-    samples.push({ askedAtMs, position })
+    if (newest && sentAtMs - newest.sentAtMs < minSpacingMs) return
+    samples.push({ sentAtMs, position })
     if (samples.length > maxSamples) samples.splice(0, maxSamples / 4)
   }
 
   const positionAtAge = (term: number, maxAgeMs: number, nowMs: number) => {
-    if (term !== ofTerm) return undefined
-    return samples.find(sample => sample.askedAtMs >= nowMs - maxAgeMs)?.position
+    if (term !== sampledTerm) return undefined
+    return samples.find(sample => sample.sentAtMs >= nowMs - maxAgeMs)?.position
   }
 
-  return { note, positionAtAge }
+  return { record, positionAtAge }
 }
--- a/packages/entry/src/state/session-positions.test.ts
+++ b/packages/entry/src/state/session-positions.test.ts
@@ -1,12 +1,12 @@
 import test from 'ava'
-import { maxSessionGroups, newSession, sessionAfter, unknownSession } from './session-positions.js'
+import { maxSessionGroups, newSession, advanceSession, unknownSession } from './session-positions.js'
 import type { SessionState } from './session-positions.js'
 
-const placeOf = (position: number) => ({ term: 1, position })
+const logPositionOf = (position: number) => ({ term: 1, position })
 
 const sessionOf = (groupCount: number): SessionState => {
   let session = newSession
-  for (let index = 0; index < groupCount; index++) session = sessionAfter(session, `group-${index}`, placeOf(index + 1))
+  for (let n = 0; n < groupCount; n++) session = advanceSession(session, `group-${n}`, logPositionOf(n + 1))
   return session
 }
 
@@ -24,16 +24,16 @@
 })
 
 test('a log position never moves backwards', t => {
-  const later = sessionAfter(newSession, 'group-1', { term: 2, position: 5 })
-  const after = sessionAfter(later, 'group-1', { term: 1, position: 9 })
+  const later = advanceSession(newSession, 'group-1', { term: 2, position: 5 })
+  const after = advanceSession(later, 'group-1', { term: 1, position: 9 })
   t.deepEqual(after.positions.get('group-1'), { term: 2, position: 5 })
 })
 
 test('after an unknown outcome, a session keeps only the position that a primary reported', t => {
   const unsettled = { ...sessionOf(3), isUnsettled: true }
-  const settled = sessionAfter(unsettled, 'group-1', placeOf(40))
-  t.deepEqual([...settled.positions], [['group-1', placeOf(40)]])
+  const settled = advanceSession(unsettled, 'group-1', logPositionOf(40))
+  t.deepEqual([...settled.positions], [['group-1', logPositionOf(40)]])
   t.false(settled.isComplete)
   t.false(settled.isUnsettled)
-  t.false(sessionAfter(unknownSession, 'group-1', placeOf(1)).isComplete)
+  t.false(advanceSession(unknownSession, 'group-1', logPositionOf(1)).isComplete)
 })
--- a/packages/entry/src/state/session-positions.ts
+++ b/packages/entry/src/state/session-positions.ts
@@ -4,10 +4,10 @@
 import { maxTokenGroups } from '@egretyoke/protocol'
 
 /** A position in a group's log, with the term in which it was written. */
-export type LogPlace = { term: number, position: number }
+export type LogPosition = { term: number, position: number }
 
 /** Log positions of a session, by group. */
-export type SessionPositions = ReadonlyMap<string, LogPlace>
+export type SessionPositions = ReadonlyMap<string, LogPosition>
 
 /**
  * Maximum number of groups in a session's state. When it is exceeded, the oldest group is dropped, and the session
@@ -31,29 +31,33 @@
 export const newSession: SessionState = { positions: new Map(), isComplete: true, isUnsettled: false }
 
 /** True if a log position is equal to or after another one. */
-export const isAtOrPast = (place: LogPlace, other: LogPlace): boolean =>
-  place.term > other.term || (place.term === other.term && place.position >= other.position)
+export const isAtOrAfter = (logPosition: LogPosition, other: LogPosition): boolean =>
+  logPosition.term > other.term || (logPosition.term === other.term && logPosition.position >= other.position)
 
 /**
  * Returns the session after it has observed a log position: after a write, or after a read that had to go to the
  * primary.
  */
-export const sessionAfter = (session: SessionState, group: string, place: LogPlace): SessionState => {
+export const advanceSession = (session: SessionState, group: string, logPosition: LogPosition): SessionState => {
   if (!session.isUnsettled) {
-    const positions = withPlace(session.positions, group, place)
-    const hasDropped = [...session.positions.keys()].some(known => !positions.has(known))
-    return { ...session, positions, isComplete: session.isComplete && !hasDropped }
+    const positions = withLogPosition(session.positions, group, logPosition)
+    const hasDroppedGroup = [...session.positions.keys()].some(known => !positions.has(known))
+    return { ...session, positions, isComplete: session.isComplete && !hasDroppedGroup }
   }
-  return { positions: withPlace(new Map(), group, place), isComplete: false, isUnsettled: false }
+  return { positions: withLogPosition(new Map(), group, logPosition), isComplete: false, isUnsettled: false }
 }
 
 /** Returns the positions with a group's position advanced. A position never moves backwards. */
-export const withPlace = (positions: SessionPositions, group: string, place: LogPlace): SessionPositions => {
-  const known = positions.get(group)
-  if (known && isAtOrPast(known, place)) return positions
-  const moved = new Map(positions)
-  moved.delete(group)
-  moved.set(group, place)
-  if (moved.size > maxSessionGroups) moved.delete(moved.keys().next().value!)
-  return moved
+export const withLogPosition = (
+  positions: SessionPositions,
+  group: string,
+  logPosition: LogPosition
+): SessionPositions => {
+  const current = positions.get(group)
+  if (current && isAtOrAfter(current, logPosition)) return positions
+  const advanced = new Map(positions)
+  advanced.delete(group)
+  advanced.set(group, logPosition)
+  if (advanced.size > maxSessionGroups) advanced.delete(advanced.keys().next().value!)
+  return advanced
 }
--- a/packages/entry/src/transport/caller-server.ts
+++ b/packages/entry/src/transport/caller-server.ts
@@ -13,11 +13,11 @@
 import type { EntryContext } from '../coordination/entry-context.js'
 import { runStatement } from '../coordination/statement-runner.js'
 import { runTransaction } from '../coordination/transaction-runner.js'
-import { answerToWire } from '../protocol/answers.js'
+import { encodeAnswer } from '../protocol/answers.js'
 import { readCallerMetadata } from '../protocol/caller-metadata.js'
 import { readTransactionSteps } from '../protocol/transaction-steps.js'
 import { failed, notRun } from '../state/outcome.js'
-import type { Outcome, Served } from '../state/outcome.js'
+import type { Outcome, RequestResult } from '../state/outcome.js'
 
 type Statement = CallerMessages.Statement__Output
 type ExecuteCall = ServerUnaryCall<Statement, CallerMessages.Answer>
@@ -36,30 +36,30 @@
   let openCalls = 0
   let openTransactions = 0
 
-  const refusal = (request: CallerRequest, outcome: Outcome): Served =>
+  const refusedResult = (request: CallerRequest, outcome: Outcome): RequestResult =>
     ({ outcome, session: request.session, endpoint: '', fromReplica: false })
 
   /** Checks limits and statement size before admission. Returns the refusal, or undefined if the call may proceed. */
-  const refusalOf = (text: Buffer): Outcome | undefined => {
+  const limitRefusal = (text: Buffer): Outcome | undefined => {
     if (openCalls > limits.maxOpenCalls) return notRun('concurrency')
     if (text.length > limits.maxStatementBytes) return notRun('statementTooLarge')
     if (text.length === 0) return notRun('invalidRequest')
     return undefined
   }
 
-  const execute = async (call: ExecuteCall, done: sendUnaryData<CallerMessages.Answer>) => {
+  const execute = async (call: ExecuteCall, callback: sendUnaryData<CallerMessages.Answer>) => {
     openCalls++
     try {
       const request = readCallerMetadata(call.metadata)
-      const refused = refusalOf(call.request.text)
-      const served = refused
-        ? refusal(request, refused)
+      const refusal = limitRefusal(call.request.text)
+      const result = refusal
+        ? refusedResult(request, refusal)
         : await runStatement(context, {
           request, text: call.request.text, onRows: undefined, isCancelled: () => call.cancelled
         })
-      done(null, answerToWire(served))
+      callback(null, encodeAnswer(result))
     } catch (thrown) {
-      done({ code: status.INTERNAL, details: messageOf(thrown) })
+      callback({ code: status.INTERNAL, details: messageOf(thrown) })
     } finally {
       openCalls--
     }
@@ -71,30 +71,32 @@
     if (call.write({ chunk: rows })) return true
     const stop = new AbortController()
     const drained = once(call, 'drain', { signal: stop.signal }).then(() => true, () => false)
-    const tooSlow = sleepMs(limits.slowReaderMs, stop.signal).then(() => false)
-    const isTaken = await Promise.race([drained, tooSlow])
+    const timedOut = sleepMs(limits.slowReaderMs, stop.signal).then(() => false)
+    const isAccepted = await Promise.race([drained, timedOut])
     stop.abort()
-    return isTaken && !call.cancelled
+    return isAccepted && !call.cancelled
   }
 
   const stream = async (call: StreamCall) => {
     openCalls++
     try {
       const request = readCallerMetadata(call.metadata)
-      const refused = refusalOf(call.request.text)
-      let isGivenUp = false
+      const refusal = limitRefusal(call.request.text)
+      let isAbandoned = false
       const onRows = async (rows: Buffer) => {
-        const isTaken = await sendRows(call, rows)
-        isGivenUp ||= !isTaken
-        return isTaken
+        const isAccepted = await sendRows(call, rows)
+        isAbandoned ||= !isAccepted
+        return isAccepted
       }
-      const served = refused
-        ? refusal(request, refused)
+      const result = refusal
+        ? refusedResult(request, refusal)
         : await runStatement(context, {
-          request, text: call.request.text, onRows, isCancelled: () => call.cancelled || isGivenUp
+          request, text: call.request.text, onRows, isCancelled: () => call.cancelled || isAbandoned
         })
-      const told = isGivenUp ? { ...served, outcome: failed('slowReader', 'rows were not taken in time') } : served
-      if (!call.cancelled) call.write({ end: answerToWire(told) })
+      const finalResult = isAbandoned
+        ? { ...result, outcome: failed('slowReader', 'rows were not taken in time') }
+        : result
+      if (!call.cancelled) call.write({ end: encodeAnswer(finalResult) })
     } catch (thrown) {
       call.emit('error', { code: status.INTERNAL, details: messageOf(thrown) })
     } finally {
@@ -109,12 +111,12 @@
     openTransactions++
     try {
       if (openTransactions > limits.maxOpenTransactions || openCalls > limits.maxOpenCalls) {
-        call.write({ stepId: 0, answer: answerToWire(refusal(request, notRun('tooManyTransactions'))) })
+        call.write({ stepId: 0, answer: encodeAnswer(refusedResult(request, notRun('tooManyTransactions'))) })
         return
       }
       const steps = readTransactionSteps(call, limits)
-      for await (const { stepId, served } of runTransaction(context, request, steps, () => call.cancelled)) {
-        if (!call.cancelled) call.write({ stepId, answer: answerToWire(served) })
+      for await (const { stepId, result } of runTransaction(context, request, steps, () => call.cancelled)) {
+        if (!call.cancelled) call.write({ stepId, answer: encodeAnswer(result) })
       }
     } catch (thrown) {
       call.emit('error', { code: status.INTERNAL, details: messageOf(thrown) })
--- a/packages/entry/src/transport/peer-client.ts
+++ b/packages/entry/src/transport/peer-client.ts
@@ -32,8 +32,8 @@
   }
 
   const clientOf = (address: string): PeerClient => {
-    const known = clients.get(address)
-    if (known) return known
+    const existing = clients.get(address)
+    if (existing) return existing
     if (clients.size >= maxPeers) retain([])
     const service = connectGrpc(peerProto.Peer, address, channels)
     const client = { service, heartbeats: createStreamCaller(() => service.Heartbeats()) }
--- a/packages/entry/src/transport/peer-server.ts
+++ b/packages/entry/src/transport/peer-server.ts
@@ -16,7 +16,7 @@
 }
 
 const unary = <Request, Reply>(handle: (request: Request) => Reply) =>
-  (call: ServerUnaryCall<Request, Reply>, done: sendUnaryData<Reply>) => done(null, handle(call.request))
+  (call: ServerUnaryCall<Request, Reply>, callback: sendUnaryData<Reply>) => callback(null, handle(call.request))
 
 /** Adds the peers' service to a listener. */
 export const addPeerService = (server: Server, handlers: PeerHandlers): void => {
