--- a/packages/entry/src/coordination/admission.ts
+++ b/packages/entry/src/coordination/admission.ts
@@ -1,6 +1,6 @@
 /**
- * Admission: the key, route and profile of a request against the configuration in force, and whether this VM may
- * start work at all. The key is checked on each request and again before the request is sent on.
+ * Admission control: checks whether this VM may start requests, and validates the key, route and profile of a request
+ * against the active configuration. The key is checked on arrival and again before the request is sent to an endpoint.
  */
 import { Err, Ok } from '@egretyoke/common'
 import type { Clock, Result } from '@egretyoke/common'
@@ -10,8 +10,8 @@
 import type { Outcome, RefusalReason } from '../state/outcome.js'
 import type { CallerRequest } from './caller-request.js'
 
-/** What a request's key, route and profile name. */
-type Resolved = {
+/** Workspace, route and profile that a request refers to. */
+type RequestTarget = {
   workspaceName: string
   workspace: Workspace
   routeName: string
@@ -20,59 +20,68 @@
   profile: Profile
 }
 
-/** A request that may go on. */
-export type Admitted = Resolved & {
-  /** On the VM's monotonic clock, in milliseconds. */
+/** A request that passed admission. */
+export type AdmittedRequest = RequestTarget & {
+  /** Deadline on this VM's monotonic clock, in milliseconds. */
   deadlineMs: number
-  /** Checks the key and the route again, against the configuration in force now. */
+  /** Checks the key and the route again, against the configuration that is active now. */
   isStillAllowed: () => boolean
 }
 
-/** What admission depends on. */
+/** Dependencies of admission. */
 export type AdmissionOptions = {
   clock: Clock
   configuration: () => Configuration | undefined
   isInContact: () => boolean
   isDraining: () => boolean
-  /** True when this VM's data centre has been out for longer than the balancer needs to notice. */
-  isDataCentreOut: () => boolean
+  /** True if this VM's data centre has been out of service for longer than the load balancer needs to react. */
+  isDataCentreOutOfService: () => boolean
 }
 
-/** Admits requests. */
-export type Admission = (request: CallerRequest) => Result<Admitted, Outcome>
+/** Admits a request, or fails with its outcome. */
+export type Admission = (request: CallerRequest) => Result<AdmittedRequest, Outcome>
 
 const shortRetryMs = 500
 const longRetryMs = 5_000
 
-type Owner = { workspaceName: string, workspace: Workspace }
+type NamedWorkspace = { workspaceName: string, workspace: Workspace }
 
-/** Workspace of each key id; built once for each version of the configuration. */
+/** Creates an index of workspaces by key id, which is rebuilt once for each version of the configuration. */
 const createKeyIndex = () => {
   let indexed: Configuration | undefined
-  let owners = new Map<string, Owner>()
-  return (configuration: Configuration): Map<string, Owner> => {
-    if (configuration === indexed) return owners
+  let index = new Map<string, NamedWorkspace>()
+  return (configuration: Configuration): Map<string, NamedWorkspace> => {
+    if (configuration === indexed) return index
     indexed = configuration
-    owners = new Map(Object.entries(configuration.workspaces).flatMap(([workspaceName, workspace]) =>
+    index = new Map(Object.entries(configuration.workspaces).flatMap(([workspaceName, workspace]) =>
       Object.keys(workspace.keys).map(keyId => [keyId, { workspaceName, workspace }] as const)))
-    return owners
+    return index
   }
 }
 
-/** Creates the admission of one VM. */
+/** Creates the admission control of this VM. */
 export const createAdmission = (options: AdmissionOptions): Admission => {
-  const ownersOf = createKeyIndex()
+  const workspacesByKeyId = createKeyIndex()
 
-  const ownerOfKey = (configuration: Configuration, keyText: string | undefined): Result<Owner, RefusalReason> => {
+  const ownerOfKey = (
+    configuration: Configuration,
+    keyText: string | undefined
+  ): Result<NamedWorkspace, RefusalReason> => {
     if (keyText === undefined) return Err('keyMissing')
     const key = parseKey(keyText)
-    const owner = key && ownersOf(configuration).get(key.keyId)
+    const owner = key && workspacesByKeyId(configuration).get(key.keyId)
     if (!key || !owner) return Err('keyRefused')
     return isKeyValid(key, owner.workspace.keys[key.keyId]) ? Ok(owner) : Err('keyRefused')
   }
 
-  /** The route's owner: WORKSPACE/ROUTE names a route open to all, ROUTE one of the key's own workspace. */
-  const ownerOfRoute = (configuration: Configuration, request: CallerRequest): Result<Owner, RefusalReason> => {
+  /**
+   * Finds the workspace that owns the route. WORKSPACE/ROUTE names a route that is open to all or belongs to the key's
+   * workspace; ROUTE names a route of the key's workspace.
+   */
+  const ownerOfRoute = (
+    configuration: Configuration,
+    request: CallerRequest
+  ): Result<NamedWorkspace, RefusalReason> => {
     const slash = request.routeName.indexOf('/')
     if (slash < 0) return ownerOfKey(configuration, request.keyText)
     const workspaceName = request.routeName.slice(0, slash)
@@ -88,10 +97,10 @@
     return keyOwner.val.workspaceName === workspaceName ? keyOwner : Err('keyRefused')
   }
 
-  const refusalByVm = (): RefusalReason | undefined => {
+  const vmRefusalReason = (): RefusalReason | undefined => {
     if (!options.isInContact()) return 'outOfContact'
     if (options.isDraining()) return 'draining'
-    if (options.isDataCentreOut()) return 'dataCentreOut'
+    if (options.isDataCentreOutOfService()) return 'dataCentreOut'
     return undefined
   }
 
@@ -102,7 +111,7 @@
 
   const refuse = (reason: RefusalReason) => Err(notRun(reason, retryAfterMs(reason)))
 
-  const resolve = (configuration: Configuration, request: CallerRequest): Result<Resolved, RefusalReason> => {
+  const resolve = (configuration: Configuration, request: CallerRequest): Result<RequestTarget, RefusalReason> => {
     const owner = ownerOfRoute(configuration, request)
     if (!owner.ok) return owner
     const { workspace } = owner.val
@@ -114,27 +123,31 @@
     return Ok({ ...owner.val, routeName, route, profileName, profile: configuration.profiles[profileName] })
   }
 
-  /** Whether a request that was admitted under an earlier configuration would still run for its workspace. */
-  const isStillAllowed = (request: CallerRequest, admittedUnder: Configuration, workspaceName: string): boolean => {
+  /** True if a request admitted under an earlier configuration would be admitted for the same workspace now. */
+  const isStillAllowed = (
+    request: CallerRequest,
+    admittedConfiguration: Configuration,
+    workspaceName: string
+  ): boolean => {
     const configuration = options.configuration()
     if (!configuration) return false
-    if (configuration === admittedUnder) return true
-    const again = resolve(configuration, request)
-    return again.ok && again.val.workspaceName === workspaceName
+    if (configuration === admittedConfiguration) return true
+    const current = resolve(configuration, request)
+    return current.ok && current.val.workspaceName === workspaceName
   }
 
   return request => {
     const configuration = options.configuration()
-    const vmRefusal = refusalByVm()
+    const vmRefusal = vmRefusalReason()
     if (vmRefusal) return refuse(vmRefusal)
     if (!configuration) return refuse('outOfContact')
     const resolved = resolve(configuration, request)
     if (!resolved.ok) return refuse(resolved.val)
     const { workspaceName, profile } = resolved.val
-    const wantedMs = request.timeoutMs > 0 ? request.timeoutMs : profile.timeoutMs
+    const requestedTimeoutMs = request.timeoutMs > 0 ? request.timeoutMs : profile.timeoutMs
     return Ok({
       ...resolved.val,
-      deadlineMs: options.clock() + Math.min(wantedMs, profile.timeoutMs),
+      deadlineMs: options.clock() + Math.min(requestedTimeoutMs, profile.timeoutMs),
       isStillAllowed: () => isStillAllowed(request, configuration, workspaceName)
     })
   }
--- a/packages/entry/src/coordination/concurrency-limit.ts
+++ b/packages/entry/src/coordination/concurrency-limit.ts
@@ -1,32 +1,32 @@
 /**
- * Requests of one workspace under one profile that this VM runs or queues at the same time.
+ * Limits the requests of one workspace and profile that this VM runs or queues concurrently.
  */
 
-/** Counts requests in hand by workspace and profile. */
+/** Counts requests in flight, by workspace and profile. */
 export type ConcurrencyLimit = {
-  /** False when the workspace has `most` in hand already. */
-  enter: (workspace: string, profile: string, most: number) => boolean
-  leave: (workspace: string, profile: string) => void
-  /** All requests in hand. */
+  /** Returns false if the workspace already has `maxRequests` in flight under the profile. */
+  tryAcquire: (workspace: string, profile: string, maxRequests: number) => boolean
+  release: (workspace: string, profile: string) => void
+  /** Number of all requests in flight. */
   total: () => number
 }
 
-/** Creates the counters; there is one for each workspace and profile that has requests in hand. */
+/** Creates the limit. It stores a counter only for workspaces and profiles with requests in flight. */
 export const createConcurrencyLimit = (): ConcurrencyLimit => {
   const counts = new Map<string, number>()
   let total = 0
   const keyOf = (workspace: string, profile: string) => `${workspace}/${profile}`
 
-  const enter: ConcurrencyLimit['enter'] = (workspace, profile, most) => {
+  const tryAcquire: ConcurrencyLimit['tryAcquire'] = (workspace, profile, maxRequests) => {
     const key = keyOf(workspace, profile)
     const count = counts.get(key) ?? 0
-    if (count >= most) return false
+    if (count >= maxRequests) return false
     counts.set(key, count + 1)
     total++
     return true
   }
 
-  const leave: ConcurrencyLimit['leave'] = (workspace, profile) => {
+  const release: ConcurrencyLimit['release'] = (workspace, profile) => {
     const key = keyOf(workspace, profile)
     const count = (counts.get(key) ?? 0) - 1
     if (count > 0) counts.set(key, count)
@@ -34,5 +34,5 @@
     total--
   }
 
-  return { enter, leave, total: () => total }
+  return { tryAcquire, release, total: () => total }
 }
--- a/packages/entry/src/coordination/connection-permits.ts
+++ b/packages/entry/src/coordination/connection-permits.ts
@@ -1,47 +1,47 @@
 /**
- * Permits for connections to endpoints: each endpoint's connections are a limit of the whole fleet, of which every VM
- * has its share and may borrow more from peers.
+ * Permits for connections to endpoints. The limit on an endpoint's connections applies to the whole fleet; every VM has
+ * a share of it and may borrow more from peers.
  */
 import type { Clock, Logger } from '@egretyoke/common'
 import { sharingNames } from '@egretyoke/config'
 import { createPermitTable } from '@egretyoke/limits'
 import type { PermitTable } from '@egretyoke/limits'
-import type { KnownState } from '../state/known-state.js'
+import type { PlatformState } from '../state/platform-state.js'
 import type { PermitSource } from './endpoint-pool.js'
 import type { Identity } from './identity.js'
-import { createAskPeer, growthDelayMsFor, loanMarginMs, loanTtlMs } from './loan-terms.js'
+import { createBorrowCall, growthDelayMsFor, loanMarginMs, loanTtlMs } from './loan-terms.js'
 import type { PeerCalls } from './peer-calls.js'
 
 const maxLimits = 10_000
 const limitPrefix = 'connections:'
 
-/** Name of the limit on connections to an endpoint; no workspace's name has a colon. */
+/** Name of the limit on connections to an endpoint. It is distinct from all workspace names, which have no colon. */
 const limitName = (group: string, endpoint: string): string => `${limitPrefix}${group}/${endpoint}`
 
-/** True for limits of this module, false for workspaces' rates. */
+/** True if the name is that of a connection limit, false if it is that of a workspace's rate limit. */
 export const isConnectionLimit = (limit: string): boolean => limit.startsWith(limitPrefix)
 
-/** What permits depend on. */
+/** Dependencies of connection permits. */
 export type ConnectionPermitsOptions = {
   identity: Identity
-  state: KnownState
+  state: PlatformState
   calls: PeerCalls
   clock: Clock
   log: Logger
   contactTtlMs: number
 }
 
-/** The permits of this VM. */
+/** Connection permits of this VM. */
 export type ConnectionPermits = {
   source: (group: string, endpoint: string) => PermitSource
   lend: PermitTable['lend']
   expireLoans: () => void
-  /** Follows the configuration and the roster in force. */
+  /** Applies the limits of the active configuration and the members of the active roster. */
   update: () => void
   close: () => void
 }
 
-/** Creates the permits. */
+/** Creates the connection permits of this VM. */
 export const createConnectionPermits = (options: ConnectionPermitsOptions): ConnectionPermits => {
   const { identity, state, calls, clock, log } = options
   const table = createPermitTable({
@@ -54,7 +54,7 @@
     startupHold: true,
     clock,
     log,
-    askPeer: createAskPeer(state, calls)
+    askPeer: createBorrowCall(state, calls)
   })
 
   const update = () => {
--- a/packages/entry/src/coordination/contact.test.ts
+++ b/packages/entry/src/coordination/contact.test.ts
@@ -1,5 +1,5 @@
 /**
- * Contact: each way to have it, and each way to lose it.
+ * Contact: every condition under which it is gained or lost.
  */
 import test from 'ava'
 import { createPeerTable } from '../state/peer-table.js'
@@ -11,7 +11,7 @@
 const knownRevision = 10
 const roster = ['vm-1', 'vm-2', 'vm-3', 'vm-4', 'vm-5']
 
-const createWorld = (rosterNames: readonly string[] = roster) => {
+const createFixture = (rosterNames: readonly string[] = roster) => {
   let nowMs = 100_000
   const peers = createPeerTable()
   const contact = createContact({
@@ -23,10 +23,10 @@
     knownRevision: () => knownRevision,
     rosterNames: () => rosterNames
   })
-  const hear = (vm: string, report: Partial<PeerReport> = {}) => peers.note({
+  const receiveReport = (vm: string, report: Partial<PeerReport> = {}) => peers.recordReport({
     vm,
     incarnation: 1,
-    askedAtMs: nowMs,
+    sentAtMs: nowMs,
     knownRevision,
     confirmedAtMs: -Infinity,
     starting: false,
@@ -35,98 +35,98 @@
     slotCount: 5,
     ...report
   })
-  const pass = (ms: number) => { nowMs += ms }
-  return { contact, peers, hear, pass, nowMs: () => nowMs }
+  const advanceClock = (ms: number) => { nowMs += ms }
+  return { contact, peers, receiveReport, advanceClock, nowMs: () => nowMs }
 }
 
-type World = ReturnType<typeof createWorld>
-type Case = { title: string, bring: (world: World, contact: Contact) => void, expected: ContactBasis }
+type Fixture = ReturnType<typeof createFixture>
+type Case = { title: string, arrange: (fixture: Fixture, contact: Contact) => void, expected: ContactBasis }
 
 const cases: Case[] = [
-  { title: 'just started', bring: () => {}, expected: 'starting' },
+  { title: 'just started', arrange: () => {}, expected: 'starting' },
   {
-    title: 'the platform has answered',
-    bring: ({ nowMs }, contact) => contact.notePlatformAnswer(nowMs()),
+    title: 'the platform has replied',
+    arrange: ({ nowMs }, contact) => contact.recordPlatformConfirmation(nowMs()),
     expected: 'platform'
   },
   {
-    title: 'the platform\'s answer has aged, counted from when it was asked',
-    bring: ({ nowMs, pass }, contact) => {
-      contact.notePlatformAnswer(nowMs())
-      pass(ttlMs)
+    title: 'the platform\'s reply has expired, counted from when the request was sent',
+    arrange: ({ nowMs, advanceClock }, contact) => {
+      contact.recordPlatformConfirmation(nowMs())
+      advanceClock(ttlMs)
     },
     expected: 'silence'
   },
   {
-    title: 'a peer passes on a young confirmation',
-    bring: ({ hear, nowMs }) => hear('vm-2', { confirmedAtMs: nowMs() - 500 }),
+    title: 'a peer forwards a recent confirmation',
+    arrange: ({ receiveReport, nowMs }) => receiveReport('vm-2', { confirmedAtMs: nowMs() - 500 }),
     expected: 'peers'
   },
   {
-    title: 'a peer passes on a confirmation that has aged on the way',
-    bring: ({ hear, nowMs }) => hear('vm-2', { confirmedAtMs: nowMs() - ttlMs }),
+    title: 'a peer forwards a confirmation that has expired on the way',
+    arrange: ({ receiveReport, nowMs }) => receiveReport('vm-2', { confirmedAtMs: nowMs() - ttlMs }),
     expected: 'silence'
   },
   {
-    title: 'a peer that is starting vouches for nothing',
-    bring: ({ hear, nowMs }) => hear('vm-2', { confirmedAtMs: nowMs(), starting: true }),
+    title: 'the confirmation of a starting peer does not count',
+    arrange: ({ receiveReport, nowMs }) => receiveReport('vm-2', { confirmedAtMs: nowMs(), starting: true }),
     expected: 'silence'
   },
   {
-    title: 'a majority answers while the platform is silent',
-    bring: ({ hear }) => ['vm-2', 'vm-3'].forEach(vm => hear(vm)),
+    title: 'a majority replies while the platform is silent',
+    arrange: ({ receiveReport }) => ['vm-2', 'vm-3'].forEach(vm => receiveReport(vm)),
     expected: 'majority'
   },
-  { title: 'less than a majority answers', bring: ({ hear }) => hear('vm-2'), expected: 'silence' },
+  { title: 'less than a majority replies', arrange: ({ receiveReport }) => receiveReport('vm-2'), expected: 'silence' },
   {
-    title: 'the majority\'s answers have aged',
-    bring: ({ hear, pass }) => {
-      ['vm-2', 'vm-3', 'vm-4', 'vm-5'].forEach(vm => hear(vm))
-      pass(ttlMs)
+    title: 'the majority\'s replies have expired',
+    arrange: ({ receiveReport, advanceClock }) => {
+      ['vm-2', 'vm-3', 'vm-4', 'vm-5'].forEach(vm => receiveReport(vm))
+      advanceClock(ttlMs)
     },
     expected: 'silence'
   },
   {
-    title: 'anybody knows a newer revision',
-    bring: ({ nowMs }, contact) => {
-      contact.notePlatformAnswer(nowMs())
-      contact.noteRevision(knownRevision + 1)
+    title: 'a newer revision was reported',
+    arrange: ({ nowMs }, contact) => {
+      contact.recordPlatformConfirmation(nowMs())
+      contact.recordRevision(knownRevision + 1)
     },
     expected: 'newerRevision'
   },
   {
-    title: 'a newer process of the same name runs',
-    bring: ({ nowMs, peers }, contact) => {
-      contact.notePlatformAnswer(nowMs())
-      peers.noteIncarnation('vm-1', 6)
+    title: 'a newer process with the same name is running',
+    arrange: ({ nowMs, peers }, contact) => {
+      contact.recordPlatformConfirmation(nowMs())
+      peers.recordIncarnation('vm-1', 6)
     },
     expected: 'superseded'
   },
   {
-    title: 'the host was paused with its clock',
-    bring: ({ nowMs, hear }, contact) => {
-      contact.notePlatformAnswer(nowMs())
-      ;['vm-2', 'vm-3'].forEach(vm => hear(vm))
+    title: 'the host was paused together with its clock',
+    arrange: ({ nowMs, receiveReport }, contact) => {
+      contact.recordPlatformConfirmation(nowMs())
+      ;['vm-2', 'vm-3'].forEach(vm => receiveReport(vm))
       contact.expire()
     },
     expected: 'silence'
   }
 ]
 
-for (const { title, bring, expected } of cases) {
+for (const { title, arrange, expected } of cases) {
   test(`${title}: ${expected}`, t => {
-    const world = createWorld()
-    if (expected !== 'starting') world.contact.noteStarted()
-    bring(world, world.contact)
-    t.is(world.contact.basis(), expected)
-    t.is(world.contact.isInContact(), ['platform', 'peers', 'majority'].includes(expected))
+    const fixture = createFixture()
+    if (expected !== 'starting') fixture.contact.completeStartup()
+    arrange(fixture, fixture.contact)
+    t.is(fixture.contact.basis(), expected)
+    t.is(fixture.contact.isInContact(), ['platform', 'peers', 'majority'].includes(expected))
   })
 }
 
-test('a VM that the roster does not list is not in contact, whoever answers', t => {
-  const world = createWorld(['vm-2', 'vm-3', 'vm-4'])
-  world.contact.noteStarted()
-  world.contact.notePlatformAnswer(world.nowMs())
-  t.is(world.contact.basis(), 'notListed')
-  t.false(world.contact.isInContact())
+test('a VM that is not in the roster is not in contact, even if the platform replies', t => {
+  const fixture = createFixture(['vm-2', 'vm-3', 'vm-4'])
+  fixture.contact.completeStartup()
+  fixture.contact.recordPlatformConfirmation(fixture.nowMs())
+  t.is(fixture.contact.basis(), 'notListed')
+  t.false(fixture.contact.isInContact())
 })
--- a/packages/entry/src/coordination/routing.ts
+++ b/packages/entry/src/coordination/routing.ts
@@ -1,83 +1,84 @@
 /**
- * Routing: which endpoint serves a request. Cached positions only choose; every answer is checked afterwards.
+ * Routing: selects the endpoint for a request. Cached positions only guide the selection; every answer is checked.
  */
 import type { GroupRecord } from '@egretyoke/config'
-import type { LogPlace } from '../state/session-positions.js'
+import type { LogPosition } from '../state/session-positions.js'
 
-/** An endpoint as routing sees it. */
-export type EndpointView = {
+/** State of an endpoint that routing depends on. */
+export type EndpointCandidate = {
   name: string
   isRecordPrimary: boolean
   reachable: boolean
-  /** Announced as leaving, or in a data centre that is out. */
-  isOut: boolean
+  /** True if the endpoint is leaving, or its data centre is out of service. */
+  isOutOfService: boolean
   term: number
   appliedPosition: number
-  /** True when a connection could be taken now. */
-  hasRoom: () => boolean
+  /** True if a connection can be acquired now. */
+  hasCapacity: () => boolean
   inUse: number
   latencyMs: number
 }
 
-/** What a read needs of the endpoint that serves it. */
-export type ReadNeed = {
-  /** The session's place in the group; undefined: it has none. */
-  place: LogPlace | undefined
-  /** Smallest position that is fresh enough; undefined: any. */
+/** Freshness that a read requires of the endpoint that serves it. */
+export type ReadRequirement = {
+  /** The session's log position in the group; undefined if it has none. */
+  sessionPosition: LogPosition | undefined
+  /** Smallest position that is fresh enough; undefined if any position is. */
   minPosition: number | undefined
 }
 
-/** An endpoint that was passed over, as `NAME: REASON`. */
-export type PassedOver = string
+/** An endpoint that may not serve a read, as `NAME: REASON`. */
+export type RejectedEndpoint = string
 
-/** The endpoints that may serve a read, best first. */
+/** Endpoints that may serve a read, best first, and those that may not. */
 export type ReadRoute = {
-  eligible: EndpointView[]
-  passedOver: PassedOver[]
+  eligible: EndpointCandidate[]
+  rejected: RejectedEndpoint[]
 }
 
 /**
- * The term's place at which data of an earlier term stops being part of the group's log; undefined: the term is
- * not older than the record's.
+ * Last position of a term that is part of the group's log: the start position of the next term in the record's
+ * lineage. Undefined if the lineage has no later term.
  */
 export const endOfTerm = (record: GroupRecord, term: number): number | undefined =>
   record.lineage.find(start => start.term > term)?.startPosition
 
-/** True when data at a place holds all that a session's place asks for. Positions count through all terms. */
-export const holdsPlace = (data: LogPlace, place: LogPlace): boolean =>
-  data.position >= place.position && data.term >= place.term
+/** True if data at one log position includes all data up to another. Positions increase across terms. */
+export const includesPosition = (data: LogPosition, sessionPosition: LogPosition): boolean =>
+  data.position >= sessionPosition.position && data.term >= sessionPosition.term
 
-/** True when data at a place is part of the log that the record describes. */
-export const isInLineage = (record: GroupRecord, data: LogPlace): boolean => {
+/** True if a log position is part of the log that the group record describes. */
+export const isInLineage = (record: GroupRecord, data: LogPosition): boolean => {
   const end = endOfTerm(record, data.term)
   return data.term <= record.term && (end === undefined || data.position <= end)
 }
 
-const reasonAgainst = (view: EndpointView, need: ReadNeed): string | undefined => {
-  if (view.isRecordPrimary) return 'primary'
-  if (view.isOut) return 'out'
-  if (!view.reachable) return 'unreachable'
-  if (need.place && view.appliedPosition < need.place.position) return 'behindSession'
-  if (need.place && view.term < need.place.term) return 'behindTerm'
-  if (need.minPosition !== undefined && view.appliedPosition < need.minPosition) return 'tooOld'
+const rejectionReason = (candidate: EndpointCandidate, requirement: ReadRequirement): string | undefined => {
+  if (candidate.isRecordPrimary) return 'primary'
+  if (candidate.isOutOfService) return 'out'
+  if (!candidate.reachable) return 'unreachable'
+  if (requirement.sessionPosition &&
+    candidate.appliedPosition < requirement.sessionPosition.position) return 'behindSession'
+  if (requirement.sessionPosition && candidate.term < requirement.sessionPosition.term) return 'behindTerm'
+  if (requirement.minPosition !== undefined && candidate.appliedPosition < requirement.minPosition) return 'tooOld'
   return undefined
 }
 
-const byLoad = (left: EndpointView, right: EndpointView): number =>
+const byLoad = (left: EndpointCandidate, right: EndpointCandidate): number =>
   left.inUse - right.inUse || left.latencyMs - right.latencyMs
 
-/** Chooses replicas for a read: fewest requests in flight first, then the quickest. */
-export const routeRead = (views: readonly EndpointView[], need: ReadNeed): ReadRoute => {
-  const eligible: EndpointView[] = []
-  const passedOver: PassedOver[] = []
-  for (const view of views) {
-    const reason = reasonAgainst(view, need)
-    if (reason) passedOver.push(`${view.name}: ${reason}`)
-    else eligible.push(view)
+/** Selects the replicas for a read, ordered by connections in use, then by latency. */
+export const routeRead = (candidates: readonly EndpointCandidate[], requirement: ReadRequirement): ReadRoute => {
+  const eligible: EndpointCandidate[] = []
+  const rejected: RejectedEndpoint[] = []
+  for (const candidate of candidates) {
+    const reason = rejectionReason(candidate, requirement)
+    if (reason) rejected.push(`${candidate.name}: ${reason}`)
+    else eligible.push(candidate)
   }
-  return { eligible: eligible.sort(byLoad), passedOver }
+  return { eligible: eligible.sort(byLoad), rejected }
 }
 
-/** The endpoint that leads the group now, if work may go there. */
-export const findPrimary = (views: readonly EndpointView[]): EndpointView | undefined =>
-  views.find(view => view.isRecordPrimary)
+/** Finds the primary according to the group record. */
+export const findPrimary = (candidates: readonly EndpointCandidate[]): EndpointCandidate | undefined =>
+  candidates.find(candidate => candidate.isRecordPrimary)
--- a/packages/entry/src/coordination/serving-state.ts
+++ b/packages/entry/src/coordination/serving-state.ts
@@ -1,44 +1,48 @@
 /**
- * Whether this VM may serve: contact, pauses of the host, draining, and its data centre or itself being taken out.
+ * Whether this VM may serve requests: contact, pauses of the host, draining, and whether the VM is leaving or its data
+ * centre is out of service.
  */
 import { sleepMs, ticks } from '@egretyoke/common'
 import type { Clock, Logger, PauseDetector } from '@egretyoke/common'
 import { events } from '../events.js'
-import type { KnownState } from '../state/known-state.js'
+import type { PlatformState } from '../state/platform-state.js'
 import type { Contact } from './contact.js'
 import type { Identity } from './identity.js'
 
-/** A VM in a data centre that is out still takes calls for so long, while the balancer notices. */
-const outGraceMs = 1_500
+/** A VM whose data centre is out of service accepts calls for this long, until the load balancer stops sending them. */
+const outOfServiceGraceMs = 1_500
 const checkIntervalMs = 100
-/** Contact that is lost because of news comes back within a few messages between VMs. */
+/** Contact lost because of a newer revision is usually regained after a few messages between VMs. */
 const maxContactWaitMs = 300
-const contactWaitStepMs = 5
+const contactPollIntervalMs = 5
 
-/** What the serving state depends on. */
+/** Dependencies of the serving state. */
 export type ServingStateOptions = {
   identity: Identity
-  state: KnownState
+  state: PlatformState
   contact: Contact
   clock: Clock
   log: Logger
   pauseDetector: PauseDetector
-  /** Called when the host seems to have been paused. */
+  /** Called when a pause of the host is detected. */
   onPause: () => void
 }
 
 /** Whether this VM may serve. */
 export type ServingState = {
   isInContact: () => boolean
-  /** Waits a moment for contact, as between the news of a change and the change itself. */
+  /**
+   * Waits a short time for contact if it is lost only because a newer revision has been announced but not yet applied.
+   * Resolves to false if the VM is still not in contact.
+   */
   waitForContact: () => Promise<boolean>
   isDraining: () => boolean
-  /** True once draining has gone on long enough that new calls are refused. */
+  /** True once new calls are refused, which begins some time after draining. */
   isRefusingCalls: () => boolean
-  /** True when the data centre has been out for longer than the balancer needs. */
-  isDataCentreOut: () => boolean
-  /** False tells the balancer to send no more calls. */
-  mayGetWork: () => boolean
+  /** True if the data centre has been out of service for longer than the load balancer needs to react. */
+  isDataCentreOutOfService: () => boolean
+  /** False if the load balancer should stop sending calls, which it learns from the readiness check. */
+  isReadyForCalls: () => boolean
   startDraining: () => void
   refuseCalls: () => void
   run: (signal: AbortSignal) => Promise<void>
@@ -49,7 +53,7 @@
   const { identity, state, contact, clock, log } = options
   let draining = false
   let refusing = false
-  let outSinceMs = Infinity
+  let outOfServiceSinceMs = Infinity
   let wasInContact = false
 
   const isInContact = (): boolean => {
@@ -64,23 +68,23 @@
   const waitForContact = async (): Promise<boolean> => {
     if (isInContact()) return true
     if (contact.basis() !== 'newerRevision') return false
-    for (const untilMs = clock() + maxContactWaitMs; clock() < untilMs;) {
-      await sleepMs(contactWaitStepMs)
+    for (const deadlineMs = clock() + maxContactWaitMs; clock() < deadlineMs;) {
+      await sleepMs(contactPollIntervalMs)
       if (isInContact()) return true
     }
     return false
   }
 
-  const isOut = () => state.configuration()?.dataCentres[identity.dataCentre]?.state === 'out'
+  const isOutOfService = () => state.configuration()?.dataCentres[identity.dataCentre]?.state === 'out'
 
-  const noteOut = () => {
-    if (!isOut()) outSinceMs = Infinity
-    else outSinceMs = Math.min(outSinceMs, clock())
+  const updateOutOfService = () => {
+    if (!isOutOfService()) outOfServiceSinceMs = Infinity
+    else outOfServiceSinceMs = Math.min(outOfServiceSinceMs, clock())
   }
 
   const run = async (signal: AbortSignal) => {
     for await (const _ of ticks(checkIntervalMs, signal)) {
-      noteOut()
+      updateOutOfService()
       const inContact = isInContact()
       if (inContact === wasInContact) continue
       wasInContact = inContact
@@ -93,8 +97,8 @@
     waitForContact,
     isDraining: () => draining,
     isRefusingCalls: () => refusing,
-    isDataCentreOut: () => clock() - outSinceMs > outGraceMs,
-    mayGetWork: () => !draining && !isOut() && !state.leaving().vms.includes(identity.vm),
+    isDataCentreOutOfService: () => clock() - outOfServiceSinceMs > outOfServiceGraceMs,
+    isReadyForCalls: () => !draining && !isOutOfService() && !state.leaving().vms.includes(identity.vm),
     startDraining: () => { draining = true },
     refuseCalls: () => { refusing = true },
     run
--- a/packages/entry/src/coordination/state-follower.ts
+++ b/packages/entry/src/coordination/state-follower.ts
@@ -1,29 +1,30 @@
 /**
- * Follows the platform's records. Two VMs of each data centre ask the platform; all others learn from peers.
- * Calls of the platform therefore grow with data centres and not with VMs.
+ * Keeps the local copy of the platform's records up to date. Two VMs in each data centre, the relays, poll the
+ * platform; all others receive changes from peers. The load on the platform therefore grows with the number of data
+ * centres and not with the number of VMs.
  */
 import { createTicker } from '@egretyoke/common'
 import type { Clock, Logger } from '@egretyoke/common'
 import { storeKeys } from '@egretyoke/config'
 import type { Platform, StoredEntry } from '@egretyoke/fleet'
 import { events } from '../events.js'
-import type { KnownState } from '../state/known-state.js'
+import type { PlatformState } from '../state/platform-state.js'
 import type { Contact } from './contact.js'
 import type { PeerCalls } from './peer-calls.js'
 
-/** A VM whose newest confirmation is older than this part of the contact time asks for itself, though seldom. */
+/** A VM whose newest confirmation is older than this fraction of the contact TTL polls the platform itself, rarely. */
 const staleFraction = 0.5
 
-/** When all peers announce the same news, asking a few of them is enough. */
-const maxFetchesAtOnce = 3
+/** When many peers announce the same revision, fetching it from a few of them is enough. */
+const maxConcurrentFetches = 3
 
-/** VMs of a data centre that ask the platform. */
+/** Number of VMs in each data centre that poll the platform. */
 export const relaysPerDataCentre = 2
 
-/** What the follower needs. */
+/** Dependencies and options of the follower. */
 export type StateFollowerOptions = {
   platform: Platform
-  state: KnownState
+  state: PlatformState
   contact: Contact
   calls: PeerCalls
   clock: Clock
@@ -31,86 +32,86 @@
   pollIntervalMs: number
   timeoutMs: number
   contactTtlMs: number
-  /** True when this VM is one that asks the platform. */
+  /** True if this VM polls the platform for its data centre. */
   isRelay: () => boolean
-  /** VMs that would ask all at once if each asked for itself. */
+  /** Number of VMs that share the fallback polling rate. */
   rosterSize: () => number
 }
 
-/** The running follower. */
+/** Follows changes of the platform's records. */
 export type StateFollower = {
-  /** Asks the platform now. */
+  /** Polls the platform immediately. */
   pollNow: () => void
-  /** Learns from a peer that knows a newer revision. */
+  /** Fetches newer records from a peer. */
   fetchFrom: (address: string) => Promise<void>
   run: (signal: AbortSignal) => Promise<void>
 }
 
-/** Creates a follower; `run` ends with its signal. */
+/** Creates a follower; `run` ends when its signal is aborted. */
 export const createStateFollower = (options: StateFollowerOptions): StateFollower => {
   const { platform, state, contact, calls, clock, log, timeoutMs } = options
   const ticker = createTicker(options.pollIntervalMs)
-  let isPollWanted = true
+  let isPollRequested = true
   let lastPollMs = -Infinity
-  let fetching = 0
+  let activeFetches = 0
 
   const fetchDocument = async (hash: string): Promise<string | undefined> => {
     const found = await platform.get(storeKeys.document(hash), timeoutMs)
     return found.ok ? found.val?.value.toString('utf8') : undefined
   }
 
-  const learn = async (entries: StoredEntry[], source: string): Promise<boolean> => {
-    for (const entry of entries) contact.noteRevision(entry.revision)
-    const learned = await state.learn(entries, fetchDocument)
-    if (!learned.ok) {
-      log(events.stateRefused, { source, reason: learned.val.reason, detail: learned.val.message })
+  const applyRecords = async (entries: StoredEntry[], source: string): Promise<boolean> => {
+    for (const entry of entries) contact.recordRevision(entry.revision)
+    const applied = await state.applyRecords(entries, fetchDocument)
+    if (!applied.ok) {
+      log(events.stateRefused, { source, reason: applied.val.reason, detail: applied.val.message })
       return false
     }
-    if (learned.val) log(events.stateLearned, { source, revision: state.revision() })
+    if (applied.val) log(events.stateLearned, { source, revision: state.revision() })
     return true
   }
 
   const poll = async () => {
-    const askedAtMs = clock()
+    const sentAtMs = clock()
     const changes = await platform.range(storeKeys.followed, state.revision(), timeoutMs)
-    if (!changes.ok || !await learn(changes.val.entries, 'platform')) return
-    contact.notePlatformAnswer(askedAtMs)
-    contact.noteStarted()
+    if (!changes.ok || !await applyRecords(changes.val.entries, 'platform')) return
+    contact.recordPlatformConfirmation(sentAtMs)
+    contact.completeStartup()
   }
 
   const fetchFrom = async (address: string) => {
-    if (fetching >= maxFetchesAtOnce) return
-    fetching++
+    if (activeFetches >= maxConcurrentFetches) return
+    activeFetches++
     try {
       const reply = await calls.fetchState(address, state.revision(), timeoutMs)
-      if (reply && !reply.starting) await learn(reply.entries, address)
+      if (reply && !reply.starting) await applyRecords(reply.entries, address)
     } finally {
-      fetching--
+      activeFetches--
     }
   }
 
   /**
-   * When the relays cannot reach the platform, the others ask for themselves, so seldom that all of them together
-   * ask no more often than the relays would.
+   * When the relays cannot reach the platform, all other VMs poll it themselves, at an interval long enough that
+   * together they poll no more often than the relays would.
    */
-  const isOwnTurn = (): boolean => {
+  const isFallbackPollDue = (): boolean => {
     if (contact.confirmedAgeMs() < options.contactTtlMs * staleFraction) return false
     return clock() - lastPollMs >= options.pollIntervalMs * options.rosterSize() / relaysPerDataCentre
   }
 
-  const shouldPoll = () => isPollWanted || contact.isStarting() || options.isRelay() || isOwnTurn()
+  const shouldPoll = () => isPollRequested || contact.isStarting() || options.isRelay() || isFallbackPollDue()
 
   const run = async (signal: AbortSignal) => {
     for await (const _ of ticker.ticks(signal)) {
       if (!shouldPoll()) continue
-      isPollWanted = false
+      isPollRequested = false
       lastPollMs = clock()
       await poll()
     }
   }
 
   const pollNow = () => {
-    isPollWanted = true
+    isPollRequested = true
     ticker.wake()
   }
 
--- a/packages/entry/src/state/endpoint-health.ts
+++ b/packages/entry/src/state/endpoint-health.ts
@@ -1,9 +1,9 @@
 /**
- * What is known of one endpoint from its own answers. Cached positions choose an endpoint; they never vouch for an
- * answer.
+ * Health and replication position of one endpoint, as last reported by the endpoint. Cached positions only select an
+ * endpoint; they never prove that an answer is valid.
  */
 
-/** What an endpoint last said of itself. Times are on this VM's monotonic clock. */
+/** Last known state of an endpoint. Times are on this VM's monotonic clock. */
 export type EndpointHealth = {
   reachable: boolean
   term: number
@@ -14,24 +14,24 @@
   latencyMs: number
 }
 
-/** Health of one endpoint, kept up to date. */
+/** Mutable health state of one endpoint. */
 export type HealthRecord = {
   current: () => Readonly<EndpointHealth>
-  notePosition: (term: number, position: number, isPrimary: boolean, nowMs: number) => void
-  noteLatency: (latencyMs: number) => void
-  /** Returns true when the endpoint was reachable before. */
-  noteFailure: () => boolean
+  recordPosition: (term: number, position: number, isPrimary: boolean, nowMs: number) => void
+  recordLatency: (latencyMs: number) => void
+  /** Marks the endpoint as unreachable. Returns true if it was reachable before. */
+  recordFailure: () => boolean
 }
 
 const latencyWeight = 0.1
 
-/** Creates the record of an endpoint that has not answered yet. */
+/** Creates the health state of an endpoint that has not answered yet. */
 export const createHealthRecord = (): HealthRecord => {
   const health: EndpointHealth = {
     reachable: false, term: 0, appliedPosition: 0, isPrimary: false, seenAtMs: -Infinity, latencyMs: 0
   }
 
-  const notePosition: HealthRecord['notePosition'] = (term, position, isPrimary, nowMs) => {
+  const recordPosition: HealthRecord['recordPosition'] = (term, position, isPrimary, nowMs) => {
     health.reachable = true
     health.seenAtMs = nowMs
     if (term < health.term) return
@@ -40,15 +40,15 @@
     health.isPrimary = isPrimary
   }
 
-  const noteLatency = (latencyMs: number) => {
+  const recordLatency = (latencyMs: number) => {
     health.latencyMs += latencyWeight * (latencyMs - health.latencyMs)
   }
 
-  const noteFailure = () => {
-    const was = health.reachable
+  const recordFailure = () => {
+    const wasReachable = health.reachable
     health.reachable = false
-    return was
+    return wasReachable
   }
 
-  return { current: () => health, notePosition, noteLatency, noteFailure }
+  return { current: () => health, recordPosition, recordLatency, recordFailure }
 }
--- a/packages/entry/src/state/known-state.ts
+++ b/packages/entry/src/state/platform-state.ts
@@ -1,6 +1,7 @@
 /**
- * What this VM knows of the platform's records: the configuration in force, the groups' terms, the roster and
- * who is leaving. Records are taken in together or not at all, and never go back to an older revision.
+ * Local copy of the platform's records: the active configuration, the group records with their terms, the roster, and
+ * the endpoints and VMs that are leaving. A batch of records is applied as a whole or not at all, and a record is never
+ * replaced by an older revision.
  */
 import {
   configHeadSchema,
@@ -17,45 +18,45 @@
 import type { Result, TypedError } from '@egretyoke/common'
 import type { StoredEntry } from '@egretyoke/fleet'
 
-/** Most records that a VM follows. */
-export const maxKnownEntries = 20_000
+/** Maximum number of records that a VM stores. */
+export const maxRecords = 20_000
 
-/** Fetches a document's text by its hash; undefined when it cannot be had now. */
+/** Fetches a document's text by its hash. Resolves to undefined if it is not available now. */
 export type FetchDocument = (hash: string) => Promise<string | undefined>
 
-/** Why records were not taken in. */
-export type LearnError = TypedError<'documentMissing' | 'invalidRecord' | 'tooManyRecords'>
+/** Reason why a batch of records was not applied. */
+export type ApplyError = TypedError<'documentMissing' | 'invalidRecord' | 'tooManyRecords'>
 
-/** The records that this VM knows. */
-export type KnownState = {
-  /** Newest revision among the known records; 0 before the first. */
+/** Local copy of the platform's records. */
+export type PlatformState = {
+  /** Newest revision among the applied records; 0 before the first one. */
   revision: () => number
   configuration: () => Configuration | undefined
   group: (name: string) => GroupRecord | undefined
   groupNames: () => string[]
   roster: () => Roster | undefined
   leaving: () => Leaving
-  /** Known records after a revision, and the documents of the configuration in force. */
-  copyAfter: (revision: number) => StoredEntry[]
-  /** Takes in records. Resolves to true when something changed. */
-  learn: (entries: StoredEntry[], fetchDocument: FetchDocument) => Promise<Result<boolean, LearnError>>
+  /** Records newer than a revision, with the documents of the active configuration if its head is among them. */
+  entriesAfter: (revision: number) => StoredEntry[]
+  /** Applies a batch of records. Resolves to true if any of them was newer than the stored one. */
+  applyRecords: (entries: StoredEntry[], fetchDocument: FetchDocument) => Promise<Result<boolean, ApplyError>>
   onChange: (listener: () => void) => void
 }
 
 const documentKeyPrefix = storeKeys.document('')
-const noneLeaving: Leaving = { endpoints: [], vms: [] }
+const emptyLeaving: Leaving = { endpoints: [], vms: [] }
 
-const invalid = (key: string, detail: string): LearnError => typedError('invalidRecord', `${key}: ${detail}`, { key })
+const invalid = (key: string, detail: string): ApplyError => typedError('invalidRecord', `${key}: ${detail}`, { key })
 
 /** Creates an empty state. */
-export const createKnownState = (): KnownState => {
+export const createPlatformState = (): PlatformState => {
   const entries = new Map<string, StoredEntry>()
   const groups = new Map<string, GroupRecord>()
   const listeners = new Set<() => void>()
   let documents = new Map<string, string>()
   let configuration: Configuration | undefined
   let roster: Roster | undefined
-  let leaving: Leaving = noneLeaving
+  let leaving: Leaving = emptyLeaving
   let revision = 0
 
   const readConfiguration = async (head: ConfigHead, fetchDocument: FetchDocument) => {
@@ -73,12 +74,15 @@
     return Ok({ configuration: read.val, documents: fetched })
   }
 
-  /** Decodes one record and returns the step that takes it in. */
-  const prepare = async (entry: StoredEntry, fetchDocument: FetchDocument): Promise<Result<() => void, LearnError>> => {
+  /** Decodes one record and returns the function that applies it. */
+  const decodeEntry = async (
+    entry: StoredEntry,
+    fetchDocument: FetchDocument
+  ): Promise<Result<() => void, ApplyError>> => {
     if (entry.key === storeKeys.head && !entry.deleted) {
       const head = decodeRecord(entry.key, entry.value, configHeadSchema)
       if (!head.ok) return Err(invalid(entry.key, formatFinding(head.val[0])))
-      if (head.val.version < (configuration?.version ?? 0)) return Err(invalid(entry.key, 'version went back'))
+      if (head.val.version < (configuration?.version ?? 0)) return Err(invalid(entry.key, 'the version decreased'))
       const read = await readConfiguration(head.val, fetchDocument)
       if (!read.ok) return read
       return Ok(() => {
@@ -99,7 +103,7 @@
       return Ok(() => { roster = read.val })
     }
     if (entry.key === storeKeys.leaving) {
-      if (entry.deleted) return Ok(() => { leaving = noneLeaving })
+      if (entry.deleted) return Ok(() => { leaving = emptyLeaving })
       const read = decodeRecord(entry.key, entry.value, leavingSchema)
       if (!read.ok) return Err(invalid(entry.key, formatFinding(read.val[0])))
       return Ok(() => { leaving = read.val })
@@ -107,24 +111,24 @@
     return Ok(() => {})
   }
 
-  const learnNow: KnownState['learn'] = async (incoming, fetchDocument) => {
-    const fresh = incoming
+  const applyBatch: PlatformState['applyRecords'] = async (incoming, fetchDocument) => {
+    const newer = incoming
       .filter(entry => !entry.key.startsWith(documentKeyPrefix))
       .filter(entry => entry.revision > (entries.get(entry.key)?.revision ?? 0))
-    if (fresh.length === 0) return Ok(false)
-    if (entries.size + fresh.length > maxKnownEntries) return Err(typedError('tooManyRecords', 'too many records'))
-    const carried = new Map(incoming
+    if (newer.length === 0) return Ok(false)
+    if (entries.size + newer.length > maxRecords) return Err(typedError('tooManyRecords', 'too many records'))
+    const includedDocuments = new Map(incoming
       .filter(entry => entry.key.startsWith(documentKeyPrefix))
       .map(entry => [entry.key.slice(documentKeyPrefix.length), entry.value.toString('utf8')]))
-    const fetchAny: FetchDocument = async hash => carried.get(hash) ?? await fetchDocument(hash)
+    const findDocument: FetchDocument = async hash => includedDocuments.get(hash) ?? await fetchDocument(hash)
     const steps: Array<() => void> = []
-    for (const entry of fresh) {
-      const step = await prepare(entry, fetchAny)
+    for (const entry of newer) {
+      const step = await decodeEntry(entry, findDocument)
       if (!step.ok) return step
       steps.push(step.val)
     }
     for (const step of steps) step()
-    for (const entry of fresh) {
+    for (const entry of newer) {
       entries.set(entry.key, entry)
       revision = Math.max(revision, entry.revision)
     }
@@ -132,16 +136,16 @@
     return Ok(true)
   }
 
-  // One learning at a time: a slow document must not let an older record overtake a newer one.
-  let last: Promise<unknown> = Promise.resolve()
-  const learn: KnownState['learn'] = (incoming, fetchDocument) => {
-    const next = last.then(() => learnNow(incoming, fetchDocument))
-    last = next.catch(() => undefined)
+  // Batches are applied one at a time, so that a slow document fetch does not let an older record replace a newer one.
+  let lastBatch: Promise<unknown> = Promise.resolve()
+  const applyRecords: PlatformState['applyRecords'] = (incoming, fetchDocument) => {
+    const next = lastBatch.then(() => applyBatch(incoming, fetchDocument))
+    lastBatch = next.catch(() => undefined)
     return next
   }
 
-  const copyAfter = (after: number): StoredEntry[] => {
-    const changed = [...entries.values()].filter(entry => entry.revision > after)
+  const entriesAfter = (afterRevision: number): StoredEntry[] => {
+    const changed = [...entries.values()].filter(entry => entry.revision > afterRevision)
     if (!changed.some(entry => entry.key === storeKeys.head)) return changed
     const texts = [...documents].map(([hash, text]) =>
       ({ key: storeKeys.document(hash), value: Buffer.from(text), revision: 0, deleted: false }))
@@ -155,8 +159,8 @@
     groupNames: () => [...groups.keys()],
     roster: () => roster,
     leaving: () => leaving,
-    copyAfter,
-    learn,
+    entriesAfter,
+    applyRecords,
     onChange: listener => { listeners.add(listener) }
   }
 }
--- a/packages/entry/src/transport/peer-server.ts
+++ b/packages/entry/src/transport/peer-server.ts
@@ -1,5 +1,5 @@
 /**
- * Serves peers and stewards.
+ * gRPC service for peers and stewards.
  */
 import type { sendUnaryData, Server, ServerDuplexStream, ServerUnaryCall } from '@grpc/grpc-js'
 import { peerProto } from '@egretyoke/protocol'
@@ -7,7 +7,7 @@
 
 type HeartbeatStream = ServerDuplexStream<PeerMessages.HeartbeatMessage__Output, PeerMessages.HeartbeatMessage>
 
-/** What peers may ask. */
+/** Handlers of the calls that peers and stewards may make. */
 export type PeerHandlers = {
   heartbeat: (message: PeerMessages.HeartbeatMessage__Output) => PeerMessages.HeartbeatMessage
   fetchState: (request: PeerMessages.FetchStateRequest__Output) => PeerMessages.FetchStateReply
@@ -16,7 +16,7 @@
 }
 
 const unary = <Request, Reply>(handle: (request: Request) => Reply) =>
-  (call: ServerUnaryCall<Request, Reply>, done: sendUnaryData<Reply>) => done(null, handle(call.request))
+  (call: ServerUnaryCall<Request, Reply>, callback: sendUnaryData<Reply>) => callback(null, handle(call.request))
 
 /** Adds the peers' service to a listener. */
 export const addPeerService = (server: Server, handlers: PeerHandlers): void => {
