--- a/packages/limits/src/adaptive-limit.test.ts
+++ b/packages/limits/src/adaptive-limit.test.ts
@@ -1,5 +1,5 @@
 /**
- * The adaptive limit against an endpoint with a fixed number of slots, and the retry budget.
+ * Tests the adaptive limit with an endpoint that has a fixed number of slots, and the retry budget.
  */
 import test from 'ava'
 import { createAdaptiveLimit } from './adaptive-limit.js'
@@ -7,10 +7,10 @@
 import { createRetryBudget } from './retry-budget.js'
 
 const fillTo = (limit: AdaptiveLimit) => {
-  while (limit.tryAcquire()) { /* one more in flight */ }
+  while (limit.tryAcquire()) { /* acquire until the limit is reached */ }
 }
 
-test('rises by one for each full round and stops at the greatest limit', t => {
+test('increases by one per full round up to the maximum', t => {
   const limit = createAdaptiveLimit({ initial: 1, max: 4, clock: () => 0 })
   for (let round = 0; round < 50; round++) {
     fillTo(limit)
@@ -19,7 +19,7 @@
   t.is(limit.limit(), 4)
 })
 
-test('does not rise while it is not used up', t => {
+test('does not increase while it is not reached', t => {
   const limit = createAdaptiveLimit({ initial: 3, max: 10, clock: () => 0 })
   for (let round = 0; round < 50; round++) {
     limit.tryAcquire()
@@ -28,7 +28,7 @@
   t.is(limit.limit(), 3)
 })
 
-test('is cut when the endpoint declines, once a round trip, and never below one', t => {
+test('decreases when the endpoint declines, at most once per round trip and not below one', t => {
   let nowMs = 0
   const limit = createAdaptiveLimit({ initial: 10, max: 10, clock: () => nowMs })
   fillTo(limit)
@@ -40,7 +40,7 @@
   t.is(limit.limit(), 1)
 })
 
-test('settles near the slots of an endpoint that queues the rest', t => {
+test('converges near the slot count of an endpoint that queues excess statements', t => {
   const slots = 3
   const serviceMs = 10
   let nowMs = 0
@@ -57,7 +57,7 @@
   t.true(Math.max(...seen) <= 4 * slots, `highest ${Math.max(...seen)}`)
 })
 
-test('slow statements of another kind do not look like a queue', t => {
+test('slow statements of another kind do not count as queueing', t => {
   const slots = 3
   let nowMs = 0
   const limit = createAdaptiveLimit({ initial: slots, max: slots, clock: () => nowMs })
@@ -70,7 +70,7 @@
   t.is(limit.limit(), slots)
 })
 
-test('retries are at most a tenth of the requests beyond the reserve', t => {
+test('retries beyond the reserve are at most a tenth of the requests', t => {
   const budget = createRetryBudget()
   let retries = 0
   for (let request = 0; request < 1000; request++) {
--- a/packages/limits/src/adaptive-limit.ts
+++ b/packages/limits/src/adaptive-limit.ts
@@ -1,64 +1,65 @@
 /**
- * How many statements a VM keeps in flight at one endpoint. The endpoint has fewer slots than the fleet has VMs and
- * does not say how many are free, so the limit is learned: it rises slowly while all goes well and is cut when the
- * endpoint declines or when statements take well longer than the quickest of their own kind, which means that they
- * queue. Statements of all kinds compared with each other would make slow ones look like a queue.
+ * Adaptive limit on the statements that a VM has in flight at one endpoint. The endpoint has fewer slots than the fleet
+ * has VMs and does not report how many are free, so the limit is estimated: it increases slowly while statements
+ * succeed, and decreases when the endpoint declines a statement or when statements take much longer than the fastest of
+ * their own kind, which means that they queue. Latencies are compared within a kind, because slow statements would
+ * otherwise look like queueing.
  */
 import type { Clock } from '@egretyoke/common'
 import { monotonicMs } from '@egretyoke/common'
 
-/** Added to the limit for each answer, divided by the limit: about one for each full round of answers. */
+/** Additive increase: each answered statement adds this divided by the limit, about one per full round of answers. */
 const increase = 1
 
-/** The limit is multiplied by this at a cut. */
+/** Multiplicative decrease of the limit when the endpoint declines a statement, and when statements queue. */
 const declineFactor = 0.7
 const latencyFactor = 0.85
 
-/** Weight of a new latency in the short-term average. */
+/** Weight of a new sample in the moving averages of latency. */
 const latencyWeight = 0.1
 
-/** Waiting above this multiple of the time that statements take unhindered, plus the slack, counts as queueing. */
+/** Extra latency above this multiple of the latency without queueing, plus the slack, counts as queueing. */
 const queueingRatio = 1
 const queueingSlackMs = 5
 
-/** Kinds of statements whose lowest latency is kept; further ones share one. */
+/** Maximum number of statement kinds with their own lowest latency; further kinds share one. */
 const maxKinds = 1_000
 const otherKinds = ''
 
-/** Length of the periods over which the lowest latency is kept; the lowest of the last two counts. In milliseconds. */
+/** Length of a period for lowest latencies, in milliseconds; the lowest of the current and previous period is used. */
 const lowestPeriodMs = 10_000
 
-/** How a statement at an endpoint ended, as far as the limit is concerned. */
+/** Outcome of a statement at an endpoint, as a signal of the endpoint's load. */
 export type FlightOutcome =
-  /** Answered. */
+  /** The endpoint answered. */
   | 'answered'
-  /** Declined because the endpoint was busy. */
+  /** The endpoint declined because it was busy. */
   | 'declined'
-  /** Ended without saying anything about load, for instance because the caller went away. */
+  /** Ended without information on load, for instance because the caller disconnected. */
   | 'ignored'
 
-/** What an adaptive limit is made with. */
+/** Options of an adaptive limit. */
 export type AdaptiveLimitOptions = {
-  /** Limit at the start, in statements in flight. */
+  /** Initial limit, in statements in flight. */
   initial: number
-  /** Greatest limit: the connections that this VM may open. */
+  /** Maximum limit: the number of connections that this VM may open. */
   max: number
   clock?: Clock
 }
 
-/** The number of statements that may be in flight at one endpoint. */
+/** Limit on the statements in flight at one endpoint. */
 export type AdaptiveLimit = {
-  /** Counts one more in flight if the limit allows. */
+  /** Counts one more statement in flight; false when the limit is reached. */
   tryAcquire: () => boolean
-  /** Ends one that was acquired. Statements of one kind, such as those of one route, take about the same time. */
+  /** Ends an acquired statement. Statements of one kind, such as those of one route, take about the same time. */
   release: (outcome: FlightOutcome, latencyMs: number, kind?: string) => void
   limit: () => number
   inFlight: () => number
-  /** Changes the greatest limit, for instance because the VM's share of connections has changed. */
+  /** Changes the maximum limit, for instance because the VM's share of connections has changed. */
   setMax: (max: number) => void
 }
 
-/** Keeps the lowest value of the last two periods. */
+/** Tracks the lowest value of the current and the previous period. */
 const createLowest = (clock: Clock) => {
   let periodEndMs = clock() + lowestPeriodMs
   let former = Infinity
@@ -78,7 +79,7 @@
 
 type Lowest = ReturnType<typeof createLowest>
 
-/** Creates a limit with nothing in flight. */
+/** Creates a limit with no statements in flight. */
 export const createAdaptiveLimit = (options: AdaptiveLimitOptions): AdaptiveLimit => {
   const { clock = monotonicMs } = options
   const lowestByKind = new Map<string, Lowest>()
@@ -89,7 +90,7 @@
   let unhinderedMs = 0
   let nextCutMs = -Infinity
 
-  // One cut for each round trip: the answers under way were sent under the former limit.
+  // At most one decrease per average latency, because statements in flight were sent under the previous limit.
   const cut = (factor: number) => {
     if (clock() < nextCutMs) return
     limit = Math.max(1, limit * factor)
@@ -116,7 +117,7 @@
     unhinderedMs = isFirst ? lowest.lowest() : averaged(unhinderedMs, lowest.lowest())
   }
 
-  // A limit that is not used up has not been tested, so it does not rise.
+  // Increases only a limit that was reached, because a higher one is otherwise untested.
   const rise = (wasFull: boolean) => {
     if (wasFull) limit = Math.min(max, limit + increase / limit)
   }
--- a/packages/limits/src/borrow-messages.ts
+++ b/packages/limits/src/borrow-messages.ts
@@ -1,43 +1,43 @@
 /**
- * The messages by which VMs ask each other for loans; the transport between processes maps them to its own.
+ * Loan requests and replies between VMs; the transport maps them to its own messages.
  */
 
-/** Asks a peer for a loan out of its share; mirrors egretyoke.peer.v1.BorrowRequest. */
+/** Request for a loan from a peer's share; mirrors egretyoke.peer.v1.BorrowRequest. */
 export type BorrowRequest = {
   borrower: string
   incarnation: number
   limit: string
-  /** Tokens to give now. */
+  /** Number of tokens to transfer. */
   tokensWanted: number
   /**
-   * The rate that the borrower wants to hold of this lender in all, which stands for the same part of the burst.
-   * With 0, only tokens are wanted, and burst room to hold them.
+   * Total rate to be borrowed from this lender; the same fraction of the burst is borrowed with it. With 0, only tokens
+   * and burst capacity to hold them are requested.
    */
   rateWantedPerSec: number
   loanTtlMs: number
   limitVersion: number
 }
 
-/** Answers a BorrowRequest; mirrors egretyoke.peer.v1.BorrowReply. */
+/** Reply to a BorrowRequest; mirrors egretyoke.peer.v1.BorrowReply. */
 export type BorrowReply = {
-  /** Tokens given. With rate 0, burst room for as many is lent with them. */
+  /** Number of tokens transferred. With rate 0, burst capacity for as many is lent with them. */
   tokens: number
-  /** Rate that is lent in all to this borrower by this loan, and with it the same part of the burst. */
+  /** Total rate that is lent to this borrower; the same fraction of the burst is lent with it. */
   ratePerSec: number
   loanTtlMs: number
   /** Set when nothing was lent: `unknownLimit`, `otherVersion`, `oldIncarnation`, `nothingToSpare`, `badRequest`. */
   reason: string
 }
 
-/** A reply that lends nothing. */
+/** Creates a reply that lends nothing. */
 export const noLoan = (reason: string): BorrowReply => ({ tokens: 0, ratePerSec: 0, loanTtlMs: 0, reason })
 
 const isAmount = (value: number) => Number.isFinite(value) && value >= 0
 
-/** Whether the figures of a request make sense. */
+/** Whether all amounts of a request are finite and not negative, and the loan duration is above 0. */
 export const isValidRequest = ({ tokensWanted, rateWantedPerSec, loanTtlMs }: BorrowRequest): boolean =>
   isAmount(tokensWanted) && isAmount(rateWantedPerSec) && isAmount(loanTtlMs) && loanTtlMs > 0
 
-/** Whether the figures of a reply make sense. */
+/** Whether all amounts of a reply are finite and not negative. */
 export const isValidReply = ({ tokens, ratePerSec, loanTtlMs }: BorrowReply): boolean =>
   isAmount(tokens) && isAmount(ratePerSec) && isAmount(loanTtlMs)
--- a/packages/limits/src/borrowing.ts
+++ b/packages/limits/src/borrowing.ts
@@ -1,37 +1,37 @@
 /**
- * What a loan policy sees of one limit on one VM, and what it decides.
+ * Input of a loan policy for one limit on one VM, and its decisions.
  */
 import type { PeerChoice } from './peer-choice.js'
 import type { TokenShare } from './token-share.js'
 
-/** Longest loan of tokens that requests wait for now, in milliseconds; longer ones count as lasting. */
+/** Maximum duration of a loan of tokens for waiting requests, in milliseconds; longer loans count as long-term. */
 export const shortLoanTtlMs = 50
 
-/** Shortest loan of tokens, in milliseconds, and in round trips to a peer. */
+/** Minimum duration of a loan of tokens, in milliseconds and in round trips to a peer. */
 const minShortLoanTtlMs = 10
 const minShortLoanRoundTrips = 4
 
-/** What a VM knows of its own share of one limit. */
+/** State of a VM's share of one limit. */
 export type ShareSituation = {
   ratePerSec: number
   burst: number
   demandPerSec: number
   waiting: number
   tokens: number
-  /** Part of the limit that may be used now. */
+  /** Fraction of the limit that is usable now. */
   usableFraction: number
 }
 
-/** What one peer is asked for. */
+/** Amounts and duration of a loan that is requested from one peer. */
 export type Wanted = {
-  /** Tokens; a lender that has fewer lends less by whole ones. */
+  /** Number of tokens; a lender that has fewer reduces the amount by whole tokens. */
   tokens: number
-  /** Part of the limit that is to be held of the peer in all; 0 to ask for tokens and room for them only. */
+  /** Total fraction of the limit to be borrowed from the peer; 0 to request only tokens and capacity for them. */
   fraction: number
   ttlMs: number
 }
 
-/** One limit on one VM, as a policy sees it. */
+/** Access of a loan policy to one limit on one VM. */
 export type BorrowingContext = {
   vm: string
   loanTtlMs: number
@@ -39,38 +39,41 @@
   situation: () => ShareSituation
   ledger: TokenShare['ledger']
   peers: PeerChoice
-  /** All members, in the order of the limit's rendezvous hash, which is the same on every VM. */
+  /** All members in the limit's rendezvous order, which is the same on every VM. */
   ranked: () => string[]
-  /** What requests for loans that are under way are likely to bring. */
+  /** Amounts that recent loan requests in flight are expected to yield. */
   expectedSoon: () => { tokens: number, fraction: number }
   /** Average round trip to a peer, in milliseconds. */
   roundTripMs: () => number
   ask: (peer: string, wanted: Wanted) => void
 }
 
-/** How long tokens that requests wait for now are lent: the lender's room for them is not usable meanwhile. */
+/**
+ * Duration of a loan of tokens for waiting requests, in milliseconds. It is short, because the lender cannot use the
+ * lent capacity meanwhile.
+ */
 export const shortTtlMs = ({ roundTripMs }: BorrowingContext): number =>
   Math.min(shortLoanTtlMs, Math.max(minShortLoanTtlMs, minShortLoanRoundTrips * roundTripMs()))
 
-/** What a lender grants at most. */
+/** Amounts that a lender retains for itself when it grants a loan. */
 export type Offer = {
   keepTokens: number
   keepFraction: number
 }
 
-/** A request for a loan, as a policy sees it. */
+/** A peer's loan request, as far as a policy needs it. */
 export type LoanRequest = { borrower: string, isLasting: boolean }
 
 /** Decides when one VM borrows under one limit, and what it lends. */
 export type Borrowing = {
-  /** Requests wait: fetches tokens for them. */
+  /** Requests loans of tokens for waiting requests. */
   fetch: () => void
-  /** Called some times within a loan: renews what is still needed. */
+  /** Renews loans that are still needed; called several times within the duration of a loan. */
   maintain: () => void
   offer: (request: LoanRequest) => Offer
-  /** When `fetch` may be of use again; by the clock of `nowMs`. */
+  /** Earliest time, on the clock of `nowMs`, at which `fetch` may obtain tokens again. */
   nextFetchMs: () => number
 }
 
-/** Creates the decisions for one limit on one VM. No policy can break the bound; a bad one only refuses too much. */
+/** Creates the borrowing strategy of one limit on one VM. No policy can break the bound; a bad one refuses too much. */
 export type LoanPolicy = (context: BorrowingContext) => Borrowing
--- a/packages/limits/src/demand.ts
+++ b/packages/limits/src/demand.ts
@@ -1,18 +1,18 @@
 /**
- * Estimates the rate of recent arrivals by a counter that decays exponentially.
+ * Estimates the recent arrival rate with an exponentially decaying counter.
  */
 import type { Clock } from '@egretyoke/common'
 
 /** Time constant of the decay, in milliseconds. */
 const decayMs = 1000
 
-/** Shortest time over which a first estimate is spread, in milliseconds. */
+/** Minimum period over which the first arrivals are averaged, in milliseconds. */
 const minSpanMs = 100
 
-/** Below this count the estimate starts afresh. */
+/** Count below which the estimate is reset to 0. */
 const negligibleCount = 0.01
 
-/** Recent arrivals. */
+/** Estimate of the recent arrival rate. */
 export type Demand = {
   count: (arrivals?: number) => void
   /** Arrivals per second. */
--- a/packages/limits/src/events.ts
+++ b/packages/limits/src/events.ts
@@ -1,5 +1,5 @@
 /**
- * Log events of the limits; ids are listed in docs/EVENTS.md.
+ * Log events of the limits; docs/EVENTS.md lists their ids.
  */
 import type { EventDefinition } from '@egretyoke/common'
 
@@ -7,21 +7,21 @@
   shareChanged: {
     id: 6001,
     name: 'shareChanged',
-    meaning: 'The roster or the number of slots changed; a larger share comes into force after the longest loan.'
+    meaning: 'The roster or the number of slots changed; a larger share takes effect after the longest loan.'
   },
   limitsRefused: {
     id: 6002,
     name: 'limitsRefused',
-    meaning: 'More limits were given than the table keeps; requests under those left out are refused.'
+    meaning: 'More limits are configured than the table allows; requests under the excess limits are refused.'
   },
   loansExpired: {
     id: 6003,
     name: 'loansExpired',
-    meaning: 'All loans held were ended because the host may have been paused.'
+    meaning: 'All borrowed loans were ended because the host may have been paused.'
   },
   loanRefused: {
     id: 6004,
     name: 'loanRefused',
-    meaning: 'A peer asked for a loan and got none, for the named reason.'
+    meaning: 'A loan request of a peer was refused for the named reason.'
   }
 } satisfies Record<string, EventDefinition>
--- a/packages/limits/src/fair-queue.test.ts
+++ b/packages/limits/src/fair-queue.test.ts
@@ -1,5 +1,5 @@
 /**
- * The fair queue: shares by weight and cost, floods, bounds, deadlines and withdrawal.
+ * Tests the fair queue: shares by weight and cost, floods, bounds, deadlines and revoked permission.
  */
 import test from 'ava'
 import { createFairQueue } from './fair-queue.js'
@@ -49,14 +49,14 @@
   t.deepEqual(popCounts(40), { slow: 8, quick: 32 })
 })
 
-test('a cost reported afterwards counts, also while nothing of the workspace waits', t => {
+test('a cost reported later counts, even while the workspace has no waiting items', t => {
   const { queue, push, pushMany, popCounts } = createQueue()
   pushMany(40, 'quick')
   push('slow')
   t.is(popCounts(2).slow, 1)
   queue.charge('slow', 190)
   pushMany(10, 'slow')
-  // It has used 200 in all and so is served again in the 20th round after its first.
+  // The workspace has used 200 in total, so it is served again in the 20th round after its first.
   t.deepEqual(popCounts(20), { quick: 19, slow: 1 })
 })
 
@@ -71,7 +71,7 @@
   t.is((push('flood').pushed.val as { reason: string }).reason, 'queueFull')
 })
 
-test('first come first served lets a flood go first and refuses whoever comes to a full queue', t => {
+test('first come first served serves a flood first and refuses every new item when full', t => {
   const { push, pushMany, popCounts } = createQueue({ maxQueued: 50, discipline: firstComeFirstServed })
   pushMany(49, 'flood')
   push('small')
@@ -79,14 +79,14 @@
   t.deepEqual(popCounts(49), { flood: 49 })
 })
 
-test('bounds the items of one workspace', t => {
+test('bounds the number of items of one workspace', t => {
   const { push, pushMany } = createQueue({ maxQueuedPerWorkspace: 2 })
   pushMany(2, 'one')
   t.is((push('one').pushed.val as { reason: string }).reason, 'workspaceQueueFull')
   t.true(push('other').pushed.ok)
 })
 
-test('drops what has expired or is not allowed any more, and what was removed never comes out', t => {
+test('drops items that expired or are no longer allowed, and does not serve removed items', t => {
   let nowMs = 0
   let withdrawn = ''
   const isStillAllowed = ({ workspace }: Item) => workspace !== withdrawn
@@ -105,7 +105,7 @@
   t.is(queue.size(), 0)
 })
 
-test('close drops what waits and refuses what comes', t => {
+test('close drops waiting items and refuses new ones', t => {
   const { queue, push, dropped } = createQueue()
   push('one')
   queue.close()
--- a/packages/limits/src/fair-queue.ts
+++ b/packages/limits/src/fair-queue.ts
@@ -1,8 +1,8 @@
 /**
  * A bounded queue over workspaces, for the requests that wait for an endpoint of one group.
  *
- * The order is a discipline, passed as a function. When the queue is full, room is made by refusing the newest item of
- * the workspace that has most waiting for its weight, so that a flood by one workspace refuses only its own requests.
+ * The order of service is a queueing discipline, passed as a function. A full queue drops the newest item of the
+ * workspace with the most waiting items per weight, so that a flood by one workspace displaces only its own requests.
  */
 import type { Clock, Result, TypedError } from '@egretyoke/common'
 import { Err, Ok, monotonicMs, typedError } from '@egretyoke/common'
@@ -11,34 +11,34 @@
 import { createQueueLine } from './queue-line.js'
 import type { Queued, QueueLine } from './queue-line.js'
 
-/** Smallest cost and weight that count; smaller ones, and values that are no numbers, are raised to it. */
+/** Minimum cost and weight; smaller values and NaN are raised to them. */
 const minCost = 0.001
 const minWeight = 0.001
 
-/** What the queue has to know of an item. */
+/** Scheduling parameters of an item. */
 export type QueuedAs = {
   workspace: string
   weight: number
   /** Estimated service time, in milliseconds of an endpoint slot. */
   cost: number
-  /** By the queue's clock, in milliseconds; the item is dropped after it. */
+  /** Time on the queue's clock, in milliseconds, after which the item is dropped. */
   deadlineMs: number
 }
 
-/** Why an item left the queue without being served. */
+/** Reason for which an item left the queue without being served. */
 export type DropReason = 'expired' | 'displaced' | 'notAllowed' | 'closed'
 
-/** Why an item did not enter the queue. */
+/** Reason for which the queue refused an item. */
 export type QueueRefusal = 'queueFull' | 'workspaceQueueFull' | 'queueClosed' | 'expired'
 
-/** What a fair queue is made with. */
+/** Dependencies and options of a fair queue. */
 export type FairQueueOptions<Item> = {
-  /** Items that wait at most, over all workspaces. */
+  /** Maximum number of waiting items over all workspaces. */
   maxQueued: number
   maxQueuedPerWorkspace: number
-  /** Asked before an item is served: its key may have been withdrawn while it waited. */
+  /** Called before an item is served, because its key may have been revoked while it waited. */
   isStillAllowed?: (item: Item) => boolean
-  /** Told of each item that leaves without being served, except by `remove`. */
+  /** Called for each item that leaves without being served, except by `remove`. */
   onDropped: (item: Item, reason: DropReason) => void
   discipline?: Discipline
   clock?: Clock
@@ -47,13 +47,13 @@
 /** A bounded queue over workspaces. */
 export type FairQueue<Item> = {
   push: (item: Item, as: QueuedAs) => Result<void, TypedError<QueueRefusal>>
-  /** The next item to serve. Its estimated cost is charged to its workspace. */
+  /** Removes and returns the next item to serve, and charges its estimated cost to its workspace. */
   pop: () => Item | undefined
-  /** Takes an item out, for instance because its caller is gone; false when it does not wait. */
+  /** Removes an item, for instance because its caller has disconnected; false when it is not in the queue. */
   remove: (item: Item) => boolean
-  /** Charges what an item has cost beyond its estimate; negative when it cost less. */
+  /** Charges the difference between an item's actual and estimated cost; negative when it cost less. */
   charge: (workspace: string, costDelta: number) => void
-  /** Drops the items that are past their deadline. */
+  /** Drops the items whose deadline has passed. */
   dropExpired: () => void
   size: () => number
   sizeOf: (workspace: string) => number
@@ -71,7 +71,7 @@
   let isClosed = false
 
   const refuse = (reason: QueueRefusal, workspace: string) =>
-    Err(typedError(reason, `The queue takes no request of workspace ${workspace}: ${reason}.`, { workspace }))
+    Err(typedError(reason, `The queue refused a request of workspace ${workspace}: ${reason}.`, { workspace }))
 
   const takeOut = (queued: Queued<Item>) => {
     const line = lines.get(queued.workspace)
@@ -95,7 +95,7 @@
 
   const load = (line: QueueLine<Item>, more = 0) => (line.size() + more) / line.weight()
 
-  // False when the workspace itself takes most of the queue for its weight.
+  // False when no other workspace has a higher load, in waiting items per weight.
   const makeRoomFor = (workspace: string, weight: number) => {
     const loadAfter = ((lines.get(workspace)?.size() ?? 0) + 1) / weight
     const heaviest = [...lines.values()].reduce((one, other) => load(other) > load(one) ? other : one)
--- a/packages/limits/src/index.ts
+++ b/packages/limits/src/index.ts
@@ -1,5 +1,5 @@
 /**
- * Limits of the fleet and of one VM: shares of rates and connections, fair queue, adaptive concurrency limit.
+ * Limits of the fleet and of one VM: shares of rate and connection limits, fair queue, adaptive concurrency limit.
  */
 export * from './events.js'
 export type { Borrowing, BorrowingContext, LoanPolicy, LoanRequest, Offer, ShareSituation } from './borrowing.js'
--- a/packages/limits/src/lending-book.ts
+++ b/packages/limits/src/lending-book.ts
@@ -1,18 +1,18 @@
 /**
- * Divides what a lender can spare among several borrowers in proportion to what they last asked for.
+ * Divides the lendable fraction of a limit among borrowers in proportion to their latest requests.
  */
 import type { Clock } from '@egretyoke/common'
 
-/** Borrowers whose wants are remembered at once under one limit. */
+/** Maximum number of borrowers whose demand is stored per limit. */
 const maxWants = 64
 
-/** Recent wants of borrowers, in parts of the limit. */
+/** Allocates the lendable fraction of one limit by the recent demand of its borrowers. */
 export type LendingBook = {
-  /** Notes what the borrower wants, and returns how much of what can be lent is due to it. */
+  /** Records the borrower's demand, and returns the fraction of the limit to be lent to it. */
   allot: (borrower: string, fractionWanted: number, lendable: number) => number
 }
 
-/** Creates an empty book. A want counts for the given time. */
+/** Creates an allocator without demand. A borrower's demand counts for the given time, in milliseconds. */
 export const createLendingBook = (clock: Clock, wantTtlMs: number): LendingBook => {
   const wants = new Map<string, { fraction: number, untilMs: number }>()
 
--- a/packages/limits/src/limit-share.ts
+++ b/packages/limits/src/limit-share.ts
@@ -1,5 +1,5 @@
 /**
- * One rate limit on one VM: its token share, the requests that wait for a token, and the loans it asks for and renews.
+ * One rate limit on one VM: its token share, the requests that wait for a token, and the loans it requests and renews.
  */
 import { isDeepStrictEqual } from 'node:util'
 import type { Clock } from '@egretyoke/common'
@@ -17,39 +17,39 @@
 import type { PendingAsk, RateLimit } from './token-share.js'
 import { createWaiters } from './waiters.js'
 
-/** Requests that wait under one limit on one VM. */
+/** Maximum number of requests that wait for a token of one limit on one VM. */
 export const maxWaitersPerLimit = 1024
 
-/** Time for which a request under way counts as likely to bring what it asked for, in milliseconds. */
+/** Time after sending for which a loan request in flight is expected to be granted, in milliseconds. */
 const inFlightCountsMs = 20
 
-/** Round trip to a peer that is assumed at first, in milliseconds, and the weight of each new one in the average. */
+/** Initial estimate of the round trip to a peer, in milliseconds, and the weight of a new sample in the average. */
 const initialRoundTripMs = 5
 const roundTripWeight = 0.1
 
-/** Demand below which a limit counts as unused on this VM, in requests per second. */
+/** Demand below which a limit counts as idle on this VM, in requests per second. */
 const negligibleDemandPerSec = 0.05
 
-/** Longest time between two looks at the waiting requests, in milliseconds. */
+/** Maximum interval between two attempts to serve the waiting requests, in milliseconds. */
 const maxPumpDelayMs = 25
 
-/** Shortest time between two looks, in milliseconds. */
+/** Minimum interval between two attempts to serve the waiting requests, in milliseconds. */
 const minPumpDelayMs = 1
 
-/** Rate by which `retryAfterMs` is worked out at least, in tokens per second. */
+/** Minimum rate from which `retryAfterMs` is computed, in tokens per second. */
 const minRatePerSec = 0.001
 
 /** Bounds of `retryAfterMs`, in milliseconds. */
 const minRetryAfterMs = 10
 const maxRetryAfterMs = 60_000
 
-/** Why a request got no token. */
+/** Reason for which a request was refused. */
 export type RefusalReason = 'rate' | 'tooManyWaiting' | 'unknownLimit' | 'cancelled' | 'closed'
 
-/** Whether a request was admitted. */
+/** Result of acquiring a token. */
 export type Taken = { admitted: true } | { admitted: false, retryAfterMs: number, reason: RefusalReason }
 
-/** What operators and tests see of one limit on this VM. */
+/** State of one limit on this VM, for operators and tests. */
 export type LimitSnapshot = {
   limit: string
   version: number
@@ -63,7 +63,7 @@
   waiting: number
 }
 
-/** What a limit on one VM is made with. */
+/** Dependencies and options of a limit on one VM. */
 export type LimitShareOptions = {
   vm: string
   incarnation: number
@@ -80,22 +80,22 @@
 /** One rate limit on one VM. */
 export type LimitShare = {
   setLimit: (limit: RateLimit) => void
-  /** Sets the part of the limit that is this VM's own from now on. */
+  /** Sets the fraction of the limit that this VM owns, with immediate effect. */
   setOwnFraction: (fraction: number) => void
   setPeers: (peers: string[]) => void
   tryTake: () => boolean
   take: (maxWaitMs: number, signal?: AbortSignal) => Promise<Taken>
   lend: (request: BorrowRequest) => BorrowReply
-  /** Renews loans that are still needed and fetches what recent demand will need. */
+  /** Renews loans that are still needed and borrows for the recent demand. */
   maintain: () => void
-  /** True when nothing is lent and nobody waits, so that the share may be forgotten. */
+  /** True when nothing is lent and no request waits, so that the share may be deleted. */
   isIdle: () => boolean
   expireLoans: () => void
   snapshot: () => LimitSnapshot
   close: () => void
 }
 
-/** Creates a limit without own share. */
+/** Creates a limit of which this VM owns nothing. */
 export const createLimitShare = (initialLimit: RateLimit, options: LimitShareOptions): LimitShare => {
   const { vm, incarnation, clock, after, loanTtlMs, policy, askPeer } = options
   const share = createTokenShare(initialLimit, options)
@@ -130,7 +130,7 @@
     return hasGained || (isRenewal && reply.ratePerSec > 0) ? 'lent' : 'empty'
   }
 
-  // Hashing is put off until the limit is used: most limits of a large fleet are idle on most VMs.
+  // Defers the rendezvous hashing until the limit is used, because most limits of a large fleet are idle on most VMs.
   const rankedMembers = () => {
     if (ranked !== undefined) return ranked
     ranked = rankByRendezvous(share.limit().name, [vm, ...peers])
@@ -231,7 +231,7 @@
     return { admitted: false, reason, retryAfterMs: Math.min(maxRetryAfterMs, Math.max(minRetryAfterMs, retryAfterMs)) }
   }
 
-  // Requests beyond what the whole fleet could admit within the wait would wait in vain.
+  // Requests beyond what the whole fleet can admit within the maximum wait are refused at once.
   const canBeServed = (maxWaitMs: number) => {
     const { ratePerSec, burst } = share.limit()
     return waiters.size() < burst + ratePerSec * maxWaitMs / 1000
--- a/packages/limits/src/loan-policy.ts
+++ b/packages/limits/src/loan-policy.ts
@@ -1,11 +1,11 @@
 /**
- * The loan policies, passed as functions, so that experiments can compare them on the same mechanism.
+ * Loan policies, passed as functions so that experiments can compare them on the same mechanism.
  */
 import type { BorrowingContext, LoanPolicy } from './borrowing.js'
 import { createPooledBorrowing } from './pooled-loans.js'
 import { createSpreadBorrowing } from './spread-loans.js'
 
-/** Burst per VM, in tokens, below which a limit has a pool. */
+/** Burst per VM, in tokens, below which a limit uses a pool. */
 const pooledBelowTokens = 4
 
 /** Equal static slices: nothing is ever lent. */
@@ -16,16 +16,16 @@
   nextFetchMs: () => Infinity
 })
 
-/** Only tokens are lent, with room to hold them; the rate stays divided equally. */
+/** Only tokens are lent, with capacity to hold them; the rate stays divided equally. */
 export const tokenLoans: LoanPolicy = context => createSpreadBorrowing(context, false)
 
-/** Tokens, rate and burst room are lent together, straight between peers, whatever the burst. */
+/** Tokens, rate and burst capacity are lent directly between peers, whatever the burst. */
 export const spreadLoans: LoanPolicy = context => createSpreadBorrowing(context, true)
 
 const isPooled = ({ situation, ranked }: BorrowingContext) =>
   situation().burst < pooledBelowTokens * ranked().length
 
-/** Tokens, rate and burst room are lent together: by way of a pool when the burst is small, else straight. */
+/** Tokens, rate and burst capacity are lent: through a pool when the burst is small, otherwise directly. */
 export const loans: LoanPolicy = context => {
   const spread = createSpreadBorrowing(context, true)
   const pooled = createPooledBorrowing(context)
--- a/packages/limits/src/own-part.ts
+++ b/packages/limits/src/own-part.ts
@@ -1,27 +1,27 @@
 /**
- * The part of every limit that is a VM's own. A smaller part is in force at once; a larger one only after the longest
- * loan and its margin, so that every loan that anybody granted out of the former division is over by then. A restart
- * is growth from nothing: the VM's predecessor may have lent the same part.
+ * The share of a limit that a VM owns by the roster. A smaller share takes effect at once; a larger one only after the
+ * longest loan and its margin, so that every loan granted under the previous division has expired by then. A restart
+ * counts as growth from 0, because the VM's previous incarnation may have lent the same share.
  */
 import type { Clock } from '@egretyoke/common'
 
-/** The own part, in the unit of the caller. */
+/** A VM's own share, in the unit of the caller. */
 export type OwnPart = {
   set: (part: number) => void
-  /** The part in force now. */
+  /** The share that is in effect now. */
   inForce: () => number
 }
 
-/** How an own part grows. */
+/** Options of an own share. */
 export type OwnPartOptions = {
   clock: Clock
-  /** Longest loan and its margin, in milliseconds. */
+  /** Delay until a larger share takes effect, in milliseconds: the longest loan and its margin. */
   growthDelayMs: number
-  /** False only in a fleet that has never run before: the first part is in force at once. */
+  /** False only in a fleet that has never run before: the first share takes effect at once. */
   startupHold: boolean
 }
 
-/** Creates an own part of 0. */
+/** Creates an own share of 0. */
 export const createOwnPart = ({ clock, growthDelayMs, startupHold }: OwnPartOptions): OwnPart => {
   let part = 0
   let growth: { part: number, atMs: number } | undefined
--- a/packages/limits/src/peer-choice.ts
+++ b/packages/limits/src/peer-choice.ts
@@ -1,17 +1,17 @@
 /**
- * Which peers to ask for a loan: those not asked for longest first, and not those that had nothing a moment ago.
+ * Selects the peers to request loans from, least recently requested first. Peers that lent nothing are in backoff.
  */
 import type { Clock } from '@egretyoke/common'
 import { backoffMs } from '@egretyoke/common'
 
-/** First and longest pause before a peer that lent nothing is asked again, in milliseconds. */
+/** Initial and maximum backoff after a peer lent nothing, in milliseconds. */
 const firstPauseMs = 5
 const longestPauseMs = 320
 
-/** Shortest time between two requests that probe an unreachable peer, in milliseconds. */
+/** Minimum interval between two probes of an unreachable peer, in milliseconds. */
 const probePauseMs = 150
 
-/** What came of asking a peer. */
+/** Result of a loan request. */
 export type AskOutcome = 'lent' | 'empty' | 'unreachable'
 
 type PeerState = {
@@ -22,26 +22,26 @@
   pauses: Iterator<number>
 }
 
-/** The peers that may be asked under one limit. */
+/** Selector among the peers that share one limit. */
 export type PeerChoice = {
-  /** Sets the peers in the order in which they are first asked. */
+  /** Sets the peers in the order in which they receive their first requests. */
   setPeers: (peers: string[]) => void
-  /** Up to `count` peers that may be asked now. */
+  /** Up to `count` peers without a request in flight or backoff, least recently requested first. */
   choose: (count: number) => string[]
   isAsked: (peer: string) => boolean
   asked: (peer: string) => void
   answered: (peer: string, outcome: AskOutcome) => void
-  /** Whether the peer did not answer when it was last asked. */
+  /** Whether the peer did not reply to the latest request. */
   isUnreachable: (peer: string) => boolean
-  /** Unreachable peers that have not been asked for a while. */
+  /** Unreachable peers whose probe interval has passed. */
   toProbe: () => string[]
-  /** Until when a peer that lent nothing is not chosen; -Infinity when it may be. */
+  /** End of the peer's backoff; -Infinity when it has none. */
   pausedUntilMs: (peer: string) => number
-  /** When the next peer may be asked; Infinity when none. */
+  /** Earliest time at which a peer can be selected; Infinity when there is none. */
   nextMs: () => number
 }
 
-/** Creates a choice among no peers. */
+/** Creates a selector without peers. */
 export const createPeerChoice = (clock: Clock): PeerChoice => {
   const states = new Map<string, PeerState>()
   const freshPauses = () => backoffMs(firstPauseMs, longestPauseMs)
--- a/packages/limits/src/permit-share.ts
+++ b/packages/limits/src/permit-share.ts
@@ -1,7 +1,7 @@
 /**
- * One limit of held permits on one VM, for instance of connections to one endpoint: whole permits that are lent between
- * VMs by the same ledger as rates. A permit that rests on a loan is revoked in time before the loan is over, unless it
- * is renewed; its holder must then give it back.
+ * One limit on held permits on one VM, for instance on connections to one endpoint. Whole permits are lent between VMs
+ * with the same ledger as rates. A permit that is backed by a loan is revoked before the loan expires, unless the loan
+ * is renewed; its holder must then release it.
  */
 import type { Clock } from '@egretyoke/common'
 import { isValidReply, isValidRequest, noLoan } from './borrow-messages.js'
@@ -14,40 +14,40 @@
 import type { After } from './timers.js'
 import { createWaiters } from './waiters.js'
 
-/** Requests that wait for a permit under one limit on one VM. */
+/** Maximum number of requests that wait for a permit of one limit on one VM. */
 const maxWaiters = 256
 
-/** Peers asked at once. */
+/** Maximum number of peers that receive a request at the same time. */
 const maxAskedAtOnce = 3
 
-/** Longest time between two looks at the waiting requests, in milliseconds. */
+/** Interval between two attempts to serve the waiting requests, in milliseconds. */
 const pumpDelayMs = 10
 
-/** A permit is revoked this part of the longest loan before the loan it rests on is over. */
+/** Time before the expiry of a loan at which its permits are revoked, as a fraction of the longest loan. */
 const revokePart = 1 / 4
 
-/** Shortest loan that is granted, as a part of the longest: shorter ones would be revoked at once. */
+/** Minimum duration of a granted loan as a fraction of the requested one; shorter loans would be revoked at once. */
 const minTtlPart = 1 / 2
 
-/** A limit on permits held at once by the whole fleet; VMs that go by the same version have the same figures. */
+/** Limit on the permits that the whole fleet holds at a time; VMs that apply the same version have the same maximum. */
 export type PermitLimit = { name: string, maxPermits: number, version: number }
 
-/** A permit that is held. */
+/** A held permit. */
 export type Permit = { release: () => void }
 
-/** What operators and tests see of one limit on this VM. */
+/** State of one permit limit on this VM, for operators and tests. */
 export type PermitSnapshot = {
   limit: string
   held: number
   own: number
   lent: number
   borrowed: number
-  /** Permits that are still held although they have been revoked. */
+  /** Revoked permits that have not been released yet. */
   revoked: number
   waiting: number
 }
 
-/** What a permit share is made with. */
+/** Dependencies and options of a permit share. */
 export type PermitShareOptions = ShareLedgerOptions & {
   vm: string
   incarnation: number
@@ -59,7 +59,7 @@
 /** One limit of permits on one VM. */
 export type PermitShare = {
   setLimit: (limit: PermitLimit) => void
-  /** Sets the whole permits that are this VM's own from now on. */
+  /** Sets the number of permits that this VM owns, with immediate effect. */
   setOwn: (permits: number) => void
   setPeers: (peers: string[]) => void
   tryAcquire: (onRevoked: () => void) => Permit | undefined
@@ -75,7 +75,7 @@
 
 type Holder = { onRevoked: () => void, isRevoked: boolean }
 
-/** Creates a share without own permits. */
+/** Creates a share with 0 own permits. */
 export const createPermitShare = (initialLimit: PermitLimit, options: PermitShareOptions): PermitShare => {
   const { vm, incarnation, clock, wallClock, after, loanTtlMs, askPeer } = options
   const ledger = createShareLedger(options)
@@ -83,9 +83,9 @@
   const waiters = createWaiters(after)
   const holders = new Set<Holder>()
   let limit = initialLimit
-  // Permits granted to waiting requests that have not yet taken them.
+  // Permits granted to waiting requests whose `acquire` has not resumed yet.
   let served = 0
-  // Replies to requests sent before loans were expired are not used.
+  // Incremented by `expireLoans`; replies to requests of an earlier epoch are ignored.
   let epoch = 0
   let cancelPump = () => {}
   let isClosed = false
@@ -131,7 +131,7 @@
     return 'lent'
   }
 
-  // `permits` are to be held of the peer in all.
+  // `permits` is the total to be borrowed from the peer.
   const ask = async (peer: string, permits: number) => {
     const sentAtMs = clock()
     const sentAtWallMs = wallClock()
--- a/packages/limits/src/permit-table.test.ts
+++ b/packages/limits/src/permit-table.test.ts
@@ -1,5 +1,5 @@
 /**
- * Permit tables of one fleet: permits move to where they are needed, and their sum never exceeds the limit.
+ * Tests the permit tables of one fleet: idle permits move to VMs that need them, and their sum never exceeds the limit.
  */
 import test from 'ava'
 import fc from 'fast-check'
@@ -21,7 +21,7 @@
   return table
 }, nextFate)
 
-test('permits that do not divide evenly add up to the limit, also while a member joins', t => {
+test('own permits that do not divide evenly add up to the limit, and do not grow while a member joins', t => {
   const members = ['a', 'b', 'c', 'd', 'e', 'f', 'g', 'h', 'i']
   const ranked = rankByRendezvous(limit.name, members)
   const own = (slots: number, order: string[]) => members.map(member => ownPermits(limit, member, slots, order))
@@ -30,7 +30,7 @@
   t.true(withJoining.every((permits, index) => permits <= own(9, ranked)[index]))
 })
 
-test('one VM gets the idle permits of the others, and gives them back when it needs them no more', async t => {
+test('one VM borrows the idle permits of the others, and returns them when it no longer needs them', async t => {
   const { time, table, close } = createFleet()
   const permits: Permit[] = []
   const acquired = Array.from({ length: 12 }, () => table('vm1').acquire('endpoint', () => {}, 200))
@@ -46,7 +46,7 @@
   close()
 })
 
-test('a permit that rests on a loan of a VM that ended is revoked', async t => {
+test('a permit backed by a loan from a VM that stopped is revoked', async t => {
   const { time, table, members, kill, close } = createFleet()
   let revoked = 0
   const acquired = Array.from({ length: 12 }, () => table('vm1').acquire('endpoint', () => revoked++, 200))
--- a/packages/limits/src/permit-table.ts
+++ b/packages/limits/src/permit-table.ts
@@ -1,9 +1,9 @@
 /**
- * The VM's shares of all limits on held permits, for instance of connections to endpoints. The whole fleet never holds
- * more than `maxPermits` of a limit, whatever fails, as long as revoked permits are given back at once.
+ * The VM's shares of all limits on held permits, for instance on connections to endpoints. The whole fleet never holds
+ * more than `maxPermits` of a limit, whatever fails, as long as revoked permits are released at once.
  *
- * Permits that do not divide evenly go to the first members in the rendezvous order of the limit. A member that is
- * going to be added is named as joining while the larger slot count is taken, so that the order is known beforehand.
+ * Permits that do not divide evenly go to the first members in the rendezvous order of the limit. A member about to be
+ * added is listed as joining while the VMs adopt the larger slot count, so that the order is known beforehand.
  */
 import { isDeepStrictEqual } from 'node:util'
 import { monotonicMs } from '@egretyoke/common'
@@ -19,15 +19,15 @@
 import type { Roster, ShareTableOptions } from './share-table.js'
 import { afterMs } from './timers.js'
 
-/** What a permit table is made with: there is one way to lend permits. */
+/** Dependencies and options of a permit table; permits have a single loan policy. */
 export type PermitTableOptions = Omit<ShareTableOptions, 'policy'>
 
 /** The VM's shares of all limits on held permits. */
 export type PermitTable = {
   setRoster: (roster: Roster & { joining?: string[] }) => void
-  /** Replaces the definitions of all limits; permits held under a withdrawn one stay until they are released. */
+  /** Replaces the definitions of all limits; permits held under a removed limit stay valid until they are released. */
   setLimits: (limits: PermitLimit[]) => void
-  /** `onRevoked` is called when the permit must be given back at once. */
+  /** Acquires a permit if one is free. `onRevoked` is called when the permit must be released at once. */
   tryAcquire: (limit: string, onRevoked: () => void) => Permit | undefined
   acquire: (
     limit: string, onRevoked: () => void, maxWaitMs: number, signal?: AbortSignal
@@ -40,7 +40,7 @@
 
 type Entry = { limit: PermitLimit, share: PermitShare, own: OwnPart }
 
-/** The whole permits of one member. */
+/** Number of permits that one member owns. */
 export const ownPermits = (limit: PermitLimit, member: string, slotCount: number, ranked: string[]): number => {
   const slots = Math.max(slotCount, ranked.length, 1)
   const each = Math.floor(limit.maxPermits / slots)
@@ -53,7 +53,7 @@
   const { clock = monotonicMs, wallClock = Date.now, after = afterMs } = options
   const growthDelayMs = Math.max(options.growthDelayMs ?? 0, loanTtlMs + loanMarginMs)
   const entries = new Map<string, Entry>()
-  // In force as soon as all loans out of former divisions are over; limits that are new then start at once.
+  // Takes effect once all loans granted under previous divisions have expired; limits added after that start at once.
   const settled = createOwnPart({ clock, growthDelayMs, startupHold })
   let roster: Roster & { joining?: string[] } = { members: [], slotCount: 1 }
   let defined = new Set<string>()
--- a/packages/limits/src/pooled-loans.ts
+++ b/packages/limits/src/pooled-loans.ts
@@ -1,29 +1,29 @@
 /**
- * Borrowing through one VM, the limit's pool, which borrows the parts of all others while there is demand anywhere: for
- * limits whose burst is so small that, divided among VMs, hardly anybody could hold a whole token.
+ * Borrowing through one VM, the limit's pool, which borrows the shares of all other VMs while any VM has demand. It is
+ * used for limits whose burst is so small that, divided among the VMs, hardly any VM could hold a whole token.
  *
- * The pool is the first reachable member in the order of the limit's rendezvous hash, so that pools of many limits are
- * spread evenly. When it ends, what it had borrowed returns to the others and the next member becomes the pool.
+ * The pool is the first reachable member in the limit's rendezvous order, so that the pools of many limits are spread
+ * evenly over the VMs. When the pool VM stops, its loans expire and the next member becomes the pool.
  */
 import { shortTtlMs } from './borrowing.js'
 import type { Borrowing, BorrowingContext, LoanRequest, Offer } from './borrowing.js'
 
-/** Loans to the pool last this part of the longest loan, so that little time is lost when the pool ends. */
+/** Duration of loans to the pool as a fraction of the longest loan; short, so that loans end soon if the pool stops. */
 const poolLoanPart = 1 / 3
 
-/** The pool holds the others' parts this long after the last demand, in milliseconds. */
+/** Time after the last demand for which the pool keeps renewing its loans, in milliseconds. */
 const idleAfterMs = 2000
 
 /** Demand below which a VM counts as idle, in requests per second. */
 const negligibleDemandPerSec = 0.05
 
-/** Longest pause before the pool is asked again after it had nothing, in milliseconds. */
+/** Maximum interval between two token requests to the pool, in milliseconds. */
 const maxPollMs = 25
 
-/** A lender's part of which less than this is held is asked for again. */
+/** A lender whose loan is below this fraction of its share receives another loan request. */
 const wholePart = 0.9
 
-/** Creates the decisions of a VM under a limit with a pool. */
+/** Creates the borrowing strategy of a VM for a limit with a pool. */
 export const createPooledBorrowing = (context: BorrowingContext): Borrowing => {
   const { vm, loanTtlMs, nowMs, situation, ledger, peers, ranked, expectedSoon, ask } = context
   const poolTtlMs = loanTtlMs * poolLoanPart
@@ -32,13 +32,13 @@
 
   const poolVm = () => ranked().find(member => member === vm || !peers.isUnreachable(member))
 
-  // Whoever is asked for tokens is the pool for somebody, even if it knows of another one.
+  // A VM that receives token requests acts as the pool for their senders, even if it considers another VM the pool.
   const isPool = () => poolVm() === vm || nowMs() - lastAskedMs < loanTtlMs
 
   const isNeeded = () =>
     nowMs() - lastAskedMs < idleAfterMs || situation().demandPerSec > negligibleDemandPerSec || situation().waiting > 0
 
-  // A new token is there after one over the rate.
+  // The pool gains one token every 1/rate seconds.
   const nextPollMs = () => {
     const pauseMs = Math.min(maxPollMs, 1000 / situation().ratePerSec)
     return Math.min(peers.pausedUntilMs(poolVm() ?? vm), polledMs + pauseMs)
@@ -77,7 +77,8 @@
     if (situation().waiting > 0) fetch()
   }
 
-  // The pool gets what does not wait for the rest of a token here; whoever stands in for the pool keeps all.
+  // Lends the pool everything but the capacity for tokens that requests wait for here. A VM that acts as the pool
+  // although it considers another VM the pool retains the whole limit.
   const offerToPool = (waitingPart: number): Offer => {
     const standsIn = isPool() && poolVm() !== vm
     return { keepTokens: situation().waiting, keepFraction: standsIn ? 1 : waitingPart }
--- a/packages/limits/src/queue-disciplines.ts
+++ b/packages/limits/src/queue-disciplines.ts
@@ -1,44 +1,44 @@
 /**
- * Orders of service for the fair queue, passed to it as a function.
+ * Queueing disciplines, passed to the fair queue as functions.
  */
 import type { QueueLine } from './queue-line.js'
 
-/** Service that a weight of 1 earns in one round, in milliseconds of an endpoint slot. */
+/** Service credit per round for a weight of 1, in milliseconds of an endpoint slot. */
 const quantumCost = 10
 
-/** Balances up to which a workspace that has nothing waiting gets one. */
+/** Number of balances from which on a workspace without waiting items gets no new balance. */
 const maxBalances = 4096
 
-/** What a discipline sees of a workspace's line. */
+/** A workspace's queue, as far as a discipline needs it. */
 export type BackloggedLine = Pick<QueueLine<unknown>, 'workspace' | 'weight' | 'size' | 'first'>
 
-/** Decides whose item is next. It sees only lines that have items. */
+/** Selects the workspace whose item is served next. It tracks only queues that have items. */
 export type Schedule = {
-  /** A line has got its first item. */
+  /** Adds a queue that has received its first item. */
   join: (line: BackloggedLine) => void
-  /** A line has no more items. */
+  /** Removes a queue that has become empty. */
   leave: (line: BackloggedLine) => void
-  /** The line whose first item is next; undefined when none waits. */
+  /** The queue whose first item is served next; undefined when there is none. */
   next: () => BackloggedLine | undefined
-  /** An amount of service was used by a workspace, or given back when negative. */
+  /** Charges service to a workspace, or refunds it when negative; in milliseconds of an endpoint slot. */
   charge: (workspace: string, cost: number) => void
-  /** Whether a full queue makes room by refusing the workspace that takes most of it. */
+  /** Whether a full queue drops an item of the workspace with the highest load to accept another item. */
   makesRoom: boolean
 }
 
-/** Creates a schedule without lines. */
+/** Creates an empty scheduler. */
 export type Discipline = () => Schedule
 
-/** A line's balance of service, and the round in which it was last brought up to date. */
+/** Service balance of a workspace, and the round of its last update while the workspace had no waiting items. */
 type Balance = { deficit: number, round: number }
 
 const costOfFirst = (line: BackloggedLine) => line.first()?.cost ?? 0
 
 /**
- * Deficit round robin: in each round a backlogged workspace earns service in proportion to its weight, and items
- * are served as far as what was earned covers their cost. What a workspace owes, because its items took longer than
- * estimated, is kept while it has nothing waiting and is paid off by the rounds that pass. When nobody waits, all
- * balances start afresh.
+ * Deficit round robin: in each round a backlogged workspace earns service credit in proportion to its weight, and its
+ * items are served while the credit covers their cost. A negative balance, from items that took longer than estimated,
+ * is kept while the workspace has no waiting items and is reduced by the rounds that pass. When no workspace has
+ * waiting items, all balances are cleared.
  */
 export const deficitRoundRobin: Discipline = () => {
   const lines: Array<BackloggedLine> = []
@@ -70,7 +70,7 @@
   const roundsNeeded = (line: BackloggedLine) =>
     Math.ceil((costOfFirst(line) - balanceOf(line.workspace).deficit) / (quantumCost * line.weight()))
 
-  // Rounds in which nobody would be served pass at once.
+  // Skips rounds in which no item could be served.
   const passRounds = () => {
     const rounds = Math.max(1, Math.min(...lines.map(roundsNeeded)))
     round += rounds
@@ -82,12 +82,12 @@
     for (;;) {
       const index = lines.findIndex(line => balanceOf(line.workspace).deficit >= costOfFirst(line))
       if (index < 0) {
-        // The one served last has used up what it earned, and is last in the next round.
+        // The queue served last has spent its credit, and is last in the next round.
         lines.push(...lines.splice(0, 1))
         passRounds()
         continue
       }
-      // Those passed over have used up what they earned; the one found goes on until it has too.
+      // The queues before the found one have spent their credit; the found one stays first until it has spent its own.
       lines.push(...lines.splice(0, index))
       return lines[0]
     }
@@ -101,7 +101,7 @@
   return { join, leave, next, charge, makesRoom: true }
 }
 
-/** First come first served, over all workspaces; a full queue refuses whoever comes. */
+/** First come first served over all workspaces; a full queue refuses every new item. */
 export const firstComeFirstServed: Discipline = () => {
   const lines = new Set<BackloggedLine>()
 
--- a/packages/limits/src/queue-line.ts
+++ b/packages/limits/src/queue-line.ts
@@ -1,22 +1,22 @@
 /**
- * The waiting items of one workspace, in order of arrival, with removal from any place.
+ * The waiting items of one workspace in order of arrival, with removal at any position.
  */
 
-/** An item that waits. */
+/** A waiting item. */
 export type Queued<Item> = {
   item: Item
   workspace: string
   weight: number
   /** Estimated service time, in milliseconds of an endpoint slot. */
   cost: number
-  /** By the queue's clock, in milliseconds. */
+  /** Deadline on the queue's clock, in milliseconds. */
   deadlineMs: number
-  /** Order of arrival over all workspaces. */
+  /** Arrival number over all workspaces. */
   sequence: number
   isGone: boolean
 }
 
-/** The items of one workspace. */
+/** The waiting items of one workspace. */
 export type QueueLine<Item> = {
   workspace: string
   weight: () => number
@@ -28,10 +28,10 @@
   all: () => Array<Queued<Item>>
 }
 
-/** Removed items that a line keeps at most before it is compacted, besides as many as it has waiting. */
+/** Number of removed items, beyond the number of waiting ones, above which a queue is compacted. */
 const maxGoneItems = 64
 
-/** Creates an empty line. */
+/** Creates an empty queue. */
 export const createQueueLine = <Item>(workspace: string): QueueLine<Item> => {
   let items: Array<Queued<Item>> = []
   let head = 0
--- a/packages/limits/src/rendezvous.ts
+++ b/packages/limits/src/rendezvous.ts
@@ -1,5 +1,6 @@
 /**
- * Rendezvous hashing: every VM ranks the members for a key alike, and a member that leaves moves only its own keys.
+ * Rendezvous hashing: all VMs rank the members for a key in the same order, and removing a member moves only the keys
+ * that it ranked first for.
  */
 import { createHash } from 'node:crypto'
 
--- a/packages/limits/src/retry-budget.ts
+++ b/packages/limits/src/retry-budget.ts
@@ -1,29 +1,29 @@
 /**
- * Bounds retries to a part of the requests, so that retries do not multiply the load of an endpoint that is in trouble.
+ * Bounds retries to a fraction of the requests, so that retries do not multiply the load of an overloaded endpoint.
  */
 
-/** Retries that each request earns. */
+/** Retries that each request adds to the budget. */
 const defaultRetriesPerRequest = 0.1
 
-/** Retries that are available without any request, and kept at most. */
+/** Initial and maximum number of available retries. */
 const defaultReserve = 10
 
-/** What a retry budget is made with. */
+/** Options of a retry budget. */
 export type RetryBudgetOptions = {
   retriesPerRequest?: number
-  /** Greatest number of retries saved up; the budget starts with it. */
+  /** Maximum number of available retries; the budget starts with it. */
   reserve?: number
 }
 
-/** A budget of retries. */
+/** A budget of retries that grows with the number of requests. */
 export type RetryBudget = {
-  /** Counts a request that is sent for the first time. */
+  /** Records the first attempt of a request. */
   request: () => void
-  /** Uses up one retry if there is one. */
+  /** Consumes one retry; false when the budget is exhausted. */
   tryRetry: () => boolean
 }
 
-/** Creates a budget that holds its reserve. */
+/** Creates a budget filled with its reserve. */
 export const createRetryBudget = (options: RetryBudgetOptions = {}): RetryBudget => {
   const { retriesPerRequest = defaultRetriesPerRequest, reserve = defaultReserve } = options
   let retries = reserve
--- a/packages/limits/src/share-ledger.ts
+++ b/packages/limits/src/share-ledger.ts
@@ -1,66 +1,66 @@
 /**
- * What part of one limit this VM may use: its own part, less what it lent, plus what it borrowed.
+ * Ledger of the amount of one limit that this VM may use: its own amount, minus what it lent, plus what it borrowed.
  *
- * Parts are amounts of any unit: fractions of a rate limit, or whole connections. Over the whole fleet, the sum of all
- * usable parts stays at or below the sum of all own parts:
- * - A lender counts a loan from the moment it grants it until the loan time and a margin have passed on its clock.
- * - A borrower counts the same loan from the moment the reply arrives until the loan time has passed since it SENT
- *   the request, which is earlier; it checks the wall clock too, because a paused host may have stopped its monotonic
- *   clock.
- * - The own part shrinks at once and grows only after the longest loan and its margin (see own-part.ts).
+ * Amounts are in the unit of the caller: fractions of a rate limit, or whole connections. Over the whole fleet, the sum
+ * of all usable amounts stays at or below the sum of all own amounts:
+ * - A lender counts a loan from the moment it grants it until its duration and a margin have passed on its clock.
+ * - A borrower counts the same loan from the moment the reply arrives until the loan's duration has passed since it
+ *   SENT the request, which is earlier. It also checks the wall clock, because the monotonic clock of a paused host may
+ *   have stopped.
+ * - The own amount shrinks at once and grows only after the longest loan and its margin (see own-share.ts).
  */
 import type { Clock } from '@egretyoke/common'
 import { createTermedAmounts } from './termed-amounts.js'
 import type { TermedAmounts } from './termed-amounts.js'
 
-/** Borrowers, by name and incarnation, that a ledger keeps at once. */
+/** Maximum number of borrowers in a ledger; each incarnation of a VM counts as one. */
 const maxBorrowers = 4096
 
-/** Lenders that a ledger keeps at once. */
+/** Maximum number of lenders in a ledger. */
 const maxLenders = 1024
 
-/** The part of one limit that this VM may use. Amounts are in the unit of the caller. */
+/** Amounts of one limit that this VM owns, has lent and has borrowed, in the unit of the caller. */
 export type ShareLedger = {
-  /** Sets the own part that is in force from now on. */
+  /** Sets the own amount with immediate effect. */
   setOwn: (amount: number) => void
   own: () => number
-  /** What may be used now: own - lent + borrowed, never below 0. */
+  /** Currently usable amount: own - lent + borrowed, at least 0. */
   usable: () => number
   lent: () => number
   lentTo: (borrower: string) => number
-  /** Counts a loan as lent until its time and the margin have passed. False when too many borrowers are known. */
+  /** Counts a loan as lent until its duration and margin have passed. False when the ledger has too many borrowers. */
   lend: (borrower: string, amount: number, ttlMs: number) => boolean
-  /** For how long a lender counts a loan of the given time, in milliseconds. */
+  /** Duration of a loan including the margin for which the lender counts it, in milliseconds. */
   countedMs: (ttlMs: number) => number
   borrowed: () => number
   borrowedFrom: (lender: string) => number
-  /** Lenders of loans that are not over, with the amount and the time by this VM's clock until which it is held. */
+  /** Unexpired loans by lender, with the amount and its expiry on this VM's monotonic clock. */
   loansHeld: () => Array<{ lender: string, amount: number, untilMs: number }>
-  /** Counts a loan as borrowed until the given times. */
+  /** Counts a loan as borrowed until the earlier of the given times on the monotonic and the wall clock. */
   borrow: (lender: string, amount: number, untilMs: number, wallUntilMs: number) => void
-  /** What of the borrowed part is held for at least the given time more, by both clocks. */
+  /** Borrowed amount that does not expire within the given time on either clock. */
   borrowedFor: (ms: number) => number
-  /** Ends what is borrowed of one lender, or of all. */
+  /** Ends the loans of one lender, or of all lenders. */
   dropBorrowed: (lender?: string) => void
-  /** The next time at which `usable` changes by itself. */
+  /** Time at which the next lent or borrowed amount expires on the monotonic clock; Infinity when there is none. */
   nextChangeMs: () => number
-  /** Ends what has ended by the wall clock; true when something did. */
+  /** Ends borrowed loans that have expired on the wall clock; true when there were any. */
   endByWall: () => boolean
-  /** Brings the ledger to the given time. */
+  /** Ends loans that have expired at the given time of the monotonic clock. */
   advanceTo: (nowMs: number) => void
 }
 
-/** How a ledger measures time. */
+/** Clocks and loan durations of a ledger. */
 export type ShareLedgerOptions = {
   clock: Clock
   wallClock: Clock
-  /** Longest loan, in milliseconds. */
+  /** Maximum duration of a loan, in milliseconds. */
   loanTtlMs: number
-  /** How much longer than the longest loan the lender waits; shorter loans have proportionally less. */
+  /** Time for which a lender counts the longest loan beyond its end, in milliseconds; shorter loans in proportion. */
   loanMarginMs: number
 }
 
-/** Creates a ledger that owns nothing. */
+/** Creates a ledger with an own amount of 0. */
 export const createShareLedger = (options: ShareLedgerOptions): ShareLedger => {
   const { clock, wallClock, loanTtlMs, loanMarginMs } = options
   const lentBy = new Map<string, TermedAmounts>()
--- a/packages/limits/src/share-table.test.ts
+++ b/packages/limits/src/share-table.test.ts
@@ -1,5 +1,5 @@
 /**
- * Share tables of one fleet on simulated time: single loans, refusals by name, and the bound under failures.
+ * Tests the share tables of one fleet on simulated time: single loans, refusal reasons, and the bound under failures.
  */
 import test from 'ava'
 import fc from 'fast-check'
@@ -22,7 +22,7 @@
     return table
   })
 
-test('a burst at one VM is served out of the shares of all', async t => {
+test('a burst at one VM is served from the shares of all VMs', async t => {
   const { time, table } = createFleet()
   const takes = Array.from({ length: 5 }, () => table('vm1').take('acme', 30))
   await time.runUntil(30)
@@ -38,7 +38,7 @@
   t.like(refused, { admitted: false, reason: 'rate' })
 })
 
-test('a started VM has nothing until all loans of its predecessor are over', async t => {
+test('a started VM owns nothing until all loans of its previous incarnation have expired', async t => {
   const { time, table } = createFleet(loans, true)
   await time.runUntil(1600)
   t.is(table('vm1').snapshot()[0].ownFraction, 0)
@@ -46,7 +46,7 @@
   t.is(table('vm1').snapshot()[0].ownFraction, 1 / 9)
 })
 
-test('unknown limits, other versions and malformed requests are refused by name', async t => {
+test('unknown limits, other versions and malformed requests are refused with their reason', async t => {
   const { table } = createFleet()
   t.like(await table('vm1').take('other', 30), { admitted: false, reason: 'unknownLimit' })
   const request = {
--- a/packages/limits/src/share-table.ts
+++ b/packages/limits/src/share-table.ts
@@ -2,10 +2,10 @@
  * The VM's shares of all rate limits. The fleet as a whole admits at most `burst + ratePerSec * T` requests in any
  * interval T under each limit, whatever fails; see token-share.ts for the argument and README.md for alternatives.
  *
- * The caller must see to two things:
+ * The caller must ensure two conditions:
  * - `setRoster` gets the larger of the old and the new slot count until every holder of an old slot has called it with
  *   that count; only then may a new member be added or the smaller count be passed.
- * - A slot passes to another VM only when the old holder has released it, has been restarted, or is gone.
+ * - A slot passes to another VM only when the old holder has released it, has restarted, or has been removed.
  */
 import { isDeepStrictEqual } from 'node:util'
 import type { Clock, Logger } from '@egretyoke/common'
@@ -22,40 +22,40 @@
 import type { After } from './timers.js'
 import type { RateLimit } from './token-share.js'
 
-/** Rounds of renewal within the time of a loan. */
+/** Number of maintenance rounds within the longest loan. */
 export const maintenanceRoundsPerLoan = 8
 
-/** Time for which a refused request waits when its limit is not known, in milliseconds. */
+/** `retryAfterMs` of a request that is refused because its limit is unknown. */
 const unknownLimitRetryAfterMs = 1000
 
-/** Records kept at once, of limits defined and of withdrawn ones whose loans are not over, for each limit allowed. */
+/** Maximum number of shares per allowed limit; shares of removed limits are kept until their loans expire. */
 const maxSharesPerLimit = 2
 
-/** The VMs that have own shares. */
+/** The VMs among which limits are divided. */
 export type Roster = {
   members: string[]
   /** Number of equal slots; at least the number of members. */
   slotCount: number
 }
 
-/** What a share table is made with. */
+/** Dependencies and options of a share table. */
 export type ShareTableOptions = {
   vm: string
   incarnation: number
-  /** Longest loan, in milliseconds. */
+  /** Maximum duration of a loan, in milliseconds. */
   loanTtlMs: number
-  /** How much later than the borrower a lender counts the longest loan as over, in milliseconds. */
+  /** Time after the end of the longest loan for which its lender still counts it, in milliseconds. */
   loanMarginMs: number
-  /** How long a larger own part waits until it is in force, in milliseconds; at least a loan with its margin. */
+  /** Delay until a larger own share takes effect, in milliseconds; at least the longest loan and its margin. */
   growthDelayMs?: number
-  /** Limits kept at once; those beyond it are refused. */
+  /** Maximum number of limits; requests under further limits are refused. */
   maxLimits: number
-  /** Asks a peer; undefined when it did not answer in time. */
+  /** Sends a loan request to a peer; undefined when the peer did not reply in time. */
   askPeer: (peer: string, request: BorrowRequest) => Promise<BorrowReply | undefined>
   log: Logger
-  /** True for every start of a VM; false only for a fleet that has never run before. */
+  /** Owns nothing until loans of the previous incarnation expire; false only in a fleet that has never run before. */
   startupHold: boolean
-  /** How to lend and borrow; `loans` unless an experiment compares. */
+  /** Policy for lending and borrowing; defaults to `loans`, experiments pass others. */
   policy?: LoanPolicy
   clock?: Clock
   wallClock?: Clock
@@ -68,11 +68,11 @@
   /** Replaces the definitions of all limits. */
   setLimits: (limits: RateLimit[]) => void
   tryTake: (limit: string) => boolean
-  /** Takes one token; waits for a loan or for refilling for at most the given time. */
+  /** Acquires one token; waits for a loan or the refill for at most the given time. */
   take: (limit: string, maxWaitMs: number, signal?: AbortSignal) => Promise<Taken>
-  /** Answers a peer's request for a loan. */
+  /** Grants or refuses a peer's loan request. */
   lend: (request: BorrowRequest) => BorrowReply
-  /** Ends all loans held, after the host may have been paused. */
+  /** Ends all borrowed loans; called when the host may have been paused. */
   expireLoans: () => void
   snapshot: () => LimitSnapshot[]
   close: () => void
@@ -117,7 +117,7 @@
     share.setOwnFraction(ownPart.inForce())
   }
 
-  // A limit that is withdrawn keeps its record until its loans are over, in case it is defined again.
+  // A removed limit keeps its share until its loans have expired, in case the limit is defined again.
   const forgetWithdrawn = () => {
     for (const [name, share] of shares) {
       if (defined.has(name) || !share.isIdle()) continue
--- a/packages/limits/src/share-terms.test.ts
+++ b/packages/limits/src/share-terms.test.ts
@@ -1,5 +1,5 @@
 /**
- * Single cases of what counts as lent and borrowed.
+ * Tests which amounts count as lent and borrowed, in single cases.
  */
 import test from 'ava'
 import { createTokenShare } from './token-share.js'
@@ -27,7 +27,7 @@
   borrower.accept(ask, lender.lend({ ...terms, ...wanted }))
 }
 
-test('rate and burst room are with the borrower for the loan, and with the lender again after its margin', t => {
+test('rate and burst capacity count for the borrower during the loan, and for the lender again after its margin', t => {
   const { state, lender, borrower } = createShares()
   transfer(lender, borrower, { fractionWanted: 0.5 })
   t.deepEqual([lender.capacity(), borrower.capacity()], [0, 10])
@@ -37,7 +37,7 @@
   t.deepEqual([lender.capacity(), borrower.capacity()], [5, 5])
 })
 
-test('lent tokens bring room for themselves but no rate', t => {
+test('lent tokens come with capacity for them but no rate', t => {
   const { lender, borrower } = createShares()
   const ratePerSec = lender.ratePerSec()
   transfer(lender, borrower, { tokensWanted: 3 })
@@ -45,12 +45,12 @@
   t.deepEqual([lender.ratePerSec(), borrower.ratePerSec()], [ratePerSec, ratePerSec])
 })
 
-test('a lender that has fewer tokens than wanted lends less by whole ones', t => {
+test('a lender with fewer tokens than requested reduces the loan by whole tokens', t => {
   const { lender } = createShares()
   t.is(lender.lend({ ...terms, tokensWanted: 7.5 }).tokens, 4.5)
 })
 
-test('expired loans end at once, with rate, room and tokens', t => {
+test('expireLoans ends loans at once, with their rate, capacity and tokens', t => {
   const { lender, borrower } = createShares()
   transfer(lender, borrower, { tokensWanted: 2 })
   transfer(lender, borrower, { fractionWanted: 0.3 })
@@ -60,13 +60,13 @@
   t.false(borrower.accept(ask, { tokens: 1, fraction: 0, loanTtlMs: 1000 }))
 })
 
-test('what a former incarnation of the borrower was lent still counts', t => {
+test('a loan to a previous incarnation of the borrower still counts', t => {
   const { lender } = createShares()
   t.is(lender.lend({ ...terms, fractionWanted: 0.5 }).fraction, 0.5)
   t.is(lender.lend({ ...terms, fractionWanted: 0.5, borrower: 'vm2/2' }).fraction, 0)
 })
 
-test('a loan passed on is over before the loan it rests on', t => {
+test('a loan from a borrowed amount expires before the loan that backs it', t => {
   const { state, lender, borrower } = createShares()
   transfer(lender, borrower, { fractionWanted: 0.5 })
   state.nowMs = 600
@@ -75,7 +75,7 @@
   t.true(passedOn.loanTtlMs * 1.1 <= 400)
 })
 
-test('tokens of a lender that has no part to lend are counted with their room', t => {
+test('tokens of a lender without a fraction to lend are lent with their capacity', t => {
   const { lender, borrower } = createShares()
   const { lender: third, borrower: fourth } = createShares()
   transfer(lender, borrower, { fractionWanted: 0.5 })
--- a/packages/limits/src/soak/bound-checker.ts
+++ b/packages/limits/src/soak/bound-checker.ts
@@ -1,33 +1,33 @@
 /**
  * Checks admissions against `admitted <= burst + ratePerSec * T` over every interval T.
  *
- * For intervals that start at one moment, the excess over the rate is kept as in a leaky bucket: it drains at the
- * rate, never below 0, which stands for the interval that starts now. While limits change, an interval may use the
- * greatest rate at each moment and the greatest burst that was in force within it; one bucket is kept for the intervals
+ * The admissions in excess of the rate are tracked in a leaky bucket: its level drains at the rate but not below 0, so
+ * that it is the maximum over all intervals that end now. When limits change, an interval is bounded by the highest
+ * rate active at each time and the highest burst active within the interval, so there is one bucket for the intervals
  * that start in each period of constant limits.
  */
 
-/** Rounding of floating-point sums that is not taken for an excess, in requests. */
+/** Tolerance for floating-point rounding before an excess is reported, in requests. */
 const roundingRequests = 1e-4
 
-/** The rate and burst that are in force; while VMs differ, the greatest of both. */
+/** Active rate and burst; the maximum of each while VMs apply different versions. */
 export type BoundInForce = { ratePerSec: number, burst: number }
 
-/** An interval in which more was admitted than the bound. */
+/** The end of an interval with more admissions than the bound, and by how many. */
 export type BoundExcess = { atMs: number, excessRequests: number, burst: number }
 
 type Bucket = { level: number, burst: number }
 
-/** A checker of one limit's admissions, which are reported in order of time. */
+/** Checks the admissions of one limit, which are reported in chronological order. */
 export type BoundChecker = {
-  /** Reports what is in force from the given time on. */
+  /** Sets the rate and burst that are active from the given time on. */
   inForce: (atMs: number, bound: BoundInForce) => void
   admit: (atMs: number) => void
-  /** The first excess seen. */
+  /** The first detected excess. */
   excess: () => BoundExcess | undefined
 }
 
-/** Creates a checker; nothing has been admitted. */
+/** Creates a checker without admissions. */
 export const createBoundChecker = (initial: BoundInForce): BoundChecker => {
   const buckets: Bucket[] = [{ level: 0, burst: initial.burst }]
   let bound = initial
--- a/packages/limits/src/soak/share-history.ts
+++ b/packages/limits/src/soak/share-history.ts
@@ -1,37 +1,37 @@
 /**
- * Arbitrary histories of the share mechanism for fast-check: requests, loans and failures in any order.
+ * Arbitraries of fast-check for histories of the share mechanism: requests, loans and failures in any order.
  */
 import fc from 'fast-check'
 import type { BoundExcess } from './bound-checker.js'
 import { createShareWorld, loanTtlMs } from './share-world.js'
 import type { AskPlan, BrokenWays, ShareWorld } from './share-world.js'
 
-/** Steps of one history. */
+/** Number of steps in a history. */
 const minSteps = 10
 const maxSteps = 40
 
-/** Longest time until a VM learns of a change; longer than a loan with its margin. In milliseconds. */
+/** Maximum delay until a VM applies a change, in milliseconds; longer than a loan with its margin. */
 const maxLearnDelayMs = 2500
 
-/** Longest pause or cut, in milliseconds. */
+/** Maximum duration of a pause or network partition, in milliseconds. */
 const maxFaultMs = 3 * loanTtlMs
 
-/** More tokens than any VM has. */
+/** Number of tokens that no VM exceeds. */
 const allTokens = 100
 
-/** Greatest error of a VM's clock rate, relative; below the one that the mechanism allows for. */
+/** Maximum relative error of a VM's clock rate; below the error for which the mechanism compensates. */
 const greatestClockError = 0.0001
 
 type Step = { act: (world: ShareWorld) => void }
 
-// A step that prints as its name and arguments in a counterexample.
+// Creates a step that is printed as its name and arguments in a counterexample.
 const step = <Args>(name: string, args: fc.Arbitrary<Args>, act: (world: ShareWorld, args: Args) => void) =>
   args.map((given): Step => {
     const described = { act: (world: ShareWorld) => act(world, given) }
     return Object.assign(described, { [fc.toStringMethod]: () => `${name} ${fc.stringify(given)}` })
   })
 
-// Evenly spread; those of fc.double lie mostly near 0.
+// Uniform values; those of fc.double lie mostly near 0.
 const upTo = (max: number) => fc.nat({ max: 1000 }).map(thousandths => max * thousandths / 1000)
 const oneIn = (count: number) => fc.nat({ max: count - 1 }).map(roll => roll === 0)
 
@@ -43,7 +43,7 @@
 
 const plan = fc.record({
   tokensWanted: upTo(20),
-  // Without a fraction, tokens are lent with room for them.
+  // With fraction 0, tokens are lent with capacity for them.
   fractionWanted: fc.oneof(fc.constant(0), upTo(1)),
   ttlMs: fc.constantFrom(50, loanTtlMs / 2, loanTtlMs),
   requestDelayMs: fc.oneof(fc.nat({ max: 5 }), fc.nat({ max: 1500 })),
@@ -74,7 +74,7 @@
   drainAll(world)
 })
 
-// Tokens on their way while everybody uses up what there is, before and after they arrive.
+// All VMs consume their tokens just before and just after tokens in transit arrive.
 const flight = step('flight', fc.record({ vm, ms: fc.nat({ max: 900 }), plan }), (world, args) => {
   askAll(world, args.vm, { ...args.plan, requestDelayMs: 1, replyDelayMs: args.ms })
   world.advance(args.ms)
@@ -83,7 +83,7 @@
   drainAll(world)
 })
 
-// One VM uses up all it gets for a while; the others touch their shares only afterwards.
+// One VM repeatedly consumes all its tokens; the others update their shares only afterwards.
 const pressArgs = fc.record({ vm, rounds: fc.nat({ max: 12 }), everyMs: fc.nat({ max: 150 }), plan })
 const press = step('press', pressArgs, (world, args) => {
   drainAll(world)
@@ -95,7 +95,7 @@
   drainAll(world)
 })
 
-// A loan is renewed, and ends while the renewal is on its way; all is used up just before its end and after it.
+// A loan expires while its renewal is in flight; all VMs consume their tokens just before and just after the expiry.
 const lateRenewalArgs = fc.record({ vm, leadMs: fc.integer({ min: 1, max: 40 }), plan, renewal: plan })
 const lateRenewal = step('lateRenewal', lateRenewalArgs, (world, args) => {
   askAll(world, args.vm, { ...args.plan, requestDelayMs: 0, replyDelayMs: 1 })
@@ -135,7 +135,7 @@
   step('removeDead', removeArgs, (world, args) => world.removeDead(args.vm, args.delaysMs))
 )
 
-// A VM has borrowed from all, something fails, and later everybody uses up what there is.
+// A VM borrows from all others, faults occur, and later all VMs consume their tokens.
 const failingLoanArgs = fc.record({
   vm,
   plan,
@@ -163,7 +163,7 @@
   { arbitrary: fault, weight: 2 }
 )
 
-/** Arbitrary histories; steps act on any world. */
+/** Arbitrary histories; the steps can run on any simulation. */
 export const shareHistories = fc.record({
   vmCount: fc.integer({ min: 3, max: 9 }),
   ratePerSec,
@@ -177,10 +177,10 @@
 /** One history. */
 export type ShareHistory = typeof shareHistories extends fc.Arbitrary<infer History> ? History : never
 
-/** What came of a history. */
+/** Result of a history. */
 export type HistoryOutcome = { admitted: number, excess: BoundExcess | undefined }
 
-/** Runs a history, with the mechanism as it is or broken. */
+/** Runs a history, with the intact mechanism or with injected defects. */
 export const runShareHistory = (history: ShareHistory, broken: BrokenWays = {}): HistoryOutcome => {
   const { steps, ...options } = history
   const burst = burstOf(history.ratePerSec, history.secondsOfBurst)
--- a/packages/limits/src/soak/share-world.ts
+++ b/packages/limits/src/soak/share-world.ts
@@ -1,7 +1,7 @@
 /**
- * A few VMs with one limit, for the property test of the share mechanism: each has its own clocks and a token share,
- * and messages between them are lost, late, and doubled. What is asked for and lent is arbitrary: the bound must not
- * depend on a policy.
+ * Simulation of a few VMs with one limit, for the property test of the share mechanism: each VM has its own clocks and
+ * a token share, and messages between them are lost, delayed and duplicated. Loan requests and loans are arbitrary,
+ * because the bound must not depend on a policy.
  */
 import { createOwnPart } from '../own-part.js'
 import type { OwnPart } from '../own-part.js'
@@ -10,39 +10,39 @@
 import { createBoundChecker } from './bound-checker.js'
 import type { BoundExcess } from './bound-checker.js'
 
-/** Times of loans in these histories, in milliseconds. */
+/** Maximum duration of loans and margin in the simulation, in milliseconds. */
 export const loanTtlMs = 1000
 export const loanMarginMs = 100
 
-/** Ways to break the mechanism, to show that the checker sees it. */
+/** Defects that can be injected into the mechanism, to prove that the checker detects them. */
 export type BrokenWays = {
-  /** A lender takes its part back as soon as it has lent it. */
+  /** A lender stops counting a loan as soon as it has granted it. */
   lenderForgets?: boolean
-  /** A restarted VM starts with its whole share, and at once. */
+  /** A restarted VM owns its whole share at once. */
   restartsWithoutHold?: boolean
-  /** A borrower counts a loan from the moment the reply arrives. */
+  /** A borrower measures the duration of a loan from the arrival of the reply instead of the sending of the request. */
   borrowerCountsFromReply?: boolean
-  /** A VM whose monotonic clock stood still does not notice. */
+  /** A VM does not detect that its monotonic clock stopped during a pause. */
   pauseGoesUnnoticed?: boolean
-  /** A member is added before the others have taken the larger slot count. */
+  /** A member is added before the others have adopted the larger slot count. */
   slotsChangeInOneStep?: boolean
-  /** A borrower reserves no room for tokens on their way. */
+  /** A borrower reserves no capacity for tokens in transit. */
   nothingReserved?: boolean
 }
 
-/** What a world is made with. */
+/** Options of a simulation. */
 export type ShareWorldOptions = {
   vmCount: number
   ratePerSec: number
   burst: number
-  /** Relative errors of the VMs' monotonic clocks. */
+  /** Relative rate errors of the VMs' monotonic clocks. */
   clockErrors: number[]
-  /** Whether a VM whose monotonic clock stood still sees it by its wall clock, or is told when it wakes. */
+  /** How a VM detects that its monotonic clock stopped: by its wall clock, or by `expireLoans` on resumption. */
   seesPauseBy: 'wallClock' | 'expireLoans'
   broken?: BrokenWays
 }
 
-/** What a borrower sends, and how the network treats it. */
+/** A loan request, and the delays, loss and duplication of its messages. */
 export type AskPlan = {
   tokensWanted: number
   fractionWanted: number
@@ -58,7 +58,7 @@
   incarnation: number
   isAlive: boolean
   pausedUntilMs: number
-  /** Sum of the times for which the monotonic clock stood still. */
+  /** Total time for which the monotonic clock was stopped, in milliseconds. */
   stoppedForMs: number
   stoppedSinceMs: number | undefined
   clockRate: number
@@ -81,20 +81,20 @@
   restart: (vm: number) => void
   pause: (vm: number, ms: number, clockStops: boolean) => void
   cut: (one: number, other: number, ms: number) => void
-  /** Accepts another definition of the limit; each VM learns of it after its delay. */
+  /** Changes the definition of the limit; each VM applies it after its delay. */
   changeLimit: (ratePerSec: number, burst: number, learnDelaysMs: number[]) => void
-  /** Adds a member: all take the larger slot count first, then it gets its slot. */
+  /** Adds a member, which gets its slot after all others have adopted the larger slot count. */
   addVm: (learnDelaysMs: number[]) => void
-  /** Removes a dead member: the others take the smaller slot count. */
+  /** Removes a killed member; the others adopt the smaller slot count. */
   removeDead: (vm: number, learnDelaysMs: number[]) => void
   admitted: () => number
   excess: () => BoundExcess | undefined
 }
 
-/** Greatest number of VMs in one world. */
+/** Maximum number of VMs in a simulation. */
 const maxVms = 9
 
-/** Creates a world of VMs that have never run before. */
+/** Creates a simulation of VMs that have never run before. */
 export const createShareWorld = (options: ShareWorldOptions): ShareWorld => {
   const { vmCount, ratePerSec, burst, clockErrors, seesPauseBy, broken = {} } = options
   let nowMs = 0
@@ -284,7 +284,7 @@
     }))
   }
 
-  // Calls back when every live VM uses at least the slot count; dead ones learn it when they start.
+  // Calls `whenAll` once every running VM uses at least the slot count; killed VMs adopt it when they restart.
   const spreadSlots = (slots: number, delaysMs: number[], whenAll: () => void) => {
     const old = [...vms]
     checkSlots = () => {
--- a/packages/limits/src/soak/simulated-fleet.ts
+++ b/packages/limits/src/soak/simulated-fleet.ts
@@ -1,22 +1,22 @@
 /**
- * A fleet of tables on simulated time, whose messages to each other are late or lost as told.
+ * A fleet of tables on simulated time, with configurable delay and loss of the messages between them.
  */
 import { silentLogger } from '@egretyoke/common'
 import type { BorrowReply, BorrowRequest } from '../borrow-messages.js'
 import { createSimulatedTime } from './simulated-time.js'
 import type { SimulatedTime } from './simulated-time.js'
 
-/** Times of loans in simulated fleets, in milliseconds. */
+/** Maximum duration of loans and margin in simulated fleets, in milliseconds. */
 const loanTtlMs = 1500
 const loanMarginMs = 150
 
-/** Time after which a caller gives a message up, in milliseconds. */
+/** Time-out of a request to a peer, in milliseconds. */
 const messageTimeoutMs = 100
 
-/** How one message to a peer and its reply fare. */
+/** Delays of one request to a peer and of its reply, and whether the reply is lost. */
 export type MessageFate = { requestMs: number, replyMs: number, isLost: boolean }
 
-/** What every table of a fleet is made with. */
+/** Options that all tables of a fleet have in common. */
 export type CommonTableOptions = {
   vm: string
   incarnation: number
@@ -39,12 +39,12 @@
   table: (vm: string) => Table
   isAlive: (vm: string) => boolean
   kill: (vm: string) => void
-  /** Starts a killed VM again with a new incarnation. */
+  /** Restarts a killed VM with a new incarnation. */
   restart: (vm: string) => void
   close: () => void
 }
 
-/** Creates a fleet; `start` makes the table of one VM, which starts `isRestart` or with the fleet. */
+/** Creates a fleet; `start` creates the table of one VM, with `isRestart` false when the VM starts with the fleet. */
 export const createSimulatedFleet = <Table extends Lender>(
   vmCount: number,
   start: (options: CommonTableOptions, members: string[], isRestart: boolean) => Table,
--- a/packages/limits/src/soak/simulated-time.ts
+++ b/packages/limits/src/soak/simulated-time.ts
@@ -1,13 +1,13 @@
 /**
- * Simulated time for tests and the soak program: timers that fire in order, with promises settled in between.
+ * Simulated time for tests and the soak program: timers fire in order, and promises settle between them.
  */
 import type { Clock } from '@egretyoke/common'
 import type { After } from '../timers.js'
 
-/** Rounds of settled promises between two timers; more than any chain of promises in this package has links. */
+/** Microtask rounds between two timers; more than the longest chain of promises in this package. */
 const settleRounds = 8
 
-/** A clock that moves from timer to timer. */
+/** A clock that advances from timer to timer. */
 export type SimulatedTime = {
   clock: Clock
   after: After
--- a/packages/limits/src/soak/soak.ts
+++ b/packages/limits/src/soak/soak.ts
@@ -1,7 +1,7 @@
 /**
- * The soak program: runs histories of the share mechanism with ever new seeds until the time is over, and prints the
- * seed of the first that breaks the bound. `--seed` gives the first seed, so that a failing run can be repeated; the
- * seeds after it count up.
+ * The soak program: runs random histories of the share mechanism with consecutive seeds until the time limit, and stops
+ * at the first seed that breaks the bound and prints it. `--seed` sets the first seed, so that a failure can be
+ * reproduced.
  */
 import { randomInt } from 'node:crypto'
 import { parseArgs } from 'node:util'
@@ -9,20 +9,20 @@
 import { exitCodes, monotonicMs } from '@egretyoke/common'
 import { runShareHistory, shareHistories } from './share-history.js'
 
-/** Histories run with one seed. */
+/** Number of histories per seed. */
 const historiesPerSeed = 2000
 
-/** Largest seed that is drawn. */
+/** Exclusive upper limit of a random first seed. */
 const maxSeed = 2 ** 31
 
 const defaultMinutes = 1
 
 const help = `usage: egretyoke-soak [--seed N] [--minutes M]
-Runs random histories of the share mechanism, ${historiesPerSeed} a seed, until M minutes are over.
-M is ${defaultMinutes} unless given, N is drawn at random.
-Exit codes: 0 the bound held, 1 it was broken (the seed is printed), 2 wrong usage.`
+Runs random histories of the share mechanism, ${historiesPerSeed} per seed, for M minutes.
+M defaults to ${defaultMinutes}, N to a random seed.
+Exit codes: 0 the bound held, 1 the bound was broken (prints the seed), 2 invalid usage.`
 
-/** What a soak runs. */
+/** Options of a soak run. */
 export type SoakPlan = { firstSeed: number, minutes: number }
 
 const planFrom = (args: string[]): SoakPlan | undefined => {
@@ -34,13 +34,13 @@
   return Number.isInteger(firstSeed) && minutes > 0 ? { firstSeed, minutes } : undefined
 }
 
-// Yields seeds until the time is over, at least one.
+// Yields at least one seed, and further seeds until the time limit.
 function * seedsFor ({ firstSeed, minutes }: SoakPlan): Generator<number> {
   const endMs = monotonicMs() + minutes * 60_000
   for (let seed = firstSeed; seed === firstSeed || monotonicMs() < endMs; seed++) yield seed
 }
 
-/** Runs the histories of one seed; a report when the bound was broken. */
+/** Runs the histories of one seed; returns a report if the bound was broken. */
 const checkSeed = (seed: number): string | undefined => {
   const property = fc.property(shareHistories, history => runShareHistory(history).excess === undefined)
   const result = fc.check(property, { seed, numRuns: historiesPerSeed })
--- a/packages/limits/src/spread-loans.ts
+++ b/packages/limits/src/spread-loans.ts
@@ -1,26 +1,26 @@
 /**
- * Borrowing straight from several peers, in proportion to the recent demand: for limits whose burst is large enough
- * that each busy VM can hold a useful part of it.
+ * Borrowing directly from several peers in proportion to the recent demand, for limits whose burst is large enough
+ * that each busy VM can hold a useful fraction of it.
  */
 import { shortTtlMs } from './borrowing.js'
 import type { Borrowing, BorrowingContext, LoanRequest, Offer, ShareSituation } from './borrowing.js'
 
-/** Part of a limit that is asked for above the recent demand. */
+/** Factor by which the requested rate exceeds the recent demand. */
 const headroom = 1.1
 
-/** Time ahead for which tokens are fetched and kept, in milliseconds. */
+/** Period of expected demand for which tokens are fetched and retained, in milliseconds. */
 const horizonMs = 50
 
-/** A rate that is missing by less than this part of the limit is no reason for a long loan. */
+/** Missing fraction of a limit up to which no long-term loan is requested. */
 const negligibleFraction = 0.005
 
-/** Tokens too few to ask for. */
+/** Number of missing tokens up to which none are requested. */
 const negligibleTokens = 1e-6
 
-/** Peers asked at once. */
+/** Maximum number of peers that receive a request at the same time. */
 const maxAskedAtOnce = 4
 
-/** Above this part of what is borrowed, renewals ask for all of it. */
+/** Needed fraction of the borrowed amount above which renewals request all of it. */
 const renewAllAbove = 0.8
 
 const lastingFraction = ({ demandPerSec, ratePerSec }: ShareSituation) =>
@@ -31,12 +31,12 @@
 const tokensMissing = (situation: ShareSituation) =>
   situation.waiting > 0 ? Math.ceil(tokensAhead(situation)) - situation.tokens : 0
 
-/** Borrows from several peers at once; `lendsRate` is false for loans of tokens alone. */
+/** Creates a strategy that borrows from several peers at once; `lendsRate` is false for loans of tokens alone. */
 export const createSpreadBorrowing = (context: BorrowingContext, lendsRate: boolean): Borrowing => {
   const { vm, loanTtlMs, nowMs, situation, ledger, peers, ranked, expectedSoon, ask } = context
   const renewBeforeMs = loanTtlMs / 2
 
-  // Tokens and a lasting part are asked of different peers, because only tokens alone come with room to hold them.
+  // Tokens and rate are requested from different peers, because only loans of tokens alone come with capacity for them.
   const fetchTokens = () => {
     const missing = tokensMissing(situation()) - expectedSoon().tokens
     if (missing <= negligibleTokens) return
@@ -81,7 +81,7 @@
     fetch()
   }
 
-  // Of two VMs that both lack a whole token, the one that goes first gets the other's.
+  // When borrower and lender both lack a whole token, the one that ranks first gets the tokens of the other.
   const goesFirst = (borrower: string) => ranked().indexOf(borrower) < ranked().indexOf(vm)
 
   const offer = ({ borrower, isLasting }: LoanRequest): Offer => {
--- a/packages/limits/src/termed-amounts.ts
+++ b/packages/limits/src/termed-amounts.ts
@@ -1,34 +1,37 @@
 /**
- * Amounts that one party holds of another for a limited time, where a newer agreement replaces an older one.
+ * Amounts that one VM borrows from another for a limited time, where a newer agreement replaces an older one.
  *
- * Lender and borrower both keep such a record of each other. The current amount is the largest one that is not over,
- * so that a lender counts what the borrower may still be using although a reply was lost or came late.
+ * Lender and borrower both keep such a record of each other. The current amount is the largest unexpired one, so that
+ * a lender counts the amount that the borrower may still be using although a reply was lost or late.
  */
 
-/** An amount that counts until a time of this VM's monotonic clock. */
+/** An amount that expires at a time on this VM's monotonic clock. */
 type TermedAmount = {
   amount: number
   untilMs: number
-  /** End by the wall clock, for holders whose monotonic clock may stand still; Infinity when it does not matter. */
+  /** Expiry on the wall clock, for borrowers whose monotonic clock may have stopped; Infinity for lenders. */
   wallUntilMs: number
 }
 
-/** Agreements kept per counterparty; above it two are merged into one that is larger and later than both. */
+/**
+ * Maximum number of agreements with one VM. Beyond it, a lender merges the two oldest into one with the larger amount
+ * and the later expiry, and a borrower drops the oldest.
+ */
 const maxAgreements = 8
 
-/** The agreements with one counterparty. */
+/** The unexpired agreements with one VM. */
 export type TermedAmounts = {
   add: (amount: number, untilMs: number, wallUntilMs?: number) => void
-  /** Forgets what is over at the given times. */
+  /** Removes the agreements that have expired at the given times. */
   endAt: (nowMs: number, wallNowMs: number) => void
-  /** The largest amount that is not over. */
+  /** The largest unexpired amount. */
   current: () => number
-  /** When the next agreement is over; Infinity when there is none. */
+  /** Expiry of the agreement that expires next; Infinity when there is none. */
   nextEndMs: () => number
   nextWallEndMs: () => number
-  /** The largest amount that is not over before the given times. */
+  /** The largest amount that does not expire before the given times. */
   currentUntil: (untilMs: number, wallUntilMs: number) => number
-  /** When the agreement with the largest amount is over; 0 when there is none. */
+  /** Expiry of the agreement with the largest amount; 0 when there is none. */
   largestUntilMs: () => number
 }
 
@@ -41,7 +44,7 @@
   wallUntilMs: Math.max(one.wallUntilMs, other.wallUntilMs)
 })
 
-/** Creates an empty record. `mayMerge` is false for a holder, who must not count more than it was given. */
+/** Creates an empty record. `mayMerge` is false for a borrower, which must not count more than it was lent. */
 export const createTermedAmounts = (mayMerge: boolean): TermedAmounts => {
   let agreements: TermedAmount[] = []
 
--- a/packages/limits/src/token-share.test.ts
+++ b/packages/limits/src/token-share.test.ts
@@ -1,5 +1,5 @@
 /**
- * The bound of the share mechanism over arbitrary histories, and that the checker sees it broken.
+ * Tests the bound of the share mechanism over arbitrary histories, and that the checker detects injected defects.
  */
 import test from 'ava'
 import fc from 'fast-check'
@@ -31,7 +31,7 @@
 ]
 
 for (const broken of brokenWays) {
-  test(`the checker catches a mechanism broken by ${Object.keys(broken).join()}`, t => {
+  test(`the checker detects the injected defect ${Object.keys(broken).join()}`, t => {
     const property = fc.property(shareHistories, history => runShareHistory(history, broken).excess === undefined)
     const result = fc.check(property, { seed, numRuns: historyCount, endOnFailure: true })
     t.true(result.failed)
--- a/packages/limits/src/token-share.ts
+++ b/packages/limits/src/token-share.ts
@@ -1,28 +1,29 @@
 /**
- * One VM's share of one rate limit: a token bucket whose rate and capacity are a part of the whole limit's.
+ * One VM's share of one rate limit: a token bucket whose rate and capacity are a fraction of the whole limit's.
  *
  * Why the fleet keeps the bound (admitted <= burst + rate * T over any interval T):
- * 1. The usable parts of all VMs add up to 1 at most (see share-ledger.ts), so capacities add up to the burst at
- *    most, and refill rates to the rate.
- * 2. A bucket never holds more than its capacity. Tokens move between VMs with a loan or without one; a borrower
- *    reserves room for what it asks for before it asks, so tokens on their way are covered by capacity that nobody else
- *    fills: by that room, or by what is lent with them beyond all that the borrower held of the lender when it asked.
- *    One request to a peer is under way, and its reply is used once; a reply that is lost or late only loses tokens.
+ * 1. The usable fractions of all VMs add up to at most 1 (see share-ledger.ts), so capacities add up to at most the
+ *    burst, and refill rates to at most the rate.
+ * 2. A bucket never holds more than its capacity. Tokens move between VMs with or without a loan of rate. A borrower
+ *    reserves capacity for the requested tokens before it sends the request, so tokens in transit are covered by
+ *    capacity that nothing else fills: by that reservation, or by the lent capacity that exceeds what the borrower
+ *    held from the lender when it sent the request. At most one request to a peer is in flight, and its reply is used
+ *    once; a reply that is lost or late only loses tokens.
  * 3. So at the start of any interval at most `burst` tokens exist, and during it at most `rate * T` are added; each
- *    admitted request uses up a whole one.
+ *    admitted request consumes one whole token.
  *
- * A clock may run fast by `maxClockRateError`; refilling is slowed by as much.
+ * A clock may run fast by up to `maxClockRateError`; refilling is slowed down by the same factor.
  */
 import { createShareLedger } from './share-ledger.js'
 import type { ShareLedger, ShareLedgerOptions } from './share-ledger.js'
 
-/** Greatest relative error of a VM's clock rate that refilling allows for. */
+/** Maximum relative error of a VM's clock rate for which refilling compensates. */
 export const maxClockRateError = 0.0002
 
-/** Rounding that a whole token may lack; it is owed by the bucket, not given. */
+/** Rounding error by which a bucket may fall short of a whole token; the balance then goes slightly below zero. */
 const tokenRounding = 1e-9
 
-/** A limit's definition; every VM that goes by the same version has the same figures. */
+/** Definition of a rate limit; all VMs that apply the same version have the same rate and burst. */
 export type RateLimit = {
   name: string
   ratePerSec: number
@@ -30,32 +31,32 @@
   version: number
 }
 
-/** A request for a loan that is under way. */
+/** A loan request that is in flight. */
 export type PendingAsk = {
   peer: string
   sentAtMs: number
   sentAtWallMs: number
   loanTtlMs: number
-  /** The limit by which the request was made. */
+  /** Definition of the limit when the request was sent. */
   limit: RateLimit
   reservedTokens: number
-  /** What was held of the peer when it was asked: of rate and burst, and of burst alone. */
+  /** Fractions borrowed from the peer when the request was sent: of rate and burst, and of burst capacity alone. */
   heldFraction: number
   heldRoom: number
 }
 
-/** What a lender parts with. */
+/** Tokens and the fraction of a limit that a lender transfers to a borrower. */
 export type Loan = {
-  /** Tokens, which are given for good. With fraction 0, burst room for as many is lent with them, but no rate. */
+  /** Tokens, which are not returned. With fraction 0, burst capacity for as many is lent with them, but no rate. */
   tokens: number
-  /** The part of rate and burst that is lent now in all to this borrower by this loan. */
+  /** Total fraction of rate and burst that is lent to this borrower, including earlier loans. */
   fraction: number
   loanTtlMs: number
 }
 
-/** What a borrower asks for, and what the lender keeps for itself. */
+/** Amounts that a borrower requests, and amounts that the lender retains for itself. */
 export type LoanTerms = {
-  /** Borrower's name and incarnation. */
+  /** Name and incarnation of the borrower. */
   borrower: string
   tokensWanted: number
   fractionWanted: number
@@ -66,53 +67,53 @@
 
 /** One VM's share of one rate limit. */
 export type TokenShare = {
-  /** The part of rate and burst. */
+  /** Ledger of the fraction of rate and burst. */
   ledger: ShareLedger
   limit: () => RateLimit
   setLimit: (limit: RateLimit) => void
-  /** Sets the own part that is in force from now on; the bucket does not gain tokens by it. */
+  /** Sets the own fraction with immediate effect; the bucket gains no tokens by it. */
   setOwnFraction: (fraction: number) => void
   tokens: () => number
-  /** Tokens that the bucket may hold now. */
+  /** Current capacity of the bucket, in tokens. */
   capacity: () => number
-  /** Tokens added per second now. */
+  /** Current refill rate, in tokens per second. */
   ratePerSec: () => number
-  /** Uses up one token if there is one. */
+  /** Consumes one token; false when none is available. */
   tryTake: () => boolean
-  /** Registers a request for a loan, and reserves room for its tokens. An earlier one to the same peer is given up. */
+  /** Registers a loan request and reserves capacity for its tokens. Cancels an earlier request to the same peer. */
   ask: (peer: string, tokensWanted: number, loanTtlMs: number) => PendingAsk
-  /** Uses the reply to a request that is still registered; false when it comes too late or a second time. */
+  /** Applies the reply to a registered request; false when the request was cancelled or already replied to. */
   accept: (ask: PendingAsk, loan: Loan) => boolean
-  /** Gives up a request; a reply that comes later is ignored. */
+  /** Cancels a request; a later reply to it is ignored. */
   cancel: (ask: PendingAsk) => void
-  /** Part of the limit that is lent in any way. */
+  /** Fraction of the limit that is lent, with rate or as burst capacity alone. */
   lentFraction: () => number
   lend: (terms: LoanTerms) => Loan
-  /** Ends all loans held and gives up all requests under way. */
+  /** Ends all borrowed loans and cancels all requests in flight. */
   expireLoans: () => void
 }
 
-/** How a share measures time. */
+/** Options of a token share. */
 export type TokenShareOptions = ShareLedgerOptions & {
-  /** True only in a fleet that has never run before: the bucket is full when the first own part is set. */
+  /** True only in a fleet that has never run before: the bucket is full when the first own fraction is set. */
   startsFull: boolean
-  /** Clock error allowed for, relative; only a test passes another. */
+  /** Relative clock error for which refilling compensates; only tests override it. */
   clockRateError?: number
 }
 
-/** Shortest loan that is granted when what the lender itself has borrowed ends soon, in milliseconds. */
+/** Minimum duration of a loan that is shortened because the lender's own borrowing expires soon, in milliseconds. */
 const minTtlMs = 10
 
-/** Time of refilling for which a request for a loan leaves room, in milliseconds. */
+/** Refill time for which a loan request leaves capacity unreserved, in milliseconds. */
 const refillAheadMs = 20
 
 const nothingLent: Loan = { tokens: 0, fraction: 0, loanTtlMs: 0 }
 
-/** Creates a share without own part and with an empty bucket. */
+/** Creates a share with an own fraction of 0 and an empty bucket. */
 export const createTokenShare = (initialLimit: RateLimit, options: TokenShareOptions): TokenShare => {
   const { clock, wallClock, loanTtlMs, clockRateError = maxClockRateError } = options
   const ledger = createShareLedger(options)
-  // Burst room without rate, in parts of the burst.
+  // Burst capacity lent or borrowed without rate, as fractions of the burst.
   const room = createShareLedger(options)
   const pendingAsks = new Set<PendingAsk>()
   let limit = initialLimit
@@ -129,7 +130,7 @@
     return reserved
   }
 
-  // Reservations give way before tokens that are there.
+  // When capacity shrinks, reservations are reduced before tokens already in the bucket.
   const fitCapacity = () => {
     tokens = Math.min(tokens, capacity())
     let roomTokens = capacity() - Math.max(0, tokens)
@@ -183,7 +184,7 @@
     return true
   }
 
-  // Room that is not taken up is given up before more is asked for, since the next tokens bring room of their own.
+  // Drops unused borrowed capacity before requesting more tokens, because those come with capacity of their own.
   const dropFreeRoom = (peer: string) => {
     const roomTokens = room.borrowedFrom(peer) * limit.burst
     if (roomTokens === 0 || tokens > capacity() - roomTokens) return
@@ -213,7 +214,8 @@
 
   const roomFor = (tokenCount: number, { burst }: RateLimit) => burst > 0 ? tokenCount / burst : 0
 
-  // Holds what was lent if the loan is not over; returns by how much of the limit that is more than before.
+  // Records the loan as borrowed unless it has expired. Returns the fraction of the limit by which the amount borrowed
+  // from this peer has grown.
   const holdLoan = (pending: PendingAsk, loan: Loan) => {
     const ttlMs = Math.min(loan.loanTtlMs, pending.loanTtlMs)
     const untilMs = pending.sentAtMs + ttlMs
@@ -224,7 +226,7 @@
     const part = hasRate ? loan.fraction : roomFor(loan.tokens, pending.limit)
     const heldBefore = borrowed.borrowedFrom(pending.peer)
     if (part > 0) borrowed.borrow(pending.peer, part, untilMs, wallUntilMs)
-    // What was held when the peer was asked may have been in use until now, so it covers no tokens on their way.
+    // Capacity already held when the request was sent may have been in use since, so it covers no tokens in transit.
     const heldAtAsk = hasRate ? pending.heldFraction : pending.heldRoom
     return Math.max(0, Math.min(borrowed.borrowedFrom(pending.peer) - heldBefore, part - heldAtAsk))
   }
@@ -243,11 +245,12 @@
     pendingAsks.delete(pending)
   }
 
-  // What may be lent for the given time besides what others hold; what is itself borrowed must last longer.
+  // Fraction that can be lent for the given time in addition to `lentToOthers`. Borrowed fractions count only when they
+  // are held for at least the loan and its margin.
   const lendableFor = (ttlMs: number, lentToOthers: number) =>
     Math.max(0, ledger.own() + ledger.borrowedFor(ledger.countedMs(ttlMs)) - lentToOthers)
 
-  // The longest time, halved as often as it must be, for which all that is wanted can be lent.
+  // Halves the duration until the whole requested fraction can be lent for it or `minTtlMs` is reached.
   const termsFor = (wanted: number, wantedTtlMs: number, lentToOthers: number) => {
     let ttlMs = Math.min(wantedTtlMs, loanTtlMs)
     while (ttlMs / 2 >= minTtlMs && lendableFor(ttlMs, lentToOthers) < wanted) ttlMs /= 2
@@ -259,7 +262,7 @@
     const wanted = Math.max(0, Math.min(terms.fractionWanted,
       ledger.own() + ledger.borrowed() - lentToOthers - terms.keepFraction))
     const { ttlMs, part } = termsFor(wanted, terms.loanTtlMs, lentToOthers)
-    // Tokens without a fraction bring room with them, which must be counted as lent.
+    // Tokens without a fraction come with burst capacity, which must be counted as lent.
     if (part === 0 || !ledger.lend(terms.borrower, part, ttlMs)) return lendTokens(terms)
     const overflow = Math.max(0, tokens - capacity())
     return { tokens: Math.max(overflow, spareTokens(terms)), fraction: part, loanTtlMs: ttlMs }
@@ -273,7 +276,8 @@
     return { tokens: lentTokens, fraction: 0, loanTtlMs: ttlMs }
   }
 
-  // As much of what is available as leaves the borrower short of whole tokens only: it could not use parts of one.
+  // Largest amount up to `available` that falls short of `wanted` by a whole number of tokens, because the borrower
+  // cannot use a fraction of a token.
   const wholePart = (wanted: number, available: number) =>
     Math.max(0, wanted - Math.max(0, Math.ceil(wanted - available - tokenRounding)))
 
--- a/packages/limits/src/waiters.ts
+++ b/packages/limits/src/waiters.ts
@@ -1,22 +1,22 @@
 /**
- * Requests that wait a short time for a token, first come first served, bounded in number.
+ * Requests that wait for a token or permit, first come first served. The caller bounds their number.
  */
 import type { After } from './timers.js'
 
-/** How a wait ended. */
+/** Result of a wait. */
 export type WaitEnd = 'served' | 'timedOut' | 'cancelled' | 'closed'
 
-/** The requests that wait under one limit. */
+/** The requests that wait for one limit. */
 export type Waiters = {
   size: () => number
-  /** Waits until served, at most for the given time. The caller has checked that there is room. */
+  /** Waits until served, for at most the given time. The caller has checked that the queue is not full. */
   wait: (maxWaitMs: number, signal?: AbortSignal) => Promise<WaitEnd>
-  /** Serves the waiting requests in order, as long as the function grants one more. */
+  /** Serves the waiting requests in order until the function returns false. */
   serve: (takeOne: () => boolean) => void
   close: () => void
 }
 
-/** Creates an empty line of waiting requests. */
+/** Creates an empty queue of waiting requests. */
 export const createWaiters = (after: After): Waiters => {
   const ends = new Set<(end: WaitEnd) => void>()
 
--- a/packages/limits/src/wrongful-refusals.test.ts
+++ b/packages/limits/src/wrongful-refusals.test.ts
@@ -1,5 +1,5 @@
 /**
- * Requests refused although the workspace is within its rate: all callers at one or two of 9 VMs, at 90% of the rate.
+ * Tests how many requests within a workspace's rate are refused: all callers at one or two of 9 VMs, at 90% of it.
  */
 import test from 'ava'
 import type { LoanPolicy } from './borrowing.js'
@@ -12,7 +12,7 @@
 const runMs = 20_000
 const maxWaitMs = 50
 
-/** Greatest part of the requests that may be refused. */
+/** Maximum fraction of the requests that may be refused. */
 const maxRefusedPart = 0.001
 
 type Scenario = { ratePerSec: number, burst: number, busyVms: string[] }
@@ -51,7 +51,7 @@
 
 for (const { ratePerSec, burst } of limits) {
   for (const busyVms of [['vm1'], ['vm2', 'vm7']]) {
-    test(`${ratePerSec}/s, burst ${burst}, callers at ${busyVms.length} VM: loans refuse hardly anything`, async t => {
+    test(`${ratePerSec}/s, burst ${burst}, callers at ${busyVms.length} VM: loans refuse at most 0.1%`, async t => {
       const { refusedPart, excess } = await run(loans, { ratePerSec, burst, busyVms })
       t.is(excess, undefined)
       t.true(refusedPart <= maxRefusedPart, `${refusedPart}`)
@@ -59,7 +59,7 @@
   }
 }
 
-test('equal static slices refuse most of it', async t => {
+test('equal static slices refuse most requests', async t => {
   const { refusedPart } = await run(staticSlices, { ratePerSec: 100, burst: 20, busyVms: ['vm2', 'vm7'] })
   t.true(refusedPart > 0.5, `${refusedPart}`)
 })
