--- a/packages/limits/src/borrowing.ts
+++ b/packages/limits/src/borrowing.ts
@@ -1,7 +1,7 @@
 /**
  * Input of a loan policy for one limit on one VM, and its decisions.
  */
-import type { PeerChoice } from './peer-choice.js'
+import type { PeerSelector } from './peer-choice.js'
 import type { TokenShare } from './token-share.js'
 
 /** Maximum duration of a loan of tokens for waiting requests, in milliseconds; longer loans count as long-term. */
@@ -12,7 +12,7 @@
 const minShortLoanRoundTrips = 4
 
 /** State of a VM's share of one limit. */
-export type ShareSituation = {
+export type ShareState = {
   ratePerSec: number
   burst: number
   demandPerSec: number
@@ -23,7 +23,7 @@
 }
 
 /** Amounts and duration of a loan that is requested from one peer. */
-export type Wanted = {
+export type LoanDemand = {
   /** Number of tokens; a lender that has fewer reduces the amount by whole tokens. */
   tokens: number
   /** Total fraction of the limit to be borrowed from the peer; 0 to request only tokens and capacity for them. */
@@ -36,44 +36,44 @@
   vm: string
   loanTtlMs: number
   nowMs: () => number
-  situation: () => ShareSituation
+  shareState: () => ShareState
   ledger: TokenShare['ledger']
-  peers: PeerChoice
+  peers: PeerSelector
   /** All members in the limit's rendezvous order, which is the same on every VM. */
-  ranked: () => string[]
+  rankedMembers: () => string[]
   /** Amounts that recent loan requests in flight are expected to yield. */
-  expectedSoon: () => { tokens: number, fraction: number }
+  expectedGrants: () => { tokens: number, fraction: number }
   /** Average round trip to a peer, in milliseconds. */
   roundTripMs: () => number
-  ask: (peer: string, wanted: Wanted) => void
+  requestLoan: (peer: string, demand: LoanDemand) => void
 }
 
 /**
  * Duration of a loan of tokens for waiting requests, in milliseconds. It is short, because the lender cannot use the
  * lent capacity meanwhile.
  */
-export const shortTtlMs = ({ roundTripMs }: BorrowingContext): number =>
+export const tokenLoanTtlMs = ({ roundTripMs }: BorrowingContext): number =>
   Math.min(shortLoanTtlMs, Math.max(minShortLoanTtlMs, minShortLoanRoundTrips * roundTripMs()))
 
 /** Amounts that a lender retains for itself when it grants a loan. */
-export type Offer = {
+export type LenderReserve = {
   keepTokens: number
   keepFraction: number
 }
 
 /** A peer's loan request, as far as a policy needs it. */
-export type LoanRequest = { borrower: string, isLasting: boolean }
+export type LoanRequest = { borrower: string, isLongTerm: boolean }
 
 /** Decides when one VM borrows under one limit, and what it lends. */
-export type Borrowing = {
+export type BorrowingStrategy = {
   /** Requests loans of tokens for waiting requests. */
   fetch: () => void
   /** Renews loans that are still needed; called several times within the duration of a loan. */
   maintain: () => void
-  offer: (request: LoanRequest) => Offer
+  reserveFor: (request: LoanRequest) => LenderReserve
   /** Earliest time, on the clock of `nowMs`, at which `fetch` may obtain tokens again. */
   nextFetchMs: () => number
 }
 
 /** Creates the borrowing strategy of one limit on one VM. No policy can break the bound; a bad one refuses too much. */
-export type LoanPolicy = (context: BorrowingContext) => Borrowing
+export type LoanPolicy = (context: BorrowingContext) => BorrowingStrategy
--- a/packages/limits/src/demand.ts
+++ b/packages/limits/src/demand.ts
@@ -13,38 +13,38 @@
 const negligibleCount = 0.01
 
 /** Estimate of the recent arrival rate. */
-export type Demand = {
-  count: (arrivals?: number) => void
+export type DemandEstimate = {
+  record: (arrivals?: number) => void
   /** Arrivals per second. */
   perSec: () => number
 }
 
 /** Creates an estimate of 0. */
-export const createDemand = (clock: Clock): Demand => {
-  let decayed = 0
+export const createDemandEstimate = (clock: Clock): DemandEstimate => {
+  let decayedCount = 0
   let lastMs = clock()
   let startMs = lastMs
 
   const decay = () => {
-    if (decayed === 0) return
+    if (decayedCount === 0) return
     const nowMs = clock()
-    decayed *= Math.exp((lastMs - nowMs) / decayMs)
+    decayedCount *= Math.exp((lastMs - nowMs) / decayMs)
     lastMs = nowMs
-    if (decayed < negligibleCount) decayed = 0
+    if (decayedCount < negligibleCount) decayedCount = 0
   }
 
-  const count = (arrivals = 1) => {
+  const record = (arrivals = 1) => {
     decay()
-    if (decayed === 0) startMs = lastMs = clock()
-    decayed += arrivals
+    if (decayedCount === 0) startMs = lastMs = clock()
+    decayedCount += arrivals
   }
 
   const perSec = () => {
     decay()
-    if (decayed === 0) return 0
+    if (decayedCount === 0) return 0
     const spanMs = Math.max(minSpanMs, lastMs - startMs)
-    return decayed * 1000 / (decayMs * (1 - Math.exp(-spanMs / decayMs)))
+    return decayedCount * 1000 / (decayMs * (1 - Math.exp(-spanMs / decayMs)))
   }
 
-  return { count, perSec }
+  return { record, perSec }
 }
--- a/packages/limits/src/index.ts
+++ b/packages/limits/src/index.ts
@@ -2,7 +2,9 @@
  * Limits of the fleet and of one VM: shares of rate and connection limits, fair queue, adaptive concurrency limit.
  */
 export * from './events.js'
-export type { Borrowing, BorrowingContext, LoanPolicy, LoanRequest, Offer, ShareSituation } from './borrowing.js'
+export type {
+  BorrowingContext, BorrowingStrategy, LenderReserve, LoanPolicy, LoanRequest, ShareState
+} from './borrowing.js'
 export { loans, spreadLoans, staticSlices, tokenLoans } from './loan-policy.js'
 export { maxWaitersPerLimit } from './limit-share.js'
 export type { LimitSnapshot, RefusalReason, Taken } from './limit-share.js'
--- a/packages/limits/src/limit-share.ts
+++ b/packages/limits/src/limit-share.ts
@@ -6,15 +6,15 @@
 import { isValidReply, isValidRequest, noLoan } from './borrow-messages.js'
 import type { BorrowReply, BorrowRequest } from './borrow-messages.js'
 import { shortLoanTtlMs } from './borrowing.js'
-import type { LoanPolicy, ShareSituation, Wanted } from './borrowing.js'
-import { createDemand } from './demand.js'
-import { createLendingBook } from './lending-book.js'
-import { createPeerChoice } from './peer-choice.js'
-import type { AskOutcome } from './peer-choice.js'
+import type { LoanPolicy, ShareState, LoanDemand } from './borrowing.js'
+import { createDemandEstimate } from './demand.js'
+import { createLoanAllocator } from './lending-book.js'
+import { createPeerSelector } from './peer-choice.js'
+import type { RequestResult } from './peer-choice.js'
 import { rankByRendezvous } from './rendezvous.js'
 import type { After } from './timers.js'
 import { createTokenShare } from './token-share.js'
-import type { PendingAsk, RateLimit } from './token-share.js'
+import type { PendingRequest, RateLimit } from './token-share.js'
 import { createWaiters } from './waiters.js'
 
 /** Maximum number of requests that wait for a token of one limit on one VM. */
@@ -99,10 +99,10 @@
 export const createLimitShare = (initialLimit: RateLimit, options: LimitShareOptions): LimitShare => {
   const { vm, incarnation, clock, after, loanTtlMs, policy, askPeer } = options
   const share = createTokenShare(initialLimit, options)
-  const demand = createDemand(clock)
+  const demand = createDemandEstimate(clock)
   const waiters = createWaiters(after)
-  const choice = createPeerChoice(clock)
-  const book = createLendingBook(clock, loanTtlMs)
+  const choice = createPeerSelector(clock)
+  const book = createLoanAllocator(clock, loanTtlMs)
   const inFlight = new Set<{ sentAtMs: number, tokens: number, fraction: number }>()
   let peers: string[] = []
   let ranked: string[] | undefined
@@ -111,7 +111,7 @@
   let pumpAtMs = Infinity
   let isClosed = false
 
-  const situation = (): ShareSituation => {
+  const situation = (): ShareState => {
     const { ratePerSec, burst } = share.limit()
     return {
       ratePerSec,
@@ -123,7 +123,9 @@
     }
   }
 
-  const outcomeOf = (peer: string, wanted: Wanted, heldBefore: number, reply: BorrowReply | undefined): AskOutcome => {
+  const outcomeOf = (
+    peer: string, wanted: LoanDemand, heldBefore: number, reply: BorrowReply | undefined
+  ): RequestResult => {
     if (reply === undefined) return 'unreachable'
     const isRenewal = wanted.fraction > 0 && wanted.fraction <= heldBefore
     const hasGained = reply.tokens > 0 || share.ledger.borrowedFrom(peer) > heldBefore
@@ -139,7 +141,7 @@
     return ranked
   }
 
-  const useReply = (pending: PendingAsk, reply: BorrowReply | undefined) => {
+  const useReply = (pending: PendingRequest, reply: BorrowReply | undefined) => {
     if (reply === undefined || (reply.tokens <= 0 && reply.ratePerSec <= 0)) return share.cancel(pending)
     const wholeRatePerSec = pending.limit.ratePerSec
     const fraction = wholeRatePerSec > 0 ? reply.ratePerSec / wholeRatePerSec : 0
@@ -156,7 +158,7 @@
     return expected
   }
 
-  const send = async (peer: string, { tokens, fraction, ttlMs }: Wanted) => {
+  const send = async (peer: string, { tokens, fraction, ttlMs }: LoanDemand) => {
     const { name, ratePerSec, version } = share.limit()
     const sentMs = clock()
     const reply = await askPeer(peer, {
@@ -172,20 +174,20 @@
     return reply !== undefined && isValidReply(reply) ? reply : undefined
   }
 
-  const ask = async (peer: string, wanted: Wanted) => {
+  const ask = async (peer: string, wanted: LoanDemand) => {
     const heldBefore = share.ledger.borrowedFrom(peer)
     const fraction = Math.max(0, wanted.fraction - heldBefore)
     const expected = { sentAtMs: clock(), tokens: wanted.tokens, fraction }
     inFlight.add(expected)
-    const pending = share.ask(peer, wanted.tokens, wanted.ttlMs)
-    choice.asked(peer)
+    const pending = share.beginRequest(peer, wanted.tokens, wanted.ttlMs)
+    choice.recordRequest(peer)
     const giveUp = after(wanted.ttlMs, () => share.cancel(pending))
     const reply = await send(peer, wanted)
     giveUp()
     inFlight.delete(expected)
     if (isClosed) return
     useReply(pending, reply)
-    choice.answered(peer, outcomeOf(peer, wanted, heldBefore, reply))
+    choice.recordResult(peer, outcomeOf(peer, wanted, heldBefore, reply))
     pump()
   }
 
@@ -193,17 +195,17 @@
     vm,
     loanTtlMs,
     nowMs: clock,
-    situation,
+    shareState: situation,
     ledger: share.ledger,
     peers: choice,
-    ranked: rankedMembers,
-    expectedSoon,
+    rankedMembers,
+    expectedGrants: expectedSoon,
     roundTripMs: () => roundTripMs,
-    ask
+    requestLoan: ask
   })
 
   const pump = () => {
-    waiters.serve(share.tryTake)
+    waiters.serve(share.tryAcquire)
     if (waiters.size() === 0) return
     rankedMembers()
     borrowing.fetch()
@@ -238,8 +240,8 @@
   }
 
   const tryTake = () => {
-    demand.count()
-    return waiters.size() === 0 && share.tryTake()
+    demand.record()
+    return waiters.size() === 0 && share.tryAcquire()
   }
 
   const take = async (maxWaitMs: number, signal?: AbortSignal): Promise<Taken> => {
@@ -261,14 +263,14 @@
     rankedMembers()
     const borrower = `${request.borrower}/${request.incarnation}`
     const isLasting = request.loanTtlMs > shortLoanTtlMs
-    const offer = borrowing.offer({ borrower: request.borrower, isLasting })
+    const offer = borrowing.reserveFor({ borrower: request.borrower, isLongTerm: isLasting })
     const fractionWanted = ratePerSec > 0 ? request.rateWantedPerSec / ratePerSec : 0
     const lendable = share.ledger.own() + share.ledger.borrowed() - offer.keepFraction
     const loan = share.lend({
       ...offer,
       borrower,
       tokensWanted: request.tokensWanted,
-      fractionWanted: isLasting ? book.allot(borrower, fractionWanted, lendable) : fractionWanted,
+      fractionWanted: isLasting ? book.allocate(borrower, fractionWanted, lendable) : fractionWanted,
       loanTtlMs: request.loanTtlMs
     })
     const hasLent = loan.tokens > 0 || loan.fraction > 0
@@ -279,7 +281,7 @@
   const isUsed = () => waiters.size() > 0 || share.ledger.borrowed() > 0 || demand.perSec() > negligibleDemandPerSec
 
   const probeUnreachable = () => {
-    for (const peer of choice.toProbe()) ask(peer, { tokens: 0, fraction: 0, ttlMs: loanTtlMs })
+    for (const peer of choice.probeCandidates()) ask(peer, { tokens: 0, fraction: 0, ttlMs: loanTtlMs })
   }
 
   const maintain = () => {
--- a/packages/limits/src/loan-policy.ts
+++ b/packages/limits/src/loan-policy.ts
@@ -12,7 +12,7 @@
 export const staticSlices: LoanPolicy = () => ({
   fetch: () => {},
   maintain: () => {},
-  offer: () => ({ keepTokens: Infinity, keepFraction: Infinity }),
+  reserveFor: () => ({ keepTokens: Infinity, keepFraction: Infinity }),
   nextFetchMs: () => Infinity
 })
 
@@ -22,8 +22,8 @@
 /** Tokens, rate and burst capacity are lent directly between peers, whatever the burst. */
 export const spreadLoans: LoanPolicy = context => createSpreadBorrowing(context, true)
 
-const isPooled = ({ situation, ranked }: BorrowingContext) =>
-  situation().burst < pooledBelowTokens * ranked().length
+const isPooled = ({ shareState, rankedMembers }: BorrowingContext) =>
+  shareState().burst < pooledBelowTokens * rankedMembers().length
 
 /** Tokens, rate and burst capacity are lent: through a pool when the burst is small, otherwise directly. */
 export const loans: LoanPolicy = context => {
@@ -33,7 +33,7 @@
   return {
     fetch: () => current().fetch(),
     maintain: () => current().maintain(),
-    offer: request => current().offer(request),
+    reserveFor: request => current().reserveFor(request),
     nextFetchMs: () => current().nextFetchMs()
   }
 }
--- a/packages/limits/src/own-part.ts
+++ b/packages/limits/src/own-part.ts
@@ -6,14 +6,14 @@
 import type { Clock } from '@egretyoke/common'
 
 /** A VM's own share, in the unit of the caller. */
-export type OwnPart = {
-  set: (part: number) => void
+export type OwnShare = {
+  set: (share: number) => void
   /** The share that is in effect now. */
-  inForce: () => number
+  current: () => number
 }
 
 /** Options of an own share. */
-export type OwnPartOptions = {
+export type OwnShareOptions = {
   clock: Clock
   /** Delay until a larger share takes effect, in milliseconds: the longest loan and its margin. */
   growthDelayMs: number
@@ -22,26 +22,26 @@
 }
 
 /** Creates an own share of 0. */
-export const createOwnPart = ({ clock, growthDelayMs, startupHold }: OwnPartOptions): OwnPart => {
-  let part = 0
-  let growth: { part: number, atMs: number } | undefined
+export const createOwnShare = ({ clock, growthDelayMs, startupHold }: OwnShareOptions): OwnShare => {
+  let share = 0
+  let growth: { share: number, atMs: number } | undefined
   let growsAtOnce = !startupHold
 
-  const inForce = () => {
+  const current = () => {
     if (growth !== undefined && growth.atMs <= clock()) {
-      part = growth.part
+      share = growth.share
       growth = undefined
     }
-    return part
+    return share
   }
 
   const set = (next: number) => {
-    const current = inForce()
-    if (growth?.part === next) return
-    part = growsAtOnce ? next : Math.min(current, next)
-    growth = next > part ? { part: next, atMs: clock() + growthDelayMs } : undefined
+    const before = current()
+    if (growth?.share === next) return
+    share = growsAtOnce ? next : Math.min(before, next)
+    growth = next > share ? { share: next, atMs: clock() + growthDelayMs } : undefined
     growsAtOnce = false
   }
 
-  return { set, inForce }
+  return { set, current }
 }
--- a/packages/limits/src/peer-choice.ts
+++ b/packages/limits/src/peer-choice.ts
@@ -5,93 +5,103 @@
 import { backoffMs } from '@egretyoke/common'
 
 /** Initial and maximum backoff after a peer lent nothing, in milliseconds. */
-const firstPauseMs = 5
-const longestPauseMs = 320
+const initialBackoffMs = 5
+const maxBackoffMs = 320
 
 /** Minimum interval between two probes of an unreachable peer, in milliseconds. */
-const probePauseMs = 150
+const probeIntervalMs = 150
 
 /** Result of a loan request. */
-export type AskOutcome = 'lent' | 'empty' | 'unreachable'
+export type RequestResult = 'lent' | 'empty' | 'unreachable'
 
 type PeerState = {
-  isAsked: boolean
+  isPending: boolean
   isUnreachable: boolean
-  lastAskedMs: number
-  pausedUntilMs: number
-  pauses: Iterator<number>
+  lastRequestMs: number
+  backoffUntilMs: number
+  backoffs: Iterator<number>
 }
 
 /** Selector among the peers that share one limit. */
-export type PeerChoice = {
+export type PeerSelector = {
   /** Sets the peers in the order in which they receive their first requests. */
   setPeers: (peers: string[]) => void
   /** Up to `count` peers without a request in flight or backoff, least recently requested first. */
-  choose: (count: number) => string[]
-  isAsked: (peer: string) => boolean
-  asked: (peer: string) => void
-  answered: (peer: string, outcome: AskOutcome) => void
+  select: (count: number) => string[]
+  isPending: (peer: string) => boolean
+  recordRequest: (peer: string) => void
+  recordResult: (peer: string, result: RequestResult) => void
   /** Whether the peer did not reply to the latest request. */
   isUnreachable: (peer: string) => boolean
   /** Unreachable peers whose probe interval has passed. */
-  toProbe: () => string[]
+  probeCandidates: () => string[]
   /** End of the peer's backoff; -Infinity when it has none. */
-  pausedUntilMs: (peer: string) => number
+  backoffUntilMs: (peer: string) => number
   /** Earliest time at which a peer can be selected; Infinity when there is none. */
-  nextMs: () => number
+  nextAvailableMs: () => number
 }
 
 /** Creates a selector without peers. */
-export const createPeerChoice = (clock: Clock): PeerChoice => {
+export const createPeerSelector = (clock: Clock): PeerSelector => {
   const states = new Map<string, PeerState>()
-  const freshPauses = () => backoffMs(firstPauseMs, longestPauseMs)
+  const createBackoffs = () => backoffMs(initialBackoffMs, maxBackoffMs)
 
   const setPeers = (peers: string[]) => {
     for (const known of states.keys()) if (!peers.includes(known)) states.delete(known)
     for (const peer of peers) {
       if (states.has(peer)) continue
       states.set(peer, {
-        isAsked: false,
+        isPending: false,
         isUnreachable: false,
-        lastAskedMs: -Infinity,
-        pausedUntilMs: -Infinity,
-        pauses: freshPauses()
+        lastRequestMs: -Infinity,
+        backoffUntilMs: -Infinity,
+        backoffs: createBackoffs()
       })
     }
   }
 
-  const choose = (count: number) => [...states]
-    .filter(([, state]) => !state.isAsked && !state.isUnreachable && state.pausedUntilMs <= clock())
-    .sort(([, one], [, other]) => one.lastAskedMs < other.lastAskedMs ? -1 : 1)
+  const select = (count: number) => [...states]
+    .filter(([, state]) => !state.isPending && !state.isUnreachable && state.backoffUntilMs <= clock())
+    .sort(([, one], [, other]) => one.lastRequestMs < other.lastRequestMs ? -1 : 1)
     .slice(0, count)
     .map(([peer]) => peer)
 
-  const asked = (peer: string) => {
+  const recordRequest = (peer: string) => {
     const state = states.get(peer)
     if (state === undefined) return
-    state.isAsked = true
-    state.lastAskedMs = clock()
+    state.isPending = true
+    state.lastRequestMs = clock()
   }
 
-  const answered = (peer: string, outcome: AskOutcome) => {
+  const recordResult = (peer: string, result: RequestResult) => {
     const state = states.get(peer)
     if (state === undefined) return
-    state.isAsked = false
-    state.isUnreachable = outcome === 'unreachable'
-    if (outcome === 'lent') state.pauses = freshPauses()
-    state.pausedUntilMs = outcome === 'lent' ? -Infinity : clock() + state.pauses.next().value
+    state.isPending = false
+    state.isUnreachable = result === 'unreachable'
+    if (result === 'lent') state.backoffs = createBackoffs()
+    state.backoffUntilMs = result === 'lent' ? -Infinity : clock() + state.backoffs.next().value
   }
 
   const isUnreachable = (peer: string) => states.get(peer)?.isUnreachable ?? true
-  const toProbe = () => [...states]
-    .filter(([, state]) => state.isUnreachable && !state.isAsked && clock() - state.lastAskedMs >= probePauseMs)
+  const probeCandidates = () => [...states]
+    .filter(([, state]) => state.isUnreachable && !state.isPending && clock() - state.lastRequestMs >= probeIntervalMs)
     .map(([peer]) => peer)
-  const pausedUntilMs = (peer: string) => states.get(peer)?.pausedUntilMs ?? -Infinity
-  const isAsked = (peer: string) => states.get(peer)?.isAsked ?? false
+  const backoffUntilMs = (peer: string) => states.get(peer)?.backoffUntilMs ?? -Infinity
+  const isPending = (peer: string) => states.get(peer)?.isPending ?? false
 
-  const nextMs = () => Math.min(...[...states.values()]
-    .filter(state => !state.isAsked && !state.isUnreachable)
-    .map(({ pausedUntilMs }) => pausedUntilMs))
+  const nextAvailableMs = () => Math.min(...[...states.values()]
+    .filter(state => !state.isPending && !state.isUnreachable)
+    .map(({ backoffUntilMs }) => backoffUntilMs))
 
-  return { setPeers, choose, isAsked, asked, answered, isUnreachable, toProbe, pausedUntilMs, nextMs }
+  return {
+    setPeers,
+    select,
+    isPending,
+    recordRequest,
+    recordResult,
+    isUnreachable,
+    probeCandidates,
+    backoffUntilMs,
+    nextAvailableMs
+  }
 }
--- a/packages/limits/src/permit-share.ts
+++ b/packages/limits/src/permit-share.ts
@@ -6,8 +6,8 @@
 import type { Clock } from '@egretyoke/common'
 import { isValidReply, isValidRequest, noLoan } from './borrow-messages.js'
 import type { BorrowReply, BorrowRequest } from './borrow-messages.js'
-import type { AskOutcome } from './peer-choice.js'
-import { createPeerChoice } from './peer-choice.js'
+import type { RequestResult } from './peer-choice.js'
+import { createPeerSelector } from './peer-choice.js'
 import { rankByRendezvous } from './rendezvous.js'
 import { createShareLedger } from './share-ledger.js'
 import type { ShareLedgerOptions } from './share-ledger.js'
@@ -79,7 +79,7 @@
 export const createPermitShare = (initialLimit: PermitLimit, options: PermitShareOptions): PermitShare => {
   const { vm, incarnation, clock, wallClock, after, loanTtlMs, askPeer } = options
   const ledger = createShareLedger(options)
-  const peers = createPeerChoice(clock)
+  const peers = createPeerSelector(clock)
   const waiters = createWaiters(after)
   const holders = new Set<Holder>()
   let limit = initialLimit
@@ -91,7 +91,7 @@
   let isClosed = false
 
   const advance = () => {
-    ledger.endByWall()
+    ledger.expireByWallClock()
     ledger.advanceTo(clock())
   }
 
@@ -122,7 +122,7 @@
     limitVersion: limit.version
   }).catch(() => undefined)
 
-  const useReply = (peer: string, sentAtMs: number, sentAtWallMs: number, reply: BorrowReply): AskOutcome => {
+  const useReply = (peer: string, sentAtMs: number, sentAtWallMs: number, reply: BorrowReply): RequestResult => {
     const untilMs = sentAtMs + Math.min(loanTtlMs, reply.loanTtlMs)
     const wallUntilMs = sentAtWallMs + Math.min(loanTtlMs, reply.loanTtlMs)
     const inTime = untilMs > clock() && wallUntilMs > wallClock()
@@ -135,20 +135,20 @@
   const ask = async (peer: string, permits: number) => {
     const sentAtMs = clock()
     const sentAtWallMs = wallClock()
-    peers.asked(peer)
+    peers.recordRequest(peer)
     const askedEpoch = epoch
     const reply = await send(peer, permits)
     if (isClosed) return
     advance()
     const isUsable = reply !== undefined && isValidReply(reply) && askedEpoch === epoch
-    peers.answered(peer, isUsable ? useReply(peer, sentAtMs, sentAtWallMs, reply) : 'unreachable')
+    peers.recordResult(peer, isUsable ? useReply(peer, sentAtMs, sentAtWallMs, reply) : 'unreachable')
     pump()
   }
 
   const borrow = () => {
     const missing = waiters.size() - Math.max(0, free())
     if (missing <= 0) return
-    for (const peer of peers.choose(Math.min(missing, maxAskedAtOnce))) ask(peer, ledger.borrowedFrom(peer) + 1)
+    for (const peer of peers.select(Math.min(missing, maxAskedAtOnce))) ask(peer, ledger.borrowedFrom(peer) + 1)
   }
 
   const serveOne = () => {
@@ -184,7 +184,7 @@
     const lentToOthers = ledger.lent() - ledger.lentTo(borrower)
     const kept = lentToOthers + inUse() + waiters.size()
     const ttlMs = Math.min(loanTtlMs, request.loanTtlMs)
-    const lendableFor = (ms: number) => ledger.own() + ledger.borrowedFor(ledger.countedMs(ms)) - kept
+    const lendableFor = (ms: number) => ledger.own() + ledger.borrowedForAtLeast(ledger.ttlWithMarginMs(ms)) - kept
     const grantedTtlMs = lendableFor(ttlMs) >= 1 ? ttlMs : ttlMs * minTtlPart
     const permits = Math.floor(Math.min(request.rateWantedPerSec, lendableFor(grantedTtlMs)))
     if (permits < 1 || !ledger.lend(borrower, permits, grantedTtlMs)) return noLoan('nothingToSpare')
@@ -193,16 +193,16 @@
 
   const renew = () => {
     let needed = inUse() + waiters.size() - Math.max(0, ledger.own() - ledger.lent())
-    for (const { lender, amount, untilMs } of ledger.loansHeld()) {
+    for (const { lender, amount, untilMs } of ledger.heldLoans()) {
       const permits = Math.min(amount, needed)
       if (permits < 1) return
       needed -= permits
-      if (untilMs - clock() < loanTtlMs / 2 && !peers.isAsked(lender)) ask(lender, permits)
+      if (untilMs - clock() < loanTtlMs / 2 && !peers.isPending(lender)) ask(lender, permits)
     }
   }
 
   const revokeEnding = () => {
-    const usableSoon = ledger.own() - ledger.lent() + ledger.borrowedFor(loanTtlMs * revokePart)
+    const usableSoon = ledger.own() - ledger.lent() + ledger.borrowedForAtLeast(loanTtlMs * revokePart)
     const excess = inUse() - Math.max(0, usableSoon)
     const newestFirst = [...holders].reverse().slice(0, Math.max(0, Math.ceil(excess)))
     for (const holder of newestFirst) {
@@ -214,7 +214,7 @@
 
   const maintain = () => {
     advance()
-    for (const peer of peers.toProbe()) if (holders.size > 0 || waiters.size() > 0) ask(peer, 0)
+    for (const peer of peers.probeCandidates()) if (holders.size > 0 || waiters.size() > 0) ask(peer, 0)
     renew()
     revokeEnding()
     pump()
--- a/packages/limits/src/permit-table.ts
+++ b/packages/limits/src/permit-table.ts
@@ -10,8 +10,8 @@
 import { events } from './events.js'
 import { noLoan } from './borrow-messages.js'
 import type { BorrowReply, BorrowRequest } from './borrow-messages.js'
-import { createOwnPart } from './own-part.js'
-import type { OwnPart } from './own-part.js'
+import { createOwnShare } from './own-part.js'
+import type { OwnShare } from './own-part.js'
 import { createPermitShare } from './permit-share.js'
 import type { Permit, PermitLimit, PermitShare, PermitSnapshot } from './permit-share.js'
 import { rankByRendezvous } from './rendezvous.js'
@@ -38,7 +38,7 @@
   close: () => void
 }
 
-type Entry = { limit: PermitLimit, share: PermitShare, own: OwnPart }
+type Entry = { limit: PermitLimit, share: PermitShare, own: OwnShare }
 
 /** Number of permits that one member owns. */
 export const ownPermits = (limit: PermitLimit, member: string, slotCount: number, ranked: string[]): number => {
@@ -54,7 +54,7 @@
   const growthDelayMs = Math.max(options.growthDelayMs ?? 0, loanTtlMs + loanMarginMs)
   const entries = new Map<string, Entry>()
   // Takes effect once all loans granted under previous divisions have expired; limits added after that start at once.
-  const settled = createOwnPart({ clock, growthDelayMs, startupHold })
+  const settled = createOwnShare({ clock, growthDelayMs, startupHold })
   let roster: Roster & { joining?: string[] } = { members: [], slotCount: 1 }
   let defined = new Set<string>()
   let cancelMaintenance = () => {}
@@ -70,7 +70,7 @@
   const applyRoster = ({ limit, share, own }: Entry) => {
     share.setPeers(peers())
     own.set(targetOf(limit))
-    share.setOwn(own.inForce())
+    share.setOwn(own.current())
   }
 
   const setRoster = (next: Roster & { joining?: string[] }) => {
@@ -81,11 +81,11 @@
     log(events.shareChanged, { slotCount: next.slotCount, members: next.members })
   }
 
-  const isSettled = () => roster.members.includes(vm) && settled.inForce() === 1 / roster.slotCount
+  const isSettled = () => roster.members.includes(vm) && settled.current() === 1 / roster.slotCount
 
   const addEntry = (limit: PermitLimit) => {
     const share = createPermitShare(limit, { ...options, clock, wallClock, after })
-    const own = createOwnPart({ clock, growthDelayMs, startupHold: !isSettled() })
+    const own = createOwnShare({ clock, growthDelayMs, startupHold: !isSettled() })
     const entry = { limit, share, own }
     entries.set(limit.name, entry)
     applyRoster(entry)
@@ -111,7 +111,7 @@
 
   const maintain = () => {
     for (const [name, { share, own }] of entries) {
-      share.setOwn(own.inForce())
+      share.setOwn(own.current())
       share.maintain()
       if (defined.has(name) || !share.isIdle()) continue
       share.close()
--- a/packages/limits/src/share-ledger.ts
+++ b/packages/limits/src/share-ledger.ts
@@ -10,8 +10,8 @@
  * - The own amount shrinks at once and grows only after the longest loan and its margin (see own-share.ts).
  */
 import type { Clock } from '@egretyoke/common'
-import { createTermedAmounts } from './termed-amounts.js'
-import type { TermedAmounts } from './termed-amounts.js'
+import { createExpiringAmounts } from './termed-amounts.js'
+import type { ExpiringAmounts } from './termed-amounts.js'
 
 /** Maximum number of borrowers in a ledger; each incarnation of a VM counts as one. */
 const maxBorrowers = 4096
@@ -31,21 +31,21 @@
   /** Counts a loan as lent until its duration and margin have passed. False when the ledger has too many borrowers. */
   lend: (borrower: string, amount: number, ttlMs: number) => boolean
   /** Duration of a loan including the margin for which the lender counts it, in milliseconds. */
-  countedMs: (ttlMs: number) => number
+  ttlWithMarginMs: (ttlMs: number) => number
   borrowed: () => number
   borrowedFrom: (lender: string) => number
   /** Unexpired loans by lender, with the amount and its expiry on this VM's monotonic clock. */
-  loansHeld: () => Array<{ lender: string, amount: number, untilMs: number }>
+  heldLoans: () => Array<{ lender: string, amount: number, untilMs: number }>
   /** Counts a loan as borrowed until the earlier of the given times on the monotonic and the wall clock. */
   borrow: (lender: string, amount: number, untilMs: number, wallUntilMs: number) => void
   /** Borrowed amount that does not expire within the given time on either clock. */
-  borrowedFor: (ms: number) => number
+  borrowedForAtLeast: (ms: number) => number
   /** Ends the loans of one lender, or of all lenders. */
   dropBorrowed: (lender?: string) => void
   /** Time at which the next lent or borrowed amount expires on the monotonic clock; Infinity when there is none. */
   nextChangeMs: () => number
   /** Ends borrowed loans that have expired on the wall clock; true when there were any. */
-  endByWall: () => boolean
+  expireByWallClock: () => boolean
   /** Ends loans that have expired at the given time of the monotonic clock. */
   advanceTo: (nowMs: number) => void
 }
@@ -63,25 +63,25 @@
 /** Creates a ledger with an own amount of 0. */
 export const createShareLedger = (options: ShareLedgerOptions): ShareLedger => {
   const { clock, wallClock, loanTtlMs, loanMarginMs } = options
-  const lentBy = new Map<string, TermedAmounts>()
-  const heldBy = new Map<string, TermedAmounts>()
+  const lentByBorrower = new Map<string, ExpiringAmounts>()
+  const borrowedByLender = new Map<string, ExpiringAmounts>()
   let ownAmount = 0
-  let cached = { lent: 0, borrowed: 0, nextChangeMs: Infinity, nextWallEndMs: Infinity }
+  let cached = { lent: 0, borrowed: 0, nextChangeMs: Infinity, nextWallExpiryMs: Infinity }
 
-  const sum = (amounts: Map<string, TermedAmounts>) => {
+  const sum = (amounts: Map<string, ExpiringAmounts>) => {
     let total = 0
     for (const amount of amounts.values()) total += amount.current()
     return total
   }
 
   const refreshCache = () => {
-    const ends = [...lentBy.values(), ...heldBy.values()].map(amounts => amounts.nextEndMs())
-    const wallEnds = [...heldBy.values()].map(amounts => amounts.nextWallEndMs())
+    const expiries = [...lentByBorrower.values(), ...borrowedByLender.values()].map(amounts => amounts.nextExpiryMs())
+    const wallExpiries = [...borrowedByLender.values()].map(amounts => amounts.nextWallExpiryMs())
     cached = {
-      lent: sum(lentBy),
-      borrowed: sum(heldBy),
-      nextChangeMs: Math.min(...ends),
-      nextWallEndMs: Math.min(...wallEnds)
+      lent: sum(lentByBorrower),
+      borrowed: sum(borrowedByLender),
+      nextChangeMs: Math.min(...expiries),
+      nextWallExpiryMs: Math.min(...wallExpiries)
     }
   }
 
@@ -89,82 +89,82 @@
     ownAmount = amount
   }
 
-  const endAll = (amounts: Map<string, TermedAmounts>, nowMs: number, wallNowMs: number) => {
-    for (const [name, termed] of amounts) {
-      termed.endAt(nowMs, wallNowMs)
-      if (termed.current() === 0) amounts.delete(name)
+  const expireAll = (amounts: Map<string, ExpiringAmounts>, nowMs: number, wallNowMs: number) => {
+    for (const [name, agreements] of amounts) {
+      agreements.expire(nowMs, wallNowMs)
+      if (agreements.current() === 0) amounts.delete(name)
     }
   }
 
   const advanceTo = (nowMs: number) => {
     if (nowMs < cached.nextChangeMs) return
-    endAll(lentBy, nowMs, -Infinity)
-    endAll(heldBy, nowMs, -Infinity)
+    expireAll(lentByBorrower, nowMs, -Infinity)
+    expireAll(borrowedByLender, nowMs, -Infinity)
     refreshCache()
   }
 
-  const endByWall = () => {
+  const expireByWallClock = () => {
     const wallNowMs = wallClock()
-    if (wallNowMs < cached.nextWallEndMs) return false
-    endAll(heldBy, -Infinity, wallNowMs)
+    if (wallNowMs < cached.nextWallExpiryMs) return false
+    expireAll(borrowedByLender, -Infinity, wallNowMs)
     refreshCache()
     return true
   }
 
-  const recordOf = (amounts: Map<string, TermedAmounts>, name: string, mayMerge: boolean) => {
-    const known = amounts.get(name) ?? createTermedAmounts(mayMerge)
-    amounts.set(name, known)
-    return known
+  const recordOf = (amounts: Map<string, ExpiringAmounts>, name: string, mayMerge: boolean) => {
+    const record = amounts.get(name) ?? createExpiringAmounts(mayMerge)
+    amounts.set(name, record)
+    return record
   }
 
-  const countedMs = (ttlMs: number) => ttlMs * (1 + loanMarginMs / loanTtlMs)
+  const ttlWithMarginMs = (ttlMs: number) => ttlMs * (1 + loanMarginMs / loanTtlMs)
 
   const lend = (borrower: string, amount: number, ttlMs: number) => {
-    if (!lentBy.has(borrower) && lentBy.size >= maxBorrowers) return false
-    recordOf(lentBy, borrower, true).add(amount, clock() + countedMs(ttlMs))
+    if (!lentByBorrower.has(borrower) && lentByBorrower.size >= maxBorrowers) return false
+    recordOf(lentByBorrower, borrower, true).add(amount, clock() + ttlWithMarginMs(ttlMs))
     refreshCache()
     return true
   }
 
   const borrow = (lender: string, amount: number, untilMs: number, wallUntilMs: number) => {
-    if (!heldBy.has(lender) && heldBy.size >= maxLenders) return
-    recordOf(heldBy, lender, false).add(amount, untilMs, wallUntilMs)
+    if (!borrowedByLender.has(lender) && borrowedByLender.size >= maxLenders) return
+    recordOf(borrowedByLender, lender, false).add(amount, untilMs, wallUntilMs)
     refreshCache()
   }
 
-  const borrowedFor = (ms: number) => {
+  const borrowedForAtLeast = (ms: number) => {
     const untilMs = clock() + ms
     const wallUntilMs = wallClock() + ms
     let total = 0
-    for (const amounts of heldBy.values()) total += amounts.currentUntil(untilMs, wallUntilMs)
+    for (const amounts of borrowedByLender.values()) total += amounts.amountUntil(untilMs, wallUntilMs)
     return total
   }
 
   const dropBorrowed = (lender?: string) => {
-    if (lender === undefined) heldBy.clear()
-    else heldBy.delete(lender)
+    if (lender === undefined) borrowedByLender.clear()
+    else borrowedByLender.delete(lender)
     refreshCache()
   }
 
-  const loansHeld = () => [...heldBy].map(([lender, amounts]) =>
-    ({ lender, amount: amounts.current(), untilMs: amounts.largestUntilMs() }))
+  const heldLoans = () => [...borrowedByLender].map(([lender, amounts]) =>
+    ({ lender, amount: amounts.current(), untilMs: amounts.largestExpiryMs() }))
 
   return {
     setOwn,
     own: () => ownAmount,
     usable: () => Math.max(0, ownAmount - cached.lent + cached.borrowed),
     lent: () => cached.lent,
-    lentTo: borrower => lentBy.get(borrower)?.current() ?? 0,
+    lentTo: borrower => lentByBorrower.get(borrower)?.current() ?? 0,
     lend,
-    countedMs,
+    ttlWithMarginMs,
     borrowed: () => cached.borrowed,
-    borrowedFrom: lender => heldBy.get(lender)?.current() ?? 0,
-    loansHeld,
+    borrowedFrom: lender => borrowedByLender.get(lender)?.current() ?? 0,
+    heldLoans,
     borrow,
-    borrowedFor,
+    borrowedForAtLeast,
     dropBorrowed,
     nextChangeMs: () => cached.nextChangeMs,
-    endByWall,
+    expireByWallClock,
     advanceTo
   }
 }
--- a/packages/limits/src/share-table.ts
+++ b/packages/limits/src/share-table.ts
@@ -17,7 +17,7 @@
 import { loans } from './loan-policy.js'
 import { createLimitShare } from './limit-share.js'
 import type { LimitShare, LimitSnapshot, Taken } from './limit-share.js'
-import { createOwnPart } from './own-part.js'
+import { createOwnShare } from './own-part.js'
 import { afterMs } from './timers.js'
 import type { After } from './timers.js'
 import type { RateLimit } from './token-share.js'
@@ -86,7 +86,7 @@
   const newestIncarnations = new Map<string, number>()
   const { loanMarginMs, startupHold } = options
   const growthDelayMs = Math.max(options.growthDelayMs ?? 0, loanTtlMs + loanMarginMs)
-  const ownPart = createOwnPart({ clock, growthDelayMs, startupHold })
+  const ownPart = createOwnShare({ clock, growthDelayMs, startupHold })
   let roster: Roster | undefined
   let peers: string[] = []
   let defined = new Set<string>()
@@ -102,9 +102,9 @@
     for (const known of newestIncarnations.keys()) if (!members.includes(known)) newestIncarnations.delete(known)
     for (const share of shares.values()) {
       share.setPeers(peers)
-      share.setOwnFraction(ownPart.inForce())
+      share.setOwnFraction(ownPart.current())
     }
-    log(events.shareChanged, { slotCount, members, ownFractionNow: ownPart.inForce() })
+    log(events.shareChanged, { slotCount, members, ownFractionNow: ownPart.current() })
   }
 
   const addShare = (limit: RateLimit) => {
@@ -114,7 +114,7 @@
     })
     shares.set(limit.name, share)
     share.setPeers(peers)
-    share.setOwnFraction(ownPart.inForce())
+    share.setOwnFraction(ownPart.current())
   }
 
   // A removed limit keeps its share until its loans have expired, in case the limit is defined again.
@@ -172,7 +172,7 @@
   const maintain = () => {
     forgetWithdrawn()
     for (const share of shares.values()) {
-      share.setOwnFraction(ownPart.inForce())
+      share.setOwnFraction(ownPart.current())
       share.maintain()
     }
     cancelMaintenance = after(loanTtlMs / maintenanceRoundsPerLoan, maintain)
--- a/packages/limits/src/share-terms.test.ts
+++ b/packages/limits/src/share-terms.test.ts
@@ -23,7 +23,7 @@
 const terms = { borrower: 'vm2/1', tokensWanted: 0, fractionWanted: 0, loanTtlMs: 1000, keepTokens: 0, keepFraction: 0 }
 
 const transfer = (lender: TokenShare, borrower: TokenShare, wanted: Partial<typeof terms>) => {
-  const ask = borrower.ask('vm1', wanted.tokensWanted ?? 0, 1000)
+  const ask = borrower.beginRequest('vm1', wanted.tokensWanted ?? 0, 1000)
   borrower.accept(ask, lender.lend({ ...terms, ...wanted }))
 }
 
@@ -54,7 +54,7 @@
   const { lender, borrower } = createShares()
   transfer(lender, borrower, { tokensWanted: 2 })
   transfer(lender, borrower, { fractionWanted: 0.3 })
-  const ask = borrower.ask('vm1', 1, 1000)
+  const ask = borrower.beginRequest('vm1', 1, 1000)
   borrower.expireLoans()
   t.deepEqual([borrower.capacity(), borrower.tokens()], [5, 5])
   t.false(borrower.accept(ask, { tokens: 1, fraction: 0, loanTtlMs: 1000 }))
--- a/packages/limits/src/soak/share-world.ts
+++ b/packages/limits/src/soak/share-world.ts
@@ -3,10 +3,10 @@
  * a token share, and messages between them are lost, delayed and duplicated. Loan requests and loans are arbitrary,
  * because the bound must not depend on a policy.
  */
-import { createOwnPart } from '../own-part.js'
-import type { OwnPart } from '../own-part.js'
+import { createOwnShare } from '../own-part.js'
+import type { OwnShare } from '../own-part.js'
 import { createTokenShare } from '../token-share.js'
-import type { Loan, LoanTerms, PendingAsk, RateLimit, TokenShare } from '../token-share.js'
+import type { Loan, LoanTerms, PendingRequest, RateLimit, TokenShare } from '../token-share.js'
 import { createBoundChecker } from './bound-checker.js'
 import type { BoundExcess } from './bound-checker.js'
 
@@ -64,7 +64,7 @@
   clockRate: number
   slotCount: number
   limit: RateLimit
-  own: OwnPart
+  own: OwnShare
   share: TokenShare
 }
 
@@ -104,7 +104,7 @@
   let slotCount = vmCount
   let checkSlots = () => {}
   const vms: Vm[] = []
-  const asks = new Map<Vm, Set<PendingAsk>>()
+  const asks = new Map<Vm, Set<PendingRequest>>()
   const cuts: Array<{ one: Vm, other: Vm, untilMs: number }> = []
   let deliveries: Delivery[] = []
   const checker = createBoundChecker({ ratePerSec, burst })
@@ -116,13 +116,13 @@
     const hasWallClock = seesPauseBy === 'wallClock' && !broken.pauseGoesUnnoticed
     const wallClock = hasWallClock ? () => nowMs : () => 0
     const times = { clock, wallClock, loanTtlMs, loanMarginMs: broken.lenderForgets ? -loanTtlMs : loanMarginMs }
-    vm.own = createOwnPart({ clock, startupHold, growthDelayMs: loanTtlMs + loanMarginMs })
+    vm.own = createOwnShare({ clock, startupHold, growthDelayMs: loanTtlMs + loanMarginMs })
     vm.share = createTokenShare(limit, { ...times, startsFull: !startupHold })
     vm.limit = limit
     asks.set(vm, new Set())
   }
 
-  const applyOwn = (vm: Vm) => vm.share.setOwnFraction(vm.own.inForce())
+  const applyOwn = (vm: Vm) => vm.share.setOwnFraction(vm.own.current())
 
   const learnSlots = (vm: Vm, slots: number) => {
     vm.slotCount = slots
@@ -196,7 +196,7 @@
     const vm = vms[index % vms.length]
     if (!isRunning(vm)) return
     applyOwn(vm)
-    for (let taken = 0; taken < upTo && vm.share.tryTake(); taken++) {
+    for (let taken = 0; taken < upTo && vm.share.tryAcquire(); taken++) {
       admitted++
       checker.admit(nowMs)
     }
@@ -205,7 +205,7 @@
   const isCut = (one: Vm, other: Vm) => cuts.some(({ untilMs, ...ends }) =>
     untilMs > nowMs && [ends.one, ends.other].includes(one) && [ends.one, ends.other].includes(other))
 
-  const useReply = (vm: Vm, pending: PendingAsk, loan: Loan) => {
+  const useReply = (vm: Vm, pending: PendingRequest, loan: Loan) => {
     if (broken.borrowerCountsFromReply) pending.sentAtMs = monotonicOf(vm)
     if (broken.borrowerCountsFromReply) pending.sentAtWallMs = nowMs
     if (broken.nothingReserved) pending.reservedTokens = Infinity
@@ -214,7 +214,7 @@
     asks.get(vm)?.delete(pending)
   }
 
-  const answer = (vm: Vm, peer: Vm, pending: PendingAsk, terms: LoanTerms, version: number, plan: AskPlan) => {
+  const answer = (vm: Vm, peer: Vm, pending: PendingRequest, terms: LoanTerms, version: number, plan: AskPlan) => {
     if (peer.limit.version !== version) return
     applyOwn(peer)
     const loan = peer.share.lend(terms)
@@ -228,7 +228,7 @@
     const peer = vms[peerIndex % vms.length]
     if (vm === peer || !isRunning(vm) || isCut(vm, peer)) return
     applyOwn(vm)
-    const pending = vm.share.ask(peer.name, plan.tokensWanted, plan.ttlMs)
+    const pending = vm.share.beginRequest(peer.name, plan.tokensWanted, plan.ttlMs)
     asks.get(vm)?.add(pending)
     if (broken.nothingReserved) pending.reservedTokens = 0
     const { tokensWanted, fractionWanted, ttlMs } = plan
--- a/packages/limits/src/spread-loans.ts
+++ b/packages/limits/src/spread-loans.ts
@@ -2,11 +2,11 @@
  * Borrowing directly from several peers in proportion to the recent demand, for limits whose burst is large enough
  * that each busy VM can hold a useful fraction of it.
  */
-import { shortTtlMs } from './borrowing.js'
-import type { Borrowing, BorrowingContext, LoanRequest, Offer, ShareSituation } from './borrowing.js'
+import { tokenLoanTtlMs } from './borrowing.js'
+import type { BorrowingStrategy, BorrowingContext, LoanRequest, LenderReserve, ShareState } from './borrowing.js'
 
 /** Factor by which the requested rate exceeds the recent demand. */
-const headroom = 1.1
+const headroomFactor = 1.1
 
 /** Period of expected demand for which tokens are fetched and retained, in milliseconds. */
 const horizonMs = 50
@@ -18,61 +18,61 @@
 const negligibleTokens = 1e-6
 
 /** Maximum number of peers that receive a request at the same time. */
-const maxAskedAtOnce = 4
+const maxConcurrentRequests = 4
 
 /** Needed fraction of the borrowed amount above which renewals request all of it. */
-const renewAllAbove = 0.8
+const renewAllThreshold = 0.8
 
-const lastingFraction = ({ demandPerSec, ratePerSec }: ShareSituation) =>
-  ratePerSec > 0 ? Math.min(1, headroom * demandPerSec / ratePerSec) : 0
+const targetFraction = ({ demandPerSec, ratePerSec }: ShareState) =>
+  ratePerSec > 0 ? Math.min(1, headroomFactor * demandPerSec / ratePerSec) : 0
 
-const tokensAhead = ({ demandPerSec, waiting }: ShareSituation) => waiting + demandPerSec * horizonMs / 1000
+const tokensAhead = ({ demandPerSec, waiting }: ShareState) => waiting + demandPerSec * horizonMs / 1000
 
-const tokensMissing = (situation: ShareSituation) =>
-  situation.waiting > 0 ? Math.ceil(tokensAhead(situation)) - situation.tokens : 0
+const tokensMissing = (state: ShareState) =>
+  state.waiting > 0 ? Math.ceil(tokensAhead(state)) - state.tokens : 0
 
 /** Creates a strategy that borrows from several peers at once; `lendsRate` is false for loans of tokens alone. */
-export const createSpreadBorrowing = (context: BorrowingContext, lendsRate: boolean): Borrowing => {
-  const { vm, loanTtlMs, nowMs, situation, ledger, peers, ranked, expectedSoon, ask } = context
+export const createSpreadBorrowing = (context: BorrowingContext, lendsRate: boolean): BorrowingStrategy => {
+  const { vm, loanTtlMs, nowMs, shareState, ledger, peers, rankedMembers, expectedGrants, requestLoan } = context
   const renewBeforeMs = loanTtlMs / 2
 
   // Tokens and rate are requested from different peers, because only loans of tokens alone come with capacity for them.
   const fetchTokens = () => {
-    const missing = tokensMissing(situation()) - expectedSoon().tokens
+    const missing = tokensMissing(shareState()) - expectedGrants().tokens
     if (missing <= negligibleTokens) return
-    const asked = peers.choose(Math.min(maxAskedAtOnce, Math.ceil(missing)))
-    const wholeEach = Math.floor(missing / asked.length)
-    for (const [index, peer] of asked.entries()) {
-      const rest = missing - wholeEach * asked.length
-      const tokens = wholeEach + Math.max(0, Math.min(1, rest - index))
-      ask(peer, { tokens, fraction: 0, ttlMs: shortTtlMs(context) })
+    const selected = peers.select(Math.min(maxConcurrentRequests, Math.ceil(missing)))
+    const wholeEach = Math.floor(missing / selected.length)
+    for (const [index, peer] of selected.entries()) {
+      const remainder = missing - wholeEach * selected.length
+      const tokens = wholeEach + Math.max(0, Math.min(1, remainder - index))
+      requestLoan(peer, { tokens, fraction: 0, ttlMs: tokenLoanTtlMs(context) })
     }
   }
 
-  const fetchLastingPart = () => {
-    const now = situation()
-    const missing = lastingFraction(now) - now.usableFraction - expectedSoon().fraction
+  const fetchRate = () => {
+    const state = shareState()
+    const missing = targetFraction(state) - state.usableFraction - expectedGrants().fraction
     if (!lendsRate || missing <= negligibleFraction) return
-    const asked = peers.choose(maxAskedAtOnce)
-    for (const peer of asked) {
-      const fraction = ledger.borrowedFrom(peer) + missing / asked.length
-      ask(peer, { tokens: 0, fraction, ttlMs: loanTtlMs })
+    const selected = peers.select(maxConcurrentRequests)
+    for (const peer of selected) {
+      const fraction = ledger.borrowedFrom(peer) + missing / selected.length
+      requestLoan(peer, { tokens: 0, fraction, ttlMs: loanTtlMs })
     }
   }
 
   const fetch = () => {
     fetchTokens()
-    fetchLastingPart()
+    fetchRate()
   }
 
   const renew = () => {
     const ownUsable = Math.max(0, ledger.own() - ledger.lent())
-    const neededPart = (lastingFraction(situation()) - ownUsable) / ledger.borrowed()
-    if (!(neededPart > 0)) return
-    const keptPart = neededPart > renewAllAbove ? 1 : neededPart
-    for (const { lender, amount, untilMs } of ledger.loansHeld()) {
-      if (untilMs - nowMs() > renewBeforeMs || peers.isAsked(lender)) continue
-      ask(lender, { tokens: 0, fraction: amount * keptPart, ttlMs: loanTtlMs })
+    const neededFraction = (targetFraction(shareState()) - ownUsable) / ledger.borrowed()
+    if (!(neededFraction > 0)) return
+    const renewedFraction = neededFraction > renewAllThreshold ? 1 : neededFraction
+    for (const { lender, amount, untilMs } of ledger.heldLoans()) {
+      if (untilMs - nowMs() > renewBeforeMs || peers.isPending(lender)) continue
+      requestLoan(lender, { tokens: 0, fraction: amount * renewedFraction, ttlMs: loanTtlMs })
     }
   }
 
@@ -82,17 +82,17 @@
   }
 
   // When borrower and lender both lack a whole token, the one that ranks first gets the tokens of the other.
-  const goesFirst = (borrower: string) => ranked().indexOf(borrower) < ranked().indexOf(vm)
+  const ranksBeforeSelf = (borrower: string) => rankedMembers().indexOf(borrower) < rankedMembers().indexOf(vm)
 
-  const offer = ({ borrower, isLasting }: LoanRequest): Offer => {
-    const now = situation()
-    const isTooSmall = now.tokens < 1 && now.usableFraction * now.burst < 1
-    const isUseless = isTooSmall && !isLasting && (now.waiting === 0 || goesFirst(borrower))
+  const reserveFor = ({ borrower, isLongTerm }: LoanRequest): LenderReserve => {
+    const state = shareState()
+    const isTooSmall = state.tokens < 1 && state.usableFraction * state.burst < 1
+    const isUnusable = isTooSmall && !isLongTerm && (state.waiting === 0 || ranksBeforeSelf(borrower))
     return {
-      keepTokens: isUseless ? 0 : tokensAhead(now),
-      keepFraction: lendsRate ? lastingFraction(now) : Infinity
+      keepTokens: isUnusable ? 0 : tokensAhead(state),
+      keepFraction: lendsRate ? targetFraction(state) : Infinity
     }
   }
 
-  return { fetch, maintain, offer, nextFetchMs: peers.nextMs }
+  return { fetch, maintain, reserveFor, nextFetchMs: peers.nextAvailableMs }
 }
--- a/packages/limits/src/termed-amounts.ts
+++ b/packages/limits/src/termed-amounts.ts
@@ -6,7 +6,7 @@
  */
 
 /** An amount that expires at a time on this VM's monotonic clock. */
-type TermedAmount = {
+type ExpiringAmount = {
   amount: number
   untilMs: number
   /** Expiry on the wall clock, for borrowers whose monotonic clock may have stopped; Infinity for lenders. */
@@ -20,35 +20,35 @@
 const maxAgreements = 8
 
 /** The unexpired agreements with one VM. */
-export type TermedAmounts = {
+export type ExpiringAmounts = {
   add: (amount: number, untilMs: number, wallUntilMs?: number) => void
   /** Removes the agreements that have expired at the given times. */
-  endAt: (nowMs: number, wallNowMs: number) => void
+  expire: (nowMs: number, wallNowMs: number) => void
   /** The largest unexpired amount. */
   current: () => number
   /** Expiry of the agreement that expires next; Infinity when there is none. */
-  nextEndMs: () => number
-  nextWallEndMs: () => number
+  nextExpiryMs: () => number
+  nextWallExpiryMs: () => number
   /** The largest amount that does not expire before the given times. */
-  currentUntil: (untilMs: number, wallUntilMs: number) => number
+  amountUntil: (untilMs: number, wallUntilMs: number) => number
   /** Expiry of the agreement with the largest amount; 0 when there is none. */
-  largestUntilMs: () => number
+  largestExpiryMs: () => number
 }
 
-const covers = (one: TermedAmount, other: TermedAmount) =>
+const covers = (one: ExpiringAmount, other: ExpiringAmount) =>
   one.amount >= other.amount && one.untilMs >= other.untilMs && one.wallUntilMs >= other.wallUntilMs
 
-const merged = (one: TermedAmount, other: TermedAmount): TermedAmount => ({
+const merged = (one: ExpiringAmount, other: ExpiringAmount): ExpiringAmount => ({
   amount: Math.max(one.amount, other.amount),
   untilMs: Math.max(one.untilMs, other.untilMs),
   wallUntilMs: Math.max(one.wallUntilMs, other.wallUntilMs)
 })
 
 /** Creates an empty record. `mayMerge` is false for a borrower, which must not count more than it was lent. */
-export const createTermedAmounts = (mayMerge: boolean): TermedAmounts => {
-  let agreements: TermedAmount[] = []
+export const createExpiringAmounts = (mayMerge: boolean): ExpiringAmounts => {
+  let agreements: ExpiringAmount[] = []
 
-  const largest = () => agreements.reduce<TermedAmount | undefined>(
+  const largest = () => agreements.reduce<ExpiringAmount | undefined>(
     (best, next) => best === undefined || next.amount > best.amount ? next : best, undefined)
 
   const add = (amount: number, untilMs: number, wallUntilMs = Infinity) => {
@@ -60,18 +60,18 @@
     agreements = mayMerge ? [merged(first, second), ...rest] : [second, ...rest]
   }
 
-  const endAt = (nowMs: number, wallNowMs: number) => {
+  const expire = (nowMs: number, wallNowMs: number) => {
     agreements = agreements.filter(({ untilMs, wallUntilMs }) => untilMs > nowMs && wallUntilMs > wallNowMs)
   }
 
   const current = () => largest()?.amount ?? 0
-  const nextEndMs = () => Math.min(...agreements.map(({ untilMs }) => untilMs))
-  const nextWallEndMs = () => Math.min(...agreements.map(({ wallUntilMs }) => wallUntilMs))
-  const largestUntilMs = () => largest()?.untilMs ?? 0
+  const nextExpiryMs = () => Math.min(...agreements.map(({ untilMs }) => untilMs))
+  const nextWallExpiryMs = () => Math.min(...agreements.map(({ wallUntilMs }) => wallUntilMs))
+  const largestExpiryMs = () => largest()?.untilMs ?? 0
 
-  const currentUntil = (untilMs: number, wallUntilMs: number) => agreements
+  const amountUntil = (untilMs: number, wallUntilMs: number) => agreements
     .filter(agreement => agreement.untilMs >= untilMs && agreement.wallUntilMs >= wallUntilMs)
     .reduce((most, { amount }) => Math.max(most, amount), 0)
 
-  return { add, endAt, current, nextEndMs, nextWallEndMs, currentUntil, largestUntilMs }
+  return { add, expire, current, nextExpiryMs, nextWallExpiryMs, amountUntil, largestExpiryMs }
 }
--- a/packages/limits/src/token-share.ts
+++ b/packages/limits/src/token-share.ts
@@ -32,7 +32,7 @@
 }
 
 /** A loan request that is in flight. */
-export type PendingAsk = {
+export type PendingRequest = {
   peer: string
   sentAtMs: number
   sentAtWallMs: number
@@ -42,7 +42,7 @@
   reservedTokens: number
   /** Fractions borrowed from the peer when the request was sent: of rate and burst, and of burst capacity alone. */
   heldFraction: number
-  heldRoom: number
+  heldCapacity: number
 }
 
 /** Tokens and the fraction of a limit that a lender transfers to a borrower. */
@@ -79,13 +79,13 @@
   /** Current refill rate, in tokens per second. */
   ratePerSec: () => number
   /** Consumes one token; false when none is available. */
-  tryTake: () => boolean
+  tryAcquire: () => boolean
   /** Registers a loan request and reserves capacity for its tokens. Cancels an earlier request to the same peer. */
-  ask: (peer: string, tokensWanted: number, loanTtlMs: number) => PendingAsk
+  beginRequest: (peer: string, tokensWanted: number, loanTtlMs: number) => PendingRequest
   /** Applies the reply to a registered request; false when the request was cancelled or already replied to. */
-  accept: (ask: PendingAsk, loan: Loan) => boolean
+  accept: (request: PendingRequest, loan: Loan) => boolean
   /** Cancels a request; a later reply to it is ignored. */
-  cancel: (ask: PendingAsk) => void
+  cancel: (request: PendingRequest) => void
   /** Fraction of the limit that is lent, with rate or as burst capacity alone. */
   lentFraction: () => number
   lend: (terms: LoanTerms) => Loan
@@ -107,57 +107,57 @@
 /** Refill time for which a loan request leaves capacity unreserved, in milliseconds. */
 const refillAheadMs = 20
 
-const nothingLent: Loan = { tokens: 0, fraction: 0, loanTtlMs: 0 }
+const emptyLoan: Loan = { tokens: 0, fraction: 0, loanTtlMs: 0 }
 
 /** Creates a share with an own fraction of 0 and an empty bucket. */
 export const createTokenShare = (initialLimit: RateLimit, options: TokenShareOptions): TokenShare => {
   const { clock, wallClock, loanTtlMs, clockRateError = maxClockRateError } = options
   const ledger = createShareLedger(options)
   // Burst capacity lent or borrowed without rate, as fractions of the burst.
-  const room = createShareLedger(options)
-  const pendingAsks = new Set<PendingAsk>()
+  const capacityLedger = createShareLedger(options)
+  const pendingRequests = new Set<PendingRequest>()
   let limit = initialLimit
   let tokens = 0
   let lastRefillMs = clock()
   let { startsFull } = options
 
-  const capacity = () => Math.max(0, ledger.usable() + room.borrowed() - room.lent()) * limit.burst
+  const capacity = () => Math.max(0, ledger.usable() + capacityLedger.borrowed() - capacityLedger.lent()) * limit.burst
   const ratePerSec = () => ledger.usable() * limit.ratePerSec * (1 - clockRateError)
 
   const reservedTokens = () => {
     let reserved = 0
-    for (const ask of pendingAsks) reserved += ask.reservedTokens
+    for (const request of pendingRequests) reserved += request.reservedTokens
     return reserved
   }
 
   // When capacity shrinks, reservations are reduced before tokens already in the bucket.
-  const fitCapacity = () => {
+  const clampToCapacity = () => {
     tokens = Math.min(tokens, capacity())
-    let roomTokens = capacity() - Math.max(0, tokens)
-    for (const ask of pendingAsks) {
-      ask.reservedTokens = Math.min(ask.reservedTokens, roomTokens)
-      roomTokens -= ask.reservedTokens
+    let unreservedCapacity = capacity() - Math.max(0, tokens)
+    for (const request of pendingRequests) {
+      request.reservedTokens = Math.min(request.reservedTokens, unreservedCapacity)
+      unreservedCapacity -= request.reservedTokens
     }
   }
 
   const refillTo = (nowMs: number) => {
     if (nowMs <= lastRefillMs) return
-    const room = capacity() - reservedTokens() - tokens
-    tokens += Math.max(0, Math.min(room, ratePerSec() * (nowMs - lastRefillMs) / 1000))
+    const freeCapacity = capacity() - reservedTokens() - tokens
+    tokens += Math.max(0, Math.min(freeCapacity, ratePerSec() * (nowMs - lastRefillMs) / 1000))
     lastRefillMs = nowMs
   }
 
-  const nextChangeMs = () => Math.min(ledger.nextChangeMs(), room.nextChangeMs())
+  const nextChangeMs = () => Math.min(ledger.nextChangeMs(), capacityLedger.nextChangeMs())
 
   const advance = () => {
     const nowMs = clock()
-    const hasEnded = ledger.endByWall()
-    if (room.endByWall() || hasEnded) fitCapacity()
+    const hasEnded = ledger.expireByWallClock()
+    if (capacityLedger.expireByWallClock() || hasEnded) clampToCapacity()
     for (let changeMs = nextChangeMs(); changeMs <= nowMs; changeMs = nextChangeMs()) {
       refillTo(changeMs)
       ledger.advanceTo(changeMs)
-      room.advanceTo(changeMs)
-      fitCapacity()
+      capacityLedger.advanceTo(changeMs)
+      clampToCapacity()
     }
     refillTo(nowMs)
   }
@@ -165,7 +165,7 @@
   const setOwnFraction = (fraction: number) => {
     advance()
     ledger.setOwn(fraction)
-    fitCapacity()
+    clampToCapacity()
     if (!startsFull || fraction === 0) return
     tokens = capacity()
     startsFull = false
@@ -174,10 +174,10 @@
   const setLimit = (next: RateLimit) => {
     advance()
     limit = next
-    fitCapacity()
+    clampToCapacity()
   }
 
-  const tryTake = () => {
+  const tryAcquire = () => {
     advance()
     if (tokens < 1 - tokenRounding) return false
     tokens -= 1
@@ -185,117 +185,119 @@
   }
 
   // Drops unused borrowed capacity before requesting more tokens, because those come with capacity of their own.
-  const dropFreeRoom = (peer: string) => {
-    const roomTokens = room.borrowedFrom(peer) * limit.burst
-    if (roomTokens === 0 || tokens > capacity() - roomTokens) return
-    room.dropBorrowed(peer)
-    fitCapacity()
+  const dropUnusedCapacity = (peer: string) => {
+    const borrowedCapacity = capacityLedger.borrowedFrom(peer) * limit.burst
+    if (borrowedCapacity === 0 || tokens > capacity() - borrowedCapacity) return
+    capacityLedger.dropBorrowed(peer)
+    clampToCapacity()
   }
 
-  const ask = (peer: string, tokensWanted: number, ttlMs: number) => {
+  const beginRequest = (peer: string, tokensWanted: number, ttlMs: number) => {
     advance()
-    for (const earlier of pendingAsks) if (earlier.peer === peer) pendingAsks.delete(earlier)
-    if (tokensWanted > 0) dropFreeRoom(peer)
+    for (const earlier of pendingRequests) if (earlier.peer === peer) pendingRequests.delete(earlier)
+    if (tokensWanted > 0) dropUnusedCapacity(peer)
     const refillTokens = ratePerSec() * refillAheadMs / 1000
-    const roomTokens = Math.max(0, capacity() - reservedTokens() - tokens - refillTokens)
-    const pending: PendingAsk = {
+    const freeCapacity = Math.max(0, capacity() - reservedTokens() - tokens - refillTokens)
+    const pending: PendingRequest = {
       peer,
       sentAtMs: clock(),
       sentAtWallMs: wallClock(),
       loanTtlMs: Math.min(ttlMs, loanTtlMs),
       limit,
-      reservedTokens: Math.min(roomTokens, tokensWanted),
+      reservedTokens: Math.min(freeCapacity, tokensWanted),
       heldFraction: ledger.borrowedFrom(peer),
-      heldRoom: room.borrowedFrom(peer)
+      heldCapacity: capacityLedger.borrowedFrom(peer)
     }
-    pendingAsks.add(pending)
+    pendingRequests.add(pending)
     return pending
   }
 
-  const roomFor = (tokenCount: number, { burst }: RateLimit) => burst > 0 ? tokenCount / burst : 0
+  const fractionOfBurst = (tokenCount: number, { burst }: RateLimit) => burst > 0 ? tokenCount / burst : 0
 
   // Records the loan as borrowed unless it has expired. Returns the fraction of the limit by which the amount borrowed
   // from this peer has grown.
-  const holdLoan = (pending: PendingAsk, loan: Loan) => {
+  const recordLoan = (pending: PendingRequest, loan: Loan) => {
     const ttlMs = Math.min(loan.loanTtlMs, pending.loanTtlMs)
     const untilMs = pending.sentAtMs + ttlMs
     const wallUntilMs = pending.sentAtWallMs + ttlMs
     if (untilMs <= clock() || wallUntilMs <= wallClock()) return 0
     const hasRate = loan.fraction > 0
-    const borrowed = hasRate ? ledger : room
-    const part = hasRate ? loan.fraction : roomFor(loan.tokens, pending.limit)
-    const heldBefore = borrowed.borrowedFrom(pending.peer)
-    if (part > 0) borrowed.borrow(pending.peer, part, untilMs, wallUntilMs)
+    const targetLedger = hasRate ? ledger : capacityLedger
+    const fraction = hasRate ? loan.fraction : fractionOfBurst(loan.tokens, pending.limit)
+    const heldBefore = targetLedger.borrowedFrom(pending.peer)
+    if (fraction > 0) targetLedger.borrow(pending.peer, fraction, untilMs, wallUntilMs)
     // Capacity already held when the request was sent may have been in use since, so it covers no tokens in transit.
-    const heldAtAsk = hasRate ? pending.heldFraction : pending.heldRoom
-    return Math.max(0, Math.min(borrowed.borrowedFrom(pending.peer) - heldBefore, part - heldAtAsk))
+    const heldAtRequest = hasRate ? pending.heldFraction : pending.heldCapacity
+    return Math.max(0, Math.min(targetLedger.borrowedFrom(pending.peer) - heldBefore, fraction - heldAtRequest))
   }
 
-  const accept = (pending: PendingAsk, loan: Loan) => {
+  const accept = (pending: PendingRequest, loan: Loan) => {
     advance()
-    if (!pendingAsks.delete(pending)) return false
-    const gainedTokens = holdLoan(pending, loan) * limit.burst
+    if (!pendingRequests.delete(pending)) return false
+    const gainedTokens = recordLoan(pending, loan) * limit.burst
     tokens += Math.min(loan.tokens, pending.reservedTokens + gainedTokens)
-    fitCapacity()
+    clampToCapacity()
     return true
   }
 
-  const cancel = (pending: PendingAsk) => {
+  const cancel = (pending: PendingRequest) => {
     advance()
-    pendingAsks.delete(pending)
+    pendingRequests.delete(pending)
   }
 
   // Fraction that can be lent for the given time in addition to `lentToOthers`. Borrowed fractions count only when they
   // are held for at least the loan and its margin.
   const lendableFor = (ttlMs: number, lentToOthers: number) =>
-    Math.max(0, ledger.own() + ledger.borrowedFor(ledger.countedMs(ttlMs)) - lentToOthers)
+    Math.max(0, ledger.own() + ledger.borrowedForAtLeast(ledger.ttlWithMarginMs(ttlMs)) - lentToOthers)
 
   // Halves the duration until the whole requested fraction can be lent for it or `minTtlMs` is reached.
   const termsFor = (wanted: number, wantedTtlMs: number, lentToOthers: number) => {
     let ttlMs = Math.min(wantedTtlMs, loanTtlMs)
     while (ttlMs / 2 >= minTtlMs && lendableFor(ttlMs, lentToOthers) < wanted) ttlMs /= 2
-    return { ttlMs, part: Math.min(wanted, lendableFor(ttlMs, lentToOthers)) }
+    return { ttlMs, fraction: Math.min(wanted, lendableFor(ttlMs, lentToOthers)) }
   }
 
   const lendFraction = (terms: LoanTerms): Loan => {
-    const lentToOthers = ledger.lent() - ledger.lentTo(terms.borrower) + room.lent()
+    const lentToOthers = ledger.lent() - ledger.lentTo(terms.borrower) + capacityLedger.lent()
     const wanted = Math.max(0, Math.min(terms.fractionWanted,
       ledger.own() + ledger.borrowed() - lentToOthers - terms.keepFraction))
-    const { ttlMs, part } = termsFor(wanted, terms.loanTtlMs, lentToOthers)
+    const { ttlMs, fraction } = termsFor(wanted, terms.loanTtlMs, lentToOthers)
     // Tokens without a fraction come with burst capacity, which must be counted as lent.
-    if (part === 0 || !ledger.lend(terms.borrower, part, ttlMs)) return lendTokens(terms)
+    if (fraction === 0 || !ledger.lend(terms.borrower, fraction, ttlMs)) return lendTokens(terms)
     const overflow = Math.max(0, tokens - capacity())
-    return { tokens: Math.max(overflow, spareTokens(terms)), fraction: part, loanTtlMs: ttlMs }
+    return { tokens: Math.max(overflow, spareTokens(terms)), fraction, loanTtlMs: ttlMs }
   }
 
   const lendTokens = (terms: LoanTerms): Loan => {
-    const lentToOthers = ledger.lent() + room.lent() - room.lentTo(terms.borrower)
-    const { ttlMs, part } = termsFor(roomFor(spareTokens(terms), limit), terms.loanTtlMs, lentToOthers)
-    const lentTokens = wholePart(terms.tokensWanted, part * limit.burst)
-    if (lentTokens <= 0 || !room.lend(terms.borrower, roomFor(lentTokens, limit), ttlMs)) return nothingLent
+    const lentToOthers = ledger.lent() + capacityLedger.lent() - capacityLedger.lentTo(terms.borrower)
+    const { ttlMs, fraction } = termsFor(fractionOfBurst(spareTokens(terms), limit), terms.loanTtlMs, lentToOthers)
+    const lentTokens = reduceByWholeTokens(terms.tokensWanted, fraction * limit.burst)
+    if (lentTokens <= 0 ||
+      !capacityLedger.lend(terms.borrower, fractionOfBurst(lentTokens, limit), ttlMs)) return emptyLoan
     return { tokens: lentTokens, fraction: 0, loanTtlMs: ttlMs }
   }
 
   // Largest amount up to `available` that falls short of `wanted` by a whole number of tokens, because the borrower
   // cannot use a fraction of a token.
-  const wholePart = (wanted: number, available: number) =>
+  const reduceByWholeTokens = (wanted: number, available: number) =>
     Math.max(0, wanted - Math.max(0, Math.ceil(wanted - available - tokenRounding)))
 
-  const spareTokens = ({ tokensWanted, keepTokens }: LoanTerms) => wholePart(tokensWanted, tokens - keepTokens)
+  const spareTokens = ({ tokensWanted, keepTokens }: LoanTerms) =>
+    reduceByWholeTokens(tokensWanted, tokens - keepTokens)
 
   const lend = (terms: LoanTerms): Loan => {
     advance()
     const loan = terms.fractionWanted > 0 ? lendFraction(terms) : lendTokens(terms)
     tokens -= loan.tokens
-    fitCapacity()
+    clampToCapacity()
     return loan
   }
 
   const expireLoans = () => {
     ledger.dropBorrowed()
-    room.dropBorrowed()
-    pendingAsks.clear()
-    fitCapacity()
+    capacityLedger.dropBorrowed()
+    pendingRequests.clear()
+    clampToCapacity()
     advance()
   }
 
@@ -307,11 +309,11 @@
     tokens: () => { advance(); return tokens },
     capacity: () => { advance(); return capacity() },
     ratePerSec: () => { advance(); return ratePerSec() },
-    tryTake,
-    ask,
+    tryAcquire,
+    beginRequest,
     accept,
     cancel,
-    lentFraction: () => ledger.lent() + room.lent(),
+    lentFraction: () => ledger.lent() + capacityLedger.lent(),
     lend,
     expireLoans
   }
