--- a/packages/limits/src/adaptive-limit.ts
+++ b/packages/limits/src/adaptive-limit.ts
@@ -9,11 +9,11 @@
 import { monotonicMs } from '@egretyoke/common'
 
 /** Additive increase: each answered statement adds this divided by the limit, about one per full round of answers. */
-const increase = 1
+const additiveIncrease = 1
 
 /** Multiplicative decrease of the limit when the endpoint declines a statement, and when statements queue. */
 const declineFactor = 0.7
-const latencyFactor = 0.85
+const queueingFactor = 0.85
 
 /** Weight of a new sample in the moving averages of latency. */
 const latencyWeight = 0.1
@@ -60,76 +60,76 @@
 }
 
 /** Tracks the lowest value of the current and the previous period. */
-const createLowest = (clock: Clock) => {
+const createLowestTracker = (clock: Clock) => {
   let periodEndMs = clock() + lowestPeriodMs
-  let former = Infinity
+  let previous = Infinity
   let current = Infinity
 
   const add = (value: number) => {
     if (clock() >= periodEndMs) {
-      former = current
+      previous = current
       current = Infinity
       periodEndMs = clock() + lowestPeriodMs
     }
     current = Math.min(current, value)
   }
 
-  return { add, lowest: () => Math.min(former, current) }
+  return { add, lowest: () => Math.min(previous, current) }
 }
 
-type Lowest = ReturnType<typeof createLowest>
+type LowestTracker = ReturnType<typeof createLowestTracker>
 
 /** Creates a limit with no statements in flight. */
 export const createAdaptiveLimit = (options: AdaptiveLimitOptions): AdaptiveLimit => {
   const { clock = monotonicMs } = options
-  const lowestByKind = new Map<string, Lowest>()
+  const lowestByKind = new Map<string, LowestTracker>()
   let max = Math.max(1, options.max)
   let limit = Math.min(max, Math.max(1, options.initial))
   let inFlight = 0
   let latencyMs: number | undefined
-  let unhinderedMs = 0
-  let nextCutMs = -Infinity
+  let unqueuedLatencyMs = 0
+  let nextDecreaseMs = -Infinity
 
   // At most one decrease per average latency, because statements in flight were sent under the previous limit.
-  const cut = (factor: number) => {
-    if (clock() < nextCutMs) return
+  const decrease = (factor: number) => {
+    if (clock() < nextDecreaseMs) return
     limit = Math.max(1, limit * factor)
-    nextCutMs = clock() + (latencyMs ?? 0)
+    nextDecreaseMs = clock() + (latencyMs ?? 0)
   }
 
   const isQueueing = () =>
-    latencyMs !== undefined && latencyMs - unhinderedMs > unhinderedMs * queueingRatio + queueingSlackMs
+    latencyMs !== undefined && latencyMs - unqueuedLatencyMs > unqueuedLatencyMs * queueingRatio + queueingSlackMs
 
-  const lowestOf = (kind: string): Lowest => {
-    const keptKind = lowestByKind.has(kind) || lowestByKind.size < maxKinds ? kind : otherKinds
-    const known = lowestByKind.get(keptKind) ?? createLowest(clock)
-    lowestByKind.set(keptKind, known)
-    return known
+  const lowestOf = (kind: string): LowestTracker => {
+    const trackedKind = lowestByKind.has(kind) || lowestByKind.size < maxKinds ? kind : otherKinds
+    const existing = lowestByKind.get(trackedKind) ?? createLowestTracker(clock)
+    lowestByKind.set(trackedKind, existing)
+    return existing
   }
 
-  const averaged = (average: number, next: number) => average + (next - average) * latencyWeight
+  const movingAverage = (average: number, next: number) => average + (next - average) * latencyWeight
 
-  const learnLatency = (measuredMs: number, kind: string) => {
+  const recordLatency = (measuredMs: number, kind: string) => {
     const lowest = lowestOf(kind)
     lowest.add(measuredMs)
     const isFirst = latencyMs === undefined
-    latencyMs = isFirst ? measuredMs : averaged(latencyMs!, measuredMs)
-    unhinderedMs = isFirst ? lowest.lowest() : averaged(unhinderedMs, lowest.lowest())
+    latencyMs = isFirst ? measuredMs : movingAverage(latencyMs!, measuredMs)
+    unqueuedLatencyMs = isFirst ? lowest.lowest() : movingAverage(unqueuedLatencyMs, lowest.lowest())
   }
 
   // Increases only a limit that was reached, because a higher one is otherwise untested.
-  const rise = (wasFull: boolean) => {
-    if (wasFull) limit = Math.min(max, limit + increase / limit)
+  const increase = (wasFull: boolean) => {
+    if (wasFull) limit = Math.min(max, limit + additiveIncrease / limit)
   }
 
   const release = (outcome: FlightOutcome, measuredMs: number, kind = otherKinds) => {
     const wasFull = inFlight >= Math.floor(limit)
     inFlight = Math.max(0, inFlight - 1)
     if (outcome === 'ignored') return
-    if (outcome === 'declined') return cut(declineFactor)
-    learnLatency(measuredMs, kind)
-    if (isQueueing()) cut(latencyFactor)
-    else rise(wasFull)
+    if (outcome === 'declined') return decrease(declineFactor)
+    recordLatency(measuredMs, kind)
+    if (isQueueing()) decrease(queueingFactor)
+    else increase(wasFull)
   }
 
   const tryAcquire = () => {
--- a/packages/limits/src/fair-queue.ts
+++ b/packages/limits/src/fair-queue.ts
@@ -8,15 +8,15 @@
 import { Err, Ok, monotonicMs, typedError } from '@egretyoke/common'
 import { deficitRoundRobin } from './queue-disciplines.js'
 import type { Discipline } from './queue-disciplines.js'
-import { createQueueLine } from './queue-line.js'
-import type { Queued, QueueLine } from './queue-line.js'
+import { createWorkspaceQueue } from './workspace-queue.js'
+import type { QueuedItem, WorkspaceQueue } from './workspace-queue.js'
 
 /** Minimum cost and weight; smaller values and NaN are raised to them. */
 const minCost = 0.001
 const minWeight = 0.001
 
 /** Scheduling parameters of an item. */
-export type QueuedAs = {
+export type PushOptions = {
   workspace: string
   weight: number
   /** Estimated service time, in milliseconds of an endpoint slot. */
@@ -46,7 +46,7 @@
 
 /** A bounded queue over workspaces. */
 export type FairQueue<Item> = {
-  push: (item: Item, as: QueuedAs) => Result<void, TypedError<QueueRefusal>>
+  push: (item: Item, options: PushOptions) => Result<void, TypedError<QueueRefusal>>
   /** Removes and returns the next item to serve, and charges its estimated cost to its workspace. */
   pop: () => Item | undefined
   /** Removes an item, for instance because its caller has disconnected; false when it is not in the queue. */
@@ -64,27 +64,27 @@
 export const createFairQueue = <Item>(options: FairQueueOptions<Item>): FairQueue<Item> => {
   const { maxQueued, maxQueuedPerWorkspace, onDropped, clock = monotonicMs } = options
   const { isStillAllowed = () => true, discipline = deficitRoundRobin } = options
-  const schedule = discipline()
-  const lines = new Map<string, QueueLine<Item>>()
-  const queuedItems = new Map<Item, Queued<Item>>()
+  const scheduler = discipline()
+  const queues = new Map<string, WorkspaceQueue<Item>>()
+  const queuedItems = new Map<Item, QueuedItem<Item>>()
   let nextSequence = 0
   let isClosed = false
 
   const refuse = (reason: QueueRefusal, workspace: string) =>
     Err(typedError(reason, `The queue refused a request of workspace ${workspace}: ${reason}.`, { workspace }))
 
-  const takeOut = (queued: Queued<Item>) => {
-    const line = lines.get(queued.workspace)
+  const detach = (queued: QueuedItem<Item>) => {
+    const queue = queues.get(queued.workspace)
     queuedItems.delete(queued.item)
-    if (line === undefined) return
-    line.remove(queued)
-    if (line.size() > 0) return
-    lines.delete(line.workspace)
-    schedule.leave(line)
+    if (queue === undefined) return
+    queue.remove(queued)
+    if (queue.size() > 0) return
+    queues.delete(queue.workspace)
+    scheduler.remove(queue)
   }
 
-  const drop = (queued: Queued<Item>, reason: DropReason) => {
-    takeOut(queued)
+  const drop = (queued: QueuedItem<Item>, reason: DropReason) => {
+    detach(queued)
     onDropped(queued.item, reason)
   }
 
@@ -93,60 +93,60 @@
     for (const queued of [...queuedItems.values()]) if (queued.deadlineMs <= nowMs) drop(queued, 'expired')
   }
 
-  const load = (line: QueueLine<Item>, more = 0) => (line.size() + more) / line.weight()
+  const load = (queue: WorkspaceQueue<Item>, more = 0) => (queue.size() + more) / queue.weight()
 
   // False when no other workspace has a higher load, in waiting items per weight.
-  const makeRoomFor = (workspace: string, weight: number) => {
-    const loadAfter = ((lines.get(workspace)?.size() ?? 0) + 1) / weight
-    const heaviest = [...lines.values()].reduce((one, other) => load(other) > load(one) ? other : one)
+  const displaceFor = (workspace: string, weight: number) => {
+    const loadAfter = ((queues.get(workspace)?.size() ?? 0) + 1) / weight
+    const heaviest = [...queues.values()].reduce((one, other) => load(other) > load(one) ? other : one)
     const newest = heaviest.last()
     if (heaviest.workspace === workspace || load(heaviest) <= loadAfter || newest === undefined) return false
     drop(newest, 'displaced')
     return true
   }
 
-  const lineOf = (workspace: string) => {
-    const line = lines.get(workspace) ?? createQueueLine<Item>(workspace)
-    lines.set(workspace, line)
-    return line
+  const queueOf = (workspace: string) => {
+    const queue = queues.get(workspace) ?? createWorkspaceQueue<Item>(workspace)
+    queues.set(workspace, queue)
+    return queue
   }
 
-  const enqueue = (queued: Queued<Item>) => {
-    const line = lineOf(queued.workspace)
-    line.push(queued)
+  const enqueue = (queued: QueuedItem<Item>) => {
+    const queue = queueOf(queued.workspace)
+    queue.push(queued)
     queuedItems.set(queued.item, queued)
-    if (line.size() === 1) schedule.join(line)
+    if (queue.size() === 1) scheduler.add(queue)
   }
 
-  const push = (item: Item, { workspace, deadlineMs, ...as }: QueuedAs) => {
-    const weight = as.weight >= minWeight ? as.weight : minWeight
-    const cost = as.cost >= minCost ? as.cost : minCost
+  const push = (item: Item, { workspace, deadlineMs, ...rest }: PushOptions) => {
+    const weight = rest.weight >= minWeight ? rest.weight : minWeight
+    const cost = rest.cost >= minCost ? rest.cost : minCost
     if (isClosed) return refuse('queueClosed', workspace)
     if (!(deadlineMs > clock())) return refuse('expired', workspace)
-    if ((lines.get(workspace)?.size() ?? 0) >= maxQueuedPerWorkspace) return refuse('workspaceQueueFull', workspace)
+    if ((queues.get(workspace)?.size() ?? 0) >= maxQueuedPerWorkspace) return refuse('workspaceQueueFull', workspace)
     if (queuedItems.size >= maxQueued) dropExpired()
-    const hasRoom = queuedItems.size < maxQueued || (schedule.makesRoom && makeRoomFor(workspace, weight))
-    if (!hasRoom) return refuse('queueFull', workspace)
-    enqueue({ item, workspace, weight, cost, deadlineMs, sequence: nextSequence++, isGone: false })
+    const hasCapacity = queuedItems.size < maxQueued || (scheduler.displacesWhenFull && displaceFor(workspace, weight))
+    if (!hasCapacity) return refuse('queueFull', workspace)
+    enqueue({ item, workspace, weight, cost, deadlineMs, sequence: nextSequence++, isRemoved: false })
     return Ok(undefined)
   }
 
-  const dropReasonOf = ({ item, deadlineMs }: Queued<Item>): DropReason | undefined => {
+  const dropReasonOf = ({ item, deadlineMs }: QueuedItem<Item>): DropReason | undefined => {
     if (deadlineMs <= clock()) return 'expired'
     return isStillAllowed(item) ? undefined : 'notAllowed'
   }
 
   const pop = () => {
-    for (let line = schedule.next(); line !== undefined; line = schedule.next()) {
-      const queued = lines.get(line.workspace)?.first()
+    for (let queue = scheduler.next(); queue !== undefined; queue = scheduler.next()) {
+      const queued = queues.get(queue.workspace)?.first()
       if (queued === undefined) return undefined
       const dropReason = dropReasonOf(queued)
       if (dropReason !== undefined) {
         drop(queued, dropReason)
         continue
       }
-      schedule.charge(queued.workspace, queued.cost)
-      takeOut(queued)
+      scheduler.charge(queued.workspace, queued.cost)
+      detach(queued)
       return queued.item
     }
     return undefined
@@ -155,7 +155,7 @@
   const remove = (item: Item) => {
     const queued = queuedItems.get(item)
     if (queued === undefined) return false
-    takeOut(queued)
+    detach(queued)
     return true
   }
 
@@ -168,10 +168,10 @@
     push,
     pop,
     remove,
-    charge: schedule.charge,
+    charge: scheduler.charge,
     dropExpired,
     size: () => queuedItems.size,
-    sizeOf: workspace => lines.get(workspace)?.size() ?? 0,
+    sizeOf: workspace => queues.get(workspace)?.size() ?? 0,
     close
   }
 }
--- a/packages/limits/src/limit-share.ts
+++ b/packages/limits/src/limit-share.ts
@@ -21,7 +21,7 @@
 export const maxWaitersPerLimit = 1024
 
 /** Time after sending for which a loan request in flight is expected to be granted, in milliseconds. */
-const inFlightCountsMs = 20
+const expectedGrantWindowMs = 20
 
 /** Initial estimate of the round trip to a peer, in milliseconds, and the weight of a new sample in the average. */
 const initialRoundTripMs = 5
@@ -31,10 +31,10 @@
 const negligibleDemandPerSec = 0.05
 
 /** Maximum interval between two attempts to serve the waiting requests, in milliseconds. */
-const maxPumpDelayMs = 25
+const maxServeIntervalMs = 25
 
 /** Minimum interval between two attempts to serve the waiting requests, in milliseconds. */
-const minPumpDelayMs = 1
+const minServeIntervalMs = 1
 
 /** Minimum rate from which `retryAfterMs` is computed, in tokens per second. */
 const minRatePerSec = 0.001
@@ -83,8 +83,8 @@
   /** Sets the fraction of the limit that this VM owns, with immediate effect. */
   setOwnFraction: (fraction: number) => void
   setPeers: (peers: string[]) => void
-  tryTake: () => boolean
-  take: (maxWaitMs: number, signal?: AbortSignal) => Promise<Taken>
+  tryAcquire: () => boolean
+  acquire: (maxWaitMs: number, signal?: AbortSignal) => Promise<Taken>
   lend: (request: BorrowRequest) => BorrowReply
   /** Renews loans that are still needed and borrows for the recent demand. */
   maintain: () => void
@@ -101,17 +101,17 @@
   const share = createTokenShare(initialLimit, options)
   const demand = createDemandEstimate(clock)
   const waiters = createWaiters(after)
-  const choice = createPeerSelector(clock)
-  const book = createLoanAllocator(clock, loanTtlMs)
+  const selector = createPeerSelector(clock)
+  const allocator = createLoanAllocator(clock, loanTtlMs)
   const inFlight = new Set<{ sentAtMs: number, tokens: number, fraction: number }>()
   let peers: string[] = []
   let ranked: string[] | undefined
   let roundTripMs = initialRoundTripMs
-  let cancelPump = () => {}
-  let pumpAtMs = Infinity
+  let cancelServeTimer = () => {}
+  let nextServeMs = Infinity
   let isClosed = false
 
-  const situation = (): ShareState => {
+  const shareState = (): ShareState => {
     const { ratePerSec, burst } = share.limit()
     return {
       ratePerSec,
@@ -123,11 +123,11 @@
     }
   }
 
-  const outcomeOf = (
-    peer: string, wanted: LoanDemand, heldBefore: number, reply: BorrowReply | undefined
+  const resultOf = (
+    peer: string, requested: LoanDemand, heldBefore: number, reply: BorrowReply | undefined
   ): RequestResult => {
     if (reply === undefined) return 'unreachable'
-    const isRenewal = wanted.fraction > 0 && wanted.fraction <= heldBefore
+    const isRenewal = requested.fraction > 0 && requested.fraction <= heldBefore
     const hasGained = reply.tokens > 0 || share.ledger.borrowedFrom(peer) > heldBefore
     return hasGained || (isRenewal && reply.ratePerSec > 0) ? 'lent' : 'empty'
   }
@@ -136,22 +136,22 @@
   const rankedMembers = () => {
     if (ranked !== undefined) return ranked
     ranked = rankByRendezvous(share.limit().name, [vm, ...peers])
-    const place = ranked.indexOf(vm)
-    choice.setPeers([...ranked.slice(place + 1), ...ranked.slice(0, place)])
+    const position = ranked.indexOf(vm)
+    selector.setPeers([...ranked.slice(position + 1), ...ranked.slice(0, position)])
     return ranked
   }
 
-  const useReply = (pending: PendingRequest, reply: BorrowReply | undefined) => {
+  const applyReply = (pending: PendingRequest, reply: BorrowReply | undefined) => {
     if (reply === undefined || (reply.tokens <= 0 && reply.ratePerSec <= 0)) return share.cancel(pending)
     const wholeRatePerSec = pending.limit.ratePerSec
     const fraction = wholeRatePerSec > 0 ? reply.ratePerSec / wholeRatePerSec : 0
     share.accept(pending, { tokens: reply.tokens, fraction, loanTtlMs: reply.loanTtlMs })
   }
 
-  const expectedSoon = () => {
+  const expectedGrants = () => {
     const expected = { tokens: 0, fraction: 0 }
     for (const { sentAtMs, tokens, fraction } of inFlight) {
-      if (clock() - sentAtMs > inFlightCountsMs) continue
+      if (clock() - sentAtMs > expectedGrantWindowMs) continue
       expected.tokens += tokens
       expected.fraction += fraction
     }
@@ -174,62 +174,63 @@
     return reply !== undefined && isValidReply(reply) ? reply : undefined
   }
 
-  const ask = async (peer: string, wanted: LoanDemand) => {
+  const requestLoan = async (peer: string, requested: LoanDemand) => {
     const heldBefore = share.ledger.borrowedFrom(peer)
-    const fraction = Math.max(0, wanted.fraction - heldBefore)
-    const expected = { sentAtMs: clock(), tokens: wanted.tokens, fraction }
+    const fraction = Math.max(0, requested.fraction - heldBefore)
+    const expected = { sentAtMs: clock(), tokens: requested.tokens, fraction }
     inFlight.add(expected)
-    const pending = share.beginRequest(peer, wanted.tokens, wanted.ttlMs)
-    choice.recordRequest(peer)
-    const giveUp = after(wanted.ttlMs, () => share.cancel(pending))
-    const reply = await send(peer, wanted)
-    giveUp()
+    const pending = share.beginRequest(peer, requested.tokens, requested.ttlMs)
+    selector.recordRequest(peer)
+    const cancelTimeout = after(requested.ttlMs, () => share.cancel(pending))
+    const reply = await send(peer, requested)
+    cancelTimeout()
     inFlight.delete(expected)
     if (isClosed) return
-    useReply(pending, reply)
-    choice.recordResult(peer, outcomeOf(peer, wanted, heldBefore, reply))
-    pump()
+    applyReply(pending, reply)
+    selector.recordResult(peer, resultOf(peer, requested, heldBefore, reply))
+    serveWaiters()
   }
 
-  const borrowing = policy({
+  const strategy = policy({
     vm,
     loanTtlMs,
     nowMs: clock,
-    shareState: situation,
+    shareState,
     ledger: share.ledger,
-    peers: choice,
+    peers: selector,
     rankedMembers,
-    expectedGrants: expectedSoon,
+    expectedGrants,
     roundTripMs: () => roundTripMs,
-    requestLoan: ask
+    requestLoan
   })
 
-  const pump = () => {
+  const serveWaiters = () => {
     waiters.serve(share.tryAcquire)
     if (waiters.size() === 0) return
     rankedMembers()
-    borrowing.fetch()
-    schedulePump()
+    strategy.fetch()
+    scheduleServe()
   }
 
-  const schedulePump = () => {
+  const scheduleServe = () => {
     const ratePerSec = share.ratePerSec()
     const refillMs = ratePerSec > 0 ? (1 - share.tokens()) * 1000 / ratePerSec : Infinity
-    const nextMs = Math.min(refillMs, borrowing.nextFetchMs() - clock(), maxPumpDelayMs)
-    const atMs = clock() + Math.max(minPumpDelayMs, nextMs)
-    if (pumpAtMs <= atMs && pumpAtMs > clock()) return
-    cancelPump()
-    pumpAtMs = atMs
-    cancelPump = after(atMs - clock(), () => {
-      pumpAtMs = Infinity
-      pump()
+    const nextMs = Math.min(refillMs, strategy.nextFetchMs() - clock(), maxServeIntervalMs)
+    const atMs = clock() + Math.max(minServeIntervalMs, nextMs)
+    if (nextServeMs <= atMs && nextServeMs > clock()) return
+    cancelServeTimer()
+    nextServeMs = atMs
+    cancelServeTimer = after(atMs - clock(), () => {
+      nextServeMs = Infinity
+      serveWaiters()
     })
   }
 
   const refusal = (reason: RefusalReason): Taken => {
-    const missing = Math.max(0, 1 + waiters.size() - share.tokens())
-    const equalRatePerSec = share.limit().ratePerSec / (peers.length + 1)
-    const retryAfterMs = Math.ceil(missing * 1000 / Math.max(share.ratePerSec(), equalRatePerSec, minRatePerSec))
+    const missingTokens = Math.max(0, 1 + waiters.size() - share.tokens())
+    const equalShareRatePerSec = share.limit().ratePerSec / (peers.length + 1)
+    const retryAfterMs =
+      Math.ceil(missingTokens * 1000 / Math.max(share.ratePerSec(), equalShareRatePerSec, minRatePerSec))
     return { admitted: false, reason, retryAfterMs: Math.min(maxRetryAfterMs, Math.max(minRetryAfterMs, retryAfterMs)) }
   }
 
@@ -239,21 +240,21 @@
     return waiters.size() < burst + ratePerSec * maxWaitMs / 1000
   }
 
-  const tryTake = () => {
+  const tryAcquire = () => {
     demand.record()
     return waiters.size() === 0 && share.tryAcquire()
   }
 
-  const take = async (maxWaitMs: number, signal?: AbortSignal): Promise<Taken> => {
+  const acquire = async (maxWaitMs: number, signal?: AbortSignal): Promise<Taken> => {
     if (isClosed) return refusal('closed')
-    if (tryTake()) return { admitted: true }
+    if (tryAcquire()) return { admitted: true }
     if (waiters.size() >= maxWaitersPerLimit) return refusal('tooManyWaiting')
     if (!canBeServed(maxWaitMs)) return refusal('rate')
-    const end = waiters.wait(maxWaitMs, signal)
-    pump()
-    const ended = await end
-    if (ended === 'served') return { admitted: true }
-    return refusal(ended === 'timedOut' ? 'rate' : ended)
+    const waitResult = waiters.wait(maxWaitMs, signal)
+    serveWaiters()
+    const result = await waitResult
+    if (result === 'served') return { admitted: true }
+    return refusal(result === 'timedOut' ? 'rate' : result)
   }
 
   const lend = (request: BorrowRequest): BorrowReply => {
@@ -262,15 +263,15 @@
     if (request.limitVersion !== version) return noLoan('otherVersion')
     rankedMembers()
     const borrower = `${request.borrower}/${request.incarnation}`
-    const isLasting = request.loanTtlMs > shortLoanTtlMs
-    const offer = borrowing.reserveFor({ borrower: request.borrower, isLongTerm: isLasting })
+    const isLongTerm = request.loanTtlMs > shortLoanTtlMs
+    const reserve = strategy.reserveFor({ borrower: request.borrower, isLongTerm })
     const fractionWanted = ratePerSec > 0 ? request.rateWantedPerSec / ratePerSec : 0
-    const lendable = share.ledger.own() + share.ledger.borrowed() - offer.keepFraction
+    const lendable = share.ledger.own() + share.ledger.borrowed() - reserve.keepFraction
     const loan = share.lend({
-      ...offer,
+      ...reserve,
       borrower,
       tokensWanted: request.tokensWanted,
-      fractionWanted: isLasting ? book.allocate(borrower, fractionWanted, lendable) : fractionWanted,
+      fractionWanted: isLongTerm ? allocator.allocate(borrower, fractionWanted, lendable) : fractionWanted,
       loanTtlMs: request.loanTtlMs
     })
     const hasLent = loan.tokens > 0 || loan.fraction > 0
@@ -278,24 +279,24 @@
     return { tokens: loan.tokens, ratePerSec: loan.fraction * ratePerSec, loanTtlMs: loan.loanTtlMs, reason: '' }
   }
 
-  const isUsed = () => waiters.size() > 0 || share.ledger.borrowed() > 0 || demand.perSec() > negligibleDemandPerSec
+  const isActive = () => waiters.size() > 0 || share.ledger.borrowed() > 0 || demand.perSec() > negligibleDemandPerSec
 
   const probeUnreachable = () => {
-    for (const peer of choice.probeCandidates()) ask(peer, { tokens: 0, fraction: 0, ttlMs: loanTtlMs })
+    for (const peer of selector.probeCandidates()) requestLoan(peer, { tokens: 0, fraction: 0, ttlMs: loanTtlMs })
   }
 
   const maintain = () => {
-    if (!isUsed()) return
+    if (!isActive()) return
     share.tokens()
     rankedMembers()
     probeUnreachable()
-    borrowing.maintain()
+    strategy.maintain()
   }
 
   const setOwnFraction = (fraction: number) => {
     if (fraction === share.ledger.own()) return
     share.setOwnFraction(fraction)
-    pump()
+    serveWaiters()
   }
 
   const setPeers = (names: string[]) => {
@@ -306,7 +307,7 @@
   const setLimit = (limit: RateLimit) => {
     if (isDeepStrictEqual(limit, share.limit())) return
     share.setLimit(limit)
-    pump()
+    serveWaiters()
   }
 
   const snapshot = (): LimitSnapshot => ({
@@ -329,7 +330,7 @@
 
   const close = () => {
     isClosed = true
-    cancelPump()
+    cancelServeTimer()
     waiters.close()
   }
 
@@ -337,8 +338,8 @@
     setLimit,
     setOwnFraction,
     setPeers,
-    tryTake,
-    take,
+    tryAcquire,
+    acquire,
     lend,
     maintain,
     isIdle,
--- a/packages/limits/src/share-terms.test.ts
+++ b/packages/limits/src/loan-accounting.test.ts
@@ -70,9 +70,9 @@
   const { state, lender, borrower } = createShares()
   transfer(lender, borrower, { fractionWanted: 0.5 })
   state.nowMs = 600
-  const passedOn = borrower.lend({ ...terms, borrower: 'vm3/1', fractionWanted: 1 })
-  t.is(passedOn.fraction, 1)
-  t.true(passedOn.loanTtlMs * 1.1 <= 400)
+  const sublet = borrower.lend({ ...terms, borrower: 'vm3/1', fractionWanted: 1 })
+  t.is(sublet.fraction, 1)
+  t.true(sublet.loanTtlMs * 1.1 <= 400)
 })
 
 test('tokens of a lender without a fraction to lend are lent with their capacity', t => {
--- a/packages/limits/src/permit-share.ts
+++ b/packages/limits/src/permit-share.ts
@@ -18,16 +18,16 @@
 const maxWaiters = 256
 
 /** Maximum number of peers that receive a request at the same time. */
-const maxAskedAtOnce = 3
+const maxPeerRequests = 3
 
 /** Interval between two attempts to serve the waiting requests, in milliseconds. */
-const pumpDelayMs = 10
+const serveIntervalMs = 10
 
 /** Time before the expiry of a loan at which its permits are revoked, as a fraction of the longest loan. */
-const revokePart = 1 / 4
+const revokeLeadFraction = 1 / 4
 
 /** Minimum duration of a granted loan as a fraction of the requested one; shorter loans would be revoked at once. */
-const minTtlPart = 1 / 2
+const minTtlFraction = 1 / 2
 
 /** Limit on the permits that the whole fleet holds at a time; VMs that apply the same version have the same maximum. */
 export type PermitLimit = { name: string, maxPermits: number, version: number }
@@ -84,10 +84,10 @@
   const holders = new Set<Holder>()
   let limit = initialLimit
   // Permits granted to waiting requests whose `acquire` has not resumed yet.
-  let served = 0
+  let grantedToWaiters = 0
   // Incremented by `expireLoans`; replies to requests of an earlier epoch are ignored.
   let epoch = 0
-  let cancelPump = () => {}
+  let cancelServeTimer = () => {}
   let isClosed = false
 
   const advance = () => {
@@ -95,14 +95,14 @@
     ledger.advanceTo(clock())
   }
 
-  const inUse = () => holders.size + served
+  const inUse = () => holders.size + grantedToWaiters
   const free = () => ledger.usable() - inUse()
 
   const hold = (onRevoked: () => void): Permit => {
     const holder = { onRevoked, isRevoked: false }
     holders.add(holder)
     const release = () => {
-      if (holders.delete(holder)) pump()
+      if (holders.delete(holder)) serveWaiters()
     }
     return { release }
   }
@@ -122,57 +122,57 @@
     limitVersion: limit.version
   }).catch(() => undefined)
 
-  const useReply = (peer: string, sentAtMs: number, sentAtWallMs: number, reply: BorrowReply): RequestResult => {
+  const applyReply = (peer: string, sentAtMs: number, sentAtWallMs: number, reply: BorrowReply): RequestResult => {
     const untilMs = sentAtMs + Math.min(loanTtlMs, reply.loanTtlMs)
     const wallUntilMs = sentAtWallMs + Math.min(loanTtlMs, reply.loanTtlMs)
-    const inTime = untilMs > clock() && wallUntilMs > wallClock()
-    if (reply.ratePerSec < 1 || !inTime) return 'empty'
+    const isUnexpired = untilMs > clock() && wallUntilMs > wallClock()
+    if (reply.ratePerSec < 1 || !isUnexpired) return 'empty'
     ledger.borrow(peer, Math.floor(reply.ratePerSec), untilMs, wallUntilMs)
     return 'lent'
   }
 
   // `permits` is the total to be borrowed from the peer.
-  const ask = async (peer: string, permits: number) => {
+  const borrowFrom = async (peer: string, permits: number) => {
     const sentAtMs = clock()
     const sentAtWallMs = wallClock()
     peers.recordRequest(peer)
-    const askedEpoch = epoch
+    const requestEpoch = epoch
     const reply = await send(peer, permits)
     if (isClosed) return
     advance()
-    const isUsable = reply !== undefined && isValidReply(reply) && askedEpoch === epoch
-    peers.recordResult(peer, isUsable ? useReply(peer, sentAtMs, sentAtWallMs, reply) : 'unreachable')
-    pump()
+    const isUsable = reply !== undefined && isValidReply(reply) && requestEpoch === epoch
+    peers.recordResult(peer, isUsable ? applyReply(peer, sentAtMs, sentAtWallMs, reply) : 'unreachable')
+    serveWaiters()
   }
 
   const borrow = () => {
     const missing = waiters.size() - Math.max(0, free())
     if (missing <= 0) return
-    for (const peer of peers.select(Math.min(missing, maxAskedAtOnce))) ask(peer, ledger.borrowedFrom(peer) + 1)
+    for (const peer of peers.select(Math.min(missing, maxPeerRequests))) borrowFrom(peer, ledger.borrowedFrom(peer) + 1)
   }
 
-  const serveOne = () => {
+  const tryServe = () => {
     if (free() < 1) return false
-    served++
+    grantedToWaiters++
     return true
   }
 
-  const pump = () => {
+  const serveWaiters = () => {
     advance()
-    waiters.serve(serveOne)
+    waiters.serve(tryServe)
     if (waiters.size() === 0) return
     borrow()
-    cancelPump()
-    cancelPump = after(pumpDelayMs, pump)
+    cancelServeTimer()
+    cancelServeTimer = after(serveIntervalMs, serveWaiters)
   }
 
   const acquire = async (onRevoked: () => void, maxWaitMs: number, signal?: AbortSignal) => {
     const permit = tryAcquire(onRevoked)
     if (permit !== undefined || isClosed || waiters.size() >= maxWaiters) return permit
-    const end = waiters.wait(maxWaitMs, signal)
-    pump()
-    if (await end !== 'served') return undefined
-    served--
+    const waitResult = waiters.wait(maxWaitMs, signal)
+    serveWaiters()
+    if (await waitResult !== 'served') return undefined
+    grantedToWaiters--
     return hold(onRevoked)
   }
 
@@ -182,10 +182,10 @@
     advance()
     const borrower = `${request.borrower}/${request.incarnation}`
     const lentToOthers = ledger.lent() - ledger.lentTo(borrower)
-    const kept = lentToOthers + inUse() + waiters.size()
+    const retained = lentToOthers + inUse() + waiters.size()
     const ttlMs = Math.min(loanTtlMs, request.loanTtlMs)
-    const lendableFor = (ms: number) => ledger.own() + ledger.borrowedForAtLeast(ledger.ttlWithMarginMs(ms)) - kept
-    const grantedTtlMs = lendableFor(ttlMs) >= 1 ? ttlMs : ttlMs * minTtlPart
+    const lendableFor = (ms: number) => ledger.own() + ledger.borrowedForAtLeast(ledger.ttlWithMarginMs(ms)) - retained
+    const grantedTtlMs = lendableFor(ttlMs) >= 1 ? ttlMs : ttlMs * minTtlFraction
     const permits = Math.floor(Math.min(request.rateWantedPerSec, lendableFor(grantedTtlMs)))
     if (permits < 1 || !ledger.lend(borrower, permits, grantedTtlMs)) return noLoan('nothingToSpare')
     return { tokens: 0, ratePerSec: permits, loanTtlMs: grantedTtlMs, reason: '' }
@@ -197,12 +197,12 @@
       const permits = Math.min(amount, needed)
       if (permits < 1) return
       needed -= permits
-      if (untilMs - clock() < loanTtlMs / 2 && !peers.isPending(lender)) ask(lender, permits)
+      if (untilMs - clock() < loanTtlMs / 2 && !peers.isPending(lender)) borrowFrom(lender, permits)
     }
   }
 
-  const revokeEnding = () => {
-    const usableSoon = ledger.own() - ledger.lent() + ledger.borrowedForAtLeast(loanTtlMs * revokePart)
+  const revokeUnbacked = () => {
+    const usableSoon = ledger.own() - ledger.lent() + ledger.borrowedForAtLeast(loanTtlMs * revokeLeadFraction)
     const excess = inUse() - Math.max(0, usableSoon)
     const newestFirst = [...holders].reverse().slice(0, Math.max(0, Math.ceil(excess)))
     for (const holder of newestFirst) {
@@ -214,25 +214,25 @@
 
   const maintain = () => {
     advance()
-    for (const peer of peers.probeCandidates()) if (holders.size > 0 || waiters.size() > 0) ask(peer, 0)
+    for (const peer of peers.probeCandidates()) if (holders.size > 0 || waiters.size() > 0) borrowFrom(peer, 0)
     renew()
-    revokeEnding()
-    pump()
+    revokeUnbacked()
+    serveWaiters()
   }
 
   const expireLoans = () => {
     epoch++
     ledger.dropBorrowed()
     advance()
-    revokeEnding()
+    revokeUnbacked()
   }
 
   const setOwn = (permits: number) => {
     if (permits === ledger.own()) return
     advance()
     ledger.setOwn(permits)
-    revokeEnding()
-    pump()
+    revokeUnbacked()
+    serveWaiters()
   }
 
   const snapshot = (): PermitSnapshot => ({
@@ -247,7 +247,7 @@
 
   const close = () => {
     isClosed = true
-    cancelPump()
+    cancelServeTimer()
     waiters.close()
   }
 
--- a/packages/limits/src/permit-table.test.ts
+++ b/packages/limits/src/permit-table.test.ts
@@ -7,19 +7,21 @@
 import type { Permit } from './permit-share.js'
 import { rankByRendezvous } from './rendezvous.js'
 import { createSimulatedFleet } from './soak/simulated-fleet.js'
-import type { MessageFate } from './soak/simulated-fleet.js'
+import type { MessageOutcome } from './soak/simulated-fleet.js'
 
 const seed = 20261204
 const historyCount = 1000
 const vmCount = 5
 const limit = { name: 'endpoint', maxPermits: 12, version: 1 }
 
-const createFleet = (nextFate?: () => MessageFate) => createSimulatedFleet(vmCount, (options, members, isRestart) => {
+const createFleet = (
+  nextOutcome?: () => MessageOutcome
+) => createSimulatedFleet(vmCount, (options, members, isRestart) => {
   const table = createPermitTable({ ...options, startupHold: isRestart })
   table.setRoster({ members, slotCount: vmCount })
   table.setLimits([limit])
   return table
-}, nextFate)
+}, nextOutcome)
 
 test('own permits that do not divide evenly add up to the limit, and do not grow while a member joins', t => {
   const members = ['a', 'b', 'c', 'd', 'e', 'f', 'g', 'h', 'i']
@@ -60,7 +62,7 @@
 })
 
 const upTo = (max: number) => fc.nat({ max })
-const fates = fc.array(fc.record({
+const outcomes = fc.array(fc.record({
   requestMs: fc.oneof(upTo(5), upTo(400)),
   replyMs: fc.oneof(upTo(5), upTo(400)),
   isLost: upTo(5).map(roll => roll === 0)
@@ -74,30 +76,30 @@
 })
 
 test('the fleet never holds more permits than the limit, over arbitrary histories', async t => {
-  let most = 0
-  const property = fc.asyncProperty(fates, steps, async (fateList, stepList) => {
-    let fateIndex = 0
-    const fleet = createFleet(() => fateList[fateIndex++ % fateList.length])
+  let maxHeld = 0
+  const property = fc.asyncProperty(outcomes, steps, async (outcomeList, stepList) => {
+    let outcomeIndex = 0
+    const fleet = createFleet(() => outcomeList[outcomeIndex++ % outcomeList.length])
     const held = new Map<string, Set<Permit>>(fleet.members.map(vm => [vm, new Set()]))
     let isExceeded = false
     const acquire = async (vm: string) => {
       const holder: { permit?: Permit, isRevoked?: boolean } = {}
-      const giveBack = () => {
+      const releaseRevoked = () => {
         holder.isRevoked = true
         if (holder.permit === undefined) return
         held.get(vm)?.delete(holder.permit)
         holder.permit.release()
       }
       const table = fleet.table(vm)
-      holder.permit = await table.acquire('endpoint', giveBack, 100)
+      holder.permit = await table.acquire('endpoint', releaseRevoked, 100)
       if (holder.permit === undefined || !fleet.isAlive(vm) || fleet.table(vm) !== table) return
       if (holder.isRevoked) return holder.permit.release()
       held.get(vm)?.add(holder.permit)
       const sum = [...held.values()].reduce((total, { size }) => total + size, 0)
-      most = Math.max(most, sum)
+      maxHeld = Math.max(maxHeld, sum)
       if (sum > limit.maxPermits) isExceeded = true
     }
-    const act: Record<string, (vm: string, count: number) => void> = {
+    const run: Record<string, (vm: string, count: number) => void> = {
       acquire: (vm, count) => { for (let index = 0; index < count; index++) acquire(vm) },
       release: (vm, count) => [...held.get(vm)!].slice(0, count).forEach(permit => {
         held.get(vm)?.delete(permit)
@@ -108,7 +110,7 @@
         fleet.kill(vm)
       },
       bounce: vm => {
-        act.kill(vm, 0)
+        run.kill(vm, 0)
         fleet.restart(vm)
         for (let index = 0; index < limit.maxPermits; index++) acquire(vm)
       },
@@ -116,7 +118,7 @@
     }
     for (const { action: name, vm: index, count, ms } of stepList) {
       const vm = fleet.members[index]
-      if (fleet.isAlive(vm)) act[name]?.(vm, count)
+      if (fleet.isAlive(vm)) run[name]?.(vm, count)
       else if (name === 'restart') fleet.restart(vm)
       await fleet.time.runUntil(fleet.time.clock() + ms)
     }
@@ -125,5 +127,5 @@
   })
   const result = await fc.check(property, { seed, numRuns: historyCount })
   t.false(result.failed, result.failed ? fc.defaultReportMessage(result) : undefined)
-  t.log(`at most ${most} of ${limit.maxPermits} permits held`)
+  t.log(`at most ${maxHeld} of ${limit.maxPermits} permits held`)
 })
--- a/packages/limits/src/permit-table.ts
+++ b/packages/limits/src/permit-table.ts
@@ -54,15 +54,15 @@
   const growthDelayMs = Math.max(options.growthDelayMs ?? 0, loanTtlMs + loanMarginMs)
   const entries = new Map<string, Entry>()
   // Takes effect once all loans granted under previous divisions have expired; limits added after that start at once.
-  const settled = createOwnShare({ clock, growthDelayMs, startupHold })
+  const settledShare = createOwnShare({ clock, growthDelayMs, startupHold })
   let roster: Roster & { joining?: string[] } = { members: [], slotCount: 1 }
-  let defined = new Set<string>()
+  let definedNames = new Set<string>()
   let cancelMaintenance = () => {}
 
   const peers = () => roster.members.filter(member => member !== vm)
 
   const targetOf = (limit: PermitLimit) => {
-    if (!roster.members.includes(vm) || !defined.has(limit.name)) return 0
+    if (!roster.members.includes(vm) || !definedNames.has(limit.name)) return 0
     const ranked = rankByRendezvous(limit.name, [...roster.members, ...roster.joining ?? []])
     return ownPermits(limit, vm, roster.slotCount, ranked)
   }
@@ -76,12 +76,12 @@
   const setRoster = (next: Roster & { joining?: string[] }) => {
     if (isDeepStrictEqual(next, roster)) return
     roster = structuredClone(next)
-    settled.set(next.members.includes(vm) ? 1 / next.slotCount : 0)
+    settledShare.set(next.members.includes(vm) ? 1 / next.slotCount : 0)
     for (const entry of entries.values()) applyRoster(entry)
     log(events.shareChanged, { slotCount: next.slotCount, members: next.members })
   }
 
-  const isSettled = () => roster.members.includes(vm) && settled.current() === 1 / roster.slotCount
+  const isSettled = () => roster.members.includes(vm) && settledShare.current() === 1 / roster.slotCount
 
   const addEntry = (limit: PermitLimit) => {
     const share = createPermitShare(limit, { ...options, clock, wallClock, after })
@@ -92,28 +92,28 @@
   }
 
   const setLimits = (limits: PermitLimit[]) => {
-    const kept = limits.slice(0, maxLimits)
-    defined = new Set(kept.map(({ name }) => name))
-    for (const limit of kept) {
-      const known = entries.get(limit.name)
-      if (known === undefined) {
+    const accepted = limits.slice(0, maxLimits)
+    definedNames = new Set(accepted.map(({ name }) => name))
+    for (const limit of accepted) {
+      const existing = entries.get(limit.name)
+      if (existing === undefined) {
         addEntry(limit)
         continue
       }
-      known.limit = limit
-      known.share.setLimit(limit)
+      existing.limit = limit
+      existing.share.setLimit(limit)
     }
     for (const entry of entries.values()) applyRoster(entry)
     if (limits.length > maxLimits) log(events.limitsRefused, { limits: limits.length, maxLimits })
   }
 
-  const shareOf = (limit: string) => defined.has(limit) ? entries.get(limit)?.share : undefined
+  const shareOf = (limit: string) => definedNames.has(limit) ? entries.get(limit)?.share : undefined
 
   const maintain = () => {
     for (const [name, { share, own }] of entries) {
       share.setOwn(own.current())
       share.maintain()
-      if (defined.has(name) || !share.isIdle()) continue
+      if (definedNames.has(name) || !share.isIdle()) continue
       share.close()
       entries.delete(name)
     }
--- a/packages/limits/src/queue-disciplines.ts
+++ b/packages/limits/src/queue-disciplines.ts
@@ -1,7 +1,7 @@
 /**
  * Queueing disciplines, passed to the fair queue as functions.
  */
-import type { QueueLine } from './queue-line.js'
+import type { WorkspaceQueue } from './workspace-queue.js'
 
 /** Service credit per round for a weight of 1, in milliseconds of an endpoint slot. */
 const quantumCost = 10
@@ -10,29 +10,29 @@
 const maxBalances = 4096
 
 /** A workspace's queue, as far as a discipline needs it. */
-export type BackloggedLine = Pick<QueueLine<unknown>, 'workspace' | 'weight' | 'size' | 'first'>
+export type BackloggedQueue = Pick<WorkspaceQueue<unknown>, 'workspace' | 'weight' | 'size' | 'first'>
 
 /** Selects the workspace whose item is served next. It tracks only queues that have items. */
-export type Schedule = {
+export type Scheduler = {
   /** Adds a queue that has received its first item. */
-  join: (line: BackloggedLine) => void
+  add: (queue: BackloggedQueue) => void
   /** Removes a queue that has become empty. */
-  leave: (line: BackloggedLine) => void
+  remove: (queue: BackloggedQueue) => void
   /** The queue whose first item is served next; undefined when there is none. */
-  next: () => BackloggedLine | undefined
+  next: () => BackloggedQueue | undefined
   /** Charges service to a workspace, or refunds it when negative; in milliseconds of an endpoint slot. */
   charge: (workspace: string, cost: number) => void
   /** Whether a full queue drops an item of the workspace with the highest load to accept another item. */
-  makesRoom: boolean
+  displacesWhenFull: boolean
 }
 
 /** Creates an empty scheduler. */
-export type Discipline = () => Schedule
+export type Discipline = () => Scheduler
 
 /** Service balance of a workspace, and the round of its last update while the workspace had no waiting items. */
 type Balance = { deficit: number, round: number }
 
-const costOfFirst = (line: BackloggedLine) => line.first()?.cost ?? 0
+const costOfFirst = (queue: BackloggedQueue) => queue.first()?.cost ?? 0
 
 /**
  * Deficit round robin: in each round a backlogged workspace earns service credit in proportion to its weight, and its
@@ -41,7 +41,7 @@
  * waiting items, all balances are cleared.
  */
 export const deficitRoundRobin: Discipline = () => {
-  const lines: Array<BackloggedLine> = []
+  const queues: Array<BackloggedQueue> = []
   const balances = new Map<string, Balance>()
   let round = 0
 
@@ -51,68 +51,74 @@
     return balance
   }
 
-  const join = (line: BackloggedLine) => {
-    const balance = balanceOf(line.workspace)
-    const earned = (round - balance.round) * quantumCost * line.weight()
+  const add = (queue: BackloggedQueue) => {
+    const balance = balanceOf(queue.workspace)
+    const earned = (round - balance.round) * quantumCost * queue.weight()
     balance.deficit = Math.min(0, balance.deficit + earned)
-    lines.push(line)
+    queues.push(queue)
   }
 
-  const leave = (line: BackloggedLine) => {
-    lines.splice(lines.indexOf(line), 1)
-    if (lines.length === 0) return balances.clear()
-    const balance = balanceOf(line.workspace)
+  const remove = (queue: BackloggedQueue) => {
+    queues.splice(queues.indexOf(queue), 1)
+    if (queues.length === 0) return balances.clear()
+    const balance = balanceOf(queue.workspace)
     balance.deficit = Math.min(0, balance.deficit)
     balance.round = round
-    if (balance.deficit === 0) balances.delete(line.workspace)
+    if (balance.deficit === 0) balances.delete(queue.workspace)
   }
 
-  const roundsNeeded = (line: BackloggedLine) =>
-    Math.ceil((costOfFirst(line) - balanceOf(line.workspace).deficit) / (quantumCost * line.weight()))
+  const roundsNeeded = (queue: BackloggedQueue) =>
+    Math.ceil((costOfFirst(queue) - balanceOf(queue.workspace).deficit) / (quantumCost * queue.weight()))
 
   // Skips rounds in which no item could be served.
-  const passRounds = () => {
-    const rounds = Math.max(1, Math.min(...lines.map(roundsNeeded)))
+  const advanceRounds = () => {
+    const rounds = Math.max(1, Math.min(...queues.map(roundsNeeded)))
     round += rounds
-    for (const line of lines) balanceOf(line.workspace).deficit += rounds * quantumCost * line.weight()
+    for (const queue of queues) balanceOf(queue.workspace).deficit += rounds * quantumCost * queue.weight()
   }
 
   const next = () => {
-    if (lines.length === 0) return undefined
+    if (queues.length === 0) return undefined
     for (;;) {
-      const index = lines.findIndex(line => balanceOf(line.workspace).deficit >= costOfFirst(line))
+      const index = queues.findIndex(queue => balanceOf(queue.workspace).deficit >= costOfFirst(queue))
       if (index < 0) {
         // The queue served last has spent its credit, and is last in the next round.
-        lines.push(...lines.splice(0, 1))
-        passRounds()
+        queues.push(...queues.splice(0, 1))
+        advanceRounds()
         continue
       }
       // The queues before the found one have spent their credit; the found one stays first until it has spent its own.
-      lines.push(...lines.splice(0, index))
-      return lines[0]
+      queues.push(...queues.splice(0, index))
+      return queues[0]
     }
   }
 
   const charge = (workspace: string, cost: number) => {
-    if (lines.length === 0 || (!balances.has(workspace) && balances.size >= maxBalances)) return
+    if (queues.length === 0 || (!balances.has(workspace) && balances.size >= maxBalances)) return
     balanceOf(workspace).deficit -= cost
   }
 
-  return { join, leave, next, charge, makesRoom: true }
+  return { add, remove, next, charge, displacesWhenFull: true }
 }
 
 /** First come first served over all workspaces; a full queue refuses every new item. */
 export const firstComeFirstServed: Discipline = () => {
-  const lines = new Set<BackloggedLine>()
+  const queues = new Set<BackloggedQueue>()
 
   const next = () => {
-    let oldest: BackloggedLine | undefined
-    for (const line of lines) {
-      const sequence = line.first()?.sequence ?? Infinity
-      if (sequence < (oldest?.first()?.sequence ?? Infinity)) oldest = line
+    let oldest: BackloggedQueue | undefined
+    for (const queue of queues) {
+      const sequence = queue.first()?.sequence ?? Infinity
+      if (sequence < (oldest?.first()?.sequence ?? Infinity)) oldest = queue
     }
     return oldest
   }
 
-  return { join: line => lines.add(line), leave: line => lines.delete(line), next, charge: () => {}, makesRoom: false }
+  return {
+    add: queue => queues.add(queue),
+    remove: queue => queues.delete(queue),
+    next,
+    charge: () => {},
+    displacesWhenFull: false
+  }
 }
--- a/packages/limits/src/wrongful-refusals.test.ts
+++ b/packages/limits/src/refusals-within-rate.test.ts
@@ -8,12 +8,12 @@
 import { createBoundChecker } from './soak/bound-checker.js'
 import { createSimulatedFleet } from './soak/simulated-fleet.js'
 
-const loadPart = 0.9
+const loadFraction = 0.9
 const runMs = 20_000
 const maxWaitMs = 50
 
 /** Maximum fraction of the requests that may be refused. */
-const maxRefusedPart = 0.001
+const maxRefusedFraction = 0.001
 
 type Scenario = { ratePerSec: number, burst: number, busyVms: string[] }
 
@@ -33,13 +33,13 @@
     if (admitted) checker.admit(fleet.time.clock())
     else refused++
   }
-  for (let atMs = 0; atMs < runMs; atMs += 1000 / (ratePerSec * loadPart)) {
+  for (let atMs = 0; atMs < runMs; atMs += 1000 / (ratePerSec * loadFraction)) {
     await fleet.time.runUntil(atMs)
     request(busyVms[requests++ % busyVms.length])
   }
   await fleet.time.runUntil(runMs + maxWaitMs)
   fleet.close()
-  return { refusedPart: refused / requests, excess: checker.excess() }
+  return { refusedFraction: refused / requests, excess: checker.excess() }
 }
 
 const limits = [
@@ -52,14 +52,14 @@
 for (const { ratePerSec, burst } of limits) {
   for (const busyVms of [['vm1'], ['vm2', 'vm7']]) {
     test(`${ratePerSec}/s, burst ${burst}, callers at ${busyVms.length} VM: loans refuse at most 0.1%`, async t => {
-      const { refusedPart, excess } = await run(loans, { ratePerSec, burst, busyVms })
+      const { refusedFraction, excess } = await run(loans, { ratePerSec, burst, busyVms })
       t.is(excess, undefined)
-      t.true(refusedPart <= maxRefusedPart, `${refusedPart}`)
+      t.true(refusedFraction <= maxRefusedFraction, `${refusedFraction}`)
     })
   }
 }
 
 test('equal static slices refuse most requests', async t => {
-  const { refusedPart } = await run(staticSlices, { ratePerSec: 100, burst: 20, busyVms: ['vm2', 'vm7'] })
-  t.true(refusedPart > 0.5, `${refusedPart}`)
+  const { refusedFraction } = await run(staticSlices, { ratePerSec: 100, burst: 20, busyVms: ['vm2', 'vm7'] })
+  t.true(refusedFraction > 0.5, `${refusedFraction}`)
 })
--- a/packages/limits/src/share-ledger.ts
+++ b/packages/limits/src/share-ledger.ts
@@ -10,8 +10,8 @@
  * - The own amount shrinks at once and grows only after the longest loan and its margin (see own-share.ts).
  */
 import type { Clock } from '@egretyoke/common'
-import { createExpiringAmounts } from './termed-amounts.js'
-import type { ExpiringAmounts } from './termed-amounts.js'
+import { createExpiringAmounts } from './expiring-amounts.js'
+import type { ExpiringAmounts } from './expiring-amounts.js'
 
 /** Maximum number of borrowers in a ledger; each incarnation of a VM counts as one. */
 const maxBorrowers = 4096
--- a/packages/limits/src/share-table.test.ts
+++ b/packages/limits/src/share-table.test.ts
@@ -8,7 +8,7 @@
 import { createShareTable } from './share-table.js'
 import { createBoundChecker } from './soak/bound-checker.js'
 import { createSimulatedFleet } from './soak/simulated-fleet.js'
-import type { MessageFate } from './soak/simulated-fleet.js'
+import type { MessageOutcome } from './soak/simulated-fleet.js'
 
 const seed = 20261204
 const historyCount = 150
@@ -24,17 +24,17 @@
 
 test('a burst at one VM is served from the shares of all VMs', async t => {
   const { time, table } = createFleet()
-  const takes = Array.from({ length: 5 }, () => table('vm1').take('acme', 30))
+  const acquisitions = Array.from({ length: 5 }, () => table('vm1').take('acme', 30))
   await time.runUntil(30)
-  t.deepEqual((await Promise.all(takes)).map(({ admitted }) => admitted), [true, true, true, true, true])
+  t.deepEqual((await Promise.all(acquisitions)).map(({ admitted }) => admitted), [true, true, true, true, true])
   t.is(time.clock(), 30)
 })
 
 test('equal static slices refuse a burst that is within the limit', async t => {
   const { time, table } = createFleet(staticSlices)
-  const taken = table('vm1').take('acme', 30)
+  const acquired = table('vm1').take('acme', 30)
   await time.runUntil(100)
-  const refused = await taken
+  const refused = await acquired
   t.like(refused, { admitted: false, reason: 'rate' })
 })
 
@@ -69,17 +69,17 @@
 })
 
 const busyLimit = { ...limit, ratePerSec: 100, burst: 15 }
-const createFailingFleet = (policy: LoanPolicy, nextFate: () => MessageFate) =>
+const createFailingFleet = (policy: LoanPolicy, nextOutcome: () => MessageOutcome) =>
   createSimulatedFleet(5, (options, members, isRestart) => {
     const table = createShareTable({ ...options, policy, startupHold: isRestart })
     table.setRoster({ members, slotCount: members.length })
     table.setLimits([busyLimit])
     return table
-  }, nextFate)
+  }, nextOutcome)
 
 const upTo = (max: number) => fc.nat({ max })
 const delayMs = fc.oneof({ arbitrary: upTo(5), weight: 7 }, { arbitrary: upTo(300), weight: 1 })
-const fates = fc.array(fc.record({
+const outcomes = fc.array(fc.record({
   requestMs: delayMs,
   replyMs: delayMs,
   isLost: upTo(19).map(roll => roll === 0)
@@ -91,11 +91,11 @@
 for (const [name, policy] of Object.entries({ loans, spreadLoans })) {
   test(`the bound holds with ${name} over arbitrary histories of a fleet`, async t => {
     let admitted = 0
-    const property = fc.asyncProperty(fates, steps, async (fateList, stepList) => {
-      let fateIndex = 0
-      const fleet = createFailingFleet(policy, () => fateList[fateIndex++ % fateList.length])
+    const property = fc.asyncProperty(outcomes, steps, async (outcomeList, stepList) => {
+      let outcomeIndex = 0
+      const fleet = createFailingFleet(policy, () => outcomeList[outcomeIndex++ % outcomeList.length])
       const checker = createBoundChecker(busyLimit)
-      const take = async (vm: string) => {
+      const acquire = async (vm: string) => {
         if (!(await fleet.table(vm).take('acme', 50)).admitted) return
         admitted++
         checker.admit(fleet.time.clock())
@@ -105,7 +105,7 @@
         const isAlive = fleet.isAlive(vm)
         if (isAlive && (name === 'kill' || name === 'bounce')) fleet.kill(vm)
         if (!fleet.isAlive(vm) && (name === 'restart' || name === 'bounce')) fleet.restart(vm)
-        if (isAlive && name === 'take') for (let taken = 0; taken < count; taken++) take(vm)
+        if (isAlive && name === 'take') for (let requestIndex = 0; requestIndex < count; requestIndex++) acquire(vm)
         await fleet.time.runUntil(fleet.time.clock() + ms)
       }
       fleet.close()
--- a/packages/limits/src/share-table.ts
+++ b/packages/limits/src/share-table.ts
@@ -67,7 +67,7 @@
   setRoster: (roster: Roster) => void
   /** Replaces the definitions of all limits. */
   setLimits: (limits: RateLimit[]) => void
-  tryTake: (limit: string) => boolean
+  tryAcquire: (limit: string) => boolean
   /** Acquires one token; waits for a loan or the refill for at most the given time. */
   take: (limit: string, maxWaitMs: number, signal?: AbortSignal) => Promise<Taken>
   /** Grants or refuses a peer's loan request. */
@@ -86,10 +86,10 @@
   const newestIncarnations = new Map<string, number>()
   const { loanMarginMs, startupHold } = options
   const growthDelayMs = Math.max(options.growthDelayMs ?? 0, loanTtlMs + loanMarginMs)
-  const ownPart = createOwnShare({ clock, growthDelayMs, startupHold })
+  const ownShare = createOwnShare({ clock, growthDelayMs, startupHold })
   let roster: Roster | undefined
   let peers: string[] = []
-  let defined = new Set<string>()
+  let definedNames = new Set<string>()
   let hasLimits = false
   let cancelMaintenance = () => {}
 
@@ -98,13 +98,13 @@
     roster = structuredClone(next)
     const { members, slotCount } = next
     peers = members.filter(member => member !== vm)
-    ownPart.set(members.includes(vm) ? 1 / Math.max(slotCount, members.length) : 0)
-    for (const known of newestIncarnations.keys()) if (!members.includes(known)) newestIncarnations.delete(known)
+    ownShare.set(members.includes(vm) ? 1 / Math.max(slotCount, members.length) : 0)
+    for (const peer of newestIncarnations.keys()) if (!members.includes(peer)) newestIncarnations.delete(peer)
     for (const share of shares.values()) {
       share.setPeers(peers)
-      share.setOwnFraction(ownPart.current())
+      share.setOwnFraction(ownShare.current())
     }
-    log(events.shareChanged, { slotCount, members, ownFractionNow: ownPart.current() })
+    log(events.shareChanged, { slotCount, members, ownFractionNow: ownShare.current() })
   }
 
   const addShare = (limit: RateLimit) => {
@@ -114,36 +114,36 @@
     })
     shares.set(limit.name, share)
     share.setPeers(peers)
-    share.setOwnFraction(ownPart.current())
+    share.setOwnFraction(ownShare.current())
   }
 
   // A removed limit keeps its share until its loans have expired, in case the limit is defined again.
-  const forgetWithdrawn = () => {
+  const removeWithdrawn = () => {
     for (const [name, share] of shares) {
-      if (defined.has(name) || !share.isIdle()) continue
+      if (definedNames.has(name) || !share.isIdle()) continue
       share.close()
       shares.delete(name)
     }
   }
 
   const setLimits = (limits: RateLimit[]) => {
-    const kept = limits.slice(0, maxLimits)
-    defined = new Set(kept.map(({ name }) => name))
-    forgetWithdrawn()
-    for (const limit of kept) {
-      const known = shares.get(limit.name)
-      if (known === undefined) addShare(limit)
-      else known.setLimit(limit)
+    const accepted = limits.slice(0, maxLimits)
+    definedNames = new Set(accepted.map(({ name }) => name))
+    removeWithdrawn()
+    for (const limit of accepted) {
+      const existing = shares.get(limit.name)
+      if (existing === undefined) addShare(limit)
+      else existing.setLimit(limit)
     }
     hasLimits = true
     if (limits.length > maxLimits) log(events.limitsRefused, { limits: limits.length, maxLimits })
   }
 
-  const shareOf = (limit: string) => defined.has(limit) ? shares.get(limit) : undefined
+  const shareOf = (limit: string) => definedNames.has(limit) ? shares.get(limit) : undefined
 
   const take = async (limit: string, maxWaitMs: number, signal?: AbortSignal): Promise<Taken> => {
     const share = shareOf(limit)
-    if (share !== undefined) return share.take(maxWaitMs, signal)
+    if (share !== undefined) return share.acquire(maxWaitMs, signal)
     return { admitted: false, retryAfterMs: unknownLimitRetryAfterMs, reason: 'unknownLimit' }
   }
 
@@ -170,9 +170,9 @@
   }
 
   const maintain = () => {
-    forgetWithdrawn()
+    removeWithdrawn()
     for (const share of shares.values()) {
-      share.setOwnFraction(ownPart.current())
+      share.setOwnFraction(ownShare.current())
       share.maintain()
     }
     cancelMaintenance = after(loanTtlMs / maintenanceRoundsPerLoan, maintain)
@@ -188,7 +188,7 @@
   return {
     setRoster,
     setLimits,
-    tryTake: limit => shareOf(limit)?.tryTake() ?? false,
+    tryAcquire: limit => shareOf(limit)?.tryAcquire() ?? false,
     take,
     lend,
     expireLoans,
--- a/packages/limits/src/soak/bound-checker.ts
+++ b/packages/limits/src/soak/bound-checker.ts
@@ -11,7 +11,7 @@
 const roundingRequests = 1e-4
 
 /** Active rate and burst; the maximum of each while VMs apply different versions. */
-export type BoundInForce = { ratePerSec: number, burst: number }
+export type ActiveBound = { ratePerSec: number, burst: number }
 
 /** The end of an interval with more admissions than the bound, and by how many. */
 export type BoundExcess = { atMs: number, excessRequests: number, burst: number }
@@ -21,14 +21,14 @@
 /** Checks the admissions of one limit, which are reported in chronological order. */
 export type BoundChecker = {
   /** Sets the rate and burst that are active from the given time on. */
-  inForce: (atMs: number, bound: BoundInForce) => void
+  setBound: (atMs: number, bound: ActiveBound) => void
   admit: (atMs: number) => void
   /** The first detected excess. */
   excess: () => BoundExcess | undefined
 }
 
 /** Creates a checker without admissions. */
-export const createBoundChecker = (initial: BoundInForce): BoundChecker => {
+export const createBoundChecker = (initial: ActiveBound): BoundChecker => {
   const buckets: Bucket[] = [{ level: 0, burst: initial.burst }]
   let bound = initial
   let lastMs = 0
@@ -40,7 +40,7 @@
     lastMs = Math.max(lastMs, atMs)
   }
 
-  const inForce = (atMs: number, next: BoundInForce) => {
+  const setBound = (atMs: number, next: ActiveBound) => {
     drainTo(atMs)
     if (next.ratePerSec === bound.ratePerSec && next.burst === bound.burst) return
     bound = next
@@ -57,5 +57,5 @@
     }
   }
 
-  return { inForce, admit, excess: () => firstExcess }
+  return { setBound, admit, excess: () => firstExcess }
 }
--- a/packages/limits/src/soak/share-world.ts
+++ b/packages/limits/src/soak/share-simulation.ts
@@ -15,42 +15,42 @@
 export const loanMarginMs = 100
 
 /** Defects that can be injected into the mechanism, to prove that the checker detects them. */
-export type BrokenWays = {
+export type InjectedDefects = {
   /** A lender stops counting a loan as soon as it has granted it. */
-  lenderForgets?: boolean
+  lenderIgnoresLoans?: boolean
   /** A restarted VM owns its whole share at once. */
-  restartsWithoutHold?: boolean
+  noStartupHold?: boolean
   /** A borrower measures the duration of a loan from the arrival of the reply instead of the sending of the request. */
-  borrowerCountsFromReply?: boolean
+  loanStartsAtReply?: boolean
   /** A VM does not detect that its monotonic clock stopped during a pause. */
-  pauseGoesUnnoticed?: boolean
+  pauseUndetected?: boolean
   /** A member is added before the others have adopted the larger slot count. */
-  slotsChangeInOneStep?: boolean
+  memberAddedAtOnce?: boolean
   /** A borrower reserves no capacity for tokens in transit. */
-  nothingReserved?: boolean
+  noReservation?: boolean
 }
 
 /** Options of a simulation. */
-export type ShareWorldOptions = {
+export type ShareSimulationOptions = {
   vmCount: number
   ratePerSec: number
   burst: number
   /** Relative rate errors of the VMs' monotonic clocks. */
   clockErrors: number[]
   /** How a VM detects that its monotonic clock stopped: by its wall clock, or by `expireLoans` on resumption. */
-  seesPauseBy: 'wallClock' | 'expireLoans'
-  broken?: BrokenWays
+  pauseDetection: 'wallClock' | 'expireLoans'
+  defects?: InjectedDefects
 }
 
 /** A loan request, and the delays, loss and duplication of its messages. */
-export type AskPlan = {
+export type RequestPlan = {
   tokensWanted: number
   fractionWanted: number
   ttlMs: number
   requestDelayMs: number
   replyDelayMs: number
   isReplyLost: boolean
-  isReplyDoubled: boolean
+  isReplyDuplicated: boolean
 }
 
 type Vm = {
@@ -71,22 +71,22 @@
 type Delivery = { atMs: number, to: Vm, incarnation: number, deliver: () => void }
 
 /** A simulated fleet with one limit. */
-export type ShareWorld = {
+export type ShareSimulation = {
   vmCount: () => number
   advance: (ms: number) => void
-  take: (vm: number, upTo: number) => void
-  ask: (vm: number, peer: number, plan: AskPlan) => void
-  giveUpAsks: (vm: number) => void
+  consume: (vm: number, upTo: number) => void
+  requestLoan: (vm: number, peer: number, plan: RequestPlan) => void
+  cancelRequests: (vm: number) => void
   kill: (vm: number) => void
   restart: (vm: number) => void
   pause: (vm: number, ms: number, clockStops: boolean) => void
-  cut: (one: number, other: number, ms: number) => void
+  partition: (one: number, other: number, ms: number) => void
   /** Changes the definition of the limit; each VM applies it after its delay. */
-  changeLimit: (ratePerSec: number, burst: number, learnDelaysMs: number[]) => void
+  changeLimit: (ratePerSec: number, burst: number, applyDelaysMs: number[]) => void
   /** Adds a member, which gets its slot after all others have adopted the larger slot count. */
-  addVm: (learnDelaysMs: number[]) => void
+  addVm: (applyDelaysMs: number[]) => void
   /** Removes a killed member; the others adopt the smaller slot count. */
-  removeDead: (vm: number, learnDelaysMs: number[]) => void
+  removeKilled: (vm: number, applyDelaysMs: number[]) => void
   admitted: () => number
   excess: () => BoundExcess | undefined
 }
@@ -95,17 +95,17 @@
 const maxVms = 9
 
 /** Creates a simulation of VMs that have never run before. */
-export const createShareWorld = (options: ShareWorldOptions): ShareWorld => {
-  const { vmCount, ratePerSec, burst, clockErrors, seesPauseBy, broken = {} } = options
+export const createShareSimulation = (options: ShareSimulationOptions): ShareSimulation => {
+  const { vmCount, ratePerSec, burst, clockErrors, pauseDetection, defects = {} } = options
   let nowMs = 0
   let limit: RateLimit = { name: 'limit', ratePerSec, burst, version: 1 }
   let admitted = 0
-  let bornVms = 0
+  let createdVms = 0
   let slotCount = vmCount
   let checkSlots = () => {}
   const vms: Vm[] = []
-  const asks = new Map<Vm, Set<PendingRequest>>()
-  const cuts: Array<{ one: Vm, other: Vm, untilMs: number }> = []
+  const pendingRequests = new Map<Vm, Set<PendingRequest>>()
+  const partitions: Array<{ one: Vm, other: Vm, untilMs: number }> = []
   let deliveries: Delivery[] = []
   const checker = createBoundChecker({ ratePerSec, burst })
 
@@ -113,39 +113,39 @@
 
   const startShare = (vm: Vm, startupHold: boolean) => {
     const clock = () => monotonicOf(vm)
-    const hasWallClock = seesPauseBy === 'wallClock' && !broken.pauseGoesUnnoticed
+    const hasWallClock = pauseDetection === 'wallClock' && !defects.pauseUndetected
     const wallClock = hasWallClock ? () => nowMs : () => 0
-    const times = { clock, wallClock, loanTtlMs, loanMarginMs: broken.lenderForgets ? -loanTtlMs : loanMarginMs }
+    const times = { clock, wallClock, loanTtlMs, loanMarginMs: defects.lenderIgnoresLoans ? -loanTtlMs : loanMarginMs }
     vm.own = createOwnShare({ clock, startupHold, growthDelayMs: loanTtlMs + loanMarginMs })
     vm.share = createTokenShare(limit, { ...times, startsFull: !startupHold })
     vm.limit = limit
-    asks.set(vm, new Set())
+    pendingRequests.set(vm, new Set())
   }
 
   const applyOwn = (vm: Vm) => vm.share.setOwnFraction(vm.own.current())
 
-  const learnSlots = (vm: Vm, slots: number) => {
+  const adoptSlotCount = (vm: Vm, slots: number) => {
     vm.slotCount = slots
     vm.own.set(1 / slots)
     applyOwn(vm)
   }
 
-  const noteBound = () => {
-    const inUse = vms.filter(({ isAlive }) => isAlive).map(vm => vm.limit)
-    checker.inForce(nowMs, {
-      ratePerSec: Math.max(...inUse.map(used => used.ratePerSec)),
-      burst: Math.max(...inUse.map(used => used.burst))
+  const updateBound = () => {
+    const activeLimits = vms.filter(({ isAlive }) => isAlive).map(vm => vm.limit)
+    checker.setBound(nowMs, {
+      ratePerSec: Math.max(...activeLimits.map(activeLimit => activeLimit.ratePerSec)),
+      burst: Math.max(...activeLimits.map(activeLimit => activeLimit.burst))
     })
   }
 
   const createVm = (startupHold: boolean) => {
     const clockRate = 1 + (clockErrors[vms.length % clockErrors.length] ?? 0)
     const state = { isAlive: true, pausedUntilMs: 0, stoppedForMs: 0, stoppedSinceMs: undefined, incarnation: 1 }
-    bornVms++
-    const vm = { name: `vm${bornVms}`, ...state, clockRate, slotCount: 0, limit } as Vm
+    createdVms++
+    const vm = { name: `vm${createdVms}`, ...state, clockRate, slotCount: 0, limit } as Vm
     vms.push(vm)
     startShare(vm, startupHold)
-    noteBound()
+    updateBound()
     return vm
   }
 
@@ -155,11 +155,11 @@
     deliveries.push({ atMs: nowMs + delayMs, to, incarnation: to.incarnation, deliver })
   }
 
-  const wake = (vm: Vm) => {
+  const resume = (vm: Vm) => {
     if (vm.stoppedSinceMs === undefined || vm.pausedUntilMs > nowMs) return
     vm.stoppedForMs += nowMs - vm.stoppedSinceMs
     vm.stoppedSinceMs = undefined
-    if (seesPauseBy === 'expireLoans' && !broken.pauseGoesUnnoticed) vm.share.expireLoans()
+    if (pauseDetection === 'expireLoans' && !defects.pauseUndetected) vm.share.expireLoans()
   }
 
   const nextDelivery = (untilMs: number) => {
@@ -172,11 +172,11 @@
     return next
   }
 
-  const moveTo = (atMs: number) => {
-    const wakes = vms.map(vm => vm.pausedUntilMs).filter(wakeMs => wakeMs > nowMs && wakeMs <= atMs)
-    for (const wakeMs of wakes.sort((one, other) => one - other)) {
-      nowMs = wakeMs
-      vms.forEach(wake)
+  const advanceTo = (atMs: number) => {
+    const resumptions = vms.map(vm => vm.pausedUntilMs).filter(resumeMs => resumeMs > nowMs && resumeMs <= atMs)
+    for (const resumeMs of resumptions.sort((one, other) => one - other)) {
+      nowMs = resumeMs
+      vms.forEach(resume)
     }
     nowMs = Math.max(nowMs, atMs)
   }
@@ -186,79 +186,81 @@
     for (let next = nextDelivery(untilMs); next !== undefined; next = nextDelivery(untilMs)) {
       const { to, incarnation, deliver, atMs } = next
       deliveries = deliveries.filter(delivery => delivery !== next)
-      moveTo(Math.max(atMs, to.pausedUntilMs))
+      advanceTo(Math.max(atMs, to.pausedUntilMs))
       if (to.isAlive && to.incarnation === incarnation) deliver()
     }
-    moveTo(untilMs)
+    advanceTo(untilMs)
   }
 
-  const take = (index: number, upTo: number) => {
+  const consume = (index: number, upTo: number) => {
     const vm = vms[index % vms.length]
     if (!isRunning(vm)) return
     applyOwn(vm)
-    for (let taken = 0; taken < upTo && vm.share.tryAcquire(); taken++) {
+    for (let consumed = 0; consumed < upTo && vm.share.tryAcquire(); consumed++) {
       admitted++
       checker.admit(nowMs)
     }
   }
 
-  const isCut = (one: Vm, other: Vm) => cuts.some(({ untilMs, ...ends }) =>
+  const isPartitioned = (one: Vm, other: Vm) => partitions.some(({ untilMs, ...ends }) =>
     untilMs > nowMs && [ends.one, ends.other].includes(one) && [ends.one, ends.other].includes(other))
 
-  const useReply = (vm: Vm, pending: PendingRequest, loan: Loan) => {
-    if (broken.borrowerCountsFromReply) pending.sentAtMs = monotonicOf(vm)
-    if (broken.borrowerCountsFromReply) pending.sentAtWallMs = nowMs
-    if (broken.nothingReserved) pending.reservedTokens = Infinity
+  const applyReply = (vm: Vm, pending: PendingRequest, loan: Loan) => {
+    if (defects.loanStartsAtReply) pending.sentAtMs = monotonicOf(vm)
+    if (defects.loanStartsAtReply) pending.sentAtWallMs = nowMs
+    if (defects.noReservation) pending.reservedTokens = Infinity
     applyOwn(vm)
     vm.share.accept(pending, loan)
-    asks.get(vm)?.delete(pending)
+    pendingRequests.get(vm)?.delete(pending)
   }
 
-  const answer = (vm: Vm, peer: Vm, pending: PendingRequest, terms: LoanTerms, version: number, plan: AskPlan) => {
+  const handleRequest = (
+    vm: Vm, peer: Vm, pending: PendingRequest, terms: LoanTerms, version: number, plan: RequestPlan
+  ) => {
     if (peer.limit.version !== version) return
     applyOwn(peer)
     const loan = peer.share.lend(terms)
-    if (plan.isReplyLost || isCut(vm, peer)) return
-    schedule(vm, plan.replyDelayMs, () => useReply(vm, pending, loan))
-    if (plan.isReplyDoubled) schedule(vm, 2 * plan.replyDelayMs, () => useReply(vm, pending, loan))
+    if (plan.isReplyLost || isPartitioned(vm, peer)) return
+    schedule(vm, plan.replyDelayMs, () => applyReply(vm, pending, loan))
+    if (plan.isReplyDuplicated) schedule(vm, 2 * plan.replyDelayMs, () => applyReply(vm, pending, loan))
   }
 
-  const ask = (index: number, peerIndex: number, plan: AskPlan) => {
+  const requestLoan = (index: number, peerIndex: number, plan: RequestPlan) => {
     const vm = vms[index % vms.length]
     const peer = vms[peerIndex % vms.length]
-    if (vm === peer || !isRunning(vm) || isCut(vm, peer)) return
+    if (vm === peer || !isRunning(vm) || isPartitioned(vm, peer)) return
     applyOwn(vm)
     const pending = vm.share.beginRequest(peer.name, plan.tokensWanted, plan.ttlMs)
-    asks.get(vm)?.add(pending)
-    if (broken.nothingReserved) pending.reservedTokens = 0
+    pendingRequests.get(vm)?.add(pending)
+    if (defects.noReservation) pending.reservedTokens = 0
     const { tokensWanted, fractionWanted, ttlMs } = plan
     const borrower = `${vm.name}/${vm.incarnation}`
     const terms = { borrower, tokensWanted, fractionWanted, loanTtlMs: ttlMs, keepTokens: 0, keepFraction: 0 }
     const { version } = vm.limit
-    schedule(peer, plan.requestDelayMs, () => answer(vm, peer, pending, terms, version, plan))
+    schedule(peer, plan.requestDelayMs, () => handleRequest(vm, peer, pending, terms, version, plan))
   }
 
-  const giveUpAsks = (index: number) => {
+  const cancelRequests = (index: number) => {
     const vm = vms[index % vms.length]
-    for (const pending of asks.get(vm) ?? []) vm.share.cancel(pending)
-    asks.get(vm)?.clear()
+    for (const pending of pendingRequests.get(vm) ?? []) vm.share.cancel(pending)
+    pendingRequests.get(vm)?.clear()
   }
 
   const kill = (index: number) => {
     const vm = vms[index % vms.length]
     if (vms.filter(({ isAlive }) => isAlive).length < 2) return
     vm.isAlive = false
-    noteBound()
+    updateBound()
   }
 
   const restart = (index: number) => {
     const vm = vms[index % vms.length]
     if (vm.isAlive) return
     Object.assign(vm, { isAlive: true, incarnation: vm.incarnation + 1, pausedUntilMs: 0 })
-    wake(vm)
-    startShare(vm, !broken.restartsWithoutHold)
-    learnSlots(vm, slotCount)
-    noteBound()
+    resume(vm)
+    startShare(vm, !defects.noStartupHold)
+    adoptSlotCount(vm, slotCount)
+    updateBound()
     checkSlots()
   }
 
@@ -269,8 +271,8 @@
     if (clockStops) vm.stoppedSinceMs = nowMs
   }
 
-  const cut = (one: number, other: number, ms: number) => {
-    cuts.push({ one: vms[one % vms.length], other: vms[other % vms.length], untilMs: nowMs + ms })
+  const partition = (one: number, other: number, ms: number) => {
+    partitions.push({ one: vms[one % vms.length], other: vms[other % vms.length], untilMs: nowMs + ms })
   }
 
   const changeLimit = (nextRate: number, nextBurst: number, delaysMs: number[]) => {
@@ -280,18 +282,18 @@
       if (vm.limit.version >= next.version) return
       vm.share.setLimit(next)
       vm.limit = next
-      noteBound()
+      updateBound()
     }))
   }
 
   // Calls `whenAll` once every running VM uses at least the slot count; killed VMs adopt it when they restart.
-  const spreadSlots = (slots: number, delaysMs: number[], whenAll: () => void) => {
-    const old = [...vms]
+  const propagateSlotCount = (slots: number, delaysMs: number[], whenAll: () => void) => {
+    const existing = [...vms]
     checkSlots = () => {
-      if (old.every(vm => !vm.isAlive || vm.slotCount >= slots)) whenAll()
+      if (existing.every(vm => !vm.isAlive || vm.slotCount >= slots)) whenAll()
     }
-    old.forEach((vm, index) => schedule(vm, delaysMs[index % delaysMs.length], () => {
-      learnSlots(vm, Math.max(slots, vm.slotCount))
+    existing.forEach((vm, index) => schedule(vm, delaysMs[index % delaysMs.length], () => {
+      adoptSlotCount(vm, Math.max(slots, vm.slotCount))
       checkSlots()
     }))
   }
@@ -305,38 +307,38 @@
       if (isAdded) return
       isAdded = true
       checkSlots = () => {}
-      learnSlots(createVm(true), slots)
+      adoptSlotCount(createVm(true), slots)
     }
-    if (broken.slotsChangeInOneStep) add()
-    spreadSlots(slots, delaysMs, add)
+    if (defects.memberAddedAtOnce) add()
+    propagateSlotCount(slots, delaysMs, add)
   }
 
-  const removeDead = (index: number, delaysMs: number[]) => {
+  const removeKilled = (index: number, delaysMs: number[]) => {
     const vm = vms[index % vms.length]
     if (vm.isAlive || vms.length < 3 || slotCount !== vms.length) return
     vms.splice(vms.indexOf(vm), 1)
     slotCount = vms.length
     const slots = slotCount
-    vms.forEach((other, place) => schedule(other, delaysMs[place % delaysMs.length], () => {
-      if (slots === slotCount) learnSlots(other, slots)
+    vms.forEach((other, position) => schedule(other, delaysMs[position % delaysMs.length], () => {
+      if (slots === slotCount) adoptSlotCount(other, slots)
     }))
   }
 
-  for (let index = 0; index < vmCount; index++) learnSlots(createVm(false), vmCount)
+  for (let index = 0; index < vmCount; index++) adoptSlotCount(createVm(false), vmCount)
 
   return {
     vmCount: () => vms.length,
     advance,
-    take,
-    ask,
-    giveUpAsks,
+    consume,
+    requestLoan,
+    cancelRequests,
     kill,
     restart,
     pause,
-    cut,
+    partition,
     changeLimit,
     addVm,
-    removeDead,
+    removeKilled,
     admitted: () => admitted,
     excess: checker.excess
   }
--- a/packages/limits/src/soak/simulated-fleet.ts
+++ b/packages/limits/src/soak/simulated-fleet.ts
@@ -14,7 +14,7 @@
 const messageTimeoutMs = 100
 
 /** Delays of one request to a peer and of its reply, and whether the reply is lost. */
-export type MessageFate = { requestMs: number, replyMs: number, isLost: boolean }
+export type MessageOutcome = { requestMs: number, replyMs: number, isLost: boolean }
 
 /** Options that all tables of a fleet have in common. */
 export type CommonTableOptions = {
@@ -48,7 +48,7 @@
 export const createSimulatedFleet = <Table extends Lender>(
   vmCount: number,
   start: (options: CommonTableOptions, members: string[], isRestart: boolean) => Table,
-  nextFate: () => MessageFate = () => ({ requestMs: 0.5, replyMs: 0.5, isLost: false })
+  nextOutcome: () => MessageOutcome = () => ({ requestMs: 0.5, replyMs: 0.5, isLost: false })
 ): SimulatedFleet<Table> => {
   const time = createSimulatedTime()
   const members = Array.from({ length: vmCount }, (_, index) => `vm${index + 1}`)
@@ -57,7 +57,7 @@
   const sleepMs = (ms: number) => new Promise<void>(resolve => { time.after(ms, resolve) })
 
   const askPeer = async (peer: string, request: BorrowRequest) => {
-    const { requestMs, replyMs, isLost } = nextFate()
+    const { requestMs, replyMs, isLost } = nextOutcome()
     await sleepMs(requestMs)
     const reply = tables.get(peer)?.lend(request)
     if (reply === undefined || isLost) {
--- a/packages/limits/src/soak/simulated-time.ts
+++ b/packages/limits/src/soak/simulated-time.ts
@@ -32,8 +32,8 @@
     while (index > 0 && isBefore(timer, timers[index - 1])) index--
     timers.splice(index, 0, timer)
     return () => {
-      const place = timers.indexOf(timer)
-      if (place >= 0) timers.splice(place, 1)
+      const position = timers.indexOf(timer)
+      if (position >= 0) timers.splice(position, 1)
     }
   }
 
--- a/packages/limits/src/spread-loans.ts
+++ b/packages/limits/src/spread-loans.ts
@@ -18,7 +18,7 @@
 const negligibleTokens = 1e-6
 
 /** Maximum number of peers that receive a request at the same time. */
-const maxConcurrentRequests = 4
+const maxPeerRequests = 4
 
 /** Needed fraction of the borrowed amount above which renewals request all of it. */
 const renewAllThreshold = 0.8
@@ -40,7 +40,7 @@
   const fetchTokens = () => {
     const missing = tokensMissing(shareState()) - expectedGrants().tokens
     if (missing <= negligibleTokens) return
-    const selected = peers.select(Math.min(maxConcurrentRequests, Math.ceil(missing)))
+    const selected = peers.select(Math.min(maxPeerRequests, Math.ceil(missing)))
     const wholeEach = Math.floor(missing / selected.length)
     for (const [index, peer] of selected.entries()) {
       const remainder = missing - wholeEach * selected.length
@@ -53,7 +53,7 @@
     const state = shareState()
     const missing = targetFraction(state) - state.usableFraction - expectedGrants().fraction
     if (!lendsRate || missing <= negligibleFraction) return
-    const selected = peers.select(maxConcurrentRequests)
+    const selected = peers.select(maxPeerRequests)
     for (const peer of selected) {
       const fraction = ledger.borrowedFrom(peer) + missing / selected.length
       requestLoan(peer, { tokens: 0, fraction, ttlMs: loanTtlMs })
--- a/packages/limits/src/queue-line.ts
+++ b/packages/limits/src/workspace-queue.ts
@@ -3,7 +3,7 @@
  */
 
 /** A waiting item. */
-export type Queued<Item> = {
+export type QueuedItem<Item> = {
   item: Item
   workspace: string
   weight: number
@@ -13,54 +13,54 @@
   deadlineMs: number
   /** Arrival number over all workspaces. */
   sequence: number
-  isGone: boolean
+  isRemoved: boolean
 }
 
 /** The waiting items of one workspace. */
-export type QueueLine<Item> = {
+export type WorkspaceQueue<Item> = {
   workspace: string
   weight: () => number
   size: () => number
-  push: (queued: Queued<Item>) => void
-  first: () => Queued<Item> | undefined
-  last: () => Queued<Item> | undefined
-  remove: (queued: Queued<Item>) => void
-  all: () => Array<Queued<Item>>
+  push: (queued: QueuedItem<Item>) => void
+  first: () => QueuedItem<Item> | undefined
+  last: () => QueuedItem<Item> | undefined
+  remove: (queued: QueuedItem<Item>) => void
+  all: () => Array<QueuedItem<Item>>
 }
 
 /** Number of removed items, beyond the number of waiting ones, above which a queue is compacted. */
-const maxGoneItems = 64
+const maxRemovedItems = 64
 
 /** Creates an empty queue. */
-export const createQueueLine = <Item>(workspace: string): QueueLine<Item> => {
-  let items: Array<Queued<Item>> = []
+export const createWorkspaceQueue = <Item>(workspace: string): WorkspaceQueue<Item> => {
+  let items: Array<QueuedItem<Item>> = []
   let head = 0
   let waiting = 0
   let weight = 1
 
-  const push = (queued: Queued<Item>) => {
+  const push = (queued: QueuedItem<Item>) => {
     items.push(queued)
     waiting++
     weight = queued.weight
   }
 
   const first = () => {
-    while (head < items.length && items[head].isGone) head++
+    while (head < items.length && items[head].isRemoved) head++
     return items[head]
   }
 
   const last = () => {
-    while (items.length > head && items[items.length - 1].isGone) items.pop()
+    while (items.length > head && items[items.length - 1].isRemoved) items.pop()
     return items.length > head ? items[items.length - 1] : undefined
   }
 
-  const all = () => items.slice(head).filter(({ isGone }) => !isGone)
+  const all = () => items.slice(head).filter(({ isRemoved }) => !isRemoved)
 
-  const remove = (queued: Queued<Item>) => {
-    if (queued.isGone) return
-    queued.isGone = true
+  const remove = (queued: QueuedItem<Item>) => {
+    if (queued.isRemoved) return
+    queued.isRemoved = true
     waiting--
-    if (items.length <= 2 * waiting + maxGoneItems) return
+    if (items.length <= 2 * waiting + maxRemovedItems) return
     items = all()
     head = 0
   }
