--- a/packages/limits/src/borrowing.ts
+++ b/packages/limits/src/borrowing.ts
@@ -66,7 +66,7 @@
 
 /** Decides when one VM borrows under one limit, and what it lends. */
 export type BorrowingStrategy = {
-  /** Requests loans of tokens for waiting requests. */
+  /** Requests loans for waiting requests. */
   fetch: () => void
   /** Renews loans that are still needed; called several times within the duration of a loan. */
   maintain: () => void
--- a/packages/limits/src/loan-accounting.test.ts
+++ b/packages/limits/src/loan-accounting.test.ts
@@ -22,9 +22,9 @@
 
 const terms = { borrower: 'vm2/1', tokensWanted: 0, fractionWanted: 0, loanTtlMs: 1000, keepTokens: 0, keepFraction: 0 }
 
-const transfer = (lender: TokenShare, borrower: TokenShare, wanted: Partial<typeof terms>) => {
-  const ask = borrower.beginRequest('vm1', wanted.tokensWanted ?? 0, 1000)
-  borrower.accept(ask, lender.lend({ ...terms, ...wanted }))
+const transfer = (lender: TokenShare, borrower: TokenShare, overrides: Partial<typeof terms>) => {
+  const request = borrower.beginRequest('vm1', overrides.tokensWanted ?? 0, 1000)
+  borrower.accept(request, lender.lend({ ...terms, ...overrides }))
 }
 
 test('rate and burst capacity count for the borrower during the loan, and for the lender again after its margin', t => {
@@ -54,10 +54,10 @@
   const { lender, borrower } = createShares()
   transfer(lender, borrower, { tokensWanted: 2 })
   transfer(lender, borrower, { fractionWanted: 0.3 })
-  const ask = borrower.beginRequest('vm1', 1, 1000)
+  const request = borrower.beginRequest('vm1', 1, 1000)
   borrower.expireLoans()
   t.deepEqual([borrower.capacity(), borrower.tokens()], [5, 5])
-  t.false(borrower.accept(ask, { tokens: 1, fraction: 0, loanTtlMs: 1000 }))
+  t.false(borrower.accept(request, { tokens: 1, fraction: 0, loanTtlMs: 1000 }))
 })
 
 test('a loan to a previous incarnation of the borrower still counts', t => {
--- a/packages/limits/src/peer-choice.ts
+++ b/packages/limits/src/peer-choice.ts
@@ -47,7 +47,7 @@
   const createBackoffs = () => backoffMs(initialBackoffMs, maxBackoffMs)
 
   const setPeers = (peers: string[]) => {
-    for (const known of states.keys()) if (!peers.includes(known)) states.delete(known)
+    for (const existing of states.keys()) if (!peers.includes(existing)) states.delete(existing)
     for (const peer of peers) {
       if (states.has(peer)) continue
       states.set(peer, {
--- a/packages/limits/src/pooled-loans.ts
+++ b/packages/limits/src/pooled-loans.ts
@@ -6,7 +6,7 @@
  * evenly over the VMs. When the pool VM stops, its loans expire and the next member becomes the pool.
  */
 import { tokenLoanTtlMs } from './borrowing.js'
-import type { BorrowingStrategy, BorrowingContext, LoanRequest, LenderReserve } from './borrowing.js'
+import type { BorrowingContext, BorrowingStrategy, LenderReserve, LoanRequest } from './borrowing.js'
 
 /** Duration of loans to the pool as a fraction of the longest loan; short, so that loans end soon if the pool stops. */
 const poolLoanFraction = 1 / 3
--- a/packages/limits/src/queue-disciplines.ts
+++ b/packages/limits/src/queue-disciplines.ts
@@ -6,7 +6,7 @@
 /** Service credit per round for a weight of 1, in milliseconds of an endpoint slot. */
 const quantumCost = 10
 
-/** Number of balances from which on a workspace without waiting items gets no new balance. */
+/** Maximum number of balances; beyond it, a charge to a workspace without a balance is ignored. */
 const maxBalances = 4096
 
 /** A workspace's queue, as far as a discipline needs it. */
--- a/packages/limits/src/share-table.ts
+++ b/packages/limits/src/share-table.ts
@@ -53,7 +53,7 @@
   /** Sends a loan request to a peer; undefined when the peer did not reply in time. */
   askPeer: (peer: string, request: BorrowRequest) => Promise<BorrowReply | undefined>
   log: Logger
-  /** Owns nothing until loans of the previous incarnation expire; false only in a fleet that has never run before. */
+  /** If true, the VM owns nothing until loans of its previous incarnation expire; false only in a new fleet. */
   startupHold: boolean
   /** Policy for lending and borrowing; defaults to `loans`, experiments pass others. */
   policy?: LoanPolicy
--- a/packages/limits/src/soak/share-history.ts
+++ b/packages/limits/src/soak/share-history.ts
@@ -4,7 +4,7 @@
 import fc from 'fast-check'
 import type { BoundExcess } from './bound-checker.js'
 import { createShareSimulation, loanTtlMs } from './share-simulation.js'
-import type { RequestPlan, InjectedDefects, ShareSimulation } from './share-simulation.js'
+import type { InjectedDefects, RequestPlan, ShareSimulation } from './share-simulation.js'
 
 /** Number of steps in a history. */
 const minSteps = 10
--- a/packages/limits/src/soak/share-simulation.ts
+++ b/packages/limits/src/soak/share-simulation.ts
@@ -202,8 +202,8 @@
     }
   }
 
-  const isPartitioned = (one: Vm, other: Vm) => partitions.some(({ untilMs, ...ends }) =>
-    untilMs > nowMs && [ends.one, ends.other].includes(one) && [ends.one, ends.other].includes(other))
+  const isPartitioned = (one: Vm, other: Vm) => partitions.some(({ untilMs, ...members }) =>
+    untilMs > nowMs && [members.one, members.other].includes(one) && [members.one, members.other].includes(other))
 
   const applyReply = (vm: Vm, pending: PendingRequest, loan: Loan) => {
     if (defects.loanStartsAtReply) pending.sentAtMs = monotonicOf(vm)
--- a/packages/limits/src/spread-loans.ts
+++ b/packages/limits/src/spread-loans.ts
@@ -3,7 +3,7 @@
  * that each busy VM can hold a useful fraction of it.
  */
 import { tokenLoanTtlMs } from './borrowing.js'
-import type { BorrowingStrategy, BorrowingContext, LoanRequest, LenderReserve, ShareState } from './borrowing.js'
+import type { BorrowingContext, BorrowingStrategy, LenderReserve, LoanRequest, ShareState } from './borrowing.js'
 
 /** Factor by which the requested rate exceeds the recent demand. */
 const headroomFactor = 1.1
--- a/packages/limits/src/token-share.ts
+++ b/packages/limits/src/token-share.ts
@@ -82,7 +82,7 @@
   tryAcquire: () => boolean
   /** Registers a loan request and reserves capacity for its tokens. Cancels an earlier request to the same peer. */
   beginRequest: (peer: string, tokensWanted: number, loanTtlMs: number) => PendingRequest
-  /** Applies the reply to a registered request; false when the request was cancelled or already replied to. */
+  /** Applies the reply to a registered request; false when it was cancelled or already answered. */
   accept: (request: PendingRequest, loan: Loan) => boolean
   /** Cancels a request; a later reply to it is ignored. */
   cancel: (request: PendingRequest) => void
@@ -151,8 +151,8 @@
 
   const advance = () => {
     const nowMs = clock()
-    const hasEnded = ledger.expireByWallClock()
-    if (capacityLedger.expireByWallClock() || hasEnded) clampToCapacity()
+    const hasExpired = ledger.expireByWallClock()
+    if (capacityLedger.expireByWallClock() || hasExpired) clampToCapacity()
     for (let changeMs = nextChangeMs(); changeMs <= nowMs; changeMs = nextChangeMs()) {
       refillTo(changeMs)
       ledger.advanceTo(changeMs)
