--- a/packages/limits/src/limit-share.ts
+++ b/packages/limits/src/limit-share.ts
@@ -47,7 +47,7 @@
 export type RefusalReason = 'rate' | 'tooManyWaiting' | 'unknownLimit' | 'cancelled' | 'closed'
 
 /** Result of acquiring a token. */
-export type Taken = { admitted: true } | { admitted: false, retryAfterMs: number, reason: RefusalReason }
+export type AcquireResult = { admitted: true } | { admitted: false, retryAfterMs: number, reason: RefusalReason }
 
 /** State of one limit on this VM, for operators and tests. */
 export type LimitSnapshot = {
@@ -84,7 +84,7 @@
   setOwnFraction: (fraction: number) => void
   setPeers: (peers: string[]) => void
   tryAcquire: () => boolean
-  acquire: (maxWaitMs: number, signal?: AbortSignal) => Promise<Taken>
+  acquire: (maxWaitMs: number, signal?: AbortSignal) => Promise<AcquireResult>
   lend: (request: BorrowRequest) => BorrowReply
   /** Renews loans that are still needed and borrows for the recent demand. */
   maintain: () => void
@@ -226,7 +226,7 @@
     })
   }
 
-  const refusal = (reason: RefusalReason): Taken => {
+  const refusal = (reason: RefusalReason): AcquireResult => {
     const missingTokens = Math.max(0, 1 + waiters.size() - share.tokens())
     const equalShareRatePerSec = share.limit().ratePerSec / (peers.length + 1)
     const retryAfterMs =
@@ -245,7 +245,7 @@
     return waiters.size() === 0 && share.tryAcquire()
   }
 
-  const acquire = async (maxWaitMs: number, signal?: AbortSignal): Promise<Taken> => {
+  const acquire = async (maxWaitMs: number, signal?: AbortSignal): Promise<AcquireResult> => {
     if (isClosed) return refusal('closed')
     if (tryAcquire()) return { admitted: true }
     if (waiters.size() >= maxWaitersPerLimit) return refusal('tooManyWaiting')
--- a/packages/limits/src/share-table.ts
+++ b/packages/limits/src/share-table.ts
@@ -16,7 +16,7 @@
 import { events } from './events.js'
 import { loans } from './loan-policy.js'
 import { createLimitShare } from './limit-share.js'
-import type { LimitShare, LimitSnapshot, Taken } from './limit-share.js'
+import type { AcquireResult, LimitShare, LimitSnapshot } from './limit-share.js'
 import { createOwnShare } from './own-part.js'
 import { afterMs } from './timers.js'
 import type { After } from './timers.js'
@@ -69,7 +69,7 @@
   setLimits: (limits: RateLimit[]) => void
   tryAcquire: (limit: string) => boolean
   /** Acquires one token; waits for a loan or the refill for at most the given time. */
-  take: (limit: string, maxWaitMs: number, signal?: AbortSignal) => Promise<Taken>
+  take: (limit: string, maxWaitMs: number, signal?: AbortSignal) => Promise<AcquireResult>
   /** Grants or refuses a peer's loan request. */
   lend: (request: BorrowRequest) => BorrowReply
   /** Ends all borrowed loans; called when the host may have been paused. */
@@ -141,7 +141,7 @@
 
   const shareOf = (limit: string) => definedNames.has(limit) ? shares.get(limit) : undefined
 
-  const take = async (limit: string, maxWaitMs: number, signal?: AbortSignal): Promise<Taken> => {
+  const take = async (limit: string, maxWaitMs: number, signal?: AbortSignal): Promise<AcquireResult> => {
     const share = shareOf(limit)
     if (share !== undefined) return share.acquire(maxWaitMs, signal)
     return { admitted: false, retryAfterMs: unknownLimitRetryAfterMs, reason: 'unknownLimit' }
