--- a/packages/limits/src/index.ts
+++ b/packages/limits/src/index.ts
@@ -1,19 +1,21 @@
 /**
- * Limits of the fleet and of one VM: shares of rates and connections, fair queue, adaptive concurrency limit.
+ * Limits of the fleet and of one VM: shares of rate and connection limits, fair queue, adaptive concurrency limit.
  */
 export * from './events.js'
-export type { Borrowing, BorrowingContext, LoanPolicy, LoanRequest, Offer, ShareSituation } from './borrowing.js'
+export type {
+  BorrowingContext, BorrowingStrategy, LenderReserve, LoanPolicy, LoanRequest, ShareState
+} from './borrowing.js'
 export { loans, spreadLoans, staticSlices, tokenLoans } from './loan-policy.js'
 export { maxWaitersPerLimit } from './limit-share.js'
-export type { LimitSnapshot, RefusalReason, Taken } from './limit-share.js'
+export type { AcquireResult as Taken, LimitSnapshot, RefusalReason } from './limit-share.js'
 export type { BorrowReply, BorrowRequest } from './borrow-messages.js'
 export { createShareTable } from './share-table.js'
 export type { Roster, ShareTable, ShareTableOptions } from './share-table.js'
 export type { RateLimit } from './token-share.js'
 export { createFairQueue } from './fair-queue.js'
-export type { DropReason, FairQueue, FairQueueOptions, QueuedAs, QueueRefusal } from './fair-queue.js'
+export type { DropReason, FairQueue, FairQueueOptions, PushOptions, QueueRefusal } from './fair-queue.js'
 export { deficitRoundRobin, firstComeFirstServed } from './queue-disciplines.js'
-export type { Discipline, Schedule } from './queue-disciplines.js'
+export type { Discipline, Scheduler } from './queue-disciplines.js'
 export { createAdaptiveLimit } from './adaptive-limit.js'
 export type { AdaptiveLimit, AdaptiveLimitOptions, FlightOutcome } from './adaptive-limit.js'
 export { rankByRendezvous } from './rendezvous.js'
--- a/packages/limits/src/limit-share.ts
+++ b/packages/limits/src/limit-share.ts
@@ -1,55 +1,55 @@
 /**
- * One rate limit on one VM: its token share, the requests that wait for a token, and the loans it asks for and renews.
+ * One rate limit on one VM: its token share, the requests that wait for a token, and the loans it requests and renews.
  */
 import { isDeepStrictEqual } from 'node:util'
 import type { Clock } from '@egretyoke/common'
 import { isValidReply, isValidRequest, noLoan } from './borrow-messages.js'
 import type { BorrowReply, BorrowRequest } from './borrow-messages.js'
 import { shortLoanTtlMs } from './borrowing.js'
-import type { LoanPolicy, ShareSituation, Wanted } from './borrowing.js'
-import { createDemand } from './demand.js'
-import { createLendingBook } from './lending-book.js'
-import { createPeerChoice } from './peer-choice.js'
-import type { AskOutcome } from './peer-choice.js'
+import type { LoanDemand, LoanPolicy, ShareState } from './borrowing.js'
+import { createDemandEstimate } from './demand.js'
+import { createLoanAllocator } from './lending-book.js'
+import { createPeerSelector } from './peer-choice.js'
+import type { RequestResult } from './peer-choice.js'
 import { rankByRendezvous } from './rendezvous.js'
 import type { After } from './timers.js'
 import { createTokenShare } from './token-share.js'
-import type { PendingAsk, RateLimit } from './token-share.js'
+import type { PendingRequest, RateLimit } from './token-share.js'
 import { createWaiters } from './waiters.js'
 
-/** Requests that wait under one limit on one VM. */
+/** Maximum number of requests that wait for a token of one limit on one VM. */
 export const maxWaitersPerLimit = 1024
 
-/** Time for which a request under way counts as likely to bring what it asked for, in milliseconds. */
-const inFlightCountsMs = 20
+/** Time after sending for which a loan request in flight is expected to be granted, in milliseconds. */
+const expectedGrantWindowMs = 20
 
-/** Round trip to a peer that is assumed at first, in milliseconds, and the weight of each new one in the average. */
+/** Initial estimate of the round trip to a peer, in milliseconds, and the weight of a new sample in the average. */
 const initialRoundTripMs = 5
 const roundTripWeight = 0.1
 
-/** Demand below which a limit counts as unused on this VM, in requests per second. */
+/** Demand below which a limit counts as idle on this VM, in requests per second. */
 const negligibleDemandPerSec = 0.05
 
-/** Longest time between two looks at the waiting requests, in milliseconds. */
-const maxPumpDelayMs = 25
+/** Maximum interval between two attempts to serve the waiting requests, in milliseconds. */
+const maxServeIntervalMs = 25
 
-/** Shortest time between two looks, in milliseconds. */
-const minPumpDelayMs = 1
+/** Minimum interval between two attempts to serve the waiting requests, in milliseconds. */
+const minServeIntervalMs = 1
 
-/** Rate by which `retryAfterMs` is worked out at least, in tokens per second. */
+/** Minimum rate from which `retryAfterMs` is computed, in tokens per second. */
 const minRatePerSec = 0.001
 
 /** Bounds of `retryAfterMs`, in milliseconds. */
 const minRetryAfterMs = 10
 const maxRetryAfterMs = 60_000
 
-/** Why a request got no token. */
+/** Reason for which a request was refused. */
 export type RefusalReason = 'rate' | 'tooManyWaiting' | 'unknownLimit' | 'cancelled' | 'closed'
 
-/** Whether a request was admitted. */
-export type Taken = { admitted: true } | { admitted: false, retryAfterMs: number, reason: RefusalReason }
+/** Result of acquiring a token. */
+export type AcquireResult = { admitted: true } | { admitted: false, retryAfterMs: number, reason: RefusalReason }
 
-/** What operators and tests see of one limit on this VM. */
+/** State of one limit on this VM, for operators and tests. */
 export type LimitSnapshot = {
   limit: string
   version: number
@@ -63,7 +63,7 @@
   waiting: number
 }
 
-/** What a limit on one VM is made with. */
+/** Dependencies and options of a limit on one VM. */
 export type LimitShareOptions = {
   vm: string
   incarnation: number
@@ -80,38 +80,38 @@
 /** One rate limit on one VM. */
 export type LimitShare = {
   setLimit: (limit: RateLimit) => void
-  /** Sets the part of the limit that is this VM's own from now on. */
+  /** Sets the fraction of the limit that this VM owns, with immediate effect. */
   setOwnFraction: (fraction: number) => void
   setPeers: (peers: string[]) => void
-  tryTake: () => boolean
-  take: (maxWaitMs: number, signal?: AbortSignal) => Promise<Taken>
+  tryAcquire: () => boolean
+  acquire: (maxWaitMs: number, signal?: AbortSignal) => Promise<AcquireResult>
   lend: (request: BorrowRequest) => BorrowReply
-  /** Renews loans that are still needed and fetches what recent demand will need. */
+  /** Renews loans that are still needed and borrows for the recent demand. */
   maintain: () => void
-  /** True when nothing is lent and nobody waits, so that the share may be forgotten. */
+  /** True when nothing is lent and no request waits, so that the share may be deleted. */
   isIdle: () => boolean
   expireLoans: () => void
   snapshot: () => LimitSnapshot
   close: () => void
 }
 
-/** Creates a limit without own share. */
+/** Creates a limit of which this VM owns nothing. */
 export const createLimitShare = (initialLimit: RateLimit, options: LimitShareOptions): LimitShare => {
   const { vm, incarnation, clock, after, loanTtlMs, policy, askPeer } = options
   const share = createTokenShare(initialLimit, options)
-  const demand = createDemand(clock)
+  const demand = createDemandEstimate(clock)
   const waiters = createWaiters(after)
-  const choice = createPeerChoice(clock)
-  const book = createLendingBook(clock, loanTtlMs)
+  const selector = createPeerSelector(clock)
+  const allocator = createLoanAllocator(clock, loanTtlMs)
   const inFlight = new Set<{ sentAtMs: number, tokens: number, fraction: number }>()
   let peers: string[] = []
   let ranked: string[] | undefined
   let roundTripMs = initialRoundTripMs
-  let cancelPump = () => {}
-  let pumpAtMs = Infinity
+  let cancelServeTimer = () => {}
+  let nextServeMs = Infinity
   let isClosed = false
 
-  const situation = (): ShareSituation => {
+  const shareState = (): ShareState => {
     const { ratePerSec, burst } = share.limit()
     return {
       ratePerSec,
@@ -123,40 +123,42 @@
     }
   }
 
-  const outcomeOf = (peer: string, wanted: Wanted, heldBefore: number, reply: BorrowReply | undefined): AskOutcome => {
+  const resultOf = (
+    peer: string, requested: LoanDemand, heldBefore: number, reply: BorrowReply | undefined
+  ): RequestResult => {
     if (reply === undefined) return 'unreachable'
-    const isRenewal = wanted.fraction > 0 && wanted.fraction <= heldBefore
+    const isRenewal = requested.fraction > 0 && requested.fraction <= heldBefore
     const hasGained = reply.tokens > 0 || share.ledger.borrowedFrom(peer) > heldBefore
     return hasGained || (isRenewal && reply.ratePerSec > 0) ? 'lent' : 'empty'
   }
 
-  // Hashing is put off until the limit is used: most limits of a large fleet are idle on most VMs.
+  // Defers the rendezvous hashing until the limit is used, because most limits of a large fleet are idle on most VMs.
   const rankedMembers = () => {
     if (ranked !== undefined) return ranked
     ranked = rankByRendezvous(share.limit().name, [vm, ...peers])
-    const place = ranked.indexOf(vm)
-    choice.setPeers([...ranked.slice(place + 1), ...ranked.slice(0, place)])
+    const position = ranked.indexOf(vm)
+    selector.setPeers([...ranked.slice(position + 1), ...ranked.slice(0, position)])
     return ranked
   }
 
-  const useReply = (pending: PendingAsk, reply: BorrowReply | undefined) => {
+  const applyReply = (pending: PendingRequest, reply: BorrowReply | undefined) => {
     if (reply === undefined || (reply.tokens <= 0 && reply.ratePerSec <= 0)) return share.cancel(pending)
     const wholeRatePerSec = pending.limit.ratePerSec
     const fraction = wholeRatePerSec > 0 ? reply.ratePerSec / wholeRatePerSec : 0
     share.accept(pending, { tokens: reply.tokens, fraction, loanTtlMs: reply.loanTtlMs })
   }
 
-  const expectedSoon = () => {
+  const expectedGrants = () => {
     const expected = { tokens: 0, fraction: 0 }
     for (const { sentAtMs, tokens, fraction } of inFlight) {
-      if (clock() - sentAtMs > inFlightCountsMs) continue
+      if (clock() - sentAtMs > expectedGrantWindowMs) continue
       expected.tokens += tokens
       expected.fraction += fraction
     }
     return expected
   }
 
-  const send = async (peer: string, { tokens, fraction, ttlMs }: Wanted) => {
+  const send = async (peer: string, { tokens, fraction, ttlMs }: LoanDemand) => {
     const { name, ratePerSec, version } = share.limit()
     const sentMs = clock()
     const reply = await askPeer(peer, {
@@ -172,86 +174,87 @@
     return reply !== undefined && isValidReply(reply) ? reply : undefined
   }
 
-  const ask = async (peer: string, wanted: Wanted) => {
+  const requestLoan = async (peer: string, requested: LoanDemand) => {
     const heldBefore = share.ledger.borrowedFrom(peer)
-    const fraction = Math.max(0, wanted.fraction - heldBefore)
-    const expected = { sentAtMs: clock(), tokens: wanted.tokens, fraction }
+    const fraction = Math.max(0, requested.fraction - heldBefore)
+    const expected = { sentAtMs: clock(), tokens: requested.tokens, fraction }
     inFlight.add(expected)
-    const pending = share.ask(peer, wanted.tokens, wanted.ttlMs)
-    choice.asked(peer)
-    const giveUp = after(wanted.ttlMs, () => share.cancel(pending))
-    const reply = await send(peer, wanted)
-    giveUp()
+    const pending = share.beginRequest(peer, requested.tokens, requested.ttlMs)
+    selector.recordRequest(peer)
+    const cancelTimeout = after(requested.ttlMs, () => share.cancel(pending))
+    const reply = await send(peer, requested)
+    cancelTimeout()
     inFlight.delete(expected)
     if (isClosed) return
-    useReply(pending, reply)
-    choice.answered(peer, outcomeOf(peer, wanted, heldBefore, reply))
-    pump()
+    applyReply(pending, reply)
+    selector.recordResult(peer, resultOf(peer, requested, heldBefore, reply))
+    serveWaiters()
   }
 
-  const borrowing = policy({
+  const strategy = policy({
     vm,
     loanTtlMs,
     nowMs: clock,
-    situation,
+    shareState,
     ledger: share.ledger,
-    peers: choice,
-    ranked: rankedMembers,
-    expectedSoon,
+    peers: selector,
+    rankedMembers,
+    expectedGrants,
     roundTripMs: () => roundTripMs,
-    ask
+    requestLoan
   })
 
-  const pump = () => {
-    waiters.serve(share.tryTake)
+  const serveWaiters = () => {
+    waiters.serve(share.tryAcquire)
     if (waiters.size() === 0) return
     rankedMembers()
-    borrowing.fetch()
-    schedulePump()
+    strategy.fetch()
+    scheduleServe()
   }
 
-  const schedulePump = () => {
+  const scheduleServe = () => {
     const ratePerSec = share.ratePerSec()
     const refillMs = ratePerSec > 0 ? (1 - share.tokens()) * 1000 / ratePerSec : Infinity
-    const nextMs = Math.min(refillMs, borrowing.nextFetchMs() - clock(), maxPumpDelayMs)
-    const atMs = clock() + Math.max(minPumpDelayMs, nextMs)
-    if (pumpAtMs <= atMs && pumpAtMs > clock()) return
-    cancelPump()
-    pumpAtMs = atMs
-    cancelPump = after(atMs - clock(), () => {
-      pumpAtMs = Infinity
-      pump()
+    const nextMs = Math.min(refillMs, strategy.nextFetchMs() - clock(), maxServeIntervalMs)
+    const atMs = clock() + Math.max(minServeIntervalMs, nextMs)
+    if (nextServeMs <= atMs && nextServeMs > clock()) return
+    cancelServeTimer()
+    nextServeMs = atMs
+    cancelServeTimer = after(atMs - clock(), () => {
+      nextServeMs = Infinity
+      serveWaiters()
     })
   }
 
-  const refusal = (reason: RefusalReason): Taken => {
-    const missing = Math.max(0, 1 + waiters.size() - share.tokens())
-    const equalRatePerSec = share.limit().ratePerSec / (peers.length + 1)
-    const retryAfterMs = Math.ceil(missing * 1000 / Math.max(share.ratePerSec(), equalRatePerSec, minRatePerSec))
+  const refusal = (reason: RefusalReason): AcquireResult => {
+    const missingTokens = Math.max(0, 1 + waiters.size() - share.tokens())
+    const equalShareRatePerSec = share.limit().ratePerSec / (peers.length + 1)
+    const retryAfterMs =
+      Math.ceil(missingTokens * 1000 / Math.max(share.ratePerSec(), equalShareRatePerSec, minRatePerSec))
     return { admitted: false, reason, retryAfterMs: Math.min(maxRetryAfterMs, Math.max(minRetryAfterMs, retryAfterMs)) }
   }
 
-  // Requests beyond what the whole fleet could admit within the wait would wait in vain.
+  // Requests beyond what the whole fleet can admit within the maximum wait are refused at once.
   const canBeServed = (maxWaitMs: number) => {
     const { ratePerSec, burst } = share.limit()
     return waiters.size() < burst + ratePerSec * maxWaitMs / 1000
   }
 
-  const tryTake = () => {
-    demand.count()
-    return waiters.size() === 0 && share.tryTake()
+  const tryAcquire = () => {
+    demand.record()
+    return waiters.size() === 0 && share.tryAcquire()
   }
 
-  const take = async (maxWaitMs: number, signal?: AbortSignal): Promise<Taken> => {
+  const acquire = async (maxWaitMs: number, signal?: AbortSignal): Promise<AcquireResult> => {
     if (isClosed) return refusal('closed')
-    if (tryTake()) return { admitted: true }
+    if (tryAcquire()) return { admitted: true }
     if (waiters.size() >= maxWaitersPerLimit) return refusal('tooManyWaiting')
     if (!canBeServed(maxWaitMs)) return refusal('rate')
-    const end = waiters.wait(maxWaitMs, signal)
-    pump()
-    const ended = await end
-    if (ended === 'served') return { admitted: true }
-    return refusal(ended === 'timedOut' ? 'rate' : ended)
+    const waitResult = waiters.wait(maxWaitMs, signal)
+    serveWaiters()
+    const result = await waitResult
+    if (result === 'served') return { admitted: true }
+    return refusal(result === 'timedOut' ? 'rate' : result)
   }
 
   const lend = (request: BorrowRequest): BorrowReply => {
@@ -260,15 +263,15 @@
     if (request.limitVersion !== version) return noLoan('otherVersion')
     rankedMembers()
     const borrower = `${request.borrower}/${request.incarnation}`
-    const isLasting = request.loanTtlMs > shortLoanTtlMs
-    const offer = borrowing.offer({ borrower: request.borrower, isLasting })
+    const isLongTerm = request.loanTtlMs > shortLoanTtlMs
+    const reserve = strategy.reserveFor({ borrower: request.borrower, isLongTerm })
     const fractionWanted = ratePerSec > 0 ? request.rateWantedPerSec / ratePerSec : 0
-    const lendable = share.ledger.own() + share.ledger.borrowed() - offer.keepFraction
+    const lendable = share.ledger.own() + share.ledger.borrowed() - reserve.keepFraction
     const loan = share.lend({
-      ...offer,
+      ...reserve,
       borrower,
       tokensWanted: request.tokensWanted,
-      fractionWanted: isLasting ? book.allot(borrower, fractionWanted, lendable) : fractionWanted,
+      fractionWanted: isLongTerm ? allocator.allocate(borrower, fractionWanted, lendable) : fractionWanted,
       loanTtlMs: request.loanTtlMs
     })
     const hasLent = loan.tokens > 0 || loan.fraction > 0
@@ -276,24 +279,24 @@
     return { tokens: loan.tokens, ratePerSec: loan.fraction * ratePerSec, loanTtlMs: loan.loanTtlMs, reason: '' }
   }
 
-  const isUsed = () => waiters.size() > 0 || share.ledger.borrowed() > 0 || demand.perSec() > negligibleDemandPerSec
+  const isActive = () => waiters.size() > 0 || share.ledger.borrowed() > 0 || demand.perSec() > negligibleDemandPerSec
 
   const probeUnreachable = () => {
-    for (const peer of choice.toProbe()) ask(peer, { tokens: 0, fraction: 0, ttlMs: loanTtlMs })
+    for (const peer of selector.probeCandidates()) requestLoan(peer, { tokens: 0, fraction: 0, ttlMs: loanTtlMs })
   }
 
   const maintain = () => {
-    if (!isUsed()) return
+    if (!isActive()) return
     share.tokens()
     rankedMembers()
     probeUnreachable()
-    borrowing.maintain()
+    strategy.maintain()
   }
 
   const setOwnFraction = (fraction: number) => {
     if (fraction === share.ledger.own()) return
     share.setOwnFraction(fraction)
-    pump()
+    serveWaiters()
   }
 
   const setPeers = (names: string[]) => {
@@ -304,7 +307,7 @@
   const setLimit = (limit: RateLimit) => {
     if (isDeepStrictEqual(limit, share.limit())) return
     share.setLimit(limit)
-    pump()
+    serveWaiters()
   }
 
   const snapshot = (): LimitSnapshot => ({
@@ -327,7 +330,7 @@
 
   const close = () => {
     isClosed = true
-    cancelPump()
+    cancelServeTimer()
     waiters.close()
   }
 
@@ -335,8 +338,8 @@
     setLimit,
     setOwnFraction,
     setPeers,
-    tryTake,
-    take,
+    tryAcquire,
+    acquire,
     lend,
     maintain,
     isIdle,
--- a/packages/limits/src/permit-share.ts
+++ b/packages/limits/src/permit-share.ts
@@ -1,53 +1,53 @@
 /**
- * One limit of held permits on one VM, for instance of connections to one endpoint: whole permits that are lent between
- * VMs by the same ledger as rates. A permit that rests on a loan is revoked in time before the loan is over, unless it
- * is renewed; its holder must then give it back.
+ * One limit on held permits on one VM, for instance on connections to one endpoint. Whole permits are lent between VMs
+ * with the same ledger as rates. A permit that is backed by a loan is revoked before the loan expires, unless the loan
+ * is renewed; its holder must then release it.
  */
 import type { Clock } from '@egretyoke/common'
 import { isValidReply, isValidRequest, noLoan } from './borrow-messages.js'
 import type { BorrowReply, BorrowRequest } from './borrow-messages.js'
-import type { AskOutcome } from './peer-choice.js'
-import { createPeerChoice } from './peer-choice.js'
+import type { RequestResult } from './peer-choice.js'
+import { createPeerSelector } from './peer-choice.js'
 import { rankByRendezvous } from './rendezvous.js'
 import { createShareLedger } from './share-ledger.js'
 import type { ShareLedgerOptions } from './share-ledger.js'
 import type { After } from './timers.js'
 import { createWaiters } from './waiters.js'
 
-/** Requests that wait for a permit under one limit on one VM. */
+/** Maximum number of requests that wait for a permit of one limit on one VM. */
 const maxWaiters = 256
 
-/** Peers asked at once. */
-const maxAskedAtOnce = 3
+/** Maximum number of peers that receive a request at the same time. */
+const maxPeerRequests = 3
 
-/** Longest time between two looks at the waiting requests, in milliseconds. */
-const pumpDelayMs = 10
+/** Interval between two attempts to serve the waiting requests, in milliseconds. */
+const serveIntervalMs = 10
 
-/** A permit is revoked this part of the longest loan before the loan it rests on is over. */
-const revokePart = 1 / 4
+/** Time before the expiry of a loan at which its permits are revoked, as a fraction of the longest loan. */
+const revokeLeadFraction = 1 / 4
 
-/** Shortest loan that is granted, as a part of the longest: shorter ones would be revoked at once. */
-const minTtlPart = 1 / 2
+/** Minimum duration of a granted loan as a fraction of the requested one; shorter loans would be revoked at once. */
+const minTtlFraction = 1 / 2
 
-/** A limit on permits held at once by the whole fleet; VMs that go by the same version have the same figures. */
+/** Limit on the permits that the whole fleet holds at a time; VMs that apply the same version have the same maximum. */
 export type PermitLimit = { name: string, maxPermits: number, version: number }
 
-/** A permit that is held. */
+/** A held permit. */
 export type Permit = { release: () => void }
 
-/** What operators and tests see of one limit on this VM. */
+/** State of one permit limit on this VM, for operators and tests. */
 export type PermitSnapshot = {
   limit: string
   held: number
   own: number
   lent: number
   borrowed: number
-  /** Permits that are still held although they have been revoked. */
+  /** Revoked permits that have not been released yet. */
   revoked: number
   waiting: number
 }
 
-/** What a permit share is made with. */
+/** Dependencies and options of a permit share. */
 export type PermitShareOptions = ShareLedgerOptions & {
   vm: string
   incarnation: number
@@ -59,7 +59,7 @@
 /** One limit of permits on one VM. */
 export type PermitShare = {
   setLimit: (limit: PermitLimit) => void
-  /** Sets the whole permits that are this VM's own from now on. */
+  /** Sets the number of permits that this VM owns, with immediate effect. */
   setOwn: (permits: number) => void
   setPeers: (peers: string[]) => void
   tryAcquire: (onRevoked: () => void) => Permit | undefined
@@ -75,34 +75,34 @@
 
 type Holder = { onRevoked: () => void, isRevoked: boolean }
 
-/** Creates a share without own permits. */
+/** Creates a share with 0 own permits. */
 export const createPermitShare = (initialLimit: PermitLimit, options: PermitShareOptions): PermitShare => {
   const { vm, incarnation, clock, wallClock, after, loanTtlMs, askPeer } = options
   const ledger = createShareLedger(options)
-  const peers = createPeerChoice(clock)
+  const peers = createPeerSelector(clock)
   const waiters = createWaiters(after)
   const holders = new Set<Holder>()
   let limit = initialLimit
-  // Permits granted to waiting requests that have not yet taken them.
-  let served = 0
-  // Replies to requests sent before loans were expired are not used.
+  // Permits granted to waiting requests whose `acquire` has not resumed yet.
+  let grantedToWaiters = 0
+  // Incremented by `expireLoans`; replies to requests of an earlier epoch are ignored.
   let epoch = 0
-  let cancelPump = () => {}
+  let cancelServeTimer = () => {}
   let isClosed = false
 
   const advance = () => {
-    ledger.endByWall()
+    ledger.expireByWallClock()
     ledger.advanceTo(clock())
   }
 
-  const inUse = () => holders.size + served
+  const inUse = () => holders.size + grantedToWaiters
   const free = () => ledger.usable() - inUse()
 
   const hold = (onRevoked: () => void): Permit => {
     const holder = { onRevoked, isRevoked: false }
     holders.add(holder)
     const release = () => {
-      if (holders.delete(holder)) pump()
+      if (holders.delete(holder)) serveWaiters()
     }
     return { release }
   }
@@ -122,57 +122,57 @@
     limitVersion: limit.version
   }).catch(() => undefined)
 
-  const useReply = (peer: string, sentAtMs: number, sentAtWallMs: number, reply: BorrowReply): AskOutcome => {
+  const applyReply = (peer: string, sentAtMs: number, sentAtWallMs: number, reply: BorrowReply): RequestResult => {
     const untilMs = sentAtMs + Math.min(loanTtlMs, reply.loanTtlMs)
     const wallUntilMs = sentAtWallMs + Math.min(loanTtlMs, reply.loanTtlMs)
-    const inTime = untilMs > clock() && wallUntilMs > wallClock()
-    if (reply.ratePerSec < 1 || !inTime) return 'empty'
+    const isUnexpired = untilMs > clock() && wallUntilMs > wallClock()
+    if (reply.ratePerSec < 1 || !isUnexpired) return 'empty'
     ledger.borrow(peer, Math.floor(reply.ratePerSec), untilMs, wallUntilMs)
     return 'lent'
   }
 
-  // `permits` are to be held of the peer in all.
-  const ask = async (peer: string, permits: number) => {
+  // `permits` is the total to be borrowed from the peer.
+  const borrowFrom = async (peer: string, permits: number) => {
     const sentAtMs = clock()
     const sentAtWallMs = wallClock()
-    peers.asked(peer)
-    const askedEpoch = epoch
+    peers.recordRequest(peer)
+    const requestEpoch = epoch
     const reply = await send(peer, permits)
     if (isClosed) return
     advance()
-    const isUsable = reply !== undefined && isValidReply(reply) && askedEpoch === epoch
-    peers.answered(peer, isUsable ? useReply(peer, sentAtMs, sentAtWallMs, reply) : 'unreachable')
-    pump()
+    const isUsable = reply !== undefined && isValidReply(reply) && requestEpoch === epoch
+    peers.recordResult(peer, isUsable ? applyReply(peer, sentAtMs, sentAtWallMs, reply) : 'unreachable')
+    serveWaiters()
   }
 
   const borrow = () => {
     const missing = waiters.size() - Math.max(0, free())
     if (missing <= 0) return
-    for (const peer of peers.choose(Math.min(missing, maxAskedAtOnce))) ask(peer, ledger.borrowedFrom(peer) + 1)
+    for (const peer of peers.select(Math.min(missing, maxPeerRequests))) borrowFrom(peer, ledger.borrowedFrom(peer) + 1)
   }
 
-  const serveOne = () => {
+  const tryServe = () => {
     if (free() < 1) return false
-    served++
+    grantedToWaiters++
     return true
   }
 
-  const pump = () => {
+  const serveWaiters = () => {
     advance()
-    waiters.serve(serveOne)
+    waiters.serve(tryServe)
     if (waiters.size() === 0) return
     borrow()
-    cancelPump()
-    cancelPump = after(pumpDelayMs, pump)
+    cancelServeTimer()
+    cancelServeTimer = after(serveIntervalMs, serveWaiters)
   }
 
   const acquire = async (onRevoked: () => void, maxWaitMs: number, signal?: AbortSignal) => {
     const permit = tryAcquire(onRevoked)
     if (permit !== undefined || isClosed || waiters.size() >= maxWaiters) return permit
-    const end = waiters.wait(maxWaitMs, signal)
-    pump()
-    if (await end !== 'served') return undefined
-    served--
+    const waitResult = waiters.wait(maxWaitMs, signal)
+    serveWaiters()
+    if (await waitResult !== 'served') return undefined
+    grantedToWaiters--
     return hold(onRevoked)
   }
 
@@ -182,10 +182,10 @@
     advance()
     const borrower = `${request.borrower}/${request.incarnation}`
     const lentToOthers = ledger.lent() - ledger.lentTo(borrower)
-    const kept = lentToOthers + inUse() + waiters.size()
+    const retained = lentToOthers + inUse() + waiters.size()
     const ttlMs = Math.min(loanTtlMs, request.loanTtlMs)
-    const lendableFor = (ms: number) => ledger.own() + ledger.borrowedFor(ledger.countedMs(ms)) - kept
-    const grantedTtlMs = lendableFor(ttlMs) >= 1 ? ttlMs : ttlMs * minTtlPart
+    const lendableFor = (ms: number) => ledger.own() + ledger.borrowedForAtLeast(ledger.ttlWithMarginMs(ms)) - retained
+    const grantedTtlMs = lendableFor(ttlMs) >= 1 ? ttlMs : ttlMs * minTtlFraction
     const permits = Math.floor(Math.min(request.rateWantedPerSec, lendableFor(grantedTtlMs)))
     if (permits < 1 || !ledger.lend(borrower, permits, grantedTtlMs)) return noLoan('nothingToSpare')
     return { tokens: 0, ratePerSec: permits, loanTtlMs: grantedTtlMs, reason: '' }
@@ -193,16 +193,16 @@
 
   const renew = () => {
     let needed = inUse() + waiters.size() - Math.max(0, ledger.own() - ledger.lent())
-    for (const { lender, amount, untilMs } of ledger.loansHeld()) {
+    for (const { lender, amount, untilMs } of ledger.heldLoans()) {
       const permits = Math.min(amount, needed)
       if (permits < 1) return
       needed -= permits
-      if (untilMs - clock() < loanTtlMs / 2 && !peers.isAsked(lender)) ask(lender, permits)
+      if (untilMs - clock() < loanTtlMs / 2 && !peers.isPending(lender)) borrowFrom(lender, permits)
     }
   }
 
-  const revokeEnding = () => {
-    const usableSoon = ledger.own() - ledger.lent() + ledger.borrowedFor(loanTtlMs * revokePart)
+  const revokeUnbacked = () => {
+    const usableSoon = ledger.own() - ledger.lent() + ledger.borrowedForAtLeast(loanTtlMs * revokeLeadFraction)
     const excess = inUse() - Math.max(0, usableSoon)
     const newestFirst = [...holders].reverse().slice(0, Math.max(0, Math.ceil(excess)))
     for (const holder of newestFirst) {
@@ -214,25 +214,25 @@
 
   const maintain = () => {
     advance()
-    for (const peer of peers.toProbe()) if (holders.size > 0 || waiters.size() > 0) ask(peer, 0)
+    for (const peer of peers.probeCandidates()) if (holders.size > 0 || waiters.size() > 0) borrowFrom(peer, 0)
     renew()
-    revokeEnding()
-    pump()
+    revokeUnbacked()
+    serveWaiters()
   }
 
   const expireLoans = () => {
     epoch++
     ledger.dropBorrowed()
     advance()
-    revokeEnding()
+    revokeUnbacked()
   }
 
   const setOwn = (permits: number) => {
     if (permits === ledger.own()) return
     advance()
     ledger.setOwn(permits)
-    revokeEnding()
-    pump()
+    revokeUnbacked()
+    serveWaiters()
   }
 
   const snapshot = (): PermitSnapshot => ({
@@ -247,7 +247,7 @@
 
   const close = () => {
     isClosed = true
-    cancelPump()
+    cancelServeTimer()
     waiters.close()
   }
 
--- a/packages/limits/src/permit-table.ts
+++ b/packages/limits/src/permit-table.ts
@@ -1,17 +1,17 @@
 /**
- * The VM's shares of all limits on held permits, for instance of connections to endpoints. The whole fleet never holds
- * more than `maxPermits` of a limit, whatever fails, as long as revoked permits are given back at once.
+ * The VM's shares of all limits on held permits, for instance on connections to endpoints. The whole fleet never holds
+ * more than `maxPermits` of a limit, whatever fails, as long as revoked permits are released at once.
  *
- * Permits that do not divide evenly go to the first members in the rendezvous order of the limit. A member that is
- * going to be added is named as joining while the larger slot count is taken, so that the order is known beforehand.
+ * Permits that do not divide evenly go to the first members in the rendezvous order of the limit. A member about to be
+ * added is listed as joining while the VMs adopt the larger slot count, so that the order is known beforehand.
  */
 import { isDeepStrictEqual } from 'node:util'
 import { monotonicMs } from '@egretyoke/common'
 import { events } from './events.js'
 import { noLoan } from './borrow-messages.js'
 import type { BorrowReply, BorrowRequest } from './borrow-messages.js'
-import { createOwnPart } from './own-part.js'
-import type { OwnPart } from './own-part.js'
+import { createOwnShare } from './own-part.js'
+import type { OwnShare } from './own-part.js'
 import { createPermitShare } from './permit-share.js'
 import type { Permit, PermitLimit, PermitShare, PermitSnapshot } from './permit-share.js'
 import { rankByRendezvous } from './rendezvous.js'
@@ -19,15 +19,15 @@
 import type { Roster, ShareTableOptions } from './share-table.js'
 import { afterMs } from './timers.js'
 
-/** What a permit table is made with: there is one way to lend permits. */
+/** Dependencies and options of a permit table; permits have a single loan policy. */
 export type PermitTableOptions = Omit<ShareTableOptions, 'policy'>
 
 /** The VM's shares of all limits on held permits. */
 export type PermitTable = {
   setRoster: (roster: Roster & { joining?: string[] }) => void
-  /** Replaces the definitions of all limits; permits held under a withdrawn one stay until they are released. */
+  /** Replaces the definitions of all limits; permits held under a removed limit stay valid until they are released. */
   setLimits: (limits: PermitLimit[]) => void
-  /** `onRevoked` is called when the permit must be given back at once. */
+  /** Acquires a permit if one is free. `onRevoked` is called when the permit must be released at once. */
   tryAcquire: (limit: string, onRevoked: () => void) => Permit | undefined
   acquire: (
     limit: string, onRevoked: () => void, maxWaitMs: number, signal?: AbortSignal
@@ -38,9 +38,9 @@
   close: () => void
 }
 
-type Entry = { limit: PermitLimit, share: PermitShare, own: OwnPart }
+type Entry = { limit: PermitLimit, share: PermitShare, own: OwnShare }
 
-/** The whole permits of one member. */
+/** Number of permits that one member owns. */
 export const ownPermits = (limit: PermitLimit, member: string, slotCount: number, ranked: string[]): number => {
   const slots = Math.max(slotCount, ranked.length, 1)
   const each = Math.floor(limit.maxPermits / slots)
@@ -53,16 +53,16 @@
   const { clock = monotonicMs, wallClock = Date.now, after = afterMs } = options
   const growthDelayMs = Math.max(options.growthDelayMs ?? 0, loanTtlMs + loanMarginMs)
   const entries = new Map<string, Entry>()
-  // In force as soon as all loans out of former divisions are over; limits that are new then start at once.
-  const settled = createOwnPart({ clock, growthDelayMs, startupHold })
+  // Takes effect once all loans granted under previous divisions have expired; limits added after that start at once.
+  const settledShare = createOwnShare({ clock, growthDelayMs, startupHold })
   let roster: Roster & { joining?: string[] } = { members: [], slotCount: 1 }
-  let defined = new Set<string>()
+  let definedNames = new Set<string>()
   let cancelMaintenance = () => {}
 
   const peers = () => roster.members.filter(member => member !== vm)
 
   const targetOf = (limit: PermitLimit) => {
-    if (!roster.members.includes(vm) || !defined.has(limit.name)) return 0
+    if (!roster.members.includes(vm) || !definedNames.has(limit.name)) return 0
     const ranked = rankByRendezvous(limit.name, [...roster.members, ...roster.joining ?? []])
     return ownPermits(limit, vm, roster.slotCount, ranked)
   }
@@ -70,50 +70,50 @@
   const applyRoster = ({ limit, share, own }: Entry) => {
     share.setPeers(peers())
     own.set(targetOf(limit))
-    share.setOwn(own.inForce())
+    share.setOwn(own.current())
   }
 
   const setRoster = (next: Roster & { joining?: string[] }) => {
     if (isDeepStrictEqual(next, roster)) return
     roster = structuredClone(next)
-    settled.set(next.members.includes(vm) ? 1 / next.slotCount : 0)
+    settledShare.set(next.members.includes(vm) ? 1 / next.slotCount : 0)
     for (const entry of entries.values()) applyRoster(entry)
     log(events.shareChanged, { slotCount: next.slotCount, members: next.members })
   }
 
-  const isSettled = () => roster.members.includes(vm) && settled.inForce() === 1 / roster.slotCount
+  const isSettled = () => roster.members.includes(vm) && settledShare.current() === 1 / roster.slotCount
 
   const addEntry = (limit: PermitLimit) => {
     const share = createPermitShare(limit, { ...options, clock, wallClock, after })
-    const own = createOwnPart({ clock, growthDelayMs, startupHold: !isSettled() })
+    const own = createOwnShare({ clock, growthDelayMs, startupHold: !isSettled() })
     const entry = { limit, share, own }
     entries.set(limit.name, entry)
     applyRoster(entry)
   }
 
   const setLimits = (limits: PermitLimit[]) => {
-    const kept = limits.slice(0, maxLimits)
-    defined = new Set(kept.map(({ name }) => name))
-    for (const limit of kept) {
-      const known = entries.get(limit.name)
-      if (known === undefined) {
+    const accepted = limits.slice(0, maxLimits)
+    definedNames = new Set(accepted.map(({ name }) => name))
+    for (const limit of accepted) {
+      const existing = entries.get(limit.name)
+      if (existing === undefined) {
         addEntry(limit)
         continue
       }
-      known.limit = limit
-      known.share.setLimit(limit)
+      existing.limit = limit
+      existing.share.setLimit(limit)
     }
     for (const entry of entries.values()) applyRoster(entry)
     if (limits.length > maxLimits) log(events.limitsRefused, { limits: limits.length, maxLimits })
   }
 
-  const shareOf = (limit: string) => defined.has(limit) ? entries.get(limit)?.share : undefined
+  const shareOf = (limit: string) => definedNames.has(limit) ? entries.get(limit)?.share : undefined
 
   const maintain = () => {
     for (const [name, { share, own }] of entries) {
-      share.setOwn(own.inForce())
+      share.setOwn(own.current())
       share.maintain()
-      if (defined.has(name) || !share.isIdle()) continue
+      if (definedNames.has(name) || !share.isIdle()) continue
       share.close()
       entries.delete(name)
     }
--- a/packages/limits/src/queue-disciplines.ts
+++ b/packages/limits/src/queue-disciplines.ts
@@ -1,47 +1,47 @@
 /**
- * Orders of service for the fair queue, passed to it as a function.
+ * Queueing disciplines, passed to the fair queue as functions.
  */
-import type { QueueLine } from './queue-line.js'
+import type { WorkspaceQueue } from './workspace-queue.js'
 
-/** Service that a weight of 1 earns in one round, in milliseconds of an endpoint slot. */
+/** Service credit per round for a weight of 1, in milliseconds of an endpoint slot. */
 const quantumCost = 10
 
-/** Balances up to which a workspace that has nothing waiting gets one. */
+/** Maximum number of balances; beyond it, a charge to a workspace without a balance is ignored. */
 const maxBalances = 4096
 
-/** What a discipline sees of a workspace's line. */
-export type BackloggedLine = Pick<QueueLine<unknown>, 'workspace' | 'weight' | 'size' | 'first'>
-
-/** Decides whose item is next. It sees only lines that have items. */
-export type Schedule = {
-  /** A line has got its first item. */
-  join: (line: BackloggedLine) => void
-  /** A line has no more items. */
-  leave: (line: BackloggedLine) => void
-  /** The line whose first item is next; undefined when none waits. */
-  next: () => BackloggedLine | undefined
-  /** An amount of service was used by a workspace, or given back when negative. */
+/** A workspace's queue, as far as a discipline needs it. */
+export type BackloggedQueue = Pick<WorkspaceQueue<unknown>, 'workspace' | 'weight' | 'size' | 'first'>
+
+/** Selects the workspace whose item is served next. It tracks only queues that have items. */
+export type Scheduler = {
+  /** Adds a queue that has received its first item. */
+  add: (queue: BackloggedQueue) => void
+  /** Removes a queue that has become empty. */
+  remove: (queue: BackloggedQueue) => void
+  /** The queue whose first item is served next; undefined when there is none. */
+  next: () => BackloggedQueue | undefined
+  /** Charges service to a workspace, or refunds it when negative; in milliseconds of an endpoint slot. */
   charge: (workspace: string, cost: number) => void
-  /** Whether a full queue makes room by refusing the workspace that takes most of it. */
-  makesRoom: boolean
+  /** Whether a full queue drops an item of the workspace with the highest load to accept another item. */
+  displacesWhenFull: boolean
 }
 
-/** Creates a schedule without lines. */
-export type Discipline = () => Schedule
+/** Creates an empty scheduler. */
+export type Discipline = () => Scheduler
 
-/** A line's balance of service, and the round in which it was last brought up to date. */
+/** Service balance of a workspace, and the round of its last update while the workspace had no waiting items. */
 type Balance = { deficit: number, round: number }
 
-const costOfFirst = (line: BackloggedLine) => line.first()?.cost ?? 0
+const costOfFirst = (queue: BackloggedQueue) => queue.first()?.cost ?? 0
 
 /**
- * Deficit round robin: in each round a backlogged workspace earns service in proportion to its weight, and items
- * are served as far as what was earned covers their cost. What a workspace owes, because its items took longer than
- * estimated, is kept while it has nothing waiting and is paid off by the rounds that pass. When nobody waits, all
- * balances start afresh.
+ * Deficit round robin: in each round a backlogged workspace earns service credit in proportion to its weight, and its
+ * items are served while the credit covers their cost. A negative balance, from items that took longer than estimated,
+ * is kept while the workspace has no waiting items and is reduced by the rounds that pass. When no workspace has
+ * waiting items, all balances are cleared.
  */
 export const deficitRoundRobin: Discipline = () => {
-  const lines: Array<BackloggedLine> = []
+  const queues: Array<BackloggedQueue> = []
   const balances = new Map<string, Balance>()
   let round = 0
 
@@ -51,68 +51,74 @@
     return balance
   }
 
-  const join = (line: BackloggedLine) => {
-    const balance = balanceOf(line.workspace)
-    const earned = (round - balance.round) * quantumCost * line.weight()
+  const add = (queue: BackloggedQueue) => {
+    const balance = balanceOf(queue.workspace)
+    const earned = (round - balance.round) * quantumCost * queue.weight()
     balance.deficit = Math.min(0, balance.deficit + earned)
-    lines.push(line)
+    queues.push(queue)
   }
 
-  const leave = (line: BackloggedLine) => {
-    lines.splice(lines.indexOf(line), 1)
-    if (lines.length === 0) return balances.clear()
-    const balance = balanceOf(line.workspace)
+  const remove = (queue: BackloggedQueue) => {
+    queues.splice(queues.indexOf(queue), 1)
+    if (queues.length === 0) return balances.clear()
+    const balance = balanceOf(queue.workspace)
     balance.deficit = Math.min(0, balance.deficit)
     balance.round = round
-    if (balance.deficit === 0) balances.delete(line.workspace)
+    if (balance.deficit === 0) balances.delete(queue.workspace)
   }
 
-  const roundsNeeded = (line: BackloggedLine) =>
-    Math.ceil((costOfFirst(line) - balanceOf(line.workspace).deficit) / (quantumCost * line.weight()))
+  const roundsNeeded = (queue: BackloggedQueue) =>
+    Math.ceil((costOfFirst(queue) - balanceOf(queue.workspace).deficit) / (quantumCost * queue.weight()))
 
-  // Rounds in which nobody would be served pass at once.
-  const passRounds = () => {
-    const rounds = Math.max(1, Math.min(...lines.map(roundsNeeded)))
+  // Skips rounds in which no item could be served.
+  const advanceRounds = () => {
+    const rounds = Math.max(1, Math.min(...queues.map(roundsNeeded)))
     round += rounds
-    for (const line of lines) balanceOf(line.workspace).deficit += rounds * quantumCost * line.weight()
+    for (const queue of queues) balanceOf(queue.workspace).deficit += rounds * quantumCost * queue.weight()
   }
 
   const next = () => {
-    if (lines.length === 0) return undefined
+    if (queues.length === 0) return undefined
     for (;;) {
-      const index = lines.findIndex(line => balanceOf(line.workspace).deficit >= costOfFirst(line))
+      const index = queues.findIndex(queue => balanceOf(queue.workspace).deficit >= costOfFirst(queue))
       if (index < 0) {
-        // The one served last has used up what it earned, and is last in the next round.
-        lines.push(...lines.splice(0, 1))
-        passRounds()
+        // The queue served last has spent its credit, and is last in the next round.
+        queues.push(...queues.splice(0, 1))
+        advanceRounds()
         continue
       }
-      // Those passed over have used up what they earned; the one found goes on until it has too.
-      lines.push(...lines.splice(0, index))
-      return lines[0]
+      // The queues before the found one have spent their credit; the found one stays first until it has spent its own.
+      queues.push(...queues.splice(0, index))
+      return queues[0]
     }
   }
 
   const charge = (workspace: string, cost: number) => {
-    if (lines.length === 0 || (!balances.has(workspace) && balances.size >= maxBalances)) return
+    if (queues.length === 0 || (!balances.has(workspace) && balances.size >= maxBalances)) return
     balanceOf(workspace).deficit -= cost
   }
 
-  return { join, leave, next, charge, makesRoom: true }
+  return { add, remove, next, charge, displacesWhenFull: true }
 }
 
-/** First come first served, over all workspaces; a full queue refuses whoever comes. */
+/** First come first served over all workspaces; a full queue refuses every new item. */
 export const firstComeFirstServed: Discipline = () => {
-  const lines = new Set<BackloggedLine>()
+  const queues = new Set<BackloggedQueue>()
 
   const next = () => {
-    let oldest: BackloggedLine | undefined
-    for (const line of lines) {
-      const sequence = line.first()?.sequence ?? Infinity
-      if (sequence < (oldest?.first()?.sequence ?? Infinity)) oldest = line
+    let oldest: BackloggedQueue | undefined
+    for (const queue of queues) {
+      const sequence = queue.first()?.sequence ?? Infinity
+      if (sequence < (oldest?.first()?.sequence ?? Infinity)) oldest = queue
     }
     return oldest
   }
 
-  return { join: line => lines.add(line), leave: line => lines.delete(line), next, charge: () => {}, makesRoom: false }
+  return {
+    add: queue => queues.add(queue),
+    remove: queue => queues.delete(queue),
+    next,
+    charge: () => {},
+    displacesWhenFull: false
+  }
 }
--- a/packages/limits/src/soak/simulated-time.ts
+++ b/packages/limits/src/soak/simulated-time.ts
@@ -1,13 +1,13 @@
 /**
- * Simulated time for tests and the soak program: timers that fire in order, with promises settled in between.
+ * Simulated time for tests and the soak program: timers fire in order, and promises settle between them.
  */
 import type { Clock } from '@egretyoke/common'
 import type { After } from '../timers.js'
 
-/** Rounds of settled promises between two timers; more than any chain of promises in this package has links. */
+/** Microtask rounds between two timers; more than the longest chain of promises in this package. */
 const settleRounds = 8
 
-/** A clock that moves from timer to timer. */
+/** A clock that advances from timer to timer. */
 export type SimulatedTime = {
   clock: Clock
   after: After
@@ -32,8 +32,8 @@
     while (index > 0 && isBefore(timer, timers[index - 1])) index--
     timers.splice(index, 0, timer)
     return () => {
-      const place = timers.indexOf(timer)
-      if (place >= 0) timers.splice(place, 1)
+      const position = timers.indexOf(timer)
+      if (position >= 0) timers.splice(position, 1)
     }
   }
 
--- /dev/null
+++ b/packages/limits/src/workspace-queue.ts
@@ -0,0 +1,69 @@
+/**
+ * The waiting items of one workspace in order of arrival, with removal at any position.
+ */
+
+/** A waiting item. */
+export type QueuedItem<Item> = {
+  item: Item
+  workspace: string
+  weight: number
+  /** Estimated service time, in milliseconds of an endpoint slot. */
+  cost: number
+  /** Deadline on the queue's clock, in milliseconds. */
+  deadlineMs: number
+  /** Arrival number over all workspaces. */
+  sequence: number
+  isRemoved: boolean
+}
+
+/** The waiting items of one workspace. */
+export type WorkspaceQueue<Item> = {
+  workspace: string
+  weight: () => number
+  size: () => number
+  push: (queued: QueuedItem<Item>) => void
+  first: () => QueuedItem<Item> | undefined
+  last: () => QueuedItem<Item> | undefined
+  remove: (queued: QueuedItem<Item>) => void
+  all: () => Array<QueuedItem<Item>>
+}
+
+/** Number of removed items, beyond the number of waiting ones, above which a queue is compacted. */
+const maxRemovedItems = 64
+
+/** Creates an empty queue. */
+export const createWorkspaceQueue = <Item>(workspace: string): WorkspaceQueue<Item> => {
+  let items: Array<QueuedItem<Item>> = []
+  let head = 0
+  let waiting = 0
+  let weight = 1
+
+  const push = (queued: QueuedItem<Item>) => {
+    items.push(queued)
+    waiting++
+    weight = queued.weight
+  }
+
+  const first = () => {
+    while (head < items.length && items[head].isRemoved) head++
+    return items[head]
+  }
+
+  const last = () => {
+    while (items.length > head && items[items.length - 1].isRemoved) items.pop()
+    return items.length > head ? items[items.length - 1] : undefined
+  }
+
+  const all = () => items.slice(head).filter(({ isRemoved }) => !isRemoved)
+
+  const remove = (queued: QueuedItem<Item>) => {
+    if (queued.isRemoved) return
+    queued.isRemoved = true
+    waiting--
+    if (items.length <= 2 * waiting + maxRemovedItems) return
+    items = all()
+    head = 0
+  }
+
+  return { workspace, weight: () => weight, size: () => waiting, push, first, last, remove, all }
+}
