--- a/packages/gateway/src/coordination/admission.ts
+++ b/packages/gateway/src/coordination/admission.ts
@@ -1,6 +1,6 @@
 /**
- * Admits operations within their workspace's limit, with tokens fetched from the limit's keeper some time ahead. While
- * no keeper answers, a gateway goes on with the part of the rate that it had.
+ * Admits operations within their workspace's rate limit, with tokens prefetched from the gateway that allocates the
+ * limit's tokens. While no allocator replies, this gateway admits at its last known share of the rate.
  */
 import type { Logger } from '@egretyoke/common'
 import type { RelayMessages } from '@egretyoke/protocol'
@@ -8,25 +8,25 @@
 import { createTokenBucket } from '../state/token-bucket.js'
 import type { TokenBucket } from '../state/token-bucket.js'
 
-/** Demand that is fetched ahead, in milliseconds of the recent rate. */
+/** Demand that is prefetched, in milliseconds of the recent rate. */
 const fetchAheadMs = 400
-/** Tokens that were not used this long after they were fetched are void. */
+/** Tokens that are not used within this time after they were fetched expire. */
 const tokenLifeMs = 1000
 const retryDelayMs = 80
-/** How long the last known part of a rate is used while no keeper answers. */
+/** How long the last known share of a rate is used while no allocator replies. */
 const fallbackMs = 8000
 const maxWaiting = 256
-/** Weight of the newest second in the measured demand. */
+/** Weight of the latest second in the exponentially smoothed demand. */
 const demandSmoothing = 0.5
 
-/** Asks a workspace's keeper; undefined when none answers. */
+/** Requests tokens from the workspace's allocator; undefined if there is no reply. */
 export type AskForTokens = (workspace: string, wanted: number) => Promise<RelayMessages.Tokens__Output | undefined>
 
-/** Admission of operations. */
+/** Admission of operations by rate limit. */
 export type Admission = {
-  /** False: the workspace has used up its limit, or nobody can tell. An answer that takes longer is refused. */
+  /** Waits up to `maxWaitMs` for a token. False if the limit is exhausted or the allocator does not reply in time. */
   admit: (workspace: string, maxWaitMs: number) => Promise<boolean>
-  /** Forgets workspaces that are not in the list. */
+  /** Drops the state of workspaces that are not in the set. */
   retain: (workspaces: ReadonlySet<string>) => void
 }
 
@@ -42,7 +42,7 @@
   fallback: TokenBucket
 }
 
-/** Creates the admission of one gateway. `startingRate` is its part of a rate that it knows nothing of. */
+/** Creates the admission of one gateway. `startingRate` is its assumed share until an allocator reports the share. */
 export const createAdmission = (
   ask: AskForTokens, startingRate: (workspace: string) => number, log: Logger
 ): Admission => {
--- a/packages/gateway/src/coordination/connection-pool.test.ts
+++ b/packages/gateway/src/coordination/connection-pool.test.ts
@@ -1,5 +1,5 @@
 /**
- * Connection pools: reuse by workspace, the limit of connections, and the commands that fit a connection to a session.
+ * Connection pool: reuse by workspace, the connection limit, and the commands that set up a session's state.
  */
 import { Err, Ok, typedError } from '@egretyoke/common'
 import test from 'ava'
@@ -35,7 +35,7 @@
   return { pool, opened, time, take }
 }
 
-test('a connection serves its own workspace again, and no other', async t => {
+test('a connection is reused by its own workspace only', async t => {
   const { pool, opened, take } = createPool(4)
   const first = await take('a')
   pool.giveBack(first)
@@ -45,7 +45,7 @@
   t.is(opened.length, 2)
 })
 
-test('at the limit the connection that was idle for longest makes room', async t => {
+test('at the connection limit, the longest idle connection is evicted', async t => {
   const { pool, opened, take } = createPool(2)
   const [first, second] = [await take('a'), await take('b')]
   pool.giveBack(first)
@@ -55,14 +55,14 @@
   t.is(pool.size(), 2)
 })
 
-test('a database that takes many connections has many kept, and room for a successor\'s', async t => {
+test('idle connections above the bound are closed, so that the next holder can connect', async t => {
   const { pool, take } = createPool(100)
   const taken = await Promise.all(Array.from({ length: 90 }, (_, index) => take(`workspace-${index}`)))
   for (const pooled of taken) pool.giveBack(pooled)
   t.is(pool.size(), 80)
 })
 
-test('without an idle connection at the limit there is no room', async t => {
+test('at the connection limit without an idle connection there is no capacity', async t => {
   const { pool, take } = createPool(1)
   const only = await take('a')
   t.false(pool.hasRoom())
@@ -70,7 +70,7 @@
   t.true(pool.hasRoom())
 })
 
-test('after a connection was refused as one too many, the pool makes do with what it has for a while', async t => {
+test('after the database refused a connection as too many, the pool does not grow during the back-off', async t => {
   const { pool, time, take } = createPool(5)
   await take('a')
   time.isFull = true
@@ -80,7 +80,7 @@
   t.true(pool.hasRoom())
 })
 
-test('idle connections are closed after the time, used ones are not', async t => {
+test('closeIdle closes connections idle for too long, and none in use', async t => {
   const { pool, opened, time, take } = createPool(5)
   const [first] = [await take('a'), await take('b')]
   pool.giveBack(first)
@@ -97,7 +97,7 @@
   idleSinceMs: 0
 })
 
-test('only what differs is sent', t => {
+test('setup commands contain only the differences in session state', t => {
   const pooled = pooledWith({ zone: 'quay' }, ['read_q'])
   const wanted = {
     values: [{ name: 'zone', value: 'quay' }, { name: 'lang', value: 'es' }],
@@ -106,7 +106,7 @@
   t.deepEqual(commandsToReach(pooled, wanted), [{ kind: 'set', name: 'lang', value: 'es' }])
 })
 
-test('a value that the session has not set is reset, and everything is set anew', t => {
+test('a variable that the session has not set causes a reset and a full setup', t => {
   const pooled = pooledWith({ zone: 'quay', lang: 'es' }, ['read_q'])
   const wanted = {
     values: [{ name: 'zone', value: 'quay' }], prepared: { name: 'read_q', access: 'read' as const, shape: 'q' }
--- a/packages/gateway/src/coordination/connection-pool.ts
+++ b/packages/gateway/src/coordination/connection-pool.ts
@@ -1,12 +1,13 @@
 /**
- * The connections that this gateway holds to one database. A connection belongs to one workspace for its whole life;
- * what is set and prepared on it is remembered, so that the next session sends only what differs.
+ * Pool of this gateway's connections to one database. A connection serves one workspace for its whole lifetime. The
+ * pool tracks the session variables and prepared statements of each connection, so that the next session sends only the
+ * difference.
  */
 import { Err, Ok } from '@egretyoke/common'
 import type { Result } from '@egretyoke/common'
 import type { ConnectDatabase, ConnectFailure, DatabaseCommand, DatabaseConnection } from './database-connection.js'
 
-/** A connection of the pool, with what is known of its session state. */
+/** A connection of the pool and its tracked session state. */
 export type PooledConnection = {
   workspace: string
   connection: DatabaseConnection
@@ -16,43 +17,44 @@
   idleSinceMs: number
 }
 
-/** Session state that a statement needs. */
+/** Session state that a statement requires. */
 export type WantedState = {
   values: ReadonlyArray<{ name: string, value: string }>
   prepared?: { name: string, access: 'read' | 'write', shape: string }
 }
 
-/** The connections to one database. */
+/** Pool of connections to one database. */
 export type ConnectionPool = {
-  /** True when `take` would find or make room for a connection. */
+  /** True if `acquire` can reuse an idle connection, evict one, or open a new one. */
   hasRoom: () => boolean
   take: (workspace: string, timeoutMs: number) => Promise<Result<PooledConnection, ConnectFailure>>
-  /** Gives a connection back for the next session of its workspace. */
+  /** Returns a connection to the pool, for the next session of its workspace. */
   giveBack: (pooled: PooledConnection) => void
-  /** Ends a connection whose state is not known or that is not wanted. */
+  /** Closes a connection whose state is unknown, or that is no longer needed. */
   discard: (pooled: PooledConnection) => void
   size: () => number
-  /** Closes the connections that have been idle for longer than the time. */
+  /** Closes connections that have been idle for longer than `idleForMs`. */
   closeIdle: (idleForMs: number) => void
   close: () => void
 }
 
-/** How long a pool grows no further after the database has refused a connection as one too many. */
+/** The pool opens no additional connections for this long after the database refused one as too many. */
 const fullRestMs = 250
 /**
- * Connections that are kept idle at most: all but what a successor needs, which lacks the others until the database
- * notices the holder's end; but some in any case.
+ * Bounds of the idle connections: the maximum less `allBut`, but no fewer than `atLeast`. If this gateway crashes, its
+ * idle connections occupy the database's limit until the database detects the loss; `allBut` stay free for the next
+ * holder.
  */
 const maxIdle = { allBut: 20, atLeast: 10 } as const
 
-/** Limits and ways of a pool. */
+/** Dependencies and limits of a pool. */
 export type PoolOptions = {
   connect: (workspace: string, timeoutMs: number) => ReturnType<ConnectDatabase>
   maxConnections: () => number
   nowMs: () => number
 }
 
-/** The commands that bring a connection to the wanted state, in order. */
+/** Commands that bring a connection to the required session state, in order. */
 export const commandsToReach = (pooled: PooledConnection, wanted: WantedState): DatabaseCommand[] => {
   const commands: DatabaseCommand[] = []
   const wantedNames = new Set(wanted.values.map(({ name }) => name))
@@ -68,7 +70,7 @@
   return commands
 }
 
-/** Notes that a command of `commandsToReach` was done. */
+/** Updates the tracked session state after a command of `commandsToReach` succeeded. */
 export const noteDone = (pooled: PooledConnection, command: DatabaseCommand): void => {
   if (command.kind === 'set') pooled.values.set(command.name, command.value)
   if (command.kind === 'prepare') pooled.prepared.add(command.name)
@@ -98,7 +100,7 @@
 
   const size = () => all.size + opening
 
-  /** Others may hold connections to the database too: after a refusal the pool makes do with what it has. */
+  /** Other clients may use up the database's connection limit: after a refusal the pool does not grow for a while. */
   const mayGrow = () => size() < maxConnections() && nowMs() >= fullUntilMs
 
   const makeRoom = () => {
--- a/packages/gateway/src/coordination/database-connection.ts
+++ b/packages/gateway/src/coordination/database-connection.ts
@@ -1,9 +1,9 @@
 /**
- * Connections to databases as a record of functions. The adapter of a platform implements them.
+ * Interface of connections to databases, implemented by the platform adapter.
  */
 import type { Result, TypedError } from '@egretyoke/common'
 
-/** One command to a database. A position asks the database to decline when its log lacks it. */
+/** One command to a database. The database declines it if its log has not reached `positionAtLeast`, if given. */
 export type DatabaseCommand =
   | { kind: 'begin', readOnly: boolean, positionAtLeast: string }
   | { kind: 'text', requestId: string, text: string, positionAtLeast: string }
@@ -17,40 +17,40 @@
 /** Why a database did not run a command. */
 export type DeclineReason = 'busy' | 'lagging' | 'readOnly' | 'unknownStatement' | 'malformed' | 'aborted'
 
-/** What became of a command. `lost`: the connection ended, or no whole answer came in time. */
+/** Reply to a command. `lost`: the connection closed, or no complete reply arrived in time. */
 export type DatabaseReply = {
   outcome: 'done' | 'declined' | 'failed' | 'lost'
-  /** Of a declined command. */
+  /** Set only if the command was declined. */
   declineReason?: DeclineReason
   message: string
   rows: string[]
   signature: string
-  /** Position of the database's log; empty when not known. */
+  /** Position of the database's log; empty if unknown. */
   position: string
   transaction: 'none' | 'open' | 'failed'
 }
 
-/** What a database says of itself. */
+/** Status reported by a database. */
 export type DatabaseStatus = {
   role: 'primary' | 'replica'
   term: number
-  /** The newest position that it has received, applied or not. */
+  /** Newest log position received, whether or not it is applied. */
   receivedPosition: string
-  /** Position up to which it has applied. */
+  /** Newest log position applied. */
   appliedPosition: string
 }
 
-/** Orders to a database. `demote`: lead no earlier term than this one. */
+/** Control command to a database. `demote`: give up the primary role of any term before this one. */
 export type DatabaseOrder =
   | { kind: 'status' }
   | { kind: 'demote', term: number }
 
-/** Why an order brought no status. */
+/** Why a control command returned no status. */
 export type OrderFailure = TypedError<'lost' | 'declined'>
 
-/** An open connection. One command at a time; commands given together are written together. */
+/** An open connection. It runs one call at a time; the commands of one call are pipelined in one write. */
 export type DatabaseConnection = {
-  /** Runs commands in order; the replies end with the first that is `lost`, which also ends the connection. */
+  /** Runs commands in order. The replies end at the first `lost` one, which also closes the connection. */
   run: (commands: readonly DatabaseCommand[], timeoutMs: number) => Promise<DatabaseReply[]>
   order: (order: DatabaseOrder, timeoutMs: number) => Promise<Result<DatabaseStatus, OrderFailure>>
   isOpen: () => boolean
@@ -58,12 +58,12 @@
   close: () => void
 }
 
-/** Where to connect, and for whom. */
+/** Database to connect to, and the workspace that the connection serves. */
 export type ConnectionTarget = { databaseId: string, address: string, group: string, workspace: string }
 
 /**
- * Why no connection came about. `unreachable`: nothing listens there. `silent`: no answer in time. `full`: too many
- * connections. `otherDatabase`: another database answers at the address.
+ * Why no connection was established. `unreachable`: nothing listens at the address. `silent`: no reply in time.
+ * `full`: too many connections. `otherDatabase`: a different database replied at the address.
  */
 export type ConnectFailure = TypedError<'unreachable' | 'silent' | 'full' | 'otherDatabase'>
 
--- a/packages/gateway/src/coordination/database-duty.ts
+++ b/packages/gateway/src/coordination/database-duty.ts
@@ -1,13 +1,13 @@
 /**
- * Whether new work may go to a database that is leaving or whose data centre is out.
+ * Availability of a database for new work while it is draining or its data centre is evacuated.
  */
 import type { Database } from '../state/configuration.js'
 import type { FleetView } from '../state/fleet-view.js'
 
-/** A primary may be used for this long while its successor is made; writes would have nowhere else to go. */
+/** Time for which a leaving primary still accepts work during the handover, because no other database takes writes. */
 const handoverTimeMs = 3500
 
-/** True while new work may go to the database. */
+/** True while the database accepts new work. */
 export const takesWork = (view: FleetView, database: Database): boolean => {
   const isInForce = view.group(database.group)?.record.primary === database.id
   const outSinceMs = view.evacuated().get(database.dataCentre)
--- a/packages/gateway/src/coordination/database-holder.ts
+++ b/packages/gateway/src/coordination/database-holder.ts
@@ -1,6 +1,6 @@
 /**
- * Runs statements at one database: a fair queue for work that has not begun, as many statements at once as the database
- * has slots, connections that are kept for their workspaces, and transactions that keep their connection.
+ * Runs statements at one database: a fair queue for new work, as many concurrent statements as the database has slots,
+ * a connection pool by workspace, and transactions that are pinned to their connection.
  */
 import { sleepMs } from '@egretyoke/common'
 import type { Logger } from '@egretyoke/common'
@@ -22,49 +22,49 @@
 
 const maxQueued = 512
 const maxQueuedPerWorkspace = 256
-/** Priorities that have queues of their own; higher numbers share the last one. */
+/** Number of priority queues; priorities beyond the last one share it. */
 const queueCount = 3
 const connectTimeoutMs = 700
-/** Connections of a database that stay free for orders and for a second holder. */
+/** Connections of the database's limit that are left for control commands and for a second holder. */
 const spareConnections = 2
-/** What a statement costs a slot when its real time is not known yet. */
+/** Assumed slot time of a statement until its real duration is known. */
 const assumedCostMs = 20
-/** An answer that is not older shows that the database lives. */
+/** A reply within this time shows that the database is running. */
 const recentAnswerMs = 400
 const settlePollMs = 10
 const roomPollMs = 10
-/** Idle connections of a gateway that others do not, or cannot, send statements to are closed after this time. */
+/** Idle connections of a gateway that is not the database's first holder are closed after this time. */
 const secondaryIdleMs = 1000
 
-/** Statements at one database, and orders to it. */
+/** Runs statements at one database. */
 export type DatabaseHolder = {
   run: (request: StatementRequest) => Promise<StatementOutcome>
   abandon: (session: string) => void
-  /** Begins nothing new for the time; what waits keeps its place. */
+  /** Starts no new work for `forMs`; queued statements stay queued. */
   pause: (forMs: number) => void
-  /** Resolves when nothing runs and no transaction is open, or after the time; true if it is so. */
+  /** Resolves with true once nothing runs and no transaction is open, or with false after `timeoutMs`. */
   settle: (timeoutMs: number) => Promise<boolean>
   load: () => number
-  /** Whether the database has answered a statement within the last moments. */
+  /** True if the database has replied to a statement recently. */
   hasAnsweredLately: () => boolean
   openTransactions: () => number
   connections: () => number
-  /** Ends what has waited or rested for too long, and goes on with what waits; to be called often meanwhile. */
+  /** Drops expired statements, ends idle transactions and dispatches the queue; call often while work is pending. */
   upkeep: () => void
-  /** Closes connections that others do not, or cannot, send statements to; to be called now and then. */
+  /** Closes idle connections if this gateway is not the database's first holder; call periodically. */
   closeUnused: () => void
   close: () => void
 }
 
-/** What a holder works with. */
+/** Dependencies of a database holder. */
 export type HolderOptions = {
   database: () => Database
   maxConnections: () => number
   transactionIdleMs: () => number
   connect: ConnectDatabase
-  /** True while other gateways send their statements for the database here first. */
+  /** True while other gateways try this gateway first for statements at the database. */
   isFirstHolder: () => boolean
-  /** False while nothing new may go to the database. */
+  /** False while the database accepts no new work. */
   takesWork: () => boolean
   records: GroupRecords
   positions: GroupPositions
@@ -73,19 +73,19 @@
   log: Logger
 }
 
-/** Reasons with which the database has not answered; the state of the connection is not known. */
+/** Reasons without a reply from the database; the state of the connection is unknown. */
 const withoutAnswer: ReadonlySet<StatementReason> = new Set(['silent', 'answerLost', 'unreachable'])
 
-/** A statement that waits for a slot. */
+/** A statement that is queued for a slot. */
 type Waiting = {
   request: StatementRequest
-  /** The position that the database must have. */
+  /** Log position that the database must have reached. */
   position: string
   arrivedAtMs: number
   answer: (outcome: StatementOutcome) => void
 }
 
-/** Creates a holder without connections. */
+/** Creates a holder; connections are opened on demand. */
 export const createDatabaseHolder = (options: HolderOptions): DatabaseHolder => {
   const { database, connect, records, positions, clock, nowMs, log } = options
   const { id, group } = database()
@@ -122,7 +122,7 @@
     return laterPosition(fresh, ownPosition)
   }
 
-  /** Waits for room while the database refuses connections as too many. */
+  /** Acquires a connection; waits for capacity while the database refuses connections as too many. */
   const takeConnection = async (request: StatementRequest, leftMs: number) => {
     const untilMs = nowMs() + Math.min(leftMs, request.maxQueuedMs)
     for (;;) {
@@ -154,7 +154,7 @@
     pinned.rollBack(pooled).then(dispatch)
   }
 
-  /** Runs a statement, and tells its outcome only if the primary was in force from its sending to its answer. */
+  /** Runs a statement; its outcome counts only if the primary stayed the current one from request to reply. */
   const runGuarded = async (
     pooled: PooledConnection, request: StatementRequest, position: string, leftMs: number
   ): Promise<StatementOutcome> => {
@@ -172,7 +172,7 @@
     log(events.primaryChangedMeanwhile, { request: request.requestId, database: id, status: outcome.status })
     const mayBeKept = request.verb === 'COMMIT' || (request.access === 'WRITE' && request.transaction === 'SINGLE')
     if (mayBeKept) return unknownOutcome('moved')
-    // What has run in a transaction must not run in a second one.
+    // A statement that has run in a transaction must not run in a second one.
     return notRun(request.transaction === 'SINGLE' ? 'moved' : 'answerLost')
   }
 
@@ -228,7 +228,7 @@
     const joins = request.needsPrimary && request.transaction !== 'CONTINUE'
     if (joins && !await records.become(group, id)) return notRun('moved')
     const arrivedAtMs = nowMs()
-    // What was confirmed while the statement waits is not owed to it: it was asked for before.
+    // Computed before queueing: commits confirmed after the statement arrived need not be visible to it.
     const position = request.transaction === 'CONTINUE' ? '' : await requiredPosition(request)
     if (position === undefined) return notRun('lagging')
     return await new Promise<StatementOutcome>(resolve => {
--- a/packages/gateway/src/coordination/database-orders.ts
+++ b/packages/gateway/src/coordination/database-orders.ts
@@ -1,23 +1,23 @@
 /**
- * Orders and questions to databases, over one connection each that serves nothing else.
+ * Status requests and control commands to databases, over one dedicated connection per database.
  */
 import { Err, Ok, typedError } from '@egretyoke/common'
 import type { Result, TypedError } from '@egretyoke/common'
 import type { Database } from '../state/configuration.js'
 import type { ConnectDatabase, DatabaseConnection, DatabaseOrder, DatabaseStatus } from './database-connection.js'
 
-/** The name under which these connections are opened. */
+/** Workspace name of the control connections. */
 const ordersWorkspace = 'egretyoke'
-/** Connections that were not used for longer are closed. */
+/** A control connection that is unused for longer is closed. */
 const unusedCloseMs = 10_000
 
 /**
- * Why an order brought nothing. `unreachable`: nothing listens at the address, or the connection was reset. `silent`:
- * no answer in time. `declined`: the database lives but did not do it.
+ * Why a control command failed. `unreachable`: nothing listens at the address, or the connection was reset. `silent`:
+ * no reply in time. `declined`: the database is running but refused the command or the connection.
  */
 export type OrderError = TypedError<'unreachable' | 'silent' | 'declined'>
 
-/** Orders to databases. */
+/** Control commands to databases. */
 export type DatabaseOrders = {
   give: (database: Database, order: DatabaseOrder, timeoutMs: number) => Promise<Result<DatabaseStatus, OrderError>>
   close: () => void
@@ -25,7 +25,7 @@
 
 type Kept = { connection: DatabaseConnection, address: string, usedAtMs: number }
 
-/** Creates the orders without connections. */
+/** Creates the control commands; connections are opened on first use. */
 export const createDatabaseOrders = (connect: ConnectDatabase): DatabaseOrders => {
   const kept = new Map<string, Kept>()
 
--- a/packages/gateway/src/coordination/election.test.ts
+++ b/packages/gateway/src/coordination/election.test.ts
@@ -1,5 +1,5 @@
 /**
- * Ranks of gateways, and which of them hold the connections to a database.
+ * Rank order of gateways, and the selection of holders for a database.
  */
 import test from 'ava'
 import type { Database } from '../state/configuration.js'
@@ -23,14 +23,14 @@
 const fleet = ['a1', 'a2', 'a3', 'b1', 'b2', 'c1'].map(name => member(name, name.slice(0, 1)))
 const database = { id: 'db', dataCentre: 'a' } as Database
 
-test('whoever knows the same members ranks them alike, in whatever order they were learned', t => {
+test('the rank order depends only on the set of members, not on the order in which they were added', t => {
   const one = createElection(createView(fleet).view)
   const other = createElection(createView([...fleet].reverse()).view)
   t.deepEqual(one.ranked('key'), other.ranked('key'))
   t.is(one.first('key'), other.first('key'))
 })
 
-test('a change of the members counts at once, and one that drains is not first', t => {
+test('a member change takes effect at once, and a draining member is not first', t => {
   const { view, set } = createView(fleet)
   const election = createElection(view)
   const first = election.first('key')
@@ -47,27 +47,27 @@
   return createHolderChoice({ self, election, regionOf: dataCentre => `region of ${dataCentre}`, isUsable: usable })
 }
 
-test('gateways of the database\'s data centre come first, this one last', t => {
+test('gateways in the database\'s data centre come first, this gateway last', t => {
   const names = choiceOf('c1').candidates(database, []).map(({ name }) => name)
   t.is(names.length, 3)
   t.true(names.slice(0, 2).every(name => name.startsWith('a')), names.join())
   t.is(names[2], 'c1')
 })
 
-test('gateways that cannot be reached or are leaving are passed over', t => {
+test('unreachable and draining gateways are skipped', t => {
   const members = fleet.map(each => each.name === 'a1' ? { ...each, draining: true } : each)
   const names = choiceOf('c1', members, ({ name }) => name !== 'a2').candidates(database, []).map(({ name }) => name)
   t.is(names[0], 'a3')
   t.false(names.includes('a1') || names.includes('a2'))
 })
 
-test('no gateway outside the allowed regions is asked but this one', t => {
+test('gateways outside the permitted regions are excluded, except this one', t => {
   const names = choiceOf('c1').candidates(database, ['region of b']).map(({ name }) => name)
   t.true(names.every(name => ['b1', 'b2', 'c1'].includes(name)), names.join())
   t.true(names.some(name => name.startsWith('b')))
 })
 
-test('a gateway without a record is not a holder', t => {
+test('a gateway without a membership record is not a holder', t => {
   const names = choiceOf('c9').candidates(database, []).map(({ name }) => name)
   t.false(names.includes('c9'))
 })
--- a/packages/gateway/src/coordination/election.ts
+++ b/packages/gateway/src/coordination/election.ts
@@ -1,23 +1,23 @@
 /**
- * Ranks of gateways: everybody who knows the same members ranks them alike for a key, so that no agreement is needed.
- * A rank is worked out again only when the members have changed.
+ * Ranks gateways by rendezvous hashing: gateways with the same member list compute the same order for a key, so that no
+ * consensus round is needed. Orders are cached until the member list changes.
  */
 import { rankByRendezvous } from '@egretyoke/limits'
 import type { FleetView } from '../state/fleet-view.js'
 import type { Member } from '../state/stored-records.js'
 
-/** The ranks in one view. */
+/** Rank of the members of one fleet state, by key. */
 export type Election = {
-  /** All members, draining ones included, in their order for the key. */
+  /** All members, including draining ones, in rank order for the key. */
   ranked: (key: string) => readonly Member[]
-  /** The name of the first member for the key that is not draining; undefined when there is none. */
+  /** Name of the highest-ranked member for the key that is not draining; undefined if there is none. */
   first: (key: string) => string | undefined
 }
 
-/** Keys whose ranks are kept. */
+/** Maximum number of keys with a cached order. */
 const maxKeys = 4096
 
-/** Creates the ranks of the view's members. */
+/** Creates an election over the members of the fleet state. */
 export const createElection = (view: Pick<FleetView, 'members' | 'membersVersion'>): Election => {
   const known = new Map<string, readonly Member[]>()
   let version = -1
--- a/packages/gateway/src/coordination/group-keeper.ts
+++ b/packages/gateway/src/coordination/group-keeper.ts
@@ -1,6 +1,6 @@
 /**
- * Looks after the groups' primaries: of all gateways the one that ranks first for a group watches its primary and has
- * it replaced when it has failed or is leaving.
+ * Monitors the groups' primaries: the gateway that ranks first for a group probes its primary, and replaces it after a
+ * failure, or when it is draining or evacuated.
  */
 import { sleepMs } from '@egretyoke/common'
 import { events } from '../events.js'
@@ -15,29 +15,29 @@
 
 const probeIntervalMs = 250
 const probeTimeoutMs = 500
-/** Failed probes after which the others are asked. Refused connections say more than silence. */
+/** Failed probes after which other gateways are asked. A refused connection is stronger evidence than a time-out. */
 const refusalsBeforeDoubt = 2
 const silencesBeforeDoubt = 2
-/** Gateways that are asked whether they reach the primary, and how long they have. */
+/** Number of gateways that are asked whether they can reach the primary, and the time-out of the request. */
 const witnesses = 4
 const witnessTimeoutMs = 900
-/** A change that another gateway began and did not finish is taken over after this time. */
+/** A primary change that another gateway started but did not finish is taken over after this time. */
 const takeOverMs = 3000
-/** A primary without an entry is not replaced before this time: its entry may be on its way. */
+/** A primary without an entry in the store is not replaced before this time, because the entry may still arrive. */
 const goneGraceMs = 1000
 
-/** Looks after the groups until the signal aborts. */
+/** Monitors the groups until the signal aborts. */
 export type GroupKeeper = { run: (signal: AbortSignal) => Promise<void> }
 
-/** What the keeper works with. */
+/** Dependencies of the group monitor. */
 export type GroupKeeperOptions = PrimaryChangeOptions & {
   name: string
   election: Election
-  /** Whether the database has answered a statement here just now. */
+  /** True if the database has replied to a statement of this gateway recently. */
   hasAnsweredLately: (database: string) => boolean
 }
 
-/** Creates the keeper. */
+/** Creates the group monitor. */
 export const createGroupKeeper = (options: GroupKeeperOptions): GroupKeeper => {
   const { name, self, view, records, contact, orders, relay, hasAnsweredLately, log } = options
   const failures = new Map<string, { refused: number, silent: number }>()
@@ -47,7 +47,7 @@
 
   const isKeeperOf = (group: string): boolean => options.election.first(`group ${group}`) === name
 
-  /** Puts the database in force that says it leads, when nothing was ever recorded. */
+  /** Stores the first record of a group: the database that reports the primary role with the highest term. */
   const begin = async (group: string) => {
     const asked = await Promise.all(view.databasesOf(group).map(async database => {
       const status = await orders.give(database, { kind: 'status' }, probeTimeoutMs)
@@ -62,7 +62,7 @@
     }, 0)
   }
 
-  /** Whether a gateway that uses the primary has had an answer of it just now; spares the primary a probe. */
+  /** True if a gateway that uses the primary has had a reply from it recently, so that no probe is needed. */
   const isUsedWell = async (database: Database, users: readonly string[]): Promise<boolean> => {
     const user = livingUsers(users, view).at(-1)?.split('/')[0] ?? ''
     if (user === name) return hasAnsweredLately(database.id)
@@ -94,7 +94,7 @@
     return failure.refused < refusalsBeforeDoubt && failure.silent < silencesBeforeDoubt
   }
 
-  /** One gateway of each data centre first, then any. */
+  /** Selects the gateways to ask: first one of each data centre, then any others. */
   const chooseWitnesses = (): Member[] => {
     const others = [...view.members().values()].filter(member => member.name !== name)
     const firstOfEach = others.filter((member, index) =>
@@ -102,7 +102,7 @@
     return [...new Set([...firstOfEach, ...others])].slice(0, witnesses)
   }
 
-  /** True when another gateway still reaches the database. */
+  /** True if another gateway can reach the database. */
   const isSeenByOthers = async (database: Database): Promise<boolean> => {
     const answers = await Promise.all(chooseWitnesses().map(async member => {
       const answer = await relay.ask(member, { probeDatabase: { database: database.id } }, witnessTimeoutMs)
@@ -151,7 +151,7 @@
     }
   }
 
-  /** Tells databases that still take themselves for the primary, after they come back, that they are not. */
+  /** Demotes databases that come back and still report the primary role. */
   const demoteFormer = async (group: string) => {
     const record = view.group(group)?.record
     if (record?.phase !== 'serving') return
--- a/packages/gateway/src/coordination/group-positions.test.ts
+++ b/packages/gateway/src/coordination/group-positions.test.ts
@@ -1,5 +1,5 @@
 /**
- * Positions that reads must reach: fresh enough for the allowed age, asked for once, forgotten with their primary.
+ * Positions that reads must reach: recent enough for the permitted staleness, and requested once for concurrent reads.
  */
 import test from 'ava'
 import { createAgeClock } from '../state/contact.js'
@@ -17,14 +17,14 @@
   return { time, clock, positions: createGroupPositions(clock, ask), asked: () => asked }
 }
 
-test('what was seen within the allowed age is required, without asking', async t => {
+test('a sample within the permitted staleness is required without a request', async t => {
   const { clock, positions, asked } = createPositions([])
   positions.note('g', { position: '1.7', coversUntil: clock.now() })
   t.is(await positions.require('g', 1500), '1.7')
   t.is(asked(), 0)
 })
 
-test('a sample that grows old is renewed in time, by one question for all', async t => {
+test('an ageing sample is refreshed before it expires, by one request for concurrent reads', async t => {
   const { time, clock, positions, asked } = createPositions(['1.9'])
   positions.note('g', { position: '1.7', coversUntil: clock.now() })
   time.nowMs = 900
@@ -33,14 +33,14 @@
   t.is(asked(), 1)
 })
 
-test('without an answer and with an old sample nothing may be read', async t => {
+test('no read is permitted with an expired sample and no reply', async t => {
   const { time, clock, positions } = createPositions([undefined])
   positions.note('g', { position: '1.7', coversUntil: clock.now() })
   time.nowMs = 1600
   t.is(await positions.require('g', 1500), undefined)
 })
 
-test('an earlier position never lowers the requirement', async t => {
+test('an earlier position does not lower the required position', async t => {
   const { time, clock, positions } = createPositions([])
   positions.note('g', { position: '2.1', coversUntil: clock.now() })
   time.nowMs = 10
--- a/packages/gateway/src/coordination/group-positions.ts
+++ b/packages/gateway/src/coordination/group-positions.ts
@@ -1,30 +1,30 @@
 /**
- * The newest positions seen at the primaries. A position that was seen at a primary in force, by a statement sent at a
- * moment, covers every commit that was confirmed before that moment.
+ * Newest log positions observed at the primaries. A position returned by the current primary covers every commit that
+ * was confirmed before the statement that returned it was sent.
  */
 import type { AgeClock, Moment } from '../state/contact.js'
 import { laterPosition } from '../state/position.js'
 
-/** A position, and the moment up to which it covers all confirmed commits. */
+/** A log position, and the time up to which it covers all confirmed commits. */
 export type PositionSample = { position: string, coversUntil: Moment }
 
-/** Asks the holder of the group's primary; undefined when it does not answer. */
+/** Requests the position from the holder of the group's primary; undefined if there is no reply. */
 export type AskPosition = (group: string) => Promise<PositionSample | undefined>
 
-/** Newest known positions by group. */
+/** Newest observed positions by group. */
 export type GroupPositions = {
   note: (group: string, sample: PositionSample) => void
-  /** The position that data no older than `maxStalenessMs` must have; undefined when it cannot be had. */
+  /** Position that a replica needs for its data to be at most `maxStalenessMs` old; undefined if unknown. */
   require: (group: string, maxStalenessMs: number) => Promise<string | undefined>
   newest: (group: string) => PositionSample | undefined
-  /** A primary was replaced: what was seen before may not be in the new one's log. */
+  /** Drops the group's position after its primary was replaced: the new primary's log may lack it. */
   forget: (group: string) => void
 }
 
-/** A sample is renewed in the background once it has used up this part of the allowed age. */
+/** A sample is refreshed in the background once its age exceeds this fraction of the permitted staleness. */
 const renewAtFraction = 0.4
 
-/** Creates an empty table. */
+/** Creates an empty position table. */
 export const createGroupPositions = (clock: AgeClock, ask: AskPosition): GroupPositions => {
   const samples = new Map<string, PositionSample>()
   const asking = new Map<string, Promise<void>>()
--- a/packages/gateway/src/coordination/group-records.ts
+++ b/packages/gateway/src/coordination/group-records.ts
@@ -1,9 +1,9 @@
 /**
- * Changes of the group records, each under the condition that nobody changed the record meanwhile, and the question
- * whether this gateway may use a primary at this moment.
+ * Compare-and-swap updates of the group records, and the check whether this gateway is currently permitted to use a
+ * group's primary.
  *
- * A gateway that is not among a record's users adds itself first. Whoever changes the primary therefore has to wait for
- * the users alone, however large the fleet is: each of them says that it has stopped, or its contact has run out.
+ * A gateway adds itself to a record's users before it uses the primary. A primary change therefore waits only for the
+ * listed users, however large the fleet is: until each has confirmed that it stopped, or its contact has expired.
  */
 import type { Logger } from '@egretyoke/common'
 import { events } from '../events.js'
@@ -13,23 +13,23 @@
 import type { GroupRecord } from '../state/stored-records.js'
 import type { SharedStore } from './shared-store.js'
 
-/** A gateway whose view was not confirmed for longer does not use primaries. */
+/** A gateway stops using primaries when its fleet state was last confirmed longer ago than this. */
 export const primaryContactMs = 2500
 const storeTimeoutMs = 900
 
-/** Group records. */
+/** Access to the group records. */
 export type GroupRecords = {
-  /** True while the database is the primary in force and this gateway is one of its users. */
+  /** True while the database is the current primary and this gateway is one of its users. */
   mayUse: (group: string, database: string) => boolean
-  /** Makes this gateway a user of the primary in force; false when the database is not, or the store says no. */
+  /** Adds this gateway to the primary's users; false if the database is not the primary or the store call fails. */
   become: (group: string, database: string) => Promise<boolean>
-  /** Ends the use of the group's primary here until a record later than the revision is known. */
+  /** Stops the use of the group's primary by this gateway until a record newer than the revision is known. */
   stop: (group: string, revision: number) => void
-  /** Stores a record if the stored one is still at the revision; the revision of the new one, or undefined. */
+  /** Stores a record if the stored one is still at the revision; returns the new version, or undefined on failure. */
   store: (group: string, record: GroupRecord, expectedRevision: number) => Promise<Versioned<GroupRecord> | undefined>
 }
 
-/** What the records are made with. */
+/** Dependencies of the group records. */
 export type GroupRecordsOptions = {
   /** NAME/INCARNATION of this process. */
   self: string
@@ -41,15 +41,15 @@
 }
 
 /**
- * Users that may still use the primary. A process whose VM has a newer one has ended, and one whose record is gone has
- * stopped on its own: it does not use primaries without a lease.
+ * Users that may still be using the primary. A process whose VM runs a newer one has ended. A process whose membership
+ * record was removed has stopped by itself, because it does not use primaries without a lease.
  */
 export const livingUsers = (users: readonly string[], view: FleetView): string[] => users.filter(user => {
   const [name = '', incarnation] = user.split('/')
   return view.members().get(name)?.incarnation === incarnation
 })
 
-/** Creates the access to the records for one process. */
+/** Creates the access to the group records for one process. */
 export const createGroupRecords = (
   { self, view, contact, isLeaseHeld, store, log }: GroupRecordsOptions
 ): GroupRecords => {
--- a/packages/gateway/src/coordination/holder-choice.ts
+++ b/packages/gateway/src/coordination/holder-choice.ts
@@ -1,27 +1,28 @@
 /**
- * Which gateways hold the connections to a database: a few of its own data centre, ranked alike by everybody. Others
- * pass their statements on to the first that answers, so that few connections serve all workspaces.
+ * Selects the gateways that hold the connections to a database: a few in the database's data centre, in an order that
+ * all gateways compute alike. Other gateways forward their statements to the first one that replies, so that few
+ * connections serve all workspaces.
  */
 import type { Database } from '../state/configuration.js'
 import type { Member } from '../state/stored-records.js'
 import type { Election } from './election.js'
 
-/** Gateways that are tried for one statement, this one included. */
+/** Maximum number of gateways that are tried for one statement, including this one. */
 const maxCandidates = 3
 
-/** Where this gateway stands. */
+/** Name and location of a gateway. */
 export type Place = { name: string, dataCentre: string, region: string }
 
-/** Ranks the gateways for databases. */
+/** Selects holders for databases. */
 export type HolderChoice = {
   /**
-   * Gateways to try, best first. Those outside `regions` are left out, but for this one; no regions: all are
-   * allowed.
+   * Gateways to try, best first. Gateways outside `regions` are excluded, except this one; an empty list permits all
+   * regions.
    */
   candidates: (database: Database, regions: readonly string[]) => Member[]
 }
 
-/** What the choice is made from. */
+/** Dependencies of the holder choice. */
 export type HolderChoiceOptions = {
   self: Member
   election: Election
@@ -30,7 +31,7 @@
   isUsable: (member: Member) => boolean
 }
 
-/** Creates the choice. */
+/** Creates the holder choice of one gateway. */
 export const createHolderChoice = ({ self, election, regionOf, isUsable }: HolderChoiceOptions): HolderChoice => {
   const byDistance = new WeakMap<readonly Member[], readonly Member[]>()
 
@@ -39,7 +40,7 @@
     return member.region === regionOf(database.dataCentre) ? 1 : 2
   }
 
-  /** The ranked members, those near the database first. */
+  /** The ranked members, sorted by distance from the database. */
   const near = (database: Database): readonly Member[] => {
     const ranked = election.ranked(`${database.id} ${database.dataCentre}`)
     const known = byDistance.get(ranked)
--- a/packages/gateway/src/coordination/holders.ts
+++ b/packages/gateway/src/coordination/holders.ts
@@ -1,5 +1,5 @@
 /**
- * The holders of all databases whose connections this gateway holds, made when they are first needed.
+ * The holders of all databases that this gateway has connections to, created on first use.
  */
 import type { Database } from '../state/configuration.js'
 import type { FleetView } from '../state/fleet-view.js'
@@ -15,29 +15,29 @@
   abandon: (database: string, session: string) => void
   get: (database: string) => DatabaseHolder | undefined
   all: () => DatabaseHolder[]
-  /** Whether the database has answered a statement of this gateway within the last moments. */
+  /** True if the database has replied to a statement of this gateway recently. */
   hasAnsweredLately: (database: string) => boolean
-  /** Closes the holders of databases that are gone or have started anew, and connections that nobody needs here. */
+  /** Closes the holders of removed or restarted databases, and connections that are no longer needed here. */
   retainKnown: () => void
   close: () => void
 }
 
-/** What differs from database to database. */
+/** Options of a holder that depend on its database. */
 type OfOneDatabase = 'database' | 'maxConnections' | 'transactionIdleMs' | 'takesWork' | 'isFirstHolder'
 
-/** What the holders work with. */
+/** Dependencies of the holders. */
 export type HoldersOptions = Omit<HolderOptions, OfOneDatabase> & {
   view: FleetView
   isFirstHolder: (database: Database) => boolean
 }
 
-/** How often queues and open transactions are looked at. */
+/** Interval at which queues and open transactions are checked. */
 const upkeepIntervalMs = 50
-/** Used when the configuration does not name a limit. */
+/** Defaults if the configuration has no value. */
 const defaultTransactionIdleMs = 3000
 const defaultMaxConnections = 10
 
-/** Creates the table. */
+/** Creates an empty table of holders. */
 export const createHolders = (options: HoldersOptions): Holders => {
   const { view } = options
   const holders = new Map<string, { holder: DatabaseHolder, database: Database }>()
@@ -70,7 +70,7 @@
 
   const hasWork = () => running > 0 || [...holders.values()].some(({ holder }) => holder.openTransactions() > 0)
 
-  /** Runs only while statements run or transactions are open here: most gateways of a large fleet hold nothing. */
+  /** The timer runs only while statements run or transactions are open: most gateways of a large fleet hold none. */
   const startUpkeep = () => {
     upkeep ??= setInterval(() => {
       for (const { holder } of holders.values()) holder.upkeep()
@@ -105,7 +105,7 @@
     retainKnown: () => {
       for (const [id, { database, holder }] of holders) {
         const isGone = !view.databases().has(id)
-        // A database without an entry may still finish what it was given.
+        // A removed database may still finish its statements and transactions.
         if (isGone ? holder.load() === 0 && holder.openTransactions() === 0 : !isSame(database)) end(id)
         else holder.closeUnused()
       }
--- a/packages/gateway/src/coordination/limit-keeper.ts
+++ b/packages/gateway/src/coordination/limit-keeper.ts
@@ -1,8 +1,8 @@
 /**
- * Hands out the tokens of the workspaces' limits for the whole fleet. Workspaces are spread over shards; each shard has
- * one keeper, which claims it with a record on its lease, and which answers only while that lease is surely held. So
- * two keepers never hand out the same tokens. A new keeper's buckets are empty but for a small allowance: what its
- * predecessor may have handed out until its end counts as spent.
+ * Allocates the tokens of the workspaces' rate limits for the whole fleet. Workspaces are distributed over shards. Each
+ * shard has one allocator, which claims it with a record bound to its lease and grants tokens only while the lease
+ * cannot have expired, so that two allocators never grant the same tokens. A new allocator's buckets start empty except
+ * for a small allowance, because its predecessor may have granted all tokens accrued until its end.
  */
 import { createHash } from 'node:crypto'
 import { monotonicMs, sleepMs } from '@egretyoke/common'
@@ -17,35 +17,35 @@
 import type { Membership } from './membership.js'
 import type { SharedStore } from './shared-store.js'
 
-/** The process's start on the monotonic clock. */
+/** Process start on the monotonic clock. */
 const processStartMs = 0
 
-/** Shards of the workspaces. A shard's keeper serves all gateways, so that more shards spread its work. */
+/** Number of shards of the workspaces. One allocator serves a shard for all gateways; more shards spread the load. */
 export const limitShards = 8
 const claimIntervalMs = 100
 const storeTimeoutMs = 900
 /**
- * What a new keeper's bucket holds at once, as a part of the rate and in tokens. It may come on top of all that its
- * predecessor handed out, and stays a fraction of what limits may be exceeded by.
+ * Initial tokens in a new allocator's bucket: a fraction of the rate, plus a number of tokens. They may come on top of
+ * all tokens granted by the predecessor, and are a fraction of the excess over the limit that is tolerated.
  */
 const firstTokens = { ofRate: 0.1, atLeast: 5 } as const
-/** Over this time the askers' parts of a rate are worked out, in milliseconds. */
+/** Window in milliseconds over which the gateways' shares of a rate are computed. */
 const partWindowMs = 2000
 
 /** The shard of a workspace. */
 export const shardOf = (workspace: string): number =>
   createHash('sha256').update(workspace).digest().readUInt32BE(0) % limitShards
 
-/** The part of this gateway in keeping the limits. */
+/** Token allocation for the shards that this gateway has claimed. */
 export type LimitKeeper = {
   take: (request: RelayMessages.TakeTokens__Output) => RelayMessages.Tokens__Output
-  /** Claims shards without a keeper, until the signal aborts. */
+  /** Claims shards without an allocator until the signal aborts. */
   run: (signal: AbortSignal) => Promise<void>
-  /** Gives all shards up. */
+  /** Releases all shards. */
   leave: () => Promise<void>
 }
 
-/** What the keeper works with. */
+/** Dependencies of the token allocator. */
 export type LimitKeeperOptions = {
   /** NAME/INCARNATION of this process. */
   self: string
@@ -61,7 +61,7 @@
   bucket: TokenBucket, grantedBy: Map<string, number>, windowSinceMs: number, parts: Map<string, number>
 }
 
-/** Creates a keeper without shards. */
+/** Creates an allocator without shards. */
 export const createLimitKeeper = (options: LimitKeeperOptions): LimitKeeper => {
   const { self, name, view, election, membership, store, log } = options
   const accounts = new Map<string, Account>()
@@ -84,7 +84,7 @@
     return account
   }
 
-  /** Notes a grant; the askers' parts are those of the last whole window. */
+  /** Records a grant. The gateways' shares are those of the last complete window. */
   const noteGrant = (account: Account, asker: string, granted: number) => {
     if (monotonicMs() - account.windowSinceMs > partWindowMs) {
       account.parts = account.grantedBy
@@ -109,7 +109,7 @@
     return { granted, ratePartPerSec: partOf(account, asker) * terms.ratePerSec, isKeeper: true }
   }
 
-  /** The shard's record hangs on its keeper's lease, so that a record without its process is only briefly there. */
+  /** True while the shard has an allocator. The record is bound to its lease and outlives the process only briefly. */
   const isKept = (shard: number): boolean => {
     const keeper = view.limitKeeper(shard)?.keeper
     if (keeper === undefined) return false
@@ -130,7 +130,7 @@
     if (swap.err || !swap.val.swapped || swap.val.current === undefined) return
     view.apply(swap.val.current)
     for (const workspace of accounts.keys()) if (shardOf(workspace) === shard) accounts.delete(workspace)
-    // An earlier process of this VM handed out nothing since this one started.
+    // An earlier process of this VM has granted nothing since this one started, so the buckets fill from that time.
     const isOwnSuccessor = stored.val !== undefined &&
       readLimitRecord(stored.val.value).map(({ keeper }) => keeper.split('/')[0] === name).unwrapOr(false)
     claimedAtMs.set(shard, isOwnSuccessor ? processStartMs : monotonicMs())
--- a/packages/gateway/src/coordination/limits.test.ts
+++ b/packages/gateway/src/coordination/limits.test.ts
@@ -1,6 +1,6 @@
 /**
- * Limits of the whole fleet: what all gateways admit together, through floods, keepers that end, and stores that are
- * away.
+ * Fleet-wide rate limits: total admissions of all gateways under overload, after restarts and limit changes, and while
+ * the token allocator does not reply.
  */
 import { sleepMs } from '@egretyoke/common'
 import test from 'ava'
@@ -15,7 +15,7 @@
   workspaces: [{ name: 'yard-a', ratePerSec, burst, homeRegions: [], keys: ['key-a'] }]
 })
 
-/** Keeps sending through all gateways; what was admitted in the time. */
+/** Sends continuously through all gateways for `forMs`; resolves with the number of admitted statements. */
 const flood = async (fleet: MemoryFleet, forMs: number): Promise<number> => {
   const endAtMs = performance.now() + forMs
   let done = 0
@@ -30,7 +30,7 @@
   return done
 }
 
-test('all gateways together admit no more than rate and burst, and nearly as much', async t => {
+test('all gateways together admit at most rate and burst, and at least 80 % of the rate', async t => {
   const fleet = await startMemoryFleet(3, limited(40, 20))
   const admitted = await flood(fleet, 3000)
   t.true(admitted <= 40 * 3 + 20 + 10, `${admitted}`)
@@ -38,7 +38,7 @@
   await fleet.close()
 })
 
-test('when all processes end and come back, no more is admitted than the allowance of new keepers', async t => {
+test('after a restart of all gateways, the excess is at most the new allocators\' initial tokens', async t => {
   const fleet = await startMemoryFleet(3, limited(40, 40))
   const first = await flood(fleet, 1000)
   await Promise.all(fleet.gateways.map(({ gateway }) => gateway.close()))
@@ -53,7 +53,7 @@
   await fleet.close()
 })
 
-test('a lower limit binds at once', async t => {
+test('a lowered limit takes effect at once', async t => {
   const fleet = await startMemoryFleet(2, limited(1000, 1000))
   await flood(fleet, 300)
   fleet.configure({ workspaces: limited(10, 5).workspaces })
@@ -65,7 +65,7 @@
 
 const grant = (granted: number, ratePartPerSec = 0) => ({ granted, ratePartPerSec, isKeeper: true })
 
-test('an operation is refused when the keeper has no token for it, in about the time that it may wait', async t => {
+test('an operation is refused within about its maximum wait when the allocator has no tokens', async t => {
   const ask: AskForTokens = async () => grant(0)
   const admission = createAdmission(ask, () => 0, () => {})
   const startedAtMs = performance.now()
@@ -73,7 +73,7 @@
   t.true(performance.now() - startedAtMs < 1000)
 })
 
-test('while no keeper answers, the last known part of the rate serves', async t => {
+test('while no allocator replies, operations are admitted at the last known share of the rate', async t => {
   let isAnswering = true
   const ask: AskForTokens = async () => isAnswering ? grant(1, 50) : undefined
   const admission = createAdmission(ask, () => 0, () => {})
@@ -85,7 +85,7 @@
   t.true(burst.filter(Boolean).length <= 10)
 })
 
-test('a bucket fills at its rate up to its depth, from the time at which it was empty', t => {
+test('a bucket fills at its rate up to its burst size, from the time at which it was empty', t => {
   const time = { nowMs: 5000 }
   const bucket = createTokenBucket({ ratePerSec: 10, burst: 15 }, () => time.nowMs, 4000)
   t.is(bucket.take(100), 10)
--- a/packages/gateway/src/coordination/membership.ts
+++ b/packages/gateway/src/coordination/membership.ts
@@ -1,5 +1,5 @@
 /**
- * This gateway's place in the fleet: a record on a lease, renewed while the process runs.
+ * This gateway's membership of the fleet: a stored record, bound to a lease that is renewed while the process runs.
  */
 import { sleepMs } from '@egretyoke/common'
 import type { Logger } from '@egretyoke/common'
@@ -9,29 +9,29 @@
 import type { Member } from '../state/stored-records.js'
 import type { SharedStore } from './shared-store.js'
 
-/** A VM that is silent for longer is taken out of the fleet. */
+/** A VM that does not renew its lease for this long is removed from the fleet. */
 export const leaseTtlMs = 3000
 const renewIntervalMs = 1000
 const retryDelayMs = 400
 const storeTimeoutMs = 900
-/** What this process does on the strength of its lease ends this long before the lease can. */
+/** This process stops all work that depends on its lease this long before the lease can expire. */
 const leaseMarginMs = 400
 
-/** This gateway's membership. */
+/** This gateway's membership of the fleet. */
 export type Membership = {
-  /** The lease for records that end with this process; undefined while none is held. */
+  /** Lease that records of this process are bound to; undefined while none is held. */
   leaseId: () => number | undefined
-  /** True while no other process can have been given what hangs on this process's lease. */
+  /** True while the lease cannot have expired, so that no other process has claimed records bound to it. */
   isLeaseHeld: () => boolean
-  /** Announces that no new work is wanted. */
+  /** Marks this gateway's record as draining, so that other gateways send it no new work. */
   startDraining: () => Promise<void>
-  /** Renews the lease until the signal aborts. */
+  /** Joins the fleet and renews the lease until the signal aborts. */
   run: (signal: AbortSignal) => Promise<void>
-  /** Ends the lease. */
+  /** Revokes the lease. */
   leave: () => Promise<void>
 }
 
-/** Creates the membership; nothing is announced before `run`. */
+/** Creates the membership; the record is not stored before `run`. */
 export const createMembership = (
   self: Member, store: SharedStore, clock: AgeClock, log: Logger
 ): Membership => {
@@ -58,7 +58,7 @@
     return true
   }
 
-  /** False when the renewal has to be tried again soon. */
+  /** Renews the lease; false if it failed and must be retried soon. */
   const renew = async (id: number): Promise<boolean> => {
     const heldFrom = clock.now()
     const kept = await store.keepAlive(id, storeTimeoutMs)
--- a/packages/gateway/src/coordination/pinned-transactions.ts
+++ b/packages/gateway/src/coordination/pinned-transactions.ts
@@ -1,5 +1,5 @@
 /**
- * Connections that are kept for their session until its transaction ends.
+ * Connections that are pinned to a session until its transaction ends.
  */
 import type { Logger } from '@egretyoke/common'
 import { events } from '../events.js'
@@ -10,17 +10,17 @@
 /** Open transactions by session. */
 export type PinnedTransactions = {
   pin: (session: string, pooled: PooledConnection) => void
-  /** The session's connection, not pinned any more; undefined when its transaction has ended. */
+  /** Unpins and returns the session's connection; undefined if its transaction has ended. */
   take: (session: string) => PooledConnection | undefined
-  /** Rolls back what is open on a connection and gives it back to the pool. */
+  /** Rolls back the open transaction and releases the connection to the pool; discards it if the rollback fails. */
   rollBack: (pooled: PooledConnection) => Promise<void>
-  /** Ends transactions that have rested for too long. */
+  /** Rolls back transactions that have been idle for longer than `idleMs`. */
   endIdle: () => void
   size: () => number
   close: () => void
 }
 
-/** What the transactions work with. */
+/** Dependencies of the pinned transactions. */
 export type PinnedOptions = {
   pool: ConnectionPool
   idleMs: () => number
@@ -29,7 +29,7 @@
   log: Logger
 }
 
-/** Creates an empty table. */
+/** Creates an empty table of pinned transactions. */
 export const createPinnedTransactions = ({ pool, idleMs, nowMs, database, log }: PinnedOptions): PinnedTransactions => {
   const bySession = new Map<string, { pooled: PooledConnection, sinceMs: number }>()
 
--- a/packages/gateway/src/coordination/primary-change.ts
+++ b/packages/gateway/src/coordination/primary-change.ts
@@ -1,10 +1,10 @@
 /**
  * Replaces a group's primary.
  *
- * The group's record is set to `changing` first, under a condition; its revision is the fence of everything that
- * follows. Then every gateway that may use the old primary has to stop: it says so, its process has ended, or the time
- * has passed after which it stops by itself. Only then another database is made the primary, so that no write that the
- * old one does afterwards can be confirmed, and no read of it can miss what the new one confirms.
+ * First, a compare-and-swap sets the group record's phase to `changing`; the record's revision is the fencing token of
+ * all subsequent steps. Then every gateway that may use the old primary must stop: it confirms that it has, its process
+ * has ended, or the time has passed after which it stops by itself. Only then is another database promoted, so that no
+ * later write at the old primary can be confirmed, and no read at it can miss a commit that the new primary confirmed.
  */
 import { sleepMs } from '@egretyoke/common'
 import type { Logger, Result, TypedError } from '@egretyoke/common'
@@ -20,12 +20,12 @@
 import type { GroupRecords } from './group-records.js'
 import type { RelayCalls } from './relay-calls.js'
 
-/** Asks the platform to make a database the primary. `declined`: it does not run. */
+/** Requests the promotion of a database from the platform. `declined`: the database is not running. */
 export type PromoteDatabase = (
   group: string, database: string, fence: number, timeoutMs: number
 ) => Promise<Result<void, TypedError<'declined' | 'refused' | 'noAnswer'>>>
 
-/** What a change works with. */
+/** Dependencies of a primary change. */
 export type PrimaryChangeOptions = {
   /** NAME/INCARNATION of this process. */
   self: string
@@ -44,22 +44,22 @@
 
 const orderTimeoutMs = 350
 const promoteTimeoutMs = 900
-/** A primary that is handed over may finish for this long what it has begun. */
+/** During a planned handover, running work at the old primary may finish within this time. */
 const settleTimeMs = 900
-/** How long a successor may take to receive what the old primary had when it was stopped. */
+/** Time for a successor to receive the log up to the old primary's last position. */
 const catchUpTimeMs = 600
-/** How long a database may take to lead after the platform was asked. */
+/** Time for a database to report the primary role after its promotion was requested. */
 const leadTimeMs = 3000
 const pollMs = 50
 const attemptPauseMs = 150
-/** A change that found no successor for so long is left to the next round. */
+/** A change that has not completed within this time is abandoned; the next check of the group starts again. */
 const changeTimeMs = 8000
-/** Older contact is not enough to ask for a promotion. */
+/** No promotion is requested if the last contact with the store is older. */
 const promoteContactMs = 1500
 
 type Candidate = { database: Database, status: DatabaseStatus }
 
-/** Replaces the primary of the group; true when a primary is in force afterwards. */
+/** Replaces the primary of the group; true if the change ended with an active primary. */
 export const changePrimary = async (
   options: PrimaryChangeOptions, group: string, known: Versioned<GroupRecord>, reason: ChangeReason
 ): Promise<boolean> => {
@@ -67,7 +67,7 @@
   const old = known.record
   const isPlanned = reason === 'draining' || reason === 'evacuated'
   const endAtMs = performance.now() + changeTimeMs
-  // A promotion that was asked for may take effect late, so that the old primary cannot simply go on.
+  // A requested promotion may take effect late; the old primary must then not be reactivated without a new promotion.
   let hasAsked = false
 
   const memberOf = (user: string): Member | undefined => view.members().get(user.split('/')[0] ?? '')
@@ -86,7 +86,7 @@
     await Promise.all(livingUsers(old.users, view).map(user => stopUser(user, 0, true)))
   }
 
-  /** Resolves when no gateway uses the old primary any more. */
+  /** Resolves once no gateway uses the old primary: each user has stopped, ended, or lost its contact by time-out. */
   const stopUsers = async (revision: number) => {
     const startedAtMs = performance.now()
     const remaining = new Set(livingUsers(old.users, view))
@@ -126,11 +126,11 @@
     .filter(maySucceed)
     .sort((one, other) => comparePositions(received(other), received(one)))[0]
 
-  /** A database that already leads a later term: an earlier change got that far. */
+  /** A database that is already the primary of a later term, from an earlier change that was not completed. */
   const newLeader = (candidates: readonly Candidate[]) =>
     candidates.find(({ status }) => status.role === 'primary' && status.term > old.term)
 
-  /** A process that took the old primary's place at its address, with its log and its term. */
+  /** A process that replaced the old primary at its address, with its log and term, under a new id. */
   const successorInPlace = (candidates: readonly Candidate[]) => candidates.find(candidate =>
     maySucceed(candidate) && candidate.status.role === 'primary' && candidate.status.term === old.term)
 
@@ -143,7 +143,7 @@
     }
   }
 
-  /** Waits until the database leads; one that led when it was chosen need not begin a new term. */
+  /** Waits until the database is the primary; one that already was when it was chosen need not start a new term. */
   const waitForLead = async ({ database, status }: Candidate): Promise<Candidate | undefined> => {
     const firstTerm = status.role === 'primary' ? old.term : old.term + 1
     const untilMs = performance.now() + leadTimeMs
--- a/packages/gateway/src/coordination/relay-calls.ts
+++ b/packages/gateway/src/coordination/relay-calls.ts
@@ -1,22 +1,22 @@
 /**
- * Requests to other gateways, as a record of functions that the transport implements.
+ * Interface for requests to other gateways, implemented by the transport.
  */
 import type { Result, TypedError } from '@egretyoke/common'
 import type { RelayMessages } from '@egretyoke/protocol'
 import type { Member } from '../state/stored-records.js'
 
-/** What is asked, and the answer. */
+/** Request to another gateway and its reply, without the message number. */
 export type RelayQuestion = Omit<RelayMessages.RelayRequest, 'number'>
 export type RelayAnswer = RelayMessages.RelayReply__Output
 
-/** `unsent`: the peer never got it. `lost`: it may have. */
+/** Why a request failed. `unsent`: the peer did not receive it. `lost`: the peer may have received it. */
 export type RelayFailure = TypedError<'unsent' | 'lost'>
 
 /** Requests to other gateways. */
 export type RelayCalls = {
   ask: (peer: Member, question: RelayQuestion, timeoutMs: number) => Promise<Result<RelayAnswer, RelayFailure>>
-  /** False for a while after a peer did not answer or could not be reached. */
+  /** False during the back-off after the peer did not reply or could not be reached. */
   isUsable: (peer: Member) => boolean
-  /** Whether the peer has answered on the connection that is open to it; one is opened if there is none. */
+  /** True if the peer has replied on the current connection; opens a connection if there is none. */
   isConnected: (peer: Member) => boolean
 }
--- a/packages/gateway/src/coordination/relay-handler.ts
+++ b/packages/gateway/src/coordination/relay-handler.ts
@@ -1,5 +1,5 @@
 /**
- * Answers what other gateways ask of this one.
+ * Handles requests from other gateways.
  */
 import type { RelayMessages } from '@egretyoke/protocol'
 import type { Contact, AgeClock } from '../state/contact.js'
@@ -12,7 +12,7 @@
 import type { LimitKeeper } from './limit-keeper.js'
 import { tellFollower } from './store-sources.js'
 
-/** What the handler works with. */
+/** Dependencies of the relay handler. */
 export type RelayHandlerOptions = {
   view: FleetView
   history: StoreHistory
@@ -26,17 +26,17 @@
   isReady: () => boolean
 }
 
-/** A position younger than this is passed on without asking the primary. */
+/** A position younger than this is returned without a status request to the primary. */
 const freshPositionMs = 150
 const statusTimeoutMs = 400
 const probeTimeoutMs = 500
-/** How long a primary's work is held back for a handover; the change of its record follows sooner. */
+/** How long a primary's new work is paused for a handover; the group record is changed within this time. */
 const handoverPauseMs = 2000
 const settleTimeMs = 900
 
 type Answer = Omit<RelayMessages.RelayReply, 'number'>
 
-/** The newest position of a group whose primary is used here, with its age; undefined when there is none. */
+/** Newest position of a group's primary and its age; undefined if this gateway cannot use the primary or read it. */
 export const readPrimaryPosition = async (
   {
     view, records, positions, orders, clock
@@ -58,7 +58,7 @@
   return { position, ageMs: clock.ageMs(coversUntil) }
 }
 
-/** Creates the handler; `undefined` is no answer. */
+/** Creates the handler. It returns undefined for requests that get no reply. */
 export const createRelayHandler = (options: RelayHandlerOptions) => {
   const { view, records, holders, limits, orders, isReady } = options
 
--- a/packages/gateway/src/coordination/run-on-connection.ts
+++ b/packages/gateway/src/coordination/run-on-connection.ts
@@ -1,6 +1,6 @@
 /**
- * Runs one statement on one connection: brings the connection's session state to what the statement needs, opens the
- * transaction if the statement is its first, and reads the outcome from the database's replies.
+ * Runs one statement on one connection: sets up the session state that the statement requires, opens the transaction if
+ * this is its first statement, and derives the outcome from the database's replies.
  */
 import { commandsToReach, noteDone } from './connection-pool.js'
 import type { PooledConnection, WantedState } from './connection-pool.js'
@@ -8,7 +8,7 @@
 import { failed, isRead, notRun, unknownOutcome } from './statement.js'
 import type { StatementOutcome, StatementReason, StatementRequest } from './statement.js'
 
-/** Prepared statements are named by what they do, so that all sessions of a workspace share them. */
+/** Name of a prepared statement, derived from its content so that all sessions of a workspace share it. */
 export const preparedName = (access: 'read' | 'write', shape: string): string => `${access}_${shape}`
 
 const preparedOf = ({ verb, shape, shapeAccess }: StatementRequest): WantedState['prepared'] => {
@@ -50,8 +50,9 @@
   notRun(reply.outcome === 'declined' ? declinedFor[reply.declineReason ?? 'malformed'] : 'unreachable')
 
 /**
- * Runs the statement. `positionAtLeast` goes with the first command that reads. Nothing is sent behind a command whose
- * refusal would let a later one run where it must not.
+ * Runs the statement. `positionAtLeast` is attached to the first command that reads. The statement is sent only after
+ * all setup commands have succeeded: pipelined behind a declined one, it would run in the wrong session state or
+ * outside its transaction.
  */
 export const runOnConnection = async (
   pooled: PooledConnection, request: StatementRequest, positionAtLeast: string, timeoutMs: number
--- a/packages/gateway/src/coordination/session.ts
+++ b/packages/gateway/src/coordination/session.ts
@@ -1,8 +1,9 @@
 /**
- * One caller's session: its values and prepared statements, its transaction, and the position of its own last commit.
+ * One caller's session: its session variables, prepared statements, open transaction, and the log position of its last
+ * commit.
  *
- * Statements that touch no data are answered here. Those that do are sent to a database together with the session state
- * that they need.
+ * Statements that only change session state are handled locally. Statements that access data are routed to a database
+ * together with the session state that they require.
  */
 import type { Logger } from '@egretyoke/common'
 import { events } from '../events.js'
@@ -13,12 +14,12 @@
 import { notRun } from './statement.js'
 import type { StatementOutcome, StatementRequest } from './statement.js'
 
-/** A caller's statement. */
+/** A statement received from a caller. */
 export type SessionStatement =
   | { kind: 'begin', readOnly: boolean }
   | { kind: 'commit' }
   | { kind: 'rollback' }
-  /** Passed on as it is. */
+  /** Forwarded to the database unchanged. */
   | { kind: 'text', access: 'read' | 'write', text: string }
   | { kind: 'execute', name: string, operands: string }
   | { kind: 'set', name: string, value: string }
@@ -27,41 +28,41 @@
   | { kind: 'malformed' }
 
 /**
- * Why a statement did not succeed. `refused`, `lagging`, `readOnly` and `aborted` tell the caller that nothing of what
- * it tried is kept; `failed` and `inDoubt` tell nothing.
+ * Why a statement did not succeed. `refused`, `lagging`, `readOnly` and `aborted` guarantee that the statement or
+ * transaction had no effect; `failed` and `inDoubt` guarantee nothing.
  */
 export type SessionError =
   'refused' | 'lagging' | 'readOnly' | 'aborted' | 'failed' | 'inDoubt' | 'keyUnknown' | 'noSuchDatabase' |
   'noSuchStatement' | 'malformed'
 
-/** The answer to a statement. `signature` is empty where no database took part. */
+/** Response to a statement. `signature` is empty if no database was involved. */
 export type SessionAnswer = {
   error?: SessionError
   message: string
   rows: string[]
   signature: string
   transaction: 'none' | 'open' | 'failed'
-  /** The session cannot go on. */
+  /** True if the session has ended and the caller's connection must be closed. */
   isOver: boolean
 }
 
 /** An open session. */
 export type Session = {
   handle: (requestId: string, statement: SessionStatement) => Promise<SessionAnswer>
-  /** False once the key has been withdrawn or the database is gone. */
+  /** False once the key has been withdrawn or the database's route has been removed. */
   isAllowed: () => boolean
   isInTransaction: () => boolean
   close: () => void
 }
 
-/** What sessions work with. */
+/** Dependencies of a session. */
 export type SessionOptions = {
-  /** Unique in the whole fleet. */
+  /** Session identifier, unique in the fleet. */
   id: string
   database: string
   key: string
   configuration: () => Configuration | undefined
-  /** False when withdrawn keys may not be known here. */
+  /** False while this gateway's list of keys may be too old to reflect withdrawals. */
   knowsKeys: () => boolean
   admission: Admission
   router: StatementRouter
@@ -73,20 +74,20 @@
 
 const maxValues = 64
 const maxPrepared = 256
-/** Part of the latency objective that a statement may wait before it is offered to a database. */
+/** Fraction of the route's target latency that a statement may be queued for before it is sent to a database. */
 const maxQueuedFraction = 0.5
-/** Part of the latency objective that an operation may wait for a token of its workspace's limit. */
+/** Fraction of the route's target latency that an operation may wait for a token of its workspace's rate limit. */
 const maxTokenWaitFraction = 0.24
-/** After a refusal for the limit, suggested to the caller. */
+/** Retry delay suggested to the caller after a rate limit refusal. */
 const limitRetryMs = 500
 const busyRetryMs = 100
 
 const limitMessage = `limit reached, retry after ${limitRetryMs} ms`
 
-/** Workspace name of callers without a key, on routes that are open to all. */
+/** Workspace name for callers without a key, on routes with `openToAll`. */
 const openWorkspace = '-'
 
-/** Opens a session; an error when the caller may not have one. */
+/** Opens a session; returns an error if the caller is not authorized for the database. */
 export const openSession = (options: SessionOptions): Session | SessionError => {
   const { id, database, key, router, admission, log } = options
   const values = new Map<string, string>()
@@ -97,7 +98,7 @@
   const identify = (): Identity | SessionError => {
     const configuration = options.configuration()
     if (configuration === undefined || !options.knowsKeys()) return 'refused'
-    // A route that changes does so from the next transaction on.
+    // An open transaction keeps the route that it started with; a changed route applies to the next transaction.
     const route = transaction?.route ?? configuration.routes.get(database)
     const workspace = configuration.workspaceByKey.get(key)
     if (route === undefined) return workspace === undefined ? 'keyUnknown' : 'noSuchDatabase'
@@ -115,7 +116,7 @@
     if (routeHomes.length === 0) return [...workspaceHomes]
     if (workspaceHomes.length === 0) return [...routeHomes]
     const both = routeHomes.filter(region => workspaceHomes.includes(region))
-    // No region is allowed by both: a name that no region has.
+    // No region is permitted by both lists: 'none' matches no region. An empty list would permit all.
     return both.length > 0 ? both : ['none']
   }
 
@@ -167,7 +168,7 @@
     })
   }
 
-  /** Callers without a workspace, on routes that are open to all, have no limit. */
+  /** Applies the workspace's rate limit. Callers without a workspace, on routes with `openToAll`, have no limit. */
   const isAdmitted = async (requestId: string, { route, workspace }: Identity): Promise<boolean> => {
     if (workspace === undefined) return true
     if (await admission.admit(workspace.name, route.targetLatencyMs * maxTokenWaitFraction)) return true
@@ -176,7 +177,7 @@
     return false
   }
 
-  /** A statement of its own. */
+  /** Runs a statement outside a transaction. A lagging replica falls back to the primary. */
   const runSingle = async (identity: Identity, request: StatementRequest): Promise<SessionAnswer> => {
     const { route } = identity
     if (!await isAdmitted(request.requestId, identity)) return refuse('refused', limitMessage)
@@ -190,7 +191,7 @@
     return succeed(outcome, request.access === 'WRITE')
   }
 
-  /** The first statement of a transaction decides where all of it runs. */
+  /** Runs the first statement of a transaction; its database and holder serve the rest of the transaction. */
   const runFirst = async (
     identity: Identity, opened: Transaction, request: StatementRequest
   ): Promise<StatementOutcome> => {
--- a/packages/gateway/src/coordination/shared-store.ts
+++ b/packages/gateway/src/coordination/shared-store.ts
@@ -1,25 +1,25 @@
 /**
- * The calls of the platform's store that the gateway needs, as a record of functions.
+ * Interface of the platform's store, as far as the gateway uses it.
  */
 import type { Result, TypedError } from '@egretyoke/common'
 import type { Platform, StoredEntry } from '@egretyoke/fleet'
 
-/** Everything below a prefix, read page by page. Changes after `revision` may or may not be in it. */
+/** All entries under a prefix, read page by page. Changes after `revision` may or may not be included. */
 export type Listing = { entries: StoredEntry[], revision: number }
 
-/** All changes after a revision, and the revision up to which they are complete. */
+/** Changes after a revision, complete up to `revision`. */
 export type Changes = { entries: StoredEntry[], revision: number }
 
 /**
- * `noAnswer`: the call may or may not take effect, even later. `refused`: nothing was done.
- * `historyGone`: the changes since the revision are no longer kept.
+ * Why a store call failed. `noAnswer`: the call may or may not take effect, even later. `refused`: it had no effect.
+ * `historyGone`: the changes since the revision are no longer retained.
  */
 export type StoreError = TypedError<'noAnswer' | 'refused' | 'historyGone'>
 
-/** Calls of the store. */
+/** Store operations. */
 export type SharedStore = Pick<Platform, 'get' | 'compareAndSwap' | 'grantLease' | 'keepAlive' | 'revokeLease'> & {
   list: (prefix: string, timeoutMs: number) => Promise<Result<Listing, StoreError>>
-  /** Answers as soon as there is a change, and without one after `waitMs`. */
+  /** Long poll: resolves as soon as there is a change, or with no changes after `waitMs`. */
   changes: (prefix: string, afterRevision: number, waitMs: number, timeoutMs: number)
   => Promise<Result<Changes, StoreError>>
   close: () => void
--- a/packages/gateway/src/coordination/statement-router.ts
+++ b/packages/gateway/src/coordination/statement-router.ts
@@ -1,6 +1,6 @@
 /**
- * Finds a database for a statement and the gateway that holds its connections, and tries another where the first did
- * not run it.
+ * Routes a statement to a database and to a gateway that holds connections to it, and retries elsewhere if the
+ * statement was not run.
  */
 import type { Logger } from '@egretyoke/common'
 import { events } from '../events.js'
@@ -13,66 +13,66 @@
 import { isRead, notRun, unknownOutcome } from './statement.js'
 import type { StatementOutcome, StatementReason, StatementRequest } from './statement.js'
 
-/** Where an open transaction runs. */
+/** Database and holder of an open transaction. */
 export type HeldAt = { database: string, holder: Member }
 
-/** What the router is asked: the statement but for its database, the route, and where its data may go. */
+/** A statement to be routed, with its route and the regions that its data may enter. */
 export type RouteQuestion = {
   request: StatementRequest
   route: Route
   regions: readonly string[]
-  /** Only the primary will do: the statement writes, or the route says so. */
+  /** True if only the primary may run the statement, because it writes or because of the route. */
   needsPrimary: boolean
 }
 
-/** What became of a statement, and where it ran. */
+/** Outcome of a statement, and where it ran. */
 export type Routed = { outcome: StatementOutcome, at: HeldAt | undefined }
 
-/** Routes statements. */
+/** Routes statements to databases. */
 export type StatementRouter = {
   route: (question: RouteQuestion) => Promise<Routed>
-  /** Runs a later statement of a transaction where its first one ran. */
+  /** Runs a subsequent statement of a transaction at the location of its first one. */
   continueAt: (request: StatementRequest, at: HeldAt) => Promise<StatementOutcome>
   abandon: (session: string, at: HeldAt) => void
 }
 
-/** What the router works with. */
+/** Dependencies of the statement router. */
 export type RouterOptions = {
   self: Place
   view: FleetView
   holders: HolderChoice
   relay: RelayCalls
   regionOf: (dataCentre: string) => string
-  /** Runs a statement on connections that this gateway holds. */
+  /** Runs a statement on a connection of this gateway. */
   runHere: (request: StatementRequest) => Promise<StatementOutcome>
   abandonHere: (database: string, session: string) => void
   log: Logger
 }
 
-/** Estimated cost of the way to a database, in milliseconds, by where it is. */
+/** Estimated network latency to a database in milliseconds, by its location. */
 const wayMs = { sameDataCentre: 0, sameRegion: 4, otherRegion: 60 } as const
-/** What one more statement ahead costs, in milliseconds of one slot. */
+/** Estimated slot time in milliseconds of each statement queued ahead. */
 const assumedWorkMs = 25
-/** How long a replica that lagged is passed over. */
+/** Back-off after a replica was lagging. */
 const lagRestMs = 250
-/** How long a database that could not be reached is passed over. */
+/** Back-off after a database or holder could not be reached. */
 const failureRestMs = 400
-/** Databases that are tried for one statement. */
+/** Maximum number of databases that are tried for one statement. */
 const maxDatabases = 3
-/** Waited for a primary to come into force, in small steps, while the statement's time lasts. */
+/** Poll interval while a statement waits for a primary to become active, within its time-out. */
 const primaryPollMs = 25
-/** How often the holders of a primary in force are asked again when none of them may use it. */
+/** Maximum number of retries at the holders of an active primary while none of them is permitted to use it. */
 const maxRoundsInForce = 2
-/** Beyond the statement's own time, for the way to the holder and back. */
+/** Added to a forwarded statement's time-out, for the round trip to the holder. */
 const relayAllowanceMs = 150
 
-/** Reasons that lie with the gateway that holds the connections. */
+/** Failures of the holder rather than the database: another holder may succeed. */
 const otherHolderMayDo: ReadonlySet<StatementReason> = new Set(['holderSilent', 'unreachable', 'moved'])
 
 const worthAnother: ReadonlySet<StatementReason> =
   new Set(['busy', 'queuedTooLong', 'lagging', 'readOnly', 'moved', 'unreachable', 'silent', 'holderSilent'])
 
-/** Creates a router. */
+/** Creates a statement router. */
 export const createStatementRouter = (options: RouterOptions): StatementRouter => {
   const { self, view, holders, relay, regionOf, log } = options
   const loads = new Map<string, number>()
@@ -112,7 +112,7 @@
     return record?.phase === 'serving' ? view.databases().get(record.primary) : undefined
   }
 
-  /** Databases that may run the statement, best first. */
+  /** Databases that are eligible for the statement, best first. */
   const choices = ({ route, regions, needsPrimary }: RouteQuestion): Database[] => {
     const primary = primaryOf(route.group)
     const mayTake = (database: Database) => isHome(database, regions) && takesWork(view, database)
@@ -122,7 +122,7 @@
       .sort((one, other) => costOf(one) - costOf(other))
   }
 
-  /** Holders that have just failed at the database come last. */
+  /** Candidate holders of the database; those in back-off after a failure come last. */
   const holdersOf = (database: Database, regions: readonly string[]): Member[] => {
     const isResting = ({ name }: Member) => (holderRestUntilMs.get(`${name} ${database.id}`) ?? 0) > nowMs()
     const all = holders.candidates(database, regions)
@@ -158,8 +158,8 @@
   }
 
   /**
-   * Whether it is worth waiting: a primary is being changed, or the holders may know a newer record than this
-   * gateway.
+   * True if the statement should wait for a primary: the primary is being changed, or the holders may have a newer
+   * group record than this gateway.
    */
   const mayComeIntoForce = (group: string, { reason }: StatementOutcome, rounds: number) => {
     if (view.group(group)?.record.phase !== 'serving') return true
--- a/packages/gateway/src/coordination/statement.ts
+++ b/packages/gateway/src/coordination/statement.ts
@@ -1,52 +1,52 @@
 /**
- * Statements on their way to the holder of a database's connections, and what became of them.
+ * Statement requests to the holder of a database's connections, and their outcomes.
  */
 import type { RelayMessages } from '@egretyoke/protocol'
 
-/** A statement for one database. */
+/** A statement to be run at one database. */
 export type StatementRequest = RelayMessages.RunStatement__Output
 
-/** Why a statement was not run, failed, or has no known outcome. */
+/** Why a statement was not run, failed, or has an unknown outcome. */
 export type StatementReason =
   | ''
-  /** Too much waits at the database. */
+  /** The database's queue is full, or the database accepts no more connections. */
   | 'busy'
-  /** It waited as long as it may. */
+  /** The statement reached its maximum queue time. */
   | 'queuedTooLong'
-  /** The data lacks a position that it must have. */
+  /** The replica has not reached the required log position, or the required position is unknown. */
   | 'lagging'
   | 'readOnly'
-  /** The database is not, or no longer, what the sender took it for. */
+  /** The database does not (or no longer) have the role that the sender expected, or is closed to new work. */
   | 'moved'
-  /** No connection to the database came about. */
+  /** No connection to the database could be established. */
   | 'unreachable'
-  /** The transaction is not open any more; nothing of it is kept. */
+  /** The transaction is no longer open and was rolled back. */
   | 'transactionGone'
-  /** The database reports a failure. */
+  /** The database reported an error. */
   | 'failed'
-  /** The database did not answer in time. */
+  /** The database did not reply in time. */
   | 'silent'
-  /** The gateway that holds the connections did not answer. */
+  /** The gateway that holds the connections did not reply. */
   | 'holderSilent'
-  /** It may have run, but in a transaction that is not committed; it must not run in a second one. */
+  /** The reply was lost. The statement may have run in an uncommitted transaction and must not run in a second one. */
   | 'answerLost'
 
-/** What became of a statement. */
+/** Outcome of a statement. */
 export type StatementOutcome = Omit<RelayMessages.StatementReply__Output, 'reason'> & { reason: StatementReason }
 
 const nothing: StatementOutcome = {
   status: 'NOT_RUN', reason: '', rows: [], signature: '', position: '', transactionOpen: false, load: 0, queuedMs: 0
 }
 
-/** The statement has not run and never will. */
+/** Outcome of a statement that did not run and never will. */
 export const notRun = (reason: StatementReason): StatementOutcome => ({ ...nothing, reason })
 
-/** The statement ran and failed. */
+/** Outcome of a statement that ran and failed. */
 export const failed = (reason: StatementReason): StatementOutcome => ({ ...nothing, status: 'FAILED', reason })
 
-/** Nobody here knows whether the statement ran. */
+/** Outcome of a statement that may or may not have run. */
 export const unknownOutcome = (reason: StatementReason): StatementOutcome => ({ ...nothing, status: 'UNKNOWN', reason })
 
-/** True when the statement leaves no trace in the data. */
+/** True if the statement does not modify data. */
 export const isRead = ({ verb, access }: Pick<StatementRequest, 'verb' | 'access'>): boolean =>
   verb !== 'COMMIT' && access === 'READ'
--- a/packages/gateway/src/coordination/store-follower.ts
+++ b/packages/gateway/src/coordination/store-follower.ts
@@ -1,6 +1,6 @@
 /**
- * Keeps the fleet view equal to the store: one listing, then one question for changes after the other. News that come
- * without changes confirm the view.
+ * Keeps the fleet state in sync with the store: one full listing, followed by successive long polls for changes. A poll
+ * that returns no changes confirms that the state is current.
  */
 import { sleepMs } from '@egretyoke/common'
 import type { Logger, Result } from '@egretyoke/common'
@@ -14,10 +14,10 @@
 
 const retryDelayMs = 200
 
-/** What the follower works with. */
+/** Dependencies of the store follower. */
 export type FollowerOptions = {
   store: SharedStore
-  /** Resolves with the changes after a revision or, without any, after some time. */
+  /** Long poll: resolves with the changes after a revision, or with none after a time. */
   nextNews: (after: number) => Promise<Result<News, StoreError>>
   history: StoreHistory
   view: FleetView
@@ -26,7 +26,7 @@
   log: Logger
 }
 
-/** Follows the store until the signal aborts. */
+/** Follows the store until the signal aborts. Lists everything again after changes were missed. */
 export const followStore = async (options: FollowerOptions, signal: AbortSignal): Promise<void> => {
   const { store, nextNews, history, view, contact, clock, log } = options
   let isConnected = false
@@ -56,7 +56,7 @@
     for (const entry of news.entries) view.apply(entry)
     noteConnection(true, 'watching')
     contact.confirm(news.confirmed)
-    // After the confirmation, which is passed on together with the changes.
+    // Recorded after the confirmation, because followers receive it together with the changes.
     history.note(news)
   }
 
@@ -70,7 +70,7 @@
         await sleepMs(retryDelayMs, signal)
         continue
       }
-      // A revision without its changes: the watch missed something.
+      // The revision advanced without entries: changes were missed, so list everything again.
       if (news.val.entries.length === 0 && news.val.revision > revision) return
       takeIn(news.val)
       revision = news.val.revision
--- a/packages/gateway/src/coordination/store-sources.test.ts
+++ b/packages/gateway/src/coordination/store-sources.test.ts
@@ -1,5 +1,5 @@
 /**
- * What a watcher tells the gateways that follow the store through it.
+ * Replies of a watcher to the gateways that follow the store through it.
  */
 import test from 'ava'
 import { createAgeClock, createContact } from '../state/contact.js'
@@ -14,7 +14,7 @@
 const change = (revision: number, bytes = 1) =>
   ({ key: `key-${revision}`, value: Buffer.alloc(bytes), revision, deleted: false })
 
-test('a follower from before what the watcher keeps is told so at once', async t => {
+test('a follower behind the watcher\'s history gets an incomplete reply at once', async t => {
   const watcher = createWatcher()
   watcher.history.restart(72)
   watcher.contact.confirm(watcher.clock.now())
@@ -24,7 +24,7 @@
   t.true(performance.now() - startedAtMs < 1000)
 })
 
-test('a confirmation without changes ends the wait, and is told with its age', async t => {
+test('a confirmation without changes ends the long poll and is returned with its age', async t => {
   const watcher = createWatcher()
   watcher.history.restart(72)
   const told = tellFollower(watcher, { afterRevision: 72, waitMs: 60_000 })
@@ -35,13 +35,13 @@
   t.true(ageMs < 1000)
 })
 
-test('a watcher without contact says so', async t => {
+test('a watcher without store contact reports no confirmation', async t => {
   const watcher = createWatcher()
   watcher.history.restart(72)
   t.false((await tellFollower(watcher, { afterRevision: 72, waitMs: 10 })).confirmed)
 })
 
-test('a long value is left out, and its change is told', async t => {
+test('a long value is omitted, but its change is reported', async t => {
   const watcher = createWatcher()
   watcher.history.restart(0)
   watcher.history.note({ entries: [change(1), change(2, 40_000)], revision: 2 })
--- a/packages/gateway/src/coordination/store-sources.ts
+++ b/packages/gateway/src/coordination/store-sources.ts
@@ -1,7 +1,6 @@
 /**
- * Where a gateway learns what has changed in the platform's store: from the store itself, or from the gateway of its
- * data centre that watches the store for the others. So the store's calls grow with the data centres, not with the
- * gateways.
+ * Sources of changes to the platform's store: the store itself, or the gateway of the same data centre that watches the
+ * store for the others. The load on the store therefore grows with the number of data centres, not of gateways.
  */
 import { Err, Ok } from '@egretyoke/common'
 import type { Logger, Result } from '@egretyoke/common'
@@ -15,24 +14,24 @@
 import type { RelayCalls } from './relay-calls.js'
 import type { SharedStore, StoreError } from './shared-store.js'
 
-/** How long a watch waits for news; a watcher's view is confirmed about this often. */
+/** Long-poll time of a watch; a watcher's fleet state is confirmed about this often. */
 export const watchWaitMs = 1000
-/** With an older confirmation the store is asked at once for another instead of being waited for. */
+/** With an older confirmation, the store is polled with `hurriedWaitMs` to get a new one soon. */
 const hurryContactMs = 500
 const hurriedWaitMs = 50
-/** Beyond the waiting time, for the way there and back and a slow store. */
+/** Added to the long-poll time as call time-out, for the round trip and a slow store. */
 export const storeAnswerMs = 1200
-/** A watcher passes on each confirmation; without one for so long, even from a slow store, it is not relied on. */
+/** A watcher forwards each confirmation. Without one for this long, even with a slow store, it is not relied on. */
 const followWaitMs = watchWaitMs + 300
-/** Beyond the waiting time, for the way within the data centre. */
+/** Added to the long-poll time as call time-out, for the round trip within the data centre. */
 const peerAnswerMs = 400
-/** Longer values are read from the store by each gateway, so that no watcher's link has to carry them for all. */
+/** Longer values are read from the store by each gateway, so that they do not overload the watcher's links. */
 const maxRelayedBytes = 32 * 1024
 
-/** Changes, and a moment at which the store held nothing else. */
+/** Changes, and a time at which the store held no further ones. */
 export type News = FollowedChanges & { confirmed: Moment }
 
-/** What the sources work with. */
+/** Dependencies of the store sources. */
 export type StoreSourcesOptions = {
   name: string
   dataCentre: string
@@ -44,12 +43,12 @@
   log: Logger
 }
 
-/** The first gateway of the data centre that can be reached; it may be this one. */
+/** The highest-ranked reachable gateway of the data centre; may be this one. */
 const watcherOf = ({ name, dataCentre, election, relay }: StoreSourcesOptions): Member | undefined =>
   election.ranked(`watch ${dataCentre}`).find(member => member.dataCentre === dataCentre &&
     (member.name === name || (!member.draining && relay.isUsable(member))))
 
-/** Creates the question for the next changes; it resolves with them or, without any, after some waiting time. */
+/** Creates the long poll for the next changes; it resolves with the changes, or with none after the long-poll time. */
 export const createStoreSources = (options: StoreSourcesOptions) => {
   const { name, store, contact, clock, relay, log } = options
   let source = ''
@@ -62,7 +61,7 @@
     const asked = clock.now()
     const changes = await store.changes('', after, waitMs, waitMs + storeAnswerMs)
     if (changes.err) return Err(changes.val)
-    // Without news the store has waited for all of the time.
+    // Without changes, the store was confirmed up to the end of the long poll.
     const isQuiet = changes.val.entries.length === 0 && clock.ageMs(asked) >= waitMs
     return Ok({ ...changes.val, confirmed: isQuiet ? later(asked, waitMs) : asked })
   }
@@ -76,7 +75,7 @@
     return stored.val ?? { key, value: Buffer.alloc(0), revision, deleted: true }
   }
 
-  /** Undefined when the watcher cannot help. */
+  /** Changes from the watcher; undefined if they are incomplete, unavailable or not recently confirmed. */
   const fromWatcher = async (watcher: Member, after: number): Promise<News | undefined> => {
     const asked = clock.now()
     const question = { followStore: { afterRevision: after, waitMs: followWaitMs } }
@@ -97,7 +96,7 @@
 
   const next = async (after: number): Promise<Result<News, StoreError>> => {
     const watcher = watcherOf(options)
-    // A watcher that is not connected yet is not waited for: it may have ended with its record still there.
+    // Does not wait for a watcher without a connection: its process may have ended while its record still exists.
     const isFollowed = watcher !== undefined && watcher.name !== name && relay.isConnected(watcher)
     const told = isFollowed ? await fromWatcher(watcher, after) : undefined
     noteSource(told === undefined ? 'store' : watcher?.name ?? '', watcher?.name)
@@ -107,7 +106,7 @@
   return { next }
 }
 
-/** Answers a gateway that follows the store through this one. */
+/** Replies to a gateway that follows the store through this one, as soon as there are changes or a confirmation. */
 export const tellFollower = async (
   { history, contact }: { history: StoreHistory, contact: Contact },
   { afterRevision, waitMs }: RelayMessages.FollowStore__Output
