--- a/packages/gateway/src/coordination/admission.ts
+++ b/packages/gateway/src/coordination/admission.ts
@@ -9,18 +9,18 @@
 import type { TokenBucket } from '../state/token-bucket.js'
 
 /** Demand that is prefetched, in milliseconds of the recent rate. */
-const fetchAheadMs = 400
+const prefetchMs = 400
 /** Tokens that are not used within this time after they were fetched expire. */
-const tokenLifeMs = 1000
+const tokenLifetimeMs = 1000
 const retryDelayMs = 80
 /** How long the last known share of a rate is used while no allocator replies. */
-const fallbackMs = 8000
+const fallbackDurationMs = 8000
 const maxWaiting = 256
 /** Weight of the latest second in the exponentially smoothed demand. */
 const demandSmoothing = 0.5
 
 /** Requests tokens from the workspace's allocator; undefined if there is no reply. */
-export type AskForTokens = (workspace: string, wanted: number) => Promise<RelayMessages.Tokens__Output | undefined>
+export type RequestTokens = (workspace: string, requested: number) => Promise<RelayMessages.Tokens__Output | undefined>
 
 /** Admission of operations by rate limit. */
 export type Admission = {
@@ -37,21 +37,21 @@
   arrivals: number
   secondStartedMs: number
   isFetching: boolean
-  waiting: Array<{ untilMs: number, settle: (admitted: boolean) => void }>
-  lastKeptMs: number
+  waiting: Array<{ deadlineMs: number, complete: (admitted: boolean) => void }>
+  lastReplyMs: number
   fallback: TokenBucket
 }
 
 /** Creates the admission of one gateway. `startingRate` is its assumed share until an allocator reports the share. */
 export const createAdmission = (
-  ask: AskForTokens, startingRate: (workspace: string) => number, log: Logger
+  requestTokens: RequestTokens, startingRate: (workspace: string) => number, log: Logger
 ): Admission => {
   const accounts = new Map<string, Account>()
   const nowMs = () => performance.now()
 
   const accountOf = (workspace: string): Account => {
-    const known = accounts.get(workspace)
-    if (known !== undefined) return known
+    const existing = accounts.get(workspace)
+    if (existing !== undefined) return existing
     const fallback = createTokenBucket({ ratePerSec: startingRate(workspace), burst: 1 })
     const account: Account = {
       tokens: 0,
@@ -61,14 +61,14 @@
       secondStartedMs: nowMs(),
       isFetching: false,
       waiting: [],
-      lastKeptMs: nowMs(),
+      lastReplyMs: nowMs(),
       fallback
     }
     accounts.set(workspace, account)
     return account
   }
 
-  const noteArrival = (account: Account) => {
+  const recordArrival = (account: Account) => {
     account.arrivals++
     const elapsedMs = nowMs() - account.secondStartedMs
     if (elapsedMs < 1000) return
@@ -78,34 +78,34 @@
     account.secondStartedMs = nowMs()
   }
 
-  const usableTokens = (account: Account) => nowMs() - account.fetchedAtMs < tokenLifeMs ? account.tokens : 0
+  const usableTokens = (account: Account) => nowMs() - account.fetchedAtMs < tokenLifetimeMs ? account.tokens : 0
 
-  const serveWaiting = (account: Account) => {
+  const admitWaiting = (account: Account) => {
     account.tokens = usableTokens(account)
     while (account.tokens > 0 && account.waiting.length > 0) {
       account.tokens--
-      account.waiting.shift()?.settle(true)
+      account.waiting.shift()?.complete(true)
     }
   }
 
-  const serveFromFallback = (account: Account) => {
-    if (nowMs() - account.lastKeptMs > fallbackMs) return
-    while (account.waiting.length > 0 && account.fallback.take(1) === 1) account.waiting.shift()?.settle(true)
+  const admitFromFallback = (account: Account) => {
+    if (nowMs() - account.lastReplyMs > fallbackDurationMs) return
+    while (account.waiting.length > 0 && account.fallback.take(1) === 1) account.waiting.shift()?.complete(true)
   }
 
-  const refuseLate = (workspace: string, account: Account) => {
-    while (account.waiting.length > 0 && nowMs() >= account.waiting[0].untilMs) {
-      account.waiting.shift()?.settle(false)
-      log(events.limitReached, { workspace, keeperAgeMs: Math.round(nowMs() - account.lastKeptMs) })
+  const refuseExpired = (workspace: string, account: Account) => {
+    while (account.waiting.length > 0 && nowMs() >= account.waiting[0].deadlineMs) {
+      account.waiting.shift()?.complete(false)
+      log(events.limitReached, { workspace, keeperAgeMs: Math.round(nowMs() - account.lastReplyMs) })
     }
   }
 
   const fetch = async (workspace: string, account: Account): Promise<boolean> => {
-    const ahead = Math.ceil(account.demandPerSec * fetchAheadMs / 1000)
-    const wanted = account.waiting.length + ahead - usableTokens(account)
-    const tokens = await ask(workspace, Math.max(1, Math.ceil(wanted)))
+    const prefetched = Math.ceil(account.demandPerSec * prefetchMs / 1000)
+    const requested = account.waiting.length + prefetched - usableTokens(account)
+    const tokens = await requestTokens(workspace, Math.max(1, Math.ceil(requested)))
     if (tokens === undefined || !tokens.isKeeper) return false
-    account.lastKeptMs = nowMs()
+    account.lastReplyMs = nowMs()
     if (tokens.ratePartPerSec > 0) account.fallback.setTerms({ ratePerSec: tokens.ratePartPerSec, burst: 1 })
     if (tokens.granted === 0) return false
     account.tokens = usableTokens(account) + tokens.granted
@@ -113,14 +113,14 @@
     return true
   }
 
-  const fetchFor = async (workspace: string, account: Account) => {
+  const fetchWhileWaiting = async (workspace: string, account: Account) => {
     if (account.isFetching) return
     account.isFetching = true
     do {
       const hasTokens = await fetch(workspace, account)
-      serveWaiting(account)
-      if (!hasTokens && nowMs() - account.lastKeptMs > retryDelayMs) serveFromFallback(account)
-      refuseLate(workspace, account)
+      admitWaiting(account)
+      if (!hasTokens && nowMs() - account.lastReplyMs > retryDelayMs) admitFromFallback(account)
+      refuseExpired(workspace, account)
       if (!hasTokens && account.waiting.length > 0) await new Promise(resolve => setTimeout(resolve, retryDelayMs))
     } while (account.waiting.length > 0)
     account.isFetching = false
@@ -128,12 +128,12 @@
 
   const admit = (workspace: string, maxWaitMs: number) => new Promise<boolean>(resolve => {
     const account = accountOf(workspace)
-    noteArrival(account)
-    account.waiting.push({ untilMs: nowMs() + maxWaitMs, settle: resolve })
-    serveWaiting(account)
-    if (account.waiting.length > maxWaiting) account.waiting.pop()?.settle(false)
-    const low = account.demandPerSec * fetchAheadMs / 2000
-    if (account.waiting.length > 0 || usableTokens(account) < low) fetchFor(workspace, account)
+    recordArrival(account)
+    account.waiting.push({ deadlineMs: nowMs() + maxWaitMs, complete: resolve })
+    admitWaiting(account)
+    if (account.waiting.length > maxWaiting) account.waiting.pop()?.complete(false)
+    const refillThreshold = account.demandPerSec * prefetchMs / 2000
+    if (account.waiting.length > 0 || usableTokens(account) < refillThreshold) fetchWhileWaiting(workspace, account)
   })
 
   return {
--- a/packages/gateway/src/coordination/connection-pool.test.ts
+++ b/packages/gateway/src/coordination/connection-pool.test.ts
@@ -3,7 +3,7 @@
  */
 import { Err, Ok, typedError } from '@egretyoke/common'
 import test from 'ava'
-import { commandsToReach, createConnectionPool, noteDone } from './connection-pool.js'
+import { setupCommandsFor, createConnectionPool, recordDone } from './connection-pool.js'
 import type { PooledConnection } from './connection-pool.js'
 import type { DatabaseConnection } from './database-connection.js'
 
@@ -31,59 +31,59 @@
     maxConnections: () => maxConnections,
     nowMs: () => time.nowMs
   })
-  const take = async (workspace: string): Promise<PooledConnection> => (await pool.take(workspace, 100)).unwrap()
-  return { pool, opened, time, take }
+  const acquire = async (workspace: string): Promise<PooledConnection> => (await pool.acquire(workspace, 100)).unwrap()
+  return { pool, opened, time, acquire }
 }
 
 test('a connection is reused by its own workspace only', async t => {
-  const { pool, opened, take } = createPool(4)
-  const first = await take('a')
-  pool.giveBack(first)
-  t.is(await take('a'), first)
-  pool.giveBack(first)
-  t.not(await take('b'), first)
+  const { pool, opened, acquire } = createPool(4)
+  const first = await acquire('a')
+  pool.release(first)
+  t.is(await acquire('a'), first)
+  pool.release(first)
+  t.not(await acquire('b'), first)
   t.is(opened.length, 2)
 })
 
 test('at the connection limit, the longest idle connection is evicted', async t => {
-  const { pool, opened, take } = createPool(2)
-  const [first, second] = [await take('a'), await take('b')]
-  pool.giveBack(first)
-  pool.giveBack(second)
-  await take('c')
+  const { pool, opened, acquire } = createPool(2)
+  const [first, second] = [await acquire('a'), await acquire('b')]
+  pool.release(first)
+  pool.release(second)
+  await acquire('c')
   t.deepEqual(opened.map(connection => connection.isOpen()), [false, true, true])
   t.is(pool.size(), 2)
 })
 
 test('idle connections above the bound are closed, so that the next holder can connect', async t => {
-  const { pool, take } = createPool(100)
-  const taken = await Promise.all(Array.from({ length: 90 }, (_, index) => take(`workspace-${index}`)))
-  for (const pooled of taken) pool.giveBack(pooled)
+  const { pool, acquire } = createPool(100)
+  const acquired = await Promise.all(Array.from({ length: 90 }, (_, index) => acquire(`workspace-${index}`)))
+  for (const pooled of acquired) pool.release(pooled)
   t.is(pool.size(), 80)
 })
 
 test('at the connection limit without an idle connection there is no capacity', async t => {
-  const { pool, take } = createPool(1)
-  const only = await take('a')
-  t.false(pool.hasRoom())
-  pool.giveBack(only)
-  t.true(pool.hasRoom())
+  const { pool, acquire } = createPool(1)
+  const only = await acquire('a')
+  t.false(pool.hasCapacity())
+  pool.release(only)
+  t.true(pool.hasCapacity())
 })
 
 test('after the database refused a connection as too many, the pool does not grow during the back-off', async t => {
-  const { pool, time, take } = createPool(5)
-  await take('a')
+  const { pool, time, acquire } = createPool(5)
+  await acquire('a')
   time.isFull = true
-  t.is((await pool.take('b', 100)).val instanceof Object, true)
-  t.false(pool.hasRoom())
+  t.is((await pool.acquire('b', 100)).val instanceof Object, true)
+  t.false(pool.hasCapacity())
   time.nowMs = 300
-  t.true(pool.hasRoom())
+  t.true(pool.hasCapacity())
 })
 
 test('closeIdle closes connections idle for too long, and none in use', async t => {
-  const { pool, opened, time, take } = createPool(5)
-  const [first] = [await take('a'), await take('b')]
-  pool.giveBack(first)
+  const { pool, opened, time, acquire } = createPool(5)
+  const [first] = [await acquire('a'), await acquire('b')]
+  pool.release(first)
   time.nowMs = 2000
   pool.closeIdle(1000)
   t.deepEqual(opened.map(connection => connection.isOpen()), [false, true])
@@ -99,20 +99,20 @@
 
 test('setup commands contain only the differences in session state', t => {
   const pooled = pooledWith({ zone: 'quay' }, ['read_q'])
-  const wanted = {
+  const required = {
     values: [{ name: 'zone', value: 'quay' }, { name: 'lang', value: 'es' }],
     prepared: { name: 'read_q', access: 'read' as const, shape: 'q' }
   }
-  t.deepEqual(commandsToReach(pooled, wanted), [{ kind: 'set', name: 'lang', value: 'es' }])
+  t.deepEqual(setupCommandsFor(pooled, required), [{ kind: 'set', name: 'lang', value: 'es' }])
 })
 
 test('a variable that the session has not set causes a reset and a full setup', t => {
   const pooled = pooledWith({ zone: 'quay', lang: 'es' }, ['read_q'])
-  const wanted = {
+  const required = {
     values: [{ name: 'zone', value: 'quay' }], prepared: { name: 'read_q', access: 'read' as const, shape: 'q' }
   }
-  const commands = commandsToReach(pooled, wanted)
+  const commands = setupCommandsFor(pooled, required)
   t.deepEqual(commands.map(({ kind }) => kind), ['reset', 'set', 'prepare'])
-  for (const command of commands) noteDone(pooled, command)
-  t.deepEqual(commandsToReach(pooled, wanted), [])
+  for (const command of commands) recordDone(pooled, command)
+  t.deepEqual(setupCommandsFor(pooled, required), [])
 })
--- a/packages/gateway/src/coordination/connection-pool.ts
+++ b/packages/gateway/src/coordination/connection-pool.ts
@@ -18,7 +18,7 @@
 }
 
 /** Session state that a statement requires. */
-export type WantedState = {
+export type RequiredState = {
   values: ReadonlyArray<{ name: string, value: string }>
   prepared?: { name: string, access: 'read' | 'write', shape: string }
 }
@@ -26,10 +26,10 @@
 /** Pool of connections to one database. */
 export type ConnectionPool = {
   /** True if `acquire` can reuse an idle connection, evict one, or open a new one. */
-  hasRoom: () => boolean
-  take: (workspace: string, timeoutMs: number) => Promise<Result<PooledConnection, ConnectFailure>>
+  hasCapacity: () => boolean
+  acquire: (workspace: string, timeoutMs: number) => Promise<Result<PooledConnection, ConnectFailure>>
   /** Returns a connection to the pool, for the next session of its workspace. */
-  giveBack: (pooled: PooledConnection) => void
+  release: (pooled: PooledConnection) => void
   /** Closes a connection whose state is unknown, or that is no longer needed. */
   discard: (pooled: PooledConnection) => void
   size: () => number
@@ -39,7 +39,7 @@
 }
 
 /** The pool opens no additional connections for this long after the database refused one as too many. */
-const fullRestMs = 250
+const fullBackoffMs = 250
 /**
  * Bounds of the idle connections: the maximum less `allBut`, but no fewer than `atLeast`. If this gateway crashes, its
  * idle connections occupy the database's limit until the database detects the loss; `allBut` stay free for the next
@@ -55,23 +55,23 @@
 }
 
 /** Commands that bring a connection to the required session state, in order. */
-export const commandsToReach = (pooled: PooledConnection, wanted: WantedState): DatabaseCommand[] => {
+export const setupCommandsFor = (pooled: PooledConnection, required: RequiredState): DatabaseCommand[] => {
   const commands: DatabaseCommand[] = []
-  const wantedNames = new Set(wanted.values.map(({ name }) => name))
-  const hasForeignValue = [...pooled.values.keys()].some(name => !wantedNames.has(name))
-  if (hasForeignValue) commands.push({ kind: 'reset' })
-  for (const { name, value } of wanted.values) {
-    if (hasForeignValue || pooled.values.get(name) !== value) commands.push({ kind: 'set', name, value })
+  const requiredNames = new Set(required.values.map(({ name }) => name))
+  const hasStaleValue = [...pooled.values.keys()].some(name => !requiredNames.has(name))
+  if (hasStaleValue) commands.push({ kind: 'reset' })
+  for (const { name, value } of required.values) {
+    if (hasStaleValue || pooled.values.get(name) !== value) commands.push({ kind: 'set', name, value })
   }
-  const { prepared } = wanted
-  if (prepared !== undefined && (hasForeignValue || !pooled.prepared.has(prepared.name))) {
+  const { prepared } = required
+  if (prepared !== undefined && (hasStaleValue || !pooled.prepared.has(prepared.name))) {
     commands.push({ kind: 'prepare', ...prepared })
   }
   return commands
 }
 
-/** Updates the tracked session state after a command of `commandsToReach` succeeded. */
-export const noteDone = (pooled: PooledConnection, command: DatabaseCommand): void => {
+/** Updates the tracked session state after a command of `setupCommandsFor` succeeded. */
+export const recordDone = (pooled: PooledConnection, command: DatabaseCommand): void => {
   if (command.kind === 'set') pooled.values.set(command.name, command.value)
   if (command.kind === 'prepare') pooled.prepared.add(command.name)
   if (command.kind !== 'reset') return
@@ -87,54 +87,54 @@
   let isClosed = false
   let fullUntilMs = -Infinity
 
-  const forget = (pooled: PooledConnection) => {
+  const remove = (pooled: PooledConnection) => {
     all.delete(pooled)
     const index = idle.indexOf(pooled)
     if (index >= 0) idle.splice(index, 1)
   }
 
   const discard = (pooled: PooledConnection) => {
-    forget(pooled)
+    remove(pooled)
     pooled.connection.close()
   }
 
   const size = () => all.size + opening
 
   /** Other clients may use up the database's connection limit: after a refusal the pool does not grow for a while. */
-  const mayGrow = () => size() < maxConnections() && nowMs() >= fullUntilMs
+  const canGrow = () => size() < maxConnections() && nowMs() >= fullUntilMs
 
-  const makeRoom = () => {
-    if (mayGrow()) return
+  const evictIfFull = () => {
+    if (canGrow()) return
     const leastRecentlyUsed = idle[0]
     if (leastRecentlyUsed !== undefined) discard(leastRecentlyUsed)
   }
 
   const open = async (workspace: string, timeoutMs: number): Promise<Result<PooledConnection, ConnectFailure>> => {
-    makeRoom()
+    evictIfFull()
     opening++
     const connected = await connect(workspace, timeoutMs)
     opening--
     if (connected.err) {
-      if (connected.val.reason === 'full') fullUntilMs = nowMs() + fullRestMs
+      if (connected.val.reason === 'full') fullUntilMs = nowMs() + fullBackoffMs
       return Err(connected.val)
     }
     const connection = connected.val
     const pooled: PooledConnection =
       { workspace, connection, values: new Map(), prepared: new Set(), idleSinceMs: nowMs() }
     all.add(pooled)
-    connection.onClosed(() => forget(pooled))
+    connection.onClosed(() => remove(pooled))
     if (isClosed) connection.close()
     return Ok(pooled)
   }
 
-  const take = async (workspace: string, timeoutMs: number): Promise<Result<PooledConnection, ConnectFailure>> => {
-    const own = idle.findLast(pooled => pooled.workspace === workspace)
-    if (own === undefined) return await open(workspace, timeoutMs)
-    idle.splice(idle.indexOf(own), 1)
-    return Ok(own)
+  const acquire = async (workspace: string, timeoutMs: number): Promise<Result<PooledConnection, ConnectFailure>> => {
+    const reusable = idle.findLast(pooled => pooled.workspace === workspace)
+    if (reusable === undefined) return await open(workspace, timeoutMs)
+    idle.splice(idle.indexOf(reusable), 1)
+    return Ok(reusable)
   }
 
-  const giveBack = (pooled: PooledConnection) => {
+  const release = (pooled: PooledConnection) => {
     if (isClosed || !pooled.connection.isOpen() || size() > maxConnections()) return discard(pooled)
     pooled.idleSinceMs = nowMs()
     idle.push(pooled)
@@ -142,9 +142,9 @@
   }
 
   return {
-    hasRoom: () => mayGrow() || idle.length > 0,
-    take,
-    giveBack,
+    hasCapacity: () => canGrow() || idle.length > 0,
+    acquire,
+    release,
     discard,
     size,
     closeIdle: idleForMs => {
--- a/packages/gateway/src/coordination/database-holder.ts
+++ b/packages/gateway/src/coordination/database-holder.ts
@@ -30,9 +30,9 @@
 /** Assumed slot time of a statement until its real duration is known. */
 const assumedCostMs = 20
 /** A reply within this time shows that the database is running. */
-const recentAnswerMs = 400
-const settlePollMs = 10
-const roomPollMs = 10
+const recentReplyMs = 400
+const idlePollMs = 10
+const capacityPollMs = 10
 /** Idle connections of a gateway that is not the database's first holder are closed after this time. */
 const secondaryIdleMs = 1000
 
@@ -50,7 +50,7 @@
   openTransactions: () => number
   connections: () => number
   /** Drops expired statements, ends idle transactions and dispatches the queue; call often while work is pending. */
-  upkeep: () => void
+  runMaintenance: () => void
   /** Closes idle connections if this gateway is not the database's first holder; call periodically. */
   closeUnused: () => void
   close: () => void
@@ -65,7 +65,7 @@
   /** True while other gateways try this gateway first for statements at the database. */
   isFirstHolder: () => boolean
   /** False while the database accepts no new work. */
-  takesWork: () => boolean
+  acceptsNewWork: () => boolean
   records: GroupRecords
   positions: GroupPositions
   clock: AgeClock
@@ -74,15 +74,15 @@
 }
 
 /** Reasons without a reply from the database; the state of the connection is unknown. */
-const withoutAnswer: ReadonlySet<StatementReason> = new Set(['silent', 'answerLost', 'unreachable'])
+const noReplyReasons: ReadonlySet<StatementReason> = new Set(['silent', 'answerLost', 'unreachable'])
 
 /** A statement that is queued for a slot. */
-type Waiting = {
+type QueuedStatement = {
   request: StatementRequest
   /** Log position that the database must have reached. */
   position: string
   arrivedAtMs: number
-  answer: (outcome: StatementOutcome) => void
+  complete: (outcome: StatementOutcome) => void
 }
 
 /** Creates a holder; connections are opened on demand. */
@@ -92,8 +92,8 @@
   let inFlight = 0
   let isClosed = false
   let pausedUntilMs = -Infinity
-  let lastAnswerMs = -Infinity
-  const continuing: Waiting[] = []
+  let lastReplyMs = -Infinity
+  const continuing: QueuedStatement[] = []
 
   const pool: ConnectionPool = createConnectionPool({
     connect: (workspace, timeoutMs) =>
@@ -103,13 +103,13 @@
   })
   const pinned = createPinnedTransactions({ pool, idleMs: options.transactionIdleMs, nowMs, database: id, log })
 
-  const drop = (waiting: Waiting, reason: DropReason) => {
-    const queuedMs = Math.round(nowMs() - waiting.arrivedAtMs)
-    log(events.notOffered, { request: waiting.request.requestId, database: id, reason, queuedMs, load: load() })
-    waiting.answer({ ...notRun(reason === 'expired' ? 'queuedTooLong' : 'busy'), queuedMs })
+  const dropQueued = (statement: QueuedStatement, reason: DropReason) => {
+    const queuedMs = Math.round(nowMs() - statement.arrivedAtMs)
+    log(events.notOffered, { request: statement.request.requestId, database: id, reason, queuedMs, load: load() })
+    statement.complete({ ...notRun(reason === 'expired' ? 'queuedTooLong' : 'busy'), queuedMs })
   }
-  const queues: Array<FairQueue<Waiting>> = Array.from({ length: queueCount }, () =>
-    createFairQueue<Waiting>({ maxQueued, maxQueuedPerWorkspace, onDropped: drop, clock: nowMs }))
+  const queues: Array<FairQueue<QueuedStatement>> = Array.from({ length: queueCount }, () =>
+    createFairQueue<QueuedStatement>({ maxQueued, maxQueuedPerWorkspace, onDropped: dropQueued, clock: nowMs }))
   const queueOf = ({ priority }: StatementRequest) => queues[Math.min(priority, queueCount - 1)]
   const queued = () => queues.reduce((sum, queue) => sum + queue.size(), 0)
   const load = () => inFlight + queued() + continuing.length
@@ -117,129 +117,132 @@
   const requiredPosition = async (request: StatementRequest): Promise<string | undefined> => {
     if (request.needsPrimary) return ''
     const { maxStalenessMs, ownPosition } = request
-    const fresh = maxStalenessMs > 0 ? await positions.require(group, maxStalenessMs) : ''
-    if (fresh === undefined) return undefined
-    return laterPosition(fresh, ownPosition)
+    const freshPosition = maxStalenessMs > 0 ? await positions.require(group, maxStalenessMs) : ''
+    if (freshPosition === undefined) return undefined
+    return laterPosition(freshPosition, ownPosition)
   }
 
   /** Acquires a connection; waits for capacity while the database refuses connections as too many. */
-  const takeConnection = async (request: StatementRequest, leftMs: number) => {
-    const untilMs = nowMs() + Math.min(leftMs, request.maxQueuedMs)
+  const acquireConnection = async (request: StatementRequest, remainingMs: number) => {
+    const deadlineMs = nowMs() + Math.min(remainingMs, request.maxQueuedMs)
     for (;;) {
-      const taken = await pool.take(request.workspace, Math.min(connectTimeoutMs, leftMs))
-      if (taken.ok || taken.val.reason !== 'full') return taken
-      while (!pool.hasRoom() && nowMs() < untilMs) await sleepMs(roomPollMs)
-      if (nowMs() >= untilMs) return taken
+      const acquired = await pool.acquire(request.workspace, Math.min(connectTimeoutMs, remainingMs))
+      if (acquired.ok || acquired.val.reason !== 'full') return acquired
+      while (!pool.hasCapacity() && nowMs() < deadlineMs) await sleepMs(capacityPollMs)
+      if (nowMs() >= deadlineMs) return acquired
     }
   }
 
-  const begin = async ({ request, position }: Waiting, leftMs: number): Promise<StatementOutcome> => {
-    const taken = await takeConnection(request, leftMs)
-    if (taken.err) {
+  const runOnPooled = async (
+    { request, position }: QueuedStatement, remainingMs: number
+  ): Promise<StatementOutcome> => {
+    const acquired = await acquireConnection(request, remainingMs)
+    if (acquired.err) {
       log(events.connectFailed, {
-        request: request.requestId, database: id, reason: taken.val.reason, message: taken.val.message
+        request: request.requestId, database: id, reason: acquired.val.reason, message: acquired.val.message
       })
-      return notRun(taken.val.reason === 'full' ? 'busy' : 'unreachable')
+      return notRun(acquired.val.reason === 'full' ? 'busy' : 'unreachable')
     }
-    const pooled = taken.val
-    const outcome = await runGuarded(pooled, request, position, leftMs)
-    finishOn(pooled, request, outcome)
+    const pooled = acquired.val
+    const outcome = await runWithPrimaryCheck(pooled, request, position, remainingMs)
+    releaseAfter(pooled, request, outcome)
     return outcome
   }
 
-  const finishOn = (pooled: PooledConnection, request: StatementRequest, outcome: StatementOutcome) => {
+  const releaseAfter = (pooled: PooledConnection, request: StatementRequest, outcome: StatementOutcome) => {
     if (request.transaction !== 'SINGLE' && outcome.transactionOpen) return pinned.pin(request.session, pooled)
-    if (outcome.status === 'UNKNOWN' || withoutAnswer.has(outcome.reason)) return pool.discard(pooled)
-    if (outcome.status === 'DONE' || request.transaction === 'SINGLE') return pool.giveBack(pooled)
+    if (outcome.status === 'UNKNOWN' || noReplyReasons.has(outcome.reason)) return pool.discard(pooled)
+    if (outcome.status === 'DONE' || request.transaction === 'SINGLE') return pool.release(pooled)
     pinned.rollBack(pooled).then(dispatch)
   }
 
   /** Runs a statement; its outcome counts only if the primary stayed the current one from request to reply. */
-  const runGuarded = async (
-    pooled: PooledConnection, request: StatementRequest, position: string, leftMs: number
+  const runWithPrimaryCheck = async (
+    pooled: PooledConnection, request: StatementRequest, position: string, remainingMs: number
   ): Promise<StatementOutcome> => {
-    const atPrimary = request.needsPrimary || records.mayUse(group, id)
-    if (request.needsPrimary && !records.mayUse(group, id)) return notRun('moved')
+    const isAtPrimary = request.needsPrimary || records.canUse(group, id)
+    if (request.needsPrimary && !records.canUse(group, id)) return notRun('moved')
     const coversUntil = clock.now()
-    const outcome = await runOnConnection(pooled, request, position, leftMs)
-    if (!withoutAnswer.has(outcome.reason)) lastAnswerMs = nowMs()
-    if (!atPrimary) return outcome
-    if (records.mayUse(group, id)) {
-      if (outcome.position !== '') positions.note(group, { position: outcome.position, coversUntil })
+    const outcome = await runOnConnection(pooled, request, position, remainingMs)
+    if (!noReplyReasons.has(outcome.reason)) lastReplyMs = nowMs()
+    if (!isAtPrimary) return outcome
+    if (records.canUse(group, id)) {
+      if (outcome.position !== '') positions.record(group, { position: outcome.position, coversUntil })
       return outcome
     }
     if (outcome.status === 'NOT_RUN' || !request.needsPrimary) return outcome
     log(events.primaryChangedMeanwhile, { request: request.requestId, database: id, status: outcome.status })
-    const mayBeKept = request.verb === 'COMMIT' || (request.access === 'WRITE' && request.transaction === 'SINGLE')
-    if (mayBeKept) return unknownOutcome('moved')
+    const mayHaveCommitted = request.verb === 'COMMIT' ||
+      (request.access === 'WRITE' && request.transaction === 'SINGLE')
+    if (mayHaveCommitted) return unknownOutcome('moved')
     // A statement that has run in a transaction must not run in a second one.
     return notRun(request.transaction === 'SINGLE' ? 'moved' : 'answerLost')
   }
 
-  const resume = async ({ request }: Waiting, leftMs: number): Promise<StatementOutcome> => {
-    const pooled = pinned.take(request.session)
+  const runOnPinned = async ({ request }: QueuedStatement, remainingMs: number): Promise<StatementOutcome> => {
+    const pooled = pinned.unpin(request.session)
     if (pooled === undefined) return notRun('transactionGone')
-    const outcome = await runGuarded(pooled, request, '', leftMs)
-    finishOn(pooled, request, outcome)
+    const outcome = await runWithPrimaryCheck(pooled, request, '', remainingMs)
+    releaseAfter(pooled, request, outcome)
     return outcome
   }
 
-  const serve = async (waiting: Waiting) => {
-    const { request, arrivedAtMs, answer } = waiting
+  const runQueued = async (statement: QueuedStatement) => {
+    const { request, arrivedAtMs, complete } = statement
     inFlight++
     const queuedMs = Math.round(nowMs() - arrivedAtMs)
-    const leftMs = request.timeoutMs - queuedMs
+    const remainingMs = request.timeoutMs - queuedMs
     const startedAtMs = nowMs()
-    const outcome = await (request.transaction === 'CONTINUE' ? resume : begin)(waiting, leftMs)
+    const outcome = await (request.transaction === 'CONTINUE' ? runOnPinned : runOnPooled)(statement, remainingMs)
     inFlight--
     queueOf(request).charge(request.workspace, nowMs() - startedAtMs - assumedCostMs)
-    answer({ ...outcome, load: load(), queuedMs })
+    complete({ ...outcome, load: load(), queuedMs })
     dispatch()
   }
 
   const isPaused = () => nowMs() < pausedUntilMs
 
-  const nextWaiting = (): Waiting | undefined => {
+  const nextStatement = (): QueuedStatement | undefined => {
     const continued = continuing.shift()
     if (continued !== undefined || isPaused()) return continued
     for (const queue of queues) {
       if (queue.size() === 0) continue
-      const waiting = queue.pop()
-      if (waiting !== undefined) return waiting
+      const statement = queue.pop()
+      if (statement !== undefined) return statement
     }
     return undefined
   }
 
   const dispatch = () => {
     while (inFlight < database().slots) {
-      if (continuing.length === 0 && !pool.hasRoom()) {
+      if (continuing.length === 0 && !pool.hasCapacity()) {
         pinned.endIdle()
         return
       }
-      const waiting = nextWaiting()
-      if (waiting === undefined) return
-      serve(waiting)
+      const statement = nextStatement()
+      if (statement === undefined) return
+      runQueued(statement)
     }
   }
 
   const run = async (request: StatementRequest): Promise<StatementOutcome> => {
     if (isClosed) return notRun('moved')
-    if (request.transaction !== 'CONTINUE' && !options.takesWork()) return notRun('moved')
-    const joins = request.needsPrimary && request.transaction !== 'CONTINUE'
-    if (joins && !await records.become(group, id)) return notRun('moved')
+    if (request.transaction !== 'CONTINUE' && !options.acceptsNewWork()) return notRun('moved')
+    const mustBecomeUser = request.needsPrimary && request.transaction !== 'CONTINUE'
+    if (mustBecomeUser && !await records.becomeUser(group, id)) return notRun('moved')
     const arrivedAtMs = nowMs()
     // Computed before queueing: commits confirmed after the statement arrived need not be visible to it.
     const position = request.transaction === 'CONTINUE' ? '' : await requiredPosition(request)
     if (position === undefined) return notRun('lagging')
     return await new Promise<StatementOutcome>(resolve => {
-      const waiting: Waiting = { request, position, arrivedAtMs, answer: resolve }
+      const statement: QueuedStatement = { request, position, arrivedAtMs, complete: resolve }
       if (request.transaction === 'CONTINUE') {
-        continuing.push(waiting)
+        continuing.push(statement)
         return dispatch()
       }
       const { workspace, maxQueuedMs } = request
-      const as = { workspace, weight: 1, cost: assumedCostMs, deadlineMs: nowMs() + maxQueuedMs }
-      const pushed = queueOf(request).push(waiting, as)
+      const queueEntry = { workspace, weight: 1, cost: assumedCostMs, deadlineMs: nowMs() + maxQueuedMs }
+      const pushed = queueOf(request).push(statement, queueEntry)
       if (pushed.err) {
         log(events.notOffered, {
           request: request.requestId, database: id, reason: pushed.val.reason, queuedMs: 0, load: load()
@@ -251,15 +254,15 @@
   }
 
   const settle = async (timeoutMs: number): Promise<boolean> => {
-    const endAtMs = nowMs() + timeoutMs
-    while (nowMs() < endAtMs) {
+    const deadlineMs = nowMs() + timeoutMs
+    while (nowMs() < deadlineMs) {
       if (inFlight === 0 && pinned.size() === 0) return true
-      await sleepMs(settlePollMs)
+      await sleepMs(idlePollMs)
     }
     return false
   }
 
-  const upkeep = () => {
+  const runMaintenance = () => {
     if (pinned.size() > 0) pinned.endIdle()
     if (queued() + continuing.length === 0) return
     for (const queue of queues) queue.dropExpired()
@@ -269,21 +272,21 @@
   return {
     run,
     abandon: session => {
-      const pooled = pinned.take(session)
+      const pooled = pinned.unpin(session)
       if (pooled !== undefined) pinned.rollBack(pooled).then(dispatch)
     },
     pause: forMs => { pausedUntilMs = nowMs() + forMs },
     settle,
     load,
-    hasAnsweredLately: () => nowMs() - lastAnswerMs < recentAnswerMs,
+    hasAnsweredLately: () => nowMs() - lastReplyMs < recentReplyMs,
     openTransactions: pinned.size,
     connections: pool.size,
-    upkeep,
+    runMaintenance,
     closeUnused: () => { if (pool.size() > 0 && !options.isFirstHolder()) pool.closeIdle(secondaryIdleMs) },
     close: () => {
       isClosed = true
       for (const queue of queues) queue.close()
-      for (const waiting of continuing.splice(0)) waiting.answer(notRun('transactionGone'))
+      for (const statement of continuing.splice(0)) statement.complete(notRun('transactionGone'))
       pinned.close()
       pool.close()
     }
--- a/packages/gateway/src/coordination/database-orders.ts
+++ b/packages/gateway/src/coordination/database-orders.ts
@@ -7,56 +7,56 @@
 import type { ConnectDatabase, DatabaseConnection, DatabaseOrder, DatabaseStatus } from './database-connection.js'
 
 /** Workspace name of the control connections. */
-const ordersWorkspace = 'egretyoke'
+const controlWorkspace = 'egretyoke'
 /** A control connection that is unused for longer is closed. */
-const unusedCloseMs = 10_000
+const idleCloseMs = 10_000
 
 /**
  * Why a control command failed. `unreachable`: nothing listens at the address, or the connection was reset. `silent`:
  * no reply in time. `declined`: the database is running but refused the command or the connection.
  */
-export type OrderError = TypedError<'unreachable' | 'silent' | 'declined'>
+export type ControlError = TypedError<'unreachable' | 'silent' | 'declined'>
 
 /** Control commands to databases. */
-export type DatabaseOrders = {
-  give: (database: Database, order: DatabaseOrder, timeoutMs: number) => Promise<Result<DatabaseStatus, OrderError>>
+export type ControlCommands = {
+  run: (database: Database, command: DatabaseOrder, timeoutMs: number) => Promise<Result<DatabaseStatus, ControlError>>
   close: () => void
 }
 
-type Kept = { connection: DatabaseConnection, address: string, usedAtMs: number }
+type ControlConnection = { connection: DatabaseConnection, address: string, usedAtMs: number }
 
 /** Creates the control commands; connections are opened on first use. */
-export const createDatabaseOrders = (connect: ConnectDatabase): DatabaseOrders => {
-  const kept = new Map<string, Kept>()
+export const createDatabaseOrders = (connect: ConnectDatabase): ControlCommands => {
+  const connections = new Map<string, ControlConnection>()
 
   const drop = (id: string) => {
-    kept.get(id)?.connection.close()
-    kept.delete(id)
+    connections.get(id)?.connection.close()
+    connections.delete(id)
   }
 
   const connectionTo = async (
     database: Database, timeoutMs: number
-  ): Promise<Result<DatabaseConnection, OrderError>> => {
+  ): Promise<Result<DatabaseConnection, ControlError>> => {
     const { id, address, group } = database
-    const known = kept.get(id)
-    if (known !== undefined && known.connection.isOpen() && known.address === address) {
-      known.usedAtMs = performance.now()
-      return Ok(known.connection)
+    const existing = connections.get(id)
+    if (existing !== undefined && existing.connection.isOpen() && existing.address === address) {
+      existing.usedAtMs = performance.now()
+      return Ok(existing.connection)
     }
     drop(id)
-    const connected = await connect({ databaseId: id, address, group, workspace: ordersWorkspace }, timeoutMs)
+    const connected = await connect({ databaseId: id, address, group, workspace: controlWorkspace }, timeoutMs)
     if (connected.err) {
       const { reason, message } = connected.val
       return Err(typedError(reason === 'silent' ? 'silent' : reason === 'full' ? 'declined' : 'unreachable', message))
     }
-    kept.set(id, { connection: connected.val, address, usedAtMs: performance.now() })
+    connections.set(id, { connection: connected.val, address, usedAtMs: performance.now() })
     return connected
   }
 
-  const give = async (database: Database, order: DatabaseOrder, timeoutMs: number) => {
+  const run = async (database: Database, command: DatabaseOrder, timeoutMs: number) => {
     const connection = await connectionTo(database, timeoutMs)
     if (connection.err) return Err(connection.val)
-    const status = await connection.val.order(order, timeoutMs)
+    const status = await connection.val.order(command, timeoutMs)
     if (status.ok) return status
     if (status.val.reason === 'declined') return Err(typedError('declined' as const, status.val.message))
     drop(database.id)
@@ -64,15 +64,15 @@
     return Err(typedError(isSilent ? 'silent' as const : 'unreachable' as const, status.val.message))
   }
 
-  const upkeep = setInterval(() => {
-    for (const [id, { usedAtMs }] of kept) if (performance.now() - usedAtMs > unusedCloseMs) drop(id)
-  }, unusedCloseMs / 2)
+  const closeTimer = setInterval(() => {
+    for (const [id, { usedAtMs }] of connections) if (performance.now() - usedAtMs > idleCloseMs) drop(id)
+  }, idleCloseMs / 2)
 
   return {
-    give,
+    run,
     close: () => {
-      clearInterval(upkeep)
-      for (const id of [...kept.keys()]) drop(id)
+      clearInterval(closeTimer)
+      for (const id of [...connections.keys()]) drop(id)
     }
   }
 }
--- a/packages/gateway/src/coordination/election.ts
+++ b/packages/gateway/src/coordination/election.ts
@@ -19,17 +19,17 @@
 
 /** Creates an election over the members of the fleet state. */
 export const createElection = (view: Pick<FleetView, 'members' | 'membersVersion'>): Election => {
-  const known = new Map<string, readonly Member[]>()
+  const cache = new Map<string, readonly Member[]>()
   let version = -1
 
   const ranked = (key: string): readonly Member[] => {
-    if (version !== view.membersVersion() || known.size > maxKeys) known.clear()
+    if (version !== view.membersVersion() || cache.size > maxKeys) cache.clear()
     version = view.membersVersion()
-    const kept = known.get(key)
-    if (kept !== undefined) return kept
+    const cached = cache.get(key)
+    if (cached !== undefined) return cached
     const members = view.members()
     const order = rankByRendezvous(key, [...members.keys()]).flatMap(name => members.get(name) ?? [])
-    known.set(key, order)
+    cache.set(key, order)
     return order
   }
 
--- a/packages/gateway/src/coordination/group-keeper.ts
+++ b/packages/gateway/src/coordination/group-keeper.ts
@@ -9,28 +9,28 @@
 import { processName } from '../state/stored-records.js'
 import type { GroupRecord, Member } from '../state/stored-records.js'
 import type { Election } from './election.js'
-import { livingUsers } from './group-records.js'
+import { activeUsers } from './group-records.js'
 import { changePrimary } from './primary-change.js'
 import type { ChangeReason, PrimaryChangeOptions } from './primary-change.js'
 
 const probeIntervalMs = 250
 const probeTimeoutMs = 500
 /** Failed probes after which other gateways are asked. A refused connection is stronger evidence than a time-out. */
-const refusalsBeforeDoubt = 2
-const silencesBeforeDoubt = 2
+const maxRefusedProbes = 2
+const maxSilentProbes = 2
 /** Number of gateways that are asked whether they can reach the primary, and the time-out of the request. */
-const witnesses = 4
+const witnessCount = 4
 const witnessTimeoutMs = 900
 /** A primary change that another gateway started but did not finish is taken over after this time. */
-const takeOverMs = 3000
+const takeOverAfterMs = 3000
 /** A primary without an entry in the store is not replaced before this time, because the entry may still arrive. */
-const goneGraceMs = 1000
+const missingEntryGraceMs = 1000
 
 /** Monitors the groups until the signal aborts. */
-export type GroupKeeper = { run: (signal: AbortSignal) => Promise<void> }
+export type GroupMonitor = { run: (signal: AbortSignal) => Promise<void> }
 
 /** Dependencies of the group monitor. */
-export type GroupKeeperOptions = PrimaryChangeOptions & {
+export type GroupMonitorOptions = PrimaryChangeOptions & {
   name: string
   election: Election
   /** True if the database has replied to a statement of this gateway recently. */
@@ -38,48 +38,48 @@
 }
 
 /** Creates the group monitor. */
-export const createGroupKeeper = (options: GroupKeeperOptions): GroupKeeper => {
+export const createGroupKeeper = (options: GroupMonitorOptions): GroupMonitor => {
   const { name, self, view, records, contact, orders, relay, hasAnsweredLately, log } = options
   const failures = new Map<string, { refused: number, silent: number }>()
-  const seenChangingMs = new Map<number, number>()
+  const changingSinceMs = new Map<number, number>()
   const missingSinceMs = new Map<string, number>()
-  const busy = new Set<string>()
+  const beingChecked = new Set<string>()
 
-  const isKeeperOf = (group: string): boolean => options.election.first(`group ${group}`) === name
+  const isMonitorOf = (group: string): boolean => options.election.first(`group ${group}`) === name
 
   /** Stores the first record of a group: the database that reports the primary role with the highest term. */
-  const begin = async (group: string) => {
-    const asked = await Promise.all(view.databasesOf(group).map(async database => {
-      const status = await orders.give(database, { kind: 'status' }, probeTimeoutMs)
+  const storeFirstRecord = async (group: string) => {
+    const statuses = await Promise.all(view.databasesOf(group).map(async database => {
+      const status = await orders.run(database, { kind: 'status' }, probeTimeoutMs)
       return status.ok ? [{ database, status: status.val }] : []
     }))
-    const leading = asked.flat().filter(({ status }) => status.role === 'primary')
+    const leader = statuses.flat().filter(({ status }) => status.role === 'primary')
       .sort((one, other) => other.status.term - one.status.term)[0]
-    if (leading === undefined) return
-    const { database, status } = leading
+    if (leader === undefined) return
+    const { database, status } = leader
     await records.store(group, {
       primary: database.id, term: status.term, phase: 'serving', users: [], keeper: self
     }, 0)
   }
 
   /** True if a gateway that uses the primary has had a reply from it recently, so that no probe is needed. */
-  const isUsedWell = async (database: Database, users: readonly string[]): Promise<boolean> => {
-    const user = livingUsers(users, view).at(-1)?.split('/')[0] ?? ''
+  const isConfirmedByUser = async (database: Database, users: readonly string[]): Promise<boolean> => {
+    const user = activeUsers(users, view).at(-1)?.split('/')[0] ?? ''
     if (user === name) return hasAnsweredLately(database.id)
     const member = view.members().get(user)
     if (member === undefined) return false
-    const answer = await relay.ask(member, {
+    const reply = await relay.ask(member, {
       probeDatabase: { database: database.id, onlyByUse: true }
     }, probeTimeoutMs)
-    return answer.ok && answer.val.databaseProbe?.reachable === true
+    return reply.ok && reply.val.databaseProbe?.reachable === true
   }
 
   const probe = async (database: Database, users: readonly string[]): Promise<boolean> => {
-    if (await isUsedWell(database, users)) {
+    if (await isConfirmedByUser(database, users)) {
       failures.delete(database.id)
       return true
     }
-    const status = await orders.give(database, { kind: 'status' }, probeTimeoutMs)
+    const status = await orders.run(database, { kind: 'status' }, probeTimeoutMs)
     if (status.ok || status.val.reason === 'declined') {
       failures.delete(database.id)
       return true
@@ -91,7 +91,7 @@
     log(events.primaryProbeFailed, {
       group: database.group, database: database.id, reason: status.val.reason, ...failure
     })
-    return failure.refused < refusalsBeforeDoubt && failure.silent < silencesBeforeDoubt
+    return failure.refused < maxRefusedProbes && failure.silent < maxSilentProbes
   }
 
   /** Selects the gateways to ask: first one of each data centre, then any others. */
@@ -99,16 +99,16 @@
     const others = [...view.members().values()].filter(member => member.name !== name)
     const firstOfEach = others.filter((member, index) =>
       others.findIndex(({ dataCentre }) => dataCentre === member.dataCentre) === index)
-    return [...new Set([...firstOfEach, ...others])].slice(0, witnesses)
+    return [...new Set([...firstOfEach, ...others])].slice(0, witnessCount)
   }
 
   /** True if another gateway can reach the database. */
-  const isSeenByOthers = async (database: Database): Promise<boolean> => {
-    const answers = await Promise.all(chooseWitnesses().map(async member => {
-      const answer = await relay.ask(member, { probeDatabase: { database: database.id } }, witnessTimeoutMs)
-      return answer.ok && answer.val.databaseProbe?.reachable === true
+  const isReachableByOthers = async (database: Database): Promise<boolean> => {
+    const replies = await Promise.all(chooseWitnesses().map(async member => {
+      const reply = await relay.ask(member, { probeDatabase: { database: database.id } }, witnessTimeoutMs)
+      return reply.ok && reply.val.databaseProbe?.reachable === true
     }))
-    return answers.includes(true)
+    return replies.includes(true)
   }
 
   const reasonToChange = async (group: string, record: GroupRecord): Promise<ChangeReason | undefined> => {
@@ -116,35 +116,35 @@
     if (database === undefined) {
       const sinceMs = missingSinceMs.get(group) ?? performance.now()
       missingSinceMs.set(group, sinceMs)
-      return performance.now() - sinceMs > goneGraceMs ? 'gone' : undefined
+      return performance.now() - sinceMs > missingEntryGraceMs ? 'gone' : undefined
     }
     missingSinceMs.delete(group)
     if (view.evacuated().has(database.dataCentre)) return 'evacuated'
     if (database.draining) return 'draining'
     if (await probe(database, record.users)) return undefined
-    return await isSeenByOthers(database) ? undefined : 'failed'
+    return await isReachableByOthers(database) ? undefined : 'failed'
   }
 
   const isAbandoned = ({ record, revision }: Versioned<GroupRecord>): boolean => {
     if (record.keeper === self) return true
-    const sinceMs = seenChangingMs.get(revision) ?? performance.now()
-    seenChangingMs.set(revision, sinceMs)
-    const [keeperName = ''] = record.keeper.split('/')
-    const keeper = view.members().get(keeperName)
-    const hasEnded = keeper !== undefined && processName(keeper) !== record.keeper
-    return hasEnded || performance.now() - sinceMs > takeOverMs
+    const sinceMs = changingSinceMs.get(revision) ?? performance.now()
+    changingSinceMs.set(revision, sinceMs)
+    const [monitorName = ''] = record.keeper.split('/')
+    const monitor = view.members().get(monitorName)
+    const hasEnded = monitor !== undefined && processName(monitor) !== record.keeper
+    return hasEnded || performance.now() - sinceMs > takeOverAfterMs
   }
 
-  const keep = async (group: string) => {
+  const checkGroup = async (group: string) => {
     const versioned = view.group(group)
-    if (versioned === undefined) return await begin(group)
+    if (versioned === undefined) return await storeFirstRecord(group)
     if (versioned.record.phase === 'changing') {
       if (isAbandoned(versioned)) await changePrimary(options, group, versioned, 'unfinished')
       return
     }
-    seenChangingMs.clear()
+    changingSinceMs.clear()
     const reason = await reasonToChange(group, versioned.record)
-    if (reason === undefined || !isKeeperOf(group)) return
+    if (reason === undefined || !isMonitorOf(group)) return
     const latest = view.group(group)
     if (latest !== undefined && latest.record.primary === versioned.record.primary) {
       await changePrimary(options, group, latest, reason)
@@ -152,25 +152,25 @@
   }
 
   /** Demotes databases that come back and still report the primary role. */
-  const demoteFormer = async (group: string) => {
+  const demoteFormerPrimaries = async (group: string) => {
     const record = view.group(group)?.record
     if (record?.phase !== 'serving') return
     const former = view.databasesOf(group).filter(({ id, role }) => role === 'primary' && id !== record.primary)
-    for (const database of former) await orders.give(database, { kind: 'demote', term: record.term }, probeTimeoutMs)
+    for (const database of former) await orders.run(database, { kind: 'demote', term: record.term }, probeTimeoutMs)
   }
 
-  const keepOnce = async (group: string) => {
-    if (busy.has(group) || !isKeeperOf(group) || contact.ageMs() > probeTimeoutMs * 4) return
-    busy.add(group)
-    await keep(group)
-    await demoteFormer(group)
-    busy.delete(group)
+  const checkGroupOnce = async (group: string) => {
+    if (beingChecked.has(group) || !isMonitorOf(group) || contact.ageMs() > probeTimeoutMs * 4) return
+    beingChecked.add(group)
+    await checkGroup(group)
+    await demoteFormerPrimaries(group)
+    beingChecked.delete(group)
   }
 
   return {
     run: async signal => {
       while (!signal.aborted) {
-        for (const group of view.configuration()?.groups.keys() ?? []) keepOnce(group)
+        for (const group of view.configuration()?.groups.keys() ?? []) checkGroupOnce(group)
         await sleepMs(probeIntervalMs, signal)
       }
     }
--- a/packages/gateway/src/coordination/group-positions.test.ts
+++ b/packages/gateway/src/coordination/group-positions.test.ts
@@ -6,44 +6,44 @@
 import { createGroupPositions } from './group-positions.js'
 import type { PositionSample } from './group-positions.js'
 
-const createPositions = (answers: Array<string | undefined>) => {
+const createPositions = (replies: Array<string | undefined>) => {
   const time = { nowMs: 0 }
   const clock = createAgeClock(() => time.nowMs, () => time.nowMs)
-  let asked = 0
-  const ask = async (): Promise<PositionSample | undefined> => {
-    const position = answers[asked++]
+  let requestCount = 0
+  const fetchPosition = async (): Promise<PositionSample | undefined> => {
+    const position = replies[requestCount++]
     return position === undefined ? undefined : { position, coversUntil: clock.now() }
   }
-  return { time, clock, positions: createGroupPositions(clock, ask), asked: () => asked }
+  return { time, clock, positions: createGroupPositions(clock, fetchPosition), requestCount: () => requestCount }
 }
 
 test('a sample within the permitted staleness is required without a request', async t => {
-  const { clock, positions, asked } = createPositions([])
-  positions.note('g', { position: '1.7', coversUntil: clock.now() })
+  const { clock, positions, requestCount } = createPositions([])
+  positions.record('g', { position: '1.7', coversUntil: clock.now() })
   t.is(await positions.require('g', 1500), '1.7')
-  t.is(asked(), 0)
+  t.is(requestCount(), 0)
 })
 
 test('an ageing sample is refreshed before it expires, by one request for concurrent reads', async t => {
-  const { time, clock, positions, asked } = createPositions(['1.9'])
-  positions.note('g', { position: '1.7', coversUntil: clock.now() })
+  const { time, clock, positions, requestCount } = createPositions(['1.9'])
+  positions.record('g', { position: '1.7', coversUntil: clock.now() })
   time.nowMs = 900
   t.deepEqual(await Promise.all([positions.require('g', 1500), positions.require('g', 1500)]), ['1.7', '1.7'])
   t.is(await positions.require('g', 1500), '1.9')
-  t.is(asked(), 1)
+  t.is(requestCount(), 1)
 })
 
 test('no read is permitted with an expired sample and no reply', async t => {
   const { time, clock, positions } = createPositions([undefined])
-  positions.note('g', { position: '1.7', coversUntil: clock.now() })
+  positions.record('g', { position: '1.7', coversUntil: clock.now() })
   time.nowMs = 1600
   t.is(await positions.require('g', 1500), undefined)
 })
 
 test('an earlier position does not lower the required position', async t => {
   const { time, clock, positions } = createPositions([])
-  positions.note('g', { position: '2.1', coversUntil: clock.now() })
+  positions.record('g', { position: '2.1', coversUntil: clock.now() })
   time.nowMs = 10
-  positions.note('g', { position: '1.99', coversUntil: clock.now() })
+  positions.record('g', { position: '1.99', coversUntil: clock.now() })
   t.is(await positions.require('g', 1500), '2.1')
 })
--- a/packages/gateway/src/coordination/group-positions.ts
+++ b/packages/gateway/src/coordination/group-positions.ts
@@ -9,11 +9,11 @@
 export type PositionSample = { position: string, coversUntil: Moment }
 
 /** Requests the position from the holder of the group's primary; undefined if there is no reply. */
-export type AskPosition = (group: string) => Promise<PositionSample | undefined>
+export type FetchPosition = (group: string) => Promise<PositionSample | undefined>
 
 /** Newest observed positions by group. */
 export type GroupPositions = {
-  note: (group: string, sample: PositionSample) => void
+  record: (group: string, sample: PositionSample) => void
   /** Position that a replica needs for its data to be at most `maxStalenessMs` old; undefined if unknown. */
   require: (group: string, maxStalenessMs: number) => Promise<string | undefined>
   newest: (group: string) => PositionSample | undefined
@@ -25,23 +25,23 @@
 const renewAtFraction = 0.4
 
 /** Creates an empty position table. */
-export const createGroupPositions = (clock: AgeClock, ask: AskPosition): GroupPositions => {
+export const createGroupPositions = (clock: AgeClock, fetchPosition: FetchPosition): GroupPositions => {
   const samples = new Map<string, PositionSample>()
-  const asking = new Map<string, Promise<void>>()
+  const renewals = new Map<string, Promise<void>>()
 
-  const note = (group: string, sample: PositionSample) => {
-    const known = samples.get(group)
-    if (known === undefined) return samples.set(group, sample)
-    const newer = clock.ageMs(sample.coversUntil) < clock.ageMs(known.coversUntil) ? sample : known
-    samples.set(group, { ...newer, position: laterPosition(sample.position, known.position) })
+  const record = (group: string, sample: PositionSample) => {
+    const previous = samples.get(group)
+    if (previous === undefined) return samples.set(group, sample)
+    const newer = clock.ageMs(sample.coversUntil) < clock.ageMs(previous.coversUntil) ? sample : previous
+    samples.set(group, { ...newer, position: laterPosition(sample.position, previous.position) })
   }
 
   const renew = (group: string): Promise<void> => {
-    const pending = asking.get(group) ?? ask(group).then(sample => {
-      asking.delete(group)
-      if (sample !== undefined) note(group, sample)
+    const pending = renewals.get(group) ?? fetchPosition(group).then(sample => {
+      renewals.delete(group)
+      if (sample !== undefined) record(group, sample)
     })
-    asking.set(group, pending)
+    renewals.set(group, pending)
     return pending
   }
 
@@ -58,5 +58,5 @@
     return ageMs(group) < maxStalenessMs ? samples.get(group)?.position : undefined
   }
 
-  return { note, require, newest: group => samples.get(group), forget: group => { samples.delete(group) } }
+  return { record, require, newest: group => samples.get(group), forget: group => { samples.delete(group) } }
 }
--- a/packages/gateway/src/coordination/group-records.ts
+++ b/packages/gateway/src/coordination/group-records.ts
@@ -14,17 +14,17 @@
 import type { SharedStore } from './shared-store.js'
 
 /** A gateway stops using primaries when its fleet state was last confirmed longer ago than this. */
-export const primaryContactMs = 2500
+export const maxPrimaryContactAgeMs = 2500
 const storeTimeoutMs = 900
 
 /** Access to the group records. */
 export type GroupRecords = {
   /** True while the database is the current primary and this gateway is one of its users. */
-  mayUse: (group: string, database: string) => boolean
+  canUse: (group: string, database: string) => boolean
   /** Adds this gateway to the primary's users; false if the database is not the primary or the store call fails. */
-  become: (group: string, database: string) => Promise<boolean>
+  becomeUser: (group: string, database: string) => Promise<boolean>
   /** Stops the use of the group's primary by this gateway until a record newer than the revision is known. */
-  stop: (group: string, revision: number) => void
+  stopUse: (group: string, revision: number) => void
   /** Stores a record if the stored one is still at the revision; returns the new version, or undefined on failure. */
   store: (group: string, record: GroupRecord, expectedRevision: number) => Promise<Versioned<GroupRecord> | undefined>
 }
@@ -44,7 +44,7 @@
  * Users that may still be using the primary. A process whose VM runs a newer one has ended. A process whose membership
  * record was removed has stopped by itself, because it does not use primaries without a lease.
  */
-export const livingUsers = (users: readonly string[], view: FleetView): string[] => users.filter(user => {
+export const activeUsers = (users: readonly string[], view: FleetView): string[] => users.filter(user => {
   const [name = '', incarnation] = user.split('/')
   return view.members().get(name)?.incarnation === incarnation
 })
@@ -53,18 +53,18 @@
 export const createGroupRecords = (
   { self, view, contact, isLeaseHeld, store, log }: GroupRecordsOptions
 ): GroupRecords => {
-  const joining = new Map<string, Promise<boolean>>()
-  const stoppedAt = new Map<string, number>()
+  const pendingJoins = new Map<string, Promise<boolean>>()
+  const stoppedRevisions = new Map<string, number>()
 
-  const isInForce = (group: string, database: string) => {
+  const isActivePrimary = (group: string, database: string) => {
     const versioned = view.group(group)
     return versioned?.record.phase === 'serving' && versioned.record.primary === database &&
-      versioned.revision > (stoppedAt.get(group) ?? 0)
+      versioned.revision > (stoppedRevisions.get(group) ?? 0)
   }
 
-  const isCurrent = () => contact.ageMs() < primaryContactMs && isLeaseHeld()
+  const hasContactAndLease = () => contact.ageMs() < maxPrimaryContactAgeMs && isLeaseHeld()
 
-  const mayUse = (group: string, database: string) => isCurrent() && isInForce(group, database) &&
+  const canUse = (group: string, database: string) => hasContactAndLease() && isActivePrimary(group, database) &&
     view.group(group)?.record.users.includes(self) === true
 
   const storeRecord = async (group: string, record: GroupRecord, expectedRevision: number) => {
@@ -79,26 +79,26 @@
     return { record, revision: current.revision }
   }
 
-  const join = async (group: string, database: string): Promise<boolean> => {
+  const addSelf = async (group: string, database: string): Promise<boolean> => {
     const versioned = view.group(group)
-    if (versioned === undefined || !isInForce(group, database)) return false
+    if (versioned === undefined || !isActivePrimary(group, database)) return false
     const { record, revision } = versioned
-    const users = [...livingUsers(record.users, view), self]
+    const users = [...activeUsers(record.users, view), self]
     return await storeRecord(group, { ...record, users }, revision) !== undefined
   }
 
-  const become = async (group: string, database: string): Promise<boolean> => {
-    if (mayUse(group, database)) return true
-    if (!isCurrent() || !isInForce(group, database)) return false
-    const pending = joining.get(group) ?? join(group, database).finally(() => joining.delete(group))
-    joining.set(group, pending)
+  const becomeUser = async (group: string, database: string): Promise<boolean> => {
+    if (canUse(group, database)) return true
+    if (!hasContactAndLease() || !isActivePrimary(group, database)) return false
+    const pending = pendingJoins.get(group) ?? addSelf(group, database).finally(() => pendingJoins.delete(group))
+    pendingJoins.set(group, pending)
     await pending
-    return mayUse(group, database)
+    return canUse(group, database)
   }
 
-  const stop = (group: string, revision: number) => {
-    stoppedAt.set(group, Math.max(revision, stoppedAt.get(group) ?? 0))
+  const stopUse = (group: string, revision: number) => {
+    stoppedRevisions.set(group, Math.max(revision, stoppedRevisions.get(group) ?? 0))
   }
 
-  return { mayUse, become, stop, store: storeRecord }
+  return { canUse, becomeUser, stopUse, store: storeRecord }
 }
--- a/packages/gateway/src/coordination/holder-choice.ts
+++ b/packages/gateway/src/coordination/holder-choice.ts
@@ -11,7 +11,7 @@
 const maxCandidates = 3
 
 /** Name and location of a gateway. */
-export type Place = { name: string, dataCentre: string, region: string }
+export type GatewayLocation = { name: string, dataCentre: string, region: string }
 
 /** Selects holders for databases. */
 export type HolderChoice = {
@@ -33,7 +33,7 @@
 
 /** Creates the holder choice of one gateway. */
 export const createHolderChoice = ({ self, election, regionOf, isUsable }: HolderChoiceOptions): HolderChoice => {
-  const byDistance = new WeakMap<readonly Member[], readonly Member[]>()
+  const cache = new WeakMap<readonly Member[], readonly Member[]>()
 
   const distance = (member: Member, database: Database) => {
     if (member.dataCentre === database.dataCentre) return 0
@@ -41,24 +41,24 @@
   }
 
   /** The ranked members, sorted by distance from the database. */
-  const near = (database: Database): readonly Member[] => {
+  const rankedByDistance = (database: Database): readonly Member[] => {
     const ranked = election.ranked(`${database.id} ${database.dataCentre}`)
-    const known = byDistance.get(ranked)
-    if (known !== undefined) return known
+    const cached = cache.get(ranked)
+    if (cached !== undefined) return cached
     const sorted = [...ranked].sort((one, other) => distance(one, database) - distance(other, database))
-    byDistance.set(ranked, sorted)
+    cache.set(ranked, sorted)
     return sorted
   }
 
   const candidates = (database: Database, regions: readonly string[]): Member[] => {
     const chosen: Member[] = []
-    for (const member of near(database)) {
+    for (const member of rankedByDistance(database)) {
       if (chosen.length === maxCandidates - 1) break
       const isSelf = member.name === self.name
       const isAllowed = isSelf || regions.length === 0 || regions.includes(member.region)
       if (isAllowed && !member.draining && (isSelf || isUsable(member))) chosen.push(member)
     }
-    const own = near(database).filter(({ name }) => name === self.name)
+    const own = rankedByDistance(database).filter(({ name }) => name === self.name)
     return [...new Set([...chosen, ...own])]
   }
 
--- a/packages/gateway/src/coordination/holders.ts
+++ b/packages/gateway/src/coordination/holders.ts
@@ -5,7 +5,7 @@
 import type { FleetView } from '../state/fleet-view.js'
 import { createDatabaseHolder } from './database-holder.js'
 import type { DatabaseHolder, HolderOptions } from './database-holder.js'
-import { takesWork } from './database-duty.js'
+import { acceptsNewWork } from './database-duty.js'
 import { notRun } from './statement.js'
 import type { StatementOutcome, StatementRequest } from './statement.js'
 
@@ -23,16 +23,16 @@
 }
 
 /** Options of a holder that depend on its database. */
-type OfOneDatabase = 'database' | 'maxConnections' | 'transactionIdleMs' | 'takesWork' | 'isFirstHolder'
+type PerDatabaseOptions = 'database' | 'maxConnections' | 'transactionIdleMs' | 'acceptsNewWork' | 'isFirstHolder'
 
 /** Dependencies of the holders. */
-export type HoldersOptions = Omit<HolderOptions, OfOneDatabase> & {
+export type HoldersOptions = Omit<HolderOptions, PerDatabaseOptions> & {
   view: FleetView
   isFirstHolder: (database: Database) => boolean
 }
 
 /** Interval at which queues and open transactions are checked. */
-const upkeepIntervalMs = 50
+const maintenanceIntervalMs = 50
 /** Defaults if the configuration has no value. */
 const defaultTransactionIdleMs = 3000
 const defaultMaxConnections = 10
@@ -43,8 +43,8 @@
   const holders = new Map<string, { holder: DatabaseHolder, database: Database }>()
 
   const holderOf = (id: string): DatabaseHolder | undefined => {
-    const known = holders.get(id)
-    if (known !== undefined) return known.holder
+    const existing = holders.get(id)
+    if (existing !== undefined) return existing.holder
     const database = view.databases().get(id)
     if (database === undefined) return undefined
     const current = () => view.databases().get(id) ?? database
@@ -54,44 +54,44 @@
       maxConnections: () => view.configuration()?.groups.get(database.group)?.maxConnections ?? defaultMaxConnections,
       transactionIdleMs: () => view.configuration()?.transactionIdleMs ?? defaultTransactionIdleMs,
       isFirstHolder: () => options.isFirstHolder(current()),
-      takesWork: () => view.databases().has(id) && takesWork(view, current())
+      acceptsNewWork: () => view.databases().has(id) && acceptsNewWork(view, current())
     })
     holders.set(id, { holder, database })
     return holder
   }
 
-  let upkeep: NodeJS.Timeout | undefined
-  let running = 0
+  let maintenanceTimer: NodeJS.Timeout | undefined
+  let runningCount = 0
 
-  const stopUpkeep = () => {
-    clearInterval(upkeep)
-    upkeep = undefined
+  const stopMaintenance = () => {
+    clearInterval(maintenanceTimer)
+    maintenanceTimer = undefined
   }
 
-  const hasWork = () => running > 0 || [...holders.values()].some(({ holder }) => holder.openTransactions() > 0)
+  const hasWork = () => runningCount > 0 || [...holders.values()].some(({ holder }) => holder.openTransactions() > 0)
 
   /** The timer runs only while statements run or transactions are open: most gateways of a large fleet hold none. */
-  const startUpkeep = () => {
-    upkeep ??= setInterval(() => {
-      for (const { holder } of holders.values()) holder.upkeep()
-      if (!hasWork()) stopUpkeep()
-    }, upkeepIntervalMs)
+  const startMaintenance = () => {
+    maintenanceTimer ??= setInterval(() => {
+      for (const { holder } of holders.values()) holder.runMaintenance()
+      if (!hasWork()) stopMaintenance()
+    }, maintenanceIntervalMs)
   }
 
   const run = async (request: StatementRequest): Promise<StatementOutcome> => {
-    running++
-    startUpkeep()
+    runningCount++
+    startMaintenance()
     const outcome = await holderOf(request.database)?.run(request)
-    running--
+    runningCount--
     return outcome ?? notRun('moved')
   }
 
-  const isSame = (database: Database) => {
-    const now = view.databases().get(database.id)
-    return now !== undefined && now.address === database.address && now.bornMs === database.bornMs
+  const isSameInstance = (database: Database) => {
+    const latest = view.databases().get(database.id)
+    return latest !== undefined && latest.address === database.address && latest.bornMs === database.bornMs
   }
 
-  const end = (id: string) => {
+  const closeHolder = (id: string) => {
     holders.get(id)?.holder.close()
     holders.delete(id)
   }
@@ -104,15 +104,17 @@
     hasAnsweredLately: id => holders.get(id)?.holder.hasAnsweredLately() ?? false,
     retainKnown: () => {
       for (const [id, { database, holder }] of holders) {
-        const isGone = !view.databases().has(id)
+        const isRemoved = !view.databases().has(id)
         // A removed database may still finish its statements and transactions.
-        if (isGone ? holder.load() === 0 && holder.openTransactions() === 0 : !isSame(database)) end(id)
+        if (
+          isRemoved ? holder.load() === 0 && holder.openTransactions() === 0 : !isSameInstance(database)
+        ) closeHolder(id)
         else holder.closeUnused()
       }
     },
     close: () => {
-      stopUpkeep()
-      for (const id of [...holders.keys()]) end(id)
+      stopMaintenance()
+      for (const id of [...holders.keys()]) closeHolder(id)
     }
   }
 }
--- a/packages/gateway/src/coordination/limit-keeper.ts
+++ b/packages/gateway/src/coordination/limit-keeper.ts
@@ -21,23 +21,23 @@
 const processStartMs = 0
 
 /** Number of shards of the workspaces. One allocator serves a shard for all gateways; more shards spread the load. */
-export const limitShards = 8
+export const limitShardCount = 8
 const claimIntervalMs = 100
 const storeTimeoutMs = 900
 /**
  * Initial tokens in a new allocator's bucket: a fraction of the rate, plus a number of tokens. They may come on top of
  * all tokens granted by the predecessor, and are a fraction of the excess over the limit that is tolerated.
  */
-const firstTokens = { ofRate: 0.1, atLeast: 5 } as const
+const initialTokens = { ofRate: 0.1, atLeast: 5 } as const
 /** Window in milliseconds over which the gateways' shares of a rate are computed. */
-const partWindowMs = 2000
+const shareWindowMs = 2000
 
 /** The shard of a workspace. */
 export const shardOf = (workspace: string): number =>
-  createHash('sha256').update(workspace).digest().readUInt32BE(0) % limitShards
+  createHash('sha256').update(workspace).digest().readUInt32BE(0) % limitShardCount
 
 /** Token allocation for the shards that this gateway has claimed. */
-export type LimitKeeper = {
+export type TokenAllocator = {
   take: (request: RelayMessages.TakeTokens__Output) => RelayMessages.Tokens__Output
   /** Claims shards without an allocator until the signal aborts. */
   run: (signal: AbortSignal) => Promise<void>
@@ -46,7 +46,7 @@
 }
 
 /** Dependencies of the token allocator. */
-export type LimitKeeperOptions = {
+export type TokenAllocatorOptions = {
   /** NAME/INCARNATION of this process. */
   self: string
   name: string
@@ -58,63 +58,63 @@
 }
 
 type Account = {
-  bucket: TokenBucket, grantedBy: Map<string, number>, windowSinceMs: number, parts: Map<string, number>
+  bucket: TokenBucket, grantedBy: Map<string, number>, windowSinceMs: number, shares: Map<string, number>
 }
 
 /** Creates an allocator without shards. */
-export const createLimitKeeper = (options: LimitKeeperOptions): LimitKeeper => {
+export const createLimitKeeper = (options: TokenAllocatorOptions): TokenAllocator => {
   const { self, name, view, election, membership, store, log } = options
   const accounts = new Map<string, Account>()
   const claimedAtMs = new Map<number, number>()
   let isLeaving = false
 
-  const isMine = (shard: number) => view.limitKeeper(shard)?.keeper === self && membership.isLeaseHeld()
+  const ownsShard = (shard: number) => view.limitKeeper(shard)?.keeper === self && membership.isLeaseHeld()
 
   const accountOf = (workspace: string, ratePerSec: number, burst: number): Account => {
-    const known = accounts.get(workspace)
-    if (known !== undefined) {
-      known.bucket.setTerms({ ratePerSec, burst })
-      return known
+    const existing = accounts.get(workspace)
+    if (existing !== undefined) {
+      existing.bucket.setTerms({ ratePerSec, burst })
+      return existing
     }
     const emptyAtMs = claimedAtMs.get(shardOf(workspace))
     const bucket = createTokenBucket({ ratePerSec, burst }, monotonicMs, emptyAtMs)
-    bucket.add(firstTokens.ofRate * ratePerSec + firstTokens.atLeast)
-    const account = { bucket, grantedBy: new Map(), windowSinceMs: monotonicMs(), parts: new Map() }
+    bucket.add(initialTokens.ofRate * ratePerSec + initialTokens.atLeast)
+    const account = { bucket, grantedBy: new Map(), windowSinceMs: monotonicMs(), shares: new Map() }
     accounts.set(workspace, account)
     return account
   }
 
   /** Records a grant. The gateways' shares are those of the last complete window. */
-  const noteGrant = (account: Account, asker: string, granted: number) => {
-    if (monotonicMs() - account.windowSinceMs > partWindowMs) {
-      account.parts = account.grantedBy
+  const recordGrant = (account: Account, asker: string, granted: number) => {
+    if (monotonicMs() - account.windowSinceMs > shareWindowMs) {
+      account.shares = account.grantedBy
       account.grantedBy = new Map()
       account.windowSinceMs = monotonicMs()
     }
     account.grantedBy.set(asker, (account.grantedBy.get(asker) ?? 0) + granted)
   }
 
-  const partOf = ({ parts }: Account, asker: string): number => {
-    const total = [...parts.values()].reduce((sum, granted) => sum + granted, 0)
-    return total === 0 ? 0 : (parts.get(asker) ?? 0) / total
+  const shareOf = ({ shares }: Account, asker: string): number => {
+    const total = [...shares.values()].reduce((sum, granted) => sum + granted, 0)
+    return total === 0 ? 0 : (shares.get(asker) ?? 0) / total
   }
 
   const take = ({ workspace, wanted, asker }: RelayMessages.TakeTokens__Output) => {
-    const terms = view.configuration()?.workspaces.get(workspace)
-    if (terms === undefined || !isMine(shardOf(workspace))) return { granted: 0, ratePartPerSec: 0, isKeeper: false }
-    const account = accountOf(workspace, terms.ratePerSec, terms.burst)
+    const limit = view.configuration()?.workspaces.get(workspace)
+    if (limit === undefined || !ownsShard(shardOf(workspace))) return { granted: 0, ratePartPerSec: 0, isKeeper: false }
+    const account = accountOf(workspace, limit.ratePerSec, limit.burst)
     const granted = account.bucket.take(wanted)
-    noteGrant(account, asker, granted)
-    if (granted < wanted) log(events.tokensShort, { workspace, asker, wanted, granted, ratePerSec: terms.ratePerSec })
-    return { granted, ratePartPerSec: partOf(account, asker) * terms.ratePerSec, isKeeper: true }
+    recordGrant(account, asker, granted)
+    if (granted < wanted) log(events.tokensShort, { workspace, asker, wanted, granted, ratePerSec: limit.ratePerSec })
+    return { granted, ratePartPerSec: shareOf(account, asker) * limit.ratePerSec, isKeeper: true }
   }
 
   /** True while the shard has an allocator. The record is bound to its lease and outlives the process only briefly. */
-  const isKept = (shard: number): boolean => {
+  const isClaimed = (shard: number): boolean => {
     const keeper = view.limitKeeper(shard)?.keeper
     if (keeper === undefined) return false
-    const [keeperName = '', incarnation] = keeper.split('/')
-    const member = view.members().get(keeperName)
+    const [allocatorName = '', incarnation] = keeper.split('/')
+    const member = view.members().get(allocatorName)
     return member === undefined || member.incarnation === incarnation
   }
 
@@ -123,7 +123,7 @@
     if (leaseId === undefined || !membership.isLeaseHeld()) return
     const key = `${recordKeys.limits}${shard}`
     const stored = await store.get(key, storeTimeoutMs)
-    if (stored.err || (stored.val !== undefined && isKept(shard))) return
+    if (stored.err || (stored.val !== undefined && isClaimed(shard))) return
     const expectedRevision = stored.val?.revision ?? 0
     const value = writeRecord({ keeper: self })
     const swap = await store.compareAndSwap({ key, expectedRevision, value, leaseId }, storeTimeoutMs)
@@ -131,25 +131,25 @@
     view.apply(swap.val.current)
     for (const workspace of accounts.keys()) if (shardOf(workspace) === shard) accounts.delete(workspace)
     // An earlier process of this VM has granted nothing since this one started, so the buckets fill from that time.
-    const isOwnSuccessor = stored.val !== undefined &&
+    const wasHeldByThisVm = stored.val !== undefined &&
       readLimitRecord(stored.val.value).map(({ keeper }) => keeper.split('/')[0] === name).unwrapOr(false)
-    claimedAtMs.set(shard, isOwnSuccessor ? processStartMs : monotonicMs())
+    claimedAtMs.set(shard, wasHeldByThisVm ? processStartMs : monotonicMs())
     log(events.limitsClaimed, { shard, revision: swap.val.current.revision })
   }
 
-  const shouldClaim = (shard: number) => !isKept(shard) && election.first(`limit ${shard}`) === name
+  const shouldClaim = (shard: number) => !isClaimed(shard) && election.first(`limit ${shard}`) === name
 
   return {
     take,
     run: async signal => {
       while (!signal.aborted && !isLeaving) {
-        for (let shard = 0; shard < limitShards; shard++) if (shouldClaim(shard)) await claim(shard)
+        for (let shard = 0; shard < limitShardCount; shard++) if (shouldClaim(shard)) await claim(shard)
         await sleepMs(claimIntervalMs, signal)
       }
     },
     leave: async () => {
       isLeaving = true
-      for (let shard = 0; shard < limitShards; shard++) {
+      for (let shard = 0; shard < limitShardCount; shard++) {
         if (view.limitKeeper(shard)?.keeper !== self) continue
         const key = `${recordKeys.limits}${shard}`
         const stored = await store.get(key, storeTimeoutMs)
--- a/packages/gateway/src/coordination/limits.test.ts
+++ b/packages/gateway/src/coordination/limits.test.ts
@@ -5,7 +5,7 @@
 import { sleepMs } from '@egretyoke/common'
 import test from 'ava'
 import { createAdmission } from './admission.js'
-import type { AskForTokens } from './admission.js'
+import type { RequestTokens } from './admission.js'
 import { createTokenBucket } from '../state/token-bucket.js'
 import { openTestSession, standardConfiguration, startMemoryFleet, waitUntil, write } from '../testing/memory-fleet.js'
 import type { MemoryFleet } from '../testing/memory-fleet.js'
@@ -17,11 +17,11 @@
 
 /** Sends continuously through all gateways for `forMs`; resolves with the number of admitted statements. */
 const flood = async (fleet: MemoryFleet, forMs: number): Promise<number> => {
-  const endAtMs = performance.now() + forMs
+  const deadlineMs = performance.now() + forMs
   let done = 0
   const sendAll = async (index: number) => {
     const session = openTestSession(fleet.gateways[index % fleet.gateways.length], 'slots')
-    while (performance.now() < endAtMs) {
+    while (performance.now() < deadlineMs) {
       const answer = await session.send(write('1'))
       if (answer.error === undefined) done++
     }
@@ -66,19 +66,19 @@
 const grant = (granted: number, ratePartPerSec = 0) => ({ granted, ratePartPerSec, isKeeper: true })
 
 test('an operation is refused within about its maximum wait when the allocator has no tokens', async t => {
-  const ask: AskForTokens = async () => grant(0)
-  const admission = createAdmission(ask, () => 0, () => {})
+  const requestTokens: RequestTokens = async () => grant(0)
+  const admission = createAdmission(requestTokens, () => 0, () => {})
   const startedAtMs = performance.now()
   t.false(await admission.admit('a', 100))
   t.true(performance.now() - startedAtMs < 1000)
 })
 
 test('while no allocator replies, operations are admitted at the last known share of the rate', async t => {
-  let isAnswering = true
-  const ask: AskForTokens = async () => isAnswering ? grant(1, 50) : undefined
-  const admission = createAdmission(ask, () => 0, () => {})
+  let isReplying = true
+  const requestTokens: RequestTokens = async () => isReplying ? grant(1, 50) : undefined
+  const admission = createAdmission(requestTokens, () => 0, () => {})
   t.true(await admission.admit('a', 100))
-  isAnswering = false
+  isReplying = false
   await sleepMs(1100)
   t.true(await admission.admit('a', 300))
   const burst = await Promise.all(Array.from({ length: 40 }, () => admission.admit('a', 100)))
--- a/packages/gateway/src/coordination/membership.ts
+++ b/packages/gateway/src/coordination/membership.ts
@@ -61,9 +61,9 @@
   /** Renews the lease; false if it failed and must be retried soon. */
   const renew = async (id: number): Promise<boolean> => {
     const heldFrom = clock.now()
-    const kept = await store.keepAlive(id, storeTimeoutMs)
-    if (kept.err) return false
-    if (kept.val) {
+    const renewal = await store.keepAlive(id, storeTimeoutMs)
+    if (renewal.err) return false
+    if (renewal.val) {
       lease = { id, heldFrom }
       return true
     }
--- a/packages/gateway/src/coordination/pinned-transactions.ts
+++ b/packages/gateway/src/coordination/pinned-transactions.ts
@@ -11,7 +11,7 @@
 export type PinnedTransactions = {
   pin: (session: string, pooled: PooledConnection) => void
   /** Unpins and returns the session's connection; undefined if its transaction has ended. */
-  take: (session: string) => PooledConnection | undefined
+  unpin: (session: string) => PooledConnection | undefined
   /** Rolls back the open transaction and releases the connection to the pool; discards it if the rollback fails. */
   rollBack: (pooled: PooledConnection) => Promise<void>
   /** Rolls back transactions that have been idle for longer than `idleMs`. */
@@ -36,23 +36,23 @@
   const rollBack = async (pooled: PooledConnection) => {
     if (!pooled.connection.isOpen()) return pool.discard(pooled)
     const [reply] = await pooled.connection.run([{ kind: 'rollback' }], rollBackTimeoutMs)
-    if (reply?.transaction === 'none' && reply.outcome !== 'lost') return pool.giveBack(pooled)
+    if (reply?.transaction === 'none' && reply.outcome !== 'lost') return pool.release(pooled)
     pool.discard(pooled)
   }
 
-  const take = (session: string) => {
-    const kept = bySession.get(session)
+  const unpin = (session: string) => {
+    const entry = bySession.get(session)
     bySession.delete(session)
-    if (kept === undefined || kept.pooled.connection.isOpen()) return kept?.pooled
-    pool.discard(kept.pooled)
+    if (entry === undefined || entry.pooled.connection.isOpen()) return entry?.pooled
+    pool.discard(entry.pooled)
     return undefined
   }
 
   const endIdle = () => {
-    const longestMs = idleMs()
+    const limitMs = idleMs()
     for (const [session, { pooled, sinceMs }] of bySession) {
       const idleForMs = nowMs() - sinceMs
-      if (idleForMs < longestMs) continue
+      if (idleForMs < limitMs) continue
       bySession.delete(session)
       log(events.idleTransactionEnded, { session, database, idleForMs: Math.round(idleForMs) })
       rollBack(pooled)
@@ -61,7 +61,7 @@
 
   return {
     pin: (session, pooled) => { bySession.set(session, { pooled, sinceMs: nowMs() }) },
-    take,
+    unpin,
     rollBack,
     endIdle,
     size: () => bySession.size,
--- a/packages/gateway/src/coordination/primary-change.ts
+++ b/packages/gateway/src/coordination/primary-change.ts
@@ -15,8 +15,8 @@
 import { comparePositions } from '../state/position.js'
 import type { GroupRecord, Member } from '../state/stored-records.js'
 import type { DatabaseStatus } from './database-connection.js'
-import type { DatabaseOrders } from './database-orders.js'
-import { livingUsers, primaryContactMs } from './group-records.js'
+import type { ControlCommands } from './database-orders.js'
+import { activeUsers, maxPrimaryContactAgeMs } from './group-records.js'
 import type { GroupRecords } from './group-records.js'
 import type { RelayCalls } from './relay-calls.js'
 
@@ -33,7 +33,7 @@
   records: GroupRecords
   contact: Contact
   isLeaseHeld: () => boolean
-  orders: DatabaseOrders
+  orders: ControlCommands
   relay: RelayCalls
   promote: PromoteDatabase
   log: Logger
@@ -42,18 +42,18 @@
 /** Why a primary is replaced. */
 export type ChangeReason = 'failed' | 'draining' | 'evacuated' | 'gone' | 'unfinished'
 
-const orderTimeoutMs = 350
+const controlTimeoutMs = 350
 const promoteTimeoutMs = 900
 /** During a planned handover, running work at the old primary may finish within this time. */
-const settleTimeMs = 900
+const drainTimeoutMs = 900
 /** Time for a successor to receive the log up to the old primary's last position. */
-const catchUpTimeMs = 600
+const catchUpTimeoutMs = 600
 /** Time for a database to report the primary role after its promotion was requested. */
-const leadTimeMs = 3000
+const becomePrimaryTimeoutMs = 3000
 const pollMs = 50
-const attemptPauseMs = 150
+const attemptIntervalMs = 150
 /** A change that has not completed within this time is abandoned; the next check of the group starts again. */
-const changeTimeMs = 8000
+const changeTimeoutMs = 8000
 /** No promotion is requested if the last contact with the store is older. */
 const promoteContactMs = 1500
 
@@ -61,93 +61,93 @@
 
 /** Replaces the primary of the group; true if the change ended with an active primary. */
 export const changePrimary = async (
-  options: PrimaryChangeOptions, group: string, known: Versioned<GroupRecord>, reason: ChangeReason
+  options: PrimaryChangeOptions, group: string, current: Versioned<GroupRecord>, reason: ChangeReason
 ): Promise<boolean> => {
   const { self, view, records, contact, orders, relay, promote, log } = options
-  const old = known.record
+  const oldRecord = current.record
   const isPlanned = reason === 'draining' || reason === 'evacuated'
-  const endAtMs = performance.now() + changeTimeMs
+  const changeDeadlineMs = performance.now() + changeTimeoutMs
   // A requested promotion may take effect late; the old primary must then not be reactivated without a new promotion.
-  let hasAsked = false
+  let hasRequestedPromotion = false
 
   const memberOf = (user: string): Member | undefined => view.members().get(user.split('/')[0] ?? '')
 
   const stopUser = async (user: string, revision: number, finish: boolean): Promise<string | undefined> => {
     const member = memberOf(user)
     if (member === undefined) return undefined
-    const answer = await relay.ask(member, {
+    const reply = await relay.ask(member, {
       stopPrimary: { group, revision, finish }
-    }, orderTimeoutMs + (finish ? settleTimeMs : 0))
-    const stopped = answer.ok ? answer.val.primaryStopped : undefined
+    }, controlTimeoutMs + (finish ? drainTimeoutMs : 0))
+    const stopped = reply.ok ? reply.val.primaryStopped : undefined
     return stopped?.stopped ? stopped.position : undefined
   }
 
-  const settleUsers = async () => {
-    await Promise.all(livingUsers(old.users, view).map(user => stopUser(user, 0, true)))
+  const drainUsers = async () => {
+    await Promise.all(activeUsers(oldRecord.users, view).map(user => stopUser(user, 0, true)))
   }
 
   /** Resolves once no gateway uses the old primary: each user has stopped, ended, or lost its contact by time-out. */
   const stopUsers = async (revision: number) => {
     const startedAtMs = performance.now()
-    const remaining = new Set(livingUsers(old.users, view))
-    while (remaining.size > 0 && performance.now() - startedAtMs < primaryContactMs) {
+    const remaining = new Set(activeUsers(oldRecord.users, view))
+    while (remaining.size > 0 && performance.now() - startedAtMs < maxPrimaryContactAgeMs) {
       await Promise.all([...remaining].map(async user => {
         if (await stopUser(user, revision, false) !== undefined) remaining.delete(user)
       }))
-      const living = livingUsers([...remaining], view)
-      for (const user of remaining) if (!living.includes(user)) remaining.delete(user)
+      const active = activeUsers([...remaining], view)
+      for (const user of remaining) if (!active.includes(user)) remaining.delete(user)
       if (remaining.size > 0) await sleepMs(pollMs)
     }
     log(events.primaryUsersStopped, {
       group,
       revision,
-      users: old.users,
+      users: oldRecord.users,
       unanswered: [...remaining],
       tookMs: Math.round(performance.now() - startedAtMs)
     })
   }
 
   const statusOf = async (database: Database): Promise<Candidate | undefined> => {
-    const status = await orders.give(database, { kind: 'status' }, orderTimeoutMs)
+    const status = await orders.run(database, { kind: 'status' }, controlTimeoutMs)
     return status.ok ? { database, status: status.val } : undefined
   }
 
-  const askAll = async (): Promise<Candidate[]> => {
-    const asked = await Promise.all(view.databasesOf(group).map(statusOf))
-    return asked.flatMap(candidate => candidate ?? [])
+  const pollDatabases = async (): Promise<Candidate[]> => {
+    const candidates = await Promise.all(view.databasesOf(group).map(statusOf))
+    return candidates.flatMap(candidate => candidate ?? [])
   }
 
-  const maySucceed = ({ database }: Candidate) => database.id !== old.primary && !database.draining &&
+  const isEligible = ({ database }: Candidate) => database.id !== oldRecord.primary && !database.draining &&
     !view.evacuated().has(database.dataCentre)
 
   const received = ({ status }: Candidate) => status.receivedPosition
 
   const bestOf = (candidates: readonly Candidate[]): Candidate | undefined => candidates
-    .filter(maySucceed)
+    .filter(isEligible)
     .sort((one, other) => comparePositions(received(other), received(one)))[0]
 
   /** A database that is already the primary of a later term, from an earlier change that was not completed. */
   const newLeader = (candidates: readonly Candidate[]) =>
-    candidates.find(({ status }) => status.role === 'primary' && status.term > old.term)
+    candidates.find(({ status }) => status.role === 'primary' && status.term > oldRecord.term)
 
   /** A process that replaced the old primary at its address, with its log and term, under a new id. */
-  const successorInPlace = (candidates: readonly Candidate[]) => candidates.find(candidate =>
-    maySucceed(candidate) && candidate.status.role === 'primary' && candidate.status.term === old.term)
+  const replacementInPlace = (candidates: readonly Candidate[]) => candidates.find(candidate =>
+    isEligible(candidate) && candidate.status.role === 'primary' && candidate.status.term === oldRecord.term)
 
   const waitForCatchUp = async (position: string) => {
-    const untilMs = performance.now() + catchUpTimeMs
-    while (performance.now() < untilMs) {
-      const best = bestOf(await askAll())
+    const deadlineMs = performance.now() + catchUpTimeoutMs
+    while (performance.now() < deadlineMs) {
+      const best = bestOf(await pollDatabases())
       if (best !== undefined && comparePositions(received(best), position) >= 0) return
       await sleepMs(pollMs)
     }
   }
 
   /** Waits until the database is the primary; one that already was when it was chosen need not start a new term. */
-  const waitForLead = async ({ database, status }: Candidate): Promise<Candidate | undefined> => {
-    const firstTerm = status.role === 'primary' ? old.term : old.term + 1
-    const untilMs = performance.now() + leadTimeMs
-    while (performance.now() < untilMs) {
+  const waitUntilPrimary = async ({ database, status }: Candidate): Promise<Candidate | undefined> => {
+    const firstTerm = status.role === 'primary' ? oldRecord.term : oldRecord.term + 1
+    const deadlineMs = performance.now() + becomePrimaryTimeoutMs
+    while (performance.now() < deadlineMs) {
       const candidate = await statusOf(database)
       if (candidate?.status.role === 'primary' && candidate.status.term >= firstTerm) return candidate
       await sleepMs(pollMs)
@@ -155,66 +155,68 @@
     return undefined
   }
 
-  const isStillMine = (revision: number) => view.group(group)?.revision === revision &&
+  const ownsChange = (revision: number) => view.group(group)?.revision === revision &&
     contact.ageMs() < promoteContactMs && options.isLeaseHeld()
 
-  const putInForce = async (primary: string, term: number, revision: number): Promise<boolean> => {
+  const activatePrimary = async (primary: string, term: number, revision: number): Promise<boolean> => {
     const record: GroupRecord = { primary, term, phase: 'serving', users: [], keeper: self }
     const stored = await records.store(group, record, revision)
     if (stored === undefined) return false
-    log(events.primaryInForce, { group, primary, term, before: old.primary, reason })
-    const former = view.databases().get(old.primary)
-    if (former !== undefined && primary !== old.primary) {
-      orders.give(
-        former, { kind: 'demote', term }, orderTimeoutMs
+    log(events.primaryInForce, { group, primary, term, before: oldRecord.primary, reason })
+    const former = view.databases().get(oldRecord.primary)
+    if (former !== undefined && primary !== oldRecord.primary) {
+      orders.run(
+        former, { kind: 'demote', term }, controlTimeoutMs
       )
     }
     return true
   }
 
   const attempt = async (revision: number): Promise<boolean> => {
-    const candidates = await askAll()
+    const candidates = await pollDatabases()
     const leader = newLeader(candidates)
-    if (leader !== undefined) return await putInForce(leader.database.id, leader.status.term, revision)
-    const former = candidates.find(({ database }) => database.id === old.primary)
-    const isFormerGood = former?.status.role === 'primary' && former.status.term >= old.term
+    if (leader !== undefined) return await activatePrimary(leader.database.id, leader.status.term, revision)
+    const former = candidates.find(({ database }) => database.id === oldRecord.primary)
+    const isFormerHealthy = former?.status.role === 'primary' && former.status.term >= oldRecord.term
     const best = bestOf(candidates)
-    if (isFormerGood && reason === 'failed' && !hasAsked) {
-      return await putInForce(old.primary, former.status.term, revision)
+    if (isFormerHealthy && reason === 'failed' && !hasRequestedPromotion) {
+      return await activatePrimary(oldRecord.primary, former.status.term, revision)
     }
-    const chosen = successorInPlace(candidates) ?? best ?? (isFormerGood ? former : undefined)
-    if (chosen === undefined || !isStillMine(revision)) return false
-    hasAsked = true
-    const asked = await promote(group, chosen.database.id, revision, promoteTimeoutMs)
+    const chosen = replacementInPlace(candidates) ?? best ?? (isFormerHealthy ? former : undefined)
+    if (chosen === undefined || !ownsChange(revision)) return false
+    hasRequestedPromotion = true
+    const promotion = await promote(group, chosen.database.id, revision, promoteTimeoutMs)
     log(events.promotionAsked, {
       group,
       database: chosen.database.id,
       fence: revision,
       received: received(chosen),
-      outcome: asked.ok ? 'accepted' : asked.val.reason
+      outcome: promotion.ok ? 'accepted' : promotion.val.reason
     })
-    if (asked.err && asked.val.reason !== 'noAnswer') return false
-    const leading = await waitForLead(chosen)
-    return leading !== undefined && await putInForce(leading.database.id, leading.status.term, revision)
+    if (promotion.err && promotion.val.reason !== 'noAnswer') return false
+    const newPrimary = await waitUntilPrimary(chosen)
+    return newPrimary !== undefined && await activatePrimary(newPrimary.database.id, newPrimary.status.term, revision)
   }
 
-  if (isPlanned && bestOf(await askAll()) === undefined) {
-    log(events.noSuccessor, { group, primary: old.primary, reason })
+  if (isPlanned && bestOf(await pollDatabases()) === undefined) {
+    log(events.noSuccessor, { group, primary: oldRecord.primary, reason })
     return false
   }
-  if (isPlanned) await settleUsers()
-  const changing = await records.store(group, { ...old, phase: 'changing', keeper: self }, known.revision)
+  if (isPlanned) await drainUsers()
+  const changing = await records.store(group, { ...oldRecord, phase: 'changing', keeper: self }, current.revision)
   if (changing === undefined) return false
-  log(events.primaryChangeBegun, { group, primary: old.primary, term: old.term, reason, fence: changing.revision })
+  log(events.primaryChangeBegun, {
+    group, primary: oldRecord.primary, term: oldRecord.term, reason, fence: changing.revision
+  })
   await stopUsers(changing.revision)
   if (isPlanned) {
-    const former = view.databases().get(old.primary)
-    const last = former === undefined ? undefined : await statusOf(former)
-    if (last !== undefined) await waitForCatchUp(last.status.appliedPosition)
+    const former = view.databases().get(oldRecord.primary)
+    const lastStatus = former === undefined ? undefined : await statusOf(former)
+    if (lastStatus !== undefined) await waitForCatchUp(lastStatus.status.appliedPosition)
   }
-  while (performance.now() < endAtMs && view.group(group)?.revision === changing.revision) {
+  while (performance.now() < changeDeadlineMs && view.group(group)?.revision === changing.revision) {
     if (await attempt(changing.revision)) return true
-    await sleepMs(attemptPauseMs)
+    await sleepMs(attemptIntervalMs)
   }
   log(events.primaryChangeLeft, { group, reason, fence: changing.revision })
   return false
--- a/packages/gateway/src/coordination/relay-handler.ts
+++ b/packages/gateway/src/coordination/relay-handler.ts
@@ -5,12 +5,12 @@
 import type { Contact, AgeClock } from '../state/contact.js'
 import type { FleetView } from '../state/fleet-view.js'
 import type { StoreHistory } from '../state/store-history.js'
-import type { DatabaseOrders } from './database-orders.js'
+import type { ControlCommands } from './database-orders.js'
 import type { GroupPositions } from './group-positions.js'
 import type { GroupRecords } from './group-records.js'
 import type { Holders } from './holders.js'
-import type { LimitKeeper } from './limit-keeper.js'
-import { tellFollower } from './store-sources.js'
+import type { TokenAllocator } from './limit-keeper.js'
+import { replyToFollower } from './store-sources.js'
 
 /** Dependencies of the relay handler. */
 export type RelayHandlerOptions = {
@@ -19,8 +19,8 @@
   records: GroupRecords
   holders: Holders
   positions: GroupPositions
-  limits: LimitKeeper
-  orders: DatabaseOrders
+  limits: TokenAllocator
+  orders: ControlCommands
   contact: Contact
   clock: AgeClock
   isReady: () => boolean
@@ -32,9 +32,9 @@
 const probeTimeoutMs = 500
 /** How long a primary's new work is paused for a handover; the group record is changed within this time. */
 const handoverPauseMs = 2000
-const settleTimeMs = 900
+const drainTimeoutMs = 900
 
-type Answer = Omit<RelayMessages.RelayReply, 'number'>
+type Reply = Omit<RelayMessages.RelayReply, 'number'>
 
 /** Newest position of a group's primary and its age; undefined if this gateway cannot use the primary or read it. */
 export const readPrimaryPosition = async (
@@ -45,16 +45,16 @@
 ): Promise<{ position: string, ageMs: number } | undefined> => {
   const primary = view.group(group)?.record.primary ?? ''
   const database = view.databases().get(primary)
-  if (database === undefined || !await records.become(group, primary)) return undefined
-  const known = positions.newest(group)
-  if (known !== undefined && clock.ageMs(known.coversUntil) < freshPositionMs) {
-    return { position: known.position, ageMs: clock.ageMs(known.coversUntil) }
+  if (database === undefined || !await records.becomeUser(group, primary)) return undefined
+  const sample = positions.newest(group)
+  if (sample !== undefined && clock.ageMs(sample.coversUntil) < freshPositionMs) {
+    return { position: sample.position, ageMs: clock.ageMs(sample.coversUntil) }
   }
   const coversUntil = clock.now()
-  const status = await orders.give(database, { kind: 'status' }, statusTimeoutMs)
-  if (status.err || !records.mayUse(group, primary)) return undefined
+  const status = await orders.run(database, { kind: 'status' }, statusTimeoutMs)
+  if (status.err || !records.canUse(group, primary)) return undefined
   const position = status.val.appliedPosition
-  positions.note(group, { position, coversUntil })
+  positions.record(group, { position, coversUntil })
   return { position, ageMs: clock.ageMs(coversUntil) }
 }
 
@@ -62,38 +62,38 @@
 export const createRelayHandler = (options: RelayHandlerOptions) => {
   const { view, records, holders, limits, orders, isReady } = options
 
-  const positionOf = async ({ group }: RelayMessages.AskPosition__Output): Promise<Answer> => {
+  const positionOf = async ({ group }: RelayMessages.AskPosition__Output): Promise<Reply> => {
     const read = await readPrimaryPosition(options, group)
     const { position, ageMs } = read ?? { position: '', ageMs: 0 }
     return { position: { position, ageMs: Math.ceil(ageMs) } }
   }
 
-  const stopPrimary = async ({ group, revision, finish }: RelayMessages.StopPrimary__Output): Promise<Answer> => {
+  const stopPrimary = async ({ group, revision, finish }: RelayMessages.StopPrimary__Output): Promise<Reply> => {
     const holder = holders.get(view.group(group)?.record.primary ?? '')
     if (finish) {
       holder?.pause(handoverPauseMs)
-      const stopped = await holder?.settle(settleTimeMs) ?? true
+      const stopped = await holder?.settle(drainTimeoutMs) ?? true
       return { primaryStopped: { stopped, position: '' } }
     }
-    records.stop(group, revision)
+    records.stopUse(group, revision)
     return { primaryStopped: { stopped: true, position: options.positions.newest(group)?.position ?? '' } }
   }
 
-  const probe = async ({ database: id, onlyByUse }: RelayMessages.ProbeDatabase__Output): Promise<Answer> => {
+  const probe = async ({ database: id, onlyByUse }: RelayMessages.ProbeDatabase__Output): Promise<Reply> => {
     const database = view.databases().get(id)
     if (onlyByUse) return { databaseProbe: { reachable: holders.hasAnsweredLately(id) } }
     if (database === undefined) return { databaseProbe: { reachable: false } }
-    const status = await orders.give(database, { kind: 'status' }, probeTimeoutMs)
+    const status = await orders.run(database, { kind: 'status' }, probeTimeoutMs)
     return { databaseProbe: { reachable: status.ok || status.val.reason === 'declined' } }
   }
 
-  return async (request: RelayMessages.RelayRequest__Output): Promise<Answer | undefined> => {
+  return async (request: RelayMessages.RelayRequest__Output): Promise<Reply | undefined> => {
     if (request.run) return { statement: await holders.run(request.run) }
     if (request.takeTokens) return { tokens: limits.take(request.takeTokens) }
     if (request.askPosition) return await positionOf(request.askPosition)
     if (request.stopPrimary) return await stopPrimary(request.stopPrimary)
     if (request.probeDatabase) return await probe(request.probeDatabase)
-    if (request.followStore) return { storeNews: await tellFollower(options, request.followStore) }
+    if (request.followStore) return { storeNews: await replyToFollower(options, request.followStore) }
     if (request.abandon) {
       holders.abandon(request.abandon.database, request.abandon.session)
       return undefined
--- a/packages/gateway/src/coordination/run-on-connection.ts
+++ b/packages/gateway/src/coordination/run-on-connection.ts
@@ -2,8 +2,8 @@
  * Runs one statement on one connection: sets up the session state that the statement requires, opens the transaction if
  * this is its first statement, and derives the outcome from the database's replies.
  */
-import { commandsToReach, noteDone } from './connection-pool.js'
-import type { PooledConnection, WantedState } from './connection-pool.js'
+import { setupCommandsFor, recordDone } from './connection-pool.js'
+import type { PooledConnection, RequiredState } from './connection-pool.js'
 import type { DatabaseCommand, DatabaseReply } from './database-connection.js'
 import { failed, isRead, notRun, unknownOutcome } from './statement.js'
 import type { StatementOutcome, StatementReason, StatementRequest } from './statement.js'
@@ -11,7 +11,7 @@
 /** Name of a prepared statement, derived from its content so that all sessions of a workspace share it. */
 export const preparedName = (access: 'read' | 'write', shape: string): string => `${access}_${shape}`
 
-const preparedOf = ({ verb, shape, shapeAccess }: StatementRequest): WantedState['prepared'] => {
+const preparedOf = ({ verb, shape, shapeAccess }: StatementRequest): RequiredState['prepared'] => {
   if (verb !== 'EXECUTE') return undefined
   const access = shapeAccess === 'WRITE' ? 'write' : 'read'
   return { name: preparedName(access, shape), access, shape }
@@ -25,7 +25,7 @@
   return { kind: 'execute', requestId, name: prepared.name, operands: text, positionAtLeast }
 }
 
-const declinedFor: Record<NonNullable<DatabaseReply['declineReason']>, StatementReason> = {
+const reasonOfDecline: Record<NonNullable<DatabaseReply['declineReason']>, StatementReason> = {
   busy: 'busy',
   lagging: 'lagging',
   readOnly: 'readOnly',
@@ -40,14 +40,14 @@
     const { rows, signature, position } = reply
     return { ...notRun(''), status: 'DONE', rows, signature, position, transactionOpen }
   }
-  if (reply.outcome === 'declined') return notRun(declinedFor[reply.declineReason ?? 'malformed'])
+  if (reply.outcome === 'declined') return notRun(reasonOfDecline[reply.declineReason ?? 'malformed'])
   if (reply.outcome === 'failed') return failed('failed')
   if (request.transaction !== 'SINGLE' && request.verb !== 'COMMIT') return notRun('answerLost')
   return isRead(request) ? notRun('silent') : unknownOutcome('silent')
 }
 
-const outcomeOfPreparation = (reply: DatabaseReply): StatementOutcome =>
-  notRun(reply.outcome === 'declined' ? declinedFor[reply.declineReason ?? 'malformed'] : 'unreachable')
+const setupOutcome = (reply: DatabaseReply): StatementOutcome =>
+  notRun(reply.outcome === 'declined' ? reasonOfDecline[reply.declineReason ?? 'malformed'] : 'unreachable')
 
 /**
  * Runs the statement. `positionAtLeast` is attached to the first command that reads. The statement is sent only after
@@ -57,25 +57,27 @@
 export const runOnConnection = async (
   pooled: PooledConnection, request: StatementRequest, positionAtLeast: string, timeoutMs: number
 ): Promise<StatementOutcome> => {
-  const opens = request.transaction === 'OPEN_READ_WRITE' || request.transaction === 'OPEN_READ_ONLY'
+  const opensTransaction = request.transaction === 'OPEN_READ_WRITE' || request.transaction === 'OPEN_READ_ONLY'
   const readOnly = request.transaction === 'OPEN_READ_ONLY'
-  const before = commandsToReach(pooled, { values: request.values, prepared: preparedOf(request) })
-  if (opens) before.push({ kind: 'begin', readOnly, positionAtLeast })
+  const setup = setupCommandsFor(pooled, { values: request.values, prepared: preparedOf(request) })
+  if (opensTransaction) setup.push({ kind: 'begin', readOnly, positionAtLeast })
   const startedAtMs = performance.now()
 
-  if (before.length > 0) {
-    const replies = await pooled.connection.run(before, timeoutMs)
-    for (const [index, command] of before.entries()) {
+  if (setup.length > 0) {
+    const replies = await pooled.connection.run(setup, timeoutMs)
+    for (const [index, command] of setup.entries()) {
       const reply = replies[index]
-      if (reply?.outcome !== 'done') return reply === undefined ? notRun('unreachable') : outcomeOfPreparation(reply)
-      noteDone(pooled, command)
+      if (reply?.outcome !== 'done') return reply === undefined ? notRun('unreachable') : setupOutcome(reply)
+      recordDone(pooled, command)
     }
   }
 
-  const leftMs = timeoutMs - (performance.now() - startedAtMs)
-  if (leftMs <= 0) return notRun('silent')
-  const mayDecline = request.transaction === 'SINGLE' && request.access === 'READ'
-  const [reply] = await pooled.connection.run([commandOf(request, mayDecline ? positionAtLeast : '')], leftMs)
+  const remainingMs = timeoutMs - (performance.now() - startedAtMs)
+  if (remainingMs <= 0) return notRun('silent')
+  const requiresPosition = request.transaction === 'SINGLE' && request.access === 'READ'
+  const [reply] = await pooled.connection.run(
+    [commandOf(request, requiresPosition ? positionAtLeast : '')], remainingMs
+  )
   if (reply === undefined) return unknownOutcome('silent')
   if (reply.declineReason === 'unknownStatement') pooled.prepared.clear()
   return outcomeOf(request, reply)
--- a/packages/gateway/src/coordination/session.ts
+++ b/packages/gateway/src/coordination/session.ts
@@ -10,7 +10,7 @@
 import type { Configuration, Route, Workspace } from '../state/configuration.js'
 import { laterPosition } from '../state/position.js'
 import type { Admission } from './admission.js'
-import type { HeldAt, StatementRouter } from './statement-router.js'
+import type { TransactionLocation, StatementRouter } from './statement-router.js'
 import { notRun } from './statement.js'
 import type { StatementOutcome, StatementRequest } from './statement.js'
 
@@ -69,7 +69,7 @@
   log: Logger
 }
 
-type Transaction = { readOnly: boolean, route: Route, at: HeldAt | undefined, isFailed: boolean }
+type Transaction = { readOnly: boolean, route: Route, location: TransactionLocation | undefined, isFailed: boolean }
 type Identity = { route: Route, workspace: Workspace | undefined }
 
 const maxValues = 64
@@ -106,22 +106,22 @@
   }
 
   const transactionState = () => transaction === undefined ? 'none' : transaction.isFailed ? 'failed' : 'open'
-  const answer = (rest: Partial<SessionAnswer> = {}): SessionAnswer =>
-    ({ message: '', rows: [], signature: '', transaction: transactionState(), isOver: false, ...rest })
-  const refuse = (error: SessionError, message: string, isOver = false) => answer({ error, message, isOver })
+  const respond = (overrides: Partial<SessionAnswer> = {}): SessionAnswer =>
+    ({ message: '', rows: [], signature: '', transaction: transactionState(), isOver: false, ...overrides })
+  const refuse = (error: SessionError, message: string, isOver = false) => respond({ error, message, isOver })
 
-  const homesOf = ({ route, workspace }: Identity): string[] => {
+  const permittedRegionsOf = ({ route, workspace }: Identity): string[] => {
     const routeHomes = route.homeRegions
     const workspaceHomes = workspace?.homeRegions ?? []
     if (routeHomes.length === 0) return [...workspaceHomes]
     if (workspaceHomes.length === 0) return [...routeHomes]
-    const both = routeHomes.filter(region => workspaceHomes.includes(region))
+    const sharedRegions = routeHomes.filter(region => workspaceHomes.includes(region))
     // No region is permitted by both lists: 'none' matches no region. An empty list would permit all.
-    return both.length > 0 ? both : ['none']
+    return sharedRegions.length > 0 ? sharedRegions : ['none']
   }
 
   const requestOf = (
-    requestId: string, { route, workspace }: Identity, rest: Partial<StatementRequest>
+    requestId: string, { route, workspace }: Identity, overrides: Partial<StatementRequest>
   ): StatementRequest => ({
     requestId,
     group: route.group,
@@ -141,10 +141,10 @@
     timeoutMs: route.timeoutMs,
     maxQueuedMs: Math.round(route.targetLatencyMs * maxQueuedFraction),
     priority: route.priority,
-    ...rest
+    ...overrides
   })
 
-  const errorOf = (outcome: StatementOutcome, inTransaction: boolean): SessionAnswer => {
+  const errorResponse = (outcome: StatementOutcome, inTransaction: boolean): SessionAnswer => {
     const { reason } = outcome
     if (outcome.status === 'UNKNOWN') return refuse('inDoubt', `outcome not known: ${reason}`)
     if (outcome.status === 'FAILED') return refuse('failed', reason)
@@ -156,7 +156,7 @@
 
   const succeed = (outcome: StatementOutcome, hasCommitted: boolean): SessionAnswer => {
     if (hasCommitted && outcome.position !== '') ownPosition = laterPosition(outcome.position, ownPosition)
-    return answer({ rows: outcome.rows, signature: outcome.signature })
+    return respond({ rows: outcome.rows, signature: outcome.signature })
   }
 
   const logOutcome = (request: StatementRequest, outcome: StatementOutcome) => {
@@ -182,105 +182,107 @@
     const { route } = identity
     if (!await isAdmitted(request.requestId, identity)) return refuse('refused', limitMessage)
     const needsPrimary = route.kind === 'primary' || request.access === 'WRITE'
-    let { outcome } = await router.route({ request, route, regions: homesOf(identity), needsPrimary })
+    let { outcome } = await router.route({ request, route, regions: permittedRegionsOf(identity), needsPrimary })
     if (outcome.reason === 'lagging' && !needsPrimary) {
-      outcome = (await router.route({ request, route, regions: homesOf(identity), needsPrimary: true })).outcome
+      outcome = (await router.route({
+        request, route, regions: permittedRegionsOf(identity), needsPrimary: true
+      })).outcome
     }
     logOutcome(request, outcome)
-    if (outcome.status !== 'DONE') return errorOf(outcome, false)
+    if (outcome.status !== 'DONE') return errorResponse(outcome, false)
     return succeed(outcome, request.access === 'WRITE')
   }
 
   /** Runs the first statement of a transaction; its database and holder serve the rest of the transaction. */
-  const runFirst = async (
-    identity: Identity, opened: Transaction, request: StatementRequest
+  const runFirstStatement = async (
+    identity: Identity, current: Transaction, request: StatementRequest
   ): Promise<StatementOutcome> => {
-    const { route } = opened
-    const needsPrimary = route.kind === 'primary' || !opened.readOnly
-    const opening = {
-      ...request, transaction: opened.readOnly ? 'OPEN_READ_ONLY' as const : 'OPEN_READ_WRITE' as const
+    const { route } = current
+    const needsPrimary = route.kind === 'primary' || !current.readOnly
+    const openingRequest = {
+      ...request, transaction: current.readOnly ? 'OPEN_READ_ONLY' as const : 'OPEN_READ_WRITE' as const
     }
-    const regions = homesOf({ ...identity, route })
-    let routed = await router.route({ request: opening, route, regions, needsPrimary })
-    if (routed.outcome.reason === 'lagging' && !needsPrimary) {
-      routed = await router.route({ request: opening, route, regions, needsPrimary: true })
+    const regions = permittedRegionsOf({ ...identity, route })
+    let result = await router.route({ request: openingRequest, route, regions, needsPrimary })
+    if (result.outcome.reason === 'lagging' && !needsPrimary) {
+      result = await router.route({ request: openingRequest, route, regions, needsPrimary: true })
     }
-    opened.at = routed.at
-    return routed.outcome
+    current.location = result.location
+    return result.outcome
   }
 
   const runInTransaction = async (
-    identity: Identity, opened: Transaction, request: StatementRequest
+    identity: Identity, current: Transaction, request: StatementRequest
   ): Promise<SessionAnswer> => {
-    if (opened.isFailed) return refuse('malformed', 'the transaction has failed; end it first')
-    const outcome = opened.at === undefined
-      ? await runFirst(identity, opened, request)
-      : await router.continueAt({
-        ...request, database: opened.at.database, needsPrimary: isAtPrimary(opened), transaction: 'CONTINUE'
-      }, opened.at)
+    if (current.isFailed) return refuse('malformed', 'the transaction has failed; end it first')
+    const outcome = current.location === undefined
+      ? await runFirstStatement(identity, current, request)
+      : await router.continueTransaction({
+        ...request, database: current.location.database, needsPrimary: isAtPrimary(current), transaction: 'CONTINUE'
+      }, current.location)
     logOutcome(request, outcome)
     if (outcome.status === 'DONE' && outcome.transactionOpen) return succeed(outcome, false)
-    opened.isFailed = true
-    opened.at = undefined
+    current.isFailed = true
+    current.location = undefined
     if (outcome.status === 'DONE') return refuse('aborted', 'the database ended the transaction')
-    return errorOf(outcome.status === 'UNKNOWN' ? notRun(outcome.reason) : outcome, true)
+    return errorResponse(outcome.status === 'UNKNOWN' ? notRun(outcome.reason) : outcome, true)
   }
 
-  const isAtPrimary = (opened: Transaction) => opened.route.kind === 'primary' || !opened.readOnly
+  const isAtPrimary = (current: Transaction) => current.route.kind === 'primary' || !current.readOnly
 
-  const commit = async (requestId: string, identity: Identity, opened: Transaction): Promise<SessionAnswer> => {
-    if (opened.isFailed) {
+  const commit = async (requestId: string, identity: Identity, current: Transaction): Promise<SessionAnswer> => {
+    if (current.isFailed) {
       transaction = undefined
       return refuse('aborted', 'the transaction had failed and was rolled back')
     }
-    const request = requestOf(requestId, { ...identity, route: opened.route }, { verb: 'COMMIT', access: 'WRITE' })
-    const outcome = opened.at === undefined
-      ? await runFirst(identity, opened, request)
-      : await router.continueAt({
-        ...request, database: opened.at.database, needsPrimary: isAtPrimary(opened), transaction: 'CONTINUE'
-      }, opened.at)
+    const request = requestOf(requestId, { ...identity, route: current.route }, { verb: 'COMMIT', access: 'WRITE' })
+    const outcome = current.location === undefined
+      ? await runFirstStatement(identity, current, request)
+      : await router.continueTransaction({
+        ...request, database: current.location.database, needsPrimary: isAtPrimary(current), transaction: 'CONTINUE'
+      }, current.location)
     transaction = undefined
     logOutcome(request, outcome)
-    if (outcome.status === 'DONE') return succeed(outcome, !opened.readOnly)
-    const leavesNoTrace = opened.readOnly && outcome.status === 'UNKNOWN'
-    return errorOf(leavesNoTrace ? notRun(outcome.reason) : outcome, true)
+    if (outcome.status === 'DONE') return succeed(outcome, !current.readOnly)
+    const hasNoEffect = current.readOnly && outcome.status === 'UNKNOWN'
+    return errorResponse(hasNoEffect ? notRun(outcome.reason) : outcome, true)
   }
 
   const rollBack = () => {
-    if (transaction?.at !== undefined) router.abandon(id, transaction.at)
+    if (transaction?.location !== undefined) router.abandon(id, transaction.location)
     transaction = undefined
-    return answer()
+    return respond()
   }
 
   const begin = async (requestId: string, identity: Identity, readOnly: boolean): Promise<SessionAnswer> => {
     if (transaction !== undefined) return refuse('malformed', 'a transaction is open already')
     if (!await isAdmitted(requestId, identity)) return refuse('refused', limitMessage)
-    transaction = { readOnly, route: identity.route, at: undefined, isFailed: false }
-    return answer()
+    transaction = { readOnly, route: identity.route, location: undefined, isFailed: false }
+    return respond()
   }
 
-  const setLocally = (change: () => void, map: ReadonlyMap<string, unknown>, name: string, limit: number) => {
+  const changeSessionState = (change: () => void, map: ReadonlyMap<string, unknown>, name: string, limit: number) => {
     if (transaction?.isFailed) return refuse('malformed', 'the transaction has failed; end it first')
     if (!map.has(name) && map.size >= limit) return refuse('refused', 'too many in this session')
     change()
-    return answer()
+    return respond()
   }
 
   const runData = async (
-    requestId: string, identity: Identity, rest: Partial<StatementRequest>
+    requestId: string, identity: Identity, overrides: Partial<StatementRequest>
   ): Promise<SessionAnswer> => {
     const route = transaction?.route ?? identity.route
-    const request = requestOf(requestId, { ...identity, route }, rest)
+    const request = requestOf(requestId, { ...identity, route }, overrides)
     if (transaction === undefined) return await runSingle(identity, request)
     return await runInTransaction(identity, transaction, request)
   }
 
   const execute = async (requestId: string, identity: Identity, name: string, operands: string) => {
-    const known = prepared.get(name)
-    if (known === undefined) return refuse('noSuchStatement', name)
-    const access = known.access === 'write' ? 'WRITE' as const : 'READ' as const
+    const preparedStatement = prepared.get(name)
+    if (preparedStatement === undefined) return refuse('noSuchStatement', name)
+    const access = preparedStatement.access === 'write' ? 'WRITE' as const : 'READ' as const
     return await runData(requestId, identity, {
-      verb: 'EXECUTE', access, text: operands, shape: known.shape, shapeAccess: access
+      verb: 'EXECUTE', access, text: operands, shape: preparedStatement.shape, shapeAccess: access
     })
   }
 
@@ -310,14 +312,14 @@
         return await runData(requestId, identity, { access, text: statement.text })
       }
       case 'execute': return await execute(requestId, identity, statement.name, statement.operands)
-      case 'set': return setLocally(
+      case 'set': return changeSessionState(
         () => values.set(statement.name, statement.value), values, statement.name, maxValues
       )
       case 'prepare': {
         const { name, access, shape } = statement
-        return setLocally(() => prepared.set(name, { access, shape }), prepared, name, maxPrepared)
+        return changeSessionState(() => prepared.set(name, { access, shape }), prepared, name, maxPrepared)
       }
-      case 'deallocate': return setLocally(
+      case 'deallocate': return changeSessionState(
         () => prepared.delete(statement.name), prepared, statement.name, maxPrepared + 1
       )
       case 'malformed': return refuse('malformed', 'not a statement')
@@ -329,8 +331,8 @@
   return {
     handle,
     isAllowed: () => {
-      const now = identify()
-      return typeof now !== 'string' || now === 'refused'
+      const current = identify()
+      return typeof current !== 'string' || current === 'refused'
     },
     isInTransaction: () => transaction !== undefined,
     close: () => { if (transaction !== undefined) rollBack() }
--- a/packages/gateway/src/coordination/statement.ts
+++ b/packages/gateway/src/coordination/statement.ts
@@ -34,18 +34,19 @@
 /** Outcome of a statement. */
 export type StatementOutcome = Omit<RelayMessages.StatementReply__Output, 'reason'> & { reason: StatementReason }
 
-const nothing: StatementOutcome = {
+const emptyOutcome: StatementOutcome = {
   status: 'NOT_RUN', reason: '', rows: [], signature: '', position: '', transactionOpen: false, load: 0, queuedMs: 0
 }
 
 /** Outcome of a statement that did not run and never will. */
-export const notRun = (reason: StatementReason): StatementOutcome => ({ ...nothing, reason })
+export const notRun = (reason: StatementReason): StatementOutcome => ({ ...emptyOutcome, reason })
 
 /** Outcome of a statement that ran and failed. */
-export const failed = (reason: StatementReason): StatementOutcome => ({ ...nothing, status: 'FAILED', reason })
+export const failed = (reason: StatementReason): StatementOutcome => ({ ...emptyOutcome, status: 'FAILED', reason })
 
 /** Outcome of a statement that may or may not have run. */
-export const unknownOutcome = (reason: StatementReason): StatementOutcome => ({ ...nothing, status: 'UNKNOWN', reason })
+export const unknownOutcome = (reason: StatementReason): StatementOutcome =>
+  ({ ...emptyOutcome, status: 'UNKNOWN', reason })
 
 /** True if the statement does not modify data. */
 export const isRead = ({ verb, access }: Pick<StatementRequest, 'verb' | 'access'>): boolean =>
--- a/packages/gateway/src/coordination/store-follower.ts
+++ b/packages/gateway/src/coordination/store-follower.ts
@@ -9,8 +9,8 @@
 import type { FleetView } from '../state/fleet-view.js'
 import type { StoreHistory } from '../state/store-history.js'
 import type { SharedStore, StoreError } from './shared-store.js'
-import { storeAnswerMs } from './store-sources.js'
-import type { News } from './store-sources.js'
+import { storeReplyTimeoutMs } from './store-sources.js'
+import type { ConfirmedChanges } from './store-sources.js'
 
 const retryDelayMs = 200
 
@@ -18,7 +18,7 @@
 export type FollowerOptions = {
   store: SharedStore
   /** Long poll: resolves with the changes after a revision, or with none after a time. */
-  nextNews: (after: number) => Promise<Result<News, StoreError>>
+  nextNews: (after: number) => Promise<Result<ConfirmedChanges, StoreError>>
   history: StoreHistory
   view: FleetView
   contact: Contact
@@ -31,49 +31,49 @@
   const { store, nextNews, history, view, contact, clock, log } = options
   let isConnected = false
 
-  const noteConnection = (connected: boolean, reason: string) => {
+  const recordConnection = (connected: boolean, reason: string) => {
     if (connected === isConnected) return
     isConnected = connected
     log(connected ? events.storeRegained : events.storeLost, { reason, confirmedAgeMs: Math.round(contact.ageMs()) })
   }
 
   const listAll = async (): Promise<number | undefined> => {
-    const asked = clock.now()
-    const listing = await store.list('', storeAnswerMs)
+    const requestedAt = clock.now()
+    const listing = await store.list('', storeReplyTimeoutMs)
     if (listing.err) {
-      noteConnection(false, listing.val.reason)
+      recordConnection(false, listing.val.reason)
       return undefined
     }
     const { entries, revision } = listing.val
     view.replaceAll(entries)
-    noteConnection(true, 'listed')
-    contact.confirm(asked)
+    recordConnection(true, 'listed')
+    contact.confirm(requestedAt)
     history.restart(revision)
     return revision
   }
 
-  const takeIn = (news: News) => {
-    for (const entry of news.entries) view.apply(entry)
-    noteConnection(true, 'watching')
-    contact.confirm(news.confirmed)
+  const applyUpdate = (update: ConfirmedChanges) => {
+    for (const entry of update.entries) view.apply(entry)
+    recordConnection(true, 'watching')
+    contact.confirm(update.confirmed)
     // Recorded after the confirmation, because followers receive it together with the changes.
-    history.note(news)
+    history.note(update)
   }
 
   async function * watch (from: number): AsyncGenerator<number> {
     let revision = from
     while (!signal.aborted) {
-      const news = await nextNews(revision)
-      if (news.err) {
-        if (news.val.reason === 'historyGone') return
-        noteConnection(false, news.val.reason)
+      const update = await nextNews(revision)
+      if (update.err) {
+        if (update.val.reason === 'historyGone') return
+        recordConnection(false, update.val.reason)
         await sleepMs(retryDelayMs, signal)
         continue
       }
       // The revision advanced without entries: changes were missed, so list everything again.
-      if (news.val.entries.length === 0 && news.val.revision > revision) return
-      takeIn(news.val)
-      revision = news.val.revision
+      if (update.val.entries.length === 0 && update.val.revision > revision) return
+      applyUpdate(update.val)
+      revision = update.val.revision
       yield revision
     }
   }
@@ -84,8 +84,8 @@
       await sleepMs(retryDelayMs, signal)
       continue
     }
-    let watched = revision
-    for await (const next of watch(revision)) watched = next
-    if (!signal.aborted) log(events.historyMissed, { revision: watched })
+    let lastRevision = revision
+    for await (const next of watch(revision)) lastRevision = next
+    if (!signal.aborted) log(events.historyMissed, { revision: lastRevision })
   }
 }
--- a/packages/gateway/src/coordination/store-sources.test.ts
+++ b/packages/gateway/src/coordination/store-sources.test.ts
@@ -4,7 +4,7 @@
 import test from 'ava'
 import { createAgeClock, createContact } from '../state/contact.js'
 import { createStoreHistory } from '../state/store-history.js'
-import { tellFollower } from './store-sources.js'
+import { replyToFollower } from './store-sources.js'
 
 const createWatcher = () => {
   const clock = createAgeClock()
@@ -19,18 +19,18 @@
   watcher.history.restart(72)
   watcher.contact.confirm(watcher.clock.now())
   const startedAtMs = performance.now()
-  const news = await tellFollower(watcher, { afterRevision: 70, waitMs: 5000 })
-  t.false(news.complete)
+  const reply = await replyToFollower(watcher, { afterRevision: 70, waitMs: 5000 })
+  t.false(reply.complete)
   t.true(performance.now() - startedAtMs < 1000)
 })
 
 test('a confirmation without changes ends the long poll and is returned with its age', async t => {
   const watcher = createWatcher()
   watcher.history.restart(72)
-  const told = tellFollower(watcher, { afterRevision: 72, waitMs: 60_000 })
+  const reply = replyToFollower(watcher, { afterRevision: 72, waitMs: 60_000 })
   watcher.contact.confirm(watcher.clock.now())
   watcher.history.note({ entries: [], revision: 72 })
-  const { complete, confirmed, changes, ageMs = 0 } = await told
+  const { complete, confirmed, changes, ageMs = 0 } = await reply
   t.deepEqual([complete, confirmed, changes], [true, true, []])
   t.true(ageMs < 1000)
 })
@@ -38,13 +38,13 @@
 test('a watcher without store contact reports no confirmation', async t => {
   const watcher = createWatcher()
   watcher.history.restart(72)
-  t.false((await tellFollower(watcher, { afterRevision: 72, waitMs: 10 })).confirmed)
+  t.false((await replyToFollower(watcher, { afterRevision: 72, waitMs: 10 })).confirmed)
 })
 
 test('a long value is omitted, but its change is reported', async t => {
   const watcher = createWatcher()
   watcher.history.restart(0)
   watcher.history.note({ entries: [change(1), change(2, 40_000)], revision: 2 })
-  const { changes = [] } = await tellFollower(watcher, { afterRevision: 0, waitMs: 10 })
+  const { changes = [] } = await replyToFollower(watcher, { afterRevision: 0, waitMs: 10 })
   t.deepEqual(changes.map(({ revision, valueLeftOut }) => [revision, valueLeftOut]), [[1, false], [2, true]])
 })
--- a/packages/gateway/src/coordination/store-sources.ts
+++ b/packages/gateway/src/coordination/store-sources.ts
@@ -16,20 +16,20 @@
 
 /** Long-poll time of a watch; a watcher's fleet state is confirmed about this often. */
 export const watchWaitMs = 1000
-/** With an older confirmation, the store is polled with `hurriedWaitMs` to get a new one soon. */
-const hurryContactMs = 500
-const hurriedWaitMs = 50
+/** With an older confirmation, the store is polled with `expeditedWaitMs` to get a new one soon. */
+const expediteContactMs = 500
+const expeditedWaitMs = 50
 /** Added to the long-poll time as call time-out, for the round trip and a slow store. */
-export const storeAnswerMs = 1200
+export const storeReplyTimeoutMs = 1200
 /** A watcher forwards each confirmation. Without one for this long, even with a slow store, it is not relied on. */
 const followWaitMs = watchWaitMs + 300
 /** Added to the long-poll time as call time-out, for the round trip within the data centre. */
-const peerAnswerMs = 400
+const peerReplyMarginMs = 400
 /** Longer values are read from the store by each gateway, so that they do not overload the watcher's links. */
 const maxRelayedBytes = 32 * 1024
 
 /** Changes, and a time at which the store held no further ones. */
-export type News = FollowedChanges & { confirmed: Moment }
+export type ConfirmedChanges = FollowedChanges & { confirmed: Moment }
 
 /** Dependencies of the store sources. */
 export type StoreSourcesOptions = {
@@ -53,65 +53,65 @@
   const { name, store, contact, clock, relay, log } = options
   let source = ''
 
-  const later = (moment: Moment, ms: number): Moment =>
+  const addMs = (moment: Moment, ms: number): Moment =>
     ({ monotonicMs: moment.monotonicMs + ms, wallMs: moment.wallMs + ms })
 
-  const fromStore = async (after: number): Promise<Result<News, StoreError>> => {
-    const waitMs = contact.ageMs() > hurryContactMs ? hurriedWaitMs : watchWaitMs
-    const asked = clock.now()
-    const changes = await store.changes('', after, waitMs, waitMs + storeAnswerMs)
+  const fromStore = async (after: number): Promise<Result<ConfirmedChanges, StoreError>> => {
+    const waitMs = contact.ageMs() > expediteContactMs ? expeditedWaitMs : watchWaitMs
+    const requestedAt = clock.now()
+    const changes = await store.changes('', after, waitMs, waitMs + storeReplyTimeoutMs)
     if (changes.err) return Err(changes.val)
     // Without changes, the store was confirmed up to the end of the long poll.
-    const isQuiet = changes.val.entries.length === 0 && clock.ageMs(asked) >= waitMs
-    return Ok({ ...changes.val, confirmed: isQuiet ? later(asked, waitMs) : asked })
+    const hasWaitedFully = changes.val.entries.length === 0 && clock.ageMs(requestedAt) >= waitMs
+    return Ok({ ...changes.val, confirmed: hasWaitedFully ? addMs(requestedAt, waitMs) : requestedAt })
   }
 
   const entryOf = async (
     { key, value, revision, deleted, valueLeftOut }: RelayMessages.StoreChange__Output
   ): Promise<StoredEntry | undefined> => {
     if (!valueLeftOut) return { key, value, revision, deleted }
-    const stored = await store.get(key, storeAnswerMs)
+    const stored = await store.get(key, storeReplyTimeoutMs)
     if (stored.err) return undefined
     return stored.val ?? { key, value: Buffer.alloc(0), revision, deleted: true }
   }
 
   /** Changes from the watcher; undefined if they are incomplete, unavailable or not recently confirmed. */
-  const fromWatcher = async (watcher: Member, after: number): Promise<News | undefined> => {
-    const asked = clock.now()
-    const question = { followStore: { afterRevision: after, waitMs: followWaitMs } }
-    const answer = await relay.ask(watcher, question, followWaitMs + peerAnswerMs)
-    const told = answer.ok ? answer.val.storeNews : undefined
-    if (!told?.complete || !told.confirmed || told.ageMs > followWaitMs) return undefined
-    const entries = await Promise.all(told.changes.map(entryOf))
+  const fromWatcher = async (watcher: Member, after: number): Promise<ConfirmedChanges | undefined> => {
+    const requestedAt = clock.now()
+    const request = { followStore: { afterRevision: after, waitMs: followWaitMs } }
+    const reply = await relay.ask(watcher, request, followWaitMs + peerReplyMarginMs)
+    const update = reply.ok ? reply.val.storeNews : undefined
+    if (!update?.complete || !update.confirmed || update.ageMs > followWaitMs) return undefined
+    const entries = await Promise.all(update.changes.map(entryOf))
     if (entries.includes(undefined)) return undefined
-    const confirmed = later(asked, told.waitedMs - told.ageMs)
-    return { entries: entries.flatMap(entry => entry ?? []), revision: Math.max(after, told.revision), confirmed }
+    const confirmed = addMs(requestedAt, update.waitedMs - update.ageMs)
+    return { entries: entries.flatMap(entry => entry ?? []), revision: Math.max(after, update.revision), confirmed }
   }
 
-  const noteSource = (now: string, watcher: string | undefined) => {
-    if (now === source) return
-    source = now
+  const recordSource = (newSource: string, watcher: string | undefined) => {
+    if (newSource === source) return
+    source = newSource
     log(events.storeSourceChanged, { source, watcher, confirmedAgeMs: Math.round(contact.ageMs()) })
   }
 
-  const next = async (after: number): Promise<Result<News, StoreError>> => {
+  const next = async (after: number): Promise<Result<ConfirmedChanges, StoreError>> => {
     const watcher = watcherOf(options)
     // Does not wait for a watcher without a connection: its process may have ended while its record still exists.
-    const isFollowed = watcher !== undefined && watcher.name !== name && relay.isConnected(watcher)
-    const told = isFollowed ? await fromWatcher(watcher, after) : undefined
-    noteSource(told === undefined ? 'store' : watcher?.name ?? '', watcher?.name)
-    return told === undefined ? await fromStore(after) : Ok(told)
+    const canFollow = watcher !== undefined && watcher.name !== name && relay.isConnected(watcher)
+    const update = canFollow ? await fromWatcher(watcher, after) : undefined
+    recordSource(update === undefined ? 'store' : watcher?.name ?? '', watcher?.name)
+    return update === undefined ? await fromStore(after) : Ok(update)
   }
 
   return { next }
 }
 
 /** Replies to a gateway that follows the store through this one, as soon as there are changes or a confirmation. */
-export const tellFollower = async (
+export const replyToFollower = async (
   { history, contact }: { history: StoreHistory, contact: Contact },
   { afterRevision, waitMs }: RelayMessages.FollowStore__Output
 ): Promise<RelayMessages.StoreNews> => {
-  const askedMs = performance.now()
+  const receivedAtMs = performance.now()
   if (history.since(afterRevision)?.entries.length === 0) await history.untilWoken(waitMs)
   const changes = history.since(afterRevision)
   const ageMs = contact.ageMs()
@@ -125,6 +125,6 @@
     revision: changes?.revision ?? 0,
     confirmed,
     ageMs: confirmed ? Math.ceil(ageMs) : 0,
-    waitedMs: Math.floor(performance.now() - askedMs)
+    waitedMs: Math.floor(performance.now() - receivedAtMs)
   }
 }
