--- a/packages/gateway/src/coordination/database-connection.ts
+++ b/packages/gateway/src/coordination/database-connection.ts
@@ -52,7 +52,7 @@
 export type DatabaseConnection = {
   /** Runs commands in order. The replies end at the first `lost` one, which also closes the connection. */
   run: (commands: readonly DatabaseCommand[], timeoutMs: number) => Promise<DatabaseReply[]>
-  order: (order: DatabaseOrder, timeoutMs: number) => Promise<Result<DatabaseStatus, OrderFailure>>
+  order: (command: DatabaseOrder, timeoutMs: number) => Promise<Result<DatabaseStatus, OrderFailure>>
   isOpen: () => boolean
   onClosed: (listener: () => void) => void
   close: () => void
