gateway: wording of comments on idle connections and backoff

The condition for closing idle connections again names that other gateways cannot reach this one; back-off is spelt backoff as in the rest of the code.

--- a/packages/gateway/src/coordination/connection-pool.test.ts
+++ b/packages/gateway/src/coordination/connection-pool.test.ts
@@ -70,7 +70,7 @@
   t.true(pool.hasCapacity())
 })
 
-test('after the database refused a connection as too many, the pool does not grow during the back-off', async t => {
+test('after the database refused a connection as too many, the pool does not grow during the backoff', async t => {
   const { pool, time, acquire } = createPool(5)
   await acquire('a')
   time.isFull = true
--- a/packages/gateway/src/coordination/database-holder.ts
+++ b/packages/gateway/src/coordination/database-holder.ts
@@ -33,7 +33,7 @@
 const recentReplyMs = 400
 const idlePollMs = 10
 const capacityPollMs = 10
-/** Idle connections of a gateway that is not the database's first holder are closed after this time. */
+/** Idle connections of a gateway that others do not, or cannot, send statements to first are closed after this time. */
 const secondaryIdleMs = 1000
 
 /** Runs statements at one database. */
@@ -51,7 +51,7 @@
   connections: () => number
   /** Drops expired statements, ends idle transactions and dispatches the queue; call often while work is pending. */
   runMaintenance: () => void
-  /** Closes idle connections if this gateway is not the database's first holder; call periodically. */
+  /** Closes idle connections while others do not, or cannot, send their statements here first; call periodically. */
   closeUnused: () => void
   close: () => void
 }
--- a/packages/gateway/src/coordination/relay-calls.ts
+++ b/packages/gateway/src/coordination/relay-calls.ts
@@ -15,7 +15,7 @@
 /** Requests to other gateways. */
 export type RelayCalls = {
   ask: (peer: Member, request: RelayQuestion, timeoutMs: number) => Promise<Result<RelayAnswer, RelayFailure>>
-  /** False during the back-off after the peer did not reply or could not be reached. */
+  /** False during the backoff after the peer did not reply or could not be reached. */
   isUsable: (peer: Member) => boolean
   /** True if the peer has replied on the current connection; opens a connection if there is none. */
   isConnected: (peer: Member) => boolean
--- a/packages/gateway/src/coordination/statement-router.ts
+++ b/packages/gateway/src/coordination/statement-router.ts
@@ -53,9 +53,9 @@
 const networkCostMs = { sameDataCentre: 0, sameRegion: 4, otherRegion: 60 } as const
 /** Estimated slot time in milliseconds of each statement queued ahead. */
 const assumedStatementMs = 25
-/** Back-off after a replica was lagging. */
+/** Backoff after a replica was lagging. */
 const lagBackoffMs = 250
-/** Back-off after a database or holder could not be reached. */
+/** Backoff after a database or holder could not be reached. */
 const failureBackoffMs = 400
 /** Maximum number of databases that are tried for one statement. */
 const maxDatabases = 3
@@ -124,7 +124,7 @@
       .sort((one, other) => costOf(one) - costOf(other))
   }
 
-  /** Candidate holders of the database; those in back-off after a failure come last. */
+  /** Candidate holders of the database; those in backoff after a failure come last. */
   const holdersOf = (database: Database, regions: readonly string[]): Member[] => {
     const isInBackoff = ({ name }: Member) => (holderBackoffUntilMs.get(`${name} ${database.id}`) ?? 0) > nowMs()
     const all = holders.candidates(database, regions)
