--- a/packages/gateway/src/coordination/database-duty.ts
+++ b/packages/gateway/src/coordination/database-duty.ts
@@ -1,18 +1,18 @@
 /**
- * Whether new work may go to a database that is leaving or whose data centre is out.
+ * Availability of a database for new work while it is draining or its data centre is evacuated.
  */
 import type { Database } from '../state/configuration.js'
 import type { FleetView } from '../state/fleet-view.js'
 
-/** A primary may be used for this long while its successor is made; writes would have nowhere else to go. */
-const handoverTimeMs = 3500
+/** Time for which a leaving primary still accepts work during the handover, because no other database takes writes. */
+const handoverGraceMs = 3500
 
-/** True while new work may go to the database. */
-export const takesWork = (view: FleetView, database: Database): boolean => {
-  const isInForce = view.group(database.group)?.record.primary === database.id
-  const outSinceMs = view.evacuated().get(database.dataCentre)
-  if (outSinceMs !== undefined) return isInForce && performance.now() - outSinceMs < handoverTimeMs
+/** True while the database accepts new work. */
+export const acceptsNewWork = (view: FleetView, database: Database): boolean => {
+  const isActivePrimary = view.group(database.group)?.record.primary === database.id
+  const evacuatedSinceMs = view.evacuated().get(database.dataCentre)
+  if (evacuatedSinceMs !== undefined) return isActivePrimary && performance.now() - evacuatedSinceMs < handoverGraceMs
   if (!database.draining) return true
   const drainingSinceMs = view.drainingSince(database.id) ?? -Infinity
-  return isInForce && performance.now() - drainingSinceMs < handoverTimeMs
+  return isActivePrimary && performance.now() - drainingSinceMs < handoverGraceMs
 }
--- a/packages/gateway/src/coordination/holders.ts
+++ b/packages/gateway/src/coordination/holders.ts
@@ -1,11 +1,11 @@
 /**
- * The holders of all databases whose connections this gateway holds, made when they are first needed.
+ * The holders of all databases that this gateway has connections to, created on first use.
  */
 import type { Database } from '../state/configuration.js'
 import type { FleetView } from '../state/fleet-view.js'
 import { createDatabaseHolder } from './database-holder.js'
 import type { DatabaseHolder, HolderOptions } from './database-holder.js'
-import { takesWork } from './database-duty.js'
+import { acceptsNewWork } from './database-duty.js'
 import { notRun } from './statement.js'
 import type { StatementOutcome, StatementRequest } from './statement.js'
 
@@ -15,36 +15,36 @@
   abandon: (database: string, session: string) => void
   get: (database: string) => DatabaseHolder | undefined
   all: () => DatabaseHolder[]
-  /** Whether the database has answered a statement of this gateway within the last moments. */
+  /** True if the database has replied to a statement of this gateway recently. */
   hasAnsweredLately: (database: string) => boolean
-  /** Closes the holders of databases that are gone or have started anew, and connections that nobody needs here. */
+  /** Closes the holders of removed or restarted databases, and connections that are no longer needed here. */
   retainKnown: () => void
   close: () => void
 }
 
-/** What differs from database to database. */
-type OfOneDatabase = 'database' | 'maxConnections' | 'transactionIdleMs' | 'takesWork' | 'isFirstHolder'
+/** Options of a holder that depend on its database. */
+type PerDatabaseOptions = 'database' | 'maxConnections' | 'transactionIdleMs' | 'acceptsNewWork' | 'isFirstHolder'
 
-/** What the holders work with. */
-export type HoldersOptions = Omit<HolderOptions, OfOneDatabase> & {
+/** Dependencies of the holders. */
+export type HoldersOptions = Omit<HolderOptions, PerDatabaseOptions> & {
   view: FleetView
   isFirstHolder: (database: Database) => boolean
 }
 
-/** How often queues and open transactions are looked at. */
-const upkeepIntervalMs = 50
-/** Used when the configuration does not name a limit. */
+/** Interval at which queues and open transactions are checked. */
+const maintenanceIntervalMs = 50
+/** Defaults if the configuration has no value. */
 const defaultTransactionIdleMs = 3000
 const defaultMaxConnections = 10
 
-/** Creates the table. */
+/** Creates an empty table of holders. */
 export const createHolders = (options: HoldersOptions): Holders => {
   const { view } = options
   const holders = new Map<string, { holder: DatabaseHolder, database: Database }>()
 
   const holderOf = (id: string): DatabaseHolder | undefined => {
-    const known = holders.get(id)
-    if (known !== undefined) return known.holder
+    const existing = holders.get(id)
+    if (existing !== undefined) return existing.holder
     const database = view.databases().get(id)
     if (database === undefined) return undefined
     const current = () => view.databases().get(id) ?? database
@@ -54,44 +54,44 @@
       maxConnections: () => view.configuration()?.groups.get(database.group)?.maxConnections ?? defaultMaxConnections,
       transactionIdleMs: () => view.configuration()?.transactionIdleMs ?? defaultTransactionIdleMs,
       isFirstHolder: () => options.isFirstHolder(current()),
-      takesWork: () => view.databases().has(id) && takesWork(view, current())
+      acceptsNewWork: () => view.databases().has(id) && acceptsNewWork(view, current())
     })
     holders.set(id, { holder, database })
     return holder
   }
 
-  let upkeep: NodeJS.Timeout | undefined
-  let running = 0
+  let maintenanceTimer: NodeJS.Timeout | undefined
+  let runningCount = 0
 
-  const stopUpkeep = () => {
-    clearInterval(upkeep)
-    upkeep = undefined
+  const stopMaintenance = () => {
+    clearInterval(maintenanceTimer)
+    maintenanceTimer = undefined
   }
 
-  const hasWork = () => running > 0 || [...holders.values()].some(({ holder }) => holder.openTransactions() > 0)
+  const hasWork = () => runningCount > 0 || [...holders.values()].some(({ holder }) => holder.openTransactions() > 0)
 
-  /** Runs only while statements run or transactions are open here: most gateways of a large fleet hold nothing. */
-  const startUpkeep = () => {
-    upkeep ??= setInterval(() => {
-      for (const { holder } of holders.values()) holder.upkeep()
-      if (!hasWork()) stopUpkeep()
-    }, upkeepIntervalMs)
+  /** The timer runs only while statements run or transactions are open: most gateways of a large fleet hold none. */
+  const startMaintenance = () => {
+    maintenanceTimer ??= setInterval(() => {
+      for (const { holder } of holders.values()) holder.runMaintenance()
+      if (!hasWork()) stopMaintenance()
+    }, maintenanceIntervalMs)
   }
 
   const run = async (request: StatementRequest): Promise<StatementOutcome> => {
-    running++
-    startUpkeep()
+    runningCount++
+    startMaintenance()
     const outcome = await holderOf(request.database)?.run(request)
-    running--
+    runningCount--
     return outcome ?? notRun('moved')
   }
 
-  const isSame = (database: Database) => {
-    const now = view.databases().get(database.id)
-    return now !== undefined && now.address === database.address && now.bornMs === database.bornMs
+  const isSameInstance = (database: Database) => {
+    const latest = view.databases().get(database.id)
+    return latest !== undefined && latest.address === database.address && latest.bornMs === database.bornMs
   }
 
-  const end = (id: string) => {
+  const closeHolder = (id: string) => {
     holders.get(id)?.holder.close()
     holders.delete(id)
   }
@@ -104,15 +104,17 @@
     hasAnsweredLately: id => holders.get(id)?.holder.hasAnsweredLately() ?? false,
     retainKnown: () => {
       for (const [id, { database, holder }] of holders) {
-        const isGone = !view.databases().has(id)
-        // A database without an entry may still finish what it was given.
-        if (isGone ? holder.load() === 0 && holder.openTransactions() === 0 : !isSame(database)) end(id)
+        const isRemoved = !view.databases().has(id)
+        // A removed database may still finish its statements and transactions.
+        if (
+          isRemoved ? holder.load() === 0 && holder.openTransactions() === 0 : !isSameInstance(database)
+        ) closeHolder(id)
         else holder.closeUnused()
       }
     },
     close: () => {
-      stopUpkeep()
-      for (const id of [...holders.keys()]) end(id)
+      stopMaintenance()
+      for (const id of [...holders.keys()]) closeHolder(id)
     }
   }
 }
--- a/packages/gateway/src/coordination/pinned-transactions.ts
+++ b/packages/gateway/src/coordination/pinned-transactions.ts
@@ -1,5 +1,5 @@
 /**
- * Connections that are kept for their session until its transaction ends.
+ * Connections that are pinned to a session until its transaction ends.
  */
 import type { Logger } from '@egretyoke/common'
 import { events } from '../events.js'
@@ -10,17 +10,17 @@
 /** Open transactions by session. */
 export type PinnedTransactions = {
   pin: (session: string, pooled: PooledConnection) => void
-  /** The session's connection, not pinned any more; undefined when its transaction has ended. */
-  take: (session: string) => PooledConnection | undefined
-  /** Rolls back what is open on a connection and gives it back to the pool. */
+  /** Unpins and returns the session's connection; undefined if its transaction has ended. */
+  unpin: (session: string) => PooledConnection | undefined
+  /** Rolls back the open transaction and releases the connection to the pool; discards it if the rollback fails. */
   rollBack: (pooled: PooledConnection) => Promise<void>
-  /** Ends transactions that have rested for too long. */
+  /** Rolls back transactions that have been idle for longer than `idleMs`. */
   endIdle: () => void
   size: () => number
   close: () => void
 }
 
-/** What the transactions work with. */
+/** Dependencies of the pinned transactions. */
 export type PinnedOptions = {
   pool: ConnectionPool
   idleMs: () => number
@@ -29,30 +29,30 @@
   log: Logger
 }
 
-/** Creates an empty table. */
+/** Creates an empty table of pinned transactions. */
 export const createPinnedTransactions = ({ pool, idleMs, nowMs, database, log }: PinnedOptions): PinnedTransactions => {
   const bySession = new Map<string, { pooled: PooledConnection, sinceMs: number }>()
 
   const rollBack = async (pooled: PooledConnection) => {
     if (!pooled.connection.isOpen()) return pool.discard(pooled)
     const [reply] = await pooled.connection.run([{ kind: 'rollback' }], rollBackTimeoutMs)
-    if (reply?.transaction === 'none' && reply.outcome !== 'lost') return pool.giveBack(pooled)
+    if (reply?.transaction === 'none' && reply.outcome !== 'lost') return pool.release(pooled)
     pool.discard(pooled)
   }
 
-  const take = (session: string) => {
-    const kept = bySession.get(session)
+  const unpin = (session: string) => {
+    const entry = bySession.get(session)
     bySession.delete(session)
-    if (kept === undefined || kept.pooled.connection.isOpen()) return kept?.pooled
-    pool.discard(kept.pooled)
+    if (entry === undefined || entry.pooled.connection.isOpen()) return entry?.pooled
+    pool.discard(entry.pooled)
     return undefined
   }
 
   const endIdle = () => {
-    const longestMs = idleMs()
+    const limitMs = idleMs()
     for (const [session, { pooled, sinceMs }] of bySession) {
       const idleForMs = nowMs() - sinceMs
-      if (idleForMs < longestMs) continue
+      if (idleForMs < limitMs) continue
       bySession.delete(session)
       log(events.idleTransactionEnded, { session, database, idleForMs: Math.round(idleForMs) })
       rollBack(pooled)
@@ -61,7 +61,7 @@
 
   return {
     pin: (session, pooled) => { bySession.set(session, { pooled, sinceMs: nowMs() }) },
-    take,
+    unpin,
     rollBack,
     endIdle,
     size: () => bySession.size,
