--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,6 +1,6 @@
 /**
- * The gateway: serves callers' sessions, holds connections to databases for itself and for other gateways, and takes
- * its part in keeping limits and primaries. Everything that must outlast it lies in the platform's store.
+ * The gateway: serves callers' sessions, holds connections to databases for itself and for other gateways, and shares
+ * in enforcing rate limits and monitoring primaries. State that must survive the process is in the platform's store.
  */
 import { createRegistry, sleepMs } from '@egretyoke/common'
 import type { Logger } from '@egretyoke/common'
@@ -39,21 +39,21 @@
 import type { Member } from './state/stored-records.js'
 import { addRelayService, createRelayLinks } from './transport/relay-links.js'
 
-/** Where a gateway runs and what it may rely on. */
+/** Identity, addresses and time limits of a gateway. */
 export type GatewaySettings = {
   name: string
   dataCentre: string
   regionByDataCentre: ReadonlyMap<string, string>
-  /** HOST:PORT for other gateways. */
+  /** HOST:PORT on which other gateways reach this one. */
   relayAddress: string
   channels: ChannelSettings
-  /** A withdrawn key must be refused everywhere this long after the withdrawal was accepted. */
+  /** Time after its accepted withdrawal by which a key must be refused everywhere. */
   keyWithdrawalMs: number
-  /** Time between the order to end and the end of the process. */
+  /** Time between the request to stop and the end of the process. */
   graceMs: number
 }
 
-/** What the gateway runs on; the adapter of a platform provides it. */
+/** Services of the platform that the gateway calls, implemented by the platform's adapter. */
 export type GatewayPlatform = {
   store: SharedStore
   connect: ConnectDatabase
@@ -64,33 +64,36 @@
 /** A running gateway. */
 export type Gateway = {
   openSession: (database: string, key: string) => Session | SessionError
-  /** Resolves once the gateway knows keys and configuration after its start, at the latest after the time. */
+  /** Resolves once the gateway has loaded keys and configuration after its start, or after the timeout. */
   whenInformed: (timeoutMs: number) => Promise<void>
-  /** False: callers should go elsewhere. */
+  /** Whether the gateway accepts new callers. */
   isReady: () => boolean
-  /** True while callers are better served elsewhere: this gateway has not been ready for a while, and others are. */
+  /**
+   * Whether idle sessions should be closed so that their callers reconnect elsewhere: this gateway has not been ready
+   * for longer than the balancer needs to notice, and another gateway is ready.
+   */
   shouldLetGo: () => boolean
   metrics: GatewayMetrics
   registry: Registry
   noteSessionCount: (count: number) => void
-  /** Takes changed times into force. */
+  /** Applies changed time limits. */
   applyTimes: (times: Pick<GatewaySettings, 'keyWithdrawalMs' | 'graceMs'>) => void
-  /** Takes nothing new, finishes what runs here for others, and leaves the fleet. */
+  /** Accepts no new work, finishes work held here for other gateways, and leaves the fleet. */
   drain: () => Promise<void>
   close: () => Promise<void>
 }
 
-/** Kept free of the time in which a key's withdrawal must be known, for the way of a statement. */
+/** Subtracted from `keyWithdrawalMs` to cover the time in which an admitted statement is still on its way. */
 const keyMarginMs = 900
-/** The balancer sends new callers elsewhere this long after a gateway is not ready. */
+/** Time within which the balancer stops sending new callers to a gateway that is not ready. */
 const balancerNoticeMs = 2200
-/** With an older view a gateway sends callers elsewhere and lets others hold its connections. */
+/** With an older contact with the store a gateway is not ready and leaves its connections to other holders. */
 const readyContactMs = 2000
 const tokenTimeoutMs = 250
 const positionTimeoutMs = 400
 const upkeepIntervalMs = 1000
 const informedPollMs = 10
-/** Part of the time to end in which others may still finish their transactions here. */
+/** Fraction of the grace period in which other gateways may still finish their transactions here. */
 const holderGraceFraction = 0.6
 
 /** Starts a gateway. Rejects when its address is in use. */
@@ -161,7 +164,7 @@
     const request = { workspace, wanted, asker: self.name }
     if (keeper === selfName) return limits.take(request)
     const member = view.members().get(keeper.split('/')[0] ?? '')
-    // A keeper that does not answer is not waited for: the part of the rate known last serves meanwhile.
+    // Does not wait for an allocator that does not answer: admission uses the last known share of the rate meanwhile.
     if (member === undefined || !links.isUsable(member)) return undefined
     const answer = await links.ask(member, { takeTokens: request }, tokenTimeoutMs)
     return answer.ok ? answer.val.tokens ?? undefined : undefined
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,5 +1,5 @@
 /**
- * The gateway and the interfaces that the adapter of a platform implements.
+ * The gateway and the interfaces that a platform's adapter implements.
  */
 export * from './coordination/database-connection.js'
 export type { PromoteDatabase } from './coordination/primary-change.js'
--- a/packages/gateway/src/primaries.test.ts
+++ b/packages/gateway/src/primaries.test.ts
@@ -1,5 +1,6 @@
 /**
- * Primaries that fail, leave, are replaced at their address or lose their gateways, over a small fleet.
+ * Failover over a small fleet: primaries that fail, drain, are replaced by a new process at their address, or whose
+ * gateways lose the store.
  */
 import { sleepMs } from '@egretyoke/common'
 import test from 'ava'
@@ -12,7 +13,7 @@
 const hasNewPrimary = (fleet: MemoryFleet) => () =>
   recordOf(fleet).phase === 'serving' && recordOf(fleet).primary !== 'db-1'
 
-/** Writes until one succeeds; the errors on the way. */
+/** Retries a write until it succeeds, 20 times at most; returns the errors of the failed attempts. */
 const writeUntilDone = async (fleet: MemoryFleet, item: string): Promise<string[]> => {
   const errors: string[] = []
   for (let attempt = 0; attempt < 20; attempt++) {
@@ -24,11 +25,11 @@
   return errors
 }
 
-test('a primary that crashes is replaced, and writes go on', async t => {
+test('a primary that crashes is replaced, and writes succeed again', async t => {
   const fleet = await startMemoryFleet(3)
   await openTestSession(fleet.gateways[1], 'slots').send(write('1'))
   fleet.group.databases.get('db-1')!.state = 'dead'
-  // The first write meets the connection on which the primary has died.
+  // The first write uses a connection that the crash has broken.
   t.deepEqual((await writeUntilDone(fleet, '2')).filter(error => error !== 'inDoubt' && error !== 'refused'), [])
   t.is(fleet.group.ran.filter(({ text }) => text === 'WRITE 2 x').length, 1)
   t.not(recordOf(fleet).primary, 'db-1')
@@ -37,7 +38,7 @@
   await fleet.close()
 })
 
-test('a primary that goes dark is replaced', async t => {
+test('a primary that stops answering is replaced', async t => {
   const fleet = await startMemoryFleet(3)
   await openTestSession(fleet.gateways[0], 'slots').send(write('1'))
   fleet.group.databases.get('db-1')!.state = 'dark'
@@ -46,7 +47,7 @@
   await fleet.close()
 })
 
-test('the database that has received most leads next', async t => {
+test('the replica with the latest received position is promoted', async t => {
   const fleet = await startMemoryFleet(3)
   await openTestSession(fleet.gateways[0], 'slots').send(write('1'))
   fleet.group.holdsBack = true
@@ -57,7 +58,7 @@
   await fleet.close()
 })
 
-test('a primary that leaves is handed over, and no write is refused or lost', async t => {
+test('a draining primary is replaced, and no write is refused or lost', async t => {
   const fleet = await startMemoryFleet(3)
   const { description } = fleet.group.databases.get('db-1')!
   await openTestSession(fleet.gateways[0], 'slots').send(write('1'))
@@ -74,7 +75,7 @@
   await fleet.close()
 })
 
-test('a primary whose process was replaced at its address, with its log and term, is put in force', async t => {
+test('a new process at the primary\'s address with the same log and term becomes the primary', async t => {
   const fleet = await startMemoryFleet(3)
   await openTestSession(fleet.gateways[0], 'slots').send(write('1'))
   const { databases } = fleet.group
@@ -90,7 +91,7 @@
   await fleet.close()
 })
 
-test('a gateway that has lost the store confirms nothing by the time another primary is in force', async t => {
+test('a gateway without contact with the store confirms no write once another primary is current', async t => {
   const fleet = await startMemoryFleet(3)
   const holderName = await (async () => {
     await openTestSession(fleet.gateways[0], 'slots').send(write('1'))
@@ -109,7 +110,7 @@
   await fleet.close()
 })
 
-test('a promotion whose gateway ends in the middle is finished by another, with a higher fence', async t => {
+test('a promotion whose gateway stops midway is finished by another, with a higher fencing token', async t => {
   const fleet = await startMemoryFleet(3)
   await openTestSession(fleet.gateways[0], 'slots').send(write('1'))
   const record = recordOf(fleet)
@@ -121,7 +122,7 @@
   await fleet.close()
 })
 
-test('the write that a gateway confirms is read by every later session on a primary route', async t => {
+test('a later session on a primary route reads at the primary, also while replicas lag', async t => {
   const fleet = await startMemoryFleet(3)
   fleet.group.holdsBack = true
   await openTestSession(fleet.gateways[0], 'slots').send(write('1'))
@@ -130,7 +131,7 @@
   await fleet.close()
 })
 
-test('reads go on at replicas while the primary is away', async t => {
+test('replicas serve reads while the primary does not answer', async t => {
   const fleet = await startMemoryFleet(3)
   await openTestSession(fleet.gateways[0], 'slots').send(write('1'))
   fleet.group.databases.get('db-1')!.state = 'dark'
@@ -140,7 +141,7 @@
   await fleet.close()
 })
 
-test('nobody sends new work to a data centre that is out, and its primary moves away', async t => {
+test('no gateway sends new work to a data centre that is out of service, and its primary is replaced', async t => {
   const fleet = await startMemoryFleet(3)
   await openTestSession(fleet.gateways[0], 'slots').send(write('1'))
   fleet.store.put('out/dc-1', {})
--- a/packages/gateway/src/session.test.ts
+++ b/packages/gateway/src/session.test.ts
@@ -1,5 +1,5 @@
 /**
- * Sessions over a small fleet: what a caller sees of its statements, transactions, values and prepared names.
+ * Sessions over a small fleet: statements, transactions, session values and prepared statements as a caller sees them.
  */
 import test from 'ava'
 import {
@@ -17,7 +17,7 @@
   await fleet.close()
 })
 
-test('databases learn the workspace of the key, never the key', async t => {
+test('databases receive the workspace of the key, never the key', async t => {
   const fleet = await startMemoryFleet(2)
   await openTestSession(fleet.gateways[1], 'slots', 'key-b').send(write('1'))
   t.deepEqual(fleet.group.ran.map(({ workspace }) => workspace), ['yard-b'])
@@ -25,7 +25,7 @@
   await fleet.close()
 })
 
-test('a transaction keeps its connection, and its session values go with it', async t => {
+test('a transaction keeps one connection, and the session values are set on it', async t => {
   const fleet = await startMemoryFleet(3)
   const session = openTestSession(fleet.gateways[1], 'slots')
   const other = openTestSession(fleet.gateways[2], 'slots')
@@ -41,7 +41,7 @@
   await fleet.close()
 })
 
-test('the next session on a connection does not see the values of the one before', async t => {
+test('the next session on a connection does not see the values of the previous session', async t => {
   const fleet = await startMemoryFleet(1)
   const first = openTestSession(fleet.gateways[0], 'slots')
   await first.send({ kind: 'set', name: 'zone', value: 'quay' })
@@ -53,7 +53,7 @@
   await fleet.close()
 })
 
-test('prepared names of sessions do not collide, also where one connection serves both', async t => {
+test('prepared statements of two sessions do not collide on a shared connection', async t => {
   const fleet = await startMemoryFleet(1)
   const one = openTestSession(fleet.gateways[0], 'slots')
   const other = openTestSession(fleet.gateways[0], 'slots')
@@ -67,7 +67,7 @@
   await fleet.close()
 })
 
-test('a failed transaction takes nothing but its end, and its end keeps nothing', async t => {
+test('a failed transaction accepts only commit or rollback, and commit keeps none of its writes', async t => {
   const fleet = await startMemoryFleet(1)
   const session = openTestSession(fleet.gateways[0], 'slots')
   await session.send({ kind: 'begin', readOnly: true })
@@ -79,7 +79,7 @@
   await fleet.close()
 })
 
-test('a caller that leaves in the middle of a transaction leaves nothing open', async t => {
+test('a transaction is rolled back when its caller disconnects', async t => {
   const fleet = await startMemoryFleet(2)
   const session = openTestSession(fleet.gateways[1], 'slots')
   await session.send({ kind: 'begin', readOnly: false })
@@ -91,7 +91,7 @@
   await fleet.close()
 })
 
-test('a transaction that rests too long is ended, and its caller is told that nothing is kept', async t => {
+test('a transaction that is idle too long is rolled back, and its caller gets the error aborted', async t => {
   const fleet = await startMemoryFleet(1)
   const session = openTestSession(fleet.gateways[0], 'slots')
   await session.send({ kind: 'begin', readOnly: false })
@@ -102,7 +102,7 @@
   await fleet.close()
 })
 
-test('a statement that opens a transaction and may have run is not run in a second one', async t => {
+test('a first statement of a transaction that may have run is not retried in a second transaction', async t => {
   const fleet = await startMemoryFleet(2)
   const session = openTestSession(fleet.gateways[0], 'ledger')
   for (const database of fleet.group.databases.values()) database.losesAnswers = true
@@ -112,7 +112,7 @@
   await fleet.close()
 })
 
-test('nor is one that ran while the primary\'s record changed', async t => {
+test('a first statement of a transaction is not retried when the group record changed while it ran', async t => {
   const fleet = await startMemoryFleet(1)
   const session = openTestSession(fleet.gateways[0], 'slots')
   await session.send(write('0'))
@@ -127,7 +127,7 @@
   await fleet.close()
 })
 
-test('a write whose answer is lost is in doubt; a read is tried elsewhere', async t => {
+test('a write whose reply is lost is in doubt; a read is retried at another database', async t => {
   const fleet = await startMemoryFleet(1)
   const primary = fleet.group.databases.get('db-1')!
   const session = openTestSession(fleet.gateways[0], 'ledger')
@@ -140,7 +140,7 @@
   await fleet.close()
 })
 
-test('an unknown key and an unknown database are refused by name', async t => {
+test('an unknown key and an unknown database are refused with their own errors', async t => {
   const fleet = await startMemoryFleet(1)
   const [{ gateway }] = fleet.gateways
   t.is(gateway.openSession('slots', 'no-key'), 'keyUnknown')
@@ -148,7 +148,7 @@
   await fleet.close()
 })
 
-test('a key that is withdrawn stops working for sessions that are open', async t => {
+test('a withdrawn key ends the sessions that are open under it', async t => {
   const fleet = await startMemoryFleet(2)
   const session = openTestSession(fleet.gateways[1], 'slots')
   await session.send({ kind: 'begin', readOnly: false })
@@ -161,7 +161,7 @@
   await fleet.close()
 })
 
-test('a route that is removed serves the open transaction and nothing after it', async t => {
+test('a removed route serves the open transaction and no statement after it', async t => {
   const fleet = await startMemoryFleet(1)
   const session = openTestSession(fleet.gateways[0], 'slots')
   await session.send({ kind: 'begin', readOnly: false })
@@ -173,7 +173,7 @@
   await fleet.close()
 })
 
-test('a session reads its own write, also where the replicas lag', async t => {
+test('a session reads its own write, also while the replicas lag', async t => {
   const fleet = await startMemoryFleet(3)
   fleet.group.holdsBack = true
   const session = openTestSession(fleet.gateways[2], 'ledger')
@@ -183,7 +183,7 @@
   await fleet.close()
 })
 
-test('what was confirmed longer ago than the route allows is never missed by a replica', async t => {
+test('a read does not run at a replica that lacks a commit older than the route\'s maximum staleness', async t => {
   const fleet = await startMemoryFleet(3)
   fleet.group.holdsBack = true
   await openTestSession(fleet.gateways[0], 'slots').send(write('1'))
@@ -193,7 +193,7 @@
   await fleet.close()
 })
 
-test('a workspace without tokens is refused, and nothing of it runs', async t => {
+test('a workspace without tokens is refused, and none of its statements runs', async t => {
   const [workspace] = standardConfiguration.workspaces
   const fleet = await startMemoryFleet(2, {
     ...standardConfiguration, workspaces: [{ ...workspace, ratePerSec: 0, burst: 0 }]
--- a/packages/gateway/src/state/configuration.ts
+++ b/packages/gateway/src/state/configuration.ts
@@ -1,30 +1,30 @@
 /**
- * What operators configure, as the gateway uses it.
+ * The operators' configuration and the databases' descriptions, in the gateway's own types.
  */
 
-/** How fresh the data of a route must be, and where its writes may run. */
+/** Consistency that a route requires of its reads, and which databases may run its writes. */
 export type RouteKind = 'primary' | 'boundedStaleness' | 'readYourWrites'
 
-/** A name that callers connect to, and how their statements are served. */
+/** A database name that callers connect to, with its routing and limits. */
 export type Route = {
-  /** The name that a caller gives when it connects. */
+  /** Database name that a caller gives when it connects. */
   database: string
   kind: RouteKind
   group: string
-  /** Time that one statement may take. */
+  /** Longest time for one statement, including queueing and retries. */
   timeoutMs: number
-  /** Latency objective of a whole operation. */
+  /** Latency objective for a whole operation. */
   targetLatencyMs: number
-  /** 0 is served first. */
+  /** Queue priority; 0 is served first. */
   priority: number
-  /** Commits that were confirmed longer ago must be seen; 0 on `primary` routes. */
+  /** Reads must see every commit that was confirmed longer ago than this; 0 on `primary` routes. */
   maxStalenessMs: number
   openToAll: boolean
-  /** Regions that data of the route may reach; empty: all. */
+  /** Regions that the route's data may reach; empty means all. */
   homeRegions: readonly string[]
 }
 
-/** A workspace and what it may spend over the whole fleet. */
+/** A workspace with its rate limit over the whole fleet. */
 export type Workspace = {
   name: string
   ratePerSec: number
@@ -32,10 +32,10 @@
   homeRegions: readonly string[]
 }
 
-/** A group of databases. */
+/** A database group: one primary and its replicas. */
 export type Group = {
   name: string
-  /** Connections that one of its databases takes from all callers together. */
+  /** Connections that each single database of the group accepts from all clients together. */
   maxConnections: number
 }
 
@@ -46,11 +46,11 @@
   groups: ReadonlyMap<string, Group>
   workspaces: ReadonlyMap<string, Workspace>
   workspaceByKey: ReadonlyMap<string, Workspace>
-  /** A transaction that rests longer may be ended. */
+  /** A transaction that is idle for longer may be rolled back. */
   transactionIdleMs: number
 }
 
-/** A database as it describes itself. */
+/** A database, from the entry that it writes about itself. */
 export type Database = {
   id: string
   group: string
@@ -60,6 +60,6 @@
   slots: number
   draining: boolean
   role: 'primary' | 'replica'
-  /** Unix time of its start, in milliseconds. */
+  /** Unix time at which its process started, in milliseconds. */
   bornMs: number
 }
--- a/packages/gateway/src/state/contact.test.ts
+++ b/packages/gateway/src/state/contact.test.ts
@@ -1,5 +1,5 @@
 /**
- * Contact counts only as long as both clocks agree on its age.
+ * Contact with the store is valid only while the monotonic clock and the wall clock agree on its age.
  */
 import test from 'ava'
 import { createAgeClock, createContact } from './contact.js'
@@ -29,8 +29,8 @@
 })
 
 for (const { title, stepMs } of [
-  { title: 'a suspension, which only the time of day sees, ends contact', stepMs: 3000 },
-  { title: 'a time of day that is set back ends contact', stepMs: -2400 }
+  { title: 'a suspension of the VM, which only the wall clock counts, ends contact', stepMs: 3000 },
+  { title: 'a wall clock that is set back ends contact', stepMs: -2400 }
 ]) {
   test(title, t => {
     const { time, clock, pass, contact } = createClocks()
--- a/packages/gateway/src/state/contact.ts
+++ b/packages/gateway/src/state/contact.ts
@@ -1,22 +1,22 @@
 /**
- * How long ago the platform's store confirmed that this gateway knows everything in it.
+ * Contact with the platform's store: the age of its last confirmation that this gateway's state is complete.
  *
- * A time on one clock is not enough: while a VM is suspended its monotonic clock stands still, and its time of day can
- * be set by hand. A confirmation counts only as long as both clocks agree on its age.
+ * One clock is not enough: the monotonic clock stops while a VM is suspended, and the wall clock can be set. A
+ * confirmation is valid only while both clocks agree on its age.
  */
 import { monotonicMs } from '@egretyoke/common'
 import type { Clock } from '@egretyoke/common'
 
-/** Largest difference between the clocks' ages that does not count as a suspension or a step. */
+/** Largest difference between the two measured ages that is not treated as a suspension or a clock step. */
 export const maxClockDisagreementMs = 250
 
-/** A moment on both clocks. */
+/** One instant, read on both clocks. */
 export type Moment = { monotonicMs: number, wallMs: number }
 
-/** Measures ages on both clocks. */
+/** Measures ages on the monotonic clock, checked against the wall clock. */
 export type AgeClock = {
   now: () => Moment
-  /** Infinity when the clocks disagree. */
+  /** Age in milliseconds; Infinity when the clocks disagree. */
   ageMs: (moment: Moment) => number
 }
 
@@ -30,15 +30,15 @@
   }
 })
 
-/** What the gateway may still rely on. */
+/** Contact of this gateway with the store. */
 export type Contact = {
-  /** The store was known to be as the view says at this moment. */
+  /** Records that the fleet state was equal to the store at this moment; older moments have no effect. */
   confirm: (moment: Moment) => void
-  /** Infinity: never confirmed, or not since a suspension. */
+  /** Age of the last confirmation; Infinity when there is none, or none since a suspension or clock step. */
   ageMs: () => number
 }
 
-/** Creates the contact of a process that has just started. */
+/** Creates a contact without any confirmation. */
 export const createContact = (clock: AgeClock): Contact => {
   let confirmed: Moment | undefined
   const confirm = (moment: Moment) => {
--- a/packages/gateway/src/state/fleet-view.ts
+++ b/packages/gateway/src/state/fleet-view.ts
@@ -1,6 +1,5 @@
 /**
- * What this gateway knows of the platform's store: configuration, databases, evacuations, and the gateways' own
- * records.
+ * This gateway's copy of the platform's store: configuration, databases, evacuations, and the gateways' own records.
  */
 import type { Logger } from '@egretyoke/common'
 import type { StoredEntry } from '@egretyoke/fleet'
@@ -9,40 +8,43 @@
 import { readGroupRecord, readLimitRecord, readMember, recordKeys } from './stored-records.js'
 import type { GroupRecord, LimitRecord, Member } from './stored-records.js'
 
-/** What an entry that the platform, the operators or the databases wrote says. */
+/** Decoded store entry of the platform, the operators or a database; undefined content is unreadable or deleted. */
 export type PlatformFact =
   | { kind: 'configuration', configuration: Configuration | undefined }
   | { kind: 'database', id: string, database: Database | undefined }
   | { kind: 'evacuation', dataCentre: string }
 
-/** Reads an entry; undefined for keys that mean nothing to the gateway. A deleted entry is read by its key. */
+/**
+ * Decodes a store entry; undefined for keys that the gateway does not use. A deleted entry has an empty value and is
+ * identified by its key.
+ */
 export type ReadFact = (key: string, value: Buffer) => PlatformFact | undefined
 
-/** A record with the store revision that it was read at. */
+/** A record with the store revision of its last change. */
 export type Versioned<T> = { record: T, revision: number }
 
-/** The view, brought up to date by `apply`. */
+/** Fleet state, updated by `apply` and `replaceAll`. */
 export type FleetView = {
   configuration: () => Configuration | undefined
   databases: () => ReadonlyMap<string, Database>
   databasesOf: (group: string) => Database[]
-  /** Data centres that are out, with the monotonic time at which this gateway learned of it. */
+  /** Data centres that are out of service, with the monotonic time at which this gateway learned of it. */
   evacuated: () => ReadonlyMap<string, number>
-  /** Monotonic time at which this gateway learned that the database leaves. */
+  /** Monotonic time at which this gateway learned that the database is draining; undefined when it is not. */
   drainingSince: (database: string) => number | undefined
   members: () => ReadonlyMap<string, Member>
-  /** Another number whenever the members have changed. */
+  /** Increases with each change of the members. */
   membersVersion: () => number
   group: (name: string) => Versioned<GroupRecord> | undefined
   limitKeeper: (shard: number) => LimitRecord | undefined
   apply: (entry: StoredEntry) => void
-  /** Takes in a complete listing: what it lacks is gone. */
+  /** Applies a complete listing; entries that it lacks are removed. */
   replaceAll: (entries: readonly StoredEntry[]) => void
-  /** Called with the name of a group whose primary is not the one that it was. */
+  /** Adds a listener that is called with the name of each group whose primary has changed. */
   onGroupChange: (listener: (group: string) => void) => void
 }
 
-/** Creates an empty view. */
+/** Creates an empty fleet state. */
 export const createFleetView = (readFact: ReadFact, log: Logger): FleetView => {
   let configuration: Configuration | undefined
   const revisions = new Map<string, number>()
--- a/packages/gateway/src/state/position.ts
+++ b/packages/gateway/src/state/position.ts
@@ -1,11 +1,11 @@
 /**
- * Positions in a database group's log, written TERM.NUMBER. A later term is later than any number of an earlier one.
+ * Positions in a database group's log, written TERM.NUMBER: ordered by term, then by number.
  */
 
-/** The term of a position; 0 when it cannot be read. */
+/** The term of a position; 0 when the position cannot be parsed. */
 export const termOf = (position: string): number => Number(position.split('.')[0]) || 0
 
-/** Negative, 0 or positive as the first position lies before, at or after the second. An empty position is first. */
+/** Negative, 0 or positive when `one` is before, equal to or after `other`. An empty position is before all others. */
 export const comparePositions = (one: string, other: string): number => {
   const [oneTerm = 0, oneNumber = 0] = one.split('.').map(Number)
   const [otherTerm = 0, otherNumber = 0] = other.split('.').map(Number)
--- a/packages/gateway/src/state/store-history.test.ts
+++ b/packages/gateway/src/state/store-history.test.ts
@@ -1,12 +1,12 @@
 /**
- * What gateways learn that follow the store through another.
+ * Store changes that a gateway keeps for others that follow the store through it.
  */
 import test from 'ava'
 import { createStoreHistory } from './store-history.js'
 
 const change = (key: string, revision: number) => ({ key, value: Buffer.from(`${revision}`), revision, deleted: false })
 
-test('only what came after the listing is told', t => {
+test('only changes after the listing are returned', t => {
   const history = createStoreHistory()
   t.is(history.since(3), undefined)
   history.restart(5)
@@ -16,14 +16,14 @@
   t.deepEqual(history.since(9), { entries: [], revision: 7 })
 })
 
-test('of a key only the newest change is kept', t => {
+test('only the newest change of each key is kept', t => {
   const history = createStoreHistory()
   history.restart(0)
   history.note({ entries: [change('a', 1), change('b', 2), change('a', 3)], revision: 3 })
   t.deepEqual(history.since(0)?.entries.map(({ revision }) => revision), [2, 3])
 })
 
-test('who asks from before the oldest change that is kept is told that changes are missing', t => {
+test('a request from before the oldest retained change returns undefined', t => {
   const history = createStoreHistory()
   history.restart(0)
   const entries = Array.from({ length: 5000 }, (_, index) => change(`key-${index}`, index + 1))
@@ -32,7 +32,7 @@
   t.is(history.since(1000)?.entries.length, 4000)
 })
 
-test('who waits is woken by a change, and by the end of the time', async t => {
+test('a waiter resolves on a change, and on its timeout', async t => {
   const history = createStoreHistory()
   history.restart(0)
   const woken = history.untilWoken(60_000)
--- a/packages/gateway/src/state/store-history.ts
+++ b/packages/gateway/src/state/store-history.ts
@@ -1,29 +1,29 @@
 /**
- * The changes of the platform's store that this gateway has followed, kept for gateways that follow the store through
- * it. Of each key only the newest change is kept: who takes in all of them holds what the store holds.
+ * Recent changes of the platform's store, kept for gateways that follow the store through this one. Only the newest
+ * change of each key is kept, which is enough to reach the store's current state.
  */
 import type { StoredEntry } from '@egretyoke/fleet'
 
-/** Changes after a revision, complete up to another. */
+/** Store changes after a revision, complete up to `revision`. */
 export type FollowedChanges = { entries: StoredEntry[], revision: number }
 
-/** The changes since this gateway last read everything. */
+/** Changes since this gateway last listed the whole store. */
 export type StoreHistory = {
-  /** Begins anew: everything up to the revision was read at once. */
+  /** Clears the history after a listing of the whole store at the revision. */
   restart: (revision: number) => void
   note: (changes: FollowedChanges) => void
-  /** The changes after the revision; undefined when they are not all kept. */
+  /** The changes after the revision; undefined when some of them are no longer kept. */
   since: (revision: number) => FollowedChanges | undefined
-  /** Lets those that wait look again. */
+  /** Resolves all pending `untilWoken` calls. */
   wake: () => void
-  /** Resolves when the history is noted or woken, at the latest after the time. */
+  /** Resolves on the next `note`, `restart` or `wake`, or after the timeout. */
   untilWoken: (timeoutMs: number) => Promise<void>
 }
 
-/** Keys whose newest change is kept. */
+/** Keys for which the newest change is kept. */
 const maxKeys = 4096
 
-/** Creates a history that holds nothing. */
+/** Creates an empty history. */
 export const createStoreHistory = (): StoreHistory => {
   const newest = new Map<string, StoredEntry>()
   const waiting = new Set<() => void>()
@@ -35,7 +35,7 @@
   }
 
   const keep = (entry: StoredEntry) => {
-    // Deleted first, so that the keys stay in the order of their newest change.
+    // Deleted first, so that the map stays ordered by the newest change of each key.
     newest.delete(entry.key)
     newest.set(entry.key, entry)
     if (newest.size <= maxKeys) return
--- a/packages/gateway/src/state/stored-records.ts
+++ b/packages/gateway/src/state/stored-records.ts
@@ -1,14 +1,14 @@
 /**
- * The gateway's own records in the platform's store: VMs, group records and keepers of limits.
+ * Records that gateways write to the platform's store: members, group records and limit records.
  */
 import { Err, Ok, messageOf, typedError } from '@egretyoke/common'
 import type { Result, TypedError } from '@egretyoke/common'
 import { z } from 'zod'
 
-/** Everything that the gateways store lies below this prefix. */
+/** Key prefix of all records written by gateways. */
 export const ownPrefix = 'egretyoke/'
 
-/** Keys of the records. */
+/** Key prefixes of the records, by kind. */
 export const recordKeys = {
   vms: `${ownPrefix}vm/`,
   groups: `${ownPrefix}group/`,
@@ -19,37 +19,37 @@
   name: z.string(),
   dataCentre: z.string(),
   region: z.string(),
-  /** HOST:PORT for other gateways. */
+  /** HOST:PORT on which other gateways reach this one. */
   address: z.string(),
-  /** Differs between two processes of one VM. */
+  /** Unique id of the process, so that a restart on the same VM can be detected. */
   incarnation: z.string(),
   draining: z.boolean()
 })
 
-/** A running gateway. Its record hangs on its lease. */
+/** A running gateway. Its record is attached to its lease and deleted when the lease ends. */
 export type Member = z.infer<typeof memberSchema>
 
 const groupRecordSchema = z.object({
-  /** Id of the database that leads the group. */
+  /** Id of the group's primary. */
   primary: z.string(),
   term: z.number(),
-  /** `changing`: nobody may use the primary until a new one is in force. */
+  /** `changing`: no gateway may use the primary until the next one is recorded. */
   phase: z.enum(['serving', 'changing']),
-  /** NAME/INCARNATION of the gateways that may use the primary. */
+  /** NAME/INCARNATION of the gateways that are permitted to use the primary. */
   users: z.array(z.string()),
-  /** Who changes the primary, as NAME/INCARNATION. */
+  /** NAME/INCARNATION of the gateway that is changing the primary. */
   keeper: z.string()
 })
 
-/** Which primary is in force in a group, and who may use it. */
+/** The current primary of a group and the gateways that are permitted to use it. */
 export type GroupRecord = z.infer<typeof groupRecordSchema>
 
 const limitRecordSchema = z.object({ keeper: z.string() })
 
-/** Which gateway hands out the tokens of a shard of the workspaces. */
+/** The gateway that hands out the rate limit tokens of a shard of the workspaces, as NAME/INCARNATION. */
 export type LimitRecord = z.infer<typeof limitRecordSchema>
 
-/** A stored value that cannot be read. */
+/** A stored value that cannot be parsed. */
 export type UnreadableRecord = TypedError<'unreadableRecord'>
 
 const reader = <T>(schema: z.ZodType<T>) => (value: Buffer): Result<T, UnreadableRecord> => {
@@ -65,9 +65,9 @@
 export const readGroupRecord = reader(groupRecordSchema)
 export const readLimitRecord = reader(limitRecordSchema)
 
-/** The stored form of a record. */
+/** Encodes a record for the store. */
 export const writeRecord = (record: Member | GroupRecord | LimitRecord): Buffer => Buffer.from(JSON.stringify(record))
 
-/** Names a process: a VM's name is used again by its next process. */
+/** Name of a process, NAME/INCARNATION: the VM's name alone is reused by its next process. */
 export const processName = ({ name, incarnation }: Pick<Member, 'name' | 'incarnation'>): string =>
   `${name}/${incarnation}`
--- a/packages/gateway/src/state/token-bucket.ts
+++ b/packages/gateway/src/state/token-bucket.ts
@@ -1,24 +1,24 @@
 /**
- * A token bucket that is empty at a given time: what an earlier keeper of the limit may have handed out until then
- * counts as spent.
+ * A token bucket that is empty at a given time, because tokens that an earlier allocator of the limit may have granted
+ * until then count as spent.
  */
 import { monotonicMs } from '@egretyoke/common'
 import type { Clock } from '@egretyoke/common'
 
-/** Rate and depth of a bucket. */
+/** Refill rate and depth of a bucket. */
 export type BucketTerms = { ratePerSec: number, burst: number }
 
 /** A token bucket. */
 export type TokenBucket = {
-  /** Takes up to `wanted` whole tokens. */
+  /** Removes up to `wanted` whole tokens; returns how many. */
   take: (wanted: number) => number
-  /** Adds tokens, up to the depth. */
+  /** Adds tokens, limited by the depth. */
   add: (tokens: number) => void
-  /** Changes the terms; tokens beyond the new depth are lost. */
+  /** Changes rate and depth; tokens beyond the new depth are discarded. */
   setTerms: (terms: BucketTerms) => void
 }
 
-/** Creates a bucket that was empty at `emptyAtMs` on the clock; now, unless it is given. */
+/** Creates a bucket that was empty at `emptyAtMs` on the clock, by default now. */
 export const createTokenBucket = (
   initial: BucketTerms, clock: Clock = monotonicMs, emptyAtMs: number = clock()
 ): TokenBucket => {
@@ -26,7 +26,7 @@
   let tokens = 0
   let filledAtMs = emptyAtMs
 
-  /** Whoever has a rate gets a whole token at some time. */
+  /** At least one token for a non-zero rate, because with a burst below 1 the bucket would never hold a whole token. */
   const depth = () => Math.max(terms.ratePerSec > 0 ? 1 : 0, terms.burst)
 
   const fill = () => {
--- a/packages/gateway/src/store-watchers.test.ts
+++ b/packages/gateway/src/store-watchers.test.ts
@@ -1,6 +1,6 @@
 /**
- * One gateway of a data centre watches the store for the others: what that spares, and what happens when it ends or is
- * turned away.
+ * One gateway of a data centre watches the store for the others, so that the store gets few watch calls. Guards against
+ * gateways that miss changes or lose readiness when the watcher stops or the store refuses its calls.
  */
 import { sleepMs } from '@egretyoke/common'
 import test from 'ava'
@@ -12,7 +12,7 @@
   const fleet = await startMemoryFleet(1)
   for (let index = 2; index <= size; index++) await fleet.start(`vm-${index}`, 'dc-1')
   await waitUntil(() => fleet.gateways.every(({ gateway }) => gateway.isReady()))
-  // Until all have seen each other.
+  // Waits until the gateways have connected to each other.
   await sleepMs(1200)
   return fleet
 }
@@ -20,7 +20,7 @@
 const knowsVersion = (fleet: MemoryFleet, { name }: FleetGateway, version: number) => fleet.events.some(event =>
   event.gateway === name && event.name === 'configurationInForce' && event.fields.version === version)
 
-/** The gateway that asked the store for changes most often in the time. */
+/** The gateway that made the most watch calls to the store within `forMs`, and the calls of each gateway. */
 const findWatcher = async (fleet: MemoryFleet, forMs: number) => {
   const before = fleet.gateways.map(gateway => gateway.watchCalls())
   await sleepMs(forMs)
@@ -28,7 +28,7 @@
   return { calls, watcher: fleet.gateways[calls.indexOf(Math.max(...calls))] }
 }
 
-test('one gateway of a data centre watches the store, and all learn of a change', async t => {
+test('one gateway of a data centre watches the store, and all receive a change', async t => {
   const fleet = await startDataCentre(4)
   const { calls } = await findWatcher(fleet, 3000)
   t.is(calls.filter(count => count > 0).length, 1, calls.join())
@@ -38,7 +38,7 @@
   await fleet.close()
 })
 
-test('a value that is too long to be passed on reaches all gateways', async t => {
+test('a value that is too long to be forwarded between gateways reaches all of them', async t => {
   const fleet = await startDataCentre(3)
   fleet.configure({
     workspaces: [{
@@ -50,7 +50,7 @@
   await fleet.close()
 })
 
-test('when the watcher ends, the others stay ready and go on learning', async t => {
+test('when the watcher stops, the others stay ready and still receive changes', async t => {
   const fleet = await startDataCentre(4)
   const { watcher } = await findWatcher(fleet, 2000)
   const others = fleet.gateways.filter(gateway => gateway !== watcher)
@@ -68,7 +68,7 @@
   await fleet.close()
 })
 
-test('when the store turns the watcher away, the others stay ready and go on learning', async t => {
+test('when the store refuses the watcher\'s calls, the others stay ready and still receive changes', async t => {
   const fleet = await startDataCentre(3)
   const { watcher } = await findWatcher(fleet, 2000)
   const others = fleet.gateways.filter(gateway => gateway !== watcher)
--- a/packages/gateway/src/store.test.ts
+++ b/packages/gateway/src/store.test.ts
@@ -1,5 +1,5 @@
 /**
- * The gateway and the store: what is learned, what an outage ends, and what is read again after a gap.
+ * The gateway and the store: loss of contact, a full listing after missed changes, unreadable entries and draining.
  */
 import { sleepMs } from '@egretyoke/common'
 import test from 'ava'
@@ -9,7 +9,7 @@
 
 const emptyWorkspace = { name: 'yard-a', ratePerSec: 0, burst: 0, homeRegions: [], keys: ['key-a'] }
 
-test('without the store a gateway refuses in the time of a key\'s withdrawal, and is not ready before', async t => {
+test('without the store a gateway loses readiness, then refuses within the key withdrawal time', async t => {
   const fleet = await startMemoryFleet(1)
   const [only] = fleet.gateways
   const session = openTestSession(only, 'boards')
@@ -23,7 +23,7 @@
   await fleet.close()
 })
 
-test('a gateway that the store turns away lets resting sessions go while others are ready', async t => {
+test('a gateway whose store calls are refused releases idle sessions while another gateway is ready', async t => {
   const fleet = await startMemoryFleet(2)
   const [one, other] = fleet.gateways
   await Promise.all([one, other].map(gateway => openTestSession(gateway, 'slots').send(write('1'))))
@@ -36,7 +36,7 @@
   await fleet.close()
 })
 
-test('a write that no gateway may run without the store is refused at once, not at the end of its time', async t => {
+test('a write that no gateway may run without the store is refused at once, not at its timeout', async t => {
   const fleet = await startMemoryFleet(2)
   const session = openTestSession(fleet.gateways[0], 'slots')
   await session.send(write('1'))
@@ -48,7 +48,7 @@
   await fleet.close()
 })
 
-test('a refusal for the limit is logged under the request\'s id', async t => {
+test('a refusal by the rate limit is logged with the request id', async t => {
   const fleet = await startMemoryFleet(1, { ...standardConfiguration, workspaces: [emptyWorkspace] })
   const session = openTestSession(fleet.gateways[0], 'slots')
   t.is((await session.send(write('1'))).error, 'refused')
@@ -59,7 +59,7 @@
   await fleet.close()
 })
 
-test('a gap in the history is filled by reading everything again', async t => {
+test('after a gap in the change history the whole store is listed again', async t => {
   const fleet = await startMemoryFleet(1)
   const [only] = fleet.gateways
   only.setStoreMode('silent')
@@ -72,7 +72,7 @@
   await fleet.close()
 })
 
-test('an entry that is deleted during a gap is gone afterwards', async t => {
+test('an entry that is deleted during a gap is removed after the listing', async t => {
   const fleet = await startMemoryFleet(1)
   const [only] = fleet.gateways
   fleet.store.put('out/dc-3', {})
@@ -90,7 +90,7 @@
   await fleet.close()
 })
 
-test('an entry that cannot be read disturbs no other', async t => {
+test('an unreadable entry does not affect other entries', async t => {
   const fleet = await startMemoryFleet(1)
   fleet.store.put('egretyoke/vm/strange', 'not a member')
   fleet.store.put('egretyoke/group/strange', { primary: 7 })
@@ -99,7 +99,7 @@
   await fleet.close()
 })
 
-test('a gateway that drains gets no more statements of others and leaves no record', async t => {
+test('a draining gateway gets no statements from other gateways, and its record is deleted', async t => {
   const fleet = await startMemoryFleet(3)
   await openTestSession(fleet.gateways[1], 'slots').send(write('1'))
   const [leaving, ...others] = fleet.gateways
--- a/packages/gateway/src/testing/memory-fleet.ts
+++ b/packages/gateway/src/testing/memory-fleet.ts
@@ -1,5 +1,5 @@
 /**
- * Gateways over stores and databases in memory, talking to each other over loopback, for tests.
+ * Gateways over an in-memory store and in-memory databases, connected to each other over loopback, for tests.
  */
 import { createServer } from 'node:net'
 import type { AddressInfo } from 'node:net'
@@ -15,15 +15,15 @@
 import { createMemoryStore } from './memory-store.js'
 import type { MemoryStore, StoreMode } from './memory-store.js'
 
-/** One line of a gateway's log. */
+/** An event that a gateway logged. */
 export type LoggedEvent = { gateway: string, name: string, fields: EventFields }
 
-/** A gateway of the fleet. */
+/** A gateway of the fleet, with the fault mode of its store client and the number of its watch calls. */
 export type FleetGateway = {
   name: string, gateway: Gateway, setStoreMode: (mode: StoreMode) => void, watchCalls: () => number
 }
 
-/** A small fleet before one group. */
+/** A small fleet of gateways that serves one database group. */
 export type MemoryFleet = {
   store: MemoryStore
   group: MemoryGroup
@@ -34,7 +34,7 @@
   close: () => Promise<void>
 }
 
-/** What operators store, for tests. */
+/** The configuration as the tests store it. */
 export type StoredConfiguration = {
   version: number, routes: Route[], workspaces: Array<Workspace & { keys: string[] }>
 }
@@ -83,7 +83,7 @@
   return { kind: 'database', id: key.slice('database/'.length), database }
 }
 
-/** A port that was free a moment ago. */
+/** Resolves with a port that was free when it was tried. */
 const freePort = () => new Promise<number>(resolve => {
   const server = createServer().listen(0, '127.0.0.1', () => {
     const { port } = server.address() as AddressInfo
@@ -91,11 +91,11 @@
   })
 })
 
-/** Waits until the condition holds; throws after the time. */
+/** Resolves when the condition holds; rejects after the timeout. */
 export const waitUntil = async (isMet: () => boolean, timeoutMs = 10_000): Promise<void> => {
   const endAtMs = performance.now() + timeoutMs
   while (!isMet()) {
-    if (performance.now() > endAtMs) throw new Error('waited in vain')
+    if (performance.now() > endAtMs) throw new Error('condition not met before the timeout')
     await sleepMs(5)
   }
 }
@@ -148,14 +148,14 @@
   }
 }
 
-/** A session with numbered requests. */
+/** A session that numbers its requests. */
 export type TestSession = Session & {
   send: (statement: SessionStatement) => Promise<SessionAnswer>, lastRequest: () => string
 }
 
 let sessionCount = 0
 
-/** Opens a session; throws when it is refused. */
+/** Opens a session; throws when the gateway refuses it. */
 export const openTestSession = ({ gateway }: FleetGateway, database: string, key = 'key-a'): TestSession => {
   const session = gateway.openSession(database, key)
   if (typeof session === 'string') throw new Error(`refused: ${session}`)
@@ -168,6 +168,6 @@
   }
 }
 
-/** A read, and a write. */
+/** Statements that read or write one item. */
 export const read = (item: string): SessionStatement => ({ kind: 'text', access: 'read', text: `READ ${item}` })
 export const write = (item: string): SessionStatement => ({ kind: 'text', access: 'write', text: `WRITE ${item} x` })
--- a/packages/gateway/src/testing/memory-group.ts
+++ b/packages/gateway/src/testing/memory-group.ts
@@ -1,6 +1,6 @@
 /**
- * A group of databases in memory, for tests: a log with terms, replicas that are fed by hand or at once, connections
- * with session state, and a record of everything that ran.
+ * An in-memory database group for tests: a log with terms, replicas that are updated at once or on request, connections
+ * with session state, and a record of all statements that ran.
  */
 import { Err, Ok, sleepMs, typedError } from '@egretyoke/common'
 import type {
@@ -12,7 +12,7 @@
 
 type LogEntry = { position: string, requestId: string }
 
-/** What a database ran, in order. */
+/** A statement that a database ran. */
 export type RunStatement = {
   database: string
   connection: number
@@ -23,15 +23,15 @@
   inTransaction: boolean
 }
 
-/** One database of the group and its faults. */
+/** One database of the group, with its faults. */
 export type MemoryDatabase = {
   description: Database
   log: LogEntry[]
   role: 'primary' | 'replica'
   term: number
-  /** `dead` refuses connections, `dark` never answers. */
+  /** `dead` refuses and closes connections; `dark` never answers. */
   state: 'alive' | 'dead' | 'dark'
-  /** Runs statements but does not answer them. */
+  /** Runs statements and commits without answering them. */
   losesAnswers: boolean
   workMs: number
   running: number
@@ -39,15 +39,15 @@
   connections: number
 }
 
-/** The group. */
+/** The group, its adapter functions and its records. */
 export type MemoryGroup = {
   databases: Map<string, MemoryDatabase>
   connect: ConnectDatabase
   promote: PromoteDatabase
   ran: RunStatement[]
-  /** Fences of the promotions that were asked for, in order. */
+  /** Fencing tokens of the requested promotions, in order. */
   fences: number[]
-  /** Brings the replicas up to the primary's log; it happens by itself unless `holdsBack` is set. */
+  /** Copies the primary's log to the replicas; done after each write unless `holdsBack` is set. */
   replicate: () => void
   holdsBack: boolean
 }
@@ -78,7 +78,7 @@
   connections: 0
 })
 
-/** Creates a group of three; the first is the primary. */
+/** Creates a group of three databases; the first is the primary. */
 export const createMemoryGroup = (group = 'bookings'): MemoryGroup => {
   const ids = ['db-1', 'db-2', 'db-3']
   const databases = new Map(ids.map((id, index) => [id, describe(id, index, group)]))
--- a/packages/gateway/src/testing/memory-store.ts
+++ b/packages/gateway/src/testing/memory-store.ts
@@ -1,25 +1,25 @@
 /**
- * The shared store in memory, with faults, for tests.
+ * An in-memory shared store with faults, for tests.
  */
 import { Err, Ok, sleepMs, typedError } from '@egretyoke/common'
 import { createPlatformStore } from '@egretyoke/standins'
 import type { KeptEntry } from '@egretyoke/standins'
 import type { SharedStore } from '../coordination/shared-store.js'
 
-/** How the store treats calls: `silent` brings no answer, `lost` carries out what is asked and does not answer. */
+/** How the store handles calls: `silent` neither runs nor answers them, `lost` runs them without answering. */
 export type StoreMode = 'serving' | 'silent' | 'refusing' | 'lost'
 
-/** One gateway's way to the store. */
+/** One gateway's client of the store. */
 export type MemoryClient = SharedStore & { setMode: (mode: StoreMode) => void, watchCalls: () => number }
 
-/** A store that several gateways of one test share. */
+/** A store that all gateways of a test share. */
 export type MemoryStore = {
-  /** A client; its mode can differ from that of others. */
+  /** Creates a client with a fault mode of its own. */
   client: () => MemoryClient
   put: (key: string, value: unknown) => number
   remove: (key: string) => void
   read: (key: string) => unknown
-  /** Forgets changes up to now: watches from before are told that history is gone. */
+  /** Discards all changes up to now: watches from an earlier revision fail with `historyGone`. */
   compact: () => void
 }
 
--- a/packages/gateway/src/transport/relay-link.ts
+++ b/packages/gateway/src/transport/relay-link.ts
@@ -1,6 +1,6 @@
 /**
- * The way to one other gateway: one stream on a connection of its own, with requests matched to replies by number.
- * A link that does not answer pings is given up together with its connection, which may have gone silent for good.
+ * Link to one other gateway: one stream on a connection of its own, with requests matched to replies by number. When
+ * pings are not answered, the link closes its connection too, because the connection itself may be dead.
  */
 import type { ClientDuplexStream } from '@grpc/grpc-js'
 import { Err, Ok, typedError } from '@egretyoke/common'
@@ -9,17 +9,15 @@
 import type { ChannelSettings, RelayMessages } from '@egretyoke/protocol'
 import type { RelayAnswer, RelayFailure, RelayQuestion } from '../coordination/relay-calls.js'
 
-/** A peer that does not answer a ping for longer is taken for unreachable. */
+/** Time without an answer to a ping after which the peer counts as unreachable. */
 const silenceMs = 500
-/** How often a link has to be looked at. While answers are awaited, a silent peer is pinged as often. */
+/** Interval of `tick`, and of the pings to a silent peer while replies are pending. */
 export const tickMs = 200
-/** A tick that comes later than this was held up here, and says nothing of the peer. */
+/** After a longer gap between ticks this process was stalled, so the silence is not counted against the peer. */
 const lateTickMs = 2 * tickMs
-/** A link that was not used for longer is closed. */
+/** A link without requests for longer is closed. */
 const unusedCloseMs = 15_000
-/**
- * A link that failed is opened again after this time, for as long as it was in use, and counts as usable once it is.
- */
+/** Delay before a failed link that was recently used is reopened; it counts as usable once it is established. */
 const reopenMs = 400
 const maxPending = 4096
 
@@ -30,11 +28,14 @@
 export type RelayLink = {
   ask: (question: RelayQuestion, timeoutMs: number) => Promise<Result<RelayAnswer, RelayFailure>>
   isUsable: () => boolean
-  /** Whether the peer has answered; opens the link if need be. */
+  /** Whether the peer has answered on the open link; opens the link when there is none. */
   isConnected: () => boolean
-  /** Whether the peer has just said that it takes new sessions. */
+  /** Whether the peer reported in its last pong that it accepts new sessions. */
   isPeerReady: () => boolean
-  /** Pings a peer that is silent, or gives the link up; to be called every `tickMs`. */
+  /**
+   * Pings a silent peer, or closes the link when the peer is unreachable or the link unused; call it every `tickMs`.
+   * With no reply pending, a peer is pinged after `idlePingMs` of silence.
+   */
   tick: (idlePingMs: number) => void
   close: () => void
 }
@@ -42,7 +43,7 @@
 const failure = (reason: 'unsent' | 'lost', address: string) =>
   Err(typedError(reason, `Gateway ${address} did not answer.`, { address }))
 
-/** Creates a link; it connects when it is first used. `onDown` hears of each loss, with the reason. */
+/** Creates a link, which connects on first use. `onDown` is called with the reason for each loss of the link. */
 export const createRelayLink = (
   address: string, channels: ChannelSettings, onDown: (reason: string) => void
 ): RelayLink => {
@@ -57,7 +58,7 @@
   let reopenTimer: NodeJS.Timeout | undefined
   let nextNumber = 1
   let lastTickMs = 0
-  /** When the first ping was sent that nothing was heard after; undefined when something was. */
+  /** Send time of the oldest ping without a reply since; undefined when the peer has replied to all. */
   let pingedMs: number | undefined
   const pending = new Map<number, Pending>()
 
@@ -80,7 +81,7 @@
     for (const { isSent, settle } of lost) settle(failure(isSent ? 'lost' : 'unsent', address))
   }
 
-  /** Tries the peer again without a request that would have to wait for it. */
+  /** Reconnects in the background, so that no request has to wait for it. */
   const reopenLater = () => {
     clearTimeout(reopenTimer)
     if (isClosed || performance.now() - lastUsedMs > unusedCloseMs) return
@@ -111,7 +112,6 @@
     stream?.write({ number: 0, ping: {} })
   }
 
-  /** A peer of whom nothing is awaited is pinged after `idlePingMs`. */
   const tick = (idlePingMs: number) => {
     if (stream === undefined) return
     const nowMs = performance.now()
--- a/packages/gateway/src/transport/relay-links.ts
+++ b/packages/gateway/src/transport/relay-links.ts
@@ -1,5 +1,5 @@
 /**
- * Links to other gateways by address, and the listener for theirs.
+ * Links to other gateways by address, and the service that answers their links.
  */
 import type { Server, ServerDuplexStream } from '@grpc/grpc-js'
 import type { Logger } from '@egretyoke/common'
@@ -11,19 +11,19 @@
 import type { RelayLink } from './relay-link.js'
 
 const maxLinks = 2048
-/** Pings that all idle links together may send; with many links each is pinged less often. */
+/** Pings that all idle links together may send; with many links each one is pinged less often. */
 const maxIdlePingsPerSec = 25
 
-/** Links, to be closed. */
+/** Links to other gateways. */
 export type RelayLinks = RelayCalls & {
-  /** Whether some peer takes new sessions. */
+  /** Whether at least one peer accepts new sessions. */
   isAnyReady: () => boolean
-  /** Closes the links to addresses that are not in the list. */
+  /** Closes the links to addresses that are not in the set. */
   retain: (addresses: ReadonlySet<string>) => void
   close: () => void
 }
 
-/** Creates the links. */
+/** Creates an empty table of links; a link is created on the first request to its address. */
 export const createRelayLinks = (channels: ChannelSettings, log: Logger): RelayLinks => {
   const links = new Map<string, RelayLink>()
 
@@ -62,11 +62,11 @@
   }
 }
 
-/** Answers a request of another gateway; undefined when it wants no answer. */
+/** Handles a request of another gateway; resolves with undefined when the request needs no reply. */
 export type HandleRelayed =
   (request: RelayMessages.RelayRequest__Output) => Promise<Omit<RelayMessages.RelayReply, 'number'> | undefined>
 
-/** Adds the service to a listener. Requests of a stream are answered as they finish. */
+/** Adds the relay service to a gRPC server. Requests of one stream are answered in the order in which they finish. */
 export const addRelayService = (server: Server, handle: HandleRelayed): void => {
   type Call = ServerDuplexStream<RelayMessages.RelayRequest__Output, RelayMessages.RelayReply>
   server.addService(relayProto.Relay.service, {
