--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -12,7 +12,7 @@
 }
 
 /** Values of the gauges, read at each scrape. */
-export type GatewayReadings = {
+export type GaugeReaders = {
   sessions: () => number
   contactAgeMs: () => number
   databaseConnections: () => number
@@ -21,18 +21,18 @@
 }
 
 /** Bucket bounds of the latency histogram, in seconds. */
-const latencyBounds = [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2]
+const latencyBucketsSec = [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2]
 
 /** Registers the gateway's metrics in the registry. */
-export const createGatewayMetrics = (registry: Registry, readings: GatewayReadings): GatewayMetrics => {
+export const createGatewayMetrics = (registry: Registry, gaugeReaders: GaugeReaders): GatewayMetrics => {
   const registers = [registry]
   const gauge = (name: string, help: string, read: () => number) =>
     new Gauge({ name, help, registers, collect () { this.set(read()) } })
-  gauge('egretyoke_sessions', 'Open caller sessions', readings.sessions)
-  gauge('egretyoke_contact_age_ms', 'Age in milliseconds of the last confirmation by the store', readings.contactAgeMs)
-  gauge('egretyoke_database_connections', 'Open connections to databases', readings.databaseConnections)
-  gauge('egretyoke_open_transactions', 'Open transactions, each on its own connection', readings.openTransactions)
-  gauge('egretyoke_statements_waiting', 'Statements queued for or running at databases', readings.queuedStatements)
+  gauge('egretyoke_sessions', 'Open caller sessions', gaugeReaders.sessions)
+  gauge('egretyoke_contact_age_ms', 'Age of the last confirmation by the store', gaugeReaders.contactAgeMs)
+  gauge('egretyoke_database_connections', 'Open connections to databases', gaugeReaders.databaseConnections)
+  gauge('egretyoke_open_transactions', 'Open transactions, each on its own connection', gaugeReaders.openTransactions)
+  gauge('egretyoke_statements_waiting', 'Statements queued for or running at databases', gaugeReaders.queuedStatements)
   return {
     statements: new Counter({
       name: 'egretyoke_statements_total', help: 'Statements answered, by result', labelNames: ['result'], registers
@@ -41,7 +41,7 @@
       name: 'egretyoke_statement_seconds',
       help: 'Time from receiving a statement to its answer',
       labelNames: ['kind'],
-      buckets: latencyBounds,
+      buckets: latencyBucketsSec,
       registers
     }),
     logLinesDropped: new Counter({
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -33,7 +33,7 @@
 import { createAgeClock, createContact } from './state/contact.js'
 import type { Database } from './state/configuration.js'
 import { createFleetView } from './state/fleet-view.js'
-import type { ReadFact } from './state/fleet-view.js'
+import type { DecodePlatformEntry } from './state/fleet-view.js'
 import { createStoreHistory } from './state/store-history.js'
 import { processName } from './state/stored-records.js'
 import type { Member } from './state/stored-records.js'
@@ -58,41 +58,41 @@
   store: SharedStore
   connect: ConnectDatabase
   promote: PromoteDatabase
-  readFact: ReadFact
+  readFact: DecodePlatformEntry
 }
 
 /** A running gateway. */
 export type Gateway = {
   openSession: (database: string, key: string) => Session | SessionError
   /** Resolves once the gateway has loaded keys and configuration after its start, or after the timeout. */
-  whenInformed: (timeoutMs: number) => Promise<void>
+  whenStateLoaded: (timeoutMs: number) => Promise<void>
   /** Whether the gateway accepts new callers. */
   isReady: () => boolean
   /**
    * Whether idle sessions should be closed so that their callers reconnect elsewhere: this gateway has not been ready
    * for longer than the balancer needs to notice, and another gateway is ready.
    */
-  shouldLetGo: () => boolean
+  shouldCloseIdleSessions: () => boolean
   metrics: GatewayMetrics
   registry: Registry
-  noteSessionCount: (count: number) => void
+  setSessionCount: (count: number) => void
   /** Applies changed time limits. */
-  applyTimes: (times: Pick<GatewaySettings, 'keyWithdrawalMs' | 'graceMs'>) => void
+  applyTimeLimits: (times: Pick<GatewaySettings, 'keyWithdrawalMs' | 'graceMs'>) => void
   /** Accepts no new work, finishes work held here for other gateways, and leaves the fleet. */
   drain: () => Promise<void>
   close: () => Promise<void>
 }
 
 /** Subtracted from `keyWithdrawalMs` to cover the time in which an admitted statement is still on its way. */
-const keyMarginMs = 900
+const keyWithdrawalMarginMs = 900
 /** Time within which the balancer stops sending new callers to a gateway that is not ready. */
-const balancerNoticeMs = 2200
+const balancerDetectionMs = 2200
 /** With an older contact with the store a gateway is not ready and leaves its connections to other holders. */
-const readyContactMs = 2000
+const maxReadyContactAgeMs = 2000
 const tokenTimeoutMs = 250
 const positionTimeoutMs = 400
-const upkeepIntervalMs = 1000
-const informedPollMs = 10
+const maintenanceIntervalMs = 1000
+const stateLoadedPollMs = 10
 /** Fraction of the grace period in which other gateways may still finish their transactions here. */
 const holderGraceFraction = 0.6
 
@@ -123,77 +123,99 @@
 
   const clock = createAgeClock()
   const contact = createContact(clock)
-  const view = createFleetView(platform.readFact, log)
+  const fleetState = createFleetView(platform.readFact, log)
   const history = createStoreHistory()
   const membership = createMembership(self, store, clock, log)
   const links = createRelayLinks(settings.channels, log)
-  const orders = createDatabaseOrders(connect)
-  const election = createElection(view)
+  const databaseCommands = createDatabaseOrders(connect)
+  const election = createElection(fleetState)
   const sources = createStoreSources({ ...self, store, election, contact, clock, relay: links, log })
   const { isLeaseHeld } = membership
-  const records = createGroupRecords({ self: selfName, view, contact, isLeaseHeld, store, log })
+  const records = createGroupRecords({ self: selfName, view: fleetState, contact, isLeaseHeld, store, log })
   const holderChoice = createHolderChoice({ self, election, regionOf, isUsable: links.isUsable })
 
-  const askPosition = async (group: string) => {
-    const primary = view.databases().get(view.group(group)?.record.primary ?? '')
+  const queryPrimaryPosition = async (group: string) => {
+    const primary = fleetState.databases().get(fleetState.group(group)?.record.primary ?? '')
     if (primary === undefined) return undefined
     const [holder] = holderChoice.candidates(primary, [])
-    const asked = clock.now()
+    const requestedAt = clock.now()
     if (holder === undefined || holder.name === self.name) {
-      const read = await readPrimaryPosition({ view, records, positions, orders, clock }, group)
+      const read = await readPrimaryPosition({
+        view: fleetState, records, positions, orders: databaseCommands, clock
+      }, group)
       return read && positions.newest(group)
     }
-    const answer = await links.ask(holder, { askPosition: { group } }, positionTimeoutMs)
-    const found = answer.ok ? answer.val.position : undefined
-    if (!found) return undefined
-    const { position, ageMs } = found
+    const reply = await links.ask(holder, { askPosition: { group } }, positionTimeoutMs)
+    const groupPosition = reply.ok ? reply.val.position : undefined
+    if (!groupPosition) return undefined
+    const { position, ageMs } = groupPosition
     if (position === '') return undefined
-    return { position, coversUntil: { monotonicMs: asked.monotonicMs - ageMs, wallMs: asked.wallMs - ageMs } }
+    return {
+      position, coversUntil: { monotonicMs: requestedAt.monotonicMs - ageMs, wallMs: requestedAt.wallMs - ageMs }
+    }
   }
-  const positions = createGroupPositions(clock, askPosition)
+  const positions = createGroupPositions(clock, queryPrimaryPosition)
 
-  const isFirstHolder = (database: Database) => contact.ageMs() < readyContactMs &&
+  const isFirstHolder = (database: Database) => contact.ageMs() < maxReadyContactAgeMs &&
     holderChoice.candidates(database, [])[0]?.name === self.name
   const holders = createHolders({
-    view, isFirstHolder, connect, records, positions, clock, nowMs: () => performance.now(), log
+    view: fleetState, isFirstHolder, connect, records, positions, clock, nowMs: () => performance.now(), log
+  })
+  const limits = createLimitKeeper({
+    self: selfName, name: self.name, view: fleetState, election, membership, store, log
   })
-  const limits = createLimitKeeper({ self: selfName, name: self.name, view, election, membership, store, log })
-  const askForTokens = async (workspace: string, wanted: number) => {
-    const keeper = view.limitKeeper(shardOf(workspace))?.keeper
-    if (keeper === undefined) return undefined
+  const requestTokens = async (workspace: string, wanted: number) => {
+    const allocator = fleetState.limitKeeper(shardOf(workspace))?.keeper
+    if (allocator === undefined) return undefined
     const request = { workspace, wanted, asker: self.name }
-    if (keeper === selfName) return limits.take(request)
-    const member = view.members().get(keeper.split('/')[0] ?? '')
+    if (allocator === selfName) return limits.take(request)
+    const member = fleetState.members().get(allocator.split('/')[0] ?? '')
     // Does not wait for an allocator that does not answer: admission uses the last known share of the rate meanwhile.
     if (member === undefined || !links.isUsable(member)) return undefined
-    const answer = await links.ask(member, { takeTokens: request }, tokenTimeoutMs)
-    return answer.ok ? answer.val.tokens ?? undefined : undefined
+    const reply = await links.ask(member, { takeTokens: request }, tokenTimeoutMs)
+    return reply.ok ? reply.val.tokens ?? undefined : undefined
   }
-  const startingRate = (workspace: string) =>
-    (view.configuration()?.workspaces.get(workspace)?.ratePerSec ?? 1) / Math.max(1, view.members().size)
-  const admission = createAdmission(askForTokens, startingRate, log)
+  const initialRate = (workspace: string) =>
+    (fleetState.configuration()?.workspaces.get(workspace)?.ratePerSec ?? 1) / Math.max(1, fleetState.members().size)
+  const admission = createAdmission(requestTokens, initialRate, log)
   const router = createStatementRouter({
-    self, view, holders: holderChoice, relay: links, regionOf, runHere: holders.run, abandonHere: holders.abandon, log
+    self,
+    view: fleetState,
+    holders: holderChoice,
+    relay: links,
+    regionOf,
+    runHere: holders.run,
+    abandonHere: holders.abandon,
+    log
   })
-  const keeper = createGroupKeeper({
+  const groupMonitor = createGroupKeeper({
     self: selfName,
     name: self.name,
-    view,
+    view: fleetState,
     election,
     records,
     contact,
     isLeaseHeld,
-    orders,
+    orders: databaseCommands,
     relay: links,
     promote: platform.promote,
     hasAnsweredLately: holders.hasAnsweredLately,
     log
   })
 
-  view.onGroupChange(group => positions.forget(group))
+  fleetState.onGroupChange(group => positions.forget(group))
 
   const handle = createRelayHandler({
-    view, history, records, holders, positions, limits, orders, contact, clock, isReady: () => isReady()
+    view: fleetState,
+    history,
+    records,
+    holders,
+    positions,
+    limits,
+    orders: databaseCommands,
+    contact,
+    clock,
+    isReady: () => isReady()
   })
   const listener = await listenGrpc(
     settings.relayAddress, { channels: settings.channels }, server => addRelayService(server, handle)
@@ -208,51 +230,51 @@
     queuedStatements: () => holders.all().reduce((sum, holder) => sum + holder.load(), 0)
   })
 
-  const knowsKeys = () => contact.ageMs() < keyWithdrawalMs - keyMarginMs
-  const isInformed = () => knowsKeys() && view.configuration() !== undefined
-  const isReady = () => !isDraining && isInformed() && contact.ageMs() < readyContactMs &&
+  const areKeysCurrent = () => contact.ageMs() < keyWithdrawalMs - keyWithdrawalMarginMs
+  const isStateLoaded = () => areKeysCurrent() && fleetState.configuration() !== undefined
+  const isReady = () => !isDraining && isStateLoaded() && contact.ageMs() < maxReadyContactAgeMs &&
     membership.leaseId() !== undefined
 
   const watchReadiness = async () => {
-    let was: boolean | undefined
+    let wasReady: boolean | undefined
     while (!signal.aborted) {
       if (isReady()) lastReadyMs = performance.now()
-      if (isReady() !== was) {
-        was = isReady()
-        hasBeenReady ||= was
-        const configuration = view.configuration()?.version
+      if (isReady() !== wasReady) {
+        wasReady = isReady()
+        hasBeenReady ||= wasReady
+        const configuration = fleetState.configuration()?.version
         log(events.gatewayReady, {
-          ready: was, draining: isDraining, contactAgeMs: Math.round(contact.ageMs()), configuration
+          ready: wasReady, draining: isDraining, contactAgeMs: Math.round(contact.ageMs()), configuration
         })
       }
-      await sleepMs(upkeepIntervalMs / 10, signal)
+      await sleepMs(maintenanceIntervalMs / 10, signal)
     }
   }
 
-  const upkeep = async () => {
+  const runMaintenance = async () => {
     while (!signal.aborted) {
       holders.retainKnown()
-      links.retain(new Set([...view.members().values()].map(member => member.address)))
-      admission.retain(new Set(view.configuration()?.workspaces.keys() ?? []))
-      await sleepMs(upkeepIntervalMs, signal)
+      links.retain(new Set([...fleetState.members().values()].map(member => member.address)))
+      admission.retain(new Set(fleetState.configuration()?.workspaces.keys() ?? []))
+      await sleepMs(maintenanceIntervalMs, signal)
     }
   }
 
-  const running = [
-    followStore({ store, nextNews: sources.next, history, view, contact, clock, log }, signal),
+  const backgroundTasks = [
+    followStore({ store, nextNews: sources.next, history, view: fleetState, contact, clock, log }, signal),
     membership.run(signal),
     limits.run(signal),
-    keeper.run(signal),
+    groupMonitor.run(signal),
     watchReadiness(),
-    upkeep()
+    runMaintenance()
   ]
   log(events.gatewayStarted, { incarnation, address: settings.relayAddress, dataCentre: settings.dataCentre })
 
   const close = async () => {
     stopping.abort()
-    await Promise.all(running)
+    await Promise.all(backgroundTasks)
     holders.close()
-    orders.close()
+    databaseCommands.close()
     links.close()
     await listener.close()
     store.close()
@@ -271,22 +293,23 @@
       id: `${selfName}/${sessionNumber++}`,
       database,
       key,
-      configuration: view.configuration,
-      knowsKeys,
+      configuration: fleetState.configuration,
+      knowsKeys: areKeysCurrent,
       admission,
       router,
       log
     }),
-    whenInformed: async timeoutMs => {
-      const untilMs = performance.now() + timeoutMs
-      while (!hasBeenReady && !isInformed() && performance.now() < untilMs) await sleepMs(informedPollMs)
+    whenStateLoaded: async timeoutMs => {
+      const deadlineMs = performance.now() + timeoutMs
+      while (!hasBeenReady && !isStateLoaded() && performance.now() < deadlineMs) await sleepMs(stateLoadedPollMs)
     },
     isReady,
-    shouldLetGo: () => hasBeenReady && performance.now() - lastReadyMs > balancerNoticeMs && links.isAnyReady(),
+    shouldCloseIdleSessions: () => hasBeenReady &&
+      performance.now() - lastReadyMs > balancerDetectionMs && links.isAnyReady(),
     metrics,
     registry,
-    noteSessionCount: count => { sessionCount = count },
-    applyTimes: times => { ({ keyWithdrawalMs, graceMs } = times) },
+    setSessionCount: count => { sessionCount = count },
+    applyTimeLimits: times => { ({ keyWithdrawalMs, graceMs } = times) },
     drain,
     close: async () => {
       await membership.leave()
--- a/packages/gateway/src/primaries.test.ts
+++ b/packages/gateway/src/primaries.test.ts
@@ -14,7 +14,7 @@
   recordOf(fleet).phase === 'serving' && recordOf(fleet).primary !== 'db-1'
 
 /** Retries a write until it succeeds, 20 times at most; returns the errors of the failed attempts. */
-const writeUntilDone = async (fleet: MemoryFleet, item: string): Promise<string[]> => {
+const writeUntilSuccess = async (fleet: MemoryFleet, item: string): Promise<string[]> => {
   const errors: string[] = []
   for (let attempt = 0; attempt < 20; attempt++) {
     const answer = await openTestSession(fleet.gateways[0], 'slots').send(write(item))
@@ -30,8 +30,8 @@
   await openTestSession(fleet.gateways[1], 'slots').send(write('1'))
   fleet.group.databases.get('db-1')!.state = 'dead'
   // The first write uses a connection that the crash has broken.
-  t.deepEqual((await writeUntilDone(fleet, '2')).filter(error => error !== 'inDoubt' && error !== 'refused'), [])
-  t.is(fleet.group.ran.filter(({ text }) => text === 'WRITE 2 x').length, 1)
+  t.deepEqual((await writeUntilSuccess(fleet, '2')).filter(error => error !== 'inDoubt' && error !== 'refused'), [])
+  t.is(fleet.group.executed.filter(({ text }) => text === 'WRITE 2 x').length, 1)
   t.not(recordOf(fleet).primary, 'db-1')
   t.is(recordOf(fleet).term, 2)
   t.is(new Set(fleet.group.fences).size, 1)
@@ -43,14 +43,14 @@
   await openTestSession(fleet.gateways[0], 'slots').send(write('1'))
   fleet.group.databases.get('db-1')!.state = 'dark'
   await waitUntil(hasNewPrimary(fleet))
-  t.is((await writeUntilDone(fleet, '2')).length, 0)
+  t.is((await writeUntilSuccess(fleet, '2')).length, 0)
   await fleet.close()
 })
 
 test('the replica with the latest received position is promoted', async t => {
   const fleet = await startMemoryFleet(3)
   await openTestSession(fleet.gateways[0], 'slots').send(write('1'))
-  fleet.group.holdsBack = true
+  fleet.group.isReplicationPaused = true
   fleet.group.databases.get('db-2')!.log = []
   fleet.group.databases.get('db-1')!.state = 'dead'
   await waitUntil(hasNewPrimary(fleet))
@@ -87,7 +87,7 @@
   fleet.store.put('database/db-9', description)
   await waitUntil(hasNewPrimary(fleet), 4000)
   t.is(recordOf(fleet).primary, 'db-9')
-  t.deepEqual((await writeUntilDone(fleet, '2')), [])
+  t.deepEqual((await writeUntilSuccess(fleet, '2')), [])
   await fleet.close()
 })
 
@@ -118,16 +118,16 @@
   fleet.group.databases.get('db-1')!.state = 'dead'
   await waitUntil(hasNewPrimary(fleet))
   t.deepEqual(fleet.group.fences, fleet.group.fences.toSorted((one, other) => one - other))
-  t.deepEqual(await writeUntilDone(fleet, '2'), [])
+  t.deepEqual(await writeUntilSuccess(fleet, '2'), [])
   await fleet.close()
 })
 
 test('a later session on a primary route reads at the primary, also while replicas lag', async t => {
   const fleet = await startMemoryFleet(3)
-  fleet.group.holdsBack = true
+  fleet.group.isReplicationPaused = true
   await openTestSession(fleet.gateways[0], 'slots').send(write('1'))
   await openTestSession(fleet.gateways[2], 'slots').send(read('1'))
-  t.is(fleet.group.ran.at(-1)?.database, 'db-1')
+  t.is(fleet.group.executed.at(-1)?.database, 'db-1')
   await fleet.close()
 })
 
@@ -137,7 +137,7 @@
   fleet.group.databases.get('db-1')!.state = 'dark'
   const answer = await openTestSession(fleet.gateways[1], 'boards').send(read('1'))
   t.is(answer.error, undefined)
-  t.not(fleet.group.ran.at(-1)?.database, 'db-1')
+  t.not(fleet.group.executed.at(-1)?.database, 'db-1')
   await fleet.close()
 })
 
@@ -146,11 +146,11 @@
   await openTestSession(fleet.gateways[0], 'slots').send(write('1'))
   fleet.store.put('out/dc-1', {})
   await waitUntil(hasNewPrimary(fleet))
-  fleet.group.ran.length = 0
+  fleet.group.executed.length = 0
   await Promise.all(fleet.gateways.map(async gateway => {
     await openTestSession(gateway, 'slots').send(write('2'))
     await openTestSession(gateway, 'boards').send(read('2'))
   }))
-  t.false(fleet.group.ran.some(({ database }) => database === 'db-1'))
+  t.false(fleet.group.executed.some(({ database }) => database === 'db-1'))
   await fleet.close()
 })
--- a/packages/gateway/src/session.test.ts
+++ b/packages/gateway/src/session.test.ts
@@ -13,15 +13,15 @@
   t.is(answer.error, undefined)
   t.deepEqual(answer.rows, ['row of READ 7'])
   t.is(answer.signature, `signed ${session.lastRequest()}`)
-  t.is(fleet.group.ran[0].text, 'READ 7')
+  t.is(fleet.group.executed[0].text, 'READ 7')
   await fleet.close()
 })
 
 test('databases receive the workspace of the key, never the key', async t => {
   const fleet = await startMemoryFleet(2)
   await openTestSession(fleet.gateways[1], 'slots', 'key-b').send(write('1'))
-  t.deepEqual(fleet.group.ran.map(({ workspace }) => workspace), ['yard-b'])
-  t.false(JSON.stringify([fleet.group.ran, fleet.events]).includes('key-b'))
+  t.deepEqual(fleet.group.executed.map(({ workspace }) => workspace), ['yard-b'])
+  t.false(JSON.stringify([fleet.group.executed, fleet.events]).includes('key-b'))
   await fleet.close()
 })
 
@@ -34,10 +34,10 @@
   await session.send(write('1'))
   await Promise.all([other.send(read('2')), session.send(write('3'))])
   t.is((await session.send({ kind: 'commit' })).error, undefined)
-  const own = fleet.group.ran.filter(({ inTransaction }) => inTransaction)
+  const own = fleet.group.executed.filter(({ inTransaction }) => inTransaction)
   t.is(new Set(own.map(({ connection }) => connection)).size, 1)
   t.deepEqual(own.map(({ values }) => values), [{ zone: 'quay' }, { zone: 'quay' }])
-  t.false(fleet.group.ran.some(({ text, connection }) => text === 'READ 2' && connection === own[0].connection))
+  t.false(fleet.group.executed.some(({ text, connection }) => text === 'READ 2' && connection === own[0].connection))
   await fleet.close()
 })
 
@@ -47,7 +47,7 @@
   await first.send({ kind: 'set', name: 'zone', value: 'quay' })
   await first.send(write('1'))
   await openTestSession(fleet.gateways[0], 'slots').send(write('2'))
-  const [one, other] = fleet.group.ran
+  const [one, other] = fleet.group.executed
   t.is(one.connection, other.connection)
   t.deepEqual([one.values, other.values], [{ zone: 'quay' }, {}])
   await fleet.close()
@@ -61,7 +61,7 @@
   await other.send({ kind: 'prepare', name: 's1', access: 'read', shape: 'q9' })
   await one.send({ kind: 'execute', name: 's1', operands: '1 x' })
   await other.send({ kind: 'execute', name: 's1', operands: '2' })
-  t.deepEqual(fleet.group.ran.map(({ text }) => text), ['write_q2c 1 x', 'read_q9 2'])
+  t.deepEqual(fleet.group.executed.map(({ text }) => text), ['write_q2c 1 x', 'read_q9 2'])
   await other.send({ kind: 'deallocate', name: 's1' })
   t.is((await other.send({ kind: 'execute', name: 's1', operands: '2' })).error, 'noSuchStatement')
   await fleet.close()
@@ -105,10 +105,10 @@
 test('a first statement of a transaction that may have run is not retried in a second transaction', async t => {
   const fleet = await startMemoryFleet(2)
   const session = openTestSession(fleet.gateways[0], 'ledger')
-  for (const database of fleet.group.databases.values()) database.losesAnswers = true
+  for (const database of fleet.group.databases.values()) database.dropsReplies = true
   await session.send({ kind: 'begin', readOnly: true })
   t.is((await session.send(read('1'))).error, 'aborted')
-  t.is(fleet.group.ran.filter(({ requestId }) => requestId === session.lastRequest()).length, 1)
+  t.is(fleet.group.executed.filter(({ requestId }) => requestId === session.lastRequest()).length, 1)
   await fleet.close()
 })
 
@@ -116,14 +116,14 @@
   const fleet = await startMemoryFleet(1)
   const session = openTestSession(fleet.gateways[0], 'slots')
   await session.send(write('0'))
-  for (const database of fleet.group.databases.values()) database.workMs = 200
+  for (const database of fleet.group.databases.values()) database.statementMs = 200
   await session.send({ kind: 'begin', readOnly: false })
   const sending = session.send(write('1'))
   await waitUntil(() => [...fleet.group.databases.values()].some(({ running }) => running > 0))
   const key = 'egretyoke/group/bookings'
   fleet.store.put(key, { ...fleet.store.read(key) as object, users: [] })
   t.is((await sending).error, 'aborted')
-  t.is(fleet.group.ran.filter(({ requestId }) => requestId === session.lastRequest()).length, 1)
+  t.is(fleet.group.executed.filter(({ requestId }) => requestId === session.lastRequest()).length, 1)
   await fleet.close()
 })
 
@@ -132,11 +132,11 @@
   const primary = fleet.group.databases.get('db-1')!
   const session = openTestSession(fleet.gateways[0], 'ledger')
   await session.send(write('1'))
-  primary.losesAnswers = true
+  primary.dropsReplies = true
   const [written, readAnswer] = [await session.send(write('2')), await session.send(read('3'))]
   t.is(written.error, 'inDoubt')
   t.is(readAnswer.error, undefined)
-  t.is(fleet.group.ran.filter(({ text }) => text === 'WRITE 2 x').length, 1)
+  t.is(fleet.group.executed.filter(({ text }) => text === 'WRITE 2 x').length, 1)
   await fleet.close()
 })
 
@@ -157,7 +157,7 @@
   await waitUntil(() => !session.isAllowed())
   const answer = await session.send(write('2'))
   t.deepEqual([answer.error, answer.isOver], ['keyUnknown', true])
-  t.deepEqual(fleet.group.ran.map(({ text }) => text), ['WRITE 1 x'])
+  t.deepEqual(fleet.group.executed.map(({ text }) => text), ['WRITE 1 x'])
   await fleet.close()
 })
 
@@ -175,21 +175,21 @@
 
 test('a session reads its own write, also while the replicas lag', async t => {
   const fleet = await startMemoryFleet(3)
-  fleet.group.holdsBack = true
+  fleet.group.isReplicationPaused = true
   const session = openTestSession(fleet.gateways[2], 'ledger')
   await session.send(write('1'))
   t.is((await session.send(read('1'))).error, undefined)
-  t.is(fleet.group.ran.find(({ text }) => text === 'READ 1')?.database, 'db-1')
+  t.is(fleet.group.executed.find(({ text }) => text === 'READ 1')?.database, 'db-1')
   await fleet.close()
 })
 
 test('a read does not run at a replica that lacks a commit older than the route\'s maximum staleness', async t => {
   const fleet = await startMemoryFleet(3)
-  fleet.group.holdsBack = true
+  fleet.group.isReplicationPaused = true
   await openTestSession(fleet.gateways[0], 'slots').send(write('1'))
   await new Promise(resolve => setTimeout(resolve, 1600))
   t.is((await openTestSession(fleet.gateways[1], 'boards').send(read('1'))).error, undefined)
-  t.is(fleet.group.ran.find(({ text }) => text === 'READ 1')?.database, 'db-1')
+  t.is(fleet.group.executed.find(({ text }) => text === 'READ 1')?.database, 'db-1')
   await fleet.close()
 })
 
@@ -201,6 +201,6 @@
   const session = openTestSession(fleet.gateways[0], 'slots')
   t.is((await session.send(write('1'))).error, 'refused')
   t.is((await session.send({ kind: 'begin', readOnly: false })).error, 'refused')
-  t.deepEqual(fleet.group.ran, [])
+  t.deepEqual(fleet.group.executed, [])
   await fleet.close()
 })
--- a/packages/gateway/src/state/fleet-view.ts
+++ b/packages/gateway/src/state/fleet-view.ts
@@ -9,7 +9,7 @@
 import type { GroupRecord, LimitRecord, Member } from './stored-records.js'
 
 /** Decoded store entry of the platform, the operators or a database; undefined content is unreadable or deleted. */
-export type PlatformFact =
+export type PlatformEntry =
   | { kind: 'configuration', configuration: Configuration | undefined }
   | { kind: 'database', id: string, database: Database | undefined }
   | { kind: 'evacuation', dataCentre: string }
@@ -18,7 +18,7 @@
  * Decodes a store entry; undefined for keys that the gateway does not use. A deleted entry has an empty value and is
  * identified by its key.
  */
-export type ReadFact = (key: string, value: Buffer) => PlatformFact | undefined
+export type DecodePlatformEntry = (key: string, value: Buffer) => PlatformEntry | undefined
 
 /** A record with the store revision of its last change. */
 export type Versioned<T> = { record: T, revision: number }
@@ -45,7 +45,7 @@
 }
 
 /** Creates an empty fleet state. */
-export const createFleetView = (readFact: ReadFact, log: Logger): FleetView => {
+export const createFleetView = (decodePlatformEntry: DecodePlatformEntry, log: Logger): FleetView => {
   let configuration: Configuration | undefined
   const revisions = new Map<string, number>()
   const databases = new Map<string, Database>()
@@ -57,13 +57,13 @@
   const limits = new Map<number, LimitRecord>()
   const listeners: Array<(group: string) => void> = []
 
-  const applyOwn = ({ key, value, deleted, revision }: StoredEntry): boolean => {
+  const applyGatewayRecord = ({ key, value, deleted, revision }: StoredEntry): boolean => {
     const put = <K, T>(map: Map<K, T>, id: K, record: T | undefined) => {
       if (record === undefined) map.delete(id)
       else map.set(id, record)
       return true
     }
-    const unreadable = (message: string) => {
+    const logUnreadable = (message: string) => {
       log(events.recordUnreadable, { key, revision, message })
       return undefined
     }
@@ -71,36 +71,40 @@
       const member = deleted
         ? undefined
         : readMember(value).mapErr(
-          error => unreadable(error.message)
+          error => logUnreadable(error.message)
         ).unwrapOr(undefined)
       membersVersion++
       return put(members, key.slice(recordKeys.vms.length), member)
     }
     if (key.startsWith(recordKeys.groups)) {
-      const record = deleted ? undefined : readGroupRecord(value).mapErr(e => unreadable(e.message)).unwrapOr(undefined)
+      const record = deleted
+        ? undefined
+        : readGroupRecord(value).mapErr(e => logUnreadable(e.message)).unwrapOr(undefined)
       const name = key.slice(recordKeys.groups.length)
-      const isOther = groups.get(name)?.record.primary !== record?.primary
+      const hasPrimaryChanged = groups.get(name)?.record.primary !== record?.primary
       put(groups, name, record && { record, revision })
-      if (isOther) for (const listener of listeners) listener(name)
+      if (hasPrimaryChanged) for (const listener of listeners) listener(name)
       return true
     }
     if (key.startsWith(recordKeys.limits)) {
-      const record = deleted ? undefined : readLimitRecord(value).mapErr(e => unreadable(e.message)).unwrapOr(undefined)
+      const record = deleted
+        ? undefined
+        : readLimitRecord(value).mapErr(e => logUnreadable(e.message)).unwrapOr(undefined)
       return put(limits, Number(key.slice(recordKeys.limits.length)), record)
     }
     return false
   }
 
-  const applyFact = ({ key, value, deleted, revision }: StoredEntry) => {
-    const fact = readFact(key, value)
-    if (fact === undefined) return
-    if (fact.kind === 'evacuation') {
-      if (deleted) evacuated.delete(fact.dataCentre)
-      else evacuated.set(fact.dataCentre, performance.now())
-      return log(events.evacuationKnown, { dataCentre: fact.dataCentre, evacuated: !deleted, revision })
+  const applyPlatformEntry = ({ key, value, deleted, revision }: StoredEntry) => {
+    const decoded = decodePlatformEntry(key, value)
+    if (decoded === undefined) return
+    if (decoded.kind === 'evacuation') {
+      if (deleted) evacuated.delete(decoded.dataCentre)
+      else evacuated.set(decoded.dataCentre, performance.now())
+      return log(events.evacuationKnown, { dataCentre: decoded.dataCentre, evacuated: !deleted, revision })
     }
-    if (fact.kind === 'database') {
-      const { id, database } = fact
+    if (decoded.kind === 'database') {
+      const { id, database } = decoded
       if (deleted || database === undefined) databases.delete(id)
       else databases.set(id, database)
       if (database?.draining !== true) drainingSince.delete(id)
@@ -115,13 +119,13 @@
         address: database?.address
       })
     }
-    if (deleted || fact.configuration === undefined) {
+    if (deleted || decoded.configuration === undefined) {
       return log(
         events.configurationUnreadable, { key, revision, deleted }
       )
     }
-    if (configuration !== undefined && fact.configuration.version < configuration.version) return
-    configuration = fact.configuration
+    if (configuration !== undefined && decoded.configuration.version < configuration.version) return
+    configuration = decoded.configuration
     log(events.configurationInForce, { version: configuration.version, revision, routes: configuration.routes.size })
   }
 
@@ -129,7 +133,7 @@
     if ((revisions.get(entry.key) ?? 0) >= entry.revision) return
     if (entry.deleted) revisions.delete(entry.key)
     else revisions.set(entry.key, entry.revision)
-    if (!applyOwn(entry)) applyFact(entry)
+    if (!applyGatewayRecord(entry)) applyPlatformEntry(entry)
   }
 
   const replaceAll = (entries: readonly StoredEntry[]) => {
--- a/packages/gateway/src/state/store-history.ts
+++ b/packages/gateway/src/state/store-history.ts
@@ -26,15 +26,15 @@
 /** Creates an empty history. */
 export const createStoreHistory = (): StoreHistory => {
   const newest = new Map<string, StoredEntry>()
-  const waiting = new Set<() => void>()
+  const waiters = new Set<() => void>()
   let firstRevision: number | undefined
   let lastRevision = 0
 
   const wake = () => {
-    for (const resume of [...waiting]) resume()
+    for (const resume of [...waiters]) resume()
   }
 
-  const keep = (entry: StoredEntry) => {
+  const storeNewest = (entry: StoredEntry) => {
     // Deleted first, so that the map stays ordered by the newest change of each key.
     newest.delete(entry.key)
     newest.set(entry.key, entry)
@@ -53,7 +53,7 @@
       wake()
     },
     note: ({ entries, revision }) => {
-      for (const entry of entries) keep(entry)
+      for (const entry of entries) storeNewest(entry)
       lastRevision = revision
       wake()
     },
@@ -66,11 +66,11 @@
     untilWoken: timeoutMs => new Promise(resolve => {
       const resume = () => {
         clearTimeout(timer)
-        waiting.delete(resume)
+        waiters.delete(resume)
         resolve()
       }
       const timer = setTimeout(resume, timeoutMs)
-      waiting.add(resume)
+      waiters.add(resume)
     })
   }
 }
--- a/packages/gateway/src/state/stored-records.ts
+++ b/packages/gateway/src/state/stored-records.ts
@@ -6,13 +6,13 @@
 import { z } from 'zod'
 
 /** Key prefix of all records written by gateways. */
-export const ownPrefix = 'egretyoke/'
+export const gatewayPrefix = 'egretyoke/'
 
 /** Key prefixes of the records, by kind. */
 export const recordKeys = {
-  vms: `${ownPrefix}vm/`,
-  groups: `${ownPrefix}group/`,
-  limits: `${ownPrefix}limit/`
+  vms: `${gatewayPrefix}vm/`,
+  groups: `${gatewayPrefix}group/`,
+  limits: `${gatewayPrefix}limit/`
 } as const
 
 const memberSchema = z.object({
@@ -52,7 +52,7 @@
 /** A stored value that cannot be parsed. */
 export type UnreadableRecord = TypedError<'unreadableRecord'>
 
-const reader = <T>(schema: z.ZodType<T>) => (value: Buffer): Result<T, UnreadableRecord> => {
+const createReader = <T>(schema: z.ZodType<T>) => (value: Buffer): Result<T, UnreadableRecord> => {
   try {
     const parsed = schema.safeParse(JSON.parse(value.toString('utf8')))
     return parsed.success ? Ok(parsed.data) : Err(typedError('unreadableRecord', parsed.error.message))
@@ -61,9 +61,9 @@
   }
 }
 
-export const readMember = reader(memberSchema)
-export const readGroupRecord = reader(groupRecordSchema)
-export const readLimitRecord = reader(limitRecordSchema)
+export const readMember = createReader(memberSchema)
+export const readGroupRecord = createReader(groupRecordSchema)
+export const readLimitRecord = createReader(limitRecordSchema)
 
 /** Encodes a record for the store. */
 export const writeRecord = (record: Member | GroupRecord | LimitRecord): Buffer => Buffer.from(JSON.stringify(record))
--- a/packages/gateway/src/state/token-bucket.ts
+++ b/packages/gateway/src/state/token-bucket.ts
@@ -6,7 +6,7 @@
 import type { Clock } from '@egretyoke/common'
 
 /** Refill rate and depth of a bucket. */
-export type BucketTerms = { ratePerSec: number, burst: number }
+export type BucketLimits = { ratePerSec: number, burst: number }
 
 /** A token bucket. */
 export type TokenBucket = {
@@ -15,32 +15,32 @@
   /** Adds tokens, limited by the depth. */
   add: (tokens: number) => void
   /** Changes rate and depth; tokens beyond the new depth are discarded. */
-  setTerms: (terms: BucketTerms) => void
+  setTerms: (limits: BucketLimits) => void
 }
 
 /** Creates a bucket that was empty at `emptyAtMs` on the clock, by default now. */
 export const createTokenBucket = (
-  initial: BucketTerms, clock: Clock = monotonicMs, emptyAtMs: number = clock()
+  initial: BucketLimits, clock: Clock = monotonicMs, emptyAtMs: number = clock()
 ): TokenBucket => {
-  let terms = initial
+  let limits = initial
   let tokens = 0
   let filledAtMs = emptyAtMs
 
   /** At least one token for a non-zero rate, because with a burst below 1 the bucket would never hold a whole token. */
-  const depth = () => Math.max(terms.ratePerSec > 0 ? 1 : 0, terms.burst)
+  const depth = () => Math.max(limits.ratePerSec > 0 ? 1 : 0, limits.burst)
 
   const fill = () => {
     const nowMs = clock()
-    tokens = Math.min(depth(), tokens + (nowMs - filledAtMs) / 1000 * terms.ratePerSec)
+    tokens = Math.min(depth(), tokens + (nowMs - filledAtMs) / 1000 * limits.ratePerSec)
     filledAtMs = nowMs
   }
 
   return {
     take: wanted => {
       fill()
-      const taken = Math.min(wanted, Math.floor(tokens))
-      tokens -= taken
-      return taken
+      const acquired = Math.min(wanted, Math.floor(tokens))
+      tokens -= acquired
+      return acquired
     },
     add: added => {
       fill()
@@ -48,7 +48,7 @@
     },
     setTerms: next => {
       fill()
-      terms = next
+      limits = next
       tokens = Math.min(tokens, depth())
     }
   }
--- a/packages/gateway/src/store-watchers.test.ts
+++ b/packages/gateway/src/store-watchers.test.ts
@@ -17,7 +17,7 @@
   return fleet
 }
 
-const knowsVersion = (fleet: MemoryFleet, { name }: FleetGateway, version: number) => fleet.events.some(event =>
+const hasVersion = (fleet: MemoryFleet, { name }: FleetGateway, version: number) => fleet.events.some(event =>
   event.gateway === name && event.name === 'configurationInForce' && event.fields.version === version)
 
 /** The gateway that made the most watch calls to the store within `forMs`, and the calls of each gateway. */
@@ -33,7 +33,7 @@
   const { calls } = await findWatcher(fleet, 3000)
   t.is(calls.filter(count => count > 0).length, 1, calls.join())
   fleet.configure({})
-  await waitUntil(() => fleet.gateways.every(gateway => knowsVersion(fleet, gateway, 2)), 1000)
+  await waitUntil(() => fleet.gateways.every(gateway => hasVersion(fleet, gateway, 2)), 1000)
   t.pass()
   await fleet.close()
 })
@@ -45,7 +45,7 @@
       name: 'y'.repeat(40_000), ratePerSec: 1, burst: 1, homeRegions: [], keys: ['key-long']
     }]
   })
-  await waitUntil(() => fleet.gateways.every(gateway => knowsVersion(fleet, gateway, 2)), 1500)
+  await waitUntil(() => fleet.gateways.every(gateway => hasVersion(fleet, gateway, 2)), 1500)
   t.true(fleet.gateways.every(({ gateway }) => typeof gateway.openSession('slots', 'key-long') !== 'string'))
   await fleet.close()
 })
@@ -55,12 +55,12 @@
   const { watcher } = await findWatcher(fleet, 2000)
   const others = fleet.gateways.filter(gateway => gateway !== watcher)
   let wereReady = true
-  const look = setInterval(() => { wereReady &&= others.every(({ gateway }) => gateway.isReady()) }, 20)
+  const readinessPoll = setInterval(() => { wereReady &&= others.every(({ gateway }) => gateway.isReady()) }, 20)
   await watcher.gateway.close()
   fleet.configure({})
-  await waitUntil(() => others.every(gateway => knowsVersion(fleet, gateway, 2)), 3000)
+  await waitUntil(() => others.every(gateway => hasVersion(fleet, gateway, 2)), 3000)
   await sleepMs(2000)
-  clearInterval(look)
+  clearInterval(readinessPoll)
   t.true(wereReady)
   const sources = fleet.events.filter(({ name }) => name === 'storeSourceChanged').map(({ fields }) => fields.source)
   t.true(sources.includes(watcher.name) && sources.includes('store'), sources.join())
@@ -74,12 +74,12 @@
   const others = fleet.gateways.filter(gateway => gateway !== watcher)
   watcher.setStoreMode('refusing')
   let wereReady = true
-  const look = setInterval(() => { wereReady &&= others.every(({ gateway }) => gateway.isReady()) }, 20)
+  const readinessPoll = setInterval(() => { wereReady &&= others.every(({ gateway }) => gateway.isReady()) }, 20)
   await sleepMs(2000)
   fleet.configure({})
-  await waitUntil(() => others.every(gateway => knowsVersion(fleet, gateway, 2)), 2000)
+  await waitUntil(() => others.every(gateway => hasVersion(fleet, gateway, 2)), 2000)
   await sleepMs(2000)
-  clearInterval(look)
+  clearInterval(readinessPoll)
   t.true(wereReady)
   t.false(watcher.gateway.isReady())
   await fleet.close()
--- a/packages/gateway/src/store.test.ts
+++ b/packages/gateway/src/store.test.ts
@@ -28,8 +28,8 @@
   const [one, other] = fleet.gateways
   await Promise.all([one, other].map(gateway => openTestSession(gateway, 'slots').send(write('1'))))
   one.setStoreMode('refusing')
-  t.false(one.gateway.shouldLetGo())
-  await waitUntil(() => one.gateway.shouldLetGo() || !one.gateway.isReady())
+  t.false(one.gateway.shouldCloseIdleSessions())
+  await waitUntil(() => one.gateway.shouldCloseIdleSessions() || !one.gateway.isReady())
   await sleepMs(2500)
   t.false(one.gateway.isReady())
   t.true(other.gateway.isReady())
--- a/packages/gateway/src/testing/memory-fleet.ts
+++ b/packages/gateway/src/testing/memory-fleet.ts
@@ -9,7 +9,7 @@
 import type { Gateway } from '../gateway.js'
 import type { Session, SessionAnswer, SessionStatement } from '../coordination/session.js'
 import type { Configuration, Route, Workspace } from '../state/configuration.js'
-import type { ReadFact } from '../state/fleet-view.js'
+import type { DecodePlatformEntry } from '../state/fleet-view.js'
 import { createMemoryGroup } from './memory-group.js'
 import type { MemoryGroup } from './memory-group.js'
 import { createMemoryStore } from './memory-store.js'
@@ -72,7 +72,7 @@
   transactionIdleMs: 1000
 })
 
-const readFact: ReadFact = (key, value) => {
+const decodePlatformEntry: DecodePlatformEntry = (key, value) => {
   if (key === 'configuration') {
     const configuration = value.length === 0 ? undefined : toConfiguration(JSON.parse(value.toString('utf8')))
     return { kind: 'configuration', configuration }
@@ -84,7 +84,7 @@
 }
 
 /** Resolves with a port that was free when it was tried. */
-const freePort = () => new Promise<number>(resolve => {
+const findFreePort = () => new Promise<number>(resolve => {
   const server = createServer().listen(0, '127.0.0.1', () => {
     const { port } = server.address() as AddressInfo
     server.close(() => resolve(port))
@@ -93,9 +93,9 @@
 
 /** Resolves when the condition holds; rejects after the timeout. */
 export const waitUntil = async (isMet: () => boolean, timeoutMs = 10_000): Promise<void> => {
-  const endAtMs = performance.now() + timeoutMs
+  const deadlineMs = performance.now() + timeoutMs
   while (!isMet()) {
-    if (performance.now() > endAtMs) throw new Error('condition not met before the timeout')
+    if (performance.now() > deadlineMs) throw new Error('condition not met before the timeout')
     await sleepMs(5)
   }
 }
@@ -119,11 +119,11 @@
       name,
       dataCentre,
       regionByDataCentre: new Map([['dc-1', 'north'], ['dc-2', 'south'], ['dc-3', 'west']]),
-      relayAddress: `127.0.0.1:${await freePort()}`,
+      relayAddress: `127.0.0.1:${await findFreePort()}`,
       channels: { allowPlainText: false },
       keyWithdrawalMs: 5000,
       graceMs: 2000
-    }, { store: client, connect: group.connect, promote: group.promote, readFact }, log)
+    }, { store: client, connect: group.connect, promote: group.promote, readFact: decodePlatformEntry }, log)
     const started = { name, gateway, setStoreMode: client.setMode, watchCalls: client.watchCalls }
     gateways.push(started)
     return started
--- a/packages/gateway/src/testing/memory-group.ts
+++ b/packages/gateway/src/testing/memory-group.ts
@@ -13,7 +13,7 @@
 type LogEntry = { position: string, requestId: string }
 
 /** A statement that a database ran. */
-export type RunStatement = {
+export type ExecutedStatement = {
   database: string
   connection: number
   workspace: string
@@ -32,10 +32,10 @@
   /** `dead` refuses and closes connections; `dark` never answers. */
   state: 'alive' | 'dead' | 'dark'
   /** Runs statements and commits without answering them. */
-  losesAnswers: boolean
-  workMs: number
+  dropsReplies: boolean
+  statementMs: number
   running: number
-  mostRunning: number
+  maxRunning: number
   connections: number
 }
 
@@ -44,19 +44,19 @@
   databases: Map<string, MemoryDatabase>
   connect: ConnectDatabase
   promote: PromoteDatabase
-  ran: RunStatement[]
+  executed: ExecutedStatement[]
   /** Fencing tokens of the requested promotions, in order. */
   fences: number[]
   /** Copies the primary's log to the replicas; done after each write unless `holdsBack` is set. */
   replicate: () => void
-  holdsBack: boolean
+  isReplicationPaused: boolean
 }
 
 const promoteDelayMs = 30
 
 const positionOf = (database: MemoryDatabase) => database.log.at(-1)?.position ?? `${database.term}.0`
 
-const describe = (id: string, index: number, group: string): MemoryDatabase => ({
+const createDatabase = (id: string, index: number, group: string): MemoryDatabase => ({
   description: {
     id,
     group,
@@ -71,18 +71,18 @@
   role: index === 0 ? 'primary' : 'replica',
   term: 1,
   state: 'alive',
-  losesAnswers: false,
-  workMs: 1,
+  dropsReplies: false,
+  statementMs: 1,
   running: 0,
-  mostRunning: 0,
+  maxRunning: 0,
   connections: 0
 })
 
 /** Creates a group of three databases; the first is the primary. */
 export const createMemoryGroup = (group = 'bookings'): MemoryGroup => {
   const ids = ['db-1', 'db-2', 'db-3']
-  const databases = new Map(ids.map((id, index) => [id, describe(id, index, group)]))
-  const ran: RunStatement[] = []
+  const databases = new Map(ids.map((id, index) => [id, createDatabase(id, index, group)]))
+  const executed: ExecutedStatement[] = []
   const fences: number[] = []
   let connectionCount = 0
 
@@ -99,7 +99,7 @@
   const append = (database: MemoryDatabase, requestId: string) => {
     const number = Number(positionOf(database).split('.')[1]) + 1
     database.log.push({ position: `${database.term}.${number}`, requestId })
-    if (!memory.holdsBack) replicate()
+    if (!memory.isReplicationPaused) replicate()
   }
 
   const connect: ConnectDatabase = async ({ databaseId, workspace }, timeoutMs) => {
@@ -131,17 +131,17 @@
       if (transaction === 'open') transaction = 'failed'
       return reply({ outcome: 'declined', declineReason, message: declineReason })
     }
-    const lacks = (position: string) => position !== '' && comparePositions(positionOf(database), position) < 0
+    const isBehind = (position: string) => position !== '' && comparePositions(positionOf(database), position) < 0
 
     const runStatement = async (requestId: string, text: string, access: 'read' | 'write', positionAtLeast: string) => {
-      if (lacks(positionAtLeast)) return decline('lagging')
+      if (isBehind(positionAtLeast)) return decline('lagging')
       if (access === 'write' && (database.role !== 'primary' || isReadOnly)) return decline('readOnly')
       database.running++
-      database.mostRunning = Math.max(database.mostRunning, database.running)
-      await sleepMs(database.workMs)
+      database.maxRunning = Math.max(database.maxRunning, database.running)
+      await sleepMs(database.statementMs)
       database.running--
       const inTransaction = transaction === 'open'
-      ran.push({
+      executed.push({
         database: database.description.id,
         connection,
         workspace,
@@ -172,7 +172,7 @@
       ) return decline('malformed')
       switch (command.kind) {
         case 'begin':
-          if (lacks(command.positionAtLeast)) return decline('lagging')
+          if (isBehind(command.positionAtLeast)) return decline('lagging')
           if (!command.readOnly && database.role !== 'primary') return decline('readOnly')
           transaction = 'open'
           isReadOnly = command.readOnly
@@ -221,8 +221,8 @@
           return [...replies, lost('closed')]
         }
         if (database.state === 'alive') replies.push(await runCommand(command))
-        const isUnheard = database.losesAnswers && (command.kind === 'text' || command.kind === 'commit')
-        if (database.state === 'alive' && !isUnheard) continue
+        const isReplyDropped = database.dropsReplies && (command.kind === 'text' || command.kind === 'commit')
+        if (database.state === 'alive' && !isReplyDropped) continue
         await sleepMs(timeoutMs)
         end()
         return [...replies.slice(0, -1), lost('timeout')]
@@ -230,14 +230,14 @@
       return replies
     }
 
-    const order = async (given: DatabaseOrder, timeoutMs: number) => {
+    const order = async (command: DatabaseOrder, timeoutMs: number) => {
       await sleepMs(1)
       if (database.state === 'dark') await sleepMs(timeoutMs)
       if (!isOpen || database.state !== 'alive') {
         end()
         return Err(typedError('lost' as const, 'lost', { timedOut: database.state === 'dark' }))
       }
-      if (given.kind === 'demote' && given.term > database.term) database.role = 'replica'
+      if (command.kind === 'demote' && command.term > database.term) database.role = 'replica'
       const { role, term } = database
       return Ok({ role, term, receivedPosition: positionOf(database), appliedPosition: positionOf(database) })
     }
@@ -263,6 +263,6 @@
     return Ok(undefined)
   }
 
-  const memory: MemoryGroup = { databases, connect, promote, ran, fences, replicate, holdsBack: false }
+  const memory: MemoryGroup = { databases, connect, promote, executed, fences, replicate, isReplicationPaused: false }
   return memory
 }
--- a/packages/gateway/src/testing/memory-store.ts
+++ b/packages/gateway/src/testing/memory-store.ts
@@ -28,7 +28,7 @@
 /** Creates an empty store. */
 export const createMemoryStore = (): MemoryStore => {
   const store = createPlatformStore()
-  let compactedAt = 0
+  let compactedRevision = 0
 
   const put = (key: string, value: unknown) => {
     const expectedRevision = store.get(key)?.revision ?? 0
@@ -71,7 +71,7 @@
     const changes: SharedStore['changes'] = async (prefix, afterRevision, waitMs, timeoutMs) => {
       watchCalls++
       if (mode === 'serving') await waitForChange(afterRevision, waitMs)
-      if (afterRevision < compactedAt) return Err(typedError('historyGone' as const, 'history is gone'))
+      if (afterRevision < compactedRevision) return Err(typedError('historyGone' as const, 'history is gone'))
       const read = () => ({ entries: store.range(prefix, afterRevision) as KeptEntry[], revision: store.revision() })
       return await call(read, timeoutMs)
     }
@@ -110,6 +110,6 @@
       const entry = store.get(key)
       return entry === undefined ? undefined : JSON.parse(entry.value.toString('utf8'))
     },
-    compact: () => { compactedAt = store.revision() }
+    compact: () => { compactedRevision = store.revision() }
   }
 }
--- a/packages/gateway/src/transport/relay-link.ts
+++ b/packages/gateway/src/transport/relay-link.ts
@@ -10,23 +10,27 @@
 import type { RelayAnswer, RelayFailure, RelayQuestion } from '../coordination/relay-calls.js'
 
 /** Time without an answer to a ping after which the peer counts as unreachable. */
-const silenceMs = 500
+const pingTimeoutMs = 500
 /** Interval of `tick`, and of the pings to a silent peer while replies are pending. */
-export const tickMs = 200
+export const tickIntervalMs = 200
 /** After a longer gap between ticks this process was stalled, so the silence is not counted against the peer. */
-const lateTickMs = 2 * tickMs
+const stalledTickMs = 2 * tickIntervalMs
 /** A link without requests for longer is closed. */
-const unusedCloseMs = 15_000
+const unusedLinkTimeoutMs = 15_000
 /** Delay before a failed link that was recently used is reopened; it counts as usable once it is established. */
-const reopenMs = 400
-const maxPending = 4096
+const reopenDelayMs = 400
+const maxPendingRequests = 4096
 
 type Stream = ClientDuplexStream<RelayMessages.RelayRequest, RelayMessages.RelayReply__Output>
-type Pending = { question: RelayQuestion, isSent: boolean, settle: (reply: Result<RelayAnswer, RelayFailure>) => void }
+type PendingRequest = {
+  request: RelayQuestion
+  isSent: boolean
+  settle: (reply: Result<RelayAnswer, RelayFailure>) => void
+}
 
 /** A link to one address. */
 export type RelayLink = {
-  ask: (question: RelayQuestion, timeoutMs: number) => Promise<Result<RelayAnswer, RelayFailure>>
+  call: (request: RelayQuestion, timeoutMs: number) => Promise<Result<RelayAnswer, RelayFailure>>
   isUsable: () => boolean
   /** Whether the peer has answered on the open link; opens the link when there is none. */
   isConnected: () => boolean
@@ -52,15 +56,15 @@
   let isEstablished = false
   let isPeerReady = false
   let isClosed = false
-  let lastHeardMs = 0
+  let lastReplyMs = 0
   let lastUsedMs = 0
   let isDown = false
   let reopenTimer: NodeJS.Timeout | undefined
   let nextNumber = 1
   let lastTickMs = 0
   /** Send time of the oldest ping without a reply since; undefined when the peer has replied to all. */
-  let pingedMs: number | undefined
-  const pending = new Map<number, Pending>()
+  let unansweredPingMs: number | undefined
+  const pending = new Map<number, PendingRequest>()
 
   const tearDown = () => {
     stream?.cancel()
@@ -70,94 +74,94 @@
     isEstablished = false
   }
 
-  const goDown = (reason: string) => {
+  const markDown = (reason: string) => {
     if (stream === undefined) return
     tearDown()
     if (!isDown) onDown(reason)
     isDown = true
-    reopenLater()
-    const lost = [...pending.values()]
+    scheduleReopen()
+    const failedRequests = [...pending.values()]
     pending.clear()
-    for (const { isSent, settle } of lost) settle(failure(isSent ? 'lost' : 'unsent', address))
+    for (const { isSent, settle } of failedRequests) settle(failure(isSent ? 'lost' : 'unsent', address))
   }
 
   /** Reconnects in the background, so that no request has to wait for it. */
-  const reopenLater = () => {
+  const scheduleReopen = () => {
     clearTimeout(reopenTimer)
-    if (isClosed || performance.now() - lastUsedMs > unusedCloseMs) return
-    reopenTimer = setTimeout(() => { if (stream === undefined) open() }, reopenMs)
+    if (isClosed || performance.now() - lastUsedMs > unusedLinkTimeoutMs) return
+    reopenTimer = setTimeout(() => { if (stream === undefined) open() }, reopenDelayMs)
   }
 
-  const send = (number: number, waiting: Pending) => {
-    waiting.isSent = true
-    stream?.write({ number, ...waiting.question })
+  const send = (number: number, pendingRequest: PendingRequest) => {
+    pendingRequest.isSent = true
+    stream?.write({ number, ...pendingRequest.request })
   }
 
   const receive = (reply: RelayMessages.RelayReply__Output) => {
-    lastHeardMs = performance.now()
-    pingedMs = undefined
+    lastReplyMs = performance.now()
+    unansweredPingMs = undefined
     if (reply.pong) isPeerReady = reply.pong.ready
     if (!isEstablished) {
       isEstablished = true
       isDown = false
-      for (const [number, waiting] of pending) send(number, waiting)
+      for (const [number, pendingRequest] of pending) send(number, pendingRequest)
     }
-    const waiting = pending.get(reply.number)
+    const pendingRequest = pending.get(reply.number)
     pending.delete(reply.number)
-    waiting?.settle(Ok(reply))
+    pendingRequest?.settle(Ok(reply))
   }
 
   const ping = () => {
-    pingedMs ??= performance.now()
+    unansweredPingMs ??= performance.now()
     stream?.write({ number: 0, ping: {} })
   }
 
   const tick = (idlePingMs: number) => {
     if (stream === undefined) return
     const nowMs = performance.now()
-    if (nowMs - lastTickMs > lateTickMs && pingedMs !== undefined) pingedMs = nowMs
+    if (nowMs - lastTickMs > stalledTickMs && unansweredPingMs !== undefined) unansweredPingMs = nowMs
     lastTickMs = nowMs
-    if (pingedMs !== undefined && nowMs - pingedMs > silenceMs) return goDown('silent')
-    if (nowMs - lastUsedMs > unusedCloseMs && pending.size === 0) return tearDown()
-    const quietMs = nowMs - lastHeardMs
-    if (quietMs >= (pending.size > 0 ? tickMs : idlePingMs)) ping()
+    if (unansweredPingMs !== undefined && nowMs - unansweredPingMs > pingTimeoutMs) return markDown('silent')
+    if (nowMs - lastUsedMs > unusedLinkTimeoutMs && pending.size === 0) return tearDown()
+    const sinceReplyMs = nowMs - lastReplyMs
+    if (sinceReplyMs >= (pending.size > 0 ? tickIntervalMs : idlePingMs)) ping()
   }
 
   const open = () => {
     service = connectGrpc(relayProto.Relay, address, channels)
     const opened: Stream = service.Exchange()
     stream = opened
-    lastHeardMs = performance.now()
-    lastTickMs = lastHeardMs
-    pingedMs = undefined
+    lastReplyMs = performance.now()
+    lastTickMs = lastReplyMs
+    unansweredPingMs = undefined
     opened.on('data', reply => { if (opened === stream) receive(reply) })
-    opened.on('error', error => { if (opened === stream) goDown(error.message) })
-    opened.on('end', () => { if (opened === stream) goDown('ended') })
+    opened.on('error', error => { if (opened === stream) markDown(error.message) })
+    opened.on('end', () => { if (opened === stream) markDown('ended') })
     ping()
   }
 
-  const ask = (question: RelayQuestion, timeoutMs: number) =>
+  const call = (request: RelayQuestion, timeoutMs: number) =>
     new Promise<Result<RelayAnswer, RelayFailure>>(resolve => {
       lastUsedMs = performance.now()
-      if (pending.size >= maxPending) return resolve(failure('unsent', address))
+      if (pending.size >= maxPendingRequests) return resolve(failure('unsent', address))
       if (stream === undefined) open()
       const number = nextNumber++
       const timer = setTimeout(() => {
-        const waiting = pending.get(number)
+        const pendingRequest = pending.get(number)
         pending.delete(number)
-        waiting?.settle(failure(waiting.isSent ? 'lost' : 'unsent', address))
+        pendingRequest?.settle(failure(pendingRequest.isSent ? 'lost' : 'unsent', address))
       }, timeoutMs)
       const settle = (reply: Result<RelayAnswer, RelayFailure>) => {
         clearTimeout(timer)
         resolve(reply)
       }
-      const waiting: Pending = { question, isSent: false, settle }
-      pending.set(number, waiting)
-      if (isEstablished) send(number, waiting)
+      const pendingRequest: PendingRequest = { request, isSent: false, settle }
+      pending.set(number, pendingRequest)
+      if (isEstablished) send(number, pendingRequest)
     })
 
   return {
-    ask,
+    call,
     isUsable: () => !isDown,
     isConnected: () => {
       lastUsedMs = performance.now()
@@ -169,7 +173,7 @@
     close: () => {
       isClosed = true
       clearTimeout(reopenTimer)
-      goDown('closed')
+      markDown('closed')
     }
   }
 }
--- a/packages/gateway/src/transport/relay-links.ts
+++ b/packages/gateway/src/transport/relay-links.ts
@@ -7,7 +7,7 @@
 import type { ChannelSettings, RelayMessages } from '@egretyoke/protocol'
 import type { RelayCalls } from '../coordination/relay-calls.js'
 import { events } from '../events.js'
-import { createRelayLink, tickMs } from './relay-link.js'
+import { createRelayLink, tickIntervalMs } from './relay-link.js'
 import type { RelayLink } from './relay-link.js'
 
 const maxLinks = 2048
@@ -28,8 +28,8 @@
   const links = new Map<string, RelayLink>()
 
   const linkTo = (address: string): RelayLink => {
-    const known = links.get(address)
-    if (known !== undefined) return known
+    const existing = links.get(address)
+    if (existing !== undefined) return existing
     if (links.size >= maxLinks) retain(new Set())
     const link = createRelayLink(address, channels, reason => log(events.peerLost, { address, reason }))
     links.set(address, link)
@@ -44,30 +44,30 @@
     }
   }
 
-  const ticking = setInterval(() => {
+  const tickTimer = setInterval(() => {
     const idlePingMs = links.size * 1000 / maxIdlePingsPerSec
     for (const link of links.values()) link.tick(idlePingMs)
-  }, tickMs)
+  }, tickIntervalMs)
 
   return {
-    ask: ({ address }, question, timeoutMs) => linkTo(address).ask(question, timeoutMs),
+    ask: ({ address }, request, timeoutMs) => linkTo(address).call(request, timeoutMs),
     isUsable: ({ address }) => links.get(address)?.isUsable() ?? true,
     isConnected: ({ address }) => linkTo(address).isConnected(),
     isAnyReady: () => [...links.values()].some(link => link.isPeerReady()),
     retain,
     close: () => {
-      clearInterval(ticking)
+      clearInterval(tickTimer)
       retain(new Set())
     }
   }
 }
 
 /** Handles a request of another gateway; resolves with undefined when the request needs no reply. */
-export type HandleRelayed =
+export type RelayRequestHandler =
   (request: RelayMessages.RelayRequest__Output) => Promise<Omit<RelayMessages.RelayReply, 'number'> | undefined>
 
 /** Adds the relay service to a gRPC server. Requests of one stream are answered in the order in which they finish. */
-export const addRelayService = (server: Server, handle: HandleRelayed): void => {
+export const addRelayService = (server: Server, handle: RelayRequestHandler): void => {
   type Call = ServerDuplexStream<RelayMessages.RelayRequest__Output, RelayMessages.RelayReply>
   server.addService(relayProto.Relay.service, {
     Exchange: (call: Call) => {
