--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -127,7 +127,7 @@
   const history = createStoreHistory()
   const membership = createMembership(self, store, clock, log)
   const links = createRelayLinks(settings.channels, log)
-  const databaseCommands = createDatabaseOrders(connect)
+  const controlCommands = createDatabaseOrders(connect)
   const election = createElection(fleetState)
   const sources = createStoreSources({ ...self, store, election, contact, clock, relay: links, log })
   const { isLeaseHeld } = membership
@@ -141,7 +141,7 @@
     const requestedAt = clock.now()
     if (holder === undefined || holder.name === self.name) {
       const read = await readPrimaryPosition({
-        view: fleetState, records, positions, orders: databaseCommands, clock
+        view: fleetState, records, positions, orders: controlCommands, clock
       }, group)
       return read && positions.newest(group)
     }
@@ -161,15 +161,15 @@
   const holders = createHolders({
     view: fleetState, isFirstHolder, connect, records, positions, clock, nowMs: () => performance.now(), log
   })
-  const limits = createLimitKeeper({
+  const tokenAllocator = createLimitKeeper({
     self: selfName, name: self.name, view: fleetState, election, membership, store, log
   })
   const requestTokens = async (workspace: string, wanted: number) => {
-    const allocator = fleetState.limitKeeper(shardOf(workspace))?.keeper
-    if (allocator === undefined) return undefined
+    const allocatorName = fleetState.limitKeeper(shardOf(workspace))?.keeper
+    if (allocatorName === undefined) return undefined
     const request = { workspace, wanted, asker: self.name }
-    if (allocator === selfName) return limits.take(request)
-    const member = fleetState.members().get(allocator.split('/')[0] ?? '')
+    if (allocatorName === selfName) return tokenAllocator.take(request)
+    const member = fleetState.members().get(allocatorName.split('/')[0] ?? '')
     // Does not wait for an allocator that does not answer: admission uses the last known share of the rate meanwhile.
     if (member === undefined || !links.isUsable(member)) return undefined
     const reply = await links.ask(member, { takeTokens: request }, tokenTimeoutMs)
@@ -196,14 +196,14 @@
     records,
     contact,
     isLeaseHeld,
-    orders: databaseCommands,
+    orders: controlCommands,
     relay: links,
     promote: platform.promote,
     hasAnsweredLately: holders.hasAnsweredLately,
     log
   })
 
-  fleetState.onGroupChange(group => positions.forget(group))
+  fleetState.onPrimaryChange(group => positions.forget(group))
 
   const handle = createRelayHandler({
     view: fleetState,
@@ -211,8 +211,8 @@
     records,
     holders,
     positions,
-    limits,
-    orders: databaseCommands,
+    limits: tokenAllocator,
+    orders: controlCommands,
     contact,
     clock,
     isReady: () => isReady()
@@ -230,8 +230,8 @@
     queuedStatements: () => holders.all().reduce((sum, holder) => sum + holder.load(), 0)
   })
 
-  const areKeysCurrent = () => contact.ageMs() < keyWithdrawalMs - keyWithdrawalMarginMs
-  const isStateLoaded = () => areKeysCurrent() && fleetState.configuration() !== undefined
+  const hasCurrentKeys = () => contact.ageMs() < keyWithdrawalMs - keyWithdrawalMarginMs
+  const isStateLoaded = () => hasCurrentKeys() && fleetState.configuration() !== undefined
   const isReady = () => !isDraining && isStateLoaded() && contact.ageMs() < maxReadyContactAgeMs &&
     membership.leaseId() !== undefined
 
@@ -263,7 +263,7 @@
   const backgroundTasks = [
     followStore({ store, nextNews: sources.next, history, view: fleetState, contact, clock, log }, signal),
     membership.run(signal),
-    limits.run(signal),
+    tokenAllocator.run(signal),
     groupMonitor.run(signal),
     watchReadiness(),
     runMaintenance()
@@ -274,7 +274,7 @@
     stopping.abort()
     await Promise.all(backgroundTasks)
     holders.close()
-    databaseCommands.close()
+    controlCommands.close()
     links.close()
     await listener.close()
     store.close()
@@ -283,7 +283,7 @@
   const drain = async () => {
     isDraining = true
     log(events.gatewayDraining, { sessions: sessionCount })
-    await Promise.all([membership.startDraining(), limits.leave()])
+    await Promise.all([membership.startDraining(), tokenAllocator.leave()])
     const settleMs = graceMs * holderGraceFraction
     await Promise.all(holders.all().map(async holder => await holder.settle(settleMs)))
   }
@@ -294,7 +294,7 @@
       database,
       key,
       configuration: fleetState.configuration,
-      knowsKeys: areKeysCurrent,
+      knowsKeys: hasCurrentKeys,
       admission,
       router,
       log
--- a/packages/gateway/src/state/fleet-view.ts
+++ b/packages/gateway/src/state/fleet-view.ts
@@ -41,7 +41,7 @@
   /** Applies a complete listing; entries that it lacks are removed. */
   replaceAll: (entries: readonly StoredEntry[]) => void
   /** Adds a listener that is called with the name of each group whose primary has changed. */
-  onGroupChange: (listener: (group: string) => void) => void
+  onPrimaryChange: (listener: (group: string) => void) => void
 }
 
 /** Creates an empty fleet state. */
@@ -50,7 +50,7 @@
   const revisions = new Map<string, number>()
   const databases = new Map<string, Database>()
   const evacuated = new Map<string, number>()
-  const drainingSince = new Map<string, number>()
+  const drainingSinceMs = new Map<string, number>()
   const members = new Map<string, Member>()
   let membersVersion = 0
   const groups = new Map<string, Versioned<GroupRecord>>()
@@ -107,8 +107,8 @@
       const { id, database } = decoded
       if (deleted || database === undefined) databases.delete(id)
       else databases.set(id, database)
-      if (database?.draining !== true) drainingSince.delete(id)
-      else if (!drainingSince.has(id)) drainingSince.set(id, performance.now())
+      if (database?.draining !== true) drainingSinceMs.delete(id)
+      else if (!drainingSinceMs.has(id)) drainingSinceMs.set(id, performance.now())
       return log(events.databaseKnown, {
         database: id,
         group: database?.group,
@@ -150,13 +150,13 @@
     databases: () => databases,
     databasesOf: group => [...databases.values()].filter(database => database.group === group),
     evacuated: () => evacuated,
-    drainingSince: database => drainingSince.get(database),
+    drainingSince: database => drainingSinceMs.get(database),
     members: () => members,
     membersVersion: () => membersVersion,
     group: name => groups.get(name),
     limitKeeper: shard => limits.get(shard),
     apply,
     replaceAll,
-    onGroupChange: listener => { listeners.push(listener) }
+    onPrimaryChange: listener => { listeners.push(listener) }
   }
 }
--- a/packages/gateway/src/state/store-history.ts
+++ b/packages/gateway/src/state/store-history.ts
@@ -14,9 +14,9 @@
   note: (changes: FollowedChanges) => void
   /** The changes after the revision; undefined when some of them are no longer kept. */
   since: (revision: number) => FollowedChanges | undefined
-  /** Resolves all pending `untilWoken` calls. */
-  wake: () => void
-  /** Resolves on the next `note`, `restart` or `wake`, or after the timeout. */
+  /** Resolves all pending waits for a change. */
+  wakeWaiters: () => void
+  /** Resolves on the next change, listing or `wakeWaiters` call, or after the timeout. */
   untilWoken: (timeoutMs: number) => Promise<void>
 }
 
@@ -30,7 +30,7 @@
   let firstRevision: number | undefined
   let lastRevision = 0
 
-  const wake = () => {
+  const wakeWaiters = () => {
     for (const resume of [...waiters]) resume()
   }
 
@@ -50,19 +50,19 @@
       newest.clear()
       firstRevision = revision
       lastRevision = revision
-      wake()
+      wakeWaiters()
     },
     note: ({ entries, revision }) => {
       for (const entry of entries) storeNewest(entry)
       lastRevision = revision
-      wake()
+      wakeWaiters()
     },
     since: revision => {
       if (firstRevision === undefined || revision < firstRevision) return undefined
       const entries = [...newest.values()].filter(entry => entry.revision > revision)
       return { entries, revision: lastRevision }
     },
-    wake,
+    wakeWaiters,
     untilWoken: timeoutMs => new Promise(resolve => {
       const resume = () => {
         clearTimeout(timer)
--- a/packages/gateway/src/state/token-bucket.ts
+++ b/packages/gateway/src/state/token-bucket.ts
@@ -10,8 +10,8 @@
 
 /** A token bucket. */
 export type TokenBucket = {
-  /** Removes up to `wanted` whole tokens; returns how many. */
-  take: (wanted: number) => number
+  /** Removes up to `requested` whole tokens; returns how many. */
+  take: (requested: number) => number
   /** Adds tokens, limited by the depth. */
   add: (tokens: number) => void
   /** Changes rate and depth; tokens beyond the new depth are discarded. */
@@ -36,9 +36,9 @@
   }
 
   return {
-    take: wanted => {
+    take: requested => {
       fill()
-      const acquired = Math.min(wanted, Math.floor(tokens))
+      const acquired = Math.min(requested, Math.floor(tokens))
       tokens -= acquired
       return acquired
     },
--- a/packages/gateway/src/testing/memory-group.ts
+++ b/packages/gateway/src/testing/memory-group.ts
@@ -230,7 +230,7 @@
       return replies
     }
 
-    const order = async (command: DatabaseOrder, timeoutMs: number) => {
+    const runControl = async (command: DatabaseOrder, timeoutMs: number) => {
       await sleepMs(1)
       if (database.state === 'dark') await sleepMs(timeoutMs)
       if (!isOpen || database.state !== 'alive') {
@@ -244,7 +244,7 @@
 
     return {
       run,
-      order,
+      order: runControl,
       isOpen: () => isOpen && database.state !== 'dead',
       onClosed: listener => { listeners.push(listener) },
       close: end
