--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -74,5 +74,5 @@
   idleTransactionEnded: defineEvent(7045, 'idleTransactionEnded',
     'A transaction was idle for too long and was rolled back.'),
   limitRefused: defineEvent(7046, 'limitRefused',
-    'A request was refused because its workspace has used up its rate limit; event 7025 has the allocator\'s age.')
+    'A request was refused because its workspace has used up its rate limit; event 7025 gives more detail.')
 }
--- a/packages/gateway/src/state/configuration.ts
+++ b/packages/gateway/src/state/configuration.ts
@@ -19,6 +19,7 @@
   priority: number
   /** Reads must see every commit that was confirmed longer ago than this; 0 on `primary` routes. */
   maxStalenessMs: number
+  /** Whether callers without a known key are accepted. */
   openToAll: boolean
   /** Regions that the route's data may reach; empty means all. */
   homeRegions: readonly string[]
