--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,6 +1,6 @@
 /**
- * The gateway: serves callers' sessions, holds connections to databases for itself and for other gateways, and takes
- * its part in keeping limits and primaries. Everything that must outlast it lies in the platform's store.
+ * The gateway: serves callers' sessions, holds connections to databases for itself and for other gateways, and shares
+ * in enforcing rate limits and monitoring primaries. State that must survive the process is in the platform's store.
  */
 import { createRegistry, sleepMs } from '@egretyoke/common'
 import type { Logger } from '@egretyoke/common'
@@ -33,64 +33,67 @@
 import { createAgeClock, createContact } from './state/contact.js'
 import type { Database } from './state/configuration.js'
 import { createFleetView } from './state/fleet-view.js'
-import type { ReadFact } from './state/fleet-view.js'
+import type { DecodePlatformEntry } from './state/fleet-view.js'
 import { createStoreHistory } from './state/store-history.js'
 import { processName } from './state/stored-records.js'
 import type { Member } from './state/stored-records.js'
 import { addRelayService, createRelayLinks } from './transport/relay-links.js'
 
-/** Where a gateway runs and what it may rely on. */
+/** Identity, addresses and time limits of a gateway. */
 export type GatewaySettings = {
   name: string
   dataCentre: string
   regionByDataCentre: ReadonlyMap<string, string>
-  /** HOST:PORT for other gateways. */
+  /** HOST:PORT on which other gateways reach this one. */
   relayAddress: string
   channels: ChannelSettings
-  /** A withdrawn key must be refused everywhere this long after the withdrawal was accepted. */
+  /** Time after its accepted withdrawal by which a key must be refused everywhere. */
   keyWithdrawalMs: number
-  /** Time between the order to end and the end of the process. */
+  /** Time between the request to stop and the end of the process. */
   graceMs: number
 }
 
-/** What the gateway runs on; the adapter of a platform provides it. */
+/** Services of the platform that the gateway calls, implemented by the platform's adapter. */
 export type GatewayPlatform = {
   store: SharedStore
   connect: ConnectDatabase
   promote: PromoteDatabase
-  readFact: ReadFact
+  readFact: DecodePlatformEntry
 }
 
 /** A running gateway. */
 export type Gateway = {
   openSession: (database: string, key: string) => Session | SessionError
-  /** Resolves once the gateway knows keys and configuration after its start, at the latest after the time. */
-  whenInformed: (timeoutMs: number) => Promise<void>
-  /** False: callers should go elsewhere. */
+  /** Resolves once the gateway has loaded keys and configuration after its start, or after the timeout. */
+  whenStateLoaded: (timeoutMs: number) => Promise<void>
+  /** Whether the gateway accepts new callers. */
   isReady: () => boolean
-  /** True while callers are better served elsewhere: this gateway has not been ready for a while, and others are. */
-  shouldLetGo: () => boolean
+  /**
+   * Whether idle sessions should be closed so that their callers reconnect elsewhere: this gateway has not been ready
+   * for longer than the balancer needs to notice, and another gateway is ready.
+   */
+  shouldCloseIdleSessions: () => boolean
   metrics: GatewayMetrics
   registry: Registry
-  noteSessionCount: (count: number) => void
-  /** Takes changed times into force. */
-  applyTimes: (times: Pick<GatewaySettings, 'keyWithdrawalMs' | 'graceMs'>) => void
-  /** Takes nothing new, finishes what runs here for others, and leaves the fleet. */
+  setSessionCount: (count: number) => void
+  /** Applies changed time limits. */
+  applyTimeLimits: (times: Pick<GatewaySettings, 'keyWithdrawalMs' | 'graceMs'>) => void
+  /** Accepts no new work, finishes work held here for other gateways, and leaves the fleet. */
   drain: () => Promise<void>
   close: () => Promise<void>
 }
 
-/** Kept free of the time in which a key's withdrawal must be known, for the way of a statement. */
-const keyMarginMs = 900
-/** The balancer sends new callers elsewhere this long after a gateway is not ready. */
-const balancerNoticeMs = 2200
-/** With an older view a gateway sends callers elsewhere and lets others hold its connections. */
-const readyContactMs = 2000
+/** Subtracted from `keyWithdrawalMs` to cover the time in which an admitted statement is still on its way. */
+const keyWithdrawalMarginMs = 900
+/** Time within which the balancer stops sending new callers to a gateway that is not ready. */
+const balancerDetectionMs = 2200
+/** With an older contact with the store a gateway is not ready and leaves its connections to other holders. */
+const maxReadyContactAgeMs = 2000
 const tokenTimeoutMs = 250
 const positionTimeoutMs = 400
-const upkeepIntervalMs = 1000
-const informedPollMs = 10
-/** Part of the time to end in which others may still finish their transactions here. */
+const maintenanceIntervalMs = 1000
+const stateLoadedPollMs = 10
+/** Fraction of the grace period in which other gateways may still finish their transactions here. */
 const holderGraceFraction = 0.6
 
 /** Starts a gateway. Rejects when its address is in use. */
@@ -120,77 +123,99 @@
 
   const clock = createAgeClock()
   const contact = createContact(clock)
-  const view = createFleetView(platform.readFact, log)
+  const fleetState = createFleetView(platform.readFact, log)
   const history = createStoreHistory()
   const membership = createMembership(self, store, clock, log)
   const links = createRelayLinks(settings.channels, log)
-  const orders = createDatabaseOrders(connect)
-  const election = createElection(view)
+  const controlCommands = createDatabaseOrders(connect)
+  const election = createElection(fleetState)
   const sources = createStoreSources({ ...self, store, election, contact, clock, relay: links, log })
   const { isLeaseHeld } = membership
-  const records = createGroupRecords({ self: selfName, view, contact, isLeaseHeld, store, log })
+  const records = createGroupRecords({ self: selfName, view: fleetState, contact, isLeaseHeld, store, log })
   const holderChoice = createHolderChoice({ self, election, regionOf, isUsable: links.isUsable })
 
-  const askPosition = async (group: string) => {
-    const primary = view.databases().get(view.group(group)?.record.primary ?? '')
+  const queryPrimaryPosition = async (group: string) => {
+    const primary = fleetState.databases().get(fleetState.group(group)?.record.primary ?? '')
     if (primary === undefined) return undefined
     const [holder] = holderChoice.candidates(primary, [])
-    const asked = clock.now()
+    const requestedAt = clock.now()
     if (holder === undefined || holder.name === self.name) {
-      const read = await readPrimaryPosition({ view, records, positions, orders, clock }, group)
+      const read = await readPrimaryPosition({
+        view: fleetState, records, positions, orders: controlCommands, clock
+      }, group)
       return read && positions.newest(group)
     }
-    const answer = await links.ask(holder, { askPosition: { group } }, positionTimeoutMs)
-    const found = answer.ok ? answer.val.position : undefined
-    if (!found) return undefined
-    const { position, ageMs } = found
+    const reply = await links.ask(holder, { askPosition: { group } }, positionTimeoutMs)
+    const groupPosition = reply.ok ? reply.val.position : undefined
+    if (!groupPosition) return undefined
+    const { position, ageMs } = groupPosition
     if (position === '') return undefined
-    return { position, coversUntil: { monotonicMs: asked.monotonicMs - ageMs, wallMs: asked.wallMs - ageMs } }
+    return {
+      position, coversUntil: { monotonicMs: requestedAt.monotonicMs - ageMs, wallMs: requestedAt.wallMs - ageMs }
+    }
   }
-  const positions = createGroupPositions(clock, askPosition)
+  const positions = createGroupPositions(clock, queryPrimaryPosition)
 
-  const isFirstHolder = (database: Database) => contact.ageMs() < readyContactMs &&
+  const isFirstHolder = (database: Database) => contact.ageMs() < maxReadyContactAgeMs &&
     holderChoice.candidates(database, [])[0]?.name === self.name
   const holders = createHolders({
-    view, isFirstHolder, connect, records, positions, clock, nowMs: () => performance.now(), log
+    view: fleetState, isFirstHolder, connect, records, positions, clock, nowMs: () => performance.now(), log
+  })
+  const tokenAllocator = createLimitKeeper({
+    self: selfName, name: self.name, view: fleetState, election, membership, store, log
   })
-  const limits = createLimitKeeper({ self: selfName, name: self.name, view, election, membership, store, log })
-  const askForTokens = async (workspace: string, wanted: number) => {
-    const keeper = view.limitKeeper(shardOf(workspace))?.keeper
-    if (keeper === undefined) return undefined
+  const requestTokens = async (workspace: string, wanted: number) => {
+    const allocatorName = fleetState.limitKeeper(shardOf(workspace))?.keeper
+    if (allocatorName === undefined) return undefined
     const request = { workspace, wanted, asker: self.name }
-    if (keeper === selfName) return limits.take(request)
-    const member = view.members().get(keeper.split('/')[0] ?? '')
-    // A keeper that does not answer is not waited for: the part of the rate known last serves meanwhile.
+    if (allocatorName === selfName) return tokenAllocator.take(request)
+    const member = fleetState.members().get(allocatorName.split('/')[0] ?? '')
+    // Does not wait for an allocator that does not answer: admission uses the last known share of the rate meanwhile.
     if (member === undefined || !links.isUsable(member)) return undefined
-    const answer = await links.ask(member, { takeTokens: request }, tokenTimeoutMs)
-    return answer.ok ? answer.val.tokens ?? undefined : undefined
+    const reply = await links.ask(member, { takeTokens: request }, tokenTimeoutMs)
+    return reply.ok ? reply.val.tokens ?? undefined : undefined
   }
-  const startingRate = (workspace: string) =>
-    (view.configuration()?.workspaces.get(workspace)?.ratePerSec ?? 1) / Math.max(1, view.members().size)
-  const admission = createAdmission(askForTokens, startingRate, log)
+  const initialRate = (workspace: string) =>
+    (fleetState.configuration()?.workspaces.get(workspace)?.ratePerSec ?? 1) / Math.max(1, fleetState.members().size)
+  const admission = createAdmission(requestTokens, initialRate, log)
   const router = createStatementRouter({
-    self, view, holders: holderChoice, relay: links, regionOf, runHere: holders.run, abandonHere: holders.abandon, log
+    self,
+    view: fleetState,
+    holders: holderChoice,
+    relay: links,
+    regionOf,
+    runHere: holders.run,
+    abandonHere: holders.abandon,
+    log
   })
-  const keeper = createGroupKeeper({
+  const groupMonitor = createGroupKeeper({
     self: selfName,
     name: self.name,
-    view,
+    view: fleetState,
     election,
     records,
     contact,
     isLeaseHeld,
-    orders,
+    orders: controlCommands,
     relay: links,
     promote: platform.promote,
     hasAnsweredLately: holders.hasAnsweredLately,
     log
   })
 
-  view.onGroupChange(group => positions.forget(group))
+  fleetState.onPrimaryChange(group => positions.forget(group))
 
   const handle = createRelayHandler({
-    view, history, records, holders, positions, limits, orders, contact, clock, isReady: () => isReady()
+    view: fleetState,
+    history,
+    records,
+    holders,
+    positions,
+    limits: tokenAllocator,
+    orders: controlCommands,
+    contact,
+    clock,
+    isReady: () => isReady()
   })
   const listener = await listenGrpc(
     settings.relayAddress, { channels: settings.channels }, server => addRelayService(server, handle)
@@ -205,51 +230,51 @@
     queuedStatements: () => holders.all().reduce((sum, holder) => sum + holder.load(), 0)
   })
 
-  const knowsKeys = () => contact.ageMs() < keyWithdrawalMs - keyMarginMs
-  const isInformed = () => knowsKeys() && view.configuration() !== undefined
-  const isReady = () => !isDraining && isInformed() && contact.ageMs() < readyContactMs &&
+  const hasCurrentKeys = () => contact.ageMs() < keyWithdrawalMs - keyWithdrawalMarginMs
+  const isStateLoaded = () => hasCurrentKeys() && fleetState.configuration() !== undefined
+  const isReady = () => !isDraining && isStateLoaded() && contact.ageMs() < maxReadyContactAgeMs &&
     membership.leaseId() !== undefined
 
   const watchReadiness = async () => {
-    let was: boolean | undefined
+    let wasReady: boolean | undefined
     while (!signal.aborted) {
       if (isReady()) lastReadyMs = performance.now()
-      if (isReady() !== was) {
-        was = isReady()
-        hasBeenReady ||= was
-        const configuration = view.configuration()?.version
+      if (isReady() !== wasReady) {
+        wasReady = isReady()
+        hasBeenReady ||= wasReady
+        const configuration = fleetState.configuration()?.version
         log(events.gatewayReady, {
-          ready: was, draining: isDraining, contactAgeMs: Math.round(contact.ageMs()), configuration
+          ready: wasReady, draining: isDraining, contactAgeMs: Math.round(contact.ageMs()), configuration
         })
       }
-      await sleepMs(upkeepIntervalMs / 10, signal)
+      await sleepMs(maintenanceIntervalMs / 10, signal)
     }
   }
 
-  const upkeep = async () => {
+  const runMaintenance = async () => {
     while (!signal.aborted) {
       holders.retainKnown()
-      links.retain(new Set([...view.members().values()].map(member => member.address)))
-      admission.retain(new Set(view.configuration()?.workspaces.keys() ?? []))
-      await sleepMs(upkeepIntervalMs, signal)
+      links.retain(new Set([...fleetState.members().values()].map(member => member.address)))
+      admission.retain(new Set(fleetState.configuration()?.workspaces.keys() ?? []))
+      await sleepMs(maintenanceIntervalMs, signal)
     }
   }
 
-  const running = [
-    followStore({ store, nextNews: sources.next, history, view, contact, clock, log }, signal),
+  const backgroundTasks = [
+    followStore({ store, nextNews: sources.next, history, view: fleetState, contact, clock, log }, signal),
     membership.run(signal),
-    limits.run(signal),
-    keeper.run(signal),
+    tokenAllocator.run(signal),
+    groupMonitor.run(signal),
     watchReadiness(),
-    upkeep()
+    runMaintenance()
   ]
   log(events.gatewayStarted, { incarnation, address: settings.relayAddress, dataCentre: settings.dataCentre })
 
   const close = async () => {
     stopping.abort()
-    await Promise.all(running)
+    await Promise.all(backgroundTasks)
     holders.close()
-    orders.close()
+    controlCommands.close()
     links.close()
     await listener.close()
     store.close()
@@ -258,7 +283,7 @@
   const drain = async () => {
     isDraining = true
     log(events.gatewayDraining, { sessions: sessionCount })
-    await Promise.all([membership.startDraining(), limits.leave()])
+    await Promise.all([membership.startDraining(), tokenAllocator.leave()])
     const settleMs = graceMs * holderGraceFraction
     await Promise.all(holders.all().map(async holder => await holder.settle(settleMs)))
   }
@@ -268,22 +293,23 @@
       id: `${selfName}/${sessionNumber++}`,
       database,
       key,
-      configuration: view.configuration,
-      knowsKeys,
+      configuration: fleetState.configuration,
+      knowsKeys: hasCurrentKeys,
       admission,
       router,
       log
     }),
-    whenInformed: async timeoutMs => {
-      const untilMs = performance.now() + timeoutMs
-      while (!hasBeenReady && !isInformed() && performance.now() < untilMs) await sleepMs(informedPollMs)
+    whenStateLoaded: async timeoutMs => {
+      const deadlineMs = performance.now() + timeoutMs
+      while (!hasBeenReady && !isStateLoaded() && performance.now() < deadlineMs) await sleepMs(stateLoadedPollMs)
     },
     isReady,
-    shouldLetGo: () => hasBeenReady && performance.now() - lastReadyMs > balancerNoticeMs && links.isAnyReady(),
+    shouldCloseIdleSessions: () => hasBeenReady &&
+      performance.now() - lastReadyMs > balancerDetectionMs && links.isAnyReady(),
     metrics,
     registry,
-    noteSessionCount: count => { sessionCount = count },
-    applyTimes: times => { ({ keyWithdrawalMs, graceMs } = times) },
+    setSessionCount: count => { sessionCount = count },
+    applyTimeLimits: times => { ({ keyWithdrawalMs, graceMs } = times) },
     drain,
     close: async () => {
       await membership.leave()
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,5 +1,5 @@
 /**
- * The gateway and the interfaces that the adapter of a platform implements.
+ * The gateway and the interfaces that a platform's adapter implements.
  */
 export * from './coordination/database-connection.js'
 export type { PromoteDatabase } from './coordination/primary-change.js'
@@ -9,4 +9,4 @@
 export { startGateway } from './gateway.js'
 export type { Gateway, GatewayPlatform, GatewaySettings } from './gateway.js'
 export type { Configuration, Database, Group, Route, RouteKind, Workspace } from './state/configuration.js'
-export type { PlatformFact, ReadFact } from './state/fleet-view.js'
+export type { DecodePlatformEntry, PlatformEntry } from './state/fleet-view.js'
--- a/packages/gateway/src/primaries.test.ts
+++ b/packages/gateway/src/primaries.test.ts
@@ -1,5 +1,6 @@
 /**
- * Primaries that fail, leave, are replaced at their address or lose their gateways, over a small fleet.
+ * Failover over a small fleet: primaries that fail, drain, are replaced by a new process at their address, or whose
+ * gateways lose the store.
  */
 import { sleepMs } from '@egretyoke/common'
 import test from 'ava'
@@ -12,8 +13,8 @@
 const hasNewPrimary = (fleet: MemoryFleet) => () =>
   recordOf(fleet).phase === 'serving' && recordOf(fleet).primary !== 'db-1'
 
-/** Writes until one succeeds; the errors on the way. */
-const writeUntilDone = async (fleet: MemoryFleet, item: string): Promise<string[]> => {
+/** Retries a write until it succeeds, 20 times at most; returns the errors of the failed attempts. */
+const writeUntilSuccess = async (fleet: MemoryFleet, item: string): Promise<string[]> => {
   const errors: string[] = []
   for (let attempt = 0; attempt < 20; attempt++) {
     const answer = await openTestSession(fleet.gateways[0], 'slots').send(write(item))
@@ -24,32 +25,32 @@
   return errors
 }
 
-test('a primary that crashes is replaced, and writes go on', async t => {
+test('a primary that crashes is replaced, and writes succeed again', async t => {
   const fleet = await startMemoryFleet(3)
   await openTestSession(fleet.gateways[1], 'slots').send(write('1'))
   fleet.group.databases.get('db-1')!.state = 'dead'
-  // The first write meets the connection on which the primary has died.
-  t.deepEqual((await writeUntilDone(fleet, '2')).filter(error => error !== 'inDoubt' && error !== 'refused'), [])
-  t.is(fleet.group.ran.filter(({ text }) => text === 'WRITE 2 x').length, 1)
+  // The first write uses a connection that the crash has broken.
+  t.deepEqual((await writeUntilSuccess(fleet, '2')).filter(error => error !== 'inDoubt' && error !== 'refused'), [])
+  t.is(fleet.group.executed.filter(({ text }) => text === 'WRITE 2 x').length, 1)
   t.not(recordOf(fleet).primary, 'db-1')
   t.is(recordOf(fleet).term, 2)
   t.is(new Set(fleet.group.fences).size, 1)
   await fleet.close()
 })
 
-test('a primary that goes dark is replaced', async t => {
+test('a primary that stops answering is replaced', async t => {
   const fleet = await startMemoryFleet(3)
   await openTestSession(fleet.gateways[0], 'slots').send(write('1'))
   fleet.group.databases.get('db-1')!.state = 'dark'
   await waitUntil(hasNewPrimary(fleet))
-  t.is((await writeUntilDone(fleet, '2')).length, 0)
+  t.is((await writeUntilSuccess(fleet, '2')).length, 0)
   await fleet.close()
 })
 
-test('the database that has received most leads next', async t => {
+test('the replica with the latest received position is promoted', async t => {
   const fleet = await startMemoryFleet(3)
   await openTestSession(fleet.gateways[0], 'slots').send(write('1'))
-  fleet.group.holdsBack = true
+  fleet.group.isReplicationPaused = true
   fleet.group.databases.get('db-2')!.log = []
   fleet.group.databases.get('db-1')!.state = 'dead'
   await waitUntil(hasNewPrimary(fleet))
@@ -57,7 +58,7 @@
   await fleet.close()
 })
 
-test('a primary that leaves is handed over, and no write is refused or lost', async t => {
+test('a draining primary is replaced, and no write is refused or lost', async t => {
   const fleet = await startMemoryFleet(3)
   const { description } = fleet.group.databases.get('db-1')!
   await openTestSession(fleet.gateways[0], 'slots').send(write('1'))
@@ -74,7 +75,7 @@
   await fleet.close()
 })
 
-test('a primary whose process was replaced at its address, with its log and term, is put in force', async t => {
+test('a new process at the primary\'s address with the same log and term becomes the primary', async t => {
   const fleet = await startMemoryFleet(3)
   await openTestSession(fleet.gateways[0], 'slots').send(write('1'))
   const { databases } = fleet.group
@@ -86,11 +87,11 @@
   fleet.store.put('database/db-9', description)
   await waitUntil(hasNewPrimary(fleet), 4000)
   t.is(recordOf(fleet).primary, 'db-9')
-  t.deepEqual((await writeUntilDone(fleet, '2')), [])
+  t.deepEqual((await writeUntilSuccess(fleet, '2')), [])
   await fleet.close()
 })
 
-test('a gateway that has lost the store confirms nothing by the time another primary is in force', async t => {
+test('a gateway without contact with the store confirms no write once another primary is current', async t => {
   const fleet = await startMemoryFleet(3)
   const holderName = await (async () => {
     await openTestSession(fleet.gateways[0], 'slots').send(write('1'))
@@ -109,7 +110,7 @@
   await fleet.close()
 })
 
-test('a promotion whose gateway ends in the middle is finished by another, with a higher fence', async t => {
+test('a promotion whose gateway stops midway is finished by another, with a higher fencing token', async t => {
   const fleet = await startMemoryFleet(3)
   await openTestSession(fleet.gateways[0], 'slots').send(write('1'))
   const record = recordOf(fleet)
@@ -117,39 +118,39 @@
   fleet.group.databases.get('db-1')!.state = 'dead'
   await waitUntil(hasNewPrimary(fleet))
   t.deepEqual(fleet.group.fences, fleet.group.fences.toSorted((one, other) => one - other))
-  t.deepEqual(await writeUntilDone(fleet, '2'), [])
+  t.deepEqual(await writeUntilSuccess(fleet, '2'), [])
   await fleet.close()
 })
 
-test('the write that a gateway confirms is read by every later session on a primary route', async t => {
+test('a later session on a primary route reads at the primary, also while replicas lag', async t => {
   const fleet = await startMemoryFleet(3)
-  fleet.group.holdsBack = true
+  fleet.group.isReplicationPaused = true
   await openTestSession(fleet.gateways[0], 'slots').send(write('1'))
   await openTestSession(fleet.gateways[2], 'slots').send(read('1'))
-  t.is(fleet.group.ran.at(-1)?.database, 'db-1')
+  t.is(fleet.group.executed.at(-1)?.database, 'db-1')
   await fleet.close()
 })
 
-test('reads go on at replicas while the primary is away', async t => {
+test('replicas serve reads while the primary does not answer', async t => {
   const fleet = await startMemoryFleet(3)
   await openTestSession(fleet.gateways[0], 'slots').send(write('1'))
   fleet.group.databases.get('db-1')!.state = 'dark'
   const answer = await openTestSession(fleet.gateways[1], 'boards').send(read('1'))
   t.is(answer.error, undefined)
-  t.not(fleet.group.ran.at(-1)?.database, 'db-1')
+  t.not(fleet.group.executed.at(-1)?.database, 'db-1')
   await fleet.close()
 })
 
-test('nobody sends new work to a data centre that is out, and its primary moves away', async t => {
+test('no gateway sends new work to a data centre that is out of service, and its primary is replaced', async t => {
   const fleet = await startMemoryFleet(3)
   await openTestSession(fleet.gateways[0], 'slots').send(write('1'))
   fleet.store.put('out/dc-1', {})
   await waitUntil(hasNewPrimary(fleet))
-  fleet.group.ran.length = 0
+  fleet.group.executed.length = 0
   await Promise.all(fleet.gateways.map(async gateway => {
     await openTestSession(gateway, 'slots').send(write('2'))
     await openTestSession(gateway, 'boards').send(read('2'))
   }))
-  t.false(fleet.group.ran.some(({ database }) => database === 'db-1'))
+  t.false(fleet.group.executed.some(({ database }) => database === 'db-1'))
   await fleet.close()
 })
--- a/packages/gateway/src/state/fleet-view.ts
+++ b/packages/gateway/src/state/fleet-view.ts
@@ -1,6 +1,5 @@
 /**
- * What this gateway knows of the platform's store: configuration, databases, evacuations, and the gateways' own
- * records.
+ * This gateway's copy of the platform's store: configuration, databases, evacuations, and the gateways' own records.
  */
 import type { Logger } from '@egretyoke/common'
 import type { StoredEntry } from '@egretyoke/fleet'
@@ -9,59 +8,62 @@
 import { readGroupRecord, readLimitRecord, readMember, recordKeys } from './stored-records.js'
 import type { GroupRecord, LimitRecord, Member } from './stored-records.js'
 
-/** What an entry that the platform, the operators or the databases wrote says. */
-export type PlatformFact =
+/** Decoded store entry of the platform, the operators or a database; undefined content is unreadable or deleted. */
+export type PlatformEntry =
   | { kind: 'configuration', configuration: Configuration | undefined }
   | { kind: 'database', id: string, database: Database | undefined }
   | { kind: 'evacuation', dataCentre: string }
 
-/** Reads an entry; undefined for keys that mean nothing to the gateway. A deleted entry is read by its key. */
-export type ReadFact = (key: string, value: Buffer) => PlatformFact | undefined
+/**
+ * Decodes a store entry; undefined for keys that the gateway does not use. A deleted entry has an empty value and is
+ * identified by its key.
+ */
+export type DecodePlatformEntry = (key: string, value: Buffer) => PlatformEntry | undefined
 
-/** A record with the store revision that it was read at. */
+/** A record with the store revision of its last change. */
 export type Versioned<T> = { record: T, revision: number }
 
-/** The view, brought up to date by `apply`. */
+/** Fleet state, updated by `apply` and `replaceAll`. */
 export type FleetView = {
   configuration: () => Configuration | undefined
   databases: () => ReadonlyMap<string, Database>
   databasesOf: (group: string) => Database[]
-  /** Data centres that are out, with the monotonic time at which this gateway learned of it. */
+  /** Data centres that are out of service, with the monotonic time at which this gateway learned of it. */
   evacuated: () => ReadonlyMap<string, number>
-  /** Monotonic time at which this gateway learned that the database leaves. */
+  /** Monotonic time at which this gateway learned that the database is draining; undefined when it is not. */
   drainingSince: (database: string) => number | undefined
   members: () => ReadonlyMap<string, Member>
-  /** Another number whenever the members have changed. */
+  /** Increases with each change of the members. */
   membersVersion: () => number
   group: (name: string) => Versioned<GroupRecord> | undefined
   limitKeeper: (shard: number) => LimitRecord | undefined
   apply: (entry: StoredEntry) => void
-  /** Takes in a complete listing: what it lacks is gone. */
+  /** Applies a complete listing; entries that it lacks are removed. */
   replaceAll: (entries: readonly StoredEntry[]) => void
-  /** Called with the name of a group whose primary is not the one that it was. */
-  onGroupChange: (listener: (group: string) => void) => void
+  /** Adds a listener that is called with the name of each group whose primary has changed. */
+  onPrimaryChange: (listener: (group: string) => void) => void
 }
 
-/** Creates an empty view. */
-export const createFleetView = (readFact: ReadFact, log: Logger): FleetView => {
+/** Creates an empty fleet state. */
+export const createFleetView = (decodePlatformEntry: DecodePlatformEntry, log: Logger): FleetView => {
   let configuration: Configuration | undefined
   const revisions = new Map<string, number>()
   const databases = new Map<string, Database>()
   const evacuated = new Map<string, number>()
-  const drainingSince = new Map<string, number>()
+  const drainingSinceMs = new Map<string, number>()
   const members = new Map<string, Member>()
   let membersVersion = 0
   const groups = new Map<string, Versioned<GroupRecord>>()
   const limits = new Map<number, LimitRecord>()
   const listeners: Array<(group: string) => void> = []
 
-  const applyOwn = ({ key, value, deleted, revision }: StoredEntry): boolean => {
+  const applyGatewayRecord = ({ key, value, deleted, revision }: StoredEntry): boolean => {
     const put = <K, T>(map: Map<K, T>, id: K, record: T | undefined) => {
       if (record === undefined) map.delete(id)
       else map.set(id, record)
       return true
     }
-    const unreadable = (message: string) => {
+    const logUnreadable = (message: string) => {
       log(events.recordUnreadable, { key, revision, message })
       return undefined
     }
@@ -69,40 +71,44 @@
       const member = deleted
         ? undefined
         : readMember(value).mapErr(
-          error => unreadable(error.message)
+          error => logUnreadable(error.message)
         ).unwrapOr(undefined)
       membersVersion++
       return put(members, key.slice(recordKeys.vms.length), member)
     }
     if (key.startsWith(recordKeys.groups)) {
-      const record = deleted ? undefined : readGroupRecord(value).mapErr(e => unreadable(e.message)).unwrapOr(undefined)
+      const record = deleted
+        ? undefined
+        : readGroupRecord(value).mapErr(e => logUnreadable(e.message)).unwrapOr(undefined)
       const name = key.slice(recordKeys.groups.length)
-      const isOther = groups.get(name)?.record.primary !== record?.primary
+      const hasPrimaryChanged = groups.get(name)?.record.primary !== record?.primary
       put(groups, name, record && { record, revision })
-      if (isOther) for (const listener of listeners) listener(name)
+      if (hasPrimaryChanged) for (const listener of listeners) listener(name)
       return true
     }
     if (key.startsWith(recordKeys.limits)) {
-      const record = deleted ? undefined : readLimitRecord(value).mapErr(e => unreadable(e.message)).unwrapOr(undefined)
+      const record = deleted
+        ? undefined
+        : readLimitRecord(value).mapErr(e => logUnreadable(e.message)).unwrapOr(undefined)
       return put(limits, Number(key.slice(recordKeys.limits.length)), record)
     }
     return false
   }
 
-  const applyFact = ({ key, value, deleted, revision }: StoredEntry) => {
-    const fact = readFact(key, value)
-    if (fact === undefined) return
-    if (fact.kind === 'evacuation') {
-      if (deleted) evacuated.delete(fact.dataCentre)
-      else evacuated.set(fact.dataCentre, performance.now())
-      return log(events.evacuationKnown, { dataCentre: fact.dataCentre, evacuated: !deleted, revision })
+  const applyPlatformEntry = ({ key, value, deleted, revision }: StoredEntry) => {
+    const decoded = decodePlatformEntry(key, value)
+    if (decoded === undefined) return
+    if (decoded.kind === 'evacuation') {
+      if (deleted) evacuated.delete(decoded.dataCentre)
+      else evacuated.set(decoded.dataCentre, performance.now())
+      return log(events.evacuationKnown, { dataCentre: decoded.dataCentre, evacuated: !deleted, revision })
     }
-    if (fact.kind === 'database') {
-      const { id, database } = fact
+    if (decoded.kind === 'database') {
+      const { id, database } = decoded
       if (deleted || database === undefined) databases.delete(id)
       else databases.set(id, database)
-      if (database?.draining !== true) drainingSince.delete(id)
-      else if (!drainingSince.has(id)) drainingSince.set(id, performance.now())
+      if (database?.draining !== true) drainingSinceMs.delete(id)
+      else if (!drainingSinceMs.has(id)) drainingSinceMs.set(id, performance.now())
       return log(events.databaseKnown, {
         database: id,
         group: database?.group,
@@ -113,13 +119,13 @@
         address: database?.address
       })
     }
-    if (deleted || fact.configuration === undefined) {
+    if (deleted || decoded.configuration === undefined) {
       return log(
         events.configurationUnreadable, { key, revision, deleted }
       )
     }
-    if (configuration !== undefined && fact.configuration.version < configuration.version) return
-    configuration = fact.configuration
+    if (configuration !== undefined && decoded.configuration.version < configuration.version) return
+    configuration = decoded.configuration
     log(events.configurationInForce, { version: configuration.version, revision, routes: configuration.routes.size })
   }
 
@@ -127,7 +133,7 @@
     if ((revisions.get(entry.key) ?? 0) >= entry.revision) return
     if (entry.deleted) revisions.delete(entry.key)
     else revisions.set(entry.key, entry.revision)
-    if (!applyOwn(entry)) applyFact(entry)
+    if (!applyGatewayRecord(entry)) applyPlatformEntry(entry)
   }
 
   const replaceAll = (entries: readonly StoredEntry[]) => {
@@ -144,13 +150,13 @@
     databases: () => databases,
     databasesOf: group => [...databases.values()].filter(database => database.group === group),
     evacuated: () => evacuated,
-    drainingSince: database => drainingSince.get(database),
+    drainingSince: database => drainingSinceMs.get(database),
     members: () => members,
     membersVersion: () => membersVersion,
     group: name => groups.get(name),
     limitKeeper: shard => limits.get(shard),
     apply,
     replaceAll,
-    onGroupChange: listener => { listeners.push(listener) }
+    onPrimaryChange: listener => { listeners.push(listener) }
   }
 }
--- a/packages/gateway/src/state/token-bucket.ts
+++ b/packages/gateway/src/state/token-bucket.ts
@@ -1,46 +1,46 @@
 /**
- * A token bucket that is empty at a given time: what an earlier keeper of the limit may have handed out until then
- * counts as spent.
+ * A token bucket that is empty at a given time, because tokens that an earlier allocator of the limit may have granted
+ * until then count as spent.
  */
 import { monotonicMs } from '@egretyoke/common'
 import type { Clock } from '@egretyoke/common'
 
-/** Rate and depth of a bucket. */
-export type BucketTerms = { ratePerSec: number, burst: number }
+/** Refill rate and depth of a bucket. */
+export type BucketLimits = { ratePerSec: number, burst: number }
 
 /** A token bucket. */
 export type TokenBucket = {
-  /** Takes up to `wanted` whole tokens. */
-  take: (wanted: number) => number
-  /** Adds tokens, up to the depth. */
+  /** Removes up to `requested` whole tokens; returns how many. */
+  take: (requested: number) => number
+  /** Adds tokens, limited by the depth. */
   add: (tokens: number) => void
-  /** Changes the terms; tokens beyond the new depth are lost. */
-  setTerms: (terms: BucketTerms) => void
+  /** Changes rate and depth; tokens beyond the new depth are discarded. */
+  setTerms: (limits: BucketLimits) => void
 }
 
-/** Creates a bucket that was empty at `emptyAtMs` on the clock; now, unless it is given. */
+/** Creates a bucket that was empty at `emptyAtMs` on the clock, by default now. */
 export const createTokenBucket = (
-  initial: BucketTerms, clock: Clock = monotonicMs, emptyAtMs: number = clock()
+  initial: BucketLimits, clock: Clock = monotonicMs, emptyAtMs: number = clock()
 ): TokenBucket => {
-  let terms = initial
+  let limits = initial
   let tokens = 0
   let filledAtMs = emptyAtMs
 
-  /** Whoever has a rate gets a whole token at some time. */
-  const depth = () => Math.max(terms.ratePerSec > 0 ? 1 : 0, terms.burst)
+  /** At least one token for a non-zero rate, because with a burst below 1 the bucket would never hold a whole token. */
+  const depth = () => Math.max(limits.ratePerSec > 0 ? 1 : 0, limits.burst)
 
   const fill = () => {
     const nowMs = clock()
-    tokens = Math.min(depth(), tokens + (nowMs - filledAtMs) / 1000 * terms.ratePerSec)
+    tokens = Math.min(depth(), tokens + (nowMs - filledAtMs) / 1000 * limits.ratePerSec)
     filledAtMs = nowMs
   }
 
   return {
-    take: wanted => {
+    take: requested => {
       fill()
-      const taken = Math.min(wanted, Math.floor(tokens))
-      tokens -= taken
-      return taken
+      const acquired = Math.min(requested, Math.floor(tokens))
+      tokens -= acquired
+      return acquired
     },
     add: added => {
       fill()
@@ -48,7 +48,7 @@
     },
     setTerms: next => {
       fill()
-      terms = next
+      limits = next
       tokens = Math.min(tokens, depth())
     }
   }
--- a/packages/gateway/src/store-watchers.test.ts
+++ b/packages/gateway/src/store-watchers.test.ts
@@ -1,6 +1,6 @@
 /**
- * One gateway of a data centre watches the store for the others: what that spares, and what happens when it ends or is
- * turned away.
+ * One gateway of a data centre watches the store for the others, so that the store gets few watch calls. Guards against
+ * gateways that miss changes or lose readiness when the watcher stops or the store refuses its calls.
  */
 import { sleepMs } from '@egretyoke/common'
 import test from 'ava'
@@ -12,15 +12,15 @@
   const fleet = await startMemoryFleet(1)
   for (let index = 2; index <= size; index++) await fleet.start(`vm-${index}`, 'dc-1')
   await waitUntil(() => fleet.gateways.every(({ gateway }) => gateway.isReady()))
-  // Until all have seen each other.
+  // Waits until the gateways have connected to each other.
   await sleepMs(1200)
   return fleet
 }
 
-const knowsVersion = (fleet: MemoryFleet, { name }: FleetGateway, version: number) => fleet.events.some(event =>
+const hasVersion = (fleet: MemoryFleet, { name }: FleetGateway, version: number) => fleet.events.some(event =>
   event.gateway === name && event.name === 'configurationInForce' && event.fields.version === version)
 
-/** The gateway that asked the store for changes most often in the time. */
+/** The gateway that made the most watch calls to the store within `forMs`, and the calls of each gateway. */
 const findWatcher = async (fleet: MemoryFleet, forMs: number) => {
   const before = fleet.gateways.map(gateway => gateway.watchCalls())
   await sleepMs(forMs)
@@ -28,39 +28,39 @@
   return { calls, watcher: fleet.gateways[calls.indexOf(Math.max(...calls))] }
 }
 
-test('one gateway of a data centre watches the store, and all learn of a change', async t => {
+test('one gateway of a data centre watches the store, and all receive a change', async t => {
   const fleet = await startDataCentre(4)
   const { calls } = await findWatcher(fleet, 3000)
   t.is(calls.filter(count => count > 0).length, 1, calls.join())
   fleet.configure({})
-  await waitUntil(() => fleet.gateways.every(gateway => knowsVersion(fleet, gateway, 2)), 1000)
+  await waitUntil(() => fleet.gateways.every(gateway => hasVersion(fleet, gateway, 2)), 1000)
   t.pass()
   await fleet.close()
 })
 
-test('a value that is too long to be passed on reaches all gateways', async t => {
+test('a value that is too long to be forwarded between gateways reaches all of them', async t => {
   const fleet = await startDataCentre(3)
   fleet.configure({
     workspaces: [{
       name: 'y'.repeat(40_000), ratePerSec: 1, burst: 1, homeRegions: [], keys: ['key-long']
     }]
   })
-  await waitUntil(() => fleet.gateways.every(gateway => knowsVersion(fleet, gateway, 2)), 1500)
+  await waitUntil(() => fleet.gateways.every(gateway => hasVersion(fleet, gateway, 2)), 1500)
   t.true(fleet.gateways.every(({ gateway }) => typeof gateway.openSession('slots', 'key-long') !== 'string'))
   await fleet.close()
 })
 
-test('when the watcher ends, the others stay ready and go on learning', async t => {
+test('when the watcher stops, the others stay ready and still receive changes', async t => {
   const fleet = await startDataCentre(4)
   const { watcher } = await findWatcher(fleet, 2000)
   const others = fleet.gateways.filter(gateway => gateway !== watcher)
   let wereReady = true
-  const look = setInterval(() => { wereReady &&= others.every(({ gateway }) => gateway.isReady()) }, 20)
+  const readinessPoll = setInterval(() => { wereReady &&= others.every(({ gateway }) => gateway.isReady()) }, 20)
   await watcher.gateway.close()
   fleet.configure({})
-  await waitUntil(() => others.every(gateway => knowsVersion(fleet, gateway, 2)), 3000)
+  await waitUntil(() => others.every(gateway => hasVersion(fleet, gateway, 2)), 3000)
   await sleepMs(2000)
-  clearInterval(look)
+  clearInterval(readinessPoll)
   t.true(wereReady)
   const sources = fleet.events.filter(({ name }) => name === 'storeSourceChanged').map(({ fields }) => fields.source)
   t.true(sources.includes(watcher.name) && sources.includes('store'), sources.join())
@@ -68,18 +68,18 @@
   await fleet.close()
 })
 
-test('when the store turns the watcher away, the others stay ready and go on learning', async t => {
+test('when the store refuses the watcher\'s calls, the others stay ready and still receive changes', async t => {
   const fleet = await startDataCentre(3)
   const { watcher } = await findWatcher(fleet, 2000)
   const others = fleet.gateways.filter(gateway => gateway !== watcher)
   watcher.setStoreMode('refusing')
   let wereReady = true
-  const look = setInterval(() => { wereReady &&= others.every(({ gateway }) => gateway.isReady()) }, 20)
+  const readinessPoll = setInterval(() => { wereReady &&= others.every(({ gateway }) => gateway.isReady()) }, 20)
   await sleepMs(2000)
   fleet.configure({})
-  await waitUntil(() => others.every(gateway => knowsVersion(fleet, gateway, 2)), 2000)
+  await waitUntil(() => others.every(gateway => hasVersion(fleet, gateway, 2)), 2000)
   await sleepMs(2000)
-  clearInterval(look)
+  clearInterval(readinessPoll)
   t.true(wereReady)
   t.false(watcher.gateway.isReady())
   await fleet.close()
--- a/packages/gateway/src/testing/memory-group.ts
+++ b/packages/gateway/src/testing/memory-group.ts
@@ -1,6 +1,6 @@
 /**
- * A group of databases in memory, for tests: a log with terms, replicas that are fed by hand or at once, connections
- * with session state, and a record of everything that ran.
+ * An in-memory database group for tests: a log with terms, replicas that are updated at once or on request, connections
+ * with session state, and a record of all statements that ran.
  */
 import { Err, Ok, sleepMs, typedError } from '@egretyoke/common'
 import type {
@@ -12,8 +12,8 @@
 
 type LogEntry = { position: string, requestId: string }
 
-/** What a database ran, in order. */
-export type RunStatement = {
+/** A statement that a database ran. */
+export type ExecutedStatement = {
   database: string
   connection: number
   workspace: string
@@ -23,40 +23,40 @@
   inTransaction: boolean
 }
 
-/** One database of the group and its faults. */
+/** One database of the group, with its faults. */
 export type MemoryDatabase = {
   description: Database
   log: LogEntry[]
   role: 'primary' | 'replica'
   term: number
-  /** `dead` refuses connections, `dark` never answers. */
+  /** `dead` refuses and closes connections; `dark` never answers. */
   state: 'alive' | 'dead' | 'dark'
-  /** Runs statements but does not answer them. */
-  losesAnswers: boolean
-  workMs: number
+  /** Runs statements and commits without answering them. */
+  dropsReplies: boolean
+  statementMs: number
   running: number
-  mostRunning: number
+  maxRunning: number
   connections: number
 }
 
-/** The group. */
+/** The group, its adapter functions and its records. */
 export type MemoryGroup = {
   databases: Map<string, MemoryDatabase>
   connect: ConnectDatabase
   promote: PromoteDatabase
-  ran: RunStatement[]
-  /** Fences of the promotions that were asked for, in order. */
+  executed: ExecutedStatement[]
+  /** Fencing tokens of the requested promotions, in order. */
   fences: number[]
-  /** Brings the replicas up to the primary's log; it happens by itself unless `holdsBack` is set. */
+  /** Copies the primary's log to the replicas; done after each write unless `holdsBack` is set. */
   replicate: () => void
-  holdsBack: boolean
+  isReplicationPaused: boolean
 }
 
 const promoteDelayMs = 30
 
 const positionOf = (database: MemoryDatabase) => database.log.at(-1)?.position ?? `${database.term}.0`
 
-const describe = (id: string, index: number, group: string): MemoryDatabase => ({
+const createDatabase = (id: string, index: number, group: string): MemoryDatabase => ({
   description: {
     id,
     group,
@@ -71,18 +71,18 @@
   role: index === 0 ? 'primary' : 'replica',
   term: 1,
   state: 'alive',
-  losesAnswers: false,
-  workMs: 1,
+  dropsReplies: false,
+  statementMs: 1,
   running: 0,
-  mostRunning: 0,
+  maxRunning: 0,
   connections: 0
 })
 
-/** Creates a group of three; the first is the primary. */
+/** Creates a group of three databases; the first is the primary. */
 export const createMemoryGroup = (group = 'bookings'): MemoryGroup => {
   const ids = ['db-1', 'db-2', 'db-3']
-  const databases = new Map(ids.map((id, index) => [id, describe(id, index, group)]))
-  const ran: RunStatement[] = []
+  const databases = new Map(ids.map((id, index) => [id, createDatabase(id, index, group)]))
+  const executed: ExecutedStatement[] = []
   const fences: number[] = []
   let connectionCount = 0
 
@@ -99,7 +99,7 @@
   const append = (database: MemoryDatabase, requestId: string) => {
     const number = Number(positionOf(database).split('.')[1]) + 1
     database.log.push({ position: `${database.term}.${number}`, requestId })
-    if (!memory.holdsBack) replicate()
+    if (!memory.isReplicationPaused) replicate()
   }
 
   const connect: ConnectDatabase = async ({ databaseId, workspace }, timeoutMs) => {
@@ -131,17 +131,17 @@
       if (transaction === 'open') transaction = 'failed'
       return reply({ outcome: 'declined', declineReason, message: declineReason })
     }
-    const lacks = (position: string) => position !== '' && comparePositions(positionOf(database), position) < 0
+    const isBehind = (position: string) => position !== '' && comparePositions(positionOf(database), position) < 0
 
     const runStatement = async (requestId: string, text: string, access: 'read' | 'write', positionAtLeast: string) => {
-      if (lacks(positionAtLeast)) return decline('lagging')
+      if (isBehind(positionAtLeast)) return decline('lagging')
       if (access === 'write' && (database.role !== 'primary' || isReadOnly)) return decline('readOnly')
       database.running++
-      database.mostRunning = Math.max(database.mostRunning, database.running)
-      await sleepMs(database.workMs)
+      database.maxRunning = Math.max(database.maxRunning, database.running)
+      await sleepMs(database.statementMs)
       database.running--
       const inTransaction = transaction === 'open'
-      ran.push({
+      executed.push({
         database: database.description.id,
         connection,
         workspace,
@@ -172,7 +172,7 @@
       ) return decline('malformed')
       switch (command.kind) {
         case 'begin':
-          if (lacks(command.positionAtLeast)) return decline('lagging')
+          if (isBehind(command.positionAtLeast)) return decline('lagging')
           if (!command.readOnly && database.role !== 'primary') return decline('readOnly')
           transaction = 'open'
           isReadOnly = command.readOnly
@@ -221,8 +221,8 @@
           return [...replies, lost('closed')]
         }
         if (database.state === 'alive') replies.push(await runCommand(command))
-        const isUnheard = database.losesAnswers && (command.kind === 'text' || command.kind === 'commit')
-        if (database.state === 'alive' && !isUnheard) continue
+        const isReplyDropped = database.dropsReplies && (command.kind === 'text' || command.kind === 'commit')
+        if (database.state === 'alive' && !isReplyDropped) continue
         await sleepMs(timeoutMs)
         end()
         return [...replies.slice(0, -1), lost('timeout')]
@@ -230,21 +230,21 @@
       return replies
     }
 
-    const order = async (given: DatabaseOrder, timeoutMs: number) => {
+    const runControl = async (command: DatabaseOrder, timeoutMs: number) => {
       await sleepMs(1)
       if (database.state === 'dark') await sleepMs(timeoutMs)
       if (!isOpen || database.state !== 'alive') {
         end()
         return Err(typedError('lost' as const, 'lost', { timedOut: database.state === 'dark' }))
       }
-      if (given.kind === 'demote' && given.term > database.term) database.role = 'replica'
+      if (command.kind === 'demote' && command.term > database.term) database.role = 'replica'
       const { role, term } = database
       return Ok({ role, term, receivedPosition: positionOf(database), appliedPosition: positionOf(database) })
     }
 
     return {
       run,
-      order,
+      order: runControl,
       isOpen: () => isOpen && database.state !== 'dead',
       onClosed: listener => { listeners.push(listener) },
       close: end
@@ -263,6 +263,6 @@
     return Ok(undefined)
   }
 
-  const memory: MemoryGroup = { databases, connect, promote, ran, fences, replicate, holdsBack: false }
+  const memory: MemoryGroup = { databases, connect, promote, executed, fences, replicate, isReplicationPaused: false }
   return memory
 }
--- a/packages/gateway/src/testing/memory-store.ts
+++ b/packages/gateway/src/testing/memory-store.ts
@@ -1,25 +1,25 @@
 /**
- * The shared store in memory, with faults, for tests.
+ * An in-memory shared store with faults, for tests.
  */
 import { Err, Ok, sleepMs, typedError } from '@egretyoke/common'
 import { createPlatformStore } from '@egretyoke/standins'
 import type { KeptEntry } from '@egretyoke/standins'
 import type { SharedStore } from '../coordination/shared-store.js'
 
-/** How the store treats calls: `silent` brings no answer, `lost` carries out what is asked and does not answer. */
+/** How the store handles calls: `silent` neither runs nor answers them, `lost` runs them without answering. */
 export type StoreMode = 'serving' | 'silent' | 'refusing' | 'lost'
 
-/** One gateway's way to the store. */
+/** One gateway's client of the store. */
 export type MemoryClient = SharedStore & { setMode: (mode: StoreMode) => void, watchCalls: () => number }
 
-/** A store that several gateways of one test share. */
+/** A store that all gateways of a test share. */
 export type MemoryStore = {
-  /** A client; its mode can differ from that of others. */
+  /** Creates a client with a fault mode of its own. */
   client: () => MemoryClient
   put: (key: string, value: unknown) => number
   remove: (key: string) => void
   read: (key: string) => unknown
-  /** Forgets changes up to now: watches from before are told that history is gone. */
+  /** Discards all changes up to now: watches from an earlier revision fail with `historyGone`. */
   compact: () => void
 }
 
@@ -28,7 +28,7 @@
 /** Creates an empty store. */
 export const createMemoryStore = (): MemoryStore => {
   const store = createPlatformStore()
-  let compactedAt = 0
+  let compactedRevision = 0
 
   const put = (key: string, value: unknown) => {
     const expectedRevision = store.get(key)?.revision ?? 0
@@ -71,7 +71,7 @@
     const changes: SharedStore['changes'] = async (prefix, afterRevision, waitMs, timeoutMs) => {
       watchCalls++
       if (mode === 'serving') await waitForChange(afterRevision, waitMs)
-      if (afterRevision < compactedAt) return Err(typedError('historyGone' as const, 'history is gone'))
+      if (afterRevision < compactedRevision) return Err(typedError('historyGone' as const, 'history is gone'))
       const read = () => ({ entries: store.range(prefix, afterRevision) as KeptEntry[], revision: store.revision() })
       return await call(read, timeoutMs)
     }
@@ -110,6 +110,6 @@
       const entry = store.get(key)
       return entry === undefined ? undefined : JSON.parse(entry.value.toString('utf8'))
     },
-    compact: () => { compactedAt = store.revision() }
+    compact: () => { compactedRevision = store.revision() }
   }
 }
--- a/packages/gateway/src/transport/relay-links.ts
+++ b/packages/gateway/src/transport/relay-links.ts
@@ -1,5 +1,5 @@
 /**
- * Links to other gateways by address, and the listener for theirs.
+ * Links to other gateways by address, and the service that answers their links.
  */
 import type { Server, ServerDuplexStream } from '@grpc/grpc-js'
 import type { Logger } from '@egretyoke/common'
@@ -7,29 +7,29 @@
 import type { ChannelSettings, RelayMessages } from '@egretyoke/protocol'
 import type { RelayCalls } from '../coordination/relay-calls.js'
 import { events } from '../events.js'
-import { createRelayLink, tickMs } from './relay-link.js'
+import { createRelayLink, tickIntervalMs } from './relay-link.js'
 import type { RelayLink } from './relay-link.js'
 
 const maxLinks = 2048
-/** Pings that all idle links together may send; with many links each is pinged less often. */
+/** Pings that all idle links together may send; with many links each one is pinged less often. */
 const maxIdlePingsPerSec = 25
 
-/** Links, to be closed. */
+/** Links to other gateways. */
 export type RelayLinks = RelayCalls & {
-  /** Whether some peer takes new sessions. */
+  /** Whether at least one peer accepts new sessions. */
   isAnyReady: () => boolean
-  /** Closes the links to addresses that are not in the list. */
+  /** Closes the links to addresses that are not in the set. */
   retain: (addresses: ReadonlySet<string>) => void
   close: () => void
 }
 
-/** Creates the links. */
+/** Creates an empty table of links; a link is created on the first request to its address. */
 export const createRelayLinks = (channels: ChannelSettings, log: Logger): RelayLinks => {
   const links = new Map<string, RelayLink>()
 
   const linkTo = (address: string): RelayLink => {
-    const known = links.get(address)
-    if (known !== undefined) return known
+    const existing = links.get(address)
+    if (existing !== undefined) return existing
     if (links.size >= maxLinks) retain(new Set())
     const link = createRelayLink(address, channels, reason => log(events.peerLost, { address, reason }))
     links.set(address, link)
@@ -44,30 +44,30 @@
     }
   }
 
-  const ticking = setInterval(() => {
+  const tickTimer = setInterval(() => {
     const idlePingMs = links.size * 1000 / maxIdlePingsPerSec
     for (const link of links.values()) link.tick(idlePingMs)
-  }, tickMs)
+  }, tickIntervalMs)
 
   return {
-    ask: ({ address }, question, timeoutMs) => linkTo(address).ask(question, timeoutMs),
+    ask: ({ address }, request, timeoutMs) => linkTo(address).call(request, timeoutMs),
     isUsable: ({ address }) => links.get(address)?.isUsable() ?? true,
     isConnected: ({ address }) => linkTo(address).isConnected(),
     isAnyReady: () => [...links.values()].some(link => link.isPeerReady()),
     retain,
     close: () => {
-      clearInterval(ticking)
+      clearInterval(tickTimer)
       retain(new Set())
     }
   }
 }
 
-/** Answers a request of another gateway; undefined when it wants no answer. */
-export type HandleRelayed =
+/** Handles a request of another gateway; resolves with undefined when the request needs no reply. */
+export type RelayRequestHandler =
   (request: RelayMessages.RelayRequest__Output) => Promise<Omit<RelayMessages.RelayReply, 'number'> | undefined>
 
-/** Adds the service to a listener. Requests of a stream are answered as they finish. */
-export const addRelayService = (server: Server, handle: HandleRelayed): void => {
+/** Adds the relay service to a gRPC server. Requests of one stream are answered in the order in which they finish. */
+export const addRelayService = (server: Server, handle: RelayRequestHandler): void => {
   type Call = ServerDuplexStream<RelayMessages.RelayRequest__Output, RelayMessages.RelayReply>
   server.addService(relayProto.Relay.service, {
     Exchange: (call: Call) => {
