--- a/packages/entry/src/coordination/connection-permits.ts
+++ b/packages/entry/src/coordination/connection-permits.ts
@@ -54,7 +54,7 @@
     startupHold: true,
     clock,
     log,
-    askPeer: createBorrowCall(state, calls)
+    sendBorrowRequest: createBorrowCall(state, calls)
   })
 
   const update = () => {
--- a/packages/entry/src/coordination/entry-context.ts
+++ b/packages/entry/src/coordination/entry-context.ts
@@ -2,7 +2,7 @@
  * Components shared by all requests on this VM.
  */
 import type { Clock, Logger } from '@egretyoke/common'
-import type { RetryBudget, Taken } from '@egretyoke/limits'
+import type { RetryBudget, AcquireResult } from '@egretyoke/limits'
 import type { EntryLimits } from '../settings.js'
 import type { Admission } from './admission.js'
 import type { AnswerChecker } from './answer-check.js'
@@ -34,7 +34,7 @@
   /** Waits a short time for contact. Resolves to false if the VM is still not in contact. */
   waitForContact: () => Promise<boolean>
   /** Acquires one token of the workspace's rate limit, waiting a short time for a loan from a peer if needed. */
-  acquireRateToken: (workspace: string) => Promise<Taken>
+  acquireRateToken: (workspace: string) => Promise<AcquireResult>
   concurrency: ConcurrencyLimit
   group: (name: string) => GroupContext | undefined
   readPolicy: ReadPolicy
--- a/packages/entry/src/coordination/rate-limits.ts
+++ b/packages/entry/src/coordination/rate-limits.ts
@@ -5,7 +5,7 @@
 import type { Clock, Logger } from '@egretyoke/common'
 import { sharingNames } from '@egretyoke/config'
 import { createShareTable, loans, staticSlices, tokenLoans } from '@egretyoke/limits'
-import type { ShareTable, Taken } from '@egretyoke/limits'
+import type { ShareTable, AcquireResult } from '@egretyoke/limits'
 import type { PlatformState } from '../state/platform-state.js'
 import type { Identity } from './identity.js'
 import { createBorrowCall, growthDelayMsFor, loanMarginMs, loanTtlMs } from './loan-terms.js'
@@ -30,7 +30,7 @@
 
 /** Rate limits of this VM. */
 export type RateLimits = {
-  acquire: (workspace: string) => Promise<Taken>
+  acquire: (workspace: string) => Promise<AcquireResult>
   lend: ShareTable['lend']
   expireLoans: () => void
   /** Applies the limits of the active configuration and the members of the active roster. */
@@ -60,7 +60,7 @@
     startupHold: true,
     clock,
     log,
-    askPeer: createBorrowCall(state, calls)
+    sendBorrowRequest: createBorrowCall(state, calls)
   })
 
   const update = () => {
@@ -86,7 +86,7 @@
   }
 
   return {
-    acquire: workspace => table.take(workspace, maxWaitMs),
+    acquire: workspace => table.acquire(workspace, maxWaitMs),
     lend: table.lend,
     expireLoans: table.expireLoans,
     update,
--- a/packages/entry/src/coordination/statement-runner.ts
+++ b/packages/entry/src/coordination/statement-runner.ts
@@ -51,7 +51,7 @@
 async function * attempts (context: EntryContext, task: StatementTask, lastResult: () => AttemptResult | undefined) {
   const { route, deadlineMs } = task.admitted
   const isRepeatable = route.access === 'read' || route.repeatable
-  context.retryBudget.request()
+  context.retryBudget.recordRequest()
   yield 1
   for (let number = 2; number <= maxRequestAttempts; number++) {
     const result = lastResult()
--- a/packages/gateway/src/coordination/admission.ts
+++ b/packages/gateway/src/coordination/admission.ts
@@ -90,7 +90,7 @@
 
   const admitFromFallback = (account: Account) => {
     if (nowMs() - account.lastReplyMs > fallbackDurationMs) return
-    while (account.waiting.length > 0 && account.fallback.take(1) === 1) account.waiting.shift()?.complete(true)
+    while (account.waiting.length > 0 && account.fallback.acquire(1) === 1) account.waiting.shift()?.complete(true)
   }
 
   const refuseExpired = (workspace: string, account: Account) => {
@@ -106,7 +106,7 @@
     const tokens = await requestTokens(workspace, Math.max(1, Math.ceil(requested)))
     if (tokens === undefined || !tokens.isKeeper) return false
     account.lastReplyMs = nowMs()
-    if (tokens.ratePartPerSec > 0) account.fallback.setTerms({ ratePerSec: tokens.ratePartPerSec, burst: 1 })
+    if (tokens.ratePartPerSec > 0) account.fallback.setLimits({ ratePerSec: tokens.ratePartPerSec, burst: 1 })
     if (tokens.granted === 0) return false
     account.tokens = usableTokens(account) + tokens.granted
     account.fetchedAtMs = nowMs()
--- a/packages/gateway/src/coordination/connection-pool.test.ts
+++ b/packages/gateway/src/coordination/connection-pool.test.ts
@@ -11,7 +11,7 @@
   let isOpen = true
   return {
     run: async () => [],
-    order: async () => Err(typedError('lost', 'not used')),
+    runControl: async () => Err(typedError('lost', 'not used')),
     isOpen: () => isOpen,
     onClosed: () => {},
     close: () => { isOpen = false }
--- a/packages/gateway/src/coordination/database-orders.ts
+++ b/packages/gateway/src/coordination/control-commands.ts
@@ -4,7 +4,7 @@
 import { Err, Ok, typedError } from '@egretyoke/common'
 import type { Result, TypedError } from '@egretyoke/common'
 import type { Database } from '../state/configuration.js'
-import type { ConnectDatabase, DatabaseConnection, DatabaseOrder, DatabaseStatus } from './database-connection.js'
+import type { ConnectDatabase, DatabaseConnection, ControlCommand, DatabaseStatus } from './database-connection.js'
 
 /** Workspace name of the control connections. */
 const controlWorkspace = 'egretyoke'
@@ -19,14 +19,14 @@
 
 /** Control commands to databases. */
 export type ControlCommands = {
-  run: (database: Database, command: DatabaseOrder, timeoutMs: number) => Promise<Result<DatabaseStatus, ControlError>>
+  run: (database: Database, command: ControlCommand, timeoutMs: number) => Promise<Result<DatabaseStatus, ControlError>>
   close: () => void
 }
 
 type ControlConnection = { connection: DatabaseConnection, address: string, usedAtMs: number }
 
 /** Creates the control commands; connections are opened on first use. */
-export const createDatabaseOrders = (connect: ConnectDatabase): ControlCommands => {
+export const createControlCommands = (connect: ConnectDatabase): ControlCommands => {
   const connections = new Map<string, ControlConnection>()
 
   const drop = (id: string) => {
@@ -53,10 +53,10 @@
     return connected
   }
 
-  const run = async (database: Database, command: DatabaseOrder, timeoutMs: number) => {
+  const run = async (database: Database, command: ControlCommand, timeoutMs: number) => {
     const connection = await connectionTo(database, timeoutMs)
     if (connection.err) return Err(connection.val)
-    const status = await connection.val.order(command, timeoutMs)
+    const status = await connection.val.runControl(command, timeoutMs)
     if (status.ok) return status
     if (status.val.reason === 'declined') return Err(typedError('declined' as const, status.val.message))
     drop(database.id)
--- a/packages/gateway/src/coordination/database-connection.ts
+++ b/packages/gateway/src/coordination/database-connection.ts
@@ -41,18 +41,18 @@
 }
 
 /** Control command to a database. `demote`: give up the primary role of any term before this one. */
-export type DatabaseOrder =
+export type ControlCommand =
   | { kind: 'status' }
   | { kind: 'demote', term: number }
 
 /** Why a control command returned no status. */
-export type OrderFailure = TypedError<'lost' | 'declined'>
+export type ControlFailure = TypedError<'lost' | 'declined'>
 
 /** An open connection. It runs one call at a time; the commands of one call are pipelined in one write. */
 export type DatabaseConnection = {
   /** Runs commands in order. The replies end at the first `lost` one, which also closes the connection. */
   run: (commands: readonly DatabaseCommand[], timeoutMs: number) => Promise<DatabaseReply[]>
-  order: (command: DatabaseOrder, timeoutMs: number) => Promise<Result<DatabaseStatus, OrderFailure>>
+  runControl: (command: ControlCommand, timeoutMs: number) => Promise<Result<DatabaseStatus, ControlFailure>>
   isOpen: () => boolean
   onClosed: (listener: () => void) => void
   close: () => void
--- a/packages/gateway/src/coordination/database-holder.ts
+++ b/packages/gateway/src/coordination/database-holder.ts
@@ -43,10 +43,10 @@
   /** Starts no new work for `forMs`; queued statements stay queued. */
   pause: (forMs: number) => void
   /** Resolves with true once nothing runs and no transaction is open, or with false after `timeoutMs`. */
-  settle: (timeoutMs: number) => Promise<boolean>
+  waitUntilIdle: (timeoutMs: number) => Promise<boolean>
   load: () => number
   /** True if the database has replied to a statement recently. */
-  hasAnsweredLately: () => boolean
+  hasRepliedRecently: () => boolean
   openTransactions: () => number
   connections: () => number
   /** Drops expired statements, ends idle transactions and dispatches the queue; call often while work is pending. */
@@ -253,7 +253,7 @@
     })
   }
 
-  const settle = async (timeoutMs: number): Promise<boolean> => {
+  const waitUntilIdle = async (timeoutMs: number): Promise<boolean> => {
     const deadlineMs = nowMs() + timeoutMs
     while (nowMs() < deadlineMs) {
       if (inFlight === 0 && pinned.size() === 0) return true
@@ -276,9 +276,9 @@
       if (pooled !== undefined) pinned.rollBack(pooled).then(dispatch)
     },
     pause: forMs => { pausedUntilMs = nowMs() + forMs },
-    settle,
+    waitUntilIdle,
     load,
-    hasAnsweredLately: () => nowMs() - lastReplyMs < recentReplyMs,
+    hasRepliedRecently: () => nowMs() - lastReplyMs < recentReplyMs,
     openTransactions: pinned.size,
     connections: pool.size,
     runMaintenance,
--- a/packages/gateway/src/coordination/election.test.ts
+++ b/packages/gateway/src/coordination/election.test.ts
@@ -10,29 +10,29 @@
 const member = (name: string, dataCentre: string, draining = false): Member =>
   ({ name, dataCentre, region: `region of ${dataCentre}`, address: name, incarnation: '1', draining })
 
-const createView = (first: Member[]) => {
+const createFakeFleetState = (first: Member[]) => {
   let members = new Map(first.map(each => [each.name, each]))
   let version = 0
   const set = (next: Member[]) => {
     members = new Map(next.map(each => [each.name, each]))
     version++
   }
-  return { view: { members: () => members, membersVersion: () => version }, set }
+  return { fleetState: { members: () => members, membersVersion: () => version }, set }
 }
 
 const fleet = ['a1', 'a2', 'a3', 'b1', 'b2', 'c1'].map(name => member(name, name.slice(0, 1)))
 const database = { id: 'db', dataCentre: 'a' } as Database
 
 test('the rank order depends only on the set of members, not on the order in which they were added', t => {
-  const one = createElection(createView(fleet).view)
-  const other = createElection(createView([...fleet].reverse()).view)
+  const one = createElection(createFakeFleetState(fleet).fleetState)
+  const other = createElection(createFakeFleetState([...fleet].reverse()).fleetState)
   t.deepEqual(one.ranked('key'), other.ranked('key'))
   t.is(one.first('key'), other.first('key'))
 })
 
 test('a member change takes effect at once, and a draining member is not first', t => {
-  const { view, set } = createView(fleet)
-  const election = createElection(view)
+  const { fleetState, set } = createFakeFleetState(fleet)
+  const election = createElection(fleetState)
   const first = election.first('key')
   set(fleet.map(each => each.name === first ? { ...each, draining: true } : each))
   t.not(election.first('key'), first)
@@ -43,7 +43,7 @@
 
 const choiceOf = (name: string, members = fleet, usable = (_member: Member) => true) => {
   const self = members.find(each => each.name === name) ?? member(name, 'c')
-  const election = createElection(createView(members).view)
+  const election = createElection(createFakeFleetState(members).fleetState)
   return createHolderChoice({ self, election, regionOf: dataCentre => `region of ${dataCentre}`, isUsable: usable })
 }
 
--- a/packages/gateway/src/coordination/election.ts
+++ b/packages/gateway/src/coordination/election.ts
@@ -3,7 +3,7 @@
  * consensus round is needed. Orders are cached until the member list changes.
  */
 import { rankByRendezvous } from '@egretyoke/limits'
-import type { FleetView } from '../state/fleet-view.js'
+import type { FleetState } from '../state/fleet-state.js'
 import type { Member } from '../state/stored-records.js'
 
 /** Rank of the members of one fleet state, by key. */
@@ -18,16 +18,16 @@
 const maxKeys = 4096
 
 /** Creates an election over the members of the fleet state. */
-export const createElection = (view: Pick<FleetView, 'members' | 'membersVersion'>): Election => {
+export const createElection = (fleetState: Pick<FleetState, 'members' | 'membersVersion'>): Election => {
   const cache = new Map<string, readonly Member[]>()
   let version = -1
 
   const ranked = (key: string): readonly Member[] => {
-    if (version !== view.membersVersion() || cache.size > maxKeys) cache.clear()
-    version = view.membersVersion()
+    if (version !== fleetState.membersVersion() || cache.size > maxKeys) cache.clear()
+    version = fleetState.membersVersion()
     const cached = cache.get(key)
     if (cached !== undefined) return cached
-    const members = view.members()
+    const members = fleetState.members()
     const order = rankByRendezvous(key, [...members.keys()]).flatMap(name => members.get(name) ?? [])
     cache.set(key, order)
     return order
--- a/packages/gateway/src/coordination/group-keeper.ts
+++ b/packages/gateway/src/coordination/group-monitor.ts
@@ -5,7 +5,7 @@
 import { sleepMs } from '@egretyoke/common'
 import { events } from '../events.js'
 import type { Database } from '../state/configuration.js'
-import type { Versioned } from '../state/fleet-view.js'
+import type { Versioned } from '../state/fleet-state.js'
 import { processName } from '../state/stored-records.js'
 import type { GroupRecord, Member } from '../state/stored-records.js'
 import type { Election } from './election.js'
@@ -34,12 +34,12 @@
   name: string
   election: Election
   /** True if the database has replied to a statement of this gateway recently. */
-  hasAnsweredLately: (database: string) => boolean
+  hasRepliedRecently: (database: string) => boolean
 }
 
 /** Creates the group monitor. */
-export const createGroupKeeper = (options: GroupMonitorOptions): GroupMonitor => {
-  const { name, self, view, records, contact, orders, relay, hasAnsweredLately, log } = options
+export const createGroupMonitor = (options: GroupMonitorOptions): GroupMonitor => {
+  const { name, self, fleetState, records, contact, control, relay, hasRepliedRecently, log } = options
   const failures = new Map<string, { refused: number, silent: number }>()
   const changingSinceMs = new Map<number, number>()
   const missingSinceMs = new Map<string, number>()
@@ -49,8 +49,8 @@
 
   /** Stores the first record of a group: the database that reports the primary role with the highest term. */
   const storeFirstRecord = async (group: string) => {
-    const statuses = await Promise.all(view.databasesOf(group).map(async database => {
-      const status = await orders.run(database, { kind: 'status' }, probeTimeoutMs)
+    const statuses = await Promise.all(fleetState.databasesOf(group).map(async database => {
+      const status = await control.run(database, { kind: 'status' }, probeTimeoutMs)
       return status.ok ? [{ database, status: status.val }] : []
     }))
     const leader = statuses.flat().filter(({ status }) => status.role === 'primary')
@@ -64,11 +64,11 @@
 
   /** True if a gateway that uses the primary has had a reply from it recently, so that no probe is needed. */
   const isConfirmedByUser = async (database: Database, users: readonly string[]): Promise<boolean> => {
-    const user = activeUsers(users, view).at(-1)?.split('/')[0] ?? ''
-    if (user === name) return hasAnsweredLately(database.id)
-    const member = view.members().get(user)
+    const user = activeUsers(users, fleetState).at(-1)?.split('/')[0] ?? ''
+    if (user === name) return hasRepliedRecently(database.id)
+    const member = fleetState.members().get(user)
     if (member === undefined) return false
-    const reply = await relay.ask(member, {
+    const reply = await relay.call(member, {
       probeDatabase: { database: database.id, onlyByUse: true }
     }, probeTimeoutMs)
     return reply.ok && reply.val.databaseProbe?.reachable === true
@@ -79,7 +79,7 @@
       failures.delete(database.id)
       return true
     }
-    const status = await orders.run(database, { kind: 'status' }, probeTimeoutMs)
+    const status = await control.run(database, { kind: 'status' }, probeTimeoutMs)
     if (status.ok || status.val.reason === 'declined') {
       failures.delete(database.id)
       return true
@@ -96,7 +96,7 @@
 
   /** Selects the gateways to ask: first one of each data centre, then any others. */
   const chooseWitnesses = (): Member[] => {
-    const others = [...view.members().values()].filter(member => member.name !== name)
+    const others = [...fleetState.members().values()].filter(member => member.name !== name)
     const firstOfEach = others.filter((member, index) =>
       others.findIndex(({ dataCentre }) => dataCentre === member.dataCentre) === index)
     return [...new Set([...firstOfEach, ...others])].slice(0, witnessCount)
@@ -105,21 +105,21 @@
   /** True if another gateway can reach the database. */
   const isReachableByOthers = async (database: Database): Promise<boolean> => {
     const replies = await Promise.all(chooseWitnesses().map(async member => {
-      const reply = await relay.ask(member, { probeDatabase: { database: database.id } }, witnessTimeoutMs)
+      const reply = await relay.call(member, { probeDatabase: { database: database.id } }, witnessTimeoutMs)
       return reply.ok && reply.val.databaseProbe?.reachable === true
     }))
     return replies.includes(true)
   }
 
   const reasonToChange = async (group: string, record: GroupRecord): Promise<ChangeReason | undefined> => {
-    const database = view.databases().get(record.primary)
+    const database = fleetState.databases().get(record.primary)
     if (database === undefined) {
       const sinceMs = missingSinceMs.get(group) ?? performance.now()
       missingSinceMs.set(group, sinceMs)
       return performance.now() - sinceMs > missingEntryGraceMs ? 'gone' : undefined
     }
     missingSinceMs.delete(group)
-    if (view.evacuated().has(database.dataCentre)) return 'evacuated'
+    if (fleetState.evacuated().has(database.dataCentre)) return 'evacuated'
     if (database.draining) return 'draining'
     if (await probe(database, record.users)) return undefined
     return await isReachableByOthers(database) ? undefined : 'failed'
@@ -130,13 +130,13 @@
     const sinceMs = changingSinceMs.get(revision) ?? performance.now()
     changingSinceMs.set(revision, sinceMs)
     const [monitorName = ''] = record.keeper.split('/')
-    const monitor = view.members().get(monitorName)
+    const monitor = fleetState.members().get(monitorName)
     const hasEnded = monitor !== undefined && processName(monitor) !== record.keeper
     return hasEnded || performance.now() - sinceMs > takeOverAfterMs
   }
 
   const checkGroup = async (group: string) => {
-    const versioned = view.group(group)
+    const versioned = fleetState.group(group)
     if (versioned === undefined) return await storeFirstRecord(group)
     if (versioned.record.phase === 'changing') {
       if (isAbandoned(versioned)) await changePrimary(options, group, versioned, 'unfinished')
@@ -145,7 +145,7 @@
     changingSinceMs.clear()
     const reason = await reasonToChange(group, versioned.record)
     if (reason === undefined || !isMonitorOf(group)) return
-    const latest = view.group(group)
+    const latest = fleetState.group(group)
     if (latest !== undefined && latest.record.primary === versioned.record.primary) {
       await changePrimary(options, group, latest, reason)
     }
@@ -153,10 +153,10 @@
 
   /** Demotes databases that come back and still report the primary role. */
   const demoteFormerPrimaries = async (group: string) => {
-    const record = view.group(group)?.record
+    const record = fleetState.group(group)?.record
     if (record?.phase !== 'serving') return
-    const former = view.databasesOf(group).filter(({ id, role }) => role === 'primary' && id !== record.primary)
-    for (const database of former) await orders.run(database, { kind: 'demote', term: record.term }, probeTimeoutMs)
+    const former = fleetState.databasesOf(group).filter(({ id, role }) => role === 'primary' && id !== record.primary)
+    for (const database of former) await control.run(database, { kind: 'demote', term: record.term }, probeTimeoutMs)
   }
 
   const checkGroupOnce = async (group: string) => {
@@ -170,7 +170,7 @@
   return {
     run: async signal => {
       while (!signal.aborted) {
-        for (const group of view.configuration()?.groups.keys() ?? []) checkGroupOnce(group)
+        for (const group of fleetState.configuration()?.groups.keys() ?? []) checkGroupOnce(group)
         await sleepMs(probeIntervalMs, signal)
       }
     }
--- a/packages/gateway/src/coordination/group-positions.ts
+++ b/packages/gateway/src/coordination/group-positions.ts
@@ -2,11 +2,11 @@
  * Newest log positions observed at the primaries. A position returned by the current primary covers every commit that
  * was confirmed before the statement that returned it was sent.
  */
-import type { AgeClock, Moment } from '../state/contact.js'
+import type { AgeClock, ClockReading } from '../state/contact.js'
 import { laterPosition } from '../state/position.js'
 
 /** A log position, and the time up to which it covers all confirmed commits. */
-export type PositionSample = { position: string, coversUntil: Moment }
+export type PositionSample = { position: string, coversUntil: ClockReading }
 
 /** Requests the position from the holder of the group's primary; undefined if there is no reply. */
 export type FetchPosition = (group: string) => Promise<PositionSample | undefined>
--- a/packages/gateway/src/coordination/group-records.ts
+++ b/packages/gateway/src/coordination/group-records.ts
@@ -8,8 +8,8 @@
 import type { Logger } from '@egretyoke/common'
 import { events } from '../events.js'
 import type { Contact } from '../state/contact.js'
-import type { FleetView, Versioned } from '../state/fleet-view.js'
-import { recordKeys, writeRecord } from '../state/stored-records.js'
+import type { FleetState, Versioned } from '../state/fleet-state.js'
+import { recordPrefixes, encodeRecord } from '../state/stored-records.js'
 import type { GroupRecord } from '../state/stored-records.js'
 import type { SharedStore } from './shared-store.js'
 
@@ -33,7 +33,7 @@
 export type GroupRecordsOptions = {
   /** NAME/INCARNATION of this process. */
   self: string
-  view: FleetView
+  fleetState: FleetState
   contact: Contact
   isLeaseHeld: () => boolean
   store: SharedStore
@@ -44,20 +44,20 @@
  * Users that may still be using the primary. A process whose VM runs a newer one has ended. A process whose membership
  * record was removed has stopped by itself, because it does not use primaries without a lease.
  */
-export const activeUsers = (users: readonly string[], view: FleetView): string[] => users.filter(user => {
+export const activeUsers = (users: readonly string[], fleetState: FleetState): string[] => users.filter(user => {
   const [name = '', incarnation] = user.split('/')
-  return view.members().get(name)?.incarnation === incarnation
+  return fleetState.members().get(name)?.incarnation === incarnation
 })
 
 /** Creates the access to the group records for one process. */
 export const createGroupRecords = (
-  { self, view, contact, isLeaseHeld, store, log }: GroupRecordsOptions
+  { self, fleetState, contact, isLeaseHeld, store, log }: GroupRecordsOptions
 ): GroupRecords => {
   const pendingJoins = new Map<string, Promise<boolean>>()
   const stoppedRevisions = new Map<string, number>()
 
   const isActivePrimary = (group: string, database: string) => {
-    const versioned = view.group(group)
+    const versioned = fleetState.group(group)
     return versioned?.record.phase === 'serving' && versioned.record.primary === database &&
       versioned.revision > (stoppedRevisions.get(group) ?? 0)
   }
@@ -65,25 +65,25 @@
   const hasContactAndLease = () => contact.ageMs() < maxPrimaryContactAgeMs && isLeaseHeld()
 
   const canUse = (group: string, database: string) => hasContactAndLease() && isActivePrimary(group, database) &&
-    view.group(group)?.record.users.includes(self) === true
+    fleetState.group(group)?.record.users.includes(self) === true
 
   const storeRecord = async (group: string, record: GroupRecord, expectedRevision: number) => {
-    const key = recordKeys.groups + group
-    const value = writeRecord(record)
+    const key = recordPrefixes.groups + group
+    const value = encodeRecord(record)
     const swap = await store.compareAndSwap({ key, expectedRevision, value }, storeTimeoutMs)
     if (swap.err) return undefined
     const { current, swapped } = swap.val
-    if (current !== undefined) view.apply(current)
+    if (current !== undefined) fleetState.apply(current)
     if (!swapped || current === undefined) return undefined
     log(events.groupRecordStored, { group, revision: current.revision, ...record })
     return { record, revision: current.revision }
   }
 
   const addSelf = async (group: string, database: string): Promise<boolean> => {
-    const versioned = view.group(group)
+    const versioned = fleetState.group(group)
     if (versioned === undefined || !isActivePrimary(group, database)) return false
     const { record, revision } = versioned
-    const users = [...activeUsers(record.users, view), self]
+    const users = [...activeUsers(record.users, fleetState), self]
     return await storeRecord(group, { ...record, users }, revision) !== undefined
   }
 
--- a/packages/gateway/src/coordination/holders.ts
+++ b/packages/gateway/src/coordination/holders.ts
@@ -2,10 +2,10 @@
  * The holders of all databases that this gateway has connections to, created on first use.
  */
 import type { Database } from '../state/configuration.js'
-import type { FleetView } from '../state/fleet-view.js'
+import type { FleetState } from '../state/fleet-state.js'
 import { createDatabaseHolder } from './database-holder.js'
 import type { DatabaseHolder, HolderOptions } from './database-holder.js'
-import { acceptsNewWork } from './database-duty.js'
+import { acceptsNewWork } from './database-availability.js'
 import { notRun } from './statement.js'
 import type { StatementOutcome, StatementRequest } from './statement.js'
 
@@ -16,9 +16,9 @@
   get: (database: string) => DatabaseHolder | undefined
   all: () => DatabaseHolder[]
   /** True if the database has replied to a statement of this gateway recently. */
-  hasAnsweredLately: (database: string) => boolean
+  hasRepliedRecently: (database: string) => boolean
   /** Closes the holders of removed or restarted databases, and connections that are no longer needed here. */
-  retainKnown: () => void
+  closeObsolete: () => void
   close: () => void
 }
 
@@ -27,7 +27,7 @@
 
 /** Dependencies of the holders. */
 export type HoldersOptions = Omit<HolderOptions, PerDatabaseOptions> & {
-  view: FleetView
+  fleetState: FleetState
   isFirstHolder: (database: Database) => boolean
 }
 
@@ -39,22 +39,23 @@
 
 /** Creates an empty table of holders. */
 export const createHolders = (options: HoldersOptions): Holders => {
-  const { view } = options
+  const { fleetState } = options
   const holders = new Map<string, { holder: DatabaseHolder, database: Database }>()
 
   const holderOf = (id: string): DatabaseHolder | undefined => {
     const existing = holders.get(id)
     if (existing !== undefined) return existing.holder
-    const database = view.databases().get(id)
+    const database = fleetState.databases().get(id)
     if (database === undefined) return undefined
-    const current = () => view.databases().get(id) ?? database
+    const current = () => fleetState.databases().get(id) ?? database
     const holder = createDatabaseHolder({
       ...options,
       database: current,
-      maxConnections: () => view.configuration()?.groups.get(database.group)?.maxConnections ?? defaultMaxConnections,
-      transactionIdleMs: () => view.configuration()?.transactionIdleMs ?? defaultTransactionIdleMs,
+      maxConnections: () =>
+        fleetState.configuration()?.groups.get(database.group)?.maxConnections ?? defaultMaxConnections,
+      transactionIdleMs: () => fleetState.configuration()?.transactionIdleMs ?? defaultTransactionIdleMs,
       isFirstHolder: () => options.isFirstHolder(current()),
-      acceptsNewWork: () => view.databases().has(id) && acceptsNewWork(view, current())
+      acceptsNewWork: () => fleetState.databases().has(id) && acceptsNewWork(fleetState, current())
     })
     holders.set(id, { holder, database })
     return holder
@@ -87,7 +88,7 @@
   }
 
   const isSameInstance = (database: Database) => {
-    const latest = view.databases().get(database.id)
+    const latest = fleetState.databases().get(database.id)
     return latest !== undefined && latest.address === database.address && latest.bornMs === database.bornMs
   }
 
@@ -101,10 +102,10 @@
     abandon: (database, session) => holders.get(database)?.holder.abandon(session),
     get: id => holders.get(id)?.holder,
     all: () => [...holders.values()].map(({ holder }) => holder),
-    hasAnsweredLately: id => holders.get(id)?.holder.hasAnsweredLately() ?? false,
-    retainKnown: () => {
+    hasRepliedRecently: id => holders.get(id)?.holder.hasRepliedRecently() ?? false,
+    closeObsolete: () => {
       for (const [id, { database, holder }] of holders) {
-        const isRemoved = !view.databases().has(id)
+        const isRemoved = !fleetState.databases().has(id)
         // A removed database may still finish its statements and transactions.
         if (
           isRemoved ? holder.load() === 0 && holder.openTransactions() === 0 : !isSameInstance(database)
--- a/packages/gateway/src/coordination/limits.test.ts
+++ b/packages/gateway/src/coordination/limits.test.ts
@@ -88,11 +88,11 @@
 test('a bucket fills at its rate up to its burst size, from the time at which it was empty', t => {
   const time = { nowMs: 5000 }
   const bucket = createTokenBucket({ ratePerSec: 10, burst: 15 }, () => time.nowMs, 4000)
-  t.is(bucket.take(100), 10)
+  t.is(bucket.acquire(100), 10)
   time.nowMs += 60_000
-  t.is(bucket.take(100), 15)
-  bucket.setTerms({ ratePerSec: 0, burst: 0 })
+  t.is(bucket.acquire(100), 15)
+  bucket.setLimits({ ratePerSec: 0, burst: 0 })
   time.nowMs += 60_000
   bucket.add(5)
-  t.is(bucket.take(100), 0)
+  t.is(bucket.acquire(100), 0)
 })
--- a/packages/gateway/src/coordination/membership.ts
+++ b/packages/gateway/src/coordination/membership.ts
@@ -4,8 +4,8 @@
 import { sleepMs } from '@egretyoke/common'
 import type { Logger } from '@egretyoke/common'
 import { events } from '../events.js'
-import type { AgeClock, Moment } from '../state/contact.js'
-import { recordKeys, writeRecord } from '../state/stored-records.js'
+import type { AgeClock, ClockReading } from '../state/contact.js'
+import { recordPrefixes, encodeRecord } from '../state/stored-records.js'
 import type { Member } from '../state/stored-records.js'
 import type { SharedStore } from './shared-store.js'
 
@@ -35,16 +35,16 @@
 export const createMembership = (
   self: Member, store: SharedStore, clock: AgeClock, log: Logger
 ): Membership => {
-  const key = recordKeys.vms + self.name
+  const key = recordPrefixes.vms + self.name
   let member = self
-  let lease: { id: number, heldFrom: Moment } | undefined
+  let lease: { id: number, heldFrom: ClockReading } | undefined
 
   const announce = async (leaseId: number): Promise<boolean> => {
     const stored = await store.get(key, storeTimeoutMs)
     if (stored.err) return false
     const expectedRevision = stored.val?.revision ?? 0
     const swap = await store.compareAndSwap({
-      key, expectedRevision, value: writeRecord(member), leaseId
+      key, expectedRevision, value: encodeRecord(member), leaseId
     }, storeTimeoutMs)
     return swap.ok && swap.val.swapped
   }
--- a/packages/gateway/src/coordination/primary-change.ts
+++ b/packages/gateway/src/coordination/primary-change.ts
@@ -11,11 +11,11 @@
 import { events } from '../events.js'
 import type { Database } from '../state/configuration.js'
 import type { Contact } from '../state/contact.js'
-import type { FleetView, Versioned } from '../state/fleet-view.js'
+import type { FleetState, Versioned } from '../state/fleet-state.js'
 import { comparePositions } from '../state/position.js'
 import type { GroupRecord, Member } from '../state/stored-records.js'
 import type { DatabaseStatus } from './database-connection.js'
-import type { ControlCommands } from './database-orders.js'
+import type { ControlCommands } from './control-commands.js'
 import { activeUsers, maxPrimaryContactAgeMs } from './group-records.js'
 import type { GroupRecords } from './group-records.js'
 import type { RelayCalls } from './relay-calls.js'
@@ -29,11 +29,11 @@
 export type PrimaryChangeOptions = {
   /** NAME/INCARNATION of this process. */
   self: string
-  view: FleetView
+  fleetState: FleetState
   records: GroupRecords
   contact: Contact
   isLeaseHeld: () => boolean
-  orders: ControlCommands
+  control: ControlCommands
   relay: RelayCalls
   promote: PromoteDatabase
   log: Logger
@@ -63,19 +63,19 @@
 export const changePrimary = async (
   options: PrimaryChangeOptions, group: string, current: Versioned<GroupRecord>, reason: ChangeReason
 ): Promise<boolean> => {
-  const { self, view, records, contact, orders, relay, promote, log } = options
+  const { self, fleetState, records, contact, control, relay, promote, log } = options
   const oldRecord = current.record
   const isPlanned = reason === 'draining' || reason === 'evacuated'
   const changeDeadlineMs = performance.now() + changeTimeoutMs
   // A requested promotion may take effect late; the old primary must then not be reactivated without a new promotion.
   let hasRequestedPromotion = false
 
-  const memberOf = (user: string): Member | undefined => view.members().get(user.split('/')[0] ?? '')
+  const memberOf = (user: string): Member | undefined => fleetState.members().get(user.split('/')[0] ?? '')
 
   const stopUser = async (user: string, revision: number, finish: boolean): Promise<string | undefined> => {
     const member = memberOf(user)
     if (member === undefined) return undefined
-    const reply = await relay.ask(member, {
+    const reply = await relay.call(member, {
       stopPrimary: { group, revision, finish }
     }, controlTimeoutMs + (finish ? drainTimeoutMs : 0))
     const stopped = reply.ok ? reply.val.primaryStopped : undefined
@@ -83,18 +83,18 @@
   }
 
   const drainUsers = async () => {
-    await Promise.all(activeUsers(oldRecord.users, view).map(user => stopUser(user, 0, true)))
+    await Promise.all(activeUsers(oldRecord.users, fleetState).map(user => stopUser(user, 0, true)))
   }
 
   /** Resolves once no gateway uses the old primary: each user has stopped, ended, or lost its contact by time-out. */
   const stopUsers = async (revision: number) => {
     const startedAtMs = performance.now()
-    const remaining = new Set(activeUsers(oldRecord.users, view))
+    const remaining = new Set(activeUsers(oldRecord.users, fleetState))
     while (remaining.size > 0 && performance.now() - startedAtMs < maxPrimaryContactAgeMs) {
       await Promise.all([...remaining].map(async user => {
         if (await stopUser(user, revision, false) !== undefined) remaining.delete(user)
       }))
-      const active = activeUsers([...remaining], view)
+      const active = activeUsers([...remaining], fleetState)
       for (const user of remaining) if (!active.includes(user)) remaining.delete(user)
       if (remaining.size > 0) await sleepMs(pollMs)
     }
@@ -108,17 +108,17 @@
   }
 
   const statusOf = async (database: Database): Promise<Candidate | undefined> => {
-    const status = await orders.run(database, { kind: 'status' }, controlTimeoutMs)
+    const status = await control.run(database, { kind: 'status' }, controlTimeoutMs)
     return status.ok ? { database, status: status.val } : undefined
   }
 
   const pollDatabases = async (): Promise<Candidate[]> => {
-    const candidates = await Promise.all(view.databasesOf(group).map(statusOf))
+    const candidates = await Promise.all(fleetState.databasesOf(group).map(statusOf))
     return candidates.flatMap(candidate => candidate ?? [])
   }
 
   const isEligible = ({ database }: Candidate) => database.id !== oldRecord.primary && !database.draining &&
-    !view.evacuated().has(database.dataCentre)
+    !fleetState.evacuated().has(database.dataCentre)
 
   const received = ({ status }: Candidate) => status.receivedPosition
 
@@ -155,7 +155,7 @@
     return undefined
   }
 
-  const ownsChange = (revision: number) => view.group(group)?.revision === revision &&
+  const ownsChange = (revision: number) => fleetState.group(group)?.revision === revision &&
     contact.ageMs() < promoteContactMs && options.isLeaseHeld()
 
   const activatePrimary = async (primary: string, term: number, revision: number): Promise<boolean> => {
@@ -163,9 +163,9 @@
     const stored = await records.store(group, record, revision)
     if (stored === undefined) return false
     log(events.primaryInForce, { group, primary, term, before: oldRecord.primary, reason })
-    const former = view.databases().get(oldRecord.primary)
+    const former = fleetState.databases().get(oldRecord.primary)
     if (former !== undefined && primary !== oldRecord.primary) {
-      orders.run(
+      control.run(
         former, { kind: 'demote', term }, controlTimeoutMs
       )
     }
@@ -210,11 +210,11 @@
   })
   await stopUsers(changing.revision)
   if (isPlanned) {
-    const former = view.databases().get(oldRecord.primary)
+    const former = fleetState.databases().get(oldRecord.primary)
     const lastStatus = former === undefined ? undefined : await statusOf(former)
     if (lastStatus !== undefined) await waitForCatchUp(lastStatus.status.appliedPosition)
   }
-  while (performance.now() < changeDeadlineMs && view.group(group)?.revision === changing.revision) {
+  while (performance.now() < changeDeadlineMs && fleetState.group(group)?.revision === changing.revision) {
     if (await attempt(changing.revision)) return true
     await sleepMs(attemptIntervalMs)
   }
--- a/packages/gateway/src/coordination/relay-calls.ts
+++ b/packages/gateway/src/coordination/relay-calls.ts
@@ -6,15 +6,15 @@
 import type { Member } from '../state/stored-records.js'
 
 /** Request to another gateway and its reply, without the message number. */
-export type RelayQuestion = Omit<RelayMessages.RelayRequest, 'number'>
-export type RelayAnswer = RelayMessages.RelayReply__Output
+export type RelayRequest = Omit<RelayMessages.RelayRequest, 'number'>
+export type RelayReply = RelayMessages.RelayReply__Output
 
 /** Why a request failed. `unsent`: the peer did not receive it. `lost`: the peer may have received it. */
 export type RelayFailure = TypedError<'unsent' | 'lost'>
 
 /** Requests to other gateways. */
 export type RelayCalls = {
-  ask: (peer: Member, request: RelayQuestion, timeoutMs: number) => Promise<Result<RelayAnswer, RelayFailure>>
+  call: (peer: Member, request: RelayRequest, timeoutMs: number) => Promise<Result<RelayReply, RelayFailure>>
   /** False during the backoff after the peer did not reply or could not be reached. */
   isUsable: (peer: Member) => boolean
   /** True if the peer has replied on the current connection; opens a connection if there is none. */
--- a/packages/gateway/src/coordination/relay-handler.ts
+++ b/packages/gateway/src/coordination/relay-handler.ts
@@ -3,24 +3,24 @@
  */
 import type { RelayMessages } from '@egretyoke/protocol'
 import type { Contact, AgeClock } from '../state/contact.js'
-import type { FleetView } from '../state/fleet-view.js'
+import type { FleetState } from '../state/fleet-state.js'
 import type { StoreHistory } from '../state/store-history.js'
-import type { ControlCommands } from './database-orders.js'
+import type { ControlCommands } from './control-commands.js'
 import type { GroupPositions } from './group-positions.js'
 import type { GroupRecords } from './group-records.js'
 import type { Holders } from './holders.js'
-import type { TokenAllocator } from './limit-keeper.js'
+import type { TokenAllocator } from './token-allocator.js'
 import { replyToFollower } from './store-sources.js'
 
 /** Dependencies of the relay handler. */
 export type RelayHandlerOptions = {
-  view: FleetView
+  fleetState: FleetState
   history: StoreHistory
   records: GroupRecords
   holders: Holders
   positions: GroupPositions
-  limits: TokenAllocator
-  orders: ControlCommands
+  allocator: TokenAllocator
+  control: ControlCommands
   contact: Contact
   clock: AgeClock
   isReady: () => boolean
@@ -39,19 +39,19 @@
 /** Newest position of a group's primary and its age; undefined if this gateway cannot use the primary or read it. */
 export const readPrimaryPosition = async (
   {
-    view, records, positions, orders, clock
-  }: Pick<RelayHandlerOptions, 'view' | 'records' | 'positions' | 'orders' | 'clock'>,
+    fleetState, records, positions, control, clock
+  }: Pick<RelayHandlerOptions, 'fleetState' | 'records' | 'positions' | 'control' | 'clock'>,
   group: string
 ): Promise<{ position: string, ageMs: number } | undefined> => {
-  const primary = view.group(group)?.record.primary ?? ''
-  const database = view.databases().get(primary)
+  const primary = fleetState.group(group)?.record.primary ?? ''
+  const database = fleetState.databases().get(primary)
   if (database === undefined || !await records.becomeUser(group, primary)) return undefined
   const sample = positions.newest(group)
   if (sample !== undefined && clock.ageMs(sample.coversUntil) < freshPositionMs) {
     return { position: sample.position, ageMs: clock.ageMs(sample.coversUntil) }
   }
   const coversUntil = clock.now()
-  const status = await orders.run(database, { kind: 'status' }, statusTimeoutMs)
+  const status = await control.run(database, { kind: 'status' }, statusTimeoutMs)
   if (status.err || !records.canUse(group, primary)) return undefined
   const position = status.val.appliedPosition
   positions.record(group, { position, coversUntil })
@@ -60,7 +60,7 @@
 
 /** Creates the handler. It returns undefined for requests that get no reply. */
 export const createRelayHandler = (options: RelayHandlerOptions) => {
-  const { view, records, holders, limits, orders, isReady } = options
+  const { fleetState, records, holders, allocator, control, isReady } = options
 
   const positionOf = async ({ group }: RelayMessages.AskPosition__Output): Promise<Reply> => {
     const read = await readPrimaryPosition(options, group)
@@ -69,10 +69,10 @@
   }
 
   const stopPrimary = async ({ group, revision, finish }: RelayMessages.StopPrimary__Output): Promise<Reply> => {
-    const holder = holders.get(view.group(group)?.record.primary ?? '')
+    const holder = holders.get(fleetState.group(group)?.record.primary ?? '')
     if (finish) {
       holder?.pause(handoverPauseMs)
-      const stopped = await holder?.settle(drainTimeoutMs) ?? true
+      const stopped = await holder?.waitUntilIdle(drainTimeoutMs) ?? true
       return { primaryStopped: { stopped, position: '' } }
     }
     records.stopUse(group, revision)
@@ -80,16 +80,16 @@
   }
 
   const probe = async ({ database: id, onlyByUse }: RelayMessages.ProbeDatabase__Output): Promise<Reply> => {
-    const database = view.databases().get(id)
-    if (onlyByUse) return { databaseProbe: { reachable: holders.hasAnsweredLately(id) } }
+    const database = fleetState.databases().get(id)
+    if (onlyByUse) return { databaseProbe: { reachable: holders.hasRepliedRecently(id) } }
     if (database === undefined) return { databaseProbe: { reachable: false } }
-    const status = await orders.run(database, { kind: 'status' }, probeTimeoutMs)
+    const status = await control.run(database, { kind: 'status' }, probeTimeoutMs)
     return { databaseProbe: { reachable: status.ok || status.val.reason === 'declined' } }
   }
 
   return async (request: RelayMessages.RelayRequest__Output): Promise<Reply | undefined> => {
     if (request.run) return { statement: await holders.run(request.run) }
-    if (request.takeTokens) return { tokens: limits.take(request.takeTokens) }
+    if (request.takeTokens) return { tokens: allocator.allocate(request.takeTokens) }
     if (request.askPosition) return await positionOf(request.askPosition)
     if (request.stopPrimary) return await stopPrimary(request.stopPrimary)
     if (request.probeDatabase) return await probe(request.probeDatabase)
--- a/packages/gateway/src/coordination/session.ts
+++ b/packages/gateway/src/coordination/session.ts
@@ -36,19 +36,19 @@
   'noSuchStatement' | 'malformed'
 
 /** Response to a statement. `signature` is empty if no database was involved. */
-export type SessionAnswer = {
+export type SessionResponse = {
   error?: SessionError
   message: string
   rows: string[]
   signature: string
   transaction: 'none' | 'open' | 'failed'
   /** True if the session has ended and the caller's connection must be closed. */
-  isOver: boolean
+  endsSession: boolean
 }
 
 /** An open session. */
 export type Session = {
-  handle: (requestId: string, statement: SessionStatement) => Promise<SessionAnswer>
+  handle: (requestId: string, statement: SessionStatement) => Promise<SessionResponse>
   /** False once the key has been withdrawn or the database's route has been removed. */
   isAllowed: () => boolean
   isInTransaction: () => boolean
@@ -63,7 +63,7 @@
   key: string
   configuration: () => Configuration | undefined
   /** False while this gateway's list of keys may be too old to reflect withdrawals. */
-  knowsKeys: () => boolean
+  hasCurrentKeys: () => boolean
   admission: Admission
   router: StatementRouter
   log: Logger
@@ -97,7 +97,7 @@
 
   const identify = (): Identity | SessionError => {
     const configuration = options.configuration()
-    if (configuration === undefined || !options.knowsKeys()) return 'refused'
+    if (configuration === undefined || !options.hasCurrentKeys()) return 'refused'
     // An open transaction keeps the route that it started with; a changed route applies to the next transaction.
     const route = transaction?.route ?? configuration.routes.get(database)
     const workspace = configuration.workspaceByKey.get(key)
@@ -106,9 +106,9 @@
   }
 
   const transactionState = () => transaction === undefined ? 'none' : transaction.isFailed ? 'failed' : 'open'
-  const respond = (overrides: Partial<SessionAnswer> = {}): SessionAnswer =>
-    ({ message: '', rows: [], signature: '', transaction: transactionState(), isOver: false, ...overrides })
-  const refuse = (error: SessionError, message: string, isOver = false) => respond({ error, message, isOver })
+  const respond = (overrides: Partial<SessionResponse> = {}): SessionResponse =>
+    ({ message: '', rows: [], signature: '', transaction: transactionState(), endsSession: false, ...overrides })
+  const refuse = (error: SessionError, message: string, endsSession = false) => respond({ error, message, endsSession })
 
   const permittedRegionsOf = ({ route, workspace }: Identity): string[] => {
     const routeHomes = route.homeRegions
@@ -144,7 +144,7 @@
     ...overrides
   })
 
-  const errorResponse = (outcome: StatementOutcome, inTransaction: boolean): SessionAnswer => {
+  const errorResponse = (outcome: StatementOutcome, inTransaction: boolean): SessionResponse => {
     const { reason } = outcome
     if (outcome.status === 'UNKNOWN') return refuse('inDoubt', `outcome not known: ${reason}`)
     if (outcome.status === 'FAILED') return refuse('failed', reason)
@@ -154,7 +154,7 @@
     return refuse('refused', `not run: ${reason}, retry after ${busyRetryMs} ms`)
   }
 
-  const succeed = (outcome: StatementOutcome, hasCommitted: boolean): SessionAnswer => {
+  const succeed = (outcome: StatementOutcome, hasCommitted: boolean): SessionResponse => {
     if (hasCommitted && outcome.position !== '') ownPosition = laterPosition(outcome.position, ownPosition)
     return respond({ rows: outcome.rows, signature: outcome.signature })
   }
@@ -178,7 +178,7 @@
   }
 
   /** Runs a statement outside a transaction. A lagging replica falls back to the primary. */
-  const runSingle = async (identity: Identity, request: StatementRequest): Promise<SessionAnswer> => {
+  const runSingle = async (identity: Identity, request: StatementRequest): Promise<SessionResponse> => {
     const { route } = identity
     if (!await isAdmitted(request.requestId, identity)) return refuse('refused', limitMessage)
     const needsPrimary = route.kind === 'primary' || request.access === 'WRITE'
@@ -213,7 +213,7 @@
 
   const runInTransaction = async (
     identity: Identity, current: Transaction, request: StatementRequest
-  ): Promise<SessionAnswer> => {
+  ): Promise<SessionResponse> => {
     if (current.isFailed) return refuse('malformed', 'the transaction has failed; end it first')
     const outcome = current.location === undefined
       ? await runFirstStatement(identity, current, request)
@@ -230,7 +230,7 @@
 
   const isAtPrimary = (current: Transaction) => current.route.kind === 'primary' || !current.readOnly
 
-  const commit = async (requestId: string, identity: Identity, current: Transaction): Promise<SessionAnswer> => {
+  const commit = async (requestId: string, identity: Identity, current: Transaction): Promise<SessionResponse> => {
     if (current.isFailed) {
       transaction = undefined
       return refuse('aborted', 'the transaction had failed and was rolled back')
@@ -254,7 +254,7 @@
     return respond()
   }
 
-  const begin = async (requestId: string, identity: Identity, readOnly: boolean): Promise<SessionAnswer> => {
+  const begin = async (requestId: string, identity: Identity, readOnly: boolean): Promise<SessionResponse> => {
     if (transaction !== undefined) return refuse('malformed', 'a transaction is open already')
     if (!await isAdmitted(requestId, identity)) return refuse('refused', limitMessage)
     transaction = { readOnly, route: identity.route, location: undefined, isFailed: false }
@@ -270,7 +270,7 @@
 
   const runData = async (
     requestId: string, identity: Identity, overrides: Partial<StatementRequest>
-  ): Promise<SessionAnswer> => {
+  ): Promise<SessionResponse> => {
     const route = transaction?.route ?? identity.route
     const request = requestOf(requestId, { ...identity, route }, overrides)
     if (transaction === undefined) return await runSingle(identity, request)
@@ -286,18 +286,18 @@
     })
   }
 
-  const handle = async (requestId: string, statement: SessionStatement): Promise<SessionAnswer> => {
+  const handle = async (requestId: string, statement: SessionStatement): Promise<SessionResponse> => {
     const identity = identify()
     if (typeof identity === 'string') {
       log(events.sessionRefused, {
         request: requestId, database, reason: identity, version: options.configuration()?.version
       })
-      const isOver = identity === 'keyUnknown' || (identity === 'noSuchDatabase' && transaction === undefined)
+      const endsSession = identity === 'keyUnknown' || (identity === 'noSuchDatabase' && transaction === undefined)
       if (transaction !== undefined) {
         rollBack()
         return refuse(identity === 'keyUnknown' ? 'keyUnknown' : 'aborted', 'not allowed any more', true)
       }
-      return refuse(identity, 'not allowed', isOver)
+      return refuse(identity, 'not allowed', endsSession)
     }
     switch (statement.kind) {
       case 'begin': return await begin(requestId, identity, statement.readOnly)
--- a/packages/gateway/src/coordination/statement-router.ts
+++ b/packages/gateway/src/coordination/statement-router.ts
@@ -5,11 +5,11 @@
 import type { Logger } from '@egretyoke/common'
 import { events } from '../events.js'
 import type { Database, Route } from '../state/configuration.js'
-import type { FleetView } from '../state/fleet-view.js'
+import type { FleetState } from '../state/fleet-state.js'
 import type { Member } from '../state/stored-records.js'
 import type { HolderChoice, GatewayLocation } from './holder-choice.js'
 import type { RelayCalls } from './relay-calls.js'
-import { acceptsNewWork } from './database-duty.js'
+import { acceptsNewWork } from './database-availability.js'
 import { isRead, notRun, unknownOutcome } from './statement.js'
 import type { StatementOutcome, StatementReason, StatementRequest } from './statement.js'
 
@@ -39,13 +39,13 @@
 /** Dependencies of the statement router. */
 export type RouterOptions = {
   self: GatewayLocation
-  view: FleetView
+  fleetState: FleetState
   holders: HolderChoice
   relay: RelayCalls
   regionOf: (dataCentre: string) => string
   /** Runs a statement on a connection of this gateway. */
-  runHere: (request: StatementRequest) => Promise<StatementOutcome>
-  abandonHere: (database: string, session: string) => void
+  runLocally: (request: StatementRequest) => Promise<StatementOutcome>
+  abandonLocally: (database: string, session: string) => void
   log: Logger
 }
 
@@ -74,15 +74,15 @@
 
 /** Creates a statement router. */
 export const createStatementRouter = (options: RouterOptions): StatementRouter => {
-  const { self, view, holders, relay, regionOf, log } = options
+  const { self, fleetState, holders, relay, regionOf, log } = options
   const loads = new Map<string, number>()
   const backoffUntilMs = new Map<string, number>()
   const holderBackoffUntilMs = new Map<string, number>()
   const nowMs = () => performance.now()
 
   const runAtHolder = async (holder: Member, request: StatementRequest): Promise<StatementOutcome> => {
-    if (holder.name === self.name) return await options.runHere(request)
-    const reply = await relay.ask(holder, { run: request }, request.timeoutMs + relayAllowanceMs)
+    if (holder.name === self.name) return await options.runLocally(request)
+    const reply = await relay.call(holder, { run: request }, request.timeoutMs + relayAllowanceMs)
     if (reply.ok) return (reply.val.statement ?? notRun('moved')) as StatementOutcome
     if (reply.val.reason === 'unsent') return notRun('holderSilent')
     if (request.transaction !== 'SINGLE' && request.verb !== 'COMMIT') return notRun('answerLost')
@@ -110,16 +110,16 @@
     regions.length === 0 || regions.includes(regionOf(database.dataCentre))
 
   const primaryOf = (group: string): Database | undefined => {
-    const record = view.group(group)?.record
-    return record?.phase === 'serving' ? view.databases().get(record.primary) : undefined
+    const record = fleetState.group(group)?.record
+    return record?.phase === 'serving' ? fleetState.databases().get(record.primary) : undefined
   }
 
   /** Databases that are eligible for the statement, best first. */
   const candidatesFor = ({ route, regions, needsPrimary }: RoutingRequest): Database[] => {
     const primary = primaryOf(route.group)
-    const isEligible = (database: Database) => isInRegions(database, regions) && acceptsNewWork(view, database)
+    const isEligible = (database: Database) => isInRegions(database, regions) && acceptsNewWork(fleetState, database)
     if (needsPrimary) return [primary].flatMap(database => database ?? []).filter(isEligible)
-    return view.databasesOf(route.group)
+    return fleetState.databasesOf(route.group)
       .filter(isEligible)
       .sort((one, other) => costOf(one) - costOf(other))
   }
@@ -166,7 +166,7 @@
    * group record than this gateway.
    */
   const shouldWaitForPrimary = (group: string, { reason }: StatementOutcome, rounds: number) => {
-    if (view.group(group)?.record.phase !== 'serving') return true
+    if (fleetState.group(group)?.record.phase !== 'serving') return true
     return reason === 'moved' && rounds < maxHolderRounds
   }
 
@@ -195,8 +195,8 @@
     route,
     continueTransaction: async (request, { holder }) => await runAtHolder(holder, request),
     abandon: (session, { database, holder }) => {
-      if (holder.name === self.name) return options.abandonHere(database, session)
-      relay.ask(holder, { abandon: { database, session } }, relayAllowanceMs)
+      if (holder.name === self.name) return options.abandonLocally(database, session)
+      relay.call(holder, { abandon: { database, session } }, relayAllowanceMs)
     }
   }
 }
--- a/packages/gateway/src/coordination/store-follower.ts
+++ b/packages/gateway/src/coordination/store-follower.ts
@@ -6,7 +6,7 @@
 import type { Logger, Result } from '@egretyoke/common'
 import { events } from '../events.js'
 import type { AgeClock, Contact } from '../state/contact.js'
-import type { FleetView } from '../state/fleet-view.js'
+import type { FleetState } from '../state/fleet-state.js'
 import type { StoreHistory } from '../state/store-history.js'
 import type { SharedStore, StoreError } from './shared-store.js'
 import { storeReplyTimeoutMs } from './store-sources.js'
@@ -18,9 +18,9 @@
 export type FollowerOptions = {
   store: SharedStore
   /** Long poll: resolves with the changes after a revision, or with none after a time. */
-  nextNews: (after: number) => Promise<Result<ConfirmedChanges, StoreError>>
+  nextChanges: (after: number) => Promise<Result<ConfirmedChanges, StoreError>>
   history: StoreHistory
-  view: FleetView
+  fleetState: FleetState
   contact: Contact
   clock: AgeClock
   log: Logger
@@ -28,7 +28,7 @@
 
 /** Follows the store until the signal aborts. Lists everything again after changes were missed. */
 export const followStore = async (options: FollowerOptions, signal: AbortSignal): Promise<void> => {
-  const { store, nextNews, history, view, contact, clock, log } = options
+  const { store, nextChanges, history, fleetState, contact, clock, log } = options
   let isConnected = false
 
   const recordConnection = (connected: boolean, reason: string) => {
@@ -45,25 +45,25 @@
       return undefined
     }
     const { entries, revision } = listing.val
-    view.replaceAll(entries)
+    fleetState.replaceAll(entries)
     recordConnection(true, 'listed')
     contact.confirm(requestedAt)
-    history.restart(revision)
+    history.reset(revision)
     return revision
   }
 
   const applyUpdate = (update: ConfirmedChanges) => {
-    for (const entry of update.entries) view.apply(entry)
+    for (const entry of update.entries) fleetState.apply(entry)
     recordConnection(true, 'watching')
     contact.confirm(update.confirmed)
     // Recorded after the confirmation, because followers receive it together with the changes.
-    history.note(update)
+    history.record(update)
   }
 
   async function * watch (from: number): AsyncGenerator<number> {
     let revision = from
     while (!signal.aborted) {
-      const update = await nextNews(revision)
+      const update = await nextChanges(revision)
       if (update.err) {
         if (update.val.reason === 'historyGone') return
         recordConnection(false, update.val.reason)
--- a/packages/gateway/src/coordination/store-sources.test.ts
+++ b/packages/gateway/src/coordination/store-sources.test.ts
@@ -16,7 +16,7 @@
 
 test('a follower behind the watcher\'s history gets an incomplete reply at once', async t => {
   const watcher = createWatcher()
-  watcher.history.restart(72)
+  watcher.history.reset(72)
   watcher.contact.confirm(watcher.clock.now())
   const startedAtMs = performance.now()
   const reply = await replyToFollower(watcher, { afterRevision: 70, waitMs: 5000 })
@@ -26,10 +26,10 @@
 
 test('a confirmation without changes ends the long poll and is returned with its age', async t => {
   const watcher = createWatcher()
-  watcher.history.restart(72)
+  watcher.history.reset(72)
   const reply = replyToFollower(watcher, { afterRevision: 72, waitMs: 60_000 })
   watcher.contact.confirm(watcher.clock.now())
-  watcher.history.note({ entries: [], revision: 72 })
+  watcher.history.record({ entries: [], revision: 72 })
   const { complete, confirmed, changes, ageMs = 0 } = await reply
   t.deepEqual([complete, confirmed, changes], [true, true, []])
   t.true(ageMs < 1000)
@@ -37,14 +37,14 @@
 
 test('a watcher without store contact reports no confirmation', async t => {
   const watcher = createWatcher()
-  watcher.history.restart(72)
+  watcher.history.reset(72)
   t.false((await replyToFollower(watcher, { afterRevision: 72, waitMs: 10 })).confirmed)
 })
 
 test('a long value is omitted, but its change is reported', async t => {
   const watcher = createWatcher()
-  watcher.history.restart(0)
-  watcher.history.note({ entries: [change(1), change(2, 40_000)], revision: 2 })
+  watcher.history.reset(0)
+  watcher.history.record({ entries: [change(1), change(2, 40_000)], revision: 2 })
   const { changes = [] } = await replyToFollower(watcher, { afterRevision: 0, waitMs: 10 })
   t.deepEqual(changes.map(({ revision, valueLeftOut }) => [revision, valueLeftOut]), [[1, false], [2, true]])
 })
--- a/packages/gateway/src/coordination/store-sources.ts
+++ b/packages/gateway/src/coordination/store-sources.ts
@@ -7,8 +7,8 @@
 import type { StoredEntry } from '@egretyoke/fleet'
 import type { RelayMessages } from '@egretyoke/protocol'
 import { events } from '../events.js'
-import type { AgeClock, Contact, Moment } from '../state/contact.js'
-import type { FollowedChanges, StoreHistory } from '../state/store-history.js'
+import type { AgeClock, Contact, ClockReading } from '../state/contact.js'
+import type { StoreChanges, StoreHistory } from '../state/store-history.js'
 import type { Member } from '../state/stored-records.js'
 import type { Election } from './election.js'
 import type { RelayCalls } from './relay-calls.js'
@@ -29,7 +29,7 @@
 const maxRelayedBytes = 32 * 1024
 
 /** Changes, and a time at which the store held no further ones. */
-export type ConfirmedChanges = FollowedChanges & { confirmed: Moment }
+export type ConfirmedChanges = StoreChanges & { confirmed: ClockReading }
 
 /** Dependencies of the store sources. */
 export type StoreSourcesOptions = {
@@ -53,7 +53,7 @@
   const { name, store, contact, clock, relay, log } = options
   let source = ''
 
-  const addMs = (moment: Moment, ms: number): Moment =>
+  const addMs = (moment: ClockReading, ms: number): ClockReading =>
     ({ monotonicMs: moment.monotonicMs + ms, wallMs: moment.wallMs + ms })
 
   const fromStore = async (after: number): Promise<Result<ConfirmedChanges, StoreError>> => {
@@ -79,7 +79,7 @@
   const fromWatcher = async (watcher: Member, after: number): Promise<ConfirmedChanges | undefined> => {
     const requestedAt = clock.now()
     const request = { followStore: { afterRevision: after, waitMs: followWaitMs } }
-    const reply = await relay.ask(watcher, request, followWaitMs + peerReplyMarginMs)
+    const reply = await relay.call(watcher, request, followWaitMs + peerReplyMarginMs)
     const update = reply.ok ? reply.val.storeNews : undefined
     if (!update?.complete || !update.confirmed || update.ageMs > followWaitMs) return undefined
     const entries = await Promise.all(update.changes.map(entryOf))
@@ -112,8 +112,8 @@
   { afterRevision, waitMs }: RelayMessages.FollowStore__Output
 ): Promise<RelayMessages.StoreNews> => {
   const receivedAtMs = performance.now()
-  if (history.since(afterRevision)?.entries.length === 0) await history.untilWoken(waitMs)
-  const changes = history.since(afterRevision)
+  if (history.changesSince(afterRevision)?.entries.length === 0) await history.waitForChange(waitMs)
+  const changes = history.changesSince(afterRevision)
   const ageMs = contact.ageMs()
   const confirmed = Number.isFinite(ageMs)
   return {
--- a/packages/gateway/src/coordination/limit-keeper.ts
+++ b/packages/gateway/src/coordination/token-allocator.ts
@@ -9,8 +9,8 @@
 import type { Logger } from '@egretyoke/common'
 import type { RelayMessages } from '@egretyoke/protocol'
 import { events } from '../events.js'
-import type { FleetView } from '../state/fleet-view.js'
-import { readLimitRecord, recordKeys, writeRecord } from '../state/stored-records.js'
+import type { FleetState } from '../state/fleet-state.js'
+import { decodeLimitRecord, recordPrefixes, encodeRecord } from '../state/stored-records.js'
 import { createTokenBucket } from '../state/token-bucket.js'
 import type { TokenBucket } from '../state/token-bucket.js'
 import type { Election } from './election.js'
@@ -38,7 +38,7 @@
 
 /** Token allocation for the shards that this gateway has claimed. */
 export type TokenAllocator = {
-  take: (request: RelayMessages.TakeTokens__Output) => RelayMessages.Tokens__Output
+  allocate: (request: RelayMessages.TakeTokens__Output) => RelayMessages.Tokens__Output
   /** Claims shards without an allocator until the signal aborts. */
   run: (signal: AbortSignal) => Promise<void>
   /** Releases all shards. */
@@ -50,7 +50,7 @@
   /** NAME/INCARNATION of this process. */
   self: string
   name: string
-  view: FleetView
+  fleetState: FleetState
   election: Election
   membership: Membership
   store: SharedStore
@@ -62,18 +62,18 @@
 }
 
 /** Creates an allocator without shards. */
-export const createLimitKeeper = (options: TokenAllocatorOptions): TokenAllocator => {
-  const { self, name, view, election, membership, store, log } = options
+export const createTokenAllocator = (options: TokenAllocatorOptions): TokenAllocator => {
+  const { self, name, fleetState, election, membership, store, log } = options
   const accounts = new Map<string, Account>()
   const claimedAtMs = new Map<number, number>()
   let isLeaving = false
 
-  const ownsShard = (shard: number) => view.limitKeeper(shard)?.keeper === self && membership.isLeaseHeld()
+  const ownsShard = (shard: number) => fleetState.limitRecord(shard)?.keeper === self && membership.isLeaseHeld()
 
   const accountOf = (workspace: string, ratePerSec: number, burst: number): Account => {
     const existing = accounts.get(workspace)
     if (existing !== undefined) {
-      existing.bucket.setTerms({ ratePerSec, burst })
+      existing.bucket.setLimits({ ratePerSec, burst })
       return existing
     }
     const emptyAtMs = claimedAtMs.get(shardOf(workspace))
@@ -99,11 +99,11 @@
     return total === 0 ? 0 : (shares.get(asker) ?? 0) / total
   }
 
-  const take = ({ workspace, wanted, asker }: RelayMessages.TakeTokens__Output) => {
-    const limit = view.configuration()?.workspaces.get(workspace)
+  const allocate = ({ workspace, wanted, asker }: RelayMessages.TakeTokens__Output) => {
+    const limit = fleetState.configuration()?.workspaces.get(workspace)
     if (limit === undefined || !ownsShard(shardOf(workspace))) return { granted: 0, ratePartPerSec: 0, isKeeper: false }
     const account = accountOf(workspace, limit.ratePerSec, limit.burst)
-    const granted = account.bucket.take(wanted)
+    const granted = account.bucket.acquire(wanted)
     recordGrant(account, asker, granted)
     if (granted < wanted) log(events.tokensShort, { workspace, asker, wanted, granted, ratePerSec: limit.ratePerSec })
     return { granted, ratePartPerSec: shareOf(account, asker) * limit.ratePerSec, isKeeper: true }
@@ -111,28 +111,28 @@
 
   /** True while the shard has an allocator. The record is bound to its lease and outlives the process only briefly. */
   const isClaimed = (shard: number): boolean => {
-    const keeper = view.limitKeeper(shard)?.keeper
+    const keeper = fleetState.limitRecord(shard)?.keeper
     if (keeper === undefined) return false
     const [allocatorName = '', incarnation] = keeper.split('/')
-    const member = view.members().get(allocatorName)
+    const member = fleetState.members().get(allocatorName)
     return member === undefined || member.incarnation === incarnation
   }
 
   const claim = async (shard: number) => {
     const leaseId = membership.leaseId()
     if (leaseId === undefined || !membership.isLeaseHeld()) return
-    const key = `${recordKeys.limits}${shard}`
+    const key = `${recordPrefixes.limits}${shard}`
     const stored = await store.get(key, storeTimeoutMs)
     if (stored.err || (stored.val !== undefined && isClaimed(shard))) return
     const expectedRevision = stored.val?.revision ?? 0
-    const value = writeRecord({ keeper: self })
+    const value = encodeRecord({ keeper: self })
     const swap = await store.compareAndSwap({ key, expectedRevision, value, leaseId }, storeTimeoutMs)
     if (swap.err || !swap.val.swapped || swap.val.current === undefined) return
-    view.apply(swap.val.current)
+    fleetState.apply(swap.val.current)
     for (const workspace of accounts.keys()) if (shardOf(workspace) === shard) accounts.delete(workspace)
     // An earlier process of this VM has granted nothing since this one started, so the buckets fill from that time.
     const wasHeldByThisVm = stored.val !== undefined &&
-      readLimitRecord(stored.val.value).map(({ keeper }) => keeper.split('/')[0] === name).unwrapOr(false)
+      decodeLimitRecord(stored.val.value).map(({ keeper }) => keeper.split('/')[0] === name).unwrapOr(false)
     claimedAtMs.set(shard, wasHeldByThisVm ? processStartMs : monotonicMs())
     log(events.limitsClaimed, { shard, revision: swap.val.current.revision })
   }
@@ -140,7 +140,7 @@
   const shouldClaim = (shard: number) => !isClaimed(shard) && election.first(`limit ${shard}`) === name
 
   return {
-    take,
+    allocate,
     run: async signal => {
       while (!signal.aborted && !isLeaving) {
         for (let shard = 0; shard < limitShardCount; shard++) if (shouldClaim(shard)) await claim(shard)
@@ -150,8 +150,8 @@
     leave: async () => {
       isLeaving = true
       for (let shard = 0; shard < limitShardCount; shard++) {
-        if (view.limitKeeper(shard)?.keeper !== self) continue
-        const key = `${recordKeys.limits}${shard}`
+        if (fleetState.limitRecord(shard)?.keeper !== self) continue
+        const key = `${recordPrefixes.limits}${shard}`
         const stored = await store.get(key, storeTimeoutMs)
         if (stored.err || stored.val === undefined) continue
         const swap = { key, expectedRevision: stored.val.revision, value: Buffer.alloc(0), delete: true }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -10,14 +10,14 @@
 import type { Registry } from 'prom-client'
 import { createAdmission } from './coordination/admission.js'
 import type { ConnectDatabase } from './coordination/database-connection.js'
-import { createDatabaseOrders } from './coordination/database-orders.js'
+import { createControlCommands } from './coordination/control-commands.js'
 import { createElection } from './coordination/election.js'
-import { createGroupKeeper } from './coordination/group-keeper.js'
+import { createGroupMonitor } from './coordination/group-monitor.js'
 import { createGroupPositions } from './coordination/group-positions.js'
 import { createGroupRecords } from './coordination/group-records.js'
 import { createHolderChoice } from './coordination/holder-choice.js'
 import { createHolders } from './coordination/holders.js'
-import { createLimitKeeper, shardOf } from './coordination/limit-keeper.js'
+import { createTokenAllocator, shardOf } from './coordination/token-allocator.js'
 import { createMembership } from './coordination/membership.js'
 import type { PromoteDatabase } from './coordination/primary-change.js'
 import { createRelayHandler, readPrimaryPosition } from './coordination/relay-handler.js'
@@ -32,8 +32,8 @@
 import type { GatewayMetrics } from './gateway-metrics.js'
 import { createAgeClock, createContact } from './state/contact.js'
 import type { Database } from './state/configuration.js'
-import { createFleetView } from './state/fleet-view.js'
-import type { DecodePlatformEntry } from './state/fleet-view.js'
+import { createFleetState } from './state/fleet-state.js'
+import type { DecodePlatformEntry } from './state/fleet-state.js'
 import { createStoreHistory } from './state/store-history.js'
 import { processName } from './state/stored-records.js'
 import type { Member } from './state/stored-records.js'
@@ -123,15 +123,15 @@
 
   const clock = createAgeClock()
   const contact = createContact(clock)
-  const fleetState = createFleetView(platform.readFact, log)
+  const fleetState = createFleetState(platform.readFact, log)
   const history = createStoreHistory()
   const membership = createMembership(self, store, clock, log)
   const links = createRelayLinks(settings.channels, log)
-  const controlCommands = createDatabaseOrders(connect)
+  const controlCommands = createControlCommands(connect)
   const election = createElection(fleetState)
   const sources = createStoreSources({ ...self, store, election, contact, clock, relay: links, log })
   const { isLeaseHeld } = membership
-  const records = createGroupRecords({ self: selfName, view: fleetState, contact, isLeaseHeld, store, log })
+  const records = createGroupRecords({ self: selfName, fleetState, contact, isLeaseHeld, store, log })
   const holderChoice = createHolderChoice({ self, election, regionOf, isUsable: links.isUsable })
 
   const queryPrimaryPosition = async (group: string) => {
@@ -141,11 +141,11 @@
     const requestedAt = clock.now()
     if (holder === undefined || holder.name === self.name) {
       const read = await readPrimaryPosition({
-        view: fleetState, records, positions, orders: controlCommands, clock
+        fleetState, records, positions, control: controlCommands, clock
       }, group)
       return read && positions.newest(group)
     }
-    const reply = await links.ask(holder, { askPosition: { group } }, positionTimeoutMs)
+    const reply = await links.call(holder, { askPosition: { group } }, positionTimeoutMs)
     const groupPosition = reply.ok ? reply.val.position : undefined
     if (!groupPosition) return undefined
     const { position, ageMs } = groupPosition
@@ -159,20 +159,20 @@
   const isFirstHolder = (database: Database) => contact.ageMs() < maxReadyContactAgeMs &&
     holderChoice.candidates(database, [])[0]?.name === self.name
   const holders = createHolders({
-    view: fleetState, isFirstHolder, connect, records, positions, clock, nowMs: () => performance.now(), log
+    fleetState, isFirstHolder, connect, records, positions, clock, nowMs: () => performance.now(), log
   })
-  const tokenAllocator = createLimitKeeper({
-    self: selfName, name: self.name, view: fleetState, election, membership, store, log
+  const tokenAllocator = createTokenAllocator({
+    self: selfName, name: self.name, fleetState, election, membership, store, log
   })
   const requestTokens = async (workspace: string, wanted: number) => {
-    const allocatorName = fleetState.limitKeeper(shardOf(workspace))?.keeper
+    const allocatorName = fleetState.limitRecord(shardOf(workspace))?.keeper
     if (allocatorName === undefined) return undefined
     const request = { workspace, wanted, asker: self.name }
-    if (allocatorName === selfName) return tokenAllocator.take(request)
+    if (allocatorName === selfName) return tokenAllocator.allocate(request)
     const member = fleetState.members().get(allocatorName.split('/')[0] ?? '')
     // Does not wait for an allocator that does not answer: admission uses the last known share of the rate meanwhile.
     if (member === undefined || !links.isUsable(member)) return undefined
-    const reply = await links.ask(member, { takeTokens: request }, tokenTimeoutMs)
+    const reply = await links.call(member, { takeTokens: request }, tokenTimeoutMs)
     return reply.ok ? reply.val.tokens ?? undefined : undefined
   }
   const initialRate = (workspace: string) =>
@@ -180,39 +180,39 @@
   const admission = createAdmission(requestTokens, initialRate, log)
   const router = createStatementRouter({
     self,
-    view: fleetState,
+    fleetState,
     holders: holderChoice,
     relay: links,
     regionOf,
-    runHere: holders.run,
-    abandonHere: holders.abandon,
+    runLocally: holders.run,
+    abandonLocally: holders.abandon,
     log
   })
-  const groupMonitor = createGroupKeeper({
+  const groupMonitor = createGroupMonitor({
     self: selfName,
     name: self.name,
-    view: fleetState,
+    fleetState,
     election,
     records,
     contact,
     isLeaseHeld,
-    orders: controlCommands,
+    control: controlCommands,
     relay: links,
     promote: platform.promote,
-    hasAnsweredLately: holders.hasAnsweredLately,
+    hasRepliedRecently: holders.hasRepliedRecently,
     log
   })
 
   fleetState.onPrimaryChange(group => positions.forget(group))
 
   const handle = createRelayHandler({
-    view: fleetState,
+    fleetState,
     history,
     records,
     holders,
     positions,
-    limits: tokenAllocator,
-    orders: controlCommands,
+    allocator: tokenAllocator,
+    control: controlCommands,
     contact,
     clock,
     isReady: () => isReady()
@@ -253,7 +253,7 @@
 
   const runMaintenance = async () => {
     while (!signal.aborted) {
-      holders.retainKnown()
+      holders.closeObsolete()
       links.retain(new Set([...fleetState.members().values()].map(member => member.address)))
       admission.retain(new Set(fleetState.configuration()?.workspaces.keys() ?? []))
       await sleepMs(maintenanceIntervalMs, signal)
@@ -261,7 +261,7 @@
   }
 
   const backgroundTasks = [
-    followStore({ store, nextNews: sources.next, history, view: fleetState, contact, clock, log }, signal),
+    followStore({ store, nextChanges: sources.next, history, fleetState, contact, clock, log }, signal),
     membership.run(signal),
     tokenAllocator.run(signal),
     groupMonitor.run(signal),
@@ -285,7 +285,7 @@
     log(events.gatewayDraining, { sessions: sessionCount })
     await Promise.all([membership.startDraining(), tokenAllocator.leave()])
     const settleMs = graceMs * holderGraceFraction
-    await Promise.all(holders.all().map(async holder => await holder.settle(settleMs)))
+    await Promise.all(holders.all().map(async holder => await holder.waitUntilIdle(settleMs)))
   }
 
   return {
@@ -294,7 +294,7 @@
       database,
       key,
       configuration: fleetState.configuration,
-      knowsKeys: hasCurrentKeys,
+      hasCurrentKeys,
       admission,
       router,
       log
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -3,10 +3,10 @@
  */
 export * from './coordination/database-connection.js'
 export type { PromoteDatabase } from './coordination/primary-change.js'
-export type { Session, SessionAnswer, SessionError, SessionStatement } from './coordination/session.js'
+export type { Session, SessionResponse, SessionError, SessionStatement } from './coordination/session.js'
 export type { Changes, Listing, SharedStore, StoreError } from './coordination/shared-store.js'
 export { events } from './events.js'
 export { startGateway } from './gateway.js'
 export type { Gateway, GatewayPlatform, GatewaySettings } from './gateway.js'
 export type { Configuration, Database, Group, Route, RouteKind, Workspace } from './state/configuration.js'
-export type { DecodePlatformEntry, PlatformEntry } from './state/fleet-view.js'
+export type { DecodePlatformEntry, PlatformEntry } from './state/fleet-state.js'
--- a/packages/gateway/src/session.test.ts
+++ b/packages/gateway/src/session.test.ts
@@ -156,7 +156,7 @@
   fleet.configure({ workspaces: standardConfiguration.workspaces.map(workspace => ({ ...workspace, keys: [] })) })
   await waitUntil(() => !session.isAllowed())
   const answer = await session.send(write('2'))
-  t.deepEqual([answer.error, answer.isOver], ['keyUnknown', true])
+  t.deepEqual([answer.error, answer.endsSession], ['keyUnknown', true])
   t.deepEqual(fleet.group.executed.map(({ text }) => text), ['WRITE 1 x'])
   await fleet.close()
 })
--- a/packages/gateway/src/state/contact.ts
+++ b/packages/gateway/src/state/contact.ts
@@ -11,13 +11,13 @@
 export const maxClockDisagreementMs = 250
 
 /** One instant, read on both clocks. */
-export type Moment = { monotonicMs: number, wallMs: number }
+export type ClockReading = { monotonicMs: number, wallMs: number }
 
 /** Measures ages on the monotonic clock, checked against the wall clock. */
 export type AgeClock = {
-  now: () => Moment
+  now: () => ClockReading
   /** Age in milliseconds; Infinity when the clocks disagree. */
-  ageMs: (moment: Moment) => number
+  ageMs: (moment: ClockReading) => number
 }
 
 /** Creates an age clock. */
@@ -33,15 +33,15 @@
 /** Contact of this gateway with the store. */
 export type Contact = {
   /** Records that the fleet state was equal to the store at this moment; older moments have no effect. */
-  confirm: (moment: Moment) => void
+  confirm: (moment: ClockReading) => void
   /** Age of the last confirmation; Infinity when there is none, or none since a suspension or clock step. */
   ageMs: () => number
 }
 
 /** Creates a contact without any confirmation. */
 export const createContact = (clock: AgeClock): Contact => {
-  let confirmed: Moment | undefined
-  const confirm = (moment: Moment) => {
+  let confirmed: ClockReading | undefined
+  const confirm = (moment: ClockReading) => {
     if (confirmed === undefined || clock.ageMs(confirmed) > clock.ageMs(moment)) confirmed = moment
   }
   return { confirm, ageMs: () => confirmed === undefined ? Infinity : clock.ageMs(confirmed) }
--- a/packages/gateway/src/state/fleet-view.ts
+++ b/packages/gateway/src/state/fleet-state.ts
@@ -5,7 +5,7 @@
 import type { StoredEntry } from '@egretyoke/fleet'
 import { events } from '../events.js'
 import type { Configuration, Database } from './configuration.js'
-import { readGroupRecord, readLimitRecord, readMember, recordKeys } from './stored-records.js'
+import { decodeGroupRecord, decodeLimitRecord, decodeMember, recordPrefixes } from './stored-records.js'
 import type { GroupRecord, LimitRecord, Member } from './stored-records.js'
 
 /** Decoded store entry of the platform, the operators or a database; undefined content is unreadable or deleted. */
@@ -24,19 +24,19 @@
 export type Versioned<T> = { record: T, revision: number }
 
 /** Fleet state, updated by `apply` and `replaceAll`. */
-export type FleetView = {
+export type FleetState = {
   configuration: () => Configuration | undefined
   databases: () => ReadonlyMap<string, Database>
   databasesOf: (group: string) => Database[]
   /** Data centres that are out of service, with the monotonic time at which this gateway learned of it. */
   evacuated: () => ReadonlyMap<string, number>
   /** Monotonic time at which this gateway learned that the database is draining; undefined when it is not. */
-  drainingSince: (database: string) => number | undefined
+  drainingSinceMs: (database: string) => number | undefined
   members: () => ReadonlyMap<string, Member>
   /** Increases with each change of the members. */
   membersVersion: () => number
   group: (name: string) => Versioned<GroupRecord> | undefined
-  limitKeeper: (shard: number) => LimitRecord | undefined
+  limitRecord: (shard: number) => LimitRecord | undefined
   apply: (entry: StoredEntry) => void
   /** Applies a complete listing; entries that it lacks are removed. */
   replaceAll: (entries: readonly StoredEntry[]) => void
@@ -45,7 +45,7 @@
 }
 
 /** Creates an empty fleet state. */
-export const createFleetView = (decodePlatformEntry: DecodePlatformEntry, log: Logger): FleetView => {
+export const createFleetState = (decodePlatformEntry: DecodePlatformEntry, log: Logger): FleetState => {
   let configuration: Configuration | undefined
   const revisions = new Map<string, number>()
   const databases = new Map<string, Database>()
@@ -67,30 +67,30 @@
       log(events.recordUnreadable, { key, revision, message })
       return undefined
     }
-    if (key.startsWith(recordKeys.vms)) {
+    if (key.startsWith(recordPrefixes.vms)) {
       const member = deleted
         ? undefined
-        : readMember(value).mapErr(
+        : decodeMember(value).mapErr(
           error => logUnreadable(error.message)
         ).unwrapOr(undefined)
       membersVersion++
-      return put(members, key.slice(recordKeys.vms.length), member)
+      return put(members, key.slice(recordPrefixes.vms.length), member)
     }
-    if (key.startsWith(recordKeys.groups)) {
+    if (key.startsWith(recordPrefixes.groups)) {
       const record = deleted
         ? undefined
-        : readGroupRecord(value).mapErr(e => logUnreadable(e.message)).unwrapOr(undefined)
-      const name = key.slice(recordKeys.groups.length)
+        : decodeGroupRecord(value).mapErr(e => logUnreadable(e.message)).unwrapOr(undefined)
+      const name = key.slice(recordPrefixes.groups.length)
       const hasPrimaryChanged = groups.get(name)?.record.primary !== record?.primary
       put(groups, name, record && { record, revision })
       if (hasPrimaryChanged) for (const listener of listeners) listener(name)
       return true
     }
-    if (key.startsWith(recordKeys.limits)) {
+    if (key.startsWith(recordPrefixes.limits)) {
       const record = deleted
         ? undefined
-        : readLimitRecord(value).mapErr(e => logUnreadable(e.message)).unwrapOr(undefined)
-      return put(limits, Number(key.slice(recordKeys.limits.length)), record)
+        : decodeLimitRecord(value).mapErr(e => logUnreadable(e.message)).unwrapOr(undefined)
+      return put(limits, Number(key.slice(recordPrefixes.limits.length)), record)
     }
     return false
   }
@@ -150,11 +150,11 @@
     databases: () => databases,
     databasesOf: group => [...databases.values()].filter(database => database.group === group),
     evacuated: () => evacuated,
-    drainingSince: database => drainingSinceMs.get(database),
+    drainingSinceMs: database => drainingSinceMs.get(database),
     members: () => members,
     membersVersion: () => membersVersion,
     group: name => groups.get(name),
-    limitKeeper: shard => limits.get(shard),
+    limitRecord: shard => limits.get(shard),
     apply,
     replaceAll,
     onPrimaryChange: listener => { listeners.push(listener) }
--- a/packages/gateway/src/state/store-history.ts
+++ b/packages/gateway/src/state/store-history.ts
@@ -5,19 +5,19 @@
 import type { StoredEntry } from '@egretyoke/fleet'
 
 /** Store changes after a revision, complete up to `revision`. */
-export type FollowedChanges = { entries: StoredEntry[], revision: number }
+export type StoreChanges = { entries: StoredEntry[], revision: number }
 
 /** Changes since this gateway last listed the whole store. */
 export type StoreHistory = {
   /** Clears the history after a listing of the whole store at the revision. */
-  restart: (revision: number) => void
-  note: (changes: FollowedChanges) => void
+  reset: (revision: number) => void
+  record: (changes: StoreChanges) => void
   /** The changes after the revision; undefined when some of them are no longer kept. */
-  since: (revision: number) => FollowedChanges | undefined
+  changesSince: (revision: number) => StoreChanges | undefined
   /** Resolves all pending waits for a change. */
   wakeWaiters: () => void
   /** Resolves on the next change, listing or `wakeWaiters` call, or after the timeout. */
-  untilWoken: (timeoutMs: number) => Promise<void>
+  waitForChange: (timeoutMs: number) => Promise<void>
 }
 
 /** Keys for which the newest change is kept. */
@@ -46,24 +46,24 @@
   }
 
   return {
-    restart: revision => {
+    reset: revision => {
       newest.clear()
       firstRevision = revision
       lastRevision = revision
       wakeWaiters()
     },
-    note: ({ entries, revision }) => {
+    record: ({ entries, revision }) => {
       for (const entry of entries) storeNewest(entry)
       lastRevision = revision
       wakeWaiters()
     },
-    since: revision => {
+    changesSince: revision => {
       if (firstRevision === undefined || revision < firstRevision) return undefined
       const entries = [...newest.values()].filter(entry => entry.revision > revision)
       return { entries, revision: lastRevision }
     },
     wakeWaiters,
-    untilWoken: timeoutMs => new Promise(resolve => {
+    waitForChange: timeoutMs => new Promise(resolve => {
       const resume = () => {
         clearTimeout(timer)
         waiters.delete(resume)
--- a/packages/gateway/src/state/stored-records.ts
+++ b/packages/gateway/src/state/stored-records.ts
@@ -9,7 +9,7 @@
 export const gatewayPrefix = 'egretyoke/'
 
 /** Key prefixes of the records, by kind. */
-export const recordKeys = {
+export const recordPrefixes = {
   vms: `${gatewayPrefix}vm/`,
   groups: `${gatewayPrefix}group/`,
   limits: `${gatewayPrefix}limit/`
@@ -61,12 +61,12 @@
   }
 }
 
-export const readMember = createReader(memberSchema)
-export const readGroupRecord = createReader(groupRecordSchema)
-export const readLimitRecord = createReader(limitRecordSchema)
+export const decodeMember = createReader(memberSchema)
+export const decodeGroupRecord = createReader(groupRecordSchema)
+export const decodeLimitRecord = createReader(limitRecordSchema)
 
 /** Encodes a record for the store. */
-export const writeRecord = (record: Member | GroupRecord | LimitRecord): Buffer => Buffer.from(JSON.stringify(record))
+export const encodeRecord = (record: Member | GroupRecord | LimitRecord): Buffer => Buffer.from(JSON.stringify(record))
 
 /** Name of a process, NAME/INCARNATION: the VM's name alone is reused by its next process. */
 export const processName = ({ name, incarnation }: Pick<Member, 'name' | 'incarnation'>): string =>
--- a/packages/gateway/src/state/token-bucket.ts
+++ b/packages/gateway/src/state/token-bucket.ts
@@ -11,11 +11,11 @@
 /** A token bucket. */
 export type TokenBucket = {
   /** Removes up to `requested` whole tokens; returns how many. */
-  take: (requested: number) => number
+  acquire: (requested: number) => number
   /** Adds tokens, limited by the depth. */
   add: (tokens: number) => void
   /** Changes rate and depth; tokens beyond the new depth are discarded. */
-  setTerms: (limits: BucketLimits) => void
+  setLimits: (limits: BucketLimits) => void
 }
 
 /** Creates a bucket that was empty at `emptyAtMs` on the clock, by default now. */
@@ -36,7 +36,7 @@
   }
 
   return {
-    take: requested => {
+    acquire: requested => {
       fill()
       const acquired = Math.min(requested, Math.floor(tokens))
       tokens -= acquired
@@ -46,7 +46,7 @@
       fill()
       tokens = Math.min(depth(), tokens + added)
     },
-    setTerms: next => {
+    setLimits: next => {
       fill()
       limits = next
       tokens = Math.min(tokens, depth())
--- a/packages/gateway/src/testing/memory-fleet.ts
+++ b/packages/gateway/src/testing/memory-fleet.ts
@@ -7,9 +7,9 @@
 import type { EventDefinition, EventFields } from '@egretyoke/common'
 import { startGateway } from '../gateway.js'
 import type { Gateway } from '../gateway.js'
-import type { Session, SessionAnswer, SessionStatement } from '../coordination/session.js'
+import type { Session, SessionResponse, SessionStatement } from '../coordination/session.js'
 import type { Configuration, Route, Workspace } from '../state/configuration.js'
-import type { DecodePlatformEntry } from '../state/fleet-view.js'
+import type { DecodePlatformEntry } from '../state/fleet-state.js'
 import { createMemoryGroup } from './memory-group.js'
 import type { MemoryGroup } from './memory-group.js'
 import { createMemoryStore } from './memory-store.js'
@@ -150,7 +150,7 @@
 
 /** A session that numbers its requests. */
 export type TestSession = Session & {
-  send: (statement: SessionStatement) => Promise<SessionAnswer>, lastRequest: () => string
+  send: (statement: SessionStatement) => Promise<SessionResponse>, lastRequest: () => string
 }
 
 let sessionCount = 0
--- a/packages/gateway/src/testing/memory-group.ts
+++ b/packages/gateway/src/testing/memory-group.ts
@@ -4,7 +4,7 @@
  */
 import { Err, Ok, sleepMs, typedError } from '@egretyoke/common'
 import type {
-  ConnectDatabase, DatabaseCommand, DatabaseConnection, DatabaseOrder, DatabaseReply, DeclineReason
+  ConnectDatabase, DatabaseCommand, DatabaseConnection, ControlCommand, DatabaseReply, DeclineReason
 } from '../coordination/database-connection.js'
 import type { PromoteDatabase } from '../coordination/primary-change.js'
 import type { Database } from '../state/configuration.js'
@@ -230,7 +230,7 @@
       return replies
     }
 
-    const runControl = async (command: DatabaseOrder, timeoutMs: number) => {
+    const runControl = async (command: ControlCommand, timeoutMs: number) => {
       await sleepMs(1)
       if (database.state === 'dark') await sleepMs(timeoutMs)
       if (!isOpen || database.state !== 'alive') {
@@ -244,7 +244,7 @@
 
     return {
       run,
-      order: runControl,
+      runControl,
       isOpen: () => isOpen && database.state !== 'dead',
       onClosed: listener => { listeners.push(listener) },
       close: end
--- a/packages/gateway/src/transport/relay-link.ts
+++ b/packages/gateway/src/transport/relay-link.ts
@@ -7,7 +7,7 @@
 import type { Result } from '@egretyoke/common'
 import { connectGrpc, relayProto } from '@egretyoke/protocol'
 import type { ChannelSettings, RelayMessages } from '@egretyoke/protocol'
-import type { RelayAnswer, RelayFailure, RelayQuestion } from '../coordination/relay-calls.js'
+import type { RelayReply, RelayFailure, RelayRequest } from '../coordination/relay-calls.js'
 
 /** Time without an answer to a ping after which the peer counts as unreachable. */
 const pingTimeoutMs = 500
@@ -23,14 +23,14 @@
 
 type Stream = ClientDuplexStream<RelayMessages.RelayRequest, RelayMessages.RelayReply__Output>
 type PendingRequest = {
-  request: RelayQuestion
+  request: RelayRequest
   isSent: boolean
-  settle: (reply: Result<RelayAnswer, RelayFailure>) => void
+  settle: (reply: Result<RelayReply, RelayFailure>) => void
 }
 
 /** A link to one address. */
 export type RelayLink = {
-  call: (request: RelayQuestion, timeoutMs: number) => Promise<Result<RelayAnswer, RelayFailure>>
+  call: (request: RelayRequest, timeoutMs: number) => Promise<Result<RelayReply, RelayFailure>>
   isUsable: () => boolean
   /** Whether the peer has answered on the open link; opens the link when there is none. */
   isConnected: () => boolean
@@ -140,8 +140,8 @@
     ping()
   }
 
-  const call = (request: RelayQuestion, timeoutMs: number) =>
-    new Promise<Result<RelayAnswer, RelayFailure>>(resolve => {
+  const call = (request: RelayRequest, timeoutMs: number) =>
+    new Promise<Result<RelayReply, RelayFailure>>(resolve => {
       lastUsedMs = performance.now()
       if (pending.size >= maxPendingRequests) return resolve(failure('unsent', address))
       if (stream === undefined) open()
@@ -151,7 +151,7 @@
         pending.delete(number)
         pendingRequest?.settle(failure(pendingRequest.isSent ? 'lost' : 'unsent', address))
       }, timeoutMs)
-      const settle = (reply: Result<RelayAnswer, RelayFailure>) => {
+      const settle = (reply: Result<RelayReply, RelayFailure>) => {
         clearTimeout(timer)
         resolve(reply)
       }
--- a/packages/gateway/src/transport/relay-links.ts
+++ b/packages/gateway/src/transport/relay-links.ts
@@ -50,7 +50,7 @@
   }, tickIntervalMs)
 
   return {
-    ask: ({ address }, request, timeoutMs) => linkTo(address).call(request, timeoutMs),
+    call: ({ address }, request, timeoutMs) => linkTo(address).call(request, timeoutMs),
     isUsable: ({ address }) => links.get(address)?.isUsable() ?? true,
     isConnected: ({ address }) => linkTo(address).isConnected(),
     isAnyReady: () => [...links.values()].some(link => link.isPeerReady()),
--- a/packages/limits/src/adaptive-limit.test.ts
+++ b/packages/limits/src/adaptive-limit.test.ts
@@ -74,7 +74,7 @@
   const budget = createRetryBudget()
   let retries = 0
   for (let request = 0; request < 1000; request++) {
-    budget.request()
+    budget.recordRequest()
     while (budget.tryRetry()) retries++
   }
   t.true(retries >= 100 && retries <= 110, `${retries}`)
--- a/packages/limits/src/index.ts
+++ b/packages/limits/src/index.ts
@@ -7,7 +7,7 @@
 } from './borrowing.js'
 export { loans, spreadLoans, staticSlices, tokenLoans } from './loan-policy.js'
 export { maxWaitersPerLimit } from './limit-share.js'
-export type { AcquireResult as Taken, LimitSnapshot, RefusalReason } from './limit-share.js'
+export type { AcquireResult, LimitSnapshot, RefusalReason } from './limit-share.js'
 export type { BorrowReply, BorrowRequest } from './borrow-messages.js'
 export { createShareTable } from './share-table.js'
 export type { Roster, ShareTable, ShareTableOptions } from './share-table.js'
--- a/packages/limits/src/limit-share.ts
+++ b/packages/limits/src/limit-share.ts
@@ -74,7 +74,7 @@
   loanMarginMs: number
   startsFull: boolean
   policy: LoanPolicy
-  askPeer: (peer: string, request: BorrowRequest) => Promise<BorrowReply | undefined>
+  sendBorrowRequest: (peer: string, request: BorrowRequest) => Promise<BorrowReply | undefined>
 }
 
 /** One rate limit on one VM. */
@@ -97,7 +97,7 @@
 
 /** Creates a limit of which this VM owns nothing. */
 export const createLimitShare = (initialLimit: RateLimit, options: LimitShareOptions): LimitShare => {
-  const { vm, incarnation, clock, after, loanTtlMs, policy, askPeer } = options
+  const { vm, incarnation, clock, after, loanTtlMs, policy, sendBorrowRequest } = options
   const share = createTokenShare(initialLimit, options)
   const demand = createDemandEstimate(clock)
   const waiters = createWaiters(after)
@@ -161,7 +161,7 @@
   const send = async (peer: string, { tokens, fraction, ttlMs }: LoanDemand) => {
     const { name, ratePerSec, version } = share.limit()
     const sentMs = clock()
-    const reply = await askPeer(peer, {
+    const reply = await sendBorrowRequest(peer, {
       borrower: vm,
       incarnation,
       limit: name,
--- a/packages/limits/src/permit-share.ts
+++ b/packages/limits/src/permit-share.ts
@@ -53,7 +53,7 @@
   incarnation: number
   after: After
   clock: Clock
-  askPeer: (peer: string, request: BorrowRequest) => Promise<BorrowReply | undefined>
+  sendBorrowRequest: (peer: string, request: BorrowRequest) => Promise<BorrowReply | undefined>
 }
 
 /** One limit of permits on one VM. */
@@ -77,7 +77,7 @@
 
 /** Creates a share with 0 own permits. */
 export const createPermitShare = (initialLimit: PermitLimit, options: PermitShareOptions): PermitShare => {
-  const { vm, incarnation, clock, wallClock, after, loanTtlMs, askPeer } = options
+  const { vm, incarnation, clock, wallClock, after, loanTtlMs, sendBorrowRequest } = options
   const ledger = createShareLedger(options)
   const peers = createPeerSelector(clock)
   const waiters = createWaiters(after)
@@ -112,7 +112,7 @@
     return free() >= 1 && waiters.size() === 0 ? hold(onRevoked) : undefined
   }
 
-  const send = (peer: string, permits: number) => askPeer(peer, {
+  const send = (peer: string, permits: number) => sendBorrowRequest(peer, {
     borrower: vm,
     incarnation,
     limit: limit.name,
--- a/packages/limits/src/refusals-within-rate.test.ts
+++ b/packages/limits/src/refusals-within-rate.test.ts
@@ -29,7 +29,7 @@
   let refused = 0
   let requests = 0
   const request = async (vm: string) => {
-    const { admitted } = await fleet.table(vm).take('acme', maxWaitMs)
+    const { admitted } = await fleet.table(vm).acquire('acme', maxWaitMs)
     if (admitted) checker.admit(fleet.time.clock())
     else refused++
   }
--- a/packages/limits/src/retry-budget.ts
+++ b/packages/limits/src/retry-budget.ts
@@ -18,7 +18,7 @@
 /** A budget of retries that grows with the number of requests. */
 export type RetryBudget = {
   /** Records the first attempt of a request. */
-  request: () => void
+  recordRequest: () => void
   /** Consumes one retry; false when the budget is exhausted. */
   tryRetry: () => boolean
 }
@@ -28,7 +28,7 @@
   const { retriesPerRequest = defaultRetriesPerRequest, reserve = defaultReserve } = options
   let retries = reserve
 
-  const request = () => {
+  const recordRequest = () => {
     retries = Math.min(reserve, retries + retriesPerRequest)
   }
 
@@ -38,5 +38,5 @@
     return true
   }
 
-  return { request, tryRetry }
+  return { recordRequest, tryRetry }
 }
--- a/packages/limits/src/share-table.test.ts
+++ b/packages/limits/src/share-table.test.ts
@@ -24,7 +24,7 @@
 
 test('a burst at one VM is served from the shares of all VMs', async t => {
   const { time, table } = createFleet()
-  const acquisitions = Array.from({ length: 5 }, () => table('vm1').take('acme', 30))
+  const acquisitions = Array.from({ length: 5 }, () => table('vm1').acquire('acme', 30))
   await time.runUntil(30)
   t.deepEqual((await Promise.all(acquisitions)).map(({ admitted }) => admitted), [true, true, true, true, true])
   t.is(time.clock(), 30)
@@ -32,7 +32,7 @@
 
 test('equal static slices refuse a burst that is within the limit', async t => {
   const { time, table } = createFleet(staticSlices)
-  const acquired = table('vm1').take('acme', 30)
+  const acquired = table('vm1').acquire('acme', 30)
   await time.runUntil(100)
   const refused = await acquired
   t.like(refused, { admitted: false, reason: 'rate' })
@@ -48,7 +48,7 @@
 
 test('unknown limits, other versions and malformed requests are refused with their reason', async t => {
   const { table } = createFleet()
-  t.like(await table('vm1').take('other', 30), { admitted: false, reason: 'unknownLimit' })
+  t.like(await table('vm1').acquire('other', 30), { admitted: false, reason: 'unknownLimit' })
   const request = {
     borrower: 'vm2',
     incarnation: 1,
@@ -96,7 +96,7 @@
       const fleet = createFailingFleet(policy, () => outcomeList[outcomeIndex++ % outcomeList.length])
       const checker = createBoundChecker(busyLimit)
       const acquire = async (vm: string) => {
-        if (!(await fleet.table(vm).take('acme', 50)).admitted) return
+        if (!(await fleet.table(vm).acquire('acme', 50)).admitted) return
         admitted++
         checker.admit(fleet.time.clock())
       }
--- a/packages/limits/src/share-table.ts
+++ b/packages/limits/src/share-table.ts
@@ -51,7 +51,7 @@
   /** Maximum number of limits; requests under further limits are refused. */
   maxLimits: number
   /** Sends a loan request to a peer; undefined when the peer did not reply in time. */
-  askPeer: (peer: string, request: BorrowRequest) => Promise<BorrowReply | undefined>
+  sendBorrowRequest: (peer: string, request: BorrowRequest) => Promise<BorrowReply | undefined>
   log: Logger
   /** If true, the VM owns nothing until loans of its previous incarnation expire; false only in a new fleet. */
   startupHold: boolean
@@ -69,7 +69,7 @@
   setLimits: (limits: RateLimit[]) => void
   tryAcquire: (limit: string) => boolean
   /** Acquires one token; waits for a loan or the refill for at most the given time. */
-  take: (limit: string, maxWaitMs: number, signal?: AbortSignal) => Promise<AcquireResult>
+  acquire: (limit: string, maxWaitMs: number, signal?: AbortSignal) => Promise<AcquireResult>
   /** Grants or refuses a peer's loan request. */
   lend: (request: BorrowRequest) => BorrowReply
   /** Ends all borrowed loans; called when the host may have been paused. */
@@ -141,7 +141,7 @@
 
   const shareOf = (limit: string) => definedNames.has(limit) ? shares.get(limit) : undefined
 
-  const take = async (limit: string, maxWaitMs: number, signal?: AbortSignal): Promise<AcquireResult> => {
+  const acquire = async (limit: string, maxWaitMs: number, signal?: AbortSignal): Promise<AcquireResult> => {
     const share = shareOf(limit)
     if (share !== undefined) return share.acquire(maxWaitMs, signal)
     return { admitted: false, retryAfterMs: unknownLimitRetryAfterMs, reason: 'unknownLimit' }
@@ -189,7 +189,7 @@
     setRoster,
     setLimits,
     tryAcquire: limit => shareOf(limit)?.tryAcquire() ?? false,
-    take,
+    acquire,
     lend,
     expireLoans,
     snapshot: () => [...shares.values()].map(share => share.snapshot()),
--- a/packages/limits/src/soak/simulated-fleet.ts
+++ b/packages/limits/src/soak/simulated-fleet.ts
@@ -27,7 +27,7 @@
   loanMarginMs: number
   maxLimits: number
   log: typeof silentLogger
-  askPeer: (peer: string, request: BorrowRequest) => Promise<BorrowReply | undefined>
+  sendBorrowRequest: (peer: string, request: BorrowRequest) => Promise<BorrowReply | undefined>
 }
 
 type Lender = { lend: (request: BorrowRequest) => BorrowReply, close: () => void }
@@ -56,7 +56,7 @@
   const incarnations = new Map<string, number>()
   const sleepMs = (ms: number) => new Promise<void>(resolve => { time.after(ms, resolve) })
 
-  const askPeer = async (peer: string, request: BorrowRequest) => {
+  const sendBorrowRequest = async (peer: string, request: BorrowRequest) => {
     const { requestMs, replyMs, isLost } = nextOutcome()
     await sleepMs(requestMs)
     const reply = tables.get(peer)?.lend(request)
@@ -73,7 +73,7 @@
     incarnations.set(vm, incarnation)
     const { clock, after } = time
     const options = { vm, incarnation, clock, wallClock: clock, after, loanTtlMs, loanMarginMs, maxLimits: 10 }
-    tables.set(vm, start({ ...options, log: silentLogger, askPeer }, members, isRestart))
+    tables.set(vm, start({ ...options, log: silentLogger, sendBorrowRequest }, members, isRestart))
   }
 
   const kill = (vm: string) => {
