--- a/packages/steward/src/coordination/detection.ts
+++ b/packages/steward/src/coordination/detection.ts
@@ -1,5 +1,5 @@
 /**
- * Decides whether a primary is gone: the steward and several entries must see it.
+ * Failure detection: a primary counts as failed only if both the steward and several entries observe the failure.
  */
 import type { Clock } from '@egretyoke/common'
 import type { GroupRecord, Roster } from '@egretyoke/config'
@@ -7,25 +7,25 @@
 import type { EntryPeers, EntryView, Sighting } from './entry-peers.js'
 import { majorityOf } from './promotion-calls.js'
 
-/** What the entries say of a primary. */
+/** Result of polling the entries about a primary. */
 export type Verdict = {
   isGone: boolean
   answered: number
-  /** Entries that answered and watch the primary, and those of them that see it gone. */
+  /** Number of replying entries that monitor the primary, and how many of them report it as unreachable. */
   watching: number
   agreeing: number
   rosterSize: number
 }
 
-/** True when the member answers as the primary of the record's term. */
+/** True if the member reports itself as primary in the record's term. */
 export const leads = (state: MemberState | undefined, record: GroupRecord): boolean =>
   state !== undefined && state.isPrimary && state.term === record.term
 
-/** Measures for how long something has been so, without a break. */
+/** Creates a timer that measures how long a condition has been true without interruption. */
 export const createContinuousTimer = (clock: Clock) => {
   let sinceMs: number | undefined
   return {
-    /** Returns the time for which it has been so, 0 when it is not so now. */
+    /** Updates the condition; returns how long it has been true, in milliseconds, or 0 if it is false. */
     note: (isSo: boolean): number => {
       if (!isSo) sinceMs = undefined
       else sinceMs ??= clock()
@@ -34,20 +34,21 @@
   }
 }
 
-/** An entry that has not heard from the primary for so long sees it gone, in milliseconds. */
+/** Age from which an entry's last reply from the primary counts as a failure report, in milliseconds. */
 const staleSightingMs = 2_500
 
 const seesItGone = (sighting: Sighting): boolean => !sighting.reachable || sighting.ageMs >= staleSightingMs
 
 /**
- * Why the steward suspects the primary. `unreachable` may be the steward's own trouble, so entries must agree;
- * `notLeading` is the member's own word, which holds for the rest of the term.
+ * Why the steward suspects the primary. `unreachable` may be a fault on the steward's side, so the entries must confirm
+ * it; `notLeading` is reported by the member itself and does not change for the rest of the term.
  */
 export type Suspicion = 'unreachable' | 'notLeading'
 
 /**
- * Asks the entries. A majority of the roster must answer in any case, because the promotion will need their
- * acknowledgement; of those that watch the primary, most must see it gone.
+ * Polls the entries about the primary. A majority of the roster must reply in any case, because the promotion needs
+ * their acknowledgement. For the suspicion `unreachable`, a majority of the replying entries that monitor the primary
+ * must also report it as unreachable.
  */
 export const askEntries = async (
   entries: EntryPeers,
--- a/packages/steward/src/coordination/entry-peers.ts
+++ b/packages/steward/src/coordination/entry-peers.ts
@@ -1,9 +1,9 @@
 /**
- * What the steward asks of entries, as a record of functions.
+ * Interface of the steward's calls to entries.
  */
 import type { RosterMember } from '@egretyoke/config'
 
-/** An entry's view of one endpoint. `ageMs`: time since the endpoint last answered that entry. */
+/** State of an endpoint as observed by an entry. `ageMs`: time since the endpoint last replied to that entry. */
 export type Sighting = {
   endpoint: string
   reachable: boolean
@@ -13,24 +13,27 @@
   isPrimary: boolean
 }
 
-/** An entry's answer to an observer. */
+/** An entry's reply to a steward's heartbeat. */
 export type EntryView = {
-  /** Newest store revision of the followed records that the entry knows. */
+  /** Store revision up to which the entry has received the followed records. */
   knownRevision: number
-  /** True until the entry has learned the state after its start. */
+  /** True until the entry has loaded the followed records after its start. */
   starting: boolean
   sightings: Sighting[]
-  /** Members of the roster that have answered the entry nothing for longer than the contact time. */
+  /** Names of roster members that have not replied to the entry for longer than the contact time. */
   silentPeers: string[]
 }
 
-/** Asks an entry to confirm no write of terms below `term`. `revision` is that of the group's record. */
+/**
+ * Request that an entry confirms no more writes of terms below `term`. `revision` is the store revision of the group's
+ * fencing record.
+ */
 export type StopRequest = { group: string, term: number, revision: number }
 
-/** Calls to entries. An entry that does not answer counts as silent, whatever the cause. */
+/** Calls to entries. Any failed call counts as no reply, whatever the cause. */
 export type EntryPeers = {
-  /** Undefined when the entry does not answer. */
+  /** Reads the entry's state; undefined if the entry does not reply. */
   observe: (entry: RosterMember) => Promise<EntryView | undefined>
-  /** True only if the entry has acknowledged. */
+  /** Returns true only if the entry has acknowledged the request. */
   stopConfirming: (entry: RosterMember, request: StopRequest) => Promise<boolean>
 }
--- a/packages/steward/src/coordination/fence-members.ts
+++ b/packages/steward/src/coordination/fence-members.ts
@@ -1,5 +1,5 @@
 /**
- * Fences the members of a group and reads how far each has come.
+ * Fences the members of a group and reads their log positions.
  */
 import type { ControlAnswer } from '@egretyoke/fleet'
 import type { FencedMember } from './most-advanced.js'
@@ -8,13 +8,16 @@
 import { sharedSignal } from './shared-signal.js'
 
 const retryPauseMs = 100
-/** Time that is given to the remaining members once a majority is fenced. */
+/** How long to wait for the remaining members after a majority has been fenced. */
 const stragglerWaitMs = 150
 
-/** `superseded`: a member is fenced at a higher term, so another steward has gone on. */
+/**
+ * Result of fencing. `superseded`: a member is fenced at a higher term, so another steward has started a newer term;
+ * `aborted`: the signal aborted before a majority was fenced.
+ */
 export type FenceOutcome = { kind: 'fenced', members: FencedMember[] } | { kind: 'superseded' } | { kind: 'aborted' }
 
-/** Fences all members that answer, at least a majority. */
+/** Fences the members with retries. Resolves when all are fenced, or shortly after a majority is. */
 export const fenceMembers = (task: PromotionTask, term: number, signal: AbortSignal): Promise<FenceOutcome> =>
   new Promise(resolve => {
     const { calls, members, times } = task
--- a/packages/steward/src/coordination/follow-configuration.ts
+++ b/packages/steward/src/coordination/follow-configuration.ts
@@ -1,5 +1,5 @@
 /**
- * Keeps the configuration in force at hand: read again whenever its head changes.
+ * Maintains a local copy of the current configuration and reads it again whenever the configuration head changes.
  */
 import { ticks } from '@egretyoke/common'
 import type { Result } from '@egretyoke/common'
@@ -9,14 +9,14 @@
 
 const checkIntervalMs = 100
 
-/** The configuration in force, as far as it is known. */
+/** Local copy of the current configuration. */
 export type FollowedConfiguration = {
-  /** Undefined before the first one. Never goes back to an older version. */
+  /** Undefined until the first successful read. An older version never replaces a newer one. */
   current: () => Configuration | undefined
   close: () => Promise<void>
 }
 
-/** Starts to follow. */
+/** Starts to follow the configuration; `read` fetches it from the store. */
 export const followConfiguration = (
   followed: FollowedRecords,
   read: () => Promise<Result<Configuration, unknown>>
--- a/packages/steward/src/coordination/follow-records.ts
+++ b/packages/steward/src/coordination/follow-records.ts
@@ -1,39 +1,39 @@
 /**
- * Keeps a copy of the records that every VM follows. The entry on the same VM is asked, which costs the platform
- * nothing; the platform is asked only while that entry does not answer. A copy may lag: whatever is decided by it is
- * settled by compare-and-swap.
+ * Maintains a local copy of the records that every VM follows. Changes are fetched from the entry on the same VM, which
+ * puts no load on the platform, and from the platform only while that entry does not reply. The copy may lag behind the
+ * store, so every decision based on it is applied with compare-and-swap.
  */
 import { monotonicMs, Ok, ticks } from '@egretyoke/common'
 import { storeKeys } from '@egretyoke/config'
 import type { Platform, StoreChanges, StoredEntry } from '@egretyoke/fleet'
 
-/** Most records that are kept. */
+/** Maximum number of records in the copy, without the configuration documents. */
 const maxRecords = 50_000
 const documentPrefix = storeKeys.document('')
 
-/** A copy that is kept up to date. */
+/** Local copy of the followed records. */
 export type FollowedRecords = {
   get: (key: string) => StoredEntry | undefined
-  /** True once somebody has answered for the first time. */
+  /** True after the first reply from the entry or the platform. */
   isKnown: () => boolean
-  /** Takes in a record that a swap or a read has returned. */
+  /** Updates the copy with a record returned by a swap or a read. Older revisions are ignored. */
   learn: (entry: StoredEntry) => void
   close: () => Promise<void>
 }
 
-/** What to follow, and how. Times are in milliseconds. */
+/** Sources and intervals of the copy. Times are in milliseconds. */
 export type FollowOptions = {
   platform: Platform
-  /** Asks the entry on the same VM for changes after a revision; undefined when it does not answer or is starting. */
+  /** Fetches changes after a revision from the entry on the same VM; undefined if it does not reply or is starting. */
   askEntry: (afterRevision: number) => Promise<StoreChanges | undefined>
   entryIntervalMs: number
-  /** After so long without the entry the platform is asked. */
+  /** Time without a reply from the entry after which the platform is polled. */
   entrySilentMs: number
   platformIntervalMs: number
   timeoutMs: number
 }
 
-/** Starts to follow. */
+/** Starts to follow the records. */
 export const followRecords = (options: FollowOptions): FollowedRecords => {
   const records = new Map<string, StoredEntry>()
   const stopping = new AbortController()
@@ -50,7 +50,7 @@
     records.set(entry.key, entry)
   }
 
-  /** Documents come along with a new head, all of its own. */
+  /** Applies changes. A changed configuration head comes with all of its documents, which replace the previous ones. */
   const learnAll = (changes: StoreChanges) => {
     const isDocument = (entry: StoredEntry) => entry.key.startsWith(documentPrefix)
     const carried = changes.entries.filter(isDocument)
@@ -91,7 +91,7 @@
   return { get: key => records.get(key) ?? documents.get(key), isKnown: () => known, learn, close }
 }
 
-/** The platform, read through the copy where it holds the key. */
+/** Returns a `get` that reads from the copy, and from the platform if the copy does not have the key. */
 export const readThrough = (platform: Platform, copy: FollowedRecords): Pick<Platform, 'get'> => ({
   get: async (key, timeoutMs) => {
     const kept = copy.get(key)
--- a/packages/steward/src/coordination/group-keeper.ts
+++ b/packages/steward/src/coordination/group-keeper.ts
@@ -1,6 +1,6 @@
 /**
- * Looks after one group while this steward holds its lease: first record, failure detection, promotion,
- * planned handover, repair of members.
+ * Monitors one group while this steward holds the group's lease: creates the first record, detects failures of the
+ * primary, runs promotions and planned handovers, and repairs members that follow the wrong primary.
  */
 import { monotonicMs, ticks } from '@egretyoke/common'
 import type { Clock, Logger } from '@egretyoke/common'
@@ -16,15 +16,15 @@
 import { maxSuccessorGapEntries, readMemberStates, successors } from './successor.js'
 import type { MemberStates } from './successor.js'
 
-/** Pause between handover attempts that left the primary in its place. */
+/** Delay before a planned handover is tried again when the outgoing primary was promoted once more. */
 const handoverPauseMs = 1_000
 
-/** What the keeper of a group works with. */
+/** Dependencies of the monitor of a group. */
 export type GroupKeeperOptions = {
   group: string
-  /** Undefined once the configuration has the group no more. */
+  /** The group's configuration; undefined after the group has been removed from it. */
   config: () => Group | undefined
-  /** The record as this steward knows it. */
+  /** The group's record in this steward's local copy, which may lag behind the store. */
   known: () => StoredGroup
   roster: () => Roster | undefined
   members: () => PromotionMember[]
@@ -40,7 +40,7 @@
 
 const attemptTimeoutMs = 10_000
 
-/** Runs until the signal aborts. */
+/** Checks the group periodically until the signal aborts. */
 export const keepGroup = async (options: GroupKeeperOptions): Promise<void> => {
   const { group, calls, settings, metrics, log, signal, clock = monotonicMs } = options
   const unled = createContinuousTimer(clock)
@@ -78,7 +78,7 @@
     if (!promotion.ok) {
       metrics.promotionEnded(group, promotion.val.reason)
       log(events.promotionFailed, { group, reason: promotion.val.reason, message: promotion.val.message })
-      // Read, because the copy may not know yet what this attempt or another steward has stored.
+      // Refreshes the local copy, which may not have the record that this attempt or another steward has stored.
       await calls.readGroup()
       return
     }
--- a/packages/steward/src/coordination/install-primary.ts
+++ b/packages/steward/src/coordination/install-primary.ts
@@ -1,6 +1,6 @@
 /**
- * Makes the chosen member the primary of the term, and waits until a majority of the group holds the term's
- * start. From then on no later promotion can choose a member that lacks it.
+ * Promotes the chosen member in the new term, and waits until a majority of the group has adopted the term's start.
+ * After that, no later promotion can choose a member that lacks this start.
  */
 import type { MemberState } from '@egretyoke/fleet'
 import { adoptedTerm } from './most-advanced.js'
@@ -11,13 +11,16 @@
 const maxPromoteTries = 4
 const retryPauseMs = 50
 
-/** The term's start: its first position lies behind the last one of earlier terms that it keeps. */
+/** Start of a term: `startPosition` is the last log position of earlier terms that the new term retains. */
 export type TermStartOf = { term: number, startPosition: number }
 
-/** `superseded`: a member knows a higher term, so another steward has gone on. */
+/**
+ * Result of an installation step. `superseded`: a member refused because it is in, or fenced at, a higher term, so
+ * another steward has started a newer term; `unanswered`: no success before the retries or the attempt ended.
+ */
 export type InstallOutcome<Done> = { kind: 'done', value: Done } | { kind: 'superseded' } | { kind: 'unanswered' }
 
-/** Promotes the member. Only this one is asked in this term. */
+/** Promotes the member, with retries. No other member is promoted in this term. */
 export const promoteMember = async (
   task: PromotionTask,
   candidate: PromotionMember,
@@ -32,7 +35,7 @@
   return { kind: 'unanswered' }
 }
 
-/** Tells a member to follow the primary until it holds the term's start. */
+/** Sends follow requests to a member until it has adopted the term's start. */
 const followUntilAdopted = async (
   task: PromotionTask,
   member: PromotionMember,
@@ -50,7 +53,7 @@
   return { kind: 'unanswered' }
 }
 
-/** Resolves once a majority of the group holds the term's start, or when the signal aborts. */
+/** Resolves once a majority of the group, including the primary, has adopted the term's start, or on abort. */
 export const waitForMajorityAdoption = (
   task: PromotionTask,
   candidate: PromotionMember,
--- a/packages/steward/src/coordination/most-advanced.ts
+++ b/packages/steward/src/coordination/most-advanced.ts
@@ -1,15 +1,15 @@
 /**
- * Chooses the member to promote among fenced ones.
+ * Ordering of fenced members by how advanced their logs are, for the choice of the member to promote.
  */
 import type { TermStart } from '@egretyoke/config'
 import type { MemberState } from '@egretyoke/fleet'
 
-/** A fenced member. */
+/** State of a member at the time it was fenced. */
 export type FencedMember = { name: string, state: MemberState, mayStay: boolean }
 
 /**
- * The newest term that has been active and whose start the member holds. Terms that were begun but never
- * became active had no confirmed writes, so they do not count.
+ * Returns the newest active term whose start the member has received, or 0 if there is none. Terms that started but
+ * never became active have no confirmed writes, so they are ignored.
  */
 export const adoptedTerm = (state: MemberState, activeLineage: readonly TermStart[]): number => {
   const own = new Set(state.lineage.map(start => start.term))
@@ -17,7 +17,10 @@
   return adopted.at(-1)?.term ?? 0
 }
 
-/** Orders members, the best candidate first; among equally advanced ones those that may stay. */
+/**
+ * Returns a comparator that sorts the most advanced member first. Among equally advanced members, those that are not
+ * being removed come first.
+ */
 export const byAdvance = (activeLineage: readonly TermStart[]) => (left: FencedMember, right: FencedMember): number =>
   adoptedTerm(right.state, activeLineage) - adoptedTerm(left.state, activeLineage) ||
   right.state.receivedPosition - left.state.receivedPosition ||
--- a/packages/steward/src/coordination/promotion-calls.ts
+++ b/packages/steward/src/coordination/promotion-calls.ts
@@ -1,6 +1,6 @@
 /**
- * Everything that a promotion needs from outside, as a record of functions, so that tests can schedule
- * each reply.
+ * Interfaces of the external calls of a promotion. They are plain functions, so that tests can control when each call
+ * gets its reply.
  */
 import type { Result } from '@egretyoke/common'
 import type { EndpointConfig, GroupRecord, Roster } from '@egretyoke/config'
@@ -8,57 +8,57 @@
 import type { Stored } from '../state/fleet-view.js'
 import type { EntryPeers } from './entry-peers.js'
 
-/** A group's record with its revision. */
+/** A group's record with its store revision. */
 export type StoredGroup = Stored<GroupRecord | undefined>
 
-/** What a swap of a group's record came to. */
+/** Result of a compare-and-swap of a group's record. */
 export type GroupSwap = { swapped: boolean, current: StoredGroup }
 
-/** One member of the group with its control. */
+/** A member of the group with its control connection. */
 export type PromotionMember = {
   name: string
   endpoint: EndpointConfig
   control: GroupMember
-  /** False for members in data centres that are out, and for those that leave. */
+  /** False if the member's data centre is out of service or the endpoint is leaving. */
   mayStay: boolean
 }
 
-/** Calls of a promotion. */
+/** External calls of a promotion. */
 export type PromotionCalls = {
   readGroup: () => Promise<Result<StoredGroup, PlatformError>>
   swapGroup: (expectedRevision: number, record: GroupRecord) => Promise<Result<GroupSwap, PlatformError>>
   readRoster: () => Promise<Result<Roster | undefined, PlatformError>>
-  /** True when the roster has been the same for longer than an entry stays in contact unheard. */
+  /** True if the roster has been unchanged for longer than an entry stays in contact without any reply. */
   isRosterSettled: (roster: Roster) => boolean
   entries: EntryPeers
-  /** Resolves early, with false, when the signal aborts. */
+  /** Resolves to true after the delay, or to false as soon as the signal aborts. */
   sleepMs: (ms: number, signal?: AbortSignal) => Promise<boolean>
 }
 
-/** Names of the steps after which a test may hold the steward back. */
+/** Steps of a promotion. Tests can pause the steward after each one. */
 export type PromotionStep = 'fencing' | 'stopped' | 'fenced' | 'promoted' | 'adopted' | 'active'
 
-/** Times of a promotion, in milliseconds. */
+/** Timeouts of a promotion, in milliseconds. */
 export type PromotionTimes = {
-  /** An entry that hears from nobody is out of contact after that, clocks' differences included. */
+  /** Time without any reply after which an entry is out of contact, including the margin for clock differences. */
   contactEndMs: number
   memberTimeoutMs: number
-  /** An attempt that takes longer ends; the next one begins with a new term. */
+  /** Timeout of a whole attempt. The next attempt starts a new term. */
   attemptTimeoutMs: number
 }
 
-/** One promotion attempt. */
+/** Inputs of one promotion attempt. */
 export type PromotionTask = {
   group: string
   members: PromotionMember[]
   calls: PromotionCalls
   times: PromotionTimes
-  /** A planned handover: the primary to be relieved; undefined after a failure. */
+  /** The current primary in a planned handover; undefined when a failed primary is replaced. */
   relieved?: string
   afterStep?: (step: PromotionStep, term: number) => Promise<void>
   onChosen?: (choice: { candidate: string, passedOver: string[] }) => void
   signal: AbortSignal
 }
 
-/** Count that is more than half of `size`. */
+/** Returns the smallest number that is more than half of `size`. */
 export const majorityOf = (size: number): number => Math.floor(size / 2) + 1
--- a/packages/steward/src/coordination/promotion.ts
+++ b/packages/steward/src/coordination/promotion.ts
@@ -1,8 +1,8 @@
 /**
- * One attempt to give a group a new primary. The README of this package has the steps with the argument why
- * no confirmed write is lost and no replaced primary's write is confirmed.
+ * One attempt to promote a new primary of a group. The README of this package lists the steps and explains why no
+ * confirmed write is lost and why no write of a replaced primary is confirmed.
  *
- * Each attempt has a term of its own: the one whose fencing record this steward's own swap has stored.
+ * Each attempt owns a new term, which it obtains by storing the term's fencing record with compare-and-swap.
  */
 import { Err, Ok, typedError } from '@egretyoke/common'
 import type { Result, TypedError } from '@egretyoke/common'
@@ -18,12 +18,13 @@
 
 const platformRetryPauseMs = 100
 
-/** A finished promotion. */
+/** Result of a completed promotion. `revision`: store revision of the active record. */
 export type Promotion = { term: number, primary: string, startPosition: number, revision: number }
 
 /**
- * Why an attempt ended. `unsettled`: the platform did not answer the first swap; `superseded`: another
- * steward went on; `unfinished`: too few entries or members answered in time.
+ * Why an attempt failed. `unsettled`: the platform did not reply to the fencing swap, so its result is unknown;
+ * `superseded`: another steward has changed the record or fenced a member at a higher term; `unfinished`: too few
+ * entries or members replied in time.
  */
 export type PromotionFailure = TypedError<'unsettled' | 'superseded' | 'unfinished'>
 
@@ -32,13 +33,16 @@
 type Fencing = { record: GroupRecord, revision: number }
 type Installed = { primary: string, startPosition: number }
 
-/** Stores the fencing record of a new term. Without an answer the term is not ours: the caller begins anew. */
+/**
+ * Stores the fencing record of the next term. If the swap gets no reply, this steward does not own the term, and the
+ * caller must start a new attempt.
+ */
 const beginTerm = async (task: PromotionTask, seen: StoredGroup): Promise<Result<Fencing, PromotionFailure>> => {
-  if (!seen.value) return failure('superseded', 'the group has no record')
+  if (!seen.value) return failure('superseded', 'the group has no stored record')
   const record: GroupRecord = { ...seen.value, term: seen.value.term + 1, primary: '', phase: 'fencing' }
   const swap = await task.calls.swapGroup(seen.revision, record)
   if (!swap.ok) return failure('unsettled', swap.val.message)
-  if (!swap.val.swapped) return failure('superseded', 'the record has changed')
+  if (!swap.val.swapped) return failure('superseded', 'another steward changed the group record')
   return Ok({ record, revision: swap.val.current.revision })
 }
 
@@ -52,7 +56,7 @@
 }
 
 const stopEntries = async (task: PromotionTask, fencing: Fencing, signal: AbortSignal): Promise<boolean> => {
-  // Read after the swap: an entry that joins later learns the fencing record with the roster.
+  // Read after the fencing swap, because an entry that joins later reads the fencing record with the roster.
   const roster = await readRosterUntilAnswered(task, signal)
   if (!roster) return false
   const request = { group: task.group, term: fencing.record.term, revision: fencing.revision }
@@ -71,7 +75,7 @@
   const { term } = record
   const outcome = await fenceMembers(task, term, signal)
   if (outcome.kind === 'superseded') return failure('superseded', 'a member is fenced at a higher term')
-  if (outcome.kind === 'aborted') return failure('unfinished', 'too few members answered')
+  if (outcome.kind === 'aborted') return failure('unfinished', 'too few members were fenced before the attempt ended')
   await step('fenced')
   const [best, ...others] = outcome.members.sort(byAdvance(record.lineage))
   const candidate = task.members.find(member => member.name === best.name)!
@@ -85,7 +89,7 @@
   const { lineage, receivedPosition } = promoted.value
   const start = { term, startPosition: startOf(lineage, term) ?? receivedPosition }
   const adopted = await waitForMajorityAdoption(task, candidate, start, signal)
-  if (adopted.kind !== 'done') return notInstalled(adopted.kind, 'too few members follow the new primary')
+  if (adopted.kind !== 'done') return notInstalled(adopted.kind, 'too few members adopted the new term')
   await step('adopted')
   return Ok({ primary: best.name, startPosition: start.startPosition })
 }
@@ -93,7 +97,10 @@
 const startOf = (lineage: GroupRecord['lineage'], term: number): number | undefined =>
   lineage.find(start => start.term === term)?.startPosition
 
-/** Stores the active record. Goes on while the platform is silent: the conditions that were met stay met. */
+/**
+ * Stores the active record. Retries while the platform does not reply, because the conditions for activation cannot
+ * become false again.
+ */
 const activate = async (
   task: PromotionTask,
   fencing: Fencing,
@@ -113,14 +120,14 @@
     if (read.val.revision === fencing.revision) return activate(task, fencing, installed)
     seen = read.val
   }
-  // Only the owner of a term stores its active record.
+  // Only the owner of a term stores its active record, so an active record of this term is this steward's own.
   if (seen?.value?.term !== term || seen.value.phase !== 'active') {
-    return failure('superseded', 'the record has changed before the term became active')
+    return failure('superseded', 'another steward changed the group record before the term became active')
   }
   return Ok({ term, primary, startPosition, revision: seen.revision })
 }
 
-/** Runs one attempt from the record that was last seen, active or fencing. */
+/** Runs one promotion attempt, starting from the last known group record (in phase active or fencing). */
 export const promote = async (
   task: PromotionTask,
   seen: StoredGroup
@@ -153,7 +160,7 @@
   const [isStopped, installed] = await Promise.all([stopping, install()])
   attempt.abort()
   if (!installed.ok) return installed
-  if (!isStopped) return failure('unfinished', 'too few entries acknowledged')
+  if (!isStopped) return failure('unfinished', 'the entries were not stopped before the attempt ended')
   const promotion = await activate(task, fencing.val, installed.val)
   if (promotion.ok) await step('active')
   return promotion
--- a/packages/steward/src/coordination/repair.ts
+++ b/packages/steward/src/coordination/repair.ts
@@ -1,5 +1,5 @@
 /**
- * Brings members that follow another term or another primary back to the record's.
+ * Repairs members that are in another term or follow another primary than the group's record says.
  */
 import type { GroupRecord } from '@egretyoke/config'
 import type { MemberState } from '@egretyoke/fleet'
@@ -9,7 +9,7 @@
 const followsRecord = (state: MemberState, record: GroupRecord): boolean =>
   state.term === record.term && state.primaryName === record.primary
 
-/** Tells every member that answers and does not follow the record's primary to do so. */
+/** Sends a follow request to every reachable member that does not follow the record's primary in the record's term. */
 export const repairMembers = async (
   members: PromotionMember[],
   states: MemberStates,
--- a/packages/steward/src/coordination/roster-age.ts
+++ b/packages/steward/src/coordination/roster-age.ts
@@ -1,9 +1,12 @@
 /**
- * Tells for how long a version of the roster has been known to this process.
+ * Tracks how long ago this process first saw the newest version of the roster.
  */
 import type { Clock } from '@egretyoke/common'
 
-/** Returns a function that gives a version's age in milliseconds, 0 when the version is new to it. */
+/**
+ * Returns a function that returns the age of a roster version in milliseconds. The age is 0 on the first call with a
+ * newer version, and for versions older than the newest one.
+ */
 export const createRosterAge = (clock: Clock) => {
   let newestVersion = 0
   let sinceMs = clock()
--- a/packages/steward/src/coordination/roster-keeper.ts
+++ b/packages/steward/src/coordination/roster-keeper.ts
@@ -1,8 +1,8 @@
 /**
- * Keeps the roster of entry VMs and the list of leaving VMs in the platform's store, after its list of VMs.
+ * Updates the roster of entry VMs and the list of leaving VMs in the platform's store from the platform's VM list.
  *
- * The roster changes by one VM at a time, and the next change waits until a majority of the new roster knows
- * the last one: so any two majorities that are in use at the same time have a VM in common.
+ * The roster changes by one VM at a time, and each change waits until a majority of the current roster has received
+ * the previous one, so that any two majorities in use at the same time have a VM in common.
  */
 import { monotonicMs, ticks } from '@egretyoke/common'
 import type { Clock, Logger } from '@egretyoke/common'
@@ -15,10 +15,10 @@
 import type { EntryPeers } from './entry-peers.js'
 import { majorityOf } from './promotion-calls.js'
 
-/** A VM that is missing from the list for less time stays on the roster, in milliseconds. */
+/** How long a VM must be missing from the platform's list before it is removed from the roster, in milliseconds. */
 export const rosterGraceMs = 10_000
 
-/** What the keeper works with. */
+/** Dependencies of the roster manager. */
 export type RosterKeeperOptions = {
   platform: Platform
   entries: EntryPeers
@@ -41,7 +41,10 @@
 const isSame = (left: RosterMember, right: RosterMember): boolean =>
   left.address === right.address && left.dataCentre === right.dataCentre
 
-/** The roster's members after the first change that is due; undefined when none is. */
+/**
+ * Returns the roster's members after the next single change (an updated, added or removed VM); undefined if none is
+ * needed.
+ */
 export const nextRosterMembers = (
   members: RosterMember[],
   listed: RosterMember[],
@@ -59,14 +62,14 @@
   return removed && members.filter(member => member !== removed)
 }
 
-/** Names of leaving VMs, by role. */
+/** Returns the sorted names of the leaving VMs by role. */
 export const leavingOf = (vms: VmListing[]): Leaving => {
   const names = (role: VmListing['role']) =>
     vms.filter(vm => vm.leaving && vm.role === role).map(vm => vm.name).sort()
   return { endpoints: names('ENDPOINT'), vms: names('ENTRY') }
 }
 
-/** Runs until the signal aborts. */
+/** Updates roster and leaving list periodically, while this steward holds the lease, until the signal aborts. */
 export const keepRoster = async (options: RosterKeeperOptions): Promise<void> => {
   const { platform, entries, timeoutMs, metrics, log, clock = monotonicMs, graceMs = rosterGraceMs } = options
   const missingSinceMs = new Map<string, number>()
--- a/packages/steward/src/coordination/roster-suspension.test.ts
+++ b/packages/steward/src/coordination/roster-suspension.test.ts
@@ -15,7 +15,7 @@
   new Map(Object.entries(entries).map(([name, silent]) => [name, view(...silent)]))
 const always = () => true
 
-/** A store of one roster and entries that answer or not; each round takes half a second of the clock. */
+/** Creates a store with one roster and entries that can be set to not reply. Each check advances the test clock. */
 const createWorld = (names: string[]) => {
   const roster: Stored<Roster | undefined> =
     { value: { version: 1, members: names.map(name => member(name)) }, revision: 7 }
@@ -51,7 +51,7 @@
   return { world, run, suspended }
 }
 
-test('VMs that die together are suspended in one swap, and the version stays', async t => {
+test('VMs that fail together are suspended in one swap, and the roster version does not change', async t => {
   const { world, run, suspended } = createWorld(['a', 'b', 'c', 'd', 'e'])
   world.dead.add('d').add('e')
   await run(2 * suspendAfterMs)
@@ -60,14 +60,14 @@
   t.is(world.roster.value!.version, 1)
 })
 
-test('a VM that is silent for less than the time is not suspended', async t => {
+test('a VM that does not reply for less than the threshold is not suspended', async t => {
   const { world, run, suspended } = createWorld(['a', 'b', 'c'])
   world.dead.add('c')
   await run(suspendAfterMs - 250)
   t.deepEqual(suspended(), [])
 })
 
-test('a steward without the lease suspends nobody', async t => {
+test('a steward without the lease suspends no VM', async t => {
   const { world, run, suspended } = createWorld(['a', 'b', 'c'])
   world.holdsLease = false
   world.dead.add('c')
@@ -75,7 +75,7 @@
   t.deepEqual(suspended(), [])
 })
 
-test('a suspension is lifted when the VM answers again', async t => {
+test('a suspension is lifted when the VM replies again', async t => {
   const { world, run, suspended } = createWorld(['a', 'b', 'c'])
   world.roster.value!.members[2].suspended = true
   await run(1_500)
@@ -83,30 +83,30 @@
   t.is(world.swaps, 1)
 })
 
-test('a VM that most of the answering entries hear is not suspended', t => {
+test('a VM that most of the replying entries can reach is not suspended', t => {
   const members = ['a', 'b', 'c', 'd', 'e'].map(name => member(name))
   t.deepEqual(nextSuspended(members, views({ a: ['e'], b: [], c: [], d: ['e'] }), always), [])
   t.deepEqual(nextSuspended(members, views({ a: ['e'], b: ['e'], c: [], d: ['e'] }), always), ['e'])
 })
 
-test('a VM that answers the steward is not suspended, whatever the others say', t => {
+test('a VM that replies to the steward is not suspended, whatever the other entries report', t => {
   const members = ['a', 'b', 'c'].map(name => member(name))
   t.deepEqual(nextSuspended(members, views({ a: ['c'], b: ['c'], c: [] }), always), [])
 })
 
-test('a steward that hears no majority suspends nobody, and leaves those who are suspended', t => {
+test('without replies from a majority, no VM is suspended and existing suspensions stay', t => {
   const members = [member('a'), member('b'), member('c', true)]
   t.deepEqual(nextSuspended(members, views({ a: ['b', 'c'] }), always), ['c'])
 })
 
-test('a majority is never suspended', t => {
+test('at most a minority is suspended', t => {
   const members = [member('a'), member('b'), member('c', true), member('d'), member('e')]
   const few = nextSuspended(members, views({ a: ['c', 'd'], b: ['c', 'd'], e: ['c', 'd'] }), always)
   t.deepEqual(few, ['c', 'd'])
   t.deepEqual(nextSuspended(['a', 'b'].map(name => member(name)), views({ a: ['b'] }), always), [])
 })
 
-test('a change of the roster keeps the suspensions', t => {
+test('a roster change preserves the suspensions', t => {
   const members = [member('a', true), member('b')]
   const moved = { ...member('a'), address: 'a:2' }
   const listed = [moved, member('b')].map(({ name, address, dataCentre }) => ({ name, address, dataCentre }))
--- a/packages/steward/src/coordination/roster-suspension.ts
+++ b/packages/steward/src/coordination/roster-suspension.ts
@@ -1,10 +1,10 @@
 /**
- * Suspends members of the roster that have died, so that the others get their shares of limits long before the
- * platform stops listing them. A suspended VM stays a member for majorities, so that several may be suspended at once.
+ * Suspends roster members that do not reply, so that the other members get their shares of the limits long before the
+ * platform stops listing the VM. A suspended VM still counts for majorities, so several can be suspended at once.
  *
- * A VM is suspended when it is silent to this steward and to most of the entries that answer, and only while a
- * majority of the roster answers: so whoever is cut off itself suspends nobody, and never more than a minority is
- * suspended. Being wrong costs the VM its share for a while, never the bound on the fleet.
+ * A VM is suspended when neither this steward nor most of the replying entries get replies from it, and only while a
+ * majority of the roster replies. So a steward that is cut off suspends nobody, and at most a minority is suspended.
+ * A wrong suspension costs the VM its share for a while; the fleet-wide limit still holds.
  */
 import { monotonicMs, ticks } from '@egretyoke/common'
 import type { Clock, Logger } from '@egretyoke/common'
@@ -16,13 +16,13 @@
 import type { EntryPeers, EntryView } from './entry-peers.js'
 import { majorityOf } from './promotion-calls.js'
 
-/** A VM that has not answered the steward for so long may be suspended, in milliseconds. */
+/** Time without a reply to the steward after which a VM can be suspended, in milliseconds. */
 export const suspendAfterMs = 2_000
 
-/** Time between two rounds of questions to all members, in milliseconds. */
+/** Interval at which all members are polled, in milliseconds. */
 const roundMs = 500
 
-/** What the keeper of suspensions works with. */
+/** Dependencies of the suspension manager. */
 export type SuspensionOptions = {
   platform: Pick<Platform, 'compareAndSwap'>
   entries: Pick<EntryPeers, 'observe'>
@@ -37,8 +37,9 @@
 }
 
 /**
- * Names of the members that are to be suspended, in the roster's order. `views` has the answers of this round, and
- * `isSilent` tells who has not answered this steward for long.
+ * Returns the names of the members that should be suspended, in roster order. `views` has the replies of the current
+ * poll by name; `isSilent` is true for members that have not replied to this steward for `suspendAfterMs`. Without
+ * replies from a majority, or when more than a minority would be suspended, no member is added.
  */
 export const nextSuspended = (
   members: RosterMember[],
@@ -55,7 +56,7 @@
   return wanted.length <= members.length - majorityOf(members.length) ? wanted : kept
 }
 
-/** Runs until the signal aborts. */
+/** Updates the suspensions periodically, while this steward holds the roster's lease, until the signal aborts. */
 export const keepSuspensions = async (options: SuspensionOptions): Promise<void> => {
   const { platform, entries, log, clock = monotonicMs, intervalMs = roundMs } = options
   const answeredMs = new Map<string, number>()
--- a/packages/steward/src/coordination/shared-signal.ts
+++ b/packages/steward/src/coordination/shared-signal.ts
@@ -1,9 +1,12 @@
 /**
- * Abort signals that many waits share.
+ * Combined abort signals with an unlimited number of listeners.
  */
 import { setMaxListeners } from 'node:events'
 
-/** A signal that aborts with any of the given ones. As many waits as there are members or entries may listen to it. */
+/**
+ * Returns a signal that aborts when any of the given signals does. The listener limit is disabled, because each member
+ * or entry adds a listener.
+ */
 export const sharedSignal = (...signals: AbortSignal[]): AbortSignal => {
   const shared = AbortSignal.any(signals)
   setMaxListeners(0, shared)
--- a/packages/steward/src/coordination/steward-leases.ts
+++ b/packages/steward/src/coordination/steward-leases.ts
@@ -1,6 +1,7 @@
 /**
- * Holds the platform leases that say which steward looks after which group. A lease only avoids double work:
- * it may lapse while its holder is paused and unaware, so no safety depends on it.
+ * Acquires and renews the platform leases that decide which steward is active for a group or for the roster. A lease
+ * only avoids duplicate work: it can expire while its holder is paused and unaware of it, so safety does not depend on
+ * leases.
  */
 import { randomUUID } from 'node:crypto'
 import { monotonicMs, sleepMs, ticks } from '@egretyoke/common'
@@ -10,21 +11,21 @@
 import { preferenceRank } from './preference.js'
 
 const checkIntervalMs = 100
-/** Later start of a try for each place in the order of preference. */
+/** Added delay before an attempt to acquire a lease, for each rank in the group's order of preference. */
 const delayPerRankMs = 250
 const maxRankDelayMs = 2_500
-/** Delay while the roster, and with it the order, is not known. */
+/** Delay while the roster is not known, because the order of preference depends on it. */
 const unknownOrderDelayMs = 1_000
-/** Renewals within the lifetime of a lease. */
+/** Number of renewals within the TTL of a lease. */
 const renewalsPerTtl = 3
 
-/** Options of the leases. */
+/** Options of the steward's leases. */
 export type StewardLeaseOptions = {
   vm: string
   platform: Platform
-  /** The followed records, with the stewards' leases among them. */
+  /** Local copy of the store's records, which include the stewards' leases. */
   followed: FollowedRecords
-  /** Names of the leases that somebody must hold: groups and the roster. */
+  /** Names of the leases to compete for: the groups and the roster. */
   wantedNames: () => string[]
   rosterNames: () => string[]
   ttlMs: number
@@ -32,14 +33,14 @@
   onChange: (name: string, isHeld: boolean) => void
 }
 
-/** The leases of one steward. */
+/** Leases of one steward. */
 export type StewardLeases = {
   holds: (name: string) => boolean
-  /** Gives all leases back. */
+  /** Stops renewing and releases all leases. */
   close: () => Promise<void>
 }
 
-/** Starts to try for leases. */
+/** Starts to acquire and renew leases. */
 export const keepStewardLeases = (options: StewardLeaseOptions): StewardLeases => {
   const { vm, platform, followed, ttlMs, timeoutMs, onChange } = options
   const stopping = new AbortController()
@@ -72,13 +73,13 @@
     validUntilMs = sentMs + ttlMs
   }
 
-  /** One renewal at a time, whoever asks for it. */
+  /** Renews the lease; concurrent callers share one renewal. */
   const renewOnce = async () => {
     renewing ??= renew().finally(() => { renewing = undefined })
     await renewing
   }
 
-  // A steward that holds nothing needs no lease: it costs the platform no calls.
+  // A steward that holds no group or roster does not renew, which saves calls to the platform.
   const renewContinuously = async () => {
     for await (const _ of ticks(Math.floor(ttlMs / renewalsPerTtl), stopping.signal)) {
       if (held.size > 0) await renewOnce()
--- a/packages/steward/src/coordination/stop-confirming.ts
+++ b/packages/steward/src/coordination/stop-confirming.ts
@@ -1,6 +1,6 @@
 /**
- * Brings every entry of the roster to confirm no write of an older term: by its acknowledgement, or by
- * waiting until a silent one must have lost contact.
+ * Stops every entry of the roster from confirming writes of older terms: either the entry acknowledges the request, or
+ * the steward waits until an entry that does not reply must be out of contact.
  */
 import type { Roster, RosterMember } from '@egretyoke/config'
 import type { StopRequest } from './entry-peers.js'
@@ -19,9 +19,10 @@
 }
 
 /**
- * Resolves to true once no entry can confirm a write of a term below the request's, to false when the
- * signal aborts before. A silent entry cannot be in contact any more `contactEndMs` after a majority of the
- * roster has acknowledged: since then nobody vouches for a revision before that of the request.
+ * Resolves to true once no entry can confirm a write of a term below the request's, or to false if the signal aborts
+ * first. An entry that has not acknowledged is out of contact at the latest `contactEndMs` after a majority of the
+ * roster acknowledged, because from then on neither the platform nor a majority of peers confirms an older revision as
+ * current.
  */
 export const stopConfirmingEverywhere = async (
   task: PromotionTask,
@@ -39,7 +40,7 @@
   const acknowledge = (entry: RosterMember) => {
     acknowledged.add(entry.name)
     if (acknowledged.size >= majorityOf(roster.members.length)) majority.raise()
-    // An entry that has just left the roster may still be in contact without being asked.
+    // An entry that left the roster recently gets no request and may still be in contact.
     if (acknowledged.size === roster.members.length && calls.isRosterSettled(roster)) all.raise()
   }
 
--- a/packages/steward/src/coordination/successor.ts
+++ b/packages/steward/src/coordination/successor.ts
@@ -1,20 +1,20 @@
 /**
- * Members that could take over from a primary that leaves.
+ * Selection of successors for a primary that is handed over, and the wait until one has caught up.
  */
 import type { MemberState } from '@egretyoke/fleet'
 import type { PromotionMember, PromotionTask } from './promotion-calls.js'
 
-/** Log entries that a successor may lack when a handover begins. */
+/** Maximum replication lag of a successor when a handover starts, in log entries. */
 export const maxSuccessorGapEntries = 1_000
 
-/** Longest wait for a successor to receive the primary's last entries, in milliseconds. */
+/** Timeout of the wait for a successor to receive the primary's last log entries, in milliseconds. */
 const maxCatchUpMs = 1_000
 const pollPauseMs = 20
 
-/** What the members told, by name; silent ones are absent. */
+/** States of the members by name; members that did not reply are absent. */
 export type MemberStates = ReadonlyMap<string, MemberState>
 
-/** Asks all members at once. */
+/** Reads the states of all members in parallel. */
 export const readMemberStates = async (members: PromotionMember[], timeoutMs: number): Promise<MemberStates> => {
   const states = new Map<string, MemberState>()
   await Promise.all(members.map(async member => {
@@ -24,7 +24,10 @@
   return states
 }
 
-/** Names of members that may stay, follow the primary's term, and lack at most `maxGapEntries` of its log. */
+/**
+ * Returns the names of members that are not being removed, are in the primary's term, and lag behind its log by at most
+ * `maxGapEntries` entries.
+ */
 export const successors = (
   members: PromotionMember[],
   states: MemberStates,
@@ -39,9 +42,10 @@
   .map(member => member.name)
 
 /**
- * Waits until a successor holds all that the relieved primary has. Entries send it no writes any more, and it
- * is not fenced yet, because a fenced primary does not replicate. Gives up after a while: then the promotion
- * chooses the most advanced member all the same, which may be the relieved one.
+ * Waits until a successor has received the complete log of the outgoing primary. At this point the entries have stopped
+ * sending writes to the primary; it is not fenced yet, because a fenced primary does not replicate. Also returns if the
+ * primary does not reply, and after a timeout: the promotion then chooses the most advanced member, which may be the
+ * outgoing primary itself.
  */
 export const waitForSuccessor = async (
   task: PromotionTask,
@@ -54,7 +58,7 @@
     const states = await readMemberStates(members, times.memberTimeoutMs)
     const primary = states.get(relieved)
     if (!primary) return
-    // A write that was under way when the entries stopped may still arrive.
+    // A write that was in flight when the entries stopped may still arrive: wait until the position stops changing.
     const isQuiet = primary.receivedPosition === lastPosition
     if (isQuiet && successors(members, states, primary, 0).length > 0) return
     lastPosition = primary.receivedPosition
--- a/packages/steward/src/decisions.test.ts
+++ b/packages/steward/src/decisions.test.ts
@@ -29,20 +29,25 @@
 const detectionCases: Array<{
   title: string
   suspicion?: Suspicion
-  /** Sightings of each entry; undefined for one that does not answer. */
+  /** Sightings of each entry; undefined for an entry that does not reply. */
   entries: Array<Sighting[] | undefined>
   isGone: boolean
 }> = [
-  { title: 'all see it gone', entries: [gone, gone, silentFor3s], isGone: true },
-  { title: 'most see it gone', entries: [gone, gone, seen], isGone: true },
-  { title: 'only one sees it gone', entries: [gone, seen, seen], isGone: false },
-  { title: 'half see it gone', entries: [gone, seen, undefined], isGone: false },
-  { title: 'no entry answers', entries: [undefined, undefined, undefined], isGone: false },
-  { title: 'a minority answers', entries: [gone, undefined, undefined], isGone: false },
-  { title: 'nobody watches it', entries: [[], [], []], isGone: false },
-  { title: 'it says itself that it does not lead', suspicion: 'notLeading', entries: [seen, seen, seen], isGone: true },
+  { title: 'all entries report it as unreachable', entries: [gone, gone, silentFor3s], isGone: true },
+  { title: 'most entries report it as unreachable', entries: [gone, gone, seen], isGone: true },
+  { title: 'only one entry reports it as unreachable', entries: [gone, seen, seen], isGone: false },
+  { title: 'half of the replying entries report it', entries: [gone, seen, undefined], isGone: false },
+  { title: 'no entry replies', entries: [undefined, undefined, undefined], isGone: false },
+  { title: 'only a minority replies', entries: [gone, undefined, undefined], isGone: false },
+  { title: 'no entry monitors it', entries: [[], [], []], isGone: false },
   {
-    title: 'it does not lead, a minority answers',
+    title: 'the member itself reports that it is not primary',
+    suspicion: 'notLeading',
+    entries: [seen, seen, seen],
+    isGone: true
+  },
+  {
+    title: 'the member is not primary, only a minority replies',
     suspicion: 'notLeading',
     entries: [seen, undefined, undefined],
     isGone: false
@@ -78,10 +83,10 @@
 })
 
 const choiceCases: Array<{ title: string, members: Array<[string, number[], number, boolean]>, best: string }> = [
-  { title: 'the longer log', members: [['a', [1, 2], 7, true], ['b', [1, 2], 8, true]], best: 'b' },
-  { title: 'the newer term before the longer log', members: [['a', [1], 9, true], ['b', [1, 2], 6, true]], best: 'b' },
+  { title: 'the member with the longer log', members: [['a', [1, 2], 7, true], ['b', [1, 2], 8, true]], best: 'b' },
+  { title: 'newer term before longer log', members: [['a', [1], 9, true], ['b', [1, 2], 6, true]], best: 'b' },
   {
-    title: 'a term whose start it lacks does not count',
+    title: 'a term whose start the member has not received does not count',
     members: [['a', [1], 4, true], ['b', [1, 2], 3, true]],
     best: 'a'
   },
@@ -91,11 +96,15 @@
     best: 'a'
   },
   {
-    title: 'the more advanced one, although it leaves',
+    title: 'the more advanced member, even if it is leaving',
     members: [['a', [1, 2], 9, false], ['b', [1, 2], 8, true]],
     best: 'a'
   },
-  { title: 'one that stays, among equals', members: [['a', [1, 2], 8, false], ['b', [1, 2], 8, true]], best: 'b' }
+  {
+    title: 'among equally advanced members, the one that is not leaving',
+    members: [['a', [1, 2], 8, false], ['b', [1, 2], 8, true]],
+    best: 'b'
+  }
 ]
 
 for (const { title, members, best } of choiceCases) {
@@ -106,17 +115,17 @@
   })
 }
 
-test('a member that holds no start of an active term has adopted none', t => {
+test('a member without the start of any active term has adopted term 0', t => {
   t.is(adoptedTerm(memberState([], 0), record.lineage), 0)
 })
 
 type RosterCase = { title: string, members: string[], listed: RosterMember[], gone?: string[], next?: string[] }
 
 const rosterCases: RosterCase[] = [
-  { title: 'nothing changed', members: ['x', 'y'], listed: [vm('x'), vm('y')] },
+  { title: 'no change in the VM list', members: ['x', 'y'], listed: [vm('x'), vm('y')] },
   { title: 'one VM at a time', members: ['x'], listed: [vm('x'), vm('y'), vm('z')], next: ['x:1', 'y:1'] },
-  { title: 'a VM that is only briefly missing stays', members: ['x', 'y'], listed: [vm('x')] },
-  { title: 'a VM that is gone', members: ['x', 'y'], listed: [vm('x')], gone: ['y'], next: ['x:1'] },
+  { title: 'a VM that is missing for less than the grace period stays', members: ['x', 'y'], listed: [vm('x')] },
+  { title: 'a VM missing for longer is removed', members: ['x', 'y'], listed: [vm('x')], gone: ['y'], next: ['x:1'] },
   { title: 'a VM with a new address', members: ['x', 'y'], listed: [vm('x'), vm('y', 'y:2')], next: ['x:1', 'y:2'] }
 ]
 
@@ -127,7 +136,7 @@
   })
 }
 
-test('roster: a version that has just been seen is not settled', t => {
+test('roster: the age of a version starts at 0 when it is first seen', t => {
   let nowMs = 0
   const age = createRosterAge(() => nowMs)
   t.is(age(1), 0)
@@ -144,7 +153,7 @@
     { endpoints: ['b'], vms: ['v'] })
 })
 
-test('groups spread over stewards, and each group has one order', t => {
+test('groups are spread over stewards, and each group ranks the VMs uniquely', t => {
   const vms = ['vm-1', 'vm-2', 'vm-3']
   const groups = Array.from({ length: 60 }, (_, index) => `group-${index}`)
   const firsts = groups.map(group => vms.find(name => preferenceRank(name, vms, group) === 0)!)
@@ -152,7 +161,7 @@
   for (const group of groups) t.deepEqual(vms.map(name => preferenceRank(name, vms, group)).sort(), [0, 1, 2])
 })
 
-test('roster: the next change waits until a majority knows the last one, and a missing VM for its grace', async t => {
+test('roster: a change waits until a majority has the previous one, and a removal for the grace period', async t => {
   const fleet = await startTestFleet({ entryCount: 3 })
   t.teardown(fleet.close)
   const stopping = new AbortController()
--- a/packages/steward/src/failover.test.ts
+++ b/packages/steward/src/failover.test.ts
@@ -48,7 +48,7 @@
   t.deepEqual(await fleet.logOf('core-c'), [statement])
 })
 
-test.serial('confirms no write of a primary that is cut off with one entry and goes on taking writes', async t => {
+test.serial('confirms no write of an isolated primary that still accepts writes from one entry', async t => {
   const fleet = await startTestFleet({ directEntries: 1 })
   t.teardown(fleet.close)
   await fleet.addSteward('vm-1')
@@ -86,7 +86,7 @@
   test.serial(`hands a primary over without losing a write: ${cause}`, async t => {
     const fleet = await startTestFleet()
     t.teardown(fleet.close)
-    // Detection is not what this test is about: a stalled machine must not look like a failed successor.
+    // A long detection time, so that a stalled test machine does not cause a failover in addition to the handover.
     await fleet.addSteward('vm-1', {}, { detectMs: 20_000, leaseTtlMs: 10_000 })
     await fleet.untilServing(1)
     const confirmed: string[] = []
--- a/packages/steward/src/metrics.ts
+++ b/packages/steward/src/metrics.ts
@@ -1,32 +1,32 @@
 /**
- * The steward's metrics.
+ * Prometheus metrics of the steward.
  */
 import { Counter, Gauge, Histogram } from 'prom-client'
 import type { Registry } from 'prom-client'
 
 const gapBucketsSeconds = [0.5, 1, 2, 4, 8, 19, 60]
 
-/** Counts and times of the steward. */
+/** Functions that update the steward's metrics. */
 export type StewardMetrics = {
-  /** `gapMs` counts from the moment at which the primary was first seen not to lead. */
+  /** `gapMs`: time since the steward first observed that the group had no leading primary. */
   promotionDone: (group: string, cause: string, gapMs: number) => void
   promotionEnded: (group: string, reason: string) => void
   leaseHeld: (name: string, held: boolean) => void
   rosterSize: (members: number) => void
 }
 
-/** Registers the metrics. */
+/** Creates the metrics and registers them in the registry. */
 export const createStewardMetrics = (registry: Registry): StewardMetrics => {
   const registers = [registry]
   const promotions = new Counter({
     name: 'egretyoke_steward_promotions_total',
-    help: 'Promotions that ended',
+    help: 'Promotion attempts by outcome: the cause of a completed one, or the reason of a failure',
     labelNames: ['group', 'outcome'],
     registers
   })
   const gaps = new Histogram({
     name: 'egretyoke_steward_promotion_gap_seconds',
-    help: 'Time from the first sight of the loss of a primary to the next active term',
+    help: 'Time from the first detected failure of the primary until the next term is active',
     labelNames: ['group'],
     buckets: gapBucketsSeconds,
     registers
@@ -34,7 +34,7 @@
   const leases = new Gauge({
     name: 'egretyoke_steward_lease_held', help: '1 while this steward holds the lease', labelNames: ['lease'], registers
   })
-  const roster = new Gauge({ name: 'egretyoke_steward_roster_members', help: 'VMs of the roster', registers })
+  const roster = new Gauge({ name: 'egretyoke_steward_roster_members', help: 'Number of VMs in the roster', registers })
   return {
     promotionDone: (group, cause, gapMs) => {
       promotions.inc({ group, outcome: cause })
--- a/packages/steward/src/model-explorer.ts
+++ b/packages/steward/src/model-explorer.ts
@@ -1,7 +1,7 @@
 /**
- * Test support: explores all interleavings of two stewards, entries and platform faults, bounded by the
- * number of switches between actors. Each path is run afresh on the real promotion code; states that were
- * reached before with as many switches left are not gone into again.
+ * Test support: explores all interleavings of two stewards, entries and platform faults, bounded by the number of
+ * switches between actors. Each path runs the real promotion code from the initial state. A state that was already
+ * visited with the same number of switches or fewer is not explored again.
  */
 import { createHash } from 'node:crypto'
 import { promote } from './coordination/promotion.js'
@@ -11,22 +11,22 @@
 /** Bounds of an exploration. */
 export type Bounds = { maxSwitches: number, maxSteps: number, maxRuns: number, attemptsPerSteward: number }
 
-/** What an exploration came to. */
+/** Result of an exploration. */
 export type Exploration = {
   runs: number
   states: number
-  /** True when the bounds on runs were not reached. */
+  /** True if all paths were explored within the limit on runs. */
   isComplete: boolean
   /** Terms that became active in any run. */
   activeTerms: number[]
   violation: string | undefined
-  /** The actions that led to the violation. */
+  /** Names of the actions that led to the violation. */
   path: string[]
 }
 
 const microtaskTurns = 30
 
-/** Lets the stewards go on until they wait for a call again. */
+/** Drains the microtask queue, so that each steward runs until it waits for its next call. */
 const settle = async () => {
   for (let turn = 0; turn < microtaskTurns; turn++) await Promise.resolve()
 }
@@ -53,10 +53,10 @@
   position.actor !== undefined && action.actor !== position.actor &&
   options.some(option => option.actor === position.actor && !option.isFault)
 
-/** Explores a scenario. */
+/** Explores a scenario until a violation is found, all paths are explored or a bound is reached. */
 export const explore = async (scenario: Scenario, bounds: Bounds): Promise<Exploration> => {
   const visited = new Map<string, number>()
-  /** Paths to run, by the number of their switches: those with fewer come first. */
+  /** Paths to run, indexed by their number of switches. Paths with fewer switches run first. */
   const waiting: number[][][] = Array.from({ length: bounds.maxSwitches + 1 }, () => [])
   waiting[0].push([])
   const activeTerms = new Set<number>()
@@ -64,7 +64,7 @@
   let violation: string | undefined
   let violatingPath: string[] = []
 
-  /** True when the state is new, or was reached with more switches before. */
+  /** Records the state; true if it is new or was reached only with more switches before. */
   const isNew = (world: World, position: Position): boolean => {
     const key = createHash('md5').update(`${position.actor}${world.stateKey()}`).digest('base64')
     const fewest = visited.get(key)
@@ -90,7 +90,7 @@
       if (options.length === 0) break
       const isReplay = taken.length < prefix.length
       if (!isReplay && !isNew(world, position)) break
-      // Going on with the same actor comes first.
+      // Actions that cause no switch come first.
       options.sort((left, right) => cost(left) - cost(right))
       if (!isReplay) {
         options.forEach((option, index) => index > 0 && waiting[cost(option)].push([...taken, index]))
--- a/packages/steward/src/model-member.ts
+++ b/packages/steward/src/model-member.ts
@@ -1,14 +1,14 @@
 /**
- * Test support: a database group's member for the model check, without time or network. It follows the
- * endpoint protocol's rules on terms; `checksTerms` false breaks them on purpose.
+ * Test support: model of a database group's member for the model check, without time or network. It implements the
+ * term rules of the endpoint protocol; `checksTerms: false` disables them to inject a defect.
  */
 import type { TermStart } from '@egretyoke/config'
 import type { ControlAnswer, MemberState } from '@egretyoke/fleet'
 
-/** One write in a log. */
+/** A log entry with one write. */
 export type ModelEntry = { term: number, id: string }
 
-/** A member's whole state. */
+/** Complete state of a member. */
 export type ModelMember = {
   name: string
   term: number
@@ -17,7 +17,7 @@
   upstream: string
   log: ModelEntry[]
   lineage: TermStart[]
-  /** Positions that replicas have reported in this term. */
+  /** Log positions that replicas have acknowledged in this term, by name. */
   acks: Record<string, number>
 }
 
@@ -33,10 +33,10 @@
   acks: { a: 0, b: 0, c: 0 }
 })
 
-/** True while the member takes writes. */
+/** True while the member accepts writes: it is primary and not fenced at a higher term. */
 export const mayWrite = (member: ModelMember): boolean => member.isPrimary && member.fencedTerm <= member.term
 
-/** The member's state as it tells it. */
+/** Returns the state that the member reports. */
 export const stateOf = (member: ModelMember): MemberState => ({
   name: member.name,
   group: 'core',
@@ -54,14 +54,14 @@
 const answer = (member: ModelMember, accepted: boolean): ControlAnswer =>
   ({ accepted, reason: accepted ? '' : 'term', state: stateOf(member) })
 
-/** Fences the member. */
+/** Fences the member at a term. */
 export const fenceModel = (member: ModelMember, term: number, checksTerms: boolean): ControlAnswer => {
   if (checksTerms && term < member.fencedTerm) return answer(member, false)
   member.fencedTerm = term
   return answer(member, true)
 }
 
-/** Promotes the member. */
+/** Promotes the member to primary of a term. */
 export const promoteModel = (member: ModelMember, term: number, checksTerms: boolean): ControlAnswer => {
   if (member.isPrimary && member.term === term) return answer(member, true)
   if (checksTerms && (term < member.fencedTerm || term <= member.term)) return answer(member, false)
@@ -70,7 +70,7 @@
   return answer(member, true)
 }
 
-/** Makes the member follow a primary. */
+/** Makes the member follow a primary in a term. */
 export const followModel = (
   member: ModelMember,
   term: number,
@@ -83,14 +83,14 @@
   return answer(member, true)
 }
 
-/** True when a pull from the primary would change something. */
+/** True if replication from the primary would change the state of the member or the primary. */
 export const mayReplicate = (member: ModelMember, primary: ModelMember): boolean => {
   if (member.isPrimary || member.upstream !== primary.name || member.term !== primary.term) return false
   if (!mayWrite(primary) || member.fencedTerm > member.term) return false
   return primary.acks[member.name] !== primary.log.length || member.lineage.at(-1)?.term !== primary.term
 }
 
-/** Pulls the primary's log, dropping what the primary lacks. */
+/** Copies the primary's log to the member and drops entries that are not in the primary's log. */
 export const replicateModel = (member: ModelMember, primary: ModelMember): void => {
   if (!mayReplicate(member, primary)) return
   const lastTerm = member.log.at(-1)?.term ?? 0
--- a/packages/steward/src/model-world.ts
+++ b/packages/steward/src/model-world.ts
@@ -1,7 +1,6 @@
 /**
- * Test support: platform, members and entries of the model check, and the promises that must hold in every
- * state. Everything that stewards ask is put into a list of pending calls; the explorer chooses which one
- * happens next.
+ * Test support: models of the platform, members and entries for the model check, and the invariants that must hold in
+ * every state. Each call of a steward is put into a list of pending calls; the explorer chooses which one runs next.
  */
 import { Err, Ok, typedError } from '@egretyoke/common'
 import type { GroupRecord } from '@egretyoke/config'
@@ -13,22 +12,22 @@
 } from './model-member.js'
 import type { ModelMember } from './model-member.js'
 
-/** What is broken on purpose. */
+/** Defect that is injected to test that the model check detects it. */
 export type Breakage =
   'none' | 'stopHasNoEffect' | 'fenceHasNoEffect' | 'noTermCheck' | 'noRevisionCheck' | 'noAdoption'
 
-/** A setting for the explorer. */
+/** Configuration of the modelled fleet for one exploration. */
 export type Scenario = {
   breakage: Breakage
-  /** Members that each steward reaches. */
+  /** Names of the members that each steward can reach, one list per steward. */
   reach: string[][]
   entryCount: number
   maxWrites: number
-  /** Lost or dropped calls in a run. */
+  /** Maximum number of calls whose reply or request is lost in a run. */
   maxFaults: number
 }
 
-/** Something that can happen next. Actors take turns; a turn that ends while it could go on is a switch. */
+/** An action that can run next. Running another actor's action while the current actor has one counts as a switch. */
 export type Action = { actor: string, name: string, isFault: boolean, run: () => void }
 
 type Write = { id: string, term: number, member: string, entry: number, phase: 'sent' | 'answered' | 'over' }
@@ -38,19 +37,19 @@
   steward: number
   isTimeout: boolean
   act: () => void
-  /** Loses the call, after it has taken effect or before. */
+  /** Fails the call: only its reply is lost (`hasEffect`), or the call has no effect. */
   fail?: (hasEffect: boolean) => void
 }
 
-/** Contact end that the model's stewards are given, to tell that wait from others, in milliseconds. */
+/** Contact expiry of the model's stewards, in milliseconds; a unique value by which this wait is recognized. */
 export const modelContactEndMs = 7
-/** Attempt time of the model's stewards, in milliseconds. */
+/** Attempt timeout of the model's stewards, in milliseconds; also a unique value. */
 export const modelAttemptMs = 8
 
 const memberNames = ['a', 'b', 'c']
 const noAnswer = () => Err(typedError('noAnswer', 'lost') as MemberError)
 
-/** Creates the world of one run. */
+/** Creates the modelled fleet of one run. */
 export const createWorld = (scenario: Scenario) => {
   const { breakage } = scenario
   const checksTerms = breakage !== 'noTermCheck'
@@ -73,7 +72,7 @@
     if (!holds) violation ??= message
   }
 
-  /** Puts a call into the list; its reply is what `act` returns when the call happens. */
+  /** Adds a pending call. When the explorer runs it, `act` is executed and its result is the reply. */
   const call = <Reply>(steward: number, name: string, act: () => Reply, lost?: () => Reply): Promise<Reply> =>
     new Promise(resolve => {
       const settle = (reply: Reply, note: string) => {
@@ -137,7 +136,7 @@
   const controlOf = (steward: number, name: string): GroupMember => {
     const member = members.get(name)!
     const isReached = scenario.reach[steward].includes(name)
-    // A member that the steward cannot reach never answers.
+    // A member that the steward cannot reach never replies.
     const ask = <Reply>(what: string, act: () => Reply) =>
       isReached ? call(steward, `${what} ${name}`, () => Ok(act()), noAnswer as never) : new Promise<never>(() => {})
     const fence = (term: number) => {
@@ -166,7 +165,7 @@
     return true
   }
 
-  /** The calls of one steward. */
+  /** Promotion calls of one steward. */
   const callsOf = (steward: number): PromotionCalls => ({
     readGroup: () => call(steward, 'read', () => Ok<StoredGroup>({ ...stored }), noAnswer as never),
     swapGroup: (revision, record) =>
@@ -276,7 +275,7 @@
     assert(isLed || primary.fencedTerm > stored.value.term, `the primary of term ${stored.value.term} was deposed`)
   }
 
-  /** Two runs with the same key go on alike: stewards' code depends on the replies, not on their order. */
+  /** Key of the current state. Equal keys continue alike, because stewards do not depend on the order of replies. */
   const stateKey = (): string => JSON.stringify([
     [...members.values()], entries.map(({ refreshedAt: _, ...entry }) => entry), stored, writes, faults,
     history.map(replies => [...replies].sort()),
@@ -286,5 +285,5 @@
   return { callsOf, membersOf, actions, run, stateKey, violation: () => violation, readStored: () => stored }
 }
 
-/** The world of one run. */
+/** The modelled fleet of one run. */
 export type World = ReturnType<typeof createWorld>
--- a/packages/steward/src/model.test.ts
+++ b/packages/steward/src/model.test.ts
@@ -3,12 +3,12 @@
 import type { Bounds } from './model-explorer.js'
 import type { Breakage, Scenario } from './model-world.js'
 
-// Aborting a signal gathers a stack, which takes a third of the exploration's time.
+// Without stack traces: capturing one on each abort of a signal would take a third of the exploration's time.
 Error.stackTraceLimit = 0
 
-/** The old primary is cut off from both stewards, not from the entries and the other members. */
+/** Both stewards are cut off from the old primary; the entries and the other members can reach it. */
 const oldPrimaryCutOff = [['b', 'c'], ['b', 'c']]
-/** The second steward reaches the old primary, but not the first steward's candidate. */
+/** The second steward can reach the old primary, but not the first steward's candidate. */
 const differentReach = [['b', 'c'], ['a', 'c']]
 
 const scenario = (fields: Partial<Scenario>): Scenario =>
@@ -26,7 +26,7 @@
   },
   { title: 'two stewards, one lost or dropped call', scenario: scenario({ maxFaults: 1 }), bounds: bounds({}) },
   {
-    title: 'one steward that tries twice, one lost or dropped call',
+    title: 'one steward with two attempts, one lost or dropped call',
     scenario: scenario({ reach: [['b', 'c']], maxFaults: 1 }),
     bounds: bounds({ attemptsPerSteward: 2 })
   },
@@ -38,7 +38,7 @@
 ]
 
 for (const { title, scenario: setting, bounds: limits } of sound) {
-  test.serial(`promotion keeps its promises in all interleavings: ${title}`, async t => {
+  test.serial(`promotion keeps its invariants in all interleavings: ${title}`, async t => {
     t.timeout(170_000)
     const found = await explore(setting, limits)
     t.is(found.violation, undefined, found.path.join('\n'))
@@ -57,7 +57,7 @@
 ]
 
 for (const { breakage, reach, violation } of broken) {
-  test.serial(`the check finds what is wrong with ${breakage}`, async t => {
+  test.serial(`the model check detects the defect ${breakage}`, async t => {
     t.timeout(170_000)
     const found = await explore(scenario({ breakage, reach: reach ?? oldPrimaryCutOff }), bounds({ maxSwitches: 3 }))
     t.regex(found.violation ?? 'nothing', violation)
--- a/packages/steward/src/promotion-faults.test.ts
+++ b/packages/steward/src/promotion-faults.test.ts
@@ -5,7 +5,7 @@
 const steps: PromotionStep[] = ['fencing', 'stopped', 'fenced', 'promoted', 'adopted', 'active']
 
 for (const paused of steps) {
-  test.serial(`a steward paused after "${paused}" does no harm when it wakes after another has finished`, async t => {
+  test.serial(`a steward paused after "${paused}" changes nothing when it resumes after another promotion`, async t => {
     const fleet = await startTestFleet()
     t.teardown(fleet.close)
     const other = await fleet.addSteward('vm-1')
@@ -32,7 +32,7 @@
     const settled = await fleet.group()
     wake()
     const third = await writeConfirmed(fleet, 'put k 3')
-    await eventually('the woken steward ends', () => ended !== '')
+    await eventually('the resumed steward ends', () => ended !== '')
     t.is(ended, paused === 'active' ? 'active' : 'superseded')
     t.deepEqual(await fleet.group(), settled)
     await assertHeldEverywhere(fleet, ['core-a', 'core-b', 'core-c'], [first, second, third])
@@ -40,7 +40,7 @@
 }
 
 for (const step of steps) {
-  test.serial(`goes on when the platform is down after "${step}"`, async t => {
+  test.serial(`completes the promotion when the platform is down after "${step}"`, async t => {
     const fleet = await startTestFleet()
     t.teardown(fleet.close)
     let outages = 0
@@ -63,7 +63,7 @@
   })
 }
 
-test.serial('goes on when answers to swaps are lost', async t => {
+test.serial('completes the promotion when replies to swaps are lost', async t => {
   const fleet = await startTestFleet()
   t.teardown(fleet.close)
   await fleet.addSteward('vm-1')
@@ -78,7 +78,7 @@
   t.pass()
 })
 
-test.serial('two stewards at once leave one primary', async t => {
+test.serial('concurrent promotions by two stewards leave one primary', async t => {
   const fleet = await startTestFleet()
   t.teardown(fleet.close)
   const first = await fleet.addSteward('vm-1')
--- a/packages/steward/src/settings.ts
+++ b/packages/steward/src/settings.ts
@@ -9,22 +9,22 @@
 
 /** Settings of one steward. */
 export const stewardSettingsSchema = z.strictObject({
-  /** Name of the VM that it runs on. */
+  /** Name of the VM that the steward runs on. */
   name: z.string().min(1).max(63),
   dataCentre: z.string().min(1).max(63),
   healthListen: address,
   platformAddress: address,
-  /** Peers' address of the entry on the same VM. Without it the platform is asked for every change. */
+  /** Peer address of the entry on the same VM. If absent, all changes are read from the platform. */
   entryAddress: address.optional(),
   channels: channelSettingsSchema.default(loopbackChannels),
-  /** The entries' contact time; must be the same in the whole fleet. */
+  /** Contact time of the entries; must have the same value in the whole fleet. */
   contactTtlMs: intervalMs.default(2_000),
-  /** Added to waits for entries' clocks. */
+  /** Margin for clock differences, added to waits until the contact of entries has expired. */
   clockMarginMs: intervalMs.default(300),
   leaseTtlMs: intervalMs.default(3_000),
   probeIntervalMs: intervalMs.default(250),
   probeTimeoutMs: intervalMs.default(500),
-  /** A primary counts as gone after failing for so long, as seen by several VMs. */
+  /** How long a primary must fail without interruption before the entries are polled and it can be replaced. */
   detectMs: intervalMs.default(1_000),
   platformTimeoutMs: intervalMs.default(1_000),
   vmListIntervalMs: intervalMs.default(1_000)
--- a/packages/steward/src/start-steward.ts
+++ b/packages/steward/src/start-steward.ts
@@ -1,6 +1,5 @@
 /**
- * Puts a steward together: clients, copies of stored records, leases, the roster's keeper and a keeper for
- * each group.
+ * Assembles a steward: clients, local copies of stored records, leases, the roster manager and a monitor per group.
  */
 import { createLogger, createRegistry, monotonicMs, splitAddress, startHealthServer, ticks } from '@egretyoke/common'
 import type { RunningProgram } from '@egretyoke/common'
@@ -26,12 +25,12 @@
 const entryAskIntervalMs = 250
 const entrySilentMs = 1_500
 const platformPollIntervalMs = 1_000
-/** Name of the lease of whoever keeps the roster. */
+/** Name of the lease of the steward that manages the roster. */
 const rosterLease = 'roster'
 
 /** Hooks for tests. */
 export type StewardHooks = {
-  /** Called after each step of a promotion; the promotion goes on when it resolves. */
+  /** Called after each step of a promotion; the promotion continues when the promise resolves. */
   afterStep?: (group: string, step: PromotionStep, term: number) => Promise<void>
 }
 
@@ -51,7 +50,7 @@
   })
   const stored = readThrough(platform, state)
   const configuration = followConfiguration(state, () => readConfiguration(stored, platformTimeoutMs))
-  // A channel that is closed takes no more calls, so the loops that call end first.
+  // Calls on a closed channel fail, so the loops that use the channels are stopped first.
   const close = async () => {
     await Promise.all([configuration.close(), state.close()])
     entries.close()
@@ -61,7 +60,7 @@
   return { platform, entries, members, state, configuration: configuration.current, close }
 }
 
-/** Starts a steward. */
+/** Starts a steward; resolves once its health server listens. */
 export const startSteward = async (settings: StewardSettings, hooks: StewardHooks = {}): Promise<RunningProgram> => {
   const timeoutMs = settings.platformTimeoutMs
   const log = createLogger('egretyoke-steward', { vm: settings.name, dataCentre: settings.dataCentre })
--- a/packages/steward/src/state/fleet-view.ts
+++ b/packages/steward/src/state/fleet-view.ts
@@ -1,5 +1,5 @@
 /**
- * What the steward reads from the platform's store: the roster, the leaving VMs and the groups' records.
+ * Decoders of the records in the platform's store: the roster, the leaving VMs and the groups' records.
  */
 import { formatFinding } from '@egretyoke/common'
 import type { Logger } from '@egretyoke/common'
@@ -9,10 +9,10 @@
 import type { ZodType } from 'zod'
 import { events } from '../events.js'
 
-/** A decoded record and the store revision of its last change; revision 0 means that none exists. */
+/** A decoded record with the store revision of its last change; revision 0 means that the record does not exist. */
 export type Stored<T> = { value: T, revision: number }
 
-/** Decodes an entry. A damaged record is logged and counts as absent, but keeps its revision. */
+/** Decodes a stored record. An invalid one is logged and returned as undefined, with its revision. */
 export const decodeStored = <T>(
   entry: StoredEntry | undefined,
   schema: ZodType<T>,
--- a/packages/steward/src/test-entry.ts
+++ b/packages/steward/src/test-entry.ts
@@ -1,6 +1,6 @@
 /**
- * Test support: an entry reduced to what stewards depend on. It follows the store, watches endpoints, answers
- * as a peer, and confirms writes by the entries' rule.
+ * Test support: a minimal entry with the functions that stewards depend on. It follows the store, polls the endpoints,
+ * serves the peer protocol, and confirms writes by the same rule as a real entry.
  */
 import type { sendUnaryData, ServerUnaryCall } from '@grpc/grpc-js'
 import { monotonicMs, sleepMs, ticks } from '@egretyoke/common'
@@ -18,11 +18,11 @@
   name: string
   platformAddress: string
   contactTtlMs: number
-  /** Addresses of members by name, as this entry reaches them. */
+  /** Addresses by which this entry connects to the members, by member name. */
   memberAddresses: Record<string, string>
 }
 
-/** One write as a member gets it. */
+/** Fields of a write request to a member. */
 export type TestWrite = {
   statement: Buffer
   writes: true
@@ -31,7 +31,7 @@
   timeoutMs: number
 }
 
-/** How a member answered a write. */
+/** A member's reply to a write. */
 export type TestWriteEnd = { verdict: string, term: number }
 
 /** A running test entry. */
@@ -117,7 +117,7 @@
       call.write({ requestId: 1, generation: 1, open: { group } })
     })
 
-  /** Writes through the primary that this entry knows. Returns true only when the write may be confirmed. */
+  /** Writes to the primary in this entry's record of the group. Returns true only if the write may be confirmed. */
   const write = async (group: string, statement: string, confirmation: 'PRIMARY' | 'MAJORITY'): Promise<boolean> => {
     const record = records.get(group)
     const member = members.find(({ name }) => name === record?.primary)
--- a/packages/steward/src/test-fleet.ts
+++ b/packages/steward/src/test-fleet.ts
@@ -1,5 +1,6 @@
 /**
- * Test support: the platform's stand-in, database groups behind links, test entries and stewards on loopback.
+ * Test support: a fleet on loopback with the stand-in platform, database groups behind fault-injecting links, test
+ * entries and stewards.
  */
 import { monotonicMs, silentLogger, sleepMs } from '@egretyoke/common'
 import {
@@ -24,15 +25,15 @@
 const memberNames = ['a', 'b', 'c']
 const dataCentres = ['north', 'middle', 'south']
 
-/** Entries' contact time in tests, in milliseconds. */
+/** Contact time of the entries in tests, in milliseconds. */
 export const contactTtlMs = 600
 
-/** Waits until the condition holds; throws with its name when it does not in time. */
+/** Polls until the condition holds; throws an error with its name after `withinMs`. */
 export const eventually = async (name: string, isSo: () => boolean | Promise<boolean>, withinMs = 15_000) => {
   for (const endMs = monotonicMs() + withinMs; monotonicMs() < endMs; await sleepMs(20)) {
     if (await isSo()) return
   }
-  throw new Error(`not in time: ${name}`)
+  throw new Error(`condition not met in time: ${name}`)
 }
 
 const sameActive = (known: GroupRecord | undefined, record: GroupRecord): boolean =>
@@ -63,7 +64,10 @@
   return database
 }
 
-/** Starts platform, groups of three members and entries. The last `directEntries` reach members past the links. */
+/**
+ * Starts the platform, groups of three members, and entries. The last `directEntries` entries connect to the members
+ * directly instead of through the links.
+ */
 export const startTestFleet = async (options: FleetOptions = {}) => {
   const { groups = ['core'], entryCount = 3, directEntries = 0 } = options
   const closing: Array<() => Promise<void> | void> = []
@@ -77,7 +81,7 @@
     let first = { name: '', address: '' }
     for (const shortName of memberNames) {
       const name = `${group}-${shortName}`
-      // The first member never follows itself, so its own link need not be known to it.
+      // The first member is the primary and follows nobody, so it does not need the address of its own link.
       const database = await startMember(group, name, first.name ? first : { name, address: loopback })
       const link = await startLink({ listen: loopback, control: loopback, target: database.address, delayMs: 0 })
       if (!first.name) first = { name, address: link.address }
@@ -109,7 +113,7 @@
     }
   })
 
-  /** Stores a configuration with the given data centres out. */
+  /** Stores a configuration in which the given data centres are out of service. */
   const configure = async (outDataCentres: string[]) => {
     const texts = documents(outDataCentres)
     const hashes: Record<string, string> = {}
@@ -186,7 +190,7 @@
     return record?.ok ? record.val.members.map(member => member.name) : []
   }
 
-  /** Statements that a member holds in its log. */
+  /** Reads the statements in a member's log. */
   const logOf = (name: string) => new Promise<string[]>((resolve, reject) => {
     const client = connectGrpc(standinProto.DatabaseControl, members.get(name)!.database.address, loopbackChannels)
     const statements: string[] = []
@@ -211,14 +215,14 @@
     return record?.phase === 'active' && test(record)
   }
 
-  /** Waits until all entries that are not cut off know the group's active term. */
+  /** Waits until the group has an active term of at least `term`, known to all entries that are not cut off. */
   const untilServing = (term: number, name = groups[0]) => eventually(`${name} serves in term ${term}`, async () => {
     const record = await group(name)
     return record?.phase === 'active' && record.term >= term &&
       entries.every(entry => entry.isCutOff() || sameActive(entry.record(name), record))
   })
 
-  /** Runs one promotion attempt as a steward of its own that goes by no lease. */
+  /** Runs one promotion attempt as a separate steward that needs no lease. */
   const promoteOnce = async (afterStep: PromotionTask['afterStep'], name = groups[0]) => {
     const entryPeers = createGrpcEntryPeers(loopbackChannels, 200)
     closing.push(entryPeers.close)
@@ -232,7 +236,7 @@
       log: silentLogger
     })
     const seen = await calls.readGroup()
-    if (!seen.ok) throw new Error('the platform is silent')
+    if (!seen.ok) throw new Error('the platform did not reply')
     const own = [...members.values()].filter(member => member.group === name).map(member => {
       const control = connectMember(member.link.address, loopbackChannels)
       closing.push(control.close)
@@ -270,13 +274,13 @@
   }
 }
 
-/** Writes with majority until one is confirmed; returns the statement. */
+/** Retries a majority write until it is confirmed; returns the statement. */
 export const writeConfirmed = async (fleet: TestFleet, statement: string, entry = fleet.entries[0]) => {
   await eventually(`${statement} is confirmed`, () => entry.write('core', statement, 'MAJORITY'))
   return statement
 }
 
-/** Members' logs end up alike and hold all statements. */
+/** Waits until the members' logs are equal and contain all statements. */
 export const assertHeldEverywhere = (fleet: TestFleet, names: string[], statements: string[]) =>
   eventually(`${statements.join(', ')} on ${names.join(', ')}`, async () => {
     const logs = await Promise.all(names.map(fleet.logOf))
--- a/packages/steward/src/transport/client-cache.ts
+++ b/packages/steward/src/transport/client-cache.ts
@@ -1,17 +1,17 @@
 /**
- * Clients by remote address. The least recently used one is closed when there are too many.
+ * Cache of clients by remote address. When it is full, the least recently used client is closed.
  */
 
-/** Most clients that are kept open. */
+/** Maximum number of open clients. */
 const maxClients = 2_000
 
-/** Clients by HOST:PORT. */
+/** Cache of clients by HOST:PORT. */
 export type ClientCache<Client> = {
   get: (address: string) => Client
   close: () => void
 }
 
-/** Creates an empty cache. */
+/** Creates an empty cache; `connect` creates the client of an address. */
 export const createClientCache = <Client extends { close: () => void }>(
   connect: (address: string) => Client
 ): ClientCache<Client> => {
--- a/packages/steward/src/transport/grpc-entry-peers.ts
+++ b/packages/steward/src/transport/grpc-entry-peers.ts
@@ -1,5 +1,5 @@
 /**
- * Calls to entries over gRPC, one channel for each address.
+ * Calls to entries over gRPC, with one channel per address.
  */
 import type { StoreChanges } from '@egretyoke/fleet'
 import { callUnary, connectGrpc, peerProto } from '@egretyoke/protocol'
@@ -7,17 +7,17 @@
 import type { EntryPeers } from '../coordination/entry-peers.js'
 import { createClientCache } from './client-cache.js'
 
-/** Name under which observers ask, so that entries do not take them for peers. */
+/** Empty VM name in the steward's heartbeats, so that entries do not count the steward as a peer. */
 const observerVm = ''
 
-/** Calls to entries, with their channels. */
+/** Calls to entries over cached gRPC channels. */
 export type GrpcEntryPeers = EntryPeers & {
-  /** Records that an entry knows, after a revision; undefined when it does not answer or is starting. */
+  /** Fetches an entry's records that changed after a revision; undefined if it does not reply or is starting. */
   fetchState: (address: string, afterRevision: number) => Promise<StoreChanges | undefined>
   close: () => void
 }
 
-/** Creates the calls; `timeoutMs` is that of each call. */
+/** Creates the calls; `timeoutMs` is the timeout of each call. */
 export const createGrpcEntryPeers = (channels: ChannelSettings, timeoutMs: number): GrpcEntryPeers => {
   const clients = createClientCache(address => connectGrpc(peerProto.Peer, address, channels))
   return {
--- a/packages/steward/src/transport/platform-promotion-calls.ts
+++ b/packages/steward/src/transport/platform-promotion-calls.ts
@@ -1,5 +1,5 @@
 /**
- * The calls of a promotion on the real platform and entries.
+ * Implementation of a promotion's external calls with the platform's store and the entries.
  */
 import { Ok, sleepMs } from '@egretyoke/common'
 import type { Logger } from '@egretyoke/common'
@@ -9,12 +9,12 @@
 import type { PromotionCalls } from '../coordination/promotion-calls.js'
 import { decodeGroup, decodeRoster } from '../state/fleet-view.js'
 
-/** What the calls work with. */
+/** Dependencies of the promotion calls. */
 export type PromotionCallsOptions = {
   group: string
   platform: Platform
   entries: EntryPeers
-  /** Takes in every entry that the platform returns. */
+  /** Called with every record that the platform returns, to update the local copy. */
   learn: (entry: StoredEntry) => void
   isRosterSettled: PromotionCalls['isRosterSettled']
   timeoutMs: number
