--- a/packages/steward/src/coordination/entry-peers.ts
+++ b/packages/steward/src/coordination/entry-peers.ts
@@ -14,7 +14,7 @@
 }
 
 /** An entry's reply to a steward's heartbeat. */
-export type EntryView = {
+export type EntryStatus = {
   /** Store revision up to which the entry has received the followed records. */
   knownRevision: number
   /** True until the entry has loaded the followed records after its start. */
@@ -33,7 +33,7 @@
 /** Calls to entries. Any failed call counts as no reply, whatever the cause. */
 export type EntryPeers = {
   /** Reads the entry's state; undefined if the entry does not reply. */
-  observe: (entry: RosterMember) => Promise<EntryView | undefined>
+  observe: (entry: RosterMember) => Promise<EntryStatus | undefined>
   /** Returns true only if the entry has acknowledged the request. */
   stopConfirming: (entry: RosterMember, request: StopRequest) => Promise<boolean>
 }
--- a/packages/steward/src/coordination/fence-members.ts
+++ b/packages/steward/src/coordination/fence-members.ts
@@ -5,9 +5,9 @@
 import type { FencedMember } from './most-advanced.js'
 import { majorityOf } from './promotion-calls.js'
 import type { PromotionMember, PromotionTask } from './promotion-calls.js'
-import { sharedSignal } from './shared-signal.js'
+import { combineSignals } from './shared-signal.js'
 
-const retryPauseMs = 100
+const retryDelayMs = 100
 /** How long to wait for the remaining members after a majority has been fenced. */
 const stragglerWaitMs = 150
 
@@ -15,17 +15,17 @@
  * Result of fencing. `superseded`: a member is fenced at a higher term, so another steward has started a newer term;
  * `aborted`: the signal aborted before a majority was fenced.
  */
-export type FenceOutcome = { kind: 'fenced', members: FencedMember[] } | { kind: 'superseded' } | { kind: 'aborted' }
+export type FenceResult = { kind: 'fenced', members: FencedMember[] } | { kind: 'superseded' } | { kind: 'aborted' }
 
 /** Fences the members with retries. Resolves when all are fenced, or shortly after a majority is. */
-export const fenceMembers = (task: PromotionTask, term: number, signal: AbortSignal): Promise<FenceOutcome> =>
+export const fenceMembers = (task: PromotionTask, term: number, signal: AbortSignal): Promise<FenceResult> =>
   new Promise(resolve => {
-    const { calls, members, times } = task
+    const { calls, members, timeouts: times } = task
     const fenced: FencedMember[] = []
     const finished = new AbortController()
-    const until = sharedSignal(signal, finished.signal)
+    const until = combineSignals(signal, finished.signal)
 
-    const finish = (outcome: FenceOutcome) => {
+    const finish = (outcome: FenceResult) => {
       finished.abort()
       resolve(outcome)
     }
@@ -37,7 +37,7 @@
     const take = (member: PromotionMember, answer: ControlAnswer) => {
       if (finished.signal.aborted) return
       if (!answer.accepted) return finish({ kind: 'superseded' })
-      fenced.push({ name: member.name, state: answer.state, mayStay: member.mayStay })
+      fenced.push({ name: member.name, state: answer.state, canRemainPrimary: member.canRemainPrimary })
       if (fenced.length === members.length) return finish({ kind: 'fenced', members: fenced })
       if (fenced.length === majorityOf(members.length)) finishWithMajority()
     }
@@ -46,7 +46,7 @@
       while (!until.aborted) {
         const answer = await member.control.fence(term, times.memberTimeoutMs)
         if (answer.ok) return take(member, answer.val)
-        await calls.sleepMs(retryPauseMs, until)
+        await calls.sleepMs(retryDelayMs, until)
       }
     }
 
--- a/packages/steward/src/coordination/follow-records.ts
+++ b/packages/steward/src/coordination/follow-records.ts
@@ -15,26 +15,26 @@
 export type FollowedRecords = {
   get: (key: string) => StoredEntry | undefined
   /** True after the first reply from the entry or the platform. */
-  isKnown: () => boolean
+  isSynced: () => boolean
   /** Updates the copy with a record returned by a swap or a read. Older revisions are ignored. */
-  learn: (entry: StoredEntry) => void
+  updateCopy: (entry: StoredEntry) => void
   close: () => Promise<void>
 }
 
 /** Sources and intervals of the copy. Times are in milliseconds. */
-export type FollowOptions = {
+export type FollowRecordsOptions = {
   platform: Platform
   /** Fetches changes after a revision from the entry on the same VM; undefined if it does not reply or is starting. */
-  askEntry: (afterRevision: number) => Promise<StoreChanges | undefined>
-  entryIntervalMs: number
+  fetchFromEntry: (afterRevision: number) => Promise<StoreChanges | undefined>
+  entryPollIntervalMs: number
   /** Time without a reply from the entry after which the platform is polled. */
-  entrySilentMs: number
-  platformIntervalMs: number
+  platformFallbackMs: number
+  platformPollIntervalMs: number
   timeoutMs: number
 }
 
 /** Starts to follow the records. */
-export const followRecords = (options: FollowOptions): FollowedRecords => {
+export const followRecords = (options: FollowRecordsOptions): FollowedRecords => {
   const records = new Map<string, StoredEntry>()
   const stopping = new AbortController()
   let documents = new Map<string, StoredEntry>()
@@ -61,7 +61,7 @@
   }
 
   const askEntry = async (): Promise<boolean> => {
-    const changes = await options.askEntry(knownRevision)
+    const changes = await options.fetchFromEntry(knownRevision)
     if (!changes) return false
     lastEntryMs = monotonicMs()
     learnAll(changes)
@@ -70,7 +70,8 @@
 
   const askPlatform = async () => {
     const nowMs = monotonicMs()
-    const isDue = nowMs - lastEntryMs >= options.entrySilentMs && nowMs - lastPlatformMs >= options.platformIntervalMs
+    const isDue = nowMs - lastEntryMs >= options.platformFallbackMs &&
+      nowMs - lastPlatformMs >= options.platformPollIntervalMs
     if (!isDue) return
     lastPlatformMs = nowMs
     const changes = await options.platform.range(storeKeys.followed, knownRevision, options.timeoutMs)
@@ -78,7 +79,7 @@
   }
 
   const run = async () => {
-    for await (const _ of ticks(options.entryIntervalMs, stopping.signal)) {
+    for await (const _ of ticks(options.entryPollIntervalMs, stopping.signal)) {
       if (!await askEntry()) await askPlatform()
     }
   }
@@ -88,7 +89,7 @@
     stopping.abort()
     await running
   }
-  return { get: key => records.get(key) ?? documents.get(key), isKnown: () => known, learn, close }
+  return { get: key => records.get(key) ?? documents.get(key), isSynced: () => known, updateCopy: learn, close }
 }
 
 /** Returns a `get` that reads from the copy, and from the platform if the copy does not have the key. */
--- a/packages/steward/src/coordination/group-keeper.ts
+++ b/packages/steward/src/coordination/group-keeper.ts
@@ -8,24 +8,24 @@
 import type { StewardMetrics } from '../metrics.js'
 import type { StewardSettings } from '../settings.js'
 import { events } from '../events.js'
-import { askEntries, createContinuousTimer, leads } from './detection.js'
+import { pollEntries, createConditionTimer, isActivePrimary } from './detection.js'
 import { majorityOf } from './promotion-calls.js'
 import type { PromotionCalls, PromotionMember, PromotionTask, StoredGroup } from './promotion-calls.js'
 import { promote } from './promotion.js'
 import { repairMembers } from './repair.js'
-import { maxSuccessorGapEntries, readMemberStates, successors } from './successor.js'
+import { maxSuccessorLagEntries, readMemberStates, readySuccessors } from './successor.js'
 import type { MemberStates } from './successor.js'
 
 /** Delay before a planned handover is tried again when the outgoing primary was promoted once more. */
-const handoverPauseMs = 1_000
+const handoverRetryDelayMs = 1_000
 
 /** Dependencies of the monitor of a group. */
-export type GroupKeeperOptions = {
+export type GroupMonitorOptions = {
   group: string
   /** The group's configuration; undefined after the group has been removed from it. */
   config: () => Group | undefined
   /** The group's record in this steward's local copy, which may lag behind the store. */
-  known: () => StoredGroup
+  storedGroup: () => StoredGroup
   roster: () => Roster | undefined
   members: () => PromotionMember[]
   calls: PromotionCalls
@@ -41,9 +41,9 @@
 const attemptTimeoutMs = 10_000
 
 /** Checks the group periodically until the signal aborts. */
-export const keepGroup = async (options: GroupKeeperOptions): Promise<void> => {
+export const monitorGroup = async (options: GroupMonitorOptions): Promise<void> => {
   const { group, calls, settings, metrics, log, signal, clock = monotonicMs } = options
-  const unled = createContinuousTimer(clock)
+  const unled = createConditionTimer(clock)
   let nextHandoverMs = 0
   let unledSinceMs: number | undefined
 
@@ -62,21 +62,21 @@
       group,
       members: options.members(),
       calls,
-      times: {
-        contactEndMs: settings.contactTtlMs + settings.clockMarginMs,
+      timeouts: {
+        contactExpiryMs: settings.contactTtlMs + settings.clockMarginMs,
         memberTimeoutMs: settings.probeTimeoutMs,
         attemptTimeoutMs
       },
-      relieved,
+      outgoingPrimary: relieved,
       afterStep: async (step, term) => {
         log(events.promotionStep, { group, term, step, sinceMs: Math.round(clock() - begunMs) })
         await options.afterStep?.(step, term)
       },
-      onChosen: choice => log(events.candidateChosen, { group, ...choice }),
+      onCandidateChosen: choice => log(events.candidateChosen, { group, ...choice }),
       signal
     }, seen)
     if (!promotion.ok) {
-      metrics.promotionEnded(group, promotion.val.reason)
+      metrics.recordFailedPromotion(group, promotion.val.reason)
       log(events.promotionFailed, { group, reason: promotion.val.reason, message: promotion.val.message })
       // Refreshes the local copy, which may not have the record that this attempt or another steward has stored.
       await calls.readGroup()
@@ -84,12 +84,12 @@
     }
     const gapMs = clock() - begunMs
     unledSinceMs = undefined
-    metrics.promotionDone(group, cause, gapMs)
+    metrics.recordPromotion(group, cause, gapMs)
     log(events.promotionDone, { group, ...promotion.val, gapMs: Math.round(gapMs) })
   }
 
   const checkFailure = async (seen: StoredGroup, record: GroupRecord, roster: Roster, states: MemberStates) => {
-    const unledMs = unled.note(!leads(states.get(record.primary), record))
+    const unledMs = unled.update(!isActivePrimary(states.get(record.primary), record))
     if (unledMs === 0) {
       unledSinceMs = undefined
       return
@@ -101,7 +101,7 @@
       return log(events.primaryKept, { group, reason: 'too few members answer', members: states.size })
     }
     const suspicion = states.has(record.primary) ? 'notLeading' : 'unreachable'
-    const verdict = await askEntries(calls.entries, roster, record, suspicion)
+    const verdict = await pollEntries(calls.entries, roster, record, suspicion)
     if (!verdict.isGone) return log(events.primaryKept, { group, reason: 'entries do not agree', ...verdict })
     await runPromotion(seen, suspicion)
   }
@@ -110,20 +110,20 @@
     const members = options.members()
     const primary = members.find(member => member.name === record.primary)
     const state = states.get(record.primary)
-    if (!primary || primary.mayStay || !state || clock() < nextHandoverMs) return
-    const ready = successors(members, states, state, maxSuccessorGapEntries)
+    if (!primary || primary.canRemainPrimary || !state || clock() < nextHandoverMs) return
+    const ready = readySuccessors(members, states, state, maxSuccessorLagEntries)
     if (ready.length === 0) {
       log(events.handoverDelayed, { group, primary: record.primary })
       return
     }
     log(events.handoverPlanned, { group, primary: record.primary, successors: ready })
     await runPromotion(seen, 'handover', record.primary)
-    nextHandoverMs = clock() + handoverPauseMs
+    nextHandoverMs = clock() + handoverRetryDelayMs
   }
 
   const check = async () => {
     const config = options.config()
-    const seen = options.known()
+    const seen = options.storedGroup()
     if (!config) return
     if (!seen.value) return createRecord(config, seen)
     const roster = options.roster()
@@ -134,11 +134,11 @@
     await repairMembers(options.members(), states, record, settings.probeTimeoutMs, name =>
       log(events.memberRepaired, { group, member: name, term: record.term, primary: record.primary }))
     await checkFailure(seen, record, roster, states)
-    if (leads(states.get(record.primary), record)) await checkHandover(seen, record, states)
+    if (isActivePrimary(states.get(record.primary), record)) await checkHandover(seen, record, states)
   }
 
   for await (const _ of ticks(settings.probeIntervalMs, signal)) {
     if (options.holdsLease()) await check()
-    else unled.note(false)
+    else unled.update(false)
   }
 }
--- a/packages/steward/src/coordination/install-primary.ts
+++ b/packages/steward/src/coordination/install-primary.ts
@@ -6,19 +6,19 @@
 import { adoptedTerm } from './most-advanced.js'
 import { majorityOf } from './promotion-calls.js'
 import type { PromotionMember, PromotionTask } from './promotion-calls.js'
-import { sharedSignal } from './shared-signal.js'
+import { combineSignals } from './shared-signal.js'
 
-const maxPromoteTries = 4
-const retryPauseMs = 50
+const maxPromoteAttempts = 4
+const retryDelayMs = 50
 
 /** Start of a term: `startPosition` is the last log position of earlier terms that the new term retains. */
-export type TermStartOf = { term: number, startPosition: number }
+export type NewTermStart = { term: number, startPosition: number }
 
 /**
  * Result of an installation step. `superseded`: a member refused because it is in, or fenced at, a higher term, so
  * another steward has started a newer term; `unanswered`: no success before the retries or the attempt ended.
  */
-export type InstallOutcome<Done> = { kind: 'done', value: Done } | { kind: 'superseded' } | { kind: 'unanswered' }
+export type InstallResult<Value> = { kind: 'done', value: Value } | { kind: 'superseded' } | { kind: 'unanswered' }
 
 /** Promotes the member, with retries. No other member is promoted in this term. */
 export const promoteMember = async (
@@ -26,11 +26,11 @@
   candidate: PromotionMember,
   term: number,
   signal: AbortSignal
-): Promise<InstallOutcome<MemberState>> => {
-  for (let tries = 0; tries < maxPromoteTries && !signal.aborted; tries++) {
-    const answer = await candidate.control.promote(term, task.times.memberTimeoutMs)
+): Promise<InstallResult<MemberState>> => {
+  for (let tries = 0; tries < maxPromoteAttempts && !signal.aborted; tries++) {
+    const answer = await candidate.control.promote(term, task.timeouts.memberTimeoutMs)
     if (answer.ok) return answer.val.accepted ? { kind: 'done', value: answer.val.state } : { kind: 'superseded' }
-    await task.calls.sleepMs(retryPauseMs, signal)
+    await task.calls.sleepMs(retryDelayMs, signal)
   }
   return { kind: 'unanswered' }
 }
@@ -40,15 +40,15 @@
   task: PromotionTask,
   member: PromotionMember,
   candidate: PromotionMember,
-  start: TermStartOf,
+  start: NewTermStart,
   signal: AbortSignal
-): Promise<InstallOutcome<undefined>> => {
+): Promise<InstallResult<undefined>> => {
   const primary = { name: candidate.name, address: candidate.endpoint.address }
   while (!signal.aborted) {
-    const answer = await member.control.follow(start.term, primary, task.times.memberTimeoutMs)
+    const answer = await member.control.follow(start.term, primary, task.timeouts.memberTimeoutMs)
     if (answer.ok && !answer.val.accepted) return { kind: 'superseded' }
     if (answer.ok && adoptedTerm(answer.val.state, [start]) === start.term) return { kind: 'done', value: undefined }
-    await task.calls.sleepMs(retryPauseMs, signal)
+    await task.calls.sleepMs(retryDelayMs, signal)
   }
   return { kind: 'unanswered' }
 }
@@ -57,13 +57,13 @@
 export const waitForMajorityAdoption = (
   task: PromotionTask,
   candidate: PromotionMember,
-  start: TermStartOf,
+  start: NewTermStart,
   signal: AbortSignal
-): Promise<InstallOutcome<undefined>> => new Promise(resolve => {
+): Promise<InstallResult<undefined>> => new Promise(resolve => {
   const finished = new AbortController()
-  const until = sharedSignal(signal, finished.signal)
+  const until = combineSignals(signal, finished.signal)
   let adoptedCount = 0
-  const finish = (outcome: InstallOutcome<undefined>) => {
+  const finish = (outcome: InstallResult<undefined>) => {
     finished.abort()
     resolve(outcome)
   }
--- a/packages/steward/src/coordination/most-advanced.ts
+++ b/packages/steward/src/coordination/most-advanced.ts
@@ -5,7 +5,7 @@
 import type { MemberState } from '@egretyoke/fleet'
 
 /** State of a member at the time it was fenced. */
-export type FencedMember = { name: string, state: MemberState, mayStay: boolean }
+export type FencedMember = { name: string, state: MemberState, canRemainPrimary: boolean }
 
 /**
  * Returns the newest active term whose start the member has received, or 0 if there is none. Terms that started but
@@ -21,8 +21,9 @@
  * Returns a comparator that sorts the most advanced member first. Among equally advanced members, those that are not
  * being removed come first.
  */
-export const byAdvance = (activeLineage: readonly TermStart[]) => (left: FencedMember, right: FencedMember): number =>
-  adoptedTerm(right.state, activeLineage) - adoptedTerm(left.state, activeLineage) ||
-  right.state.receivedPosition - left.state.receivedPosition ||
-  Number(right.mayStay) - Number(left.mayStay) ||
-  left.name.localeCompare(right.name)
+export const byMostAdvanced = (activeLineage: readonly TermStart[]) =>
+  (left: FencedMember, right: FencedMember): number =>
+    adoptedTerm(right.state, activeLineage) - adoptedTerm(left.state, activeLineage) ||
+    right.state.receivedPosition - left.state.receivedPosition ||
+    Number(right.canRemainPrimary) - Number(left.canRemainPrimary) ||
+    left.name.localeCompare(right.name)
--- a/packages/steward/src/coordination/promotion-calls.ts
+++ b/packages/steward/src/coordination/promotion-calls.ts
@@ -12,7 +12,7 @@
 export type StoredGroup = Stored<GroupRecord | undefined>
 
 /** Result of a compare-and-swap of a group's record. */
-export type GroupSwap = { swapped: boolean, current: StoredGroup }
+export type GroupSwapResult = { swapped: boolean, current: StoredGroup }
 
 /** A member of the group with its control connection. */
 export type PromotionMember = {
@@ -20,16 +20,16 @@
   endpoint: EndpointConfig
   control: GroupMember
   /** False if the member's data centre is out of service or the endpoint is leaving. */
-  mayStay: boolean
+  canRemainPrimary: boolean
 }
 
 /** External calls of a promotion. */
 export type PromotionCalls = {
   readGroup: () => Promise<Result<StoredGroup, PlatformError>>
-  swapGroup: (expectedRevision: number, record: GroupRecord) => Promise<Result<GroupSwap, PlatformError>>
+  swapGroup: (expectedRevision: number, record: GroupRecord) => Promise<Result<GroupSwapResult, PlatformError>>
   readRoster: () => Promise<Result<Roster | undefined, PlatformError>>
   /** True if the roster has been unchanged for longer than an entry stays in contact without any reply. */
-  isRosterSettled: (roster: Roster) => boolean
+  isRosterStable: (roster: Roster) => boolean
   entries: EntryPeers
   /** Resolves to true after the delay, or to false as soon as the signal aborts. */
   sleepMs: (ms: number, signal?: AbortSignal) => Promise<boolean>
@@ -39,9 +39,9 @@
 export type PromotionStep = 'fencing' | 'stopped' | 'fenced' | 'promoted' | 'adopted' | 'active'
 
 /** Timeouts of a promotion, in milliseconds. */
-export type PromotionTimes = {
+export type PromotionTimeouts = {
   /** Time without any reply after which an entry is out of contact, including the margin for clock differences. */
-  contactEndMs: number
+  contactExpiryMs: number
   memberTimeoutMs: number
   /** Timeout of a whole attempt. The next attempt starts a new term. */
   attemptTimeoutMs: number
@@ -52,11 +52,11 @@
   group: string
   members: PromotionMember[]
   calls: PromotionCalls
-  times: PromotionTimes
+  timeouts: PromotionTimeouts
   /** The current primary in a planned handover; undefined when a failed primary is replaced. */
-  relieved?: string
+  outgoingPrimary?: string
   afterStep?: (step: PromotionStep, term: number) => Promise<void>
-  onChosen?: (choice: { candidate: string, passedOver: string[] }) => void
+  onCandidateChosen?: (choice: { candidate: string, passedOver: string[] }) => void
   signal: AbortSignal
 }
 
--- a/packages/steward/src/coordination/promotion.ts
+++ b/packages/steward/src/coordination/promotion.ts
@@ -10,13 +10,13 @@
 import type { GroupRecord, Roster } from '@egretyoke/config'
 import { fenceMembers } from './fence-members.js'
 import { promoteMember, waitForMajorityAdoption } from './install-primary.js'
-import { byAdvance } from './most-advanced.js'
+import { byMostAdvanced } from './most-advanced.js'
 import type { PromotionStep, PromotionTask, StoredGroup } from './promotion-calls.js'
-import { sharedSignal } from './shared-signal.js'
-import { stopConfirmingEverywhere } from './stop-confirming.js'
+import { combineSignals } from './shared-signal.js'
+import { stopConfirmingOnAllEntries } from './stop-confirming.js'
 import { waitForSuccessor } from './successor.js'
 
-const platformRetryPauseMs = 100
+const platformRetryDelayMs = 100
 
 /** Result of a completed promotion. `revision`: store revision of the active record. */
 export type Promotion = { term: number, primary: string, startPosition: number, revision: number }
@@ -30,14 +30,14 @@
 
 const failure = (reason: PromotionFailure['reason'], message: string) => Err(typedError(reason, message))
 
-type Fencing = { record: GroupRecord, revision: number }
-type Installed = { primary: string, startPosition: number }
+type FencingRecord = { record: GroupRecord, revision: number }
+type InstalledPrimary = { primary: string, startPosition: number }
 
 /**
  * Stores the fencing record of the next term. If the swap gets no reply, this steward does not own the term, and the
  * caller must start a new attempt.
  */
-const beginTerm = async (task: PromotionTask, seen: StoredGroup): Promise<Result<Fencing, PromotionFailure>> => {
+const beginTerm = async (task: PromotionTask, seen: StoredGroup): Promise<Result<FencingRecord, PromotionFailure>> => {
   if (!seen.value) return failure('superseded', 'the group has no stored record')
   const record: GroupRecord = { ...seen.value, term: seen.value.term + 1, primary: '', phase: 'fencing' }
   const swap = await task.calls.swapGroup(seen.revision, record)
@@ -46,24 +46,24 @@
   return Ok({ record, revision: swap.val.current.revision })
 }
 
-const readRosterUntilAnswered = async (task: PromotionTask, signal: AbortSignal): Promise<Roster | undefined> => {
+const readRosterWithRetry = async (task: PromotionTask, signal: AbortSignal): Promise<Roster | undefined> => {
   while (!signal.aborted) {
     const roster = await task.calls.readRoster()
     if (roster.ok) return roster.val
-    await task.calls.sleepMs(platformRetryPauseMs, signal)
+    await task.calls.sleepMs(platformRetryDelayMs, signal)
   }
   return undefined
 }
 
-const stopEntries = async (task: PromotionTask, fencing: Fencing, signal: AbortSignal): Promise<boolean> => {
+const stopEntries = async (task: PromotionTask, fencing: FencingRecord, signal: AbortSignal): Promise<boolean> => {
   // Read after the fencing swap, because an entry that joins later reads the fencing record with the roster.
-  const roster = await readRosterUntilAnswered(task, signal)
+  const roster = await readRosterWithRetry(task, signal)
   if (!roster) return false
   const request = { group: task.group, term: fencing.record.term, revision: fencing.revision }
-  return stopConfirmingEverywhere(task, roster, request, signal)
+  return stopConfirmingOnAllEntries(task, roster, request, signal)
 }
 
-const notInstalled = (kind: 'superseded' | 'unanswered', message: string) =>
+const installFailure = (kind: 'superseded' | 'unanswered', message: string) =>
   failure(kind === 'superseded' ? 'superseded' : 'unfinished', message)
 
 const installCandidate = async (
@@ -71,30 +71,30 @@
   record: GroupRecord,
   step: (name: PromotionStep) => Promise<void>,
   signal: AbortSignal
-): Promise<Result<Installed, PromotionFailure>> => {
+): Promise<Result<InstalledPrimary, PromotionFailure>> => {
   const { term } = record
   const outcome = await fenceMembers(task, term, signal)
   if (outcome.kind === 'superseded') return failure('superseded', 'a member is fenced at a higher term')
   if (outcome.kind === 'aborted') return failure('unfinished', 'too few members were fenced before the attempt ended')
   await step('fenced')
-  const [best, ...others] = outcome.members.sort(byAdvance(record.lineage))
+  const [best, ...others] = outcome.members.sort(byMostAdvanced(record.lineage))
   const candidate = task.members.find(member => member.name === best.name)!
-  task.onChosen?.({
+  task.onCandidateChosen?.({
     candidate: best.name,
     passedOver: others.map(other => `${other.name}@${other.state.lastEntryTerm}/${other.state.receivedPosition}`)
   })
   const promoted = await promoteMember(task, candidate, term, signal)
-  if (promoted.kind !== 'done') return notInstalled(promoted.kind, `${best.name} was not promoted`)
+  if (promoted.kind !== 'done') return installFailure(promoted.kind, `${best.name} was not promoted`)
   await step('promoted')
   const { lineage, receivedPosition } = promoted.value
-  const start = { term, startPosition: startOf(lineage, term) ?? receivedPosition }
+  const start = { term, startPosition: startPositionOf(lineage, term) ?? receivedPosition }
   const adopted = await waitForMajorityAdoption(task, candidate, start, signal)
-  if (adopted.kind !== 'done') return notInstalled(adopted.kind, 'too few members adopted the new term')
+  if (adopted.kind !== 'done') return installFailure(adopted.kind, 'too few members adopted the new term')
   await step('adopted')
   return Ok({ primary: best.name, startPosition: start.startPosition })
 }
 
-const startOf = (lineage: GroupRecord['lineage'], term: number): number | undefined =>
+const startPositionOf = (lineage: GroupRecord['lineage'], term: number): number | undefined =>
   lineage.find(start => start.term === term)?.startPosition
 
 /**
@@ -103,8 +103,8 @@
  */
 const activate = async (
   task: PromotionTask,
-  fencing: Fencing,
-  installed: Installed
+  fencing: FencingRecord,
+  installed: InstalledPrimary
 ): Promise<Result<Promotion, PromotionFailure>> => {
   const { term, lineage } = fencing.record
   const { primary, startPosition } = installed
@@ -114,7 +114,7 @@
   const swap = await task.calls.swapGroup(fencing.revision, record)
   let seen = swap.ok ? swap.val.current : undefined
   while (!seen && !task.signal.aborted) {
-    await task.calls.sleepMs(platformRetryPauseMs, task.signal)
+    await task.calls.sleepMs(platformRetryDelayMs, task.signal)
     const read = await task.calls.readGroup()
     if (!read.ok) continue
     if (read.val.revision === fencing.revision) return activate(task, fencing, installed)
@@ -138,8 +138,8 @@
   const step = async (name: PromotionStep) => task.afterStep?.(name, record.term)
   await step('fencing')
   const attempt = new AbortController()
-  const signal = sharedSignal(task.signal, attempt.signal)
-  task.calls.sleepMs(task.times.attemptTimeoutMs, signal).then(isOver => isOver && attempt.abort())
+  const signal = combineSignals(task.signal, attempt.signal)
+  task.calls.sleepMs(task.timeouts.attemptTimeoutMs, signal).then(isOver => isOver && attempt.abort())
 
   const stop = async () => {
     const isStopped = await stopEntries(task, fencing.val, signal)
@@ -153,9 +153,9 @@
     return installed
   }
   const stopping = stop()
-  if (task.relieved !== undefined) {
+  if (task.outgoingPrimary !== undefined) {
     await stopping
-    await waitForSuccessor(task, task.relieved, signal)
+    await waitForSuccessor(task, task.outgoingPrimary, signal)
   }
   const [isStopped, installed] = await Promise.all([stopping, install()])
   attempt.abort()
--- a/packages/steward/src/coordination/roster-keeper.ts
+++ b/packages/steward/src/coordination/roster-keeper.ts
@@ -19,12 +19,12 @@
 export const rosterGraceMs = 10_000
 
 /** Dependencies of the roster manager. */
-export type RosterKeeperOptions = {
+export type RosterManagerOptions = {
   platform: Platform
   entries: EntryPeers
   roster: () => Stored<Roster | undefined>
   leaving: () => Stored<Leaving | undefined>
-  learn: (entry: StoredEntry) => void
+  updateCopy: (entry: StoredEntry) => void
   holdsLease: () => boolean
   intervalMs: number
   timeoutMs: number
@@ -35,10 +35,10 @@
   signal: AbortSignal
 }
 
-const asMember = (vm: VmListing): RosterMember =>
+const toRosterMember = (vm: VmListing): RosterMember =>
   ({ name: vm.name, address: vm.address, dataCentre: vm.dataCentre })
 
-const isSame = (left: RosterMember, right: RosterMember): boolean =>
+const hasSameLocation = (left: RosterMember, right: RosterMember): boolean =>
   left.address === right.address && left.dataCentre === right.dataCentre
 
 /**
@@ -51,7 +51,7 @@
   isGone: (name: string) => boolean
 ): RosterMember[] | undefined => {
   const byName = new Map(listed.map(member => [member.name, member]))
-  const moved = members.find(member => byName.has(member.name) && !isSame(member, byName.get(member.name)!))
+  const moved = members.find(member => byName.has(member.name) && !hasSameLocation(member, byName.get(member.name)!))
   if (moved) {
     return members.map(member =>
       member === moved ? { ...byName.get(member.name)!, suspended: member.suspended } : member)
@@ -63,20 +63,20 @@
 }
 
 /** Returns the sorted names of the leaving VMs by role. */
-export const leavingOf = (vms: VmListing[]): Leaving => {
+export const leavingVmsByRole = (vms: VmListing[]): Leaving => {
   const names = (role: VmListing['role']) =>
     vms.filter(vm => vm.leaving && vm.role === role).map(vm => vm.name).sort()
   return { endpoints: names('ENDPOINT'), vms: names('ENTRY') }
 }
 
 /** Updates roster and leaving list periodically, while this steward holds the lease, until the signal aborts. */
-export const keepRoster = async (options: RosterKeeperOptions): Promise<void> => {
+export const manageRoster = async (options: RosterManagerOptions): Promise<void> => {
   const { platform, entries, timeoutMs, metrics, log, clock = monotonicMs, graceMs = rosterGraceMs } = options
   const missingSinceMs = new Map<string, number>()
 
   const store = async (key: string, expectedRevision: number, record: Roster | Leaving): Promise<boolean> => {
     const swap = await platform.compareAndSwap({ key, expectedRevision, value: encodeRecord(record) }, timeoutMs)
-    if (swap.ok && swap.val.current) options.learn(swap.val.current)
+    if (swap.ok && swap.val.current) options.updateCopy(swap.val.current)
     return swap.ok && swap.val.swapped
   }
 
@@ -105,7 +105,7 @@
       if (isCreated) log(events.rosterChanged, { version: 1, members: listed.map(member => member.name) })
       return
     }
-    metrics.rosterSize(roster.members.length)
+    metrics.setRosterSize(roster.members.length)
     noteMissing(roster.members, listed)
     const members = nextRosterMembers(roster.members, listed, isGone)
     if (!members) return
@@ -117,7 +117,7 @@
 
   const keepLeaving = async (vms: VmListing[]) => {
     const { value: stored, revision } = options.leaving()
-    const leaving = leavingOf(vms)
+    const leaving = leavingVmsByRole(vms)
     const isUnchanged = stored
       ? JSON.stringify(stored) === JSON.stringify(leaving)
       : leaving.endpoints.length + leaving.vms.length === 0
@@ -133,6 +133,6 @@
     const vms = await platform.listVms(timeoutMs)
     if (!vms.ok) continue
     await keepLeaving(vms.val)
-    await keepMembers(vms.val.filter(vm => vm.role === 'ENTRY').map(asMember))
+    await keepMembers(vms.val.filter(vm => vm.role === 'ENTRY').map(toRosterMember))
   }
 }
--- a/packages/steward/src/coordination/roster-suspension.test.ts
+++ b/packages/steward/src/coordination/roster-suspension.test.ts
@@ -3,26 +3,26 @@
 import { decodeRecord, rosterSchema } from '@egretyoke/config'
 import type { Roster, RosterMember } from '@egretyoke/config'
 import type { Stored } from '../state/fleet-view.js'
-import type { EntryView } from './entry-peers.js'
+import type { EntryStatus } from './entry-peers.js'
 import { nextRosterMembers } from './roster-keeper.js'
-import { keepSuspensions, nextSuspended, suspendAfterMs } from './roster-suspension.js'
+import { manageSuspensions, nextSuspended, suspendAfterMs } from './roster-suspension.js'
 
 const member = (name: string, suspended = false): RosterMember =>
   ({ name, address: `${name}:1`, dataCentre: 'north', suspended })
-const view = (...silentPeers: string[]): EntryView =>
+const view = (...silentPeers: string[]): EntryStatus =>
   ({ knownRevision: 1, starting: false, sightings: [], silentPeers })
 const views = (entries: Record<string, string[]>) =>
   new Map(Object.entries(entries).map(([name, silent]) => [name, view(...silent)]))
 const always = () => true
 
 /** Creates a store with one roster and entries that can be set to not reply. Each check advances the test clock. */
-const createWorld = (names: string[]) => {
+const createTestRoster = (names: string[]) => {
   const roster: Stored<Roster | undefined> =
     { value: { version: 1, members: names.map(name => member(name)) }, revision: 7 }
   const dead = new Set<string>()
   const world = { roster, dead, swaps: 0, nowMs: 0, holdsLease: true }
   const stop = new AbortController()
-  const run = (untilMs: number) => keepSuspensions({
+  const run = (untilMs: number) => manageSuspensions({
     platform: {
       compareAndSwap: async ({ key, value, expectedRevision }) => {
         const { revision: storeRevision } = world.roster
@@ -35,7 +35,7 @@
     },
     entries: { observe: async ({ name }) => dead.has(name) ? undefined : view(...dead) },
     roster: () => world.roster,
-    learn: () => {},
+    updateCopy: () => {},
     holdsLease: () => {
       world.nowMs += 250
       if (world.nowMs >= untilMs) stop.abort()
@@ -52,7 +52,7 @@
 }
 
 test('VMs that fail together are suspended in one swap, and the roster version does not change', async t => {
-  const { world, run, suspended } = createWorld(['a', 'b', 'c', 'd', 'e'])
+  const { world, run, suspended } = createTestRoster(['a', 'b', 'c', 'd', 'e'])
   world.dead.add('d').add('e')
   await run(2 * suspendAfterMs)
   t.deepEqual(suspended(), ['d', 'e'])
@@ -61,14 +61,14 @@
 })
 
 test('a VM that does not reply for less than the threshold is not suspended', async t => {
-  const { world, run, suspended } = createWorld(['a', 'b', 'c'])
+  const { world, run, suspended } = createTestRoster(['a', 'b', 'c'])
   world.dead.add('c')
   await run(suspendAfterMs - 250)
   t.deepEqual(suspended(), [])
 })
 
 test('a steward without the lease suspends no VM', async t => {
-  const { world, run, suspended } = createWorld(['a', 'b', 'c'])
+  const { world, run, suspended } = createTestRoster(['a', 'b', 'c'])
   world.holdsLease = false
   world.dead.add('c')
   await run(3 * suspendAfterMs)
@@ -76,7 +76,7 @@
 })
 
 test('a suspension is lifted when the VM replies again', async t => {
-  const { world, run, suspended } = createWorld(['a', 'b', 'c'])
+  const { world, run, suspended } = createTestRoster(['a', 'b', 'c'])
   world.roster.value!.members[2].suspended = true
   await run(1_500)
   t.deepEqual(suspended(), [])
--- a/packages/steward/src/coordination/roster-suspension.ts
+++ b/packages/steward/src/coordination/roster-suspension.ts
@@ -13,21 +13,21 @@
 import type { Platform, StoredEntry } from '@egretyoke/fleet'
 import { events } from '../events.js'
 import type { Stored } from '../state/fleet-view.js'
-import type { EntryPeers, EntryView } from './entry-peers.js'
+import type { EntryPeers, EntryStatus } from './entry-peers.js'
 import { majorityOf } from './promotion-calls.js'
 
 /** Time without a reply to the steward after which a VM can be suspended, in milliseconds. */
 export const suspendAfterMs = 2_000
 
 /** Interval at which all members are polled, in milliseconds. */
-const roundMs = 500
+const checkIntervalMs = 500
 
 /** Dependencies of the suspension manager. */
-export type SuspensionOptions = {
+export type SuspensionManagerOptions = {
   platform: Pick<Platform, 'compareAndSwap'>
   entries: Pick<EntryPeers, 'observe'>
   roster: () => Stored<Roster | undefined>
-  learn: (entry: StoredEntry) => void
+  updateCopy: (entry: StoredEntry) => void
   holdsLease: () => boolean
   timeoutMs: number
   log: Logger
@@ -43,7 +43,7 @@
  */
 export const nextSuspended = (
   members: RosterMember[],
-  views: ReadonlyMap<string, EntryView>,
+  views: ReadonlyMap<string, EntryStatus>,
   isSilent: (name: string) => boolean
 ): string[] => {
   const kept = members.filter(({ name, suspended }) => suspended && !views.has(name)).map(({ name }) => name)
@@ -57,12 +57,12 @@
 }
 
 /** Updates the suspensions periodically, while this steward holds the roster's lease, until the signal aborts. */
-export const keepSuspensions = async (options: SuspensionOptions): Promise<void> => {
-  const { platform, entries, log, clock = monotonicMs, intervalMs = roundMs } = options
+export const manageSuspensions = async (options: SuspensionManagerOptions): Promise<void> => {
+  const { platform, entries, log, clock = monotonicMs, intervalMs = checkIntervalMs } = options
   const answeredMs = new Map<string, number>()
 
-  const ask = async (members: RosterMember[]): Promise<Map<string, EntryView>> => {
-    const views = new Map<string, EntryView>()
+  const ask = async (members: RosterMember[]): Promise<Map<string, EntryStatus>> => {
+    const views = new Map<string, EntryStatus>()
     const askedMs = clock()
     await Promise.all(members.map(async member => {
       const view = await entries.observe(member)
@@ -79,7 +79,7 @@
     const value = encodeRecord({ ...roster, members })
     const swap = await platform.compareAndSwap({ key: storeKeys.roster, expectedRevision, value }, options.timeoutMs)
     if (!swap.ok) return
-    if (swap.val.current) options.learn(swap.val.current)
+    if (swap.val.current) options.updateCopy(swap.val.current)
     if (!swap.val.swapped) return
     const lifted = roster.members.filter(({ name, suspended: was }) => was && !suspended.includes(name))
     log(events.sharesSuspended, { suspended, lifted: lifted.map(({ name }) => name) })
--- a/packages/steward/src/coordination/steward-leases.ts
+++ b/packages/steward/src/coordination/steward-leases.ts
@@ -15,7 +15,7 @@
 const delayPerRankMs = 250
 const maxRankDelayMs = 2_500
 /** Delay while the roster is not known, because the order of preference depends on it. */
-const unknownOrderDelayMs = 1_000
+const unknownRosterDelayMs = 1_000
 /** Number of renewals within the TTL of a lease. */
 const renewalsPerTtl = 3
 
@@ -26,7 +26,7 @@
   /** Local copy of the store's records, which include the stewards' leases. */
   followed: FollowedRecords
   /** Names of the leases to compete for: the groups and the roster. */
-  wantedNames: () => string[]
+  leaseNames: () => string[]
   rosterNames: () => string[]
   ttlMs: number
   timeoutMs: number
@@ -41,7 +41,7 @@
 }
 
 /** Starts to acquire and renew leases. */
-export const keepStewardLeases = (options: StewardLeaseOptions): StewardLeases => {
+export const startStewardLeases = (options: StewardLeaseOptions): StewardLeases => {
   const { vm, platform, followed, ttlMs, timeoutMs, onChange } = options
   const stopping = new AbortController()
   const holder = `${vm}/${randomUUID()}`
@@ -88,7 +88,7 @@
 
   const delayFor = (name: string): number => {
     const names = options.rosterNames()
-    if (names.length === 0) return name === 'roster' ? 0 : unknownOrderDelayMs
+    if (names.length === 0) return name === 'roster' ? 0 : unknownRosterDelayMs
     return Math.min(maxRankDelayMs, preferenceRank(vm, names, name) * delayPerRankMs)
   }
 
@@ -96,7 +96,7 @@
     const key = storeKeys.stewardLease(name)
     const swap = { key, expectedRevision: 0, value: Buffer.from(holder), leaseId }
     const outcome = await platform.compareAndSwap(swap, timeoutMs)
-    if (outcome.ok && outcome.val.current) followed.learn(outcome.val.current)
+    if (outcome.ok && outcome.val.current) followed.updateCopy(outcome.val.current)
   }
 
   const noteHeld = (name: string) => {
@@ -123,8 +123,8 @@
 
   const checkContinuously = async () => {
     for await (const _ of ticks(checkIntervalMs, stopping.signal)) {
-      if (!followed.isKnown()) continue
-      await Promise.all(options.wantedNames().map(check))
+      if (!followed.isSynced()) continue
+      await Promise.all(options.leaseNames().map(check))
     }
   }
 
--- a/packages/steward/src/coordination/stop-confirming.ts
+++ b/packages/steward/src/coordination/stop-confirming.ts
@@ -6,11 +6,11 @@
 import type { StopRequest } from './entry-peers.js'
 import { majorityOf } from './promotion-calls.js'
 import type { PromotionTask } from './promotion-calls.js'
-import { sharedSignal } from './shared-signal.js'
+import { combineSignals } from './shared-signal.js'
 
-const retryPauseMs = 100
+const retryDelayMs = 100
 
-const createFlag = () => {
+const createEvent = () => {
   let raise = () => {}
   const raised = new Promise<true>(resolve => {
     raise = () => resolve(true)
@@ -20,44 +20,44 @@
 
 /**
  * Resolves to true once no entry can confirm a write of a term below the request's, or to false if the signal aborts
- * first. An entry that has not acknowledged is out of contact at the latest `contactEndMs` after a majority of the
+ * first. An entry that has not acknowledged is out of contact at the latest `contactExpiryMs` after a majority of the
  * roster acknowledged, because from then on neither the platform nor a majority of peers confirms an older revision as
  * current.
  */
-export const stopConfirmingEverywhere = async (
+export const stopConfirmingOnAllEntries = async (
   task: PromotionTask,
   roster: Roster,
   request: StopRequest,
   signal: AbortSignal
 ): Promise<boolean> => {
-  const { calls, times } = task
+  const { calls, timeouts: times } = task
   const acknowledged = new Set<string>()
-  const majority = createFlag()
-  const all = createFlag()
+  const majority = createEvent()
+  const all = createEvent()
   const finished = new AbortController()
-  const until = sharedSignal(signal, finished.signal)
+  const until = combineSignals(signal, finished.signal)
 
   const acknowledge = (entry: RosterMember) => {
     acknowledged.add(entry.name)
     if (acknowledged.size >= majorityOf(roster.members.length)) majority.raise()
     // An entry that left the roster recently gets no request and may still be in contact.
-    if (acknowledged.size === roster.members.length && calls.isRosterSettled(roster)) all.raise()
+    if (acknowledged.size === roster.members.length && calls.isRosterStable(roster)) all.raise()
   }
 
-  const askUntilAcknowledged = async (entry: RosterMember) => {
+  const stopUntilAcknowledged = async (entry: RosterMember) => {
     while (!until.aborted) {
       if (await calls.entries.stopConfirming(entry, request)) return acknowledge(entry)
-      await calls.sleepMs(retryPauseMs, until)
+      await calls.sleepMs(retryDelayMs, until)
     }
   }
 
   const aborted = new Promise<false>(resolve => {
     signal.addEventListener('abort', () => resolve(false), { once: true })
   })
-  for (const entry of roster.members) askUntilAcknowledged(entry)
+  for (const entry of roster.members) stopUntilAcknowledged(entry)
   const waitForSilentOnes = async () => {
     await majority.raised
-    return calls.sleepMs(times.contactEndMs, until)
+    return calls.sleepMs(times.contactExpiryMs, until)
   }
   const stopped = await Promise.race([all.raised, waitForSilentOnes(), aborted])
   finished.abort()
--- a/packages/steward/src/coordination/successor.ts
+++ b/packages/steward/src/coordination/successor.ts
@@ -5,11 +5,11 @@
 import type { PromotionMember, PromotionTask } from './promotion-calls.js'
 
 /** Maximum replication lag of a successor when a handover starts, in log entries. */
-export const maxSuccessorGapEntries = 1_000
+export const maxSuccessorLagEntries = 1_000
 
 /** Timeout of the wait for a successor to receive the primary's last log entries, in milliseconds. */
-const maxCatchUpMs = 1_000
-const pollPauseMs = 20
+const catchUpTimeoutMs = 1_000
+const pollIntervalMs = 20
 
 /** States of the members by name; members that did not reply are absent. */
 export type MemberStates = ReadonlyMap<string, MemberState>
@@ -28,13 +28,13 @@
  * Returns the names of members that are not being removed, are in the primary's term, and lag behind its log by at most
  * `maxGapEntries` entries.
  */
-export const successors = (
+export const readySuccessors = (
   members: PromotionMember[],
   states: MemberStates,
   primary: MemberState,
   maxGapEntries: number
 ): string[] => members
-  .filter(member => member.mayStay && member.name !== primary.name)
+  .filter(member => member.canRemainPrimary && member.name !== primary.name)
   .filter(member => {
     const state = states.get(member.name)
     return state?.term === primary.term && state.receivedPosition >= primary.receivedPosition - maxGapEntries
@@ -52,16 +52,16 @@
   relieved: string,
   signal: AbortSignal
 ): Promise<void> => {
-  const { members, calls, times } = task
+  const { members, calls, timeouts: times } = task
   let lastPosition: number | undefined
-  for (let waitedMs = 0; waitedMs < maxCatchUpMs && !signal.aborted; waitedMs += pollPauseMs) {
+  for (let waitedMs = 0; waitedMs < catchUpTimeoutMs && !signal.aborted; waitedMs += pollIntervalMs) {
     const states = await readMemberStates(members, times.memberTimeoutMs)
     const primary = states.get(relieved)
     if (!primary) return
     // A write that was in flight when the entries stopped may still arrive: wait until the position stops changing.
     const isQuiet = primary.receivedPosition === lastPosition
-    if (isQuiet && successors(members, states, primary, 0).length > 0) return
+    if (isQuiet && readySuccessors(members, states, primary, 0).length > 0) return
     lastPosition = primary.receivedPosition
-    await calls.sleepMs(pollPauseMs, signal)
+    await calls.sleepMs(pollIntervalMs, signal)
   }
 }
--- a/packages/steward/src/decisions.test.ts
+++ b/packages/steward/src/decisions.test.ts
@@ -3,13 +3,13 @@
 import type { GroupRecord, Roster, RosterMember } from '@egretyoke/config'
 import type { MemberState, StoredEntry } from '@egretyoke/fleet'
 import test from 'ava'
-import { askEntries } from './coordination/detection.js'
-import type { Suspicion } from './coordination/detection.js'
+import { pollEntries } from './coordination/detection.js'
+import type { SuspicionCause } from './coordination/detection.js'
 import type { EntryPeers, Sighting } from './coordination/entry-peers.js'
-import { adoptedTerm, byAdvance } from './coordination/most-advanced.js'
+import { adoptedTerm, byMostAdvanced } from './coordination/most-advanced.js'
 import { preferenceRank } from './coordination/preference.js'
 import { createRosterAge } from './coordination/roster-age.js'
-import { keepRoster, leavingOf, nextRosterMembers } from './coordination/roster-keeper.js'
+import { manageRoster, leavingVmsByRole, nextRosterMembers } from './coordination/roster-keeper.js'
 import { createStewardMetrics } from './metrics.js'
 import { decodeLeaving, decodeRoster } from './state/fleet-view.js'
 import { eventually, startTestFleet } from './test-fleet.js'
@@ -28,7 +28,7 @@
 
 const detectionCases: Array<{
   title: string
-  suspicion?: Suspicion
+  suspicion?: SuspicionCause
   /** Sightings of each entry; undefined for an entry that does not reply. */
   entries: Array<Sighting[] | undefined>
   isGone: boolean
@@ -63,7 +63,7 @@
       },
       stopConfirming: async () => false
     }
-    const verdict = await askEntries(peers, rosterOf('0', '1', '2'), record, suspicion)
+    const verdict = await pollEntries(peers, rosterOf('0', '1', '2'), record, suspicion)
     t.is(verdict.isGone, isGone)
   })
 }
@@ -109,9 +109,9 @@
 
 for (const { title, members, best } of choiceCases) {
   test(`choice: ${title}`, t => {
-    const fenced = members.map(([name, terms, position, mayStay]) =>
-      ({ name, state: memberState(terms, position), mayStay }))
-    t.is(fenced.sort(byAdvance(record.lineage))[0].name, best)
+    const fenced = members.map(([name, terms, position, canRemainPrimary]) =>
+      ({ name, state: memberState(terms, position), canRemainPrimary }))
+    t.is(fenced.sort(byMostAdvanced(record.lineage))[0].name, best)
   })
 }
 
@@ -149,7 +149,7 @@
   const listed = (name: string, role: 'ENTRY' | 'ENDPOINT', leaving: boolean) =>
     ({ name, role, leaving, address: '-', dataCentre: '-' })
   t.deepEqual(
-    leavingOf([listed('b', 'ENDPOINT', true), listed('v', 'ENTRY', true), listed('a', 'ENDPOINT', false)]),
+    leavingVmsByRole([listed('b', 'ENDPOINT', true), listed('v', 'ENTRY', true), listed('a', 'ENDPOINT', false)]),
     { endpoints: ['b'], vms: ['v'] })
 })
 
@@ -171,12 +171,12 @@
     stopConfirming: async () => false
   }
   let isKnown = false
-  const keeping = keepRoster({
+  const keeping = manageRoster({
     platform: fleet.platform,
     entries: peers,
     roster: () => decodeRoster(known.get(storeKeys.roster), silentLogger),
     leaving: () => decodeLeaving(known.get(storeKeys.leaving), silentLogger),
-    learn: entry => known.set(entry.key, entry),
+    updateCopy: entry => known.set(entry.key, entry),
     holdsLease: () => true,
     intervalMs: 20,
     timeoutMs: 500,
--- a/packages/steward/src/failover.test.ts
+++ b/packages/steward/src/failover.test.ts
@@ -1,6 +1,8 @@
 import { monotonicMs, sleepMs } from '@egretyoke/common'
 import test from 'ava'
-import { assertHeldEverywhere, contactTtlMs, eventually, startTestFleet, writeConfirmed } from './test-fleet.js'
+import {
+  assertReplicatedEverywhere, contactTtlMs, eventually, startTestFleet, writeUntilConfirmed
+} from './test-fleet.js'
 
 test.serial('creates the record of a group and the roster, and replaces a primary that has crashed', async t => {
   const fleet = await startTestFleet()
@@ -39,7 +41,7 @@
   const behind = fleet.members.get('core-b')!
   behind.link.setFault({ cut: true })
   await fleet.stopReplication('core-b', true)
-  const statement = await writeConfirmed(fleet, 'put k 1')
+  const statement = await writeUntilConfirmed(fleet, 'put k 1')
   behind.link.setFault({ cut: false })
   await fleet.members.get('core-a')!.database.close()
   await fleet.stopReplication('core-b', false)
@@ -54,7 +56,7 @@
   await fleet.addSteward('vm-1')
   await fleet.untilServing(1)
   const [, , beside] = fleet.entries
-  const kept = await writeConfirmed(fleet, 'put k before')
+  const kept = await writeUntilConfirmed(fleet, 'put k before')
   let isReplaced = false
   const confirmedLate: string[] = []
   const taken: string[] = []
@@ -72,13 +74,13 @@
   const writing = writeOn()
   await fleet.untilServing(2)
   isReplaced = true
-  const added = await writeConfirmed(fleet, 'put k after')
+  const added = await writeUntilConfirmed(fleet, 'put k after')
   await writing
   t.deepEqual(confirmedLate, [])
   t.true((await fleet.logOf('core-a')).some(statement => taken.includes(statement)))
 
   fleet.members.get('core-a')!.link.setFault({ cut: false })
-  await assertHeldEverywhere(fleet, ['core-a', 'core-b', 'core-c'], [kept, added])
+  await assertReplicatedEverywhere(fleet, ['core-a', 'core-b', 'core-c'], [kept, added])
   t.false((await fleet.logOf('core-a')).some(statement => taken.includes(statement)))
 })
 
--- a/packages/steward/src/metrics.ts
+++ b/packages/steward/src/metrics.ts
@@ -9,10 +9,10 @@
 /** Functions that update the steward's metrics. */
 export type StewardMetrics = {
   /** `gapMs`: time since the steward first observed that the group had no leading primary. */
-  promotionDone: (group: string, cause: string, gapMs: number) => void
-  promotionEnded: (group: string, reason: string) => void
-  leaseHeld: (name: string, held: boolean) => void
-  rosterSize: (members: number) => void
+  recordPromotion: (group: string, cause: string, gapMs: number) => void
+  recordFailedPromotion: (group: string, reason: string) => void
+  setLeaseHeld: (name: string, held: boolean) => void
+  setRosterSize: (members: number) => void
 }
 
 /** Creates the metrics and registers them in the registry. */
@@ -36,12 +36,12 @@
   })
   const roster = new Gauge({ name: 'egretyoke_steward_roster_members', help: 'Number of VMs in the roster', registers })
   return {
-    promotionDone: (group, cause, gapMs) => {
+    recordPromotion: (group, cause, gapMs) => {
       promotions.inc({ group, outcome: cause })
       gaps.observe({ group }, gapMs / 1000)
     },
-    promotionEnded: (group, reason) => promotions.inc({ group, outcome: reason }),
-    leaseHeld: (name, held) => leases.set({ lease: name }, held ? 1 : 0),
-    rosterSize: members => roster.set(members)
+    recordFailedPromotion: (group, reason) => promotions.inc({ group, outcome: reason }),
+    setLeaseHeld: (name, held) => leases.set({ lease: name }, held ? 1 : 0),
+    setRosterSize: members => roster.set(members)
   }
 }
--- a/packages/steward/src/model-explorer.ts
+++ b/packages/steward/src/model-explorer.ts
@@ -5,14 +5,14 @@
  */
 import { createHash } from 'node:crypto'
 import { promote } from './coordination/promotion.js'
-import { createWorld, modelAttemptMs, modelContactEndMs } from './model-world.js'
-import type { Action, Scenario, World } from './model-world.js'
+import { createModelFleet, modelAttemptTimeoutMs, modelContactExpiryMs } from './model-world.js'
+import type { Action, Scenario, ModelFleet } from './model-world.js'
 
 /** Bounds of an exploration. */
-export type Bounds = { maxSwitches: number, maxSteps: number, maxRuns: number, attemptsPerSteward: number }
+export type ExplorationBounds = { maxSwitches: number, maxSteps: number, maxRuns: number, attemptsPerSteward: number }
 
 /** Result of an exploration. */
-export type Exploration = {
+export type ExplorationResult = {
   runs: number
   states: number
   /** True if all paths were explored within the limit on runs. */
@@ -24,14 +24,14 @@
   path: string[]
 }
 
-const microtaskTurns = 30
+const microtaskRounds = 30
 
 /** Drains the microtask queue, so that each steward runs until it waits for its next call. */
-const settle = async () => {
-  for (let turn = 0; turn < microtaskTurns; turn++) await Promise.resolve()
+const drainMicrotasks = async () => {
+  for (let turn = 0; turn < microtaskRounds; turn++) await Promise.resolve()
 }
 
-const runSteward = async (world: World, steward: number, attempts: number, signal: AbortSignal) => {
+const runSteward = async (world: ModelFleet, steward: number, attempts: number, signal: AbortSignal) => {
   const calls = world.callsOf(steward)
   for (let attempt = 0; attempt < attempts; attempt++) {
     const seen = await calls.readGroup()
@@ -40,21 +40,21 @@
       group: 'core',
       members: world.membersOf(steward),
       calls,
-      times: { contactEndMs: modelContactEndMs, memberTimeoutMs: 1, attemptTimeoutMs: modelAttemptMs },
+      timeouts: { contactExpiryMs: modelContactExpiryMs, memberTimeoutMs: 1, attemptTimeoutMs: modelAttemptTimeoutMs },
       signal
     }, seen.val)
     if (promotion.ok) return
   }
 }
 
-type Position = { actor: string | undefined, switches: number }
+type SchedulePosition = { actor: string | undefined, switches: number }
 
-const isSwitch = (position: Position, action: Action, options: Action[]): boolean =>
+const isSwitch = (position: SchedulePosition, action: Action, options: Action[]): boolean =>
   position.actor !== undefined && action.actor !== position.actor &&
   options.some(option => option.actor === position.actor && !option.isFault)
 
 /** Explores a scenario until a violation is found, all paths are explored or a bound is reached. */
-export const explore = async (scenario: Scenario, bounds: Bounds): Promise<Exploration> => {
+export const explore = async (scenario: Scenario, bounds: ExplorationBounds): Promise<ExplorationResult> => {
   const visited = new Map<string, number>()
   /** Paths to run, indexed by their number of switches. Paths with fewer switches run first. */
   const waiting: number[][][] = Array.from({ length: bounds.maxSwitches + 1 }, () => [])
@@ -65,7 +65,7 @@
   let violatingPath: string[] = []
 
   /** Records the state; true if it is new or was reached only with more switches before. */
-  const isNew = (world: World, position: Position): boolean => {
+  const isNew = (world: ModelFleet, position: SchedulePosition): boolean => {
     const key = createHash('md5').update(`${position.actor}${world.stateKey()}`).digest('base64')
     const fewest = visited.get(key)
     if (fewest !== undefined && fewest <= position.switches) return false
@@ -75,15 +75,15 @@
 
   const runPath = async (prefix: number[]) => {
     const ending = new AbortController()
-    const world = createWorld(scenario)
-    for (const steward of scenario.reach.keys()) {
+    const world = createModelFleet(scenario)
+    for (const steward of scenario.reachableMembers.keys()) {
       runSteward(world, steward, bounds.attemptsPerSteward, ending.signal)
     }
     const taken: number[] = []
     const names: string[] = []
-    let position: Position = { actor: undefined, switches: 0 }
+    let position: SchedulePosition = { actor: undefined, switches: 0 }
     while (taken.length < bounds.maxSteps) {
-      await settle()
+      await drainMicrotasks()
       const all = world.actions()
       const cost = (action: Action) => position.switches + Number(isSwitch(position, action, all))
       const options = all.filter(action => cost(action) <= bounds.maxSwitches)
--- a/packages/steward/src/model-member.ts
+++ b/packages/steward/src/model-member.ts
@@ -6,7 +6,7 @@
 import type { ControlAnswer, MemberState } from '@egretyoke/fleet'
 
 /** A log entry with one write. */
-export type ModelEntry = { term: number, id: string }
+export type ModelLogEntry = { term: number, id: string }
 
 /** Complete state of a member. */
 export type ModelMember = {
@@ -15,7 +15,7 @@
   fencedTerm: number
   isPrimary: boolean
   upstream: string
-  log: ModelEntry[]
+  log: ModelLogEntry[]
   lineage: TermStart[]
   /** Log positions that replicas have acknowledged in this term, by name. */
   acks: Record<string, number>
@@ -34,14 +34,14 @@
 })
 
 /** True while the member accepts writes: it is primary and not fenced at a higher term. */
-export const mayWrite = (member: ModelMember): boolean => member.isPrimary && member.fencedTerm <= member.term
+export const canWrite = (member: ModelMember): boolean => member.isPrimary && member.fencedTerm <= member.term
 
 /** Returns the state that the member reports. */
-export const stateOf = (member: ModelMember): MemberState => ({
+export const memberStateOf = (member: ModelMember): MemberState => ({
   name: member.name,
   group: 'core',
   term: member.term,
-  isPrimary: mayWrite(member),
+  isPrimary: canWrite(member),
   fencedTerm: member.fencedTerm,
   receivedPosition: member.log.length,
   appliedPosition: member.log.length,
@@ -52,17 +52,17 @@
 })
 
 const answer = (member: ModelMember, accepted: boolean): ControlAnswer =>
-  ({ accepted, reason: accepted ? '' : 'term', state: stateOf(member) })
+  ({ accepted, reason: accepted ? '' : 'term', state: memberStateOf(member) })
 
 /** Fences the member at a term. */
-export const fenceModel = (member: ModelMember, term: number, checksTerms: boolean): ControlAnswer => {
+export const fenceModelMember = (member: ModelMember, term: number, checksTerms: boolean): ControlAnswer => {
   if (checksTerms && term < member.fencedTerm) return answer(member, false)
   member.fencedTerm = term
   return answer(member, true)
 }
 
 /** Promotes the member to primary of a term. */
-export const promoteModel = (member: ModelMember, term: number, checksTerms: boolean): ControlAnswer => {
+export const promoteModelMember = (member: ModelMember, term: number, checksTerms: boolean): ControlAnswer => {
   if (member.isPrimary && member.term === term) return answer(member, true)
   if (checksTerms && (term < member.fencedTerm || term <= member.term)) return answer(member, false)
   Object.assign(member, { term, fencedTerm: term, isPrimary: true, acks: {} })
@@ -71,7 +71,7 @@
 }
 
 /** Makes the member follow a primary in a term. */
-export const followModel = (
+export const followModelMember = (
   member: ModelMember,
   term: number,
   primary: string,
@@ -84,15 +84,15 @@
 }
 
 /** True if replication from the primary would change the state of the member or the primary. */
-export const mayReplicate = (member: ModelMember, primary: ModelMember): boolean => {
+export const canReplicate = (member: ModelMember, primary: ModelMember): boolean => {
   if (member.isPrimary || member.upstream !== primary.name || member.term !== primary.term) return false
-  if (!mayWrite(primary) || member.fencedTerm > member.term) return false
+  if (!canWrite(primary) || member.fencedTerm > member.term) return false
   return primary.acks[member.name] !== primary.log.length || member.lineage.at(-1)?.term !== primary.term
 }
 
 /** Copies the primary's log to the member and drops entries that are not in the primary's log. */
-export const replicateModel = (member: ModelMember, primary: ModelMember): void => {
-  if (!mayReplicate(member, primary)) return
+export const replicateModelMember = (member: ModelMember, primary: ModelMember): void => {
+  if (!canReplicate(member, primary)) return
   const lastTerm = member.log.at(-1)?.term ?? 0
   const nextStart = primary.lineage.find(start => start.term > lastTerm)
   const kept = Math.min(member.log.length, nextStart?.startPosition ?? primary.log.length)
--- a/packages/steward/src/model-world.ts
+++ b/packages/steward/src/model-world.ts
@@ -8,19 +8,20 @@
 import type { PromotionCalls, PromotionMember, StoredGroup } from './coordination/promotion-calls.js'
 import { majorityOf } from './coordination/promotion-calls.js'
 import {
-  createModelMember, fenceModel, followModel, mayReplicate, mayWrite, promoteModel, replicateModel
+  canReplicate, canWrite, createModelMember, fenceModelMember, followModelMember, promoteModelMember,
+  replicateModelMember
 } from './model-member.js'
 import type { ModelMember } from './model-member.js'
 
 /** Defect that is injected to test that the model check detects it. */
-export type Breakage =
+export type Defect =
   'none' | 'stopHasNoEffect' | 'fenceHasNoEffect' | 'noTermCheck' | 'noRevisionCheck' | 'noAdoption'
 
 /** Configuration of the modelled fleet for one exploration. */
 export type Scenario = {
-  breakage: Breakage
+  defect: Defect
   /** Names of the members that each steward can reach, one list per steward. */
-  reach: string[][]
+  reachableMembers: string[][]
   entryCount: number
   maxWrites: number
   /** Maximum number of calls whose reply or request is lost in a run. */
@@ -30,39 +31,39 @@
 /** An action that can run next. Running another actor's action while the current actor has one counts as a switch. */
 export type Action = { actor: string, name: string, isFault: boolean, run: () => void }
 
-type Write = { id: string, term: number, member: string, entry: number, phase: 'sent' | 'answered' | 'over' }
-type ModelEntry = { known: GroupRecord, stoppedBelow: number, hasContact: boolean, refreshedAt: number }
+type ModelWrite = { id: string, term: number, member: string, entry: number, phase: 'sent' | 'answered' | 'over' }
+type ModelEntry = { known: GroupRecord, stoppedBelowTerm: number, hasContact: boolean, refreshedAtStep: number }
 type PendingCall = {
   name: string
   steward: number
   isTimeout: boolean
-  act: () => void
+  complete: () => void
   /** Fails the call: only its reply is lost (`hasEffect`), or the call has no effect. */
   fail?: (hasEffect: boolean) => void
 }
 
 /** Contact expiry of the model's stewards, in milliseconds; a unique value by which this wait is recognized. */
-export const modelContactEndMs = 7
+export const modelContactExpiryMs = 7
 /** Attempt timeout of the model's stewards, in milliseconds; also a unique value. */
-export const modelAttemptMs = 8
+export const modelAttemptTimeoutMs = 8
 
 const memberNames = ['a', 'b', 'c']
 const noAnswer = () => Err(typedError('noAnswer', 'lost') as MemberError)
 
 /** Creates the modelled fleet of one run. */
-export const createWorld = (scenario: Scenario) => {
-  const { breakage } = scenario
+export const createModelFleet = (scenario: Scenario) => {
+  const { defect: breakage } = scenario
   const checksTerms = breakage !== 'noTermCheck'
   const firstRecord: GroupRecord = {
     term: 1, primary: 'a', phase: 'active', lineage: [{ term: 1, startPosition: 0 }]
   }
   const members = new Map<string, ModelMember>(memberNames.map(name => [name, createModelMember(name, 'a')]))
   const entries: ModelEntry[] = Array.from({ length: scenario.entryCount }, () =>
-    ({ known: firstRecord, stoppedBelow: 0, hasContact: true, refreshedAt: 0 }))
+    ({ known: firstRecord, stoppedBelowTerm: 0, hasContact: true, refreshedAtStep: 0 }))
   const stored = { value: firstRecord, revision: 1 }
-  const writes: Write[] = []
-  const confirmed: Write[] = []
-  const history: string[][] = scenario.reach.map(() => [])
+  const writes: ModelWrite[] = []
+  const confirmed: ModelWrite[] = []
+  const history: string[][] = scenario.reachableMembers.map(() => [])
   let pending: PendingCall[] = []
   let violation: string | undefined
   let faults = 0
@@ -87,11 +88,11 @@
         if (hasEffect) act()
         settle(lost(), 'lost')
       })
-      pending.push({ name, steward, isTimeout: false, act: succeed, fail })
+      pending.push({ name, steward, isTimeout: false, complete: succeed, fail })
     })
 
   const loseContact = (sinceStep: number) => {
-    for (const entry of entries) if (entry.refreshedAt < sinceStep) entry.hasContact = false
+    for (const entry of entries) if (entry.refreshedAtStep < sinceStep) entry.hasContact = false
   }
 
   const sleepMs = (steward: number) => (ms: number, signal?: AbortSignal): Promise<boolean> => new Promise(resolve => {
@@ -99,10 +100,10 @@
     const begunAt = stepCount
     const act = () => {
       history[steward].push(`sleep${ms}`)
-      if (ms === modelContactEndMs) loseContact(begunAt)
+      if (ms === modelContactExpiryMs) loseContact(begunAt)
       resolve(true)
     }
-    const sleep: PendingCall = { name: `sleep${ms}`, steward, isTimeout: ms === modelAttemptMs, act }
+    const sleep: PendingCall = { name: `sleep${ms}`, steward, isTimeout: ms === modelAttemptTimeoutMs, complete: act }
     pending.push(sleep)
     signal?.addEventListener('abort', () => {
       pending = pending.filter(other => other !== sleep)
@@ -135,17 +136,17 @@
 
   const controlOf = (steward: number, name: string): GroupMember => {
     const member = members.get(name)!
-    const isReached = scenario.reach[steward].includes(name)
+    const isReached = scenario.reachableMembers[steward].includes(name)
     // A member that the steward cannot reach never replies.
     const ask = <Reply>(what: string, act: () => Reply) =>
       isReached ? call(steward, `${what} ${name}`, () => Ok(act()), noAnswer as never) : new Promise<never>(() => {})
     const fence = (term: number) => {
-      if (breakage === 'fenceHasNoEffect') return fenceModel({ ...member }, term, true)
-      return fenceModel(member, term, checksTerms)
+      if (breakage === 'fenceHasNoEffect') return fenceModelMember({ ...member }, term, true)
+      return fenceModelMember(member, term, checksTerms)
     }
     const follow = (term: number, primary: string) => {
-      const answer = followModel(member, term, primary, checksTerms)
-      if (breakage !== 'noAdoption') replicateModel(member, members.get(primary)!)
+      const answer = followModelMember(member, term, primary, checksTerms)
+      if (breakage !== 'noAdoption') replicateModelMember(member, members.get(primary)!)
       const lineage = breakage === 'noAdoption' ? members.get(primary)!.lineage : member.lineage
       const receivedPosition = breakage === 'noAdoption' ? Infinity : member.log.length
       return { ...answer, state: { ...answer.state, lineage: [...lineage], receivedPosition } }
@@ -153,7 +154,7 @@
     return {
       getStatus: () => new Promise(() => {}),
       fence: term => ask(`fence${term}`, () => fence(term)),
-      promote: term => ask(`promote${term}`, () => promoteModel(member, term, checksTerms)),
+      promote: term => ask(`promote${term}`, () => promoteModelMember(member, term, checksTerms)),
       follow: (term, primary) => ask(`follow${term}`, () => follow(term, primary.name)),
       close: () => {}
     } as GroupMember
@@ -161,7 +162,7 @@
 
   const stopConfirming = (index: number, term: number): boolean => {
     const entry = entries[index]
-    if (breakage !== 'stopHasNoEffect') entry.stoppedBelow = Math.max(entry.stoppedBelow, term)
+    if (breakage !== 'stopHasNoEffect') entry.stoppedBelowTerm = Math.max(entry.stoppedBelowTerm, term)
     return true
   }
 
@@ -173,7 +174,7 @@
     readRoster: async () => Ok({
       version: 1, members: entries.map((_, index) => ({ name: String(index), address: '-', dataCentre: 'north' }))
     }),
-    isRosterSettled: () => true,
+    isRosterStable: () => true,
     entries: {
       observe: async () => undefined,
       stopConfirming: ({ name }, { term }) =>
@@ -186,14 +187,14 @@
     name,
     endpoint: { address: name, dataCentre: 'north', slots: 1, maxConnections: 1 },
     control: controlOf(steward, name),
-    mayStay: true
+    canRemainPrimary: true
   }))
 
-  const confirm = (write: Write) => {
+  const confirm = (write: ModelWrite) => {
     write.phase = 'over'
     const entry = entries[write.entry]
     const isActive = entry.known.phase === 'active' && entry.known.term === write.term
-    if (!isActive || write.term < entry.stoppedBelow || !entry.hasContact) return
+    if (!isActive || write.term < entry.stoppedBelowTerm || !entry.hasContact) return
     confirmed.push(write)
     const activeTerm = stored.value.lineage.at(-1)!.term
     const message = `${write.id} of term ${write.term} is confirmed while term ${activeTerm} is active`
@@ -201,16 +202,16 @@
     if (stored.value.phase === 'active') checkActive(stored.value)
   }
 
-  const isHeldByMajority = (write: Write): boolean => {
+  const isHeldByMajority = (write: ModelWrite): boolean => {
     const primary = members.get(write.member)!
     const position = primary.log.findIndex(entry => entry.id === write.id) + 1
     const holders = Object.values(primary.acks).filter(acked => acked >= position).length + 1
-    return position > 0 && mayWrite(primary) && primary.term === write.term && holders >= majorityOf(members.size)
+    return position > 0 && canWrite(primary) && primary.term === write.term && holders >= majorityOf(members.size)
   }
 
   const send = (index: number) => {
     const { known } = entries[index]
-    const write: Write = {
+    const write: ModelWrite = {
       id: `w${writes.length + 1}`, term: known.term, member: known.primary, entry: index, phase: 'sent'
     }
     writes.push(write)
@@ -220,13 +221,13 @@
   const maySend = (entry: ModelEntry): boolean => {
     const primary = members.get(entry.known.primary)
     return writes.length < scenario.maxWrites && entry.known.phase === 'active' && entry.hasContact &&
-      primary !== undefined && mayWrite(primary) && primary.term === entry.known.term
+      primary !== undefined && canWrite(primary) && primary.term === entry.known.term
   }
 
   const refresh = (entry: ModelEntry) => {
     entry.known = stored.value
     entry.hasContact = true
-    entry.refreshedAt = stepCount
+    entry.refreshedAtStep = stepCount
   }
 
   const clientActions = (): Action[] => {
@@ -241,8 +242,8 @@
         entry.known !== stored.value ? [action(`refresh ${index}`, () => refresh(entry))] : []),
       ...[...members.values()].flatMap(member => {
         const primary = members.get(member.upstream)!
-        if (!mayReplicate(member, primary)) return []
-        return [action(`replicate ${member.name}`, () => replicateModel(member, primary))]
+        if (!canReplicate(member, primary)) return []
+        return [action(`replicate ${member.name}`, () => replicateModelMember(member, primary))]
       })
     ]
   }
@@ -253,7 +254,7 @@
     }
     const action = (name: string, isFault: boolean, act: () => void): Action =>
       ({ actor: `steward ${one.steward}`, name: `${one.steward}:${name}`, isFault, run: () => { take(); act() } })
-    const regular = action(one.name, one.isTimeout, one.act)
+    const regular = action(one.name, one.isTimeout, one.complete)
     if (!one.fail) return [regular]
     return [
       regular,
@@ -277,7 +278,7 @@
 
   /** Key of the current state. Equal keys continue alike, because stewards do not depend on the order of replies. */
   const stateKey = (): string => JSON.stringify([
-    [...members.values()], entries.map(({ refreshedAt: _, ...entry }) => entry), stored, writes, faults,
+    [...members.values()], entries.map(({ refreshedAtStep: _, ...entry }) => entry), stored, writes, faults,
     history.map(replies => [...replies].sort()),
     pending.map(({ name, steward }) => `${steward}:${name}`).sort()
   ])
@@ -286,4 +287,4 @@
 }
 
 /** The modelled fleet of one run. */
-export type World = ReturnType<typeof createWorld>
+export type ModelFleet = ReturnType<typeof createModelFleet>
--- a/packages/steward/src/model.test.ts
+++ b/packages/steward/src/model.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava'
 import { explore } from './model-explorer.js'
-import type { Bounds } from './model-explorer.js'
-import type { Breakage, Scenario } from './model-world.js'
+import type { ExplorationBounds } from './model-explorer.js'
+import type { Defect, Scenario } from './model-world.js'
 
 // Without stack traces: capturing one on each abort of a signal would take a third of the exploration's time.
 Error.stackTraceLimit = 0
@@ -12,27 +12,27 @@
 const differentReach = [['b', 'c'], ['a', 'c']]
 
 const scenario = (fields: Partial<Scenario>): Scenario =>
-  ({ breakage: 'none', reach: oldPrimaryCutOff, entryCount: 1, maxWrites: 1, maxFaults: 0, ...fields })
+  ({ defect: 'none', reachableMembers: oldPrimaryCutOff, entryCount: 1, maxWrites: 1, maxFaults: 0, ...fields })
 
-const bounds = (fields: Partial<Bounds>): Bounds =>
+const bounds = (fields: Partial<ExplorationBounds>): ExplorationBounds =>
   ({ maxSwitches: 1, maxSteps: 60, maxRuns: 200_000, attemptsPerSteward: 1, ...fields })
 
-const sound: Array<{ title: string, scenario: Scenario, bounds: Bounds }> = [
+const sound: Array<{ title: string, scenario: Scenario, bounds: ExplorationBounds }> = [
   { title: 'two stewards, one entry', scenario: scenario({}), bounds: bounds({ maxSwitches: 2 }) },
   {
     title: 'two stewards that reach different members',
-    scenario: scenario({ reach: differentReach }),
+    scenario: scenario({ reachableMembers: differentReach }),
     bounds: bounds({ maxSwitches: 2 })
   },
   { title: 'two stewards, one lost or dropped call', scenario: scenario({ maxFaults: 1 }), bounds: bounds({}) },
   {
     title: 'one steward with two attempts, one lost or dropped call',
-    scenario: scenario({ reach: [['b', 'c']], maxFaults: 1 }),
+    scenario: scenario({ reachableMembers: [['b', 'c']], maxFaults: 1 }),
     bounds: bounds({ attemptsPerSteward: 2 })
   },
   {
     title: 'one steward, two entries',
-    scenario: scenario({ reach: [['b', 'c']], entryCount: 2 }),
+    scenario: scenario({ reachableMembers: [['b', 'c']], entryCount: 2 }),
     bounds: bounds({ maxSwitches: 2 })
   }
 ]
@@ -48,7 +48,7 @@
   })
 }
 
-const broken: Array<{ breakage: Breakage, reach?: string[][], violation: RegExp }> = [
+const broken: Array<{ breakage: Defect, reach?: string[][], violation: RegExp }> = [
   { breakage: 'stopHasNoEffect', violation: /is confirmed while term \d is active/ },
   { breakage: 'fenceHasNoEffect', violation: /confirmed w1 is not in term 2/ },
   { breakage: 'noTermCheck', violation: /was deposed/ },
@@ -59,7 +59,8 @@
 for (const { breakage, reach, violation } of broken) {
   test.serial(`the model check detects the defect ${breakage}`, async t => {
     t.timeout(170_000)
-    const found = await explore(scenario({ breakage, reach: reach ?? oldPrimaryCutOff }), bounds({ maxSwitches: 3 }))
+    const found = await explore(
+      scenario({ defect: breakage, reachableMembers: reach ?? oldPrimaryCutOff }), bounds({ maxSwitches: 3 }))
     t.regex(found.violation ?? 'nothing', violation)
   })
 }
--- a/packages/steward/src/promotion-faults.test.ts
+++ b/packages/steward/src/promotion-faults.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava'
 import type { PromotionStep } from './coordination/promotion-calls.js'
-import { assertHeldEverywhere, eventually, startTestFleet, writeConfirmed } from './test-fleet.js'
+import { assertReplicatedEverywhere, eventually, startTestFleet, writeUntilConfirmed } from './test-fleet.js'
 
 const steps: PromotionStep[] = ['fencing', 'stopped', 'fenced', 'promoted', 'adopted', 'active']
 
@@ -10,7 +10,7 @@
     t.teardown(fleet.close)
     const other = await fleet.addSteward('vm-1')
     await fleet.untilServing(1)
-    const first = await writeConfirmed(fleet, 'put k 1')
+    const first = await writeUntilConfirmed(fleet, 'put k 1')
     await other.close()
     let wake = () => {}
     const isAwake = new Promise<void>(resolve => {
@@ -28,14 +28,14 @@
     const term = paused === 'active' ? 2 : 3
     await fleet.addSteward('vm-2')
     await fleet.untilServing(term)
-    const second = await writeConfirmed(fleet, 'put k 2')
+    const second = await writeUntilConfirmed(fleet, 'put k 2')
     const settled = await fleet.group()
     wake()
-    const third = await writeConfirmed(fleet, 'put k 3')
+    const third = await writeUntilConfirmed(fleet, 'put k 3')
     await eventually('the resumed steward ends', () => ended !== '')
     t.is(ended, paused === 'active' ? 'active' : 'superseded')
     t.deepEqual(await fleet.group(), settled)
-    await assertHeldEverywhere(fleet, ['core-a', 'core-b', 'core-c'], [first, second, third])
+    await assertReplicatedEverywhere(fleet, ['core-a', 'core-b', 'core-c'], [first, second, third])
   })
 }
 
@@ -53,12 +53,12 @@
       }
     })
     await fleet.untilServing(1)
-    const kept = await writeConfirmed(fleet, 'put k 1')
+    const kept = await writeUntilConfirmed(fleet, 'put k 1')
     await fleet.members.get('core-a')!.database.close()
     await eventually('outage', () => outages > 0)
     await fleet.untilServing(2)
-    const added = await writeConfirmed(fleet, 'put k 2')
-    await assertHeldEverywhere(fleet, ['core-b', 'core-c'], [kept, added])
+    const added = await writeUntilConfirmed(fleet, 'put k 2')
+    await assertReplicatedEverywhere(fleet, ['core-b', 'core-c'], [kept, added])
     t.pass()
   })
 }
@@ -68,13 +68,13 @@
   t.teardown(fleet.close)
   await fleet.addSteward('vm-1')
   await fleet.untilServing(1)
-  const kept = await writeConfirmed(fleet, 'put k 1')
+  const kept = await writeUntilConfirmed(fleet, 'put k 1')
   await fleet.setPlatformFault({ loseSwapAnswers: 0.6 })
   await fleet.members.get('core-a')!.database.close()
   await fleet.untilServing(2)
   await fleet.setPlatformFault({})
-  const added = await writeConfirmed(fleet, 'put k 2')
-  await assertHeldEverywhere(fleet, ['core-b', 'core-c'], [kept, added])
+  const added = await writeUntilConfirmed(fleet, 'put k 2')
+  await assertReplicatedEverywhere(fleet, ['core-b', 'core-c'], [kept, added])
   t.pass()
 })
 
@@ -83,7 +83,7 @@
   t.teardown(fleet.close)
   const first = await fleet.addSteward('vm-1')
   await fleet.untilServing(1)
-  const kept = await writeConfirmed(fleet, 'put k 1')
+  const kept = await writeUntilConfirmed(fleet, 'put k 1')
   await first.close()
   for (let round = 0; round < 3; round++) {
     const outcomes = await Promise.all([fleet.promoteOnce(undefined), fleet.promoteOnce(undefined)])
@@ -91,8 +91,8 @@
   }
   await fleet.addSteward('vm-2')
   await fleet.untilServing(2)
-  const added = await writeConfirmed(fleet, 'put k 2')
-  await assertHeldEverywhere(fleet, ['core-a', 'core-b', 'core-c'], [kept, added])
+  const added = await writeUntilConfirmed(fleet, 'put k 2')
+  await assertReplicatedEverywhere(fleet, ['core-a', 'core-b', 'core-c'], [kept, added])
   const states = await Promise.all([...fleet.members.values()].map(member => member.control.getStatus(500)))
   t.is(states.filter(state => state.ok && state.val.isPrimary).length, 1)
 })
--- a/packages/steward/src/start-steward.ts
+++ b/packages/steward/src/start-steward.ts
@@ -7,26 +7,26 @@
 import { connectMember, connectPlatform, readConfiguration } from '@egretyoke/fleet'
 import { followConfiguration } from './coordination/follow-configuration.js'
 import { followRecords, readThrough } from './coordination/follow-records.js'
-import { keepGroup } from './coordination/group-keeper.js'
+import { monitorGroup } from './coordination/group-keeper.js'
 import type { PromotionMember, PromotionStep } from './coordination/promotion-calls.js'
 import { createRosterAge } from './coordination/roster-age.js'
-import { keepRoster } from './coordination/roster-keeper.js'
-import { keepSuspensions } from './coordination/roster-suspension.js'
-import { keepStewardLeases } from './coordination/steward-leases.js'
+import { manageRoster } from './coordination/roster-keeper.js'
+import { manageSuspensions } from './coordination/roster-suspension.js'
+import { startStewardLeases } from './coordination/steward-leases.js'
 import { events } from './events.js'
 import { createStewardMetrics } from './metrics.js'
 import type { StewardSettings } from './settings.js'
-import { decodeGroup, decodeLeaving, decodeRoster } from './state/fleet-view.js'
+import { decodeGroupRecord, decodeLeaving, decodeRoster } from './state/fleet-view.js'
 import { createClientCache } from './transport/client-cache.js'
 import { createGrpcEntryPeers } from './transport/grpc-entry-peers.js'
 import { createPromotionCalls } from './transport/platform-promotion-calls.js'
 
 const groupCheckIntervalMs = 100
-const entryAskIntervalMs = 250
-const entrySilentMs = 1_500
+const entryPollIntervalMs = 250
+const platformFallbackMs = 1_500
 const platformPollIntervalMs = 1_000
 /** Name of the lease of the steward that manages the roster. */
-const rosterLease = 'roster'
+const rosterLeaseName = 'roster'
 
 /** Hooks for tests. */
 export type StewardHooks = {
@@ -34,7 +34,7 @@
   afterStep?: (group: string, step: PromotionStep, term: number) => Promise<void>
 }
 
-const connectAll = (settings: StewardSettings) => {
+const connectClients = (settings: StewardSettings) => {
   const { channels, platformTimeoutMs } = settings
   const platform = connectPlatform(settings.platformAddress, channels)
   const entries = createGrpcEntryPeers(channels, settings.probeTimeoutMs)
@@ -42,10 +42,10 @@
   const ownEntry = settings.entryAddress
   const state = followRecords({
     platform,
-    askEntry: async afterRevision => ownEntry ? await entries.fetchState(ownEntry, afterRevision) : undefined,
-    entryIntervalMs: entryAskIntervalMs,
-    entrySilentMs: ownEntry ? entrySilentMs : 0,
-    platformIntervalMs: platformPollIntervalMs,
+    fetchFromEntry: async afterRevision => ownEntry ? await entries.fetchState(ownEntry, afterRevision) : undefined,
+    entryPollIntervalMs,
+    platformFallbackMs: ownEntry ? platformFallbackMs : 0,
+    platformPollIntervalMs,
     timeoutMs: platformTimeoutMs
   })
   const stored = readThrough(platform, state)
@@ -66,7 +66,7 @@
   const log = createLogger('egretyoke-steward', { vm: settings.name, dataCentre: settings.dataCentre })
   const stopping = new AbortController()
   const { signal } = stopping
-  const clients = connectAll(settings)
+  const clients = connectClients(settings)
   const { platform, entries, state, configuration } = clients
   const registry = createRegistry()
   const metrics = createStewardMetrics(registry)
@@ -75,16 +75,16 @@
   const groupNames = () => Object.keys(configuration()?.groups ?? {})
   const rosterAge = createRosterAge(monotonicMs)
 
-  const leases = keepStewardLeases({
+  const leases = startStewardLeases({
     vm: settings.name,
     platform,
     followed: state,
-    wantedNames: () => [rosterLease, ...groupNames()],
+    leaseNames: () => [rosterLeaseName, ...groupNames()],
     rosterNames: () => roster().value?.members.map(member => member.name) ?? [],
     ttlMs: settings.leaseTtlMs,
     timeoutMs,
     onChange: (name, isHeld) => {
-      metrics.leaseHeld(name, isHeld)
+      metrics.setLeaseHeld(name, isHeld)
       log(isHeld ? events.leaseTaken : events.leaseLost, { lease: name })
     }
   })
@@ -96,26 +96,26 @@
       name,
       endpoint,
       control: clients.members.get(endpoint.address),
-      mayStay: dataCentres[endpoint.dataCentre]?.state !== 'out' && !leavingNames.has(name)
+      canRemainPrimary: dataCentres[endpoint.dataCentre]?.state !== 'out' && !leavingNames.has(name)
     }))
   }
 
-  const startKeeper = (group: string) => keepGroup({
+  const startGroupMonitor = (group: string) => monitorGroup({
     group,
     config: () => configuration()?.groups[group],
-    known: () => decodeGroup(state.get(storeKeys.group(group)), log),
+    storedGroup: () => decodeGroupRecord(state.get(storeKeys.group(group)), log),
     roster: () => roster().value,
     members: () => membersOf(group),
     calls: createPromotionCalls({
       group,
       platform,
       entries,
-      learn: state.learn,
-      isRosterSettled: stored => rosterAge(stored.version) >= settings.contactTtlMs + settings.clockMarginMs,
+      updateCopy: state.updateCopy,
+      isRosterStable: stored => rosterAge(stored.version) >= settings.contactTtlMs + settings.clockMarginMs,
       timeoutMs,
       log
     }),
-    holdsLease: () => state.isKnown() && leases.holds(group),
+    holdsLease: () => state.isSynced() && leases.holds(group),
     settings,
     afterStep: hooks.afterStep && ((step, term) => hooks.afterStep!(group, step, term)),
     metrics,
@@ -123,37 +123,37 @@
     signal
   })
 
-  const keepers = new Map<string, Promise<void>>()
-  const startKeepers = async () => {
+  const monitors = new Map<string, Promise<void>>()
+  const startGroupMonitors = async () => {
     for await (const _ of ticks(groupCheckIntervalMs, signal)) {
       const known = roster().value
       if (known) rosterAge(known.version)
-      for (const group of groupNames()) if (!keepers.has(group)) keepers.set(group, startKeeper(group))
+      for (const group of groupNames()) if (!monitors.has(group)) monitors.set(group, startGroupMonitor(group))
     }
   }
 
-  const health = await startHealthServer(settings.healthListen, { isReady: state.isKnown }, registry)
+  const health = await startHealthServer(settings.healthListen, { isReady: state.isSynced }, registry)
   const running = [
-    startKeepers(),
-    keepRoster({
+    startGroupMonitors(),
+    manageRoster({
       platform,
       entries,
       roster,
       leaving,
-      learn: state.learn,
-      holdsLease: () => state.isKnown() && leases.holds(rosterLease),
+      updateCopy: state.updateCopy,
+      holdsLease: () => state.isSynced() && leases.holds(rosterLeaseName),
       intervalMs: settings.vmListIntervalMs,
       timeoutMs,
       metrics,
       log,
       signal
     }),
-    keepSuspensions({
+    manageSuspensions({
       platform,
       entries,
       roster,
-      learn: state.learn,
-      holdsLease: () => state.isKnown() && leases.holds(rosterLease),
+      updateCopy: state.updateCopy,
+      holdsLease: () => state.isSynced() && leases.holds(rosterLeaseName),
       timeoutMs,
       log,
       signal
@@ -163,7 +163,7 @@
 
   const close = async () => {
     stopping.abort()
-    await Promise.all([...running, ...keepers.values()])
+    await Promise.all([...running, ...monitors.values()])
     await leases.close()
     await health.close()
     await clients.close()
--- a/packages/steward/src/state/fleet-view.ts
+++ b/packages/steward/src/state/fleet-view.ts
@@ -26,7 +26,7 @@
 }
 
 /** Decodes a group's record. */
-export const decodeGroup = (entry: StoredEntry | undefined, log: Logger): Stored<GroupRecord | undefined> =>
+export const decodeGroupRecord = (entry: StoredEntry | undefined, log: Logger): Stored<GroupRecord | undefined> =>
   decodeStored(entry, groupRecordSchema, log)
 
 /** Decodes the roster. */
--- a/packages/steward/src/test-entry.ts
+++ b/packages/steward/src/test-entry.ts
@@ -32,7 +32,7 @@
 }
 
 /** A member's reply to a write. */
-export type TestWriteEnd = { verdict: string, term: number }
+export type TestWriteResult = { verdict: string, term: number }
 
 /** A running test entry. */
 export type TestEntry = Awaited<ReturnType<typeof startTestEntry>>
@@ -101,10 +101,10 @@
   }
 
   const execute = (address: string, group: string, request: TestWrite) =>
-    new Promise<TestWriteEnd | undefined>(resolve => {
+    new Promise<TestWriteResult | undefined>(resolve => {
       const client = connectGrpc(endpointProto.Endpoint, address, loopbackChannels)
       const call = client.Connect({ deadline: Date.now() + 1_000 })
-      const finish = (end?: TestWriteEnd) => {
+      const finish = (end?: TestWriteResult) => {
         resolve(end)
         call.cancel()
         client.close()
--- a/packages/steward/src/test-fleet.ts
+++ b/packages/steward/src/test-fleet.ts
@@ -36,7 +36,7 @@
   throw new Error(`condition not met in time: ${name}`)
 }
 
-const sameActive = (known: GroupRecord | undefined, record: GroupRecord): boolean =>
+const hasSameActiveTerm = (known: GroupRecord | undefined, record: GroupRecord): boolean =>
   known?.phase === 'active' && known.term === record.term
 
 /** A running test fleet. */
@@ -219,7 +219,7 @@
   const untilServing = (term: number, name = groups[0]) => eventually(`${name} serves in term ${term}`, async () => {
     const record = await group(name)
     return record?.phase === 'active' && record.term >= term &&
-      entries.every(entry => entry.isCutOff() || sameActive(entry.record(name), record))
+      entries.every(entry => entry.isCutOff() || hasSameActiveTerm(entry.record(name), record))
   })
 
   /** Runs one promotion attempt as a separate steward that needs no lease. */
@@ -230,8 +230,8 @@
       group: name,
       platform,
       entries: entryPeers,
-      learn: () => {},
-      isRosterSettled: () => true,
+      updateCopy: () => {},
+      isRosterStable: () => true,
       timeoutMs: 300,
       log: silentLogger
     })
@@ -240,11 +240,11 @@
     const own = [...members.values()].filter(member => member.group === name).map(member => {
       const control = connectMember(member.link.address, loopbackChannels)
       closing.push(control.close)
-      return { name: member.name, endpoint: endpointsOf(name)[member.name], control, mayStay: true }
+      return { name: member.name, endpoint: endpointsOf(name)[member.name], control, canRemainPrimary: true }
     })
-    const times = { contactEndMs: contactTtlMs + 100, memberTimeoutMs: 200, attemptTimeoutMs: 60_000 }
+    const times = { contactExpiryMs: contactTtlMs + 100, memberTimeoutMs: 200, attemptTimeoutMs: 60_000 }
     const { signal } = new AbortController()
-    return promote({ group: name, members: own, calls, times, afterStep, signal }, seen.val)
+    return promote({ group: name, members: own, calls, timeouts: times, afterStep, signal }, seen.val)
   }
 
   const close = async () => {
@@ -275,13 +275,13 @@
 }
 
 /** Retries a majority write until it is confirmed; returns the statement. */
-export const writeConfirmed = async (fleet: TestFleet, statement: string, entry = fleet.entries[0]) => {
+export const writeUntilConfirmed = async (fleet: TestFleet, statement: string, entry = fleet.entries[0]) => {
   await eventually(`${statement} is confirmed`, () => entry.write('core', statement, 'MAJORITY'))
   return statement
 }
 
 /** Waits until the members' logs are equal and contain all statements. */
-export const assertHeldEverywhere = (fleet: TestFleet, names: string[], statements: string[]) =>
+export const assertReplicatedEverywhere = (fleet: TestFleet, names: string[], statements: string[]) =>
   eventually(`${statements.join(', ')} on ${names.join(', ')}`, async () => {
     const logs = await Promise.all(names.map(fleet.logOf))
     return logs.every(log => log.join() === logs[0].join() && statements.every(one => log.includes(one)))
--- a/packages/steward/src/transport/platform-promotion-calls.ts
+++ b/packages/steward/src/transport/platform-promotion-calls.ts
@@ -7,7 +7,7 @@
 import type { Platform, StoredEntry } from '@egretyoke/fleet'
 import type { EntryPeers } from '../coordination/entry-peers.js'
 import type { PromotionCalls } from '../coordination/promotion-calls.js'
-import { decodeGroup, decodeRoster } from '../state/fleet-view.js'
+import { decodeGroupRecord, decodeRoster } from '../state/fleet-view.js'
 
 /** Dependencies of the promotion calls. */
 export type PromotionCallsOptions = {
@@ -15,8 +15,8 @@
   platform: Platform
   entries: EntryPeers
   /** Called with every record that the platform returns, to update the local copy. */
-  learn: (entry: StoredEntry) => void
-  isRosterSettled: PromotionCalls['isRosterSettled']
+  updateCopy: (entry: StoredEntry) => void
+  isRosterStable: PromotionCalls['isRosterStable']
   timeoutMs: number
   log: Logger
 }
@@ -28,27 +28,27 @@
 
   const get = async (key: string) => {
     const read = await platform.get(key, timeoutMs)
-    if (read.ok && read.val) options.learn(read.val)
+    if (read.ok && read.val) options.updateCopy(read.val)
     return read
   }
 
   return {
     readGroup: async () => {
       const read = await get(groupKey)
-      return read.ok ? Ok(decodeGroup(read.val, log)) : read
+      return read.ok ? Ok(decodeGroupRecord(read.val, log)) : read
     },
     swapGroup: async (expectedRevision, record) => {
       const swap = await platform.compareAndSwap(
         { key: groupKey, expectedRevision, value: encodeRecord(record) }, timeoutMs)
       if (!swap.ok) return swap
-      if (swap.val.current) options.learn(swap.val.current)
-      return Ok({ swapped: swap.val.swapped, current: decodeGroup(swap.val.current, log) })
+      if (swap.val.current) options.updateCopy(swap.val.current)
+      return Ok({ swapped: swap.val.swapped, current: decodeGroupRecord(swap.val.current, log) })
     },
     readRoster: async () => {
       const read = await get(storeKeys.roster)
       return read.ok ? Ok(decodeRoster(read.val, log).value) : read
     },
-    isRosterSettled: options.isRosterSettled,
+    isRosterStable: options.isRosterStable,
     entries: options.entries,
     sleepMs
   }
