--- a/packages/steward/src/coordination/detection.ts
+++ b/packages/steward/src/coordination/detection.ts
@@ -26,8 +26,8 @@
   let sinceMs: number | undefined
   return {
     /** Updates the condition; returns how long it has been true, in milliseconds, or 0 if it is false. */
-    update: (isSo: boolean): number => {
-      if (!isSo) sinceMs = undefined
+    update: (isTrue: boolean): number => {
+      if (!isTrue) sinceMs = undefined
       else sinceMs ??= clock()
       return sinceMs === undefined ? 0 : clock() - sinceMs
     }
@@ -56,14 +56,15 @@
   record: GroupRecord,
   suspicion: SuspicionCause
 ): Promise<EntryPollResult> => {
-  const views = await Promise.all(roster.members.map(entry => entries.observe(entry)))
-  const answers = views.filter((view): view is EntryStatus => view !== undefined)
-  const sightings = answers.flatMap(view => view.sightings.filter(sighting => sighting.endpoint === record.primary))
+  const replies = await Promise.all(roster.members.map(entry => entries.observe(entry)))
+  const validReplies = replies.filter((reply): reply is EntryStatus => reply !== undefined)
+  const sightings = validReplies.flatMap(reply =>
+    reply.sightings.filter(sighting => sighting.endpoint === record.primary))
   const agreeing = sightings.filter(reportsUnreachable).length
-  const isAgreed = suspicion === 'notLeading' || agreeing >= majorityOf(sightings.length)
+  const isConfirmed = suspicion === 'notLeading' || agreeing >= majorityOf(sightings.length)
   return {
-    isGone: answers.length >= majorityOf(roster.members.length) && isAgreed,
-    answered: answers.length,
+    isGone: validReplies.length >= majorityOf(roster.members.length) && isConfirmed,
+    answered: validReplies.length,
     watching: sightings.length,
     agreeing,
     rosterSize: roster.members.length
--- a/packages/steward/src/coordination/fence-members.ts
+++ b/packages/steward/src/coordination/fence-members.ts
@@ -20,36 +20,36 @@
 /** Fences the members with retries. Resolves when all are fenced, or shortly after a majority is. */
 export const fenceMembers = (task: PromotionTask, term: number, signal: AbortSignal): Promise<FenceResult> =>
   new Promise(resolve => {
-    const { calls, members, timeouts: times } = task
+    const { calls, members, timeouts } = task
     const fenced: FencedMember[] = []
     const finished = new AbortController()
-    const until = combineSignals(signal, finished.signal)
+    const waitSignal = combineSignals(signal, finished.signal)
 
-    const finish = (outcome: FenceResult) => {
+    const finish = (result: FenceResult) => {
       finished.abort()
-      resolve(outcome)
+      resolve(result)
     }
 
-    const finishWithMajority = async () => {
-      if (await calls.sleepMs(stragglerWaitMs, until)) finish({ kind: 'fenced', members: [...fenced] })
+    const finishAfterStragglerWait = async () => {
+      if (await calls.sleepMs(stragglerWaitMs, waitSignal)) finish({ kind: 'fenced', members: [...fenced] })
     }
 
-    const take = (member: PromotionMember, answer: ControlAnswer) => {
+    const handleReply = (member: PromotionMember, reply: ControlAnswer) => {
       if (finished.signal.aborted) return
-      if (!answer.accepted) return finish({ kind: 'superseded' })
-      fenced.push({ name: member.name, state: answer.state, canRemainPrimary: member.canRemainPrimary })
+      if (!reply.accepted) return finish({ kind: 'superseded' })
+      fenced.push({ name: member.name, state: reply.state, canRemainPrimary: member.canRemainPrimary })
       if (fenced.length === members.length) return finish({ kind: 'fenced', members: fenced })
-      if (fenced.length === majorityOf(members.length)) finishWithMajority()
+      if (fenced.length === majorityOf(members.length)) finishAfterStragglerWait()
     }
 
-    const fenceUntilAnswered = async (member: PromotionMember) => {
-      while (!until.aborted) {
-        const answer = await member.control.fence(term, times.memberTimeoutMs)
-        if (answer.ok) return take(member, answer.val)
-        await calls.sleepMs(retryDelayMs, until)
+    const fenceWithRetry = async (member: PromotionMember) => {
+      while (!waitSignal.aborted) {
+        const reply = await member.control.fence(term, timeouts.memberTimeoutMs)
+        if (reply.ok) return handleReply(member, reply.val)
+        await calls.sleepMs(retryDelayMs, waitSignal)
       }
     }
 
     signal.addEventListener('abort', () => finish({ kind: 'aborted' }), { once: true })
-    for (const member of members) fenceUntilAnswered(member)
+    for (const member of members) fenceWithRetry(member)
   })
--- a/packages/steward/src/coordination/follow-configuration.ts
+++ b/packages/steward/src/coordination/follow-configuration.ts
@@ -23,21 +23,21 @@
 ): FollowedConfiguration => {
   const stopping = new AbortController()
   let configuration: Configuration | undefined
-  let readRevision = 0
+  let lastReadRevision = 0
 
-  const check = async () => {
+  const readIfChanged = async () => {
     const revision = followed.get(storeKeys.head)?.revision ?? 0
-    if (revision === readRevision) return
-    const fresh = await read()
-    if (!fresh.ok) return
-    if (!configuration || fresh.val.version >= configuration.version) configuration = fresh.val
-    readRevision = revision
+    if (revision === lastReadRevision) return
+    const latest = await read()
+    if (!latest.ok) return
+    if (!configuration || latest.val.version >= configuration.version) configuration = latest.val
+    lastReadRevision = revision
   }
 
-  const checkContinuously = async () => {
-    for await (const _ of ticks(checkIntervalMs, stopping.signal)) await check()
+  const followContinuously = async () => {
+    for await (const _ of ticks(checkIntervalMs, stopping.signal)) await readIfChanged()
   }
-  const running = checkContinuously()
+  const running = followContinuously()
   const close = async () => {
     stopping.abort()
     await running
--- a/packages/steward/src/coordination/follow-records.ts
+++ b/packages/steward/src/coordination/follow-records.ts
@@ -39,63 +39,63 @@
   const stopping = new AbortController()
   let documents = new Map<string, StoredEntry>()
   let knownRevision = 0
-  let known = false
-  let lastEntryMs = monotonicMs()
-  let lastPlatformMs = -Infinity
+  let isSynced = false
+  let lastEntryReplyMs = monotonicMs()
+  let lastPlatformPollMs = -Infinity
 
-  const learn = (entry: StoredEntry) => {
-    const older = records.get(entry.key)
-    if (older && older.revision >= entry.revision) return
-    if (!older && records.size >= maxRecords) return
+  const updateCopy = (entry: StoredEntry) => {
+    const existing = records.get(entry.key)
+    if (existing && existing.revision >= entry.revision) return
+    if (!existing && records.size >= maxRecords) return
     records.set(entry.key, entry)
   }
 
   /** Applies changes. A changed configuration head comes with all of its documents, which replace the previous ones. */
-  const learnAll = (changes: StoreChanges) => {
+  const applyChanges = (changes: StoreChanges) => {
     const isDocument = (entry: StoredEntry) => entry.key.startsWith(documentPrefix)
-    const carried = changes.entries.filter(isDocument)
-    if (carried.length > 0) documents = new Map(carried.map(entry => [entry.key, entry]))
-    for (const entry of changes.entries) if (!isDocument(entry)) learn(entry)
+    const newDocuments = changes.entries.filter(isDocument)
+    if (newDocuments.length > 0) documents = new Map(newDocuments.map(entry => [entry.key, entry]))
+    for (const entry of changes.entries) if (!isDocument(entry)) updateCopy(entry)
     knownRevision = Math.max(knownRevision, changes.storeRevision)
-    known = true
+    isSynced = true
   }
 
-  const askEntry = async (): Promise<boolean> => {
+  const syncFromEntry = async (): Promise<boolean> => {
     const changes = await options.fetchFromEntry(knownRevision)
     if (!changes) return false
-    lastEntryMs = monotonicMs()
-    learnAll(changes)
+    lastEntryReplyMs = monotonicMs()
+    applyChanges(changes)
     return true
   }
 
-  const askPlatform = async () => {
+  const syncFromPlatform = async () => {
     const nowMs = monotonicMs()
-    const isDue = nowMs - lastEntryMs >= options.platformFallbackMs &&
-      nowMs - lastPlatformMs >= options.platformPollIntervalMs
+    const isDue = nowMs - lastEntryReplyMs >= options.platformFallbackMs &&
+      nowMs - lastPlatformPollMs >= options.platformPollIntervalMs
     if (!isDue) return
-    lastPlatformMs = nowMs
+    lastPlatformPollMs = nowMs
     const changes = await options.platform.range(storeKeys.followed, knownRevision, options.timeoutMs)
-    if (changes.ok) learnAll(changes.val)
+    if (changes.ok) applyChanges(changes.val)
   }
 
-  const run = async () => {
+  const pollContinuously = async () => {
     for await (const _ of ticks(options.entryPollIntervalMs, stopping.signal)) {
-      if (!await askEntry()) await askPlatform()
+      if (!await syncFromEntry()) await syncFromPlatform()
     }
   }
 
-  const running = run()
+  const running = pollContinuously()
   const close = async () => {
     stopping.abort()
     await running
   }
-  return { get: key => records.get(key) ?? documents.get(key), isSynced: () => known, updateCopy: learn, close }
+  return { get: key => records.get(key) ?? documents.get(key), isSynced: () => isSynced, updateCopy, close }
 }
 
 /** Returns a `get` that reads from the copy, and from the platform if the copy does not have the key. */
 export const readThrough = (platform: Platform, copy: FollowedRecords): Pick<Platform, 'get'> => ({
   get: async (key, timeoutMs) => {
-    const kept = copy.get(key)
-    return kept && !kept.deleted ? Ok(kept) : await platform.get(key, timeoutMs)
+    const cached = copy.get(key)
+    return cached && !cached.deleted ? Ok(cached) : await platform.get(key, timeoutMs)
   }
 })
--- a/packages/steward/src/coordination/group-keeper.ts
+++ b/packages/steward/src/coordination/group-keeper.ts
@@ -43,21 +43,21 @@
 /** Checks the group periodically until the signal aborts. */
 export const monitorGroup = async (options: GroupMonitorOptions): Promise<void> => {
   const { group, calls, settings, metrics, log, signal, clock = monotonicMs } = options
-  const unled = createConditionTimer(clock)
-  let nextHandoverMs = 0
-  let unledSinceMs: number | undefined
+  const leaderlessTimer = createConditionTimer(clock)
+  let nextHandoverAtMs = 0
+  let leaderlessSinceMs: number | undefined
 
-  const createRecord = async (config: Group, seen: StoredGroup) => {
+  const createRecord = async (config: Group, stored: StoredGroup) => {
     const record: GroupRecord = {
       term: 1, primary: config.firstPrimary, phase: 'active', lineage: [{ term: 1, startPosition: 0 }]
     }
-    const swap = await calls.swapGroup(seen.revision, record)
+    const swap = await calls.swapGroup(stored.revision, record)
     if (swap.ok && swap.val.swapped) log(events.groupCreated, { group, primary: record.primary })
   }
 
-  const runPromotion = async (seen: StoredGroup, cause: string, relieved?: string) => {
-    const begunMs = unledSinceMs ?? clock()
-    log(events.promotionBegun, { group, cause, term: seen.value!.term + 1, replaced: seen.value!.primary })
+  const runPromotion = async (stored: StoredGroup, cause: string, outgoingPrimary?: string) => {
+    const startedMs = leaderlessSinceMs ?? clock()
+    log(events.promotionBegun, { group, cause, term: stored.value!.term + 1, replaced: stored.value!.primary })
     const promotion = await promote({
       group,
       members: options.members(),
@@ -67,14 +67,14 @@
         memberTimeoutMs: settings.probeTimeoutMs,
         attemptTimeoutMs
       },
-      outgoingPrimary: relieved,
+      outgoingPrimary,
       afterStep: async (step, term) => {
-        log(events.promotionStep, { group, term, step, sinceMs: Math.round(clock() - begunMs) })
+        log(events.promotionStep, { group, term, step, sinceMs: Math.round(clock() - startedMs) })
         await options.afterStep?.(step, term)
       },
       onCandidateChosen: choice => log(events.candidateChosen, { group, ...choice }),
       signal
-    }, seen)
+    }, stored)
     if (!promotion.ok) {
       metrics.recordFailedPromotion(group, promotion.val.reason)
       log(events.promotionFailed, { group, reason: promotion.val.reason, message: promotion.val.message })
@@ -82,63 +82,63 @@
       await calls.readGroup()
       return
     }
-    const gapMs = clock() - begunMs
-    unledSinceMs = undefined
+    const gapMs = clock() - startedMs
+    leaderlessSinceMs = undefined
     metrics.recordPromotion(group, cause, gapMs)
     log(events.promotionDone, { group, ...promotion.val, gapMs: Math.round(gapMs) })
   }
 
-  const checkFailure = async (seen: StoredGroup, record: GroupRecord, roster: Roster, states: MemberStates) => {
-    const unledMs = unled.update(!isActivePrimary(states.get(record.primary), record))
-    if (unledMs === 0) {
-      unledSinceMs = undefined
+  const detectFailure = async (stored: StoredGroup, record: GroupRecord, roster: Roster, states: MemberStates) => {
+    const leaderlessMs = leaderlessTimer.update(!isActivePrimary(states.get(record.primary), record))
+    if (leaderlessMs === 0) {
+      leaderlessSinceMs = undefined
       return
     }
-    unledSinceMs ??= clock()
-    log(events.primarySuspected, { group, primary: record.primary, sinceMs: Math.round(unledMs) })
-    if (unledMs < settings.detectMs) return
+    leaderlessSinceMs ??= clock()
+    log(events.primarySuspected, { group, primary: record.primary, sinceMs: Math.round(leaderlessMs) })
+    if (leaderlessMs < settings.detectMs) return
     if (states.size < majorityOf(options.members().length)) {
       return log(events.primaryKept, { group, reason: 'too few members answer', members: states.size })
     }
-    const suspicion = states.has(record.primary) ? 'notLeading' : 'unreachable'
-    const verdict = await pollEntries(calls.entries, roster, record, suspicion)
-    if (!verdict.isGone) return log(events.primaryKept, { group, reason: 'entries do not agree', ...verdict })
-    await runPromotion(seen, suspicion)
+    const cause = states.has(record.primary) ? 'notLeading' : 'unreachable'
+    const pollResult = await pollEntries(calls.entries, roster, record, cause)
+    if (!pollResult.isGone) return log(events.primaryKept, { group, reason: 'entries do not agree', ...pollResult })
+    await runPromotion(stored, cause)
   }
 
-  const checkHandover = async (seen: StoredGroup, record: GroupRecord, states: MemberStates) => {
+  const checkHandover = async (stored: StoredGroup, record: GroupRecord, states: MemberStates) => {
     const members = options.members()
     const primary = members.find(member => member.name === record.primary)
     const state = states.get(record.primary)
-    if (!primary || primary.canRemainPrimary || !state || clock() < nextHandoverMs) return
-    const ready = readySuccessors(members, states, state, maxSuccessorLagEntries)
-    if (ready.length === 0) {
+    if (!primary || primary.canRemainPrimary || !state || clock() < nextHandoverAtMs) return
+    const candidates = readySuccessors(members, states, state, maxSuccessorLagEntries)
+    if (candidates.length === 0) {
       log(events.handoverDelayed, { group, primary: record.primary })
       return
     }
-    log(events.handoverPlanned, { group, primary: record.primary, successors: ready })
-    await runPromotion(seen, 'handover', record.primary)
-    nextHandoverMs = clock() + handoverRetryDelayMs
+    log(events.handoverPlanned, { group, primary: record.primary, successors: candidates })
+    await runPromotion(stored, 'handover', record.primary)
+    nextHandoverAtMs = clock() + handoverRetryDelayMs
   }
 
-  const check = async () => {
+  const checkGroup = async () => {
     const config = options.config()
-    const seen = options.storedGroup()
+    const stored = options.storedGroup()
     if (!config) return
-    if (!seen.value) return createRecord(config, seen)
+    if (!stored.value) return createRecord(config, stored)
     const roster = options.roster()
     if (!roster) return
-    const record = seen.value
-    if (record.phase === 'fencing') return runPromotion(seen, 'takeover')
+    const record = stored.value
+    if (record.phase === 'fencing') return runPromotion(stored, 'takeover')
     const states = await readMemberStates(options.members(), settings.probeTimeoutMs)
     await repairMembers(options.members(), states, record, settings.probeTimeoutMs, name =>
       log(events.memberRepaired, { group, member: name, term: record.term, primary: record.primary }))
-    await checkFailure(seen, record, roster, states)
-    if (isActivePrimary(states.get(record.primary), record)) await checkHandover(seen, record, states)
+    await detectFailure(stored, record, roster, states)
+    if (isActivePrimary(states.get(record.primary), record)) await checkHandover(stored, record, states)
   }
 
   for await (const _ of ticks(settings.probeIntervalMs, signal)) {
-    if (options.holdsLease()) await check()
-    else unled.update(false)
+    if (options.holdsLease()) await checkGroup()
+    else leaderlessTimer.update(false)
   }
 }
--- a/packages/steward/src/coordination/install-primary.ts
+++ b/packages/steward/src/coordination/install-primary.ts
@@ -27,9 +27,9 @@
   term: number,
   signal: AbortSignal
 ): Promise<InstallResult<MemberState>> => {
-  for (let tries = 0; tries < maxPromoteAttempts && !signal.aborted; tries++) {
-    const answer = await candidate.control.promote(term, task.timeouts.memberTimeoutMs)
-    if (answer.ok) return answer.val.accepted ? { kind: 'done', value: answer.val.state } : { kind: 'superseded' }
+  for (let attempt = 0; attempt < maxPromoteAttempts && !signal.aborted; attempt++) {
+    const reply = await candidate.control.promote(term, task.timeouts.memberTimeoutMs)
+    if (reply.ok) return reply.val.accepted ? { kind: 'done', value: reply.val.state } : { kind: 'superseded' }
     await task.calls.sleepMs(retryDelayMs, signal)
   }
   return { kind: 'unanswered' }
@@ -45,9 +45,9 @@
 ): Promise<InstallResult<undefined>> => {
   const primary = { name: candidate.name, address: candidate.endpoint.address }
   while (!signal.aborted) {
-    const answer = await member.control.follow(start.term, primary, task.timeouts.memberTimeoutMs)
-    if (answer.ok && !answer.val.accepted) return { kind: 'superseded' }
-    if (answer.ok && adoptedTerm(answer.val.state, [start]) === start.term) return { kind: 'done', value: undefined }
+    const reply = await member.control.follow(start.term, primary, task.timeouts.memberTimeoutMs)
+    if (reply.ok && !reply.val.accepted) return { kind: 'superseded' }
+    if (reply.ok && adoptedTerm(reply.val.state, [start]) === start.term) return { kind: 'done', value: undefined }
     await task.calls.sleepMs(retryDelayMs, signal)
   }
   return { kind: 'unanswered' }
@@ -61,20 +61,20 @@
   signal: AbortSignal
 ): Promise<InstallResult<undefined>> => new Promise(resolve => {
   const finished = new AbortController()
-  const until = combineSignals(signal, finished.signal)
+  const waitSignal = combineSignals(signal, finished.signal)
   let adoptedCount = 0
-  const finish = (outcome: InstallResult<undefined>) => {
+  const finish = (result: InstallResult<undefined>) => {
     finished.abort()
-    resolve(outcome)
+    resolve(result)
   }
   const countAdoption = () => {
     adoptedCount++
     if (adoptedCount >= majorityOf(task.members.length)) finish({ kind: 'done', value: undefined })
   }
   const follow = async (member: PromotionMember) => {
-    const outcome = await followUntilAdopted(task, member, candidate, start, until)
-    if (outcome.kind === 'done') countAdoption()
-    if (outcome.kind === 'superseded') finish(outcome)
+    const result = await followUntilAdopted(task, member, candidate, start, waitSignal)
+    if (result.kind === 'done') countAdoption()
+    if (result.kind === 'superseded') finish(result)
   }
   signal.addEventListener('abort', () => finish({ kind: 'unanswered' }), { once: true })
   countAdoption()
--- a/packages/steward/src/coordination/promotion.ts
+++ b/packages/steward/src/coordination/promotion.ts
@@ -37,10 +37,13 @@
  * Stores the fencing record of the next term. If the swap gets no reply, this steward does not own the term, and the
  * caller must start a new attempt.
  */
-const beginTerm = async (task: PromotionTask, seen: StoredGroup): Promise<Result<FencingRecord, PromotionFailure>> => {
-  if (!seen.value) return failure('superseded', 'the group has no stored record')
-  const record: GroupRecord = { ...seen.value, term: seen.value.term + 1, primary: '', phase: 'fencing' }
-  const swap = await task.calls.swapGroup(seen.revision, record)
+const startTerm = async (
+  task: PromotionTask,
+  stored: StoredGroup
+): Promise<Result<FencingRecord, PromotionFailure>> => {
+  if (!stored.value) return failure('superseded', 'the group has no stored record')
+  const record: GroupRecord = { ...stored.value, term: stored.value.term + 1, primary: '', phase: 'fencing' }
+  const swap = await task.calls.swapGroup(stored.revision, record)
   if (!swap.ok) return failure('unsettled', swap.val.message)
   if (!swap.val.swapped) return failure('superseded', 'another steward changed the group record')
   return Ok({ record, revision: swap.val.current.revision })
@@ -69,29 +72,29 @@
 const installCandidate = async (
   task: PromotionTask,
   record: GroupRecord,
-  step: (name: PromotionStep) => Promise<void>,
+  reportStep: (name: PromotionStep) => Promise<void>,
   signal: AbortSignal
 ): Promise<Result<InstalledPrimary, PromotionFailure>> => {
   const { term } = record
-  const outcome = await fenceMembers(task, term, signal)
-  if (outcome.kind === 'superseded') return failure('superseded', 'a member is fenced at a higher term')
-  if (outcome.kind === 'aborted') return failure('unfinished', 'too few members were fenced before the attempt ended')
-  await step('fenced')
-  const [best, ...others] = outcome.members.sort(byMostAdvanced(record.lineage))
-  const candidate = task.members.find(member => member.name === best.name)!
+  const fenceResult = await fenceMembers(task, term, signal)
+  if (fenceResult.kind === 'superseded') return failure('superseded', 'a member is fenced at a higher term')
+  if (fenceResult.kind === 'aborted') return failure('unfinished', 'too few members were fenced in time')
+  await reportStep('fenced')
+  const [mostAdvanced, ...others] = fenceResult.members.sort(byMostAdvanced(record.lineage))
+  const candidate = task.members.find(member => member.name === mostAdvanced.name)!
   task.onCandidateChosen?.({
-    candidate: best.name,
+    candidate: mostAdvanced.name,
     passedOver: others.map(other => `${other.name}@${other.state.lastEntryTerm}/${other.state.receivedPosition}`)
   })
   const promoted = await promoteMember(task, candidate, term, signal)
-  if (promoted.kind !== 'done') return installFailure(promoted.kind, `${best.name} was not promoted`)
-  await step('promoted')
+  if (promoted.kind !== 'done') return installFailure(promoted.kind, `${mostAdvanced.name} was not promoted`)
+  await reportStep('promoted')
   const { lineage, receivedPosition } = promoted.value
-  const start = { term, startPosition: startPositionOf(lineage, term) ?? receivedPosition }
-  const adopted = await waitForMajorityAdoption(task, candidate, start, signal)
+  const termStart = { term, startPosition: startPositionOf(lineage, term) ?? receivedPosition }
+  const adopted = await waitForMajorityAdoption(task, candidate, termStart, signal)
   if (adopted.kind !== 'done') return installFailure(adopted.kind, 'too few members adopted the new term')
-  await step('adopted')
-  return Ok({ primary: best.name, startPosition: start.startPosition })
+  await reportStep('adopted')
+  return Ok({ primary: mostAdvanced.name, startPosition: termStart.startPosition })
 }
 
 const startPositionOf = (lineage: GroupRecord['lineage'], term: number): number | undefined =>
@@ -112,56 +115,56 @@
     term, primary, phase: 'active', lineage: [...lineage, { term, startPosition }].slice(-maxLineageLength)
   }
   const swap = await task.calls.swapGroup(fencing.revision, record)
-  let seen = swap.ok ? swap.val.current : undefined
-  while (!seen && !task.signal.aborted) {
+  let stored = swap.ok ? swap.val.current : undefined
+  while (!stored && !task.signal.aborted) {
     await task.calls.sleepMs(platformRetryDelayMs, task.signal)
     const read = await task.calls.readGroup()
     if (!read.ok) continue
     if (read.val.revision === fencing.revision) return activate(task, fencing, installed)
-    seen = read.val
+    stored = read.val
   }
   // Only the owner of a term stores its active record, so an active record of this term is this steward's own.
-  if (seen?.value?.term !== term || seen.value.phase !== 'active') {
+  if (stored?.value?.term !== term || stored.value.phase !== 'active') {
     return failure('superseded', 'another steward changed the group record before the term became active')
   }
-  return Ok({ term, primary, startPosition, revision: seen.revision })
+  return Ok({ term, primary, startPosition, revision: stored.revision })
 }
 
 /** Runs one promotion attempt, starting from the last known group record (in phase active or fencing). */
 export const promote = async (
   task: PromotionTask,
-  seen: StoredGroup
+  stored: StoredGroup
 ): Promise<Result<Promotion, PromotionFailure>> => {
-  const fencing = await beginTerm(task, seen)
+  const fencing = await startTerm(task, stored)
   if (!fencing.ok) return fencing
   const { record } = fencing.val
-  const step = async (name: PromotionStep) => task.afterStep?.(name, record.term)
-  await step('fencing')
-  const attempt = new AbortController()
-  const signal = combineSignals(task.signal, attempt.signal)
-  task.calls.sleepMs(task.timeouts.attemptTimeoutMs, signal).then(isOver => isOver && attempt.abort())
+  const reportStep = async (name: PromotionStep) => task.afterStep?.(name, record.term)
+  await reportStep('fencing')
+  const attemptAbort = new AbortController()
+  const signal = combineSignals(task.signal, attemptAbort.signal)
+  task.calls.sleepMs(task.timeouts.attemptTimeoutMs, signal).then(hasExpired => hasExpired && attemptAbort.abort())
 
-  const stop = async () => {
+  const stopAllEntries = async () => {
     const isStopped = await stopEntries(task, fencing.val, signal)
-    if (isStopped) await step('stopped')
-    else attempt.abort()
+    if (isStopped) await reportStep('stopped')
+    else attemptAbort.abort()
     return isStopped
   }
-  const install = async () => {
-    const installed = await installCandidate(task, record, step, signal)
-    if (!installed.ok) attempt.abort()
+  const installPrimary = async () => {
+    const installed = await installCandidate(task, record, reportStep, signal)
+    if (!installed.ok) attemptAbort.abort()
     return installed
   }
-  const stopping = stop()
+  const entriesStopped = stopAllEntries()
   if (task.outgoingPrimary !== undefined) {
-    await stopping
+    await entriesStopped
     await waitForSuccessor(task, task.outgoingPrimary, signal)
   }
-  const [isStopped, installed] = await Promise.all([stopping, install()])
-  attempt.abort()
+  const [isStopped, installed] = await Promise.all([entriesStopped, installPrimary()])
+  attemptAbort.abort()
   if (!installed.ok) return installed
   if (!isStopped) return failure('unfinished', 'the entries were not stopped before the attempt ended')
   const promotion = await activate(task, fencing.val, installed.val)
-  if (promotion.ok) await step('active')
+  if (promotion.ok) await reportStep('active')
   return promotion
 }
--- a/packages/steward/src/coordination/repair.ts
+++ b/packages/steward/src/coordination/repair.ts
@@ -23,7 +23,7 @@
   await Promise.all(members.map(async member => {
     const state = states.get(member.name)
     if (member === primary || !state || followsRecord(state, record)) return
-    const answer = await member.control.follow(record.term, upstream, timeoutMs)
-    if (answer.ok && answer.val.accepted) onRepaired(member.name)
+    const reply = await member.control.follow(record.term, upstream, timeoutMs)
+    if (reply.ok && reply.val.accepted) onRepaired(member.name)
   }))
 }
--- a/packages/steward/src/coordination/roster-keeper.ts
+++ b/packages/steward/src/coordination/roster-keeper.ts
@@ -48,17 +48,18 @@
 export const nextRosterMembers = (
   members: RosterMember[],
   listed: RosterMember[],
-  isGone: (name: string) => boolean
+  isRemoved: (name: string) => boolean
 ): RosterMember[] | undefined => {
   const byName = new Map(listed.map(member => [member.name, member]))
-  const moved = members.find(member => byName.has(member.name) && !hasSameLocation(member, byName.get(member.name)!))
-  if (moved) {
+  const relocated = members.find(member =>
+    byName.has(member.name) && !hasSameLocation(member, byName.get(member.name)!))
+  if (relocated) {
     return members.map(member =>
-      member === moved ? { ...byName.get(member.name)!, suspended: member.suspended } : member)
+      member === relocated ? { ...byName.get(member.name)!, suspended: member.suspended } : member)
   }
   const added = listed.find(member => !members.some(other => other.name === member.name))
   if (added) return [...members, added]
-  const removed = members.find(member => !byName.has(member.name) && isGone(member.name))
+  const removed = members.find(member => !byName.has(member.name) && isRemoved(member.name))
   return removed && members.filter(member => member !== removed)
 }
 
@@ -74,13 +75,13 @@
   const { platform, entries, timeoutMs, metrics, log, clock = monotonicMs, graceMs = rosterGraceMs } = options
   const missingSinceMs = new Map<string, number>()
 
-  const store = async (key: string, expectedRevision: number, record: Roster | Leaving): Promise<boolean> => {
+  const storeRecord = async (key: string, expectedRevision: number, record: Roster | Leaving): Promise<boolean> => {
     const swap = await platform.compareAndSwap({ key, expectedRevision, value: encodeRecord(record) }, timeoutMs)
     if (swap.ok && swap.val.current) options.updateCopy(swap.val.current)
     return swap.ok && swap.val.swapped
   }
 
-  const noteMissing = (members: RosterMember[], listed: RosterMember[]) => {
+  const updateMissing = (members: RosterMember[], listed: RosterMember[]) => {
     const present = new Set(listed.map(member => member.name))
     for (const name of missingSinceMs.keys()) {
       if (present.has(name) || !members.some(member => member.name === name)) missingSinceMs.delete(name)
@@ -89,40 +90,40 @@
       if (!present.has(name) && !missingSinceMs.has(name)) missingSinceMs.set(name, clock())
     }
   }
-  const isGone = (name: string) => clock() - (missingSinceMs.get(name) ?? clock()) >= graceMs
+  const hasGraceExpired = (name: string) => clock() - (missingSinceMs.get(name) ?? clock()) >= graceMs
 
-  const majorityKnows = async (members: RosterMember[], revision: number): Promise<boolean> => {
-    const views = await Promise.all(members.map(entry => entries.observe(entry)))
-    const knowing = views.filter(view => view && !view.starting && view.knownRevision >= revision)
-    return knowing.length >= majorityOf(members.length)
+  const majorityReceived = async (members: RosterMember[], revision: number): Promise<boolean> => {
+    const replies = await Promise.all(members.map(entry => entries.observe(entry)))
+    const upToDate = replies.filter(reply => reply && !reply.starting && reply.knownRevision >= revision)
+    return upToDate.length >= majorityOf(members.length)
   }
 
-  const keepMembers = async (listed: RosterMember[]) => {
+  const updateMembers = async (listed: RosterMember[]) => {
     const { value: roster, revision } = options.roster()
     if (!roster) {
       if (revision !== 0 || listed.length === 0) return
-      const isCreated = await store(storeKeys.roster, 0, { version: 1, members: listed })
+      const isCreated = await storeRecord(storeKeys.roster, 0, { version: 1, members: listed })
       if (isCreated) log(events.rosterChanged, { version: 1, members: listed.map(member => member.name) })
       return
     }
     metrics.setRosterSize(roster.members.length)
-    noteMissing(roster.members, listed)
-    const members = nextRosterMembers(roster.members, listed, isGone)
+    updateMissing(roster.members, listed)
+    const members = nextRosterMembers(roster.members, listed, hasGraceExpired)
     if (!members) return
-    if (!await majorityKnows(roster.members, revision)) return log(events.rosterWaits, { version: roster.version })
+    if (!await majorityReceived(roster.members, revision)) return log(events.rosterWaits, { version: roster.version })
     const next = { version: roster.version + 1, members }
-    const isStored = await store(storeKeys.roster, revision, next)
+    const isStored = await storeRecord(storeKeys.roster, revision, next)
     if (isStored) log(events.rosterChanged, { version: next.version, members: members.map(member => member.name) })
   }
 
-  const keepLeaving = async (vms: VmListing[]) => {
+  const updateLeaving = async (vms: VmListing[]) => {
     const { value: stored, revision } = options.leaving()
     const leaving = leavingVmsByRole(vms)
     const isUnchanged = stored
       ? JSON.stringify(stored) === JSON.stringify(leaving)
       : leaving.endpoints.length + leaving.vms.length === 0
     if (isUnchanged) return
-    if (await store(storeKeys.leaving, revision, leaving)) log(events.leavingChanged, leaving)
+    if (await storeRecord(storeKeys.leaving, revision, leaving)) log(events.leavingChanged, leaving)
   }
 
   for await (const _ of ticks(options.intervalMs, options.signal)) {
@@ -132,7 +133,7 @@
     }
     const vms = await platform.listVms(timeoutMs)
     if (!vms.ok) continue
-    await keepLeaving(vms.val)
-    await keepMembers(vms.val.filter(vm => vm.role === 'ENTRY').map(toRosterMember))
+    await updateLeaving(vms.val)
+    await updateMembers(vms.val.filter(vm => vm.role === 'ENTRY').map(toRosterMember))
   }
 }
--- a/packages/steward/src/coordination/roster-suspension.ts
+++ b/packages/steward/src/coordination/roster-suspension.ts
@@ -37,65 +37,69 @@
 }
 
 /**
- * Returns the names of the members that should be suspended, in roster order. `views` has the replies of the current
+ * Returns the names of the members that should be suspended, in roster order. `statuses` has the replies of the current
  * poll by name; `isSilent` is true for members that have not replied to this steward for `suspendAfterMs`. Without
  * replies from a majority, or when more than a minority would be suspended, no member is added.
  */
 export const nextSuspended = (
   members: RosterMember[],
-  views: ReadonlyMap<string, EntryStatus>,
+  statuses: ReadonlyMap<string, EntryStatus>,
   isSilent: (name: string) => boolean
 ): string[] => {
-  const kept = members.filter(({ name, suspended }) => suspended && !views.has(name)).map(({ name }) => name)
-  if (views.size < majorityOf(members.length)) return kept
-  const isSilentToMost = (name: string) =>
-    [...views.values()].filter(view => view.silentPeers.includes(name)).length >= majorityOf(views.size)
-  const wanted = members
+  const stillSuspended = members
+    .filter(({ name, suspended }) => suspended && !statuses.has(name))
     .map(({ name }) => name)
-    .filter(name => kept.includes(name) || (!views.has(name) && isSilent(name) && isSilentToMost(name)))
-  return wanted.length <= members.length - majorityOf(members.length) ? wanted : kept
+  if (statuses.size < majorityOf(members.length)) return stillSuspended
+  const isSilentForMajority = (name: string) =>
+    [...statuses.values()].filter(status => status.silentPeers.includes(name)).length >= majorityOf(statuses.size)
+  const nextNames = members
+    .map(({ name }) => name)
+    .filter(name =>
+      stillSuspended.includes(name) || (!statuses.has(name) && isSilent(name) && isSilentForMajority(name)))
+  return nextNames.length <= members.length - majorityOf(members.length) ? nextNames : stillSuspended
 }
 
 /** Updates the suspensions periodically, while this steward holds the roster's lease, until the signal aborts. */
 export const manageSuspensions = async (options: SuspensionManagerOptions): Promise<void> => {
   const { platform, entries, log, clock = monotonicMs, intervalMs = checkIntervalMs } = options
-  const answeredMs = new Map<string, number>()
+  const lastReplyMs = new Map<string, number>()
 
-  const ask = async (members: RosterMember[]): Promise<Map<string, EntryStatus>> => {
-    const views = new Map<string, EntryStatus>()
-    const askedMs = clock()
+  const pollMembers = async (members: RosterMember[]): Promise<Map<string, EntryStatus>> => {
+    const statuses = new Map<string, EntryStatus>()
+    const startedMs = clock()
     await Promise.all(members.map(async member => {
-      const view = await entries.observe(member)
-      if (view) views.set(member.name, view)
+      const status = await entries.observe(member)
+      if (status) statuses.set(member.name, status)
     }))
-    for (const name of answeredMs.keys()) if (!members.some(member => member.name === name)) answeredMs.delete(name)
-    for (const { name } of members) if (views.has(name) || !answeredMs.has(name)) answeredMs.set(name, askedMs)
-    return views
+    for (const name of lastReplyMs.keys()) if (!members.some(member => member.name === name)) lastReplyMs.delete(name)
+    for (const { name } of members) if (statuses.has(name) || !lastReplyMs.has(name)) lastReplyMs.set(name, startedMs)
+    return statuses
   }
-  const isSilent = (name: string) => clock() - (answeredMs.get(name) ?? clock()) >= suspendAfterMs
+  const isSilent = (name: string) => clock() - (lastReplyMs.get(name) ?? clock()) >= suspendAfterMs
 
-  const store = async (roster: Roster, expectedRevision: number, suspended: string[]) => {
+  const storeSuspensions = async (roster: Roster, expectedRevision: number, suspended: string[]) => {
     const members = roster.members.map(member => ({ ...member, suspended: suspended.includes(member.name) }))
     const value = encodeRecord({ ...roster, members })
     const swap = await platform.compareAndSwap({ key: storeKeys.roster, expectedRevision, value }, options.timeoutMs)
     if (!swap.ok) return
     if (swap.val.current) options.updateCopy(swap.val.current)
     if (!swap.val.swapped) return
-    const lifted = roster.members.filter(({ name, suspended: was }) => was && !suspended.includes(name))
+    const lifted = roster.members.filter(({ name, suspended: wasSuspended }) =>
+      wasSuspended && !suspended.includes(name))
     log(events.sharesSuspended, { suspended, lifted: lifted.map(({ name }) => name) })
   }
 
-  const round = async () => {
+  const checkMembers = async () => {
     const { value: roster, revision } = options.roster()
     if (!roster) return
-    const views = await ask(roster.members)
-    const suspended = nextSuspended(roster.members, views, isSilent)
+    const statuses = await pollMembers(roster.members)
+    const suspended = nextSuspended(roster.members, statuses, isSilent)
     const isChanged = roster.members.some(member => (member.suspended ?? false) !== suspended.includes(member.name))
-    if (isChanged && options.holdsLease()) await store(roster, revision, suspended)
+    if (isChanged && options.holdsLease()) await storeSuspensions(roster, revision, suspended)
   }
 
   for await (const _ of ticks(intervalMs, options.signal)) {
-    if (options.holdsLease()) await round()
-    else answeredMs.clear()
+    if (options.holdsLease()) await checkMembers()
+    else lastReplyMs.clear()
   }
 }
--- a/packages/steward/src/coordination/steward-leases.ts
+++ b/packages/steward/src/coordination/steward-leases.ts
@@ -60,9 +60,9 @@
   const renew = async () => {
     const sentMs = monotonicMs()
     if (leaseId !== 0) {
-      const alive = await platform.keepAlive(leaseId, timeoutMs)
-      if (!alive.ok) return
-      if (alive.val) {
+      const renewal = await platform.keepAlive(leaseId, timeoutMs)
+      if (!renewal.ok) return
+      if (renewal.val) {
         validUntilMs = sentMs + ttlMs
         return
       }
@@ -86,20 +86,20 @@
     }
   }
 
-  const delayFor = (name: string): number => {
+  const acquireDelayMs = (name: string): number => {
     const names = options.rosterNames()
     if (names.length === 0) return name === 'roster' ? 0 : unknownRosterDelayMs
     return Math.min(maxRankDelayMs, preferenceRank(vm, names, name) * delayPerRankMs)
   }
 
-  const tryFor = async (name: string) => {
+  const tryAcquire = async (name: string) => {
     const key = storeKeys.stewardLease(name)
     const swap = { key, expectedRevision: 0, value: Buffer.from(holder), leaseId }
-    const outcome = await platform.compareAndSwap(swap, timeoutMs)
-    if (outcome.ok && outcome.val.current) followed.updateCopy(outcome.val.current)
+    const result = await platform.compareAndSwap(swap, timeoutMs)
+    if (result.ok && result.val.current) followed.updateCopy(result.val.current)
   }
 
-  const noteHeld = (name: string) => {
+  const updateHeld = (name: string) => {
     const isHeld = holds(name)
     if (isHeld === held.has(name)) return
     if (isHeld) held.add(name)
@@ -107,24 +107,24 @@
     onChange(name, isHeld)
   }
 
-  const check = async (name: string) => {
-    noteHeld(name)
+  const checkLease = async (name: string) => {
+    updateHeld(name)
     if (holderOf(name) !== undefined) {
       freeSinceMs.delete(name)
       return
     }
     const sinceMs = freeSinceMs.get(name) ?? monotonicMs()
     freeSinceMs.set(name, sinceMs)
-    if (monotonicMs() - sinceMs < delayFor(name)) return
+    if (monotonicMs() - sinceMs < acquireDelayMs(name)) return
     if (monotonicMs() >= validUntilMs) await renewOnce()
-    if (monotonicMs() < validUntilMs) await tryFor(name)
-    noteHeld(name)
+    if (monotonicMs() < validUntilMs) await tryAcquire(name)
+    updateHeld(name)
   }
 
   const checkContinuously = async () => {
     for await (const _ of ticks(checkIntervalMs, stopping.signal)) {
       if (!followed.isSynced()) continue
-      await Promise.all(options.leaseNames().map(check))
+      await Promise.all(options.leaseNames().map(checkLease))
     }
   }
 
--- a/packages/steward/src/coordination/stop-confirming.ts
+++ b/packages/steward/src/coordination/stop-confirming.ts
@@ -10,7 +10,7 @@
 
 const retryDelayMs = 100
 
-const createEvent = () => {
+const createFlag = () => {
   let raise = () => {}
   const raised = new Promise<true>(resolve => {
     raise = () => resolve(true)
@@ -30,24 +30,24 @@
   request: StopRequest,
   signal: AbortSignal
 ): Promise<boolean> => {
-  const { calls, timeouts: times } = task
+  const { calls, timeouts } = task
   const acknowledged = new Set<string>()
-  const majority = createEvent()
-  const all = createEvent()
+  const majorityAcknowledged = createFlag()
+  const allAcknowledged = createFlag()
   const finished = new AbortController()
-  const until = combineSignals(signal, finished.signal)
+  const waitSignal = combineSignals(signal, finished.signal)
 
   const acknowledge = (entry: RosterMember) => {
     acknowledged.add(entry.name)
-    if (acknowledged.size >= majorityOf(roster.members.length)) majority.raise()
+    if (acknowledged.size >= majorityOf(roster.members.length)) majorityAcknowledged.raise()
     // An entry that left the roster recently gets no request and may still be in contact.
-    if (acknowledged.size === roster.members.length && calls.isRosterStable(roster)) all.raise()
+    if (acknowledged.size === roster.members.length && calls.isRosterStable(roster)) allAcknowledged.raise()
   }
 
   const stopUntilAcknowledged = async (entry: RosterMember) => {
-    while (!until.aborted) {
+    while (!waitSignal.aborted) {
       if (await calls.entries.stopConfirming(entry, request)) return acknowledge(entry)
-      await calls.sleepMs(retryDelayMs, until)
+      await calls.sleepMs(retryDelayMs, waitSignal)
     }
   }
 
@@ -55,11 +55,11 @@
     signal.addEventListener('abort', () => resolve(false), { once: true })
   })
   for (const entry of roster.members) stopUntilAcknowledged(entry)
-  const waitForSilentOnes = async () => {
-    await majority.raised
-    return calls.sleepMs(times.contactExpiryMs, until)
+  const waitForContactExpiry = async () => {
+    await majorityAcknowledged.raised
+    return calls.sleepMs(timeouts.contactExpiryMs, waitSignal)
   }
-  const stopped = await Promise.race([all.raised, waitForSilentOnes(), aborted])
+  const isStopped = await Promise.race([allAcknowledged.raised, waitForContactExpiry(), aborted])
   finished.abort()
-  return stopped
+  return isStopped
 }
--- a/packages/steward/src/coordination/successor.ts
+++ b/packages/steward/src/coordination/successor.ts
@@ -32,12 +32,12 @@
   members: PromotionMember[],
   states: MemberStates,
   primary: MemberState,
-  maxGapEntries: number
+  maxLagEntries: number
 ): string[] => members
   .filter(member => member.canRemainPrimary && member.name !== primary.name)
   .filter(member => {
     const state = states.get(member.name)
-    return state?.term === primary.term && state.receivedPosition >= primary.receivedPosition - maxGapEntries
+    return state?.term === primary.term && state.receivedPosition >= primary.receivedPosition - maxLagEntries
   })
   .map(member => member.name)
 
@@ -49,18 +49,18 @@
  */
 export const waitForSuccessor = async (
   task: PromotionTask,
-  relieved: string,
+  outgoingPrimary: string,
   signal: AbortSignal
 ): Promise<void> => {
-  const { members, calls, timeouts: times } = task
+  const { members, calls, timeouts } = task
   let lastPosition: number | undefined
   for (let waitedMs = 0; waitedMs < catchUpTimeoutMs && !signal.aborted; waitedMs += pollIntervalMs) {
-    const states = await readMemberStates(members, times.memberTimeoutMs)
-    const primary = states.get(relieved)
+    const states = await readMemberStates(members, timeouts.memberTimeoutMs)
+    const primary = states.get(outgoingPrimary)
     if (!primary) return
     // A write that was in flight when the entries stopped may still arrive: wait until the position stops changing.
-    const isQuiet = primary.receivedPosition === lastPosition
-    if (isQuiet && readySuccessors(members, states, primary, 0).length > 0) return
+    const isUnchanged = primary.receivedPosition === lastPosition
+    if (isUnchanged && readySuccessors(members, states, primary, 0).length > 0) return
     lastPosition = primary.receivedPosition
     await calls.sleepMs(pollIntervalMs, signal)
   }
--- a/packages/steward/src/decisions.test.ts
+++ b/packages/steward/src/decisions.test.ts
@@ -22,9 +22,9 @@
 
 const sighting = (fields: Partial<Sighting>): Sighting =>
   ({ endpoint: 'a', reachable: true, ageMs: 10, term: 2, appliedPosition: 0, isPrimary: true, ...fields })
-const gone = [sighting({ reachable: false })]
+const unreachable = [sighting({ reachable: false })]
 const silentFor3s = [sighting({ ageMs: 3_000 })]
-const seen = [sighting({})]
+const reachable = [sighting({})]
 
 const detectionCases: Array<{
   title: string
@@ -33,23 +33,23 @@
   entries: Array<Sighting[] | undefined>
   isGone: boolean
 }> = [
-  { title: 'all entries report it as unreachable', entries: [gone, gone, silentFor3s], isGone: true },
-  { title: 'most entries report it as unreachable', entries: [gone, gone, seen], isGone: true },
-  { title: 'only one entry reports it as unreachable', entries: [gone, seen, seen], isGone: false },
-  { title: 'half of the replying entries report it', entries: [gone, seen, undefined], isGone: false },
+  { title: 'all entries report it as unreachable', entries: [unreachable, unreachable, silentFor3s], isGone: true },
+  { title: 'most entries report it as unreachable', entries: [unreachable, unreachable, reachable], isGone: true },
+  { title: 'only one entry reports it as unreachable', entries: [unreachable, reachable, reachable], isGone: false },
+  { title: 'half of the replying entries report it', entries: [unreachable, reachable, undefined], isGone: false },
   { title: 'no entry replies', entries: [undefined, undefined, undefined], isGone: false },
-  { title: 'only a minority replies', entries: [gone, undefined, undefined], isGone: false },
+  { title: 'only a minority replies', entries: [unreachable, undefined, undefined], isGone: false },
   { title: 'no entry monitors it', entries: [[], [], []], isGone: false },
   {
     title: 'the member itself reports that it is not primary',
     suspicion: 'notLeading',
-    entries: [seen, seen, seen],
+    entries: [reachable, reachable, reachable],
     isGone: true
   },
   {
     title: 'the member is not primary, only a minority replies',
     suspicion: 'notLeading',
-    entries: [seen, undefined, undefined],
+    entries: [reachable, undefined, undefined],
     isGone: false
   }
 ]
@@ -119,19 +119,19 @@
   t.is(adoptedTerm(memberState([], 0), record.lineage), 0)
 })
 
-type RosterCase = { title: string, members: string[], listed: RosterMember[], gone?: string[], next?: string[] }
+type RosterCase = { title: string, members: string[], listed: RosterMember[], removed?: string[], next?: string[] }
 
 const rosterCases: RosterCase[] = [
   { title: 'no change in the VM list', members: ['x', 'y'], listed: [vm('x'), vm('y')] },
   { title: 'one VM at a time', members: ['x'], listed: [vm('x'), vm('y'), vm('z')], next: ['x:1', 'y:1'] },
   { title: 'a VM that is missing for less than the grace period stays', members: ['x', 'y'], listed: [vm('x')] },
-  { title: 'a VM missing for longer is removed', members: ['x', 'y'], listed: [vm('x')], gone: ['y'], next: ['x:1'] },
+  { title: 'a VM missing longer is removed', members: ['x', 'y'], listed: [vm('x')], removed: ['y'], next: ['x:1'] },
   { title: 'a VM with a new address', members: ['x', 'y'], listed: [vm('x'), vm('y', 'y:2')], next: ['x:1', 'y:2'] }
 ]
 
-for (const { title, members, listed, gone: isGone = [], next } of rosterCases) {
+for (const { title, members, listed, removed: removedNames = [], next } of rosterCases) {
   test(`roster: ${title}`, t => {
-    const change = nextRosterMembers(members.map(name => vm(name)), listed, name => isGone.includes(name))
+    const change = nextRosterMembers(members.map(name => vm(name)), listed, name => removedNames.includes(name))
     t.deepEqual(change?.map(member => member.address), next)
   })
 }
@@ -167,11 +167,12 @@
   const stopping = new AbortController()
   const known = new Map<string, StoredEntry>()
   const peers: EntryPeers = {
-    observe: async () => ({ knownRevision: isKnown ? Infinity : 0, starting: false, sightings: [], silentPeers: [] }),
+    observe: async () =>
+      ({ knownRevision: isRevisionKnown ? Infinity : 0, starting: false, sightings: [], silentPeers: [] }),
     stopConfirming: async () => false
   }
-  let isKnown = false
-  const keeping = manageRoster({
+  let isRevisionKnown = false
+  const managing = manageRoster({
     platform: fleet.platform,
     entries: peers,
     roster: () => decodeRoster(known.get(storeKeys.roster), silentLogger),
@@ -186,15 +187,15 @@
     signal: stopping.signal
   })
   await eventually('first roster', async () => (await fleet.roster()).length === 3)
-  const missingMs = monotonicMs()
+  const removedAtMs = monotonicMs()
   await fleet.setVms([], ['vm-2', 'vm-3'])
   await sleepMs(500)
   t.is((await fleet.roster()).length, 3)
-  isKnown = true
+  isRevisionKnown = true
   await eventually('both are removed', async () => (await fleet.roster()).join() === 'vm-1')
-  t.true(monotonicMs() - missingMs >= 300)
+  t.true(monotonicMs() - removedAtMs >= 300)
   const stored = known.get(storeKeys.roster)!
   t.is(decodeRecord(stored.key, stored.value, rosterSchema).unwrap().version, 3)
   stopping.abort()
-  await keeping
+  await managing
 })
--- a/packages/steward/src/failover.test.ts
+++ b/packages/steward/src/failover.test.ts
@@ -55,33 +55,33 @@
   t.teardown(fleet.close)
   await fleet.addSteward('vm-1')
   await fleet.untilServing(1)
-  const [, , beside] = fleet.entries
+  const [, , isolatedEntry] = fleet.entries
   const kept = await writeUntilConfirmed(fleet, 'put k before')
   let isReplaced = false
   const confirmedLate: string[] = []
-  const taken: string[] = []
-  const writeOn = async () => {
+  const attempted: string[] = []
+  const writeContinuously = async () => {
     for (let count = 0; !isReplaced || count < 20; count++) {
       const statement = `put k cut-off-${count}`
       const wasReplaced = (await fleet.group())?.term !== 1 && (await fleet.group())?.phase === 'active'
-      if (await beside.write('core', statement, 'PRIMARY') && wasReplaced) confirmedLate.push(statement)
-      taken.push(statement)
+      if (await isolatedEntry.write('core', statement, 'PRIMARY') && wasReplaced) confirmedLate.push(statement)
+      attempted.push(statement)
       await sleepMs(5)
     }
   }
   fleet.members.get('core-a')!.link.setFault({ cut: true })
-  beside.cutOff(true)
-  const writing = writeOn()
+  isolatedEntry.cutOff(true)
+  const writing = writeContinuously()
   await fleet.untilServing(2)
   isReplaced = true
   const added = await writeUntilConfirmed(fleet, 'put k after')
   await writing
   t.deepEqual(confirmedLate, [])
-  t.true((await fleet.logOf('core-a')).some(statement => taken.includes(statement)))
+  t.true((await fleet.logOf('core-a')).some(statement => attempted.includes(statement)))
 
   fleet.members.get('core-a')!.link.setFault({ cut: false })
   await assertReplicatedEverywhere(fleet, ['core-a', 'core-b', 'core-c'], [kept, added])
-  t.false((await fleet.logOf('core-a')).some(statement => taken.includes(statement)))
+  t.false((await fleet.logOf('core-a')).some(statement => attempted.includes(statement)))
 })
 
 for (const cause of ['data centre out', 'endpoint leaving']) {
@@ -95,7 +95,7 @@
     let isOver = false
     let lastMs = monotonicMs()
     let longestGapMs = 0
-    const writeOn = async () => {
+    const writeContinuously = async () => {
       for (let count = 0; !isOver; count++) {
         const statement = `put k ${count}`
         if (!await fleet.entries[0].write('core', statement, 'PRIMARY')) {
@@ -109,7 +109,7 @@
     }
     await sleepMs(contactTtlMs + 200)
     lastMs = monotonicMs()
-    const writing = writeOn()
+    const writing = writeContinuously()
     await sleepMs(200)
     if (cause === 'endpoint leaving') await fleet.setVms(['core-a'])
     else await fleet.configure(['north'])
--- a/packages/steward/src/metrics.ts
+++ b/packages/steward/src/metrics.ts
@@ -11,7 +11,7 @@
   /** `gapMs`: time since the steward first observed that the group had no leading primary. */
   recordPromotion: (group: string, cause: string, gapMs: number) => void
   recordFailedPromotion: (group: string, reason: string) => void
-  setLeaseHeld: (name: string, held: boolean) => void
+  setLeaseHeld: (name: string, isHeld: boolean) => void
   setRosterSize: (members: number) => void
 }
 
@@ -41,7 +41,7 @@
       gaps.observe({ group }, gapMs / 1000)
     },
     recordFailedPromotion: (group, reason) => promotions.inc({ group, outcome: reason }),
-    setLeaseHeld: (name, held) => leases.set({ lease: name }, held ? 1 : 0),
+    setLeaseHeld: (name, isHeld) => leases.set({ lease: name }, isHeld ? 1 : 0),
     setRosterSize: members => roster.set(members)
   }
 }
--- a/packages/steward/src/model-explorer.ts
+++ b/packages/steward/src/model-explorer.ts
@@ -28,91 +28,91 @@
 
 /** Drains the microtask queue, so that each steward runs until it waits for its next call. */
 const drainMicrotasks = async () => {
-  for (let turn = 0; turn < microtaskRounds; turn++) await Promise.resolve()
+  for (let round = 0; round < microtaskRounds; round++) await Promise.resolve()
 }
 
-const runSteward = async (world: ModelFleet, steward: number, attempts: number, signal: AbortSignal) => {
-  const calls = world.callsOf(steward)
+const runSteward = async (fleet: ModelFleet, steward: number, attempts: number, signal: AbortSignal) => {
+  const calls = fleet.callsOf(steward)
   for (let attempt = 0; attempt < attempts; attempt++) {
-    const seen = await calls.readGroup()
-    if (!seen.ok || !seen.val.value) continue
+    const stored = await calls.readGroup()
+    if (!stored.ok || !stored.val.value) continue
     const promotion = await promote({
       group: 'core',
-      members: world.membersOf(steward),
+      members: fleet.membersOf(steward),
       calls,
       timeouts: { contactExpiryMs: modelContactExpiryMs, memberTimeoutMs: 1, attemptTimeoutMs: modelAttemptTimeoutMs },
       signal
-    }, seen.val)
+    }, stored.val)
     if (promotion.ok) return
   }
 }
 
 type SchedulePosition = { actor: string | undefined, switches: number }
 
-const isSwitch = (position: SchedulePosition, action: Action, options: Action[]): boolean =>
-  position.actor !== undefined && action.actor !== position.actor &&
-  options.some(option => option.actor === position.actor && !option.isFault)
+const isSwitch = (schedule: SchedulePosition, action: Action, options: Action[]): boolean =>
+  schedule.actor !== undefined && action.actor !== schedule.actor &&
+  options.some(option => option.actor === schedule.actor && !option.isFault)
 
 /** Explores a scenario until a violation is found, all paths are explored or a bound is reached. */
 export const explore = async (scenario: Scenario, bounds: ExplorationBounds): Promise<ExplorationResult> => {
   const visited = new Map<string, number>()
   /** Paths to run, indexed by their number of switches. Paths with fewer switches run first. */
-  const waiting: number[][][] = Array.from({ length: bounds.maxSwitches + 1 }, () => [])
-  waiting[0].push([])
+  const pendingPaths: number[][][] = Array.from({ length: bounds.maxSwitches + 1 }, () => [])
+  pendingPaths[0].push([])
   const activeTerms = new Set<number>()
   let runs = 0
   let violation: string | undefined
   let violatingPath: string[] = []
 
   /** Records the state; true if it is new or was reached only with more switches before. */
-  const isNew = (world: ModelFleet, position: SchedulePosition): boolean => {
-    const key = createHash('md5').update(`${position.actor}${world.stateKey()}`).digest('base64')
-    const fewest = visited.get(key)
-    if (fewest !== undefined && fewest <= position.switches) return false
-    visited.set(key, position.switches)
+  const isNew = (fleet: ModelFleet, schedule: SchedulePosition): boolean => {
+    const key = createHash('md5').update(`${schedule.actor}${fleet.stateKey()}`).digest('base64')
+    const fewestSwitches = visited.get(key)
+    if (fewestSwitches !== undefined && fewestSwitches <= schedule.switches) return false
+    visited.set(key, schedule.switches)
     return true
   }
 
   const runPath = async (prefix: number[]) => {
-    const ending = new AbortController()
-    const world = createModelFleet(scenario)
+    const runAbort = new AbortController()
+    const fleet = createModelFleet(scenario)
     for (const steward of scenario.reachableMembers.keys()) {
-      runSteward(world, steward, bounds.attemptsPerSteward, ending.signal)
+      runSteward(fleet, steward, bounds.attemptsPerSteward, runAbort.signal)
     }
-    const taken: number[] = []
+    const choices: number[] = []
     const names: string[] = []
-    let position: SchedulePosition = { actor: undefined, switches: 0 }
-    while (taken.length < bounds.maxSteps) {
+    let schedule: SchedulePosition = { actor: undefined, switches: 0 }
+    while (choices.length < bounds.maxSteps) {
       await drainMicrotasks()
-      const all = world.actions()
-      const cost = (action: Action) => position.switches + Number(isSwitch(position, action, all))
-      const options = all.filter(action => cost(action) <= bounds.maxSwitches)
+      const actions = fleet.actions()
+      const cost = (action: Action) => schedule.switches + Number(isSwitch(schedule, action, actions))
+      const options = actions.filter(action => cost(action) <= bounds.maxSwitches)
       if (options.length === 0) break
-      const isReplay = taken.length < prefix.length
-      if (!isReplay && !isNew(world, position)) break
+      const isReplay = choices.length < prefix.length
+      if (!isReplay && !isNew(fleet, schedule)) break
       // Actions that cause no switch come first.
       options.sort((left, right) => cost(left) - cost(right))
       if (!isReplay) {
-        options.forEach((option, index) => index > 0 && waiting[cost(option)].push([...taken, index]))
+        options.forEach((option, index) => index > 0 && pendingPaths[cost(option)].push([...choices, index]))
       }
-      const action = options[isReplay ? prefix[taken.length] : 0]
-      position = { actor: action.actor, switches: cost(action) }
-      taken.push(options.indexOf(action))
+      const action = options[isReplay ? prefix[choices.length] : 0]
+      schedule = { actor: action.actor, switches: cost(action) }
+      choices.push(options.indexOf(action))
       names.push(action.name)
-      world.run(action)
-      if (world.violation()) break
+      fleet.run(action)
+      if (fleet.violation()) break
     }
-    for (const start of world.readStored().value.lineage) activeTerms.add(start.term)
-    if (world.violation()) [violation, violatingPath] = [world.violation(), names]
-    ending.abort()
+    for (const termStart of fleet.readStored().value.lineage) activeTerms.add(termStart.term)
+    if (fleet.violation()) [violation, violatingPath] = [fleet.violation(), names]
+    runAbort.abort()
   }
 
-  const nextPath = () => waiting.find(paths => paths.length > 0)?.pop()
+  const nextPath = () => pendingPaths.find(paths => paths.length > 0)?.pop()
   for (let path = nextPath(); path && runs < bounds.maxRuns && !violation; path = nextPath()) {
     runs++
     await runPath(path)
   }
-  const isComplete = waiting.every(paths => paths.length === 0)
+  const isComplete = pendingPaths.every(paths => paths.length === 0)
   const terms = [...activeTerms].sort()
   return { runs, states: visited.size, isComplete, activeTerms: terms, violation, path: violatingPath }
 }
--- a/packages/steward/src/model-member.ts
+++ b/packages/steward/src/model-member.ts
@@ -51,23 +51,23 @@
   leaving: false
 })
 
-const answer = (member: ModelMember, accepted: boolean): ControlAnswer =>
+const controlAnswer = (member: ModelMember, accepted: boolean): ControlAnswer =>
   ({ accepted, reason: accepted ? '' : 'term', state: memberStateOf(member) })
 
 /** Fences the member at a term. */
 export const fenceModelMember = (member: ModelMember, term: number, checksTerms: boolean): ControlAnswer => {
-  if (checksTerms && term < member.fencedTerm) return answer(member, false)
+  if (checksTerms && term < member.fencedTerm) return controlAnswer(member, false)
   member.fencedTerm = term
-  return answer(member, true)
+  return controlAnswer(member, true)
 }
 
 /** Promotes the member to primary of a term. */
 export const promoteModelMember = (member: ModelMember, term: number, checksTerms: boolean): ControlAnswer => {
-  if (member.isPrimary && member.term === term) return answer(member, true)
-  if (checksTerms && (term < member.fencedTerm || term <= member.term)) return answer(member, false)
+  if (member.isPrimary && member.term === term) return controlAnswer(member, true)
+  if (checksTerms && (term < member.fencedTerm || term <= member.term)) return controlAnswer(member, false)
   Object.assign(member, { term, fencedTerm: term, isPrimary: true, acks: {} })
   member.lineage = [...member.lineage.filter(start => start.term < term), { term, startPosition: member.log.length }]
-  return answer(member, true)
+  return controlAnswer(member, true)
 }
 
 /** Makes the member follow a primary in a term. */
@@ -77,10 +77,10 @@
   primary: string,
   checksTerms: boolean
 ): ControlAnswer => {
-  if (checksTerms && (term < member.fencedTerm || term < member.term)) return answer(member, false)
-  if (member.isPrimary && term === member.term) return answer(member, false)
+  if (checksTerms && (term < member.fencedTerm || term < member.term)) return controlAnswer(member, false)
+  if (member.isPrimary && term === member.term) return controlAnswer(member, false)
   Object.assign(member, { term, isPrimary: false, upstream: primary })
-  return answer(member, true)
+  return controlAnswer(member, true)
 }
 
 /** True if replication from the primary would change the state of the member or the primary. */
@@ -95,8 +95,8 @@
   if (!canReplicate(member, primary)) return
   const lastTerm = member.log.at(-1)?.term ?? 0
   const nextStart = primary.lineage.find(start => start.term > lastTerm)
-  const kept = Math.min(member.log.length, nextStart?.startPosition ?? primary.log.length)
-  member.log = [...member.log.slice(0, kept), ...primary.log.slice(kept)]
+  const retainedCount = Math.min(member.log.length, nextStart?.startPosition ?? primary.log.length)
+  member.log = [...member.log.slice(0, retainedCount), ...primary.log.slice(retainedCount)]
   member.lineage = [...primary.lineage]
   primary.acks[member.name] = member.log.length
 }
--- a/packages/steward/src/model-world.ts
+++ b/packages/steward/src/model-world.ts
@@ -52,8 +52,8 @@
 
 /** Creates the modelled fleet of one run. */
 export const createModelFleet = (scenario: Scenario) => {
-  const { defect: breakage } = scenario
-  const checksTerms = breakage !== 'noTermCheck'
+  const { defect } = scenario
+  const checksTerms = defect !== 'noTermCheck'
   const firstRecord: GroupRecord = {
     term: 1, primary: 'a', phase: 'active', lineage: [{ term: 1, startPosition: 0 }]
   }
@@ -62,34 +62,39 @@
     ({ known: firstRecord, stoppedBelowTerm: 0, hasContact: true, refreshedAtStep: 0 }))
   const stored = { value: firstRecord, revision: 1 }
   const writes: ModelWrite[] = []
-  const confirmed: ModelWrite[] = []
+  const confirmedWrites: ModelWrite[] = []
   const history: string[][] = scenario.reachableMembers.map(() => [])
   let pending: PendingCall[] = []
   let violation: string | undefined
   let faults = 0
   let stepCount = 0
 
-  const assert = (holds: boolean, message: string) => {
+  const assertInvariant = (holds: boolean, message: string) => {
     if (!holds) violation ??= message
   }
 
-  /** Adds a pending call. When the explorer runs it, `act` is executed and its result is the reply. */
-  const call = <Reply>(steward: number, name: string, act: () => Reply, lost?: () => Reply): Promise<Reply> =>
-    new Promise(resolve => {
-      const settle = (reply: Reply, note: string) => {
-        history[steward].push(`${name}=${note}`)
-        resolve(reply)
-      }
-      const succeed = () => {
-        const reply = act()
-        settle(reply, JSON.stringify(reply))
-      }
-      const fail = lost && ((hasEffect: boolean) => {
-        if (hasEffect) act()
-        settle(lost(), 'lost')
+  /** Adds a pending call. When the explorer runs it, the result of `execute` becomes the reply. */
+  const enqueueCall = <Reply>(
+    steward: number,
+    name: string,
+    execute: () => Reply,
+    lostReply?: () => Reply
+  ): Promise<Reply> =>
+      new Promise(resolve => {
+        const completeCall = (reply: Reply, result: string) => {
+          history[steward].push(`${name}=${result}`)
+          resolve(reply)
+        }
+        const succeed = () => {
+          const reply = execute()
+          completeCall(reply, JSON.stringify(reply))
+        }
+        const fail = lostReply && ((hasEffect: boolean) => {
+          if (hasEffect) execute()
+          completeCall(lostReply(), 'lost')
+        })
+        pending.push({ name, steward, isTimeout: false, complete: succeed, fail })
       })
-      pending.push({ name, steward, isTimeout: false, complete: succeed, fail })
-    })
 
   const loseContact = (sinceStep: number) => {
     for (const entry of entries) if (entry.refreshedAtStep < sinceStep) entry.hasContact = false
@@ -97,13 +102,14 @@
 
   const sleepMs = (steward: number) => (ms: number, signal?: AbortSignal): Promise<boolean> => new Promise(resolve => {
     if (signal?.aborted) return resolve(false)
-    const begunAt = stepCount
-    const act = () => {
+    const startedAtStep = stepCount
+    const expire = () => {
       history[steward].push(`sleep${ms}`)
-      if (ms === modelContactExpiryMs) loseContact(begunAt)
+      if (ms === modelContactExpiryMs) loseContact(startedAtStep)
       resolve(true)
     }
-    const sleep: PendingCall = { name: `sleep${ms}`, steward, isTimeout: ms === modelAttemptTimeoutMs, complete: act }
+    const sleep: PendingCall =
+      { name: `sleep${ms}`, steward, isTimeout: ms === modelAttemptTimeoutMs, complete: expire }
     pending.push(sleep)
     signal?.addEventListener('abort', () => {
       pending = pending.filter(other => other !== sleep)
@@ -113,64 +119,66 @@
 
   const checkActive = (record: GroupRecord) => {
     const { log, term } = members.get(record.primary)!
-    assert(term >= record.term, `term ${record.term} is active but its primary is in term ${term}`)
-    for (const write of confirmed) {
-      assert(log.some(entry => entry.id === write.id), `confirmed ${write.id} is not in term ${record.term}`)
+    assertInvariant(term >= record.term, `term ${record.term} is active but its primary is in term ${term}`)
+    for (const write of confirmedWrites) {
+      assertInvariant(log.some(entry => entry.id === write.id), `confirmed ${write.id} is not in term ${record.term}`)
     }
     for (const [index, entry] of log.entries()) {
       const dropped = record.lineage.find(start => start.term > entry.term && start.startPosition <= index)
-      assert(!dropped, `${entry.id} was dropped in term ${dropped?.term} and is back in term ${record.term}`)
+      assertInvariant(!dropped, `${entry.id} was dropped in term ${dropped?.term} and is back in term ${record.term}`)
     }
   }
 
   const swapGroup = (expectedRevision: number, record: GroupRecord) => {
-    const mayStore = expectedRevision === stored.revision || breakage === 'noRevisionCheck'
-    if (mayStore) {
-      assert(record.term >= stored.value.term, `the record went back to term ${record.term}`)
+    const isAccepted = expectedRevision === stored.revision || defect === 'noRevisionCheck'
+    if (isAccepted) {
+      assertInvariant(record.term >= stored.value.term, `the record went back to term ${record.term}`)
       stored.value = record
       stored.revision++
       if (record.phase === 'active') checkActive(record)
     }
-    return Ok({ swapped: mayStore, current: { ...stored } })
+    return Ok({ swapped: isAccepted, current: { ...stored } })
   }
 
   const controlOf = (steward: number, name: string): GroupMember => {
     const member = members.get(name)!
-    const isReached = scenario.reachableMembers[steward].includes(name)
+    const isReachable = scenario.reachableMembers[steward].includes(name)
     // A member that the steward cannot reach never replies.
-    const ask = <Reply>(what: string, act: () => Reply) =>
-      isReached ? call(steward, `${what} ${name}`, () => Ok(act()), noAnswer as never) : new Promise<never>(() => {})
+    const callMember = <Reply>(operation: string, execute: () => Reply) =>
+      isReachable
+        ? enqueueCall(steward, `${operation} ${name}`, () => Ok(execute()), noAnswer as never)
+        : new Promise<never>(() => {})
     const fence = (term: number) => {
-      if (breakage === 'fenceHasNoEffect') return fenceModelMember({ ...member }, term, true)
+      if (defect === 'fenceHasNoEffect') return fenceModelMember({ ...member }, term, true)
       return fenceModelMember(member, term, checksTerms)
     }
     const follow = (term: number, primary: string) => {
-      const answer = followModelMember(member, term, primary, checksTerms)
-      if (breakage !== 'noAdoption') replicateModelMember(member, members.get(primary)!)
-      const lineage = breakage === 'noAdoption' ? members.get(primary)!.lineage : member.lineage
-      const receivedPosition = breakage === 'noAdoption' ? Infinity : member.log.length
-      return { ...answer, state: { ...answer.state, lineage: [...lineage], receivedPosition } }
+      const reply = followModelMember(member, term, primary, checksTerms)
+      if (defect !== 'noAdoption') replicateModelMember(member, members.get(primary)!)
+      const lineage = defect === 'noAdoption' ? members.get(primary)!.lineage : member.lineage
+      const receivedPosition = defect === 'noAdoption' ? Infinity : member.log.length
+      return { ...reply, state: { ...reply.state, lineage: [...lineage], receivedPosition } }
     }
     return {
       getStatus: () => new Promise(() => {}),
-      fence: term => ask(`fence${term}`, () => fence(term)),
-      promote: term => ask(`promote${term}`, () => promoteModelMember(member, term, checksTerms)),
-      follow: (term, primary) => ask(`follow${term}`, () => follow(term, primary.name)),
+      fence: term => callMember(`fence${term}`, () => fence(term)),
+      promote: term => callMember(`promote${term}`, () => promoteModelMember(member, term, checksTerms)),
+      follow: (term, primary) => callMember(`follow${term}`, () => follow(term, primary.name)),
       close: () => {}
     } as GroupMember
   }
 
   const stopConfirming = (index: number, term: number): boolean => {
     const entry = entries[index]
-    if (breakage !== 'stopHasNoEffect') entry.stoppedBelowTerm = Math.max(entry.stoppedBelowTerm, term)
+    if (defect !== 'stopHasNoEffect') entry.stoppedBelowTerm = Math.max(entry.stoppedBelowTerm, term)
     return true
   }
 
   /** Promotion calls of one steward. */
   const callsOf = (steward: number): PromotionCalls => ({
-    readGroup: () => call(steward, 'read', () => Ok<StoredGroup>({ ...stored }), noAnswer as never),
+    readGroup: () => enqueueCall(steward, 'read', () => Ok<StoredGroup>({ ...stored }), noAnswer as never),
     swapGroup: (revision, record) =>
-      call(steward, `swap${record.term}${record.phase}`, () => swapGroup(revision, record), noAnswer as never),
+      enqueueCall(steward, `swap${record.term}${record.phase}`, () => swapGroup(revision, record), noAnswer as never),
     readRoster: async () => Ok({
       version: 1, members: entries.map((_, index) => ({ name: String(index), address: '-', dataCentre: 'north' }))
     }),
@@ -178,7 +186,7 @@
     entries: {
       observe: async () => undefined,
       stopConfirming: ({ name }, { term }) =>
-        call(steward, `stop${term} ${name}`, () => stopConfirming(Number(name), term), () => false)
+        enqueueCall(steward, `stop${term} ${name}`, () => stopConfirming(Number(name), term), () => false)
     },
     sleepMs: sleepMs(steward)
   })
@@ -195,10 +203,10 @@
     const entry = entries[write.entry]
     const isActive = entry.known.phase === 'active' && entry.known.term === write.term
     if (!isActive || write.term < entry.stoppedBelowTerm || !entry.hasContact) return
-    confirmed.push(write)
+    confirmedWrites.push(write)
     const activeTerm = stored.value.lineage.at(-1)!.term
     const message = `${write.id} of term ${write.term} is confirmed while term ${activeTerm} is active`
-    assert(activeTerm <= write.term, message)
+    assertInvariant(activeTerm <= write.term, message)
     if (stored.value.phase === 'active') checkActive(stored.value)
   }
 
@@ -218,7 +226,7 @@
     members.get(known.primary)!.log.push({ term: known.term, id: write.id })
   }
 
-  const maySend = (entry: ModelEntry): boolean => {
+  const canSend = (entry: ModelEntry): boolean => {
     const primary = members.get(entry.known.primary)
     return writes.length < scenario.maxWrites && entry.known.phase === 'active' && entry.hasContact &&
       primary !== undefined && canWrite(primary) && primary.term === entry.known.term
@@ -237,7 +245,7 @@
         .map(write => action(`confirm ${write.id}`, () => confirm(write))),
       ...writes.filter(write => write.phase === 'sent' && isHeldByMajority(write))
         .map(write => action(`answer ${write.id}`, () => { write.phase = 'answered' })),
-      ...entries.flatMap((entry, index) => maySend(entry) ? [action(`send ${index}`, () => send(index))] : []),
+      ...entries.flatMap((entry, index) => canSend(entry) ? [action(`send ${index}`, () => send(index))] : []),
       ...entries.flatMap((entry, index) =>
         entry.known !== stored.value ? [action(`refresh ${index}`, () => refresh(entry))] : []),
       ...[...members.values()].flatMap(member => {
@@ -248,18 +256,23 @@
     ]
   }
 
-  const stewardActions = (): Action[] => pending.flatMap(one => {
-    const take = () => {
-      pending = pending.filter(other => other !== one)
+  const stewardActions = (): Action[] => pending.flatMap(pendingCall => {
+    const remove = () => {
+      pending = pending.filter(other => other !== pendingCall)
     }
-    const action = (name: string, isFault: boolean, act: () => void): Action =>
-      ({ actor: `steward ${one.steward}`, name: `${one.steward}:${name}`, isFault, run: () => { take(); act() } })
-    const regular = action(one.name, one.isTimeout, one.complete)
-    if (!one.fail) return [regular]
+    const action = (name: string, isFault: boolean, execute: () => void): Action =>
+      ({
+        actor: `steward ${pendingCall.steward}`,
+        name: `${pendingCall.steward}:${name}`,
+        isFault,
+        run: () => { remove(); execute() }
+      })
+    const regular = action(pendingCall.name, pendingCall.isTimeout, pendingCall.complete)
+    if (!pendingCall.fail) return [regular]
     return [
       regular,
-      action(`${one.name} answer lost`, true, () => one.fail!(true)),
-      action(`${one.name} dropped`, true, () => one.fail!(false))
+      action(`${pendingCall.name} answer lost`, true, () => pendingCall.fail!(true)),
+      action(`${pendingCall.name} dropped`, true, () => pendingCall.fail!(false))
     ]
   })
 
@@ -272,8 +285,10 @@
     action.run()
     const primary = members.get(stored.value.primary)
     if (stored.value.phase !== 'active' || !primary) return
-    const isLed = primary.isPrimary && primary.term === stored.value.term
-    assert(isLed || primary.fencedTerm > stored.value.term, `the primary of term ${stored.value.term} was deposed`)
+    const isLeading = primary.isPrimary && primary.term === stored.value.term
+    assertInvariant(
+      isLeading || primary.fencedTerm > stored.value.term,
+      `the primary of term ${stored.value.term} was deposed`)
   }
 
   /** Key of the current state. Equal keys continue alike, because stewards do not depend on the order of replies. */
--- a/packages/steward/src/model.test.ts
+++ b/packages/steward/src/model.test.ts
@@ -48,19 +48,19 @@
   })
 }
 
-const broken: Array<{ breakage: Defect, reach?: string[][], violation: RegExp }> = [
-  { breakage: 'stopHasNoEffect', violation: /is confirmed while term \d is active/ },
-  { breakage: 'fenceHasNoEffect', violation: /confirmed w1 is not in term 2/ },
-  { breakage: 'noTermCheck', violation: /was deposed/ },
-  { breakage: 'noRevisionCheck', violation: /went back to term 2/ },
-  { breakage: 'noAdoption', reach: differentReach, violation: /was dropped in term 2 and is back in term 3/ }
+const broken: Array<{ defect: Defect, reachableMembers?: string[][], violation: RegExp }> = [
+  { defect: 'stopHasNoEffect', violation: /is confirmed while term \d is active/ },
+  { defect: 'fenceHasNoEffect', violation: /confirmed w1 is not in term 2/ },
+  { defect: 'noTermCheck', violation: /was deposed/ },
+  { defect: 'noRevisionCheck', violation: /went back to term 2/ },
+  { defect: 'noAdoption', reachableMembers: differentReach, violation: /was dropped in term 2 and is back in term 3/ }
 ]
 
-for (const { breakage, reach, violation } of broken) {
-  test.serial(`the model check detects the defect ${breakage}`, async t => {
+for (const { defect, reachableMembers, violation } of broken) {
+  test.serial(`the model check detects the defect ${defect}`, async t => {
     t.timeout(170_000)
     const found = await explore(
-      scenario({ defect: breakage, reachableMembers: reach ?? oldPrimaryCutOff }), bounds({ maxSwitches: 3 }))
+      scenario({ defect, reachableMembers: reachableMembers ?? oldPrimaryCutOff }), bounds({ maxSwitches: 3 }))
     t.regex(found.violation ?? 'nothing', violation)
   })
 }
--- a/packages/steward/src/start-steward.ts
+++ b/packages/steward/src/start-steward.ts
@@ -126,8 +126,8 @@
   const monitors = new Map<string, Promise<void>>()
   const startGroupMonitors = async () => {
     for await (const _ of ticks(groupCheckIntervalMs, signal)) {
-      const known = roster().value
-      if (known) rosterAge(known.version)
+      const currentRoster = roster().value
+      if (currentRoster) rosterAge(currentRoster.version)
       for (const group of groupNames()) if (!monitors.has(group)) monitors.set(group, startGroupMonitor(group))
     }
   }
--- a/packages/steward/src/test-entry.ts
+++ b/packages/steward/src/test-entry.ts
@@ -48,7 +48,7 @@
   const records = new Map<string, GroupRecord>()
   const stoppedBelow = new Map<string, number>()
   let knownRevision = 0
-  let confirmedMs = -Infinity
+  let lastContactMs = -Infinity
   let isCutOff = false
 
   const poll = async () => {
@@ -61,7 +61,7 @@
         if (record.ok) records.set(entry.key.slice(storeKeys.groupPrefix.length), record.val)
       }
       knownRevision = changes.val.storeRevision
-      confirmedMs = sentMs
+      lastContactMs = sentMs
     }
   }
 
@@ -70,18 +70,18 @@
     for await (const _ of ticks(pollMs, stopping.signal)) {
       const status = await control.getStatus(callTimeoutMs)
       if (status.ok) lastAnswerMs.set(name, monotonicMs())
-      const seen = status.ok ? status.val : undefined
+      const memberState = status.ok ? status.val : undefined
       sightings.set(name, {
-        endpoint: name, reachable: status.ok, term: seen?.term ?? 0, isPrimary: seen?.isPrimary ?? false
+        endpoint: name, reachable: status.ok, term: memberState?.term ?? 0, isPrimary: memberState?.isPrimary ?? false
       })
     }
   }
 
   const heartbeat = (_call: unknown, done: sendUnaryData<PeerMessages.HeartbeatMessage>) => {
     if (isCutOff) return
-    const seen = [...sightings.values()].map(sighting =>
+    const currentSightings = [...sightings.values()].map(sighting =>
       ({ ...sighting, ageMs: Math.round(monotonicMs() - lastAnswerMs.get(sighting.endpoint!)!) }))
-    done(null, { vm: options.name, knownRevision, sightings: seen })
+    done(null, { vm: options.name, knownRevision, sightings: currentSightings })
   }
 
   const stopConfirming = (
@@ -94,10 +94,10 @@
     done(null, { acknowledged: true, vm: options.name })
   }
 
-  const mayConfirm = (group: string, answerTerm: number): boolean => {
+  const canConfirm = (group: string, answerTerm: number): boolean => {
     const record = records.get(group)
     return record?.phase === 'active' && record.term === answerTerm &&
-      answerTerm >= (stoppedBelow.get(group) ?? 0) && monotonicMs() - confirmedMs < options.contactTtlMs
+      answerTerm >= (stoppedBelow.get(group) ?? 0) && monotonicMs() - lastContactMs < options.contactTtlMs
   }
 
   const execute = (address: string, group: string, request: TestWrite) =>
@@ -126,13 +126,13 @@
     const end = await execute(member.address, group, {
       statement: Buffer.from(statement), writes: true, expectedTerm: record.term, confirmation, timeoutMs: 500
     })
-    return end?.verdict === 'DONE' && mayConfirm(group, end.term)
+    return end?.verdict === 'DONE' && canConfirm(group, end.term)
   }
 
   const listener = await listenGrpc('127.0.0.1:0', { channels: loopbackChannels }, server => {
-    const missing = (_call: unknown, done: sendUnaryData<object>) => done({ code: 12 })
+    const unimplemented = (_call: unknown, done: sendUnaryData<object>) => done({ code: 12 })
     server.addService(peerProto.Peer.service, {
-      Heartbeat: heartbeat, StopConfirming: stopConfirming, FetchState: missing, Borrow: missing
+      Heartbeat: heartbeat, StopConfirming: stopConfirming, FetchState: unimplemented, Borrow: unimplemented
     })
   })
   const running = [poll(), ...members.map(watchMember)]
--- a/packages/steward/src/test-fleet.ts
+++ b/packages/steward/src/test-fleet.ts
@@ -29,15 +29,15 @@
 export const contactTtlMs = 600
 
 /** Polls until the condition holds; throws an error with its name after `withinMs`. */
-export const eventually = async (name: string, isSo: () => boolean | Promise<boolean>, withinMs = 15_000) => {
-  for (const endMs = monotonicMs() + withinMs; monotonicMs() < endMs; await sleepMs(20)) {
-    if (await isSo()) return
+export const eventually = async (name: string, condition: () => boolean | Promise<boolean>, timeoutMs = 15_000) => {
+  for (const deadlineMs = monotonicMs() + timeoutMs; monotonicMs() < deadlineMs; await sleepMs(20)) {
+    if (await condition()) return
   }
   throw new Error(`condition not met in time: ${name}`)
 }
 
-const hasSameActiveTerm = (known: GroupRecord | undefined, record: GroupRecord): boolean =>
-  known?.phase === 'active' && known.term === record.term
+const hasSameActiveTerm = (entryRecord: GroupRecord | undefined, record: GroupRecord): boolean =>
+  entryRecord?.phase === 'active' && entryRecord.term === record.term
 
 /** A running test fleet. */
 export type TestFleet = Awaited<ReturnType<typeof startTestFleet>>
@@ -70,7 +70,7 @@
  */
 export const startTestFleet = async (options: FleetOptions = {}) => {
   const { groups = ['core'], entryCount = 3, directEntries = 0 } = options
-  const closing: Array<() => Promise<void> | void> = []
+  const cleanups: Array<() => Promise<void> | void> = []
   const platformServer = await startStandinPlatform({ address: loopback, channels: loopbackChannels, seed: 1 })
   const platform = connectPlatform(platformServer.address, loopbackChannels)
   const control = connectGrpc(standinProto.PlatformControl, platformServer.address, loopbackChannels)
@@ -85,7 +85,7 @@
       const database = await startMember(group, name, first.name ? first : { name, address: loopback })
       const link = await startLink({ listen: loopback, control: loopback, target: database.address, delayMs: 0 })
       if (!first.name) first = { name, address: link.address }
-      closing.push(link.close, () => database.close())
+      cleanups.push(link.close, () => database.close())
       const control = connectMember(database.address, loopbackChannels)
       const linked = connectMember(link.address, loopbackChannels)
       started.push({ name, group, database, link, control, linked })
@@ -173,7 +173,7 @@
       closed ??= steward.close()
       return closed
     }
-    closing.push(close)
+    cleanups.push(close)
     return { close }
   }
 
@@ -225,7 +225,7 @@
   /** Runs one promotion attempt as a separate steward that needs no lease. */
   const promoteOnce = async (afterStep: PromotionTask['afterStep'], name = groups[0]) => {
     const entryPeers = createGrpcEntryPeers(loopbackChannels, 200)
-    closing.push(entryPeers.close)
+    cleanups.push(entryPeers.close)
     const calls = createPromotionCalls({
       group: name,
       platform,
@@ -235,20 +235,20 @@
       timeoutMs: 300,
       log: silentLogger
     })
-    const seen = await calls.readGroup()
-    if (!seen.ok) throw new Error('the platform did not reply')
-    const own = [...members.values()].filter(member => member.group === name).map(member => {
+    const stored = await calls.readGroup()
+    if (!stored.ok) throw new Error('the platform did not reply')
+    const groupMembers = [...members.values()].filter(member => member.group === name).map(member => {
       const control = connectMember(member.link.address, loopbackChannels)
-      closing.push(control.close)
+      cleanups.push(control.close)
       return { name: member.name, endpoint: endpointsOf(name)[member.name], control, canRemainPrimary: true }
     })
-    const times = { contactExpiryMs: contactTtlMs + 100, memberTimeoutMs: 200, attemptTimeoutMs: 60_000 }
+    const timeouts = { contactExpiryMs: contactTtlMs + 100, memberTimeoutMs: 200, attemptTimeoutMs: 60_000 }
     const { signal } = new AbortController()
-    return promote({ group: name, members: own, calls, timeouts: times, afterStep, signal }, seen.val)
+    return promote({ group: name, members: groupMembers, calls, timeouts, afterStep, signal }, stored.val)
   }
 
   const close = async () => {
-    await Promise.all(closing.reverse().map(end => end()))
+    await Promise.all(cleanups.reverse().map(end => end()))
     await Promise.all(entries.map(entry => entry.close()))
     for (const { control: direct, linked } of members.values()) [direct, linked].forEach(one => one.close())
     control.close()
