steward: file names in the usual terms

coordination/group-keeper.ts -> group-monitor.ts, coordination/roster-keeper.ts -> roster-manager.ts, coordination/shared-signal.ts -> combined-signal.ts, coordination/preference.ts -> lease-preference.ts, state/fleet-view.ts -> stored-records.ts (it has decoders of stored records, no view of the fleet), model-world.ts -> model-fleet.ts.

--- a/packages/steward/src/coordination/fence-members.ts
+++ b/packages/steward/src/coordination/fence-members.ts
@@ -5,7 +5,7 @@
 import type { FencedMember } from './most-advanced.js'
 import { majorityOf } from './promotion-calls.js'
 import type { PromotionMember, PromotionTask } from './promotion-calls.js'
-import { combineSignals } from './shared-signal.js'
+import { combineSignals } from './combined-signal.js'
 
 const retryDelayMs = 100
 /** How long to wait for the remaining members after a majority has been fenced. */
--- a/packages/steward/src/coordination/install-primary.ts
+++ b/packages/steward/src/coordination/install-primary.ts
@@ -6,7 +6,7 @@
 import { adoptedTerm } from './most-advanced.js'
 import { majorityOf } from './promotion-calls.js'
 import type { PromotionMember, PromotionTask } from './promotion-calls.js'
-import { combineSignals } from './shared-signal.js'
+import { combineSignals } from './combined-signal.js'
 
 const maxPromoteAttempts = 4
 const retryDelayMs = 50
--- a/packages/steward/src/coordination/promotion-calls.ts
+++ b/packages/steward/src/coordination/promotion-calls.ts
@@ -5,7 +5,7 @@
 import type { Result } from '@egretyoke/common'
 import type { EndpointConfig, GroupRecord, Roster } from '@egretyoke/config'
 import type { GroupMember, PlatformError } from '@egretyoke/fleet'
-import type { Stored } from '../state/fleet-view.js'
+import type { Stored } from '../state/stored-records.js'
 import type { EntryPeers } from './entry-peers.js'
 
 /** A group's record with its store revision. */
--- a/packages/steward/src/coordination/promotion.ts
+++ b/packages/steward/src/coordination/promotion.ts
@@ -12,7 +12,7 @@
 import { promoteMember, waitForMajorityAdoption } from './install-primary.js'
 import { byMostAdvanced } from './most-advanced.js'
 import type { PromotionStep, PromotionTask, StoredGroup } from './promotion-calls.js'
-import { combineSignals } from './shared-signal.js'
+import { combineSignals } from './combined-signal.js'
 import { stopConfirmingOnAllEntries } from './stop-confirming.js'
 import { waitForSuccessor } from './successor.js'
 
--- a/packages/steward/src/coordination/roster-keeper.ts
+++ b/packages/steward/src/coordination/roster-manager.ts
@@ -11,7 +11,7 @@
 import type { Platform, StoredEntry, VmListing } from '@egretyoke/fleet'
 import { events } from '../events.js'
 import type { StewardMetrics } from '../metrics.js'
-import type { Stored } from '../state/fleet-view.js'
+import type { Stored } from '../state/stored-records.js'
 import type { EntryPeers } from './entry-peers.js'
 import { majorityOf } from './promotion-calls.js'
 
--- a/packages/steward/src/coordination/roster-suspension.test.ts
+++ b/packages/steward/src/coordination/roster-suspension.test.ts
@@ -2,9 +2,9 @@
 import { Ok, silentLogger } from '@egretyoke/common'
 import { decodeRecord, rosterSchema } from '@egretyoke/config'
 import type { Roster, RosterMember } from '@egretyoke/config'
-import type { Stored } from '../state/fleet-view.js'
+import type { Stored } from '../state/stored-records.js'
 import type { EntryStatus } from './entry-peers.js'
-import { nextRosterMembers } from './roster-keeper.js'
+import { nextRosterMembers } from './roster-manager.js'
 import { manageSuspensions, nextSuspended, suspendAfterMs } from './roster-suspension.js'
 
 const member = (name: string, suspended = false): RosterMember =>
--- a/packages/steward/src/coordination/roster-suspension.ts
+++ b/packages/steward/src/coordination/roster-suspension.ts
@@ -12,7 +12,7 @@
 import type { Roster, RosterMember } from '@egretyoke/config'
 import type { Platform, StoredEntry } from '@egretyoke/fleet'
 import { events } from '../events.js'
-import type { Stored } from '../state/fleet-view.js'
+import type { Stored } from '../state/stored-records.js'
 import type { EntryPeers, EntryStatus } from './entry-peers.js'
 import { majorityOf } from './promotion-calls.js'
 
--- a/packages/steward/src/coordination/steward-leases.ts
+++ b/packages/steward/src/coordination/steward-leases.ts
@@ -8,7 +8,7 @@
 import { storeKeys } from '@egretyoke/config'
 import type { Platform } from '@egretyoke/fleet'
 import type { FollowedRecords } from './follow-records.js'
-import { preferenceRank } from './preference.js'
+import { preferenceRank } from './lease-preference.js'
 
 const checkIntervalMs = 100
 /** Added delay before an attempt to acquire a lease, for each rank in the group's order of preference. */
--- a/packages/steward/src/coordination/stop-confirming.ts
+++ b/packages/steward/src/coordination/stop-confirming.ts
@@ -6,7 +6,7 @@
 import type { StopRequest } from './entry-peers.js'
 import { majorityOf } from './promotion-calls.js'
 import type { PromotionTask } from './promotion-calls.js'
-import { combineSignals } from './shared-signal.js'
+import { combineSignals } from './combined-signal.js'
 
 const retryDelayMs = 100
 
--- a/packages/steward/src/model-explorer.ts
+++ b/packages/steward/src/model-explorer.ts
@@ -5,8 +5,8 @@
  */
 import { createHash } from 'node:crypto'
 import { promote } from './coordination/promotion.js'
-import { createModelFleet, modelAttemptTimeoutMs, modelContactExpiryMs } from './model-world.js'
-import type { Action, Scenario, ModelFleet } from './model-world.js'
+import { createModelFleet, modelAttemptTimeoutMs, modelContactExpiryMs } from './model-fleet.js'
+import type { Action, Scenario, ModelFleet } from './model-fleet.js'
 
 /** Bounds of an exploration. */
 export type ExplorationBounds = { maxSwitches: number, maxSteps: number, maxRuns: number, attemptsPerSteward: number }
--- a/packages/steward/src/model.test.ts
+++ b/packages/steward/src/model.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava'
 import { explore } from './model-explorer.js'
 import type { ExplorationBounds } from './model-explorer.js'
-import type { Defect, Scenario } from './model-world.js'
+import type { Defect, Scenario } from './model-fleet.js'
 
 // Without stack traces: capturing one on each abort of a signal would take a third of the exploration's time.
 Error.stackTraceLimit = 0
--- a/packages/steward/src/transport/platform-promotion-calls.ts
+++ b/packages/steward/src/transport/platform-promotion-calls.ts
@@ -7,7 +7,7 @@
 import type { Platform, StoredEntry } from '@egretyoke/fleet'
 import type { EntryPeers } from '../coordination/entry-peers.js'
 import type { PromotionCalls } from '../coordination/promotion-calls.js'
-import { decodeGroupRecord, decodeRoster } from '../state/fleet-view.js'
+import { decodeGroupRecord, decodeRoster } from '../state/stored-records.js'
 
 /** Dependencies of the promotion calls. */
 export type PromotionCallsOptions = {
