--- a/packages/steward/src/coordination/roster-manager.ts
+++ b/packages/steward/src/coordination/roster-manager.ts
@@ -48,7 +48,7 @@
 export const nextRosterMembers = (
   members: RosterMember[],
   listed: RosterMember[],
-  isRemoved: (name: string) => boolean
+  hasGraceExpired: (name: string) => boolean
 ): RosterMember[] | undefined => {
   const byName = new Map(listed.map(member => [member.name, member]))
   const relocated = members.find(member =>
@@ -59,7 +59,7 @@
   }
   const added = listed.find(member => !members.some(other => other.name === member.name))
   if (added) return [...members, added]
-  const removed = members.find(member => !byName.has(member.name) && isRemoved(member.name))
+  const removed = members.find(member => !byName.has(member.name) && hasGraceExpired(member.name))
   return removed && members.filter(member => member !== removed)
 }
 
--- a/packages/steward/src/coordination/roster-suspension.test.ts
+++ b/packages/steward/src/coordination/roster-suspension.test.ts
@@ -19,68 +19,68 @@
 const createTestRoster = (names: string[]) => {
   const roster: Stored<Roster | undefined> =
     { value: { version: 1, members: names.map(name => member(name)) }, revision: 7 }
-  const dead = new Set<string>()
-  const world = { roster, dead, swaps: 0, nowMs: 0, holdsLease: true }
+  const unresponsive = new Set<string>()
+  const state = { roster, unresponsive, swaps: 0, nowMs: 0, holdsLease: true }
   const stop = new AbortController()
   const run = (untilMs: number) => manageSuspensions({
     platform: {
       compareAndSwap: async ({ key, value, expectedRevision }) => {
-        const { revision: storeRevision } = world.roster
+        const { revision: storeRevision } = state.roster
         if (expectedRevision !== storeRevision) return Ok({ swapped: false, current: undefined, storeRevision })
-        world.swaps++
+        state.swaps++
         const stored = decodeRecord(key, value, rosterSchema).unwrap()
-        world.roster = { value: stored, revision: expectedRevision + 1 }
-        return Ok({ swapped: true, current: undefined, storeRevision: world.roster.revision })
+        state.roster = { value: stored, revision: expectedRevision + 1 }
+        return Ok({ swapped: true, current: undefined, storeRevision: state.roster.revision })
       }
     },
-    entries: { observe: async ({ name }) => dead.has(name) ? undefined : view(...dead) },
-    roster: () => world.roster,
+    entries: { observe: async ({ name }) => unresponsive.has(name) ? undefined : view(...unresponsive) },
+    roster: () => state.roster,
     updateCopy: () => {},
     holdsLease: () => {
-      world.nowMs += 250
-      if (world.nowMs >= untilMs) stop.abort()
-      return world.holdsLease
+      state.nowMs += 250
+      if (state.nowMs >= untilMs) stop.abort()
+      return state.holdsLease
     },
     timeoutMs: 100,
     log: silentLogger,
-    clock: () => world.nowMs,
+    clock: () => state.nowMs,
     intervalMs: 1,
     signal: stop.signal
   })
-  const suspended = () => world.roster.value!.members.filter(one => one.suspended).map(one => one.name)
-  return { world, run, suspended }
+  const suspended = () => state.roster.value!.members.filter(member => member.suspended).map(member => member.name)
+  return { state, run, suspended }
 }
 
 test('VMs that fail together are suspended in one swap, and the roster version does not change', async t => {
-  const { world, run, suspended } = createTestRoster(['a', 'b', 'c', 'd', 'e'])
-  world.dead.add('d').add('e')
+  const { state, run, suspended } = createTestRoster(['a', 'b', 'c', 'd', 'e'])
+  state.unresponsive.add('d').add('e')
   await run(2 * suspendAfterMs)
   t.deepEqual(suspended(), ['d', 'e'])
-  t.is(world.swaps, 1)
-  t.is(world.roster.value!.version, 1)
+  t.is(state.swaps, 1)
+  t.is(state.roster.value!.version, 1)
 })
 
 test('a VM that does not reply for less than the threshold is not suspended', async t => {
-  const { world, run, suspended } = createTestRoster(['a', 'b', 'c'])
-  world.dead.add('c')
+  const { state, run, suspended } = createTestRoster(['a', 'b', 'c'])
+  state.unresponsive.add('c')
   await run(suspendAfterMs - 250)
   t.deepEqual(suspended(), [])
 })
 
 test('a steward without the lease suspends no VM', async t => {
-  const { world, run, suspended } = createTestRoster(['a', 'b', 'c'])
-  world.holdsLease = false
-  world.dead.add('c')
+  const { state, run, suspended } = createTestRoster(['a', 'b', 'c'])
+  state.holdsLease = false
+  state.unresponsive.add('c')
   await run(3 * suspendAfterMs)
   t.deepEqual(suspended(), [])
 })
 
 test('a suspension is lifted when the VM replies again', async t => {
-  const { world, run, suspended } = createTestRoster(['a', 'b', 'c'])
-  world.roster.value!.members[2].suspended = true
+  const { state, run, suspended } = createTestRoster(['a', 'b', 'c'])
+  state.roster.value!.members[2].suspended = true
   await run(1_500)
   t.deepEqual(suspended(), [])
-  t.is(world.swaps, 1)
+  t.is(state.swaps, 1)
 })
 
 test('a VM that most of the replying entries can reach is not suspended', t => {
@@ -101,8 +101,8 @@
 
 test('at most a minority is suspended', t => {
   const members = [member('a'), member('b'), member('c', true), member('d'), member('e')]
-  const few = nextSuspended(members, views({ a: ['c', 'd'], b: ['c', 'd'], e: ['c', 'd'] }), always)
-  t.deepEqual(few, ['c', 'd'])
+  const minority = nextSuspended(members, views({ a: ['c', 'd'], b: ['c', 'd'], e: ['c', 'd'] }), always)
+  t.deepEqual(minority, ['c', 'd'])
   t.deepEqual(nextSuspended(['a', 'b'].map(name => member(name)), views({ a: ['b'] }), always), [])
 })
 
--- a/packages/steward/src/model-fleet.ts
+++ b/packages/steward/src/model-fleet.ts
@@ -32,7 +32,7 @@
 export type Action = { actor: string, name: string, isFault: boolean, run: () => void }
 
 type ModelWrite = { id: string, term: number, member: string, entry: number, phase: 'sent' | 'answered' | 'over' }
-type ModelEntry = { known: GroupRecord, stoppedBelowTerm: number, hasContact: boolean, refreshedAtStep: number }
+type ModelEntry = { record: GroupRecord, stoppedBelowTerm: number, hasContact: boolean, refreshedAtStep: number }
 type PendingCall = {
   name: string
   steward: number
@@ -59,12 +59,12 @@
   }
   const members = new Map<string, ModelMember>(memberNames.map(name => [name, createModelMember(name, 'a')]))
   const entries: ModelEntry[] = Array.from({ length: scenario.entryCount }, () =>
-    ({ known: firstRecord, stoppedBelowTerm: 0, hasContact: true, refreshedAtStep: 0 }))
+    ({ record: firstRecord, stoppedBelowTerm: 0, hasContact: true, refreshedAtStep: 0 }))
   const stored = { value: firstRecord, revision: 1 }
   const writes: ModelWrite[] = []
   const confirmedWrites: ModelWrite[] = []
   const history: string[][] = scenario.reachableMembers.map(() => [])
-  let pending: PendingCall[] = []
+  let pendingCalls: PendingCall[] = []
   let violation: string | undefined
   let faults = 0
   let stepCount = 0
@@ -93,7 +93,7 @@
           if (hasEffect) execute()
           completeCall(lostReply(), 'lost')
         })
-        pending.push({ name, steward, isTimeout: false, complete: succeed, fail })
+        pendingCalls.push({ name, steward, isTimeout: false, complete: succeed, fail })
       })
 
   const loseContact = (sinceStep: number) => {
@@ -110,9 +110,9 @@
     }
     const sleep: PendingCall =
       { name: `sleep${ms}`, steward, isTimeout: ms === modelAttemptTimeoutMs, complete: expire }
-    pending.push(sleep)
+    pendingCalls.push(sleep)
     signal?.addEventListener('abort', () => {
-      pending = pending.filter(other => other !== sleep)
+      pendingCalls = pendingCalls.filter(other => other !== sleep)
       resolve(false)
     }, { once: true })
   })
@@ -201,7 +201,7 @@
   const confirm = (write: ModelWrite) => {
     write.phase = 'over'
     const entry = entries[write.entry]
-    const isActive = entry.known.phase === 'active' && entry.known.term === write.term
+    const isActive = entry.record.phase === 'active' && entry.record.term === write.term
     if (!isActive || write.term < entry.stoppedBelowTerm || !entry.hasContact) return
     confirmedWrites.push(write)
     const activeTerm = stored.value.lineage.at(-1)!.term
@@ -218,22 +218,22 @@
   }
 
   const send = (index: number) => {
-    const { known } = entries[index]
+    const { record } = entries[index]
     const write: ModelWrite = {
-      id: `w${writes.length + 1}`, term: known.term, member: known.primary, entry: index, phase: 'sent'
+      id: `w${writes.length + 1}`, term: record.term, member: record.primary, entry: index, phase: 'sent'
     }
     writes.push(write)
-    members.get(known.primary)!.log.push({ term: known.term, id: write.id })
+    members.get(record.primary)!.log.push({ term: record.term, id: write.id })
   }
 
   const canSend = (entry: ModelEntry): boolean => {
-    const primary = members.get(entry.known.primary)
-    return writes.length < scenario.maxWrites && entry.known.phase === 'active' && entry.hasContact &&
-      primary !== undefined && canWrite(primary) && primary.term === entry.known.term
+    const primary = members.get(entry.record.primary)
+    return writes.length < scenario.maxWrites && entry.record.phase === 'active' && entry.hasContact &&
+      primary !== undefined && canWrite(primary) && primary.term === entry.record.term
   }
 
   const refresh = (entry: ModelEntry) => {
-    entry.known = stored.value
+    entry.record = stored.value
     entry.hasContact = true
     entry.refreshedAtStep = stepCount
   }
@@ -247,7 +247,7 @@
         .map(write => action(`answer ${write.id}`, () => { write.phase = 'answered' })),
       ...entries.flatMap((entry, index) => canSend(entry) ? [action(`send ${index}`, () => send(index))] : []),
       ...entries.flatMap((entry, index) =>
-        entry.known !== stored.value ? [action(`refresh ${index}`, () => refresh(entry))] : []),
+        entry.record !== stored.value ? [action(`refresh ${index}`, () => refresh(entry))] : []),
       ...[...members.values()].flatMap(member => {
         const primary = members.get(member.upstream)!
         if (!canReplicate(member, primary)) return []
@@ -256,9 +256,9 @@
     ]
   }
 
-  const stewardActions = (): Action[] => pending.flatMap(pendingCall => {
+  const stewardActions = (): Action[] => pendingCalls.flatMap(pendingCall => {
     const remove = () => {
-      pending = pending.filter(other => other !== pendingCall)
+      pendingCalls = pendingCalls.filter(other => other !== pendingCall)
     }
     const action = (name: string, isFault: boolean, execute: () => void): Action =>
       ({
@@ -295,7 +295,7 @@
   const stateKey = (): string => JSON.stringify([
     [...members.values()], entries.map(({ refreshedAtStep: _, ...entry }) => entry), stored, writes, faults,
     history.map(replies => [...replies].sort()),
-    pending.map(({ name, steward }) => `${steward}:${name}`).sort()
+    pendingCalls.map(({ name, steward }) => `${steward}:${name}`).sort()
   ])
 
   return { callsOf, membersOf, actions, run, stateKey, violation: () => violation, readStored: () => stored }
--- a/packages/steward/src/model.test.ts
+++ b/packages/steward/src/model.test.ts
@@ -17,7 +17,7 @@
 const bounds = (fields: Partial<ExplorationBounds>): ExplorationBounds =>
   ({ maxSwitches: 1, maxSteps: 60, maxRuns: 200_000, attemptsPerSteward: 1, ...fields })
 
-const sound: Array<{ title: string, scenario: Scenario, bounds: ExplorationBounds }> = [
+const soundScenarios: Array<{ title: string, scenario: Scenario, bounds: ExplorationBounds }> = [
   { title: 'two stewards, one entry', scenario: scenario({}), bounds: bounds({ maxSwitches: 2 }) },
   {
     title: 'two stewards that reach different members',
@@ -37,18 +37,18 @@
   }
 ]
 
-for (const { title, scenario: setting, bounds: limits } of sound) {
+for (const { title, scenario: setting, bounds: limits } of soundScenarios) {
   test.serial(`promotion keeps its invariants in all interleavings: ${title}`, async t => {
     t.timeout(170_000)
-    const found = await explore(setting, limits)
-    t.is(found.violation, undefined, found.path.join('\n'))
-    t.true(found.isComplete)
-    t.true(found.activeTerms.includes(2))
-    t.log(`${found.states} states, ${found.runs} runs`)
+    const exploration = await explore(setting, limits)
+    t.is(exploration.violation, undefined, exploration.path.join('\n'))
+    t.true(exploration.isComplete)
+    t.true(exploration.activeTerms.includes(2))
+    t.log(`${exploration.states} states, ${exploration.runs} runs`)
   })
 }
 
-const broken: Array<{ defect: Defect, reachableMembers?: string[][], violation: RegExp }> = [
+const defectCases: Array<{ defect: Defect, reachableMembers?: string[][], violation: RegExp }> = [
   { defect: 'stopHasNoEffect', violation: /is confirmed while term \d is active/ },
   { defect: 'fenceHasNoEffect', violation: /confirmed w1 is not in term 2/ },
   { defect: 'noTermCheck', violation: /was deposed/ },
@@ -56,11 +56,11 @@
   { defect: 'noAdoption', reachableMembers: differentReach, violation: /was dropped in term 2 and is back in term 3/ }
 ]
 
-for (const { defect, reachableMembers, violation } of broken) {
+for (const { defect, reachableMembers, violation } of defectCases) {
   test.serial(`the model check detects the defect ${defect}`, async t => {
     t.timeout(170_000)
-    const found = await explore(
+    const exploration = await explore(
       scenario({ defect, reachableMembers: reachableMembers ?? oldPrimaryCutOff }), bounds({ maxSwitches: 3 }))
-    t.regex(found.violation ?? 'nothing', violation)
+    t.regex(exploration.violation ?? 'nothing', violation)
   })
 }
--- a/packages/steward/src/promotion-faults.test.ts
+++ b/packages/steward/src/promotion-faults.test.ts
@@ -4,37 +4,37 @@
 
 const steps: PromotionStep[] = ['fencing', 'stopped', 'fenced', 'promoted', 'adopted', 'active']
 
-for (const paused of steps) {
-  test.serial(`a steward paused after "${paused}" changes nothing when it resumes after another promotion`, async t => {
+for (const pausedStep of steps) {
+  test.serial(`a steward that resumes after "${pausedStep}" has no effect after a later promotion`, async t => {
     const fleet = await startTestFleet()
     t.teardown(fleet.close)
-    const other = await fleet.addSteward('vm-1')
+    const firstSteward = await fleet.addSteward('vm-1')
     await fleet.untilServing(1)
     const first = await writeUntilConfirmed(fleet, 'put k 1')
-    await other.close()
-    let wake = () => {}
-    const isAwake = new Promise<void>(resolve => {
-      wake = resolve
+    await firstSteward.close()
+    let resume = () => {}
+    const resumed = new Promise<void>(resolve => {
+      resume = resolve
     })
-    const reached = new Promise<void>(resolve => {
+    const paused = new Promise<void>(resolve => {
       fleet.promoteOnce(async step => {
-        if (step !== paused) return
+        if (step !== pausedStep) return
         resolve()
-        await isAwake
+        await resumed
       }).then(outcome => { ended = outcome.ok ? 'active' : outcome.val.reason })
     })
     let ended = ''
-    await reached
-    const term = paused === 'active' ? 2 : 3
+    await paused
+    const term = pausedStep === 'active' ? 2 : 3
     await fleet.addSteward('vm-2')
     await fleet.untilServing(term)
     const second = await writeUntilConfirmed(fleet, 'put k 2')
-    const settled = await fleet.group()
-    wake()
+    const recordBefore = await fleet.group()
+    resume()
     const third = await writeUntilConfirmed(fleet, 'put k 3')
     await eventually('the resumed steward ends', () => ended !== '')
-    t.is(ended, paused === 'active' ? 'active' : 'superseded')
-    t.deepEqual(await fleet.group(), settled)
+    t.is(ended, pausedStep === 'active' ? 'active' : 'superseded')
+    t.deepEqual(await fleet.group(), recordBefore)
     await assertReplicatedEverywhere(fleet, ['core-a', 'core-b', 'core-c'], [first, second, third])
   })
 }
@@ -45,8 +45,8 @@
     t.teardown(fleet.close)
     let outages = 0
     await fleet.addSteward('vm-1', {
-      afterStep: async (_group, reached) => {
-        if (reached !== step || outages > 0) return
+      afterStep: async (_group, completedStep) => {
+        if (completedStep !== step || outages > 0) return
         outages++
         await fleet.setPlatformFault({ down: true })
         setTimeout(() => fleet.setPlatformFault({ down: false }), 1_500)
--- a/packages/steward/src/test-entry.ts
+++ b/packages/steward/src/test-entry.ts
@@ -23,7 +23,7 @@
 }
 
 /** Fields of a write request to a member. */
-export type TestWrite = {
+export type TestWriteRequest = {
   statement: Buffer
   writes: true
   expectedTerm: number
@@ -44,9 +44,9 @@
   const members = Object.entries(options.memberAddresses)
     .map(([name, address]) => ({ name, address, control: connectMember(address, loopbackChannels) }))
   const sightings = new Map<string, PeerMessages.EndpointSighting>()
-  const lastAnswerMs = new Map<string, number>()
+  const lastReplyMs = new Map<string, number>()
   const records = new Map<string, GroupRecord>()
-  const stoppedBelow = new Map<string, number>()
+  const stoppedBelowTerms = new Map<string, number>()
   let knownRevision = 0
   let lastContactMs = -Infinity
   let isCutOff = false
@@ -65,11 +65,11 @@
     }
   }
 
-  const watchMember = async ({ name, control }: typeof members[number]) => {
-    lastAnswerMs.set(name, monotonicMs())
+  const pollMember = async ({ name, control }: typeof members[number]) => {
+    lastReplyMs.set(name, monotonicMs())
     for await (const _ of ticks(pollMs, stopping.signal)) {
       const status = await control.getStatus(callTimeoutMs)
-      if (status.ok) lastAnswerMs.set(name, monotonicMs())
+      if (status.ok) lastReplyMs.set(name, monotonicMs())
       const memberState = status.ok ? status.val : undefined
       sightings.set(name, {
         endpoint: name, reachable: status.ok, term: memberState?.term ?? 0, isPrimary: memberState?.isPrimary ?? false
@@ -80,7 +80,7 @@
   const heartbeat = (_call: unknown, done: sendUnaryData<PeerMessages.HeartbeatMessage>) => {
     if (isCutOff) return
     const currentSightings = [...sightings.values()].map(sighting =>
-      ({ ...sighting, ageMs: Math.round(monotonicMs() - lastAnswerMs.get(sighting.endpoint!)!) }))
+      ({ ...sighting, ageMs: Math.round(monotonicMs() - lastReplyMs.get(sighting.endpoint!)!) }))
     done(null, { vm: options.name, knownRevision, sightings: currentSightings })
   }
 
@@ -90,17 +90,17 @@
   ) => {
     if (isCutOff) return
     const { group, term } = call.request
-    stoppedBelow.set(group, Math.max(term, stoppedBelow.get(group) ?? 0))
+    stoppedBelowTerms.set(group, Math.max(term, stoppedBelowTerms.get(group) ?? 0))
     done(null, { acknowledged: true, vm: options.name })
   }
 
-  const canConfirm = (group: string, answerTerm: number): boolean => {
+  const canConfirm = (group: string, replyTerm: number): boolean => {
     const record = records.get(group)
-    return record?.phase === 'active' && record.term === answerTerm &&
-      answerTerm >= (stoppedBelow.get(group) ?? 0) && monotonicMs() - lastContactMs < options.contactTtlMs
+    return record?.phase === 'active' && record.term === replyTerm &&
+      replyTerm >= (stoppedBelowTerms.get(group) ?? 0) && monotonicMs() - lastContactMs < options.contactTtlMs
   }
 
-  const execute = (address: string, group: string, request: TestWrite) =>
+  const execute = (address: string, group: string, request: TestWriteRequest) =>
     new Promise<TestWriteResult | undefined>(resolve => {
       const client = connectGrpc(endpointProto.Endpoint, address, loopbackChannels)
       const call = client.Connect({ deadline: Date.now() + 1_000 })
@@ -122,7 +122,7 @@
     const record = records.get(group)
     const member = members.find(({ name }) => name === record?.primary)
     if (!record || !member || record.phase !== 'active') return false
-    if (record.term < (stoppedBelow.get(group) ?? 0)) return false
+    if (record.term < (stoppedBelowTerms.get(group) ?? 0)) return false
     const end = await execute(member.address, group, {
       statement: Buffer.from(statement), writes: true, expectedTerm: record.term, confirmation, timeoutMs: 500
     })
@@ -135,7 +135,7 @@
       Heartbeat: heartbeat, StopConfirming: stopConfirming, FetchState: unimplemented, Borrow: unimplemented
     })
   })
-  const running = [poll(), ...members.map(watchMember)]
+  const running = [poll(), ...members.map(pollMember)]
   const close = async () => {
     stopping.abort()
     await Promise.race([Promise.all(running), sleepMs(callTimeoutMs)])
--- a/packages/steward/src/test-fleet.ts
+++ b/packages/steward/src/test-fleet.ts
@@ -248,9 +248,9 @@
   }
 
   const close = async () => {
-    await Promise.all(cleanups.reverse().map(end => end()))
+    await Promise.all(cleanups.reverse().map(cleanUp => cleanUp()))
     await Promise.all(entries.map(entry => entry.close()))
-    for (const { control: direct, linked } of members.values()) [direct, linked].forEach(one => one.close())
+    for (const { control: direct, linked } of members.values()) [direct, linked].forEach(control => control.close())
     control.close()
     platform.close()
     await platformServer.close()
@@ -284,5 +284,5 @@
 export const assertReplicatedEverywhere = (fleet: TestFleet, names: string[], statements: string[]) =>
   eventually(`${statements.join(', ')} on ${names.join(', ')}`, async () => {
     const logs = await Promise.all(names.map(fleet.logOf))
-    return logs.every(log => log.join() === logs[0].join() && statements.every(one => log.includes(one)))
+    return logs.every(log => log.join() === logs[0].join() && statements.every(statement => log.includes(statement)))
   })
