--- a/packages/steward/src/coordination/detection.ts
+++ b/packages/steward/src/coordination/detection.ts
@@ -1,5 +1,5 @@
 /**
- * Failure detection: a primary counts as failed only if both the steward and several entries observe the failure.
+ * Failure detection: an unreachable primary counts as failed only if both the steward and several entries observe it.
  */
 import type { Clock } from '@egretyoke/common'
 import type { GroupRecord, Roster } from '@egretyoke/config'
--- a/packages/steward/src/coordination/fence-members.ts
+++ b/packages/steward/src/coordination/fence-members.ts
@@ -2,10 +2,10 @@
  * Fences the members of a group and reads their log positions.
  */
 import type { ControlAnswer } from '@egretyoke/fleet'
+import { combineSignals } from './combined-signal.js'
 import type { FencedMember } from './most-advanced.js'
 import { majorityOf } from './promotion-calls.js'
 import type { PromotionMember, PromotionTask } from './promotion-calls.js'
-import { combineSignals } from './combined-signal.js'
 
 const retryDelayMs = 100
 /** How long to wait for the remaining members after a majority has been fenced. */
--- a/packages/steward/src/coordination/install-primary.ts
+++ b/packages/steward/src/coordination/install-primary.ts
@@ -3,10 +3,10 @@
  * After that, no later promotion can choose a member that lacks this start.
  */
 import type { MemberState } from '@egretyoke/fleet'
+import { combineSignals } from './combined-signal.js'
 import { adoptedTerm } from './most-advanced.js'
 import { majorityOf } from './promotion-calls.js'
 import type { PromotionMember, PromotionTask } from './promotion-calls.js'
-import { combineSignals } from './combined-signal.js'
 
 const maxPromoteAttempts = 4
 const retryDelayMs = 50
--- a/packages/steward/src/coordination/stop-confirming.ts
+++ b/packages/steward/src/coordination/stop-confirming.ts
@@ -3,10 +3,10 @@
  * the steward waits until an entry that does not reply must be out of contact.
  */
 import type { Roster, RosterMember } from '@egretyoke/config'
+import { combineSignals } from './combined-signal.js'
 import type { StopRequest } from './entry-peers.js'
 import { majorityOf } from './promotion-calls.js'
 import type { PromotionTask } from './promotion-calls.js'
-import { combineSignals } from './combined-signal.js'
 
 const retryDelayMs = 100
 
--- a/packages/steward/src/coordination/successor.ts
+++ b/packages/steward/src/coordination/successor.ts
@@ -26,7 +26,7 @@
 
 /**
  * Returns the names of members that are not being removed, are in the primary's term, and lag behind its log by at most
- * `maxGapEntries` entries.
+ * `maxLagEntries` entries.
  */
 export const readySuccessors = (
   members: PromotionMember[],
--- a/packages/steward/src/model-explorer.ts
+++ b/packages/steward/src/model-explorer.ts
@@ -6,7 +6,7 @@
 import { createHash } from 'node:crypto'
 import { promote } from './coordination/promotion.js'
 import { createModelFleet, modelAttemptTimeoutMs, modelContactExpiryMs } from './model-fleet.js'
-import type { Action, Scenario, ModelFleet } from './model-fleet.js'
+import type { Action, ModelFleet, Scenario } from './model-fleet.js'
 
 /** Bounds of an exploration. */
 export type ExplorationBounds = { maxSwitches: number, maxSteps: number, maxRuns: number, attemptsPerSteward: number }
--- a/packages/steward/src/test-fleet.ts
+++ b/packages/steward/src/test-fleet.ts
@@ -28,7 +28,7 @@
 /** Contact time of the entries in tests, in milliseconds. */
 export const contactTtlMs = 600
 
-/** Polls until the condition holds; throws an error with its name after `withinMs`. */
+/** Polls until the condition holds; throws an error with its name after `timeoutMs`. */
 export const eventually = async (name: string, condition: () => boolean | Promise<boolean>, timeoutMs = 15_000) => {
   for (const deadlineMs = monotonicMs() + timeoutMs; monotonicMs() < deadlineMs; await sleepMs(20)) {
     if (await condition()) return
