--- a/packages/steward/src/coordination/fence-members.ts
+++ b/packages/steward/src/coordination/fence-members.ts
@@ -1,52 +1,55 @@
 /**
- * Fences the members of a group and reads how far each has come.
+ * Fences the members of a group and reads their log positions.
  */
 import type { ControlAnswer } from '@egretyoke/fleet'
+import { combineSignals } from './combined-signal.js'
 import type { FencedMember } from './most-advanced.js'
 import { majorityOf } from './promotion-calls.js'
 import type { PromotionMember, PromotionTask } from './promotion-calls.js'
-import { sharedSignal } from './shared-signal.js'
 
-const retryPauseMs = 100
-/** Time that is given to the remaining members once a majority is fenced. */
+const retryDelayMs = 100
+/** How long to wait for the remaining members after a majority has been fenced. */
 const stragglerWaitMs = 150
 
-/** `superseded`: a member is fenced at a higher term, so another steward has gone on. */
-export type FenceOutcome = { kind: 'fenced', members: FencedMember[] } | { kind: 'superseded' } | { kind: 'aborted' }
+/**
+ * Result of fencing. `superseded`: a member is fenced at a higher term, so another steward has started a newer term;
+ * `aborted`: the signal aborted before a majority was fenced.
+ */
+export type FenceResult = { kind: 'fenced', members: FencedMember[] } | { kind: 'superseded' } | { kind: 'aborted' }
 
-/** Fences all members that answer, at least a majority. */
-export const fenceMembers = (task: PromotionTask, term: number, signal: AbortSignal): Promise<FenceOutcome> =>
+/** Fences the members with retries. Resolves when all are fenced, or shortly after a majority is. */
+export const fenceMembers = (task: PromotionTask, term: number, signal: AbortSignal): Promise<FenceResult> =>
   new Promise(resolve => {
-    const { calls, members, times } = task
+    const { calls, members, timeouts } = task
     const fenced: FencedMember[] = []
     const finished = new AbortController()
-    const until = sharedSignal(signal, finished.signal)
+    const waitSignal = combineSignals(signal, finished.signal)
 
-    const finish = (outcome: FenceOutcome) => {
+    const finish = (result: FenceResult) => {
       finished.abort()
-      resolve(outcome)
+      resolve(result)
     }
 
-    const finishWithMajority = async () => {
-      if (await calls.sleepMs(stragglerWaitMs, until)) finish({ kind: 'fenced', members: [...fenced] })
+    const finishAfterStragglerWait = async () => {
+      if (await calls.sleepMs(stragglerWaitMs, waitSignal)) finish({ kind: 'fenced', members: [...fenced] })
     }
 
-    const take = (member: PromotionMember, answer: ControlAnswer) => {
+    const handleReply = (member: PromotionMember, reply: ControlAnswer) => {
       if (finished.signal.aborted) return
-      if (!answer.accepted) return finish({ kind: 'superseded' })
-      fenced.push({ name: member.name, state: answer.state, mayStay: member.mayStay })
+      if (!reply.accepted) return finish({ kind: 'superseded' })
+      fenced.push({ name: member.name, state: reply.state, canRemainPrimary: member.canRemainPrimary })
       if (fenced.length === members.length) return finish({ kind: 'fenced', members: fenced })
-      if (fenced.length === majorityOf(members.length)) finishWithMajority()
+      if (fenced.length === majorityOf(members.length)) finishAfterStragglerWait()
     }
 
-    const fenceUntilAnswered = async (member: PromotionMember) => {
-      while (!until.aborted) {
-        const answer = await member.control.fence(term, times.memberTimeoutMs)
-        if (answer.ok) return take(member, answer.val)
-        await calls.sleepMs(retryPauseMs, until)
+    const fenceWithRetry = async (member: PromotionMember) => {
+      while (!waitSignal.aborted) {
+        const reply = await member.control.fence(term, timeouts.memberTimeoutMs)
+        if (reply.ok) return handleReply(member, reply.val)
+        await calls.sleepMs(retryDelayMs, waitSignal)
       }
     }
 
     signal.addEventListener('abort', () => finish({ kind: 'aborted' }), { once: true })
-    for (const member of members) fenceUntilAnswered(member)
+    for (const member of members) fenceWithRetry(member)
   })
--- a/packages/steward/src/coordination/follow-configuration.ts
+++ b/packages/steward/src/coordination/follow-configuration.ts
@@ -1,5 +1,5 @@
 /**
- * Keeps the configuration in force at hand: read again whenever its head changes.
+ * Maintains a local copy of the current configuration and reads it again whenever the configuration head changes.
  */
 import { ticks } from '@egretyoke/common'
 import type { Result } from '@egretyoke/common'
@@ -9,35 +9,35 @@
 
 const checkIntervalMs = 100
 
-/** The configuration in force, as far as it is known. */
+/** Local copy of the current configuration. */
 export type FollowedConfiguration = {
-  /** Undefined before the first one. Never goes back to an older version. */
+  /** Undefined until the first successful read. An older version never replaces a newer one. */
   current: () => Configuration | undefined
   close: () => Promise<void>
 }
 
-/** Starts to follow. */
+/** Starts to follow the configuration; `read` fetches it from the store. */
 export const followConfiguration = (
   followed: FollowedRecords,
   read: () => Promise<Result<Configuration, unknown>>
 ): FollowedConfiguration => {
   const stopping = new AbortController()
   let configuration: Configuration | undefined
-  let readRevision = 0
+  let lastReadRevision = 0
 
-  const check = async () => {
+  const readIfChanged = async () => {
     const revision = followed.get(storeKeys.head)?.revision ?? 0
-    if (revision === readRevision) return
-    const fresh = await read()
-    if (!fresh.ok) return
-    if (!configuration || fresh.val.version >= configuration.version) configuration = fresh.val
-    readRevision = revision
+    if (revision === lastReadRevision) return
+    const latest = await read()
+    if (!latest.ok) return
+    if (!configuration || latest.val.version >= configuration.version) configuration = latest.val
+    lastReadRevision = revision
   }
 
-  const checkContinuously = async () => {
-    for await (const _ of ticks(checkIntervalMs, stopping.signal)) await check()
+  const followContinuously = async () => {
+    for await (const _ of ticks(checkIntervalMs, stopping.signal)) await readIfChanged()
   }
-  const running = checkContinuously()
+  const running = followContinuously()
   const close = async () => {
     stopping.abort()
     await running
--- a/packages/steward/src/coordination/follow-records.ts
+++ b/packages/steward/src/coordination/follow-records.ts
@@ -1,100 +1,101 @@
 /**
- * Keeps a copy of the records that every VM follows. The entry on the same VM is asked, which costs the platform
- * nothing; the platform is asked only while that entry does not answer. A copy may lag: whatever is decided by it is
- * settled by compare-and-swap.
+ * Maintains a local copy of the records that every VM follows. Changes are fetched from the entry on the same VM, which
+ * puts no load on the platform, and from the platform only while that entry does not reply. The copy may lag behind the
+ * store, so every decision based on it is applied with compare-and-swap.
  */
 import { monotonicMs, Ok, ticks } from '@egretyoke/common'
 import { storeKeys } from '@egretyoke/config'
 import type { Platform, StoreChanges, StoredEntry } from '@egretyoke/fleet'
 
-/** Most records that are kept. */
+/** Maximum number of records in the copy, without the configuration documents. */
 const maxRecords = 50_000
 const documentPrefix = storeKeys.document('')
 
-/** A copy that is kept up to date. */
+/** Local copy of the followed records. */
 export type FollowedRecords = {
   get: (key: string) => StoredEntry | undefined
-  /** True once somebody has answered for the first time. */
-  isKnown: () => boolean
-  /** Takes in a record that a swap or a read has returned. */
-  learn: (entry: StoredEntry) => void
+  /** True after the first reply from the entry or the platform. */
+  isSynced: () => boolean
+  /** Updates the copy with a record returned by a swap or a read. Older revisions are ignored. */
+  updateCopy: (entry: StoredEntry) => void
   close: () => Promise<void>
 }
 
-/** What to follow, and how. Times are in milliseconds. */
-export type FollowOptions = {
+/** Sources and intervals of the copy. Times are in milliseconds. */
+export type FollowRecordsOptions = {
   platform: Platform
-  /** Asks the entry on the same VM for changes after a revision; undefined when it does not answer or is starting. */
-  askEntry: (afterRevision: number) => Promise<StoreChanges | undefined>
-  entryIntervalMs: number
-  /** After so long without the entry the platform is asked. */
-  entrySilentMs: number
-  platformIntervalMs: number
+  /** Fetches changes after a revision from the entry on the same VM; undefined if it does not reply or is starting. */
+  fetchFromEntry: (afterRevision: number) => Promise<StoreChanges | undefined>
+  entryPollIntervalMs: number
+  /** Time without a reply from the entry after which the platform is polled. */
+  platformFallbackMs: number
+  platformPollIntervalMs: number
   timeoutMs: number
 }
 
-/** Starts to follow. */
-export const followRecords = (options: FollowOptions): FollowedRecords => {
+/** Starts to follow the records. */
+export const followRecords = (options: FollowRecordsOptions): FollowedRecords => {
   const records = new Map<string, StoredEntry>()
   const stopping = new AbortController()
   let documents = new Map<string, StoredEntry>()
   let knownRevision = 0
-  let known = false
-  let lastEntryMs = monotonicMs()
-  let lastPlatformMs = -Infinity
+  let isSynced = false
+  let lastEntryReplyMs = monotonicMs()
+  let lastPlatformPollMs = -Infinity
 
-  const learn = (entry: StoredEntry) => {
-    const older = records.get(entry.key)
-    if (older && older.revision >= entry.revision) return
-    if (!older && records.size >= maxRecords) return
+  const updateCopy = (entry: StoredEntry) => {
+    const existing = records.get(entry.key)
+    if (existing && existing.revision >= entry.revision) return
+    if (!existing && records.size >= maxRecords) return
     records.set(entry.key, entry)
   }
 
-  /** Documents come along with a new head, all of its own. */
-  const learnAll = (changes: StoreChanges) => {
+  /** Applies changes. A changed configuration head comes with all of its documents, which replace the previous ones. */
+  const applyChanges = (changes: StoreChanges) => {
     const isDocument = (entry: StoredEntry) => entry.key.startsWith(documentPrefix)
-    const carried = changes.entries.filter(isDocument)
-    if (carried.length > 0) documents = new Map(carried.map(entry => [entry.key, entry]))
-    for (const entry of changes.entries) if (!isDocument(entry)) learn(entry)
+    const newDocuments = changes.entries.filter(isDocument)
+    if (newDocuments.length > 0) documents = new Map(newDocuments.map(entry => [entry.key, entry]))
+    for (const entry of changes.entries) if (!isDocument(entry)) updateCopy(entry)
     knownRevision = Math.max(knownRevision, changes.storeRevision)
-    known = true
+    isSynced = true
   }
 
-  const askEntry = async (): Promise<boolean> => {
-    const changes = await options.askEntry(knownRevision)
+  const syncFromEntry = async (): Promise<boolean> => {
+    const changes = await options.fetchFromEntry(knownRevision)
     if (!changes) return false
-    lastEntryMs = monotonicMs()
-    learnAll(changes)
+    lastEntryReplyMs = monotonicMs()
+    applyChanges(changes)
     return true
   }
 
-  const askPlatform = async () => {
+  const syncFromPlatform = async () => {
     const nowMs = monotonicMs()
-    const isDue = nowMs - lastEntryMs >= options.entrySilentMs && nowMs - lastPlatformMs >= options.platformIntervalMs
+    const isDue = nowMs - lastEntryReplyMs >= options.platformFallbackMs &&
+      nowMs - lastPlatformPollMs >= options.platformPollIntervalMs
     if (!isDue) return
-    lastPlatformMs = nowMs
+    lastPlatformPollMs = nowMs
     const changes = await options.platform.range(storeKeys.followed, knownRevision, options.timeoutMs)
-    if (changes.ok) learnAll(changes.val)
+    if (changes.ok) applyChanges(changes.val)
   }
 
-  const run = async () => {
-    for await (const _ of ticks(options.entryIntervalMs, stopping.signal)) {
-      if (!await askEntry()) await askPlatform()
+  const pollContinuously = async () => {
+    for await (const _ of ticks(options.entryPollIntervalMs, stopping.signal)) {
+      if (!await syncFromEntry()) await syncFromPlatform()
     }
   }
 
-  const running = run()
+  const running = pollContinuously()
   const close = async () => {
     stopping.abort()
     await running
   }
-  return { get: key => records.get(key) ?? documents.get(key), isKnown: () => known, learn, close }
+  return { get: key => records.get(key) ?? documents.get(key), isSynced: () => isSynced, updateCopy, close }
 }
 
-/** The platform, read through the copy where it holds the key. */
+/** Returns a `get` that reads from the copy, and from the platform if the copy does not have the key. */
 export const readThrough = (platform: Platform, copy: FollowedRecords): Pick<Platform, 'get'> => ({
   get: async (key, timeoutMs) => {
-    const kept = copy.get(key)
-    return kept && !kept.deleted ? Ok(kept) : await platform.get(key, timeoutMs)
+    const cached = copy.get(key)
+    return cached && !cached.deleted ? Ok(cached) : await platform.get(key, timeoutMs)
   }
 })
--- a/packages/steward/src/coordination/install-primary.ts
+++ b/packages/steward/src/coordination/install-primary.ts
@@ -1,77 +1,80 @@
 /**
- * Makes the chosen member the primary of the term, and waits until a majority of the group holds the term's
- * start. From then on no later promotion can choose a member that lacks it.
+ * Promotes the chosen member in the new term, and waits until a majority of the group has adopted the term's start.
+ * After that, no later promotion can choose a member that lacks this start.
  */
 import type { MemberState } from '@egretyoke/fleet'
+import { combineSignals } from './combined-signal.js'
 import { adoptedTerm } from './most-advanced.js'
 import { majorityOf } from './promotion-calls.js'
 import type { PromotionMember, PromotionTask } from './promotion-calls.js'
-import { sharedSignal } from './shared-signal.js'
 
-const maxPromoteTries = 4
-const retryPauseMs = 50
+const maxPromoteAttempts = 4
+const retryDelayMs = 50
 
-/** The term's start: its first position lies behind the last one of earlier terms that it keeps. */
-export type TermStartOf = { term: number, startPosition: number }
+/** Start of a term: `startPosition` is the last log position of earlier terms that the new term retains. */
+export type NewTermStart = { term: number, startPosition: number }
 
-/** `superseded`: a member knows a higher term, so another steward has gone on. */
-export type InstallOutcome<Done> = { kind: 'done', value: Done } | { kind: 'superseded' } | { kind: 'unanswered' }
+/**
+ * Result of an installation step. `superseded`: a member refused because it is in, or fenced at, a higher term, so
+ * another steward has started a newer term; `unanswered`: no success before the retries or the attempt ended.
+ */
+export type InstallResult<Value> = { kind: 'done', value: Value } | { kind: 'superseded' } | { kind: 'unanswered' }
 
-/** Promotes the member. Only this one is asked in this term. */
+/** Promotes the member, with retries. No other member is promoted in this term. */
 export const promoteMember = async (
   task: PromotionTask,
   candidate: PromotionMember,
   term: number,
   signal: AbortSignal
-): Promise<InstallOutcome<MemberState>> => {
-  for (let tries = 0; tries < maxPromoteTries && !signal.aborted; tries++) {
-    const answer = await candidate.control.promote(term, task.times.memberTimeoutMs)
-    if (answer.ok) return answer.val.accepted ? { kind: 'done', value: answer.val.state } : { kind: 'superseded' }
-    await task.calls.sleepMs(retryPauseMs, signal)
+): Promise<InstallResult<MemberState>> => {
+  for (let attempt = 0; attempt < maxPromoteAttempts && !signal.aborted; attempt++) {
+    const reply = await candidate.control.promote(term, task.timeouts.memberTimeoutMs)
+    if (reply.ok) return reply.val.accepted ? { kind: 'done', value: reply.val.state } : { kind: 'superseded' }
+    await task.calls.sleepMs(retryDelayMs, signal)
   }
   return { kind: 'unanswered' }
 }
 
-/** Tells a member to follow the primary until it holds the term's start. */
+/** Sends follow requests to a member until it has adopted the term's start. */
 const followUntilAdopted = async (
   task: PromotionTask,
   member: PromotionMember,
   candidate: PromotionMember,
-  start: TermStartOf,
+  start: NewTermStart,
   signal: AbortSignal
-): Promise<InstallOutcome<undefined>> => {
+): Promise<InstallResult<undefined>> => {
   const primary = { name: candidate.name, address: candidate.endpoint.address }
   while (!signal.aborted) {
-    const answer = await member.control.follow(start.term, primary, task.times.memberTimeoutMs)
-    if (answer.ok && !answer.val.accepted) return { kind: 'superseded' }
-    if (answer.ok && adoptedTerm(answer.val.state, [start]) === start.term) return { kind: 'done', value: undefined }
-    await task.calls.sleepMs(retryPauseMs, signal)
+    const reply = await member.control.follow(start.term, primary, task.timeouts.memberTimeoutMs)
+    if (reply.ok && !reply.val.accepted) return { kind: 'superseded' }
+    if (reply.ok && adoptedTerm(reply.val.state, [start]) === start.term) return { kind: 'done', value: undefined }
+    await task.calls.sleepMs(retryDelayMs, signal)
   }
   return { kind: 'unanswered' }
 }
 
-/** Resolves once a majority of the group holds the term's start, or when the signal aborts. */
+/** Resolves once a majority of the group, including the primary, has adopted the term's start, or on abort. */
 export const waitForMajorityAdoption = (
   task: PromotionTask,
   candidate: PromotionMember,
-  start: TermStartOf,
+  start: NewTermStart,
   signal: AbortSignal
-): Promise<InstallOutcome<undefined>> => new Promise(resolve => {
+): Promise<InstallResult<undefined>> => new Promise(resolve => {
   const finished = new AbortController()
-  const until = sharedSignal(signal, finished.signal)
+  const waitSignal = combineSignals(signal, finished.signal)
   let adoptedCount = 0
-  const finish = (outcome: InstallOutcome<undefined>) => {
+  const finish = (result: InstallResult<undefined>) => {
     finished.abort()
-    resolve(outcome)
+    resolve(result)
   }
   const countAdoption = () => {
     adoptedCount++
     if (adoptedCount >= majorityOf(task.members.length)) finish({ kind: 'done', value: undefined })
   }
   const follow = async (member: PromotionMember) => {
-    const outcome = await followUntilAdopted(task, member, candidate, start, until)
-    if (outcome.kind === 'done') countAdoption()
-    if (outcome.kind === 'superseded') finish(outcome)
+    const result = await followUntilAdopted(task, member, candidate, start, waitSignal)
+    if (result.kind === 'done') countAdoption()
+    if (result.kind === 'superseded') finish(result)
   }
   signal.addEventListener('abort', () => finish({ kind: 'unanswered' }), { once: true })
   countAdoption()
--- a/packages/steward/src/coordination/repair.ts
+++ b/packages/steward/src/coordination/repair.ts
@@ -1,5 +1,5 @@
 /**
- * Brings members that follow another term or another primary back to the record's.
+ * Repairs members that are in another term or follow another primary than the group's record says.
  */
 import type { GroupRecord } from '@egretyoke/config'
 import type { MemberState } from '@egretyoke/fleet'
@@ -9,7 +9,7 @@
 const followsRecord = (state: MemberState, record: GroupRecord): boolean =>
   state.term === record.term && state.primaryName === record.primary
 
-/** Tells every member that answers and does not follow the record's primary to do so. */
+/** Sends a follow request to every reachable member that does not follow the record's primary in the record's term. */
 export const repairMembers = async (
   members: PromotionMember[],
   states: MemberStates,
@@ -23,7 +23,7 @@
   await Promise.all(members.map(async member => {
     const state = states.get(member.name)
     if (member === primary || !state || followsRecord(state, record)) return
-    const answer = await member.control.follow(record.term, upstream, timeoutMs)
-    if (answer.ok && answer.val.accepted) onRepaired(member.name)
+    const reply = await member.control.follow(record.term, upstream, timeoutMs)
+    if (reply.ok && reply.val.accepted) onRepaired(member.name)
   }))
 }
--- a/packages/steward/src/coordination/steward-leases.ts
+++ b/packages/steward/src/coordination/steward-leases.ts
@@ -1,46 +1,47 @@
 /**
- * Holds the platform leases that say which steward looks after which group. A lease only avoids double work:
- * it may lapse while its holder is paused and unaware, so no safety depends on it.
+ * Acquires and renews the platform leases that decide which steward is active for a group or for the roster. A lease
+ * only avoids duplicate work: it can expire while its holder is paused and unaware of it, so safety does not depend on
+ * leases.
  */
 import { randomUUID } from 'node:crypto'
 import { monotonicMs, sleepMs, ticks } from '@egretyoke/common'
 import { storeKeys } from '@egretyoke/config'
 import type { Platform } from '@egretyoke/fleet'
 import type { FollowedRecords } from './follow-records.js'
-import { preferenceRank } from './preference.js'
+import { preferenceRank } from './lease-preference.js'
 
 const checkIntervalMs = 100
-/** Later start of a try for each place in the order of preference. */
+/** Added delay before an attempt to acquire a lease, for each rank in the group's order of preference. */
 const delayPerRankMs = 250
 const maxRankDelayMs = 2_500
-/** Delay while the roster, and with it the order, is not known. */
-const unknownOrderDelayMs = 1_000
-/** Renewals within the lifetime of a lease. */
+/** Delay while the roster is not known, because the order of preference depends on it. */
+const unknownRosterDelayMs = 1_000
+/** Number of renewals within the TTL of a lease. */
 const renewalsPerTtl = 3
 
-/** Options of the leases. */
+/** Options of the steward's leases. */
 export type StewardLeaseOptions = {
   vm: string
   platform: Platform
-  /** The followed records, with the stewards' leases among them. */
+  /** Local copy of the store's records, which include the stewards' leases. */
   followed: FollowedRecords
-  /** Names of the leases that somebody must hold: groups and the roster. */
-  wantedNames: () => string[]
+  /** Names of the leases to compete for: the groups and the roster. */
+  leaseNames: () => string[]
   rosterNames: () => string[]
   ttlMs: number
   timeoutMs: number
   onChange: (name: string, isHeld: boolean) => void
 }
 
-/** The leases of one steward. */
+/** Leases of one steward. */
 export type StewardLeases = {
   holds: (name: string) => boolean
-  /** Gives all leases back. */
+  /** Stops renewing and releases all leases. */
   close: () => Promise<void>
 }
 
-/** Starts to try for leases. */
-export const keepStewardLeases = (options: StewardLeaseOptions): StewardLeases => {
+/** Starts to acquire and renew leases. */
+export const startStewardLeases = (options: StewardLeaseOptions): StewardLeases => {
   const { vm, platform, followed, ttlMs, timeoutMs, onChange } = options
   const stopping = new AbortController()
   const holder = `${vm}/${randomUUID()}`
@@ -59,9 +60,9 @@
   const renew = async () => {
     const sentMs = monotonicMs()
     if (leaseId !== 0) {
-      const alive = await platform.keepAlive(leaseId, timeoutMs)
-      if (!alive.ok) return
-      if (alive.val) {
+      const renewal = await platform.keepAlive(leaseId, timeoutMs)
+      if (!renewal.ok) return
+      if (renewal.val) {
         validUntilMs = sentMs + ttlMs
         return
       }
@@ -72,33 +73,33 @@
     validUntilMs = sentMs + ttlMs
   }
 
-  /** One renewal at a time, whoever asks for it. */
+  /** Renews the lease; concurrent callers share one renewal. */
   const renewOnce = async () => {
     renewing ??= renew().finally(() => { renewing = undefined })
     await renewing
   }
 
-  // A steward that holds nothing needs no lease: it costs the platform no calls.
+  // A steward that holds no group or roster does not renew, which saves calls to the platform.
   const renewContinuously = async () => {
     for await (const _ of ticks(Math.floor(ttlMs / renewalsPerTtl), stopping.signal)) {
       if (held.size > 0) await renewOnce()
     }
   }
 
-  const delayFor = (name: string): number => {
+  const acquireDelayMs = (name: string): number => {
     const names = options.rosterNames()
-    if (names.length === 0) return name === 'roster' ? 0 : unknownOrderDelayMs
+    if (names.length === 0) return name === 'roster' ? 0 : unknownRosterDelayMs
     return Math.min(maxRankDelayMs, preferenceRank(vm, names, name) * delayPerRankMs)
   }
 
-  const tryFor = async (name: string) => {
+  const tryAcquire = async (name: string) => {
     const key = storeKeys.stewardLease(name)
     const swap = { key, expectedRevision: 0, value: Buffer.from(holder), leaseId }
-    const outcome = await platform.compareAndSwap(swap, timeoutMs)
-    if (outcome.ok && outcome.val.current) followed.learn(outcome.val.current)
+    const result = await platform.compareAndSwap(swap, timeoutMs)
+    if (result.ok && result.val.current) followed.updateCopy(result.val.current)
   }
 
-  const noteHeld = (name: string) => {
+  const updateHeld = (name: string) => {
     const isHeld = holds(name)
     if (isHeld === held.has(name)) return
     if (isHeld) held.add(name)
@@ -106,24 +107,24 @@
     onChange(name, isHeld)
   }
 
-  const check = async (name: string) => {
-    noteHeld(name)
+  const checkLease = async (name: string) => {
+    updateHeld(name)
     if (holderOf(name) !== undefined) {
       freeSinceMs.delete(name)
       return
     }
     const sinceMs = freeSinceMs.get(name) ?? monotonicMs()
     freeSinceMs.set(name, sinceMs)
-    if (monotonicMs() - sinceMs < delayFor(name)) return
+    if (monotonicMs() - sinceMs < acquireDelayMs(name)) return
     if (monotonicMs() >= validUntilMs) await renewOnce()
-    if (monotonicMs() < validUntilMs) await tryFor(name)
-    noteHeld(name)
+    if (monotonicMs() < validUntilMs) await tryAcquire(name)
+    updateHeld(name)
   }
 
   const checkContinuously = async () => {
     for await (const _ of ticks(checkIntervalMs, stopping.signal)) {
-      if (!followed.isKnown()) continue
-      await Promise.all(options.wantedNames().map(check))
+      if (!followed.isSynced()) continue
+      await Promise.all(options.leaseNames().map(checkLease))
     }
   }
 
--- a/packages/steward/src/coordination/stop-confirming.ts
+++ b/packages/steward/src/coordination/stop-confirming.ts
@@ -1,14 +1,14 @@
 /**
- * Brings every entry of the roster to confirm no write of an older term: by its acknowledgement, or by
- * waiting until a silent one must have lost contact.
+ * Stops every entry of the roster from confirming writes of older terms: either the entry acknowledges the request, or
+ * the steward waits until an entry that does not reply must be out of contact.
  */
 import type { Roster, RosterMember } from '@egretyoke/config'
+import { combineSignals } from './combined-signal.js'
 import type { StopRequest } from './entry-peers.js'
 import { majorityOf } from './promotion-calls.js'
 import type { PromotionTask } from './promotion-calls.js'
-import { sharedSignal } from './shared-signal.js'
 
-const retryPauseMs = 100
+const retryDelayMs = 100
 
 const createFlag = () => {
   let raise = () => {}
@@ -19,46 +19,47 @@
 }
 
 /**
- * Resolves to true once no entry can confirm a write of a term below the request's, to false when the
- * signal aborts before. A silent entry cannot be in contact any more `contactEndMs` after a majority of the
- * roster has acknowledged: since then nobody vouches for a revision before that of the request.
+ * Resolves to true once no entry can confirm a write of a term below the request's, or to false if the signal aborts
+ * first. An entry that has not acknowledged is out of contact at the latest `contactExpiryMs` after a majority of the
+ * roster acknowledged, because from then on neither the platform nor a majority of peers confirms an older revision as
+ * current.
  */
-export const stopConfirmingEverywhere = async (
+export const stopConfirmingOnAllEntries = async (
   task: PromotionTask,
   roster: Roster,
   request: StopRequest,
   signal: AbortSignal
 ): Promise<boolean> => {
-  const { calls, times } = task
+  const { calls, timeouts } = task
   const acknowledged = new Set<string>()
-  const majority = createFlag()
-  const all = createFlag()
+  const majorityAcknowledged = createFlag()
+  const allAcknowledged = createFlag()
   const finished = new AbortController()
-  const until = sharedSignal(signal, finished.signal)
+  const waitSignal = combineSignals(signal, finished.signal)
 
   const acknowledge = (entry: RosterMember) => {
     acknowledged.add(entry.name)
-    if (acknowledged.size >= majorityOf(roster.members.length)) majority.raise()
-    // An entry that has just left the roster may still be in contact without being asked.
-    if (acknowledged.size === roster.members.length && calls.isRosterSettled(roster)) all.raise()
+    if (acknowledged.size >= majorityOf(roster.members.length)) majorityAcknowledged.raise()
+    // An entry that left the roster recently gets no request and may still be in contact.
+    if (acknowledged.size === roster.members.length && calls.isRosterStable(roster)) allAcknowledged.raise()
   }
 
-  const askUntilAcknowledged = async (entry: RosterMember) => {
-    while (!until.aborted) {
+  const stopUntilAcknowledged = async (entry: RosterMember) => {
+    while (!waitSignal.aborted) {
       if (await calls.entries.stopConfirming(entry, request)) return acknowledge(entry)
-      await calls.sleepMs(retryPauseMs, until)
+      await calls.sleepMs(retryDelayMs, waitSignal)
     }
   }
 
   const aborted = new Promise<false>(resolve => {
     signal.addEventListener('abort', () => resolve(false), { once: true })
   })
-  for (const entry of roster.members) askUntilAcknowledged(entry)
-  const waitForSilentOnes = async () => {
-    await majority.raised
-    return calls.sleepMs(times.contactEndMs, until)
+  for (const entry of roster.members) stopUntilAcknowledged(entry)
+  const waitForContactExpiry = async () => {
+    await majorityAcknowledged.raised
+    return calls.sleepMs(timeouts.contactExpiryMs, waitSignal)
   }
-  const stopped = await Promise.race([all.raised, waitForSilentOnes(), aborted])
+  const isStopped = await Promise.race([allAcknowledged.raised, waitForContactExpiry(), aborted])
   finished.abort()
-  return stopped
+  return isStopped
 }
--- a/packages/steward/src/failover.test.ts
+++ b/packages/steward/src/failover.test.ts
@@ -1,6 +1,8 @@
 import { monotonicMs, sleepMs } from '@egretyoke/common'
 import test from 'ava'
-import { assertHeldEverywhere, contactTtlMs, eventually, startTestFleet, writeConfirmed } from './test-fleet.js'
+import {
+  assertReplicatedEverywhere, contactTtlMs, eventually, startTestFleet, writeUntilConfirmed
+} from './test-fleet.js'
 
 test.serial('creates the record of a group and the roster, and replaces a primary that has crashed', async t => {
   const fleet = await startTestFleet()
@@ -39,7 +41,7 @@
   const behind = fleet.members.get('core-b')!
   behind.link.setFault({ cut: true })
   await fleet.stopReplication('core-b', true)
-  const statement = await writeConfirmed(fleet, 'put k 1')
+  const statement = await writeUntilConfirmed(fleet, 'put k 1')
   behind.link.setFault({ cut: false })
   await fleet.members.get('core-a')!.database.close()
   await fleet.stopReplication('core-b', false)
@@ -48,52 +50,52 @@
   t.deepEqual(await fleet.logOf('core-c'), [statement])
 })
 
-test.serial('confirms no write of a primary that is cut off with one entry and goes on taking writes', async t => {
+test.serial('confirms no write of an isolated primary that still accepts writes from one entry', async t => {
   const fleet = await startTestFleet({ directEntries: 1 })
   t.teardown(fleet.close)
   await fleet.addSteward('vm-1')
   await fleet.untilServing(1)
-  const [, , beside] = fleet.entries
-  const kept = await writeConfirmed(fleet, 'put k before')
+  const [, , isolatedEntry] = fleet.entries
+  const kept = await writeUntilConfirmed(fleet, 'put k before')
   let isReplaced = false
   const confirmedLate: string[] = []
-  const taken: string[] = []
-  const writeOn = async () => {
+  const attempted: string[] = []
+  const writeContinuously = async () => {
     for (let count = 0; !isReplaced || count < 20; count++) {
       const statement = `put k cut-off-${count}`
       const wasReplaced = (await fleet.group())?.term !== 1 && (await fleet.group())?.phase === 'active'
-      if (await beside.write('core', statement, 'PRIMARY') && wasReplaced) confirmedLate.push(statement)
-      taken.push(statement)
+      if (await isolatedEntry.write('core', statement, 'PRIMARY') && wasReplaced) confirmedLate.push(statement)
+      attempted.push(statement)
       await sleepMs(5)
     }
   }
   fleet.members.get('core-a')!.link.setFault({ cut: true })
-  beside.cutOff(true)
-  const writing = writeOn()
+  isolatedEntry.cutOff(true)
+  const writing = writeContinuously()
   await fleet.untilServing(2)
   isReplaced = true
-  const added = await writeConfirmed(fleet, 'put k after')
+  const added = await writeUntilConfirmed(fleet, 'put k after')
   await writing
   t.deepEqual(confirmedLate, [])
-  t.true((await fleet.logOf('core-a')).some(statement => taken.includes(statement)))
+  t.true((await fleet.logOf('core-a')).some(statement => attempted.includes(statement)))
 
   fleet.members.get('core-a')!.link.setFault({ cut: false })
-  await assertHeldEverywhere(fleet, ['core-a', 'core-b', 'core-c'], [kept, added])
-  t.false((await fleet.logOf('core-a')).some(statement => taken.includes(statement)))
+  await assertReplicatedEverywhere(fleet, ['core-a', 'core-b', 'core-c'], [kept, added])
+  t.false((await fleet.logOf('core-a')).some(statement => attempted.includes(statement)))
 })
 
 for (const cause of ['data centre out', 'endpoint leaving']) {
   test.serial(`hands a primary over without losing a write: ${cause}`, async t => {
     const fleet = await startTestFleet()
     t.teardown(fleet.close)
-    // Detection is not what this test is about: a stalled machine must not look like a failed successor.
+    // A long detection time, so that a stalled test machine does not cause a failover in addition to the handover.
     await fleet.addSteward('vm-1', {}, { detectMs: 20_000, leaseTtlMs: 10_000 })
     await fleet.untilServing(1)
     const confirmed: string[] = []
     let isOver = false
     let lastMs = monotonicMs()
     let longestGapMs = 0
-    const writeOn = async () => {
+    const writeContinuously = async () => {
       for (let count = 0; !isOver; count++) {
         const statement = `put k ${count}`
         if (!await fleet.entries[0].write('core', statement, 'PRIMARY')) {
@@ -107,7 +109,7 @@
     }
     await sleepMs(contactTtlMs + 200)
     lastMs = monotonicMs()
-    const writing = writeOn()
+    const writing = writeContinuously()
     await sleepMs(200)
     if (cause === 'endpoint leaving') await fleet.setVms(['core-a'])
     else await fleet.configure(['north'])
--- a/packages/steward/src/model-member.ts
+++ b/packages/steward/src/model-member.ts
@@ -1,23 +1,23 @@
 /**
- * Test support: a database group's member for the model check, without time or network. It follows the
- * endpoint protocol's rules on terms; `checksTerms` false breaks them on purpose.
+ * Test support: model of a database group's member for the model check, without time or network. It implements the
+ * term rules of the endpoint protocol; `checksTerms: false` disables them to inject a defect.
  */
 import type { TermStart } from '@egretyoke/config'
 import type { ControlAnswer, MemberState } from '@egretyoke/fleet'
 
-/** One write in a log. */
-export type ModelEntry = { term: number, id: string }
+/** A log entry with one write. */
+export type ModelLogEntry = { term: number, id: string }
 
-/** A member's whole state. */
+/** Complete state of a member. */
 export type ModelMember = {
   name: string
   term: number
   fencedTerm: number
   isPrimary: boolean
   upstream: string
-  log: ModelEntry[]
+  log: ModelLogEntry[]
   lineage: TermStart[]
-  /** Positions that replicas have reported in this term. */
+  /** Log positions that replicas have acknowledged in this term, by name. */
   acks: Record<string, number>
 }
 
@@ -33,15 +33,15 @@
   acks: { a: 0, b: 0, c: 0 }
 })
 
-/** True while the member takes writes. */
-export const mayWrite = (member: ModelMember): boolean => member.isPrimary && member.fencedTerm <= member.term
+/** True while the member accepts writes: it is primary and not fenced at a higher term. */
+export const canWrite = (member: ModelMember): boolean => member.isPrimary && member.fencedTerm <= member.term
 
-/** The member's state as it tells it. */
-export const stateOf = (member: ModelMember): MemberState => ({
+/** Returns the state that the member reports. */
+export const memberStateOf = (member: ModelMember): MemberState => ({
   name: member.name,
   group: 'core',
   term: member.term,
-  isPrimary: mayWrite(member),
+  isPrimary: canWrite(member),
   fencedTerm: member.fencedTerm,
   receivedPosition: member.log.length,
   appliedPosition: member.log.length,
@@ -51,52 +51,52 @@
   leaving: false
 })
 
-const answer = (member: ModelMember, accepted: boolean): ControlAnswer =>
-  ({ accepted, reason: accepted ? '' : 'term', state: stateOf(member) })
+const controlAnswer = (member: ModelMember, accepted: boolean): ControlAnswer =>
+  ({ accepted, reason: accepted ? '' : 'term', state: memberStateOf(member) })
 
-/** Fences the member. */
-export const fenceModel = (member: ModelMember, term: number, checksTerms: boolean): ControlAnswer => {
-  if (checksTerms && term < member.fencedTerm) return answer(member, false)
+/** Fences the member at a term. */
+export const fenceModelMember = (member: ModelMember, term: number, checksTerms: boolean): ControlAnswer => {
+  if (checksTerms && term < member.fencedTerm) return controlAnswer(member, false)
   member.fencedTerm = term
-  return answer(member, true)
+  return controlAnswer(member, true)
 }
 
-/** Promotes the member. */
-export const promoteModel = (member: ModelMember, term: number, checksTerms: boolean): ControlAnswer => {
-  if (member.isPrimary && member.term === term) return answer(member, true)
-  if (checksTerms && (term < member.fencedTerm || term <= member.term)) return answer(member, false)
+/** Promotes the member to primary of a term. */
+export const promoteModelMember = (member: ModelMember, term: number, checksTerms: boolean): ControlAnswer => {
+  if (member.isPrimary && member.term === term) return controlAnswer(member, true)
+  if (checksTerms && (term < member.fencedTerm || term <= member.term)) return controlAnswer(member, false)
   Object.assign(member, { term, fencedTerm: term, isPrimary: true, acks: {} })
   member.lineage = [...member.lineage.filter(start => start.term < term), { term, startPosition: member.log.length }]
-  return answer(member, true)
+  return controlAnswer(member, true)
 }
 
-/** Makes the member follow a primary. */
-export const followModel = (
+/** Makes the member follow a primary in a term. */
+export const followModelMember = (
   member: ModelMember,
   term: number,
   primary: string,
   checksTerms: boolean
 ): ControlAnswer => {
-  if (checksTerms && (term < member.fencedTerm || term < member.term)) return answer(member, false)
-  if (member.isPrimary && term === member.term) return answer(member, false)
+  if (checksTerms && (term < member.fencedTerm || term < member.term)) return controlAnswer(member, false)
+  if (member.isPrimary && term === member.term) return controlAnswer(member, false)
   Object.assign(member, { term, isPrimary: false, upstream: primary })
-  return answer(member, true)
+  return controlAnswer(member, true)
 }
 
-/** True when a pull from the primary would change something. */
-export const mayReplicate = (member: ModelMember, primary: ModelMember): boolean => {
+/** True if replication from the primary would change the state of the member or the primary. */
+export const canReplicate = (member: ModelMember, primary: ModelMember): boolean => {
   if (member.isPrimary || member.upstream !== primary.name || member.term !== primary.term) return false
-  if (!mayWrite(primary) || member.fencedTerm > member.term) return false
+  if (!canWrite(primary) || member.fencedTerm > member.term) return false
   return primary.acks[member.name] !== primary.log.length || member.lineage.at(-1)?.term !== primary.term
 }
 
-/** Pulls the primary's log, dropping what the primary lacks. */
-export const replicateModel = (member: ModelMember, primary: ModelMember): void => {
-  if (!mayReplicate(member, primary)) return
+/** Copies the primary's log to the member and drops entries that are not in the primary's log. */
+export const replicateModelMember = (member: ModelMember, primary: ModelMember): void => {
+  if (!canReplicate(member, primary)) return
   const lastTerm = member.log.at(-1)?.term ?? 0
   const nextStart = primary.lineage.find(start => start.term > lastTerm)
-  const kept = Math.min(member.log.length, nextStart?.startPosition ?? primary.log.length)
-  member.log = [...member.log.slice(0, kept), ...primary.log.slice(kept)]
+  const retainedCount = Math.min(member.log.length, nextStart?.startPosition ?? primary.log.length)
+  member.log = [...member.log.slice(0, retainedCount), ...primary.log.slice(retainedCount)]
   member.lineage = [...primary.lineage]
   primary.acks[member.name] = member.log.length
 }
--- a/packages/steward/src/test-entry.ts
+++ b/packages/steward/src/test-entry.ts
@@ -1,6 +1,6 @@
 /**
- * Test support: an entry reduced to what stewards depend on. It follows the store, watches endpoints, answers
- * as a peer, and confirms writes by the entries' rule.
+ * Test support: a minimal entry with the functions that stewards depend on. It follows the store, polls the endpoints,
+ * serves the peer protocol, and confirms writes by the same rule as a real entry.
  */
 import type { sendUnaryData, ServerUnaryCall } from '@grpc/grpc-js'
 import { monotonicMs, sleepMs, ticks } from '@egretyoke/common'
@@ -18,12 +18,12 @@
   name: string
   platformAddress: string
   contactTtlMs: number
-  /** Addresses of members by name, as this entry reaches them. */
+  /** Addresses by which this entry connects to the members, by member name. */
   memberAddresses: Record<string, string>
 }
 
-/** One write as a member gets it. */
-export type TestWrite = {
+/** Fields of a write request to a member. */
+export type TestWriteRequest = {
   statement: Buffer
   writes: true
   expectedTerm: number
@@ -31,8 +31,8 @@
   timeoutMs: number
 }
 
-/** How a member answered a write. */
-export type TestWriteEnd = { verdict: string, term: number }
+/** A member's reply to a write. */
+export type TestWriteResult = { verdict: string, term: number }
 
 /** A running test entry. */
 export type TestEntry = Awaited<ReturnType<typeof startTestEntry>>
@@ -44,11 +44,11 @@
   const members = Object.entries(options.memberAddresses)
     .map(([name, address]) => ({ name, address, control: connectMember(address, loopbackChannels) }))
   const sightings = new Map<string, PeerMessages.EndpointSighting>()
-  const lastAnswerMs = new Map<string, number>()
+  const lastReplyMs = new Map<string, number>()
   const records = new Map<string, GroupRecord>()
-  const stoppedBelow = new Map<string, number>()
+  const stoppedBelowTerms = new Map<string, number>()
   let knownRevision = 0
-  let confirmedMs = -Infinity
+  let lastContactMs = -Infinity
   let isCutOff = false
 
   const poll = async () => {
@@ -61,27 +61,27 @@
         if (record.ok) records.set(entry.key.slice(storeKeys.groupPrefix.length), record.val)
       }
       knownRevision = changes.val.storeRevision
-      confirmedMs = sentMs
+      lastContactMs = sentMs
     }
   }
 
-  const watchMember = async ({ name, control }: typeof members[number]) => {
-    lastAnswerMs.set(name, monotonicMs())
+  const pollMember = async ({ name, control }: typeof members[number]) => {
+    lastReplyMs.set(name, monotonicMs())
     for await (const _ of ticks(pollMs, stopping.signal)) {
       const status = await control.getStatus(callTimeoutMs)
-      if (status.ok) lastAnswerMs.set(name, monotonicMs())
-      const seen = status.ok ? status.val : undefined
+      if (status.ok) lastReplyMs.set(name, monotonicMs())
+      const memberState = status.ok ? status.val : undefined
       sightings.set(name, {
-        endpoint: name, reachable: status.ok, term: seen?.term ?? 0, isPrimary: seen?.isPrimary ?? false
+        endpoint: name, reachable: status.ok, term: memberState?.term ?? 0, isPrimary: memberState?.isPrimary ?? false
       })
     }
   }
 
   const heartbeat = (_call: unknown, done: sendUnaryData<PeerMessages.HeartbeatMessage>) => {
     if (isCutOff) return
-    const seen = [...sightings.values()].map(sighting =>
-      ({ ...sighting, ageMs: Math.round(monotonicMs() - lastAnswerMs.get(sighting.endpoint!)!) }))
-    done(null, { vm: options.name, knownRevision, sightings: seen })
+    const currentSightings = [...sightings.values()].map(sighting =>
+      ({ ...sighting, ageMs: Math.round(monotonicMs() - lastReplyMs.get(sighting.endpoint!)!) }))
+    done(null, { vm: options.name, knownRevision, sightings: currentSightings })
   }
 
   const stopConfirming = (
@@ -90,21 +90,21 @@
   ) => {
     if (isCutOff) return
     const { group, term } = call.request
-    stoppedBelow.set(group, Math.max(term, stoppedBelow.get(group) ?? 0))
+    stoppedBelowTerms.set(group, Math.max(term, stoppedBelowTerms.get(group) ?? 0))
     done(null, { acknowledged: true, vm: options.name })
   }
 
-  const mayConfirm = (group: string, answerTerm: number): boolean => {
+  const canConfirm = (group: string, replyTerm: number): boolean => {
     const record = records.get(group)
-    return record?.phase === 'active' && record.term === answerTerm &&
-      answerTerm >= (stoppedBelow.get(group) ?? 0) && monotonicMs() - confirmedMs < options.contactTtlMs
+    return record?.phase === 'active' && record.term === replyTerm &&
+      replyTerm >= (stoppedBelowTerms.get(group) ?? 0) && monotonicMs() - lastContactMs < options.contactTtlMs
   }
 
-  const execute = (address: string, group: string, request: TestWrite) =>
-    new Promise<TestWriteEnd | undefined>(resolve => {
+  const execute = (address: string, group: string, request: TestWriteRequest) =>
+    new Promise<TestWriteResult | undefined>(resolve => {
       const client = connectGrpc(endpointProto.Endpoint, address, loopbackChannels)
       const call = client.Connect({ deadline: Date.now() + 1_000 })
-      const finish = (end?: TestWriteEnd) => {
+      const finish = (end?: TestWriteResult) => {
         resolve(end)
         call.cancel()
         client.close()
@@ -117,25 +117,25 @@
       call.write({ requestId: 1, generation: 1, open: { group } })
     })
 
-  /** Writes through the primary that this entry knows. Returns true only when the write may be confirmed. */
+  /** Writes to the primary in this entry's record of the group. Returns true only if the write may be confirmed. */
   const write = async (group: string, statement: string, confirmation: 'PRIMARY' | 'MAJORITY'): Promise<boolean> => {
     const record = records.get(group)
     const member = members.find(({ name }) => name === record?.primary)
     if (!record || !member || record.phase !== 'active') return false
-    if (record.term < (stoppedBelow.get(group) ?? 0)) return false
+    if (record.term < (stoppedBelowTerms.get(group) ?? 0)) return false
     const end = await execute(member.address, group, {
       statement: Buffer.from(statement), writes: true, expectedTerm: record.term, confirmation, timeoutMs: 500
     })
-    return end?.verdict === 'DONE' && mayConfirm(group, end.term)
+    return end?.verdict === 'DONE' && canConfirm(group, end.term)
   }
 
   const listener = await listenGrpc('127.0.0.1:0', { channels: loopbackChannels }, server => {
-    const missing = (_call: unknown, done: sendUnaryData<object>) => done({ code: 12 })
+    const unimplemented = (_call: unknown, done: sendUnaryData<object>) => done({ code: 12 })
     server.addService(peerProto.Peer.service, {
-      Heartbeat: heartbeat, StopConfirming: stopConfirming, FetchState: missing, Borrow: missing
+      Heartbeat: heartbeat, StopConfirming: stopConfirming, FetchState: unimplemented, Borrow: unimplemented
     })
   })
-  const running = [poll(), ...members.map(watchMember)]
+  const running = [poll(), ...members.map(pollMember)]
   const close = async () => {
     stopping.abort()
     await Promise.race([Promise.all(running), sleepMs(callTimeoutMs)])
--- a/packages/steward/src/test-fleet.ts
+++ b/packages/steward/src/test-fleet.ts
@@ -1,5 +1,6 @@
 /**
- * Test support: the platform's stand-in, database groups behind links, test entries and stewards on loopback.
+ * Test support: a fleet on loopback with the stand-in platform, database groups behind fault-injecting links, test
+ * entries and stewards.
  */
 import { monotonicMs, silentLogger, sleepMs } from '@egretyoke/common'
 import {
@@ -24,19 +25,19 @@
 const memberNames = ['a', 'b', 'c']
 const dataCentres = ['north', 'middle', 'south']
 
-/** Entries' contact time in tests, in milliseconds. */
+/** Contact time of the entries in tests, in milliseconds. */
 export const contactTtlMs = 600
 
-/** Waits until the condition holds; throws with its name when it does not in time. */
-export const eventually = async (name: string, isSo: () => boolean | Promise<boolean>, withinMs = 15_000) => {
-  for (const endMs = monotonicMs() + withinMs; monotonicMs() < endMs; await sleepMs(20)) {
-    if (await isSo()) return
+/** Polls until the condition holds; throws an error with its name after `timeoutMs`. */
+export const eventually = async (name: string, condition: () => boolean | Promise<boolean>, timeoutMs = 15_000) => {
+  for (const deadlineMs = monotonicMs() + timeoutMs; monotonicMs() < deadlineMs; await sleepMs(20)) {
+    if (await condition()) return
   }
-  throw new Error(`not in time: ${name}`)
+  throw new Error(`condition not met in time: ${name}`)
 }
 
-const sameActive = (known: GroupRecord | undefined, record: GroupRecord): boolean =>
-  known?.phase === 'active' && known.term === record.term
+const hasSameActiveTerm = (entryRecord: GroupRecord | undefined, record: GroupRecord): boolean =>
+  entryRecord?.phase === 'active' && entryRecord.term === record.term
 
 /** A running test fleet. */
 export type TestFleet = Awaited<ReturnType<typeof startTestFleet>>
@@ -63,10 +64,13 @@
   return database
 }
 
-/** Starts platform, groups of three members and entries. The last `directEntries` reach members past the links. */
+/**
+ * Starts the platform, groups of three members, and entries. The last `directEntries` entries connect to the members
+ * directly instead of through the links.
+ */
 export const startTestFleet = async (options: FleetOptions = {}) => {
   const { groups = ['core'], entryCount = 3, directEntries = 0 } = options
-  const closing: Array<() => Promise<void> | void> = []
+  const cleanups: Array<() => Promise<void> | void> = []
   const platformServer = await startStandinPlatform({ address: loopback, channels: loopbackChannels, seed: 1 })
   const platform = connectPlatform(platformServer.address, loopbackChannels)
   const control = connectGrpc(standinProto.PlatformControl, platformServer.address, loopbackChannels)
@@ -77,11 +81,11 @@
     let first = { name: '', address: '' }
     for (const shortName of memberNames) {
       const name = `${group}-${shortName}`
-      // The first member never follows itself, so its own link need not be known to it.
+      // The first member is the primary and follows nobody, so it does not need the address of its own link.
       const database = await startMember(group, name, first.name ? first : { name, address: loopback })
       const link = await startLink({ listen: loopback, control: loopback, target: database.address, delayMs: 0 })
       if (!first.name) first = { name, address: link.address }
-      closing.push(link.close, () => database.close())
+      cleanups.push(link.close, () => database.close())
       const control = connectMember(database.address, loopbackChannels)
       const linked = connectMember(link.address, loopbackChannels)
       started.push({ name, group, database, link, control, linked })
@@ -109,7 +113,7 @@
     }
   })
 
-  /** Stores a configuration with the given data centres out. */
+  /** Stores a configuration in which the given data centres are out of service. */
   const configure = async (outDataCentres: string[]) => {
     const texts = documents(outDataCentres)
     const hashes: Record<string, string> = {}
@@ -169,7 +173,7 @@
       closed ??= steward.close()
       return closed
     }
-    closing.push(close)
+    cleanups.push(close)
     return { close }
   }
 
@@ -186,7 +190,7 @@
     return record?.ok ? record.val.members.map(member => member.name) : []
   }
 
-  /** Statements that a member holds in its log. */
+  /** Reads the statements in a member's log. */
   const logOf = (name: string) => new Promise<string[]>((resolve, reject) => {
     const client = connectGrpc(standinProto.DatabaseControl, members.get(name)!.database.address, loopbackChannels)
     const statements: string[] = []
@@ -211,42 +215,42 @@
     return record?.phase === 'active' && test(record)
   }
 
-  /** Waits until all entries that are not cut off know the group's active term. */
+  /** Waits until the group has an active term of at least `term`, known to all entries that are not cut off. */
   const untilServing = (term: number, name = groups[0]) => eventually(`${name} serves in term ${term}`, async () => {
     const record = await group(name)
     return record?.phase === 'active' && record.term >= term &&
-      entries.every(entry => entry.isCutOff() || sameActive(entry.record(name), record))
+      entries.every(entry => entry.isCutOff() || hasSameActiveTerm(entry.record(name), record))
   })
 
-  /** Runs one promotion attempt as a steward of its own that goes by no lease. */
+  /** Runs one promotion attempt as a separate steward that needs no lease. */
   const promoteOnce = async (afterStep: PromotionTask['afterStep'], name = groups[0]) => {
     const entryPeers = createGrpcEntryPeers(loopbackChannels, 200)
-    closing.push(entryPeers.close)
+    cleanups.push(entryPeers.close)
     const calls = createPromotionCalls({
       group: name,
       platform,
       entries: entryPeers,
-      learn: () => {},
-      isRosterSettled: () => true,
+      updateCopy: () => {},
+      isRosterStable: () => true,
       timeoutMs: 300,
       log: silentLogger
     })
-    const seen = await calls.readGroup()
-    if (!seen.ok) throw new Error('the platform is silent')
-    const own = [...members.values()].filter(member => member.group === name).map(member => {
+    const stored = await calls.readGroup()
+    if (!stored.ok) throw new Error('the platform did not reply')
+    const groupMembers = [...members.values()].filter(member => member.group === name).map(member => {
       const control = connectMember(member.link.address, loopbackChannels)
-      closing.push(control.close)
-      return { name: member.name, endpoint: endpointsOf(name)[member.name], control, mayStay: true }
+      cleanups.push(control.close)
+      return { name: member.name, endpoint: endpointsOf(name)[member.name], control, canRemainPrimary: true }
     })
-    const times = { contactEndMs: contactTtlMs + 100, memberTimeoutMs: 200, attemptTimeoutMs: 60_000 }
+    const timeouts = { contactExpiryMs: contactTtlMs + 100, memberTimeoutMs: 200, attemptTimeoutMs: 60_000 }
     const { signal } = new AbortController()
-    return promote({ group: name, members: own, calls, times, afterStep, signal }, seen.val)
+    return promote({ group: name, members: groupMembers, calls, timeouts, afterStep, signal }, stored.val)
   }
 
   const close = async () => {
-    await Promise.all(closing.reverse().map(end => end()))
+    await Promise.all(cleanups.reverse().map(cleanUp => cleanUp()))
     await Promise.all(entries.map(entry => entry.close()))
-    for (const { control: direct, linked } of members.values()) [direct, linked].forEach(one => one.close())
+    for (const { control: direct, linked } of members.values()) [direct, linked].forEach(control => control.close())
     control.close()
     platform.close()
     await platformServer.close()
@@ -270,15 +274,15 @@
   }
 }
 
-/** Writes with majority until one is confirmed; returns the statement. */
-export const writeConfirmed = async (fleet: TestFleet, statement: string, entry = fleet.entries[0]) => {
+/** Retries a majority write until it is confirmed; returns the statement. */
+export const writeUntilConfirmed = async (fleet: TestFleet, statement: string, entry = fleet.entries[0]) => {
   await eventually(`${statement} is confirmed`, () => entry.write('core', statement, 'MAJORITY'))
   return statement
 }
 
-/** Members' logs end up alike and hold all statements. */
-export const assertHeldEverywhere = (fleet: TestFleet, names: string[], statements: string[]) =>
+/** Waits until the members' logs are equal and contain all statements. */
+export const assertReplicatedEverywhere = (fleet: TestFleet, names: string[], statements: string[]) =>
   eventually(`${statements.join(', ')} on ${names.join(', ')}`, async () => {
     const logs = await Promise.all(names.map(fleet.logOf))
-    return logs.every(log => log.join() === logs[0].join() && statements.every(one => log.includes(one)))
+    return logs.every(log => log.join() === logs[0].join() && statements.every(statement => log.includes(statement)))
   })
