common: wording of comments, findings and help texts

Comments told what parts of the program "look at", "hear" or "hold up". They now name the mechanism, for example "Maximum nesting depth of objects and arrays" instead of "Deepest nesting of objects and arrays that is read". The finding for a repeated field reads 'duplicate field "x"' instead of '"x" stands twice', and the exit code help says "a guarantee was violated" and "usage error".

--- a/packages/common/src/clock.ts
+++ b/packages/common/src/clock.ts
@@ -1,20 +1,20 @@
 /**
- * Monotonic time, and detection of a host whose monotonic clock stood still while wall time went on.
+ * Monotonic time, and detection of host pauses, in which the monotonic clock stops while wall time advances.
  */
 
-/** Reads a monotonic clock, in milliseconds. Passed as an argument wherever a test may want another clock. */
+/** Returns monotonic time in milliseconds. Passed as an argument wherever a test may replace the clock. */
 export type Clock = () => number
 
 /** The process's monotonic clock, in milliseconds. */
 export const monotonicMs: Clock = () => performance.now()
 
-/** Largest difference between wall and monotonic time that does not count as a pause, in milliseconds. */
+/** Maximum drift between wall and monotonic time that does not count as a pause, in milliseconds. */
 export const maxClockDriftMs = 500
 
-/** Tells whether the host was paused with its monotonic clock since the last call. */
+/** `hasBeenPaused` returns true when the host and its monotonic clock were paused since the previous call. */
 export type PauseDetector = { hasBeenPaused: () => boolean }
 
-/** Creates a pause detector. A wall clock that is set by hand also counts as a pause, which is safe. */
+/** Creates a pause detector. Setting the wall clock also counts as a pause, which is safe. */
 export const createPauseDetector = (
   monotonic: Clock = monotonicMs,
   wall: Clock = Date.now,
--- a/packages/common/src/document-places.ts
+++ b/packages/common/src/document-places.ts
@@ -4,10 +4,10 @@
 import { findNodeAtLocation, parseTree } from 'jsonc-parser'
 import type { Node } from 'jsonc-parser'
 
-/** A place in a text. Lines and columns count from 1. */
+/** A position in a text. Lines and columns count from 1. */
 export type Place = { line: number, column: number }
 
-/** Names of fields and indices of arrays, from the root of a document. */
+/** Path from the root of a document: field names and array indices. */
 export type DocumentPath = Array<string | number>
 
 const lineStartsOf = (text: string): number[] => {
@@ -16,7 +16,7 @@
   return starts
 }
 
-/** Creates a function that tells the place of an offset; each look-up takes logarithmic time. */
+/** Creates a function that returns the position of an offset. Each lookup takes logarithmic time. */
 export const createOffsetFinder = (text: string): ((offset: number) => Place) => {
   const lineStarts = lineStartsOf(text)
   return offset => {
@@ -31,7 +31,7 @@
   }
 }
 
-/** The node at a path or, where the path ends early, its nearest parent that exists. */
+/** Returns the node at a path or, when it does not exist, its nearest existing ancestor. */
 export const nearestNode = (root: Node, path: DocumentPath): Node => {
   for (let length = path.length; length > 0; length--) {
     const node = findNodeAtLocation(root, path.slice(0, length))
@@ -40,7 +40,7 @@
   return root
 }
 
-/** Creates a function that tells the place of a path's value, or of its nearest parent that exists. */
+/** Creates a function that returns the position of the value at a path, or of its nearest existing ancestor. */
 export const createPlaceFinder = (text: string): ((path: DocumentPath) => Place) => {
   const root = parseTree(text, [], { allowTrailingComma: true })
   const placeOf = createOffsetFinder(text)
--- a/packages/common/src/event-catalogue.test.ts
+++ b/packages/common/src/event-catalogue.test.ts
@@ -1,5 +1,5 @@
 /**
- * The catalogue of events: numbers and names are unique, each is used, and docs/EVENTS.md lists them as the code does.
+ * The event catalogue: numbers and names are unique, every event is used, and docs/EVENTS.md matches the code.
  */
 import { existsSync, readdirSync, readFileSync } from 'node:fs'
 import { fileURLToPath } from 'node:url'
@@ -24,21 +24,21 @@
     .map(file => readFileSync(`${root}${packageName}/src/${file}`, 'utf8'))
     .join('\n')
 
-test('numbers and names are unique', t => {
+test('event numbers and names are unique', t => {
   t.true(all.length > 0)
   t.is(new Set(all.map(event => event.id)).size, all.length)
   t.is(new Set(all.map(event => event.name)).size, all.length)
   for (const event of all) t.regex(event.name, /^[a-z][a-zA-Z]*$/)
 })
 
-test('docs/EVENTS.md lists every event as the code does, and no other', t => {
+test('docs/EVENTS.md lists exactly the events that the code defines', t => {
   const listed = readFileSync(`${root}docs/EVENTS.md`, 'utf8').split('\n').filter(line => /^\| \d+ /.test(line))
   const expected = all.map(event => `| ${event.id} | ${event.name} | ${event.meaning} |`)
   t.deepEqual(listed.toSorted(), expected.toSorted())
 })
 
 for (const { packageName, events } of catalogues) {
-  test(`every event of ${packageName} is written somewhere`, t => {
+  test(`the code of ${packageName} uses every event that it defines`, t => {
     const source = sourceOf(packageName)
     const unused = Object.keys(events).filter(name => !source.includes(`events.${name}`))
     t.deepEqual(unused, [])
--- a/packages/common/src/findings.ts
+++ b/packages/common/src/findings.ts
@@ -1,8 +1,8 @@
 /**
- * Findings on an input: collected with their place, and reported together.
+ * Findings: problems in an input, collected with their positions and reported together.
  */
 
-/** One finding. Lines and columns count from 1. */
+/** One problem in an input. Lines and columns count from 1. */
 export type Finding = {
   file: string
   line: number
--- a/packages/common/src/health-server.ts
+++ b/packages/common/src/health-server.ts
@@ -5,20 +5,20 @@
 import type { AddressInfo } from 'node:net'
 import { collectDefaultMetrics, Registry } from 'prom-client'
 
-/** A running health listener. `port` is the one in use. */
+/** A running health listener. `port` is the port that it is bound to. */
 export type HealthServer = {
   port: number
   registry: Registry
   close: () => Promise<void>
 }
 
-/** What the health listener asks its program. */
+/** Callbacks through which the health listener reads the state of its program. */
 export type HealthChecks = {
-  /** False ends traffic to this VM. */
+  /** Returns the readiness shown at `/readyz`; false stops traffic to this VM. */
   isReady: () => boolean
 }
 
-/** Splits HOST:PORT; the port 0 asks for a free one. */
+/** Splits HOST:PORT. Port 0 stands for any free port. */
 export const splitAddress = (address: string): { host: string, port: number } => {
   const colon = address.lastIndexOf(':')
   return { host: address.slice(0, colon), port: Number(address.slice(colon + 1)) }
--- a/packages/common/src/json-with-comments.ts
+++ b/packages/common/src/json-with-comments.ts
@@ -1,6 +1,6 @@
 /**
- * Reads JSON with comments against a zod schema. Every syntax and schema finding is reported with its place. The work
- * is bounded by the size of the text, its nesting and the number of findings.
+ * Parses JSON with comments and validates it against a zod schema. Every syntax and schema finding has a position. The
+ * work is bounded by limits on the size of the text, its nesting and the number of findings.
  */
 import {
   createScanner, findNodeAtLocation, getNodeValue, parseTree, printParseErrorCode, SyntaxKind
@@ -13,16 +13,16 @@
 import { Err, Ok } from './result.js'
 import type { Result } from './result.js'
 
-/** Largest text that is read, in bytes. */
+/** Maximum size of a text, in bytes. */
 export const maxDocumentBytes = 1024 * 1024
 
-/** Deepest nesting of objects and arrays that is read. */
+/** Maximum nesting depth of objects and arrays. */
 export const maxNestingDepth = 64
 
-/** Most findings that are reported on one text. */
+/** Maximum number of findings reported for one text. */
 export const maxFindings = 200
 
-/** Offset of the first value that is nested too deeply; undefined when there is none. */
+/** Returns the offset of the first value nested deeper than `maxNestingDepth`; undefined when there is none. */
 const tooDeepOffset = (text: string): number | undefined => {
   const scanner = createScanner(text, true)
   let depth = 0
@@ -60,10 +60,7 @@
   }
 }
 
-/**
- * Parses and checks a text. Returns the typed value, or all findings up to `maxFindings`; `file` is the name shown in
- * them.
- */
+/** Parses and validates a text. Returns the typed value or up to `maxFindings` findings, which show `file` as name. */
 export const readJsonWithComments = <T>(text: string, file: string, schema: ZodType<T>): Result<T, Finding[]> => {
   const start: Finding = { file, line: 1, column: 1, message: '' }
   if (Buffer.byteLength(text) > maxDocumentBytes) {
@@ -82,7 +79,7 @@
   if (!root) return Err([{ ...start, message: 'empty document' }])
   const findings: Finding[] = []
   for (const key of duplicateKeys(root)) {
-    if (findings.length < maxFindings) findings.push(at(key.offset, `"${key.value}" stands twice`))
+    if (findings.length < maxFindings) findings.push(at(key.offset, `duplicate field "${key.value}"`))
   }
   const checked = schema.safeParse(getNodeValue(root))
   if (checked.success && findings.length === 0) return Ok(checked.data)
--- a/packages/common/src/line-logger.ts
+++ b/packages/common/src/line-logger.ts
@@ -1,26 +1,26 @@
 /**
- * Numbered events as JSON lines on standard output, written in the background by `pino`. When nobody reads them, or
- * when there are too many, lines are left out and counted: logging never holds the program up.
+ * Numbered events as JSON lines on standard output, written asynchronously by `pino`. When the output is not read
+ * or the rate limit is exceeded, lines are dropped and counted, so that logging never blocks the program.
  */
 import { pino } from 'pino'
 import type { EventFields, Logger } from './log.js'
 
-/** Lines a second, on average, and at once. */
+/** Token bucket of log lines: refill rate and capacity. */
 const maxLinesPerSec = 1000
 const maxBurstLines = 4000
-/** Text that may wait to be written, in bytes. */
+/** Maximum amount of text buffered for writing, in bytes. */
 const maxWaitingBytes = 512 * 1024
 
-/** A logger with its destination. */
+/** A logger and control of its output. */
 export type LineLogger = {
   log: Logger
-  /** Hears how many lines were left out. */
+  /** Sets the listener that is called with the number of dropped lines. */
   onDropped: (listener: (count: number) => void) => void
-  /** Writes what waits, and ends. */
+  /** Flushes the buffered lines synchronously. */
   close: () => void
 }
 
-/** Creates a logger whose lines carry the given fields. */
+/** Creates a logger that adds the given fields to each line. */
 export const createLineLogger = (program: string, common: EventFields = {}): LineLogger => {
   const destination = pino.destination({ fd: 1, sync: false, maxLength: maxWaitingBytes })
   const options = { base: { program, ...common }, timestamp: pino.stdTimeFunctions.isoTime }
@@ -29,7 +29,7 @@
   let filledAtMs = performance.now()
   let noteDropped = (_count: number) => {}
   destination.on('drop', () => noteDropped(1))
-  // A reader that went away must not end the program.
+  // A closed output pipe must not terminate the program.
   destination.on('error', () => noteDropped(1))
 
   const isAllowed = () => {
--- a/packages/common/src/log.ts
+++ b/packages/common/src/log.ts
@@ -1,13 +1,13 @@
 /**
- * Numbered events as one JSON object a line, written by `debug` under the namespace `egretyoke:PROGRAM`.
+ * Numbered events as one JSON object per line, written by `debug` under the namespace `egretyoke:PROGRAM`.
  * Each package declares its events in `src/events.ts`; docs/EVENTS.md lists them all.
  */
 import createDebug from 'debug'
 
-// The default formatter puts its own time and name before each line.
+// Disables the default formatter, which prefixes each line with its own time and namespace.
 createDebug.formatArgs = () => {}
 
-/** An event of the catalogue. */
+/** An event of the catalogue. `id` is the event number. */
 export type EventDefinition = {
   id: number
   name: string
@@ -17,13 +17,13 @@
 /** Declares an event of a package's catalogue. */
 export const defineEvent = (id: number, name: string, meaning: string): EventDefinition => ({ id, name, meaning })
 
-/** The fields of one log line; keys are never logged. */
+/** Fields of one log line. Callers' keys are never logged. */
 export type EventFields = Record<string, string | number | boolean | null | undefined | readonly string[]>
 
-/** Writes numbered events. Fields that cost time to gather are given as a function, called only when logging is on. */
+/** Writes numbered events. Fields that are costly to compute are passed as a function, called only if logging is on. */
 export type Logger = (event: EventDefinition, fields?: EventFields | (() => EventFields)) => void
 
-/** Creates a logger whose lines carry the given fields. Enabled by DEBUG=egretyoke:* as usual. */
+/** Creates a logger that adds the given fields to each line. Enabled by DEBUG=egretyoke:*. */
 export const createLogger = (program: string, common: EventFields = {}): Logger => {
   const write = createDebug(`egretyoke:${program}`)
   return (event, fields = {}) => {
--- a/packages/common/src/program.ts
+++ b/packages/common/src/program.ts
@@ -1,5 +1,5 @@
 /**
- * What every program of the project does alike: command line, settings file, announcement, signals, exit codes.
+ * Common main function of the server programs: command line, settings file, start-up line, signals and exit codes.
  */
 import { readFileSync } from 'node:fs'
 import { Command } from 'commander'
@@ -8,7 +8,7 @@
 import { readJsonWithComments } from './json-with-comments.js'
 import { messageOf } from './typed-error.js'
 
-/** Version that every program reports. */
+/** Version reported by every program. */
 export const programVersion = '0.1.0'
 
 /** Exit codes of all programs. */
@@ -22,21 +22,21 @@
   internal: 70
 } as const
 
-/** Lines for `--help` that explain the exit codes. */
+/** Help text about the exit codes and signals, for `--help`. */
 export const exitCodeHelp = `
-Exit codes: 0 done, 1 a promise was broken, 2 wrong usage, 3 findings in settings or input,
-4 conflict with another change, 5 platform or peers not available, 70 internal error.
-SIGTERM drains; a second SIGTERM ends at once.`
+Exit codes: 0 success, 1 a guarantee was violated, 2 usage error, 3 findings in settings or input,
+4 conflict with another change, 5 platform or peers unavailable, 70 internal error.
+SIGTERM drains, then exits; a second SIGTERM exits immediately.`
 
 /** A running program. */
 export type RunningProgram = {
-  /** Addresses in use, announced as one line of JSON on standard output. */
+  /** Bound addresses, printed as one line of JSON on standard output. */
   addresses: Record<string, string>
-  /** Finishes what was begun, then frees everything. */
+  /** Completes the work in progress, then releases all resources. */
   close: () => Promise<void>
 }
 
-/** A program that runs until it is told to end. */
+/** A program that runs until it receives a termination signal. */
 export type ServerProgram<Settings> = {
   name: string
   description: string
@@ -77,8 +77,8 @@
   const command = new Command(program.name)
     .description(program.description)
     .version(programVersion)
-    .requiredOption('--settings <file>', 'settings, JSON with comments')
-    .option('--check', 'check the settings and exit')
+    .requiredOption('--settings <file>', 'settings file, JSON with comments')
+    .option('--check', 'validate the settings file and exit')
     .addHelpText('after', exitCodeHelp)
     .exitOverride(error => process.exit(error.exitCode === 0 ? exitCodes.ok : exitCodes.badUsage))
   command.parse()
--- a/packages/common/src/random.ts
+++ b/packages/common/src/random.ts
@@ -1,22 +1,22 @@
 /**
- * Seeded random numbers, so that every run can be repeated.
+ * Seeded random numbers, so that runs can be reproduced.
  */
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64'
 import { uniformInt } from 'pure-rand/distribution/uniformInt'
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
 
-/** A seeded source of random numbers. */
+/** A seeded random number generator. */
 export type Random = {
-  /** At least 0, below 1. */
+  /** Returns a number from 0 (inclusive) to 1 (exclusive). */
   fraction: () => number
-  /** An integer between both bounds, bounds included. */
+  /** Returns an integer between both bounds, inclusive. */
   integer: (from: number, to: number) => number
-  /** True with the given probability. */
+  /** Returns true with the given probability. */
   chance: (probability: number) => boolean
   pick: <T>(items: readonly T[]) => T
 }
 
-/** Creates a source; the same seed gives the same numbers. */
+/** Creates a generator; equal seeds give equal sequences. */
 export const createRandom = (seed: number): Random => {
   const generator = xoroshiro128plus(seed)
   const fraction = () => uniformFloat64(generator)
--- a/packages/common/src/result.ts
+++ b/packages/common/src/result.ts
@@ -1,6 +1,6 @@
 /**
- * Results of operations that can fail for expected reasons. The one place that imports ts-results: its CommonJS build
- * gives native ES modules a default export only, its ES build, which a bundler takes, only named ones.
+ * Results of operations that can fail for expected reasons. Only this module imports ts-results: native ES modules see
+ * only the default export of its CommonJS build, and bundlers only the named exports of its ES build.
  */
 import * as module from 'ts-results'
 import type { Result as TsResult, Ok as TsOk, Err as TsErr } from 'ts-results'
@@ -11,8 +11,8 @@
 export type Ok<T> = TsOk<T>
 export type Err<E> = TsErr<E>
 
-/** Wraps a successful value. */
+/** Creates a successful result. */
 export const Ok = tsResults.Ok
 
-/** Wraps an expected error. */
+/** Creates a failed result with an expected error. */
 export const Err = tsResults.Err
--- a/packages/common/src/ticks.ts
+++ b/packages/common/src/ticks.ts
@@ -1,9 +1,9 @@
 /**
- * Generators for periodic work and waiting, so that loops read straight down.
+ * Timers as promises and async generators, so that periodic work can be written as a loop.
  */
 import { setTimeout as delay } from 'node:timers/promises'
 
-/** Waits; resolves early, with false, when the signal aborts. Times are in milliseconds. */
+/** Sleeps for `ms` milliseconds. Resolves early, with false, when the signal aborts. */
 export const sleepMs = async (ms: number, signal?: AbortSignal): Promise<boolean> => {
   if (signal?.aborted) return false
   try {
@@ -14,7 +14,7 @@
   }
 }
 
-/** Yields at once and then at every interval, until the signal aborts. */
+/** Yields a counter immediately and then after every interval, until the signal aborts. */
 export async function * ticks (intervalMs: number, signal: AbortSignal): AsyncGenerator<number> {
   for (let count = 0; !signal.aborted; count++) {
     yield count
@@ -22,20 +22,20 @@
   }
 }
 
-/** Yields the delays of an exponential backoff without jitter, in milliseconds, for ever. */
+/** Yields the delays of an exponential backoff without jitter, in milliseconds, without end. */
 export function * backoffMs (firstMs: number, maxMs: number): Generator<number> {
   for (let nextMs = firstMs; ; nextMs = Math.min(maxMs, nextMs * 2)) yield nextMs
 }
 
-/** Ticks at an interval that can be called early. */
+/** A periodic timer that can be woken early. */
 export type Ticker = {
-  /** Yields at once, then at every interval or wake-up, until the signal aborts. */
+  /** Yields immediately, then after every interval or wake-up, until the signal aborts. */
   ticks: (signal: AbortSignal) => AsyncGenerator<void>
-  /** Brings the next tick about now. */
+  /** Triggers the next tick immediately. */
   wake: () => void
 }
 
-/** Creates a ticker for one loop. */
+/** Creates a ticker for use by a single loop. */
 export const createTicker = (intervalMs: number): Ticker => {
   let isWoken = false
   let ring = () => {}
--- a/packages/common/src/typed-error.ts
+++ b/packages/common/src/typed-error.ts
@@ -1,8 +1,8 @@
 /**
- * The project's error shape: a reason code for programs, a message for people, and metadata.
+ * Common error type: a machine-readable reason code, a human-readable message, and metadata.
  */
 
-/** An expected error; `reason` is stable and documented where it is produced. */
+/** An expected error. The values of `reason` are stable and documented with the types that narrow it. */
 export type TypedError<Reason extends string = string> = {
   reason: Reason
   message: string
@@ -16,5 +16,5 @@
   metadata: TypedError['metadata'] = {}
 ): TypedError<Reason> => ({ reason, message, metadata })
 
-/** The message of anything that was thrown. */
+/** Returns the message of a thrown value of any type. */
 export const messageOf = (thrown: unknown): string => thrown instanceof Error ? thrown.message : String(thrown)
