config: wording of comments, findings and test titles

Comments described values by riddles, such as "Its part of the endpoints' time" or "Whoever writes a roster may leave out what has a default". They now say what the value is: "Share of the endpoints' time" and "Roster to be written: fields that have a default are optional". A malformed address is reported as "must be an IP address and port" instead of "IP number and port".

--- a/packages/config/src/document-checks.test.ts
+++ b/packages/config/src/document-checks.test.ts
@@ -1,5 +1,5 @@
 /**
- * Findings that span entries or documents, with their exact places.
+ * Findings of the checks across entries and documents, with their exact positions.
  */
 import { readFileSync } from 'node:fs'
 import { fileURLToPath } from 'node:url'
@@ -28,7 +28,7 @@
     message: /no group "booking-core-9"/
   },
   {
-    title: 'a group named like an inherited property',
+    title: 'unknown group with the name of an inherited property',
     document: 'workspaces',
     from: '"group": "booking-core-2", "access": "read", "profile": "board"',
     to: '"group": "constructor", "access": "read", "profile": "board"',
@@ -44,7 +44,7 @@
     message: /no profile "telepathy"/
   },
   {
-    title: 'a write open to all that may not be repeated',
+    title: 'a non-repeatable write that is open to all',
     document: 'workspaces',
     from: '"repeatable": false, "profile": "booking"',
     to: '"repeatable": false, "openToAll":   true, "profile": "booking"',
@@ -85,7 +85,7 @@
     message: /"booking-core-1\/booking-core-1-santander" has the same address/
   },
   {
-    title: 'impossible address',
+    title: 'IP address out of range',
     document: 'groups',
     from: '127.0.0.1:7121',
     to: '127.0.0.256:7121',
@@ -93,7 +93,7 @@
     message: /0 to 255/
   },
   {
-    title: 'impossible port',
+    title: 'port out of range',
     document: 'groups',
     from: '127.0.0.1:7121',
     to: '127.0.0.1:70000',
@@ -108,8 +108,8 @@
 }
 
 for (const { title, document, from, to, at, message } of cases) {
-  test(`${title} is found at its place`, t => {
-    // The keys stand in every workspace, so that case is about the second one.
+  test(`${title} is reported at its position`, t => {
+    // Every workspace has keys; the duplicate is reported at the second one.
     const original = originals[document].text
     const text = title.startsWith('the same key')
       ? original.replace(from, to).replace(from, to)
@@ -134,13 +134,13 @@
   t.deepEqual([...new Set(findings.map(finding => finding.file))].sort(), ['g.jsonc', 'p.jsonc'])
 })
 
-test('a configuration without any data centre in is refused', t => {
+test('a configuration in which every data centre is out is rejected', t => {
   const text = originals['data-centres'].text.replaceAll('"state": "in"', '"state": "out"')
   const read = readDocuments({ ...originals, 'data-centres': { file: 'd.jsonc', text } }, 1)
   t.regex(read.ok ? '' : read.val[0].message, /at least one data centre must be in/)
 })
 
-test('no name finds an inherited property', t => {
+test('records do not expose inherited properties', t => {
   const { workspaces, groups } = readDocuments(originals, 1).unwrap()
   t.false('constructor' in workspaces)
   t.false('constructor' in groups['booking-core-1'].endpoints)
--- a/packages/config/src/document-checks.ts
+++ b/packages/config/src/document-checks.ts
@@ -1,5 +1,5 @@
 /**
- * Checks that span several entries or documents: references, duplicates, and settings that contradict each other.
+ * Checks across entries and documents: references, duplicates and contradictory settings.
  */
 import { createPlaceFinder } from '@egretyoke/common'
 import type { DocumentPath, Finding } from '@egretyoke/common'
@@ -11,14 +11,14 @@
 /** The text of every document. */
 export type DocumentTexts = Record<DocumentName, DocumentText>
 
-/** Most findings that the checks report. */
+/** Maximum number of findings reported by the checks. */
 export const maxCheckFindings = 200
 
 type Problem = { document: DocumentName, path: DocumentPath, message: string }
 
 const problem = (document: DocumentName, path: DocumentPath, message: string): Problem => ({ document, path, message })
 
-/** Yields each value that came before, with what held it first. */
+/** Creates a function that registers a value with its holder and returns the first holder of a repeated value. */
 const createDuplicateCheck = () => {
   const seen = new Map<string, string>()
   return (value: string, holder: string): string | undefined => {
@@ -97,7 +97,7 @@
   }
 }
 
-/** All findings of the checks, with the places of the values that are wrong; at most `maxCheckFindings`. */
+/** Returns up to `maxCheckFindings` findings of the checks, each at the position of the invalid value. */
 export const checkConfiguration = (configuration: Configuration, texts: DocumentTexts): Finding[] => {
   const problems = [
     ...workspaceProblems(configuration),
--- a/packages/config/src/documents.ts
+++ b/packages/config/src/documents.ts
@@ -1,16 +1,16 @@
 /**
- * Schemas of the operators' configuration documents. Types are inferred; unknown fields are findings.
+ * Schemas of the operators' configuration documents. Types are inferred from them; unknown fields are findings.
  */
 import { z } from 'zod'
 
-/** Most entries of one kind in a document. */
+/** Maximum number of entries of one kind in a document. */
 export const maxEntriesPerDocument = 10_000
 
 const name = z.string().regex(/^[a-z0-9][a-z0-9-]{0,62}$/, 'lower-case letters, digits and hyphens, 1 to 63 characters')
 const timeoutMs = z.number().int().min(1).max(3_600_000)
-const address = z.string().regex(/^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-f:]+\]):\d{1,5}$/, 'IP number and port')
+const address = z.string().regex(/^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-f:]+\]):\d{1,5}$/, 'must be an IP address and port')
 
-/** Copies entries into a record that inherits nothing, so that no name finds more than what was configured. */
+/** Copies entries into an object without prototype, so that a lookup by name finds configured entries only. */
 const withoutPrototype = <T>(entries: Record<string, T>): Record<string, T> =>
   Object.assign(Object.create(null), entries)
 
@@ -18,56 +18,56 @@
   .refine(entries => Object.keys(entries).length <= maxEntriesPerDocument, `at most ${maxEntriesPerDocument} entries`)
   .transform(entries => withoutPrototype<z.infer<T>>(entries as Record<string, z.infer<T>>))
 
-/** How fresh a read must be. */
+/** Required freshness of a read. */
 export const freshnessSchema = z.discriminatedUnion('kind', [
   z.strictObject({ kind: z.literal('primary') }),
   z.strictObject({ kind: z.literal('session') }),
   z.strictObject({ kind: z.literal('maxAge'), maxAgeMs: z.number().int().min(0).max(86_400_000) })
 ])
 
-/** A named profile: what a service may expect of its calls. */
+/** A named profile: guarantees and limits of the requests that use it. */
 export const profileSchema = z.strictObject({
   freshness: freshnessSchema,
   /** `majority`: a confirmed write survives a failover; `primary`: a failover may lose it. */
   confirmation: z.enum(['primary', 'majority']),
-  /** Default and longest time for one request. */
+  /** Default and maximum timeout of one request. */
   timeoutMs,
-  /** Requests of one workspace under this profile that one VM runs or queues at the same time. */
+  /** Maximum number of requests per workspace that one VM runs or queues concurrently under this profile. */
   maxConcurrency: z.number().int().min(1).max(100_000)
 })
 
-/** A key as it is kept: salted and hashed. */
+/** A key as it is stored: salted and hashed. */
 export const storedKeySchema = z.strictObject({
   saltHex: z.string().regex(/^[0-9a-f]{32}$/),
   hashHex: z.string().regex(/^[0-9a-f]{64}$/),
   state: z.enum(['active', 'withdrawn'])
 })
 
-/** A route: what its statements do, and which group holds their data. */
+/** A route: the kind of its statements, and the database group that holds their data. */
 export const routeSchema = z.strictObject({
   group: name,
   access: z.enum(['read', 'write']),
-  /** True when running it twice does no harm. Reads are always repeatable. */
+  /** True when the statements are idempotent. Reads are always repeatable. */
   repeatable: z.boolean().default(false),
-  /** True when callers without a key of the workspace may use it. */
+  /** True when callers without a key of the workspace may use the route. */
   openToAll: z.boolean().default(false),
   profile: name
 })
 
 /** A workspace with its limits, keys and routes. */
 export const workspaceSchema = z.strictObject({
-  /** Statements a second, over all VMs together. */
+  /** Rate limit in statements per second, for all VMs together. */
   ratePerSec: z.number().positive().max(10_000_000),
-  /** Statements that may come at once after a pause, over all VMs together. */
+  /** Maximum burst after an idle period, in statements, for all VMs together. */
   burst: z.number().int().min(1).max(10_000_000),
-  /** Its part of the endpoints' time, relative to the other workspaces. */
+  /** Share of the endpoints' time, relative to the other workspaces. */
   weight: z.number().positive().max(1_000).default(1),
-  /** By key id. */
+  /** Stored keys by key id. */
   keys: bounded(storedKeySchema).prefault({}),
   routes: bounded(routeSchema)
 })
 
-/** One database. `slots` is the number of statements that it runs at the same time. */
+/** One database. `slots` is the number of statements that it runs concurrently. */
 export const endpointSchema = z.strictObject({
   address,
   dataCentre: name,
@@ -75,14 +75,14 @@
   maxConnections: z.number().int().min(1).max(100_000)
 })
 
-/** A database group; it has one primary, the other endpoints are replicas. */
+/** A database group: one primary, and replicas. */
 export const groupSchema = z.strictObject({
   endpoints: bounded(endpointSchema),
-  /** Endpoint that leads the first term. */
+  /** Endpoint that is the primary in the first term. */
   firstPrimary: name
 })
 
-/** A data centre; `out` gets no new work. */
+/** A data centre. In state `out` it receives no new work. */
 export const dataCentreSchema = z.strictObject({
   region: name,
   state: z.enum(['in', 'out']).default('in')
@@ -99,7 +99,7 @@
 /** Name of a configuration document. */
 export type DocumentName = keyof typeof documentSchemas
 
-/** All document names, in the order in which they are shown. */
+/** All document names, in display order. */
 export const documentNames = Object.keys(documentSchemas) as DocumentName[]
 
 export type Freshness = z.infer<typeof freshnessSchema>
@@ -111,7 +111,7 @@
 export type Group = z.infer<typeof groupSchema>
 export type DataCentre = z.infer<typeof dataCentreSchema>
 
-/** One accepted configuration: a version and the documents that belong to it. */
+/** One accepted configuration: its version and the contents of its documents. */
 export type Configuration = {
   version: number
   profiles: Record<string, Profile>
--- a/packages/config/src/examples.test.ts
+++ b/packages/config/src/examples.test.ts
@@ -1,5 +1,5 @@
 /**
- * The deployments under examples/ are valid, and have the sizes that they describe.
+ * The deployments under examples/ are valid and have their documented sizes.
  */
 import { readFileSync } from 'node:fs'
 import { fileURLToPath } from 'node:url'
@@ -22,7 +22,7 @@
   { deployment: 'arenal', slots: 3, maxConnections: 20 },
   { deployment: 'modhafen', slots: 2, maxConnections: 30 }
 ]) {
-  test(`${deployment} is valid and has today's size`, t => {
+  test(`${deployment} is valid and has the documented size`, t => {
     const configuration = readDocuments(documentsOf(deployment), 1).unwrap()
     const groups = Object.entries(configuration.groups)
     t.is(groups.length, 3)
--- a/packages/config/src/fleet-description.ts
+++ b/packages/config/src/fleet-description.ts
@@ -1,43 +1,43 @@
 /**
- * Description of a whole deployment, for the demo and for test beds: which VMs there are, where, and how far apart.
- * The product does not read it: a process learns its own addresses and data centre from its settings.
+ * Description of a whole deployment for the demo and the testbed: VMs, their data centres, and network latencies.
+ * The product does not read it: a process reads its own addresses and data centre from its settings.
  */
 import { z } from 'zod'
 
 const name = z.string().regex(/^[a-z0-9][a-z0-9-]{0,62}$/, 'lower-case letters, digits and hyphens, 1 to 63 characters')
-const address = z.string().regex(/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/, 'IP number and port')
+const address = z.string().regex(/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/, 'must be an IP address and port')
 const durationMs = z.number().min(0).max(60_000)
 
 /** An entry VM with the addresses of its three listeners. */
 export const describedVmSchema = z.strictObject({
   name,
   dataCentre: name,
-  /** Where callers reach it. */
+  /** Listener for callers. */
   callersAddress: address,
-  /** Where its peers and the stewards reach it. */
+  /** Listener for peers and stewards. */
   peersAddress: address,
-  /** `/healthz`, `/readyz` and `/metrics`. */
+  /** Listener for `/healthz`, `/readyz` and `/metrics`. */
   healthAddress: address
 })
 
-/** Network delays, one way. */
+/** One-way network latencies. */
 export const latenciesSchema = z.strictObject({
   betweenDataCentresMs: durationMs,
   betweenRegionsMs: durationMs,
   toClientsMs: durationMs
 })
 
-/** How the stand-ins of the databases behave; slots and connections stand in the groups document. */
+/** Timing of the database stand-ins. Their slots and connection limits are in the groups document. */
 export const databaseBehaviourSchema = z.strictObject({
   /** Time to open a connection. */
   connectMs: durationMs,
-  /** Time of one statement in one slot. */
+  /** Time that one statement occupies a slot. */
   statementMs: durationMs,
   /** Time between receiving a log entry and applying it. */
   replicationLagMs: durationMs
 })
 
-/** A deployment. */
+/** A whole deployment. */
 export const fleetDescriptionSchema = z.strictObject({
   deployment: name,
   platformAddress: address,
--- a/packages/config/src/keys.test.ts
+++ b/packages/config/src/keys.test.ts
@@ -1,5 +1,5 @@
 /**
- * Keys: parsing, checking and withdrawal.
+ * Keys: parsing, validation and withdrawal.
  */
 import test from 'ava'
 import { createKey, isKeyValid, parseKey } from './keys.js'
@@ -12,14 +12,14 @@
   t.false(isKeyValid(parsed!, { ...key.stored, state: 'withdrawn' }))
 })
 
-test('another key with the same id is not valid', t => {
+test('a different secret with the same key id is not valid', t => {
   const key = createKey('yard-1')
   const other = parseKey(createKey('yard-1').text)
   t.false(isKeyValid(other!, key.stored))
 })
 
 for (const text of ['', 'ek_', 'ek_a_b', 'x'.repeat(5000), 'ek_yard-1_' + 'x'.repeat(44)]) {
-  test(`no key: ${text.slice(0, 20)} (${text.length} characters)`, t => {
+  test(`malformed key is rejected: ${text.slice(0, 20)} (${text.length} characters)`, t => {
     t.is(parseKey(text), undefined)
   })
 }
--- a/packages/config/src/read-documents.fuzz.test.ts
+++ b/packages/config/src/read-documents.fuzz.test.ts
@@ -1,5 +1,5 @@
 /**
- * The reader of documents against arbitrary and damaged texts: it never throws, and its work is bounded.
+ * Reading documents from arbitrary and corrupted texts: the reader never throws, and its work is bounded.
  */
 import { readFileSync } from 'node:fs'
 import { fileURLToPath } from 'node:url'
@@ -28,19 +28,19 @@
     read.val.every(finding => isInText(finding.line, finding.file) && finding.column >= 1)
 }
 
-test('arbitrary text is read without harm', t => {
+test('arbitrary text does not make the reader throw', t => {
   fc.assert(fc.property(anyName, fc.string({ unit: 'binary', maxLength: 2000 }), readsWithoutHarm),
     { seed: fuzzSeed, numRuns: 800 })
   t.pass()
 })
 
-test('arbitrary JSON is read without harm', t => {
+test('arbitrary JSON does not make the reader throw', t => {
   const json = fc.jsonValue({ maxDepth: 8, depthSize: 'large' }).map(value => JSON.stringify(value))
   fc.assert(fc.property(anyName, json, readsWithoutHarm), { seed: fuzzSeed, numRuns: 400 })
   t.pass()
 })
 
-test('damaged documents are read without harm', t => {
+test('corrupted documents do not make the reader throw', t => {
   const damage = fc.record({
     from: fc.nat(),
     length: fc.nat(40),
@@ -73,10 +73,10 @@
   comments: fill('/**/'),
   'too many bytes': fill(' ', maxDocumentBytes + 10)
 })) {
-  test(`a megabyte of ${title} is read without harm`, t => {
+  test(`a megabyte of ${title} does not make the reader throw`, t => {
     t.timeout(60_000)
     const startedMs = process.cpuUsage().user / 1000
     t.true(readsWithoutHarm('profiles', text))
-    t.log(`${Math.round(process.cpuUsage().user / 1000 - startedMs)} ms of processor time`)
+    t.log(`${Math.round(process.cpuUsage().user / 1000 - startedMs)} ms of CPU time`)
   })
 }
--- a/packages/config/src/read-documents.ts
+++ b/packages/config/src/read-documents.ts
@@ -1,5 +1,5 @@
 /**
- * Reads the four configuration documents into one configuration, with the checks that span documents.
+ * Parses the four configuration documents into one configuration and checks them across documents.
  */
 import { createHash } from 'node:crypto'
 import { Err, Ok, readJsonWithComments } from '@egretyoke/common'
@@ -10,10 +10,10 @@
 import { documentSchemas } from './documents.js'
 import type { Configuration, DocumentName } from './documents.js'
 
-/** Hash under which a document's text is stored, in hexadecimal. */
+/** Returns the SHA-256 hash under which a document's text is stored, in hexadecimal. */
 export const documentHash = (text: string): string => createHash('sha256').update(text).digest('hex')
 
-/** Reads and checks all documents together; the error holds every finding of all of them. */
+/** Parses and checks all documents together. The error holds the findings of all documents. */
 export const readDocuments = (texts: DocumentTexts, version: number): Result<Configuration, Finding[]> => {
   const read = <T>(name: DocumentName, schema: ZodType<T>) =>
     readJsonWithComments(texts[name].text, texts[name].file, schema)
--- a/packages/config/src/stored-records.fuzz.test.ts
+++ b/packages/config/src/stored-records.fuzz.test.ts
@@ -1,5 +1,5 @@
 /**
- * The reader of stored records against arbitrary and damaged bytes: it never throws.
+ * Decoding stored records from arbitrary and corrupted bytes: the decoder never throws.
  */
 import test from 'ava'
 import fc from 'fast-check'
@@ -37,12 +37,12 @@
 }
 
 for (const [name, { schema, record }] of Object.entries(records)) {
-  test(`${name}: what was written is read`, t => {
+  test(`${name}: an encoded record decodes to the same record`, t => {
     const decoded = decodeRecord(storeKeys.head, encodeRecord(record), schema)
     t.deepEqual(decoded.unwrap(), record)
   })
 
-  test(`${name}: arbitrary bytes are findings`, t => {
+  test(`${name}: arbitrary bytes decode to findings`, t => {
     fc.assert(fc.property(fc.uint8Array({ maxLength: 500 }), bytes => {
       const decoded = decodeRecord('key', bytes, schema)
       return !decoded.ok && decoded.val.length > 0
@@ -50,7 +50,7 @@
     t.pass()
   })
 
-  test(`${name}: a damaged record is read or refused, without harm`, t => {
+  test(`${name}: a corrupted record decodes to a record or to findings`, t => {
     const bytes = encodeRecord(record)
     fc.assert(fc.property(fc.nat(bytes.length - 1), fc.nat(255), (offset, byte) => {
       const damaged = Buffer.from(bytes)
@@ -62,12 +62,12 @@
   })
 }
 
-test('a head without history is read', t => {
+test('a head without history decodes with empty lists', t => {
   const decoded = decodeRecord(storeKeys.head, encodeRecord(headBeforeHistory), configHeadSchema)
   t.deepEqual(decoded.unwrap(), { ...headBeforeHistory, recentChanges: [], superseded: [] })
 })
 
-test('a roster without suspensions is read, and all its VMs share limits', t => {
+test('a roster without suspension fields decodes, and all its VMs share limits', t => {
   const members = [{ name: 'one', address: '127.0.0.1:1', dataCentre: 'dc' }]
   const decoded = decodeRecord(storeKeys.roster, encodeRecord({ version: 1, members }), rosterSchema).unwrap()
   t.deepEqual(decoded, { version: 1, members: [{ ...members[0], suspended: false }] })
--- a/packages/config/src/stored-records.ts
+++ b/packages/config/src/stored-records.ts
@@ -1,15 +1,15 @@
 /**
- * Keys and records of the platform's key-value service that the system uses. Values are JSON.
+ * Keys and records that the system stores in the platform's key-value service. Values are JSON.
  */
 import { Err, Ok, readJsonWithComments } from '@egretyoke/common'
 import type { Finding, Result } from '@egretyoke/common'
 import { z } from 'zod'
 import { documentNames } from './documents.js'
 
-/** Prefix of every key that the system owns. */
+/** Prefix of all keys of the system. */
 export const keyPrefix = 'egretyoke/'
 
-/** Keys in the platform's service. */
+/** Keys and key prefixes in the key-value service. */
 export const storeKeys = {
   head: `${keyPrefix}state/config-head`,
   document: (hash: string) => `${keyPrefix}documents/${hash}`,
@@ -17,9 +17,9 @@
   groupPrefix: `${keyPrefix}state/groups/`,
   roster: `${keyPrefix}state/roster`,
   leaving: `${keyPrefix}state/leaving`,
-  /** Among the followed records, so that stewards learn who holds a lease without asking the platform. */
+  /** Below the watched prefix, so that stewards see the lease holder without querying the platform. */
   stewardLease: (group: string) => `${keyPrefix}state/leases/${group}`,
-  /** Prefix of the small records that every VM follows; documents and leases lie outside. */
+  /** Prefix of the small records that every VM watches. Documents are stored outside it. */
   followed: `${keyPrefix}state/`
 } as const
 
@@ -28,59 +28,59 @@
 
 const changeId = z.string().min(1).max(100)
 
-/** Most accepted changes that the head remembers. */
+/** Maximum number of accepted changes recorded in the head. */
 export const maxRecentChanges = 64
 
-/** Most superseded documents that the head remembers until they are deleted. */
+/** Maximum number of superseded documents recorded in the head until they are deleted. */
 export const maxSupersededDocuments = 64
 
-/** The configuration in force. An accepted change is one swap of this record. */
+/** The active configuration. One compare-and-swap of this record accepts a change. */
 export const configHeadSchema = z.strictObject({
   version,
   /** Hash of each document's text. */
   documents: z.record(z.enum(documentNames as [string, ...string[]]), hash),
-  /** Chosen by whoever made the change, so that a lost answer can be settled by reading. */
+  /** Chosen by the author of the change, who can find its outcome in the head when the reply was lost. */
   changeId,
-  /** The newest accepted changes, oldest first, this one included: later changes do not hide an earlier one. */
+  /** The newest accepted changes, oldest first, including this one, so that a later change does not hide them. */
   recentChanges: z.array(z.strictObject({ changeId, version })).max(maxRecentChanges).default([]),
-  /** Documents that are not in force any more and not deleted yet, with the version that dropped them. */
+  /** Documents that are no longer active and not yet deleted, with the version that replaced them. */
   superseded: z.array(z.strictObject({ hash, version })).max(maxSupersededDocuments).default([])
 })
 
-/** First position of a term: the last position of earlier terms that it keeps. */
+/** Start of a term. `startPosition` is the last log position of earlier terms that the term keeps. */
 export const termStartSchema = z.strictObject({ term: version, startPosition: version })
 
-/** Who leads a group. While `fencing`, no write of the earlier term may be confirmed. */
+/** Primary of a group in a term. In phase `fencing`, no write of the earlier term may be confirmed. */
 export const groupRecordSchema = z.strictObject({
   term: z.number().int().min(1),
   primary: z.string(),
   phase: z.enum(['active', 'fencing']),
-  /** Starts of all terms, oldest first, bounded to the newest `maxLineageLength`. */
+  /** Starts of the newest terms, oldest first, at most `maxLineageLength`. */
   lineage: z.array(termStartSchema).max(64)
 })
 
-/** Longest lineage that a group's record keeps. */
+/** Maximum length of the lineage in a group's record. */
 export const maxLineageLength = 64
 
-/** An entry VM of the roster; `address` is where its peers reach it. */
+/** An entry VM of the roster. `address` is the address for its peers. */
 export const rosterMemberSchema = z.strictObject({
   name: z.string().min(1),
   address: z.string().min(1),
   dataCentre: z.string().min(1),
-  /** A suspended VM counts for majorities like any other, but has no own share of limits. */
+  /** A suspended VM counts towards majorities but has no share of the limits. */
   suspended: z.boolean().default(false)
 })
 
 /**
- * The entry VMs that count for majorities and share limits. Changed by one VM at a time, each time with a new version;
- * suspensions leave the version as it is, for they change no majority.
+ * The entry VMs that count towards majorities and share the limits. A membership change affects one VM and increments
+ * the version. Suspensions keep the version, because they do not affect majorities.
  */
 export const rosterSchema = z.strictObject({
   version: z.number().int().min(1),
   members: z.array(rosterMemberSchema).max(10_000)
 })
 
-/** VMs that the platform announces as leaving, copied from its list so that one VM asks for all. */
+/** VMs that the platform lists as leaving, copied into the store so that only one VM polls the list. */
 export const leavingSchema = z.strictObject({
   endpoints: z.array(z.string().min(1)).max(10_000),
   vms: z.array(z.string().min(1)).max(10_000)
@@ -90,18 +90,18 @@
 export type ConfigHead = z.infer<typeof configHeadSchema>
 export type TermStart = z.infer<typeof termStartSchema>
 export type GroupRecord = z.infer<typeof groupRecordSchema>
-/** Whoever writes a roster may leave out what has a default. */
+/** Roster to be written: fields that have a default are optional. */
 export type Roster = z.input<typeof rosterSchema>
 export type RosterMember = z.input<typeof rosterMemberSchema>
 
-/** Names of the VMs that have an own share of limits. */
+/** Returns the names of the VMs that have a share of the limits. */
 export const sharingNames = (roster: Roster | undefined): string[] =>
   (roster?.members ?? []).filter(member => !member.suspended).map(member => member.name)
 
-/** Writes a record as the bytes that are stored. */
+/** Encodes a record as the bytes to store. */
 export const encodeRecord = (record: unknown): Buffer => Buffer.from(JSON.stringify(record))
 
-/** Reads stored bytes against a schema. */
+/** Decodes stored bytes and validates them against a schema. */
 export const decodeRecord = <T>(key: string, value: Uint8Array, schema: z.ZodType<T>): Result<T, Finding[]> => {
   const decoded = readJsonWithComments(Buffer.from(value).toString('utf8'), key, schema)
   return decoded.ok ? Ok(decoded.val) : Err(decoded.val)
