fleet: wording of comments, messages and contract titles

Comments spoke of what became of a change, of answers taken or given up and of requests in hand. They now use the terms of the field: outcome, reply, response, in flight, base version, content-addressed. For example, "the answer is not whole" reads "the response is incomplete". The titles of the contract cases follow, such as "exactly one of many concurrent swaps at one revision succeeds".

--- a/packages/fleet/src/config-store-apply.ts
+++ b/packages/fleet/src/config-store-apply.ts
@@ -1,9 +1,9 @@
 /**
  * Changes the operators' configuration. Documents are stored first, then one compare-and-swap of the head accepts
- * the change. A lost answer is settled by reading the head's recent changes, never guessed.
+ * the change. When the reply is lost, the outcome is read from the head's recent changes, never guessed.
  *
- * A document is written again, with a new revision, by each change that starts to use it: documents are deleted by
- * compare-and-swap at a revision below the head's, so that none is deleted between its storing and the head's swap.
+ * Each change that starts to use a document writes it again, which gives it a new revision. Documents are deleted by
+ * compare-and-swap at a revision below the head's, so none is deleted between its write and the head's swap.
  */
 import { randomBytes } from 'node:crypto'
 import { Err, monotonicMs, Ok } from '@egretyoke/common'
@@ -20,37 +20,37 @@
 import type { ApplyTimes, StoredHead } from './config-store.js'
 import type { Platform } from './platform.js'
 
-/** A change: new texts of some documents, or of all. */
+/** A change: new texts of some or all documents. */
 export type ConfigChange = {
-  /** Version that the change was made from; 0 when there is none. */
+  /** Version on which the change is based; 0 when there is no configuration yet. */
   baseVersion: number
   documents: Partial<DocumentTexts>
-  /** From `createChangeId`; the same id never takes effect twice. */
+  /** From `createChangeId`. A change id takes effect at most once. */
   changeId: string
 }
 
-/** What became of a change. */
+/** Outcome of applying a change. */
 export type ApplyOutcome =
-  /** In force from this version on; `changed` is false when the documents were already those in force. */
+  /** Active since `version`. `changed` is false when the active documents already had these texts. */
   | { kind: 'accepted', version: number, changed: boolean }
-  /** Not accepted, and never will be: another change came first. `differing` are the documents set differently. */
+  /** Rejected for good: another change came first. `differing` are the documents whose text differs from the head's. */
   | { kind: 'conflict', head: ConfigHead, differing: DocumentName[] }
-  /** May have been accepted: the platform stays silent. To be settled by `settleChange`. */
+  /** May have been accepted: the platform does not reply. `settleChange` finds the outcome. */
   | { kind: 'unsettled', changeId: string, message: string }
-  /** Not accepted: nothing was swapped before the platform fell silent or declined. */
+  /** Not accepted: the platform stopped replying, or declined, before the head was swapped. */
   | { kind: 'unavailable', message: string }
-  /** Not accepted: the documents have findings. */
+  /** Not accepted: the documents are invalid. */
   | { kind: 'refused', findings: Finding[] }
 
-/** Creates a change id, which names the version it starts from so that the change can be settled later. */
+/** Creates a change id. It contains the base version, so that the outcome of the change can be found later. */
 export const createChangeId = (baseVersion: number): string => `v${baseVersion}-${randomBytes(12).toString('hex')}`
 
-/** Times that a document's storing gives way to another operator who stores the same text, in one attempt. */
+/** Maximum compare-and-swap retries per attempt when other operators store the same document concurrently. */
 const maxDocumentRaces = 8
 
 type Hashes = Partial<Record<DocumentName, string>>
 
-/** A checked change, ready to be stored. */
+/** A validated change, ready to be stored. */
 type PreparedChange = {
   base: StoredHead
   changeId: string
@@ -76,7 +76,7 @@
   return hashes
 }
 
-/** Checks a change against the head and as a whole configuration. The error is the change's outcome. */
+/** Validates a change against the head and the whole configuration. The error is the outcome of the change. */
 const prepare = async (
   platform: Platform,
   change: ConfigChange,
@@ -104,7 +104,7 @@
   return Ok({ base, changeId, texts, hashes, changedNames })
 }
 
-/** Stores a document at a revision above the base head's. Returns the reason when that fails. */
+/** Stores a document at a revision above the base head's. Returns the reason on failure, undefined on success. */
 const storeDocument = async (
   platform: Platform,
   text: string,
@@ -125,11 +125,11 @@
       if (outcome.val.swapped) return undefined
       const currentRevision = outcome.val.current?.revision ?? 0
       if (currentRevision > baseRevision) return undefined
-      if (currentRevision === expectedRevision) return 'the platform declines to store a document'
+      if (currentRevision === expectedRevision) return 'the platform declined to store a document'
       expectedRevision = currentRevision
     }
   }
-  return 'the platform did not answer while the documents were stored'
+  return 'the platform did not reply while the documents were being stored'
 }
 
 const nextHead = (change: PreparedChange, deletedHashes: string[]): ConfigHead => {
@@ -149,18 +149,18 @@
   }
 }
 
-/** What a head says about a change that was sent; undefined while it may still land. */
+/** Determines the outcome of a sent change from a head; undefined while the swap may still be applied. */
 const outcomeByHead = (stored: StoredHead, change: PreparedChange): ApplyOutcome | undefined => {
   const { base, changeId, hashes } = change
   if (stored.revision === base.revision) return undefined
   const settled = settledByHead(stored.head, base.head.version, changeId)
   if (settled.kind === 'accepted') return { kind: 'accepted', version: settled.version, changed: true }
   if (settled.kind === 'notAccepted') return conflict(stored.head, hashes)
-  const message = settled.kind === 'unsettled' ? settled.message : `the head is back at version ${settled.headVersion}`
+  const message = settled.kind === 'unsettled' ? settled.message : `the head is at version ${settled.headVersion} again`
   return { kind: 'unsettled', changeId, message }
 }
 
-/** Swaps the head until it is known whether the swap landed. At most one of the swaps sent can land. */
+/** Retries the head's swap until its outcome is known. At most one of the swaps sent can be applied. */
 const swapHead = async (
   platform: Platform,
   change: PreparedChange,
@@ -179,13 +179,13 @@
     if (!stored.ok) continue
     const settled = outcomeByHead(stored.val, change)
     if (settled) return settled
-    if (outcome.ok && lostAnswers === 0) return unavailable('the platform declines to store the head')
+    if (outcome.ok && lostAnswers === 0) return unavailable('the platform declined to store the head')
   }
-  if (sent === 0) return unavailable('no time was left after the documents were stored')
-  return { kind: 'unsettled', changeId: change.changeId, message: 'the platform does not answer' }
+  if (sent === 0) return unavailable('the wait time expired after the documents were stored')
+  return { kind: 'unsettled', changeId: change.changeId, message: 'the platform did not reply' }
 }
 
-/** Applies a change. Returns when its outcome is known or the time to wait is over. */
+/** Applies a change. Returns when its outcome is known or the wait time has expired. */
 export const applyDocuments = async (
   platform: Platform,
   change: ConfigChange,
--- a/packages/fleet/src/config-store-collect.ts
+++ b/packages/fleet/src/config-store-collect.ts
@@ -1,26 +1,26 @@
 /**
- * Deletes documents that left the configuration some versions ago, so that the store stays bounded.
+ * Deletes documents that were superseded some versions ago, so that the store stays bounded.
  *
- * A document may go only when the head does not name it and the head is newer than the document's last writing. A
- * change that is under way has written its documents after the head it starts from; when such a document is older
- * than the head, that change can no longer be accepted.
+ * A document is deleted only when the head does not refer to it and the head is newer than the document's last write. A
+ * change in progress has written its documents after its base head. When such a document is older than the current
+ * head, the head has moved past that base, and the change can no longer be accepted.
  */
 import { storeKeys } from '@egretyoke/config'
 import type { ConfigHead } from '@egretyoke/config'
 import type { StoredHead } from './config-store.js'
 import type { Platform } from './platform.js'
 
-/** Versions for which a superseded document is kept, for readers that are slow. */
+/** Number of versions for which a superseded document is retained for slow readers. */
 export const keptVersions = 8
 
-/** Most documents that one change deletes. */
+/** Maximum number of documents deleted by one change. */
 const maxDeletionsPerChange = 8
 
-/** Superseded documents whose time is over, oldest first. */
+/** Returns the hashes of superseded documents whose retention has ended, oldest first. */
 export const collectableHashes = (head: ConfigHead): string[] =>
   head.superseded.filter(old => old.version + keptVersions <= head.version).map(old => old.hash)
 
-/** Deletes one document unless it is in use or about to be. Returns true when it is gone. */
+/** Deletes a document unless the head or a change in progress uses it. Returns true when it no longer exists. */
 const deleteUnused = async (
   platform: Platform,
   hash: string,
@@ -39,7 +39,7 @@
   return outcome.ok && outcome.val.swapped
 }
 
-/** Deletes documents that the head does not need. Returns those that are gone; a later change tries the rest. */
+/** Deletes documents that are not in use. Returns those that no longer exist; later changes retry the others. */
 export const collectDocuments = async (
   platform: Platform,
   hashes: string[],
--- a/packages/fleet/src/config-store.ts
+++ b/packages/fleet/src/config-store.ts
@@ -1,6 +1,6 @@
 /**
- * Reads the operators' configuration from the platform's store. Documents lie under their own hash, so that a
- * document never changes; the head names the documents of the version in force.
+ * Reads the operators' configuration from the platform's store. Documents are content-addressed: they are stored under
+ * their hash and never change. The head refers to the documents of the active version.
  */
 import { backoffMs, Err, formatFinding, monotonicMs, Ok, sleepMs, typedError } from '@egretyoke/common'
 import type { Finding, Result, TypedError } from '@egretyoke/common'
@@ -10,36 +10,37 @@
 import type { ConfigHead, Configuration, DocumentTexts } from '@egretyoke/config'
 import type { Platform, PlatformError, StoredEntry } from './platform.js'
 
-/** The head with the store revision of its last change; version 0 and revision 0 while there is none. */
+/** The head and the store revision of its last change. Version and revision are 0 before the first change. */
 export type StoredHead = { head: ConfigHead, revision: number }
 
 /**
- * Why a configuration could not be read. `noAnswer`: the platform is silent; `noConfiguration`: none was ever
- * accepted; `missingDocument`: the head names a document that is gone; `damaged`: a record does not fit its schema.
+ * Why a configuration could not be read. `noAnswer`: the platform did not reply; `noConfiguration`: none has been
+ * accepted yet; `missingDocument`: the head refers to a document that is not stored; `damaged`: a record does not match
+ * its schema, or a document its hash.
  */
 export type ConfigReadError = TypedError<'noAnswer' | 'noConfiguration' | 'missingDocument' | 'damaged'>
 
 /** The head before the first accepted change. */
 export const emptyHead: ConfigHead = { version: 0, documents: {}, changeId: 'none', recentChanges: [], superseded: [] }
 
-/** Times that reading may start over because the head moved on meanwhile. */
+/** Maximum read attempts when the head changes during the read. */
 const maxReadAttempts = 4
 
 const firstPauseMs = 50
 const maxPauseMs = 1000
 
-/** Times of a change or of settling one. */
+/** Timeouts of applying a change and of finding its outcome. */
 export type ApplyTimes = {
-  /** Of each call to the platform. */
+  /** Timeout of each call to the platform. */
   callTimeoutMs: number
-  /** How long to go on while the platform does not answer. */
+  /** Total time for which calls are retried while the platform does not reply. */
   waitMs: number
 }
 
-/** Times used by default. */
+/** Default timeouts. */
 export const defaultApplyTimes: ApplyTimes = { callTimeoutMs: 2000, waitMs: 30_000 }
 
-/** Yields the timeout of each attempt, at once and then with growing pauses, until `waitMs` have passed. */
+/** Yields the timeout of each attempt, at first immediately, then with exponential backoff, until `waitMs` is over. */
 export async function * attempts (times: ApplyTimes): AsyncGenerator<number> {
   const endsAtMs = monotonicMs() + times.waitMs
   for (const pauseMs of backoffMs(firstPauseMs, maxPauseMs)) {
@@ -51,12 +52,12 @@
   }
 }
 
-/** Repeats a read while the platform does not answer. */
+/** Retries a read while the platform does not reply, for at most `waitMs`. */
 export const readWithin = async <T>(
   times: ApplyTimes,
   read: (timeoutMs: number) => Promise<Result<T, ConfigReadError>>
 ): Promise<Result<T, ConfigReadError>> => {
-  let last: Result<T, ConfigReadError> = Err(typedError('noAnswer', 'no time was left to ask the platform'))
+  let last: Result<T, ConfigReadError> = Err(typedError('noAnswer', 'the wait time was over before the first call'))
   for await (const timeoutMs of attempts(times)) {
     last = await read(timeoutMs)
     if (last.ok || last.val.reason !== 'noAnswer') return last
@@ -67,17 +68,17 @@
 const damaged = (findings: Finding[]): ConfigReadError =>
   typedError('damaged', findings.map(formatFinding).join('\n'))
 
-/** Reads stored bytes as a head; undefined stands for no entry. */
+/** Decodes a stored head. Without an entry, returns the empty head. */
 export const decodeHead = (entry: StoredEntry | undefined): Result<StoredHead, ConfigReadError> => {
   if (!entry) return Ok({ head: emptyHead, revision: 0 })
   const decoded = decodeRecord(entry.key, entry.value, configHeadSchema)
   return decoded.ok ? Ok({ head: decoded.val as ConfigHead, revision: entry.revision }) : Err(damaged(decoded.val))
 }
 
-/** The one call that reading needs. */
+/** Subset of the platform that reading needs. */
 export type PlatformReader = Pick<Platform, 'get'>
 
-/** Reads the head with one call. */
+/** Reads the head in one call. */
 export const readHead = async (
   platform: PlatformReader,
   timeoutMs: number
@@ -86,7 +87,7 @@
   return entry.ok ? decodeHead(entry.val) : Err(entry.val as PlatformError)
 }
 
-/** Reads one document's text with one call and checks it against its hash. */
+/** Reads one document's text in one call and verifies its hash. */
 export const readDocumentText = async (
   platform: PlatformReader,
   hash: string,
@@ -97,16 +98,16 @@
   if (!entry.val) return Err(typedError('missingDocument', `document ${hash} is not stored`, { hash }))
   const text = entry.val.value.toString('utf8')
   if (documentHash(text) === hash) return Ok(text)
-  return Err(typedError('damaged', `document ${hash} does not fit its hash`, { hash }))
+  return Err(typedError('damaged', `document ${hash} does not match its hash`, { hash }))
 }
 
-/** Reads the texts of all documents of a head. The file name of each is its document's name. */
+/** Reads the texts of all documents of a head. The file name of each is NAME.jsonc. */
 export const readDocumentTexts = async (
   platform: PlatformReader,
   head: ConfigHead,
   timeoutMs: number
 ): Promise<Result<DocumentTexts, ConfigReadError>> => {
-  if (head.version === 0) return Err(typedError('noConfiguration', 'no configuration was ever accepted'))
+  if (head.version === 0) return Err(typedError('noConfiguration', 'no configuration has been accepted yet'))
   const texts = {} as DocumentTexts
   const reads = await Promise.all(documentNames.map(name =>
     readDocumentText(platform, head.documents[name], timeoutMs)))
@@ -118,16 +119,16 @@
   return Ok(texts)
 }
 
-/** Reads and checks the texts of a head's documents. */
+/** Parses and checks the texts of a head's documents. */
 export const configurationOf = (head: ConfigHead, texts: DocumentTexts): Result<Configuration, ConfigReadError> => {
   const read = readDocuments(texts, head.version)
   return read.ok ? Ok(read.val) : Err(damaged(read.val))
 }
 
-/** A head together with the texts of its documents. */
+/** A head and the texts of its documents. */
 export type StoredConfiguration = StoredHead & { texts: DocumentTexts }
 
-/** Reads the head and its documents. Starts over when the head moved on and an old document was deleted. */
+/** Reads the head and its documents. Retries when the head changed during the read and an old document was deleted. */
 export const readStoredConfiguration = async (
   platform: PlatformReader,
   timeoutMs: number
@@ -141,7 +142,7 @@
   }
 }
 
-/** Reads the configuration in force, checked as a whole. `timeoutMs` is that of each call. */
+/** Reads and checks the active configuration. `timeoutMs` is the timeout of each call. */
 export const readConfiguration = async (
   platform: PlatformReader,
   timeoutMs: number
--- a/packages/fleet/src/endpoint-connection.ts
+++ b/packages/fleet/src/endpoint-connection.ts
@@ -1,6 +1,6 @@
 /**
- * One database connection over the endpoint's published protocol. Requests run one after the other; replies and chunks
- * that do not belong to the request in hand are dropped and counted. An answer with a chunk missing is none.
+ * One database connection over the endpoint's published protocol. One request is in flight at a time; replies and
+ * chunks that do not belong to it are dropped and counted. A missing chunk closes the connection as lost.
  */
 import { Err, Ok, typedError } from '@egretyoke/common'
 import type { Result, TypedError } from '@egretyoke/common'
@@ -10,7 +10,7 @@
 type Reply = EndpointMessages.Reply__Output
 type WireRequest = EndpointMessages.Request
 
-/** How a write is confirmed. */
+/** How a write is confirmed: once the primary has it, or once a majority of the group has it. */
 export type Confirmation = 'primary' | 'majority'
 
 /** One request on a connection. */
@@ -28,10 +28,10 @@
   | { kind: 'commit', confirmation: Confirmation, timeoutMs: number }
   | { kind: 'rollback' }
 
-/** `declined`: not run at all. `unconfirmed`: in the log, but not known to be held as asked. */
+/** `declined`: not run. `unconfirmed`: in the log, but not known to have the requested confirmation. */
 export type EndpointVerdict = 'done' | 'declined' | 'failed' | 'unconfirmed'
 
-/** The whole answer to one request. */
+/** The complete response to one request. */
 export type EndpointAnswer = {
   verdict: EndpointVerdict
   reason: string
@@ -43,19 +43,19 @@
   retryAfterMs: number
 }
 
-/** A part of a streamed answer. */
+/** One chunk of a streamed response. */
 export type EndpointRows = { rows: Buffer, term: number, position: number }
 
 /**
- * `notSent`: the endpoint never got the request; with `refused` in the metadata, it takes no connection now.
- * `lost` and `timeout`: it may have run.
+ * `notSent`: the request did not reach the endpoint; `refused` in the metadata: the endpoint refused the connection.
+ * `lost` and `timeout`: the request may have run.
  */
 export type ConnectionError = TypedError<'notSent' | 'lost' | 'timeout'>
 
-/** Takes rows; false gives the answer up. */
+/** Consumes the rows of a chunk. Resolving with false abandons the response and closes the connection. */
 export type OnRows = (rows: EndpointRows) => Promise<boolean>
 
-/** An open connection. After `lost` or `timeout` its state is unknown and it is closed. */
+/** An open connection. After `lost` or `timeout` it is closed, because its state is unknown. */
 export type EndpointConnection = {
   generation: number
   isUsable: () => boolean
@@ -66,12 +66,12 @@
 /** Opens connections to one endpoint. */
 export type EndpointConnector = {
   open: (timeoutMs: number) => Promise<Result<EndpointConnection, ConnectionError>>
-  /** Replies that belonged to no request in hand. */
+  /** Returns the number of replies and chunks dropped because they matched no request in flight. */
   strayReplies: () => number
   close: () => void
 }
 
-/** Longest answer that is taken, in bytes. */
+/** Maximum size of a reply message, in bytes. */
 export const maxAnswerBytes = 4 * 1024 * 1024
 
 const verdicts = { DONE: 'done', DECLINED: 'declined', FAILED: 'failed', UNCONFIRMED: 'unconfirmed' } as const
@@ -91,14 +91,14 @@
 type Pending = {
   requestId: number
   onRows: OnRows | undefined
-  /** Chunks taken so far. */
+  /** Chunks received so far. */
   chunkCount: number
   settle: (result: Result<EndpointAnswer, ConnectionError>) => void
 }
 
 type ConnectorOptions = { address: string, group: string, channels: ChannelSettings }
 
-/** Creates a connector to the endpoint at HOST:PORT that belongs to a group. */
+/** Creates a connector to the endpoint of a group at HOST:PORT. */
 export const createEndpointConnector = (options: ConnectorOptions): EndpointConnector => {
   const client = connectGrpc(endpointProto.Endpoint, options.address, options.channels, {
     'grpc.max_receive_message_length': maxAnswerBytes
@@ -129,12 +129,12 @@
     const takeRows = async (chunk: EndpointMessages.Chunk__Output, onRows: OnRows) => {
       call.pause()
       const wanted = await onRows(chunk)
-      if (!wanted) return breakOff('lost', 'answer given up')
+      if (!wanted) return breakOff('lost', 'response abandoned by the reader')
       call.resume()
     }
 
     const takeEnd = (end: EndpointMessages.End__Output, request: Pending) => {
-      if (end.chunkCount !== request.chunkCount) return breakOff('lost', 'the answer is not whole')
+      if (end.chunkCount !== request.chunkCount) return breakOff('lost', 'the response is incomplete')
       settle(Ok(answerFrom(end)))
     }
 
@@ -157,7 +157,7 @@
       if (reply.chunk) takeChunk(reply.chunk, pending)
     })
     call.on('error', error => breakOff('lost', error.message))
-    call.on('end', () => breakOff('lost', 'ended by the endpoint'))
+    call.on('end', () => breakOff('lost', 'stream ended by the endpoint'))
 
     const send = (
       request: Partial<WireRequest>,
@@ -165,10 +165,10 @@
       onRows?: OnRows
     ): Promise<Result<EndpointAnswer, ConnectionError>> => new Promise(resolve => {
       if (!usable || pending) {
-        return resolve(Err(typedError('notSent', usable ? 'a request is in hand' : 'closed', { generation })))
+        return resolve(Err(typedError('notSent', usable ? 'another request is in flight' : 'closed', { generation })))
       }
       const requestId = ++lastRequestId
-      const timer = setTimeout(() => breakOff('timeout', `no answer within ${timeoutMs} ms`), timeoutMs)
+      const timer = setTimeout(() => breakOff('timeout', `no reply within ${timeoutMs} ms`), timeoutMs)
       const finish = (result: Result<EndpointAnswer, ConnectionError>) => {
         clearTimeout(timer)
         resolve(result)
--- a/packages/fleet/src/grpc-platform.ts
+++ b/packages/fleet/src/grpc-platform.ts
@@ -1,5 +1,5 @@
 /**
- * The platform over its published gRPC protocol.
+ * Client of the platform's published gRPC protocol.
  */
 import { Err, Ok, typedError } from '@egretyoke/common'
 import type { Result } from '@egretyoke/common'
@@ -35,7 +35,7 @@
     try {
       for await (const reply of call) yield changesFromWire(reply as PlatformMessages.RangeReply__Output)
     } catch {
-      // A broken stream ends the generator like a finished one: the caller watches again.
+      // A broken stream ends the generator like a completed one; the caller starts a new watch.
     } finally {
       signal.removeEventListener('abort', cancel)
       call.cancel()
--- a/packages/fleet/src/member-contract.ts
+++ b/packages/fleet/src/member-contract.ts
@@ -1,5 +1,5 @@
 /**
- * The contract of a group member's control: cases that every implementation must pass. A case that is not kept
+ * Contract tests of a group member's control interface: cases that every implementation must pass. A failing case
  * throws an assertion error.
  */
 import assert from 'node:assert/strict'
@@ -14,18 +14,18 @@
 /** One member under test, in a group of at least three that starts in term 1. */
 export type MemberSubject = {
   control: GroupMember
-  /** What a follower is told of it. */
+  /** Name and address passed to members that follow it. */
   upstream: { name: string, address: string }
-  /** Cuts it off from everybody, or brings it back. */
+  /** Isolates the member from all others, or reconnects it. */
   cutOff: (isCut: boolean) => void
 }
 
-/** A group under test: its first primary, two replicas, and a way to write. */
+/** A group under test: its first primary, two replicas, and a write function. */
 export type MemberGroupSubject = {
   primary: MemberSubject
   replica: MemberSubject
   other: MemberSubject
-  /** Writes through a member in a term; true when the member says that it is done. */
+  /** Writes through a member in a term. Returns true when the member confirms the write. */
   write: (subject: MemberSubject, term: number) => Promise<boolean>
   close: () => Promise<void>
 }
@@ -45,7 +45,7 @@
     if (status.ok && isSo(status.val)) return
     await sleepMs(pollPauseMs)
   }
-  assert.fail(`not in time: ${what}`)
+  assert.fail(`timed out waiting until ${what}`)
 }
 
 const hand = async (group: MemberGroupSubject, term: number, from: MemberSubject, to: MemberSubject) => {
@@ -54,10 +54,10 @@
   await from.control.follow(term, to.upstream, timeoutMs)
 }
 
-/** All cases. */
+/** All contract cases. */
 export const memberContractCases: MemberContractCase[] = [
   {
-    title: 'a member tells term, role and position',
+    title: 'a member reports its term, role and position',
     run: async ({ primary, replica, write }) => {
       assert.equal(await write(primary, 1), true)
       const state = await stateOf(primary)
@@ -67,7 +67,7 @@
     }
   },
   {
-    title: 'a fenced primary takes no write of its term, and its replicas get none',
+    title: 'a fenced primary rejects writes of its term and adds none to its log',
     run: async ({ primary, write }) => {
       assert.equal(await isAccepted(primary.control.fence(2, timeoutMs)), true)
       assert.equal(await write(primary, 1), false)
@@ -76,7 +76,7 @@
     }
   },
   {
-    title: 'a fenced replica takes no entry of an older term',
+    title: 'a fenced replica accepts no entry of an older term',
     run: async ({ primary, replica, other, write }) => {
       assert.equal(await isAccepted(replica.control.fence(2, timeoutMs)), true)
       await write(primary, 1)
@@ -85,7 +85,7 @@
     }
   },
   {
-    title: 'fences, promotions and follows of older terms are refused, repeated ones accepted',
+    title: 'fence, promote and follow requests of older terms are refused, repeated ones accepted',
     run: async group => {
       const { primary, replica } = group
       await hand(group, 3, primary, replica)
@@ -100,7 +100,7 @@
     }
   },
   {
-    title: 'a promoted member starts its term behind all that it holds, and its lineage says so',
+    title: 'a promoted member starts its term after its last log entry, and its lineage shows it',
     run: async group => {
       const { primary, replica, write } = group
       await write(primary, 1)
@@ -114,7 +114,7 @@
     }
   },
   {
-    title: 'an old primary that follows drops what the new term does not keep',
+    title: 'an old primary that becomes a replica truncates entries that the new term does not keep',
     run: async group => {
       const { primary, replica, other, write } = group
       await replica.control.fence(2, timeoutMs)
@@ -130,7 +130,7 @@
     }
   },
   {
-    title: 'no answer is an error and says nothing of the effect',
+    title: 'a missing reply is an error that leaves the effect of the request open',
     run: async ({ primary }) => {
       primary.cutOff(true)
       for (const answer of [
@@ -140,7 +140,7 @@
         await primary.control.follow(2, primary.upstream, shortTimeoutMs)
       ]) assert.equal(answer.err && answer.val.reason, 'noAnswer')
       primary.cutOff(false)
-      await until(primary, 'it answers again', () => true)
+      await until(primary, 'the member replies again', () => true)
     }
   }
 ]
--- a/packages/fleet/src/member-grpc.ts
+++ b/packages/fleet/src/member-grpc.ts
@@ -1,5 +1,5 @@
 /**
- * One member of a database group over its published gRPC protocol.
+ * Client of a group member's published gRPC protocol.
  */
 import { Err, Ok, typedError } from '@egretyoke/common'
 import type { Result } from '@egretyoke/common'
@@ -14,7 +14,7 @@
 const controlAnswer = (result: Result<ControlReply, CallFailure>): Result<ControlAnswer, MemberError> => {
   if (!result.ok) return Err(noAnswer(result.val))
   const { accepted, reason, status } = result.val
-  if (!status) return Err(typedError('noAnswer', 'the member told no status'))
+  if (!status) return Err(typedError('noAnswer', 'the reply contains no status'))
   return Ok({ accepted, reason, state: status })
 }
 
--- a/packages/fleet/src/platform-contract-faults.ts
+++ b/packages/fleet/src/platform-contract-faults.ts
@@ -1,5 +1,5 @@
 /**
- * Cases of the platform's contract in which the platform is down, slow, or loses what it should tell.
+ * Contract tests of the platform adapter in which the platform is down, is slow, or loses replies or watch messages.
  */
 import assert from 'node:assert/strict'
 import { sleepMs } from '@egretyoke/common'
@@ -8,19 +8,20 @@
 import type { PlatformContractCase } from './platform-contract-subject.js'
 import type { Platform, PlatformError, VmListing } from './platform.js'
 
-/** Time of calls that are meant to bring no answer, in milliseconds. */
+/** Timeout of calls that are expected to get no reply, in milliseconds. */
 const shortTimeoutMs = 150
 
-/** Long enough for a call to arrive, in milliseconds. */
+/** Timeout of a swap whose reply is lost, in milliseconds; long enough for the request to arrive. */
 const lostAnswerTimeoutMs = 1500
 
-/** Lag of the VM list, and a time after which it has caught up. */
+/** Lag of the VM list, in milliseconds. */
 const listLagMs = 3000
+/** Time after which the VM list is up to date, in milliseconds. */
 const listCaughtUpMs = 3500
 
 type AnyCall = (platform: Platform, timeoutMs: number) => Promise<Result<unknown, PlatformError>>
 
-/** Every call that has an answer. */
+/** All unary calls by name. */
 const calls: Record<string, AnyCall> = {
   get: (platform, timeoutMs) => platform.get('a/x', timeoutMs),
   range: (platform, timeoutMs) => platform.range('a/', 0, timeoutMs),
@@ -35,17 +36,17 @@
 const assertNoAnswer = async (platform: Platform) => {
   for (const [name, call] of Object.entries(calls)) {
     const outcome = await call(platform, shortTimeoutMs)
-    assert.equal(outcome.ok, false, `${name} must not claim an answer`)
+    assert.equal(outcome.ok, false, `${name} must not report a reply`)
     assert.equal((outcome.val as PlatformError).reason, 'noAnswer', name)
   }
 }
 
 const vmOne: VmListing = { name: 'one', role: 'ENTRY', address: '127.0.0.1:1', dataCentre: 'one', leaving: false }
 
-/** Cases with faults. */
+/** Contract cases with faults. */
 export const faultCases: PlatformContractCase[] = [
   {
-    title: 'while the platform is down every call ends without answer, and it recovers',
+    title: 'calls fail without reply while the platform is down, and succeed after it recovers',
     run: async ({ platform, setFaults }) => {
       await put(platform, 'a/x', '1')
       await setFaults({ down: true })
@@ -56,7 +57,7 @@
     }
   },
   {
-    title: 'a slow platform answers within the time of a call, and too late for a shorter one',
+    title: 'a call to a slow platform succeeds or times out depending on its timeout',
     run: async ({ platform, setFaults }) => {
       await put(platform, 'a/x', '1')
       await setFaults({ delayMs: shortTimeoutMs * 3 })
@@ -65,7 +66,7 @@
     }
   },
   {
-    title: 'a swap whose answer is lost brings no answer but takes effect once',
+    title: 'a swap whose reply is lost fails without reply and takes effect once',
     run: async ({ platform, setFaults }) => {
       const expectedRevision = await put(platform, 'a/x', '1')
       await setFaults({ loseSwapAnswers: 1 })
@@ -75,11 +76,11 @@
       await setFaults({})
       assert.equal(await read(platform, 'a/x'), '2')
       const again = (await platform.compareAndSwap(swap, contractTimeoutMs)).unwrap()
-      assert.equal(again.swapped, false, 'the same swap does not land twice')
+      assert.equal(again.swapped, false, 'the same swap is not applied twice')
     }
   },
   {
-    title: 'a watch may skip changes, and a range from the last known revision brings them',
+    title: 'a watch may skip changes, and a range from the last known revision returns them',
     run: async ({ platform, setFaults }) => {
       const known = await put(platform, 'a/0', 'x')
       await setFaults({ skipWatchMessages: 1 })
@@ -102,7 +103,7 @@
     run: async ({ platform, setFaults }) => {
       await setFaults({ down: true })
       for await (const changes of platform.watch('a/', 0, AbortSignal.timeout(200))) {
-        assert.fail(`told of ${changes.entries.length} entries`)
+        assert.fail(`the watch reported ${changes.entries.length} entries`)
       }
     }
   },
--- a/packages/fleet/src/platform-contract-leases.ts
+++ b/packages/fleet/src/platform-contract-leases.ts
@@ -1,5 +1,5 @@
 /**
- * Cases of the platform's contract about leases.
+ * Contract tests of the platform adapter for leases.
  */
 import assert from 'node:assert/strict'
 import { sleepMs } from '@egretyoke/common'
@@ -8,15 +8,15 @@
 
 /** Time to live of leases that are kept alive, in milliseconds. */
 const keptTtlMs = 4000
-/** Time to live of leases that lapse. */
+/** Time to live of leases that expire, in milliseconds. */
 const lapsingTtlMs = 2000
-/** By then a lapsing lease has ended. */
+/** Time after which an expiring lease has expired, in milliseconds. */
 const lapsedAfterMs = 3000
 
-/** Cases about leases. */
+/** Contract cases for leases. */
 export const leaseCases: PlatformContractCase[] = [
   {
-    title: 'an entry ends with its lease, and followers are told',
+    title: 'an entry is deleted when its lease expires, and watchers are notified',
     run: async ({ platform }) => {
       const leaseId = (await platform.grantLease(lapsingTtlMs, contractTimeoutMs)).unwrap()
       const revision = await put(platform, 'a/x', '1', leaseId)
@@ -25,7 +25,7 @@
     }
   },
   {
-    title: 'a lease that is kept alive goes on',
+    title: 'a lease that is kept alive does not expire',
     run: async ({ platform }) => {
       const leaseId = (await platform.grantLease(keptTtlMs, contractTimeoutMs)).unwrap()
       await put(platform, 'a/x', '1', leaseId)
@@ -37,7 +37,7 @@
     }
   },
   {
-    title: 'a revoked lease ends its entries at once',
+    title: 'revoking a lease deletes its entries immediately',
     run: async ({ platform }) => {
       const leaseId = (await platform.grantLease(60_000, contractTimeoutMs)).unwrap()
       await put(platform, 'a/x', '1', leaseId)
@@ -47,7 +47,7 @@
     }
   },
   {
-    title: 'a holder that was paused beyond its lease learns of it and can do nothing more',
+    title: 'a holder paused beyond its lease finds it expired and can no longer write with it',
     run: async ({ platform }) => {
       const leaseId = (await platform.grantLease(lapsingTtlMs, contractTimeoutMs)).unwrap()
       const held = await put(platform, 'a/leader', 'first', leaseId)
@@ -63,7 +63,7 @@
     }
   },
   {
-    title: 'leases of different holders end independently',
+    title: 'leases of different holders expire independently',
     run: async ({ platform }) => {
       const short = (await platform.grantLease(lapsingTtlMs, contractTimeoutMs)).unwrap()
       const long = (await platform.grantLease(60_000, contractTimeoutMs)).unwrap()
--- a/packages/fleet/src/platform-contract-subject.ts
+++ b/packages/fleet/src/platform-contract-subject.ts
@@ -1,16 +1,16 @@
 /**
- * What a contract case gets to work on, and what the cases share.
+ * Subject of the platform adapter's contract tests, and helpers shared by the cases.
  */
 import assert from 'node:assert/strict'
 import type { Platform, StoreChanges, VmListing } from './platform.js'
 
-/** Faults that the contract switches on; whatever is left out is off. */
+/** Faults to inject; omitted faults are off. */
 export type PlatformFaults = {
   down?: boolean
   delayMs?: number
-  /** Share of swaps, 0 to 1, that take effect but whose answer is lost. */
+  /** Fraction of swaps, 0 to 1, that take effect but whose reply is lost. */
   loseSwapAnswers?: number
-  /** Share of watch messages, 0 to 1, that are not sent. */
+  /** Fraction of watch messages, 0 to 1, that are not sent. */
   skipWatchMessages?: number
   vmListLagMs?: number
 }
@@ -23,16 +23,16 @@
   close: () => Promise<void>
 }
 
-/** One case of the contract. */
+/** One contract case. */
 export type PlatformContractCase = {
   title: string
   run: (subject: PlatformSubject) => Promise<void>
 }
 
-/** Time of each call in the contract, in milliseconds; faults that delay stay far below or above it. */
+/** Timeout of each call in the contract tests, in milliseconds. Injected delays are far below or above it. */
 export const contractTimeoutMs = 5000
 
-/** Puts a value whatever stands there, and returns its revision. */
+/** Stores a value, replacing any existing one, and returns its revision. */
 export const put = async (platform: Platform, key: string, value: string, leaseId = 0): Promise<number> => {
   const current = (await platform.get(key, contractTimeoutMs)).unwrap()
   const swap = { key, expectedRevision: current?.revision ?? 0, value: Buffer.from(value), leaseId }
@@ -41,11 +41,11 @@
   return outcome.current!.revision
 }
 
-/** Reads a value as text; undefined when there is none. */
+/** Reads a value as text; undefined when the entry does not exist. */
 export const read = async (platform: Platform, key: string): Promise<string | undefined> =>
   (await platform.get(key, contractTimeoutMs)).unwrap()?.value.toString()
 
-/** Takes watch messages until one satisfies, or fails after a while. */
+/** Collects watch messages until one satisfies the predicate. Fails when none does within twice the call timeout. */
 export const watchUntil = async (
   platform: Platform,
   prefix: string,
@@ -58,5 +58,5 @@
     seen.push(changes)
     if (isEnough(changes)) return seen
   }
-  throw new assert.AssertionError({ message: 'the watch did not tell of the change' })
+  throw new assert.AssertionError({ message: 'the watch did not report the change in time' })
 }
--- a/packages/fleet/src/platform-contract.ts
+++ b/packages/fleet/src/platform-contract.ts
@@ -1,6 +1,6 @@
 /**
- * The contract of the platform adapter: cases that every implementation must pass, faults included. A case that is not
- * kept throws an assertion error. Exported as `@egretyoke/fleet/platform-contract`, apart from the product's surface.
+ * Contract tests of the platform adapter: cases that every implementation must pass, including faults. A failing case
+ * throws an assertion error. Exported separately, as `@egretyoke/fleet/platform-contract`, because it is test code.
  */
 import assert from 'node:assert/strict'
 import { sleepMs } from '@egretyoke/common'
@@ -22,7 +22,7 @@
     }
   },
   {
-    title: 'a swap creates an entry once, and tells what stands in its way',
+    title: 'a swap creates an entry once, and a failed swap returns the existing entry',
     run: async ({ platform }) => {
       const swap = { key: 'a/x', expectedRevision: 0, value: Buffer.from('1') }
       const first = (await platform.compareAndSwap(swap, contractTimeoutMs)).unwrap()
@@ -47,7 +47,7 @@
     }
   },
   {
-    title: 'of many swaps at one revision exactly one lands',
+    title: 'exactly one of many concurrent swaps at one revision succeeds',
     run: async ({ platform }) => {
       const expectedRevision = await put(platform, 'a/x', '0')
       const swaps = Array.from({ length: 20 }, (_, index) =>
@@ -57,7 +57,7 @@
     }
   },
   {
-    title: 'revisions rise over the whole store',
+    title: 'revisions increase across the whole store',
     run: async ({ platform }) => {
       const revisions: number[] = []
       for (const key of ['a/x', 'b/y', 'a/x', 'c/z']) revisions.push(await put(platform, key, 'v'))
@@ -68,7 +68,7 @@
     }
   },
   {
-    title: 'a deleted entry is gone, is told to followers, and can be created again',
+    title: 'a deleted entry does not exist, is reported as deleted, and can be created again',
     run: async ({ platform }) => {
       const revision = await put(platform, 'a/x', '1')
       const swap = { key: 'a/x', expectedRevision: revision, value: Buffer.alloc(0), delete: true }
@@ -80,7 +80,7 @@
     }
   },
   {
-    title: 'a range holds what changed after a revision below a prefix, in order',
+    title: 'a range returns the entries below a prefix that changed after a revision, in order',
     run: async ({ platform }) => {
       await put(platform, 'a/1', 'x')
       const after = await put(platform, 'a/2', 'x')
@@ -92,7 +92,7 @@
     }
   },
   {
-    title: 'values of any bytes, up to a megabyte, come back unchanged',
+    title: 'binary values of up to one megabyte are returned unchanged',
     run: async ({ platform }) => {
       const value = Buffer.alloc(largestValueBytes, Buffer.from([0, 255, 128, 10]))
       const swap = { key: 'a/large', expectedRevision: 0, value }
@@ -104,7 +104,7 @@
 
 const watchCases: PlatformContractCase[] = [
   {
-    title: 'a watch tells what there is, then what changes, below its prefix only',
+    title: 'a watch reports existing entries, then changes, below its prefix only',
     run: async ({ platform }) => {
       await put(platform, 'a/1', 'x')
       const watching = watchUntil(platform, 'a/', 0, ({ entries }) => entries.some(entry => entry.key === 'a/2'))
@@ -116,7 +116,7 @@
     }
   },
   {
-    title: 'a watch from a revision leaves out what came before',
+    title: 'a watch from a revision omits earlier changes',
     run: async ({ platform }) => {
       await put(platform, 'a/1', 'x')
       const after = await put(platform, 'a/2', 'x')
@@ -134,7 +134,7 @@
     }
   },
   {
-    title: 'the VM list is told as it was set',
+    title: 'the VM list is returned as set',
     run: async ({ platform, setVms }) => {
       const vms: VmListing[] = [
         { name: 'entry-1', role: 'ENTRY', address: '127.0.0.1:1', dataCentre: 'one', leaving: false },
@@ -146,6 +146,6 @@
   }
 ]
 
-/** All cases. */
+/** All contract cases. */
 export const platformContractCases: PlatformContractCase[] =
   [...storeCases, ...watchCases, ...leaseCases, ...faultCases]
--- a/packages/fleet/src/platform.ts
+++ b/packages/fleet/src/platform.ts
@@ -1,6 +1,6 @@
 /**
- * The platform's key-value service and VM list as a record of functions. Any implementation must pass
- * the contract suite in platform-contract.ts.
+ * The platform's key-value service and VM list, as a record of functions. Every implementation must pass the contract
+ * tests in platform-contract.ts.
  */
 import type { Result, TypedError } from '@egretyoke/common'
 
@@ -12,20 +12,20 @@
   deleted: boolean
 }
 
-/** Entries changed after a revision, and the newest revision of the whole store. */
+/** Entries that changed after a revision, and the newest revision of the whole store. */
 export type StoreChanges = {
   entries: StoredEntry[]
   storeRevision: number
 }
 
-/** What a swap came to. `current` is undefined when no entry exists now. */
+/** Result of a compare-and-swap. `current` is the entry after the call; undefined when it does not exist. */
 export type SwapOutcome = {
   swapped: boolean
   current: StoredEntry | undefined
   storeRevision: number
 }
 
-/** One swap; `expectedRevision` 0 means that the entry must not exist. */
+/** One compare-and-swap. `expectedRevision` 0 means that the entry must not exist. */
 export type Swap = {
   key: string
   expectedRevision: number
@@ -34,7 +34,7 @@
   leaseId?: number
 }
 
-/** A VM as the platform lists it. */
+/** A VM in the platform's VM list. */
 export type VmListing = {
   name: string
   role: 'ENTRY' | 'ENDPOINT'
@@ -46,17 +46,17 @@
 /** `noAnswer`: the call may or may not have taken effect. */
 export type PlatformError = TypedError<'noAnswer'>
 
-/** Calls of the platform. Each takes its timeout in milliseconds. */
+/** Calls to the platform. Timeouts are in milliseconds. */
 export type Platform = {
   get: (key: string, timeoutMs: number) => Promise<Result<StoredEntry | undefined, PlatformError>>
-  /** Entries below the prefix that changed after the revision, deleted ones included. */
+  /** Returns the entries below the prefix that changed after the revision, including deleted ones. */
   range: (prefix: string, afterRevision: number, timeoutMs: number) => Promise<Result<StoreChanges, PlatformError>>
   compareAndSwap: (swap: Swap, timeoutMs: number) => Promise<Result<SwapOutcome, PlatformError>>
-  /** Yields changes until the stream breaks or the signal aborts; it may skip some. */
+  /** Yields changes until the stream breaks or the signal aborts. May skip changes. */
   watch: (prefix: string, afterRevision: number, signal: AbortSignal) => AsyncGenerator<StoreChanges>
-  /** Returns the lease's id. */
+  /** Grants a lease and returns its id. */
   grantLease: (ttlMs: number, timeoutMs: number) => Promise<Result<number, PlatformError>>
-  /** False when the lease has lapsed. */
+  /** Renews a lease. Returns false when it has expired. */
   keepAlive: (leaseId: number, timeoutMs: number) => Promise<Result<boolean, PlatformError>>
   revokeLease: (leaseId: number, timeoutMs: number) => Promise<Result<boolean, PlatformError>>
   listVms: (timeoutMs: number) => Promise<Result<VmListing[], PlatformError>>
