common, config: wording of private names

Names said "place", "finder" or "allowance" where the field has usual terms.

common: document-places.ts -> document-positions.ts, Place -> TextPosition, createOffsetFinder -> createOffsetLocator, createPlaceFinder -> createPathLocator, placeOf -> locateOffset, tooDeepOffset -> findExcessiveNesting, allowance -> availableTokens, isAllowed -> tryAcquireToken, noteDropped -> notifyDropped, maxWaitingBytes -> maxBufferedBytes, ring -> endWait, isWoken -> isWakePending. config: createDuplicateCheck -> createDuplicateDetector, earlierKey -> findKeyHolder, bounded -> boundedRecord, readsWithoutHarm -> isReadSafely, headBeforeHistory -> headWithoutHistory.

--- a/packages/common/src/document-places.ts
+++ b/packages/common/src/document-positions.ts
@@ -5,7 +5,7 @@
 import type { Node } from 'jsonc-parser'
 
 /** A position in a text. Lines and columns count from 1. */
-export type Place = { line: number, column: number }
+export type TextPosition = { line: number, column: number }
 
 /** Path from the root of a document: field names and array indices. */
 export type DocumentPath = Array<string | number>
@@ -17,7 +17,7 @@
 }
 
 /** Creates a function that returns the position of an offset. Each lookup takes logarithmic time. */
-export const createOffsetFinder = (text: string): ((offset: number) => Place) => {
+export const createOffsetLocator = (text: string): ((offset: number) => TextPosition) => {
   const lineStarts = lineStartsOf(text)
   return offset => {
     let low = 0
@@ -41,8 +41,8 @@
 }
 
 /** Creates a function that returns the position of the value at a path, or of its nearest existing ancestor. */
-export const createPlaceFinder = (text: string): ((path: DocumentPath) => Place) => {
+export const createPathLocator = (text: string): ((path: DocumentPath) => TextPosition) => {
   const root = parseTree(text, [], { allowTrailingComma: true })
-  const placeOf = createOffsetFinder(text)
-  return path => placeOf(root ? nearestNode(root, path).offset : 0)
+  const locateOffset = createOffsetLocator(text)
+  return path => locateOffset(root ? nearestNode(root, path).offset : 0)
 }
--- a/packages/common/src/event-catalogue.test.ts
+++ b/packages/common/src/event-catalogue.test.ts
@@ -16,7 +16,7 @@
   const file = `${root}${packageName}/dist/events.js`
   if (existsSync(file)) catalogues.push({ packageName, events: (await import(file)).events })
 }
-const all = catalogues.flatMap(({ events }) => Object.values(events))
+const allEvents = catalogues.flatMap(({ events }) => Object.values(events))
 
 const sourceOf = (packageName: string): string =>
   readdirSync(`${root}${packageName}/src`, { recursive: true, encoding: 'utf8' })
@@ -25,15 +25,15 @@
     .join('\n')
 
 test('event numbers and names are unique', t => {
-  t.true(all.length > 0)
-  t.is(new Set(all.map(event => event.id)).size, all.length)
-  t.is(new Set(all.map(event => event.name)).size, all.length)
-  for (const event of all) t.regex(event.name, /^[a-z][a-zA-Z]*$/)
+  t.true(allEvents.length > 0)
+  t.is(new Set(allEvents.map(event => event.id)).size, allEvents.length)
+  t.is(new Set(allEvents.map(event => event.name)).size, allEvents.length)
+  for (const event of allEvents) t.regex(event.name, /^[a-z][a-zA-Z]*$/)
 })
 
 test('docs/EVENTS.md lists exactly the events that the code defines', t => {
   const listed = readFileSync(`${root}docs/EVENTS.md`, 'utf8').split('\n').filter(line => /^\| \d+ /.test(line))
-  const expected = all.map(event => `| ${event.id} | ${event.name} | ${event.meaning} |`)
+  const expected = allEvents.map(event => `| ${event.id} | ${event.name} | ${event.meaning} |`)
   t.deepEqual(listed.toSorted(), expected.toSorted())
 })
 
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -1,5 +1,5 @@
 export * from './clock.js'
-export * from './document-places.js'
+export * from './document-positions.js'
 export * from './findings.js'
 export * from './health-server.js'
 export * from './json-with-comments.js'
--- a/packages/common/src/json-with-comments.ts
+++ b/packages/common/src/json-with-comments.ts
@@ -7,8 +7,8 @@
 } from 'jsonc-parser'
 import type { Node, ParseError } from 'jsonc-parser'
 import type { ZodError, ZodType } from 'zod'
-import { createOffsetFinder, nearestNode } from './document-places.js'
-import type { DocumentPath } from './document-places.js'
+import { createOffsetLocator, nearestNode } from './document-positions.js'
+import type { DocumentPath } from './document-positions.js'
 import type { Finding } from './findings.js'
 import { Err, Ok } from './result.js'
 import type { Result } from './result.js'
@@ -23,7 +23,7 @@
 export const maxFindings = 200
 
 /** Returns the offset of the first value nested deeper than `maxNestingDepth`; undefined when there is none. */
-const tooDeepOffset = (text: string): number | undefined => {
+const findExcessiveNesting = (text: string): number | undefined => {
   const scanner = createScanner(text, true)
   let depth = 0
   for (let token = scanner.scan(); token !== SyntaxKind.EOF; token = scanner.scan()) {
@@ -66,27 +66,27 @@
   if (Buffer.byteLength(text) > maxDocumentBytes) {
     return Err([{ ...start, message: `larger than ${maxDocumentBytes} bytes` }])
   }
-  const placeOf = createOffsetFinder(text)
-  const at = (offset: number, message: string): Finding => ({ file, ...placeOf(offset), message })
-  const deepOffset = tooDeepOffset(text)
-  if (deepOffset !== undefined) return Err([at(deepOffset, `nested deeper than ${maxNestingDepth} levels`)])
+  const locateOffset = createOffsetLocator(text)
+  const findingAt = (offset: number, message: string): Finding => ({ file, ...locateOffset(offset), message })
+  const deepOffset = findExcessiveNesting(text)
+  if (deepOffset !== undefined) return Err([findingAt(deepOffset, `nested deeper than ${maxNestingDepth} levels`)])
 
   const errors: ParseError[] = []
   const root = parseTree(text, errors, { allowTrailingComma: true, disallowComments: false })
   if (errors.length > 0) {
-    return Err(errors.slice(0, maxFindings).map(error => at(error.offset, printParseErrorCode(error.error))))
+    return Err(errors.slice(0, maxFindings).map(error => findingAt(error.offset, printParseErrorCode(error.error))))
   }
   if (!root) return Err([{ ...start, message: 'empty document' }])
   const findings: Finding[] = []
   for (const key of duplicateKeys(root)) {
-    if (findings.length < maxFindings) findings.push(at(key.offset, `duplicate field "${key.value}"`))
+    if (findings.length < maxFindings) findings.push(findingAt(key.offset, `duplicate field "${key.value}"`))
   }
-  const checked = schema.safeParse(getNodeValue(root))
-  if (checked.success && findings.length === 0) return Ok(checked.data)
-  if (checked.success) return Err(findings)
-  for (const { offset, message } of schemaFindings(root, checked.error)) {
+  const validated = schema.safeParse(getNodeValue(root))
+  if (validated.success && findings.length === 0) return Ok(validated.data)
+  if (validated.success) return Err(findings)
+  for (const { offset, message } of schemaFindings(root, validated.error)) {
     if (findings.length >= maxFindings) break
-    findings.push(at(offset, message))
+    findings.push(findingAt(offset, message))
   }
   return Err(findings)
 }
--- a/packages/common/src/line-logger.ts
+++ b/packages/common/src/line-logger.ts
@@ -9,7 +9,7 @@
 const maxLinesPerSec = 1000
 const maxBurstLines = 4000
 /** Maximum amount of text buffered for writing, in bytes. */
-const maxWaitingBytes = 512 * 1024
+const maxBufferedBytes = 512 * 1024
 
 /** A logger and control of its output. */
 export type LineLogger = {
@@ -22,32 +22,32 @@
 
 /** Creates a logger that adds the given fields to each line. */
 export const createLineLogger = (program: string, common: EventFields = {}): LineLogger => {
-  const destination = pino.destination({ fd: 1, sync: false, maxLength: maxWaitingBytes })
+  const destination = pino.destination({ fd: 1, sync: false, maxLength: maxBufferedBytes })
   const options = { base: { program, ...common }, timestamp: pino.stdTimeFunctions.isoTime }
-  const lines = pino(options, destination)
-  let allowance = maxBurstLines
-  let filledAtMs = performance.now()
-  let noteDropped = (_count: number) => {}
-  destination.on('drop', () => noteDropped(1))
+  const pinoLogger = pino(options, destination)
+  let availableTokens = maxBurstLines
+  let refilledAtMs = performance.now()
+  let notifyDropped = (_count: number) => {}
+  destination.on('drop', () => notifyDropped(1))
   // A closed output pipe must not terminate the program.
-  destination.on('error', () => noteDropped(1))
+  destination.on('error', () => notifyDropped(1))
 
-  const isAllowed = () => {
+  const tryAcquireToken = () => {
     const nowMs = performance.now()
-    allowance = Math.min(maxBurstLines, allowance + (nowMs - filledAtMs) / 1000 * maxLinesPerSec)
-    filledAtMs = nowMs
-    if (allowance < 1) return false
-    allowance--
+    availableTokens = Math.min(maxBurstLines, availableTokens + (nowMs - refilledAtMs) / 1000 * maxLinesPerSec)
+    refilledAtMs = nowMs
+    if (availableTokens < 1) return false
+    availableTokens--
     return true
   }
 
   return {
     log: (event, fields = {}) => {
-      if (!isAllowed()) return noteDropped(1)
-      const gathered = typeof fields === 'function' ? fields() : fields
-      lines.info({ event: event.id, name: event.name, ...gathered })
+      if (!tryAcquireToken()) return notifyDropped(1)
+      const values = typeof fields === 'function' ? fields() : fields
+      pinoLogger.info({ event: event.id, name: event.name, ...values })
     },
-    onDropped: listener => { noteDropped = listener },
+    onDropped: listener => { notifyDropped = listener },
     close: () => destination.flushSync()
   }
 }
--- a/packages/common/src/log.ts
+++ b/packages/common/src/log.ts
@@ -28,8 +28,8 @@
   const write = createDebug(`egretyoke:${program}`)
   return (event, fields = {}) => {
     if (!write.enabled) return
-    const gathered = typeof fields === 'function' ? fields() : fields
-    const line = { time: new Date().toISOString(), event: event.id, name: event.name, program, ...common, ...gathered }
+    const values = typeof fields === 'function' ? fields() : fields
+    const line = { time: new Date().toISOString(), event: event.id, name: event.name, program, ...common, ...values }
     write('%s', JSON.stringify(line))
   }
 }
--- a/packages/common/src/program.ts
+++ b/packages/common/src/program.ts
@@ -61,10 +61,10 @@
 const runUntilSignal = async <Settings>(program: ServerProgram<Settings>, settings: Settings): Promise<void> => {
   const running = await program.start(settings)
   process.stdout.write(JSON.stringify({ program: program.name, addresses: running.addresses }) + '\n')
-  let closing = false
+  let isClosing = false
   const stop = async () => {
-    if (closing) process.exit(exitCodes.ok)
-    closing = true
+    if (isClosing) process.exit(exitCodes.ok)
+    isClosing = true
     await running.close()
     process.exit(exitCodes.ok)
   }
--- a/packages/common/src/ticks.ts
+++ b/packages/common/src/ticks.ts
@@ -37,32 +37,32 @@
 
 /** Creates a ticker for use by a single loop. */
 export const createTicker = (intervalMs: number): Ticker => {
-  let isWoken = false
-  let ring = () => {}
+  let isWakePending = false
+  let endWait = () => {}
 
   const wait = (signal: AbortSignal) => new Promise<void>(resolve => {
     const finish = () => {
       clearTimeout(timer)
       signal.removeEventListener('abort', finish)
-      ring = () => {}
+      endWait = () => {}
       resolve()
     }
-    const timer = setTimeout(finish, isWoken ? 0 : intervalMs)
-    ring = finish
+    const timer = setTimeout(finish, isWakePending ? 0 : intervalMs)
+    endWait = finish
     signal.addEventListener('abort', finish, { once: true })
   })
 
   async function * ticksUntil (signal: AbortSignal) {
     while (!signal.aborted) {
-      isWoken = false
+      isWakePending = false
       yield
       await wait(signal)
     }
   }
 
   const wake = () => {
-    isWoken = true
-    ring()
+    isWakePending = true
+    endWait()
   }
 
   return { ticks: ticksUntil, wake }
--- a/packages/config/src/document-checks.test.ts
+++ b/packages/config/src/document-checks.test.ts
@@ -102,7 +102,7 @@
   }
 ]
 
-const placeOf = (text: string, needle: string): string => {
+const positionOf = (text: string, needle: string): string => {
   const lines = text.slice(0, text.lastIndexOf(needle)).split('\n')
   return `${lines.length}:${lines.at(-1)!.length + 1}`
 }
@@ -119,7 +119,7 @@
     const findings = read.ok ? [] : read.val
     t.is(findings.length, 1)
     t.regex(findings[0].message, message)
-    t.true(formatFinding(findings[0]).startsWith(`x.jsonc:${placeOf(text, at)}: `), formatFinding(findings[0]))
+    t.true(formatFinding(findings[0]).startsWith(`x.jsonc:${positionOf(text, at)}: `), formatFinding(findings[0]))
   })
 }
 
--- a/packages/config/src/document-checks.ts
+++ b/packages/config/src/document-checks.ts
@@ -1,7 +1,7 @@
 /**
  * Checks across entries and documents: references, duplicates and contradictory settings.
  */
-import { createPlaceFinder } from '@egretyoke/common'
+import { createPathLocator } from '@egretyoke/common'
 import type { DocumentPath, Finding } from '@egretyoke/common'
 import type { Configuration, DocumentName, Group, Route, Workspace } from './documents.js'
 
@@ -19,7 +19,7 @@
 const problem = (document: DocumentName, path: DocumentPath, message: string): Problem => ({ document, path, message })
 
 /** Creates a function that registers a value with its holder and returns the first holder of a repeated value. */
-const createDuplicateCheck = () => {
+const createDuplicateDetector = () => {
   const seen = new Map<string, string>()
   return (value: string, holder: string): string | undefined => {
     const first = seen.get(value)
@@ -41,14 +41,14 @@
 }
 
 function * workspaceProblems (configuration: Configuration): Generator<Problem> {
-  const earlierKey = createDuplicateCheck()
+  const findKeyHolder = createDuplicateDetector()
   for (const [name, workspace] of Object.entries<Workspace>(configuration.workspaces)) {
     const path = ['workspaces', name]
     for (const [routeName, route] of Object.entries<Route>(workspace.routes)) {
       yield * routeProblems(configuration, [...path, 'routes', routeName], route)
     }
     for (const keyId of Object.keys(workspace.keys)) {
-      const holder = earlierKey(keyId, name)
+      const holder = findKeyHolder(keyId, name)
       if (holder === undefined) continue
       yield problem('workspaces', [...path, 'keys', keyId], `workspace "${holder}" has a key of this id`)
     }
@@ -65,8 +65,8 @@
 }
 
 function * groupProblems (configuration: Configuration): Generator<Problem> {
-  const earlierAddress = createDuplicateCheck()
-  const earlierName = createDuplicateCheck()
+  const findAddressHolder = createDuplicateDetector()
+  const findNameHolder = createDuplicateDetector()
   for (const [groupName, group] of Object.entries<Group>(configuration.groups)) {
     const path = ['groups', groupName]
     if (!Object.hasOwn(group.endpoints, group.firstPrimary)) {
@@ -75,14 +75,14 @@
     for (const [name, endpoint] of Object.entries(group.endpoints)) {
       const endpointPath = [...path, 'endpoints', name]
       const holder = `${groupName}/${name}`
-      const nameHolder = earlierName(name, holder)
+      const nameHolder = findNameHolder(name, holder)
       if (nameHolder) yield problem('groups', endpointPath, `"${nameHolder}" has the same endpoint name`)
-      const addressHolder = earlierAddress(endpoint.address, holder)
+      const addressHolder = findAddressHolder(endpoint.address, holder)
       if (addressHolder) {
         yield problem('groups', [...endpointPath, 'address'], `"${addressHolder}" has the same address`)
       }
-      const wrongAddress = addressProblem(endpoint.address)
-      if (wrongAddress) yield problem('groups', [...endpointPath, 'address'], wrongAddress)
+      const addressMessage = addressProblem(endpoint.address)
+      if (addressMessage) yield problem('groups', [...endpointPath, 'address'], addressMessage)
       if (!Object.hasOwn(configuration.dataCentres, endpoint.dataCentre)) {
         yield problem('groups', [...endpointPath, 'dataCentre'], `no data centre "${endpoint.dataCentre}"`)
       }
@@ -104,10 +104,10 @@
     ...groupProblems(configuration),
     ...dataCentreProblems(configuration)
   ].slice(0, maxCheckFindings)
-  const finders = new Map<DocumentName, ReturnType<typeof createPlaceFinder>>()
+  const locators = new Map<DocumentName, ReturnType<typeof createPathLocator>>()
   return problems.map(({ document, path, message }) => {
-    const finder = finders.get(document) ?? createPlaceFinder(texts[document].text)
-    finders.set(document, finder)
-    return { file: texts[document].file, ...finder(path), message: `${path.join('.')}: ${message}` }
+    const locatePath = locators.get(document) ?? createPathLocator(texts[document].text)
+    locators.set(document, locatePath)
+    return { file: texts[document].file, ...locatePath(path), message: `${path.join('.')}: ${message}` }
   })
 }
--- a/packages/config/src/documents.ts
+++ b/packages/config/src/documents.ts
@@ -14,7 +14,7 @@
 const withoutPrototype = <T>(entries: Record<string, T>): Record<string, T> =>
   Object.assign(Object.create(null), entries)
 
-const bounded = <T extends z.ZodType>(value: T) => z.record(name, value)
+const boundedRecord = <T extends z.ZodType>(value: T) => z.record(name, value)
   .refine(entries => Object.keys(entries).length <= maxEntriesPerDocument, `at most ${maxEntriesPerDocument} entries`)
   .transform(entries => withoutPrototype<z.infer<T>>(entries as Record<string, z.infer<T>>))
 
@@ -63,8 +63,8 @@
   /** Share of the endpoints' time, relative to the other workspaces. */
   weight: z.number().positive().max(1_000).default(1),
   /** Stored keys by key id. */
-  keys: bounded(storedKeySchema).prefault({}),
-  routes: bounded(routeSchema)
+  keys: boundedRecord(storedKeySchema).prefault({}),
+  routes: boundedRecord(routeSchema)
 })
 
 /** One database. `slots` is the number of statements that it runs concurrently. */
@@ -77,7 +77,7 @@
 
 /** A database group: one primary, and replicas. */
 export const groupSchema = z.strictObject({
-  endpoints: bounded(endpointSchema),
+  endpoints: boundedRecord(endpointSchema),
   /** Endpoint that is the primary in the first term. */
   firstPrimary: name
 })
@@ -90,10 +90,10 @@
 
 /** Schema of each configuration document, by document name. */
 export const documentSchemas = {
-  profiles: z.strictObject({ profiles: bounded(profileSchema) }),
-  workspaces: z.strictObject({ workspaces: bounded(workspaceSchema) }),
-  groups: z.strictObject({ groups: bounded(groupSchema) }),
-  'data-centres': z.strictObject({ dataCentres: bounded(dataCentreSchema) })
+  profiles: z.strictObject({ profiles: boundedRecord(profileSchema) }),
+  workspaces: z.strictObject({ workspaces: boundedRecord(workspaceSchema) }),
+  groups: z.strictObject({ groups: boundedRecord(groupSchema) }),
+  'data-centres': z.strictObject({ dataCentres: boundedRecord(dataCentreSchema) })
 } as const
 
 /** Name of a configuration document. */
--- a/packages/config/src/read-documents.fuzz.test.ts
+++ b/packages/config/src/read-documents.fuzz.test.ts
@@ -15,11 +15,11 @@
 const originals: DocumentTexts = Object.fromEntries(documentNames.map(name =>
   [name, { file: name, text: textOf(name) }])) as DocumentTexts
 
-const anyName = fc.constantFrom(...documentNames)
+const documentNameArbitrary = fc.constantFrom(...documentNames)
 const fuzzSeed = 20261204
 const maxReportedFindings = 1000
 
-const readsWithoutHarm = (name: string, text: string): boolean => {
+const isReadSafely = (name: string, text: string): boolean => {
   const read = readDocuments({ ...originals, [name]: { file: name, text } }, 1)
   if (read.ok) return true
   const lines = text.split('\n').length
@@ -29,14 +29,14 @@
 }
 
 test('arbitrary text does not make the reader throw', t => {
-  fc.assert(fc.property(anyName, fc.string({ unit: 'binary', maxLength: 2000 }), readsWithoutHarm),
+  fc.assert(fc.property(documentNameArbitrary, fc.string({ unit: 'binary', maxLength: 2000 }), isReadSafely),
     { seed: fuzzSeed, numRuns: 800 })
   t.pass()
 })
 
 test('arbitrary JSON does not make the reader throw', t => {
   const json = fc.jsonValue({ maxDepth: 8, depthSize: 'large' }).map(value => JSON.stringify(value))
-  fc.assert(fc.property(anyName, json, readsWithoutHarm), { seed: fuzzSeed, numRuns: 400 })
+  fc.assert(fc.property(documentNameArbitrary, json, isReadSafely), { seed: fuzzSeed, numRuns: 400 })
   t.pass()
 })
 
@@ -46,14 +46,14 @@
     length: fc.nat(40),
     text: fc.oneof(fc.string({ maxLength: 20 }), fc.constantFrom('{', '}', '[', ']', '"', ',', '/*', 'null', '1e999'))
   })
-  const damaged = fc.tuple(anyName, fc.array(damage, { minLength: 1, maxLength: 4 }))
+  const damaged = fc.tuple(documentNameArbitrary, fc.array(damage, { minLength: 1, maxLength: 4 }))
   fc.assert(fc.property(damaged, ([name, damages]) => {
     let { text } = originals[name]
     for (const { from, length, text: inserted } of damages) {
       const start = from % text.length
       text = text.slice(0, start) + inserted + text.slice(start + length)
     }
-    return readsWithoutHarm(name, text)
+    return isReadSafely(name, text)
   }), { seed: fuzzSeed, numRuns: 400 })
   t.pass()
 })
@@ -76,7 +76,7 @@
   test(`a megabyte of ${title} does not make the reader throw`, t => {
     t.timeout(60_000)
     const startedMs = process.cpuUsage().user / 1000
-    t.true(readsWithoutHarm('profiles', text))
+    t.true(isReadSafely('profiles', text))
     t.log(`${Math.round(process.cpuUsage().user / 1000 - startedMs)} ms of CPU time`)
   })
 }
--- a/packages/config/src/stored-records.fuzz.test.ts
+++ b/packages/config/src/stored-records.fuzz.test.ts
@@ -11,7 +11,7 @@
 const seed = 20261204
 const hash = 'a'.repeat(64)
 
-const headBeforeHistory = {
+const headWithoutHistory = {
   version: 2,
   documents: { profiles: hash, workspaces: hash, groups: hash, 'data-centres': hash },
   changeId: 'v1-x'
@@ -21,7 +21,7 @@
   head: {
     schema: configHeadSchema,
     record: {
-      ...headBeforeHistory,
+      ...headWithoutHistory,
       recentChanges: [{ changeId: 'v0-y', version: 1 }, { changeId: 'v1-x', version: 2 }],
       superseded: [{ hash: 'b'.repeat(64), version: 2 }]
     }
@@ -63,8 +63,8 @@
 }
 
 test('a head without history decodes with empty lists', t => {
-  const decoded = decodeRecord(storeKeys.head, encodeRecord(headBeforeHistory), configHeadSchema)
-  t.deepEqual(decoded.unwrap(), { ...headBeforeHistory, recentChanges: [], superseded: [] })
+  const decoded = decodeRecord(storeKeys.head, encodeRecord(headWithoutHistory), configHeadSchema)
+  t.deepEqual(decoded.unwrap(), { ...headWithoutHistory, recentChanges: [], superseded: [] })
 })
 
 test('a roster without suspension fields decodes, and all its VMs share limits', t => {
