fleet: wording of private names

Names were participles and figures of speech, such as "gone", "due", "breakOff", "hand" or "told".

settledByHead -> settlementFromHead, outcomeByHead -> outcomeFromHead, remembersVersion -> hasRecentVersion, collectableHashes -> expiredDocumentHashes, keptVersions -> retainedVersions, attempts -> attemptTimeouts, defaultApplyTimes -> defaultApplyTimeouts, times -> timeouts, endsAtMs -> deadlineMs, breakOff -> abort, takeEnd -> handleEnd, takeChunk -> handleChunk, takeRows -> deliverRows, Pending -> PendingRequest, maxAnswerBytes -> maxReplyBytes, SwapOutcome -> SwapResult, hand -> transferPrimary, until -> waitUntil, lapsingTtlMs -> expiringTtlMs.

--- a/packages/fleet/src/config-store-apply.ts
+++ b/packages/fleet/src/config-store-apply.ts
@@ -12,10 +12,10 @@
   documentHash, documentNames, encodeRecord, maxRecentChanges, maxSupersededDocuments, readDocuments, storeKeys
 } from '@egretyoke/config'
 import type { ConfigHead, DocumentName, DocumentTexts } from '@egretyoke/config'
-import { collectableHashes, collectDocuments } from './config-store-collect.js'
-import { settledByHead, versionOfChange } from './config-store-settle.js'
+import { collectDocuments, expiredDocumentHashes } from './config-store-collect.js'
+import { settlementFromHead, versionOfChange } from './config-store-settle.js'
 import {
-  attempts, decodeHead, defaultApplyTimes, readDocumentTexts, readHead, readWithin
+  attemptTimeouts, decodeHead, defaultApplyTimeouts, readDocumentTexts, readHead, readWithin
 } from './config-store.js'
 import type { ApplyTimes, StoredHead } from './config-store.js'
 import type { Platform } from './platform.js'
@@ -45,8 +45,8 @@
 /** Creates a change id. It contains the base version, so that the outcome of the change can be found later. */
 export const createChangeId = (baseVersion: number): string => `v${baseVersion}-${randomBytes(12).toString('hex')}`
 
-/** Maximum compare-and-swap retries per attempt when other operators store the same document concurrently. */
-const maxDocumentRaces = 8
+/** Maximum number of compare-and-swaps per attempt when other operators store the same document concurrently. */
+const maxSwapsPerAttempt = 8
 
 type Hashes = Partial<Record<DocumentName, string>>
 
@@ -77,13 +77,13 @@
 }
 
 /** Validates a change against the head and the whole configuration. The error is the outcome of the change. */
-const prepare = async (
+const prepareChange = async (
   platform: Platform,
   change: ConfigChange,
-  times: ApplyTimes
+  timeouts: ApplyTimes
 ): Promise<Result<PreparedChange, ApplyOutcome>> => {
   const { changeId, documents } = change
-  const stored = await readWithin(times, timeoutMs => readHead(platform, timeoutMs))
+  const stored = await readWithin(timeouts, timeoutMs => readHead(platform, timeoutMs))
   if (!stored.ok) return Err(unavailable(stored.val.message))
   const base = stored.val
   const hashes = hashesOf(documents)
@@ -93,14 +93,14 @@
 
   const changedNames = documentNames.filter(name => hashes[name] && hashes[name] !== base.head.documents[name])
   if (changedNames.length === 0) return Err({ kind: 'accepted', version: base.head.version, changed: false })
-  const isWhole = documentNames.every(name => documents[name])
-  const current = isWhole
+  const isComplete = documentNames.every(name => documents[name])
+  const current = isComplete
     ? Ok(documents as DocumentTexts)
-    : await readWithin(times, timeoutMs => readDocumentTexts(platform, base.head, timeoutMs))
+    : await readWithin(timeouts, timeoutMs => readDocumentTexts(platform, base.head, timeoutMs))
   if (!current.ok) return Err(unavailable(current.val.message))
   const texts = { ...current.val, ...documents }
-  const checked = readDocuments(texts, base.head.version + 1)
-  if (!checked.ok) return Err({ kind: 'refused', findings: checked.val })
+  const validated = readDocuments(texts, base.head.version + 1)
+  if (!validated.ok) return Err({ kind: 'refused', findings: validated.val })
   return Ok({ base, changeId, texts, hashes, changedNames })
 }
 
@@ -109,13 +109,13 @@
   platform: Platform,
   text: string,
   baseRevision: number,
-  times: ApplyTimes
+  timeouts: ApplyTimes
 ): Promise<string | undefined> => {
   const key = storeKeys.document(documentHash(text))
   const value = Buffer.from(text)
   let expectedRevision = 0
-  for await (const timeoutMs of attempts(times)) {
-    for (let race = 0; race < maxDocumentRaces; race++) {
+  for await (const timeoutMs of attemptTimeouts(timeouts)) {
+    for (let swapCount = 0; swapCount < maxSwapsPerAttempt; swapCount++) {
       const outcome = await platform.compareAndSwap({ key, expectedRevision, value }, timeoutMs)
       if (!outcome.ok) {
         const stored = await platform.get(key, timeoutMs)
@@ -136,10 +136,10 @@
   const { base: { head }, changeId } = change
   const version = head.version + 1
   const documents = { ...head.documents, ...change.hashes } as ConfigHead['documents']
-  const inForce = Object.values(documents)
-  const dropped = Object.values(head.documents).map(hash => ({ hash, version }))
-  const superseded = [...head.superseded, ...dropped]
-    .filter(old => !inForce.includes(old.hash) && !deletedHashes.includes(old.hash))
+  const activeHashes = Object.values(documents)
+  const replaced = Object.values(head.documents).map(hash => ({ hash, version }))
+  const superseded = [...head.superseded, ...replaced]
+    .filter(old => !activeHashes.includes(old.hash) && !deletedHashes.includes(old.hash))
   return {
     version,
     documents,
@@ -150,13 +150,15 @@
 }
 
 /** Determines the outcome of a sent change from a head; undefined while the swap may still be applied. */
-const outcomeByHead = (stored: StoredHead, change: PreparedChange): ApplyOutcome | undefined => {
+const outcomeFromHead = (stored: StoredHead, change: PreparedChange): ApplyOutcome | undefined => {
   const { base, changeId, hashes } = change
   if (stored.revision === base.revision) return undefined
-  const settled = settledByHead(stored.head, base.head.version, changeId)
-  if (settled.kind === 'accepted') return { kind: 'accepted', version: settled.version, changed: true }
-  if (settled.kind === 'notAccepted') return conflict(stored.head, hashes)
-  const message = settled.kind === 'unsettled' ? settled.message : `the head is at version ${settled.headVersion} again`
+  const settlement = settlementFromHead(stored.head, base.head.version, changeId)
+  if (settlement.kind === 'accepted') return { kind: 'accepted', version: settlement.version, changed: true }
+  if (settlement.kind === 'notAccepted') return conflict(stored.head, hashes)
+  const message = settlement.kind === 'unsettled'
+    ? settlement.message
+    : `the head is at version ${settlement.headVersion} again`
   return { kind: 'unsettled', changeId, message }
 }
 
@@ -165,23 +167,23 @@
   platform: Platform,
   change: PreparedChange,
   next: ConfigHead,
-  times: ApplyTimes
+  timeouts: ApplyTimes
 ): Promise<ApplyOutcome> => {
   const swap = { key: storeKeys.head, expectedRevision: change.base.revision, value: encodeRecord(next) }
-  let sent = 0
-  let lostAnswers = 0
-  for await (const timeoutMs of attempts(times)) {
-    sent++
+  let sentCount = 0
+  let lostReplies = 0
+  for await (const timeoutMs of attemptTimeouts(timeouts)) {
+    sentCount++
     const outcome = await platform.compareAndSwap(swap, timeoutMs)
     if (outcome.ok && outcome.val.swapped) return { kind: 'accepted', version: next.version, changed: true }
-    if (!outcome.ok) lostAnswers++
+    if (!outcome.ok) lostReplies++
     const stored = outcome.ok ? decodeHead(outcome.val.current) : await readHead(platform, timeoutMs)
     if (!stored.ok) continue
-    const settled = outcomeByHead(stored.val, change)
-    if (settled) return settled
-    if (outcome.ok && lostAnswers === 0) return unavailable('the platform declined to store the head')
+    const knownOutcome = outcomeFromHead(stored.val, change)
+    if (knownOutcome) return knownOutcome
+    if (outcome.ok && lostReplies === 0) return unavailable('the platform declined to store the head')
   }
-  if (sent === 0) return unavailable('the wait time expired after the documents were stored')
+  if (sentCount === 0) return unavailable('the wait time expired after the documents were stored')
   return { kind: 'unsettled', changeId: change.changeId, message: 'the platform did not reply' }
 }
 
@@ -189,26 +191,27 @@
 export const applyDocuments = async (
   platform: Platform,
   change: ConfigChange,
-  times: ApplyTimes = defaultApplyTimes
+  timeouts: ApplyTimes = defaultApplyTimeouts
 ): Promise<ApplyOutcome> => {
-  const endsAtMs = monotonicMs() + times.waitMs
-  const remaining = (): ApplyTimes => ({ ...times, waitMs: endsAtMs - monotonicMs() })
-  const prepared = await prepare(platform, change, times)
+  const deadlineMs = monotonicMs() + timeouts.waitMs
+  const remainingTimeouts = (): ApplyTimes => ({ ...timeouts, waitMs: deadlineMs - monotonicMs() })
+  const prepared = await prepareChange(platform, change, timeouts)
   if (!prepared.ok) return prepared.val
   const { base, texts, hashes, changedNames } = prepared.val
   for (const name of changedNames) {
-    const failure = await storeDocument(platform, texts[name].text, base.revision, remaining())
+    const failure = await storeDocument(platform, texts[name].text, base.revision, remainingTimeouts())
     if (failure) return unavailable(failure)
   }
-  const due = collectableHashes(base.head)
-  const deletedHashes = await collectDocuments(platform, due, base, times.callTimeoutMs)
-  const outcome = await swapHead(platform, prepared.val, nextHead(prepared.val, deletedHashes), remaining())
+  const expiredHashes = expiredDocumentHashes(base.head)
+  const deletedHashes = await collectDocuments(platform, expiredHashes, base, timeouts.callTimeoutMs)
+  const outcome = await swapHead(platform, prepared.val, nextHead(prepared.val, deletedHashes), remainingTimeouts())
   if (outcome.kind !== 'conflict') return outcome
 
-  const stored = await readHead(platform, times.callTimeoutMs)
+  const stored = await readHead(platform, timeouts.callTimeoutMs)
   if (!stored.ok) return outcome
-  const kept = stored.val.head.superseded.map(old => old.hash)
-  const abandoned = changedNames.map(name => hashes[name] as string).filter(hash => !kept.includes(hash))
-  await collectDocuments(platform, abandoned, stored.val, times.callTimeoutMs)
+  const retainedHashes = stored.val.head.superseded.map(old => old.hash)
+  const abandonedHashes = changedNames.map(name => hashes[name] as string)
+    .filter(hash => !retainedHashes.includes(hash))
+  await collectDocuments(platform, abandonedHashes, stored.val, timeouts.callTimeoutMs)
   return outcome
 }
--- a/packages/fleet/src/config-store-collect.ts
+++ b/packages/fleet/src/config-store-collect.ts
@@ -11,17 +11,17 @@
 import type { Platform } from './platform.js'
 
 /** Number of versions for which a superseded document is retained for slow readers. */
-export const keptVersions = 8
+export const retainedVersions = 8
 
 /** Maximum number of documents deleted by one change. */
 const maxDeletionsPerChange = 8
 
 /** Returns the hashes of superseded documents whose retention has ended, oldest first. */
-export const collectableHashes = (head: ConfigHead): string[] =>
-  head.superseded.filter(old => old.version + keptVersions <= head.version).map(old => old.hash)
+export const expiredDocumentHashes = (head: ConfigHead): string[] =>
+  head.superseded.filter(old => old.version + retainedVersions <= head.version).map(old => old.hash)
 
 /** Deletes a document unless the head or a change in progress uses it. Returns true when it no longer exists. */
-const deleteUnused = async (
+const deleteIfUnused = async (
   platform: Platform,
   hash: string,
   stored: StoredHead,
@@ -46,7 +46,7 @@
   stored: StoredHead,
   timeoutMs: number
 ): Promise<string[]> => {
-  const due = hashes.slice(0, maxDeletionsPerChange)
-  const gone = await Promise.all(due.map(hash => deleteUnused(platform, hash, stored, timeoutMs)))
-  return due.filter((_hash, index) => gone[index])
+  const batch = hashes.slice(0, maxDeletionsPerChange)
+  const deletedFlags = await Promise.all(batch.map(hash => deleteIfUnused(platform, hash, stored, timeoutMs)))
+  return batch.filter((_hash, index) => deletedFlags[index])
 }
--- a/packages/fleet/src/config-store-settle.ts
+++ b/packages/fleet/src/config-store-settle.ts
@@ -2,7 +2,7 @@
  * Finds the outcome of a change whose reply was lost, from the head's recent changes.
  */
 import type { ConfigHead } from '@egretyoke/config'
-import { defaultApplyTimes, readHead, readWithin } from './config-store.js'
+import { defaultApplyTimeouts, readHead, readWithin } from './config-store.js'
 import type { ApplyTimes } from './config-store.js'
 import type { Platform } from './platform.js'
 
@@ -11,7 +11,7 @@
   head.recentChanges.find(change => change.changeId === changeId)?.version
 
 /** Returns true when the head's recent changes include the given version. */
-export const remembersVersion = (head: ConfigHead, version: number): boolean =>
+export const hasRecentVersion = (head: ConfigHead, version: number): boolean =>
   head.recentChanges.some(change => change.version === version)
 
 /** Outcome of a change according to a later head. */
@@ -31,11 +31,11 @@
 }
 
 /** Determines the outcome of a change from a head. */
-export const settledByHead = (head: ConfigHead, baseVersion: number, changeId: string): Settlement => {
+export const settlementFromHead = (head: ConfigHead, baseVersion: number, changeId: string): Settlement => {
   const version = versionOfChange(head, changeId)
   if (version !== undefined) return { kind: 'accepted', version }
   if (head.version <= baseVersion) return { kind: 'open', headVersion: head.version }
-  if (remembersVersion(head, baseVersion + 1)) return { kind: 'notAccepted', headVersion: head.version }
+  if (hasRecentVersion(head, baseVersion + 1)) return { kind: 'notAccepted', headVersion: head.version }
   return { kind: 'unsettled', message: `version ${baseVersion + 1} is no longer among the recent changes` }
 }
 
@@ -43,11 +43,11 @@
 export const settleChange = async (
   platform: Platform,
   changeId: string,
-  times: ApplyTimes = defaultApplyTimes
+  timeouts: ApplyTimes = defaultApplyTimeouts
 ): Promise<Settlement> => {
   const baseVersion = baseVersionOf(changeId)
   if (baseVersion === undefined) return { kind: 'unsettled', message: `"${changeId}" is not a change id` }
-  const stored = await readWithin(times, timeoutMs => readHead(platform, timeoutMs))
+  const stored = await readWithin(timeouts, timeoutMs => readHead(platform, timeoutMs))
   if (!stored.ok) return { kind: 'unsettled', message: stored.val.message }
-  return settledByHead(stored.val.head, baseVersion, changeId)
+  return settlementFromHead(stored.val.head, baseVersion, changeId)
 }
--- a/packages/fleet/src/config-store.ts
+++ b/packages/fleet/src/config-store.ts
@@ -26,8 +26,8 @@
 /** Maximum read attempts when the head changes during the read. */
 const maxReadAttempts = 4
 
-const firstPauseMs = 50
-const maxPauseMs = 1000
+const initialBackoffMs = 50
+const maxBackoffMs = 1000
 
 /** Timeouts of applying a change and of finding its outcome. */
 export type ApplyTimes = {
@@ -38,41 +38,42 @@
 }
 
 /** Default timeouts. */
-export const defaultApplyTimes: ApplyTimes = { callTimeoutMs: 2000, waitMs: 30_000 }
+export const defaultApplyTimeouts: ApplyTimes = { callTimeoutMs: 2000, waitMs: 30_000 }
 
 /** Yields the timeout of each attempt, at first immediately, then with exponential backoff, until `waitMs` is over. */
-export async function * attempts (times: ApplyTimes): AsyncGenerator<number> {
-  const endsAtMs = monotonicMs() + times.waitMs
-  for (const pauseMs of backoffMs(firstPauseMs, maxPauseMs)) {
-    const remainingMs = endsAtMs - monotonicMs()
+export async function * attemptTimeouts (timeouts: ApplyTimes): AsyncGenerator<number> {
+  const deadlineMs = monotonicMs() + timeouts.waitMs
+  for (const delayMs of backoffMs(initialBackoffMs, maxBackoffMs)) {
+    const remainingMs = deadlineMs - monotonicMs()
     if (remainingMs <= 0) return
-    yield Math.min(times.callTimeoutMs, remainingMs)
-    if (monotonicMs() + pauseMs >= endsAtMs) return
-    await sleepMs(pauseMs)
+    yield Math.min(timeouts.callTimeoutMs, remainingMs)
+    if (monotonicMs() + delayMs >= deadlineMs) return
+    await sleepMs(delayMs)
   }
 }
 
 /** Retries a read while the platform does not reply, for at most `waitMs`. */
 export const readWithin = async <T>(
-  times: ApplyTimes,
+  timeouts: ApplyTimes,
   read: (timeoutMs: number) => Promise<Result<T, ConfigReadError>>
 ): Promise<Result<T, ConfigReadError>> => {
-  let last: Result<T, ConfigReadError> = Err(typedError('noAnswer', 'the wait time was over before the first call'))
-  for await (const timeoutMs of attempts(times)) {
-    last = await read(timeoutMs)
-    if (last.ok || last.val.reason !== 'noAnswer') return last
+  let lastResult: Result<T, ConfigReadError> =
+    Err(typedError('noAnswer', 'the wait time was over before the first call'))
+  for await (const timeoutMs of attemptTimeouts(timeouts)) {
+    lastResult = await read(timeoutMs)
+    if (lastResult.ok || lastResult.val.reason !== 'noAnswer') return lastResult
   }
-  return last
+  return lastResult
 }
 
-const damaged = (findings: Finding[]): ConfigReadError =>
+const damagedError = (findings: Finding[]): ConfigReadError =>
   typedError('damaged', findings.map(formatFinding).join('\n'))
 
 /** Decodes a stored head. Without an entry, returns the empty head. */
 export const decodeHead = (entry: StoredEntry | undefined): Result<StoredHead, ConfigReadError> => {
   if (!entry) return Ok({ head: emptyHead, revision: 0 })
   const decoded = decodeRecord(entry.key, entry.value, configHeadSchema)
-  return decoded.ok ? Ok({ head: decoded.val as ConfigHead, revision: entry.revision }) : Err(damaged(decoded.val))
+  return decoded.ok ? Ok({ head: decoded.val as ConfigHead, revision: entry.revision }) : Err(damagedError(decoded.val))
 }
 
 /** Subset of the platform that reading needs. */
@@ -122,7 +123,7 @@
 /** Parses and checks the texts of a head's documents. */
 export const configurationOf = (head: ConfigHead, texts: DocumentTexts): Result<Configuration, ConfigReadError> => {
   const read = readDocuments(texts, head.version)
-  return read.ok ? Ok(read.val) : Err(damaged(read.val))
+  return read.ok ? Ok(read.val) : Err(damagedError(read.val))
 }
 
 /** A head and the texts of its documents. */
--- a/packages/fleet/src/endpoint-connection.ts
+++ b/packages/fleet/src/endpoint-connection.ts
@@ -72,7 +72,7 @@
 }
 
 /** Maximum size of a reply message, in bytes. */
-export const maxAnswerBytes = 4 * 1024 * 1024
+export const maxReplyBytes = 4 * 1024 * 1024
 
 const verdicts = { DONE: 'done', DECLINED: 'declined', FAILED: 'failed', UNCONFIRMED: 'unconfirmed' } as const
 const confirmations = { primary: 'PRIMARY', majority: 'MAJORITY' } as const
@@ -86,9 +86,10 @@
   return { rollback: {} }
 }
 
-const answerFrom = (end: EndpointMessages.End__Output): EndpointAnswer => ({ ...end, verdict: verdicts[end.verdict] })
+const responseFromEnd = (end: EndpointMessages.End__Output): EndpointAnswer =>
+  ({ ...end, verdict: verdicts[end.verdict] })
 
-type Pending = {
+type PendingRequest = {
   requestId: number
   onRows: OnRows | undefined
   /** Chunks received so far. */
@@ -101,7 +102,7 @@
 /** Creates a connector to the endpoint of a group at HOST:PORT. */
 export const createEndpointConnector = (options: ConnectorOptions): EndpointConnector => {
   const client = connectGrpc(endpointProto.Endpoint, options.address, options.channels, {
-    'grpc.max_receive_message_length': maxAnswerBytes
+    'grpc.max_receive_message_length': maxReplyBytes
   })
   let lastGeneration = 0
   let strayReplies = 0
@@ -109,9 +110,9 @@
   const startConnection = () => {
     const generation = ++lastGeneration
     const call = client.Connect()
-    let usable = true
+    let isOpen = true
     let lastRequestId = 0
-    let pending: Pending | undefined
+    let pending: PendingRequest | undefined
 
     const settle = (result: Result<EndpointAnswer, ConnectionError>) => {
       const settled = pending
@@ -119,33 +120,33 @@
       settled?.settle(result)
     }
 
-    const breakOff = (reason: 'lost' | 'timeout', message: string) => {
-      if (!usable) return
-      usable = false
+    const abort = (reason: 'lost' | 'timeout', message: string) => {
+      if (!isOpen) return
+      isOpen = false
       call.cancel()
       settle(Err(typedError(reason, message, { generation })))
     }
 
-    const takeRows = async (chunk: EndpointMessages.Chunk__Output, onRows: OnRows) => {
+    const deliverRows = async (chunk: EndpointMessages.Chunk__Output, onRows: OnRows) => {
       call.pause()
-      const wanted = await onRows(chunk)
-      if (!wanted) return breakOff('lost', 'response abandoned by the reader')
+      const shouldContinue = await onRows(chunk)
+      if (!shouldContinue) return abort('lost', 'response abandoned by the reader')
       call.resume()
     }
 
-    const takeEnd = (end: EndpointMessages.End__Output, request: Pending) => {
-      if (end.chunkCount !== request.chunkCount) return breakOff('lost', 'the response is incomplete')
-      settle(Ok(answerFrom(end)))
+    const handleEnd = (end: EndpointMessages.End__Output, request: PendingRequest) => {
+      if (end.chunkCount !== request.chunkCount) return abort('lost', 'the response is incomplete')
+      settle(Ok(responseFromEnd(end)))
     }
 
-    const takeChunk = (chunk: EndpointMessages.Chunk__Output, request: Pending) => {
+    const handleChunk = (chunk: EndpointMessages.Chunk__Output, request: PendingRequest) => {
       if (chunk.index < request.chunkCount) {
         strayReplies++
         return
       }
-      if (chunk.index > request.chunkCount) return breakOff('lost', 'a chunk is missing')
+      if (chunk.index > request.chunkCount) return abort('lost', 'a chunk is missing')
       request.chunkCount++
-      if (request.onRows) takeRows(chunk, request.onRows)
+      if (request.onRows) deliverRows(chunk, request.onRows)
     }
 
     call.on('data', (reply: Reply) => {
@@ -153,22 +154,22 @@
         strayReplies++
         return
       }
-      if (reply.end) return takeEnd(reply.end, pending)
-      if (reply.chunk) takeChunk(reply.chunk, pending)
+      if (reply.end) return handleEnd(reply.end, pending)
+      if (reply.chunk) handleChunk(reply.chunk, pending)
     })
-    call.on('error', error => breakOff('lost', error.message))
-    call.on('end', () => breakOff('lost', 'stream ended by the endpoint'))
+    call.on('error', error => abort('lost', error.message))
+    call.on('end', () => abort('lost', 'stream ended by the endpoint'))
 
     const send = (
       request: Partial<WireRequest>,
       timeoutMs: number,
       onRows?: OnRows
     ): Promise<Result<EndpointAnswer, ConnectionError>> => new Promise(resolve => {
-      if (!usable || pending) {
-        return resolve(Err(typedError('notSent', usable ? 'another request is in flight' : 'closed', { generation })))
+      if (!isOpen || pending) {
+        return resolve(Err(typedError('notSent', isOpen ? 'another request is in flight' : 'closed', { generation })))
       }
       const requestId = ++lastRequestId
-      const timer = setTimeout(() => breakOff('timeout', `no reply within ${timeoutMs} ms`), timeoutMs)
+      const timer = setTimeout(() => abort('timeout', `no reply within ${timeoutMs} ms`), timeoutMs)
       const finish = (result: Result<EndpointAnswer, ConnectionError>) => {
         clearTimeout(timer)
         resolve(result)
@@ -179,9 +180,9 @@
 
     const connection: EndpointConnection = {
       generation,
-      isUsable: () => usable && !pending,
+      isUsable: () => isOpen && !pending,
       run: (action, timeoutMs, onRows) => send(toWire(action), timeoutMs, onRows),
-      close: () => breakOff('lost', 'closed')
+      close: () => abort('lost', 'closed')
     }
     return { connection, send }
   }
--- a/packages/fleet/src/grpc-platform.ts
+++ b/packages/fleet/src/grpc-platform.ts
@@ -10,7 +10,7 @@
 const fromWire = (entry: PlatformMessages.Entry__Output): StoredEntry =>
   ({ key: entry.key, value: entry.value, revision: entry.revision, deleted: entry.deleted })
 
-const existing = (entry: PlatformMessages.Entry__Output | null): StoredEntry | undefined => {
+const existingEntry = (entry: PlatformMessages.Entry__Output | null): StoredEntry | undefined => {
   if (!entry || entry.revision === 0 || entry.deleted) return undefined
   return fromWire(entry)
 }
@@ -18,10 +18,10 @@
 const changesFromWire = (reply: PlatformMessages.RangeReply__Output): StoreChanges =>
   ({ entries: reply.entries.map(fromWire), storeRevision: reply.storeRevision })
 
-const noAnswer = (failure: CallFailure): PlatformError => typedError('noAnswer', failure.message, failure.metadata)
+const noAnswerError = (failure: CallFailure): PlatformError => typedError('noAnswer', failure.message, failure.metadata)
 
-const mapped = <Reply, T>(result: Result<Reply, CallFailure>, map: (reply: Reply) => T): Result<T, PlatformError> =>
-  result.ok ? Ok(map(result.val)) : Err(noAnswer(result.val))
+const mapResult = <Reply, T>(result: Result<Reply, CallFailure>, map: (reply: Reply) => T): Result<T, PlatformError> =>
+  result.ok ? Ok(map(result.val)) : Err(noAnswerError(result.val))
 
 /** Connects to the platform at HOST:PORT. */
 export const connectPlatform = (address: string, channels: ChannelSettings): Platform => {
@@ -44,24 +44,24 @@
 
   return {
     get: async (key, timeoutMs) =>
-      mapped(await callUnary(store, store.Get, { key }, timeoutMs), reply => existing(reply.entry)),
+      mapResult(await callUnary(store, store.Get, { key }, timeoutMs), reply => existingEntry(reply.entry)),
     range: async (prefix, afterRevision, timeoutMs) =>
-      mapped(await callUnary(store, store.Range, { prefix, afterRevision }, timeoutMs), changesFromWire),
+      mapResult(await callUnary(store, store.Range, { prefix, afterRevision }, timeoutMs), changesFromWire),
     compareAndSwap: async (swap, timeoutMs) =>
-      mapped(await callUnary(store, store.CompareAndSwap, swap, timeoutMs), reply => ({
+      mapResult(await callUnary(store, store.CompareAndSwap, swap, timeoutMs), reply => ({
         swapped: reply.swapped,
-        current: existing(reply.current),
+        current: existingEntry(reply.current),
         storeRevision: reply.storeRevision
       })),
     watch,
     grantLease: async (ttlMs, timeoutMs) =>
-      mapped(await callUnary(store, store.GrantLease, { ttlMs }, timeoutMs), reply => reply.leaseId),
+      mapResult(await callUnary(store, store.GrantLease, { ttlMs }, timeoutMs), reply => reply.leaseId),
     keepAlive: async (leaseId, timeoutMs) =>
-      mapped(await callUnary(store, store.KeepAlive, { leaseId }, timeoutMs), reply => reply.alive),
+      mapResult(await callUnary(store, store.KeepAlive, { leaseId }, timeoutMs), reply => reply.alive),
     revokeLease: async (leaseId, timeoutMs) =>
-      mapped(await callUnary(store, store.RevokeLease, { leaseId }, timeoutMs), reply => reply.alive),
+      mapResult(await callUnary(store, store.RevokeLease, { leaseId }, timeoutMs), reply => reply.alive),
     listVms: async timeoutMs =>
-      mapped(await callUnary(vmList, vmList.List, {}, timeoutMs), reply => reply.vms),
+      mapResult(await callUnary(vmList, vmList.List, {}, timeoutMs), reply => reply.vms),
     close: () => {
       store.close()
       vmList.close()
--- a/packages/fleet/src/member-contract.ts
+++ b/packages/fleet/src/member-contract.ts
@@ -8,7 +8,7 @@
 
 const timeoutMs = 1_000
 const shortTimeoutMs = 200
-const longestWaitMs = 5_000
+const maxWaitMs = 5_000
 const pollPauseMs = 20
 
 /** One member under test, in a group of at least three that starts in term 1. */
@@ -17,7 +17,7 @@
   /** Name and address passed to members that follow it. */
   upstream: { name: string, address: string }
   /** Isolates the member from all others, or reconnects it. */
-  cutOff: (isCut: boolean) => void
+  cutOff: (isIsolated: boolean) => void
 }
 
 /** A group under test: its first primary, two replicas, and a write function. */
@@ -36,19 +36,19 @@
 const stateOf = async (subject: MemberSubject): Promise<MemberState> =>
   (await subject.control.getStatus(timeoutMs)).unwrap()
 
-const isAccepted = async (answer: ReturnType<GroupMember['fence']>): Promise<boolean> =>
-  (await answer).unwrap().accepted
+const isAccepted = async (response: ReturnType<GroupMember['fence']>): Promise<boolean> =>
+  (await response).unwrap().accepted
 
-const until = async (subject: MemberSubject, what: string, isSo: (state: MemberState) => boolean) => {
-  for (let waitedMs = 0; waitedMs < longestWaitMs; waitedMs += pollPauseMs) {
+const waitUntil = async (subject: MemberSubject, description: string, condition: (state: MemberState) => boolean) => {
+  for (let waitedMs = 0; waitedMs < maxWaitMs; waitedMs += pollPauseMs) {
     const status = await subject.control.getStatus(timeoutMs)
-    if (status.ok && isSo(status.val)) return
+    if (status.ok && condition(status.val)) return
     await sleepMs(pollPauseMs)
   }
-  assert.fail(`timed out waiting until ${what}`)
+  assert.fail(`timed out waiting until ${description}`)
 }
 
-const hand = async (group: MemberGroupSubject, term: number, from: MemberSubject, to: MemberSubject) => {
+const transferPrimary = async (group: MemberGroupSubject, term: number, from: MemberSubject, to: MemberSubject) => {
   await to.control.fence(term, timeoutMs)
   await to.control.promote(term, timeoutMs)
   await from.control.follow(term, to.upstream, timeoutMs)
@@ -62,7 +62,7 @@
       assert.equal(await write(primary, 1), true)
       const state = await stateOf(primary)
       assert.deepEqual([state.term, state.isPrimary, state.receivedPosition, state.lastEntryTerm], [1, true, 1, 1])
-      await until(replica, 'the replica has the entry', ({ receivedPosition }) => receivedPosition === 1)
+      await waitUntil(replica, 'the replica has the entry', ({ receivedPosition }) => receivedPosition === 1)
       assert.equal((await stateOf(replica)).primaryName, primary.upstream.name)
     }
   },
@@ -80,7 +80,7 @@
     run: async ({ primary, replica, other, write }) => {
       assert.equal(await isAccepted(replica.control.fence(2, timeoutMs)), true)
       await write(primary, 1)
-      await until(other, 'the other replica has the entry', ({ receivedPosition }) => receivedPosition === 1)
+      await waitUntil(other, 'the other replica has the entry', ({ receivedPosition }) => receivedPosition === 1)
       assert.equal((await stateOf(replica)).receivedPosition, 0)
     }
   },
@@ -88,7 +88,7 @@
     title: 'fence, promote and follow requests of older terms are refused, repeated ones accepted',
     run: async group => {
       const { primary, replica } = group
-      await hand(group, 3, primary, replica)
+      await transferPrimary(group, 3, primary, replica)
       assert.equal(await isAccepted(replica.control.fence(2, timeoutMs)), false)
       assert.equal(await isAccepted(primary.control.follow(2, replica.upstream, timeoutMs)), false)
       assert.equal(await isAccepted(replica.control.promote(2, timeoutMs)), false)
@@ -104,8 +104,8 @@
     run: async group => {
       const { primary, replica, write } = group
       await write(primary, 1)
-      await until(replica, 'the replica has the entry', ({ receivedPosition }) => receivedPosition === 1)
-      await hand(group, 2, primary, replica)
+      await waitUntil(replica, 'the replica has the entry', ({ receivedPosition }) => receivedPosition === 1)
+      await transferPrimary(group, 2, primary, replica)
       assert.equal(await write(replica, 2), true)
       const { lineage, lastEntryTerm } = await stateOf(replica)
       assert.deepEqual(lineage.at(-1), { term: 2, startPosition: 1 })
@@ -125,7 +125,7 @@
       await replica.control.promote(2, timeoutMs)
       await write(replica, 2)
       await primary.control.follow(2, replica.upstream, timeoutMs)
-      await until(primary, 'the old primary has the new log', ({ receivedPosition, lastEntryTerm }) =>
+      await waitUntil(primary, 'the old primary has the new log', ({ receivedPosition, lastEntryTerm }) =>
         receivedPosition === 1 && lastEntryTerm === 2)
     }
   },
@@ -133,14 +133,14 @@
     title: 'a missing reply is an error that leaves the effect of the request open',
     run: async ({ primary }) => {
       primary.cutOff(true)
-      for (const answer of [
+      for (const response of [
         await primary.control.getStatus(shortTimeoutMs),
         await primary.control.fence(2, shortTimeoutMs),
         await primary.control.promote(2, shortTimeoutMs),
         await primary.control.follow(2, primary.upstream, shortTimeoutMs)
-      ]) assert.equal(answer.err && answer.val.reason, 'noAnswer')
+      ]) assert.equal(response.err && response.val.reason, 'noAnswer')
       primary.cutOff(false)
-      await until(primary, 'the member replies again', () => true)
+      await waitUntil(primary, 'the member replies again', () => true)
     }
   }
 ]
--- a/packages/fleet/src/member-grpc.ts
+++ b/packages/fleet/src/member-grpc.ts
@@ -9,10 +9,10 @@
 
 type ControlReply = EndpointMessages.ControlReply__Output
 
-const noAnswer = (failure: CallFailure): MemberError => typedError('noAnswer', failure.message, failure.metadata)
+const noAnswerError = (failure: CallFailure): MemberError => typedError('noAnswer', failure.message, failure.metadata)
 
-const controlAnswer = (result: Result<ControlReply, CallFailure>): Result<ControlAnswer, MemberError> => {
-  if (!result.ok) return Err(noAnswer(result.val))
+const toControlResponse = (result: Result<ControlReply, CallFailure>): Result<ControlAnswer, MemberError> => {
+  if (!result.ok) return Err(noAnswerError(result.val))
   const { accepted, reason, status } = result.val
   if (!status) return Err(typedError('noAnswer', 'the reply contains no status'))
   return Ok({ accepted, reason, state: status })
@@ -24,15 +24,15 @@
   return {
     getStatus: async timeoutMs => {
       const status = await callUnary(client, client.GetStatus, {}, timeoutMs)
-      return status.ok ? Ok<MemberState>(status.val) : Err(noAnswer(status.val))
+      return status.ok ? Ok<MemberState>(status.val) : Err(noAnswerError(status.val))
     },
     fence: async (term, timeoutMs) =>
-      controlAnswer(await callUnary(client, client.Fence, { term }, timeoutMs)),
+      toControlResponse(await callUnary(client, client.Fence, { term }, timeoutMs)),
     promote: async (term, timeoutMs) =>
-      controlAnswer(await callUnary(client, client.Promote, { term }, timeoutMs)),
+      toControlResponse(await callUnary(client, client.Promote, { term }, timeoutMs)),
     follow: async (term, primary, timeoutMs) => {
       const request = { term, primaryName: primary.name, primaryAddress: primary.address }
-      return controlAnswer(await callUnary(client, client.Follow, request, timeoutMs))
+      return toControlResponse(await callUnary(client, client.Follow, request, timeoutMs))
     },
     close: () => client.close()
   }
--- a/packages/fleet/src/platform-contract-faults.ts
+++ b/packages/fleet/src/platform-contract-faults.ts
@@ -12,17 +12,17 @@
 const shortTimeoutMs = 150
 
 /** Timeout of a swap whose reply is lost, in milliseconds; long enough for the request to arrive. */
-const lostAnswerTimeoutMs = 1500
+const lostReplyTimeoutMs = 1500
 
 /** Lag of the VM list, in milliseconds. */
 const listLagMs = 3000
 /** Time after which the VM list is up to date, in milliseconds. */
-const listCaughtUpMs = 3500
+const listUpToDateAfterMs = 3500
 
-type AnyCall = (platform: Platform, timeoutMs: number) => Promise<Result<unknown, PlatformError>>
+type PlatformCall = (platform: Platform, timeoutMs: number) => Promise<Result<unknown, PlatformError>>
 
 /** All unary calls by name. */
-const calls: Record<string, AnyCall> = {
+const calls: Record<string, PlatformCall> = {
   get: (platform, timeoutMs) => platform.get('a/x', timeoutMs),
   range: (platform, timeoutMs) => platform.range('a/', 0, timeoutMs),
   compareAndSwap: (platform, timeoutMs) =>
@@ -33,7 +33,7 @@
   listVms: (platform, timeoutMs) => platform.listVms(timeoutMs)
 }
 
-const assertNoAnswer = async (platform: Platform) => {
+const assertNoReply = async (platform: Platform) => {
   for (const [name, call] of Object.entries(calls)) {
     const outcome = await call(platform, shortTimeoutMs)
     assert.equal(outcome.ok, false, `${name} must not report a reply`)
@@ -50,7 +50,7 @@
     run: async ({ platform, setFaults }) => {
       await put(platform, 'a/x', '1')
       await setFaults({ down: true })
-      await assertNoAnswer(platform)
+      await assertNoReply(platform)
       await setFaults({})
       assert.equal(await read(platform, 'a/x'), '1')
       assert.equal(await read(platform, 'a/y'), undefined)
@@ -61,7 +61,7 @@
     run: async ({ platform, setFaults }) => {
       await put(platform, 'a/x', '1')
       await setFaults({ delayMs: shortTimeoutMs * 3 })
-      await assertNoAnswer(platform)
+      await assertNoReply(platform)
       assert.equal(await read(platform, 'a/x'), '1')
     }
   },
@@ -71,30 +71,30 @@
       const expectedRevision = await put(platform, 'a/x', '1')
       await setFaults({ loseSwapAnswers: 1 })
       const swap = { key: 'a/x', expectedRevision, value: Buffer.from('2') }
-      const lost = await platform.compareAndSwap(swap, lostAnswerTimeoutMs)
-      assert.equal(lost.ok, false)
+      const lostReply = await platform.compareAndSwap(swap, lostReplyTimeoutMs)
+      assert.equal(lostReply.ok, false)
       await setFaults({})
       assert.equal(await read(platform, 'a/x'), '2')
-      const again = (await platform.compareAndSwap(swap, contractTimeoutMs)).unwrap()
-      assert.equal(again.swapped, false, 'the same swap is not applied twice')
+      const repeated = (await platform.compareAndSwap(swap, contractTimeoutMs)).unwrap()
+      assert.equal(repeated.swapped, false, 'the same swap is not applied twice')
     }
   },
   {
     title: 'a watch may skip changes, and a range from the last known revision returns them',
     run: async ({ platform, setFaults }) => {
-      const known = await put(platform, 'a/0', 'x')
+      const after = await put(platform, 'a/0', 'x')
       await setFaults({ skipWatchMessages: 1 })
       const stop = AbortSignal.timeout(400)
-      const told: string[] = []
+      const keys: string[] = []
       const watching = (async () => {
-        for await (const { entries } of platform.watch('a/', known, stop)) told.push(...entries.map(entry => entry.key))
+        for await (const { entries } of platform.watch('a/', after, stop)) keys.push(...entries.map(entry => entry.key))
       })()
       await sleepMs(100)
       await put(platform, 'a/1', 'x')
       await put(platform, 'a/2', 'x')
       await watching
-      assert.deepEqual(told, [])
-      const { entries } = (await platform.range('a/', known, contractTimeoutMs)).unwrap()
+      assert.deepEqual(keys, [])
+      const { entries } = (await platform.range('a/', after, contractTimeoutMs)).unwrap()
       assert.deepEqual(entries.map(entry => entry.key), ['a/1', 'a/2'])
     }
   },
@@ -112,10 +112,10 @@
     run: async ({ platform, setFaults, setVms }) => {
       await setVms([vmOne])
       await setFaults({ vmListLagMs: listLagMs })
-      await sleepMs(listCaughtUpMs)
+      await sleepMs(listUpToDateAfterMs)
       await setVms([vmOne, { ...vmOne, name: 'two' }])
       assert.equal((await platform.listVms(contractTimeoutMs)).unwrap().length, 1)
-      await sleepMs(listCaughtUpMs)
+      await sleepMs(listUpToDateAfterMs)
       assert.equal((await platform.listVms(contractTimeoutMs)).unwrap().length, 2)
     }
   }
--- a/packages/fleet/src/platform-contract-leases.ts
+++ b/packages/fleet/src/platform-contract-leases.ts
@@ -7,18 +7,18 @@
 import type { PlatformContractCase } from './platform-contract-subject.js'
 
 /** Time to live of leases that are kept alive, in milliseconds. */
-const keptTtlMs = 4000
+const renewedTtlMs = 4000
 /** Time to live of leases that expire, in milliseconds. */
-const lapsingTtlMs = 2000
+const expiringTtlMs = 2000
 /** Time after which an expiring lease has expired, in milliseconds. */
-const lapsedAfterMs = 3000
+const expiredAfterMs = 3000
 
 /** Contract cases for leases. */
 export const leaseCases: PlatformContractCase[] = [
   {
     title: 'an entry is deleted when its lease expires, and watchers are notified',
     run: async ({ platform }) => {
-      const leaseId = (await platform.grantLease(lapsingTtlMs, contractTimeoutMs)).unwrap()
+      const leaseId = (await platform.grantLease(expiringTtlMs, contractTimeoutMs)).unwrap()
       const revision = await put(platform, 'a/x', '1', leaseId)
       await watchUntil(platform, 'a/', revision, ({ entries }) => entries.some(entry => entry.deleted))
       assert.equal(await read(platform, 'a/x'), undefined)
@@ -27,10 +27,10 @@
   {
     title: 'a lease that is kept alive does not expire',
     run: async ({ platform }) => {
-      const leaseId = (await platform.grantLease(keptTtlMs, contractTimeoutMs)).unwrap()
+      const leaseId = (await platform.grantLease(renewedTtlMs, contractTimeoutMs)).unwrap()
       await put(platform, 'a/x', '1', leaseId)
-      for (let kept = 0; kept < 6; kept++) {
-        await sleepMs(keptTtlMs / 4)
+      for (let renewals = 0; renewals < 6; renewals++) {
+        await sleepMs(renewedTtlMs / 4)
         assert.equal((await platform.keepAlive(leaseId, contractTimeoutMs)).unwrap(), true)
       }
       assert.equal(await read(platform, 'a/x'), '1')
@@ -49,28 +49,28 @@
   {
     title: 'a holder paused beyond its lease finds it expired and can no longer write with it',
     run: async ({ platform }) => {
-      const leaseId = (await platform.grantLease(lapsingTtlMs, contractTimeoutMs)).unwrap()
-      const held = await put(platform, 'a/leader', 'first', leaseId)
-      await sleepMs(lapsedAfterMs)
+      const leaseId = (await platform.grantLease(expiringTtlMs, contractTimeoutMs)).unwrap()
+      const heldRevision = await put(platform, 'a/leader', 'first', leaseId)
+      await sleepMs(expiredAfterMs)
       const nextLeaseId = (await platform.grantLease(60_000, contractTimeoutMs)).unwrap()
       await put(platform, 'a/leader', 'second', nextLeaseId)
       assert.equal((await platform.keepAlive(leaseId, contractTimeoutMs)).unwrap(), false)
-      const late = { key: 'a/leader', expectedRevision: held, value: Buffer.from('first'), leaseId }
-      assert.equal((await platform.compareAndSwap(late, contractTimeoutMs)).unwrap().swapped, false)
-      const elsewhere = { key: 'a/other', expectedRevision: 0, value: Buffer.from('first'), leaseId }
-      assert.equal((await platform.compareAndSwap(elsewhere, contractTimeoutMs)).unwrap().swapped, false)
+      const lateSwap = { key: 'a/leader', expectedRevision: heldRevision, value: Buffer.from('first'), leaseId }
+      assert.equal((await platform.compareAndSwap(lateSwap, contractTimeoutMs)).unwrap().swapped, false)
+      const otherSwap = { key: 'a/other', expectedRevision: 0, value: Buffer.from('first'), leaseId }
+      assert.equal((await platform.compareAndSwap(otherSwap, contractTimeoutMs)).unwrap().swapped, false)
       assert.equal(await read(platform, 'a/leader'), 'second')
     }
   },
   {
     title: 'leases of different holders expire independently',
     run: async ({ platform }) => {
-      const short = (await platform.grantLease(lapsingTtlMs, contractTimeoutMs)).unwrap()
-      const long = (await platform.grantLease(60_000, contractTimeoutMs)).unwrap()
-      assert.notEqual(short, long)
-      await put(platform, 'a/short', '1', short)
-      await put(platform, 'a/long', '1', long)
-      await sleepMs(lapsedAfterMs)
+      const shortLeaseId = (await platform.grantLease(expiringTtlMs, contractTimeoutMs)).unwrap()
+      const longLeaseId = (await platform.grantLease(60_000, contractTimeoutMs)).unwrap()
+      assert.notEqual(shortLeaseId, longLeaseId)
+      await put(platform, 'a/short', '1', shortLeaseId)
+      await put(platform, 'a/long', '1', longLeaseId)
+      await sleepMs(expiredAfterMs)
       assert.equal(await read(platform, 'a/short'), undefined)
       assert.equal(await read(platform, 'a/long'), '1')
     }
--- a/packages/fleet/src/platform-contract-subject.ts
+++ b/packages/fleet/src/platform-contract-subject.ts
@@ -50,13 +50,13 @@
   platform: Platform,
   prefix: string,
   afterRevision: number,
-  isEnough: (changes: StoreChanges) => boolean
+  predicate: (changes: StoreChanges) => boolean
 ): Promise<StoreChanges[]> => {
-  const stop = AbortSignal.timeout(contractTimeoutMs * 2)
-  const seen: StoreChanges[] = []
-  for await (const changes of platform.watch(prefix, afterRevision, stop)) {
-    seen.push(changes)
-    if (isEnough(changes)) return seen
+  const signal = AbortSignal.timeout(contractTimeoutMs * 2)
+  const received: StoreChanges[] = []
+  for await (const changes of platform.watch(prefix, afterRevision, signal)) {
+    received.push(changes)
+    if (predicate(changes)) return received
   }
   throw new assert.AssertionError({ message: 'the watch did not report the change in time' })
 }
--- a/packages/fleet/src/platform-contract.ts
+++ b/packages/fleet/src/platform-contract.ts
@@ -12,7 +12,7 @@
 
 export type { PlatformContractCase, PlatformFaults, PlatformSubject } from './platform-contract-subject.js'
 
-const largestValueBytes = 1024 * 1024
+const maxValueBytes = 1024 * 1024
 
 const storeCases: PlatformContractCase[] = [
   {
@@ -37,9 +37,9 @@
   {
     title: 'a swap at an old revision changes nothing',
     run: async ({ platform }) => {
-      const old = await put(platform, 'a/x', '1')
+      const oldRevision = await put(platform, 'a/x', '1')
       await put(platform, 'a/x', '2')
-      const swap = { key: 'a/x', expectedRevision: old, value: Buffer.from('3') }
+      const swap = { key: 'a/x', expectedRevision: oldRevision, value: Buffer.from('3') }
       const outcome = (await platform.compareAndSwap(swap, contractTimeoutMs)).unwrap()
       assert.equal(outcome.swapped, false)
       assert.equal(outcome.current?.value.toString(), '2')
@@ -83,18 +83,18 @@
     title: 'a range returns the entries below a prefix that changed after a revision, in order',
     run: async ({ platform }) => {
       await put(platform, 'a/1', 'x')
-      const after = await put(platform, 'a/2', 'x')
+      const afterRevision = await put(platform, 'a/2', 'x')
       await put(platform, 'a/3', 'x')
       await put(platform, 'b/1', 'x')
       await put(platform, 'a/1', 'y')
-      const { entries } = (await platform.range('a/', after, contractTimeoutMs)).unwrap()
+      const { entries } = (await platform.range('a/', afterRevision, contractTimeoutMs)).unwrap()
       assert.deepEqual(entries.map(entry => entry.key), ['a/3', 'a/1'])
     }
   },
   {
     title: 'binary values of up to one megabyte are returned unchanged',
     run: async ({ platform }) => {
-      const value = Buffer.alloc(largestValueBytes, Buffer.from([0, 255, 128, 10]))
+      const value = Buffer.alloc(maxValueBytes, Buffer.from([0, 255, 128, 10]))
       const swap = { key: 'a/large', expectedRevision: 0, value }
       assert.equal((await platform.compareAndSwap(swap, contractTimeoutMs)).unwrap().swapped, true)
       assert.ok((await platform.get('a/large', contractTimeoutMs)).unwrap()!.value.equals(value))
@@ -119,9 +119,9 @@
     title: 'a watch from a revision omits earlier changes',
     run: async ({ platform }) => {
       await put(platform, 'a/1', 'x')
-      const after = await put(platform, 'a/2', 'x')
+      const afterRevision = await put(platform, 'a/2', 'x')
       await put(platform, 'a/3', 'x')
-      const seen = await watchUntil(platform, 'a/', after, ({ entries }) => entries.length > 0)
+      const seen = await watchUntil(platform, 'a/', afterRevision, ({ entries }) => entries.length > 0)
       assert.deepEqual(seen.flatMap(({ entries }) => entries.map(entry => entry.key)), ['a/3'])
     }
   },
--- a/packages/fleet/src/platform.ts
+++ b/packages/fleet/src/platform.ts
@@ -19,7 +19,7 @@
 }
 
 /** Result of a compare-and-swap. `current` is the entry after the call; undefined when it does not exist. */
-export type SwapOutcome = {
+export type SwapResult = {
   swapped: boolean
   current: StoredEntry | undefined
   storeRevision: number
@@ -51,7 +51,7 @@
   get: (key: string, timeoutMs: number) => Promise<Result<StoredEntry | undefined, PlatformError>>
   /** Returns the entries below the prefix that changed after the revision, including deleted ones. */
   range: (prefix: string, afterRevision: number, timeoutMs: number) => Promise<Result<StoreChanges, PlatformError>>
-  compareAndSwap: (swap: Swap, timeoutMs: number) => Promise<Result<SwapOutcome, PlatformError>>
+  compareAndSwap: (swap: Swap, timeoutMs: number) => Promise<Result<SwapResult, PlatformError>>
   /** Yields changes until the stream breaks or the signal aborts. May skip changes. */
   watch: (prefix: string, afterRevision: number, signal: AbortSignal) => AsyncGenerator<StoreChanges>
   /** Grants a lease and returns its id. */
