--- a/packages/fleet/src/endpoint-connection.ts
+++ b/packages/fleet/src/endpoint-connection.ts
@@ -59,7 +59,11 @@
 export type EndpointConnection = {
   generation: number
   isUsable: () => boolean
-  run: (action: EndpointAction, timeoutMs: number, onRows?: OnRows) => Promise<Result<EndpointAnswer, ConnectionError>>
+  run: (
+    action: EndpointAction,
+    timeoutMs: number,
+    onRows?: OnRows
+  ) => Promise<Result<EndpointAnswer, ConnectionError>>
   close: () => void
 }
 
