--- a/packages/common/src/line-logger.ts
+++ b/packages/common/src/line-logger.ts
@@ -1,53 +1,53 @@
 /**
- * Numbered events as JSON lines on standard output, written in the background by `pino`. When nobody reads them, or
- * when there are too many, lines are left out and counted: logging never holds the program up.
+ * Numbered events as JSON lines on standard output, written asynchronously by `pino`. When the output is not read
+ * or the rate limit is exceeded, lines are dropped and counted, so that logging never blocks the program.
  */
 import { pino } from 'pino'
 import type { EventFields, Logger } from './log.js'
 
-/** Lines a second, on average, and at once. */
+/** Token bucket of log lines: refill rate and capacity. */
 const maxLinesPerSec = 1000
 const maxBurstLines = 4000
-/** Text that may wait to be written, in bytes. */
-const maxWaitingBytes = 512 * 1024
+/** Maximum amount of text buffered for writing, in bytes. */
+const maxBufferedBytes = 512 * 1024
 
-/** A logger with its destination. */
+/** A logger and control of its output. */
 export type LineLogger = {
   log: Logger
-  /** Hears how many lines were left out. */
+  /** Sets the listener that is called with the number of dropped lines. */
   onDropped: (listener: (count: number) => void) => void
-  /** Writes what waits, and ends. */
+  /** Flushes the buffered lines synchronously. */
   close: () => void
 }
 
-/** Creates a logger whose lines carry the given fields. */
+/** Creates a logger that adds the given fields to each line. */
 export const createLineLogger = (program: string, common: EventFields = {}): LineLogger => {
-  const destination = pino.destination({ fd: 1, sync: false, maxLength: maxWaitingBytes })
+  const destination = pino.destination({ fd: 1, sync: false, maxLength: maxBufferedBytes })
   const options = { base: { program, ...common }, timestamp: pino.stdTimeFunctions.isoTime }
-  const lines = pino(options, destination)
-  let allowance = maxBurstLines
-  let filledAtMs = performance.now()
-  let noteDropped = (_count: number) => {}
-  destination.on('drop', () => noteDropped(1))
-  // A reader that went away must not end the program.
-  destination.on('error', () => noteDropped(1))
+  const pinoLogger = pino(options, destination)
+  let availableTokens = maxBurstLines
+  let refilledAtMs = performance.now()
+  let notifyDropped = (_count: number) => {}
+  destination.on('drop', () => notifyDropped(1))
+  // A closed output pipe must not terminate the program.
+  destination.on('error', () => notifyDropped(1))
 
-  const isAllowed = () => {
+  const tryAcquireToken = () => {
     const nowMs = performance.now()
-    allowance = Math.min(maxBurstLines, allowance + (nowMs - filledAtMs) / 1000 * maxLinesPerSec)
-    filledAtMs = nowMs
-    if (allowance < 1) return false
-    allowance--
+    availableTokens = Math.min(maxBurstLines, availableTokens + (nowMs - refilledAtMs) / 1000 * maxLinesPerSec)
+    refilledAtMs = nowMs
+    if (availableTokens < 1) return false
+    availableTokens--
     return true
   }
 
   return {
     log: (event, fields = {}) => {
-      if (!isAllowed()) return noteDropped(1)
-      const gathered = typeof fields === 'function' ? fields() : fields
-      lines.info({ event: event.id, name: event.name, ...gathered })
+      if (!tryAcquireToken()) return notifyDropped(1)
+      const values = typeof fields === 'function' ? fields() : fields
+      pinoLogger.info({ event: event.id, name: event.name, ...values })
     },
-    onDropped: listener => { noteDropped = listener },
+    onDropped: listener => { notifyDropped = listener },
     close: () => destination.flushSync()
   }
 }
--- a/packages/fleet/src/config-store-apply.ts
+++ b/packages/fleet/src/config-store-apply.ts
@@ -1,9 +1,9 @@
 /**
  * Changes the operators' configuration. Documents are stored first, then one compare-and-swap of the head accepts
- * the change. A lost answer is settled by reading the head's recent changes, never guessed.
+ * the change. When the reply is lost, the outcome is read from the head's recent changes, never guessed.
  *
- * A document is written again, with a new revision, by each change that starts to use it: documents are deleted by
- * compare-and-swap at a revision below the head's, so that none is deleted between its storing and the head's swap.
+ * Each change that starts to use a document writes it again, which gives it a new revision. Documents are deleted by
+ * compare-and-swap at a revision below the head's, so none is deleted between its write and the head's swap.
  */
 import { randomBytes } from 'node:crypto'
 import { Err, monotonicMs, Ok } from '@egretyoke/common'
@@ -12,45 +12,45 @@
   documentHash, documentNames, encodeRecord, maxRecentChanges, maxSupersededDocuments, readDocuments, storeKeys
 } from '@egretyoke/config'
 import type { ConfigHead, DocumentName, DocumentTexts } from '@egretyoke/config'
-import { collectableHashes, collectDocuments } from './config-store-collect.js'
-import { settledByHead, versionOfChange } from './config-store-settle.js'
+import { collectDocuments, expiredDocumentHashes } from './config-store-collect.js'
+import { settlementFromHead, versionOfChange } from './config-store-settle.js'
 import {
-  attempts, decodeHead, defaultApplyTimes, readDocumentTexts, readHead, readWithin
+  attemptTimeouts, decodeHead, defaultApplyTimeouts, readDocumentTexts, readHead, readWithin
 } from './config-store.js'
 import type { ApplyTimes, StoredHead } from './config-store.js'
 import type { Platform } from './platform.js'
 
-/** A change: new texts of some documents, or of all. */
+/** A change: new texts of some or all documents. */
 export type ConfigChange = {
-  /** Version that the change was made from; 0 when there is none. */
+  /** Version on which the change is based; 0 when there is no configuration yet. */
   baseVersion: number
   documents: Partial<DocumentTexts>
-  /** From `createChangeId`; the same id never takes effect twice. */
+  /** From `createChangeId`. A change id takes effect at most once. */
   changeId: string
 }
 
-/** What became of a change. */
+/** Outcome of applying a change. */
 export type ApplyOutcome =
-  /** In force from this version on; `changed` is false when the documents were already those in force. */
+  /** Active since `version`. `changed` is false when the active documents already had these texts. */
   | { kind: 'accepted', version: number, changed: boolean }
-  /** Not accepted, and never will be: another change came first. `differing` are the documents set differently. */
+  /** Rejected for good: another change came first. `differing` are the documents whose text differs from the head's. */
   | { kind: 'conflict', head: ConfigHead, differing: DocumentName[] }
-  /** May have been accepted: the platform stays silent. To be settled by `settleChange`. */
+  /** May have been accepted: the platform does not reply. `settleChange` finds the outcome. */
   | { kind: 'unsettled', changeId: string, message: string }
-  /** Not accepted: nothing was swapped before the platform fell silent or declined. */
+  /** Not accepted: the platform stopped replying, or declined, before the head was swapped. */
   | { kind: 'unavailable', message: string }
-  /** Not accepted: the documents have findings. */
+  /** Not accepted: the documents are invalid. */
   | { kind: 'refused', findings: Finding[] }
 
-/** Creates a change id, which names the version it starts from so that the change can be settled later. */
+/** Creates a change id. It contains the base version, so that the outcome of the change can be found later. */
 export const createChangeId = (baseVersion: number): string => `v${baseVersion}-${randomBytes(12).toString('hex')}`
 
-/** Times that a document's storing gives way to another operator who stores the same text, in one attempt. */
-const maxDocumentRaces = 8
+/** Maximum number of compare-and-swaps per attempt when other operators store the same document concurrently. */
+const maxSwapsPerAttempt = 8
 
 type Hashes = Partial<Record<DocumentName, string>>
 
-/** A checked change, ready to be stored. */
+/** A validated change, ready to be stored. */
 type PreparedChange = {
   base: StoredHead
   changeId: string
@@ -76,14 +76,14 @@
   return hashes
 }
 
-/** Checks a change against the head and as a whole configuration. The error is the change's outcome. */
-const prepare = async (
+/** Validates a change against the head and the whole configuration. The error is the outcome of the change. */
+const prepareChange = async (
   platform: Platform,
   change: ConfigChange,
-  times: ApplyTimes
+  timeouts: ApplyTimes
 ): Promise<Result<PreparedChange, ApplyOutcome>> => {
   const { changeId, documents } = change
-  const stored = await readWithin(times, timeoutMs => readHead(platform, timeoutMs))
+  const stored = await readWithin(timeouts, timeoutMs => readHead(platform, timeoutMs))
   if (!stored.ok) return Err(unavailable(stored.val.message))
   const base = stored.val
   const hashes = hashesOf(documents)
@@ -93,29 +93,29 @@
 
   const changedNames = documentNames.filter(name => hashes[name] && hashes[name] !== base.head.documents[name])
   if (changedNames.length === 0) return Err({ kind: 'accepted', version: base.head.version, changed: false })
-  const isWhole = documentNames.every(name => documents[name])
-  const current = isWhole
+  const isComplete = documentNames.every(name => documents[name])
+  const current = isComplete
     ? Ok(documents as DocumentTexts)
-    : await readWithin(times, timeoutMs => readDocumentTexts(platform, base.head, timeoutMs))
+    : await readWithin(timeouts, timeoutMs => readDocumentTexts(platform, base.head, timeoutMs))
   if (!current.ok) return Err(unavailable(current.val.message))
   const texts = { ...current.val, ...documents }
-  const checked = readDocuments(texts, base.head.version + 1)
-  if (!checked.ok) return Err({ kind: 'refused', findings: checked.val })
+  const validated = readDocuments(texts, base.head.version + 1)
+  if (!validated.ok) return Err({ kind: 'refused', findings: validated.val })
   return Ok({ base, changeId, texts, hashes, changedNames })
 }
 
-/** Stores a document at a revision above the base head's. Returns the reason when that fails. */
+/** Stores a document at a revision above the base head's. Returns the reason on failure, undefined on success. */
 const storeDocument = async (
   platform: Platform,
   text: string,
   baseRevision: number,
-  times: ApplyTimes
+  timeouts: ApplyTimes
 ): Promise<string | undefined> => {
   const key = storeKeys.document(documentHash(text))
   const value = Buffer.from(text)
   let expectedRevision = 0
-  for await (const timeoutMs of attempts(times)) {
-    for (let race = 0; race < maxDocumentRaces; race++) {
+  for await (const timeoutMs of attemptTimeouts(timeouts)) {
+    for (let swapCount = 0; swapCount < maxSwapsPerAttempt; swapCount++) {
       const outcome = await platform.compareAndSwap({ key, expectedRevision, value }, timeoutMs)
       if (!outcome.ok) {
         const stored = await platform.get(key, timeoutMs)
@@ -125,21 +125,21 @@
       if (outcome.val.swapped) return undefined
       const currentRevision = outcome.val.current?.revision ?? 0
       if (currentRevision > baseRevision) return undefined
-      if (currentRevision === expectedRevision) return 'the platform declines to store a document'
+      if (currentRevision === expectedRevision) return 'the platform declined to store a document'
       expectedRevision = currentRevision
     }
   }
-  return 'the platform did not answer while the documents were stored'
+  return 'the platform did not reply while the documents were being stored'
 }
 
 const nextHead = (change: PreparedChange, deletedHashes: string[]): ConfigHead => {
   const { base: { head }, changeId } = change
   const version = head.version + 1
   const documents = { ...head.documents, ...change.hashes } as ConfigHead['documents']
-  const inForce = Object.values(documents)
-  const dropped = Object.values(head.documents).map(hash => ({ hash, version }))
-  const superseded = [...head.superseded, ...dropped]
-    .filter(old => !inForce.includes(old.hash) && !deletedHashes.includes(old.hash))
+  const activeHashes = Object.values(documents)
+  const replaced = Object.values(head.documents).map(hash => ({ hash, version }))
+  const superseded = [...head.superseded, ...replaced]
+    .filter(old => !activeHashes.includes(old.hash) && !deletedHashes.includes(old.hash))
   return {
     version,
     documents,
@@ -149,66 +149,69 @@
   }
 }
 
-/** What a head says about a change that was sent; undefined while it may still land. */
-const outcomeByHead = (stored: StoredHead, change: PreparedChange): ApplyOutcome | undefined => {
+/** Determines the outcome of a sent change from a head; undefined while the swap may still be applied. */
+const outcomeFromHead = (stored: StoredHead, change: PreparedChange): ApplyOutcome | undefined => {
   const { base, changeId, hashes } = change
   if (stored.revision === base.revision) return undefined
-  const settled = settledByHead(stored.head, base.head.version, changeId)
-  if (settled.kind === 'accepted') return { kind: 'accepted', version: settled.version, changed: true }
-  if (settled.kind === 'notAccepted') return conflict(stored.head, hashes)
-  const message = settled.kind === 'unsettled' ? settled.message : `the head is back at version ${settled.headVersion}`
+  const settlement = settlementFromHead(stored.head, base.head.version, changeId)
+  if (settlement.kind === 'accepted') return { kind: 'accepted', version: settlement.version, changed: true }
+  if (settlement.kind === 'notAccepted') return conflict(stored.head, hashes)
+  const message = settlement.kind === 'unsettled'
+    ? settlement.message
+    : `the head is at version ${settlement.headVersion} again`
   return { kind: 'unsettled', changeId, message }
 }
 
-/** Swaps the head until it is known whether the swap landed. At most one of the swaps sent can land. */
+/** Retries the head's swap until its outcome is known. At most one of the swaps sent can be applied. */
 const swapHead = async (
   platform: Platform,
   change: PreparedChange,
   next: ConfigHead,
-  times: ApplyTimes
+  timeouts: ApplyTimes
 ): Promise<ApplyOutcome> => {
   const swap = { key: storeKeys.head, expectedRevision: change.base.revision, value: encodeRecord(next) }
-  let sent = 0
-  let lostAnswers = 0
-  for await (const timeoutMs of attempts(times)) {
-    sent++
+  let sentCount = 0
+  let lostReplies = 0
+  for await (const timeoutMs of attemptTimeouts(timeouts)) {
+    sentCount++
     const outcome = await platform.compareAndSwap(swap, timeoutMs)
     if (outcome.ok && outcome.val.swapped) return { kind: 'accepted', version: next.version, changed: true }
-    if (!outcome.ok) lostAnswers++
+    if (!outcome.ok) lostReplies++
     const stored = outcome.ok ? decodeHead(outcome.val.current) : await readHead(platform, timeoutMs)
     if (!stored.ok) continue
-    const settled = outcomeByHead(stored.val, change)
-    if (settled) return settled
-    if (outcome.ok && lostAnswers === 0) return unavailable('the platform declines to store the head')
+    const knownOutcome = outcomeFromHead(stored.val, change)
+    if (knownOutcome) return knownOutcome
+    if (outcome.ok && lostReplies === 0) return unavailable('the platform declined to store the head')
   }
-  if (sent === 0) return unavailable('no time was left after the documents were stored')
-  return { kind: 'unsettled', changeId: change.changeId, message: 'the platform does not answer' }
+  if (sentCount === 0) return unavailable('the wait time expired after the documents were stored')
+  return { kind: 'unsettled', changeId: change.changeId, message: 'the platform did not reply' }
 }
 
-/** Applies a change. Returns when its outcome is known or the time to wait is over. */
+/** Applies a change. Returns when its outcome is known or the wait time has expired. */
 export const applyDocuments = async (
   platform: Platform,
   change: ConfigChange,
-  times: ApplyTimes = defaultApplyTimes
+  timeouts: ApplyTimes = defaultApplyTimeouts
 ): Promise<ApplyOutcome> => {
-  const endsAtMs = monotonicMs() + times.waitMs
-  const remaining = (): ApplyTimes => ({ ...times, waitMs: endsAtMs - monotonicMs() })
-  const prepared = await prepare(platform, change, times)
+  const deadlineMs = monotonicMs() + timeouts.waitMs
+  const remainingTimeouts = (): ApplyTimes => ({ ...timeouts, waitMs: deadlineMs - monotonicMs() })
+  const prepared = await prepareChange(platform, change, timeouts)
   if (!prepared.ok) return prepared.val
   const { base, texts, hashes, changedNames } = prepared.val
   for (const name of changedNames) {
-    const failure = await storeDocument(platform, texts[name].text, base.revision, remaining())
+    const failure = await storeDocument(platform, texts[name].text, base.revision, remainingTimeouts())
     if (failure) return unavailable(failure)
   }
-  const due = collectableHashes(base.head)
-  const deletedHashes = await collectDocuments(platform, due, base, times.callTimeoutMs)
-  const outcome = await swapHead(platform, prepared.val, nextHead(prepared.val, deletedHashes), remaining())
+  const expiredHashes = expiredDocumentHashes(base.head)
+  const deletedHashes = await collectDocuments(platform, expiredHashes, base, timeouts.callTimeoutMs)
+  const outcome = await swapHead(platform, prepared.val, nextHead(prepared.val, deletedHashes), remainingTimeouts())
   if (outcome.kind !== 'conflict') return outcome
 
-  const stored = await readHead(platform, times.callTimeoutMs)
+  const stored = await readHead(platform, timeouts.callTimeoutMs)
   if (!stored.ok) return outcome
-  const kept = stored.val.head.superseded.map(old => old.hash)
-  const abandoned = changedNames.map(name => hashes[name] as string).filter(hash => !kept.includes(hash))
-  await collectDocuments(platform, abandoned, stored.val, times.callTimeoutMs)
+  const retainedHashes = stored.val.head.superseded.map(old => old.hash)
+  const abandonedHashes = changedNames.map(name => hashes[name] as string)
+    .filter(hash => !retainedHashes.includes(hash))
+  await collectDocuments(platform, abandonedHashes, stored.val, timeouts.callTimeoutMs)
   return outcome
 }
--- a/packages/fleet/src/member-contract.ts
+++ b/packages/fleet/src/member-contract.ts
@@ -1,5 +1,5 @@
 /**
- * The contract of a group member's control: cases that every implementation must pass. A case that is not kept
+ * Contract tests of a group member's control interface: cases that every implementation must pass. A failing case
  * throws an assertion error.
  */
 import assert from 'node:assert/strict'
@@ -8,24 +8,24 @@
 
 const timeoutMs = 1_000
 const shortTimeoutMs = 200
-const longestWaitMs = 5_000
+const maxWaitMs = 5_000
 const pollPauseMs = 20
 
 /** One member under test, in a group of at least three that starts in term 1. */
 export type MemberSubject = {
   control: GroupMember
-  /** What a follower is told of it. */
+  /** Name and address passed to members that follow it. */
   upstream: { name: string, address: string }
-  /** Cuts it off from everybody, or brings it back. */
-  cutOff: (isCut: boolean) => void
+  /** Isolates the member from all others, or reconnects it. */
+  cutOff: (isIsolated: boolean) => void
 }
 
-/** A group under test: its first primary, two replicas, and a way to write. */
+/** A group under test: its first primary, two replicas, and a write function. */
 export type MemberGroupSubject = {
   primary: MemberSubject
   replica: MemberSubject
   other: MemberSubject
-  /** Writes through a member in a term; true when the member says that it is done. */
+  /** Writes through a member in a term. Returns true when the member confirms the write. */
   write: (subject: MemberSubject, term: number) => Promise<boolean>
   close: () => Promise<void>
 }
@@ -36,38 +36,38 @@
 const stateOf = async (subject: MemberSubject): Promise<MemberState> =>
   (await subject.control.getStatus(timeoutMs)).unwrap()
 
-const isAccepted = async (answer: ReturnType<GroupMember['fence']>): Promise<boolean> =>
-  (await answer).unwrap().accepted
+const isAccepted = async (response: ReturnType<GroupMember['fence']>): Promise<boolean> =>
+  (await response).unwrap().accepted
 
-const until = async (subject: MemberSubject, what: string, isSo: (state: MemberState) => boolean) => {
-  for (let waitedMs = 0; waitedMs < longestWaitMs; waitedMs += pollPauseMs) {
+const waitUntil = async (subject: MemberSubject, description: string, condition: (state: MemberState) => boolean) => {
+  for (let waitedMs = 0; waitedMs < maxWaitMs; waitedMs += pollPauseMs) {
     const status = await subject.control.getStatus(timeoutMs)
-    if (status.ok && isSo(status.val)) return
+    if (status.ok && condition(status.val)) return
     await sleepMs(pollPauseMs)
   }
-  assert.fail(`not in time: ${what}`)
+  assert.fail(`timed out waiting until ${description}`)
 }
 
-const hand = async (group: MemberGroupSubject, term: number, from: MemberSubject, to: MemberSubject) => {
+const transferPrimary = async (group: MemberGroupSubject, term: number, from: MemberSubject, to: MemberSubject) => {
   await to.control.fence(term, timeoutMs)
   await to.control.promote(term, timeoutMs)
   await from.control.follow(term, to.upstream, timeoutMs)
 }
 
-/** All cases. */
+/** All contract cases. */
 export const memberContractCases: MemberContractCase[] = [
   {
-    title: 'a member tells term, role and position',
+    title: 'a member reports its term, role and position',
     run: async ({ primary, replica, write }) => {
       assert.equal(await write(primary, 1), true)
       const state = await stateOf(primary)
       assert.deepEqual([state.term, state.isPrimary, state.receivedPosition, state.lastEntryTerm], [1, true, 1, 1])
-      await until(replica, 'the replica has the entry', ({ receivedPosition }) => receivedPosition === 1)
+      await waitUntil(replica, 'the replica has the entry', ({ receivedPosition }) => receivedPosition === 1)
       assert.equal((await stateOf(replica)).primaryName, primary.upstream.name)
     }
   },
   {
-    title: 'a fenced primary takes no write of its term, and its replicas get none',
+    title: 'a fenced primary rejects writes of its term and adds none to its log',
     run: async ({ primary, write }) => {
       assert.equal(await isAccepted(primary.control.fence(2, timeoutMs)), true)
       assert.equal(await write(primary, 1), false)
@@ -76,19 +76,19 @@
     }
   },
   {
-    title: 'a fenced replica takes no entry of an older term',
+    title: 'a fenced replica accepts no entry of an older term',
     run: async ({ primary, replica, other, write }) => {
       assert.equal(await isAccepted(replica.control.fence(2, timeoutMs)), true)
       await write(primary, 1)
-      await until(other, 'the other replica has the entry', ({ receivedPosition }) => receivedPosition === 1)
+      await waitUntil(other, 'the other replica has the entry', ({ receivedPosition }) => receivedPosition === 1)
       assert.equal((await stateOf(replica)).receivedPosition, 0)
     }
   },
   {
-    title: 'fences, promotions and follows of older terms are refused, repeated ones accepted',
+    title: 'fence, promote and follow requests of older terms are refused, repeated ones accepted',
     run: async group => {
       const { primary, replica } = group
-      await hand(group, 3, primary, replica)
+      await transferPrimary(group, 3, primary, replica)
       assert.equal(await isAccepted(replica.control.fence(2, timeoutMs)), false)
       assert.equal(await isAccepted(primary.control.follow(2, replica.upstream, timeoutMs)), false)
       assert.equal(await isAccepted(replica.control.promote(2, timeoutMs)), false)
@@ -100,12 +100,12 @@
     }
   },
   {
-    title: 'a promoted member starts its term behind all that it holds, and its lineage says so',
+    title: 'a promoted member starts its term after its last log entry, and its lineage shows it',
     run: async group => {
       const { primary, replica, write } = group
       await write(primary, 1)
-      await until(replica, 'the replica has the entry', ({ receivedPosition }) => receivedPosition === 1)
-      await hand(group, 2, primary, replica)
+      await waitUntil(replica, 'the replica has the entry', ({ receivedPosition }) => receivedPosition === 1)
+      await transferPrimary(group, 2, primary, replica)
       assert.equal(await write(replica, 2), true)
       const { lineage, lastEntryTerm } = await stateOf(replica)
       assert.deepEqual(lineage.at(-1), { term: 2, startPosition: 1 })
@@ -114,7 +114,7 @@
     }
   },
   {
-    title: 'an old primary that follows drops what the new term does not keep',
+    title: 'an old primary that becomes a replica truncates entries that the new term does not keep',
     run: async group => {
       const { primary, replica, other, write } = group
       await replica.control.fence(2, timeoutMs)
@@ -125,22 +125,22 @@
       await replica.control.promote(2, timeoutMs)
       await write(replica, 2)
       await primary.control.follow(2, replica.upstream, timeoutMs)
-      await until(primary, 'the old primary has the new log', ({ receivedPosition, lastEntryTerm }) =>
+      await waitUntil(primary, 'the old primary has the new log', ({ receivedPosition, lastEntryTerm }) =>
         receivedPosition === 1 && lastEntryTerm === 2)
     }
   },
   {
-    title: 'no answer is an error and says nothing of the effect',
+    title: 'a missing reply is an error that leaves the effect of the request open',
     run: async ({ primary }) => {
       primary.cutOff(true)
-      for (const answer of [
+      for (const response of [
         await primary.control.getStatus(shortTimeoutMs),
         await primary.control.fence(2, shortTimeoutMs),
         await primary.control.promote(2, shortTimeoutMs),
         await primary.control.follow(2, primary.upstream, shortTimeoutMs)
-      ]) assert.equal(answer.err && answer.val.reason, 'noAnswer')
+      ]) assert.equal(response.err && response.val.reason, 'noAnswer')
       primary.cutOff(false)
-      await until(primary, 'it answers again', () => true)
+      await waitUntil(primary, 'the member replies again', () => true)
     }
   }
 ]
