protocol, client: wording of comments and test titles

Test titles say retried, complete and cancelled instead of sent again, whole and left.

The comment on a call failure said that 'unavailable' never reached the server, which the comment on callUnary contradicts; both now agree. The file comment of the listeners no longer mentions keepalive, which they do not set. 'no address was given' is now 'addresses is empty: at least one VM or balancer is needed'.

--- a/packages/client/src/caller.test.ts
+++ b/packages/client/src/caller.test.ts
@@ -1,5 +1,5 @@
 /**
- * The caller library against entries that answer as told, late, twice, or not at all.
+ * The caller library against entries that return given answers, answer out of order, break calls off, or don't answer.
  */
 import { createServer } from 'node:net'
 import { crc32 } from 'node:zlib'
@@ -52,7 +52,7 @@
   })
 }
 
-test('the session carries its token, and marks itself new only before its first answer', async t => {
+test('a session sends its latest token, and the new-session header only before its first answer', async t => {
   const entry = await startEntry(t, { execute: (_seen, count) => done('', { sessionToken: Buffer.from(`t${count}`) }) })
   const caller = connect(t, [entry.address])
   await caller.execute('a', 'x')
@@ -65,7 +65,7 @@
   t.deepEqual(sent, [[undefined, '1'], ['t1', undefined], ['t2', undefined], [undefined, '1']])
 })
 
-test('tokens of requests that ran at the same time are merged', async t => {
+test('tokens of concurrent requests are merged', async t => {
   const tokens = [
     token(true, { a: { term: 1, position: 9 }, b: { term: 1, position: 1 } }),
     token(true, { a: { term: 2, position: 3 }, c: { term: 1, position: 4 } }),
@@ -92,12 +92,12 @@
   t.deepEqual(JSON.parse(body.toString()), {
     v: 1,
     complete: false,
-    // The incomplete token may have missed a write in group c.
+    // Group c is dropped: the incomplete token may lack a later write to it.
     groups: { a: { term: 2, position: 3 }, b: { term: 1, position: 5 } }
   })
 })
 
-test('a write with unknown outcome marks the session until a primary has answered', async t => {
+test('a session sends unsettled-write after a write with unknown outcome until a primary has answered', async t => {
   const answers: Answer[] = [
     done('1'),
     { outcomeUnknown: { reason: 'timeout' } },
@@ -115,14 +115,14 @@
 
 const faults: Array<{ title: string, options: object, calls: number, outcome: object }> = [
   {
-    title: 'a write that breaks off is unknown and is not sent again',
+    title: 'an interrupted write has an unknown outcome and is not retried',
     options: {},
     calls: 1,
     outcome: { kind: 'outcomeUnknown', reason: 'connectionLost' }
   },
-  { title: 'a read that breaks off is sent again', options: { access: 'read' }, calls: 2, outcome: { kind: 'done' } },
+  { title: 'an interrupted read is retried', options: { access: 'read' }, calls: 2, outcome: { kind: 'done' } },
   {
-    title: 'a repeatable write that breaks off is sent again',
+    title: 'an interrupted repeatable write is retried',
     options: { isRepeatable: true },
     calls: 2,
     outcome: { kind: 'done' }
@@ -141,18 +141,18 @@
 }
 
 for (const reason of ['draining', 'outOfContact', 'rate']) {
-  test(`refused with ${reason}: ${reason === 'rate' ? 'the caller is told' : 'another VM serves'}`, async t => {
+  test(`refused with ${reason}: ${reason === 'rate' ? 'returned to the caller' : 'retried on another VM'}`, async t => {
     const refusing = await startEntry(t, { execute: () => ({ notRun: { reason, retryAfterMs: 5 } }) })
     const serving = await startEntry(t, { execute: () => done('ok') })
     const caller = connect(t, [refusing.address, serving.address])
     const kinds = new Set<string>()
     for (let count = 0; count < 10; count++) kinds.add((await caller.execute('a', 'x')).kind)
     t.deepEqual([...kinds].sort(), reason === 'rate' ? ['done', 'notRun'] : ['done'])
-    if (reason !== 'rate') t.true(refusing.seen.length <= 2, 'a VM that refused is passed over for a while')
+    if (reason !== 'rate') t.true(refusing.seen.length <= 2, 'a VM that refused is skipped during its cool-down')
   })
 }
 
-test('no VM in reach: not run', async t => {
+test('without a reachable VM a request is not run', async t => {
   const server = createServer()
   await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
   const { port } = server.address() as { port: number }
@@ -161,7 +161,7 @@
   t.deepEqual(await caller.execute('a', 'x'), { kind: 'notRun', reason: 'notConnected', retryAfterMs: 0 })
 })
 
-test('a VM that does not answer in time leaves a write unknown', async t => {
+test('a write that times out has an unknown outcome', async t => {
   const entry = await startEntry(t, { execute: () => new Promise(() => {}) })
   const caller = connect(t, [entry.address])
   t.deepEqual(await caller.execute('a', 'x', { timeoutMs: 200 }), { kind: 'outcomeUnknown', reason: 'timeout' })
@@ -178,7 +178,7 @@
   }
 }
 
-test('a whole stream ends without error', async t => {
+test('a complete stream ends without an error', async t => {
   const entry = await startEntry(t, {
     stream: call => {
       for (const chunk of ['a', 'b', 'c']) call.write({ chunk: Buffer.from(chunk) })
@@ -210,7 +210,7 @@
 }
 
 for (const [title, { finish, outcome }] of Object.entries(cutStreams)) {
-  test(`a stream that ${title} is an error after its rows`, async t => {
+  test(`a stream that ${title} throws after its rows`, async t => {
     const entry = await startEntry(t, {
       stream: call => {
         call.write({ chunk: Buffer.from('a') })
@@ -221,11 +221,11 @@
     t.is(text, 'a')
     t.true(isOutcomeError(error))
     t.like(isOutcomeError(error) ? error.outcome : {}, outcome)
-    t.is(entry.seen.length, 1, 'rows were given out, so it is not sent again')
+    t.is(entry.seen.length, 1, 'not retried after rows were yielded')
   })
 }
 
-test('a stream that its reader leaves is cancelled', async t => {
+test('a stream is cancelled when its reader stops', async t => {
   let cancel = () => {}
   const cancelled = new Promise<void>(resolve => { cancel = resolve })
   const entry = await startEntry(t, {
--- a/packages/client/src/caller.ts
+++ b/packages/client/src/caller.ts
@@ -1,6 +1,6 @@
 /**
- * The caller library: sends statements and transactions to the entry VMs, and carries the session from answer to
- * request.
+ * The caller library: sends statements and transactions to the entry VMs, and passes the session token of each answer
+ * on to the next request.
  */
 import { loopbackChannels } from '@egretyoke/protocol'
 import type { ChannelSettings } from '@egretyoke/protocol'
@@ -13,45 +13,45 @@
 import type { Transaction, TransactionResult } from './transactions.js'
 import { createVmChoice } from './vm-choice.js'
 
-/** Time that a request may take unless it says otherwise. */
+/** Default timeout of a request. */
 export const defaultTimeoutMs = 5000
 
 /** Options of a caller. */
 export type CallerOptions = {
-  /** HOST:PORT of the balancer, or of several VMs. */
+  /** HOST:PORT of the load balancer, or of several VMs. */
   addresses: string[]
-  /** The workspace's key; absent only for routes that are open to all. */
+  /** A key of the workspace; absent only for routes that are open to all. */
   key?: string
-  /** TLS; plain text on loopback by default. */
+  /** TLS settings; by default plain text on loopback only. */
   channels?: ChannelSettings
   timeoutMs?: number
 }
 
-/** One session: it reads its own writes, whichever VM serves it. */
+/** One session. It reads its own writes, whichever VM serves its requests. */
 export type Session = {
   execute: (route: string, text: string | Buffer, options?: RequestOptions) => Promise<Outcome>
-  /** Yields rows; throws an `OutcomeError` unless the answer is whole. */
+  /** Yields rows; throws an `OutcomeError` unless the answer is complete. */
   stream: (route: string, text: string | Buffer, options?: RequestOptions) => AsyncGenerator<Buffer, Done>
   transact: <T>(
     route: string,
     act: (transaction: Transaction) => Promise<T>,
     options?: RequestOptions
   ) => Promise<TransactionResult<T>>
-  /** What to give to `session` to go on with this session elsewhere. */
+  /** State from which `session` of this or another caller resumes the session. */
   state: () => SessionState
 }
 
-/** A connected caller. It is a session itself, for programs that need only one. */
+/** A connected caller. It is itself a session, for programs that need only one. */
 export type Caller = Session & {
-  /** Begins a session, or goes on with one. */
+  /** Starts a new session, or resumes one from its state. */
   session: (state?: SessionState) => Session
   close: () => void
 }
 
-/** Connects a caller. Connections are made at once and made again when they are lost. */
+/** Connects a caller. Connections are opened immediately, and reopened when they are lost. */
 export const connectCaller = (options: CallerOptions): Caller => {
   const { addresses, key, channels = loopbackChannels, timeoutMs = defaultTimeoutMs } = options
-  if (addresses.length === 0) throw new Error('no address was given')
+  if (addresses.length === 0) throw new Error('addresses is empty: at least one VM or balancer is needed')
   const choice = createVmChoice(addresses, channels)
 
   const requestOf = (route: string, requestOptions: RequestOptions = {}): Request => {
--- a/packages/client/src/outcome.ts
+++ b/packages/client/src/outcome.ts
@@ -1,46 +1,46 @@
 /**
- * Outcomes of requests, as the caller library tells them.
+ * Outcomes of requests, as the caller library returns them.
  */
 import type { CallerMessages } from '@egretyoke/protocol'
 
-/** Ran, and its effect holds as the profile promises. */
+/** The request ran, and its effect is as durable as its profile specifies. */
 export type Done = { kind: 'done', result: Buffer, endpoint: string, fromReplica: boolean }
 
-/** Nothing of the request took effect. `retryAfterMs` is 0 when trying again does not help by itself. */
+/** The request did not run and had no effect. `retryAfterMs` is 0 when a retry alone is not expected to help. */
 export type NotRun = { kind: 'notRun', reason: string, retryAfterMs: number }
 
-/** May or may not have taken effect. */
+/** The request may or may not have taken effect. */
 export type OutcomeUnknown = { kind: 'outcomeUnknown', reason: string }
 
-/** Reached the database, which reported an error; no write took effect. */
+/** The database reported an error; no write took effect. */
 export type Failed = { kind: 'failed', reason: string, detail: string }
 
-/** What became of a request. */
+/** Outcome of a request. */
 export type Outcome = Done | NotRun | OutcomeUnknown | Failed
 
-/** An error that carries an outcome: thrown by streams that did not come to a whole end. */
+/** Error with an outcome, thrown by streams that end before the answer is complete. */
 export type OutcomeError = Error & { outcome: Outcome }
 
-/** Builds a refusal. */
+/** Builds a `notRun` outcome. */
 export const notRun = (reason: string, retryAfterMs = 0): NotRun => ({ kind: 'notRun', reason, retryAfterMs })
 
-/** Builds an unknown outcome. */
+/** Builds an `outcomeUnknown` outcome. */
 export const outcomeUnknown = (reason: string): OutcomeUnknown => ({ kind: 'outcomeUnknown', reason })
 
-/** Builds a failure. */
+/** Builds a `failed` outcome. */
 export const failed = (reason: string, detail = ''): Failed => ({ kind: 'failed', reason, detail })
 
-/** Builds the error of an outcome. */
+/** Wraps an outcome in an error. */
 export const outcomeError = (outcome: Outcome): OutcomeError => {
   const reason = 'reason' in outcome ? `: ${outcome.reason}` : ''
   return Object.assign(new Error(`${outcome.kind}${reason}`), { outcome })
 }
 
-/** True when something that was thrown carries an outcome. */
+/** True when a thrown value is an error with an outcome. */
 export const isOutcomeError = (thrown: unknown): thrown is OutcomeError =>
   thrown instanceof Error && 'outcome' in thrown
 
-/** Reads an answer. One without an outcome says nothing, so that its outcome is not known. */
+/** Converts an answer to its outcome. An answer without one counts as `outcomeUnknown`. */
 export const outcomeOf = (answer: CallerMessages.Answer__Output): Outcome => {
   if (answer.done) {
     return { kind: 'done', result: answer.done.result, endpoint: answer.endpoint, fromReplica: answer.fromReplica }
--- a/packages/client/src/request.ts
+++ b/packages/client/src/request.ts
@@ -1,5 +1,5 @@
 /**
- * What a request is sent with, and when it may be tried on another VM.
+ * Metadata and deadlines of requests, and their retry on other VMs.
  */
 import { Metadata, status } from '@grpc/grpc-js'
 import type { ServiceError } from '@grpc/grpc-js'
@@ -11,17 +11,17 @@
 
 /** Options of one request. */
 export type RequestOptions = {
-  /** Profile to use instead of the route's own. */
+  /** Profile to use instead of the route's default profile. */
   profile?: string
-  /** How long to wait for the outcome. */
+  /** Timeout of the request, retries included. */
   timeoutMs?: number
-  /** `read` lets the library repeat the request; without it the request counts as a write. */
+  /** `read` permits the library to retry the request; requests are writes by default. */
   access?: 'read' | 'write'
-  /** True when a write may run twice without harm, so that the library may repeat it. */
+  /** True when the write is idempotent, so that the library may retry it. */
   isRepeatable?: boolean
 }
 
-/** A request with all that it needs. */
+/** Properties of a request, with defaults applied. */
 export type Request = {
   route: string
   key: string | undefined
@@ -31,21 +31,21 @@
   isRepeatable: boolean
 }
 
-/** Beyond the request's own time, so that the VM's answer about a timeout still arrives. */
+/** Added to the request's timeout for the gRPC deadline, so that the VM's own timeout answer still arrives. */
 const answerGraceMs = 250
 
-/** Longest wait for a connection. */
+/** Longest wait for a connected VM, per attempt. */
 const maxConnectMs = 2000
 
-/** Most VMs that one request is tried on. */
+/** Maximum number of attempts of one request. */
 const maxPlacements = 8
 
-/** Refusals that concern the VM and not the request: another VM may serve it. */
+/** Reasons that concern the VM and not the request, so that another VM may serve it. */
 const reasonsToMove = new Set([
   'outOfContact', 'draining', 'dataCentreOut', 'endpointNotConnected', 'connectionLost'
 ])
 
-/** Latest wall time for the call, as gRPC takes it. */
+/** Deadline of a call as a wall clock time in milliseconds, the form that gRPC expects. */
 export const deadlineOf = (timeoutMs: number): number => Date.now() + timeoutMs + answerGraceMs
 
 /** Builds the metadata of a request. */
@@ -61,26 +61,26 @@
   return metadata
 }
 
-/** What a call that broke off says: nothing for sure, as the VM may have acted before. */
+/** Outcome of a call that ended with an error. It is unknown, because the VM may have run the request before. */
 export const brokenOff = (error: Partial<ServiceError>): Outcome => {
   if (error.code === status.DEADLINE_EXCEEDED) return outcomeUnknown('timeout')
   return outcomeUnknown(error.code === status.UNAVAILABLE ? 'connectionLost' : 'callFailed')
 }
 
-/** Merges outcomes of attempts: something that may have run is not called "not run" by a later refusal. */
+/** Merges the outcomes of two attempts: a later refusal does not replace the unknown outcome of an earlier one. */
 export const worstOf = (earlier: Outcome | undefined, later: Outcome): Outcome =>
   earlier?.kind === 'outcomeUnknown' && later.kind === 'notRun' ? earlier : later
 
-/** True when the request should go to another VM. */
+/** True when the request should be retried on another VM. */
 export const shouldMove = (outcome: Outcome, request: Request): boolean => {
   if (outcome.kind === 'notRun') return reasonsToMove.has(outcome.reason)
   return outcome.kind === 'outcomeUnknown' && outcome.reason === 'connectionLost' && request.isRepeatable
 }
 
-/** A VM for an attempt, and the time that is left for it. */
+/** The VM of an attempt, and the time remaining until the request's deadline. */
 export type Placement = { vm: CallerVm, timeoutMs: number }
 
-/** Runs attempts on one VM after the other until one should not move. Nothing was sent when no VM is connected. */
+/** Runs attempts on one VM after another until one is not to be retried. Without a connected VM nothing is sent. */
 export const runOnVms = async (
   choice: VmChoice,
   request: Request,
--- a/packages/client/src/session-state.ts
+++ b/packages/client/src/session-state.ts
@@ -1,33 +1,33 @@
 /**
- * What a session carries from answer to request.
+ * State of a session: its token, and whether the outcome of a write is unknown.
  */
 import { mergeTokens } from './session-token.js'
 import type { Outcome } from './outcome.js'
 
-/** A session's state, which may be kept and given to another caller. */
+/** A session's state. It can be stored, and resumed by another caller. */
 export type SessionState = {
-  /** Token of the last answer; undefined when there is none. */
+  /** Token of the answers so far; undefined when there is none. */
   token: Buffer | undefined
-  /** True while the session has done nothing: it has no token because it needs none. */
+  /** True until the first answer with a token: the session needs no token because it has written nothing. */
   isNew: boolean
-  /** True when the outcome of a write is not known. */
+  /** True when the outcome of a write is unknown. */
   isUnsettled: boolean
 }
 
-/** The state that a request is sent with; it is given back with the request's outcome. */
+/** Session state with which a request is sent; `learn` takes it back with the request's outcome. */
 export type SentState = SessionState & { unknownWrites: number }
 
-/** A session's memory. */
+/** Tracks the state of a session over its requests. */
 export type SessionMemory = {
   current: () => SentState
-  /** Takes an answer's outcome and token; `token` is undefined when no answer came. */
+  /** Updates the state from an answer's outcome and token; `token` is undefined when there was no answer. */
   learn: (sent: SentState, answer: { outcome: Outcome, token: Buffer | undefined, isWrite: boolean }) => void
 }
 
-/** The state of a session that has done nothing yet. */
+/** State of a new session. */
 export const newSessionState: SessionState = { token: undefined, isNew: true, isUnsettled: false }
 
-/** Creates a session's memory. */
+/** Creates the tracker of a session. */
 export const createSessionMemory = (start: SessionState = newSessionState): SessionMemory => {
   let { token, isNew, isUnsettled } = start
   let unknownWrites = 0
@@ -35,7 +35,7 @@
   const learnToken = (sentToken: Buffer | undefined, answered: Buffer) => {
     const isAnswerToCurrent = token === sentToken
     token = isAnswerToCurrent || !token ? answered : mergeTokens(token, answered)
-    // Without a token the session is read at the primaries, which is safe.
+    // When the merge fails there is no token, and the session safely reads from the primaries.
     isNew = false
   }
 
--- a/packages/client/src/session-token.test.ts
+++ b/packages/client/src/session-token.test.ts
@@ -29,13 +29,13 @@
 const isAtOrPast = (left: Place, right: Place) =>
   left.term > right.term || (left.term === right.term && left.position >= right.position)
 
-/** A token makes a session see a place when the place is passed, or the group is read at its primary. */
+/** A token covers a position when its own position is at or past it, or when the group is read from its primary. */
 const covers = (token: Token, group: string, wanted: Place): boolean => {
   const known = token.groups[group]
   return known ? isAtOrPast(known, wanted) : !token.complete
 }
 
-test('a merged token covers every place of both tokens', t => {
+test('a merged token covers every position of both tokens', t => {
   fc.assert(fc.property(anyToken, anyToken, (left, right) => {
     const merged = decode(mergeTokens(encode(left), encode(right))!)
     return [left, right].every(token =>
@@ -44,7 +44,7 @@
   t.pass()
 })
 
-test('what one token may have missed is not taken as known', t => {
+test('a merged token omits groups in which one token may lack a write', t => {
   fc.assert(fc.property(anyToken, anyToken, (left, right) => {
     const merged = decode(mergeTokens(encode(left), encode(right))!)
     const mayHaveMissed = (token: Token, group: string) => !token.complete && !token.groups[group]
@@ -66,7 +66,7 @@
   }), { seed, numRuns: 500 })
 })
 
-test('arbitrary bytes are not merged and do no harm', t => {
+test('arbitrary bytes are not merged and cause no error', t => {
   const whole = encode({ complete: true, groups: {} })
   fc.assert(fc.property(fc.uint8Array({ maxLength: 200 }), bytes =>
     mergeTokens(Buffer.from(bytes), whole) === undefined && mergeTokens(whole, Buffer.from(bytes)) === undefined
@@ -74,7 +74,7 @@
   t.pass()
 })
 
-test('a merged token stays bounded', t => {
+test('a merged token holds at most the maximum number of groups', t => {
   const groupsFrom = (start: number) => Object.fromEntries(Array.from({ length: 50 }, (_, index) =>
     [`g${start + index}`, { term: 1, position: 1 }]))
   const [left, right] = [0, 50].map(start => encode({ complete: true, groups: groupsFrom(start) }))
--- a/packages/client/src/session-token.ts
+++ b/packages/client/src/session-token.ts
@@ -1,5 +1,5 @@
 /**
- * Merges session tokens of requests that ran at the same time.
+ * Merges session tokens of concurrent requests.
  */
 import { decodeSessionToken, encodeSessionToken, maxTokenGroups } from '@egretyoke/protocol'
 import type { SessionToken, TokenPlace } from '@egretyoke/protocol'
@@ -7,7 +7,7 @@
 const isPast = (place: TokenPlace, other: TokenPlace): boolean =>
   place.term > other.term || (place.term === other.term && place.position > other.position)
 
-/** The later place; undefined when one token does not know the group and may have missed a write in it. */
+/** The later position; undefined when one token lacks the group and is incomplete, so that it may lack a write. */
 const mergedPlace = (group: string, left: SessionToken, right: SessionToken): TokenPlace | undefined => {
   const [inLeft, inRight] = [left.groups[group], right.groups[group]]
   if (inLeft && inRight) return isPast(inLeft, inRight) ? inLeft : inRight
@@ -15,7 +15,7 @@
   return isKnownByOther ? inLeft ?? inRight : undefined
 }
 
-/** The token of a session that has seen all that both tokens have. Undefined when one of them cannot be read. */
+/** Merges two tokens into one that covers both. Undefined when one of them cannot be decoded. */
 export const mergeTokens = (left: Buffer, right: Buffer): Buffer | undefined => {
   const [leftToken, rightToken] = [decodeSessionToken(left), decodeSessionToken(right)]
   if (!leftToken || !rightToken) return undefined
--- a/packages/client/src/statements.ts
+++ b/packages/client/src/statements.ts
@@ -1,5 +1,5 @@
 /**
- * Single statements: whole answers and streamed ones.
+ * Single statements, with the result in one answer or as a stream.
  */
 import type { ServiceError } from '@grpc/grpc-js'
 import type { CallerMessages } from '@egretyoke/protocol'
@@ -37,7 +37,7 @@
 
 type Part = CallerMessages.StreamPart__Output
 
-/** Yields the rows of one attempt; returns its outcome. Rows without an end are not an answer. */
+/** Yields the rows of one attempt and returns its outcome, which is unknown when the stream has no end part. */
 async function * streamOnce (
   memory: SessionMemory,
   request: Request,
@@ -46,7 +46,7 @@
 ): AsyncGenerator<Buffer, Outcome> {
   const sent = memory.current()
   const call = vm.client.Stream({ text }, metadataOf(request, sent, timeoutMs), { deadline: deadlineOf(timeoutMs) })
-  // Cancelling reports an error that nobody waits for any more.
+  // `cancel` emits an error after the loop has ended; without a listener it would be uncaught.
   call.on('error', () => {})
   let answered: Answered = { outcome: outcomeUnknown('answerCut'), token: undefined }
   try {
@@ -68,7 +68,7 @@
 type Rows = AsyncGenerator<Buffer, Outcome>
 type Begun = { rows: Rows | undefined, first: IteratorResult<Buffer, Outcome> | undefined }
 
-/** Ends the search for a VM: its rows have begun to arrive. */
+/** Outcome of an attempt whose first rows have arrived; it ends the retries. */
 const rowsBegun: Outcome = { kind: 'done', result: Buffer.alloc(0), endpoint: '', fromReplica: false }
 
 const wholeOrThrow = (outcome: Outcome): Done => {
@@ -77,8 +77,8 @@
 }
 
 /**
- * Yields the rows of one statement. Throws an `OutcomeError` unless the answer is whole; rows that came before such an
- * error must not be used. Moves to another VM only before the first rows.
+ * Yields the rows of one statement. Throws an `OutcomeError` unless the answer is complete; rows yielded before such an
+ * error must not be used. Retries on another VM only before the first rows.
  */
 export async function * streamStatement (
   choice: VmChoice,
--- a/packages/client/src/test-entry.ts
+++ b/packages/client/src/test-entry.ts
@@ -1,5 +1,5 @@
 /**
- * An entry in this process that answers as a test tells it.
+ * An entry in the test process that answers with handlers of the test.
  */
 import { status } from '@grpc/grpc-js'
 import type { sendUnaryData, ServerDuplexStream, ServerUnaryCall, ServerWritableStream } from '@grpc/grpc-js'
@@ -14,7 +14,7 @@
 export type TransactCall = ServerDuplexStream<CallerMessages.TransactionStep__Output, CallerMessages.TransactionAnswer>
 type Seen = { text: string, headers: Record<string, unknown> }
 
-/** `undefined`: the call breaks off without an answer. */
+/** Handlers of the calls. `execute` returns undefined to end its call with UNAVAILABLE. */
 type Behaviour = {
   execute?: (seen: Seen, count: number) => Promise<Answer | undefined> | Answer | undefined
   stream?: (call: StreamCall) => void
--- a/packages/client/src/transactions.test.ts
+++ b/packages/client/src/transactions.test.ts
@@ -6,7 +6,7 @@
 import { connect, done, startEntry } from './test-entry.js'
 import type { Answer, TransactCall } from './test-entry.js'
 
-/** Answers each step with `done`, and keeps what was done. */
+/** Records each step and answers it with `done`, unless `special` handles it. */
 const obliging = (steps: string[], special: (call: TransactCall, action: string, stepId: number) => boolean) =>
   (call: TransactCall, step: CallerMessages.TransactionStep__Output) => {
     const action = step.action ?? ''
@@ -16,11 +16,11 @@
     if (action === 'commit' || action === 'rollback') call.end()
   }
 
-test('a transaction commits what its function ran', async t => {
+test('a transaction commits the statements of its function', async t => {
   const steps: string[] = []
   const entry = await startEntry(t, {
     transact: obliging(steps, (call, action, stepId) => {
-      // An answer to an earlier step arrives again, late.
+      // A duplicate answer to an earlier step arrives late.
       if (action === 'execute') call.write({ stepId: stepId - 1, answer: done('late') })
       return false
     })
@@ -64,7 +64,7 @@
     isUnsettled: false
   },
   {
-    title: 'refused at a statement, since the key was withdrawn',
+    title: 'refused at a statement because the key was withdrawn',
     at: 'execute',
     answer: { notRun: { reason: 'keyRefused' } },
     outcome: { kind: 'notRun', reason: 'keyRefused' },
--- a/packages/client/src/transactions.ts
+++ b/packages/client/src/transactions.ts
@@ -1,5 +1,5 @@
 /**
- * Interactive transactions over one call. Without the caller's commit nothing takes effect.
+ * Interactive transactions, each over one call. Nothing takes effect without the caller's commit.
  */
 import type { ClientDuplexStream } from '@grpc/grpc-js'
 import type { CallerMessages } from '@egretyoke/protocol'
@@ -14,21 +14,21 @@
 type StepAnswer = CallerMessages.TransactionAnswer__Output
 type TransactCall = ClientDuplexStream<Step, StepAnswer>
 
-/** A transaction that has begun. */
+/** An open transaction. */
 export type Transaction = {
-  /** Runs one statement. Unless it is done, the transaction may have ended; a commit then says so. */
+  /** Runs one statement. Unless its outcome is `done`, the transaction may have ended; the commit then reports that. */
   execute: (text: string | Buffer) => Promise<Outcome>
-  /** Gives the transaction up: nothing of it takes effect. */
+  /** Rolls the transaction back; none of its statements takes effect. */
   rollback: () => Promise<void>
 }
 
-/** What became of a transaction, and what the caller's function returned if it ran to its end. */
+/** Outcome of a transaction, and the return value of its function; undefined when the function was not called. */
 export type TransactionResult<T> = { outcome: Outcome, value: T | undefined }
 
-/** `isSent` is false when the call had ended before; `isAnswered` is false when it ended without an answer. */
+/** Result of a step. `isSent` is false when the call had ended before, `isAnswered` when it ended without an answer. */
 type StepResult = { outcome: Outcome, token: Buffer | undefined, isSent: boolean, isAnswered: boolean }
 
-/** Sends steps one by one, each with a number that its answer must carry. */
+/** Sends steps one at a time. Each has a number, which its answer must carry. */
 const createSteps = (call: TransactCall) => {
   let lastStepId = 0
   let ended: Outcome | undefined
@@ -44,7 +44,7 @@
     settle({ outcome: ended, token: undefined, isSent: true, isAnswered: false })
   }
   call.on('data', ({ stepId, answer }: StepAnswer) => {
-    // Step 0 answers the call as a whole, before any step was taken.
+    // Step 0 is an answer to the call as a whole, sent before any step is processed.
     if (!answer || !waiting || (stepId !== 0 && stepId !== waiting.stepId)) return
     settle({ outcome: outcomeOf(answer), token: answer.sessionToken, isSent: true, isAnswered: true })
   })
@@ -69,10 +69,10 @@
 
 type Steps = ReturnType<typeof createSteps>
 
-/** Without a commit nothing takes effect, whatever became of a step. */
+/** Outcome when the call ended before the commit: nothing took effect, whatever the outcomes of the steps. */
 const lostBeforeCommit = failed('transactionClosed', 'the call ended before the commit; nothing took effect')
 
-/** Refusals of one statement that leave the transaction open. */
+/** True when the transaction stays open after a statement with this outcome. */
 const leavesOpen = (outcome: Outcome): boolean => {
   if (outcome.kind === 'done') return true
   if (outcome.kind === 'failed') return outcome.reason === 'endpointError'
@@ -98,7 +98,7 @@
 
 type Begun = { steps: Steps, sent: SentState }
 
-/** Begins a transaction on a VM that takes it. The outcome says why when there is none. */
+/** Begins a transaction on a VM that accepts it. Without one, the outcome holds the reason. */
 const begin = async (choice: VmChoice, memory: SessionMemory, request: Request) => {
   const opened: { begun: Begun | undefined } = { begun: undefined }
   const beginAt = async ({ vm, timeoutMs }: Placement): Promise<Outcome> => {
@@ -114,7 +114,7 @@
   return { outcome, begun: opened.begun }
 }
 
-/** Runs a transaction: begins, calls the function, and commits unless it threw or rolled back. */
+/** Begins a transaction, calls the function, and commits unless the function threw or the transaction has ended. */
 export const runTransaction = async <T>(
   choice: VmChoice,
   memory: SessionMemory,
--- a/packages/client/src/vm-choice.ts
+++ b/packages/client/src/vm-choice.ts
@@ -1,26 +1,26 @@
 /**
- * Chooses the VM for each request: spreads over those that are connected and passes over those that refused lately.
+ * Selects the VM for each request: round robin over connected VMs, skipping VMs that have refused recently.
  */
 import { connectivityState } from '@grpc/grpc-js'
 import { monotonicMs } from '@egretyoke/common'
 import { callerProto, connectGrpc } from '@egretyoke/protocol'
 import type { ChannelSettings, CallerMessages } from '@egretyoke/protocol'
 
-/** How long a VM that was not ready is passed over, in milliseconds. */
+/** Time for which a VM is skipped after it has refused a request. */
 const avoidanceMs = 1000
 
-/** A VM that callers can reach, and its connection. */
+/** A VM with its gRPC client. */
 export type CallerVm = {
   address: string
   client: CallerMessages.CallerClient
   avoidedUntilMs: number
 }
 
-/** Chooses among VMs. */
+/** Selects VMs for requests. */
 export type VmChoice = {
-  /** A connected VM, or undefined when none can be connected to in time. */
+  /** Returns a connected VM; undefined when no VM becomes connected within the timeout. */
   choose: (timeoutMs: number) => Promise<CallerVm | undefined>
-  /** Passes a VM over for a while. */
+  /** Skips a VM for a cool-down period, unless no other VM is connected. */
   avoid: (vm: CallerVm) => void
   count: number
   close: () => void
@@ -33,7 +33,7 @@
   vm.client.waitForReady(Date.now() + timeoutMs, error => error ? reject(error) : resolve(vm))
 })
 
-/** Connects to VMs at HOST:PORT. */
+/** Connects to the VMs at the given addresses (HOST:PORT). */
 export const createVmChoice = (addresses: string[], channels: ChannelSettings): VmChoice => {
   const vms: CallerVm[] = addresses.map(address =>
     ({ address, client: connectGrpc(callerProto.Caller, address, channels), avoidedUntilMs: 0 }))
--- a/packages/protocol/src/grpc-client.ts
+++ b/packages/protocol/src/grpc-client.ts
@@ -1,5 +1,5 @@
 /**
- * gRPC clients: one channel for each remote address, and unary calls as results with a deadline.
+ * gRPC clients: one channel per remote address, and unary calls with a deadline that return a `Result`.
  */
 import { Metadata, status } from '@grpc/grpc-js'
 import type { CallOptions, ChannelCredentials, ClientOptions, ServiceError } from '@grpc/grpc-js'
@@ -11,7 +11,7 @@
 type ClientConstructor<Client> =
   new (address: string, credentials: ChannelCredentials, options?: Partial<ClientOptions>) => Client
 
-/** Reconnects quickly: the system's own processes come back within moments. */
+/** Reconnects quickly, because the system's own processes restart within a short time. */
 const clientOptions: Partial<ClientOptions> = {
   'grpc.initial_reconnect_backoff_ms': 100,
   'grpc.min_reconnect_backoff_ms': 100,
@@ -28,12 +28,12 @@
   options: Partial<ClientOptions> = {}
 ): Client => new Constructor(address, clientCredentials(address, channels), { ...clientOptions, ...options })
 
-/** Why a call brought no answer: `unavailable` never reached the server, the others may have. */
+/** Failure of a call. All kinds, also `unavailable`, may mean that the server has run it; see `callUnary`. */
 export type CallFailure = TypedError<'unavailable' | 'timeout' | 'callFailed'>
 
 type Callback<Reply> = (error: ServiceError | null, reply?: Reply) => void
 
-/** The shortest overload of a generated method: the one that type inference sees. */
+/** The shortest overload of a generated method, which type inference selects. */
 type UnaryMethod<Request, Reply> = (request: Request, callback: Callback<Reply>) => unknown
 
 type UnaryMethodWithOptions<Request, Reply> =
@@ -47,8 +47,8 @@
 }
 
 /**
- * Calls a unary method. A lost connection may also report `unavailable` after the server has acted, so the
- * caller must not take any failure as "not run".
+ * Calls a unary method. No failure proves that the server did not run the call: `unavailable` is also reported when
+ * the connection is lost after the server has acted.
  */
 export const callUnary = <Request, Reply>(
   client: object,
--- a/packages/protocol/src/grpc-server.ts
+++ b/packages/protocol/src/grpc-server.ts
@@ -1,5 +1,5 @@
 /**
- * gRPC listeners: bound to HOST:PORT, with limits on message sizes and keepalive.
+ * gRPC listeners, bound to HOST:PORT, with a limit on message sizes.
  */
 import { Server } from '@grpc/grpc-js'
 import type { ServerOptions } from '@grpc/grpc-js'
@@ -12,17 +12,17 @@
 
 /** A bound listener. */
 export type GrpcListener = {
-  /** HOST:PORT in use. */
+  /** HOST:PORT that the listener is bound to, with the actual port. */
   address: string
   server: Server
-  /** Finishes calls that are open, for at most `graceMs`, then cuts what is left. */
+  /** Waits at most `graceMs` for open calls to end, then cancels the remaining ones. */
   close: (graceMs?: number) => Promise<void>
 }
 
 /** Options of a listener. */
 export type GrpcListenerOptions = {
   channels: ChannelSettings
-  /** Who may connect; `peers` by default. */
+  /** Clients that may connect; `peers` by default. */
   audience?: Audience
   maxMessageBytes?: number
   extra?: ServerOptions
@@ -39,7 +39,7 @@
   server.forceShutdown()
 }
 
-/** Binds a listener after `addServices` has filled it. Rejects when the address is in use. */
+/** Binds a listener to which `addServices` has added the services. Rejects when the address is in use. */
 export const listenGrpc = async (
   address: string,
   options: GrpcListenerOptions,
--- a/packages/protocol/src/load-protos.ts
+++ b/packages/protocol/src/load-protos.ts
@@ -1,6 +1,6 @@
 /**
- * Loads the published .proto files, each when it is first needed: a process uses few of them, and loading takes a good
- * part of its start. The options match those of `npm run generate`.
+ * Loads the published .proto files lazily, because a process uses few of them and loading takes a large part of its
+ * start-up time. The options match those of `npm run generate`.
  */
 import { fileURLToPath } from 'node:url'
 import { loadPackageDefinition } from '@grpc/grpc-js'
@@ -22,7 +22,7 @@
   includeDirs: [protoDir]
 }))
 
-/** An object whose properties are those of what `make` returns, made when one is first read. */
+/** Returns a proxy of the object that `make` returns; `make` runs when a property is first read. */
 const lazily = <T extends object>(make: () => T): T => {
   let made: T | undefined
   return new Proxy({} as T, {
@@ -33,7 +33,7 @@
   })
 }
 
-/** Services toward callers. */
+/** Services for callers. */
 export const callerProto = lazily(() => (load('caller.proto') as CallerTypes).egretyoke.caller.v1)
 /** Services of database group members. */
 export const endpointProto = lazily(() => (load('endpoint.proto') as EndpointTypes).egretyoke.endpoint.v1)
@@ -43,5 +43,5 @@
 export const platformProto = lazily(() => (load('platform.proto') as PlatformTypes).egretyoke.platform.v1)
 /** Services between gateways. */
 export const relayProto = lazily(() => (load('relay.proto') as RelayTypes).egretyoke.relay.v1)
-/** Control of the stand-ins. */
+/** Control services of the stand-in servers. */
 export const standinProto = lazily(() => (load('standin.proto') as StandinTypes).egretyoke.standin.v1)
--- a/packages/protocol/src/session-token.ts
+++ b/packages/protocol/src/session-token.ts
@@ -1,14 +1,14 @@
 /**
- * Session tokens: what a caller carries from answer to request. They are not signed, because forging one can only make
- * its own session's reads slower; a checksum tells damage.
+ * Session tokens, which a caller copies from each answer to its next request. They are not signed, because a forged
+ * token can only slow down the reads of its own session; a checksum detects damage.
  */
 import { crc32 } from 'node:zlib'
 import { z } from 'zod'
 
-/** Longest token that is read, in bytes. */
+/** Longest accepted token, in bytes. */
 export const maxTokenBytes = 8 * 1024
 
-/** Most groups that a token holds. */
+/** Maximum number of groups in a token. */
 export const maxTokenGroups = 64
 
 const tokenVersion = 1
@@ -18,17 +18,17 @@
 
 const tokenSchema = z.strictObject({
   v: z.literal(tokenVersion),
-  /** True when the session has written in no group but those listed. */
+  /** True when the session has written to no groups other than those listed. */
   complete: z.boolean(),
-  /** By group, the place in its log that the session's reads must reach. */
+  /** Log position that the session's reads must include, by group. */
   groups: z.record(z.string().max(63), placeSchema)
     .refine(groups => Object.keys(groups).length <= maxTokenGroups, `at most ${maxTokenGroups} groups`)
 })
 
-/** A place in a group's log, as tokens hold it. */
+/** Position in a group's log. */
 export type TokenPlace = z.infer<typeof placeSchema>
 
-/** A token's content. */
+/** Decoded content of a token. */
 export type SessionToken = Omit<z.infer<typeof tokenSchema>, 'v'>
 
 const checksum = (body: Buffer): Buffer => {
@@ -37,13 +37,13 @@
   return bytes
 }
 
-/** Writes a token. */
+/** Encodes a token. */
 export const encodeSessionToken = ({ complete, groups }: SessionToken): Buffer => {
   const body = Buffer.from(JSON.stringify({ v: tokenVersion, complete, groups }))
   return Buffer.concat([checksum(body), body])
 }
 
-/** Reads a token; undefined when it is damaged, too long, or of another version. */
+/** Decodes a token; undefined when it is damaged, too long, or of another version. */
 export const decodeSessionToken = (bytes: Buffer): SessionToken | undefined => {
   if (bytes.length > maxTokenBytes || bytes.length < checksumBytes) return undefined
   const body = bytes.subarray(checksumBytes)
--- a/packages/protocol/src/stream-caller.ts
+++ b/packages/protocol/src/stream-caller.ts
@@ -1,17 +1,17 @@
 /**
- * Questions and answers over one long-lived stream, one question at a time. After a question without an answer in time
- * the stream is given up, so that a late answer can never be taken for the next one's.
+ * Request/response calls over one long-lived stream, one call at a time. The stream is cancelled after a call that
+ * times out, so that a late response cannot be mistaken for the response to the next call.
  */
 import type { ClientDuplexStream } from '@grpc/grpc-js'
 
-/** Asks over a stream that is opened when it is first needed. */
+/** Sends requests over a stream that is opened by the first call. */
 export type StreamCaller<Question, Answer> = {
-  /** The answer; undefined when none came in time, or when a question is open already. */
+  /** Returns the response; undefined on a timeout, on a lost stream, or while another call is in flight. */
   ask: (question: Question, timeoutMs: number) => Promise<Answer | undefined>
   close: () => void
 }
 
-/** Creates a caller; `open` starts a new stream. */
+/** Creates a stream caller; `open` opens a new stream. */
 export const createStreamCaller = <Question, Answer>(
   open: () => ClientDuplexStream<Question, Answer>
 ): StreamCaller<Question, Answer> => {
--- a/packages/protocol/src/tls.test.ts
+++ b/packages/protocol/src/tls.test.ts
@@ -1,5 +1,5 @@
 /**
- * TLS between processes: who may connect, and reload of certificates under open connections.
+ * TLS between processes: client authentication, and certificate reload while connections are open.
  */
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
 import { tmpdir } from 'node:os'
@@ -57,7 +57,7 @@
 const heartbeat = async (client: InstanceType<typeof peerProto.Peer>): Promise<boolean> =>
   (await callUnary(client, client.Heartbeat, { vm: 'asking' }, callTimeoutMs)).ok
 
-/** Fingerprint of the certificate that a listener shows to a new connection. */
+/** Fingerprint of the certificate that a listener presents on a new connection. */
 const shownFingerprint = (address: string): Promise<string> => new Promise((resolve, reject) => {
   const { host, port } = splitAddress(address)
   const socket = connect({ host, port, rejectUnauthorized: false, ALPNProtocols: ['h2'] }, () => {
@@ -67,7 +67,7 @@
   socket.once('error', reject)
 })
 
-test('peers need a certificate that the listener trusts', async t => {
+test('a listener for peers rejects clients without a certificate that it trusts', async t => {
   const folder = createFolder()
   const [server, peer, stranger] = await Promise.all(['server', 'peer', 'stranger'].map(createIdentity))
   const listener = await listen(folder.write('server', server, [peer]), 'peers')
@@ -89,7 +89,7 @@
   folder.remove()
 })
 
-test('new certificates are shown to new connections while open ones go on', async t => {
+test('reloaded certificates apply to new connections, and open connections stay open', async t => {
   const folder = createFolder()
   const [before, after, peer] = await Promise.all(['before', 'after', 'peer'].map(createIdentity))
   const listener = await listen(folder.write('server', before, [peer]), 'peers')
@@ -103,14 +103,14 @@
     shownAfter = await shownFingerprint(listener.address)
   }
   t.not(shownAfter, shownBefore)
-  // The client trusts the former certificate only, so that an answer proves that its connection is still the same.
+  // The client trusts only the former certificate, so a reply proves that it still uses its first connection.
   t.true(await heartbeat(client))
   client.close()
   await listener.close()
   folder.remove()
 })
 
-test('plain text is for loopback, unless the settings allow it', async t => {
+test('plain text is allowed only on loopback, unless the settings allow it', async t => {
   const beyondLoopback = '10.1.2.3:7000'
   t.throws(() => connectGrpc(peerProto.Peer, beyondLoopback, { allowPlainText: false }), { message: /plain text/ })
   t.notThrows(() => connectGrpc(peerProto.Peer, beyondLoopback, { allowPlainText: true }).close())
--- a/packages/protocol/src/tls.ts
+++ b/packages/protocol/src/tls.ts
@@ -1,18 +1,18 @@
 /**
- * TLS between processes by settings. Certificates are read again when asked; connections that are open stay open.
+ * TLS between processes, by settings. Certificate files are reloaded periodically; open connections stay open.
  */
 import { accessSync, constants } from 'node:fs'
 import { ChannelCredentials, experimental, ServerCredentials } from '@grpc/grpc-js'
 import { splitAddress } from '@egretyoke/common'
 import { z } from 'zod'
 
-/** Files of a process's certificate, its key, and the authority that signed its peers. */
+/** Files of a process's certificate, its private key, and the authority that signs the certificates of its peers. */
 export const tlsSettingsSchema = z.strictObject({
-  /** Callers may do without a certificate of their own; listeners may not. */
+  /** Optional for clients, required for listeners. */
   certificateFile: z.string().min(1).optional(),
   privateKeyFile: z.string().min(1).optional(),
   authorityFile: z.string().min(1),
-  /** How often the files are read again, in milliseconds. */
+  /** Interval at which the files are reloaded, in milliseconds. */
   reloadIntervalMs: z.number().int().min(100).default(60_000)
 }).refine(
   tls => (tls.certificateFile === undefined) === (tls.privateKeyFile === undefined),
@@ -22,7 +22,7 @@
 /** TLS settings of one process. */
 export type TlsSettings = z.infer<typeof tlsSettingsSchema>
 
-/** Settings that every listener and client between processes takes. */
+/** Schema of the settings of listeners and clients between processes. */
 export const channelSettingsSchema = z.strictObject({
   tls: tlsSettingsSchema.optional(),
   /** Allows plain text beyond the loopback range. */
@@ -32,7 +32,7 @@
 /** Settings of listeners and clients between processes. */
 export type ChannelSettings = z.infer<typeof channelSettingsSchema>
 
-/** Plain text, on loopback only. */
+/** Settings for plain text on loopback only. */
 export const loopbackChannels: ChannelSettings = { allowPlainText: false }
 
 const isLoopback = (address: string): boolean => {
@@ -45,7 +45,7 @@
   throw new Error(`${address}: plain text is allowed on loopback only; set tls or allowPlainText`)
 }
 
-/** Reads the files of a process's TLS settings, again and again; listeners and clients of one process share it. */
+/** Reads the files of the TLS settings, and reloads them at the interval that is set. */
 const watchFiles = (tls: TlsSettings): experimental.FileWatcherCertificateProvider =>
   new experimental.FileWatcherCertificateProvider({
     certificateFile: tls.certificateFile,
@@ -60,11 +60,11 @@
   }
 }
 
-/** Who may connect to a listener: `peers` must show a certificate of the authority, `anyone` need not. */
+/** Clients that may connect to a listener: `peers` must present a certificate of the authority, `anyone` need not. */
 export type Audience = 'peers' | 'anyone'
 
 /**
- * Credentials of a listener. New connections use the files as they are then; open connections stay.
+ * Credentials of a listener. New connections use the current files; open connections are unaffected.
  * Throws when plain text is not allowed there or a file cannot be read.
  */
 export const serverCredentials = (
@@ -84,7 +84,7 @@
 }
 
 /**
- * Credentials of a client. New connections use the files as they are then; open connections stay.
+ * Credentials of a client. New connections use the current files; open connections are unaffected.
  * Throws when plain text is not allowed there or a file cannot be read.
  */
 export const clientCredentials = (address: string, settings: ChannelSettings): ChannelCredentials => {
