ctl: wording of comments, messages and help texts

'What became of a change', 'the folder does not say', 'made again on top' and 'the way to the gateway' now read 'outcome of a change', 'does not record', 'retried on top' and 'the link to the gateway'. Documents are based on a version instead of made from one; help texts say timeout and retry instead of time and go on. Names of commands, options, JSON fields, events and exit codes are the same. No test or script matches the sentences that changed; the tests' titles are reworded, their checks are the same.

--- a/packages/ctl/src/change-report.ts
+++ b/packages/ctl/src/change-report.ts
@@ -1,5 +1,5 @@
 /**
- * Reports what became of a change; a conflict shows both sides.
+ * Reports of the outcome of a configuration change. A conflict report shows the lines of both versions.
  */
 import { exitCodes } from '@egretyoke/common'
 import type { DocumentName, DocumentTexts } from '@egretyoke/config'
@@ -25,7 +25,7 @@
   return conflicts
 }
 
-/** Reports a conflict: per document, the lines in force (`-`) and the lines of this change (`+`). */
+/** Reports a conflict: for each document, the lines in force (`-`) and the lines of this change (`+`). */
 export const conflictReport = async (
   context: Context,
   conflict: Conflict,
@@ -42,7 +42,7 @@
     exitCode: exitCodes.conflict,
     data: { outcome: 'conflict', baseVersion, headVersion: version, headChangeId: changeId, documents: conflicts },
     lines: [
-      `conflict: your change was made from version ${baseVersion}, version ${version} is in force; nothing was changed`,
+      `conflict: your change is based on version ${baseVersion}, version ${version} is in force; nothing was changed`,
       ...shown
     ]
   }
@@ -53,7 +53,7 @@
   if (outcome.kind === 'refused') return findingsReport(outcome.findings)
   if (outcome.kind === 'accepted') {
     const { version, changed } = outcome
-    const line = changed ? `accepted as version ${version}` : `nothing to change: version ${version} is in force`
+    const line = changed ? `accepted as version ${version}` : `no difference: version ${version} is in force`
     return success({ outcome: 'accepted', version, changed }, [line])
   }
   if (outcome.kind === 'unavailable') {
@@ -68,6 +68,6 @@
   return {
     exitCode: exitCodes.unavailable,
     data: { outcome: 'unsettled', changeId, message },
-    lines: [`it is not known whether the change was accepted: ${message}`, `ask later: egretyokectl settle ${changeId}`]
+    lines: [`it is unknown whether the change was accepted: ${message}`, `check later: egretyokectl settle ${changeId}`]
   }
 }
--- a/packages/ctl/src/commands/apply.ts
+++ b/packages/ctl/src/commands/apply.ts
@@ -1,5 +1,5 @@
 /**
- * `apply`: makes a folder of documents the configuration in force, by one compare-and-swap.
+ * `apply`: replaces the configuration in force with the documents of a folder, by one compare-and-swap.
  */
 import { readDocuments } from '@egretyoke/config'
 import type { DocumentTexts } from '@egretyoke/config'
@@ -15,7 +15,7 @@
 /** Options of `apply`. */
 export type ApplyOptions = {
   dryRun?: boolean
-  /** Version that the documents were made from; otherwise the folder says so. */
+  /** Version that the documents are based on; read from the folder by default. */
   base?: number
 }
 
@@ -33,18 +33,18 @@
   return success({ outcome: 'dryRun', version, documents: changes }, [...formatDocuments(changes), line])
 }
 
-/** The base version by option, by folder or, while there is no configuration at all, 0. */
+/** The base version from the option or the folder, or 0 while no configuration is stored. */
 const baseVersionOf = async (context: Context, directory: string, base: number | undefined) => {
   const named = base ?? await readBaseVersion(directory)
   if (named !== undefined) return named
   const stored = await readWithin(context.times, timeoutMs => readHead(context.platform, timeoutMs))
   if (!stored.ok) return readErrorReport(stored.val)
   if (stored.val.head.version === 0) return 0
-  return usageReport(`${directory} does not say which version its documents were made from: name it with --base, ` +
+  return usageReport(`${directory} does not record the version that its documents are based on: pass it with --base, ` +
     `or start from \`egretyokectl get --out DIR\` (version ${stored.val.head.version} is in force)`)
 }
 
-/** Applies a folder. Nothing is changed unless all of it is valid and made from the version in force. */
+/** Applies a folder. Nothing is changed unless all documents are valid and based on the version in force. */
 export const apply = async (context: Context, directory: string, options: ApplyOptions): Promise<Report> => {
   const read = await readDirectory(directory)
   if (!read.ok) return findingsReport(read.val)
@@ -63,6 +63,6 @@
   const report = outcomeReport(outcome)
   if (outcome.kind !== 'accepted') return report
   const notWritten = await writeBaseVersion(directory, outcome.version)
-  if (notWritten) report.lines.push(`the version is not noted in ${directory}: ${notWritten}`)
+  if (notWritten) report.lines.push(`the version could not be written to ${directory}: ${notWritten}`)
   return report
 }
--- a/packages/ctl/src/commands/data-centre.ts
+++ b/packages/ctl/src/commands/data-centre.ts
@@ -16,7 +16,7 @@
   return known.includes(name) ? undefined : usageReport(`no data centre "${name}"; there are ${known.join(', ')}`)
 }
 
-/** Takes a data centre out or in. The last one that is in cannot be taken out. */
+/** Takes a data centre out of service, or puts it back. The last one in service cannot be taken out. */
 export const setDataCentre = (context: Context, name: string, state: DataCentre['state']): Promise<Report> =>
   editDocument(context, {
     document: 'data-centres',
--- a/packages/ctl/src/commands/diff.ts
+++ b/packages/ctl/src/commands/diff.ts
@@ -1,5 +1,5 @@
 /**
- * `diff`: compares a folder of documents with those in force.
+ * `diff`: compares the documents of a folder with those in force.
  */
 import { documentNames, readDocuments } from '@egretyoke/config'
 import type { DocumentTexts } from '@egretyoke/config'
@@ -10,13 +10,13 @@
 import type { Report } from '../report.js'
 import { diffTexts, formatChanges } from '../text-diff.js'
 
-/** Lines that differ, by document; documents without a difference are left out. */
+/** Changed lines of each document that differs. */
 export const changedDocuments = (inForce: Partial<DocumentTexts>, mine: DocumentTexts) =>
   documentNames
     .map(document => ({ document, changes: diffTexts(inForce[document]?.text ?? '', mine[document].text) }))
     .filter(({ changes }) => changes.length > 0)
 
-/** Formats the changes of documents for people. */
+/** Formats the changes of documents as lines of text. */
 export const formatDocuments = (documents: ReturnType<typeof changedDocuments>): string[] =>
   documents.flatMap(({ document, changes }) => [`${document}:`, ...formatChanges(changes).map(line => `  ${line}`)])
 
--- a/packages/ctl/src/commands/explain.ts
+++ b/packages/ctl/src/commands/explain.ts
@@ -1,5 +1,5 @@
 /**
- * `explain`: tells what became of a request and why, from log files alone.
+ * `explain`: reports the outcome of a request and its cause, from log files alone.
  */
 import { readFile } from 'node:fs/promises'
 import { messageOf } from '@egretyoke/common'
@@ -8,7 +8,7 @@
 import { readLogLines, requestStory } from '../request-story.js'
 import type { LogLine } from '../request-story.js'
 
-/** Fields that every line has, or that only the program needs. */
+/** Fields that are not shown as `name=value`, because they head the line or only programs need them. */
 const commonFields: ReadonlySet<string> = new Set(['time', 'timeMs', 'vm', 'event', 'name', 'level', 'program'])
 
 const formatLine = (line: LogLine, own: ReadonlySet<LogLine>): string => {
@@ -19,7 +19,7 @@
   return `${mark} ${line.time.slice(11, 23)} ${line.vm} ${line.event} ${line.name} ${fields.join(' ')}`
 }
 
-/** Reads the files and tells the request's story in order of time; its own lines are marked. */
+/** Reads the files and reports the request's timeline in order of time; lines of the request itself are marked `*`. */
 export const explain = async (request: string, files: readonly string[]): Promise<Report> => {
   const texts: string[] = []
   const unread = []
@@ -33,7 +33,7 @@
   if (unread.length > 0) return findingsReport(unread)
   const { lines, unreadable } = readLogLines(texts)
   const { own, around, leftOut, cause } = requestStory(lines, request)
-  if (own.length === 0) return usageReport(`none of ${lines.length} lines names the request ${request}`)
+  if (own.length === 0) return usageReport(`none of the ${lines.length} log lines belongs to request ${request}`)
   const marked = new Set(own)
   const all = [...own, ...around].sort((one, other) => one.timeMs - other.timeMs)
   return success({ request, cause, lines: all, leftOut, unreadable }, [
--- a/packages/ctl/src/commands/get.ts
+++ b/packages/ctl/src/commands/get.ts
@@ -1,5 +1,5 @@
 /**
- * `get`: shows the documents in force, or writes them into a folder.
+ * `get`: prints the documents in force, or writes them to a folder.
  */
 import { messageOf } from '@egretyoke/common'
 import { documentNames } from '@egretyoke/config'
--- a/packages/ctl/src/commands/keys.ts
+++ b/packages/ctl/src/commands/keys.ts
@@ -24,11 +24,11 @@
   if (!Object.hasOwn(workspaces, workspace)) return unknownWorkspace(workspace)
   const holder = Object.entries<Workspace>(workspaces).find(([, { keys }]) => Object.hasOwn(keys, keyId))
   if (!holder) return undefined
-  const message = `workspace "${holder[0]}" has a key "${keyId}" already; key ids are unique over all workspaces`
+  const message = `workspace "${holder[0]}" already has a key "${keyId}"; key ids are unique across all workspaces`
   return { exitCode: exitCodes.conflict, data: { outcome: 'conflict', message }, lines: [message] }
 }
 
-/** Creates a key and shows it. When the outcome is not known, the key is shown all the same: it may be valid. */
+/** Creates a key and shows it. The key is shown also when the outcome is unknown, because it may be valid. */
 export const createWorkspaceKey = async (context: Context, workspace: string, keyId: string): Promise<Report> => {
   if (!keyIdPattern.test(keyId)) return usageReport(`"${keyId}" is not a key id: lower-case letters, digits, hyphens`)
   const key = createKey(keyId)
@@ -40,7 +40,7 @@
   })
   const { outcome } = report.data
   if (outcome !== 'accepted' && outcome !== 'unsettled') return report
-  const notice = 'this is the only time that the key is shown:'
+  const notice = 'the key is shown only once:'
   return {
     ...report,
     data: { ...report.data, workspace, keyId, key: key.text },
@@ -56,7 +56,7 @@
   return usageReport(`workspace "${workspace}" has no key "${keyId}"`)
 }
 
-/** Withdraws a key. Its entry stays, so that its id is not used again. */
+/** Withdraws a key. Its entry is kept, so that its id is not reused. */
 export const withdrawWorkspaceKey = (context: Context, workspace: string, keyId: string): Promise<Report> =>
   editDocument(context, {
     document: 'workspaces',
--- a/packages/ctl/src/commands/settle.ts
+++ b/packages/ctl/src/commands/settle.ts
@@ -1,5 +1,5 @@
 /**
- * `settle`: tells what became of a change whose outcome was not known.
+ * `settle`: determines the outcome of a change that was reported as unsettled.
  */
 import { exitCodes } from '@egretyoke/common'
 import { baseVersionOf, settleChange } from '@egretyoke/fleet'
@@ -7,7 +7,7 @@
 import { success, usageReport } from '../report.js'
 import type { Report } from '../report.js'
 
-/** Settles a change by its id. */
+/** Determines the outcome of a change by its id, and reports it. */
 export const settle = async (context: Context, changeId: string): Promise<Report> => {
   if (baseVersionOf(changeId) === undefined) return usageReport(`"${changeId}" is not a change id`)
   const settlement = await settleChange(context.platform, changeId, context.times)
@@ -17,14 +17,14 @@
     case 'accepted':
       return success(data, [`accepted as version ${settlement.version}`])
     case 'notAccepted':
-      return { exitCode: exitCodes.conflict, data, lines: ['not accepted: another change came first'] }
+      return { exitCode: exitCodes.conflict, data, lines: ['not accepted: another change was accepted first'] }
     case 'open':
       return {
         exitCode: exitCodes.unavailable,
         data,
-        lines: [`not accepted so far: version ${settlement.headVersion} is in force; while its sender runs it may land`]
+        lines: [`not accepted so far: version ${settlement.headVersion} is in force; the sender may still complete it`]
       }
     case 'unsettled':
-      return { exitCode: exitCodes.unavailable, data, lines: [`not known: ${settlement.message}`] }
+      return { exitCode: exitCodes.unavailable, data, lines: [`unknown: ${settlement.message}`] }
   }
 }
--- a/packages/ctl/src/commands/status.ts
+++ b/packages/ctl/src/commands/status.ts
@@ -1,5 +1,5 @@
 /**
- * `status`: the version in force, data centres, groups and VMs.
+ * `status`: shows the configuration version in force, data centres, groups and VMs.
  */
 import { exitCodes, ticks } from '@egretyoke/common'
 import { decodeRecord, groupRecordSchema, storeKeys } from '@egretyoke/config'
@@ -60,10 +60,10 @@
   'groups:',
   ...groups.map(({ group, term, primary, phase }) => `  ${group}: term ${term}, primary ${primary || '?'}, ${phase}`),
   'VMs:',
-  ...(listed ? vms.map(vmLine) : ['  the platform does not list them'])
+  ...(listed ? vms.map(vmLine) : ['  the list cannot be read from the platform'])
 ]
 
-/** Reports the status once. Exit code 5 when the platform or a VM does not answer or lags behind. */
+/** Reports the status once. The exit code is 5 when the platform or a VM does not answer, or a VM lags behind. */
 export const status = async (context: Context): Promise<Report> => {
   const { platform, times, channels, log } = context
   const stored = await readStoredConfiguration(platform, times.callTimeoutMs)
@@ -83,7 +83,7 @@
   }
 }
 
-/** Reports the status every two seconds until the signal aborts. Each report costs seven calls to the platform. */
+/** Reports the status every two seconds until the signal aborts. Each report makes seven calls to the platform. */
 export async function * watchStatus (context: Context, signal: AbortSignal): AsyncGenerator<Report> {
   for await (const tick of ticks(watchIntervalMs, signal)) {
     const report = await status(context)
--- a/packages/ctl/src/commands/validate.ts
+++ b/packages/ctl/src/commands/validate.ts
@@ -1,12 +1,12 @@
 /**
- * `validate`: checks a folder of documents without asking the platform.
+ * `validate`: checks the documents of a folder without calling the platform.
  */
 import { readDocuments } from '@egretyoke/config'
 import { readDirectory } from '../documents-directory.js'
 import { findingsReport, success } from '../report.js'
 import type { Report } from '../report.js'
 
-/** Reports all findings of all documents together. */
+/** Reports the findings in all documents. */
 export const validate = async (directory: string): Promise<Report> => {
   const texts = await readDirectory(directory)
   if (!texts.ok) return findingsReport(texts.val)
--- a/packages/ctl/src/context.ts
+++ b/packages/ctl/src/context.ts
@@ -1,5 +1,5 @@
 /**
- * What every command needs: the platform, its settings, and where to log.
+ * Context of commands: the platform's client, TLS settings, timeouts, and the logger.
  */
 import { readFile } from 'node:fs/promises'
 import { Err, messageOf, Ok, readJsonWithComments } from '@egretyoke/common'
@@ -11,17 +11,17 @@
 import { findingsReport, usageReport } from './report.js'
 import type { Report } from './report.js'
 
-/** Options of every command that talks to the platform. */
+/** Options of every command that calls the platform. */
 export type PlatformOptions = {
   platform?: string
   channels?: string
-  /** Time of each call, in milliseconds. */
+  /** Timeout of each call, in milliseconds. */
   timeoutMs: number
-  /** How long to go on while the platform does not answer, in milliseconds. */
+  /** How long to retry while the platform does not answer, in milliseconds. */
   waitMs: number
 }
 
-/** A command's surroundings; `close` ends its connections. */
+/** Context of a command; `close` closes its connections. */
 export type Context = {
   platform: Platform
   channels: ChannelSettings
@@ -40,9 +40,9 @@
   }
 }
 
-/** Connects to the platform that the options name. */
+/** Connects to the platform at the address in the options. */
 export const openContext = async (options: PlatformOptions, log: Logger): Promise<Result<Context, Report>> => {
-  if (!options.platform) return Err(usageReport('name the platform: --platform HOST:PORT or EGRETYOKE_PLATFORM'))
+  if (!options.platform) return Err(usageReport('no platform: pass --platform HOST:PORT or set EGRETYOKE_PLATFORM'))
   const channels = await readChannels(options.channels)
   if (!channels.ok) return Err(channels.val)
   try {
--- a/packages/ctl/src/documents-directory.ts
+++ b/packages/ctl/src/documents-directory.ts
@@ -1,5 +1,5 @@
 /**
- * The folder in which an operator keeps the documents: one file for each, and the version that they were made from.
+ * The operator's folder of documents: one file for each, and the version that they are based on.
  */
 import { mkdir, readFile, stat, writeFile } from 'node:fs/promises'
 import { join } from 'node:path'
@@ -8,7 +8,7 @@
 import { documentNames } from '@egretyoke/config'
 import type { DocumentText, DocumentTexts } from '@egretyoke/config'
 
-/** File that holds the version which the folder's documents were made from. */
+/** File with the version that the folder's documents are based on. */
 export const baseVersionFile = '.base-version'
 
 const readDocument = async (file: string): Promise<Result<DocumentText, Finding>> => {
@@ -22,7 +22,7 @@
   }
 }
 
-/** Reads `NAME.jsonc` for every document. The error names every file that cannot be read. */
+/** Reads `NAME.jsonc` for every document. The error lists every file that cannot be read. */
 export const readDirectory = async (directory: string): Promise<Result<DocumentTexts, Finding[]>> => {
   const texts = {} as DocumentTexts
   const findings: Finding[] = []
@@ -34,7 +34,7 @@
   return findings.length > 0 ? Err(findings) : Ok(texts)
 }
 
-/** Version that the folder's documents were made from; undefined when it does not say. */
+/** Reads the version that the folder's documents are based on; undefined when the folder does not record it. */
 export const readBaseVersion = async (directory: string): Promise<number | undefined> => {
   try {
     const text = (await readFile(join(directory, baseVersionFile), 'utf8')).trim()
@@ -44,7 +44,7 @@
   }
 }
 
-/** Notes the version that the folder's documents belong to now. Returns why that failed. */
+/** Writes the version that the folder's documents are now based on. Returns the error message when that fails. */
 export const writeBaseVersion = async (directory: string, version: number): Promise<string | undefined> => {
   try {
     await writeFile(join(directory, baseVersionFile), `${version}\n`)
@@ -53,7 +53,7 @@
   }
 }
 
-/** Writes all documents and their version into a folder, which is created. Throws when a file cannot be written. */
+/** Creates the folder and writes all documents and their version to it. Throws when a file cannot be written. */
 export const writeDirectory = async (directory: string, texts: DocumentTexts, version: number): Promise<void> => {
   await mkdir(directory, { recursive: true })
   for (const name of documentNames) await writeFile(join(directory, `${name}.jsonc`), texts[name].text)
--- a/packages/ctl/src/edit-documents.ts
+++ b/packages/ctl/src/edit-documents.ts
@@ -1,6 +1,6 @@
 /**
- * Small edits of the documents in force that keep the operators' comments. When another change comes first, the edit
- * is made again on top of it, but only if that change has left this edit's part alone.
+ * Edits of single values in the documents in force; they preserve the operators' comments. When another change is
+ * accepted first, the edit is retried on top of it, but only if that change has not modified the same value.
  */
 import { isDeepStrictEqual } from 'node:util'
 import { applyEdits, findNodeAtLocation, getNodeValue, modify, parseTree } from 'jsonc-parser'
@@ -14,16 +14,16 @@
 import { readErrorReport } from './report.js'
 import type { Report } from './report.js'
 
-/** Most times that an edit is made again because another change came first. */
+/** Maximum number of retries of an edit after conflicts with other changes. */
 const maxEditRetries = 32
 
 const maxRetryPauseMs = 50
 
-/** Sets the value at a path of a text and leaves the rest as it is. */
+/** Sets the value at a path of a text and leaves the rest unchanged. */
 export const setValue = (text: string, path: DocumentPath, value: unknown): string =>
   applyEdits(text, modify(text, path, value, { formattingOptions: { insertSpaces: true, tabSize: 2, eol: '\n' } }))
 
-/** Reads the value at a path; undefined when there is none. */
+/** Returns the value at a path; undefined when there is none. */
 export const getValue = (text: string, path: DocumentPath): unknown => {
   const root = parseTree(text, [], { allowTrailingComma: true })
   const node = root && findNodeAtLocation(root, path)
@@ -35,11 +35,11 @@
   document: DocumentName
   path: DocumentPath
   value: unknown
-  /** Looks at the text in force; a report ends the command without a change. */
+  /** Validates the edit against the text in force; when it returns a report, the command ends without a change. */
   check: (text: string) => Report | undefined
 }
 
-/** Makes an edit with compare-and-swap, in front of operators who change other things at the same time. */
+/** Applies an edit by compare-and-swap, and retries it after concurrent changes of other values. */
 export const editDocument = async (context: Context, edit: ValueEdit): Promise<Report> => {
   const { platform, times, log } = context
   let ownPart: { value: unknown } | undefined
--- a/packages/ctl/src/events.ts
+++ b/packages/ctl/src/events.ts
@@ -1,5 +1,5 @@
 /**
- * Numbered events of egretyokectl.
+ * Log events of egretyokectl.
  */
 import type { EventDefinition } from '@egretyoke/common'
 
@@ -13,16 +13,16 @@
   changeSettled: {
     id: 3002,
     name: 'changeSettled',
-    meaning: 'The outcome of a configuration change is known, or the time to ask for it is over.'
+    meaning: 'The outcome of a configuration change is known, or its timeout has expired.'
   },
   changeRetried: {
     id: 3003,
     name: 'changeRetried',
-    meaning: 'Another change came first but left the part of this one alone; it is made again on top of the other.'
+    meaning: 'Another change was accepted first but did not modify the same value; this change is retried on top of it.'
   },
   vmAsked: {
     id: 3004,
     name: 'vmAsked',
-    meaning: 'A VM was asked for the configuration version that it has in force.'
+    meaning: 'The configuration version in force on a VM was requested.'
   }
 } satisfies Record<string, EventDefinition>
--- a/packages/ctl/src/in-force-report.ts
+++ b/packages/ctl/src/in-force-report.ts
@@ -1,5 +1,5 @@
 /**
- * Waits until an accepted change is in force on every live VM, and names those on which it is not.
+ * Waits until an accepted change is in force on every live VM, and reports the VMs on which it is not.
  */
 import { exitCodes } from '@egretyoke/common'
 import type { Context } from './context.js'
@@ -10,7 +10,7 @@
 const missingLine = (vm: VmState): string =>
   `not in force on ${vm.name}: ${vm.state ? `version ${vm.state.configVersion}` : 'no answer'}`
 
-/** Extends a change's report by what the VMs say. Reports of changes that were not accepted stay as they are. */
+/** Adds the versions of the VMs to a change's report. Reports of changes that were not accepted stay unchanged. */
 export const inForceReport = async (context: Context, report: Report): Promise<Report> => {
   const { outcome, version } = report.data
   if (outcome !== 'accepted' || typeof version !== 'number') return report
@@ -21,6 +21,6 @@
   if (listed && missing.length === 0) {
     return { ...report, data, lines: [...report.lines, `in force on ${vms.length} VMs`] }
   }
-  const reasons = listed ? missing.map(missingLine) : ['the platform does not list the VMs']
+  const reasons = listed ? missing.map(missingLine) : ['the list of VMs cannot be read from the platform']
   return { exitCode: exitCodes.unavailable, data, lines: [...report.lines, ...reasons] }
 }
--- a/packages/ctl/src/program.test.ts
+++ b/packages/ctl/src/program.test.ts
@@ -1,5 +1,5 @@
 /**
- * The command line against the platform's stand-in: outcomes, exit codes, and what is written where.
+ * The command line against a stand-in platform: outcomes, exit codes, and the output on each stream.
  */
 import { cpSync, mkdtempSync, readdirSync, readFileSync, rmSync, writeFileSync } from 'node:fs'
 import { tmpdir } from 'node:os'
@@ -52,7 +52,7 @@
   return { standin, ctl, json }
 }
 
-test('validate reports every finding with its place and changes nothing', async t => {
+test('validate reports every finding with its file, line and column, and changes nothing', async t => {
   const directory = copyOf(t, 'arenal')
   t.is((await run('validate', directory)).exitCode, exitCodes.ok)
   replaceIn(directory, 'profiles', '"timeoutMs": 5000', '"timeoutMs": "soon"')
@@ -66,7 +66,7 @@
   t.is(JSON.parse(asJson.out).findings.length, 3)
 })
 
-test('a folder without documents is a finding for each', async t => {
+test('validate reports a finding for each missing document', async t => {
   const { exitCode, err } = await run('validate', join(examples, 'none'))
   t.is(exitCode, exitCodes.badSettings)
   t.is(err.trim().split('\n').length, 4)
@@ -88,7 +88,7 @@
   t.regex((await run('--version')).out, /^\d+\.\d+\.\d+\n$/)
 })
 
-test('apply, get and diff agree; a dry run changes nothing', async t => {
+test('apply, get and diff are consistent; a dry run changes nothing', async t => {
   const { standin, ctl, json } = await start(t)
   const directory = copyOf(t, 'arenal')
   t.is((await ctl('get')).exitCode, exitCodes.unavailable)
@@ -112,7 +112,7 @@
   t.is((await ctl('get', 'profiles')).out, readFileSync(join(directory, 'profiles.jsonc'), 'utf8'))
 })
 
-test('an invalid document keeps all others from being applied', async t => {
+test('no document is applied when one is invalid', async t => {
   const { standin, ctl } = await start(t)
   const directory = copyOf(t, 'arenal')
   replaceIn(directory, 'groups', '"dataCentre": "ferrol-dock"', '"dataCentre": "ferrol"')
@@ -122,7 +122,7 @@
   t.is((await standin.stats()).writes, 0)
 })
 
-test('a racing change is a conflict that shows both sides, and nothing is overwritten', async t => {
+test('a concurrent change is a conflict that shows both versions, and nothing is overwritten', async t => {
   const { standin, ctl, json } = await start(t)
   const mine = copyOf(t, 'arenal')
   await ctl('apply', mine)
@@ -144,7 +144,7 @@
   t.is((await ctl('apply', mine)).exitCode, exitCodes.badUsage)
 })
 
-test('a key is shown once and stored hashed only', async t => {
+test('a key is shown once, and only its hash is stored', async t => {
   const { standin, ctl, json } = await start(t)
   const directory = copyOf(t, 'arenal')
   await ctl('apply', directory)
@@ -159,7 +159,7 @@
   t.false(entries.some(entry => entry.value.includes(secret) || entry.value.includes(Buffer.from(secret, 'base64url'))))
   const { out } = await ctl('get', 'workspaces')
   t.false(out.includes(secret))
-  t.true(out.includes('// Two skippers and their cousin.'), 'comments are kept')
+  t.true(out.includes('// Two skippers and their cousin.'), 'comments are preserved')
 
   t.is((await ctl('key', 'create', 'puerto-tablon', 'ulloa-1')).exitCode, exitCodes.conflict)
   t.is((await ctl('key', 'create', 'nobody', 'one')).exitCode, exitCodes.badUsage)
@@ -170,11 +170,11 @@
   t.like(await json('key', 'withdraw', 'hermanos-ulloa', 'ulloa-1'), { data: { changed: false } })
   const now = (await readConfiguration(standin.platform, 1000)).unwrap().workspaces['hermanos-ulloa'].keys['ulloa-1']
   t.false(isKeyValid(parseKey(key)!, now))
-  t.is((await ctl('key', 'create', 'hermanos-ulloa', 'ulloa-1')).exitCode, exitCodes.conflict, 'ids are not used again')
+  t.is((await ctl('key', 'create', 'hermanos-ulloa', 'ulloa-1')).exitCode, exitCodes.conflict, 'ids are not reused')
   t.is((await ctl('key', 'withdraw', 'hermanos-ulloa', 'other')).exitCode, exitCodes.badUsage)
 })
 
-test('racing key creations and data-centre changes all land', async t => {
+test('concurrent key creations and data-centre changes are all accepted', async t => {
   const { standin, ctl } = await start(t)
   await ctl('apply', copyOf(t, 'modhafen'))
   await standin.setFault({ loseSwapAnswers: 0.2 })
@@ -191,7 +191,7 @@
   t.is(version, 6)
 })
 
-test('a data centre goes out and in; the last one stays', async t => {
+test('a data centre is taken out and put back; the last one cannot be taken out', async t => {
   const { standin, ctl, json } = await start(t)
   await ctl('apply', copyOf(t, 'arenal'))
   t.is((await ctl('data-centre', 'out', 'gijon')).exitCode, exitCodes.badUsage)
@@ -206,7 +206,7 @@
   t.deepEqual(Object.values(dataCentres).map(({ state }) => state), ['out', 'in', 'in'])
 })
 
-test('a change is unsettled when the platform falls silent after its swap, and settle tells the outcome', async t => {
+test('a change is unsettled when the platform stops answering after its swap; settle reports the outcome', async t => {
   const { standin, ctl, json } = await start(t)
   const { platform, address, setFault } = standin
   const directory = copyOf(t, 'arenal')
@@ -232,7 +232,7 @@
   t.is((await ctl('settle', 'nonsense')).exitCode, exitCodes.badUsage)
 })
 
-test('while the platform is down nothing is changed and the exit code says so', async t => {
+test('while the platform is down commands exit with unavailable', async t => {
   const { standin, ctl } = await start(t)
   const directory = copyOf(t, 'arenal')
   await standin.setFault({ down: true })
@@ -259,7 +259,7 @@
   return { address: listener.address, asked }
 }
 
-test('apply --wait names the VMs that do not have the version, and status shows them', async t => {
+test('apply --wait and status report the VMs that do not have the version', async t => {
   const { standin, ctl, json } = await start(t)
   const versions = { one: 0, two: 0 }
   const one = await startVm(t, () => ({ vm: 'one', configVersion: versions.one, confirmedAgeMs: 12 }))
@@ -275,7 +275,7 @@
   const waiting = await json('apply', directory, '--wait')
   t.is(waiting.exitCode, exitCodes.unavailable)
   t.like(waiting.data, { outcome: 'accepted', version: 1, missing: ['two'] })
-  t.deepEqual([...new Set([...one.asked, ...two.asked])], [''], 'an observer has no name')
+  t.deepEqual([...new Set([...one.asked, ...two.asked])], [''], 'an observer sends an empty name')
 
   const behind = await json('status')
   t.is(behind.exitCode, exitCodes.unavailable)
@@ -298,7 +298,7 @@
   t.regex(well.out, /one \(aviles-yard\): version 4, platform confirmed 12 ms ago/)
 })
 
-test('damaged settings of TLS are findings', async t => {
+test('invalid TLS settings are reported as findings', async t => {
   const directory = copyOf(t, 'arenal')
   const file = join(directory, 'channels.jsonc')
   writeFileSync(file, '{ "tls": { "certificateFile": 1 } }')
--- a/packages/ctl/src/program.ts
+++ b/packages/ctl/src/program.ts
@@ -18,13 +18,13 @@
 import { inForceReport } from './in-force-report.js'
 import type { Report } from './report.js'
 
-/** Where a run writes. Reports go to `out` when the command succeeded, else to `err`; with `--json` to `out` always. */
+/** Output streams. A report goes to `out` when the command succeeded, else to `err`; with `--json` always to `out`. */
 export type Output = {
   out: (text: string) => void
   err: (text: string) => void
 }
 
-/** Options of a run beside its arguments. */
+/** Options of `runCtl`. */
 export type RunOptions = {
   output: Output
   /** Ends `status --watch`. */
@@ -34,10 +34,10 @@
 const exitCodeText = `
 Exit codes:
   0   done
-  2   wrong usage, or nothing was found; nothing was changed
+  2   wrong usage, or nothing found; nothing was changed
   3   findings in the documents or settings, each with file:line:column; nothing was changed
-  4   conflict: another change came first, both sides are shown; nothing was changed
-  5   the platform or a VM does not answer, or a change's outcome is not known; the text says which
+  4   conflict: another change was accepted first, both versions are shown; nothing was changed
+  5   the platform or a VM does not answer, or the outcome of a change is unknown; the message says which
   70  internal error`
 
 const parseCount = (text: string): number => {
@@ -65,17 +65,17 @@
 
 const addOptions = (program: Command): Command => program
   .addOption(new Option('--platform <address>', 'HOST:PORT of the platform').env('EGRETYOKE_PLATFORM'))
-  .addOption(new Option('--channels <file>', 'settings of TLS, JSON with comments').env('EGRETYOKE_CHANNELS'))
-  .option('--timeout-ms <ms>', 'time of each call to the platform', parseCount, 2000)
-  .option('--wait-ms <ms>', 'how long to go on while the platform or a VM does not answer', parseCount, 30_000)
+  .addOption(new Option('--channels <file>', 'file with TLS settings, JSON with comments').env('EGRETYOKE_CHANNELS'))
+  .option('--timeout-ms <ms>', 'timeout of each call to the platform', parseCount, 2000)
+  .option('--wait-ms <ms>', 'how long to retry while the platform or a VM does not answer', parseCount, 30_000)
   .option('--json', 'write one line of JSON')
 
-/** Runs one command line, without the program's name. Returns the exit code. */
+/** Runs one command line, given without the program's name. Returns the exit code. */
 export const runCtl = async (args: string[], { output, signal }: RunOptions): Promise<number> => {
   const log = createLogger('ctl')
   let exitCode: number = exitCodes.ok
   const program = addOptions(new Command('egretyokectl'))
-    .description('Reads and changes the operators\' configuration of egretyoke.')
+    .description('Shows and changes the configuration of an egretyoke fleet.')
     .version(programVersion)
     .addHelpText('after', exitCodeText)
     .exitOverride()
@@ -105,25 +105,25 @@
   const addCommand = (parent: Command, usage: string, description: string) =>
     parent.command(usage).description(description).addHelpText('after', exitCodeText)
 
-  addCommand(program, 'validate <dir>', 'check a folder of documents without asking the platform')
+  addCommand(program, 'validate <dir>', 'check the documents of a folder without calling the platform')
     .action(directory => finish(validate(directory)))
-  addCommand(program, 'explain <request> <files...>', 'tell from log files what became of a request, and why')
+  addCommand(program, 'explain <request> <files...>', 'report the outcome of a request and its cause from log files')
     .action((request, files) => finish(explain(request, files)))
-  addCommand(program, 'diff <dir>', 'compare a folder with the documents in force')
+  addCommand(program, 'diff <dir>', 'compare the documents of a folder with those in force')
     .action(directory => withPlatform(context => diff(context, directory)))
-  addCommand(program, 'apply <dir>', 'make a folder the configuration in force')
-    .option('--dry-run', 'show what would change; change nothing')
-    .option('--base <version>', 'version that the documents were made from', parseCount)
+  addCommand(program, 'apply <dir>', 'replace the configuration in force with the documents of a folder')
+    .option('--dry-run', 'show the differences without applying them')
+    .option('--base <version>', 'version that the documents are based on', parseCount)
     .addOption(waitOption())
     .action((directory, options: ApplyOptions & WaitOption) => withChange(options, context =>
       apply(context, directory, options)))
   addCommand(program, 'get [name]', 'show the documents in force')
-    .option('--out <dir>', 'write them and their version into a folder')
+    .option('--out <dir>', 'write them and their version to a folder')
     .action((name, options) => withPlatform(context => get(context, name, options.out)))
-  addCommand(program, 'settle <change-id>', 'tell what became of a change whose outcome was not known')
+  addCommand(program, 'settle <change-id>', 'determine the outcome of a change that was unsettled')
     .action(changeId => withPlatform(context => settle(context, changeId)))
   addCommand(program, 'status', 'show the version in force, data centres, groups and VMs')
-    .option('--watch', 'show it again every two seconds')
+    .option('--watch', 'repeat every two seconds')
     .action(options => withPlatform(context => options.watch ? watchStatus(context, signal) : status(context)))
 
   const key = addCommand(program, 'key', 'create and withdraw keys of workspaces')
@@ -131,15 +131,15 @@
     .addOption(waitOption())
     .action((workspace, keyId, options) => withChange(options, context =>
       createWorkspaceKey(context, workspace, keyId)))
-  addCommand(key, 'withdraw <workspace> <key-id>', 'withdraw a key; its id is not used again')
+  addCommand(key, 'withdraw <workspace> <key-id>', 'withdraw a key; its id is not reused')
     .addOption(waitOption())
     .action((workspace, keyId, options) => withChange(options, context =>
       withdrawWorkspaceKey(context, workspace, keyId)))
-  const dataCentre = addCommand(program, 'data-centre', 'take data centres out and in')
-  addCommand(dataCentre, 'out <name>', 'end new work in a data centre')
+  const dataCentre = addCommand(program, 'data-centre', 'take data centres out of service and put them back')
+  addCommand(dataCentre, 'out <name>', 'take a data centre out of service: it gets no new work')
     .addOption(waitOption())
     .action((name, options) => withChange(options, context => setDataCentre(context, name, 'out')))
-  addCommand(dataCentre, 'in <name>', 'let a data centre work again')
+  addCommand(dataCentre, 'in <name>', 'put a data centre back into service')
     .addOption(waitOption())
     .action((name, options) => withChange(options, context => setDataCentre(context, name, 'in')))
 
--- a/packages/ctl/src/racing-operators.test.ts
+++ b/packages/ctl/src/racing-operators.test.ts
@@ -1,5 +1,5 @@
 /**
- * Operators who change the configuration at the same time, while the platform loses answers.
+ * Operators who change the configuration concurrently, while the platform loses replies.
  */
 import test from 'ava'
 import { Err, sleepMs, typedError } from '@egretyoke/common'
@@ -33,7 +33,7 @@
   while (accepted < changesPerOperator) {
     const baseVersion = (await readHead(platform, 1000)).unwrap().head.version
     const changeId = createChangeId(baseVersion)
-    // Rates come back now and then, so that documents are used again that were superseded before.
+    // Rates repeat, so that changes return to documents that were superseded earlier.
     const documents = textsWithRate(1 + (accepted * operators.length + operatorIndex) % 20)
     const outcome = await applyDocuments(platform, { baseVersion, documents, changeId }, times)
     made.push({ changeId, baseVersion, outcome })
@@ -43,7 +43,7 @@
 }
 
 for (const seed of [1, 2, 3]) {
-  test(`racing operators with lost answers lose no accepted change, seed ${seed}`, async t => {
+  test(`no accepted change of concurrent operators is lost when replies are lost, seed ${seed}`, async t => {
     const standin = await startTestPlatform(seed)
     t.teardown(standin.close)
     const { platform } = standin
@@ -65,10 +65,10 @@
     const changed = attempts.flatMap(({ outcome }) =>
       outcome.kind === 'accepted' && outcome.changed ? [outcome.version] : [])
     const versions = changed.toSorted((left, right) => left - right)
-    t.deepEqual(versions, versions.map((_version, index) => index + 1), 'each version belongs to one accepted change')
+    t.deepEqual(versions, versions.map((_version, index) => index + 1), 'each version comes from one accepted change')
     const { head } = (await readHead(platform, 1000)).unwrap()
     t.is(head.version, versions.length)
-    t.deepEqual(seen, seen.toSorted((left, right) => left - right), 'versions only rise for a reader')
+    t.deepEqual(seen, seen.toSorted((left, right) => left - right), 'a reader sees versions only increase')
     t.true(attempts.some(({ outcome }) => outcome.kind === 'conflict'))
     for (const { outcome, changeId, baseVersion } of attempts) {
       t.true(['accepted', 'conflict'].includes(outcome.kind), outcome.kind)
@@ -82,7 +82,7 @@
   })
 }
 
-/** A platform on which swaps of the head take effect, but their answers are lost, until `answers` is set. */
+/** A platform on which swaps of the head take effect but their replies are lost, until `answers` is set. */
 const losingHeadAnswers = (platform: Platform) => {
   const state = { answers: false, lost: 0 }
   const compareAndSwap: Platform['compareAndSwap'] = async (swap, timeoutMs) => {
@@ -103,7 +103,7 @@
   while ((await readHead(platform, 1000)).unwrap().head.version < version) await sleepMs(5)
 }
 
-test('a change whose lost swap landed is accepted although another came on top', async t => {
+test('a change whose swap took effect without a reply is accepted although another change followed it', async t => {
   const standin = await startTestPlatform()
   t.teardown(standin.close)
   const { platform } = standin
@@ -119,7 +119,7 @@
   t.deepEqual(await settleChange(platform, first), { kind: 'accepted', version: 1 })
 })
 
-test('a silent platform leaves a change unsettled, and it is settled later', async t => {
+test('a change is unsettled when the platform stops answering, and is settled later', async t => {
   const standin = await startTestPlatform()
   t.teardown(standin.close)
   const { platform } = standin
@@ -131,7 +131,7 @@
   t.deepEqual(await settleChange(platform, changeId), { kind: 'accepted', version: 1 })
 })
 
-test('a change whose time is over before its swap is not accepted and not called unsettled', async t => {
+test('a change that times out before its swap is unavailable, not unsettled', async t => {
   const standin = await startTestPlatform()
   t.teardown(standin.close)
   const { platform } = standin
@@ -141,7 +141,7 @@
     compareAndSwap: async (swap, timeoutMs) => {
       t.not(swap.key, storeKeys.head)
       const outcome = await platform.compareAndSwap(swap, 1000)
-      // The last document takes all the time that is left.
+      // Storing the last document uses up the remaining time.
       if (swap.key === lastDocument) await sleepMs(timeoutMs)
       return outcome
     }
@@ -153,7 +153,7 @@
   t.is((await readHead(platform, 1000)).unwrap().head.version, 0)
 })
 
-test('while the platform is down from the start a change is not accepted', async t => {
+test('a change is not accepted when the platform is down from the start', async t => {
   const standin = await startTestPlatform()
   t.teardown(standin.close)
   await standin.setFault({ down: true })
@@ -165,7 +165,7 @@
   t.deepEqual(await settleChange(standin.platform, changeId), { kind: 'open', headVersion: 0 })
 })
 
-test('a document that a change under way has stored again is not deleted', async t => {
+test('a document that a change in progress uses again is not deleted', async t => {
   const standin = await startTestPlatform()
   t.teardown(standin.close)
   const { platform } = standin
@@ -173,14 +173,14 @@
     { baseVersion, documents: textsWithRate(ratePerSec), changeId: createChangeId(baseVersion) }, times)
   for (let version = 0; version < 12; version++) await applyRate(platform, version + 1, version)
 
-  // The next change returns to the documents of version 1, which are due to be deleted.
+  // The next change uses the documents of version 1 again, which are due for deletion.
   const reused = documentHash(textsWithRate(1).workspaces.text)
   const stored = (await readHead(platform, 1000)).unwrap()
   const losing: Platform = {
     ...platform,
     compareAndSwap: async (swap, timeoutMs) => {
       if (swap.key !== storeKeys.head) return platform.compareAndSwap(swap, timeoutMs)
-      t.deepEqual(await collectDocuments(platform, [reused], stored, 1000), [], 'another operator collects')
+      t.deepEqual(await collectDocuments(platform, [reused], stored, 1000), [], 'concurrent collection deletes nothing')
       return platform.compareAndSwap(swap, timeoutMs)
     }
   }
@@ -188,7 +188,7 @@
   t.is((await readConfiguration(platform, 1000)).unwrap().workspaces.yard.ratePerSec, 1)
 })
 
-test('the store stays bounded over many changes', async t => {
+test('the number of stored documents stays bounded over many changes', async t => {
   const standin = await startTestPlatform()
   t.teardown(standin.close)
   const { platform } = standin
--- a/packages/ctl/src/request-story.test.ts
+++ b/packages/ctl/src/request-story.test.ts
@@ -1,5 +1,5 @@
 /**
- * `explain`: the story of a request from the lines of several processes.
+ * `explain`: the timeline of a request from the log lines of several processes.
  */
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
 import { tmpdir } from 'node:os'
@@ -31,7 +31,7 @@
   line(8600, 'vm-3', 'primaryChangeBegun', { group: 'g9', reason: 'failed' })
 ]
 
-test('own lines come with what the processes and the subjects of the request went through', t => {
+test('the timeline holds lines of the request and state changes of its VMs, databases and groups', t => {
   const { lines, unreadable } = readLogLines([taker.join('\n'), holder.join('\n')])
   const story = requestStory(lines, 'r1')
   t.is(unreadable, 1)
@@ -42,7 +42,7 @@
   t.regex(story.cause, /in force/)
 })
 
-test('lines of one kind are shown a few times and counted', t => {
+test('lines of one kind are shown up to a limit; the rest are counted', t => {
   const many = Array.from({ length: 9 }, (_, index) => line(8000 + index, 'vm-2', 'peerLost', { address: 'a' }))
   const { lines } = readLogLines([taker.join('\n'), many.join('\n')])
   const story = requestStory(lines, 'r1')
@@ -50,7 +50,7 @@
   t.is(story.leftOut, 5)
 })
 
-test('the command reads files and says when it finds nothing', async t => {
+test('explain reports a missing request and an unreadable file', async t => {
   const folder = mkdtempSync(join(tmpdir(), 'egretyoke-explain-'))
   t.teardown(() => rmSync(folder, { recursive: true }))
   const file = join(folder, 'vm-1.log')
--- a/packages/ctl/src/request-story.ts
+++ b/packages/ctl/src/request-story.ts
@@ -1,24 +1,24 @@
 /**
- * The story of one request, gathered from the log lines of many processes: its own lines in order of time, and around
- * them what the processes that took part learned, lost or decided meanwhile.
+ * The timeline of one request, from the log lines of several processes: the lines of the request in order of time, and
+ * state changes of the processes involved at that time.
  */
 import { z } from 'zod'
 
 const lineSchema = z.looseObject({ time: z.string(), vm: z.string(), event: z.number(), name: z.string() })
 
-/** A line that a process of the platform wrote. */
+/** A log line of an egretyoke process. */
 export type LogLine = z.infer<typeof lineSchema> & { timeMs: number }
 
-/** The story; `cause` says in words what the last own line names as the reason. */
+/** Timeline of a request: its own lines, related lines, and the reason of its last line as a sentence (`cause`). */
 export type RequestStory = { own: LogLine[], around: LogLine[], leftOut: number, cause: string }
 
-/** How long before the first own line something may have happened that still decides. */
+/** Time before the first line of the request in which a state change may have affected it. */
 const beforeMs = 4000
 const afterMs = 500
-/** Lines of one kind of one VM that are shown around the request. */
+/** Maximum number of related lines that are shown for one event of one VM. */
 const maxAlike = 4
 
-/** Events that change what a process believes or may do. */
+/** Events that change a process's state or permissions. */
 const beliefs: ReadonlySet<string> = new Set([
   'gatewayStarted', 'gatewayReady', 'gatewayDraining', 'storeLost', 'storeRegained', 'storeSourceChanged',
   'historyMissed', 'configurationInForce', 'configurationUnreadable', 'databaseKnown', 'evacuationKnown',
@@ -28,24 +28,24 @@
   'programStarted', 'programStopping', 'platformSilent', 'platformRefused', 'taskFailed'
 ])
 
-/** Fields that say what a line is about. */
+/** Fields that name the subject of a line. */
 const subjects = ['database', 'group', 'workspace'] as const
 
 const causeByReason: Readonly<Record<string, string>> = {
-  busy: 'too many statements waited at the database',
-  queuedTooLong: 'it waited for a slot of the database for as long as its route allows',
-  lagging: 'the replica lacked a position that the read must see',
-  readOnly: 'the database does not lead its group',
-  moved: 'the primary was not surely in force here: contact, lease or group record had changed',
-  unreachable: 'no connection to the database came about',
+  busy: 'too many statements were queued at the database',
+  queuedTooLong: 'it was queued at the database for as long as its route allows',
+  lagging: 'the replica had not reached the log position that the read requires',
+  readOnly: 'the database is not the primary of its group',
+  moved: 'the primary was not confirmed to be in force here: contact, lease or group record had changed',
+  unreachable: 'no connection to the database could be opened',
   transactionGone: 'the transaction had ended on its connection',
-  failed: 'the database reports a failure',
-  silent: 'the database did not answer in the time of the route',
-  holderSilent: 'the way to the gateway that holds the connections was lost',
-  answerLost: 'the answer was lost, and the statement must not run in a second transaction',
+  failed: 'the database reported an error',
+  silent: 'the database did not answer within the timeout of the route',
+  holderSilent: 'the link to the gateway that holds the connections was lost',
+  answerLost: 'the reply was lost, and the statement must not be retried in a second transaction',
   keyUnknown: 'the key was not in the configuration in force',
-  noSuchDatabase: 'no route in the configuration in force has the name',
-  refused: 'the gateway had no sufficient contact with the store'
+  noSuchDatabase: 'no route in the configuration in force has this name',
+  refused: 'the gateway had not been in contact with the store recently enough'
 }
 
 const parseLine = (text: string): LogLine | undefined => {
@@ -61,7 +61,7 @@
   }
 }
 
-/** Reads the lines of log files; `unreadable` counts those that are none of the program's. */
+/** Parses the lines of log files; `unreadable` counts the lines that are not log lines of egretyoke. */
 export const readLogLines = (texts: readonly string[]): { lines: LogLine[], unreadable: number } => {
   const raw = texts.flatMap(text => text.split('\n')).filter(line => line.trim() !== '')
   const lines = raw.flatMap(line => parseLine(line) ?? [])
@@ -71,12 +71,12 @@
 const causeOf = (own: readonly LogLine[]): string => {
   const last = own.at(-1)
   if (last === undefined) return ''
-  if (last.name === 'limitRefused') return `the workspace ${last.workspace} had used up its limit`
-  if (last.status === 'DONE') return 'it was done'
+  if (last.name === 'limitRefused') return `the workspace ${last.workspace} had exhausted its limit`
+  if (last.status === 'DONE') return 'the request succeeded'
   return causeByReason[String(last.reason)] ?? `reason ${last.reason}`
 }
 
-/** Gathers the story of a request; without own lines it is empty. */
+/** Builds the timeline of a request; it is empty when no line belongs to the request. */
 export const requestStory = (lines: readonly LogLine[], request: string): RequestStory => {
   const sorted = [...lines].sort((one, other) => one.timeMs - other.timeMs)
   const own = sorted.filter(line => line.request === request)
--- a/packages/ctl/src/test-platform.ts
+++ b/packages/ctl/src/test-platform.ts
@@ -1,5 +1,5 @@
 /**
- * The platform's stand-in in this process, with its faults, for tests.
+ * A stand-in platform with fault injection, in the test process.
  */
 import { connectPlatform } from '@egretyoke/fleet'
 import type { Platform } from '@egretyoke/fleet'
@@ -9,7 +9,7 @@
 
 const controlTimeoutMs = 5000
 
-/** A stand-in platform and a client of it. */
+/** A stand-in platform, its client and its control. */
 export type TestPlatform = {
   address: string
   platform: Platform
--- a/packages/ctl/src/text-diff.ts
+++ b/packages/ctl/src/text-diff.ts
@@ -1,11 +1,11 @@
 /**
- * Differences between two texts, line by line.
+ * Line-by-line differences between two texts.
  */
 
-/** One line that stands in one of the texts only. Line numbers count from 1, each in its own text. */
+/** A line that is in only one of the texts, with its line number in that text, from 1. */
 export type LineChange = { side: 'old' | 'new', line: number, text: string }
 
-/** Most lines, after equal ones at both ends are left out, that are compared one by one. */
+/** Maximum number of lines that are compared one by one, without the equal lines at both ends. */
 export const maxComparedLines = 2000
 
 const allOf = (side: LineChange['side'], lines: string[], firstLine: number): LineChange[] =>
@@ -46,7 +46,7 @@
   return count
 }
 
-/** All lines that differ, in order. Texts that differ over very many lines are shown one after the other. */
+/** All lines that differ, in order. Above `maxComparedLines`, all old lines are followed by all new lines. */
 export const diffTexts = (oldText: string, newText: string): LineChange[] => {
   const left = oldText.split('\n')
   const right = newText.split('\n')
--- a/packages/ctl/src/vm-versions.ts
+++ b/packages/ctl/src/vm-versions.ts
@@ -1,5 +1,5 @@
 /**
- * Asks the entry VMs which configuration version they have in force.
+ * Queries the entry VMs for the configuration version that they have in force.
  */
 import { ticks } from '@egretyoke/common'
 import type { Logger } from '@egretyoke/common'
@@ -8,15 +8,15 @@
 import type { ChannelSettings, PeerMessages } from '@egretyoke/protocol'
 import { events } from './events.js'
 
-/** Most VMs that are asked at the same time. */
+/** Maximum number of VMs that are queried concurrently. */
 const maxVmsAtOnce = 64
 
 const askTimeoutMs = 1000
 const askIntervalMs = 250
-/** The platform's list is read again every so many rounds. */
+/** Number of polling rounds after which the list of VMs is read again. */
 const roundsPerListing = 8
 
-/** An entry VM and what it says; `state` is undefined when it does not answer. */
+/** An entry VM and its heartbeat reply; `state` is undefined when it does not answer. */
 export type VmState = {
   name: string
   address: string
@@ -25,7 +25,7 @@
   state: PeerMessages.HeartbeatMessage__Output | undefined
 }
 
-/** A sender without a name is an observer, which VMs do not remember. */
+/** An empty name marks the sender as an observer, for which VMs keep no state. */
 const observerHeartbeat: PeerMessages.HeartbeatMessage = { vm: '', starting: true }
 
 const askVm = async (vm: VmListing, channels: ChannelSettings, log: Logger): Promise<VmState> => {
@@ -42,7 +42,7 @@
   return { name, address, dataCentre, leaving, state: reply.ok ? reply.val : undefined }
 }
 
-/** Asks all entry VMs of a list. */
+/** Queries all entry VMs of a list. */
 export const askVms = async (vms: VmListing[], channels: ChannelSettings, log: Logger): Promise<VmState[]> => {
   const entries = vms.filter(vm => vm.role === 'ENTRY')
   const states: VmState[] = []
@@ -53,16 +53,16 @@
   return states
 }
 
-/** True when the VM has the version, or a later one, in force. A leaving VM that is silent does not count. */
+/** True when the VM has the version, or a later one, in force, and for a leaving VM that does not answer. */
 export const hasVersion = (vm: VmState, version: number): boolean => {
   if (!vm.state) return vm.leaving
   return !vm.state.starting && vm.state.configVersion >= version
 }
 
-/** VMs at the end of waiting; `missing` have not reported the version, `listed` is false when no list was read. */
+/** VMs after the wait; `missing` have not reported the version, `listed` is false when the list could not be read. */
 export type WaitOutcome = { listed: boolean, vms: VmState[], missing: VmState[] }
 
-/** Asks until every live VM has the version in force, or `waitMs` are over. */
+/** Polls until every live VM has the version in force, or `waitMs` have passed. */
 export const waitForVersion = async (
   target: { platform: Platform, channels: ChannelSettings, log: Logger, callTimeoutMs: number },
   version: number,
--- a/packages/ctl/src/whole-path.test.ts
+++ b/packages/ctl/src/whole-path.test.ts
@@ -1,6 +1,6 @@
 /**
- * Operators and callers on a whole fleet of separate processes: what the command line reports as in force is what
- * callers meet.
+ * Operators and callers on a fleet of separate processes: a change that the command line reports as in force applies to
+ * all callers.
  */
 import test from 'ava'
 import type { ExecutionContext } from 'ava'
@@ -12,7 +12,7 @@
 
 const reads = { access: 'read' as const }
 
-/** Replicas that lag show whether a session's token holds all its writes. */
+/** A read from a lagging replica misses writes that the session's token does not cover. */
 const replicationLagMs = 500
 const maxReads = 200
 
@@ -36,7 +36,7 @@
 
 const resultOf = (outcome: Outcome): string => outcome.kind === 'done' ? outcome.result.toString() : outcome.kind
 
-test('a key works everywhere when key create --wait returns, and nowhere after key withdraw --wait', async t => {
+test('a key is valid on all VMs after key create --wait, and on none after key withdraw --wait', async t => {
   const { fleet, ctl, connect } = await start(t)
   const created = await ctl('key', 'create', 'yard-1', 'second', '--wait')
   t.is(created.exitCode, exitCodes.ok)
@@ -65,7 +65,7 @@
   t.false(statements.some(statement => statement.includes('berth 100')), 'the transaction was rolled back')
 })
 
-test('a session that writes in parallel reads all its writes, also from replicas', async t => {
+test('a session with concurrent writes reads all of them, also from replicas', async t => {
   const { fleet, connect } = await start(t)
   const caller = connect(fleet.keyOf('yard-1'))
   const writes = Array.from({ length: 20 }, (_, index) => caller.execute('write', `add berth 1 op=w${index}`))
@@ -77,7 +77,7 @@
     if (outcome.kind === 'done' && outcome.fromReplica) fromReplicas++
     await sleepMs(10)
   }
-  t.true(fromReplicas > 0, 'the merged token is one that the entries understand')
+  t.true(fromReplicas > 0, 'the entries accept the merged token')
 
   let rows = 0
   for await (const chunk of caller.stream('read', 'scan berth rows=500', reads)) rows += chunk.length
@@ -91,7 +91,7 @@
   t.is(resultOf(await caller.execute('read', 'get berth', reads)), '25')
 })
 
-test('callers are served while a data centre is out and while a VM drains', async t => {
+test('callers are served while a data centre is out of service and while a VM drains', async t => {
   const { fleet, ctl, connect } = await start(t)
   const caller = connect(fleet.keyOf('yard-1'))
   const kinds = new Set<string>()
