--- a/packages/client/src/caller.test.ts
+++ b/packages/client/src/caller.test.ts
@@ -46,7 +46,7 @@
     const entry = await startEntry(t, { execute: () => answer })
     const caller = connect(t, [entry.address])
     t.deepEqual(await caller.execute('book-slot', 'x', { profile: 'booking', timeoutMs: 900 }), outcome)
-    const { headers } = entry.seen[0]
+    const { headers } = entry.requests[0]
     t.like(headers, { 'egretyoke-key': 'ek_x', 'egretyoke-route': 'book-slot', 'egretyoke-profile': 'booking' })
     t.true(Number(headers['egretyoke-timeout-ms']) <= 900)
   })
@@ -57,12 +57,12 @@
   const caller = connect(t, [entry.address])
   await caller.execute('a', 'x')
   await caller.execute('a', 'x')
-  const moved = caller.session(caller.state())
-  await moved.execute('a', 'x')
+  const resumed = caller.session(caller.state())
+  await resumed.execute('a', 'x')
   await caller.session().execute('a', 'x')
-  const sent = entry.seen.map(({ headers }) =>
+  const sentHeaders = entry.requests.map(({ headers }) =>
     [headers['egretyoke-session-bin']?.toString(), headers['egretyoke-new-session']])
-  t.deepEqual(sent, [[undefined, '1'], ['t1', undefined], ['t2', undefined], [undefined, '1']])
+  t.deepEqual(sentHeaders, [[undefined, '1'], ['t1', undefined], ['t2', undefined], [undefined, '1']])
 })
 
 test('tokens of concurrent requests are merged', async t => {
@@ -71,22 +71,22 @@
     token(true, { a: { term: 2, position: 3 }, c: { term: 1, position: 4 } }),
     token(false, { a: { term: 1, position: 1 }, b: { term: 1, position: 5 } })
   ]
-  let waiting: Array<() => void> = []
+  let releaseAnswers: Array<() => void> = []
   const entry = await startEntry(t, {
     execute: async (_seen, count) => {
-      const own = tokens[count - 1]
-      if (own) await new Promise<void>(resolve => { waiting.push(resolve) })
-      return done('', { sessionToken: own })
+      const sessionToken = tokens[count - 1]
+      if (sessionToken) await new Promise<void>(resolve => { releaseAnswers.push(resolve) })
+      return done('', { sessionToken })
     }
   })
   const caller = connect(t, [entry.address])
   const running = tokens.map(() => caller.execute('a', 'x'))
-  while (waiting.length < tokens.length) await new Promise(resolve => setTimeout(resolve, 5))
-  waiting.forEach(resolve => resolve())
-  waiting = []
+  while (releaseAnswers.length < tokens.length) await new Promise(resolve => setTimeout(resolve, 5))
+  releaseAnswers.forEach(resolve => resolve())
+  releaseAnswers = []
   await Promise.all(running)
   await caller.execute('a', 'x')
-  const merged = entry.seen[3].headers['egretyoke-session-bin'] as Buffer
+  const merged = entry.requests[3].headers['egretyoke-session-bin'] as Buffer
   const body = merged.subarray(4)
   t.is(merged.readUInt32BE(), crc32(body))
   t.deepEqual(JSON.parse(body.toString()), {
@@ -109,8 +109,8 @@
   const entry = await startEntry(t, { execute: (_seen, count) => answers[count - 1] })
   const caller = connect(t, [entry.address])
   for (const index of answers.keys()) await caller.execute('a', String(index), { access: index > 1 ? 'read' : 'write' })
-  const marks = entry.seen.map(({ headers }) => headers['egretyoke-unsettled-write'])
-  t.deepEqual(marks, [undefined, undefined, '1', '1', '1', undefined])
+  const unsettledHeaders = entry.requests.map(({ headers }) => headers['egretyoke-unsettled-write'])
+  t.deepEqual(unsettledHeaders, [undefined, undefined, '1', '1', '1', undefined])
 })
 
 const faults: Array<{ title: string, options: object, calls: number, outcome: object }> = [
@@ -148,7 +148,7 @@
     const kinds = new Set<string>()
     for (let count = 0; count < 10; count++) kinds.add((await caller.execute('a', 'x')).kind)
     t.deepEqual([...kinds].sort(), reason === 'rate' ? ['done', 'notRun'] : ['done'])
-    if (reason !== 'rate') t.true(refusing.seen.length <= 2, 'a VM that refused is skipped during its cool-down')
+    if (reason !== 'rate') t.true(refusing.requests.length <= 2, 'a VM that refused is skipped during its cool-down')
   })
 }
 
@@ -191,7 +191,7 @@
   t.is(caller.state().token?.toString(), 'after')
 })
 
-const cutStreams: Record<string, { finish: (call: StreamCall) => void, outcome: Partial<Outcome> }> = {
+const incompleteStreams: Record<string, { finish: (call: StreamCall) => void, outcome: Partial<Outcome> }> = {
   'ends without an end part': {
     finish: call => call.end(),
     outcome: { kind: 'outcomeUnknown', reason: 'answerCut' }
@@ -209,7 +209,7 @@
   }
 }
 
-for (const [title, { finish, outcome }] of Object.entries(cutStreams)) {
+for (const [title, { finish, outcome }] of Object.entries(incompleteStreams)) {
   test(`a stream that ${title} throws after its rows`, async t => {
     const entry = await startEntry(t, {
       stream: call => {
@@ -221,7 +221,7 @@
     t.is(text, 'a')
     t.true(isOutcomeError(error))
     t.like(isOutcomeError(error) ? error.outcome : {}, outcome)
-    t.is(entry.seen.length, 1, 'not retried after rows were yielded')
+    t.is(entry.requests.length, 1, 'not retried after rows were yielded')
   })
 }
 
--- a/packages/client/src/caller.ts
+++ b/packages/client/src/caller.ts
@@ -6,12 +6,12 @@
 import type { ChannelSettings } from '@egretyoke/protocol'
 import type { Done, Outcome } from './outcome.js'
 import type { Request, RequestOptions } from './request.js'
-import { createSessionMemory } from './session-state.js'
+import { createSessionTracker } from './session-state.js'
 import type { SessionState } from './session-state.js'
 import { executeStatement, streamStatement } from './statements.js'
 import { runTransaction } from './transactions.js'
 import type { Transaction, TransactionResult } from './transactions.js'
-import { createVmChoice } from './vm-choice.js'
+import { createVmSelector } from './vm-selector.js'
 
 /** Default timeout of a request. */
 export const defaultTimeoutMs = 5000
@@ -34,7 +34,7 @@
   stream: (route: string, text: string | Buffer, options?: RequestOptions) => AsyncGenerator<Buffer, Done>
   transact: <T>(
     route: string,
-    act: (transaction: Transaction) => Promise<T>,
+    run: (transaction: Transaction) => Promise<T>,
     options?: RequestOptions
   ) => Promise<TransactionResult<T>>
   /** State from which `session` of this or another caller resumes the session. */
@@ -52,9 +52,9 @@
 export const connectCaller = (options: CallerOptions): Caller => {
   const { addresses, key, channels = loopbackChannels, timeoutMs = defaultTimeoutMs } = options
   if (addresses.length === 0) throw new Error('addresses is empty: at least one VM or balancer is needed')
-  const choice = createVmChoice(addresses, channels)
+  const vmSelector = createVmSelector(addresses, channels)
 
-  const requestOf = (route: string, requestOptions: RequestOptions = {}): Request => {
+  const buildRequest = (route: string, requestOptions: RequestOptions = {}): Request => {
     const isWrite = requestOptions.access !== 'read'
     return {
       route,
@@ -67,19 +67,20 @@
   }
 
   const session = (state?: SessionState): Session => {
-    const memory = createSessionMemory(state)
+    const tracker = createSessionTracker(state)
     return {
       execute: (route, text, requestOptions) =>
-        executeStatement(choice, memory, requestOf(route, requestOptions), Buffer.from(text)),
+        executeStatement(vmSelector, tracker, buildRequest(route, requestOptions), Buffer.from(text)),
       stream: (route, text, requestOptions) =>
-        streamStatement(choice, memory, requestOf(route, requestOptions), Buffer.from(text)),
-      transact: (route, act, requestOptions) => runTransaction(choice, memory, requestOf(route, requestOptions), act),
+        streamStatement(vmSelector, tracker, buildRequest(route, requestOptions), Buffer.from(text)),
+      transact: (route, run, requestOptions) =>
+        runTransaction(vmSelector, tracker, buildRequest(route, requestOptions), run),
       state: () => {
-        const { token, isNew, isUnsettled } = memory.current()
+        const { token, isNew, isUnsettled } = tracker.current()
         return { token, isNew, isUnsettled }
       }
     }
   }
 
-  return { ...session(), session, close: choice.close }
+  return { ...session(), session, close: vmSelector.close }
 }
--- a/packages/client/src/request.ts
+++ b/packages/client/src/request.ts
@@ -7,7 +7,7 @@
 import { notRun, outcomeUnknown } from './outcome.js'
 import type { Outcome } from './outcome.js'
 import type { SentState } from './session-state.js'
-import type { CallerVm, VmChoice } from './vm-choice.js'
+import type { CallerVm, VmSelector } from './vm-selector.js'
 
 /** Options of one request. */
 export type RequestOptions = {
@@ -32,21 +32,21 @@
 }
 
 /** Added to the request's timeout for the gRPC deadline, so that the VM's own timeout answer still arrives. */
-const answerGraceMs = 250
+const responseGraceMs = 250
 
 /** Longest wait for a connected VM, per attempt. */
 const maxConnectMs = 2000
 
 /** Maximum number of attempts of one request. */
-const maxPlacements = 8
+const maxAttempts = 8
 
 /** Reasons that concern the VM and not the request, so that another VM may serve it. */
-const reasonsToMove = new Set([
+const retryElsewhereReasons = new Set([
   'outOfContact', 'draining', 'dataCentreOut', 'endpointNotConnected', 'connectionLost'
 ])
 
 /** Deadline of a call as a wall clock time in milliseconds, the form that gRPC expects. */
-export const deadlineOf = (timeoutMs: number): number => Date.now() + timeoutMs + answerGraceMs
+export const deadlineOf = (timeoutMs: number): number => Date.now() + timeoutMs + responseGraceMs
 
 /** Builds the metadata of a request. */
 export const metadataOf = (request: Request, session: SentState, timeoutMs: number): Metadata => {
@@ -62,42 +62,42 @@
 }
 
 /** Outcome of a call that ended with an error. It is unknown, because the VM may have run the request before. */
-export const brokenOff = (error: Partial<ServiceError>): Outcome => {
+export const callErrorOutcome = (error: Partial<ServiceError>): Outcome => {
   if (error.code === status.DEADLINE_EXCEEDED) return outcomeUnknown('timeout')
   return outcomeUnknown(error.code === status.UNAVAILABLE ? 'connectionLost' : 'callFailed')
 }
 
 /** Merges the outcomes of two attempts: a later refusal does not replace the unknown outcome of an earlier one. */
-export const worstOf = (earlier: Outcome | undefined, later: Outcome): Outcome =>
+export const mergeOutcomes = (earlier: Outcome | undefined, later: Outcome): Outcome =>
   earlier?.kind === 'outcomeUnknown' && later.kind === 'notRun' ? earlier : later
 
 /** True when the request should be retried on another VM. */
-export const shouldMove = (outcome: Outcome, request: Request): boolean => {
-  if (outcome.kind === 'notRun') return reasonsToMove.has(outcome.reason)
+export const shouldRetryElsewhere = (outcome: Outcome, request: Request): boolean => {
+  if (outcome.kind === 'notRun') return retryElsewhereReasons.has(outcome.reason)
   return outcome.kind === 'outcomeUnknown' && outcome.reason === 'connectionLost' && request.isRepeatable
 }
 
 /** The VM of an attempt, and the time remaining until the request's deadline. */
-export type Placement = { vm: CallerVm, timeoutMs: number }
+export type AttemptTarget = { vm: CallerVm, timeoutMs: number }
 
 /** Runs attempts on one VM after another until one is not to be retried. Without a connected VM nothing is sent. */
-export const runOnVms = async (
-  choice: VmChoice,
+export const runWithFailover = async (
+  vmSelector: VmSelector,
   request: Request,
-  attempt: (placement: Placement) => Promise<Outcome>
+  attempt: (target: AttemptTarget) => Promise<Outcome>
 ): Promise<Outcome> => {
-  const endsAtMs = monotonicMs() + request.timeoutMs
+  const deadlineMs = monotonicMs() + request.timeoutMs
   let outcome: Outcome | undefined
-  for (let count = 0; count < Math.min(maxPlacements, choice.count * 2); count++) {
-    const remainingMs = endsAtMs - monotonicMs()
+  for (let count = 0; count < Math.min(maxAttempts, vmSelector.vmCount * 2); count++) {
+    const remainingMs = deadlineMs - monotonicMs()
     if (remainingMs <= 0) break
-    const vm = await choice.choose(Math.min(remainingMs, maxConnectMs))
-    if (!vm) return worstOf(outcome, notRun('notConnected'))
-    const timeoutMs = Math.max(1, endsAtMs - monotonicMs())
+    const vm = await vmSelector.select(Math.min(remainingMs, maxConnectMs))
+    if (!vm) return mergeOutcomes(outcome, notRun('notConnected'))
+    const timeoutMs = Math.max(1, deadlineMs - monotonicMs())
     const latest = await attempt({ vm, timeoutMs })
-    outcome = worstOf(outcome, latest)
-    if (!shouldMove(latest, request)) return outcome
-    choice.avoid(vm)
+    outcome = mergeOutcomes(outcome, latest)
+    if (!shouldRetryElsewhere(latest, request)) return outcome
+    vmSelector.avoid(vm)
   }
   return outcome ?? notRun('deadline')
 }
--- a/packages/client/src/session-state.ts
+++ b/packages/client/src/session-state.ts
@@ -14,41 +14,41 @@
   isUnsettled: boolean
 }
 
-/** Session state with which a request is sent; `learn` takes it back with the request's outcome. */
+/** Session state with which a request is sent; `record` takes it with the request's outcome. */
 export type SentState = SessionState & { unknownWrites: number }
 
 /** Tracks the state of a session over its requests. */
-export type SessionMemory = {
+export type SessionTracker = {
   current: () => SentState
   /** Updates the state from an answer's outcome and token; `token` is undefined when there was no answer. */
-  learn: (sent: SentState, answer: { outcome: Outcome, token: Buffer | undefined, isWrite: boolean }) => void
+  record: (sentState: SentState, answer: { outcome: Outcome, token: Buffer | undefined, isWrite: boolean }) => void
 }
 
 /** State of a new session. */
 export const newSessionState: SessionState = { token: undefined, isNew: true, isUnsettled: false }
 
 /** Creates the tracker of a session. */
-export const createSessionMemory = (start: SessionState = newSessionState): SessionMemory => {
-  let { token, isNew, isUnsettled } = start
+export const createSessionTracker = (initialState: SessionState = newSessionState): SessionTracker => {
+  let { token, isNew, isUnsettled } = initialState
   let unknownWrites = 0
 
-  const learnToken = (sentToken: Buffer | undefined, answered: Buffer) => {
-    const isAnswerToCurrent = token === sentToken
-    token = isAnswerToCurrent || !token ? answered : mergeTokens(token, answered)
+  const updateToken = (sentToken: Buffer | undefined, answerToken: Buffer) => {
+    const wasSentWithCurrentToken = token === sentToken
+    token = wasSentWithCurrentToken || !token ? answerToken : mergeTokens(token, answerToken)
     // When the merge fails there is no token, and the session safely reads from the primaries.
     isNew = false
   }
 
   return {
     current: () => ({ token, isNew, isUnsettled, unknownWrites }),
-    learn: (sent, { outcome, token: answered, isWrite }) => {
-      if (answered && answered.length > 0) learnToken(sent.token, answered)
+    record: (sentState, { outcome, token: answerToken, isWrite }) => {
+      if (answerToken && answerToken.length > 0) updateToken(sentState.token, answerToken)
       if (outcome.kind === 'outcomeUnknown' && isWrite) {
         isUnsettled = true
         unknownWrites++
       }
-      const settles = outcome.kind === 'done' && !outcome.fromReplica && sent.isUnsettled
-      if (settles && sent.unknownWrites === unknownWrites) isUnsettled = false
+      const mayClearUnsettled = outcome.kind === 'done' && !outcome.fromReplica && sentState.isUnsettled
+      if (mayClearUnsettled && sentState.unknownWrites === unknownWrites) isUnsettled = false
     }
   }
 }
--- a/packages/client/src/session-token.test.ts
+++ b/packages/client/src/session-token.test.ts
@@ -9,8 +9,8 @@
 
 const seed = 20261204
 
-type Place = { term: number, position: number }
-type Token = { complete: boolean, groups: Record<string, Place> }
+type Position = { term: number, position: number }
+type Token = { complete: boolean, groups: Record<string, Position> }
 
 const encode = ({ complete, groups }: Token): Buffer => {
   const body = Buffer.from(JSON.stringify({ v: 1, complete, groups }))
@@ -20,26 +20,26 @@
 }
 const decode = (bytes: Buffer): Token => JSON.parse(bytes.subarray(4).toString())
 
-const place = fc.record({ term: fc.nat(3), position: fc.nat(5) })
+const anyPosition = fc.record({ term: fc.nat(3), position: fc.nat(5) })
 const anyToken: fc.Arbitrary<Token> = fc.record({
   complete: fc.boolean(),
-  groups: fc.dictionary(fc.constantFrom('a', 'b', 'c', 'd'), place)
+  groups: fc.dictionary(fc.constantFrom('a', 'b', 'c', 'd'), anyPosition)
 })
 
-const isAtOrPast = (left: Place, right: Place) =>
+const isAtOrPast = (left: Position, right: Position) =>
   left.term > right.term || (left.term === right.term && left.position >= right.position)
 
 /** A token covers a position when its own position is at or past it, or when the group is read from its primary. */
-const covers = (token: Token, group: string, wanted: Place): boolean => {
-  const known = token.groups[group]
-  return known ? isAtOrPast(known, wanted) : !token.complete
+const covers = (token: Token, group: string, required: Position): boolean => {
+  const covered = token.groups[group]
+  return covered ? isAtOrPast(covered, required) : !token.complete
 }
 
 test('a merged token covers every position of both tokens', t => {
   fc.assert(fc.property(anyToken, anyToken, (left, right) => {
     const merged = decode(mergeTokens(encode(left), encode(right))!)
     return [left, right].every(token =>
-      Object.entries(token.groups).every(([group, wanted]) => covers(merged, group, wanted)))
+      Object.entries(token.groups).every(([group, required]) => covers(merged, group, required)))
   }), { seed, numRuns: 2000 })
   t.pass()
 })
@@ -47,9 +47,9 @@
 test('a merged token omits groups in which one token may lack a write', t => {
   fc.assert(fc.property(anyToken, anyToken, (left, right) => {
     const merged = decode(mergeTokens(encode(left), encode(right))!)
-    const mayHaveMissed = (token: Token, group: string) => !token.complete && !token.groups[group]
-    const known = Object.keys(merged.groups)
-    return !known.some(group => mayHaveMissed(left, group) || mayHaveMissed(right, group)) &&
+    const mayLackWrite = (token: Token, group: string) => !token.complete && !token.groups[group]
+    const mergedGroups = Object.keys(merged.groups)
+    return !mergedGroups.some(group => mayLackWrite(left, group) || mayLackWrite(right, group)) &&
       merged.complete === (left.complete && right.complete)
   }), { seed, numRuns: 2000 })
   t.pass()
--- a/packages/client/src/statements.ts
+++ b/packages/client/src/statements.ts
@@ -5,73 +5,76 @@
 import type { CallerMessages } from '@egretyoke/protocol'
 import { outcomeError, outcomeOf, outcomeUnknown } from './outcome.js'
 import type { Done, Outcome } from './outcome.js'
-import { brokenOff, deadlineOf, metadataOf, runOnVms } from './request.js'
-import type { Placement, Request } from './request.js'
-import type { SessionMemory } from './session-state.js'
-import type { VmChoice } from './vm-choice.js'
+import { callErrorOutcome, deadlineOf, metadataOf, runWithFailover } from './request.js'
+import type { AttemptTarget, Request } from './request.js'
+import type { SessionTracker } from './session-state.js'
+import type { VmSelector } from './vm-selector.js'
 
-type Answered = { outcome: Outcome, token: Buffer | undefined }
+type StatementResult = { outcome: Outcome, token: Buffer | undefined }
 
-const answeredBy = (answer: CallerMessages.Answer__Output): Answered =>
+const resultOfAnswer = (answer: CallerMessages.Answer__Output): StatementResult =>
   ({ outcome: outcomeOf(answer), token: answer.sessionToken })
 
-const notAnswered = (error: Partial<ServiceError>): Answered => ({ outcome: brokenOff(error), token: undefined })
+const resultOfCallError = (error: Partial<ServiceError>): StatementResult =>
+  ({ outcome: callErrorOutcome(error), token: undefined })
 
 /** Runs one statement. */
 export const executeStatement = (
-  choice: VmChoice,
-  memory: SessionMemory,
+  vmSelector: VmSelector,
+  tracker: SessionTracker,
   request: Request,
   text: Buffer
-): Promise<Outcome> => runOnVms(choice, request, async ({ vm, timeoutMs }) => {
-  const sent = memory.current()
-  const metadata = metadataOf(request, sent, timeoutMs)
-  const answered = await new Promise<Answered>(resolve => {
+): Promise<Outcome> => runWithFailover(vmSelector, request, async ({ vm, timeoutMs }) => {
+  const sentState = tracker.current()
+  const metadata = metadataOf(request, sentState, timeoutMs)
+  const result = await new Promise<StatementResult>(resolve => {
     vm.client.Execute({ text }, metadata, { deadline: deadlineOf(timeoutMs) }, (error, answer) => {
-      resolve(error || !answer ? notAnswered(error ?? {}) : answeredBy(answer))
+      resolve(error || !answer ? resultOfCallError(error ?? {}) : resultOfAnswer(answer))
     })
   })
-  memory.learn(sent, { ...answered, isWrite: request.isWrite })
-  return answered.outcome
+  tracker.record(sentState, { ...result, isWrite: request.isWrite })
+  return result.outcome
 })
 
 type Part = CallerMessages.StreamPart__Output
 
 /** Yields the rows of one attempt and returns its outcome, which is unknown when the stream has no end part. */
-async function * streamOnce (
-  memory: SessionMemory,
+async function * streamAttempt (
+  tracker: SessionTracker,
   request: Request,
   text: Buffer,
-  { vm, timeoutMs }: Placement
+  { vm, timeoutMs }: AttemptTarget
 ): AsyncGenerator<Buffer, Outcome> {
-  const sent = memory.current()
-  const call = vm.client.Stream({ text }, metadataOf(request, sent, timeoutMs), { deadline: deadlineOf(timeoutMs) })
+  const sentState = tracker.current()
+  const call = vm.client.Stream({ text }, metadataOf(request, sentState, timeoutMs), {
+    deadline: deadlineOf(timeoutMs)
+  })
   // `cancel` emits an error after the loop has ended; without a listener it would be uncaught.
   call.on('error', () => {})
-  let answered: Answered = { outcome: outcomeUnknown('answerCut'), token: undefined }
+  let result: StatementResult = { outcome: outcomeUnknown('answerCut'), token: undefined }
   try {
     for await (const part of call as AsyncIterable<Part>) {
       if (part.chunk && part.part === 'chunk') yield part.chunk
       if (!part.end) continue
-      answered = answeredBy(part.end)
+      result = resultOfAnswer(part.end)
       break
     }
   } catch (thrown) {
-    answered = notAnswered(thrown as Partial<ServiceError>)
+    result = resultOfCallError(thrown as Partial<ServiceError>)
   } finally {
     call.cancel()
-    memory.learn(sent, { ...answered, isWrite: request.isWrite })
+    tracker.record(sentState, { ...result, isWrite: request.isWrite })
   }
-  return answered.outcome
+  return result.outcome
 }
 
 type Rows = AsyncGenerator<Buffer, Outcome>
-type Begun = { rows: Rows | undefined, first: IteratorResult<Buffer, Outcome> | undefined }
+type StartedStream = { rows: Rows | undefined, firstResult: IteratorResult<Buffer, Outcome> | undefined }
 
 /** Outcome of an attempt whose first rows have arrived; it ends the retries. */
-const rowsBegun: Outcome = { kind: 'done', result: Buffer.alloc(0), endpoint: '', fromReplica: false }
+const firstRowsArrived: Outcome = { kind: 'done', result: Buffer.alloc(0), endpoint: '', fromReplica: false }
 
-const wholeOrThrow = (outcome: Outcome): Done => {
+const doneOrThrow = (outcome: Outcome): Done => {
   if (outcome.kind === 'done') return outcome
   throw outcomeError(outcome)
 }
@@ -81,22 +84,22 @@
  * error must not be used. Retries on another VM only before the first rows.
  */
 export async function * streamStatement (
-  choice: VmChoice,
-  memory: SessionMemory,
+  vmSelector: VmSelector,
+  tracker: SessionTracker,
   request: Request,
   text: Buffer
 ): AsyncGenerator<Buffer, Done> {
-  const begun: Begun = { rows: undefined, first: undefined }
-  const outcome = await runOnVms(choice, request, async placement => {
-    begun.rows = streamOnce(memory, request, text, placement)
-    begun.first = await begun.rows.next()
-    return begun.first.done ? begun.first.value : rowsBegun
+  const started: StartedStream = { rows: undefined, firstResult: undefined }
+  const outcome = await runWithFailover(vmSelector, request, async target => {
+    started.rows = streamAttempt(tracker, request, text, target)
+    started.firstResult = await started.rows.next()
+    return started.firstResult.done ? started.firstResult.value : firstRowsArrived
   })
-  const { rows, first } = begun
-  if (!rows || !first || first.done) return wholeOrThrow(outcome)
+  const { rows, firstResult } = started
+  if (!rows || !firstResult || firstResult.done) return doneOrThrow(outcome)
   try {
-    yield first.value
-    return wholeOrThrow(yield * rows)
+    yield firstResult.value
+    return doneOrThrow(yield * rows)
   } finally {
     await rows.return(outcomeUnknown('answerCut'))
   }
--- a/packages/client/src/test-entry.ts
+++ b/packages/client/src/test-entry.ts
@@ -12,19 +12,19 @@
 export type Answer = CallerMessages.Answer
 export type StreamCall = ServerWritableStream<CallerMessages.Statement__Output, CallerMessages.StreamPart>
 export type TransactCall = ServerDuplexStream<CallerMessages.TransactionStep__Output, CallerMessages.TransactionAnswer>
-type Seen = { text: string, headers: Record<string, unknown> }
+type ReceivedRequest = { text: string, headers: Record<string, unknown> }
 
 /** Handlers of the calls. `execute` returns undefined to end its call with UNAVAILABLE. */
-type Behaviour = {
-  execute?: (seen: Seen, count: number) => Promise<Answer | undefined> | Answer | undefined
+type CallHandlers = {
+  execute?: (received: ReceivedRequest, count: number) => Promise<Answer | undefined> | Answer | undefined
   stream?: (call: StreamCall) => void
   transact?: (call: TransactCall, step: CallerMessages.TransactionStep__Output) => void
 }
 
 export const done = (result: string, rest: Answer = {}): Answer => ({ done: { result: Buffer.from(result) }, ...rest })
 
-export const startEntry = async (t: ExecutionContext, behaviour: Behaviour) => {
-  const seen: Seen[] = []
+export const startEntry = async (t: ExecutionContext, handlers: CallHandlers) => {
+  const requests: ReceivedRequest[] = []
   const listener = await listenGrpc('127.0.0.1:0', { channels: loopbackChannels }, server => {
     server.addService(callerProto.Caller.service, {
       Execute: async (
@@ -32,24 +32,24 @@
         reply: sendUnaryData<Answer>
       ) => {
         const request = { text: call.request.text.toString(), headers: call.metadata.getMap() }
-        seen.push(request)
-        const answer = await behaviour.execute?.(request, seen.length)
+        requests.push(request)
+        const answer = await handlers.execute?.(request, requests.length)
         if (answer) reply(null, answer)
         else reply({ code: status.UNAVAILABLE, details: 'broken off' })
       },
       Stream: (call: StreamCall) => {
-        seen.push({ text: call.request.text.toString(), headers: call.metadata.getMap() })
-        behaviour.stream?.(call)
+        requests.push({ text: call.request.text.toString(), headers: call.metadata.getMap() })
+        handlers.stream?.(call)
       },
       Transact: (call: TransactCall) => {
-        seen.push({ text: '', headers: call.metadata.getMap() })
+        requests.push({ text: '', headers: call.metadata.getMap() })
         call.on('error', () => {})
-        call.on('data', step => behaviour.transact?.(call, step))
+        call.on('data', step => handlers.transact?.(call, step))
       }
     })
   })
   t.teardown(() => listener.close())
-  return { address: listener.address, seen, close: listener.close }
+  return { address: listener.address, requests, close: listener.close }
 }
 
 export const connect = (t: ExecutionContext, addresses: string[], options: Partial<CallerOptions> = {}) => {
--- a/packages/client/src/transactions.test.ts
+++ b/packages/client/src/transactions.test.ts
@@ -6,12 +6,12 @@
 import { connect, done, startEntry } from './test-entry.js'
 import type { Answer, TransactCall } from './test-entry.js'
 
-/** Records each step and answers it with `done`, unless `special` handles it. */
-const obliging = (steps: string[], special: (call: TransactCall, action: string, stepId: number) => boolean) =>
+/** Records each step and answers it with `done`, unless `handleStep` handles it. */
+const answerSteps = (steps: string[], handleStep: (call: TransactCall, action: string, stepId: number) => boolean) =>
   (call: TransactCall, step: CallerMessages.TransactionStep__Output) => {
     const action = step.action ?? ''
     steps.push(step.execute ? step.execute.text.toString() : action)
-    if (special(call, action, step.stepId)) return
+    if (handleStep(call, action, step.stepId)) return
     call.write({ stepId: step.stepId, answer: done(`${step.stepId}`, { sessionToken: Buffer.from(action) }) })
     if (action === 'commit' || action === 'rollback') call.end()
   }
@@ -19,7 +19,7 @@
 test('a transaction commits the statements of its function', async t => {
   const steps: string[] = []
   const entry = await startEntry(t, {
-    transact: obliging(steps, (call, action, stepId) => {
+    transact: answerSteps(steps, (call, action, stepId) => {
       // A duplicate answer to an earlier step arrives late.
       if (action === 'execute') call.write({ stepId: stepId - 1, answer: done('late') })
       return false
@@ -38,7 +38,7 @@
 
 test('a transaction whose function throws is rolled back', async t => {
   const steps: string[] = []
-  const entry = await startEntry(t, { transact: obliging(steps, () => false) })
+  const entry = await startEntry(t, { transact: answerSteps(steps, () => false) })
   await t.throwsAsync(connect(t, [entry.address]).transact('a', async () => {
     throw new Error('changed my mind')
   }), { message: 'changed my mind' })
@@ -76,7 +76,7 @@
   test(`a transaction ${title}`, async t => {
     const steps: string[] = []
     const entry = await startEntry(t, {
-      transact: obliging(steps, (call, action, stepId) => {
+      transact: answerSteps(steps, (call, action, stepId) => {
         if (action !== at) return false
         if (answer) call.write({ stepId, answer })
         call.end()
@@ -84,8 +84,8 @@
       })
     })
     const caller = connect(t, [entry.address])
-    const ran = await caller.transact('a', transaction => transaction.execute('one'))
-    t.like(ran.outcome, outcome)
+    const result = await caller.transact('a', transaction => transaction.execute('one'))
+    t.like(result.outcome, outcome)
     t.is(caller.state().isUnsettled, isUnsettled)
     if (at !== 'commit') t.false(steps.includes('commit'))
   })
--- a/packages/client/src/vm-choice.ts
+++ b/packages/client/src/vm-selector.ts
@@ -17,53 +17,53 @@
 }
 
 /** Selects VMs for requests. */
-export type VmChoice = {
+export type VmSelector = {
   /** Returns a connected VM; undefined when no VM becomes connected within the timeout. */
-  choose: (timeoutMs: number) => Promise<CallerVm | undefined>
+  select: (timeoutMs: number) => Promise<CallerVm | undefined>
   /** Skips a VM for a cool-down period, unless no other VM is connected. */
   avoid: (vm: CallerVm) => void
-  count: number
+  vmCount: number
   close: () => void
 }
 
 const isReady = ({ client }: CallerVm): boolean =>
   client.getChannel().getConnectivityState(true) === connectivityState.READY
 
-const untilReady = (vm: CallerVm, timeoutMs: number): Promise<CallerVm> => new Promise((resolve, reject) => {
+const waitUntilReady = (vm: CallerVm, timeoutMs: number): Promise<CallerVm> => new Promise((resolve, reject) => {
   vm.client.waitForReady(Date.now() + timeoutMs, error => error ? reject(error) : resolve(vm))
 })
 
 /** Connects to the VMs at the given addresses (HOST:PORT). */
-export const createVmChoice = (addresses: string[], channels: ChannelSettings): VmChoice => {
+export const createVmSelector = (addresses: string[], channels: ChannelSettings): VmSelector => {
   const vms: CallerVm[] = addresses.map(address =>
     ({ address, client: connectGrpc(callerProto.Caller, address, channels), avoidedUntilMs: 0 }))
-  let next = Math.floor(Math.random() * vms.length)
+  let nextIndex = Math.floor(Math.random() * vms.length)
 
-  const inTurn = (): CallerVm[] => {
-    next = (next + 1) % vms.length
-    const turn = [...vms.slice(next), ...vms.slice(0, next)]
+  const nextCandidates = (): CallerVm[] => {
+    nextIndex = (nextIndex + 1) % vms.length
+    const candidates = [...vms.slice(nextIndex), ...vms.slice(0, nextIndex)]
     const nowMs = monotonicMs()
     const isAvoided = (vm: CallerVm) => vm.avoidedUntilMs > nowMs
-    return [...turn.filter(vm => !isAvoided(vm)), ...turn.filter(isAvoided)]
+    return [...candidates.filter(vm => !isAvoided(vm)), ...candidates.filter(isAvoided)]
   }
 
-  const choose = async (timeoutMs: number) => {
-    const turn = inTurn()
-    const ready = turn.find(isReady)
+  const select = async (timeoutMs: number) => {
+    const candidates = nextCandidates()
+    const ready = candidates.find(isReady)
     if (ready) return ready
     try {
-      return await Promise.any(turn.map(vm => untilReady(vm, timeoutMs)))
+      return await Promise.any(candidates.map(vm => waitUntilReady(vm, timeoutMs)))
     } catch {
       return undefined
     }
   }
 
   return {
-    choose,
+    select,
     avoid: vm => {
       vm.avoidedUntilMs = monotonicMs() + avoidanceMs
     },
-    count: vms.length,
+    vmCount: vms.length,
     close: () => vms.forEach(vm => vm.client.close())
   }
 }
--- a/packages/ctl/src/change-report.ts
+++ b/packages/ctl/src/change-report.ts
@@ -18,9 +18,9 @@
   const { platform, times } = context
   const conflicts: DocumentConflict[] = []
   for (const document of conflict.differing) {
-    const theirs = await readDocumentText(platform, conflict.head.documents[document], times.callTimeoutMs)
-    const mine = documents[document]?.text ?? ''
-    conflicts.push({ document, changes: theirs.ok ? diffTexts(theirs.val, mine) : undefined })
+    const active = await readDocumentText(platform, conflict.head.documents[document], times.callTimeoutMs)
+    const changedText = documents[document]?.text ?? ''
+    conflicts.push({ document, changes: active.ok ? diffTexts(active.val, changedText) : undefined })
   }
   return conflicts
 }
@@ -34,7 +34,7 @@
 ): Promise<Report> => {
   const conflicts = await conflictsOf(context, conflict, documents)
   const { version, changeId } = conflict.head
-  const shown = conflicts.flatMap(({ document, changes }) => [
+  const conflictLines = conflicts.flatMap(({ document, changes }) => [
     `${document}: in force (-) and yours (+)`,
     ...(changes ? formatChanges(changes) : ['  the document in force cannot be read']).map(line => `  ${line}`)
   ])
@@ -43,7 +43,7 @@
     data: { outcome: 'conflict', baseVersion, headVersion: version, headChangeId: changeId, documents: conflicts },
     lines: [
       `conflict: your change is based on version ${baseVersion}, version ${version} is in force; nothing was changed`,
-      ...shown
+      ...conflictLines
     ]
   }
 }
--- a/packages/ctl/src/commands/apply.ts
+++ b/packages/ctl/src/commands/apply.ts
@@ -35,8 +35,8 @@
 
 /** The base version from the option or the folder, or 0 while no configuration is stored. */
 const baseVersionOf = async (context: Context, directory: string, base: number | undefined) => {
-  const named = base ?? await readBaseVersion(directory)
-  if (named !== undefined) return named
+  const givenVersion = base ?? await readBaseVersion(directory)
+  if (givenVersion !== undefined) return givenVersion
   const stored = await readWithin(context.times, timeoutMs => readHead(context.platform, timeoutMs))
   if (!stored.ok) return readErrorReport(stored.val)
   if (stored.val.head.version === 0) return 0
--- a/packages/ctl/src/commands/diff.ts
+++ b/packages/ctl/src/commands/diff.ts
@@ -11,9 +11,9 @@
 import { diffTexts, formatChanges } from '../text-diff.js'
 
 /** Changed lines of each document that differs. */
-export const changedDocuments = (inForce: Partial<DocumentTexts>, mine: DocumentTexts) =>
+export const changedDocuments = (inForce: Partial<DocumentTexts>, candidate: DocumentTexts) =>
   documentNames
-    .map(document => ({ document, changes: diffTexts(inForce[document]?.text ?? '', mine[document].text) }))
+    .map(document => ({ document, changes: diffTexts(inForce[document]?.text ?? '', candidate[document].text) }))
     .filter(({ changes }) => changes.length > 0)
 
 /** Formats the changes of documents as lines of text. */
@@ -22,13 +22,13 @@
 
 /** Shows what `apply` would change. */
 export const diff = async (context: Context, directory: string): Promise<Report> => {
-  const mine = await readDirectory(directory)
-  if (!mine.ok) return findingsReport(mine.val)
-  const checked = readDocuments(mine.val, 0)
+  const candidate = await readDirectory(directory)
+  if (!candidate.ok) return findingsReport(candidate.val)
+  const checked = readDocuments(candidate.val, 0)
   if (!checked.ok) return findingsReport(checked.val)
   const stored = await readWithin(context.times, timeoutMs => readStoredConfiguration(context.platform, timeoutMs))
   if (!stored.ok && stored.val.reason !== 'noConfiguration') return readErrorReport(stored.val)
-  const documents = changedDocuments(stored.ok ? stored.val.texts : {}, mine.val)
+  const documents = changedDocuments(stored.ok ? stored.val.texts : {}, candidate.val)
   const version = stored.ok ? stored.val.head.version : 0
   const lines = documents.length > 0 ? formatDocuments(documents) : [`no difference from version ${version}`]
   return success({ outcome: 'compared', version, documents }, lines)
--- a/packages/ctl/src/commands/explain.ts
+++ b/packages/ctl/src/commands/explain.ts
@@ -5,34 +5,34 @@
 import { messageOf } from '@egretyoke/common'
 import { findingsReport, success, usageReport } from '../report.js'
 import type { Report } from '../report.js'
-import { readLogLines, requestStory } from '../request-story.js'
-import type { LogLine } from '../request-story.js'
+import { readLogLines, requestTimeline } from '../request-timeline.js'
+import type { LogLine } from '../request-timeline.js'
 
 /** Fields that are not shown as `name=value`, because they head the line or only programs need them. */
 const commonFields: ReadonlySet<string> = new Set(['time', 'timeMs', 'vm', 'event', 'name', 'level', 'program'])
 
-const formatLine = (line: LogLine, own: ReadonlySet<LogLine>): string => {
+const formatLine = (line: LogLine, ownLines: ReadonlySet<LogLine>): string => {
   const fields = Object.entries(line)
     .filter(([name]) => !commonFields.has(name))
     .map(([name, value]) => `${name}=${typeof value === 'object' ? JSON.stringify(value) : value}`)
-  const mark = own.has(line) ? '*' : ' '
+  const mark = ownLines.has(line) ? '*' : ' '
   return `${mark} ${line.time.slice(11, 23)} ${line.vm} ${line.event} ${line.name} ${fields.join(' ')}`
 }
 
 /** Reads the files and reports the request's timeline in order of time; lines of the request itself are marked `*`. */
 export const explain = async (request: string, files: readonly string[]): Promise<Report> => {
   const texts: string[] = []
-  const unread = []
+  const unreadableFiles = []
   for (const file of files) {
     try {
       texts.push(await readFile(file, 'utf8'))
     } catch (thrown) {
-      unread.push({ file, line: 1, column: 1, message: messageOf(thrown) })
+      unreadableFiles.push({ file, line: 1, column: 1, message: messageOf(thrown) })
     }
   }
-  if (unread.length > 0) return findingsReport(unread)
+  if (unreadableFiles.length > 0) return findingsReport(unreadableFiles)
   const { lines, unreadable } = readLogLines(texts)
-  const { own, around, leftOut, cause } = requestStory(lines, request)
+  const { own, around, leftOut, cause } = requestTimeline(lines, request)
   if (own.length === 0) return usageReport(`none of the ${lines.length} log lines belongs to request ${request}`)
   const marked = new Set(own)
   const all = [...own, ...around].sort((one, other) => one.timeMs - other.timeMs)
--- a/packages/ctl/src/commands/status.ts
+++ b/packages/ctl/src/commands/status.ts
@@ -8,7 +8,7 @@
 import type { Context } from '../context.js'
 import { readErrorReport } from '../report.js'
 import type { Report } from '../report.js'
-import { askVms, hasVersion } from '../vm-versions.js'
+import { fetchVmStates, hasVersion } from '../vm-versions.js'
 import type { VmState } from '../vm-versions.js'
 
 const watchIntervalMs = 2000
@@ -73,11 +73,11 @@
   const { version, dataCentres } = configuration.val
   const groups = await readGroups(context, Object.keys(configuration.val.groups))
   const listing = await platform.listVms(times.callTimeoutMs)
-  const states = listing.ok ? await askVms(listing.val, channels, log) : []
+  const states = listing.ok ? await fetchVmStates(listing.val, channels, log) : []
   const vms = states.map(vm => vmStatus(vm, version))
-  const isWell = listing.ok && vms.every(vm => vm.isCurrent)
+  const isHealthy = listing.ok && vms.every(vm => vm.isCurrent)
   return {
-    exitCode: isWell ? exitCodes.ok : exitCodes.unavailable,
+    exitCode: isHealthy ? exitCodes.ok : exitCodes.unavailable,
     data: { outcome: 'status', version, dataCentres, groups, vmsListed: listing.ok, vms },
     lines: statusLines(configuration.val, groups, vms, listing.ok)
   }
--- a/packages/ctl/src/edit-documents.ts
+++ b/packages/ctl/src/edit-documents.ts
@@ -42,7 +42,7 @@
 /** Applies an edit by compare-and-swap, and retries it after concurrent changes of other values. */
 export const editDocument = async (context: Context, edit: ValueEdit): Promise<Report> => {
   const { platform, times, log } = context
-  let ownPart: { value: unknown } | undefined
+  let previous: { value: unknown } | undefined
   for (let attempt = 0; ; attempt++) {
     const stored = await readWithin(times, timeoutMs => readStoredConfiguration(platform, timeoutMs))
     if (!stored.ok) return readErrorReport(stored.val)
@@ -52,13 +52,13 @@
     if (refusal) return refusal
     const current = getValue(text, edit.path)
     const edited = { [edit.document]: { file, text: setValue(text, edit.path, edit.value) } }
-    const isWanted = isDeepStrictEqual(current, edit.value)
-    const isOwnPartChanged = ownPart !== undefined && !isWanted && !isDeepStrictEqual(ownPart.value, current)
-    if (isOwnPartChanged || attempt > maxEditRetries) {
-      const racing = { kind: 'conflict' as const, head, differing: [edit.document] }
-      return conflictReport(context, racing, head.version - 1, edited)
+    const isAlreadySet = isDeepStrictEqual(current, edit.value)
+    const isValueChanged = previous !== undefined && !isAlreadySet && !isDeepStrictEqual(previous.value, current)
+    if (isValueChanged || attempt > maxEditRetries) {
+      const conflict = { kind: 'conflict' as const, head, differing: [edit.document] }
+      return conflictReport(context, conflict, head.version - 1, edited)
     }
-    ownPart = { value: current }
+    previous = { value: current }
 
     const changeId = createChangeId(head.version)
     log(events.changeSent, { changeId, baseVersion: head.version, documents: [edit.document] })
--- a/packages/ctl/src/program.test.ts
+++ b/packages/ctl/src/program.test.ts
@@ -243,20 +243,20 @@
 })
 
 const startVm = async (t: ExecutionContext, state: () => PeerMessages.HeartbeatMessage) => {
-  const asked: string[] = []
+  const heartbeatSenders: string[] = []
   const listener = await listenGrpc('127.0.0.1:0', { channels: loopbackChannels }, server => {
     server.addService(peerProto.Peer.service, {
       Heartbeat: (
         call: ServerUnaryCall<PeerMessages.HeartbeatMessage__Output, PeerMessages.HeartbeatMessage>,
         done: sendUnaryData<PeerMessages.HeartbeatMessage>
       ) => {
-        asked.push(call.request.vm)
+        heartbeatSenders.push(call.request.vm)
         done(null, state())
       }
     })
   })
   t.teardown(listener.close)
-  return { address: listener.address, asked }
+  return { address: listener.address, heartbeatSenders }
 }
 
 test('apply --wait and status report the VMs that do not have the version', async t => {
@@ -275,7 +275,7 @@
   const waiting = await json('apply', directory, '--wait')
   t.is(waiting.exitCode, exitCodes.unavailable)
   t.like(waiting.data, { outcome: 'accepted', version: 1, missing: ['two'] })
-  t.deepEqual([...new Set([...one.asked, ...two.asked])], [''], 'an observer sends an empty name')
+  t.deepEqual([...new Set([...one.heartbeatSenders, ...two.heartbeatSenders])], [''], 'an observer sends an empty name')
 
   const behind = await json('status')
   t.is(behind.exitCode, exitCodes.unavailable)
--- a/packages/ctl/src/program.ts
+++ b/packages/ctl/src/program.ts
@@ -58,7 +58,7 @@
   write(report.lines.map(line => line + '\n').join(''))
 }
 
-async function * asReports (reports: Reports): AsyncGenerator<Report> {
+async function * toReportStream (reports: Reports): AsyncGenerator<Report> {
   if (Symbol.asyncIterator in reports) yield * reports
   else yield await reports
 }
@@ -83,16 +83,16 @@
 
   const finish = async (reports: Reports) => {
     const { json } = program.opts<GlobalOptions>()
-    for await (const report of asReports(reports)) {
+    for await (const report of toReportStream(reports)) {
       writeReport(report, json, output)
       exitCode = report.exitCode
     }
   }
-  const withPlatform = async (act: (context: Context) => Reports) => {
+  const withPlatform = async (command: (context: Context) => Reports) => {
     const context = await openContext(program.opts<GlobalOptions>(), log)
     if (!context.ok) return finish(Promise.resolve(context.val))
     try {
-      await finish(act(context.val))
+      await finish(command(context.val))
     } finally {
       context.val.close()
     }
--- a/packages/ctl/src/racing-operators.test.ts
+++ b/packages/ctl/src/racing-operators.test.ts
@@ -27,8 +27,8 @@
 
 type Attempt = { changeId: string, baseVersion: number, outcome: ApplyOutcome }
 
-const operate = async (platform: Platform, operatorIndex: number): Promise<Attempt[]> => {
-  const made: Attempt[] = []
+const applyChanges = async (platform: Platform, operatorIndex: number): Promise<Attempt[]> => {
+  const attempts: Attempt[] = []
   let accepted = 0
   while (accepted < changesPerOperator) {
     const baseVersion = (await readHead(platform, 1000)).unwrap().head.version
@@ -36,10 +36,10 @@
     // Rates repeat, so that changes return to documents that were superseded earlier.
     const documents = textsWithRate(1 + (accepted * operators.length + operatorIndex) % 20)
     const outcome = await applyDocuments(platform, { baseVersion, documents, changeId }, times)
-    made.push({ changeId, baseVersion, outcome })
+    attempts.push({ changeId, baseVersion, outcome })
     if (outcome.kind === 'accepted') accepted++
   }
-  return made
+  return attempts
 }
 
 for (const seed of [1, 2, 3]) {
@@ -58,7 +58,7 @@
         await sleepMs(5)
       }
     })()
-    const attempts = (await Promise.all(operators.map((_name, index) => operate(platform, index)))).flat()
+    const attempts = (await Promise.all(operators.map((_name, index) => applyChanges(platform, index)))).flat()
     stopReading.abort()
     await reader
 
@@ -83,7 +83,7 @@
 }
 
 /** A platform on which swaps of the head take effect but their replies are lost, until `answers` is set. */
-const losingHeadAnswers = (platform: Platform) => {
+const withLostHeadReplies = (platform: Platform) => {
   const state = { answers: false, lost: 0 }
   const compareAndSwap: Platform['compareAndSwap'] = async (swap, timeoutMs) => {
     const outcome = await platform.compareAndSwap(swap, timeoutMs)
@@ -99,7 +99,7 @@
   return { state, platform: { ...platform, compareAndSwap, get } }
 }
 
-const untilVersion = async (platform: Platform, version: number) => {
+const waitForVersion = async (platform: Platform, version: number) => {
   while ((await readHead(platform, 1000)).unwrap().head.version < version) await sleepMs(5)
 }
 
@@ -107,10 +107,10 @@
   const standin = await startTestPlatform()
   t.teardown(standin.close)
   const { platform } = standin
-  const losing = losingHeadAnswers(platform)
+  const losing = withLostHeadReplies(platform)
   const first = createChangeId(0)
   const lost = applyDocuments(losing.platform, { baseVersion: 0, documents: textsWithRate(1), changeId: first }, times)
-  await untilVersion(platform, 1)
+  await waitForVersion(platform, 1)
   const second = createChangeId(1)
   const later = await applyDocuments(platform, { baseVersion: 1, documents: textsWithRate(2), changeId: second }, times)
   t.like(later, { kind: 'accepted', version: 2 })
@@ -123,7 +123,7 @@
   const standin = await startTestPlatform()
   t.teardown(standin.close)
   const { platform } = standin
-  const losing = losingHeadAnswers(platform)
+  const losing = withLostHeadReplies(platform)
   const changeId = createChangeId(0)
   const outcome = await applyDocuments(losing.platform, { baseVersion: 0, documents: textsWithRate(1), changeId },
     { ...times, waitMs: 4000 })
--- a/packages/ctl/src/request-story.ts
+++ b/packages/ctl/src/request-timeline.ts
@@ -10,16 +10,16 @@
 export type LogLine = z.infer<typeof lineSchema> & { timeMs: number }
 
 /** Timeline of a request: its own lines, related lines, and the reason of its last line as a sentence (`cause`). */
-export type RequestStory = { own: LogLine[], around: LogLine[], leftOut: number, cause: string }
+export type RequestTimeline = { own: LogLine[], around: LogLine[], leftOut: number, cause: string }
 
 /** Time before the first line of the request in which a state change may have affected it. */
-const beforeMs = 4000
-const afterMs = 500
+const contextBeforeMs = 4000
+const contextAfterMs = 500
 /** Maximum number of related lines that are shown for one event of one VM. */
-const maxAlike = 4
+const maxLinesPerEvent = 4
 
 /** Events that change a process's state or permissions. */
-const beliefs: ReadonlySet<string> = new Set([
+const stateEvents: ReadonlySet<string> = new Set([
   'gatewayStarted', 'gatewayReady', 'gatewayDraining', 'storeLost', 'storeRegained', 'storeSourceChanged',
   'historyMissed', 'configurationInForce', 'configurationUnreadable', 'databaseKnown', 'evacuationKnown',
   'membershipLost', 'peerLost',
@@ -29,7 +29,7 @@
 ])
 
 /** Fields that name the subject of a line. */
-const subjects = ['database', 'group', 'workspace'] as const
+const subjectFields = ['database', 'group', 'workspace'] as const
 
 const causeByReason: Readonly<Record<string, string>> = {
   busy: 'too many statements were queued at the database',
@@ -77,24 +77,25 @@
 }
 
 /** Builds the timeline of a request; it is empty when no line belongs to the request. */
-export const requestStory = (lines: readonly LogLine[], request: string): RequestStory => {
+export const requestTimeline = (lines: readonly LogLine[], request: string): RequestTimeline => {
   const sorted = [...lines].sort((one, other) => one.timeMs - other.timeMs)
   const own = sorted.filter(line => line.request === request)
   const first = own[0]
   const last = own.at(-1)
   if (first === undefined || last === undefined) return { own, around: [], leftOut: 0, cause: '' }
   const vms = new Set(own.flatMap(line => [line.vm, ...(typeof line.holder === 'string' ? [line.holder] : [])]))
-  const about = new Set<unknown>(own.flatMap(line => subjects.map(subject => line[subject])))
-  about.delete(undefined)
-  const isNear = ({ timeMs }: LogLine) => timeMs >= first.timeMs - beforeMs && timeMs <= last.timeMs + afterMs
-  const concerns = (line: LogLine) => subjects.some(subject => about.has(line[subject])) ||
-    (vms.has(line.vm) && subjects.every(subject => line[subject] === undefined))
-  const related = sorted.filter(line => beliefs.has(line.name) && isNear(line) && concerns(line))
+  const subjectValues = new Set<unknown>(own.flatMap(line => subjectFields.map(subject => line[subject])))
+  subjectValues.delete(undefined)
+  const isInContext = ({ timeMs }: LogLine) =>
+    timeMs >= first.timeMs - contextBeforeMs && timeMs <= last.timeMs + contextAfterMs
+  const isRelated = (line: LogLine) => subjectFields.some(subject => subjectValues.has(line[subject])) ||
+    (vms.has(line.vm) && subjectFields.every(subject => line[subject] === undefined))
+  const related = sorted.filter(line => stateEvents.has(line.name) && isInContext(line) && isRelated(line))
   const counts = new Map<string, number>()
   const around = related.filter(({ vm, name }) => {
     const count = (counts.get(`${vm} ${name}`) ?? 0) + 1
     counts.set(`${vm} ${name}`, count)
-    return count <= maxAlike
+    return count <= maxLinesPerEvent
   })
   return { own, around, leftOut: related.length - around.length, cause: causeOf(own) }
 }
--- a/packages/ctl/src/text-diff.ts
+++ b/packages/ctl/src/text-diff.ts
@@ -8,11 +8,11 @@
 /** Maximum number of lines that are compared one by one, without the equal lines at both ends. */
 export const maxComparedLines = 2000
 
-const allOf = (side: LineChange['side'], lines: string[], firstLine: number): LineChange[] =>
+const markAll = (side: LineChange['side'], lines: string[], firstLine: number): LineChange[] =>
   lines.map((text, index) => ({ side, line: firstLine + index, text }))
 
 /** Lengths of the longest common subsequences of all pairs of tails. */
-const commonLengths = (left: string[], right: string[]): Uint16Array[] => {
+const commonSuffixLengths = (left: string[], right: string[]): Uint16Array[] => {
   const lengths = Array.from({ length: left.length + 1 }, () => new Uint16Array(right.length + 1))
   for (let row = left.length - 1; row >= 0; row--) {
     for (let column = right.length - 1; column >= 0; column--) {
@@ -24,8 +24,8 @@
   return lengths
 }
 
-function * changesBetween (left: string[], right: string[], offset: number): Generator<LineChange> {
-  const lengths = commonLengths(left, right)
+function * compareLines (left: string[], right: string[], offset: number): Generator<LineChange> {
+  const lengths = commonSuffixLengths(left, right)
   let row = 0
   let column = 0
   while (row < left.length || column < right.length) {
@@ -40,7 +40,7 @@
   }
 }
 
-const equalAtStart = (left: string[], right: string[]): number => {
+const commonPrefixLength = (left: string[], right: string[]): number => {
   let count = 0
   while (count < Math.min(left.length, right.length) && left[count] === right[count]) count++
   return count
@@ -50,14 +50,14 @@
 export const diffTexts = (oldText: string, newText: string): LineChange[] => {
   const left = oldText.split('\n')
   const right = newText.split('\n')
-  const start = equalAtStart(left, right)
-  const end = equalAtStart(left.slice(start).reverse(), right.slice(start).reverse())
+  const start = commonPrefixLength(left, right)
+  const end = commonPrefixLength(left.slice(start).reverse(), right.slice(start).reverse())
   const leftPart = left.slice(start, left.length - end)
   const rightPart = right.slice(start, right.length - end)
   if (Math.max(leftPart.length, rightPart.length) > maxComparedLines) {
-    return [...allOf('old', leftPart, start + 1), ...allOf('new', rightPart, start + 1)]
+    return [...markAll('old', leftPart, start + 1), ...markAll('new', rightPart, start + 1)]
   }
-  return [...changesBetween(leftPart, rightPart, start)]
+  return [...compareLines(leftPart, rightPart, start)]
 }
 
 /** Formats changes as `- LINE: text` and `+ LINE: text`. */
--- a/packages/ctl/src/vm-versions.ts
+++ b/packages/ctl/src/vm-versions.ts
@@ -9,10 +9,10 @@
 import { events } from './events.js'
 
 /** Maximum number of VMs that are queried concurrently. */
-const maxVmsAtOnce = 64
+const maxConcurrentQueries = 64
 
-const askTimeoutMs = 1000
-const askIntervalMs = 250
+const queryTimeoutMs = 1000
+const pollIntervalMs = 250
 /** Number of polling rounds after which the list of VMs is read again. */
 const roundsPerListing = 8
 
@@ -28,7 +28,7 @@
 /** An empty name marks the sender as an observer, for which VMs keep no state. */
 const observerHeartbeat: PeerMessages.HeartbeatMessage = { vm: '', starting: true }
 
-const askVm = async (vm: VmListing, channels: ChannelSettings, log: Logger): Promise<VmState> => {
+const fetchVmState = async (vm: VmListing, channels: ChannelSettings, log: Logger): Promise<VmState> => {
   const { name, address, dataCentre, leaving } = vm
   let client
   try {
@@ -36,19 +36,19 @@
   } catch {
     return { name, address, dataCentre, leaving, state: undefined }
   }
-  const reply = await callUnary(client, client.Heartbeat, observerHeartbeat, askTimeoutMs)
+  const reply = await callUnary(client, client.Heartbeat, observerHeartbeat, queryTimeoutMs)
   client.close()
   log(events.vmAsked, { vm: name, answered: reply.ok, version: reply.ok ? reply.val.configVersion : null })
   return { name, address, dataCentre, leaving, state: reply.ok ? reply.val : undefined }
 }
 
 /** Queries all entry VMs of a list. */
-export const askVms = async (vms: VmListing[], channels: ChannelSettings, log: Logger): Promise<VmState[]> => {
+export const fetchVmStates = async (vms: VmListing[], channels: ChannelSettings, log: Logger): Promise<VmState[]> => {
   const entries = vms.filter(vm => vm.role === 'ENTRY')
   const states: VmState[] = []
-  for (let from = 0; from < entries.length; from += maxVmsAtOnce) {
-    const batch = entries.slice(from, from + maxVmsAtOnce)
-    states.push(...await Promise.all(batch.map(vm => askVm(vm, channels, log))))
+  for (let from = 0; from < entries.length; from += maxConcurrentQueries) {
+    const batch = entries.slice(from, from + maxConcurrentQueries)
+    states.push(...await Promise.all(batch.map(vm => fetchVmState(vm, channels, log))))
   }
   return states
 }
@@ -60,24 +60,24 @@
 }
 
 /** VMs after the wait; `missing` have not reported the version, `listed` is false when the list could not be read. */
-export type WaitOutcome = { listed: boolean, vms: VmState[], missing: VmState[] }
+export type VersionWaitResult = { listed: boolean, vms: VmState[], missing: VmState[] }
 
 /** Polls until every live VM has the version in force, or `waitMs` have passed. */
 export const waitForVersion = async (
   target: { platform: Platform, channels: ChannelSettings, log: Logger, callTimeoutMs: number },
   version: number,
   waitMs: number
-): Promise<WaitOutcome> => {
+): Promise<VersionWaitResult> => {
   const signal = AbortSignal.timeout(waitMs)
   let listing: VmListing[] | undefined
   let vms: VmState[] = []
-  for await (const round of ticks(askIntervalMs, signal)) {
+  for await (const round of ticks(pollIntervalMs, signal)) {
     if (!listing || round % roundsPerListing === 0) {
       const listed = await target.platform.listVms(target.callTimeoutMs)
       if (listed.ok) listing = listed.val
     }
     if (!listing) continue
-    vms = await askVms(listing, target.channels, target.log)
+    vms = await fetchVmStates(listing, target.channels, target.log)
     if (vms.every(vm => hasVersion(vm, version))) break
   }
   return { listed: listing !== undefined, vms, missing: vms.filter(vm => !hasVersion(vm, version)) }
--- a/packages/protocol/src/grpc-client.ts
+++ b/packages/protocol/src/grpc-client.ts
@@ -39,7 +39,7 @@
 type UnaryMethodWithOptions<Request, Reply> =
   (request: Request, metadata: Metadata, options: CallOptions, callback: Callback<Reply>) => unknown
 
-const failureOf = (error: ServiceError): CallFailure => {
+const toCallFailure = (error: ServiceError): CallFailure => {
   const metadata = { code: error.code ?? status.UNKNOWN }
   if (error.code === status.DEADLINE_EXCEEDED) return typedError('timeout', error.details, metadata)
   if (error.code === status.UNAVAILABLE) return typedError('unavailable', error.details, metadata)
@@ -59,7 +59,7 @@
 ): Promise<Result<Reply, CallFailure>> => new Promise(resolve => {
     const start = method as unknown as UnaryMethodWithOptions<Request, Reply>
     start.call(client, request, metadata, { deadline: Date.now() + timeoutMs }, (error, reply) => {
-      if (error) return resolve(Err(failureOf(error)))
+      if (error) return resolve(Err(toCallFailure(error)))
       resolve(Ok(reply as Reply))
     })
   })
--- a/packages/protocol/src/grpc-server.ts
+++ b/packages/protocol/src/grpc-server.ts
@@ -25,16 +25,16 @@
   /** Clients that may connect; `peers` by default. */
   audience?: Audience
   maxMessageBytes?: number
-  extra?: ServerOptions
+  serverOptions?: ServerOptions
 }
 
 const shutDown = async (server: Server, graceMs: number): Promise<void> => {
   let timer: NodeJS.Timeout | undefined
-  const finished = new Promise<void>(resolve => server.tryShutdown(() => resolve()))
-  const cut = new Promise<void>(resolve => {
+  const callsEnded = new Promise<void>(resolve => server.tryShutdown(() => resolve()))
+  const graceExpired = new Promise<void>(resolve => {
     timer = setTimeout(resolve, graceMs)
   })
-  await Promise.race([finished, cut])
+  await Promise.race([callsEnded, graceExpired])
   clearTimeout(timer)
   server.forceShutdown()
 }
@@ -47,7 +47,7 @@
 ): Promise<GrpcListener> => {
   const server = new Server({
     'grpc.max_receive_message_length': options.maxMessageBytes ?? defaultMaxMessageBytes,
-    ...options.extra
+    ...options.serverOptions
   })
   addServices(server)
   const port = await new Promise<number>((resolve, reject) => {
--- a/packages/protocol/src/load-protos.ts
+++ b/packages/protocol/src/load-protos.ts
@@ -22,26 +22,26 @@
   includeDirs: [protoDir]
 }))
 
-/** Returns a proxy of the object that `make` returns; `make` runs when a property is first read. */
-const lazily = <T extends object>(make: () => T): T => {
-  let made: T | undefined
+/** Returns a proxy of the object that `create` returns; `create` runs when a property is first read. */
+const lazyObject = <T extends object>(create: () => T): T => {
+  let instance: T | undefined
   return new Proxy({} as T, {
     get: (_target, property) => {
-      made ??= make()
-      return Reflect.get(made, property)
+      instance ??= create()
+      return Reflect.get(instance, property)
     }
   })
 }
 
 /** Services for callers. */
-export const callerProto = lazily(() => (load('caller.proto') as CallerTypes).egretyoke.caller.v1)
+export const callerProto = lazyObject(() => (load('caller.proto') as CallerTypes).egretyoke.caller.v1)
 /** Services of database group members. */
-export const endpointProto = lazily(() => (load('endpoint.proto') as EndpointTypes).egretyoke.endpoint.v1)
+export const endpointProto = lazyObject(() => (load('endpoint.proto') as EndpointTypes).egretyoke.endpoint.v1)
 /** Services between entries and stewards. */
-export const peerProto = lazily(() => (load('peer.proto') as PeerTypes).egretyoke.peer.v1)
+export const peerProto = lazyObject(() => (load('peer.proto') as PeerTypes).egretyoke.peer.v1)
 /** Services of the platform. */
-export const platformProto = lazily(() => (load('platform.proto') as PlatformTypes).egretyoke.platform.v1)
+export const platformProto = lazyObject(() => (load('platform.proto') as PlatformTypes).egretyoke.platform.v1)
 /** Services between gateways. */
-export const relayProto = lazily(() => (load('relay.proto') as RelayTypes).egretyoke.relay.v1)
+export const relayProto = lazyObject(() => (load('relay.proto') as RelayTypes).egretyoke.relay.v1)
 /** Control services of the stand-in servers. */
-export const standinProto = lazily(() => (load('standin.proto') as StandinTypes).egretyoke.standin.v1)
+export const standinProto = lazyObject(() => (load('standin.proto') as StandinTypes).egretyoke.standin.v1)
--- a/packages/protocol/src/session-token.ts
+++ b/packages/protocol/src/session-token.ts
@@ -14,19 +14,19 @@
 const tokenVersion = 1
 const checksumBytes = 4
 
-const placeSchema = z.strictObject({ term: z.number().int().min(0), position: z.number().int().min(0) })
+const positionSchema = z.strictObject({ term: z.number().int().min(0), position: z.number().int().min(0) })
 
 const tokenSchema = z.strictObject({
   v: z.literal(tokenVersion),
   /** True when the session has written to no groups other than those listed. */
   complete: z.boolean(),
   /** Log position that the session's reads must include, by group. */
-  groups: z.record(z.string().max(63), placeSchema)
+  groups: z.record(z.string().max(63), positionSchema)
     .refine(groups => Object.keys(groups).length <= maxTokenGroups, `at most ${maxTokenGroups} groups`)
 })
 
 /** Position in a group's log. */
-export type TokenPlace = z.infer<typeof placeSchema>
+export type TokenPosition = z.infer<typeof positionSchema>
 
 /** Decoded content of a token. */
 export type SessionToken = Omit<z.infer<typeof tokenSchema>, 'v'>
--- a/packages/protocol/src/stream-caller.ts
+++ b/packages/protocol/src/stream-caller.ts
@@ -5,48 +5,48 @@
 import type { ClientDuplexStream } from '@grpc/grpc-js'
 
 /** Sends requests over a stream that is opened by the first call. */
-export type StreamCaller<Question, Answer> = {
+export type StreamCaller<Request, Response> = {
   /** Returns the response; undefined on a timeout, on a lost stream, or while another call is in flight. */
-  ask: (question: Question, timeoutMs: number) => Promise<Answer | undefined>
+  ask: (request: Request, timeoutMs: number) => Promise<Response | undefined>
   close: () => void
 }
 
 /** Creates a stream caller; `open` opens a new stream. */
-export const createStreamCaller = <Question, Answer>(
-  open: () => ClientDuplexStream<Question, Answer>
-): StreamCaller<Question, Answer> => {
-  let stream: ClientDuplexStream<Question, Answer> | undefined
-  let settle: ((answer: Answer | undefined) => void) | undefined
+export const createStreamCaller = <Request, Response>(
+  open: () => ClientDuplexStream<Request, Response>
+): StreamCaller<Request, Response> => {
+  let stream: ClientDuplexStream<Request, Response> | undefined
+  let resolvePending: ((response: Response | undefined) => void) | undefined
 
-  const giveUp = (given: ClientDuplexStream<Question, Answer> | undefined) => {
-    if (given !== stream) return
+  const discardStream = (discarded: ClientDuplexStream<Request, Response> | undefined) => {
+    if (discarded !== stream) return
     stream = undefined
-    given?.cancel()
-    settle?.(undefined)
+    discarded?.cancel()
+    resolvePending?.(undefined)
   }
 
   const openStream = () => {
     const opened = open()
-    opened.on('data', (answer: Answer) => {
-      if (opened === stream) settle?.(answer)
+    opened.on('data', (response: Response) => {
+      if (opened === stream) resolvePending?.(response)
     })
-    opened.on('error', () => giveUp(opened))
-    opened.on('end', () => giveUp(opened))
+    opened.on('error', () => discardStream(opened))
+    opened.on('end', () => discardStream(opened))
     return opened
   }
 
-  const ask = (question: Question, timeoutMs: number) => new Promise<Answer | undefined>(resolve => {
-    if (settle) return resolve(undefined)
+  const ask = (request: Request, timeoutMs: number) => new Promise<Response | undefined>(resolve => {
+    if (resolvePending) return resolve(undefined)
     stream ??= openStream()
-    const asked = stream
-    const timer = setTimeout(() => giveUp(asked), timeoutMs)
-    settle = answer => {
-      settle = undefined
+    const current = stream
+    const timer = setTimeout(() => discardStream(current), timeoutMs)
+    resolvePending = response => {
+      resolvePending = undefined
       clearTimeout(timer)
-      resolve(answer)
+      resolve(response)
     }
-    asked.write(question)
+    current.write(request)
   })
 
-  return { ask, close: () => giveUp(stream) }
+  return { ask, close: () => discardStream(stream) }
 }
--- a/packages/protocol/src/tls.test.ts
+++ b/packages/protocol/src/tls.test.ts
@@ -16,7 +16,7 @@
 
 const reloadIntervalMs = 100
 const callTimeoutMs = 2_000
-const reloadTries = 100
+const maxReloadChecks = 100
 
 type Identity = { certificate: string, privateKey: string }
 
@@ -58,7 +58,7 @@
   (await callUnary(client, client.Heartbeat, { vm: 'asking' }, callTimeoutMs)).ok
 
 /** Fingerprint of the certificate that a listener presents on a new connection. */
-const shownFingerprint = (address: string): Promise<string> => new Promise((resolve, reject) => {
+const presentedFingerprint = (address: string): Promise<string> => new Promise((resolve, reject) => {
   const { host, port } = splitAddress(address)
   const socket = connect({ host, port, rejectUnauthorized: false, ALPNProtocols: ['h2'] }, () => {
     resolve(socket.getPeerCertificate().fingerprint256)
@@ -95,14 +95,14 @@
   const listener = await listen(folder.write('server', before, [peer]), 'peers')
   const client = connectGrpc(peerProto.Peer, listener.address, folder.write('peer', peer, [before]))
   t.true(await heartbeat(client))
-  const shownBefore = await shownFingerprint(listener.address)
+  const fingerprintBefore = await presentedFingerprint(listener.address)
   folder.write('server', after, [peer])
-  let shownAfter = shownBefore
-  for (let attempt = 0; attempt < reloadTries && shownAfter === shownBefore; attempt++) {
+  let fingerprintAfter = fingerprintBefore
+  for (let attempt = 0; attempt < maxReloadChecks && fingerprintAfter === fingerprintBefore; attempt++) {
     await sleepMs(reloadIntervalMs)
-    shownAfter = await shownFingerprint(listener.address)
+    fingerprintAfter = await presentedFingerprint(listener.address)
   }
-  t.not(shownAfter, shownBefore)
+  t.not(fingerprintAfter, fingerprintBefore)
   // The client trusts only the former certificate, so a reply proves that it still uses its first connection.
   t.true(await heartbeat(client))
   client.close()
