--- a/packages/client/src/caller.ts
+++ b/packages/client/src/caller.ts
@@ -1,60 +1,60 @@
 /**
- * The caller library: sends statements and transactions to the entry VMs, and carries the session from answer to
- * request.
+ * The caller library: sends statements and transactions to the entry VMs, and passes the session token of each answer
+ * on to the next request.
  */
 import { loopbackChannels } from '@egretyoke/protocol'
 import type { ChannelSettings } from '@egretyoke/protocol'
 import type { Done, Outcome } from './outcome.js'
 import type { Request, RequestOptions } from './request.js'
-import { createSessionMemory } from './session-state.js'
+import { createSessionTracker } from './session-state.js'
 import type { SessionState } from './session-state.js'
 import { executeStatement, streamStatement } from './statements.js'
 import { runTransaction } from './transactions.js'
 import type { Transaction, TransactionResult } from './transactions.js'
-import { createVmChoice } from './vm-choice.js'
+import { createVmSelector } from './vm-selector.js'
 
-/** Time that a request may take unless it says otherwise. */
+/** Default timeout of a request. */
 export const defaultTimeoutMs = 5000
 
 /** Options of a caller. */
 export type CallerOptions = {
-  /** HOST:PORT of the balancer, or of several VMs. */
+  /** HOST:PORT of the load balancer, or of several VMs. */
   addresses: string[]
-  /** The workspace's key; absent only for routes that are open to all. */
+  /** A key of the workspace; absent only for routes that are open to all. */
   key?: string
-  /** TLS; plain text on loopback by default. */
+  /** TLS settings; by default plain text on loopback only. */
   channels?: ChannelSettings
   timeoutMs?: number
 }
 
-/** One session: it reads its own writes, whichever VM serves it. */
+/** One session. It reads its own writes, whichever VM serves its requests. */
 export type Session = {
   execute: (route: string, text: string | Buffer, options?: RequestOptions) => Promise<Outcome>
-  /** Yields rows; throws an `OutcomeError` unless the answer is whole. */
+  /** Yields rows; throws an `OutcomeError` unless the answer is complete. */
   stream: (route: string, text: string | Buffer, options?: RequestOptions) => AsyncGenerator<Buffer, Done>
   transact: <T>(
     route: string,
-    act: (transaction: Transaction) => Promise<T>,
+    run: (transaction: Transaction) => Promise<T>,
     options?: RequestOptions
   ) => Promise<TransactionResult<T>>
-  /** What to give to `session` to go on with this session elsewhere. */
+  /** State from which `session` of this or another caller resumes the session. */
   state: () => SessionState
 }
 
-/** A connected caller. It is a session itself, for programs that need only one. */
+/** A connected caller. It is itself a session, for programs that need only one. */
 export type Caller = Session & {
-  /** Begins a session, or goes on with one. */
+  /** Starts a new session, or resumes one from its state. */
   session: (state?: SessionState) => Session
   close: () => void
 }
 
-/** Connects a caller. Connections are made at once and made again when they are lost. */
+/** Connects a caller. Connections are opened immediately, and reopened when they are lost. */
 export const connectCaller = (options: CallerOptions): Caller => {
   const { addresses, key, channels = loopbackChannels, timeoutMs = defaultTimeoutMs } = options
-  if (addresses.length === 0) throw new Error('no address was given')
-  const choice = createVmChoice(addresses, channels)
+  if (addresses.length === 0) throw new Error('addresses is empty: at least one VM or balancer is needed')
+  const vmSelector = createVmSelector(addresses, channels)
 
-  const requestOf = (route: string, requestOptions: RequestOptions = {}): Request => {
+  const buildRequest = (route: string, requestOptions: RequestOptions = {}): Request => {
     const isWrite = requestOptions.access !== 'read'
     return {
       route,
@@ -67,19 +67,20 @@
   }
 
   const session = (state?: SessionState): Session => {
-    const memory = createSessionMemory(state)
+    const tracker = createSessionTracker(state)
     return {
       execute: (route, text, requestOptions) =>
-        executeStatement(choice, memory, requestOf(route, requestOptions), Buffer.from(text)),
+        executeStatement(vmSelector, tracker, buildRequest(route, requestOptions), Buffer.from(text)),
       stream: (route, text, requestOptions) =>
-        streamStatement(choice, memory, requestOf(route, requestOptions), Buffer.from(text)),
-      transact: (route, act, requestOptions) => runTransaction(choice, memory, requestOf(route, requestOptions), act),
+        streamStatement(vmSelector, tracker, buildRequest(route, requestOptions), Buffer.from(text)),
+      transact: (route, run, requestOptions) =>
+        runTransaction(vmSelector, tracker, buildRequest(route, requestOptions), run),
       state: () => {
-        const { token, isNew, isUnsettled } = memory.current()
+        const { token, isNew, isUnsettled } = tracker.current()
         return { token, isNew, isUnsettled }
       }
     }
   }
 
-  return { ...session(), session, close: choice.close }
+  return { ...session(), session, close: vmSelector.close }
 }
--- a/packages/ctl/src/change-report.ts
+++ b/packages/ctl/src/change-report.ts
@@ -1,5 +1,5 @@
 /**
- * Reports what became of a change; a conflict shows both sides.
+ * Reports of the outcome of a configuration change. A conflict report shows the lines of both versions.
  */
 import { exitCodes } from '@egretyoke/common'
 import type { DocumentName, DocumentTexts } from '@egretyoke/config'
@@ -18,14 +18,14 @@
   const { platform, times } = context
   const conflicts: DocumentConflict[] = []
   for (const document of conflict.differing) {
-    const theirs = await readDocumentText(platform, conflict.head.documents[document], times.callTimeoutMs)
-    const mine = documents[document]?.text ?? ''
-    conflicts.push({ document, changes: theirs.ok ? diffTexts(theirs.val, mine) : undefined })
+    const active = await readDocumentText(platform, conflict.head.documents[document], times.callTimeoutMs)
+    const changedText = documents[document]?.text ?? ''
+    conflicts.push({ document, changes: active.ok ? diffTexts(active.val, changedText) : undefined })
   }
   return conflicts
 }
 
-/** Reports a conflict: per document, the lines in force (`-`) and the lines of this change (`+`). */
+/** Reports a conflict: for each document, the lines in force (`-`) and the lines of this change (`+`). */
 export const conflictReport = async (
   context: Context,
   conflict: Conflict,
@@ -34,7 +34,7 @@
 ): Promise<Report> => {
   const conflicts = await conflictsOf(context, conflict, documents)
   const { version, changeId } = conflict.head
-  const shown = conflicts.flatMap(({ document, changes }) => [
+  const conflictLines = conflicts.flatMap(({ document, changes }) => [
     `${document}: in force (-) and yours (+)`,
     ...(changes ? formatChanges(changes) : ['  the document in force cannot be read']).map(line => `  ${line}`)
   ])
@@ -42,8 +42,8 @@
     exitCode: exitCodes.conflict,
     data: { outcome: 'conflict', baseVersion, headVersion: version, headChangeId: changeId, documents: conflicts },
     lines: [
-      `conflict: your change was made from version ${baseVersion}, version ${version} is in force; nothing was changed`,
-      ...shown
+      `conflict: your change is based on version ${baseVersion}, version ${version} is in force; nothing was changed`,
+      ...conflictLines
     ]
   }
 }
@@ -53,7 +53,7 @@
   if (outcome.kind === 'refused') return findingsReport(outcome.findings)
   if (outcome.kind === 'accepted') {
     const { version, changed } = outcome
-    const line = changed ? `accepted as version ${version}` : `nothing to change: version ${version} is in force`
+    const line = changed ? `accepted as version ${version}` : `no difference: version ${version} is in force`
     return success({ outcome: 'accepted', version, changed }, [line])
   }
   if (outcome.kind === 'unavailable') {
@@ -68,6 +68,6 @@
   return {
     exitCode: exitCodes.unavailable,
     data: { outcome: 'unsettled', changeId, message },
-    lines: [`it is not known whether the change was accepted: ${message}`, `ask later: egretyokectl settle ${changeId}`]
+    lines: [`it is unknown whether the change was accepted: ${message}`, `check later: egretyokectl settle ${changeId}`]
   }
 }
--- a/packages/ctl/src/commands/status.ts
+++ b/packages/ctl/src/commands/status.ts
@@ -1,5 +1,5 @@
 /**
- * `status`: the version in force, data centres, groups and VMs.
+ * `status`: shows the configuration version in force, data centres, groups and VMs.
  */
 import { exitCodes, ticks } from '@egretyoke/common'
 import { decodeRecord, groupRecordSchema, storeKeys } from '@egretyoke/config'
@@ -8,7 +8,7 @@
 import type { Context } from '../context.js'
 import { readErrorReport } from '../report.js'
 import type { Report } from '../report.js'
-import { askVms, hasVersion } from '../vm-versions.js'
+import { fetchVmStates, hasVersion } from '../vm-versions.js'
 import type { VmState } from '../vm-versions.js'
 
 const watchIntervalMs = 2000
@@ -60,10 +60,10 @@
   'groups:',
   ...groups.map(({ group, term, primary, phase }) => `  ${group}: term ${term}, primary ${primary || '?'}, ${phase}`),
   'VMs:',
-  ...(listed ? vms.map(vmLine) : ['  the platform does not list them'])
+  ...(listed ? vms.map(vmLine) : ['  the list cannot be read from the platform'])
 ]
 
-/** Reports the status once. Exit code 5 when the platform or a VM does not answer or lags behind. */
+/** Reports the status once. The exit code is 5 when the platform or a VM does not answer, or a VM lags behind. */
 export const status = async (context: Context): Promise<Report> => {
   const { platform, times, channels, log } = context
   const stored = await readStoredConfiguration(platform, times.callTimeoutMs)
@@ -73,17 +73,17 @@
   const { version, dataCentres } = configuration.val
   const groups = await readGroups(context, Object.keys(configuration.val.groups))
   const listing = await platform.listVms(times.callTimeoutMs)
-  const states = listing.ok ? await askVms(listing.val, channels, log) : []
+  const states = listing.ok ? await fetchVmStates(listing.val, channels, log) : []
   const vms = states.map(vm => vmStatus(vm, version))
-  const isWell = listing.ok && vms.every(vm => vm.isCurrent)
+  const isHealthy = listing.ok && vms.every(vm => vm.isCurrent)
   return {
-    exitCode: isWell ? exitCodes.ok : exitCodes.unavailable,
+    exitCode: isHealthy ? exitCodes.ok : exitCodes.unavailable,
     data: { outcome: 'status', version, dataCentres, groups, vmsListed: listing.ok, vms },
     lines: statusLines(configuration.val, groups, vms, listing.ok)
   }
 }
 
-/** Reports the status every two seconds until the signal aborts. Each report costs seven calls to the platform. */
+/** Reports the status every two seconds until the signal aborts. Each report makes seven calls to the platform. */
 export async function * watchStatus (context: Context, signal: AbortSignal): AsyncGenerator<Report> {
   for await (const tick of ticks(watchIntervalMs, signal)) {
     const report = await status(context)
--- a/packages/protocol/src/grpc-server.ts
+++ b/packages/protocol/src/grpc-server.ts
@@ -1,5 +1,5 @@
 /**
- * gRPC listeners: bound to HOST:PORT, with limits on message sizes and keepalive.
+ * gRPC listeners, bound to HOST:PORT, with a limit on message sizes.
  */
 import { Server } from '@grpc/grpc-js'
 import type { ServerOptions } from '@grpc/grpc-js'
@@ -12,34 +12,34 @@
 
 /** A bound listener. */
 export type GrpcListener = {
-  /** HOST:PORT in use. */
+  /** HOST:PORT that the listener is bound to, with the actual port. */
   address: string
   server: Server
-  /** Finishes calls that are open, for at most `graceMs`, then cuts what is left. */
+  /** Waits at most `graceMs` for open calls to end, then cancels the remaining ones. */
   close: (graceMs?: number) => Promise<void>
 }
 
 /** Options of a listener. */
 export type GrpcListenerOptions = {
   channels: ChannelSettings
-  /** Who may connect; `peers` by default. */
+  /** Clients that may connect; `peers` by default. */
   audience?: Audience
   maxMessageBytes?: number
-  extra?: ServerOptions
+  serverOptions?: ServerOptions
 }
 
 const shutDown = async (server: Server, graceMs: number): Promise<void> => {
   let timer: NodeJS.Timeout | undefined
-  const finished = new Promise<void>(resolve => server.tryShutdown(() => resolve()))
-  const cut = new Promise<void>(resolve => {
+  const callsEnded = new Promise<void>(resolve => server.tryShutdown(() => resolve()))
+  const graceExpired = new Promise<void>(resolve => {
     timer = setTimeout(resolve, graceMs)
   })
-  await Promise.race([finished, cut])
+  await Promise.race([callsEnded, graceExpired])
   clearTimeout(timer)
   server.forceShutdown()
 }
 
-/** Binds a listener after `addServices` has filled it. Rejects when the address is in use. */
+/** Binds a listener to which `addServices` has added the services. Rejects when the address is in use. */
 export const listenGrpc = async (
   address: string,
   options: GrpcListenerOptions,
@@ -47,7 +47,7 @@
 ): Promise<GrpcListener> => {
   const server = new Server({
     'grpc.max_receive_message_length': options.maxMessageBytes ?? defaultMaxMessageBytes,
-    ...options.extra
+    ...options.serverOptions
   })
   addServices(server)
   const port = await new Promise<number>((resolve, reject) => {
--- a/packages/protocol/src/load-protos.ts
+++ b/packages/protocol/src/load-protos.ts
@@ -1,6 +1,6 @@
 /**
- * Loads the published .proto files, each when it is first needed: a process uses few of them, and loading takes a good
- * part of its start. The options match those of `npm run generate`.
+ * Loads the published .proto files lazily, because a process uses few of them and loading takes a large part of its
+ * start-up time. The options match those of `npm run generate`.
  */
 import { fileURLToPath } from 'node:url'
 import { loadPackageDefinition } from '@grpc/grpc-js'
@@ -22,26 +22,26 @@
   includeDirs: [protoDir]
 }))
 
-/** An object whose properties are those of what `make` returns, made when one is first read. */
-const lazily = <T extends object>(make: () => T): T => {
-  let made: T | undefined
+/** Returns a proxy of the object that `create` returns; `create` runs when a property is first read. */
+const lazyObject = <T extends object>(create: () => T): T => {
+  let instance: T | undefined
   return new Proxy({} as T, {
     get: (_target, property) => {
-      made ??= make()
-      return Reflect.get(made, property)
+      instance ??= create()
+      return Reflect.get(instance, property)
     }
   })
 }
 
-/** Services toward callers. */
-export const callerProto = lazily(() => (load('caller.proto') as CallerTypes).egretyoke.caller.v1)
+/** Services for callers. */
+export const callerProto = lazyObject(() => (load('caller.proto') as CallerTypes).egretyoke.caller.v1)
 /** Services of database group members. */
-export const endpointProto = lazily(() => (load('endpoint.proto') as EndpointTypes).egretyoke.endpoint.v1)
+export const endpointProto = lazyObject(() => (load('endpoint.proto') as EndpointTypes).egretyoke.endpoint.v1)
 /** Services between entries and stewards. */
-export const peerProto = lazily(() => (load('peer.proto') as PeerTypes).egretyoke.peer.v1)
+export const peerProto = lazyObject(() => (load('peer.proto') as PeerTypes).egretyoke.peer.v1)
 /** Services of the platform. */
-export const platformProto = lazily(() => (load('platform.proto') as PlatformTypes).egretyoke.platform.v1)
+export const platformProto = lazyObject(() => (load('platform.proto') as PlatformTypes).egretyoke.platform.v1)
 /** Services between gateways. */
-export const relayProto = lazily(() => (load('relay.proto') as RelayTypes).egretyoke.relay.v1)
-/** Control of the stand-ins. */
-export const standinProto = lazily(() => (load('standin.proto') as StandinTypes).egretyoke.standin.v1)
+export const relayProto = lazyObject(() => (load('relay.proto') as RelayTypes).egretyoke.relay.v1)
+/** Control services of the stand-in servers. */
+export const standinProto = lazyObject(() => (load('standin.proto') as StandinTypes).egretyoke.standin.v1)
--- a/packages/protocol/src/stream-caller.ts
+++ b/packages/protocol/src/stream-caller.ts
@@ -1,52 +1,52 @@
 /**
- * Questions and answers over one long-lived stream, one question at a time. After a question without an answer in time
- * the stream is given up, so that a late answer can never be taken for the next one's.
+ * Request/response calls over one long-lived stream, one call at a time. The stream is cancelled after a call that
+ * times out, so that a late response cannot be mistaken for the response to the next call.
  */
 import type { ClientDuplexStream } from '@grpc/grpc-js'
 
-/** Asks over a stream that is opened when it is first needed. */
-export type StreamCaller<Question, Answer> = {
-  /** The answer; undefined when none came in time, or when a question is open already. */
-  ask: (question: Question, timeoutMs: number) => Promise<Answer | undefined>
+/** Sends requests over a stream that is opened by the first call. */
+export type StreamCaller<Request, Response> = {
+  /** Returns the response; undefined on a timeout, on a lost stream, or while another call is in flight. */
+  ask: (request: Request, timeoutMs: number) => Promise<Response | undefined>
   close: () => void
 }
 
-/** Creates a caller; `open` starts a new stream. */
-export const createStreamCaller = <Question, Answer>(
-  open: () => ClientDuplexStream<Question, Answer>
-): StreamCaller<Question, Answer> => {
-  let stream: ClientDuplexStream<Question, Answer> | undefined
-  let settle: ((answer: Answer | undefined) => void) | undefined
+/** Creates a stream caller; `open` opens a new stream. */
+export const createStreamCaller = <Request, Response>(
+  open: () => ClientDuplexStream<Request, Response>
+): StreamCaller<Request, Response> => {
+  let stream: ClientDuplexStream<Request, Response> | undefined
+  let resolvePending: ((response: Response | undefined) => void) | undefined
 
-  const giveUp = (given: ClientDuplexStream<Question, Answer> | undefined) => {
-    if (given !== stream) return
+  const discardStream = (discarded: ClientDuplexStream<Request, Response> | undefined) => {
+    if (discarded !== stream) return
     stream = undefined
-    given?.cancel()
-    settle?.(undefined)
+    discarded?.cancel()
+    resolvePending?.(undefined)
   }
 
   const openStream = () => {
     const opened = open()
-    opened.on('data', (answer: Answer) => {
-      if (opened === stream) settle?.(answer)
+    opened.on('data', (response: Response) => {
+      if (opened === stream) resolvePending?.(response)
     })
-    opened.on('error', () => giveUp(opened))
-    opened.on('end', () => giveUp(opened))
+    opened.on('error', () => discardStream(opened))
+    opened.on('end', () => discardStream(opened))
     return opened
   }
 
-  const ask = (question: Question, timeoutMs: number) => new Promise<Answer | undefined>(resolve => {
-    if (settle) return resolve(undefined)
+  const ask = (request: Request, timeoutMs: number) => new Promise<Response | undefined>(resolve => {
+    if (resolvePending) return resolve(undefined)
     stream ??= openStream()
-    const asked = stream
-    const timer = setTimeout(() => giveUp(asked), timeoutMs)
-    settle = answer => {
-      settle = undefined
+    const current = stream
+    const timer = setTimeout(() => discardStream(current), timeoutMs)
+    resolvePending = response => {
+      resolvePending = undefined
       clearTimeout(timer)
-      resolve(answer)
+      resolve(response)
     }
-    asked.write(question)
+    current.write(request)
   })
 
-  return { ask, close: () => giveUp(stream) }
+  return { ask, close: () => discardStream(stream) }
 }
