--- a/scripts/bundle-platform.mjs
+++ b/scripts/bundle-platform.mjs
@@ -1,5 +1,5 @@
-// Bundles the program for the platform's VMs into target/, with the code that V8 has compiled: a process that was
-// killed is back in half the time.
+// Bundles the program for the platform's VMs into target/, together with V8's code cache, which halves the restart time
+// of a killed process.
 import { cpSync, mkdirSync, readFileSync, writeFileSync } from 'node:fs'
 import { createRequire } from 'node:module'
 import { Script } from 'node:vm'
@@ -10,7 +10,7 @@
 const launcherFile = 'target/bin/egretyoke-platform.cjs'
 
 mkdirSync('target/bin', { recursive: true })
-// The bundle looks for the .proto files beside its own folder.
+// The bundle loads the .proto files from the folder next to its own.
 cpSync('packages/protocol/proto', 'target/proto', { recursive: true })
 await build({
   entryPoints: ['platform/src/program.ts'],
@@ -22,7 +22,7 @@
   minify: true,
   keepNames: true,
   logOverride: { 'import-is-undefined': 'silent' },
-  // Their CommonJS builds load their parts in a way that cannot be bundled.
+  // The CommonJS builds of these packages load their modules in a way that cannot be bundled.
   alias: { 'jsonc-parser': 'jsonc-parser/lib/esm/main.js', 'ts-results': 'ts-results/esm/index.js' },
   define: { 'import.meta.url': 'bundleUrl' },
   banner: { js: "const bundleUrl = require('node:url').pathToFileURL(__filename).href" }
@@ -35,8 +35,8 @@
 script.runInThisContext()(evaluated.exports, require, evaluated, `${process.cwd()}/${bundleFile}`, 'target/bin')
 writeFileSync(cacheFile, script.createCachedData())
 
-writeFileSync(launcherFile, `// Runs the bundle with its compiled code; without it where V8 does not take it.
-// Loading takes a while; until then a changed settings file must not end the process.
+writeFileSync(launcherFile, `// Runs the bundle with its code cache; V8 compiles the bundle if it rejects the cache.
+// SIGHUP (reload of the settings) must not end the process before the program has installed its handler.
 process.on('SIGHUP', () => {})
 const { readFileSync } = require('node:fs')
 const { join } = require('node:path')
@@ -48,5 +48,5 @@
 script.runInThisContext()(evaluated.exports, require, evaluated, filename, __dirname)
 evaluated.exports.runPlatformProgram()
 `)
-// What was loaded to compile it keeps timers.
+// Modules loaded for the compilation leave timers active, so the process would not exit by itself.
 process.exit()
--- a/scripts/generate-types.mjs
+++ b/scripts/generate-types.mjs
@@ -1,4 +1,4 @@
-// Generates TypeScript types from the .proto files; the result is committed.
+// Generates the TypeScript types for the .proto files; the output is committed.
 import { execFileSync } from 'node:child_process'
 import { readdirSync, rmSync } from 'node:fs'
 
--- a/scripts/write-events.mjs
+++ b/scripts/write-events.mjs
@@ -1,4 +1,4 @@
-// Writes docs/EVENTS.md from the catalogues of all packages. Run `npm run build` first.
+// Generates docs/EVENTS.md from the event catalogues of all packages. Requires `npm run build`.
 import { existsSync, readdirSync, writeFileSync } from 'node:fs'
 
 const lines = [
