--- a/packages/load/src/arrivals.ts
+++ b/packages/load/src/arrivals.ts
@@ -1,43 +1,43 @@
 /**
- * Open-loop arrivals: Poisson streams from seeded random numbers, which never wait for answers.
+ * Open-loop arrivals: Poisson processes from seeded random numbers. Arrival times do not depend on responses.
  */
 import { createRandom } from '@egretyoke/common'
 import type { Random } from '@egretyoke/common'
 
-/** A stream of requests of one workspace. Times are in milliseconds since the run's start. */
+/** Load of one workspace. Times are in milliseconds since the start of the run. */
 export type LoadStream = {
   workspace: string
   ratePerSec: number
   fromMs: number
   toMs: number
-  /** Share of each route; need not add up to 1. */
+  /** Relative weight of each route; the weights need not add up to 1. */
   mix: Record<string, number>
-  /** Time that each statement holds a slot of its database; undefined: the database's own. */
+  /** Service time of each statement, during which it occupies a slot of its database; default: the database's own. */
   costMs?: number
-  /** Indexes of the only VMs that it goes to; undefined: every VM that is ready. */
+  /** Indexes of the VMs that receive the requests; default: all ready VMs. */
   vms?: number[]
-  /** Writes and reads the group's clock key instead of the sessions' own keys. */
+  /** Requests use the group's clock key (see `clockKey`) instead of the keys of their sessions. */
   isClock?: boolean
 }
 
-/** One arrival. */
+/** Intended start of one request. */
 export type Arrival = { atMs: number, stream: LoadStream }
 
-const untilNextMs = (random: Random, ratePerSec: number): number =>
+const nextIntervalMs = (random: Random, ratePerSec: number): number =>
   -Math.log(1 - random.fraction()) * 1_000 / ratePerSec
 
-/** Arrivals of one stream, in order. */
+/** Yields the arrivals of one stream in order of time. */
 export function * poissonArrivals (stream: LoadStream, seed: number): Generator<Arrival> {
   if (stream.ratePerSec <= 0) return
   const random = createRandom(seed)
-  let atMs = stream.fromMs + untilNextMs(random, stream.ratePerSec)
+  let atMs = stream.fromMs + nextIntervalMs(random, stream.ratePerSec)
   while (atMs < stream.toMs) {
     yield { atMs, stream }
-    atMs += untilNextMs(random, stream.ratePerSec)
+    atMs += nextIntervalMs(random, stream.ratePerSec)
   }
 }
 
-/** Arrivals of several streams, merged in order. */
+/** Yields the arrivals of several streams, merged in order of time. */
 export function * mergedArrivals (streams: LoadStream[], seed: number): Generator<Arrival> {
   const sources = streams.map((stream, index) => poissonArrivals(stream, seed * 1_000 + index))
   const heads = sources.map(source => source.next().value as Arrival | undefined)
--- a/packages/load/src/balancer.ts
+++ b/packages/load/src/balancer.ts
@@ -1,5 +1,5 @@
 /**
- * The platform's balancer as callers meet it: asks each VM's `/readyz` and sends new requests to ready VMs only.
+ * Model of the platform's load balancer: polls `/readyz` of each VM and sends new requests to ready VMs only.
  */
 import { ticks } from '@egretyoke/common'
 import type { Random } from '@egretyoke/common'
@@ -7,7 +7,7 @@
 const pollIntervalMs = 300
 const pollTimeoutMs = 400
 
-/** Chooses a VM for each request. */
+/** Selects a VM for each request. */
 export type Balancer = ReturnType<typeof startBalancer>
 
 const isReady = async (healthAddress: string): Promise<boolean> => {
@@ -19,7 +19,7 @@
   }
 }
 
-/** Starts polling. All VMs count as ready until the first answers; no health addresses: always. */
+/** Starts polling. Each VM counts as ready until its first poll ends, and always if it has no health address. */
 export const startBalancer = (vmCount: number, healthAddresses: string[]) => {
   const stopping = new AbortController()
   const all = Array.from({ length: vmCount }, (_, index) => index)
@@ -29,14 +29,14 @@
     if (await isReady(healthAddresses[vm])) ready.add(vm)
     else ready.delete(vm)
   }
-  const watch = async (vm: number) => {
+  const poll = async (vm: number) => {
     for await (const _ of ticks(pollIntervalMs, stopping.signal)) await check(vm)
   }
-  for (const vm of all.slice(0, healthAddresses.length)) watch(vm)
+  for (const vm of all.slice(0, healthAddresses.length)) poll(vm)
 
-  /** A ready VM out of the wanted ones; undefined when none is ready. */
-  const pick = (random: Random, wanted: number[] = all): number | undefined => {
-    const candidates = wanted.filter(vm => ready.has(vm))
+  /** Returns a random ready VM among the allowed ones, or undefined when none of them is ready. */
+  const pick = (random: Random, allowed: number[] = all): number | undefined => {
+    const candidates = allowed.filter(vm => ready.has(vm))
     return candidates.length > 0 ? random.pick(candidates) : undefined
   }
 
--- a/packages/load/src/checker/admission.ts
+++ b/packages/load/src/checker/admission.ts
@@ -1,63 +1,64 @@
 /**
- * Checks rate and burst: never more admitted than the bound, and no refusal within it.
+ * Checks rate limits: no interval contains more admitted requests than rate and burst allow, and no request within
+ * rate and burst is refused.
  */
 import { isRateRefusal } from '../history.js'
 import type { Operation } from '../history.js'
 
-/** Rate and burst of a workspace. */
+/** Token bucket parameters of a workspace. */
 export type RateLimit = { ratePerSec: number, burst: number }
 
-/** Segment tree over starts of intervals: adds to a prefix of those that are active, and knows the greatest value. */
-const createPrefixMaximum = (firstValues: number[]) => {
+/** Segment tree over interval starts: adds 1 to a prefix, and returns the maximum over the activated starts. */
+const createPrefixAddTree = (initialValues: number[]) => {
   let size = 1
-  while (size < firstValues.length) size *= 2
-  const greatest = new Float64Array(2 * size).fill(-Infinity)
+  while (size < initialValues.length) size *= 2
+  const maxima = new Float64Array(2 * size).fill(-Infinity)
   const pending = new Float64Array(2 * size)
   let activeCount = 0
 
   const activate = (index: number) => {
     let node = size + index
-    greatest[node] = firstValues[index]
+    maxima[node] = initialValues[index]
     for (node >>= 1; node > 0; node >>= 1) {
-      greatest[node] = pending[node] + Math.max(greatest[2 * node], greatest[2 * node + 1])
+      maxima[node] = pending[node] + Math.max(maxima[2 * node], maxima[2 * node + 1])
     }
   }
 
   const add = (count: number, node = 1, from = 0, to = size) => {
     if (count <= from) return
     if (count >= to) {
-      greatest[node] += 1
+      maxima[node] += 1
       pending[node] += 1
       return
     }
     const middle = (from + to) / 2
     add(count, 2 * node, from, middle)
     add(count, 2 * node + 1, middle, to)
-    greatest[node] = pending[node] + Math.max(greatest[2 * node], greatest[2 * node + 1])
+    maxima[node] = pending[node] + Math.max(maxima[2 * node], maxima[2 * node + 1])
   }
 
-  const addToFirst = (count: number) => {
+  const addToPrefix = (count: number) => {
     for (; activeCount < count; activeCount++) activate(activeCount)
     add(count)
   }
 
-  return { addToFirst, greatest: () => greatest[1] }
+  return { addToPrefix, max: () => maxima[1] }
 }
 
 const mayHaveRun = (operation: Operation): boolean =>
   operation.kind === 'done' || operation.kind === 'failed' || operation.kind === 'outcomeUnknown'
 
 /**
- * The most by which any interval holds more admitted requests than burst + rate * T; 0 when none does. A request was
- * admitted between its sending and its answer, so that it counts for an interval that holds both.
+ * Returns the largest excess of admitted requests over burst + rate * T in any interval of length T; 0 when there is
+ * none. A request is admitted between its sending and its response, so it counts for intervals that contain both.
  */
 export const excessAdmitted = (operations: Operation[], limit: RateLimit): number => {
   const admitted = operations.filter(mayHaveRun)
   if (admitted.length === 0) return 0
   const starts = admitted.map(operation => operation.sentMs).sort((left, right) => left - right)
   const ratePerMs = limit.ratePerSec / 1_000
-  const tree = createPrefixMaximum(starts.map(startMs => ratePerMs * startMs))
-  const positionAfter = (startMs: number): number => {
+  const tree = createPrefixAddTree(starts.map(startMs => ratePerMs * startMs))
+  const upperBound = (startMs: number): number => {
     let low = 0
     let high = starts.length
     while (low < high) {
@@ -69,24 +70,24 @@
   }
   let worst = 0
   for (const operation of admitted.sort((left, right) => left.receivedMs - right.receivedMs)) {
-    tree.addToFirst(positionAfter(operation.sentMs))
-    worst = Math.max(worst, tree.greatest() - ratePerMs * operation.receivedMs - limit.burst)
+    tree.addToPrefix(upperBound(operation.sentMs))
+    worst = Math.max(worst, tree.max() - ratePerMs * operation.receivedMs - limit.burst)
   }
   return Math.floor(worst + 1e-6)
 }
 
-/** What a workspace offered, judged by a reference token bucket for the whole fleet. */
-export type OfferedLoad = {
-  /** Requests that found a token. */
+/** Requests of a workspace, compared with a reference token bucket for the whole fleet. */
+export type RateCheckResult = {
+  /** Requests for which the reference bucket had a token. */
   within: Operation[]
-  /** Refused for their rate although everything offered since the bucket was last full had found a token. */
+  /** Rate refusals of requests for which, as for all earlier ones since the bucket was last full, it had a token. */
   wrongfulRefusals: number
 }
 
-/** Judges the requests of one workspace, given in any order. */
-export const judgeOfferedLoad = (operations: Operation[], limit: RateLimit): OfferedLoad => {
+/** Compares the requests of one workspace, in any order, with the reference token bucket. */
+export const checkRateRefusals = (operations: Operation[], limit: RateLimit): RateCheckResult => {
   const sent = [...operations].sort((left, right) => left.sentMs - right.sentMs)
-  const offered: OfferedLoad = { within: [], wrongfulRefusals: 0 }
+  const result: RateCheckResult = { within: [], wrongfulRefusals: 0 }
   let tokens = limit.burst
   let lastMs = sent[0]?.sentMs ?? 0
   let isWithinSinceFull = true
@@ -99,8 +100,8 @@
       continue
     }
     tokens--
-    offered.within.push(operation)
-    if (isWithinSinceFull && isRateRefusal(operation)) offered.wrongfulRefusals++
+    result.within.push(operation)
+    if (isWithinSinceFull && isRateRefusal(operation)) result.wrongfulRefusals++
   }
-  return offered
+  return result
 }
--- a/packages/load/src/checker/checker.test.ts
+++ b/packages/load/src/checker/checker.test.ts
@@ -2,8 +2,8 @@
 import fc from 'fast-check'
 import { clockKey } from '../generator.js'
 import type { Operation } from '../history.js'
-import { brokenPromises, measureRun } from '../measures.js'
-import { excessAdmitted, judgeOfferedLoad } from './admission.js'
+import { measureRun, violatedGuarantees } from '../measures.js'
+import { checkRateRefusals, excessAdmitted } from './admission.js'
 import type { GroupLogs } from './logged-writes.js'
 
 const operation = (change: Partial<Operation>): Operation => ({
@@ -19,7 +19,7 @@
   session: 1,
   vm: 0,
   key: 'session-1',
-  confirmedBefore: 0,
+  confirmedWriteCount: 0,
   isReplicaEligible: true,
   intendedMs: 0,
   sentMs: 0,
@@ -49,90 +49,90 @@
 const measure = (operations: Operation[], logs: GroupLogs = logOf()) => measureRun(
   { operations, durationMs: 1_000 }, configuration, logs, { failovers: [], dataCentreWindows: [], endedMs: 1_000 })
 
-const cases: Array<{ title: string, operations: Operation[], logs?: GroupLogs, broken: string[] }> = [
-  { title: 'a confirmed write that stands in the log', operations: [write('a')], logs: logOf('a'), broken: [] },
-  { title: 'a confirmed write that is gone', operations: [write('a')], broken: ['lostConfirmedWrites'] },
+const cases: Array<{ title: string, operations: Operation[], logs?: GroupLogs, violated: string[] }> = [
+  { title: 'a confirmed write that is in the log', operations: [write('a')], logs: logOf('a'), violated: [] },
+  { title: 'a confirmed write missing from the log', operations: [write('a')], violated: ['lostConfirmedWrites'] },
   {
-    title: 'a write confirmed by the primary alone that is gone',
+    title: 'a write confirmed by the primary alone and missing from the log',
     operations: [write('a', { confirmation: 'primary' })],
-    broken: []
+    violated: []
   },
-  { title: 'a write that ran twice', operations: [write('a')], logs: logOf('a', 'a'), broken: ['repeatedWrites'] },
+  { title: 'a write that ran twice', operations: [write('a')], logs: logOf('a', 'a'), violated: ['repeatedWrites'] },
   {
     title: 'a repeatable write that ran twice',
     operations: [write('a', { isRepeatable: true })],
     logs: logOf('a', 'a'),
-    broken: []
+    violated: []
   },
   {
     title: 'a write with unknown outcome that ran twice',
     operations: [write('a', { kind: 'outcomeUnknown' })],
     logs: logOf('a', 'a'),
-    broken: ['repeatedWrites']
+    violated: ['repeatedWrites']
   },
   {
-    title: 'a refusal that ran',
+    title: 'a refused write that ran',
     operations: [write('a', { kind: 'notRun', reason: 'deadline' })],
     logs: logOf('a'),
-    broken: ['notRunButRan']
+    violated: ['notRunButRan']
   },
   {
     title: 'a read that misses a write of its session',
-    operations: [operation({ confirmedBefore: 2, result: '1' })],
-    broken: ['sessionViolations']
+    operations: [operation({ confirmedWriteCount: 2, result: '1' })],
+    violated: ['sessionViolations']
   },
   {
-    title: 'a read that sees more than its session wrote',
-    operations: [operation({ confirmedBefore: 2, result: '3' })],
-    broken: []
+    title: 'a read that returns more than its session wrote',
+    operations: [operation({ confirmedWriteCount: 2, result: '3' })],
+    violated: []
   },
   {
-    title: 'a read older than its age',
+    title: 'a read older than its maximum age',
     operations: [
       write('a', { key: clockKey, result: '7', receivedMs: 100 }),
       operation({ key: clockKey, freshness: 'maxAge', maxAgeMs: 50, sentMs: 151, receivedMs: 160, result: '6' })
     ],
     logs: logOf('a'),
-    broken: ['ageViolations']
+    violated: ['ageViolations']
   },
   {
-    title: 'a read just within its age',
+    title: 'a read just within its maximum age',
     operations: [
       write('a', { key: clockKey, result: '7', receivedMs: 100 }),
       operation({ key: clockKey, freshness: 'maxAge', maxAgeMs: 50, sentMs: 149, receivedMs: 160, result: '6' })
     ],
     logs: logOf('a'),
-    broken: []
+    violated: []
   },
   {
     title: 'more admitted at once than the burst',
     operations: Array.from({ length: 7 }, () => operation({ sentMs: 10, receivedMs: 20 })),
-    broken: ['overAdmitted']
+    violated: ['overAdmitted']
   },
   {
-    title: 'as many admitted at once as the burst',
+    title: 'exactly the burst admitted at once',
     operations: Array.from({ length: 5 }, () => operation({ sentMs: 10, receivedMs: 20 })),
-    broken: []
+    violated: []
   }
 ]
 
-for (const { title, operations, logs, broken } of cases) {
+for (const { title, operations, logs, violated } of cases) {
   test(`checker: ${title}`, t => {
-    t.deepEqual(brokenPromises(measure(operations, logs)), broken)
+    t.deepEqual(violatedGuarantees(measure(operations, logs)), violated)
   })
 }
 
-test('the excess over rate and burst is found in a late interval', t => {
+test('excess admissions are found in a late interval', t => {
   const slow = Array.from({ length: 20 }, (_, index) => operation({ sentMs: index * 200, receivedMs: index * 200 }))
-  const rush = Array.from({ length: 12 }, () => operation({ sentMs: 9_000, receivedMs: 9_100 }))
+  const burst = Array.from({ length: 12 }, () => operation({ sentMs: 9_000, receivedMs: 9_100 }))
   t.is(excessAdmitted(slow, { ratePerSec: 10, burst: 5 }), 0)
-  t.is(excessAdmitted([...slow, ...rush], { ratePerSec: 10, burst: 5 }), 6)
+  t.is(excessAdmitted([...slow, ...burst], { ratePerSec: 10, burst: 5 }), 6)
 })
 
-test('the excess equals that of trying every interval', t => {
-  const times = fc.record({ sentMs: fc.integer({ min: 0, max: 2_000 }), lasts: fc.integer({ min: 0, max: 300 }) })
+test('the excess equals the result of a brute-force check of all intervals', t => {
+  const times = fc.record({ sentMs: fc.integer({ min: 0, max: 2_000 }), durationMs: fc.integer({ min: 0, max: 300 }) })
   fc.assert(fc.property(fc.array(times, { minLength: 1, maxLength: 40 }), list => {
-    const operations = list.map(({ sentMs, lasts }) => operation({ sentMs, receivedMs: sentMs + lasts }))
+    const operations = list.map(({ sentMs, durationMs }) => operation({ sentMs, receivedMs: sentMs + durationMs }))
     const excesses = operations.flatMap(first => operations.map(last => {
       const inside = operations.filter(one => one.sentMs >= first.sentMs && one.receivedMs <= last.receivedMs)
       return inside.length === 0 ? 0 : inside.length - 2 - 10 * (last.receivedMs - first.sentMs) / 1_000
@@ -144,21 +144,21 @@
 test('a refusal counts as wrongful only while the offered load is within rate and burst', t => {
   const refused = (sentMs: number) => operation({ sentMs, kind: 'notRun', reason: 'rate' })
   const steady = Array.from({ length: 10 }, (_, index) => refused(index * 200))
-  t.is(judgeOfferedLoad(steady, { ratePerSec: 10, burst: 5 }).wrongfulRefusals, 10)
+  t.is(checkRateRefusals(steady, { ratePerSec: 10, burst: 5 }).wrongfulRefusals, 10)
   const flood = Array.from({ length: 100 }, (_, index) => refused(index * 10))
-  const judged = judgeOfferedLoad(flood, { ratePerSec: 10, burst: 5 })
-  t.is(judged.wrongfulRefusals, 5)
-  t.is(judged.within.length, 14)
+  const checked = checkRateRefusals(flood, { ratePerSec: 10, burst: 5 })
+  t.is(checked.wrongfulRefusals, 5)
+  t.is(checked.within.length, 14)
 })
 
 test('the gap of a failover is the longest time without a confirmed write of its group', t => {
   const operations = [100, 200, 1_900, 2_000].map((receivedMs, index) => write(`w${index}`, { receivedMs }))
-  const facts = { failovers: [{ group: 'group-1', atMs: 250 }], dataCentreWindows: [], endedMs: 2_050 }
-  const measures = measureRun({ operations, durationMs: 1_000 }, configuration, new Map(), facts)
+  const events = { failovers: [{ group: 'group-1', atMs: 250 }], dataCentreWindows: [], endedMs: 2_050 }
+  const measures = measureRun({ operations, durationMs: 1_000 }, configuration, new Map(), events)
   t.is(measures.failoverGapMs, 1_700)
 })
 
-test('work in a data centre that is out is measured until its return', t => {
+test('requests served by an evacuated data centre are measured until its return', t => {
   const window = { fromMs: 100, backMs: 5_000, toMs: 8_000, vms: [2], endpoints: ['db-9'] }
   const operations = [
     operation({ sentMs: 150, vm: 2 }),
@@ -166,18 +166,18 @@
     operation({ sentMs: 900, vm: 2, kind: 'notRun', reason: 'dataCentreOut' }),
     operation({ sentMs: 6_000, vm: 2 })
   ]
-  const facts = { failovers: [], dataCentreWindows: [window], endedMs: 9_000 }
-  const measures = measureRun({ operations, durationMs: 9_000 }, configuration, new Map(), facts)
+  const events = { failovers: [], dataCentreWindows: [window], endedMs: 9_000 }
+  const measures = measureRun({ operations, durationMs: 9_000 }, configuration, new Map(), events)
   t.is(measures.lastNewWorkAfterOutMs, 300)
   t.is(measures.dataCentreServiceShare, 0.75)
 })
 
-test('a workspace above its rate counts in a data centre\'s absence with what was within it', t => {
+test('during an evacuation, a workspace above its rate counts only its requests within the rate', t => {
   const window = { fromMs: 0, backMs: 1_000, toMs: 1_000, vms: [], endpoints: [] }
   const refused = Array.from({ length: 5 }, (_, index) =>
     operation({ sentMs: index, kind: 'notRun', reason: 'rate' }))
   const admitted = Array.from({ length: 5 }, (_, index) => operation({ sentMs: 10 + index }))
-  const facts = { failovers: [], dataCentreWindows: [window], endedMs: 1_000 }
+  const events = { failovers: [], dataCentreWindows: [window], endedMs: 1_000 }
   const operations = [...refused, ...admitted]
-  t.is(measureRun({ operations, durationMs: 1_000 }, configuration, new Map(), facts).dataCentreServiceShare, 1)
+  t.is(measureRun({ operations, durationMs: 1_000 }, configuration, new Map(), events).dataCentreServiceShare, 1)
 })
--- a/packages/load/src/checker/logged-writes.ts
+++ b/packages/load/src/checker/logged-writes.ts
@@ -1,5 +1,5 @@
 /**
- * Compares what callers were told of their writes with the logs of the groups' final primaries.
+ * Compares the outcomes of writes that callers received with the logs of the groups' final primaries.
  */
 import type { LoggedWrite } from '@egretyoke/testbed'
 import type { Operation } from '../history.js'
@@ -7,21 +7,21 @@
 /** Log of the final primary of each group. */
 export type GroupLogs = Map<string, LoggedWrite[]>
 
-/** Broken promises about writes. */
+/** Counts of writes whose outcome disagrees with the log. */
 export type WriteFindings = {
-  /** Told done under `majority`, but not in the log. */
+  /** Confirmed under `majority`, but missing from the log. */
   lostConfirmedWrites: number
-  /** Told done under `primary`, but not in the log; the profile allows it after a failover. */
+  /** Confirmed under `primary`, but missing from the log; the profile allows this after a failover. */
   lostPrimaryConfirmedWrites: number
-  /** Not repeatable, but in the log more than once: number of excess entries. */
+  /** Excess log entries of writes that are not repeatable but were executed more than once. */
   repeatedWrites: number
-  /** Told "not run", but in the log. */
+  /** Reported as not run, but present in the log. */
   notRunButRan: number
 }
 
 const opIdPattern = / op=(\S+)/
 
-/** How often each operation stands in a log. */
+/** Returns the number of log entries of each operation. */
 const countOperations = (log: LoggedWrite[]): Map<string, number> => {
   const counts = new Map<string, number>()
   for (const statement of log.flatMap(entry => entry.statements)) {
@@ -31,19 +31,19 @@
   return counts
 }
 
-/** Checks every write of groups whose log is given. */
+/** Checks all writes to groups with a log in `logs`; other groups are skipped. */
 export const checkWrites = (operations: Operation[], logs: GroupLogs): WriteFindings => {
   const findings = { lostConfirmedWrites: 0, lostPrimaryConfirmedWrites: 0, repeatedWrites: 0, notRunButRan: 0 }
   const countsByGroup = new Map([...logs].map(([group, log]) => [group, countOperations(log)]))
   for (const operation of operations) {
     const counts = countsByGroup.get(operation.group)
     if (operation.access !== 'write' || !counts) continue
-    const times = counts.get(operation.opId) ?? 0
-    const isLost = operation.kind === 'done' && times === 0
+    const logCount = counts.get(operation.opId) ?? 0
+    const isLost = operation.kind === 'done' && logCount === 0
     if (isLost && operation.confirmation === 'majority') findings.lostConfirmedWrites++
     if (isLost && operation.confirmation === 'primary') findings.lostPrimaryConfirmedWrites++
-    if (operation.kind === 'notRun' && times > 0) findings.notRunButRan++
-    if (!operation.isRepeatable && times > 1) findings.repeatedWrites += times - 1
+    if (operation.kind === 'notRun' && logCount > 0) findings.notRunButRan++
+    if (!operation.isRepeatable && logCount > 1) findings.repeatedWrites += logCount - 1
   }
   return findings
 }
--- a/packages/load/src/demo-plan.ts
+++ b/packages/load/src/demo-plan.ts
@@ -1,14 +1,14 @@
 /**
- * What the demo does and when, as shares of its length.
+ * Load and faults of the demo. Times are fractions of the planned length.
  */
 import type { StoredConfiguration } from '@egretyoke/testbed'
 import type { LoadStream } from './arrivals.js'
 import type { Fault } from './faults.js'
-import { longestTailMs } from './run-scenario.js'
+import { maxExtensionMs } from './run-scenario.js'
 import type { WarmUp } from './run-scenario.js'
 import { standardMix, standardStreams } from './standard-load.js'
 
-/** Times of the demo's events, as shares of its length. */
+/** Start times of the demo's events, as fractions of its planned length. */
 export const demoTimes = {
   dataCentreOut: 0.05,
   dataCentreIn: 0.3,
@@ -22,10 +22,10 @@
 const warmUpShareOfRate = 0.1
 const warmUpMs = 5_000
 
-/** The demo's load and faults. */
+/** Load and faults of a demo run. */
 export type DemoPlan = { streams: LoadStream[], faults: Fault[], floodingWorkspace: string, warmUp: WarmUp }
 
-/** Plans a demo of the given length. */
+/** Plans the load and faults of a demo of `plannedMs`. */
 export const planDemo = (configuration: StoredConfiguration, plannedMs: number): DemoPlan => {
   const byRate = Object.entries(configuration.workspaces)
     .toSorted(([, left], [, right]) => right.ratePerSec - left.ratePerSec)
@@ -44,7 +44,7 @@
   return {
     floodingWorkspace,
     warmUp: { streams: standardStreams(configuration, warmUpShareOfRate, warmUpMs), durationMs: warmUpMs },
-    streams: [...standardStreams(configuration, shareOfRate, plannedMs + longestTailMs), flood],
+    streams: [...standardStreams(configuration, shareOfRate, plannedMs + maxExtensionMs), flood],
     faults: [
       { at: demoTimes.dataCentreOut, do: 'dataCentre', target: dataCentre, state: 'out' },
       { at: demoTimes.dataCentreIn, do: 'dataCentre', target: dataCentre, state: 'in' },
--- a/packages/load/src/demo-program.ts
+++ b/packages/load/src/demo-program.ts
@@ -1,5 +1,6 @@
 /**
- * `egretyoke-demo`: a deployment at today's size on the stand-ins, with a flood, a failover and a data centre's leave.
+ * `egretyoke-demo`: runs a deployment of `examples/` on the stand-ins, with the evacuation of a data centre, an
+ * overload by one workspace, and a failover.
  */
 import { exitCodeHelp, exitCodes, messageOf, programVersion } from '@egretyoke/common'
 import { startFleet } from '@egretyoke/testbed'
@@ -8,32 +9,31 @@
 import { deploymentNames, readDeployment } from './deployments.js'
 import { demoJson, formatDemoTable, formatWorkspaceTable } from './demo-report.js'
 import { planDemo } from './demo-plan.js'
-import { brokenPromises } from './measures.js'
+import { violatedGuarantees } from './measures.js'
 import { createProgressPrinter } from './progress.js'
 import { runScenario } from './run-scenario.js'
 
-/** Options of the demo. */
 type DemoOptions = { seconds: number, seed: number, deployment: string, json?: boolean }
 
 const runDemo = async (options: DemoOptions): Promise<number> => {
   const description = readDeployment(options.deployment)
   const progress = createProgressPrinter()
-  progress.note(`starting ${options.deployment}: ${description.vms.length} VMs`)
+  progress.printLine(`starting ${options.deployment}: ${description.vms.length} VMs`)
   const fleet = await startFleet(description)
   try {
     const plannedMs = options.seconds * 1_000
     const plan = planDemo(fleet.configuration(), plannedMs)
-    progress.note(`running ${options.seconds} s; ${plan.floodingWorkspace} will flood`)
+    progress.printLine(`running ${options.seconds} s; ${plan.floodingWorkspace} will exceed its rate`)
     const { measures } = await runScenario(
       fleet, { ...plan, plannedMs, seed: options.seed, runId: `demo${options.seed}` }, progress)
     progress.close()
     if (!options.json) {
       console.log(`\n${formatDemoTable(measures)}\n\n${formatWorkspaceTable(measures)}\n`)
     }
-    const broken = brokenPromises(measures)
-    if (broken.length > 0) progress.note(`broken promises: ${broken.join(', ')}`)
+    const violated = violatedGuarantees(measures)
+    if (violated.length > 0) progress.printLine(`violated guarantees: ${violated.join(', ')}`)
     if (options.json) console.log(JSON.stringify(demoJson(measures, options.deployment, options.seed)))
-    return broken.length > 0 ? exitCodes.promiseBroken : exitCodes.ok
+    return violated.length > 0 ? exitCodes.promiseBroken : exitCodes.ok
   } finally {
     progress.close()
     await fleet.close()
@@ -43,10 +43,10 @@
 /** Parses the command line and runs the demo. */
 export const runDemoProgram = async (): Promise<void> => {
   const command = new Command('egretyoke-demo')
-    .description('Runs a deployment at today\'s size on the stand-ins and shows the four measures.')
+    .description('Runs a deployment of examples/ on the stand-ins and prints the four service measures.')
     .version(programVersion)
     .option('--seconds <n>', 'length of the run', parseSeconds, 60)
-    .option('--seed <n>', 'seed of arrivals and choices', parseSeed, 1)
+    .option('--seed <n>', 'seed of arrival times and random choices', parseSeed, 1)
     .addOption(new Option('--deployment <name>', 'folder under examples/')
       .choices(deploymentNames()).default('arenal'))
     .option('--json', 'end with one line of JSON on standard output, without the table')
--- a/packages/load/src/demo-report.ts
+++ b/packages/load/src/demo-report.ts
@@ -1,7 +1,7 @@
 /**
- * The demo's results: the four measures as a table, and one line of JSON.
+ * Formats the measures of a run as tables and as one JSON object.
  */
-import { brokenPromiseNames, brokenPromises } from './measures.js'
+import { violatedGuarantees, violationMeasures } from './measures.js'
 import type { Measures } from './measures.js'
 
 const percent = (share: number | undefined): string =>
@@ -14,7 +14,7 @@
   return rows.map(row => row.map((cell, column) => cell.padEnd(widths[column])).join('  ').trimEnd()).join('\n')
 }
 
-/** The table that the demo prints. */
+/** Formats the service measures, latencies and guarantee violations of a run as a table. */
 export const formatDemoTable = (measures: Measures): string => {
   const rows = [
     ['Measure', 'Seen in this run'],
@@ -25,12 +25,12 @@
     ['Service while a data centre left and returned', percent(measures.dataCentreServiceShare)],
     ['Latency at p50 and p99', `${measures.p50Ms.toFixed(1)} ms, ${measures.p99Ms.toFixed(1)} ms`],
     ['Requests that the load tool sent late, at p99', `${measures.lateSendP99Ms.toFixed(1)} ms`],
-    ...brokenPromiseNames.map(name => [name, String(measures[name])])
+    ...violationMeasures.map(name => [name, String(measures[name])])
   ]
   return align(rows)
 }
 
-/** Share of each workspace, one row each. */
+/** Formats the measures of each workspace as a table with one row each. */
 export const formatWorkspaceTable = (measures: Measures): string => {
   const rows = Object.entries(measures.workspaces).map(([name, workspace]) => [
     name,
@@ -44,10 +44,10 @@
   return align([['Workspace', 'Offered', 'Within rate', 'Done', 'Share', 'p50 ms', 'p99 ms'], ...rows])
 }
 
-/** The line of JSON: what could not be measured is null. */
+/** Returns the measures for the line of JSON; a measure without samples is null. */
 export const demoJson = (measures: Measures, deployment: string, seed: number): Record<string, unknown> => ({
   deployment,
   seed,
   ...Object.fromEntries(Object.entries(measures).map(([name, value]) => [name, value ?? null])),
-  brokenPromises: brokenPromises(measures)
+  brokenPromises: violatedGuarantees(measures)
 })
--- a/packages/load/src/deployments.ts
+++ b/packages/load/src/deployments.ts
@@ -1,5 +1,5 @@
 /**
- * The deployments under `examples/`: their configuration documents and the sizes that the test bed needs.
+ * Reads the deployments under `examples/`: configuration documents, VMs and database timings.
  */
 import { existsSync, readdirSync, readFileSync } from 'node:fs'
 import { join } from 'node:path'
@@ -18,7 +18,7 @@
   databases: z.object({ connectMs: z.number(), statementMs: z.number(), replicationLagMs: z.number() })
 })
 
-/** Names of the deployments. */
+/** Returns the names of the deployments. */
 export const deploymentNames = (): string[] =>
   readdirSync(examplesDir).filter(name => existsSync(join(examplesDir, name, 'fleet.jsonc')))
 
@@ -27,7 +27,7 @@
   throw new Error(read.val.map(formatFinding).join('\n'))
 }
 
-/** Reads a deployment. Throws with all findings when a file is not valid. */
+/** Reads a deployment. Throws an error with all findings when a file is invalid. */
 export const readDeployment = (name: string): FleetDescription => {
   const fileOf = (document: string) => join(examplesDir, name, `${document}.jsonc`)
   const texts = Object.fromEntries(documentNames.map(document =>
--- a/packages/load/src/experiment/experiment-files.ts
+++ b/packages/load/src/experiment/experiment-files.ts
@@ -1,5 +1,5 @@
 /**
- * The experiment files under `experiments/`.
+ * Lists and reads the experiment files under `experiments/`.
  */
 import { readdirSync, readFileSync } from 'node:fs'
 import { join } from 'node:path'
@@ -12,11 +12,11 @@
 const experimentsDir = fileURLToPath(new URL('../../../../experiments', import.meta.url))
 const suffix = '.jsonc'
 
-/** Names of all experiments. */
+/** Returns the sorted names of all experiments. */
 export const experimentNames = (): string[] =>
   readdirSync(experimentsDir).filter(file => file.endsWith(suffix)).map(file => file.slice(0, -suffix.length)).sort()
 
-/** Reads an experiment; the error holds every finding. */
+/** Reads and validates an experiment file; the error contains all findings. */
 export const readExperiment = (name: string): Result<Experiment, Finding[]> => {
   const file = join(experimentsDir, `${name}${suffix}`)
   return readJsonWithComments<Experiment>(readFileSync(file, 'utf8'), file, experimentSchema)
--- a/packages/load/src/experiment/experiment-fleet.ts
+++ b/packages/load/src/experiment/experiment-fleet.ts
@@ -1,16 +1,16 @@
 /**
- * The fleet and the load that an experiment file describes.
+ * Builds the fleet description and the load streams of an experiment.
  */
 import type { Workspace } from '@egretyoke/config'
 import type { FleetDescription, StoredConfiguration } from '@egretyoke/testbed'
 import type { LoadStream } from '../arrivals.js'
-import { longestTailMs } from '../run-scenario.js'
+import { maxExtensionMs } from '../run-scenario.js'
 import { clockStreams } from '../standard-load.js'
-import type { FleetShape, LoadExperiment, LoadPart } from './experiment-schema.js'
+import type { FleetShape, LoadExperiment, LoadSpec } from './experiment-schema.js'
 
 const dataCentreNames = ['dc-1', 'dc-2', 'dc-3']
 
-/** Workspace that writes the groups' clocks, so that they are no part of anybody's load. */
+/** Name prefix of workspaces that write the clock keys, so that these writes use no measured workspace's rate. */
 const clockWorkspace = 'clock-writer'
 
 const routesOf = (group: string): Workspace['routes'] => ({
@@ -37,17 +37,17 @@
   return { endpoints, firstPrimary: names[0] }
 }
 
-/** Describes a fleet of the given shape. */
+/** Returns the description of a fleet with the given sizes and workspaces. */
 export const describeFleet = (
   shape: FleetShape,
   workspaces: Record<string, WorkspaceLimits>
 ): FleetDescription => {
   const numbers = Array.from({ length: shape.groups }, (_, index) => index + 1)
   const { timeoutMs, maxConcurrency } = shape
-  const rest = { confirmation: 'majority' as const, timeoutMs, maxConcurrency }
-  const clocks = numbers.map(number => [`${clockWorkspace}-${number}`,
+  const profileOptions = { confirmation: 'majority' as const, timeoutMs, maxConcurrency }
+  const clockEntries = numbers.map(number => [`${clockWorkspace}-${number}`,
     workspaceOf({ ratePerSec: 100, burst: 100, weight: 1, group: `group-${number}` })])
-  const own = Object.entries(workspaces).map(([name, limits]) => [name, workspaceOf(limits)])
+  const workspaceEntries = Object.entries(workspaces).map(([name, limits]) => [name, workspaceOf(limits)])
   return {
     vms: Array.from({ length: shape.vms }, (_, index) =>
       ({ name: `vm-${index + 1}`, dataCentre: dataCentreNames[index % dataCentreNames.length] })),
@@ -55,35 +55,35 @@
     replicationLagMs: shape.replicationLagMs,
     configuration: {
       profiles: {
-        session: { freshness: { kind: 'session' }, ...rest },
-        aged: { freshness: { kind: 'maxAge', maxAgeMs: shape.maxAgeMs }, ...rest },
-        primary: { freshness: { kind: 'primary' }, ...rest }
+        session: { freshness: { kind: 'session' }, ...profileOptions },
+        aged: { freshness: { kind: 'maxAge', maxAgeMs: shape.maxAgeMs }, ...profileOptions },
+        primary: { freshness: { kind: 'primary' }, ...profileOptions }
       },
-      workspaces: Object.fromEntries([...clocks, ...own]),
+      workspaces: Object.fromEntries([...clockEntries, ...workspaceEntries]),
       groups: Object.fromEntries(numbers.map(number => [`group-${number}`, groupOf(shape, number)])),
       dataCentres: Object.fromEntries(dataCentreNames.map(name => [name, { region: 'region-1', state: 'in' }]))
     }
   }
 }
 
-/** The streams of an experiment's load; parts that last to the end go on while a failover is awaited. */
+/** Returns the load streams of an experiment. Loads that last to the end continue while a failover is pending. */
 export const streamsOf = (
   experiment: LoadExperiment,
-  parts: LoadPart[],
+  loads: LoadSpec[],
   configuration: StoredConfiguration,
   plannedMs: number
 ): LoadStream[] => {
-  const streams = parts.flatMap(part => {
-    const names = part.workspace === '*' ? Object.keys(experiment.workspaces) : [part.workspace]
+  const streams = loads.flatMap(load => {
+    const names = load.workspace === '*' ? Object.keys(experiment.workspaces) : [load.workspace]
     return names.map(workspace => ({
       workspace,
-      ratePerSec: part.timesRate * experiment.workspaces[workspace].ratePerSec,
-      fromMs: part.from * plannedMs,
-      toMs: part.to === 1 ? plannedMs + longestTailMs : part.to * plannedMs,
-      mix: part.mix,
-      costMs: part.costMs,
-      vms: part.vms
+      ratePerSec: load.timesRate * experiment.workspaces[workspace].ratePerSec,
+      fromMs: load.from * plannedMs,
+      toMs: load.to === 1 ? plannedMs + maxExtensionMs : load.to * plannedMs,
+      mix: load.mix,
+      costMs: load.costMs,
+      vms: load.vms
     }))
   })
-  return [...streams, ...clockStreams(configuration, plannedMs + longestTailMs)]
+  return [...streams, ...clockStreams(configuration, plannedMs + maxExtensionMs)]
 }
--- a/packages/load/src/experiment/experiment-result.ts
+++ b/packages/load/src/experiment/experiment-result.ts
@@ -1,19 +1,19 @@
 /**
- * What an experiment came to, the same for all kinds, as it is written to files.
+ * Results of experiments, in one format for all kinds, and the evaluation of their bounds.
  */
 
-/** Value of a measure; undefined when there was nothing to measure. */
+/** Value of a measure; undefined without samples. */
 export type MeasureValue = number | undefined
 
-/** Points of one line of the plot: time in seconds, value. */
+/** One line of a plot; each point is a time in seconds and a value. */
 export type PlotLine = { name: string, points: Array<[number, number]> }
 
-/** One part of the plot. */
+/** One panel of a plot. */
 export type PlotPanel = {
   title: string
   yLabel: string
   lines: PlotLine[]
-  /** Vertical marks, at seconds. */
+  /** Vertical marks at times in seconds. */
   marks: Array<{ atS: number, label: string }>
 }
 
@@ -22,15 +22,15 @@
   scenario: string
   variant: string
   measures: Record<string, MeasureValue>
-  /** Everything else that was seen, for the JSON file. */
+  /** Further results, for the JSON file only. */
   details: unknown
 }
 
-/** A result before its bounds are judged. */
+/** Result of an experiment before its bounds are evaluated. */
 export type ExperimentOutcome = { rows: ResultRow[], panels: PlotPanel[] }
 
-/** A bound with what was seen. */
-export type JudgedBound = {
+/** A bound with the measured value of one row. */
+export type EvaluatedBound = {
   measure: string
   scenario: string
   variant: string
@@ -40,7 +40,7 @@
   isMet: boolean
 }
 
-/** Bounds as experiment files give them. */
+/** A bound of an experiment file; without a scenario or variant it applies to all of them. */
 export type Bound = {
   measure: string
   scenario?: string
@@ -49,11 +49,11 @@
   atMost?: number
 }
 
-/** Judges each bound against each row that it is about. What was not measured does not meet a bound. */
-export const judgeBounds = (bounds: Bound[], rows: ResultRow[]): JudgedBound[] => bounds.flatMap(bound => {
-  const about = rows.filter(row =>
+/** Evaluates each bound for each row that it applies to. A measure without a value does not meet a bound. */
+export const evaluateBounds = (bounds: Bound[], rows: ResultRow[]): EvaluatedBound[] => bounds.flatMap(bound => {
+  const matchingRows = rows.filter(row =>
     (bound.scenario ?? row.scenario) === row.scenario && (bound.variant ?? row.variant) === row.variant)
-  return about.map(({ scenario, variant, measures }) => {
+  return matchingRows.map(({ scenario, variant, measures }) => {
     const seen = measures[bound.measure]
     const isMet = seen !== undefined && seen >= (bound.atLeast ?? -Infinity) && seen <= (bound.atMost ?? Infinity)
     return { ...bound, scenario, variant, seen, isMet }
--- a/packages/load/src/experiment/experiment-schema.ts
+++ b/packages/load/src/experiment/experiment-schema.ts
@@ -1,6 +1,6 @@
 /**
- * Schema of the experiment files under `experiments/`. Times are shares of the run's length, so that a run can be
- * made shorter or longer.
+ * Schema of the experiment files under `experiments/`. Times of loads and faults are fractions of the run's planned
+ * length, so that `--seconds` scales the whole run.
  */
 import { z } from 'zod'
 import { faultSchema } from '../faults.js'
@@ -8,7 +8,7 @@
 const share = z.number().min(0).max(1)
 const seconds = z.number().min(2).max(3_600)
 
-const fleetChangeSchema = z.strictObject({
+const fleetOverridesSchema = z.strictObject({
   vms: z.number().int().min(1).max(100),
   groups: z.number().int().min(1).max(20),
   databasesPerGroup: z.number().int().min(1).max(5),
@@ -28,7 +28,7 @@
   })
 }).partial()
 
-/** What an experiment does not say of its fleet. */
+/** Defaults for the fleet of an experiment. */
 const defaultShape = {
   vms: 3,
   groups: 1,
@@ -44,8 +44,8 @@
   links: {}
 }
 
-/** Sizes and behaviour of the fleet that an experiment starts. */
-export const fleetShapeSchema = fleetChangeSchema.transform(given => ({ ...defaultShape, ...given }))
+/** Schema of the sizes, timings and limits of an experiment's fleet. */
+export const fleetShapeSchema = fleetOverridesSchema.transform(overrides => ({ ...defaultShape, ...overrides }))
 
 const workspaceSchema = z.strictObject({
   ratePerSec: z.number().positive(),
@@ -54,36 +54,36 @@
   group: z.string().default('group-1')
 })
 
-/** Some requests of one workspace, or of every one. */
+/** Schema of a load by one workspace or by each of them. */
 export const loadSchema = z.strictObject({
-  /** Name of a workspace, or `*` for each of them. */
+  /** Name of a workspace, or `*` for all of the experiment's workspaces. */
   workspace: z.string(),
-  /** Rate relative to the workspace's own. */
+  /** Request rate as a multiple of the workspace's rate limit. */
   timesRate: z.number().positive(),
   from: share.default(0),
   to: share.default(1),
-  /** Share of each route: write, tally, read, board, read-primary. */
+  /** Relative weight of each route: write, tally, read, board, read-primary. */
   mix: z.record(z.string(), z.number().min(0)).default({ write: 0.2, read: 0.6, board: 0.2 }),
   costMs: z.number().min(0).optional(),
-  /** Indexes of the only VMs that it goes to. */
+  /** Indexes of the VMs that receive the requests; default: all ready VMs. */
   vms: z.array(z.number().int().min(0)).optional()
 })
 
-/** Settings of the variant's entries, which check them themselves. */
+/** Settings of the entries of a variant; the entries validate them. */
 const variantSchema = z.strictObject({
   policies: z.record(z.string(), z.string()).default({}),
   contact: z.record(z.string(), z.number()).default({})
 })
 
 const scenarioSchema = z.strictObject({
-  fleet: fleetChangeSchema.prefault({}),
+  fleet: fleetOverridesSchema.prefault({}),
   load: z.array(loadSchema).default([]),
   faults: z.array(faultSchema).default([])
 })
 
 const boundSchema = z.strictObject({
   measure: z.string(),
-  /** Absent: every one. */
+  /** Without a variant or scenario, the bound applies to all of them. */
   variant: z.string().optional(),
   scenario: z.string().optional(),
   atLeast: z.number().optional(),
@@ -95,27 +95,27 @@
 const common = {
   title: z.string(),
   seed: z.number().int().min(0).default(1),
-  /** Length of each scenario. */
+  /** Planned length of each scenario. */
   seconds: seconds.default(15),
-  /** Measures that the table shows. */
+  /** Names of the measures in the result table. */
   columns: z.array(z.string()),
   bounds: z.array(boundSchema).default([])
 }
 
-/** Load and faults against fleets that run side by side, one for each variant. */
+/** Experiment with load and faults on concurrent fleets, one for each variant. */
 export const loadExperimentSchema = z.strictObject({
   kind: z.literal('load'),
   ...common,
   fleet: fleetShapeSchema.prefault({}),
   workspaces: z.record(z.string(), workspaceSchema),
-  /** Load of every scenario. */
+  /** Load that all scenarios have in common. */
   load: z.array(loadSchema),
   variants: z.record(z.string(), variantSchema),
   scenarios: z.record(z.string(), scenarioSchema),
   ratios: z.array(ratioSchema).default([])
 })
 
-/** Changes of the configuration, by several operators, while the store has faults. */
+/** Experiment with concurrent configuration changes by several operators while the store has faults. */
 export const configExperimentSchema = z.strictObject({
   kind: z.literal('config'),
   ...common,
@@ -125,7 +125,7 @@
   scenarios: z.record(z.string(), z.strictObject({ faults: z.array(faultSchema).default([]) }))
 })
 
-/** The same statements straight to a database and through an entry, in turn. */
+/** Experiment that compares statements sent directly to a database with the same statements through an entry. */
 export const overheadExperimentSchema = z.strictObject({
   kind: z.literal('overhead'),
   ...common,
@@ -135,7 +135,7 @@
   connectedRatePerSec: z.number().positive()
 })
 
-/** Cost of control of fleets of several sizes. */
+/** Experiment on the control plane's cost in fleets of several sizes. */
 export const controlExperimentSchema = z.strictObject({
   kind: z.literal('control-cost'),
   ...common,
@@ -147,13 +147,13 @@
   }))
 })
 
-/** An experiment file. */
+/** Schema of an experiment file. */
 export const experimentSchema = z.discriminatedUnion('kind', [
   loadExperimentSchema, configExperimentSchema, overheadExperimentSchema, controlExperimentSchema
 ])
 
 export type FleetShape = z.infer<typeof fleetShapeSchema>
-export type LoadPart = z.infer<typeof loadSchema>
+export type LoadSpec = z.infer<typeof loadSchema>
 export type LoadExperiment = z.infer<typeof loadExperimentSchema>
 export type ConfigExperiment = z.infer<typeof configExperimentSchema>
 export type OverheadExperiment = z.infer<typeof overheadExperimentSchema>
--- a/packages/load/src/experiment/experiment.test.ts
+++ b/packages/load/src/experiment/experiment.test.ts
@@ -8,7 +8,7 @@
 import { createSessionPool } from '../sessions.js'
 import { experimentNames, readExperiment } from './experiment-files.js'
 import { describeFleet, streamsOf } from './experiment-fleet.js'
-import { judgeBounds } from './experiment-result.js'
+import { evaluateBounds } from './experiment-result.js'
 import { experimentSchema } from './experiment-schema.js'
 
 const minimal = {
@@ -29,7 +29,7 @@
   }
 })
 
-test('a scenario changes only what it names of the fleet', t => {
+test('a scenario overrides only the fleet fields that it contains', t => {
   const experiment = experimentSchema.parse({ ...minimal, fleet: { vms: 2, stewards: false } })
   if (experiment.kind !== 'load') return t.fail()
   t.deepEqual(experiment.scenarios.lagging.fleet, { replicationLagMs: 200 })
@@ -41,7 +41,7 @@
   t.false(experimentSchema.safeParse({ ...minimal, sedes: 1 }).success)
 })
 
-test('the load of every workspace lasts through the tail, and clocks are written by their own workspace', t => {
+test('load on all workspaces continues past the planned end, and clock keys have a workspace of their own', t => {
   const experiment = experimentSchema.parse(minimal)
   if (experiment.kind !== 'load') return t.fail()
   const { configuration } = describeFleet(experiment.fleet, experiment.workspaces)
@@ -51,7 +51,7 @@
   t.true(streams[0].toMs > 1_000)
 })
 
-test('arrivals come in order, at their rate, and again with the same seed', t => {
+test('arrivals are in order, match the rate, and are reproducible from the seed', t => {
   const stream = { workspace: 'yard-1', ratePerSec: 200, fromMs: 0, toMs: 10_000, mix: { read: 1 } }
   const times = (seed: number) => [...mergedArrivals([stream, { ...stream, fromMs: 5_000 }], seed)].map(a => a.atMs)
   const first = times(3)
@@ -61,7 +61,7 @@
   t.true(Math.abs(first.length - 3_000) < 300)
 })
 
-test('a session begins anew when it is told that its write was lost', t => {
+test('a session drops its token and counters when a failover has lost one of its writes', t => {
   const pool = createSessionPool(1)
   const random = createRandom(1)
   const answer = {
@@ -73,16 +73,16 @@
     endpoint: 'db-1',
     fromReplica: false
   }
-  const session = pool.take(random)!
-  pool.giveBack(session, true, 'group-1', true, answer)
-  t.is(pool.take(random)!.confirmedByGroup.get('group-1'), 1)
-  pool.giveBack(session, false, 'group-1', true, { ...answer, kind: 'failed', reason: 'sessionWriteLost' })
+  const session = pool.acquire(random)!
+  pool.release(session, true, 'group-1', true, answer)
+  t.is(pool.acquire(random)!.confirmedByGroup.get('group-1'), 1)
+  pool.release(session, false, 'group-1', true, { ...answer, kind: 'failed', reason: 'sessionWriteLost' })
   t.deepEqual([session.token.length, session.confirmedByGroup.size], [0, 0])
-  pool.giveBack(session, true, 'group-1', true, { ...answer, kind: 'outcomeUnknown', reason: 'timeout' })
+  pool.release(session, true, 'group-1', true, { ...answer, kind: 'outcomeUnknown', reason: 'timeout' })
   t.true(session.hasUnsettledWrite)
 })
 
-test('the demo brings about every fault of its table within its length', t => {
+test('the demo plan contains each fault, and all events are within the planned length', t => {
   for (const deployment of ['arenal', 'modhafen']) {
     const plan = planDemo(readDeployment(deployment).configuration, 8_000)
     t.deepEqual(plan.faults.map(fault => fault.do), ['dataCentre', 'dataCentre', 'kill'])
@@ -91,19 +91,19 @@
   }
 })
 
-test('bounds are judged for the rows that they are about, and reports show them', t => {
+test('bounds are evaluated for the rows that they apply to and shown in reports', t => {
   const rows = [
     { scenario: 'quiet', variant: 'one', measures: { gapMs: 10 }, details: {} },
     { scenario: 'flood', variant: 'one', measures: { gapMs: 30 }, details: {} },
     { scenario: 'flood', variant: 'two', measures: {}, details: {} }
   ]
-  const judged = judgeBounds([{ measure: 'gapMs', scenario: 'flood', atMost: 20 }], rows)
-  t.deepEqual(judged.map(bound => bound.isMet), [false, false])
-  t.true(formatBounds(judged).includes('0 of 2'))
+  const evaluated = evaluateBounds([{ measure: 'gapMs', scenario: 'flood', atMost: 20 }], rows)
+  t.deepEqual(evaluated.map(bound => bound.isMet), [false, false])
+  t.true(formatBounds(evaluated).includes('0 of 2'))
   t.true(formatResults(rows, ['gapMs']).includes('| flood | two | - |'))
 })
 
-test('a plot is well formed and escapes its labels', t => {
+test('a plot escapes its labels and contains no invalid coordinates', t => {
   const svg = drawPlot([{
     title: 'a <b>',
     yLabel: 'done per second',
--- a/packages/load/src/experiment/run-config-experiment.ts
+++ b/packages/load/src/experiment/run-config-experiment.ts
@@ -1,6 +1,6 @@
 /**
- * Changes of the configuration by operators who race each other: time until each accepted change is in force on every
- * VM, and what the platform is asked meanwhile.
+ * Concurrent configuration changes by several operators: measures the time until each accepted change is active on
+ * every VM, and the rate of calls to the platform.
  */
 import { createRandom, sleepMs } from '@egretyoke/common'
 import type { DocumentTexts } from '@egretyoke/config'
@@ -9,32 +9,33 @@
 import { loopbackChannels } from '@egretyoke/protocol'
 import { documentTexts, startFleet } from '@egretyoke/testbed'
 import type { Fleet } from '@egretyoke/testbed'
-import { createFaultRunner, stopwatchMs } from '../faults.js'
+import { createFaultInjector, startStopwatch } from '../faults.js'
 import { describeFleet } from './experiment-fleet.js'
 import type { ExperimentOutcome, ResultRow } from './experiment-result.js'
 import type { ConfigExperiment } from './experiment-schema.js'
 import { readMetrics } from './process-cost.js'
-import type { Note } from './run-load-experiment.js'
+import type { LogProgress } from './run-load-experiment.js'
 
 const versionMetric = 'egretyoke_config_version'
 const versionPollMs = 50
-const longestWaitMs = 20_000
+const maxWaitMs = 20_000
 const callTimeoutMs = 1_000
-/** Time after the last change for it to reach every VM. */
+/** Time for the last change to reach every VM. */
 const settleMs = 6_000
 
-type Accepted = { version: number, acceptedMs: number }
-type Tally = { accepted: Accepted[], conflicts: number, unsettled: number, unavailable: number }
+type AcceptedChange = { version: number, acceptedMs: number }
+type ChangeCounts = { accepted: AcceptedChange[], conflicts: number, unsettled: number, unavailable: number }
 
-/** One operator: reads, changes a limit, applies, and counts what became of it. */
-const operate = async (
-  platform: Platform, operator: number, pauseMs: () => number, nowMs: () => number, isOver: () => boolean, tally: Tally
+/** Runs one operator until `hasEnded`: reads the configuration, changes a limit, applies it and counts the outcomes. */
+const runOperator = async (
+  platform: Platform, operator: number, pauseMs: () => number, nowMs: () => number, hasEnded: () => boolean,
+  counts: ChangeCounts
 ) => {
-  for (let change = 0; !isOver(); change++) {
+  for (let change = 0; !hasEnded(); change++) {
     await sleepMs(pauseMs())
     const read = await readConfiguration(platform, callTimeoutMs)
     if (!read.ok) {
-      tally.unavailable++
+      counts.unavailable++
       continue
     }
     const { version, ...configuration } = read.val
@@ -42,15 +43,15 @@
     const documents: Partial<DocumentTexts> = { workspaces: documentTexts(configuration).workspaces }
     const outcome = await applyDocuments(
       platform, { baseVersion: version, documents, changeId: createChangeId(version) },
-      { callTimeoutMs, waitMs: longestWaitMs })
-    if (outcome.kind === 'accepted') tally.accepted.push({ version: outcome.version, acceptedMs: nowMs() })
-    if (outcome.kind === 'conflict') tally.conflicts++
-    if (outcome.kind === 'unsettled') tally.unsettled++
-    if (outcome.kind === 'unavailable') tally.unavailable++
+      { callTimeoutMs, waitMs: maxWaitMs })
+    if (outcome.kind === 'accepted') counts.accepted.push({ version: outcome.version, acceptedMs: nowMs() })
+    if (outcome.kind === 'conflict') counts.conflicts++
+    if (outcome.kind === 'unsettled') counts.unsettled++
+    if (outcome.kind === 'unavailable') counts.unavailable++
   }
 }
 
-/** When each VM was first seen with each version or a later one. */
+/** Polls each VM's configuration version until aborted; records increases with their times and counts decreases. */
 const watchVersions = async (fleet: Fleet, nowMs: () => number, signal: AbortSignal) => {
   const seen = fleet.vmNames.map(() => [] as Array<{ version: number, atMs: number }>)
   let reverts = 0
@@ -71,8 +72,8 @@
 const percentile = (sorted: number[], share: number): number | undefined =>
   sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * share))]
 
-const runScenarioOf = async (
-  experiment: ConfigExperiment, scenario: string, seconds: number, seed: number, note: Note
+const runConfigScenario = async (
+  experiment: ConfigExperiment, scenario: string, seconds: number, seed: number, logProgress: LogProgress
 ): Promise<ResultRow> => {
   const workspaces = Object.fromEntries(Array.from({ length: experiment.operators }, (_, index) =>
     [`yard-${index + 1}`, { ratePerSec: 100, burst: 100, weight: 1, group: 'group-1' }]))
@@ -82,32 +83,32 @@
   const stopping = new AbortController()
   try {
     const random = createRandom(seed)
-    const nowMs = stopwatchMs()
+    const nowMs = startStopwatch()
     const plannedMs = seconds * 1_000
-    const faults = createFaultRunner(fleet, plannedMs)
-    const tally: Tally = { accepted: [], conflicts: 0, unsettled: 0, unavailable: 0 }
+    const injector = createFaultInjector(fleet, plannedMs)
+    const counts: ChangeCounts = { accepted: [], conflicts: 0, unsettled: 0, unavailable: 0 }
     const callsBefore = (await fleet.readPlatformStats()).calls
     const watching = watchVersions(fleet, nowMs, stopping.signal)
     const pauseMs = () => -Math.log(1 - random.fraction()) * 1_000 * experiment.operators / experiment.changesPerSec
-    const running = faults.run(
-      experiment.scenarios[scenario].faults, nowMs, fault => note(`${scenario}: ${fault.label}`))
+    const running = injector.run(
+      experiment.scenarios[scenario].faults, nowMs, fault => logProgress(`${scenario}: ${fault.label}`))
     await Promise.all([running, ...platforms.map((platform, operator) =>
-      operate(platform, operator, pauseMs, nowMs, () => nowMs() > plannedMs, tally))])
+      runOperator(platform, operator, pauseMs, nowMs, () => nowMs() > plannedMs, counts))])
     const calls = (await fleet.readPlatformStats()).calls - callsBefore
     const elapsedSeconds = nowMs() / 1_000
     await sleepMs(settleMs)
     stopping.abort()
     const { seen, reverts } = await watching
-    const delays = tally.accepted.map(({ version, acceptedMs }) => Math.max(...seen.map(sightings => {
-      const first = sightings.find(sighting => sighting.version >= version)
+    const delays = counts.accepted.map(({ version, acceptedMs }) => Math.max(...seen.map(observations => {
+      const first = observations.find(observation => observation.version >= version)
       return first ? first.atMs - acceptedMs : Infinity
     }))).sort((left, right) => left - right)
-    note(`${scenario}: ${delays.length} changes accepted`)
+    logProgress(`${scenario}: ${delays.length} changes accepted`)
     const measures = {
-      accepted: tally.accepted.length,
-      conflicts: tally.conflicts,
-      unsettled: tally.unsettled,
-      unavailable: tally.unavailable,
+      accepted: counts.accepted.length,
+      conflicts: counts.conflicts,
+      unsettled: counts.unsettled,
+      unavailable: counts.unavailable,
       inForceP50Ms: percentile(delays, 0.5),
       inForceMaxMs: delays.at(-1),
       reverts,
@@ -121,13 +122,13 @@
   }
 }
 
-/** Runs all scenarios, one after the other. */
+/** Runs all scenarios in sequence. */
 export const runConfigExperiment = async (
-  experiment: ConfigExperiment, seconds: number, seed: number, note: Note
+  experiment: ConfigExperiment, seconds: number, seed: number, logProgress: LogProgress
 ): Promise<ExperimentOutcome> => {
   const outcome: ExperimentOutcome = { rows: [], panels: [] }
   for (const scenario of Object.keys(experiment.scenarios)) {
-    outcome.rows.push(await runScenarioOf(experiment, scenario, seconds, seed, note))
+    outcome.rows.push(await runConfigScenario(experiment, scenario, seconds, seed, logProgress))
   }
   return outcome
 }
--- a/packages/load/src/experiment/run-control-experiment.ts
+++ b/packages/load/src/experiment/run-control-experiment.ts
@@ -1,5 +1,6 @@
 /**
- * Cost of control: fleets without load, of several sizes and rates of configuration changes.
+ * Control plane cost: CPU, memory, traffic and platform calls of fleets without load, by fleet size and rate of
+ * configuration changes.
  */
 import { monotonicMs, sleepMs, ticks } from '@egretyoke/common'
 import { startFleet } from '@egretyoke/testbed'
@@ -9,7 +10,7 @@
 import { fleetShapeSchema } from './experiment-schema.js'
 import type { ControlExperiment } from './experiment-schema.js'
 import { median, readProcessCost } from './process-cost.js'
-import type { Note } from './run-load-experiment.js'
+import type { LogProgress } from './run-load-experiment.js'
 
 const settleMs = 5_000
 const bytesPerKb = 1024
@@ -64,7 +65,7 @@
     stewardCorePercent: 100 * median(cores.slice(count)),
     entryMemoryMb: median(memory.slice(0, count)),
     stewardMemoryMb: median(memory.slice(count)),
-    /** Bytes on the wire for each VM: what its entry and steward exchange with platform, peers and databases. */
+    /** Traffic per VM: bytes that its entry and steward exchange with the platform, peers and databases. */
     controlKbPerVmSec: relayedBytes / bytesPerKb / elapsedSeconds / size.vms,
     platformCallsPerSec: (platformAfter.calls - platformBefore.calls) / elapsedSeconds,
     waitingWatches: platformAfter.waitingWatches
@@ -74,15 +75,15 @@
 const nameOf = ({ vms, groups, workspaces, changesPerSec }: Size): string =>
   `${vms} VMs, ${groups} groups, ${workspaces} workspaces, ${changesPerSec} changes/s`
 
-/** Measures each size in turn. */
+/** Measures fleets of all sizes in sequence. */
 export const runControlExperiment = async (
-  experiment: ControlExperiment, seconds: number, note: Note
+  experiment: ControlExperiment, seconds: number, logProgress: LogProgress
 ): Promise<ExperimentOutcome> => {
   const outcome: ExperimentOutcome = { rows: [], panels: [] }
   for (const size of experiment.fleets) {
     const shape = fleetShapeSchema.parse({ vms: size.vms, groups: size.groups })
     const scenario = nameOf(size)
-    note(scenario)
+    logProgress(scenario)
     const options = { readyTimeoutMs, links: { countBytes: true } }
     const fleet = await startFleet(describeFleet(shape, workspacesOf(size)), options)
     try {
--- a/packages/load/src/experiment/run-load-experiment.ts
+++ b/packages/load/src/experiment/run-load-experiment.ts
@@ -1,6 +1,6 @@
 /**
- * Experiments with load and faults: for each scenario one fleet a variant, all driven side by side by the same
- * arrivals, so that what the machine does to one it does to all.
+ * Experiments with load and faults. Each scenario runs one fleet for each variant, all concurrently and with the same
+ * arrivals, so that interference from the machine affects all variants alike.
  */
 import { messageOf } from '@egretyoke/common'
 import { startFleet } from '@egretyoke/testbed'
@@ -14,30 +14,30 @@
 import type { ExperimentOutcome, MeasureValue, PlotLine, PlotPanel, ResultRow } from './experiment-result.js'
 import type { LoadExperiment } from './experiment-schema.js'
 
-/** Receives a line of progress. */
-export type Note = (text: string) => void
+/** Prints a line of progress. */
+export type LogProgress = (text: string) => void
 
 const plotStepMs = 500
-/** A workspace counts as within its rate when at least this share of what it offered was. */
-const withinShare = 0.99
+/** A workspace counts as within its rate when at least this fraction of its requests was. */
+const minWithinShare = 0.99
 
 type Run = { variant: string, result: ScenarioResult, measures: Record<string, MeasureValue> }
 
-/** Worst p99 among the workspaces that stayed within their rate. */
+/** Returns the highest p99 latency of the workspaces within their rate. */
 const worstP99WithinRate = (measures: Measures): MeasureValue => {
   const within = Object.values(measures.workspaces)
-    .filter(workspace => workspace.within >= withinShare * workspace.offered)
+    .filter(workspace => workspace.within >= minWithinShare * workspace.offered)
   return within.length === 0 ? undefined : Math.max(...within.map(workspace => workspace.p99Ms))
 }
 
-/** Worst share among the workspaces that stayed within their rate. */
+/** Returns the lowest share of served requests of the workspaces within their rate. */
 const worstShareWithinRate = (measures: Measures): MeasureValue => {
   const within = Object.values(measures.workspaces)
-    .filter(workspace => workspace.within >= withinShare * workspace.offered)
+    .filter(workspace => workspace.within >= minWithinShare * workspace.offered)
   return within.length === 0 ? undefined : Math.min(...within.map(workspace => workspace.share))
 }
 
-/** Statements that the databases ran, and requests that they declined. */
+/** Counts the statements that the running databases executed and the requests that they declined. */
 const countDatabaseWork = async (fleet: Fleet): Promise<{ statements: number, declined: number }> => {
   const stats = await Promise.all(fleet.databaseNames().filter(fleet.isRunning).map(name =>
     fleet.readDatabaseStats(name).catch(() => undefined)))
@@ -51,7 +51,7 @@
   Object.entries(measures).filter((entry): entry is [string, MeasureValue] =>
     typeof entry[1] === 'number' || entry[1] === undefined))
 
-/** Done per second over time. */
+/** Returns the rate of completed requests over time. */
 const doneLine = (name: string, { operations }: History, endedMs: number): PlotLine => {
   const counts = new Array<number>(Math.ceil(endedMs / plotStepMs)).fill(0)
   const done = operations.filter((operation: Operation) => operation.kind === 'done' && operation.receivedMs < endedMs)
@@ -75,8 +75,8 @@
     [`p${percentile}`, latencyPercentiles(result.history.operations, [percentile])[0]]))
 })
 
-const runScenarioOf = async (
-  experiment: LoadExperiment, scenarioName: string, seconds: number, seed: number, note: Note
+const runVariants = async (
+  experiment: LoadExperiment, scenarioName: string, seconds: number, seed: number, logProgress: LogProgress
 ): Promise<Run[]> => {
   const scenario = experiment.scenarios[scenarioName]
   const shape = { ...experiment.fleet, ...scenario.fleet }
@@ -92,7 +92,7 @@
         stewardSettings: () => contact.ttlMs === undefined ? {} : { contactTtlMs: contact.ttlMs }
       }))
     }
-    note(`${scenarioName}: ${fleets.length} fleets are ready`)
+    logProgress(`${scenarioName}: ${fleets.length} fleets are ready`)
     return await Promise.all(Object.keys(experiment.variants).map(async (variant, index) => {
       const fleet = fleets[index]
       const streams = streamsOf(
@@ -100,7 +100,7 @@
       const result = await runScenario(
         fleet,
         { streams, faults: scenario.faults, plannedMs, seed, runId: `x${seed}` },
-        { onFault: fault => note(`${scenarioName}, ${variant}: ${fault.label}`) })
+        { onFault: fault => logProgress(`${scenarioName}, ${variant}: ${fault.label}`) })
       const work = await countDatabaseWork(fleet)
       const measures = {
         ...numbersOf(result.measures),
@@ -117,7 +117,7 @@
   }
 }
 
-/** Adds `MEASURERatio` to the rows of each ratio's scenario. */
+/** Adds the measure `MEASURERatio` to the rows of the scenario of each ratio. */
 const addRatios = (experiment: LoadExperiment, rows: ResultRow[]) => {
   for (const { measure, scenario, toScenario } of experiment.ratios) {
     for (const row of rows.filter(one => one.scenario === scenario)) {
@@ -128,19 +128,19 @@
   }
 }
 
-/** Runs all scenarios, one after the other. */
+/** Runs all scenarios in sequence. A scenario that fails has rows without measures. */
 export const runLoadExperiment = async (
-  experiment: LoadExperiment, seconds: number, seed: number, note: Note
+  experiment: LoadExperiment, seconds: number, seed: number, logProgress: LogProgress
 ): Promise<ExperimentOutcome> => {
   const outcome: ExperimentOutcome = { rows: [], panels: [] }
   for (const scenario of Object.keys(experiment.scenarios)) {
     try {
-      const runs = await runScenarioOf(experiment, scenario, seconds, seed, note)
+      const runs = await runVariants(experiment, scenario, seconds, seed, logProgress)
       outcome.panels.push(panelOf(scenario, runs))
       outcome.rows.push(...runs.map(run =>
         ({ scenario, variant: run.variant, measures: run.measures, details: detailsOf(run) })))
     } catch (thrown) {
-      note(`${scenario} was not measured: ${messageOf(thrown)}`)
+      logProgress(`${scenario} was not measured: ${messageOf(thrown)}`)
       const rows = Object.keys(experiment.variants).map(variant =>
         ({ scenario, variant, measures: {}, details: { notMeasured: messageOf(thrown) } }))
       outcome.rows.push(...rows)
--- a/packages/load/src/experiment/run-overhead-experiment.ts
+++ b/packages/load/src/experiment/run-overhead-experiment.ts
@@ -1,6 +1,6 @@
 /**
- * What an entry adds: the same reads straight to the primary and through one entry, in turns of a second, then the
- * processor time of an entry that is busy and the memory of callers that are connected and idle.
+ * Overhead of an entry: latency of the same reads sent directly to the primary and through one entry, in alternating
+ * rounds of one second; then the CPU time of a busy entry, and its memory for connected idle callers.
  */
 import { once } from 'node:events'
 import { connect } from 'node:http2'
@@ -16,28 +16,28 @@
 import { fleetShapeSchema } from './experiment-schema.js'
 import type { OverheadExperiment } from './experiment-schema.js'
 import { median, readProcessCost } from './process-cost.js'
-import type { Note } from './run-load-experiment.js'
+import type { LogProgress } from './run-load-experiment.js'
 
 const workspace = 'yard-1'
 const statement = 'get berth costMs=1'
 const directConnections = 12
-const turnMs = 1_000
+const roundMs = 1_000
 const settleMs = 3_000
 const bytesPerKb = 1024
 const statementTimeoutMs = 5_000
-const connectsAtOnce = 50
+const connectBatchSize = 50
 
-/** Runs one statement; false when it was not done. */
+/** Runs one statement; resolves to false when it fails. */
 type Execute = () => Promise<boolean>
 
-/** A pool of connections straight to a database; each runs one statement at a time. */
+/** Creates a pool of direct connections to a database; each connection runs one statement at a time. */
 const connectDirectly = (address: string) => {
   const client = connectGrpc(endpointProto.Endpoint, address, loopbackChannels)
   let lastRequestId = 0
   const idle: Array<ReturnType<typeof client.Connect>> = []
   const waiting: Array<(stream: ReturnType<typeof client.Connect>) => void> = []
 
-  const answerOf = async (stream: ReturnType<typeof client.Connect>): Promise<EndpointMessages.Reply__Output> => {
+  const nextReply = async (stream: ReturnType<typeof client.Connect>): Promise<EndpointMessages.Reply__Output> => {
     const [reply] = await once(stream, 'data')
     return reply
   }
@@ -45,27 +45,27 @@
     const stream = client.Connect()
     stream.on('error', () => {})
     stream.write({ requestId: ++lastRequestId, generation: 1, open: { group: 'group-1' } })
-    await answerOf(stream)
+    await nextReply(stream)
     idle.push(stream)
   }
-  const take = () => {
+  const acquire = () => {
     const stream = idle.pop()
     return stream ? Promise.resolve(stream) : new Promise<typeof idle[number]>(resolve => waiting.push(resolve))
   }
-  const giveBack = (stream: typeof idle[number]) => {
+  const release = (stream: typeof idle[number]) => {
     const next = waiting.shift()
     if (next) next(stream)
     else idle.push(stream)
   }
   const execute: Execute = async () => {
-    const stream = await take()
+    const stream = await acquire()
     stream.write({
       requestId: ++lastRequestId,
       generation: 1,
       execute: { statement: Buffer.from(statement), writes: false, timeoutMs: statementTimeoutMs }
     })
-    const reply = await answerOf(stream)
-    giveBack(stream)
+    const reply = await nextReply(stream)
+    release(stream)
     return reply.end?.verdict === 'DONE'
   }
   const openAll = () => Promise.all(Array.from({ length: directConnections }, open))
@@ -74,8 +74,8 @@
 
 type Run = { latenciesMs: number[], failed: number }
 
-/** Sends statements at a rate for a time, open-loop; latencies count from the intended start. */
-const drive = async (execute: Execute, ratePerSec: number, durationMs: number, seed: number): Promise<Run> => {
+/** Sends statements open-loop at the given rate; latencies count from the intended start. */
+const sendOpenLoop = async (execute: Execute, ratePerSec: number, durationMs: number, seed: number): Promise<Run> => {
   const run: Run = { latenciesMs: [], failed: 0 }
   const startedMs = monotonicMs()
   const open: Array<Promise<void>> = []
@@ -97,35 +97,38 @@
 const percentileOf = (values: number[], share: number): number | undefined =>
   values.toSorted((left, right) => left - right)[Math.floor(values.length * share)]
 
-/** Takes turns between both ways. */
-const compare = async (direct: Execute, throughEntry: Execute, ratePerSec: number, turns: number, seed: number) => {
+/** Compares the latencies of direct reads and of reads through the entry, in alternating rounds. */
+const compareLatencies = async (
+  direct: Execute, throughEntry: Execute, ratePerSec: number, rounds: number, seed: number
+) => {
   const directMs: number[] = []
   const entryMs: number[] = []
   let failed = 0
-  for (let turn = 0; turn < turns; turn++) {
-    const ways = [{ execute: direct, into: directMs }, { execute: throughEntry, into: entryMs }]
-    for (const { execute, into } of turn % 2 === 0 ? ways : ways.toReversed()) {
-      const run = await drive(execute, ratePerSec, turnMs, seed + turn)
-      into.push(...run.latenciesMs)
+  for (let round = 0; round < rounds; round++) {
+    const paths = [{ execute: direct, latenciesMs: directMs }, { execute: throughEntry, latenciesMs: entryMs }]
+    for (const { execute, latenciesMs } of round % 2 === 0 ? paths : paths.toReversed()) {
+      const run = await sendOpenLoop(execute, ratePerSec, roundMs, seed + round)
+      latenciesMs.push(...run.latenciesMs)
       failed += run.failed
     }
   }
   const measures: Record<string, MeasureValue> = { statements: directMs.length + entryMs.length, failed }
   for (const [name, share] of [['P50', 0.5], ['P99', 0.99]] as const) {
-    const withEntry = percentileOf(entryMs, share)
-    const without = percentileOf(directMs, share)
-    measures[`direct${name}Ms`] = without
-    measures[`entry${name}Ms`] = withEntry
-    measures[`added${name}Ms`] = withEntry === undefined || without === undefined ? undefined : withEntry - without
+    const entryValueMs = percentileOf(entryMs, share)
+    const directValueMs = percentileOf(directMs, share)
+    measures[`direct${name}Ms`] = directValueMs
+    measures[`entry${name}Ms`] = entryValueMs
+    measures[`added${name}Ms`] =
+      entryValueMs === undefined || directValueMs === undefined ? undefined : entryValueMs - directValueMs
   }
   return measures
 }
 
-const costOfLoad = async (fleet: Fleet, execute: Execute, ratePerSec: number, durationMs: number, seed: number) => {
+const measureCost = async (fleet: Fleet, execute: Execute, ratePerSec: number, durationMs: number, seed: number) => {
   const address = fleet.healthAddress(fleet.vmNames[0])
   const before = await readProcessCost(address)
   const startedMs = monotonicMs()
-  const run = await drive(execute, ratePerSec, durationMs, seed)
+  const run = await sendOpenLoop(execute, ratePerSec, durationMs, seed)
   const seconds = (monotonicMs() - startedMs) / 1_000
   const after = await readProcessCost(address)
   const cpuSeconds = after.cpuSeconds - before.cpuSeconds
@@ -143,7 +146,7 @@
 const connectIdle = async (address: string, count: number): Promise<ClientHttp2Session[]> => {
   const sessions: ClientHttp2Session[] = []
   while (sessions.length < count) {
-    const batch = Array.from({ length: Math.min(connectsAtOnce, count - sessions.length) }, () => {
+    const batch = Array.from({ length: Math.min(connectBatchSize, count - sessions.length) }, () => {
       const session = connect(`http://${address}`)
       session.on('error', () => {})
       return session
@@ -157,9 +160,9 @@
 const memoryKb = async (fleet: Fleet): Promise<number> =>
   (await readProcessCost(fleet.healthAddress(fleet.vmNames[0]))).memoryBytes / bytesPerKb
 
-/** Runs the comparison, then the busy entry, then the one with many callers. */
+/** Measures in sequence: added latency, an entry under load, and an entry with many connected callers. */
 export const runOverheadExperiment = async (
-  experiment: OverheadExperiment, seconds: number, seed: number, note: Note
+  experiment: OverheadExperiment, seconds: number, seed: number, logProgress: LogProgress
 ): Promise<ExperimentOutcome> => {
   const shape = fleetShapeSchema.parse({ vms: 1, slots: 12, maxConnections: 60, serviceMs: 1, stewards: false })
   const limits = { ratePerSec: 100_000, burst: 100_000, weight: 1, group: 'group-1' }
@@ -168,7 +171,7 @@
   const direct = connectDirectly(fleet.configuration().groups['group-1'].endpoints['db-1-1'].address)
   const outcome: ExperimentOutcome = { rows: [], panels: [] }
   const addRow = (scenario: string, measures: Record<string, MeasureValue>) => {
-    note(scenario)
+    logProgress(scenario)
     outcome.rows.push({ scenario, variant: 'egretyoke', measures, details: {} })
   }
   const request = { key: fleet.keyOf(workspace), route: 'read-primary', statement }
@@ -176,18 +179,18 @@
   try {
     await direct.openAll()
     await sleepMs(settleMs)
-    await drive(throughEntry, experiment.ratePerSec, settleMs, seed)
-    const turns = Math.ceil(seconds / 2)
-    addRow('half load', await compare(direct.execute, throughEntry, experiment.ratePerSec, turns, seed))
+    await sendOpenLoop(throughEntry, experiment.ratePerSec, settleMs, seed)
+    const rounds = Math.ceil(seconds / 2)
+    addRow('half load', await compareLatencies(direct.execute, throughEntry, experiment.ratePerSec, rounds, seed))
     const plannedMs = seconds * 1_000 / 2
-    addRow('busy', await costOfLoad(fleet, throughEntry, experiment.busyRatePerSec, plannedMs, seed))
-    const emptyKb = await memoryKb(fleet)
+    addRow('busy', await measureCost(fleet, throughEntry, experiment.busyRatePerSec, plannedMs, seed))
+    const baselineKb = await memoryKb(fleet)
     const idle = await connectIdle(fleet.callerAddress(fleet.vmNames[0]), experiment.connectedCallers)
     await sleepMs(settleMs)
     const readings = [await memoryKb(fleet), await memoryKb(fleet), await memoryKb(fleet)]
-    const connected = await costOfLoad(fleet, throughEntry, experiment.connectedRatePerSec, plannedMs, seed)
+    const connected = await measureCost(fleet, throughEntry, experiment.connectedRatePerSec, plannedMs, seed)
     addRow(`${experiment.connectedCallers} callers connected`, {
-      ...connected, idleCallerKb: (median(readings) - emptyKb) / experiment.connectedCallers
+      ...connected, idleCallerKb: (median(readings) - baselineKb) / experiment.connectedCallers
     })
     for (const session of idle) session.destroy()
     return outcome
--- a/packages/load/src/faults.ts
+++ b/packages/load/src/faults.ts
@@ -1,18 +1,18 @@
 /**
- * Faults of an experiment or demo: their schema, and how each is brought about in a running fleet.
+ * Faults of an experiment or demo: their schema, and their injection into a running fleet.
  */
 import { monotonicMs, sleepMs } from '@egretyoke/common'
 import type { DatabaseFault, Fleet, LinkFault, PlatformFault } from '@egretyoke/testbed'
 import { z } from 'zod'
 import { findPrimary, findStewardVm } from './fleet-roles.js'
-import type { RunFacts } from './measures.js'
+import type { RunEvents } from './measures.js'
 
-/** When, as a share of the run's planned length. */
+/** Time of the fault, as a fraction of the run's planned length. */
 const at = z.number().min(0).max(1)
 
 /**
- * Name of a program, or `primary:GROUP`, `replica:GROUP` or `steward:GROUP` for who has that role at that time;
- * with `same:` before it, the one that an earlier fault of the run found.
+ * Name of a program, or `primary:GROUP`, `replica:GROUP` or `steward:GROUP` for the program that has this role at the
+ * time of the fault. The prefix `same:` selects the program to which an earlier fault of the run resolved the role.
  */
 const target = z.string().min(1)
 
@@ -56,46 +56,46 @@
 /** One fault. */
 export type Fault = z.infer<typeof faultSchema>
 
-/** A fault that was brought about, with the program it hit. */
-export type HappenedFault = { atMs: number, label: string }
+/** An injected fault; the label contains the affected program. */
+export type InjectedFault = { atMs: number, label: string }
 
-/** Service after a data centre's return counts toward it for so long. */
+/** Time after the return of a data centre during which service still counts towards its evacuation. */
 const returnWindowMs = 3_000
 
 const groupOf = (fleet: Fleet, database: string): string | undefined =>
   Object.entries(fleet.configuration().groups).find(([, group]) => group.endpoints[database])?.[0]
 
-/** Brings faults about at their times, and keeps what measures need to know of them. */
-export const createFaultRunner = (fleet: Fleet, plannedMs: number) => {
-  const found = new Map<string, string>()
-  const happened: HappenedFault[] = []
-  const failovers: RunFacts['failovers'] = []
-  const dataCentreWindows: RunFacts['dataCentreWindows'] = []
-
-  const resolve = async (wanted: string): Promise<string> => {
-    if (wanted.startsWith('same:')) return found.get(wanted.slice('same:'.length)) ?? wanted
-    const [role, group] = wanted.split(':')
-    if (group === undefined) return wanted
+/** Creates an injector that also records the failovers and evacuations on which measures depend. */
+export const createFaultInjector = (fleet: Fleet, plannedMs: number) => {
+  const resolvedTargets = new Map<string, string>()
+  const injected: InjectedFault[] = []
+  const failovers: RunEvents['failovers'] = []
+  const dataCentreWindows: RunEvents['dataCentreWindows'] = []
+
+  const resolveTarget = async (targetSpec: string): Promise<string> => {
+    if (targetSpec.startsWith('same:')) return resolvedTargets.get(targetSpec.slice('same:'.length)) ?? targetSpec
+    const [role, group] = targetSpec.split(':')
+    if (group === undefined) return targetSpec
     const primary = await findPrimary(fleet, group)
     const replica = fleet.databaseNames(group).find(name => name !== primary && fleet.isRunning(name))
     const stewardVm = role === 'steward' ? await findStewardVm(fleet, group) : undefined
-    const holders: Record<string, string | undefined> = {
+    const byRole: Record<string, string | undefined> = {
       primary,
       replica,
       steward: stewardVm && `steward-${stewardVm}`
     }
-    const name = holders[role]
-    if (!name) throw new Error(`${wanted}: group "${group}" has nobody in that role`)
-    found.set(wanted, name)
+    const name = byRole[role]
+    if (!name) throw new Error(`${targetSpec}: group "${group}" has no program in that role`)
+    resolvedTargets.set(targetSpec, name)
     return name
   }
 
-  const noteLoss = (name: string, wanted: string, atMs: number) => {
+  const recordFailover = (name: string, targetSpec: string, atMs: number) => {
     const group = groupOf(fleet, name.replace(/^link-/, ''))
-    if (group && wanted.includes('primary:')) failovers.push({ group, atMs })
+    if (group && targetSpec.includes('primary:')) failovers.push({ group, atMs })
   }
 
-  const partsOf = (dataCentre: string) => ({
+  const membersOf = (dataCentre: string) => ({
     vms: fleet.vms.flatMap((vm, index) => vm.dataCentre === dataCentre ? [index] : []),
     endpoints: Object.values(fleet.configuration().groups).flatMap(group => Object.entries(group.endpoints)
       .filter(([, endpoint]) => endpoint.dataCentre === dataCentre).map(([name]) => name))
@@ -106,11 +106,11 @@
       draft.dataCentres[name].state = state
     })
     const window = dataCentreWindows.at(-1)
-    if (state === 'out') dataCentreWindows.push({ fromMs: atMs, backMs: Infinity, toMs: Infinity, ...partsOf(name) })
+    if (state === 'out') dataCentreWindows.push({ fromMs: atMs, backMs: Infinity, toMs: Infinity, ...membersOf(name) })
     else if (window) Object.assign(window, { backMs: atMs, toMs: atMs + returnWindowMs })
   }
 
-  const bringAbout = async (fault: Fault, atMs: number): Promise<string> => {
+  const inject = async (fault: Fault, atMs: number): Promise<string> => {
     if (fault.do === 'platformFault') {
       await fleet.setPlatformFault(fault.fault as PlatformFault)
       return `platform ${JSON.stringify(fault.fault)}`
@@ -128,39 +128,39 @@
       return `${fault.target} ${fault.state}`
     }
     if (fault.do === 'linkFault') {
-      const name = `link-${await resolve(fault.target)}`
+      const name = `link-${await resolveTarget(fault.target)}`
       await fleet.setLinkFault(name, fault.fault as LinkFault)
-      if (fault.fault.cut || fault.fault.frozen) noteLoss(name, fault.target, atMs)
+      if (fault.fault.cut || fault.fault.frozen) recordFailover(name, fault.target, atMs)
       return `${name} ${JSON.stringify(fault.fault)}`
     }
-    const name = await resolve(fault.target)
+    const name = await resolveTarget(fault.target)
     if (fault.do === 'databaseFault') {
       await fleet.setDatabaseFault(name, fault.fault as DatabaseFault)
       return `${name} ${JSON.stringify(fault.fault)}`
     }
-    if (fault.do === 'kill' || fault.do === 'freeze') noteLoss(name, fault.target, atMs)
+    if (fault.do === 'kill' || fault.do === 'freeze') recordFailover(name, fault.target, atMs)
     if (fault.do === 'terminate') fleet.terminate(name)
     else await fleet[fault.do](name)
     return `${fault.do} ${name}`
   }
 
-  /** Brings all faults about; `nowMs` counts from the run's start. */
-  const run = async (faults: Fault[], nowMs: () => number, onFault: (fault: HappenedFault) => void) => {
+  /** Injects all faults at their times; `nowMs` returns the time since the start of the run. */
+  const run = async (faults: Fault[], nowMs: () => number, onFault: (fault: InjectedFault) => void) => {
     const ordered = faults.toSorted((left, right) => left.at - right.at)
     for (const fault of ordered) {
       await sleepMs(Math.max(0, fault.at * plannedMs - nowMs()))
       const atMs = nowMs()
-      const label = await bringAbout(fault, atMs)
-      happened.push({ atMs, label })
+      const label = await inject(fault, atMs)
+      injected.push({ atMs, label })
       onFault({ atMs, label })
     }
   }
 
-  return { run, happened, failovers, dataCentreWindows }
+  return { run, injected, failovers, dataCentreWindows }
 }
 
-/** Time since a moment, in milliseconds. */
-export const stopwatchMs = (): (() => number) => {
+/** Starts a stopwatch; the returned function returns the elapsed time in milliseconds. */
+export const startStopwatch = (): (() => number) => {
   const startedMs = monotonicMs()
   return () => monotonicMs() - startedMs
 }
--- a/packages/load/src/fleet-roles.ts
+++ b/packages/load/src/fleet-roles.ts
@@ -1,5 +1,5 @@
 /**
- * Who has which role in a running fleet, asked of the databases and the store.
+ * Finds the primaries and the leading stewards of a running fleet from the databases' status and the store.
  */
 import { sleepMs } from '@egretyoke/common'
 import { storeKeys } from '@egretyoke/config'
@@ -11,7 +11,7 @@
 const platformTimeoutMs = 2_000
 const primaryPollMs = 200
 const statusTimeoutMs = 1_000
-/** A steward's lease holds `VM/ID`. */
+/** Separator in the value of a steward's lease, `VM/ID`. */
 const holderSeparator = '/'
 
 const statusOf = async (fleet: Fleet, name: string) => {
@@ -20,14 +20,14 @@
   return await Promise.race([status, sleepMs(statusTimeoutMs).then(() => undefined)])
 }
 
-/** The database that leads a group in the highest term; undefined when none answers as primary. */
+/** Returns the primary with the highest term in a group, or undefined when no database reports itself as primary. */
 export const findPrimary = async (fleet: Fleet, group: string): Promise<string | undefined> => {
   const statuses = await Promise.all(fleet.databaseNames(group).map(name => statusOf(fleet, name)))
   const primaries = statuses.filter(status => status !== undefined && status.isPrimary)
   return primaries.toSorted((left, right) => right!.term - left!.term)[0]?.name
 }
 
-/** The VM whose steward holds a group's lease. */
+/** Returns the VM whose steward holds the group's lease, or undefined when none does or the store does not answer. */
 export const findStewardVm = async (fleet: Fleet, group: string): Promise<string | undefined> => {
   const platform = connectPlatform(fleet.platformAddress(), loopbackChannels)
   try {
@@ -40,13 +40,13 @@
   }
 }
 
-/** Waits until every group has a primary and reads its log. Rejects when a group has none in time. */
+/** Waits for a primary in every group and reads its log. Rejects when a group has none within `timeoutMs`. */
 export const readFinalLogs = async (fleet: Fleet, timeoutMs: number): Promise<GroupLogs> => {
   const logs: GroupLogs = new Map()
-  const giveUpAtMs = performance.now() + timeoutMs
+  const deadlineMs = performance.now() + timeoutMs
   for (const group of Object.keys(fleet.configuration().groups)) {
     let primary = await findPrimary(fleet, group)
-    while (!primary && performance.now() < giveUpAtMs) {
+    while (!primary && performance.now() < deadlineMs) {
       await sleepMs(primaryPollMs)
       primary = await findPrimary(fleet, group)
     }
--- a/packages/load/src/generator.ts
+++ b/packages/load/src/generator.ts
@@ -1,5 +1,6 @@
 /**
- * The open-loop generator: sends each request at its time, whatever the answers do, and records both.
+ * Open-loop load generator: sends each request at its intended time, independently of earlier responses, and records
+ * requests and responses.
  */
 import { setImmediate } from 'node:timers/promises'
 import { createRandom, monotonicMs, sleepMs } from '@egretyoke/common'
@@ -10,21 +11,21 @@
 import type { Balancer } from './balancer.js'
 import { maxRecordedOperations } from './history.js'
 import type { History, Operation } from './history.js'
-import { routeFacts } from './route-facts.js'
-import type { RouteFacts } from './route-facts.js'
+import { resolveRoute } from './resolved-route.js'
+import type { ResolvedRoute } from './resolved-route.js'
 import { createSessionPool } from './sessions.js'
 import type { Session, SessionPool } from './sessions.js'
 
-const firstSessionsPerWorkspace = 50
+const initialSessionsPerWorkspace = 50
 const maxRequestsInFlight = 10_000
-const longestSleepMs = 20
-/** Requests that are sent in a row, when the generator is late, before answers are read again. */
-const maxSentInRow = 20
+const maxSleepMs = 20
+/** Consecutive sends, when the generator is behind schedule, before it yields so that responses are processed. */
+const maxSendsPerYield = 20
 
-/** Key that the clock stream counts up in each group. */
+/** Key of the clock: a counter in each group that clock streams increment, used to check the age of reads. */
 export const clockKey = 'clock'
 
-/** What the generator drives. */
+/** Target of the load. */
 export type LoadTarget = {
   caller: Caller
   balancer: Balancer
@@ -32,19 +33,19 @@
   keyOf: (workspace: string) => string
 }
 
-/** Options of one run. */
+/** Options of a load run. */
 export type LoadOptions = {
   streams: LoadStream[]
   durationMs: number
   seed: number
-  /** Begins all operation ids of the run; must differ between runs against the same databases. */
+  /** Prefix of all operation ids of the run; must be unique among runs against the same databases. */
   runId: string
-  /** Called with each finished operation. */
+  /** Called with each completed operation. */
   onOperation?: (operation: Operation) => void
   signal?: AbortSignal
 }
 
-const noAnswer = (reason: string): CallerAnswer => ({
+const lostAnswer = (reason: string): CallerAnswer => ({
   kind: 'lost',
   reason,
   result: '',
@@ -57,55 +58,57 @@
 const pickRoute = (random: Random, mix: Record<string, number>): string => {
   const entries = Object.entries(mix)
   const total = entries.reduce((sum, [, share]) => sum + share, 0)
-  let rest = random.fraction() * total
+  let remaining = random.fraction() * total
   for (const [route, share] of entries) {
-    rest -= share
-    if (rest < 0) return route
+    remaining -= share
+    if (remaining < 0) return route
   }
   return entries[entries.length - 1][0]
 }
 
-const isEligibleForReplica = (facts: RouteFacts, session: Session): boolean => {
-  if (facts.access !== 'read' || facts.freshness === 'primary') return false
-  if (facts.freshness === 'maxAge') return true
+const isEligibleForReplica = (route: ResolvedRoute, session: Session): boolean => {
+  if (route.access !== 'read' || route.freshness === 'primary') return false
+  if (route.freshness === 'maxAge') return true
   return !session.hasUnsettledWrite
 }
 
-const statementOf = (facts: RouteFacts, key: string, opId: string, costMs: number | undefined): string => {
+const statementOf = (route: ResolvedRoute, key: string, opId: string, costMs: number | undefined): string => {
   const cost = costMs === undefined ? '' : ` costMs=${costMs}`
-  return facts.access === 'read' ? `get ${key}${cost}` : `add ${key} 1 op=${opId}${cost}`
+  return route.access === 'read' ? `get ${key}${cost}` : `add ${key} 1 op=${opId}${cost}`
 }
 
-/** Runs the streams to their end and waits for the answers that are open then. */
+/** Sends the streams' requests until the end or an abort, then waits for the requests in flight. */
 export const runLoad = async (target: LoadTarget, options: LoadOptions): Promise<History> => {
   const { caller, balancer, configuration } = target
   const random = createRandom(options.seed)
   const pools = new Map<string, SessionPool>()
-  const facts = new Map<string, RouteFacts>()
+  const resolvedRoutes = new Map<string, ResolvedRoute>()
   const operations: Operation[] = []
-  const open = new Set<Promise<void>>()
+  const inFlight = new Set<Promise<void>>()
   const startedMs = monotonicMs()
   const nowMs = () => monotonicMs() - startedMs
   let lastOpNumber = 0
 
-  const factsOf = (workspace: string, route: string): RouteFacts => {
+  const routeOf = (workspace: string, route: string): ResolvedRoute => {
     const name = `${workspace}/${route}`
-    const known = facts.get(name)
-    if (known) return known
-    const found = routeFacts(configuration, workspace, route)
-    facts.set(name, found)
-    return found
+    const cached = resolvedRoutes.get(name)
+    if (cached) return cached
+    const resolved = resolveRoute(configuration, workspace, route)
+    resolvedRoutes.set(name, resolved)
+    return resolved
   }
 
   const poolOf = (workspace: string): SessionPool => {
-    const known = pools.get(workspace)
-    if (known) return known
-    const pool = createSessionPool(firstSessionsPerWorkspace)
+    const cached = pools.get(workspace)
+    if (cached) return cached
+    const pool = createSessionPool(initialSessionsPerWorkspace)
     pools.set(workspace, pool)
     return pool
   }
 
-  const begin = ({ atMs, stream }: Arrival, route: RouteFacts, session: Session, vm: number | undefined): Operation => {
+  const createOperation = (
+    { atMs, stream }: Arrival, route: ResolvedRoute, session: Session, vm: number | undefined
+  ): Operation => {
     const isWrite = route.access === 'write'
     const isClock = stream.isClock || (!isWrite && route.freshness === 'maxAge')
     return {
@@ -115,7 +118,7 @@
       session: session.id,
       vm: vm ?? -1,
       key: isClock ? clockKey : `session-${options.runId}-${stream.workspace}-${session.id}`,
-      confirmedBefore: isClock ? 0 : session.confirmedByGroup.get(route.group) ?? 0,
+      confirmedWriteCount: isClock ? 0 : session.confirmedByGroup.get(route.group) ?? 0,
       isReplicaEligible: isEligibleForReplica(route, session),
       intendedMs: atMs,
       sentMs: nowMs(),
@@ -130,11 +133,11 @@
 
   const send = async (arrival: Arrival, pool: SessionPool, session: Session) => {
     const { stream } = arrival
-    const route = factsOf(stream.workspace, pickRoute(random, stream.mix))
+    const route = routeOf(stream.workspace, pickRoute(random, stream.mix))
     const vm = balancer.pick(random, stream.vms)
-    const operation = begin(arrival, route, session, vm)
+    const operation = createOperation(arrival, route, session, vm)
     const answer = vm === undefined
-      ? noAnswer('no VM is ready')
+      ? lostAnswer('no VM is ready')
       : await caller.execute(vm, {
         route: route.route,
         statement: statementOf(route, operation.key, operation.opId, stream.costMs),
@@ -146,30 +149,30 @@
       })
     const { kind, reason, result, endpoint, fromReplica } = answer
     Object.assign(operation, { kind, reason, result, endpoint, fromReplica, receivedMs: nowMs() })
-    pool.giveBack(session, route.access === 'write', route.group, operation.key !== clockKey, answer)
+    pool.release(session, route.access === 'write', route.group, operation.key !== clockKey, answer)
     if (operations.length < maxRecordedOperations) operations.push(operation)
     options.onOperation?.(operation)
   }
 
   const dispatch = (arrival: Arrival) => {
     const pool = poolOf(arrival.stream.workspace)
-    if (open.size >= maxRequestsInFlight) throw new Error(`more than ${maxRequestsInFlight} requests are open`)
-    const session = pool.take(random)
-    if (!session) throw new Error(`too many sessions of ${arrival.stream.workspace}`)
-    const sent = send(arrival, pool, session).finally(() => open.delete(sent))
-    open.add(sent)
+    if (inFlight.size >= maxRequestsInFlight) throw new Error(`more than ${maxRequestsInFlight} requests in flight`)
+    const session = pool.acquire(random)
+    if (!session) throw new Error(`workspace ${arrival.stream.workspace} has too many sessions`)
+    const sent = send(arrival, pool, session).finally(() => inFlight.delete(sent))
+    inFlight.add(sent)
   }
 
-  let sentInRow = 0
+  let sentSinceYield = 0
   for (const arrival of mergedArrivals(options.streams, options.seed)) {
     while (nowMs() < arrival.atMs && !options.signal?.aborted) {
-      sentInRow = 0
-      await sleepMs(Math.min(longestSleepMs, Math.max(1, arrival.atMs - nowMs())))
+      sentSinceYield = 0
+      await sleepMs(Math.min(maxSleepMs, Math.max(1, arrival.atMs - nowMs())))
     }
-    if (++sentInRow % maxSentInRow === 0) await setImmediate()
+    if (++sentSinceYield % maxSendsPerYield === 0) await setImmediate()
     if (options.signal?.aborted) break
     dispatch(arrival)
   }
-  await Promise.all(open)
+  await Promise.all(inFlight)
   return { operations, durationMs: options.durationMs }
 }
--- a/packages/load/src/history.ts
+++ b/packages/load/src/history.ts
@@ -1,34 +1,37 @@
 /**
- * What callers asked and what they were told: the record that the checker compares with the databases.
+ * Record of a run's requests and responses, which the checker compares with the databases' logs.
  */
-import type { Confirmation, ReadFreshness } from './route-facts.js'
+import type { Confirmation, ReadFreshness } from './resolved-route.js'
 import type { AnswerKind } from '@egretyoke/testbed'
 
-/** Most operations that one run records. */
+/** Maximum number of recorded operations of one run. */
 export const maxRecordedOperations = 3_000_000
 
-/** One request with its answer. Times are monotonic, in milliseconds since the run's start. */
+/** One request and its response. Times are monotonic, in milliseconds since the start of the run. */
 export type Operation = {
-  /** Names a write in the databases' logs; empty for reads. */
+  /** Identifies a write in the databases' logs; empty for reads. */
   opId: string
   workspace: string
   route: string
   group: string
   access: 'read' | 'write'
-  /** True when the entry may run it more than once. */
+  /** Whether the entry may execute it more than once. */
   isRepeatable: boolean
   confirmation: Confirmation
   freshness: ReadFreshness
-  /** Greatest age that a read accepts; 0 unless its freshness is `maxAge`. */
+  /** Maximum age of a read's data; 0 unless its freshness is `maxAge`. */
   maxAgeMs: number
   session: number
-  /** Index of the VM that it was sent to; -1 when none was ready. */
+  /** Index of the VM that received it; -1 when none was ready. */
   vm: number
-  /** Key that it reads or writes. */
+  /** Key that it reads or increments. */
   key: string
-  /** For reads: how many writes of the session to the key were confirmed before. */
-  confirmedBefore: number
-  /** True for reads that a replica may serve: not of freshness `primary`, and with what the entry needs to tell. */
+  /** Number of confirmed writes of the session to the key when the request was sent; used for reads. */
+  confirmedWriteCount: number
+  /**
+   * Whether a replica may serve the request: a read with another freshness than `primary`, and not a session read while
+   * a write of its session is unsettled.
+   */
   isReplicaEligible: boolean
   intendedMs: number
   sentMs: number
@@ -40,23 +43,23 @@
   fromReplica: boolean
 }
 
-/** One run's record. */
+/** Recorded operations of one run, and its planned length. */
 export type History = {
   operations: Operation[]
   durationMs: number
 }
 
-/** Reason with which an entry refuses what is beyond a workspace's rate. */
+/** Reason of an entry's refusal because of a workspace's rate limit. */
 export const rateRefusalReason = 'rate'
 
-/** True when the request was refused because of its workspace's rate. */
+/** Returns whether the request was refused because of its workspace's rate limit. */
 export const isRateRefusal = (operation: Operation): boolean =>
   operation.kind === 'notRun' && operation.reason === rateRefusalReason
 
-/** The value that a read or a counting write returned, as a number. */
-export const countOf = (operation: Operation): number => operation.result === '' ? 0 : Number(operation.result)
+/** Returns the counter value in the response of a read or an increment; 0 for an empty result. */
+export const counterValue = (operation: Operation): number => operation.result === '' ? 0 : Number(operation.result)
 
-/** Groups operations by a name. */
+/** Groups operations by the result of `nameOf`. */
 export const groupBy = (operations: Operation[], nameOf: (operation: Operation) => string) => {
   const groups = new Map<string, Operation[]>()
   for (const operation of operations) {
--- a/packages/load/src/load-program.test.ts
+++ b/packages/load/src/load-program.test.ts
@@ -11,14 +11,14 @@
 const program = fileURLToPath(new URL('../bin/egretyoke-load.js', import.meta.url))
 const run = (args: string[]) => promisify(execFile)(process.execPath, [program, ...args])
 
-test('egretyoke-load drives a running deployment and checks it against its databases', async t => {
+test('egretyoke-load sends load to a running deployment and checks it against the database logs', async t => {
   const fleet = await startFleet(smallFleet(1), { withoutStewards: true })
   try {
     const folder = mkdtempSync(join(tmpdir(), 'egretyoke-load-'))
     const texts = documentTexts(fleet.configuration())
     for (const name of documentNames) writeFileSync(join(folder, `${name}.jsonc`), texts[name].text)
     const keys = join(folder, 'keys.jsonc')
-    writeFileSync(keys, `// One workspace sends.\n${JSON.stringify({ 'yard-1': fleet.keyOf('yard-1') })}`)
+    writeFileSync(keys, `// Only one workspace sends requests.\n${JSON.stringify({ 'yard-1': fleet.keyOf('yard-1') })}`)
     const primary = fleet.configuration().groups['group-1'].endpoints['db-1'].address
     const { stdout } = await run([
       '--entry', fleet.callerAddress('vm-1'), '--health', fleet.healthAddress('vm-1'),
@@ -35,7 +35,7 @@
   }
 })
 
-test('egretyoke-load names the findings of its input', async t => {
+test('egretyoke-load prints the findings of invalid input files', async t => {
   const folder = mkdtempSync(join(tmpdir(), 'egretyoke-load-'))
   for (const name of documentNames) writeFileSync(join(folder, `${name}.jsonc`), '{ "bogus": 1 }')
   const error = await t.throwsAsync<Error & { code: number, stderr: string }>(
--- a/packages/load/src/measures.ts
+++ b/packages/load/src/measures.ts
@@ -1,9 +1,10 @@
 /**
- * The measures of one run: the brief's four, and every broken promise that the checker found.
+ * Measures of a run: replica reads, failover gap, workspace shares, service during evacuations, latencies, and the
+ * guarantee violations that the checker found.
  */
 import type { StoredConfiguration } from '@egretyoke/testbed'
 import { build } from 'hdr-histogram-js'
-import { excessAdmitted, judgeOfferedLoad } from './checker/admission.js'
+import { checkRateRefusals, excessAdmitted } from './checker/admission.js'
 import { checkWrites } from './checker/logged-writes.js'
 import type { GroupLogs } from './checker/logged-writes.js'
 import { countAgeViolations, countSessionViolations } from './checker/reads.js'
@@ -11,12 +12,12 @@
 import { groupBy } from './history.js'
 import type { History, Operation } from './history.js'
 
-/** How one workspace fared. Latencies count from the intended start of requests that were done. */
+/** Measures of one workspace. Latencies are those of completed requests, counted from the intended start. */
 export type WorkspaceMeasures = {
   offered: number
   within: number
   done: number
-  /** Done of what was within the workspace's rate and burst, at most 1. */
+  /** Completed requests divided by those within rate and burst, at most 1. */
   share: number
   wrongfulRefusals: number
   overAdmitted: number
@@ -24,29 +25,29 @@
   p99Ms: number
 }
 
-/** A data centre's absence; times are in milliseconds since the run's start. */
+/** Evacuation of a data centre; times are in milliseconds since the start of the run. */
 export type DataCentreWindow = {
-  /** When it was taken out. */
+  /** Start of the evacuation. */
   fromMs: number
-  /** When it was taken in again. */
+  /** Time when the data centre was put back into service. */
   backMs: number
-  /** When its return counts as over. */
+  /** End of the window in which service is measured. */
   toMs: number
-  /** Indexes of its VMs, and its endpoints. */
+  /** Indexes of the VMs in the data centre, and names of its endpoints. */
   vms: number[]
   endpoints: string[]
 }
 
-/** What happened in a run, as far as measures depend on it. */
-export type RunFacts = {
-  /** Groups that lost their primary, and when. */
+/** Events of a run on which measures depend. */
+export type RunEvents = {
+  /** Groups that lost their primary, with the time of the loss. */
   failovers: Array<{ group: string, atMs: number }>
   dataCentreWindows: DataCentreWindow[]
-  /** When the load ended. */
+  /** End of the load. */
   endedMs: number
 }
 
-/** All measures of a run. A share is undefined when nothing was there to be measured. */
+/** All measures of a run. A measure without samples is undefined. */
 export type Measures = {
   statements: number
   done: number
@@ -58,7 +59,7 @@
   wrongfulRefusals: number
   wrongfulRefusalShare: number | undefined
   dataCentreServiceShare: number | undefined
-  /** How long after a data centre was taken out its VMs and endpoints were still given requests that ran. */
+  /** Time from an evacuation's start to the last request sent before its end that its VMs or endpoints completed. */
   lastNewWorkAfterOutMs: number | undefined
   sessionViolations: number
   ageViolations: number
@@ -69,60 +70,61 @@
   overAdmitted: number
   p50Ms: number
   p99Ms: number
-  /** How late the load tool itself sent requests, at the 99th percentile; part of the latencies. */
+  /** Delay between intended and actual sending by the load generator, 99th percentile; included in the latencies. */
   lateSendP99Ms: number
   workspaces: Record<string, WorkspaceMeasures>
-  /** Number of answers by kind and reason. */
+  /** Number of responses by kind and reason. */
   answers: Record<string, number>
 }
 
-/** Names of the measures that must be 0: each counts broken promises. */
-export const brokenPromiseNames = [
+/** Measures that count violations of guarantees and must be 0. */
+export const violationMeasures = [
   'sessionViolations', 'ageViolations', 'lostConfirmedWrites', 'repeatedWrites', 'notRunButRan', 'overAdmitted'
 ] as const
 
 const microsecondsPerMs = 1_000
-const longestLatencyUs = 120_000_000
-/** Longest time after a failover's start that its gap is looked for in. */
+const maxLatencyUs = 120_000_000
+/** Length of the window after the loss of a primary in which the service gap is measured. */
 const failoverWindowMs = 30_000
 
 const share = (part: number, whole: number): number | undefined => whole === 0 ? undefined : part / whole
 
-/** Percentiles, in milliseconds, of the latencies of the operations that were done. */
+/** Returns percentiles of the latencies of completed operations, in milliseconds. */
 export const latencyPercentiles = (operations: Operation[], percentiles: number[]): number[] => {
   const histogram = build({
     lowestDiscernibleValue: 1,
-    highestTrackableValue: longestLatencyUs,
+    highestTrackableValue: maxLatencyUs,
     numberOfSignificantValueDigits: 3
   })
   for (const operation of operations) {
     if (operation.kind !== 'done') continue
     const latencyUs = Math.round((operation.receivedMs - operation.intendedMs) * microsecondsPerMs)
-    histogram.recordValue(Math.min(longestLatencyUs, Math.max(1, latencyUs)))
+    histogram.recordValue(Math.min(maxLatencyUs, Math.max(1, latencyUs)))
   }
   return percentiles.map(percentile => histogram.getValueAtPercentile(percentile) / microsecondsPerMs)
 }
 
 const lateSendP99Ms = (operations: Operation[]): number => {
-  const late = operations.map(operation => operation.sentMs - operation.intendedMs).sort((left, right) => left - right)
-  return late[Math.floor(late.length * 0.99)] ?? 0
+  const delaysMs = operations.map(operation => operation.sentMs - operation.intendedMs)
+    .sort((left, right) => left - right)
+  return delaysMs[Math.floor(delaysMs.length * 0.99)] ?? 0
 }
 
-/** Longest time between two answers of the given kind of access around a failover, in milliseconds. */
+/** Returns the longest time between two completed requests of the given access around a failover, in milliseconds. */
 export const longestGapMs = (
   operations: Operation[],
   access: Operation['access'],
-  { group, atMs }: RunFacts['failovers'][number],
+  { group, atMs }: RunEvents['failovers'][number],
   endedMs: number
 ): number => {
-  const untilMs = Math.min(endedMs, atMs + failoverWindowMs)
+  const windowEndMs = Math.min(endedMs, atMs + failoverWindowMs)
   const times = operations
     .filter(operation => operation.group === group && operation.access === access && operation.kind === 'done')
     .map(operation => operation.receivedMs)
     .sort((left, right) => left - right)
   const before = times.filter(time => time < atMs).at(-1) ?? atMs
-  const marks = [before, ...times.filter(time => time >= atMs && time < untilMs), untilMs]
-  const gaps = marks.slice(1).map((time, index) => time - marks[index])
+  const boundaries = [before, ...times.filter(time => time >= atMs && time < windowEndMs), windowEndMs]
+  const gaps = boundaries.slice(1).map((time, index) => time - boundaries[index])
   return Math.max(...gaps)
 }
 
@@ -130,7 +132,7 @@
   operations: Operation[],
   limit: { ratePerSec: number, burst: number }
 ): WorkspaceMeasures & { withinOperations: Operation[] } => {
-  const { within, wrongfulRefusals } = judgeOfferedLoad(operations, limit)
+  const { within, wrongfulRefusals } = checkRateRefusals(operations, limit)
   const done = operations.filter(operation => operation.kind === 'done').length
   const [p50Ms, p99Ms] = latencyPercentiles(operations, [50, 99])
   return {
@@ -157,45 +159,45 @@
   return counts
 }
 
-const maximum = (values: number[]): number | undefined => values.length === 0 ? undefined : Math.max(...values)
+const maxOf = (values: number[]): number | undefined => values.length === 0 ? undefined : Math.max(...values)
 
-const sum = (values: number[]): number => values.reduce((total, value) => total + value, 0)
+const sumOf = (values: number[]): number => values.reduce((total, value) => total + value, 0)
 
 /**
- * Service during the windows. A workspace above its rate counts with as many requests as were within it, whichever
- * of its requests were admitted.
+ * Returns the share of requests served during the windows. For a workspace above its rate, at most as many completed
+ * requests count as were within the rate, regardless of which requests were admitted.
  */
-const shareIn = (windows: DataCentreWindow[], workspaces: MeasuredWorkspace[]): number | undefined => {
-  const isInside = ({ sentMs }: Operation) => windows.some(({ fromMs, toMs }) => sentMs >= fromMs && sentMs < toMs)
+const serviceShareDuring = (windows: DataCentreWindow[], workspaces: MeasuredWorkspace[]): number | undefined => {
+  const isInWindow = ({ sentMs }: Operation) => windows.some(({ fromMs, toMs }) => sentMs >= fromMs && sentMs < toMs)
   const counts = workspaces.map(({ own, withinOperations }) => {
-    const within = withinOperations.filter(isInside).length
-    const done = own.filter(operation => isInside(operation) && operation.kind === 'done').length
+    const within = withinOperations.filter(isInWindow).length
+    const done = own.filter(operation => isInWindow(operation) && operation.kind === 'done').length
     return { within, served: Math.min(within, done) }
   })
-  return share(sum(counts.map(count => count.served)), sum(counts.map(count => count.within)))
+  return share(sumOf(counts.map(count => count.served)), sumOf(counts.map(count => count.within)))
 }
 
 const lastNewWorkAfterOutMs = (windows: DataCentreWindow[], operations: Operation[]): number | undefined =>
-  maximum(windows.map(({ fromMs, backMs, vms, endpoints }) => operations
+  maxOf(windows.map(({ fromMs, backMs, vms, endpoints }) => operations
     .filter(operation => operation.kind === 'done' && operation.sentMs >= fromMs && operation.sentMs < backMs)
     .filter(operation => vms.includes(operation.vm) || endpoints.includes(operation.endpoint))
     .reduce((last, operation) => Math.max(last, operation.sentMs - fromMs), 0)))
 
-/** Measures a run. Logs are those of the final primaries; groups without one are not checked. */
+/** Computes the measures of a run. `logs` are the final primaries' logs; writes of groups without one are unchecked. */
 export const measureRun = (
   history: History,
   configuration: StoredConfiguration,
   logs: GroupLogs,
-  facts: RunFacts
+  events: RunEvents
 ): Measures => {
   const { operations } = history
   const byWorkspace = [...groupBy(operations, operation => operation.workspace)]
     .map(([name, own]) => ({ name, own, ...measureWorkspace(own, configuration.workspaces[name]) }))
   const worst = byWorkspace.toSorted((left, right) => left.share - right.share)[0]
   const eligibleReads = operations.filter(operation => operation.isReplicaEligible && operation.kind === 'done')
-  const wrongfulRefusals = sum(byWorkspace.map(workspace => workspace.wrongfulRefusals))
+  const wrongfulRefusals = sumOf(byWorkspace.map(workspace => workspace.wrongfulRefusals))
   const gaps = (access: Operation['access']) =>
-    maximum(facts.failovers.map(failover => longestGapMs(operations, access, failover, facts.endedMs)))
+    maxOf(events.failovers.map(failover => longestGapMs(operations, access, failover, events.endedMs)))
   const [p50Ms, p99Ms] = latencyPercentiles(operations, [50, 99])
   return {
     statements: operations.length,
@@ -206,13 +208,13 @@
     worstWorkspaceShare: worst?.share,
     worstWorkspace: worst?.name ?? '',
     wrongfulRefusals,
-    wrongfulRefusalShare: share(wrongfulRefusals, sum(byWorkspace.map(workspace => workspace.within))),
-    dataCentreServiceShare: shareIn(facts.dataCentreWindows, byWorkspace),
-    lastNewWorkAfterOutMs: lastNewWorkAfterOutMs(facts.dataCentreWindows, operations),
+    wrongfulRefusalShare: share(wrongfulRefusals, sumOf(byWorkspace.map(workspace => workspace.within))),
+    dataCentreServiceShare: serviceShareDuring(events.dataCentreWindows, byWorkspace),
+    lastNewWorkAfterOutMs: lastNewWorkAfterOutMs(events.dataCentreWindows, operations),
     sessionViolations: countSessionViolations(operations),
     ageViolations: countAgeViolations(operations, clockKey),
     ...checkWrites(operations, logs),
-    overAdmitted: sum(byWorkspace.map(workspace => workspace.overAdmitted)),
+    overAdmitted: sumOf(byWorkspace.map(workspace => workspace.overAdmitted)),
     p50Ms,
     p99Ms,
     lateSendP99Ms: lateSendP99Ms(operations),
@@ -222,6 +224,6 @@
   }
 }
 
-/** Names of the promises that the run broke. */
-export const brokenPromises = (measures: Measures): string[] =>
-  brokenPromiseNames.filter(name => measures[name] > 0)
+/** Returns the names of the violation measures that are above 0. */
+export const violatedGuarantees = (measures: Measures): string[] =>
+  violationMeasures.filter(name => measures[name] > 0)
--- a/packages/load/src/report/markdown-table.ts
+++ b/packages/load/src/report/markdown-table.ts
@@ -1,11 +1,11 @@
 /**
- * Results as Markdown tables.
+ * Formats experiment results as Markdown tables.
  */
-import type { JudgedBound, MeasureValue, ResultRow } from '../experiment/experiment-result.js'
+import type { EvaluatedBound, MeasureValue, ResultRow } from '../experiment/experiment-result.js'
 
 const significantDigits = 4
 
-/** A number for a table; a dash stands for what was not measured. */
+/** Formats a value, rounding non-integers to four significant digits; `-` stands for a measure without samples. */
 export const formatMeasure = (value: MeasureValue): string => {
   if (value === undefined || value === null || Number.isNaN(value)) return '-'
   return Number.isInteger(value) ? String(value) : String(Number(value.toPrecision(significantDigits)))
@@ -16,33 +16,33 @@
 const table = (header: string[], rows: string[][]): string =>
   [row(header), row(header.map(() => '---')), ...rows.map(row)].join('\n')
 
-/** One row for each scenario and variant. */
+/** Formats a table with one row for each scenario and variant. */
 export const formatResults = (rows: ResultRow[], columns: string[]): string => table(
   ['scenario', 'variant', ...columns],
   rows.map(({ scenario, variant, measures }) =>
     [scenario, variant, ...columns.map(column => formatMeasure(measures[column]))]))
 
-/** The value that is furthest on the wrong side of a bound. */
-const worstOf = (bounds: JudgedBound[]): JudgedBound => bounds.toSorted((left, right) => {
+/** Returns the row with the worst value for a bound; rows that do not meet it come first. */
+const worstOf = (bounds: EvaluatedBound[]): EvaluatedBound => bounds.toSorted((left, right) => {
   if (left.isMet !== right.isMet) return left.isMet ? 1 : -1
   const direction = left.atMost === undefined ? 1 : -1
   return direction * ((left.seen ?? 0) - (right.seen ?? 0))
 })[0]
 
-/** One row for each bound, with the worst that was seen. */
-export const formatBounds = (bounds: JudgedBound[]): string => {
-  const byBound = new Map<string, JudgedBound[]>()
+/** Formats a table with one row for each bound, with the worst measured value. */
+export const formatBounds = (bounds: EvaluatedBound[]): string => {
+  const byBound = new Map<string, EvaluatedBound[]>()
   for (const bound of bounds) {
     const limits = [
       bound.atLeast === undefined ? '' : ` at least ${bound.atLeast}`,
       bound.atMost === undefined ? '' : ` at most ${bound.atMost}`
     ]
-    const wanted = `${bound.measure}${limits.join('')}`
-    byBound.set(wanted, [...byBound.get(wanted) ?? [], bound])
+    const label = `${bound.measure}${limits.join('')}`
+    byBound.set(label, [...byBound.get(label) ?? [], bound])
   }
-  return table(['bound', 'worst seen', 'in', 'met'], [...byBound].map(([wanted, judged]) => {
-    const worst = worstOf(judged)
-    const met = judged.filter(bound => bound.isMet).length
-    return [wanted, formatMeasure(worst.seen), `${worst.scenario}, ${worst.variant}`, `${met} of ${judged.length}`]
+  return table(['bound', 'worst seen', 'in', 'met'], [...byBound].map(([label, evaluated]) => {
+    const worst = worstOf(evaluated)
+    const met = evaluated.filter(bound => bound.isMet).length
+    return [label, formatMeasure(worst.seen), `${worst.scenario}, ${worst.variant}`, `${met} of ${evaluated.length}`]
   }))
 }
--- a/packages/load/src/report/svg-plot.ts
+++ b/packages/load/src/report/svg-plot.ts
@@ -1,5 +1,5 @@
 /**
- * A plot over time as SVG: one panel for each scenario, one line for each variant.
+ * Draws a time series plot as SVG: one panel for each scenario, one line for each variant.
  */
 import type { PlotLine, PlotPanel } from '../experiment/experiment-result.js'
 
@@ -18,19 +18,19 @@
 const text = (x: number, y: number, content: string, attributes = ''): string =>
   `<text x="${x.toFixed(1)}" y="${y.toFixed(1)}" ${attributes}>${escape(content)}</text>`
 
-const greatest = (lines: PlotLine[], axis: 0 | 1): number =>
+const maxCoordinate = (lines: PlotLine[], axis: 0 | 1): number =>
   Math.max(1e-9, ...lines.flatMap(line => line.points.map(point => point[axis])))
 
 const drawPanel = (panel: PlotPanel, offsetPx: number): string[] => {
-  const maxX = greatest(panel.lines, 0)
-  const maxY = greatest(panel.lines, 1)
+  const maxX = maxCoordinate(panel.lines, 0)
+  const maxY = maxCoordinate(panel.lines, 1)
   const bottom = offsetPx + panelHeightPx - bottomPx
   const x = (value: number) => leftPx + value / maxX * (widthPx - leftPx - rightPx)
   const y = (value: number) => bottom - value / maxY * (panelHeightPx - topPx - bottomPx)
-  const grid = Array.from({ length: gridLines + 1 }, (_, index) => index / gridLines).flatMap(part => [
-    `<line x1="${leftPx}" x2="${widthPx - rightPx}" y1="${y(part * maxY)}" y2="${y(part * maxY)}" stroke="#ddd"/>`,
-    text(leftPx - 6, y(part * maxY) + 4, Number((part * maxY).toPrecision(3)).toString(), 'text-anchor="end"'),
-    text(x(part * maxX), bottom + 14, `${(part * maxX).toFixed(0)} s`, 'text-anchor="middle"')
+  const grid = Array.from({ length: gridLines + 1 }, (_, index) => index / gridLines).flatMap(ratio => [
+    `<line x1="${leftPx}" x2="${widthPx - rightPx}" y1="${y(ratio * maxY)}" y2="${y(ratio * maxY)}" stroke="#ddd"/>`,
+    text(leftPx - 6, y(ratio * maxY) + 4, Number((ratio * maxY).toPrecision(3)).toString(), 'text-anchor="end"'),
+    text(x(ratio * maxX), bottom + 14, `${(ratio * maxX).toFixed(0)} s`, 'text-anchor="middle"')
   ])
   const marks = panel.marks.filter(mark => mark.atS <= maxX).flatMap(({ atS, label }, index) => [
     `<line x1="${x(atS)}" x2="${x(atS)}" y1="${offsetPx + topPx}" y2="${bottom}" stroke="#999"/>`,
@@ -49,7 +49,7 @@
   return [title, ...grid, ...marks, ...lines]
 }
 
-/** Draws the panels below each other. */
+/** Returns an SVG document with the panels stacked vertically. */
 export const drawPlot = (panels: PlotPanel[]): string => {
   const heightPx = panelHeightPx * panels.length
   return [
--- a/packages/load/src/report/write-results.ts
+++ b/packages/load/src/report/write-results.ts
@@ -1,30 +1,30 @@
 /**
- * Writes an experiment's results into a folder: results.json, results.md and plot.svg.
+ * Writes the results of an experiment: results.json, results.md and plot.svg.
  */
 import { mkdirSync, writeFileSync } from 'node:fs'
 import { join } from 'node:path'
-import type { ExperimentOutcome, JudgedBound } from '../experiment/experiment-result.js'
+import type { EvaluatedBound, ExperimentOutcome } from '../experiment/experiment-result.js'
 import { formatBounds, formatResults } from './markdown-table.js'
 import { drawPlot } from './svg-plot.js'
 
-/** What a report says beside the results. */
-export type ReportHead = { name: string, title: string, seed: number, seconds: number, columns: string[] }
+/** Name and parameters of the run that a report is about. */
+export type ReportHeader = { name: string, title: string, seed: number, seconds: number, columns: string[] }
 
-/** The report as Markdown. */
-export const formatReport = (head: ReportHead, { rows }: ExperimentOutcome, bounds: JudgedBound[]): string => [
-  `# ${head.name}: ${head.title}`,
-  `\`npm run experiment -- run ${head.name} --seconds ${head.seconds} --seed ${head.seed}\``,
-  formatResults(rows, head.columns),
+/** Formats the report as Markdown. */
+export const formatReport = (header: ReportHeader, { rows }: ExperimentOutcome, bounds: EvaluatedBound[]): string => [
+  `# ${header.name}: ${header.title}`,
+  `\`npm run experiment -- run ${header.name} --seconds ${header.seconds} --seed ${header.seed}\``,
+  formatResults(rows, header.columns),
   ...bounds.length > 0 ? [formatBounds(bounds)] : []
 ].join('\n\n') + '\n'
 
-/** Writes all files; creates the folder. */
+/** Writes all result files; creates the folder if necessary. */
 export const writeResults = (
-  folder: string, head: ReportHead, outcome: ExperimentOutcome, bounds: JudgedBound[]
+  folder: string, header: ReportHeader, outcome: ExperimentOutcome, bounds: EvaluatedBound[]
 ): void => {
   mkdirSync(folder, { recursive: true })
   const { rows, panels } = outcome
-  writeFileSync(join(folder, 'results.json'), JSON.stringify({ ...head, rows, bounds }, null, 2) + '\n')
-  writeFileSync(join(folder, 'results.md'), formatReport(head, outcome, bounds))
+  writeFileSync(join(folder, 'results.json'), JSON.stringify({ ...header, rows, bounds }, null, 2) + '\n')
+  writeFileSync(join(folder, 'results.md'), formatReport(header, outcome, bounds))
   if (panels.length > 0) writeFileSync(join(folder, 'plot.svg'), drawPlot(panels))
 }
--- a/packages/load/src/resolved-route.ts
+++ b/packages/load/src/resolved-route.ts
@@ -1,17 +1,17 @@
 /**
- * What the load tool needs to know of a route, out of the configuration.
+ * Routes with the settings of their profiles.
  */
 import type { Profile, Route } from '@egretyoke/config'
 import type { StoredConfiguration } from '@egretyoke/testbed'
 
-/** How a write is confirmed. */
+/** Confirmation mode of a write. */
 export type Confirmation = Profile['confirmation']
 
-/** How fresh a read must be. */
+/** Freshness mode of a read. */
 export type ReadFreshness = Profile['freshness']['kind']
 
-/** A route with what its profile promises. */
-export type RouteFacts = {
+/** A route with the guarantees of its profile. */
+export type ResolvedRoute = {
   route: string
   group: string
   access: Route['access']
@@ -22,8 +22,8 @@
   timeoutMs: number
 }
 
-/** Looks a workspace's route up. Throws when the configuration does not have it. */
-export const routeFacts = (configuration: StoredConfiguration, workspace: string, name: string): RouteFacts => {
+/** Looks up a route of a workspace and its profile. Throws when the configuration does not contain them. */
+export const resolveRoute = (configuration: StoredConfiguration, workspace: string, name: string): ResolvedRoute => {
   const route = configuration.workspaces[workspace]?.routes[name]
   const profile = route && configuration.profiles[route.profile]
   if (!route || !profile) throw new Error(`workspace "${workspace}" has no route "${name}"`)
--- a/packages/load/src/run-scenario.ts
+++ b/packages/load/src/run-scenario.ts
@@ -1,57 +1,57 @@
 /**
- * One run against one fleet: load and faults together, then the checker's measures.
+ * Runs a scenario against one fleet: load and faults concurrently, then the measures and checks.
  */
 import { sleepMs } from '@egretyoke/common'
 import { createCaller } from '@egretyoke/testbed'
 import type { Fleet } from '@egretyoke/testbed'
 import type { LoadStream } from './arrivals.js'
 import { startBalancer } from './balancer.js'
-import { createFaultRunner, stopwatchMs } from './faults.js'
-import type { Fault, HappenedFault } from './faults.js'
+import { createFaultInjector, startStopwatch } from './faults.js'
+import type { Fault, InjectedFault } from './faults.js'
 import { readFinalLogs } from './fleet-roles.js'
 import { runLoad } from './generator.js'
 import type { History, Operation } from './history.js'
 import { measureRun } from './measures.js'
 import type { Measures } from './measures.js'
 
-/** A gentle load before the run, so that the programs' code is compiled; it is not measured. */
+/** Light load before the run, not measured, so that the JIT compiler has compiled the programs' hot code. */
 export type WarmUp = { streams: LoadStream[], durationMs: number }
 
-/** What a run does. Streams without an end of their own should last longer than the plan. */
+/** Load and faults of a run. Streams that last to the end should extend beyond `plannedMs` by `maxExtensionMs`. */
 export type Scenario = {
   streams: LoadStream[]
   faults: Fault[]
-  /** Planned length; the load goes on until every failover is over, for at most `longestTailMs` more. */
+  /** Planned length; the load continues until every failover is complete, for at most `maxExtensionMs` more. */
   plannedMs: number
   seed: number
   runId: string
   warmUp?: WarmUp
 }
 
-/** What a run came to. */
+/** Result of a run. */
 export type ScenarioResult = {
   measures: Measures
   history: History
-  faults: HappenedFault[]
+  faults: InjectedFault[]
   endedMs: number
 }
 
-/** Progress while a run lasts. */
+/** Progress callbacks of a run. */
 export type Progress = {
   onOperation?: (operation: Operation) => void
-  onFault?: (fault: HappenedFault) => void
+  onFault?: (fault: InjectedFault) => void
 }
 
-/** Longest time that load goes on after the plan's end for a failover to be over. */
-export const longestTailMs = 20_000
+/** Maximum time by which the load is extended beyond the planned length until failovers are complete. */
+export const maxExtensionMs = 20_000
 
-const settleBeforeMs = 2_500
-const settleAfterMs = 500
-const tailPollMs = 100
+const settleBeforeLoadMs = 2_500
+const settleAfterLoadMs = 500
+const completionPollMs = 100
 const finalPrimaryTimeoutMs = 30_000
 const channelsPerVm = 1
 
-/** Runs a scenario against a fleet that is ready. */
+/** Runs a scenario against a ready fleet. Rejects when a group has no primary after the run. */
 export const runScenario = async (
   fleet: Fleet,
   scenario: Scenario,
@@ -59,30 +59,30 @@
 ): Promise<ScenarioResult> => {
   const caller = createCaller(fleet.callerAddresses(), channelsPerVm)
   const balancer = startBalancer(fleet.vmNames.length, fleet.vmNames.map(fleet.healthAddress))
-  const faults = createFaultRunner(fleet, scenario.plannedMs)
+  const injector = createFaultInjector(fleet, scenario.plannedMs)
   const stopping = new AbortController()
   const lastWriteMs = new Map<string, number>()
   let areFaultsPending = true
 
-  const noteOperation = (operation: Operation) => {
+  const recordOperation = (operation: Operation) => {
     if (operation.access === 'write' && operation.kind === 'done') {
       lastWriteMs.set(operation.group, operation.sentMs)
     }
     progress.onOperation?.(operation)
   }
-  const areFailoversOver = () =>
-    faults.failovers.every(({ group, atMs }) => (lastWriteMs.get(group) ?? 0) > atMs)
+  const areFailoversComplete = () =>
+    injector.failovers.every(({ group, atMs }) => (lastWriteMs.get(group) ?? 0) > atMs)
 
   try {
     const target = { caller, balancer, configuration: fleet.configuration(), keyOf: fleet.keyOf }
     const { warmUp, seed } = scenario
     if (warmUp) await runLoad(target, { ...warmUp, seed, runId: `${scenario.runId}-warm-up` })
-    await sleepMs(settleBeforeMs)
-    const nowMs = stopwatchMs()
-    const endInTime = async () => {
-      while (nowMs() < scenario.plannedMs || areFaultsPending || !areFailoversOver()) {
-        if (nowMs() > scenario.plannedMs + longestTailMs) break
-        await sleepMs(tailPollMs)
+    await sleepMs(settleBeforeLoadMs)
+    const nowMs = startStopwatch()
+    const stopWhenComplete = async () => {
+      while (nowMs() < scenario.plannedMs || areFaultsPending || !areFailoversComplete()) {
+        if (nowMs() > scenario.plannedMs + maxExtensionMs) break
+        await sleepMs(completionPollMs)
       }
       stopping.abort()
       return nowMs()
@@ -92,18 +92,18 @@
       durationMs: scenario.plannedMs,
       seed,
       runId: scenario.runId,
-      onOperation: noteOperation,
+      onOperation: recordOperation,
       signal: stopping.signal
     })
-    const bringFaultsAbout = async () => {
-      await faults.run(scenario.faults, nowMs, progress.onFault ?? (() => {}))
+    const injectFaults = async () => {
+      await injector.run(scenario.faults, nowMs, progress.onFault ?? (() => {}))
       areFaultsPending = false
     }
-    const [history, endedMs] = await Promise.all([load, endInTime(), bringFaultsAbout()])
-    await sleepMs(settleAfterMs)
+    const [history, endedMs] = await Promise.all([load, stopWhenComplete(), injectFaults()])
+    await sleepMs(settleAfterLoadMs)
     const logs = await readFinalLogs(fleet, finalPrimaryTimeoutMs)
-    const measures = measureRun(history, target.configuration, logs, { ...faults, endedMs })
-    return { measures, history, faults: faults.happened, endedMs }
+    const measures = measureRun(history, target.configuration, logs, { ...injector, endedMs })
+    return { measures, history, faults: injector.injected, endedMs }
   } finally {
     stopping.abort()
     balancer.close()
--- a/packages/load/src/sessions.ts
+++ b/packages/load/src/sessions.ts
@@ -1,55 +1,54 @@
 /**
- * The sessions of one workspace. A session has one request open at a time and carries its token from answer to
- * request; when all are busy a new one begins, so that arrivals never wait.
+ * Pool of the sessions of one workspace. A session has one request in flight at a time and sends the token of its last
+ * response with the next request. When all sessions are busy a new one is created, so that arrivals never wait.
  */
 import type { Random } from '@egretyoke/common'
 import type { CallerAnswer } from '@egretyoke/testbed'
 
-/** One session. */
 export type Session = {
   id: number
   token: Buffer
   hasUnsettledWrite: boolean
-  /** Confirmed writes to the session's own key, by group. */
+  /** Number of confirmed writes to the session's key in each group. */
   confirmedByGroup: Map<string, number>
 }
 
-/** Most sessions of one workspace. */
+/** Maximum number of sessions of one workspace. */
 export const maxSessionsPerWorkspace = 20_000
 
-/** Reason with which the entry says that a failover lost a write which the session had been told of. */
+/** Reason of the entry's response when a failover has lost a write that was confirmed to the session. */
 const lostWriteReason = 'sessionWriteLost'
 
-/** Sessions of one workspace. */
+/** Pool of the sessions of one workspace. */
 export type SessionPool = ReturnType<typeof createSessionPool>
 
-/** Creates a pool that begins with some sessions. */
-export const createSessionPool = (firstCount: number) => {
+/** Creates a pool with `initialCount` idle sessions. */
+export const createSessionPool = (initialCount: number) => {
   let created = 0
   const create = (): Session => {
     created++
     return { id: created, token: Buffer.alloc(0), hasUnsettledWrite: false, confirmedByGroup: new Map() }
   }
-  const idle: Session[] = Array.from({ length: firstCount }, create)
+  const idle: Session[] = Array.from({ length: initialCount }, create)
 
-  /** Takes an idle session, or a new one; undefined when the limit is reached. */
-  const take = (random: Random): Session | undefined => {
+  /** Acquires a random idle session, or creates one; undefined when all are busy and the maximum is reached. */
+  const acquire = (random: Random): Session | undefined => {
     if (idle.length === 0) return created < maxSessionsPerWorkspace ? create() : undefined
     const index = random.integer(0, idle.length - 1)
-    const taken = idle[index]
+    const session = idle[index]
     idle[index] = idle.at(-1)!
     idle.pop()
-    return taken
+    return session
   }
 
-  /** Begins anew, as a caller does who was told that a failover lost a write of its session. */
-  const forget = (session: Session) => {
+  /** Clears a session, as a caller must after a response that a failover has lost one of its writes. */
+  const reset = (session: Session) => {
     session.token = Buffer.alloc(0)
     session.confirmedByGroup.clear()
   }
 
-  /** Notes an answer and makes the session idle. */
-  const giveBack = (session: Session, isWrite: boolean, group: string, isOwnKey: boolean, answer: CallerAnswer) => {
+  /** Updates a session from a response and returns it to the pool. */
+  const release = (session: Session, isWrite: boolean, group: string, isOwnKey: boolean, answer: CallerAnswer) => {
     const isUnknown = answer.kind === 'lost' || answer.kind === 'outcomeUnknown'
     if (isWrite && isUnknown) session.hasUnsettledWrite = true
     if (answer.kind === 'done') {
@@ -58,10 +57,10 @@
         session.confirmedByGroup.set(group, (session.confirmedByGroup.get(group) ?? 0) + 1)
       }
     }
-    if (answer.reason === lostWriteReason) forget(session)
+    if (answer.reason === lostWriteReason) reset(session)
     else if (answer.sessionToken.length > 0) session.token = answer.sessionToken
     idle.push(session)
   }
 
-  return { take, giveBack, count: () => created }
+  return { acquire, release, count: () => created }
 }
--- a/packages/load/src/standard-load.ts
+++ b/packages/load/src/standard-load.ts
@@ -1,31 +1,31 @@
 /**
- * The load that fits a configuration: every workspace within its rate, reading far more than it writes, and a clock
- * in each group whose age-bound reads are checked.
+ * Default load for a configuration: each workspace at a fraction of its rate with many more reads than writes, and a
+ * clock stream for each group with reads of a maximum age, so that the checker can verify their age.
  */
 import type { StoredConfiguration } from '@egretyoke/testbed'
 import type { LoadStream } from './arrivals.js'
-import { routeFacts } from './route-facts.js'
-import type { RouteFacts } from './route-facts.js'
+import { resolveRoute } from './resolved-route.js'
+import type { ResolvedRoute } from './resolved-route.js'
 
-/** Rate at which each group's clock is written. */
+/** Write rate of each group's clock key. */
 const clockRatePerSec = 10
 
-const shareOf = (facts: RouteFacts): number => {
-  if (facts.access === 'write') return facts.confirmation === 'primary' ? 0.05 : 0.1
-  if (facts.freshness === 'primary') return 0.05
-  return facts.freshness === 'session' ? 0.45 : 0.25
+const shareOf = (route: ResolvedRoute): number => {
+  if (route.access === 'write') return route.confirmation === 'primary' ? 0.05 : 0.1
+  if (route.freshness === 'primary') return 0.05
+  return route.freshness === 'session' ? 0.45 : 0.25
 }
 
-/** Share of each route of a workspace. */
+/** Returns the weight of each route of a workspace. */
 export const standardMix = (configuration: StoredConfiguration, workspace: string): Record<string, number> => {
   const routes = Object.keys(configuration.workspaces[workspace].routes)
-  return Object.fromEntries(routes.map(route => [route, shareOf(routeFacts(configuration, workspace, route))]))
+  return Object.fromEntries(routes.map(route => [route, shareOf(resolveRoute(configuration, workspace, route))]))
 }
 
-/** Streams that write the clock of every group which has reads with a greatest age. */
+/** Returns a stream of clock writes for each group with `maxAge` reads and a write route under `majority`. */
 export const clockStreams = (configuration: StoredConfiguration, toMs: number): LoadStream[] => {
   const routes = Object.entries(configuration.workspaces).flatMap(([workspace, { routes: own }]) =>
-    Object.keys(own).map(route => ({ workspace, ...routeFacts(configuration, workspace, route) })))
+    Object.keys(own).map(route => ({ workspace, ...resolveRoute(configuration, workspace, route) })))
   const groups = new Set(routes
     .filter(route => route.access === 'read' && route.freshness === 'maxAge')
     .map(route => route.group))
@@ -44,7 +44,7 @@
   })
 }
 
-/** Every workspace at a share of its rate, and the clocks. */
+/** Returns streams of all workspaces at the given fraction of their rates, and the clock streams. */
 export const standardStreams = (
   configuration: StoredConfiguration,
   shareOfRate: number,
