Names that several packages share: responses, timeouts and retries

| old | new | | --- | --- | | config sharingNames | unsuspendedNames | | config storeKeys.followed (the key's name in the code; the stored key is the same) | watchedPrefix | | fleet EndpointAction, EndpointAnswer, ControlAnswer | EndpointRequest, EndpointResponse, ControlResponse | | fleet readWithin, ApplyTimes, collectDocuments | readWithRetries, ApplyTimeouts, deleteUnusedDocuments | | fleet MemberSubject.cutOff | setIsolated | | protocol StreamCaller.ask | call | | ctl Context.times | timeouts |

--- a/packages/config/src/stored-records.fuzz.test.ts
+++ b/packages/config/src/stored-records.fuzz.test.ts
@@ -5,7 +5,7 @@
 import fc from 'fast-check'
 import type { ZodType } from 'zod'
 import {
-  configHeadSchema, decodeRecord, encodeRecord, groupRecordSchema, rosterSchema, sharingNames, storeKeys
+  configHeadSchema, decodeRecord, encodeRecord, groupRecordSchema, rosterSchema, unsuspendedNames, storeKeys
 } from './stored-records.js'
 
 const seed = 20261204
@@ -71,5 +71,5 @@
   const members = [{ name: 'one', address: '127.0.0.1:1', dataCentre: 'dc' }]
   const decoded = decodeRecord(storeKeys.roster, encodeRecord({ version: 1, members }), rosterSchema).unwrap()
   t.deepEqual(decoded, { version: 1, members: [{ ...members[0], suspended: false }] })
-  t.deepEqual(sharingNames(decoded), ['one'])
+  t.deepEqual(unsuspendedNames(decoded), ['one'])
 })
--- a/packages/config/src/stored-records.ts
+++ b/packages/config/src/stored-records.ts
@@ -20,7 +20,7 @@
   /** Below the watched prefix, so that stewards see the lease holder without querying the platform. */
   stewardLease: (group: string) => `${keyPrefix}state/leases/${group}`,
   /** Prefix of the small records that every VM watches. Documents are stored outside it. */
-  followed: `${keyPrefix}state/`
+  watchedPrefix: `${keyPrefix}state/`
 } as const
 
 const version = z.number().int().min(0)
@@ -95,7 +95,7 @@
 export type RosterMember = z.input<typeof rosterMemberSchema>
 
 /** Returns the names of the VMs that have a share of the limits. */
-export const sharingNames = (roster: Roster | undefined): string[] =>
+export const unsuspendedNames = (roster: Roster | undefined): string[] =>
   (roster?.members ?? []).filter(member => !member.suspended).map(member => member.name)
 
 /** Encodes a record as the bytes to store. */
--- a/packages/ctl/src/change-report.ts
+++ b/packages/ctl/src/change-report.ts
@@ -15,10 +15,10 @@
 type DocumentConflict = { document: DocumentName, changes: LineChange[] | undefined }
 
 const conflictsOf = async (context: Context, conflict: Conflict, documents: Partial<DocumentTexts>) => {
-  const { platform, times } = context
+  const { platform, timeouts } = context
   const conflicts: DocumentConflict[] = []
   for (const document of conflict.differing) {
-    const active = await readDocumentText(platform, conflict.head.documents[document], times.callTimeoutMs)
+    const active = await readDocumentText(platform, conflict.head.documents[document], timeouts.callTimeoutMs)
     const changedText = documents[document]?.text ?? ''
     conflicts.push({ document, changes: active.ok ? diffTexts(active.val, changedText) : undefined })
   }
--- a/packages/ctl/src/commands/apply.ts
+++ b/packages/ctl/src/commands/apply.ts
@@ -3,7 +3,7 @@
  */
 import { readDocuments } from '@egretyoke/config'
 import type { DocumentTexts } from '@egretyoke/config'
-import { applyDocuments, createChangeId, readHead, readStoredConfiguration, readWithin } from '@egretyoke/fleet'
+import { applyDocuments, createChangeId, readHead, readStoredConfiguration, readWithRetries } from '@egretyoke/fleet'
 import { conflictReport, outcomeReport } from '../change-report.js'
 import type { Context } from '../context.js'
 import { readBaseVersion, readDirectory, writeBaseVersion } from '../documents-directory.js'
@@ -20,7 +20,8 @@
 }
 
 const dryRun = async (context: Context, documents: DocumentTexts, baseVersion: number): Promise<Report> => {
-  const stored = await readWithin(context.times, timeoutMs => readStoredConfiguration(context.platform, timeoutMs))
+  const stored = await readWithRetries(context.timeouts, timeoutMs =>
+    readStoredConfiguration(context.platform, timeoutMs))
   if (!stored.ok && stored.val.reason !== 'noConfiguration') return readErrorReport(stored.val)
   const inForce = stored.ok ? stored.val.texts : {}
   const changes = changedDocuments(inForce, documents)
@@ -37,7 +38,7 @@
 const baseVersionOf = async (context: Context, directory: string, base: number | undefined) => {
   const givenVersion = base ?? await readBaseVersion(directory)
   if (givenVersion !== undefined) return givenVersion
-  const stored = await readWithin(context.times, timeoutMs => readHead(context.platform, timeoutMs))
+  const stored = await readWithRetries(context.timeouts, timeoutMs => readHead(context.platform, timeoutMs))
   if (!stored.ok) return readErrorReport(stored.val)
   if (stored.val.head.version === 0) return 0
   return usageReport(`${directory} does not record the version that its documents are based on: pass it with --base, ` +
@@ -57,7 +58,7 @@
 
   const changeId = createChangeId(baseVersion)
   context.log(events.changeSent, { changeId, baseVersion, documents: Object.keys(documents) })
-  const outcome = await applyDocuments(context.platform, { baseVersion, documents, changeId }, context.times)
+  const outcome = await applyDocuments(context.platform, { baseVersion, documents, changeId }, context.timeouts)
   context.log(events.changeSettled, { changeId, outcome: outcome.kind })
   if (outcome.kind === 'conflict') return conflictReport(context, outcome, baseVersion, documents)
   const report = outcomeReport(outcome)
--- a/packages/ctl/src/commands/diff.ts
+++ b/packages/ctl/src/commands/diff.ts
@@ -3,7 +3,7 @@
  */
 import { documentNames, readDocuments } from '@egretyoke/config'
 import type { DocumentTexts } from '@egretyoke/config'
-import { readStoredConfiguration, readWithin } from '@egretyoke/fleet'
+import { readStoredConfiguration, readWithRetries } from '@egretyoke/fleet'
 import type { Context } from '../context.js'
 import { readDirectory } from '../documents-directory.js'
 import { findingsReport, readErrorReport, success } from '../report.js'
@@ -26,7 +26,8 @@
   if (!candidate.ok) return findingsReport(candidate.val)
   const checked = readDocuments(candidate.val, 0)
   if (!checked.ok) return findingsReport(checked.val)
-  const stored = await readWithin(context.times, timeoutMs => readStoredConfiguration(context.platform, timeoutMs))
+  const stored = await readWithRetries(context.timeouts, timeoutMs =>
+    readStoredConfiguration(context.platform, timeoutMs))
   if (!stored.ok && stored.val.reason !== 'noConfiguration') return readErrorReport(stored.val)
   const documents = changedDocuments(stored.ok ? stored.val.texts : {}, candidate.val)
   const version = stored.ok ? stored.val.head.version : 0
--- a/packages/ctl/src/commands/get.ts
+++ b/packages/ctl/src/commands/get.ts
@@ -4,7 +4,7 @@
 import { messageOf } from '@egretyoke/common'
 import { documentNames } from '@egretyoke/config'
 import type { DocumentName } from '@egretyoke/config'
-import { readStoredConfiguration, readWithin } from '@egretyoke/fleet'
+import { readStoredConfiguration, readWithRetries } from '@egretyoke/fleet'
 import type { Context } from '../context.js'
 import { writeDirectory } from '../documents-directory.js'
 import { readErrorReport, success, usageReport } from '../report.js'
@@ -15,7 +15,8 @@
   const names = documentNames.filter(document => name === undefined || document === name)
   if (names.length === 0) return usageReport(`no document "${name}"; there are ${documentNames.join(', ')}`)
   if (name !== undefined && out !== undefined) return usageReport('--out writes all documents: leave out the name')
-  const stored = await readWithin(context.times, timeoutMs => readStoredConfiguration(context.platform, timeoutMs))
+  const stored = await readWithRetries(context.timeouts, timeoutMs =>
+    readStoredConfiguration(context.platform, timeoutMs))
   if (!stored.ok) return readErrorReport(stored.val)
   const { head: { version }, texts } = stored.val
   if (out !== undefined) {
--- a/packages/ctl/src/commands/settle.ts
+++ b/packages/ctl/src/commands/settle.ts
@@ -10,7 +10,7 @@
 /** Determines the outcome of a change by its id, and reports it. */
 export const settle = async (context: Context, changeId: string): Promise<Report> => {
   if (baseVersionOf(changeId) === undefined) return usageReport(`"${changeId}" is not a change id`)
-  const settlement = await settleChange(context.platform, changeId, context.times)
+  const settlement = await settleChange(context.platform, changeId, context.timeouts)
   const { kind, ...details } = settlement
   const data = { outcome: kind, changeId, ...details }
   switch (settlement.kind) {
--- a/packages/ctl/src/commands/status.ts
+++ b/packages/ctl/src/commands/status.ts
@@ -17,7 +17,7 @@
 type GroupStatus = { group: string, term: number, primary: string, phase: string }
 
 const readGroups = async (context: Context, groups: string[]): Promise<GroupStatus[]> => {
-  const range = await context.platform.range(storeKeys.groupPrefix, 0, context.times.callTimeoutMs)
+  const range = await context.platform.range(storeKeys.groupPrefix, 0, context.timeouts.callTimeoutMs)
   const records = new Map<string, GroupRecord>()
   for (const entry of range.ok ? range.val.entries : []) {
     const record = decodeRecord(entry.key, entry.value, groupRecordSchema)
@@ -65,14 +65,14 @@
 
 /** Reports the status once. The exit code is 5 when the platform or a VM does not answer, or a VM lags behind. */
 export const status = async (context: Context): Promise<Report> => {
-  const { platform, times, channels, log } = context
-  const stored = await readStoredConfiguration(platform, times.callTimeoutMs)
+  const { platform, timeouts, channels, log } = context
+  const stored = await readStoredConfiguration(platform, timeouts.callTimeoutMs)
   if (!stored.ok) return readErrorReport(stored.val)
   const configuration = configurationOf(stored.val.head, stored.val.texts)
   if (!configuration.ok) return readErrorReport(configuration.val)
   const { version, dataCentres } = configuration.val
   const groups = await readGroups(context, Object.keys(configuration.val.groups))
-  const listing = await platform.listVms(times.callTimeoutMs)
+  const listing = await platform.listVms(timeouts.callTimeoutMs)
   const states = listing.ok ? await fetchVmStates(listing.val, channels, log) : []
   const vms = states.map(vm => vmStatus(vm, version))
   const isHealthy = listing.ok && vms.every(vm => vm.isCurrent)
--- a/packages/ctl/src/context.ts
+++ b/packages/ctl/src/context.ts
@@ -5,7 +5,7 @@
 import { Err, messageOf, Ok, readJsonWithComments } from '@egretyoke/common'
 import type { Logger, Result } from '@egretyoke/common'
 import { connectPlatform } from '@egretyoke/fleet'
-import type { ApplyTimes, Platform } from '@egretyoke/fleet'
+import type { ApplyTimeouts, Platform } from '@egretyoke/fleet'
 import { channelSettingsSchema, loopbackChannels } from '@egretyoke/protocol'
 import type { ChannelSettings } from '@egretyoke/protocol'
 import { findingsReport, usageReport } from './report.js'
@@ -25,7 +25,7 @@
 export type Context = {
   platform: Platform
   channels: ChannelSettings
-  times: ApplyTimes
+  timeouts: ApplyTimeouts
   log: Logger
   close: () => void
 }
@@ -47,8 +47,8 @@
   if (!channels.ok) return Err(channels.val)
   try {
     const platform = connectPlatform(options.platform, channels.val)
-    const times = { callTimeoutMs: options.timeoutMs, waitMs: options.waitMs }
-    return Ok({ platform, channels: channels.val, times, log, close: platform.close })
+    const timeouts = { callTimeoutMs: options.timeoutMs, waitMs: options.waitMs }
+    return Ok({ platform, channels: channels.val, timeouts, log, close: platform.close })
   } catch (thrown) {
     return Err(usageReport(messageOf(thrown)))
   }
--- a/packages/ctl/src/edit-documents.ts
+++ b/packages/ctl/src/edit-documents.ts
@@ -7,7 +7,7 @@
 import { sleepMs } from '@egretyoke/common'
 import type { DocumentPath } from '@egretyoke/common'
 import type { DocumentName } from '@egretyoke/config'
-import { applyDocuments, createChangeId, readStoredConfiguration, readWithin } from '@egretyoke/fleet'
+import { applyDocuments, createChangeId, readStoredConfiguration, readWithRetries } from '@egretyoke/fleet'
 import { conflictReport, outcomeReport } from './change-report.js'
 import type { Context } from './context.js'
 import { events } from './events.js'
@@ -41,10 +41,10 @@
 
 /** Applies an edit by compare-and-swap, and retries it after concurrent changes of other values. */
 export const editDocument = async (context: Context, edit: ValueEdit): Promise<Report> => {
-  const { platform, times, log } = context
+  const { platform, timeouts, log } = context
   let previous: { value: unknown } | undefined
   for (let attempt = 0; ; attempt++) {
-    const stored = await readWithin(times, timeoutMs => readStoredConfiguration(platform, timeoutMs))
+    const stored = await readWithRetries(timeouts, timeoutMs => readStoredConfiguration(platform, timeoutMs))
     if (!stored.ok) return readErrorReport(stored.val)
     const { head, texts } = stored.val
     const { file, text } = texts[edit.document]
@@ -62,7 +62,7 @@
 
     const changeId = createChangeId(head.version)
     log(events.changeSent, { changeId, baseVersion: head.version, documents: [edit.document] })
-    const outcome = await applyDocuments(platform, { baseVersion: head.version, documents: edited, changeId }, times)
+    const outcome = await applyDocuments(platform, { baseVersion: head.version, documents: edited, changeId }, timeouts)
     log(events.changeSettled, { changeId, outcome: outcome.kind })
     if (outcome.kind !== 'conflict') return outcomeReport(outcome)
     log(events.changeRetried, { changeId, headVersion: outcome.head.version })
--- a/packages/ctl/src/in-force-report.ts
+++ b/packages/ctl/src/in-force-report.ts
@@ -14,9 +14,9 @@
 export const inForceReport = async (context: Context, report: Report): Promise<Report> => {
   const { outcome, version } = report.data
   if (outcome !== 'accepted' || typeof version !== 'number') return report
-  const { platform, channels, log, times } = context
-  const target = { platform, channels, log, callTimeoutMs: times.callTimeoutMs }
-  const { listed, vms, missing } = await waitForVersion(target, version, times.waitMs)
+  const { platform, channels, log, timeouts } = context
+  const target = { platform, channels, log, callTimeoutMs: timeouts.callTimeoutMs }
+  const { listed, vms, missing } = await waitForVersion(target, version, timeouts.waitMs)
   const data = { ...report.data, vms: vms.length, missing: missing.map(vm => vm.name) }
   if (listed && missing.length === 0) {
     return { ...report, data, lines: [...report.lines, `in force on ${vms.length} VMs`] }
--- a/packages/ctl/src/racing-operators.test.ts
+++ b/packages/ctl/src/racing-operators.test.ts
@@ -6,7 +6,7 @@
 import type { DocumentTexts } from '@egretyoke/config'
 import { documentHash, storeKeys } from '@egretyoke/config'
 import {
-  applyDocuments, collectDocuments, createChangeId, readConfiguration, readHead, settleChange
+  applyDocuments, deleteUnusedDocuments, createChangeId, readConfiguration, readHead, settleChange
 } from '@egretyoke/fleet'
 import type { ApplyOutcome, Platform } from '@egretyoke/fleet'
 import { startTestPlatform } from './test-platform.js'
@@ -180,7 +180,8 @@
     ...platform,
     compareAndSwap: async (swap, timeoutMs) => {
       if (swap.key !== storeKeys.head) return platform.compareAndSwap(swap, timeoutMs)
-      t.deepEqual(await collectDocuments(platform, [reused], stored, 1000), [], 'concurrent collection deletes nothing')
+      t.deepEqual(
+        await deleteUnusedDocuments(platform, [reused], stored, 1000), [], 'concurrent collection deletes nothing')
       return platform.compareAndSwap(swap, timeoutMs)
     }
   }
--- a/packages/entry/src/coordination/connection-permits.ts
+++ b/packages/entry/src/coordination/connection-permits.ts
@@ -3,7 +3,7 @@
  * a share of it and may borrow more from peers.
  */
 import type { Clock, Logger } from '@egretyoke/common'
-import { sharingNames } from '@egretyoke/config'
+import { unsuspendedNames } from '@egretyoke/config'
 import { createPermitTable } from '@egretyoke/limits'
 import type { PermitTable } from '@egretyoke/limits'
 import type { PlatformState } from '../state/platform-state.js'
@@ -58,7 +58,7 @@
   })
 
   const update = () => {
-    const members = sharingNames(state.roster())
+    const members = unsuspendedNames(state.roster())
     table.setRoster({ members, slotCount: members.length })
     const groups = Object.entries(state.configuration()?.groups ?? {})
     table.setLimits(groups.flatMap(([group, { endpoints }]) =>
--- a/packages/entry/src/coordination/group-endpoints.ts
+++ b/packages/entry/src/coordination/group-endpoints.ts
@@ -5,7 +5,7 @@
 import { createTicker } from '@egretyoke/common'
 import type { Clock, Logger } from '@egretyoke/common'
 import type { EndpointConfig, GroupRecord } from '@egretyoke/config'
-import type { EndpointAnswer, EndpointConnector } from '@egretyoke/fleet'
+import type { EndpointResponse, EndpointConnector } from '@egretyoke/fleet'
 import type { PeerMessages } from '@egretyoke/protocol'
 import { events } from '../events.js'
 import { createHealthRecord } from '../state/endpoint-health.js'
@@ -79,7 +79,7 @@
   candidates: () => EndpointCandidate[]
   history: PrimaryHistory
   /** Updates the health of an endpoint from its answer to a request that was sent at `sentAtMs`. */
-  recordAnswer: (name: string, answer: EndpointAnswer, sentAtMs: number) => void
+  recordAnswer: (name: string, answer: EndpointResponse, sentAtMs: number) => void
   recordFailure: (name: string) => void
   /** Calls back once if the endpoint becomes unreachable. The returned function removes the callback. */
   onLost: (name: string, callback: () => void) => () => void
--- a/packages/entry/src/coordination/rate-limits.ts
+++ b/packages/entry/src/coordination/rate-limits.ts
@@ -3,7 +3,7 @@
  */
 import { crc32 } from 'node:zlib'
 import type { Clock, Logger } from '@egretyoke/common'
-import { sharingNames } from '@egretyoke/config'
+import { unsuspendedNames } from '@egretyoke/config'
 import { createShareTable, loans, staticSlices, tokenLoans } from '@egretyoke/limits'
 import type { ShareTable, AcquireResult } from '@egretyoke/limits'
 import type { PlatformState } from '../state/platform-state.js'
@@ -64,7 +64,7 @@
   })
 
   const update = () => {
-    const members = sharingNames(state.roster())
+    const members = unsuspendedNames(state.roster())
     if (members.includes(identity.vm)) {
       sharingSinceMs = Math.min(sharingSinceMs, clock())
     } else {
--- a/packages/entry/src/coordination/state-follower.ts
+++ b/packages/entry/src/coordination/state-follower.ts
@@ -73,7 +73,7 @@
 
   const poll = async () => {
     const sentAtMs = clock()
-    const changes = await platform.range(storeKeys.followed, state.revision(), timeoutMs)
+    const changes = await platform.range(storeKeys.watchedPrefix, state.revision(), timeoutMs)
     if (!changes.ok || !await applyRecords(changes.val.entries, 'platform')) return
     contact.recordPlatformConfirmation(sentAtMs)
     contact.completeStartup()
--- a/packages/entry/src/coordination/statement-attempt.ts
+++ b/packages/entry/src/coordination/statement-attempt.ts
@@ -2,7 +2,7 @@
  * One attempt to run a statement: acquires a connection to an endpoint, runs the statement and checks the answer.
  */
 import type { Result } from '@egretyoke/common'
-import type { ConnectionError, EndpointAction, EndpointAnswer } from '@egretyoke/fleet'
+import type { ConnectionError, EndpointRequest, EndpointResponse } from '@egretyoke/fleet'
 import type { FlightOutcome } from '@egretyoke/limits'
 import { events } from '../events.js'
 import { failed, notRun, outcomeUnknown } from '../state/outcome.js'
@@ -96,7 +96,7 @@
   return await context.waitForContact() ? undefined : outcomeUnknown('outOfContact')
 }
 
-const actionOf = ({ task, group }: Attempt, timeoutMs: number): EndpointAction => ({
+const actionOf = ({ task, group }: Attempt, timeoutMs: number): EndpointRequest => ({
   kind: 'execute',
   statement: task.text,
   writes: isWrite(task),
@@ -106,7 +106,7 @@
   streamed: task.onRows !== undefined
 })
 
-const flightOutcomeOf = (runResult: Result<EndpointAnswer, ConnectionError>): FlightOutcome => {
+const flightOutcomeOf = (runResult: Result<EndpointResponse, ConnectionError>): FlightOutcome => {
   if (!runResult.ok) return 'ignored'
   return runResult.val.verdict === 'declined' ? 'declined' : 'answered'
 }
@@ -130,7 +130,7 @@
 const outcomeOfAnswer = async (
   attempt: Attempt,
   assigned: AssignedConnection,
-  answer: EndpointAnswer,
+  answer: EndpointResponse,
   requirement: ReadRequirement | undefined,
   hasSentRows: boolean
 ): Promise<Outcome | undefined> => {
--- a/packages/entry/src/coordination/transaction-runner.ts
+++ b/packages/entry/src/coordination/transaction-runner.ts
@@ -2,7 +2,7 @@
  * Interactive transactions. A transaction uses one connection from begin to end. The key is checked at each step, and a
  * transaction that ends without the caller's commit is rolled back at the endpoint.
  */
-import type { EndpointAction, EndpointAnswer } from '@egretyoke/fleet'
+import type { EndpointRequest, EndpointResponse } from '@egretyoke/fleet'
 import { events } from '../events.js'
 import { failed, notRun, outcomeUnknown } from '../state/outcome.js'
 import type { Outcome, RequestResult } from '../state/outcome.js'
@@ -87,9 +87,9 @@
     return notRun('endpointDeclined')
   }
 
-  type RunResult = { kind: 'answer', answer: EndpointAnswer } | { kind: 'noAnswer', outcome: Outcome }
+  type RunResult = { kind: 'answer', answer: EndpointResponse } | { kind: 'noAnswer', outcome: Outcome }
 
-  const run = async (action: EndpointAction): Promise<RunResult> => {
+  const run = async (action: EndpointRequest): Promise<RunResult> => {
     const { assigned, admitted, group } = open!
     const timeoutMs = Math.max(1, Math.ceil(admitted.deadlineMs - clock()))
     const sentAtMs = clock()
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -5,7 +5,7 @@
   createLogger, createPauseDetector, createRegistry, monotonicMs, sleepMs, startHealthServer
 } from '@egretyoke/common'
 import type { RunningProgram } from '@egretyoke/common'
-import { sharingNames } from '@egretyoke/config'
+import { unsuspendedNames } from '@egretyoke/config'
 import { connectPlatform } from '@egretyoke/fleet'
 import { createRetryBudget, deficitRoundRobin, firstComeFirstServed } from '@egretyoke/limits'
 import { listenGrpc } from '@egretyoke/protocol'
@@ -98,7 +98,7 @@
     aliveTimeoutMs: settings.contact.ttlMs,
     seedPeers: settings.seedPeers,
     isDraining: serving.isDraining,
-    slotCount: () => sharingNames(state.roster()).length,
+    slotCount: () => unsuspendedNames(state.roster()).length,
     fetchFrom: follower.fetchFrom
   })
   const groups = createGroups({
--- a/packages/entry/src/transport/endpoint-transport.ts
+++ b/packages/entry/src/transport/endpoint-transport.ts
@@ -17,7 +17,7 @@
   const statusCaller = createStreamCaller(() => member.FollowStatus())
   return {
     connector: createEndpointConnector({ address: config.address, group, channels }),
-    status: timeoutMs => statusCaller.ask({}, timeoutMs),
+    status: timeoutMs => statusCaller.call({}, timeoutMs),
     close: () => {
       statusCaller.close()
       member.close()
--- a/packages/entry/src/transport/peer-client.ts
+++ b/packages/entry/src/transport/peer-client.ts
@@ -42,7 +42,7 @@
   }
 
   return {
-    heartbeat: (address, message, timeoutMs) => clientOf(address).heartbeats.ask(message, timeoutMs),
+    heartbeat: (address, message, timeoutMs) => clientOf(address).heartbeats.call(message, timeoutMs),
     fetchState: async (address, afterRevision, timeoutMs) => {
       const { service } = clientOf(address)
       const reply = await callUnary(service, service.FetchState, { afterRevision }, timeoutMs)
--- a/packages/fleet/src/config-store-apply.ts
+++ b/packages/fleet/src/config-store-apply.ts
@@ -12,12 +12,12 @@
   documentHash, documentNames, encodeRecord, maxRecentChanges, maxSupersededDocuments, readDocuments, storeKeys
 } from '@egretyoke/config'
 import type { ConfigHead, DocumentName, DocumentTexts } from '@egretyoke/config'
-import { collectDocuments, expiredDocumentHashes } from './config-store-collect.js'
+import { deleteUnusedDocuments, expiredDocumentHashes } from './config-store-collect.js'
 import { settlementFromHead, versionOfChange } from './config-store-settle.js'
 import {
-  attemptTimeouts, decodeHead, defaultApplyTimeouts, readDocumentTexts, readHead, readWithin
+  attemptTimeouts, decodeHead, defaultApplyTimeouts, readDocumentTexts, readHead, readWithRetries
 } from './config-store.js'
-import type { ApplyTimes, StoredHead } from './config-store.js'
+import type { ApplyTimeouts, StoredHead } from './config-store.js'
 import type { Platform } from './platform.js'
 
 /** A change: new texts of some or all documents. */
@@ -80,10 +80,10 @@
 const prepareChange = async (
   platform: Platform,
   change: ConfigChange,
-  timeouts: ApplyTimes
+  timeouts: ApplyTimeouts
 ): Promise<Result<PreparedChange, ApplyOutcome>> => {
   const { changeId, documents } = change
-  const stored = await readWithin(timeouts, timeoutMs => readHead(platform, timeoutMs))
+  const stored = await readWithRetries(timeouts, timeoutMs => readHead(platform, timeoutMs))
   if (!stored.ok) return Err(unavailable(stored.val.message))
   const base = stored.val
   const hashes = hashesOf(documents)
@@ -96,7 +96,7 @@
   const isComplete = documentNames.every(name => documents[name])
   const current = isComplete
     ? Ok(documents as DocumentTexts)
-    : await readWithin(timeouts, timeoutMs => readDocumentTexts(platform, base.head, timeoutMs))
+    : await readWithRetries(timeouts, timeoutMs => readDocumentTexts(platform, base.head, timeoutMs))
   if (!current.ok) return Err(unavailable(current.val.message))
   const texts = { ...current.val, ...documents }
   const validated = readDocuments(texts, base.head.version + 1)
@@ -109,7 +109,7 @@
   platform: Platform,
   text: string,
   baseRevision: number,
-  timeouts: ApplyTimes
+  timeouts: ApplyTimeouts
 ): Promise<string | undefined> => {
   const key = storeKeys.document(documentHash(text))
   const value = Buffer.from(text)
@@ -167,7 +167,7 @@
   platform: Platform,
   change: PreparedChange,
   next: ConfigHead,
-  timeouts: ApplyTimes
+  timeouts: ApplyTimeouts
 ): Promise<ApplyOutcome> => {
   const swap = { key: storeKeys.head, expectedRevision: change.base.revision, value: encodeRecord(next) }
   let sentCount = 0
@@ -191,10 +191,10 @@
 export const applyDocuments = async (
   platform: Platform,
   change: ConfigChange,
-  timeouts: ApplyTimes = defaultApplyTimeouts
+  timeouts: ApplyTimeouts = defaultApplyTimeouts
 ): Promise<ApplyOutcome> => {
   const deadlineMs = monotonicMs() + timeouts.waitMs
-  const remainingTimeouts = (): ApplyTimes => ({ ...timeouts, waitMs: deadlineMs - monotonicMs() })
+  const remainingTimeouts = (): ApplyTimeouts => ({ ...timeouts, waitMs: deadlineMs - monotonicMs() })
   const prepared = await prepareChange(platform, change, timeouts)
   if (!prepared.ok) return prepared.val
   const { base, texts, hashes, changedNames } = prepared.val
@@ -203,7 +203,7 @@
     if (failure) return unavailable(failure)
   }
   const expiredHashes = expiredDocumentHashes(base.head)
-  const deletedHashes = await collectDocuments(platform, expiredHashes, base, timeouts.callTimeoutMs)
+  const deletedHashes = await deleteUnusedDocuments(platform, expiredHashes, base, timeouts.callTimeoutMs)
   const outcome = await swapHead(platform, prepared.val, nextHead(prepared.val, deletedHashes), remainingTimeouts())
   if (outcome.kind !== 'conflict') return outcome
 
@@ -212,6 +212,6 @@
   const retainedHashes = stored.val.head.superseded.map(old => old.hash)
   const abandonedHashes = changedNames.map(name => hashes[name] as string)
     .filter(hash => !retainedHashes.includes(hash))
-  await collectDocuments(platform, abandonedHashes, stored.val, timeouts.callTimeoutMs)
+  await deleteUnusedDocuments(platform, abandonedHashes, stored.val, timeouts.callTimeoutMs)
   return outcome
 }
--- a/packages/fleet/src/config-store-collect.ts
+++ b/packages/fleet/src/config-store-collect.ts
@@ -40,7 +40,7 @@
 }
 
 /** Deletes documents that are not in use. Returns those that no longer exist; later changes retry the others. */
-export const collectDocuments = async (
+export const deleteUnusedDocuments = async (
   platform: Platform,
   hashes: string[],
   stored: StoredHead,
--- a/packages/fleet/src/config-store-settle.ts
+++ b/packages/fleet/src/config-store-settle.ts
@@ -2,8 +2,8 @@
  * Finds the outcome of a change whose reply was lost, from the head's recent changes.
  */
 import type { ConfigHead } from '@egretyoke/config'
-import { defaultApplyTimeouts, readHead, readWithin } from './config-store.js'
-import type { ApplyTimes } from './config-store.js'
+import { defaultApplyTimeouts, readHead, readWithRetries } from './config-store.js'
+import type { ApplyTimeouts } from './config-store.js'
 import type { Platform } from './platform.js'
 
 /** Returns the version that a change created; undefined when it is not among the head's recent changes. */
@@ -43,11 +43,11 @@
 export const settleChange = async (
   platform: Platform,
   changeId: string,
-  timeouts: ApplyTimes = defaultApplyTimeouts
+  timeouts: ApplyTimeouts = defaultApplyTimeouts
 ): Promise<Settlement> => {
   const baseVersion = baseVersionOf(changeId)
   if (baseVersion === undefined) return { kind: 'unsettled', message: `"${changeId}" is not a change id` }
-  const stored = await readWithin(timeouts, timeoutMs => readHead(platform, timeoutMs))
+  const stored = await readWithRetries(timeouts, timeoutMs => readHead(platform, timeoutMs))
   if (!stored.ok) return { kind: 'unsettled', message: stored.val.message }
   return settlementFromHead(stored.val.head, baseVersion, changeId)
 }
--- a/packages/fleet/src/config-store.ts
+++ b/packages/fleet/src/config-store.ts
@@ -30,7 +30,7 @@
 const maxBackoffMs = 1000
 
 /** Timeouts of applying a change and of finding its outcome. */
-export type ApplyTimes = {
+export type ApplyTimeouts = {
   /** Timeout of each call to the platform. */
   callTimeoutMs: number
   /** Total time for which calls are retried while the platform does not reply. */
@@ -38,10 +38,10 @@
 }
 
 /** Default timeouts. */
-export const defaultApplyTimeouts: ApplyTimes = { callTimeoutMs: 2000, waitMs: 30_000 }
+export const defaultApplyTimeouts: ApplyTimeouts = { callTimeoutMs: 2000, waitMs: 30_000 }
 
 /** Yields the timeout of each attempt, at first immediately, then with exponential backoff, until `waitMs` is over. */
-export async function * attemptTimeouts (timeouts: ApplyTimes): AsyncGenerator<number> {
+export async function * attemptTimeouts (timeouts: ApplyTimeouts): AsyncGenerator<number> {
   const deadlineMs = monotonicMs() + timeouts.waitMs
   for (const delayMs of backoffMs(initialBackoffMs, maxBackoffMs)) {
     const remainingMs = deadlineMs - monotonicMs()
@@ -53,8 +53,8 @@
 }
 
 /** Retries a read while the platform does not reply, for at most `waitMs`. */
-export const readWithin = async <T>(
-  timeouts: ApplyTimes,
+export const readWithRetries = async <T>(
+  timeouts: ApplyTimeouts,
   read: (timeoutMs: number) => Promise<Result<T, ConfigReadError>>
 ): Promise<Result<T, ConfigReadError>> => {
   let lastResult: Result<T, ConfigReadError> =
--- a/packages/fleet/src/endpoint-connection.ts
+++ b/packages/fleet/src/endpoint-connection.ts
@@ -14,7 +14,7 @@
 export type Confirmation = 'primary' | 'majority'
 
 /** One request on a connection. */
-export type EndpointAction =
+export type EndpointRequest =
   | {
     kind: 'execute'
     statement: Buffer
@@ -32,7 +32,7 @@
 export type EndpointVerdict = 'done' | 'declined' | 'failed' | 'unconfirmed'
 
 /** The complete response to one request. */
-export type EndpointAnswer = {
+export type EndpointResponse = {
   verdict: EndpointVerdict
   reason: string
   result: Buffer
@@ -60,10 +60,10 @@
   generation: number
   isUsable: () => boolean
   run: (
-    action: EndpointAction,
+    action: EndpointRequest,
     timeoutMs: number,
     onRows?: OnRows
-  ) => Promise<Result<EndpointAnswer, ConnectionError>>
+  ) => Promise<Result<EndpointResponse, ConnectionError>>
   close: () => void
 }
 
@@ -81,7 +81,7 @@
 const verdicts = { DONE: 'done', DECLINED: 'declined', FAILED: 'failed', UNCONFIRMED: 'unconfirmed' } as const
 const confirmations = { primary: 'PRIMARY', majority: 'MAJORITY' } as const
 
-const toWire = (action: EndpointAction): Partial<WireRequest> => {
+const toWire = (action: EndpointRequest): Partial<WireRequest> => {
   if (action.kind === 'execute') return { execute: { ...action, confirmation: confirmations[action.confirmation] } }
   if (action.kind === 'begin') return { begin: { expectedTerm: action.expectedTerm } }
   if (action.kind === 'commit') {
@@ -90,7 +90,7 @@
   return { rollback: {} }
 }
 
-const responseFromEnd = (end: EndpointMessages.End__Output): EndpointAnswer =>
+const responseFromEnd = (end: EndpointMessages.End__Output): EndpointResponse =>
   ({ ...end, verdict: verdicts[end.verdict] })
 
 type PendingRequest = {
@@ -98,7 +98,7 @@
   onRows: OnRows | undefined
   /** Chunks received so far. */
   chunkCount: number
-  settle: (result: Result<EndpointAnswer, ConnectionError>) => void
+  settle: (result: Result<EndpointResponse, ConnectionError>) => void
 }
 
 type ConnectorOptions = { address: string, group: string, channels: ChannelSettings }
@@ -118,7 +118,7 @@
     let lastRequestId = 0
     let pending: PendingRequest | undefined
 
-    const settle = (result: Result<EndpointAnswer, ConnectionError>) => {
+    const settle = (result: Result<EndpointResponse, ConnectionError>) => {
       const settled = pending
       pending = undefined
       settled?.settle(result)
@@ -168,13 +168,13 @@
       request: Partial<WireRequest>,
       timeoutMs: number,
       onRows?: OnRows
-    ): Promise<Result<EndpointAnswer, ConnectionError>> => new Promise(resolve => {
+    ): Promise<Result<EndpointResponse, ConnectionError>> => new Promise(resolve => {
       if (!isOpen || pending) {
         return resolve(Err(typedError('notSent', isOpen ? 'another request is in flight' : 'closed', { generation })))
       }
       const requestId = ++lastRequestId
       const timer = setTimeout(() => abort('timeout', `no reply within ${timeoutMs} ms`), timeoutMs)
-      const finish = (result: Result<EndpointAnswer, ConnectionError>) => {
+      const finish = (result: Result<EndpointResponse, ConnectionError>) => {
         clearTimeout(timer)
         resolve(result)
       }
--- a/packages/fleet/src/member-contract.ts
+++ b/packages/fleet/src/member-contract.ts
@@ -17,7 +17,7 @@
   /** Name and address passed to members that follow it. */
   upstream: { name: string, address: string }
   /** Isolates the member from all others, or reconnects it. */
-  cutOff: (isIsolated: boolean) => void
+  setIsolated: (isIsolated: boolean) => void
 }
 
 /** A group under test: its first primary, two replicas, and a write function. */
@@ -132,14 +132,14 @@
   {
     title: 'a missing reply is an error that leaves the effect of the request open',
     run: async ({ primary }) => {
-      primary.cutOff(true)
+      primary.setIsolated(true)
       for (const response of [
         await primary.control.getStatus(shortTimeoutMs),
         await primary.control.fence(2, shortTimeoutMs),
         await primary.control.promote(2, shortTimeoutMs),
         await primary.control.follow(2, primary.upstream, shortTimeoutMs)
       ]) assert.equal(response.err && response.val.reason, 'noAnswer')
-      primary.cutOff(false)
+      primary.setIsolated(false)
       await waitUntil(primary, 'the member replies again', () => true)
     }
   }
--- a/packages/fleet/src/member-grpc.ts
+++ b/packages/fleet/src/member-grpc.ts
@@ -5,13 +5,13 @@
 import type { Result } from '@egretyoke/common'
 import { callUnary, connectGrpc, endpointProto } from '@egretyoke/protocol'
 import type { CallFailure, ChannelSettings, EndpointMessages } from '@egretyoke/protocol'
-import type { ControlAnswer, GroupMember, MemberError, MemberState } from './member.js'
+import type { ControlResponse, GroupMember, MemberError, MemberState } from './member.js'
 
 type ControlReply = EndpointMessages.ControlReply__Output
 
 const noAnswerError = (failure: CallFailure): MemberError => typedError('noAnswer', failure.message, failure.metadata)
 
-const toControlResponse = (result: Result<ControlReply, CallFailure>): Result<ControlAnswer, MemberError> => {
+const toControlResponse = (result: Result<ControlReply, CallFailure>): Result<ControlResponse, MemberError> => {
   if (!result.ok) return Err(noAnswerError(result.val))
   const { accepted, reason, status } = result.val
   if (!status) return Err(typedError('noAnswer', 'the reply contains no status'))
--- a/packages/fleet/src/member.ts
+++ b/packages/fleet/src/member.ts
@@ -25,7 +25,7 @@
 }
 
 /** Response to a control request, with the member's state after the request. */
-export type ControlAnswer = {
+export type ControlResponse = {
   accepted: boolean
   /** Why the request was refused. */
   reason: string
@@ -39,14 +39,14 @@
 export type GroupMember = {
   getStatus: (timeoutMs: number) => Promise<Result<MemberState, MemberError>>
   /** Makes the member refuse writes and replication of terms below the given one. */
-  fence: (term: number, timeoutMs: number) => Promise<Result<ControlAnswer, MemberError>>
+  fence: (term: number, timeoutMs: number) => Promise<Result<ControlResponse, MemberError>>
   /** Makes the member the primary of the term. Refused when the member is fenced at a higher term. */
-  promote: (term: number, timeoutMs: number) => Promise<Result<ControlAnswer, MemberError>>
+  promote: (term: number, timeoutMs: number) => Promise<Result<ControlResponse, MemberError>>
   /** Makes the member a replica of the term's primary, whose address is HOST:PORT. */
   follow: (
     term: number,
     primary: { name: string, address: string },
     timeoutMs: number
-  ) => Promise<Result<ControlAnswer, MemberError>>
+  ) => Promise<Result<ControlResponse, MemberError>>
   close: () => void
 }
--- a/packages/protocol/src/stream-caller.ts
+++ b/packages/protocol/src/stream-caller.ts
@@ -7,7 +7,7 @@
 /** Sends requests over a stream that is opened by the first call. */
 export type StreamCaller<Request, Response> = {
   /** Returns the response; undefined on a timeout, on a lost stream, or while another call is in flight. */
-  ask: (request: Request, timeoutMs: number) => Promise<Response | undefined>
+  call: (request: Request, timeoutMs: number) => Promise<Response | undefined>
   close: () => void
 }
 
@@ -35,7 +35,7 @@
     return opened
   }
 
-  const ask = (request: Request, timeoutMs: number) => new Promise<Response | undefined>(resolve => {
+  const call = (request: Request, timeoutMs: number) => new Promise<Response | undefined>(resolve => {
     if (resolvePending) return resolve(undefined)
     stream ??= openStream()
     const current = stream
@@ -48,5 +48,5 @@
     current.write(request)
   })
 
-  return { ask, close: () => discardStream(stream) }
+  return { call, close: () => discardStream(stream) }
 }
--- a/packages/steward/src/coordination/fence-members.ts
+++ b/packages/steward/src/coordination/fence-members.ts
@@ -1,7 +1,7 @@
 /**
  * Fences the members of a group and reads their log positions.
  */
-import type { ControlAnswer } from '@egretyoke/fleet'
+import type { ControlResponse } from '@egretyoke/fleet'
 import { combineSignals } from './combined-signal.js'
 import type { FencedMember } from './most-advanced.js'
 import { majorityOf } from './promotion-calls.js'
@@ -34,7 +34,7 @@
       if (await calls.sleepMs(stragglerWaitMs, waitSignal)) finish({ kind: 'fenced', members: [...fenced] })
     }
 
-    const handleReply = (member: PromotionMember, reply: ControlAnswer) => {
+    const handleReply = (member: PromotionMember, reply: ControlResponse) => {
       if (finished.signal.aborted) return
       if (!reply.accepted) return finish({ kind: 'superseded' })
       fenced.push({ name: member.name, state: reply.state, canRemainPrimary: member.canRemainPrimary })
--- a/packages/steward/src/coordination/follow-records.ts
+++ b/packages/steward/src/coordination/follow-records.ts
@@ -74,7 +74,7 @@
       nowMs - lastPlatformPollMs >= options.platformPollIntervalMs
     if (!isDue) return
     lastPlatformPollMs = nowMs
-    const changes = await options.platform.range(storeKeys.followed, knownRevision, options.timeoutMs)
+    const changes = await options.platform.range(storeKeys.watchedPrefix, knownRevision, options.timeoutMs)
     if (changes.ok) applyChanges(changes.val)
   }
 
--- a/packages/steward/src/member-contract.test.ts
+++ b/packages/steward/src/member-contract.test.ts
@@ -10,7 +10,7 @@
     return {
       control: linked,
       upstream: { name, address: link.address },
-      cutOff: cut => link.setFault({ cut })
+      setIsolated: cut => link.setFault({ cut })
     }
   }
   let count = 0
--- a/packages/steward/src/model-member.ts
+++ b/packages/steward/src/model-member.ts
@@ -3,7 +3,7 @@
  * term rules of the endpoint protocol; `checksTerms: false` disables them to inject a defect.
  */
 import type { TermStart } from '@egretyoke/config'
-import type { ControlAnswer, MemberState } from '@egretyoke/fleet'
+import type { ControlResponse, MemberState } from '@egretyoke/fleet'
 
 /** A log entry with one write. */
 export type ModelLogEntry = { term: number, id: string }
@@ -51,18 +51,18 @@
   leaving: false
 })
 
-const controlAnswer = (member: ModelMember, accepted: boolean): ControlAnswer =>
+const controlAnswer = (member: ModelMember, accepted: boolean): ControlResponse =>
   ({ accepted, reason: accepted ? '' : 'term', state: memberStateOf(member) })
 
 /** Fences the member at a term. */
-export const fenceModelMember = (member: ModelMember, term: number, checksTerms: boolean): ControlAnswer => {
+export const fenceModelMember = (member: ModelMember, term: number, checksTerms: boolean): ControlResponse => {
   if (checksTerms && term < member.fencedTerm) return controlAnswer(member, false)
   member.fencedTerm = term
   return controlAnswer(member, true)
 }
 
 /** Promotes the member to primary of a term. */
-export const promoteModelMember = (member: ModelMember, term: number, checksTerms: boolean): ControlAnswer => {
+export const promoteModelMember = (member: ModelMember, term: number, checksTerms: boolean): ControlResponse => {
   if (member.isPrimary && member.term === term) return controlAnswer(member, true)
   if (checksTerms && (term < member.fencedTerm || term <= member.term)) return controlAnswer(member, false)
   Object.assign(member, { term, fencedTerm: term, isPrimary: true, acks: {} })
@@ -76,7 +76,7 @@
   term: number,
   primary: string,
   checksTerms: boolean
-): ControlAnswer => {
+): ControlResponse => {
   if (checksTerms && (term < member.fencedTerm || term < member.term)) return controlAnswer(member, false)
   if (member.isPrimary && term === member.term) return controlAnswer(member, false)
   Object.assign(member, { term, isPrimary: false, upstream: primary })
--- a/packages/steward/src/test-entry.ts
+++ b/packages/steward/src/test-entry.ts
@@ -54,7 +54,7 @@
   const poll = async () => {
     for await (const _ of ticks(pollMs, stopping.signal)) {
       const sentMs = monotonicMs()
-      const changes = await platform.range(storeKeys.followed, knownRevision, callTimeoutMs)
+      const changes = await platform.range(storeKeys.watchedPrefix, knownRevision, callTimeoutMs)
       if (!changes.ok || isCutOff) continue
       for (const entry of changes.val.entries) {
         const record = decodeRecord(entry.key, entry.value, groupRecordSchema)
--- a/packages/testbed/src/start-fleet.test.ts
+++ b/packages/testbed/src/start-fleet.test.ts
@@ -9,7 +9,7 @@
   const fleet = await startFleet(smallFleet(0), { withoutStewards: true, links: { databases: true } })
   const platform = connectPlatform(fleet.platformAddress(), loopbackChannels)
   try {
-    const changes = await platform.range(storeKeys.followed, 0, 1_000)
+    const changes = await platform.range(storeKeys.watchedPrefix, 0, 1_000)
     t.true(changes.ok)
     if (!changes.ok) return
     const keys = changes.val.entries.map(entry => entry.key).sort()
