soak: wording of comments, texts and test titles

Comments such as 'What faults work on', 'The world of a run', 'Where one gateway runs' and 'a fault is taken back' now say what the value is or does: 'Components that faults act on', 'Environment of a run', 'Identity, ports and upstream addresses of one gateway', 'Reverts an injected fault'. The help texts name numbers and durations, and the titles of the tests the failure that they guard against.

--- a/soak/src/caller-connection.ts
+++ b/soak/src/caller-connection.ts
@@ -1,5 +1,5 @@
 /**
- * A caller's connection over the wire protocol.
+ * Client side of the wire protocol: a caller's connection to a gateway.
  */
 import { connect } from 'node:net'
 import type { Socket } from 'node:net'
@@ -8,12 +8,12 @@
 const answerTimeoutMs = 4000
 const connectTimeoutMs = 2000
 
-/** What a caller is told of one statement. `error` is empty when it was done. */
+/** Reply to one statement. `error` is the error code, empty on success; `state` is the session state from READY. */
 export type CallerAnswer = { error: string, signature: string, rows: string[], state: string }
 
-/** A caller's open connection. One statement at a time. */
+/** A caller's open connection. Only one statement may be in flight at a time. */
 export type CallerConnection = {
-  /** Undefined when no answer came. */
+  /** Sends a line; resolves to undefined when the connection closes or the timeout expires before any reply line. */
   ask: (line: string, timeoutMs?: number) => Promise<CallerAnswer | undefined>
   close: () => void
   isOpen: () => boolean
@@ -31,7 +31,7 @@
   return answer
 }
 
-/** Sends lines on a socket and gathers the answer to each. */
+/** Sends lines on a socket and collects the reply lines to each, up to READY. */
 const createExchange = (socket: Socket): CallerConnection => {
   const reader = createLineReader()
   let lines: string[] = []
@@ -61,7 +61,7 @@
   return { ask, close: () => socket.destroy(), isOpen: () => !socket.destroyed }
 }
 
-/** Opens a session at a port of the loopback address; undefined when none came about. */
+/** Opens a session on a loopback port; resolves to undefined when the connection or START fails. */
 export const openCallerConnection = async (
   port: number, database: string, key: string
 ): Promise<CallerConnection | undefined> => {
--- a/soak/src/drain.test.ts
+++ b/soak/src/drain.test.ts
@@ -1,5 +1,6 @@
 /**
- * The order in which the program ends on SIGTERM: no new callers, what was begun is finished, then the process ends.
+ * Graceful shutdown on SIGTERM: the gateway accepts no new callers, open transactions finish, and then the process
+ * exits.
  */
 import { mkdtempSync, rmSync } from 'node:fs'
 import { tmpdir } from 'node:os'
@@ -12,10 +13,10 @@
 import { keyOf, startSoakWorld } from './soak-world.js'
 
 const key = keyOf('yard-a')
-/** The balancer looks twice, half a second apart, before it takes a gateway out. */
+/** The balancer removes a gateway from rotation after two failed checks, half a second apart. */
 const balancerNoticeMs = 1500
 
-test('on SIGTERM a gateway leaves the rotation, finishes an open transaction, and ends in its time', async t => {
+test('on SIGTERM a gateway leaves the rotation, finishes open transactions and exits in its grace period', async t => {
   const folder = mkdtempSync(join(tmpdir(), 'egretyoke-drain-'))
   const world = await startSoakWorld({ gateways: 2, folder, record: createSoakRecord(), random: createRandom(1) })
   t.teardown(async () => {
--- a/soak/src/failed-seeds.ts
+++ b/soak/src/failed-seeds.ts
@@ -1,11 +1,10 @@
 /**
- * Seeds that once failed, each with its cause, to be run again.
+ * Regression seeds: seeds whose runs failed in the past, each with the cause.
  */
 
-/** A seed, and why it failed. */
+/** A seed and the reason for its failure. */
 export type FailedSeed = { seed: number, cause: string }
 
-/** All of them. */
 export const failedSeeds: readonly FailedSeed[] = [
   { seed: 101, cause: 'SIGHUP ended a process that had only begun to start' },
   { seed: 104, cause: 'SIGHUP ended a process that had only begun to start' },
--- a/soak/src/gateway-process.ts
+++ b/soak/src/gateway-process.ts
@@ -1,5 +1,5 @@
 /**
- * A gateway's program as a process of its own, for the soak: start, signals, restart after its end, and its last lines.
+ * Runs a gateway as a child process of the soak: start, signals, readiness checks, restart after exit, crash reports.
  */
 import { spawn } from 'node:child_process'
 import type { ChildProcess } from 'node:child_process'
@@ -10,7 +10,7 @@
 import { exitCodes } from '@egretyoke/common'
 import { settingsPathVariable } from '@egretyoke/platform/testing'
 
-/** Where one gateway runs. */
+/** Identity, ports and upstream addresses of one gateway. Ports are on the loopback address. */
 export type GatewayPlace = {
   name: string
   dataCentre: string
@@ -23,19 +23,19 @@
   failoverAddress: string
 }
 
-/** Time after which a withdrawn key is refused everywhere, and time to end, as the settings say. */
+/** Deadlines from the gateways' settings: for refusing a withdrawn key on every gateway, and for graceful shutdown. */
 export const soakTimes = { keyWithdrawalMs: 5000, graceMs: 3000 } as const
 
-/** A gateway that is started again whenever it ends, until it is closed. */
+/** A gateway process that is restarted whenever it exits, until `close` is called. */
 export type GatewayProcess = {
   name: string
   callerPort: number
   signal: (signal: NodeJS.Signals) => void
-  /** Whether the balancer would choose it, as of the last checks. */
+  /** Whether the balancer routes new connections to it, according to the latest readiness checks. */
   isInRotation: () => boolean
-  /** Writes the settings file anew. */
+  /** Rewrites the settings file with the same content. */
   touchSettings: () => void
-  /** Times that the process ended by itself, with its last lines on standard error. */
+  /** One entry for each exit that no SIGTERM or SIGKILL of the soak caused, with the tail of standard error. */
   crashes: string[]
   close: () => Promise<void>
 }
@@ -63,7 +63,7 @@
 
 let endsChildren = false
 
-/** Ends the gateways with the soak, also when a signal ends it. */
+/** Kills the gateways when this process exits, also when a signal terminates it. */
 const endWithThisProcess = () => {
   if (endsChildren) return
   endsChildren = true
@@ -73,25 +73,25 @@
 
 const hangupBit = 1n
 
-/** Whether the process has a handler for SIGHUP. */
+/** Whether the process has a handler for SIGHUP, according to /proc; false when it has exited. */
 export const catchesHangup = (pid: number | undefined): boolean => {
   try {
     const mask = /SigCgt:\s*([0-9a-f]+)/.exec(readFileSync(`/proc/${pid}/status`, 'utf8'))?.[1] ?? '0'
     return (BigInt(`0x${mask}`) & hangupBit) !== 0n
   } catch {
-    // The process has ended.
+    // The process has exited.
     return false
   }
 }
 
-/** Writes the settings file of a gateway into the folder; its path. */
+/** Writes the settings file of a gateway into the folder; returns its path. */
 export const writeGatewaySettings = (place: GatewayPlace, folder: string): string => {
   const file = join(folder, `${place.name}.yaml`)
   writeFileSync(file, `${settingsText(place)}\n`)
   return file
 }
 
-/** Starts a gateway; its log goes into a file of the folder. */
+/** Starts a gateway with a settings file in the folder; standard output is passed to the callback. */
 export const startGatewayProcess = (place: GatewayPlace, folder: string, logTo: (line: Buffer) => void) => {
   const settingsFile = writeGatewaySettings(place, folder)
   const crashes: string[] = []
@@ -115,7 +115,7 @@
     started.on('exit', (code, signal) => {
       living.delete(started)
       misses = missesUntilOut
-      if (!wasSignalled) crashes.push(`${place.name} ended by itself (${code ?? signal}): ${errors}`)
+      if (!wasSignalled) crashes.push(`${place.name} exited unexpectedly (${code ?? signal}): ${errors}`)
       if (!isClosed) restartTimer = setTimeout(start, restartDelayMs)
     })
   }
@@ -132,7 +132,7 @@
   }, readinessCheckMs)
 
   const signal = (given: NodeJS.Signals) => {
-    // Before its runtime has started a process can handle no signal; SIGHUP would end it whatever the program does.
+    // Before its runtime has started, a process cannot handle signals: SIGHUP would kill it whatever the program does.
     if (given === 'SIGHUP' && !catchesHangup(child?.pid)) return
     wasSignalled ||= given === 'SIGTERM' || given === 'SIGKILL'
     child?.kill(given)
--- a/soak/src/hangup.test.ts
+++ b/soak/src/hangup.test.ts
@@ -1,5 +1,5 @@
 /**
- * A changed settings file is announced by SIGHUP at any moment, also while the program starts.
+ * SIGHUP announces a changed settings file and can arrive at any time, also before the program has finished starting.
  */
 import { spawn } from 'node:child_process'
 import { mkdtempSync, rmSync } from 'node:fs'
@@ -23,7 +23,7 @@
   socket.on('error', () => resolve(false))
 })
 
-test('SIGHUP does not end a program that has only begun to start', async t => {
+test('SIGHUP does not terminate a program that is still starting', async t => {
   const folder = mkdtempSync(join(tmpdir(), 'egretyoke-hangup-'))
   const store = await startStoreStandin()
   const [place] = await placeGateways(1, store.address)
@@ -36,7 +36,7 @@
     rmSync(folder, { recursive: true })
   })
   while (!catchesHangup(child.pid)) await sleepMs(1)
-  t.false(await listens(place.callerPort), 'the handler is there before the program listens')
+  t.false(await listens(place.callerPort), 'the handler is installed before the program listens')
   child.kill('SIGHUP')
   while (!await listens(place.callerPort) && child.signalCode === null) await sleepMs(20)
   t.is(child.signalCode, null)
--- a/soak/src/soak-callers.ts
+++ b/soak/src/soak-callers.ts
@@ -1,6 +1,6 @@
 /**
- * Callers of a soak: sessions over the wire protocol that read, write and run transactions, reconnect when their
- * connection ends, and note what they sent and were told.
+ * Simulated callers of a soak: sessions over the wire protocol that read, write and run transactions, reconnect when
+ * their connection closes, and record the statements that they sent and the outcomes.
  */
 import type { Random } from '@egretyoke/common'
 import { openCallerConnection } from './caller-connection.js'
@@ -8,26 +8,26 @@
 import { lastConfirmed } from './soak-record.js'
 import type { CallerOutcome, SoakRecord } from './soak-record.js'
 
-/** Codes that promise that nothing of the attempt is kept. */
+/** Error codes that guarantee that the statement had no effect. */
 const promises = new Set(['BUSY', 'ABORTED', 'LAGGING', 'READONLY', 'MISROUTED', 'CONNLIMIT'])
 const maxPauseMs = 60
 const itemCount = 50
-/** Age that the routes allow. */
+/** Maximum replica staleness that the soak's non-primary routes allow. */
 export const maxStalenessMs = 1500
 
-/** A caller's place in the run. */
+/** Options of a caller. */
 export type SoakCallerOptions = {
   name: string
   route: string
   workspace: string
   key: string
-  /** A gateway that the balancer would choose, as a port of the loopback address. */
+  /** Loopback port of a gateway in rotation; undefined when there is none. */
   choosePort: () => number | undefined
   random: Random
   record: SoakRecord
 }
 
-/** A caller that runs until it is stopped. */
+/** A caller that runs until it is stopped. Counts are of statements and transactions. */
 export type SoakCaller = { stop: () => Promise<void>, counts: () => { done: number, refused: number, unknown: number } }
 
 const outcomeOf = (answer: CallerAnswer | undefined): CallerOutcome => {
@@ -36,14 +36,14 @@
   return promises.has(answer.error) ? 'nothingKept' : 'unknown'
 }
 
-/** Starts a caller. */
+/** Starts a caller; it connects and sends statements at random until it is stopped. */
 export const startSoakCaller = (options: SoakCallerOptions): SoakCaller => {
   const { name, route, workspace, key, choosePort, random, record } = options
   const counts = { done: 0, refused: 0, unknown: 0 }
   let isStopping = false
   let requests = 0
   let values = new Map<string, string>()
-  /** Request ids of the session's own last confirmed write. */
+  /** Request ids of the session's last confirmed write. */
   let ownWrite: readonly string[] = []
 
   const pause = (ms: number) => new Promise(resolve => setTimeout(resolve, ms))
@@ -57,7 +57,7 @@
     return route === 'ledger' ? [...old, ...ownWrite] : old
   }
 
-  /** Sends a statement that a database runs; the text is the one that the database is to see. */
+  /** Sends and records a data statement. `textAtDatabase` is the text that the database has to receive. */
   const sendData = async (
     connection: CallerConnection, text: string, transaction: string, seen = mustSee(), textAtDatabase = text
   ) => {
@@ -70,7 +70,7 @@
     return { requestId, answer }
   }
 
-  /** An answer has to be the one that a database gave to this statement. */
+  /** Reports a breach when a successful reply belongs to another statement. */
   const checkAnswer = (requestId: string, text: string, answer: CallerAnswer | undefined) => {
     if (answer === undefined || answer.error !== '') return
     if (!answer.signature.endsWith(`.${requestId}`)) record.breach('mixed', `${requestId} got ${answer.signature}`)
@@ -91,7 +91,7 @@
     if (outcome === 'done') ownWrite = requestIds
   }
 
-  /** Writes whose commit was never asked for may not be kept, whatever became of the last statement. */
+  /** Without a COMMIT no write of the transaction may take effect, whatever the outcome of the last statement. */
   const endUncommitted = (requestIds: string[], outcome: CallerOutcome) => {
     record.writes.push({ requestIds, outcome: 'nothingKept', answeredMs: performance.now() })
     count(outcome)
@@ -140,7 +140,7 @@
       const answer = await connection.ask('QUERY - ROLLBACK')
       return endUncommitted(written, outcomeOf(answer))
     }
-    // A commit is no statement of its own at the database's log: the writes carry the ids.
+    // COMMIT has no entry of its own in the database's log; the entries carry the request ids of the writes.
     const commit = await connection.ask(`QUERY ${name}-${++requests} COMMIT`)
     noteWrite(written, outcomeOf(commit))
   }
--- a/soak/src/soak-databases.ts
+++ b/soak/src/soak-databases.ts
@@ -1,6 +1,6 @@
 /**
- * A group of databases that speak the wire protocol, for the soak: a log with terms, replicas that receive it late,
- * promotions that cut back what a replica lacks, and a record of everything that ran.
+ * A database group over the wire protocol, for the soak: a log with terms, asynchronous replication with lag,
+ * promotions that truncate entries which the new primary lacks, and a record of every statement that ran.
  */
 import { createServer } from 'node:net'
 import type { AddressInfo, Socket } from 'node:net'
@@ -11,7 +11,7 @@
 type LogEntry = { term: number, number: number, requestId: string }
 type Reply = { lines: string[], error?: string }
 
-/** One database. `dark`: answers nothing; `dead`: its process has ended. */
+/** One database. `dark`: keeps its connections open but does not reply; `dead`: its process has exited. */
 export type SoakDatabase = {
   id: string
   dataCentre: string
@@ -20,20 +20,20 @@
   term: number
   log: LogEntry[]
   state: 'alive' | 'dark' | 'dead'
-  /** Share of the answers that are lost. */
+  /** Probability that the connection is closed instead of sending a reply. */
   lossShare: number
   bornMs: number
   sockets: Set<Socket>
 }
 
-/** The group. */
+/** A database group. */
 export type SoakDatabases = {
   service: string
   databases: SoakDatabase[]
   promote: (id: string) => boolean
   kill: (database: SoakDatabase) => void
   restart: (database: SoakDatabase) => void
-  /** Request ids that are in the log of the newest leader, and those that were cut back. */
+  /** Request ids in the log of the primary with the highest term, and those that promotions truncated. */
   finalLogs: () => { kept: string[], cutBack: Set<string> }
   close: () => void
 }
@@ -43,7 +43,7 @@
 const maxConnections = 22
 export const slotsPerDatabase = 3
 
-/** What the group is made with. */
+/** Options of a database group; one database for each data centre. */
 export type SoakDatabasesOptions = {
   service: string
   dataCentres: readonly string[]
@@ -63,7 +63,7 @@
   return ownTerm < term || (ownTerm === term && ownNumber < number)
 }
 
-/** Starts the group on free ports of the loopback address; the first database leads. */
+/** Starts the group on free loopback ports; the first database is the primary. */
 export const startSoakDatabases = async (options: SoakDatabasesOptions): Promise<SoakDatabases> => {
   const { service, dataCentres, record, random, lagMs } = options
   const databases: SoakDatabase[] = dataCentres.map((dataCentre, index) => ({
@@ -84,7 +84,7 @@
 
   const leader = () => databases.filter(({ role }) => role === 'primary').sort((a, b) => b.term - a.term)[0]
 
-  /** Gives a replica the leader's log; what it has beyond it is cut back. */
+  /** Copies the leader's log up to a length to a replica, which drops entries that the leader lacks. */
   const catchUp = (replica: SoakDatabase, from: SoakDatabase, upTo: number) => {
     if (replica === from || replica.state === 'dead' || replica.role === 'primary' || from !== leader()) return
     if (replica.term === from.term && replica.log.length >= upTo) return
@@ -114,7 +114,7 @@
     return true
   }
 
-  /** One caller's state on a connection. */
+  /** Session state of one connection, and the statements that run on it. */
   const openConnection = (database: SoakDatabase, workspace: string) => {
     const connection = ++connectionCount
     const values = new Map<string, string>()
--- a/soak/src/soak-faults.ts
+++ b/soak/src/soak-faults.ts
@@ -1,5 +1,6 @@
 /**
- * The faults of a soak. Each begins at its time, lasts for some time, and is taken back; they overlap as they come.
+ * Fault injection of a soak. Faults start at random times, last for a random duration and are then reverted; they may
+ * overlap.
  */
 import type { Random } from '@egretyoke/common'
 import type { Link } from '@egretyoke/standins'
@@ -7,22 +8,23 @@
 import type { GatewayProcess } from './gateway-process.js'
 import type { SoakDatabase, SoakDatabases } from './soak-databases.js'
 
-/** What faults work on. */
+/** Components that faults act on. */
 export type FaultTargets = {
   store: StoreStandin
   storeLinks: readonly Link[]
   databaseLinks: readonly Link[]
   databases: SoakDatabases
   gateways: readonly GatewayProcess[]
-  /** A database's entry in the store has to be written anew. */
+  /** Writes a database's entry to the store. */
   announce: (database: SoakDatabase) => void
+  /** Deletes a database's entry from the store. */
   leave: (database: SoakDatabase) => void
   changeConfiguration: () => void
   withdrawKey: () => void
   log: (line: string) => void
 }
 
-/** A fault that has begun; it is taken back once. */
+/** Reverts an injected fault; called once. */
 type TakeBack = () => void
 
 type Fault = { name: string, begin: (targets: FaultTargets, random: Random) => TakeBack }
@@ -74,7 +76,7 @@
   }
 }
 
-/** All faults, the frequent ones more than once. */
+/** All faults; one is picked uniformly, so frequent ones are listed more than once. */
 const faults: readonly Fault[] = [
   signalFault('SIGKILL'),
   signalFault('SIGKILL'),
@@ -150,7 +152,7 @@
 const pauseMs = { from: 100, to: 1500 } as const
 const lastsMs = { from: 200, to: 4000 } as const
 
-/** Begins faults until the time is over; resolves when all are taken back. */
+/** Injects faults for the given time; resolves when all of them are reverted. */
 export const playFaults = async (targets: FaultTargets, random: Random, forMs: number): Promise<void> => {
   const endAtMs = performance.now() + forMs
   const takingBack: Array<Promise<void>> = []
--- a/soak/src/soak-program.test.ts
+++ b/soak/src/soak-program.test.ts
@@ -1,5 +1,5 @@
 /**
- * The soak's command line, as npm starts it.
+ * Command line of the soak program.
  */
 import { execFile } from 'node:child_process'
 import { fileURLToPath } from 'node:url'
@@ -10,13 +10,13 @@
 const program = fileURLToPath(new URL('../bin/egretyoke-gateway-soak.js', import.meta.url))
 const run = (...args: string[]) => promisify(execFile)(process.execPath, [program, ...args])
 
-test('the program tells its options and exit codes', async t => {
+test('--help lists the options and exit codes', async t => {
   const { stdout } = await run('--help')
   t.regex(stdout, /--seeds/)
   t.regex(stdout, /Exit codes/)
 })
 
-test('numbers that are none are refused', async t => {
+test('an option value that is not a number is bad usage', async t => {
   const failure = await t.throwsAsync(run('--seconds', 'soon')) as { code?: number }
   t.is(failure.code, exitCodes.badUsage)
 })
--- a/soak/src/soak-program.ts
+++ b/soak/src/soak-program.ts
@@ -1,5 +1,5 @@
 /**
- * The soak program: runs seeds one after the other and prints what each showed.
+ * The soak program: runs seeds one after another and prints the counts and breaches of each.
  */
 import { randomInt } from 'node:crypto'
 import { Command } from 'commander'
@@ -25,23 +25,23 @@
   return Array.from({ length: Number(seeds) }, (_, index) => first + index)
 }
 
-/** Runs the program with its arguments; returns the exit code. */
+/** Runs the program with the given arguments; returns the exit code. */
 export const runSoakProgram = async (argv: readonly string[]): Promise<number> => {
   const command = new Command('egretyoke-gateway-soak')
     .description('Runs gateways as processes under random faults and checks what callers and databases see')
-    .option('--seed <number>', 'first seed; drawn at random unless given')
+    .option('--seed <number>', 'first seed; random by default')
     .option('--seeds <number>', 'number of seeds', '1')
-    .option('--seconds <number>', 'time in which faults begin, a seed', '20')
-    .option('--gateways <number>', 'gateways', '4')
-    .option('--callers <number>', 'callers', '12')
-    .option('--regressions', 'run the seeds that once failed')
-    .option('--quiet', 'leave the faults out')
-    .addHelpText('after', '\nExit codes: 0 nothing was broken, 1 something was (its seed is printed), 2 wrong usage.')
+    .option('--seconds <number>', 'duration of fault injection for each seed', '20')
+    .option('--gateways <number>', 'number of gateways', '4')
+    .option('--callers <number>', 'number of callers', '12')
+    .option('--regressions', 'run the seeds of past failures')
+    .option('--quiet', 'do not print the faults')
+    .addHelpText('after', '\nExit codes: 0 no breach, 1 at least one breach (its seed is printed), 2 wrong usage.')
   command.parse([...argv], { from: 'user' })
   const options = command.opts<Options>()
   const numbers = [options.seeds, options.seconds, options.gateways, options.callers].map(Number)
   if (numbers.some(number => !Number.isInteger(number) || number < 1)) {
-    console.error('--seeds, --seconds, --gateways and --callers take whole numbers above 0')
+    console.error('--seeds, --seconds, --gateways and --callers must be integers above 0')
     return exitCodes.badUsage
   }
   const [, seconds, gateways, callers] = numbers
--- a/soak/src/soak-record.ts
+++ b/soak/src/soak-record.ts
@@ -1,13 +1,14 @@
 /**
- * What callers and databases saw during a soak, and the promises that are checked against it.
+ * Record of the statements that callers sent and databases ran during a soak, and the checks of egretyoke's guarantees
+ * against it.
  */
 
-/** How a statement ended for its caller. `unknown`: an error that promises nothing, or no answer. */
+/** Outcome of a statement as its caller saw it. `unknown`: no reply, or an error that does not exclude an effect. */
 export type CallerOutcome = 'done' | 'nothingKept' | 'unknown'
 
-/** One write of a caller: a single one, or a transaction that wrote and was committed. */
+/** One write of a caller: a single statement, or the writes of one transaction. */
 export type CallerWrite = {
-  /** Request ids of the writes; unique in the whole run. */
+  /** Request ids of the writes; unique within a run. */
   requestIds: string[]
   outcome: CallerOutcome
   answeredMs: number
@@ -21,9 +22,9 @@
   requestId: string
   text: string
   values: string
-  /** Number of the transaction on the connection; 0: none. */
+  /** Number of the transaction, unique within the group; 0 outside a transaction. */
   transaction: number
-  /** A write that the statement had to see and that the database's log lacked; empty: none. */
+  /** Request id of a write that the statement had to see but the database's log lacked; empty if there is none. */
   lacked: string
 }
 
@@ -33,27 +34,27 @@
   workspace: string
   sentMs: number
   values: string
-  /** Names the caller's transaction; empty: none. */
+  /** Name of the caller's transaction; empty outside a transaction. */
   transaction: string
-  /** Request ids of confirmed writes that it has to see. */
+  /** Request ids of confirmed writes that the statement has to see. */
   mustSee: readonly string[]
 }
 
-/** A breach of a promise. */
+/** Violation of a guarantee: the name of the guarantee and what happened. */
 export type Breach = { promise: string, detail: string }
 
-/** The record of a run. */
+/** Record of a run. */
 export type SoakRecord = {
   sent: Map<string, SentStatement>
   ran: RunStatement[]
   writes: CallerWrite[]
-  /** Times at which keys were withdrawn, by workspace. */
+  /** Times at which keys were withdrawn, by workspace, on the monotonic clock. */
   withdrawnMs: Map<string, number>
   breaches: Breach[]
   breach: (promise: string, detail: string) => void
 }
 
-/** Breaches that are kept; the first are the telling ones. */
+/** Later breaches are dropped, because they usually follow from the first ones. */
 const maxBreaches = 50
 
 /** Creates an empty record. */
@@ -69,7 +70,7 @@
   }
 }
 
-/** What is known of the databases at the end: request ids in the surviving log, and those that promotions cut back. */
+/** State of the databases at the end: request ids in the surviving log, and those that promotions truncated. */
 export type FinalLogs = { kept: readonly string[], cutBack: ReadonlySet<string> }
 
 const checkWrites = ({ writes, breach }: SoakRecord, { kept, cutBack }: FinalLogs) => {
@@ -84,7 +85,7 @@
   }
 }
 
-/** The last write that was confirmed before a time, in the whole run. */
+/** Request ids of the last write of any caller that was confirmed no later than the given time. */
 export const lastConfirmed = ({ writes }: SoakRecord, beforeMs: number): readonly string[] =>
   writes.findLast(({ outcome, answeredMs }) => outcome === 'done' && answeredMs <= beforeMs)?.requestIds ?? []
 
@@ -115,7 +116,7 @@
   }
 }
 
-/** Checks the record of a run that has ended. */
+/** Checks the record of a finished run and adds the breaches that it finds. */
 export const checkSoakRecord = (record: SoakRecord, logs: FinalLogs, keyWithdrawalMs: number): void => {
   checkWrites(record, logs)
   checkReads(record, logs)
--- a/soak/src/soak-world.ts
+++ b/soak/src/soak-world.ts
@@ -1,6 +1,6 @@
 /**
- * What a soak works on: stand-ins of the platform's store and of a database group, loopback links, the operators'
- * configuration, and gateways as processes of their own.
+ * Environment of a soak: stand-ins of the platform's store and of a database group, loopback links, the configuration
+ * that operators change, and gateways as child processes.
  */
 import { randomInt } from 'node:crypto'
 import { createWriteStream } from 'node:fs'
@@ -19,43 +19,49 @@
 import type { SoakDatabase, SoakDatabases } from './soak-databases.js'
 import type { SoakRecord } from './soak-record.js'
 
-/** The workspaces, and the names that callers connect to. */
+/** Workspaces of the soak. */
 export const workspaces = ['yard-a', 'yard-b', 'yard-c', 'yard-d'] as const
+/** Routes of the soak; `database` is the name that callers connect to. */
 export const routes = [
   { database: 'slots', routeType: 'primary' },
   { database: 'boards', routeType: 'bounded_staleness' },
   { database: 'ledger', routeType: 'read_your_writes' }
 ] as const
 
-/** The key of a workspace. */
+/** API key of a workspace. */
 export const keyOf = (workspace: string): string => `key-of-${workspace}`
 
-/** The world of a run. */
+/** Environment of a run. */
 export type SoakWorld = {
   store: StoreStandin
   databases: SoakDatabases
-  /** A link before each database, in the order of the databases, and one for each gateway's way to the store. */
+  /** One link in front of each database, in the order of `databases`. */
   databaseLinks: readonly Link[]
+  /** One link from each gateway to the store. */
   storeLinks: readonly Link[]
   gateways: readonly GatewayProcess[]
   operators: Operators
-  /** Writes a database's entry into the store, or takes it away. */
+  /** Writes a database's entry to the store. */
   announce: (database: SoakDatabase) => void
+  /** Deletes a database's entry from the store. */
   leave: (database: SoakDatabase) => void
   closeGateways: () => Promise<void>
-  /** Ends the stand-ins; gateways first. */
+  /** Stops the gateways, and then the links and stand-ins. */
   close: () => Promise<void>
 }
 
-/** The operators' side: configurations and withdrawn keys. */
+/** Operator actions on the configuration. */
 export type Operators = {
+  /** Writes the current configuration to the store. */
   store: () => void
+  /** Writes the configuration under a higher version. */
   change: () => void
   isWithdrawn: (workspace: string) => boolean
+  /** Withdraws the key of one more workspace; the first workspace keeps its key. */
   withdrawKey: () => void
 }
 
-/** What a world is made with; logs of the gateways go into the folder. */
+/** Options of a soak environment; settings and logs of the gateways are written to the folder. */
 export type SoakWorldOptions = { gateways: number, folder: string, record: SoakRecord, random: Random }
 
 const service = 'bookings'
@@ -66,7 +72,7 @@
 const maxConnections = 22
 const portsOfGateway = 5
 
-/** Ports below those that the system gives to outgoing connections, which could take one while a gateway restarts. */
+/** Below the ephemeral port range, so that no outgoing connection occupies a gateway's port while it restarts. */
 const portRange = { from: 12_000, to: 32_000 } as const
 
 const isFree = (port: number) => new Promise<boolean>(resolve => {
@@ -115,7 +121,7 @@
     change,
     isWithdrawn: (workspace: string) => withdrawn.has(workspace),
     withdrawKey: () => {
-      // One workspace keeps its key for the whole run.
+      // The first workspace keeps its key for the whole run.
       const next = workspaces.slice(1).find(workspace => !withdrawn.has(workspace))
       if (next === undefined) return
       withdrawn.add(next)
@@ -125,7 +131,7 @@
   }
 }
 
-/** Places for gateways on free ports, spread over the data centres. */
+/** Options for gateways with free ports, distributed over the data centres. */
 export const placeGateways = async (count: number, storeAddress: string): Promise<GatewayPlace[]> => {
   const ports = await freePorts(count * portsOfGateway)
   return Array.from({ length: count }, (_, index) => {
@@ -144,7 +150,7 @@
   })
 }
 
-/** Each gateway reaches the store over a link of its own, and the failover call directly. */
+/** Starts the gateways. Each reaches the store over its own link, but sends failover calls directly. */
 const startFleet = async (count: number, storeAddress: string, folder: string) => {
   const links = await Promise.all(Array.from({ length: count }, () => linkTo(storeAddress)))
   const places = await placeGateways(count, storeAddress)
@@ -160,7 +166,7 @@
   while (!gateways.every(gateway => gateway.isInRotation()) && performance.now() < endAtMs) await sleepMs(50)
 }
 
-/** Starts everything; resolves when all gateways are in rotation. */
+/** Starts stand-ins, links and gateways; resolves when all gateways are in rotation, or after the start timeout. */
 export const startSoakWorld = async (
   { gateways: count, folder, record, random }: SoakWorldOptions
 ): Promise<SoakWorld> => {
--- a/soak/src/soak.test.ts
+++ b/soak/src/soak.test.ts
@@ -1,18 +1,18 @@
 /**
- * A short seeded soak: the program as processes under faults, checked from what callers and databases see.
+ * A short soak with a fixed seed: gateway processes under faults, checked against what callers and databases recorded.
  */
 import test from 'ava'
 import { runSoakOnce } from './soak.js'
 import { checkSoakRecord, createSoakRecord } from './soak-record.js'
 
-test('callers and databases see no promise broken while processes, links, store and databases fail', async t => {
+test('no guarantee is broken while processes, links, the store and databases fail', async t => {
   const plan = { seed: 4, seconds: 8, gateways: 3, callers: 9 }
   const { breaches, done, logs } = await runSoakOnce(plan, line => t.log(line))
   t.deepEqual(breaches, [], `logs in ${logs}`)
   t.true(done > 100, `${done} done`)
 })
 
-/** A record with one write, told `done` to its caller. */
+/** A record with one write that its caller saw as `done`. */
 const recordOfWrite = () => {
   const record = createSoakRecord()
   const sent = { text: 'WRITE a x', workspace: 'yard-a', sentMs: 0, values: '', transaction: '', mustSee: [] }
@@ -23,7 +23,7 @@
 
 const noCutBack = new Set<string>()
 
-test('a confirmed write that is gone, and one that is there twice, are breaches', t => {
+test('a lost confirmed write and a write applied twice are breaches; a truncated write is not', t => {
   const lost = recordOfWrite()
   checkSoakRecord(lost, { kept: [], cutBack: noCutBack }, 5000)
   t.is(lost.breaches[0]?.promise, 'lost')
@@ -35,7 +35,7 @@
   t.deepEqual(cutBack.breaches, [])
 })
 
-test('a write that is kept although its caller was told otherwise is a breach', t => {
+test('a write that took effect although its caller was told it had none is a breach', t => {
   const record = recordOfWrite()
   record.writes[0].outcome = 'nothingKept'
   checkSoakRecord(record, { kept: ['c1-1'], cutBack: noCutBack }, 5000)
@@ -53,7 +53,7 @@
   lacked: ''
 }
 
-test('what a database ran has to be what was asked, for whom, and while the key was good', t => {
+test('a statement with a wrong text or session state, a stale read, and a withdrawn key are breaches', t => {
   for (const [change, promise] of [
     [{ text: 'WRITE b x' }, 'unasked'],
     [{ workspace: 'yard-b' }, 'unasked'],
--- a/soak/src/soak.ts
+++ b/soak/src/soak.ts
@@ -1,6 +1,6 @@
 /**
- * One run of the soak: a world of processes and stand-ins, callers, seeded faults, and the promises checked from what
- * callers and databases saw.
+ * One run of the soak: starts processes, stand-ins and callers, injects seeded faults, and checks the guarantees
+ * against what callers and databases recorded.
  */
 import { createWriteStream, mkdtempSync, rmSync } from 'node:fs'
 import { tmpdir } from 'node:os'
@@ -15,24 +15,25 @@
 import { keyOf, routes, startSoakWorld, workspaces } from './soak-world.js'
 import type { SoakWorld } from './soak-world.js'
 
-/** What a run is made of. */
+/** Options of a run. `seconds` is the duration of fault injection; `callers` and `gateways` are counts. */
 export type SoakPlan = { seed: number, seconds: number, gateways: number, callers: number }
 
-/** What a run showed. */
+/** Result of a run: breaches, and statements and transactions by outcome. */
 export type SoakResult = {
   breaches: Breach[]
   done: number
   refused: number
   unknown: number
-  /** Folder with the log of each gateway and the faults; removed when nothing was broken. */
+  /** Folder with the log of each gateway and of the faults; removed when there is no breach. */
   logs: string
 }
 
-/** After the last fault everything has to be served again within this time, and for some time it is looked at. */
+/** Time after the last fault within which all callers have to be served again. */
 const recoveryMs = 12_000
+/** Time during which each caller has to complete at least one operation after the recovery. */
 const lookMs = 2000
 
-/** Callers of withdrawn workspaces are not served any more; all others have to be. */
+/** Checks that every caller is served again, except those of workspaces whose key was withdrawn. */
 const checkRecovery = async (
   callers: ReadonlyMap<SoakCaller, string>, isWithdrawn: (workspace: string) => boolean, record: SoakRecord
 ) => {
@@ -45,7 +46,7 @@
   }
 }
 
-/** Callers of all workspaces and routes, each with the workspace that it belongs to. */
+/** Starts callers for all workspaces and routes; returns each with its workspace. */
 const startCallers = ({ gateways }: SoakWorld, { seed, callers }: SoakPlan, record: SoakRecord) => {
   const balancer = createRandom(seed + 1)
   const choosePort = () => {
@@ -67,7 +68,7 @@
   }))
 }
 
-/** Writes each fault with its time into a file of the folder, and passes it on. */
+/** Writes each line with the elapsed time to faults.log in the folder, and passes it to the callback. */
 const createFaultLog = (folder: string, log: (line: string) => void) => {
   const startedMs = performance.now()
   const file = createWriteStream(join(folder, 'faults.log'))
@@ -79,7 +80,7 @@
   return { note, close: () => file.end() }
 }
 
-/** Runs one soak. */
+/** Runs one soak with the given options. */
 export const runSoakOnce = async (plan: SoakPlan, log: (line: string) => void): Promise<SoakResult> => {
   const record = createSoakRecord()
   const folder = mkdtempSync(join(tmpdir(), `egretyoke-soak-${plan.seed}-`))
@@ -87,11 +88,11 @@
   const { operators, gateways } = world
   const callers = startCallers(world, plan, record)
   const faultLog = createFaultLog(folder, log)
-  // The faults have a source of their own, so that a seed brings the same ones whatever the processes do meanwhile.
+  // Faults have their own random source, so that a seed gives the same sequence whatever the timing of the processes.
   await playFaults({
     ...world, changeConfiguration: operators.change, withdrawKey: operators.withdrawKey, log: faultLog.note
   }, createRandom(plan.seed), plan.seconds * 1000)
-  faultLog.note('all faults taken back')
+  faultLog.note('all faults reverted')
   await checkRecovery(callers, operators.isWithdrawn, record)
 
   await Promise.all([...callers.keys()].map(caller => caller.stop()))
--- a/soak/src/start-program.ts
+++ b/soak/src/start-program.ts
@@ -1,6 +1,6 @@
 /**
- * Runs the program as its bundle does, from the compiled modules: loading takes a while, and until then a changed
- * settings file must not end the process.
+ * Runs the platform program from the compiled modules in the same way as its bundle does. A SIGHUP handler is installed
+ * first, because loading the modules takes time and a changed settings file must not terminate the process meanwhile.
  */
 process.on('SIGHUP', () => {})
 const { runPlatformProgram } = await import('@egretyoke/platform/testing')
