standins, testbed: wording of comments and texts

Comments such as 'What all connections of one database share', 'Serves one replica's pull', 'what is not named has no fault' and 'makes it the one in force' now name the value or the mechanism: 'State shared by all connections of one database', 'Streams the log to one replica', 'Omitted fields mean no fault', 'activates it'. Error messages on the wire, settings, faults and program names are unchanged.

--- a/packages/standins/src/database-connection.ts
+++ b/packages/standins/src/database-connection.ts
@@ -1,5 +1,5 @@
 /**
- * One database connection: requests run one after the other; a transaction's writes wait for its commit.
+ * One database connection: requests run in order, and a transaction's writes are buffered until its commit.
  */
 import { status } from '@grpc/grpc-js'
 import type { ServerDuplexStream } from '@grpc/grpc-js'
@@ -23,7 +23,7 @@
 const busyRetryAfterMs = 5
 const rowsPerChunk = 100
 
-/** What all connections of one database share. */
+/** State shared by all connections of one database. */
 export type ConnectionContext = {
   member: DatabaseMember
   slots: Slots
@@ -38,21 +38,22 @@
 const declined = (reason: string, retryAfterMs = 0): End => ({ verdict: 'DECLINED', reason, retryAfterMs })
 const failed = (reason: string): End => ({ verdict: 'FAILED', reason })
 
-/** Serves one connection that is already open. */
+/** Serves the requests of a connection after its open request was accepted. */
 export const serveConnection = (context: ConnectionContext, stream: Stream): void => {
   const { member, slots, random } = context
   const queue: Request[] = []
   let busy = false
   let ended = false
   let transaction: Transaction | undefined
+  /** Reply that is delayed until after the next one, by the fault `reorderReplies`. */
   let heldBack: EndpointMessages.Reply | undefined
-  /** Copy of an answer that is sent again just before the next one. */
+  /** Copy of a reply that is sent again just before the next one, by the fault `doubleReplies`. */
   let lateCopy: EndpointMessages.Reply | undefined
 
   const cut = () => {
     if (ended) return
     ended = true
-    // Destroying the stream would leave the other side waiting; an error status ends it there too.
+    // Destroying the stream alone would leave the peer waiting; an error status ends the call at the peer too.
     stream.emit('error', { code: status.UNAVAILABLE, details: 'connection cut' })
   }
 
--- a/packages/standins/src/database-log.ts
+++ b/packages/standins/src/database-log.ts
@@ -1,5 +1,5 @@
 /**
- * A member's log and the data that its applied part amounts to.
+ * A member's log and the key-value data that results from its applied entries.
  */
 import { parseStatement } from './statement.js'
 import type { Statement } from './statement.js'
@@ -11,16 +11,16 @@
   statements: Buffer[]
 }
 
-/** Where a term begins: the last position of earlier terms that it keeps. */
+/** Start of a term in the log: the last position of earlier terms that the term's log contains. */
 export type TermStart = { term: number, startPosition: number }
 
-/** Most entries that a member keeps. */
+/** Maximum number of entries in a member's log; a full log declines writes. */
 export const maxLogEntries = 2_000_000
 
-/** Reads a key's value; undefined when it was never written. */
+/** Returns a key's value; undefined when it was never written. */
 export type ReadValue = (key: string) => string | undefined
 
-/** The value after a write. */
+/** Returns the value of the key after a write statement. */
 export const valueAfter = (statement: Statement, read: ReadValue): string => {
   if (statement.verb === 'put') return statement.value
   return String(Number(read(statement.key) ?? 0) + Number(statement.value))
@@ -54,7 +54,7 @@
     entries.push(entry)
   }
 
-  /** Drops all entries after a position; the data is built anew when some of them were applied. */
+  /** Removes all entries after a position; rebuilds the data when any of them was applied. */
   const truncateAfter = (position: number) => {
     if (position >= entries.length) return
     entries = entries.slice(0, position)
--- a/packages/standins/src/database-member.ts
+++ b/packages/standins/src/database-member.ts
@@ -1,16 +1,16 @@
 /**
- * One member of a database group: its term, its role, and replication of its log. Elections are not its
- * business: it does what fences and promotions tell it, and refuses those of older terms.
+ * One member of a database group: its term, its role, and the replication of its log. The member takes no part in
+ * elections: it obeys fence, promote and follow requests, and refuses those of older terms.
  */
 import { monotonicMs } from '@egretyoke/common'
 import type { MemberState } from '@egretyoke/fleet'
 import { createDatabaseLog } from './database-log.js'
 import type { LogEntry, TermStart } from './database-log.js'
 
-/** Where a replica gets its log from. */
+/** Primary from which a replica pulls its log. */
 export type Upstream = { name: string, address: string }
 
-/** A batch for a replica. `truncateAfter` -1 keeps all. */
+/** A batch of log entries for a replica. `truncateAfter` is the last position to keep first; -1 keeps all entries. */
 export type LogBatch = {
   term: number
   truncateAfter: number
@@ -18,7 +18,7 @@
   lineage: TermStart[]
 }
 
-/** How a member starts. */
+/** Options of a member. */
 export type MemberOptions = {
   name: string
   group: string
@@ -26,7 +26,7 @@
   firstPrimary: Upstream
 }
 
-/** Answer to a control request. */
+/** Result of a control request; `reason` is empty when it was accepted. */
 export type ControlOutcome = { accepted: boolean, reason: string }
 
 type MajorityWaiter = { position: number, settle: (confirmed: boolean) => void }
@@ -38,14 +38,14 @@
 /** A group member. */
 export type DatabaseMember = ReturnType<typeof createDatabaseMember>
 
-/** Creates a member in term 1. */
+/** Creates a member in term 1, with an empty log. */
 export const createDatabaseMember = (options: MemberOptions) => {
   const log = createDatabaseLog()
   const appendListeners = new Set<() => void>()
   const roleListeners = new Set<() => void>()
   const replicaPositions = new Map<string, number>()
   let term = 1
-  /** Term whose lineage the log is known to follow. */
+  /** Latest term whose lineage the log is known to match. */
   let dataTerm = 1
   let fencedTerm = 0
   let isPrimary = options.firstPrimary.name === options.name
@@ -77,7 +77,7 @@
     for (const waiter of settled) waiter.settle(true)
   }
 
-  /** Appends writes as one entry and applies them. Returns the entry's position. */
+  /** Appends statements as one entry and applies it. Returns the entry's position. */
   const write = (statements: Buffer[]): number => {
     const position = log.receivedPosition() + 1
     log.append({ term, position, statements })
@@ -87,7 +87,7 @@
     return position
   }
 
-  /** Resolves to true once a majority holds the position, to false when that is not known in time. */
+  /** Resolves to true once a majority has received the position; false on time-out or when it may no longer write. */
   const waitForMajority = (position: number, timeoutMs: number): Promise<boolean> => new Promise(resolve => {
     const timer = setTimeout(() => settle(false), timeoutMs)
     const waiter: MajorityWaiter = { position, settle: confirmed => settle(confirmed) }
@@ -136,21 +136,21 @@
     return accepted
   }
 
-  /** First batch for a replica whose log ends at the given entry. */
+  /** Returns the position after which a replica whose log ends at the given entry has to truncate it. */
   const truncationFor = (receivedPosition: number, lastEntryTerm: number): number => {
     const nextTerm = lineage.find(start => start.term > lastEntryTerm)
     const sharedEnd = nextTerm ? nextTerm.startPosition : log.receivedPosition()
     return Math.min(receivedPosition, sharedEnd)
   }
 
-  /** Counts what a replica has received. Ignores replicas of another term. */
+  /** Records the position that a replica has received. Ignores replicas of another term. */
   const noteReplica = (name: string, replicaTerm: number, position: number) => {
     if (replicaTerm !== term || !mayWrite()) return
     replicaPositions.set(name, position)
     settleMajority()
   }
 
-  /** Takes a batch from the primary of a term. Returns false when the batch is of another term or fenced. */
+  /** Appends a batch from the primary. Returns false when the batch is from another term or a fenced one. */
   const receive = (batch: LogBatch): boolean => {
     if (isPrimary || batch.term !== term || batch.term < fencedTerm) return false
     if (batch.truncateAfter >= 0) log.truncateAfter(batch.truncateAfter)
@@ -203,7 +203,7 @@
     applyDue,
     setReplicationLag,
     mayWrite,
-    /** Term and position of the data that a read sees now. */
+    /** Term and applied position of the data that reads currently see. */
     dataPosition: () => ({ term: dataTerm, position: log.appliedPosition() }),
     term: () => term,
     upstream: () => upstream,
--- a/packages/standins/src/database-replication.ts
+++ b/packages/standins/src/database-replication.ts
@@ -1,5 +1,5 @@
 /**
- * Replication between members: the primary streams its log, replicas pull it and report what they hold.
+ * Replication between members: replicas pull the log from the primary as a stream and report their received position.
  */
 import type { ServerDuplexStream } from '@grpc/grpc-js'
 import { sleepMs, ticks } from '@egretyoke/common'
@@ -13,11 +13,12 @@
 const maxBatchEntries = 500
 const reconnectDelayMs = 50
 const applyIntervalMs = 5
-/** An idle stream repeats its batch this often, so that a replica notices a frozen link. */
+/** Interval at which the primary sends a batch on an idle stream, so that a replica can detect a frozen link. */
 const keepAliveIntervalMs = 500
+/** Time without a batch after which a replica cancels the stream and reconnects. */
 const silentStreamMs = 2_000
 
-/** Serves one replica's pull. The stream ends when this member stops being the primary. */
+/** Streams the log to one replica. The stream ends when this member is no longer the primary of the term. */
 export const serveReplica = (
   member: DatabaseMember,
   call: ServerDuplexStream<Progress, EndpointMessages.LogBatch>
@@ -60,7 +61,7 @@
   endIfReplaced()
 }
 
-/** One pull from one primary; returns when the stream ends, falls silent, or the member's role changes. */
+/** Pulls from one primary; returns when the stream ends, stays silent for too long, or the member's role changes. */
 const pullOnce = async (
   member: DatabaseMember,
   upstream: Upstream,
@@ -89,7 +90,7 @@
       report()
     }
   } catch {
-    // A broken stream ends this pull; the next one begins after a delay.
+    // The stream failed; the caller reconnects after a delay.
   } finally {
     clearTimeout(silence)
     stopRole()
@@ -98,7 +99,7 @@
   }
 }
 
-/** Pulls from whichever primary the member follows, until the signal aborts. */
+/** Keeps pulling from the primary that the member currently follows, until the signal aborts. */
 export const followPrimary = async (
   member: DatabaseMember,
   channels: ChannelSettings,
@@ -111,7 +112,7 @@
   }
 }
 
-/** Applies received entries when their lag is over, until the signal aborts. */
+/** Applies received entries once the configured replication lag has passed, until the signal aborts. */
 export const applyContinuously = async (member: DatabaseMember, signal: AbortSignal): Promise<void> => {
   for await (const _ of ticks(applyIntervalMs, signal)) member.applyDue()
 }
--- a/packages/standins/src/database-server.ts
+++ b/packages/standins/src/database-server.ts
@@ -1,5 +1,5 @@
 /**
- * Serves one member's published protocol, with faults that tests switch on.
+ * gRPC server of one group member: implements the published endpoint protocol, with faults that tests can set.
  */
 import type { sendUnaryData, ServerDuplexStream, ServerUnaryCall, ServerWritableStream } from '@grpc/grpc-js'
 import { createRandom, sleepMs } from '@egretyoke/common'
@@ -30,7 +30,7 @@
 const maxRecordedBytes = 64 * 1024 * 1024
 const logReadBatch = 1_000
 
-/** Options of the stand-in. */
+/** Options of the stand-in; `seed` is for the random faults. */
 export type StandinDatabaseOptions = MemberOptions & {
   address: string
   channels: ChannelSettings
@@ -41,11 +41,11 @@
   connectMs: number
   serviceMs: number
   replicationLagMs: number
-  /** Keeps everything that callers send, for the test that looks for keys. */
+  /** Records all metadata and requests received, for the test that checks that no caller's key reaches a database. */
   record: boolean
 }
 
-/** Starts the stand-in of one group member. */
+/** Starts the stand-in of one group member; resolves when it listens. */
 export const startStandinDatabase = async (options: StandinDatabaseOptions): Promise<GrpcListener> => {
   const member = createDatabaseMember(options)
   member.setReplicationLag(options.replicationLagMs)
--- a/packages/standins/src/link.ts
+++ b/packages/standins/src/link.ts
@@ -1,5 +1,5 @@
 /**
- * A TCP relay that can cut, delay or freeze what passes through it.
+ * A TCP relay that can cut, delay or freeze the connections through it.
  */
 import { connect, createServer } from 'node:net'
 import type { AddressInfo, Socket } from 'node:net'
@@ -25,12 +25,12 @@
 /** Options of a relay; all addresses are HOST:PORT. */
 export type LinkOptions = { listen: string, control: string, target: string, delayMs: number }
 
-/** Starts a relay. */
+/** Starts a relay; resolves when it listens. */
 export const startLink = async (options: LinkOptions): Promise<Link> => {
   let fault: Fault = { cut: false, frozen: false, delayMs: options.delayMs }
   const sockets = new Set<Socket>()
 
-  /** Passes chunks on in order, each after the delay in force. */
+  /** Forwards chunks in order, each after the current delay. */
   const relay = () => new Transform({
     async transform (chunk, _encoding, done) {
       const dueMs = performance.now() + fault.delayMs
--- a/packages/standins/src/platform-contract.test.ts
+++ b/packages/standins/src/platform-contract.test.ts
@@ -1,6 +1,6 @@
 /**
- * The platform's contract, kept by the gRPC adapter with the stand-in behind it, and by an implementation in memory
- * that shares neither protocol nor process.
+ * Runs the platform's contract against the gRPC adapter connected to the stand-in, and against an in-memory
+ * implementation that uses neither the protocol nor another process.
  */
 import test from 'ava'
 import { Err, monotonicMs, Ok, sleepMs, typedError } from '@egretyoke/common'
@@ -51,7 +51,7 @@
     const delayMs = faults.delayMs ?? 0
     const isLate = faults.down === true || delayMs > timeoutMs
     await sleepMs(isLate ? timeoutMs : delayMs)
-    // A late call takes effect all the same, unless the platform is down.
+    // A call that times out still takes effect, unless the platform is down.
     const value = faults.down ? undefined : act()
     if (isLate || isLost()) return Err(typedError('noAnswer', 'lost'))
     return Ok(value as T)
--- a/packages/standins/src/platform-server.ts
+++ b/packages/standins/src/platform-server.ts
@@ -1,5 +1,6 @@
 /**
- * Serves the platform's published protocol from the in-memory store, with faults that tests switch on.
+ * gRPC server of the platform: implements its published protocol on the in-memory store, with faults that tests can
+ * set.
  */
 import type { sendUnaryData, ServerUnaryCall, ServerWritableStream } from '@grpc/grpc-js'
 import { createRandom, monotonicMs, sleepMs } from '@egretyoke/common'
@@ -20,14 +21,14 @@
 const leaseCheckIntervalMs = 50
 const maxKeptVmLists = 100
 
-/** Options of the stand-in. */
+/** Options of the stand-in; `seed` is for the random faults. */
 export type StandinPlatformOptions = {
   address: string
   channels: ChannelSettings
   seed: number
 }
 
-/** Starts the stand-in of the platform. */
+/** Starts the stand-in of the platform; resolves when it listens. */
 export const startStandinPlatform = async (options: StandinPlatformOptions): Promise<GrpcListener> => {
   const store = createPlatformStore()
   const random = createRandom(options.seed)
@@ -40,7 +41,7 @@
 
   const toWire = (entry: KeptEntry | undefined): PlatformMessages.Entry | null => entry ?? null
 
-  /** Answers a call after the delay in force; while the platform is down it never answers. */
+  /** Handles a call and replies after the current delay. Never replies while the platform is down. */
   const unary = <Request, Reply>(act: (request: Request) => Reply, losesAnswer: () => boolean = () => false) =>
     async (call: ServerUnaryCall<Request, Reply>, done: sendUnaryData<Reply>) => {
       calls++
--- a/packages/standins/src/platform-store.ts
+++ b/packages/standins/src/platform-store.ts
@@ -4,7 +4,7 @@
 import { monotonicMs } from '@egretyoke/common'
 import type { Clock } from '@egretyoke/common'
 
-/** One entry; a deleted one keeps its last revision so that followers learn of it. */
+/** One entry. A deleted entry stays as a tombstone with the revision of its deletion, so that watches report it. */
 export type KeptEntry = {
   key: string
   value: Buffer
@@ -13,7 +13,7 @@
   deleted: boolean
 }
 
-/** One swap; `expectedRevision` 0 means that the entry must not exist. */
+/** A compare-and-swap request; `expectedRevision` 0 means that the entry must not exist. */
 export type KeptSwap = {
   key: string
   expectedRevision: number
@@ -31,10 +31,10 @@
 
 type Lease = { ttlMs: number, endsAtMs: number }
 
-/** The store. */
+/** An in-memory store. */
 export type PlatformStore = ReturnType<typeof createPlatformStore>
 
-/** Creates an empty store. Leases end by the given clock, in milliseconds. */
+/** Creates an empty store. Leases expire by the given clock, in milliseconds. */
 export const createPlatformStore = (clock: Clock = monotonicMs) => {
   const entries = new Map<string, KeptEntry>()
   const leases = new Map<number, Lease>()
--- a/packages/standins/src/programs.ts
+++ b/packages/standins/src/programs.ts
@@ -1,5 +1,5 @@
 /**
- * The stand-ins as programs: their settings and how they start.
+ * The stand-ins as programs: settings schemas and start functions.
  */
 import type { ServerProgram } from '@egretyoke/common'
 import { channelSettingsSchema, loopbackChannels } from '@egretyoke/protocol'
@@ -39,11 +39,11 @@
   memberCount: z.number().int().min(1),
   firstPrimary: z.strictObject({ name: z.string().min(1), address }),
   slots: z.number().int().min(1).default(3),
-  /** Statements that wait for a slot before the next one is declined. */
+  /** Maximum number of statements waiting for a slot; further ones are declined. */
   maxWaiting: z.number().int().min(0).default(100),
   maxConnections: z.number().int().min(1).default(20),
   connectMs: z.number().min(0).default(10),
-  /** Time for which an ordinary statement holds a slot. */
+  /** Time for which a statement without `costMs` occupies a slot. */
   serviceMs: z.number().min(0).default(2),
   replicationLagMs: z.number().min(0).default(0),
   record: z.boolean().default(false)
--- a/packages/standins/src/slots.ts
+++ b/packages/standins/src/slots.ts
@@ -1,16 +1,17 @@
 /**
- * Execution slots of a database: so many statements at once, a bounded queue behind them.
+ * Execution slots of a database: a semaphore that limits concurrent statements, with a bounded wait queue.
  */
 
-/** Slots of one database. */
+/** Execution slots of one database. */
 export type Slots = {
-  /** Resolves to false when the queue is full. */
+  /** Waits for a free slot; resolves to false at once when the queue is full. */
   acquire: () => Promise<boolean>
   release: () => void
+  /** Number of occupied slots. */
   running: () => number
 }
 
-/** Creates the slots. */
+/** Creates the slots, all of them free. */
 export const createSlots = (slotCount: number, maxWaiting: number): Slots => {
   const waiting: Array<() => void> = []
   let running = 0
--- a/packages/standins/src/statement.ts
+++ b/packages/standins/src/statement.ts
@@ -1,12 +1,12 @@
 /**
- * The stand-in's statements: `VERB KEY [VALUE] [name=value ...]`. The proxy never reads them.
+ * Statement syntax of the stand-in: `VERB KEY [VALUE] [name=value ...]`. The proxy never parses statements.
  *
  *   get KEY                  reads a value
  *   put KEY VALUE op=ID      writes a value
  *   add KEY NUMBER op=ID     adds to a number
  *   scan KEY rows=N          reads N rows
  *
- * The option `costMs` sets the time that a statement holds a slot; `op` names a write for the checker.
+ * The option `costMs` sets the time for which a statement occupies a slot; `op` identifies a write for the checker.
  */
 import { Err, Ok } from '@egretyoke/common'
 import type { Result } from '@egretyoke/common'
@@ -20,13 +20,13 @@
   value: string
   op: string
   rows: number
-  /** Time for which it holds a slot; undefined: the database's own. */
+  /** Time for which the statement occupies a slot; undefined selects the database's `serviceMs`. */
   costMs: number | undefined
 }
 
 const verbs = ['get', 'put', 'add', 'scan'] as const
 
-/** Parses a statement's bytes; the error is a message for the caller. */
+/** Parses a statement in UTF-8; the error is a message for the caller. */
 export const parseStatement = (text: Buffer): Result<Statement, string> => {
   const words = text.toString('utf8').split(' ').filter(word => word !== '')
   const verb = verbs.find(known => known === words[0])
--- a/packages/testbed/src/caller.ts
+++ b/packages/testbed/src/caller.ts
@@ -1,18 +1,18 @@
 /**
- * A caller over the published protocol, one channel for each VM, with every detail of an answer.
- * Tests and the load tool need what the caller library hides: the raw token, and which VM gets each request.
+ * A caller over the published protocol that exposes every field of a response. Unlike the caller library, it gives
+ * tests and the load tool the raw session token and the choice of the VM for each request.
  */
 import { Metadata } from '@grpc/grpc-js'
 import { callerProto, callUnary, connectGrpc, loopbackChannels } from '@egretyoke/protocol'
 import type { CallerMessages, ChannelSettings } from '@egretyoke/protocol'
 
-/** Kind of an answer. `lost`: no answer came, which tells nothing about the outcome. */
+/** Kind of a response. `lost`: no response arrived, so the outcome is unknown. */
 export type AnswerKind = 'done' | 'notRun' | 'outcomeUnknown' | 'failed' | 'lost'
 
-/** One answer as the caller saw it. */
+/** Response to one request as the caller received it. */
 export type CallerAnswer = {
   kind: AnswerKind
-  /** Reason of any answer but `done`. */
+  /** Reason code; empty for `done`. */
   reason: string
   result: string
   retryAfterMs: number
@@ -29,16 +29,17 @@
   profile?: string
   sessionToken?: Buffer
   timeoutMs?: number
+  /** True after a write of the session whose outcome is unknown. */
   hasUnsettledWrite?: boolean
-  /** True for the first request of a session; without it a session without token reads at the primaries. */
+  /** True for the first request of a session; otherwise a request without a token reads from the primaries. */
   isNewSession?: boolean
 }
 
-/** Channels to the callers' addresses of some VMs. */
+/** A caller with channels to a list of VMs. */
 export type Caller = ReturnType<typeof createCaller>
 
 const defaultTimeoutMs = 5_000
-/** Time that a caller waits beyond the request's own timeout for the answer to arrive. */
+/** Time beyond the request's own timeout for which the caller waits for the response. */
 const answerGraceMs = 1_000
 
 const emptyToken = Buffer.alloc(0)
@@ -73,7 +74,7 @@
   }
 }
 
-/** Creates a caller. `channelsPerVm` above 1 spreads the load over several connections to each VM. */
+/** Creates a caller. `channelsPerVm` above 1 distributes requests over several connections to each VM. */
 export const createCaller = (
   addresses: string[],
   channelsPerVm = 1,
--- a/packages/testbed/src/counting-relay.ts
+++ b/packages/testbed/src/counting-relay.ts
@@ -1,5 +1,5 @@
 /**
- * A TCP relay inside the test process that counts the bytes it passes on, for measuring what control costs.
+ * A TCP relay inside the test process that counts forwarded bytes, for measuring control traffic.
  */
 import { connect, createServer } from 'node:net'
 import type { AddressInfo, Socket } from 'node:net'
@@ -8,12 +8,12 @@
 /** A running relay. */
 export type CountingRelay = {
   address: string
-  /** Bytes passed on so far, both directions together. */
+  /** Total bytes forwarded so far, in both directions. */
   bytes: () => number
   close: () => void
 }
 
-/** Starts a relay to HOST:PORT on a free port. */
+/** Starts a relay on a free loopback port to the target HOST:PORT. */
 export const startCountingRelay = async (target: string): Promise<CountingRelay> => {
   const { host, port } = splitAddress(target)
   const sockets = new Set<Socket>()
--- a/packages/testbed/src/example-settings.test.ts
+++ b/packages/testbed/src/example-settings.test.ts
@@ -1,5 +1,5 @@
 /**
- * The examples of settings are valid.
+ * Checks the example settings files against the settings schemas.
  */
 import { readFileSync } from 'node:fs'
 import { fileURLToPath } from 'node:url'
@@ -17,7 +17,7 @@
 }
 
 for (const deployment of ['arenal', 'modhafen']) {
-  test(`${deployment}: settings of entry and steward`, t => {
+  test(`${deployment}: the example settings of entry and steward are valid`, t => {
     t.deepEqual(findingsOf(`${deployment}/entry.jsonc`, entrySettingsSchema), [])
     t.deepEqual(findingsOf(`${deployment}/steward.jsonc`, stewardSettingsSchema), [])
   })
--- a/packages/testbed/src/fleet-description.ts
+++ b/packages/testbed/src/fleet-description.ts
@@ -1,48 +1,48 @@
 /**
- * What a fleet consists of, before any address is known.
+ * Description of a test fleet, without the addresses that are assigned at its start.
  */
 import type { Configuration, Workspace } from '@egretyoke/config'
 
-/** Configuration, VMs and behaviour of the stand-ins. Addresses of endpoints in it are replaced by real ones. */
+/** Configuration, VMs and behaviour of the stand-ins. Endpoint addresses are replaced by the assigned ones. */
 export type FleetDescription = {
   configuration: Omit<Configuration, 'version'>
   vms: VmDescription[]
-  /** Time for which an ordinary statement holds a slot of a database. */
+  /** Time for which a statement without its own cost occupies a slot of a database. */
   serviceMs?: number
-  /** Time that opening a connection to a database takes. */
+  /** Time to open a connection to a database. */
   connectMs?: number
   replicationLagMs?: number
 }
 
-/** One entry VM. */
+/** One VM: an entry and, unless `withoutStewards` is set, a steward. */
 export type VmDescription = { name: string, dataCentre: string }
 
-/** Which relays stand between the processes. */
+/** Relays between the processes. */
 export type LinkOptions = {
-  /** One relay for each VM on its way to the platform. */
+  /** One relay for each VM, on its connections to the platform. */
   platform?: boolean
-  /** One relay for each VM on the way of its peers to it. */
+  /** One relay for each VM, on connections from its peers. */
   peers?: boolean
-  /** One relay for each database, for entries, stewards and replicas. */
+  /** One relay for each database, on connections from entries, stewards and replicas. */
   databases?: boolean
   /** Delay of each relay in each direction. */
   delayMs?: number
-  /** Relays to the platform, between peers and to databases only count bytes; they can have no fault. */
+  /** Puts relays on all these connections that only count bytes; they support neither delays nor faults. */
   countBytes?: boolean
 }
 
-/** Options of a fleet's start. */
+/** Options of startFleet. */
 export type FleetOptions = {
   links?: LinkOptions
-  /** Databases keep every byte that they receive. */
+  /** Databases record all requests and metadata that they receive. */
   record?: boolean
-  /** Writes group records and the roster itself and starts no steward. */
+  /** Starts no stewards; the testbed writes the group records and the roster itself. */
   withoutStewards?: boolean
-  /** Changes to the settings of each program, by name. */
+  /** Overrides for the settings of each program, by name. */
   entrySettings?: (vm: string) => Record<string, unknown>
   stewardSettings?: (vm: string) => Record<string, unknown>
   databaseSettings?: (database: string) => Record<string, unknown>
-  /** Value of DEBUG for the product's programs; none by default. */
+  /** Value of DEBUG for entries and stewards; empty by default. */
   debug?: string
   readyTimeoutMs?: number
 }
--- a/packages/testbed/src/program-process.ts
+++ b/packages/testbed/src/program-process.ts
@@ -1,5 +1,5 @@
 /**
- * One program of the product or of the stand-ins as a child process: start, announcement, signals, captured log.
+ * Runs an entry, a steward or a stand-in as a child process: start, announced addresses, signals, captured log.
  */
 import { spawn } from 'node:child_process'
 import type { ChildProcess } from 'node:child_process'
@@ -11,12 +11,12 @@
 
 const packagesDir = fileURLToPath(new URL('../..', import.meta.url))
 
-/** Longest part of a program's standard error that is kept, in characters; the oldest goes first. */
+/** Maximum length of a program's captured standard error, in characters; the oldest part is dropped. */
 export const maxLogCharacters = 1024 * 1024
 
 const announceTimeoutMs = 30_000
 
-/** Path of each program, and the settings that hold its listening addresses by announced name. */
+/** Path of each program, and its settings for listening addresses with the names under which they are announced. */
 const programs = {
   platform: { path: 'standins/bin/standin-platform.js', listeners: { listen: 'platform' } },
   database: { path: 'standins/bin/standin-database.js', listeners: { listen: 'database' } },
@@ -28,10 +28,9 @@
   steward: { path: 'steward/bin/egretyoke-steward.js', listeners: { healthListen: 'health' } }
 } as const
 
-/** Kind of a program. */
 export type ProgramKind = keyof typeof programs
 
-/** Where and how programs are started. */
+/** Settings folder and environment for starting programs. */
 export type ProcessContext = {
   /** Folder for settings files. */
   folder: string
@@ -39,7 +38,7 @@
   debug: string
 }
 
-/** A program that was started. All addresses are HOST:PORT. */
+/** A started program. All addresses are HOST:PORT. */
 export type ProgramProcess = Awaited<ReturnType<typeof startProgram>>
 
 const liveChildren = new Set<ChildProcess>()
@@ -49,10 +48,10 @@
 process.on('exit', killChildren)
 
 const signalExitCode = 128
-/** Signals that would end this process without its exit handlers, and their numbers. */
+/** Signals that by default terminate this process without running its exit handlers, with their numbers. */
 const endingSignals = { SIGINT: 2, SIGTERM: 15, SIGHUP: 1 } as const
 
-/** Ends the children with this process also when a signal ends it. */
+/** Exits on these signals, so that the exit handler kills the children. */
 const endOnSignals = () => {
   for (const [signal, number] of Object.entries(endingSignals)) {
     process.once(signal, () => process.exit(signalExitCode + number))
@@ -78,7 +77,7 @@
   }
 }
 
-/** Starts a program and waits for its announcement. Rejects when it ends before that. */
+/** Starts a program and waits until it announces its addresses. Rejects when it exits before that, or on time-out. */
 export const startProgram = async (
   context: ProcessContext,
   kind: ProgramKind,
@@ -120,7 +119,7 @@
 
   const isRunning = () => child !== undefined && child.exitCode === null && child.signalCode === null
 
-  /** Sends a signal and waits for the end; returns the exit code, or null when a signal ended it. */
+  /** Sends a signal and waits for the exit; returns the exit code, or null when a signal terminated the program. */
   const end = async (signal: NodeJS.Signals): Promise<number | null> => {
     if (!child || !isRunning()) return child?.exitCode ?? null
     const ended = once(child, 'exit')
--- a/packages/testbed/src/standin-control.ts
+++ b/packages/testbed/src/standin-control.ts
@@ -1,17 +1,17 @@
 /**
- * Control of the stand-ins: faults, the platform's VM list, logs of the databases.
+ * Client functions for controlling the stand-ins: faults, the platform's VM list, statistics and logs.
  */
 import { callUnary, connectGrpc, endpointProto, loopbackChannels, standinProto } from '@egretyoke/protocol'
 import type { EndpointMessages, PlatformMessages, StandinMessages } from '@egretyoke/protocol'
 
 const timeoutMs = 5_000
 
-/** Faults of the stand-ins; what is not named has no fault. */
+/** Faults of the stand-ins. Omitted fields mean no fault. */
 export type DatabaseFault = Partial<StandinMessages.DatabaseFault__Output>
 export type PlatformFault = Partial<StandinMessages.PlatformFault__Output>
 export type LinkFault = Partial<StandinMessages.LinkFault__Output>
 
-/** Counts and states that the stand-ins report. */
+/** Statistics and state that the stand-ins report. */
 export type PlatformStats = StandinMessages.PlatformStats__Output
 export type DatabaseStats = StandinMessages.DatabaseStats__Output
 export type MemberStatus = EndpointMessages.MemberStatus__Output
@@ -49,7 +49,7 @@
 export const setPlatformFault = (address: string, fault: PlatformFault) =>
   call(platformControl(address), client => callUnary(client, client.SetPlatformFault, fault, timeoutMs))
 
-/** Counts of the platform's calls. */
+/** Reads the platform's statistics. */
 export const readPlatformStats = (address: string): Promise<PlatformStats> =>
   call(platformControl(address), client => callUnary<object, PlatformStats>(
     client, client.GetPlatformStats as never, {}, timeoutMs))
@@ -58,7 +58,7 @@
 export const setDatabaseFault = (address: string, fault: DatabaseFault) =>
   call(databaseControl(address), client => callUnary(client, client.SetDatabaseFault, fault, timeoutMs))
 
-/** Counts of a database, and what it recorded. */
+/** Reads a database's statistics, with the recorded requests. */
 export const readDatabaseStats = (address: string): Promise<DatabaseStats> =>
   call(databaseControl(address), client => callUnary<object, DatabaseStats>(
     client, client.GetDatabaseStats as never, {}, timeoutMs))
@@ -68,13 +68,13 @@
   call(connectGrpc(standinProto.LinkControl, controlAddress, loopbackChannels),
     client => callUnary(client, client.SetLinkFault, fault, timeoutMs))
 
-/** Term, role and positions of a database. */
+/** Reads a database's term, role and log positions. */
 export const readMemberStatus = (address: string): Promise<MemberStatus> =>
   call(connectGrpc(endpointProto.Member, address, loopbackChannels),
     client => callUnary<object, MemberStatus>(
       client, client.GetStatus as never, {}, timeoutMs))
 
-/** All log entries of a database, oldest first. */
+/** Reads all log entries of a database, oldest first. */
 export const readLog = async (address: string): Promise<LoggedWrite[]> => {
   const client = databaseControl(address)
   try {
--- a/packages/testbed/src/start-fleet.test.ts
+++ b/packages/testbed/src/start-fleet.test.ts
@@ -28,7 +28,7 @@
   }
 })
 
-test('a program that does not start is an error with its reason', async t => {
+test('startFleet rejects with the reason when a program does not start', async t => {
   await t.throwsAsync(
     startFleet(smallFleet(0), { withoutStewards: true, databaseSettings: () => ({ slots: 0 }) }),
     { message: /slots/ })
--- a/packages/testbed/src/start-fleet.ts
+++ b/packages/testbed/src/start-fleet.ts
@@ -1,5 +1,5 @@
 /**
- * Starts a whole fleet on loopback as separate processes, and gives handles to its parts.
+ * Starts a whole fleet on loopback as separate processes, and returns functions to control and inspect them.
  */
 import { mkdtempSync, rmSync } from 'node:fs'
 import { tmpdir } from 'node:os'
@@ -43,7 +43,7 @@
   return { ...configuration, workspaces: Object.fromEntries(workspaces) }
 }
 
-/** Starts platform, databases, entries and stewards, and waits until every entry is ready. */
+/** Starts the platform, databases, entries and stewards; resolves when every entry is ready. */
 export const startFleet = async (description: FleetDescription, options: FleetOptions = {}) => {
   const folder = mkdtempSync(join(tmpdir(), 'egretyoke-fleet-'))
   const standins: ProcessContext = { folder, debug: '' }
@@ -72,7 +72,7 @@
     return started
   }
 
-  /** Starts a relay to the target when wanted; returns the address to use. */
+  /** Starts a relay to the target if enabled; returns the address of the relay, or else of the target. */
   const linked = async (wanted: boolean | undefined, name: string, target: string): Promise<string> => {
     if (links.countBytes) {
       const relay = await startCountingRelay(target)
@@ -173,7 +173,7 @@
     }
   }
 
-  /** Edits the configuration in place and makes it the one in force; resolves when it is accepted. */
+  /** Applies an edit to a copy of the configuration and activates it; resolves to the new version. */
   const applyConfiguration = async (edit: (draft: StoredConfiguration) => void): Promise<number> => {
     const draft = structuredClone(configuration)
     edit(draft)
@@ -205,7 +205,7 @@
 
   const databaseAddress = (name: string) => program(name).addresses().database
 
-  /** Starts a killed program again on its old ports. */
+  /** Restarts a program on the same ports. An entry gets the addresses of its peers as seeds. */
   const restart = async (name: string) => {
     const isEntry = vmNames.includes(name)
     const others = [...peerAddresses].filter(([vm]) => vm !== name).map(([, address]) => address)
@@ -215,7 +215,7 @@
   return {
     vmNames,
     vms: description.vms,
-    /** Callers' address of a VM. */
+    /** Address at which a VM accepts callers. */
     callerAddress: (vm: string) => program(vm).addresses().callers,
     callerAddresses: () => vmNames.map(vm => program(vm).addresses().callers),
     healthAddress: (name: string) => program(name).addresses().health,
@@ -223,7 +223,7 @@
     databaseNames: (group?: string) => Object.entries(configuration.groups)
       .filter(([name]) => group === undefined || name === group)
       .flatMap(([, { endpoints }]) => Object.keys(endpoints)),
-    /** Text of the first key of a workspace. */
+    /** Plaintext of the first key of a workspace. */
     keyOf: (workspace: string) => keys.get(workspace)!,
     configuration: () => configuration,
     configurationVersion: () => version,
@@ -246,12 +246,12 @@
     setLinkFault: async (name: string, fault: control.LinkFault): Promise<void> => {
       await control.setLinkFault(program(name).addresses().control, fault)
     },
-    /** Announces exactly these VMs and endpoints as leaving. */
+    /** Marks exactly these VMs and endpoints as leaving in the platform's VM list. */
     setLeaving: async (names: string[]): Promise<void> => {
       leaving = new Set(names)
       await publishVms()
     },
-    /** Takes exactly these VMs and endpoints off the platform's list. */
+    /** Omits exactly these VMs and endpoints from the platform's VM list. */
     setUnlisted: async (names: string[]): Promise<void> => {
       unlisted = new Set(names)
       await publishVms()
@@ -263,7 +263,7 @@
       control.readDatabaseStats(databaseAddress(name)),
     readPlatformStats: (): Promise<control.PlatformStats> =>
       control.readPlatformStats(program('platform').addresses().platform),
-    /** Creates one more key of a workspace and puts it into force; returns its text. */
+    /** Adds a key to a workspace and activates the configuration; returns the key's plaintext. */
     createKey: async (workspace: string, keyId: string): Promise<string> => {
       const key = createCallerKey(keyId)
       await applyConfiguration(draft => {
@@ -271,7 +271,7 @@
       })
       return key.text
     },
-    /** Bytes that passed between the programs so far, with `countBytes`. */
+    /** Bytes forwarded between the programs so far; 0 without `countBytes`. */
     relayedBytes: () => relays.reduce((sum, relay) => sum + relay.bytes(), 0),
     applyConfiguration,
     waitReady,
--- a/packages/testbed/src/stored-configuration.ts
+++ b/packages/testbed/src/stored-configuration.ts
@@ -1,5 +1,5 @@
 /**
- * Puts configuration, group records and the roster into the platform's store.
+ * Writes the configuration, group records and the roster to the platform's store.
  */
 import { documentNames, encodeRecord, storeKeys } from '@egretyoke/config'
 import type { Configuration, DocumentName, DocumentTexts, GroupRecord, Roster } from '@egretyoke/config'
@@ -8,7 +8,7 @@
 
 const timeoutMs = 5_000
 
-/** The configuration without its version. */
+/** Configuration without its version. */
 export type StoredConfiguration = Omit<Configuration, 'version'>
 
 const documentOf = (configuration: StoredConfiguration): Record<DocumentName, unknown> => ({
@@ -24,17 +24,17 @@
   const swapped = await platform.compareAndSwap(
     { key, expectedRevision: existing.val?.revision ?? 0, value }, timeoutMs)
   if (!swapped.ok) throw new Error(swapped.val.message)
-  if (!swapped.val.swapped) throw new Error(`${key} was changed at the same time`)
+  if (!swapped.val.swapped) throw new Error(`${key} was changed concurrently`)
 }
 
-/** The text of every document of a configuration. */
+/** Returns the JSON text of each document of a configuration. */
 export const documentTexts = (configuration: StoredConfiguration): DocumentTexts => {
   const documents = documentOf(configuration)
   return Object.fromEntries(documentNames.map(name =>
     [name, { file: name, text: JSON.stringify(documents[name]) }])) as DocumentTexts
 }
 
-/** Makes a configuration the one in force, as the change after `baseVersion`; returns its version. */
+/** Activates a configuration as the successor of `baseVersion`; returns its version. Throws when it is not accepted. */
 export const putConfiguration = async (
   platform: Platform,
   configuration: StoredConfiguration,
@@ -43,10 +43,10 @@
   const documents = documentTexts(configuration)
   const outcome = await applyDocuments(platform, { baseVersion, documents, changeId: createChangeId(baseVersion) })
   if (outcome.kind === 'accepted') return outcome.version
-  throw new Error(`the configuration was not accepted: ${JSON.stringify(outcome)}`)
+  throw new Error(`configuration not accepted: ${JSON.stringify(outcome)}`)
 }
 
-/** Writes what stewards would write: the first term of each group, the roster, and that nobody leaves. */
+/** Writes the records that stewards would write: each group in term 1, an empty leaving record, and the roster. */
 export const putFleetRecords = async (
   platform: Platform,
   configuration: StoredConfiguration,
