--- a/soak/src/gateway-process.ts
+++ b/soak/src/gateway-process.ts
@@ -11,7 +11,7 @@
 import { settingsPathVariable } from '@egretyoke/platform/testing'
 
 /** Identity, ports and upstream addresses of one gateway. Ports are on the loopback address. */
-export type GatewayPlace = {
+export type GatewayOptions = {
   name: string
   dataCentre: string
   regionByDataCentre: Readonly<Record<string, string>>
@@ -24,7 +24,7 @@
 }
 
 /** Deadlines from the gateways' settings: for refusing a withdrawn key on every gateway, and for graceful shutdown. */
-export const soakTimes = { keyWithdrawalMs: 5000, graceMs: 3000 } as const
+export const gatewayDeadlines = { keyWithdrawalMs: 5000, graceMs: 3000 } as const
 
 /** A gateway process that is restarted whenever it exits, until `close` is called. */
 export type GatewayProcess = {
@@ -34,7 +34,7 @@
   /** Whether the balancer routes new connections to it, according to the latest readiness checks. */
   isInRotation: () => boolean
   /** Rewrites the settings file with the same content. */
-  touchSettings: () => void
+  rewriteSettings: () => void
   /** One entry for each exit that no SIGTERM or SIGKILL of the soak caused, with the tail of standard error. */
   crashes: string[]
   close: () => Promise<void>
@@ -42,42 +42,42 @@
 
 const restartDelayMs = 200
 const readinessCheckMs = 500
-const missesUntilOut = 2
-const keptErrorCharacters = 4000
+const unhealthyThreshold = 2
+const maxErrorCharacters = 4000
 const launcher = fileURLToPath(new URL('start-program.js', import.meta.url))
 
-const settingsText = (place: GatewayPlace) => JSON.stringify({
-  nodeName: place.name,
+const settingsText = (options: GatewayOptions) => JSON.stringify({
+  nodeName: options.name,
   ip: '127.0.0.1',
-  zone: place.dataCentre,
-  zones: place.regionByDataCentre,
-  listenAddrs: { front: `127.0.0.1:${place.callerPort}`, ready: `127.0.0.1:${place.readinessPort}` },
-  internalPortRange: [place.relayPort, place.relayPort + 1],
-  bounds: { revokeMs: soakTimes.keyWithdrawalMs, graceS: soakTimes.graceMs / 1000 },
-  platform: { address: place.storeAddress },
-  cloudApi: { address: place.failoverAddress }
+  zone: options.dataCentre,
+  zones: options.regionByDataCentre,
+  listenAddrs: { front: `127.0.0.1:${options.callerPort}`, ready: `127.0.0.1:${options.readinessPort}` },
+  internalPortRange: [options.relayPort, options.relayPort + 1],
+  bounds: { revokeMs: gatewayDeadlines.keyWithdrawalMs, graceS: gatewayDeadlines.graceMs / 1000 },
+  platform: { address: options.storeAddress },
+  cloudApi: { address: options.failoverAddress }
 }, undefined, 2)
 
-const living = new Set<ChildProcess>()
-const endingSignals = ['SIGINT', 'SIGTERM', 'SIGHUP'] as const
+const liveChildren = new Set<ChildProcess>()
+const terminationSignals = ['SIGINT', 'SIGTERM', 'SIGHUP'] as const
 
-let endsChildren = false
+let hasExitHandlers = false
 
 /** Kills the gateways when this process exits, also when a signal terminates it. */
-const endWithThisProcess = () => {
-  if (endsChildren) return
-  endsChildren = true
-  process.once('exit', () => { for (const child of living) child.kill('SIGKILL') })
-  for (const signal of endingSignals) process.once(signal, () => process.exit(exitCodes.internal))
+const killChildrenOnExit = () => {
+  if (hasExitHandlers) return
+  hasExitHandlers = true
+  process.once('exit', () => { for (const child of liveChildren) child.kill('SIGKILL') })
+  for (const signal of terminationSignals) process.once(signal, () => process.exit(exitCodes.internal))
 }
 
-const hangupBit = 1n
+const sighupMask = 1n
 
 /** Whether the process has a handler for SIGHUP, according to /proc; false when it has exited. */
-export const catchesHangup = (pid: number | undefined): boolean => {
+export const handlesSighup = (pid: number | undefined): boolean => {
   try {
     const mask = /SigCgt:\s*([0-9a-f]+)/.exec(readFileSync(`/proc/${pid}/status`, 'utf8'))?.[1] ?? '0'
-    return (BigInt(`0x${mask}`) & hangupBit) !== 0n
+    return (BigInt(`0x${mask}`) & sighupMask) !== 0n
   } catch {
     // The process has exited.
     return false
@@ -85,75 +85,75 @@
 }
 
 /** Writes the settings file of a gateway into the folder; returns its path. */
-export const writeGatewaySettings = (place: GatewayPlace, folder: string): string => {
-  const file = join(folder, `${place.name}.yaml`)
-  writeFileSync(file, `${settingsText(place)}\n`)
+export const writeGatewaySettings = (options: GatewayOptions, folder: string): string => {
+  const file = join(folder, `${options.name}.yaml`)
+  writeFileSync(file, `${settingsText(options)}\n`)
   return file
 }
 
 /** Starts a gateway with a settings file in the folder; standard output is passed to the callback. */
-export const startGatewayProcess = (place: GatewayPlace, folder: string, logTo: (line: Buffer) => void) => {
-  const settingsFile = writeGatewaySettings(place, folder)
+export const startGatewayProcess = (options: GatewayOptions, folder: string, writeLog: (line: Buffer) => void) => {
+  const settingsFile = writeGatewaySettings(options, folder)
   const crashes: string[] = []
   let child: ChildProcess | undefined
   let restartTimer: NodeJS.Timeout | undefined
   let isClosed = false
-  let misses = missesUntilOut
-  let wasSignalled = false
+  let failedChecks = unhealthyThreshold
+  let isExitExpected = false
 
   const start = () => {
-    wasSignalled = false
-    const started = spawn(process.execPath, [launcher, '--metrics-port', `${place.metricsPort}`], {
+    isExitExpected = false
+    const started = spawn(process.execPath, [launcher, '--metrics-port', `${options.metricsPort}`], {
       env: { PATH: process.env.PATH, [settingsPathVariable]: settingsFile }, stdio: ['ignore', 'pipe', 'pipe']
     })
-    let errors = ''
+    let errorOutput = ''
     child = started
-    endWithThisProcess()
-    living.add(started)
-    started.stdout.on('data', logTo)
-    started.stderr.on('data', (chunk: Buffer) => { errors = (errors + chunk).slice(-keptErrorCharacters) })
+    killChildrenOnExit()
+    liveChildren.add(started)
+    started.stdout.on('data', writeLog)
+    started.stderr.on('data', (chunk: Buffer) => { errorOutput = (errorOutput + chunk).slice(-maxErrorCharacters) })
     started.on('exit', (code, signal) => {
-      living.delete(started)
-      misses = missesUntilOut
-      if (!wasSignalled) crashes.push(`${place.name} exited unexpectedly (${code ?? signal}): ${errors}`)
+      liveChildren.delete(started)
+      failedChecks = unhealthyThreshold
+      if (!isExitExpected) crashes.push(`${options.name} exited unexpectedly (${code ?? signal}): ${errorOutput}`)
       if (!isClosed) restartTimer = setTimeout(start, restartDelayMs)
     })
   }
 
-  const check = setInterval(() => {
+  const readinessTimer = setInterval(() => {
     const request = get({
-      host: '127.0.0.1', port: place.readinessPort, path: '/api/readiness', timeout: readinessCheckMs
+      host: '127.0.0.1', port: options.readinessPort, path: '/api/readiness', timeout: readinessCheckMs
     }, response => {
-      misses = response.statusCode === 200 ? 0 : misses + 1
+      failedChecks = response.statusCode === 200 ? 0 : failedChecks + 1
       response.resume()
     })
     request.on('timeout', () => request.destroy())
-    request.on('error', () => { misses++ })
+    request.on('error', () => { failedChecks++ })
   }, readinessCheckMs)
 
-  const signal = (given: NodeJS.Signals) => {
+  const signal = (name: NodeJS.Signals) => {
     // Before its runtime has started, a process cannot handle signals: SIGHUP would kill it whatever the program does.
-    if (given === 'SIGHUP' && !catchesHangup(child?.pid)) return
-    wasSignalled ||= given === 'SIGTERM' || given === 'SIGKILL'
-    child?.kill(given)
+    if (name === 'SIGHUP' && !handlesSighup(child?.pid)) return
+    isExitExpected ||= name === 'SIGTERM' || name === 'SIGKILL'
+    child?.kill(name)
   }
 
   start()
   return {
-    name: place.name,
-    callerPort: place.callerPort,
+    name: options.name,
+    callerPort: options.callerPort,
     signal,
-    isInRotation: () => misses < missesUntilOut,
-    touchSettings: () => { writeGatewaySettings(place, folder) },
+    isInRotation: () => failedChecks < unhealthyThreshold,
+    rewriteSettings: () => { writeGatewaySettings(options, folder) },
     crashes,
     close: async () => {
       isClosed = true
-      clearInterval(check)
+      clearInterval(readinessTimer)
       clearTimeout(restartTimer)
-      const ending = child
-      if (ending === undefined || ending.exitCode !== null || ending.signalCode !== null) return
+      const running = child
+      if (running === undefined || running.exitCode !== null || running.signalCode !== null) return
       await new Promise(resolve => {
-        ending.once('exit', resolve)
+        running.once('exit', resolve)
         signal('SIGCONT')
         signal('SIGKILL')
       })
--- a/soak/src/hangup.test.ts
+++ b/soak/src/hangup.test.ts
@@ -10,11 +10,11 @@
 import { sleepMs } from '@egretyoke/common'
 import { settingsPathVariable, startStoreStandin } from '@egretyoke/platform/testing'
 import test from 'ava'
-import { catchesHangup, writeGatewaySettings } from './gateway-process.js'
-import { placeGateways } from './soak-world.js'
+import { handlesSighup, writeGatewaySettings } from './gateway-process.js'
+import { allocateGateways } from './soak-environment.js'
 
 const launcher = fileURLToPath(new URL('start-program.js', import.meta.url))
-const listens = (port: number) => new Promise<boolean>(resolve => {
+const isListening = (port: number) => new Promise<boolean>(resolve => {
   const socket = connect({ host: '127.0.0.1', port })
   socket.on('connect', () => {
     socket.destroy()
@@ -26,18 +26,18 @@
 test('SIGHUP does not terminate a program that is still starting', async t => {
   const folder = mkdtempSync(join(tmpdir(), 'egretyoke-hangup-'))
   const store = await startStoreStandin()
-  const [place] = await placeGateways(1, store.address)
-  const child = spawn(process.execPath, [launcher, '--metrics-port', `${place.metricsPort}`], {
-    env: { PATH: process.env.PATH, [settingsPathVariable]: writeGatewaySettings(place, folder) }, stdio: 'ignore'
+  const [options] = await allocateGateways(1, store.address)
+  const child = spawn(process.execPath, [launcher, '--metrics-port', `${options.metricsPort}`], {
+    env: { PATH: process.env.PATH, [settingsPathVariable]: writeGatewaySettings(options, folder) }, stdio: 'ignore'
   })
   t.teardown(async () => {
     child.kill('SIGKILL')
     await store.close()
     rmSync(folder, { recursive: true })
   })
-  while (!catchesHangup(child.pid)) await sleepMs(1)
-  t.false(await listens(place.callerPort), 'the handler is installed before the program listens')
+  while (!handlesSighup(child.pid)) await sleepMs(1)
+  t.false(await isListening(options.callerPort), 'the handler is installed before the program listens')
   child.kill('SIGHUP')
-  while (!await listens(place.callerPort) && child.signalCode === null) await sleepMs(20)
+  while (!await isListening(options.callerPort) && child.signalCode === null) await sleepMs(20)
   t.is(child.signalCode, null)
 })
--- a/soak/src/soak-databases.ts
+++ b/soak/src/soak-databases.ts
@@ -1,6 +1,6 @@
 /**
  * A database group over the wire protocol, for the soak: a log with terms, asynchronous replication with lag,
- * promotions that truncate entries which the new primary lacks, and a record of every statement that ran.
+ * promotions that drop entries which the new primary lacks, and a record of every statement that ran.
  */
 import { createServer } from 'node:net'
 import type { AddressInfo, Socket } from 'node:net'
@@ -21,8 +21,8 @@
   log: LogEntry[]
   state: 'alive' | 'dark' | 'dead'
   /** Probability that the connection is closed instead of sending a reply. */
-  lossShare: number
-  bornMs: number
+  replyLossProbability: number
+  startedAtMs: number
   sockets: Set<Socket>
 }
 
@@ -33,13 +33,13 @@
   promote: (id: string) => boolean
   kill: (database: SoakDatabase) => void
   restart: (database: SoakDatabase) => void
-  /** Request ids in the log of the primary with the highest term, and those that promotions truncated. */
-  finalLogs: () => { kept: string[], cutBack: Set<string> }
+  /** Request ids in the log of the primary with the highest term, and those that promotions dropped. */
+  finalLogs: () => { kept: string[], dropped: Set<string> }
   close: () => void
 }
 
-const promoteDelayMs = 200
-const workMs = 4
+const promotionDelayMs = 200
+const statementMs = 4
 const maxConnections = 22
 export const slotsPerDatabase = 3
 
@@ -74,18 +74,18 @@
     term: 1,
     log: [],
     state: 'alive',
-    lossShare: 0,
-    bornMs: Date.now(),
+    replyLossProbability: 0,
+    startedAtMs: Date.now(),
     sockets: new Set()
   }))
-  const cutBack = new Set<string>()
+  const dropped = new Set<string>()
   let connectionCount = 0
   let transactionCount = 0
 
   const leader = () => databases.filter(({ role }) => role === 'primary').sort((a, b) => b.term - a.term)[0]
 
   /** Copies the leader's log up to a length to a replica, which drops entries that the leader lacks. */
-  const catchUp = (replica: SoakDatabase, from: SoakDatabase, upTo: number) => {
+  const replicateTo = (replica: SoakDatabase, from: SoakDatabase, upTo: number) => {
     if (replica === from || replica.state === 'dead' || replica.role === 'primary' || from !== leader()) return
     if (replica.term === from.term && replica.log.length >= upTo) return
     replica.term = from.term
@@ -96,21 +96,21 @@
     const number = (database.log.at(-1)?.term === database.term ? database.log.at(-1)?.number ?? 0 : 0) + 1
     for (const requestId of requestIds) database.log.push({ term: database.term, number, requestId })
     const upTo = database.log.length
-    for (const replica of databases) setTimeout(() => catchUp(replica, database, upTo), lagMs())
+    for (const replica of databases) setTimeout(() => replicateTo(replica, database, upTo), lagMs())
   }
 
   const promote = (id: string): boolean => {
-    const chosen = databases.find(database => database.id === id)
-    if (chosen === undefined || chosen.state !== 'alive') return false
-    if (chosen === leader()) return true
+    const candidate = databases.find(database => database.id === id)
+    if (candidate === undefined || candidate.state !== 'alive') return false
+    if (candidate === leader()) return true
     setTimeout(() => {
-      if (chosen.state !== 'alive') return
-      chosen.term = Math.max(...databases.map(({ term }) => term)) + 1
-      chosen.role = 'primary'
-      const kept = new Set(chosen.log.map(({ requestId }) => requestId))
-      for (const { log } of databases) for (const { requestId } of log) if (!kept.has(requestId)) cutBack.add(requestId)
-      for (const replica of databases) setTimeout(() => catchUp(replica, chosen, chosen.log.length), lagMs())
-    }, promoteDelayMs)
+      if (candidate.state !== 'alive') return
+      candidate.term = Math.max(...databases.map(({ term }) => term)) + 1
+      candidate.role = 'primary'
+      const kept = new Set(candidate.log.map(({ requestId }) => requestId))
+      for (const { log } of databases) for (const { requestId } of log) if (!kept.has(requestId)) dropped.add(requestId)
+      for (const replica of databases) setTimeout(() => replicateTo(replica, candidate, candidate.log.length), lagMs())
+    }, promotionDelayMs)
     return true
   }
 
@@ -124,21 +124,21 @@
     let isReadOnly = false
     let written: string[] = []
 
-    const finish = () => {
+    const endTransaction = () => {
       state = 'I'
       transaction = 0
       isReadOnly = false
-      const ids = written
+      const requestIds = written
       written = []
-      return ids
+      return requestIds
     }
     const fail = (error: string): Reply => {
       if (state === 'T') state = 'E'
       return { lines: [], error }
     }
-    const lackedBy = (requestId: string) => record.sent.get(requestId)?.mustSee
-      .find(wanted => !database.log.some(entry => entry.requestId === wanted)) ?? ''
-    const note = (requestId: string, text: string) => record.ran.push({
+    const findMissingWrite = (requestId: string) => record.sent.get(requestId)?.mustSee
+      .find(required => !database.log.some(entry => entry.requestId === required)) ?? ''
+    const recordStatement = (requestId: string, text: string) => record.executed.push({
       database: database.id,
       connection,
       workspace,
@@ -146,14 +146,14 @@
       text,
       values: [...values].sort().map(pair => pair.join('=')).join(),
       transaction,
-      lacked: lackedBy(requestId)
+      missing: findMissingWrite(requestId)
     })
 
     const runData = (requestId: string, text: string, access: string): Reply => {
       const isWrite = access === 'WRITE'
-      const hasLostLead = transaction !== 0 && !isReadOnly && database.role !== 'primary'
-      if (hasLostLead || (isWrite && (isReadOnly || database.role !== 'primary'))) return fail('READONLY')
-      note(requestId, text)
+      const hasLostPrimaryRole = transaction !== 0 && !isReadOnly && database.role !== 'primary'
+      if (hasLostPrimaryRole || (isWrite && (isReadOnly || database.role !== 'primary'))) return fail('READONLY')
+      recordStatement(requestId, text)
       if (isWrite && transaction !== 0) written.push(requestId)
       else if (isWrite) append(database, [requestId])
       return { lines: [...(isWrite ? [] : [`ROW of ${requestId}`]), `COMPLETE ${database.id}.${requestId}`] }
@@ -169,14 +169,14 @@
 
     const commit = (requestId: string): Reply => {
       if (state !== 'T') {
-        finish()
+        endTransaction()
         return { lines: [], error: 'ABORTED' }
       }
       if (written.length > 0 && database.role !== 'primary') {
-        finish()
+        endTransaction()
         return { lines: [], error: 'READONLY' }
       }
-      const ids = finish()
+      const ids = endTransaction()
       if (ids.length > 0) append(database, ids)
       return { lines: [`COMPLETE ${database.id}.${requestId}`] }
     }
@@ -186,8 +186,8 @@
       return { lines: [`ROW ${row}`, 'COMPLETE -'] }
     }
 
-    const run = (requestId: string, given: string): Reply => {
-      const [, position, rest] = given.startsWith('AFTER ') ? splitFields(given, 3) : ['', undefined, given]
+    const run = (requestId: string, command: string): Reply => {
+      const [, position, rest] = command.startsWith('AFTER ') ? splitFields(command, 3) : ['', undefined, command]
       const text = rest ?? ''
       if (position !== undefined && isBehind(database, position)) return fail('LAGGING')
       const [word = '', name = '', tail = ''] = splitFields(text, 3)
@@ -195,14 +195,14 @@
       switch (word) {
         case 'READ': case 'WRITE': return runData(requestId, text, word)
         case 'EXECUTE': {
-          const known = prepared.get(name)
-          if (known === undefined) return fail('NOSTMT')
-          return runData(requestId, `EXECUTE ${known.shape} ${tail}`, known.access)
+          const statement = prepared.get(name)
+          if (statement === undefined) return fail('NOSTMT')
+          return runData(requestId, `EXECUTE ${statement.shape} ${tail}`, statement.access)
         }
         case 'BEGIN': return begin(name === 'READ')
         case 'COMMIT': return commit(requestId)
         case 'ROLLBACK':
-          finish()
+          endTransaction()
           return { lines: ['COMPLETE -'] }
         case 'SET':
           values.set(name, tail)
@@ -242,18 +242,20 @@
       connection = openConnection(database, workspace)
       socket.write(`READY I ${positionOf(database)}\r\n`)
     }
-    const query = (open: NonNullable<typeof connection>, line: string) => {
+    const query = (session: NonNullable<typeof connection>, line: string) => {
       const [, requestId = '', text = ''] = splitFields(line, 3)
-      const { lines, error } = open.run(requestId, text)
-      if (requestId !== '-' && random.chance(database.lossShare)) return socket.destroy()
-      const ending = error === undefined ? lines : [...lines, `ERROR ${error} ${database.id}`]
-      socket.write([...ending, `READY ${open.state()} ${positionOf(database)}`].map(each => `${each}\r\n`).join(''))
+      const { lines, error } = session.run(requestId, text)
+      if (requestId !== '-' && random.chance(database.replyLossProbability)) return socket.destroy()
+      const replyLines = error === undefined ? lines : [...lines, `ERROR ${error} ${database.id}`]
+      socket.write(
+        [...replyLines, `READY ${session.state()} ${positionOf(database)}`].map(each => `${each}\r\n`).join('')
+      )
     }
-    let work = Promise.resolve()
+    let pending = Promise.resolve()
     socket.on('data', chunk => {
       for (const line of reader.push(chunk) ?? []) {
-        work = work.then(async () => {
-          await new Promise(resolve => setTimeout(resolve, workMs))
+        pending = pending.then(async () => {
+          await new Promise(resolve => setTimeout(resolve, statementMs))
           if (socket.destroyed || database.state !== 'alive') return
           if (connection === undefined) start(line)
           else query(connection, line)
@@ -280,14 +282,14 @@
     promote,
     kill,
     restart: database => {
-      const leading = leader()
+      const currentLeader = leader()
       database.state = 'alive'
-      database.bornMs = Date.now()
-      if (leading === undefined || leading === database) return
+      database.startedAtMs = Date.now()
+      if (currentLeader === undefined || currentLeader === database) return
       database.role = 'replica'
-      catchUp(database, leading, leading.log.length)
+      replicateTo(database, currentLeader, currentLeader.log.length)
     },
-    finalLogs: () => ({ kept: leader()?.log.map(({ requestId }) => requestId) ?? [], cutBack }),
+    finalLogs: () => ({ kept: leader()?.log.map(({ requestId }) => requestId) ?? [], dropped }),
     close: () => {
       for (const server of servers) server.close()
       for (const database of databases) kill(database)
--- a/soak/src/soak-world.ts
+++ b/soak/src/soak-environment.ts
@@ -13,7 +13,7 @@
 import { startLink } from '@egretyoke/standins'
 import type { Link } from '@egretyoke/standins'
 import { startGatewayProcess } from './gateway-process.js'
-import type { GatewayPlace, GatewayProcess } from './gateway-process.js'
+import type { GatewayOptions, GatewayProcess } from './gateway-process.js'
 import { maxStalenessMs } from './soak-callers.js'
 import { slotsPerDatabase, startSoakDatabases } from './soak-databases.js'
 import type { SoakDatabase, SoakDatabases } from './soak-databases.js'
@@ -32,7 +32,7 @@
 export const keyOf = (workspace: string): string => `key-of-${workspace}`
 
 /** Environment of a run. */
-export type SoakWorld = {
+export type SoakEnvironment = {
   store: StoreStandin
   databases: SoakDatabases
   /** One link in front of each database, in the order of `databases`. */
@@ -42,9 +42,9 @@
   gateways: readonly GatewayProcess[]
   operators: Operators
   /** Writes a database's entry to the store. */
-  announce: (database: SoakDatabase) => void
+  register: (database: SoakDatabase) => void
   /** Deletes a database's entry from the store. */
-  leave: (database: SoakDatabase) => void
+  unregister: (database: SoakDatabase) => void
   closeGateways: () => Promise<void>
   /** Stops the gateways, and then the links and stand-ins. */
   close: () => Promise<void>
@@ -53,16 +53,16 @@
 /** Operator actions on the configuration. */
 export type Operators = {
   /** Writes the current configuration to the store. */
-  store: () => void
+  writeConfiguration: () => void
   /** Writes the configuration under a higher version. */
-  change: () => void
+  changeConfiguration: () => void
   isWithdrawn: (workspace: string) => boolean
   /** Withdraws the key of one more workspace; the first workspace keeps its key. */
   withdrawKey: () => void
 }
 
 /** Options of a soak environment; settings and logs of the gateways are written to the folder. */
-export type SoakWorldOptions = { gateways: number, folder: string, record: SoakRecord, random: Random }
+export type SoakEnvironmentOptions = { gateways: number, folder: string, record: SoakRecord, random: Random }
 
 const service = 'bookings'
 const dataCentres = ['quay', 'yard', 'dock']
@@ -70,7 +70,7 @@
 const startTimeoutMs = 20_000
 const versionStep = 3
 const maxConnections = 22
-const portsOfGateway = 5
+const portsPerGateway = 5
 
 /** Below the ephemeral port range, so that no outgoing connection occupies a gateway's port while it restarts. */
 const portRange = { from: 12_000, to: 32_000 } as const
@@ -90,13 +90,13 @@
   return [...ports]
 }
 
-const linkTo = (target: string): Promise<Link> =>
+const startLinkTo = (target: string): Promise<Link> =>
   startLink({ listen: '127.0.0.1:0', control: '127.0.0.1:0', target, delayMs: 0 })
 
 const createOperators = (write: (key: string, value: unknown) => void, record: SoakRecord): Operators => {
   let version = 1
   const withdrawn = new Set<string>()
-  const store = () => write('op/config', {
+  const writeConfiguration = () => write('op/config', {
     version,
     routes: routes.map(route => ({
       ...route,
@@ -112,30 +112,30 @@
       name, apiKeys: withdrawn.has(name) ? [] : [keyOf(name)], ratePerS: 2000, burstSize: 2000
     }))
   })
-  const change = () => {
+  const changeConfiguration = () => {
     version += versionStep
-    store()
+    writeConfiguration()
   }
   return {
-    store,
-    change,
+    writeConfiguration,
+    changeConfiguration,
     isWithdrawn: (workspace: string) => withdrawn.has(workspace),
     withdrawKey: () => {
       // The first workspace keeps its key for the whole run.
-      const next = workspaces.slice(1).find(workspace => !withdrawn.has(workspace))
-      if (next === undefined) return
-      withdrawn.add(next)
-      change()
-      record.withdrawnMs.set(next, performance.now())
+      const nextWorkspace = workspaces.slice(1).find(workspace => !withdrawn.has(workspace))
+      if (nextWorkspace === undefined) return
+      withdrawn.add(nextWorkspace)
+      changeConfiguration()
+      record.keyWithdrawnAtMs.set(nextWorkspace, performance.now())
     }
   }
 }
 
 /** Options for gateways with free ports, distributed over the data centres. */
-export const placeGateways = async (count: number, storeAddress: string): Promise<GatewayPlace[]> => {
-  const ports = await freePorts(count * portsOfGateway)
+export const allocateGateways = async (count: number, storeAddress: string): Promise<GatewayOptions[]> => {
+  const ports = await freePorts(count * portsPerGateway)
   return Array.from({ length: count }, (_, index) => {
-    const [callerPort, readinessPort, relayPort, metricsPort] = ports.slice(index * portsOfGateway)
+    const [callerPort, readinessPort, relayPort, metricsPort] = ports.slice(index * portsPerGateway)
     return {
       name: `vm-${index + 1}`,
       dataCentre: dataCentres[index % dataCentres.length],
@@ -151,32 +151,32 @@
 }
 
 /** Starts the gateways. Each reaches the store over its own link, but sends failover calls directly. */
-const startFleet = async (count: number, storeAddress: string, folder: string) => {
-  const links = await Promise.all(Array.from({ length: count }, () => linkTo(storeAddress)))
-  const places = await placeGateways(count, storeAddress)
-  const gateways = places.map((place, index) => {
-    const log = createWriteStream(join(folder, `${place.name}.log`))
-    return startGatewayProcess({ ...place, storeAddress: links[index].address }, folder, line => { log.write(line) })
+const startGateways = async (count: number, storeAddress: string, folder: string) => {
+  const links = await Promise.all(Array.from({ length: count }, () => startLinkTo(storeAddress)))
+  const gatewayOptions = await allocateGateways(count, storeAddress)
+  const gateways = gatewayOptions.map((options, index) => {
+    const log = createWriteStream(join(folder, `${options.name}.log`))
+    return startGatewayProcess({ ...options, storeAddress: links[index].address }, folder, line => { log.write(line) })
   })
   return { links, gateways }
 }
 
-const waitUntilServed = async (gateways: readonly GatewayProcess[]) => {
-  const endAtMs = performance.now() + startTimeoutMs
-  while (!gateways.every(gateway => gateway.isInRotation()) && performance.now() < endAtMs) await sleepMs(50)
+const waitUntilInRotation = async (gateways: readonly GatewayProcess[]) => {
+  const deadlineMs = performance.now() + startTimeoutMs
+  while (!gateways.every(gateway => gateway.isInRotation()) && performance.now() < deadlineMs) await sleepMs(50)
 }
 
 /** Starts stand-ins, links and gateways; resolves when all gateways are in rotation, or after the start timeout. */
-export const startSoakWorld = async (
-  { gateways: count, folder, record, random }: SoakWorldOptions
-): Promise<SoakWorld> => {
+export const startSoakEnvironment = async (
+  { gateways: count, folder, record, random }: SoakEnvironmentOptions
+): Promise<SoakEnvironment> => {
   const databases = await startSoakDatabases({
     service, dataCentres, record, random, lagMs: () => random.integer(2, 30)
   })
   const store = await startStoreStandin({ pageSize: 500, onFailover: databases.promote })
-  const databaseLinks = await Promise.all(databases.databases.map(({ port }) => linkTo(`127.0.0.1:${port}`)))
+  const databaseLinks = await Promise.all(databases.databases.map(({ port }) => startLinkTo(`127.0.0.1:${port}`)))
 
-  const announce = (database: SoakDatabase) => store.write(`servers/${database.id}`, {
+  const register = (database: SoakDatabase) => store.write(`servers/${database.id}`, {
     service,
     address: databaseLinks[databases.databases.indexOf(database)].address,
     zone: database.dataCentre,
@@ -186,13 +186,13 @@
     coldRemainingMs: 0,
     seqNum: 1,
     dbRole: database.role,
-    born: database.bornMs
+    born: database.startedAtMs
   })
   const operators = createOperators(store.write, record)
-  operators.store()
-  for (const database of databases.databases) announce(database)
-  const { links, gateways } = await startFleet(count, store.address, folder)
-  await waitUntilServed(gateways)
+  operators.writeConfiguration()
+  for (const database of databases.databases) register(database)
+  const { links, gateways } = await startGateways(count, store.address, folder)
+  await waitUntilInRotation(gateways)
 
   const closeGateways = async () => { await Promise.all(gateways.map(gateway => gateway.close())) }
   return {
@@ -202,8 +202,8 @@
     storeLinks: links,
     gateways,
     operators,
-    announce,
-    leave: database => store.write(`servers/${database.id}`, undefined),
+    register,
+    unregister: database => store.write(`servers/${database.id}`, undefined),
     closeGateways,
     close: async () => {
       await closeGateways()
--- a/soak/src/soak-faults.ts
+++ b/soak/src/soak-faults.ts
@@ -16,24 +16,24 @@
   databases: SoakDatabases
   gateways: readonly GatewayProcess[]
   /** Writes a database's entry to the store. */
-  announce: (database: SoakDatabase) => void
+  register: (database: SoakDatabase) => void
   /** Deletes a database's entry from the store. */
-  leave: (database: SoakDatabase) => void
+  unregister: (database: SoakDatabase) => void
   changeConfiguration: () => void
   withdrawKey: () => void
   log: (line: string) => void
 }
 
 /** Reverts an injected fault; called once. */
-type TakeBack = () => void
+type RevertFault = () => void
 
-type Fault = { name: string, begin: (targets: FaultTargets, random: Random) => TakeBack }
+type Fault = { name: string, inject: (targets: FaultTargets, random: Random) => RevertFault }
 
-const nothing: TakeBack = () => {}
+const nothingToRevert: RevertFault = () => {}
 
 const linkFault = (name: string, pick: (targets: FaultTargets) => readonly Link[], fault: object): Fault => ({
   name,
-  begin: (targets, random) => {
+  inject: (targets, random) => {
     const link = random.pick(pick(targets))
     link.setFault(fault)
     return () => link.setFault({ cut: false, frozen: false, delayMs: 0 })
@@ -45,34 +45,34 @@
 
 const signalFault = (signal: NodeJS.Signals): Fault => ({
   name: signal,
-  begin: ({ gateways }, random) => {
+  inject: ({ gateways }, random) => {
     random.pick(gateways).signal(signal)
-    return nothing
+    return nothingToRevert
   }
 })
 
 const storeFault = (name: string, fault: number | 'silent' | 'lost'): Fault => ({
   name: `store ${name}`,
-  begin: ({ store }) => {
+  inject: ({ store }) => {
     store.setFault(fault)
     return () => store.setFault(undefined)
   }
 })
 
 const databaseFault = (
-  name: string, begin: (database: SoakDatabase, targets: FaultTargets) => TakeBack
+  name: string, inject: (database: SoakDatabase, targets: FaultTargets) => RevertFault
 ): Fault => ({
   name: `database ${name}`,
-  begin: (targets, random) => begin(random.pick(targets.databases.databases), targets)
+  inject: (targets, random) => inject(random.pick(targets.databases.databases), targets)
 })
 
-const crash = (database: SoakDatabase, { databases, leave, announce }: FaultTargets): TakeBack => {
-  if (databases.databases.some(({ state }) => state !== 'alive')) return nothing
+const crash = (database: SoakDatabase, { databases, unregister, register }: FaultTargets): RevertFault => {
+  if (databases.databases.some(({ state }) => state !== 'alive')) return nothingToRevert
   databases.kill(database)
-  leave(database)
+  unregister(database)
   return () => {
     databases.restart(database)
-    announce(database)
+    register(database)
   }
 }
 
@@ -84,14 +84,14 @@
   signalFault('SIGTERM'),
   {
     name: 'all SIGKILL',
-    begin: ({ gateways }) => {
+    inject: ({ gateways }) => {
       for (const gateway of gateways) gateway.signal('SIGKILL')
-      return nothing
+      return nothingToRevert
     }
   },
   {
     name: 'pause',
-    begin: ({ gateways }, random) => {
+    inject: ({ gateways }, random) => {
       const gateway = random.pick(gateways)
       gateway.signal('SIGSTOP')
       return () => gateway.signal('SIGCONT')
@@ -99,11 +99,11 @@
   },
   {
     name: 'settings changed',
-    begin: ({ gateways }, random) => {
+    inject: ({ gateways }, random) => {
       const gateway = random.pick(gateways)
-      gateway.touchSettings()
+      gateway.rewriteSettings()
       gateway.signal('SIGHUP')
-      return nothing
+      return nothingToRevert
     }
   },
   linkFault('store link cut', storeLinks, { cut: true }),
@@ -117,55 +117,55 @@
   storeFault('loses answers', 'lost'),
   {
     name: 'store forgets its history',
-    begin: ({ store }) => {
+    inject: ({ store }) => {
       store.compact()
-      return nothing
+      return nothingToRevert
     }
   },
   databaseFault('crash', crash),
   databaseFault('crash', crash),
   databaseFault('dark', database => {
-    if (database.state !== 'alive') return nothing
+    if (database.state !== 'alive') return nothingToRevert
     database.state = 'dark'
     return () => { if (database.state === 'dark') database.state = 'alive' }
   }),
   databaseFault('loses answers', database => {
-    database.lossShare = 0.1
-    return () => { database.lossShare = 0 }
+    database.replyLossProbability = 0.1
+    return () => { database.replyLossProbability = 0 }
   }),
   {
     name: 'configuration changed',
-    begin: ({ changeConfiguration }) => {
+    inject: ({ changeConfiguration }) => {
       changeConfiguration()
-      return nothing
+      return nothingToRevert
     }
   },
   {
     name: 'key withdrawn',
-    begin: ({ withdrawKey }) => {
+    inject: ({ withdrawKey }) => {
       withdrawKey()
-      return nothing
+      return nothingToRevert
     }
   }
 ]
 
-const pauseMs = { from: 100, to: 1500 } as const
-const lastsMs = { from: 200, to: 4000 } as const
+const pauseRangeMs = { from: 100, to: 1500 } as const
+const durationRangeMs = { from: 200, to: 4000 } as const
 
 /** Injects faults for the given time; resolves when all of them are reverted. */
-export const playFaults = async (targets: FaultTargets, random: Random, forMs: number): Promise<void> => {
-  const endAtMs = performance.now() + forMs
-  const takingBack: Array<Promise<void>> = []
-  while (performance.now() < endAtMs) {
-    await new Promise(resolve => setTimeout(resolve, random.integer(pauseMs.from, pauseMs.to)))
+export const injectFaults = async (targets: FaultTargets, random: Random, durationMs: number): Promise<void> => {
+  const deadlineMs = performance.now() + durationMs
+  const pendingReverts: Array<Promise<void>> = []
+  while (performance.now() < deadlineMs) {
+    await new Promise(resolve => setTimeout(resolve, random.integer(pauseRangeMs.from, pauseRangeMs.to)))
     const fault = random.pick(faults)
-    const forThisMs = random.integer(lastsMs.from, lastsMs.to)
-    targets.log(`${fault.name} for ${forThisMs} ms`)
-    const takeBack = fault.begin(targets, random)
-    takingBack.push(new Promise(resolve => setTimeout(() => {
-      takeBack()
+    const faultDurationMs = random.integer(durationRangeMs.from, durationRangeMs.to)
+    targets.log(`${fault.name} for ${faultDurationMs} ms`)
+    const revert = fault.inject(targets, random)
+    pendingReverts.push(new Promise(resolve => setTimeout(() => {
+      revert()
       resolve()
-    }, forThisMs)))
+    }, faultDurationMs)))
   }
-  await Promise.all(takingBack)
+  await Promise.all(pendingReverts)
 }
--- a/soak/src/soak-program.ts
+++ b/soak/src/soak-program.ts
@@ -5,7 +5,7 @@
 import { Command } from 'commander'
 import { exitCodes } from '@egretyoke/common'
 import { failedSeeds } from './failed-seeds.js'
-import { runSoakOnce } from './soak.js'
+import { runSoak } from './soak.js'
 
 const maxSeed = 2 ** 31
 
@@ -47,7 +47,7 @@
   const [, seconds, gateways, callers] = numbers
   let code: number = exitCodes.ok
   for (const seed of seedsOf(options)) {
-    const result = await runSoakOnce({ seed, seconds, gateways, callers }, options.quiet ? () => {} : console.log)
+    const result = await runSoak({ seed, seconds, gateways, callers }, options.quiet ? () => {} : console.log)
     const { breaches, done, refused, unknown, logs } = result
     console.log(`seed ${seed}: ${done} done, ${refused} refused, ${unknown} unknown, ${breaches.length} breaches`)
     for (const { promise, detail } of breaches) console.log(`  ${promise}: ${detail}`)
--- a/soak/src/soak-record.ts
+++ b/soak/src/soak-record.ts
@@ -15,7 +15,7 @@
 }
 
 /** A statement that a database ran. */
-export type RunStatement = {
+export type ExecutedStatement = {
   database: string
   connection: number
   workspace: string
@@ -25,7 +25,7 @@
   /** Number of the transaction, unique within the group; 0 outside a transaction. */
   transaction: number
   /** Request id of a write that the statement had to see but the database's log lacked; empty if there is none. */
-  lacked: string
+  missing: string
 }
 
 /** A statement that a caller sent. */
@@ -46,15 +46,15 @@
 /** Record of a run. */
 export type SoakRecord = {
   sent: Map<string, SentStatement>
-  ran: RunStatement[]
+  executed: ExecutedStatement[]
   writes: CallerWrite[]
   /** Times at which keys were withdrawn, by workspace, on the monotonic clock. */
-  withdrawnMs: Map<string, number>
+  keyWithdrawnAtMs: Map<string, number>
   breaches: Breach[]
-  breach: (promise: string, detail: string) => void
+  report: (promise: string, detail: string) => void
 }
 
-/** Later breaches are dropped, because they usually follow from the first ones. */
+/** Maximum number of recorded breaches; later ones usually follow from the first and are dropped. */
 const maxBreaches = 50
 
 /** Creates an empty record. */
@@ -62,57 +62,60 @@
   const breaches: Breach[] = []
   return {
     sent: new Map(),
-    ran: [],
+    executed: [],
     writes: [],
-    withdrawnMs: new Map(),
+    keyWithdrawnAtMs: new Map(),
     breaches,
-    breach: (promise, detail) => { if (breaches.length < maxBreaches) breaches.push({ promise, detail }) }
+    report: (promise, detail) => { if (breaches.length < maxBreaches) breaches.push({ promise, detail }) }
   }
 }
 
-/** State of the databases at the end: request ids in the surviving log, and those that promotions truncated. */
-export type FinalLogs = { kept: readonly string[], cutBack: ReadonlySet<string> }
+/** State of the databases at the end: request ids in the surviving log, and those that promotions dropped. */
+export type FinalLogs = { kept: readonly string[], dropped: ReadonlySet<string> }
 
-const checkWrites = ({ writes, breach }: SoakRecord, { kept, cutBack }: FinalLogs) => {
+const checkWrites = ({ writes, report }: SoakRecord, { kept, dropped }: FinalLogs) => {
   const counts = new Map<string, number>()
   for (const requestId of kept) counts.set(requestId, (counts.get(requestId) ?? 0) + 1)
-  for (const [requestId, count] of counts) if (count > 1) breach('twice', `${requestId} took effect ${count} times`)
+  for (const [requestId, count] of counts) if (count > 1) report('twice', `${requestId} took effect ${count} times`)
   for (const { requestIds, outcome } of writes) {
     const found = requestIds.filter(requestId => counts.has(requestId))
-    if (outcome === 'nothingKept' && found.length > 0) breach('refused', `${found.join()} is kept`)
-    const missing = requestIds.filter(requestId => !counts.has(requestId) && !cutBack.has(requestId))
-    if (outcome === 'done' && missing.length > 0) breach('lost', `${missing.join()} was confirmed and is gone`)
+    if (outcome === 'nothingKept' && found.length > 0) report('refused', `${found.join()} is kept`)
+    const missing = requestIds.filter(requestId => !counts.has(requestId) && !dropped.has(requestId))
+    if (outcome === 'done' && missing.length > 0) report('lost', `${missing.join()} was confirmed and is gone`)
   }
 }
 
 /** Request ids of the last write of any caller that was confirmed no later than the given time. */
-export const lastConfirmed = ({ writes }: SoakRecord, beforeMs: number): readonly string[] =>
+export const lastConfirmedWrite = ({ writes }: SoakRecord, beforeMs: number): readonly string[] =>
   writes.findLast(({ outcome, answeredMs }) => outcome === 'done' && answeredMs <= beforeMs)?.requestIds ?? []
 
-const checkReads = ({ ran, breach }: SoakRecord, { cutBack }: FinalLogs) => {
-  for (const { requestId, lacked, database } of ran) {
-    if (lacked !== '' && !cutBack.has(lacked)) breach('stale', `${requestId} ran on ${database} without ${lacked}`)
+const checkReads = ({ executed, report }: SoakRecord, { dropped }: FinalLogs) => {
+  for (const { requestId, missing, database } of executed) {
+    if (missing !== '' && !dropped.has(missing)) report('stale', `${requestId} ran on ${database} without ${missing}`)
   }
 }
 
-const checkRunStatements = ({ sent, ran, withdrawnMs, breach }: SoakRecord, keyWithdrawalMs: number) => {
-  const connectionOf = new Map<string, string>()
-  for (const statement of ran) {
+const checkExecutedStatements = (
+  { sent, executed, keyWithdrawnAtMs, report }: SoakRecord, keyWithdrawalMs: number
+) => {
+  const connectionByTransaction = new Map<string, string>()
+  for (const statement of executed) {
     const { requestId, text, workspace, values, database, connection, transaction } = statement
-    const asked = sent.get(requestId)
-    if (asked === undefined || asked.text !== text || asked.workspace !== workspace) {
-      breach('unasked', `${database} ran ${requestId} "${text}" for ${workspace}`)
+    const query = sent.get(requestId)
+    if (query === undefined || query.text !== text || query.workspace !== workspace) {
+      report('unasked', `${database} ran ${requestId} "${text}" for ${workspace}`)
       continue
     }
-    if (asked.values !== values) breach('pinned', `${requestId} ran with values "${values}"`)
-    if ((asked.transaction !== '') !== (transaction !== 0)) breach('pinned', `${requestId}: transaction ${transaction}`)
-    const place = `${database} ${connection} ${transaction}`
-    if (asked.transaction !== '' && (connectionOf.get(asked.transaction) ?? place) !== place) {
-      breach('pinned', `${requestId} ran on another connection than its transaction`)
+    if (query.values !== values) report('pinned', `${requestId} ran with values "${values}"`)
+    if ((query.transaction !== '') !== (transaction !== 0)) report('pinned', `${requestId}: transaction ${transaction}`)
+    const connectionKey = `${database} ${connection} ${transaction}`
+    if (query.transaction !== '' &&
+      (connectionByTransaction.get(query.transaction) ?? connectionKey) !== connectionKey) {
+      report('pinned', `${requestId} ran on another connection than its transaction`)
     }
-    connectionOf.set(asked.transaction, place)
-    const withdrawn = withdrawnMs.get(workspace) ?? Infinity
-    if (asked.sentMs > withdrawn + keyWithdrawalMs) breach('withdrawn key', `${requestId} ran for ${workspace}`)
+    connectionByTransaction.set(query.transaction, connectionKey)
+    const withdrawnAtMs = keyWithdrawnAtMs.get(workspace) ?? Infinity
+    if (query.sentMs > withdrawnAtMs + keyWithdrawalMs) report('withdrawn key', `${requestId} ran for ${workspace}`)
   }
 }
 
@@ -120,5 +123,5 @@
 export const checkSoakRecord = (record: SoakRecord, logs: FinalLogs, keyWithdrawalMs: number): void => {
   checkWrites(record, logs)
   checkReads(record, logs)
-  checkRunStatements(record, keyWithdrawalMs)
+  checkExecutedStatements(record, keyWithdrawalMs)
 }
--- a/soak/src/soak.ts
+++ b/soak/src/soak.ts
@@ -6,17 +6,17 @@
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { createRandom, sleepMs } from '@egretyoke/common'
-import { soakTimes } from './gateway-process.js'
+import { gatewayDeadlines } from './gateway-process.js'
 import { startSoakCaller } from './soak-callers.js'
 import type { SoakCaller } from './soak-callers.js'
-import { playFaults } from './soak-faults.js'
+import { injectFaults } from './soak-faults.js'
 import { checkSoakRecord, createSoakRecord } from './soak-record.js'
 import type { Breach, SoakRecord } from './soak-record.js'
-import { keyOf, routes, startSoakWorld, workspaces } from './soak-world.js'
-import type { SoakWorld } from './soak-world.js'
+import { keyOf, routes, startSoakEnvironment, workspaces } from './soak-environment.js'
+import type { SoakEnvironment } from './soak-environment.js'
 
 /** Options of a run. `seconds` is the duration of fault injection; `callers` and `gateways` are counts. */
-export type SoakPlan = { seed: number, seconds: number, gateways: number, callers: number }
+export type SoakOptions = { seed: number, seconds: number, gateways: number, callers: number }
 
 /** Result of a run: breaches, and statements and transactions by outcome. */
 export type SoakResult = {
@@ -31,7 +31,7 @@
 /** Time after the last fault within which all callers have to be served again. */
 const recoveryMs = 12_000
 /** Time during which each caller has to complete at least one operation after the recovery. */
-const lookMs = 2000
+const observationMs = 2000
 
 /** Checks that every caller is served again, except those of workspaces whose key was withdrawn. */
 const checkRecovery = async (
@@ -39,19 +39,19 @@
 ) => {
   await sleepMs(recoveryMs)
   const before = new Map([...callers.keys()].map(caller => [caller, caller.counts().done]))
-  await sleepMs(lookMs)
+  await sleepMs(observationMs)
   for (const [caller, workspace] of callers) {
-    const hasDone = caller.counts().done > (before.get(caller) ?? 0)
-    if (!hasDone && !isWithdrawn(workspace)) record.breach('recovery', `a caller of ${workspace} is not served`)
+    const hasProgress = caller.counts().done > (before.get(caller) ?? 0)
+    if (!hasProgress && !isWithdrawn(workspace)) record.report('recovery', `a caller of ${workspace} is not served`)
   }
 }
 
 /** Starts callers for all workspaces and routes; returns each with its workspace. */
-const startCallers = ({ gateways }: SoakWorld, { seed, callers }: SoakPlan, record: SoakRecord) => {
-  const balancer = createRandom(seed + 1)
+const startCallers = ({ gateways }: SoakEnvironment, { seed, callers }: SoakOptions, record: SoakRecord) => {
+  const balancerRandom = createRandom(seed + 1)
   const choosePort = () => {
     const ready = gateways.filter(gateway => gateway.isInRotation())
-    return ready.length === 0 ? undefined : balancer.pick(ready).callerPort
+    return ready.length === 0 ? undefined : balancerRandom.pick(ready).callerPort
   }
   return new Map(Array.from({ length: callers }, (_, index) => {
     const workspace = workspaces[index % workspaces.length]
@@ -72,34 +72,39 @@
 const createFaultLog = (folder: string, log: (line: string) => void) => {
   const startedMs = performance.now()
   const file = createWriteStream(join(folder, 'faults.log'))
-  const note = (line: string) => {
+  const writeLine = (line: string) => {
     const text = `${Math.round(performance.now() - startedMs)} ms: ${line}`
     file.write(`${text}\n`)
     log(text)
   }
-  return { note, close: () => file.end() }
+  return { writeLine, close: () => file.end() }
 }
 
 /** Runs one soak with the given options. */
-export const runSoakOnce = async (plan: SoakPlan, log: (line: string) => void): Promise<SoakResult> => {
+export const runSoak = async (options: SoakOptions, log: (line: string) => void): Promise<SoakResult> => {
   const record = createSoakRecord()
-  const folder = mkdtempSync(join(tmpdir(), `egretyoke-soak-${plan.seed}-`))
-  const world = await startSoakWorld({ gateways: plan.gateways, folder, record, random: createRandom(plan.seed + 1) })
-  const { operators, gateways } = world
-  const callers = startCallers(world, plan, record)
+  const folder = mkdtempSync(join(tmpdir(), `egretyoke-soak-${options.seed}-`))
+  const environment = await startSoakEnvironment({
+    gateways: options.gateways, folder, record, random: createRandom(options.seed + 1)
+  })
+  const { operators, gateways } = environment
+  const callers = startCallers(environment, options, record)
   const faultLog = createFaultLog(folder, log)
   // Faults have their own random source, so that a seed gives the same sequence whatever the timing of the processes.
-  await playFaults({
-    ...world, changeConfiguration: operators.change, withdrawKey: operators.withdrawKey, log: faultLog.note
-  }, createRandom(plan.seed), plan.seconds * 1000)
-  faultLog.note('all faults reverted')
+  await injectFaults({
+    ...environment,
+    changeConfiguration: operators.changeConfiguration,
+    withdrawKey: operators.withdrawKey,
+    log: faultLog.writeLine
+  }, createRandom(options.seed), options.seconds * 1000)
+  faultLog.writeLine('all faults reverted')
   await checkRecovery(callers, operators.isWithdrawn, record)
 
   await Promise.all([...callers.keys()].map(caller => caller.stop()))
-  await world.closeGateways()
-  for (const { crashes } of gateways) for (const crash of crashes) record.breach('process', crash)
-  checkSoakRecord(record, world.databases.finalLogs(), soakTimes.keyWithdrawalMs)
-  await world.close()
+  await environment.closeGateways()
+  for (const { crashes } of gateways) for (const crash of crashes) record.report('process', crash)
+  checkSoakRecord(record, environment.databases.finalLogs(), gatewayDeadlines.keyWithdrawalMs)
+  await environment.close()
   faultLog.close()
   if (record.breaches.length === 0) rmSync(folder, { recursive: true })
   const counts = [...callers.keys()].map(caller => caller.counts())
