standins, testbed: wording of names

Names such as mayWrite, heldBack, isHeld, endLapsedLeases, linked and passOn were vague or figurative.

Stand-ins: mayWrite -> canWrite, mayFollow -> canFollow, noteReplica -> recordReplica, truncationFor -> findTruncationPosition, receive -> appendBatch, applyDue -> applyDueEntries, ControlOutcome -> ControlResult, heldBack -> delayedReply, lateCopy -> duplicateReply, cut -> cutConnection, stamp -> withDataPosition, KeptSwap -> SwapRequest, endLapsedLeases -> expireLeases, endLease -> deleteLease, toWire -> toMessage, currentVms -> visibleVms.

Testbed: linked -> startLinkIfEnabled, standins/product -> standinContext/productContext, passOn -> forward, giveUp -> cancellation, endOnSignals -> exitOnSignals, anyPort -> ephemeralAddresses, lostAnswer -> createLostResponse.

--- a/packages/standins/src/database-connection.ts
+++ b/packages/standins/src/database-connection.ts
@@ -42,43 +42,43 @@
 export const serveConnection = (context: ConnectionContext, stream: Stream): void => {
   const { member, slots, random } = context
   const queue: Request[] = []
-  let busy = false
-  let ended = false
+  let isBusy = false
+  let hasEnded = false
   let transaction: Transaction | undefined
   /** Reply that is delayed until after the next one, by the fault `reorderReplies`. */
-  let heldBack: EndpointMessages.Reply | undefined
+  let delayedReply: EndpointMessages.Reply | undefined
   /** Copy of a reply that is sent again just before the next one, by the fault `doubleReplies`. */
-  let lateCopy: EndpointMessages.Reply | undefined
+  let duplicateReply: EndpointMessages.Reply | undefined
 
-  const cut = () => {
-    if (ended) return
-    ended = true
+  const cutConnection = () => {
+    if (hasEnded) return
+    hasEnded = true
     // Destroying the stream alone would leave the peer waiting; an error status ends the call at the peer too.
     stream.emit('error', { code: status.UNAVAILABLE, details: 'connection cut' })
   }
 
-  const send = (request: Request, part: Partial<EndpointMessages.Reply>) => {
-    if (ended) return
-    const reply = { requestId: request.requestId, generation: request.generation, ...part }
-    if (part.end && !heldBack && random.chance(context.fault().reorderReplies)) {
-      heldBack = reply
+  const send = (request: Request, content: Partial<EndpointMessages.Reply>) => {
+    if (hasEnded) return
+    const reply = { requestId: request.requestId, generation: request.generation, ...content }
+    if (content.end && !delayedReply && random.chance(context.fault().reorderReplies)) {
+      delayedReply = reply
       return
     }
-    if (lateCopy) stream.write(lateCopy)
-    lateCopy = undefined
+    if (duplicateReply) stream.write(duplicateReply)
+    duplicateReply = undefined
     stream.write(reply)
     if (random.chance(context.fault().doubleReplies)) {
       stream.write(reply)
-      lateCopy = reply
+      duplicateReply = reply
     }
-    if (!heldBack) return
-    stream.write(heldBack)
-    heldBack = undefined
+    if (!delayedReply) return
+    stream.write(delayedReply)
+    delayedReply = undefined
   }
 
-  const stamp = (end: End): End => {
+  const withDataPosition = (end: End): End => {
     const { term, position } = member.dataPosition()
-    return { term, position, fromPrimary: member.mayWrite(), ...end }
+    return { term, position, fromPrimary: member.canWrite(), ...end }
   }
 
   const read = (key: string): string | undefined => transaction?.overlay.get(key) ?? member.log.read(key)
@@ -89,29 +89,29 @@
       const value = read(statement.key) ?? ''
       const lines = Array.from({ length: rows }, (_, row) => `${statement.key}:${sent + row}=${value}`)
       if (sent > 0 && random.chance(context.fault().cutStreams)) {
-        cut()
+        cutConnection()
         return undefined
       }
       const index = sent / rowsPerChunk
       send(request, { chunk: { rows: Buffer.from(lines.join('\n') + '\n'), index, ...member.dataPosition() } })
     }
-    return stamp({ verdict: 'DONE', chunkCount: Math.ceil(statement.rows / rowsPerChunk) })
+    return withDataPosition({ verdict: 'DONE', chunkCount: Math.ceil(statement.rows / rowsPerChunk) })
   }
 
   const confirm = async (position: number, confirmation: Confirmation, timeoutMs: number): Promise<End> => {
     const term = member.term()
-    const isHeld = confirmation === 'PRIMARY' || await member.waitForMajority(position, timeoutMs)
-    return { verdict: isHeld ? 'DONE' : 'UNCONFIRMED', term, position, fromPrimary: member.mayWrite() }
+    const isConfirmed = confirmation === 'PRIMARY' || await member.waitForMajority(position, timeoutMs)
+    return { verdict: isConfirmed ? 'DONE' : 'UNCONFIRMED', term, position, fromPrimary: member.canWrite() }
   }
 
   const runWrite = async (execute: Execute, statement: Statement): Promise<End> => {
-    if (!member.mayWrite() || member.term() !== execute.expectedTerm) return declined('not primary of this term')
+    if (!member.canWrite() || member.term() !== execute.expectedTerm) return declined('not primary of this term')
     if (member.log.isFull()) return declined('log is full')
     if (transaction) {
       const value = valueAfter(statement, read)
       transaction.overlay.set(statement.key, value)
       transaction.writes.push(execute.statement)
-      return stamp({ verdict: 'DONE', result: Buffer.from(value) })
+      return withDataPosition({ verdict: 'DONE', result: Buffer.from(value) })
     }
     const position = member.write([execute.statement])
     const value = member.log.read(statement.key) ?? ''
@@ -120,35 +120,35 @@
 
   const runExecute = async (request: Request, execute: Execute): Promise<End | undefined> => {
     const statement = parseStatement(execute.statement)
-    if (!statement.ok) return stamp(failed(statement.val))
-    const fitsAccess = transaction !== undefined || isWrite(statement.val) === execute.writes
-    if (!fitsAccess) return stamp(failed('statement does not fit the route\'s access'))
+    if (!statement.ok) return withDataPosition(failed(statement.val))
+    const matchesAccess = transaction !== undefined || isWrite(statement.val) === execute.writes
+    if (!matchesAccess) return withDataPosition(failed('statement does not fit the route\'s access'))
     if (!await slots.acquire()) return declined('busy', busyRetryAfterMs)
     try {
       await sleepMs((statement.val.costMs ?? context.serviceMs) + context.fault().delayMs)
     } finally {
       slots.release()
     }
-    if (ended) return undefined
+    if (hasEnded) return undefined
     context.count('statement')
     if (isWrite(statement.val)) return await runWrite(execute, statement.val)
     if (execute.streamed) return sendRows(request, statement.val)
-    return stamp({ verdict: 'DONE', result: Buffer.from(read(statement.val.key) ?? '') })
+    return withDataPosition({ verdict: 'DONE', result: Buffer.from(read(statement.val.key) ?? '') })
   }
 
   const begin = (expectedTerm: number): End => {
-    if (transaction) return stamp(failed('a transaction is open'))
-    if (!member.mayWrite() || member.term() !== expectedTerm) return declined('not primary of this term')
+    if (transaction) return withDataPosition(failed('a transaction is open'))
+    if (!member.canWrite() || member.term() !== expectedTerm) return declined('not primary of this term')
     transaction = { term: expectedTerm, writes: [], overlay: new Map() }
-    return stamp({ verdict: 'DONE' })
+    return withDataPosition({ verdict: 'DONE' })
   }
 
   const commit = async (confirmation: Confirmation, timeoutMs: number): Promise<End> => {
-    if (!transaction) return stamp(failed('no transaction is open'))
+    if (!transaction) return withDataPosition(failed('no transaction is open'))
     const { term, writes } = transaction
     transaction = undefined
-    if (!member.mayWrite() || member.term() !== term) return declined('not primary of this term')
-    if (writes.length === 0) return stamp({ verdict: 'DONE' })
+    if (!member.canWrite() || member.term() !== term) return declined('not primary of this term')
+    if (writes.length === 0) return withDataPosition({ verdict: 'DONE' })
     return await confirm(member.write(writes), confirmation, timeoutMs)
   }
 
@@ -159,37 +159,37 @@
     if (request.commit) return await commit(request.commit.confirmation, request.commit.timeoutMs)
     if (request.rollback) {
       transaction = undefined
-      return stamp({ verdict: 'DONE' })
+      return withDataPosition({ verdict: 'DONE' })
     }
-    return stamp(failed('empty request'))
+    return withDataPosition(failed('empty request'))
   }
 
   const runQueue = async () => {
-    busy = true
-    for (let request = queue.shift(); request && !ended; request = queue.shift()) {
+    isBusy = true
+    for (let request = queue.shift(); request && !hasEnded; request = queue.shift()) {
       const end = await run(request)
       if (!end) continue
       if (end.verdict === 'DECLINED') context.count('declined')
-      const changed = request.execute?.writes || request.commit
-      if (end.verdict === 'DONE' && changed && random.chance(context.fault().loseAnswers)) cut()
+      const isChange = request.execute?.writes || request.commit
+      if (end.verdict === 'DONE' && isChange && random.chance(context.fault().loseAnswers)) cutConnection()
       send(request, { end })
     }
-    busy = false
+    isBusy = false
   }
 
   stream.on('data', (request: Request) => {
-    if (queue.length >= maxQueuedRequests) return cut()
+    if (queue.length >= maxQueuedRequests) return cutConnection()
     queue.push(request)
-    if (!busy) runQueue()
+    if (!isBusy) runQueue()
   })
   stream.on('end', () => {
-    ended = true
+    hasEnded = true
     stream.end()
   })
   stream.on('cancelled', () => {
-    ended = true
+    hasEnded = true
   })
   stream.on('error', () => {
-    ended = true
+    hasEnded = true
   })
 }
--- a/packages/standins/src/database-log.ts
+++ b/packages/standins/src/database-log.ts
@@ -69,7 +69,7 @@
     append,
     applyUpTo,
     truncateAfter,
-    entriesAfter: (position: number, most: number): LogEntry[] => entries.slice(position, position + most),
+    entriesAfter: (position: number, maxCount: number): LogEntry[] => entries.slice(position, position + maxCount),
     receivedPosition: () => entries.length,
     appliedPosition: () => appliedPosition,
     lastEntryTerm: () => entries.at(-1)?.term ?? 0,
--- a/packages/standins/src/database-member.ts
+++ b/packages/standins/src/database-member.ts
@@ -27,13 +27,13 @@
 }
 
 /** Result of a control request; `reason` is empty when it was accepted. */
-export type ControlOutcome = { accepted: boolean, reason: string }
+export type ControlResult = { accepted: boolean, reason: string }
 
 type MajorityWaiter = { position: number, settle: (confirmed: boolean) => void }
 type PendingApply = { position: number, dueMs: number }
 
-const accepted: ControlOutcome = { accepted: true, reason: '' }
-const refused = (reason: string): ControlOutcome => ({ accepted: false, reason })
+const accepted: ControlResult = { accepted: true, reason: '' }
+const refused = (reason: string): ControlResult => ({ accepted: false, reason })
 
 /** A group member. */
 export type DatabaseMember = ReturnType<typeof createDatabaseMember>
@@ -55,25 +55,25 @@
   let pendingApplies: PendingApply[] = []
   let replicationLagMs = 0
 
-  const notifyRole = () => {
+  const notifyRoleListeners = () => {
     for (const listener of roleListeners) listener()
   }
 
-  const mayWrite = () => isPrimary && fencedTerm <= term
+  const canWrite = () => isPrimary && fencedTerm <= term
 
-  const failWaiters = () => {
+  const failMajorityWaiters = () => {
     const waiters = majorityWaiters
     majorityWaiters = []
     for (const waiter of waiters) waiter.settle(false)
   }
 
-  const settleMajority = () => {
-    if (!mayWrite()) return failWaiters()
+  const settleMajorityWaiters = () => {
+    if (!canWrite()) return failMajorityWaiters()
     const positions = [log.receivedPosition(), ...replicaPositions.values()].sort((a, b) => b - a)
     const majorityCount = Math.floor(options.memberCount / 2) + 1
-    const heldByMajority = positions[majorityCount - 1] ?? 0
-    const settled = majorityWaiters.filter(waiter => waiter.position <= heldByMajority)
-    majorityWaiters = majorityWaiters.filter(waiter => waiter.position > heldByMajority)
+    const majorityPosition = positions[majorityCount - 1] ?? 0
+    const settled = majorityWaiters.filter(waiter => waiter.position <= majorityPosition)
+    majorityWaiters = majorityWaiters.filter(waiter => waiter.position > majorityPosition)
     for (const waiter of settled) waiter.settle(true)
   }
 
@@ -83,7 +83,7 @@
     log.append({ term, position, statements })
     log.applyUpTo(position)
     for (const listener of appendListeners) listener()
-    settleMajority()
+    settleMajorityWaiters()
     return position
   }
 
@@ -97,18 +97,18 @@
       resolve(confirmed)
     }
     majorityWaiters.push(waiter)
-    settleMajority()
+    settleMajorityWaiters()
   })
 
-  const fence = (fenceTerm: number): ControlOutcome => {
+  const fence = (fenceTerm: number): ControlResult => {
     if (fenceTerm < fencedTerm) return refused(`fenced at term ${fencedTerm}`)
     fencedTerm = fenceTerm
-    if (fenceTerm > term) failWaiters()
-    notifyRole()
+    if (fenceTerm > term) failMajorityWaiters()
+    notifyRoleListeners()
     return accepted
   }
 
-  const promote = (newTerm: number): ControlOutcome => {
+  const promote = (newTerm: number): ControlResult => {
     if (isPrimary && term === newTerm) return accepted
     if (newTerm < fencedTerm || newTerm <= term) return refused(`term ${term}, fenced at ${fencedTerm}`)
     log.applyUpTo(log.receivedPosition())
@@ -120,38 +120,38 @@
     replicaPositions.clear()
     const ownStart = { term: newTerm, startPosition: log.receivedPosition() }
     lineage = [...lineage.filter(start => start.term < newTerm), ownStart]
-    notifyRole()
+    notifyRoleListeners()
     return accepted
   }
 
-  const follow = (newTerm: number, primary: Upstream): ControlOutcome => {
+  const follow = (newTerm: number, primary: Upstream): ControlResult => {
     if (newTerm < fencedTerm || newTerm < term) return refused(`term ${term}, fenced at ${fencedTerm}`)
     if (isPrimary && newTerm === term) return refused('primary of this term')
-    const isSame = !isPrimary && newTerm === term && upstream.name === primary.name
+    const isUnchanged = !isPrimary && newTerm === term && upstream.name === primary.name
     term = newTerm
     isPrimary = false
     upstream = primary
-    failWaiters()
-    if (!isSame) notifyRole()
+    failMajorityWaiters()
+    if (!isUnchanged) notifyRoleListeners()
     return accepted
   }
 
   /** Returns the position after which a replica whose log ends at the given entry has to truncate it. */
-  const truncationFor = (receivedPosition: number, lastEntryTerm: number): number => {
-    const nextTerm = lineage.find(start => start.term > lastEntryTerm)
-    const sharedEnd = nextTerm ? nextTerm.startPosition : log.receivedPosition()
+  const findTruncationPosition = (receivedPosition: number, lastEntryTerm: number): number => {
+    const nextStart = lineage.find(start => start.term > lastEntryTerm)
+    const sharedEnd = nextStart ? nextStart.startPosition : log.receivedPosition()
     return Math.min(receivedPosition, sharedEnd)
   }
 
   /** Records the position that a replica has received. Ignores replicas of another term. */
-  const noteReplica = (name: string, replicaTerm: number, position: number) => {
-    if (replicaTerm !== term || !mayWrite()) return
+  const recordReplica = (name: string, replicaTerm: number, position: number) => {
+    if (replicaTerm !== term || !canWrite()) return
     replicaPositions.set(name, position)
-    settleMajority()
+    settleMajorityWaiters()
   }
 
   /** Appends a batch from the primary. Returns false when the batch is from another term or a fenced one. */
-  const receive = (batch: LogBatch): boolean => {
+  const appendBatch = (batch: LogBatch): boolean => {
     if (isPrimary || batch.term !== term || batch.term < fencedTerm) return false
     if (batch.truncateAfter >= 0) log.truncateAfter(batch.truncateAfter)
     for (const entry of batch.entries) {
@@ -160,11 +160,11 @@
     lineage = batch.lineage
     dataTerm = batch.term
     pendingApplies.push({ position: log.receivedPosition(), dueMs: monotonicMs() + replicationLagMs })
-    applyDue()
+    applyDueEntries()
     return true
   }
 
-  const applyDue = () => {
+  const applyDueEntries = () => {
     const nowMs = monotonicMs()
     while (pendingApplies.length > 0 && pendingApplies[0].dueMs <= nowMs) {
       log.applyUpTo(pendingApplies.shift()!.position)
@@ -179,7 +179,7 @@
     name: options.name,
     group: options.group,
     term,
-    isPrimary: mayWrite(),
+    isPrimary: canWrite(),
     fencedTerm,
     receivedPosition: log.receivedPosition(),
     appliedPosition: log.appliedPosition(),
@@ -197,17 +197,17 @@
     fence,
     promote,
     follow,
-    truncationFor,
-    noteReplica,
-    receive,
-    applyDue,
+    findTruncationPosition,
+    recordReplica,
+    appendBatch,
+    applyDueEntries,
     setReplicationLag,
-    mayWrite,
+    canWrite,
     /** Term and applied position of the data that reads currently see. */
     dataPosition: () => ({ term: dataTerm, position: log.appliedPosition() }),
     term: () => term,
     upstream: () => upstream,
-    mayFollow: () => !isPrimary && fencedTerm <= term,
+    canFollow: () => !isPrimary && fencedTerm <= term,
     onAppend: (listener: () => void) => {
       appendListeners.add(listener)
       return () => appendListeners.delete(listener)
--- a/packages/standins/src/database-replication.ts
+++ b/packages/standins/src/database-replication.ts
@@ -16,7 +16,7 @@
 /** Interval at which the primary sends a batch on an idle stream, so that a replica can detect a frozen link. */
 const keepAliveIntervalMs = 500
 /** Time without a batch after which a replica cancels the stream and reconnects. */
-const silentStreamMs = 2_000
+const streamTimeoutMs = 2_000
 
 /** Streams the log to one replica. The stream ends when this member is no longer the primary of the term. */
 export const serveReplica = (
@@ -35,30 +35,30 @@
     if (sentPosition === undefined) return
     while (sentPosition < member.log.receivedPosition()) sendFrom(sentPosition, -1)
   }
-  const endIfReplaced = () => {
-    if (member.term() !== servedTerm || !member.mayWrite()) finish()
+  const endIfNotPrimary = () => {
+    if (member.term() !== servedTerm || !member.canWrite()) finish()
   }
-  const stopAppend = member.onAppend(sendNew)
-  const stopRole = member.onRoleChange(endIfReplaced)
+  const unsubscribeAppend = member.onAppend(sendNew)
+  const unsubscribeRole = member.onRoleChange(endIfNotPrimary)
   const keepAlive = setInterval(() => sentPosition !== undefined && sendFrom(sentPosition, -1), keepAliveIntervalMs)
   const finish = () => {
     clearInterval(keepAlive)
-    stopAppend()
-    stopRole()
+    unsubscribeAppend()
+    unsubscribeRole()
     call.end()
   }
 
   call.on('data', (progress: Progress) => {
     if (progress.term !== servedTerm) return finish()
-    if (sentPosition !== undefined) return member.noteReplica(progress.name, progress.term, progress.receivedPosition)
-    const kept = member.truncationFor(progress.receivedPosition, progress.lastEntryTerm)
-    sendFrom(kept, kept)
+    if (sentPosition !== undefined) return member.recordReplica(progress.name, progress.term, progress.receivedPosition)
+    const truncateAfter = member.findTruncationPosition(progress.receivedPosition, progress.lastEntryTerm)
+    sendFrom(truncateAfter, truncateAfter)
     sendNew()
   })
   call.on('end', finish)
   call.on('cancelled', finish)
   call.on('error', finish)
-  endIfReplaced()
+  endIfNotPrimary()
 }
 
 /** Pulls from one primary; returns when the stream ends, stays silent for too long, or the member's role changes. */
@@ -79,21 +79,21 @@
       lastEntryTerm: state.lastEntryTerm
     })
   }
-  const stopRole = member.onRoleChange(() => call.cancel())
-  let silence = setTimeout(() => call.cancel(), silentStreamMs)
+  const unsubscribeRole = member.onRoleChange(() => call.cancel())
+  let silenceTimer = setTimeout(() => call.cancel(), streamTimeoutMs)
   try {
     report()
     for await (const batch of call) {
-      clearTimeout(silence)
-      silence = setTimeout(() => call.cancel(), silentStreamMs)
-      if (isStopped() || !member.receive(batch as Batch)) break
+      clearTimeout(silenceTimer)
+      silenceTimer = setTimeout(() => call.cancel(), streamTimeoutMs)
+      if (isStopped() || !member.appendBatch(batch as Batch)) break
       report()
     }
   } catch {
     // The stream failed; the caller reconnects after a delay.
   } finally {
-    clearTimeout(silence)
-    stopRole()
+    clearTimeout(silenceTimer)
+    unsubscribeRole()
     call.cancel()
     client.close()
   }
@@ -107,12 +107,12 @@
   signal: AbortSignal
 ): Promise<void> => {
   while (!signal.aborted) {
-    if (member.mayFollow() && !isStopped()) await pullOnce(member, member.upstream(), channels, isStopped)
+    if (member.canFollow() && !isStopped()) await pullOnce(member, member.upstream(), channels, isStopped)
     await sleepMs(reconnectDelayMs, signal)
   }
 }
 
 /** Applies received entries once the configured replication lag has passed, until the signal aborts. */
 export const applyContinuously = async (member: DatabaseMember, signal: AbortSignal): Promise<void> => {
-  for await (const _ of ticks(applyIntervalMs, signal)) member.applyDue()
+  for await (const _ of ticks(applyIntervalMs, signal)) member.applyDueEntries()
 }
--- a/packages/standins/src/database-server.ts
+++ b/packages/standins/src/database-server.ts
@@ -8,7 +8,7 @@
 import { serveConnection } from './database-connection.js'
 import type { ConnectionContext } from './database-connection.js'
 import { createDatabaseMember } from './database-member.js'
-import type { ControlOutcome, MemberOptions } from './database-member.js'
+import type { ControlResult, MemberOptions } from './database-member.js'
 import { applyContinuously, followPrimary, serveReplica } from './database-replication.js'
 import { createSlots } from './slots.js'
 
@@ -28,7 +28,7 @@
 }
 
 const maxRecordedBytes = 64 * 1024 * 1024
-const logReadBatch = 1_000
+const logReadBatchSize = 1_000
 
 /** Options of the stand-in; `seed` is for the random faults. */
 export type StandinDatabaseOptions = MemberOptions & {
@@ -58,9 +58,9 @@
   let declined = 0
   let openConnections = 0
 
-  const record = (seen: unknown) => {
+  const record = (message: unknown) => {
     if (!options.record || recordedBytes >= maxRecordedBytes) return
-    const bytes = Buffer.from(JSON.stringify(seen) + '\n')
+    const bytes = Buffer.from(JSON.stringify(message) + '\n')
     recordedBytes += bytes.length
     recorded.push(bytes)
   }
@@ -96,7 +96,7 @@
     stream.pause()
     await sleepMs(options.connectMs)
     serveConnection(context, stream)
-    stream.write({ ...reply, end: { verdict: 'DONE', ...member.dataPosition(), fromPrimary: member.mayWrite() } })
+    stream.write({ ...reply, end: { verdict: 'DONE', ...member.dataPosition(), fromPrimary: member.canWrite() } })
     stream.resume()
   }
 
@@ -111,19 +111,19 @@
 
   const status = (): EndpointMessages.MemberStatus => member.state()
 
-  const control = <ControlRequest>(act: (request: ControlRequest) => ControlOutcome) =>
+  const control = <ControlRequest>(handle: (request: ControlRequest) => ControlResult) =>
     (
       call: ServerUnaryCall<ControlRequest, EndpointMessages.ControlReply>,
       done: sendUnaryData<EndpointMessages.ControlReply>
     ) => {
-      const outcome = act(call.request)
-      done(null, { ...outcome, status: status() })
+      const result = handle(call.request)
+      done(null, { ...result, status: status() })
     }
 
   const readLog = (call: ServerWritableStream<StandinMessages.ReadLogRequest__Output, StandinMessages.LoggedEntry>) => {
     let position = call.request.afterPosition
     for (;;) {
-      const entries = member.log.entriesAfter(position, logReadBatch)
+      const entries = member.log.entriesAfter(position, logReadBatchSize)
       if (entries.length === 0) return call.end()
       for (const entry of entries) call.write(entry)
       position += entries.length
@@ -154,8 +154,8 @@
       },
       ReadLog: readLog,
       GetDatabaseStats: (_call: unknown, done: sendUnaryData<StandinMessages.DatabaseStats>) => {
-        const seen = Buffer.concat(recorded)
-        done(null, { statements, declined, openConnections, running: slots.running(), recorded: seen })
+        const recordedData = Buffer.concat(recorded)
+        done(null, { statements, declined, openConnections, running: slots.running(), recorded: recordedData })
       }
     })
   })
--- a/packages/standins/src/link.ts
+++ b/packages/standins/src/link.ts
@@ -11,7 +11,7 @@
 
 type Fault = StandinMessages.LinkFault__Output
 
-const frozenCheckMs = 20
+const frozenPollMs = 20
 const maxRelayedConnections = 20_000
 
 /** A running relay. */
@@ -34,7 +34,7 @@
   const relay = () => new Transform({
     async transform (chunk, _encoding, done) {
       const dueMs = performance.now() + fault.delayMs
-      while (fault.frozen && !this.destroyed) await sleepMs(frozenCheckMs)
+      while (fault.frozen && !this.destroyed) await sleepMs(frozenPollMs)
       const waitMs = dueMs - performance.now()
       if (waitMs > 0) await sleepMs(waitMs)
       done(null, chunk)
@@ -54,12 +54,12 @@
     const { host, port } = splitAddress(options.target)
     const outgoing = connect(port, host)
     track(outgoing)
-    const endBoth = () => {
+    const destroyBoth = () => {
       incoming.destroy()
       outgoing.destroy()
     }
-    pipeline(incoming, relay(), outgoing, endBoth)
-    pipeline(outgoing, relay(), incoming, endBoth)
+    pipeline(incoming, relay(), outgoing, destroyBoth)
+    pipeline(outgoing, relay(), incoming, destroyBoth)
   })
 
   const setFault = (change: Partial<Fault>) => {
--- a/packages/standins/src/platform-contract.test.ts
+++ b/packages/standins/src/platform-contract.test.ts
@@ -41,68 +41,68 @@
 const startInMemory = async (): Promise<PlatformSubject> => {
   const store = createPlatformStore()
   let faults: PlatformFaults = {}
-  let lists: Array<{ vms: VmListing[], sinceMs: number }> = []
+  let vmLists: Array<{ vms: VmListing[], sinceMs: number }> = []
 
-  const answer = async <T>(
-    act: () => T,
+  const respond = async <T>(
+    operation: () => T,
     timeoutMs: number,
-    isLost = () => false
+    isReplyLost = () => false
   ): Promise<Result<T, PlatformError>> => {
     const delayMs = faults.delayMs ?? 0
-    const isLate = faults.down === true || delayMs > timeoutMs
-    await sleepMs(isLate ? timeoutMs : delayMs)
+    const isTimedOut = faults.down === true || delayMs > timeoutMs
+    await sleepMs(isTimedOut ? timeoutMs : delayMs)
     // A call that times out still takes effect, unless the platform is down.
-    const value = faults.down ? undefined : act()
-    if (isLate || isLost()) return Err(typedError('noAnswer', 'lost'))
+    const value = faults.down ? undefined : operation()
+    if (isTimedOut || isReplyLost()) return Err(typedError('noAnswer', 'lost'))
     return Ok(value as T)
   }
 
   async function * watch (prefix: string, afterRevision: number, signal: AbortSignal): AsyncGenerator<StoreChanges> {
     const pending: StoredEntry[] = store.range(prefix, afterRevision).map(toStored)
-    const stop = store.listen(entry => {
+    const unsubscribe = store.listen(entry => {
       if (entry.key.startsWith(prefix) && !faults.skipWatchMessages) pending.push(toStored(entry))
     })
     do {
       const entries = pending.splice(0)
       if (entries.length > 0 && !faults.down) yield { entries, storeRevision: store.revision() }
     } while (await sleepMs(5, signal))
-    stop()
+    unsubscribe()
   }
 
   const listVms = () => {
-    const readableMs = monotonicMs() - (faults.vmListLagMs ?? 0)
-    return lists.filter(list => list.sinceMs <= readableMs).at(-1)?.vms ?? []
+    const visibleBeforeMs = monotonicMs() - (faults.vmListLagMs ?? 0)
+    return vmLists.filter(list => list.sinceMs <= visibleBeforeMs).at(-1)?.vms ?? []
   }
 
   const platform: Platform = {
-    get: (key, timeoutMs) => answer(() => {
+    get: (key, timeoutMs) => respond(() => {
       const entry = store.get(key)
       return entry && toStored(entry)
     }, timeoutMs),
-    range: (prefix, afterRevision, timeoutMs) => answer(() =>
+    range: (prefix, afterRevision, timeoutMs) => respond(() =>
       ({ entries: store.range(prefix, afterRevision).map(toStored), storeRevision: store.revision() }), timeoutMs),
-    compareAndSwap: (swap, timeoutMs) => answer(() => {
+    compareAndSwap: (swap, timeoutMs) => respond(() => {
       const { swapped, current } = store.compareAndSwap({ delete: false, leaseId: 0, ...swap })
       return { swapped, current: current && toStored(current), storeRevision: store.revision() }
     }, timeoutMs, () => faults.loseSwapAnswers === 1),
     watch,
-    grantLease: (ttlMs, timeoutMs) => answer(() => store.grantLease(ttlMs), timeoutMs),
-    keepAlive: (leaseId, timeoutMs) => answer(() => store.keepAlive(leaseId), timeoutMs),
-    revokeLease: (leaseId, timeoutMs) => answer(() => {
+    grantLease: (ttlMs, timeoutMs) => respond(() => store.grantLease(ttlMs), timeoutMs),
+    keepAlive: (leaseId, timeoutMs) => respond(() => store.keepAlive(leaseId), timeoutMs),
+    revokeLease: (leaseId, timeoutMs) => respond(() => {
       store.revokeLease(leaseId)
       return false
     }, timeoutMs),
-    listVms: timeoutMs => answer(listVms, timeoutMs),
+    listVms: timeoutMs => respond(listVms, timeoutMs),
     close: () => {}
   }
-  const timer = setInterval(store.endLapsedLeases, 20)
+  const timer = setInterval(store.expireLeases, 20)
   return {
     platform,
     setFaults: async next => {
       faults = next
     },
     setVms: async vms => {
-      lists = [...lists, { vms, sinceMs: monotonicMs() }]
+      vmLists = [...vmLists, { vms, sinceMs: monotonicMs() }]
     },
     close: async () => clearInterval(timer)
   }
--- a/packages/standins/src/platform-server.ts
+++ b/packages/standins/src/platform-server.ts
@@ -19,7 +19,7 @@
 }
 
 const leaseCheckIntervalMs = 50
-const maxKeptVmLists = 100
+const maxVmLists = 100
 
 /** Options of the stand-in; `seed` is for the random faults. */
 export type StandinPlatformOptions = {
@@ -39,16 +39,16 @@
   let writes = 0
   const watches = new Set<(changes: PlatformMessages.RangeReply) => void>()
 
-  const toWire = (entry: KeptEntry | undefined): PlatformMessages.Entry | null => entry ?? null
+  const toMessage = (entry: KeptEntry | undefined): PlatformMessages.Entry | null => entry ?? null
 
   /** Handles a call and replies after the current delay. Never replies while the platform is down. */
-  const unary = <Request, Reply>(act: (request: Request) => Reply, losesAnswer: () => boolean = () => false) =>
+  const unary = <Request, Reply>(handle: (request: Request) => Reply, losesReply: () => boolean = () => false) =>
     async (call: ServerUnaryCall<Request, Reply>, done: sendUnaryData<Reply>) => {
       calls++
       if (fault.delayMs > 0) await sleepMs(fault.delayMs)
       if (fault.down) return
-      const reply = act(call.request)
-      if (losesAnswer()) return
+      const reply = handle(call.request)
+      if (losesReply()) return
       done(null, reply)
     }
 
@@ -60,34 +60,34 @@
       setTimeout(() => call.write(changes), fault.delayMs)
     }
     send({ entries: store.range(prefix, afterRevision), storeRevision: store.revision() })
-    const stop = store.listen(entry => {
+    const unsubscribe = store.listen(entry => {
       if (!entry.key.startsWith(prefix)) return
       send({ entries: [entry], storeRevision: entry.revision })
     })
     watches.add(send)
     call.on('cancelled', () => {
-      stop()
+      unsubscribe()
       watches.delete(send)
       call.end()
     })
   }
 
-  const currentVms = (): Vm[] => {
-    const readableMs = monotonicMs() - fault.vmListLagMs
-    const readable = vmLists.filter(list => list.sinceMs <= readableMs)
-    return (readable.at(-1) ?? vmLists[0])?.vms ?? []
+  const visibleVms = (): Vm[] => {
+    const visibleBeforeMs = monotonicMs() - fault.vmListLagMs
+    const visible = vmLists.filter(list => list.sinceMs <= visibleBeforeMs)
+    return (visible.at(-1) ?? vmLists[0])?.vms ?? []
   }
 
   const swap = (request: PlatformMessages.SwapRequest__Output): PlatformMessages.SwapReply => {
     writes++
-    const outcome = store.compareAndSwap(request)
-    return { swapped: outcome.swapped, current: toWire(outcome.current), storeRevision: store.revision() }
+    const result = store.compareAndSwap(request)
+    return { swapped: result.swapped, current: toMessage(result.current), storeRevision: store.revision() }
   }
 
   const listener = await listenGrpc(options.address, { channels: options.channels }, server => {
     server.addService(platformProto.KeyValue.service, {
       Get: unary<PlatformMessages.GetRequest__Output, PlatformMessages.GetReply>(request =>
-        ({ entry: toWire(store.get(request.key)), storeRevision: store.revision() })),
+        ({ entry: toMessage(store.get(request.key)), storeRevision: store.revision() })),
       Range: unary<RangeRequest, PlatformMessages.RangeReply>(request =>
         ({ entries: store.range(request.prefix, request.afterRevision), storeRevision: store.revision() })),
       CompareAndSwap: unary(swap, () => random.chance(fault.loseSwapAnswers)),
@@ -102,11 +102,11 @@
       })
     })
     server.addService(platformProto.VmList.service, {
-      List: unary<PlatformMessages.VmListRequest__Output, PlatformMessages.VmListReply>(() => ({ vms: currentVms() }))
+      List: unary<PlatformMessages.VmListRequest__Output, PlatformMessages.VmListReply>(() => ({ vms: visibleVms() }))
     })
     server.addService(standinProto.PlatformControl.service, {
       SetVms: (call: ServerUnaryCall<StandinMessages.SetVmsRequest__Output, object>, done: sendUnaryData<object>) => {
-        vmLists = [...vmLists, { vms: call.request.vms, sinceMs: monotonicMs() }].slice(-maxKeptVmLists)
+        vmLists = [...vmLists, { vms: call.request.vms, sinceMs: monotonicMs() }].slice(-maxVmLists)
         done(null, {})
       },
       SetPlatformFault: (call: ServerUnaryCall<Fault, object>, done: sendUnaryData<object>) => {
@@ -118,7 +118,7 @@
       }
     })
   })
-  const leaseTimer = setInterval(store.endLapsedLeases, leaseCheckIntervalMs)
+  const leaseTimer = setInterval(store.expireLeases, leaseCheckIntervalMs)
   const close = async () => {
     clearInterval(leaseTimer)
     await listener.close()
--- a/packages/standins/src/platform-store.ts
+++ b/packages/standins/src/platform-store.ts
@@ -14,7 +14,7 @@
 }
 
 /** A compare-and-swap request; `expectedRevision` 0 means that the entry must not exist. */
-export type KeptSwap = {
+export type SwapRequest = {
   key: string
   expectedRevision: number
   value: Buffer
@@ -29,7 +29,7 @@
   maxLeases: 100_000
 } as const
 
-type Lease = { ttlMs: number, endsAtMs: number }
+type Lease = { ttlMs: number, expiresAtMs: number }
 
 /** An in-memory store. */
 export type PlatformStore = ReturnType<typeof createPlatformStore>
@@ -44,13 +44,13 @@
 
   const put = (entry: Omit<KeptEntry, 'revision'>): KeptEntry => {
     revision++
-    const kept = { ...entry, revision }
-    entries.set(entry.key, kept)
-    for (const listener of listeners) listener(kept)
-    return kept
+    const stored = { ...entry, revision }
+    entries.set(entry.key, stored)
+    for (const listener of listeners) listener(stored)
+    return stored
   }
 
-  const endLease = (leaseId: number) => {
+  const deleteLease = (leaseId: number) => {
     leases.delete(leaseId)
     for (const entry of entries.values()) {
       if (entry.leaseId !== leaseId || entry.deleted) continue
@@ -58,50 +58,50 @@
     }
   }
 
-  const endLapsedLeases = () => {
+  const expireLeases = () => {
     const nowMs = clock()
     for (const [leaseId, lease] of leases) {
-      if (lease.endsAtMs <= nowMs) endLease(leaseId)
+      if (lease.expiresAtMs <= nowMs) deleteLease(leaseId)
     }
   }
 
   const get = (key: string): KeptEntry | undefined => {
-    endLapsedLeases()
+    expireLeases()
     const entry = entries.get(key)
     return entry?.deleted ? undefined : entry
   }
 
   const range = (prefix: string, afterRevision: number): KeptEntry[] => {
-    endLapsedLeases()
+    expireLeases()
     return [...entries.values()]
       .filter(entry => entry.key.startsWith(prefix) && entry.revision > afterRevision)
       .sort((left, right) => left.revision - right.revision)
   }
 
-  const compareAndSwap = (swap: KeptSwap): { swapped: boolean, current: KeptEntry | undefined } => {
+  const compareAndSwap = (swap: SwapRequest): { swapped: boolean, current: KeptEntry | undefined } => {
     const current = get(swap.key)
     if ((current?.revision ?? 0) !== swap.expectedRevision) return { swapped: false, current }
     if (swap.leaseId !== 0 && !leases.has(swap.leaseId)) return { swapped: false, current }
     if (swap.value.length > storeLimits.maxValueBytes) return { swapped: false, current }
     if (!entries.has(swap.key) && entries.size >= storeLimits.maxEntries) return { swapped: false, current }
     const value = swap.delete ? Buffer.alloc(0) : swap.value
-    const kept = put({ key: swap.key, value, leaseId: swap.leaseId, deleted: swap.delete })
-    return { swapped: true, current: kept.deleted ? undefined : kept }
+    const stored = put({ key: swap.key, value, leaseId: swap.leaseId, deleted: swap.delete })
+    return { swapped: true, current: stored.deleted ? undefined : stored }
   }
 
   const grantLease = (ttlMs: number): number => {
-    endLapsedLeases()
+    expireLeases()
     if (leases.size >= storeLimits.maxLeases) return 0
     lastLeaseId++
-    leases.set(lastLeaseId, { ttlMs, endsAtMs: clock() + ttlMs })
+    leases.set(lastLeaseId, { ttlMs, expiresAtMs: clock() + ttlMs })
     return lastLeaseId
   }
 
   const keepAlive = (leaseId: number): boolean => {
-    endLapsedLeases()
+    expireLeases()
     const lease = leases.get(leaseId)
     if (!lease) return false
-    lease.endsAtMs = clock() + lease.ttlMs
+    lease.expiresAtMs = clock() + lease.ttlMs
     return true
   }
 
@@ -116,8 +116,8 @@
     compareAndSwap,
     grantLease,
     keepAlive,
-    revokeLease: endLease,
-    endLapsedLeases,
+    revokeLease: deleteLease,
+    expireLeases,
     listen,
     revision: () => revision
   }
--- a/packages/testbed/src/caller.ts
+++ b/packages/testbed/src/caller.ts
@@ -40,11 +40,11 @@
 
 const defaultTimeoutMs = 5_000
 /** Time beyond the request's own timeout for which the caller waits for the response. */
-const answerGraceMs = 1_000
+const responseGraceMs = 1_000
 
 const emptyToken = Buffer.alloc(0)
 
-const lostAnswer = (reason: string): CallerAnswer => ({
+const createLostResponse = (reason: string): CallerAnswer => ({
   kind: 'lost', reason, result: '', retryAfterMs: 0, sessionToken: emptyToken, endpoint: '', fromReplica: false
 })
 
@@ -60,7 +60,7 @@
   return metadata
 }
 
-const toCallerAnswer = (answer: CallerMessages.Answer__Output): CallerAnswer => {
+const toCallerResponse = (answer: CallerMessages.Answer__Output): CallerAnswer => {
   const kind = answer.outcome ?? 'lost'
   const refusal = answer.notRun ?? answer.outcomeUnknown ?? answer.failed
   return {
@@ -82,15 +82,17 @@
 ) => {
   const clients = addresses.map(address => Array.from({ length: channelsPerVm },
     () => connectGrpc(callerProto.Caller, address, channels)))
-  let next = 0
+  let nextChannel = 0
 
   /** Runs one statement through the VM with the given index. */
   const execute = async (vm: number, request: CallerRequest): Promise<CallerAnswer> => {
     const timeoutMs = request.timeoutMs ?? defaultTimeoutMs
-    const client = clients[vm][next++ % channelsPerVm]
-    const answer = await callUnary(client, client.Execute, { text: Buffer.from(request.statement) },
-      timeoutMs + answerGraceMs, metadataOf(request, timeoutMs))
-    return answer.ok ? toCallerAnswer(answer.val as CallerMessages.Answer__Output) : lostAnswer(answer.val.reason)
+    const client = clients[vm][nextChannel++ % channelsPerVm]
+    const response = await callUnary(client, client.Execute, { text: Buffer.from(request.statement) },
+      timeoutMs + responseGraceMs, metadataOf(request, timeoutMs))
+    return response.ok
+      ? toCallerResponse(response.val as CallerMessages.Answer__Output)
+      : createLostResponse(response.val.reason)
   }
 
   const close = () => {
--- a/packages/testbed/src/counting-relay.ts
+++ b/packages/testbed/src/counting-relay.ts
@@ -19,7 +19,7 @@
   const sockets = new Set<Socket>()
   let bytes = 0
 
-  const passOn = (from: Socket, to: Socket) => {
+  const forward = (from: Socket, to: Socket) => {
     sockets.add(from)
     from.setNoDelay(true)
     from.on('data', chunk => {
@@ -35,8 +35,8 @@
 
   const server = createServer(incoming => {
     const outgoing = connect(port, host)
-    passOn(incoming, outgoing)
-    passOn(outgoing, incoming)
+    forward(incoming, outgoing)
+    forward(outgoing, incoming)
   })
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject)
--- a/packages/testbed/src/program-process.ts
+++ b/packages/testbed/src/program-process.ts
@@ -47,33 +47,34 @@
 }
 process.on('exit', killChildren)
 
-const signalExitCode = 128
+const signalExitCodeBase = 128
 /** Signals that by default terminate this process without running its exit handlers, with their numbers. */
-const endingSignals = { SIGINT: 2, SIGTERM: 15, SIGHUP: 1 } as const
+const terminationSignals = { SIGINT: 2, SIGTERM: 15, SIGHUP: 1 } as const
 
 /** Exits on these signals, so that the exit handler kills the children. */
-const endOnSignals = () => {
-  for (const [signal, number] of Object.entries(endingSignals)) {
-    process.once(signal, () => process.exit(signalExitCode + number))
+const exitOnSignals = () => {
+  for (const [signal, number] of Object.entries(terminationSignals)) {
+    process.once(signal, () => process.exit(signalExitCodeBase + number))
   }
 }
-let handlesSignals = false
+let hasSignalHandlers = false
 
 const readAnnouncement = async (child: ChildProcess, name: string): Promise<Record<string, string>> => {
   const lines = createInterface({ input: child.stdout! })
-  const giveUp = new AbortController()
-  const timer = setTimeout(() => giveUp.abort(), announceTimeoutMs)
+  const cancellation = new AbortController()
+  const timer = setTimeout(() => cancellation.abort(), announceTimeoutMs)
   try {
     const line = await Promise.race([
-      once(lines, 'line', { signal: giveUp.signal }).then(([text]) => String(text)),
-      once(child, 'exit', { signal: giveUp.signal }).then(([code]) => Promise.reject(new Error(`exit code ${code}`)))
+      once(lines, 'line', { signal: cancellation.signal }).then(([text]) => String(text)),
+      once(child, 'exit', { signal: cancellation.signal })
+        .then(([code]) => Promise.reject(new Error(`exit code ${code}`)))
     ])
     return JSON.parse(line).addresses
   } catch (thrown) {
     throw new Error(`${name} did not start: ${thrown}`)
   } finally {
     clearTimeout(timer)
-    giveUp.abort()
+    cancellation.abort()
   }
 }
 
@@ -82,22 +83,22 @@
   context: ProcessContext,
   kind: ProgramKind,
   name: string,
-  firstSettings: Record<string, unknown>
+  initialSettings: Record<string, unknown>
 ) => {
   const { path, listeners } = programs[kind]
-  const anyPort = Object.fromEntries(Object.keys(listeners).map(field => [field, '127.0.0.1:0']))
-  let settings: Record<string, unknown> = { ...anyPort, ...firstSettings }
+  const ephemeralAddresses = Object.fromEntries(Object.keys(listeners).map(field => [field, '127.0.0.1:0']))
+  let settings: Record<string, unknown> = { ...ephemeralAddresses, ...initialSettings }
   let addresses: Record<string, string> = {}
   let log = ''
   let child: ChildProcess | undefined
 
-  const keepLog = (chunk: Buffer) => {
+  const appendLog = (chunk: Buffer) => {
     log = (log + chunk.toString('utf8')).slice(-maxLogCharacters)
   }
 
   const start = async () => {
-    if (!handlesSignals) endOnSignals()
-    handlesSignals = true
+    if (!hasSignalHandlers) exitOnSignals()
+    hasSignalHandlers = true
     const file = join(context.folder, `${kind}-${name}.json`)
     writeFileSync(file, JSON.stringify(settings))
     const env = { ...process.env, DEBUG: context.debug }
@@ -106,29 +107,29 @@
     child = started
     liveChildren.add(started)
     started.once('exit', () => liveChildren.delete(started))
-    started.stderr!.on('data', keepLog)
+    started.stderr!.on('data', appendLog)
     try {
       addresses = await readAnnouncement(started, name)
     } catch (thrown) {
       throw new Error(`${thrown instanceof Error ? thrown.message : thrown}\n${log.slice(-2_000)}`)
     }
     started.stdout!.resume()
-    const fixedPorts = Object.entries(listeners).map(([field, announced]) => [field, addresses[announced]])
-    settings = { ...settings, ...Object.fromEntries(fixedPorts) }
+    const assignedAddresses = Object.entries(listeners).map(([field, announced]) => [field, addresses[announced]])
+    settings = { ...settings, ...Object.fromEntries(assignedAddresses) }
   }
 
   const isRunning = () => child !== undefined && child.exitCode === null && child.signalCode === null
 
   /** Sends a signal and waits for the exit; returns the exit code, or null when a signal terminated the program. */
-  const end = async (signal: NodeJS.Signals): Promise<number | null> => {
+  const stop = async (signal: NodeJS.Signals): Promise<number | null> => {
     if (!child || !isRunning()) return child?.exitCode ?? null
-    const ended = once(child, 'exit')
+    const exited = once(child, 'exit')
     child.kill(signal)
-    const [code] = await ended
+    const [code] = await exited
     return code
   }
 
-  const kill = () => end('SIGKILL')
+  const kill = () => stop('SIGKILL')
 
   const restart = async (change: Record<string, unknown> = {}) => {
     await kill()
@@ -145,7 +146,7 @@
     logs: () => log,
     isRunning,
     kill,
-    terminate: () => end('SIGTERM'),
+    terminate: () => stop('SIGTERM'),
     freeze: () => child?.kill('SIGSTOP'),
     thaw: () => child?.kill('SIGCONT'),
     restart
--- a/packages/testbed/src/start-fleet.ts
+++ b/packages/testbed/src/start-fleet.ts
@@ -46,8 +46,8 @@
 /** Starts the platform, databases, entries and stewards; resolves when every entry is ready. */
 export const startFleet = async (description: FleetDescription, options: FleetOptions = {}) => {
   const folder = mkdtempSync(join(tmpdir(), 'egretyoke-fleet-'))
-  const standins: ProcessContext = { folder, debug: '' }
-  const product: ProcessContext = { folder, debug: options.debug ?? '' }
+  const standinContext: ProcessContext = { folder, debug: '' }
+  const productContext: ProcessContext = { folder, debug: options.debug ?? '' }
   const programs = new Map<string, ProgramProcess>()
   const links = options.links ?? {}
   const relays: CountingRelay[] = []
@@ -73,21 +73,21 @@
   }
 
   /** Starts a relay to the target if enabled; returns the address of the relay, or else of the target. */
-  const linked = async (wanted: boolean | undefined, name: string, target: string): Promise<string> => {
+  const startLinkIfEnabled = async (isEnabled: boolean | undefined, name: string, target: string): Promise<string> => {
     if (links.countBytes) {
       const relay = await startCountingRelay(target)
       relays.push(relay)
       return relay.address
     }
-    if (!wanted) return target
-    const link = await start(standins, 'link', `link-${name}`, { target, delayMs: links.delayMs ?? 0 })
+    if (!isEnabled) return target
+    const link = await start(standinContext, 'link', `link-${name}`, { target, delayMs: links.delayMs ?? 0 })
     return link.addresses().link
   }
 
   const startDatabase = async (group: string, name: string, primaryAddress: string) => {
     const { endpoints, firstPrimary } = configuration.groups[group]
     const { slots, maxConnections } = endpoints[name]
-    const started = await start(standins, 'database', name, {
+    const started = await start(standinContext, 'database', name, {
       name,
       group,
       memberCount: Object.keys(endpoints).length,
@@ -100,7 +100,7 @@
       record: options.record ?? false,
       ...options.databaseSettings?.(name)
     })
-    endpoints[name].address = await linked(links.databases, name, started.addresses().database)
+    endpoints[name].address = await startLinkIfEnabled(links.databases, name, started.addresses().database)
     return endpoints[name].address
   }
 
@@ -115,15 +115,17 @@
   const platformAddresses = new Map<string, string>()
 
   const startEntry = async ({ name, dataCentre }: FleetDescription['vms'][number]) => {
-    const platformAddress = await linked(links.platform, `platform-${name}`, program('platform').addresses().platform)
+    const platformAddress = await startLinkIfEnabled(
+      links.platform, `platform-${name}`, program('platform').addresses().platform
+    )
     platformAddresses.set(name, platformAddress)
-    const entry = await start(product, 'entry', name,
+    const entry = await start(productContext, 'entry', name,
       { name, dataCentre, platformAddress, ...options.entrySettings?.(name) })
-    peerAddresses.set(name, await linked(links.peers, `peer-${name}`, entry.addresses().peers))
+    peerAddresses.set(name, await startLinkIfEnabled(links.peers, `peer-${name}`, entry.addresses().peers))
   }
 
   const startSteward = ({ name, dataCentre }: FleetDescription['vms'][number]) =>
-    start(product, 'steward', `steward-${name}`,
+    start(productContext, 'steward', `steward-${name}`,
       {
         name,
         dataCentre,
@@ -143,13 +145,13 @@
     return [...entries, ...endpoints].filter(vm => !unlisted.has(vm.name))
   }
 
-  const publishVms = () => control.setVms(program('platform').addresses().platform, vmList())
+  const publishVmList = () => control.setVms(program('platform').addresses().platform, vmList())
 
   const waitReady = async (names: string[] = vmNames, timeoutMs = options.readyTimeoutMs ?? defaultReadyTimeoutMs) => {
-    const giveUpAtMs = performance.now() + timeoutMs
+    const deadlineMs = performance.now() + timeoutMs
     for (const name of names) {
       while (!await isReady(program(name).addresses().health)) {
-        if (performance.now() > giveUpAtMs) {
+        if (performance.now() > deadlineMs) {
           throw new Error(`${name} is not ready after ${timeoutMs} ms\n${program(name).logs().slice(-4_000)}`)
         }
         await sleepMs(readyPollMs)
@@ -183,11 +185,11 @@
   }
 
   const startAll = async () => {
-    await start(standins, 'platform', 'platform', {})
+    await start(standinContext, 'platform', 'platform', {})
     await Promise.all(Object.keys(configuration.groups).map(startGroup))
     await applyConfiguration(() => {})
     await Promise.all(description.vms.map(startEntry))
-    await publishVms()
+    await publishVmList()
     if (options.withoutStewards) {
       await withPlatform(platform => putFleetRecords(platform, configuration, rosterMembers()))
     } else {
@@ -249,12 +251,12 @@
     /** Marks exactly these VMs and endpoints as leaving in the platform's VM list. */
     setLeaving: async (names: string[]): Promise<void> => {
       leaving = new Set(names)
-      await publishVms()
+      await publishVmList()
     },
     /** Omits exactly these VMs and endpoints from the platform's VM list. */
     setUnlisted: async (names: string[]): Promise<void> => {
       unlisted = new Set(names)
-      await publishVms()
+      await publishVmList()
     },
     readLog: (name: string) => control.readLog(databaseAddress(name)),
     readMemberStatus: (name: string): Promise<control.MemberStatus> =>
--- a/packages/testbed/src/whole-path.test.ts
+++ b/packages/testbed/src/whole-path.test.ts
@@ -4,7 +4,7 @@
 import { smallFleet } from './fleet-description.js'
 import { startFleet } from './start-fleet.js'
 
-const replicaTries = 20
+const maxReplicaAttempts = 20
 
 test('a caller writes through one VM and reads its own write from a replica through another', async t => {
   const fleet = await startFleet(smallFleet(2), { withoutStewards: true })
@@ -15,7 +15,7 @@
     t.is(written.kind, 'done', written.reason)
     const { sessionToken } = written
     let servedByReplica = false
-    for (let attempt = 0; attempt < replicaTries && !servedByReplica; attempt++) {
+    for (let attempt = 0; attempt < maxReplicaAttempts && !servedByReplica; attempt++) {
       const read = await caller.execute(1, { key, route: 'read', statement: 'get berth', sessionToken })
       t.is(read.kind, 'done', read.reason)
       t.is(read.result, '1')
