soak: the table of the record test follows the renamed field

The rename of the field lacked to missing had not reached a row of an untyped table in soak.test.ts, so the test for a stale read failed once. The row sets the renamed field; what the test checks is unchanged.

--- a/soak/src/soak.test.ts
+++ b/soak/src/soak.test.ts
@@ -59,7 +59,7 @@
     [{ workspace: 'yard-b' }, 'unasked'],
     [{ values: 'zone=1' }, 'pinned'],
     [{ transaction: 3 }, 'pinned'],
-    [{ lacked: 'c0-1' }, 'stale']
+    [{ missing: 'c0-1' }, 'stale']
   ] as const) {
     const record = recordOfWrite()
     record.executed.push({ ...executedOnce, ...change })
