--- a/packages/standins/src/database-member.ts
+++ b/packages/standins/src/database-member.ts
@@ -1,16 +1,16 @@
 /**
- * One member of a database group: its term, its role, and replication of its log. Elections are not its
- * business: it does what fences and promotions tell it, and refuses those of older terms.
+ * One member of a database group: its term, its role, and the replication of its log. The member takes no part in
+ * elections: it obeys fence, promote and follow requests, and refuses those of older terms.
  */
 import { monotonicMs } from '@egretyoke/common'
 import type { MemberState } from '@egretyoke/fleet'
 import { createDatabaseLog } from './database-log.js'
 import type { LogEntry, TermStart } from './database-log.js'
 
-/** Where a replica gets its log from. */
+/** Primary from which a replica pulls its log. */
 export type Upstream = { name: string, address: string }
 
-/** A batch for a replica. `truncateAfter` -1 keeps all. */
+/** A batch of log entries for a replica. `truncateAfter` is the last position to keep first; -1 keeps all entries. */
 export type LogBatch = {
   term: number
   truncateAfter: number
@@ -18,7 +18,7 @@
   lineage: TermStart[]
 }
 
-/** How a member starts. */
+/** Options of a member. */
 export type MemberOptions = {
   name: string
   group: string
@@ -26,26 +26,26 @@
   firstPrimary: Upstream
 }
 
-/** Answer to a control request. */
-export type ControlOutcome = { accepted: boolean, reason: string }
+/** Result of a control request; `reason` is empty when it was accepted. */
+export type ControlResult = { accepted: boolean, reason: string }
 
 type MajorityWaiter = { position: number, settle: (confirmed: boolean) => void }
 type PendingApply = { position: number, dueMs: number }
 
-const accepted: ControlOutcome = { accepted: true, reason: '' }
-const refused = (reason: string): ControlOutcome => ({ accepted: false, reason })
+const accepted: ControlResult = { accepted: true, reason: '' }
+const refused = (reason: string): ControlResult => ({ accepted: false, reason })
 
 /** A group member. */
 export type DatabaseMember = ReturnType<typeof createDatabaseMember>
 
-/** Creates a member in term 1. */
+/** Creates a member in term 1, with an empty log. */
 export const createDatabaseMember = (options: MemberOptions) => {
   const log = createDatabaseLog()
   const appendListeners = new Set<() => void>()
   const roleListeners = new Set<() => void>()
   const replicaPositions = new Map<string, number>()
   let term = 1
-  /** Term whose lineage the log is known to follow. */
+  /** Latest term whose lineage the log is known to match. */
   let dataTerm = 1
   let fencedTerm = 0
   let isPrimary = options.firstPrimary.name === options.name
@@ -55,39 +55,39 @@
   let pendingApplies: PendingApply[] = []
   let replicationLagMs = 0
 
-  const notifyRole = () => {
+  const notifyRoleListeners = () => {
     for (const listener of roleListeners) listener()
   }
 
-  const mayWrite = () => isPrimary && fencedTerm <= term
+  const canWrite = () => isPrimary && fencedTerm <= term
 
-  const failWaiters = () => {
+  const failMajorityWaiters = () => {
     const waiters = majorityWaiters
     majorityWaiters = []
     for (const waiter of waiters) waiter.settle(false)
   }
 
-  const settleMajority = () => {
-    if (!mayWrite()) return failWaiters()
+  const settleMajorityWaiters = () => {
+    if (!canWrite()) return failMajorityWaiters()
     const positions = [log.receivedPosition(), ...replicaPositions.values()].sort((a, b) => b - a)
     const majorityCount = Math.floor(options.memberCount / 2) + 1
-    const heldByMajority = positions[majorityCount - 1] ?? 0
-    const settled = majorityWaiters.filter(waiter => waiter.position <= heldByMajority)
-    majorityWaiters = majorityWaiters.filter(waiter => waiter.position > heldByMajority)
+    const majorityPosition = positions[majorityCount - 1] ?? 0
+    const settled = majorityWaiters.filter(waiter => waiter.position <= majorityPosition)
+    majorityWaiters = majorityWaiters.filter(waiter => waiter.position > majorityPosition)
     for (const waiter of settled) waiter.settle(true)
   }
 
-  /** Appends writes as one entry and applies them. Returns the entry's position. */
+  /** Appends statements as one entry and applies it. Returns the entry's position. */
   const write = (statements: Buffer[]): number => {
     const position = log.receivedPosition() + 1
     log.append({ term, position, statements })
     log.applyUpTo(position)
     for (const listener of appendListeners) listener()
-    settleMajority()
+    settleMajorityWaiters()
     return position
   }
 
-  /** Resolves to true once a majority holds the position, to false when that is not known in time. */
+  /** Resolves to true once a majority has received the position; false on time-out or when it may no longer write. */
   const waitForMajority = (position: number, timeoutMs: number): Promise<boolean> => new Promise(resolve => {
     const timer = setTimeout(() => settle(false), timeoutMs)
     const waiter: MajorityWaiter = { position, settle: confirmed => settle(confirmed) }
@@ -97,18 +97,18 @@
       resolve(confirmed)
     }
     majorityWaiters.push(waiter)
-    settleMajority()
+    settleMajorityWaiters()
   })
 
-  const fence = (fenceTerm: number): ControlOutcome => {
+  const fence = (fenceTerm: number): ControlResult => {
     if (fenceTerm < fencedTerm) return refused(`fenced at term ${fencedTerm}`)
     fencedTerm = fenceTerm
-    if (fenceTerm > term) failWaiters()
-    notifyRole()
+    if (fenceTerm > term) failMajorityWaiters()
+    notifyRoleListeners()
     return accepted
   }
 
-  const promote = (newTerm: number): ControlOutcome => {
+  const promote = (newTerm: number): ControlResult => {
     if (isPrimary && term === newTerm) return accepted
     if (newTerm < fencedTerm || newTerm <= term) return refused(`term ${term}, fenced at ${fencedTerm}`)
     log.applyUpTo(log.receivedPosition())
@@ -120,38 +120,38 @@
     replicaPositions.clear()
     const ownStart = { term: newTerm, startPosition: log.receivedPosition() }
     lineage = [...lineage.filter(start => start.term < newTerm), ownStart]
-    notifyRole()
+    notifyRoleListeners()
     return accepted
   }
 
-  const follow = (newTerm: number, primary: Upstream): ControlOutcome => {
+  const follow = (newTerm: number, primary: Upstream): ControlResult => {
     if (newTerm < fencedTerm || newTerm < term) return refused(`term ${term}, fenced at ${fencedTerm}`)
     if (isPrimary && newTerm === term) return refused('primary of this term')
-    const isSame = !isPrimary && newTerm === term && upstream.name === primary.name
+    const isUnchanged = !isPrimary && newTerm === term && upstream.name === primary.name
     term = newTerm
     isPrimary = false
     upstream = primary
-    failWaiters()
-    if (!isSame) notifyRole()
+    failMajorityWaiters()
+    if (!isUnchanged) notifyRoleListeners()
     return accepted
   }
 
-  /** First batch for a replica whose log ends at the given entry. */
-  const truncationFor = (receivedPosition: number, lastEntryTerm: number): number => {
-    const nextTerm = lineage.find(start => start.term > lastEntryTerm)
-    const sharedEnd = nextTerm ? nextTerm.startPosition : log.receivedPosition()
+  /** Returns the position after which a replica whose log ends at the given entry has to truncate it. */
+  const findTruncationPosition = (receivedPosition: number, lastEntryTerm: number): number => {
+    const nextStart = lineage.find(start => start.term > lastEntryTerm)
+    const sharedEnd = nextStart ? nextStart.startPosition : log.receivedPosition()
     return Math.min(receivedPosition, sharedEnd)
   }
 
-  /** Counts what a replica has received. Ignores replicas of another term. */
-  const noteReplica = (name: string, replicaTerm: number, position: number) => {
-    if (replicaTerm !== term || !mayWrite()) return
+  /** Records the position that a replica has received. Ignores replicas of another term. */
+  const recordReplica = (name: string, replicaTerm: number, position: number) => {
+    if (replicaTerm !== term || !canWrite()) return
     replicaPositions.set(name, position)
-    settleMajority()
+    settleMajorityWaiters()
   }
 
-  /** Takes a batch from the primary of a term. Returns false when the batch is of another term or fenced. */
-  const receive = (batch: LogBatch): boolean => {
+  /** Appends a batch from the primary. Returns false when the batch is from another term or a fenced one. */
+  const appendBatch = (batch: LogBatch): boolean => {
     if (isPrimary || batch.term !== term || batch.term < fencedTerm) return false
     if (batch.truncateAfter >= 0) log.truncateAfter(batch.truncateAfter)
     for (const entry of batch.entries) {
@@ -160,11 +160,11 @@
     lineage = batch.lineage
     dataTerm = batch.term
     pendingApplies.push({ position: log.receivedPosition(), dueMs: monotonicMs() + replicationLagMs })
-    applyDue()
+    applyDueEntries()
     return true
   }
 
-  const applyDue = () => {
+  const applyDueEntries = () => {
     const nowMs = monotonicMs()
     while (pendingApplies.length > 0 && pendingApplies[0].dueMs <= nowMs) {
       log.applyUpTo(pendingApplies.shift()!.position)
@@ -179,7 +179,7 @@
     name: options.name,
     group: options.group,
     term,
-    isPrimary: mayWrite(),
+    isPrimary: canWrite(),
     fencedTerm,
     receivedPosition: log.receivedPosition(),
     appliedPosition: log.appliedPosition(),
@@ -197,17 +197,17 @@
     fence,
     promote,
     follow,
-    truncationFor,
-    noteReplica,
-    receive,
-    applyDue,
+    findTruncationPosition,
+    recordReplica,
+    appendBatch,
+    applyDueEntries,
     setReplicationLag,
-    mayWrite,
-    /** Term and position of the data that a read sees now. */
+    canWrite,
+    /** Term and applied position of the data that reads currently see. */
     dataPosition: () => ({ term: dataTerm, position: log.appliedPosition() }),
     term: () => term,
     upstream: () => upstream,
-    mayFollow: () => !isPrimary && fencedTerm <= term,
+    canFollow: () => !isPrimary && fencedTerm <= term,
     onAppend: (listener: () => void) => {
       appendListeners.add(listener)
       return () => appendListeners.delete(listener)
--- a/packages/standins/src/database-replication.ts
+++ b/packages/standins/src/database-replication.ts
@@ -1,5 +1,5 @@
 /**
- * Replication between members: the primary streams its log, replicas pull it and report what they hold.
+ * Replication between members: replicas pull the log from the primary as a stream and report their received position.
  */
 import type { ServerDuplexStream } from '@grpc/grpc-js'
 import { sleepMs, ticks } from '@egretyoke/common'
@@ -13,11 +13,12 @@
 const maxBatchEntries = 500
 const reconnectDelayMs = 50
 const applyIntervalMs = 5
-/** An idle stream repeats its batch this often, so that a replica notices a frozen link. */
+/** Interval at which the primary sends a batch on an idle stream, so that a replica can detect a frozen link. */
 const keepAliveIntervalMs = 500
-const silentStreamMs = 2_000
+/** Time without a batch after which a replica cancels the stream and reconnects. */
+const streamTimeoutMs = 2_000
 
-/** Serves one replica's pull. The stream ends when this member stops being the primary. */
+/** Streams the log to one replica. The stream ends when this member is no longer the primary of the term. */
 export const serveReplica = (
   member: DatabaseMember,
   call: ServerDuplexStream<Progress, EndpointMessages.LogBatch>
@@ -34,33 +35,33 @@
     if (sentPosition === undefined) return
     while (sentPosition < member.log.receivedPosition()) sendFrom(sentPosition, -1)
   }
-  const endIfReplaced = () => {
-    if (member.term() !== servedTerm || !member.mayWrite()) finish()
+  const endIfNotPrimary = () => {
+    if (member.term() !== servedTerm || !member.canWrite()) finish()
   }
-  const stopAppend = member.onAppend(sendNew)
-  const stopRole = member.onRoleChange(endIfReplaced)
+  const unsubscribeAppend = member.onAppend(sendNew)
+  const unsubscribeRole = member.onRoleChange(endIfNotPrimary)
   const keepAlive = setInterval(() => sentPosition !== undefined && sendFrom(sentPosition, -1), keepAliveIntervalMs)
   const finish = () => {
     clearInterval(keepAlive)
-    stopAppend()
-    stopRole()
+    unsubscribeAppend()
+    unsubscribeRole()
     call.end()
   }
 
   call.on('data', (progress: Progress) => {
     if (progress.term !== servedTerm) return finish()
-    if (sentPosition !== undefined) return member.noteReplica(progress.name, progress.term, progress.receivedPosition)
-    const kept = member.truncationFor(progress.receivedPosition, progress.lastEntryTerm)
-    sendFrom(kept, kept)
+    if (sentPosition !== undefined) return member.recordReplica(progress.name, progress.term, progress.receivedPosition)
+    const truncateAfter = member.findTruncationPosition(progress.receivedPosition, progress.lastEntryTerm)
+    sendFrom(truncateAfter, truncateAfter)
     sendNew()
   })
   call.on('end', finish)
   call.on('cancelled', finish)
   call.on('error', finish)
-  endIfReplaced()
+  endIfNotPrimary()
 }
 
-/** One pull from one primary; returns when the stream ends, falls silent, or the member's role changes. */
+/** Pulls from one primary; returns when the stream ends, stays silent for too long, or the member's role changes. */
 const pullOnce = async (
   member: DatabaseMember,
   upstream: Upstream,
@@ -78,27 +79,27 @@
       lastEntryTerm: state.lastEntryTerm
     })
   }
-  const stopRole = member.onRoleChange(() => call.cancel())
-  let silence = setTimeout(() => call.cancel(), silentStreamMs)
+  const unsubscribeRole = member.onRoleChange(() => call.cancel())
+  let silenceTimer = setTimeout(() => call.cancel(), streamTimeoutMs)
   try {
     report()
     for await (const batch of call) {
-      clearTimeout(silence)
-      silence = setTimeout(() => call.cancel(), silentStreamMs)
-      if (isStopped() || !member.receive(batch as Batch)) break
+      clearTimeout(silenceTimer)
+      silenceTimer = setTimeout(() => call.cancel(), streamTimeoutMs)
+      if (isStopped() || !member.appendBatch(batch as Batch)) break
       report()
     }
   } catch {
-    // A broken stream ends this pull; the next one begins after a delay.
+    // The stream failed; the caller reconnects after a delay.
   } finally {
-    clearTimeout(silence)
-    stopRole()
+    clearTimeout(silenceTimer)
+    unsubscribeRole()
     call.cancel()
     client.close()
   }
 }
 
-/** Pulls from whichever primary the member follows, until the signal aborts. */
+/** Keeps pulling from the primary that the member currently follows, until the signal aborts. */
 export const followPrimary = async (
   member: DatabaseMember,
   channels: ChannelSettings,
@@ -106,12 +107,12 @@
   signal: AbortSignal
 ): Promise<void> => {
   while (!signal.aborted) {
-    if (member.mayFollow() && !isStopped()) await pullOnce(member, member.upstream(), channels, isStopped)
+    if (member.canFollow() && !isStopped()) await pullOnce(member, member.upstream(), channels, isStopped)
     await sleepMs(reconnectDelayMs, signal)
   }
 }
 
-/** Applies received entries when their lag is over, until the signal aborts. */
+/** Applies received entries once the configured replication lag has passed, until the signal aborts. */
 export const applyContinuously = async (member: DatabaseMember, signal: AbortSignal): Promise<void> => {
-  for await (const _ of ticks(applyIntervalMs, signal)) member.applyDue()
+  for await (const _ of ticks(applyIntervalMs, signal)) member.applyDueEntries()
 }
--- a/packages/standins/src/database-server.ts
+++ b/packages/standins/src/database-server.ts
@@ -1,5 +1,5 @@
 /**
- * Serves one member's published protocol, with faults that tests switch on.
+ * gRPC server of one group member: implements the published endpoint protocol, with faults that tests can set.
  */
 import type { sendUnaryData, ServerDuplexStream, ServerUnaryCall, ServerWritableStream } from '@grpc/grpc-js'
 import { createRandom, sleepMs } from '@egretyoke/common'
@@ -8,7 +8,7 @@
 import { serveConnection } from './database-connection.js'
 import type { ConnectionContext } from './database-connection.js'
 import { createDatabaseMember } from './database-member.js'
-import type { ControlOutcome, MemberOptions } from './database-member.js'
+import type { ControlResult, MemberOptions } from './database-member.js'
 import { applyContinuously, followPrimary, serveReplica } from './database-replication.js'
 import { createSlots } from './slots.js'
 
@@ -28,9 +28,9 @@
 }
 
 const maxRecordedBytes = 64 * 1024 * 1024
-const logReadBatch = 1_000
+const logReadBatchSize = 1_000
 
-/** Options of the stand-in. */
+/** Options of the stand-in; `seed` is for the random faults. */
 export type StandinDatabaseOptions = MemberOptions & {
   address: string
   channels: ChannelSettings
@@ -41,11 +41,11 @@
   connectMs: number
   serviceMs: number
   replicationLagMs: number
-  /** Keeps everything that callers send, for the test that looks for keys. */
+  /** Records all metadata and requests received, for the test that checks that no caller's key reaches a database. */
   record: boolean
 }
 
-/** Starts the stand-in of one group member. */
+/** Starts the stand-in of one group member; resolves when it listens. */
 export const startStandinDatabase = async (options: StandinDatabaseOptions): Promise<GrpcListener> => {
   const member = createDatabaseMember(options)
   member.setReplicationLag(options.replicationLagMs)
@@ -58,9 +58,9 @@
   let declined = 0
   let openConnections = 0
 
-  const record = (seen: unknown) => {
+  const record = (message: unknown) => {
     if (!options.record || recordedBytes >= maxRecordedBytes) return
-    const bytes = Buffer.from(JSON.stringify(seen) + '\n')
+    const bytes = Buffer.from(JSON.stringify(message) + '\n')
     recordedBytes += bytes.length
     recorded.push(bytes)
   }
@@ -96,7 +96,7 @@
     stream.pause()
     await sleepMs(options.connectMs)
     serveConnection(context, stream)
-    stream.write({ ...reply, end: { verdict: 'DONE', ...member.dataPosition(), fromPrimary: member.mayWrite() } })
+    stream.write({ ...reply, end: { verdict: 'DONE', ...member.dataPosition(), fromPrimary: member.canWrite() } })
     stream.resume()
   }
 
@@ -111,19 +111,19 @@
 
   const status = (): EndpointMessages.MemberStatus => member.state()
 
-  const control = <ControlRequest>(act: (request: ControlRequest) => ControlOutcome) =>
+  const control = <ControlRequest>(handle: (request: ControlRequest) => ControlResult) =>
     (
       call: ServerUnaryCall<ControlRequest, EndpointMessages.ControlReply>,
       done: sendUnaryData<EndpointMessages.ControlReply>
     ) => {
-      const outcome = act(call.request)
-      done(null, { ...outcome, status: status() })
+      const result = handle(call.request)
+      done(null, { ...result, status: status() })
     }
 
   const readLog = (call: ServerWritableStream<StandinMessages.ReadLogRequest__Output, StandinMessages.LoggedEntry>) => {
     let position = call.request.afterPosition
     for (;;) {
-      const entries = member.log.entriesAfter(position, logReadBatch)
+      const entries = member.log.entriesAfter(position, logReadBatchSize)
       if (entries.length === 0) return call.end()
       for (const entry of entries) call.write(entry)
       position += entries.length
@@ -154,8 +154,8 @@
       },
       ReadLog: readLog,
       GetDatabaseStats: (_call: unknown, done: sendUnaryData<StandinMessages.DatabaseStats>) => {
-        const seen = Buffer.concat(recorded)
-        done(null, { statements, declined, openConnections, running: slots.running(), recorded: seen })
+        const recordedData = Buffer.concat(recorded)
+        done(null, { statements, declined, openConnections, running: slots.running(), recorded: recordedData })
       }
     })
   })
--- a/packages/standins/src/link.ts
+++ b/packages/standins/src/link.ts
@@ -1,5 +1,5 @@
 /**
- * A TCP relay that can cut, delay or freeze what passes through it.
+ * A TCP relay that can cut, delay or freeze the connections through it.
  */
 import { connect, createServer } from 'node:net'
 import type { AddressInfo, Socket } from 'node:net'
@@ -11,7 +11,7 @@
 
 type Fault = StandinMessages.LinkFault__Output
 
-const frozenCheckMs = 20
+const frozenPollMs = 20
 const maxRelayedConnections = 20_000
 
 /** A running relay. */
@@ -25,16 +25,16 @@
 /** Options of a relay; all addresses are HOST:PORT. */
 export type LinkOptions = { listen: string, control: string, target: string, delayMs: number }
 
-/** Starts a relay. */
+/** Starts a relay; resolves when it listens. */
 export const startLink = async (options: LinkOptions): Promise<Link> => {
   let fault: Fault = { cut: false, frozen: false, delayMs: options.delayMs }
   const sockets = new Set<Socket>()
 
-  /** Passes chunks on in order, each after the delay in force. */
+  /** Forwards chunks in order, each after the current delay. */
   const relay = () => new Transform({
     async transform (chunk, _encoding, done) {
       const dueMs = performance.now() + fault.delayMs
-      while (fault.frozen && !this.destroyed) await sleepMs(frozenCheckMs)
+      while (fault.frozen && !this.destroyed) await sleepMs(frozenPollMs)
       const waitMs = dueMs - performance.now()
       if (waitMs > 0) await sleepMs(waitMs)
       done(null, chunk)
@@ -54,12 +54,12 @@
     const { host, port } = splitAddress(options.target)
     const outgoing = connect(port, host)
     track(outgoing)
-    const endBoth = () => {
+    const destroyBoth = () => {
       incoming.destroy()
       outgoing.destroy()
     }
-    pipeline(incoming, relay(), outgoing, endBoth)
-    pipeline(outgoing, relay(), incoming, endBoth)
+    pipeline(incoming, relay(), outgoing, destroyBoth)
+    pipeline(outgoing, relay(), incoming, destroyBoth)
   })
 
   const setFault = (change: Partial<Fault>) => {
--- a/packages/testbed/src/program-process.ts
+++ b/packages/testbed/src/program-process.ts
@@ -1,5 +1,5 @@
 /**
- * One program of the product or of the stand-ins as a child process: start, announcement, signals, captured log.
+ * Runs an entry, a steward or a stand-in as a child process: start, announced addresses, signals, captured log.
  */
 import { spawn } from 'node:child_process'
 import type { ChildProcess } from 'node:child_process'
@@ -11,12 +11,12 @@
 
 const packagesDir = fileURLToPath(new URL('../..', import.meta.url))
 
-/** Longest part of a program's standard error that is kept, in characters; the oldest goes first. */
+/** Maximum length of a program's captured standard error, in characters; the oldest part is dropped. */
 export const maxLogCharacters = 1024 * 1024
 
 const announceTimeoutMs = 30_000
 
-/** Path of each program, and the settings that hold its listening addresses by announced name. */
+/** Path of each program, and its settings for listening addresses with the names under which they are announced. */
 const programs = {
   platform: { path: 'standins/bin/standin-platform.js', listeners: { listen: 'platform' } },
   database: { path: 'standins/bin/standin-database.js', listeners: { listen: 'database' } },
@@ -28,10 +28,9 @@
   steward: { path: 'steward/bin/egretyoke-steward.js', listeners: { healthListen: 'health' } }
 } as const
 
-/** Kind of a program. */
 export type ProgramKind = keyof typeof programs
 
-/** Where and how programs are started. */
+/** Settings folder and environment for starting programs. */
 export type ProcessContext = {
   /** Folder for settings files. */
   folder: string
@@ -39,7 +38,7 @@
   debug: string
 }
 
-/** A program that was started. All addresses are HOST:PORT. */
+/** A started program. All addresses are HOST:PORT. */
 export type ProgramProcess = Awaited<ReturnType<typeof startProgram>>
 
 const liveChildren = new Set<ChildProcess>()
@@ -48,57 +47,58 @@
 }
 process.on('exit', killChildren)
 
-const signalExitCode = 128
-/** Signals that would end this process without its exit handlers, and their numbers. */
-const endingSignals = { SIGINT: 2, SIGTERM: 15, SIGHUP: 1 } as const
+const signalExitCodeBase = 128
+/** Signals that by default terminate this process without running its exit handlers, with their numbers. */
+const terminationSignals = { SIGINT: 2, SIGTERM: 15, SIGHUP: 1 } as const
 
-/** Ends the children with this process also when a signal ends it. */
-const endOnSignals = () => {
-  for (const [signal, number] of Object.entries(endingSignals)) {
-    process.once(signal, () => process.exit(signalExitCode + number))
+/** Exits on these signals, so that the exit handler kills the children. */
+const exitOnSignals = () => {
+  for (const [signal, number] of Object.entries(terminationSignals)) {
+    process.once(signal, () => process.exit(signalExitCodeBase + number))
   }
 }
-let handlesSignals = false
+let hasSignalHandlers = false
 
 const readAnnouncement = async (child: ChildProcess, name: string): Promise<Record<string, string>> => {
   const lines = createInterface({ input: child.stdout! })
-  const giveUp = new AbortController()
-  const timer = setTimeout(() => giveUp.abort(), announceTimeoutMs)
+  const cancellation = new AbortController()
+  const timer = setTimeout(() => cancellation.abort(), announceTimeoutMs)
   try {
     const line = await Promise.race([
-      once(lines, 'line', { signal: giveUp.signal }).then(([text]) => String(text)),
-      once(child, 'exit', { signal: giveUp.signal }).then(([code]) => Promise.reject(new Error(`exit code ${code}`)))
+      once(lines, 'line', { signal: cancellation.signal }).then(([text]) => String(text)),
+      once(child, 'exit', { signal: cancellation.signal })
+        .then(([code]) => Promise.reject(new Error(`exit code ${code}`)))
     ])
     return JSON.parse(line).addresses
   } catch (thrown) {
     throw new Error(`${name} did not start: ${thrown}`)
   } finally {
     clearTimeout(timer)
-    giveUp.abort()
+    cancellation.abort()
   }
 }
 
-/** Starts a program and waits for its announcement. Rejects when it ends before that. */
+/** Starts a program and waits until it announces its addresses. Rejects when it exits before that, or on time-out. */
 export const startProgram = async (
   context: ProcessContext,
   kind: ProgramKind,
   name: string,
-  firstSettings: Record<string, unknown>
+  initialSettings: Record<string, unknown>
 ) => {
   const { path, listeners } = programs[kind]
-  const anyPort = Object.fromEntries(Object.keys(listeners).map(field => [field, '127.0.0.1:0']))
-  let settings: Record<string, unknown> = { ...anyPort, ...firstSettings }
+  const ephemeralAddresses = Object.fromEntries(Object.keys(listeners).map(field => [field, '127.0.0.1:0']))
+  let settings: Record<string, unknown> = { ...ephemeralAddresses, ...initialSettings }
   let addresses: Record<string, string> = {}
   let log = ''
   let child: ChildProcess | undefined
 
-  const keepLog = (chunk: Buffer) => {
+  const appendLog = (chunk: Buffer) => {
     log = (log + chunk.toString('utf8')).slice(-maxLogCharacters)
   }
 
   const start = async () => {
-    if (!handlesSignals) endOnSignals()
-    handlesSignals = true
+    if (!hasSignalHandlers) exitOnSignals()
+    hasSignalHandlers = true
     const file = join(context.folder, `${kind}-${name}.json`)
     writeFileSync(file, JSON.stringify(settings))
     const env = { ...process.env, DEBUG: context.debug }
@@ -107,29 +107,29 @@
     child = started
     liveChildren.add(started)
     started.once('exit', () => liveChildren.delete(started))
-    started.stderr!.on('data', keepLog)
+    started.stderr!.on('data', appendLog)
     try {
       addresses = await readAnnouncement(started, name)
     } catch (thrown) {
       throw new Error(`${thrown instanceof Error ? thrown.message : thrown}\n${log.slice(-2_000)}`)
     }
     started.stdout!.resume()
-    const fixedPorts = Object.entries(listeners).map(([field, announced]) => [field, addresses[announced]])
-    settings = { ...settings, ...Object.fromEntries(fixedPorts) }
+    const assignedAddresses = Object.entries(listeners).map(([field, announced]) => [field, addresses[announced]])
+    settings = { ...settings, ...Object.fromEntries(assignedAddresses) }
   }
 
   const isRunning = () => child !== undefined && child.exitCode === null && child.signalCode === null
 
-  /** Sends a signal and waits for the end; returns the exit code, or null when a signal ended it. */
-  const end = async (signal: NodeJS.Signals): Promise<number | null> => {
+  /** Sends a signal and waits for the exit; returns the exit code, or null when a signal terminated the program. */
+  const stop = async (signal: NodeJS.Signals): Promise<number | null> => {
     if (!child || !isRunning()) return child?.exitCode ?? null
-    const ended = once(child, 'exit')
+    const exited = once(child, 'exit')
     child.kill(signal)
-    const [code] = await ended
+    const [code] = await exited
     return code
   }
 
-  const kill = () => end('SIGKILL')
+  const kill = () => stop('SIGKILL')
 
   const restart = async (change: Record<string, unknown> = {}) => {
     await kill()
@@ -146,7 +146,7 @@
     logs: () => log,
     isRunning,
     kill,
-    terminate: () => end('SIGTERM'),
+    terminate: () => stop('SIGTERM'),
     freeze: () => child?.kill('SIGSTOP'),
     thaw: () => child?.kill('SIGCONT'),
     restart
--- a/packages/testbed/src/start-fleet.ts
+++ b/packages/testbed/src/start-fleet.ts
@@ -1,5 +1,5 @@
 /**
- * Starts a whole fleet on loopback as separate processes, and gives handles to its parts.
+ * Starts a whole fleet on loopback as separate processes, and returns functions to control and inspect them.
  */
 import { mkdtempSync, rmSync } from 'node:fs'
 import { tmpdir } from 'node:os'
@@ -43,11 +43,11 @@
   return { ...configuration, workspaces: Object.fromEntries(workspaces) }
 }
 
-/** Starts platform, databases, entries and stewards, and waits until every entry is ready. */
+/** Starts the platform, databases, entries and stewards; resolves when every entry is ready. */
 export const startFleet = async (description: FleetDescription, options: FleetOptions = {}) => {
   const folder = mkdtempSync(join(tmpdir(), 'egretyoke-fleet-'))
-  const standins: ProcessContext = { folder, debug: '' }
-  const product: ProcessContext = { folder, debug: options.debug ?? '' }
+  const standinContext: ProcessContext = { folder, debug: '' }
+  const productContext: ProcessContext = { folder, debug: options.debug ?? '' }
   const programs = new Map<string, ProgramProcess>()
   const links = options.links ?? {}
   const relays: CountingRelay[] = []
@@ -72,22 +72,22 @@
     return started
   }
 
-  /** Starts a relay to the target when wanted; returns the address to use. */
-  const linked = async (wanted: boolean | undefined, name: string, target: string): Promise<string> => {
+  /** Starts a relay to the target if enabled; returns the address of the relay, or else of the target. */
+  const startLinkIfEnabled = async (isEnabled: boolean | undefined, name: string, target: string): Promise<string> => {
     if (links.countBytes) {
       const relay = await startCountingRelay(target)
       relays.push(relay)
       return relay.address
     }
-    if (!wanted) return target
-    const link = await start(standins, 'link', `link-${name}`, { target, delayMs: links.delayMs ?? 0 })
+    if (!isEnabled) return target
+    const link = await start(standinContext, 'link', `link-${name}`, { target, delayMs: links.delayMs ?? 0 })
     return link.addresses().link
   }
 
   const startDatabase = async (group: string, name: string, primaryAddress: string) => {
     const { endpoints, firstPrimary } = configuration.groups[group]
     const { slots, maxConnections } = endpoints[name]
-    const started = await start(standins, 'database', name, {
+    const started = await start(standinContext, 'database', name, {
       name,
       group,
       memberCount: Object.keys(endpoints).length,
@@ -100,7 +100,7 @@
       record: options.record ?? false,
       ...options.databaseSettings?.(name)
     })
-    endpoints[name].address = await linked(links.databases, name, started.addresses().database)
+    endpoints[name].address = await startLinkIfEnabled(links.databases, name, started.addresses().database)
     return endpoints[name].address
   }
 
@@ -115,15 +115,17 @@
   const platformAddresses = new Map<string, string>()
 
   const startEntry = async ({ name, dataCentre }: FleetDescription['vms'][number]) => {
-    const platformAddress = await linked(links.platform, `platform-${name}`, program('platform').addresses().platform)
+    const platformAddress = await startLinkIfEnabled(
+      links.platform, `platform-${name}`, program('platform').addresses().platform
+    )
     platformAddresses.set(name, platformAddress)
-    const entry = await start(product, 'entry', name,
+    const entry = await start(productContext, 'entry', name,
       { name, dataCentre, platformAddress, ...options.entrySettings?.(name) })
-    peerAddresses.set(name, await linked(links.peers, `peer-${name}`, entry.addresses().peers))
+    peerAddresses.set(name, await startLinkIfEnabled(links.peers, `peer-${name}`, entry.addresses().peers))
   }
 
   const startSteward = ({ name, dataCentre }: FleetDescription['vms'][number]) =>
-    start(product, 'steward', `steward-${name}`,
+    start(productContext, 'steward', `steward-${name}`,
       {
         name,
         dataCentre,
@@ -143,13 +145,13 @@
     return [...entries, ...endpoints].filter(vm => !unlisted.has(vm.name))
   }
 
-  const publishVms = () => control.setVms(program('platform').addresses().platform, vmList())
+  const publishVmList = () => control.setVms(program('platform').addresses().platform, vmList())
 
   const waitReady = async (names: string[] = vmNames, timeoutMs = options.readyTimeoutMs ?? defaultReadyTimeoutMs) => {
-    const giveUpAtMs = performance.now() + timeoutMs
+    const deadlineMs = performance.now() + timeoutMs
     for (const name of names) {
       while (!await isReady(program(name).addresses().health)) {
-        if (performance.now() > giveUpAtMs) {
+        if (performance.now() > deadlineMs) {
           throw new Error(`${name} is not ready after ${timeoutMs} ms\n${program(name).logs().slice(-4_000)}`)
         }
         await sleepMs(readyPollMs)
@@ -173,7 +175,7 @@
     }
   }
 
-  /** Edits the configuration in place and makes it the one in force; resolves when it is accepted. */
+  /** Applies an edit to a copy of the configuration and activates it; resolves to the new version. */
   const applyConfiguration = async (edit: (draft: StoredConfiguration) => void): Promise<number> => {
     const draft = structuredClone(configuration)
     edit(draft)
@@ -183,11 +185,11 @@
   }
 
   const startAll = async () => {
-    await start(standins, 'platform', 'platform', {})
+    await start(standinContext, 'platform', 'platform', {})
     await Promise.all(Object.keys(configuration.groups).map(startGroup))
     await applyConfiguration(() => {})
     await Promise.all(description.vms.map(startEntry))
-    await publishVms()
+    await publishVmList()
     if (options.withoutStewards) {
       await withPlatform(platform => putFleetRecords(platform, configuration, rosterMembers()))
     } else {
@@ -205,7 +207,7 @@
 
   const databaseAddress = (name: string) => program(name).addresses().database
 
-  /** Starts a killed program again on its old ports. */
+  /** Restarts a program on the same ports. An entry gets the addresses of its peers as seeds. */
   const restart = async (name: string) => {
     const isEntry = vmNames.includes(name)
     const others = [...peerAddresses].filter(([vm]) => vm !== name).map(([, address]) => address)
@@ -215,7 +217,7 @@
   return {
     vmNames,
     vms: description.vms,
-    /** Callers' address of a VM. */
+    /** Address at which a VM accepts callers. */
     callerAddress: (vm: string) => program(vm).addresses().callers,
     callerAddresses: () => vmNames.map(vm => program(vm).addresses().callers),
     healthAddress: (name: string) => program(name).addresses().health,
@@ -223,7 +225,7 @@
     databaseNames: (group?: string) => Object.entries(configuration.groups)
       .filter(([name]) => group === undefined || name === group)
       .flatMap(([, { endpoints }]) => Object.keys(endpoints)),
-    /** Text of the first key of a workspace. */
+    /** Plaintext of the first key of a workspace. */
     keyOf: (workspace: string) => keys.get(workspace)!,
     configuration: () => configuration,
     configurationVersion: () => version,
@@ -246,15 +248,15 @@
     setLinkFault: async (name: string, fault: control.LinkFault): Promise<void> => {
       await control.setLinkFault(program(name).addresses().control, fault)
     },
-    /** Announces exactly these VMs and endpoints as leaving. */
+    /** Marks exactly these VMs and endpoints as leaving in the platform's VM list. */
     setLeaving: async (names: string[]): Promise<void> => {
       leaving = new Set(names)
-      await publishVms()
+      await publishVmList()
     },
-    /** Takes exactly these VMs and endpoints off the platform's list. */
+    /** Omits exactly these VMs and endpoints from the platform's VM list. */
     setUnlisted: async (names: string[]): Promise<void> => {
       unlisted = new Set(names)
-      await publishVms()
+      await publishVmList()
     },
     readLog: (name: string) => control.readLog(databaseAddress(name)),
     readMemberStatus: (name: string): Promise<control.MemberStatus> =>
@@ -263,7 +265,7 @@
       control.readDatabaseStats(databaseAddress(name)),
     readPlatformStats: (): Promise<control.PlatformStats> =>
       control.readPlatformStats(program('platform').addresses().platform),
-    /** Creates one more key of a workspace and puts it into force; returns its text. */
+    /** Adds a key to a workspace and activates the configuration; returns the key's plaintext. */
     createKey: async (workspace: string, keyId: string): Promise<string> => {
       const key = createCallerKey(keyId)
       await applyConfiguration(draft => {
@@ -271,7 +273,7 @@
       })
       return key.text
     },
-    /** Bytes that passed between the programs so far, with `countBytes`. */
+    /** Bytes forwarded between the programs so far; 0 without `countBytes`. */
     relayedBytes: () => relays.reduce((sum, relay) => sum + relay.bytes(), 0),
     applyConfiguration,
     waitReady,
--- a/soak/src/soak-record.ts
+++ b/soak/src/soak-record.ts
@@ -1,30 +1,31 @@
 /**
- * What callers and databases saw during a soak, and the promises that are checked against it.
+ * Record of the statements that callers sent and databases ran during a soak, and the checks of egretyoke's guarantees
+ * against it.
  */
 
-/** How a statement ended for its caller. `unknown`: an error that promises nothing, or no answer. */
+/** Outcome of a statement as its caller saw it. `unknown`: no reply, or an error that does not exclude an effect. */
 export type CallerOutcome = 'done' | 'nothingKept' | 'unknown'
 
-/** One write of a caller: a single one, or a transaction that wrote and was committed. */
+/** One write of a caller: a single statement, or the writes of one transaction. */
 export type CallerWrite = {
-  /** Request ids of the writes; unique in the whole run. */
+  /** Request ids of the writes; unique within a run. */
   requestIds: string[]
   outcome: CallerOutcome
   answeredMs: number
 }
 
 /** A statement that a database ran. */
-export type RunStatement = {
+export type ExecutedStatement = {
   database: string
   connection: number
   workspace: string
   requestId: string
   text: string
   values: string
-  /** Number of the transaction on the connection; 0: none. */
+  /** Number of the transaction, unique within the group; 0 outside a transaction. */
   transaction: number
-  /** A write that the statement had to see and that the database's log lacked; empty: none. */
-  lacked: string
+  /** Request id of a write that the statement had to see but the database's log lacked; empty if there is none. */
+  missing: string
 }
 
 /** A statement that a caller sent. */
@@ -33,27 +34,27 @@
   workspace: string
   sentMs: number
   values: string
-  /** Names the caller's transaction; empty: none. */
+  /** Name of the caller's transaction; empty outside a transaction. */
   transaction: string
-  /** Request ids of confirmed writes that it has to see. */
+  /** Request ids of confirmed writes that the statement has to see. */
   mustSee: readonly string[]
 }
 
-/** A breach of a promise. */
+/** Violation of a guarantee: the name of the guarantee and what happened. */
 export type Breach = { promise: string, detail: string }
 
-/** The record of a run. */
+/** Record of a run. */
 export type SoakRecord = {
   sent: Map<string, SentStatement>
-  ran: RunStatement[]
+  executed: ExecutedStatement[]
   writes: CallerWrite[]
-  /** Times at which keys were withdrawn, by workspace. */
-  withdrawnMs: Map<string, number>
+  /** Times at which keys were withdrawn, by workspace, on the monotonic clock. */
+  keyWithdrawnAtMs: Map<string, number>
   breaches: Breach[]
-  breach: (promise: string, detail: string) => void
+  report: (promise: string, detail: string) => void
 }
 
-/** Breaches that are kept; the first are the telling ones. */
+/** Maximum number of recorded breaches; later ones usually follow from the first and are dropped. */
 const maxBreaches = 50
 
 /** Creates an empty record. */
@@ -61,63 +62,66 @@
   const breaches: Breach[] = []
   return {
     sent: new Map(),
-    ran: [],
+    executed: [],
     writes: [],
-    withdrawnMs: new Map(),
+    keyWithdrawnAtMs: new Map(),
     breaches,
-    breach: (promise, detail) => { if (breaches.length < maxBreaches) breaches.push({ promise, detail }) }
+    report: (promise, detail) => { if (breaches.length < maxBreaches) breaches.push({ promise, detail }) }
   }
 }
 
-/** What is known of the databases at the end: request ids in the surviving log, and those that promotions cut back. */
-export type FinalLogs = { kept: readonly string[], cutBack: ReadonlySet<string> }
+/** State of the databases at the end: request ids in the surviving log, and those that promotions dropped. */
+export type FinalLogs = { kept: readonly string[], dropped: ReadonlySet<string> }
 
-const checkWrites = ({ writes, breach }: SoakRecord, { kept, cutBack }: FinalLogs) => {
+const checkWrites = ({ writes, report }: SoakRecord, { kept, dropped }: FinalLogs) => {
   const counts = new Map<string, number>()
   for (const requestId of kept) counts.set(requestId, (counts.get(requestId) ?? 0) + 1)
-  for (const [requestId, count] of counts) if (count > 1) breach('twice', `${requestId} took effect ${count} times`)
+  for (const [requestId, count] of counts) if (count > 1) report('twice', `${requestId} took effect ${count} times`)
   for (const { requestIds, outcome } of writes) {
     const found = requestIds.filter(requestId => counts.has(requestId))
-    if (outcome === 'nothingKept' && found.length > 0) breach('refused', `${found.join()} is kept`)
-    const missing = requestIds.filter(requestId => !counts.has(requestId) && !cutBack.has(requestId))
-    if (outcome === 'done' && missing.length > 0) breach('lost', `${missing.join()} was confirmed and is gone`)
+    if (outcome === 'nothingKept' && found.length > 0) report('refused', `${found.join()} is kept`)
+    const missing = requestIds.filter(requestId => !counts.has(requestId) && !dropped.has(requestId))
+    if (outcome === 'done' && missing.length > 0) report('lost', `${missing.join()} was confirmed and is gone`)
   }
 }
 
-/** The last write that was confirmed before a time, in the whole run. */
-export const lastConfirmed = ({ writes }: SoakRecord, beforeMs: number): readonly string[] =>
+/** Request ids of the last write of any caller that was confirmed no later than the given time. */
+export const lastConfirmedWrite = ({ writes }: SoakRecord, beforeMs: number): readonly string[] =>
   writes.findLast(({ outcome, answeredMs }) => outcome === 'done' && answeredMs <= beforeMs)?.requestIds ?? []
 
-const checkReads = ({ ran, breach }: SoakRecord, { cutBack }: FinalLogs) => {
-  for (const { requestId, lacked, database } of ran) {
-    if (lacked !== '' && !cutBack.has(lacked)) breach('stale', `${requestId} ran on ${database} without ${lacked}`)
+const checkReads = ({ executed, report }: SoakRecord, { dropped }: FinalLogs) => {
+  for (const { requestId, missing, database } of executed) {
+    if (missing !== '' && !dropped.has(missing)) report('stale', `${requestId} ran on ${database} without ${missing}`)
   }
 }
 
-const checkRunStatements = ({ sent, ran, withdrawnMs, breach }: SoakRecord, keyWithdrawalMs: number) => {
-  const connectionOf = new Map<string, string>()
-  for (const statement of ran) {
+const checkExecutedStatements = (
+  { sent, executed, keyWithdrawnAtMs, report }: SoakRecord, keyWithdrawalMs: number
+) => {
+  const connectionByTransaction = new Map<string, string>()
+  for (const statement of executed) {
     const { requestId, text, workspace, values, database, connection, transaction } = statement
-    const asked = sent.get(requestId)
-    if (asked === undefined || asked.text !== text || asked.workspace !== workspace) {
-      breach('unasked', `${database} ran ${requestId} "${text}" for ${workspace}`)
+    const query = sent.get(requestId)
+    if (query === undefined || query.text !== text || query.workspace !== workspace) {
+      report('unasked', `${database} ran ${requestId} "${text}" for ${workspace}`)
       continue
     }
-    if (asked.values !== values) breach('pinned', `${requestId} ran with values "${values}"`)
-    if ((asked.transaction !== '') !== (transaction !== 0)) breach('pinned', `${requestId}: transaction ${transaction}`)
-    const place = `${database} ${connection} ${transaction}`
-    if (asked.transaction !== '' && (connectionOf.get(asked.transaction) ?? place) !== place) {
-      breach('pinned', `${requestId} ran on another connection than its transaction`)
+    if (query.values !== values) report('pinned', `${requestId} ran with values "${values}"`)
+    if ((query.transaction !== '') !== (transaction !== 0)) report('pinned', `${requestId}: transaction ${transaction}`)
+    const connectionKey = `${database} ${connection} ${transaction}`
+    if (query.transaction !== '' &&
+      (connectionByTransaction.get(query.transaction) ?? connectionKey) !== connectionKey) {
+      report('pinned', `${requestId} ran on another connection than its transaction`)
     }
-    connectionOf.set(asked.transaction, place)
-    const withdrawn = withdrawnMs.get(workspace) ?? Infinity
-    if (asked.sentMs > withdrawn + keyWithdrawalMs) breach('withdrawn key', `${requestId} ran for ${workspace}`)
+    connectionByTransaction.set(query.transaction, connectionKey)
+    const withdrawnAtMs = keyWithdrawnAtMs.get(workspace) ?? Infinity
+    if (query.sentMs > withdrawnAtMs + keyWithdrawalMs) report('withdrawn key', `${requestId} ran for ${workspace}`)
   }
 }
 
-/** Checks the record of a run that has ended. */
+/** Checks the record of a finished run and adds the breaches that it finds. */
 export const checkSoakRecord = (record: SoakRecord, logs: FinalLogs, keyWithdrawalMs: number): void => {
   checkWrites(record, logs)
   checkReads(record, logs)
-  checkRunStatements(record, keyWithdrawalMs)
+  checkExecutedStatements(record, keyWithdrawalMs)
 }
--- a/soak/src/soak.ts
+++ b/soak/src/soak.ts
@@ -1,56 +1,57 @@
 /**
- * One run of the soak: a world of processes and stand-ins, callers, seeded faults, and the promises checked from what
- * callers and databases saw.
+ * One run of the soak: starts processes, stand-ins and callers, injects seeded faults, and checks the guarantees
+ * against what callers and databases recorded.
  */
 import { createWriteStream, mkdtempSync, rmSync } from 'node:fs'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { createRandom, sleepMs } from '@egretyoke/common'
-import { soakTimes } from './gateway-process.js'
+import { gatewayDeadlines } from './gateway-process.js'
 import { startSoakCaller } from './soak-callers.js'
 import type { SoakCaller } from './soak-callers.js'
-import { playFaults } from './soak-faults.js'
+import { injectFaults } from './soak-faults.js'
 import { checkSoakRecord, createSoakRecord } from './soak-record.js'
 import type { Breach, SoakRecord } from './soak-record.js'
-import { keyOf, routes, startSoakWorld, workspaces } from './soak-world.js'
-import type { SoakWorld } from './soak-world.js'
+import { keyOf, routes, startSoakEnvironment, workspaces } from './soak-environment.js'
+import type { SoakEnvironment } from './soak-environment.js'
 
-/** What a run is made of. */
-export type SoakPlan = { seed: number, seconds: number, gateways: number, callers: number }
+/** Options of a run. `seconds` is the duration of fault injection; `callers` and `gateways` are counts. */
+export type SoakOptions = { seed: number, seconds: number, gateways: number, callers: number }
 
-/** What a run showed. */
+/** Result of a run: breaches, and statements and transactions by outcome. */
 export type SoakResult = {
   breaches: Breach[]
   done: number
   refused: number
   unknown: number
-  /** Folder with the log of each gateway and the faults; removed when nothing was broken. */
+  /** Folder with the log of each gateway and of the faults; removed when there is no breach. */
   logs: string
 }
 
-/** After the last fault everything has to be served again within this time, and for some time it is looked at. */
+/** Time after the last fault within which all callers have to be served again. */
 const recoveryMs = 12_000
-const lookMs = 2000
+/** Time during which each caller has to complete at least one operation after the recovery. */
+const observationMs = 2000
 
-/** Callers of withdrawn workspaces are not served any more; all others have to be. */
+/** Checks that every caller is served again, except those of workspaces whose key was withdrawn. */
 const checkRecovery = async (
   callers: ReadonlyMap<SoakCaller, string>, isWithdrawn: (workspace: string) => boolean, record: SoakRecord
 ) => {
   await sleepMs(recoveryMs)
   const before = new Map([...callers.keys()].map(caller => [caller, caller.counts().done]))
-  await sleepMs(lookMs)
+  await sleepMs(observationMs)
   for (const [caller, workspace] of callers) {
-    const hasDone = caller.counts().done > (before.get(caller) ?? 0)
-    if (!hasDone && !isWithdrawn(workspace)) record.breach('recovery', `a caller of ${workspace} is not served`)
+    const hasProgress = caller.counts().done > (before.get(caller) ?? 0)
+    if (!hasProgress && !isWithdrawn(workspace)) record.report('recovery', `a caller of ${workspace} is not served`)
   }
 }
 
-/** Callers of all workspaces and routes, each with the workspace that it belongs to. */
-const startCallers = ({ gateways }: SoakWorld, { seed, callers }: SoakPlan, record: SoakRecord) => {
-  const balancer = createRandom(seed + 1)
+/** Starts callers for all workspaces and routes; returns each with its workspace. */
+const startCallers = ({ gateways }: SoakEnvironment, { seed, callers }: SoakOptions, record: SoakRecord) => {
+  const balancerRandom = createRandom(seed + 1)
   const choosePort = () => {
     const ready = gateways.filter(gateway => gateway.isInRotation())
-    return ready.length === 0 ? undefined : balancer.pick(ready).callerPort
+    return ready.length === 0 ? undefined : balancerRandom.pick(ready).callerPort
   }
   return new Map(Array.from({ length: callers }, (_, index) => {
     const workspace = workspaces[index % workspaces.length]
@@ -67,38 +68,43 @@
   }))
 }
 
-/** Writes each fault with its time into a file of the folder, and passes it on. */
+/** Writes each line with the elapsed time to faults.log in the folder, and passes it to the callback. */
 const createFaultLog = (folder: string, log: (line: string) => void) => {
   const startedMs = performance.now()
   const file = createWriteStream(join(folder, 'faults.log'))
-  const note = (line: string) => {
+  const writeLine = (line: string) => {
     const text = `${Math.round(performance.now() - startedMs)} ms: ${line}`
     file.write(`${text}\n`)
     log(text)
   }
-  return { note, close: () => file.end() }
+  return { writeLine, close: () => file.end() }
 }
 
-/** Runs one soak. */
-export const runSoakOnce = async (plan: SoakPlan, log: (line: string) => void): Promise<SoakResult> => {
+/** Runs one soak with the given options. */
+export const runSoak = async (options: SoakOptions, log: (line: string) => void): Promise<SoakResult> => {
   const record = createSoakRecord()
-  const folder = mkdtempSync(join(tmpdir(), `egretyoke-soak-${plan.seed}-`))
-  const world = await startSoakWorld({ gateways: plan.gateways, folder, record, random: createRandom(plan.seed + 1) })
-  const { operators, gateways } = world
-  const callers = startCallers(world, plan, record)
+  const folder = mkdtempSync(join(tmpdir(), `egretyoke-soak-${options.seed}-`))
+  const environment = await startSoakEnvironment({
+    gateways: options.gateways, folder, record, random: createRandom(options.seed + 1)
+  })
+  const { operators, gateways } = environment
+  const callers = startCallers(environment, options, record)
   const faultLog = createFaultLog(folder, log)
-  // The faults have a source of their own, so that a seed brings the same ones whatever the processes do meanwhile.
-  await playFaults({
-    ...world, changeConfiguration: operators.change, withdrawKey: operators.withdrawKey, log: faultLog.note
-  }, createRandom(plan.seed), plan.seconds * 1000)
-  faultLog.note('all faults taken back')
+  // Faults have their own random source, so that a seed gives the same sequence whatever the timing of the processes.
+  await injectFaults({
+    ...environment,
+    changeConfiguration: operators.changeConfiguration,
+    withdrawKey: operators.withdrawKey,
+    log: faultLog.writeLine
+  }, createRandom(options.seed), options.seconds * 1000)
+  faultLog.writeLine('all faults reverted')
   await checkRecovery(callers, operators.isWithdrawn, record)
 
   await Promise.all([...callers.keys()].map(caller => caller.stop()))
-  await world.closeGateways()
-  for (const { crashes } of gateways) for (const crash of crashes) record.breach('process', crash)
-  checkSoakRecord(record, world.databases.finalLogs(), soakTimes.keyWithdrawalMs)
-  await world.close()
+  await environment.closeGateways()
+  for (const { crashes } of gateways) for (const crash of crashes) record.report('process', crash)
+  checkSoakRecord(record, environment.databases.finalLogs(), gatewayDeadlines.keyWithdrawalMs)
+  await environment.close()
   faultLog.close()
   if (record.breaches.length === 0) rmSync(folder, { recursive: true })
   const counts = [...callers.keys()].map(caller => caller.counts())
