--- a/packages/proofs/src/at-most-once.test.ts
+++ b/packages/proofs/src/at-most-once.test.ts
@@ -1,3 +1,7 @@
+/**
+ * Guards against a write that runs twice or is reported as not run although it ran. Both arise when an answer is lost
+ * between caller, VM and database or the primary fails over, and the VM retries the write or reports a wrong outcome.
+ */
 import test from 'ava'
 import { createRandom, sleepMs } from '@egretyoke/common'
 import { startLink } from '@egretyoke/standins'
@@ -10,7 +14,7 @@
 const seed = 23
 const loopback = '127.0.0.1:0'
 const timeoutMs = 800
-/** Longer than any statement that was sent can still wait at a database. */
+/** Longer than any sent statement can still wait at a database. */
 const settleMs = 1_500
 
 const unlimited: LocalFleetOptions['edit'] = configuration => {
@@ -23,7 +27,7 @@
 
 type Links = Awaited<ReturnType<typeof callerLinks>>
 
-/** Brings a fault about on one hop after the other until the signal aborts. */
+/** Injects random faults on the callers' links and the databases until the signal aborts. */
 const disturb = async (fleet: LocalFleet, links: Links, signal: AbortSignal) => {
   const random = createRandom(seed)
   const pauseMs = () => random.integer(20, 120)
@@ -50,7 +54,7 @@
   await databaseFault({})
 }
 
-test('"not run" is true and no write runs twice, with answers lost on every hop and a failover', async t => {
+test('"not run" is correct and no write runs twice, with answers lost on every hop and a failover', async t => {
   const fleet = await startLocalFleet({ stewardCount: 2, edit: unlimited })
   const links = await callerLinks(fleet)
   const stop = new AbortController()
@@ -86,7 +90,7 @@
   }
 })
 
-test('the checker of writes finds repeated ones when unknown outcomes are always tried again', async t => {
+test('the write checker finds repeated writes when unknown outcomes are always retried', async t => {
   const fleet = await startLocalFleet({ edit: unlimited, entrySettings: { policies: { retry: 'always' } } })
   try {
     await setDatabaseFault(fleet.databaseAddress('db-1'), { loseAnswers: 0.2 })
@@ -99,7 +103,7 @@
   }
 })
 
-test('the checker of writes finds a false "not run" and a lost confirmed write', t => {
+test('the write checker finds a false "not run" and a lost confirmed write', t => {
   const log = [{ term: 1, position: 1, statements: ['add counter 1 op=a'] }]
   t.deepEqual(checkWrites(new Map([['a', 'notRun'], ['b', 'done']]), log),
     { falselyNotRun: ['a'], lostConfirmed: ['b'], repeated: [] })
--- a/packages/proofs/src/caller-contract.test.ts
+++ b/packages/proofs/src/caller-contract.test.ts
@@ -1,3 +1,7 @@
+/**
+ * Guards against callers that harm others by misuse: with invalid or oversized requests, by reading slowly, by
+ * vanishing in the middle of a call, or with malformed messages and raw bytes on any port.
+ */
 import test from 'ava'
 import { randomBytes } from 'node:crypto'
 import { connect } from 'node:net'
@@ -37,7 +41,7 @@
 type Case = {
   name: string
   run: (client: RawCaller, fields: CallerFields, fleet: LocalFleet) => Promise<unknown>
-  /** What the caller is told; undefined: it is gone. */
+  /** Outcome and reason that the caller gets; undefined when it disconnects before the answer. */
   expected: string | undefined
 }
 
@@ -66,11 +70,11 @@
   { name: 'no key', run: statement('get berth', { key: undefined }), expected: 'notRun keyMissing' },
   { name: 'damaged token', run: statement('get berth', { token: randomBytes(60) }), expected: 'done' },
   { name: 'oversized token', run: statement('get berth', { token: randomBytes(9_000) }), expected: 'done' },
-  { name: 'timeout that is no number', run: withMetadata('egretyoke-timeout-ms', 'soon'), expected: 'done' },
+  { name: 'timeout that is not a number', run: withMetadata('egretyoke-timeout-ms', 'soon'), expected: 'done' },
   { name: 'negative timeout', run: withMetadata('egretyoke-timeout-ms', '-5'), expected: 'done' },
-  { name: 'endless timeout', run: withMetadata('egretyoke-timeout-ms', '1e999'), expected: 'done' },
+  { name: 'infinite timeout', run: withMetadata('egretyoke-timeout-ms', '1e999'), expected: 'done' },
   {
-    name: 'transaction on a route that reads',
+    name: 'transaction on a read route',
     run: async (client, fields) => {
       const transaction = openRawTransaction(client, fields)
       const begun = outcomeOf(await transaction.begin())
@@ -103,7 +107,7 @@
     expected: 'failed slowReader'
   },
   {
-    name: 'caller that vanishes in the middle of an answer',
+    name: 'caller that disconnects in the middle of an answer',
     run: async (client, fields) => {
       const call = client.Stream({ text: Buffer.from('scan wide rows=50000') }, callerMetadata(fields))
       call.on('error', () => {})
@@ -113,7 +117,7 @@
     expected: undefined
   },
   {
-    name: 'caller that vanishes while its statement runs',
+    name: 'caller that disconnects while its statement runs',
     run: async (client, fields) => {
       const call = client.Execute({ text: Buffer.from('get berth costMs=200') }, callerMetadata(fields), () => {})
       await sleepMs(50)
@@ -122,7 +126,7 @@
     expected: undefined
   },
   {
-    name: 'caller that vanishes in the middle of a transaction',
+    name: 'caller that disconnects in the middle of a transaction',
     run: async (client, fields) => {
       const transaction = openRawTransaction(client, { ...fields, route: 'write' })
       await transaction.begin()
@@ -132,7 +136,7 @@
     expected: undefined
   },
   {
-    name: 'caller whose connection is cut in the middle of everything',
+    name: 'caller whose connection is cut during a statement, a stream and a transaction',
     run: async (_client, fields, fleet) => {
       const target = fleet.callerAddress('vm-1')
       const link = await startLink({ listen: '127.0.0.1:0', control: '127.0.0.1:0', target, delayMs: 0 })
@@ -167,8 +171,8 @@
     for (const { name, run, expected } of cases) {
       t.is(await run(client, fields, fleet) ?? undefined, expected, name)
       const read = await executeRaw(other, session, 'get wide')
-      t.is(outcomeOf(read).kind, 'done', `${name}: others are served`)
-      t.true(read!.fromReplica, `${name}: by replicas as before`)
+      t.is(outcomeOf(read).kind, 'done', `${name}: other callers are still served`)
+      t.true(read!.fromReplica, `${name}: other callers are still served by replicas`)
       await eventually(`${name}: no call is left open`, async () => await openCalls(fleet) === 0)
     }
     t.is(String((await executeRaw(other, fields, 'get berth'))!.done!.result), '')
@@ -185,7 +189,7 @@
   '/egretyoke.peer.v1.Peer/StopConfirming', '/egretyoke.caller.v1.Caller/Nothing', '/'
 ]
 
-test('malformed messages and raw bytes at every port harm nobody', async t => {
+test('malformed messages and raw bytes on every port affect no other caller', async t => {
   const fleet = await startServing()
   const caller = connectRawCaller(fleet.callerAddress('vm-1'))
   const addresses = [fleet.callerAddress('vm-1'), fleet.peerAddress('vm-1')]
--- a/packages/proofs/src/caller-streams.ts
+++ b/packages/proofs/src/caller-streams.ts
@@ -1,5 +1,6 @@
 /**
- * Streams and interactive transactions of a caller over the published protocol, with every detail of the answers.
+ * A caller's statements, streams and interactive transactions over the published protocol, without a client library,
+ * so that tests see the unprocessed answers.
  */
 import { once } from 'node:events'
 import { Metadata } from '@grpc/grpc-js'
@@ -8,7 +9,7 @@
 
 type Answer = CallerMessages.Answer__Output
 
-/** A caller's metadata by field; what is undefined is not sent. */
+/** Metadata fields of a call; undefined fields are not sent. */
 export type CallerFields = {
   route?: string
   key?: string
@@ -19,13 +20,13 @@
   hasUnsettledWrite?: boolean
 }
 
-/** A raw client of one VM. */
+/** A gRPC client of one VM. */
 export type RawCaller = ReturnType<typeof connectRawCaller>
 
-/** A client of a VM's callers' address. */
+/** Creates a client for a VM's caller address. */
 export const connectRawCaller = (address: string) => connectGrpc(callerProto.Caller, address, loopbackChannels)
 
-/** Writes metadata. */
+/** Encodes the fields as gRPC metadata. */
 export const callerMetadata = (fields: CallerFields): Metadata => {
   const metadata = new Metadata()
   const set = (name: string, value: string | Buffer | undefined) => {
@@ -41,13 +42,13 @@
   return metadata
 }
 
-/** The outcome of an answer, with its reason. */
+/** Returns the kind and the reason code of an answer; the kind is `lost` without an answer. */
 export const outcomeOf = (answer: Answer | null | undefined): { kind: string, reason: string } => ({
   kind: answer?.outcome ?? 'lost',
   reason: (answer?.notRun ?? answer?.outcomeUnknown ?? answer?.failed)?.reason ?? ''
 })
 
-/** Runs one statement; undefined when no answer came. */
+/** Runs one statement; resolves to undefined when no answer arrives. */
 export const executeRaw = (
   client: RawCaller,
   fields: CallerFields,
@@ -56,10 +57,10 @@
   client.Execute({ text: Buffer.from(statement) }, callerMetadata(fields), (_error, answer) => resolve(answer))
 })
 
-/** A streamed answer as it arrived. `end` is undefined when the explicit end is missing. */
+/** Rows of a streamed answer and its end message; `end` is undefined when the stream broke before it. */
 export type StreamedAnswer = { rows: string[], end: Answer | undefined }
 
-/** Reads a whole stream; `onChunk` is called for each chunk. */
+/** Reads a stream to its end; calls `onChunk` after each chunk and waits for it before reading on. */
 export const streamRaw = async (
   client: RawCaller,
   fields: CallerFields,
@@ -78,15 +79,15 @@
       await onChunk()
     }
   } catch {
-    // A broken stream has no explicit end.
+    // A broken stream has no end message.
   }
   return { rows, end }
 }
 
-/** An interactive transaction as a caller drives it. */
+/** An interactive transaction that the test drives step by step. */
 export type RawTransaction = ReturnType<typeof openRawTransaction>
 
-/** Opens a transaction's stream; nothing is sent yet. */
+/** Opens the stream of a transaction without sending a step. Steps resolve to undefined once the stream has ended. */
 export const openRawTransaction = (client: RawCaller, fields: CallerFields) => {
   const call = client.Transact(callerMetadata(fields))
   const waiting: Array<(answer: Answer | undefined) => void> = []
@@ -114,7 +115,7 @@
     commit: () => step({ commit: {} }),
     rollback: () => step({ rollback: {} }),
     send: step,
-    /** Vanishes as a caller that dies. */
+    /** Cancels the call, as when the caller process dies. */
     cancel: () => call.cancel(),
     end: () => call.end(),
     hasEnded: () => hasEnded,
--- a/packages/proofs/src/configuration.test.ts
+++ b/packages/proofs/src/configuration.test.ts
@@ -1,3 +1,8 @@
+/**
+ * Guards against a configuration change that does not reach every VM in time or is lost, against a VM that goes back
+ * to an older version, and against a restarted VM that serves with an outdated configuration. Faults: lost answers,
+ * delays and outages of the platform, cut and frozen links, and racing operators.
+ */
 import test from 'ava'
 import type { ExecutionContext } from 'ava'
 import { monotonicMs, sleepMs } from '@egretyoke/common'
@@ -10,10 +15,10 @@
 
 const boundMs = 5_000
 const pollMs = 25
-/** Longer than a VM needs to start serving when it may. */
+/** Longer than a VM needs to start serving, so that a VM that serves without permission is seen. */
 const refusalObservedMs = 4_000
 
-/** The version in force on a VM; 0 when it has none or does not answer. */
+/** Returns the active configuration version of a VM; 0 when it has none or does not answer. */
 const readVersion = async (fleet: Fleet, vm: string): Promise<number> => {
   try {
     const response = await fetch(`http://${fleet.healthAddress(vm)}/metrics`)
@@ -23,7 +28,7 @@
   }
 }
 
-/** Watches the versions of all VMs until the signal aborts; returns each step back to an older one. */
+/** Polls the versions of all VMs until the signal aborts; resolves to each change back to an older version. */
 const watchVersions = async (fleet: Fleet, signal: AbortSignal): Promise<string[]> => {
   const reverts: string[] = []
   const watch = async (vm: string) => {
@@ -43,13 +48,13 @@
     const isInForce = async () => await readVersion(fleet, vm) >= version
     await eventually(`${name}: version ${version} on ${vm}`, isInForce, boundMs)
   }
-  t.log(`${name}: in force everywhere after ${Math.round(monotonicMs() - startMs)} ms`)
+  t.log(`${name}: active everywhere after ${Math.round(monotonicMs() - startMs)} ms`)
 }
 
 const changeBurst = (fleet: Fleet, burst: number) =>
   fleet.applyConfiguration(draft => { draft.workspaces['yard-2'].burst = burst })
 
-test('an accepted configuration is in force everywhere within 5 s and never reverts', async t => {
+test('an accepted configuration is active on every VM within 5 s and never reverts', async t => {
   const fleet = await startFleet(smallFleet(3), { withoutStewards: true, links: { platform: true, peers: true } })
   const stop = new AbortController()
   const versions = watchVersions(fleet, stop.signal)
@@ -58,10 +63,10 @@
     for (const vm of fleet.vmNames) await fleet.setLinkFault(`link-peer-${vm}`, fault)
   }
   try {
-    await expectInForce(t, fleet, 'undisturbed', await changeBurst(fleet, 201))
+    await expectInForce(t, fleet, 'no fault', await changeBurst(fleet, 201))
 
     await fleet.setPlatformFault({ loseSwapAnswers: 0.5 })
-    await expectInForce(t, fleet, 'answers of the platform lost', await changeBurst(fleet, 202))
+    await expectInForce(t, fleet, 'platform answers lost', await changeBurst(fleet, 202))
     await fleet.setPlatformFault({ delayMs: 400 })
     await expectInForce(t, fleet, 'slow platform', await changeBurst(fleet, 203))
     await fleet.setPlatformFault({})
@@ -97,7 +102,7 @@
   }
 })
 
-test('a VM restarted in an outage of the platform takes the newest configuration from its peers, or serves nothing',
+test('a VM restarted in a platform outage gets the newest configuration from its peers, or serves nothing',
   async t => {
     const fleet = await startFleet(smallFleet(3), { withoutStewards: true, links: { platform: true, peers: true } })
     const stop = new AbortController()
--- a/packages/proofs/src/connection-loans.test.ts
+++ b/packages/proofs/src/connection-loans.test.ts
@@ -1,5 +1,7 @@
 /**
- * Connections to endpoints are a limit of the whole fleet, lent between VMs like rates.
+ * The connection limit of an endpoint holds for the whole fleet, and VMs lend their shares to each other as they do
+ * for rates. Guards against a VM that cannot use idle shares of its peers, and against loans that exceed the limit in
+ * total.
  */
 import test from 'ava'
 import { sleepMs } from '@egretyoke/common'
@@ -11,7 +13,7 @@
 const maxConnections = 6
 const openTransactions = 5
 
-test('one VM holds more connections than its part while its peers need none, and never more than the endpoint allows',
+test('a VM borrows connections that its peers do not need, and never exceeds the limit of the endpoint',
   async t => {
     const fleet = await startLocalFleet({
       vmCount,
@@ -31,7 +33,7 @@
         openRawTransaction(client, { key, route: 'write', profile: 'session' }))
       const begun = await Promise.all(transactions.map(transaction => transaction.begin()))
       t.deepEqual(begun.map(answer => outcomeOf(answer).kind), Array(openTransactions).fill('done'))
-      // Longer than a loan, so that the loans have been renewed.
+      // Longer than the duration of a loan, so that the loans must have been renewed.
       await sleepMs(2_500)
       const statistics = await readDatabaseStats(fleet.databaseAddress('db-1'))
       t.true(statistics.openConnections <= maxConnections)
--- a/packages/proofs/src/endpoint-replies.test.ts
+++ b/packages/proofs/src/endpoint-replies.test.ts
@@ -1,3 +1,7 @@
+/**
+ * Fuzzes the replies of an endpoint. Guards against a request that accepts chunks or an end of another request or of
+ * an earlier connection generation, and against an answer with missing or repeated chunks that counts as complete.
+ */
 import test from 'ava'
 import type { ServerDuplexStream } from '@grpc/grpc-js'
 import fc from 'fast-check'
@@ -26,7 +30,7 @@
 )
 const offset = fc.constantFrom(0, 0, 0, 1, -1)
 
-/** Numbers the request's own chunks as a sound endpoint does, or as the given numbers say. */
+/** Numbers the request's own chunks as a correct endpoint does, or with the given numbers. */
 const numbered = (script: Script, numbers: readonly number[] | undefined): Script => {
   let count = 0
   return script.map((reply, index) => {
@@ -45,7 +49,7 @@
   fc.oneof(fc.constant(undefined), anyNumbers)
 ).map(([script, numbers]) => numbered(script, numbers))
 
-/** Serves connections that open properly and then answer by the script, whatever was asked. */
+/** Starts an endpoint that opens connections normally and answers every request with the replies of the script. */
 const startScripted = (script: () => Script) => listenGrpc('127.0.0.1:0', { channels: loopbackChannels }, server => {
   server.addService(endpointProto.Endpoint.service, {
     Connect: (stream: ServerDuplexStream<Request, Reply>) => {
@@ -65,7 +69,7 @@
   })
 })
 
-/** What the request's own replies amount to: the rows before the first end, and that end if the answer is whole. */
+/** Expected result: the rows before the request's own end, and that end if the answer is complete. */
 const expectedOf = (script: Script) => {
   const rows: Buffer[] = []
   const result = (end: EndpointMessages.End | undefined) => ({ end, rows: Buffer.concat(rows).toString('hex') })
@@ -77,7 +81,7 @@
   return result(undefined)
 }
 
-test('whatever an endpoint replies, a request gets its own whole answer or an error', async t => {
+test('for any replies of an endpoint, a request gets its own complete answer or an error', async t => {
   let current: Script = []
   let whole = 0
   let errors = 0
--- a/packages/proofs/src/fleet-rate.test.ts
+++ b/packages/proofs/src/fleet-rate.test.ts
@@ -1,3 +1,8 @@
+/**
+ * Guards against a fleet that admits more than a workspace's rate limit: through shares that a killed or frozen VM
+ * and its peers use at the same time, through a platform outage, and through VMs that keep the old limit after a
+ * change.
+ */
 import test from 'ava'
 import { createRandom, monotonicMs, sleepMs } from '@egretyoke/common'
 import { createCaller, smallFleet, startFleet } from '@egretyoke/testbed'
@@ -10,15 +15,15 @@
 const before = { ratePerSec: 100, burst: 50 }
 const after = { ratePerSec: 40, burst: 20 }
 const offeredPerSec = 500
-/** Part of the load that goes to the first VM. */
+/** Fraction of the load that goes to the first VM. */
 const skew = 0.6
-/** By then a change must be in force everywhere. */
+/** Time limit for a configuration change to become active on all VMs. */
 const inForceMs = 5_000
 const phaseMs = 9_000
 
 const requestTimeoutMs = 2_000
 
-/** Offers load at a constant rate until the signal aborts; resolves once all answers are in. */
+/** Sends reads at a constant rate until the signal aborts; resolves to the admitted ones once all answers arrived. */
 const offerLoad = async (fleet: Fleet, key: string, signal: AbortSignal): Promise<Admission[]> => {
   const caller = createCaller(fleet.callerAddresses())
   const random = createRandom(seed)
@@ -46,7 +51,7 @@
   return admissions
 }
 
-/** Kills, freezes, restarts and an outage of the platform, one after the other and together. */
+/** Kills, freezes and restarts VMs and takes the platform down, partly at the same time. */
 const disturb = async (fleet: Fleet) => {
   await sleepMs(1_000)
   await fleet.kill('vm-1')
@@ -89,7 +94,7 @@
     }
   })
 
-test('the checker finds a single request beyond the limit, in an interval of any length', t => {
+test('the rate checker finds a single request over the limit in an interval of any length', t => {
   const limit = { ratePerSec: 10, burst: 5 }
   const at = (ms: number): Admission => ({ sentMs: ms, receivedMs: ms })
   const kept = [...Array.from({ length: 5 }, () => at(0)), ...Array.from({ length: 50 }, (_, n) => at((n + 1) * 100))]
--- a/packages/proofs/src/graceful-shutdown.test.ts
+++ b/packages/proofs/src/graceful-shutdown.test.ts
@@ -1,3 +1,7 @@
+/**
+ * Guards against a VM that cuts off requests when SIGTERM ends it: calls that are still open after the drain notice,
+ * and calls that arrive until the balancer has seen that the VM is not ready.
+ */
 import test from 'ava'
 import { sleepMs } from '@egretyoke/common'
 import { smallFleet, startFleet } from '@egretyoke/testbed'
@@ -9,12 +13,12 @@
 const longStatementMs = 1_200
 const stepPauseMs = 150
 const chunkPauseMs = 45
-/** Shorter than the long calls, so that VMs must wait for these. */
+/** Shorter than the long calls, so that a VM has to wait for them after the notice. */
 const drainNoticeMs = 400
 const underLoadMs = 500
 const rowCount = 3_000
 
-/** Follows which VMs are ready, as the balancer does. */
+/** Polls the readiness of all VMs until the signal aborts, as the balancer does; `ready` holds the ready VMs. */
 const followReady = (fleet: Fleet, signal: AbortSignal) => {
   const ready = new Set(fleet.vmNames)
   const poll = async (vm: string) => {
@@ -58,7 +62,7 @@
   }
 }
 
-/** Works at all ready VMs until the signal aborts; returns the number of each outcome by kind of work. */
+/** Runs all workloads on all ready VMs until the signal aborts; resolves to the counts by workload and outcome. */
 const runCallers = async (fleet: Fleet, signal: AbortSignal): Promise<Record<string, number>> => {
   const { ready, done } = followReady(fleet, signal)
   const clients = new Map(fleet.vmNames.map(vm => [vm, connectRawCaller(fleet.callerAddress(vm))]))
@@ -97,7 +101,7 @@
 
 const isCut = (outcome: string) => !outcome.endsWith(': done')
 
-test('no request is cut off when VMs end by SIGTERM, each in turn, two at once, and in an outage of the platform',
+test('no request is cut off when SIGTERM ends VMs one by one, two at once, and during a platform outage',
   async t => {
     const fleet = await startFleet(roomy(3), {
       withoutStewards: true, entrySettings: () => ({ drainNoticeMs })
@@ -130,7 +134,7 @@
     }
   })
 
-test('the same load sees requests cut off when a VM is killed', async t => {
+test('the same load detects requests that are cut off when a VM is killed', async t => {
   const fleet = await startFleet(roomy(2), { withoutStewards: true })
   const stop = new AbortController()
   const callers = runCallers(fleet, stop.signal)
--- a/packages/proofs/src/key-finder.ts
+++ b/packages/proofs/src/key-finder.ts
@@ -1,10 +1,10 @@
 /**
- * Looks for a caller's key in bytes, in every encoding that the system uses for bytes.
+ * Searches text for a caller's key in every encoding that the system uses for bytes.
  */
 
 const base64Shifts = 3
 
-/** Base64 text of bytes as it appears inside longer bytes, without the characters that depend on the neighbours. */
+/** Base64 of bytes at an offset within longer data, without the characters that depend on the adjacent bytes. */
 const base64Inside = (bytes: Buffer, shift: number, encoding: 'base64' | 'base64url'): string => {
   const text = Buffer.concat([Buffer.alloc(shift), bytes]).toString(encoding).replaceAll('=', '')
   return text.slice(shift === 0 ? 0 : shift + 1, -1)
@@ -19,7 +19,7 @@
   return [text, encodeURIComponent(text), hex, hex.toUpperCase(), asNumbers, ...shifted.flat()]
 }
 
-/** Names the encodings in which the key, or its secret part, stands in the haystack. */
+/** Returns the encoded forms of the key, or of its secret part, that occur in the haystack. */
 export const findKey = (key: string, haystack: string): string[] => {
   const secret = key.slice(key.lastIndexOf('_') + 1)
   return [...encodingsOf(key), ...encodingsOf(secret)].filter(needle => haystack.includes(needle))
--- a/packages/proofs/src/keys.test.ts
+++ b/packages/proofs/src/keys.test.ts
@@ -1,3 +1,7 @@
+/**
+ * Guards against a caller's key that leaks to an endpoint or into a log, in plain text or in an encoding of its
+ * bytes. All programs write their debug logs, and the databases record every byte that they receive.
+ */
 import test from 'ava'
 import { createKey } from '@egretyoke/config'
 import { createCaller, smallFleet, startFleet } from '@egretyoke/testbed'
@@ -5,7 +9,7 @@
 import { findKey } from './key-finder.js'
 import { eventually } from './local-fleet.js'
 
-test('the finder finds a key in every encoding', t => {
+test('the key finder finds a key in every encoding', t => {
   const { text } = createKey('yard-1')
   const secret = text.slice(text.lastIndexOf('_') + 1)
   const planted = [text, secret].flatMap(part => [
@@ -38,7 +42,7 @@
       }
     }
     await streamRaw(client, { route: 'read', key }, 'scan berth rows=300')
-    await eventually('every database has served', async () => {
+    await eventually('every database has run a statement', async () => {
       await Promise.all(Array.from({ length: 10 }, () =>
         executeRaw(client, { route: 'read', key, isNewSession: true }, 'get berth')))
       const stats = await Promise.all(fleet.databaseNames().map(name => fleet.readDatabaseStats(name)))
@@ -60,7 +64,7 @@
     for (const program of fleet.programNames()) {
       for (const used of [key, wrongKey, withdrawnKey]) t.deepEqual(findKey(used, fleet.logs(program)), [], program)
     }
-    t.true(fleet.logs('vm-1').includes('routed'), 'the logs hold decisions')
+    t.true(fleet.logs('vm-1').includes('routed'), 'the logs contain routing decisions')
   } finally {
     client.close()
     caller.close()
--- a/packages/proofs/src/local-fleet.ts
+++ b/packages/proofs/src/local-fleet.ts
@@ -1,6 +1,7 @@
 /**
- * A fleet in one process: stand-ins, entries and stewards on loopback, with a relay on every way between them.
- * It starts quickly and its members can be cut off, closed and started again; freezes need separate processes.
+ * A fleet in one process: stand-ins, entries and stewards on loopback. The entries' connections to the platform, to
+ * peers and to databases pass through links that can be cut or frozen. It starts faster than a fleet of separate
+ * processes, which only a test that freezes or kills a process needs.
  */
 import { monotonicMs, sleepMs } from '@egretyoke/common'
 import type { RunningProgram } from '@egretyoke/common'
@@ -21,14 +22,14 @@
 const pollMs = 20
 const platformTimeoutMs = 1_000
 
-/** Options of a fleet's start. */
+/** Options of a local fleet. */
 export type LocalFleetOptions = {
   vmCount?: number
-  /** Starts one steward for each of the first VMs. */
+  /** Number of stewards, one on each of the first VMs. */
   stewardCount?: number
-  /** Changes the configuration before it is stored. */
+  /** Edits the configuration before it is stored. */
   edit?: (configuration: StoredConfiguration) => void
-  /** Changes to the settings of the entries. */
+  /** Settings that override those of every entry. */
   entrySettings?: Record<string, unknown>
   database?: { serviceMs?: number, connectMs?: number, record?: boolean }
 }
@@ -36,12 +37,12 @@
 /** A running fleet. */
 export type LocalFleet = Awaited<ReturnType<typeof startLocalFleet>>
 
-/** Waits until the condition holds; throws with its name when it does not in time. */
+/** Polls until the condition holds; throws an error with its name when the time limit passes. */
 export const eventually = async (name: string, isSo: () => boolean | Promise<boolean>, withinMs = readyTimeoutMs) => {
   for (const endMs = monotonicMs() + withinMs; monotonicMs() < endMs; await sleepMs(pollMs)) {
     if (await isSo()) return
   }
-  throw new Error(`not within ${withinMs} ms: ${name}`)
+  throw new Error(`condition not met within ${withinMs} ms: ${name}`)
 }
 
 const isReady = async (healthAddress: string): Promise<boolean> => {
@@ -63,7 +64,7 @@
 
 const linkTo = (target: string) => startLink({ listen: loopback, control: loopback, target, delayMs: 0 })
 
-/** Starts a fleet of one group of three databases and waits until its entries are ready. */
+/** Starts a fleet with one group of three databases and waits until its entries are ready. */
 export const startLocalFleet = async (options: LocalFleetOptions = {}) => {
   const { vmCount = 3, stewardCount = 0 } = options
   const description = smallFleet(vmCount)
@@ -226,7 +227,7 @@
     databaseNames: [...databases.keys()],
     configuration: () => configuration,
     applyConfiguration,
-    /** Replaces the record that says who leads the group. */
+    /** Replaces the group record, which holds the term and the primary. */
     putGroupRecord: async (record: GroupRecord): Promise<void> => {
       const key = storeKeys.group('group-1')
       const known = await platform.get(key, platformTimeoutMs)
@@ -234,7 +235,7 @@
       await platform.compareAndSwap({ key, expectedRevision, value: encodeRecord(record) }, platformTimeoutMs)
     },
     waitReady,
-    /** Finishes its calls and ends. */
+    /** Shuts an entry down gracefully, after its open calls have finished. */
     closeEntry,
     platformLink: (vm: string) => entry(vm).platformLink,
     peerLink: (vm: string) => entry(vm).peerLink,
@@ -242,14 +243,14 @@
     setPlatformFault: async (fault: PlatformFault): Promise<void> => {
       await setPlatformFault(platformListener.address, fault)
     },
-    /** Announces exactly these VMs and endpoints as leaving. */
+    /** Marks exactly these VMs and endpoints as leaving in the VM list. */
     setLeaving: async (names: string[]): Promise<void> => {
       leaving = names
       await publishVms()
     },
-    /** Ends a database; it loses its data. */
+    /** Stops a database; its data is lost. */
     stopDatabase: (name: string) => database(name).listener.close(),
-    /** Starts a stopped database at its old address, with nothing in it. */
+    /** Restarts a stopped database, empty, at its previous address. */
     startDatabaseAgain: async (name: string) => {
       const kept = database(name)
       kept.listener = await kept.start(kept.listener.address)
--- a/packages/proofs/src/placement.test.ts
+++ b/packages/proofs/src/placement.test.ts
@@ -1,3 +1,7 @@
+/**
+ * Guards against an endpoint or a data centre that keeps receiving work after it was marked as leaving or out,
+ * against a primary that stays there, and against writes lost or repeated while the primary moves.
+ */
 import test from 'ava'
 import type { ExecutionContext } from 'ava'
 import { monotonicMs, sleepMs } from '@egretyoke/common'
@@ -9,10 +13,10 @@
 import type { ToldOutcome } from './write-checker.js'
 import { countTold } from './write-load.js'
 
-/** With fewer the check of the writes says little; the load goes on until there are as many. */
+/** Minimum number of confirmed writes that the log is checked against; the load runs until it is reached. */
 const minConfirmedWrites = 100
 
-/** "A few seconds": the mechanism needs a poll of the store and one promotion. */
+/** Time limit for the evacuation, which takes one poll of the store and one promotion. */
 const boundMs = 5_000
 const quietMs = 1_500
 const pollMs = 50
@@ -24,7 +28,7 @@
   configuration.workspaces['yard-1'].burst = 100_000
 }
 
-/** Reads and writes at the given VMs until the signal aborts; more callers than slots, so that some are queued for. */
+/** Sends reads and writes to the VMs until the signal aborts; more callers than slots, so that some requests queue. */
 const startLoad = (fleet: LocalFleet, vms: string[], signal: AbortSignal) => {
   const key = fleet.keyOf('yard-1')
   const told = new Map<string, ToldOutcome>()
@@ -47,7 +51,7 @@
   return { told, done }
 }
 
-/** Resolves to the time until the database ran its last statement, once it has been quiet for a while. */
+/** Waits until the database has been idle for a while; resolves to the time until it ran its last statement. */
 const msUntilQuiet = async (fleet: LocalFleet, database: string): Promise<number> => {
   const startMs = monotonicMs()
   let lastCount = -1
@@ -75,7 +79,7 @@
 
 const expectQuiet = async (t: ExecutionContext, fleet: LocalFleet, database: string, name: string) => {
   const ms = await msUntilQuiet(fleet, database)
-  t.log(`${name}: ${database} got its last work after ${ms} ms`)
+  t.log(`${name}: ${database} ran its last statement after ${ms} ms`)
   t.true(ms < boundMs, `${name}: ${ms} ms`)
 }
 
@@ -90,7 +94,7 @@
   t.true(counts.done > minConfirmedWrites)
 }
 
-test('a data centre taken out under load gets no new work, hands its primary over and comes back, twice', async t => {
+test('a data centre evacuated under load gets no new work, hands over its primary and returns, twice', async t => {
   const fleet = await startLocalFleet({ stewardCount: 3, edit: unlimited })
   const stop = new AbortController()
   const load = startLoad(fleet, ['vm-2', 'vm-3'], stop.signal)
@@ -101,7 +105,7 @@
     for (const round of [1, 2]) {
       const primary = await primaryOf(fleet)
       const { dataCentre } = fleet.configuration().groups['group-1'].endpoints[primary]
-      await eventually(`${primary} works`, () => isWorking(fleet, primary))
+      await eventually(`${primary} runs statements`, () => isWorking(fleet, primary))
       await fleet.applyConfiguration(draft => { draft.dataCentres[dataCentre].state = 'out' })
       await expectQuiet(t, fleet, primary, `round ${round}, ${dataCentre} out`)
       t.not(await primaryOf(fleet), primary)
@@ -109,7 +113,7 @@
       if (vm === 'vm-1') t.deepEqual(await atVm1(), { kind: 'notRun', reason: 'dataCentreOut' })
       t.is((await fetch(`http://${fleet.healthAddress(vm)}/readyz`)).status, 503)
       await fleet.applyConfiguration(draft => { draft.dataCentres[dataCentre].state = 'in' })
-      await eventually(`${primary} works again`, () => isWorking(fleet, primary))
+      await eventually(`${primary} runs statements again`, () => isWorking(fleet, primary))
       await fleet.waitReady([vm])
     }
     await eventually('enough writes are confirmed', async () => countTold(load.told).done > minConfirmedWrites)
@@ -123,7 +127,7 @@
   }
 })
 
-test('an endpoint that leaves under load gets no new work, though the VM list is late, and may come back', async t => {
+test('an endpoint that leaves under load gets no new work despite a delayed VM list, and can return', async t => {
   const fleet = await startLocalFleet({ stewardCount: 3, edit: unlimited })
   const stop = new AbortController()
   const load = startLoad(fleet, fleet.vmNames, stop.signal)
@@ -131,18 +135,18 @@
     await fleet.setPlatformFault({ vmListLagMs })
     const replica = 'db-3'
     for (const round of [1, 2]) {
-      await eventually(`${replica} works`, () => isWorking(fleet, replica))
+      await eventually(`${replica} runs statements`, () => isWorking(fleet, replica))
       await fleet.setLeaving([replica])
       await expectQuiet(t, fleet, replica, `round ${round}, replica leaving`)
       await fleet.setLeaving([])
     }
-    await eventually(`${replica} works again`, () => isWorking(fleet, replica))
+    await eventually(`${replica} runs statements again`, () => isWorking(fleet, replica))
     const primary = await primaryOf(fleet)
     await fleet.setLeaving([primary])
     await expectQuiet(t, fleet, primary, 'primary leaving')
     t.not(await primaryOf(fleet), primary)
     await fleet.setLeaving([])
-    await eventually(`${primary} works again`, () => isWorking(fleet, primary))
+    await eventually(`${primary} runs statements again`, () => isWorking(fleet, primary))
     await eventually('enough writes are confirmed', async () => countTold(load.told).done > minConfirmedWrites)
     stop.abort()
     await expectWritesKept(t, fleet, load)
--- a/packages/proofs/src/process-kills.test.ts
+++ b/packages/proofs/src/process-kills.test.ts
@@ -1,3 +1,7 @@
+/**
+ * Kills and freezes of whole processes. Guards against writes that are lost, repeated or wrongly reported as not run
+ * while VMs die and the primary changes, and against statements of an unfinished transaction that take effect.
+ */
 import test from 'ava'
 import { sleepMs } from '@egretyoke/common'
 import { smallFleet, startFleet } from '@egretyoke/testbed'
@@ -23,7 +27,7 @@
   return members.filter(member => member.isPrimary).sort((a, b) => b.term - a.term)[0].name
 }
 
-test('no write is lost, repeated or falsely refused when VMs are killed and the primary is frozen and replaced',
+test('no write is lost, repeated or wrongly reported as not run when VMs are killed and a frozen primary is replaced',
   async t => {
     const fleet = await startFleet(roomyFleet())
     try {
@@ -57,7 +61,7 @@
     }
   })
 
-test('a transaction whose VM is killed leaves nothing behind, at whatever step', async t => {
+test('a transaction whose VM is killed before the commit has no effect, at any step', async t => {
   const fleet = await startFleet(roomyFleet(), { withoutStewards: true })
   try {
     for (const [index, steps] of [0, 1, 3].entries()) {
--- a/packages/proofs/src/rate-checker.ts
+++ b/packages/proofs/src/rate-checker.ts
@@ -1,12 +1,12 @@
 /**
- * Checks a fleet's admissions against a rate limit over every interval, from what callers saw. A request counts for
- * an interval only when it was sent and answered inside it, so that the check never blames the fleet wrongly.
+ * Checks a fleet's admissions, as callers observed them, against a rate limit over every interval. A request counts
+ * for an interval only when it was sent and answered within it, so that the check reports no false violations.
  */
 
-/** An admitted request; times in milliseconds on one clock. */
+/** Send and answer times of an admitted request, in milliseconds on the same monotonic clock. */
 export type Admission = { sentMs: number, receivedMs: number }
 
-/** Requests admitted beyond `burst + rate * T` in the worst interval; 0 when the limit was kept. */
+/** Requests admitted beyond `burst + rate * T` in the worst interval; 0 when the limit held. */
 export const excessOverLimit = (
   admissions: readonly Admission[],
   limit: { ratePerSec: number, burst: number }
--- a/packages/proofs/src/read-your-writes.test.ts
+++ b/packages/proofs/src/read-your-writes.test.ts
@@ -1,3 +1,7 @@
+/**
+ * Guards against a session that does not read its own writes: from a lagging replica, after a failover, with a
+ * damaged or missing token, or from a replica that lost its data and restarted under the same name.
+ */
 import test from 'ava'
 import { createRandom, sleepMs } from '@egretyoke/common'
 import { setDatabaseFault } from '@egretyoke/testbed'
@@ -17,7 +21,7 @@
   for (const profile of Object.values(configuration.profiles)) profile.maxConcurrency = 10_000
 }
 
-/** Changes the lags of the replicas until the signal aborts: one up to 200 ms, the other up to 5 s. */
+/** Changes the replication lags until the signal aborts: db-2 up to 200 ms, the others up to 5 s. */
 const varyLags = async (fleet: LocalFleet, signal: AbortSignal) => {
   const random = createRandom(seed)
   while (!signal.aborted) {
@@ -64,7 +68,7 @@
   }
 })
 
-test('a replica that restarted empty under the same name serves no session that it lacks', async t => {
+test('a replica that restarted empty under the same name serves no session whose writes it lacks', async t => {
   const seen: Record<string, number> = {}
   for (const reads of ['checkedReplicas', 'uncheckedReplicas']) {
     const fleet = await startLocalFleet({ edit: unlimited, entrySettings: { policies: { reads } } })
@@ -92,7 +96,7 @@
     }
   }
   t.is(seen.checkedReplicas, 0)
-  t.true(seen.uncheckedReplicas > 0, 'without the check of answers the replica serves old data')
+  t.true(seen.uncheckedReplicas > 0, 'without the check of answers the replicas return stale data')
 })
 
 test('the session checker finds violations when sessions carry no tokens', async t => {
--- a/packages/proofs/src/replaced-primary.test.ts
+++ b/packages/proofs/src/replaced-primary.test.ts
@@ -1,3 +1,7 @@
+/**
+ * Guards against a write that a replaced primary confirms: its answers are held back on a frozen link until another
+ * primary has been promoted, and only then reach the VMs.
+ */
 import test from 'ava'
 import { readDatabaseStats, readLog, setDatabaseFault } from '@egretyoke/testbed'
 import { connectRawCaller, executeRaw, openRawTransaction, outcomeOf } from './caller-streams.js'
@@ -7,10 +11,10 @@
 
 const writeCount = 18
 const timeoutMs = 30_000
-/** Time that a write takes at the old primary, within which its answer's way is frozen. */
+/** Duration of a write at the old primary; the link is frozen before the answers are sent. */
 const writeMs = 1_500
 
-test('an answer of the old primary that arrives after the promotion confirms nothing', async t => {
+test('an answer of the old primary that arrives after the promotion does not confirm a write', async t => {
   const fleet = await startLocalFleet({
     stewardCount: 3,
     edit: configuration => {
@@ -42,7 +46,7 @@
     await eventually('the old primary has run the writes', async () =>
       countOps(await readLog(fleet.databaseAddress('db-1'))).size > 2)
     const after = new Map<string, ToldOutcome>()
-    await eventually('another primary serves', async () => {
+    await eventually('another primary confirms a write', async () => {
       const op = `after-${after.size}`
       const answer = await executeRaw(clients[2], { ...fields, timeoutMs: 1_000 }, `add berth 1 op=${op}`)
       after.set(op, outcomeOf(answer).kind as ToldOutcome)
--- a/packages/proofs/src/session-checker.ts
+++ b/packages/proofs/src/session-checker.ts
@@ -1,20 +1,20 @@
 /**
- * Checks sessions' reads against what the sessions were told of their own writes. Each session adds ones to a key of
- * its own, so that a read must show at least as many as were confirmed, and at most as many as may have run.
+ * Checks each session's reads against the outcomes of its own writes. Each session increments a counter of its own by
+ * one, so that a read must return at least the number of confirmed writes and at most the number that may have run.
  */
 
-/** What a session knows of its own counter. */
+/** Lower and upper bound of a session's counter. */
 export type SessionBounds = {
-  /** Writes that were confirmed. */
+  /** Number of confirmed writes. */
   confirmed: number
-  /** Writes that may have run: the confirmed ones and those with an unknown outcome. */
+  /** Number of writes that may have run: the confirmed ones and those with an unknown outcome. */
   possible: number
 }
 
-/** A read outside the session's bounds. */
+/** A read whose value is outside the session's bounds. */
 export type SessionViolation = { session: string, read: number, bounds: SessionBounds, endpoint: string }
 
-/** Collects violations of many sessions. */
+/** Creates a checker that collects the violations of many sessions and counts their reads. */
 export const createSessionChecker = () => {
   const violations: SessionViolation[] = []
   let reads = 0
--- a/packages/proofs/src/session-load.ts
+++ b/packages/proofs/src/session-load.ts
@@ -1,6 +1,7 @@
 /**
- * Runs seeded sessions, each request through another VM, with tokens that are damaged or missing now and then. All
- * sessions do their first half before any goes on, so that each carries its token through what happens in between.
+ * Runs seeded sessions that send each request to another VM and sometimes damage or omit the session token. All
+ * sessions finish their first half before any starts its second, so that every token outlives a fault injected in
+ * between.
  */
 import { createRandom, sleepMs } from '@egretyoke/common'
 import type { Random } from '@egretyoke/common'
@@ -13,10 +14,10 @@
 const readRetryMs = 50
 const timeoutMs = 1_500
 
-/** What a caller does with the token of its last answer. */
+/** How a request uses the session token of the last answer. */
 export type TokenUse = 'kept' | 'damaged' | 'missing'
 
-/** What one run of sessions does. */
+/** Options of a session load. */
 export type SessionLoadOptions = {
   addresses: string[]
   key: string
@@ -24,11 +25,11 @@
   sessionCount: number
   requestsPerSession: number
   concurrentSessions: number
-  /** Routes of reads, chosen at random. */
+  /** Routes from which each read picks one at random. */
   readRoutes: readonly string[]
-  /** Broken variant: every request presents itself as a new session. */
+  /** Declares every request a new session, so that nothing orders its reads after its writes. */
   withoutTokens?: boolean
-  /** Called once all sessions have done their first half. */
+  /** Called once all sessions have finished their first half. */
   onHalfDone?: () => void
 }
 
@@ -49,7 +50,7 @@
   return damaged
 }
 
-/** Runs all sessions and returns the checker with the counts of outcomes. */
+/** Runs all sessions; resolves to the checker and the number of requests by outcome. */
 export const runSessions = async (options: SessionLoadOptions) => {
   const checker = createSessionChecker()
   const clients = options.addresses.map(connectRawCaller)
@@ -104,7 +105,7 @@
       session.token = sessionToken
       return
     }
-    throw new Error(`${session.name} was never answered`)
+    throw new Error(`${session.name}: every read attempt failed`)
   }
 
   const createSession = (index: number): Session => ({
--- a/packages/proofs/src/suspension.test.ts
+++ b/packages/proofs/src/suspension.test.ts
@@ -1,5 +1,6 @@
 /**
- * VMs whose shares are suspended: the others get them, the fleet's bound holds, and whoever was alive comes back.
+ * VMs whose shares of the limits are suspended. Guards against shares that stay unused after a VM has died, against a
+ * suspended VM that keeps admitting while its peers use its shares, and against a VM that stays suspended.
  */
 import test from 'ava'
 import { monotonicMs, sleepMs } from '@egretyoke/common'
@@ -13,10 +14,10 @@
 const requestTimeoutMs = 2_000
 const tickMs = 5
 const platformTimeoutMs = 1_000
-/** Load in which nothing may be refused, in milliseconds, and the requests sent in it at least. */
+/** Period without refusals that a test waits for, and the minimum number of requests sent in it. */
 const quietMs = 4_000
 const minQuietRequests = 200
-/** Answers that were on their way when a VM's contact ended, and its contact time, in milliseconds. */
+/** Time until a VM that is cut off admits nothing: its contact TTL and the answers then in flight. */
 const contactEndMs = 3_000
 const settleMs = 1_500
 
@@ -26,7 +27,7 @@
   Object.assign(configuration.workspaces['yard-1'], limit)
 }
 
-/** Sends reads to the VMs in turn at a constant rate until it is stopped; `stop` resolves once all answers are in. */
+/** Sends reads to the VMs in rotation at a constant rate; `stop` ends the load and resolves after the last answer. */
 const startLoad = (fleet: LocalFleet, vms: string[], ratePerSec: number) => {
   const caller = createCaller(vms.map(fleet.callerAddress))
   const answers: Answered[] = []
@@ -77,7 +78,7 @@
   await fleet.platform.compareAndSwap({ key: storeKeys.roster, expectedRevision, value }, platformTimeoutMs)
 }
 
-/** Waits until nothing has been refused for a while: two thirds of the rate would not do, even with a full burst. */
+/** Waits for a period without refusals. Two thirds of the rate would not suffice for it, even with a full burst. */
 const untilNothingRefused = (answers: Answered[]) => {
   const startMs = monotonicMs()
   return eventually('nothing is refused', () => {
@@ -89,7 +90,7 @@
 const isReady = async (fleet: LocalFleet, vm: string) =>
   (await fetch(`http://${fleet.healthAddress(vm)}/readyz`)).status === 200
 
-test('the share of a VM that died goes to the others although the platform still lists it', async t => {
+test('the other VMs receive the share of a VM that died, although the platform still lists it', async t => {
   const fleet = await startLocalFleet({ edit, stewardCount: 1 })
   const load = startLoad(fleet, ['vm-1', 'vm-2'], 0.9 * limit.ratePerSec)
   try {
@@ -107,7 +108,7 @@
   }
 })
 
-test('a suspended VM that is alive and cut off admits nothing, and comes back', async t => {
+test('a suspended VM that is alive but cut off admits nothing, and returns', async t => {
   const fleet = await startLocalFleet({ edit })
   const load = startLoad(fleet, fleet.vmNames, 2 * limit.ratePerSec)
   const setCut = (cut: boolean) => {
@@ -140,7 +141,7 @@
   }
 })
 
-test('a VM that peers and steward cannot reach is suspended, knows it, and comes back by itself', async t => {
+test('a VM unreachable to its peers and the steward is suspended, reports not ready and returns by itself', async t => {
   const fleet = await startLocalFleet({ edit, stewardCount: 1 })
   const load = startLoad(fleet, fleet.vmNames, 2 * limit.ratePerSec)
   try {
--- a/packages/proofs/src/transactions.test.ts
+++ b/packages/proofs/src/transactions.test.ts
@@ -1,3 +1,8 @@
+/**
+ * Guards against transactions that share state: a statement of a transaction that ended without a commit takes effect
+ * in the next one on the same connection, or transactions mix when replies are duplicated or reordered and
+ * connections are lost.
+ */
 import test from 'ava'
 import { createRandom, sleepMs } from '@egretyoke/common'
 import { readDatabaseStats, readLog, setDatabaseFault } from '@egretyoke/testbed'
@@ -9,7 +14,7 @@
 const seed = 31
 const statementsPerTransaction = 3
 
-/** Few connections, so that each one is used again at once. */
+/** Two connections per endpoint, so that each is reused at once. */
 const fewConnections: LocalFleetOptions = {
   vmCount: 1,
   entrySettings: { limits: { transactionIdleMs: 400 } },
@@ -32,10 +37,10 @@
 
 type End = (transaction: RawTransaction, fleet: LocalFleet) => Promise<unknown> | unknown
 
-/** Ways for a transaction to end without a commit, after `begin` and one statement. */
+/** Ways in which a transaction ends without a commit, after `begin` and one statement. */
 const ends: Record<string, End> = {
-  'the caller vanishes after a statement': transaction => transaction.cancel(),
-  'the caller vanishes during a statement': async (transaction, fleet) => {
+  'the caller disconnects after a statement': transaction => transaction.cancel(),
+  'the caller disconnects during a statement': async (transaction, fleet) => {
     await setDatabaseFault(fleet.databaseAddress('db-1'), { delayMs: 150 })
     transaction.execute('add berth 1 op=late')
     await sleepMs(50)
@@ -44,7 +49,7 @@
     await setDatabaseFault(fleet.databaseAddress('db-1'), {})
   },
   'the caller ends its stream': transaction => transaction.end(),
-  'the caller does nothing any more': transaction => transaction.ended(),
+  'the caller sends nothing until the idle timeout': transaction => transaction.ended(),
   'the caller rolls back': transaction => transaction.rollback(),
   'the connection is lost after a statement': (_transaction, fleet) => cutPrimary(fleet),
   'the connection is lost during a statement': async (transaction, fleet) => {
@@ -56,16 +61,16 @@
     await setDatabaseFault(fleet.databaseAddress('db-1'), {})
   },
   'a statement is malformed': transaction => transaction.execute(''),
-  'begin comes twice': transaction => transaction.begin(),
-  'a step without an action comes': transaction => transaction.send({}),
-  'a statement is later than the deadline': async (transaction, fleet) => {
+  'begin is sent twice': transaction => transaction.begin(),
+  'a step without an action is sent': transaction => transaction.send({}),
+  'a statement exceeds the deadline': async (transaction, fleet) => {
     await setDatabaseFault(fleet.databaseAddress('db-1'), { delayMs: 2_500 })
     await transaction.execute('add berth 1 op=later')
     await setDatabaseFault(fleet.databaseAddress('db-1'), {})
   }
 }
 
-test('whatever ends a transaction, the next one on its connection carries nothing over', async t => {
+test('a transaction has no effect on the next one on its connection, whichever way it ends', async t => {
   const fleet = await startLocalFleet(fewConnections)
   const client = connectRawCaller(fleet.callerAddress('vm-1'))
   const fields = { route: 'write', key: fleet.keyOf('yard-1') }
@@ -89,7 +94,7 @@
     }
     const all = (await loggedTransactions(fleet)).flat()
     t.true(all.every(statement => statement.includes('op=kept-')), all.join('; '))
-    await eventually('no connection is left beyond the share', async () =>
+    await eventually('no connection beyond the limit stays open', async () =>
       (await readDatabaseStats(fleet.databaseAddress('db-1'))).openConnections <= 2)
   } finally {
     client.close()
@@ -97,7 +102,7 @@
   }
 })
 
-test('many transactions at once never mix, with answers doubled, out of order and lost connections', async t => {
+test('concurrent transactions never mix, with duplicated and reordered replies and lost connections', async t => {
   const fleet = await startLocalFleet(fewConnections)
   const client = connectRawCaller(fleet.callerAddress('vm-1'))
   const fields = { route: 'write', key: fleet.keyOf('yard-1') }
--- a/packages/proofs/src/whole-answers.test.ts
+++ b/packages/proofs/src/whole-answers.test.ts
@@ -1,3 +1,8 @@
+/**
+ * Guards against answers that reach the wrong caller, incomplete streams that are reported as complete, and streams
+ * that are retried after rows were sent. Endpoints delay, reorder and duplicate replies and cut streams to provoke
+ * these failures.
+ */
 import test from 'ava'
 import type { ExecutionContext } from 'ava'
 import { createRandom } from '@egretyoke/common'
@@ -16,16 +21,16 @@
 const rowCount = 450
 
 const faults: Record<string, DatabaseFault> = {
-  'answers in order': {},
-  'answers held back behind the next one': { reorderReplies: 0.2 },
-  'answers later than some deadlines': { delayMs: 40 },
+  'replies in order': {},
+  'replies delayed past the next one': { reorderReplies: 0.2 },
+  'replies later than some deadlines': { delayMs: 40 },
   'streams cut in the middle': { cutStreams: 0.2 },
   'all of these at once': { reorderReplies: 0.1, cutStreams: 0.1, delayMs: 10 }
 }
 
 const doubledAnswers: Record<string, DatabaseFault> = {
-  'answers doubled': { doubleReplies: 0.5 },
-  'answers doubled and held back': { doubleReplies: 0.3, reorderReplies: 0.2 }
+  'replies duplicated': { doubleReplies: 0.5 },
+  'replies duplicated and reordered': { doubleReplies: 0.3, reorderReplies: 0.2 }
 }
 
 const valueOf = (index: number) => `value-of-${index}`
@@ -40,7 +45,7 @@
   }
 }
 
-/** Runs reads and streams under each fault and checks every answer. */
+/** Runs reads and streams with each fault in turn and checks every answer. */
 const checkUnder = async (
   t: ExecutionContext,
   faultsByName: Record<string, DatabaseFault>,
@@ -67,7 +72,7 @@
       const answer = await executeRaw(client, fields, `get key-${index}`)
       if (outcomeOf(answer).kind !== 'done') return counts.none++
       const value = String(answer!.done!.result)
-      // A replica may not have the key yet; it never has another key's value.
+      // A lagging replica may not have the key yet, but must never return the value of another key.
       if (value !== '') t.is(value, valueOf(index), name)
       counts.whole++
     }
@@ -103,13 +108,13 @@
   }
 }
 
-test('each caller gets the whole answer to its own request, or none', t => checkUnder(t, faults, 0.1))
+test('each caller gets the complete answer to its own request, or none', t => checkUnder(t, faults, 0.1))
 
-test('each caller gets its own answer when answers are doubled', t => checkUnder(t, doubledAnswers, 0))
+test('each caller gets its own answer when endpoints duplicate replies', t => checkUnder(t, doubledAnswers, 0))
 
-test('each caller gets whole streams when chunks are doubled', t => checkUnder(t, doubledAnswers, 0.2))
+test('each caller gets correct rows when endpoints duplicate chunks', t => checkUnder(t, doubledAnswers, 0.2))
 
-test('a stream is not started over at the primary once rows have gone to the caller', async t => {
+test('a stream is not retried at the primary after rows were sent to the caller', async t => {
   const fleet = await startLocalFleet({
     vmCount: 1, edit: configuration => { configuration.profiles.session.timeoutMs = 30_000 }
   })
@@ -118,7 +123,7 @@
   const successor = connectMember(fleet.databaseAddress('db-2'), loopbackChannels)
   const longRowCount = 40_000
   const statement = `scan berth rows=${longRowCount}`
-  /** Puts a term into force that keeps nothing of what the replicas hold. */
+  /** Starts a term whose log begins empty, so that the replicas must discard all that they hold. */
   const replacePrimary = async () => {
     await successor.promote(2, 1_000)
     const lineage = [{ term: 1, startPosition: 0 }, { term: 2, startPosition: 0 }]
@@ -135,7 +140,7 @@
       async () => {
         if (++chunks > 1) return
         await replacePrimary()
-        await eventually('the new term is in force', async () =>
+        await eventually('the new term is active', async () =>
           (await executeRaw(client, { route: 'read', key }, 'get gate'))?.endpoint === 'db-2')
       })
     t.log({ rows: rows.length, endpoint: end?.endpoint })
@@ -148,7 +153,7 @@
   }
 })
 
-test('a VM that says it is ready admits requests at once', async t => {
+test('a VM that reports ready admits requests at once', async t => {
   const fleet = await startLocalFleet({ vmCount: 1 })
   const client = connectRawCaller(fleet.callerAddress('vm-1'))
   try {
--- a/packages/proofs/src/withdrawn-key.test.ts
+++ b/packages/proofs/src/withdrawn-key.test.ts
@@ -1,3 +1,7 @@
+/**
+ * Guards against callers that go on working with a withdrawn key: requests that were queued, streams and transactions
+ * that were open when the key was withdrawn, and VMs that cannot reach the platform or their peers.
+ */
 import test from 'ava'
 import type { ExecutionContext } from 'ava'
 import { monotonicMs, sleepMs } from '@egretyoke/common'
@@ -9,14 +13,14 @@
 const boundMs = 5_000
 const observedMs = 6_000
 const quietMs = 1_000
-/** On each VM; more than the slots of the database, so that some are always queued. */
+/** Per VM; more than the slots of the database, so that some requests are always queued. */
 const queuedCallers = 4
-/** Time for all callers to begin on a busy machine. */
+/** Time limit for the start of all callers; long, because the machine may be busy. */
 const beginMs = 60_000
 const stepMs = 25
 const streamTimeoutMs = 60_000
 
-/** Cuts of each case; healed afterwards. */
+/** Links that are cut in each case: platform links of VMs, and all peer links. */
 const cuts: Record<string, { platformOf: string[], peers: boolean }> = {
   'no VM cut off': { platformOf: [], peers: false },
   'one VM cut off from the platform only': { platformOf: ['vm-2'], peers: false },
@@ -30,7 +34,7 @@
   for (const vm of fleet.vmNames) fleet.peerLink(vm).setFault({ cut: isCut })
 }
 
-/** Callers of one VM that work with a key until the signal aborts; each notes when it last got anywhere. */
+/** Starts callers of one VM that use a key until the signal aborts; `lastMs` holds the last progress of each kind. */
 const startCallers = (address: string, key: string, signal: AbortSignal) => {
   const client = connectRawCaller(address)
   const lastMs: Record<string, number> = {}
@@ -69,7 +73,7 @@
   }
   const queued = Array.from({ length: queuedCallers }, () => statements('queued', 'read', 'get berth costMs=40'))
   const all = Promise.all([statements('busy', 'write', 'add berth 0 op=none'), stream(), transactions(), ...queued])
-  /** One request on the connection that was open all the time. */
+  /** Sends one request on the connection that has been open since the start. */
   const idleRequest = async () => outcomeOf(await executeRaw(client, { route: 'read', key }, 'get berth'))
   const close = async () => {
     await all
@@ -83,7 +87,7 @@
   await fleet.applyConfiguration(draft => { draft.workspaces['yard-1'].keys[keyId] = stored })
   const probes = fleet.callerAddresses().map(connectRawCaller)
   for (const probe of probes) {
-    await eventually('the key is in force', async () =>
+    await eventually('the key is active', async () =>
       outcomeOf(await executeRaw(probe, { route: 'read', key }, 'get berth')).kind === 'done')
     probe.close()
   }
@@ -95,7 +99,7 @@
   let withdrawnMs = 0
   let idle: Array<{ kind: string, reason: string }> = []
   try {
-    await eventually('all callers are at work', isAtWork, beginMs)
+    await eventually('all callers make progress', isAtWork, beginMs)
     setCuts(fleet, cuts[name], true)
     await fleet.applyConfiguration(draft => { draft.workspaces['yard-1'].keys[keyId].state = 'withdrawn' })
     withdrawnMs = monotonicMs()
@@ -109,7 +113,7 @@
   for (const [vm, { lastMs }] of callers.entries()) {
     const afterMs = Object.fromEntries(Object.entries(lastMs).map(([caller, ms]) =>
       [caller, Math.round(Math.max(0, ms - withdrawnMs))]))
-    t.log(name, fleet.vmNames[vm], 'worked on for (ms)', afterMs)
+    t.log(name, fleet.vmNames[vm], 'progress continued for (ms)', afterMs)
     for (const [caller, ms] of Object.entries(afterMs)) t.true(ms < boundMs, `${name}: ${caller} of ${vm + 1}`)
     t.is(idle[vm].kind, 'notRun', name)
     t.true(['keyRefused', 'outOfContact'].includes(idle[vm].reason), idle[vm].reason)
--- a/packages/proofs/src/workspaces.test.ts
+++ b/packages/proofs/src/workspaces.test.ts
@@ -1,3 +1,7 @@
+/**
+ * Guards against access across workspaces: through forged keys, routes and profiles, through requests of two
+ * workspaces that share a connection, and through a route that is open to all.
+ */
 import test from 'ava'
 import { createKey } from '@egretyoke/config'
 import { readLog } from '@egretyoke/testbed'
@@ -8,7 +12,7 @@
 
 const interleavedRequests = 400
 
-/** Each workspace has a route that the other lacks; the second also has one that is open to all. */
+/** Gives each workspace a route that the other lacks, and the second also a route that is open to all. */
 const ownRoutes: LocalFleetOptions['edit'] = ({ workspaces }) => {
   for (const workspace of Object.values(workspaces)) {
     workspace.ratePerSec = 10_000
@@ -69,7 +73,7 @@
   }
 })
 
-test('two workspaces interleaved on one connection run for themselves only', async t => {
+test('two workspaces interleaved on one connection use only their own routes', async t => {
   const fleet = await startLocalFleet({ vmCount: 1, edit: ownRoutes })
   const client = connectRawCaller(fleet.callerAddress('vm-1'))
   const keys = [fleet.keyOf('yard-1'), fleet.keyOf('yard-2')]
@@ -94,7 +98,7 @@
   }
 })
 
-test('a route open to all serves everybody, and opens nothing else', async t => {
+test('a route that is open to all serves everybody and gives access to no other route', async t => {
   const fleet = await startLocalFleet({ vmCount: 1, edit: ownRoutes })
   const client = connectRawCaller(fleet.callerAddress('vm-1'))
   const read = async (route: string, key?: string) => outcomeOf(await executeRaw(client, { route, key }, 'get berth'))
--- a/packages/proofs/src/write-checker.ts
+++ b/packages/proofs/src/write-checker.ts
@@ -1,24 +1,25 @@
 /**
- * Compares what callers were told of their writes with what the databases hold. Each write carries an `op` of its own.
+ * Compares the outcomes that callers received for their writes with the logs of the databases. Each write carries a
+ * unique operation ID (`op=ID`).
  */
 import type { LoggedWrite } from '@egretyoke/testbed'
 
-/** What a caller was told of one write. `lost`: no answer came. */
+/** Outcome that a caller received for a write. `lost`: no answer arrived. */
 export type ToldOutcome = 'done' | 'notRun' | 'outcomeUnknown' | 'failed' | 'lost'
 
-/** Broken promises, by the operations that show them. */
+/** Operation IDs of the writes that violate a guarantee, by kind of violation. */
 export type WriteFindings = {
-  /** Told "not run", though the write is in the log. */
+  /** Reported as "not run", but present in the log. */
   falselyNotRun: string[]
-  /** Told "done", though the write is not in the log. */
+  /** Reported as "done", but missing from the log. */
   lostConfirmed: string[]
-  /** In the log more than once. */
+  /** Present in the log more than once. */
   repeated: string[]
 }
 
 const opOf = (statement: string): string | undefined => /(?:^| )op=(\S+)/.exec(statement)?.[1]
 
-/** Times that each operation stands in a log. */
+/** Counts the occurrences of each operation ID in a log. */
 export const countOps = (log: readonly LoggedWrite[]): Map<string, number> => {
   const counts = new Map<string, number>()
   for (const statement of log.flatMap(entry => entry.statements)) {
@@ -28,7 +29,7 @@
   return counts
 }
 
-/** Checks the outcomes of writes that must not be repeated against the log of the group's primary. */
+/** Checks the reported outcomes of writes that must run at most once against the log of the group's primary. */
 export const checkWrites = (told: ReadonlyMap<string, ToldOutcome>, log: readonly LoggedWrite[]): WriteFindings => {
   const counts = countOps(log)
   const ops = [...told]
@@ -39,5 +40,5 @@
   }
 }
 
-/** Findings of a run that kept every promise. */
+/** Findings of a run without violations. */
 export const noWriteFindings: WriteFindings = { falselyNotRun: [], lostConfirmed: [], repeated: [] }
--- a/packages/proofs/src/write-load.ts
+++ b/packages/proofs/src/write-load.ts
@@ -1,23 +1,23 @@
 /**
- * Runs writes that must not be repeated while faults come and go, and keeps what each caller was told.
+ * Runs writes that must run at most once, for use while faults are injected, and records the outcome of each.
  */
 import { createRandom, sleepMs } from '@egretyoke/common'
 import { connectRawCaller, executeRaw, outcomeOf } from './caller-streams.js'
 import type { ToldOutcome } from './write-checker.js'
 
-/** What one run of writes does. */
+/** Options of a write load. */
 export type WriteLoadOptions = {
   addresses: string[]
   key: string
   seed: number
   callerCount: number
   writesPerCaller: number
-  /** Longest pause between two writes of a caller. */
+  /** Maximum pause between two writes of a caller. */
   maxPauseMs: number
   timeoutMs: number
 }
 
-/** Runs the writes; the result names what was told for each operation. */
+/** Runs the writes; resolves to the reported outcome by operation ID. */
 export const runWrites = async (options: WriteLoadOptions): Promise<Map<string, ToldOutcome>> => {
   const clients = options.addresses.map(connectRawCaller)
   const told = new Map<string, ToldOutcome>()
@@ -39,7 +39,7 @@
   return told
 }
 
-/** Number of operations by what was told. */
+/** Counts the operations by reported outcome. */
 export const countTold = (told: ReadonlyMap<string, ToldOutcome>): Record<string, number> => {
   const counts: Record<string, number> = {}
   for (const outcome of told.values()) counts[outcome] = (counts[outcome] ?? 0) + 1
