--- a/packages/proofs/src/at-most-once.test.ts
+++ b/packages/proofs/src/at-most-once.test.ts
@@ -9,7 +9,7 @@
 import { startLocalFleet } from './local-fleet.js'
 import type { LocalFleet, LocalFleetOptions } from './local-fleet.js'
 import { checkWrites, noWriteFindings } from './write-checker.js'
-import { countTold, runWrites } from './write-load.js'
+import { countOutcomes, runWrites } from './write-load.js'
 
 const seed = 23
 const loopback = '127.0.0.1:0'
@@ -22,13 +22,13 @@
   configuration.workspaces['yard-1'].burst = 100_000
 }
 
-const callerLinks = (fleet: LocalFleet) => Promise.all(fleet.callerAddresses().map(target =>
+const startCallerLinks = (fleet: LocalFleet) => Promise.all(fleet.callerAddresses().map(target =>
   startLink({ listen: loopback, control: loopback, target, delayMs: 0 })))
 
-type Links = Awaited<ReturnType<typeof callerLinks>>
+type Links = Awaited<ReturnType<typeof startCallerLinks>>
 
 /** Injects random faults on the callers' links and the databases until the signal aborts. */
-const disturb = async (fleet: LocalFleet, links: Links, signal: AbortSignal) => {
+const injectFaults = async (fleet: LocalFleet, links: Links, signal: AbortSignal) => {
   const random = createRandom(seed)
   const pauseMs = () => random.integer(20, 120)
   const cutFor = async (link: Links[number]) => {
@@ -56,9 +56,9 @@
 
 test('"not run" is correct and no write runs twice, with answers lost on every hop and a failover', async t => {
   const fleet = await startLocalFleet({ stewardCount: 2, edit: unlimited })
-  const links = await callerLinks(fleet)
+  const links = await startCallerLinks(fleet)
   const stop = new AbortController()
-  const disturbed = disturb(fleet, links, stop.signal)
+  const faultInjection = injectFaults(fleet, links, stop.signal)
   const load = {
     addresses: links.map(link => link.address),
     key: fleet.keyOf('yard-1'),
@@ -67,24 +67,27 @@
     timeoutMs
   }
   try {
-    const before = await runWrites({ ...load, seed, writesPerCaller: 40 })
+    const reportedBefore = await runWrites({ ...load, seed, writesPerCaller: 40 })
     stop.abort()
-    await disturbed
-    const held = { told: before, log: await readLog(fleet.databaseAddress('db-1')) }
-    t.deepEqual(checkWrites(held.told, held.log), noWriteFindings)
+    await faultInjection
+    const beforeFailover = { reported: reportedBefore, log: await readLog(fleet.databaseAddress('db-1')) }
+    t.deepEqual(checkWrites(beforeFailover.reported, beforeFailover.log), noWriteFindings)
     fleet.databaseLink('db-1').setFault({ cut: true })
-    const after = await runWrites({ ...load, seed: seed + 1, writesPerCaller: 40, maxPauseMs: 200 })
+    const reportedAfter = await runWrites({ ...load, seed: seed + 1, writesPerCaller: 40, maxPauseMs: 200 })
     await sleepMs(settleMs)
-    const all = new Map([...before, ...[...after].map(([op, outcome]) => [`late-${op}`, outcome] as const)])
-    t.log(countTold(all))
-    const lateLog = (await readLog(fleet.databaseAddress('db-2'))).slice(held.log.length)
-    t.deepEqual(checkWrites(after, lateLog).falselyNotRun, [])
-    t.deepEqual(checkWrites(after, lateLog).lostConfirmed, [])
-    t.deepEqual(checkWrites(after, lateLog).repeated, [])
-    t.true(countTold(before).done > 0 && countTold(after).done > 0)
+    const allReported = new Map([
+      ...reportedBefore,
+      ...[...reportedAfter].map(([op, outcome]) => [`late-${op}`, outcome] as const)
+    ])
+    t.log(countOutcomes(allReported))
+    const lateLog = (await readLog(fleet.databaseAddress('db-2'))).slice(beforeFailover.log.length)
+    t.deepEqual(checkWrites(reportedAfter, lateLog).falselyNotRun, [])
+    t.deepEqual(checkWrites(reportedAfter, lateLog).lostConfirmed, [])
+    t.deepEqual(checkWrites(reportedAfter, lateLog).repeated, [])
+    t.true(countOutcomes(reportedBefore).done > 0 && countOutcomes(reportedAfter).done > 0)
   } finally {
     stop.abort()
-    await disturbed
+    await faultInjection
     for (const link of links) await link.close()
     await fleet.close()
   }
--- a/packages/proofs/src/caller-contract.test.ts
+++ b/packages/proofs/src/caller-contract.test.ts
@@ -23,7 +23,7 @@
 const slowReaderMs = 300
 const callTimeoutMs = 2_000
 
-const startServing = () => startLocalFleet({
+const startLimitedFleet = () => startLocalFleet({
   vmCount: 1,
   entrySettings: { limits: { maxStatementBytes, maxOpenTransactions, slowReaderMs, transactionIdleMs: 300 } },
   edit: configuration => {
@@ -33,7 +33,7 @@
   }
 })
 
-const openCalls = async (fleet: LocalFleet): Promise<number> => {
+const readOpenCalls = async (fleet: LocalFleet): Promise<number> => {
   const metrics = await (await fetch(`http://${fleet.healthAddress('vm-1')}/metrics`)).text()
   return Number(/^egretyoke_open_calls (\d+)/m.exec(metrics)?.[1] ?? NaN)
 }
@@ -45,12 +45,12 @@
   expected: string | undefined
 }
 
-const statement = (text: string | Buffer, change: CallerFields = {}): Case['run'] => async (client, fields) => {
+const runStatement = (text: string | Buffer, change: CallerFields = {}): Case['run'] => async (client, fields) => {
   const { kind, reason } = outcomeOf(await executeRaw(client, { ...fields, ...change }, text))
   return reason === '' ? kind : `${kind} ${reason}`
 }
 
-const withMetadata = (name: string, value: string): Case['run'] => (client, fields) => new Promise(resolve => {
+const runWithMetadata = (name: string, value: string): Case['run'] => (client, fields) => new Promise(resolve => {
   const metadata = callerMetadata(fields)
   metadata.set(name, value)
   client.Execute({ text: Buffer.from('get berth') }, metadata, (_error, answer) => resolve(outcomeOf(answer).kind))
@@ -59,20 +59,20 @@
 const cases: Case[] = [
   {
     name: 'statement beyond the limit',
-    run: statement('x'.repeat(maxStatementBytes + 1)),
+    run: runStatement('x'.repeat(maxStatementBytes + 1)),
     expected: 'notRun statementTooLarge'
   },
-  { name: 'statement beyond the message limit', run: statement(Buffer.alloc(100_000)), expected: 'lost' },
-  { name: 'empty statement', run: statement(''), expected: 'notRun invalidRequest' },
-  { name: 'statement of random bytes', run: statement(randomBytes(500)), expected: 'failed endpointError' },
-  { name: 'unknown route', run: statement('get berth', { route: 'nowhere' }), expected: 'notRun unknownRoute' },
-  { name: 'unknown profile', run: statement('get berth', { profile: 'none' }), expected: 'notRun unknownProfile' },
-  { name: 'no key', run: statement('get berth', { key: undefined }), expected: 'notRun keyMissing' },
-  { name: 'damaged token', run: statement('get berth', { token: randomBytes(60) }), expected: 'done' },
-  { name: 'oversized token', run: statement('get berth', { token: randomBytes(9_000) }), expected: 'done' },
-  { name: 'timeout that is not a number', run: withMetadata('egretyoke-timeout-ms', 'soon'), expected: 'done' },
-  { name: 'negative timeout', run: withMetadata('egretyoke-timeout-ms', '-5'), expected: 'done' },
-  { name: 'infinite timeout', run: withMetadata('egretyoke-timeout-ms', '1e999'), expected: 'done' },
+  { name: 'statement beyond the message limit', run: runStatement(Buffer.alloc(100_000)), expected: 'lost' },
+  { name: 'empty statement', run: runStatement(''), expected: 'notRun invalidRequest' },
+  { name: 'statement of random bytes', run: runStatement(randomBytes(500)), expected: 'failed endpointError' },
+  { name: 'unknown route', run: runStatement('get berth', { route: 'nowhere' }), expected: 'notRun unknownRoute' },
+  { name: 'unknown profile', run: runStatement('get berth', { profile: 'none' }), expected: 'notRun unknownProfile' },
+  { name: 'no key', run: runStatement('get berth', { key: undefined }), expected: 'notRun keyMissing' },
+  { name: 'damaged token', run: runStatement('get berth', { token: randomBytes(60) }), expected: 'done' },
+  { name: 'oversized token', run: runStatement('get berth', { token: randomBytes(9_000) }), expected: 'done' },
+  { name: 'timeout that is not a number', run: runWithMetadata('egretyoke-timeout-ms', 'soon'), expected: 'done' },
+  { name: 'negative timeout', run: runWithMetadata('egretyoke-timeout-ms', '-5'), expected: 'done' },
+  { name: 'infinite timeout', run: runWithMetadata('egretyoke-timeout-ms', '1e999'), expected: 'done' },
   {
     name: 'transaction on a read route',
     run: async (client, fields) => {
@@ -89,9 +89,9 @@
       const open = Array.from({ length: maxOpenTransactions }, () =>
         openRawTransaction(client, { ...fields, route: 'write' }))
       await Promise.all(open.map(transaction => transaction.begin()))
-      const refused = outcomeOf(await openRawTransaction(client, { ...fields, route: 'write' }).begin())
+      const outcome = outcomeOf(await openRawTransaction(client, { ...fields, route: 'write' }).begin())
       for (const transaction of open) transaction.cancel()
-      return `${refused.kind} ${refused.reason}`
+      return `${outcome.kind} ${outcome.reason}`
     },
     expected: 'notRun tooManyTransactions'
   },
@@ -140,16 +140,16 @@
     run: async (_client, fields, fleet) => {
       const target = fleet.callerAddress('vm-1')
       const link = await startLink({ listen: '127.0.0.1:0', control: '127.0.0.1:0', target, delayMs: 0 })
-      const lost = connectRawCaller(link.address)
+      const cutClient = connectRawCaller(link.address)
       const calls = [
-        executeRaw(lost, fields, 'get berth costMs=200'),
-        streamRaw(lost, fields, 'scan wide rows=50000', async () => { await sleepMs(20) }),
-        openRawTransaction(lost, { ...fields, route: 'write' }).begin()
+        executeRaw(cutClient, fields, 'get berth costMs=200'),
+        streamRaw(cutClient, fields, 'scan wide rows=50000', async () => { await sleepMs(20) }),
+        openRawTransaction(cutClient, { ...fields, route: 'write' }).begin()
       ]
       await sleepMs(50)
       link.setFault({ cut: true })
       await Promise.all(calls)
-      lost.close()
+      cutClient.close()
       await link.close()
     },
     expected: undefined
@@ -157,15 +157,15 @@
 ]
 
 test('misuse gets a typed refusal or an end, and harms nobody else', async t => {
-  const fleet = await startServing()
+  const fleet = await startLimitedFleet()
   const client = connectRawCaller(fleet.callerAddress('vm-1'))
   const other = connectRawCaller(fleet.callerAddress('vm-1'))
   const fields = { route: 'read', key: fleet.keyOf('yard-1') }
   try {
-    const writing = { ...fields, route: 'write', isNewSession: true }
-    const wide = await executeRaw(other, writing, `put wide ${'w'.repeat(400)}`)
-    t.is(outcomeOf(wide).kind, 'done')
-    const session = { ...fields, token: wide!.sessionToken }
+    const writeFields = { ...fields, route: 'write', isNewSession: true }
+    const written = await executeRaw(other, writeFields, `put wide ${'w'.repeat(400)}`)
+    t.is(outcomeOf(written).kind, 'done')
+    const session = { ...fields, token: written!.sessionToken }
     await eventually('a replica serves', async () =>
       (await executeRaw(other, session, 'get wide'))?.fromReplica === true)
     for (const { name, run, expected } of cases) {
@@ -173,7 +173,7 @@
       const read = await executeRaw(other, session, 'get wide')
       t.is(outcomeOf(read).kind, 'done', `${name}: other callers are still served`)
       t.true(read!.fromReplica, `${name}: other callers are still served by replicas`)
-      await eventually(`${name}: no call is left open`, async () => await openCalls(fleet) === 0)
+      await eventually(`${name}: no call is left open`, async () => await readOpenCalls(fleet) === 0)
     }
     t.is(String((await executeRaw(other, fields, 'get berth'))!.done!.result), '')
   } finally {
@@ -190,7 +190,7 @@
 ]
 
 test('malformed messages and raw bytes on every port affect no other caller', async t => {
-  const fleet = await startServing()
+  const fleet = await startLimitedFleet()
   const caller = connectRawCaller(fleet.callerAddress('vm-1'))
   const addresses = [fleet.callerAddress('vm-1'), fleet.peerAddress('vm-1')]
   const clients = addresses.map(address => new Client(address, credentials.createInsecure()))
@@ -220,7 +220,7 @@
     }), { seed, numRuns: 40 })
     const answer = await executeRaw(caller, { route: 'write', key: fleet.keyOf('yard-1') }, 'add berth 1 op=after')
     t.deepEqual(outcomeOf(answer), { kind: 'done', reason: '' })
-    await eventually('no call is left open', async () => await openCalls(fleet) === 0)
+    await eventually('no call is left open', async () => await readOpenCalls(fleet) === 0)
   } finally {
     for (const client of clients) client.close()
     caller.close()
--- a/packages/proofs/src/caller-streams.ts
+++ b/packages/proofs/src/caller-streams.ts
@@ -90,22 +90,23 @@
 /** Opens the stream of a transaction without sending a step. Steps resolve to undefined once the stream has ended. */
 export const openRawTransaction = (client: RawCaller, fields: CallerFields) => {
   const call = client.Transact(callerMetadata(fields))
-  const waiting: Array<(answer: Answer | undefined) => void> = []
+  const pendingSteps: Array<(answer: Answer | undefined) => void> = []
   let lastStepId = 0
   let hasEnded = false
 
   const end = () => {
     hasEnded = true
-    for (const settle of waiting.splice(0)) settle(undefined)
+    for (const settle of pendingSteps.splice(0)) settle(undefined)
   }
-  call.on('data', (message: CallerMessages.TransactionAnswer__Output) => waiting.shift()?.(message.answer ?? undefined))
+  call.on('data', (message: CallerMessages.TransactionAnswer__Output) =>
+    pendingSteps.shift()?.(message.answer ?? undefined))
   call.on('error', end)
   call.on('end', end)
 
   const step = (action: Omit<CallerMessages.TransactionStep, 'stepId'>): Promise<Answer | undefined> =>
     new Promise(resolve => {
       if (hasEnded) return resolve(undefined)
-      waiting.push(resolve)
+      pendingSteps.push(resolve)
       call.write({ stepId: ++lastStepId, ...action })
     })
 
@@ -119,6 +120,8 @@
     cancel: () => call.cancel(),
     end: () => call.end(),
     hasEnded: () => hasEnded,
-    ended: async () => { if (!hasEnded) await Promise.race([once(call, 'end'), once(call, 'error')]).catch(() => {}) }
+    waitForEnd: async () => {
+      if (!hasEnded) await Promise.race([once(call, 'end'), once(call, 'error')]).catch(() => {})
+    }
   }
 }
--- a/packages/proofs/src/configuration.test.ts
+++ b/packages/proofs/src/configuration.test.ts
@@ -13,10 +13,10 @@
 import type { Fleet } from '@egretyoke/testbed'
 import { eventually } from './local-fleet.js'
 
-const boundMs = 5_000
+const maxPropagationMs = 5_000
 const pollMs = 25
 /** Longer than a VM needs to start serving, so that a VM that serves without permission is seen. */
-const refusalObservedMs = 4_000
+const refusalObservationMs = 4_000
 
 /** Returns the active configuration version of a VM; 0 when it has none or does not answer. */
 const readVersion = async (fleet: Fleet, vm: string): Promise<number> => {
@@ -29,7 +29,7 @@
 }
 
 /** Polls the versions of all VMs until the signal aborts; resolves to each change back to an older version. */
-const watchVersions = async (fleet: Fleet, signal: AbortSignal): Promise<string[]> => {
+const watchForReverts = async (fleet: Fleet, signal: AbortSignal): Promise<string[]> => {
   const reverts: string[] = []
   const watch = async (vm: string) => {
     for (let newest = 0; !signal.aborted; await sleepMs(pollMs)) {
@@ -42,11 +42,11 @@
   return reverts
 }
 
-const expectInForce = async (t: ExecutionContext, fleet: Fleet, name: string, version: number) => {
+const expectActive = async (t: ExecutionContext, fleet: Fleet, name: string, version: number) => {
   const startMs = monotonicMs()
   for (const vm of fleet.vmNames) {
-    const isInForce = async () => await readVersion(fleet, vm) >= version
-    await eventually(`${name}: version ${version} on ${vm}`, isInForce, boundMs)
+    const isActive = async () => await readVersion(fleet, vm) >= version
+    await eventually(`${name}: version ${version} on ${vm}`, isActive, maxPropagationMs)
   }
   t.log(`${name}: active everywhere after ${Math.round(monotonicMs() - startMs)} ms`)
 }
@@ -57,46 +57,46 @@
 test('an accepted configuration is active on every VM within 5 s and never reverts', async t => {
   const fleet = await startFleet(smallFleet(3), { withoutStewards: true, links: { platform: true, peers: true } })
   const stop = new AbortController()
-  const versions = watchVersions(fleet, stop.signal)
+  const reverts = watchForReverts(fleet, stop.signal)
   const caller = createCaller(fleet.callerAddresses())
   const setPeerLinks = async (fault: { cut?: boolean, frozen?: boolean }) => {
     for (const vm of fleet.vmNames) await fleet.setLinkFault(`link-peer-${vm}`, fault)
   }
   try {
-    await expectInForce(t, fleet, 'no fault', await changeBurst(fleet, 201))
+    await expectActive(t, fleet, 'no fault', await changeBurst(fleet, 201))
 
     await fleet.setPlatformFault({ loseSwapAnswers: 0.5 })
-    await expectInForce(t, fleet, 'platform answers lost', await changeBurst(fleet, 202))
+    await expectActive(t, fleet, 'platform answers lost', await changeBurst(fleet, 202))
     await fleet.setPlatformFault({ delayMs: 400 })
-    await expectInForce(t, fleet, 'slow platform', await changeBurst(fleet, 203))
+    await expectActive(t, fleet, 'slow platform', await changeBurst(fleet, 203))
     await fleet.setPlatformFault({})
 
     await fleet.setLinkFault('link-platform-vm-1', { frozen: true })
     await fleet.setLinkFault('link-platform-vm-2', { cut: true })
-    await expectInForce(t, fleet, 'two VMs cut off from the platform', await changeBurst(fleet, 204))
+    await expectActive(t, fleet, 'two VMs cut off from the platform', await changeBurst(fleet, 204))
     await fleet.setLinkFault('link-platform-vm-1', {})
     await fleet.setLinkFault('link-platform-vm-2', {})
     await setPeerLinks({ cut: true })
-    await expectInForce(t, fleet, 'all VMs cut off from their peers', await changeBurst(fleet, 205))
+    await expectActive(t, fleet, 'all VMs cut off from their peers', await changeBurst(fleet, 205))
     await setPeerLinks({})
 
     const platform = connectPlatform(fleet.platformAddress(), loopbackChannels)
     const base = fleet.configurationVersion()
-    const racing = [206, 207].map(burst => {
+    const racingChanges = [206, 207].map(burst => {
       const draft = structuredClone(fleet.configuration())
       draft.workspaces['yard-2'].burst = burst
       return putConfiguration(platform, draft, base)
     })
-    const settled = await Promise.allSettled(racing)
+    const results = await Promise.allSettled(racingChanges)
     platform.close()
-    t.is(settled.filter(({ status }) => status === 'fulfilled').length, 1)
-    await expectInForce(t, fleet, 'one of two racing operators', base + 1)
+    t.is(results.filter(({ status }) => status === 'fulfilled').length, 1)
+    await expectActive(t, fleet, 'one of two racing operators', base + 1)
 
     stop.abort()
-    t.deepEqual(await versions, [])
+    t.deepEqual(await reverts, [])
   } finally {
     stop.abort()
-    await versions
+    await reverts
     caller.close()
     await fleet.close()
   }
@@ -106,7 +106,7 @@
   async t => {
     const fleet = await startFleet(smallFleet(3), { withoutStewards: true, links: { platform: true, peers: true } })
     const stop = new AbortController()
-    const versions = watchVersions(fleet, stop.signal)
+    const reverts = watchForReverts(fleet, stop.signal)
     const caller = createCaller(fleet.callerAddresses())
     const { text: key, keyId, stored } = createKey('second')
     const read = (vm: number, usedKey: string) =>
@@ -117,7 +117,7 @@
       const version = await fleet.applyConfiguration(draft => {
         draft.workspaces['yard-1'].keys[keyId].state = 'withdrawn'
       })
-      await expectInForce(t, fleet, 'withdrawn key', version)
+      await expectActive(t, fleet, 'withdrawn key', version)
       await fleet.setPlatformFault({ down: true })
 
       await fleet.restart('vm-1')
@@ -128,9 +128,9 @@
 
       for (const vm of fleet.vmNames) await fleet.setLinkFault(`link-peer-${vm}`, { cut: true })
       await fleet.restart('vm-2')
-      for (const endMs = monotonicMs() + refusalObservedMs; monotonicMs() < endMs; await sleepMs(200)) {
-        for (const used of [key, fleet.keyOf('yard-1')]) {
-          const { kind, reason } = await read(1, used)
+      for (const deadlineMs = monotonicMs() + refusalObservationMs; monotonicMs() < deadlineMs; await sleepMs(200)) {
+        for (const usedKey of [key, fleet.keyOf('yard-1')]) {
+          const { kind, reason } = await read(1, usedKey)
           t.true(kind === 'lost' || (kind === 'notRun' && reason === 'outOfContact'), `${kind} ${reason}`)
         }
       }
@@ -140,10 +140,10 @@
       t.is(await readVersion(fleet, 'vm-2'), version)
       t.is((await read(1, key)).reason, 'keyRefused')
       stop.abort()
-      t.deepEqual(await versions, [])
+      t.deepEqual(await reverts, [])
     } finally {
       stop.abort()
-      await versions
+      await reverts
       caller.close()
       await fleet.close()
     }
--- a/packages/proofs/src/connection-loans.test.ts
+++ b/packages/proofs/src/connection-loans.test.ts
@@ -11,7 +11,7 @@
 
 const vmCount = 3
 const maxConnections = 6
-const openTransactions = 5
+const transactionCount = 5
 
 test('a VM borrows connections that its peers do not need, and never exceeds the limit of the endpoint',
   async t => {
@@ -29,19 +29,19 @@
     const key = fleet.keyOf('yard-1')
     const client = connectRawCaller(fleet.callerAddress('vm-1'))
     try {
-      const transactions = Array.from({ length: openTransactions }, () =>
+      const transactions = Array.from({ length: transactionCount }, () =>
         openRawTransaction(client, { key, route: 'write', profile: 'session' }))
-      const begun = await Promise.all(transactions.map(transaction => transaction.begin()))
-      t.deepEqual(begun.map(answer => outcomeOf(answer).kind), Array(openTransactions).fill('done'))
+      const beginAnswers = await Promise.all(transactions.map(transaction => transaction.begin()))
+      t.deepEqual(beginAnswers.map(answer => outcomeOf(answer).kind), Array(transactionCount).fill('done'))
       // Longer than the duration of a loan, so that the loans must have been renewed.
       await sleepMs(2_500)
       const statistics = await readDatabaseStats(fleet.databaseAddress('db-1'))
       t.true(statistics.openConnections <= maxConnections)
-      const committed = await Promise.all(transactions.map(async (transaction, index) => {
+      const commitAnswers = await Promise.all(transactions.map(async (transaction, index) => {
         await transaction.execute(`add slot-${index} 1 op=${index}`)
         return await transaction.commit()
       }))
-      t.deepEqual(committed.map(answer => outcomeOf(answer).kind), Array(openTransactions).fill('done'))
+      t.deepEqual(commitAnswers.map(answer => outcomeOf(answer).kind), Array(transactionCount).fill('done'))
     } finally {
       client.close()
       await fleet.close()
--- a/packages/proofs/src/endpoint-replies.test.ts
+++ b/packages/proofs/src/endpoint-replies.test.ts
@@ -17,7 +17,7 @@
 const fuzzRuns = 250
 const timeoutMs = 2_000
 
-const part: fc.Arbitrary<Partial<Reply>> = fc.oneof(
+const replyPart: fc.Arbitrary<Partial<Reply>> = fc.oneof(
   fc.record({ chunk: fc.record({ rows: fc.uint8Array({ maxLength: 20 }).map(bytes => Buffer.from(bytes)) }) }),
   fc.record({
     end: fc.record({
@@ -31,26 +31,26 @@
 const offset = fc.constantFrom(0, 0, 0, 1, -1)
 
 /** Numbers the request's own chunks as a correct endpoint does, or with the given numbers. */
-const numbered = (script: Script, numbers: readonly number[] | undefined): Script => {
+const numberChunks = (script: Script, numbers: readonly number[] | undefined): Script => {
   let count = 0
   return script.map((reply, index) => {
     const { chunk, end } = reply.part
     if (end) return { ...reply, part: { end: { ...end, chunkCount: numbers?.[index] ?? count } } }
     if (!chunk) return reply
-    const own = isOwn(reply) ? count++ : 0
-    return { ...reply, part: { chunk: { ...chunk, index: numbers?.[index] ?? own } } }
+    const ownIndex = isOwn(reply) ? count++ : 0
+    return { ...reply, part: { chunk: { ...chunk, index: numbers?.[index] ?? ownIndex } } }
   })
 }
 const isOwn = ({ idOffset, generationOffset }: Script[number]) => idOffset === 0 && generationOffset === 0
 
-const anyNumbers = fc.array(fc.nat(3), { minLength: 8, maxLength: 8 })
+const arbitraryNumbers = fc.array(fc.nat(3), { minLength: 8, maxLength: 8 })
 const scripts: fc.Arbitrary<Script> = fc.tuple(
-  fc.array(fc.record({ idOffset: offset, generationOffset: offset, part }), { maxLength: 8 }),
-  fc.oneof(fc.constant(undefined), anyNumbers)
-).map(([script, numbers]) => numbered(script, numbers))
+  fc.array(fc.record({ idOffset: offset, generationOffset: offset, part: replyPart }), { maxLength: 8 }),
+  fc.oneof(fc.constant(undefined), arbitraryNumbers)
+).map(([script, numbers]) => numberChunks(script, numbers))
 
 /** Starts an endpoint that opens connections normally and answers every request with the replies of the script. */
-const startScripted = (script: () => Script) => listenGrpc('127.0.0.1:0', { channels: loopbackChannels }, server => {
+const startEndpoint = (script: () => Script) => listenGrpc('127.0.0.1:0', { channels: loopbackChannels }, server => {
   server.addService(endpointProto.Endpoint.service, {
     Connect: (stream: ServerDuplexStream<Request, Reply>) => {
       stream.on('error', () => {})
@@ -70,7 +70,7 @@
 })
 
 /** Expected result: the rows before the request's own end, and that end if the answer is complete. */
-const expectedOf = (script: Script) => {
+const expectedResultOf = (script: Script) => {
   const rows: Buffer[] = []
   const result = (end: EndpointMessages.End | undefined) => ({ end, rows: Buffer.concat(rows).toString('hex') })
   for (const { part: { chunk, end } } of script.filter(isOwn)) {
@@ -82,18 +82,18 @@
 }
 
 test('for any replies of an endpoint, a request gets its own complete answer or an error', async t => {
-  let current: Script = []
-  let whole = 0
+  let currentScript: Script = []
+  let completeAnswers = 0
   let errors = 0
-  const listener = await startScripted(() => current)
+  const listener = await startEndpoint(() => currentScript)
   const connector = createEndpointConnector({ address: listener.address, group: 'any', channels: loopbackChannels })
   try {
     await fc.assert(fc.asyncProperty(scripts, async script => {
-      current = script
+      currentScript = script
       const opened = await connector.open(timeoutMs)
       if (!opened.ok) throw new Error(opened.val.message)
       const rows: Buffer[] = []
-      const ran = await opened.val.run({
+      const outcome = await opened.val.run({
         kind: 'execute',
         statement: Buffer.from('get berth'),
         writes: false,
@@ -105,21 +105,21 @@
         rows.push(chunk.rows)
         return true
       })
-      const expected = expectedOf(script)
-      const taken = Buffer.concat(rows).toString('hex')
+      const expected = expectedResultOf(script)
+      const receivedRows = Buffer.concat(rows).toString('hex')
       opened.val.close()
-      if (!ran.ok) {
+      if (!outcome.ok) {
         errors++
-        return expected.rows.startsWith(taken)
+        return expected.rows.startsWith(receivedRows)
       }
-      whole++
+      completeAnswers++
       if (!expected.end) return false
       const { verdict, result, position } = expected.end
-      return taken === expected.rows && ran.val.verdict === String(verdict).toLowerCase() &&
-        ran.val.result.equals(result as Buffer) && ran.val.position === position
+      return receivedRows === expected.rows && outcome.val.verdict === String(verdict).toLowerCase() &&
+        outcome.val.result.equals(result as Buffer) && outcome.val.position === position
     }), { seed, numRuns: fuzzRuns })
-    t.log({ whole, errors })
-    t.true(whole > 0 && errors > 0)
+    t.log({ whole: completeAnswers, errors })
+    t.true(completeAnswers > 0 && errors > 0)
   } finally {
     connector.close()
     await listener.close()
--- a/packages/proofs/src/fleet-rate.test.ts
+++ b/packages/proofs/src/fleet-rate.test.ts
@@ -12,14 +12,14 @@
 
 const seed = 41
 const vmCount = 9
-const before = { ratePerSec: 100, burst: 50 }
-const after = { ratePerSec: 40, burst: 20 }
+const limitBefore = { ratePerSec: 100, burst: 50 }
+const limitAfter = { ratePerSec: 40, burst: 20 }
 const offeredPerSec = 500
 /** Fraction of the load that goes to the first VM. */
-const skew = 0.6
+const firstVmFraction = 0.6
 /** Time limit for a configuration change to become active on all VMs. */
-const inForceMs = 5_000
-const phaseMs = 9_000
+const maxPropagationMs = 5_000
+const loadAfterChangeMs = 9_000
 
 const requestTimeoutMs = 2_000
 
@@ -30,7 +30,7 @@
   const admissions: Admission[] = []
   const pending = new Set<Promise<void>>()
   const send = async () => {
-    const vm = random.chance(skew) ? 0 : random.integer(0, vmCount - 1)
+    const vm = random.chance(firstVmFraction) ? 0 : random.integer(0, vmCount - 1)
     const sentMs = monotonicMs()
     const answer = await caller.execute(vm,
       { key, route: 'read', statement: 'get berth', timeoutMs: requestTimeoutMs })
@@ -52,7 +52,7 @@
 }
 
 /** Kills, freezes and restarts VMs and takes the platform down, partly at the same time. */
-const disturb = async (fleet: Fleet) => {
+const injectFaults = async (fleet: Fleet) => {
   await sleepMs(1_000)
   await fleet.kill('vm-1')
   await fleet.restart('vm-1')
@@ -73,21 +73,25 @@
     const fleet = await startFleet(smallFleet(vmCount), { withoutStewards: true })
     const stop = new AbortController()
     try {
-      await fleet.applyConfiguration(draft => { Object.assign(draft.workspaces['yard-1'], before) })
-      await sleepMs(inForceMs)
+      await fleet.applyConfiguration(draft => { Object.assign(draft.workspaces['yard-1'], limitBefore) })
+      await sleepMs(maxPropagationMs)
       const load = offerLoad(fleet, fleet.keyOf('yard-1'), stop.signal)
-      await disturb(fleet)
-      const changedMs = monotonicMs()
-      await fleet.applyConfiguration(draft => { Object.assign(draft.workspaces['yard-1'], after) })
-      await sleepMs(phaseMs)
+      await injectFaults(fleet)
+      const changedAtMs = monotonicMs()
+      await fleet.applyConfiguration(draft => { Object.assign(draft.workspaces['yard-1'], limitAfter) })
+      await sleepMs(loadAfterChangeMs)
       stop.abort()
       const admissions = await load
-      const early = admissions.filter(({ receivedMs }) => receivedMs <= changedMs)
-      const late = admissions.filter(({ sentMs }) => sentMs > changedMs + inForceMs)
-      t.log({ admitted: admissions.length, beforeTheChange: early.length, afterTheChange: late.length })
-      t.true(early.length > 100 && late.length > 20)
-      t.is(excessOverLimit(admissions, before), 0)
-      t.is(excessOverLimit(late, after), 0)
+      const admittedBefore = admissions.filter(({ receivedMs }) => receivedMs <= changedAtMs)
+      const admittedAfter = admissions.filter(({ sentMs }) => sentMs > changedAtMs + maxPropagationMs)
+      t.log({
+        admitted: admissions.length,
+        beforeTheChange: admittedBefore.length,
+        afterTheChange: admittedAfter.length
+      })
+      t.true(admittedBefore.length > 100 && admittedAfter.length > 20)
+      t.is(excessOverLimit(admissions, limitBefore), 0)
+      t.is(excessOverLimit(admittedAfter, limitAfter), 0)
     } finally {
       stop.abort()
       await fleet.close()
@@ -97,9 +101,12 @@
 test('the rate checker finds a single request over the limit in an interval of any length', t => {
   const limit = { ratePerSec: 10, burst: 5 }
   const at = (ms: number): Admission => ({ sentMs: ms, receivedMs: ms })
-  const kept = [...Array.from({ length: 5 }, () => at(0)), ...Array.from({ length: 50 }, (_, n) => at((n + 1) * 100))]
-  t.is(excessOverLimit(kept, limit), 0)
-  t.is(excessOverLimit([...kept, at(5_000)], limit), 1)
+  const withinLimit = [
+    ...Array.from({ length: 5 }, () => at(0)),
+    ...Array.from({ length: 50 }, (_, n) => at((n + 1) * 100))
+  ]
+  t.is(excessOverLimit(withinLimit, limit), 0)
+  t.is(excessOverLimit([...withinLimit, at(5_000)], limit), 1)
   t.is(excessOverLimit(Array.from({ length: 6 }, () => at(7)), limit), 1)
-  t.is(excessOverLimit([...kept, { sentMs: 0, receivedMs: 9_000 }], limit), 0)
+  t.is(excessOverLimit([...withinLimit, { sentMs: 0, receivedMs: 9_000 }], limit), 0)
 })
--- a/packages/proofs/src/graceful-shutdown.test.ts
+++ b/packages/proofs/src/graceful-shutdown.test.ts
@@ -15,11 +15,11 @@
 const chunkPauseMs = 45
 /** Shorter than the long calls, so that a VM has to wait for them after the notice. */
 const drainNoticeMs = 400
-const underLoadMs = 500
+const loadPeriodMs = 500
 const rowCount = 3_000
 
 /** Polls the readiness of all VMs until the signal aborts, as the balancer does; `ready` holds the ready VMs. */
-const followReady = (fleet: Fleet, signal: AbortSignal) => {
+const pollReadiness = (fleet: Fleet, signal: AbortSignal) => {
   const ready = new Set(fleet.vmNames)
   const poll = async (vm: string) => {
     while (!signal.aborted) {
@@ -33,13 +33,13 @@
       await sleepMs(readyPollMs)
     }
   }
-  const done = Promise.all(fleet.vmNames.map(poll))
-  return { ready, done }
+  const completion = Promise.all(fleet.vmNames.map(poll))
+  return { ready, completion }
 }
 
-type Work = (client: RawCaller, fields: CallerFields, name: string) => Promise<string>
+type Workload = (client: RawCaller, fields: CallerFields, name: string) => Promise<string>
 
-const works: Record<string, Work> = {
+const workloads: Record<string, Workload> = {
   'short write': async (client, fields, name) =>
     outcomeOf(await executeRaw(client, { ...fields, route: 'write' }, `add berth 1 op=${name}`)).kind,
   'long read': async (client, fields) =>
@@ -51,8 +51,8 @@
   },
   'long transaction': async (client, fields, name) => {
     const transaction = openRawTransaction(client, { ...fields, route: 'write' })
-    const begun = outcomeOf(await transaction.begin())
-    if (begun.kind !== 'done') return begun.kind
+    const beginOutcome = outcomeOf(await transaction.begin())
+    if (beginOutcome.kind !== 'done') return beginOutcome.kind
     for (let step = 0; step < 8; step++) {
       await sleepMs(stepPauseMs)
       const { kind } = outcomeOf(await transaction.execute(`add quay 1 op=${name}-${step}`))
@@ -64,28 +64,28 @@
 
 /** Runs all workloads on all ready VMs until the signal aborts; resolves to the counts by workload and outcome. */
 const runCallers = async (fleet: Fleet, signal: AbortSignal): Promise<Record<string, number>> => {
-  const { ready, done } = followReady(fleet, signal)
+  const { ready, completion } = pollReadiness(fleet, signal)
   const clients = new Map(fleet.vmNames.map(vm => [vm, connectRawCaller(fleet.callerAddress(vm))]))
   const counts: Record<string, number> = {}
   const fields = { key: fleet.keyOf('yard-1'), timeoutMs: 10_000 }
-  const worker = async (vm: string, work: string, index: number) => {
-    for (let turn = 0; !signal.aborted; turn++) {
+  const worker = async (vm: string, workload: string, index: number) => {
+    for (let iteration = 0; !signal.aborted; iteration++) {
       if (!ready.has(vm)) {
         await sleepMs(readyPollMs)
         continue
       }
-      const outcome = await works[work](clients.get(vm)!, fields, `${vm}-${index}-${turn}`)
-      counts[`${work}: ${outcome}`] = (counts[`${work}: ${outcome}`] ?? 0) + 1
+      const outcome = await workloads[workload](clients.get(vm)!, fields, `${vm}-${index}-${iteration}`)
+      counts[`${workload}: ${outcome}`] = (counts[`${workload}: ${outcome}`] ?? 0) + 1
     }
   }
   await Promise.all(fleet.vmNames.flatMap(vm =>
-    Object.keys(works).flatMap(work => [0, 1].map(index => worker(vm, work, index)))))
-  await done
+    Object.keys(workloads).flatMap(workload => [0, 1].map(index => worker(vm, workload, index)))))
+  await completion
   for (const client of clients.values()) client.close()
   return counts
 }
 
-const roomy = (vmCount: number) => {
+const highLimitFleet = (vmCount: number) => {
   const description = smallFleet(vmCount)
   for (const workspace of Object.values(description.configuration.workspaces)) {
     workspace.ratePerSec = 100_000
@@ -99,34 +99,34 @@
   return description
 }
 
-const isCut = (outcome: string) => !outcome.endsWith(': done')
+const isInterrupted = (outcome: string) => !outcome.endsWith(': done')
 
 test('no request is cut off when SIGTERM ends VMs one by one, two at once, and during a platform outage',
   async t => {
-    const fleet = await startFleet(roomy(3), {
+    const fleet = await startFleet(highLimitFleet(3), {
       withoutStewards: true, entrySettings: () => ({ drainNoticeMs })
     })
     const stop = new AbortController()
     const callers = runCallers(fleet, stop.signal)
-    const endAndRestart = async (...vms: string[]) => {
-      await sleepMs(underLoadMs)
+    const terminateAndRestart = async (...vms: string[]) => {
+      await sleepMs(loadPeriodMs)
       t.deepEqual(await Promise.all(vms.map(vm => fleet.terminate(vm))), vms.map(() => 0))
       for (const vm of vms) await fleet.restart(vm)
       await fleet.waitReady()
     }
     try {
-      for (const vm of fleet.vmNames) await endAndRestart(vm)
-      await endAndRestart('vm-1', 'vm-3')
-      await sleepMs(underLoadMs)
+      for (const vm of fleet.vmNames) await terminateAndRestart(vm)
+      await terminateAndRestart('vm-1', 'vm-3')
+      await sleepMs(loadPeriodMs)
       await fleet.setPlatformFault({ down: true })
-      await sleepMs(underLoadMs)
+      await sleepMs(loadPeriodMs)
       t.is(await fleet.terminate('vm-2'), 0)
       await fleet.setPlatformFault({})
       stop.abort()
       const counts = await callers
       t.log(counts)
-      t.deepEqual(Object.keys(counts).filter(isCut), [])
-      t.is(Object.keys(counts).length, Object.keys(works).length)
+      t.deepEqual(Object.keys(counts).filter(isInterrupted), [])
+      t.is(Object.keys(counts).length, Object.keys(workloads).length)
     } finally {
       stop.abort()
       await callers
@@ -135,14 +135,14 @@
   })
 
 test('the same load detects requests that are cut off when a VM is killed', async t => {
-  const fleet = await startFleet(roomy(2), { withoutStewards: true })
+  const fleet = await startFleet(highLimitFleet(2), { withoutStewards: true })
   const stop = new AbortController()
   const callers = runCallers(fleet, stop.signal)
   try {
-    await sleepMs(underLoadMs)
+    await sleepMs(loadPeriodMs)
     await fleet.kill('vm-1')
     stop.abort()
-    t.not(Object.keys(await callers).filter(isCut).length, 0)
+    t.not(Object.keys(await callers).filter(isInterrupted).length, 0)
   } finally {
     stop.abort()
     await callers
--- a/packages/proofs/src/keys.test.ts
+++ b/packages/proofs/src/keys.test.ts
@@ -12,7 +12,7 @@
 test('the key finder finds a key in every encoding', t => {
   const { text } = createKey('yard-1')
   const secret = text.slice(text.lastIndexOf('_') + 1)
-  const planted = [text, secret].flatMap(part => [
+  const haystacks = [text, secret].flatMap(part => [
     part,
     Buffer.from(part).toString('hex'),
     Buffer.from(part).toString('base64'),
@@ -20,7 +20,7 @@
     Buffer.from(`ab${part}cd`).toString('base64url'),
     JSON.stringify(Buffer.from(part))
   ])
-  for (const haystack of planted) t.not(findKey(text, `before ${haystack} after`).length, 0, haystack)
+  for (const haystack of haystacks) t.not(findKey(text, `before ${haystack} after`).length, 0, haystack)
   t.deepEqual(findKey(text, createKey('yard-1').text), [])
 })
 
@@ -30,15 +30,15 @@
   const client = connectRawCaller(fleet.callerAddress('vm-1'))
   try {
     const key = fleet.keyOf('yard-1')
-    const wrongKey = createKey('yard-1-first').text
+    const badKey = createKey('yard-1-first').text
     const withdrawnKey = await fleet.createKey('yard-1', 'second')
     for (const vm of [0, 1]) {
-      for (const used of [key, wrongKey, withdrawnKey]) {
-        await caller.execute(vm, { key: used, route: 'write', statement: 'add berth 1 op=key' })
-        await caller.execute(vm, { key: used, route: 'read', statement: 'get berth' })
-        await caller.execute(vm, { key: used, route: 'board', statement: 'get berth' })
-        await caller.execute(vm, { key: used, route: 'nowhere', statement: 'get berth' })
-        await caller.execute(vm, { key: used, route: 'write', statement: 'nonsense' })
+      for (const usedKey of [key, badKey, withdrawnKey]) {
+        await caller.execute(vm, { key: usedKey, route: 'write', statement: 'add berth 1 op=key' })
+        await caller.execute(vm, { key: usedKey, route: 'read', statement: 'get berth' })
+        await caller.execute(vm, { key: usedKey, route: 'board', statement: 'get berth' })
+        await caller.execute(vm, { key: usedKey, route: 'nowhere', statement: 'get berth' })
+        await caller.execute(vm, { key: usedKey, route: 'write', statement: 'nonsense' })
       }
     }
     await streamRaw(client, { route: 'read', key }, 'scan berth rows=300')
@@ -57,12 +57,12 @@
     for (const database of fleet.databaseNames()) {
       const { recorded } = await fleet.readDatabaseStats(database)
       t.true(recorded.length > 0, `${database} recorded nothing`)
-      for (const used of [key, wrongKey, withdrawnKey]) {
-        t.deepEqual(findKey(used, recorded.toString('latin1')), [], database)
+      for (const usedKey of [key, badKey, withdrawnKey]) {
+        t.deepEqual(findKey(usedKey, recorded.toString('latin1')), [], database)
       }
     }
     for (const program of fleet.programNames()) {
-      for (const used of [key, wrongKey, withdrawnKey]) t.deepEqual(findKey(used, fleet.logs(program)), [], program)
+      for (const usedKey of [key, badKey, withdrawnKey]) t.deepEqual(findKey(usedKey, fleet.logs(program)), [], program)
     }
     t.true(fleet.logs('vm-1').includes('routed'), 'the logs contain routing decisions')
   } finally {
--- a/packages/proofs/src/local-fleet.ts
+++ b/packages/proofs/src/local-fleet.ts
@@ -38,9 +38,13 @@
 export type LocalFleet = Awaited<ReturnType<typeof startLocalFleet>>
 
 /** Polls until the condition holds; throws an error with its name when the time limit passes. */
-export const eventually = async (name: string, isSo: () => boolean | Promise<boolean>, withinMs = readyTimeoutMs) => {
-  for (const endMs = monotonicMs() + withinMs; monotonicMs() < endMs; await sleepMs(pollMs)) {
-    if (await isSo()) return
+export const eventually = async (
+  name: string,
+  isSatisfied: () => boolean | Promise<boolean>,
+  withinMs = readyTimeoutMs
+) => {
+  for (const deadlineMs = monotonicMs() + withinMs; monotonicMs() < deadlineMs; await sleepMs(pollMs)) {
+    if (await isSatisfied()) return
   }
   throw new Error(`condition not met within ${withinMs} ms: ${name}`)
 }
@@ -53,8 +57,8 @@
   }
 }
 
-type KeptDatabase = { listener: GrpcListener, link: Link, start: (address: string) => Promise<GrpcListener> }
-type KeptEntry = {
+type DatabaseHandle = { listener: GrpcListener, link: Link, start: (address: string) => Promise<GrpcListener> }
+type EntryHandle = {
   program: RunningProgram
   isClosed: boolean
   platformLink: Link
@@ -62,7 +66,7 @@
   settings: Record<string, unknown>
 }
 
-const linkTo = (target: string) => startLink({ listen: loopback, control: loopback, target, delayMs: 0 })
+const startLinkTo = (target: string) => startLink({ listen: loopback, control: loopback, target, delayMs: 0 })
 
 /** Starts a fleet with one group of three databases and waits until its entries are ready. */
 export const startLocalFleet = async (options: LocalFleetOptions = {}) => {
@@ -79,8 +83,8 @@
 
   const platformListener = await startStandinPlatform({ address: loopback, channels: loopbackChannels, seed: 1 })
   const platform = connectPlatform(platformListener.address, loopbackChannels)
-  const databases = new Map<string, KeptDatabase>()
-  const entries = new Map<string, KeptEntry>()
+  const databases = new Map<string, DatabaseHandle>()
+  const entries = new Map<string, EntryHandle>()
   const stewards: RunningProgram[] = []
   let version = 0
   let leaving: string[] = []
@@ -105,7 +109,7 @@
       record: options.database?.record ?? false
     })
     const listener = await start(loopback)
-    const link = await linkTo(listener.address)
+    const link = await startLinkTo(listener.address)
     databases.set(name, { listener, link, start })
     endpoints[name].address = link.address
     return link.address
@@ -127,7 +131,7 @@
   }
 
   const startVm = async ({ name, dataCentre }: { name: string, dataCentre: string }) => {
-    const platformLink = await linkTo(platformListener.address)
+    const platformLink = await startLinkTo(platformListener.address)
     const settings = {
       name,
       dataCentre,
@@ -139,7 +143,7 @@
       ...options.entrySettings
     }
     const program = await startEntry(entrySettingsSchema.parse(settings))
-    const peerLink = await linkTo(program.addresses.peers)
+    const peerLink = await startLinkTo(program.addresses.peers)
     entries.set(name, { program, isClosed: false, platformLink, peerLink, settings })
   }
 
@@ -154,12 +158,12 @@
     ])
   }
 
-  const entry = (vm: string): KeptEntry => {
+  const entry = (vm: string): EntryHandle => {
     const found = entries.get(vm)
     if (!found) throw new Error(`no VM "${vm}"`)
     return found
   }
-  const database = (name: string): KeptDatabase => {
+  const database = (name: string): DatabaseHandle => {
     const found = databases.get(name)
     if (!found) throw new Error(`no database "${name}"`)
     return found
@@ -172,10 +176,10 @@
   }
 
   const closeEntry = async (vm: string) => {
-    const kept = entry(vm)
-    if (kept.isClosed) return
-    kept.isClosed = true
-    await kept.program.close()
+    const handle = entry(vm)
+    if (handle.isClosed) return
+    handle.isClosed = true
+    await handle.program.close()
   }
 
   const close = async () => {
@@ -230,8 +234,8 @@
     /** Replaces the group record, which holds the term and the primary. */
     putGroupRecord: async (record: GroupRecord): Promise<void> => {
       const key = storeKeys.group('group-1')
-      const known = await platform.get(key, platformTimeoutMs)
-      const expectedRevision = known.ok ? known.val?.revision ?? 0 : 0
+      const stored = await platform.get(key, platformTimeoutMs)
+      const expectedRevision = stored.ok ? stored.val?.revision ?? 0 : 0
       await platform.compareAndSwap({ key, expectedRevision, value: encodeRecord(record) }, platformTimeoutMs)
     },
     waitReady,
@@ -251,9 +255,9 @@
     /** Stops a database; its data is lost. */
     stopDatabase: (name: string) => database(name).listener.close(),
     /** Restarts a stopped database, empty, at its previous address. */
-    startDatabaseAgain: async (name: string) => {
-      const kept = database(name)
-      kept.listener = await kept.start(kept.listener.address)
+    restartDatabase: async (name: string) => {
+      const handle = database(name)
+      handle.listener = await handle.start(handle.listener.address)
     },
     close
   }
--- a/packages/proofs/src/placement.test.ts
+++ b/packages/proofs/src/placement.test.ts
@@ -10,15 +10,15 @@
 import { eventually, startLocalFleet } from './local-fleet.js'
 import type { LocalFleet, LocalFleetOptions } from './local-fleet.js'
 import { checkWrites, noWriteFindings } from './write-checker.js'
-import type { ToldOutcome } from './write-checker.js'
-import { countTold } from './write-load.js'
+import type { ReportedOutcome } from './write-checker.js'
+import { countOutcomes } from './write-load.js'
 
 /** Minimum number of confirmed writes that the log is checked against; the load runs until it is reached. */
 const minConfirmedWrites = 100
 
 /** Time limit for the evacuation, which takes one poll of the store and one promotion. */
-const boundMs = 5_000
-const quietMs = 1_500
+const maxEvacuationMs = 5_000
+const idlePeriodMs = 1_500
 const pollMs = 50
 const callersPerVm = 4
 const vmListLagMs = 1_000
@@ -31,32 +31,32 @@
 /** Sends reads and writes to the VMs until the signal aborts; more callers than slots, so that some requests queue. */
 const startLoad = (fleet: LocalFleet, vms: string[], signal: AbortSignal) => {
   const key = fleet.keyOf('yard-1')
-  const told = new Map<string, ToldOutcome>()
+  const reported = new Map<string, ReportedOutcome>()
   const caller = async (vm: string, name: string) => {
     const client = connectRawCaller(fleet.callerAddress(vm))
     let token: Buffer | undefined
-    for (let turn = 0; !signal.aborted; turn++) {
-      const op = `${name}-${turn}`
+    for (let iteration = 0; !signal.aborted; iteration++) {
+      const op = `${name}-${iteration}`
       const session = { key, timeoutMs: 2_000, token, isNewSession: token === undefined }
       const write = await executeRaw(client, { ...session, route: 'write' }, `add berth 1 op=${op}`)
-      told.set(op, outcomeOf(write).kind as ToldOutcome)
+      reported.set(op, outcomeOf(write).kind as ReportedOutcome)
       token = write?.sessionToken.length ? write.sessionToken : token
       await executeRaw(client, { ...session, token, route: 'read' }, 'get berth costMs=5')
       await executeRaw(client, { ...session, token, route: 'board' }, 'get berth costMs=5')
     }
     client.close()
   }
-  const done = Promise.all(vms.flatMap(vm =>
+  const completion = Promise.all(vms.flatMap(vm =>
     Array.from({ length: callersPerVm }, (_, index) => caller(vm, `${vm}.${index}`))))
-  return { told, done }
+  return { reported, completion }
 }
 
 /** Waits until the database has been idle for a while; resolves to the time until it ran its last statement. */
-const msUntilQuiet = async (fleet: LocalFleet, database: string): Promise<number> => {
+const msUntilLastStatement = async (fleet: LocalFleet, database: string): Promise<number> => {
   const startMs = monotonicMs()
   let lastCount = -1
   let lastGrowthMs = startMs
-  while (monotonicMs() - lastGrowthMs < quietMs && monotonicMs() - startMs < boundMs + quietMs) {
+  while (monotonicMs() - lastGrowthMs < idlePeriodMs && monotonicMs() - startMs < maxEvacuationMs + idlePeriodMs) {
     const { statements } = await readDatabaseStats(fleet.databaseAddress(database))
     if (statements !== lastCount) lastGrowthMs = monotonicMs()
     lastCount = statements
@@ -65,7 +65,7 @@
   return Math.round(lastGrowthMs - startMs)
 }
 
-const isWorking = async (fleet: LocalFleet, database: string): Promise<boolean> => {
+const isRunningStatements = async (fleet: LocalFleet, database: string): Promise<boolean> => {
   const { statements } = await readDatabaseStats(fleet.databaseAddress(database))
   await sleepMs(pollMs)
   return (await readDatabaseStats(fleet.databaseAddress(database))).statements > statements
@@ -77,19 +77,19 @@
   return members.filter(member => member.isPrimary).sort((a, b) => b.term - a.term)[0]?.name ?? ''
 }
 
-const expectQuiet = async (t: ExecutionContext, fleet: LocalFleet, database: string, name: string) => {
-  const ms = await msUntilQuiet(fleet, database)
-  t.log(`${name}: ${database} ran its last statement after ${ms} ms`)
-  t.true(ms < boundMs, `${name}: ${ms} ms`)
+const expectEvacuated = async (t: ExecutionContext, fleet: LocalFleet, database: string, name: string) => {
+  const elapsedMs = await msUntilLastStatement(fleet, database)
+  t.log(`${name}: ${database} ran its last statement after ${elapsedMs} ms`)
+  t.true(elapsedMs < maxEvacuationMs, `${name}: ${elapsedMs} ms`)
 }
 
-const expectWritesKept = async (
+const expectNoWriteViolations = async (
   t: ExecutionContext, fleet: LocalFleet, load: ReturnType<typeof startLoad>
 ) => {
-  await load.done
+  await load.completion
   const log = await readLog(fleet.databaseAddress(await primaryOf(fleet)))
-  t.deepEqual(checkWrites(load.told, log), noWriteFindings)
-  const counts = countTold(load.told)
+  t.deepEqual(checkWrites(load.reported, log), noWriteFindings)
+  const counts = countOutcomes(load.reported)
   t.log('writes', counts)
   t.true(counts.done > minConfirmedWrites)
 }
@@ -105,23 +105,23 @@
     for (const round of [1, 2]) {
       const primary = await primaryOf(fleet)
       const { dataCentre } = fleet.configuration().groups['group-1'].endpoints[primary]
-      await eventually(`${primary} runs statements`, () => isWorking(fleet, primary))
+      await eventually(`${primary} runs statements`, () => isRunningStatements(fleet, primary))
       await fleet.applyConfiguration(draft => { draft.dataCentres[dataCentre].state = 'out' })
-      await expectQuiet(t, fleet, primary, `round ${round}, ${dataCentre} out`)
+      await expectEvacuated(t, fleet, primary, `round ${round}, ${dataCentre} out`)
       t.not(await primaryOf(fleet), primary)
       const vm = fleet.vmNames[Number(dataCentre.slice(-1)) - 1]
       if (vm === 'vm-1') t.deepEqual(await atVm1(), { kind: 'notRun', reason: 'dataCentreOut' })
       t.is((await fetch(`http://${fleet.healthAddress(vm)}/readyz`)).status, 503)
       await fleet.applyConfiguration(draft => { draft.dataCentres[dataCentre].state = 'in' })
-      await eventually(`${primary} runs statements again`, () => isWorking(fleet, primary))
+      await eventually(`${primary} runs statements again`, () => isRunningStatements(fleet, primary))
       await fleet.waitReady([vm])
     }
-    await eventually('enough writes are confirmed', async () => countTold(load.told).done > minConfirmedWrites)
+    await eventually('enough writes are confirmed', async () => countOutcomes(load.reported).done > minConfirmedWrites)
     stop.abort()
-    await expectWritesKept(t, fleet, load)
+    await expectNoWriteViolations(t, fleet, load)
   } finally {
     stop.abort()
-    await load.done
+    await load.completion
     client.close()
     await fleet.close()
   }
@@ -135,24 +135,24 @@
     await fleet.setPlatformFault({ vmListLagMs })
     const replica = 'db-3'
     for (const round of [1, 2]) {
-      await eventually(`${replica} runs statements`, () => isWorking(fleet, replica))
+      await eventually(`${replica} runs statements`, () => isRunningStatements(fleet, replica))
       await fleet.setLeaving([replica])
-      await expectQuiet(t, fleet, replica, `round ${round}, replica leaving`)
+      await expectEvacuated(t, fleet, replica, `round ${round}, replica leaving`)
       await fleet.setLeaving([])
     }
-    await eventually(`${replica} runs statements again`, () => isWorking(fleet, replica))
+    await eventually(`${replica} runs statements again`, () => isRunningStatements(fleet, replica))
     const primary = await primaryOf(fleet)
     await fleet.setLeaving([primary])
-    await expectQuiet(t, fleet, primary, 'primary leaving')
+    await expectEvacuated(t, fleet, primary, 'primary leaving')
     t.not(await primaryOf(fleet), primary)
     await fleet.setLeaving([])
-    await eventually(`${primary} runs statements again`, () => isWorking(fleet, primary))
-    await eventually('enough writes are confirmed', async () => countTold(load.told).done > minConfirmedWrites)
+    await eventually(`${primary} runs statements again`, () => isRunningStatements(fleet, primary))
+    await eventually('enough writes are confirmed', async () => countOutcomes(load.reported).done > minConfirmedWrites)
     stop.abort()
-    await expectWritesKept(t, fleet, load)
+    await expectNoWriteViolations(t, fleet, load)
   } finally {
     stop.abort()
-    await load.done
+    await load.completion
     await fleet.close()
   }
 })
--- a/packages/proofs/src/process-kills.test.ts
+++ b/packages/proofs/src/process-kills.test.ts
@@ -7,13 +7,13 @@
 import { smallFleet, startFleet } from '@egretyoke/testbed'
 import type { Fleet } from '@egretyoke/testbed'
 import { connectRawCaller, openRawTransaction, outcomeOf } from './caller-streams.js'
-import { checkWrites, countOps, noWriteFindings } from './write-checker.js'
-import { countTold, runWrites } from './write-load.js'
+import { checkWrites, countOperations, noWriteFindings } from './write-checker.js'
+import { countOutcomes, runWrites } from './write-load.js'
 
 const seed = 53
 const settleMs = 2_000
 
-const roomyFleet = () => {
+const unlimitedFleet = () => {
   const description = smallFleet(3)
   for (const workspace of Object.values(description.configuration.workspaces)) {
     workspace.ratePerSec = 100_000
@@ -29,7 +29,7 @@
 
 test('no write is lost, repeated or wrongly reported as not run when VMs are killed and a frozen primary is replaced',
   async t => {
-    const fleet = await startFleet(roomyFleet())
+    const fleet = await startFleet(unlimitedFleet())
     try {
       const writes = runWrites({
         addresses: fleet.callerAddresses(),
@@ -49,20 +49,20 @@
       await sleepMs(4_000)
       fleet.thaw('db-1')
       await fleet.restart('vm-2')
-      const told = await writes
+      const reported = await writes
       await sleepMs(settleMs)
       const primary = await primaryOf(fleet)
-      t.log(countTold(told), primary)
+      t.log(countOutcomes(reported), primary)
       t.not(primary, 'db-1')
-      t.deepEqual(checkWrites(told, await fleet.readLog(primary)), noWriteFindings)
-      t.true(countTold(told).done > 200)
+      t.deepEqual(checkWrites(reported, await fleet.readLog(primary)), noWriteFindings)
+      t.true(countOutcomes(reported).done > 200)
     } finally {
       await fleet.close()
     }
   })
 
 test('a transaction whose VM is killed before the commit has no effect, at any step', async t => {
-  const fleet = await startFleet(roomyFleet(), { withoutStewards: true })
+  const fleet = await startFleet(unlimitedFleet(), { withoutStewards: true })
   try {
     for (const [index, steps] of [0, 1, 3].entries()) {
       const client = connectRawCaller(fleet.callerAddress('vm-1'))
@@ -73,15 +73,15 @@
       t.is(await transaction.commit(), undefined)
       client.close()
       const other = connectRawCaller(fleet.callerAddress('vm-2'))
-      const next = openRawTransaction(other, { route: 'write', key: fleet.keyOf('yard-1') })
-      await next.begin()
-      await next.execute(`add berth 1 op=alive-${index}`)
-      t.is(outcomeOf(await next.commit()).kind, 'done')
+      const nextTransaction = openRawTransaction(other, { route: 'write', key: fleet.keyOf('yard-1') })
+      await nextTransaction.begin()
+      await nextTransaction.execute(`add berth 1 op=alive-${index}`)
+      t.is(outcomeOf(await nextTransaction.commit()).kind, 'done')
       other.close()
       await fleet.restart('vm-1')
       await fleet.waitReady(['vm-1'])
     }
-    const ops = [...countOps(await fleet.readLog('db-1')).keys()]
+    const ops = [...countOperations(await fleet.readLog('db-1')).keys()]
     t.deepEqual(ops, ['alive-0', 'alive-1', 'alive-2'])
   } finally {
     await fleet.close()
--- a/packages/proofs/src/read-your-writes.test.ts
+++ b/packages/proofs/src/read-your-writes.test.ts
@@ -25,12 +25,12 @@
 const varyLags = async (fleet: LocalFleet, signal: AbortSignal) => {
   const random = createRandom(seed)
   while (!signal.aborted) {
-    const lagOf: Record<string, number> = {
+    const lagByDatabase: Record<string, number> = {
       'db-1': random.pick([0, 50, 1_000, 5_000]),
       'db-2': random.pick([0, 10, 50, 200]),
       'db-3': random.pick([0, 200, 2_000, 5_000])
     }
-    for (const [name, replicationLagMs] of Object.entries(lagOf)) {
+    for (const [name, replicationLagMs] of Object.entries(lagByDatabase)) {
       await setDatabaseFault(fleet.databaseAddress(name), { replicationLagMs, loseAnswers: 0.01 })
     }
     await sleepMs(300, signal)
@@ -69,7 +69,7 @@
 })
 
 test('a replica that restarted empty under the same name serves no session whose writes it lacks', async t => {
-  const seen: Record<string, number> = {}
+  const staleReads: Record<string, number> = {}
   for (const reads of ['checkedReplicas', 'uncheckedReplicas']) {
     const fleet = await startLocalFleet({ edit: unlimited, entrySettings: { policies: { reads } } })
     const client = connectRawCaller(fleet.callerAddress('vm-1'))
@@ -84,19 +84,19 @@
       for (const name of ['db-2', 'db-3']) {
         await setDatabaseFault(fleet.databaseAddress(name), { stopReplication: true })
         await fleet.stopDatabase(name)
-        await fleet.startDatabaseAgain(name)
+        await fleet.restartDatabase(name)
         await setDatabaseFault(fleet.databaseAddress(name), { stopReplication: true, replicationLagMs: 60_000 })
       }
       const answers = []
       for (let count = 0; count < 40; count++) answers.push(await readOnce())
-      seen[reads] = answers.filter(answer => answer?.done && String(answer.done.result) !== '1').length
+      staleReads[reads] = answers.filter(answer => answer?.done && String(answer.done.result) !== '1').length
     } finally {
       client.close()
       await fleet.close()
     }
   }
-  t.is(seen.checkedReplicas, 0)
-  t.true(seen.uncheckedReplicas > 0, 'without the check of answers the replicas return stale data')
+  t.is(staleReads.checkedReplicas, 0)
+  t.true(staleReads.uncheckedReplicas > 0, 'without the check of answers the replicas return stale data')
 })
 
 test('the session checker finds violations when sessions carry no tokens', async t => {
--- a/packages/proofs/src/session-checker.ts
+++ b/packages/proofs/src/session-checker.ts
@@ -29,7 +29,7 @@
 
   return {
     checkRead,
-    noteReplicaRead: () => { replicaReads++ },
+    recordReplicaRead: () => { replicaReads++ },
     violations: () => violations,
     reads: () => reads,
     replicaReads: () => replicaReads
--- a/packages/proofs/src/session-load.ts
+++ b/packages/proofs/src/session-load.ts
@@ -44,7 +44,7 @@
   writes: number
 }
 
-const damage = (token: Buffer, random: Random): Buffer => {
+const flipRandomBit = (token: Buffer, random: Random): Buffer => {
   const damaged = Buffer.from(token)
   damaged[random.integer(0, damaged.length - 1)] ^= 1 << random.integer(0, 7)
   return damaged
@@ -56,7 +56,7 @@
   const clients = options.addresses.map(connectRawCaller)
   const outcomes = new Map<string, number>()
 
-  const note = (outcome: { kind: string, reason: string }) => {
+  const recordOutcome = (outcome: { kind: string, reason: string }) => {
     const name = outcome.reason === '' ? outcome.kind : `${outcome.kind}:${outcome.reason}`
     outcomes.set(name, (outcomes.get(name) ?? 0) + 1)
   }
@@ -72,14 +72,14 @@
     if (!session.token) return { ...fields, isNewSession: session.isNew }
     const use: TokenUse = session.random.chance(0.05) ? 'damaged' : session.random.chance(0.05) ? 'missing' : 'kept'
     if (use === 'missing') return fields
-    return { ...fields, token: use === 'damaged' ? damage(session.token, session.random) : session.token }
+    return { ...fields, token: use === 'damaged' ? flipRandomBit(session.token, session.random) : session.token }
   }
 
   const write = async (session: Session) => {
     const statement = `add ${session.name} 1 op=${session.name}-${++session.writes}`
     const answer = await executeRaw(nextClient(session), fieldsOf(session, 'write'), statement)
     const outcome = outcomeOf(answer)
-    note(outcome)
+    recordOutcome(outcome)
     if (outcome.kind === 'notRun' || outcome.kind === 'failed') return
     session.isNew = false
     session.bounds.possible++
@@ -93,14 +93,14 @@
       const route = session.random.pick(options.readRoutes)
       const answer = await executeRaw(nextClient(session), fieldsOf(session, route), `get ${session.name}`)
       const outcome = outcomeOf(answer)
-      note(outcome)
+      recordOutcome(outcome)
       if (!answer || outcome.kind !== 'done') {
         await sleepMs(readRetryMs)
         continue
       }
       const { endpoint, fromReplica, sessionToken } = answer
       checker.checkRead(session.name, session.bounds, { result: String(answer.done!.result), endpoint })
-      if (fromReplica) checker.noteReplicaRead()
+      if (fromReplica) checker.recordReplicaRead()
       session.isUnsettled = false
       session.token = sessionToken
       return
@@ -128,17 +128,17 @@
   }
 
   const sessions = Array.from({ length: options.sessionCount }, (_, index) => createSession(index))
-  const runHalves = async () => {
-    const left = [...sessions]
+  const runHalfOfEachSession = async () => {
+    const remaining = [...sessions]
     const worker = async () => {
-      for (let session = left.shift(); session; session = left.shift()) await runHalf(session)
+      for (let session = remaining.shift(); session; session = remaining.shift()) await runHalf(session)
     }
     await Promise.all(Array.from({ length: options.concurrentSessions }, worker))
   }
   try {
-    await runHalves()
+    await runHalfOfEachSession()
     options.onHalfDone?.()
-    await runHalves()
+    await runHalfOfEachSession()
   } finally {
     for (const client of clients) client.close()
   }
--- a/packages/proofs/src/suspension.test.ts
+++ b/packages/proofs/src/suspension.test.ts
@@ -12,16 +12,16 @@
 
 const limit = { ratePerSec: 100, burst: 60 }
 const requestTimeoutMs = 2_000
-const tickMs = 5
+const sendIntervalMs = 5
 const platformTimeoutMs = 1_000
 /** Period without refusals that a test waits for, and the minimum number of requests sent in it. */
-const quietMs = 4_000
-const minQuietRequests = 200
+const noRefusalPeriodMs = 4_000
+const minPeriodRequests = 200
 /** Time until a VM that is cut off admits nothing: its contact TTL and the answers then in flight. */
-const contactEndMs = 3_000
+const maxContactLossMs = 3_000
 const settleMs = 1_500
 
-type Answered = { vm: string, kind: string, reason: string, sentMs: number, receivedMs: number }
+type AnswerRecord = { vm: string, kind: string, reason: string, sentMs: number, receivedMs: number }
 
 const edit: LocalFleetOptions['edit'] = configuration => {
   Object.assign(configuration.workspaces['yard-1'], limit)
@@ -30,8 +30,8 @@
 /** Sends reads to the VMs in rotation at a constant rate; `stop` ends the load and resolves after the last answer. */
 const startLoad = (fleet: LocalFleet, vms: string[], ratePerSec: number) => {
   const caller = createCaller(vms.map(fleet.callerAddress))
-  const answers: Answered[] = []
-  const stopping = new AbortController()
+  const answers: AnswerRecord[] = []
+  const stopController = new AbortController()
   const send = async (index: number) => {
     const sentMs = monotonicMs()
     const request = { key: fleet.keyOf('yard-1'), route: 'read', statement: 'get berth', timeoutMs: requestTimeoutMs }
@@ -41,31 +41,34 @@
   const run = async () => {
     const pending: Array<Promise<void>> = []
     const startMs = monotonicMs()
-    while (!stopping.signal.aborted) {
+    while (!stopController.signal.aborted) {
       while (pending.length < (monotonicMs() - startMs) * ratePerSec / 1_000) {
         pending.push(send(pending.length % vms.length))
       }
-      await sleepMs(tickMs)
+      await sleepMs(sendIntervalMs)
     }
     await Promise.all(pending)
     caller.close()
   }
-  const running = run()
+  const completion = run()
   const stop = () => {
-    stopping.abort()
-    return running
+    stopController.abort()
+    return completion
   }
   return { answers, stop }
 }
 
-const isAdmitted = ({ kind }: Answered) => kind === 'done' || kind === 'failed' || kind === 'outcomeUnknown'
-const excessOf = (answers: Answered[]) => excessOverLimit(answers.filter(isAdmitted), limit)
-const sentSince = (answers: Answered[], fromMs: number) => answers.filter(({ sentMs }) => sentMs >= fromMs)
+const isAdmitted = ({ kind }: AnswerRecord) => kind === 'done' || kind === 'failed' || kind === 'outcomeUnknown'
+const excessOf = (answers: AnswerRecord[]) => excessOverLimit(answers.filter(isAdmitted), limit)
+const sentSince = (answers: AnswerRecord[], fromMs: number) => answers.filter(({ sentMs }) => sentMs >= fromMs)
 
 const readRoster = async (fleet: LocalFleet) => {
-  const read = await fleet.platform.get(storeKeys.roster, platformTimeoutMs)
-  if (!read.ok || !read.val) throw new Error('no roster')
-  return { roster: decodeRecord(storeKeys.roster, read.val.value, rosterSchema).unwrap(), revision: read.val.revision }
+  const stored = await fleet.platform.get(storeKeys.roster, platformTimeoutMs)
+  if (!stored.ok || !stored.val) throw new Error('no roster')
+  return {
+    roster: decodeRecord(storeKeys.roster, stored.val.value, rosterSchema).unwrap(),
+    revision: stored.val.revision
+  }
 }
 
 const suspendedVms = async (fleet: LocalFleet) =>
@@ -79,10 +82,10 @@
 }
 
 /** Waits for a period without refusals. Two thirds of the rate would not suffice for it, even with a full burst. */
-const untilNothingRefused = (answers: Answered[]) => {
+const waitUntilNothingRefused = (answers: AnswerRecord[]) => {
   const startMs = monotonicMs()
   return eventually('nothing is refused', () => {
-    const fromMs = monotonicMs() - quietMs
+    const fromMs = monotonicMs() - noRefusalPeriodMs
     return fromMs >= startMs && sentSince(answers, fromMs).every(isAdmitted)
   })
 }
@@ -97,8 +100,8 @@
     await sleepMs(settleMs)
     await fleet.closeEntry('vm-3')
     await eventually('vm-3 is suspended', async () => (await suspendedVms(fleet)).includes('vm-3'))
-    await untilNothingRefused(load.answers)
-    t.true(sentSince(load.answers, monotonicMs() - quietMs).length > minQuietRequests)
+    await waitUntilNothingRefused(load.answers)
+    t.true(sentSince(load.answers, monotonicMs() - noRefusalPeriodMs).length > minPeriodRequests)
     await load.stop()
     t.is(excessOf(load.answers), 0)
     t.is((await readRoster(fleet)).roster.members.length, 3)
@@ -119,20 +122,20 @@
     await sleepMs(settleMs)
     setCut(true)
     await storeSuspended(fleet, ['vm-3'])
-    const suspendedMs = monotonicMs()
-    await sleepMs(contactEndMs + 2 * quietMs)
-    const admitted = sentSince(load.answers, suspendedMs + contactEndMs).filter(isAdmitted)
+    const suspendedAtMs = monotonicMs()
+    await sleepMs(maxContactLossMs + 2 * noRefusalPeriodMs)
+    const admitted = sentSince(load.answers, suspendedAtMs + maxContactLossMs).filter(isAdmitted)
     t.deepEqual(admitted.filter(({ vm }) => vm === 'vm-3'), [])
-    t.true(admitted.length > minQuietRequests)
+    t.true(admitted.length > minPeriodRequests)
     t.false(await isReady(fleet, 'vm-3'))
     setCut(false)
     await sleepMs(settleMs)
     t.false(await isReady(fleet, 'vm-3'))
     await storeSuspended(fleet, [])
     await fleet.waitReady(['vm-3'])
-    const backMs = monotonicMs()
+    const readyAtMs = monotonicMs()
     await eventually('vm-3 admits', () =>
-      sentSince(load.answers, backMs).some(answer => answer.vm === 'vm-3' && isAdmitted(answer)))
+      sentSince(load.answers, readyAtMs).some(answer => answer.vm === 'vm-3' && isAdmitted(answer)))
     await load.stop()
     t.is(excessOf(load.answers), 0)
   } finally {
@@ -148,11 +151,11 @@
     fleet.peerLink('vm-3').setFault({ cut: true })
     await eventually('vm-3 is suspended', async () => (await suspendedVms(fleet)).includes('vm-3'))
     await eventually('vm-3 is not ready', async () => !await isReady(fleet, 'vm-3'))
-    await sleepMs(2 * quietMs)
+    await sleepMs(2 * noRefusalPeriodMs)
     fleet.peerLink('vm-3').setFault({ cut: false })
     await eventually('the suspension is lifted', async () => (await suspendedVms(fleet)).length === 0)
     await fleet.waitReady(['vm-3'])
-    await sleepMs(quietMs)
+    await sleepMs(noRefusalPeriodMs)
     await load.stop()
     t.is(excessOf(load.answers), 0)
   } finally {
--- a/packages/proofs/src/transactions.test.ts
+++ b/packages/proofs/src/transactions.test.ts
@@ -29,16 +29,16 @@
 const loggedTransactions = async (fleet: LocalFleet): Promise<string[][]> =>
   (await readLog(fleet.databaseAddress('db-1'))).map(entry => entry.statements)
 
-const cutPrimary = async (fleet: LocalFleet) => {
+const cutPrimaryLink = async (fleet: LocalFleet) => {
   fleet.databaseLink('db-1').setFault({ cut: true })
   await sleepMs(50)
   fleet.databaseLink('db-1').setFault({ cut: false })
 }
 
-type End = (transaction: RawTransaction, fleet: LocalFleet) => Promise<unknown> | unknown
+type EndTransaction = (transaction: RawTransaction, fleet: LocalFleet) => Promise<unknown> | unknown
 
 /** Ways in which a transaction ends without a commit, after `begin` and one statement. */
-const ends: Record<string, End> = {
+const endings: Record<string, EndTransaction> = {
   'the caller disconnects after a statement': transaction => transaction.cancel(),
   'the caller disconnects during a statement': async (transaction, fleet) => {
     await setDatabaseFault(fleet.databaseAddress('db-1'), { delayMs: 150 })
@@ -49,14 +49,14 @@
     await setDatabaseFault(fleet.databaseAddress('db-1'), {})
   },
   'the caller ends its stream': transaction => transaction.end(),
-  'the caller sends nothing until the idle timeout': transaction => transaction.ended(),
+  'the caller sends nothing until the idle timeout': transaction => transaction.waitForEnd(),
   'the caller rolls back': transaction => transaction.rollback(),
-  'the connection is lost after a statement': (_transaction, fleet) => cutPrimary(fleet),
+  'the connection is lost after a statement': (_transaction, fleet) => cutPrimaryLink(fleet),
   'the connection is lost during a statement': async (transaction, fleet) => {
     await setDatabaseFault(fleet.databaseAddress('db-1'), { delayMs: 150 })
     const lost = transaction.execute('add berth 1 op=lost')
     await sleepMs(50)
-    await cutPrimary(fleet)
+    await cutPrimaryLink(fleet)
     await lost
     await setDatabaseFault(fleet.databaseAddress('db-1'), {})
   },
@@ -75,25 +75,25 @@
   const client = connectRawCaller(fleet.callerAddress('vm-1'))
   const fields = { route: 'write', key: fleet.keyOf('yard-1') }
   try {
-    for (const [index, [name, endIt]] of Object.entries(ends).entries()) {
-      const ended = openRawTransaction(client, fields)
-      t.is(outcomeOf(await ended.begin()).kind, 'done', name)
-      t.is(outcomeOf(await ended.execute(`add berth 1 op=ended-${index}`)).kind, 'done', name)
-      await endIt(ended, fleet)
-      const kept = `add quay 1 op=kept-${index}`
+    for (const [index, [name, endTransaction]] of Object.entries(endings).entries()) {
+      const firstTransaction = openRawTransaction(client, fields)
+      t.is(outcomeOf(await firstTransaction.begin()).kind, 'done', name)
+      t.is(outcomeOf(await firstTransaction.execute(`add berth 1 op=ended-${index}`)).kind, 'done', name)
+      await endTransaction(firstTransaction, fleet)
+      const keptStatement = `add quay 1 op=kept-${index}`
       await eventually(`${name}: two more transactions commit`, async () => {
-        const next = [openRawTransaction(client, fields), openRawTransaction(client, fields)]
-        const begun = await Promise.all(next.map(transaction => transaction.begin()))
-        const isOpen = begun.every(answer => outcomeOf(answer).kind === 'done')
-        const ran = isOpen ? await next[0].execute(kept) : undefined
-        const committed = isOpen ? await next[0].commit() : undefined
-        await Promise.all(next.map(transaction => transaction.rollback()))
-        return outcomeOf(ran).kind === 'done' && outcomeOf(committed).kind === 'done'
+        const nextTransactions = [openRawTransaction(client, fields), openRawTransaction(client, fields)]
+        const beginAnswers = await Promise.all(nextTransactions.map(transaction => transaction.begin()))
+        const isOpen = beginAnswers.every(answer => outcomeOf(answer).kind === 'done')
+        const executeAnswer = isOpen ? await nextTransactions[0].execute(keptStatement) : undefined
+        const commitAnswer = isOpen ? await nextTransactions[0].commit() : undefined
+        await Promise.all(nextTransactions.map(transaction => transaction.rollback()))
+        return outcomeOf(executeAnswer).kind === 'done' && outcomeOf(commitAnswer).kind === 'done'
       })
-      t.deepEqual((await loggedTransactions(fleet)).at(-1), [kept], name)
+      t.deepEqual((await loggedTransactions(fleet)).at(-1), [keptStatement], name)
     }
-    const all = (await loggedTransactions(fleet)).flat()
-    t.true(all.every(statement => statement.includes('op=kept-')), all.join('; '))
+    const allStatements = (await loggedTransactions(fleet)).flat()
+    t.true(allStatements.every(statement => statement.includes('op=kept-')), allStatements.join('; '))
     await eventually('no connection beyond the limit stays open', async () =>
       (await readDatabaseStats(fleet.databaseAddress('db-1'))).openConnections <= 2)
   } finally {
@@ -115,9 +115,9 @@
     if (outcomeOf(await transaction.begin()).kind !== 'done') return transaction.cancel()
     for (let statement = 0; statement < statementsPerTransaction; statement++) {
       if (random.chance(0.1)) return transaction.cancel()
-      const ran = await transaction.execute(`add berth-${name} 1 op=${name}.${statement}`)
-      if (outcomeOf(ran).kind !== 'done') return transaction.cancel()
-      if (Number(ran!.done!.result) !== statement + 1) t.fail(`${name} saw ${String(ran!.done!.result)}`)
+      const answer = await transaction.execute(`add berth-${name} 1 op=${name}.${statement}`)
+      if (outcomeOf(answer).kind !== 'done') return transaction.cancel()
+      if (Number(answer!.done!.result) !== statement + 1) t.fail(`${name} saw ${String(answer!.done!.result)}`)
     }
     if (random.chance(0.2)) return transaction.rollback()
     notCommitted.delete(name)
@@ -129,7 +129,7 @@
     const worker = async () => {
       for (let name = names.shift(); name !== undefined; name = names.shift()) {
         await runOne(name)
-        if (Number(name) % 60 === 59) await cutPrimary(fleet)
+        if (Number(name) % 60 === 59) await cutPrimaryLink(fleet)
       }
     }
     await Promise.all(Array.from({ length: 6 }, worker))
@@ -137,9 +137,9 @@
     const nameOf = (statement: string) => /op=(\d+)\./.exec(statement)![1]
     for (const statements of logged) {
       const name = nameOf(statements[0])
-      const whole = Array.from({ length: statementsPerTransaction }, (_, index) =>
+      const expectedStatements = Array.from({ length: statementsPerTransaction }, (_, index) =>
         `add berth-${name} 1 op=${name}.${index}`)
-      t.deepEqual(statements, whole)
+      t.deepEqual(statements, expectedStatements)
     }
     const loggedNames = logged.map(statements => nameOf(statements[0]))
     t.is(new Set(loggedNames).size, loggedNames.length)
--- a/packages/proofs/src/whole-answers.test.ts
+++ b/packages/proofs/src/whole-answers.test.ts
@@ -28,16 +28,16 @@
   'all of these at once': { reorderReplies: 0.1, cutStreams: 0.1, delayMs: 10 }
 }
 
-const doubledAnswers: Record<string, DatabaseFault> = {
+const duplicationFaults: Record<string, DatabaseFault> = {
   'replies duplicated': { doubleReplies: 0.5 },
   'replies duplicated and reordered': { doubleReplies: 0.3, reorderReplies: 0.2 }
 }
 
 const valueOf = (index: number) => `value-of-${index}`
-const wantedRows = (index: number) =>
+const expectedRows = (index: number) =>
   Array.from({ length: rowCount }, (_, row) => `key-${index}:${row}=${valueOf(index)}`)
 
-const fill = async (client: RawCaller, key: string) => {
+const storeValues = async (client: RawCaller, key: string) => {
   for (let index = 0; index < keyCount; index++) {
     const answer = await executeRaw(client, { route: 'write', key }, `put key-${index} ${valueOf(index)} op=${index}`)
     const { kind, reason } = outcomeOf(answer)
@@ -46,7 +46,7 @@
 }
 
 /** Runs reads and streams with each fault in turn and checks every answer. */
-const checkUnder = async (
+const checkAnswers = async (
   t: ExecutionContext,
   faultsByName: Record<string, DatabaseFault>,
   streamShare: number
@@ -62,45 +62,45 @@
   const client = connectRawCaller(fleet.callerAddress('vm-1'))
   const key = fleet.keyOf('yard-1')
 
-  const runUnder = async (name: string) => {
+  const runRequests = async (name: string) => {
     const random = createRandom(seed)
-    const counts = { whole: 0, none: 0, wholeStreams: 0, cutStreams: 0 }
+    const counts = { completeReads: 0, failedReads: 0, completeStreams: 0, cutStreams: 0 }
     const read = async () => {
       const index = random.integer(0, keyCount - 1)
       const timeoutMs = random.pick([60, 200, 400])
       const fields = { route: 'read', key, timeoutMs, isNewSession: random.chance(0.5) }
       const answer = await executeRaw(client, fields, `get key-${index}`)
-      if (outcomeOf(answer).kind !== 'done') return counts.none++
+      if (outcomeOf(answer).kind !== 'done') return counts.failedReads++
       const value = String(answer!.done!.result)
       // A lagging replica may not have the key yet, but must never return the value of another key.
       if (value !== '') t.is(value, valueOf(index), name)
-      counts.whole++
+      counts.completeReads++
     }
     const stream = async () => {
       const index = random.integer(0, keyCount - 1)
       const { rows, end } = await streamRaw(client, { route: 'read', key, timeoutMs: 400 },
         `scan key-${index} rows=${rowCount}`)
-      const isWhole = outcomeOf(end).kind === 'done'
-      t.deepEqual(rows, isWhole ? wantedRows(index) : wantedRows(index).slice(0, rows.length), name)
-      if (isWhole) counts.wholeStreams++
+      const isComplete = outcomeOf(end).kind === 'done'
+      t.deepEqual(rows, isComplete ? expectedRows(index) : expectedRows(index).slice(0, rows.length), name)
+      if (isComplete) counts.completeStreams++
       else counts.cutStreams++
     }
     const worker = async () => {
-      for (let left = requestsPerCaller; left > 0; left--) {
+      for (let remaining = requestsPerCaller; remaining > 0; remaining--) {
         if (random.chance(streamShare)) await stream()
         else await read()
       }
     }
     await Promise.all(Array.from({ length: callerCount }, worker))
     t.log(name, counts)
-    t.true(counts.whole > 0, name)
+    t.true(counts.completeReads > 0, name)
   }
 
   try {
-    await fill(client, key)
+    await storeValues(client, key)
     for (const [name, fault] of Object.entries(faultsByName)) {
       for (const database of fleet.databaseNames) await setDatabaseFault(fleet.databaseAddress(database), fault)
-      await runUnder(name)
+      await runRequests(name)
     }
   } finally {
     client.close()
@@ -108,11 +108,11 @@
   }
 }
 
-test('each caller gets the complete answer to its own request, or none', t => checkUnder(t, faults, 0.1))
+test('each caller gets the complete answer to its own request, or none', t => checkAnswers(t, faults, 0.1))
 
-test('each caller gets its own answer when endpoints duplicate replies', t => checkUnder(t, doubledAnswers, 0))
+test('each caller gets its own answer when endpoints duplicate replies', t => checkAnswers(t, duplicationFaults, 0))
 
-test('each caller gets correct rows when endpoints duplicate chunks', t => checkUnder(t, doubledAnswers, 0.2))
+test('each caller gets correct rows when endpoints duplicate chunks', t => checkAnswers(t, duplicationFaults, 0.2))
 
 test('a stream is not retried at the primary after rows were sent to the caller', async t => {
   const fleet = await startLocalFleet({
@@ -120,12 +120,12 @@
   })
   const client = connectRawCaller(fleet.callerAddress('vm-1'))
   const key = fleet.keyOf('yard-1')
-  const successor = connectMember(fleet.databaseAddress('db-2'), loopbackChannels)
+  const newPrimary = connectMember(fleet.databaseAddress('db-2'), loopbackChannels)
   const longRowCount = 40_000
   const statement = `scan berth rows=${longRowCount}`
   /** Starts a term whose log begins empty, so that the replicas must discard all that they hold. */
   const replacePrimary = async () => {
-    await successor.promote(2, 1_000)
+    await newPrimary.promote(2, 1_000)
     const lineage = [{ term: 1, startPosition: 0 }, { term: 2, startPosition: 0 }]
     await fleet.putGroupRecord({ term: 2, primary: 'db-2', phase: 'active', lineage })
   }
@@ -147,7 +147,7 @@
     t.true(rows.length <= longRowCount)
     t.deepEqual(outcomeOf(end), { kind: 'outcomeUnknown', reason: 'primaryReplaced' })
   } finally {
-    successor.close()
+    newPrimary.close()
     client.close()
     await fleet.close()
   }
--- a/packages/proofs/src/withdrawn-key.test.ts
+++ b/packages/proofs/src/withdrawn-key.test.ts
@@ -10,14 +10,14 @@
 import { eventually, startLocalFleet } from './local-fleet.js'
 import type { LocalFleet } from './local-fleet.js'
 
-const boundMs = 5_000
-const observedMs = 6_000
-const quietMs = 1_000
+const maxStopMs = 5_000
+const observationMs = 6_000
+const noProgressPeriodMs = 1_000
 /** Per VM; more than the slots of the database, so that some requests are always queued. */
-const queuedCallers = 4
+const queuedCallerCount = 4
 /** Time limit for the start of all callers; long, because the machine may be busy. */
-const beginMs = 60_000
-const stepMs = 25
+const startTimeoutMs = 60_000
+const stepIntervalMs = 25
 const streamTimeoutMs = 60_000
 
 /** Links that are cut in each case: platform links of VMs, and all peer links. */
@@ -34,55 +34,57 @@
   for (const vm of fleet.vmNames) fleet.peerLink(vm).setFault({ cut: isCut })
 }
 
-/** Starts callers of one VM that use a key until the signal aborts; `lastMs` holds the last progress of each kind. */
+/** Starts callers of one VM that use a key until the signal aborts; `lastProgressMs` is by kind of caller. */
 const startCallers = (address: string, key: string, signal: AbortSignal) => {
   const client = connectRawCaller(address)
-  const lastMs: Record<string, number> = {}
-  const note = (caller: string) => { lastMs[caller] = monotonicMs() }
+  const lastProgressMs: Record<string, number> = {}
+  const recordProgress = (caller: string) => { lastProgressMs[caller] = monotonicMs() }
 
-  const statements = async (caller: string, route: string, statement: string) => {
+  const runStatements = async (caller: string, route: string, statement: string) => {
     while (!signal.aborted) {
       const sentMs = monotonicMs()
       const answer = await executeRaw(client, { route, key }, statement)
-      if (outcomeOf(answer).kind === 'done') lastMs[caller] = sentMs
-      await sleepMs(stepMs)
+      if (outcomeOf(answer).kind === 'done') lastProgressMs[caller] = sentMs
+      await sleepMs(stepIntervalMs)
     }
   }
-  const stream = async () => {
+  const runStreams = async () => {
     while (!signal.aborted) {
       const fields = { route: 'read', key, profile: 'long' }
       await streamRaw(client, fields, 'scan wide rows=100000', async () => {
-        note('streaming')
-        await sleepMs(stepMs)
+        recordProgress('streaming')
+        await sleepMs(stepIntervalMs)
       })
-      await sleepMs(stepMs)
+      await sleepMs(stepIntervalMs)
     }
   }
-  const transactions = async () => {
+  const runTransactions = async () => {
     while (!signal.aborted) {
       const transaction = openRawTransaction(client, { route: 'write', key, profile: 'long' })
       let isOpen = outcomeOf(await transaction.begin()).kind === 'done'
       while (isOpen && !signal.aborted) {
-        await sleepMs(stepMs)
+        await sleepMs(stepIntervalMs)
         isOpen = outcomeOf(await transaction.execute('add berth 0 op=none')).kind === 'done'
-        if (isOpen) note('mid-transaction')
+        if (isOpen) recordProgress('mid-transaction')
       }
       transaction.cancel()
-      await sleepMs(stepMs)
+      await sleepMs(stepIntervalMs)
     }
   }
-  const queued = Array.from({ length: queuedCallers }, () => statements('queued', 'read', 'get berth costMs=40'))
-  const all = Promise.all([statements('busy', 'write', 'add berth 0 op=none'), stream(), transactions(), ...queued])
+  const queued = Array.from({ length: queuedCallerCount }, () => runStatements('queued', 'read', 'get berth costMs=40'))
+  const completion = Promise.all([
+    runStatements('busy', 'write', 'add berth 0 op=none'), runStreams(), runTransactions(), ...queued
+  ])
   /** Sends one request on the connection that has been open since the start. */
   const idleRequest = async () => outcomeOf(await executeRaw(client, { route: 'read', key }, 'get berth'))
   const close = async () => {
-    await all
+    await completion
     client.close()
   }
-  return { lastMs, idleRequest, close }
+  return { lastProgressMs, idleRequest, close }
 }
 
-const withdrawUnder = async (t: ExecutionContext, fleet: LocalFleet, name: string, index: number) => {
+const checkWithdrawal = async (t: ExecutionContext, fleet: LocalFleet, name: string, index: number) => {
   const { text: key, keyId, stored } = createKey(`key-${index}`)
   await fleet.applyConfiguration(draft => { draft.workspaces['yard-1'].keys[keyId] = stored })
   const probes = fleet.callerAddresses().map(connectRawCaller)
@@ -93,30 +95,30 @@
   }
   const stop = new AbortController()
   const callers = fleet.callerAddresses().map(address => startCallers(address, key, stop.signal))
-  const isAtWork = () => callers.every(({ lastMs }) => Object.keys(lastMs).length === 4)
-  const isQuiet = () => callers.every(({ lastMs }) =>
-    Object.values(lastMs).every(ms => monotonicMs() - ms > quietMs))
-  let withdrawnMs = 0
-  let idle: Array<{ kind: string, reason: string }> = []
+  const areAllActive = () => callers.every(({ lastProgressMs }) => Object.keys(lastProgressMs).length === 4)
+  const haveAllStopped = () => callers.every(({ lastProgressMs }) =>
+    Object.values(lastProgressMs).every(ms => monotonicMs() - ms > noProgressPeriodMs))
+  let withdrawnAtMs = 0
+  let idleOutcomes: Array<{ kind: string, reason: string }> = []
   try {
-    await eventually('all callers make progress', isAtWork, beginMs)
+    await eventually('all callers make progress', areAllActive, startTimeoutMs)
     setCuts(fleet, cuts[name], true)
     await fleet.applyConfiguration(draft => { draft.workspaces['yard-1'].keys[keyId].state = 'withdrawn' })
-    withdrawnMs = monotonicMs()
-    await eventually(`${name}: all callers have stopped`, isQuiet, observedMs)
-    idle = await Promise.all(callers.map(caller => caller.idleRequest()))
+    withdrawnAtMs = monotonicMs()
+    await eventually(`${name}: all callers have stopped`, haveAllStopped, observationMs)
+    idleOutcomes = await Promise.all(callers.map(caller => caller.idleRequest()))
   } finally {
     stop.abort()
     setCuts(fleet, cuts[name], false)
     await Promise.all(callers.map(caller => caller.close()))
   }
-  for (const [vm, { lastMs }] of callers.entries()) {
-    const afterMs = Object.fromEntries(Object.entries(lastMs).map(([caller, ms]) =>
-      [caller, Math.round(Math.max(0, ms - withdrawnMs))]))
-    t.log(name, fleet.vmNames[vm], 'progress continued for (ms)', afterMs)
-    for (const [caller, ms] of Object.entries(afterMs)) t.true(ms < boundMs, `${name}: ${caller} of ${vm + 1}`)
-    t.is(idle[vm].kind, 'notRun', name)
-    t.true(['keyRefused', 'outOfContact'].includes(idle[vm].reason), idle[vm].reason)
+  for (const [vm, { lastProgressMs }] of callers.entries()) {
+    const continuedMs = Object.fromEntries(Object.entries(lastProgressMs).map(([caller, ms]) =>
+      [caller, Math.round(Math.max(0, ms - withdrawnAtMs))]))
+    t.log(name, fleet.vmNames[vm], 'progress continued for (ms)', continuedMs)
+    for (const [caller, ms] of Object.entries(continuedMs)) t.true(ms < maxStopMs, `${name}: ${caller} of ${vm + 1}`)
+    t.is(idleOutcomes[vm].kind, 'notRun', name)
+    t.true(['keyRefused', 'outOfContact'].includes(idleOutcomes[vm].reason), idleOutcomes[vm].reason)
   }
   await fleet.waitReady()
 }
@@ -133,7 +135,7 @@
   try {
     const fields = { route: 'write', key: fleet.keyOf('yard-1') }
     await executeRaw(client, fields, `put wide ${'w'.repeat(200)} op=1`)
-    for (const [index, name] of Object.keys(cuts).entries()) await withdrawUnder(t, fleet, name, index)
+    for (const [index, name] of Object.keys(cuts).entries()) await checkWithdrawal(t, fleet, name, index)
   } finally {
     client.close()
     await fleet.close()
--- a/packages/proofs/src/workspaces.test.ts
+++ b/packages/proofs/src/workspaces.test.ts
@@ -13,7 +13,7 @@
 const interleavedRequests = 400
 
 /** Gives each workspace a route that the other lacks, and the second also a route that is open to all. */
-const ownRoutes: LocalFleetOptions['edit'] = ({ workspaces }) => {
+const addSeparateRoutes: LocalFleetOptions['edit'] = ({ workspaces }) => {
   for (const workspace of Object.values(workspaces)) {
     workspace.ratePerSec = 10_000
     workspace.burst = 10_000
@@ -24,9 +24,9 @@
   workspaces['yard-2'].routes.open = { ...workspaces['yard-2'].routes.read, openToAll: true }
 }
 
-type Forged = { name: string, fields: CallerFields, reasons: string[] }
+type Forgery = { name: string, fields: CallerFields, reasons: string[] }
 
-const forgeries = (key: string, otherKey: string): Forged[] => {
+const forgeries = (key: string, otherKey: string): Forgery[] => {
   const secret = key.slice(key.lastIndexOf('_') + 1)
   const routeRefusals = ['unknownRoute', 'keyRefused']
   const keyRefusals = ['keyMissing', 'keyRefused']
@@ -54,7 +54,7 @@
 }
 
 test('forged keys, routes and profiles run nothing, in statements, streams and transactions', async t => {
-  const fleet = await startLocalFleet({ vmCount: 1, edit: ownRoutes })
+  const fleet = await startLocalFleet({ vmCount: 1, edit: addSeparateRoutes })
   const client = connectRawCaller(fleet.callerAddress('vm-1'))
   try {
     for (const { name, fields, reasons } of forgeries(fleet.keyOf('yard-1'), fleet.keyOf('yard-2'))) {
@@ -64,7 +64,7 @@
       t.is(outcomeOf((await streamRaw(client, fields, 'scan berth rows=1')).end).kind, 'notRun', name)
       const transaction = openRawTransaction(client, fields)
       t.is(outcomeOf(await transaction.begin()).kind, 'notRun', name)
-      await transaction.ended()
+      await transaction.waitForEnd()
     }
     t.deepEqual(await readLog(fleet.databaseAddress('db-1')), [])
   } finally {
@@ -74,7 +74,7 @@
 })
 
 test('two workspaces interleaved on one connection use only their own routes', async t => {
-  const fleet = await startLocalFleet({ vmCount: 1, edit: ownRoutes })
+  const fleet = await startLocalFleet({ vmCount: 1, edit: addSeparateRoutes })
   const client = connectRawCaller(fleet.callerAddress('vm-1'))
   const keys = [fleet.keyOf('yard-1'), fleet.keyOf('yard-2')]
   try {
@@ -89,9 +89,9 @@
       if (owner !== route) t.deepEqual({ kind, reason }, { kind: 'notRun', reason: 'unknownRoute' })
       else t.true(kind === 'done' || reason === 'concurrency', `${kind} ${reason}`)
     }))
-    const logged = (await readLog(fleet.databaseAddress('db-1'))).flatMap(entry => entry.statements)
-    t.true(logged.length > 0)
-    t.true(logged.every(statement => /op=(0-0|1-1)-/.test(statement)))
+    const loggedStatements = (await readLog(fleet.databaseAddress('db-1'))).flatMap(entry => entry.statements)
+    t.true(loggedStatements.length > 0)
+    t.true(loggedStatements.every(statement => /op=(0-0|1-1)-/.test(statement)))
   } finally {
     client.close()
     await fleet.close()
@@ -99,13 +99,13 @@
 })
 
 test('a route that is open to all serves everybody and gives access to no other route', async t => {
-  const fleet = await startLocalFleet({ vmCount: 1, edit: ownRoutes })
+  const fleet = await startLocalFleet({ vmCount: 1, edit: addSeparateRoutes })
   const client = connectRawCaller(fleet.callerAddress('vm-1'))
   const read = async (route: string, key?: string) => outcomeOf(await executeRaw(client, { route, key }, 'get berth'))
   try {
     const key = fleet.keyOf('yard-1')
-    for (const used of [undefined, 'garbage', key, fleet.keyOf('yard-2')]) {
-      t.is((await read('yard-2/open', used)).kind, 'done')
+    for (const usedKey of [undefined, 'garbage', key, fleet.keyOf('yard-2')]) {
+      t.is((await read('yard-2/open', usedKey)).kind, 'done')
     }
     t.is((await read('open', key)).reason, 'unknownRoute')
     t.is((await read('open')).reason, 'keyMissing')
--- a/packages/proofs/src/write-checker.ts
+++ b/packages/proofs/src/write-checker.ts
@@ -5,7 +5,7 @@
 import type { LoggedWrite } from '@egretyoke/testbed'
 
 /** Outcome that a caller received for a write. `lost`: no answer arrived. */
-export type ToldOutcome = 'done' | 'notRun' | 'outcomeUnknown' | 'failed' | 'lost'
+export type ReportedOutcome = 'done' | 'notRun' | 'outcomeUnknown' | 'failed' | 'lost'
 
 /** Operation IDs of the writes that violate a guarantee, by kind of violation. */
 export type WriteFindings = {
@@ -17,25 +17,28 @@
   repeated: string[]
 }
 
-const opOf = (statement: string): string | undefined => /(?:^| )op=(\S+)/.exec(statement)?.[1]
+const operationIdOf = (statement: string): string | undefined => /(?:^| )op=(\S+)/.exec(statement)?.[1]
 
 /** Counts the occurrences of each operation ID in a log. */
-export const countOps = (log: readonly LoggedWrite[]): Map<string, number> => {
+export const countOperations = (log: readonly LoggedWrite[]): Map<string, number> => {
   const counts = new Map<string, number>()
   for (const statement of log.flatMap(entry => entry.statements)) {
-    const op = opOf(statement)
+    const op = operationIdOf(statement)
     if (op !== undefined) counts.set(op, (counts.get(op) ?? 0) + 1)
   }
   return counts
 }
 
 /** Checks the reported outcomes of writes that must run at most once against the log of the group's primary. */
-export const checkWrites = (told: ReadonlyMap<string, ToldOutcome>, log: readonly LoggedWrite[]): WriteFindings => {
-  const counts = countOps(log)
-  const ops = [...told]
+export const checkWrites = (
+  reported: ReadonlyMap<string, ReportedOutcome>,
+  log: readonly LoggedWrite[]
+): WriteFindings => {
+  const counts = countOperations(log)
+  const entries = [...reported]
   return {
-    falselyNotRun: ops.filter(([op, outcome]) => outcome === 'notRun' && counts.has(op)).map(([op]) => op),
-    lostConfirmed: ops.filter(([op, outcome]) => outcome === 'done' && !counts.has(op)).map(([op]) => op),
+    falselyNotRun: entries.filter(([op, outcome]) => outcome === 'notRun' && counts.has(op)).map(([op]) => op),
+    lostConfirmed: entries.filter(([op, outcome]) => outcome === 'done' && !counts.has(op)).map(([op]) => op),
     repeated: [...counts].filter(([, count]) => count > 1).map(([op]) => op)
   }
 }
--- a/packages/proofs/src/write-load.ts
+++ b/packages/proofs/src/write-load.ts
@@ -3,7 +3,7 @@
  */
 import { createRandom, sleepMs } from '@egretyoke/common'
 import { connectRawCaller, executeRaw, outcomeOf } from './caller-streams.js'
-import type { ToldOutcome } from './write-checker.js'
+import type { ReportedOutcome } from './write-checker.js'
 
 /** Options of a write load. */
 export type WriteLoadOptions = {
@@ -18,16 +18,16 @@
 }
 
 /** Runs the writes; resolves to the reported outcome by operation ID. */
-export const runWrites = async (options: WriteLoadOptions): Promise<Map<string, ToldOutcome>> => {
+export const runWrites = async (options: WriteLoadOptions): Promise<Map<string, ReportedOutcome>> => {
   const clients = options.addresses.map(connectRawCaller)
-  const told = new Map<string, ToldOutcome>()
+  const reported = new Map<string, ReportedOutcome>()
   const runCaller = async (caller: number) => {
     const random = createRandom(options.seed * 1_000 + caller)
     for (let write = 0; write < options.writesPerCaller; write++) {
       const op = `${caller}-${write}`
       const fields = { route: 'write', key: options.key, timeoutMs: options.timeoutMs }
       const answer = await executeRaw(random.pick(clients), fields, `add counter 1 op=${op}`)
-      told.set(op, outcomeOf(answer).kind as ToldOutcome)
+      reported.set(op, outcomeOf(answer).kind as ReportedOutcome)
       await sleepMs(random.integer(0, options.maxPauseMs))
     }
   }
@@ -36,12 +36,12 @@
   } finally {
     for (const client of clients) client.close()
   }
-  return told
+  return reported
 }
 
 /** Counts the operations by reported outcome. */
-export const countTold = (told: ReadonlyMap<string, ToldOutcome>): Record<string, number> => {
+export const countOutcomes = (reported: ReadonlyMap<string, ReportedOutcome>): Record<string, number> => {
   const counts: Record<string, number> = {}
-  for (const outcome of told.values()) counts[outcome] = (counts[outcome] ?? 0) + 1
+  for (const outcome of reported.values()) counts[outcome] = (counts[outcome] ?? 0) + 1
   return counts
 }
