--- a/packages/proofs/src/local-fleet.ts
+++ b/packages/proofs/src/local-fleet.ts
@@ -1,6 +1,7 @@
 /**
- * A fleet in one process: stand-ins, entries and stewards on loopback, with a relay on every way between them.
- * It starts quickly and its members can be cut off, closed and started again; freezes need separate processes.
+ * A fleet in one process: stand-ins, entries and stewards on loopback. The entries' connections to the platform, to
+ * peers and to databases pass through links that can be cut or frozen. It starts faster than a fleet of separate
+ * processes, which only a test that freezes or kills a process needs.
  */
 import { monotonicMs, sleepMs } from '@egretyoke/common'
 import type { RunningProgram } from '@egretyoke/common'
@@ -21,14 +22,14 @@
 const pollMs = 20
 const platformTimeoutMs = 1_000
 
-/** Options of a fleet's start. */
+/** Options of a local fleet. */
 export type LocalFleetOptions = {
   vmCount?: number
-  /** Starts one steward for each of the first VMs. */
+  /** Number of stewards, one on each of the first VMs. */
   stewardCount?: number
-  /** Changes the configuration before it is stored. */
+  /** Edits the configuration before it is stored. */
   edit?: (configuration: StoredConfiguration) => void
-  /** Changes to the settings of the entries. */
+  /** Settings that override those of every entry. */
   entrySettings?: Record<string, unknown>
   database?: { serviceMs?: number, connectMs?: number, record?: boolean }
 }
@@ -36,12 +37,16 @@
 /** A running fleet. */
 export type LocalFleet = Awaited<ReturnType<typeof startLocalFleet>>
 
-/** Waits until the condition holds; throws with its name when it does not in time. */
-export const eventually = async (name: string, isSo: () => boolean | Promise<boolean>, withinMs = readyTimeoutMs) => {
-  for (const endMs = monotonicMs() + withinMs; monotonicMs() < endMs; await sleepMs(pollMs)) {
-    if (await isSo()) return
+/** Polls until the condition holds; throws an error with its name when the time limit passes. */
+export const eventually = async (
+  name: string,
+  isSatisfied: () => boolean | Promise<boolean>,
+  withinMs = readyTimeoutMs
+) => {
+  for (const deadlineMs = monotonicMs() + withinMs; monotonicMs() < deadlineMs; await sleepMs(pollMs)) {
+    if (await isSatisfied()) return
   }
-  throw new Error(`not within ${withinMs} ms: ${name}`)
+  throw new Error(`condition not met within ${withinMs} ms: ${name}`)
 }
 
 const isReady = async (healthAddress: string): Promise<boolean> => {
@@ -52,8 +57,8 @@
   }
 }
 
-type KeptDatabase = { listener: GrpcListener, link: Link, start: (address: string) => Promise<GrpcListener> }
-type KeptEntry = {
+type DatabaseHandle = { listener: GrpcListener, link: Link, start: (address: string) => Promise<GrpcListener> }
+type EntryHandle = {
   program: RunningProgram
   isClosed: boolean
   platformLink: Link
@@ -61,9 +66,9 @@
   settings: Record<string, unknown>
 }
 
-const linkTo = (target: string) => startLink({ listen: loopback, control: loopback, target, delayMs: 0 })
+const startLinkTo = (target: string) => startLink({ listen: loopback, control: loopback, target, delayMs: 0 })
 
-/** Starts a fleet of one group of three databases and waits until its entries are ready. */
+/** Starts a fleet with one group of three databases and waits until its entries are ready. */
 export const startLocalFleet = async (options: LocalFleetOptions = {}) => {
   const { vmCount = 3, stewardCount = 0 } = options
   const description = smallFleet(vmCount)
@@ -78,8 +83,8 @@
 
   const platformListener = await startStandinPlatform({ address: loopback, channels: loopbackChannels, seed: 1 })
   const platform = connectPlatform(platformListener.address, loopbackChannels)
-  const databases = new Map<string, KeptDatabase>()
-  const entries = new Map<string, KeptEntry>()
+  const databases = new Map<string, DatabaseHandle>()
+  const entries = new Map<string, EntryHandle>()
   const stewards: RunningProgram[] = []
   let version = 0
   let leaving: string[] = []
@@ -104,7 +109,7 @@
       record: options.database?.record ?? false
     })
     const listener = await start(loopback)
-    const link = await linkTo(listener.address)
+    const link = await startLinkTo(listener.address)
     databases.set(name, { listener, link, start })
     endpoints[name].address = link.address
     return link.address
@@ -126,7 +131,7 @@
   }
 
   const startVm = async ({ name, dataCentre }: { name: string, dataCentre: string }) => {
-    const platformLink = await linkTo(platformListener.address)
+    const platformLink = await startLinkTo(platformListener.address)
     const settings = {
       name,
       dataCentre,
@@ -138,7 +143,7 @@
       ...options.entrySettings
     }
     const program = await startEntry(entrySettingsSchema.parse(settings))
-    const peerLink = await linkTo(program.addresses.peers)
+    const peerLink = await startLinkTo(program.addresses.peers)
     entries.set(name, { program, isClosed: false, platformLink, peerLink, settings })
   }
 
@@ -153,12 +158,12 @@
     ])
   }
 
-  const entry = (vm: string): KeptEntry => {
+  const entry = (vm: string): EntryHandle => {
     const found = entries.get(vm)
     if (!found) throw new Error(`no VM "${vm}"`)
     return found
   }
-  const database = (name: string): KeptDatabase => {
+  const database = (name: string): DatabaseHandle => {
     const found = databases.get(name)
     if (!found) throw new Error(`no database "${name}"`)
     return found
@@ -171,10 +176,10 @@
   }
 
   const closeEntry = async (vm: string) => {
-    const kept = entry(vm)
-    if (kept.isClosed) return
-    kept.isClosed = true
-    await kept.program.close()
+    const handle = entry(vm)
+    if (handle.isClosed) return
+    handle.isClosed = true
+    await handle.program.close()
   }
 
   const close = async () => {
@@ -226,15 +231,15 @@
     databaseNames: [...databases.keys()],
     configuration: () => configuration,
     applyConfiguration,
-    /** Replaces the record that says who leads the group. */
+    /** Replaces the group record, which holds the term and the primary. */
     putGroupRecord: async (record: GroupRecord): Promise<void> => {
       const key = storeKeys.group('group-1')
-      const known = await platform.get(key, platformTimeoutMs)
-      const expectedRevision = known.ok ? known.val?.revision ?? 0 : 0
+      const stored = await platform.get(key, platformTimeoutMs)
+      const expectedRevision = stored.ok ? stored.val?.revision ?? 0 : 0
       await platform.compareAndSwap({ key, expectedRevision, value: encodeRecord(record) }, platformTimeoutMs)
     },
     waitReady,
-    /** Finishes its calls and ends. */
+    /** Shuts an entry down gracefully, after its open calls have finished. */
     closeEntry,
     platformLink: (vm: string) => entry(vm).platformLink,
     peerLink: (vm: string) => entry(vm).peerLink,
@@ -242,17 +247,17 @@
     setPlatformFault: async (fault: PlatformFault): Promise<void> => {
       await setPlatformFault(platformListener.address, fault)
     },
-    /** Announces exactly these VMs and endpoints as leaving. */
+    /** Marks exactly these VMs and endpoints as leaving in the VM list. */
     setLeaving: async (names: string[]): Promise<void> => {
       leaving = names
       await publishVms()
     },
-    /** Ends a database; it loses its data. */
+    /** Stops a database; its data is lost. */
     stopDatabase: (name: string) => database(name).listener.close(),
-    /** Starts a stopped database at its old address, with nothing in it. */
-    startDatabaseAgain: async (name: string) => {
-      const kept = database(name)
-      kept.listener = await kept.start(kept.listener.address)
+    /** Restarts a stopped database, empty, at its previous address. */
+    restartDatabase: async (name: string) => {
+      const handle = database(name)
+      handle.listener = await handle.start(handle.listener.address)
     },
     close
   }
--- a/packages/proofs/src/read-your-writes.test.ts
+++ b/packages/proofs/src/read-your-writes.test.ts
@@ -1,3 +1,7 @@
+/**
+ * Guards against a session that does not read its own writes: from a lagging replica, after a failover, with a
+ * damaged or missing token, or from a replica that lost its data and restarted under the same name.
+ */
 import test from 'ava'
 import { createRandom, sleepMs } from '@egretyoke/common'
 import { setDatabaseFault } from '@egretyoke/testbed'
@@ -17,16 +21,16 @@
   for (const profile of Object.values(configuration.profiles)) profile.maxConcurrency = 10_000
 }
 
-/** Changes the lags of the replicas until the signal aborts: one up to 200 ms, the other up to 5 s. */
+/** Changes the replication lags until the signal aborts: db-2 up to 200 ms, the others up to 5 s. */
 const varyLags = async (fleet: LocalFleet, signal: AbortSignal) => {
   const random = createRandom(seed)
   while (!signal.aborted) {
-    const lagOf: Record<string, number> = {
+    const lagByDatabase: Record<string, number> = {
       'db-1': random.pick([0, 50, 1_000, 5_000]),
       'db-2': random.pick([0, 10, 50, 200]),
       'db-3': random.pick([0, 200, 2_000, 5_000])
     }
-    for (const [name, replicationLagMs] of Object.entries(lagOf)) {
+    for (const [name, replicationLagMs] of Object.entries(lagByDatabase)) {
       await setDatabaseFault(fleet.databaseAddress(name), { replicationLagMs, loseAnswers: 0.01 })
     }
     await sleepMs(300, signal)
@@ -64,8 +68,8 @@
   }
 })
 
-test('a replica that restarted empty under the same name serves no session that it lacks', async t => {
-  const seen: Record<string, number> = {}
+test('a replica that restarted empty under the same name serves no session whose writes it lacks', async t => {
+  const staleReads: Record<string, number> = {}
   for (const reads of ['checkedReplicas', 'uncheckedReplicas']) {
     const fleet = await startLocalFleet({ edit: unlimited, entrySettings: { policies: { reads } } })
     const client = connectRawCaller(fleet.callerAddress('vm-1'))
@@ -80,19 +84,19 @@
       for (const name of ['db-2', 'db-3']) {
         await setDatabaseFault(fleet.databaseAddress(name), { stopReplication: true })
         await fleet.stopDatabase(name)
-        await fleet.startDatabaseAgain(name)
+        await fleet.restartDatabase(name)
         await setDatabaseFault(fleet.databaseAddress(name), { stopReplication: true, replicationLagMs: 60_000 })
       }
       const answers = []
       for (let count = 0; count < 40; count++) answers.push(await readOnce())
-      seen[reads] = answers.filter(answer => answer?.done && String(answer.done.result) !== '1').length
+      staleReads[reads] = answers.filter(answer => answer?.done && String(answer.done.result) !== '1').length
     } finally {
       client.close()
       await fleet.close()
     }
   }
-  t.is(seen.checkedReplicas, 0)
-  t.true(seen.uncheckedReplicas > 0, 'without the check of answers the replica serves old data')
+  t.is(staleReads.checkedReplicas, 0)
+  t.true(staleReads.uncheckedReplicas > 0, 'without the check of answers the replicas return stale data')
 })
 
 test('the session checker finds violations when sessions carry no tokens', async t => {
--- a/packages/proofs/src/session-load.ts
+++ b/packages/proofs/src/session-load.ts
@@ -1,6 +1,7 @@
 /**
- * Runs seeded sessions, each request through another VM, with tokens that are damaged or missing now and then. All
- * sessions do their first half before any goes on, so that each carries its token through what happens in between.
+ * Runs seeded sessions that send each request to another VM and sometimes damage or omit the session token. All
+ * sessions finish their first half before any starts its second, so that every token outlives a fault injected in
+ * between.
  */
 import { createRandom, sleepMs } from '@egretyoke/common'
 import type { Random } from '@egretyoke/common'
@@ -13,10 +14,10 @@
 const readRetryMs = 50
 const timeoutMs = 1_500
 
-/** What a caller does with the token of its last answer. */
+/** How a request uses the session token of the last answer. */
 export type TokenUse = 'kept' | 'damaged' | 'missing'
 
-/** What one run of sessions does. */
+/** Options of a session load. */
 export type SessionLoadOptions = {
   addresses: string[]
   key: string
@@ -24,11 +25,11 @@
   sessionCount: number
   requestsPerSession: number
   concurrentSessions: number
-  /** Routes of reads, chosen at random. */
+  /** Routes from which each read picks one at random. */
   readRoutes: readonly string[]
-  /** Broken variant: every request presents itself as a new session. */
+  /** Declares every request a new session, so that nothing orders its reads after its writes. */
   withoutTokens?: boolean
-  /** Called once all sessions have done their first half. */
+  /** Called once all sessions have finished their first half. */
   onHalfDone?: () => void
 }
 
@@ -43,19 +44,19 @@
   writes: number
 }
 
-const damage = (token: Buffer, random: Random): Buffer => {
+const flipRandomBit = (token: Buffer, random: Random): Buffer => {
   const damaged = Buffer.from(token)
   damaged[random.integer(0, damaged.length - 1)] ^= 1 << random.integer(0, 7)
   return damaged
 }
 
-/** Runs all sessions and returns the checker with the counts of outcomes. */
+/** Runs all sessions; resolves to the checker and the number of requests by outcome. */
 export const runSessions = async (options: SessionLoadOptions) => {
   const checker = createSessionChecker()
   const clients = options.addresses.map(connectRawCaller)
   const outcomes = new Map<string, number>()
 
-  const note = (outcome: { kind: string, reason: string }) => {
+  const recordOutcome = (outcome: { kind: string, reason: string }) => {
     const name = outcome.reason === '' ? outcome.kind : `${outcome.kind}:${outcome.reason}`
     outcomes.set(name, (outcomes.get(name) ?? 0) + 1)
   }
@@ -71,14 +72,14 @@
     if (!session.token) return { ...fields, isNewSession: session.isNew }
     const use: TokenUse = session.random.chance(0.05) ? 'damaged' : session.random.chance(0.05) ? 'missing' : 'kept'
     if (use === 'missing') return fields
-    return { ...fields, token: use === 'damaged' ? damage(session.token, session.random) : session.token }
+    return { ...fields, token: use === 'damaged' ? flipRandomBit(session.token, session.random) : session.token }
   }
 
   const write = async (session: Session) => {
     const statement = `add ${session.name} 1 op=${session.name}-${++session.writes}`
     const answer = await executeRaw(nextClient(session), fieldsOf(session, 'write'), statement)
     const outcome = outcomeOf(answer)
-    note(outcome)
+    recordOutcome(outcome)
     if (outcome.kind === 'notRun' || outcome.kind === 'failed') return
     session.isNew = false
     session.bounds.possible++
@@ -92,19 +93,19 @@
       const route = session.random.pick(options.readRoutes)
       const answer = await executeRaw(nextClient(session), fieldsOf(session, route), `get ${session.name}`)
       const outcome = outcomeOf(answer)
-      note(outcome)
+      recordOutcome(outcome)
       if (!answer || outcome.kind !== 'done') {
         await sleepMs(readRetryMs)
         continue
       }
       const { endpoint, fromReplica, sessionToken } = answer
       checker.checkRead(session.name, session.bounds, { result: String(answer.done!.result), endpoint })
-      if (fromReplica) checker.noteReplicaRead()
+      if (fromReplica) checker.recordReplicaRead()
       session.isUnsettled = false
       session.token = sessionToken
       return
     }
-    throw new Error(`${session.name} was never answered`)
+    throw new Error(`${session.name}: every read attempt failed`)
   }
 
   const createSession = (index: number): Session => ({
@@ -127,17 +128,17 @@
   }
 
   const sessions = Array.from({ length: options.sessionCount }, (_, index) => createSession(index))
-  const runHalves = async () => {
-    const left = [...sessions]
+  const runHalfOfEachSession = async () => {
+    const remaining = [...sessions]
     const worker = async () => {
-      for (let session = left.shift(); session; session = left.shift()) await runHalf(session)
+      for (let session = remaining.shift(); session; session = remaining.shift()) await runHalf(session)
     }
     await Promise.all(Array.from({ length: options.concurrentSessions }, worker))
   }
   try {
-    await runHalves()
+    await runHalfOfEachSession()
     options.onHalfDone?.()
-    await runHalves()
+    await runHalfOfEachSession()
   } finally {
     for (const client of clients) client.close()
   }
--- a/packages/proofs/src/whole-answers.test.ts
+++ b/packages/proofs/src/whole-answers.test.ts
@@ -1,3 +1,8 @@
+/**
+ * Guards against answers that reach the wrong caller, incomplete streams that are reported as complete, and streams
+ * that are retried after rows were sent. Endpoints delay, reorder and duplicate replies and cut streams to provoke
+ * these failures.
+ */
 import test from 'ava'
 import type { ExecutionContext } from 'ava'
 import { createRandom } from '@egretyoke/common'
@@ -16,23 +21,23 @@
 const rowCount = 450
 
 const faults: Record<string, DatabaseFault> = {
-  'answers in order': {},
-  'answers held back behind the next one': { reorderReplies: 0.2 },
-  'answers later than some deadlines': { delayMs: 40 },
+  'replies in order': {},
+  'replies delayed past the next one': { reorderReplies: 0.2 },
+  'replies later than some deadlines': { delayMs: 40 },
   'streams cut in the middle': { cutStreams: 0.2 },
   'all of these at once': { reorderReplies: 0.1, cutStreams: 0.1, delayMs: 10 }
 }
 
-const doubledAnswers: Record<string, DatabaseFault> = {
-  'answers doubled': { doubleReplies: 0.5 },
-  'answers doubled and held back': { doubleReplies: 0.3, reorderReplies: 0.2 }
+const duplicationFaults: Record<string, DatabaseFault> = {
+  'replies duplicated': { doubleReplies: 0.5 },
+  'replies duplicated and reordered': { doubleReplies: 0.3, reorderReplies: 0.2 }
 }
 
 const valueOf = (index: number) => `value-of-${index}`
-const wantedRows = (index: number) =>
+const expectedRows = (index: number) =>
   Array.from({ length: rowCount }, (_, row) => `key-${index}:${row}=${valueOf(index)}`)
 
-const fill = async (client: RawCaller, key: string) => {
+const storeValues = async (client: RawCaller, key: string) => {
   for (let index = 0; index < keyCount; index++) {
     const answer = await executeRaw(client, { route: 'write', key }, `put key-${index} ${valueOf(index)} op=${index}`)
     const { kind, reason } = outcomeOf(answer)
@@ -40,8 +45,8 @@
   }
 }
 
-/** Runs reads and streams under each fault and checks every answer. */
-const checkUnder = async (
+/** Runs reads and streams with each fault in turn and checks every answer. */
+const checkAnswers = async (
   t: ExecutionContext,
   faultsByName: Record<string, DatabaseFault>,
   streamShare: number
@@ -57,45 +62,45 @@
   const client = connectRawCaller(fleet.callerAddress('vm-1'))
   const key = fleet.keyOf('yard-1')
 
-  const runUnder = async (name: string) => {
+  const runRequests = async (name: string) => {
     const random = createRandom(seed)
-    const counts = { whole: 0, none: 0, wholeStreams: 0, cutStreams: 0 }
+    const counts = { completeReads: 0, failedReads: 0, completeStreams: 0, cutStreams: 0 }
     const read = async () => {
       const index = random.integer(0, keyCount - 1)
       const timeoutMs = random.pick([60, 200, 400])
       const fields = { route: 'read', key, timeoutMs, isNewSession: random.chance(0.5) }
       const answer = await executeRaw(client, fields, `get key-${index}`)
-      if (outcomeOf(answer).kind !== 'done') return counts.none++
+      if (outcomeOf(answer).kind !== 'done') return counts.failedReads++
       const value = String(answer!.done!.result)
-      // A replica may not have the key yet; it never has another key's value.
+      // A lagging replica may not have the key yet, but must never return the value of another key.
       if (value !== '') t.is(value, valueOf(index), name)
-      counts.whole++
+      counts.completeReads++
     }
     const stream = async () => {
       const index = random.integer(0, keyCount - 1)
       const { rows, end } = await streamRaw(client, { route: 'read', key, timeoutMs: 400 },
         `scan key-${index} rows=${rowCount}`)
-      const isWhole = outcomeOf(end).kind === 'done'
-      t.deepEqual(rows, isWhole ? wantedRows(index) : wantedRows(index).slice(0, rows.length), name)
-      if (isWhole) counts.wholeStreams++
+      const isComplete = outcomeOf(end).kind === 'done'
+      t.deepEqual(rows, isComplete ? expectedRows(index) : expectedRows(index).slice(0, rows.length), name)
+      if (isComplete) counts.completeStreams++
       else counts.cutStreams++
     }
     const worker = async () => {
-      for (let left = requestsPerCaller; left > 0; left--) {
+      for (let remaining = requestsPerCaller; remaining > 0; remaining--) {
         if (random.chance(streamShare)) await stream()
         else await read()
       }
     }
     await Promise.all(Array.from({ length: callerCount }, worker))
     t.log(name, counts)
-    t.true(counts.whole > 0, name)
+    t.true(counts.completeReads > 0, name)
   }
 
   try {
-    await fill(client, key)
+    await storeValues(client, key)
     for (const [name, fault] of Object.entries(faultsByName)) {
       for (const database of fleet.databaseNames) await setDatabaseFault(fleet.databaseAddress(database), fault)
-      await runUnder(name)
+      await runRequests(name)
     }
   } finally {
     client.close()
@@ -103,24 +108,24 @@
   }
 }
 
-test('each caller gets the whole answer to its own request, or none', t => checkUnder(t, faults, 0.1))
+test('each caller gets the complete answer to its own request, or none', t => checkAnswers(t, faults, 0.1))
 
-test('each caller gets its own answer when answers are doubled', t => checkUnder(t, doubledAnswers, 0))
+test('each caller gets its own answer when endpoints duplicate replies', t => checkAnswers(t, duplicationFaults, 0))
 
-test('each caller gets whole streams when chunks are doubled', t => checkUnder(t, doubledAnswers, 0.2))
+test('each caller gets correct rows when endpoints duplicate chunks', t => checkAnswers(t, duplicationFaults, 0.2))
 
-test('a stream is not started over at the primary once rows have gone to the caller', async t => {
+test('a stream is not retried at the primary after rows were sent to the caller', async t => {
   const fleet = await startLocalFleet({
     vmCount: 1, edit: configuration => { configuration.profiles.session.timeoutMs = 30_000 }
   })
   const client = connectRawCaller(fleet.callerAddress('vm-1'))
   const key = fleet.keyOf('yard-1')
-  const successor = connectMember(fleet.databaseAddress('db-2'), loopbackChannels)
+  const newPrimary = connectMember(fleet.databaseAddress('db-2'), loopbackChannels)
   const longRowCount = 40_000
   const statement = `scan berth rows=${longRowCount}`
-  /** Puts a term into force that keeps nothing of what the replicas hold. */
+  /** Starts a term whose log begins empty, so that the replicas must discard all that they hold. */
   const replacePrimary = async () => {
-    await successor.promote(2, 1_000)
+    await newPrimary.promote(2, 1_000)
     const lineage = [{ term: 1, startPosition: 0 }, { term: 2, startPosition: 0 }]
     await fleet.putGroupRecord({ term: 2, primary: 'db-2', phase: 'active', lineage })
   }
@@ -135,20 +140,20 @@
       async () => {
         if (++chunks > 1) return
         await replacePrimary()
-        await eventually('the new term is in force', async () =>
+        await eventually('the new term is active', async () =>
           (await executeRaw(client, { route: 'read', key }, 'get gate'))?.endpoint === 'db-2')
       })
     t.log({ rows: rows.length, endpoint: end?.endpoint })
     t.true(rows.length <= longRowCount)
     t.deepEqual(outcomeOf(end), { kind: 'outcomeUnknown', reason: 'primaryReplaced' })
   } finally {
-    successor.close()
+    newPrimary.close()
     client.close()
     await fleet.close()
   }
 })
 
-test('a VM that says it is ready admits requests at once', async t => {
+test('a VM that reports ready admits requests at once', async t => {
   const fleet = await startLocalFleet({ vmCount: 1 })
   const client = connectRawCaller(fleet.callerAddress('vm-1'))
   try {
--- a/packages/proofs/src/workspaces.test.ts
+++ b/packages/proofs/src/workspaces.test.ts
@@ -1,3 +1,7 @@
+/**
+ * Guards against access across workspaces: through forged keys, routes and profiles, through requests of two
+ * workspaces that share a connection, and through a route that is open to all.
+ */
 import test from 'ava'
 import { createKey } from '@egretyoke/config'
 import { readLog } from '@egretyoke/testbed'
@@ -8,8 +12,8 @@
 
 const interleavedRequests = 400
 
-/** Each workspace has a route that the other lacks; the second also has one that is open to all. */
-const ownRoutes: LocalFleetOptions['edit'] = ({ workspaces }) => {
+/** Gives each workspace a route that the other lacks, and the second also a route that is open to all. */
+const addSeparateRoutes: LocalFleetOptions['edit'] = ({ workspaces }) => {
   for (const workspace of Object.values(workspaces)) {
     workspace.ratePerSec = 10_000
     workspace.burst = 10_000
@@ -20,9 +24,9 @@
   workspaces['yard-2'].routes.open = { ...workspaces['yard-2'].routes.read, openToAll: true }
 }
 
-type Forged = { name: string, fields: CallerFields, reasons: string[] }
+type Forgery = { name: string, fields: CallerFields, reasons: string[] }
 
-const forgeries = (key: string, otherKey: string): Forged[] => {
+const forgeries = (key: string, otherKey: string): Forgery[] => {
   const secret = key.slice(key.lastIndexOf('_') + 1)
   const routeRefusals = ['unknownRoute', 'keyRefused']
   const keyRefusals = ['keyMissing', 'keyRefused']
@@ -50,7 +54,7 @@
 }
 
 test('forged keys, routes and profiles run nothing, in statements, streams and transactions', async t => {
-  const fleet = await startLocalFleet({ vmCount: 1, edit: ownRoutes })
+  const fleet = await startLocalFleet({ vmCount: 1, edit: addSeparateRoutes })
   const client = connectRawCaller(fleet.callerAddress('vm-1'))
   try {
     for (const { name, fields, reasons } of forgeries(fleet.keyOf('yard-1'), fleet.keyOf('yard-2'))) {
@@ -60,7 +64,7 @@
       t.is(outcomeOf((await streamRaw(client, fields, 'scan berth rows=1')).end).kind, 'notRun', name)
       const transaction = openRawTransaction(client, fields)
       t.is(outcomeOf(await transaction.begin()).kind, 'notRun', name)
-      await transaction.ended()
+      await transaction.waitForEnd()
     }
     t.deepEqual(await readLog(fleet.databaseAddress('db-1')), [])
   } finally {
@@ -69,8 +73,8 @@
   }
 })
 
-test('two workspaces interleaved on one connection run for themselves only', async t => {
-  const fleet = await startLocalFleet({ vmCount: 1, edit: ownRoutes })
+test('two workspaces interleaved on one connection use only their own routes', async t => {
+  const fleet = await startLocalFleet({ vmCount: 1, edit: addSeparateRoutes })
   const client = connectRawCaller(fleet.callerAddress('vm-1'))
   const keys = [fleet.keyOf('yard-1'), fleet.keyOf('yard-2')]
   try {
@@ -85,23 +89,23 @@
       if (owner !== route) t.deepEqual({ kind, reason }, { kind: 'notRun', reason: 'unknownRoute' })
       else t.true(kind === 'done' || reason === 'concurrency', `${kind} ${reason}`)
     }))
-    const logged = (await readLog(fleet.databaseAddress('db-1'))).flatMap(entry => entry.statements)
-    t.true(logged.length > 0)
-    t.true(logged.every(statement => /op=(0-0|1-1)-/.test(statement)))
+    const loggedStatements = (await readLog(fleet.databaseAddress('db-1'))).flatMap(entry => entry.statements)
+    t.true(loggedStatements.length > 0)
+    t.true(loggedStatements.every(statement => /op=(0-0|1-1)-/.test(statement)))
   } finally {
     client.close()
     await fleet.close()
   }
 })
 
-test('a route open to all serves everybody, and opens nothing else', async t => {
-  const fleet = await startLocalFleet({ vmCount: 1, edit: ownRoutes })
+test('a route that is open to all serves everybody and gives access to no other route', async t => {
+  const fleet = await startLocalFleet({ vmCount: 1, edit: addSeparateRoutes })
   const client = connectRawCaller(fleet.callerAddress('vm-1'))
   const read = async (route: string, key?: string) => outcomeOf(await executeRaw(client, { route, key }, 'get berth'))
   try {
     const key = fleet.keyOf('yard-1')
-    for (const used of [undefined, 'garbage', key, fleet.keyOf('yard-2')]) {
-      t.is((await read('yard-2/open', used)).kind, 'done')
+    for (const usedKey of [undefined, 'garbage', key, fleet.keyOf('yard-2')]) {
+      t.is((await read('yard-2/open', usedKey)).kind, 'done')
     }
     t.is((await read('open', key)).reason, 'unknownRoute')
     t.is((await read('open')).reason, 'keyMissing')
--- a/packages/proofs/src/write-checker.ts
+++ b/packages/proofs/src/write-checker.ts
@@ -1,43 +1,47 @@
 /**
- * Compares what callers were told of their writes with what the databases hold. Each write carries an `op` of its own.
+ * Compares the outcomes that callers received for their writes with the logs of the databases. Each write carries a
+ * unique operation ID (`op=ID`).
  */
 import type { LoggedWrite } from '@egretyoke/testbed'
 
-/** What a caller was told of one write. `lost`: no answer came. */
-export type ToldOutcome = 'done' | 'notRun' | 'outcomeUnknown' | 'failed' | 'lost'
+/** Outcome that a caller received for a write. `lost`: no answer arrived. */
+export type ReportedOutcome = 'done' | 'notRun' | 'outcomeUnknown' | 'failed' | 'lost'
 
-/** Broken promises, by the operations that show them. */
+/** Operation IDs of the writes that violate a guarantee, by kind of violation. */
 export type WriteFindings = {
-  /** Told "not run", though the write is in the log. */
+  /** Reported as "not run", but present in the log. */
   falselyNotRun: string[]
-  /** Told "done", though the write is not in the log. */
+  /** Reported as "done", but missing from the log. */
   lostConfirmed: string[]
-  /** In the log more than once. */
+  /** Present in the log more than once. */
   repeated: string[]
 }
 
-const opOf = (statement: string): string | undefined => /(?:^| )op=(\S+)/.exec(statement)?.[1]
+const operationIdOf = (statement: string): string | undefined => /(?:^| )op=(\S+)/.exec(statement)?.[1]
 
-/** Times that each operation stands in a log. */
-export const countOps = (log: readonly LoggedWrite[]): Map<string, number> => {
+/** Counts the occurrences of each operation ID in a log. */
+export const countOperations = (log: readonly LoggedWrite[]): Map<string, number> => {
   const counts = new Map<string, number>()
   for (const statement of log.flatMap(entry => entry.statements)) {
-    const op = opOf(statement)
+    const op = operationIdOf(statement)
     if (op !== undefined) counts.set(op, (counts.get(op) ?? 0) + 1)
   }
   return counts
 }
 
-/** Checks the outcomes of writes that must not be repeated against the log of the group's primary. */
-export const checkWrites = (told: ReadonlyMap<string, ToldOutcome>, log: readonly LoggedWrite[]): WriteFindings => {
-  const counts = countOps(log)
-  const ops = [...told]
+/** Checks the reported outcomes of writes that must run at most once against the log of the group's primary. */
+export const checkWrites = (
+  reported: ReadonlyMap<string, ReportedOutcome>,
+  log: readonly LoggedWrite[]
+): WriteFindings => {
+  const counts = countOperations(log)
+  const entries = [...reported]
   return {
-    falselyNotRun: ops.filter(([op, outcome]) => outcome === 'notRun' && counts.has(op)).map(([op]) => op),
-    lostConfirmed: ops.filter(([op, outcome]) => outcome === 'done' && !counts.has(op)).map(([op]) => op),
+    falselyNotRun: entries.filter(([op, outcome]) => outcome === 'notRun' && counts.has(op)).map(([op]) => op),
+    lostConfirmed: entries.filter(([op, outcome]) => outcome === 'done' && !counts.has(op)).map(([op]) => op),
     repeated: [...counts].filter(([, count]) => count > 1).map(([op]) => op)
   }
 }
 
-/** Findings of a run that kept every promise. */
+/** Findings of a run without violations. */
 export const noWriteFindings: WriteFindings = { falselyNotRun: [], lostConfirmed: [], repeated: [] }
