--- a/packages/gateway/src/testing/memory-store.ts
+++ b/packages/gateway/src/testing/memory-store.ts
@@ -3,7 +3,7 @@
  */
 import { Err, Ok, sleepMs, typedError } from '@egretyoke/common'
 import { createPlatformStore } from '@egretyoke/standins'
-import type { KeptEntry } from '@egretyoke/standins'
+import type { StoreEntry } from '@egretyoke/standins'
 import type { SharedStore } from '../coordination/shared-store.js'
 
 /** How the store handles calls: `silent` neither runs nor answers them, `lost` runs them without answering. */
@@ -65,14 +65,14 @@
         resolve()
       }
       const timer = setTimeout(finish, waitMs)
-      const stopListening = store.listen(finish)
+      const stopListening = store.subscribe(finish)
     })
 
     const changes: SharedStore['changes'] = async (prefix, afterRevision, waitMs, timeoutMs) => {
       watchCalls++
       if (mode === 'serving') await waitForChange(afterRevision, waitMs)
       if (afterRevision < compactedRevision) return Err(typedError('historyGone' as const, 'history is gone'))
-      const read = () => ({ entries: store.range(prefix, afterRevision) as KeptEntry[], revision: store.revision() })
+      const read = () => ({ entries: store.range(prefix, afterRevision) as StoreEntry[], revision: store.revision() })
       return await call(read, timeoutMs)
     }
 
--- a/packages/load/src/checker/logged-writes.ts
+++ b/packages/load/src/checker/logged-writes.ts
@@ -1,11 +1,11 @@
 /**
  * Compares the outcomes of writes that callers received with the logs of the groups' final primaries.
  */
-import type { LoggedWrite } from '@egretyoke/testbed'
+import type { LogEntry } from '@egretyoke/testbed'
 import type { Operation } from '../history.js'
 
 /** Log of the final primary of each group. */
-export type GroupLogs = Map<string, LoggedWrite[]>
+export type GroupLogs = Map<string, LogEntry[]>
 
 /** Counts of writes whose outcome disagrees with the log. */
 export type WriteFindings = {
@@ -22,7 +22,7 @@
 const opIdPattern = / op=(\S+)/
 
 /** Returns the number of log entries of each operation. */
-const countOperations = (log: LoggedWrite[]): Map<string, number> => {
+const countOperations = (log: LogEntry[]): Map<string, number> => {
   const counts = new Map<string, number>()
   for (const statement of log.flatMap(entry => entry.statements)) {
     const opId = opIdPattern.exec(statement)?.[1]
--- a/packages/load/src/generator.ts
+++ b/packages/load/src/generator.ts
@@ -5,7 +5,7 @@
 import { setImmediate } from 'node:timers/promises'
 import { createRandom, monotonicMs, sleepMs } from '@egretyoke/common'
 import type { Random } from '@egretyoke/common'
-import type { Caller, CallerAnswer, StoredConfiguration } from '@egretyoke/testbed'
+import type { Caller, CallerResponse, StoredConfiguration } from '@egretyoke/testbed'
 import { mergedArrivals } from './arrivals.js'
 import type { Arrival, LoadStream } from './arrivals.js'
 import type { Balancer } from './balancer.js'
@@ -45,7 +45,7 @@
   signal?: AbortSignal
 }
 
-const lostAnswer = (reason: string): CallerAnswer => ({
+const lostAnswer = (reason: string): CallerResponse => ({
   kind: 'lost',
   reason,
   result: '',
--- a/packages/load/src/history.ts
+++ b/packages/load/src/history.ts
@@ -2,7 +2,7 @@
  * Record of a run's requests and responses, which the checker compares with the databases' logs.
  */
 import type { Confirmation, ReadFreshness } from './resolved-route.js'
-import type { AnswerKind } from '@egretyoke/testbed'
+import type { ResponseKind } from '@egretyoke/testbed'
 
 /** Maximum number of recorded operations of one run. */
 export const maxRecordedOperations = 3_000_000
@@ -36,7 +36,7 @@
   intendedMs: number
   sentMs: number
   receivedMs: number
-  kind: AnswerKind
+  kind: ResponseKind
   reason: string
   result: string
   endpoint: string
--- a/packages/load/src/sessions.ts
+++ b/packages/load/src/sessions.ts
@@ -3,7 +3,7 @@
  * response with the next request. When all sessions are busy a new one is created, so that arrivals never wait.
  */
 import type { Random } from '@egretyoke/common'
-import type { CallerAnswer } from '@egretyoke/testbed'
+import type { CallerResponse } from '@egretyoke/testbed'
 
 export type Session = {
   id: number
@@ -48,7 +48,7 @@
   }
 
   /** Updates a session from a response and returns it to the pool. */
-  const release = (session: Session, isWrite: boolean, group: string, isOwnKey: boolean, answer: CallerAnswer) => {
+  const release = (session: Session, isWrite: boolean, group: string, isOwnKey: boolean, answer: CallerResponse) => {
     const isUnknown = answer.kind === 'lost' || answer.kind === 'outcomeUnknown'
     if (isWrite && isUnknown) session.hasUnsettledWrite = true
     if (answer.kind === 'done') {
--- a/packages/proofs/src/write-checker.ts
+++ b/packages/proofs/src/write-checker.ts
@@ -2,7 +2,7 @@
  * Compares the outcomes that callers received for their writes with the logs of the databases. Each write carries a
  * unique operation ID (`op=ID`).
  */
-import type { LoggedWrite } from '@egretyoke/testbed'
+import type { LogEntry } from '@egretyoke/testbed'
 
 /** Outcome that a caller received for a write. `lost`: no answer arrived. */
 export type ReportedOutcome = 'done' | 'notRun' | 'outcomeUnknown' | 'failed' | 'lost'
@@ -20,7 +20,7 @@
 const operationIdOf = (statement: string): string | undefined => /(?:^| )op=(\S+)/.exec(statement)?.[1]
 
 /** Counts the occurrences of each operation ID in a log. */
-export const countOperations = (log: readonly LoggedWrite[]): Map<string, number> => {
+export const countOperations = (log: readonly LogEntry[]): Map<string, number> => {
   const counts = new Map<string, number>()
   for (const statement of log.flatMap(entry => entry.statements)) {
     const op = operationIdOf(statement)
@@ -32,7 +32,7 @@
 /** Checks the reported outcomes of writes that must run at most once against the log of the group's primary. */
 export const checkWrites = (
   reported: ReadonlyMap<string, ReportedOutcome>,
-  log: readonly LoggedWrite[]
+  log: readonly LogEntry[]
 ): WriteFindings => {
   const counts = countOperations(log)
   const entries = [...reported]
--- a/packages/standins/src/platform-contract.test.ts
+++ b/packages/standins/src/platform-contract.test.ts
@@ -11,7 +11,7 @@
 import type { PlatformFaults, PlatformSubject } from '@egretyoke/fleet/platform-contract'
 import { callUnary, connectGrpc, loopbackChannels, standinProto } from '@egretyoke/protocol'
 import { createPlatformStore } from './platform-store.js'
-import type { KeptEntry } from './platform-store.js'
+import type { StoreEntry } from './platform-store.js'
 import { startStandinPlatform } from './platform-server.js'
 
 const controlTimeoutMs = 5000
@@ -36,7 +36,7 @@
   }
 }
 
-const toStored = ({ key, value, revision, deleted }: KeptEntry): StoredEntry => ({ key, value, revision, deleted })
+const toStored = ({ key, value, revision, deleted }: StoreEntry): StoredEntry => ({ key, value, revision, deleted })
 
 const startInMemory = async (): Promise<PlatformSubject> => {
   const store = createPlatformStore()
@@ -59,7 +59,7 @@
 
   async function * watch (prefix: string, afterRevision: number, signal: AbortSignal): AsyncGenerator<StoreChanges> {
     const pending: StoredEntry[] = store.range(prefix, afterRevision).map(toStored)
-    const unsubscribe = store.listen(entry => {
+    const unsubscribe = store.subscribe(entry => {
       if (entry.key.startsWith(prefix) && !faults.skipWatchMessages) pending.push(toStored(entry))
     })
     do {
--- a/packages/standins/src/platform-server.ts
+++ b/packages/standins/src/platform-server.ts
@@ -7,7 +7,7 @@
 import { listenGrpc, platformProto, standinProto } from '@egretyoke/protocol'
 import type { ChannelSettings, GrpcListener, PlatformMessages, StandinMessages } from '@egretyoke/protocol'
 import { createPlatformStore } from './platform-store.js'
-import type { KeptEntry } from './platform-store.js'
+import type { StoreEntry } from './platform-store.js'
 
 type Fault = StandinMessages.PlatformFault__Output
 type Vm = PlatformMessages.Vm__Output
@@ -39,7 +39,7 @@
   let writes = 0
   const watches = new Set<(changes: PlatformMessages.RangeReply) => void>()
 
-  const toMessage = (entry: KeptEntry | undefined): PlatformMessages.Entry | null => entry ?? null
+  const toMessage = (entry: StoreEntry | undefined): PlatformMessages.Entry | null => entry ?? null
 
   /** Handles a call and replies after the current delay. Never replies while the platform is down. */
   const unary = <Request, Reply>(handle: (request: Request) => Reply, losesReply: () => boolean = () => false) =>
@@ -60,7 +60,7 @@
       setTimeout(() => call.write(changes), fault.delayMs)
     }
     send({ entries: store.range(prefix, afterRevision), storeRevision: store.revision() })
-    const unsubscribe = store.listen(entry => {
+    const unsubscribe = store.subscribe(entry => {
       if (!entry.key.startsWith(prefix)) return
       send({ entries: [entry], storeRevision: entry.revision })
     })
--- a/packages/standins/src/platform-store.ts
+++ b/packages/standins/src/platform-store.ts
@@ -5,7 +5,7 @@
 import type { Clock } from '@egretyoke/common'
 
 /** One entry. A deleted entry stays as a tombstone with the revision of its deletion, so that watches report it. */
-export type KeptEntry = {
+export type StoreEntry = {
   key: string
   value: Buffer
   revision: number
@@ -36,13 +36,13 @@
 
 /** Creates an empty store. Leases expire by the given clock, in milliseconds. */
 export const createPlatformStore = (clock: Clock = monotonicMs) => {
-  const entries = new Map<string, KeptEntry>()
+  const entries = new Map<string, StoreEntry>()
   const leases = new Map<number, Lease>()
-  const listeners = new Set<(entry: KeptEntry) => void>()
+  const listeners = new Set<(entry: StoreEntry) => void>()
   let revision = 0
   let lastLeaseId = 0
 
-  const put = (entry: Omit<KeptEntry, 'revision'>): KeptEntry => {
+  const put = (entry: Omit<StoreEntry, 'revision'>): StoreEntry => {
     revision++
     const stored = { ...entry, revision }
     entries.set(entry.key, stored)
@@ -65,20 +65,20 @@
     }
   }
 
-  const get = (key: string): KeptEntry | undefined => {
+  const get = (key: string): StoreEntry | undefined => {
     expireLeases()
     const entry = entries.get(key)
     return entry?.deleted ? undefined : entry
   }
 
-  const range = (prefix: string, afterRevision: number): KeptEntry[] => {
+  const range = (prefix: string, afterRevision: number): StoreEntry[] => {
     expireLeases()
     return [...entries.values()]
       .filter(entry => entry.key.startsWith(prefix) && entry.revision > afterRevision)
       .sort((left, right) => left.revision - right.revision)
   }
 
-  const compareAndSwap = (swap: SwapRequest): { swapped: boolean, current: KeptEntry | undefined } => {
+  const compareAndSwap = (swap: SwapRequest): { swapped: boolean, current: StoreEntry | undefined } => {
     const current = get(swap.key)
     if ((current?.revision ?? 0) !== swap.expectedRevision) return { swapped: false, current }
     if (swap.leaseId !== 0 && !leases.has(swap.leaseId)) return { swapped: false, current }
@@ -105,7 +105,7 @@
     return true
   }
 
-  const listen = (listener: (entry: KeptEntry) => void): (() => void) => {
+  const subscribe = (listener: (entry: StoreEntry) => void): (() => void) => {
     listeners.add(listener)
     return () => listeners.delete(listener)
   }
@@ -118,7 +118,7 @@
     keepAlive,
     revokeLease: deleteLease,
     expireLeases,
-    listen,
+    subscribe,
     revision: () => revision
   }
 }
--- a/packages/testbed/src/caller.ts
+++ b/packages/testbed/src/caller.ts
@@ -7,11 +7,11 @@
 import type { CallerMessages, ChannelSettings } from '@egretyoke/protocol'
 
 /** Kind of a response. `lost`: no response arrived, so the outcome is unknown. */
-export type AnswerKind = 'done' | 'notRun' | 'outcomeUnknown' | 'failed' | 'lost'
+export type ResponseKind = 'done' | 'notRun' | 'outcomeUnknown' | 'failed' | 'lost'
 
 /** Response to one request as the caller received it. */
-export type CallerAnswer = {
-  kind: AnswerKind
+export type CallerResponse = {
+  kind: ResponseKind
   /** Reason code; empty for `done`. */
   reason: string
   result: string
@@ -44,7 +44,7 @@
 
 const emptyToken = Buffer.alloc(0)
 
-const createLostResponse = (reason: string): CallerAnswer => ({
+const createLostResponse = (reason: string): CallerResponse => ({
   kind: 'lost', reason, result: '', retryAfterMs: 0, sessionToken: emptyToken, endpoint: '', fromReplica: false
 })
 
@@ -60,7 +60,7 @@
   return metadata
 }
 
-const toCallerResponse = (answer: CallerMessages.Answer__Output): CallerAnswer => {
+const toCallerResponse = (answer: CallerMessages.Answer__Output): CallerResponse => {
   const kind = answer.outcome ?? 'lost'
   const refusal = answer.notRun ?? answer.outcomeUnknown ?? answer.failed
   return {
@@ -85,7 +85,7 @@
   let nextChannel = 0
 
   /** Runs one statement through the VM with the given index. */
-  const execute = async (vm: number, request: CallerRequest): Promise<CallerAnswer> => {
+  const execute = async (vm: number, request: CallerRequest): Promise<CallerResponse> => {
     const timeoutMs = request.timeoutMs ?? defaultTimeoutMs
     const client = clients[vm][nextChannel++ % channelsPerVm]
     const response = await callUnary(client, client.Execute, { text: Buffer.from(request.statement) },
--- a/packages/testbed/src/standin-control.ts
+++ b/packages/testbed/src/standin-control.ts
@@ -17,9 +17,9 @@
 export type MemberStatus = EndpointMessages.MemberStatus__Output
 
 /** One entry of a database's log. */
-export type LoggedWrite = { term: number, position: number, statements: string[] }
+export type LogEntry = { term: number, position: number, statements: string[] }
 
-const toLoggedWrite = (entry: StandinMessages.LoggedEntry__Output): LoggedWrite => ({
+const toLogEntry = (entry: StandinMessages.LoggedEntry__Output): LogEntry => ({
   term: entry.term,
   position: entry.position,
   statements: entry.statements.map(statement => Buffer.from(statement).toString('utf8'))
@@ -75,12 +75,12 @@
       client, client.GetStatus as never, {}, timeoutMs))
 
 /** Reads all log entries of a database, oldest first. */
-export const readLog = async (address: string): Promise<LoggedWrite[]> => {
+export const readLog = async (address: string): Promise<LogEntry[]> => {
   const client = databaseControl(address)
   try {
-    const entries: LoggedWrite[] = []
+    const entries: LogEntry[] = []
     for await (const entry of client.ReadLog({ afterPosition: 0 })) {
-      entries.push(toLoggedWrite(entry as StandinMessages.LoggedEntry__Output))
+      entries.push(toLogEntry(entry as StandinMessages.LoggedEntry__Output))
     }
     return entries
   } finally {
