gateway, platform, limits, entry: comments a newcomer had to read twice

Comments that needed the code below them, or that were vague or a figure of speech, now say what the value is:

- "Idle connections of a gateway that others do not, or cannot, send statements to first are closed after this time" -> "Maximum idle time of connections while this gateway is not the database's first holder (see `isFirstHolder`)"
- "for longer than the contact time" -> "for longer than `aliveTimeoutMs`", which is what the code compares with
- "Needed fraction of the borrowed amount above which renewals request all of it" -> "If more than this fraction of the borrowed amount is still needed, renewals request the whole amount"

Inner names: allBut -> reserved, ofRate -> rateFraction, newLeader -> primaryOfLaterTerm, replacementInPlace -> replacementAtAddress, beingChecked -> groupsInCheck, fences -> fencingTokens, bornMs -> startedAtMs, allTokens -> maxTokens, roundingRequests -> toleranceRequests.

No tests were run: comments and names only.

--- a/packages/entry/src/coordination/group-dispatcher.ts
+++ b/packages/entry/src/coordination/group-dispatcher.ts
@@ -1,6 +1,6 @@
 /**
- * Assigns requests to the endpoints of one group. Requests wait in fair queues on this VM, where it is certain that a
- * refused request did not run, and are dequeued only when an endpoint has a free connection.
+ * Assigns requests to the endpoints of one group. Requests wait in fair queues on this VM and are dequeued only when an
+ * endpoint has a free connection, so that a request that is refused while it is queued is certain not to have run.
  */
 import { Err, Ok } from '@egretyoke/common'
 import type { Clock, Logger, Result } from '@egretyoke/common'
--- a/packages/entry/src/coordination/membership.ts
+++ b/packages/entry/src/coordination/membership.ts
@@ -45,7 +45,7 @@
   handleHeartbeat: (message: PeerMessages.HeartbeatMessage__Output) => PeerMessages.HeartbeatMessage
   /** True if this VM is one of the relays of its data centre, which poll the platform. */
   isRelay: () => boolean
-  /** Members of the roster that have answered no heartbeat of this VM for longer than the contact time. */
+  /** Members of the roster that have answered no heartbeat of this VM for longer than `aliveTimeoutMs`. */
   silentPeers: () => string[]
   /** Sends heartbeats immediately, because records have changed. */
   sendHeartbeats: () => void
--- a/packages/entry/src/coordination/rate-limits.ts
+++ b/packages/entry/src/coordination/rate-limits.ts
@@ -77,7 +77,7 @@
       ({ name, ratePerSec, burst, version: crc32(`${ratePerSec}/${burst}`) })))
   }
 
-  /** Shares take effect some time after the startup hold, so the table is checked as well. */
+  /** Shares may take effect later than the end of the startup hold, so the table is checked as well. */
   const isReady = () => {
     if (isStarted) return true
     const isHoldOver = clock() - sharingSinceMs > growthDelayMs
--- a/packages/entry/src/coordination/serving-state.ts
+++ b/packages/entry/src/coordination/serving-state.ts
@@ -12,7 +12,7 @@
 /** A VM whose data centre is out of service accepts calls for this long, until the load balancer stops sending them. */
 const outOfServiceGraceMs = 1_500
 const checkIntervalMs = 100
-/** Contact lost because of a newer revision is usually regained after a few messages between VMs. */
+/** Maximum wait for contact lost because of a newer revision; a few messages between VMs usually restore it. */
 const maxContactWaitMs = 300
 const contactPollIntervalMs = 5
 
@@ -37,7 +37,7 @@
    */
   waitForContact: () => Promise<boolean>
   isDraining: () => boolean
-  /** True once new calls are refused, which begins some time after draining. */
+  /** True once new calls are refused, which is some time after draining began. */
   isRefusingCalls: () => boolean
   /** True if the data centre has been out of service for longer than the load balancer needs to react. */
   isDataCentreOutOfService: () => boolean
--- a/packages/entry/src/coordination/state-follower.ts
+++ b/packages/entry/src/coordination/state-follower.ts
@@ -12,7 +12,7 @@
 import type { Contact } from './contact.js'
 import type { PeerCalls } from './peer-calls.js'
 
-/** A VM whose newest confirmation is older than this fraction of the contact TTL polls the platform itself, rarely. */
+/** A VM whose confirmation is older than this fraction of the contact TTL polls the platform at the fallback rate. */
 const staleFraction = 0.5
 
 /** When many peers announce the same revision, fetching it from a few of them is enough. */
--- a/packages/entry/src/state/platform-state.ts
+++ b/packages/entry/src/state/platform-state.ts
@@ -36,7 +36,7 @@
   groupNames: () => string[]
   roster: () => Roster | undefined
   leaving: () => Leaving
-  /** Records newer than a revision, with the documents of the active configuration if its head is among them. */
+  /** Records newer than a revision, with the active configuration's documents if its head record is one of them. */
   entriesAfter: (revision: number) => StoredEntry[]
   /** Applies a batch of records. Resolves to true if any of them was newer than the stored one. */
   applyRecords: (entries: StoredEntry[], fetchDocument: FetchDocument) => Promise<Result<boolean, ApplyError>>
--- a/packages/gateway/src/coordination/connection-pool.ts
+++ b/packages/gateway/src/coordination/connection-pool.ts
@@ -41,11 +41,11 @@
 /** The pool opens no additional connections for this long after the database refused one as too many. */
 const fullBackoffMs = 250
 /**
- * Bounds of the idle connections: the maximum less `allBut`, but no fewer than `atLeast`. If this gateway crashes, its
- * idle connections occupy the database's limit until the database detects the loss; `allBut` stay free for the next
- * holder.
+ * Maximum number of idle connections: `maxConnections` minus `reserved`, or `atLeast` if that is more. If this gateway
+ * crashes, its idle connections occupy the database's limit until the database detects the loss; the reserved ones stay
+ * free for the next holder.
  */
-const maxIdle = { allBut: 20, atLeast: 10 } as const
+const maxIdle = { reserved: 20, atLeast: 10 } as const
 
 /** Dependencies and limits of a pool. */
 export type PoolOptions = {
@@ -138,7 +138,7 @@
     if (isClosed || !pooled.connection.isOpen() || size() > maxConnections()) return discard(pooled)
     pooled.idleSinceMs = nowMs()
     idle.push(pooled)
-    if (idle.length > Math.max(maxIdle.atLeast, maxConnections() - maxIdle.allBut)) discard(idle[0])
+    if (idle.length > Math.max(maxIdle.atLeast, maxConnections() - maxIdle.reserved)) discard(idle[0])
   }
 
   return {
--- a/packages/gateway/src/coordination/database-holder.ts
+++ b/packages/gateway/src/coordination/database-holder.ts
@@ -33,7 +33,7 @@
 const recentReplyMs = 400
 const idlePollMs = 10
 const capacityPollMs = 10
-/** Idle connections of a gateway that others do not, or cannot, send statements to first are closed after this time. */
+/** Maximum idle time of connections while this gateway is not the database's first holder (see `isFirstHolder`). */
 const secondaryIdleMs = 1000
 
 /** Runs statements at one database. */
@@ -51,7 +51,7 @@
   connections: () => number
   /** Drops expired statements, ends idle transactions and dispatches the queue; call often while work is pending. */
   runMaintenance: () => void
-  /** Closes idle connections while others do not, or cannot, send their statements here first; call periodically. */
+  /** Closes idle connections while this gateway is not the database's first holder; call periodically. */
   closeUnused: () => void
   close: () => void
 }
@@ -62,7 +62,7 @@
   maxConnections: () => number
   transactionIdleMs: () => number
   connect: ConnectDatabase
-  /** True while other gateways try this gateway first for statements at the database. */
+  /** True while other gateways send the database's statements here first: it ranks first and has store contact. */
   isFirstHolder: () => boolean
   /** False while the database accepts no new work. */
   acceptsNewWork: () => boolean
@@ -73,7 +73,7 @@
   log: Logger
 }
 
-/** Reasons without a reply from the database; the state of the connection is unknown. */
+/** Reasons that mean that the database did not reply, so that the state of the connection is unknown. */
 const noReplyReasons: ReadonlySet<StatementReason> = new Set(['silent', 'answerLost', 'unreachable'])
 
 /** A statement that is queued for a slot. */
--- a/packages/gateway/src/coordination/group-monitor.ts
+++ b/packages/gateway/src/coordination/group-monitor.ts
@@ -15,10 +15,10 @@
 
 const probeIntervalMs = 250
 const probeTimeoutMs = 500
-/** Failed probes after which other gateways are asked. A refused connection is stronger evidence than a time-out. */
+/** Failed probes after which other gateways probe too. A refused connection is stronger evidence than a time-out. */
 const maxRefusedProbes = 2
 const maxSilentProbes = 2
-/** Number of gateways that are asked whether they can reach the primary, and the time-out of the request. */
+/** Number of other gateways that are requested to probe the primary, and the time-out of each request. */
 const witnessCount = 4
 const witnessTimeoutMs = 900
 /** A primary change that another gateway started but did not finish is taken over after this time. */
@@ -43,7 +43,7 @@
   const failures = new Map<string, { refused: number, silent: number }>()
   const changingSinceMs = new Map<number, number>()
   const missingSinceMs = new Map<string, number>()
-  const beingChecked = new Set<string>()
+  const groupsInCheck = new Set<string>()
 
   const isMonitorOf = (group: string): boolean => options.election.first(`group ${group}`) === name
 
@@ -94,7 +94,7 @@
     return failure.refused < maxRefusedProbes && failure.silent < maxSilentProbes
   }
 
-  /** Selects the gateways to ask: first one of each data centre, then any others. */
+  /** Selects the gateways that are requested to probe: first one of each data centre, then any others. */
   const chooseWitnesses = (): Member[] => {
     const others = [...fleetState.members().values()].filter(member => member.name !== name)
     const firstOfEach = others.filter((member, index) =>
@@ -160,11 +160,11 @@
   }
 
   const checkGroupOnce = async (group: string) => {
-    if (beingChecked.has(group) || !isMonitorOf(group) || contact.ageMs() > probeTimeoutMs * 4) return
-    beingChecked.add(group)
+    if (groupsInCheck.has(group) || !isMonitorOf(group) || contact.ageMs() > probeTimeoutMs * 4) return
+    groupsInCheck.add(group)
     await checkGroup(group)
     await demoteFormerPrimaries(group)
-    beingChecked.delete(group)
+    groupsInCheck.delete(group)
   }
 
   return {
--- a/packages/gateway/src/coordination/group-records.ts
+++ b/packages/gateway/src/coordination/group-records.ts
@@ -41,8 +41,8 @@
 }
 
 /**
- * Users that may still be using the primary. A process whose VM runs a newer one has ended. A process whose membership
- * record was removed has stopped by itself, because it does not use primaries without a lease.
+ * Users that may still be using the primary. A process has ended if its VM runs a newer process. A process whose
+ * membership record was removed has stopped by itself, because it does not use primaries without a lease.
  */
 export const activeUsers = (users: readonly string[], fleetState: FleetState): string[] => users.filter(user => {
   const [name = '', incarnation] = user.split('/')
--- a/packages/gateway/src/coordination/holders.ts
+++ b/packages/gateway/src/coordination/holders.ts
@@ -71,7 +71,7 @@
 
   const hasWork = () => runningCount > 0 || [...holders.values()].some(({ holder }) => holder.openTransactions() > 0)
 
-  /** The timer runs only while statements run or transactions are open: most gateways of a large fleet hold none. */
+  /** The timer runs only while statements run or transactions are open; most gateways of a large fleet have neither. */
   const startMaintenance = () => {
     maintenanceTimer ??= setInterval(() => {
       for (const { holder } of holders.values()) holder.runMaintenance()
@@ -89,7 +89,7 @@
 
   const isSameInstance = (database: Database) => {
     const latest = fleetState.databases().get(database.id)
-    return latest !== undefined && latest.address === database.address && latest.bornMs === database.bornMs
+    return latest !== undefined && latest.address === database.address && latest.startedAtMs === database.startedAtMs
   }
 
   const closeHolder = (id: string) => {
--- a/packages/gateway/src/coordination/primary-change.ts
+++ b/packages/gateway/src/coordination/primary-change.ts
@@ -127,11 +127,11 @@
     .sort((one, other) => comparePositions(received(other), received(one)))[0]
 
   /** A database that is already the primary of a later term, from an earlier change that was not completed. */
-  const newLeader = (candidates: readonly Candidate[]) =>
+  const primaryOfLaterTerm = (candidates: readonly Candidate[]) =>
     candidates.find(({ status }) => status.role === 'primary' && status.term > oldRecord.term)
 
   /** A process that replaced the old primary at its address, with its log and term, under a new id. */
-  const replacementInPlace = (candidates: readonly Candidate[]) => candidates.find(candidate =>
+  const replacementAtAddress = (candidates: readonly Candidate[]) => candidates.find(candidate =>
     isEligible(candidate) && candidate.status.role === 'primary' && candidate.status.term === oldRecord.term)
 
   const waitForCatchUp = async (position: string) => {
@@ -143,7 +143,7 @@
     }
   }
 
-  /** Waits until the database is the primary; one that already was when it was chosen need not start a new term. */
+  /** Waits until the database is the primary, in a new term unless it already was the primary when it was chosen. */
   const waitUntilPrimary = async ({ database, status }: Candidate): Promise<Candidate | undefined> => {
     const firstTerm = status.role === 'primary' ? oldRecord.term : oldRecord.term + 1
     const deadlineMs = performance.now() + becomePrimaryTimeoutMs
@@ -174,7 +174,7 @@
 
   const attempt = async (revision: number): Promise<boolean> => {
     const candidates = await pollDatabases()
-    const leader = newLeader(candidates)
+    const leader = primaryOfLaterTerm(candidates)
     if (leader !== undefined) return await activatePrimary(leader.database.id, leader.status.term, revision)
     const former = candidates.find(({ database }) => database.id === oldRecord.primary)
     const isFormerHealthy = former?.status.role === 'primary' && former.status.term >= oldRecord.term
@@ -182,7 +182,7 @@
     if (isFormerHealthy && reason === 'failed' && !hasRequestedPromotion) {
       return await activatePrimary(oldRecord.primary, former.status.term, revision)
     }
-    const chosen = replacementInPlace(candidates) ?? best ?? (isFormerHealthy ? former : undefined)
+    const chosen = replacementAtAddress(candidates) ?? best ?? (isFormerHealthy ? former : undefined)
     if (chosen === undefined || !ownsChange(revision)) return false
     hasRequestedPromotion = true
     const promotion = await promote(group, chosen.database.id, revision, promoteTimeoutMs)
--- a/packages/gateway/src/coordination/relay-handler.ts
+++ b/packages/gateway/src/coordination/relay-handler.ts
@@ -36,7 +36,7 @@
 
 type Reply = Omit<RelayMessages.RelayReply, 'number'>
 
-/** Newest position of a group's primary and its age; undefined if this gateway cannot use the primary or read it. */
+/** Newest position of a group's primary and its age; undefined if this gateway cannot use or query the primary. */
 export const readPrimaryPosition = async (
   {
     fleetState, records, positions, control, clock
--- a/packages/gateway/src/coordination/statement-router.ts
+++ b/packages/gateway/src/coordination/statement-router.ts
@@ -31,7 +31,7 @@
 /** Routes statements to databases. */
 export type StatementRouter = {
   route: (routing: RoutingRequest) => Promise<RoutingResult>
-  /** Runs a subsequent statement of a transaction at the location of its first one. */
+  /** Runs a subsequent statement of a transaction at the database and holder that ran its first one. */
   continueTransaction: (request: StatementRequest, location: TransactionLocation) => Promise<StatementOutcome>
   abandon: (session: string, location: TransactionLocation) => void
 }
--- a/packages/gateway/src/coordination/store-follower.ts
+++ b/packages/gateway/src/coordination/store-follower.ts
@@ -56,7 +56,7 @@
     for (const entry of update.entries) fleetState.apply(entry)
     recordConnection(true, 'watching')
     contact.confirm(update.confirmed)
-    // Recorded after the confirmation, because followers receive it together with the changes.
+    // Recorded after the confirmation, because followers receive the confirmation together with the changes.
     history.record(update)
   }
 
--- a/packages/gateway/src/coordination/store-sources.ts
+++ b/packages/gateway/src/coordination/store-sources.ts
@@ -16,12 +16,12 @@
 
 /** Long-poll time of a watch; a watcher's fleet state is confirmed about this often. */
 export const watchWaitMs = 1000
-/** With an older confirmation, the store is polled with `expeditedWaitMs` to get a new one soon. */
+/** If the last confirmation is older than this, long polls use `expeditedWaitMs`, to get a new confirmation soon. */
 const expediteContactMs = 500
 const expeditedWaitMs = 50
 /** Added to the long-poll time as call time-out, for the round trip and a slow store. */
 export const storeReplyTimeoutMs = 1200
-/** A watcher forwards each confirmation. Without one for this long, even with a slow store, it is not relied on. */
+/** A watcher forwards each confirmation. After none for this long it is not relied on, even if the store is slow. */
 const followWaitMs = watchWaitMs + 300
 /** Added to the long-poll time as call time-out, for the round trip within the data centre. */
 const peerReplyMarginMs = 400
--- a/packages/gateway/src/coordination/token-allocator.ts
+++ b/packages/gateway/src/coordination/token-allocator.ts
@@ -25,10 +25,10 @@
 const claimIntervalMs = 100
 const storeTimeoutMs = 900
 /**
- * Initial tokens in a new allocator's bucket: a fraction of the rate, plus a number of tokens. They may come on top of
- * all tokens granted by the predecessor, and are a fraction of the excess over the limit that is tolerated.
+ * Initial tokens in a new allocator's bucket: a fraction of one second's tokens, plus a fixed number. The predecessor
+ * may have granted all of its tokens, so these may exceed the limit; they are a fraction of the tolerated excess.
  */
-const initialTokens = { ofRate: 0.1, atLeast: 5 } as const
+const initialTokens = { rateFraction: 0.1, atLeast: 5 } as const
 /** Window in milliseconds over which the gateways' shares of a rate are computed. */
 const shareWindowMs = 2000
 
@@ -78,7 +78,7 @@
     }
     const emptyAtMs = claimedAtMs.get(shardOf(workspace))
     const bucket = createTokenBucket({ ratePerSec, burst }, monotonicMs, emptyAtMs)
-    bucket.add(initialTokens.ofRate * ratePerSec + initialTokens.atLeast)
+    bucket.add(initialTokens.rateFraction * ratePerSec + initialTokens.atLeast)
     const account = { bucket, grantedBy: new Map(), windowSinceMs: monotonicMs(), shares: new Map() }
     accounts.set(workspace, account)
     return account
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -87,7 +87,7 @@
 const keyWithdrawalMarginMs = 900
 /** Time within which the balancer stops sending new callers to a gateway that is not ready. */
 const balancerDetectionMs = 2200
-/** With an older contact with the store a gateway is not ready and leaves its connections to other holders. */
+/** If its last contact with the store is older, a gateway is not ready and leaves connections to other holders. */
 const maxReadyContactAgeMs = 2000
 const tokenTimeoutMs = 250
 const positionTimeoutMs = 400
--- a/packages/gateway/src/primaries.test.ts
+++ b/packages/gateway/src/primaries.test.ts
@@ -34,7 +34,7 @@
   t.is(fleet.group.executed.filter(({ text }) => text === 'WRITE 2 x').length, 1)
   t.not(recordOf(fleet).primary, 'db-1')
   t.is(recordOf(fleet).term, 2)
-  t.is(new Set(fleet.group.fences).size, 1)
+  t.is(new Set(fleet.group.fencingTokens).size, 1)
   await fleet.close()
 })
 
@@ -117,7 +117,7 @@
   fleet.store.put('egretyoke/group/bookings', { ...record, phase: 'changing', keeper: 'vm-gone/x' })
   fleet.group.databases.get('db-1')!.state = 'dead'
   await waitUntil(hasNewPrimary(fleet))
-  t.deepEqual(fleet.group.fences, fleet.group.fences.toSorted((one, other) => one - other))
+  t.deepEqual(fleet.group.fencingTokens, fleet.group.fencingTokens.toSorted((one, other) => one - other))
   t.deepEqual(await writeUntilSuccess(fleet, '2'), [])
   await fleet.close()
 })
--- a/packages/gateway/src/state/configuration.ts
+++ b/packages/gateway/src/state/configuration.ts
@@ -62,5 +62,5 @@
   draining: boolean
   role: 'primary' | 'replica'
   /** Unix time at which its process started, in milliseconds. */
-  bornMs: number
+  startedAtMs: number
 }
--- a/packages/gateway/src/state/stored-records.ts
+++ b/packages/gateway/src/state/stored-records.ts
@@ -46,7 +46,7 @@
 
 const limitRecordSchema = z.object({ keeper: z.string() })
 
-/** The gateway that hands out the rate limit tokens of a shard of the workspaces, as NAME/INCARNATION. */
+/** The gateway that allocates the rate limit tokens of a shard of the workspaces, as NAME/INCARNATION. */
 export type LimitRecord = z.infer<typeof limitRecordSchema>
 
 /** A stored value that cannot be parsed. */
--- a/packages/gateway/src/testing/memory-group.ts
+++ b/packages/gateway/src/testing/memory-group.ts
@@ -46,7 +46,7 @@
   promote: PromoteDatabase
   executed: ExecutedStatement[]
   /** Fencing tokens of the requested promotions, in order. */
-  fences: number[]
+  fencingTokens: number[]
   /** Copies the primary's log to the replicas; done after each write unless `holdsBack` is set. */
   replicate: () => void
   isReplicationPaused: boolean
@@ -65,7 +65,7 @@
     slots: 2,
     draining: false,
     role: index === 0 ? 'primary' : 'replica',
-    bornMs: 1
+    startedAtMs: 1
   },
   log: [],
   role: index === 0 ? 'primary' : 'replica',
@@ -83,7 +83,7 @@
   const ids = ['db-1', 'db-2', 'db-3']
   const databases = new Map(ids.map((id, index) => [id, createDatabase(id, index, group)]))
   const executed: ExecutedStatement[] = []
-  const fences: number[] = []
+  const fencingTokens: number[] = []
   let connectionCount = 0
 
   const replicate = () => {
@@ -252,7 +252,7 @@
   }
 
   const promote: PromoteDatabase = async (_group, id, fence) => {
-    fences.push(fence)
+    fencingTokens.push(fence)
     const database = databases.get(id)
     if (database === undefined || database.state !== 'alive') return Err(typedError('declined', 'not running'))
     if (database.role === 'primary') return Ok(undefined)
@@ -263,6 +263,8 @@
     return Ok(undefined)
   }
 
-  const memory: MemoryGroup = { databases, connect, promote, executed, fences, replicate, isReplicationPaused: false }
+  const memory: MemoryGroup = {
+    databases, connect, promote, executed, fencingTokens, replicate, isReplicationPaused: false
+  }
   return memory
 }
--- a/packages/limits/src/borrowing.ts
+++ b/packages/limits/src/borrowing.ts
@@ -75,5 +75,5 @@
   nextFetchMs: () => number
 }
 
-/** Creates the borrowing strategy of one limit on one VM. No policy can break the bound; a bad one refuses too much. */
+/** Creates the borrowing strategy of a limit on a VM. A bad policy refuses too much but cannot exceed the limit. */
 export type LoanPolicy = (context: BorrowingContext) => BorrowingStrategy
--- a/packages/limits/src/fair-queue.test.ts
+++ b/packages/limits/src/fair-queue.test.ts
@@ -56,7 +56,7 @@
   t.is(popCounts(2).slow, 1)
   queue.charge('slow', 190)
   pushMany(10, 'slow')
-  // The workspace has used 200 in total, so it is served again in the 20th round after its first.
+  // The workspace has used a cost of 200, the credit of 20 rounds; it is next served in the 20th round after its first.
   t.deepEqual(popCounts(20), { quick: 19, slow: 1 })
 })
 
--- a/packages/limits/src/refusals-within-rate.test.ts
+++ b/packages/limits/src/refusals-within-rate.test.ts
@@ -1,5 +1,5 @@
 /**
- * Tests how many requests within a workspace's rate are refused: all callers at one or two of 9 VMs, at 90% of it.
+ * Tests how many requests are refused while all callers use one or two of 9 VMs and send 90% of the workspace's rate.
  */
 import test from 'ava'
 import type { LoanPolicy } from './borrowing.js'
--- a/packages/limits/src/soak/bound-checker.ts
+++ b/packages/limits/src/soak/bound-checker.ts
@@ -8,7 +8,7 @@
  */
 
 /** Tolerance for floating-point rounding before an excess is reported, in requests. */
-const roundingRequests = 1e-4
+const toleranceRequests = 1e-4
 
 /** Active rate and burst; the maximum of each while VMs apply different versions. */
 export type ActiveBound = { ratePerSec: number, burst: number }
@@ -53,7 +53,7 @@
     for (const bucket of buckets) {
       bucket.level += 1
       const excessRequests = bucket.level - bucket.burst
-      if (excessRequests > roundingRequests) firstExcess ??= { atMs, excessRequests, burst: bucket.burst }
+      if (excessRequests > toleranceRequests) firstExcess ??= { atMs, excessRequests, burst: bucket.burst }
     }
   }
 
--- a/packages/limits/src/soak/share-history.ts
+++ b/packages/limits/src/soak/share-history.ts
@@ -16,8 +16,8 @@
 /** Maximum duration of a pause or network partition, in milliseconds. */
 const maxFaultMs = 3 * loanTtlMs
 
-/** Number of tokens that no VM exceeds. */
-const allTokens = 100
+/** Number of tokens to consume from a VM to empty its bucket; no bucket holds more. */
+const maxTokens = 100
 
 /** Maximum relative error of a VM's clock rate; below the error for which the mechanism compensates. */
 const maxClockError = 0.0001
@@ -57,7 +57,7 @@
 }
 
 const drainAll = (simulation: ShareSimulation) => {
-  for (let index = 0; index < simulation.vmCount(); index++) simulation.consume(index, allTokens)
+  for (let index = 0; index < simulation.vmCount(); index++) simulation.consume(index, maxTokens)
 }
 
 const waitMs = fc.record({ ms: fc.oneof(fc.nat({ max: 20 }), fc.nat({ max: 2 * loanTtlMs })) })
@@ -91,7 +91,7 @@
   requestFromAll(simulation, args.vm, { ...args.plan, requestDelayMs: 0, replyDelayMs: 1 })
   for (let round = 0; round < args.rounds; round++) {
     simulation.advance(args.everyMs)
-    simulation.consume(args.vm, allTokens)
+    simulation.consume(args.vm, maxTokens)
   }
   drainAll(simulation)
 })
--- a/packages/limits/src/spread-loans.ts
+++ b/packages/limits/src/spread-loans.ts
@@ -20,7 +20,7 @@
 /** Maximum number of peers that receive a request at the same time. */
 const maxPeerRequests = 4
 
-/** Needed fraction of the borrowed amount above which renewals request all of it. */
+/** If more than this fraction of the borrowed amount is still needed, renewals request the whole amount. */
 const renewAllThreshold = 0.8
 
 const targetFraction = ({ demandPerSec, ratePerSec }: ShareState) =>
--- a/packages/limits/src/token-share.ts
+++ b/packages/limits/src/token-share.ts
@@ -226,7 +226,7 @@
     const fraction = hasRate ? loan.fraction : fractionOfBurst(loan.tokens, pending.limit)
     const heldBefore = targetLedger.borrowedFrom(pending.peer)
     if (fraction > 0) targetLedger.borrow(pending.peer, fraction, untilMs, wallUntilMs)
-    // Capacity already held when the request was sent may have been in use since, so it covers no tokens in transit.
+    // Capacity that was held when the request was sent may have been filled since, so it covers no tokens in transit.
     const heldAtRequest = hasRate ? pending.heldFraction : pending.heldCapacity
     return Math.max(0, Math.min(targetLedger.borrowedFrom(pending.peer) - heldBefore, fraction - heldAtRequest))
   }
--- a/packages/limits/src/workspace-queue.ts
+++ b/packages/limits/src/workspace-queue.ts
@@ -28,7 +28,7 @@
   all: () => Array<QueuedItem<Item>>
 }
 
-/** Number of removed items, beyond the number of waiting ones, above which a queue is compacted. */
+/** A queue is compacted when its removed items outnumber its waiting items by more than this. */
 const maxRemovedItems = 64
 
 /** Creates an empty queue. */
