--- a/packages/load/src/checker/admission.ts
+++ b/packages/load/src/checker/admission.ts
@@ -8,7 +8,7 @@
 /** Token bucket parameters of a workspace. */
 export type RateLimit = { ratePerSec: number, burst: number }
 
-/** Segment tree over interval starts: adds 1 to a prefix, and returns the maximum over the activated starts. */
+/** Segment tree over interval starts: adds 1 to a prefix, and returns the maximum over all prefixes added to so far. */
 const createPrefixAddTree = (initialValues: number[]) => {
   let size = 1
   while (size < initialValues.length) size *= 2
@@ -80,7 +80,7 @@
 export type RateCheckResult = {
   /** Requests for which the reference bucket had a token. */
   within: Operation[]
-  /** Rate refusals of requests for which, as for all earlier ones since the bucket was last full, it had a token. */
+  /** Rate refusals although the reference bucket had a token for every request since it was last full. */
   wrongfulRefusals: number
 }
 
--- a/packages/load/src/checker/reads.ts
+++ b/packages/load/src/checker/reads.ts
@@ -4,12 +4,12 @@
 import { counterValue } from '../history.js'
 import type { Operation } from '../history.js'
 
-const isAnsweredRead = (operation: Operation): boolean => operation.access === 'read' && operation.kind === 'done'
+const isCompletedRead = (operation: Operation): boolean => operation.access === 'read' && operation.kind === 'done'
 
 /** Counts reads that miss a write of their session which had been confirmed before the read was sent. */
 export const countSessionViolations = (operations: Operation[]): number =>
   operations.filter(operation =>
-    isAnsweredRead(operation) && counterValue(operation) < operation.confirmedWriteCount).length
+    isCompletedRead(operation) && counterValue(operation) < operation.confirmedWriteCount).length
 
 type ClockWrite = { value: number, confirmedMs: number }
 
@@ -34,8 +34,8 @@
 
 /**
  * Counts reads that returned data older than their maximum age. A write that was confirmed more than that age before
- * the read was sent must be visible. The write commits before its confirmation arrives and the read runs after it is
- * sent, both timed by one clock, so the check can miss violations but reports no false ones.
+ * the read was sent must be visible. A write commits before its confirmation arrives, and a read runs after the caller
+ * has sent it; one clock times both, so the check can miss violations but reports no false ones.
  */
 export const countAgeViolations = (operations: Operation[], clockKey: string): number => {
   const clockOperations = operations.filter(operation => operation.key === clockKey)
@@ -49,7 +49,7 @@
       runningMax = Math.max(runningMax, write.value)
       return runningMax
     })
-    for (const read of groupOperations.filter(isAnsweredRead)) {
+    for (const read of groupOperations.filter(isCompletedRead)) {
       if (counterValue(read) < maxConfirmedBefore(writes, runningMaxima, read.sentMs - read.maxAgeMs)) violations++
     }
   }
--- a/packages/load/src/experiment/experiment-fleet.ts
+++ b/packages/load/src/experiment/experiment-fleet.ts
@@ -10,7 +10,7 @@
 
 const dataCentreNames = ['dc-1', 'dc-2', 'dc-3']
 
-/** Name prefix of workspaces that write the clock keys, so that these writes use no measured workspace's rate. */
+/** Name prefix of separate workspaces that write the clock keys, so that this uses no tested workspace's rate. */
 const clockWorkspace = 'clock-writer'
 
 const routesOf = (group: string): Workspace['routes'] => ({
--- a/packages/load/src/experiment/run-config-experiment.ts
+++ b/packages/load/src/experiment/run-config-experiment.ts
@@ -20,7 +20,7 @@
 const versionPollMs = 50
 const maxWaitMs = 20_000
 const callTimeoutMs = 1_000
-/** Time for the last change to reach every VM. */
+/** Wait for the last change to become active on every VM. */
 const settleMs = 6_000
 
 type AcceptedChange = { version: number, acceptedMs: number }
--- a/packages/load/src/experiment/run-control-experiment.ts
+++ b/packages/load/src/experiment/run-control-experiment.ts
@@ -65,7 +65,7 @@
     stewardCorePercent: 100 * median(cores.slice(count)),
     entryMemoryMb: median(memory.slice(0, count)),
     stewardMemoryMb: median(memory.slice(count)),
-    /** Traffic per VM: bytes that its entry and steward exchange with the platform, peers and databases. */
+    /** Traffic per VM, in KiB per second, on all connections to the platform, peers and databases. */
     controlKbPerVmSec: relayedBytes / bytesPerKb / elapsedSeconds / size.vms,
     platformCallsPerSec: (platformAfter.calls - platformBefore.calls) / elapsedSeconds,
     waitingWatches: platformAfter.waitingWatches
--- a/packages/load/src/experiment/run-load-experiment.ts
+++ b/packages/load/src/experiment/run-load-experiment.ts
@@ -18,7 +18,7 @@
 export type LogProgress = (text: string) => void
 
 const plotStepMs = 500
-/** A workspace counts as within its rate when at least this fraction of its requests was. */
+/** A workspace counts as within its rate when at least this fraction of its requests was within rate and burst. */
 const minWithinShare = 0.99
 
 type Run = { variant: string, result: ScenarioResult, measures: Record<string, MeasureValue> }
@@ -52,7 +52,7 @@
     typeof entry[1] === 'number' || entry[1] === undefined))
 
 /** Returns the rate of completed requests over time. */
-const doneLine = (name: string, { operations }: History, endedMs: number): PlotLine => {
+const completionRateLine = (name: string, { operations }: History, endedMs: number): PlotLine => {
   const counts = new Array<number>(Math.ceil(endedMs / plotStepMs)).fill(0)
   const done = operations.filter((operation: Operation) => operation.kind === 'done' && operation.receivedMs < endedMs)
   for (const operation of done) counts[Math.floor(operation.receivedMs / plotStepMs)]++
@@ -62,7 +62,7 @@
 const panelOf = (scenario: string, runs: Run[]): PlotPanel => ({
   title: scenario,
   yLabel: 'done per second',
-  lines: runs.map(({ variant, result }) => doneLine(variant, result.history, result.endedMs)),
+  lines: runs.map(({ variant, result }) => completionRateLine(variant, result.history, result.endedMs)),
   marks: runs[0].result.faults.map(({ atMs, label }) => ({ atS: atMs / 1_000, label }))
 })
 
@@ -117,7 +117,7 @@
   }
 }
 
-/** Adds the measure `MEASURERatio` to the rows of the scenario of each ratio. */
+/** Adds `MEASURERatio` to the rows of each ratio's scenario: MEASURE divided by its value in `toScenario`. */
 const addRatios = (experiment: LoadExperiment, rows: ResultRow[]) => {
   for (const { measure, scenario, toScenario } of experiment.ratios) {
     for (const row of rows.filter(one => one.scenario === scenario)) {
--- a/packages/load/src/faults.ts
+++ b/packages/load/src/faults.ts
@@ -12,7 +12,7 @@
 
 /**
  * Name of a program, or `primary:GROUP`, `replica:GROUP` or `steward:GROUP` for the program that has this role at the
- * time of the fault. The prefix `same:` selects the program to which an earlier fault of the run resolved the role.
+ * time of the fault. With the prefix `same:`, the program that an earlier fault of the run found in this role.
  */
 const target = z.string().min(1)
 
@@ -59,7 +59,7 @@
 /** An injected fault; the label contains the affected program. */
 export type InjectedFault = { atMs: number, label: string }
 
-/** Time after the return of a data centre during which service still counts towards its evacuation. */
+/** Time by which the window of an evacuation extends beyond the data centre's return to service. */
 const returnWindowMs = 3_000
 
 const groupOf = (fleet: Fleet, database: string): string | undefined =>
--- a/packages/load/src/generator.ts
+++ b/packages/load/src/generator.ts
@@ -22,10 +22,10 @@
 /** Consecutive sends, when the generator is behind schedule, before it yields so that responses are processed. */
 const maxSendsPerYield = 20
 
-/** Key of the clock: a counter in each group that clock streams increment, used to check the age of reads. */
+/** Key of the counter that a clock stream increments in each group; the checker derives the age of reads from it. */
 export const clockKey = 'clock'
 
-/** Target of the load. */
+/** Fleet under load: a caller and a balancer for its VMs, its configuration and the workspaces' keys. */
 export type LoadTarget = {
   caller: Caller
   balancer: Balancer
@@ -45,7 +45,7 @@
   signal?: AbortSignal
 }
 
-const lostAnswer = (reason: string): CallerResponse => ({
+const createLostResponse = (reason: string): CallerResponse => ({
   kind: 'lost',
   reason,
   result: '',
@@ -136,8 +136,8 @@
     const route = routeOf(stream.workspace, pickRoute(random, stream.mix))
     const vm = balancer.pick(random, stream.vms)
     const operation = createOperation(arrival, route, session, vm)
-    const answer = vm === undefined
-      ? lostAnswer('no VM is ready')
+    const response = vm === undefined
+      ? createLostResponse('no VM is ready')
       : await caller.execute(vm, {
         route: route.route,
         statement: statementOf(route, operation.key, operation.opId, stream.costMs),
@@ -147,9 +147,9 @@
         hasUnsettledWrite: session.hasUnsettledWrite,
         isNewSession: session.token.length === 0
       })
-    const { kind, reason, result, endpoint, fromReplica } = answer
+    const { kind, reason, result, endpoint, fromReplica } = response
     Object.assign(operation, { kind, reason, result, endpoint, fromReplica, receivedMs: nowMs() })
-    pool.release(session, route.access === 'write', route.group, operation.key !== clockKey, answer)
+    pool.release(session, route.access === 'write', route.group, operation.key !== clockKey, response)
     if (operations.length < maxRecordedOperations) operations.push(operation)
     options.onOperation?.(operation)
   }
--- a/packages/load/src/history.ts
+++ b/packages/load/src/history.ts
@@ -29,8 +29,8 @@
   /** Number of confirmed writes of the session to the key when the request was sent; used for reads. */
   confirmedWriteCount: number
   /**
-   * Whether a replica may serve the request: a read with another freshness than `primary`, and not a session read while
-   * a write of its session is unsettled.
+   * Whether a replica may serve the request: any `maxAge` read, and a `session` read unless the outcome of a write of
+   * its session is unknown.
    */
   isReplicaEligible: boolean
   intendedMs: number
--- a/packages/load/src/measures.ts
+++ b/packages/load/src/measures.ts
@@ -59,7 +59,10 @@
   wrongfulRefusals: number
   wrongfulRefusalShare: number | undefined
   dataCentreServiceShare: number | undefined
-  /** Time from an evacuation's start to the last request sent before its end that its VMs or endpoints completed. */
+  /**
+   * Longest time from the start of an evacuation until a request was sent that a VM or endpoint of the data centre
+   * completed; requests sent after its return to service do not count.
+   */
   lastNewWorkAfterOutMs: number | undefined
   sessionViolations: number
   ageViolations: number
@@ -110,7 +113,10 @@
   return delaysMs[Math.floor(delaysMs.length * 0.99)] ?? 0
 }
 
-/** Returns the longest time between two completed requests of the given access around a failover, in milliseconds. */
+/**
+ * Returns the longest time without a completed request of the given access in the group, in milliseconds, from the last
+ * completion before the failover to the end of the window after it.
+ */
 export const longestGapMs = (
   operations: Operation[],
   access: Operation['access'],
@@ -150,7 +156,7 @@
 
 type MeasuredWorkspace = { own: Operation[], withinOperations: Operation[] }
 
-const countAnswers = (operations: Operation[]): Record<string, number> => {
+const countResponses = (operations: Operation[]): Record<string, number> => {
   const counts: Record<string, number> = {}
   for (const { kind, reason } of operations) {
     const name = reason === '' ? kind : `${kind}: ${reason}`
@@ -164,8 +170,8 @@
 const sumOf = (values: number[]): number => values.reduce((total, value) => total + value, 0)
 
 /**
- * Returns the share of requests served during the windows. For a workspace above its rate, at most as many completed
- * requests count as were within the rate, regardless of which requests were admitted.
+ * Returns completed requests divided by those within rate and burst, both sent during the windows. Of each workspace,
+ * at most as many completed requests count as were within its rate; the entries may have admitted other ones.
  */
 const serviceShareDuring = (windows: DataCentreWindow[], workspaces: MeasuredWorkspace[]): number | undefined => {
   const isInWindow = ({ sentMs }: Operation) => windows.some(({ fromMs, toMs }) => sentMs >= fromMs && sentMs < toMs)
@@ -220,7 +226,7 @@
     lateSendP99Ms: lateSendP99Ms(operations),
     workspaces: Object.fromEntries(byWorkspace.map(({ name, own: _own, withinOperations: _, ...measures }) =>
       [name, measures])),
-    answers: countAnswers(operations)
+    answers: countResponses(operations)
   }
 }
 
--- a/packages/load/src/sessions.ts
+++ b/packages/load/src/sessions.ts
@@ -41,24 +41,24 @@
     return session
   }
 
-  /** Clears a session, as a caller must after a response that a failover has lost one of its writes. */
+  /** Clears a session's token and write counts, as a caller must once a failover has lost one of its writes. */
   const reset = (session: Session) => {
     session.token = Buffer.alloc(0)
     session.confirmedByGroup.clear()
   }
 
   /** Updates a session from a response and returns it to the pool. */
-  const release = (session: Session, isWrite: boolean, group: string, isOwnKey: boolean, answer: CallerResponse) => {
-    const isUnknown = answer.kind === 'lost' || answer.kind === 'outcomeUnknown'
+  const release = (session: Session, isWrite: boolean, group: string, isOwnKey: boolean, response: CallerResponse) => {
+    const isUnknown = response.kind === 'lost' || response.kind === 'outcomeUnknown'
     if (isWrite && isUnknown) session.hasUnsettledWrite = true
-    if (answer.kind === 'done') {
+    if (response.kind === 'done') {
       session.hasUnsettledWrite = false
       if (isWrite && isOwnKey) {
         session.confirmedByGroup.set(group, (session.confirmedByGroup.get(group) ?? 0) + 1)
       }
     }
-    if (answer.reason === lostWriteReason) reset(session)
-    else if (answer.sessionToken.length > 0) session.token = answer.sessionToken
+    if (response.reason === lostWriteReason) reset(session)
+    else if (response.sessionToken.length > 0) session.token = response.sessionToken
     idle.push(session)
   }
 
--- a/packages/proofs/src/at-most-once.test.ts
+++ b/packages/proofs/src/at-most-once.test.ts
@@ -14,7 +14,7 @@
 const seed = 23
 const loopback = '127.0.0.1:0'
 const timeoutMs = 800
-/** Longer than any sent statement can still wait at a database. */
+/** Longer than a statement can wait at a database after it was sent. */
 const settleMs = 1_500
 
 const unlimited: LocalFleetOptions['edit'] = configuration => {
@@ -80,10 +80,10 @@
       ...[...reportedAfter].map(([op, outcome]) => [`late-${op}`, outcome] as const)
     ])
     t.log(countOutcomes(allReported))
-    const lateLog = (await readLog(fleet.databaseAddress('db-2'))).slice(beforeFailover.log.length)
-    t.deepEqual(checkWrites(reportedAfter, lateLog).falselyNotRun, [])
-    t.deepEqual(checkWrites(reportedAfter, lateLog).lostConfirmed, [])
-    t.deepEqual(checkWrites(reportedAfter, lateLog).repeated, [])
+    const logAfterFailover = (await readLog(fleet.databaseAddress('db-2'))).slice(beforeFailover.log.length)
+    t.deepEqual(checkWrites(reportedAfter, logAfterFailover).falselyNotRun, [])
+    t.deepEqual(checkWrites(reportedAfter, logAfterFailover).lostConfirmed, [])
+    t.deepEqual(checkWrites(reportedAfter, logAfterFailover).repeated, [])
     t.true(countOutcomes(reportedBefore).done > 0 && countOutcomes(reportedAfter).done > 0)
   } finally {
     stop.abort()
--- a/packages/proofs/src/caller-contract.test.ts
+++ b/packages/proofs/src/caller-contract.test.ts
@@ -77,9 +77,9 @@
     name: 'transaction on a read route',
     run: async (client, fields) => {
       const transaction = openRawTransaction(client, fields)
-      const begun = outcomeOf(await transaction.begin())
+      const beginOutcome = outcomeOf(await transaction.begin())
       transaction.cancel()
-      return `${begun.kind} ${begun.reason}`
+      return `${beginOutcome.kind} ${beginOutcome.reason}`
     },
     expected: 'notRun invalidRequest'
   },
--- a/packages/proofs/src/configuration.test.ts
+++ b/packages/proofs/src/configuration.test.ts
@@ -15,7 +15,7 @@
 
 const maxPropagationMs = 5_000
 const pollMs = 25
-/** Longer than a VM needs to start serving, so that a VM that serves without permission is seen. */
+/** Longer than a VM needs to start, so that the test detects a VM that serves without contact to the store. */
 const refusalObservationMs = 4_000
 
 /** Returns the active configuration version of a VM; 0 when it has none or does not answer. */
--- a/packages/proofs/src/placement.test.ts
+++ b/packages/proofs/src/placement.test.ts
@@ -51,7 +51,7 @@
   return { reported, completion }
 }
 
-/** Waits until the database has been idle for a while; resolves to the time until it ran its last statement. */
+/** Waits until the database has been idle for `idlePeriodMs`; resolves to the time until its last statement. */
 const msUntilLastStatement = async (fleet: LocalFleet, database: string): Promise<number> => {
   const startMs = monotonicMs()
   let lastCount = -1
@@ -100,7 +100,7 @@
   const load = startLoad(fleet, ['vm-2', 'vm-3'], stop.signal)
   const client = connectRawCaller(fleet.callerAddress('vm-1'))
   const fields = { route: 'read', key: fleet.keyOf('yard-1') }
-  const atVm1 = async () => outcomeOf(await executeRaw(client, fields, 'get quay'))
+  const readOnVm1 = async () => outcomeOf(await executeRaw(client, fields, 'get quay'))
   try {
     for (const round of [1, 2]) {
       const primary = await primaryOf(fleet)
@@ -110,7 +110,7 @@
       await expectEvacuated(t, fleet, primary, `round ${round}, ${dataCentre} out`)
       t.not(await primaryOf(fleet), primary)
       const vm = fleet.vmNames[Number(dataCentre.slice(-1)) - 1]
-      if (vm === 'vm-1') t.deepEqual(await atVm1(), { kind: 'notRun', reason: 'dataCentreOut' })
+      if (vm === 'vm-1') t.deepEqual(await readOnVm1(), { kind: 'notRun', reason: 'dataCentreOut' })
       t.is((await fetch(`http://${fleet.healthAddress(vm)}/readyz`)).status, 503)
       await fleet.applyConfiguration(draft => { draft.dataCentres[dataCentre].state = 'in' })
       await eventually(`${primary} runs statements again`, () => isRunningStatements(fleet, primary))
--- a/packages/proofs/src/session-load.ts
+++ b/packages/proofs/src/session-load.ts
@@ -1,7 +1,7 @@
 /**
  * Runs seeded sessions that send each request to another VM and sometimes damage or omit the session token. All
- * sessions finish their first half before any starts its second, so that every token outlives a fault injected in
- * between.
+ * sessions finish their first half before any starts its second, so that each uses tokens from before a fault that is
+ * injected in between.
  */
 import { createRandom, sleepMs } from '@egretyoke/common'
 import type { Random } from '@egretyoke/common'
@@ -27,7 +27,7 @@
   concurrentSessions: number
   /** Routes from which each read picks one at random. */
   readRoutes: readonly string[]
-  /** Declares every request a new session, so that nothing orders its reads after its writes. */
+  /** Declares every request a new session, so that no token orders a session's reads after its writes. */
   withoutTokens?: boolean
   /** Called once all sessions have finished their first half. */
   onHalfDone?: () => void
--- a/packages/proofs/src/suspension.test.ts
+++ b/packages/proofs/src/suspension.test.ts
@@ -17,7 +17,7 @@
 /** Period without refusals that a test waits for, and the minimum number of requests sent in it. */
 const noRefusalPeriodMs = 4_000
 const minPeriodRequests = 200
-/** Time until a VM that is cut off admits nothing: its contact TTL and the answers then in flight. */
+/** Maximum time for which a VM that is cut off still admits: its contact TTL and the answers then in flight. */
 const maxContactLossMs = 3_000
 const settleMs = 1_500
 
@@ -81,7 +81,10 @@
   await fleet.platform.compareAndSwap({ key: storeKeys.roster, expectedRevision, value }, platformTimeoutMs)
 }
 
-/** Waits for a period without refusals. Two thirds of the rate would not suffice for it, even with a full burst. */
+/**
+ * Waits for a period without refusals. The load needs the shares of all VMs for it: two thirds of the rate and a full
+ * burst admit fewer requests than it sends in the period.
+ */
 const waitUntilNothingRefused = (answers: AnswerRecord[]) => {
   const startMs = monotonicMs()
   return eventually('nothing is refused', () => {
--- a/packages/proofs/src/withdrawn-key.test.ts
+++ b/packages/proofs/src/withdrawn-key.test.ts
@@ -13,7 +13,7 @@
 const maxStopMs = 5_000
 const observationMs = 6_000
 const noProgressPeriodMs = 1_000
-/** Per VM; more than the slots of the database, so that some requests are always queued. */
+/** Number for each VM; more than the slots of the database, so that some requests are always queued. */
 const queuedCallerCount = 4
 /** Time limit for the start of all callers; long, because the machine may be busy. */
 const startTimeoutMs = 60_000
--- a/packages/standins/src/database-log.ts
+++ b/packages/standins/src/database-log.ts
@@ -11,7 +11,7 @@
   statements: Buffer[]
 }
 
-/** Start of a term in the log: the last position of earlier terms that the term's log contains. */
+/** Start of a term in the log; `startPosition` is the position of the last entry before the term. */
 export type TermStart = { term: number, startPosition: number }
 
 /** Maximum number of entries in a member's log; a full log declines writes. */
--- a/packages/standins/src/database-member.ts
+++ b/packages/standins/src/database-member.ts
@@ -10,7 +10,7 @@
 /** Primary from which a replica pulls its log. */
 export type Upstream = { name: string, address: string }
 
-/** A batch of log entries for a replica. `truncateAfter` is the last position to keep first; -1 keeps all entries. */
+/** Log entries for a replica, which first removes its own entries after `truncateAfter`; -1 removes none. */
 export type LogBatch = {
   term: number
   truncateAfter: number
@@ -87,7 +87,7 @@
     return position
   }
 
-  /** Resolves to true once a majority has received the position; false on time-out or when it may no longer write. */
+  /** Resolves to true once a majority has received the position; false on time-out or when the member cannot write. */
   const waitForMajority = (position: number, timeoutMs: number): Promise<boolean> => new Promise(resolve => {
     const timer = setTimeout(() => settle(false), timeoutMs)
     const waiter: MajorityWaiter = { position, settle: confirmed => settle(confirmed) }
@@ -136,7 +136,7 @@
     return accepted
   }
 
-  /** Returns the position after which a replica whose log ends at the given entry has to truncate it. */
+  /** Returns the position after which a replica has to truncate its log, given the log's last entry. */
   const findTruncationPosition = (receivedPosition: number, lastEntryTerm: number): number => {
     const nextStart = lineage.find(start => start.term > lastEntryTerm)
     const sharedEnd = nextStart ? nextStart.startPosition : log.receivedPosition()
@@ -150,7 +150,7 @@
     settleMajorityWaiters()
   }
 
-  /** Appends a batch from the primary. Returns false when the batch is from another term or a fenced one. */
+  /** Appends a batch from the primary. Returns false on a primary, and when the batch's term is another or fenced. */
   const appendBatch = (batch: LogBatch): boolean => {
     if (isPrimary || batch.term !== term || batch.term < fencedTerm) return false
     if (batch.truncateAfter >= 0) log.truncateAfter(batch.truncateAfter)
--- a/packages/standins/src/programs.ts
+++ b/packages/standins/src/programs.ts
@@ -19,7 +19,7 @@
 /** Settings of the platform's stand-in. */
 export type PlatformSettings = z.infer<typeof platformSettingsSchema>
 
-/** `standin-platform`. */
+/** Definition of the program `standin-platform`. */
 export const platformProgram: ServerProgram<PlatformSettings> = {
   name: 'standin-platform',
   description: 'Stand-in of the platform: key-value service and list of VMs. For tests and experiments only.',
@@ -52,7 +52,7 @@
 /** Settings of a database's stand-in. */
 export type DatabaseSettings = z.infer<typeof databaseSettingsSchema>
 
-/** `standin-database`. */
+/** Definition of the program `standin-database`. */
 export const databaseProgram: ServerProgram<DatabaseSettings> = {
   name: 'standin-database',
   description: 'Stand-in of one member of a database group. For tests and experiments only.',
@@ -73,7 +73,7 @@
 /** Settings of a relay. */
 export type LinkSettings = z.infer<typeof linkSettingsSchema>
 
-/** `standin-link`. */
+/** Definition of the program `standin-link`. */
 export const linkProgram: ServerProgram<LinkSettings> = {
   name: 'standin-link',
   description: 'TCP relay that can cut, delay or freeze connections. For tests and experiments only.',
--- a/packages/testbed/src/fleet-description.ts
+++ b/packages/testbed/src/fleet-description.ts
@@ -27,7 +27,7 @@
   databases?: boolean
   /** Delay of each relay in each direction. */
   delayMs?: number
-  /** Puts relays on all these connections that only count bytes; they support neither delays nor faults. */
+  /** Puts a relay that only counts bytes on every such connection; it supports neither delays nor faults. */
   countBytes?: boolean
 }
 
--- a/packages/testbed/src/program-process.ts
+++ b/packages/testbed/src/program-process.ts
@@ -16,7 +16,7 @@
 
 const announceTimeoutMs = 30_000
 
-/** Path of each program, and its settings for listening addresses with the names under which they are announced. */
+/** Path of each program; `listeners` maps its settings for listening addresses to their names in the announcement. */
 const programs = {
   platform: { path: 'standins/bin/standin-platform.js', listeners: { listen: 'platform' } },
   database: { path: 'standins/bin/standin-database.js', listeners: { listen: 'database' } },
--- a/packages/testbed/src/start-fleet.ts
+++ b/packages/testbed/src/start-fleet.ts
@@ -72,7 +72,7 @@
     return started
   }
 
-  /** Starts a relay to the target if enabled; returns the address of the relay, or else of the target. */
+  /** Starts a relay to the target if enabled or if bytes are counted; returns its address, or else the target's. */
   const startLinkIfEnabled = async (isEnabled: boolean | undefined, name: string, target: string): Promise<string> => {
     if (links.countBytes) {
       const relay = await startCountingRelay(target)
--- a/scripts/bundle-platform.mjs
+++ b/scripts/bundle-platform.mjs
@@ -22,7 +22,7 @@
   minify: true,
   keepNames: true,
   logOverride: { 'import-is-undefined': 'silent' },
-  // The CommonJS builds of these packages load their modules in a way that cannot be bundled.
+  // The UMD builds of these packages call a `require` parameter, which esbuild cannot resolve; it can bundle ESM.
   alias: { 'jsonc-parser': 'jsonc-parser/lib/esm/main.js', 'ts-results': 'ts-results/esm/index.js' },
   define: { 'import.meta.url': 'bundleUrl' },
   banner: { js: "const bundleUrl = require('node:url').pathToFileURL(__filename).href" }
--- a/soak/src/soak-callers.ts
+++ b/soak/src/soak-callers.ts
@@ -92,13 +92,13 @@
   const recordWrite = (requestIds: string[], outcome: CallerOutcome) => {
     count(outcome)
     if (requestIds.length === 0) return
-    record.writes.push({ requestIds, outcome, answeredMs: performance.now() })
+    record.writes.push({ requestIds, outcome, receivedMs: performance.now() })
     if (outcome === 'done') lastOwnWrite = requestIds
   }
 
-  /** Without a COMMIT no write of the transaction may take effect, whatever the outcome of the last statement. */
+  /** Records that no write of a transaction without COMMIT may take effect, whatever its last statement's outcome. */
   const recordUncommitted = (requestIds: string[], outcome: CallerOutcome) => {
-    record.writes.push({ requestIds, outcome: 'nothingKept', answeredMs: performance.now() })
+    record.writes.push({ requestIds, outcome: 'nothingKept', receivedMs: performance.now() })
     count(outcome)
   }
 
--- a/soak/src/soak-databases.ts
+++ b/soak/src/soak-databases.ts
@@ -84,7 +84,7 @@
 
   const leader = () => databases.filter(({ role }) => role === 'primary').sort((a, b) => b.term - a.term)[0]
 
-  /** Copies the leader's log up to a length to a replica, which drops entries that the leader lacks. */
+  /** Replaces a replica's log by the leader's first `upTo` entries, which drops entries that the leader lacks. */
   const replicateTo = (replica: SoakDatabase, from: SoakDatabase, upTo: number) => {
     if (replica === from || replica.state === 'dead' || replica.role === 'primary' || from !== leader()) return
     if (replica.term === from.term && replica.log.length >= upTo) return
--- a/soak/src/soak-record.ts
+++ b/soak/src/soak-record.ts
@@ -11,7 +11,7 @@
   /** Request ids of the writes; unique within a run. */
   requestIds: string[]
   outcome: CallerOutcome
-  answeredMs: number
+  receivedMs: number
 }
 
 /** A statement that a database ran. */
@@ -87,7 +87,7 @@
 
 /** Request ids of the last write of any caller that was confirmed no later than the given time. */
 export const lastConfirmedWrite = ({ writes }: SoakRecord, beforeMs: number): readonly string[] =>
-  writes.findLast(({ outcome, answeredMs }) => outcome === 'done' && answeredMs <= beforeMs)?.requestIds ?? []
+  writes.findLast(({ outcome, receivedMs }) => outcome === 'done' && receivedMs <= beforeMs)?.requestIds ?? []
 
 const checkReads = ({ executed, report }: SoakRecord, { dropped }: FinalLogs) => {
   for (const { requestId, missing, database } of executed) {
--- a/soak/src/soak.test.ts
+++ b/soak/src/soak.test.ts
@@ -17,7 +17,7 @@
   const record = createSoakRecord()
   const sent = { text: 'WRITE a x', workspace: 'yard-a', sentMs: 0, values: '', transaction: '', mustSee: [] }
   record.sent.set('c1-1', sent)
-  record.writes.push({ requestIds: ['c1-1'], outcome: 'done', answeredMs: 10 })
+  record.writes.push({ requestIds: ['c1-1'], outcome: 'done', receivedMs: 10 })
   return record
 }
 
@@ -27,9 +27,9 @@
   const lost = recordOfWrite()
   checkSoakRecord(lost, { kept: [], dropped: noDroppedWrites }, 5000)
   t.is(lost.breaches[0]?.promise, 'lost')
-  const twice = recordOfWrite()
-  checkSoakRecord(twice, { kept: ['c1-1', 'c1-1'], dropped: noDroppedWrites }, 5000)
-  t.is(twice.breaches[0]?.promise, 'twice')
+  const repeated = recordOfWrite()
+  checkSoakRecord(repeated, { kept: ['c1-1', 'c1-1'], dropped: noDroppedWrites }, 5000)
+  t.is(repeated.breaches[0]?.promise, 'twice')
   const dropped = recordOfWrite()
   checkSoakRecord(dropped, { kept: [], dropped: new Set(['c1-1']) }, 5000)
   t.deepEqual(dropped.breaches, [])
--- a/soak/src/soak.ts
+++ b/soak/src/soak.ts
@@ -90,7 +90,7 @@
   const { operators, gateways } = environment
   const callers = startCallers(environment, options, record)
   const faultLog = createFaultLog(folder, log)
-  // Faults have their own random source, so that a seed gives the same sequence whatever the timing of the processes.
+  // Faults have their own random source, so that a seed gives the same faults whatever the timing of the processes.
   await injectFaults({
     ...environment,
     changeConfiguration: operators.changeConfiguration,
