packages: comments a newcomer had to read twice

Four local names: avoidanceMs -> refusalCoolDownMs, whole -> valid, and view, views -> entryStatus, statusesByName in a test.

--- a/packages/client/src/caller.test.ts
+++ b/packages/client/src/caller.test.ts
@@ -1,5 +1,5 @@
 /**
- * The caller library against entries that return given answers, answer out of order, break calls off, or don't answer.
+ * The caller library against entries that return given answers, answer out of order, end calls early, or don't answer.
  */
 import { createServer } from 'node:net'
 import { crc32 } from 'node:zlib'
--- a/packages/client/src/caller.ts
+++ b/packages/client/src/caller.ts
@@ -37,7 +37,7 @@
     run: (transaction: Transaction) => Promise<T>,
     options?: RequestOptions
   ) => Promise<TransactionResult<T>>
-  /** State from which `session` of this or another caller resumes the session. */
+  /** Returns the session's state, from which this or another caller can resume it with `session`. */
   state: () => SessionState
 }
 
--- a/packages/client/src/request.ts
+++ b/packages/client/src/request.ts
@@ -61,7 +61,7 @@
   return metadata
 }
 
-/** Outcome of a call that ended with an error. It is unknown, because the VM may have run the request before. */
+/** Outcome of a call that ended with an error. It is unknown, because the VM may have run the request. */
 export const callErrorOutcome = (error: Partial<ServiceError>): Outcome => {
   if (error.code === status.DEADLINE_EXCEEDED) return outcomeUnknown('timeout')
   return outcomeUnknown(error.code === status.UNAVAILABLE ? 'connectionLost' : 'callFailed')
--- a/packages/client/src/session-state.ts
+++ b/packages/client/src/session-state.ts
@@ -8,13 +8,13 @@
 export type SessionState = {
   /** Token of the answers so far; undefined when there is none. */
   token: Buffer | undefined
-  /** True until the first answer with a token: the session needs no token because it has written nothing. */
+  /** True until the first answer with a token: the session has no confirmed write yet, so it needs no token. */
   isNew: boolean
   /** True when the outcome of a write is unknown. */
   isUnsettled: boolean
 }
 
-/** Session state with which a request is sent; `record` takes it with the request's outcome. */
+/** Session state at the time a request is sent; passed to `record` together with the request's outcome. */
 export type SentState = SessionState & { unknownWrites: number }
 
 /** Tracks the state of a session over its requests. */
--- a/packages/client/src/session-token.test.ts
+++ b/packages/client/src/session-token.test.ts
@@ -67,9 +67,9 @@
 })
 
 test('arbitrary bytes are not merged and cause no error', t => {
-  const whole = encode({ complete: true, groups: {} })
+  const valid = encode({ complete: true, groups: {} })
   fc.assert(fc.property(fc.uint8Array({ maxLength: 200 }), bytes =>
-    mergeTokens(Buffer.from(bytes), whole) === undefined && mergeTokens(whole, Buffer.from(bytes)) === undefined
+    mergeTokens(Buffer.from(bytes), valid) === undefined && mergeTokens(valid, Buffer.from(bytes)) === undefined
   ), { seed, numRuns: 2000 })
   t.pass()
 })
--- a/packages/client/src/session-token.ts
+++ b/packages/client/src/session-token.ts
@@ -7,7 +7,7 @@
 const isLater = (position: TokenPosition, other: TokenPosition): boolean =>
   position.term > other.term || (position.term === other.term && position.position > other.position)
 
-/** The later position; undefined when one token lacks the group and is incomplete, so that it may lack a write. */
+/** The later position. Undefined when one token lacks the group and is incomplete, so it may lack a later write. */
 const mergePositions = (group: string, left: SessionToken, right: SessionToken): TokenPosition | undefined => {
   const [leftPosition, rightPosition] = [left.groups[group], right.groups[group]]
   if (leftPosition && rightPosition) return isLater(leftPosition, rightPosition) ? leftPosition : rightPosition
--- a/packages/client/src/statements.ts
+++ b/packages/client/src/statements.ts
@@ -71,7 +71,7 @@
 type Rows = AsyncGenerator<Buffer, Outcome>
 type StartedStream = { rows: Rows | undefined, firstResult: IteratorResult<Buffer, Outcome> | undefined }
 
-/** Outcome of an attempt whose first rows have arrived; it ends the retries. */
+/** Placeholder outcome of an attempt whose first rows have arrived, so that it is not retried. */
 const firstRowsArrived: Outcome = { kind: 'done', result: Buffer.alloc(0), endpoint: '', fromReplica: false }
 
 const doneOrThrow = (outcome: Outcome): Done => {
--- a/packages/client/src/transactions.ts
+++ b/packages/client/src/transactions.ts
@@ -98,7 +98,7 @@
 
 type OpenedCall = { stepSender: StepSender, sentState: SentState }
 
-/** Begins a transaction on a VM that accepts it. Without one, the outcome holds the reason. */
+/** Begins a transaction on a VM that accepts it. If none does, `opened` is undefined and the outcome has the reason. */
 const begin = async (vmSelector: VmSelector, tracker: SessionTracker, request: Request) => {
   const attempted: { opened: OpenedCall | undefined } = { opened: undefined }
   const beginOn = async ({ vm, timeoutMs }: AttemptTarget): Promise<Outcome> => {
--- a/packages/client/src/vm-selector.ts
+++ b/packages/client/src/vm-selector.ts
@@ -7,7 +7,7 @@
 import type { ChannelSettings, CallerMessages } from '@egretyoke/protocol'
 
 /** Time for which a VM is skipped after it has refused a request. */
-const avoidanceMs = 1000
+const refusalCoolDownMs = 1000
 
 /** A VM with its gRPC client. */
 export type CallerVm = {
@@ -61,7 +61,7 @@
   return {
     select,
     avoid: vm => {
-      vm.avoidedUntilMs = monotonicMs() + avoidanceMs
+      vm.avoidedUntilMs = monotonicMs() + refusalCoolDownMs
     },
     vmCount: vms.length,
     close: () => vms.forEach(vm => vm.client.close())
--- a/packages/config/src/document-checks.ts
+++ b/packages/config/src/document-checks.ts
@@ -18,7 +18,7 @@
 
 const problem = (document: DocumentName, path: DocumentPath, message: string): Problem => ({ document, path, message })
 
-/** Creates a function that registers a value with its holder and returns the first holder of a repeated value. */
+/** Creates a function that returns the earlier holder of a value, or registers the holder if there is none. */
 const createDuplicateDetector = () => {
   const seen = new Map<string, string>()
   return (value: string, holder: string): string | undefined => {
--- a/packages/config/src/documents.ts
+++ b/packages/config/src/documents.ts
@@ -60,7 +60,7 @@
   ratePerSec: z.number().positive().max(10_000_000),
   /** Maximum burst after an idle period, in statements, for all VMs together. */
   burst: z.number().int().min(1).max(10_000_000),
-  /** Share of the endpoints' time, relative to the other workspaces. */
+  /** Share of the endpoints' time, relative to the weights of the other workspaces. */
   weight: z.number().positive().max(1_000).default(1),
   /** Stored keys by key id. */
   keys: boundedRecord(storedKeySchema).prefault({}),
--- a/packages/config/src/fleet-description.ts
+++ b/packages/config/src/fleet-description.ts
@@ -1,6 +1,6 @@
 /**
  * Description of a whole deployment for the demo and the testbed: VMs, their data centres, and network latencies.
- * The product does not read it: a process reads its own addresses and data centre from its settings.
+ * The server programs do not read it: each process reads its own addresses and data centre from its settings.
  */
 import { z } from 'zod'
 
--- a/packages/config/src/stored-records.ts
+++ b/packages/config/src/stored-records.ts
@@ -39,7 +39,7 @@
   version,
   /** Hash of each document's text. */
   documents: z.record(z.enum(documentNames as [string, ...string[]]), hash),
-  /** Chosen by the author of the change, who can find its outcome in the head when the reply was lost. */
+  /** Id chosen by the sender of the change, who can look up the outcome in the head by it when the reply was lost. */
   changeId,
   /** The newest accepted changes, oldest first, including this one, so that a later change does not hide them. */
   recentChanges: z.array(z.strictObject({ changeId, version })).max(maxRecentChanges).default([]),
@@ -47,7 +47,7 @@
   superseded: z.array(z.strictObject({ hash, version })).max(maxSupersededDocuments).default([])
 })
 
-/** Start of a term. `startPosition` is the last log position of earlier terms that the term keeps. */
+/** Start of a term. `startPosition` is the position of the last entry of earlier terms that stays in the log. */
 export const termStartSchema = z.strictObject({ term: version, startPosition: version })
 
 /** Primary of a group in a term. In phase `fencing`, no write of the earlier term may be confirmed. */
--- a/packages/ctl/src/request-timeline.ts
+++ b/packages/ctl/src/request-timeline.ts
@@ -12,7 +12,7 @@
 /** Timeline of a request: its own lines, related lines, and the reason of its last line as a sentence (`cause`). */
 export type RequestTimeline = { own: LogLine[], around: LogLine[], leftOut: number, cause: string }
 
-/** Time before the first line of the request in which a state change may have affected it. */
+/** Time before the first line of the request in which state changes count as related to it. */
 const contextBeforeMs = 4000
 const contextAfterMs = 500
 /** Maximum number of related lines that are shown for one event of one VM. */
--- a/packages/ctl/src/test-platform.ts
+++ b/packages/ctl/src/test-platform.ts
@@ -9,7 +9,7 @@
 
 const controlTimeoutMs = 5000
 
-/** A stand-in platform, its client and its control. */
+/** A stand-in platform with its client and its control functions. */
 export type TestPlatform = {
   address: string
   platform: Platform
--- a/packages/ctl/src/text-diff.ts
+++ b/packages/ctl/src/text-diff.ts
@@ -5,7 +5,7 @@
 /** A line that is in only one of the texts, with its line number in that text, from 1. */
 export type LineChange = { side: 'old' | 'new', line: number, text: string }
 
-/** Maximum number of lines that are compared one by one, without the equal lines at both ends. */
+/** Maximum number of lines that are compared one by one, not counting equal lines at both ends. */
 export const maxComparedLines = 2000
 
 const markAll = (side: LineChange['side'], lines: string[], firstLine: number): LineChange[] =>
--- a/packages/ctl/src/vm-versions.ts
+++ b/packages/ctl/src/vm-versions.ts
@@ -53,13 +53,13 @@
   return states
 }
 
-/** True when the VM has the version, or a later one, in force, and for a leaving VM that does not answer. */
+/** True when the VM has the version or a later one in force, or when it is leaving and does not answer. */
 export const hasVersion = (vm: VmState, version: number): boolean => {
   if (!vm.state) return vm.leaving
   return !vm.state.starting && vm.state.configVersion >= version
 }
 
-/** VMs after the wait; `missing` have not reported the version, `listed` is false when the list could not be read. */
+/** Result of a wait. `missing`: VMs without the version; `listed` is false when the VM list could not be read. */
 export type VersionWaitResult = { listed: boolean, vms: VmState[], missing: VmState[] }
 
 /** Polls until every live VM has the version in force, or `waitMs` have passed. */
--- a/packages/fleet/src/config-store-apply.ts
+++ b/packages/fleet/src/config-store-apply.ts
@@ -33,7 +33,7 @@
 export type ApplyOutcome =
   /** Active since `version`. `changed` is false when the active documents already had these texts. */
   | { kind: 'accepted', version: number, changed: boolean }
-  /** Rejected for good: another change came first. `differing` are the documents whose text differs from the head's. */
+  /** Not accepted: another change was accepted first. `differing`: documents whose text differs from the head's. */
   | { kind: 'conflict', head: ConfigHead, differing: DocumentName[] }
   /** May have been accepted: the platform does not reply. `settleChange` finds the outcome. */
   | { kind: 'unsettled', changeId: string, message: string }
--- a/packages/fleet/src/endpoint-connection.ts
+++ b/packages/fleet/src/endpoint-connection.ts
@@ -47,7 +47,7 @@
 export type EndpointRows = { rows: Buffer, term: number, position: number }
 
 /**
- * `notSent`: the request did not reach the endpoint; `refused` in the metadata: the endpoint refused the connection.
+ * `notSent`: the request did not reach the endpoint. The metadata has `refused` if the endpoint refused the connection.
  * `lost` and `timeout`: the request may have run.
  */
 export type ConnectionError = TypedError<'notSent' | 'lost' | 'timeout'>
--- a/packages/steward/src/coordination/entry-peers.ts
+++ b/packages/steward/src/coordination/entry-peers.ts
@@ -20,7 +20,7 @@
   /** True until the entry has loaded the followed records after its start. */
   starting: boolean
   sightings: Sighting[]
-  /** Names of roster members that have not replied to the entry for longer than the contact time. */
+  /** Names of roster members that have not replied to the entry for longer than the contact TTL. */
   silentPeers: string[]
 }
 
--- a/packages/steward/src/coordination/group-monitor.ts
+++ b/packages/steward/src/coordination/group-monitor.ts
@@ -16,7 +16,7 @@
 import { maxSuccessorLagEntries, readMemberStates, readySuccessors } from './successor.js'
 import type { MemberStates } from './successor.js'
 
-/** Delay before a planned handover is tried again when the outgoing primary was promoted once more. */
+/** Minimum delay between planned handovers, because a handover may promote the outgoing primary again. */
 const handoverRetryDelayMs = 1_000
 
 /** Dependencies of the monitor of a group. */
--- a/packages/steward/src/coordination/install-primary.ts
+++ b/packages/steward/src/coordination/install-primary.ts
@@ -11,7 +11,7 @@
 const maxPromoteAttempts = 4
 const retryDelayMs = 50
 
-/** Start of a term: `startPosition` is the last log position of earlier terms that the new term retains. */
+/** Start of a term. `startPosition` is the position of the last entry of earlier terms that stays in the log. */
 export type NewTermStart = { term: number, startPosition: number }
 
 /**
--- a/packages/steward/src/coordination/promotion-calls.ts
+++ b/packages/steward/src/coordination/promotion-calls.ts
@@ -28,7 +28,7 @@
   readGroup: () => Promise<Result<StoredGroup, PlatformError>>
   swapGroup: (expectedRevision: number, record: GroupRecord) => Promise<Result<GroupSwapResult, PlatformError>>
   readRoster: () => Promise<Result<Roster | undefined, PlatformError>>
-  /** True if the roster has been unchanged for longer than an entry stays in contact without any reply. */
+  /** True if the roster has been unchanged for at least `contactExpiryMs`: entries that left it are out of contact. */
   isRosterStable: (roster: Roster) => boolean
   entries: EntryPeers
   /** Resolves to true after the delay, or to false as soon as the signal aborts. */
--- a/packages/steward/src/coordination/promotion.ts
+++ b/packages/steward/src/coordination/promotion.ts
@@ -123,7 +123,7 @@
     if (read.val.revision === fencing.revision) return activate(task, fencing, installed)
     stored = read.val
   }
-  // Only the owner of a term stores its active record, so an active record of this term is this steward's own.
+  // Only the owner of a term stores its active record, so this steward has stored any active record of this term.
   if (stored?.value?.term !== term || stored.value.phase !== 'active') {
     return failure('superseded', 'another steward changed the group record before the term became active')
   }
--- a/packages/steward/src/coordination/roster-suspension.test.ts
+++ b/packages/steward/src/coordination/roster-suspension.test.ts
@@ -9,10 +9,10 @@
 
 const member = (name: string, suspended = false): RosterMember =>
   ({ name, address: `${name}:1`, dataCentre: 'north', suspended })
-const view = (...silentPeers: string[]): EntryStatus =>
+const entryStatus = (...silentPeers: string[]): EntryStatus =>
   ({ knownRevision: 1, starting: false, sightings: [], silentPeers })
-const views = (entries: Record<string, string[]>) =>
-  new Map(Object.entries(entries).map(([name, silent]) => [name, view(...silent)]))
+const statusesByName = (entries: Record<string, string[]>) =>
+  new Map(Object.entries(entries).map(([name, silent]) => [name, entryStatus(...silent)]))
 const always = () => true
 
 /** Creates a store with one roster and entries that can be set to not reply. Each check advances the test clock. */
@@ -33,7 +33,7 @@
         return Ok({ swapped: true, current: undefined, storeRevision: state.roster.revision })
       }
     },
-    entries: { observe: async ({ name }) => unresponsive.has(name) ? undefined : view(...unresponsive) },
+    entries: { observe: async ({ name }) => unresponsive.has(name) ? undefined : entryStatus(...unresponsive) },
     roster: () => state.roster,
     updateCopy: () => {},
     holdsLease: () => {
@@ -85,25 +85,25 @@
 
 test('a VM that most of the replying entries can reach is not suspended', t => {
   const members = ['a', 'b', 'c', 'd', 'e'].map(name => member(name))
-  t.deepEqual(nextSuspended(members, views({ a: ['e'], b: [], c: [], d: ['e'] }), always), [])
-  t.deepEqual(nextSuspended(members, views({ a: ['e'], b: ['e'], c: [], d: ['e'] }), always), ['e'])
+  t.deepEqual(nextSuspended(members, statusesByName({ a: ['e'], b: [], c: [], d: ['e'] }), always), [])
+  t.deepEqual(nextSuspended(members, statusesByName({ a: ['e'], b: ['e'], c: [], d: ['e'] }), always), ['e'])
 })
 
 test('a VM that replies to the steward is not suspended, whatever the other entries report', t => {
   const members = ['a', 'b', 'c'].map(name => member(name))
-  t.deepEqual(nextSuspended(members, views({ a: ['c'], b: ['c'], c: [] }), always), [])
+  t.deepEqual(nextSuspended(members, statusesByName({ a: ['c'], b: ['c'], c: [] }), always), [])
 })
 
 test('without replies from a majority, no VM is suspended and existing suspensions stay', t => {
   const members = [member('a'), member('b'), member('c', true)]
-  t.deepEqual(nextSuspended(members, views({ a: ['b', 'c'] }), always), ['c'])
+  t.deepEqual(nextSuspended(members, statusesByName({ a: ['b', 'c'] }), always), ['c'])
 })
 
 test('at most a minority is suspended', t => {
   const members = [member('a'), member('b'), member('c', true), member('d'), member('e')]
-  const minority = nextSuspended(members, views({ a: ['c', 'd'], b: ['c', 'd'], e: ['c', 'd'] }), always)
+  const minority = nextSuspended(members, statusesByName({ a: ['c', 'd'], b: ['c', 'd'], e: ['c', 'd'] }), always)
   t.deepEqual(minority, ['c', 'd'])
-  t.deepEqual(nextSuspended(['a', 'b'].map(name => member(name)), views({ a: ['b'] }), always), [])
+  t.deepEqual(nextSuspended(['a', 'b'].map(name => member(name)), statusesByName({ a: ['b'] }), always), [])
 })
 
 test('a roster change preserves the suspensions', t => {
--- a/packages/steward/src/coordination/roster-suspension.ts
+++ b/packages/steward/src/coordination/roster-suspension.ts
@@ -3,8 +3,8 @@
  * platform stops listing the VM. A suspended VM still counts for majorities, so several can be suspended at once.
  *
  * A VM is suspended when neither this steward nor most of the replying entries get replies from it, and only while a
- * majority of the roster replies. So a steward that is cut off suspends nobody, and at most a minority is suspended.
- * A wrong suspension costs the VM its share for a while; the fleet-wide limit still holds.
+ * majority of the roster replies. So a steward that is cut off suspends no VM, and at most a minority is suspended.
+ * A VM that is suspended wrongly has no share until it is restored; the fleet-wide limit still holds.
  */
 import { monotonicMs, ticks } from '@egretyoke/common'
 import type { Clock, Logger } from '@egretyoke/common'
--- a/packages/steward/src/coordination/steward-leases.ts
+++ b/packages/steward/src/coordination/steward-leases.ts
@@ -14,7 +14,7 @@
 /** Added delay before an attempt to acquire a lease, for each rank in the group's order of preference. */
 const delayPerRankMs = 250
 const maxRankDelayMs = 2_500
-/** Delay while the roster is not known, because the order of preference depends on it. */
+/** Delay before an attempt to acquire a group's lease while the roster, and so the order of preference, is unknown. */
 const unknownRosterDelayMs = 1_000
 /** Number of renewals within the TTL of a lease. */
 const renewalsPerTtl = 3
@@ -79,7 +79,7 @@
     await renewing
   }
 
-  // A steward that holds no group or roster does not renew, which saves calls to the platform.
+  // Renews only while the steward is active for a group or the roster, which saves calls to the platform.
   const renewContinuously = async () => {
     for await (const _ of ticks(Math.floor(ttlMs / renewalsPerTtl), stopping.signal)) {
       if (held.size > 0) await renewOnce()
--- a/packages/steward/src/decisions.test.ts
+++ b/packages/steward/src/decisions.test.ts
@@ -29,7 +29,7 @@
 const detectionCases: Array<{
   title: string
   suspicion?: SuspicionCause
-  /** Sightings of each entry; undefined for an entry that does not reply. */
+  /** Endpoint states reported by each entry; undefined for an entry that does not reply. */
   entries: Array<Sighting[] | undefined>
   isGone: boolean
 }> = [
--- a/packages/steward/src/model-fleet.ts
+++ b/packages/steward/src/model-fleet.ts
@@ -291,7 +291,7 @@
       `the primary of term ${stored.value.term} was deposed`)
   }
 
-  /** Key of the current state. Equal keys continue alike, because stewards do not depend on the order of replies. */
+  /** Key of the current state. States with equal keys behave alike, because stewards ignore the order of replies. */
   const stateKey = (): string => JSON.stringify([
     [...members.values()], entries.map(({ refreshedAtStep: _, ...entry }) => entry), stored, writes, faults,
     history.map(replies => [...replies].sort()),
--- a/packages/steward/src/model.test.ts
+++ b/packages/steward/src/model.test.ts
@@ -3,7 +3,7 @@
 import type { ExplorationBounds } from './model-explorer.js'
 import type { Defect, Scenario } from './model-fleet.js'
 
-// Without stack traces: capturing one on each abort of a signal would take a third of the exploration's time.
+// Capturing a stack trace on each abort of a signal would take a third of the exploration's time.
 Error.stackTraceLimit = 0
 
 /** Both stewards are cut off from the old primary; the entries and the other members can reach it. */
--- a/packages/steward/src/settings.ts
+++ b/packages/steward/src/settings.ts
@@ -17,9 +17,9 @@
   /** Peer address of the entry on the same VM. If absent, all changes are read from the platform. */
   entryAddress: address.optional(),
   channels: channelSettingsSchema.default(loopbackChannels),
-  /** Contact time of the entries; must have the same value in the whole fleet. */
+  /** Time without any reply after which an entry is out of contact; must be the same in the whole fleet. */
   contactTtlMs: intervalMs.default(2_000),
-  /** Margin for clock differences, added to waits until the contact of entries has expired. */
+  /** Margin for clock differences, added to `contactTtlMs` when the steward waits for entries to be out of contact. */
   clockMarginMs: intervalMs.default(300),
   leaseTtlMs: intervalMs.default(3_000),
   probeIntervalMs: intervalMs.default(250),
--- a/packages/steward/src/test-fleet.ts
+++ b/packages/steward/src/test-fleet.ts
@@ -25,7 +25,7 @@
 const memberNames = ['a', 'b', 'c']
 const dataCentres = ['north', 'middle', 'south']
 
-/** Contact time of the entries in tests, in milliseconds. */
+/** Contact TTL of the entries in tests, in milliseconds. */
 export const contactTtlMs = 600
 
 /** Polls until the condition holds; throws an error with its name after `timeoutMs`. */
@@ -81,7 +81,7 @@
     let first = { name: '', address: '' }
     for (const shortName of memberNames) {
       const name = `${group}-${shortName}`
-      // The first member is the primary and follows nobody, so it does not need the address of its own link.
+      // The first member is the primary and follows no other, so it does not need the address of its own link.
       const database = await startMember(group, name, first.name ? first : { name, address: loopback })
       const link = await startLink({ listen: loopback, control: loopback, target: database.address, delayMs: 0 })
       if (!first.name) first = { name, address: link.address }
