--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -58,7 +58,7 @@
   store: SharedStore
   connect: ConnectDatabase
   promote: PromoteDatabase
-  readFact: DecodePlatformEntry
+  decodeEntry: DecodePlatformEntry
 }
 
 /** A running gateway. */
@@ -123,7 +123,7 @@
 
   const clock = createAgeClock()
   const contact = createContact(clock)
-  const fleetState = createFleetState(platform.readFact, log)
+  const fleetState = createFleetState(platform.decodeEntry, log)
   const history = createStoreHistory()
   const membership = createMembership(self, store, clock, log)
   const links = createRelayLinks(settings.channels, log)
--- a/packages/gateway/src/testing/memory-fleet.ts
+++ b/packages/gateway/src/testing/memory-fleet.ts
@@ -123,7 +123,7 @@
       channels: { allowPlainText: false },
       keyWithdrawalMs: 5000,
       graceMs: 2000
-    }, { store: client, connect: group.connect, promote: group.promote, readFact: decodePlatformEntry }, log)
+    }, { store: client, connect: group.connect, promote: group.promote, decodeEntry: decodePlatformEntry }, log)
     const started = { name, gateway, setStoreMode: client.setMode, watchCalls: client.watchCalls }
     gateways.push(started)
     return started
