--- a/packages/gateway/src/testing/memory-group.ts
+++ b/packages/gateway/src/testing/memory-group.ts
@@ -47,7 +47,7 @@
   executed: ExecutedStatement[]
   /** Fencing tokens of the requested promotions, in order. */
   fencingTokens: number[]
-  /** Copies the primary's log to the replicas; done after each write unless `holdsBack` is set. */
+  /** Copies the primary's log to the replicas; done after each write unless `isReplicationPaused` is set. */
   replicate: () => void
   isReplicationPaused: boolean
 }
