Gateway: a connection belongs to one transaction, not to its session

Cause: open transactions were kept by session, and `pin` replaced an entry without a look. A first statement can run at the holder after its sender has given it up, because the holder counted neither the wait for the store nor the one for a connection, and gave the statement its whole timeout again after them. Its connection then took the place of the one of the session's next transaction.

New test "a first statement that runs late has no effect on the next transaction of its session" failed before the fix: the second write of the next transaction ran on the connection of the aborted one.

Only a registered transaction without a connection can be given one, so a late statement ends in a rollback. A sender that gives a transaction up abandons it at the holder; the statement is then not sent, or rolled back. Each wait at the holder ends by one deadline.

Ruled out: two holders of one database pinning for one session (an answer that was lost is never retried).

--- a/packages/gateway/src/coordination/connections/database-holder.ts
+++ b/packages/gateway/src/coordination/connections/database-holder.ts
@@ -1,6 +1,6 @@
 /**
  * Runs statements at one database: a fair queue for new work, as many concurrent statements as the database has slots,
- * a connection pool by workspace, and transactions that are pinned to their connection.
+ * a connection pool by workspace, and transactions that keep their connection.
  */
 import { sleepMs } from '@egretyoke/common'
 import type { Logger } from '@egretyoke/common'
@@ -15,10 +15,10 @@
 import type { ConnectDatabase } from './database-connection.js'
 import type { GroupPositions } from '../primaries/group-positions.js'
 import type { GroupRecords } from '../primaries/group-records.js'
-import { createPinnedTransactions } from './pinned-transactions.js'
+import { createOpenTransactions } from './open-transactions.js'
 import { createQueueAdmission } from './queue-admission.js'
 import { runOnConnection } from './run-on-connection.js'
-import { notRun, unknownOutcome } from '../sessions/statement.js'
+import { notRun, opensTransaction, unknownOutcome } from '../sessions/statement.js'
 import type { StatementOutcome, StatementReason, StatementRequest } from '../sessions/statement.js'
 
 const maxQueued = 512
@@ -40,7 +40,8 @@
 /** Runs statements at one database. */
 export type DatabaseHolder = {
   run: (request: StatementRequest) => Promise<StatementOutcome>
-  abandon: (session: string) => void
+  /** Ends a transaction that its session no longer needs. */
+  abandon: (transactionId: string) => void
   /** Starts no new work for `forMs`; queued statements stay queued. */
   pause: (forMs: number) => void
   /** Resolves with true once nothing runs and no transaction is open, or with false after `timeoutMs`. */
@@ -83,6 +84,8 @@
   /** Log position that the database must have reached. */
   position: string
   arrivedAtMs: number
+  /** No part of the statement may begin after this time, because its sender may have given it up. */
+  deadlineMs: number
   complete: (outcome: StatementOutcome) => void
 }
 
@@ -103,7 +106,9 @@
     maxConnections: () => Math.max(1, options.maxConnections() - spareConnections),
     nowMs
   })
-  const pinned = createPinnedTransactions({ pool, idleMs: options.transactionIdleMs, nowMs, database: id, log })
+  const transactions = createOpenTransactions({
+    pool, idleMs: options.transactionIdleMs, nowMs, database: id, onRolledBack: () => dispatch(), log
+  })
 
   const dropQueued = (statement: QueuedStatement, reason: DropReason) => {
     const queuedMs = Math.round(nowMs() - statement.arrivedAtMs)
@@ -125,20 +130,25 @@
   }
 
   /** Acquires a connection; waits for capacity while the database refuses connections as too many. */
-  const acquireConnection = async (request: StatementRequest, remainingMs: number) => {
-    const deadlineMs = nowMs() + Math.min(remainingMs, request.maxQueuedMs)
+  const acquireConnection = async ({ request, deadlineMs }: QueuedStatement) => {
+    const waitUntilMs = Math.min(deadlineMs, nowMs() + request.maxQueuedMs)
     for (;;) {
-      const acquired = await pool.acquire(request.workspace, Math.min(connectTimeoutMs, remainingMs))
+      const acquired = await pool.acquire(request.workspace, Math.min(connectTimeoutMs, deadlineMs - nowMs()))
       if (acquired.ok || acquired.val.reason !== 'full') return acquired
-      while (!pool.hasCapacity() && nowMs() < deadlineMs) await sleepMs(capacityPollMs)
-      if (nowMs() >= deadlineMs) return acquired
+      while (!pool.hasCapacity() && nowMs() < waitUntilMs) await sleepMs(capacityPollMs)
+      if (nowMs() >= waitUntilMs) return acquired
     }
   }
 
-  const runOnPooled = async (
-    { request, position }: QueuedStatement, remainingMs: number
-  ): Promise<StatementOutcome> => {
-    const acquired = await acquireConnection(request, remainingMs)
+  /** True if the statement opens a transaction that its session has abandoned meanwhile. */
+  const isAbandoned = (request: StatementRequest) =>
+    opensTransaction(request) && !transactions.isRegistered(request.transactionId)
+
+  const runOnPooled = async (statement: QueuedStatement): Promise<StatementOutcome> => {
+    const { request, position, deadlineMs } = statement
+    if (isAbandoned(request)) return notRun('transactionGone')
+    if (nowMs() >= deadlineMs) return notRun('queuedTooLong')
+    const acquired = await acquireConnection(statement)
     if (acquired.err) {
       log(events.connectFailed, {
         request: request.requestId, database: id, reason: acquired.val.reason, message: acquired.val.message
@@ -146,16 +156,23 @@
       return notRun(acquired.val.reason === 'full' ? 'busy' : 'unreachable')
     }
     const pooled = acquired.val
-    const outcome = await runWithPrimaryCheck(pooled, request, position, remainingMs)
+    if (isAbandoned(request)) {
+      pool.release(pooled)
+      return notRun('transactionGone')
+    }
+    const outcome = await runWithPrimaryCheck(pooled, request, position, deadlineMs - nowMs())
     releaseAfter(pooled, request, outcome)
     return outcome
   }
 
   const releaseAfter = (pooled: PooledConnection, request: StatementRequest, outcome: StatementOutcome) => {
-    if (request.transaction !== 'SINGLE' && outcome.transactionOpen) return pinned.pin(request.session, pooled)
+    if (request.transaction !== 'SINGLE' && outcome.transactionOpen) {
+      return transactions.keep(request.transactionId, pooled)
+    }
+    transactions.end(request.transactionId)
     if (outcome.status === 'UNKNOWN' || noReplyReasons.has(outcome.reason)) return pool.discard(pooled)
     if (outcome.status === 'DONE' || request.transaction === 'SINGLE') return pool.release(pooled)
-    pinned.rollBack(pooled).then(dispatch)
+    transactions.rollBack(pooled)
   }
 
   /** Runs a statement; its outcome counts only if the primary stayed the current one from request to reply. */
@@ -181,10 +198,10 @@
     return notRun(request.transaction === 'SINGLE' ? 'moved' : 'answerLost')
   }
 
-  const runOnPinned = async ({ request }: QueuedStatement, remainingMs: number): Promise<StatementOutcome> => {
-    const pooled = pinned.unpin(request.session)
+  const runInTransaction = async ({ request, deadlineMs }: QueuedStatement): Promise<StatementOutcome> => {
+    const pooled = transactions.acquire(request.transactionId, request.workspace)
     if (pooled === undefined) return notRun('transactionGone')
-    const outcome = await runWithPrimaryCheck(pooled, request, '', remainingMs)
+    const outcome = await runWithPrimaryCheck(pooled, request, '', deadlineMs - nowMs())
     releaseAfter(pooled, request, outcome)
     return outcome
   }
@@ -193,9 +210,8 @@
     const { request, arrivedAtMs, complete } = statement
     inFlight++
     const queuedMs = Math.round(nowMs() - arrivedAtMs)
-    const remainingMs = request.timeoutMs - queuedMs
     const startedAtMs = nowMs()
-    const outcome = await (request.transaction === 'CONTINUE' ? runOnPinned : runOnPooled)(statement, remainingMs)
+    const outcome = await (request.transaction === 'CONTINUE' ? runInTransaction : runOnPooled)(statement)
     inFlight--
     const serviceMs = nowMs() - startedAtMs
     queueOf(request).charge(request.workspace, serviceMs - assumedCostMs)
@@ -220,7 +236,7 @@
   const dispatch = () => {
     while (inFlight < database().slots) {
       if (continuing.length === 0 && !pool.hasCapacity()) {
-        pinned.endIdle()
+        transactions.endIdle()
         return
       }
       const statement = nextStatement()
@@ -241,42 +257,51 @@
     return { ...notRun('busy'), load: load() }
   }
 
-  const run = async (request: StatementRequest): Promise<StatementOutcome> => {
+  const admit = async (request: StatementRequest): Promise<StatementOutcome> => {
+    const arrivedAtMs = nowMs()
+    const deadlineMs = arrivedAtMs + request.timeoutMs
     if (isClosed) return notRun('moved')
     if (request.transaction !== 'CONTINUE' && !options.acceptsNewWork()) return notRun('moved')
     const mustBecomeUser = request.needsPrimary && request.transaction !== 'CONTINUE'
     if (mustBecomeUser && !await records.becomeUser(group, id)) return notRun('moved')
-    const arrivedAtMs = nowMs()
     // Computed before queueing: commits confirmed after the statement arrived need not be visible to it.
     const position = request.transaction === 'CONTINUE' ? '' : await requiredPosition(request)
     if (position === undefined) return notRun('lagging')
     const isContinuing = request.transaction === 'CONTINUE'
     if (!isContinuing && expectedWaitMs(request) > request.maxQueuedMs) return refuseAsBusy(request, 'expectedWait')
     return await new Promise<StatementOutcome>(resolve => {
-      const statement: QueuedStatement = { request, position, arrivedAtMs, complete: resolve }
+      const statement: QueuedStatement = { request, position, arrivedAtMs, deadlineMs, complete: resolve }
       if (isContinuing) {
         continuing.push(statement)
         return dispatch()
       }
       const { workspace, maxQueuedMs } = request
-      const queueEntry = { workspace, weight: 1, cost: assumedCostMs, deadlineMs: nowMs() + maxQueuedMs }
+      const queueEntry = { workspace, weight: 1, cost: assumedCostMs, deadlineMs: arrivedAtMs + maxQueuedMs }
       const pushed = queueOf(request).push(statement, queueEntry)
       if (pushed.err) return resolve(refuseAsBusy(request, pushed.val.reason))
       dispatch()
     })
   }
 
+  const run = async (request: StatementRequest): Promise<StatementOutcome> => {
+    if (!opensTransaction(request)) return await admit(request)
+    if (!transactions.register(request.transactionId)) return notRun('transactionGone')
+    const outcome = await admit(request)
+    if (!outcome.transactionOpen) transactions.end(request.transactionId)
+    return outcome
+  }
+
   const waitUntilIdle = async (timeoutMs: number): Promise<boolean> => {
     const deadlineMs = nowMs() + timeoutMs
     while (nowMs() < deadlineMs) {
-      if (inFlight === 0 && pinned.size() === 0) return true
+      if (inFlight === 0 && transactions.idleCount() === 0) return true
       await sleepMs(idlePollMs)
     }
     return false
   }
 
   const runMaintenance = () => {
-    if (pinned.size() > 0) pinned.endIdle()
+    transactions.endIdle()
     if (queued() + continuing.length === 0) return
     for (const queue of queues) queue.dropExpired()
     dispatch()
@@ -284,15 +309,12 @@
 
   return {
     run,
-    abandon: session => {
-      const pooled = pinned.unpin(session)
-      if (pooled !== undefined) pinned.rollBack(pooled).then(dispatch)
-    },
+    abandon: transactions.abandon,
     pause: forMs => { pausedUntilMs = nowMs() + forMs },
     waitUntilIdle,
     load,
     hasRepliedRecently: () => nowMs() - lastReplyMs < recentReplyMs,
-    openTransactions: pinned.size,
+    openTransactions: transactions.idleCount,
     connections: pool.size,
     runMaintenance,
     closeUnused: () => { if (pool.size() > 0 && !options.isFirstHolder()) pool.closeIdle(secondaryIdleMs) },
@@ -300,7 +322,7 @@
       isClosed = true
       for (const queue of queues) queue.close()
       for (const statement of continuing.splice(0)) statement.complete(notRun('transactionGone'))
-      pinned.close()
+      transactions.close()
       pool.close()
     }
   }
--- a/packages/gateway/src/coordination/connections/holders.ts
+++ b/packages/gateway/src/coordination/connections/holders.ts
@@ -12,7 +12,7 @@
 /** All holders of this gateway. */
 export type Holders = {
   run: (request: StatementRequest) => Promise<StatementOutcome>
-  abandon: (database: string, session: string) => void
+  abandon: (database: string, transactionId: string) => void
   get: (database: string) => DatabaseHolder | undefined
   all: () => DatabaseHolder[]
   /** True if the database has replied to a statement of this gateway recently. */
@@ -99,7 +99,7 @@
 
   return {
     run,
-    abandon: (database, session) => holders.get(database)?.holder.abandon(session),
+    abandon: (database, transactionId) => holders.get(database)?.holder.abandon(transactionId),
     get: id => holders.get(id)?.holder,
     all: () => [...holders.values()].map(({ holder }) => holder),
     hasRepliedRecently: id => holders.get(id)?.holder.hasRepliedRecently() ?? false,
--- a/packages/gateway/src/coordination/connections/run-on-connection.ts
+++ b/packages/gateway/src/coordination/connections/run-on-connection.ts
@@ -5,7 +5,7 @@
 import { setupCommandsFor, recordDone } from './connection-pool.js'
 import type { PooledConnection, RequiredState } from './connection-pool.js'
 import type { DatabaseCommand, DatabaseReply } from './database-connection.js'
-import { failed, isRead, notRun, unknownOutcome } from '../sessions/statement.js'
+import { failed, isRead, notRun, opensTransaction, unknownOutcome } from '../sessions/statement.js'
 import type { StatementOutcome, StatementReason, StatementRequest } from '../sessions/statement.js'
 
 /** Name of a prepared statement, derived from its content so that all sessions of a workspace share it. */
@@ -57,10 +57,9 @@
 export const runOnConnection = async (
   pooled: PooledConnection, request: StatementRequest, positionAtLeast: string, timeoutMs: number
 ): Promise<StatementOutcome> => {
-  const opensTransaction = request.transaction === 'OPEN_READ_WRITE' || request.transaction === 'OPEN_READ_ONLY'
   const readOnly = request.transaction === 'OPEN_READ_ONLY'
   const setup = setupCommandsFor(pooled, { values: request.values, prepared: preparedOf(request) })
-  if (opensTransaction) setup.push({ kind: 'begin', readOnly, positionAtLeast })
+  if (opensTransaction(request)) setup.push({ kind: 'begin', readOnly, positionAtLeast })
   const startedAtMs = performance.now()
 
   if (setup.length > 0) {
--- a/packages/gateway/src/coordination/routing/relay-handler.ts
+++ b/packages/gateway/src/coordination/routing/relay-handler.ts
@@ -104,7 +104,7 @@
     if (request.probeDatabase) return await probe(request.probeDatabase)
     if (request.followStore) return { storeNews: await replyToFollower(options, request.followStore) }
     if (request.abandon) {
-      holders.abandon(request.abandon.database, request.abandon.session)
+      holders.abandon(request.abandon.database, request.abandon.transactionId)
       return undefined
     }
     return { pong: { ready: isReady() } }
--- a/packages/gateway/src/coordination/routing/statement-router.ts
+++ b/packages/gateway/src/coordination/routing/statement-router.ts
@@ -36,7 +36,8 @@
   route: (routing: RoutingRequest) => Promise<RoutingResult>
   /** Runs a subsequent statement of a transaction at the database and holder that ran its first one. */
   continueTransaction: (request: StatementRequest, location: TransactionLocation) => Promise<StatementOutcome>
-  abandon: (session: string, location: TransactionLocation) => void
+  /** Rolls back a transaction that its session no longer needs. */
+  abandon: (transactionId: string, location: TransactionLocation) => void
 }
 
 /** Dependencies of the statement router. */
@@ -48,7 +49,7 @@
   regionOf: (dataCentre: string) => string
   /** Runs a statement on a connection of this gateway. */
   runLocally: (request: StatementRequest) => Promise<StatementOutcome>
-  abandonLocally: (database: string, session: string) => void
+  abandonLocally: (database: string, transactionId: string) => void
   log: Logger
 }
 
@@ -77,12 +78,20 @@
   const retryBudget = createRetryBudget()
   const nowMs = () => performance.now()
 
+  const abandon = (transactionId: string, { database, holder }: TransactionLocation) => {
+    if (holder.name === self.name) return options.abandonLocally(database, transactionId)
+    relay.call(holder, { abandon: { database, transactionId } }, relayAllowanceMs)
+  }
+
   const runAtHolder = async (holder: Member, request: StatementRequest): Promise<StatementOutcome> => {
     if (holder.name === self.name) return await options.runLocally(request)
     const reply = await relay.call(holder, { run: request }, request.timeoutMs + relayAllowanceMs)
     if (reply.ok) return (reply.val.statement ?? notRun('moved')) as StatementOutcome
     if (reply.val.reason === 'unsent') return notRun('holderSilent')
-    if (request.transaction !== 'SINGLE' && request.verb !== 'COMMIT') return notRun('answerLost')
+    if (request.transaction !== 'SINGLE' && request.verb !== 'COMMIT') {
+      abandon(request.transactionId, { database: request.database, holder })
+      return notRun('answerLost')
+    }
     return isRead(request) ? notRun('holderSilent') : unknownOutcome('holderSilent')
   }
 
@@ -194,9 +203,6 @@
   return {
     route,
     continueTransaction: async (request, { holder }) => await runAtHolder(holder, request),
-    abandon: (session, { database, holder }) => {
-      if (holder.name === self.name) return options.abandonLocally(database, session)
-      relay.call(holder, { abandon: { database, session } }, relayAllowanceMs)
-    }
+    abandon
   }
 }
--- a/packages/gateway/src/coordination/sessions/session.ts
+++ b/packages/gateway/src/coordination/sessions/session.ts
@@ -71,7 +71,14 @@
   log: Logger
 }
 
-type Transaction = { readOnly: boolean, route: Route, location: TransactionLocation | undefined, isFailed: boolean }
+type Transaction = {
+  /** Unique in the fleet. */
+  id: string
+  readOnly: boolean
+  route: Route
+  location: TransactionLocation | undefined
+  isFailed: boolean
+}
 type Identity = { route: Route, workspace: Workspace | undefined }
 
 const maxValues = 64
@@ -98,6 +105,7 @@
   const values = new Map<string, string>()
   const prepared = new Map<string, { access: 'read' | 'write', shape: string }>()
   let transaction: Transaction | undefined
+  let transactionCount = 0
   let ownPosition = ''
 
   const identify = (): Identity | SessionError => {
@@ -132,7 +140,7 @@
     group: route.group,
     database: '',
     workspace: workspace?.name ?? openWorkspace,
-    session: id,
+    transactionId: transaction?.id ?? '',
     transaction: 'SINGLE',
     verb: 'TEXT',
     access: 'READ',
@@ -217,6 +225,8 @@
     const regions = permittedRegionsOf({ ...identity, route })
     const result = await routeWithFallback({ request: openingRequest, route, regions, needsPrimary })
     current.location = result.location
+    const hasEnded = transaction !== current
+    if (hasEnded && result.location !== undefined) router.abandon(current.id, result.location)
     return result.outcome
   }
 
@@ -258,7 +268,7 @@
   }
 
   const rollBack = () => {
-    if (transaction?.location !== undefined) router.abandon(id, transaction.location)
+    if (transaction?.location !== undefined) router.abandon(transaction.id, transaction.location)
     transaction = undefined
     return respond()
   }
@@ -266,7 +276,9 @@
   const begin = async (requestId: string, identity: Identity, readOnly: boolean): Promise<SessionResponse> => {
     if (transaction !== undefined) return refuse('malformed', 'a transaction is open already')
     if (!await isAdmitted(requestId, identity)) return refuse('refused', limitMessage)
-    transaction = { readOnly, route: identity.route, location: undefined, isFailed: false }
+    transaction = {
+      id: `${id}/${++transactionCount}`, readOnly, route: identity.route, location: undefined, isFailed: false
+    }
     return respond()
   }
 
--- a/packages/gateway/src/coordination/sessions/statement.ts
+++ b/packages/gateway/src/coordination/sessions/statement.ts
@@ -51,3 +51,7 @@
 /** True if the statement does not modify data. */
 export const isRead = ({ verb, access }: Pick<StatementRequest, 'verb' | 'access'>): boolean =>
   verb !== 'COMMIT' && access === 'READ'
+
+/** True if the statement is the first one of a transaction. */
+export const opensTransaction = ({ transaction }: Pick<StatementRequest, 'transaction'>): boolean =>
+  transaction === 'OPEN_READ_WRITE' || transaction === 'OPEN_READ_ONLY'
--- a/packages/gateway/src/session.test.ts
+++ b/packages/gateway/src/session.test.ts
@@ -1,6 +1,7 @@
 /**
  * Sessions over a small fleet: statements, transactions, session values and prepared statements as a caller sees them.
  */
+import { sleepMs } from '@egretyoke/common'
 import test from 'ava'
 import {
   closeMemoryFleets, openTestSession, read, standardConfiguration, startMemoryFleet, waitUntil, write
@@ -104,6 +105,55 @@
   await fleet.close()
 })
 
+// Guards against a late first statement of an aborted transaction that takes the place of the session's next one.
+test('a first statement that runs late has no effect on the next transaction of its session', async t => {
+  const routes = standardConfiguration.routes.map(route => ({ ...route, timeoutMs: 500 }))
+  const fleet = await startMemoryFleet(2, { ...standardConfiguration, routes })
+  const primary = fleet.group.databases.get('db-1')!
+  const session = openTestSession(fleet.gateways[1], 'slots')
+  const isLateCommand = [true]
+  const isLateConnection = [true]
+  primary.connectDelayMs = () => isLateConnection.pop() ? 300 : 0
+  primary.replyDelayMs = ({ kind }) => kind === 'begin' && isLateCommand.pop() ? 450 : 0
+
+  await session.send({ kind: 'begin', readOnly: false })
+  t.is((await session.send(write('1'))).error, 'aborted')
+  const abortedId = session.lastRequest()
+  await session.send({ kind: 'rollback' })
+  await session.send({ kind: 'begin', readOnly: false })
+  const writtenIds: string[] = []
+  for (const item of ['2', '3']) {
+    t.is((await session.send(write(item))).error, undefined)
+    writtenIds.push(session.lastRequest())
+    await sleepMs(250)
+  }
+  t.is((await session.send({ kind: 'commit' })).error, undefined)
+  const executedIds = (connection?: number) => fleet.group.executed
+    .filter(statement => connection === undefined || statement.connection === connection)
+    .map(({ requestId }) => requestId)
+  const own = fleet.group.executed.find(({ requestId }) => requestId === writtenIds[0])
+  t.deepEqual(executedIds(own?.connection), writtenIds)
+  t.deepEqual(primary.log.map(({ requestId }) => requestId), writtenIds.map(() => session.lastRequest()))
+  t.false(executedIds(own?.connection).includes(abortedId))
+  await fleet.close()
+})
+
+// Guards against a statement that a holder runs after waiting for the store for longer than the sender waits for it.
+test('a statement that waited for the store until its timeout is not run', async t => {
+  const routes = standardConfiguration.routes.map(route => ({ ...route, timeoutMs: 500 }))
+  const fleet = await startMemoryFleet(2, { ...standardConfiguration, routes })
+  const session = openTestSession(fleet.gateways[1], 'slots')
+  const holder = fleet.gateways[0]
+  holder.setStoreMode('lost')
+  const sending = session.send(write('1'))
+  await sleepMs(300)
+  holder.setStoreMode('serving')
+  t.is((await sending).error, 'inDoubt')
+  await sleepMs(600)
+  t.deepEqual(fleet.group.executed, [])
+  await fleet.close()
+})
+
 test('a first statement of a transaction that may have run is not retried in a second transaction', async t => {
   const fleet = await startMemoryFleet(2)
   const session = openTestSession(fleet.gateways[0], 'ledger')
--- a/packages/gateway/src/testing/memory-group.ts
+++ b/packages/gateway/src/testing/memory-group.ts
@@ -33,6 +33,10 @@
   state: 'alive' | 'dead' | 'dark'
   /** Runs statements and commits without answering them. */
   dropsReplies: boolean
+  /** Time by which the reply to an attempt to connect is late, in milliseconds. */
+  connectDelayMs: () => number
+  /** Time by which the reply to a command is late, in milliseconds; the command itself runs at once. */
+  replyDelayMs: (command: DatabaseCommand) => number
   statementMs: number
   running: number
   maxRunning: number
@@ -72,6 +76,8 @@
   term: 1,
   state: 'alive',
   dropsReplies: false,
+  connectDelayMs: () => 0,
+  replyDelayMs: () => 0,
   statementMs: 1,
   running: 0,
   maxRunning: 0,
@@ -106,10 +112,9 @@
     const database = databases.get(databaseId)
     await sleepMs(1)
     if (database === undefined || database.state === 'dead') return Err(typedError('unreachable', 'refused'))
-    if (database.state === 'dark') {
-      await sleepMs(timeoutMs)
-      return Err(typedError('silent', 'timeout'))
-    }
+    const delayMs = database.state === 'dark' ? Infinity : database.connectDelayMs()
+    if (delayMs > 0) await sleepMs(Math.min(delayMs, timeoutMs))
+    if (delayMs > timeoutMs) return Err(typedError('silent', 'timeout'))
     return Ok(open(database, workspace))
   }
 
@@ -215,6 +220,7 @@
 
     const run = async (commands: readonly DatabaseCommand[], timeoutMs: number): Promise<DatabaseReply[]> => {
       const replies: DatabaseReply[] = []
+      const deadlineMs = performance.now() + timeoutMs
       for (const command of commands) {
         if (!isOpen || database.state === 'dead') {
           end()
@@ -222,8 +228,10 @@
         }
         if (database.state === 'alive') replies.push(await runCommand(command))
         const isReplyDropped = database.dropsReplies && (command.kind === 'text' || command.kind === 'commit')
-        if (database.state === 'alive' && !isReplyDropped) continue
-        await sleepMs(timeoutMs)
+        const delayMs = database.state !== 'alive' || isReplyDropped ? Infinity : database.replyDelayMs(command)
+        const remainingMs = deadlineMs - performance.now()
+        if (delayMs > 0) await sleepMs(Math.min(delayMs, Math.max(0, remainingMs)))
+        if (delayMs === 0 || delayMs <= remainingMs) continue
         end()
         return [...replies.slice(0, -1), lost('timeout')]
       }
