--- a/soak/src/caller-connection.ts
+++ b/soak/src/caller-connection.ts
@@ -43,7 +43,7 @@
     resolvePending?.(reply)
   }
   socket.on('data', chunk => {
-    for (const line of reader.push(chunk) ?? []) {
+    for (const line of reader.push(chunk).unwrapOr([])) {
       lines.push(line)
       if (line.startsWith('READY')) finish(parseReply(lines))
     }
--- a/soak/src/soak-databases.ts
+++ b/soak/src/soak-databases.ts
@@ -253,7 +253,7 @@
     }
     let pending = Promise.resolve()
     socket.on('data', chunk => {
-      for (const line of reader.push(chunk) ?? []) {
+      for (const line of reader.push(chunk).unwrapOr([])) {
         pending = pending.then(async () => {
           await new Promise(resolve => setTimeout(resolve, statementMs))
           if (socket.destroyed || database.state !== 'alive') return
