Gateway: a database is promoted only if the answers prove that it has every confirmed commit

Cause: a change of the primary took the most advanced of the databases that answered, however many were silent; the adapter did not read syncReplicas. The silent ones lose their entries in the store after some seconds, so a count over the entries alone would have forgotten them too.

Why it works: of n replicas, any n - k + 1 include one that has received a commit which k have; the most advanced of that many has all of them, and so has a log that reaches the primary's own. The group record lists all databases that may hold confirmed commits, by address, and drops one that is gone only while a primary serves and k others have all that it may have received. Without the proof nothing is promoted (event 7039), and the old primary is taken again when it is back. Groups with syncReplicas 0 are unchanged: no further call, no further write.

--- a/packages/gateway/src/coordination/connections/control-commands.ts
+++ b/packages/gateway/src/coordination/connections/control-commands.ts
@@ -17,9 +17,14 @@
  */
 export type ControlError = TypedError<'unreachable' | 'silent' | 'declined'>
 
+/** Database to send a control command to. */
+export type ControlTarget = Pick<Database, 'id' | 'address' | 'group'>
+
 /** Control commands to databases. */
 export type ControlCommands = {
-  run: (database: Database, command: ControlCommand, timeoutMs: number) => Promise<Result<DatabaseStatus, ControlError>>
+  run: (
+    database: ControlTarget, command: ControlCommand, timeoutMs: number
+  ) => Promise<Result<DatabaseStatus, ControlError>>
   close: () => void
 }
 
@@ -35,7 +40,7 @@
   }
 
   const connectionTo = async (
-    database: Database, timeoutMs: number
+    database: ControlTarget, timeoutMs: number
   ): Promise<Result<DatabaseConnection, ControlError>> => {
     const { id, address, group } = database
     const existing = connections.get(id)
@@ -53,7 +58,7 @@
     return connected
   }
 
-  const run = async (database: Database, command: ControlCommand, timeoutMs: number) => {
+  const run = async (database: ControlTarget, command: ControlCommand, timeoutMs: number) => {
     const connection = await connectionTo(database, timeoutMs)
     if (connection.err) return Err(connection.val)
     const status = await connection.val.runControl(command, timeoutMs)
--- a/packages/gateway/src/coordination/primaries/group-monitor.ts
+++ b/packages/gateway/src/coordination/primaries/group-monitor.ts
@@ -2,13 +2,14 @@
  * Monitors the groups' primaries: the gateway that ranks first for a group probes its primary, and replaces it after a
  * failure, or when it is draining or evacuated.
  */
-import { sleepUntilTick } from '@egretyoke/common'
+import { monotonicMs, sleepUntilTick } from '@egretyoke/common'
 import { events } from '../../events.js'
 import type { Database } from '../../state/configuration.js'
 import type { Versioned } from '../../state/fleet-state.js'
 import type { GroupRecord, Member } from '../../state/stored-records.js'
 import type { Election } from '../membership/election.js'
 import { activeUsers } from './group-records.js'
+import { createCopyRecorder } from './copy-recorder.js'
 import { changePrimary } from './primary-change.js'
 import type { ChangeReason, PrimaryChangeOptions } from './primary-change.js'
 import { shouldContinueChange } from './unfinished-change.js'
@@ -45,6 +46,7 @@
   const refusedProbes = new Map<string, number>()
   const missingSinceMs = new Map<string, number>()
   const groupsInCheck = new Set<string>()
+  const copyRecorder = createCopyRecorder({ fleetState, records, control, nowMs: monotonicMs })
 
   const isMonitorOf = (group: string): boolean => options.election.first(monitorKey(group)) === name
 
@@ -59,7 +61,7 @@
     if (leader === undefined) return
     const { database, status } = leader
     await records.store(group, {
-      primary: database.id, term: status.term, phase: 'serving', users: [], keeper: self
+      primary: database.id, term: status.term, phase: 'serving', users: [], keeper: self, copies: []
     }, 0)
   }
 
@@ -147,6 +149,7 @@
       if (shouldContinue(group, versioned)) await changePrimary(options, group, versioned, 'unfinished')
       return
     }
+    if (isMonitorOf(group)) await copyRecorder.check(group, versioned)
     const reason = await reasonToChange(group, versioned.record)
     if (reason === undefined || !isMonitorOf(group)) return
     const latest = fleetState.group(group)
--- a/packages/gateway/src/coordination/primaries/group-records.ts
+++ b/packages/gateway/src/coordination/primaries/group-records.ts
@@ -75,7 +75,8 @@
     const { current, swapped } = swap.val
     if (current !== undefined) fleetState.apply(current)
     if (!swapped || current === undefined) return undefined
-    log(events.groupRecordStored, { group, revision: current.revision, ...record })
+    const copies = record.copies.map(({ id }) => id)
+    log(events.groupRecordStored, { group, revision: current.revision, ...record, copies })
     return { record, revision: current.revision, knownSinceMs: performance.now() }
   }
 
--- a/packages/gateway/src/coordination/primaries/primary-change.ts
+++ b/packages/gateway/src/coordination/primaries/primary-change.ts
@@ -5,6 +5,7 @@
  * all subsequent steps. Then every gateway that may use the old primary must stop: it confirms that it has, its process
  * has ended, or the time has passed after which it stops by itself. Only then is another database promoted, so that no
  * later write at the old primary can be confirmed, and no read at it can miss a commit that the new primary confirmed.
+ * The other database must have every confirmed commit; while too few databases answer to prove it, none is promoted.
  */
 import { sleepMs } from '@egretyoke/common'
 import type { Logger, Result, TypedError } from '@egretyoke/common'
@@ -18,6 +19,9 @@
 import type { ControlCommands } from '../connections/control-commands.js'
 import { activeUsers, maxPrimaryContactAgeMs } from './group-records.js'
 import type { GroupRecords } from './group-records.js'
+import { hasAllCommits, requiredReplies } from './commit-proof.js'
+import { copiesWithoutEntry, logRepliesOf, mergeCopies } from './log-copies.js'
+import type { CopyStatus } from './log-copies.js'
 import type { RelayCalls } from '../routing/relay-calls.js'
 
 /** Requests the promotion of a database from the platform. `declined`: the database is not running. */
@@ -122,6 +126,18 @@
     return candidates.flatMap(candidate => candidate ?? [])
   }
 
+  /** Status of the recorded databases that answer although they have no entry; none of them may become the primary. */
+  const pollWithoutEntry = async (): Promise<CopyStatus[]> => {
+    const copies = copiesWithoutEntry(oldRecord.copies, fleetState.databasesOf(group))
+    const statuses = await Promise.all(copies.map(async copy => {
+      const status = await control.run({ ...copy, group }, { kind: 'status' }, controlTimeoutMs)
+      return status.ok ? [{ copy, status: status.val }] : []
+    }))
+    return statuses.flat()
+  }
+
+  const syncReplicas = () => fleetState.configuration()?.groups.get(group)?.syncReplicas ?? 0
+
   const isEligible = ({ database }: Candidate) => database.id !== oldRecord.primary && !database.draining &&
     !fleetState.evacuated().has(database.dataCentre)
 
@@ -131,6 +147,26 @@
     .filter(isEligible)
     .sort((one, other) => comparePositions(received(other), received(one)))[0]
 
+  /** The most advanced of the eligible databases, if the answers prove that it has every confirmed commit. */
+  const successorOf = async (candidates: readonly Candidate[]): Promise<Candidate | undefined> => {
+    const best = bestOf(candidates)
+    if (best === undefined || syncReplicas() === 0) return best
+    const statuses = [
+      ...candidates.map(({ database, status }) => ({ copy: database, status })), ...await pollWithoutEntry()
+    ]
+    const replies = logRepliesOf(oldRecord, fleetState.databasesOf(group), statuses, syncReplicas())
+    if (hasAllCommits(received(best), replies)) return best
+    log(events.successorUnproved, {
+      group,
+      database: best.database.id,
+      received: received(best),
+      answered: replies.replicaPositions.length,
+      required: requiredReplies(replies),
+      replicas: replies.replicaCount
+    })
+    return undefined
+  }
+
   /** A database that is already the primary of a later term, from an earlier change that was not completed. */
   const primaryOfLaterTerm = (candidates: readonly Candidate[]) =>
     candidates.find(({ status }) => status.role === 'primary' && status.term > oldRecord.term)
@@ -164,7 +200,8 @@
     contact.ageMs() < promoteContactMs && options.isLeaseHeld()
 
   const activatePrimary = async (primary: string, term: number, revision: number): Promise<boolean> => {
-    const record: GroupRecord = { primary, term, phase: 'serving', users: [], keeper: self }
+    const copies = syncReplicas() === 0 ? [] : mergeCopies(oldRecord.copies, fleetState.databasesOf(group))
+    const record: GroupRecord = { primary, term, phase: 'serving', users: [], keeper: self, copies }
     const stored = await records.store(group, record, revision)
     if (stored === undefined) return false
     log(events.primaryInForce, { group, primary, term, before: oldRecord.primary, reason })
@@ -183,11 +220,11 @@
     if (leader !== undefined) return await activatePrimary(leader.database.id, leader.status.term, revision)
     const former = candidates.find(({ database }) => database.id === oldRecord.primary)
     const isFormerHealthy = former?.status.role === 'primary' && former.status.term >= oldRecord.term
-    const best = bestOf(candidates)
     if (isFormerHealthy && reason === 'failed' && !hasRequestedPromotion) {
       return await activatePrimary(oldRecord.primary, former.status.term, revision)
     }
-    const chosen = replacementAtAddress(candidates) ?? best ?? (isFormerHealthy ? former : undefined)
+    const chosen = replacementAtAddress(candidates) ?? await successorOf(candidates) ??
+      (isFormerHealthy ? former : undefined)
     if (chosen === undefined || !ownsChange(revision)) return false
     hasRequestedPromotion = true
     const promotion = await promote(group, chosen.database.id, revision, promoteTimeoutMs)
@@ -203,7 +240,7 @@
     return newPrimary !== undefined && await activatePrimary(newPrimary.database.id, newPrimary.status.term, revision)
   }
 
-  if (isPlanned && bestOf(await pollDatabases()) === undefined) {
+  if (isPlanned && await successorOf(await pollDatabases()) === undefined) {
     log(events.noSuccessor, { group, primary: oldRecord.primary, reason })
     return false
   }
--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -61,6 +61,8 @@
     'A primary was not replaced in time, or another gateway has taken over the change.'),
   primaryChangedMeanwhile: defineEvent(7038, 'primaryChangedMeanwhile',
     'A statement was answered by a primary that may have been replaced meanwhile; its result is discarded.'),
+  successorUnproved: defineEvent(7039, 'successorUnproved',
+    'No database is promoted: too few replicas answer to prove that the most advanced one has every confirmed commit.'),
   statementRouted: defineEvent(7040, 'statementRouted',
     'A statement was sent to a database through the named holder; names the outcome.'),
   notOffered: defineEvent(7041, 'notOffered',
--- a/packages/gateway/src/primaries.test.ts
+++ b/packages/gateway/src/primaries.test.ts
@@ -4,7 +4,9 @@
  */
 import { sleepMs } from '@egretyoke/common'
 import test from 'ava'
-import { closeMemoryFleets, openTestSession, read, startMemoryFleet, waitUntil, write } from './testing/memory-fleet.js'
+import {
+  closeMemoryFleets, openTestSession, read, standardConfiguration, startMemoryFleet, waitUntil, write
+} from './testing/memory-fleet.js'
 import type { MemoryFleet } from './testing/memory-fleet.js'
 import type { GroupRecord } from './state/stored-records.js'
 
@@ -60,6 +62,46 @@
   await fleet.close()
 })
 
+/** A fleet whose commits are confirmed once one replica has received them; the farther replica receives nothing. */
+const startSynchronousFleet = async () => {
+  const fleet = await startMemoryFleet(3, { ...standardConfiguration, syncReplicas: 1 })
+  await waitUntil(() => recordOf(fleet).copies.length === 3)
+  fleet.group.databases.get('db-3')!.isDeaf = true
+  await openTestSession(fleet.gateways[2], 'slots').send(write('1'))
+  return fleet
+}
+
+// Guards against the promotion of a replica without commits that only silent databases have received.
+test('a replica is not promoted while the ones that may have more commits are silent', async t => {
+  const fleet = await startSynchronousFleet()
+  const silent = ['db-1', 'db-2'].map(id => fleet.group.databases.get(id)!)
+  for (const database of silent) {
+    database.state = 'dark'
+    fleet.store.remove(`database/${database.description.id}`)
+  }
+  await waitUntil(() => fleet.events.some(({ name }) => name === 'successorUnproved'))
+  await sleepMs(1000)
+  t.deepEqual(fleet.group.fencingTokens, [])
+  for (const database of silent) {
+    database.state = 'alive'
+    fleet.store.put(`database/${database.description.id}`, database.description)
+  }
+  await waitUntil(() => recordOf(fleet).phase === 'serving')
+  const primary = fleet.group.databases.get(recordOf(fleet).primary)!
+  t.is(primary.log.length, 1)
+  t.deepEqual((await writeUntilSuccess(fleet, '2')), [])
+  await fleet.close()
+})
+
+test('with synchronous replicas, a primary that crashes is replaced by one that has its commits', async t => {
+  const fleet = await startSynchronousFleet()
+  fleet.group.databases.get('db-1')!.state = 'dead'
+  await waitUntil(hasNewPrimary(fleet))
+  t.is(recordOf(fleet).primary, 'db-2')
+  t.is(fleet.group.databases.get('db-2')!.log.length, 1)
+  await fleet.close()
+})
+
 test('a draining primary is replaced, and no write is refused or lost', async t => {
   const fleet = await startMemoryFleet(3)
   const { description } = fleet.group.databases.get('db-1')!
--- a/packages/gateway/src/state/configuration.ts
+++ b/packages/gateway/src/state/configuration.ts
@@ -38,6 +38,8 @@
   name: string
   /** Connections that each single database of the group accepts from all clients together. */
   maxConnections: number
+  /** Replicas that must have received a commit before the primary confirms it. */
+  syncReplicas: number
 }
 
 /** One version of the operators' configuration. */
--- a/packages/gateway/src/state/stored-records.ts
+++ b/packages/gateway/src/state/stored-records.ts
@@ -29,6 +29,16 @@
 /** A running gateway. Its record is attached to its lease and deleted when the lease ends. */
 export type Member = z.infer<typeof memberSchema>
 
+const logCopySchema = z.object({
+  /** Id of the database. */
+  id: z.string(),
+  /** HOST:PORT of the database. */
+  address: z.string()
+})
+
+/** A database that may hold confirmed commits. */
+export type LogCopy = z.infer<typeof logCopySchema>
+
 const groupRecordSchema = z.object({
   /** Id of the group's primary. */
   primary: z.string(),
@@ -38,7 +48,9 @@
   /** NAME/INCARNATION of the gateways that are permitted to use the primary. */
   users: z.array(z.string()),
   /** NAME/INCARNATION of the gateway that is changing the primary. */
-  keeper: z.string()
+  keeper: z.string(),
+  /** Databases that may hold confirmed commits; recorded for groups with synchronous replicas. */
+  copies: z.array(logCopySchema).default([])
 })
 
 /** The current primary of a group and the gateways that are permitted to use it. */
--- a/packages/gateway/src/testing/memory-fleet.ts
+++ b/packages/gateway/src/testing/memory-fleet.ts
@@ -36,7 +36,7 @@
 
 /** The configuration as the tests store it. */
 export type StoredConfiguration = {
-  version: number, routes: Route[], workspaces: Array<Workspace & { keys: string[] }>
+  version: number, routes: Route[], workspaces: Array<Workspace & { keys: string[] }>, syncReplicas?: number
 }
 
 const groupName = 'bookings'
@@ -66,7 +66,7 @@
 const toConfiguration = (stored: StoredConfiguration): Configuration => ({
   version: stored.version,
   routes: new Map(stored.routes.map(route => [route.database, route])),
-  groups: new Map([[groupName, { name: groupName, maxConnections: 10 }]]),
+  groups: new Map([[groupName, { name: groupName, maxConnections: 10, syncReplicas: stored.syncReplicas ?? 0 }]]),
   workspaces: new Map(stored.workspaces.map(workspace => [workspace.name, workspace])),
   workspaceByKey: new Map(stored.workspaces.flatMap(workspace => workspace.keys.map(key => [key, workspace]))),
   transactionIdleMs: 1000
--- a/packages/gateway/src/testing/memory-group.ts
+++ b/packages/gateway/src/testing/memory-group.ts
@@ -33,6 +33,8 @@
   state: 'alive' | 'dead' | 'dark'
   /** Runs statements and commits without answering them. */
   dropsReplies: boolean
+  /** Receives no commits. */
+  isDeaf: boolean
   /** Time by which the reply to an attempt to connect is late, in milliseconds. */
   connectDelayMs: () => number
   /** Time by which the reply to a command is late, in milliseconds; the command itself runs at once. */
@@ -76,6 +78,7 @@
   term: 1,
   state: 'alive',
   dropsReplies: false,
+  isDeaf: false,
   connectDelayMs: () => 0,
   replyDelayMs: () => 0,
   statementMs: 1,
@@ -96,7 +99,7 @@
     const primary = [...databases.values()].find(({ role, state }) => role === 'primary' && state === 'alive')
     if (primary === undefined) return
     for (const replica of databases.values()) {
-      if (replica.role !== 'replica' || replica.state !== 'alive') continue
+      if (replica.role !== 'replica' || replica.state !== 'alive' || replica.isDeaf) continue
       replica.log = [...primary.log]
       replica.term = primary.term
     }
