Sessions: a transaction ends when its caller's key moves to another workspace

Cause: the key is looked up for each statement, but inside a transaction the workspace that holds it was not compared with the one of the connection, which was opened for the first statement.

Three new tests of session.test move a key before the first statement, after it, and before the COMMIT.

--- a/packages/gateway/src/coordination/sessions/session.ts
+++ b/packages/gateway/src/coordination/sessions/session.ts
@@ -76,6 +76,8 @@
   id: string
   readOnly: boolean
   route: Route
+  /** Workspace that the caller's key named at the beginning; no statement runs for another one. */
+  workspace: string
   location: TransactionLocation | undefined
   isFailed: boolean
 }
@@ -99,6 +101,8 @@
 /** Workspace name for callers without a key, on routes with `openToAll`. */
 const openWorkspace = '-'
 
+const workspaceNameOf = ({ workspace }: Identity) => workspace?.name ?? openWorkspace
+
 /** Opens a session; returns an error if the caller is not authorized for the database. */
 export const openSession = (options: SessionOptions): Session | SessionError => {
   const { id, database, key, router, admission, log } = options
@@ -139,7 +143,7 @@
     requestId,
     group: route.group,
     database: '',
-    workspace: workspace?.name ?? openWorkspace,
+    workspace: workspaceNameOf({ route, workspace }),
     transactionId: transaction?.id ?? '',
     transaction: 'SINGLE',
     verb: 'TEXT',
@@ -267,17 +271,32 @@
     return errorResponse(hasNoEffect ? notRun(outcome.reason) : outcome, true)
   }
 
+  const abandon = (current: Transaction) => {
+    if (current.location !== undefined) router.abandon(current.id, current.location)
+    current.location = undefined
+    current.isFailed = true
+  }
+
   const rollBack = () => {
-    if (transaction?.location !== undefined) router.abandon(transaction.id, transaction.location)
+    if (transaction !== undefined) abandon(transaction)
     transaction = undefined
     return respond()
   }
 
+  /** True if the open transaction was begun for a workspace that no longer holds the caller's key. */
+  const hasLostWorkspace = (identity: Identity) => transaction !== undefined && !transaction.isFailed &&
+    transaction.workspace !== workspaceNameOf(identity)
+
   const begin = async (requestId: string, identity: Identity, readOnly: boolean): Promise<SessionResponse> => {
     if (transaction !== undefined) return refuse('malformed', 'a transaction is open already')
     if (!await isAdmitted(requestId, identity)) return refuse('refused', limitMessage)
     transaction = {
-      id: `${id}/${++transactionCount}`, readOnly, route: identity.route, location: undefined, isFailed: false
+      id: `${id}/${++transactionCount}`,
+      readOnly,
+      route: identity.route,
+      workspace: workspaceNameOf(identity),
+      location: undefined,
+      isFailed: false
     }
     return respond()
   }
@@ -320,6 +339,12 @@
       }
       return refuse(identity, 'not allowed', endsSession)
     }
+    if (transaction !== undefined && hasLostWorkspace(identity)) {
+      log(events.transactionLostKey, { request: requestId, database, workspace: transaction.workspace })
+      abandon(transaction)
+      const endsTransaction = statement.kind === 'commit' || statement.kind === 'rollback'
+      if (!endsTransaction) return refuse('aborted', 'transaction rolled back: its key names another workspace now')
+    }
     switch (statement.kind) {
       case 'begin': return await begin(requestId, identity, statement.readOnly)
       case 'commit': return transaction === undefined
--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -76,5 +76,7 @@
   idleTransactionEnded: defineEvent(7045, 'idleTransactionEnded',
     'A transaction was idle for too long and was rolled back.'),
   limitRefused: defineEvent(7046, 'limitRefused',
-    'A request was refused because its workspace has used up its rate limit; event 7025 gives more detail.')
+    'A request was refused because its workspace has used up its rate limit; event 7025 gives more detail.'),
+  transactionLostKey: defineEvent(7047, 'transactionLostKey',
+    'A transaction was rolled back because its caller\'s key now belongs to another workspace.')
 }
--- a/packages/gateway/src/session.test.ts
+++ b/packages/gateway/src/session.test.ts
@@ -6,6 +6,7 @@
 import {
   closeMemoryFleets, openTestSession, read, standardConfiguration, startMemoryFleet, waitUntil, write
 } from './testing/memory-fleet.js'
+import type { MemoryFleet } from './testing/memory-fleet.js'
 
 test.after.always(closeMemoryFleets)
 
@@ -105,6 +106,46 @@
   await fleet.close()
 })
 
+/** Resolves once all gateways have activated the version. */
+const waitUntilConfigured = async (fleet: MemoryFleet, version: number) => await waitUntil(() =>
+  fleet.gateways.every(each => fleet.events.some(({ gateway, name, fields }) =>
+    gateway === each.name && name === 'configurationInForce' && fields.version === version)))
+
+// Guards against a transaction that goes on for a workspace that no longer holds the caller's key.
+const begunTransactions = { 'after its first statement': [write('1')], 'before its first statement': [] }
+for (const [title, begun] of Object.entries(begunTransactions)) {
+  test(`a transaction is aborted when its key moves to another workspace ${title}`, async t => {
+    const fleet = await startMemoryFleet(2)
+    const session = openTestSession(fleet.gateways[1], 'slots')
+    const [first, second] = standardConfiguration.workspaces
+    await session.send({ kind: 'begin', readOnly: false })
+    for (const statement of begun) t.is((await session.send(statement)).error, undefined)
+    fleet.configure({ workspaces: [{ ...first, keys: [] }, { ...second, keys: ['key-a', 'key-b'] }] })
+    await waitUntilConfigured(fleet, 2)
+    const answer = await session.send(read('1'))
+    t.deepEqual([answer.error, answer.transaction], ['aborted', 'failed'])
+    t.is((await session.send({ kind: 'commit' })).error, 'aborted')
+    t.is((await session.send(write('2'))).error, undefined)
+    t.deepEqual(fleet.group.executed.map(({ workspace }) => workspace), [...begun.map(() => 'yard-a'), 'yard-b'])
+    t.is(fleet.group.databases.get('db-1')?.log.length, 1)
+    await fleet.close()
+  })
+}
+
+test('a transaction whose key has moved to another workspace is not committed', async t => {
+  const fleet = await startMemoryFleet(1)
+  const session = openTestSession(fleet.gateways[0], 'slots')
+  const [first, second] = standardConfiguration.workspaces
+  await session.send({ kind: 'begin', readOnly: false })
+  await session.send(write('1'))
+  fleet.configure({ workspaces: [{ ...first, keys: [] }, { ...second, keys: ['key-a', 'key-b'] }] })
+  await waitUntilConfigured(fleet, 2)
+  const answer = await session.send({ kind: 'commit' })
+  t.deepEqual([answer.error, answer.transaction], ['aborted', 'none'])
+  t.is(fleet.group.databases.get('db-1')?.log.length, 0)
+  await fleet.close()
+})
+
 // Guards against a late first statement of an aborted transaction that takes the place of the session's next one.
 test('a first statement that runs late has no effect on the next transaction of its session', async t => {
   const routes = standardConfiguration.routes.map(route => ({ ...route, timeoutMs: 500 }))
