Entries of databases are checked completely, and one database's failure ends only its own part

Cause: the decoder checked the address's shape only; the connect call throws for such a port, and the exception ended the check of the whole group.

Evidence: the tests "a primary that crashes is replaced beside a primary whose address cannot be connected to" and "... a replica ..." fail while an exception of connect reaches the gateway ("condition not met before the timeout").

Why it works: an entry is decoded only if it can be connected to, sent as a field and counted with; it is logged when it is left out (7019). An exception of the adapter is a failed attempt at one database; a step of a check ends by itself (7048).

Related: an exception while an entry is decoded no longer ends the follower of the store; changes too large for one answer are listed; what is kept for followers is bounded in bytes (16 MiB) and in a reply (1 MiB, below gRPC's 4 MiB).

--- a/packages/common/src/health-server.ts
+++ b/packages/common/src/health-server.ts
@@ -4,6 +4,7 @@
 import { createServer } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import { collectDefaultMetrics, Registry } from 'prom-client'
+import { splitAddress } from './address.js'
 
 /** A running health listener. `port` is the port that it is bound to. */
 export type HealthServer = {
@@ -21,12 +22,6 @@
 /** Sampling interval of the event loop's delay; each sample wakes an idle process up. */
 const eventLoopSampleMs = 1000
 
-/** Splits HOST:PORT. Port 0 stands for any free port. */
-export const splitAddress = (address: string): { host: string, port: number } => {
-  const colon = address.lastIndexOf(':')
-  return { host: address.slice(0, colon), port: Number(address.slice(colon + 1)) }
-}
-
 /** Creates a registry with the process's default metrics. */
 export const createRegistry = (): Registry => {
   const registry = new Registry()
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -1,3 +1,4 @@
+export * from './address.js'
 export * from './clock.js'
 export * from './document-positions.js'
 export * from './findings.js'
--- a/packages/gateway/src/coordination/primaries/group-monitor.ts
+++ b/packages/gateway/src/coordination/primaries/group-monitor.ts
@@ -2,7 +2,7 @@
  * Monitors the groups' primaries: the gateway that ranks first for a group probes its primary, and replaces it after a
  * failure, or when it is draining or evacuated.
  */
-import { monotonicMs, sleepUntilTick } from '@egretyoke/common'
+import { messageOf, monotonicMs, sleepUntilTick } from '@egretyoke/common'
 import { events } from '../../events.js'
 import type { Database } from '../../state/configuration.js'
 import type { Versioned } from '../../state/fleet-state.js'
@@ -163,17 +163,24 @@
     const record = fleetState.group(group)?.record
     if (record?.phase !== 'serving') return
     const former = fleetState.databasesOf(group).filter(({ id, role }) => role === 'primary' && id !== record.primary)
-    for (const database of former) await control.run(database, { kind: 'demote', term: record.term }, probeTimeoutMs)
+    // All at once: one that does not answer must not delay the others, or the next check.
+    await Promise.all(former.map(async database =>
+      await control.run(database, { kind: 'demote', term: record.term }, probeTimeoutMs)))
   }
 
   const checkGroupOnce = async (group: string) => {
     if (groupsInCheck.has(group) || !isResponsible(group) || contact.ageMs() > probeTimeoutMs * 4) return
     groupsInCheck.add(group)
+    for (const step of [checkGroup, demoteFormerPrimaries]) await runStep(step, group)
+    groupsInCheck.delete(group)
+  }
+
+  /** Runs a step of a check; an exception ends this step only. */
+  const runStep = async (step: (group: string) => Promise<void>, group: string) => {
     try {
-      await checkGroup(group)
-      await demoteFormerPrimaries(group)
-    } finally {
-      groupsInCheck.delete(group)
+      await step(group)
+    } catch (thrown) {
+      log(events.groupCheckFailed, { group, message: messageOf(thrown) })
     }
   }
 
--- a/packages/gateway/src/coordination/store/store-sources.ts
+++ b/packages/gateway/src/coordination/store/store-sources.ts
@@ -34,8 +34,8 @@
 const watcherLinkWaitMs = 400
 const watcherLinkPollMs = 50
 const maxContactAgeToWaitMs = 1000
-/** Longer values are read from the store by each gateway, so that they do not overload the watcher's links. */
-const maxRelayedBytes = 32 * 1024
+/** A follower that is behind by more reads the store itself, so that its reply does not overload the link. */
+const maxReplyBytes = 1024 * 1024
 
 /** Changes, and a time at which the store held no further ones. */
 export type ConfirmedChanges = StoreChanges & { confirmed: ClockReading }
@@ -138,14 +138,13 @@
   const receivedAtMs = performance.now()
   if (history.changesSince(afterRevision)?.entries.length === 0) await history.waitForChange(waitMs)
   const changes = history.changesSince(afterRevision)
+  const bytes = changes?.entries.reduce((sum, { key, value }) => sum + key.length + value.length, 0) ?? 0
+  const complete = changes !== undefined && bytes <= maxReplyBytes
   const ageMs = contact.ageMs()
   const confirmed = Number.isFinite(ageMs)
   return {
-    complete: changes !== undefined,
-    changes: changes?.entries.map(({ key, value, revision, deleted }) => {
-      const valueLeftOut = value.length > maxRelayedBytes
-      return { key, value: valueLeftOut ? Buffer.alloc(0) : value, revision, deleted, valueLeftOut }
-    }) ?? [],
+    complete,
+    changes: complete ? changes.entries : [],
     revision: changes?.revision ?? 0,
     confirmed,
     ageMs: confirmed ? Math.ceil(ageMs) : 0,
--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -31,6 +31,8 @@
     'The entry that a database writes about itself has changed or was deleted.'),
   evacuationKnown: defineEvent(7017, 'evacuationKnown',
     'A data centre was taken out of service or is back in service.'),
+  databaseEntryLeftOut: defineEvent(7019, 'databaseEntryLeftOut',
+    'An entry among those of the databases names no database that can be used; names the entry and what is wrong.'),
   joined: defineEvent(7020, 'joined',
     'This gateway has joined the fleet under the named lease.'),
   membershipLost: defineEvent(7021, 'membershipLost',
@@ -78,5 +80,7 @@
   limitRefused: defineEvent(7046, 'limitRefused',
     'A request was refused because its workspace has used up its rate limit; event 7025 gives more detail.'),
   transactionLostKey: defineEvent(7047, 'transactionLostKey',
-    'A transaction was rolled back because its caller\'s key now belongs to another workspace.')
+    'A transaction was rolled back because its caller\'s key now belongs to another workspace.'),
+  groupCheckFailed: defineEvent(7048, 'groupCheckFailed',
+    'A step of the check of a group\'s primary ended with an unexpected error; the next check starts again.')
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -9,6 +9,7 @@
 import { nanoid } from 'nanoid'
 import type { Registry } from 'prom-client'
 import { createAdmission } from './coordination/limits/admission.js'
+import { connectSafely } from './coordination/connections/database-connection.js'
 import type { ConnectDatabase } from './coordination/connections/database-connection.js'
 import { createControlCommands } from './coordination/connections/control-commands.js'
 import { createElection } from './coordination/membership/election.js'
@@ -103,7 +104,8 @@
 export const startGateway = async (
   settings: GatewaySettings, platform: GatewayPlatform, log: Logger
 ): Promise<Gateway> => {
-  const { store, connect } = platform
+  const { store } = platform
+  const connect = connectSafely(platform.connect)
   const incarnation = nanoid(8)
   const regionOf = (dataCentre: string) => settings.regionByDataCentre.get(dataCentre) ?? dataCentre
   const self: Member = {
--- a/packages/gateway/src/primaries.test.ts
+++ b/packages/gateway/src/primaries.test.ts
@@ -42,6 +42,21 @@
   await fleet.close()
 })
 
+// Guards against one database's failure that ends the check of its group for all others.
+for (const role of ['primary', 'replica'] as const) {
+  test(`a primary that crashes is replaced beside a ${role} whose address cannot be connected to`, async t => {
+    const fleet = await startMemoryFleet(3)
+    await openTestSession(fleet.gateways[1], 'slots').send(write('1'))
+    const { description } = fleet.group.databases.get('db-2')!
+    fleet.store.put('database/odd', { ...description, id: 'odd', role, address: '127.0.0.1:99999' })
+    await sleepMs(300)
+    fleet.group.databases.get('db-1')!.state = 'dead'
+    await waitUntil(hasNewPrimary(fleet))
+    t.deepEqual((await writeUntilSuccess(fleet, '2')).filter(error => error !== 'inDoubt' && error !== 'refused'), [])
+    await fleet.close()
+  })
+}
+
 test('a primary that stops answering is replaced', async t => {
   const fleet = await startMemoryFleet(3)
   await openTestSession(fleet.gateways[0], 'slots').send(write('1'))
--- a/packages/gateway/src/state/fleet-state.ts
+++ b/packages/gateway/src/state/fleet-state.ts
@@ -1,6 +1,7 @@
 /**
  * This gateway's copy of the platform's store: configuration, databases, evacuations, and the gateways' own records.
  */
+import { messageOf } from '@egretyoke/common'
 import type { Logger } from '@egretyoke/common'
 import type { StoredEntry } from '@egretyoke/fleet'
 import { events } from '../events.js'
@@ -11,7 +12,8 @@
 /** Decoded store entry of the platform, the operators or a database; undefined content is unreadable or deleted. */
 export type PlatformEntry =
   | { kind: 'configuration', configuration: Configuration | undefined }
-  | { kind: 'database', id: string, database: Database | undefined }
+  /** `fault`: why an entry names no database. */
+  | { kind: 'database', id: string, database: Database | undefined, fault?: string }
   | { kind: 'evacuation', dataCentre: string }
 
 /**
@@ -95,8 +97,19 @@
     return false
   }
 
-  const applyPlatformEntry = ({ key, value, deleted, revision }: StoredEntry) => {
-    const decoded = decodePlatformEntry(key, value)
+  /** An entry that cannot be decoded must not keep the others from being applied. */
+  const decodeSafely = ({ key, value, revision }: StoredEntry): PlatformEntry | undefined => {
+    try {
+      return decodePlatformEntry(key, value)
+    } catch (thrown) {
+      log(events.recordUnreadable, { key, revision, message: messageOf(thrown) })
+      return undefined
+    }
+  }
+
+  const applyPlatformEntry = (entry: StoredEntry) => {
+    const { key, deleted, revision } = entry
+    const decoded = decodeSafely(entry)
     if (decoded === undefined) return
     if (decoded.kind === 'evacuation') {
       if (deleted) evacuated.delete(decoded.dataCentre)
@@ -104,7 +117,8 @@
       return log(events.evacuationKnown, { dataCentre: decoded.dataCentre, evacuated: !deleted, revision })
     }
     if (decoded.kind === 'database') {
-      const { id, database } = decoded
+      const { id, database, fault } = decoded
+      if (fault !== undefined) log(events.databaseEntryLeftOut, { database: id, revision, message: fault })
       if (deleted || database === undefined) databases.delete(id)
       else databases.set(id, database)
       if (database?.draining !== true) drainingSinceMs.delete(id)
--- a/packages/gateway/src/state/store-history.test.ts
+++ b/packages/gateway/src/state/store-history.test.ts
@@ -4,7 +4,8 @@
 import test from 'ava'
 import { createStoreHistory } from './store-history.js'
 
-const change = (key: string, revision: number) => ({ key, value: Buffer.from(`${revision}`), revision, deleted: false })
+const change = (key: string, revision: number, value = Buffer.from(`${revision}`)) =>
+  ({ key, value, revision, deleted: false, valueLeftOut: false })
 
 test('only changes after the listing are returned', t => {
   const history = createStoreHistory()
@@ -32,6 +33,21 @@
   t.is(history.changesSince(1000)?.entries.length, 4000)
 })
 
+test('a long value is left out, and all values together are bounded', t => {
+  const history = createStoreHistory()
+  history.reset(0)
+  history.record({ entries: [change('a', 1, Buffer.alloc(1024 * 1024))], revision: 1 })
+  t.deepEqual(history.changesSince(0)?.entries, [{ ...change('a', 1, Buffer.alloc(0)), valueLeftOut: true }])
+  const value = Buffer.alloc(32 * 1024)
+  for (let revision = 2; revision < 2000; revision++) {
+    history.record({ entries: [change(`key-${revision}`, revision, value)], revision })
+  }
+  t.is(history.changesSince(1400), undefined)
+  const kept = history.changesSince(1900)?.entries ?? []
+  t.is(kept.length, 99)
+  t.false(kept.some(({ valueLeftOut }) => valueLeftOut))
+})
+
 test('a waiter resolves on a change, and on its timeout', async t => {
   const history = createStoreHistory()
   history.reset(0)
--- a/packages/gateway/src/state/store-history.ts
+++ b/packages/gateway/src/state/store-history.ts
@@ -7,13 +7,19 @@
 /** Store changes after a revision, complete up to `revision`. */
 export type StoreChanges = { entries: StoredEntry[], revision: number }
 
+/** A change as it is kept. */
+export type KeptEntry = StoredEntry & {
+  /** True if the value is too long to be kept, and must be read from the store. */
+  valueLeftOut: boolean
+}
+
 /** Changes since this gateway last listed the whole store. */
 export type StoreHistory = {
   /** Clears the history after a listing of the whole store at the revision. */
   reset: (revision: number) => void
   record: (changes: StoreChanges) => void
   /** The changes after the revision; undefined when some of them are no longer kept. */
-  changesSince: (revision: number) => StoreChanges | undefined
+  changesSince: (revision: number) => { entries: KeptEntry[], revision: number } | undefined
   /** Resolves all pending waits for a change. */
   wakeWaiters: () => void
   /** Resolves on the next change, listing or `wakeWaiters` call, or after the timeout. */
@@ -22,10 +28,15 @@
 
 /** Keys for which the newest change is kept. */
 const maxKeys = 4096
+/** Longer values are not kept. */
+const maxKeptValueBytes = 32 * 1024
+/** All kept values together; the oldest changes are dropped beyond it. */
+const maxKeptBytes = 16 * 1024 * 1024
 
 /** Creates an empty history. */
 export const createStoreHistory = (): StoreHistory => {
-  const newest = new Map<string, StoredEntry>()
+  const newest = new Map<string, KeptEntry>()
+  let keptBytes = 0
   const waiters = new Set<() => void>()
   let firstRevision: number | undefined
   let lastRevision = 0
@@ -34,26 +45,39 @@
     for (const resume of [...waiters]) resume()
   }
 
+  const remove = (key: string) => {
+    keptBytes -= newest.get(key)?.value.length ?? 0
+    newest.delete(key)
+  }
+
   const storeNewest = (entry: StoredEntry) => {
-    // Deleted first, so that the map stays ordered by the newest change of each key.
-    newest.delete(entry.key)
-    newest.set(entry.key, entry)
-    if (newest.size <= maxKeys) return
-    const [oldest] = newest.values()
-    if (oldest === undefined) return
-    newest.delete(oldest.key)
-    firstRevision = oldest.revision
+    const valueLeftOut = entry.value.length > maxKeptValueBytes
+    // Removed first, so that the map stays ordered by the newest change of each key.
+    remove(entry.key)
+    const value = valueLeftOut ? Buffer.alloc(0) : entry.value
+    newest.set(entry.key, { ...entry, value, valueLeftOut })
+    keptBytes += value.length
+  }
+
+  const dropOldest = () => {
+    for (const [key, { revision }] of newest) {
+      if (newest.size <= maxKeys && keptBytes <= maxKeptBytes) return
+      remove(key)
+      firstRevision = revision
+    }
   }
 
   return {
     reset: revision => {
       newest.clear()
+      keptBytes = 0
       firstRevision = revision
       lastRevision = revision
       wakeWaiters()
     },
     record: ({ entries, revision }) => {
       for (const entry of entries) storeNewest(entry)
+      dropOldest()
       lastRevision = revision
       wakeWaiters()
     },
--- a/packages/gateway/src/state/stored-records.ts
+++ b/packages/gateway/src/state/stored-records.ts
@@ -1,7 +1,7 @@
 /**
  * Records that gateways write to the platform's store: members, group records and limit records.
  */
-import { Err, Ok, messageOf, typedError } from '@egretyoke/common'
+import { Err, Ok, isHostAndPort, messageOf, typedError } from '@egretyoke/common'
 import type { Result, TypedError } from '@egretyoke/common'
 import { z } from 'zod'
 
@@ -20,7 +20,7 @@
   dataCentre: z.string(),
   region: z.string(),
   /** HOST:PORT on which other gateways reach this one. */
-  address: z.string(),
+  address: z.string().refine(isHostAndPort, 'is not HOST:PORT'),
   /** Unique id of the process, so that a restart on the same VM can be detected. */
   incarnation: z.string(),
   draining: z.boolean()
--- a/packages/gateway/src/testing/memory-group.ts
+++ b/packages/gateway/src/testing/memory-group.ts
@@ -111,9 +111,11 @@
     if (!memory.isReplicationPaused) replicate()
   }
 
-  const connect: ConnectDatabase = async ({ databaseId, workspace }, timeoutMs) => {
+  const connect: ConnectDatabase = async ({ databaseId, address, workspace }, timeoutMs) => {
     const database = databases.get(databaseId)
     await sleepMs(1)
+    // As an adapter that passes the port to the system unchecked.
+    if (Number(address.split(':')[1]) > 65_535) throw new RangeError(`port of ${address} is out of range`)
     if (database === undefined || database.state === 'dead') return Err(typedError('unreachable', 'refused'))
     const delayMs = database.state === 'dark' ? Infinity : database.connectDelayMs()
     if (delayMs > 0) await sleepMs(Math.min(delayMs, timeoutMs))
