--- a/packages/gateway/src/coordination/membership/membership.ts
+++ b/packages/gateway/src/coordination/membership/membership.ts
@@ -22,8 +22,8 @@
 export type Membership = {
   /** Lease that records of this process are bound to; undefined while none is held. */
   leaseId: () => number | undefined
-  /** True while the lease cannot have expired, so that no other process has claimed records bound to it. */
-  isLeaseHeld: () => boolean
+  /** True if the lease cannot expire within `forMs`, so that no other process claims records bound to it by then. */
+  isLeaseHeld: (forMs?: number) => boolean
   /** Marks this gateway's record as draining, so that other gateways send it no new work. */
   startDraining: () => Promise<void>
   /** Joins the fleet and renews the lease until the signal aborts. */
@@ -75,7 +75,8 @@
 
   return {
     leaseId: () => lease?.id,
-    isLeaseHeld: () => lease !== undefined && clock.ageMs(lease.heldFrom) < leaseTtlMs - leaseMarginMs,
+    isLeaseHeld: (forMs = 0) => lease !== undefined &&
+      clock.ageMs(lease.heldFrom) + forMs < leaseTtlMs - leaseMarginMs,
     startDraining: async () => {
       member = { ...member, draining: true }
       if (lease !== undefined) await announce(lease.id)
--- a/packages/gateway/src/coordination/primaries/primary-change.ts
+++ b/packages/gateway/src/coordination/primaries/primary-change.ts
@@ -36,7 +36,7 @@
   fleetState: FleetState
   records: GroupRecords
   contact: Contact
-  isLeaseHeld: () => boolean
+  isLeaseHeld: (forMs?: number) => boolean
   control: ControlCommands
   relay: RelayCalls
   promote: PromoteDatabase
@@ -196,8 +196,9 @@
     return undefined
   }
 
+  /** True if no other gateway can take the change over before a call for a promotion has ended. */
   const ownsChange = (revision: number) => fleetState.group(group)?.revision === revision &&
-    contact.ageMs() < promoteContactMs && options.isLeaseHeld()
+    contact.ageMs() < promoteContactMs && options.isLeaseHeld(promoteTimeoutMs)
 
   const activatePrimary = async (primary: string, term: number, revision: number): Promise<boolean> => {
     const copies = syncReplicas() === 0 ? [] : mergeCopies(oldRecord.copies, fleetState.databasesOf(group))
