Sessions: messages and identity have files of their own; a failed transaction is abandoned at one place

What a caller sends and gets (session-messages.ts) and who it is (session-identity.ts) moved out unchanged; the two copies of "first or later statement" are one function.

A later statement that could not be sent left its transaction open at the holder until the idle timeout. Each failure of a statement in a transaction, and of a COMMIT that did not run, now abandons it there; the router does so only for a first statement, whose place the session doesn't know. connectSafely is no part of the package's interface.

--- a/packages/gateway/src/coordination/connections/database-connection.ts
+++ b/packages/gateway/src/coordination/connections/database-connection.ts
@@ -1,7 +1,6 @@
 /**
  * Interface of connections to databases, implemented by the platform adapter.
  */
-import { Err, messageOf, typedError } from '@egretyoke/common'
 import type { Result, TypedError } from '@egretyoke/common'
 
 /** One command to a database. The database declines it if its log has not reached `positionAtLeast`, if given. */
@@ -71,12 +70,3 @@
 /** Opens a connection. */
 export type ConnectDatabase =
   (target: ConnectionTarget, timeoutMs: number) => Promise<Result<DatabaseConnection, ConnectFailure>>
-
-/** Makes an exception of the adapter a failed attempt, so that it affects no other database. */
-export const connectSafely = (connect: ConnectDatabase): ConnectDatabase => async (target, timeoutMs) => {
-  try {
-    return await connect(target, timeoutMs)
-  } catch (thrown) {
-    return Err(typedError('unreachable', messageOf(thrown), { address: target.address }))
-  }
-}
--- a/packages/gateway/src/coordination/routing/statement-router.ts
+++ b/packages/gateway/src/coordination/routing/statement-router.ts
@@ -13,7 +13,7 @@
 import type { RelayCalls } from './relay-calls.js'
 import { acceptsNewWork } from './database-availability.js'
 import { decideRetry } from './retry-decision.js'
-import { isRead, notRun, unknownOutcome } from '../sessions/statement.js'
+import { isRead, notRun, opensTransaction, unknownOutcome } from '../sessions/statement.js'
 import type { StatementOutcome, StatementReason, StatementRequest } from '../sessions/statement.js'
 
 /** Database and holder of an open transaction. */
@@ -89,7 +89,8 @@
     if (reply.ok) return (reply.val.statement ?? notRun('moved')) as StatementOutcome
     if (reply.val.reason === 'unsent') return notRun('holderSilent')
     if (request.transaction !== 'SINGLE' && request.verb !== 'COMMIT') {
-      abandon(request.transactionId, { database: request.database, holder })
+      // Only this router knows where a first statement was sent.
+      if (opensTransaction(request)) abandon(request.transactionId, { database: request.database, holder })
       return notRun('answerLost')
     }
     return isRead(request) ? notRun('holderSilent') : unknownOutcome('holderSilent')
--- a/packages/gateway/src/coordination/sessions/session.ts
+++ b/packages/gateway/src/coordination/sessions/session.ts
@@ -7,47 +7,18 @@
  */
 import type { Logger } from '@egretyoke/common'
 import { events } from '../../events.js'
-import type { Configuration, Route, Workspace } from '../../state/configuration.js'
+import type { Configuration, Route } from '../../state/configuration.js'
 import { laterPosition } from '../../state/position.js'
 import type { Admission } from '../limits/admission.js'
 import type {
   RoutingRequest, RoutingResult, StatementRouter, TransactionLocation
 } from '../routing/statement-router.js'
+import { permittedRegionsOf, workspaceNameOf } from './session-identity.js'
+import type { Identity } from './session-identity.js'
+import type { SessionError, SessionResponse, SessionStatement } from './session-messages.js'
 import { notRun } from './statement.js'
 import type { StatementOutcome, StatementRequest } from './statement.js'
 
-/** A statement received from a caller. */
-export type SessionStatement =
-  | { kind: 'begin', readOnly: boolean }
-  | { kind: 'commit' }
-  | { kind: 'rollback' }
-  /** Forwarded to the database unchanged. */
-  | { kind: 'text', access: 'read' | 'write', text: string }
-  | { kind: 'execute', name: string, operands: string }
-  | { kind: 'set', name: string, value: string }
-  | { kind: 'prepare', name: string, access: 'read' | 'write', shape: string }
-  | { kind: 'deallocate', name: string }
-  | { kind: 'malformed' }
-
-/**
- * Why a statement did not succeed. `refused`, `lagging`, `readOnly` and `aborted` guarantee that the statement or
- * transaction had no effect; `failed` and `inDoubt` guarantee nothing.
- */
-export type SessionError =
-  'refused' | 'lagging' | 'readOnly' | 'aborted' | 'failed' | 'inDoubt' | 'keyUnknown' | 'noSuchDatabase' |
-  'noSuchStatement' | 'malformed'
-
-/** Response to a statement. `signature` is empty if no database was involved. */
-export type SessionResponse = {
-  error?: SessionError
-  message: string
-  rows: string[]
-  signature: string
-  transaction: 'none' | 'open' | 'failed'
-  /** True if the session has ended and the caller's connection must be closed. */
-  endsSession: boolean
-}
-
 /** An open session. */
 export type Session = {
   handle: (requestId: string, statement: SessionStatement) => Promise<SessionResponse>
@@ -81,7 +52,6 @@
   location: TransactionLocation | undefined
   isFailed: boolean
 }
-type Identity = { route: Route, workspace: Workspace | undefined }
 
 const maxValues = 64
 const maxPrepared = 256
@@ -98,11 +68,6 @@
 
 const limitMessage = `limit reached, retry after ${limitRetryMs} ms`
 
-/** Workspace name for callers without a key, on routes with `openToAll`. */
-const openWorkspace = '-'
-
-const workspaceNameOf = ({ workspace }: Identity) => workspace?.name ?? openWorkspace
-
 /** Opens a session; returns an error if the caller is not authorized for the database. */
 export const openSession = (options: SessionOptions): Session | SessionError => {
   const { id, database, key, router, admission, log } = options
@@ -127,23 +92,13 @@
     ({ message: '', rows: [], signature: '', transaction: transactionState(), endsSession: false, ...overrides })
   const refuse = (error: SessionError, message: string, endsSession = false) => respond({ error, message, endsSession })
 
-  const permittedRegionsOf = ({ route, workspace }: Identity): string[] => {
-    const routeHomes = route.homeRegions
-    const workspaceHomes = workspace?.homeRegions ?? []
-    if (routeHomes.length === 0) return [...workspaceHomes]
-    if (workspaceHomes.length === 0) return [...routeHomes]
-    const sharedRegions = routeHomes.filter(region => workspaceHomes.includes(region))
-    // No region is permitted by both lists: 'none' matches no region. An empty list would permit all.
-    return sharedRegions.length > 0 ? sharedRegions : ['none']
-  }
-
   const requestOf = (
     requestId: string, { route, workspace }: Identity, overrides: Partial<StatementRequest>
   ): StatementRequest => ({
     requestId,
     group: route.group,
     database: '',
-    workspace: workspaceNameOf({ route, workspace }),
+    workspace: workspaceNameOf({ workspace }),
     transactionId: transaction?.id ?? '',
     transaction: 'SINGLE',
     verb: 'TEXT',
@@ -217,12 +172,21 @@
     return succeed(outcome, request.access === 'WRITE')
   }
 
+  /** Ends a transaction wherever it may still be open; the caller has yet to end it too. */
+  const abandon = (current: Transaction) => {
+    if (current.location !== undefined) router.abandon(current.id, current.location)
+    current.location = undefined
+    current.isFailed = true
+  }
+
+  const isAtPrimary = ({ route, readOnly }: Transaction) => route.kind === 'primary' || !readOnly
+
   /** Runs the first statement of a transaction; its database and holder serve the rest of the transaction. */
   const runFirstStatement = async (
     identity: Identity, current: Transaction, request: StatementRequest
   ): Promise<StatementOutcome> => {
     const { route } = current
-    const needsPrimary = route.kind === 'primary' || !current.readOnly
+    const needsPrimary = isAtPrimary(current)
     const openingRequest = {
       ...request, transaction: current.readOnly ? 'OPEN_READ_ONLY' as const : 'OPEN_READ_WRITE' as const
     }
@@ -234,49 +198,44 @@
     return result.outcome
   }
 
+  const runNextStatement = async (
+    identity: Identity, current: Transaction, request: StatementRequest
+  ): Promise<StatementOutcome> => {
+    const { location } = current
+    if (location === undefined) return await runFirstStatement(identity, current, request)
+    const needsPrimary = isAtPrimary(current)
+    return await router.continueTransaction({
+      ...request, database: location.database, needsPrimary, transaction: 'CONTINUE'
+    }, location)
+  }
+
   const runInTransaction = async (
     identity: Identity, current: Transaction, request: StatementRequest
   ): Promise<SessionResponse> => {
     if (current.isFailed) return refuse('malformed', 'the transaction has failed; end it first')
-    const outcome = current.location === undefined
-      ? await runFirstStatement(identity, current, request)
-      : await router.continueTransaction({
-        ...request, database: current.location.database, needsPrimary: isAtPrimary(current), transaction: 'CONTINUE'
-      }, current.location)
+    const outcome = await runNextStatement(identity, current, request)
     logOutcome(request, outcome)
     if (outcome.status === 'DONE' && outcome.transactionOpen) return succeed(outcome, false)
-    current.isFailed = true
-    current.location = undefined
+    abandon(current)
     if (outcome.status === 'DONE') return refuse('aborted', 'the database ended the transaction')
     return errorResponse(outcome.status === 'UNKNOWN' ? notRun(outcome.reason) : outcome, true)
   }
 
-  const isAtPrimary = (current: Transaction) => current.route.kind === 'primary' || !current.readOnly
-
   const commit = async (requestId: string, identity: Identity, current: Transaction): Promise<SessionResponse> => {
     if (current.isFailed) {
       transaction = undefined
       return refuse('aborted', 'the transaction had failed and was rolled back')
     }
     const request = requestOf(requestId, { ...identity, route: current.route }, { verb: 'COMMIT', access: 'WRITE' })
-    const outcome = current.location === undefined
-      ? await runFirstStatement(identity, current, request)
-      : await router.continueTransaction({
-        ...request, database: current.location.database, needsPrimary: isAtPrimary(current), transaction: 'CONTINUE'
-      }, current.location)
+    const outcome = await runNextStatement(identity, current, request)
     transaction = undefined
     logOutcome(request, outcome)
     if (outcome.status === 'DONE') return succeed(outcome, !current.readOnly)
+    if (outcome.status === 'NOT_RUN') abandon(current)
     const hasNoEffect = current.readOnly && outcome.status === 'UNKNOWN'
     return errorResponse(hasNoEffect ? notRun(outcome.reason) : outcome, true)
   }
 
-  const abandon = (current: Transaction) => {
-    if (current.location !== undefined) router.abandon(current.id, current.location)
-    current.location = undefined
-    current.isFailed = true
-  }
-
   const rollBack = () => {
     if (transaction !== undefined) abandon(transaction)
     transaction = undefined
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -3,7 +3,8 @@
  */
 export * from './coordination/connections/database-connection.js'
 export type { PromoteDatabase } from './coordination/primaries/primary-change.js'
-export type { Session, SessionResponse, SessionError, SessionStatement } from './coordination/sessions/session.js'
+export type { Session } from './coordination/sessions/session.js'
+export type { SessionError, SessionResponse, SessionStatement } from './coordination/sessions/session-messages.js'
 export type { Changes, Listing, SharedStore, StoreError } from './coordination/store/shared-store.js'
 export { events } from './events.js'
 export { startGateway } from './gateway.js'
