--- a/packages/gateway/src/session.test.ts
+++ b/packages/gateway/src/session.test.ts
@@ -154,7 +154,7 @@
   const session = openTestSession(fleet.gateways[1], 'slots')
   const isLateCommand = [true]
   const isLateConnection = [true]
-  primary.connectDelayMs = () => isLateConnection.pop() ? 300 : 0
+  primary.connectDelayMs = workspace => workspace === 'yard-a' && isLateConnection.pop() ? 300 : 0
   primary.replyDelayMs = ({ kind }) => kind === 'begin' && isLateCommand.pop() ? 450 : 0
 
   await session.send({ kind: 'begin', readOnly: false })
--- a/packages/gateway/src/testing/memory-group.ts
+++ b/packages/gateway/src/testing/memory-group.ts
@@ -35,8 +35,8 @@
   dropsReplies: boolean
   /** Receives no commits. */
   isDeaf: boolean
-  /** Time by which the reply to an attempt to connect is late, in milliseconds. */
-  connectDelayMs: () => number
+  /** Time by which the reply to an attempt to connect for the workspace is late, in milliseconds. */
+  connectDelayMs: (workspace: string) => number
   /** Time by which the reply to a command is late, in milliseconds; the command itself runs at once. */
   replyDelayMs: (command: DatabaseCommand) => number
   statementMs: number
@@ -117,7 +117,7 @@
     // As an adapter that passes the port to the system unchecked.
     if (Number(address.split(':')[1]) > 65_535) throw new RangeError(`port of ${address} is out of range`)
     if (database === undefined || database.state === 'dead') return Err(typedError('unreachable', 'refused'))
-    const delayMs = database.state === 'dark' ? Infinity : database.connectDelayMs()
+    const delayMs = database.state === 'dark' ? Infinity : database.connectDelayMs(workspace)
     if (delayMs > 0) await sleepMs(Math.min(delayMs, timeoutMs))
     if (delayMs > timeoutMs) return Err(typedError('silent', 'timeout'))
     return Ok(open(database, workspace))
