--- a/packages/gateway/src/coordination/connections/database-holder.test.ts
+++ b/packages/gateway/src/coordination/connections/database-holder.test.ts
@@ -3,69 +3,22 @@
  */
 import { sleepMs } from '@egretyoke/common'
 import test from 'ava'
-import { createAgeClock } from '../../state/contact.js'
-import { createMemoryGroup } from '../../testing/memory-group.js'
-import { createGroupPositions } from '../primaries/group-positions.js'
+import { createHolderEnvironment, writeRequest } from '../../testing/holder-environment.js'
 import type { StatementRequest } from '../sessions/statement.js'
-import { createDatabaseHolder } from './database-holder.js'
 
 const timeoutMs = 60
 const longWaitMs = 120
 
-const createEnvironment = () => {
-  const group = createMemoryGroup()
-  const database = group.databases.get('db-1')!
-  const waits = { storeMs: 0 }
-  const clock = createAgeClock()
-  const holder = createDatabaseHolder({
-    database: () => database.description,
-    maxConnections: () => 10,
-    transactionIdleMs: () => 1000,
-    connect: group.connect,
-    isFirstHolder: () => true,
-    acceptsNewWork: () => true,
-    records: {
-      canUse: () => true,
-      becomeUser: async () => {
-        await sleepMs(waits.storeMs)
-        return true
-      },
-      stopUse: () => {},
-      store: async () => undefined
-    },
-    positions: createGroupPositions(clock, async () => undefined),
-    clock,
-    nowMs: () => performance.now(),
-    log: () => {}
-  })
-  return { group, database, waits, holder }
-}
+const createEnvironment = () => createHolderEnvironment({ storeMs: 0, transactionIdleMs: 1000 })
 
-const write = (transaction: StatementRequest['transaction'] = 'SINGLE'): StatementRequest => ({
-  requestId: 'r1',
-  group: 'bookings',
-  database: 'db-1',
-  workspace: 'yard-a',
-  transactionId: transaction === 'SINGLE' ? '' : 'session/1',
-  transaction,
-  verb: 'TEXT',
-  access: 'WRITE',
-  text: 'WRITE 1 x',
-  shape: '',
-  shapeAccess: 'READ',
-  values: [],
-  needsPrimary: true,
-  ownPosition: '',
-  maxStalenessMs: 0,
-  timeoutMs,
-  maxQueuedMs: timeoutMs,
-  priority: 1
+const write = (transaction: StatementRequest['transaction'] = 'SINGLE') => writeRequest({
+  transaction, transactionId: transaction === 'SINGLE' ? '' : 'session/1', timeoutMs, maxQueuedMs: timeoutMs
 })
 
 // Guards against a statement that runs after its sender has given it up.
 test('a statement that waited for the store until its timeout is not run', async t => {
-  const { group, waits, holder } = createEnvironment()
-  waits.storeMs = longWaitMs
+  const { group, times, holder } = createEnvironment()
+  times.storeMs = longWaitMs
   t.is((await holder.run(write())).status, 'NOT_RUN')
   t.deepEqual(group.executed, [])
   holder.close()
--- a/packages/gateway/src/coordination/connections/transaction-orders.test.ts
+++ b/packages/gateway/src/coordination/connections/transaction-orders.test.ts
@@ -6,12 +6,9 @@
 import { sleepMs } from '@egretyoke/common'
 import test from 'ava'
 import fc from 'fast-check'
-import { createAgeClock } from '../../state/contact.js'
-import { createMemoryGroup } from '../../testing/memory-group.js'
+import { createHolderEnvironment, writeRequest } from '../../testing/holder-environment.js'
 import type { ExecutedStatement } from '../../testing/memory-group.js'
-import { createGroupPositions } from '../primaries/group-positions.js'
 import type { StatementOutcome, StatementRequest } from '../sessions/statement.js'
-import { createDatabaseHolder } from './database-holder.js'
 
 const timeoutMs = 40
 const transactionIdleMs = 100
@@ -42,51 +39,21 @@
   transactions: fc.array(transactionPlan, { minLength: 1, maxLength: 4 })
 }), { minLength: 1, maxLength: 3 })
 
-const createEnvironment = () => {
-  const group = createMemoryGroup()
-  const database = group.databases.get('db-1')!
-  const times = { idleMs: transactionIdleMs }
-  const clock = createAgeClock()
-  const holder = createDatabaseHolder({
-    database: () => database.description,
-    maxConnections: () => maxConnections,
-    transactionIdleMs: () => times.idleMs,
-    connect: group.connect,
-    isFirstHolder: () => true,
-    acceptsNewWork: () => true,
-    records: { canUse: () => true, becomeUser: async () => true, stopUse: () => {}, store: async () => undefined },
-    positions: createGroupPositions(clock, async () => undefined),
-    clock,
-    nowMs: () => performance.now(),
-    log: () => {}
-  })
-  return { group, database, holder, times }
-}
+const createEnvironment = () => createHolderEnvironment({ storeMs: 0, transactionIdleMs }, maxConnections)
 
 type Environment = ReturnType<typeof createEnvironment>
 
-const requestOf = (
-  transactionId: string, number: number, workspace: string, verb: StatementRequest['verb']
-): StatementRequest => ({
-  requestId: `${transactionId}:${number}`,
-  group: 'bookings',
-  database: 'db-1',
-  workspace,
-  transactionId,
-  transaction: number === 0 ? 'OPEN_READ_WRITE' : 'CONTINUE',
-  verb,
-  access: 'WRITE',
-  text: verb === 'COMMIT' ? '' : `WRITE ${number} x`,
-  shape: '',
-  shapeAccess: 'READ',
-  values: [],
-  needsPrimary: true,
-  ownPosition: '',
-  maxStalenessMs: 0,
-  timeoutMs,
-  maxQueuedMs: timeoutMs,
-  priority: 1
-})
+const requestOf = (transactionId: string, number: number, workspace: string, verb: StatementRequest['verb']) =>
+  writeRequest({
+    requestId: `${transactionId}:${number}`,
+    workspace,
+    transactionId,
+    transaction: number === 0 ? 'OPEN_READ_WRITE' : 'CONTINUE',
+    verb,
+    text: verb === 'COMMIT' ? '' : `WRITE ${number} x`,
+    timeoutMs,
+    maxQueuedMs: timeoutMs
+  })
 
 /** Runs a statement as its sender sees it: undefined if it was given up. */
 const send = async (
@@ -145,7 +112,7 @@
 /** Number of transactions that can be open at once; fewer than usual if connections are never free again. */
 const openAsManyAsPossible = async ({ holder, times }: Environment): Promise<number> => {
   let opened = 0
-  times.idleMs = Infinity
+  times.transactionIdleMs = Infinity
   for (let number = 0; number < usableConnections; number++) {
     const request = requestOf(`probe/${number}`, 0, 'yard-a', 'TEXT')
     const outcome = await holder.run({ ...request, timeoutMs: 2000, maxQueuedMs: 2000 })
