Ctl: explain takes the cause from the last line with an outcome

Lines about a request's connection name no outcome. Clocks of VMs differ, so that such a line of the holder may sort behind the line of the VM that routed the request; the cause then read "reason undefined". The new test showed that before the change.

--- a/packages/ctl/src/request-timeline.test.ts
+++ b/packages/ctl/src/request-timeline.test.ts
@@ -43,6 +43,14 @@
   t.regex(timeline.cause, /in force/)
 })
 
+test('the cause is that of the last line with an outcome, also when a line about the connection follows', t => {
+  const prepared = line(9002, 'vm-2', 'statementPrepared', { request: 'r1', database: 'db-1', connection: 12 })
+  const { lines } = readLogLines([routingVmLog.join('\n'), prepared])
+  const timeline = requestTimeline(lines, 'r1')
+  t.is(timeline.own.at(-1)?.name, 'statementPrepared')
+  t.regex(timeline.cause, /in force/)
+})
+
 test('lines of one kind are shown up to a limit; the rest are counted', t => {
   const many = Array.from({ length: 9 }, (_, index) => line(8000 + index, 'vm-2', 'peerLost', { address: 'a' }))
   const { lines } = readLogLines([routingVmLog.join('\n'), many.join('\n')])
--- a/packages/ctl/src/request-timeline.ts
+++ b/packages/ctl/src/request-timeline.ts
@@ -23,6 +23,9 @@
   'programStarted', 'programStopping', 'platformSilent', 'platformRefused', 'taskFailed'
 ])
 
+/** Events about a request's connection, which name no outcome. */
+const connectionEvents: ReadonlySet<string> = new Set(['statementPrepared', 'commandDeclined', 'connectionShared'])
+
 /** Fields that name the subject of a line. */
 const subjectFields = ['database', 'group', 'workspace'] as const
 
@@ -44,7 +47,8 @@
 }
 
 const causeOf = (own: readonly LogLine[]): string => {
-  const last = own.at(-1)
+  // Clocks of VMs differ: a line about the connection may be the last one.
+  const last = own.findLast(({ name }) => !connectionEvents.has(name))
   if (last === undefined) return ''
   if (last.name === 'limitRefused') return `the workspace ${last.workspace} had exhausted its limit`
   if (last.status === 'DONE') return 'the request succeeded'
