Gateway: lines and counters tell what was prepared on which connection

No line told on which connection a statement had run or what a database had prepared under which name, so that three causes of a statement that runs as another one could not be told apart: a name that is not one field, a wrong record of a connection's session state, and a connection that serves two statements at once.

Each connection has a number, which the reply of a statement carries to the gateway that routed it (statementRouted). statementPrepared 7049 gives the name and the text that the database accepted, and how often the session state of the connection was reset before; commandDeclined 7050 gives the commands that a database did not understand or whose statement it did not know; connectionShared 7051 names two statements on one connection. Two counters: statements prepared, and commands declined by kind and reason. The lines are written from the replies alone; what is sent to databases is unchanged.

--- /dev/null
+++ b/packages/gateway/src/coordination/connections/connection-log.test.ts
@@ -0,0 +1,125 @@
+/**
+ * Log lines and counters about connections: from a request to the connection, and to what was prepared there.
+ */
+import test from 'ava'
+import { createConnectionLog, maxLoggedTextLength } from './connection-log.js'
+import type { PooledConnection } from './connection-pool.js'
+import { createHolderEnvironment, writeRequest } from '../../testing/holder-environment.js'
+import type { StatementRequest } from '../sessions/statement.js'
+
+const createEnvironment = () => createHolderEnvironment({ storeMs: 0, transactionIdleMs: 1000 })
+
+const execute = (requestId: string, changes: Partial<StatementRequest> = {}) =>
+  writeRequest({ requestId, verb: 'EXECUTE', text: '7', shape: 'WRITE q', shapeAccess: 'WRITE', ...changes })
+
+// Guards against a statement of another caller's text of which no line tells where it was prepared.
+test('a statement is logged when it is prepared, with its connection, and not when it is reused', async t => {
+  const { holder, logged, counted } = createEnvironment()
+  const first = await holder.run(execute('r1'))
+  const second = await holder.run(execute('r2'))
+  t.true(first.connection > 0)
+  t.is(second.connection, first.connection)
+  t.deepEqual(logged, [{
+    name: 'statementPrepared',
+    request: 'r1',
+    database: 'db-1',
+    workspace: 'yard-a',
+    connection: first.connection,
+    resets: 0,
+    prepared: 'write_WRITE q',
+    access: 'write',
+    text: 'WRITE q',
+    textBytes: 7
+  }])
+  t.deepEqual(counted, ['prepared'])
+  holder.close()
+})
+
+test('a statement that is prepared again after a reset is logged with the number of resets', async t => {
+  const { holder, logged } = createEnvironment()
+  await holder.run(execute('r1', { values: [{ name: 'zone', value: 'quay' }] }))
+  await holder.run(execute('r2'))
+  t.deepEqual(logged.map(({ request, resets }) => [request, resets]), [['r1', 0], ['r2', 1]])
+  holder.close()
+})
+
+test('the texts of a line are clipped; the full length is logged', async t => {
+  const { holder, logged } = createEnvironment()
+  const shape = 'é'.repeat(5000)
+  await holder.run(execute('r1', { shape }))
+  t.is(logged[0]?.text, 'é'.repeat(maxLoggedTextLength))
+  t.is(String(logged[0]?.prepared).length, maxLoggedTextLength)
+  t.is(logged[0]?.textBytes, 10_000)
+  holder.close()
+})
+
+test('connections have different numbers, also at different holders', async t => {
+  const [one, other] = [createEnvironment(), createEnvironment()]
+  const outcomes = await Promise.all([
+    one.holder.run(execute('r1')), one.holder.run(execute('r2')), other.holder.run(execute('r3'))
+  ])
+  t.is(new Set(outcomes.map(({ connection }) => connection)).size, 3)
+  one.holder.close()
+  other.holder.close()
+})
+
+const createLog = () => {
+  const logged: object[] = []
+  const counted: string[] = []
+  const connectionLog = createConnectionLog({
+    database: 'db-1',
+    counters: {
+      countPrepared: () => { counted.push('prepared') },
+      countDeclined: (kind, reason) => { counted.push(`${kind} ${reason}`) }
+    },
+    log: ({ name }, fields = {}) => { logged.push({ name, ...typeof fields === 'function' ? fields() : fields }) }
+  })
+  return { connectionLog, logged, counted }
+}
+
+const pooled = { number: 12, workspace: 'yard-a' } as PooledConnection
+
+const declined = (declineReason: 'busy' | 'unknownStatement') => ({
+  outcome: 'declined' as const,
+  declineReason,
+  message: 'm'.repeat(5000),
+  rows: [],
+  signature: '',
+  position: '',
+  transaction: 'none' as const
+})
+
+test('a command that the database did not understand is logged; others that it declined are only counted', t => {
+  const { connectionLog, logged, counted } = createLog()
+  const { onReply } = connectionLog.startUse(pooled, execute('r1'))
+  onReply({ kind: 'commit', requestId: 'r1' }, declined('busy'))
+  onReply(
+    { kind: 'execute', requestId: 'r1', name: 'write_q', operands: '7', positionAtLeast: '' },
+    declined('unknownStatement')
+  )
+  t.deepEqual(counted, ['commit busy', 'execute unknownStatement'])
+  t.deepEqual(logged, [{
+    name: 'commandDeclined',
+    request: 'r1',
+    database: 'db-1',
+    workspace: 'yard-a',
+    connection: 12,
+    resets: 0,
+    kind: 'execute',
+    prepared: 'write_q',
+    reason: 'unknownStatement',
+    message: 'm'.repeat(maxLoggedTextLength)
+  }])
+})
+
+test('a statement that begins while another one runs on its connection is logged', t => {
+  const { connectionLog, logged } = createLog()
+  connectionLog.startUse(pooled, execute('r1')).end()
+  const use = connectionLog.startUse(pooled, execute('r2'))
+  connectionLog.startUse(pooled, execute('r3')).end()
+  use.end()
+  connectionLog.startUse(pooled, execute('r4')).end()
+  t.deepEqual(logged, [{
+    name: 'connectionShared', request: 'r3', database: 'db-1', workspace: 'yard-a', connection: 12, other: 'r2'
+  }])
+})
--- a/packages/gateway/src/coordination/connections/connection-pool.test.ts
+++ b/packages/gateway/src/coordination/connections/connection-pool.test.ts
@@ -90,6 +90,7 @@
 })
 
 const pooledWith = (values: Record<string, string>, prepared: string[]): PooledConnection => ({
+  number: 1,
   workspace: 'a',
   connection: fakeConnection(),
   values: new Map(Object.entries(values)),
--- a/packages/gateway/src/coordination/connections/connection-pool.ts
+++ b/packages/gateway/src/coordination/connections/connection-pool.ts
@@ -9,6 +9,8 @@
 
 /** A connection of the pool and its tracked session state. */
 export type PooledConnection = {
+  /** Identifies the connection in log lines; unique in the process. */
+  number: number
   workspace: string
   connection: DatabaseConnection
   values: Map<string, string>
@@ -54,6 +56,8 @@
   nowMs: () => number
 }
 
+let lastNumber = 0
+
 /** Commands that bring a connection to the required session state, in order. */
 export const setupCommandsFor = (pooled: PooledConnection, required: RequiredState): DatabaseCommand[] => {
   const commands: DatabaseCommand[] = []
@@ -120,7 +124,7 @@
     }
     const connection = connected.val
     const pooled: PooledConnection =
-      { workspace, connection, values: new Map(), prepared: new Set(), idleSinceMs: nowMs() }
+      { number: ++lastNumber, workspace, connection, values: new Map(), prepared: new Set(), idleSinceMs: nowMs() }
     all.add(pooled)
     connection.onClosed(() => remove(pooled))
     if (isClosed) connection.close()
--- a/packages/gateway/src/coordination/connections/database-holder.ts
+++ b/packages/gateway/src/coordination/connections/database-holder.ts
@@ -10,6 +10,8 @@
 import type { Database } from '../../state/configuration.js'
 import type { AgeClock } from '../../state/contact.js'
 import { laterPosition } from '../../state/position.js'
+import { createConnectionLog } from './connection-log.js'
+import type { ConnectionCounters } from './connection-log.js'
 import { createConnectionPool } from './connection-pool.js'
 import type { ConnectionPool, PooledConnection } from './connection-pool.js'
 import type { ConnectDatabase } from './database-connection.js'
@@ -72,6 +74,7 @@
   positions: GroupPositions
   clock: AgeClock
   nowMs: () => number
+  counters: ConnectionCounters
   log: Logger
 }
 
@@ -99,6 +102,7 @@
   let lastReplyMs = -Infinity
   const continuing: QueuedStatement[] = []
   const queueAdmission = createQueueAdmission()
+  const connectionLog = createConnectionLog({ database: id, counters: options.counters, log })
 
   const pool: ConnectionPool = createConnectionPool({
     connect: (workspace, timeoutMs) =>
@@ -162,7 +166,7 @@
     }
     const outcome = await runWithPrimaryCheck(pooled, request, position, deadlineMs - nowMs())
     releaseAfter(pooled, request, outcome)
-    return outcome
+    return { ...outcome, connection: pooled.number }
   }
 
   const releaseAfter = (pooled: PooledConnection, request: StatementRequest, outcome: StatementOutcome) => {
@@ -182,7 +186,9 @@
     const isAtPrimary = request.needsPrimary || records.canUse(group, id)
     if (request.needsPrimary && !records.canUse(group, id)) return notRun('moved')
     const coversUntil = clock.now()
-    const outcome = await runOnConnection(pooled, request, position, remainingMs)
+    const use = connectionLog.startUse(pooled, request)
+    const outcome = await runOnConnection(pooled, request, position, remainingMs, use.onReply)
+    use.end()
     if (!noReplyReasons.has(outcome.reason)) lastReplyMs = nowMs()
     if (!isAtPrimary) return outcome
     if (records.canUse(group, id)) {
@@ -203,7 +209,7 @@
     if (pooled === undefined) return notRun('transactionGone')
     const outcome = await runWithPrimaryCheck(pooled, request, '', deadlineMs - nowMs())
     releaseAfter(pooled, request, outcome)
-    return outcome
+    return { ...outcome, connection: pooled.number }
   }
 
   const runQueued = async (statement: QueuedStatement) => {
--- a/packages/gateway/src/coordination/connections/run-on-connection.ts
+++ b/packages/gateway/src/coordination/connections/run-on-connection.ts
@@ -49,13 +49,17 @@
 const setupOutcome = (reply: DatabaseReply): StatementOutcome =>
   notRun(reply.outcome === 'declined' ? reasonOfDecline[reply.declineReason ?? 'malformed'] : 'unreachable')
 
+/** Called with each reply of the database. */
+export type ReplyListener = (command: DatabaseCommand, reply: DatabaseReply) => void
+
 /**
  * Runs the statement. `positionAtLeast` is attached to the first command that reads. The statement is sent only after
  * all setup commands have succeeded: pipelined behind a declined one, it would run in the wrong session state or
  * outside its transaction.
  */
 export const runOnConnection = async (
-  pooled: PooledConnection, request: StatementRequest, positionAtLeast: string, timeoutMs: number
+  pooled: PooledConnection, request: StatementRequest, positionAtLeast: string, timeoutMs: number,
+  onReply: ReplyListener
 ): Promise<StatementOutcome> => {
   const readOnly = request.transaction === 'OPEN_READ_ONLY'
   const setup = setupCommandsFor(pooled, { values: request.values, prepared: preparedOf(request) })
@@ -64,6 +68,8 @@
 
   if (setup.length > 0) {
     const replies = await pooled.connection.run(setup, timeoutMs)
+    // Commands behind a declined one may have been accepted, too.
+    for (const [index, reply] of replies.entries()) onReply(setup[index]!, reply)
     for (const [index, command] of setup.entries()) {
       const reply = replies[index]
       if (reply?.outcome !== 'done') return reply === undefined ? notRun('unreachable') : setupOutcome(reply)
@@ -74,10 +80,10 @@
   const remainingMs = timeoutMs - (performance.now() - startedAtMs)
   if (remainingMs <= 0) return notRun('silent')
   const requiresPosition = request.transaction === 'SINGLE' && request.access === 'READ'
-  const [reply] = await pooled.connection.run(
-    [commandOf(request, requiresPosition ? positionAtLeast : '')], remainingMs
-  )
+  const command = commandOf(request, requiresPosition ? positionAtLeast : '')
+  const [reply] = await pooled.connection.run([command], remainingMs)
   if (reply === undefined) return unknownOutcome('silent')
+  onReply(command, reply)
   if (reply.declineReason === 'unknownStatement') pooled.prepared.clear()
   return outcomeOf(request, reply)
 }
--- a/packages/gateway/src/coordination/routing/statement-router.ts
+++ b/packages/gateway/src/coordination/routing/statement-router.ts
@@ -156,6 +156,7 @@
         reason: outcome.reason,
         load: outcome.load,
         queuedMs: outcome.queuedMs,
+        connection: outcome.connection,
         needsPrimary
       })
       const location = { database: database.id, holder }
--- a/packages/gateway/src/coordination/sessions/statement.ts
+++ b/packages/gateway/src/coordination/sessions/statement.ts
@@ -35,7 +35,15 @@
 export type StatementOutcome = Omit<RelayMessages.StatementReply__Output, 'reason'> & { reason: StatementReason }
 
 const emptyOutcome: StatementOutcome = {
-  status: 'NOT_RUN', reason: '', rows: [], signature: '', position: '', transactionOpen: false, load: 0, queuedMs: 0
+  status: 'NOT_RUN',
+  reason: '',
+  rows: [],
+  signature: '',
+  position: '',
+  transactionOpen: false,
+  load: 0,
+  queuedMs: 0,
+  connection: 0
 }
 
 /** Outcome of a statement that did not run and never will. */
--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -82,5 +82,11 @@
   transactionLostKey: defineEvent(7047, 'transactionLostKey',
     'A transaction was rolled back because its caller\'s key now belongs to another workspace.'),
   groupCheckFailed: defineEvent(7048, 'groupCheckFailed',
-    'A step of the check of a group\'s primary ended with an unexpected error; the next check starts again.')
+    'A step of the check of a group\'s primary ended with an unexpected error; the next check starts again.'),
+  statementPrepared: defineEvent(7049, 'statementPrepared',
+    'A database has prepared a statement; names the connection, the name at the database and the text.'),
+  commandDeclined: defineEvent(7050, 'commandDeclined',
+    'A database did not understand a command or does not know its prepared statement; names the connection.'),
+  connectionShared: defineEvent(7051, 'connectionShared',
+    'A statement began on a connection on which another one is running, which must not occur; names both requests.')
 }
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -8,6 +8,8 @@
 export type GatewayMetrics = {
   statements: Counter<'result'>
   statementSeconds: Histogram<'kind'>
+  statementsPrepared: Counter
+  commandsDeclined: Counter<'kind' | 'reason'>
   logLinesDropped: Counter
 }
 
@@ -44,6 +46,15 @@
       buckets: latencyBucketsSec,
       registers
     }),
+    statementsPrepared: new Counter({
+      name: 'egretyoke_statements_prepared_total', help: 'Statements prepared at databases', registers
+    }),
+    commandsDeclined: new Counter({
+      name: 'egretyoke_commands_declined_total',
+      help: 'Commands that a database declined, by kind of command and reason',
+      labelNames: ['kind', 'reason'],
+      registers
+    }),
     logLinesDropped: new Counter({
       name: 'egretyoke_log_lines_dropped_total',
       help: 'Log lines dropped because the reader was too slow or the rate limit was exceeded',
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -172,7 +172,18 @@
   const isFirstHolder = (database: Database) => contact.ageMs() < maxReadyContactAgeMs &&
     holderChoice.candidates(database, [])[0]?.name === self.name
   const holders = createHolders({
-    fleetState, isFirstHolder, connect, records, positions, clock, nowMs: () => performance.now(), log
+    fleetState,
+    isFirstHolder,
+    connect,
+    records,
+    positions,
+    clock,
+    nowMs: () => performance.now(),
+    counters: {
+      countPrepared: () => metrics.statementsPrepared.inc(),
+      countDeclined: (kind, reason) => metrics.commandsDeclined.inc({ kind, reason })
+    },
+    log
   })
   const tokenAllocator = createTokenAllocator({
     self: selfName, name: self.name, fleetState, election, membership, store, log
--- a/packages/gateway/src/session.test.ts
+++ b/packages/gateway/src/session.test.ts
@@ -57,6 +57,23 @@
   await fleet.close()
 })
 
+test('the line of a routed statement names the connection at its holder, where it was prepared', async t => {
+  const fleet = await startMemoryFleet(3)
+  for (const gateway of fleet.gateways) {
+    const session = openTestSession(gateway, 'slots')
+    await session.send({ kind: 'prepare', name: 's1', access: 'write', shape: 'q2c' })
+    t.is((await session.send({ kind: 'execute', name: 's1', operands: '7' })).error, undefined)
+  }
+  const named = (name: string) => fleet.events.filter(event => event.name === name)
+  const [prepared] = named('statementPrepared')
+  t.is(named('statementPrepared').length, 1)
+  t.deepEqual(named('statementRouted').map(({ fields: { holder, connection } }) => ({ holder, connection })),
+    Array(3).fill({ holder: prepared?.gateway, connection: prepared?.fields.connection }))
+  const metrics = await Promise.all(fleet.gateways.map(({ gateway }) => gateway.registry.metrics()))
+  t.is(metrics.filter(text => text.includes('egretyoke_statements_prepared_total 1')).length, 1)
+  await fleet.close()
+})
+
 test('prepared statements of two sessions do not collide on a shared connection', async t => {
   const fleet = await startMemoryFleet(1)
   const one = openTestSession(fleet.gateways[0], 'slots')
--- a/packages/gateway/src/testing/holder-environment.ts
+++ b/packages/gateway/src/testing/holder-environment.ts
@@ -2,6 +2,7 @@
  * A holder of one database of an in-memory group, and requests to it, for tests.
  */
 import { sleepMs } from '@egretyoke/common'
+import type { EventFields } from '@egretyoke/common'
 import { createDatabaseHolder } from '../coordination/connections/database-holder.js'
 import { createGroupPositions } from '../coordination/primaries/group-positions.js'
 import type { StatementRequest } from '../coordination/sessions/statement.js'
@@ -20,6 +21,8 @@
   const group = createMemoryGroup()
   const database = group.databases.get('db-1')!
   const clock = createAgeClock()
+  const logged: Array<EventFields & { name: string }> = []
+  const counted: string[] = []
   const holder = createDatabaseHolder({
     database: () => database.description,
     maxConnections: () => maxConnections,
@@ -39,9 +42,16 @@
     positions: createGroupPositions(clock, async () => undefined),
     clock,
     nowMs: () => performance.now(),
-    log: () => {}
+    counters: {
+      countPrepared: () => { counted.push('prepared') },
+      countDeclined: (kind, reason) => { counted.push(`${kind} ${reason}`) }
+    },
+    log: ({ name }, fields = {}) => {
+      const values = typeof fields === 'function' ? fields() : fields
+      logged.push({ name, ...values })
+    }
   })
-  return { group, database, holder, times }
+  return { group, database, holder, times, logged, counted }
 }
 
 /** A write outside of a transaction, with the given changes. */
