Test: the soak's databases read a prepared statement to the end of its line

The soak's database took the first word of a prepared statement's text and dropped the rest, while the last field of a line extends to its end. It could not tell a shape with blanks from its first word, so a soak could not see that such a shape runs as another. The soak's callers still prepare shapes of one word; the soak test passes as before.

--- a/soak/src/soak-databases.ts
+++ b/soak/src/soak-databases.ts
@@ -208,7 +208,7 @@
           values.set(name, tail)
           return { lines: ['COMPLETE -'] }
         case 'PREPARE': {
-          const [access = '', shape = ''] = tail.split(' ')
+          const [access = '', shape = ''] = splitFields(tail, 2)
           prepared.set(name, { access, shape })
           return { lines: ['COMPLETE -'] }
         }
