Gateway: the session state that pipelined setup commands leave is tracked also behind a declined one

What callers saw: nothing, or a statement that ran with a session value that another caller had set.

Cause: the commands that bring a connection to a session's state are sent in one write. When one was declined, the replies behind it were not looked at. A SET behind a declined command had been run by the database but was not tracked, the statement was answered as not run, and the connection went back to the pool: the next session did not reset a value that nothing knew.

Fix: all replies are read, every command that succeeded is tracked, and the first one that did not decides the outcome, as before.

--- /dev/null
+++ b/packages/gateway/src/coordination/connections/run-on-connection.test.ts
@@ -0,0 +1,48 @@
+/**
+ * One statement on one connection: the session state that is tracked after its setup.
+ */
+import test from 'ava'
+import { Ok } from '@egretyoke/common'
+import { writeRequest } from '../../testing/holder-environment.js'
+import { createConnectionPool } from './connection-pool.js'
+import type { DatabaseCommand, DatabaseConnection, DatabaseReply } from './database-connection.js'
+import { runOnConnection } from './run-on-connection.js'
+
+const done: DatabaseReply =
+  { outcome: 'done', message: '', rows: [], signature: 's.1', position: '', transaction: 'none' }
+
+/** A pooled connection whose database keeps session values and declines the commands for which `isDeclined` is true. */
+const openConnection = async (isDeclined: (command: DatabaseCommand) => boolean) => {
+  const values = new Map<string, string>()
+  const apply = (command: DatabaseCommand): DatabaseReply => {
+    if (isDeclined(command)) return { ...done, outcome: 'declined', declineReason: 'busy' }
+    if (command.kind === 'set') values.set(command.name, command.value)
+    if (command.kind === 'reset') values.clear()
+    return done
+  }
+  const connection: DatabaseConnection = {
+    run: async commands => commands.map(apply),
+    runControl: async () => { throw new Error('no control commands') },
+    isOpen: () => true,
+    onClosed: () => {},
+    close: () => {}
+  }
+  const pool = createConnectionPool({ connect: async () => Ok(connection), maxConnections: () => 1, nowMs: () => 0 })
+  const pooled = (await pool.acquire('yard-a', 100)).unwrap()
+  return { pooled, values }
+}
+
+const request = writeRequest({ values: [{ name: 'zone', value: 'quay' }, { name: 'lang', value: 'es' }] })
+
+// A value that was set behind a declined command was not tracked, and the next session ran with it.
+test('a value set behind a declined setup command does not reach the next session', async t => {
+  let declinesZone = true
+  const { pooled, values } = await openConnection(command =>
+    declinesZone && command.kind === 'set' && command.name === 'zone')
+  const declined = await runOnConnection(pooled, request, '', 1000, () => {})
+  t.deepEqual([declined.status, declined.reason], ['NOT_RUN', 'busy'])
+  t.deepEqual(pooled.values, values)
+  declinesZone = false
+  t.is((await runOnConnection(pooled, writeRequest({}), '', 1000, () => {})).status, 'DONE')
+  t.deepEqual([...values], [])
+})
--- a/packages/gateway/src/coordination/connections/run-on-connection.ts
+++ b/packages/gateway/src/coordination/connections/run-on-connection.ts
@@ -52,6 +52,25 @@
 /** Called with each reply of the database. */
 export type ReplyListener = (command: DatabaseCommand, reply: DatabaseReply) => void
 
+/**
+ * Runs the setup commands, and tracks all that have succeeded: they are pipelined, so that those behind a declined one
+ * have run, too. Returns the outcome of the statement if a command did not succeed.
+ */
+const runSetup = async (
+  pooled: PooledConnection, setup: readonly DatabaseCommand[], timeoutMs: number, onReply: ReplyListener
+): Promise<StatementOutcome | undefined> => {
+  if (setup.length === 0) return undefined
+  const replies = await pooled.connection.run(setup, timeoutMs)
+  for (const [index, reply] of replies.entries()) {
+    const command = setup[index]!
+    onReply(command, reply)
+    if (reply.outcome === 'done') recordDone(pooled, command)
+  }
+  const firstNotDone = replies.find(({ outcome }) => outcome !== 'done')
+  if (firstNotDone !== undefined) return setupOutcome(firstNotDone)
+  return replies.length < setup.length ? notRun('unreachable') : undefined
+}
+
 /**
  * Runs the statement. `positionAtLeast` is attached to the first command that reads. The statement is sent only after
  * all setup commands have succeeded: pipelined behind a declined one, it would run in the wrong session state or
@@ -66,16 +85,8 @@
   if (opensTransaction(request)) setup.push({ kind: 'begin', readOnly, positionAtLeast })
   const startedAtMs = performance.now()
 
-  if (setup.length > 0) {
-    const replies = await pooled.connection.run(setup, timeoutMs)
-    // Commands behind a declined one may have been accepted, too.
-    for (const [index, reply] of replies.entries()) onReply(setup[index]!, reply)
-    for (const [index, command] of setup.entries()) {
-      const reply = replies[index]
-      if (reply?.outcome !== 'done') return reply === undefined ? notRun('unreachable') : setupOutcome(reply)
-      recordDone(pooled, command)
-    }
-  }
+  const notSetUp = await runSetup(pooled, setup, timeoutMs, onReply)
+  if (notSetUp !== undefined) return notSetUp
 
   const remainingMs = timeoutMs - (performance.now() - startedAtMs)
   if (remainingMs <= 0) return notRun('silent')
