--- a/packages/gateway/src/state/position.ts
+++ b/packages/gateway/src/state/position.ts
@@ -2,6 +2,12 @@
  * Positions in a database group's log, written TERM.NUMBER: ordered by term, then by number.
  */
 
+/** More digits could not be compared exactly as numbers. */
+const positionPattern = /^\d{1,15}\.\d{1,15}$/
+
+/** True if the text is a position; an empty one, which stands for an unknown position, is none. */
+export const isPosition = (text: string): boolean => positionPattern.test(text)
+
 /** The term of a position; 0 when the position cannot be parsed. */
 export const termOf = (position: string): number => Number(position.split('.')[0]) || 0
 
