Gateway: the name of a process is split at its last slash

What callers saw: nothing yet, as no VM has had a slash in its name. With one, "rack/7/x" was read as the VM "rack" with the incarnation "7". Its process counted as ended while it ran: a change of the primary did not wait for it to stop, so that two primaries could have confirmed commits, and its shards of the limits could be claimed by another.

--- a/packages/gateway/src/coordination/limits/token-allocator.ts
+++ b/packages/gateway/src/coordination/limits/token-allocator.ts
@@ -11,7 +11,7 @@
 import type { RelayMessages } from '@egretyoke/protocol'
 import { events } from '../../events.js'
 import type { FleetState } from '../../state/fleet-state.js'
-import { decodeLimitRecord, recordPrefixes, encodeRecord } from '../../state/stored-records.js'
+import { decodeLimitRecord, encodeRecord, recordPrefixes, splitProcessName } from '../../state/stored-records.js'
 import { createTokenBucket } from '../../state/token-bucket.js'
 import type { TokenBucket } from '../../state/token-bucket.js'
 import type { Election } from '../membership/election.js'
@@ -115,9 +115,9 @@
   const isClaimed = (shard: number): boolean => {
     const keeper = fleetState.limitRecord(shard)?.keeper
     if (keeper === undefined) return false
-    const [allocatorName = '', incarnation] = keeper.split('/')
-    const member = fleetState.members().get(allocatorName)
-    return member === undefined || member.incarnation === incarnation
+    const allocator = splitProcessName(keeper)
+    const member = fleetState.members().get(allocator.name)
+    return member === undefined || member.incarnation === allocator.incarnation
   }
 
   const claim = async (shard: number) => {
@@ -136,7 +136,7 @@
     for (const workspace of accounts.keys()) if (shardOf(workspace) === shard) accounts.delete(workspace)
     // An earlier process of this VM has granted nothing since this one started, so the buckets fill from that time.
     const wasHeldByThisVm = replaced !== undefined &&
-      decodeLimitRecord(replaced.value).map(({ keeper }) => keeper.split('/')[0] === name).unwrapOr(false)
+      decodeLimitRecord(replaced.value).map(({ keeper }) => splitProcessName(keeper).name === name).unwrapOr(false)
     claimedAtMs.set(shard, wasHeldByThisVm ? processStartMs : monotonicMs())
     log(events.limitsClaimed, { shard, revision: swap.val.current.revision })
   }
--- a/packages/gateway/src/coordination/primaries/group-monitor.ts
+++ b/packages/gateway/src/coordination/primaries/group-monitor.ts
@@ -6,6 +6,7 @@
 import { events } from '../../events.js'
 import type { Database } from '../../state/configuration.js'
 import type { Versioned } from '../../state/fleet-state.js'
+import { splitProcessName } from '../../state/stored-records.js'
 import type { GroupRecord, Member } from '../../state/stored-records.js'
 import type { Election } from '../membership/election.js'
 import { activeUsers } from './group-records.js'
@@ -67,7 +68,7 @@
 
   /** True if a gateway that uses the primary has had a reply from it recently, so that no probe is needed. */
   const isConfirmedByUser = async (database: Database, users: readonly string[]): Promise<boolean> => {
-    const user = activeUsers(users, fleetState).at(-1)?.split('/')[0] ?? ''
+    const user = splitProcessName(activeUsers(users, fleetState).at(-1) ?? '').name
     if (user === name) return hasRepliedRecently(database.id)
     const member = fleetState.members().get(user)
     if (member === undefined || !relay.isUsable(member)) return false
--- a/packages/gateway/src/coordination/primaries/group-records.ts
+++ b/packages/gateway/src/coordination/primaries/group-records.ts
@@ -9,7 +9,7 @@
 import { events } from '../../events.js'
 import type { Contact } from '../../state/contact.js'
 import type { FleetState, Versioned } from '../../state/fleet-state.js'
-import { recordPrefixes, encodeRecord } from '../../state/stored-records.js'
+import { encodeRecord, recordPrefixes, splitProcessName } from '../../state/stored-records.js'
 import type { GroupRecord } from '../../state/stored-records.js'
 import type { SharedStore } from '../store/shared-store.js'
 
@@ -45,7 +45,7 @@
  * membership record was removed has stopped by itself, because it does not use primaries without a lease.
  */
 export const activeUsers = (users: readonly string[], fleetState: FleetState): string[] => users.filter(user => {
-  const [name = '', incarnation] = user.split('/')
+  const { name, incarnation } = splitProcessName(user)
   return fleetState.members().get(name)?.incarnation === incarnation
 })
 
--- a/packages/gateway/src/coordination/primaries/primary-change.ts
+++ b/packages/gateway/src/coordination/primaries/primary-change.ts
@@ -14,6 +14,7 @@
 import type { Contact } from '../../state/contact.js'
 import type { FleetState, Versioned } from '../../state/fleet-state.js'
 import { comparePositions } from '../../state/position.js'
+import { splitProcessName } from '../../state/stored-records.js'
 import type { GroupRecord, Member } from '../../state/stored-records.js'
 import type { DatabaseStatus } from '../connections/database-connection.js'
 import type { ControlCommands } from '../connections/control-commands.js'
@@ -75,7 +76,7 @@
   // A requested promotion may take effect late; the old primary must then not be reactivated without a new promotion.
   let hasRequestedPromotion = false
 
-  const memberOf = (user: string): Member | undefined => fleetState.members().get(user.split('/')[0] ?? '')
+  const memberOf = (user: string): Member | undefined => fleetState.members().get(splitProcessName(user).name)
 
   const stopUser = async (user: string, revision: number, finish: boolean): Promise<string | undefined> => {
     const member = memberOf(user)
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -39,7 +39,7 @@
 import { createFleetState } from './state/fleet-state.js'
 import type { DecodePlatformEntry } from './state/fleet-state.js'
 import { createStoreHistory } from './state/store-history.js'
-import { processName } from './state/stored-records.js'
+import { processName, splitProcessName } from './state/stored-records.js'
 import type { Member } from './state/stored-records.js'
 import { addRelayService, createRelayLinks } from './transport/relay-links.js'
 
@@ -193,7 +193,7 @@
     if (allocatorName === undefined) return undefined
     const request = { workspace, wanted, asker: self.name }
     if (allocatorName === selfName) return tokenAllocator.allocate(request)
-    const member = fleetState.members().get(allocatorName.split('/')[0] ?? '')
+    const member = fleetState.members().get(splitProcessName(allocatorName).name)
     // Does not wait for an allocator that does not answer: admission uses the last known share of the rate meanwhile.
     if (member === undefined || !links.isUsable(member)) return undefined
     const reply = await links.call(member, { takeTokens: request }, tokenTimeoutMs)
--- a/packages/gateway/src/state/stored-records.ts
+++ b/packages/gateway/src/state/stored-records.ts
@@ -83,3 +83,9 @@
 /** Name of a process, NAME/INCARNATION: the VM's name alone is reused by its next process. */
 export const processName = ({ name, incarnation }: Pick<Member, 'name' | 'incarnation'>): string =>
   `${name}/${incarnation}`
+
+/** Splits the name of a process. An incarnation has no slash, but the name of a VM may have one. */
+export const splitProcessName = (text: string): Pick<Member, 'name' | 'incarnation'> => {
+  const slash = text.lastIndexOf('/')
+  return { name: text.slice(0, Math.max(0, slash)), incarnation: text.slice(slash + 1) }
+}
