Test: random sessions of several callers are compared with a model of each

Soaks and fuzz tests prepared shapes of one word, so none could see that a shape with blanks runs as another. The new comparison sends random SET, PREPARE, EXECUTE, DEALLOC, READ, WRITE and transactions of three callers with colliding names through two gateway processes, in turn or at the same time. Texts hold blanks, words of the protocol, CR or LF alone, `__proto__`, other planes of Unicode and some KB. The database reads lines by the protocol's rules. What ran must have the text, shape, access, operands, values, caller, transaction and connection that the model derives from the replies; a refusal that promises that nothing is kept must have run nothing. The model and the database share no code with the product.

A doubled blank after AFTER was not found: in this environment no read requires a position.

--- a/soak/src/plain-database.ts
+++ b/soak/src/plain-database.ts
@@ -16,10 +16,11 @@
   prepared: string
   /** What follows the name of a prepared statement. */
   operands: string
-  /** Session values, as `name=value` in the order of the names. */
+  /** Session values: JSON of each name and value, sorted. */
   values: string[]
   /** Number of the open transaction, 0 outside of one. */
   transaction: number
+  signature: string
 }
 
 /** A running database. */
@@ -31,7 +32,7 @@
   close: () => void
 }
 
-type Answer = { rows?: string[], error?: string }
+type Answer = { rows?: string[], error?: string, signature?: string }
 
 /** Starts the database on a free loopback port. */
 export const startPlainDatabase = async (): Promise<PlainDatabase> => {
@@ -52,36 +53,46 @@
     const recordRun = (requestId: string, text: string, name?: string, operands = ''): Answer => {
       const shape = name === undefined ? '' : prepared.get(name)
       if (shape === undefined) return { error: 'NOSTMT' }
-      const pairs = [...values].map(([key, value]) => `${key}=${value}`).sort()
-      runs.push({ requestId, connection, workspace, text, prepared: shape, operands, values: pairs, transaction })
+      const pairs = [...values].map(pair => JSON.stringify(pair)).sort()
+      const signature = `plain.${runs.length + 1}`
+      runs.push({
+        requestId, connection, workspace, text, prepared: shape, operands, values: pairs, transaction, signature
+      })
       position++
-      return { rows: text.startsWith('READ ') || shape.startsWith('READ ') ? [`of ${requestId}`] : [] }
-    }
-    const end = (isCommit: boolean): Answer => {
-      if (isCommit) committed.add(transaction)
-      state = 'I'
-      transaction = 0
-      return {}
+      const isRead = text.startsWith('READ ') || shape.startsWith('READ ')
+      return { rows: isRead ? [`of ${requestId}`] : [], signature }
     }
     const begin = (): Answer => {
+      if (state !== 'I') return { error: 'MALFORMED' }
       state = 'T'
       transaction = ++transactionCount
       return {}
     }
+    const commit = (requestId: string): Answer => {
+      if (state === 'I') return { error: 'MALFORMED' }
+      const isCommitted = state === 'T'
+      const answer = isCommitted ? recordRun(requestId, 'COMMIT') : { error: 'ABORTED' }
+      if (isCommitted) committed.add(transaction)
+      return rollBack(answer)
+    }
+    const rollBack = (answer: Answer = {}): Answer => {
+      state = 'I'
+      transaction = 0
+      return answer
+    }
+    const reset = (): Answer => {
+      values.clear()
+      prepared.clear()
+      return {}
+    }
 
-    const answer = (requestId: string, text: string): Answer => {
+    const answerText = (requestId: string, text: string): Answer => {
+      if (text === 'COMMIT') return commit(requestId)
+      if (text === 'ROLLBACK') return rollBack()
+      if (state === 'E') return { error: 'MALFORMED' }
       if (text === 'STATUS') return { rows: [`primary 1 1.${position} 0 0 0 ${sockets.size}`] }
-      if (text === 'RESET') {
-        values.clear()
-        prepared.clear()
-        return {}
-      }
+      if (text === 'RESET') return reset()
       if (text === 'BEGIN' || text === 'BEGIN READ') return begin()
-      if (text === 'ROLLBACK') return end(false)
-      if (text === 'COMMIT') {
-        recordRun(requestId, text)
-        return end(true)
-      }
       if (/^READ [^ ]/.test(text) || /^WRITE [^ ]+ /.test(text)) return recordRun(requestId, text)
       const [, setName, value] = /^SET ([^ ]+) ([^]*)$/.exec(text) ?? []
       if (setName !== undefined) {
@@ -94,14 +105,14 @@
         return {}
       }
       const [, name, operands] = /^EXECUTE ([^ ]+) ([^]*)$/.exec(text) ?? []
-      if (name !== undefined) return recordRun(requestId, text, name, operands)
-      return { error: 'MALFORMED' }
+      return name === undefined ? { error: 'MALFORMED' } : recordRun(requestId, text, name, operands)
     }
 
     return (requestId: string, text: string): string => {
-      const { rows = [], error } = answer(requestId, text.replace(/^AFTER [^ ]+ /, ''))
+      const { rows = [], error, signature = '-' } = answerText(requestId, text.replace(/^AFTER [^ ]+ /, ''))
+      if (error !== undefined && state === 'T') state = 'E'
       const lines = rows.map(row => `ROW ${row}`)
-      lines.push(error === undefined ? `COMPLETE plain.${runs.length}` : `ERROR ${error} refused`)
+      lines.push(error === undefined ? `COMPLETE ${signature}` : `ERROR ${error} refused`)
       return [...lines, `READY ${state} 1.${position}`, ''].join('\r\n')
     }
   }
--- a/soak/src/session-environment.ts
+++ b/soak/src/session-environment.ts
@@ -16,7 +16,7 @@
 const service = 'bookings'
 const route = 'slots'
 /** Workspaces; each has connections of its own to the database. */
-export const sessionWorkspaces = ['yard-a', 'yard-b', 'yard-c', 'yard-d', 'yard-e', 'yard-f'] as const
+export const sessionWorkspaces = Array.from({ length: 40 }, (_, index) => `yard-${index}`)
 const gatewayCount = 2
 const startTimeoutMs = 20_000
 const maxConnections = 22
