Gateway: a limit record counts only under its shard's own key

What callers saw: nothing yet. The key's end was read as a number, so `egretyoke/limit/`, `egretyoke/limit/01` or `egretyoke/limit/1e0` replaced or removed the record of shard 0 or 1 in a gateway's copy, and tokens were asked of another process than the allocator.

Cause: several texts are the same number. The records are now kept by the text of the key, and looked up by the one text that gateways write.

--- a/packages/gateway/src/record-names.test.ts
+++ b/packages/gateway/src/record-names.test.ts
@@ -42,6 +42,15 @@
   t.deepEqual(activeUsers([processName(member)], state), ['rack/7/x'])
 })
 
+test('a limit record is known by the number of its shard alone, in one spelling', t => {
+  fc.assert(fc.property(fc.oneof(name, fc.constant('')), text => {
+    const { state, put } = createState()
+    put(recordPrefixes.limits + text, encodeRecord({ keeper: 'vm-1/x' }))
+    return [0, 1, 7].every(shard => (state.limitRecord(shard) !== undefined) === (text === String(shard)))
+  }), { numRuns: 2000 })
+  t.pass()
+})
+
 test('a group or member is known by its name alone, whatever the names of others', t => {
   fc.assert(fc.property(name, name, (one, other) => {
     const { state, put } = createState()
--- a/packages/gateway/src/state/fleet-state.ts
+++ b/packages/gateway/src/state/fleet-state.ts
@@ -56,7 +56,7 @@
   const members = new Map<string, Member>()
   let membersVersion = 0
   const groups = new Map<string, Versioned<GroupRecord>>()
-  const limits = new Map<number, LimitRecord>()
+  const limits = new Map<string, LimitRecord>()
   const listeners: Array<(group: string) => void> = []
 
   const applyGatewayRecord = ({ key, value, deleted, revision }: StoredEntry): boolean => {
@@ -92,7 +92,7 @@
       const record = deleted
         ? undefined
         : decodeLimitRecord(value).mapErr(e => logUnreadable(e.message)).unwrapOr(undefined)
-      return put(limits, Number(key.slice(recordPrefixes.limits.length)), record)
+      return put(limits, key.slice(recordPrefixes.limits.length), record)
     }
     return false
   }
@@ -168,7 +168,7 @@
     members: () => members,
     membersVersion: () => membersVersion,
     group: name => groups.get(name),
-    limitRecord: shard => limits.get(shard),
+    limitRecord: shard => limits.get(String(shard)),
     apply,
     replaceAll,
     onPrimaryChange: listener => { listeners.push(listener) }
