Test: what a caller is told if a command for its statement cannot be sent

A single statement fails and has not run, whether its setup or its own text cannot be sent; a transaction is rolled back, also at COMMIT, and nothing of it is kept; the session's next statement runs as before. The group in memory declines such a call as the platform's adapter does.

--- a/packages/gateway/src/testing/memory-group.ts
+++ b/packages/gateway/src/testing/memory-group.ts
@@ -53,6 +53,8 @@
   executed: ExecutedStatement[]
   /** Fencing tokens of the requested promotions, in order. */
   fencingTokens: number[]
+  /** False for a command that an adapter cannot encode: it declines the call, and sends none of its commands. */
+  isSendable: (command: DatabaseCommand) => boolean
   /** Copies the primary's log to the replicas; done after each write unless `isReplicationPaused` is set. */
   replicate: () => void
   isReplicationPaused: boolean
@@ -224,6 +226,9 @@
       ({ outcome: 'lost', message, rows: [], signature: '', position: '', transaction: 'none' })
 
     const run = async (commands: readonly DatabaseCommand[], timeoutMs: number): Promise<DatabaseReply[]> => {
+      if (!commands.every(memory.isSendable)) {
+        return [{ ...lost('not sent'), outcome: 'declined', declineReason: 'malformed' }]
+      }
       const replies: DatabaseReply[] = []
       const deadlineMs = performance.now() + timeoutMs
       for (const command of commands) {
@@ -277,7 +282,7 @@
   }
 
   const memory: MemoryGroup = {
-    databases, connect, promote, executed, fencingTokens, replicate, isReplicationPaused: false
+    databases, connect, promote, executed, fencingTokens, replicate, isSendable: () => true, isReplicationPaused: false
   }
   return memory
 }
