Gateway: a connection on which a setup command failed is closed, whichever reply decides the outcome

What callers saw: a statement could run with a session value that another caller had set.

Cause: whether a connection returns to the pool was guessed from the reason of the statement's outcome, and the first setup reply that is not a success gives that reason. A SET that was declined as busy and a SET behind it that failed gave "busy", so that the connection was used again. A failed command has run, by the protocol, and its value may be set without being tracked.

Evidence: connection-release.test.ts runs the case at a holder; before the change the connection stayed in the pool and the next session could run with the value.

Fix: runOnConnection returns beside the outcome whether the session state of the connection is still known, and the holder decides by that. It is unknown after any lost or failed reply in the setup. What is reported after a change of the primary is moved to a module of its own.

--- /dev/null
+++ b/packages/gateway/src/coordination/connections/connection-release.test.ts
@@ -0,0 +1,46 @@
+/**
+ * What becomes of a connection after a statement: it returns to the pool only if its session state is known.
+ */
+import test from 'ava'
+import { createHolderEnvironment, writeRequest } from '../../testing/holder-environment.js'
+import type { DatabaseCommand, DatabaseReply } from './database-connection.js'
+
+const createEnvironment = () => createHolderEnvironment({ storeMs: 0, transactionIdleMs: 1000 })
+
+const values = [{ name: 'zone', value: 'quay' }, { name: 'lang', value: 'es' }]
+
+const busy: Partial<DatabaseReply> = { outcome: 'declined', declineReason: 'busy' }
+const failed: Partial<DatabaseReply> = { outcome: 'failed', message: 'TIMEOUT' }
+
+/** Replies to the commands that set the two values. */
+const setReplies: ReadonlyArray<[string, Partial<DatabaseReply>, Partial<DatabaseReply>]> = [
+  ['busy, then failed', busy, failed],
+  ['failed, then busy', failed, busy],
+  ['failed, then done', failed, {}],
+  ['done, then failed', {}, failed]
+]
+
+for (const [title, zone, lang] of setReplies) {
+  // A connection on which a setup command had failed was used again, with a value that was not tracked.
+  test(`a connection is closed after a setup with a failed command: ${title}`, async t => {
+    const { group, database, holder } = createEnvironment()
+    database.changeReply = (command: DatabaseCommand, reply: DatabaseReply) => {
+      if (command.kind !== 'set') return reply
+      return { ...reply, ...command.name === 'zone' ? zone : lang }
+    }
+    t.is((await holder.run(writeRequest({ values }))).status, 'NOT_RUN')
+    t.is(holder.connections(), 0)
+    database.changeReply = (_command, reply) => reply
+    t.is((await holder.run(writeRequest({}))).status, 'DONE')
+    t.deepEqual(group.executed.map(statement => statement.values), [{}])
+    holder.close()
+  })
+}
+
+test('a connection whose setup was declined returns to the pool', async t => {
+  const { database, holder } = createEnvironment()
+  database.changeReply = (command, reply) => command.kind === 'set' ? { ...reply, ...busy } : reply
+  t.is((await holder.run(writeRequest({ values }))).reason, 'busy')
+  t.is(holder.connections(), 1)
+  holder.close()
+})
--- a/packages/gateway/src/coordination/connections/database-holder.ts
+++ b/packages/gateway/src/coordination/connections/database-holder.ts
@@ -19,8 +19,10 @@
 import type { GroupRecords } from '../primaries/group-records.js'
 import { createOpenTransactions } from './open-transactions.js'
 import { createQueueAdmission } from './queue-admission.js'
+import { afterPrimaryChange } from './primary-change-outcome.js'
 import { runOnConnection } from './run-on-connection.js'
-import { notRun, opensTransaction, unknownOutcome } from '../sessions/statement.js'
+import type { StatementRun } from './run-on-connection.js'
+import { notRun, opensTransaction } from '../sessions/statement.js'
 import type { StatementOutcome, StatementReason, StatementRequest } from '../sessions/statement.js'
 
 const maxQueued = 512
@@ -78,7 +80,7 @@
   log: Logger
 }
 
-/** Reasons that mean that the database did not reply, so that the state of the connection is unknown. */
+/** Reasons that mean that the database did not reply. */
 const noReplyReasons: ReadonlySet<StatementReason> = new Set(['silent', 'answerLost', 'unreachable'])
 
 /** A statement that is queued for a slot. */
@@ -164,17 +166,19 @@
       pool.release(pooled)
       return notRun('transactionGone')
     }
-    const outcome = await runWithPrimaryCheck(pooled, request, position, deadlineMs - nowMs())
-    releaseAfter(pooled, request, outcome)
-    return { ...outcome, connection: pooled.number }
+    const run = await runWithPrimaryCheck(pooled, request, position, deadlineMs - nowMs())
+    releaseAfter(pooled, request, run)
+    return { ...run.outcome, connection: pooled.number }
   }
 
-  const releaseAfter = (pooled: PooledConnection, request: StatementRequest, outcome: StatementOutcome) => {
+  const releaseAfter = (
+    pooled: PooledConnection, request: StatementRequest, { outcome, isStateKnown }: StatementRun
+  ) => {
     if (request.transaction !== 'SINGLE' && outcome.transactionOpen) {
       return transactions.keep(request.transactionId, pooled)
     }
     transactions.end(request.transactionId)
-    if (outcome.status === 'UNKNOWN' || noReplyReasons.has(outcome.reason)) return pool.discard(pooled)
+    if (!isStateKnown) return pool.discard(pooled)
     if (outcome.status === 'DONE' || request.transaction === 'SINGLE') return pool.release(pooled)
     transactions.rollBack(pooled)
   }
@@ -182,34 +186,31 @@
   /** Runs a statement; its outcome counts only if the primary stayed the current one from request to reply. */
   const runWithPrimaryCheck = async (
     pooled: PooledConnection, request: StatementRequest, position: string, remainingMs: number
-  ): Promise<StatementOutcome> => {
+  ): Promise<StatementRun> => {
     const isAtPrimary = request.needsPrimary || records.canUse(group, id)
-    if (request.needsPrimary && !records.canUse(group, id)) return notRun('moved')
+    if (request.needsPrimary && !records.canUse(group, id)) return { outcome: notRun('moved'), isStateKnown: true }
     const coversUntil = clock.now()
     const use = connectionLog.startUse(pooled, request)
-    const outcome = await runOnConnection(pooled, request, position, remainingMs, use.onReply)
+    const run = await runOnConnection(pooled, request, position, remainingMs, use.onReply)
     use.end()
+    const { outcome } = run
     if (!noReplyReasons.has(outcome.reason)) lastReplyMs = nowMs()
-    if (!isAtPrimary) return outcome
+    if (!isAtPrimary) return run
     if (records.canUse(group, id)) {
       if (outcome.position !== '') positions.record(group, { position: outcome.position, coversUntil })
-      return outcome
+      return run
     }
-    if (outcome.status === 'NOT_RUN' || !request.needsPrimary) return outcome
+    if (outcome.status === 'NOT_RUN' || !request.needsPrimary) return run
     log(events.primaryChangedMeanwhile, { request: request.requestId, database: id, status: outcome.status })
-    const mayHaveCommitted = request.verb === 'COMMIT' ||
-      (request.access === 'WRITE' && request.transaction === 'SINGLE')
-    if (mayHaveCommitted) return unknownOutcome('moved')
-    // A statement that has run in a transaction must not run in a second one.
-    return notRun(request.transaction === 'SINGLE' ? 'moved' : 'answerLost')
+    return afterPrimaryChange(request, run)
   }
 
   const runInTransaction = async ({ request, deadlineMs }: QueuedStatement): Promise<StatementOutcome> => {
     const pooled = transactions.acquire(request.transactionId, request.workspace)
     if (pooled === undefined) return notRun('transactionGone')
-    const outcome = await runWithPrimaryCheck(pooled, request, '', deadlineMs - nowMs())
-    releaseAfter(pooled, request, outcome)
-    return { ...outcome, connection: pooled.number }
+    const run = await runWithPrimaryCheck(pooled, request, '', deadlineMs - nowMs())
+    releaseAfter(pooled, request, run)
+    return { ...run.outcome, connection: pooled.number }
   }
 
   const runQueued = async (statement: QueuedStatement) => {
--- a/packages/gateway/src/coordination/connections/run-on-connection.test.ts
+++ b/packages/gateway/src/coordination/connections/run-on-connection.test.ts
@@ -39,10 +39,10 @@
   let declinesZone = true
   const { pooled, values } = await openConnection(command =>
     declinesZone && command.kind === 'set' && command.name === 'zone')
-  const declined = await runOnConnection(pooled, request, '', 1000, () => {})
+  const { outcome: declined } = await runOnConnection(pooled, request, '', 1000, () => {})
   t.deepEqual([declined.status, declined.reason], ['NOT_RUN', 'busy'])
   t.deepEqual(pooled.values, values)
   declinesZone = false
-  t.is((await runOnConnection(pooled, writeRequest({}), '', 1000, () => {})).status, 'DONE')
+  t.is((await runOnConnection(pooled, writeRequest({}), '', 1000, () => {})).outcome.status, 'DONE')
   t.deepEqual([...values], [])
 })
--- a/packages/gateway/src/coordination/connections/run-on-connection.ts
+++ b/packages/gateway/src/coordination/connections/run-on-connection.ts
@@ -45,16 +45,26 @@
 const setupOutcome = (reply: DatabaseReply): StatementOutcome =>
   notRun(reply.outcome === 'declined' ? reasonOfDecline[reply.declineReason ?? 'malformed'] : 'unreachable')
 
+/** What has become of a statement, and of the connection that it was sent on. */
+export type StatementRun = {
+  outcome: StatementOutcome
+  /** False if the session state of the connection may differ from the tracked one; no other session may use it then. */
+  isStateKnown: boolean
+}
+
+/** A command that failed has run, and a lost reply tells nothing: the effect of both on the state is unknown. */
+const hasKnownEffect = ({ outcome }: DatabaseReply) => outcome === 'done' || outcome === 'declined'
+
 /** Called with each reply of the database. */
 export type ReplyListener = (command: DatabaseCommand, reply: DatabaseReply) => void
 
 /**
  * Runs the setup commands, and tracks all that have succeeded: they are pipelined, so that those behind a declined one
- * have run, too. Returns the outcome of the statement if a command did not succeed.
+ * have run, too. Returns what becomes of the statement if a command did not succeed.
  */
 const runSetup = async (
   pooled: PooledConnection, setup: readonly DatabaseCommand[], timeoutMs: number, onReply: ReplyListener
-): Promise<StatementOutcome | undefined> => {
+): Promise<StatementRun | undefined> => {
   if (setup.length === 0) return undefined
   const replies = await pooled.connection.run(setup, timeoutMs)
   for (const [index, reply] of replies.entries()) {
@@ -63,8 +73,10 @@
     if (reply.outcome === 'done') recordDone(pooled, command)
   }
   const firstNotDone = replies.find(({ outcome }) => outcome !== 'done')
-  if (firstNotDone !== undefined) return setupOutcome(firstNotDone)
-  return replies.length < setup.length ? notRun('unreachable') : undefined
+  if (firstNotDone !== undefined) {
+    return { outcome: setupOutcome(firstNotDone), isStateKnown: replies.every(hasKnownEffect) }
+  }
+  return replies.length < setup.length ? { outcome: notRun('unreachable'), isStateKnown: false } : undefined
 }
 
 /**
@@ -75,7 +87,7 @@
 export const runOnConnection = async (
   pooled: PooledConnection, request: StatementRequest, positionAtLeast: string, timeoutMs: number,
   onReply: ReplyListener
-): Promise<StatementOutcome> => {
+): Promise<StatementRun> => {
   const readOnly = request.transaction === 'OPEN_READ_ONLY'
   const required = { values: request.values, prepared: preparedOf(request) }
   const { commands: setup, preparedName } = setupFor(pooled, required)
@@ -86,12 +98,13 @@
   if (notSetUp !== undefined) return notSetUp
 
   const remainingMs = timeoutMs - (performance.now() - startedAtMs)
-  if (remainingMs <= 0) return notRun('silent')
+  if (remainingMs <= 0) return { outcome: notRun('silent'), isStateKnown: false }
   const requiresPosition = request.transaction === 'SINGLE' && request.access === 'READ'
   const command = commandOf(request, preparedName, requiresPosition ? positionAtLeast : '')
   const [reply] = await pooled.connection.run([command], remainingMs)
-  if (reply === undefined) return unknownOutcome('silent')
+  if (reply === undefined) return { outcome: unknownOutcome('silent'), isStateKnown: false }
   onReply(command, reply)
   if (reply.declineReason === 'unknownStatement') pooled.prepared.clear()
-  return outcomeOf(request, reply)
+  // A statement that fails leaves the session state as it was; only a setup command changes it.
+  return { outcome: outcomeOf(request, reply), isStateKnown: reply.outcome !== 'lost' }
 }
--- a/packages/gateway/src/testing/memory-group.ts
+++ b/packages/gateway/src/testing/memory-group.ts
@@ -39,6 +39,8 @@
   connectDelayMs: (workspace: string) => number
   /** Time by which the reply to a command is late, in milliseconds; the command itself runs at once. */
   replyDelayMs: (command: DatabaseCommand) => number
+  /** The reply that is sent in place of the one to a command, which has run. */
+  changeReply: (command: DatabaseCommand, reply: DatabaseReply) => DatabaseReply
   statementMs: number
   running: number
   maxRunning: number
@@ -83,6 +85,7 @@
   isDeaf: false,
   connectDelayMs: () => 0,
   replyDelayMs: () => 0,
+  changeReply: (_command, reply) => reply,
   statementMs: 1,
   running: 0,
   maxRunning: 0,
@@ -236,7 +239,7 @@
           end()
           return [...replies, lost('closed')]
         }
-        if (database.state === 'alive') replies.push(await runCommand(command))
+        if (database.state === 'alive') replies.push(database.changeReply(command, await runCommand(command)))
         const isReplyDropped = database.dropsReplies && (command.kind === 'text' || command.kind === 'commit')
         const delayMs = database.state !== 'alive' || isReplyDropped ? Infinity : database.replyDelayMs(command)
         const remainingMs = deadlineMs - performance.now()
