Gateway: a connection whose database does not know a tracked prepared statement is closed

What callers saw: nothing that is known; the next session could run without the values that it had set.

Cause: only tracked names are executed, so that "no such name" contradicts the record of the connection. The record of the names was cleared, but the values were still trusted, although a reset drops both. In a transaction the connection went back to the pool after the rollback.

Evidence: connection-release.test.ts; before the change both cases kept the connection.

Fix: such a reply, also to a command of the setup, makes the session state unknown, and the connection is closed. The statement is not run, as before; a transaction is rolled back by the close, and its commit is answered as gone.

--- a/packages/gateway/src/coordination/connections/connection-release.test.ts
+++ b/packages/gateway/src/coordination/connections/connection-release.test.ts
@@ -44,3 +44,35 @@
   t.is(holder.connections(), 1)
   holder.close()
 })
+
+const execute = writeRequest({ verb: 'EXECUTE', text: '7', shape: 'q', shapeAccess: 'WRITE', values })
+
+const unknownName = (command: DatabaseCommand, reply: DatabaseReply): DatabaseReply => command.kind === 'execute'
+  ? { ...reply, outcome: 'declined', declineReason: 'unknownStatement', signature: '' }
+  : reply
+
+// A connection whose database had dropped the prepared names was used again with values that it may have dropped, too.
+test('a connection on which a tracked prepared statement is unknown is closed', async t => {
+  const { database, holder } = createEnvironment()
+  database.changeReply = unknownName
+  const outcome = await holder.run(execute)
+  t.deepEqual([outcome.status, outcome.reason], ['NOT_RUN', 'moved'])
+  t.is(holder.connections(), 0)
+  holder.close()
+})
+
+test('a transaction in which a tracked prepared statement is unknown is rolled back', async t => {
+  const { database, holder } = createEnvironment()
+  const inTransaction = { transactionId: 'session/1' }
+  const first = await holder.run(writeRequest({ ...inTransaction, transaction: 'OPEN_READ_WRITE' }))
+  t.true(first.transactionOpen)
+  database.changeReply = unknownName
+  const second = await holder.run({ ...execute, ...inTransaction, transaction: 'CONTINUE', values: [] })
+  t.deepEqual([second.status, second.transactionOpen], ['NOT_RUN', false])
+  t.is(holder.connections(), 0)
+  database.changeReply = (_command, reply) => reply
+  const commit = await holder.run(writeRequest({ ...inTransaction, transaction: 'CONTINUE', verb: 'COMMIT', text: '' }))
+  t.is(commit.reason, 'transactionGone')
+  t.deepEqual(database.log, [])
+  holder.close()
+})
--- a/packages/gateway/src/coordination/connections/run-on-connection.ts
+++ b/packages/gateway/src/coordination/connections/run-on-connection.ts
@@ -52,8 +52,12 @@
   isStateKnown: boolean
 }
 
+/** Only tracked names are sent: a database that has dropped one may have dropped the session's values with it. */
+const contradictsTracking = ({ declineReason }: DatabaseReply) => declineReason === 'unknownStatement'
+
 /** A command that failed has run, and a lost reply tells nothing: the effect of both on the state is unknown. */
-const hasKnownEffect = ({ outcome }: DatabaseReply) => outcome === 'done' || outcome === 'declined'
+const hasKnownEffect = (reply: DatabaseReply) =>
+  (reply.outcome === 'done' || reply.outcome === 'declined') && !contradictsTracking(reply)
 
 /** Called with each reply of the database. */
 export type ReplyListener = (command: DatabaseCommand, reply: DatabaseReply) => void
@@ -104,7 +108,7 @@
   const [reply] = await pooled.connection.run([command], remainingMs)
   if (reply === undefined) return { outcome: unknownOutcome('silent'), isStateKnown: false }
   onReply(command, reply)
-  if (reply.declineReason === 'unknownStatement') pooled.prepared.clear()
   // A statement that fails leaves the session state as it was; only a setup command changes it.
-  return { outcome: outcomeOf(request, reply), isStateKnown: reply.outcome !== 'lost' }
+  const isStateKnown = reply.outcome !== 'lost' && !contradictsTracking(reply)
+  return { outcome: outcomeOf(request, reply), isStateKnown }
 }
