Gateway: a connection returns to the pool only if the database reports no open transaction

What callers saw: nothing that is known. A single write whose database reported an open transaction was confirmed although it was not committed, and the next session's statements could run in that transaction.

Cause: the transaction state of a reply was compared with nothing, and that of the setup's replies was not read.

Fix: runOnConnection returns the transaction that the last reply reports. A statement is sent only if the replies to its setup report what the commands leave: no transaction, or the open one. A write or commit that is answered as done in a transaction has an unknown outcome, and its connection is closed, as after a single read. In all other cases the holder releases the connection if no transaction is open and rolls it back otherwise: after a declined statement the database may report the transaction as open or as failed. A command that was declined before it was sent changes nothing, and is marked so.

--- a/packages/gateway/src/coordination/connections/connection-release.test.ts
+++ b/packages/gateway/src/coordination/connections/connection-release.test.ts
@@ -76,3 +76,80 @@
   t.deepEqual(database.log, [])
   holder.close()
 })
+
+const states = ['open', 'failed'] as const
+
+for (const transaction of states) {
+  // A connection went back to the pool with a transaction in which the next session's statements ran.
+  test(`a connection is closed after a single write in a transaction (${transaction})`, async t => {
+    const { database, holder } = createEnvironment()
+    database.changeReply = (command, reply) => command.kind === 'text' ? { ...reply, transaction } : reply
+    t.is((await holder.run(writeRequest({}))).status, 'UNKNOWN')
+    t.is(holder.connections(), 0)
+    const read = await holder.run(writeRequest({ access: 'READ', text: 'READ 1' }))
+    t.deepEqual([read.status, read.transactionOpen], ['DONE', false])
+    t.is(holder.connections(), 0)
+    holder.close()
+  })
+
+  test(`a statement is not sent after a setup that reports a transaction (${transaction})`, async t => {
+    const { group, database, holder } = createEnvironment()
+    database.changeReply = (command, reply) => command.kind === 'set' ? { ...reply, transaction } : reply
+    t.is((await holder.run(writeRequest({ values }))).status, 'NOT_RUN')
+    t.deepEqual(group.executed, [])
+    t.is(holder.connections(), 0)
+    holder.close()
+  })
+
+  test(`a commit in a transaction that stays (${transaction}) is not confirmed, its connection closed`, async t => {
+    const { database, holder } = createEnvironment()
+    await holder.run(writeRequest({ transactionId: 'session/1', transaction: 'OPEN_READ_WRITE' }))
+    database.changeReply = (command, reply) => command.kind === 'commit' ? { ...reply, transaction } : reply
+    const commit = await holder.run(writeRequest({
+      transactionId: 'session/1', transaction: 'CONTINUE', verb: 'COMMIT', text: ''
+    }))
+    t.deepEqual([commit.status, commit.transactionOpen], ['UNKNOWN', false])
+    t.is(holder.connections(), 0)
+    t.is(holder.openTransactions(), 0)
+    holder.close()
+  })
+}
+
+test('a statement is not sent in a transaction that its setup reports as gone', async t => {
+  const { group, database, holder } = createEnvironment()
+  const inTransaction = { transactionId: 'session/1' }
+  await holder.run(writeRequest({ ...inTransaction, transaction: 'OPEN_READ_WRITE' }))
+  database.changeReply = (command, reply) => command.kind === 'set' ? { ...reply, transaction: 'none' } : reply
+  const next = await holder.run(writeRequest({ ...inTransaction, transaction: 'CONTINUE', values }))
+  t.deepEqual([next.status, next.reason], ['NOT_RUN', 'transactionGone'])
+  t.is(group.executed.length, 1)
+  t.is(holder.connections(), 0)
+  holder.close()
+})
+
+test('a transaction with a declined statement is rolled back, and its connection returns to the pool', async t => {
+  const { database, holder } = createEnvironment()
+  const inTransaction = { transactionId: 'session/1' }
+  await holder.run(writeRequest({ ...inTransaction, transaction: 'OPEN_READ_WRITE' }))
+  database.role = 'replica'
+  const declined = await holder.run(writeRequest({ ...inTransaction, transaction: 'CONTINUE' }))
+  t.is(declined.reason, 'readOnly')
+  database.role = 'primary'
+  t.is((await holder.run(writeRequest({ requestId: 'r2' }))).status, 'DONE')
+  t.deepEqual(database.log.map(({ requestId }) => requestId), ['r2'])
+  t.is(holder.connections(), 1)
+  holder.close()
+})
+
+test('a transaction whose command was declined unsent is rolled back', async t => {
+  const { group, database, holder } = createEnvironment()
+  const inTransaction = { transactionId: 'session/1' }
+  await holder.run(writeRequest({ ...inTransaction, transaction: 'OPEN_READ_WRITE' }))
+  const unsent = { outcome: 'declined', declineReason: 'malformed', isUnsent: true, transaction: 'none' } as const
+  database.changeReply = (command, reply) => command.kind === 'text' ? { ...reply, ...unsent } : reply
+  t.is((await holder.run(writeRequest({ ...inTransaction, transaction: 'CONTINUE' }))).reason, 'failed')
+  database.changeReply = (_command, reply) => reply
+  t.is((await holder.run(writeRequest({ requestId: 'r2' }))).status, 'DONE')
+  t.deepEqual(group.executed.at(-1)?.inTransaction, false)
+  holder.close()
+})
--- a/packages/gateway/src/coordination/connections/database-connection.ts
+++ b/packages/gateway/src/coordination/connections/database-connection.ts
@@ -17,17 +17,22 @@
 /** Why a database did not run a command. */
 export type DeclineReason = 'busy' | 'lagging' | 'readOnly' | 'unknownStatement' | 'malformed' | 'aborted'
 
+/** State of the transaction on a connection. `failed`: it can only be rolled back. */
+export type TransactionState = 'none' | 'open' | 'failed'
+
 /** Reply to a command. `lost`: the connection closed, or no complete reply arrived in time. */
 export type DatabaseReply = {
   outcome: 'done' | 'declined' | 'failed' | 'lost'
   /** Set only if the command was declined. */
   declineReason?: DeclineReason
+  /** Set only if the command was declined without being sent; it has changed nothing then. */
+  isUnsent?: true
   message: string
   rows: string[]
   signature: string
   /** Position of the database's log; empty if unknown. */
   position: string
-  transaction: 'none' | 'open' | 'failed'
+  transaction: TransactionState
 }
 
 /** Status reported by a database. */
--- a/packages/gateway/src/coordination/connections/database-holder.ts
+++ b/packages/gateway/src/coordination/connections/database-holder.ts
@@ -20,7 +20,7 @@
 import { createOpenTransactions } from './open-transactions.js'
 import { createQueueAdmission } from './queue-admission.js'
 import { afterPrimaryChange } from './primary-change-outcome.js'
-import { runOnConnection } from './run-on-connection.js'
+import { runOnConnection, transactionBefore } from './run-on-connection.js'
 import type { StatementRun } from './run-on-connection.js'
 import { notRun, opensTransaction } from '../sessions/statement.js'
 import type { StatementOutcome, StatementReason, StatementRequest } from '../sessions/statement.js'
@@ -172,14 +172,12 @@
   }
 
   const releaseAfter = (
-    pooled: PooledConnection, request: StatementRequest, { outcome, isStateKnown }: StatementRun
+    pooled: PooledConnection, request: StatementRequest, { outcome, isStateKnown, transaction }: StatementRun
   ) => {
-    if (request.transaction !== 'SINGLE' && outcome.transactionOpen) {
-      return transactions.keep(request.transactionId, pooled)
-    }
+    if (outcome.transactionOpen) return transactions.keep(request.transactionId, pooled)
     transactions.end(request.transactionId)
     if (!isStateKnown) return pool.discard(pooled)
-    if (outcome.status === 'DONE' || request.transaction === 'SINGLE') return pool.release(pooled)
+    if (transaction === 'none') return pool.release(pooled)
     transactions.rollBack(pooled)
   }
 
@@ -188,7 +186,9 @@
     pooled: PooledConnection, request: StatementRequest, position: string, remainingMs: number
   ): Promise<StatementRun> => {
     const isAtPrimary = request.needsPrimary || records.canUse(group, id)
-    if (request.needsPrimary && !records.canUse(group, id)) return { outcome: notRun('moved'), isStateKnown: true }
+    if (request.needsPrimary && !records.canUse(group, id)) {
+      return { outcome: notRun('moved'), isStateKnown: true, transaction: transactionBefore(request) }
+    }
     const coversUntil = clock.now()
     const use = connectionLog.startUse(pooled, request)
     const run = await runOnConnection(pooled, request, position, remainingMs, use.onReply)
--- a/packages/gateway/src/coordination/connections/primary-change-outcome.ts
+++ b/packages/gateway/src/coordination/connections/primary-change-outcome.ts
@@ -9,11 +9,13 @@
  * What is reported of a statement that ran at a database which was not the current primary all the time. Its connection
  * is not used again, except after a read outside of a transaction.
  */
-export const afterPrimaryChange = (request: StatementRequest, { isStateKnown }: StatementRun): StatementRun => {
+export const afterPrimaryChange = (
+  request: StatementRequest, { isStateKnown, transaction }: StatementRun
+): StatementRun => {
   const mayHaveCommitted = request.verb === 'COMMIT' ||
     (request.access === 'WRITE' && request.transaction === 'SINGLE')
-  if (mayHaveCommitted) return { outcome: unknownOutcome('moved'), isStateKnown: false }
-  if (request.transaction === 'SINGLE') return { outcome: notRun('moved'), isStateKnown }
+  if (mayHaveCommitted) return { outcome: unknownOutcome('moved'), isStateKnown: false, transaction }
+  if (request.transaction === 'SINGLE') return { outcome: notRun('moved'), isStateKnown, transaction }
   // A statement that has run in a transaction must not run in a second one.
-  return { outcome: notRun('answerLost'), isStateKnown: false }
+  return { outcome: notRun('answerLost'), isStateKnown: false, transaction }
 }
--- a/packages/gateway/src/coordination/connections/run-on-connection.ts
+++ b/packages/gateway/src/coordination/connections/run-on-connection.ts
@@ -4,7 +4,7 @@
  */
 import { recordDone, setupFor } from './connection-pool.js'
 import type { PooledConnection, RequiredState } from './connection-pool.js'
-import type { DatabaseCommand, DatabaseReply } from './database-connection.js'
+import type { DatabaseCommand, DatabaseReply, TransactionState } from './database-connection.js'
 import { failed, isRead, notRun, opensTransaction, unknownOutcome } from '../sessions/statement.js'
 import type { StatementOutcome, StatementReason, StatementRequest } from '../sessions/statement.js'
 
@@ -31,9 +31,12 @@
 }
 
 const outcomeOf = (request: StatementRequest, reply: DatabaseReply): StatementOutcome => {
-  const transactionOpen = reply.transaction === 'open'
   if (reply.outcome === 'done') {
-    const { rows, signature, position } = reply
+    const { rows, signature, position, transaction } = reply
+    // What is written in a transaction that is still open is not committed.
+    const mustHaveEnded = endsOutsideTransaction(request)
+    if (mustHaveEnded && transaction !== 'none' && !isRead(request)) return unknownOutcome('answerLost')
+    const transactionOpen = !mustHaveEnded && transaction === 'open'
     return { ...notRun(''), status: 'DONE', rows, signature, position, transactionOpen }
   }
   if (reply.outcome === 'declined') return notRun(reasonOfDecline[reply.declineReason ?? 'malformed'])
@@ -50,8 +53,22 @@
   outcome: StatementOutcome
   /** False if the session state of the connection may differ from the tracked one; no other session may use it then. */
   isStateKnown: boolean
+  /** Transaction that is open on the connection. Meaningless if the state of the connection is unknown. */
+  transaction: TransactionState
 }
 
+/** The transaction on the connection before a statement. */
+export const transactionBefore = ({ transaction }: StatementRequest): TransactionState =>
+  transaction === 'CONTINUE' ? 'open' : 'none'
+
+/** The transaction after the replies to commands that began in the state `before`. */
+const transactionAfter = (replies: readonly DatabaseReply[], before: TransactionState): TransactionState =>
+  replies.findLast(({ isUnsent }) => isUnsent !== true)?.transaction ?? before
+
+/** True if no transaction may be open on the connection once the statement has run. */
+const endsOutsideTransaction = ({ transaction, verb }: StatementRequest) =>
+  transaction === 'SINGLE' || verb === 'COMMIT'
+
 /** Only tracked names are sent: a database that has dropped one may have dropped the session's values with it. */
 const contradictsTracking = ({ declineReason }: DatabaseReply) => declineReason === 'unknownStatement'
 
@@ -64,12 +81,15 @@
 
 /**
  * Runs the setup commands, and tracks all that have succeeded: they are pipelined, so that those behind a declined one
- * have run, too. Returns what becomes of the statement if a command did not succeed.
+ * have run, too. Returns what becomes of the statement if a command did not succeed, or if the transaction that the
+ * database reports is not the one that the commands leave open.
  */
 const runSetup = async (
-  pooled: PooledConnection, setup: readonly DatabaseCommand[], timeoutMs: number, onReply: ReplyListener
+  pooled: PooledConnection, request: StatementRequest, setup: readonly DatabaseCommand[], timeoutMs: number,
+  onReply: ReplyListener
 ): Promise<StatementRun | undefined> => {
   if (setup.length === 0) return undefined
+  const before = transactionBefore(request)
   const replies = await pooled.connection.run(setup, timeoutMs)
   for (const [index, reply] of replies.entries()) {
     const command = setup[index]!
@@ -78,9 +98,14 @@
   }
   const firstNotDone = replies.find(({ outcome }) => outcome !== 'done')
   if (firstNotDone !== undefined) {
-    return { outcome: setupOutcome(firstNotDone), isStateKnown: replies.every(hasKnownEffect) }
+    const transaction = transactionAfter(replies, before)
+    return { outcome: setupOutcome(firstNotDone), isStateKnown: replies.every(hasKnownEffect), transaction }
   }
-  return replies.length < setup.length ? { outcome: notRun('unreachable'), isStateKnown: false } : undefined
+  const isExpected = setup.every(({ kind }, index) =>
+    replies[index]?.transaction === (kind === 'begin' ? 'open' : before))
+  if (isExpected) return undefined
+  const reason = request.transaction === 'CONTINUE' ? 'transactionGone' : 'unreachable'
+  return { outcome: notRun(reason), isStateKnown: false, transaction: 'none' }
 }
 
 /**
@@ -98,17 +123,19 @@
   if (opensTransaction(request)) setup.push({ kind: 'begin', readOnly, positionAtLeast })
   const startedAtMs = performance.now()
 
-  const notSetUp = await runSetup(pooled, setup, timeoutMs, onReply)
+  const notSetUp = await runSetup(pooled, request, setup, timeoutMs, onReply)
   if (notSetUp !== undefined) return notSetUp
 
   const remainingMs = timeoutMs - (performance.now() - startedAtMs)
-  if (remainingMs <= 0) return { outcome: notRun('silent'), isStateKnown: false }
+  if (remainingMs <= 0) return { outcome: notRun('silent'), isStateKnown: false, transaction: 'none' }
   const requiresPosition = request.transaction === 'SINGLE' && request.access === 'READ'
   const command = commandOf(request, preparedName, requiresPosition ? positionAtLeast : '')
   const [reply] = await pooled.connection.run([command], remainingMs)
-  if (reply === undefined) return { outcome: unknownOutcome('silent'), isStateKnown: false }
+  if (reply === undefined) return { outcome: unknownOutcome('silent'), isStateKnown: false, transaction: 'none' }
   onReply(command, reply)
   // A statement that fails leaves the session state as it was; only a setup command changes it.
-  const isStateKnown = reply.outcome !== 'lost' && !contradictsTracking(reply)
-  return { outcome: outcomeOf(request, reply), isStateKnown }
+  const transaction = transactionAfter([reply], request.transaction === 'SINGLE' ? 'none' : 'open')
+  const hasOpenTransaction = endsOutsideTransaction(request) && reply.isUnsent !== true && transaction !== 'none'
+  const isStateKnown = reply.outcome !== 'lost' && !contradictsTracking(reply) && !hasOpenTransaction
+  return { outcome: outcomeOf(request, reply), isStateKnown, transaction }
 }
--- a/packages/gateway/src/coordination/sessions/statement.ts
+++ b/packages/gateway/src/coordination/sessions/statement.ts
@@ -28,7 +28,10 @@
   | 'silent'
   /** The gateway that holds the connections did not reply. */
   | 'holderSilent'
-  /** The reply was lost. The statement may have run in an uncommitted transaction and must not run in a second one. */
+  /**
+   * The reply was lost, or reports an open transaction where none can be. The statement may have run in an uncommitted
+   * transaction and must not run in a second one.
+   */
   | 'answerLost'
 
 /** Outcome of a statement. */
