Gateway: the prepared statements of a connection are bounded in number and length

What callers saw: nothing, until a gateway or database ran out of memory.

Cause: the record of a connection kept the whole text of each statement for the life of the connection, and the database as many statements.

Evidence: a property test in connection-pool.test.ts plays random setups against a model of the database; with the dropping of names taken out it fails, as does the case of a name that cannot be dropped in connection-release.test.ts.

If a name cannot be dropped, the connection is closed, so that the bounds hold at the database, too. A name is never used again, also not after a reset.

Memory was not measured again.

--- a/packages/gateway/src/coordination/connections/connection-log.ts
+++ b/packages/gateway/src/coordination/connections/connection-log.ts
@@ -79,7 +79,7 @@
       connection,
       resets: state.resets,
       kind: command.kind,
-      prepared: command.kind === 'execute' || command.kind === 'prepare' ? command.name : undefined,
+      prepared: command.kind !== 'set' && 'name' in command ? command.name : undefined,
       reason: declineReason,
       message: clip(reply.message)
     }))
--- a/packages/gateway/src/coordination/connections/connection-pool.test.ts
+++ b/packages/gateway/src/coordination/connections/connection-pool.test.ts
@@ -3,10 +3,12 @@
  */
 import { Err, Ok, typedError } from '@egretyoke/common'
 import test from 'ava'
+import fc from 'fast-check'
 import { createConnectionPool, recordDone, setupFor } from './connection-pool.js'
 import type { PooledConnection } from './connection-pool.js'
 import type { DatabaseConnection } from './database-connection.js'
 import { createPreparedStatements } from './prepared-statements.js'
+import type { PreparedStatement } from './prepared-statements.js'
 
 const fakeConnection = (): DatabaseConnection => {
   let isOpen = true
@@ -125,3 +127,40 @@
   for (const command of commands) recordDone(pooled, command)
   t.deepEqual(setupFor(pooled, required), { commands: [], preparedName })
 })
+
+const limits = { maxCount: 3, maxBytes: 12 }
+const shapes = fc.string({ minLength: 1, maxLength: 6, unit: fc.constantFrom('q', 'é') })
+const statements: fc.Arbitrary<PreparedStatement> =
+  fc.record({ access: fc.constantFrom('read', 'write'), shape: shapes })
+const setups = fc.array(fc.record({
+  values: fc.constantFrom([], [], [], [{ name: 'zone', value: 'quay' }]),
+  prepared: statements,
+  isPrepareDeclined: fc.boolean()
+}), { maxLength: 40 })
+
+// A connection kept the text of each statement that was ever prepared on it, and its database as many statements.
+test('a database holds what is tracked, within the bounds, and no name is used for a second statement', t => {
+  fc.assert(fc.property(setups, steps => {
+    const pooled = { ...pooledWith({}), prepared: createPreparedStatements(limits) }
+    const held = new Map<string, PreparedStatement>()
+    const usedNames = new Set<string>()
+    for (const { values, prepared, isPrepareDeclined } of steps) {
+      const { commands, preparedName } = setupFor(pooled, { values, prepared })
+      for (const command of commands) {
+        if (command.kind === 'prepare' && isPrepareDeclined) continue
+        if (command.kind === 'reset') held.clear()
+        if (command.kind === 'deallocate') t.true(held.delete(command.name))
+        if (command.kind === 'prepare') {
+          t.false(usedNames.has(command.name))
+          usedNames.add(command.name)
+          held.set(command.name, { access: command.access, shape: command.shape })
+        }
+        recordDone(pooled, command)
+        const bytes = [...held.values()].reduce((sum, { shape }) => sum + Buffer.byteLength(shape), 0)
+        t.true(held.size <= limits.maxCount && bytes <= limits.maxBytes)
+      }
+      for (const [name, statement] of held) t.is(pooled.prepared.nameOf(statement), name)
+      if (!isPrepareDeclined) t.deepEqual(held.get(preparedName ?? ''), prepared)
+    }
+  }), { seed: 29, numRuns: 300 })
+})
--- a/packages/gateway/src/coordination/connections/connection-pool.ts
+++ b/packages/gateway/src/coordination/connections/connection-pool.ts
@@ -73,9 +73,12 @@
   }
   const { prepared } = required
   if (prepared === undefined) return { commands, preparedName: undefined }
-  const knownName = pooled.prepared.nameOf(prepared)
-  const preparedName = knownName ?? pooled.prepared.nextName()
-  if (hasStaleValue || knownName === undefined) commands.push({ kind: 'prepare', name: preparedName, ...prepared })
+  const knownName = hasStaleValue ? undefined : pooled.prepared.nameOf(prepared)
+  if (knownName !== undefined) return { commands, preparedName: knownName }
+  const dropped = hasStaleValue ? [] : pooled.prepared.namesToDrop(prepared)
+  for (const name of dropped) commands.push({ kind: 'deallocate', name })
+  const preparedName = pooled.prepared.nextName()
+  commands.push({ kind: 'prepare', name: preparedName, ...prepared })
   return { commands, preparedName }
 }
 
@@ -83,6 +86,7 @@
 export const recordDone = (pooled: PooledConnection, command: DatabaseCommand): void => {
   if (command.kind === 'set') pooled.values.set(command.name, command.value)
   if (command.kind === 'prepare') pooled.prepared.add(command, command.name)
+  if (command.kind === 'deallocate') pooled.prepared.remove(command.name)
   if (command.kind !== 'reset') return
   pooled.values.clear()
   pooled.prepared.clear()
--- a/packages/gateway/src/coordination/connections/connection-release.test.ts
+++ b/packages/gateway/src/coordination/connections/connection-release.test.ts
@@ -153,3 +153,13 @@
   t.deepEqual(group.executed.at(-1)?.inTransaction, false)
   holder.close()
 })
+
+test('a connection on which a prepared statement could not be dropped is closed', async t => {
+  const { database, holder } = createEnvironment()
+  database.changeReply = (command, reply) => command.kind === 'deallocate' ? { ...reply, ...busy } : reply
+  for (let number = 0; number < 200; number++) await holder.run({ ...execute, shape: `q${number}` })
+  t.is(holder.connections(), 1)
+  t.is((await holder.run({ ...execute, shape: 'another' })).reason, 'busy')
+  t.is(holder.connections(), 0)
+  holder.close()
+})
--- a/packages/gateway/src/coordination/connections/database-connection.ts
+++ b/packages/gateway/src/coordination/connections/database-connection.ts
@@ -12,6 +12,7 @@
   | { kind: 'rollback' }
   | { kind: 'set', name: string, value: string }
   | { kind: 'prepare', name: string, access: 'read' | 'write', shape: string }
+  | { kind: 'deallocate', name: string }
   | { kind: 'reset' }
 
 /** Why a database did not run a command. */
--- a/packages/gateway/src/coordination/connections/prepared-statements.test.ts
+++ b/packages/gateway/src/coordination/connections/prepared-statements.test.ts
@@ -46,3 +46,14 @@
   prepared.clear()
   t.is(prepared.nameOf(statement), undefined)
 })
+
+test('the least recently used statements are dropped, as many as the bounds require', t => {
+  const prepared = createPreparedStatements({ maxCount: 3, maxBytes: 10 })
+  const statementOf = (shape: string): PreparedStatement => ({ access: 'read', shape })
+  for (const shape of ['a', 'b', 'c']) prepared.add(statementOf(shape), prepared.nextName())
+  t.is(prepared.nameOf(statementOf('a')), 'p1')
+  t.deepEqual(prepared.namesToDrop(statementOf('d')), ['p2'])
+  t.deepEqual(prepared.namesToDrop(statementOf('d'.repeat(9))), ['p2', 'p3'])
+  prepared.remove('p2')
+  t.deepEqual(prepared.namesToDrop(statementOf('d')), [])
+})
--- a/packages/gateway/src/coordination/connections/run-on-connection.ts
+++ b/packages/gateway/src/coordination/connections/run-on-connection.ts
@@ -76,6 +76,10 @@
 const hasKnownEffect = (reply: DatabaseReply) =>
   (reply.outcome === 'done' || reply.outcome === 'declined') && !contradictsTracking(reply)
 
+/** True if a name could not be dropped: the statements of the connection would exceed their bounds. */
+const exceedsBounds = ({ kind }: DatabaseCommand, { outcome, isUnsent }: DatabaseReply) =>
+  kind === 'deallocate' && outcome !== 'done' && isUnsent !== true
+
 /** Called with each reply of the database. */
 export type ReplyListener = (command: DatabaseCommand, reply: DatabaseReply) => void
 
@@ -99,7 +103,8 @@
   const firstNotDone = replies.find(({ outcome }) => outcome !== 'done')
   if (firstNotDone !== undefined) {
     const transaction = transactionAfter(replies, before)
-    return { outcome: setupOutcome(firstNotDone), isStateKnown: replies.every(hasKnownEffect), transaction }
+    const isStateKnown = replies.every((reply, index) => hasKnownEffect(reply) && !exceedsBounds(setup[index]!, reply))
+    return { outcome: setupOutcome(firstNotDone), isStateKnown, transaction }
   }
   const isExpected = setup.every(({ kind }, index) =>
     replies[index]?.transaction === (kind === 'begin' ? 'open' : before))
--- a/packages/gateway/src/testing/memory-group.ts
+++ b/packages/gateway/src/testing/memory-group.ts
@@ -211,6 +211,7 @@
         case 'prepare':
           prepared.set(command.name, command)
           return reply()
+        case 'deallocate': return prepared.delete(command.name) ? reply() : decline('unknownStatement')
         case 'reset':
           values.clear()
           prepared.clear()
--- a/soak/src/plain-database.ts
+++ b/soak/src/plain-database.ts
@@ -104,6 +104,8 @@
         prepared.set(preparedName, shape)
         return {}
       }
+      const [, dropped] = /^DEALLOC ([^ ]+)$/.exec(text) ?? []
+      if (dropped !== undefined) return prepared.delete(dropped) ? {} : { error: 'NOSTMT' }
       const [, name, operands] = /^EXECUTE ([^ ]+) ([^]*)$/.exec(text) ?? []
       return name === undefined ? { error: 'MALFORMED' } : recordRun(requestId, text, name, operands)
     }
--- a/soak/src/soak-databases.ts
+++ b/soak/src/soak-databases.ts
@@ -212,6 +212,7 @@
           prepared.set(name, { access, shape })
           return { lines: ['COMPLETE -'] }
         }
+        case 'DEALLOC': return prepared.delete(name) ? { lines: ['COMPLETE -'] } : fail('NOSTMT')
         case 'RESET':
           values.clear()
           prepared.clear()
