--- a/packages/gateway/src/coordination/connections/connection-log.test.ts
+++ b/packages/gateway/src/coordination/connections/connection-log.test.ts
@@ -123,3 +123,16 @@
     name: 'connectionShared', request: 'r3', database: 'db-1', workspace: 'yard-a', connection: 12, other: 'r2'
   }])
 })
+
+// The line named the first command of the call, whichever could not be encoded.
+test('a command that could not be encoded is the one that is logged, as not sent', async t => {
+  const { database, holder, logged, counted } = createEnvironment()
+  database.changeReply = (command, reply) => ({
+    ...reply, outcome: 'declined', declineReason: command.kind === 'prepare' ? 'malformed' : 'notSent', isUnsent: true
+  })
+  const outcome = await holder.run(execute('r1', { values: [{ name: 'zone', value: 'quay' }] }))
+  t.deepEqual([outcome.status, outcome.reason], ['NOT_RUN', 'failed'])
+  t.deepEqual(logged.map(({ name, kind, unsent }) => [name, kind, unsent]), [['commandDeclined', 'prepare', true]])
+  t.deepEqual(counted, ['prepare malformed'])
+  holder.close()
+})
--- a/packages/gateway/src/coordination/connections/connection-log.ts
+++ b/packages/gateway/src/coordination/connections/connection-log.ts
@@ -69,7 +69,7 @@
       }))
     }
     const { declineReason } = reply
-    if (reply.outcome !== 'declined' || declineReason === undefined) return
+    if (reply.outcome !== 'declined' || declineReason === undefined || declineReason === 'notSent') return
     counters.countDeclined(command.kind, declineReason)
     if (!loggedReasons.has(declineReason)) return
     log(events.commandDeclined, () => ({
@@ -81,7 +81,8 @@
       kind: command.kind,
       prepared: command.kind !== 'set' && 'name' in command ? command.name : undefined,
       reason: declineReason,
-      message: clip(reply.message)
+      message: clip(reply.message),
+      ...reply.isUnsent === true ? { unsent: true } : {}
     }))
   }
 
--- a/packages/gateway/src/coordination/connections/database-connection.ts
+++ b/packages/gateway/src/coordination/connections/database-connection.ts
@@ -15,8 +15,8 @@
   | { kind: 'deallocate', name: string }
   | { kind: 'reset' }
 
-/** Why a database did not run a command. */
-export type DeclineReason = 'busy' | 'lagging' | 'readOnly' | 'unknownStatement' | 'malformed' | 'aborted'
+/** Why a database did not run a command. `notSent`: another command of the call could not be encoded. */
+export type DeclineReason = 'busy' | 'lagging' | 'readOnly' | 'unknownStatement' | 'malformed' | 'aborted' | 'notSent'
 
 /** State of the transaction on a connection. `failed`: it can only be rolled back. */
 export type TransactionState = 'none' | 'open' | 'failed'
--- a/packages/gateway/src/coordination/connections/run-on-connection.ts
+++ b/packages/gateway/src/coordination/connections/run-on-connection.ts
@@ -27,6 +27,7 @@
   readOnly: 'readOnly',
   unknownStatement: 'moved',
   malformed: 'failed',
+  notSent: 'failed',
   aborted: 'transactionGone'
 }
 
@@ -100,7 +101,7 @@
     onReply(command, reply)
     if (reply.outcome === 'done') recordDone(pooled, command)
   }
-  const firstNotDone = replies.find(({ outcome }) => outcome !== 'done')
+  const firstNotDone = replies.find(({ outcome, declineReason }) => outcome !== 'done' && declineReason !== 'notSent')
   if (firstNotDone !== undefined) {
     const transaction = transactionAfter(replies, before)
     const isStateKnown = replies.every((reply, index) => hasKnownEffect(reply) && !exceedsBounds(setup[index]!, reply))
