Gateway: a session keeps only state that its statements can carry

What callers saw: 64 values of up to 1 MiB each were acknowledged. A statement of such a session went to the gateway that holds the connections in one message over the limit of 4 MiB, which ended the stream that all callers of these two gateways share: writes of another workspace were answered INDOUBT. A PREPARE whose line just fits into 1 MiB was acknowledged, and each of its executions got FAILED, since the name on the connection is longer than the caller's; a SET with an empty id likewise.

Cause: the number of entries of a session was limited, their sizes were not.

Change: values and prepared statements are in a module of their own, which refuses an entry before it is acknowledged and then leaves the state as it was. The bounds: - an entry: 64 bytes below 1 MiB, against the line to a database. The words of PREPARE and the longest name take 40 bytes. - a session: 2 MiB, against the message between gateways. With a statement's line of 1 MiB that is 3 MiB and some bytes of 4 MiB. One value and one prepared statement of a whole message still go together. - all sessions of a process: 32 MiB beyond 8 KiB for each session, against memory. 3,000 sessions of 2 MiB would be 6,000 MiB, on VMs of as little as 250 MB; with the budget it is at most 32 MiB and 24 MiB of reserves. A session keeps its reserve when others have used up the budget. Each entry counts 64 bytes besides its texts. Bytes are those of UTF-8; a text that has other characters than Latin-1 may take twice as much.

--- a/packages/gateway/src/coordination/sessions/session.ts
+++ b/packages/gateway/src/coordination/sessions/session.ts
@@ -5,7 +5,8 @@
  * Statements that only change session state are handled locally. Statements that access data are routed to a database
  * together with the session state that they require.
  */
-import type { Logger } from '@egretyoke/common'
+import { Ok } from '@egretyoke/common'
+import type { Logger, Result } from '@egretyoke/common'
 import { events } from '../../events.js'
 import type { Configuration, Route } from '../../state/configuration.js'
 import { laterPosition } from '../../state/position.js'
@@ -16,6 +17,8 @@
 import { permittedRegionsOf, workspaceNameOf } from './session-identity.js'
 import type { Identity } from './session-identity.js'
 import type { SessionError, SessionResponse, SessionStatement } from './session-messages.js'
+import { createSessionState } from './session-state.js'
+import type { StateBudget, StateRefusal } from './session-state.js'
 import { notRun } from './statement.js'
 import type { StatementOutcome, StatementRequest } from './statement.js'
 
@@ -39,6 +42,8 @@
   hasCurrentKeys: () => boolean
   admission: Admission
   router: StatementRouter
+  /** Shared by all sessions of the process. */
+  stateBudget: StateBudget
   log: Logger
 }
 
@@ -53,8 +58,6 @@
   isFailed: boolean
 }
 
-const maxValues = 64
-const maxPrepared = 256
 /**
  * Fractions of the route's target latency and of its timeout; a statement may be queued for the longer of both before
  * it is sent to a database.
@@ -71,8 +74,7 @@
 /** Opens a session; returns an error if the caller is not authorized for the database. */
 export const openSession = (options: SessionOptions): Session | SessionError => {
   const { id, database, key, router, admission, log } = options
-  const values = new Map<string, string>()
-  const prepared = new Map<string, { access: 'read' | 'write', shape: string }>()
+  const state = createSessionState(options.stateBudget)
   let transaction: Transaction | undefined
   let transactionCount = 0
   let ownPosition = ''
@@ -106,7 +108,7 @@
     text: '',
     shape: '',
     shapeAccess: 'READ',
-    values: [...values].map(([name, value]) => ({ name, value })),
+    values: state.values(),
     needsPrimary: false,
     ownPosition: route.kind === 'readYourWrites' ? ownPosition : '',
     maxStalenessMs: route.maxStalenessMs,
@@ -260,11 +262,10 @@
     return respond()
   }
 
-  const changeSessionState = (change: () => void, map: ReadonlyMap<string, unknown>, name: string, limit: number) => {
+  const changeSessionState = (change: () => Result<void, StateRefusal>) => {
     if (transaction?.isFailed) return refuse('malformed', 'the transaction has failed; end it first')
-    if (!map.has(name) && map.size >= limit) return refuse('refused', 'too many in this session')
-    change()
-    return respond()
+    const changed = change()
+    return changed.err ? refuse('refused', changed.val.message) : respond()
   }
 
   const runData = async (
@@ -277,7 +278,7 @@
   }
 
   const execute = async (requestId: string, identity: Identity, name: string, operands: string) => {
-    const preparedStatement = prepared.get(name)
+    const preparedStatement = state.prepared(name)
     if (preparedStatement === undefined) return refuse('noSuchStatement', name)
     const access = preparedStatement.access === 'write' ? 'WRITE' as const : 'READ' as const
     return await runData(requestId, identity, {
@@ -317,16 +318,12 @@
         return await runData(requestId, identity, { access, text: statement.text })
       }
       case 'execute': return await execute(requestId, identity, statement.name, statement.operands)
-      case 'set': return changeSessionState(
-        () => values.set(statement.name, statement.value), values, statement.name, maxValues
-      )
+      case 'set': return changeSessionState(() => state.set(statement.name, statement.value))
       case 'prepare': {
         const { name, access, shape } = statement
-        return changeSessionState(() => prepared.set(name, { access, shape }), prepared, name, maxPrepared)
+        return changeSessionState(() => state.prepare(name, { access, shape }))
       }
-      case 'deallocate': return changeSessionState(
-        () => prepared.delete(statement.name), prepared, statement.name, maxPrepared + 1
-      )
+      case 'deallocate': return changeSessionState(() => Ok(state.deallocate(statement.name)))
       case 'malformed': return refuse('malformed', 'not a statement')
     }
   }
@@ -340,6 +337,9 @@
       return typeof current !== 'string' || current === 'refused'
     },
     isInTransaction: () => transaction !== undefined,
-    close: () => { if (transaction !== undefined) rollBack() }
+    close: () => {
+      if (transaction !== undefined) rollBack()
+      state.close()
+    }
   }
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -27,6 +27,7 @@
 import { openSession } from './coordination/sessions/session.js'
 import type { Session } from './coordination/sessions/session.js'
 import type { SessionError } from './coordination/sessions/session-messages.js'
+import { createStateBudget } from './coordination/sessions/session-state.js'
 import type { SharedStore } from './coordination/store/shared-store.js'
 import { createStatementRouter } from './coordination/routing/statement-router.js'
 import { followStore } from './coordination/store/store-follower.js'
@@ -126,6 +127,7 @@
   let lastReadyMs = 0
   let sessionCount = 0
   let sessionNumber = 0
+  const stateBudget = createStateBudget()
 
   const clock = createAgeClock()
   const contact = createContact(clock)
@@ -324,6 +326,7 @@
       hasCurrentKeys,
       admission,
       router,
+      stateBudget,
       log
     }),
     whenStateLoaded: async timeoutMs => {
