Gateway: a message over the limit between gateways fails alone

What callers saw: one request or one result over 4 MiB ended the stream that all callers of a pair of gateways share. All its pending requests failed, so that writes of other workspaces were answered INDOUBT.

Cause: nothing looked at the size of a message before it was written; gRPC ends the stream at the receiver.

Change: the link encodes a request itself, once, and writes the bytes. A request over the limit is not sent and fails as tooLarge, which no other holder or database is tried for: its caller gets BUSY, in a transaction ABORTED, and nothing has run. For a result over the limit the holder returns what is true without it: a read has failed, a single write or a commit is in doubt, a write in a transaction is rolled back by its session. Other replies over the limit are left out. Both are logged as messageTooLarge with the size.

--- a/packages/gateway/src/coordination/routing/relay-calls.ts
+++ b/packages/gateway/src/coordination/routing/relay-calls.ts
@@ -9,8 +9,11 @@
 export type RelayRequest = Omit<RelayMessages.RelayRequest, 'number'>
 export type RelayReply = RelayMessages.RelayReply__Output
 
-/** Why a request failed. `unsent`: the peer did not receive it. `lost`: the peer may have received it. */
-export type RelayFailure = TypedError<'unsent' | 'lost'>
+/**
+ * Why a request failed. `unsent`: the peer did not receive it. `tooLarge`: neither, and no peer would. `lost`: the peer
+ * may have received it.
+ */
+export type RelayFailure = TypedError<'unsent' | 'tooLarge' | 'lost'>
 
 /** Requests to other gateways. */
 export type RelayCalls = {
--- a/packages/gateway/src/coordination/routing/statement-router.ts
+++ b/packages/gateway/src/coordination/routing/statement-router.ts
@@ -87,6 +87,7 @@
     if (holder.name === self.name) return await options.runLocally(request)
     const reply = await relay.call(holder, { run: request }, request.timeoutMs + relayAllowanceMs)
     if (reply.ok) return (reply.val.statement ?? notRun('moved')) as StatementOutcome
+    if (reply.val.reason === 'tooLarge') return notRun('tooLarge')
     if (reply.val.reason === 'unsent') return notRun('holderSilent')
     if (request.transaction !== 'SINGLE' && request.verb !== 'COMMIT') {
       // Only this router knows where a first statement was sent.
--- a/packages/gateway/src/coordination/sessions/session.ts
+++ b/packages/gateway/src/coordination/sessions/session.ts
@@ -123,9 +123,10 @@
   const errorResponse = (outcome: StatementOutcome, inTransaction: boolean): SessionResponse => {
     const { reason } = outcome
     if (outcome.status === 'UNKNOWN') return refuse('inDoubt', `outcome not known: ${reason}`)
-    if (outcome.status === 'FAILED') return refuse('failed', reason)
+    if (outcome.status === 'FAILED') return refuse('failed', reason === 'tooLarge' ? 'the result is too large' : reason)
     if (inTransaction) return refuse('aborted', `transaction rolled back: ${reason}`)
     if (reason === 'lagging' || reason === 'readOnly') return refuse(reason, `not run, retry after ${busyRetryMs} ms`)
+    if (reason === 'tooLarge') return refuse('refused', 'not run: the statement with the session state is too large')
     if (reason === 'failed') return refuse('failed', 'the database does not take the statement')
     return refuse('refused', `not run: ${reason}, retry after ${busyRetryMs} ms`)
   }
--- a/packages/gateway/src/coordination/sessions/statement.ts
+++ b/packages/gateway/src/coordination/sessions/statement.ts
@@ -33,6 +33,8 @@
    * transaction and must not run in a second one.
    */
   | 'answerLost'
+  /** The statement with its session state, or its result, is too large for a message between gateways. */
+  | 'tooLarge'
 
 /** Outcome of a statement. */
 export type StatementOutcome = Omit<RelayMessages.StatementReply__Output, 'reason'> & { reason: StatementReason }
@@ -66,3 +68,13 @@
 /** True if the statement is the first one of a transaction. */
 export const opensTransaction = ({ transaction }: Pick<StatementRequest, 'transaction'>): boolean =>
   transaction === 'OPEN_READ_WRITE' || transaction === 'OPEN_READ_ONLY'
+
+/**
+ * Outcome of a statement that ran at another gateway and whose result is too large to be returned. A write may be
+ * committed; in a transaction it is not, because the session rolls back.
+ */
+export const outcomeWithoutRows = (request: StatementRequest): StatementOutcome => {
+  if (isRead(request)) return failed('tooLarge')
+  const mayBeCommitted = request.transaction === 'SINGLE' || request.verb === 'COMMIT'
+  return mayBeCommitted ? unknownOutcome('tooLarge') : notRun('tooLarge')
+}
--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -39,6 +39,8 @@
     'The membership lease has ended; the gateway joins again.'),
   peerLost: defineEvent(7022, 'peerLost',
     'The link to another gateway was lost; names the reason.'),
+  messageTooLarge: defineEvent(7052, 'messageTooLarge',
+    'A request to another gateway, or a reply, is over the limit of a message and was not sent; gives its size.'),
   limitsClaimed: defineEvent(7023, 'limitsClaimed',
     'This gateway has claimed a shard of the workspaces and now hands out their tokens.'),
   tokensShort: defineEvent(7024, 'tokensShort',
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -247,7 +247,7 @@
     isReady: () => isReady()
   })
   const listener = await listenGrpc(
-    settings.relayAddress, { channels: settings.channels }, server => addRelayService(server, handle)
+    settings.relayAddress, { channels: settings.channels }, server => addRelayService(server, handle, log)
   )
 
   const registry = createRegistry()
--- a/packages/gateway/src/transport/relay-link.ts
+++ b/packages/gateway/src/transport/relay-link.ts
@@ -2,14 +2,14 @@
  * Link to one other gateway: one stream on a connection of its own, with requests matched to replies by number. When
  * pings are not answered, the link closes its connection too, because the connection itself may be dead.
  */
-import type { ClientDuplexStream } from '@grpc/grpc-js'
 import { Err, Ok, typedError } from '@egretyoke/common'
 import type { Result } from '@egretyoke/common'
-import { connectGrpc, relayProto } from '@egretyoke/protocol'
 import type { ChannelSettings, RelayMessages } from '@egretyoke/protocol'
 import type { RelayReply, RelayFailure, RelayRequest } from '../coordination/routing/relay-calls.js'
 import { tickIntervalMs } from './idle-pings.js'
 import type { Pending, PingPlan } from './idle-pings.js'
+import { encodeRequest, openRequestStream } from './relay-encoding.js'
+import type { EncodedMessage, EncodingFailure, RequestStream } from './relay-encoding.js'
 
 /** Time without an answer to a ping after which the peer counts as unreachable. */
 const pingTimeoutMs = 500
@@ -22,13 +22,12 @@
 /** A peer's readiness counts for this long after it was reported. */
 const readinessLifetimeMs = 3000
 const maxPendingRequests = 4096
-/** The link itself decides on retries; gRPC's retries and statistics would cost processor time for each message. */
-const channelOptions = { 'grpc.enable_retries': 0, 'grpc.enable_channelz': 0 }
+const noNumber = 0
 
-type Stream = ClientDuplexStream<RelayMessages.RelayRequest, RelayMessages.RelayReply__Output>
 type PendingRequest = {
-  request: RelayRequest
-  isSent: boolean
+  /** Undefined once it is sent. */
+  unsent: EncodedMessage | undefined
+  isLongPoll: boolean
   settle: (reply: Result<RelayReply, RelayFailure>) => void
 }
 
@@ -51,12 +50,20 @@
 const failure = (reason: 'unsent' | 'lost', address: string) =>
   Err(typedError(reason, `Gateway ${address} did not answer.`, { address }))
 
-/** Creates a link, which connects on first use. `onDown` is called with the reason for each loss of the link. */
+/** What a link reports. */
+export type RelayLinkListener = {
+  /** Called with the reason for each loss of the link. */
+  onDown: (reason: string) => void
+  /** Called for each request that is too large to be sent. */
+  onTooLarge: (failure: EncodingFailure) => void
+}
+
+/** Creates a link, which connects on first use. */
 export const createRelayLink = (
-  address: string, channels: ChannelSettings, onDown: (reason: string) => void
+  address: string, channels: ChannelSettings, { onDown, onTooLarge }: RelayLinkListener
 ): RelayLink => {
-  let service: InstanceType<typeof relayProto.Relay> | undefined
-  let stream: Stream | undefined
+  let closeConnection = () => {}
+  let stream: RequestStream | undefined
   let isEstablished = false
   let readyReportedMs = -Infinity
   let isClosed = false
@@ -70,11 +77,12 @@
   let unansweredPingMs: number | undefined
   const pending = new Map<number, PendingRequest>()
 
+  const failureOf = ({ unsent }: PendingRequest) => failure(unsent === undefined ? 'lost' : 'unsent', address)
+
   const tearDown = () => {
     stream?.cancel()
-    service?.close()
+    closeConnection()
     stream = undefined
-    service = undefined
     isEstablished = false
   }
 
@@ -86,7 +94,7 @@
     scheduleReopen()
     const failedRequests = [...pending.values()]
     pending.clear()
-    for (const { isSent, settle } of failedRequests) settle(failure(isSent ? 'lost' : 'unsent', address))
+    for (const request of failedRequests) request.settle(failureOf(request))
   }
 
   /** Reconnects in the background, so that no request has to wait for it. */
@@ -96,9 +104,10 @@
     reopenTimer = setTimeout(() => { if (stream === undefined) open() }, reopenDelayMs)
   }
 
-  const send = (number: number, pendingRequest: PendingRequest) => {
-    pendingRequest.isSent = true
-    stream?.write({ number, ...pendingRequest.request })
+  const send = (pendingRequest: PendingRequest) => {
+    const { unsent } = pendingRequest
+    pendingRequest.unsent = undefined
+    if (unsent !== undefined) stream?.write(unsent)
   }
 
   const receive = (reply: RelayMessages.RelayReply__Output) => {
@@ -108,7 +117,7 @@
     if (!isEstablished) {
       isEstablished = true
       isDown = false
-      for (const [number, pendingRequest] of pending) send(number, pendingRequest)
+      for (const pendingRequest of pending.values()) send(pendingRequest)
     }
     const pendingRequest = pending.get(reply.number)
     pending.delete(reply.number)
@@ -117,13 +126,13 @@
 
   const ping = () => {
     unansweredPingMs ??= performance.now()
-    stream?.write({ number: 0, ping: {} })
+    stream?.write(encodeRequest({ number: noNumber, ping: {} }).unwrap())
   }
 
   const pendingKind = (): Pending => {
     if (pending.size === 0) return 'nothing'
     const requests = [...pending.values()]
-    return requests.every(({ request }) => request.followStore !== undefined) ? 'longPoll' : 'reply'
+    return requests.every(({ isLongPoll }) => isLongPoll) ? 'longPoll' : 'reply'
   }
 
   const tick = (plan: PingPlan) => {
@@ -137,8 +146,9 @@
   }
 
   const open = () => {
-    service = connectGrpc(relayProto.Relay, address, channels, channelOptions)
-    const opened: Stream = service.Exchange()
+    const connection = openRequestStream(address, channels)
+    const opened = connection.stream
+    closeConnection = connection.closeConnection
     stream = opened
     lastReplyMs = performance.now()
     lastTickMs = lastReplyMs
@@ -153,20 +163,26 @@
     new Promise<Result<RelayReply, RelayFailure>>(resolve => {
       lastUsedMs = performance.now()
       if (pending.size >= maxPendingRequests) return resolve(failure('unsent', address))
-      if (stream === undefined) open()
       const number = nextNumber++
+      const encoded = encodeRequest({ number, ...request })
+      if (encoded.err) {
+        onTooLarge(encoded.val)
+        return resolve(encoded)
+      }
+      if (stream === undefined) open()
       const timer = setTimeout(() => {
         const pendingRequest = pending.get(number)
         pending.delete(number)
-        pendingRequest?.settle(failure(pendingRequest.isSent ? 'lost' : 'unsent', address))
+        pendingRequest?.settle(failureOf(pendingRequest))
       }, timeoutMs)
       const settle = (reply: Result<RelayReply, RelayFailure>) => {
         clearTimeout(timer)
         resolve(reply)
       }
-      const pendingRequest: PendingRequest = { request, isSent: false, settle }
+      const isLongPoll = request.followStore !== undefined
+      const pendingRequest: PendingRequest = { unsent: encoded.val, isLongPoll, settle }
       pending.set(number, pendingRequest)
-      if (isEstablished) send(number, pendingRequest)
+      if (isEstablished) send(pendingRequest)
     })
 
   return {
--- a/packages/gateway/src/transport/relay-links.ts
+++ b/packages/gateway/src/transport/relay-links.ts
@@ -4,11 +4,13 @@
 import type { Server, ServerDuplexStream } from '@grpc/grpc-js'
 import { startTicks } from '@egretyoke/common'
 import type { Logger } from '@egretyoke/common'
-import { relayProto } from '@egretyoke/protocol'
 import type { ChannelSettings, RelayMessages } from '@egretyoke/protocol'
 import type { RelayCalls } from '../coordination/routing/relay-calls.js'
+import { outcomeWithoutRows } from '../coordination/sessions/statement.js'
 import { events } from '../events.js'
 import { planPings, tickIntervalMs } from './idle-pings.js'
+import { encodeReply, relayService } from './relay-encoding.js'
+import type { EncodedMessage } from './relay-encoding.js'
 import { createRelayLink } from './relay-link.js'
 import type { RelayLink } from './relay-link.js'
 
@@ -39,7 +41,10 @@
     const existing = links.get(address)
     if (existing !== undefined) return existing
     if (links.size >= maxLinks) retain(new Set())
-    const link = createRelayLink(address, channels, reason => log(events.peerLost, { address, reason }))
+    const link = createRelayLink(address, channels, {
+      onDown: reason => log(events.peerLost, { address, reason }),
+      onTooLarge: ({ metadata }) => log(events.messageTooLarge, { kind: 'request', address, ...metadata })
+    })
     links.set(address, link)
     return link
   }
@@ -78,16 +83,29 @@
 export type RelayRequestHandler =
   (request: RelayMessages.RelayRequest__Output) => Promise<Omit<RelayMessages.RelayReply, 'number'> | undefined>
 
+/** The encoded reply, or one that takes its place when it is too large; undefined if there is none. */
+const encodeFitting = (
+  request: RelayMessages.RelayRequest__Output, reply: Omit<RelayMessages.RelayReply, 'number'>, log: Logger
+): EncodedMessage | undefined => {
+  const { number, run } = request
+  const encoded = encodeReply({ number, ...reply })
+  if (encoded.ok) return encoded.val
+  log(events.messageTooLarge, { kind: 'reply', ...encoded.val.metadata })
+  return run ? encodeReply({ number, statement: outcomeWithoutRows(run) }).unwrap() : undefined
+}
+
 /** Adds the relay service to a gRPC server. Requests of one stream are answered in the order in which they finish. */
-export const addRelayService = (server: Server, handle: RelayRequestHandler): void => {
-  type Call = ServerDuplexStream<RelayMessages.RelayRequest__Output, RelayMessages.RelayReply>
-  server.addService(relayProto.Relay.service, {
+export const addRelayService = (server: Server, handle: RelayRequestHandler, log: Logger): void => {
+  type Call = ServerDuplexStream<RelayMessages.RelayRequest__Output, EncodedMessage>
+  server.addService(relayService(), {
     Exchange: (call: Call) => {
       let isOpen = true
       const end = () => { isOpen = false }
       call.on('data', async (request: RelayMessages.RelayRequest__Output) => {
         const reply = await handle(request)
-        if (isOpen && reply !== undefined) call.write({ number: request.number, ...reply })
+        if (!isOpen || reply === undefined) return
+        const encoded = encodeFitting(request, reply, log)
+        if (encoded !== undefined) call.write(encoded)
       })
       call.on('end', () => {
         end()
