Gateway: the error of a statement that is too long says so

What callers saw: `FAILED the database does not take the statement` for a statement that was not sent to any database, because its line there is longer than the caller's: an execution near 1 MiB, whose name on the connection is longer, or a read with AFTER.

Cause: the same reason stands for a line that the gateway does not compose and for a line that a database does not understand. Neither has run, which the message now says.

Evidence: the new test of message-limits.test.ts, an execution of 1 MiB through each of two gateways, failed before.

--- a/packages/gateway/src/coordination/sessions/session.ts
+++ b/packages/gateway/src/coordination/sessions/session.ts
@@ -127,7 +127,7 @@
     if (inTransaction) return refuse('aborted', `transaction rolled back: ${reason}`)
     if (reason === 'lagging' || reason === 'readOnly') return refuse(reason, `not run, retry after ${busyRetryMs} ms`)
     if (reason === 'tooLarge') return refuse('refused', 'not run: the statement with the session state is too large')
-    if (reason === 'failed') return refuse('failed', 'the database does not take the statement')
+    if (reason === 'failed') return refuse('failed', 'not run: the statement is malformed or too long')
     return refuse('refused', `not run: ${reason}, retry after ${busyRetryMs} ms`)
   }
 
--- a/soak/src/caller-connection.ts
+++ b/soak/src/caller-connection.ts
@@ -8,8 +8,11 @@
 const replyTimeoutMs = 4000
 const connectTimeoutMs = 2000
 
-/** Reply to one statement. `error` is the error code, empty on success; `state` is the session state from READY. */
-export type StatementReply = { error: string, signature: string, rows: string[], state: string }
+/**
+ * Reply to one statement. `error` is the error code and `message` its text, empty on success; `state` is the session
+ * state from READY.
+ */
+export type StatementReply = { error: string, message: string, signature: string, rows: string[], state: string }
 
 /** A caller's open connection. Only one statement may be in flight at a time. */
 export type CallerConnection = {
@@ -20,12 +23,15 @@
 }
 
 const parseReply = (lines: readonly string[]): StatementReply => {
-  const reply: StatementReply = { error: '', signature: '', rows: [], state: 'I' }
+  const reply: StatementReply = { error: '', message: '', signature: '', rows: [], state: 'I' }
   for (const line of lines) {
     const [word, first = ''] = line.split(' ')
     if (word === 'ROW') reply.rows.push(line.slice('ROW '.length))
     if (word === 'COMPLETE') reply.signature = first
-    if (word === 'ERROR') reply.error = first
+    if (word === 'ERROR') {
+      reply.error = first
+      reply.message = line.slice(`ERROR ${first} `.length)
+    }
     if (word === 'READY') reply.state = first
   }
   return reply
--- a/soak/src/message-limits.test.ts
+++ b/soak/src/message-limits.test.ts
@@ -75,4 +75,13 @@
       caller.close()
     }
   })
+
+  test.serial(`an execution that is too long for a database is named as such, gateway ${gateway}`, async t => {
+    const caller = await environment.openCaller(gateway, workspaceB)
+    t.is((await caller.send('QUERY p PREPARE s WRITE q2b'))?.error, '')
+    const reply = await caller.send('QUERY - EXECUTE s 1a4 '.padEnd(maxMessageBytes, 'x'))
+    t.like(reply, { error: 'FAILED', message: 'not run: the statement is malformed or too long' })
+    t.is((await caller.send('QUERY e EXECUTE s 1a4 data'))?.error, '')
+    caller.close()
+  })
 }
