Test: stand-ins and texts of the tests follow each other's changes

The in-memory group marks commands that are not sent, as the adapter does since a call with a command that cannot be encoded gets a reply to each command; without it the holder took the reply for the state of the connection. A request without an id is MALFORMED at once, so the test of the longest SET has an id; it is still refused for its value. The model's replies have a message.

--- a/packages/gateway/src/testing/memory-group.ts
+++ b/packages/gateway/src/testing/memory-group.ts
@@ -231,7 +231,12 @@
 
     const run = async (commands: readonly DatabaseCommand[], timeoutMs: number): Promise<DatabaseReply[]> => {
       if (!commands.every(memory.isSendable)) {
-        return [{ ...lost('not sent'), outcome: 'declined', declineReason: 'malformed' }]
+        return commands.map(command => ({
+          ...lost('not sent'),
+          outcome: 'declined',
+          declineReason: memory.isSendable(command) ? 'notSent' : 'malformed',
+          isUnsent: true
+        }))
       }
       const replies: DatabaseReply[] = []
       const deadlineMs = performance.now() + timeoutMs
--- a/soak/src/message-limits.test.ts
+++ b/soak/src/message-limits.test.ts
@@ -69,7 +69,7 @@
       const prepared = await caller.send('QUERY p PREPARE s WRITE '.padEnd(length, 'q'))
       const executed = await caller.send('QUERY e EXECUTE s 1a4 data')
       t.deepEqual([prepared?.error, executed?.error], length === maxMessageBytes ? ['BUSY', 'NOSTMT'] : ['', ''])
-      const set = await caller.send('QUERY  SET v '.padEnd(length, 'q'))
+      const set = await caller.send('QUERY s SET v '.padEnd(length, 'q'))
       const read = await caller.send('QUERY r READ 1a4')
       t.deepEqual([set?.error, read?.error], length === maxMessageBytes ? ['BUSY', ''] : ['', ''])
       caller.close()
--- a/soak/src/sessions.test.ts
+++ b/soak/src/sessions.test.ts
@@ -32,7 +32,7 @@
   transaction: 0,
   signature: 'plain.1'
 }
-const acknowledged = { error: '', signature: '-', rows: [], state: 'I' }
+const acknowledged = { error: '', message: '', signature: '-', rows: [], state: 'I' }
 
 /** What contradicts the model when a caller's prepared statement ran as the given runs and got the given reply. */
 const problemsOf = (runs: StatementRun[], reply = { ...acknowledged, signature: 'plain.1' }) => {
