Test: a process gives each port to one gateway of its fleets only

A port was tried, released and used later, so that two fleets of a process could draw the same one between. That another process takes it meanwhile is still possible: EADDRINUSE was seen beside four other test runs (session.test, memory fleet, load 8).

--- a/packages/gateway/src/testing/memory-fleet.ts
+++ b/packages/gateway/src/testing/memory-fleet.ts
@@ -94,9 +94,14 @@
 })
 
 /** Resolves with a port that was free when it was tried. */
+/** Ports that this process has tried. One that is free now may be about to be used by another fleet. */
+const triedPorts = new Set<number>()
+
 const findFreePort = async (): Promise<number> => {
   for (;;) {
     const port = randomInt(portRange.from, portRange.to)
+    if (triedPorts.has(port)) continue
+    triedPorts.add(port)
     if (await isFreePort(port)) return port
   }
 }
