Gateway: only a reply of the database counts as one

What callers saw: nothing known. Found in a review: a database that does not reply looks as if it had replied recently, to the gateway that monitors its group, while statements for it are declined without being sent.

Cause: the holder took each outcome other than a missing reply for a reply, also that of a command that was not encoded.

Evidence: the first new test of database-holder.test.ts failed before. The second one, where the setup has succeeded and the statement is not sent, passed before and passes now.

Fix: the holder notes whether the last command that was sent had a reply; commands marked as unsent change nothing.

--- a/packages/gateway/src/coordination/connections/database-holder.test.ts
+++ b/packages/gateway/src/coordination/connections/database-holder.test.ts
@@ -60,3 +60,26 @@
   t.is(group.executed.length, 1)
   holder.close()
 })
+
+// A database that did not reply kept its primary, because statements that were not sent to it counted as its replies.
+test('a statement that was declined without being sent is no reply of the database', async t => {
+  const { database, holder } = createEnvironment()
+  database.changeReply = (_command, reply) =>
+    ({ ...reply, outcome: 'declined', declineReason: 'malformed', isUnsent: true })
+  t.is((await holder.run(write())).reason, 'failed')
+  t.false(holder.hasRepliedRecently())
+  database.changeReply = (_command, reply) => ({ ...reply, outcome: 'declined', declineReason: 'malformed' })
+  t.is((await holder.run(write())).reason, 'failed')
+  t.true(holder.hasRepliedRecently())
+  holder.close()
+})
+
+test('a statement that is not sent after its setup has succeeded leaves the replies to the setup', async t => {
+  const { database, holder } = createEnvironment()
+  database.changeReply = (command, reply) => command.kind === 'text'
+    ? { ...reply, outcome: 'declined', declineReason: 'malformed', isUnsent: true }
+    : reply
+  t.is((await holder.run(write('OPEN_READ_WRITE'))).reason, 'failed')
+  t.true(holder.hasRepliedRecently())
+  holder.close()
+})
--- a/packages/gateway/src/coordination/connections/database-holder.ts
+++ b/packages/gateway/src/coordination/connections/database-holder.ts
@@ -21,7 +21,7 @@
 import { createQueueAdmission } from './queue-admission.js'
 import { afterPrimaryChange } from './primary-change-outcome.js'
 import { runOnConnection, transactionBefore } from './run-on-connection.js'
-import type { StatementRun } from './run-on-connection.js'
+import type { ReplyListener, StatementRun } from './run-on-connection.js'
 import { notRun, opensTransaction } from '../sessions/statement.js'
 import type { StatementOutcome, StatementReason, StatementRequest } from '../sessions/statement.js'
 
@@ -191,10 +191,15 @@
     }
     const coversUntil = clock.now()
     const use = connectionLog.startUse(pooled, request)
-    const run = await runOnConnection(pooled, request, position, remainingMs, use.onReply)
+    let hasReplied = false
+    const onReply: ReplyListener = (command, reply) => {
+      use.onReply(command, reply)
+      if (reply.isUnsent !== true) hasReplied = reply.outcome !== 'lost'
+    }
+    const run = await runOnConnection(pooled, request, position, remainingMs, onReply)
     use.end()
     const { outcome } = run
-    if (!noReplyReasons.has(outcome.reason)) lastReplyMs = nowMs()
+    if (hasReplied && !noReplyReasons.has(outcome.reason)) lastReplyMs = nowMs()
     if (!isAtPrimary) return run
     if (records.canUse(group, id)) {
       if (outcome.position !== '') positions.record(group, { position: outcome.position, coversUntil })
