Gateway: the line of a routed statement names the prepared statement that it executed

What operators saw: a statementRouted line that gave the connection only, so that for a statement that succeeded the text that the database ran had to be guessed from all names that were prepared on that connection (docs/OPERATIONS.md said so).

Evidence: the test of session.test.ts that compares statementRouted with statementPrepared now compares the name, too; it failed before.

Fix: the reply of a statement carries the name under which the holder sent its EXECUTE, also if the reply of the database was lost or its primary was replaced meanwhile (neither has a test).

--- a/packages/gateway/src/coordination/connections/primary-change-outcome.ts
+++ b/packages/gateway/src/coordination/connections/primary-change-outcome.ts
@@ -10,12 +10,16 @@
  * is not used again, except after a read outside of a transaction.
  */
 export const afterPrimaryChange = (
-  request: StatementRequest, { isStateKnown, transaction }: StatementRun
+  request: StatementRequest, { outcome: { prepared }, isStateKnown, transaction }: StatementRun
 ): StatementRun => {
   const mayHaveCommitted = request.verb === 'COMMIT' ||
     (request.access === 'WRITE' && request.transaction === 'SINGLE')
-  if (mayHaveCommitted) return { outcome: unknownOutcome('moved'), isStateKnown: false, transaction }
-  if (request.transaction === 'SINGLE') return { outcome: notRun('moved'), isStateKnown, transaction }
+  if (mayHaveCommitted) {
+    return { outcome: { ...unknownOutcome('moved'), prepared }, isStateKnown: false, transaction }
+  }
+  if (request.transaction === 'SINGLE') {
+    return { outcome: { ...notRun('moved'), prepared }, isStateKnown, transaction }
+  }
   // A statement that has run in a transaction must not run in a second one.
-  return { outcome: notRun('answerLost'), isStateKnown: false, transaction }
+  return { outcome: { ...notRun('answerLost'), prepared }, isStateKnown: false, transaction }
 }
--- a/packages/gateway/src/coordination/connections/run-on-connection.ts
+++ b/packages/gateway/src/coordination/connections/run-on-connection.ts
@@ -137,11 +137,14 @@
   const requiresPosition = request.transaction === 'SINGLE' && request.access === 'READ'
   const command = commandOf(request, preparedName, requiresPosition ? positionAtLeast : '')
   const [reply] = await pooled.connection.run([command], remainingMs)
-  if (reply === undefined) return { outcome: unknownOutcome('silent'), isStateKnown: false, transaction: 'none' }
+  const prepared = preparedName ?? ''
+  if (reply === undefined) {
+    return { outcome: { ...unknownOutcome('silent'), prepared }, isStateKnown: false, transaction: 'none' }
+  }
   onReply(command, reply)
   // A statement that fails leaves the session state as it was; only a setup command changes it.
   const transaction = transactionAfter([reply], request.transaction === 'SINGLE' ? 'none' : 'open')
   const hasOpenTransaction = endsOutsideTransaction(request) && reply.isUnsent !== true && transaction !== 'none'
   const isStateKnown = reply.outcome !== 'lost' && !contradictsTracking(reply) && !hasOpenTransaction
-  return { outcome: outcomeOf(request, reply), isStateKnown, transaction }
+  return { outcome: { ...outcomeOf(request, reply), prepared }, isStateKnown, transaction }
 }
--- a/packages/gateway/src/coordination/routing/statement-router.ts
+++ b/packages/gateway/src/coordination/routing/statement-router.ts
@@ -158,6 +158,7 @@
         load: outcome.load,
         queuedMs: outcome.queuedMs,
         connection: outcome.connection,
+        prepared: outcome.prepared,
         needsPrimary
       })
       const location = { database: database.id, holder }
--- a/packages/gateway/src/coordination/sessions/statement.ts
+++ b/packages/gateway/src/coordination/sessions/statement.ts
@@ -48,7 +48,8 @@
   transactionOpen: false,
   load: 0,
   queuedMs: 0,
-  connection: 0
+  connection: 0,
+  prepared: ''
 }
 
 /** Outcome of a statement that did not run and never will. */
--- a/packages/gateway/src/session.test.ts
+++ b/packages/gateway/src/session.test.ts
@@ -57,7 +57,7 @@
   await fleet.close()
 })
 
-test('the line of a routed statement names the connection at its holder, where it was prepared', async t => {
+test('the line of a routed statement names the connection at its holder and the prepared name', async t => {
   const fleet = await startMemoryFleet(3)
   for (const gateway of fleet.gateways) {
     const session = openTestSession(gateway, 'slots')
@@ -67,8 +67,11 @@
   const named = (name: string) => fleet.events.filter(event => event.name === name)
   const [prepared] = named('statementPrepared')
   t.is(named('statementPrepared').length, 1)
-  t.deepEqual(named('statementRouted').map(({ fields: { holder, connection } }) => ({ holder, connection })),
-    Array(3).fill({ holder: prepared?.gateway, connection: prepared?.fields.connection }))
+  t.is(prepared?.fields.prepared, 'p1')
+  t.deepEqual(
+    named('statementRouted').map(({ fields }) => [fields.holder, fields.connection, fields.prepared]),
+    Array(3).fill([prepared?.gateway, prepared?.fields.connection, 'p1'])
+  )
   const metrics = await Promise.all(fleet.gateways.map(({ gateway }) => gateway.registry.metrics()))
   t.is(metrics.filter(text => text.includes('egretyoke_statements_prepared_total 1')).length, 1)
   await fleet.close()
