Gateway: the lines about prepared statements are bounded for each database

What operators saw: a caller with changing texts writes one statementPrepared line for each of its statements, and other lines of the process can be dropped for them.

Evidence: in the new test of connection-log.test.ts, 500 statements with different texts wrote 500 lines before.

Fix: the log of a database's connections takes each line from a token bucket, 10 a second after a burst of 100. preparedLinesLeftOut 7053 gives the number of the others, at most once a maintenance interval and when the holder is closed. The counter of prepared statements counts all.

--- a/packages/gateway/src/coordination/connections/connection-log.test.ts
+++ b/packages/gateway/src/coordination/connections/connection-log.test.ts
@@ -2,7 +2,9 @@
  * Log lines and counters about connections: from a request to the connection, and to what was prepared there.
  */
 import test from 'ava'
-import { createConnectionLog, maxLoggedTextLength } from './connection-log.js'
+import {
+  createConnectionLog, maxBurstPreparedLines, maxLoggedTextLength, maxPreparedLinesPerSec
+} from './connection-log.js'
 import type { PooledConnection } from './connection-pool.js'
 import { createHolderEnvironment, writeRequest } from '../../testing/holder-environment.js'
 import type { StatementRequest } from '../sessions/statement.js'
@@ -64,6 +66,7 @@
 })
 
 const createLog = () => {
+  const time = { nowMs: 0 }
   const logged: object[] = []
   const counted: string[] = []
   const connectionLog = createConnectionLog({
@@ -72,9 +75,10 @@
       countPrepared: () => { counted.push('prepared') },
       countDeclined: (kind, reason) => { counted.push(`${kind} ${reason}`) }
     },
+    nowMs: () => time.nowMs,
     log: ({ name }, fields = {}) => { logged.push({ name, ...typeof fields === 'function' ? fields() : fields }) }
   })
-  return { connectionLog, logged, counted }
+  return { connectionLog, time, logged, counted }
 }
 
 const pooled = { number: 12, workspace: 'yard-a' } as PooledConnection
@@ -136,3 +140,38 @@
   t.deepEqual(counted, ['prepare malformed'])
   holder.close()
 })
+
+// A caller with changing texts wrote a line for each of its statements.
+test('lines about prepared statements are bounded; all are counted, and a line tells how many have none', async t => {
+  const { holder, logged, counted } = createEnvironment()
+  const statements = 500
+  for (let index = 0; index < statements; index++) {
+    await holder.run(execute(`r${index}`, { shape: `WRITE q${index}` }))
+  }
+  holder.close()
+  const lines = logged.filter(({ name }) => name === 'statementPrepared').length
+  const leftOut = logged.filter(({ name }) => name === 'preparedLinesLeftOut').map(({ count }) => Number(count))
+  t.true(lines < statements / 2, `${lines} lines`)
+  t.is(lines + leftOut.reduce((sum, count) => sum + count, 0), statements)
+  t.is(counted.filter(name => name === 'prepared').length, statements)
+})
+
+test('after a burst there is a line for as many prepared statements as the rate allows, in each second', t => {
+  const { connectionLog, time, logged } = createLog()
+  const { onReply } = connectionLog.startUse(pooled, execute('r1'))
+  const prepare = { kind: 'prepare', name: 'p1', access: 'write', shape: 'WRITE q' } as const
+  const { declineReason: _, ...declinedReply } = declined('busy')
+  const linesOf = (statements: number) => {
+    logged.length = 0
+    for (let index = 0; index < statements; index++) onReply(prepare, { ...declinedReply, outcome: 'done' })
+    const lines = logged.length
+    connectionLog.writeLeftOut()
+    return [lines, ...logged.slice(lines)]
+  }
+  const leftOut = (count: number) => ({ name: 'preparedLinesLeftOut', database: 'db-1', count })
+  t.deepEqual(linesOf(maxBurstPreparedLines), [maxBurstPreparedLines])
+  t.deepEqual(linesOf(7), [0, leftOut(7)])
+  time.nowMs += 1000
+  t.deepEqual(linesOf(maxPreparedLinesPerSec + 3), [maxPreparedLinesPerSec, leftOut(3)])
+  t.deepEqual(linesOf(0), [0])
+})
--- a/packages/gateway/src/coordination/connections/connection-log.ts
+++ b/packages/gateway/src/coordination/connections/connection-log.ts
@@ -4,6 +4,7 @@
  */
 import type { Logger } from '@egretyoke/common'
 import { events } from '../../events.js'
+import { createTokenBucket } from '../../state/token-bucket.js'
 import type { PooledConnection } from './connection-pool.js'
 import type { DatabaseCommand, DatabaseReply, DeclineReason } from './database-connection.js'
 import type { ReplyListener } from './run-on-connection.js'
@@ -22,14 +23,25 @@
 export type ConnectionLog = {
   /** Records that the statement runs on the connection until `end` is called. */
   startUse: (pooled: PooledConnection, request: StatementRequest) => ConnectionUse
+  /** Writes how many lines about prepared statements were left out since the last call, if any; call periodically. */
+  writeLeftOut: () => void
 }
 
 /** Dependencies of a connection log. */
-export type ConnectionLogOptions = { database: string, counters: ConnectionCounters, log: Logger }
+export type ConnectionLogOptions = {
+  database: string
+  counters: ConnectionCounters
+  nowMs: () => number
+  log: Logger
+}
 
 /** Maximum length of a text of a caller or of a database in a log line, in UTF-16 code units. */
 export const maxLoggedTextLength = 200
 
+/** Token bucket of the lines about prepared statements of one database: refill rate and capacity. */
+export const maxPreparedLinesPerSec = 10
+export const maxBurstPreparedLines = 100
+
 /** Reasons that mean that a command was not understood, or that the tracked session state is wrong. */
 const loggedReasons: ReadonlySet<DeclineReason> = new Set(['malformed', 'unknownStatement'])
 
@@ -39,8 +51,11 @@
 type LoggedState = { resets: number, running: Set<StatementRequest> }
 
 /** Creates the log of one database's connections. */
-export const createConnectionLog = ({ database, counters, log }: ConnectionLogOptions): ConnectionLog => {
+export const createConnectionLog = ({ database, counters, nowMs, log }: ConnectionLogOptions): ConnectionLog => {
   const states = new WeakMap<PooledConnection, LoggedState>()
+  const preparedLines = createTokenBucket({ ratePerSec: maxPreparedLinesPerSec, burst: maxBurstPreparedLines }, nowMs)
+  preparedLines.add(maxBurstPreparedLines)
+  let leftOut = 0
 
   const stateOf = (pooled: PooledConnection): LoggedState => {
     const state = states.get(pooled) ?? { resets: 0, running: new Set() }
@@ -56,6 +71,10 @@
     if (reply.outcome === 'done' && command.kind === 'reset') state.resets++
     if (reply.outcome === 'done' && command.kind === 'prepare') {
       counters.countPrepared()
+      if (preparedLines.acquire(1) === 0) {
+        leftOut++
+        return
+      }
       log(events.statementPrepared, () => ({
         request: requestId,
         database,
@@ -100,5 +119,11 @@
     }
   }
 
-  return { startUse }
+  const writeLeftOut = () => {
+    if (leftOut === 0) return
+    log(events.preparedLinesLeftOut, { database, count: leftOut })
+    leftOut = 0
+  }
+
+  return { startUse, writeLeftOut }
 }
--- a/packages/gateway/src/coordination/connections/database-holder.ts
+++ b/packages/gateway/src/coordination/connections/database-holder.ts
@@ -57,7 +57,10 @@
   connections: () => number
   /** Drops expired statements, ends idle transactions and dispatches the queue; call often while work is pending. */
   runMaintenance: () => void
-  /** Closes idle connections while this gateway is not the database's first holder; call periodically. */
+  /**
+   * Closes idle connections while this gateway is not the database's first holder, and writes how many log lines were
+   * left out; call periodically.
+   */
   closeUnused: () => void
   close: () => void
 }
@@ -104,7 +107,7 @@
   let lastReplyMs = -Infinity
   const continuing: QueuedStatement[] = []
   const queueAdmission = createQueueAdmission()
-  const connectionLog = createConnectionLog({ database: id, counters: options.counters, log })
+  const connectionLog = createConnectionLog({ database: id, counters: options.counters, nowMs, log })
 
   const pool: ConnectionPool = createConnectionPool({
     connect: (workspace, timeoutMs) =>
@@ -329,13 +332,17 @@
     openTransactions: transactions.idleCount,
     connections: pool.size,
     runMaintenance,
-    closeUnused: () => { if (pool.size() > 0 && !options.isFirstHolder()) pool.closeIdle(secondaryIdleMs) },
+    closeUnused: () => {
+      connectionLog.writeLeftOut()
+      if (pool.size() > 0 && !options.isFirstHolder()) pool.closeIdle(secondaryIdleMs)
+    },
     close: () => {
       isClosed = true
       for (const queue of queues) queue.close()
       for (const statement of continuing.splice(0)) statement.complete(notRun('transactionGone'))
       transactions.close()
       pool.close()
+      connectionLog.writeLeftOut()
     }
   }
 }
--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -90,5 +90,7 @@
   commandDeclined: defineEvent(7050, 'commandDeclined',
     'A database did not understand a command or does not know its prepared statement; names the connection.'),
   connectionShared: defineEvent(7051, 'connectionShared',
-    'A statement began on a connection on which another one is running, which must not occur; names both requests.')
+    'A statement began on a connection on which another one is running, which must not occur; names both requests.'),
+  preparedLinesLeftOut: defineEvent(7053, 'preparedLinesLeftOut',
+    'Statements were prepared at a database too fast for a line 7049 each; gives the number of those without a line.')
 }
