Platform: a tenant or service with an unusable name is left out alone, with a log line

Names of tenants and services were taken as any text. One that cannot be a field of START made each connection of its callers fail, with nothing that named the cause; a service name of more than 184 bytes makes a record key that the store refuses.

Such a part is left out and logged with the reason; at most 20 lines for each configuration, with 200 characters of each name.

--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -31,6 +31,8 @@
     'The entry that a database writes about itself has changed or was deleted.'),
   evacuationKnown: defineEvent(7017, 'evacuationKnown',
     'A data centre was taken out of service or is back in service.'),
+  configurationNameLeftOut: defineEvent(7054, 'configurationNameLeftOut',
+    'A workspace or group of the configuration cannot be used because of its name; gives the name and the reason.'),
   databaseEntryLeftOut: defineEvent(7019, 'databaseEntryLeftOut',
     'An entry among those of the databases names no database that can be used; names the entry and what is wrong.'),
   joined: defineEvent(7020, 'joined',
--- a/packages/gateway/src/state/fleet-state.ts
+++ b/packages/gateway/src/state/fleet-state.ts
@@ -9,9 +9,15 @@
 import { decodeGroupRecord, decodeLimitRecord, decodeMember, recordPrefixes } from './stored-records.js'
 import type { GroupRecord, LimitRecord, Member } from './stored-records.js'
 
+/** A workspace or group that the configuration names but that cannot be used, and why. */
+export type LeftOutName = { kind: 'workspace' | 'group', name: string, message: string }
+
+/** Bounds of what is logged about one configuration. */
+const maxLogged = { names: 20, nameLength: 200 } as const
+
 /** Decoded store entry of the platform, the operators or a database; undefined content is unreadable or deleted. */
 export type PlatformEntry =
-  | { kind: 'configuration', configuration: Configuration | undefined }
+  | { kind: 'configuration', configuration: Configuration | undefined, leftOut?: readonly LeftOutName[] }
   /** `fault`: why an entry names no database. */
   | { kind: 'database', id: string, database: Database | undefined, fault?: string }
   | { kind: 'evacuation', dataCentre: string }
@@ -140,6 +146,9 @@
     }
     if (configuration !== undefined && decoded.configuration.version < configuration.version) return
     configuration = decoded.configuration
+    for (const { kind, name, message } of decoded.leftOut?.slice(0, maxLogged.names) ?? []) {
+      log(events.configurationNameLeftOut, { kind, leftOut: name.slice(0, maxLogged.nameLength), revision, message })
+    }
     log(events.configurationInForce, { version: configuration.version, revision, routes: configuration.routes.size })
   }
 
