Gateway: a workspace named - shares nothing with callers without a key

Callers without a key run under the name -, so a workspace with this name shared its pooled connections with them, and its open transaction went on after its key was withdrawn on a route that is open to all.

Within the fleet, such a workspace has a name with a blank, which no other workspace can have. Databases are still told - for both.

--- a/packages/gateway/src/coordination/connections/database-holder.ts
+++ b/packages/gateway/src/coordination/connections/database-holder.ts
@@ -22,6 +22,7 @@
 import { afterPrimaryChange } from './primary-change-outcome.js'
 import { runOnConnection, transactionBefore } from './run-on-connection.js'
 import type { ReplyListener, StatementRun } from './run-on-connection.js'
+import { nameAtDatabases } from '../sessions/session-identity.js'
 import { notRun, opensTransaction } from '../sessions/statement.js'
 import type { StatementOutcome, StatementReason, StatementRequest } from '../sessions/statement.js'
 
@@ -111,7 +112,7 @@
 
   const pool: ConnectionPool = createConnectionPool({
     connect: (workspace, timeoutMs) =>
-      connect({ databaseId: id, address: database().address, group, workspace }, timeoutMs),
+      connect({ databaseId: id, address: database().address, group, workspace: nameAtDatabases(workspace) }, timeoutMs),
     maxConnections: () => Math.max(1, options.maxConnections() - spareConnections),
     nowMs
   })
