Gateway: log positions of other gateways are checked when they arrive

The position of a session that a statement must see, and the position of a primary in the reply of its holder, were taken as they came. Text that is no position compares as neither before nor after any other; a required position could get lost this way, and a statement with such text ran at the primary.

A statement with such a position is not run, as one whose position is unknown; such a reply counts as none. The reply is read in a function of its own.

--- a/packages/gateway/src/coordination/primaries/group-positions.ts
+++ b/packages/gateway/src/coordination/primaries/group-positions.ts
@@ -5,12 +5,24 @@
  * Load pattern: reads that may be some seconds old, on replicas that lag by less. If a read required the newest known
  * position, each replica would decline it for as long as it lags; it requires the oldest one that is recent enough.
  */
+import type { RelayMessages } from '@egretyoke/protocol'
 import type { AgeClock, ClockReading } from '../../state/contact.js'
-import { laterPosition } from '../../state/position.js'
+import { isPosition, laterPosition } from '../../state/position.js'
 
 /** A log position, and the time up to which it covers all confirmed commits. */
 export type PositionSample = { position: string, coversUntil: ClockReading }
 
+/** The sample in a peer's reply to a request that was sent at `requestedAt`; undefined if it holds no position. */
+export const sampleFromPeer = (
+  reply: RelayMessages.GroupPosition__Output | null | undefined, requestedAt: ClockReading
+): PositionSample | undefined => {
+  if (!reply || !isPosition(reply.position)) return undefined
+  const { position, ageMs } = reply
+  return {
+    position, coversUntil: { monotonicMs: requestedAt.monotonicMs - ageMs, wallMs: requestedAt.wallMs - ageMs }
+  }
+}
+
 /** Requests the position from the holder of the group's primary; undefined if there is no reply. */
 export type FetchPosition = (group: string) => Promise<PositionSample | undefined>
 
--- /dev/null
+++ b/packages/gateway/src/coordination/routing/peer-positions.test.ts
@@ -0,0 +1,40 @@
+/**
+ * Log positions that other gateways send: only positions are used, anything else counts as unknown.
+ */
+import test from 'ava'
+import fc from 'fast-check'
+import { createAgeClock } from '../../state/contact.js'
+import { isPosition } from '../../state/position.js'
+import { createHolderEnvironment, writeRequest } from '../../testing/holder-environment.js'
+import { sampleFromPeer } from '../primaries/group-positions.js'
+import { createRelayHandler } from './relay-handler.js'
+import type { RelayHandlerOptions } from './relay-handler.js'
+
+const part = fc.constantFrom('1', '.', ' ', '\r\n', 'NaN', 'e', '-', '999999999999999', '')
+const anyText = fc.oneof(
+  fc.string({ unit: 'binary' }), fc.array(part, { maxLength: 5 }).map(parts => parts.join('')), fc.constant('3.1207')
+)
+
+test('a statement whose own position is none is not run, and any other one is', async t => {
+  const { holder, group } = createHolderEnvironment({ storeMs: 0, transactionIdleMs: 1000 })
+  const options = { holders: { run: holder.run } } as unknown as RelayHandlerOptions
+  const handle = createRelayHandler(options)
+  let sent = 0
+  await fc.assert(fc.asyncProperty(anyText, async ownPosition => {
+    const run = writeRequest({ requestId: `r${sent++}`, ownPosition })
+    const reply = await handle({ number: '1', run } as unknown as Parameters<typeof handle>[0])
+    const isUsable = ownPosition === '' || isPosition(ownPosition)
+    t.like(reply?.statement, isUsable ? { status: 'DONE' } : { status: 'NOT_RUN', reason: 'lagging' })
+    t.is(group.executed.some(({ requestId }) => requestId === run.requestId), isUsable)
+  }), { seed: 29, numRuns: 300 })
+  holder.close()
+})
+
+test('a reply to a request for a position is a sample if it holds a position, and unknown otherwise', t => {
+  const requestedAt = createAgeClock(() => 50, () => 70).now()
+  fc.assert(fc.property(anyText, position => {
+    const sample = sampleFromPeer({ position, ageMs: 20 }, requestedAt)
+    t.deepEqual(sample, isPosition(position) ? { position, coversUntil: { monotonicMs: 30, wallMs: 50 } } : undefined)
+  }), { seed: 29, numRuns: 1000 })
+  t.is(sampleFromPeer(undefined, requestedAt), undefined)
+})
--- a/packages/gateway/src/coordination/routing/relay-handler.ts
+++ b/packages/gateway/src/coordination/routing/relay-handler.ts
@@ -3,6 +3,7 @@
  */
 import type { RelayMessages } from '@egretyoke/protocol'
 import type { Contact, AgeClock } from '../../state/contact.js'
+import { isPosition } from '../../state/position.js'
 import type { FleetState } from '../../state/fleet-state.js'
 import type { StoreHistory } from '../../state/store-history.js'
 import type { ControlCommands } from '../connections/control-commands.js'
@@ -10,6 +11,8 @@
 import type { GroupRecords } from '../primaries/group-records.js'
 import type { Holders } from '../connections/holders.js'
 import type { TokenAllocator } from '../limits/token-allocator.js'
+import { notRun } from '../sessions/statement.js'
+import type { StatementOutcome, StatementRequest } from '../sessions/statement.js'
 import { replyToFollower } from '../store/store-sources.js'
 
 /** Dependencies of the relay handler. */
@@ -71,6 +74,13 @@
 export const createRelayHandler = (options: RelayHandlerOptions) => {
   const { fleetState, records, holders, allocator, control, isReady } = options
 
+  /** A position that cannot be compared would be lost among others, and a read could miss its session's writes. */
+  const run = async (request: StatementRequest): Promise<StatementOutcome> => {
+    const { ownPosition } = request
+    const isComparable = ownPosition === '' || isPosition(ownPosition)
+    return isComparable ? await holders.run(request) : notRun('lagging')
+  }
+
   const positionOf = async ({ group }: RelayMessages.AskPosition__Output): Promise<Reply> => {
     const read = await readPrimaryPosition(options, group)
     const { position, ageMs } = read ?? { position: '', ageMs: 0 }
@@ -97,7 +107,7 @@
   }
 
   return async (request: RelayMessages.RelayRequest__Output): Promise<Reply | undefined> => {
-    if (request.run) return { statement: await holders.run(request.run) }
+    if (request.run) return { statement: await run(request.run) }
     if (request.takeTokens) return { tokens: allocator.allocate(request.takeTokens) }
     if (request.askPosition) return await positionOf(request.askPosition)
     if (request.stopPrimary) return await stopPrimary(request.stopPrimary)
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -15,7 +15,7 @@
 import { createElection } from './coordination/membership/election.js'
 import { fallbackLimits } from './coordination/limits/fallback-limits.js'
 import { createGroupMonitor } from './coordination/primaries/group-monitor.js'
-import { createGroupPositions } from './coordination/primaries/group-positions.js'
+import { createGroupPositions, sampleFromPeer } from './coordination/primaries/group-positions.js'
 import type { PositionSample } from './coordination/primaries/group-positions.js'
 import { createGroupRecords } from './coordination/primaries/group-records.js'
 import { createHolderChoice } from './coordination/routing/holder-choice.js'
@@ -150,12 +150,7 @@
       return read && positions.newest(group)
     }
     const reply = await links.call(holder, { askPosition: { group } }, positionTimeoutMs)
-    const groupPosition = reply.ok ? reply.val.position : undefined
-    if (!groupPosition || groupPosition.position === '') return undefined
-    const { position, ageMs } = groupPosition
-    return {
-      position, coversUntil: { monotonicMs: requestedAt.monotonicMs - ageMs, wallMs: requestedAt.wallMs - ageMs }
-    }
+    return reply.ok ? sampleFromPeer(reply.val.position, requestedAt) : undefined
   }
 
   /** Asks the holders of the primary in their order, since the first one may have lost the store or the primary. */
