--- a/packages/gateway/src/coordination/sessions/session-identity.test.ts
+++ b/packages/gateway/src/coordination/sessions/session-identity.test.ts
@@ -22,7 +22,7 @@
   for (const name of ['--', 'yard-a', '']) t.is(workspaceNameOf({ workspace: { ...workspace, name } }), name)
 })
 
-test('a workspace named - shares no connection with callers without a key, and databases are told - for both', async t => {
+test('a workspace named - shares no connection with keyless callers, and databases are told - for both', async t => {
   const fleet = await startMemoryFleet(2, dashConfiguration)
   for (const key of ['key-a', '', 'key-a', '']) {
     const answer = await openTestSession(fleet.gateways[1], 'slots', key).send(write('1'))
