Gateway: the types of a gateway and of a holder have files of their own

What a program needs to start a gateway, and what a gateway needs to create a holder, is types only; nothing else is changed.

--- /dev/null
+++ b/packages/gateway/src/coordination/connections/database-holder-types.ts
@@ -0,0 +1,53 @@
+/**
+ * Types of a database's holder as a gateway creates and uses it.
+ */
+import type { Logger } from '@egretyoke/common'
+import type { Database } from '../../state/configuration.js'
+import type { AgeClock } from '../../state/contact.js'
+import type { GroupPositions } from '../primaries/group-positions.js'
+import type { GroupRecords } from '../primaries/group-records.js'
+import type { StatementOutcome, StatementRequest } from '../sessions/statement.js'
+import type { ConnectionCounters } from './connection-log.js'
+import type { ConnectDatabase } from './database-connection.js'
+
+/** Runs statements at one database. */
+export type DatabaseHolder = {
+  run: (request: StatementRequest) => Promise<StatementOutcome>
+  /** Ends a transaction that its session no longer needs. */
+  abandon: (transactionId: string) => void
+  /** Starts no new work for `forMs`; queued statements stay queued. */
+  pause: (forMs: number) => void
+  /** Resolves with true once nothing runs and no transaction is open, or with false after `timeoutMs`. */
+  waitUntilIdle: (timeoutMs: number) => Promise<boolean>
+  load: () => number
+  /** True if the database has replied to a statement recently. */
+  hasRepliedRecently: () => boolean
+  openTransactions: () => number
+  connections: () => number
+  /** Drops expired statements, ends idle transactions and dispatches the queue; call often while work is pending. */
+  runMaintenance: () => void
+  /**
+   * Closes idle connections while this gateway is not the database's first holder, and writes how many log lines were
+   * left out; call periodically.
+   */
+  closeUnused: () => void
+  close: () => void
+}
+
+/** Dependencies of a database holder. */
+export type HolderOptions = {
+  database: () => Database
+  maxConnections: () => number
+  transactionIdleMs: () => number
+  connect: ConnectDatabase
+  /** True while other gateways send the database's statements here first: it ranks first and has store contact. */
+  isFirstHolder: () => boolean
+  /** False while the database accepts no new work. */
+  acceptsNewWork: () => boolean
+  records: GroupRecords
+  positions: GroupPositions
+  clock: AgeClock
+  nowMs: () => number
+  counters: ConnectionCounters
+  log: Logger
+}
--- a/packages/gateway/src/coordination/connections/holders.ts
+++ b/packages/gateway/src/coordination/connections/holders.ts
@@ -4,7 +4,7 @@
 import type { Database } from '../../state/configuration.js'
 import type { FleetState } from '../../state/fleet-state.js'
 import { createDatabaseHolder } from './database-holder.js'
-import type { DatabaseHolder, HolderOptions } from './database-holder.js'
+import type { DatabaseHolder, HolderOptions } from './database-holder-types.js'
 import { acceptsNewWork } from '../routing/database-availability.js'
 import { notRun } from '../sessions/statement.js'
 import type { StatementOutcome, StatementRequest } from '../sessions/statement.js'
--- /dev/null
+++ b/packages/gateway/src/gateway-types.ts
@@ -0,0 +1,56 @@
+/**
+ * Types of a gateway as a program starts and uses it.
+ */
+import type { ChannelSettings } from '@egretyoke/protocol'
+import type { Registry } from 'prom-client'
+import type { ConnectDatabase } from './coordination/connections/database-connection.js'
+import type { PromoteDatabase } from './coordination/primaries/primary-change.js'
+import type { SessionError } from './coordination/sessions/session-messages.js'
+import type { Session } from './coordination/sessions/session.js'
+import type { SharedStore } from './coordination/store/shared-store.js'
+import type { GatewayMetrics } from './gateway-metrics.js'
+import type { DecodePlatformEntry } from './state/fleet-state.js'
+
+/** Identity, addresses and time limits of a gateway. */
+export type GatewaySettings = {
+  name: string
+  dataCentre: string
+  regionByDataCentre: ReadonlyMap<string, string>
+  /** HOST:PORT on which other gateways reach this one. */
+  relayAddress: string
+  channels: ChannelSettings
+  /** Time after its accepted withdrawal by which a key must be refused everywhere. */
+  keyWithdrawalMs: number
+  /** Time between the request to stop and the end of the process. */
+  graceMs: number
+}
+
+/** Services of the platform that the gateway calls, implemented by the platform's adapter. */
+export type GatewayPlatform = {
+  store: SharedStore
+  connect: ConnectDatabase
+  promote: PromoteDatabase
+  decodeEntry: DecodePlatformEntry
+}
+
+/** A running gateway. */
+export type Gateway = {
+  openSession: (database: string, key: string) => Session | SessionError
+  /** Resolves once the gateway has loaded keys and configuration after its start, or after the timeout. */
+  whenStateLoaded: (timeoutMs: number) => Promise<void>
+  /** Whether the gateway accepts new callers. */
+  isReady: () => boolean
+  /**
+   * Whether idle sessions should be closed so that their callers reconnect elsewhere: this gateway has not been ready
+   * for longer than the balancer needs to notice, and another gateway is ready.
+   */
+  shouldCloseIdleSessions: () => boolean
+  metrics: GatewayMetrics
+  registry: Registry
+  setSessionCount: (count: number) => void
+  /** Applies changed time limits. */
+  applyTimeLimits: (times: Pick<GatewaySettings, 'keyWithdrawalMs' | 'graceMs'>) => void
+  /** Accepts no new work, finishes work held here for other gateways, and leaves the fleet. */
+  drain: () => Promise<void>
+  close: () => Promise<void>
+}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -5,12 +5,9 @@
 import { createRegistry, sleepMs, sleepUntilTick } from '@egretyoke/common'
 import type { Logger } from '@egretyoke/common'
 import { listenGrpc } from '@egretyoke/protocol'
-import type { ChannelSettings } from '@egretyoke/protocol'
 import { nanoid } from 'nanoid'
-import type { Registry } from 'prom-client'
 import { createAdmission } from './coordination/limits/admission.js'
 import { connectSafely } from './coordination/connections/connect-safely.js'
-import type { ConnectDatabase } from './coordination/connections/database-connection.js'
 import { createControlCommands } from './coordination/connections/control-commands.js'
 import { createElection } from './coordination/membership/election.js'
 import { fallbackLimits } from './coordination/limits/fallback-limits.js'
@@ -22,72 +19,23 @@
 import { createHolders } from './coordination/connections/holders.js'
 import { createTokenAllocator, shardOf } from './coordination/limits/token-allocator.js'
 import { createMembership } from './coordination/membership/membership.js'
-import type { PromoteDatabase } from './coordination/primaries/primary-change.js'
 import { createRelayHandler, readPrimaryPosition } from './coordination/routing/relay-handler.js'
 import { openSession } from './coordination/sessions/session.js'
-import type { Session } from './coordination/sessions/session.js'
-import type { SessionError } from './coordination/sessions/session-messages.js'
 import { createStateBudget } from './coordination/sessions/session-state.js'
-import type { SharedStore } from './coordination/store/shared-store.js'
 import { createStatementRouter } from './coordination/routing/statement-router.js'
 import { followStore } from './coordination/store/store-follower.js'
 import { createStoreSources } from './coordination/store/store-sources.js'
 import { events } from './events.js'
 import { createGatewayMetrics } from './gateway-metrics.js'
-import type { GatewayMetrics } from './gateway-metrics.js'
+import type { Gateway, GatewayPlatform, GatewaySettings } from './gateway-types.js'
 import { createAgeClock, createContact } from './state/contact.js'
 import type { Database } from './state/configuration.js'
 import { createFleetState } from './state/fleet-state.js'
-import type { DecodePlatformEntry } from './state/fleet-state.js'
 import { createStoreHistory } from './state/store-history.js'
 import { processName, splitProcessName } from './state/stored-records.js'
 import type { Member } from './state/stored-records.js'
 import { addRelayService, createRelayLinks } from './transport/relay-links.js'
 
-/** Identity, addresses and time limits of a gateway. */
-export type GatewaySettings = {
-  name: string
-  dataCentre: string
-  regionByDataCentre: ReadonlyMap<string, string>
-  /** HOST:PORT on which other gateways reach this one. */
-  relayAddress: string
-  channels: ChannelSettings
-  /** Time after its accepted withdrawal by which a key must be refused everywhere. */
-  keyWithdrawalMs: number
-  /** Time between the request to stop and the end of the process. */
-  graceMs: number
-}
-
-/** Services of the platform that the gateway calls, implemented by the platform's adapter. */
-export type GatewayPlatform = {
-  store: SharedStore
-  connect: ConnectDatabase
-  promote: PromoteDatabase
-  decodeEntry: DecodePlatformEntry
-}
-
-/** A running gateway. */
-export type Gateway = {
-  openSession: (database: string, key: string) => Session | SessionError
-  /** Resolves once the gateway has loaded keys and configuration after its start, or after the timeout. */
-  whenStateLoaded: (timeoutMs: number) => Promise<void>
-  /** Whether the gateway accepts new callers. */
-  isReady: () => boolean
-  /**
-   * Whether idle sessions should be closed so that their callers reconnect elsewhere: this gateway has not been ready
-   * for longer than the balancer needs to notice, and another gateway is ready.
-   */
-  shouldCloseIdleSessions: () => boolean
-  metrics: GatewayMetrics
-  registry: Registry
-  setSessionCount: (count: number) => void
-  /** Applies changed time limits. */
-  applyTimeLimits: (times: Pick<GatewaySettings, 'keyWithdrawalMs' | 'graceMs'>) => void
-  /** Accepts no new work, finishes work held here for other gateways, and leaves the fleet. */
-  drain: () => Promise<void>
-  close: () => Promise<void>
-}
-
 /** Subtracted from `keyWithdrawalMs` to cover the time in which an admitted statement is still on its way. */
 const keyWithdrawalMarginMs = 900
 /** Time within which the balancer stops sending new callers to a gateway that is not ready. */
