Soak: callers prepare statements whose texts have blanks

The soak's callers prepared texts of one word, so that no run could see a text that is taken for other fields.

--- a/soak/src/soak-callers.ts
+++ b/soak/src/soak-callers.ts
@@ -12,6 +12,8 @@
 const noEffectCodes = new Set(['BUSY', 'ABORTED', 'LAGGING', 'READONLY', 'MISROUTED', 'CONNLIMIT'])
 const maxPauseMs = 60
 const itemCount = 50
+/** Texts of prepared statements. Those with blanks must not be taken for other fields of a line. */
+const preparedTexts = ['shape-0', 'shape-1 READ shape-0', 'shape-0 READ shape-1 '] as const
 /** Maximum replica staleness that the soak's non-primary routes allow. */
 export const maxStalenessMs = 1500
 
@@ -109,7 +111,7 @@
   }
 
   const runPrepared = async (connection: CallerConnection) => {
-    const statement = `shape-${random.integer(0, 2)}`
+    const statement = preparedTexts[random.integer(0, preparedTexts.length - 1)]
     const localName = `mine-${random.integer(0, 1)}`
     const prepared = await connection.send(`QUERY - PREPARE ${localName} READ ${statement}`)
     if (outcomeOf(prepared) !== 'done') return
