Gateway: a connection whose commit or single statement was declined is rolled back, not closed

What callers saw: nothing but the time of a new connection. A COMMIT that a database declines (busy, or because it has lost the lead) leaves the transaction open or failed on the connection. Since connections are released only without an open transaction, such a connection was closed, at moments of load and of a change of the primary, where new connections are dear; before, it was rolled back.

Cause: a transaction that is still open contradicts what is expected only if the statement is answered as done.

Evidence: the new cases of connection-release.test.ts; seven failed before.

--- a/packages/gateway/src/coordination/connections/connection-release.test.ts
+++ b/packages/gateway/src/coordination/connections/connection-release.test.ts
@@ -115,6 +115,45 @@
   })
 }
 
+const declineReasons = ['busy', 'readOnly', 'aborted'] as const
+
+for (const declineReason of declineReasons) {
+  for (const transaction of states) {
+    // Such a connection was closed, and the next statement had to open another.
+    test(`a connection stays in the pool after a commit that is ${declineReason} (${transaction})`, async t => {
+      const { group, database, holder } = createEnvironment()
+      await holder.run(writeRequest({ transactionId: 'session/1', transaction: 'OPEN_READ_WRITE' }))
+      database.changeReply = (command, reply) => command.kind === 'commit'
+        ? { ...reply, outcome: 'declined', declineReason, transaction }
+        : reply
+      const commit = await holder.run(writeRequest({
+        transactionId: 'session/1', transaction: 'CONTINUE', verb: 'COMMIT', text: ''
+      }))
+      t.deepEqual([commit.status, commit.transactionOpen], ['NOT_RUN', false])
+      database.changeReply = (_command, reply) => reply
+      t.is((await holder.run(writeRequest({ requestId: 'r2' }))).status, 'DONE')
+      t.is(new Set(group.executed.map(({ connection }) => connection)).size, 1)
+      t.false(group.executed.at(-1)?.inTransaction)
+      holder.close()
+    })
+  }
+}
+
+test('a single statement that is declined in a failed transaction is followed by a rollback', async t => {
+  const { group, database, holder } = createEnvironment()
+  const commands: string[] = []
+  database.changeReply = (command, reply) => {
+    commands.push(command.kind)
+    return command.kind === 'text' ? { ...reply, ...busy, transaction: 'failed' } : reply
+  }
+  t.is((await holder.run(writeRequest({}))).reason, 'busy')
+  database.changeReply = (_command, reply) => reply
+  t.is((await holder.run(writeRequest({ requestId: 'r2' }))).status, 'DONE')
+  t.deepEqual(commands, ['text', 'rollback'])
+  t.is(new Set(group.executed.map(({ connection }) => connection)).size, 1)
+  holder.close()
+})
+
 test('a statement is not sent in a transaction that its setup reports as gone', async t => {
   const { group, database, holder } = createEnvironment()
   const inTransaction = { transactionId: 'session/1' }
--- a/packages/gateway/src/coordination/connections/run-on-connection.ts
+++ b/packages/gateway/src/coordination/connections/run-on-connection.ts
@@ -144,7 +144,7 @@
   onReply(command, reply)
   // A statement that fails leaves the session state as it was; only a setup command changes it.
   const transaction = transactionAfter([reply], request.transaction === 'SINGLE' ? 'none' : 'open')
-  const hasOpenTransaction = endsOutsideTransaction(request) && reply.isUnsent !== true && transaction !== 'none'
-  const isStateKnown = reply.outcome !== 'lost' && !contradictsTracking(reply) && !hasOpenTransaction
+  const hasWrongTransaction = reply.outcome === 'done' && endsOutsideTransaction(request) && transaction !== 'none'
+  const isStateKnown = reply.outcome !== 'lost' && !contradictsTracking(reply) && !hasWrongTransaction
   return { outcome: { ...outcomeOf(request, reply), prepared }, isStateKnown, transaction }
 }
