--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -90,7 +90,7 @@
   statementPrepared: defineEvent(7049, 'statementPrepared',
     'A database has prepared a statement; names the connection, the name at the database and the text.'),
   commandDeclined: defineEvent(7050, 'commandDeclined',
-    'A database did not understand a command or does not know its prepared statement; names the connection.'),
+    'A database did not understand a command or its prepared statement, or the command could not be encoded.'),
   connectionShared: defineEvent(7051, 'connectionShared',
     'A statement began on a connection on which another one is running, which must not occur; names both requests.'),
   preparedLinesLeftOut: defineEvent(7053, 'preparedLinesLeftOut',
