--- a/packages/gateway/src/coordination/sessions/statement.ts
+++ b/packages/gateway/src/coordination/sessions/statement.ts
@@ -49,7 +49,8 @@
   load: 0,
   queuedMs: 0,
   connection: 0,
-  prepared: ''
+  prepared: '',
+  databaseLoad: null
 }
 
 /** Outcome of a statement that did not run and never will. */
