Links: a member that leaves does not end what it was sent

Cause: `retain` closed the link of a member whose record was gone and failed its pending requests. A record also goes when the lease lapses because the store refuses the member, which is alive and still replies.

Change: such a link accepts no further requests and closes when its pending ones are done. The close is logged as linkClosed (7070), not as peerLost. A later request to the former member, for the rest of a transaction, opens a link of its own, as before.

--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -41,6 +41,8 @@
     'The membership lease has ended; the gateway joins again.'),
   peerLost: defineEvent(7022, 'peerLost',
     'The link to another gateway was lost; names the reason.'),
+  linkClosed: defineEvent(7070, 'linkClosed',
+    'The link to a gateway that is no longer a member was closed, after its pending requests were done.'),
   messageTooLarge: defineEvent(7052, 'messageTooLarge',
     'A request to another gateway, or a reply, is over the limit of a message and was not sent; gives its size.'),
   limitsClaimed: defineEvent(7023, 'limitsClaimed',
--- a/packages/gateway/src/transport/relay-link.ts
+++ b/packages/gateway/src/transport/relay-link.ts
@@ -45,6 +45,8 @@
    * it every `tickIntervalMs`.
    */
   tick: (plan: PingPlan) => void
+  /** Accepts no further requests, and closes when the pending ones are done; `onClosed` is called then. */
+  retire: (onClosed: () => void) => void
   close: () => void
 }
 
@@ -68,6 +70,7 @@
   let isEstablished = false
   let readyReportedMs = -Infinity
   let isClosed = false
+  let onRetired: (() => void) | undefined
   let lastReplyMs = 0
   let lastUsedMs = 0
   let isDown = false
@@ -88,15 +91,33 @@
     isEstablished = false
   }
 
+  const failPending = () => {
+    const failedRequests = [...pending.values()]
+    pending.clear()
+    for (const request of failedRequests) request.settle(failureOf(request))
+  }
+
   const markDown = (reason: string) => {
     if (stream === undefined) return
     tearDown()
     if (!isDown) onDown(reason)
     isDown = true
     scheduleReopen()
-    const failedRequests = [...pending.values()]
-    pending.clear()
-    for (const request of failedRequests) request.settle(failureOf(request))
+    failPending()
+    closeIfRetired()
+  }
+
+  const close = () => {
+    isClosed = true
+    clearTimeout(reopenTimer)
+    tearDown()
+    failPending()
+  }
+
+  const closeIfRetired = () => {
+    if (onRetired === undefined || isClosed || pending.size > 0) return
+    close()
+    onRetired()
   }
 
   /** Reconnects in the background, so that no request has to wait for it. */
@@ -121,9 +142,15 @@
       isDown = false
       for (const pendingRequest of pending.values()) send(pendingRequest)
     }
-    const pendingRequest = pending.get(reply.number)
-    pending.delete(reply.number)
-    pendingRequest?.settle(Ok(reply))
+    finish(reply.number)?.settle(Ok(reply))
+    closeIfRetired()
+  }
+
+  /** Removes a request from the pending ones. */
+  const finish = (number: number): PendingRequest | undefined => {
+    const pendingRequest = pending.get(number)
+    pending.delete(number)
+    return pendingRequest
   }
 
   const ping = () => {
@@ -164,7 +191,7 @@
   const call = (request: RelayRequest, timeoutMs: number) =>
     new Promise<Result<RelayReply, RelayFailure>>(resolve => {
       lastUsedMs = performance.now()
-      if (pending.size >= maxPendingRequests) return resolve(failure('unsent', address))
+      if (pending.size >= maxPendingRequests || onRetired !== undefined) return resolve(failure('unsent', address))
       const number = nextNumber++
       const encoded = encodeRequest({ number, ...request })
       if (encoded.err) {
@@ -173,9 +200,9 @@
       }
       if (stream === undefined) open()
       const timer = setTimeout(() => {
-        const pendingRequest = pending.get(number)
-        pending.delete(number)
+        const pendingRequest = finish(number)
         pendingRequest?.settle(failureOf(pendingRequest))
+        closeIfRetired()
       }, timeoutMs)
       const settle = (reply: Result<RelayReply, RelayFailure>) => {
         clearTimeout(timer)
@@ -197,10 +224,10 @@
     },
     isPeerReady: () => isEstablished && performance.now() - readyReportedMs < readinessLifetimeMs,
     tick,
-    close: () => {
-      isClosed = true
-      clearTimeout(reopenTimer)
-      markDown('closed')
-    }
+    retire: onClosed => {
+      onRetired = onClosed
+      closeIfRetired()
+    },
+    close
   }
 }
--- a/packages/gateway/src/transport/relay-links.ts
+++ b/packages/gateway/src/transport/relay-links.ts
@@ -22,7 +22,10 @@
 export type RelayLinks = RelayCalls & {
   /** Whether at least one peer accepts new sessions. */
   isAnyReady: () => boolean
-  /** Closes the links to addresses that are not in the set. */
+  /**
+   * Closes the links to addresses that are not in the set, each when its pending requests are done: a member whose
+   * lease has lapsed while the store refuses it still replies to what it was sent.
+   */
   retain: (addresses: ReadonlySet<string>) => void
   close: () => void
 }
@@ -35,6 +38,8 @@
   channels: ChannelSettings, memberCount: () => number, log: Logger
 ): RelayLinks => {
   const links = new Map<string, RelayLink>()
+  /** Links to former members that still have pending requests. */
+  const retiredLinks = new Set<RelayLink>()
   let readinessNeededUntilMs = -Infinity
 
   const linkTo = (address: string): RelayLink => {
@@ -53,14 +58,22 @@
     for (const [address, link] of links) {
       if (addresses.has(address)) continue
       links.delete(address)
-      link.close()
+      retire(address, link)
     }
   }
 
+  const retire = (address: string, link: RelayLink) => {
+    retiredLinks.add(link)
+    link.retire(() => {
+      retiredLinks.delete(link)
+      log(events.linkClosed, { address, reason: 'memberLeft' })
+    })
+  }
+
   const stopTicks = startTicks(tickIntervalMs, () => {
     const isReadinessNeeded = performance.now() < readinessNeededUntilMs
     const plan = planPings({ memberCount: memberCount(), linkCount: links.size, isReadinessNeeded })
-    for (const link of links.values()) link.tick(plan)
+    for (const link of [...links.values(), ...retiredLinks]) link.tick(plan)
   })
 
   return {
@@ -74,7 +87,9 @@
     retain,
     close: () => {
       stopTicks()
-      retain(new Set())
+      for (const link of [...links.values(), ...retiredLinks]) link.close()
+      links.clear()
+      retiredLinks.clear()
     }
   }
 }
