Links: suspect slow peers, give up only those that are gone

Cause: a peer that left a ping unanswered for 500 ms was marked down. A VM that is busy for a second therefore lost every statement under way on its link, and all senders tried them again elsewhere.

Change: a peer is suspected after a silence that is unusual on its link, and new statements prefer others.

--- a/packages/gateway/src/coordination/membership/election.test.ts
+++ b/packages/gateway/src/coordination/membership/election.test.ts
@@ -61,6 +61,19 @@
   t.false(names.includes('a1') || names.includes('a2'))
 })
 
+// Guards against waiting for a slow holder while another one can serve.
+test('a suspected gateway comes after this one, but remains a candidate', t => {
+  const election = createElection(createFakeFleetState(fleet.slice(0, 2)).fleetState)
+  const choice = createHolderChoice({
+    self: fleet[1],
+    election,
+    regionOf: dataCentre => `region of ${dataCentre}`,
+    isUsable: () => true,
+    isSuspected: ({ name }) => name === 'a1'
+  })
+  t.deepEqual(choice.candidates(database, []).map(({ name }) => name), ['a2', 'a1'])
+})
+
 test('gateways outside the permitted regions are excluded, except this one', t => {
   const names = choiceOf('c1').candidates(database, ['region of b']).map(({ name }) => name)
   t.true(names.every(name => ['b1', 'b2', 'c1'].includes(name)), names.join())
--- a/packages/gateway/src/coordination/routing/holder-choice.ts
+++ b/packages/gateway/src/coordination/routing/holder-choice.ts
@@ -20,7 +20,7 @@
 export type HolderChoice = {
   /**
    * Gateways to try, best first. Gateways outside `regions` are excluded, except this one; an empty list permits all
-   * regions. Gateways that `isAvoided` names come last, after the next ones in rank.
+   * regions. Gateways that `isAvoided` names, and suspected ones, come last, after the next ones in rank.
    */
   candidates: (
     database: Database, regions: readonly string[], isAvoided?: (member: Member) => boolean
@@ -34,10 +34,13 @@
   /** The region of a data centre. */
   regionOf: (dataCentre: string) => string
   isUsable: (member: Member) => boolean
+  /** Whether the member is slow to reply, so that others are preferred. */
+  isSuspected?: (member: Member) => boolean
 }
 
 /** Creates the holder choice of one gateway. */
-export const createHolderChoice = ({ self, election, regionOf, isUsable }: HolderChoiceOptions): HolderChoice => {
+export const createHolderChoice = (options: HolderChoiceOptions): HolderChoice => {
+  const { self, election, regionOf, isUsable, isSuspected = () => false } = options
   const cache = new WeakMap<readonly Member[], readonly Member[]>()
 
   const distance = (member: Member, database: Database) => {
@@ -68,7 +71,7 @@
         if (!chosen.includes(member) && isPermitted(member) && isWanted(member)) chosen.push(member)
       }
     }
-    choose(maxCandidates - 1, member => !member.draining && !isAvoided(member))
+    choose(maxCandidates - 1, member => !member.draining && !isAvoided(member) && !isSuspected(member))
     choose(maxCandidates, member => member.name === self.name)
     choose(maxCandidates, member => !member.draining)
     return chosen
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -10,6 +10,7 @@
   statementSeconds: Histogram<'kind'>
   statementsPrepared: Counter
   commandsDeclined: Counter<'kind' | 'reason'>
+  linkEvents: Counter<'event'>
   logLinesDropped: Counter
 }
 
@@ -55,6 +56,12 @@
       labelNames: ['kind', 'reason'],
       registers
     }),
+    linkEvents: new Counter({
+      name: 'egretyoke_link_events_total',
+      help: 'Links to other gateways suspected, lost, or closed because the member left; times that many were silent',
+      labelNames: ['event'],
+      registers
+    }),
     logLinesDropped: new Counter({
       name: 'egretyoke_log_lines_dropped_total',
       help: 'Log lines dropped because the reader was too slow or the rate limit was exceeded',
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -83,13 +83,18 @@
   const history = createStoreHistory()
   const membership = createMembership(self, store, clock, log)
   const memberCount = () => fleetState.members().size
-  const links = createRelayLinks(settings.channels, memberCount, log)
+  const links = createRelayLinks(
+    settings.channels, memberCount, log, event => metrics.linkEvents.inc({ event })
+  )
+  const isAnswering = (member: Member) => links.isUsable(member) && !links.isSuspected(member)
   const controlCommands = createControlCommands(connect)
   const election = createElection(fleetState)
   const sources = createStoreSources({ ...self, store, election, memberCount, contact, clock, relay: links, log })
   const { isLeaseHeld } = membership
   const records = createGroupRecords({ self: selfName, fleetState, contact, isLeaseHeld, store, log })
-  const holderChoice = createHolderChoice({ self, election, regionOf, isUsable: links.isUsable })
+  const holderChoice = createHolderChoice({
+    self, election, regionOf, isUsable: links.isUsable, isSuspected: links.isSuspected
+  })
 
   const askPosition = async (holder: Member, group: string): Promise<PositionSample | undefined> => {
     const requestedAt = clock.now()
@@ -140,7 +145,7 @@
     if (allocatorName === selfName) return tokenAllocator.allocate(request)
     const member = fleetState.members().get(splitProcessName(allocatorName).name)
     // Does not wait for an allocator that does not answer: admission uses the last known share of the rate meanwhile.
-    if (member === undefined || !links.isUsable(member)) return undefined
+    if (member === undefined || !isAnswering(member)) return undefined
     const reply = await links.call(member, { takeTokens: request }, tokenTimeoutMs)
     return reply.ok ? reply.val.tokens ?? undefined : undefined
   }
@@ -169,7 +174,7 @@
     contact,
     isLeaseHeld,
     control: controlCommands,
-    relay: links,
+    relay: { ...links, isUsable: isAnswering },
     promote: platform.promote,
     hasRepliedRecently: holders.hasRepliedRecently,
     log
--- a/packages/gateway/src/transport/relay-link-loss.test.ts
+++ b/packages/gateway/src/transport/relay-link-loss.test.ts
@@ -59,3 +59,36 @@
   links.retain(new Set())
   t.deepEqual(names(), ['linkClosed', 'linkClosed'])
 })
+
+/** Delays each reply, also to pings, that would be sent before `untilMs`. */
+const startSlowLink = async (t: ExecutionContext) => {
+  let slowUntilMs = 0
+  const link = await startLink(t, async request => {
+    await sleepMs(Math.max(0, slowUntilMs - performance.now()))
+    return request.ping ? { pong: { ready: true } } : done
+  })
+  await link.run('first')
+  return { ...link, beSlowFor: (ms: number) => { slowUntilMs = performance.now() + ms } }
+}
+
+// Guards against failing everything that is under way at a peer that replies late under load.
+test('the statements at a peer that is slow for a second are answered', async t => {
+  const { run, beSlowFor, names, links, peer } = await startSlowLink(t)
+  beSlowFor(1000)
+  const running = ['second', 'third'].map(run)
+  for (const reply of await Promise.all(running)) t.is(reply.unwrap().statement?.status, 'DONE')
+  t.true(links.isUsable(peer))
+  t.false(links.isSuspected(peer))
+  t.false(names().includes('peerLost'))
+})
+
+// Guards against statements that wait for a hung process until their own timeout.
+test('a peer that no longer replies is given up, and the loss is logged with what failed', async t => {
+  const { run, beSlowFor, logged, links, peer } = await startSlowLink(t)
+  beSlowFor(timeoutMs)
+  const replies = await Promise.all(['second', 'third'].map(run))
+  t.deepEqual(replies.map(reply => reply.err && reply.val.reason), ['lost', 'lost'])
+  t.false(links.isUsable(peer))
+  const loss = { reason: 'silent', lostRequests: 2, unsentRequests: 0 }
+  t.like(logged.at(-1), { name: 'peerLost', fields: { peer: 'vm-2', address: peer.address, ...loss } })
+})
