Gateway: rank VMs by the capacity that they publish

Cause: VMs of a quarter of the processor of others became holders and performed duties as often as these, so that 12 of 80 VMs with 42% of the processors received a tenth of the forwarded statements.

Change: the settings' limits (optional) are published as the capacity of the member's record.

--- a/packages/gateway/src/coordination/routing/holder-choice.ts
+++ b/packages/gateway/src/coordination/routing/holder-choice.ts
@@ -50,7 +50,7 @@
 
   /** The ranked members, sorted by distance from the database. */
   const rankedByDistance = (database: Database): readonly Member[] => {
-    const ranked = election.ranked(`${database.id} ${database.dataCentre}`)
+    const ranked = election.rankedByCapacity(`${database.id} ${database.dataCentre}`)
     const cached = cache.get(ranked)
     if (cached !== undefined) return cached
     const sorted = [...ranked].sort((one, other) => distance(one, database) - distance(other, database))
--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -6,7 +6,7 @@
 /** All events, by name. */
 export const events = {
   gatewayStarted: defineEvent(7001, 'gatewayStarted',
-    'The gateway has started; names its incarnation.'),
+    'The gateway has started; names its incarnation and its capacity.'),
   gatewayReady: defineEvent(7002, 'gatewayReady',
     'The gateway\'s readiness for callers has changed; names the conditions that decide it.'),
   gatewayDraining: defineEvent(7003, 'gatewayDraining',
--- a/packages/gateway/src/gateway-types.ts
+++ b/packages/gateway/src/gateway-types.ts
@@ -10,6 +10,7 @@
 import type { SharedStore } from './coordination/store/shared-store.js'
 import type { GatewayMetrics } from './gateway-metrics.js'
 import type { DecodePlatformEntry } from './state/fleet-state.js'
+import type { Capacity } from './state/stored-records.js'
 
 /** Identity, addresses and time limits of a gateway. */
 export type GatewaySettings = {
@@ -19,6 +20,8 @@
   /** HOST:PORT on which other gateways reach this one. */
   relayAddress: string
   channels: ChannelSettings
+  /** What this VM has for its work, as far as the settings say. */
+  capacity?: Capacity
   /** Time after its accepted withdrawal by which a key must be refused everywhere. */
   keyWithdrawalMs: number
   /** Time between the request to stop and the end of the process. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -64,7 +64,8 @@
     region: regionOf(settings.dataCentre),
     address: settings.relayAddress,
     incarnation,
-    draining: false
+    draining: false,
+    capacity: settings.capacity ?? {}
   }
   const selfName = processName(self)
   const stopping = new AbortController()
@@ -245,7 +246,9 @@
     watchReadiness(),
     runMaintenance()
   ]
-  log(events.gatewayStarted, { incarnation, address: settings.relayAddress, dataCentre: settings.dataCentre })
+  log(events.gatewayStarted, {
+    incarnation, address: settings.relayAddress, dataCentre: settings.dataCentre, ...settings.capacity
+  })
 
   const close = async () => {
     stopping.abort()
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -13,4 +13,5 @@
 export type { Configuration, Database, Group, Route, RouteKind, Workspace } from './state/configuration.js'
 export type { DecodePlatformEntry, LeftOutName, PlatformEntry } from './state/fleet-state.js'
 export { isPosition } from './state/position.js'
+export type { Capacity } from './state/stored-records.js'
 export { recordPrefixes } from './state/stored-records.js'
--- a/packages/gateway/src/state/stored-records.ts
+++ b/packages/gateway/src/state/stored-records.ts
@@ -15,6 +15,18 @@
   limits: `${gatewayPrefix}limit/`
 } as const
 
+/** A value that cannot be used is treated as absent: it only influences rank orders. */
+const positiveNumber = z.number().positive().optional().catch(undefined)
+
+const capacitySchema = z.object({
+  processorCores: positiveNumber,
+  linkMbps: positiveNumber,
+  memoryMb: positiveNumber
+})
+
+/** What a VM has for its work, as far as it is known. */
+export type Capacity = z.infer<typeof capacitySchema>
+
 const memberSchema = z.object({
   name: z.string(),
   dataCentre: z.string(),
@@ -23,7 +35,9 @@
   address: z.string().refine(isHostAndPort, 'is not HOST:PORT'),
   /** Unique id of the process, so that a restart on the same VM can be detected. */
   incarnation: z.string(),
-  draining: z.boolean()
+  draining: z.boolean(),
+  /** Absent in the records of earlier versions only. */
+  capacity: capacitySchema.catch({}).optional()
 })
 
 /** A running gateway. Its record is attached to its lease and deleted when the lease ends. */
