Links: suspect a peer that has never answered no earlier than before

Cause: beside other load, links that were still being opened were suspected after 400 ms, so that a starting fleet used other holders.

--- a/packages/gateway/src/transport/peer-detector.ts
+++ b/packages/gateway/src/transport/peer-detector.ts
@@ -33,6 +33,8 @@
 const suspicionMs = { min: 2 * tickIntervalMs - tickToleranceMs, max: 4 * tickIntervalMs - tickToleranceMs }
 /** Least time without an answer to a ping after which a peer is given up. */
 const minGiveUpMs = 3 * tickIntervalMs - tickToleranceMs
+/** The same for a peer that has never answered, whose first answer also waits for the connection to be opened. */
+const unknownPeerMs = { suspicion: minGiveUpMs, giveUp: minGiveUpMs + tickIntervalMs }
 /** A peer is given up after this silence in any case, which the next tick finds within 1.5 s. */
 const maxSilenceMs = 1250
 /** Pending replies lead to a ping within this time (see `idle-pings.ts`); earlier waiting has another reason. */
@@ -77,6 +79,14 @@
 
   const usualMs = () => (meanMs ?? 0) + deviations * deviationMs
 
+  /** Times without an answer to a ping after which the peer is suspected, and given up unless it may be slow. */
+  const limitsMs = () => meanMs === undefined
+    ? unknownPeerMs
+    : {
+        suspicion: Math.min(suspicionMs.max, Math.max(suspicionMs.min, usualMs())),
+        giveUp: Math.max(minGiveUpMs, usualMs() * giveUpFactor)
+      }
+
   const silentMs = (nowMs: number): number => {
     if (pingedMs === undefined) return 0
     return Math.max(0, nowMs - Math.max(requestedMs ?? pingedMs, pingedMs - maxPingDelayMs))
@@ -86,10 +96,11 @@
     if (host === 'refuses') return 'gone'
     if (pingedMs === undefined) return 'trusted'
     const unansweredMs = nowMs - pingedMs
-    if (unansweredMs < Math.min(suspicionMs.max, Math.max(suspicionMs.min, usualMs()))) return 'trusted'
+    const { suspicion, giveUp } = limitsMs()
+    if (unansweredMs < suspicion) return 'trusted'
     if (silentMs(nowMs) >= maxSilenceMs) return 'gone'
     if (host === 'accepts' || isSelfDoubted) return 'suspected'
-    return unansweredMs >= Math.max(minGiveUpMs, usualMs() * giveUpFactor) ? 'gone' : 'suspected'
+    return unansweredMs >= giveUp ? 'gone' : 'suspected'
   }
 
   return {
