--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -6,7 +6,7 @@
 /** All events, by name. */
 export const events = {
   gatewayStarted: defineEvent(7001, 'gatewayStarted',
-    'The gateway has started; names its incarnation.'),
+    'The gateway has started; names its incarnation and its capacity.'),
   gatewayReady: defineEvent(7002, 'gatewayReady',
     'The gateway\'s readiness for callers has changed; names the conditions that decide it.'),
   gatewayDraining: defineEvent(7003, 'gatewayDraining',
@@ -40,7 +40,13 @@
   membershipLost: defineEvent(7021, 'membershipLost',
     'The membership lease has ended; the gateway joins again.'),
   peerLost: defineEvent(7022, 'peerLost',
-    'The link to another gateway was lost; names the reason.'),
+    'The link to another gateway was lost; names the peer, the reason, its silence, and the requests that failed.'),
+  peerSuspected: defineEvent(7071, 'peerSuspected',
+    'A gateway has not answered for longer than is usual on its link; new statements prefer others.'),
+  manyPeersSilent: defineEvent(7072, 'manyPeersSilent',
+    'At least half of the gateways that should answer are silent; they are given up later, as the fault may be here.'),
+  linkClosed: defineEvent(7070, 'linkClosed',
+    'The link to a gateway that is no longer a member was closed, after its pending requests were done.'),
   messageTooLarge: defineEvent(7052, 'messageTooLarge',
     'A request to another gateway, or a reply, is over the limit of a message and was not sent; gives its size.'),
   limitsClaimed: defineEvent(7023, 'limitsClaimed',
