Holder: report the load of the database with each outcome

Cause: senders know only the number of statements that are queued or running at a database, and after a refusal without it they assume none. Change: the holder fills database_load in each outcome that it returns, also in refusals. The execution of a statement that has a slot moves to statement-execution.ts; it behaves as before.

--- a/packages/gateway/src/coordination/connections/connection-pool.ts
+++ b/packages/gateway/src/coordination/connections/connection-pool.ts
@@ -36,6 +36,8 @@
   /** Closes a connection whose state is unknown, or that is no longer needed. */
   discard: (pooled: PooledConnection) => void
   size: () => number
+  /** Number of connections that the pool may have at most. */
+  maxConnections: () => number
   /** Closes connections that have been idle for longer than `idleForMs`. */
   closeIdle: (idleForMs: number) => void
   close: () => void
@@ -166,6 +168,7 @@
     release,
     discard,
     size,
+    maxConnections,
     closeIdle: idleForMs => {
       for (const pooled of [...idle]) if (nowMs() - pooled.idleSinceMs > idleForMs) discard(pooled)
     },
--- a/packages/gateway/src/coordination/connections/database-holder-types.ts
+++ b/packages/gateway/src/coordination/connections/database-holder-types.ts
@@ -10,6 +10,9 @@
 import type { ConnectionCounters } from './connection-log.js'
 import type { ConnectDatabase } from './database-connection.js'
 
+/** State of a database as its holder reports it with each outcome. */
+export type DatabaseLoad = NonNullable<StatementOutcome['databaseLoad']>
+
 /** Runs statements at one database. */
 export type DatabaseHolder = {
   run: (request: StatementRequest) => Promise<StatementOutcome>
--- a/packages/gateway/src/coordination/connections/database-holder.test.ts
+++ b/packages/gateway/src/coordination/connections/database-holder.test.ts
@@ -83,3 +83,33 @@
   t.true(holder.hasRepliedRecently())
   holder.close()
 })
+
+// Guards against senders that know nothing of a database, or only the state before its refusals.
+test('each outcome reports the load of the database, also a refusal', async t => {
+  const { database, holder } = createEnvironment()
+  database.statementMs = 20
+  const patient = writeRequest({ timeoutMs: 10_000, maxQueuedMs: 10_000 })
+  const requests = [
+    patient,
+    { ...patient, priority: 0 },
+    { ...patient, priority: 7 },
+    { ...patient, priority: 7 },
+    { ...patient, priority: 2, maxQueuedMs: 1 }
+  ]
+  const outcomes = await Promise.all(requests.map(holder.run))
+  const refusal = outcomes[4]!
+  t.deepEqual([refusal.status, refusal.reason], ['NOT_RUN', 'busy'])
+  t.like(refusal.databaseLoad, { slots: 2, pace: 2, inFlight: 2, queued: [0, 0, 2], ageMs: 0, position: '' })
+  const last = outcomes[3]!.databaseLoad!
+  t.like(last, { inFlight: 0, queued: [0, 0, 0], position: '1.4' })
+  t.true(last.serviceMs > 15 && last.connectionsLeft === 6, JSON.stringify(last))
+  holder.close()
+})
+
+test('a refusal of a holder that is closed reports the load of the database', async t => {
+  const { holder } = createEnvironment()
+  holder.close()
+  const { reason, databaseLoad } = await holder.run(write())
+  t.is(reason, 'moved')
+  t.like(databaseLoad, { slots: 2, inFlight: 0 })
+})
--- a/packages/gateway/src/coordination/connections/database-holder.ts
+++ b/packages/gateway/src/coordination/connections/database-holder.ts
@@ -6,25 +6,23 @@
 import { createFairQueue } from '@egretyoke/limits'
 import type { DropReason, FairQueue } from '@egretyoke/limits'
 import { events } from '../../events.js'
-import { laterPosition } from '../../state/position.js'
+import { isPosition, laterPosition } from '../../state/position.js'
 import { createConnectionLog } from './connection-log.js'
 import { createConnectionPool } from './connection-pool.js'
-import type { ConnectionPool, PooledConnection } from './connection-pool.js'
-import type { DatabaseHolder, HolderOptions } from './database-holder-types.js'
+import type { ConnectionPool } from './connection-pool.js'
+import type { DatabaseHolder, DatabaseLoad, HolderOptions } from './database-holder-types.js'
 import { createOpenTransactions } from './open-transactions.js'
 import { createQueueAdmission } from './queue-admission.js'
-import { afterPrimaryChange } from './primary-change-outcome.js'
-import { runOnConnection, transactionBefore } from './run-on-connection.js'
-import type { ReplyListener, StatementRun } from './run-on-connection.js'
+import { createStatementExecution, noReplyReasons } from './statement-execution.js'
+import type { AcceptedStatement } from './statement-execution.js'
 import { nameAtDatabases } from '../sessions/session-identity.js'
 import { notRun, opensTransaction } from '../sessions/statement.js'
-import type { StatementOutcome, StatementReason, StatementRequest } from '../sessions/statement.js'
+import type { StatementOutcome, StatementRequest } from '../sessions/statement.js'
 
 const maxQueued = 512
 const maxQueuedPerWorkspace = 256
 /** Number of priority queues; priorities beyond the last one share it. */
 const queueCount = 3
-const connectTimeoutMs = 700
 /** Connections of the database's limit that are left for control commands and for a second holder. */
 const spareConnections = 2
 /** Assumed slot time of a statement until its real duration is known. */
@@ -32,21 +30,12 @@
 /** A reply within this time shows that the database is running. */
 const recentReplyMs = 400
 const idlePollMs = 10
-const capacityPollMs = 10
 /** Maximum idle time of connections while this gateway is not the database's first holder (see `isFirstHolder`). */
 const secondaryIdleMs = 1000
 
-/** Reasons without a usable reply of the database. */
-const noReplyReasons: ReadonlySet<StatementReason> = new Set(['silent', 'answerLost', 'unreachable'])
-
 /** A statement that is queued for a slot. */
-type QueuedStatement = {
-  request: StatementRequest
-  /** Log position that the database must have reached. */
-  position: string
+type QueuedStatement = AcceptedStatement & {
   arrivedAtMs: number
-  /** No part of the statement may begin after this time, because its sender may have given it up. */
-  deadlineMs: number
   complete: (outcome: StatementOutcome) => void
 }
 
@@ -58,6 +47,7 @@
   let isClosed = false
   let pausedUntilMs = -Infinity
   let lastReplyMs = -Infinity
+  let newestPosition = ''
   const continuing: QueuedStatement[] = []
   const queueAdmission = createQueueAdmission()
   const connectionLog = createConnectionLog({ database: id, counters: options.counters, nowMs, log })
@@ -72,6 +62,21 @@
     pool, idleMs: options.transactionIdleMs, nowMs, database: id, onRolledBack: () => dispatch(), log
   })
 
+  const execution = createStatementExecution({
+    database: id,
+    group,
+    pool,
+    transactions,
+    connectionLog,
+    records,
+    positions,
+    clock,
+    nowMs,
+    onPosition: position => { if (isPosition(position)) newestPosition = laterPosition(position, newestPosition) },
+    onReplied: () => { lastReplyMs = nowMs() },
+    log
+  })
+
   const dropQueued = (statement: QueuedStatement, reason: DropReason) => {
     const queuedMs = Math.round(nowMs() - statement.arrivedAtMs)
     log(events.notOffered, { request: statement.request.requestId, database: id, reason, queuedMs, load: load() })
@@ -91,95 +96,12 @@
     return laterPosition(freshPosition, ownPosition)
   }
 
-  /** Acquires a connection; waits for capacity while the database refuses connections as too many. */
-  const acquireConnection = async ({ request, deadlineMs }: QueuedStatement) => {
-    const waitUntilMs = Math.min(deadlineMs, nowMs() + request.maxQueuedMs)
-    for (;;) {
-      const acquired = await pool.acquire(request.workspace, Math.min(connectTimeoutMs, deadlineMs - nowMs()))
-      if (acquired.ok || acquired.val.reason !== 'full') return acquired
-      while (!pool.hasCapacity() && nowMs() < waitUntilMs) await sleepMs(capacityPollMs)
-      if (nowMs() >= waitUntilMs) return acquired
-    }
-  }
-
-  /** True if the statement opens a transaction that its session has abandoned meanwhile. */
-  const isAbandoned = (request: StatementRequest) =>
-    opensTransaction(request) && !transactions.isRegistered(request.transactionId)
-
-  const runOnPooled = async (statement: QueuedStatement): Promise<StatementOutcome> => {
-    const { request, position, deadlineMs } = statement
-    if (isAbandoned(request)) return notRun('transactionGone')
-    if (nowMs() >= deadlineMs) return notRun('queuedTooLong')
-    const acquired = await acquireConnection(statement)
-    if (acquired.err) {
-      log(events.connectFailed, {
-        request: request.requestId, database: id, reason: acquired.val.reason, message: acquired.val.message
-      })
-      return notRun(acquired.val.reason === 'full' ? 'busy' : 'unreachable')
-    }
-    const pooled = acquired.val
-    if (isAbandoned(request)) {
-      pool.release(pooled)
-      return notRun('transactionGone')
-    }
-    const run = await runWithPrimaryCheck(pooled, request, position, deadlineMs - nowMs())
-    releaseAfter(pooled, request, run)
-    return { ...run.outcome, connection: pooled.number }
-  }
-
-  const releaseAfter = (
-    pooled: PooledConnection, request: StatementRequest, { outcome, isReusable, transaction }: StatementRun
-  ) => {
-    if (outcome.transactionOpen) return transactions.keep(request.transactionId, pooled)
-    transactions.end(request.transactionId)
-    if (!isReusable) return pool.discard(pooled)
-    if (transaction === 'none') return pool.release(pooled)
-    transactions.rollBack(pooled)
-  }
-
-  /** Runs a statement; its outcome counts only if the primary stayed the current one from request to reply. */
-  const runWithPrimaryCheck = async (
-    pooled: PooledConnection, request: StatementRequest, position: string, remainingMs: number
-  ): Promise<StatementRun> => {
-    const isAtPrimary = request.needsPrimary || records.canUse(group, id)
-    if (request.needsPrimary && !records.canUse(group, id)) {
-      return { outcome: notRun('moved'), isReusable: true, transaction: transactionBefore(request) }
-    }
-    const coversUntil = clock.now()
-    const use = connectionLog.startUse(pooled, request)
-    let hasReplied = false
-    const onReply: ReplyListener = (command, reply) => {
-      use.onReply(command, reply)
-      if (reply.isUnsent !== true) hasReplied = reply.outcome !== 'lost'
-    }
-    const run = await runOnConnection(pooled, request, position, remainingMs, onReply)
-    use.end()
-    const { outcome } = run
-    if (hasReplied && !noReplyReasons.has(outcome.reason)) lastReplyMs = nowMs()
-    if (!isAtPrimary) return run
-    if (records.canUse(group, id)) {
-      if (outcome.position !== '') positions.record(group, { position: outcome.position, coversUntil })
-      return run
-    }
-    if (outcome.status === 'NOT_RUN' || !request.needsPrimary) return run
-    log(events.primaryChangedMeanwhile, { request: request.requestId, database: id, status: outcome.status })
-    return afterPrimaryChange(request, run)
-  }
-
-  const runInTransaction = async ({ request, deadlineMs }: QueuedStatement): Promise<StatementOutcome> => {
-    const pooled = transactions.acquire(request.transactionId, request.workspace)
-    if (pooled === undefined) return notRun('transactionGone')
-    const run = await runWithPrimaryCheck(pooled, request, '', deadlineMs - nowMs())
-    releaseAfter(pooled, request, run)
-    return { ...run.outcome, connection: pooled.number }
-  }
-
   const runQueued = async (statement: QueuedStatement) => {
     const { request, arrivedAtMs, complete } = statement
     inFlight++
     const queuedMs = Math.round(nowMs() - arrivedAtMs)
     const startedAtMs = nowMs()
-    const outcome = await (request.transaction === 'CONTINUE' ? runInTransaction : runOnPooled)(statement)
+    const outcome = await execution.run(statement)
     inFlight--
     const serviceMs = nowMs() - startedAtMs
     queueOf(request).charge(request.workspace, serviceMs - assumedCostMs)
@@ -251,7 +173,18 @@
     })
   }
 
-  const run = async (request: StatementRequest): Promise<StatementOutcome> => {
+  const databaseLoad = (): DatabaseLoad => ({
+    slots: database().slots,
+    pace: database().slots,
+    inFlight,
+    queued: queues.map(queue => queue.size()),
+    serviceMs: queueAdmission.serviceMs(),
+    position: newestPosition,
+    connectionsLeft: Math.max(0, pool.maxConnections() - pool.size()),
+    ageMs: 0
+  })
+
+  const runRequest = async (request: StatementRequest): Promise<StatementOutcome> => {
     if (!opensTransaction(request)) return await admit(request)
     if (!transactions.register(request.transactionId)) return notRun('transactionGone')
     const outcome = await admit(request)
@@ -259,6 +192,9 @@
     return outcome
   }
 
+  const run = async (request: StatementRequest): Promise<StatementOutcome> =>
+    ({ ...await runRequest(request), databaseLoad: databaseLoad() })
+
   const waitUntilIdle = async (timeoutMs: number): Promise<boolean> => {
     const deadlineMs = nowMs() + timeoutMs
     while (nowMs() < deadlineMs) {
--- a/packages/gateway/src/coordination/connections/queue-admission.ts
+++ b/packages/gateway/src/coordination/connections/queue-admission.ts
@@ -25,6 +25,8 @@
 export type QueueAdmission = {
   /** Records how long a statement occupied a slot. */
   recordService: (serviceMs: number) => void
+  /** Smoothed time that a statement occupies a slot. */
+  serviceMs: () => number
   /** Expected time in milliseconds until a new statement gets a slot. */
   expectedWaitMs: (backlog: Backlog) => number
 }
@@ -34,6 +36,7 @@
   let serviceMs = initialServiceMs
   return {
     recordService: measuredMs => { serviceMs += (measuredMs - serviceMs) * smoothing },
+    serviceMs: () => serviceMs,
     expectedWaitMs: ({ ahead, inFlight, slots }) =>
       inFlight < slots ? 0 : (ahead + 0.5) * serviceMs / Math.max(1, slots)
   }
