Holder: order by need, priority and time left; estimates by class; true time to come back

Cause: statements were served in strict order of priority, so that lower ones expired in the queue. The wait was estimated from one average over all kinds of statements, and bounded by the timeout rather than by the target latency. Each refusal named 100 ms. Change: statement-queue.ts orders statements: those that only this database can run first, then by priority, with one in eight for the other bands; workspaces by deficit round robin, each on at most half of the slots while others wait; statements of a workspace by time left. queue-admission.ts keeps service times by class, and sums them over what is ahead. A statement that is not expected to be sent within its target latency is refused at once, with the expected time until it could be served, spread at random. The fair queue gets an order within a workspace, passing over workspaces, and costAhead in place of aheadOf. New optional fields: RunStatement.target_latency_ms (19), StatementReply.retry_after_ms (12). Tests: those of aheadOf and of the admission ask the new functions the same questions, with the same bounds.

--- a/packages/gateway/src/coordination/connections/database-holder-types.ts
+++ b/packages/gateway/src/coordination/connections/database-holder-types.ts
@@ -51,6 +51,8 @@
   positions: GroupPositions
   clock: AgeClock
   nowMs: () => number
+  /** From 0 to 1; spreads the delays that refusals name. */
+  random?: () => number
   counters: ConnectionCounters
   log: Logger
 }
--- a/packages/gateway/src/coordination/connections/database-holder.test.ts
+++ b/packages/gateway/src/coordination/connections/database-holder.test.ts
@@ -113,3 +113,18 @@
   t.is(reason, 'moved')
   t.like(databaseLoad, { slots: 2, inFlight: 0 })
 })
+
+// Guards against callers that come back before the database can serve them, and all at the same time.
+test('a refusal names the time until the statement could be served', async t => {
+  const { database, holder } = createEnvironment()
+  database.statementMs = 100
+  const patient = writeRequest({ timeoutMs: 20_000, maxQueuedMs: 20_000 })
+  await Promise.all([holder.run(patient), holder.run(patient)])
+  const waiting = Array.from({ length: 20 }, () => holder.run(patient))
+  const refused = await holder.run({ ...patient, targetLatencyMs: 200 })
+  t.deepEqual([refused.status, refused.reason, refused.queuedMs], ['NOT_RUN', 'busy', 0])
+  // Nine or ten statements of 100 ms are ahead at each of the two slots.
+  t.true(refused.retryAfterMs! >= 900, `${refused.retryAfterMs}`)
+  t.true((await Promise.all(waiting)).every(({ status }) => status === 'DONE'))
+  holder.close()
+})
--- a/packages/gateway/src/coordination/connections/database-holder.ts
+++ b/packages/gateway/src/coordination/connections/database-holder.ts
@@ -1,10 +1,9 @@
 /**
- * Runs statements at one database: a fair queue for new work, as many concurrent statements as the database has slots,
- * a connection pool by workspace, and transactions that keep their connection.
+ * Runs statements at one database: an ordered queue for new work, as many concurrent statements as the database has
+ * slots, a connection pool by workspace, and transactions that keep their connection.
  */
 import { sleepMs } from '@egretyoke/common'
-import { createFairQueue } from '@egretyoke/limits'
-import type { DropReason, FairQueue } from '@egretyoke/limits'
+import type { DropReason } from '@egretyoke/limits'
 import { events } from '../../events.js'
 import { isPosition, laterPosition } from '../../state/position.js'
 import { createConnectionLog } from './connection-log.js'
@@ -12,21 +11,17 @@
 import type { ConnectionPool } from './connection-pool.js'
 import type { DatabaseHolder, DatabaseLoad, HolderOptions } from './database-holder-types.js'
 import { createOpenTransactions } from './open-transactions.js'
-import { createQueueAdmission } from './queue-admission.js'
+import { createQueueAdmission, maxExpectedWaitMs, retryAfterMs, statementClassOf } from './queue-admission.js'
+import { createRunningStatements } from './running-statements.js'
 import { createStatementExecution, noReplyReasons } from './statement-execution.js'
 import type { AcceptedStatement } from './statement-execution.js'
+import { createStatementQueue } from './statement-queue.js'
 import { nameAtDatabases } from '../sessions/session-identity.js'
 import { notRun, opensTransaction } from '../sessions/statement.js'
 import type { StatementOutcome, StatementRequest } from '../sessions/statement.js'
 
-const maxQueued = 512
-const maxQueuedPerWorkspace = 256
-/** Number of priority queues; priorities beyond the last one share it. */
-const queueCount = 3
 /** Connections of the database's limit that are left for control commands and for a second holder. */
 const spareConnections = 2
-/** Assumed slot time of a statement until its real duration is known. */
-const assumedCostMs = 20
 /** A reply within this time shows that the database is running. */
 const recentReplyMs = 400
 const idlePollMs = 10
@@ -41,15 +36,15 @@
 
 /** Creates a holder; connections are opened on demand. */
 export const createDatabaseHolder = (options: HolderOptions): DatabaseHolder => {
-  const { database, connect, records, positions, clock, nowMs, log } = options
+  const { database, connect, records, positions, clock, nowMs, log, random = Math.random } = options
   const { id, group } = database()
-  let inFlight = 0
   let isClosed = false
   let pausedUntilMs = -Infinity
   let lastReplyMs = -Infinity
   let newestPosition = ''
   const continuing: QueuedStatement[] = []
   const queueAdmission = createQueueAdmission()
+  const running = createRunningStatements(nowMs)
   const connectionLog = createConnectionLog({ database: id, counters: options.counters, nowMs, log })
 
   const pool: ConnectionPool = createConnectionPool({
@@ -80,13 +75,15 @@
   const dropQueued = (statement: QueuedStatement, reason: DropReason) => {
     const queuedMs = Math.round(nowMs() - statement.arrivedAtMs)
     log(events.notOffered, { request: statement.request.requestId, database: id, reason, queuedMs, load: load() })
-    statement.complete({ ...notRun(reason === 'expired' ? 'queuedTooLong' : 'busy'), queuedMs })
+    const outcome = notRun(reason === 'expired' ? 'queuedTooLong' : 'busy')
+    statement.complete({ ...outcome, queuedMs, retryAfterMs: delayUntilServed(statement.request) })
   }
-  const queues: Array<FairQueue<QueuedStatement>> = Array.from({ length: queueCount }, () =>
-    createFairQueue<QueuedStatement>({ maxQueued, maxQueuedPerWorkspace, onDropped: dropQueued, clock: nowMs }))
-  const queueOf = ({ priority }: StatementRequest) => queues[Math.min(priority, queueCount - 1)]
-  const queued = () => queues.reduce((sum, queue) => sum + queue.size(), 0)
-  const load = () => inFlight + queued() + continuing.length
+  const limit = () => database().slots
+  const serviceMs = (request: StatementRequest) => queueAdmission.serviceMs(statementClassOf(request))
+  const queue = createStatementQueue<QueuedStatement>({
+    onDropped: dropQueued, serviceMs, runningOf: running.countOf, limit, nowMs
+  })
+  const load = () => running.count() + queue.size() + continuing.length
 
   const requiredPosition = async (request: StatementRequest): Promise<string | undefined> => {
     if (request.needsPrimary) return ''
@@ -98,14 +95,13 @@
 
   const runQueued = async (statement: QueuedStatement) => {
     const { request, arrivedAtMs, complete } = statement
-    inFlight++
+    const estimatedMs = serviceMs(request)
+    const ended = running.start(request, estimatedMs)
     const queuedMs = Math.round(nowMs() - arrivedAtMs)
-    const startedAtMs = nowMs()
     const outcome = await execution.run(statement)
-    inFlight--
-    const serviceMs = nowMs() - startedAtMs
-    queueOf(request).charge(request.workspace, serviceMs - assumedCostMs)
-    if (!noReplyReasons.has(outcome.reason)) queueAdmission.recordService(serviceMs)
+    const measuredMs = ended()
+    queue.charge(request, measuredMs - estimatedMs)
+    if (!noReplyReasons.has(outcome.reason)) queueAdmission.recordService(statementClassOf(request), measuredMs)
     complete({ ...outcome, load: load(), queuedMs })
     dispatch()
   }
@@ -114,17 +110,11 @@
 
   const nextStatement = (): QueuedStatement | undefined => {
     const continued = continuing.shift()
-    if (continued !== undefined || isPaused()) return continued
-    for (const queue of queues) {
-      if (queue.size() === 0) continue
-      const statement = queue.pop()
-      if (statement !== undefined) return statement
-    }
-    return undefined
+    return continued !== undefined || isPaused() ? continued : queue.pop()
   }
 
   const dispatch = () => {
-    while (inFlight < database().slots) {
+    while (running.count() < limit()) {
       if (continuing.length === 0 && !pool.hasCapacity()) {
         transactions.endIdle()
         return
@@ -135,16 +125,18 @@
     }
   }
 
-  const expectedWaitMs = (request: StatementRequest) => {
-    const queue = queueOf(request)
-    const moreUrgent = queues.slice(0, queues.indexOf(queue)).reduce((sum, other) => sum + other.size(), 0)
-    const ahead = continuing.length + moreUrgent + queue.aheadOf(request.workspace)
-    return queueAdmission.expectedWaitMs({ ahead, inFlight, slots: database().slots })
+  const expectedWaitMs = (request: StatementRequest, dropAtMs: number) => {
+    const continuingMs = continuing.reduce((sum, statement) => sum + serviceMs(statement.request), 0)
+    const aheadMs = continuingMs + queue.aheadMs(request, dropAtMs)
+    return queueAdmission.expectedWaitMs({ aheadMs, runningMs: running.serviceTimesMs(), limit: limit() })
   }
 
+  /** For a statement that came back, whose time would end after that of the waiting ones. */
+  const delayUntilServed = (request: StatementRequest) => retryAfterMs(expectedWaitMs(request, Infinity), random())
+
   const refuseAsBusy = (request: StatementRequest, reason: string): StatementOutcome => {
     log(events.notOffered, { request: request.requestId, database: id, reason, queuedMs: 0, load: load() })
-    return { ...notRun('busy'), load: load() }
+    return { ...notRun('busy'), load: load(), retryAfterMs: delayUntilServed(request) }
   }
 
   const admit = async (request: StatementRequest): Promise<StatementOutcome> => {
@@ -158,16 +150,18 @@
     const position = request.transaction === 'CONTINUE' ? '' : await requiredPosition(request)
     if (position === undefined) return notRun('lagging')
     const isContinuing = request.transaction === 'CONTINUE'
-    if (!isContinuing && expectedWaitMs(request) > request.maxQueuedMs) return refuseAsBusy(request, 'expectedWait')
+    const dropAtMs = arrivedAtMs + request.maxQueuedMs
+    const waitedMs = nowMs() - arrivedAtMs
+    if (!isContinuing && expectedWaitMs(request, dropAtMs) > maxExpectedWaitMs(request) - waitedMs) {
+      return refuseAsBusy(request, 'expectedWait')
+    }
     return await new Promise<StatementOutcome>(resolve => {
       const statement: QueuedStatement = { request, position, arrivedAtMs, deadlineMs, complete: resolve }
       if (isContinuing) {
         continuing.push(statement)
         return dispatch()
       }
-      const { workspace, maxQueuedMs } = request
-      const queueEntry = { workspace, weight: 1, cost: assumedCostMs, deadlineMs: arrivedAtMs + maxQueuedMs }
-      const pushed = queueOf(request).push(statement, queueEntry)
+      const pushed = queue.push(statement, dropAtMs)
       if (pushed.err) return resolve(refuseAsBusy(request, pushed.val.reason))
       dispatch()
     })
@@ -176,8 +170,8 @@
   const databaseLoad = (): DatabaseLoad => ({
     slots: database().slots,
     pace: database().slots,
-    inFlight,
-    queued: queues.map(queue => queue.size()),
+    inFlight: running.count(),
+    queued: queue.sizes(),
     serviceMs: queueAdmission.serviceMs(),
     position: newestPosition,
     connectionsLeft: Math.max(0, pool.maxConnections() - pool.size()),
@@ -198,7 +192,7 @@
   const waitUntilIdle = async (timeoutMs: number): Promise<boolean> => {
     const deadlineMs = nowMs() + timeoutMs
     while (nowMs() < deadlineMs) {
-      if (inFlight === 0 && transactions.idleCount() === 0) return true
+      if (running.count() === 0 && transactions.idleCount() === 0) return true
       await sleepMs(idlePollMs)
     }
     return false
@@ -206,8 +200,8 @@
 
   const runMaintenance = () => {
     transactions.endIdle()
-    if (queued() + continuing.length === 0) return
-    for (const queue of queues) queue.dropExpired()
+    if (queue.size() + continuing.length === 0) return
+    queue.dropExpired()
     dispatch()
   }
 
@@ -227,7 +221,7 @@
     },
     close: () => {
       isClosed = true
-      for (const queue of queues) queue.close()
+      queue.close()
       for (const statement of continuing.splice(0)) statement.complete(notRun('transactionGone'))
       transactions.close()
       pool.close()
--- a/packages/gateway/src/coordination/sessions/session.ts
+++ b/packages/gateway/src/coordination/sessions/session.ts
@@ -67,6 +67,7 @@
 const maxTokenWaitFraction = 0.24
 /** Retry delay suggested to the caller after a rate limit refusal. */
 const limitRetryMs = 500
+/** Retry delay suggested after a refusal for which no holder has named one. */
 const busyRetryMs = 100
 
 const limitMessage = `limit reached, retry after ${limitRetryMs} ms`
@@ -117,6 +118,7 @@
       route.targetLatencyMs * maxQueuedFraction.ofTargetLatency, route.timeoutMs * maxQueuedFraction.ofTimeout
     )),
     priority: route.priority,
+    targetLatencyMs: route.targetLatencyMs,
     ...overrides
   })
 
@@ -128,7 +130,7 @@
     if (reason === 'lagging' || reason === 'readOnly') return refuse(reason, `not run, retry after ${busyRetryMs} ms`)
     if (reason === 'tooLarge') return refuse('refused', 'not run: the statement with the session state is too large')
     if (reason === 'failed') return refuse('failed', 'not run: the statement is malformed or too long')
-    return refuse('refused', `not run: ${reason}, retry after ${busyRetryMs} ms`)
+    return refuse('refused', `not run: ${reason}, retry after ${outcome.retryAfterMs ?? busyRetryMs} ms`)
   }
 
   const succeed = (outcome: StatementOutcome, hasCommitted: boolean): SessionResponse => {
--- a/packages/limits/src/fair-queue.test.ts
+++ b/packages/limits/src/fair-queue.test.ts
@@ -113,13 +113,44 @@
   t.is((push('one').pushed.val as { reason: string }).reason, 'queueClosed')
 })
 
-test('the items ahead of a workspace are its own and as many of each other one', t => {
+test('the cost ahead of a workspace is its own and as much of each other one', t => {
   const { queue, pushMany, popCounts } = createQueue()
-  t.is(queue.aheadOf('light'), 0)
+  const ahead = (workspace: string, cost = 10) => queue.costAhead({ workspace, cost, deadlineMs: 1000 }) / 10
+  t.is(ahead('light'), 0)
   pushMany(30, 'heavy')
   pushMany(2, 'light')
-  t.is(queue.aheadOf('light'), 2 + 3)
-  t.is(queue.aheadOf('heavy'), 30 + 2)
-  t.is(queue.aheadOf('new'), 2)
+  t.is(ahead('light'), 2 + 3)
+  t.is(ahead('heavy'), 30 + 2)
+  t.is(ahead('new'), 2)
+  // An item that costs five times as much waits for five times as much of the others.
+  t.is(ahead('new', 50), 5 + 2)
   t.deepEqual(popCounts(6).light, 2)
 })
+
+test('the cost ahead follows the present cost of the waiting items', t => {
+  const { queue, pushMany } = createQueue()
+  pushMany(4, 'one')
+  t.is(queue.costAhead({ workspace: 'one', cost: 70, deadlineMs: 1000 }, () => 70), 4 * 70)
+})
+
+// Guards against an item that expires behind items of its workspace that have time left.
+test('within a workspace, the item with the earliest deadline is served first if so ordered', t => {
+  const { queue, push } = createQueue({ order: 'deadline' })
+  const deadlines = [500, 100, 300, 100, 900]
+  const items = deadlines.map(deadlineMs => push('one', { deadlineMs }).item)
+  t.is(queue.costAhead({ workspace: 'one', cost: 10, deadlineMs: 300 }), 30)
+  t.true(queue.remove(items[2]!))
+  t.deepEqual([queue.pop(), queue.pop(), queue.pop(), queue.pop()], [items[1], items[3], items[0], items[4]])
+})
+
+// Guards against a workspace that is passed over and later takes all slots with the credit of that time.
+test('a workspace that is passed over earns no credit beyond one item', t => {
+  const { queue, pushMany } = createQueue()
+  pushMany(40, 'bounded')
+  pushMany(40, 'other')
+  const passOver = (workspace: string) => workspace !== 'bounded'
+  for (let index = 0; index < 20; index++) t.is(queue.pop(passOver)?.workspace, 'other')
+  const next = Array.from({ length: 10 }, () => queue.pop()?.workspace)
+  t.true(next.filter(workspace => workspace === 'bounded').length <= 6, next.join(' '))
+  t.is(queue.pop(() => false), undefined)
+})
--- a/packages/limits/src/fair-queue.ts
+++ b/packages/limits/src/fair-queue.ts
@@ -7,9 +7,9 @@
 import type { Clock, Result, TypedError } from '@egretyoke/common'
 import { Err, Ok, monotonicMs, typedError } from '@egretyoke/common'
 import { deficitRoundRobin } from './queue-disciplines.js'
-import type { Discipline } from './queue-disciplines.js'
+import type { Discipline, IsEligible } from './queue-disciplines.js'
 import { createWorkspaceQueue } from './workspace-queue.js'
-import type { QueuedItem, WorkspaceQueue } from './workspace-queue.js'
+import type { ItemOrder, QueuedItem, WorkspaceQueue } from './workspace-queue.js'
 
 /** Minimum cost and weight; smaller values and NaN are raised to them. */
 const minCost = 0.001
@@ -41,14 +41,19 @@
   /** Called for each item that leaves without being served, except by `remove`. */
   onDropped: (item: Item, reason: DropReason) => void
   discipline?: Discipline
+  /** Order within a workspace; by arrival if not given. */
+  order?: ItemOrder
   clock?: Clock
 }
 
 /** A bounded queue over workspaces. */
 export type FairQueue<Item> = {
   push: (item: Item, options: PushOptions) => Result<void, TypedError<QueueRefusal>>
-  /** Removes and returns the next item to serve, and charges its estimated cost to its workspace. */
-  pop: () => Item | undefined
+  /**
+   * Removes and returns the next item to serve, and charges its estimated cost to its workspace. Workspaces that
+   * `isEligible` does not accept are passed over.
+   */
+  pop: (isEligible?: IsEligible) => Item | undefined
   /** Removes an item, for instance because its caller has disconnected; false when it is not in the queue. */
   remove: (item: Item) => boolean
   /** Charges the difference between an item's actual and estimated cost; negative when it cost less. */
@@ -57,15 +62,15 @@
   dropExpired: () => void
   size: () => number
   sizeOf: (workspace: string) => number
-  /** Number of items that are served before the next one of the workspace, at equal weights and costs. */
-  aheadOf: (workspace: string) => number
+  /** Cost of the items that are served before a new one, at equal weights; `costOf` is the cost of a waiting item. */
+  costAhead: (newItem: Omit<PushOptions, 'weight'>, costOf?: (item: Item) => number) => number
   close: () => void
 }
 
 /** Creates an empty queue. */
 export const createFairQueue = <Item>(options: FairQueueOptions<Item>): FairQueue<Item> => {
   const { maxQueued, maxQueuedPerWorkspace, onDropped, clock = monotonicMs } = options
-  const { isStillAllowed = () => true, discipline = deficitRoundRobin } = options
+  const { isStillAllowed = () => true, discipline = deficitRoundRobin, order = 'arrival' } = options
   const scheduler = discipline()
   const queues = new Map<string, WorkspaceQueue<Item>>()
   const queuedItems = new Map<Item, QueuedItem<Item>>()
@@ -108,7 +113,7 @@
   }
 
   const queueOf = (workspace: string) => {
-    const queue = queues.get(workspace) ?? createWorkspaceQueue<Item>(workspace)
+    const queue = queues.get(workspace) ?? createWorkspaceQueue<Item>(workspace, order)
     queues.set(workspace, queue)
     return queue
   }
@@ -140,8 +145,8 @@
     return isStillAllowed(item) ? undefined : 'notAllowed'
   }
 
-  const pop = () => {
-    for (let queue = scheduler.next(); queue !== undefined; queue = scheduler.next()) {
+  const pop = (isEligible?: IsEligible) => {
+    for (let queue = scheduler.next(isEligible); queue !== undefined; queue = scheduler.next(isEligible)) {
       const queued = queues.get(queue.workspace)?.first()
       if (queued === undefined) return undefined
       const dropReason = dropReasonOf(queued)
@@ -163,6 +168,16 @@
     return true
   }
 
+  const costAhead: FairQueue<Item>['costAhead'] = (
+    { workspace, cost, deadlineMs }, costOf = item => queuedItems.get(item)?.cost ?? 0
+  ) => {
+    const sumOf = (items: ReadonlyArray<QueuedItem<Item>>) => items.reduce((sum, { item }) => sum + costOf(item), 0)
+    const isAhead = (queued: QueuedItem<Item>) => order === 'arrival' || queued.deadlineMs <= deadlineMs
+    const ownCost = sumOf(queues.get(workspace)?.all().filter(isAhead) ?? [])
+    const others = [...queues.values()].filter(queue => queue.workspace !== workspace)
+    return others.reduce((sum, queue) => sum + Math.min(sumOf(queue.all()), ownCost + cost), ownCost)
+  }
+
   const close = () => {
     isClosed = true
     for (const queued of [...queuedItems.values()]) drop(queued, 'closed')
@@ -176,11 +191,7 @@
     dropExpired,
     size: () => queuedItems.size,
     sizeOf,
-    aheadOf: workspace => {
-      const ownRounds = sizeOf(workspace) + 1
-      const others = [...queues.values()].filter(queue => queue.workspace !== workspace)
-      return others.reduce((sum, queue) => sum + Math.min(queue.size(), ownRounds), sizeOf(workspace))
-    },
+    costAhead,
     close
   }
 }
--- a/packages/limits/src/queue-disciplines.ts
+++ b/packages/limits/src/queue-disciplines.ts
@@ -12,14 +12,19 @@
 /** A workspace's queue, as far as a discipline needs it. */
 export type BackloggedQueue = Pick<WorkspaceQueue<unknown>, 'workspace' | 'weight' | 'size' | 'first'>
 
+/** False for a workspace that is passed over, for instance because it has enough items in service. */
+export type IsEligible = (workspace: string) => boolean
+
+const acceptAll: IsEligible = () => true
+
 /** Selects the workspace whose item is served next. It tracks only queues that have items. */
 export type Scheduler = {
   /** Adds a queue that has received its first item. */
   add: (queue: BackloggedQueue) => void
   /** Removes a queue that has become empty. */
   remove: (queue: BackloggedQueue) => void
-  /** The queue whose first item is served next; undefined when there is none. */
-  next: () => BackloggedQueue | undefined
+  /** The queue whose first item is served next; undefined when there is none, or none that `isEligible` accepts. */
+  next: (isEligible?: IsEligible) => BackloggedQueue | undefined
   /** Charges service to a workspace, or refunds it when negative; in milliseconds of an endpoint slot. */
   charge: (workspace: string, cost: number) => void
   /** Whether a full queue drops an item of the workspace with the highest load to accept another item. */
@@ -70,21 +75,30 @@
   const roundsNeeded = (queue: BackloggedQueue) =>
     Math.ceil((costOfFirst(queue) - balanceOf(queue.workspace).deficit) / (quantumCost * queue.weight()))
 
+  // A workspace that is passed over earns no more than its next item costs: what it has in service pays for the rest.
+  const earn = (queue: BackloggedQueue, credit: number, isPassedOver: boolean) => {
+    const balance = balanceOf(queue.workspace)
+    const maxDeficit = isPassedOver ? Math.max(balance.deficit, costOfFirst(queue)) : Infinity
+    balance.deficit = Math.min(maxDeficit, balance.deficit + credit)
+  }
+
   // Skips rounds in which no item could be served.
-  const advanceRounds = () => {
-    const rounds = Math.max(1, Math.min(...queues.map(roundsNeeded)))
+  const advanceRounds = (isEligible: IsEligible) => {
+    const eligible = queues.filter(queue => isEligible(queue.workspace))
+    const rounds = Math.max(1, Math.min(...eligible.map(roundsNeeded)))
     round += rounds
-    for (const queue of queues) balanceOf(queue.workspace).deficit += rounds * quantumCost * queue.weight()
+    for (const queue of queues) earn(queue, rounds * quantumCost * queue.weight(), !isEligible(queue.workspace))
   }
 
-  const next = () => {
-    if (queues.length === 0) return undefined
+  const next = (isEligible = acceptAll) => {
+    if (!queues.some(queue => isEligible(queue.workspace))) return undefined
     for (;;) {
-      const index = queues.findIndex(queue => balanceOf(queue.workspace).deficit >= costOfFirst(queue))
+      const index = queues.findIndex(queue =>
+        isEligible(queue.workspace) && balanceOf(queue.workspace).deficit >= costOfFirst(queue))
       if (index < 0) {
         // The queue served last has spent its credit, and is last in the next round.
         queues.push(...queues.splice(0, 1))
-        advanceRounds()
+        advanceRounds(isEligible)
         continue
       }
       // The queues before the found one have spent their credit; the found one stays first until it has spent its own.
@@ -105,9 +119,10 @@
 export const firstComeFirstServed: Discipline = () => {
   const queues = new Set<BackloggedQueue>()
 
-  const next = () => {
+  const next = (isEligible = acceptAll) => {
     let oldest: BackloggedQueue | undefined
     for (const queue of queues) {
+      if (!isEligible(queue.workspace)) continue
       const sequence = queue.first()?.sequence ?? Infinity
       if (sequence < (oldest?.first()?.sequence ?? Infinity)) oldest = queue
     }
--- a/packages/limits/src/workspace-queue.ts
+++ b/packages/limits/src/workspace-queue.ts
@@ -1,7 +1,10 @@
 /**
- * The waiting items of one workspace in order of arrival, with removal at any position.
+ * The waiting items of one workspace in order of arrival or of deadlines, with removal at any position.
  */
 
+/** Order in which a workspace's items are served. Items with equal deadlines are served in order of arrival. */
+export type ItemOrder = 'arrival' | 'deadline'
+
 /** A waiting item. */
 export type QueuedItem<Item> = {
   item: Item
@@ -32,14 +35,23 @@
 const maxRemovedItems = 64
 
 /** Creates an empty queue. */
-export const createWorkspaceQueue = <Item>(workspace: string): WorkspaceQueue<Item> => {
+export const createWorkspaceQueue = <Item>(
+  workspace: string, order: ItemOrder = 'arrival'
+): WorkspaceQueue<Item> => {
   let items: Array<QueuedItem<Item>> = []
   let head = 0
   let waiting = 0
   let weight = 1
 
+  const indexFor = ({ deadlineMs }: QueuedItem<Item>) => {
+    let index = items.length
+    if (order === 'arrival') return index
+    while (index > head && items[index - 1].deadlineMs > deadlineMs) index--
+    return index
+  }
+
   const push = (queued: QueuedItem<Item>) => {
-    items.push(queued)
+    items.splice(indexFor(queued), 0, queued)
     waiting++
     weight = queued.weight
   }
