Holder: begin at a low pace at a database that comes back

Cause: a database that has started, recovered or been promoted got as many statements as it has slots at once, from all callers that had waited for it. Change: database-pace.ts bounds the statements at once after a new start, a missing reply, a promotion or a declined statement, with the adaptive limit, until the database has shown that it serves its slots. The adaptive limit can compare with the usual time of a kind instead of its lowest one, restart, and count statements that must not wait. In calm the pace is the slots. Events 7080 and 7081, gauge egretyoke_databases_below_slots.

--- a/packages/gateway/src/coordination/connections/database-holder-types.ts
+++ b/packages/gateway/src/coordination/connections/database-holder-types.ts
@@ -27,6 +27,8 @@
   hasRepliedRecently: () => boolean
   openTransactions: () => number
   connections: () => number
+  /** False while fewer statements run at once than the database has slots, because it has just come back. */
+  isPaceSettled: () => boolean
   /** Drops expired statements, ends idle transactions and dispatches the queue; call often while work is pending. */
   runMaintenance: () => void
   /**
@@ -47,6 +49,10 @@
   isFirstHolder: () => boolean
   /** False while the database accepts no new work. */
   acceptsNewWork: () => boolean
+  /** True if the database's process has just started. */
+  hasJustStarted?: () => boolean
+  /** Term in which the database is its group's primary; undefined if it is not. */
+  primaryTerm?: () => number | undefined
   records: GroupRecords
   positions: GroupPositions
   clock: AgeClock
--- a/packages/gateway/src/coordination/connections/database-holder.test.ts
+++ b/packages/gateway/src/coordination/connections/database-holder.test.ts
@@ -128,3 +128,65 @@
   t.true((await Promise.all(waiting)).every(({ status }) => status === 'DONE'))
   holder.close()
 })
+
+const manyReads = Array.from({ length: 12 }, () =>
+  writeRequest({ access: 'READ', text: 'READ 1', needsPrimary: false, timeoutMs: 20_000, maxQueuedMs: 20_000 }))
+
+// Guards against a database in use that gets fewer statements at once than it has slots.
+test('a database in use runs as many statements at once as it has slots', async t => {
+  const { database, holder, logged } = createEnvironment()
+  database.description.slots = 4
+  await Promise.all(manyReads.map(holder.run))
+  t.is(database.maxRunning, 4)
+  t.false(logged.some(({ name }) => name === 'paceLowered'))
+  holder.close()
+})
+
+// Guards against a database that gets the statements of all callers at once and becomes slow or silent again.
+test('a database that has just started, did not reply or was promoted begins at a low pace', async t => {
+  const term = { current: undefined as number | undefined }
+  const causes: Record<string, (environment: ReturnType<typeof createHolderEnvironment>) => Promise<void> | void> = {
+    started: () => {},
+    promoted: () => { term.current = 2 },
+    noReply: async ({ database, holder }) => {
+      database.state = 'dead'
+      t.is((await holder.run(manyReads[0]!)).reason, 'unreachable')
+      database.state = 'alive'
+    }
+  }
+  for (const [cause, prepare] of Object.entries(causes)) {
+    term.current = undefined
+    const environment = createHolderEnvironment({ storeMs: 0, transactionIdleMs: 1000 }, 10, {
+      hasJustStarted: () => cause === 'started', primaryTerm: () => term.current
+    })
+    const { database, holder, logged } = environment
+    database.description.slots = 4
+    await prepare(environment)
+    const running = manyReads.map(holder.run)
+    const first = await Promise.race(running)
+    const maxPace = cause === 'noReply' ? 1 : 2
+    t.true(first.databaseLoad!.pace <= 2 && database.maxRunning <= maxPace, `${cause}: ${database.maxRunning}`)
+    t.like(logged.find(({ name }) => name === 'paceLowered'), { cause, database: 'db-1' })
+    t.true((await Promise.all(running)).every(({ status }) => status === 'DONE'))
+    holder.close()
+  }
+})
+
+// Guards against open transactions that keep their locks because their next statements wait for the pace.
+test('the next statement of a transaction is not kept waiting by the pace', async t => {
+  const { database, holder } = createHolderEnvironment({ storeMs: 0, transactionIdleMs: 5000 })
+  database.description.slots = 4
+  const patient = { timeoutMs: 20_000, maxQueuedMs: 20_000 }
+  const inTransaction = { ...patient, transactionId: 'session/1' }
+  await holder.run(writeRequest({ ...inTransaction, transaction: 'OPEN_READ_WRITE' }))
+  database.state = 'dead'
+  t.is((await holder.run({ ...manyReads[0]!, workspace: 'yard-b' })).reason, 'unreachable')
+  database.state = 'alive'
+  database.statementMs = 50
+  const reads = manyReads.map(holder.run)
+  const commit = await holder.run(writeRequest({ ...inTransaction, transaction: 'CONTINUE', verb: 'COMMIT', text: '' }))
+  t.is(commit.status, 'DONE')
+  t.true(commit.databaseLoad!.queued[1]! >= 10, JSON.stringify(commit.databaseLoad))
+  t.true((await Promise.all(reads)).every(({ status }) => status === 'DONE'))
+  holder.close()
+})
--- a/packages/gateway/src/coordination/connections/database-holder.ts
+++ b/packages/gateway/src/coordination/connections/database-holder.ts
@@ -3,13 +3,14 @@
  * slots, a connection pool by workspace, and transactions that keep their connection.
  */
 import { sleepMs } from '@egretyoke/common'
-import type { DropReason } from '@egretyoke/limits'
+import type { DropReason, FlightOutcome } from '@egretyoke/limits'
 import { events } from '../../events.js'
 import { isPosition, laterPosition } from '../../state/position.js'
 import { createConnectionLog } from './connection-log.js'
 import { createConnectionPool } from './connection-pool.js'
 import type { ConnectionPool } from './connection-pool.js'
 import type { DatabaseHolder, DatabaseLoad, HolderOptions } from './database-holder-types.js'
+import { createDatabasePace } from './database-pace.js'
 import { createOpenTransactions } from './open-transactions.js'
 import { createQueueAdmission, maxExpectedWaitMs, retryAfterMs, statementClassOf } from './queue-admission.js'
 import { createRunningStatements } from './running-statements.js'
@@ -24,6 +25,8 @@
 const spareConnections = 2
 /** A reply within this time shows that the database is running. */
 const recentReplyMs = 400
+/** A statement without a reply for less than this had too little time left to show that the database is silent. */
+const minSilenceMs = 200
 const idlePollMs = 10
 /** Maximum idle time of connections while this gateway is not the database's first holder (see `isFirstHolder`). */
 const secondaryIdleMs = 1000
@@ -34,6 +37,11 @@
   complete: (outcome: StatementOutcome) => void
 }
 
+const paceSignalOf = ({ status, reason }: StatementOutcome, databaseMs: number | undefined): FlightOutcome => {
+  if (databaseMs === undefined) return 'ignored'
+  return status === 'DONE' ? 'answered' : reason === 'busy' ? 'declined' : 'ignored'
+}
+
 /** Creates a holder; connections are opened on demand. */
 export const createDatabaseHolder = (options: HolderOptions): DatabaseHolder => {
   const { database, connect, records, positions, clock, nowMs, log, random = Math.random } = options
@@ -78,10 +86,17 @@
     const outcome = notRun(reason === 'expired' ? 'queuedTooLong' : 'busy')
     statement.complete({ ...outcome, queuedMs, retryAfterMs: delayUntilServed(statement.request) })
   }
-  const limit = () => database().slots
+  const pace = createDatabasePace({
+    slots: () => database().slots,
+    nowMs,
+    onChange: ({ cause, pace: statements }) =>
+      log(cause === undefined ? events.paceSettled : events.paceLowered, { database: id, pace: statements, cause })
+  })
+  if (options.hasJustStarted?.() ?? false) pace.restart('started')
+  let primaryTerm = options.primaryTerm?.()
   const serviceMs = (request: StatementRequest) => queueAdmission.serviceMs(statementClassOf(request))
   const queue = createStatementQueue<QueuedStatement>({
-    onDropped: dropQueued, serviceMs, runningOf: running.countOf, limit, nowMs
+    onDropped: dropQueued, serviceMs, runningOf: running.countOf, limit: pace.limit, nowMs
   })
   const load = () => running.count() + queue.size() + continuing.length
 
@@ -97,24 +112,44 @@
     const { request, arrivedAtMs, complete } = statement
     const estimatedMs = serviceMs(request)
     const ended = running.start(request, estimatedMs)
-    const queuedMs = Math.round(nowMs() - arrivedAtMs)
-    const outcome = await execution.run(statement)
+    const paced = pace.start()
+    const startedAtMs = nowMs()
+    const queuedMs = Math.round(startedAtMs - arrivedAtMs)
+    const { outcome, databaseMs } = await execution.run(statement)
     const measuredMs = ended()
+    const statementClass = statementClassOf(request)
     queue.charge(request, measuredMs - estimatedMs)
-    if (!noReplyReasons.has(outcome.reason)) queueAdmission.recordService(statementClassOf(request), measuredMs)
+    if (!noReplyReasons.has(outcome.reason)) queueAdmission.recordService(statementClass, measuredMs)
+    paced.end(paceSignalOf(outcome, databaseMs), databaseMs ?? 0, statementClass)
+    if (showsSilence(outcome, startedAtMs)) pace.restart('noReply')
     complete({ ...outcome, load: load(), queuedMs })
     dispatch()
   }
 
+  /** True if the database gave no sign of life while a statement ran, which may have had little time. */
+  const showsSilence = ({ reason }: StatementOutcome, startedAtMs: number) => {
+    if (!noReplyReasons.has(reason) || lastReplyMs >= startedAtMs) return false
+    return reason === 'unreachable' || nowMs() - startedAtMs >= minSilenceMs
+  }
+
+  /** A database that has become the primary receives the statements of the whole group at once. */
+  const noticePromotion = () => {
+    const term = options.primaryTerm?.()
+    if (term !== undefined && term !== primaryTerm) pace.restart('promoted')
+    primaryTerm = term ?? primaryTerm
+  }
+
   const isPaused = () => nowMs() < pausedUntilMs
 
   const nextStatement = (): QueuedStatement | undefined => {
     const continued = continuing.shift()
-    return continued !== undefined || isPaused() ? continued : queue.pop()
+    if (continued !== undefined || isPaused()) return continued
+    // Open transactions hold locks and connections: the pace does not keep their next statements waiting.
+    return running.count() < pace.limit() ? queue.pop() : undefined
   }
 
   const dispatch = () => {
-    while (running.count() < limit()) {
+    while (running.count() < database().slots) {
       if (continuing.length === 0 && !pool.hasCapacity()) {
         transactions.endIdle()
         return
@@ -128,7 +163,7 @@
   const expectedWaitMs = (request: StatementRequest, dropAtMs: number) => {
     const continuingMs = continuing.reduce((sum, statement) => sum + serviceMs(statement.request), 0)
     const aheadMs = continuingMs + queue.aheadMs(request, dropAtMs)
-    return queueAdmission.expectedWaitMs({ aheadMs, runningMs: running.serviceTimesMs(), limit: limit() })
+    return queueAdmission.expectedWaitMs({ aheadMs, runningMs: running.serviceTimesMs(), limit: pace.limit() })
   }
 
   /** For a statement that came back, whose time would end after that of the waiting ones. */
@@ -143,6 +178,7 @@
     const arrivedAtMs = nowMs()
     const deadlineMs = arrivedAtMs + request.timeoutMs
     if (isClosed) return notRun('moved')
+    noticePromotion()
     if (request.transaction !== 'CONTINUE' && !options.acceptsNewWork()) return notRun('moved')
     const mustBecomeUser = request.needsPrimary && request.transaction !== 'CONTINUE'
     if (mustBecomeUser && !await records.becomeUser(group, id)) return notRun('moved')
@@ -169,7 +205,7 @@
 
   const databaseLoad = (): DatabaseLoad => ({
     slots: database().slots,
-    pace: database().slots,
+    pace: pace.limit(),
     inFlight: running.count(),
     queued: queue.sizes(),
     serviceMs: queueAdmission.serviceMs(),
@@ -214,6 +250,7 @@
     hasRepliedRecently: () => nowMs() - lastReplyMs < recentReplyMs,
     openTransactions: transactions.idleCount,
     connections: pool.size,
+    isPaceSettled: pace.isSettled,
     runMaintenance,
     closeUnused: () => {
       connectionLog.writeSuppressedCount()
--- a/packages/gateway/src/coordination/connections/holders.ts
+++ b/packages/gateway/src/coordination/connections/holders.ts
@@ -23,7 +23,8 @@
 }
 
 /** Options of a holder that depend on its database. */
-type PerDatabaseOptions = 'database' | 'maxConnections' | 'transactionIdleMs' | 'acceptsNewWork' | 'isFirstHolder'
+type PerDatabaseOptions = 'database' | 'maxConnections' | 'transactionIdleMs' | 'acceptsNewWork' | 'isFirstHolder' |
+  'hasJustStarted' | 'primaryTerm'
 
 /** Dependencies of the holders. */
 export type HoldersOptions = Omit<HolderOptions, PerDatabaseOptions> & {
@@ -36,11 +37,15 @@
 /** Defaults if the configuration has no value. */
 const defaultTransactionIdleMs = 3000
 const defaultMaxConnections = 10
+/** A database is new for this long after its start; the wall clocks of VMs may differ by seconds. */
+const newDatabaseMs = 5000
 
 /** Creates an empty table of holders. */
 export const createHolders = (options: HoldersOptions): Holders => {
   const { fleetState } = options
   const holders = new Map<string, { holder: DatabaseHolder, database: Database }>()
+  /** Databases whose holder was closed because their process has been replaced. */
+  const restarted = new Set<string>()
 
   const holderOf = (id: string): DatabaseHolder | undefined => {
     const existing = holders.get(id)
@@ -48,6 +53,10 @@
     const database = fleetState.databases().get(id)
     if (database === undefined) return undefined
     const current = () => fleetState.databases().get(id) ?? database
+    const primaryTerm = () => {
+      const record = fleetState.group(database.group)?.record
+      return record?.phase === 'serving' && record.primary === id ? record.term : undefined
+    }
     const holder = createDatabaseHolder({
       ...options,
       database: current,
@@ -55,6 +64,8 @@
         fleetState.configuration()?.groups.get(database.group)?.maxConnections ?? defaultMaxConnections,
       transactionIdleMs: () => fleetState.configuration()?.transactionIdleMs ?? defaultTransactionIdleMs,
       isFirstHolder: () => options.isFirstHolder(current()),
+      hasJustStarted: () => restarted.delete(id) || Math.abs(Date.now() - database.startedAtMs) < newDatabaseMs,
+      primaryTerm,
       acceptsNewWork: () => fleetState.databases().has(id) && acceptsNewWork(fleetState, current())
     })
     holders.set(id, { holder, database })
@@ -93,6 +104,8 @@
   }
 
   const closeHolder = (id: string) => {
+    if (fleetState.databases().has(id)) restarted.add(id)
+    else restarted.delete(id)
     holders.get(id)?.holder.close()
     holders.delete(id)
   }
--- a/packages/gateway/src/coordination/connections/statement-execution.ts
+++ b/packages/gateway/src/coordination/connections/statement-execution.ts
@@ -32,11 +32,20 @@
   deadlineMs: number
 }
 
+/** What has become of a statement. */
+export type ExecutedStatement = {
+  outcome: StatementOutcome
+  /** Time that the database took, with the setup of the session; undefined if it was not sent any part of it. */
+  databaseMs: number | undefined
+}
+
 /** Runs accepted statements. */
 export type StatementExecution = {
-  run: (statement: AcceptedStatement) => Promise<StatementOutcome>
+  run: (statement: AcceptedStatement) => Promise<ExecutedStatement>
 }
 
+const notSent = (reason: StatementReason): ExecutedStatement => ({ outcome: notRun(reason), databaseMs: undefined })
+
 /** Dependencies of the execution at one database. */
 export type StatementExecutionOptions = {
   database: string
@@ -74,25 +83,33 @@
   const isAbandoned = (request: StatementRequest) =>
     opensTransaction(request) && !transactions.isRegistered(request.transactionId)
 
-  const runOnPooled = async (statement: AcceptedStatement): Promise<StatementOutcome> => {
+  const runOnPooled = async (statement: AcceptedStatement): Promise<ExecutedStatement> => {
     const { request, position, deadlineMs } = statement
-    if (isAbandoned(request)) return notRun('transactionGone')
-    if (nowMs() >= deadlineMs) return notRun('queuedTooLong')
+    if (isAbandoned(request)) return notSent('transactionGone')
+    if (nowMs() >= deadlineMs) return notSent('queuedTooLong')
     const acquired = await acquireConnection(statement)
     if (acquired.err) {
       log(events.connectFailed, {
         request: request.requestId, database: id, reason: acquired.val.reason, message: acquired.val.message
       })
-      return notRun(acquired.val.reason === 'full' ? 'busy' : 'unreachable')
+      return notSent(acquired.val.reason === 'full' ? 'busy' : 'unreachable')
     }
     const pooled = acquired.val
     if (isAbandoned(request)) {
       pool.release(pooled)
-      return notRun('transactionGone')
+      return notSent('transactionGone')
     }
-    const run = await runWithPrimaryCheck(pooled, request, position, deadlineMs - nowMs())
+    return await runOn(pooled, request, position, deadlineMs - nowMs())
+  }
+
+  const runOn = async (
+    pooled: PooledConnection, request: StatementRequest, position: string, remainingMs: number
+  ): Promise<ExecutedStatement> => {
+    const startedAtMs = nowMs()
+    const run = await runWithPrimaryCheck(pooled, request, position, remainingMs)
+    const databaseMs = nowMs() - startedAtMs
     releaseAfter(pooled, request, run)
-    return { ...run.outcome, connection: pooled.number }
+    return { outcome: { ...run.outcome, connection: pooled.number }, databaseMs }
   }
 
   const releaseAfter = (
@@ -135,12 +152,10 @@
     return afterPrimaryChange(request, run)
   }
 
-  const runInTransaction = async ({ request, deadlineMs }: AcceptedStatement): Promise<StatementOutcome> => {
+  const runInTransaction = async ({ request, deadlineMs }: AcceptedStatement): Promise<ExecutedStatement> => {
     const pooled = transactions.acquire(request.transactionId, request.workspace)
-    if (pooled === undefined) return notRun('transactionGone')
-    const run = await runWithPrimaryCheck(pooled, request, '', deadlineMs - nowMs())
-    releaseAfter(pooled, request, run)
-    return { ...run.outcome, connection: pooled.number }
+    if (pooled === undefined) return notSent('transactionGone')
+    return await runOn(pooled, request, '', deadlineMs - nowMs())
   }
 
   return {
--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -94,5 +94,9 @@
   connectionShared: defineEvent(7051, 'connectionShared',
     'A statement began on a connection on which another one is running, which must not occur; names both requests.'),
   preparedLinesSuppressed: defineEvent(7053, 'preparedLinesSuppressed',
-    'Statements were prepared at a database too fast for a line 7049 each; gives the number of those without a line.')
+    'Statements were prepared at a database too fast for a line 7049 each; gives the number of those without a line.'),
+  paceLowered: defineEvent(7080, 'paceLowered',
+    'A database runs fewer statements at once than it has slots; names the cause and their number.'),
+  paceSettled: defineEvent(7081, 'paceSettled',
+    'A database has answered at all its slots as fast as usual; its pace is no bound any more.')
 }
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -20,6 +20,7 @@
   databaseConnections: () => number
   openTransactions: () => number
   queuedStatements: () => number
+  databasesBelowSlots: () => number
 }
 
 /** Bucket bounds of the latency histogram, in seconds. */
@@ -35,6 +36,10 @@
   gauge('egretyoke_database_connections', 'Open connections to databases', gaugeReaders.databaseConnections)
   gauge('egretyoke_open_transactions', 'Open transactions, each on its own connection', gaugeReaders.openTransactions)
   gauge('egretyoke_statements_waiting', 'Statements queued for or running at databases', gaugeReaders.queuedStatements)
+  gauge(
+    'egretyoke_databases_below_slots', 'Databases that run fewer statements at once than they have slots',
+    gaugeReaders.databasesBelowSlots
+  )
   return {
     statements: new Counter({
       name: 'egretyoke_statements_total', help: 'Statements answered, by result', labelNames: ['result'], registers
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -199,7 +199,8 @@
     contactAgeMs: () => contact.ageMs(),
     databaseConnections: () => holders.all().reduce((sum, holder) => sum + holder.connections(), 0),
     openTransactions: () => holders.all().reduce((sum, holder) => sum + holder.openTransactions(), 0),
-    queuedStatements: () => holders.all().reduce((sum, holder) => sum + holder.load(), 0)
+    queuedStatements: () => holders.all().reduce((sum, holder) => sum + holder.load(), 0),
+    databasesBelowSlots: () => holders.all().filter(holder => !holder.isPaceSettled()).length
   })
 
   const hasCurrentKeys = () => contact.ageMs() < keyWithdrawalMs - keyWithdrawalMarginMs
--- a/packages/gateway/src/testing/holder-environment.ts
+++ b/packages/gateway/src/testing/holder-environment.ts
@@ -4,6 +4,7 @@
 import { sleepMs } from '@egretyoke/common'
 import type { EventFields } from '@egretyoke/common'
 import { createDatabaseHolder } from '../coordination/connections/database-holder.js'
+import type { HolderOptions } from '../coordination/connections/database-holder-types.js'
 import { createGroupPositions } from '../coordination/primaries/group-positions.js'
 import type { StatementRequest } from '../coordination/sessions/statement.js'
 import { createAgeClock } from '../state/contact.js'
@@ -17,7 +18,9 @@
 }
 
 /** Creates a holder of the group's primary, which may always use it. */
-export const createHolderEnvironment = (times: HolderTimes, maxConnections = 10) => {
+export const createHolderEnvironment = (
+  times: HolderTimes, maxConnections = 10, changes: Partial<HolderOptions> = {}
+) => {
   const group = createMemoryGroup()
   const database = group.databases.get('db-1')!
   const clock = createAgeClock()
@@ -49,7 +52,8 @@
     log: ({ name }, fields = {}) => {
       const values = typeof fields === 'function' ? fields() : fields
       logged.push({ name, ...values })
-    }
+    },
+    ...changes
   })
   return { group, database, holder, times, logged, counted }
 }
--- a/packages/limits/src/adaptive-limit.test.ts
+++ b/packages/limits/src/adaptive-limit.test.ts
@@ -70,6 +70,44 @@
   t.is(limit.limit(), slots)
 })
 
+// Guards against a limit of one because the times of one kind of statement differ among themselves.
+test('with the usual time of a kind, differing statements of the kind do not count as queueing', t => {
+  const times = [2, 30, 11, 6, 41, 8, 55, 3, 18, 26]
+  const limit = createAdaptiveLimit({ initial: 1, max: 4, clock: () => 0, usualMs: () => 20 })
+  for (let round = 0; round < 50; round++) {
+    fillTo(limit)
+    while (limit.inFlight() > 0) limit.release('answered', times[(round + limit.inFlight()) % times.length]!)
+  }
+  t.is(limit.limit(), 4)
+})
+
+test('falls when statements take much longer than is usual for their kind, and grows again after a restart', t => {
+  let nowMs = 0
+  const limit = createAdaptiveLimit({ initial: 4, max: 4, clock: () => nowMs, usualMs: () => 20 })
+  for (let round = 0; round < 20; round++) {
+    fillTo(limit)
+    nowMs += 90
+    while (limit.inFlight() > 0) limit.release('answered', 90)
+  }
+  t.is(limit.limit(), 1)
+  limit.restart(2)
+  t.is(limit.limit(), 2)
+  for (let round = 0; round < 20; round++) {
+    fillTo(limit)
+    nowMs += 20
+    while (limit.inFlight() > 0) limit.release('answered', 20)
+  }
+  t.is(limit.limit(), 4)
+})
+
+test('a statement that must not wait is counted beyond the limit', t => {
+  const limit = createAdaptiveLimit({ initial: 1, max: 4, clock: () => 0 })
+  limit.acquire()
+  limit.acquire()
+  t.is(limit.inFlight(), 2)
+  t.false(limit.tryAcquire())
+})
+
 test('retries beyond the reserve are at most a tenth of the requests', t => {
   const budget = createRetryBudget()
   let retries = 0
--- a/packages/limits/src/adaptive-limit.ts
+++ b/packages/limits/src/adaptive-limit.ts
@@ -3,7 +3,8 @@
  * has VMs and does not report how many are free, so the limit is estimated: it increases slowly while statements
  * succeed, and decreases when the endpoint declines a statement or when statements take much longer than the fastest of
  * their own kind, which means that they queue. Latencies are compared within a kind, because slow statements would
- * otherwise look like queueing.
+ * otherwise look like queueing. Where the times of one kind differ among themselves, the caller supplies the usual
+ * time of a kind, since the fastest statement says little about the others.
  */
 import type { Clock } from '@egretyoke/common'
 import { monotonicMs } from '@egretyoke/common'
@@ -45,16 +46,27 @@
   /** Maximum limit: the number of connections that this VM may open. */
   max: number
   clock?: Clock
+  /**
+   * Latency of a kind of statement without queueing, in place of the lowest one; undefined if it is not known, which
+   * counts as no queueing.
+   */
+  usualMs?: (kind: string) => number | undefined
+  /** Weight of a new sample in the moving averages of latency, in place of 0.1. */
+  latencyWeight?: number
 }
 
 /** Limit on the statements in flight at one endpoint. */
 export type AdaptiveLimit = {
   /** Counts one more statement in flight; false when the limit is reached. */
   tryAcquire: () => boolean
+  /** Counts one more statement in flight even if the limit is reached, for one that must not wait. */
+  acquire: () => void
   /** Ends an acquired statement. Statements of one kind, such as those of one route, take about the same time. */
   release: (outcome: FlightOutcome, latencyMs: number, kind?: string) => void
   limit: () => number
   inFlight: () => number
+  /** Sets the limit and forgets the latencies, because the endpoint's capacity may have changed. */
+  restart: (limit: number) => void
   /** Changes the maximum limit, for instance because the VM's share of connections has changed. */
   setMax: (max: number) => void
 }
@@ -81,7 +93,7 @@
 
 /** Creates a limit with no statements in flight. */
 export const createAdaptiveLimit = (options: AdaptiveLimitOptions): AdaptiveLimit => {
-  const { clock = monotonicMs } = options
+  const { clock = monotonicMs, usualMs, latencyWeight: weight = latencyWeight } = options
   const lowestByKind = new Map<string, LowestTracker>()
   let max = Math.max(1, options.max)
   let limit = Math.min(max, Math.max(1, options.initial))
@@ -107,9 +119,14 @@
     return existing
   }
 
-  const movingAverage = (average: number, next: number) => average + (next - average) * latencyWeight
+  const movingAverage = (average: number, next: number) => average + (next - average) * weight
 
-  const recordLatency = (measuredMs: number, kind: string) => {
+  const recordAgainstUsual = (measuredMs: number, usual: number) => {
+    latencyMs = movingAverage(latencyMs ?? usual, measuredMs)
+    unqueuedLatencyMs = unqueuedLatencyMs === 0 ? usual : movingAverage(unqueuedLatencyMs, usual)
+  }
+
+  const recordAgainstLowest = (measuredMs: number, kind: string) => {
     const lowest = lowestOf(kind)
     lowest.add(measuredMs)
     const isFirst = latencyMs === undefined
@@ -117,6 +134,11 @@
     unqueuedLatencyMs = isFirst ? lowest.lowest() : movingAverage(unqueuedLatencyMs, lowest.lowest())
   }
 
+  const recordLatency = (measuredMs: number, kind: string) =>
+    usualMs === undefined
+      ? recordAgainstLowest(measuredMs, kind)
+      : recordAgainstUsual(measuredMs, usualMs(kind) ?? measuredMs)
+
   // Increases only a limit that was reached, because a higher one is otherwise untested.
   const increase = (wasFull: boolean) => {
     if (wasFull) limit = Math.min(max, limit + additiveIncrease / limit)
@@ -138,10 +160,19 @@
     return true
   }
 
+  const restart = (next: number) => {
+    limit = Math.min(max, Math.max(1, next))
+    latencyMs = undefined
+    unqueuedLatencyMs = 0
+    nextDecreaseMs = -Infinity
+  }
+
   const setMax = (next: number) => {
     max = Math.max(1, next)
     limit = Math.min(limit, max)
   }
 
-  return { tryAcquire, release, limit: () => Math.floor(limit), inFlight: () => inFlight, setMax }
+  const acquire = () => { inFlight++ }
+
+  return { tryAcquire, acquire, restart, release, limit: () => Math.floor(limit), inFlight: () => inFlight, setMax }
 }
