Pool: keep connections by expected reuse, count those of lost holders, pause longer after refusals

Cause: the pool closed the connection that was used longest ago. With more workspaces than connections, the rare ones displace the frequent ones, which open new connections. A successor of a lost holder opened as many as the limit permits while the database still counted those of the lost one, and tried again every 250 ms after each refusal. Change: an idle connection is valued by the rate of its workspace, divided among its idle connections (expected-reuse.ts). Replies of holders tell how many connections they have; those of a holder that is lost count for 3 s (left-connections.ts), but leave as many as the database has slots. The pause after a refusal doubles up to 3 s, and the pool then grows by one connection at a time until as many were opened as refused.

--- a/packages/gateway/src/coordination/connections/connection-pool.test.ts
+++ b/packages/gateway/src/coordination/connections/connection-pool.test.ts
@@ -5,7 +5,7 @@
 import test from 'ava'
 import fc from 'fast-check'
 import { createConnectionPool, recordDone, setupFor } from './connection-pool.js'
-import type { PooledConnection } from './connection-pool.js'
+import type { PooledConnection, PoolOptions } from './connection-pool.js'
 import type { DatabaseConnection } from './database-connection.js'
 import { createPreparedStatements } from './prepared-statements.js'
 import type { PreparedStatement } from './prepared-statements.js'
@@ -21,7 +21,7 @@
   }
 }
 
-const createPool = (maxConnections: number) => {
+const createPool = (maxConnections: number, options: Partial<PoolOptions> = {}) => {
   const opened: DatabaseConnection[] = []
   const time = { nowMs: 0, isFull: false }
   const pool = createConnectionPool({
@@ -32,7 +32,8 @@
       return Ok(connection)
     },
     maxConnections: () => maxConnections,
-    nowMs: () => time.nowMs
+    nowMs: () => time.nowMs,
+    ...options
   })
   const acquire = async (workspace: string): Promise<PooledConnection> => (await pool.acquire(workspace, 100)).unwrap()
   return { pool, opened, time, acquire }
@@ -58,6 +59,61 @@
   t.is(pool.size(), 2)
 })
 
+// Guards against connections of frequent workspaces that are closed for those of rare ones, and opened again.
+test('at the connection limit, frequent workspaces keep their connections', async t => {
+  const { pool, opened, time, acquire } = createPool(10)
+  const serve = async (workspace: string) => pool.release(await acquire(workspace))
+  const frequent = Array.from({ length: 8 }, (_, index) => `frequent-${index}`)
+  for (let second = 0; second < 60; second++) {
+    time.nowMs = second * 1000
+    for (const workspace of frequent) await serve(workspace)
+    for (let rare = 0; rare < 5; rare++) await serve(`rare-${second}-${rare}`)
+  }
+  // Eight of the frequent workspaces, and one for each statement of the rare ones.
+  t.true(opened.length <= 8 + 60 * 5 + 20, `${opened.length}`)
+  t.is(pool.size(), 10)
+})
+
+// Guards against a successor that is refused because the database counts the connections of a lost holder.
+test('connections of lost holders count towards the limit, and close none that are open', async t => {
+  const others = { count: 6 }
+  const { pool, acquire } = createPool(10, { connectionsOfOthers: () => others.count, minConnections: () => 2 })
+  const acquired = [await acquire('a'), await acquire('b'), await acquire('c'), await acquire('d')]
+  t.deepEqual([pool.hasCapacity(), pool.connectionsLeft()], [false, 0])
+  others.count = 30
+  for (const pooled of acquired) pool.release(pooled)
+  t.is(pool.size(), 4)
+  others.count = 0
+  t.is(pool.connectionsLeft(), 6)
+})
+
+test('whatever others have, the pool may open as many connections as it needs for all slots', async t => {
+  const { pool, acquire } = createPool(10, { connectionsOfOthers: () => 30, minConnections: () => 2 })
+  await acquire('a')
+  t.true(pool.hasCapacity())
+  await acquire('b')
+  t.false(pool.hasCapacity())
+})
+
+// Guards against hundreds of refusals by a database whose limit other clients use up.
+test('after repeated refusals as too many the pool waits longer, and grows by one at a time', async t => {
+  const { pool, time, acquire } = createPool(20)
+  let refusals = 0
+  time.isFull = true
+  for (time.nowMs = 0; time.nowMs < 10_000; time.nowMs += 10) {
+    if (!pool.hasCapacity()) continue
+    await pool.acquire('a', 100)
+    refusals++
+  }
+  t.true(refusals <= 7, `${refusals}`)
+  time.isFull = false
+  time.nowMs += 3000
+  const opening = acquire('a')
+  t.false(pool.hasCapacity())
+  await opening
+  t.true(pool.hasCapacity())
+})
+
 test('idle connections above the bound are closed, so that the next holder can connect', async t => {
   const { pool, acquire } = createPool(100)
   const acquired = await Promise.all(Array.from({ length: 90 }, (_, index) => acquire(`workspace-${index}`)))
--- a/packages/gateway/src/coordination/connections/connection-pool.ts
+++ b/packages/gateway/src/coordination/connections/connection-pool.ts
@@ -6,6 +6,8 @@
 import { Err, Ok } from '@egretyoke/common'
 import type { Result } from '@egretyoke/common'
 import type { ConnectDatabase, ConnectFailure, DatabaseCommand, DatabaseConnection } from './database-connection.js'
+import { createExpectedReuse } from './expected-reuse.js'
+import { lingerMs } from './left-connections.js'
 import { createPreparedStatements } from './prepared-statements.js'
 import type { PreparedStatement, PreparedStatements } from './prepared-statements.js'
 
@@ -36,15 +38,20 @@
   /** Closes a connection whose state is unknown, or that is no longer needed. */
   discard: (pooled: PooledConnection) => void
   size: () => number
-  /** Number of connections that the pool may have at most. */
-  maxConnections: () => number
+  /** Number of connections that the pool may still open. */
+  connectionsLeft: () => number
   /** Closes connections that have been idle for longer than `idleForMs`. */
   closeIdle: (idleForMs: number) => void
   close: () => void
 }
 
-/** The pool opens no additional connections for this long after the database refused one as too many. */
+/**
+ * The pool opens no additional connections for this long after the database refused one as too many; doubled by each
+ * further refusal up to `lingerMs`, after which the database no longer counts the connections of a lost holder.
+ */
 const fullBackoffMs = 250
+/** More refusals would only delay the growth after the limit has room again. */
+const maxCountedRefusals = 4
 /**
  * Maximum number of idle connections: `maxConnections` minus `reserved`, or `atLeast` if that is more. If this gateway
  * crashes, its idle connections occupy the database's limit until the database detects the loss; the reserved ones stay
@@ -56,6 +63,10 @@
 export type PoolOptions = {
   connect: (workspace: string, timeoutMs: number) => ReturnType<ConnectDatabase>
   maxConnections: () => number
+  /** Connections of other holders that the database counts towards its limit. */
+  connectionsOfOthers?: () => number
+  /** The pool may have this many connections, whatever others have: fewer would leave slots unused. */
+  minConnections?: () => number
   nowMs: () => number
 }
 
@@ -95,12 +106,17 @@
 }
 
 /** Creates an empty pool. */
-export const createConnectionPool = ({ connect, maxConnections, nowMs }: PoolOptions): ConnectionPool => {
+export const createConnectionPool = (
+  { connect, maxConnections, connectionsOfOthers = () => 0, minConnections = () => 1, nowMs }: PoolOptions
+): ConnectionPool => {
   const idle: PooledConnection[] = []
   const all = new Set<PooledConnection>()
   let opening = 0
   let isClosed = false
   let fullUntilMs = -Infinity
+  /** Refusals as too many, less the connections that were opened since. */
+  let refusals = 0
+  const expectedReuse = createExpectedReuse(nowMs)
 
   const remove = (pooled: PooledConnection) => {
     all.delete(pooled)
@@ -115,24 +131,34 @@
 
   const size = () => all.size + opening
 
-  /** Other clients may use up the database's connection limit: after a refusal the pool does not grow for a while. */
-  const canGrow = () => size() < maxConnections() && nowMs() >= fullUntilMs
+  const maxSize = () => Math.min(maxConnections(), Math.max(minConnections(), maxConnections() - connectionsOfOthers()))
+
+  /**
+   * Other clients may use up the database's connection limit: after a refusal the pool does not grow for a while, and
+   * then by one connection at a time until the refusals are made up for.
+   */
+  const canGrow = () => size() < maxSize() && nowMs() >= fullUntilMs && (refusals === 0 || opening === 0)
+
+  const evict = () => {
+    const leastLikely = expectedReuse.leastLikely(idle)
+    if (leastLikely !== undefined) discard(leastLikely)
+  }
 
-  const evictIfFull = () => {
-    if (canGrow()) return
-    const leastRecentlyUsed = idle[0]
-    if (leastRecentlyUsed !== undefined) discard(leastRecentlyUsed)
+  const recordRefusal = () => {
+    fullUntilMs = nowMs() + Math.min(lingerMs, fullBackoffMs * 2 ** refusals)
+    refusals = Math.min(refusals + 1, maxCountedRefusals)
   }
 
   const open = async (workspace: string, timeoutMs: number): Promise<Result<PooledConnection, ConnectFailure>> => {
-    evictIfFull()
+    if (!canGrow()) evict()
     opening++
     const connected = await connect(workspace, timeoutMs)
     opening--
     if (connected.err) {
-      if (connected.val.reason === 'full') fullUntilMs = nowMs() + fullBackoffMs
+      if (connected.val.reason === 'full') recordRefusal()
       return Err(connected.val)
     }
+    refusals = Math.max(0, refusals - 1)
     const connection = connected.val
     const pooled: PooledConnection = {
       number: ++lastNumber,
@@ -149,6 +175,7 @@
   }
 
   const acquire = async (workspace: string, timeoutMs: number): Promise<Result<PooledConnection, ConnectFailure>> => {
+    expectedReuse.recordUse(workspace)
     const reusable = idle.findLast(pooled => pooled.workspace === workspace)
     if (reusable === undefined) return await open(workspace, timeoutMs)
     idle.splice(idle.indexOf(reusable), 1)
@@ -159,7 +186,7 @@
     if (isClosed || !pooled.connection.isOpen() || size() > maxConnections()) return discard(pooled)
     pooled.idleSinceMs = nowMs()
     idle.push(pooled)
-    if (idle.length > Math.max(maxIdle.atLeast, maxConnections() - maxIdle.reserved)) discard(idle[0])
+    if (idle.length > Math.max(maxIdle.atLeast, maxConnections() - maxIdle.reserved)) evict()
   }
 
   return {
@@ -168,7 +195,7 @@
     release,
     discard,
     size,
-    maxConnections,
+    connectionsLeft: () => Math.max(0, maxSize() - size()),
     closeIdle: idleForMs => {
       for (const pooled of [...idle]) if (nowMs() - pooled.idleSinceMs > idleForMs) discard(pooled)
     },
--- a/packages/gateway/src/coordination/connections/database-holder.ts
+++ b/packages/gateway/src/coordination/connections/database-holder.ts
@@ -59,6 +59,8 @@
     connect: (workspace, timeoutMs) =>
       connect({ databaseId: id, address: database().address, group, workspace: nameAtDatabases(workspace) }, timeoutMs),
     maxConnections: () => Math.max(1, options.maxConnections() - spareConnections),
+    connectionsOfOthers: options.leftConnections,
+    minConnections: () => database().slots,
     nowMs
   })
   const transactions = createOpenTransactions({
@@ -210,7 +212,7 @@
     queued: queue.sizes(),
     serviceMs: queueAdmission.serviceMs(),
     position: newestPosition,
-    connectionsLeft: Math.max(0, pool.maxConnections() - pool.size()),
+    connectionsLeft: pool.connectionsLeft(),
     ageMs: 0
   })
 
--- a/packages/gateway/src/coordination/connections/holders.ts
+++ b/packages/gateway/src/coordination/connections/holders.ts
@@ -24,19 +24,21 @@
 
 /** Options of a holder that depend on its database. */
 type PerDatabaseOptions = 'database' | 'maxConnections' | 'transactionIdleMs' | 'acceptsNewWork' | 'isFirstHolder' |
-  'hasJustStarted' | 'primaryTerm'
+  'hasJustStarted' | 'primaryTerm' | 'leftConnections'
 
 /** Dependencies of the holders. */
 export type HoldersOptions = Omit<HolderOptions, PerDatabaseOptions> & {
   fleetState: FleetState
   isFirstHolder: (database: Database) => boolean
+  /** Connections that lost holders have left at the database, which it may still count. */
+  leftConnections?: (database: string) => number
 }
 
 /** Interval at which queues and open transactions are checked. */
 const maintenanceIntervalMs = 50
 /** Defaults if the configuration has no value. */
 const defaultTransactionIdleMs = 3000
-const defaultMaxConnections = 10
+export const defaultMaxConnections = 10
 /** A database is new for this long after its start; the wall clocks of VMs may differ by seconds. */
 const newDatabaseMs = 5000
 
@@ -62,6 +64,7 @@
       database: current,
       maxConnections: () =>
         fleetState.configuration()?.groups.get(database.group)?.maxConnections ?? defaultMaxConnections,
+      leftConnections: () => options.leftConnections?.(id) ?? 0,
       transactionIdleMs: () => fleetState.configuration()?.transactionIdleMs ?? defaultTransactionIdleMs,
       isFirstHolder: () => options.isFirstHolder(current()),
       hasJustStarted: () => restarted.delete(id) || Math.abs(Date.now() - database.startedAtMs) < newDatabaseMs,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -16,7 +16,8 @@
 import type { PositionSample } from './coordination/primaries/group-positions.js'
 import { createGroupRecords } from './coordination/primaries/group-records.js'
 import { createHolderChoice } from './coordination/routing/holder-choice.js'
-import { createHolders } from './coordination/connections/holders.js'
+import { createHolders, defaultMaxConnections } from './coordination/connections/holders.js'
+import { createLeftConnections, recordConnections } from './coordination/connections/left-connections.js'
 import { createTokenAllocator, shardOf } from './coordination/limits/token-allocator.js'
 import { createMembership } from './coordination/membership/membership.js'
 import { createRelayHandler, readPrimaryPosition } from './coordination/routing/relay-handler.js'
@@ -116,8 +117,18 @@
 
   const isFirstHolder = (database: Database) => contact.ageMs() < maxReadyContactAgeMs &&
     holderChoice.candidates(database, [])[0]?.name === self.name
+  const leftConnections = createLeftConnections({
+    isAlive: holder => {
+      const member = fleetState.members().get(holder)
+      return member !== undefined && links.isUsable(member)
+    },
+    nowMs: () => performance.now()
+  })
+  const maxConnectionsOf = (group: string) =>
+    fleetState.configuration()?.groups.get(group)?.maxConnections ?? defaultMaxConnections
   const holders = createHolders({
     fleetState,
+    leftConnections: leftConnections.countAt,
     isFirstHolder,
     connect,
     records,
@@ -154,7 +165,7 @@
     self,
     fleetState,
     holders: holderChoice,
-    relay: links,
+    relay: { ...links, call: recordConnections(links.call, leftConnections, maxConnectionsOf) },
     regionOf,
     runLocally: holders.run,
     abandonLocally: holders.abandon,
