Holder: count refusals before sending, log the pace and the named delay

Cause: the order and the estimate of a full database were visible in single log lines only. Change: counter egretyoke_statements_not_offered_total by reason; event 7041 gets the pace and the delay.

--- a/packages/gateway/src/coordination/connections/database-holder-types.ts
+++ b/packages/gateway/src/coordination/connections/database-holder-types.ts
@@ -62,5 +62,7 @@
   /** From 0 to 1; spreads the delays that refusals name. */
   random?: () => number
   counters: ConnectionCounters
+  /** Counts a statement that was refused before it was sent to the database. */
+  countNotOffered?: (reason: string) => void
   log: Logger
 }
--- a/packages/gateway/src/coordination/connections/database-holder.ts
+++ b/packages/gateway/src/coordination/connections/database-holder.ts
@@ -12,7 +12,7 @@
 import type { DatabaseHolder, DatabaseLoad, HolderOptions } from './database-holder-types.js'
 import { createDatabasePace } from './database-pace.js'
 import { createOpenTransactions } from './open-transactions.js'
-import { createQueueAdmission, maxExpectedWaitMs, retryAfterMs, statementClassOf } from './queue-admission.js'
+import { createQueueAdmission, maxExpectedWaitMs, retryDelayMs, statementClassOf } from './queue-admission.js'
 import { createRunningStatements } from './running-statements.js'
 import { createStatementExecution, noReplyReasons } from './statement-execution.js'
 import type { AcceptedStatement } from './statement-execution.js'
@@ -84,9 +84,8 @@
 
   const dropQueued = (statement: QueuedStatement, reason: DropReason) => {
     const queuedMs = Math.round(nowMs() - statement.arrivedAtMs)
-    log(events.notOffered, { request: statement.request.requestId, database: id, reason, queuedMs, load: load() })
     const outcome = notRun(reason === 'expired' ? 'queuedTooLong' : 'busy')
-    statement.complete({ ...outcome, queuedMs, retryAfterMs: delayUntilServed(statement.request) })
+    statement.complete({ ...outcome, queuedMs, retryAfterMs: recordNotOffered(statement.request, reason, queuedMs) })
   }
   const pace = createDatabasePace({
     slots: () => database().slots,
@@ -169,13 +168,21 @@
   }
 
   /** For a statement that came back, whose time would end after that of the waiting ones. */
-  const delayUntilServed = (request: StatementRequest) => retryAfterMs(expectedWaitMs(request, Infinity), random())
+  const delayUntilServed = (request: StatementRequest) => retryDelayMs(expectedWaitMs(request, Infinity), random())
 
-  const refuseAsBusy = (request: StatementRequest, reason: string): StatementOutcome => {
-    log(events.notOffered, { request: request.requestId, database: id, reason, queuedMs: 0, load: load() })
-    return { ...notRun('busy'), load: load(), retryAfterMs: delayUntilServed(request) }
+  /** Returns the delay after which the caller should come back. */
+  const recordNotOffered = (request: StatementRequest, reason: string, queuedMs: number) => {
+    const retryAfterMs = delayUntilServed(request)
+    options.countNotOffered?.(reason)
+    log(events.notOffered, {
+      request: request.requestId, database: id, reason, queuedMs, load: load(), pace: pace.limit(), retryAfterMs
+    })
+    return retryAfterMs
   }
 
+  const refuseAsBusy = (request: StatementRequest, reason: string): StatementOutcome =>
+    ({ ...notRun('busy'), load: load(), retryAfterMs: recordNotOffered(request, reason, 0) })
+
   const admit = async (request: StatementRequest): Promise<StatementOutcome> => {
     const arrivedAtMs = nowMs()
     const deadlineMs = arrivedAtMs + request.timeoutMs
--- a/packages/gateway/src/coordination/connections/queue-admission.ts
+++ b/packages/gateway/src/coordination/connections/queue-admission.ts
@@ -19,7 +19,7 @@
 /** Number of classes with their own service time; further ones share the average of all statements. */
 const maxClasses = 64
 /** Bounds of the delay that a refusal names; beyond the upper one, an estimate says nothing about the database. */
-const retryAfterBoundsMs = { min: 50, max: 5000 } as const
+const retryDelayBoundsMs = { min: 50, max: 5000 } as const
 /** Refused callers come back within this fraction of the expected wait after its end. */
 const retrySpread = 0.5
 
@@ -103,7 +103,7 @@
  * Delay after which the caller of a refused statement should come back: when what waits now has been served, spread so
  * that the callers that were refused together do not return together. `random` is from 0 to 1.
  */
-export const retryAfterMs = (expectedWaitMs: number, random: number): number => {
-  const { min, max } = retryAfterBoundsMs
+export const retryDelayMs = (expectedWaitMs: number, random: number): number => {
+  const { min, max } = retryDelayBoundsMs
   return Math.round(Math.min(max, Math.max(min, expectedWaitMs) * (1 + retrySpread * random)))
 }
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -10,6 +10,7 @@
   statementSeconds: Histogram<'kind'>
   statementsPrepared: Counter
   commandsDeclined: Counter<'kind' | 'reason'>
+  statementsNotOffered: Counter<'reason'>
   logLinesDropped: Counter
 }
 
@@ -60,6 +61,12 @@
       labelNames: ['kind', 'reason'],
       registers
     }),
+    statementsNotOffered: new Counter({
+      name: 'egretyoke_statements_not_offered_total',
+      help: 'Statements that a holder refused before it sent them to their database, by reason',
+      labelNames: ['reason'],
+      registers
+    }),
     logLinesDropped: new Counter({
       name: 'egretyoke_log_lines_dropped_total',
       help: 'Log lines dropped because the reader was too slow or the rate limit was exceeded',
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -139,6 +139,7 @@
       countPrepared: () => metrics.statementsPrepared.inc(),
       countDeclined: (kind, reason) => metrics.commandsDeclined.inc({ kind, reason })
     },
+    countNotOffered: reason => metrics.statementsNotOffered.inc({ reason }),
     log
   })
   const tokenAllocator = createTokenAllocator({
