--- a/packages/gateway/src/coordination/connections/database-holder-types.ts
+++ b/packages/gateway/src/coordination/connections/database-holder-types.ts
@@ -10,6 +10,9 @@
 import type { ConnectionCounters } from './connection-log.js'
 import type { ConnectDatabase } from './database-connection.js'
 
+/** State of a database as its holder reports it with each outcome. */
+export type DatabaseLoad = NonNullable<StatementOutcome['databaseLoad']>
+
 /** Runs statements at one database. */
 export type DatabaseHolder = {
   run: (request: StatementRequest) => Promise<StatementOutcome>
@@ -24,6 +27,8 @@
   hasRepliedRecently: () => boolean
   openTransactions: () => number
   connections: () => number
+  /** False while fewer statements run at once than the database has slots, because it has just come back. */
+  isPaceSettled: () => boolean
   /** Drops expired statements, ends idle transactions and dispatches the queue; call often while work is pending. */
   runMaintenance: () => void
   /**
@@ -38,16 +43,26 @@
 export type HolderOptions = {
   database: () => Database
   maxConnections: () => number
+  /** Connections that lost holders have left at the database, which it may still count. */
+  leftConnections?: () => number
   transactionIdleMs: () => number
   connect: ConnectDatabase
   /** True while other gateways send the database's statements here first: it ranks first and has store contact. */
   isFirstHolder: () => boolean
   /** False while the database accepts no new work. */
   acceptsNewWork: () => boolean
+  /** True if the database's process has just started. */
+  hasJustStarted?: () => boolean
+  /** Term in which the database is its group's primary; undefined if it is not. */
+  primaryTerm?: () => number | undefined
   records: GroupRecords
   positions: GroupPositions
   clock: AgeClock
   nowMs: () => number
+  /** From 0 to 1; spreads the delays that refusals name. */
+  random?: () => number
   counters: ConnectionCounters
+  /** Counts a statement that was refused before it was sent to the database. */
+  countNotOffered?: (reason: string) => void
   log: Logger
 }
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -11,6 +11,7 @@
   statementsPrepared: Counter
   commandsDeclined: Counter<'kind' | 'reason'>
   linkEvents: Counter<'event'>
+  statementsNotOffered: Counter<'reason'>
   logLinesDropped: Counter
 }
 
@@ -21,6 +22,7 @@
   databaseConnections: () => number
   openTransactions: () => number
   queuedStatements: () => number
+  databasesBelowSlots: () => number
 }
 
 /** Bucket bounds of the latency histogram, in seconds. */
@@ -36,6 +38,10 @@
   gauge('egretyoke_database_connections', 'Open connections to databases', gaugeReaders.databaseConnections)
   gauge('egretyoke_open_transactions', 'Open transactions, each on its own connection', gaugeReaders.openTransactions)
   gauge('egretyoke_statements_waiting', 'Statements queued for or running at databases', gaugeReaders.queuedStatements)
+  gauge(
+    'egretyoke_databases_below_slots', 'Databases that run fewer statements at once than they have slots',
+    gaugeReaders.databasesBelowSlots
+  )
   return {
     statements: new Counter({
       name: 'egretyoke_statements_total', help: 'Statements answered, by result', labelNames: ['result'], registers
@@ -62,6 +68,12 @@
       labelNames: ['event'],
       registers
     }),
+    statementsNotOffered: new Counter({
+      name: 'egretyoke_statements_not_offered_total',
+      help: 'Statements that a holder refused before it sent them to their database, by reason',
+      labelNames: ['reason'],
+      registers
+    }),
     logLinesDropped: new Counter({
       name: 'egretyoke_log_lines_dropped_total',
       help: 'Log lines dropped because the reader was too slow or the rate limit was exceeded',
