--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -94,5 +94,17 @@
   connectionShared: defineEvent(7051, 'connectionShared',
     'A statement began on a connection on which another one is running, which must not occur; names both requests.'),
   preparedLinesSuppressed: defineEvent(7053, 'preparedLinesSuppressed',
-    'Statements were prepared at a database too fast for a line 7049 each; gives the number of those without a line.')
+    'Statements were prepared at a database too fast for a line 7049 each; gives the number of those without a line.'),
+  usageClaimed: defineEvent(7060, 'usageClaimed',
+    'This gateway has claimed the usage reports of the fleet; names the first window that is not counted yet.'),
+  usageReported: defineEvent(7061, 'usageReported',
+    'The platform has accepted the usage report of a window.'),
+  usageReportFailed: defineEvent(7062, 'usageReportFailed',
+    'The platform did not accept the usage report of a window, or gave no answer; it is sent again.'),
+  usageIncomplete: defineEvent(7063, 'usageIncomplete',
+    'Counts of a window may be incomplete; names gateways without counts, gives the operations counted by senders.'),
+  usageDropped: defineEvent(7064, 'usageDropped',
+    'The usage report of a window was dropped, because too many windows are not acknowledged.'),
+  clockCorrected: defineEvent(7065, 'clockCorrected',
+    'The time by which usage is assigned to windows differed from that of most gateways and was corrected.')
 }
--- a/packages/gateway/src/state/fleet-state.ts
+++ b/packages/gateway/src/state/fleet-state.ts
@@ -6,8 +6,10 @@
 import type { StoredEntry } from '@egretyoke/fleet'
 import { events } from '../events.js'
 import type { Configuration, Database } from './configuration.js'
-import { decodeGroupRecord, decodeLimitRecord, decodeMember, recordPrefixes } from './stored-records.js'
-import type { GroupRecord, LimitRecord, Member } from './stored-records.js'
+import {
+  decodeGroupRecord, decodeLimitRecord, decodeMember, decodeUsageRecord, recordPrefixes, usageKey
+} from './stored-records.js'
+import type { GroupRecord, LimitRecord, Member, UsageRecord } from './stored-records.js'
 
 /** A workspace or group that the configuration names but that cannot be used, and why. */
 export type LeftOutName = { kind: 'workspace' | 'group', name: string, message: string }
@@ -45,6 +47,7 @@
   membersVersion: () => number
   group: (name: string) => Versioned<GroupRecord> | undefined
   limitRecord: (shard: number) => LimitRecord | undefined
+  usageRecord: () => Versioned<UsageRecord> | undefined
   apply: (entry: StoredEntry) => void
   /** Applies a complete listing; entries that it lacks are removed. */
   replaceAll: (entries: readonly StoredEntry[]) => void
@@ -63,6 +66,7 @@
   let membersVersion = 0
   const groups = new Map<string, Versioned<GroupRecord>>()
   const limits = new Map<string, LimitRecord>()
+  let usageRecord: Versioned<UsageRecord> | undefined
   const listeners: Array<(group: string) => void> = []
 
   const applyGatewayRecord = ({ key, value, deleted, revision }: StoredEntry): boolean => {
@@ -100,6 +104,13 @@
         : decodeLimitRecord(value).mapErr(e => logUnreadable(e.message)).unwrapOr(undefined)
       return put(limits, key.slice(recordPrefixes.limits.length), record)
     }
+    if (key === usageKey) {
+      const record = deleted
+        ? undefined
+        : decodeUsageRecord(value).mapErr(e => logUnreadable(e.message)).unwrapOr(undefined)
+      usageRecord = record && { record, revision, knownSinceMs: performance.now() }
+      return true
+    }
     return false
   }
 
@@ -178,6 +189,7 @@
     membersVersion: () => membersVersion,
     group: name => groups.get(name),
     limitRecord: shard => limits.get(String(shard)),
+    usageRecord: () => usageRecord,
     apply,
     replaceAll,
     onPrimaryChange: listener => { listeners.push(listener) }
--- a/packages/gateway/src/state/stored-records.ts
+++ b/packages/gateway/src/state/stored-records.ts
@@ -15,6 +15,9 @@
   limits: `${gatewayPrefix}limit/`
 } as const
 
+/** Key of the record of usage reports. */
+export const usageKey = `${gatewayPrefix}usage`
+
 const memberSchema = z.object({
   name: z.string(),
   dataCentre: z.string(),
@@ -61,6 +64,27 @@
 /** The gateway that allocates the rate limit tokens of a shard of the workspaces, as NAME/INCARNATION. */
 export type LimitRecord = z.infer<typeof limitRecordSchema>
 
+const usageWindowSchema = z.object({
+  window: z.number().int(),
+  /** Operations by workspace, in the order in which they are sent. */
+  counts: z.array(z.tuple([z.string(), z.number().int().nonnegative()]))
+})
+
+/** The counts of a window, final from the moment they are stored. */
+export type UsageWindow = z.infer<typeof usageWindowSchema>
+
+const usageRecordSchema = z.object({
+  /** NAME/INCARNATION of the reporter; empty after it has left. */
+  keeper: z.string(),
+  /** The first window that is not counted yet. */
+  nextWindow: z.number().int(),
+  /** Windows that are counted and not known to be acknowledged. */
+  windows: z.array(usageWindowSchema)
+})
+
+/** The reporter of usage and its counted windows. Not bound to a lease, so that a successor finds the counts. */
+export type UsageRecord = z.infer<typeof usageRecordSchema>
+
 /** A stored value that cannot be parsed. */
 export type UnreadableRecord = TypedError<'unreadableRecord'>
 
@@ -76,9 +100,11 @@
 export const decodeMember = createReader(memberSchema)
 export const decodeGroupRecord = createReader(groupRecordSchema)
 export const decodeLimitRecord = createReader(limitRecordSchema)
+export const decodeUsageRecord = createReader(usageRecordSchema)
 
 /** Encodes a record for the store. */
-export const encodeRecord = (record: Member | GroupRecord | LimitRecord): Buffer => Buffer.from(JSON.stringify(record))
+export const encodeRecord = (record: Member | GroupRecord | LimitRecord | UsageRecord): Buffer =>
+  Buffer.from(JSON.stringify(record))
 
 /** Name of a process, NAME/INCARNATION: the VM's name alone is reused by its next process. */
 export const processName = ({ name, incarnation }: Pick<Member, 'name' | 'incarnation'>): string =>
