Run usage reports in the gateway where its settings ask for them

Cause: the counts and the reporter were not connected to the gateway. Change: holders count a statement when it is sent to a database, and take it back when the database declines it; senders count by holder process when the reply arrives. The gateway replies to ReadUsage and runs the reporter. Without the settings there is no record, timer or message. The metrics are egretyoke_usage_reports_total and egretyoke_usage_windows_unsent.

--- a/packages/gateway/src/coordination/connections/database-holder-types.ts
+++ b/packages/gateway/src/coordination/connections/database-holder-types.ts
@@ -9,6 +9,7 @@
 import type { StatementOutcome, StatementRequest } from '../sessions/statement.js'
 import type { ConnectionCounters } from './connection-log.js'
 import type { ConnectDatabase } from './database-connection.js'
+import type { UsageCounter } from '../usage/usage-counter.js'
 
 /** Runs statements at one database. */
 export type DatabaseHolder = {
@@ -49,5 +50,7 @@
   clock: AgeClock
   nowMs: () => number
   counters: ConnectionCounters
+  /** Absent where no usage is reported. */
+  usage?: Pick<UsageCounter, 'countHeld'> | undefined
   log: Logger
 }
--- a/packages/gateway/src/coordination/connections/database-holder.ts
+++ b/packages/gateway/src/coordination/connections/database-holder.ts
@@ -18,6 +18,7 @@
 import type { ReplyListener, StatementRun } from './run-on-connection.js'
 import { nameAtDatabases } from '../sessions/session-identity.js'
 import { notRun, opensTransaction } from '../sessions/statement.js'
+import type { UsageCounter } from '../usage/usage-counter.js'
 import type { StatementOutcome, StatementReason, StatementRequest } from '../sessions/statement.js'
 
 const maxQueued = 512
@@ -148,11 +149,14 @@
     const coversUntil = clock.now()
     const use = connectionLog.startUse(pooled, request)
     let hasReplied = false
+    let countReply: ReturnType<UsageCounter['countHeld']>
+    const onSend = () => { countReply = options.usage?.countHeld(request) }
     const onReply: ReplyListener = (command, reply) => {
       use.onReply(command, reply)
+      countReply?.(reply)
       if (reply.isUnsent !== true) hasReplied = reply.outcome !== 'lost'
     }
-    const run = await runOnConnection(pooled, request, position, remainingMs, onReply)
+    const run = await runOnConnection(pooled, request, position, remainingMs, onReply, onSend)
     use.end()
     const { outcome } = run
     if (hasReplied && !noReplyReasons.has(outcome.reason)) lastReplyMs = nowMs()
--- a/packages/gateway/src/coordination/connections/run-on-connection.ts
+++ b/packages/gateway/src/coordination/connections/run-on-connection.ts
@@ -120,11 +120,11 @@
 /**
  * Runs the statement. `positionAtLeast` is attached to the first command that reads. The statement is sent only after
  * all setup commands have succeeded: pipelined behind a declined one, it would run in the wrong session state or
- * outside its transaction.
+ * outside its transaction. `onSend` is called just before; later replies are those of the statement itself.
  */
 export const runOnConnection = async (
   pooled: PooledConnection, request: StatementRequest, positionAtLeast: string, timeoutMs: number,
-  onReply: ReplyListener
+  onReply: ReplyListener, onSend: () => void = () => {}
 ): Promise<StatementRun> => {
   const readOnly = request.transaction === 'OPEN_READ_ONLY'
   const required = { values: request.values, prepared: preparedOf(request) }
@@ -139,6 +139,7 @@
   if (remainingMs <= 0) return { outcome: notRun('silent'), isReusable: false, transaction: 'none' }
   const requiresPosition = request.transaction === 'SINGLE' && request.access === 'READ'
   const command = commandOf(request, preparedName, requiresPosition ? positionAtLeast : '')
+  onSend()
   const [reply] = await pooled.connection.run([command], remainingMs)
   const prepared = preparedName ?? ''
   if (reply === undefined) {
--- a/packages/gateway/src/coordination/routing/relay-handler.ts
+++ b/packages/gateway/src/coordination/routing/relay-handler.ts
@@ -10,6 +10,7 @@
 import type { GroupPositions } from '../primaries/group-positions.js'
 import type { GroupRecords } from '../primaries/group-records.js'
 import type { Holders } from '../connections/holders.js'
+import type { Usage } from '../usage/usage.js'
 import type { TokenAllocator } from '../limits/token-allocator.js'
 import { notRun } from '../sessions/statement.js'
 import type { StatementOutcome, StatementRequest } from '../sessions/statement.js'
@@ -26,6 +27,8 @@
   control: ControlCommands
   contact: Contact
   clock: AgeClock
+  /** Absent where no usage is reported. */
+  usage?: Pick<Usage, 'answer'> | undefined
   isReady: () => boolean
 }
 
@@ -113,6 +116,7 @@
     if (request.stopPrimary) return await stopPrimary(request.stopPrimary)
     if (request.probeDatabase) return await probe(request.probeDatabase)
     if (request.followStore) return { storeNews: await replyToFollower(options, request.followStore) }
+    if (request.readUsage && options.usage) return { usageCounts: options.usage.answer(request.readUsage) }
     if (request.abandon) {
       holders.abandon(request.abandon.database, request.abandon.transactionId)
       return undefined
--- a/packages/gateway/src/coordination/routing/statement-router.ts
+++ b/packages/gateway/src/coordination/routing/statement-router.ts
@@ -8,6 +8,7 @@
 import { events } from '../../events.js'
 import type { Database, Route } from '../../state/configuration.js'
 import type { FleetState } from '../../state/fleet-state.js'
+import { processName } from '../../state/stored-records.js'
 import type { Member } from '../../state/stored-records.js'
 import type { HolderChoice, GatewayLocation } from './holder-choice.js'
 import type { RelayCalls } from './relay-calls.js'
@@ -15,6 +16,7 @@
 import { decideRetry } from './retry-decision.js'
 import { isRead, notRun, opensTransaction, unknownOutcome } from '../sessions/statement.js'
 import type { StatementOutcome, StatementReason, StatementRequest } from '../sessions/statement.js'
+import type { UsageCounter } from '../usage/usage-counter.js'
 
 /** Database and holder of an open transaction. */
 export type TransactionLocation = { database: string, holder: Member }
@@ -50,6 +52,8 @@
   /** Runs a statement on a connection of this gateway. */
   runLocally: (request: StatementRequest) => Promise<StatementOutcome>
   abandonLocally: (database: string, transactionId: string) => void
+  /** Absent where no usage is reported. */
+  usage?: Pick<UsageCounter, 'countSent'> | undefined
   log: Logger
 }
 
@@ -85,8 +89,13 @@
 
   const runAtHolder = async (holder: Member, request: StatementRequest): Promise<StatementOutcome> => {
     if (holder.name === self.name) return await options.runLocally(request)
+    const forwardedAtMs = nowMs()
     const reply = await relay.call(holder, { run: request }, request.timeoutMs + relayAllowanceMs)
-    if (reply.ok) return (reply.val.statement ?? notRun('moved')) as StatementOutcome
+    if (reply.ok) {
+      const outcome = (reply.val.statement ?? notRun('moved')) as StatementOutcome
+      options.usage?.countSent(processName(holder), request, outcome, forwardedAtMs)
+      return outcome
+    }
     if (reply.val.reason === 'tooLarge') return notRun('tooLarge')
     if (reply.val.reason === 'unsent') return notRun('holderSilent')
     if (request.transaction !== 'SINGLE' && request.verb !== 'COMMIT') {
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -11,6 +11,7 @@
   statementsPrepared: Counter
   commandsDeclined: Counter<'kind' | 'reason'>
   logLinesDropped: Counter
+  usageReports: Counter<'result'>
 }
 
 /** Values of the gauges, read at each scrape. */
@@ -20,6 +21,7 @@
   databaseConnections: () => number
   openTransactions: () => number
   queuedStatements: () => number
+  unsentUsageWindows: () => number
 }
 
 /** Bucket bounds of the latency histogram, in seconds. */
@@ -35,6 +37,8 @@
   gauge('egretyoke_database_connections', 'Open connections to databases', gaugeReaders.databaseConnections)
   gauge('egretyoke_open_transactions', 'Open transactions, each on its own connection', gaugeReaders.openTransactions)
   gauge('egretyoke_statements_waiting', 'Statements queued for or running at databases', gaugeReaders.queuedStatements)
+  gauge('egretyoke_usage_windows_unsent', 'Windows stored by this reporter and not acknowledged',
+    gaugeReaders.unsentUsageWindows)
   return {
     statements: new Counter({
       name: 'egretyoke_statements_total', help: 'Statements answered, by result', labelNames: ['result'], registers
@@ -59,6 +63,12 @@
       name: 'egretyoke_log_lines_dropped_total',
       help: 'Log lines dropped because the reader was too slow or the rate limit was exceeded',
       registers
+    }),
+    usageReports: new Counter({
+      name: 'egretyoke_usage_reports_total',
+      help: 'Calls that report usage to the platform, by result',
+      labelNames: ['result'],
+      registers
     })
   }
 }
--- a/packages/gateway/src/gateway-types.ts
+++ b/packages/gateway/src/gateway-types.ts
@@ -7,6 +7,8 @@
 import type { PromoteDatabase } from './coordination/primaries/primary-change.js'
 import type { SessionError } from './coordination/sessions/session-messages.js'
 import type { Session } from './coordination/sessions/session.js'
+import type { UsageSettings } from './coordination/usage/usage-reporter.js'
+import type { ReportUsage } from './coordination/usage/usage-sender.js'
 import type { SharedStore } from './coordination/store/shared-store.js'
 import type { GatewayMetrics } from './gateway-metrics.js'
 import type { DecodePlatformEntry } from './state/fleet-state.js'
@@ -23,6 +25,8 @@
   keyWithdrawalMs: number
   /** Time between the request to stop and the end of the process. */
   graceMs: number
+  /** Usage reports; absent where the platform does not ask for them. */
+  usage?: UsageSettings
 }
 
 /** Services of the platform that the gateway calls, implemented by the platform's adapter. */
@@ -31,6 +35,8 @@
   connect: ConnectDatabase
   promote: PromoteDatabase
   decodeEntry: DecodePlatformEntry
+  /** Needed only with the settings of usage reports. */
+  reportUsage?: ReportUsage
 }
 
 /** A running gateway. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -25,6 +25,7 @@
 import { createStatementRouter } from './coordination/routing/statement-router.js'
 import { followStore } from './coordination/store/store-follower.js'
 import { createStoreSources } from './coordination/store/store-sources.js'
+import { createUsage } from './coordination/usage/usage.js'
 import { events } from './events.js'
 import { createGatewayMetrics } from './gateway-metrics.js'
 import type { Gateway, GatewayPlatform, GatewaySettings } from './gateway-types.js'
@@ -91,6 +92,23 @@
   const records = createGroupRecords({ self: selfName, fleetState, contact, isLeaseHeld, store, log })
   const holderChoice = createHolderChoice({ self, election, regionOf, isUsable: links.isUsable })
 
+  const usage = settings.usage && platform.reportUsage && createUsage({
+    self: selfName,
+    name: self.name,
+    settings: settings.usage,
+    fleetState,
+    election,
+    membership,
+    contact,
+    store,
+    relay: links,
+    report: platform.reportUsage,
+    onResult: result => metrics.usageReports.inc({ result }),
+    monotonic: () => performance.now(),
+    wall: Date.now,
+    log
+  })
+
   const askPosition = async (holder: Member, group: string): Promise<PositionSample | undefined> => {
     const requestedAt = clock.now()
     if (holder.name === self.name) {
@@ -124,6 +142,7 @@
     positions,
     clock,
     nowMs: () => performance.now(),
+    usage,
     counters: {
       countPrepared: () => metrics.statementsPrepared.inc(),
       countDeclined: (kind, reason) => metrics.commandsDeclined.inc({ kind, reason })
@@ -158,6 +177,7 @@
     regionOf,
     runLocally: holders.run,
     abandonLocally: holders.abandon,
+    usage,
     log
   })
   const groupMonitor = createGroupMonitor({
@@ -187,6 +207,7 @@
     control: controlCommands,
     contact,
     clock,
+    usage,
     isReady: () => isReady()
   })
   const listener = await listenGrpc(
@@ -199,7 +220,8 @@
     contactAgeMs: () => contact.ageMs(),
     databaseConnections: () => holders.all().reduce((sum, holder) => sum + holder.connections(), 0),
     openTransactions: () => holders.all().reduce((sum, holder) => sum + holder.openTransactions(), 0),
-    queuedStatements: () => holders.all().reduce((sum, holder) => sum + holder.load(), 0)
+    queuedStatements: () => holders.all().reduce((sum, holder) => sum + holder.load(), 0),
+    unsentUsageWindows: () => usage?.unsentWindows() ?? 0
   })
 
   const hasCurrentKeys = () => contact.ageMs() < keyWithdrawalMs - keyWithdrawalMarginMs
@@ -237,6 +259,7 @@
     membership.run(signal),
     tokenAllocator.run(signal),
     groupMonitor.run(signal),
+    usage?.run(signal),
     watchReadiness(),
     runMaintenance()
   ]
@@ -255,7 +278,7 @@
   const drain = async () => {
     isDraining = true
     log(events.gatewayDraining, { sessions: sessionCount })
-    await Promise.all([membership.startDraining(), tokenAllocator.leave()])
+    await Promise.all([membership.startDraining(), tokenAllocator.leave(), usage?.leave()])
     const settleMs = graceMs * holderGraceFraction
     await Promise.all(holders.all().map(async holder => await holder.waitUntilIdle(settleMs)))
   }
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -6,6 +6,8 @@
 export type { Session } from './coordination/sessions/session.js'
 export type { SessionError, SessionResponse, SessionStatement } from './coordination/sessions/session-messages.js'
 export { maxEntryBytes } from './coordination/sessions/session-state.js'
+export type { UsageSettings } from './coordination/usage/usage-reporter.js'
+export type { ReportUsage, UsageReport } from './coordination/usage/usage-sender.js'
 export type { Changes, Listing, SharedStore, StoreError } from './coordination/store/shared-store.js'
 export { events } from './events.js'
 export { startGateway } from './gateway.js'
--- a/packages/gateway/src/testing/memory-fleet.ts
+++ b/packages/gateway/src/testing/memory-fleet.ts
@@ -9,6 +9,8 @@
 import type { Gateway } from '../gateway-types.js'
 import type { Session } from '../coordination/sessions/session.js'
 import type { SessionResponse, SessionStatement } from '../coordination/sessions/session-messages.js'
+import type { UsageSettings } from '../coordination/usage/usage-reporter.js'
+import type { ReportUsage } from '../coordination/usage/usage-sender.js'
 import type { Configuration, Route, Workspace } from '../state/configuration.js'
 import type { DecodePlatformEntry } from '../state/fleet-state.js'
 import { createMemoryGroup } from './memory-group.js'
@@ -35,6 +37,9 @@
   close: () => Promise<void>
 }
 
+/** Usage reports of a gateway; undefined for one that makes none. */
+export type UsageOf = (gateway: string) => { settings: UsageSettings, report: ReportUsage } | undefined
+
 /** The configuration as the tests store it. */
 export type StoredConfiguration = {
   version: number, routes: Route[], workspaces: Array<Workspace & { keys: string[] }>, syncReplicas?: number
@@ -123,7 +128,9 @@
 }
 
 /** Starts a fleet of gateways in data centres `dc-1`, `dc-2` and so on. */
-export const startMemoryFleet = async (size: number, stored = standardConfiguration): Promise<MemoryFleet> => {
+export const startMemoryFleet = async (
+  size: number, stored = standardConfiguration, usageOf: UsageOf = () => undefined
+): Promise<MemoryFleet> => {
   const store = createMemoryStore()
   const group = createMemoryGroup(groupName)
   const events: LoggedEvent[] = []
@@ -137,7 +144,9 @@
     const log = (event: EventDefinition, fields: EventFields | (() => EventFields) = {}) => {
       events.push({ gateway: name, name: event.name, fields: typeof fields === 'function' ? fields() : fields })
     }
+    const usage = usageOf(name)
     const gateway = await startGateway({
+      ...usage && { usage: usage.settings },
       name,
       dataCentre,
       regionByDataCentre: new Map([['dc-1', 'north'], ['dc-2', 'south'], ['dc-3', 'west']]),
@@ -145,7 +154,13 @@
       channels: { allowPlainText: false },
       keyWithdrawalMs: 5000,
       graceMs: 2000
-    }, { store: client, connect: group.connect, promote: group.promote, decodeEntry: decodePlatformEntry }, log)
+    }, {
+      store: client,
+      connect: group.connect,
+      promote: group.promote,
+      decodeEntry: decodePlatformEntry,
+      ...usage && { reportUsage: usage.report }
+    }, log)
     const started = { name, gateway, setStoreMode: client.setMode, watchCalls: client.watchCalls }
     gateways.push(started)
     return started
