Ask draining gateways for usage before the end of a window

Cause: a gateway that drains and leaves between two collections takes the counts of its own callers with it, in each restart in turn.

--- a/packages/gateway/src/coordination/usage/usage-collector.ts
+++ b/packages/gateway/src/coordination/usage/usage-collector.ts
@@ -1,6 +1,7 @@
 /**
  * Asks all gateways for their counts of the open windows, and for their wall clocks. A gateway that does not reply is
- * asked again until the window is final.
+ * asked again until the window is final. One that is draining is also asked before the window's end, because it may
+ * have left the fleet by then.
  */
 import type { FleetState } from '../../state/fleet-state.js'
 import { processName } from '../../state/stored-records.js'
@@ -22,6 +23,8 @@
 export type UsageCollector = {
   /** Asks the members that have not replied; call often. */
   ask: (window: number) => void
+  /** Asks the draining members for what they have counted of a window that is not open yet; call often. */
+  askDraining: (window: number) => void
   hasAllReplies: (window: number) => boolean
   /** True if each member had the time of a call to reply. */
   hasAskedAll: (window: number) => boolean
@@ -47,11 +50,15 @@
 }
 
 type Collection = {
-  startedAtMs: number
+  /** Infinity until the members are asked for their final counts. */
+  openedAtMs: number
   askedAtMs: Map<string, number>
   pending: Set<string>
   /** Counts by process; undefined for one of an earlier version, which counts nothing. */
   replies: Map<string, WindowCounts | undefined>
+  /** Counts of draining processes, which count while there is no reply. */
+  early: Map<string, WindowCounts>
+  earlyAskedAtMs: Map<string, number>
   clockOffsetsMs: Map<string, number>
 }
 
@@ -61,7 +68,13 @@
   const collections = new Map<number, Collection>()
 
   const createCollection = (): Collection => ({
-    startedAtMs: monotonic(), askedAtMs: new Map(), pending: new Set(), replies: new Map(), clockOffsetsMs: new Map()
+    openedAtMs: Infinity,
+    askedAtMs: new Map(),
+    pending: new Set(),
+    replies: new Map(),
+    early: new Map(),
+    earlyAskedAtMs: new Map(),
+    clockOffsetsMs: new Map()
   })
 
   const collectionOf = (window: number): Collection => {
@@ -72,13 +85,17 @@
 
   const others = (): Member[] => [...fleetState.members().values()].filter(member => processName(member) !== self)
 
+  const readFrom = async (member: Member, window: number) => {
+    const wallMs = clock.isConfirmed() ? clock.nowMs() : 0
+    return await relay.call(member, { readUsage: { window, wallMs } }, callTimeoutMs)
+  }
+
   const askMember = async (member: Member, window: number, collection: Collection) => {
     const process = processName(member)
     const sentAtMs = monotonic()
     collection.askedAtMs.set(process, sentAtMs)
     collection.pending.add(process)
-    const wallMs = clock.isConfirmed() ? clock.nowMs() : 0
-    const reply = await relay.call(member, { readUsage: { window, wallMs } }, callTimeoutMs)
+    const reply = await readFrom(member, window)
     collection.pending.delete(process)
     if (reply.err) return
     const { usageCounts } = reply.val
@@ -86,6 +103,14 @@
     if (usageCounts) collection.clockOffsetsMs.set(process, usageCounts.wallMs - (sentAtMs + monotonic()) / 2)
   }
 
+  const askEarly = async (member: Member, window: number, { early, earlyAskedAtMs }: Collection) => {
+    const process = processName(member)
+    if (monotonic() - (earlyAskedAtMs.get(process) ?? -Infinity) < repeatIntervalMs) return
+    earlyAskedAtMs.set(process, monotonic())
+    const reply = await readFrom(member, window)
+    if (reply.ok && reply.val.usageCounts) early.set(process, decodeCounts(reply.val.usageCounts))
+  }
+
   const shouldAsk = ({ replies, pending, askedAtMs }: Collection, process: string) =>
     !replies.has(process) && !pending.has(process) &&
     monotonic() - (askedAtMs.get(process) ?? -Infinity) >= repeatIntervalMs
@@ -96,20 +121,25 @@
   return {
     ask: window => {
       const collection = collectionOf(window)
+      collection.openedAtMs = Math.min(collection.openedAtMs, monotonic())
       for (const member of others()) {
         if (shouldAsk(collection, processName(member))) askMember(member, window, collection)
       }
     },
+    askDraining: window => {
+      for (const member of others()) if (member.draining) askEarly(member, window, collectionOf(window))
+    },
     hasAllReplies: window => {
       const { replies } = collectionOf(window)
       return others().every(member => replies.has(processName(member)))
     },
-    hasAskedAll: window => monotonic() - collectionOf(window).startedAtMs >= callTimeoutMs,
+    hasAskedAll: window => monotonic() - collectionOf(window).openedAtMs >= callTimeoutMs,
     compareClocks: window => correctClock(collectionOf(window)),
     combine: window => {
-      const replies = new Map(collectionOf(window).replies).set(self, counter.read(window))
+      const { replies, early } = collectionOf(window)
       const silent = others().map(processName).filter(process => replies.get(process) === undefined)
-      return { ...combineCounts(replies), silent }
+      const known = new Map([...early, ...replies, [self, counter.read(window)]])
+      return { ...combineCounts(known), silent }
     },
     retain: windows => {
       for (const window of collections.keys()) if (!windows.includes(window)) collections.delete(window)
--- a/packages/gateway/src/coordination/usage/usage-reporter.test.ts
+++ b/packages/gateway/src/coordination/usage/usage-reporter.test.ts
@@ -85,6 +85,22 @@
   t.true(fleet.logged.some(({ name }) => name === 'usageIncomplete'))
 })
 
+// Guards against the loss of what a gateway ran for its own callers when gateways are restarted in turn.
+test('a gateway that drains and leaves before the end of a window is counted', async t => {
+  const fleet = await startFleet()
+  const window = currentWindow(fleet)
+  for (let count = 0; count < 7; count++) fleet.run('x', 'vm-3')
+  fleet.drain('vm-3')
+  await fleet.advance(1200)
+  fleet.run('x', 'vm-3')
+  await fleet.advance(1200)
+  fleet.kill('vm-3')
+  fleet.endMembership('vm-3')
+  await fleet.advance(2 * windowMs)
+  t.is(sentCounts(fleet, window), '[["x",8]]')
+  t.deepEqual(brokenRules(fleet.calls), [])
+})
+
 test('a reporter that dies before it has stored a window is replaced in time for its report', async t => {
   const fleet = await startFleet()
   const window = currentWindow(fleet)
--- a/packages/gateway/src/coordination/usage/usage-reporter.ts
+++ b/packages/gateway/src/coordination/usage/usage-reporter.ts
@@ -11,7 +11,7 @@
 import type { UsageDuty } from './usage-duty.js'
 import { callFraction, firstDueWindow, maySend, withCounted } from './usage-record.js'
 import type { UsageSender } from './usage-sender.js'
-import { isCollected, windowAt, windowsToCollect } from './usage-windows.js'
+import { isCollected, windowAt, windowsAhead, windowsToCollect } from './usage-windows.js'
 
 const stepIntervalMs = 200
 /** A fleet's first reporter claims this long after its start, when other gateways can be asked for their clocks. */
@@ -97,8 +97,10 @@
     const nowMs = clock.nowMs()
     const nextWindow = firstDueWindow(stored.nextWindow, windowAt(nowMs, windowMs))
     const open = windowsToCollect(nextWindow, nowMs, windowMs)
-    collector.retain(open)
+    const ahead = windowsAhead(nextWindow, nowMs, windowMs)
+    collector.retain([...open, ...ahead])
     for (const window of open) collector.ask(window)
+    for (const window of ahead) collector.askDraining(window)
     if (duty.isBackingOff()) return
     const firstOpen = open.findIndex(window => !isFinal(window))
     const final = firstOpen === -1 ? open : open.slice(0, firstOpen)
--- a/packages/gateway/src/coordination/usage/usage-windows.ts
+++ b/packages/gateway/src/coordination/usage/usage-windows.ts
@@ -25,6 +25,13 @@
   return windows
 }
 
+/** Windows that are not to be collected yet, of which a member that leaves may have counted operations. */
+export const windowsAhead = (nextWindow: number, nowMs: number, windowMs: number): number[] => {
+  const current = windowAt(nowMs, windowMs)
+  const firstAhead = nextWindow + windowsToCollect(nextWindow, nowMs, windowMs).length
+  return [current - 1, current].filter(window => window >= firstAhead)
+}
+
 /** State of the collection of one window. */
 export type CollectionState = {
   window: number
--- a/packages/gateway/src/testing/usage-environment.ts
+++ b/packages/gateway/src/testing/usage-environment.ts
@@ -57,6 +57,7 @@
   /** Advances the time in the steps of the reporters' loops. */
   advance: (ms: number) => Promise<void>
   setRank: (names: string[]) => void
+  drain: (name: string) => void
   /** Ends a process; its membership ends when its lease does. */
   kill: (name: string) => void
   endMembership: (name: string) => void
@@ -215,6 +216,9 @@
     advance,
     nowMs: () => nowMs,
     setRank: (names: string[]) => { rank = names },
+    drain: name => {
+      write({ key: recordPrefixes.vms + name, value: encodeRecord({ ...at(name).member, draining: true }) })
+    },
     kill: name => { at(name).state.isAlive = false },
     endMembership: (name: string) => {
       write({ key: recordPrefixes.vms + name, value: Buffer.alloc(0), delete: true })
