Log a usage report that may lack counts of a process that ended

Cause: the line was written only for members that did not reply, and not for a process that had left the fleet by then, nor after a restart of all gateways. Change: the reporter remembers which processes were members during a window; a successor also marks windows that began before its own start.

--- a/packages/gateway/src/coordination/usage/usage-collector.ts
+++ b/packages/gateway/src/coordination/usage/usage-collector.ts
@@ -16,7 +16,7 @@
 const callTimeoutMs = 900
 const repeatIntervalMs = 1000
 
-/** Counts of a window as far as they are known, and the processes that gave none. */
+/** Counts of a window as far as they are known, and the processes that were members and gave none. */
 export type CollectedWindow = CombinedCounts & { silent: string[] }
 
 /** Collects the counts of windows. */
@@ -52,6 +52,8 @@
 type Collection = {
   /** Infinity until the members are asked for their final counts. */
   openedAtMs: number
+  /** Processes that were members since the collection was created. */
+  seen: Set<string>
   askedAtMs: Map<string, number>
   pending: Set<string>
   /** Counts by process; undefined for one of an earlier version, which counts nothing. */
@@ -69,6 +71,7 @@
 
   const createCollection = (): Collection => ({
     openedAtMs: Infinity,
+    seen: new Set(),
     askedAtMs: new Map(),
     pending: new Set(),
     replies: new Map(),
@@ -85,6 +88,12 @@
 
   const others = (): Member[] => [...fleetState.members().values()].filter(member => processName(member) !== self)
 
+  const seenMembers = ({ seen }: Collection): Member[] => {
+    const members = others()
+    for (const member of members) seen.add(processName(member))
+    return members
+  }
+
   const readFrom = async (member: Member, window: number) => {
     const wallMs = clock.isConfirmed() ? clock.nowMs() : 0
     return await relay.call(member, { readUsage: { window, wallMs } }, callTimeoutMs)
@@ -122,12 +131,13 @@
     ask: window => {
       const collection = collectionOf(window)
       collection.openedAtMs = Math.min(collection.openedAtMs, monotonic())
-      for (const member of others()) {
+      for (const member of seenMembers(collection)) {
         if (shouldAsk(collection, processName(member))) askMember(member, window, collection)
       }
     },
     askDraining: window => {
-      for (const member of others()) if (member.draining) askEarly(member, window, collectionOf(window))
+      const collection = collectionOf(window)
+      for (const member of seenMembers(collection)) if (member.draining) askEarly(member, window, collection)
     },
     hasAllReplies: window => {
       const { replies } = collectionOf(window)
@@ -136,9 +146,9 @@
     hasAskedAll: window => monotonic() - collectionOf(window).openedAtMs >= callTimeoutMs,
     compareClocks: window => correctClock(collectionOf(window)),
     combine: window => {
-      const { replies, early } = collectionOf(window)
-      const silent = others().map(processName).filter(process => replies.get(process) === undefined)
+      const { replies, early, seen } = collectionOf(window)
       const known = new Map([...early, ...replies, [self, counter.read(window)]])
+      const silent = [...seen].filter(process => known.get(process) === undefined)
       return { ...combineCounts(known), silent }
     },
     retain: windows => {
--- a/packages/gateway/src/coordination/usage/usage-reporter.test.ts
+++ b/packages/gateway/src/coordination/usage/usage-reporter.test.ts
@@ -85,6 +85,20 @@
   t.true(fleet.logged.some(({ name }) => name === 'usageIncomplete'))
 })
 
+// Guards against a loss that nobody sees: what the holder ran for its own callers is counted nowhere else.
+test('a report without the counts of a process that ended is sent with a log line', async t => {
+  const fleet = await startFleet()
+  const window = currentWindow(fleet)
+  fleet.run('x', 'vm-3')
+  await fleet.advance(200)
+  fleet.kill('vm-3')
+  await fleet.advance(1000)
+  fleet.endMembership('vm-3')
+  await fleet.advance(2 * windowMs)
+  t.is(sentCounts(fleet, window), '[]')
+  t.true(fleet.logged.some(({ name }) => name === 'usageIncomplete'))
+})
+
 // Guards against the loss of what a gateway ran for its own callers when gateways are restarted in turn.
 test('a gateway that drains and leaves before the end of a window is counted', async t => {
   const fleet = await startFleet()
@@ -251,6 +265,7 @@
   for (const name of ['vm-2', 'vm-3', 'vm-1']) fleet.start(name, { incarnation: '2' })
   await fleet.advance(4 * windowMs)
   t.true(windowsOf(fleet).includes(before + 1))
+  t.true(fleet.logged.some(({ name }) => name === 'usageIncomplete'))
   t.true(isWithoutGaps(windowsOf(fleet)))
   t.deepEqual(brokenRules(fleet.calls), [])
 })
--- a/packages/gateway/src/coordination/usage/usage-reporter.ts
+++ b/packages/gateway/src/coordination/usage/usage-reporter.ts
@@ -17,6 +17,9 @@
 /** A fleet's first reporter claims this long after its start, when other gateways can be asked for their clocks. */
 const firstClaimDelayMs = 1000
 
+/** Names of silent processes in a log line. */
+const maxLoggedNames = 10
+
 /** Settings of usage reports. */
 export type UsageSettings = {
   /** Length of a window. */
@@ -60,14 +63,18 @@
   const { windowMs, lateMs, leaseMs, tolerance } = settings
   const startedAtMs = monotonic()
   let isLeaving = false
+  let isSuccessor = false
   let lastStep: Promise<void> = Promise.resolve()
 
+  /** True time at which this process started. */
+  const startMs = () => clock.nowMs() - (monotonic() - startedAtMs)
+
   const claim = async () => {
     if (!duty.hasRecord() && monotonic() - startedAtMs < firstClaimDelayMs) return
     if (!clock.isConfirmed()) await collector.checkClocks(windowAt(clock.nowMs(), windowMs))
     if (isLeaving || !duty.shouldClaim()) return
-    const fleetStartMs = clock.nowMs() - (monotonic() - startedAtMs)
-    await duty.claim(windowAt(fleetStartMs, windowMs))
+    isSuccessor = duty.hasRecord()
+    await duty.claim(windowAt(startMs(), windowMs))
   }
 
   const isFinal = (window: number) => isCollected({
@@ -80,8 +87,11 @@
   })
 
   const logIncomplete = (window: number, { silent, fromSenders, total }: CollectedWindow) => {
-    if (silent.length === 0 && fromSenders <= total * tolerance) return
-    log(events.usageIncomplete, { window, silent: silent.length, names: silent.slice(0, 10), fromSenders, total })
+    // Of a window from before its start, a successor does not know which processes were members.
+    const isFromBefore = isSuccessor && window * windowMs < startMs()
+    if (silent.length === 0 && fromSenders <= total * tolerance && !isFromBefore) return
+    const names = silent.slice(0, maxLoggedNames)
+    log(events.usageIncomplete, { window, silent: silent.length, names, isFromBefore, fromSenders, total })
   }
 
   const storeCounted = async (record: UsageRecord, windows: readonly number[]) => {
