Report workspaces by their own names, and callers without a key not at all

Cause: a request names a workspace by its name within the fleet, where "-" stands for callers without a key. Change: operation.ts gives the name that a statement counts for, if any.

--- a/packages/gateway/src/coordination/sessions/session-identity.ts
+++ b/packages/gateway/src/coordination/sessions/session-identity.ts
@@ -4,7 +4,7 @@
 import type { Route, Workspace } from '../../state/configuration.js'
 
 /** Workspace name for callers without a key, on routes with `openToAll`. */
-const openWorkspace = '-'
+export const openWorkspace = '-'
 
 /** Name within the fleet of a workspace that is itself named as above. Its blank keeps it apart from all others. */
 const dashWorkspace = 'workspace -'
--- a/packages/gateway/src/coordination/usage/operation.ts
+++ b/packages/gateway/src/coordination/usage/operation.ts
@@ -1,13 +1,19 @@
 /**
  * What counts as an operation in usage reports: a single statement, or the first statement of a transaction, that a
- * database began to run. A reply that says done or failed, and a lost one, count; a declined statement does not.
+ * database began to run. A reply that says done or failed, and a lost one, count; a declined statement does not. Nor do
+ * statements of callers without a key, who belong to no workspace.
  */
 import type { DatabaseReply } from '../connections/database-connection.js'
+import { nameAtDatabases, openWorkspace } from '../sessions/session-identity.js'
 import type { StatementOutcome, StatementReason, StatementRequest } from '../sessions/statement.js'
 
-/** True if the request is an operation if a database begins to run it. */
-export const isOperation = ({ transaction, verb }: Pick<StatementRequest, 'transaction' | 'verb'>): boolean =>
-  transaction !== 'CONTINUE' && verb !== 'COMMIT'
+/** Name of the workspace that the statement counts for once a database begins to run it; undefined for none. */
+export const countedWorkspace = (
+  { transaction, verb, workspace }: Pick<StatementRequest, 'transaction' | 'verb' | 'workspace'>
+): string | undefined => {
+  if (transaction === 'CONTINUE' || verb === 'COMMIT') return undefined
+  return workspace === openWorkspace ? undefined : nameAtDatabases(workspace)
+}
 
 /** True if the database has begun to run the statement that it replied to in this way. */
 export const hasBegun = ({ outcome }: Pick<DatabaseReply, 'outcome'>): boolean => outcome !== 'declined'
--- a/packages/gateway/src/coordination/usage/usage-counter.ts
+++ b/packages/gateway/src/coordination/usage/usage-counter.ts
@@ -7,7 +7,7 @@
 import type { DatabaseReply } from '../connections/database-connection.js'
 import type { StatementOutcome, StatementRequest } from '../sessions/statement.js'
 import type { FleetClock } from './fleet-clock.js'
-import { hasBegun, hasBegunAtHolder, isOperation } from './operation.js'
+import { countedWorkspace, hasBegun, hasBegunAtHolder } from './operation.js'
 
 /** Spans of a window; operations of the span at the edge of a window count in one of both. */
 const spansPerWindow = 100
@@ -69,15 +69,17 @@
 
   return {
     countHeld: request => {
-      if (!isOperation(request)) return undefined
+      const workspace = countedWorkspace(request)
+      if (workspace === undefined) return undefined
       const { held } = spanAt(monotonic())
-      addCount(held, request.workspace, 1)
-      return reply => { if (!hasBegun(reply)) addCount(held, request.workspace, -1) }
+      addCount(held, workspace, 1)
+      return reply => { if (!hasBegun(reply)) addCount(held, workspace, -1) }
     },
     countSent: (holder, request, outcome, forwardedAtMs) => {
-      if (!isOperation(request) || !hasBegunAtHolder(outcome)) return
+      const workspace = countedWorkspace(request)
+      if (workspace === undefined || !hasBegunAtHolder(outcome)) return
       const sentAtMs = Math.min(monotonic(), forwardedAtMs + outcome.queuedMs)
-      addCount(countsOf(spanAt(sentAtMs).sent, holder), request.workspace, 1)
+      addCount(countsOf(spanAt(sentAtMs).sent, holder), workspace, 1)
     },
     read: window => {
       const first = Math.round(clock.toMonotonicMs(window * windowMs) / spanMs)
--- a/packages/gateway/src/coordination/usage/usage-decisions.test.ts
+++ b/packages/gateway/src/coordination/usage/usage-decisions.test.ts
@@ -2,6 +2,7 @@
  * Decisions about usage reports without a network: what counts, in which window, which counts win, what is stored.
  */
 import test from 'ava'
+import { workspaceNameOf } from '../sessions/session-identity.js'
 import { notRun } from '../sessions/statement.js'
 import type { StatementOutcome } from '../sessions/statement.js'
 import { writeRequest } from '../../testing/holder-environment.js'
@@ -45,6 +46,15 @@
   t.deepEqual([...counter.read(firstWindow).held], [['yard-a', 4]])
 })
 
+// Guards against a report that names the fleet's own name of a workspace, or callers that belong to none.
+test('callers without a key are not counted, and a workspace named like them has its own name', t => {
+  const { counter } = createCounter()
+  for (const identity of [{ workspace: undefined }, { workspace: { name: '-' } as never }]) {
+    counter.countHeld(writeRequest({ workspace: workspaceNameOf(identity) }))
+  }
+  t.deepEqual([...counter.read(firstWindow).held], [['-', 1]])
+})
+
 // Guards against a report that lacks slow statements: they are counted while the database still runs them.
 test('a statement counts in the window in which it was sent, also before and after its late reply', t => {
   const { time, counter } = createCounter()
--- a/packages/gateway/src/testing/holder-environment.ts
+++ b/packages/gateway/src/testing/holder-environment.ts
@@ -4,6 +4,7 @@
 import { sleepMs } from '@egretyoke/common'
 import type { EventFields } from '@egretyoke/common'
 import { createDatabaseHolder } from '../coordination/connections/database-holder.js'
+import type { UsageCounter } from '../coordination/usage/usage-counter.js'
 import { createGroupPositions } from '../coordination/primaries/group-positions.js'
 import type { StatementRequest } from '../coordination/sessions/statement.js'
 import { createAgeClock } from '../state/contact.js'
@@ -17,7 +18,9 @@
 }
 
 /** Creates a holder of the group's primary, which may always use it. */
-export const createHolderEnvironment = (times: HolderTimes, maxConnections = 10) => {
+export const createHolderEnvironment = (
+  times: HolderTimes, maxConnections = 10, usage?: Pick<UsageCounter, 'countHeld'>
+) => {
   const group = createMemoryGroup()
   const database = group.databases.get('db-1')!
   const clock = createAgeClock()
@@ -42,6 +45,7 @@
     positions: createGroupPositions(clock, async () => undefined),
     clock,
     nowMs: () => performance.now(),
+    usage,
     counters: {
       countPrepared: () => { counted.push('prepared') },
       countDeclined: (kind, reason) => { counted.push(`${kind} ${reason}`) }
