Let other gateways take over usage reports that the reporter cannot make

Cause: nobody reported while the first gateway in rank was of an earlier version, or while the platform refused only the reporter's calls. Change: each gateway claims the record 2 s after the one before it in rank. A reporter without an accepted call for usageLateS releases the record and abstains for 60 s (event 7066). Clocks are corrected from 100 ms on.

--- a/packages/gateway/src/coordination/usage/fleet-clock.ts
+++ b/packages/gateway/src/coordination/usage/fleet-clock.ts
@@ -5,13 +5,13 @@
  */
 
 /** A difference below this is left as it is; latency between data centres and short pauses cause as much. */
-export const maxDeviationMs = 200
+export const maxDeviationMs = 100
 /** A difference above this is corrected at the first message; a smaller one may be the delay of that message. */
 const certainDeviationMs = 1000
 /** Clocks below which the median does not tell which one is wrong. */
 const minClocks = 3
 /** Times of the reporter that are compared; the least delayed of them is the most accurate one. */
-const comparedTimes = 3
+const comparedTimes = 5
 
 /** True time, corrected by the clocks of other VMs. */
 export type FleetClock = {
--- a/packages/gateway/src/coordination/usage/usage-duty.ts
+++ b/packages/gateway/src/coordination/usage/usage-duty.ts
@@ -1,7 +1,8 @@
 /**
  * The claim of usage reports in the platform's store, and the writes of the reporter. The first gateway in rank claims
- * the record while its reporter is no member of the fleet. Every write is conditional on the record's revision, so
- * that of two gateways that believe to be the reporter only one can store counts.
+ * the record while its reporter is no member of the fleet, or the next one if the first does not. Every write is
+ * conditional on the record's revision, so that of two gateways that believe to be the reporter only one can store
+ * counts.
  */
 import type { Logger } from '@egretyoke/common'
 import type { StoredEntry } from '@egretyoke/fleet'
@@ -12,7 +13,7 @@
 import type { Election } from '../membership/election.js'
 import { replaceAny } from '../store/replace-any.js'
 import type { SharedStore } from '../store/shared-store.js'
-import { claimedBy, isUsageClaimed } from './usage-record.js'
+import { claimedBy, isUsageClaimed, mayClaim } from './usage-record.js'
 
 const storeTimeoutMs = 900
 /** Delays after a failed write; a store that refuses is not called more often because of it. */
@@ -28,6 +29,8 @@
   claim: (firstWindow: number) => Promise<void>
   /** Stores the record in place of the owned one; false if it was not stored, or it is unknown whether it was. */
   save: (record: UsageRecord) => Promise<boolean>
+  /** Releases the claim with the record, and leaves it to other gateways for a time. */
+  release: (record: UsageRecord, abstainMs: number) => Promise<void>
   /** True while no write is made because the last one failed. */
   isBackingOff: () => boolean
   sinceClaimMs: () => number
@@ -43,7 +46,7 @@
   self: string
   name: string
   fleetState: Pick<FleetState, 'usageRecord' | 'members' | 'apply'>
-  election: Pick<Election, 'first'>
+  election: Pick<Election, 'ranked'>
   /** True if this gateway's copy of the store is current and its lease held. */
   isCurrent: () => boolean
   store: Pick<SharedStore, 'compareAndSwap'>
@@ -56,6 +59,8 @@
   const { self, name, fleetState, election, isCurrent, store, monotonic, log } = options
   let claimedAtMs: number | undefined
   let savedAtMs = -Infinity
+  let unclaimedSinceMs: number | undefined
+  let abstainUntilMs = -Infinity
   let retryAtMs = -Infinity
   let retryDelayMs: number = retryDelaysMs.first
   /** Kept beyond a deletion of the record, so that no window of it is counted a second time. */
@@ -75,6 +80,19 @@
     return isOwned ? stored : undefined
   }
 
+  const rank = () =>
+    election.ranked('usage').filter(member => !member.draining).findIndex(member => member.name === name)
+
+  const shouldClaim = () => {
+    if (isUsageClaimed(fleetState.usageRecord()?.record, fleetState.members())) {
+      unclaimedSinceMs = undefined
+      return false
+    }
+    unclaimedSinceMs ??= monotonic()
+    if (!isCurrent() || monotonic() < Math.max(retryAtMs, abstainUntilMs)) return false
+    return mayClaim(rank(), monotonic() - unclaimedSinceMs)
+  }
+
   const backOff = () => {
     retryAtMs = monotonic() + retryDelayMs
     retryDelayMs = Math.min(retryDelaysMs.longest, retryDelayMs * 2)
@@ -123,10 +141,13 @@
 
   return {
     owned,
-    shouldClaim: () => isCurrent() && monotonic() >= retryAtMs && owned() === undefined &&
-      !isUsageClaimed(fleetState.usageRecord()?.record, fleetState.members()) && election.first('usage') === name,
+    shouldClaim,
     claim,
     save,
+    release: async (record, abstainMs) => {
+      abstainUntilMs = monotonic() + abstainMs
+      await save({ ...record, keeper: '' })
+    },
     isBackingOff: () => monotonic() < retryAtMs,
     sinceClaimMs: () => claimedAtMs === undefined ? 0 : monotonic() - claimedAtMs,
     sinceSavedMs: () => monotonic() - savedAtMs,
--- a/packages/gateway/src/coordination/usage/usage-record.ts
+++ b/packages/gateway/src/coordination/usage/usage-record.ts
@@ -17,6 +17,13 @@
   return members.get(name)?.incarnation === incarnation
 }
 
+/** Time that each gateway leaves to the one before it in rank, which may be of a version that makes no reports. */
+const rankDelayMs = 2000
+
+/** True if the gateway with this rank, from 0, may claim a record that has had no reporter for this time. */
+export const mayClaim = (rank: number, unclaimedForMs: number): boolean =>
+  rank >= 0 && unclaimedForMs >= rank * rankDelayMs
+
 /** The record after a claim: a successor takes over all stored windows. */
 export const claimedBy = (record: UsageRecord | undefined, keeper: string, firstWindow: number): UsageRecord => ({
   keeper, nextWindow: Math.max(record?.nextWindow ?? firstWindow, 0), windows: record?.windows ?? []
--- a/packages/gateway/src/coordination/usage/usage-reporter.test.ts
+++ b/packages/gateway/src/coordination/usage/usage-reporter.test.ts
@@ -236,6 +236,39 @@
   t.deepEqual(brokenRules(fleet.calls), [])
 })
 
+// Guards against a fleet that reports nothing although the platform answers most of its gateways.
+test('a reporter that the platform refuses hands its windows over', async t => {
+  const fleet = await startFleet()
+  fleet.refused.add('vm-1')
+  fleet.run('x', 'vm-3')
+  const window = currentWindow(fleet)
+  await fleet.advance(6 * windowMs)
+  t.is(sentCounts(fleet, window), '[["x",1]]')
+  t.is(fleet.calls.at(-1)?.holder, 'vm-2')
+  // As the only gateway left, the first one reports again as soon as it may.
+  fleet.refused.clear()
+  for (const name of ['vm-2', 'vm-3']) {
+    fleet.kill(name)
+    fleet.endMembership(name)
+  }
+  await fleet.advance(60_000)
+  t.is(fleet.calls.at(-1)?.holder, 'vm-1')
+  t.is(fleet.logged.filter(({ name }) => name === 'usageHandedOver').length, 1)
+  t.true(isWithoutGaps(windowsOf(fleet)))
+  t.deepEqual(brokenRules(fleet.calls), [])
+})
+
+// Guards against a rolling update without reports while a gateway of the earlier version is the first in rank.
+test('the next gateway in rank claims the reports if the first one does not', async t => {
+  const fleet = createUsageEnvironment()
+  for (const name of ['vm-1', 'vm-2', 'vm-3']) fleet.start(name)
+  fleet.kill('vm-1')
+  await fleet.advance(3 * windowMs)
+  t.is(fleet.record().keeper, 'vm-2/1')
+  t.true(fleet.calls.length > 0)
+  t.deepEqual(brokenRules(fleet.calls), [])
+})
+
 // Guards against two gateways that both believe to hold the claim.
 test('a reporter that does not learn of its successor stops before the successor acts', async t => {
   const fleet = await startFleet()
--- a/packages/gateway/src/coordination/usage/usage-reporter.ts
+++ b/packages/gateway/src/coordination/usage/usage-reporter.ts
@@ -17,6 +17,8 @@
 /** A fleet's first reporter claims this long after its start, when other gateways can be asked for their clocks. */
 const firstClaimDelayMs = 1000
 
+/** Time for which a reporter that the platform does not answer leaves the duty to others, which it may answer. */
+const abstainMs = 60_000
 /** Names of silent processes in a log line. */
 const maxLoggedNames = 10
 
@@ -128,15 +130,25 @@
     isLeaseHeld: isLeaseHeld(leaseMs * callFraction)
   })
 
+  const release = async (record: UsageRecord) => {
+    const { record: remaining } = withCounted(record, [], sender.isAcknowledged)
+    await duty.release(remaining, abstainMs)
+  }
+
   const step = async () => {
     const owned = duty.owned()
     if (owned === undefined) {
+      sender.forgetFailures()
       if (duty.shouldClaim()) await claim()
       return
     }
     await collect(owned.record)
     const stored = duty.owned()
-    if (stored !== undefined) await sender.send(stored, maySendNow)
+    if (stored === undefined) return
+    await sender.send(stored, maySendNow)
+    if (sender.failingForMs() < lateMs || duty.isBackingOff()) return
+    log(events.usageHandedOver, { failingForMs: Math.round(sender.failingForMs()) })
+    await release(stored.record)
   }
 
   return {
@@ -153,8 +165,7 @@
       await lastStep
       const owned = duty.owned()
       if (owned === undefined) return
-      const { record } = withCounted(owned.record, [], sender.isAcknowledged)
-      await duty.save({ ...record, keeper: '' })
+      await release(owned.record)
     }
   }
 }
--- a/packages/gateway/src/coordination/usage/usage-sender.ts
+++ b/packages/gateway/src/coordination/usage/usage-sender.ts
@@ -30,6 +30,10 @@
   /** Sends what is not acknowledged, while `maySend` permits it. */
   send: (stored: Versioned<UsageRecord>, maySend: () => boolean) => Promise<void>
   isAcknowledged: (window: number) => boolean
+  /** Time since the first of the failures after the last acknowledged call; 0 if there was none. */
+  failingForMs: () => number
+  /** Forgets failures from before a claim. */
+  forgetFailures: () => void
 }
 
 /** Dependencies of the sender. */
@@ -46,6 +50,7 @@
 export const createUsageSender = (options: SenderOptions): UsageSender => {
   const { report, leaseMs, callsPerSec, monotonic, onResult, log } = options
   const acknowledged = new Set<number>()
+  let failingSinceMs: number | undefined
   let retryAtMs = -Infinity
   let retryDelayMs: number = retryDelaysMs.first
 
@@ -63,6 +68,7 @@
     const sent = await report(entry, fence, leaseMs * callFraction)
     const result = sent.ok ? 'done' : sent.val.reason
     onResult(result)
+    failingSinceMs = sent.ok ? undefined : failingSinceMs ?? monotonic()
     if (sent.ok) {
       acknowledged.add(entry.window)
       log(events.usageReported, { window: entry.window, fence, workspaces: entry.counts.length })
@@ -74,8 +80,11 @@
 
   return {
     isAcknowledged: window => acknowledged.has(window),
+    forgetFailures: () => { failingSinceMs = undefined },
+    failingForMs: () => failingSinceMs === undefined ? 0 : monotonic() - failingSinceMs,
     send: async ({ record, revision }, maySend) => {
       forgetOld(record)
+      if (record.windows.every(({ window }) => acknowledged.has(window))) failingSinceMs = undefined
       if (monotonic() < retryAtMs) return
       let hasFailed = false
       for (const entry of record.windows) {
--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -105,6 +105,8 @@
     'Counts of a window may be incomplete; names gateways without counts, gives the operations counted by senders.'),
   usageDropped: defineEvent(7064, 'usageDropped',
     'The usage report of a window was dropped, because too many windows are not acknowledged.'),
+  usageHandedOver: defineEvent(7066, 'usageHandedOver',
+    'The platform does not accept usage reports of this gateway; it leaves them to another one.'),
   clockCorrected: defineEvent(7065, 'clockCorrected',
     'The time by which usage is assigned to windows differed from that of most gateways and was corrected.')
 }
--- a/packages/gateway/src/testing/usage-environment.ts
+++ b/packages/gateway/src/testing/usage-environment.ts
@@ -50,6 +50,8 @@
   logged: Array<{ gateway: string, name: string }>
   faults: { store: CallFault, service: CallFault }
   hooks: { beforeCall: (holder: string) => void }
+  /** Gateways whose calls the platform refuses. */
+  refused: Set<string>
   nowMs: () => number
   at: (name: string) => UsageGateway
   /** Starts a gateway, as the successor of one with the same name if there is one. */
@@ -99,6 +101,7 @@
   const faults: { store: CallFault, service: CallFault } = { store: undefined, service: undefined }
   const hooks: { beforeCall: (holder: string) => void } = { beforeCall: () => {} }
   const gateways = new Map<string, UsageGateway>()
+  const refused = new Set<string>()
   let rank: string[] = []
 
   const publish = (entry: StoredEntry) => {
@@ -150,7 +153,7 @@
       hooks.beforeCall(name)
       const noAnswer = Err(typedError('noAnswer' as const, 'no answer'))
       if (!state.isAlive || faults.service === 'silent') return noAnswer
-      if (faults.service === 'refused') return Err(typedError('refused' as const, 'refused'))
+      if (faults.service === 'refused' || refused.has(name)) return Err(typedError('refused' as const, 'refused'))
       calls.push({ holder: name, window, counts: JSON.stringify(counts), fence, atMs: nowMs })
       return faults.service === 'lost' ? noAnswer : Ok(undefined)
     }
@@ -159,7 +162,7 @@
       self,
       name,
       fleetState,
-      election: { first: () => rank.find(other => gateways.get(other)?.state.isAlive) },
+      election: { ranked: () => rank.flatMap(other => fleetState.members().get(other) ?? []) },
       isCurrent: () => state.contactAgeMs < 2000,
       store: { compareAndSwap },
       monotonic,
@@ -211,6 +214,7 @@
     logged,
     faults,
     hooks,
+    refused,
     at,
     start,
     advance,
