--- a/packages/gateway/src/coordination/connections/database-holder-types.ts
+++ b/packages/gateway/src/coordination/connections/database-holder-types.ts
@@ -9,6 +9,7 @@
 import type { StatementOutcome, StatementRequest } from '../sessions/statement.js'
 import type { ConnectionCounters } from './connection-log.js'
 import type { ConnectDatabase } from './database-connection.js'
+import type { UsageCounter } from '../usage/usage-counter.js'
 
 /** State of a database as its holder reports it with each outcome. */
 export type DatabaseLoad = NonNullable<StatementOutcome['databaseLoad']>
@@ -64,5 +65,7 @@
   counters: ConnectionCounters
   /** Counts a statement that was refused before it was sent to the database. */
   countNotOffered?: (reason: string) => void
+  /** Absent where no usage is reported. */
+  usage?: Pick<UsageCounter, 'countHeld'> | undefined
   log: Logger
 }
--- a/packages/gateway/src/coordination/connections/database-holder.ts
+++ b/packages/gateway/src/coordination/connections/database-holder.ts
@@ -77,6 +77,7 @@
     positions,
     clock,
     nowMs,
+    usage: options.usage,
     onPosition: position => { if (isPosition(position)) newestPosition = laterPosition(position, newestPosition) },
     onReplied: () => { lastReplyMs = nowMs() },
     log
--- a/packages/gateway/src/coordination/connections/statement-execution.ts
+++ b/packages/gateway/src/coordination/connections/statement-execution.ts
@@ -10,6 +10,7 @@
 import type { GroupRecords } from '../primaries/group-records.js'
 import { notRun, opensTransaction } from '../sessions/statement.js'
 import type { StatementOutcome, StatementReason, StatementRequest } from '../sessions/statement.js'
+import type { UsageCounter } from '../usage/usage-counter.js'
 import type { ConnectionLog } from './connection-log.js'
 import type { ConnectionPool, PooledConnection } from './connection-pool.js'
 import type { OpenTransactions } from './open-transactions.js'
@@ -57,6 +58,8 @@
   positions: GroupPositions
   clock: AgeClock
   nowMs: () => number
+  /** Absent where no usage is reported. */
+  usage?: Pick<UsageCounter, 'countHeld'> | undefined
   /** Called with the log position of each reply of the database; it may be empty or malformed. */
   onPosition: (position: string) => void
   /** Called when a statement has ended with a usable reply of the database. */
@@ -133,12 +136,15 @@
     const coversUntil = clock.now()
     const use = connectionLog.startUse(pooled, request)
     let hasReplied = false
+    let countReply: ReturnType<UsageCounter['countHeld']>
+    const onSend = () => { countReply = options.usage?.countHeld(request) }
     const onReply: ReplyListener = (command, reply) => {
       use.onReply(command, reply)
+      countReply?.(reply)
       options.onPosition(reply.position)
       if (reply.isUnsent !== true) hasReplied = reply.outcome !== 'lost'
     }
-    const run = await runOnConnection(pooled, request, position, remainingMs, onReply)
+    const run = await runOnConnection(pooled, request, position, remainingMs, onReply, onSend)
     use.end()
     const { outcome } = run
     if (hasReplied && !noReplyReasons.has(outcome.reason)) options.onReplied()
--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -104,5 +104,19 @@
   paceLowered: defineEvent(7080, 'paceLowered',
     'A database runs fewer statements at once than it has slots; names the cause and their number.'),
   paceSettled: defineEvent(7081, 'paceSettled',
-    'A database has answered at all its slots as fast as usual; its pace is no bound any more.')
+    'A database has answered at all its slots as fast as usual; its pace is no bound any more.'),
+  usageClaimed: defineEvent(7060, 'usageClaimed',
+    'This gateway has claimed the usage reports of the fleet; names the first window that is not counted yet.'),
+  usageReported: defineEvent(7061, 'usageReported',
+    'The platform has accepted the usage report of a window.'),
+  usageReportFailed: defineEvent(7062, 'usageReportFailed',
+    'The platform did not accept the usage report of a window, or gave no answer; it is sent again.'),
+  usageIncomplete: defineEvent(7063, 'usageIncomplete',
+    'Counts of a window may be incomplete; names gateways without counts, gives the operations counted by senders.'),
+  usageDropped: defineEvent(7064, 'usageDropped',
+    'The usage report of a window was dropped, because too many windows are not acknowledged.'),
+  usageHandedOver: defineEvent(7066, 'usageHandedOver',
+    'The platform does not accept usage reports of this gateway; it leaves them to another one.'),
+  clockCorrected: defineEvent(7065, 'clockCorrected',
+    'The time by which usage is assigned to windows differed from that of most gateways and was corrected.')
 }
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -13,6 +13,7 @@
   linkEvents: Counter<'event'>
   statementsNotOffered: Counter<'reason'>
   logLinesDropped: Counter
+  usageReports: Counter<'result'>
 }
 
 /** Values of the gauges, read at each scrape. */
@@ -23,6 +24,7 @@
   openTransactions: () => number
   queuedStatements: () => number
   databasesBelowSlots: () => number
+  unsentUsageWindows: () => number
 }
 
 /** Bucket bounds of the latency histogram, in seconds. */
@@ -42,6 +44,8 @@
     'egretyoke_databases_below_slots', 'Databases that run fewer statements at once than they have slots',
     gaugeReaders.databasesBelowSlots
   )
+  gauge('egretyoke_usage_windows_unsent', 'Windows stored by this reporter and not acknowledged',
+    gaugeReaders.unsentUsageWindows)
   return {
     statements: new Counter({
       name: 'egretyoke_statements_total', help: 'Statements answered, by result', labelNames: ['result'], registers
@@ -78,6 +82,12 @@
       name: 'egretyoke_log_lines_dropped_total',
       help: 'Log lines dropped because the reader was too slow or the rate limit was exceeded',
       registers
+    }),
+    usageReports: new Counter({
+      name: 'egretyoke_usage_reports_total',
+      help: 'Calls that report usage to the platform, by result',
+      labelNames: ['result'],
+      registers
     })
   }
 }
