Gateway: senders return to a better-ranked holder one after the other

Cause: when VMs that the store had refused came back, all senders of a database moved to its returned holder at once, and its connections were all reopened there in the same moment.

Change: a sender keeps a working holder for 1 to 7 s, at random, after a better-ranked one appeared, and stays if that one leaves again. In its first 5 s it moves at once, as before. Moves are logged (7073) and counted.

--- a/packages/gateway/src/coordination/membership/election.test.ts
+++ b/packages/gateway/src/coordination/membership/election.test.ts
@@ -41,6 +41,32 @@
   t.is(election.first('key'), undefined)
 })
 
+// Guards against all senders moving back at once to a holder whose lease lapsed and which joins again.
+test('a sender stays at its holder for some seconds when a better-ranked one joins', t => {
+  const time = { nowMs: 0 }
+  const { fleetState, set } = createFakeFleetState(fleet)
+  const choice = createHolderChoice({
+    self: fleet[5],
+    election: createElection(fleetState),
+    regionOf: dataCentre => `region of ${dataCentre}`,
+    isUsable: () => true,
+    nowMs: () => time.nowMs,
+    fraction: () => 0.5
+  })
+  const names = () => choice.candidates(database, []).map(({ name }) => name)
+  time.nowMs = 60_000
+  const [first, second] = names()
+  set(fleet.filter(({ name }) => name !== first))
+  t.is(names()[0], second)
+  set(fleet)
+  t.deepEqual(names().slice(0, 2), [second, first])
+  t.is(choice.candidates(database, [], ({ name }) => name === second)[0].name, first)
+  time.nowMs = 63_999
+  t.is(names()[0], second)
+  time.nowMs = 64_000
+  t.deepEqual(names().slice(0, 2), [first, second])
+})
+
 const choiceOf = (name: string, members = fleet, usable = (_member: Member) => true) => {
   const self = members.find(each => each.name === name) ?? member(name, 'c')
   const election = createElection(createFakeFleetState(members).fleetState)
--- a/packages/gateway/src/coordination/routing/holder-choice.ts
+++ b/packages/gateway/src/coordination/routing/holder-choice.ts
@@ -5,10 +5,13 @@
  *
  * Load pattern: the first gateways in rank run but have lost the store or the database, for which all others would
  * send them the statements of the database in vain. A gateway that did not run a statement is avoided for a time.
+ * A better-ranked gateway that joins is used after a time (see `sticky-holders.ts`).
  */
 import type { Database } from '../../state/configuration.js'
 import type { Member } from '../../state/stored-records.js'
 import type { Election } from '../membership/election.js'
+import { createStickyHolders } from './sticky-holders.js'
+import type { StickyHoldersOptions } from './sticky-holders.js'
 
 /** Maximum number of gateways that are tried for one statement, including this one. */
 const maxCandidates = 3
@@ -36,11 +39,13 @@
   isUsable: (member: Member) => boolean
   /** Whether the member is slow to reply, so that others are preferred. */
   isSuspected?: (member: Member) => boolean
-}
+} & Partial<StickyHoldersOptions>
 
 /** Creates the holder choice of one gateway. */
 export const createHolderChoice = (options: HolderChoiceOptions): HolderChoice => {
   const { self, election, regionOf, isUsable, isSuspected = () => false } = options
+  const { nowMs = () => performance.now(), fraction = Math.random, onMove = () => {} } = options
+  const sticky = createStickyHolders({ nowMs, fraction, onMove })
   const cache = new WeakMap<readonly Member[], readonly Member[]>()
 
   const distance = (member: Member, database: Database) => {
@@ -58,12 +63,24 @@
     return sorted
   }
 
+  /** The ranked members; if the holder in use is another than the first working one, it comes before all. */
+  const withCurrentFirst = (
+    key: string, ranked: readonly Member[], isWorking: (member: Member) => boolean
+  ): readonly Member[] => {
+    const best = ranked.find(isWorking)
+    if (best === undefined) return ranked
+    const current = sticky.choose(key, best.name, name => ranked.some(each => each.name === name && isWorking(each)))
+    return current === best.name ? ranked : [...ranked.filter(({ name }) => name === current), ...ranked]
+  }
+
   const candidates = (
     database: Database, regions: readonly string[], isAvoided: (member: Member) => boolean = () => false
   ): Member[] => {
-    const ranked = rankedByDistance(database)
+    const byRank = rankedByDistance(database)
     const isPermitted = (member: Member) => member.name === self.name ||
       ((regions.length === 0 || regions.includes(member.region)) && isUsable(member))
+    const isWorking = (member: Member) => !member.draining && isPermitted(member)
+    const ranked = withCurrentFirst([database.id, ...regions].join(' '), byRank, isWorking)
     const chosen: Member[] = []
     const choose = (wanted: number, isWanted: (member: Member) => boolean) => {
       for (const member of ranked) {
--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -47,6 +47,8 @@
     'At least half of the gateways that should answer are silent; they are given up later, as the fault may be here.'),
   linkClosed: defineEvent(7070, 'linkClosed',
     'The link to a gateway that is no longer a member was closed, after its pending requests were done.'),
+  holderMoved: defineEvent(7073, 'holderMoved',
+    'This gateway sends the statements of a database to another holder: the previous one left, or one ranks better.'),
   messageTooLarge: defineEvent(7052, 'messageTooLarge',
     'A request to another gateway, or a reply, is over the limit of a message and was not sent; gives its size.'),
   limitsClaimed: defineEvent(7023, 'limitsClaimed',
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -11,6 +11,7 @@
   statementsPrepared: Counter
   commandsDeclined: Counter<'kind' | 'reason'>
   linkEvents: Counter<'event'>
+  holderMoves: Counter<'cause'>
   logLinesDropped: Counter
 }
 
@@ -62,6 +63,12 @@
       labelNames: ['event'],
       registers
     }),
+    holderMoves: new Counter({
+      name: 'egretyoke_holder_moves_total',
+      help: 'Databases whose statements this gateway sends to another holder than before, by cause',
+      labelNames: ['cause'],
+      registers
+    }),
     logLinesDropped: new Counter({
       name: 'egretyoke_log_lines_dropped_total',
       help: 'Log lines dropped because the reader was too slow or the rate limit was exceeded',
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -22,6 +22,7 @@
 import { createRelayHandler, readPrimaryPosition } from './coordination/routing/relay-handler.js'
 import { openSession } from './coordination/sessions/session.js'
 import { createStateBudget } from './coordination/sessions/session-state.js'
+import type { HolderMove } from './coordination/routing/sticky-holders.js'
 import { createStatementRouter } from './coordination/routing/statement-router.js'
 import { followStore } from './coordination/store/store-follower.js'
 import { createStoreSources } from './coordination/store/store-sources.js'
@@ -87,6 +88,10 @@
   const links = createRelayLinks(
     settings.channels, memberCount, log, event => metrics.linkEvents.inc({ event })
   )
+  const onHolderMove = (move: HolderMove) => {
+    metrics.holderMoves.inc({ cause: move.cause })
+    log(events.holderMoved, move)
+  }
   const isAnswering = (member: Member) => links.isUsable(member) && !links.isSuspected(member)
   const controlCommands = createControlCommands(connect)
   const election = createElection(fleetState)
@@ -94,7 +99,7 @@
   const { isLeaseHeld } = membership
   const records = createGroupRecords({ self: selfName, fleetState, contact, isLeaseHeld, store, log })
   const holderChoice = createHolderChoice({
-    self, election, regionOf, isUsable: links.isUsable, isSuspected: links.isSuspected
+    self, election, regionOf, isUsable: links.isUsable, isSuspected: links.isSuspected, onMove: onHolderMove
   })
 
   const askPosition = async (holder: Member, group: string): Promise<PositionSample | undefined> => {
