--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -12,6 +12,7 @@
   commandsDeclined: Counter<'kind' | 'reason'>
   linkEvents: Counter<'event'>
   statementsNotOffered: Counter<'reason'>
+  holderMoves: Counter<'cause'>
   logLinesDropped: Counter
   usageReports: Counter<'result'>
 }
@@ -78,6 +79,12 @@
       labelNames: ['reason'],
       registers
     }),
+    holderMoves: new Counter({
+      name: 'egretyoke_holder_moves_total',
+      help: 'Databases whose statements this gateway sends to another holder than before, by cause',
+      labelNames: ['cause'],
+      registers
+    }),
     logLinesDropped: new Counter({
       name: 'egretyoke_log_lines_dropped_total',
       help: 'Log lines dropped because the reader was too slow or the rate limit was exceeded',
