Store: calls are counted, and spaced after failures

Cause: while the store refused a gateway, its loops called it every 200 ms (follower), every 400 ms (membership) and once for each statement that needs a primary (becomeUser). Refused calls are charged too.

Change: store-backoff.ts, a pure module, doubles the delay of each kind of call up to 1 s (contact, group records) or 2 s (membership, claims), with jitter; a success that ends failures lets all kinds try at once. observed-store.ts wraps the store once: it does not make calls that come before their time, and counts the others in egretyoke_store_calls_total. The membership waits by the same backoff. becomeUser, the token allocator and the group monitor need no change.

--- a/packages/gateway/src/coordination/membership/membership.ts
+++ b/packages/gateway/src/coordination/membership/membership.ts
@@ -1,7 +1,7 @@
 /**
  * This gateway's membership of the fleet: a stored record, bound to a lease that is renewed while the process runs.
  */
-import { sleepMs, sleepUntilTick } from '@egretyoke/common'
+import { monotonicMs, sleepUntilTick } from '@egretyoke/common'
 import type { Logger } from '@egretyoke/common'
 import { events } from '../../events.js'
 import type { AgeClock, ClockReading } from '../../state/contact.js'
@@ -9,11 +9,11 @@
 import type { Member } from '../../state/stored-records.js'
 import { replaceAny } from '../store/replace-any.js'
 import type { SharedStore } from '../store/shared-store.js'
+import { createStoreBackoff, sleepUntilDue } from '../store/store-backoff.js'
 
 /** A VM that does not renew its lease for this long is removed from the fleet. */
 export const leaseTtlMs = 3000
 const renewIntervalMs = 1000
-const retryDelayMs = 400
 const storeTimeoutMs = 900
 /** This process stops all work that depends on its lease this long before the lease can expire. */
 const leaseMarginMs = 400
@@ -34,7 +34,7 @@
 
 /** Creates the membership; the record is not stored before `run`. */
 export const createMembership = (
-  self: Member, store: SharedStore, clock: AgeClock, log: Logger
+  self: Member, store: SharedStore, clock: AgeClock, log: Logger, backoff = createStoreBackoff()
 ): Membership => {
   const key = recordPrefixes.vms + self.name
   let member = self
@@ -83,8 +83,11 @@
     },
     run: async signal => {
       while (!signal.aborted) {
+        const startedAtMs = monotonicMs()
         const isHeld = lease === undefined ? await join() : await renew(lease.id)
-        await (isHeld ? sleepUntilTick(renewIntervalMs, signal) : sleepMs(retryDelayMs, signal))
+        if (isHeld) backoff.recordSuccess('membership')
+        else backoff.recordFailure('membership', startedAtMs)
+        await (isHeld ? sleepUntilTick(renewIntervalMs, signal) : sleepUntilDue(backoff, 'membership', signal))
       }
     },
     leave: async () => {
--- a/packages/gateway/src/coordination/store/store-follower.ts
+++ b/packages/gateway/src/coordination/store/store-follower.ts
@@ -12,7 +12,8 @@
 import { storeReplyTimeoutMs } from './store-sources.js'
 import type { ConfirmedChanges } from './store-sources.js'
 
-const retryDelayMs = 200
+/** After a failure. Peers are asked again at once, whereas the store's backoff decides whether the store is called. */
+const retryDelayMs = 100
 
 /** Dependencies of the store follower. */
 export type FollowerOptions = {
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -11,6 +11,7 @@
   statementsPrepared: Counter
   commandsDeclined: Counter<'kind' | 'reason'>
   logLinesDropped: Counter
+  storeCalls: Counter<'call' | 'result'>
 }
 
 /** Values of the gauges, read at each scrape. */
@@ -59,6 +60,12 @@
       name: 'egretyoke_log_lines_dropped_total',
       help: 'Log lines dropped because the reader was too slow or the rate limit was exceeded',
       registers
+    }),
+    storeCalls: new Counter({
+      name: 'egretyoke_store_calls_total',
+      help: 'Calls to the platform\'s store, by kind of call and result',
+      labelNames: ['call', 'result'],
+      registers
     })
   }
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -23,6 +23,8 @@
 import { openSession } from './coordination/sessions/session.js'
 import { createStateBudget } from './coordination/sessions/session-state.js'
 import { createStatementRouter } from './coordination/routing/statement-router.js'
+import { createObservedStore } from './coordination/store/observed-store.js'
+import { createStoreBackoff } from './coordination/store/store-backoff.js'
 import { followStore } from './coordination/store/store-follower.js'
 import { createStoreSources } from './coordination/store/store-sources.js'
 import { events } from './events.js'
@@ -54,7 +56,10 @@
 export const startGateway = async (
   settings: GatewaySettings, platform: GatewayPlatform, log: Logger
 ): Promise<Gateway> => {
-  const { store } = platform
+  const storeBackoff = createStoreBackoff()
+  const store = createObservedStore(platform.store, {
+    backoff: storeBackoff, count: (call, result) => metrics.storeCalls.inc({ call, result })
+  })
   const connect = connectSafely(platform.connect)
   const incarnation = nanoid(8)
   const regionOf = (dataCentre: string) => settings.regionByDataCentre.get(dataCentre) ?? dataCentre
@@ -81,7 +86,7 @@
   const contact = createContact(clock)
   const fleetState = createFleetState(platform.decodeEntry, log)
   const history = createStoreHistory()
-  const membership = createMembership(self, store, clock, log)
+  const membership = createMembership(self, store, clock, log, storeBackoff)
   const memberCount = () => fleetState.members().size
   const links = createRelayLinks(settings.channels, memberCount, log)
   const controlCommands = createControlCommands(connect)
--- a/packages/gateway/src/testing/memory-fleet.ts
+++ b/packages/gateway/src/testing/memory-fleet.ts
@@ -19,9 +19,13 @@
 /** An event that a gateway logged. */
 export type LoggedEvent = { gateway: string, name: string, fields: EventFields }
 
-/** A gateway of the fleet, with the fault mode of its store client and the number of its watch calls. */
+/** A gateway of the fleet, with the fault mode of its store client and the numbers of its watch calls and all calls. */
 export type FleetGateway = {
-  name: string, gateway: Gateway, setStoreMode: (mode: StoreMode) => void, watchCalls: () => number
+  name: string
+  gateway: Gateway
+  setStoreMode: (mode: StoreMode) => void
+  watchCalls: () => number
+  storeCalls: () => number
 }
 
 /** A small fleet of gateways that serves one database group. */
@@ -146,7 +150,9 @@
       keyWithdrawalMs: 5000,
       graceMs: 2000
     }, { store: client, connect: group.connect, promote: group.promote, decodeEntry: decodePlatformEntry }, log)
-    const started = { name, gateway, setStoreMode: client.setMode, watchCalls: client.watchCalls }
+    const started = {
+      name, gateway, setStoreMode: client.setMode, watchCalls: client.watchCalls, storeCalls: client.calls
+    }
     gateways.push(started)
     return started
   }
--- a/packages/gateway/src/testing/memory-store.ts
+++ b/packages/gateway/src/testing/memory-store.ts
@@ -10,7 +10,9 @@
 export type StoreMode = 'serving' | 'silent' | 'refusing' | 'lost'
 
 /** One gateway's client of the store. */
-export type MemoryClient = SharedStore & { setMode: (mode: StoreMode) => void, watchCalls: () => number }
+export type MemoryClient = SharedStore & {
+  setMode: (mode: StoreMode) => void, watchCalls: () => number, calls: () => number
+}
 
 /** A store that all gateways of a test share. */
 export type MemoryStore = {
@@ -46,8 +48,10 @@
   const client = () => {
     let mode: StoreMode = 'serving'
     let watchCalls = 0
+    let calls = 0
 
     const call = async <T>(run: () => T, timeoutMs: number) => {
+      calls++
       await sleepMs(1)
       if (mode === 'refusing') return noAnswer()
       if (mode === 'silent') await sleepMs(timeoutMs)
@@ -71,6 +75,7 @@
     const changes: SharedStore['changes'] = async (prefix, afterRevision, waitMs, timeoutMs) => {
       watchCalls++
       if (mode === 'serving') await waitForChange(afterRevision, waitMs)
+      if (afterRevision < compactedRevision) calls++
       if (afterRevision < compactedRevision) return Err(typedError('historyGone' as const, 'history is gone'))
       const read = () => ({ entries: store.range(prefix, afterRevision) as StoreEntry[], revision: store.revision() })
       return await call(read, timeoutMs)
@@ -79,6 +84,7 @@
     return {
       setMode: (next: StoreMode) => { mode = next },
       watchCalls: () => watchCalls,
+      calls: () => calls,
       list: async (prefix: string, timeoutMs: number) => await call(() => {
         const entries = store.range(prefix, 0).filter(entry => !entry.deleted)
         return { entries, revision: store.revision() }
