Store: after a lost history, followers take the state from their watcher

Cause: when the store no longer had the changes since a follower's revision, the follower polled and listed the store itself, although its watcher had just listed it.

Change: a gateway keeps the entries of its last listing and the changes since (store-history.ts, within the bounds of the history; values over 32 KB are left out). A follower behind the history gets them in parts of at most 1 MB, ordered by key, in new optional fields of FollowStore and StoreNews. Entries that are newer than that revision are not removed (replaceAll). A long value that the follower already has is not read again. An earlier version gets complete = false and lists the store, as before.

Parts, bounds, and a part that is not answered are tested without a network.

--- a/packages/gateway/src/coordination/store/follower-replies.ts
+++ b/packages/gateway/src/coordination/store/follower-replies.ts
@@ -5,7 +5,7 @@
 import type { Contact } from '../../state/contact.js'
 import type { StoreHistory } from '../../state/store-history.js'
 
-/** A follower that is behind by more reads the store itself, so that its reply does not overload the link. */
+/** A follower that is behind by more takes the whole state, in parts of at most this size. */
 const maxReplyBytes = 1024 * 1024
 /** How long a request waits here beyond that for a call to the store that may renew the confirmation. */
 const renewalWaitMs = 300
@@ -38,23 +38,26 @@
   options: FollowerRepliesOptions, request: FollowRequest
 ): Promise<RelayMessages.StoreNews> => {
   const { history, contact, isDirect = () => true } = options
-  const { afterRevision } = request
+  const { afterRevision, acceptsState = false, stateAfter = '' } = request
   const receivedAtMs = performance.now()
-  if (history.changesSince(afterRevision)?.entries.length === 0) {
+  if (stateAfter === '' && history.changesSince(afterRevision)?.entries.length === 0) {
     await history.waitForChange(usefulWaitMs(options, request))
   }
-  const changes = history.changesSince(afterRevision)
+  const changes = stateAfter === '' ? history.changesSince(afterRevision) : undefined
   const bytes = changes?.entries.reduce((sum, { key, value }) => sum + key.length + value.length, 0) ?? 0
   const complete = changes !== undefined && bytes <= maxReplyBytes
+  const part = complete || !acceptsState ? undefined : history.statePart(stateAfter, maxReplyBytes)
   const ageMs = contact.ageMs()
   const confirmed = Number.isFinite(ageMs)
   return {
     complete,
-    changes: complete ? changes.entries : [],
-    revision: changes?.revision ?? 0,
+    changes: complete ? changes.entries : part?.entries ?? [],
+    revision: changes?.revision ?? part?.revision ?? 0,
     confirmed,
     ageMs: confirmed ? Math.ceil(ageMs) : 0,
     waitedMs: Math.floor(performance.now() - receivedAtMs),
-    indirect: !isDirect()
+    indirect: !isDirect(),
+    wholeState: part !== undefined,
+    stateContinuesAfter: part?.continuesAfter ?? ''
   }
 }
--- a/packages/gateway/src/coordination/store/store-follower.ts
+++ b/packages/gateway/src/coordination/store/store-follower.ts
@@ -49,11 +49,20 @@
     fleetState.replaceAll(entries)
     recordConnection(true, 'listed')
     contact.confirm(requestedAt)
-    history.reset(revision)
+    history.reset(revision, entries)
     return revision
   }
 
+  const applyState = ({ entries, revision, confirmed }: ConfirmedChanges) => {
+    fleetState.replaceAll(entries, revision)
+    recordConnection(true, 'state from a peer')
+    contact.confirm(confirmed)
+    history.reset(revision, entries)
+    log(events.storeStateFromPeer, { revision, entries: entries.length })
+  }
+
   const applyUpdate = (update: ConfirmedChanges) => {
+    if (update.isWholeState) return applyState(update)
     for (const entry of update.entries) fleetState.apply(entry)
     recordConnection(true, 'watching')
     contact.confirm(update.confirmed)
@@ -72,7 +81,7 @@
         continue
       }
       // The revision advanced without entries: changes were missed, so list everything again.
-      if (update.val.entries.length === 0 && update.val.revision > revision) return
+      if (!update.val.isWholeState && update.val.entries.length === 0 && update.val.revision > revision) return
       applyUpdate(update.val)
       revision = update.val.revision
       yield revision
--- a/packages/gateway/src/coordination/store/store-sources.test.ts
+++ b/packages/gateway/src/coordination/store/store-sources.test.ts
@@ -2,13 +2,20 @@
  * Replies of a watcher to the gateways that follow the store through it.
  */
 import { Ok } from '@egretyoke/common'
+import type { RelayMessages } from '@egretyoke/protocol'
 import test from 'ava'
 import { createAgeClock, createContact } from '../../state/contact.js'
 import { createStoreHistory } from '../../state/store-history.js'
+import type { Member } from '../../state/stored-records.js'
+import type { RelayCalls } from '../routing/relay-calls.js'
 import { replyToFollower } from './follower-replies.js'
+import type { FollowRequest } from './follower-replies.js'
+import { readPeerState } from './peer-state.js'
 import { createStoreSources } from './store-sources.js'
 import type { StoreSourcesOptions } from './store-sources.js'
 
+type StoreNews = RelayMessages.StoreNews__Output
+
 const createWatcher = () => {
   const clock = createAgeClock()
   return { clock, history: createStoreHistory(), contact: createContact(clock) }
@@ -95,3 +102,45 @@
 test('a gateway of a small fleet does not wait for its watcher', async t => {
   t.true(await countPollsUntilFollowing(9, 150) > 0)
 })
+
+const behind = { afterRevision: 70, waitMs: 5000 }
+
+test('a follower that does not take the whole state gets an incomplete reply without entries', async t => {
+  const watcher = createWatcher()
+  watcher.history.reset(72, [change(71)])
+  const { complete, wholeState, changes } = await replyToFollower(watcher, behind)
+  t.deepEqual([complete, wholeState, changes], [false, false, []])
+})
+
+/** Requests to a gateway, answered without a network. */
+const callsTo = (watcher: ReturnType<typeof createWatcher>) => {
+  const replies: StoreNews[] = []
+  const call = async (_peer: unknown, { followStore }: { followStore: FollowRequest }) => {
+    const storeNews = await replyToFollower(watcher, followStore) as StoreNews
+    replies.push(storeNews)
+    return Ok({ storeNews })
+  }
+  return { replies, call }
+}
+
+test('a follower behind the history reads the whole state in parts of at most 1 MB', async t => {
+  const watcher = createWatcher()
+  watcher.history.reset(172, Array.from({ length: 100 }, (_, index) => change(index + 1, 30_000)))
+  const { replies, call } = callsTo(watcher)
+  const first = await replyToFollower(watcher, { ...behind, acceptsState: true }) as StoreNews
+  t.deepEqual([first.complete, first.wholeState, first.revision], [false, true, 172])
+  const entries = await readPeerState({ call } as unknown as RelayCalls, {} as Member, first)
+  t.is(entries?.length, 100)
+  t.is(replies.length, 2)
+  const bytesOf = ({ changes }: StoreNews) => changes.reduce((sum, { value }) => sum + value.length, 0)
+  t.true([first, ...replies].every(reply => bytesOf(reply) <= 1024 * 1024))
+})
+
+test('a state of which a part is not answered is not used', async t => {
+  const watcher = createWatcher()
+  watcher.history.reset(172, Array.from({ length: 100 }, (_, index) => change(index + 1, 30_000)))
+  const { call } = callsTo(watcher)
+  const first = await replyToFollower(watcher, { ...behind, acceptsState: true }) as StoreNews
+  watcher.history.reset(200)
+  t.is(await readPeerState({ call } as unknown as RelayCalls, {} as Member, first), undefined)
+})
--- a/packages/gateway/src/coordination/store/store-sources.ts
+++ b/packages/gateway/src/coordination/store/store-sources.ts
@@ -4,14 +4,14 @@
  */
 import { Err, monotonicMs, Ok, sleepMs, typedError } from '@egretyoke/common'
 import type { Logger, Result } from '@egretyoke/common'
-import type { StoredEntry } from '@egretyoke/fleet'
 import type { RelayMessages } from '@egretyoke/protocol'
 import { events } from '../../events.js'
 import type { AgeClock, Contact, ClockReading } from '../../state/contact.js'
-import type { StoreChanges } from '../../state/store-history.js'
+import type { ReceivedEntry } from '../../state/store-history.js'
 import type { Member } from '../../state/stored-records.js'
 import type { Election } from '../membership/election.js'
 import type { RelayCalls } from '../routing/relay-calls.js'
+import { readPeerState } from './peer-state.js'
 import type { SharedStore, StoreError } from './shared-store.js'
 import type { StoreBackoff } from './store-backoff.js'
 import { createPollPacing, maxUnlimitedMembers } from './store-poll-pacing.js'
@@ -42,7 +42,13 @@
 const maxAvoidedPeers = 1024
 
 /** Changes, and a time at which the store held no further ones. */
-export type ConfirmedChanges = StoreChanges & { confirmed: ClockReading }
+export type ConfirmedChanges = {
+  entries: ReceivedEntry[]
+  revision: number
+  confirmed: ClockReading
+  /** True: the entries are the whole state of the store. Changes after `revision` may or may not be included. */
+  isWholeState?: boolean
+}
 
 /** Dependencies of the store sources. */
 export type StoreSourcesOptions = {
@@ -53,6 +59,8 @@
   election: Election
   /** Members of the fleet known to this gateway. */
   memberCount: () => number
+  /** Revision of the last applied change of a key. */
+  revisionOf: (key: string) => number
   contact: Contact
   clock: AgeClock
   relay: RelayCalls
@@ -93,8 +101,9 @@
 
   const entryOf = async (
     { key, value, revision, deleted, valueLeftOut }: RelayMessages.StoreChange__Output
-  ): Promise<StoredEntry | undefined> => {
+  ): Promise<ReceivedEntry | undefined> => {
     if (!valueLeftOut) return { key, value, revision, deleted }
+    if (options.revisionOf(key) >= revision) return { key, value, revision, deleted, valueLeftOut }
     const stored = await store.get(key, storeReplyTimeoutMs)
     if (stored.err) return undefined
     return stored.val ?? { key, value: Buffer.alloc(0), revision, deleted: true }
@@ -113,17 +122,23 @@
     // A gateway that reaches the store keeps calling it until a better-ranked one reaches the store too.
     const mustBeDirect = reachesStore
     const waitMs = mustBeDirect ? 0 : followWaitMs
-    const request = { followStore: { afterRevision: after, waitMs, maxAgeMs: followWaitMs } }
+    const request = { followStore: { afterRevision: after, waitMs, maxAgeMs: followWaitMs, acceptsState: true } }
     const reply = await relay.call(peer, request, waitMs + peerReplyMarginMs)
     const update = reply.ok ? reply.val.storeNews : undefined
-    const isUseful = update?.complete && update.confirmed && update.ageMs <= followWaitMs
+    const hasAll = update?.complete || (update?.wholeState && update.revision >= after)
+    const isUseful = hasAll && update.confirmed && update.ageMs <= followWaitMs
     // While this gateway calls the store, each of its calls is followed by a request that is answered at once.
     if (!isUseful && !(mustBeDirect && reply.ok)) avoid(peer)
     if (!isUseful || (mustBeDirect && update.indirect)) return undefined
-    const entries = await Promise.all(update.changes.map(entryOf))
+    const received = update.wholeState ? await readPeerState(relay, peer, update) : update.changes
+    const entries = await Promise.all(received?.map(entryOf) ?? [undefined])
     if (entries.includes(undefined)) return undefined
-    const confirmed = addMs(requestedAt, update.waitedMs - update.ageMs)
-    return { entries: entries.flatMap(entry => entry ?? []), revision: Math.max(after, update.revision), confirmed }
+    return {
+      entries: entries.flatMap(entry => entry ?? []),
+      revision: Math.max(after, update.revision),
+      confirmed: addMs(requestedAt, update.waitedMs - update.ageMs),
+      isWholeState: update.wholeState
+    }
   }
 
   const recordSource = (newSource: string, watcher: string | undefined) => {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -92,7 +92,16 @@
   const controlCommands = createControlCommands(connect)
   const election = createElection(fleetState)
   const sources = createStoreSources({
-    ...self, store, backoff: storeBackoff, election, memberCount, contact, clock, relay: links, log
+    ...self,
+    store,
+    backoff: storeBackoff,
+    election,
+    memberCount,
+    revisionOf: fleetState.revisionOf,
+    contact,
+    clock,
+    relay: links,
+    log
   })
   const { isLeaseHeld } = membership
   const records = createGroupRecords({ self: selfName, fleetState, contact, isLeaseHeld, store, log })
--- a/packages/gateway/src/state/fleet-state.ts
+++ b/packages/gateway/src/state/fleet-state.ts
@@ -46,8 +46,10 @@
   group: (name: string) => Versioned<GroupRecord> | undefined
   limitRecord: (shard: number) => LimitRecord | undefined
   apply: (entry: StoredEntry) => void
-  /** Applies a complete listing; entries that it lacks are removed. */
-  replaceAll: (entries: readonly StoredEntry[]) => void
+  /** Revision of the last change of a key that was applied; 0 if there is none or the key was deleted. */
+  revisionOf: (key: string) => number
+  /** Applies a complete listing; entries that it lacks are removed, unless they are newer than `revision`. */
+  replaceAll: (entries: readonly StoredEntry[], revision?: number) => void
   /** Adds a listener that is called with the name of each group whose primary has changed. */
   onPrimaryChange: (listener: (group: string) => void) => void
 }
@@ -159,10 +161,10 @@
     if (!applyGatewayRecord(entry)) applyPlatformEntry(entry)
   }
 
-  const replaceAll = (entries: readonly StoredEntry[]) => {
+  const replaceAll = (entries: readonly StoredEntry[], listedRevision = Infinity) => {
     const listed = new Set(entries.map(({ key }) => key))
     for (const [key, revision] of revisions) {
-      if (listed.has(key)) continue
+      if (listed.has(key) || revision > listedRevision) continue
       apply({ key, value: Buffer.alloc(0), revision: revision + 1, deleted: true })
     }
     for (const entry of entries) apply(entry)
@@ -178,6 +180,7 @@
     membersVersion: () => membersVersion,
     group: name => groups.get(name),
     limitRecord: shard => limits.get(String(shard)),
+    revisionOf: key => revisions.get(key) ?? 0,
     apply,
     replaceAll,
     onPrimaryChange: listener => { listeners.push(listener) }
--- a/packages/gateway/src/state/store-history.test.ts
+++ b/packages/gateway/src/state/store-history.test.ts
@@ -58,3 +58,42 @@
   await history.waitForChange(30)
   t.true(performance.now() - startedAtMs >= 25)
 })
+
+// Guards against followers that each list the store after it lost its history.
+test('the state of a listing and the changes after it is given in parts by key', t => {
+  const history = createStoreHistory()
+  t.is(history.statePart('', 1000), undefined)
+  const listed = ['d', 'b', 'a', 'c'].map(key => change(key, 4, Buffer.alloc(400)))
+  history.reset(5, listed)
+  history.record({ entries: [{ ...change('b', 6, Buffer.alloc(0)), deleted: true }, change('e', 7)], revision: 7 })
+  const first = history.statePart('', 1000)
+  t.deepEqual(first?.entries.map(({ key, revision }) => [key, revision]), [['a', 4], ['c', 4]])
+  t.deepEqual([first?.revision, first?.continuesAfter], [7, 'c'])
+  const second = history.statePart('c', 1000)
+  t.deepEqual(second?.entries.map(({ key }) => key), ['d', 'e'])
+  t.is(second?.continuesAfter, '')
+})
+
+test('an entry that is larger than a part is a part of its own', t => {
+  const history = createStoreHistory()
+  history.reset(5, [change('a', 4, Buffer.alloc(4000)), change('b', 5)])
+  t.deepEqual(history.statePart('', 1000)?.entries.map(({ key }) => key), ['a'])
+  t.is(history.statePart('', 1000)?.continuesAfter, 'a')
+})
+
+test('a state over the bounds is not kept, but its changes are', t => {
+  const history = createStoreHistory()
+  const value = Buffer.alloc(32 * 1024)
+  history.reset(600, Array.from({ length: 600 }, (_, index) => change(`key-${index}`, index, value)))
+  t.is(history.statePart('', 1000), undefined)
+  history.record({ entries: [change('a', 601)], revision: 601 })
+  t.is(history.statePart('', 1000), undefined)
+  t.is(history.changesSince(600)?.entries.length, 1)
+})
+
+// Guards against an empty value that is passed on as if it were the stored one.
+test('a value that was left out where it was received from stays left out', t => {
+  const history = createStoreHistory()
+  history.reset(5, [{ ...change('a', 4, Buffer.alloc(0)), valueLeftOut: true }])
+  t.true(history.statePart('', 1000)?.entries[0]?.valueLeftOut)
+})
--- a/packages/gateway/src/state/store-history.ts
+++ b/packages/gateway/src/state/store-history.ts
@@ -1,6 +1,9 @@
 /**
- * Recent changes of the platform's store, kept for gateways that follow the store through this one. Only the newest
- * change of each key is kept, which is enough to reach the store's current state.
+ * Recent changes and the whole state of the platform's store, kept for gateways that follow the store through this one.
+ * Only the newest change of each key is kept, which is enough to reach the store's current state.
+ *
+ * Load pattern: the store forgets its history. The gateway that watches it lists everything once, and all its followers
+ * take the state from here instead of each listing the store.
  */
 import type { StoredEntry } from '@egretyoke/fleet'
 
@@ -13,11 +16,24 @@
   valueLeftOut: boolean
 }
 
+/** An entry as it is received; from a peer, its value may be left out. */
+export type ReceivedEntry = StoredEntry & { valueLeftOut?: boolean }
+
+/** A part of the whole state, in the order of the keys, which begins behind a key. */
+export type StatePart = {
+  entries: KeptEntry[]
+  revision: number
+  /** Key behind which the next part begins; empty: this is the last one. */
+  continuesAfter: string
+}
+
 /** Changes since this gateway last listed the whole store. */
 export type StoreHistory = {
-  /** Clears the history after a listing of the whole store at the revision. */
-  reset: (revision: number) => void
-  record: (changes: StoreChanges) => void
+  /** Clears the history after a listing of the whole store at the revision. Without entries, no state is kept. */
+  reset: (revision: number, entries?: readonly ReceivedEntry[]) => void
+  record: (changes: { entries: readonly ReceivedEntry[], revision: number }) => void
+  /** The part of the state behind a key, of at most `maxBytes`; undefined if the state is unknown or not kept. */
+  statePart: (after: string, maxBytes: number) => StatePart | undefined
   /** The changes after the revision; undefined when some of them are no longer kept. */
   changesSince: (revision: number) => { entries: KeptEntry[], revision: number } | undefined
   /** Resolves all pending waits for a change. */
@@ -26,17 +42,64 @@
   waitForChange: (timeoutMs: number) => Promise<void>
 }
 
-/** Keys for which the newest change is kept. */
+/** Keys for which the newest change is kept, and keys of a state that is kept. */
 const maxKeys = 4096
 /** Longer values are not kept. */
 const maxKeptValueBytes = 32 * 1024
-/** All kept values together; the oldest changes are dropped beyond it. */
+/** All kept values together; beyond it the oldest changes are dropped, and a state is not kept. */
 const maxKeptBytes = 16 * 1024 * 1024
 
+const toKept = ({ key, value, revision, deleted, valueLeftOut = false }: ReceivedEntry): KeptEntry => {
+  const isLeftOut = valueLeftOut || value.length > maxKeptValueBytes
+  return { key, revision, deleted, valueLeftOut: isLeftOut, value: isLeftOut ? Buffer.alloc(0) : value }
+}
+
+/** The newest entry of each key, and the bytes of their values. Keys stay in the order of their newest changes. */
+const createEntries = () => {
+  const byKey = new Map<string, KeptEntry>()
+  let bytes = 0
+
+  const remove = (key: string) => {
+    bytes -= byKey.get(key)?.value.length ?? 0
+    byKey.delete(key)
+  }
+
+  return {
+    byKey,
+    remove,
+    put: (entry: KeptEntry) => {
+      remove(entry.key)
+      byKey.set(entry.key, entry)
+      bytes += entry.value.length
+    },
+    clear: () => {
+      byKey.clear()
+      bytes = 0
+    },
+    isTooLarge: () => byKey.size > maxKeys || bytes > maxKeptBytes
+  }
+}
+
+/** Size of an entry in a message, as far as it varies. */
+const sizeOf = ({ key, value }: KeptEntry) => key.length + value.length
+
+/** The first of the entries that together have at most `maxBytes`; at least one. */
+const fitting = (entries: readonly KeptEntry[], maxBytes: number): KeptEntry[] => {
+  let bytes = 0
+  const firstBeyond = entries.findIndex((entry, index) => {
+    bytes += sizeOf(entry)
+    return index > 0 && bytes > maxBytes
+  })
+  return firstBeyond < 0 ? [...entries] : entries.slice(0, firstBeyond)
+}
+
+const byKeyOrder = (one: KeptEntry, other: KeptEntry) => one.key < other.key ? -1 : 1
+
 /** Creates an empty history. */
 export const createStoreHistory = (): StoreHistory => {
-  const newest = new Map<string, KeptEntry>()
-  let keptBytes = 0
+  const newest = createEntries()
+  const state = createEntries()
+  let isStateKept = false
   const waiters = new Set<() => void>()
   let firstRevision: number | undefined
   let lastRevision = 0
@@ -45,45 +108,52 @@
     for (const resume of [...waiters]) resume()
   }
 
-  const remove = (key: string) => {
-    keptBytes -= newest.get(key)?.value.length ?? 0
-    newest.delete(key)
-  }
-
-  const storeNewest = (entry: StoredEntry) => {
-    const valueLeftOut = entry.value.length > maxKeptValueBytes
-    // Removed first, so that the map stays ordered by the newest change of each key.
-    remove(entry.key)
-    const value = valueLeftOut ? Buffer.alloc(0) : entry.value
-    newest.set(entry.key, { ...entry, value, valueLeftOut })
-    keptBytes += value.length
-  }
-
   const dropOldest = () => {
-    for (const [key, { revision }] of newest) {
-      if (newest.size <= maxKeys && keptBytes <= maxKeptBytes) return
-      remove(key)
+    for (const [key, { revision }] of newest.byKey) {
+      if (!newest.isTooLarge()) return
+      newest.remove(key)
       firstRevision = revision
     }
   }
 
+  const updateState = (entry: KeptEntry) => {
+    if (!isStateKept) return
+    if (entry.deleted) state.remove(entry.key)
+    else state.put(entry)
+    if (!state.isTooLarge()) return
+    isStateKept = false
+    state.clear()
+  }
+
   return {
-    reset: revision => {
+    reset: (revision, entries) => {
       newest.clear()
-      keptBytes = 0
+      state.clear()
+      isStateKept = entries !== undefined
+      for (const entry of entries ?? []) updateState(toKept(entry))
       firstRevision = revision
       lastRevision = revision
       wakeWaiters()
     },
     record: ({ entries, revision }) => {
-      for (const entry of entries) storeNewest(entry)
+      for (const entry of entries.map(toKept)) {
+        newest.put(entry)
+        updateState(entry)
+      }
       dropOldest()
       lastRevision = revision
       wakeWaiters()
     },
+    statePart: (after, maxBytes) => {
+      if (!isStateKept) return undefined
+      const remaining = [...state.byKey.values()].filter(({ key }) => key > after).sort(byKeyOrder)
+      const entries = fitting(remaining, maxBytes)
+      const continuesAfter = entries.length < remaining.length ? entries.at(-1)?.key ?? '' : ''
+      return { entries, revision: lastRevision, continuesAfter }
+    },
     changesSince: revision => {
       if (firstRevision === undefined || revision < firstRevision) return undefined
-      const entries = [...newest.values()].filter(entry => entry.revision > revision)
+      const entries = [...newest.byKey.values()].filter(entry => entry.revision > revision)
       return { entries, revision: lastRevision }
     },
     wakeWaiters,
--- a/packages/gateway/src/store-calls.test.ts
+++ b/packages/gateway/src/store-calls.test.ts
@@ -62,3 +62,34 @@
   }
   await fleet.close()
 })
+
+/** Calls of one kind to the store by all gateways, as they count them. */
+const countCalls = async (fleet: MemoryFleet, call: string): Promise<number> => {
+  const counts = await Promise.all(fleet.gateways.map(async ({ gateway }) => {
+    const metric = await gateway.registry.getSingleMetric('egretyoke_store_calls_total')!.get()
+    return metric.values.filter(({ labels }) => labels.call === call).reduce((sum, { value }) => sum + value, 0)
+  }))
+  return counts.reduce((sum, count) => sum + count, 0)
+}
+
+// Guards against a listing of the whole store by each gateway after the store lost its history.
+test('after a lost history one gateway lists the store, and the others take the state from it', async t => {
+  const fleet = await startMemoryFleet(1)
+  for (let index = 2; index <= 6; index++) await fleet.start(`vm-${index}`, 'dc-1')
+  await waitUntil(() => fleet.gateways.every(({ gateway }) => gateway.isReady()))
+  for (let index = 0; index < 50; index++) fleet.store.put(`other/${index}`, 'x'.repeat(30_000))
+  fleet.store.put('out/dc-3', {})
+  await sleepMs(2500)
+  const before = await countCalls(fleet, 'list')
+  fleet.store.remove('out/dc-3')
+  fleet.configure({})
+  fleet.store.compact()
+  const countSeen = (name: string, field: string, value: unknown) => new Set(fleet.events.filter(event =>
+    event.name === name && event.fields[field] === value).map(({ gateway }) => gateway)).size
+  await waitUntil(() => countSeen('configurationInForce', 'version', 2) === 6, 2500)
+  t.is(await countCalls(fleet, 'list') - before, 1)
+  t.is(countSeen('evacuationKnown', 'evacuated', false), 6)
+  t.is(countSeen('storeStateFromPeer', 'revision', fleet.events.findLast(
+    ({ name }) => name === 'storeStateFromPeer')?.fields.revision), 5)
+  await fleet.close()
+})
