Store: a starting gateway takes the state from a peer

Cause: a start listed the whole store and polled it until the link to the watcher stood.

Change: a start lists only the members, with staleOk=1, which is charged less, and takes the whole state from one of the three best-ranked peers of its data centre whose link stands within 300 ms and whose confirmation is recent. Otherwise it lists the store, as before. The members may be stale because nothing but the peers' addresses is taken from them. As the gateway follows one of these peers afterwards, its link stands already. SharedStore.list has an optional staleOk.

When the peers have no contact the start lists the store (test).

--- a/packages/gateway/src/coordination/store/observed-store.ts
+++ b/packages/gateway/src/coordination/store/observed-store.ts
@@ -9,7 +9,7 @@
 
 /** A call as it is counted. A listing of several pages is one call. */
 export type StoreCall =
-  'list' | 'changes' | 'get' | 'compareAndSwap' | 'grantLease' | 'keepAlive' | 'revokeLease'
+  'list' | 'listStale' | 'changes' | 'get' | 'compareAndSwap' | 'grantLease' | 'keepAlive' | 'revokeLease'
 
 /** Result of a call as it is counted. `conflict`: the condition of a write did not hold. */
 export type StoreCallResult = 'ok' | 'conflict' | 'noAnswer' | 'refused' | 'historyGone'
@@ -52,7 +52,8 @@
   }
 
   return {
-    list: (...args) => spaced('contact', () => counted('list', () => store.list(...args))),
+    list: (prefix, timeoutMs, options) => spaced('contact', () => counted(
+      options?.staleOk ? 'listStale' : 'list', () => store.list(prefix, timeoutMs, options))),
     changes: (...args) => spaced('contact', () => counted('changes', () => store.changes(...args))),
     get: (...args) => spaced('value', () => counted('get', () => store.get(...args))),
     compareAndSwap: (swap, timeoutMs) => spaced(kindOfWrite(swap.key), () => counted(
--- a/packages/gateway/src/coordination/store/shared-store.ts
+++ b/packages/gateway/src/coordination/store/shared-store.ts
@@ -18,7 +18,8 @@
 
 /** Store operations. */
 export type SharedStore = Pick<Platform, 'get' | 'compareAndSwap' | 'grantLease' | 'keepAlive' | 'revokeLease'> & {
-  list: (prefix: string, timeoutMs: number) => Promise<Result<Listing, StoreError>>
+  /** `staleOk`: the entries may be older than the store's, and changes after `revision` may be missing. */
+  list: (prefix: string, timeoutMs: number, options?: { staleOk: boolean }) => Promise<Result<Listing, StoreError>>
   /** Long poll: resolves as soon as there is a change, or with no changes after `waitMs`. */
   changes: (prefix: string, afterRevision: number, waitMs: number, timeoutMs: number)
   => Promise<Result<Changes, StoreError>>
--- a/packages/gateway/src/coordination/store/store-follower.ts
+++ b/packages/gateway/src/coordination/store/store-follower.ts
@@ -1,6 +1,6 @@
 /**
- * Keeps the fleet state in sync with the store: one full listing, followed by successive long polls for changes. A poll
- * that returns no changes confirms that the state is current.
+ * Keeps the fleet state in sync with the store: the state of a peer or one full listing, followed by successive long
+ * polls for changes. A poll that returns no changes confirms that the state is current.
  */
 import { sleepMs } from '@egretyoke/common'
 import type { Logger, Result } from '@egretyoke/common'
@@ -19,6 +19,8 @@
 export type FollowerOptions = {
   store: SharedStore
   /** Long poll: resolves with the changes after a revision, or with none after a time. */
+  /** State of a peer for the start of the process; undefined: the store is listed. */
+  startState: () => Promise<ConfirmedChanges | undefined>
   nextChanges: (after: number) => Promise<Result<ConfirmedChanges, StoreError>>
   history: StoreHistory
   fleetState: FleetState
@@ -29,7 +31,7 @@
 
 /** Follows the store until the signal aborts. Lists everything again after changes were missed. */
 export const followStore = async (options: FollowerOptions, signal: AbortSignal): Promise<void> => {
-  const { store, nextChanges, history, fleetState, contact, clock, log } = options
+  const { store, startState, nextChanges, history, fleetState, contact, clock, log } = options
   let isConnected = false
 
   const recordConnection = (connected: boolean, reason: string) => {
@@ -53,16 +55,16 @@
     return revision
   }
 
-  const applyState = ({ entries, revision, confirmed }: ConfirmedChanges) => {
+  const applyState = ({ entries, revision, confirmed }: ConfirmedChanges): number => {
     fleetState.replaceAll(entries, revision)
     recordConnection(true, 'state from a peer')
     contact.confirm(confirmed)
     history.reset(revision, entries)
     log(events.storeStateFromPeer, { revision, entries: entries.length })
+    return revision
   }
 
   const applyUpdate = (update: ConfirmedChanges) => {
-    if (update.isWholeState) return applyState(update)
     for (const entry of update.entries) fleetState.apply(entry)
     recordConnection(true, 'watching')
     contact.confirm(update.confirmed)
@@ -82,14 +84,17 @@
       }
       // The revision advanced without entries: changes were missed, so list everything again.
       if (!update.val.isWholeState && update.val.entries.length === 0 && update.val.revision > revision) return
-      applyUpdate(update.val)
+      if (update.val.isWholeState) applyState(update.val)
+      else applyUpdate(update.val)
       revision = update.val.revision
       yield revision
     }
   }
 
+  let started = await startState()
   while (!signal.aborted) {
-    const revision = await listAll()
+    const revision = started === undefined ? await listAll() : applyState(started)
+    started = undefined
     if (revision === undefined) {
       await sleepMs(retryDelayMs, signal)
       continue
--- a/packages/gateway/src/coordination/store/store-sources.ts
+++ b/packages/gateway/src/coordination/store/store-sources.ts
@@ -50,6 +50,9 @@
   isWholeState?: boolean
 }
 
+/** Key of the election of a data centre's watcher. */
+export const watcherKey = (dataCentre: string): string => `watch ${dataCentre}`
+
 /** Dependencies of the store sources. */
 export type StoreSourcesOptions = {
   name: string
@@ -69,7 +72,7 @@
 
 /** Reachable gateways of the data centre that may watch the store, in rank order: before this one, and all. */
 const peersOf = ({ name, dataCentre, election, relay }: StoreSourcesOptions) => {
-  const inDataCentre = election.ranked(`watch ${dataCentre}`).filter(member => member.dataCentre === dataCentre)
+  const inDataCentre = election.ranked(watcherKey(dataCentre)).filter(member => member.dataCentre === dataCentre)
   const isPeer = (member: Member) => member.name !== name && !member.draining && relay.isUsable(member)
   const ownRank = inDataCentre.findIndex(member => member.name === name)
   const before = ownRank < 0 ? inDataCentre : inDataCentre.slice(0, ownRank)
@@ -121,14 +124,14 @@
     const requestedAt = clock.now()
     // A gateway that reaches the store keeps calling it until a better-ranked one reaches the store too.
     const mustBeDirect = reachesStore
-    const waitMs = mustBeDirect ? 0 : followWaitMs
+    const waitMs = mustBeDirect || after === 0 ? 0 : followWaitMs
     const request = { followStore: { afterRevision: after, waitMs, maxAgeMs: followWaitMs, acceptsState: true } }
     const reply = await relay.call(peer, request, waitMs + peerReplyMarginMs)
     const update = reply.ok ? reply.val.storeNews : undefined
     const hasAll = update?.complete || (update?.wholeState && update.revision >= after)
     const isUseful = hasAll && update.confirmed && update.ageMs <= followWaitMs
     // While this gateway calls the store, each of its calls is followed by a request that is answered at once.
-    if (!isUseful && !(mustBeDirect && reply.ok)) avoid(peer)
+    if (!isUseful && !(waitMs === 0 && reply.ok)) avoid(peer)
     if (!isUseful || (mustBeDirect && update.indirect)) return undefined
     const received = update.wholeState ? await readPeerState(relay, peer, update) : update.changes
     const entries = await Promise.all(received?.map(entryOf) ?? [undefined])
@@ -192,6 +195,11 @@
 
   return {
     next,
+    /** The whole state from a peer; undefined if it has none that was confirmed recently. */
+    stateFrom: async (peer: Member): Promise<ConfirmedChanges | undefined> => {
+      const state = await fromPeer(peer, 0)
+      return state?.isWholeState ? state : undefined
+    },
     /** True if the last confirmation came from the store, not from a peer. */
     isDirect: () => reachesStore
   }
--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -22,7 +22,7 @@
   storeSourceChanged: defineEvent(7018, 'storeSourceChanged',
     'The gateway now receives store changes from the named gateway of its data centre, or from the store itself.'),
   storeStateFromPeer: defineEvent(7026, 'storeStateFromPeer',
-    'The gateway took the whole state of the store from another gateway, because changes were missed.'),
+    'The gateway took the whole state of the store from another gateway, at its start or after changes were missed.'),
   recordUnreadable: defineEvent(7013, 'recordUnreadable',
     'A record written by a gateway cannot be parsed and is treated as absent.'),
   configurationInForce: defineEvent(7014, 'configurationInForce',
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -25,6 +25,7 @@
 import { createStatementRouter } from './coordination/routing/statement-router.js'
 import { createObservedStore } from './coordination/store/observed-store.js'
 import { createStoreBackoff } from './coordination/store/store-backoff.js'
+import { readStartState } from './coordination/store/start-state.js'
 import { followStore } from './coordination/store/store-follower.js'
 import { createStoreSources } from './coordination/store/store-sources.js'
 import { events } from './events.js'
@@ -251,7 +252,16 @@
   }
 
   const backgroundTasks = [
-    followStore({ store, nextChanges: sources.next, history, fleetState, contact, clock, log }, signal),
+    followStore({
+      store,
+      startState: () => readStartState({ ...self, store, relay: links, readState: sources.stateFrom }),
+      nextChanges: sources.next,
+      history,
+      fleetState,
+      contact,
+      clock,
+      log
+    }, signal),
     membership.run(signal),
     tokenAllocator.run(signal),
     groupMonitor.run(signal),
--- a/packages/gateway/src/store-calls.test.ts
+++ b/packages/gateway/src/store-calls.test.ts
@@ -93,3 +93,36 @@
     ({ name }) => name === 'storeStateFromPeer')?.fields.revision), 5)
   await fleet.close()
 })
+
+// Guards against a listing of the whole store, and polls of it, by each VM that is restarted.
+test('a gateway that starts beside others takes the state from one of them, and follows it at once', async t => {
+  const fleet = await startMemoryFleet(1)
+  for (let index = 2; index <= 4; index++) await fleet.start(`vm-${index}`, 'dc-1')
+  await waitUntil(() => fleet.gateways.every(({ gateway }) => gateway.isReady()))
+  await sleepMs(2500)
+  const before = await countCalls(fleet, 'list')
+  const started: FleetGateway[] = []
+  for (const name of ['vm-5', 'vm-6']) {
+    const gateway = await fleet.start(name, 'dc-1')
+    await waitUntil(() => gateway.gateway.isReady())
+    started.push(gateway)
+  }
+  t.is(await countCalls(fleet, 'list'), before)
+  t.true(started.reduce((sum, gateway) => sum + gateway.watchCalls(), 0) <= 1)
+  const fromPeers = fleet.events.filter(({ name, gateway }) => name === 'storeStateFromPeer' && gateway >= 'vm-5')
+  t.is(fromPeers.length, 2)
+  t.is((await openTestSession(started[1]!, 'slots').send(write('1'))).error, undefined)
+  await fleet.close()
+})
+
+test('a gateway whose peers have no contact lists the store', async t => {
+  const fleet = await startMemoryFleet(1)
+  await fleet.start('vm-2', 'dc-1')
+  await waitUntil(() => fleet.gateways.every(({ gateway }) => gateway.isReady()))
+  for (const gateway of fleet.gateways) gateway.setStoreMode('silent')
+  await waitUntil(() => fleet.gateways.every(({ gateway }) => !gateway.isReady()))
+  const started = await fleet.start('vm-3', 'dc-1')
+  await waitUntil(() => started.gateway.isReady(), 2500)
+  t.true(fleet.events.every(({ name, gateway }) => name !== 'storeStateFromPeer' || gateway !== 'vm-3'))
+  await fleet.close()
+})
