--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -15,6 +15,7 @@
   holderMoves: Counter<'cause'>
   logLinesDropped: Counter
   usageReports: Counter<'result'>
+  storeCalls: Counter<'call' | 'result'>
 }
 
 /** Values of the gauges, read at each scrape. */
@@ -95,6 +96,12 @@
       help: 'Calls that report usage to the platform, by result',
       labelNames: ['result'],
       registers
+    }),
+    storeCalls: new Counter({
+      name: 'egretyoke_store_calls_total',
+      help: 'Calls to the platform\'s store, by kind of call and result',
+      labelNames: ['call', 'result'],
+      registers
     })
   }
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -25,6 +25,9 @@
 import { createStateBudget } from './coordination/sessions/session-state.js'
 import type { HolderMove } from './coordination/routing/sticky-holders.js'
 import { createStatementRouter } from './coordination/routing/statement-router.js'
+import { createObservedStore } from './coordination/store/observed-store.js'
+import { createStoreBackoff } from './coordination/store/store-backoff.js'
+import { readStartState } from './coordination/store/start-state.js'
 import { followStore } from './coordination/store/store-follower.js'
 import { createStoreSources } from './coordination/store/store-sources.js'
 import { createUsage } from './coordination/usage/usage.js'
@@ -57,7 +60,10 @@
 export const startGateway = async (
   settings: GatewaySettings, platform: GatewayPlatform, log: Logger
 ): Promise<Gateway> => {
-  const { store } = platform
+  const storeBackoff = createStoreBackoff()
+  const store = createObservedStore(platform.store, {
+    backoff: storeBackoff, count: (call, result) => metrics.storeCalls.inc({ call, result })
+  })
   const connect = connectSafely(platform.connect)
   const incarnation = nanoid(8)
   const regionOf = (dataCentre: string) => settings.regionByDataCentre.get(dataCentre) ?? dataCentre
@@ -85,7 +91,7 @@
   const contact = createContact(clock)
   const fleetState = createFleetState(platform.decodeEntry, log)
   const history = createStoreHistory()
-  const membership = createMembership(self, store, clock, log)
+  const membership = createMembership(self, store, clock, log, storeBackoff)
   const memberCount = () => fleetState.members().size
   const links = createRelayLinks(
     settings.channels, memberCount, log, event => metrics.linkEvents.inc({ event })
@@ -97,7 +103,18 @@
   const isAnswering = (member: Member) => links.isUsable(member) && !links.isSuspected(member)
   const controlCommands = createControlCommands(connect)
   const election = createElection(fleetState)
-  const sources = createStoreSources({ ...self, store, election, memberCount, contact, clock, relay: links, log })
+  const sources = createStoreSources({
+    ...self,
+    store,
+    backoff: storeBackoff,
+    election,
+    memberCount,
+    revisionOf: fleetState.revisionOf,
+    contact,
+    clock,
+    relay: links,
+    log
+  })
   const { isLeaseHeld } = membership
   const records = createGroupRecords({ self: selfName, fleetState, contact, isLeaseHeld, store, log })
   const holderChoice = createHolderChoice({
@@ -231,6 +248,8 @@
     contact,
     clock,
     usage,
+    isDirect: sources.isDirect,
+    isStoreDue: () => storeBackoff.delayMs('contact') === 0,
     isReady: () => isReady()
   })
   const listener = await listenGrpc(
@@ -279,7 +298,16 @@
   }
 
   const backgroundTasks = [
-    followStore({ store, nextChanges: sources.next, history, fleetState, contact, clock, log }, signal),
+    followStore({
+      store,
+      startState: () => readStartState({ ...self, store, relay: links, readState: sources.stateFrom }),
+      nextChanges: sources.next,
+      history,
+      fleetState,
+      contact,
+      clock,
+      log
+    }, signal),
     membership.run(signal),
     tokenAllocator.run(signal),
     groupMonitor.run(signal),
