Holder: expect more urgent statements that arrive while one waits

Cause: the expected wait counted only what waits already. Beside urgent statements that take three of four slots, a statement waited for 190 ms of which 48 were expected, and such statements expire in the queue. Change: slot-use.ts averages the slot time of each band over the last second; the expected wait is divided by the part of the slots that more urgent bands leave, at least an eighth.

--- a/packages/gateway/src/coordination/connections/statement-queue.test.ts
+++ b/packages/gateway/src/coordination/connections/statement-queue.test.ts
@@ -139,3 +139,19 @@
   queue.dropExpired()
   t.deepEqual([queue.size(), dropped.length], [2, 3])
 })
+
+// Guards against statements that are queued, although more urgent ones that keep arriving let them expire.
+test('the expected wait includes more urgent statements that arrive meanwhile', t => {
+  const { queue, push, runFor, served, time } = createSimulation()
+  // Three of four slots are taken by urgent statements.
+  const arrive = () => { if (time.nowMs % serviceMs === 0) push(writeOf(0, `yard-${time.nowMs % 50}`), 3) }
+  runFor(3000, arrive)
+  push(writeOf(1), 19)
+  const expectedMs = queue.aheadMs(writeOf(1), time.nowMs + 1e6) / slots
+  const request = { ...writeOf(1), requestId: 'probe' }
+  push(request)
+  runFor(1000, arrive)
+  const { waitedMs } = served.find(entry => entry.request === request)!
+  t.true(waitedMs >= 150, `${waitedMs}`)
+  t.true(Math.abs(waitedMs - expectedMs) <= 0.3 * waitedMs, `${expectedMs} expected, ${waitedMs} waited`)
+})
--- a/packages/gateway/src/coordination/connections/statement-queue.ts
+++ b/packages/gateway/src/coordination/connections/statement-queue.ts
@@ -10,6 +10,7 @@
 import { createFairQueue } from '@egretyoke/limits'
 import type { DropReason, FairQueue, QueueRefusal } from '@egretyoke/limits'
 import type { Result, TypedError } from '@egretyoke/common'
+import { createSlotUse } from './slot-use.js'
 import type { StatementRequest } from '../sessions/statement.js'
 
 const maxQueuedPerBand = 256
@@ -29,7 +30,10 @@
   pop: () => Statement | undefined
   /** Charges the difference between a statement's actual and estimated slot time to its workspace. */
   charge: (request: StatementRequest, deltaMs: number) => void
-  /** Slot time of the statements that are served before a new one. */
+  /**
+   * Slot time of the statements that are served before a new one: of the waiting ones, and of more urgent ones that are
+   * expected to arrive meanwhile.
+   */
   aheadMs: (request: StatementRequest, deadlineMs: number) => number
   size: () => number
   /** Number of waiting statements by priority. */
@@ -68,6 +72,7 @@
     }))
   /** Number of the latest statement that was taken from each band. */
   const lastTaken = bands.map(() => 0)
+  const slotUse = createSlotUse(bands.length, nowMs)
   let taken = 0
   let takenFromFirst = 0
 
@@ -93,6 +98,7 @@
       const statement = popFrom(bands[index])
       if (statement === undefined) continue
       lastTaken[index] = ++taken
+      slotUse.record(index, serviceMs(statement.request))
       takenFromFirst = waiting.length > 1 && index === waiting[0] ? takenFromFirst + 1 : 0
       return statement
     }
@@ -107,13 +113,14 @@
     const { workspace } = request
     const ownMs = bands[index].costAhead({ workspace, cost, deadlineMs }, costOf)
     const waitingBefore = bands.slice(0, index).filter(band => band.size() > 0)
-    if (waitingBefore.length === 0) return ownMs
+    if (waitingBefore.length + ownMs === 0) return 0
     const beforeMs = waitingBefore.reduce((sum, band) => sum + band.costAhead(endOfBand, costOf), 0)
     // The band gets its turn among those that are not the first, however much waits in these.
     const rivals = waitingBands().filter(other => other !== index).slice(1)
     const turnsBefore = rivals.filter(other => isTurnBefore(other, index)).length
     const byTurnsMs = otherBandsEvery * (ownMs * (rivals.length + 1) + cost * (turnsBefore + 1))
-    return Math.min(beforeMs + ownMs, byTurnsMs)
+    const partLeft = 1 - slotUse.slotsBefore(index) / limit()
+    return Math.min((beforeMs + ownMs) / Math.max(1 / otherBandsEvery, partLeft), byTurnsMs)
   }
 
   const sizes = () => Array.from({ length: priorityCount }, (_, priority) =>
