Tests: holders under load in a file of their own

Cause: the new tests ran in the same process as those with timeouts of 60 ms in database-holder.test.ts, which then failed in one of three runs of the file beside other work (load average 15). Change: the new ones move to holder-under-load.test.ts; database-holder.test.ts is as before them.

--- /dev/null
+++ b/packages/gateway/src/coordination/connections/holder-under-load.test.ts
@@ -0,0 +1,115 @@
+/**
+ * What a holder reports of its database, and how it serves and refuses statements when the database has too little room
+ * or has just come back.
+ */
+import test from 'ava'
+import { createHolderEnvironment, writeRequest } from '../../testing/holder-environment.js'
+
+const createEnvironment = () => createHolderEnvironment({ storeMs: 0, transactionIdleMs: 1000 })
+
+// Guards against senders that know nothing of a database, or only the state before its refusals.
+test('each outcome reports the load of the database, also a refusal', async t => {
+  const { database, holder } = createEnvironment()
+  database.statementMs = 20
+  const patient = writeRequest({ timeoutMs: 10_000, maxQueuedMs: 10_000 })
+  const requests = [
+    patient,
+    { ...patient, priority: 0 },
+    { ...patient, priority: 7 },
+    { ...patient, priority: 7 },
+    { ...patient, priority: 2, maxQueuedMs: 1 }
+  ]
+  const outcomes = await Promise.all(requests.map(holder.run))
+  const refusal = outcomes[4]!
+  t.deepEqual([refusal.status, refusal.reason], ['NOT_RUN', 'busy'])
+  t.like(refusal.databaseLoad, { slots: 2, pace: 2, inFlight: 2, queued: [0, 0, 2], ageMs: 0, position: '' })
+  const last = outcomes[3]!.databaseLoad!
+  t.like(last, { inFlight: 0, queued: [0, 0, 0], position: '1.4' })
+  t.true(last.serviceMs > 15 && last.connectionsLeft === 6, JSON.stringify(last))
+  holder.close()
+})
+
+test('a refusal of a holder that is closed reports the load of the database', async t => {
+  const { holder } = createEnvironment()
+  holder.close()
+  const { reason, databaseLoad } = await holder.run(writeRequest({}))
+  t.is(reason, 'moved')
+  t.like(databaseLoad, { slots: 2, inFlight: 0 })
+})
+
+// Guards against callers that come back before the database can serve them, and all at the same time.
+test('a refusal names the time until the statement could be served', async t => {
+  const { database, holder } = createEnvironment()
+  database.statementMs = 100
+  const patient = writeRequest({ timeoutMs: 20_000, maxQueuedMs: 20_000 })
+  await Promise.all([holder.run(patient), holder.run(patient)])
+  const waiting = Array.from({ length: 20 }, () => holder.run(patient))
+  const refused = await holder.run({ ...patient, targetLatencyMs: 200 })
+  t.deepEqual([refused.status, refused.reason, refused.queuedMs], ['NOT_RUN', 'busy', 0])
+  // Nine or ten statements of 100 ms are ahead at each of the two slots.
+  t.true(refused.retryAfterMs! >= 900, `${refused.retryAfterMs}`)
+  t.true((await Promise.all(waiting)).every(({ status }) => status === 'DONE'))
+  holder.close()
+})
+
+const manyReads = Array.from({ length: 12 }, () =>
+  writeRequest({ access: 'READ', text: 'READ 1', needsPrimary: false, timeoutMs: 20_000, maxQueuedMs: 20_000 }))
+
+// Guards against a database in use that gets fewer statements at once than it has slots.
+test('a database in use runs as many statements at once as it has slots', async t => {
+  const { database, holder, logged } = createEnvironment()
+  database.description.slots = 4
+  await Promise.all(manyReads.map(holder.run))
+  t.is(database.maxRunning, 4)
+  t.false(logged.some(({ name }) => name === 'paceLowered'))
+  holder.close()
+})
+
+// Guards against a database that gets the statements of all callers at once and becomes slow or silent again.
+test('a database that has just started, did not reply or was promoted begins at a low pace', async t => {
+  const term = { current: undefined as number | undefined }
+  const causes: Record<string, (environment: ReturnType<typeof createHolderEnvironment>) => Promise<void> | void> = {
+    started: () => {},
+    promoted: () => { term.current = 2 },
+    noReply: async ({ database, holder }) => {
+      database.state = 'dead'
+      t.is((await holder.run(manyReads[0]!)).reason, 'unreachable')
+      database.state = 'alive'
+    }
+  }
+  for (const [cause, prepare] of Object.entries(causes)) {
+    term.current = undefined
+    const environment = createHolderEnvironment({ storeMs: 0, transactionIdleMs: 1000 }, 10, {
+      hasJustStarted: () => cause === 'started', primaryTerm: () => term.current
+    })
+    const { database, holder, logged } = environment
+    database.description.slots = 4
+    await prepare(environment)
+    const running = manyReads.map(holder.run)
+    const first = await Promise.race(running)
+    const maxPace = cause === 'noReply' ? 1 : 2
+    t.true(first.databaseLoad!.pace <= 2 && database.maxRunning <= maxPace, `${cause}: ${database.maxRunning}`)
+    t.like(logged.find(({ name }) => name === 'paceLowered'), { cause, database: 'db-1' })
+    t.true((await Promise.all(running)).every(({ status }) => status === 'DONE'))
+    holder.close()
+  }
+})
+
+// Guards against open transactions that keep their locks because their next statements wait for the pace.
+test('the next statement of a transaction is not kept waiting by the pace', async t => {
+  const { database, holder } = createHolderEnvironment({ storeMs: 0, transactionIdleMs: 5000 })
+  database.description.slots = 4
+  const patient = { timeoutMs: 20_000, maxQueuedMs: 20_000 }
+  const inTransaction = { ...patient, transactionId: 'session/1' }
+  await holder.run(writeRequest({ ...inTransaction, transaction: 'OPEN_READ_WRITE' }))
+  database.state = 'dead'
+  t.is((await holder.run({ ...manyReads[0]!, workspace: 'yard-b' })).reason, 'unreachable')
+  database.state = 'alive'
+  database.statementMs = 50
+  const reads = manyReads.map(holder.run)
+  const commit = await holder.run(writeRequest({ ...inTransaction, transaction: 'CONTINUE', verb: 'COMMIT', text: '' }))
+  t.is(commit.status, 'DONE')
+  t.true(commit.databaseLoad!.queued[1]! >= 10, JSON.stringify(commit.databaseLoad))
+  t.true((await Promise.all(reads)).every(({ status }) => status === 'DONE'))
+  holder.close()
+})
