Holder: no service time and no silence from what the database did not see

Cause: a statement that waited for a connection in vain counted as service time of its class. A connection that the database had closed while it was idle made the pace begin at one, although the database was not asked again. Change: service times come from statements that the database answered.

--- a/packages/gateway/src/coordination/connections/database-holder.ts
+++ b/packages/gateway/src/coordination/connections/database-holder.ts
@@ -120,17 +120,21 @@
     const measuredMs = ended()
     const statementClass = statementClassOf(request)
     queue.charge(request, measuredMs - estimatedMs)
-    if (!noReplyReasons.has(outcome.reason)) queueAdmission.recordService(statementClass, measuredMs)
+    const wasAnswered = databaseMs !== undefined && !noReplyReasons.has(outcome.reason)
+    if (wasAnswered) queueAdmission.recordService(statementClass, measuredMs)
     paced.end(paceSignalOf(outcome, databaseMs), databaseMs ?? 0, statementClass)
-    if (showsSilence(outcome, startedAtMs)) pace.restart('noReply')
+    if (showsSilence(outcome, databaseMs, startedAtMs)) pace.restart('noReply')
     complete({ ...outcome, load: load(), queuedMs })
     dispatch()
   }
 
-  /** True if the database gave no sign of life while a statement ran, which may have had little time. */
-  const showsSilence = ({ reason }: StatementOutcome, startedAtMs: number) => {
+  /**
+   * True if the database gave no sign of life while a statement ran. That a connection was lost is none: the database
+   * may have closed it while it was idle.
+   */
+  const showsSilence = ({ reason }: StatementOutcome, databaseMs: number | undefined, startedAtMs: number) => {
     if (!noReplyReasons.has(reason) || lastReplyMs >= startedAtMs) return false
-    return reason === 'unreachable' || nowMs() - startedAtMs >= minSilenceMs
+    return databaseMs === undefined || nowMs() - startedAtMs >= minSilenceMs
   }
 
   /** A database that has become the primary receives the statements of the whole group at once. */
--- a/packages/gateway/src/coordination/connections/holder-under-load.test.ts
+++ b/packages/gateway/src/coordination/connections/holder-under-load.test.ts
@@ -2,6 +2,7 @@
  * What a holder reports of its database, and how it serves and refuses statements when the database has too little room
  * or has just come back.
  */
+import { Err, typedError } from '@egretyoke/common'
 import test from 'ava'
 import { createHolderEnvironment, writeRequest } from '../../testing/holder-environment.js'
 
@@ -113,3 +114,25 @@
   t.true((await Promise.all(reads)).every(({ status }) => status === 'DONE'))
   holder.close()
 })
+
+// Guards against refusals of statements because others waited for a connection.
+test('the wait for a connection is no service time of the database', async t => {
+  const { holder } = createHolderEnvironment({ storeMs: 0, transactionIdleMs: 1000 }, 10, {
+    connect: async () => Err(typedError('full', 'too many'))
+  })
+  const { reason, databaseLoad } = await holder.run(writeRequest({ timeoutMs: 20_000, maxQueuedMs: 300 }))
+  t.is(reason, 'busy')
+  t.is(databaseLoad!.serviceMs, 20)
+  holder.close()
+})
+
+// Guards against a low pace in calm, because a database closes connections that were idle.
+test('a connection that has been closed does not show that the database is silent', async t => {
+  const { database, holder, logged } = createEnvironment()
+  t.is((await holder.run(manyReads[0]!)).status, 'DONE')
+  database.changeReply = (_command, reply) => ({ ...reply, outcome: 'lost' })
+  const values = [{ name: 'zone', value: 'quay' }]
+  t.is((await holder.run({ ...manyReads[0]!, values })).reason, 'unreachable')
+  t.false(logged.some(({ name }) => name === 'paceLowered'))
+  holder.close()
+})
