--- a/packages/gateway/src/coordination/connections/database-holder.ts
+++ b/packages/gateway/src/coordination/connections/database-holder.ts
@@ -28,8 +28,11 @@
 /** A statement without a reply for less than this had too little time left to show that the database is silent. */
 const minSilenceMs = 200
 const idlePollMs = 10
-/** Maximum idle time of connections while this gateway is not the database's first holder (see `isFirstHolder`). */
-const secondaryIdleMs = 1000
+/**
+ * Maximum idle time of connections while this gateway is not the database's first holder (see `isFirstHolder`). Senders
+ * may stay with it all the same: as long as it runs statements, only connections of rare workspaces are closed.
+ */
+const secondaryIdleMs = { unused: 1000, inUse: 5000 } as const
 
 /** A statement that is queued for a slot. */
 type QueuedStatement = AcceptedStatement & {
@@ -49,6 +52,7 @@
   let isClosed = false
   let pausedUntilMs = -Infinity
   let lastReplyMs = -Infinity
+  let lastStartMs = -Infinity
   let newestPosition = ''
   const continuing: QueuedStatement[] = []
   const queueAdmission = createQueueAdmission()
@@ -116,22 +120,27 @@
     const ended = running.start(request, estimatedMs)
     const paced = pace.start()
     const startedAtMs = nowMs()
+    lastStartMs = startedAtMs
     const queuedMs = Math.round(startedAtMs - arrivedAtMs)
     const { outcome, databaseMs } = await execution.run(statement)
     const measuredMs = ended()
     const statementClass = statementClassOf(request)
     queue.charge(request, measuredMs - estimatedMs)
-    if (!noReplyReasons.has(outcome.reason)) queueAdmission.recordService(statementClass, measuredMs)
+    const wasAnswered = databaseMs !== undefined && !noReplyReasons.has(outcome.reason)
+    if (wasAnswered) queueAdmission.recordService(statementClass, measuredMs)
     paced.end(paceSignalOf(outcome, databaseMs), databaseMs ?? 0, statementClass)
-    if (showsSilence(outcome, startedAtMs)) pace.restart('noReply')
+    if (showsSilence(outcome, databaseMs, startedAtMs)) pace.restart('noReply')
     complete({ ...outcome, load: load(), queuedMs })
     dispatch()
   }
 
-  /** True if the database gave no sign of life while a statement ran, which may have had little time. */
-  const showsSilence = ({ reason }: StatementOutcome, startedAtMs: number) => {
+  /**
+   * True if the database gave no sign of life while a statement ran. That a connection was lost is none: the database
+   * may have closed it while it was idle.
+   */
+  const showsSilence = ({ reason }: StatementOutcome, databaseMs: number | undefined, startedAtMs: number) => {
     if (!noReplyReasons.has(reason) || lastReplyMs >= startedAtMs) return false
-    return reason === 'unreachable' || nowMs() - startedAtMs >= minSilenceMs
+    return databaseMs === undefined || nowMs() - startedAtMs >= minSilenceMs
   }
 
   /** A database that has become the primary receives the statements of the whole group at once. */
@@ -264,7 +273,9 @@
     runMaintenance,
     closeUnused: () => {
       connectionLog.writeSuppressedCount()
-      if (pool.size() > 0 && !options.isFirstHolder()) pool.closeIdle(secondaryIdleMs)
+      if (pool.size() === 0 || options.isFirstHolder()) return
+      const isInUse = nowMs() - lastStartMs < secondaryIdleMs.unused
+      pool.closeIdle(isInUse ? secondaryIdleMs.inUse : secondaryIdleMs.unused)
     },
     close: () => {
       isClosed = true
