Gateways say why a holder does not use a database: no contact, not the primary, or closed

Cause: a holder without a lease, one that knows another primary and one whose database is closed all replied `moved`, so a sender could not tell which of its next attempts can succeed. Change: the reasons noContact, notPrimary and closed. `moved` remains for a conflict over the group record and for an unknown prepared statement. The router treats all four alike so far.

--- a/packages/gateway/src/coordination/connections/database-holder.ts
+++ b/packages/gateway/src/coordination/connections/database-holder.ts
@@ -143,7 +143,7 @@
   ): Promise<StatementRun> => {
     const isAtPrimary = request.needsPrimary || records.canUse(group, id)
     if (request.needsPrimary && !records.canUse(group, id)) {
-      return { outcome: notRun('moved'), isReusable: true, transaction: transactionBefore(request) }
+      return { outcome: notRun(records.whyNoUse(group, id)), isReusable: true, transaction: transactionBefore(request) }
     }
     const coversUntil = clock.now()
     const use = connectionLog.startUse(pooled, request)
@@ -228,10 +228,10 @@
   const admit = async (request: StatementRequest): Promise<StatementOutcome> => {
     const arrivedAtMs = nowMs()
     const deadlineMs = arrivedAtMs + request.timeoutMs
-    if (isClosed) return notRun('moved')
-    if (request.transaction !== 'CONTINUE' && !options.acceptsNewWork()) return notRun('moved')
+    if (isClosed) return notRun('closed')
+    if (request.transaction !== 'CONTINUE' && !options.acceptsNewWork()) return notRun('closed')
     const mustBecomeUser = request.needsPrimary && request.transaction !== 'CONTINUE'
-    if (mustBecomeUser && !await records.becomeUser(group, id)) return notRun('moved')
+    if (mustBecomeUser && !await records.becomeUser(group, id)) return notRun(records.whyNoUse(group, id))
     // Computed before queueing: commits confirmed after the statement arrived need not be visible to it.
     const position = request.transaction === 'CONTINUE' ? '' : await requiredPosition(request)
     if (position === undefined) return notRun('lagging')
--- a/packages/gateway/src/coordination/connections/holders.ts
+++ b/packages/gateway/src/coordination/connections/holders.ts
@@ -84,7 +84,7 @@
     startMaintenance()
     const outcome = await holderOf(request.database)?.run(request)
     runningCount--
-    return outcome ?? notRun('moved')
+    return outcome ?? notRun('closed')
   }
 
   const isSameInstance = (database: Database) => {
--- a/packages/gateway/src/coordination/primaries/group-records.ts
+++ b/packages/gateway/src/coordination/primaries/group-records.ts
@@ -11,6 +11,7 @@
 import type { FleetState, Versioned } from '../../state/fleet-state.js'
 import { encodeRecord, recordPrefixes, splitProcessName } from '../../state/stored-records.js'
 import type { GroupRecord } from '../../state/stored-records.js'
+import type { MovedReason } from '../sessions/statement.js'
 import type { SharedStore } from '../store/shared-store.js'
 
 /** A gateway stops using primaries when its fleet state was last confirmed longer ago than this. */
@@ -23,6 +24,8 @@
   canUse: (group: string, database: string) => boolean
   /** Adds this gateway to the primary's users; false if the database is not the primary or the store call fails. */
   becomeUser: (group: string, database: string) => Promise<boolean>
+  /** Why this gateway may not use the primary, after `canUse` or `becomeUser` has returned false. */
+  whyNoUse: (group: string, database: string) => MovedReason
   /** Stops the use of the group's primary by this gateway until a record newer than the revision is known. */
   stopUse: (group: string, revision: number) => void
   /** Stores a record if the stored one is still at the revision; returns the new version, or undefined on failure. */
@@ -55,6 +58,8 @@
 ): GroupRecords => {
   const pendingJoins = new Map<string, Promise<boolean>>()
   const stoppedRevisions = new Map<string, number>()
+  /** Groups whose last change of the record by this gateway failed because the store did not answer or refused. */
+  const unstoredGroups = new Set<string>()
 
   const isActivePrimary = (group: string, database: string) => {
     const versioned = fleetState.group(group)
@@ -71,7 +76,11 @@
     const key = recordPrefixes.groups + group
     const value = encodeRecord(record)
     const swap = await store.compareAndSwap({ key, expectedRevision, value }, storeTimeoutMs)
-    if (swap.err) return undefined
+    if (swap.err) {
+      unstoredGroups.add(group)
+      return undefined
+    }
+    unstoredGroups.delete(group)
     const { current, swapped } = swap.val
     if (current !== undefined) fleetState.apply(current)
     if (!swapped || current === undefined) return undefined
@@ -97,9 +106,15 @@
     return canUse(group, database)
   }
 
+  const whyNoUse = (group: string, database: string): MovedReason => {
+    if (!hasContactAndLease()) return 'noContact'
+    if (!isActivePrimary(group, database)) return 'notPrimary'
+    return unstoredGroups.has(group) ? 'noContact' : 'moved'
+  }
+
   const stopUse = (group: string, revision: number) => {
     stoppedRevisions.set(group, Math.max(revision, stoppedRevisions.get(group) ?? 0))
   }
 
-  return { canUse, becomeUser, stopUse, store: storeRecord }
+  return { canUse, becomeUser, whyNoUse, stopUse, store: storeRecord }
 }
--- a/packages/gateway/src/coordination/routing/relay-handler.ts
+++ b/packages/gateway/src/coordination/routing/relay-handler.ts
@@ -11,7 +11,7 @@
 import type { GroupRecords } from '../primaries/group-records.js'
 import type { Holders } from '../connections/holders.js'
 import type { TokenAllocator } from '../limits/token-allocator.js'
-import { notRun } from '../sessions/statement.js'
+import { notRun, replyOf } from '../sessions/statement.js'
 import type { StatementOutcome, StatementRequest } from '../sessions/statement.js'
 import { replyToFollower } from '../store/store-sources.js'
 
@@ -107,7 +107,7 @@
   }
 
   return async (request: RelayMessages.RelayRequest__Output): Promise<Reply | undefined> => {
-    if (request.run) return { statement: await run(request.run) }
+    if (request.run) return { statement: replyOf(await run(request.run)) }
     if (request.takeTokens) return { tokens: allocator.allocate(request.takeTokens) }
     if (request.askPosition) return await positionOf(request.askPosition)
     if (request.stopPrimary) return await stopPrimary(request.stopPrimary)
--- a/packages/gateway/src/coordination/routing/retry-decision.ts
+++ b/packages/gateway/src/coordination/routing/retry-decision.ts
@@ -7,6 +7,7 @@
  * primary within its own timeout. In the second, more attempts would multiply the load, so a budget bounds them.
  */
 import type { RetryBudget } from '@egretyoke/limits'
+import { isMovedReason } from '../sessions/statement.js'
 import type { StatementReason } from '../sessions/statement.js'
 
 /** Next step for a statement that has not run. */
@@ -47,20 +48,21 @@
 const overloadReasons: ReadonlySet<StatementReason> = new Set(['busy', 'queuedTooLong'])
 
 const retryableAtOtherDatabase: ReadonlySet<StatementReason> =
-  new Set([...primaryLostReasons, ...overloadReasons, 'moved', 'lagging', 'silent'])
+  new Set([...primaryLostReasons, ...overloadReasons, 'lagging', 'silent'])
 
 /** The next step; `budget` pays for attempts at other databases that follow an overload. */
 export const decideRetry = (state: RetryState, budget: Pick<RetryBudget, 'tryRetry'>): RetryDecision => {
   const { reason, needsPrimary, isPrimaryActive, hasOther, refusedWaits, remainingMs } = state
   if (remainingMs < minAttemptMs) return { kind: 'giveUp' }
-  if (reason !== undefined && !retryableAtOtherDatabase.has(reason)) return { kind: 'giveUp' }
+  const isMoved = reason !== undefined && isMovedReason(reason)
+  if (reason !== undefined && !isMoved && !retryableAtOtherDatabase.has(reason)) return { kind: 'giveUp' }
   if (hasOther) {
     const isPaidFor = reason === undefined || !overloadReasons.has(reason) || budget.tryRetry()
     return { kind: isPaidFor ? 'tryOther' : 'giveUp' }
   }
   if (!needsPrimary) return { kind: 'giveUp' }
   if (!isPrimaryActive) return { kind: 'wait', ms: changePollMs }
-  if (reason === 'moved' && refusedWaits < maxRefusedWaits) return { kind: 'wait', ms: refusedDelayMs }
+  if (isMoved && refusedWaits < maxRefusedWaits) return { kind: 'wait', ms: refusedDelayMs }
   const isPrimaryLost = reason !== undefined && primaryLostReasons.has(reason)
   return isPrimaryLost ? { kind: 'wait', ms: Math.min(failedPrimaryDelayMs, remainingMs) } : { kind: 'giveUp' }
 }
--- a/packages/gateway/src/coordination/routing/statement-router.ts
+++ b/packages/gateway/src/coordination/routing/statement-router.ts
@@ -13,7 +13,7 @@
 import type { RelayCalls } from './relay-calls.js'
 import { acceptsNewWork } from './database-availability.js'
 import { decideRetry } from './retry-decision.js'
-import { isRead, notRun, opensTransaction, unknownOutcome } from '../sessions/statement.js'
+import { isMovedReason, isRead, notRun, opensTransaction, outcomeIn, unknownOutcome } from '../sessions/statement.js'
 import type { StatementOutcome, StatementReason, StatementRequest } from '../sessions/statement.js'
 
 /** Database and holder of an open transaction. */
@@ -67,7 +67,8 @@
 const relayAllowanceMs = 150
 
 /** Failures of the holder rather than the database: another holder may succeed. */
-const retryableAtOtherHolder: ReadonlySet<StatementReason> = new Set(['holderSilent', 'unreachable', 'moved'])
+const isRetryableAtOtherHolder = (reason: StatementReason) =>
+  reason === 'holderSilent' || reason === 'unreachable' || isMovedReason(reason)
 
 /** Creates a statement router. */
 export const createStatementRouter = (options: RouterOptions): StatementRouter => {
@@ -86,7 +87,7 @@
   const runAtHolder = async (holder: Member, request: StatementRequest): Promise<StatementOutcome> => {
     if (holder.name === self.name) return await options.runLocally(request)
     const reply = await relay.call(holder, { run: request }, request.timeoutMs + relayAllowanceMs)
-    if (reply.ok) return (reply.val.statement ?? notRun('moved')) as StatementOutcome
+    if (reply.ok) return reply.val.statement ? outcomeIn(reply.val.statement) : notRun('moved')
     if (reply.val.reason === 'tooLarge') return notRun('tooLarge')
     if (reply.val.reason === 'unsent') return notRun('holderSilent')
     if (request.transaction !== 'SINGLE' && request.verb !== 'COMMIT') {
@@ -162,7 +163,7 @@
         needsPrimary
       })
       const location = { database: database.id, holder }
-      const canTryOtherHolder = retryableAtOtherHolder.has(outcome.reason)
+      const canTryOtherHolder = isRetryableAtOtherHolder(outcome.reason)
       if (canTryOtherHolder) holderBackoffUntilMs.set(`${holder.name} ${database.id}`, nowMs() + failureBackoffMs)
       if (outcome.status !== 'NOT_RUN' || !canTryOtherHolder || remainingMs() <= 0) return { outcome, location }
     }
--- a/packages/gateway/src/coordination/sessions/statement.ts
+++ b/packages/gateway/src/coordination/sessions/statement.ts
@@ -16,8 +16,17 @@
   /** The replica has not reached the required log position, or the required position is unknown. */
   | 'lagging'
   | 'readOnly'
-  /** The database does not (or no longer) have the role that the sender expected, or is closed to new work. */
+  /**
+   * The holder does not use the database for the sender's purpose and gives no more precise reason: it is of an earlier
+   * version, or another gateway changed the group record at the same time.
+   */
   | 'moved'
+  /** The holder has no contact with the store or no lease, without which it may not use a primary. */
+  | 'noContact'
+  /** The holder knows another primary, or the primary is being changed. */
+  | 'notPrimary'
+  /** The database is closed to new work, or the holder has closed its connections. */
+  | 'closed'
   /** No connection to the database could be established, or it could not be set up for the session. */
   | 'unreachable'
   /** The transaction is no longer open and was rolled back. */
@@ -37,7 +46,30 @@
   | 'tooLarge'
 
 /** Outcome of a statement. */
-export type StatementOutcome = Omit<RelayMessages.StatementReply__Output, 'reason'> & { reason: StatementReason }
+export type StatementOutcome =
+  Omit<RelayMessages.StatementReply__Output, 'reason' | 'movedReason'> & { reason: StatementReason }
+
+/** Why a holder does not use a database, as the sender may have expected. */
+export type MovedReason = 'moved' | 'noContact' | 'notPrimary' | 'closed'
+
+const movedReasons: ReadonlySet<string> = new Set<MovedReason>(['moved', 'noContact', 'notPrimary', 'closed'])
+
+/** True if the holder does not use the database for the sender's purpose, so that another one might. */
+export const isMovedReason = (reason: string): reason is MovedReason => movedReasons.has(reason)
+
+/** The reply to another gateway. One of an earlier version retries at another holder only after `moved`. */
+export const replyOf = (outcome: StatementOutcome): Omit<RelayMessages.StatementReply__Output, 'databaseLoad'> &
+  Pick<StatementOutcome, 'databaseLoad'> => {
+  const { reason } = outcome
+  return isMovedReason(reason) ? { ...outcome, reason: 'moved', movedReason: reason } : { ...outcome, movedReason: '' }
+}
+
+/** The outcome in the reply of another gateway. */
+export const outcomeIn = (reply: RelayMessages.StatementReply__Output): StatementOutcome => {
+  const { movedReason, ...rest } = reply
+  const reason = rest.reason === 'moved' && isMovedReason(movedReason) ? movedReason : rest.reason as StatementReason
+  return { ...rest, reason }
+}
 
 const emptyOutcome: StatementOutcome = {
   status: 'NOT_RUN',
--- a/packages/gateway/src/testing/holder-environment.ts
+++ b/packages/gateway/src/testing/holder-environment.ts
@@ -36,6 +36,7 @@
         if (times.storeMs > 0) await sleepMs(times.storeMs)
         return true
       },
+      whyNoUse: () => 'moved',
       stopUse: () => {},
       store: async () => undefined
     },
