Routing: attempts that cannot succeed are not made, and further attempts have a budget

Cause: a holder without contact or lease was tried again for every group and statement, also this gateway itself; a statement at a failed primary tried up to three holders every 100 ms; only attempts after an overload were bounded. Change: holder-trials.ts keeps statements that need a primary from a holder that replied noContact, whatever the database, until a single trial succeeds; the gateway does not try itself without contact. If no holder of the primary is left, the statement is refused at once. attempt-budget.ts pays for attempts after the first by group and cause, those of the fallback to the primary included; a statement that waits for a primary keeps waiting when its attempts are used up, and the next primary is free. After two silent holders another database is tried. The router is split: holder-calls.ts, database-candidates.ts.

--- a/packages/gateway/src/coordination/primaries/group-records.ts
+++ b/packages/gateway/src/coordination/primaries/group-records.ts
@@ -20,6 +20,8 @@
 
 /** Access to the group records. */
 export type GroupRecords = {
+  /** True while this gateway has contact with the store and its lease, without which it uses no primary. */
+  hasContact: () => boolean
   /** True while the database is the current primary and this gateway is one of its users. */
   canUse: (group: string, database: string) => boolean
   /** Adds this gateway to the primary's users; false if the database is not the primary or the store call fails. */
@@ -67,9 +69,9 @@
       versioned.revision > (stoppedRevisions.get(group) ?? 0)
   }
 
-  const hasContactAndLease = () => contact.ageMs() < maxPrimaryContactAgeMs && isLeaseHeld()
+  const hasContact = () => contact.ageMs() < maxPrimaryContactAgeMs && isLeaseHeld()
 
-  const canUse = (group: string, database: string) => hasContactAndLease() && isActivePrimary(group, database) &&
+  const canUse = (group: string, database: string) => hasContact() && isActivePrimary(group, database) &&
     fleetState.group(group)?.record.users.includes(self) === true
 
   const storeRecord = async (group: string, record: GroupRecord, expectedRevision: number) => {
@@ -99,7 +101,7 @@
 
   const becomeUser = async (group: string, database: string): Promise<boolean> => {
     if (canUse(group, database)) return true
-    if (!hasContactAndLease() || !isActivePrimary(group, database)) return false
+    if (!hasContact() || !isActivePrimary(group, database)) return false
     const pending = pendingJoins.get(group) ?? addSelf(group, database).finally(() => pendingJoins.delete(group))
     pendingJoins.set(group, pending)
     await pending
@@ -107,7 +109,7 @@
   }
 
   const whyNoUse = (group: string, database: string): MovedReason => {
-    if (!hasContactAndLease()) return 'noContact'
+    if (!hasContact()) return 'noContact'
     if (!isActivePrimary(group, database)) return 'notPrimary'
     return unstoredGroups.has(group) ? 'noContact' : 'moved'
   }
@@ -116,5 +118,5 @@
     stoppedRevisions.set(group, Math.max(revision, stoppedRevisions.get(group) ?? 0))
   }
 
-  return { canUse, becomeUser, whyNoUse, stopUse, store: storeRecord }
+  return { hasContact, canUse, becomeUser, whyNoUse, stopUse, store: storeRecord }
 }
--- /dev/null
+++ b/packages/gateway/src/coordination/routing/holder-calls.ts
@@ -0,0 +1,56 @@
+/**
+ * Sends statements to the holders of databases, which are this gateway or others.
+ */
+import type { Member } from '../../state/stored-records.js'
+import type { GatewayLocation } from './holder-choice.js'
+import type { RelayCalls } from './relay-calls.js'
+import { isRead, notRun, opensTransaction, outcomeIn, unknownOutcome } from '../sessions/statement.js'
+import type { StatementOutcome, StatementRequest } from '../sessions/statement.js'
+
+/** Database and holder of an open transaction. */
+export type TransactionLocation = { database: string, holder: Member }
+
+/** Calls to holders. */
+export type HolderCalls = {
+  run: (holder: Member, request: StatementRequest) => Promise<StatementOutcome>
+  /** Rolls back a transaction that its session no longer needs. */
+  abandon: (transactionId: string, location: TransactionLocation) => void
+}
+
+/** Dependencies of the calls. */
+export type HolderCallsOptions = {
+  self: GatewayLocation
+  relay: Pick<RelayCalls, 'call'>
+  /** Runs a statement on a connection of this gateway. */
+  runLocally: (request: StatementRequest) => Promise<StatementOutcome>
+  abandonLocally: (database: string, transactionId: string) => void
+}
+
+/** Added to a forwarded statement's time-out, for the round trip to the holder. */
+const relayAllowanceMs = 150
+
+/** Creates the calls of one gateway. */
+export const createHolderCalls = (
+  { self, relay, runLocally, abandonLocally }: HolderCallsOptions
+): HolderCalls => {
+  const abandon = (transactionId: string, { database, holder }: TransactionLocation) => {
+    if (holder.name === self.name) return abandonLocally(database, transactionId)
+    relay.call(holder, { abandon: { database, transactionId } }, relayAllowanceMs)
+  }
+
+  const run = async (holder: Member, request: StatementRequest): Promise<StatementOutcome> => {
+    if (holder.name === self.name) return await runLocally(request)
+    const reply = await relay.call(holder, { run: request }, request.timeoutMs + relayAllowanceMs)
+    if (reply.ok) return reply.val.statement ? outcomeIn(reply.val.statement) : notRun('moved')
+    if (reply.val.reason === 'tooLarge') return notRun('tooLarge')
+    if (reply.val.reason === 'unsent') return notRun('holderSilent')
+    if (request.transaction !== 'SINGLE' && request.verb !== 'COMMIT') {
+      // Only this router knows where a first statement was sent.
+      if (opensTransaction(request)) abandon(request.transactionId, { database: request.database, holder })
+      return notRun('answerLost')
+    }
+    return isRead(request) ? notRun('holderSilent') : unknownOutcome('holderSilent')
+  }
+
+  return { run, abandon }
+}
--- a/packages/gateway/src/coordination/routing/holder-choice.ts
+++ b/packages/gateway/src/coordination/routing/holder-choice.ts
@@ -20,10 +20,12 @@
 export type HolderChoice = {
   /**
    * Gateways to try, best first. Gateways outside `regions` are excluded, except this one; an empty list permits all
-   * regions. Gateways that `isAvoided` names come last, after the next ones in rank.
+   * regions. Gateways that `isAvoided` names come last, after the next ones in rank; those that `isExcluded` names are
+   * left out.
    */
   candidates: (
-    database: Database, regions: readonly string[], isAvoided?: (member: Member) => boolean
+    database: Database, regions: readonly string[], isAvoided?: (member: Member) => boolean,
+    isExcluded?: (member: Member) => boolean
   ) => Member[]
 }
 
@@ -56,11 +58,12 @@
   }
 
   const candidates = (
-    database: Database, regions: readonly string[], isAvoided: (member: Member) => boolean = () => false
+    database: Database, regions: readonly string[], isAvoided: (member: Member) => boolean = () => false,
+    isExcluded: (member: Member) => boolean = () => false
   ): Member[] => {
     const ranked = rankedByDistance(database)
-    const isPermitted = (member: Member) => member.name === self.name ||
-      ((regions.length === 0 || regions.includes(member.region)) && isUsable(member))
+    const isPermitted = (member: Member) => !isExcluded(member) && (member.name === self.name ||
+      ((regions.length === 0 || regions.includes(member.region)) && isUsable(member)))
     const chosen: Member[] = []
     const choose = (wanted: number, isWanted: (member: Member) => boolean) => {
       for (const member of ranked) {
@@ -70,6 +73,7 @@
     }
     choose(maxCandidates - 1, member => !member.draining && !isAvoided(member))
     choose(maxCandidates, member => member.name === self.name)
+    choose(maxCandidates, member => !member.draining && !isAvoided(member))
     choose(maxCandidates, member => !member.draining)
     return chosen
   }
--- a/packages/gateway/src/coordination/routing/retry-decision.ts
+++ b/packages/gateway/src/coordination/routing/retry-decision.ts
@@ -4,9 +4,11 @@
  * Load patterns: a primary that has just failed or is being replaced, and a group whose databases are all full. In the
  * first, every statement that needs the primary fails within milliseconds, and a refusal would use up the caller's few
  * retries before the next primary is active; waiting here costs the databases nothing, so the statement waits for the
- * primary within its own timeout. In the second, more attempts would multiply the load, so a budget bounds them.
+ * primary within its own timeout. In the second, more attempts would multiply the load, so a budget bounds them, as it
+ * does attempts at other databases after a failure and repeated ones at the same primary.
  */
-import type { RetryBudget } from '@egretyoke/limits'
+import { causeOf } from './attempt-budget.js'
+import type { AttemptCause } from './attempt-budget.js'
 import { isMovedReason } from '../sessions/statement.js'
 import type { StatementReason } from '../sessions/statement.js'
 
@@ -17,11 +19,17 @@
 export type RetryState = {
   /** Reason of the last attempt; undefined before the first one. */
   reason: StatementReason | undefined
+  /** False if the last attempt was not made, because no holder of the database may be sent the statement. */
+  wasSent: boolean
   needsPrimary: boolean
   /** False while the group's primary is being changed. */
   isPrimaryActive: boolean
   /** Whether another eligible database has not been tried. */
   hasOther: boolean
+  /** True if the next attempt would be at a primary that was tried already and has not been replaced since. */
+  isRepetition: boolean
+  /** False if all holders of the primary have lost contact with the store, as far as is known. */
+  hasOpenHolder: boolean
   /** Waits so far at an active primary that no holder was permitted to use. */
   refusedWaits: number
   /** Time until the statement's timeout, in milliseconds. */
@@ -50,19 +58,26 @@
 const retryableAtOtherDatabase: ReadonlySet<StatementReason> =
   new Set([...primaryLostReasons, ...overloadReasons, 'lagging', 'silent'])
 
-/** The next step; `budget` pays for attempts at other databases that follow an overload. */
-export const decideRetry = (state: RetryState, budget: Pick<RetryBudget, 'tryRetry'>): RetryDecision => {
-  const { reason, needsPrimary, isPrimaryActive, hasOther, refusedWaits, remainingMs } = state
+/** Waits for the primary if it may still run the statement, and gives up otherwise. */
+const decideWait = (state: RetryState): RetryDecision => {
+  const { reason, isPrimaryActive, hasOpenHolder, refusedWaits, remainingMs } = state
+  if (!isPrimaryActive) return { kind: 'wait', ms: changePollMs }
+  if (reason === undefined || (reason === 'noContact' && !hasOpenHolder)) return { kind: 'giveUp' }
+  if (isMovedReason(reason) && refusedWaits < maxRefusedWaits) return { kind: 'wait', ms: refusedDelayMs }
+  if (!primaryLostReasons.has(reason)) return { kind: 'giveUp' }
+  return { kind: 'wait', ms: Math.min(failedPrimaryDelayMs, remainingMs) }
+}
+
+/** The next step; `budget` pays for attempts after the first one. */
+export const decideRetry = (
+  state: RetryState, budget: { tryAttempt: (cause: AttemptCause) => boolean }
+): RetryDecision => {
+  const { reason, wasSent, needsPrimary, hasOther, isRepetition, remainingMs } = state
   if (remainingMs < minAttemptMs) return { kind: 'giveUp' }
-  const isMoved = reason !== undefined && isMovedReason(reason)
-  if (reason !== undefined && !isMoved && !retryableAtOtherDatabase.has(reason)) return { kind: 'giveUp' }
+  if (reason !== undefined && !isMovedReason(reason) && !retryableAtOtherDatabase.has(reason)) return { kind: 'giveUp' }
   if (hasOther) {
-    const isPaidFor = reason === undefined || !overloadReasons.has(reason) || budget.tryRetry()
-    return { kind: isPaidFor ? 'tryOther' : 'giveUp' }
+    const isFree = reason === undefined || !wasSent || (needsPrimary && !isRepetition)
+    if (isFree || budget.tryAttempt(causeOf(reason))) return { kind: 'tryOther' }
   }
-  if (!needsPrimary) return { kind: 'giveUp' }
-  if (!isPrimaryActive) return { kind: 'wait', ms: changePollMs }
-  if (isMoved && refusedWaits < maxRefusedWaits) return { kind: 'wait', ms: refusedDelayMs }
-  const isPrimaryLost = reason !== undefined && primaryLostReasons.has(reason)
-  return isPrimaryLost ? { kind: 'wait', ms: Math.min(failedPrimaryDelayMs, remainingMs) } : { kind: 'giveUp' }
+  return needsPrimary ? decideWait(state) : { kind: 'giveUp' }
 }
--- a/packages/gateway/src/coordination/routing/statement-router.ts
+++ b/packages/gateway/src/coordination/routing/statement-router.ts
@@ -4,20 +4,23 @@
  */
 import { sleepMs } from '@egretyoke/common'
 import type { Logger } from '@egretyoke/common'
-import { createRetryBudget } from '@egretyoke/limits'
 import { events } from '../../events.js'
 import type { Database, Route } from '../../state/configuration.js'
 import type { FleetState } from '../../state/fleet-state.js'
+import { processName } from '../../state/stored-records.js'
 import type { Member } from '../../state/stored-records.js'
-import type { HolderChoice, GatewayLocation } from './holder-choice.js'
-import type { RelayCalls } from './relay-calls.js'
-import { acceptsNewWork } from './database-availability.js'
+import { causeOf, createAttemptBudget } from './attempt-budget.js'
+import type { AttemptCause } from './attempt-budget.js'
+import { createDatabaseCandidates } from './database-candidates.js'
+import { createHolderCalls } from './holder-calls.js'
+import type { HolderCallsOptions, TransactionLocation } from './holder-calls.js'
+import type { HolderChoice } from './holder-choice.js'
+import { createHolderTrials } from './holder-trials.js'
 import { decideRetry } from './retry-decision.js'
-import { isMovedReason, isRead, notRun, opensTransaction, outcomeIn, unknownOutcome } from '../sessions/statement.js'
+import { isMovedReason, notRun } from '../sessions/statement.js'
 import type { StatementOutcome, StatementReason, StatementRequest } from '../sessions/statement.js'
 
-/** Database and holder of an open transaction. */
-export type TransactionLocation = { database: string, holder: Member }
+export type { TransactionLocation } from './holder-calls.js'
 
 /** A statement to be routed, with its route and the regions that its data may enter. */
 export type RoutingRequest = {
@@ -26,10 +29,17 @@
   regions: readonly string[]
   /** True if only the primary may run the statement, because it writes or because of the route. */
   needsPrimary: boolean
+  /** Reason for which the statement has not run when it was routed before; its first attempt is paid for, too. */
+  previousReason?: StatementReason
 }
 
 /** Outcome of a statement, and where it ran. */
-export type RoutingResult = { outcome: StatementOutcome, location: TransactionLocation | undefined }
+export type RoutingResult = {
+  outcome: StatementOutcome
+  location: TransactionLocation | undefined
+  /** True if the primary declined the statement because of its load. */
+  isPrimaryFull: boolean
+}
 
 /** Routes statements to databases. */
 export type StatementRouter = {
@@ -40,174 +50,186 @@
   abandon: (transactionId: string, location: TransactionLocation) => void
 }
 
+/** Counts of the router. */
+export type RoutingCounters = {
+  /** Called for each attempt after a statement's first one. */
+  countAttempt: (cause: AttemptCause) => void
+  /** Called for each attempt that was not made because its budget is used up. */
+  countUnpaid: (cause: AttemptCause) => void
+}
+
 /** Dependencies of the statement router. */
-export type RouterOptions = {
-  self: GatewayLocation
+export type RouterOptions = HolderCallsOptions & {
   fleetState: FleetState
   holders: HolderChoice
-  relay: RelayCalls
   regionOf: (dataCentre: string) => string
-  /** Runs a statement on a connection of this gateway. */
-  runLocally: (request: StatementRequest) => Promise<StatementOutcome>
-  abandonLocally: (database: string, transactionId: string) => void
+  /** True while this gateway may use primaries: it has contact with the store and its lease. */
+  hasContact: () => boolean
+  counters: RoutingCounters
   log: Logger
 }
 
-/** Estimated network latency to a database in milliseconds, by its location. */
-const networkCostMs = { sameDataCentre: 0, sameRegion: 4, otherRegion: 60 } as const
-/** Estimated slot time in milliseconds of each statement queued ahead. */
-const assumedStatementMs = 25
-/** Backoff after a replica was lagging. */
-const lagBackoffMs = 250
-/** Backoff after a database or holder could not be reached. */
-const failureBackoffMs = 400
+/** Backoff after a holder could not be reached or does not use the database. */
+const holderBackoffMs = 400
 /** Maximum number of databases that are tried for one statement. */
 const maxDatabases = 3
-/** Added to a forwarded statement's time-out, for the round trip to the holder. */
-const relayAllowanceMs = 150
+/** Each silent holder takes a part of the statement's time, and the other databases need the rest. */
+const maxSilentHolders = 2
 
 /** Failures of the holder rather than the database: another holder may succeed. */
 const isRetryableAtOtherHolder = (reason: StatementReason) =>
   reason === 'holderSilent' || reason === 'unreachable' || isMovedReason(reason)
 
+/** Outcome of the attempts at one database; `attempts` is 0 if no holder of it may be sent the statement. */
+type DatabaseResult = { outcome: StatementOutcome, location: TransactionLocation | undefined, attempts: number }
+
 /** Creates a statement router. */
 export const createStatementRouter = (options: RouterOptions): StatementRouter => {
-  const { self, fleetState, holders, relay, regionOf, log } = options
-  const loads = new Map<string, number>()
-  const backoffUntilMs = new Map<string, number>()
-  const holderBackoffUntilMs = new Map<string, number>()
-  const retryBudget = createRetryBudget()
+  const { self, fleetState, holders, regionOf, counters, log } = options
   const nowMs = () => performance.now()
+  const calls = createHolderCalls(options)
+  const databases = createDatabaseCandidates({ self, fleetState, regionOf, nowMs })
+  const budget = createAttemptBudget()
+  const trials = createHolderTrials()
+  const holderBackoffUntilMs = new Map<string, number>()
 
-  const abandon = (transactionId: string, { database, holder }: TransactionLocation) => {
-    if (holder.name === self.name) return options.abandonLocally(database, transactionId)
-    relay.call(holder, { abandon: { database, transactionId } }, relayAllowanceMs)
-  }
-
-  const runAtHolder = async (holder: Member, request: StatementRequest): Promise<StatementOutcome> => {
-    if (holder.name === self.name) return await options.runLocally(request)
-    const reply = await relay.call(holder, { run: request }, request.timeoutMs + relayAllowanceMs)
-    if (reply.ok) return reply.val.statement ? outcomeIn(reply.val.statement) : notRun('moved')
-    if (reply.val.reason === 'tooLarge') return notRun('tooLarge')
-    if (reply.val.reason === 'unsent') return notRun('holderSilent')
-    if (request.transaction !== 'SINGLE' && request.verb !== 'COMMIT') {
-      // Only this router knows where a first statement was sent.
-      if (opensTransaction(request)) abandon(request.transactionId, { database: request.database, holder })
-      return notRun('answerLost')
+  /** Pays for an attempt after the first one of a statement. */
+  const tryAttempt = ({ request: { requestId }, route: { group } }: RoutingRequest, cause: AttemptCause): boolean => {
+    const isPaid = budget.tryAttempt(group, cause, nowMs())
+    if (isPaid) counters.countAttempt(cause)
+    else {
+      counters.countUnpaid(cause)
+      log(events.attemptNotPaid, { request: requestId, group, cause })
     }
-    return isRead(request) ? notRun('holderSilent') : unknownOutcome('holderSilent')
+    return isPaid
   }
 
-  const recordOutcome = (database: string, { reason, load }: StatementOutcome) => {
-    loads.set(database, load)
-    if (reason === 'lagging') backoffUntilMs.set(database, nowMs() + lagBackoffMs)
-    if (reason === 'unreachable' || reason === 'silent') backoffUntilMs.set(database, nowMs() + failureBackoffMs)
-  }
+  /** True if the holder may be sent statements that need a primary. */
+  const isOpenForPrimary = (member: Member) =>
+    (member.name !== self.name || options.hasContact()) && trials.isOpen(processName(member), nowMs())
 
-  const costOf = (database: Database) => {
-    const isLocal = database.dataCentre === self.dataCentre
-    const isInRegion = regionOf(database.dataCentre) === self.region
-    const networkCost = isLocal
-      ? networkCostMs.sameDataCentre
-      : isInRegion ? networkCostMs.sameRegion : networkCostMs.otherRegion
-    const queuedAhead = Math.max(0, (loads.get(database.id) ?? 0) - database.slots + 1)
-    const penalty = (backoffUntilMs.get(database.id) ?? 0) > nowMs() ? 10_000 : 0
-    return networkCost + queuedAhead * assumedStatementMs / Math.max(1, database.slots) + penalty
+  /** Candidate holders of the database; those in backoff after a failure come last. */
+  const holdersOf = (database: Database, regions: readonly string[], needsPrimary: boolean): Member[] => {
+    const isAvoided = ({ name }: Member) => (holderBackoffUntilMs.get(`${name} ${database.id}`) ?? 0) > nowMs()
+    return holders.candidates(database, regions, isAvoided, member => needsPrimary && !isOpenForPrimary(member))
   }
 
-  const isInRegions = (database: Database, regions: readonly string[]) =>
-    regions.length === 0 || regions.includes(regionOf(database.dataCentre))
-
-  const primaryOf = (group: string): Database | undefined => {
-    const record = fleetState.group(group)?.record
-    return record?.phase === 'serving' ? fleetState.databases().get(record.primary) : undefined
+  const recordOutcome = (
+    holder: Member, { database, needsPrimary }: StatementRequest, outcome: StatementOutcome, startedAtMs: number
+  ) => {
+    databases.recordOutcome(database, outcome)
+    if (isRetryableAtOtherHolder(outcome.reason)) {
+      holderBackoffUntilMs.set(`${holder.name} ${database}`, nowMs() + holderBackoffMs)
+    }
+    if (!needsPrimary) return
+    const change = trials.record(processName(holder), outcome, startedAtMs, nowMs())
+    if (change === undefined) return
+    log(events.holderContactChanged, { holder: holder.name, hasContact: change === 'regained' })
   }
 
-  /** Databases that are eligible for the statement, best first. */
-  const candidatesFor = ({ route, regions, needsPrimary }: RoutingRequest): Database[] => {
-    const primary = primaryOf(route.group)
-    const isEligible = (database: Database) => isInRegions(database, regions) && acceptsNewWork(fleetState, database)
-    if (needsPrimary) return [primary].flatMap(database => database ?? []).filter(isEligible)
-    return fleetState.databasesOf(route.group)
-      .filter(isEligible)
-      .sort((one, other) => costOf(one) - costOf(other))
+  const runAtHolder = async (holder: Member, request: StatementRequest): Promise<StatementOutcome> => {
+    const startedAtMs = nowMs()
+    if (request.needsPrimary) trials.start(processName(holder), startedAtMs)
+    const outcome = await calls.run(holder, request)
+    recordOutcome(holder, request, outcome, startedAtMs)
+    log(events.statementRouted, {
+      request: request.requestId,
+      database: request.database,
+      holder: holder.name,
+      status: outcome.status,
+      reason: outcome.reason,
+      load: outcome.load,
+      queuedMs: outcome.queuedMs,
+      connection: outcome.connection,
+      prepared: outcome.prepared,
+      needsPrimary: request.needsPrimary
+    })
+    return outcome
   }
 
-  /** Candidate holders of the database; those in backoff after a failure come last. */
-  const holdersOf = (database: Database, regions: readonly string[]): Member[] =>
-    holders.candidates(database, regions, ({ name }) =>
-      (holderBackoffUntilMs.get(`${name} ${database.id}`) ?? 0) > nowMs())
-
   const tryDatabase = async (
     database: Database, routing: RoutingRequest, remainingMs: () => number
-  ): Promise<RoutingResult> => {
+  ): Promise<DatabaseResult> => {
     const { route, regions } = routing
-    const needsPrimary = routing.needsPrimary || primaryOf(route.group)?.id === database.id
-    let outcome = notRun('unreachable')
-    for (const holder of holdersOf(database, regions)) {
-      const request = {
+    const needsPrimary = routing.needsPrimary || databases.primaryOf(route.group)?.id === database.id
+    let outcome = notRun(needsPrimary ? 'noContact' : 'unreachable')
+    let attempts = 0
+    let silentHolders = 0
+    for (const holder of holdersOf(database, regions, needsPrimary)) {
+      // Another statement may have become the holder's trial since the holders were chosen.
+      if (needsPrimary && !isOpenForPrimary(holder)) continue
+      if (attempts > 0 && !tryAttempt(routing, causeOf(outcome.reason))) break
+      attempts++
+      outcome = await runAtHolder(holder, {
         ...routing.request, database: database.id, needsPrimary, timeoutMs: Math.max(1, Math.round(remainingMs()))
-      }
-      outcome = await runAtHolder(holder, request)
-      recordOutcome(database.id, outcome)
-      log(events.statementRouted, {
-        request: request.requestId,
-        database: database.id,
-        holder: holder.name,
-        status: outcome.status,
-        reason: outcome.reason,
-        load: outcome.load,
-        queuedMs: outcome.queuedMs,
-        connection: outcome.connection,
-        prepared: outcome.prepared,
-        needsPrimary
       })
-      const location = { database: database.id, holder }
-      const canTryOtherHolder = isRetryableAtOtherHolder(outcome.reason)
-      if (canTryOtherHolder) holderBackoffUntilMs.set(`${holder.name} ${database.id}`, nowMs() + failureBackoffMs)
-      if (outcome.status !== 'NOT_RUN' || !canTryOtherHolder || remainingMs() <= 0) return { outcome, location }
+      const canTryOtherHolder = outcome.status === 'NOT_RUN' && isRetryableAtOtherHolder(outcome.reason)
+      if (!canTryOtherHolder || remainingMs() <= 0) {
+        return { outcome, location: { database: database.id, holder }, attempts }
+      }
+      if (outcome.reason === 'holderSilent' && ++silentHolders >= maxSilentHolders) break
     }
-    return { outcome, location: undefined }
+    return { outcome, location: undefined, attempts }
   }
 
+  /** Identifies the office of a primary: an attempt at the next primary is not a repetition. */
+  const officeOf = (group: string, database: Database) =>
+    `${database.id} ${fleetState.group(group)?.record.term ?? 0}`
+
+  const hasOpenHolder = (database: Database | undefined, regions: readonly string[]) =>
+    database !== undefined && holdersOf(database, regions, true).length > 0
+
   const route = async (routing: RoutingRequest): Promise<RoutingResult> => {
-    const { needsPrimary } = routing
-    const { group } = routing.route
+    const { needsPrimary, regions, previousReason, route: { group } } = routing
     const deadlineMs = nowMs() + routing.request.timeoutMs
     const remainingMs = () => deadlineMs - nowMs()
     const tried = new Set<string>()
+    const triedOffices = new Set<string>()
     let refusedWaits = 0
-    let result: RoutingResult | undefined
-    retryBudget.recordRequest()
+    let isPrimaryFull = false
+    let result: DatabaseResult | undefined
+    const withLoad = (last: Omit<DatabaseResult, 'attempts'>): RoutingResult =>
+      ({ outcome: last.outcome, location: last.location, isPrimaryFull })
+
+    if (previousReason === undefined) budget.recordStatement(group, nowMs())
+    else if (!tryAttempt(routing, causeOf(previousReason))) {
+      return withLoad({ outcome: notRun(previousReason), location: undefined })
+    }
     for (;;) {
-      const next = tried.size < maxDatabases ? candidatesFor(routing).find(({ id }) => !tried.has(id)) : undefined
+      const next = tried.size < maxDatabases ? databases.ranked(routing).find(({ id }) => !tried.has(id)) : undefined
+      const primary = databases.primaryOf(group)
       const isFirstAttempt = result === undefined && next !== undefined
       const decision = isFirstAttempt
         ? { kind: 'tryOther' as const }
         : decideRetry({
           reason: result?.outcome.reason,
+          wasSent: (result?.attempts ?? 0) > 0,
           needsPrimary,
-          isPrimaryActive: primaryOf(group) !== undefined,
+          isPrimaryActive: primary !== undefined,
           hasOther: next !== undefined,
+          isRepetition: next !== undefined && triedOffices.has(officeOf(group, next)),
+          hasOpenHolder: hasOpenHolder(primary, regions),
           refusedWaits,
           remainingMs: remainingMs()
-        }, retryBudget)
-      if (decision.kind === 'giveUp') return result ?? { outcome: notRun('moved'), location: undefined }
+        }, { tryAttempt: cause => tryAttempt(routing, cause) })
+      if (decision.kind === 'giveUp') return withLoad(result ?? { outcome: notRun('moved'), location: undefined })
       if (decision.kind === 'wait') {
-        if (primaryOf(group) !== undefined) refusedWaits++
+        if (databases.primaryOf(group) !== undefined) refusedWaits++
         await sleepMs(decision.ms)
         tried.clear()
       } else if (next !== undefined) {
         tried.add(next.id)
+        triedOffices.add(officeOf(group, next))
         result = await tryDatabase(next, routing, remainingMs)
-        if (result.outcome.status !== 'NOT_RUN') return result
+        if (result.outcome.status !== 'NOT_RUN') return withLoad(result)
+        if (next.id === primary?.id && causeOf(result.outcome.reason) === 'overload') isPrimaryFull = true
       }
     }
   }
 
   return {
     route,
-    continueTransaction: async (request, { holder }) => await runAtHolder(holder, request),
-    abandon
+    continueTransaction: async (request, { holder }) => await calls.run(holder, request),
+    abandon: calls.abandon
   }
 }
--- a/packages/gateway/src/coordination/sessions/session.ts
+++ b/packages/gateway/src/coordination/sessions/session.ts
@@ -154,14 +154,15 @@
     return false
   }
 
-  /** Routes a statement; after lagging replicas, the primary may run it in the rest of the statement's time. */
+  /** Routes a statement; after lagging replicas, a primary that is not full may run it in the rest of its time. */
   const routeWithFallback = async (routing: RoutingRequest): Promise<RoutingResult> => {
     const startedAtMs = performance.now()
     const result = await router.route(routing)
     const { request, needsPrimary } = routing
     const timeoutMs = Math.round(request.timeoutMs - (performance.now() - startedAtMs))
-    if (result.outcome.reason !== 'lagging' || needsPrimary || timeoutMs <= 0) return result
-    return await router.route({ ...routing, request: { ...request, timeoutMs }, needsPrimary: true })
+    const { outcome: { reason: previousReason }, isPrimaryFull } = result
+    if (previousReason !== 'lagging' || needsPrimary || isPrimaryFull || timeoutMs <= 0) return result
+    return await router.route({ ...routing, request: { ...request, timeoutMs }, needsPrimary: true, previousReason })
   }
 
   /** Runs a statement outside a transaction. */
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -10,6 +10,7 @@
   statementSeconds: Histogram<'kind'>
   statementsPrepared: Counter
   commandsDeclined: Counter<'kind' | 'reason'>
+  furtherAttempts: Counter<'cause' | 'made'>
   logLinesDropped: Counter
 }
 
@@ -55,6 +56,12 @@
       labelNames: ['kind', 'reason'],
       registers
     }),
+    furtherAttempts: new Counter({
+      name: 'egretyoke_further_attempts_total',
+      help: 'Attempts after a statement\'s first one, by cause, and whether they were made or their budget was used up',
+      labelNames: ['cause', 'made'],
+      registers
+    }),
     logLinesDropped: new Counter({
       name: 'egretyoke_log_lines_dropped_total',
       help: 'Log lines dropped because the reader was too slow or the rate limit was exceeded',
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -158,6 +158,11 @@
     regionOf,
     runLocally: holders.run,
     abandonLocally: holders.abandon,
+    hasContact: records.hasContact,
+    counters: {
+      countAttempt: cause => metrics.furtherAttempts.inc({ cause, made: 'yes' }),
+      countUnpaid: cause => metrics.furtherAttempts.inc({ cause, made: 'no' })
+    },
     log
   })
   const groupMonitor = createGroupMonitor({
--- a/packages/gateway/src/testing/holder-environment.ts
+++ b/packages/gateway/src/testing/holder-environment.ts
@@ -31,6 +31,7 @@
     isFirstHolder: () => true,
     acceptsNewWork: () => true,
     records: {
+      hasContact: () => true,
       canUse: () => true,
       becomeUser: async () => {
         if (times.storeMs > 0) await sleepMs(times.storeMs)
--- /dev/null
+++ b/packages/gateway/src/testing/router-environment.ts
@@ -0,0 +1,113 @@
+/**
+ * A statement router of one gateway before holders that the test plays, without a network.
+ */
+import { Ok } from '@egretyoke/common'
+import type { EventDefinition, EventFields } from '@egretyoke/common'
+import { createHolderChoice } from '../coordination/routing/holder-choice.js'
+import type { RelayReply } from '../coordination/routing/relay-calls.js'
+import { createStatementRouter } from '../coordination/routing/statement-router.js'
+import { notRun, replyOf } from '../coordination/sessions/statement.js'
+import type { StatementOutcome, StatementRequest } from '../coordination/sessions/statement.js'
+import type { Database, Route } from '../state/configuration.js'
+import type { FleetState } from '../state/fleet-state.js'
+import type { Member } from '../state/stored-records.js'
+import { writeRequest } from './holder-environment.js'
+
+/** Regions of the data centres dc-1, dc-2 and dc-3. */
+const regions: Record<string, string> = { 'dc-1': 'north', 'dc-2': 'south', 'dc-3': 'west' }
+
+const memberOf = (number: number): Member => {
+  const dataCentre = `dc-${number % 3 + 1}`
+  return {
+    name: `vm-${number}`,
+    dataCentre,
+    region: regions[dataCentre]!,
+    address: `127.0.0.1:${number + 1}`,
+    incarnation: 'a',
+    draining: false
+  }
+}
+
+const databaseOf = (group: string, number: number): Database => ({
+  id: `${group}-db-${number}`,
+  group,
+  address: `127.0.0.1:${number}`,
+  dataCentre: `dc-${number}`,
+  slots: 4,
+  draining: false,
+  role: number === 1 ? 'primary' : 'replica',
+  startedAtMs: 1
+})
+
+/** The route of a group's statements. */
+export const routeTo = (group: string, kind: Route['kind']): Route => ({
+  database: group,
+  kind,
+  group,
+  timeoutMs: 800,
+  targetLatencyMs: 500,
+  priority: 0,
+  maxStalenessMs: kind === 'primary' ? 0 : 1500,
+  openToAll: false,
+  homeRegions: []
+})
+
+/** A read outside of a transaction, with the given changes. */
+export const readRequest = (changes: Partial<StatementRequest> = {}): StatementRequest =>
+  writeRequest({ access: 'READ', text: 'READ 1', needsPrimary: false, maxStalenessMs: 1500, ...changes })
+
+/** An outcome of a statement that ran. */
+export const doneOutcome = (changes: Partial<StatementOutcome> = {}): StatementOutcome =>
+  ({ ...notRun(''), status: 'DONE', ...changes })
+
+/** Plays a holder: the outcome of a statement that is sent to it. */
+export type PlayHolder = (holder: Member, request: StatementRequest) => Promise<StatementOutcome> | StatementOutcome
+
+/**
+ * A router of the gateway `vm-1` in dc-2. Each group has a primary GROUP-db-1 in dc-1 and replicas GROUP-db-2 and
+ * GROUP-db-3 in the other data centres.
+ */
+export const createRouterEnvironment = (
+  memberCount: number, groups: readonly string[], play: PlayHolder, hasContact: () => boolean = () => true
+) => {
+  const members = Array.from({ length: memberCount }, (_, number) => memberOf(number))
+  const self = members[1]!
+  const databases = new Map(groups.flatMap(group =>
+    [1, 2, 3].map(number => [`${group}-db-${number}`, databaseOf(group, number)] as const)))
+  const attempts: Array<{ holder: string, request: StatementRequest }> = []
+  const events: Array<EventFields & { name: string }> = []
+  const run = async (holder: Member, request: StatementRequest) => {
+    attempts.push({ holder: holder.name, request })
+    return await play(holder, request)
+  }
+  const fleetState = {
+    group: (group: string) => ({ record: { primary: `${group}-db-1`, phase: 'serving', term: 1 }, revision: 1 }),
+    databases: () => databases,
+    databasesOf: (group: string) => [...databases.values()].filter(database => database.group === group),
+    evacuated: () => new Map(),
+    drainingSinceMs: () => undefined
+  } as unknown as FleetState
+  const regionOf = (dataCentre: string) => regions[dataCentre] ?? dataCentre
+  const router = createStatementRouter({
+    self,
+    fleetState,
+    holders: createHolderChoice({
+      self, election: { ranked: () => members, first: () => members[0]!.name }, regionOf, isUsable: () => true
+    }),
+    relay: {
+      call: async (holder, { run: request }) => {
+        const statement = replyOf(await run(holder, request as StatementRequest))
+        return Ok({ number: 1, statement } as unknown as RelayReply)
+      }
+    },
+    regionOf,
+    runLocally: request => run(self, request),
+    abandonLocally: () => {},
+    hasContact,
+    counters: { countAttempt: () => {}, countUnpaid: () => {} },
+    log: ({ name }: EventDefinition, fields = {}) => {
+      events.push({ name, ...typeof fields === 'function' ? fields() : fields })
+    }
+  })
+  return { router, members, self, attempts, events }
+}
