Routing: the load that holders report decides the database, with age, priority and a random choice

Cause: the last number of statements of a database counted until the next reply, whatever its age, the priority ahead of which they waited and the speed of the database; gateways with equally old numbers all chose the same database. Outcomes without a reply of the database, which carry no load, no longer count as an empty queue.

--- a/packages/gateway/src/coordination/routing/database-candidates.ts
+++ b/packages/gateway/src/coordination/routing/database-candidates.ts
@@ -4,6 +4,8 @@
 import type { Database, Route } from '../../state/configuration.js'
 import type { FleetState } from '../../state/fleet-state.js'
 import { acceptsNewWork } from './database-availability.js'
+import { orderByTime } from './database-choice.js'
+import { createDatabaseLoads } from './database-load.js'
 import type { GatewayLocation } from './holder-choice.js'
 import type { StatementOutcome } from '../sessions/statement.js'
 
@@ -13,6 +15,7 @@
   /** Regions that the data may enter; an empty list permits all. */
   regions: readonly string[]
   needsPrimary: boolean
+  priority: number
   /** True if the replica is known to lag by more than the statement tolerates. */
   isBehind: (database: string) => boolean
 }
@@ -23,7 +26,9 @@
   primaryOf: (group: string) => Database | undefined
   /** Without replicas that are behind, unless no other database is eligible or `includesBehind` is set. */
   ranked: (request: EligibilityRequest, includesBehind: boolean) => Database[]
-  recordOutcome: (database: string, outcome: Pick<StatementOutcome, 'reason' | 'load'>) => void
+  recordOutcome: (database: string, outcome: StatementOutcome) => void
+  /** Records only the load, as for a later statement of a transaction, whose failure concerns the transaction. */
+  recordLoad: (database: string, outcome: StatementOutcome) => void
 }
 
 /** Dependencies of the candidates. */
@@ -32,36 +37,53 @@
   fleetState: FleetState
   regionOf: (dataCentre: string) => string
   nowMs: () => number
+  random: () => number
 }
 
 /** Estimated network latency to a database in milliseconds, by its location. */
 const networkCostMs = { sameDataCentre: 0, sameRegion: 4, otherRegion: 60 } as const
-/** Estimated slot time in milliseconds of each statement queued ahead. */
-const assumedStatementMs = 25
 /** Backoff after a database could not be reached. */
 const failureBackoffMs = 400
+/** Added to the latency during a backoff, so that the database comes last. */
+const backoffPenaltyMs = 100_000
+
+/** Outcomes of a statement that the database or its queue has decided on, whose number of statements is thus known. */
+const isFromDatabase = ({ status, reason }: StatementOutcome) =>
+  status === 'DONE' || status === 'FAILED' || reason === 'busy' || reason === 'queuedTooLong'
 
 /** Creates the candidates of one gateway. */
 export const createDatabaseCandidates = (
-  { self, fleetState, regionOf, nowMs }: DatabaseCandidatesOptions
+  { self, fleetState, regionOf, nowMs, random }: DatabaseCandidatesOptions
 ): DatabaseCandidates => {
-  const loads = new Map<string, number>()
+  const loads = createDatabaseLoads()
   const backoffUntilMs = new Map<string, number>()
 
-  const recordOutcome: DatabaseCandidates['recordOutcome'] = (database, { reason, load }) => {
-    loads.set(database, load)
+  const recordLoad: DatabaseCandidates['recordLoad'] = (database, outcome) => {
+    if (outcome.databaseLoad !== null || isFromDatabase(outcome)) loads.record(database, outcome, nowMs())
+  }
+
+  const recordOutcome: DatabaseCandidates['recordOutcome'] = (database, outcome) => {
+    const { reason } = outcome
+    recordLoad(database, outcome)
     if (reason === 'unreachable' || reason === 'silent') backoffUntilMs.set(database, nowMs() + failureBackoffMs)
   }
 
-  const costOf = (database: Database) => {
+  const networkMsTo = (database: Database, isInOwnRegion: boolean) => {
     const isLocal = database.dataCentre === self.dataCentre
-    const isInRegion = regionOf(database.dataCentre) === self.region
-    const networkCost = isLocal
+    const latencyMs = isLocal
       ? networkCostMs.sameDataCentre
-      : isInRegion ? networkCostMs.sameRegion : networkCostMs.otherRegion
-    const queuedAhead = Math.max(0, (loads.get(database.id) ?? 0) - database.slots + 1)
-    const penalty = (backoffUntilMs.get(database.id) ?? 0) > nowMs() ? 10_000 : 0
-    return networkCost + queuedAhead * assumedStatementMs / Math.max(1, database.slots) + penalty
+      : isInOwnRegion ? networkCostMs.sameRegion : networkCostMs.otherRegion
+    return latencyMs + ((backoffUntilMs.get(database.id) ?? 0) > nowMs() ? backoffPenaltyMs : 0)
+  }
+
+  const withCost = (database: Database, priority: number) => {
+    const isInOwnRegion = regionOf(database.dataCentre) === self.region
+    return {
+      database,
+      isInOwnRegion,
+      networkMs: networkMsTo(database, isInOwnRegion),
+      expectedMs: loads.expectedMs(database, priority, nowMs())
+    }
   }
 
   const isInRegions = (database: Database, regions: readonly string[]) =>
@@ -72,17 +94,19 @@
     return record?.phase === 'serving' ? fleetState.databases().get(record.primary) : undefined
   }
 
-  const ranked: DatabaseCandidates['ranked'] = ({ route, regions, needsPrimary, isBehind }, includesBehind) => {
+  const ranked: DatabaseCandidates['ranked'] = (request, includesBehind) => {
+    const { route, regions, needsPrimary, priority, isBehind } = request
     const primary = primaryOf(route.group)
     const isEligible = (database: Database) => isInRegions(database, regions) && acceptsNewWork(fleetState, database)
     if (needsPrimary) return [primary].flatMap(database => database ?? []).filter(isEligible)
-    const eligible = fleetState.databasesOf(route.group)
-      .filter(isEligible)
-      .sort((one, other) => costOf(one) - costOf(other))
+    const inOrder = (databases: readonly Database[]) =>
+      orderByTime(databases.map(database => withCost(database, priority)), random)
+    const eligible = fleetState.databasesOf(route.group).filter(isEligible)
     const upToDate = eligible.filter(({ id }) => id === primary?.id || !isBehind(id))
-    if (upToDate.length === 0) return eligible
-    return includesBehind ? [...upToDate, ...eligible.filter(database => !upToDate.includes(database))] : upToDate
+    if (upToDate.length === 0) return inOrder(eligible)
+    if (!includesBehind) return inOrder(upToDate)
+    return [...inOrder(upToDate), ...inOrder(eligible.filter(database => !upToDate.includes(database)))]
   }
 
-  return { primaryOf, ranked, recordOutcome }
+  return { primaryOf, ranked, recordOutcome, recordLoad }
 }
--- a/packages/gateway/src/coordination/routing/statement-router.test.ts
+++ b/packages/gateway/src/coordination/routing/statement-router.test.ts
@@ -1,6 +1,7 @@
 /**
  * Attempts of one gateway's statements at holders that cannot run them.
  */
+import { createRandom } from '@egretyoke/common'
 import test from 'ava'
 import { createRouterEnvironment, doneOutcome, readRequest, routeTo } from '../../testing/router-environment.js'
 import { writeRequest } from '../../testing/holder-environment.js'
@@ -109,3 +110,40 @@
   t.is((await databasesAfter('readYourWrites', '1.8'))[0], 'one-db-2')
   t.deepEqual(await databasesAfter('boundedStaleness'), ['one-db-2'])
 })
+
+/** The load of a database with 4 slots and this many statements waiting, of all priorities. */
+const loadWith = (queued: number) => ({
+  load: 4 + queued,
+  databaseLoad: {
+    slots: 4, pace: 4, inFlight: 4, queued: [queued, 0, 0], serviceMs: 25, position: '', connectionsLeft: 9, ageMs: 0
+  }
+})
+
+// Guards against gateways with equally old reports that all choose the same database.
+test('while the replica of the region is full, the gateways of the region spread over the other databases', async t => {
+  const { fraction } = createRandom(5)
+  const chosen: string[] = []
+  for (let gateway = 0; gateway < 60; gateway++) {
+    const environment = createRouterEnvironment(30, groups, (_holder, { database }) =>
+      doneOutcome(loadWith(database === 'one-db-2' ? 60 : 0)), { random: fraction })
+    await environment.run(() => send(environment, 'one', 'boundedStaleness'))
+    await environment.run(() => send(environment, 'one', 'boundedStaleness'))
+    chosen.push(databasesOf(environment)[1]!)
+  }
+  const shares = ['one-db-1', 'one-db-2', 'one-db-3'].map(id => chosen.filter(other => other === id).length)
+  t.is(shares[1], 0)
+  t.true(shares[0]! > 15 && shares[2]! > 15, shares.join())
+})
+
+// Guards against a replica that gets no reads for good after one report of a queue.
+test('a replica that was full is used again once the report is old', async t => {
+  const environment = createRouterEnvironment(30, groups, () => doneOutcome(loadWith(60)))
+  await environment.run(async () => {
+    await send(environment, 'one', 'boundedStaleness')
+    await send(environment, 'one', 'boundedStaleness')
+    await environment.sleep(5000)
+    await send(environment, 'one', 'boundedStaleness')
+  })
+  const [first, second, third] = databasesOf(environment)
+  t.deepEqual([first, second === 'one-db-2', third], ['one-db-2', false, 'one-db-2'])
+})
--- a/packages/gateway/src/coordination/routing/statement-router.ts
+++ b/packages/gateway/src/coordination/routing/statement-router.ts
@@ -7,6 +7,7 @@
 import { events } from '../../events.js'
 import type { Database, Route } from '../../state/configuration.js'
 import type { FleetState } from '../../state/fleet-state.js'
+import { laterPosition } from '../../state/position.js'
 import { processName } from '../../state/stored-records.js'
 import type { Member } from '../../state/stored-records.js'
 import { causeOf, createAttemptBudget } from './attempt-budget.js'
@@ -93,7 +94,7 @@
   const { self, fleetState, holders, regionOf, counters, log, nowMs = () => performance.now() } = options
   const { sleep = sleepMs, random = Math.random } = options
   const calls = createHolderCalls(options)
-  const databases = createDatabaseCandidates({ self, fleetState, regionOf, nowMs })
+  const databases = createDatabaseCandidates({ self, fleetState, regionOf, nowMs, random })
   const budget = createAttemptBudget()
   const trials = createHolderTrials(random)
   const replicaLag = createReplicaLag()
@@ -123,7 +124,8 @@
   /** Records what the outcome shows of the lag of a replica or of the positions of the primary. */
   const recordPosition = (request: StatementRequest, outcome: StatementOutcome, startedAtMs: number) => {
     const { group, database } = request
-    const { position, status, reason } = outcome
+    const { status, reason, databaseLoad } = outcome
+    const position = laterPosition(outcome.position, databaseLoad?.position ?? '')
     if (request.needsPrimary) return replicaLag.recordPrimary(group, position, nowMs())
     const toleratedMs = replicaLag.toleratedMs(request, startedAtMs)
     const hasFallenBehind = reason === 'lagging'
@@ -209,7 +211,7 @@
     const isBehind = (id: string) => !replicaLag.canServe(id, toleratedMs, nowMs())
     const cause = last === undefined ? undefined : causeOf(last)
     const includesBehind = cause !== undefined && cause !== 'overload' && cause !== 'lagging'
-    return databases.ranked({ ...routing, isBehind }, includesBehind)
+    return databases.ranked({ ...routing, priority: routing.request.priority, isBehind }, includesBehind)
   }
 
   const route = async (routing: RoutingRequest): Promise<RoutingResult> => {
@@ -265,6 +267,7 @@
     route,
     continueTransaction: async (request, { holder }) => {
       const outcome = await calls.run(holder, request)
+      databases.recordLoad(request.database, outcome)
       // The position of a commit is required by the session's next reads.
       if (request.needsPrimary) replicaLag.recordPrimary(request.group, outcome.position, nowMs())
       return outcome
