Routing: outliers are ejected for reads, and a single read that failed is tried once elsewhere

Cause: a database that fails or delays a part of the reads while its health check is good kept getting the reads of its region: a failure that the database reports was final, and silence put it last for 400 ms only. A read outside of a transaction that FAILED is tried once at another database, paid for by the budget of the group.

--- a/packages/gateway/src/coordination/routing/database-candidates.ts
+++ b/packages/gateway/src/coordination/routing/database-candidates.ts
@@ -18,6 +18,8 @@
   priority: number
   /** True if the replica is known to lag by more than the statement tolerates. */
   isBehind: (database: string) => boolean
+  /** True if the database fails more reads than the others of its group; it then comes last. */
+  isEjected: (database: string) => boolean
 }
 
 /** Databases of this gateway's fleet state, with what their replies have shown. */
@@ -95,12 +97,15 @@
   }
 
   const ranked: DatabaseCandidates['ranked'] = (request, includesBehind) => {
-    const { route, regions, needsPrimary, priority, isBehind } = request
+    const { route, regions, needsPrimary, priority, isBehind, isEjected } = request
     const primary = primaryOf(route.group)
     const isEligible = (database: Database) => isInRegions(database, regions) && acceptsNewWork(fleetState, database)
     if (needsPrimary) return [primary].flatMap(database => database ?? []).filter(isEligible)
-    const inOrder = (databases: readonly Database[]) =>
+    const byTime = (databases: readonly Database[]) =>
       orderByTime(databases.map(database => withCost(database, priority)), random)
+    const inOrder = (databases: readonly Database[]) => [
+      ...byTime(databases.filter(({ id }) => !isEjected(id))), ...byTime(databases.filter(({ id }) => isEjected(id)))
+    ]
     const eligible = fleetState.databasesOf(route.group).filter(isEligible)
     const upToDate = eligible.filter(({ id }) => id === primary?.id || !isBehind(id))
     if (upToDate.length === 0) return inOrder(eligible)
--- a/packages/gateway/src/coordination/routing/statement-router.test.ts
+++ b/packages/gateway/src/coordination/routing/statement-router.test.ts
@@ -147,3 +147,36 @@
   const [first, second, third] = databasesOf(environment)
   t.deepEqual([first, second === 'one-db-2', third], ['one-db-2', false, 'one-db-2'])
 })
+
+const failed = { ...notRun('failed'), status: 'FAILED' as const }
+
+// Guards against a database that fails a part of the reads of its region although another one would serve them.
+test('a single read that a database fails is tried once at another one, and later reads avoid it', async t => {
+  const environment = createRouterEnvironment(30, groups, (_holder, { database }) =>
+    database === 'one-db-2' ? failed : doneOutcome())
+  const statuses = await environment.run(async () => {
+    const results: string[] = []
+    for (let read = 0; read < 40; read++) results.push((await send(environment, 'one', 'boundedStaleness')).status)
+    return results
+  })
+  t.deepEqual([...new Set(statuses)], ['DONE'])
+  const atFailing = databasesOf(environment).filter(database => database === 'one-db-2').length
+  t.true(atFailing <= 6, `${atFailing} reads`)
+})
+
+test('a read that fails everywhere is tried at two databases at most, and few of them are tried twice', async t => {
+  const environment = createRouterEnvironment(30, groups, () => failed)
+  await environment.run(async () => {
+    t.is((await send(environment, 'one', 'boundedStaleness')).status, 'FAILED')
+    t.is(environment.attempts.length, 2)
+    for (let read = 1; read < 200; read++) await send(environment, 'one', 'boundedStaleness')
+  })
+  t.true(environment.attempts.length < 1.4 * 200, `${environment.attempts.length} attempts`)
+})
+
+// Guards against a statement that runs twice.
+test('a write that the primary fails is not tried again', async t => {
+  const environment = createRouterEnvironment(30, groups, () => failed)
+  t.is((await environment.run(() => send(environment, 'one', 'primary'))).status, 'FAILED')
+  t.is(environment.attempts.length, 1)
+})
--- a/packages/gateway/src/coordination/routing/statement-router.ts
+++ b/packages/gateway/src/coordination/routing/statement-router.ts
@@ -17,9 +17,10 @@
 import type { HolderCallsOptions, TransactionLocation } from './holder-calls.js'
 import type { HolderChoice } from './holder-choice.js'
 import { createHolderTrials } from './holder-trials.js'
+import { createOutliers } from './outliers.js'
 import { createReplicaLag } from './replica-lag.js'
 import { decideRetry } from './retry-decision.js'
-import { isMovedReason, notRun } from '../sessions/statement.js'
+import { isMovedReason, isRead, notRun } from '../sessions/statement.js'
 import type { StatementOutcome, StatementReason, StatementRequest } from '../sessions/statement.js'
 
 export type { TransactionLocation } from './holder-calls.js'
@@ -98,6 +99,7 @@
   const budget = createAttemptBudget()
   const trials = createHolderTrials(random)
   const replicaLag = createReplicaLag()
+  const outliers = createOutliers(random)
   const holderBackoffUntilMs = new Map<string, number>()
 
   /** Pays for an attempt after the first one of a statement. */
@@ -137,11 +139,24 @@
     }
   }
 
+  /** Records a read that the database has run, failed or not answered; other outcomes tell nothing about it. */
+  const recordRead = (request: StatementRequest, outcome: StatementOutcome, startedAtMs: number) => {
+    const { group, database } = request
+    const { status, reason, queuedMs } = outcome
+    const hasFailed = reason === 'failed' || reason === 'silent' || reason === 'unreachable'
+    if (!isRead(request) || (status !== 'DONE' && !hasFailed)) return
+    const endedAtMs = nowMs()
+    const read = { hasFailed, serviceMs: endedAtMs - startedAtMs - queuedMs, startedAtMs, endedAtMs }
+    const change = outliers.record(database, fleetState.databasesOf(group).map(({ id }) => id), read)
+    if (change !== undefined) log(events.databaseEjected, { group, database, isEjected: change === 'ejected' })
+  }
+
   const recordOutcome = (
     holder: Member, request: StatementRequest, outcome: StatementOutcome, startedAtMs: number
   ) => {
     const { database, needsPrimary } = request
     recordPosition(request, outcome, startedAtMs)
+    recordRead(request, outcome, startedAtMs)
     databases.recordOutcome(database, outcome)
     if (isRetryableAtOtherHolder(outcome.reason)) {
       holderBackoffUntilMs.set(`${holder.name} ${database}`, nowMs() + holderBackoffMs)
@@ -156,6 +171,7 @@
     const startedAtMs = nowMs()
     if (request.needsPrimary) trials.start(processName(holder), startedAtMs)
     else replicaLag.start(request.database, replicaLag.toleratedMs(request, startedAtMs), startedAtMs)
+    if (isRead(request)) outliers.start(request.database, startedAtMs)
     const outcome = await calls.run(holder, request)
     recordOutcome(holder, request, outcome, startedAtMs)
     log(events.statementRouted, {
@@ -211,7 +227,22 @@
     const isBehind = (id: string) => !replicaLag.canServe(id, toleratedMs, nowMs())
     const cause = last === undefined ? undefined : causeOf(last)
     const includesBehind = cause !== undefined && cause !== 'overload' && cause !== 'lagging'
-    return databases.ranked({ ...routing, priority: routing.request.priority, isBehind }, includesBehind)
+    const isEjected = (id: string) => outliers.isEjected(id, nowMs())
+    return databases.ranked({ ...routing, priority: routing.request.priority, isBehind, isEjected }, includesBehind)
+  }
+
+  /** Tries a single read that a database failed once at another one; returns the failure unless that serves it. */
+  const retryFailedRead = async (
+    routing: RoutingRequest, failure: DatabaseResult, tried: ReadonlySet<string>, remainingMs: () => number
+  ): Promise<DatabaseResult> => {
+    const { request, needsPrimary } = routing
+    const { status, reason } = failure.outcome
+    const isSingleRead = !needsPrimary && isRead(request) && request.transaction === 'SINGLE'
+    if (status !== 'FAILED' || reason !== 'failed' || !isSingleRead || remainingMs() <= 0) return failure
+    const other = candidatesFor(routing, reason).find(({ id }) => !tried.has(id))
+    if (other === undefined || !tryAttempt(routing, 'failed')) return failure
+    const second = await tryDatabase(other, routing, remainingMs)
+    return second.outcome.status === 'DONE' ? second : failure
   }
 
   const route = async (routing: RoutingRequest): Promise<RoutingResult> => {
@@ -257,7 +288,9 @@
         tried.add(next.id)
         triedOffices.add(officeOf(group, next))
         result = await tryDatabase(next, routing, remainingMs)
-        if (result.outcome.status !== 'NOT_RUN') return withLoad(result)
+        if (result.outcome.status !== 'NOT_RUN') {
+          return withLoad(await retryFailedRead(routing, result, tried, remainingMs))
+        }
         if (next.id === primary?.id && causeOf(result.outcome.reason) === 'overload') isPrimaryFull = true
       }
     }
--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -97,6 +97,8 @@
     'A holder has no contact with the store and gets no statement that needs a primary but trials, or has it again.'),
   replicaLagChanged: defineEvent(7062, 'replicaLagChanged',
     'A replica lags by more than a read tolerates and gets only trials of such reads, or has caught up.'),
+  databaseEjected: defineEvent(7063, 'databaseEjected',
+    'A database fails or delays far more reads than the others of its group and gets only trials, or is used again.'),
   connectionShared: defineEvent(7051, 'connectionShared',
     'A statement began on a connection on which another one is running, which must not occur; names both requests.'),
   preparedLinesSuppressed: defineEvent(7053, 'preparedLinesSuppressed',
