--- a/packages/gateway/src/coordination/connections/database-holder.ts
+++ b/packages/gateway/src/coordination/connections/database-holder.ts
@@ -196,11 +196,11 @@
   const admit = async (request: StatementRequest): Promise<StatementOutcome> => {
     const arrivedAtMs = nowMs()
     const deadlineMs = arrivedAtMs + request.timeoutMs
-    if (isClosed) return notRun('moved')
+    if (isClosed) return notRun('closed')
     noticePromotion()
-    if (request.transaction !== 'CONTINUE' && !options.acceptsNewWork()) return notRun('moved')
+    if (request.transaction !== 'CONTINUE' && !options.acceptsNewWork()) return notRun('closed')
     const mustBecomeUser = request.needsPrimary && request.transaction !== 'CONTINUE'
-    if (mustBecomeUser && !await records.becomeUser(group, id)) return notRun('moved')
+    if (mustBecomeUser && !await records.becomeUser(group, id)) return notRun(records.whyNoUse(group, id))
     // Computed before queueing: commits confirmed after the statement arrived need not be visible to it.
     const position = request.transaction === 'CONTINUE' ? '' : await requiredPosition(request)
     if (position === undefined) return notRun('lagging')
--- a/packages/gateway/src/coordination/connections/statement-execution.ts
+++ b/packages/gateway/src/coordination/connections/statement-execution.ts
@@ -131,7 +131,7 @@
   ): Promise<StatementRun> => {
     const isAtPrimary = request.needsPrimary || records.canUse(group, id)
     if (request.needsPrimary && !records.canUse(group, id)) {
-      return { outcome: notRun('moved'), isReusable: true, transaction: transactionBefore(request) }
+      return { outcome: notRun(records.whyNoUse(group, id)), isReusable: true, transaction: transactionBefore(request) }
     }
     const coversUntil = clock.now()
     const use = connectionLog.startUse(pooled, request)
--- a/packages/gateway/src/coordination/primaries/group-records.ts
+++ b/packages/gateway/src/coordination/primaries/group-records.ts
@@ -11,6 +11,7 @@
 import type { FleetState, Versioned } from '../../state/fleet-state.js'
 import { encodeRecord, recordPrefixes, splitProcessName } from '../../state/stored-records.js'
 import type { GroupRecord } from '../../state/stored-records.js'
+import type { MovedReason } from '../sessions/statement.js'
 import type { SharedStore } from '../store/shared-store.js'
 
 /** A gateway stops using primaries when its fleet state was last confirmed longer ago than this. */
@@ -19,10 +20,14 @@
 
 /** Access to the group records. */
 export type GroupRecords = {
+  /** True while this gateway has contact with the store and its lease, without which it uses no primary. */
+  hasContact: () => boolean
   /** True while the database is the current primary and this gateway is one of its users. */
   canUse: (group: string, database: string) => boolean
   /** Adds this gateway to the primary's users; false if the database is not the primary or the store call fails. */
   becomeUser: (group: string, database: string) => Promise<boolean>
+  /** Why this gateway may not use the primary, after `canUse` or `becomeUser` has returned false. */
+  whyNoUse: (group: string, database: string) => MovedReason
   /** Stops the use of the group's primary by this gateway until a record newer than the revision is known. */
   stopUse: (group: string, revision: number) => void
   /** Stores a record if the stored one is still at the revision; returns the new version, or undefined on failure. */
@@ -55,6 +60,8 @@
 ): GroupRecords => {
   const pendingJoins = new Map<string, Promise<boolean>>()
   const stoppedRevisions = new Map<string, number>()
+  /** Groups whose last change of the record by this gateway failed because the store did not answer or refused. */
+  const unstoredGroups = new Set<string>()
 
   const isActivePrimary = (group: string, database: string) => {
     const versioned = fleetState.group(group)
@@ -62,16 +69,20 @@
       versioned.revision > (stoppedRevisions.get(group) ?? 0)
   }
 
-  const hasContactAndLease = () => contact.ageMs() < maxPrimaryContactAgeMs && isLeaseHeld()
+  const hasContact = () => contact.ageMs() < maxPrimaryContactAgeMs && isLeaseHeld()
 
-  const canUse = (group: string, database: string) => hasContactAndLease() && isActivePrimary(group, database) &&
+  const canUse = (group: string, database: string) => hasContact() && isActivePrimary(group, database) &&
     fleetState.group(group)?.record.users.includes(self) === true
 
   const storeRecord = async (group: string, record: GroupRecord, expectedRevision: number) => {
     const key = recordPrefixes.groups + group
     const value = encodeRecord(record)
     const swap = await store.compareAndSwap({ key, expectedRevision, value }, storeTimeoutMs)
-    if (swap.err) return undefined
+    if (swap.err) {
+      unstoredGroups.add(group)
+      return undefined
+    }
+    unstoredGroups.delete(group)
     const { current, swapped } = swap.val
     if (current !== undefined) fleetState.apply(current)
     if (!swapped || current === undefined) return undefined
@@ -90,16 +101,22 @@
 
   const becomeUser = async (group: string, database: string): Promise<boolean> => {
     if (canUse(group, database)) return true
-    if (!hasContactAndLease() || !isActivePrimary(group, database)) return false
+    if (!hasContact() || !isActivePrimary(group, database)) return false
     const pending = pendingJoins.get(group) ?? addSelf(group, database).finally(() => pendingJoins.delete(group))
     pendingJoins.set(group, pending)
     await pending
     return canUse(group, database)
   }
 
+  const whyNoUse = (group: string, database: string): MovedReason => {
+    if (!hasContact()) return 'noContact'
+    if (!isActivePrimary(group, database)) return 'notPrimary'
+    return unstoredGroups.has(group) ? 'noContact' : 'moved'
+  }
+
   const stopUse = (group: string, revision: number) => {
     stoppedRevisions.set(group, Math.max(revision, stoppedRevisions.get(group) ?? 0))
   }
 
-  return { canUse, becomeUser, stopUse, store: storeRecord }
+  return { hasContact, canUse, becomeUser, whyNoUse, stopUse, store: storeRecord }
 }
--- a/packages/gateway/src/coordination/routing/holder-choice.ts
+++ b/packages/gateway/src/coordination/routing/holder-choice.ts
@@ -23,10 +23,12 @@
 export type HolderChoice = {
   /**
    * Gateways to try, best first. Gateways outside `regions` are excluded, except this one; an empty list permits all
-   * regions. Gateways that `isAvoided` names, and suspected ones, come last, after the next ones in rank.
+   * regions. Gateways that `isAvoided` names, and suspected ones, come last, after the next ones in rank; those that
+   * `isExcluded` names are left out.
    */
   candidates: (
-    database: Database, regions: readonly string[], isAvoided?: (member: Member) => boolean
+    database: Database, regions: readonly string[], isAvoided?: (member: Member) => boolean,
+    isExcluded?: (member: Member) => boolean
   ) => Member[]
 }
 
@@ -74,12 +76,14 @@
   }
 
   const candidates = (
-    database: Database, regions: readonly string[], isAvoided: (member: Member) => boolean = () => false
+    database: Database, regions: readonly string[], isAvoided: (member: Member) => boolean = () => false,
+    isExcluded: (member: Member) => boolean = () => false
   ): Member[] => {
     const byRank = rankedByDistance(database)
-    const isPermitted = (member: Member) => member.name === self.name ||
+    const isReachable = (member: Member) => member.name === self.name ||
       ((regions.length === 0 || regions.includes(member.region)) && isUsable(member))
-    const isWorking = (member: Member) => !member.draining && isPermitted(member)
+    const isPermitted = (member: Member) => !isExcluded(member) && isReachable(member)
+    const isWorking = (member: Member) => !member.draining && isReachable(member)
     const ranked = withCurrentFirst([database.id, ...regions].join(' '), byRank, isWorking)
     const chosen: Member[] = []
     const choose = (wanted: number, isWanted: (member: Member) => boolean) => {
@@ -90,6 +94,7 @@
     }
     choose(maxCandidates - 1, member => !member.draining && !isAvoided(member) && !isSuspected(member))
     choose(maxCandidates, member => member.name === self.name)
+    choose(maxCandidates, member => !member.draining && !isAvoided(member))
     choose(maxCandidates, member => !member.draining)
     return chosen
   }
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -13,6 +13,7 @@
   linkEvents: Counter<'event'>
   statementsNotOffered: Counter<'reason'>
   holderMoves: Counter<'cause'>
+  furtherAttempts: Counter<'cause' | 'made'>
   logLinesDropped: Counter
   usageReports: Counter<'result'>
   storeCalls: Counter<'call' | 'result'>
@@ -86,6 +87,12 @@
       labelNames: ['cause'],
       registers
     }),
+    furtherAttempts: new Counter({
+      name: 'egretyoke_further_attempts_total',
+      help: 'Attempts after a statement\'s first one, by cause, and whether they were made or their budget was used up',
+      labelNames: ['cause', 'made'],
+      registers
+    }),
     logLinesDropped: new Counter({
       name: 'egretyoke_log_lines_dropped_total',
       help: 'Log lines dropped because the reader was too slow or the rate limit was exceeded',
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -218,6 +218,11 @@
     runLocally: holders.run,
     abandonLocally: holders.abandon,
     usage,
+    hasContact: records.hasContact,
+    counters: {
+      countAttempt: cause => metrics.furtherAttempts.inc({ cause, made: 'yes' }),
+      countUnpaid: cause => metrics.furtherAttempts.inc({ cause, made: 'no' })
+    },
     log
   })
   const groupMonitor = createGroupMonitor({
--- a/packages/gateway/src/testing/holder-environment.ts
+++ b/packages/gateway/src/testing/holder-environment.ts
@@ -34,11 +34,13 @@
     isFirstHolder: () => true,
     acceptsNewWork: () => true,
     records: {
+      hasContact: () => true,
       canUse: () => true,
       becomeUser: async () => {
         if (times.storeMs > 0) await sleepMs(times.storeMs)
         return true
       },
+      whyNoUse: () => 'moved',
       stopUse: () => {},
       store: async () => undefined
     },
