Membership: a lease that has ended is an answer of the store

Cause: when the store returned after it had refused a gateway for longer than its lease, the renewal's answer that the lease had ended counted as one more failure, and the gateway joined again only after up to 2 s.

Change: this answer ends the backoff, and the gateway joins at once.

Test: membership.test fails on the code before (no second lease within 0.5 s of the answer) and passes now.

--- a/packages/gateway/src/coordination/membership/membership.ts
+++ b/packages/gateway/src/coordination/membership/membership.ts
@@ -84,8 +84,11 @@
     run: async signal => {
       while (!signal.aborted) {
         const startedAtMs = monotonicMs()
+        const hadLease = lease !== undefined
         const isHeld = lease === undefined ? await join() : await renew(lease.id)
-        if (isHeld) backoff.recordSuccess('membership')
+        // The store answers when it reports that the lease has ended, so the gateway joins again at once.
+        const hasEnded = hadLease && lease === undefined
+        if (isHeld || hasEnded) backoff.recordSuccess('membership')
         else backoff.recordFailure('membership', startedAtMs)
         await (isHeld ? sleepUntilTick(renewIntervalMs, signal) : sleepUntilDue(backoff, 'membership', signal))
       }
