Store: a peer whose long values cannot be read is avoided for a while

Cause: a gateway that could not read a value of over 32 KB from the store asked its peers for the same changes again at once, ten times a second while the store refused it.

Change: the peer is avoided like one that has no confirmation. Not tested on its own; the tests of the store pass.

--- a/packages/gateway/src/coordination/store/store-sources.ts
+++ b/packages/gateway/src/coordination/store/store-sources.ts
@@ -135,7 +135,10 @@
     if (!isUseful || (mustBeDirect && update.indirect)) return undefined
     const received = update.wholeState ? await readPeerState(relay, peer, update) : update.changes
     const entries = await Promise.all(received?.map(entryOf) ?? [undefined])
-    if (entries.includes(undefined)) return undefined
+    if (entries.includes(undefined)) {
+      avoid(peer)
+      return undefined
+    }
     return {
       entries: entries.flatMap(entry => entry ?? []),
       revision: Math.max(after, update.revision),
