Revert "Holder: keep connections while in use, also if not the first in rank"

Cause: after a partition several gateways hold connections to one database at the same time, and the database refuses connections as over its limit. Those that are not the first in rank must give theirs back soon, also while the last senders leave them.

--- a/packages/gateway/src/coordination/connections/database-holder.ts
+++ b/packages/gateway/src/coordination/connections/database-holder.ts
@@ -28,11 +28,8 @@
 /** A statement without a reply for less than this had too little time left to show that the database is silent. */
 const minSilenceMs = 200
 const idlePollMs = 10
-/**
- * Maximum idle time of connections while this gateway is not the database's first holder (see `isFirstHolder`). Senders
- * may stay with it all the same: as long as it runs statements, only connections of rare workspaces are closed.
- */
-const secondaryIdleMs = { unused: 1000, inUse: 5000 } as const
+/** Maximum idle time of connections while this gateway is not the database's first holder (see `isFirstHolder`). */
+const secondaryIdleMs = 1000
 
 /** A statement that is queued for a slot. */
 type QueuedStatement = AcceptedStatement & {
@@ -52,7 +49,6 @@
   let isClosed = false
   let pausedUntilMs = -Infinity
   let lastReplyMs = -Infinity
-  let lastStartMs = -Infinity
   let newestPosition = ''
   const continuing: QueuedStatement[] = []
   const queueAdmission = createQueueAdmission()
@@ -119,7 +115,6 @@
     const ended = running.start(request, estimatedMs)
     const paced = pace.start()
     const startedAtMs = nowMs()
-    lastStartMs = startedAtMs
     const queuedMs = Math.round(startedAtMs - arrivedAtMs)
     const { outcome, databaseMs } = await execution.run(statement)
     const measuredMs = ended()
@@ -272,9 +267,7 @@
     runMaintenance,
     closeUnused: () => {
       connectionLog.writeSuppressedCount()
-      if (pool.size() === 0 || options.isFirstHolder()) return
-      const isInUse = nowMs() - lastStartMs < secondaryIdleMs.unused
-      pool.closeIdle(isInUse ? secondaryIdleMs.inUse : secondaryIdleMs.unused)
+      if (pool.size() > 0 && !options.isFirstHolder()) pool.closeIdle(secondaryIdleMs)
     },
     close: () => {
       isClosed = true
