Holder: two connections opened at once, and statements with a connection first

Cause: each attempt to open a connection takes a slot of the database and a place of the holder's concurrent statements, for 700 ms if it times out. With four attempts at four slots nothing else ran. Change: the pool opens two connections at once; the queue passes over statements for which none can be had, and prefers, four times of five, statements of the same priority whose workspace has an idle one.

--- a/packages/gateway/src/coordination/connections/connection-pool.test.ts
+++ b/packages/gateway/src/coordination/connections/connection-pool.test.ts
@@ -114,6 +114,16 @@
   t.true(pool.hasCapacity())
 })
 
+// Guards against attempts that time out because a database gets too many at once.
+test('two connections are opened at the same time at most', async t => {
+  const { pool, acquire } = createPool(10)
+  pool.release(await acquire('ready'))
+  const opening = [acquire('a'), acquire('b')]
+  t.deepEqual([pool.canServe('c'), pool.canServe('ready')], [false, true])
+  await Promise.all(opening)
+  t.true(pool.canServe('c'))
+})
+
 test('idle connections above the bound are closed, so that the next holder can connect', async t => {
   const { pool, acquire } = createPool(100)
   const acquired = await Promise.all(Array.from({ length: 90 }, (_, index) => acquire(`workspace-${index}`)))
--- a/packages/gateway/src/coordination/connections/connection-pool.ts
+++ b/packages/gateway/src/coordination/connections/connection-pool.ts
@@ -30,8 +30,12 @@
 
 /** Pool of connections to one database. */
 export type ConnectionPool = {
-  /** True if `acquire` can reuse an idle connection, evict one, or open a new one. */
+  /** True if `acquire` can reuse an idle connection, evict one, or open a new one, at least for some workspace. */
   hasCapacity: () => boolean
+  /** True if `acquire` can do so for the workspace. */
+  canServe: (workspace: string) => boolean
+  /** True if a connection of the workspace is idle. */
+  hasIdle: (workspace: string) => boolean
   acquire: (workspace: string, timeoutMs: number) => Promise<Result<PooledConnection, ConnectFailure>>
   /** Returns a connection to the pool, for the next session of its workspace. */
   release: (pooled: PooledConnection) => void
@@ -59,6 +63,12 @@
  */
 const maxIdle = { reserved: 20, atLeast: 10 } as const
 
+/**
+ * Connections that are opened at the same time. Each occupies a slot of the database meanwhile, and a database that
+ * gets too many attempts at once lets some time out.
+ */
+const maxOpening = 2
+
 /** Dependencies and limits of a pool. */
 export type PoolOptions = {
   connect: (workspace: string, timeoutMs: number) => ReturnType<ConnectDatabase>
@@ -67,6 +77,8 @@
   connectionsOfOthers?: () => number
   /** The pool may have this many connections, whatever others have: fewer would leave slots unused. */
   minConnections?: () => number
+  /** Called when an attempt to open a connection has ended, so that the next one may begin. */
+  onAttemptEnded?: () => void
   nowMs: () => number
 }
 
@@ -106,9 +118,9 @@
 }
 
 /** Creates an empty pool. */
-export const createConnectionPool = (
-  { connect, maxConnections, connectionsOfOthers = () => 0, minConnections = () => 1, nowMs }: PoolOptions
-): ConnectionPool => {
+export const createConnectionPool = (options: PoolOptions): ConnectionPool => {
+  const { connect, maxConnections, onAttemptEnded, nowMs } = options
+  const { connectionsOfOthers = () => 0, minConnections = () => 1 } = options
   const idle: PooledConnection[] = []
   const all = new Set<PooledConnection>()
   let opening = 0
@@ -139,6 +151,9 @@
    */
   const canGrow = () => size() < maxSize() && nowMs() >= fullUntilMs && (refusals === 0 || opening === 0)
 
+  const canOpen = () => opening < maxOpening && (canGrow() || idle.length > 0)
+  const hasIdle = (workspace: string) => idle.some(pooled => pooled.workspace === workspace)
+
   const evict = () => {
     const leastLikely = expectedReuse.leastLikely(idle)
     if (leastLikely !== undefined) discard(leastLikely)
@@ -154,6 +169,7 @@
     opening++
     const connected = await connect(workspace, timeoutMs)
     opening--
+    if (onAttemptEnded !== undefined) queueMicrotask(onAttemptEnded)
     if (connected.err) {
       if (connected.val.reason === 'full') recordRefusal()
       return Err(connected.val)
@@ -190,7 +206,9 @@
   }
 
   return {
-    hasCapacity: () => canGrow() || idle.length > 0,
+    hasCapacity: () => canOpen() || idle.length > 0,
+    canServe: workspace => hasIdle(workspace) || canOpen(),
+    hasIdle,
     acquire,
     release,
     discard,
--- a/packages/gateway/src/coordination/connections/database-holder.ts
+++ b/packages/gateway/src/coordination/connections/database-holder.ts
@@ -61,6 +61,7 @@
     maxConnections: () => Math.max(1, options.maxConnections() - spareConnections),
     connectionsOfOthers: options.leftConnections,
     minConnections: () => database().slots,
+    onAttemptEnded: () => dispatch(),
     nowMs
   })
   const transactions = createOpenTransactions({
@@ -97,7 +98,13 @@
   let primaryTerm = options.primaryTerm?.()
   const serviceMs = (request: StatementRequest) => queueAdmission.serviceMs(statementClassOf(request))
   const queue = createStatementQueue<QueuedStatement>({
-    onDropped: dropQueued, serviceMs, runningOf: running.countOf, limit: pace.limit, nowMs
+    onDropped: dropQueued,
+    serviceMs,
+    runningOf: running.countOf,
+    canStart: pool.canServe,
+    isReady: pool.hasIdle,
+    limit: pace.limit,
+    nowMs
   })
   const load = () => running.count() + queue.size() + continuing.length
 
--- a/packages/gateway/src/coordination/connections/holder-under-load.test.ts
+++ b/packages/gateway/src/coordination/connections/holder-under-load.test.ts
@@ -136,3 +136,22 @@
   t.false(logged.some(({ name }) => name === 'paceLowered'))
   holder.close()
 })
+
+// Guards against a database that is idle while all run places wait for connections that time out.
+test('statements with a connection run while others wait for connections', async t => {
+  const { database, holder } = createEnvironment()
+  database.description.slots = 4
+  const read = (workspace: string) => holder.run({ ...manyReads[0]!, workspace })
+  t.is((await read('ready')).status, 'DONE')
+  database.connectDelayMs = workspace => workspace === 'ready' ? 0 : 300
+  const ended: string[] = []
+  const waiting = ['a', 'b', 'c', 'd', 'e'].map(async workspace => {
+    await read(workspace)
+    ended.push(workspace)
+  })
+  t.is((await read('ready')).status, 'DONE')
+  t.deepEqual(ended, [])
+  await Promise.all(waiting)
+  t.is(ended.length, 5)
+  holder.close()
+})
--- a/packages/gateway/src/coordination/connections/statement-execution.ts
+++ b/packages/gateway/src/coordination/connections/statement-execution.ts
@@ -74,7 +74,7 @@
     for (;;) {
       const acquired = await pool.acquire(request.workspace, Math.min(connectTimeoutMs, deadlineMs - nowMs()))
       if (acquired.ok || acquired.val.reason !== 'full') return acquired
-      while (!pool.hasCapacity() && nowMs() < waitUntilMs) await sleepMs(capacityPollMs)
+      while (!pool.canServe(request.workspace) && nowMs() < waitUntilMs) await sleepMs(capacityPollMs)
       if (nowMs() >= waitUntilMs) return acquired
     }
   }
--- a/packages/gateway/src/coordination/connections/statement-queue.test.ts
+++ b/packages/gateway/src/coordination/connections/statement-queue.test.ts
@@ -16,7 +16,7 @@
   writeRequest({ access: 'READ', maxStalenessMs: 1500, priority, workspace })
 
 /** A queue in front of a database whose statements all take the same time. */
-const createSimulation = (limit = slots) => {
+const createSimulation = (limit = slots, ready?: ReadonlySet<string>, startable?: ReadonlySet<string>) => {
   const time = { nowMs: 0 }
   const running: Array<{ request: StatementRequest, endsAtMs: number }> = []
   const dropped: StatementRequest[] = []
@@ -27,6 +27,8 @@
     serviceMs: () => serviceMs,
     runningOf,
     limit: () => limit,
+    canStart: workspace => startable?.has(workspace) ?? true,
+    isReady: workspace => ready?.has(workspace) ?? true,
     nowMs: () => time.nowMs
   })
   const push = (request: StatementRequest, count = 1, timeMs = 1e6) => {
@@ -155,3 +157,30 @@
   t.true(waitedMs >= 150, `${waitedMs}`)
   t.true(Math.abs(waitedMs - expectedMs) <= 0.3 * waitedMs, `${expectedMs} expected, ${waitedMs} waited`)
 })
+
+// Guards against slots that go to new connections, of which each takes as long as a statement.
+test('statements whose workspace has an idle connection are preferred, but four of five at most', t => {
+  const { push, takeAll } = createSimulation(slots, new Set(['yard-b']))
+  push(writeOf(0, 'yard-a'), 40)
+  push(writeOf(0, 'yard-b'), 40)
+  const first = takeAll().slice(0, 40)
+  t.is(first.filter(({ workspace }) => workspace === 'yard-b').length, 32)
+})
+
+test('a connection at hand does not change the order of priorities', t => {
+  const { push, takeAll } = createSimulation(slots, new Set(['yard-b']))
+  push(writeOf(1, 'yard-b'))
+  push(writeOf(0, 'yard-a'))
+  t.deepEqual(takeAll().map(({ priority }) => priority), [0, 1])
+})
+
+// Guards against statements that hold run places while they wait for connections.
+test('a statement for which no connection can be had stays in the queue, and lets the others pass', t => {
+  const startable = new Set(['yard-b'])
+  const { queue, push, takeAll } = createSimulation(slots, startable, startable)
+  push(writeOf(0, 'yard-a'), 3)
+  push(writeOf(0, 'yard-b'))
+  push(readOf(2, 'yard-b'))
+  t.deepEqual(takeAll().map(({ workspace }) => workspace), ['yard-b', 'yard-b'])
+  t.is(queue.size(), 3)
+})
--- a/packages/gateway/src/coordination/connections/statement-queue.ts
+++ b/packages/gateway/src/coordination/connections/statement-queue.ts
@@ -5,7 +5,9 @@
  * primary. Statements that only this database can run are served before reads that a replica could serve, each by
  * priority; of the statements taken while others wait, a fixed part goes to the others, so that none is starved.
  * Within a priority, workspaces are served by deficit round robin, and the statements of a workspace by time left.
- * While others wait, a workspace runs on at most half of the slots: otherwise its long statements would keep them all.
+ * Statements whose workspace has an idle connection are preferred within their priority, but not always: opening a
+ * connection takes a slot for as long as a short statement. While others wait, a workspace runs on at most half of the
+ * slots: otherwise its long statements would keep them all.
  */
 import { createFairQueue } from '@egretyoke/limits'
 import type { DropReason, FairQueue, QueueRefusal } from '@egretyoke/limits'
@@ -19,6 +21,9 @@
 /** One in this many statements is taken from a band that is not the first one in which statements wait. */
 const otherBandsEvery = 8
 
+/** Statements that may be preferred in succession because their workspace has an idle connection. */
+const maxPreferred = 4
+
 /** A statement that waits, with its request. */
 export type WaitingStatement = { request: StatementRequest }
 
@@ -49,6 +54,10 @@
   serviceMs: (request: StatementRequest) => number
   /** Number of statements of a workspace that run now. */
   runningOf: (workspace: string) => number
+  /** False while no connection can be had for the workspace. */
+  canStart?: (workspace: string) => boolean
+  /** True if the workspace has an idle connection. */
+  isReady?: (workspace: string) => boolean
   /** Number of statements that may run at once. */
   limit: () => number
   nowMs: () => number
@@ -64,8 +73,9 @@
 
 /** Creates an empty queue. */
 export const createStatementQueue = <Statement extends WaitingStatement>(
-  { onDropped, serviceMs, runningOf, limit, nowMs }: StatementQueueOptions<Statement>
+  options: StatementQueueOptions<Statement>
 ): StatementQueue<Statement> => {
+  const { onDropped, serviceMs, runningOf, limit, nowMs, canStart = () => true, isReady = () => true } = options
   const bands: Array<FairQueue<Statement>> = Array.from({ length: 2 * priorityCount }, () =>
     createFairQueue<Statement>({
       maxQueued: maxQueuedPerBand, maxQueuedPerWorkspace: maxQueuedPerBand, order: 'deadline', onDropped, clock: nowMs
@@ -75,11 +85,22 @@
   const slotUse = createSlotUse(bands.length, nowMs)
   let taken = 0
   let takenFromFirst = 0
+  let preferred = 0
+
+  const hasRoom = (workspace: string) =>
+    canStart(workspace) && runningOf(workspace) < Math.max(1, Math.ceil(limit() / 2))
 
-  const hasRoom = (workspace: string) => runningOf(workspace) < Math.max(1, Math.ceil(limit() / 2))
+  const popReady = (band: FairQueue<Statement>) => {
+    if (preferred >= maxPreferred) return undefined
+    return band.pop(workspace => isReady(workspace) && hasRoom(workspace))
+  }
 
   /** Slots are not left free for a bound: if all waiting workspaces have reached it, it does not apply. */
-  const popFrom = (band: FairQueue<Statement>) => band.pop(hasRoom) ?? band.pop()
+  const popFrom = (band: FairQueue<Statement>) => {
+    const ready = popReady(band)
+    preferred = ready === undefined ? 0 : preferred + 1
+    return ready ?? band.pop(hasRoom) ?? band.pop(canStart)
+  }
 
   const waitingBands = () => bands.flatMap((band, index) => band.size() > 0 ? [index] : [])
 
@@ -93,8 +114,11 @@
   }
 
   const pop = () => {
-    for (let waiting = waitingBands(); waiting.length > 0; waiting = waitingBands()) {
-      const index = nextBand(waiting)!
+    const waiting = waitingBands()
+    if (waiting.length === 0) return undefined
+    const next = nextBand(waiting)!
+    // The other bands follow for the case that no statement of the next one can start.
+    for (const index of [next, ...waiting.filter(other => other !== next)]) {
       const statement = popFrom(bands[index])
       if (statement === undefined) continue
       lastTaken[index] = ++taken
