--- a/soak/src/gateway-process.ts
+++ b/soak/src/gateway-process.ts
@@ -21,6 +21,8 @@
   metricsPort: number
   storeAddress: string
   failoverAddress: string
+  /** Further fields of the settings file. */
+  moreSettings?: Readonly<Record<string, unknown>>
 }
 
 /** Deadlines from the gateways' settings: for refusing a withdrawn key on every gateway, and for graceful shutdown. */
@@ -30,6 +32,9 @@
 export type GatewayProcess = {
   name: string
   callerPort: number
+  metricsPort: number
+  /** Id of the running process; undefined while it restarts. */
+  pid: () => number | undefined
   signal: (signal: NodeJS.Signals) => void
   /** Whether the balancer routes new connections to it, according to the latest readiness checks. */
   isInRotation: () => boolean
@@ -55,7 +60,8 @@
   internalPortRange: [options.relayPort, options.relayPort + 1],
   bounds: { revokeMs: gatewayDeadlines.keyWithdrawalMs, graceS: gatewayDeadlines.graceMs / 1000 },
   platform: { address: options.storeAddress },
-  cloudApi: { address: options.failoverAddress }
+  cloudApi: { address: options.failoverAddress },
+  ...options.moreSettings
 }, undefined, 2)
 
 const liveChildren = new Set<ChildProcess>()
@@ -142,6 +148,8 @@
   return {
     name: options.name,
     callerPort: options.callerPort,
+    metricsPort: options.metricsPort,
+    pid: () => child?.exitCode === null && child.signalCode === null ? child.pid : undefined,
     signal,
     isInRotation: () => failedChecks < unhealthyThreshold,
     rewriteSettings: () => { writeGatewaySettings(options, folder) },
--- a/soak/src/session-environment.ts
+++ b/soak/src/session-environment.ts
@@ -9,12 +9,14 @@
 import { openCallerConnection } from './caller-connection.js'
 import type { CallerConnection } from './caller-connection.js'
 import { startGatewayProcess } from './gateway-process.js'
+import type { GatewayProcess } from './gateway-process.js'
 import { startPlainDatabase } from './plain-database.js'
 import type { PlainDatabase } from './plain-database.js'
 import { allocateGateways, keyOf } from './soak-environment.js'
 
 const service = 'bookings'
-const route = 'slots'
+/** Name that callers connect to. */
+export const sessionDatabase = 'slots'
 /** Workspaces; each has connections of its own to the database. */
 export const sessionWorkspaces = Array.from({ length: 40 }, (_, index) => `yard-${index}`)
 const gatewayCount = 2
@@ -24,7 +26,7 @@
 const configuration = {
   version: 1,
   routes: [{
-    database: route,
+    database: sessionDatabase,
     routeType: 'primary',
     service,
     timeoutMs: 1500,
@@ -40,13 +42,19 @@
 /** Gateways and the database behind them. */
 export type SessionEnvironment = {
   database: PlainDatabase
+  gateways: readonly GatewayProcess[]
   /** Opens a session at a gateway; only one of the gateways holds connections to the database. */
   openCaller: (gateway: number, workspace: string) => Promise<CallerConnection>
   close: () => Promise<void>
 }
 
-/** Starts the environment; resolves when statements are run through each gateway. */
-export const startSessionEnvironment = async (): Promise<SessionEnvironment> => {
+/**
+ * Starts the environment; resolves when statements are run through each gateway. The given fields are added to the
+ * settings of the gateways.
+ */
+export const startSessionEnvironment = async (
+  moreSettings: Readonly<Record<string, unknown>> = {}
+): Promise<SessionEnvironment> => {
   const folder = mkdtempSync(join(tmpdir(), 'egretyoke-sessions-'))
   const database = await startPlainDatabase()
   const store = await startStoreStandin({ pageSize: 500 })
@@ -65,11 +73,11 @@
   })
   const gateways = (await allocateGateways(gatewayCount, store.address)).map(options => {
     const log = createWriteStream(join(folder, `${options.name}.log`))
-    return startGatewayProcess(options, folder, line => { log.write(line) })
+    return startGatewayProcess({ ...options, moreSettings }, folder, line => { log.write(line) })
   })
 
   const openCaller = async (gateway: number, workspace: string) => {
-    const caller = await openCallerConnection(gateways[gateway].callerPort, route, keyOf(workspace))
+    const caller = await openCallerConnection(gateways[gateway].callerPort, sessionDatabase, keyOf(workspace))
     if (caller === undefined) throw new Error(`no session at gateway ${gateway}`)
     return caller
   }
@@ -89,6 +97,7 @@
 
   return {
     database,
+    gateways,
     openCaller,
     close: async () => {
       await Promise.all(gateways.map(gateway => gateway.close()))
