Gateway: session state is part of the account of bytes

Cause: the state of sessions had a budget of its own, which no other bytes of a caller counted towards. Change: a session takes its state from its connection's part of the account; session state keeps a bound of its own. A session names its workspace, so that its connection can be counted there. The gauge egretyoke_held_bytes shows the kinds, the counter egretyoke_bounds_reached_total the bounds. Measured: session-state, session, byte-account, wire and answer-fields tests pass.

--- a/packages/gateway/src/coordination/sessions/session-state.test.ts
+++ b/packages/gateway/src/coordination/sessions/session-state.test.ts
@@ -3,10 +3,11 @@
  */
 import test from 'ava'
 import { defaultMaxMessageBytes, relayProto } from '@egretyoke/protocol'
+import { createByteAccount } from '../../state/byte-account.js'
 import { createSessionState, createStateBudget, maxEntryBytes } from './session-state.js'
 import type { SessionState } from './session-state.js'
 
-const unlimited = () => createStateBudget(Infinity)
+const unlimited = () => createStateBudget(createByteAccount({ maxBytes: Infinity }))
 const reasonOf = (result: ReturnType<SessionState['set']>) => result.err ? result.val.reason : 'kept'
 const maxLineBytes = 1024 * 1024
 
@@ -52,7 +53,7 @@
 })
 
 test('large states draw on a budget of the process, small ones are kept when it is used up', t => {
-  const budget = createStateBudget(100_000)
+  const budget = createStateBudget(createByteAccount({ maxBytes: 100_000 }))
   const large = createSessionState(budget)
   const other = createSessionState(budget)
   t.is(reasonOf(large.set('a', 'x'.repeat(90_000))), 'kept')
--- a/packages/gateway/src/coordination/sessions/session-state.ts
+++ b/packages/gateway/src/coordination/sessions/session-state.ts
@@ -5,6 +5,7 @@
 import { Buffer } from 'node:buffer'
 import { Err, Ok, typedError } from '@egretyoke/common'
 import type { Result, TypedError } from '@egretyoke/common'
+import type { ByteAccount } from '../../state/byte-account.js'
 import type { PreparedStatement } from '../connections/prepared-statements.js'
 
 const maxValues = 64
@@ -21,26 +22,22 @@
 /** State that each session may have whatever the others have. */
 const reservedBytes = 8 * 1024
 /** State that all sessions of a process may have together beyond what is reserved for each. */
-const maxSharedBytes = 32 * 1024 * 1024
+export const maxSharedStateBytes = 32 * 1024 * 1024
 
-/** State beyond the reserved one, of all sessions of a process. */
+/** State of a session beyond the reserved one, which all sessions of a process share. */
 export type StateBudget = {
   /** Replaces the part that a session holds; false if the budget is used up, in which case nothing changes. */
   tryReplace: (heldBytes: number, wantedBytes: number) => boolean
 }
 
-/** Creates the budget of a process. */
-export const createStateBudget = (maxBytes = maxSharedBytes): StateBudget => {
-  let usedBytes = 0
-  return {
-    tryReplace: (heldBytes, wantedBytes) => {
-      const nextBytes = usedBytes - heldBytes + wantedBytes
-      if (wantedBytes > heldBytes && nextBytes > maxBytes) return false
-      usedBytes = nextBytes
-      return true
-    }
+/** Creates the budget of a session from its part of the account of bytes. */
+export const createStateBudget = (account: ByteAccount): StateBudget => ({
+  tryReplace: (heldBytes, wantedBytes) => {
+    if (wantedBytes > heldBytes) return account.tryReserve('sessionState', wantedBytes - heldBytes)
+    account.release('sessionState', heldBytes - wantedBytes)
+    return true
   }
-}
+})
 
 /** Why an entry is not kept. */
 export type StateRefusal = TypedError<'tooLarge' | 'tooMany' | 'tooMuch' | 'budgetUsedUp'>
--- a/packages/gateway/src/coordination/sessions/session.ts
+++ b/packages/gateway/src/coordination/sessions/session.ts
@@ -28,6 +28,8 @@
   /** False once the key has been withdrawn or the database's route has been removed. */
   isAllowed: () => boolean
   isInTransaction: () => boolean
+  /** Workspace of the key at the session's start; empty for a caller without one. */
+  workspace: string
   close: () => void
 }
 
@@ -42,7 +44,7 @@
   hasCurrentKeys: () => boolean
   admission: Admission
   router: StatementRouter
-  /** Shared by all sessions of the process. */
+  /** Of this session; what it takes is shared with other sessions. */
   stateBudget: StateBudget
   log: Logger
 }
@@ -338,6 +340,7 @@
       return typeof current !== 'string' || current === 'refused'
     },
     isInTransaction: () => transaction !== undefined,
+    workspace: workspaceNameOf(identity),
     close: () => {
       if (transaction !== undefined) rollBack()
       state.close()
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -3,6 +3,8 @@
  */
 import { Counter, Gauge, Histogram } from 'prom-client'
 import type { Registry } from 'prom-client'
+import { memoryKinds } from './state/byte-account.js'
+import type { MemoryKind } from './state/byte-account.js'
 
 /** Metrics that the gateway updates. */
 export type GatewayMetrics = {
@@ -11,6 +13,7 @@
   statementsPrepared: Counter
   commandsDeclined: Counter<'kind' | 'reason'>
   logLinesDropped: Counter
+  boundsReached: Counter<'bound'>
 }
 
 /** Values of the gauges, read at each scrape. */
@@ -20,6 +23,7 @@
   databaseConnections: () => number
   openTransactions: () => number
   queuedStatements: () => number
+  heldBytes: (kind: MemoryKind) => number
 }
 
 /** Bucket bounds of the latency histogram, in seconds. */
@@ -35,6 +39,13 @@
   gauge('egretyoke_database_connections', 'Open connections to databases', gaugeReaders.databaseConnections)
   gauge('egretyoke_open_transactions', 'Open transactions, each on its own connection', gaugeReaders.openTransactions)
   gauge('egretyoke_statements_waiting', 'Statements queued for or running at databases', gaugeReaders.queuedStatements)
+  const heldBytes = new Gauge({
+    name: 'egretyoke_held_bytes',
+    help: 'Bytes held for callers, by kind',
+    labelNames: ['kind'],
+    registers,
+    collect: () => { for (const kind of memoryKinds) heldBytes.set({ kind }, gaugeReaders.heldBytes(kind)) }
+  })
   return {
     statements: new Counter({
       name: 'egretyoke_statements_total', help: 'Statements answered, by result', labelNames: ['result'], registers
@@ -59,6 +70,12 @@
       name: 'egretyoke_log_lines_dropped_total',
       help: 'Log lines dropped because the reader was too slow or the rate limit was exceeded',
       registers
+    }),
+    boundsReached: new Counter({
+      name: 'egretyoke_bounds_reached_total',
+      help: 'Callers refused or closed at a bound of what they may hold, by bound',
+      labelNames: ['bound'],
+      registers
     })
   }
 }
--- a/packages/gateway/src/gateway-types.ts
+++ b/packages/gateway/src/gateway-types.ts
@@ -9,6 +9,7 @@
 import type { Session } from './coordination/sessions/session.js'
 import type { SharedStore } from './coordination/store/shared-store.js'
 import type { GatewayMetrics } from './gateway-metrics.js'
+import type { ByteAccount } from './state/byte-account.js'
 import type { DecodePlatformEntry } from './state/fleet-state.js'
 
 /** Identity, addresses and time limits of a gateway. */
@@ -23,6 +24,8 @@
   keyWithdrawalMs: number
   /** Time between the request to stop and the end of the process. */
   graceMs: number
+  /** Account of the bytes held for callers; without one, only the state of sessions is limited. */
+  account?: ByteAccount
 }
 
 /** Services of the platform that the gateway calls, implemented by the platform's adapter. */
@@ -35,7 +38,8 @@
 
 /** A running gateway. */
 export type Gateway = {
-  openSession: (database: string, key: string) => Session | SessionError
+  /** Opens a session; its state is counted in the given part of the account. */
+  openSession: (database: string, key: string, account?: ByteAccount) => Session | SessionError
   /** Resolves once the gateway has loaded keys and configuration after its start, or after the timeout. */
   whenStateLoaded: (timeoutMs: number) => Promise<void>
   /** Whether the gateway accepts new callers. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -21,13 +21,14 @@
 import { createMembership } from './coordination/membership/membership.js'
 import { createRelayHandler, readPrimaryPosition } from './coordination/routing/relay-handler.js'
 import { openSession } from './coordination/sessions/session.js'
-import { createStateBudget } from './coordination/sessions/session-state.js'
+import { createStateBudget, maxSharedStateBytes } from './coordination/sessions/session-state.js'
 import { createStatementRouter } from './coordination/routing/statement-router.js'
 import { followStore } from './coordination/store/store-follower.js'
 import { createStoreSources } from './coordination/store/store-sources.js'
 import { events } from './events.js'
 import { createGatewayMetrics } from './gateway-metrics.js'
 import type { Gateway, GatewayPlatform, GatewaySettings } from './gateway-types.js'
+import { createByteAccount } from './state/byte-account.js'
 import { createAgeClock, createContact } from './state/contact.js'
 import type { Database } from './state/configuration.js'
 import { createFleetState } from './state/fleet-state.js'
@@ -75,7 +76,9 @@
   let lastReadyMs = 0
   let sessionCount = 0
   let sessionNumber = 0
-  const stateBudget = createStateBudget()
+  const account = settings.account ?? createByteAccount({
+    maxBytes: Infinity, maxBytesByKind: { sessionState: maxSharedStateBytes }
+  })
 
   const clock = createAgeClock()
   const contact = createContact(clock)
@@ -199,7 +202,8 @@
     contactAgeMs: () => contact.ageMs(),
     databaseConnections: () => holders.all().reduce((sum, holder) => sum + holder.connections(), 0),
     openTransactions: () => holders.all().reduce((sum, holder) => sum + holder.openTransactions(), 0),
-    queuedStatements: () => holders.all().reduce((sum, holder) => sum + holder.load(), 0)
+    queuedStatements: () => holders.all().reduce((sum, holder) => sum + holder.load(), 0),
+    heldBytes: account.heldBytes
   })
 
   const hasCurrentKeys = () => contact.ageMs() < keyWithdrawalMs - keyWithdrawalMarginMs
@@ -261,7 +265,7 @@
   }
 
   return {
-    openSession: (database, key) => openSession({
+    openSession: (database, key, part = account) => openSession({
       id: `${selfName}/${sessionNumber++}`,
       database,
       key,
@@ -269,7 +273,7 @@
       hasCurrentKeys,
       admission,
       router,
-      stateBudget,
+      stateBudget: createStateBudget(part),
       log
     }),
     whenStateLoaded: async timeoutMs => {
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -10,6 +10,8 @@
 export { events } from './events.js'
 export { startGateway } from './gateway.js'
 export type { Gateway, GatewayPlatform, GatewaySettings } from './gateway-types.js'
+export { createByteAccount, memoryKinds } from './state/byte-account.js'
+export type { AccountBounds, ByteAccount, MemoryKind } from './state/byte-account.js'
 export type { Configuration, Database, Group, Route, RouteKind, Workspace } from './state/configuration.js'
 export type { DecodePlatformEntry, LeftOutName, PlatformEntry } from './state/fleet-state.js'
 export { isPosition } from './state/position.js'
--- a/packages/gateway/src/state/byte-account.ts
+++ b/packages/gateway/src/state/byte-account.ts
@@ -33,6 +33,8 @@
   moveTo: (parent: ByteAccount) => void
   /** The part at the lowest level that holds most, found by following the largest part of each level. */
   largest: () => ByteAccount
+  /** Name and bytes of the part directly below this one that holds most. */
+  largestChild: () => { name: string, heldBytes: number } | undefined
   /** Removes this part from the tree, and releases what it still holds. */
   close: () => void
 }
@@ -72,6 +74,12 @@
     for (const [kind, bytes] of bytesByKind) next?.reserve(kind, bytes)
   }
 
+  const childWithMost = () => {
+    let most: Node | undefined
+    for (const child of children) if (child.heldBytes() > (most?.heldBytes() ?? 0)) most = child
+    return most
+  }
+
   const node: Node = {
     name,
     children,
@@ -96,10 +104,10 @@
       return child
     },
     moveTo: next => attach(next as Node),
-    largest: () => {
-      let most: Node | undefined
-      for (const child of children) if (child.heldBytes() > (most?.heldBytes() ?? 0)) most = child
-      return most === undefined ? node : most.largest()
+    largest: () => childWithMost()?.largest() ?? node,
+    largestChild: () => {
+      const most = childWithMost()
+      return most && { name: most.name, heldBytes: most.heldBytes() }
     },
     close: () => attach(undefined)
   }
