Gateway: statements of other gateways are counted, and refused at a bound

Cause: the texts and session states that other gateways forward to a holder waited there without a bound of their bytes. Change: they are counted by workspace in the account of bytes, in at most half of it; one that does not fit is refused as busy before it is queued. Parts without connections of callers are passed over when a connection is chosen to be closed.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -20,6 +20,7 @@
 import { createTokenAllocator, shardOf } from './coordination/limits/token-allocator.js'
 import { createMembership } from './coordination/membership/membership.js'
 import { createRelayHandler, readPrimaryPosition } from './coordination/routing/relay-handler.js'
+import { limitRelayedBytes } from './coordination/routing/relayed-bytes.js'
 import { openSession } from './coordination/sessions/session.js'
 import { createStateBudget, maxSharedStateBytes } from './coordination/sessions/session-state.js'
 import { createStatementRouter } from './coordination/routing/statement-router.js'
@@ -184,7 +185,7 @@
     fleetState,
     history,
     records,
-    holders,
+    holders: { ...holders, run: limitRelayedBytes(account, holders.run) },
     positions,
     allocator: tokenAllocator,
     control: controlCommands,
--- a/packages/gateway/src/state/byte-account.ts
+++ b/packages/gateway/src/state/byte-account.ts
@@ -8,17 +8,27 @@
  */
 
 /** What bytes are held for. */
-export const memoryKinds = ['received', 'statements', 'answers', 'sessionState'] as const
+export const memoryKinds = ['received', 'statements', 'answers', 'sessionState', 'relayed'] as const
 
-/** What bytes are held for: `received` are those not yet handled, `statements` those of statements in progress. */
+/**
+ * What bytes are held for: `received` are those not yet handled, `statements` those of statements in progress,
+ * `relayed` those of other gateways' statements.
+ */
 export type MemoryKind = typeof memoryKinds[number]
 
 /** Bounds of a part: of all its bytes together, and of single kinds. */
-export type AccountBounds = { maxBytes: number, maxBytesByKind?: Partial<Record<MemoryKind, number>> }
+export type AccountBounds = {
+  maxBytes: number
+  maxBytesByKind?: Partial<Record<MemoryKind, number>>
+  /** False if nothing below this part can be closed, so that `largest` passes it over. */
+  isClosable?: boolean
+}
 
 /** One part of the account. */
 export type ByteAccount = {
   name: string
+  /** Bound of this part's bytes together. */
+  maxBytes: number
   heldBytes: (kind?: MemoryKind) => number
   /** Reserves bytes, even beyond a bound. */
   reserve: (kind: MemoryKind, bytes: number) => void
@@ -41,6 +51,7 @@
 
 /** A part with what only the account itself uses. */
 type Node = ByteAccount & {
+  isClosable: boolean
   children: Set<Node>
   parent: () => Node | undefined
   hasRoom: (kind: MemoryKind, bytes: number) => boolean
@@ -74,14 +85,18 @@
     for (const [kind, bytes] of bytesByKind) next?.reserve(kind, bytes)
   }
 
-  const childWithMost = () => {
+  const childWithMost = (isConsidered: (child: Node) => boolean) => {
     let most: Node | undefined
-    for (const child of children) if (child.heldBytes() > (most?.heldBytes() ?? 0)) most = child
+    for (const child of children) {
+      if (isConsidered(child) && child.heldBytes() > (most?.heldBytes() ?? 0)) most = child
+    }
     return most
   }
 
   const node: Node = {
     name,
+    maxBytes: bounds.maxBytes,
+    isClosable: bounds.isClosable ?? true,
     children,
     parent: () => parent,
     heldBytes,
@@ -104,9 +119,9 @@
       return child
     },
     moveTo: next => attach(next as Node),
-    largest: () => childWithMost()?.largest() ?? node,
+    largest: () => childWithMost(({ isClosable }) => isClosable)?.largest() ?? node,
     largestChild: () => {
-      const most = childWithMost()
+      const most = childWithMost(() => true)
       return most && { name: most.name, heldBytes: most.heldBytes() }
     },
     close: () => attach(undefined)
