Gateway: a position that a holder sends is checked where it is decoded

Cause: the position of a holder's reply was used unchecked; one that is none would be lost among the session's others, so that a later read could miss the session's own write. The position in PrimaryStopped was returned unchecked, unused. Change: a reply with an unusable position counts as lost; that of PrimaryStopped is not read any more. Measured: the new test in peer-positions.test.ts failed before and passes; routing, primaries and session tests pass.

--- a/packages/gateway/src/coordination/primaries/primary-change.ts
+++ b/packages/gateway/src/coordination/primaries/primary-change.ts
@@ -78,14 +78,13 @@
 
   const memberOf = (user: string): Member | undefined => fleetState.members().get(splitProcessName(user).name)
 
-  const stopUser = async (user: string, revision: number, finish: boolean): Promise<string | undefined> => {
+  const stopUser = async (user: string, revision: number, finish: boolean): Promise<boolean> => {
     const member = memberOf(user)
-    if (member === undefined) return undefined
+    if (member === undefined) return false
     const reply = await relay.call(member, {
       stopPrimary: { group, revision, finish }
     }, controlTimeoutMs + (finish ? drainTimeoutMs : 0))
-    const stopped = reply.ok ? reply.val.primaryStopped : undefined
-    return stopped?.stopped ? stopped.position : undefined
+    return reply.ok && reply.val.primaryStopped?.stopped === true
   }
 
   const drainUsers = async () => {
@@ -98,7 +97,7 @@
     const remaining = new Set(activeUsers(oldRecord.users, fleetState))
     while (remaining.size > 0 && performance.now() - startedAtMs < maxPrimaryContactAgeMs) {
       await Promise.all([...remaining].map(async user => {
-        if (await stopUser(user, revision, false) !== undefined) remaining.delete(user)
+        if (await stopUser(user, revision, false)) remaining.delete(user)
       }))
       const active = activeUsers([...remaining], fleetState)
       for (const user of remaining) if (!active.includes(user)) remaining.delete(user)
--- a/packages/gateway/src/coordination/routing/peer-positions.test.ts
+++ b/packages/gateway/src/coordination/routing/peer-positions.test.ts
@@ -3,12 +3,17 @@
  */
 import test from 'ava'
 import fc from 'fast-check'
+import { Ok } from '@egretyoke/common'
 import { createAgeClock } from '../../state/contact.js'
 import { isPosition } from '../../state/position.js'
 import { createHolderEnvironment, writeRequest } from '../../testing/holder-environment.js'
 import { sampleFromPeer } from '../primaries/group-positions.js'
 import { createRelayHandler } from './relay-handler.js'
 import type { RelayHandlerOptions } from './relay-handler.js'
+import type { RelayReply } from './relay-calls.js'
+import { createStatementRouter } from './statement-router.js'
+import type { RouterOptions, TransactionLocation } from './statement-router.js'
+import { notRun } from '../sessions/statement.js'
 
 const part = fc.constantFrom('1', '.', ' ', '\r\n', 'NaN', 'e', '-', '999999999999999', '')
 const anyText = fc.oneof(
@@ -38,3 +43,22 @@
   }), { seed: 29, numRuns: 1000 })
   t.is(sampleFromPeer(undefined, requestedAt), undefined)
 })
+
+// Guards against a confirmed write whose position is lost among others, so that its session reads without it.
+test('a reply of a holder whose position is none counts as lost, and any other one is used', async t => {
+  const state = { position: '' }
+  const relay = {
+    call: async () => Ok({ statement: { ...notRun(''), status: 'DONE', position: state.position } } as RelayReply)
+  }
+  const self = { name: 'vm-1', dataCentre: 'quay', region: 'north' }
+  const router = createStatementRouter({ self, relay } as unknown as RouterOptions)
+  const location = { database: 'db-1', holder: { name: 'vm-2' } } as TransactionLocation
+  await fc.assert(fc.asyncProperty(anyText, async position => {
+    state.position = position
+    const isUsable = position === '' || isPosition(position)
+    const write = await router.continueTransaction(writeRequest({ requestId: 'w' }), location)
+    t.like(write, isUsable ? { status: 'DONE', position } : { status: 'UNKNOWN', reason: 'holderSilent', position: '' })
+    const read = await router.continueTransaction(writeRequest({ requestId: 'r', access: 'READ' }), location)
+    t.like(read, isUsable ? { status: 'DONE', position } : { status: 'NOT_RUN', reason: 'holderSilent', position: '' })
+  }), { seed: 29, numRuns: 300 })
+})
--- a/packages/gateway/src/coordination/routing/statement-router.ts
+++ b/packages/gateway/src/coordination/routing/statement-router.ts
@@ -8,9 +8,10 @@
 import { events } from '../../events.js'
 import type { Database, Route } from '../../state/configuration.js'
 import type { FleetState } from '../../state/fleet-state.js'
+import { isPosition } from '../../state/position.js'
 import type { Member } from '../../state/stored-records.js'
 import type { HolderChoice, GatewayLocation } from './holder-choice.js'
-import type { RelayCalls } from './relay-calls.js'
+import type { RelayCalls, RelayReply } from './relay-calls.js'
 import { acceptsNewWork } from './database-availability.js'
 import { decideRetry } from './retry-decision.js'
 import { isRead, notRun, opensTransaction, unknownOutcome } from '../sessions/statement.js'
@@ -69,6 +70,12 @@
 /** Failures of the holder rather than the database: another holder may succeed. */
 const retryableAtOtherHolder: ReadonlySet<StatementReason> = new Set(['holderSilent', 'unreachable', 'moved'])
 
+/** False for a position that cannot be compared: with it, a session could miss its own write. The reply is unusable. */
+const hasUsablePosition = ({ statement }: RelayReply): boolean => {
+  const position = statement?.position ?? ''
+  return position === '' || isPosition(position)
+}
+
 /** Creates a statement router. */
 export const createStatementRouter = (options: RouterOptions): StatementRouter => {
   const { self, fleetState, holders, relay, regionOf, log } = options
@@ -86,9 +93,9 @@
   const runAtHolder = async (holder: Member, request: StatementRequest): Promise<StatementOutcome> => {
     if (holder.name === self.name) return await options.runLocally(request)
     const reply = await relay.call(holder, { run: request }, request.timeoutMs + relayAllowanceMs)
-    if (reply.ok) return (reply.val.statement ?? notRun('moved')) as StatementOutcome
-    if (reply.val.reason === 'tooLarge') return notRun('tooLarge')
-    if (reply.val.reason === 'unsent') return notRun('holderSilent')
+    if (reply.ok && hasUsablePosition(reply.val)) return (reply.val.statement ?? notRun('moved')) as StatementOutcome
+    if (reply.err && reply.val.reason === 'tooLarge') return notRun('tooLarge')
+    if (reply.err && reply.val.reason === 'unsent') return notRun('holderSilent')
     if (request.transaction !== 'SINGLE' && request.verb !== 'COMMIT') {
       // Only this router knows where a first statement was sent.
       if (opensTransaction(request)) abandon(request.transactionId, { database: request.database, holder })
