Gateway: a declined RESET leaves no prepared name unrecorded

Cause: behind a RESET that the database declines, a statement that is prepared again replaces its earlier name in the record, while both names exist at the database, so that the bounds of a connection's statements could be exceeded. Change: such a connection is closed; one whose RESET is declined without a statement prepared behind it is kept as before. Measured: the new test in run-on-connection.test.ts failed before and passes; all tests of connections pass.

--- a/packages/gateway/src/coordination/connections/run-on-connection.test.ts
+++ b/packages/gateway/src/coordination/connections/run-on-connection.test.ts
@@ -46,3 +46,16 @@
   t.is((await runOnConnection(pooled, writeRequest({}), '', 1000, () => {})).outcome.status, 'DONE')
   t.deepEqual([...values], [])
 })
+
+// Guards against a name that stays prepared at the database while the record has another name for the statement.
+test('a connection whose RESET is declined is kept unless a statement was prepared behind it', async t => {
+  let declinesReset = false
+  const { pooled } = await openConnection(({ kind }) => declinesReset && kind === 'reset')
+  const execute = { verb: 'EXECUTE' as const, shape: 'q2b', shapeAccess: 'WRITE' as const, text: '1a4' }
+  await runOnConnection(pooled, { ...request, ...execute }, '', 1000, () => {})
+  declinesReset = true
+  const plain = await runOnConnection(pooled, writeRequest({}), '', 1000, () => {})
+  t.like(plain, { outcome: { status: 'NOT_RUN', reason: 'busy' }, isReusable: true })
+  const prepared = await runOnConnection(pooled, writeRequest(execute), '', 1000, () => {})
+  t.like(prepared, { outcome: { status: 'NOT_RUN', reason: 'busy' }, isReusable: false })
+})
--- a/packages/gateway/src/coordination/connections/run-on-connection.ts
+++ b/packages/gateway/src/coordination/connections/run-on-connection.ts
@@ -84,6 +84,13 @@
 const exceedsBounds = ({ kind }: DatabaseCommand, { outcome, isUnsent }: DatabaseReply) =>
   kind === 'deallocate' && outcome !== 'done' && isUnsent !== true
 
+/** True if a statement was prepared again although its earlier name was not reset: that name is no longer recorded. */
+const hasUnrecordedName = (setup: readonly DatabaseCommand[], replies: readonly DatabaseReply[]) => {
+  const isDone = (kind: DatabaseCommand['kind']) =>
+    setup.some((command, index) => command.kind === kind && replies[index]?.outcome === 'done')
+  return setup.some(({ kind }) => kind === 'reset') && !isDone('reset') && isDone('prepare')
+}
+
 /** Called with each reply of the database. */
 export type ReplyListener = (command: DatabaseCommand, reply: DatabaseReply) => void
 
@@ -107,7 +114,8 @@
   const firstNotDone = replies.find(({ outcome, declineReason }) => outcome !== 'done' && declineReason !== 'notSent')
   if (firstNotDone !== undefined) {
     const transaction = transactionAfter(replies, before)
-    const isReusable = replies.every((reply, index) => hasKnownEffect(reply) && !exceedsBounds(setup[index]!, reply))
+    const isReusable = !hasUnrecordedName(setup, replies) &&
+      replies.every((reply, index) => hasKnownEffect(reply) && !exceedsBounds(setup[index]!, reply))
     return { outcome: setupOutcome(firstNotDone), isReusable, transaction }
   }
   const isExpected = setup.every(({ kind }, index) =>
