Gateway: a connection on which nothing was sent is kept

Cause: a statement whose time ran out before it was sent closed its connection, although the connection's state was known. Measured: the new test in run-on-connection.test.ts failed before and passes; all tests of connections and session.test pass.

--- a/packages/gateway/src/coordination/connections/run-on-connection.test.ts
+++ b/packages/gateway/src/coordination/connections/run-on-connection.test.ts
@@ -59,3 +59,12 @@
   const prepared = await runOnConnection(pooled, writeRequest(execute), '', 1000, () => {})
   t.like(prepared, { outcome: { status: 'NOT_RUN', reason: 'busy' }, isReusable: false })
 })
+
+// Guards against a connection that is opened anew for each statement whose time has run out.
+test('a connection on which the statement was not sent for lack of time is kept, with its transaction', async t => {
+  const { pooled } = await openConnection(() => false)
+  const late = await runOnConnection(pooled, writeRequest({}), '', 0, () => {})
+  t.like(late, { outcome: { status: 'NOT_RUN', reason: 'silent' }, isReusable: true, transaction: 'none' })
+  const continued = await runOnConnection(pooled, writeRequest({ transaction: 'CONTINUE' }), '', 0, () => {})
+  t.like(continued, { isReusable: true, transaction: 'open' })
+})
--- a/packages/gateway/src/coordination/connections/run-on-connection.ts
+++ b/packages/gateway/src/coordination/connections/run-on-connection.ts
@@ -144,7 +144,11 @@
   if (notSetUp !== undefined) return notSetUp
 
   const remainingMs = timeoutMs - (performance.now() - startedAtMs)
-  if (remainingMs <= 0) return { outcome: notRun('silent'), isReusable: false, transaction: 'none' }
+  if (remainingMs <= 0) {
+    // The setup, if any, has succeeded, so that the connection's state is known.
+    const transaction = opensTransaction(request) ? 'open' : transactionBefore(request)
+    return { outcome: notRun('silent'), isReusable: true, transaction }
+  }
   const requiresPosition = request.transaction === 'SINGLE' && request.access === 'READ'
   const command = commandOf(request, preparedName, requiresPosition ? positionAtLeast : '')
   const [reply] = await pooled.connection.run([command], remainingMs)
