--- a/packages/gateway/src/coordination/routing/holder-calls.ts
+++ b/packages/gateway/src/coordination/routing/holder-calls.ts
@@ -1,10 +1,11 @@
 /**
  * Sends statements to the holders of databases, which are this gateway or others.
  */
+import { isPosition } from '../../state/position.js'
 import { processName } from '../../state/stored-records.js'
 import type { Member } from '../../state/stored-records.js'
 import type { GatewayLocation } from './holder-choice.js'
-import type { RelayCalls } from './relay-calls.js'
+import type { RelayCalls, RelayReply } from './relay-calls.js'
 import { isRead, notRun, opensTransaction, outcomeIn, unknownOutcome } from '../sessions/statement.js'
 import type { StatementOutcome, StatementRequest } from '../sessions/statement.js'
 import type { UsageCounter } from '../usage/usage-counter.js'
@@ -33,6 +34,12 @@
 /** Added to a forwarded statement's time-out, for the round trip to the holder. */
 const relayAllowanceMs = 150
 
+/** False for a position that cannot be compared: with it, a session could miss its own write. The reply is unusable. */
+const hasUsablePosition = ({ statement }: RelayReply): boolean => {
+  const position = statement?.position ?? ''
+  return position === '' || isPosition(position)
+}
+
 /** Creates the calls of one gateway. */
 export const createHolderCalls = (
   { self, relay, runLocally, abandonLocally, usage }: HolderCallsOptions
@@ -46,13 +53,13 @@
     if (holder.name === self.name) return await runLocally(request)
     const forwardedAtMs = performance.now()
     const reply = await relay.call(holder, { run: request }, request.timeoutMs + relayAllowanceMs)
-    if (reply.ok) {
+    if (reply.ok && hasUsablePosition(reply.val)) {
       const outcome = reply.val.statement ? outcomeIn(reply.val.statement) : notRun('moved')
       usage?.countSent(processName(holder), request, outcome, forwardedAtMs)
       return outcome
     }
-    if (reply.val.reason === 'tooLarge') return notRun('tooLarge')
-    if (reply.val.reason === 'unsent') return notRun('holderSilent')
+    if (reply.err && reply.val.reason === 'tooLarge') return notRun('tooLarge')
+    if (reply.err && reply.val.reason === 'unsent') return notRun('holderSilent')
     if (request.transaction !== 'SINGLE' && request.verb !== 'COMMIT') {
       // Only this router knows where a first statement was sent.
       if (opensTransaction(request)) abandon(request.transactionId, { database: request.database, holder })
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -3,6 +3,8 @@
  */
 import { Counter, Gauge, Histogram } from 'prom-client'
 import type { Registry } from 'prom-client'
+import { memoryKinds } from './state/byte-account.js'
+import type { MemoryKind } from './state/byte-account.js'
 
 /** Metrics that the gateway updates. */
 export type GatewayMetrics = {
@@ -17,6 +19,7 @@
   logLinesDropped: Counter
   usageReports: Counter<'result'>
   storeCalls: Counter<'call' | 'result'>
+  boundsReached: Counter<'bound'>
 }
 
 /** Values of the gauges, read at each scrape. */
@@ -28,6 +31,7 @@
   queuedStatements: () => number
   databasesBelowSlots: () => number
   unsentUsageWindows: () => number
+  heldBytes: (kind: MemoryKind) => number
 }
 
 /** Bucket bounds of the latency histogram, in seconds. */
@@ -49,6 +53,13 @@
   )
   gauge('egretyoke_usage_windows_unsent', 'Windows stored by this reporter and not acknowledged',
     gaugeReaders.unsentUsageWindows)
+  const heldBytes = new Gauge({
+    name: 'egretyoke_held_bytes',
+    help: 'Bytes held for callers, by kind',
+    labelNames: ['kind'],
+    registers,
+    collect: () => { for (const kind of memoryKinds) heldBytes.set({ kind }, gaugeReaders.heldBytes(kind)) }
+  })
   return {
     statements: new Counter({
       name: 'egretyoke_statements_total', help: 'Statements answered, by result', labelNames: ['result'], registers
@@ -109,6 +120,12 @@
       help: 'Calls to the platform\'s store, by kind of call and result',
       labelNames: ['call', 'result'],
       registers
+    }),
+    boundsReached: new Counter({
+      name: 'egretyoke_bounds_reached_total',
+      help: 'Callers refused or closed at a bound of what they may hold, by bound',
+      labelNames: ['bound'],
+      registers
     })
   }
 }
--- a/packages/gateway/src/gateway-types.ts
+++ b/packages/gateway/src/gateway-types.ts
@@ -11,6 +11,7 @@
 import type { ReportUsage } from './coordination/usage/usage-sender.js'
 import type { SharedStore } from './coordination/store/shared-store.js'
 import type { GatewayMetrics } from './gateway-metrics.js'
+import type { ByteAccount } from './state/byte-account.js'
 import type { DecodePlatformEntry } from './state/fleet-state.js'
 import type { Capacity } from './state/stored-records.js'
 
@@ -30,6 +31,8 @@
   graceMs: number
   /** Usage reports; absent where the platform does not ask for them. */
   usage?: UsageSettings
+  /** Account of the bytes held for callers; without one, only the state of sessions is limited. */
+  account?: ByteAccount
 }
 
 /** Services of the platform that the gateway calls, implemented by the platform's adapter. */
@@ -44,7 +47,8 @@
 
 /** A running gateway. */
 export type Gateway = {
-  openSession: (database: string, key: string) => Session | SessionError
+  /** Opens a session; its state is counted in the given part of the account. */
+  openSession: (database: string, key: string, account?: ByteAccount) => Session | SessionError
   /** Resolves once the gateway has loaded keys and configuration after its start, or after the timeout. */
   whenStateLoaded: (timeoutMs: number) => Promise<void>
   /** Whether the gateway accepts new callers. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -21,9 +21,10 @@
 import { createTokenAllocator, shardOf } from './coordination/limits/token-allocator.js'
 import { createMembership } from './coordination/membership/membership.js'
 import { createRelayHandler, readPrimaryPosition } from './coordination/routing/relay-handler.js'
+import { limitRelayedBytes } from './coordination/routing/relayed-bytes.js'
 import { openSession } from './coordination/sessions/session.js'
-import { createStateBudget } from './coordination/sessions/session-state.js'
 import type { HolderMove } from './coordination/routing/sticky-holders.js'
+import { createStateBudget, maxSharedStateBytes } from './coordination/sessions/session-state.js'
 import { createStatementRouter } from './coordination/routing/statement-router.js'
 import { createObservedStore } from './coordination/store/observed-store.js'
 import { createStoreBackoff } from './coordination/store/store-backoff.js'
@@ -34,6 +35,7 @@
 import { events } from './events.js'
 import { createGatewayMetrics } from './gateway-metrics.js'
 import type { Gateway, GatewayPlatform, GatewaySettings } from './gateway-types.js'
+import { createByteAccount } from './state/byte-account.js'
 import { createAgeClock, createContact } from './state/contact.js'
 import type { Database } from './state/configuration.js'
 import { createFleetState } from './state/fleet-state.js'
@@ -85,7 +87,9 @@
   let lastReadyMs = 0
   let sessionCount = 0
   let sessionNumber = 0
-  const stateBudget = createStateBudget()
+  const account = settings.account ?? createByteAccount({
+    maxBytes: Infinity, maxBytesByKind: { sessionState: maxSharedStateBytes }
+  })
 
   const clock = createAgeClock()
   const contact = createContact(clock)
@@ -246,7 +250,7 @@
     fleetState,
     history,
     records,
-    holders,
+    holders: { ...holders, run: limitRelayedBytes(account, holders.run) },
     positions,
     allocator: tokenAllocator,
     control: controlCommands,
@@ -269,7 +273,8 @@
     openTransactions: () => holders.all().reduce((sum, holder) => sum + holder.openTransactions(), 0),
     queuedStatements: () => holders.all().reduce((sum, holder) => sum + holder.load(), 0),
     databasesBelowSlots: () => holders.all().filter(holder => !holder.isPaceSettled()).length,
-    unsentUsageWindows: () => usage?.unsentWindows() ?? 0
+    unsentUsageWindows: () => usage?.unsentWindows() ?? 0,
+    heldBytes: account.heldBytes
   })
 
   const hasCurrentKeys = () => contact.ageMs() < keyWithdrawalMs - keyWithdrawalMarginMs
@@ -343,7 +348,7 @@
   }
 
   return {
-    openSession: (database, key) => openSession({
+    openSession: (database, key, part = account) => openSession({
       id: `${selfName}/${sessionNumber++}`,
       database,
       key,
@@ -351,7 +356,7 @@
       hasCurrentKeys,
       admission,
       router,
-      stateBudget,
+      stateBudget: createStateBudget(part),
       log
     }),
     whenStateLoaded: async timeoutMs => {
