Routing: a statement waits 120 ms for a holder with contact before it is refused

Cause: when no holder of the primary was open, statements were refused at once. Change: two waits of 60 ms without attempts; a trial that reopens a holder serves the statement. An attempt for which no holder is open is not paid for.

--- a/packages/gateway/src/coordination/routing/retry-decision.ts
+++ b/packages/gateway/src/coordination/routing/retry-decision.ts
@@ -46,6 +46,11 @@
  */
 const maxRefusedWaits = 3
 const refusedDelayMs = 60
+/**
+ * Waits, without attempts, for a holder to have contact again. Their sum is below a quarter of usual target latencies,
+ * within which a statement may be held without being offered to a database.
+ */
+const maxClosedWaits = 2
 /** With less time left, another attempt would only end in a time-out. */
 const minAttemptMs = 40
 
@@ -62,8 +67,9 @@
 const decideWait = (state: RetryState): RetryDecision => {
   const { reason, isPrimaryActive, hasOpenHolder, refusedWaits, remainingMs } = state
   if (!isPrimaryActive) return { kind: 'wait', ms: changePollMs }
-  if (reason === undefined || (reason === 'noContact' && !hasOpenHolder)) return { kind: 'giveUp' }
-  if (isMovedReason(reason) && refusedWaits < maxRefusedWaits) return { kind: 'wait', ms: refusedDelayMs }
+  if (reason === undefined) return { kind: 'giveUp' }
+  const maxWaits = reason === 'noContact' && !hasOpenHolder ? maxClosedWaits : maxRefusedWaits
+  if (isMovedReason(reason) && refusedWaits < maxWaits) return { kind: 'wait', ms: refusedDelayMs }
   if (!primaryLostReasons.has(reason)) return { kind: 'giveUp' }
   return { kind: 'wait', ms: Math.min(failedPrimaryDelayMs, remainingMs) }
 }
@@ -72,11 +78,11 @@
 export const decideRetry = (
   state: RetryState, budget: { tryAttempt: (cause: AttemptCause) => boolean }
 ): RetryDecision => {
-  const { reason, wasSent, needsPrimary, hasOther, isRepetition, remainingMs } = state
+  const { reason, wasSent, needsPrimary, hasOther, isRepetition, hasOpenHolder, remainingMs } = state
   if (remainingMs < minAttemptMs) return { kind: 'giveUp' }
   if (reason !== undefined && !isMovedReason(reason) && !retryableAtOtherDatabase.has(reason)) return { kind: 'giveUp' }
   if (hasOther) {
-    const isFree = reason === undefined || !wasSent || (needsPrimary && !isRepetition)
+    const isFree = reason === undefined || !wasSent || (needsPrimary && !(isRepetition && hasOpenHolder))
     if (isFree || budget.tryAttempt(causeOf(reason))) return { kind: 'tryOther' }
   }
   return needsPrimary ? decideWait(state) : { kind: 'giveUp' }
