Holder: a statement leaves the queue before its sender's timeout

Cause: a statement could be queued for half of its target latency even if its route's timeout is shorter (1,000 ms against 800 ms), so its sender gave it up, counted the holder as silent and tried elsewhere; the holder refused it afterwards. Ruled out: links. They were up, and large holders answered 94 statements a second of such a database meanwhile. Change: the wait in the queue and the expected wait are bounded by the timeout less the statement's usual time. Measured: the new test fails on the code before; 105 tests of connections pass.

--- a/packages/gateway/src/coordination/connections/database-holder.ts
+++ b/packages/gateway/src/coordination/connections/database-holder.ts
@@ -207,9 +207,12 @@
     const position = request.transaction === 'CONTINUE' ? '' : await requiredPosition(request)
     if (position === undefined) return notRun('lagging')
     const isContinuing = request.transaction === 'CONTINUE'
-    const dropAtMs = arrivedAtMs + request.maxQueuedMs
+    // Its sender gives the statement up at the deadline; one that begins too late for that would only occupy a slot.
+    const maxWaitMs = Math.min(request.maxQueuedMs, request.timeoutMs - serviceMs(request))
+    const dropAtMs = arrivedAtMs + maxWaitMs
     const waitedMs = nowMs() - arrivedAtMs
-    if (!isContinuing && expectedWaitMs(request, dropAtMs) > maxExpectedWaitMs(request) - waitedMs) {
+    const maxExpectedMs = Math.min(maxWaitMs, maxExpectedWaitMs(request)) - waitedMs
+    if (!isContinuing && expectedWaitMs(request, dropAtMs) > maxExpectedMs) {
       return refuseAsBusy(request, 'expectedWait')
     }
     return await new Promise<StatementOutcome>(resolve => {
--- a/packages/gateway/src/coordination/connections/holder-under-load.test.ts
+++ b/packages/gateway/src/coordination/connections/holder-under-load.test.ts
@@ -53,6 +53,20 @@
   holder.close()
 })
 
+// Guards against statements that stay in the queue after their sender has given them up, whose sender learns nothing.
+test('a statement leaves the queue before its timeout, however long it may be queued', async t => {
+  const { database, holder } = createEnvironment()
+  database.statementMs = 4000
+  const patient = writeRequest({ timeoutMs: 20_000, maxQueuedMs: 20_000 })
+  const running = [holder.run(patient), holder.run(patient)]
+  const maintenance = setInterval(holder.runMaintenance, 20)
+  const waiting = holder.run({ ...patient, timeoutMs: 300 })
+  t.is((await Promise.race([...running, waiting])).reason, 'queuedTooLong')
+  clearInterval(maintenance)
+  holder.close()
+  await Promise.all(running)
+})
+
 const manyReads = Array.from({ length: 12 }, () =>
   writeRequest({ access: 'READ', text: 'READ 1', needsPrimary: false, timeoutMs: 20_000, maxQueuedMs: 20_000 }))
 
