Routing: holders are divided by capacity within a data centre

Cause: while the two largest VMs of a data centre were refused by the store or cut off, small ones held up to three databases, primaries among them, and completed some 15 statements a second with all slots waiting; others held none. With equal VMs the ranks stay as they were. Weighed: a holder that measures its own delay and refuses to hold. It reacts faster, but each sender learns of it alone.

--- a/packages/gateway/src/coordination/membership/capacity-weights.ts
+++ b/packages/gateway/src/coordination/membership/capacity-weights.ts
@@ -30,14 +30,18 @@
   return sorted.length % 2 === 1 ? sorted[middle] : (sorted[middle - 1] + sorted[middle]) / 2
 }
 
-/** Weights by name; a member that does not publish its cores counts as the median of the others. */
-export const capacityWeights = (members: readonly Pick<Member, 'name' | 'capacity'>[]): Map<string, number> => {
+/** Usable cores by name; a member that does not publish them counts as the median of the others. */
+export const usableCoresByName = (members: readonly Pick<Member, 'name' | 'capacity'>[]): Map<string, number> => {
   const published = members.map(({ name, capacity = {} }) => ({ name, cores: usableCores(capacity) }))
   const known = published.flatMap(({ cores }) => cores ?? []).sort((one, other) => one - other)
   const median = known.length === 0 ? 1 : medianOf(known)
-  return new Map(published.map(({ name, cores = median }) => [name, cores ** capacityExponent]))
+  return new Map(published.map(({ name, cores = median }) => [name, cores]))
 }
 
+/** Weights by name, from the usable cores. */
+export const capacityWeights = (members: readonly Pick<Member, 'name' | 'capacity'>[]): Map<string, number> =>
+  new Map([...usableCoresByName(members)].map(([name, cores]) => [name, cores ** capacityExponent]))
+
 /**
  * Whether a member of an earlier version is in the fleet, which does not publish a capacity and ranks without weights.
  */
--- a/packages/gateway/src/coordination/routing/holder-choice.ts
+++ b/packages/gateway/src/coordination/routing/holder-choice.ts
@@ -9,7 +9,9 @@
  */
 import type { Database } from '../../state/configuration.js'
 import type { Member } from '../../state/stored-records.js'
+import { usableCoresByName } from '../membership/capacity-weights.js'
 import type { Election } from '../membership/election.js'
+import { assignHolders } from './holder-assignment.js'
 import { createStickyHolders } from './sticky-holders.js'
 import type { StickyHoldersOptions } from './sticky-holders.js'
 
@@ -19,6 +21,9 @@
 /** Name and location of a gateway. */
 export type GatewayLocation = { name: string, dataCentre: string, region: string }
 
+/** How long the division of the databases among the gateways of a data centre is kept. */
+const assignIntervalMs = 200
+
 /** Selects holders for databases. */
 export type HolderChoice = {
   /**
@@ -41,6 +46,8 @@
   isUsable: (member: Member) => boolean
   /** Whether the member is slow to reply, so that others are preferred. */
   isSuspected?: (member: Member) => boolean
+  /** All databases; if given, no gateway of unequal ones ranks first for more of them than its capacity bears. */
+  databases?: () => ReadonlyMap<string, Database>
 } & Partial<StickyHoldersOptions>
 
 /** Creates the holder choice of one gateway. */
@@ -55,9 +62,40 @@
     return member.region === regionOf(database.dataCentre) ? 1 : 2
   }
 
+  const rankedFor = ({ id, dataCentre }: Pick<Database, 'id' | 'dataCentre'>) =>
+    election.rankedByCapacity(`${id} ${dataCentre}`)
+
+  /** Holders by database within one data centre; empty if all its gateways have the same capacity. */
+  const assignIn = (dataCentre: string): Map<string, string> => {
+    const local = [...options.databases?.().values() ?? []].filter(database => database.dataCentre === dataCentre)
+    const members = local.length === 0
+      ? []
+      : rankedFor(local[0]).filter(member => member.dataCentre === dataCentre && !member.draining)
+    const coresByName = usableCoresByName(members)
+    if (new Set(coresByName.values()).size < 2) return new Map()
+    return assignHolders(local.map(database =>
+      ({ id: database.id, ranked: rankedFor(database).map(({ name }) => name) })), coresByName)
+  }
+
+  const assignments = new Map<string, { atMs: number, holders: Map<string, string> }>()
+
+  const assignedHolder = ({ id, dataCentre }: Database): string | undefined => {
+    const current = assignments.get(dataCentre)
+    if (current !== undefined && nowMs() - current.atMs < assignIntervalMs) return current.holders.get(id)
+    const holders = assignIn(dataCentre)
+    assignments.set(dataCentre, { atMs: nowMs(), holders })
+    return holders.get(id)
+  }
+
+  const withAssignedFirst = (database: Database, ranked: readonly Member[]): readonly Member[] => {
+    const holder = assignedHolder(database)
+    if (holder === undefined || ranked[0]?.name === holder) return ranked
+    return [...ranked.filter(({ name }) => name === holder), ...ranked.filter(({ name }) => name !== holder)]
+  }
+
   /** The ranked members, sorted by distance from the database. */
   const rankedByDistance = (database: Database): readonly Member[] => {
-    const ranked = election.rankedByCapacity(`${database.id} ${database.dataCentre}`)
+    const ranked = rankedFor(database)
     const cached = cache.get(ranked)
     if (cached !== undefined) return cached
     const sorted = [...ranked].sort((one, other) => distance(one, database) - distance(other, database))
@@ -79,7 +117,7 @@
     database: Database, regions: readonly string[], isAvoided: (member: Member) => boolean = () => false,
     isExcluded: (member: Member) => boolean = () => false
   ): Member[] => {
-    const byRank = rankedByDistance(database)
+    const byRank = withAssignedFirst(database, rankedByDistance(database))
     const isReachable = (member: Member) => member.name === self.name ||
       ((regions.length === 0 || regions.includes(member.region)) && isUsable(member))
     const isPermitted = (member: Member) => !isExcluded(member) && isReachable(member)
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -122,7 +122,13 @@
   const { isLeaseHeld } = membership
   const records = createGroupRecords({ self: selfName, fleetState, contact, isLeaseHeld, store, log })
   const holderChoice = createHolderChoice({
-    self, election, regionOf, isUsable: links.isUsable, isSuspected: links.isSuspected, onMove: onHolderMove
+    self,
+    election,
+    regionOf,
+    isUsable: links.isUsable,
+    isSuspected: links.isSuspected,
+    databases: fleetState.databases,
+    onMove: onHolderMove
   })
 
   const usage = settings.usage && platform.reportUsage && createUsage({
