Holder: a connection attempt with little time is no sign of a silent database

Cause: a statement that got its slot a few milliseconds before its time-out, and needed a new connection, ended as unreachable. The holder took this for a silent database and lowered its pace to one statement, also while the database was healthy.

Change: a connection attempt that timed out counts as silence only after minSilenceMs, like a statement without a reply. A refused connection counts at once, as before.

Result: the added test fails without the change (paceLowered after 30 ms) and passes with it; the other tests of holder-under-load and database-holder pass.

--- a/packages/gateway/src/coordination/connections/database-holder.ts
+++ b/packages/gateway/src/coordination/connections/database-holder.ts
@@ -15,7 +15,7 @@
 import { createQueueAdmission, maxExpectedWaitMs, retryDelayMs, statementClassOf } from './queue-admission.js'
 import { createRunningStatements } from './running-statements.js'
 import { createStatementExecution, noReplyReasons } from './statement-execution.js'
-import type { AcceptedStatement } from './statement-execution.js'
+import type { AcceptedStatement, ExecutedStatement } from './statement-execution.js'
 import { createStatementQueue } from './statement-queue.js'
 import { nameAtDatabases } from '../sessions/session-identity.js'
 import { notRun, opensTransaction } from '../sessions/statement.js'
@@ -124,25 +124,27 @@
     const paced = pace.start()
     const startedAtMs = nowMs()
     const queuedMs = Math.round(startedAtMs - arrivedAtMs)
-    const { outcome, databaseMs } = await execution.run(statement)
+    const executed = await execution.run(statement)
+    const { outcome, databaseMs } = executed
     const measuredMs = ended()
     const statementClass = statementClassOf(request)
     queue.charge(request, measuredMs - estimatedMs)
     const wasAnswered = databaseMs !== undefined && !noReplyReasons.has(outcome.reason)
     if (wasAnswered) queueAdmission.recordService(statementClass, measuredMs)
     paced.end(paceSignalOf(outcome, databaseMs), databaseMs ?? 0, statementClass)
-    if (showsSilence(outcome, databaseMs, startedAtMs)) pace.restart('noReply')
+    if (showsSilence(executed, startedAtMs)) pace.restart('noReply')
     complete({ ...outcome, load: load(), queuedMs })
     dispatch()
   }
 
   /**
    * True if the database gave no sign of life while a statement ran. That a connection was lost is none: the database
-   * may have closed it while it was idle.
+   * may have closed it while it was idle. A refused connection needs no time to show it, but one that timed out does.
    */
-  const showsSilence = ({ reason }: StatementOutcome, databaseMs: number | undefined, startedAtMs: number) => {
-    if (!noReplyReasons.has(reason) || lastReplyMs >= startedAtMs) return false
-    return databaseMs === undefined || nowMs() - startedAtMs >= minSilenceMs
+  const showsSilence = ({ outcome, connectFailure }: ExecutedStatement, startedAtMs: number) => {
+    if (!noReplyReasons.has(outcome.reason) || lastReplyMs >= startedAtMs) return false
+    const hasBeenRefused = connectFailure !== undefined && connectFailure !== 'silent'
+    return hasBeenRefused || nowMs() - startedAtMs >= minSilenceMs
   }
 
   /** A database that has become the primary receives the statements of the whole group at once. */
--- a/packages/gateway/src/coordination/connections/holder-under-load.test.ts
+++ b/packages/gateway/src/coordination/connections/holder-under-load.test.ts
@@ -137,6 +137,19 @@
   holder.close()
 })
 
+// Guards against a low pace in calm, because a statement had less time left than a connection takes to open.
+test('a connection attempt that had little time does not show that the database is silent', async t => {
+  const { database, holder, logged } = createEnvironment()
+  database.connectDelayMs = () => 500
+  const hurried = { ...manyReads[0]!, timeoutMs: 30, maxQueuedMs: 30 }
+  t.is((await holder.run(hurried)).reason, 'unreachable')
+  t.false(logged.some(({ name }) => name === 'paceLowered'))
+  database.connectDelayMs = () => 5000
+  t.is((await holder.run({ ...hurried, timeoutMs: 300, maxQueuedMs: 300 })).reason, 'unreachable')
+  t.like(logged.find(({ name }) => name === 'paceLowered'), { cause: 'noReply' })
+  holder.close()
+})
+
 // Guards against a database that is idle while all run places wait for connections that time out.
 test('statements with a connection run while others wait for connections', async t => {
   const { database, holder } = createEnvironment()
--- a/packages/gateway/src/coordination/connections/statement-execution.ts
+++ b/packages/gateway/src/coordination/connections/statement-execution.ts
@@ -13,6 +13,7 @@
 import type { UsageCounter } from '../usage/usage-counter.js'
 import type { ConnectionLog } from './connection-log.js'
 import type { ConnectionPool, PooledConnection } from './connection-pool.js'
+import type { ConnectFailure } from './database-connection.js'
 import type { OpenTransactions } from './open-transactions.js'
 import { afterPrimaryChange } from './primary-change-outcome.js'
 import { runOnConnection, transactionBefore } from './run-on-connection.js'
@@ -38,6 +39,8 @@
   outcome: StatementOutcome
   /** Time that the database took, with the setup of the session; undefined if it was not sent any part of it. */
   databaseMs: number | undefined
+  /** Why no connection could be opened, if the statement was not sent for that reason. */
+  connectFailure?: ConnectFailure['reason']
 }
 
 /** Runs accepted statements. */
@@ -95,7 +98,8 @@
       log(events.connectFailed, {
         request: request.requestId, database: id, reason: acquired.val.reason, message: acquired.val.message
       })
-      return notSent(acquired.val.reason === 'full' ? 'busy' : 'unreachable')
+      const connectFailure = acquired.val.reason
+      return { ...notSent(connectFailure === 'full' ? 'busy' : 'unreachable'), connectFailure }
     }
     const pooled = acquired.val
     if (isAbandoned(request)) {
