Routing: a refusal with an old position does not show that a replica lags

Cause: the load report in each outcome has the newest position that the holder has seen in replies of the database. Of a replica that had no reads for a while, a refusal therefore carried an old position, and the router took the difference to the primary for lag and sent the reads elsewhere.

Change: the reported position of a replica counts only with an outcome that has a position of its own.

Result: the added test fails without the change (the next read goes to the primary in another region) and passes with it; the other tests of statement-router and replica-lag pass.

--- a/packages/gateway/src/coordination/routing/statement-router.test.ts
+++ b/packages/gateway/src/coordination/routing/statement-router.test.ts
@@ -119,6 +119,34 @@
   }
 })
 
+// Guards against reads that leave their region because a replica refused one, with the position of its last reply.
+test('a refusal with an old position does not show that the replica lags', async t => {
+  let commits = 0
+  const { databaseLoad } = loadWith(0)
+  const idle = { load: 0, databaseLoad: { ...databaseLoad, inFlight: 0, position: '1.1' } }
+  const environment = createRouterEnvironment(30, groups, (_holder, { database, requestId }) => {
+    if (database === 'one-db-1') return doneOutcome({ position: `1.${++commits}` })
+    return requestId === 'refused' ? { ...notRun('queuedTooLong'), ...idle } : doneOutcome()
+  })
+  const read = (requestId: string) => environment.router.route({
+    request: readRequest({ group: 'one', requestId }),
+    route: routeTo('one', 'boundedStaleness'),
+    regions: [],
+    needsPrimary: false
+  })
+  await environment.run(async () => {
+    for (let write = 0; write < 3; write++) {
+      await send(environment, 'one', 'primary')
+      await environment.sleep(1500)
+    }
+    await read('refused')
+    environment.attempts.splice(0)
+    await read('served')
+  })
+  t.deepEqual(databasesOf(environment), ['one-db-2'])
+  t.false(environment.events.some(({ name }) => name === 'replicaLagChanged'))
+})
+
 // Guards against gateways with equally old reports that all choose the same database.
 test('while the replica of the region is full, the gateways of the region spread over the other databases', async t => {
   const { fraction } = createRandom(5)
--- a/packages/gateway/src/coordination/routing/statement-router.ts
+++ b/packages/gateway/src/coordination/routing/statement-router.ts
@@ -129,10 +129,12 @@
     const { status, reason, databaseLoad } = outcome
     const position = laterPosition(outcome.position, databaseLoad?.position ?? '')
     if (request.needsPrimary) return replicaLag.recordPrimary(group, position, nowMs())
+    // A reply without a position of its own reports that of an earlier reply, which may be old.
+    const shownPosition = outcome.position === '' ? '' : position
     const toleratedMs = replicaLag.toleratedMs(request, startedAtMs)
     const hasFallenBehind = reason === 'lagging'
       ? replicaLag.recordDeclined(database, toleratedMs, startedAtMs, nowMs())
-      : replicaLag.recordReplica(group, database, position, nowMs())
+      : replicaLag.recordReplica(group, database, shownPosition, nowMs())
     const hasCaughtUp = status === 'DONE' && replicaLag.recordServed(database, toleratedMs)
     if (hasFallenBehind || hasCaughtUp) {
       log(events.replicaLagChanged, { request: request.requestId, database, isBehind: !hasCaughtUp, toleratedMs })
