Holder: statements that wait when it closes are refused as closed

Cause: a holder that closes, because its database was restarted or removed, refused the statements in its queue as busy. Their senders took the database for full, paid for the next attempt from the budget for overload, and gave up where that was used up. Each refusal also named a delay, estimated from the queue that was just being emptied, which takes time in proportion to the square of its length.

--- a/packages/gateway/src/coordination/connections/database-holder.ts
+++ b/packages/gateway/src/coordination/connections/database-holder.ts
@@ -19,7 +19,7 @@
 import { createStatementQueue } from './statement-queue.js'
 import { nameAtDatabases } from '../sessions/session-identity.js'
 import { notRun, opensTransaction } from '../sessions/statement.js'
-import type { StatementOutcome, StatementRequest } from '../sessions/statement.js'
+import type { StatementOutcome, StatementReason, StatementRequest } from '../sessions/statement.js'
 
 /** Connections of the database's limit that are left for control commands and for a second holder. */
 const spareConnections = 2
@@ -37,6 +37,11 @@
   complete: (outcome: StatementOutcome) => void
 }
 
+/** Another holder may run the statements of one that has closed. */
+const outcomeOfDropped: Record<DropReason, StatementReason> = {
+  expired: 'queuedTooLong', displaced: 'busy', notAllowed: 'busy', closed: 'closed'
+}
+
 const paceSignalOf = ({ status, reason }: StatementOutcome, databaseMs: number | undefined): FlightOutcome => {
   if (databaseMs === undefined) return 'ignored'
   return status === 'DONE' ? 'answered' : reason === 'busy' ? 'declined' : 'ignored'
@@ -86,8 +91,8 @@
 
   const dropQueued = (statement: QueuedStatement, reason: DropReason) => {
     const queuedMs = Math.round(nowMs() - statement.arrivedAtMs)
-    const outcome = notRun(reason === 'expired' ? 'queuedTooLong' : 'busy')
-    statement.complete({ ...outcome, queuedMs, retryAfterMs: recordNotOffered(statement.request, reason, queuedMs) })
+    const retryAfterMs = recordNotOffered(statement.request, reason, queuedMs)
+    statement.complete({ ...notRun(outcomeOfDropped[reason]), queuedMs, retryAfterMs })
   }
   const pace = createDatabasePace({
     slots: () => database().slots,
@@ -184,9 +189,9 @@
   /** For a statement that came back, whose time would end after that of the waiting ones. */
   const delayUntilServed = (request: StatementRequest) => retryDelayMs(expectedWaitMs(request, Infinity), random())
 
-  /** Returns the delay after which the caller should come back. */
+  /** Returns the delay after which the caller should come back; undefined if this holder will not serve it. */
   const recordNotOffered = (request: StatementRequest, reason: string, queuedMs: number) => {
-    const retryAfterMs = delayUntilServed(request)
+    const retryAfterMs = isClosed ? undefined : delayUntilServed(request)
     options.countNotOffered?.(reason)
     log(events.notOffered, {
       request: request.requestId, database: id, reason, queuedMs, load: load(), pace: pace.limit(), retryAfterMs
@@ -221,7 +226,7 @@
         return dispatch()
       }
       const pushed = queue.push(statement, dropAtMs)
-      if (pushed.err) return resolve(refuseAsBusy(request, pushed.val.reason))
+      if (pushed.err) return resolve(isClosed ? notRun('closed') : refuseAsBusy(request, pushed.val.reason))
       dispatch()
     })
   }
--- a/packages/gateway/src/coordination/connections/holder-under-load.test.ts
+++ b/packages/gateway/src/coordination/connections/holder-under-load.test.ts
@@ -38,6 +38,27 @@
   t.like(databaseLoad, { slots: 2, inFlight: 0 })
 })
 
+// Guards against senders that take the database for full, and callers that are told to wait, when its holder closes.
+test('statements that wait when the holder closes are refused as closed, without a delay', async t => {
+  const { database, holder, logged } = createEnvironment()
+  database.statementMs = 50
+  const patient = writeRequest({ timeoutMs: 10_000, maxQueuedMs: 10_000 })
+  const running = Array.from({ length: 5 }, () => holder.run(patient))
+  await new Promise(resolve => setTimeout(resolve, 20))
+  holder.close()
+  const waited = (await Promise.all(running)).slice(2)
+  t.deepEqual(waited.map(({ status, reason, retryAfterMs }) => [status, reason, retryAfterMs]),
+    waited.map(() => ['NOT_RUN', 'closed', undefined]))
+  t.is(logged.filter(({ name, reason }) => name === 'notOffered' && reason === 'closed').length, 3)
+})
+
+test('a statement that waits for the store when the holder closes is refused as closed', async t => {
+  const { holder } = createHolderEnvironment({ storeMs: 20, transactionIdleMs: 1000 })
+  const waiting = holder.run(writeRequest({}))
+  holder.close()
+  t.like(await waiting, { status: 'NOT_RUN', reason: 'closed', retryAfterMs: undefined })
+})
+
 // Guards against callers that come back before the database can serve them, and all at the same time.
 test('a refusal names the time until the statement could be served', async t => {
   const { database, holder } = createEnvironment()
