Holder: charge the statements within transactions to their workspace

Cause: the end of each statement charges the difference between its actual and estimated slot time to its workspace. The estimate itself is charged when a statement leaves the queue, which the later statements of a transaction do not pass. With estimates by class the difference is about 0, so that a workspace with transactions got their slot time in addition to its part.

Change: a statement that was not queued is charged its whole slot time.

Result: in the added test, one workspace runs statements in a transaction while it and another one have statements waiting. Of the first six of these, three were of the other workspace without the change (the test fails) and at least five with it (3 runs of 3). The other tests of the connections folder pass.

--- a/packages/gateway/src/coordination/connections/database-holder.ts
+++ b/packages/gateway/src/coordination/connections/database-holder.ts
@@ -133,7 +133,8 @@
     const { outcome, databaseMs } = executed
     const measuredMs = ended()
     const statementClass = statementClassOf(request)
-    queue.charge(request, measuredMs - estimatedMs)
+    // Only statements that were queued have been charged their estimate.
+    queue.charge(request, request.transaction === 'CONTINUE' ? measuredMs : measuredMs - estimatedMs)
     const wasAnswered = databaseMs !== undefined && !noReplyReasons.has(outcome.reason)
     if (wasAnswered) queueAdmission.recordService(statementClass, measuredMs)
     paced.end(paceSignalOf(outcome, databaseMs), databaseMs ?? 0, statementClass)
--- a/packages/gateway/src/coordination/connections/holder-under-load.test.ts
+++ b/packages/gateway/src/coordination/connections/holder-under-load.test.ts
@@ -189,3 +189,28 @@
   t.is(ended.length, 5)
   holder.close()
 })
+
+// Guards against a workspace that gets more than its part of the slots by running its statements in transactions.
+test('the statements within transactions count towards the part of their workspace', async t => {
+  const { database, holder } = createEnvironment()
+  database.description.slots = 1
+  database.statementMs = 20
+  const patient = { timeoutMs: 20_000, maxQueuedMs: 20_000 }
+  const inTransaction = { ...patient, workspace: 'yard-a', transactionId: 'session/1' }
+  await holder.run(writeRequest({ ...inTransaction, transaction: 'OPEN_READ_WRITE' }))
+  // Both workspaces have an idle connection, so that neither is preferred for it.
+  for (const workspace of ['yard-a', 'yard-b']) await holder.run(writeRequest({ ...patient, workspace }))
+  const served: string[] = []
+  const singles = Array.from({ length: 16 }, async (_, index) => {
+    const workspace = index % 2 === 0 ? 'yard-a' : 'yard-b'
+    await holder.run(writeRequest({ ...patient, workspace }))
+    served.push(workspace)
+  })
+  while (served.length < 6) {
+    t.is((await holder.run(writeRequest({ ...inTransaction, transaction: 'CONTINUE' }))).status, 'DONE')
+  }
+  const ofOther = served.slice(0, 6).filter(workspace => workspace === 'yard-b').length
+  t.true(ofOther >= 5, served.join(' '))
+  await Promise.all(singles)
+  holder.close()
+})
