Connections: bound the record of other holders' connections

Cause: each gateway records for each database and holder how many connections the holder has. Entries were removed only where this gateway itself used the database, and only after the holder was lost, so that the record grew with all VMs and databases that the fleet had ever had.

Change: the record keeps the 1,024 databases and, for each, the 64 holders that were observed most recently.

--- a/packages/gateway/src/coordination/connections/left-connections.test.ts
+++ b/packages/gateway/src/coordination/connections/left-connections.test.ts
@@ -31,6 +31,18 @@
   t.is(left.countAt('db-1'), 0)
 })
 
+// Guards against a record that grows with every VM and database that a fleet has ever had.
+test('holders and databases that were observed long before many others are forgotten', t => {
+  const { lost, left } = createRecord()
+  lost.add('vm-0')
+  for (let number = 0; number <= 64; number++) left.observe(`vm-${number}`, 'db-0', 10)
+  t.is(left.countAt('db-0'), 0)
+  lost.add('vm-64')
+  t.is(left.countAt('db-0'), 10)
+  for (let number = 1; number <= 1024; number++) left.observe('vm-1', `db-${number}`, 10)
+  t.is(left.countAt('db-0'), 0)
+})
+
 test('a holder that replies again, or was lost long ago, has left nothing', t => {
   const { time, lost, left } = createRecord()
   left.observe('vm-1', 'db-1', 30)
--- a/packages/gateway/src/coordination/connections/left-connections.ts
+++ b/packages/gateway/src/coordination/connections/left-connections.ts
@@ -11,6 +11,9 @@
 export const lingerMs = 3000
 /** An older reply says nothing about the connections at the time of the loss. */
 const maxObservationAgeMs = 10_000
+/** Databases, and holders of one database, that are remembered; beyond it, the least recently observed is forgotten. */
+const maxDatabases = 1024
+const maxHolders = 64
 
 /** Connections of other holders. */
 export type LeftConnections = {
@@ -29,14 +32,22 @@
 
 type Observation = { connections: number, observedAtMs: number, lostAtMs: number | undefined }
 
+/** Makes the entry the newest one of the map. */
+const setNewest = <Value>(map: Map<string, Value>, key: string, value: Value, maxSize: number) => {
+  map.delete(key)
+  map.set(key, value)
+  const [oldest] = map.keys()
+  if (map.size > maxSize && oldest !== undefined) map.delete(oldest)
+}
+
 /** Creates an empty record. */
 export const createLeftConnections = ({ isAlive, nowMs }: LeftConnectionsOptions): LeftConnections => {
   const byDatabase = new Map<string, Map<string, Observation>>()
 
   const observe = (holder: string, database: string, connections: number) => {
     const holders = byDatabase.get(database) ?? new Map<string, Observation>()
-    byDatabase.set(database, holders)
-    holders.set(holder, { connections, observedAtMs: nowMs(), lostAtMs: undefined })
+    setNewest(byDatabase, database, holders, maxDatabases)
+    setNewest(holders, holder, { connections, observedAtMs: nowMs(), lostAtMs: undefined }, maxHolders)
   }
 
   /** Connections of a lost holder that count now; undefined if the observation is of no use any more. */
