Limits: name what a full queue drops in either order

Cause: with the order by deadline, a full queue drops the item with the latest deadline and not the newest one, as the header said; and the comment of createSlotUse named the opposite of what it creates.

Change: wording only.

--- a/packages/gateway/src/coordination/connections/slot-use.ts
+++ b/packages/gateway/src/coordination/connections/slot-use.ts
@@ -14,7 +14,7 @@
   slotsBefore: (band: number) => number
 }
 
-/** Creates the record of unused slots. */
+/** Creates a record without any use. */
 export const createSlotUse = (bandCount: number, nowMs: () => number): SlotUse => {
   const uses = Array.from({ length: bandCount }, () => ({ slotMs: 0, atMs: nowMs() }))
 
--- a/packages/limits/src/fair-queue.ts
+++ b/packages/limits/src/fair-queue.ts
@@ -1,8 +1,9 @@
 /**
  * A bounded queue over workspaces, for the requests that wait for an endpoint of one group.
  *
- * The order of service is a queueing discipline, passed as a function. A full queue drops the newest item of the
- * workspace with the most waiting items per weight, so that a flood by one workspace displaces only its own requests.
+ * The order of service is a queueing discipline, passed as a function. A full queue drops the item that would be served
+ * last, of the workspace with the most waiting items per weight, so that a flood by one workspace displaces only its
+ * own requests.
  */
 import type { Clock, Result, TypedError } from '@egretyoke/common'
 import { Err, Ok, monotonicMs, typedError } from '@egretyoke/common'
@@ -106,9 +107,9 @@
   const displaceFor = (workspace: string, weight: number) => {
     const loadAfter = ((queues.get(workspace)?.size() ?? 0) + 1) / weight
     const heaviest = [...queues.values()].reduce((one, other) => load(other) > load(one) ? other : one)
-    const newest = heaviest.last()
-    if (heaviest.workspace === workspace || load(heaviest) <= loadAfter || newest === undefined) return false
-    drop(newest, 'displaced')
+    const last = heaviest.last()
+    if (heaviest.workspace === workspace || load(heaviest) <= loadAfter || last === undefined) return false
+    drop(last, 'displaced')
     return true
   }
 
