--- a/packages/gateway/src/coordination/connections/database-holder.ts
+++ b/packages/gateway/src/coordination/connections/database-holder.ts
@@ -15,11 +15,11 @@
 import { createQueueAdmission, maxExpectedWaitMs, retryDelayMs, statementClassOf } from './queue-admission.js'
 import { createRunningStatements } from './running-statements.js'
 import { createStatementExecution, noReplyReasons } from './statement-execution.js'
-import type { AcceptedStatement } from './statement-execution.js'
+import type { AcceptedStatement, ExecutedStatement } from './statement-execution.js'
 import { createStatementQueue } from './statement-queue.js'
 import { nameAtDatabases } from '../sessions/session-identity.js'
 import { notRun, opensTransaction } from '../sessions/statement.js'
-import type { StatementOutcome, StatementRequest } from '../sessions/statement.js'
+import type { StatementOutcome, StatementReason, StatementRequest } from '../sessions/statement.js'
 
 /** Connections of the database's limit that are left for control commands and for a second holder. */
 const spareConnections = 2
@@ -37,6 +37,11 @@
   complete: (outcome: StatementOutcome) => void
 }
 
+/** Another holder may run the statements of one that has closed. */
+const outcomeOfDropped: Record<DropReason, StatementReason> = {
+  expired: 'queuedTooLong', displaced: 'busy', notAllowed: 'busy', closed: 'closed'
+}
+
 const paceSignalOf = ({ status, reason }: StatementOutcome, databaseMs: number | undefined): FlightOutcome => {
   if (databaseMs === undefined) return 'ignored'
   return status === 'DONE' ? 'answered' : reason === 'busy' ? 'declined' : 'ignored'
@@ -86,8 +91,8 @@
 
   const dropQueued = (statement: QueuedStatement, reason: DropReason) => {
     const queuedMs = Math.round(nowMs() - statement.arrivedAtMs)
-    const outcome = notRun(reason === 'expired' ? 'queuedTooLong' : 'busy')
-    statement.complete({ ...outcome, queuedMs, retryAfterMs: recordNotOffered(statement.request, reason, queuedMs) })
+    const retryAfterMs = recordNotOffered(statement.request, reason, queuedMs)
+    statement.complete({ ...notRun(outcomeOfDropped[reason]), queuedMs, retryAfterMs })
   }
   const pace = createDatabasePace({
     slots: () => database().slots,
@@ -124,25 +129,28 @@
     const paced = pace.start()
     const startedAtMs = nowMs()
     const queuedMs = Math.round(startedAtMs - arrivedAtMs)
-    const { outcome, databaseMs } = await execution.run(statement)
+    const executed = await execution.run(statement)
+    const { outcome, databaseMs } = executed
     const measuredMs = ended()
     const statementClass = statementClassOf(request)
-    queue.charge(request, measuredMs - estimatedMs)
+    // Only statements that were queued have been charged their estimate.
+    queue.charge(request, request.transaction === 'CONTINUE' ? measuredMs : measuredMs - estimatedMs)
     const wasAnswered = databaseMs !== undefined && !noReplyReasons.has(outcome.reason)
     if (wasAnswered) queueAdmission.recordService(statementClass, measuredMs)
     paced.end(paceSignalOf(outcome, databaseMs), databaseMs ?? 0, statementClass)
-    if (showsSilence(outcome, databaseMs, startedAtMs)) pace.restart('noReply')
+    if (showsSilence(executed, startedAtMs)) pace.restart('noReply')
     complete({ ...outcome, load: load(), queuedMs })
     dispatch()
   }
 
   /**
    * True if the database gave no sign of life while a statement ran. That a connection was lost is none: the database
-   * may have closed it while it was idle.
+   * may have closed it while it was idle. A refused connection needs no time to show it, but one that timed out does.
    */
-  const showsSilence = ({ reason }: StatementOutcome, databaseMs: number | undefined, startedAtMs: number) => {
-    if (!noReplyReasons.has(reason) || lastReplyMs >= startedAtMs) return false
-    return databaseMs === undefined || nowMs() - startedAtMs >= minSilenceMs
+  const showsSilence = ({ outcome, connectFailure }: ExecutedStatement, startedAtMs: number) => {
+    if (!noReplyReasons.has(outcome.reason) || lastReplyMs >= startedAtMs) return false
+    const hasBeenRefused = connectFailure !== undefined && connectFailure !== 'silent'
+    return hasBeenRefused || nowMs() - startedAtMs >= minSilenceMs
   }
 
   /** A database that has become the primary receives the statements of the whole group at once. */
@@ -182,9 +190,9 @@
   /** For a statement that came back, whose time would end after that of the waiting ones. */
   const delayUntilServed = (request: StatementRequest) => retryDelayMs(expectedWaitMs(request, Infinity), random())
 
-  /** Returns the delay after which the caller should come back. */
+  /** Returns the delay after which the caller should come back; undefined if this holder will not serve it. */
   const recordNotOffered = (request: StatementRequest, reason: string, queuedMs: number) => {
-    const retryAfterMs = delayUntilServed(request)
+    const retryAfterMs = isClosed ? undefined : delayUntilServed(request)
     options.countNotOffered?.(reason)
     log(events.notOffered, {
       request: request.requestId, database: id, reason, queuedMs, load: load(), pace: pace.limit(), retryAfterMs
@@ -222,7 +230,7 @@
         return dispatch()
       }
       const pushed = queue.push(statement, dropAtMs)
-      if (pushed.err) return resolve(refuseAsBusy(request, pushed.val.reason))
+      if (pushed.err) return resolve(isClosed ? notRun('closed') : refuseAsBusy(request, pushed.val.reason))
       dispatch()
     })
   }
--- a/packages/gateway/src/coordination/connections/holder-under-load.test.ts
+++ b/packages/gateway/src/coordination/connections/holder-under-load.test.ts
@@ -38,6 +38,27 @@
   t.like(databaseLoad, { slots: 2, inFlight: 0 })
 })
 
+// Guards against senders that take the database for full, and callers that are told to wait, when its holder closes.
+test('statements that wait when the holder closes are refused as closed, without a delay', async t => {
+  const { database, holder, logged } = createEnvironment()
+  database.statementMs = 50
+  const patient = writeRequest({ timeoutMs: 10_000, maxQueuedMs: 10_000 })
+  const running = Array.from({ length: 5 }, () => holder.run(patient))
+  await new Promise(resolve => setTimeout(resolve, 20))
+  holder.close()
+  const waited = (await Promise.all(running)).slice(2)
+  t.deepEqual(waited.map(({ status, reason, retryAfterMs }) => [status, reason, retryAfterMs]),
+    waited.map(() => ['NOT_RUN', 'closed', undefined]))
+  t.is(logged.filter(({ name, reason }) => name === 'notOffered' && reason === 'closed').length, 3)
+})
+
+test('a statement that waits for the store when the holder closes is refused as closed', async t => {
+  const { holder } = createHolderEnvironment({ storeMs: 20, transactionIdleMs: 1000 })
+  const waiting = holder.run(writeRequest({}))
+  holder.close()
+  t.like(await waiting, { status: 'NOT_RUN', reason: 'closed', retryAfterMs: undefined })
+})
+
 // Guards against callers that come back before the database can serve them, and all at the same time.
 test('a refusal names the time until the statement could be served', async t => {
   const { database, holder } = createEnvironment()
@@ -151,6 +172,19 @@
   holder.close()
 })
 
+// Guards against a low pace in calm, because a statement had less time left than a connection takes to open.
+test('a connection attempt that had little time does not show that the database is silent', async t => {
+  const { database, holder, logged } = createEnvironment()
+  database.connectDelayMs = () => 500
+  const hurried = { ...manyReads[0]!, timeoutMs: 30, maxQueuedMs: 30 }
+  t.is((await holder.run(hurried)).reason, 'unreachable')
+  t.false(logged.some(({ name }) => name === 'paceLowered'))
+  database.connectDelayMs = () => 5000
+  t.is((await holder.run({ ...hurried, timeoutMs: 300, maxQueuedMs: 300 })).reason, 'unreachable')
+  t.like(logged.find(({ name }) => name === 'paceLowered'), { cause: 'noReply' })
+  holder.close()
+})
+
 // Guards against a database that is idle while all run places wait for connections that time out.
 test('statements with a connection run while others wait for connections', async t => {
   const { database, holder } = createEnvironment()
@@ -169,3 +203,28 @@
   t.is(ended.length, 5)
   holder.close()
 })
+
+// Guards against a workspace that gets more than its part of the slots by running its statements in transactions.
+test('the statements within transactions count towards the part of their workspace', async t => {
+  const { database, holder } = createEnvironment()
+  database.description.slots = 1
+  database.statementMs = 20
+  const patient = { timeoutMs: 20_000, maxQueuedMs: 20_000 }
+  const inTransaction = { ...patient, workspace: 'yard-a', transactionId: 'session/1' }
+  await holder.run(writeRequest({ ...inTransaction, transaction: 'OPEN_READ_WRITE' }))
+  // Both workspaces have an idle connection, so that neither is preferred for it.
+  for (const workspace of ['yard-a', 'yard-b']) await holder.run(writeRequest({ ...patient, workspace }))
+  const served: string[] = []
+  const singles = Array.from({ length: 16 }, async (_, index) => {
+    const workspace = index % 2 === 0 ? 'yard-a' : 'yard-b'
+    await holder.run(writeRequest({ ...patient, workspace }))
+    served.push(workspace)
+  })
+  while (served.length < 6) {
+    t.is((await holder.run(writeRequest({ ...inTransaction, transaction: 'CONTINUE' }))).status, 'DONE')
+  }
+  const ofOther = served.slice(0, 6).filter(workspace => workspace === 'yard-b').length
+  t.true(ofOther >= 5, served.join(' '))
+  await Promise.all(singles)
+  holder.close()
+})
