Store: a state whose later part is older than its first is not used

Cause: the parts of a peer's state are separate replies. A peer that restarts between them may have taken its state from another gateway, up to 1.3 s older than the first part. The reader then asked for the changes after the first part's revision, so that the changes in between were missing for the keys of the later parts, for example a withdrawn key. Change: the reader rejects a part with a lower revision than the first. The state is read again or listed.

--- a/packages/gateway/src/coordination/store/peer-state.ts
+++ b/packages/gateway/src/coordination/store/peer-state.ts
@@ -11,7 +11,10 @@
 /** More than the state that a gateway keeps for its followers can have. */
 const maxParts = 64
 
-/** Entries of the whole state whose first part is given; undefined if a later part is not answered. */
+/**
+ * Entries of the whole state whose first part is given; undefined if a later part is not answered, or is older than the
+ * first one, as after a restart of the peer: the changes up to the first part's revision are not requested again.
+ */
 export const readPeerState = async (
   relay: Pick<RelayCalls, 'call'>, peer: Member, first: RelayMessages.StoreNews__Output
 ): Promise<RelayMessages.StoreChange__Output[] | undefined> => {
@@ -23,7 +26,7 @@
     }
     const reply = await relay.call(peer, { followStore }, partTimeoutMs)
     const news = reply.ok ? reply.val.storeNews : undefined
-    if (!news?.wholeState || part >= maxParts) return undefined
+    if (!news?.wholeState || news.revision < first.revision || part >= maxParts) return undefined
     entries.push(...news.changes)
     stateContinuesAfter = news.stateContinuesAfter
   }
--- a/packages/gateway/src/coordination/store/store-sources.test.ts
+++ b/packages/gateway/src/coordination/store/store-sources.test.ts
@@ -144,3 +144,14 @@
   watcher.history.reset(200)
   t.is(await readPeerState({ call } as unknown as RelayCalls, {} as Member, first), undefined)
 })
+
+// Guards against a withdrawn key that stays valid: changes of later parts from before the first one are not sent again.
+test('a state of which a later part is older than the first one is not used', async t => {
+  const watcher = createWatcher()
+  const entries = Array.from({ length: 100 }, (_, index) => change(index + 1, 30_000))
+  watcher.history.reset(172, entries)
+  const { call } = callsTo(watcher)
+  const first = await replyToFollower(watcher, { ...behind, acceptsState: true }) as StoreNews
+  watcher.history.reset(171, entries)
+  t.is(await readPeerState({ call } as unknown as RelayCalls, {} as Member, first), undefined)
+})
