Store: writes of usage reports do not delay the claims of limits

Cause: the usage record and the records of the token allocators shared one kind of call. While the store declined the usage record, for example for its size, each failure also delayed the claim of a shard's allocator by up to 2 s, without which callers of its workspaces get no tokens. Change: the usage record is a kind of its own, with the same longest delay. Result: the new test failed before the change; observed-store.test and store-backoff.test pass.

--- a/packages/gateway/src/coordination/store/observed-store.test.ts
+++ b/packages/gateway/src/coordination/store/observed-store.test.ts
@@ -44,6 +44,14 @@
   t.is(counted.length, 2)
 })
 
+// Guards against rate limit tokens that nobody grants because the store declines the record of usage reports.
+test('a failed write of the usage record does not delay the claim of a limit', async t => {
+  const { store, counted } = createStore()
+  await store.compareAndSwap(swap('egretyoke/usage'), 900)
+  await store.compareAndSwap(swap('egretyoke/limit/3'), 900)
+  t.is(counted.length, 2)
+})
+
 test('calls are counted by kind and result', async t => {
   const { store, counted, time } = createStore()
   await store.grantLease(3000, 900)
--- a/packages/gateway/src/coordination/store/observed-store.ts
+++ b/packages/gateway/src/coordination/store/observed-store.ts
@@ -3,7 +3,7 @@
  */
 import { Err, monotonicMs, typedError } from '@egretyoke/common'
 import type { Clock, Result, TypedError } from '@egretyoke/common'
-import { recordPrefixes } from '../../state/stored-records.js'
+import { recordPrefixes, usageKey } from '../../state/stored-records.js'
 import type { SharedStore } from './shared-store.js'
 import type { StoreBackoff, StoreCallKind } from './store-backoff.js'
 
@@ -24,6 +24,7 @@
 /** Kind of a write by its key; undefined for the VM's own record, whose writes the membership itself spaces. */
 const kindOfWrite = (key: string): StoreCallKind | undefined => {
   if (key.startsWith(recordPrefixes.vms)) return undefined
+  if (key === usageKey) return 'usage'
   return key.startsWith(recordPrefixes.groups) ? 'group' : 'other'
 }
 
--- a/packages/gateway/src/coordination/store/store-backoff.ts
+++ b/packages/gateway/src/coordination/store/store-backoff.ts
@@ -9,12 +9,12 @@
 import type { Clock } from '@egretyoke/common'
 
 /** Kinds of calls. Each has its own delay, so that one that keeps failing does not delay the others. */
-export type StoreCallKind = 'contact' | 'value' | 'membership' | 'group' | 'other'
+export type StoreCallKind = 'contact' | 'value' | 'membership' | 'group' | 'usage' | 'other'
 
 const firstDelayMs = 200
 /** Keys, configurations and promotions depend on contact and group records, so these calls are retried sooner. */
 const maxDelayMs: Record<StoreCallKind, number> = {
-  contact: 1000, value: 1000, membership: 2000, group: 1000, other: 2000
+  contact: 1000, value: 1000, membership: 2000, group: 1000, usage: 2000, other: 2000
 }
 /** A delay is random between this fraction of its length and its whole length. */
 const minDelayFraction = 0.5
