Usage: the stored record stays short enough for watchers to forward it

Cause: while the platform does not take reports, the record grew to 60 windows. Above 32 KiB, with 80 workspaces after about 25 windows, watchers leave out its value, and each follower reads it from the store with every change. Change: beyond 32 KiB the oldest windows are dropped, whose reports are long overdue. The newest 4 are kept up to the limit of the store. Ruled out: to follow without the record, because a reporter that does not see its successor's claim would send with its old fence.

--- a/packages/gateway/src/coordination/usage/usage-decisions.test.ts
+++ b/packages/gateway/src/coordination/usage/usage-decisions.test.ts
@@ -6,7 +6,9 @@
 import { notRun } from '../sessions/statement.js'
 import type { StatementOutcome } from '../sessions/statement.js'
 import { writeRequest } from '../../testing/holder-environment.js'
+import { maxKeptValueBytes } from '../../state/store-history.js'
 import { encodeRecord } from '../../state/stored-records.js'
+import type { UsageRecord } from '../../state/stored-records.js'
 import { combineCounts } from './combine-counts.js'
 import { createFleetClock } from './fleet-clock.js'
 import { hasBegunAtHolder } from './operation.js'
@@ -202,6 +204,27 @@
   t.is(firstDueWindow(12, 12 + 2 * maxStoredWindows), 12 + maxStoredWindows)
 })
 
+// Guards against a gateway that the store refuses and that loses contact, because its watcher forwards no long values.
+test('while the service is down, the record stays short enough to be forwarded, with the windows that are due', t => {
+  const counts = Array.from({ length: 80 }, (_, index): [string, number] => [`workspace${index}`, 1234])
+  let record: UsageRecord = { keeper: 'a/1/x', nextWindow: firstWindow, windows: [] }
+  for (let window = firstWindow; window < firstWindow + maxStoredWindows; window++) {
+    record = withCounted(record, [{ window, counts }], () => false).record
+    t.true(encodeRecord(record).length <= maxKeptValueBytes)
+    t.true(record.windows.length >= Math.min(4, window - firstWindow + 1))
+  }
+})
+
+// Guards against windows of many workspaces that are dropped before their reports are due.
+test('the newest windows are stored also if they make the record longer', t => {
+  const counts = Array.from({ length: 2000 }, (_, index): [string, number] => [`workspace${index}`, 1234])
+  const windows = Array.from({ length: 6 }, (_, index) => ({ window: firstWindow + index, counts }))
+  const empty: UsageRecord = { keeper: 'a/1/x', nextWindow: firstWindow, windows: [] }
+  const { record, dropped } = withCounted(empty, windows, () => false)
+  t.is(record.windows.length, 4)
+  t.deepEqual(dropped, [firstWindow, firstWindow + 1])
+})
+
 test('a record is claimed only while its process is a member', t => {
   const member = { name: 'a/1', dataCentre: 'd', region: 'r', address: 'h:1', incarnation: 'x', draining: false }
   const record = { keeper: 'a/1/x', nextWindow: 0, windows: [] }
--- a/packages/gateway/src/coordination/usage/usage-record.ts
+++ b/packages/gateway/src/coordination/usage/usage-record.ts
@@ -2,11 +2,14 @@
  * Decisions about the store record of usage reports. The record names the reporter and holds the windows that were
  * counted and not yet acknowledged, so that a successor sends exactly the same counts. Counts in it never change.
  */
+import { maxKeptValueBytes } from '../../state/store-history.js'
 import type { Member, UsageRecord, UsageWindow } from '../../state/stored-records.js'
 import { encodeRecord, splitProcessName } from '../../state/stored-records.js'
 
 /** Windows that a record holds at most, beyond which the oldest are dropped unsent. */
 export const maxStoredWindows = 60
+/** Newest windows that a longer record may hold, whose reports may still be on time. */
+const minStoredWindows = 4
 /** Size of a record; the platform's store accepts less than 1 MB. */
 export const maxRecordBytes = 900_000
 
@@ -41,8 +44,10 @@
   const windows = [...record.windows.filter(({ window }) => !isAcknowledged(window)), ...added]
   const nextWindow = added.reduce((next, { window }) => Math.max(next, window + 1), record.nextWindow)
   const dropped: number[] = []
+  // A longer value is not forwarded by watchers, and a gateway that the store refuses could not follow them.
+  const maxBytes = () => windows.length > minStoredWindows ? maxKeptValueBytes : maxRecordBytes
   const isTooLarge = () => windows.length > maxStoredWindows ||
-    encodeRecord({ ...record, nextWindow, windows }).length > maxRecordBytes
+    encodeRecord({ ...record, nextWindow, windows }).length > maxBytes()
   while (windows.length > 0 && isTooLarge()) dropped.push(windows.shift()!.window)
   return { record: { ...record, nextWindow, windows }, dropped }
 }
--- a/packages/gateway/src/state/store-history.ts
+++ b/packages/gateway/src/state/store-history.ts
@@ -45,7 +45,7 @@
 /** Keys for which the newest change is kept, and keys of a state that is kept. */
 const maxKeys = 4096
 /** Longer values are not kept. */
-const maxKeptValueBytes = 32 * 1024
+export const maxKeptValueBytes = 32 * 1024
 /** All kept values together; beyond it the oldest changes are dropped, and a state is not kept. */
 const maxKeptBytes = 16 * 1024 * 1024
 
