Store: a doc comment stands before its field

Cause: the comment on the long poll stood before the state at a start. Change: it is moved to nextChanges; no change of behaviour. Result: build and lint pass.

--- a/packages/gateway/src/coordination/store/store-follower.ts
+++ b/packages/gateway/src/coordination/store/store-follower.ts
@@ -18,9 +18,9 @@
 /** Dependencies of the store follower. */
 export type FollowerOptions = {
   store: SharedStore
-  /** Long poll: resolves with the changes after a revision, or with none after a time. */
   /** State of a peer for the start of the process; undefined: the store is listed. */
   startState: () => Promise<ConfirmedChanges | undefined>
+  /** Long poll: resolves with the changes after a revision, or with none after a time. */
   nextChanges: (after: number) => Promise<Result<ConfirmedChanges, StoreError>>
   history: StoreHistory
   fleetState: FleetState
