Common: one median for capacity weights and the fleet clock

Cause: the two modules each had the same function. Change: medianOf is in packages/common; no change of behaviour. Result: build, lint and the tests of usage decisions and membership pass.

--- a/packages/gateway/src/coordination/membership/capacity-weights.ts
+++ b/packages/gateway/src/coordination/membership/capacity-weights.ts
@@ -6,6 +6,7 @@
  * behalf of others therefore grows faster than the capacity, and the delay falls with what is left. So the weight is
  * the square of the capacity: a VM with a quarter of the capacity ranks first for a sixteenth as many keys.
  */
+import { medianOf } from '@egretyoke/common'
 import type { Capacity, Member } from '../../state/stored-records.js'
 
 const capacityExponent = 2
@@ -25,15 +26,10 @@
   return Math.max(minCores, Math.min(processorCores, byLink, byMemory))
 }
 
-const medianOf = (sorted: readonly number[]): number => {
-  const middle = Math.floor(sorted.length / 2)
-  return sorted.length % 2 === 1 ? sorted[middle] : (sorted[middle - 1] + sorted[middle]) / 2
-}
-
 /** Weights by name; a member that does not publish its cores counts as the median of the others. */
 export const capacityWeights = (members: readonly Pick<Member, 'name' | 'capacity'>[]): Map<string, number> => {
   const published = members.map(({ name, capacity = {} }) => ({ name, cores: usableCores(capacity) }))
-  const known = published.flatMap(({ cores }) => cores ?? []).sort((one, other) => one - other)
+  const known = published.flatMap(({ cores }) => cores ?? [])
   const median = known.length === 0 ? 1 : medianOf(known)
   return new Map(published.map(({ name, cores = median }) => [name, cores ** capacityExponent]))
 }
--- a/packages/gateway/src/coordination/usage/fleet-clock.ts
+++ b/packages/gateway/src/coordination/usage/fleet-clock.ts
@@ -3,6 +3,7 @@
  * time advances with the monotonic clock, and its offset is corrected only by what most VMs agree on: the reporter
  * takes the median of all wall clocks, and the others follow the reporter.
  */
+import { medianOf } from '@egretyoke/common'
 
 /** A difference below this is left as it is; latency between data centres and short pauses cause as much. */
 export const maxDeviationMs = 100
@@ -27,12 +28,6 @@
   followReporter: (reporterMs: number) => void
 }
 
-const medianOf = (values: readonly number[]): number => {
-  const sorted = [...values].sort((one, other) => one - other)
-  const middle = sorted.length >> 1
-  return sorted.length % 2 === 1 ? sorted[middle]! : (sorted[middle - 1]! + sorted[middle]!) / 2
-}
-
 /** Creates the clock. `onCorrected` is called with the change of each correction, in milliseconds. */
 export const createFleetClock = (
   monotonic: () => number, wall: () => number, onCorrected: (changeMs: number) => void = () => {}
