Positions: a request without a reply is repeated while the read has time

Cause: a replica's holder requested the primary's position once, for 400 ms. If the first holder of the primary did not answer in that time, because its link was still being opened or cut, the read was declined as lagging with most of its time left, and waited for the primary for the rest. Seen in the events of primaries.test beside load: lagging at the replica, then holderSilent at a primary that does not answer. Change: require() takes the time in which requests may start, 40% of the read's time at the holder, and pauses 50 ms between them. Routes with a timeout below 1,125 ms keep one request if it takes its full 400 ms.

--- a/packages/gateway/src/coordination/connections/database-holder.ts
+++ b/packages/gateway/src/coordination/connections/database-holder.ts
@@ -28,6 +28,8 @@
 /** A statement without a reply for less than this had too little time left to show that the database is silent. */
 const minSilenceMs = 200
 const idlePollMs = 10
+/** Fraction of a read's time in which requests for the primary's position may start; the last one takes more of it. */
+const maxPositionWaitFraction = 0.4
 /**
  * Maximum idle time of connections while this gateway is not the database's first holder (see `isFirstHolder`). Senders
  * may stay with it all the same: as long as it runs statements, only connections of rare workspaces are closed.
@@ -109,7 +111,8 @@
   const requiredPosition = async (request: StatementRequest): Promise<string | undefined> => {
     if (request.needsPrimary) return ''
     const { maxStalenessMs, ownPosition } = request
-    const freshPosition = maxStalenessMs > 0 ? await positions.require(group, maxStalenessMs) : ''
+    const waitMs = request.timeoutMs * maxPositionWaitFraction
+    const freshPosition = maxStalenessMs > 0 ? await positions.require(group, maxStalenessMs, waitMs) : ''
     if (freshPosition === undefined) return undefined
     return laterPosition(freshPosition, ownPosition)
   }
--- a/packages/gateway/src/coordination/primaries/group-positions.test.ts
+++ b/packages/gateway/src/coordination/primaries/group-positions.test.ts
@@ -6,15 +6,17 @@
 import { createGroupPositions } from './group-positions.js'
 import type { PositionSample } from './group-positions.js'
 
-const createPositions = (replies: Array<string | undefined>) => {
+const createPositions = (replies: Array<string | undefined>, replyMs = 0) => {
   const time = { nowMs: 0 }
   const clock = createAgeClock(() => time.nowMs, () => time.nowMs)
   let requestCount = 0
   const fetchPosition = async (): Promise<PositionSample | undefined> => {
     const position = replies[requestCount++]
+    time.nowMs += replyMs
     return position === undefined ? undefined : { position, coversUntil: clock.now() }
   }
-  return { time, clock, positions: createGroupPositions(clock, fetchPosition), requestCount: () => requestCount }
+  const sleep = async (ms: number) => { time.nowMs += ms }
+  return { time, clock, positions: createGroupPositions(clock, fetchPosition, sleep), requestCount: () => requestCount }
 }
 
 test('a sample within the permitted staleness is required without a request', async t => {
@@ -42,6 +44,24 @@
   t.is(await positions.require('g', 1500), undefined)
 })
 
+// Guards against a read that is refused with most of its time left because one request had no reply.
+test('a request for an unknown position is repeated while the read has time', async t => {
+  const { time, positions, requestCount } = createPositions([undefined, '1.8'], 400)
+  t.is(await positions.require('g', 1500, 800), '1.8')
+  t.is(requestCount(), 2)
+  t.is(time.nowMs, 850)
+})
+
+// Guards against reads that use up their time for requests, and against requests without a pause.
+test('requests for an unknown position end with the read\'s time, also if they end at once', async t => {
+  const slow = createPositions([], 400)
+  t.is(await slow.positions.require('g', 1500, 800), undefined)
+  t.is(slow.requestCount(), 2)
+  const fast = createPositions([])
+  t.is(await fast.positions.require('g', 1500, 800), undefined)
+  t.is(fast.requestCount(), 16)
+})
+
 test('an earlier position does not lower the required position', async t => {
   const { time, clock, positions } = createPositions([])
   positions.record('g', { position: '2.1', coversUntil: clock.now() })
--- a/packages/gateway/src/coordination/primaries/group-positions.ts
+++ b/packages/gateway/src/coordination/primaries/group-positions.ts
@@ -4,7 +4,12 @@
  *
  * Load pattern: reads that may be some seconds old, on replicas that lag by less. If a read required the newest known
  * position, each replica would decline it for as long as it lags; it requires the oldest one that is recent enough.
+ *
+ * Load pattern: a first holder that does not answer in time, because it is cut off or its link is still being opened.
+ * A read that gave up with it would be sent to the primary, which may be the cause of the silence. The request is
+ * repeated while the read has time: the holder is then asked over an open link, or comes after the others.
  */
+import { sleepMs } from '@egretyoke/common'
 import type { RelayMessages } from '@egretyoke/protocol'
 import type { AgeClock, ClockReading } from '../../state/contact.js'
 import { isPosition, laterPosition } from '../../state/position.js'
@@ -29,8 +34,11 @@
 /** Newest observed positions by group. */
 export type GroupPositions = {
   record: (group: string, sample: PositionSample) => void
-  /** Position that a replica needs for its data to be less than `maxStalenessMs` old; undefined if unknown. */
-  require: (group: string, maxStalenessMs: number) => Promise<string | undefined>
+  /**
+   * Position that a replica needs for its data to be less than `maxStalenessMs` old; undefined if it is still unknown
+   * after the first request that ends later than `waitMs`.
+   */
+  require: (group: string, maxStalenessMs: number, waitMs?: number) => Promise<string | undefined>
   newest: (group: string) => PositionSample | undefined
   /** Drops the group's position after its primary was replaced: the new primary's log may lack it. */
   forget: (group: string) => void
@@ -42,11 +50,15 @@
 const maxReuseFraction = 0.8
 /** Samples that are closer together are merged. */
 const minSampleGapMs = 50
+/** Pause before a request is repeated. */
+const repeatDelayMs = 50
 /** Samples kept for each group; they span more than the usual staleness of routes. */
 const maxSamples = 64
 
 /** Creates an empty position table. */
-export const createGroupPositions = (clock: AgeClock, fetchPosition: FetchPosition): GroupPositions => {
+export const createGroupPositions = (
+  clock: AgeClock, fetchPosition: FetchPosition, sleep: (ms: number) => Promise<unknown> = sleepMs
+): GroupPositions => {
   /** By group, oldest first. */
   const samples = new Map<string, PositionSample[]>()
   const renewals = new Map<string, Promise<void>>()
@@ -82,11 +94,19 @@
     return sample === undefined ? Infinity : clock.ageMs(sample.coversUntil)
   }
 
-  const require = async (group: string, maxStalenessMs: number) => {
-    if (ageMs(group) > maxStalenessMs * renewAtFraction) {
-      const renewal = renew(group)
-      if (ageMs(group) >= maxStalenessMs) await renewal
+  /** Requests the position until it is recent enough or `waitMs` have passed. */
+  const renewUntilRecent = async (group: string, maxStalenessMs: number, waitMs: number) => {
+    const startedAt = clock.now()
+    for (;;) {
+      await renew(group)
+      if (ageMs(group) < maxStalenessMs || clock.ageMs(startedAt) + repeatDelayMs >= waitMs) return
+      await sleep(repeatDelayMs)
     }
+  }
+
+  const require = async (group: string, maxStalenessMs: number, waitMs = 0) => {
+    if (ageMs(group) >= maxStalenessMs) await renewUntilRecent(group, maxStalenessMs, waitMs)
+    else if (ageMs(group) > maxStalenessMs * renewAtFraction) renew(group)
     if (ageMs(group) >= maxStalenessMs) return undefined
     const isRecent = ({ coversUntil }: PositionSample) => clock.ageMs(coversUntil) < maxStalenessMs * maxReuseFraction
     return (samples.get(group)?.find(isRecent) ?? newest(group))?.position
