Tests: reads without a primary run alone, over an open link

Cause: "replicas serve reads while the primary does not answer" and "a position known before ..." were refused when the process of the test was busy: 15 fleets start in it at once, and the second gateway opened its link to the primary's holder with the request for the position, for longer than the read had time for. The events show lagging at the replica, then holderSilent. Change: both tests first write through the second gateway, assert that this used the primary's holder and left the second gateway without a position, and run before the other tests of the file. The first one also asserts that the primary did not serve the read. The times and bounds are unchanged.

--- a/packages/gateway/src/primaries.test.ts
+++ b/packages/gateway/src/primaries.test.ts
@@ -4,6 +4,7 @@
  */
 import { sleepMs } from '@egretyoke/common'
 import test from 'ava'
+import type { ExecutionContext } from 'ava'
 import {
   closeMemoryFleets, openTestSession, read, standardConfiguration, startMemoryFleet, waitUntil, write
 } from './testing/memory-fleet.js'
@@ -190,19 +191,34 @@
   await fleet.close()
 })
 
-test('a position known before the primary fell silent serves reads while the route permits its age', async t => {
+/**
+ * A fleet whose second gateway has written through the primary's holder and knows no position: its next read requests
+ * one from there over an open link. The tests that use it run alone, because the reads have a time limit.
+ */
+const startFleetWithOpenLink = async (t: ExecutionContext) => {
   const fleet = await startMemoryFleet(3)
-  await openTestSession(fleet.gateways[0], 'slots').send(write('1'))
+  await openTestSession(fleet.gateways[1], 'slots').send(write('1'))
+  t.like(fleet.events.findLast(({ name }) => name === 'statementRouted'), {
+    gateway: 'vm-2', fields: { database: 'db-1', holder: 'vm-1', status: 'DONE' }
+  })
+  t.deepEqual(recordOf(fleet).users.map(user => user.split('/')[0]), ['vm-1'])
+  return fleet
+}
+
+// Guards against a holder that waits for the primary's status for as long as the read waits for the holder.
+test.serial('a position known before the primary fell silent serves reads while the route permits its age', async t => {
+  const fleet = await startFleetWithOpenLink(t)
   fleet.group.databases.get('db-1')!.state = 'dark'
   // The position is now too old to be passed on without a request to the primary, but far from the route's bound.
   await sleepMs(300)
   t.is((await openTestSession(fleet.gateways[1], 'boards').send(read('1'))).error, undefined)
+  t.not(fleet.group.executed.at(-1)?.database, 'db-1')
   await fleet.close()
 })
 
-test('replicas serve reads while the primary does not answer', async t => {
-  const fleet = await startMemoryFleet(3)
-  await openTestSession(fleet.gateways[0], 'slots').send(write('1'))
+// Guards against reads that depend on a primary whose position another gateway knows.
+test.serial('replicas serve reads while the primary does not answer', async t => {
+  const fleet = await startFleetWithOpenLink(t)
   fleet.group.databases.get('db-1')!.state = 'dark'
   const answer = await openTestSession(fleet.gateways[1], 'boards').send(read('1'))
   t.is(answer.error, undefined)
