Tests: holder tests that are not about time run without time

Cause: three tests of database-holder.test have 60 ms for a statement, which a busy process uses up before it is sent: NOT_RUN for DONE, silent for failed. Seen in one of two runs of all gateway tests beside three busy processes. Change: four tests whose subject is no timeout run with a clock that stands still. The time left after the setup is read from the holder's clock, as all others of the holder are; in production this is the same clock. No bound is changed. Result: the tests pass, also with 100 ms of busy time in each connect.

--- a/packages/gateway/src/coordination/connections/database-holder.test.ts
+++ b/packages/gateway/src/coordination/connections/database-holder.test.ts
@@ -11,6 +11,10 @@
 
 const createEnvironment = () => createHolderEnvironment({ storeMs: 0, transactionIdleMs: 1000 })
 
+/** A holder whose time stands still, for tests that no timeout may end: a busy process can use up 60 ms by itself. */
+const createTimelessEnvironment = () =>
+  createHolderEnvironment({ storeMs: 0, transactionIdleMs: 1000 }, 10, { nowMs: () => 0 })
+
 const write = (transaction: StatementRequest['transaction'] = 'SINGLE') => writeRequest({
   transaction, transactionId: transaction === 'SINGLE' ? '' : 'session/1', timeoutMs, maxQueuedMs: timeoutMs
 })
@@ -44,7 +48,7 @@
 })
 
 test('a transaction that is abandoned while its first statement waits does not begin', async t => {
-  const { group, database, holder } = createEnvironment()
+  const { group, database, holder } = createTimelessEnvironment()
   database.connectDelayMs = () => timeoutMs / 2
   const running = holder.run(write('OPEN_READ_WRITE'))
   holder.abandon('session/1')
@@ -54,7 +58,7 @@
 })
 
 test('a second first statement of a transaction is not run', async t => {
-  const { group, holder } = createEnvironment()
+  const { group, holder } = createTimelessEnvironment()
   const outcomes = await Promise.all([holder.run(write('OPEN_READ_WRITE')), holder.run(write('OPEN_READ_WRITE'))])
   t.deepEqual(outcomes.map(({ status }) => status), ['DONE', 'NOT_RUN'])
   t.is(group.executed.length, 1)
@@ -63,7 +67,7 @@
 
 // Guards against a silent primary that is not replaced, because unsent statements count as its replies.
 test('a statement that was declined without being sent is no reply of the database', async t => {
-  const { database, holder } = createEnvironment()
+  const { database, holder } = createTimelessEnvironment()
   database.changeReply = (_command, reply) =>
     ({ ...reply, outcome: 'declined', declineReason: 'malformed', isUnsent: true })
   t.is((await holder.run(write())).reason, 'failed')
@@ -75,7 +79,7 @@
 })
 
 test('a statement that is not sent after its setup has succeeded leaves the replies to the setup', async t => {
-  const { database, holder } = createEnvironment()
+  const { database, holder } = createTimelessEnvironment()
   database.changeReply = (command, reply) => command.kind === 'text'
     ? { ...reply, outcome: 'declined', declineReason: 'malformed', isUnsent: true }
     : reply
--- a/packages/gateway/src/coordination/connections/run-on-connection.ts
+++ b/packages/gateway/src/coordination/connections/run-on-connection.ts
@@ -124,18 +124,18 @@
  */
 export const runOnConnection = async (
   pooled: PooledConnection, request: StatementRequest, positionAtLeast: string, timeoutMs: number,
-  onReply: ReplyListener, onSend: () => void = () => {}
+  onReply: ReplyListener, onSend: () => void = () => {}, nowMs: () => number = () => performance.now()
 ): Promise<StatementRun> => {
   const readOnly = request.transaction === 'OPEN_READ_ONLY'
   const required = { values: request.values, prepared: preparedOf(request) }
   const { commands: setup, preparedName } = setupFor(pooled, required)
   if (opensTransaction(request)) setup.push({ kind: 'begin', readOnly, positionAtLeast })
-  const startedAtMs = performance.now()
+  const startedAtMs = nowMs()
 
   const notSetUp = await runSetup(pooled, request, setup, timeoutMs, onReply)
   if (notSetUp !== undefined) return notSetUp
 
-  const remainingMs = timeoutMs - (performance.now() - startedAtMs)
+  const remainingMs = timeoutMs - (nowMs() - startedAtMs)
   if (remainingMs <= 0) return { outcome: notRun('silent'), isReusable: false, transaction: 'none' }
   const requiresPosition = request.transaction === 'SINGLE' && request.access === 'READ'
   const command = commandOf(request, preparedName, requiresPosition ? positionAtLeast : '')
--- a/packages/gateway/src/coordination/connections/statement-execution.ts
+++ b/packages/gateway/src/coordination/connections/statement-execution.ts
@@ -144,7 +144,7 @@
       options.onPosition(reply.position)
       if (reply.isUnsent !== true) hasReplied = reply.outcome !== 'lost'
     }
-    const run = await runOnConnection(pooled, request, position, remainingMs, onReply, onSend)
+    const run = await runOnConnection(pooled, request, position, remainingMs, onReply, onSend, nowMs)
     use.end()
     const { outcome } = run
     if (hasReplied && !noReplyReasons.has(outcome.reason)) options.onReplied()
