--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -12,14 +12,16 @@
 import { createElection } from './coordination/membership/election.js'
 import { fallbackLimits } from './coordination/limits/fallback-limits.js'
 import { createGroupMonitor } from './coordination/primaries/group-monitor.js'
-import { createGroupPositions, sampleFromPeer } from './coordination/primaries/group-positions.js'
+import { createGroupPositions } from './coordination/primaries/group-positions.js'
 import type { PositionSample } from './coordination/primaries/group-positions.js'
 import { createGroupRecords } from './coordination/primaries/group-records.js'
 import { createHolderChoice } from './coordination/routing/holder-choice.js'
 import { createHolders, defaultMaxConnections } from './coordination/connections/holders.js'
 import { createLeftConnections, recordConnections } from './coordination/connections/left-connections.js'
-import { createTokenAllocator, shardOf } from './coordination/limits/token-allocator.js'
+import { createTokenAllocator } from './coordination/limits/token-allocator.js'
+import { createTokenRequests } from './coordination/limits/token-requests.js'
 import { createMembership } from './coordination/membership/membership.js'
+import { createPositionQuery } from './coordination/routing/position-query.js'
 import { createRelayHandler, readPrimaryPosition } from './coordination/routing/relay-handler.js'
 import { limitRelayedBytes } from './coordination/routing/relayed-bytes.js'
 import { openSession } from './coordination/sessions/session.js'
@@ -40,7 +42,7 @@
 import type { Database } from './state/configuration.js'
 import { createFleetState } from './state/fleet-state.js'
 import { createStoreHistory } from './state/store-history.js'
-import { processName, splitProcessName } from './state/stored-records.js'
+import { processName } from './state/stored-records.js'
 import type { Member } from './state/stored-records.js'
 import { addRelayService, createRelayLinks } from './transport/relay-links.js'
 
@@ -50,8 +52,6 @@
 const balancerDetectionMs = 2200
 /** If its last contact with the store is older, a gateway is not ready and leaves connections to other holders. */
 const maxReadyContactAgeMs = 2000
-const tokenTimeoutMs = 250
-const positionTimeoutMs = 400
 const maintenanceIntervalMs = 1000
 const readinessIntervalMs = 200
 const stateLoadedPollMs = 10
@@ -148,28 +148,14 @@
     log
   })
 
-  const askPosition = async (holder: Member, group: string): Promise<PositionSample | undefined> => {
-    const requestedAt = clock.now()
-    if (holder.name === self.name) {
-      const read = await readPrimaryPosition({ fleetState, records, positions, control: controlCommands, clock }, group)
-      return read && positions.newest(group)
-    }
-    const reply = await links.call(holder, { askPosition: { group } }, positionTimeoutMs)
-    return reply.ok ? sampleFromPeer(reply.val.position, requestedAt) : undefined
-  }
-
-  /** Asks the holders of the primary in their order, since the first one may have lost the store or the primary. */
-  const queryPrimaryPosition = async (group: string) => {
-    const primary = fleetState.databases().get(fleetState.group(group)?.record.primary ?? '')
-    if (primary === undefined) return undefined
-    const startedAtMs = performance.now()
-    for (const holder of holderChoice.candidates(primary, [])) {
-      const sample = await askPosition(holder, group)
-      if (sample !== undefined || performance.now() - startedAtMs >= positionTimeoutMs) return sample
-    }
-    return undefined
+  const readPositionLocally = async (group: string): Promise<PositionSample | undefined> => {
+    const read = await readPrimaryPosition({ fleetState, records, positions, control: controlCommands, clock }, group)
+    return read && positions.newest(group)
   }
-  const positions = createGroupPositions(clock, queryPrimaryPosition)
+  const queryPosition = createPositionQuery({
+    self: self.name, fleetState, holders: holderChoice, relay: links, clock, readLocally: readPositionLocally
+  })
+  const positions = createGroupPositions(clock, queryPosition)
 
   const isFirstHolder = (database: Database) => contact.ageMs() < maxReadyContactAgeMs &&
     holderChoice.candidates(database, [])[0]?.name === self.name
@@ -202,17 +188,9 @@
   const tokenAllocator = createTokenAllocator({
     self: selfName, name: self.name, fleetState, election, membership, store, log
   })
-  const requestTokens = async (workspace: string, wanted: number) => {
-    const allocatorName = fleetState.limitRecord(shardOf(workspace))?.keeper
-    if (allocatorName === undefined) return undefined
-    const request = { workspace, wanted, asker: self.name }
-    if (allocatorName === selfName) return tokenAllocator.allocate(request)
-    const member = fleetState.members().get(splitProcessName(allocatorName).name)
-    // Does not wait for an allocator that does not answer: admission uses the last known share of the rate meanwhile.
-    if (member === undefined || !isAnswering(member)) return undefined
-    const reply = await links.call(member, { takeTokens: request }, tokenTimeoutMs)
-    return reply.ok ? reply.val.tokens ?? undefined : undefined
-  }
+  const requestTokens = createTokenRequests({
+    name: self.name, self: selfName, fleetState, allocator: tokenAllocator, relay: links, isAnswering
+  })
   const fallbackFor = (workspace: string, sharePerSec?: number) => {
     const ratePerSec = fleetState.configuration()?.workspaces.get(workspace)?.ratePerSec ?? 1
     const members = Math.max(1, memberCount())
