Test: the statement that meets a changed group record ends after the gateway knows it

Cause: session.test "a first statement of a transaction is not retried when the group record changed while it ran" gave the gateway 200 ms to learn of the record. Beside other work it failed (done instead of aborted). Change: the statement ends once a configuration that was stored after the record is in force, so the record is known too. The checks are the same.

--- a/packages/gateway/src/session.test.ts
+++ b/packages/gateway/src/session.test.ts
@@ -231,12 +231,20 @@
   const fleet = await startMemoryFleet(1)
   const session = openTestSession(fleet.gateways[0], 'slots')
   await session.send(write('0'))
-  for (const database of fleet.group.databases.values()) database.statementMs = 200
+  let end = () => {}
+  const mayEnd = new Promise<void>(resolve => { end = resolve })
+  for (const database of fleet.group.databases.values()) database.mayEnd = mayEnd
   await session.send({ kind: 'begin', readOnly: false })
   const sending = session.send(write('1'))
   await waitUntil(() => [...fleet.group.databases.values()].some(({ running }) => running > 0))
   const key = 'egretyoke/group/bookings'
   fleet.store.put(key, { ...fleet.store.read(key) as object, users: [] })
+  // The gateway applies changes in their order, so it knows the record once the next change is in force.
+  fleet.configure({ version: 2 })
+  const isInForce = () => fleet.events.some(({ name, fields }) =>
+    name === 'configurationInForce' && fields.version === 2)
+  await waitUntil(isInForce)
+  end()
   t.is((await sending).error, 'aborted')
   t.is(fleet.group.executed.filter(({ requestId }) => requestId === session.lastRequest()).length, 1)
   await fleet.close()
--- a/packages/gateway/src/testing/memory-group.ts
+++ b/packages/gateway/src/testing/memory-group.ts
@@ -42,6 +42,8 @@
   /** The reply that is sent in place of the one to a command, which has run. */
   changeReply: (command: DatabaseCommand, reply: DatabaseReply) => DatabaseReply
   statementMs: number
+  /** No statement that runs ends before this resolves. */
+  mayEnd: Promise<void>
   running: number
   maxRunning: number
   connections: number
@@ -87,6 +89,7 @@
   replyDelayMs: () => 0,
   changeReply: (_command, reply) => reply,
   statementMs: 1,
+  mayEnd: Promise.resolve(),
   running: 0,
   maxRunning: 0,
   connections: 0
@@ -154,6 +157,7 @@
       database.running++
       database.maxRunning = Math.max(database.maxRunning, database.running)
       await sleepMs(database.statementMs)
+      await database.mayEnd
       database.running--
       const inTransaction = transaction === 'open'
       executed.push({
