--- a/packages/gateway/src/coordination/connections/queue-admission.ts
+++ b/packages/gateway/src/coordination/connections/queue-admission.ts
@@ -25,14 +25,22 @@
 
 type ClassifiedRequest = Pick<StatementRequest, 'priority' | 'access' | 'verb' | 'transaction' | 'maxStalenessMs'>
 
+/** Classes of requests: the estimate for a new statement needs those of all that wait. */
+const classes = new WeakMap<ClassifiedRequest, string>()
+
 /**
  * Class of statements that take about the same time. The permitted staleness tells the kinds of routes apart: it is 0
  * on `primary` routes.
  */
 export const statementClassOf = (request: ClassifiedRequest): string => {
+  const known = classes.get(request)
+  if (known !== undefined) return known
   const { priority, access, verb, transaction, maxStalenessMs } = request
-  if (verb === 'COMMIT') return 'commit'
-  return [priority, access, maxStalenessMs, opensTransaction({ transaction }) ? 'opens' : ''].join(' ')
+  const statementClass = verb === 'COMMIT'
+    ? 'commit'
+    : [priority, access, maxStalenessMs, opensTransaction({ transaction }) ? 'opens' : ''].join(' ')
+  classes.set(request, statementClass)
+  return statementClass
 }
 
 /** Statements that are served before a new one. */
