Test: the hurried connection attempt runs on a clock that the test sets

Change: the holder's clock stands still in the first attempt and is set forward in the second. The checks are the same.

--- a/packages/gateway/src/coordination/connections/holder-under-load.test.ts
+++ b/packages/gateway/src/coordination/connections/holder-under-load.test.ts
@@ -174,12 +174,19 @@
 
 // Guards against a low pace in calm, because a statement had less time left than a connection takes to open.
 test('a connection attempt that had little time does not show that the database is silent', async t => {
-  const { database, holder, logged } = createEnvironment()
-  database.connectDelayMs = () => 500
+  // The holder's clock is set by the test, so that a busy machine makes no attempt longer.
+  let nowMs = 0
+  const { database, holder, logged } = createHolderEnvironment(
+    { storeMs: 0, transactionIdleMs: 1000 }, 10, { nowMs: () => nowMs }
+  )
   const hurried = { ...manyReads[0]!, timeoutMs: 150, maxQueuedMs: 150 }
+  database.connectDelayMs = () => 5000
   t.is((await holder.run(hurried)).reason, 'unreachable')
   t.false(logged.some(({ name }) => name === 'paceLowered'))
-  database.connectDelayMs = () => 5000
+  database.connectDelayMs = () => {
+    nowMs += 250
+    return 5000
+  }
   t.is((await holder.run({ ...hurried, timeoutMs: 300, maxQueuedMs: 300 })).reason, 'unreachable')
   t.like(logged.find(({ name }) => name === 'paceLowered'), { cause: 'noReply' })
   holder.close()
