Holder: a usual time from a slow period refuses nothing at a free database

Cause: the longest wait in the queue was the timeout less the statement's usual time. After a slow period that is negative, so a free database refused the whole class, and nothing ran that would correct the estimate. Change: at most half of the timeout is kept for the run (maxQueueWaitMs).

--- a/packages/gateway/src/coordination/connections/database-holder.ts
+++ b/packages/gateway/src/coordination/connections/database-holder.ts
@@ -12,7 +12,9 @@
 import type { DatabaseHolder, DatabaseLoad, HolderOptions } from './database-holder-types.js'
 import { createDatabasePace } from './database-pace.js'
 import { createOpenTransactions } from './open-transactions.js'
-import { createQueueAdmission, maxExpectedWaitMs, retryDelayMs, statementClassOf } from './queue-admission.js'
+import {
+  createQueueAdmission, maxExpectedWaitMs, maxQueueWaitMs, retryDelayMs, statementClassOf
+} from './queue-admission.js'
 import { createRunningStatements } from './running-statements.js'
 import { createStatementExecution, noReplyReasons } from './statement-execution.js'
 import type { AcceptedStatement, ExecutedStatement } from './statement-execution.js'
@@ -218,8 +220,7 @@
     const position = request.transaction === 'CONTINUE' ? '' : await requiredPosition(request)
     if (position === undefined) return notRun('lagging')
     const isContinuing = request.transaction === 'CONTINUE'
-    // Its sender gives the statement up at the deadline; one that begins too late for that would only occupy a slot.
-    const maxWaitMs = Math.min(request.maxQueuedMs, request.timeoutMs - serviceMs(request))
+    const maxWaitMs = maxQueueWaitMs(request, serviceMs(request))
     const dropAtMs = arrivedAtMs + maxWaitMs
     const waitedMs = nowMs() - arrivedAtMs
     const maxExpectedMs = Math.min(maxWaitMs, maxExpectedWaitMs(request)) - waitedMs
--- a/packages/gateway/src/coordination/connections/holder-under-load.test.ts
+++ b/packages/gateway/src/coordination/connections/holder-under-load.test.ts
@@ -88,6 +88,16 @@
   await Promise.all(running)
 })
 
+// Guards against a class that is refused for good after a slow period, because nothing runs that would show its end.
+test('after a slow period, statements whose timeout is below their usual time run again', async t => {
+  const { database, holder } = createEnvironment()
+  database.statementMs = 2000
+  await holder.run(writeRequest({ timeoutMs: 20_000, maxQueuedMs: 20_000 }))
+  database.statementMs = 1
+  t.is((await holder.run(writeRequest({ timeoutMs: 1000, maxQueuedMs: 1000 }))).status, 'DONE')
+  holder.close()
+})
+
 const manyReads = Array.from({ length: 12 }, () =>
   writeRequest({ access: 'READ', text: 'READ 1', needsPrimary: false, timeoutMs: 20_000, maxQueuedMs: 20_000 }))
 
--- a/packages/gateway/src/coordination/connections/queue-admission.ts
+++ b/packages/gateway/src/coordination/connections/queue-admission.ts
@@ -102,6 +102,17 @@
   }
 }
 
+/** Largest part of a statement's timeout that is kept for its run: a usual time from a slow period refuses nothing. */
+const maxRunFraction = 0.5
+
+/**
+ * Longest time in the queue. The sender gives the statement up at its timeout, and one that begins too late for that
+ * would only occupy a slot.
+ */
+export const maxQueueWaitMs = (
+  { maxQueuedMs, timeoutMs }: Pick<StatementRequest, 'maxQueuedMs' | 'timeoutMs'>, serviceMs: number
+): number => Math.min(maxQueuedMs, timeoutMs - Math.min(serviceMs, timeoutMs * maxRunFraction))
+
 /** Longest expected wait with which a statement is queued: it must reach the database within its target latency. */
 export const maxExpectedWaitMs = (
   { maxQueuedMs, targetLatencyMs }: Pick<StatementRequest, 'maxQueuedMs' | 'targetLatencyMs'>
