Connections of lost holders are called orphaned

Cause: left-connections.ts and its leftConnections read like the opposite of connectionsLeft, the number that may still be opened. Measured: types, lint and the tests of connections pass.

--- a/packages/gateway/src/coordination/connections/connection-pool.ts
+++ b/packages/gateway/src/coordination/connections/connection-pool.ts
@@ -7,7 +7,7 @@
 import type { Result } from '@egretyoke/common'
 import type { ConnectDatabase, ConnectFailure, DatabaseCommand, DatabaseConnection } from './database-connection.js'
 import { createExpectedReuse } from './expected-reuse.js'
-import { lingerMs } from './left-connections.js'
+import { lingerMs } from './orphaned-connections.js'
 import { createPreparedStatements } from './prepared-statements.js'
 import type { PreparedStatement, PreparedStatements } from './prepared-statements.js'
 
--- a/packages/gateway/src/coordination/connections/database-holder-types.ts
+++ b/packages/gateway/src/coordination/connections/database-holder-types.ts
@@ -45,7 +45,7 @@
   database: () => Database
   maxConnections: () => number
   /** Connections that lost holders have left at the database, which it may still count. */
-  leftConnections?: () => number
+  orphanedConnections?: () => number
   transactionIdleMs: () => number
   connect: ConnectDatabase
   /** True while other gateways send the database's statements here first: it ranks first and has store contact. */
--- a/packages/gateway/src/coordination/connections/database-holder.ts
+++ b/packages/gateway/src/coordination/connections/database-holder.ts
@@ -68,7 +68,7 @@
     connect: (workspace, timeoutMs) =>
       connect({ databaseId: id, address: database().address, group, workspace: nameAtDatabases(workspace) }, timeoutMs),
     maxConnections: () => Math.max(1, options.maxConnections() - spareConnections),
-    connectionsOfOthers: options.leftConnections,
+    connectionsOfOthers: options.orphanedConnections,
     minConnections: () => database().slots,
     onAttemptEnded: () => dispatch(),
     nowMs
--- a/packages/gateway/src/coordination/connections/holders.ts
+++ b/packages/gateway/src/coordination/connections/holders.ts
@@ -24,14 +24,14 @@
 
 /** Options of a holder that depend on its database. */
 type PerDatabaseOptions = 'database' | 'maxConnections' | 'transactionIdleMs' | 'acceptsNewWork' | 'isFirstHolder' |
-  'hasJustStarted' | 'primaryTerm' | 'leftConnections'
+  'hasJustStarted' | 'primaryTerm' | 'orphanedConnections'
 
 /** Dependencies of the holders. */
 export type HoldersOptions = Omit<HolderOptions, PerDatabaseOptions> & {
   fleetState: FleetState
   isFirstHolder: (database: Database) => boolean
   /** Connections that lost holders have left at the database, which it may still count. */
-  leftConnections?: (database: string) => number
+  orphanedConnections?: (database: string) => number
 }
 
 /** Interval at which queues and open transactions are checked. */
@@ -64,7 +64,7 @@
       database: current,
       maxConnections: () =>
         fleetState.configuration()?.groups.get(database.group)?.maxConnections ?? defaultMaxConnections,
-      leftConnections: () => options.leftConnections?.(id) ?? 0,
+      orphanedConnections: () => options.orphanedConnections?.(id) ?? 0,
       transactionIdleMs: () => fleetState.configuration()?.transactionIdleMs ?? defaultTransactionIdleMs,
       isFirstHolder: () => options.isFirstHolder(current()),
       hasJustStarted: () => restarted.delete(id) || Math.abs(Date.now() - database.startedAtMs) < newDatabaseMs,
--- a/packages/gateway/src/coordination/connections/left-connections.test.ts
+++ b/packages/gateway/src/coordination/connections/orphaned-connections.test.ts
@@ -3,7 +3,7 @@
  */
 import { Ok } from '@egretyoke/common'
 import test from 'ava'
-import { createLeftConnections, lingerMs, recordConnections } from './left-connections.js'
+import { createOrphanedConnections, lingerMs, recordConnections } from './orphaned-connections.js'
 import { notRun } from '../sessions/statement.js'
 import type { RelayReply } from '../routing/relay-calls.js'
 import type { Member } from '../../state/stored-records.js'
@@ -11,7 +11,7 @@
 const createRecord = () => {
   const time = { nowMs: 0 }
   const lost = new Set<string>()
-  const left = createLeftConnections({ isAlive: holder => !lost.has(holder), nowMs: () => time.nowMs })
+  const left = createOrphanedConnections({ isAlive: holder => !lost.has(holder), nowMs: () => time.nowMs })
   return { time, lost, left }
 }
 
--- a/packages/gateway/src/coordination/connections/left-connections.ts
+++ b/packages/gateway/src/coordination/connections/orphaned-connections.ts
@@ -15,16 +15,16 @@
 const maxDatabases = 1024
 const maxHolders = 64
 
-/** Connections of other holders. */
-export type LeftConnections = {
+/** Connections of other holders, as their replies report them. */
+export type OrphanedConnections = {
   /** Records how many connections the holder has at the database. */
   observe: (holder: string, database: string, connections: number) => void
   /** Number of connections of lost holders that the database may still count. */
   countAt: (database: string) => number
 }
 
-/** Dependencies of the left connections. */
-export type LeftConnectionsOptions = {
+/** Dependencies of the orphaned connections. */
+export type OrphanedConnectionsOptions = {
   /** False once the gateway has left or does not reply. */
   isAlive: (holder: string) => boolean
   nowMs: () => number
@@ -41,7 +41,7 @@
 }
 
 /** Creates an empty record. */
-export const createLeftConnections = ({ isAlive, nowMs }: LeftConnectionsOptions): LeftConnections => {
+export const createOrphanedConnections = ({ isAlive, nowMs }: OrphanedConnectionsOptions): OrphanedConnections => {
   const byDatabase = new Map<string, Map<string, Observation>>()
 
   const observe = (holder: string, database: string, connections: number) => {
@@ -83,7 +83,7 @@
  * use itself, for control commands and a second holder, count as used.
  */
 export const recordConnections = (
-  call: RelayCalls['call'], left: LeftConnections, maxConnectionsOf: (group: string) => number
+  call: RelayCalls['call'], left: OrphanedConnections, maxConnectionsOf: (group: string) => number
 ): RelayCalls['call'] => async (peer, request, timeoutMs) => {
   const reply = await call(peer, request, timeoutMs)
   const { run } = request
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -17,7 +17,7 @@
 import { createGroupRecords } from './coordination/primaries/group-records.js'
 import { createHolderChoice } from './coordination/routing/holder-choice.js'
 import { createHolders, defaultMaxConnections } from './coordination/connections/holders.js'
-import { createLeftConnections, recordConnections } from './coordination/connections/left-connections.js'
+import { createOrphanedConnections, recordConnections } from './coordination/connections/orphaned-connections.js'
 import { createTokenAllocator } from './coordination/limits/token-allocator.js'
 import { createTokenRequests } from './coordination/limits/token-requests.js'
 import { createMembership } from './coordination/membership/membership.js'
@@ -159,7 +159,7 @@
 
   const isFirstHolder = (database: Database) => contact.ageMs() < maxReadyContactAgeMs &&
     holderChoice.candidates(database, [])[0]?.name === self.name
-  const leftConnections = createLeftConnections({
+  const orphanedConnections = createOrphanedConnections({
     isAlive: holder => {
       const member = fleetState.members().get(holder)
       return member !== undefined && links.isUsable(member)
@@ -170,7 +170,7 @@
     fleetState.configuration()?.groups.get(group)?.maxConnections ?? defaultMaxConnections
   const holders = createHolders({
     fleetState,
-    leftConnections: leftConnections.countAt,
+    orphanedConnections: orphanedConnections.countAt,
     isFirstHolder,
     connect,
     records,
@@ -201,7 +201,7 @@
     self,
     fleetState,
     holders: holderChoice,
-    relay: { ...links, call: recordConnections(links.call, leftConnections, maxConnectionsOf) },
+    relay: { ...links, call: recordConnections(links.call, orphanedConnections, maxConnectionsOf) },
     regionOf,
     runLocally: holders.run,
     abandonLocally: holders.abandon,
