Start: small fleets list the store at once

Cause: a start asked up to three peers for the state and waited up to 300 ms for them. When all VMs of a small fleet are lost at once, no peer has it, and the calls that are saved are few. Ruled out: a shorter wait, which a busy VM would miss. Its effect on the sites is not measured.

--- a/packages/gateway/src/coordination/store/start-state.ts
+++ b/packages/gateway/src/coordination/store/start-state.ts
@@ -11,12 +11,15 @@
 import type { RelayCalls } from '../routing/relay-calls.js'
 import type { SharedStore } from './shared-store.js'
 import { watcherKey } from './store-sources.js'
+import { maxUnlimitedMembers } from './store-poll-pacing.js'
 import type { ConfirmedChanges } from './store-sources.js'
 
 /** A start does not wait longer for the members, for a link to a peer and for its reply; then it lists the store. */
 const membersTimeoutMs = 300
 const linkWaitMs = 300
 const linkPollMs = 10
+/** Smaller fleets list the store: their starts make few calls, and after a loss of all VMs no peer has the state. */
+const defaultMinMembers = maxUnlimitedMembers + 1
 /** The best-ranked peers of the data centre, because the gateway follows one of them afterwards. */
 const maxPeers = 3
 
@@ -26,6 +29,8 @@
   dataCentre: string
   store: Pick<SharedStore, 'list'>
   relay: Pick<RelayCalls, 'isUsable' | 'isConnected'>
+  /** In a smaller fleet the store is listed at once. */
+  minMembers?: number
   /** Reads the whole state from a peer; undefined if it has none that the store confirmed recently. */
   readState: (peer: Member) => Promise<ConfirmedChanges | undefined>
 }
@@ -40,8 +45,9 @@
 
 /** Reads the state from a peer; undefined if none gives it in time, so that the store must be listed. */
 export const readStartState = async (options: StartStateOptions): Promise<ConfirmedChanges | undefined> => {
-  const { name, dataCentre, relay, readState } = options
+  const { name, dataCentre, relay, readState, minMembers = defaultMinMembers } = options
   const members = await readMembers(options)
+  if (members.size < minMembers) return undefined
   const ranked = createElection({ members: () => members, membersVersion: () => 1 }).ranked(watcherKey(dataCentre))
   const isPeer = (member: Member) => member.dataCentre === dataCentre && member.name !== name && !member.draining
   let waiting = ranked.filter(isPeer).slice(0, maxPeers)
--- a/packages/gateway/src/gateway-types.ts
+++ b/packages/gateway/src/gateway-types.ts
@@ -29,6 +29,8 @@
   keyWithdrawalMs: number
   /** Time between the request to stop and the end of the process. */
   graceMs: number
+  /** Members from which on a start takes the state from a peer; if absent, as in `start-state.ts`. */
+  minMembersForPeerStart?: number
   /** Usage reports; absent where the platform does not ask for them. */
   usage?: UsageSettings
   /** Account of the bytes held for callers; without one, only the state of sessions is limited. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -294,7 +294,9 @@
   const backgroundTasks = [
     followStore({
       store,
-      startState: () => readStartState({ ...self, store, relay: links, readState: sources.stateFrom }),
+      startState: () => readStartState({
+        ...self, store, relay: links, minMembers: settings.minMembersForPeerStart, readState: sources.stateFrom
+      }),
       nextChanges: sources.next,
       history,
       fleetState,
--- a/packages/gateway/src/testing/memory-fleet.ts
+++ b/packages/gateway/src/testing/memory-fleet.ts
@@ -157,7 +157,8 @@
       relayAddress: `127.0.0.1:${await findFreePort()}`,
       channels: { allowPlainText: false },
       keyWithdrawalMs: 5000,
-      graceMs: 2000
+      graceMs: 2000,
+      minMembersForPeerStart: 0
     }, {
       store: client,
       connect: group.connect,
