review: finished results stay in the queues until a process ends

Cause: workspace-queue.ts keeps up to 64 statements, and as many as are waiting, after they have left the queue, for each workspace, band and database, and each holds its result with all rows. Order of events: 80 sessions of eight tenants read an item of 512 KiB, each one read after the other; the queue of the database is never empty.

The record has at most 80 characters of a statement or a value.

--- a/review/standins-2/databases.mjs
+++ b/review/standins-2/databases.mjs
@@ -13,6 +13,11 @@
 /** The rule ONE does not count what a disruption of the last 300 ms has held up. */
 const thawMs = 300
 
+/** Longest text of a statement or a value in the record. */
+const maxRecordedLength = 80
+
+const clip = value => value.length > maxRecordedLength ? `${value.slice(0, maxRecordedLength)}...` : value
+
 const compare = (one, other) => one.term - other.term || one.number - other.number
 const text = ({ term, number }) => `${term}.${number}`
 const parse = position => {
@@ -128,7 +133,8 @@
     const sign = (requestId, statement, note) => {
       const signature = `${++signatures}.${database.id}`
       if (/committed|COMMIT/.test(statement + note) && isLate(database)) lateCommits.add(signature)
-      record(database.id, `ran ${requestId} ${statement}${note} for ${workspace} at ${text(positionOf(database))}`)
+      const what = `${clip(statement)}${clip(note)}`
+      record(database.id, `ran ${clip(requestId)} ${what} for ${workspace} at ${text(positionOf(database))}`)
       return signature
     }
 
--- a/review/standins-2/deployment.mjs
+++ b/review/standins-2/deployment.mjs
@@ -13,8 +13,10 @@
 const route = (database, routeType, timeoutMs, targetLatencyMs, maxStalenessMs) =>
   ({ database, routeType, service, timeoutMs, targetLatencyMs, priority: 1, maxStalenessMs })
 
-/** Keys by tenant of the first configuration. */
-export const keys = { alpha: 'key-alpha', beta: 'key-beta' }
+/** Keys by tenant; the sheets have eight tenants. */
+export const keys = Object.fromEntries(
+  ['alpha', 'beta', 'gamma', 'delta', 'epsilon', 'zeta', 'eta', 'theta'].map(name => [name, `key-${name}`])
+)
 
 /** A configuration; `withdrawn` are tenants without a key. */
 export const configuration = (version, { withdrawn = [], maxConns = 22 } = {}) => ({
