review: more time for the start of the process in the case of the restored store

The process is killed when the primary goes dark, and starts when the drill begins, so that a slower machine has a second more.

--- a/review/7/run.mjs
+++ b/review/7/run.mjs
@@ -1,7 +1,7 @@
 /**
  * A primary is dark for 3.5 s and another one is promoted. The store comes back from a copy that was made before the
- * promotion, and one process is killed and starts again. No write may be acknowledged from the former primary, which
- * still accepts writes for a second after it is reachable again.
+ * promotion, and one process that was killed meanwhile starts again. No write may be acknowledged from the former
+ * primary, which still accepts writes for a second after it is reachable again.
  */
 import { fileURLToPath } from 'node:url'
 import { configuration, keys, playDrill, startDeployment, waitFor } from '../standins-2/deployment.mjs'
@@ -42,16 +42,17 @@
   const copy = store.copy()
   await sleep(1000)
   databases.darken(primary, darkMs)
+  killed.signal('SIGKILL')
   await waitFor('another primary', () => databases.leader() !== primary, 8000)
   await waitFor('a write at the new primary', async () => {
     const { error } = await write(first, `second-${Date.now()}`, other)
     return !error
   }, 8000)
-  killed.signal('SIGKILL')
+  const starting = killed.startAgain()
   if (hasTrouble) {
     await playDrill({ store, writeEntries, record, copy, config: configuration(1), awayMs: storeAwayMs })
   }
-  await killed.startAgain()
+  await starting
   const writing = Array.from({ length: writers }, (_, index) =>
     keepWriting(killed, `w${index + 1}`, index % 2 ? keys.alpha : keys.beta))
   await sleep(judgedMs)
