Primaries: what the databases report decides which of them is the primary

Cause: a gateway that takes a change over recorded the first database that it found in the primary role with a later term than the recorded one. In the traces the database of term 2 could be reached again 13 and 27 ms before the one of term 3, whose promotion was still on its way, led its term; event 7036 shows that the older one was recorded while both were primaries. Afterwards the record named a replica, which answers probes and statements, so that the monitor took it for sound.

Ruled out: the highest term among the answers alone; the newest promotion may not have taken effect yet, or its database may be silent.

Change: the highest term decides (primary-evidence.ts). A change that is taken over waits until promotions that were requested before have taken effect, and a primary that this gateway has not promoted is promoted again before it is recorded, which changes nothing at the newest one. Each reply of a database is compared with the record; a later term, or the replica role of the recorded primary, ends its use (event 7055), and the monitor replaces it. The stop of users, the choice of a successor and the polls of databases are modules of their own.

Before, on the same tests: "of two promotions of an unfinished change, ...", "a primary that may not be the newest one ...", "a recorded primary that says that it is a replica ..." and "a read at a recorded primary that has the log of a later term ..." failed.

--- a/packages/gateway/src/coordination/connections/control-commands.ts
+++ b/packages/gateway/src/coordination/connections/control-commands.ts
@@ -30,8 +30,13 @@
 
 type ControlConnection = { connection: DatabaseConnection, address: string, usedAtMs: number }
 
+/** Called with each status of a database; its request was sent at `sentAtMs`. */
+export type StatusListener = (database: ControlTarget, status: DatabaseStatus, sentAtMs: number) => void
+
 /** Creates the control commands; connections are opened on first use. */
-export const createControlCommands = (connect: ConnectDatabase): ControlCommands => {
+export const createControlCommands = (
+  connect: ConnectDatabase, onStatus: StatusListener = () => {}
+): ControlCommands => {
   const connections = new Map<string, ControlConnection>()
 
   const drop = (id: string) => {
@@ -61,8 +66,12 @@
   const run = async (database: ControlTarget, command: ControlCommand, timeoutMs: number) => {
     const connection = await connectionTo(database, timeoutMs)
     if (connection.err) return Err(connection.val)
+    const sentAtMs = performance.now()
     const status = await connection.val.runControl(command, timeoutMs)
-    if (status.ok) return status
+    if (status.ok) {
+      onStatus(database, status.val, sentAtMs)
+      return status
+    }
     if (status.val.reason === 'declined') return Err(typedError('declined' as const, status.val.message))
     drop(database.id)
     const isSilent = status.val.metadata.timedOut === true
--- a/packages/gateway/src/coordination/connections/database-holder-types.ts
+++ b/packages/gateway/src/coordination/connections/database-holder-types.ts
@@ -24,7 +24,7 @@
   /** Resolves with true once nothing runs and no transaction is open, or with false after `timeoutMs`. */
   waitUntilIdle: (timeoutMs: number) => Promise<boolean>
   load: () => number
-  /** True if the database has replied to a statement recently. */
+  /** True if the database has replied to a statement recently, and no reply contradicts its group's record. */
   hasRepliedRecently: () => boolean
   openTransactions: () => number
   connections: () => number
--- a/packages/gateway/src/coordination/connections/database-holder.ts
+++ b/packages/gateway/src/coordination/connections/database-holder.ts
@@ -283,7 +283,7 @@
     pause: forMs => { pausedUntilMs = nowMs() + forMs },
     waitUntilIdle,
     load,
-    hasRepliedRecently: () => nowMs() - lastReplyMs < recentReplyMs,
+    hasRepliedRecently: () => nowMs() - lastReplyMs < recentReplyMs && !records.isContradicted(group),
     openTransactions: transactions.idleCount,
     connections: pool.size,
     isPaceSettled: pace.isSettled,
--- a/packages/gateway/src/coordination/connections/statement-execution.ts
+++ b/packages/gateway/src/coordination/connections/statement-execution.ts
@@ -6,14 +6,16 @@
 import type { Logger } from '@egretyoke/common'
 import { events } from '../../events.js'
 import type { AgeClock } from '../../state/contact.js'
+import { termOf } from '../../state/position.js'
 import type { GroupPositions } from '../primaries/group-positions.js'
 import type { GroupRecords } from '../primaries/group-records.js'
+import type { PrimaryEvidence } from '../primaries/primary-evidence.js'
 import { notRun, opensTransaction } from '../sessions/statement.js'
 import type { StatementOutcome, StatementReason, StatementRequest } from '../sessions/statement.js'
 import type { UsageCounter } from '../usage/usage-counter.js'
 import type { ConnectionLog } from './connection-log.js'
 import type { ConnectionPool, PooledConnection } from './connection-pool.js'
-import type { ConnectFailure } from './database-connection.js'
+import type { ConnectFailure, DatabaseCommand, DatabaseReply } from './database-connection.js'
 import type { OpenTransactions } from './open-transactions.js'
 import { afterPrimaryChange } from './primary-change-outcome.js'
 import { runOnConnection, transactionBefore } from './run-on-connection.js'
@@ -48,6 +50,16 @@
   run: (statement: AcceptedStatement) => Promise<ExecutedStatement>
 }
 
+/**
+ * What a reply shows of the group's primary: the term of its log, and the replica role if it declined work that any
+ * primary runs. In a transaction that only reads, a primary declines writes too.
+ */
+const evidenceOf = (request: StatementRequest, command: DatabaseCommand, reply: DatabaseReply): PrimaryEvidence => {
+  const opensWrites = command.kind === 'begin' ? !command.readOnly : request.transaction === 'SINGLE'
+  const isReplica = reply.declineReason === 'readOnly' && opensWrites
+  return { term: termOf(reply.position), ...isReplica && { role: 'replica' } }
+}
+
 const notSent = (reason: StatementReason): ExecutedStatement => ({ outcome: notRun(reason), databaseMs: undefined })
 
 /** Dependencies of the execution at one database. */
@@ -142,8 +154,10 @@
     let hasReplied = false
     let countReply: ReturnType<UsageCounter['countHeld']>
     const onSend = () => { countReply = options.usage?.countHeld(request) }
+    const sentAtMs = nowMs()
     const onReply: ReplyListener = (command, reply) => {
       use.onReply(command, reply)
+      records.observe({ id, group }, evidenceOf(request, command, reply), sentAtMs)
       countReply?.(reply)
       options.onPosition(reply.position)
       if (reply.isUnsent !== true) hasReplied = reply.outcome !== 'lost'
--- a/packages/gateway/src/coordination/primaries/group-monitor.ts
+++ b/packages/gateway/src/coordination/primaries/group-monitor.ts
@@ -11,8 +11,10 @@
 import type { Election } from '../membership/election.js'
 import { activeUsers } from './group-records.js'
 import { createCopyRecorder } from './copy-recorder.js'
+import { newestPrimary, newestTermOf } from './primary-evidence.js'
 import { changePrimary } from './primary-change.js'
 import type { ChangeReason, PrimaryChangeOptions } from './primary-change.js'
+import { pollDatabases } from './status-poll.js'
 import { shouldContinueChange } from './unfinished-change.js'
 
 const probeIntervalMs = 200
@@ -51,14 +53,10 @@
 
   const isMonitorOf = (group: string): boolean => options.election.first(monitorKey(group)) === name
 
-  /** Stores the first record of a group: the database that reports the primary role with the highest term. */
+  /** Stores the first record of a group, unless its newest primary does not answer. */
   const storeFirstRecord = async (group: string) => {
-    const statuses = await Promise.all(fleetState.databasesOf(group).map(async database => {
-      const status = await control.run(database, { kind: 'status' }, probeTimeoutMs)
-      return status.ok ? [{ database, status: status.val }] : []
-    }))
-    const leader = statuses.flat().filter(({ status }) => status.role === 'primary')
-      .sort((one, other) => other.status.term - one.status.term)[0]
+    const candidates = await pollDatabases(control, fleetState.databasesOf(group), () => probeTimeoutMs)
+    const leader = newestPrimary(candidates, newestTermOf(candidates))
     if (leader === undefined) return
     const { database, status } = leader
     await records.store(group, {
@@ -120,6 +118,7 @@
   }
 
   const reasonToChange = async (group: string, record: GroupRecord): Promise<ChangeReason | undefined> => {
+    if (records.isContradicted(group)) return 'superseded'
     const database = fleetState.databases().get(record.primary)
     if (database === undefined) {
       const sinceMs = missingSinceMs.get(group) ?? performance.now()
--- a/packages/gateway/src/coordination/primaries/group-records.ts
+++ b/packages/gateway/src/coordination/primaries/group-records.ts
@@ -7,12 +7,15 @@
  */
 import type { Logger } from '@egretyoke/common'
 import { events } from '../../events.js'
+import type { Database } from '../../state/configuration.js'
 import type { Contact } from '../../state/contact.js'
 import type { FleetState, Versioned } from '../../state/fleet-state.js'
 import { encodeRecord, recordPrefixes, splitProcessName } from '../../state/stored-records.js'
 import type { GroupRecord } from '../../state/stored-records.js'
 import type { MovedReason } from '../sessions/statement.js'
 import type { SharedStore } from '../store/shared-store.js'
+import { contradictsRecord } from './primary-evidence.js'
+import type { PrimaryEvidence } from './primary-evidence.js'
 
 /** A gateway stops using primaries when its fleet state was last confirmed longer ago than this. */
 export const maxPrimaryContactAgeMs = 2500
@@ -30,6 +33,13 @@
   whyNoUse: (group: string, database: string) => MovedReason
   /** Stops the use of the group's primary by this gateway until a record newer than the revision is known. */
   stopUse: (group: string, revision: number) => void
+  /**
+   * Takes note of a reply of a database to a request that was sent at `sentAtMs`. If it contradicts the record, this
+   * gateway stops using the primary until another one is recorded.
+   */
+  observe: (database: Pick<Database, 'id' | 'group'>, evidence: PrimaryEvidence, sentAtMs: number) => void
+  /** True if a reply of a database has contradicted the current record. */
+  isContradicted: (group: string) => boolean
   /** Stores a record if the stored one is still at the revision; returns the new version, or undefined on failure. */
   store: (group: string, record: GroupRecord, expectedRevision: number) => Promise<Versioned<GroupRecord> | undefined>
 }
@@ -45,6 +55,13 @@
   log: Logger
 }
 
+/** A record that a reply has contradicted. */
+type Contradiction = Pick<GroupRecord, 'primary' | 'term'> & {
+  revision: number
+  /** True if the reply named a later term: the record then stays wrong, whatever else of it is changed. */
+  isLaterTerm: boolean
+}
+
 /**
  * Users that may still be using the primary. A process has ended if its VM runs a newer process. A process whose
  * membership record was removed has stopped by itself, because it does not use primaries without a lease.
@@ -60,13 +77,36 @@
 ): GroupRecords => {
   const pendingJoins = new Map<string, Promise<boolean>>()
   const stoppedRevisions = new Map<string, number>()
+  const contradictions = new Map<string, Contradiction>()
   /** Groups whose last change of the record by this gateway failed because the store did not answer or refused. */
   const unstoredGroups = new Set<string>()
 
+  const isContradicted = (group: string): boolean => {
+    const versioned = fleetState.group(group)
+    const contradiction = contradictions.get(group)
+    if (versioned === undefined || contradiction === undefined) return false
+    const { record, revision } = versioned
+    if (record.primary !== contradiction.primary || record.term !== contradiction.term) return false
+    return contradiction.isLaterTerm || revision <= contradiction.revision
+  }
+
   const isActivePrimary = (group: string, database: string) => {
     const versioned = fleetState.group(group)
     return versioned?.record.phase === 'serving' && versioned.record.primary === database &&
-      versioned.revision > (stoppedRevisions.get(group) ?? 0)
+      versioned.revision > (stoppedRevisions.get(group) ?? 0) && !isContradicted(group)
+  }
+
+  const observe: GroupRecords['observe'] = ({ id, group }, evidence, sentAtMs) => {
+    const versioned = fleetState.group(group)
+    // A reply to an earlier request may describe the time before the record.
+    if (versioned === undefined || sentAtMs < versioned.knownSinceMs) return
+    const { record, revision } = versioned
+    if (record.phase !== 'serving' || !contradictsRecord(record, id, evidence) || isContradicted(group)) return
+    const { primary, term } = record
+    contradictions.set(group, { primary, term, revision, isLaterTerm: evidence.term > term })
+    log(events.primaryContradicted, {
+      group, primary, term, revision, database: id, role: evidence.role, shownTerm: evidence.term
+    })
   }
 
   const hasContact = () => contact.ageMs() < maxPrimaryContactAgeMs && isLeaseHeld()
@@ -118,5 +158,5 @@
     stoppedRevisions.set(group, Math.max(revision, stoppedRevisions.get(group) ?? 0))
   }
 
-  return { hasContact, canUse, becomeUser, whyNoUse, stopUse, store: storeRecord }
+  return { hasContact, canUse, becomeUser, whyNoUse, stopUse, observe, isContradicted, store: storeRecord }
 }
--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -79,6 +79,8 @@
     'A statement was answered by a primary that may have been replaced meanwhile; its result is discarded.'),
   successorUnproved: defineEvent(7039, 'successorUnproved',
     'No database is promoted: too few replicas answer to prove that the most advanced one has every confirmed commit.'),
+  primaryContradicted: defineEvent(7055, 'primaryContradicted',
+    'A database\'s reply shows that the recorded primary is not the primary any more; names both terms.'),
   statementRouted: defineEvent(7040, 'statementRouted',
     'A statement was sent to a database through the named holder; names the outcome.'),
   notOffered: defineEvent(7041, 'notOffered',
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -105,7 +105,9 @@
     log(events.holderMoved, move)
   }
   const isAnswering = (member: Member) => links.isUsable(member) && !links.isSuspected(member)
-  const controlCommands = createControlCommands(connect)
+  const controlCommands = createControlCommands(
+    connect, (database, status, sentAtMs) => records.observe(database, status, sentAtMs)
+  )
   const election = createElection(fleetState)
   const sources = createStoreSources({
     ...self,
--- a/packages/gateway/src/primaries.test.ts
+++ b/packages/gateway/src/primaries.test.ts
@@ -182,6 +182,65 @@
   await fleet.close()
 })
 
+// Guards against a take-over that records an earlier promotion than the last one.
+test('of two promotions of an unfinished change, the last one is recorded', async t => {
+  const fleet = await startMemoryFleet(3)
+  await openTestSession(fleet.gateways[0], 'slots').send(write('1'))
+  const record = recordOf(fleet)
+  const [former, earlier, last] = ['db-1', 'db-2', 'db-3'].map(id => fleet.group.databases.get(id)!)
+  former.state = 'dead'
+  Object.assign(earlier, { role: 'primary', term: 2 })
+  fleet.store.put('egretyoke/group/bookings', { ...record, phase: 'changing', keeper: 'vm-gone/x' })
+  // The promotion that the gateway requested before it ended takes effect after the change was taken over.
+  await sleepMs(300)
+  Object.assign(last, { role: 'primary', term: 3 })
+  await waitUntil(hasNewPrimary(fleet))
+  t.like(recordOf(fleet), { primary: 'db-3', term: 3 })
+  t.deepEqual(await writeUntilSuccess(fleet, '2'), [])
+  t.is(fleet.group.executed.findLast(({ text }) => text === 'WRITE 2 x')?.database, 'db-3')
+  await fleet.close()
+})
+
+// Guards against a primary of an earlier term that is recorded while the newest one does not answer.
+test('a primary that may not be the newest one is promoted again before it is recorded', async t => {
+  const fleet = await startMemoryFleet(3)
+  await openTestSession(fleet.gateways[0], 'slots').send(write('1'))
+  const record = recordOf(fleet)
+  const [former, earlier, last] = ['db-1', 'db-2', 'db-3'].map(id => fleet.group.databases.get(id)!)
+  former.state = 'dead'
+  Object.assign(earlier, { role: 'primary', term: 2 })
+  Object.assign(last, { role: 'primary', term: 3, state: 'dark' })
+  fleet.store.put('egretyoke/group/bookings', { ...record, phase: 'changing', keeper: 'vm-gone/x' })
+  await waitUntil(hasNewPrimary(fleet))
+  t.like(recordOf(fleet), { primary: 'db-2', term: 4 })
+  await fleet.close()
+})
+
+// Guards against a recorded primary that answers probes although it is a replica, so that all writes are refused.
+test('a recorded primary that says that it is a replica is replaced by the newest primary', async t => {
+  const fleet = await startMemoryFleet(3)
+  await openTestSession(fleet.gateways[0], 'slots').send(write('1'))
+  const [former, newest] = ['db-1', 'db-2'].map(id => fleet.group.databases.get(id)!)
+  Object.assign(newest, { role: 'primary', term: 2 })
+  Object.assign(former, { role: 'replica', term: 2 })
+  t.deepEqual((await writeUntilSuccess(fleet, '2')).filter(error => error !== 'refused'), [])
+  t.like(recordOf(fleet), { primary: 'db-2', term: 2 })
+  await fleet.close()
+})
+
+// Guards against old values on primary routes after a promotion that the record does not name.
+test('a read at a recorded primary that has the log of a later term is not answered from there', async t => {
+  const fleet = await startMemoryFleet(3)
+  await openTestSession(fleet.gateways[0], 'slots').send(write('1'))
+  const [former, newest] = ['db-1', 'db-2'].map(id => fleet.group.databases.get(id)!)
+  Object.assign(newest, { role: 'primary', term: 2, log: [...newest.log, { position: '2.2', requestId: 'other' }] })
+  Object.assign(former, { role: 'replica', term: 2, log: newest.log })
+  const answer = await openTestSession(fleet.gateways[0], 'slots').send(read('1'))
+  if (answer.error === undefined) t.is(fleet.group.executed.at(-1)?.database, 'db-2')
+  else t.is(answer.error, 'refused')
+  await fleet.close()
+})
+
 test('a later session on a primary route reads at the primary, also while replicas lag', async t => {
   const fleet = await startMemoryFleet(3)
   fleet.group.isReplicationPaused = true
--- a/packages/gateway/src/testing/holder-environment.ts
+++ b/packages/gateway/src/testing/holder-environment.ts
@@ -42,6 +42,8 @@
       },
       whyNoUse: () => 'moved',
       stopUse: () => {},
+      observe: () => {},
+      isContradicted: () => false,
       store: async () => undefined
     },
     positions: createGroupPositions(clock, async () => undefined),
--- a/packages/gateway/src/testing/memory-group.ts
+++ b/packages/gateway/src/testing/memory-group.ts
@@ -103,9 +103,13 @@
   const fencingTokens: number[] = []
   let connectionCount = 0
 
+  /** The database that was promoted last. */
+  const leader = () => [...databases.values()].filter(({ role }) => role === 'primary')
+    .sort((one, other) => other.term - one.term)[0]
+
   const replicate = () => {
-    const primary = [...databases.values()].find(({ role, state }) => role === 'primary' && state === 'alive')
-    if (primary === undefined) return
+    const primary = leader()
+    if (primary?.state !== 'alive') return
     for (const replica of databases.values()) {
       if (replica.role !== 'replica' || replica.state !== 'alive' || replica.isDeaf) continue
       replica.log = [...primary.log]
@@ -286,7 +290,7 @@
     fencingTokens.push(fence)
     const database = databases.get(id)
     if (database === undefined || database.state !== 'alive') return Err(typedError('declined', 'not running'))
-    if (database.role === 'primary') return Ok(undefined)
+    if (database === leader()) return Ok(undefined)
     setTimeout(() => {
       database.term = Math.max(...[...databases.values()].map(({ term }) => term)) + 1
       database.role = 'primary'
