Drain: a statement that runs is answered, and new ones are refused in time

Cause: the program closed all connections at three quarters of the grace period, whatever ran on them, and accepted new statements until then on sessions that are never idle at the moment of a check. The trace of the case has the statement sent 2.8 s after the signal, passed on, and cut at 4.5 s.

Ruled out: only a later end; a statement sent just before it is cut too.

Change: drain-schedule.ts in the gateway says what may begin and what may end at each moment, and the session, the holders and the program follow it. In the second half of the grace period statements are refused at once and only the end of a transaction runs; running ones are answered up to nine tenths of it. Statements that run for other gateways have the same time instead of six tenths. The program decides no times any more, and a changed grace period applies to connections too.

--- a/packages/gateway/src/coordination/connections/database-holder-types.ts
+++ b/packages/gateway/src/coordination/connections/database-holder-types.ts
@@ -21,8 +21,11 @@
   abandon: (transactionId: string) => void
   /** Starts no new work for `forMs`; queued statements stay queued. */
   pause: (forMs: number) => void
-  /** Resolves with true once nothing runs and no transaction is open, or with false after `timeoutMs`. */
-  waitUntilIdle: (timeoutMs: number) => Promise<boolean>
+  /**
+   * Resolves with true once nothing runs and no transaction is open, or with false after `timeoutMs`. Transactions
+   * between two statements are waited for no longer than `transactionsMs`, if given.
+   */
+  waitUntilIdle: (timeoutMs: number, transactionsMs?: number) => Promise<boolean>
   load: () => number
   /** True if the database has replied to a statement recently, and no reply contradicts its group's record. */
   hasRepliedRecently: () => boolean
--- a/packages/gateway/src/coordination/connections/database-holder.ts
+++ b/packages/gateway/src/coordination/connections/database-holder.ts
@@ -261,10 +261,13 @@
   const run = async (request: StatementRequest): Promise<StatementOutcome> =>
     ({ ...await runRequest(request), databaseLoad: databaseLoad() })
 
-  const waitUntilIdle = async (timeoutMs: number): Promise<boolean> => {
-    const deadlineMs = nowMs() + timeoutMs
-    while (nowMs() < deadlineMs) {
-      if (running.count() === 0 && transactions.idleCount() === 0) return true
+  const waitUntilIdle = async (timeoutMs: number, transactionsMs = timeoutMs): Promise<boolean> => {
+    const startedAtMs = nowMs()
+    const elapsedMs = () => nowMs() - startedAtMs
+    while (elapsedMs() < timeoutMs) {
+      const hasTransactions = transactions.idleCount() > 0
+      if (running.count() === 0 && !hasTransactions) return true
+      if (running.count() === 0 && elapsedMs() >= transactionsMs) return false
       await sleepMs(idlePollMs)
     }
     return false
--- a/packages/gateway/src/coordination/connections/holders.ts
+++ b/packages/gateway/src/coordination/connections/holders.ts
@@ -30,6 +30,8 @@
 export type HoldersOptions = Omit<HolderOptions, PerDatabaseOptions> & {
   fleetState: FleetState
   isFirstHolder: (database: Database) => boolean
+  /** False once this gateway, which stops, begins no new statements. */
+  startsNewWork?: () => boolean
   /** Connections that lost holders have left at the database, which it may still count. */
   orphanedConnections?: (database: string) => number
 }
@@ -44,7 +46,7 @@
 
 /** Creates an empty table of holders. */
 export const createHolders = (options: HoldersOptions): Holders => {
-  const { fleetState } = options
+  const { fleetState, startsNewWork = () => true } = options
   const holders = new Map<string, { holder: DatabaseHolder, database: Database }>()
   /** Databases whose holder was closed because their process has been replaced. */
   const restarted = new Set<string>()
@@ -69,7 +71,8 @@
       isFirstHolder: () => options.isFirstHolder(current()),
       hasJustStarted: () => restarted.delete(id) || Math.abs(Date.now() - database.startedAtMs) < newDatabaseMs,
       primaryTerm,
-      acceptsNewWork: () => fleetState.databases().has(id) && acceptsNewWork(fleetState, current())
+      acceptsNewWork: () =>
+        startsNewWork() && fleetState.databases().has(id) && acceptsNewWork(fleetState, current())
     })
     holders.set(id, { holder, database })
     return holder
--- a/packages/gateway/src/coordination/sessions/session.ts
+++ b/packages/gateway/src/coordination/sessions/session.ts
@@ -42,6 +42,8 @@
   configuration: () => Configuration | undefined
   /** False while this gateway's list of keys may be too old to reflect withdrawals. */
   hasCurrentKeys: () => boolean
+  /** False once the gateway, which stops, begins no new statements. */
+  startsNewWork: () => boolean
   admission: Admission
   router: StatementRouter
   /** Of this session; what it takes is shared with other sessions. */
@@ -74,7 +76,9 @@
 
 const limitMessage = `limit reached, retry after ${limitRetryMs} ms`
 
-/** Opens a session; returns an error if the caller is not authorized for the database. */
+const stoppingMessage = 'this gateway stops, connect again'
+
+/** Opens a session; returns an error if the caller is not authorized for the database, or the gateway stops. */
 export const openSession = (options: SessionOptions): Session | SessionError => {
   const { id, database, key, router, admission, log } = options
   const state = createSessionState(options.stateBudget)
@@ -292,7 +296,16 @@
     })
   }
 
+  /** Refuses a statement at a gateway that stops: there may be no time left to answer it. */
+  const refuseNewWork = (): SessionResponse => {
+    if (transaction === undefined) return refuse('refused', `not run: ${stoppingMessage}`, true)
+    rollBack()
+    return refuse('aborted', `transaction rolled back: ${stoppingMessage}`, true)
+  }
+
   const handle = async (requestId: string, statement: SessionStatement): Promise<SessionResponse> => {
+    const endsTransaction = statement.kind === 'commit' || statement.kind === 'rollback'
+    if (!options.startsNewWork() && !(endsTransaction && transaction !== undefined)) return refuseNewWork()
     const identity = identify()
     if (typeof identity === 'string') {
       log(events.sessionRefused, {
@@ -308,7 +321,6 @@
     if (transaction !== undefined && hasLostWorkspace(identity)) {
       log(events.transactionLostKey, { request: requestId, database, workspace: transaction.workspace })
       abandon(transaction)
-      const endsTransaction = statement.kind === 'commit' || statement.kind === 'rollback'
       if (!endsTransaction) return refuse('aborted', 'transaction rolled back: its key names another workspace now')
     }
     switch (statement.kind) {
@@ -334,7 +346,7 @@
     }
   }
 
-  const identity = identify()
+  const identity = options.startsNewWork() ? identify() : 'refused'
   if (typeof identity === 'string') return identity
   return {
     handle,
--- a/packages/gateway/src/gateway-types.ts
+++ b/packages/gateway/src/gateway-types.ts
@@ -5,6 +5,7 @@
 import type { Registry } from 'prom-client'
 import type { ConnectDatabase } from './coordination/connections/database-connection.js'
 import type { PromoteDatabase } from './coordination/primaries/primary-change.js'
+import type { DrainPhase } from './coordination/sessions/drain-schedule.js'
 import type { SessionError } from './coordination/sessions/session-messages.js'
 import type { Session } from './coordination/sessions/session.js'
 import type { UsageSettings } from './coordination/usage/usage-reporter.js'
@@ -65,7 +66,9 @@
   setSessionCount: (count: number) => void
   /** Applies changed time limits. */
   applyTimeLimits: (times: Pick<GatewaySettings, 'keyWithdrawalMs' | 'graceMs'>) => void
-  /** Accepts no new work, finishes work held here for other gateways, and leaves the fleet. */
+  /** What the gateway still does for its callers after `drain` was called; undefined before. */
+  drainPhase: () => DrainPhase | undefined
+  /** Announces that the gateway stops, and finishes work held here for other gateways. */
   drain: () => Promise<void>
   close: () => Promise<void>
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -24,6 +24,7 @@
 import { createPositionQuery } from './coordination/routing/position-query.js'
 import { createRelayHandler, readPrimaryPosition } from './coordination/routing/relay-handler.js'
 import { limitRelayedBytes } from './coordination/routing/relayed-bytes.js'
+import { balancerDetectionMs, drainEndMs, drainPhaseAt, startsNewWork } from './coordination/sessions/drain-schedule.js'
 import { openSession } from './coordination/sessions/session.js'
 import type { HolderMove } from './coordination/routing/sticky-holders.js'
 import { createStateBudget, maxSharedStateBytes } from './coordination/sessions/session-state.js'
@@ -48,15 +49,13 @@
 
 /** Subtracted from `keyWithdrawalMs` to cover the time in which an admitted statement is still on its way. */
 const keyWithdrawalMarginMs = 900
-/** Time within which the balancer stops sending new callers to a gateway that is not ready. */
-const balancerDetectionMs = 2200
 /** If its last contact with the store is older, a gateway is not ready and leaves connections to other holders. */
 const maxReadyContactAgeMs = 2000
 const maintenanceIntervalMs = 1000
 const readinessIntervalMs = 200
 const stateLoadedPollMs = 10
 /** Fraction of the grace period in which other gateways may still finish their transactions here. */
-const holderGraceFraction = 0.6
+const heldTransactionsFraction = 0.6
 
 /** Starts a gateway. Rejects when its address is in use. */
 export const startGateway = async (
@@ -82,7 +81,7 @@
   const stopping = new AbortController()
   const { signal } = stopping
   let { keyWithdrawalMs, graceMs } = settings
-  let isDraining = false
+  let drainingSinceMs: number | undefined
   let hasBeenReady = false
   let lastReadyMs = 0
   let sessionCount = 0
@@ -91,6 +90,10 @@
     maxBytes: Infinity, maxBytesByKind: { sessionState: maxSharedStateBytes }
   })
 
+  const drainPhase = () =>
+    drainingSinceMs === undefined ? undefined : drainPhaseAt(performance.now() - drainingSinceMs, graceMs)
+  const acceptsNewWork = () => startsNewWork(drainPhase())
+
   const clock = createAgeClock()
   const contact = createContact(clock)
   const fleetState = createFleetState(platform.decodeEntry, log)
@@ -174,6 +177,7 @@
     fleetState,
     orphanedConnections: orphanedConnections.countAt,
     isFirstHolder,
+    startsNewWork: acceptsNewWork,
     connect,
     records,
     positions,
@@ -265,7 +269,7 @@
 
   const hasCurrentKeys = () => contact.ageMs() < keyWithdrawalMs - keyWithdrawalMarginMs
   const isStateLoaded = () => hasCurrentKeys() && fleetState.configuration() !== undefined
-  const isReady = () => !isDraining && isStateLoaded() && contact.ageMs() < maxReadyContactAgeMs &&
+  const isReady = () => drainingSinceMs === undefined && isStateLoaded() && contact.ageMs() < maxReadyContactAgeMs &&
     membership.leaseId() !== undefined
 
   const watchReadiness = async () => {
@@ -277,7 +281,10 @@
         hasBeenReady ||= wasReady
         const configuration = fleetState.configuration()?.version
         log(events.gatewayReady, {
-          ready: wasReady, draining: isDraining, contactAgeMs: Math.round(contact.ageMs()), configuration
+          ready: wasReady,
+          draining: drainingSinceMs !== undefined,
+          contactAgeMs: Math.round(contact.ageMs()),
+          configuration
         })
       }
       await sleepUntilTick(readinessIntervalMs, signal)
@@ -328,11 +335,13 @@
   }
 
   const drain = async () => {
-    isDraining = true
+    drainingSinceMs ??= performance.now()
     log(events.gatewayDraining, { sessions: sessionCount })
     await Promise.all([membership.startDraining(), tokenAllocator.leave(), usage?.leave()])
-    const settleMs = graceMs * holderGraceFraction
-    await Promise.all(holders.all().map(async holder => await holder.waitUntilIdle(settleMs)))
+    const sinceMs = performance.now() - drainingSinceMs
+    const remainingMs = drainEndMs(graceMs) - sinceMs
+    const transactionsMs = graceMs * heldTransactionsFraction - sinceMs
+    await Promise.all(holders.all().map(async holder => await holder.waitUntilIdle(remainingMs, transactionsMs)))
   }
 
   return {
@@ -342,6 +351,7 @@
       key,
       configuration: fleetState.configuration,
       hasCurrentKeys,
+      startsNewWork: acceptsNewWork,
       admission,
       router,
       stateBudget: createStateBudget(part),
@@ -352,6 +362,7 @@
       while (!hasBeenReady && !isStateLoaded() && performance.now() < deadlineMs) await sleepMs(stateLoadedPollMs)
     },
     isReady,
+    drainPhase,
     shouldCloseIdleSessions: () => hasBeenReady &&
       performance.now() - lastReadyMs > balancerDetectionMs && links.isAnyReady(),
     metrics,
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -3,6 +3,7 @@
  */
 export * from './coordination/connections/database-connection.js'
 export type { PromoteDatabase } from './coordination/primaries/primary-change.js'
+export type { DrainPhase } from './coordination/sessions/drain-schedule.js'
 export type { Session } from './coordination/sessions/session.js'
 export type { SessionError, SessionResponse, SessionStatement } from './coordination/sessions/session-messages.js'
 export { maxEntryBytes } from './coordination/sessions/session-state.js'
--- a/packages/gateway/src/store.test.ts
+++ b/packages/gateway/src/store.test.ts
@@ -4,7 +4,7 @@
 import { sleepMs } from '@egretyoke/common'
 import test from 'ava'
 import {
-  closeMemoryFleets, openTestSession, standardConfiguration, startMemoryFleet, waitUntil, write
+  closeMemoryFleets, openTestSession, read, standardConfiguration, startMemoryFleet, waitUntil, write
 } from './testing/memory-fleet.js'
 
 test.after.always(closeMemoryFleets)
@@ -113,6 +113,28 @@
   await fleet.close()
 })
 
+// Guards against statements that begin when there may be no time left to answer them.
+test('in the second half of its grace period a gateway refuses new statements, but ends transactions', async t => {
+  const fleet = await startMemoryFleet(2)
+  const [stopping] = fleet.gateways
+  const [idle, committing, reading] = ['slots', 'slots', 'slots'].map(name => openTestSession(stopping, name))
+  const drained = stopping.gateway.drain()
+  t.is((await idle.send(read('1'))).error, undefined)
+  // Later than the start of the drain, because transactions that are idle for a second end.
+  await sleepMs(500)
+  for (const session of [committing, reading]) {
+    await session.send({ kind: 'begin', readOnly: false })
+    t.is((await session.send(write('1'))).error, undefined)
+  }
+  await waitUntil(() => stopping.gateway.drainPhase() === 'finishing')
+  t.like(await idle.send(read('1')), { error: 'refused', endsSession: true })
+  t.like(await reading.send(read('1')), { error: 'aborted', endsSession: true, transaction: 'none' })
+  t.is((await committing.send({ kind: 'commit' })).error, undefined)
+  t.is(stopping.gateway.openSession('slots', 'key-a'), 'refused')
+  await drained
+  await fleet.close()
+})
+
 test('a draining gateway gets no statements from other gateways, and its record is deleted', async t => {
   const fleet = await startMemoryFleet(3)
   await openTestSession(fleet.gateways[1], 'slots').send(write('1'))
--- a/soak/src/soak-databases.ts
+++ b/soak/src/soak-databases.ts
@@ -22,6 +22,8 @@
   state: 'alive' | 'dark' | 'dead'
   /** Probability that the connection is closed instead of sending a reply. */
   replyLossProbability: number
+  /** Time that a caller's statement takes before it is run, in milliseconds. */
+  statementMs: number
   startedAtMs: number
   sockets: Set<Socket>
 }
@@ -39,7 +41,7 @@
 }
 
 const promotionDelayMs = 200
-const statementMs = 4
+const defaultStatementMs = 4
 const maxConnections = 22
 export const slotsPerDatabase = 3
 
@@ -75,6 +77,7 @@
     log: [],
     state: 'alive',
     replyLossProbability: 0,
+    statementMs: defaultStatementMs,
     startedAtMs: Date.now(),
     sockets: new Set()
   }))
@@ -252,11 +255,14 @@
         [...replyLines, `READY ${session.state()} ${positionOf(database)}`].map(each => `${each}\r\n`).join('')
       )
     }
+    /** Commands of the gateway itself take the usual time. */
+    const timeOf = ({ statementMs }: SoakDatabase, line: string) =>
+      line.startsWith('QUERY ') && !line.startsWith('QUERY - ') ? statementMs : defaultStatementMs
     let pending = Promise.resolve()
     socket.on('data', chunk => {
       for (const line of reader.push(chunk).unwrapOr([])) {
         pending = pending.then(async () => {
-          await new Promise(resolve => setTimeout(resolve, statementMs))
+          await new Promise(resolve => setTimeout(resolve, timeOf(database, line)))
           if (socket.destroyed || database.state !== 'alive') return
           if (connection === undefined) start(line)
           else query(connection, line)
