Store: a restore from a copy is noticed, and no record of before is believed

Cause: the store was taken for one that never goes back. Its header that tells of a restore was not read; revisions, leases and positions in the history, which are given out again, were compared with those of before; and a process that started used whatever primary the record named. In the trace it confirmed writes at the former primary, which the restored record named, for a second, until that one stepped down.

Ruled out: a comparison of terms at the start alone (the former primary answers as the primary of the recorded term, the new one may be silent); a key per epoch as a second condition of each write (a write that meets a matching revision has no answer for its sender, and what it has written names the earlier epoch).

Change: the adapter passes the header on as an epoch. The gateway combines revisions and ids of leases with it, so that comparisons and fencing tokens hold through a restore. A group record names the epoch in which it was compared with the databases; in a later one it is not used until the group's monitor has recorded the primary of the newest term, 2.5 s and 1 s after it learned of the restore, by the same steps as after a take-over. An earlier version that follows a new gateway is sent to the store. The stand-ins of the store get the drill.

--- a/packages/gateway/src/coordination/primaries/copy-recorder.test.ts
+++ b/packages/gateway/src/coordination/primaries/copy-recorder.test.ts
@@ -17,7 +17,7 @@
   /** Received positions of the databases that answer. */
   const positions = new Map([['p', '1.5'], ['r1', '1.5'], ['r2', '1.3']])
   let record: GroupRecord = {
-    primary: 'p', term: 1, phase: 'serving', users: [], keeper: 'k', copies: copiesOf(...recorded)
+    primary: 'p', term: 1, phase: 'serving', users: [], keeper: 'k', copies: copiesOf(...recorded), epoch: 0
   }
   const fleetState = {
     databasesOf: () => [...known.values()],
--- a/packages/gateway/src/coordination/primaries/group-monitor.ts
+++ b/packages/gateway/src/coordination/primaries/group-monitor.ts
@@ -9,7 +9,7 @@
 import { splitProcessName } from '../../state/stored-records.js'
 import type { GroupRecord, Member } from '../../state/stored-records.js'
 import type { Election } from '../membership/election.js'
-import { activeUsers } from './group-records.js'
+import { activeUsers, isConfirmed, maxPrimaryContactAgeMs } from './group-records.js'
 import { createCopyRecorder } from './copy-recorder.js'
 import { newestPrimary, newestTermOf } from './primary-evidence.js'
 import { changePrimary } from './primary-change.js'
@@ -53,17 +53,31 @@
 
   const isMonitorOf = (group: string): boolean => options.election.first(monitorKey(group)) === name
 
-  /** Stores the first record of a group, unless its newest primary does not answer. */
+  /**
+   * Stores the first record of a group, unless its newest primary does not answer. While gateways may still use a
+   * primary by a record that a restore has removed, all databases must answer.
+   */
   const storeFirstRecord = async (group: string) => {
-    const candidates = await pollDatabases(control, fleetState.databasesOf(group), () => probeTimeoutMs)
+    const databases = fleetState.databasesOf(group)
+    const candidates = await pollDatabases(control, databases, () => probeTimeoutMs)
+    if (!hasEarlierUseEnded() && candidates.length < databases.length) return
     const leader = newestPrimary(candidates, newestTermOf(candidates))
     if (leader === undefined) return
     const { database, status } = leader
     await records.store(group, {
-      primary: database.id, term: status.term, phase: 'serving', users: [], keeper: self, copies: []
+      primary: database.id,
+      term: status.term,
+      phase: 'serving',
+      users: [],
+      keeper: self,
+      copies: [],
+      epoch: fleetState.epoch()
     }, 0)
   }
 
+  /** True if each gateway knows the store's current epoch, or has lost its contact and stopped using primaries. */
+  const hasEarlierUseEnded = () => fleetState.epochAgeMs() >= maxPrimaryContactAgeMs
+
   /** True if a gateway that uses the primary has had a reply from it recently, so that no probe is needed. */
   const isConfirmedByUser = async (database: Database, users: readonly string[]): Promise<boolean> => {
     const user = splitProcessName(activeUsers(users, fleetState).at(-1) ?? '').name
@@ -145,12 +159,13 @@
   const checkGroup = async (group: string) => {
     const versioned = fleetState.group(group)
     if (versioned === undefined) return await storeFirstRecord(group)
+    if (!isConfirmed(versioned) && !hasEarlierUseEnded()) return
     if (versioned.record.phase === 'changing') {
       if (shouldContinue(group, versioned)) await changePrimary(options, group, versioned, 'unfinished')
       return
     }
-    if (isMonitorOf(group)) await copyRecorder.check(group, versioned)
-    const reason = await reasonToChange(group, versioned.record)
+    if (isMonitorOf(group) && isConfirmed(versioned)) await copyRecorder.check(group, versioned)
+    const reason = isConfirmed(versioned) ? await reasonToChange(group, versioned.record) : 'unconfirmed'
     if (reason === undefined || !isMonitorOf(group)) return
     const latest = fleetState.group(group)
     if (latest !== undefined && latest.record.primary === versioned.record.primary) {
--- a/packages/gateway/src/coordination/primaries/group-records.test.ts
+++ b/packages/gateway/src/coordination/primaries/group-records.test.ts
@@ -10,7 +10,7 @@
 import { createGroupRecords } from './group-records.js'
 
 const record: GroupRecord = {
-  primary: 'db-1', term: 1, phase: 'serving', users: [], keeper: 'vm-1/a', copies: []
+  primary: 'db-1', term: 1, phase: 'serving', users: [], keeper: 'vm-1/a', copies: [], epoch: 0
 }
 
 const createEnvironment = () => {
--- a/packages/gateway/src/coordination/primaries/group-records.ts
+++ b/packages/gateway/src/coordination/primaries/group-records.ts
@@ -4,6 +4,10 @@
  *
  * A gateway adds itself to a record's users before it uses the primary. A primary change therefore waits only for the
  * listed users, however large the fleet is: until each has confirmed that it stopped, or its contact has expired.
+ *
+ * A record is evidence of the past: the databases may show that it is not right any more, and a store that was restored
+ * from a copy may have lost a later one. No primary is used by a record that a database's reply contradicts, or that
+ * has not been confirmed since the store was restored.
  */
 import type { Logger } from '@egretyoke/common'
 import { events } from '../../events.js'
@@ -12,6 +16,7 @@
 import type { FleetState, Versioned } from '../../state/fleet-state.js'
 import { encodeRecord, recordPrefixes, splitProcessName } from '../../state/stored-records.js'
 import type { GroupRecord } from '../../state/stored-records.js'
+import { epochOf } from '../../state/store-revision.js'
 import type { MovedReason } from '../sessions/statement.js'
 import type { SharedStore } from '../store/shared-store.js'
 import { contradictsRecord } from './primary-evidence.js'
@@ -71,6 +76,9 @@
   return fleetState.members().get(name)?.incarnation === incarnation
 })
 
+/** False if the store was restored since the record was compared with what the databases say. */
+export const isConfirmed = ({ record, revision }: Versioned<GroupRecord>): boolean => record.epoch === epochOf(revision)
+
 /** Creates the access to the group records for one process. */
 export const createGroupRecords = (
   { self, fleetState, contact, isLeaseHeld, store, log }: GroupRecordsOptions
@@ -92,7 +100,7 @@
 
   const isActivePrimary = (group: string, database: string) => {
     const versioned = fleetState.group(group)
-    return versioned?.record.phase === 'serving' && versioned.record.primary === database &&
+    return versioned?.record.phase === 'serving' && versioned.record.primary === database && isConfirmed(versioned) &&
       versioned.revision > (stoppedRevisions.get(group) ?? 0) && !isContradicted(group)
   }
 
--- a/packages/gateway/src/coordination/primaries/primary-change.ts
+++ b/packages/gateway/src/coordination/primaries/primary-change.ts
@@ -18,7 +18,9 @@
 import type { FleetState, Versioned } from '../../state/fleet-state.js'
 import { comparePositions } from '../../state/position.js'
 import type { GroupRecord } from '../../state/stored-records.js'
+import { epochOf } from '../../state/store-revision.js'
 import type { ControlCommands } from '../connections/control-commands.js'
+import { isConfirmed } from './group-records.js'
 import type { GroupRecords } from './group-records.js'
 import { mergeCopies } from './log-copies.js'
 import { newestPrimary, newestTermOf } from './primary-evidence.js'
@@ -49,9 +51,10 @@
 
 /**
  * Why a primary is replaced. `superseded`: a database's reply shows a later term, or that the primary is a replica.
- * `unfinished`: a change of the primary was begun and not completed.
+ * `unfinished`: a change of the primary was begun and not completed. `unconfirmed`: the store was restored from a copy,
+ * and the record may be older than the last change of the primary; it may also be right.
  */
-export type ChangeReason = 'failed' | 'draining' | 'evacuated' | 'gone' | 'superseded' | 'unfinished'
+export type ChangeReason = 'failed' | 'draining' | 'evacuated' | 'gone' | 'superseded' | 'unfinished' | 'unconfirmed'
 
 const controlTimeoutMs = 350
 const failedPrimaryTimeoutMs = 120
@@ -70,7 +73,8 @@
 const promoteContactMs = 1500
 
 /** Reasons for which other gateways may have requested promotions that are not recorded. */
-const reasonsWithUnknownPromotions: ReadonlySet<ChangeReason> = new Set(['superseded', 'unfinished'])
+const reasonsWithUnknownPromotions: ReadonlySet<ChangeReason> =
+  new Set(['superseded', 'unfinished', 'unconfirmed'])
 
 /** Replaces the primary of the group; true if the change ended with an active primary. */
 export const changePrimary = async (
@@ -80,6 +84,7 @@
   const oldRecord = current.record
   const isPlanned = reason === 'draining' || reason === 'evacuated'
   const mayHaveUnknownPromotions = reasonsWithUnknownPromotions.has(reason)
+  const firstTerm = reason === 'unconfirmed' ? oldRecord.term : oldRecord.term + 1
   const changeDeadlineMs = performance.now() + changeTimeoutMs
   const users = createPrimaryUsers({ group, users: oldRecord.users, fleetState, relay, log })
   const successors = createSuccessorChoice({ group, record: oldRecord, fleetState, control, log })
@@ -130,7 +135,8 @@
     const { term } = status
     const primary = database.id
     const copies = syncReplicas() === 0 ? [] : mergeCopies(oldRecord.copies, fleetState.databasesOf(group))
-    const record: GroupRecord = { primary, term, phase: 'serving', users: [], keeper: self, copies }
+    const epoch = epochOf(revision)
+    const record: GroupRecord = { primary, term, phase: 'serving', users: [], keeper: self, copies, epoch }
     const stored = await records.store(group, record, revision)
     if (stored === undefined) return false
     log(events.primaryInForce, { group, primary, term, before: oldRecord.primary, reason })
@@ -161,19 +167,25 @@
     return await waitUntilPrimary(chosen, newestTerm, isUnchangedCertain ? 0 : promotionEffectMs)
   }
 
+  /** The primary of the newest term, unless the store has lost records and its log may lack confirmed commits. */
+  const leadingPrimary = (candidates: readonly Candidate[], newestTerm: number): Candidate | undefined => {
+    const newest = newestPrimary(candidates, firstTerm)
+    if (newest?.status.term !== newestTerm) return undefined
+    return isConfirmed(current) || successors.hasEveryCommit(newest, candidates) ? newest : undefined
+  }
+
   const attempt = async (revision: number): Promise<boolean> => {
     const candidates = await poll()
     const newestTerm = newestTermOf(candidates, oldRecord.term)
-    const newest = newestPrimary(candidates, oldRecord.term + 1)
-    if (newest !== undefined && newest.database.id === requested && newest.status.term === newestTerm) {
-      return await activatePrimary(newest, revision)
-    }
+    const leading = leadingPrimary(candidates, newestTerm)
+    if (leading !== undefined && leading.database.id === requested) return await activatePrimary(leading, revision)
     const former = candidates.find(({ database }) => database.id === oldRecord.primary)
     const isFormerHealthy = former?.status.role === 'primary' && former.status.term === newestTerm
     if (isFormerHealthy && reason === 'failed' && requested === undefined) {
       return await activatePrimary(former, revision)
     }
-    const chosen = newest ?? successors.atPrimaryAddress(candidates) ?? await successors.proved(candidates) ??
+    const replacement = newestTerm === oldRecord.term ? successors.atPrimaryAddress(candidates) : undefined
+    const chosen = leading ?? replacement ?? await successors.proved(candidates) ??
       (isFormerHealthy ? former : undefined)
     if (chosen === undefined || !ownsChange(revision)) return false
     const newPrimary = await promoteAndWait(chosen, newestTerm, revision)
@@ -192,8 +204,10 @@
     group, primary: oldRecord.primary, term: oldRecord.term, reason, fence: changing.revision
   })
   await users.stop(changing.revision)
-  // A promotion that the earlier gateway has requested must not take effect after the choice.
-  if (reason === 'unfinished') await sleepMs(Math.max(0, begunAtMs + promotionEffectMs - performance.now()))
+  // A promotion that another gateway has requested must not take effect after the choice.
+  if (reason === 'unfinished' || reason === 'unconfirmed') {
+    await sleepMs(Math.max(0, begunAtMs + promotionEffectMs - performance.now()))
+  }
   if (isPlanned) {
     const former = fleetState.databases().get(oldRecord.primary)
     const last = former === undefined ? undefined : await statusOf(control, former, controlTimeoutMs)
--- a/packages/gateway/src/coordination/primaries/successor-choice.ts
+++ b/packages/gateway/src/coordination/primaries/successor-choice.ts
@@ -5,11 +5,11 @@
 import type { Logger } from '@egretyoke/common'
 import { events } from '../../events.js'
 import type { FleetState } from '../../state/fleet-state.js'
-import { comparePositions } from '../../state/position.js'
+import { comparePositions, laterPosition } from '../../state/position.js'
 import type { GroupRecord } from '../../state/stored-records.js'
 import type { ControlCommands } from '../connections/control-commands.js'
 import { hasAllCommits, requiredReplies } from './commit-proof.js'
-import { copiesWithoutEntry, logRepliesOf } from './log-copies.js'
+import { copiesWithoutEntry, logRepliesOf, mergeCopies } from './log-copies.js'
 import type { CopyStatus } from './log-copies.js'
 import type { Candidate } from './primary-evidence.js'
 
@@ -21,6 +21,11 @@
   best: (candidates: readonly Candidate[]) => Candidate | undefined
   /** The most advanced of the eligible databases, if the replies prove that it has every confirmed commit. */
   proved: (candidates: readonly Candidate[]) => Promise<Candidate | undefined>
+  /**
+   * True if the replies prove that the database has every commit that any primary may have confirmed, also one of a
+   * later term that no record names.
+   */
+  hasEveryCommit: (chosen: Candidate, candidates: readonly Candidate[]) => boolean
   /** A process that replaced the old primary at its address, with its log and term, under a new id. */
   atPrimaryAddress: (candidates: readonly Candidate[]) => Candidate | undefined
 }
@@ -79,9 +84,18 @@
     return undefined
   }
 
+  const hasEveryCommit = (chosen: Candidate, candidates: readonly Candidate[]) => {
+    if (syncReplicas() === 0) return true
+    const databaseCount = mergeCopies(record.copies, fleetState.databasesOf(group)).length
+    const newest = candidates.map(received).reduce(laterPosition)
+    // Beside an unknown primary that is silent, so many of its replicas include one with each confirmed commit.
+    return candidates.length >= databaseCount - syncReplicas() && comparePositions(received(chosen), newest) >= 0
+  }
+
   return {
     best,
     proved,
+    hasEveryCommit,
     atPrimaryAddress: candidates => candidates.find(candidate =>
       isEligible(candidate) && candidate.status.role === 'primary' && candidate.status.term === record.term)
   }
--- a/packages/gateway/src/coordination/store/follower-replies.ts
+++ b/packages/gateway/src/coordination/store/follower-replies.ts
@@ -4,6 +4,7 @@
 import type { RelayMessages } from '@egretyoke/protocol'
 import type { Contact } from '../../state/contact.js'
 import type { StoreHistory } from '../../state/store-history.js'
+import { epochOf } from '../../state/store-revision.js'
 
 /** A follower that is behind by more takes the whole state, in parts of at most this size. */
 const maxReplyBytes = 1024 * 1024
@@ -33,13 +34,27 @@
   return Math.min(waitMs, remainingMs + (isStoreDue() ? renewalWaitMs : 0))
 }
 
+const incomplete: RelayMessages.StoreNews = {
+  complete: false,
+  changes: [],
+  revision: 0,
+  confirmed: false,
+  ageMs: 0,
+  waitedMs: 0,
+  indirect: false,
+  wholeState: false,
+  stateContinuesAfter: ''
+}
+
 /** Replies to a gateway that follows the store through this one, as soon as there are changes or a confirmation. */
 export const replyToFollower = async (
   options: FollowerRepliesOptions, request: FollowRequest
 ): Promise<RelayMessages.StoreNews> => {
   const { history, contact, isDirect = () => true } = options
-  const { afterRevision, acceptsState = false, stateAfter = '' } = request
+  const { afterRevision, acceptsState = false, stateAfter = '', combinesEpochs = false } = request
   const receivedAtMs = performance.now()
+  // An earlier version reads the store itself: it would take combined revisions for those of the store.
+  if (epochOf(history.revision()) > 0 && !combinesEpochs) return incomplete
   if (stateAfter === '' && history.changesSince(afterRevision)?.entries.length === 0) {
     await history.waitForChange(usefulWaitMs(options, request))
   }
--- a/packages/gateway/src/coordination/store/peer-state.ts
+++ b/packages/gateway/src/coordination/store/peer-state.ts
@@ -22,7 +22,11 @@
   let { stateContinuesAfter } = first
   for (let part = 1; stateContinuesAfter !== ''; part++) {
     const followStore = {
-      afterRevision: first.revision, waitMs: 0, acceptsState: true, stateAfter: stateContinuesAfter
+      afterRevision: first.revision,
+      waitMs: 0,
+      acceptsState: true,
+      stateAfter: stateContinuesAfter,
+      combinesEpochs: true
     }
     const reply = await relay.call(peer, { followStore }, partTimeoutMs)
     const news = reply.ok ? reply.val.storeNews : undefined
--- a/packages/gateway/src/coordination/store/shared-store.ts
+++ b/packages/gateway/src/coordination/store/shared-store.ts
@@ -1,8 +1,9 @@
 /**
- * Interface of the platform's store, as far as the gateway uses it.
+ * Interfaces of the platform's store, as far as the gateway uses it: as the platform's adapter implements it, and as
+ * the rest of the gateway calls it.
  */
 import type { Result, TypedError } from '@egretyoke/common'
-import type { Platform, StoredEntry } from '@egretyoke/fleet'
+import type { Platform, StoredEntry, Swap, SwapResult } from '@egretyoke/fleet'
 
 /** All entries under a prefix, read page by page. Changes after `revision` may or may not be included. */
 export type Listing = { entries: StoredEntry[], revision: number }
@@ -16,7 +17,30 @@
  */
 export type StoreError = TypedError<'noAnswer' | 'refused' | 'historyGone'>
 
-/** Store operations. */
+/**
+ * An answer of the store with the epoch in which it was given; undefined if the store names none. The store begins an
+ * epoch when it is restored from a copy.
+ */
+export type EpochAnswer<T> = { value: T, epoch: number | undefined }
+
+type EpochResult<T, E> = Promise<Result<EpochAnswer<T>, E>>
+
+type NoAnswer = TypedError<'noAnswer'>
+
+/** Store operations of the platform's adapter. Revisions and ids of leases are those of the store. */
+export type PlatformStore = {
+  list: (prefix: string, timeoutMs: number, options?: { staleOk: boolean }) => EpochResult<Listing, StoreError>
+  changes: (prefix: string, afterRevision: number, waitMs: number, timeoutMs: number)
+  => EpochResult<Changes, StoreError>
+  get: (key: string, timeoutMs: number) => EpochResult<StoredEntry | undefined, NoAnswer>
+  compareAndSwap: (swap: Swap, timeoutMs: number) => EpochResult<SwapResult, NoAnswer>
+  grantLease: (ttlMs: number, timeoutMs: number) => EpochResult<number, NoAnswer>
+  keepAlive: (leaseId: number, timeoutMs: number) => EpochResult<boolean, NoAnswer>
+  revokeLease: (leaseId: number, timeoutMs: number) => EpochResult<boolean, NoAnswer>
+  close: () => void
+}
+
+/** Store operations. Revisions and ids of leases are combined with the epoch, see `store-revision.ts`. */
 export type SharedStore = Pick<Platform, 'get' | 'compareAndSwap' | 'grantLease' | 'keepAlive' | 'revokeLease'> & {
   /** `staleOk`: the entries may be older than the store's, and changes after `revision` may be missing. */
   list: (prefix: string, timeoutMs: number, options?: { staleOk: boolean }) => Promise<Result<Listing, StoreError>>
--- a/packages/gateway/src/coordination/store/store-follower.ts
+++ b/packages/gateway/src/coordination/store/store-follower.ts
@@ -7,6 +7,7 @@
 import { events } from '../../events.js'
 import type { AgeClock, Contact } from '../../state/contact.js'
 import type { FleetState } from '../../state/fleet-state.js'
+import { epochOf, withinEpoch } from '../../state/store-revision.js'
 import type { StoreHistory } from '../../state/store-history.js'
 import type { SharedStore, StoreError } from './shared-store.js'
 import { storeReplyTimeoutMs } from './store-sources.js'
@@ -40,6 +41,19 @@
     log(connected ? events.storeRegained : events.storeLost, { reason, confirmedAgeMs: Math.round(contact.ageMs()) })
   }
 
+  /** The last revision that was applied; 0 before the first one. */
+  let appliedRevision = 0
+
+  const recordRevision = (revision: number) => {
+    const [epochBefore, epoch] = [epochOf(appliedRevision), epochOf(revision)]
+    if (appliedRevision > 0 && epoch > epochBefore) {
+      log(events.storeRestored, {
+        epoch, epochBefore, revision: withinEpoch(revision), revisionBefore: withinEpoch(appliedRevision)
+      })
+    }
+    appliedRevision = revision
+  }
+
   const listAll = async (): Promise<number | undefined> => {
     const requestedAt = clock.now()
     const listing = await store.list('', storeReplyTimeoutMs)
@@ -48,6 +62,7 @@
       return undefined
     }
     const { entries, revision } = listing.val
+    recordRevision(revision)
     fleetState.replaceAll(entries)
     recordConnection(true, 'listed')
     contact.confirm(requestedAt)
@@ -56,6 +71,7 @@
   }
 
   const applyState = ({ entries, revision, confirmed }: ConfirmedChanges): number => {
+    recordRevision(revision)
     fleetState.replaceAll(entries, revision)
     recordConnection(true, 'state from a peer')
     contact.confirm(confirmed)
@@ -65,6 +81,7 @@
   }
 
   const applyUpdate = (update: ConfirmedChanges) => {
+    recordRevision(update.revision)
     for (const entry of update.entries) fleetState.apply(entry)
     recordConnection(true, 'watching')
     contact.confirm(update.confirmed)
--- a/packages/gateway/src/coordination/store/store-sources.ts
+++ b/packages/gateway/src/coordination/store/store-sources.ts
@@ -8,6 +8,7 @@
 import { events } from '../../events.js'
 import type { AgeClock, Contact, ClockReading } from '../../state/contact.js'
 import type { ReceivedEntry } from '../../state/store-history.js'
+import { epochOf } from '../../state/store-revision.js'
 import type { Member } from '../../state/stored-records.js'
 import type { Election } from '../membership/election.js'
 import type { RelayCalls } from '../routing/relay-calls.js'
@@ -125,10 +126,14 @@
     // A gateway that reaches the store keeps calling it until a better-ranked one reaches the store too.
     const mustBeDirect = reachesStore
     const waitMs = mustBeDirect || after === 0 ? 0 : followWaitMs
-    const request = { followStore: { afterRevision: after, waitMs, maxAgeMs: followWaitMs, acceptsState: true } }
-    const reply = await relay.call(peer, request, waitMs + peerReplyMarginMs)
+    const followStore = {
+      afterRevision: after, waitMs, maxAgeMs: followWaitMs, acceptsState: true, combinesEpochs: true
+    }
+    const reply = await relay.call(peer, { followStore }, waitMs + peerReplyMarginMs)
     const update = reply.ok ? reply.val.storeNews : undefined
-    const hasAll = update?.complete || (update?.wholeState && update.revision >= after)
+    // Changes from a peer that does not know the epoch of this gateway's state, or combines no epochs, are not all.
+    const isSameEpoch = epochOf(update?.revision ?? 0) === epochOf(after)
+    const hasAll = (update?.complete && isSameEpoch) || (update?.wholeState && update.revision >= after)
     const isUseful = hasAll && update.confirmed && update.ageMs <= followWaitMs
     // While this gateway calls the store, each of its calls is followed by a request that is answered at once.
     if (!isUseful && !(waitMs === 0 && reply.ok)) avoid(peer)
--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -19,6 +19,8 @@
     'The platform\'s store answers again.'),
   historyMissed: defineEvent(7012, 'historyMissed',
     'Changes of the store were missed; the gateway reads the whole store again.'),
+  storeRestored: defineEvent(7027, 'storeRestored',
+    'The store was restored from a copy, and changes since are gone; names its epoch and revision now and before.'),
   storeSourceChanged: defineEvent(7018, 'storeSourceChanged',
     'The gateway now receives store changes from the named gateway of its data centre, or from the store itself.'),
   storeStateFromPeer: defineEvent(7026, 'storeStateFromPeer',
--- a/packages/gateway/src/gateway-types.ts
+++ b/packages/gateway/src/gateway-types.ts
@@ -10,7 +10,7 @@
 import type { Session } from './coordination/sessions/session.js'
 import type { UsageSettings } from './coordination/usage/usage-reporter.js'
 import type { ReportUsage } from './coordination/usage/usage-sender.js'
-import type { SharedStore } from './coordination/store/shared-store.js'
+import type { PlatformStore } from './coordination/store/shared-store.js'
 import type { GatewayMetrics } from './gateway-metrics.js'
 import type { ByteAccount } from './state/byte-account.js'
 import type { DecodePlatformEntry } from './state/fleet-state.js'
@@ -40,7 +40,7 @@
 
 /** Services of the platform that the gateway calls, implemented by the platform's adapter. */
 export type GatewayPlatform = {
-  store: SharedStore
+  store: PlatformStore
   connect: ConnectDatabase
   promote: PromoteDatabase
   decodeEntry: DecodePlatformEntry
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -30,6 +30,7 @@
 import { createStateBudget, maxSharedStateBytes } from './coordination/sessions/session-state.js'
 import { createStatementRouter } from './coordination/routing/statement-router.js'
 import { createObservedStore } from './coordination/store/observed-store.js'
+import { createRestorableStore } from './coordination/store/restorable-store.js'
 import { createStoreBackoff } from './coordination/store/store-backoff.js'
 import { readStartState } from './coordination/store/start-state.js'
 import { followStore } from './coordination/store/store-follower.js'
@@ -62,7 +63,7 @@
   settings: GatewaySettings, platform: GatewayPlatform, log: Logger
 ): Promise<Gateway> => {
   const storeBackoff = createStoreBackoff()
-  const store = createObservedStore(platform.store, {
+  const store = createObservedStore(createRestorableStore(platform.store), {
     backoff: storeBackoff, count: (call, result) => metrics.storeCalls.inc({ call, result })
   })
   const connect = connectSafely(platform.connect)
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -9,7 +9,10 @@
 export { maxEntryBytes } from './coordination/sessions/session-state.js'
 export type { UsageSettings } from './coordination/usage/usage-reporter.js'
 export type { ReportUsage, UsageReport } from './coordination/usage/usage-sender.js'
-export type { Changes, Listing, SharedStore, StoreError } from './coordination/store/shared-store.js'
+export { createRestorableStore } from './coordination/store/restorable-store.js'
+export type {
+  Changes, EpochAnswer, Listing, PlatformStore, SharedStore, StoreError
+} from './coordination/store/shared-store.js'
 export { events } from './events.js'
 export { startGateway } from './gateway.js'
 export type { Gateway, GatewayPlatform, GatewaySettings } from './gateway-types.js'
@@ -18,5 +21,8 @@
 export type { Configuration, Database, Group, Route, RouteKind, Workspace } from './state/configuration.js'
 export type { DecodePlatformEntry, LeftOutName, PlatformEntry } from './state/fleet-state.js'
 export { isPosition } from './state/position.js'
+export {
+  combineRevision, epochOf, isRevisionWithinEpoch, maxEpoch, unusedRevision, withinEpoch
+} from './state/store-revision.js'
 export type { Capacity } from './state/stored-records.js'
 export { recordPrefixes } from './state/stored-records.js'
--- a/packages/gateway/src/state/fleet-state.ts
+++ b/packages/gateway/src/state/fleet-state.ts
@@ -10,6 +10,7 @@
   decodeGroupRecord, decodeLimitRecord, decodeMember, decodeUsageRecord, recordPrefixes, usageKey
 } from './stored-records.js'
 import type { GroupRecord, LimitRecord, Member, UsageRecord } from './stored-records.js'
+import { epochOf } from './store-revision.js'
 
 /** A workspace or group that the configuration names but that cannot be used, and why. */
 export type LeftOutName = { kind: 'workspace' | 'group', name: string, message: string }
@@ -49,6 +50,10 @@
   limitRecord: (shard: number) => LimitRecord | undefined
   usageRecord: () => Versioned<UsageRecord> | undefined
   apply: (entry: StoredEntry) => void
+  /** Epoch of the store of which this gateway has applied an entry. */
+  epoch: () => number
+  /** Time since this gateway learned of the epoch; Infinity in the epoch of a store that names none. */
+  epochAgeMs: () => number
   /** Revision of the last change of a key that was applied; 0 if there is none or the key was deleted. */
   revisionOf: (key: string) => number
   /** Applies a complete listing; entries that it lacks are removed, unless they are newer than `revision`. */
@@ -70,6 +75,14 @@
   const limits = new Map<string, LimitRecord>()
   let usageRecord: Versioned<UsageRecord> | undefined
   const listeners: Array<(group: string) => void> = []
+  let epoch = 0
+  let epochSinceMs = -Infinity
+
+  const recordEpoch = (revision: number) => {
+    if (epochOf(revision) <= epoch) return
+    epoch = epochOf(revision)
+    epochSinceMs = performance.now()
+  }
 
   const applyGatewayRecord = ({ key, value, deleted, revision }: StoredEntry): boolean => {
     const put = <K, T>(map: Map<K, T>, id: K, record: T | undefined) => {
@@ -166,6 +179,7 @@
   }
 
   const apply = (entry: StoredEntry) => {
+    recordEpoch(entry.revision)
     if ((revisions.get(entry.key) ?? 0) >= entry.revision) return
     if (entry.deleted) revisions.delete(entry.key)
     else revisions.set(entry.key, entry.revision)
@@ -192,6 +206,8 @@
     group: name => groups.get(name),
     limitRecord: shard => limits.get(String(shard)),
     usageRecord: () => usageRecord,
+    epoch: () => epoch,
+    epochAgeMs: () => performance.now() - epochSinceMs,
     revisionOf: key => revisions.get(key) ?? 0,
     apply,
     replaceAll,
--- a/packages/gateway/src/state/store-history.ts
+++ b/packages/gateway/src/state/store-history.ts
@@ -36,6 +36,8 @@
   statePart: (after: string, maxBytes: number) => StatePart | undefined
   /** The changes after the revision; undefined when some of them are no longer kept. */
   changesSince: (revision: number) => { entries: KeptEntry[], revision: number } | undefined
+  /** Revision up to which changes were recorded; 0 before the first listing. */
+  revision: () => number
   /** Resolves all pending waits for a change. */
   wakeWaiters: () => void
   /** Resolves on the next change, listing or `wakeWaiters` call, or after the timeout. */
@@ -156,6 +158,7 @@
       const entries = [...newest.byKey.values()].filter(entry => entry.revision > revision)
       return { entries, revision: lastRevision }
     },
+    revision: () => lastRevision,
     wakeWaiters,
     waitForChange: timeoutMs => new Promise(resolve => {
       const resume = () => {
--- /dev/null
+++ b/packages/gateway/src/state/store-revision.ts
@@ -0,0 +1,31 @@
+/**
+ * Revisions of the platform's store over its whole life.
+ *
+ * A store that is restored from a copy continues from the copy's revision: what was written since is gone, and the
+ * revisions of that time are given out again for other changes. It reports the restore as a higher epoch. A revision in
+ * the gateway is one number made of both, so that any revision of a later epoch is greater than all earlier ones:
+ * comparisons, fencing tokens and positions in the history of changes hold through a restore. Ids of leases are given
+ * out again as well, and are combined with the epoch in the same way. Epoch 0 is that of a store that reports none.
+ */
+
+/** Revisions of one epoch are below this. */
+const revisionsPerEpoch = 2 ** 36
+
+/** Highest epoch whose revisions are exact numbers. */
+export const maxEpoch = Math.floor(Number.MAX_SAFE_INTEGER / revisionsPerEpoch) - 1
+
+/** A revision that the store gives to no change; a write on the condition of it is always refused. */
+export const unusedRevision = revisionsPerEpoch
+
+/** True if the store's number can be combined with an epoch. */
+export const isRevisionWithinEpoch = (revision: number): boolean =>
+  Number.isSafeInteger(revision) && revision >= 0 && revision < revisionsPerEpoch
+
+/** Combines an epoch and a number that the store has given out in it. */
+export const combineRevision = (epoch: number, withinEpoch: number): number => epoch * revisionsPerEpoch + withinEpoch
+
+/** Epoch of a combined revision or lease id. */
+export const epochOf = (revision: number): number => Math.floor(revision / revisionsPerEpoch)
+
+/** The store's own number of a combined revision or lease id. */
+export const withinEpoch = (revision: number): number => revision % revisionsPerEpoch
--- a/packages/gateway/src/state/stored-records.ts
+++ b/packages/gateway/src/state/stored-records.ts
@@ -67,7 +67,12 @@
   /** NAME/INCARNATION of the gateway that is changing the primary. */
   keeper: z.string(),
   /** Databases that may hold confirmed commits; recorded for groups with synchronous replicas. */
-  copies: z.array(logCopySchema).default([])
+  copies: z.array(logCopySchema).default([]),
+  /**
+   * Epoch of the store in which the primary was compared with what the databases say. In a later one the record may be
+   * older than the last change of the primary.
+   */
+  epoch: z.number().default(0)
 })
 
 /** The current primary of a group and the gateways that are permitted to use it. */
--- a/packages/gateway/src/testing/memory-store.ts
+++ b/packages/gateway/src/testing/memory-store.ts
@@ -2,18 +2,22 @@
  * An in-memory shared store with faults, for tests.
  */
 import { Err, Ok, sleepMs, typedError } from '@egretyoke/common'
+import type { Result, TypedError } from '@egretyoke/common'
 import { createPlatformStore } from '@egretyoke/standins'
 import type { StoreEntry } from '@egretyoke/standins'
-import type { SharedStore } from '../coordination/store/shared-store.js'
+import type { EpochAnswer, PlatformStore } from '../coordination/store/shared-store.js'
 
 /** How the store handles calls: `silent` neither runs nor answers them, `lost` runs them without answering. */
 export type StoreMode = 'serving' | 'silent' | 'refusing' | 'lost'
 
 /** One gateway's client of the store. */
-export type MemoryClient = SharedStore & {
+export type MemoryClient = PlatformStore & {
   setMode: (mode: StoreMode) => void, watchCalls: () => number, calls: () => number
 }
 
+/** Entries of a store at a moment, without those that are bound to leases. */
+export type StoreCopy = { entries: readonly StoreEntry[] }
+
 /** A store that all gateways of a test share. */
 export type MemoryStore = {
   /** Creates a client with a fault mode of its own. */
@@ -23,13 +27,19 @@
   read: (key: string) => unknown
   /** Discards all changes up to now: watches from an earlier revision fail with `historyGone`. */
   compact: () => void
+  copy: () => StoreCopy
+  /** Continues from the copy in a new epoch: revisions and leases since are gone, and are given out again. */
+  restore: (copy: StoreCopy) => void
 }
 
+type NoAnswer = TypedError<'noAnswer'>
+
 const noAnswer = () => Err(typedError('noAnswer' as const, 'no answer'))
 
-/** Creates an empty store. */
-export const createMemoryStore = (): MemoryStore => {
-  const store = createPlatformStore()
+/** Creates an empty store; without an epoch it names none before it is restored. */
+export const createMemoryStore = (firstEpoch: number | undefined = 1): MemoryStore => {
+  let store = createPlatformStore()
+  let epoch = firstEpoch
   let compactedRevision = 0
 
   const put = (key: string, value: unknown) => {
@@ -50,7 +60,7 @@
     let watchCalls = 0
     let calls = 0
 
-    const call = async <T>(run: () => T, timeoutMs: number) => {
+    const call = async <T>(run: () => T, timeoutMs: number): Promise<Result<EpochAnswer<T>, NoAnswer>> => {
       calls++
       await sleepMs(1)
       if (mode === 'refusing') return noAnswer()
@@ -58,7 +68,7 @@
       if (mode === 'silent') return noAnswer()
       const result = run()
       if (mode === 'lost') await sleepMs(timeoutMs)
-      return mode === 'lost' ? noAnswer() : Ok(result)
+      return mode === 'lost' ? noAnswer() : Ok({ value: result, epoch })
     }
 
     const waitForChange = (afterRevision: number, waitMs: number) => new Promise<void>(resolve => {
@@ -72,7 +82,7 @@
       const stopListening = store.subscribe(finish)
     })
 
-    const changes: SharedStore['changes'] = async (prefix, afterRevision, waitMs, timeoutMs) => {
+    const changes: PlatformStore['changes'] = async (prefix, afterRevision, waitMs, timeoutMs) => {
       watchCalls++
       if (mode === 'serving') await waitForChange(afterRevision, waitMs)
       if (afterRevision < compactedRevision) calls++
@@ -92,7 +102,7 @@
       changes,
       get: async (key: string, timeoutMs: number) => await call(() => store.get(key), timeoutMs),
       compareAndSwap: async (
-        swap: Parameters<SharedStore['compareAndSwap']>[0], timeoutMs: number
+        swap: Parameters<PlatformStore['compareAndSwap']>[0], timeoutMs: number
       ) => await call(() => {
         const { key, expectedRevision, value, delete: isDelete = false, leaseId = 0 } = swap
         const outcome = store.compareAndSwap({ key, expectedRevision, value, delete: isDelete, leaseId })
@@ -116,6 +126,15 @@
       const entry = store.get(key)
       return entry === undefined ? undefined : JSON.parse(entry.value.toString('utf8'))
     },
-    compact: () => { compactedRevision = store.revision() }
+    compact: () => { compactedRevision = store.revision() },
+    copy: () => ({ entries: store.range('', 0).filter(({ deleted, leaseId }) => !deleted && leaseId === 0) }),
+    restore: ({ entries }) => {
+      store = createPlatformStore()
+      epoch = (epoch ?? 0) + 1
+      compactedRevision = 0
+      for (const { key, value } of entries) {
+        store.compareAndSwap({ key, expectedRevision: 0, value, delete: false, leaseId: 0 })
+      }
+    }
   }
 }
