Primaries: promotions are a module, and proofs hold for records of before

A newcomer's reading of the changes to primaries found three gaps.

With synchronous replicas, a record of before a restore may name a primary that lacks confirmed commits, although it is the newest that answers. A database is now promoted on such a record only if so many answer that one of them has each confirmed commit.

A failover call without an answer let the newest primary among those that answered be recorded after a second, also while others were silent. Now all databases of the group must answer in that case.

A gateway of an earlier version drops the epoch when it changes a group's record, so that in a rolling update on a store that names its epochs each such change would have made the record count no more. While the fleet has such gateways, a record without an epoch counts as before.

The promotion with its wait is a module of its own, and the choice among the databases one function.

--- a/packages/gateway/src/coordination/primaries/group-records.test.ts
+++ b/packages/gateway/src/coordination/primaries/group-records.test.ts
@@ -5,9 +5,10 @@
 import test from 'ava'
 import { createAgeClock, createContact } from '../../state/contact.js'
 import type { FleetState } from '../../state/fleet-state.js'
-import type { GroupRecord } from '../../state/stored-records.js'
+import type { GroupRecord, Member } from '../../state/stored-records.js'
+import { combineRevision } from '../../state/store-revision.js'
 import type { SharedStore } from '../store/shared-store.js'
-import { createGroupRecords } from './group-records.js'
+import { createGroupRecords, isConfirmed } from './group-records.js'
 
 const record: GroupRecord = {
   primary: 'db-1', term: 1, phase: 'serving', users: [], keeper: 'vm-1/a', copies: [], epoch: 0
@@ -52,3 +53,16 @@
   state.record = { ...record, phase: 'changing' }
   t.is(records.whyNoUse('bookings', 'db-1'), 'notPrimary')
 })
+
+// Guards against a rolling update in which each change by an earlier version makes the record count no more.
+test('a record without an epoch counts only while the fleet has gateways of an earlier version', t => {
+  const revision = combineRevision(2, 7)
+  const versioned = (epoch: number | undefined) => ({ record: { ...record, epoch }, revision, knownSinceMs: 0 })
+  const fleetOf = (...storesEpochs: Array<true | undefined>) => ({
+    members: () => new Map(storesEpochs.map((value, index) => [`vm-${index}`, { storesEpochs: value } as Member]))
+  })
+  t.true(isConfirmed(versioned(2), fleetOf(true)))
+  t.false(isConfirmed(versioned(1), fleetOf(true, undefined)))
+  t.true(isConfirmed(versioned(undefined), fleetOf(true, undefined)))
+  t.false(isConfirmed(versioned(undefined), fleetOf(true, true)))
+})
--- a/packages/gateway/src/coordination/primaries/group-records.ts
+++ b/packages/gateway/src/coordination/primaries/group-records.ts
@@ -76,8 +76,16 @@
   return fleetState.members().get(name)?.incarnation === incarnation
 })
 
-/** False if the store was restored since the record was compared with what the databases say. */
-export const isConfirmed = ({ record, revision }: Versioned<GroupRecord>): boolean => record.epoch === epochOf(revision)
+/**
+ * False if the store was restored since the record was compared with what the databases say. While the fleet has
+ * gateways of an earlier version, which drop the epoch when they change a record, one without it counts.
+ */
+export const isConfirmed = (
+  { record, revision }: Versioned<GroupRecord>, { members }: Pick<FleetState, 'members'>
+): boolean => {
+  if ((record.epoch ?? 0) === epochOf(revision)) return true
+  return record.epoch === undefined && [...members().values()].some(({ storesEpochs }) => storesEpochs !== true)
+}
 
 /** Creates the access to the group records for one process. */
 export const createGroupRecords = (
@@ -100,8 +108,9 @@
 
   const isActivePrimary = (group: string, database: string) => {
     const versioned = fleetState.group(group)
-    return versioned?.record.phase === 'serving' && versioned.record.primary === database && isConfirmed(versioned) &&
-      versioned.revision > (stoppedRevisions.get(group) ?? 0) && !isContradicted(group)
+    if (versioned?.record.phase !== 'serving' || versioned.record.primary !== database) return false
+    const isStopped = versioned.revision <= (stoppedRevisions.get(group) ?? 0)
+    return !isStopped && isConfirmed(versioned, fleetState) && !isContradicted(group)
   }
 
   const observe: GroupRecords['observe'] = ({ id, group }, evidence, sentAtMs) => {
--- a/packages/gateway/src/coordination/primaries/primary-change.ts
+++ b/packages/gateway/src/coordination/primaries/primary-change.ts
@@ -12,7 +12,7 @@
  * once more before it is recorded: that changes nothing at the newest primary, and gives any other one a newer term.
  */
 import { sleepMs } from '@egretyoke/common'
-import type { Logger, Result, TypedError } from '@egretyoke/common'
+import type { Logger } from '@egretyoke/common'
 import { events } from '../../events.js'
 import type { Contact } from '../../state/contact.js'
 import type { FleetState, Versioned } from '../../state/fleet-state.js'
@@ -26,15 +26,12 @@
 import { newestPrimary, newestTermOf } from './primary-evidence.js'
 import type { Candidate } from './primary-evidence.js'
 import { createPrimaryUsers } from './primary-users.js'
+import { promoteAndWait, promoteTimeoutMs, promotionEffectMs } from './promotion.js'
+import type { PromoteDatabase } from './promotion.js'
 import { pollDatabases, statusOf } from './status-poll.js'
 import { createSuccessorChoice } from './successor-choice.js'
 import type { RelayCalls } from '../routing/relay-calls.js'
 
-/** Requests the promotion of a database from the platform. `declined`: the database is not running. */
-export type PromoteDatabase = (
-  group: string, database: string, fence: number, timeoutMs: number
-) => Promise<Result<void, TypedError<'declined' | 'refused' | 'noAnswer'>>>
-
 /** Dependencies of a primary change. */
 export type PrimaryChangeOptions = {
   /** NAME/INCARNATION of this process. */
@@ -58,13 +55,8 @@
 
 const controlTimeoutMs = 350
 const failedPrimaryTimeoutMs = 120
-const promoteTimeoutMs = 900
 /** Time for a successor to receive the log up to the old primary's last position. */
 const catchUpTimeoutMs = 600
-/** Time for a database to report the primary role after its promotion was requested. */
-const becomePrimaryTimeoutMs = 3000
-/** A promotion takes effect within this time after its call has ended. */
-const promotionEffectMs = 1000
 const pollMs = 50
 const attemptIntervalMs = 150
 /** A change that has not completed within this time is abandoned; the next check of the group starts again. */
@@ -80,7 +72,7 @@
 export const changePrimary = async (
   options: PrimaryChangeOptions, group: string, current: Versioned<GroupRecord>, reason: ChangeReason
 ): Promise<boolean> => {
-  const { self, fleetState, records, contact, control, relay, promote, log } = options
+  const { self, fleetState, records, contact, control, relay, log } = options
   const oldRecord = current.record
   const isPlanned = reason === 'draining' || reason === 'evacuated'
   const mayHaveUnknownPromotions = reasonsWithUnknownPromotions.has(reason)
@@ -106,27 +98,6 @@
     }
   }
 
-  /**
-   * Waits until the database leads a term after `newestTerm`. One that already led it when its promotion was requested
-   * keeps its term if it is the newest primary; `unchangedAfterMs` is the time after which that is certain.
-   */
-  const waitUntilPrimary = async (
-    { database, status }: Candidate, newestTerm: number, unchangedAfterMs: number
-  ): Promise<Candidate | undefined> => {
-    const requestedAtMs = performance.now()
-    const hasLed = status.role === 'primary' && status.term === newestTerm
-    while (performance.now() - requestedAtMs < becomePrimaryTimeoutMs) {
-      const candidate = await statusOf(control, database, controlTimeoutMs)
-      if (candidate?.status.role === 'primary') {
-        const { term } = candidate.status
-        const isUnchanged = hasLed && performance.now() - requestedAtMs >= unchangedAfterMs
-        if (term > newestTerm || (term === newestTerm && isUnchanged)) return candidate
-      }
-      await sleepMs(pollMs)
-    }
-    return undefined
-  }
-
   /** True if no other gateway can take the change over before a call for a promotion has ended. */
   const ownsChange = (revision: number) => fleetState.group(group)?.revision === revision &&
     contact.ageMs() < promoteContactMs && options.isLeaseHeld(promoteTimeoutMs)
@@ -149,47 +120,54 @@
     return true
   }
 
-  /** Requests the promotion and waits until it has taken effect. */
-  const promoteAndWait = async (
-    chosen: Candidate, newestTerm: number, revision: number
-  ): Promise<Candidate | undefined> => {
-    const isUnchangedCertain = !mayHaveUnknownPromotions && requested === undefined
-    const promotion = await promote(group, chosen.database.id, revision, promoteTimeoutMs)
-    log(events.promotionAsked, {
-      group,
-      database: chosen.database.id,
-      fence: revision,
-      received: chosen.status.receivedPosition,
-      outcome: promotion.ok ? 'accepted' : promotion.val.reason
-    })
-    if (promotion.err && promotion.val.reason !== 'noAnswer') return undefined
-    requested = chosen.database.id
-    return await waitUntilPrimary(chosen, newestTerm, isUnchangedCertain ? 0 : promotionEffectMs)
+  /** The database to be promoted, in the order of preference; one that may lack confirmed commits is left out. */
+  const choose = async (candidates: readonly Candidate[], newestTerm: number): Promise<Candidate | undefined> => {
+    const hasEveryCommit = (candidate: Candidate) =>
+      isConfirmed(current, fleetState) || successors.hasEveryCommit(candidate, candidates)
+    const leading = newestPrimary(candidates, Math.max(firstTerm, newestTerm))
+    const replacement = newestTerm === oldRecord.term ? successors.atPrimaryAddress(candidates) : undefined
+    const successor = leading === undefined && replacement === undefined
+      ? await successors.proved(candidates)
+      : undefined
+    return [leading, replacement, successor, healthyFormer(candidates, newestTerm)]
+      .find(candidate => candidate !== undefined && hasEveryCommit(candidate))
   }
 
-  /** The primary of the newest term, unless the store has lost records and its log may lack confirmed commits. */
-  const leadingPrimary = (candidates: readonly Candidate[], newestTerm: number): Candidate | undefined => {
-    const newest = newestPrimary(candidates, firstTerm)
-    if (newest?.status.term !== newestTerm) return undefined
-    return isConfirmed(current) || successors.hasEveryCommit(newest, candidates) ? newest : undefined
+  const healthyFormer = (candidates: readonly Candidate[], newestTerm: number): Candidate | undefined =>
+    candidates.find(({ database, status }) =>
+      database.id === oldRecord.primary && status.role === 'primary' && status.term === newestTerm)
+
+  const promote = async (chosen: Candidate, newestTerm: number, haveAllAnswered: boolean, fence: number) => {
+    const isOnlyPromotion = !mayHaveUnknownPromotions && requested === undefined
+    const { isRequested, primary } = await promoteAndWait(options, {
+      group,
+      chosen,
+      newestTerm,
+      fence,
+      unchangedAfterMs: isAnswered => {
+        if (isOnlyPromotion) return 0
+        // Without an answer, a silent database may be the primary of a newer term.
+        return isAnswered || haveAllAnswered ? promotionEffectMs : Infinity
+      }
+    })
+    if (isRequested) requested = chosen.database.id
+    return primary
   }
 
   const attempt = async (revision: number): Promise<boolean> => {
     const candidates = await poll()
     const newestTerm = newestTermOf(candidates, oldRecord.term)
-    const leading = leadingPrimary(candidates, newestTerm)
+    const leading = newestPrimary(candidates, Math.max(firstTerm, newestTerm))
     if (leading !== undefined && leading.database.id === requested) return await activatePrimary(leading, revision)
-    const former = candidates.find(({ database }) => database.id === oldRecord.primary)
-    const isFormerHealthy = former?.status.role === 'primary' && former.status.term === newestTerm
-    if (isFormerHealthy && reason === 'failed' && requested === undefined) {
+    const former = healthyFormer(candidates, newestTerm)
+    if (former !== undefined && reason === 'failed' && requested === undefined) {
       return await activatePrimary(former, revision)
     }
-    const replacement = newestTerm === oldRecord.term ? successors.atPrimaryAddress(candidates) : undefined
-    const chosen = leading ?? replacement ?? await successors.proved(candidates) ??
-      (isFormerHealthy ? former : undefined)
+    const chosen = await choose(candidates, newestTerm)
     if (chosen === undefined || !ownsChange(revision)) return false
-    const newPrimary = await promoteAndWait(chosen, newestTerm, revision)
-    return newPrimary !== undefined && await activatePrimary(newPrimary, revision)
+    const haveAllAnswered = candidates.length === fleetState.databasesOf(group).length
+    const primary = await promote(chosen, newestTerm, haveAllAnswered, revision)
+    return primary !== undefined && await activatePrimary(primary, revision)
   }
 
   if (isPlanned && await successors.proved(await poll()) === undefined) {
--- a/packages/gateway/src/gateway-types.ts
+++ b/packages/gateway/src/gateway-types.ts
@@ -4,7 +4,7 @@
 import type { ChannelSettings } from '@egretyoke/protocol'
 import type { Registry } from 'prom-client'
 import type { ConnectDatabase } from './coordination/connections/database-connection.js'
-import type { PromoteDatabase } from './coordination/primaries/primary-change.js'
+import type { PromoteDatabase } from './coordination/primaries/promotion.js'
 import type { DrainPhase } from './coordination/sessions/drain-schedule.js'
 import type { SessionError } from './coordination/sessions/session-messages.js'
 import type { Session } from './coordination/sessions/session.js'
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -76,7 +76,8 @@
     address: settings.relayAddress,
     incarnation,
     draining: false,
-    capacity: settings.capacity ?? {}
+    capacity: settings.capacity ?? {},
+    storesEpochs: true
   }
   const selfName = processName(self)
   const stopping = new AbortController()
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -2,7 +2,7 @@
  * The gateway and the interfaces that a platform's adapter implements.
  */
 export * from './coordination/connections/database-connection.js'
-export type { PromoteDatabase } from './coordination/primaries/primary-change.js'
+export type { PromoteDatabase } from './coordination/primaries/promotion.js'
 export type { DrainPhase } from './coordination/sessions/drain-schedule.js'
 export type { Session } from './coordination/sessions/session.js'
 export type { SessionError, SessionResponse, SessionStatement } from './coordination/sessions/session-messages.js'
--- a/packages/gateway/src/state/stored-records.ts
+++ b/packages/gateway/src/state/stored-records.ts
@@ -40,7 +40,9 @@
   incarnation: z.string(),
   draining: z.boolean(),
   /** Absent in the records of earlier versions only. */
-  capacity: capacitySchema.catch({}).optional()
+  capacity: capacitySchema.catch({}).optional(),
+  /** True if the gateway stores group records with their epoch; earlier versions do not. */
+  storesEpochs: z.boolean().optional().catch(undefined)
 })
 
 /** A running gateway. Its record is attached to its lease and deleted when the lease ends. */
@@ -70,9 +72,9 @@
   copies: z.array(logCopySchema).default([]),
   /**
    * Epoch of the store in which the primary was compared with what the databases say. In a later one the record may be
-   * older than the last change of the primary.
+   * older than the last change of the primary. Absent in the records of earlier versions, and after they changed one.
    */
-  epoch: z.number().default(0)
+  epoch: z.number().optional()
 })
 
 /** The current primary of a group and the gateways that are permitted to use it. */
--- a/packages/gateway/src/store-restored.test.ts
+++ b/packages/gateway/src/store-restored.test.ts
@@ -5,7 +5,7 @@
 import { sleepMs } from '@egretyoke/common'
 import test from 'ava'
 import {
-  closeMemoryFleets, openTestSession, read, startMemoryFleet, waitUntil, write
+  closeMemoryFleets, openTestSession, read, standardConfiguration, startMemoryFleet, waitUntil, write
 } from './testing/memory-fleet.js'
 import type { FleetGateway, MemoryFleet } from './testing/memory-fleet.js'
 import type { GroupRecord } from './state/stored-records.js'
@@ -115,14 +115,38 @@
   await fleet.close()
 })
 
+// Guards against the loss of confirmed commits that only silent databases have received.
+test('with synchronous replicas, a former primary is not recorded while others may have more commits', async t => {
+  const fleet = await startMemoryFleet(2, { ...standardConfiguration, syncReplicas: 1 })
+  await openTestSession(fleet.gateways[0], 'slots').send(write('1'))
+  await waitUntil(() => recordOf(fleet).copies.length === 3)
+  const copy = fleet.store.copy()
+  const former = fleet.group.databases.get('db-1')!
+  former.state = 'dark'
+  await waitUntil(() => recordOf(fleet).phase === 'serving' && recordOf(fleet).primary !== 'db-1')
+  const { primary } = recordOf(fleet)
+  await openTestSession(fleet.gateways[0], 'slots').send(write('2'))
+  const others = ['db-2', 'db-3'].map(id => fleet.group.databases.get(id)!)
+  for (const database of others) database.state = 'dark'
+  former.state = 'alive'
+  const promotions = fleet.group.fencingTokens.length
+  restore(fleet, copy)
+  await sleepMs(5500)
+  t.is(fleet.group.fencingTokens.length, promotions)
+  t.not(recordOf(fleet).epoch, 2)
+  for (const database of others) database.state = 'alive'
+  await waitUntil(isServing(fleet, primary, 2))
+  t.is(fleet.group.databases.get(primary)!.log.length, 2)
+  await fleet.close()
+})
+
 // Guards against a configuration whose revision is below the one that was known before the restore.
 test('a configuration that is written after a restore applies, and an older one in the copy does not', async t => {
   const fleet = await startMemoryFleet(1)
   const copy = fleet.store.copy()
   for (let version = 0; version < 30; version++) fleet.configure({})
   const [only] = fleet.gateways
-  const keys = fleet.configure
-  keys({ workspaces: [] })
+  fleet.configure({ workspaces: [] })
   await waitUntil(() => only.gateway.openSession('slots', 'key-a') === 'keyUnknown')
   restore(fleet, copy)
   await waitUntil(() => fleet.events.some(({ name }) => name === 'storeRestored'))
--- a/packages/gateway/src/testing/memory-group.ts
+++ b/packages/gateway/src/testing/memory-group.ts
@@ -6,7 +6,7 @@
 import type {
   ConnectDatabase, DatabaseCommand, DatabaseConnection, ControlCommand, DatabaseReply, DeclineReason
 } from '../coordination/connections/database-connection.js'
-import type { PromoteDatabase } from '../coordination/primaries/primary-change.js'
+import type { PromoteDatabase } from '../coordination/primaries/promotion.js'
 import type { Database } from '../state/configuration.js'
 import { comparePositions } from '../state/position.js'
 
