--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -2,7 +2,7 @@
  * The gateway: serves callers' sessions, holds connections to databases for itself and for other gateways, and shares
  * in enforcing rate limits and monitoring primaries. State that must survive the process is in the platform's store.
  */
-import { createRegistry, sleepMs, sleepUntilTick } from '@egretyoke/common'
+import { createRegistry, sleepUntilTick } from '@egretyoke/common'
 import type { Logger } from '@egretyoke/common'
 import { listenGrpc } from '@egretyoke/protocol'
 import { nanoid } from 'nanoid'
@@ -21,6 +21,7 @@
 import { createTokenAllocator } from './coordination/limits/token-allocator.js'
 import { createTokenRequests } from './coordination/limits/token-requests.js'
 import { createMembership } from './coordination/membership/membership.js'
+import { createReadiness, maxReadyContactAgeMs } from './coordination/membership/readiness.js'
 import { createPositionQuery } from './coordination/routing/position-query.js'
 import { createRelayHandler, readPrimaryPosition } from './coordination/routing/relay-handler.js'
 import { limitRelayedBytes } from './coordination/routing/relayed-bytes.js'
@@ -48,13 +49,7 @@
 import type { Member } from './state/stored-records.js'
 import { addRelayService, createRelayLinks } from './transport/relay-links.js'
 
-/** Subtracted from `keyWithdrawalMs` to cover the time in which an admitted statement is still on its way. */
-const keyWithdrawalMarginMs = 900
-/** If its last contact with the store is older, a gateway is not ready and leaves connections to other holders. */
-const maxReadyContactAgeMs = 2000
 const maintenanceIntervalMs = 1000
-const readinessIntervalMs = 200
-const stateLoadedPollMs = 10
 /** Fraction of the grace period in which other gateways may still finish their transactions here. */
 const heldTransactionsFraction = 0.6
 
@@ -84,8 +79,6 @@
   const { signal } = stopping
   let { keyWithdrawalMs, graceMs } = settings
   let drainingSinceMs: number | undefined
-  let hasBeenReady = false
-  let lastReadyMs = 0
   let sessionCount = 0
   let sessionNumber = 0
   const account = settings.account ?? createByteAccount({
@@ -101,6 +94,14 @@
   const fleetState = createFleetState(platform.decodeEntry, log)
   const history = createStoreHistory()
   const membership = createMembership(self, store, clock, log, storeBackoff)
+  const readiness = createReadiness({
+    contact,
+    fleetState,
+    membership,
+    keyWithdrawalMs: () => keyWithdrawalMs,
+    isDraining: () => drainingSinceMs !== undefined,
+    log
+  })
   const memberCount = () => fleetState.members().size
   const links = createRelayLinks(
     settings.channels, memberCount, log, event => metrics.linkEvents.inc({ event })
@@ -251,7 +252,7 @@
     usage,
     isDirect: sources.isDirect,
     isStoreDue: () => storeBackoff.delayMs('contact') === 0,
-    isReady: () => isReady()
+    isReady: readiness.isReady
   })
   const listener = await listenGrpc(
     settings.relayAddress, { channels: settings.channels }, server => addRelayService(server, handle, log)
@@ -269,30 +270,6 @@
     heldBytes: account.heldBytes
   })
 
-  const hasCurrentKeys = () => contact.ageMs() < keyWithdrawalMs - keyWithdrawalMarginMs
-  const isStateLoaded = () => hasCurrentKeys() && fleetState.configuration() !== undefined
-  const isReady = () => drainingSinceMs === undefined && isStateLoaded() && contact.ageMs() < maxReadyContactAgeMs &&
-    membership.leaseId() !== undefined
-
-  const watchReadiness = async () => {
-    let wasReady: boolean | undefined
-    while (!signal.aborted) {
-      if (isReady()) lastReadyMs = performance.now()
-      if (isReady() !== wasReady) {
-        wasReady = isReady()
-        hasBeenReady ||= wasReady
-        const configuration = fleetState.configuration()?.version
-        log(events.gatewayReady, {
-          ready: wasReady,
-          draining: drainingSinceMs !== undefined,
-          contactAgeMs: Math.round(contact.ageMs()),
-          configuration
-        })
-      }
-      await sleepUntilTick(readinessIntervalMs, signal)
-    }
-  }
-
   const runMaintenance = async () => {
     while (!signal.aborted) {
       holders.closeObsolete()
@@ -319,7 +296,7 @@
     tokenAllocator.run(signal),
     groupMonitor.run(signal),
     usage?.run(signal),
-    watchReadiness(),
+    readiness.run(signal),
     runMaintenance()
   ]
   log(events.gatewayStarted, {
@@ -352,21 +329,17 @@
       database,
       key,
       configuration: fleetState.configuration,
-      hasCurrentKeys,
+      hasCurrentKeys: readiness.hasCurrentKeys,
       startsNewWork: acceptsNewWork,
       admission,
       router,
       stateBudget: createStateBudget(part),
       log
     }),
-    whenStateLoaded: async timeoutMs => {
-      const deadlineMs = performance.now() + timeoutMs
-      while (!hasBeenReady && !isStateLoaded() && performance.now() < deadlineMs) await sleepMs(stateLoadedPollMs)
-    },
-    isReady,
+    whenStateLoaded: readiness.whenStateLoaded,
+    isReady: readiness.isReady,
     drainPhase,
-    shouldCloseIdleSessions: () => hasBeenReady &&
-      performance.now() - lastReadyMs > balancerDetectionMs && links.isAnyReady(),
+    shouldCloseIdleSessions: () => readiness.hasCeased(balancerDetectionMs) && links.isAnyReady(),
     metrics,
     registry,
     setSessionCount: count => { sessionCount = count },
--- a/packages/gateway/src/primaries.test.ts
+++ b/packages/gateway/src/primaries.test.ts
@@ -182,15 +182,22 @@
   await fleet.close()
 })
 
-// Guards against a take-over that records an earlier promotion than the last one.
-test('of two promotions of an unfinished change, the last one is recorded', async t => {
+/** A fleet whose primary is dead; a gateway that has ended had db-2 promoted, and has not finished the change. */
+const startUnfinishedChange = async () => {
   const fleet = await startMemoryFleet(3)
   await openTestSession(fleet.gateways[0], 'slots').send(write('1'))
-  const record = recordOf(fleet)
   const [former, earlier, last] = ['db-1', 'db-2', 'db-3'].map(id => fleet.group.databases.get(id)!)
   former.state = 'dead'
   Object.assign(earlier, { role: 'primary', term: 2 })
-  fleet.store.put('egretyoke/group/bookings', { ...record, phase: 'changing', keeper: 'vm-gone/x' })
+  const takeOver = () =>
+    fleet.store.put('egretyoke/group/bookings', { ...recordOf(fleet), phase: 'changing', keeper: 'vm-gone/x' })
+  return { fleet, last, takeOver }
+}
+
+// Guards against a take-over that records an earlier promotion than the last one.
+test('of two promotions of an unfinished change, the last one is recorded', async t => {
+  const { fleet, last, takeOver } = await startUnfinishedChange()
+  takeOver()
   // The promotion that the gateway requested before it ended takes effect after the change was taken over.
   await sleepMs(300)
   Object.assign(last, { role: 'primary', term: 3 })
@@ -203,14 +210,9 @@
 
 // Guards against a primary of an earlier term that is recorded while the newest one does not answer.
 test('a primary that may not be the newest one is promoted again before it is recorded', async t => {
-  const fleet = await startMemoryFleet(3)
-  await openTestSession(fleet.gateways[0], 'slots').send(write('1'))
-  const record = recordOf(fleet)
-  const [former, earlier, last] = ['db-1', 'db-2', 'db-3'].map(id => fleet.group.databases.get(id)!)
-  former.state = 'dead'
-  Object.assign(earlier, { role: 'primary', term: 2 })
+  const { fleet, last, takeOver } = await startUnfinishedChange()
   Object.assign(last, { role: 'primary', term: 3, state: 'dark' })
-  fleet.store.put('egretyoke/group/bookings', { ...record, phase: 'changing', keeper: 'vm-gone/x' })
+  takeOver()
   await waitUntil(hasNewPrimary(fleet))
   t.like(recordOf(fleet), { primary: 'db-2', term: 4 })
   await fleet.close()
--- a/packages/gateway/src/store-restored.test.ts
+++ b/packages/gateway/src/store-restored.test.ts
@@ -42,15 +42,21 @@
   }
 }
 
-// Guards against writes that are confirmed at a former primary which a restored record names again.
-test('a former primary that a restored record names is not used, by old and new processes', async t => {
-  const fleet = await startMemoryFleet(2)
+/** A fleet with a copy of its store from before another primary took over from one that is in the given state now. */
+const startWithOldCopy = async (state: 'dark' | 'dead', stored = standardConfiguration) => {
+  const fleet = await startMemoryFleet(2, stored)
   await openTestSession(fleet.gateways[0], 'slots').send(write('1'))
+  if (stored.syncReplicas) await waitUntil(() => recordOf(fleet).copies.length === fleet.group.databases.size)
   const copy = fleet.store.copy()
   const former = fleet.group.databases.get('db-1')!
-  former.state = 'dark'
+  former.state = state
   await waitUntil(() => recordOf(fleet).phase === 'serving' && recordOf(fleet).primary !== 'db-1')
-  const { primary, term } = recordOf(fleet)
+  return { fleet, copy, former, ...recordOf(fleet) }
+}
+
+// Guards against writes that are confirmed at a former primary which a restored record names again.
+test('a former primary that a restored record names is not used, by old and new processes', async t => {
+  const { fleet, copy, former, primary, term } = await startWithOldCopy('dark')
   await openTestSession(fleet.gateways[0], 'slots').send(write('2'))
   former.state = 'alive'
   fleet.group.isReplicationPaused = true
@@ -74,13 +80,7 @@
 
 // Guards against old values on primary routes, read at a former primary that is a replica by now.
 test('reads on primary routes miss no commit after the restore of a record of a former primary', async t => {
-  const fleet = await startMemoryFleet(2)
-  await openTestSession(fleet.gateways[0], 'slots').send(write('1'))
-  const copy = fleet.store.copy()
-  const former = fleet.group.databases.get('db-1')!
-  former.state = 'dead'
-  await waitUntil(() => recordOf(fleet).phase === 'serving' && recordOf(fleet).primary !== 'db-1')
-  const { primary } = recordOf(fleet)
+  const { fleet, copy, former, primary } = await startWithOldCopy('dead')
   Object.assign(former, { state: 'alive', role: 'replica' })
   fleet.group.isReplicationPaused = true
   restore(fleet, copy)
@@ -101,12 +101,7 @@
 
 // Guards against a group without a primary after a crash that follows a restore.
 test('a primary that crashes after a restore is replaced', async t => {
-  const fleet = await startMemoryFleet(2)
-  await openTestSession(fleet.gateways[0], 'slots').send(write('1'))
-  const copy = fleet.store.copy()
-  fleet.group.databases.get('db-1')!.state = 'dead'
-  await waitUntil(() => recordOf(fleet).phase === 'serving' && recordOf(fleet).primary !== 'db-1')
-  const second = recordOf(fleet).primary
+  const { fleet, copy, primary: second } = await startWithOldCopy('dead')
   restore(fleet, copy)
   await sleepMs(300)
   fleet.group.databases.get(second)!.state = 'dead'
@@ -117,14 +112,8 @@
 
 // Guards against the loss of confirmed commits that only silent databases have received.
 test('with synchronous replicas, a former primary is not recorded while others may have more commits', async t => {
-  const fleet = await startMemoryFleet(2, { ...standardConfiguration, syncReplicas: 1 })
-  await openTestSession(fleet.gateways[0], 'slots').send(write('1'))
-  await waitUntil(() => recordOf(fleet).copies.length === 3)
-  const copy = fleet.store.copy()
-  const former = fleet.group.databases.get('db-1')!
-  former.state = 'dark'
-  await waitUntil(() => recordOf(fleet).phase === 'serving' && recordOf(fleet).primary !== 'db-1')
-  const { primary } = recordOf(fleet)
+  const { fleet, copy, former, primary } =
+    await startWithOldCopy('dark', { ...standardConfiguration, syncReplicas: 1 })
   await openTestSession(fleet.gateways[0], 'slots').send(write('2'))
   const others = ['db-2', 'db-3'].map(id => fleet.group.databases.get(id)!)
   for (const database of others) database.state = 'dark'
--- a/soak/src/soak-program.ts
+++ b/soak/src/soak-program.ts
@@ -15,6 +15,7 @@
   seconds: string
   gateways: string
   callers: string
+  restores: string
   regressions?: boolean
   quiet?: boolean
 }
@@ -34,6 +35,7 @@
     .option('--seconds <number>', 'duration of fault injection for each seed', '20')
     .option('--gateways <number>', 'number of gateways', '4')
     .option('--callers <number>', 'number of callers', '12')
+    .option('--restores <number>', 'restores of the store from a copy, beside the faults', '0')
     .option('--regressions', 'run the seeds of past failures')
     .option('--quiet', 'do not print the faults')
     .addHelpText('after', '\nExit codes: 0 no breach, 1 at least one breach (its seed is printed), 2 wrong usage.')
@@ -44,10 +46,15 @@
     console.error('--seeds, --seconds, --gateways and --callers must be integers above 0')
     return exitCodes.badUsage
   }
+  const restores = Number(options.restores)
+  if (!Number.isInteger(restores) || restores < 0) {
+    console.error('--restores must be an integer')
+    return exitCodes.badUsage
+  }
   const [, seconds, gateways, callers] = numbers
   let code: number = exitCodes.ok
   for (const seed of seedsOf(options)) {
-    const result = await runSoak({ seed, seconds, gateways, callers }, options.quiet ? () => {} : console.log)
+    const result = await runSoak({ seed, seconds, gateways, callers, restores }, options.quiet ? () => {} : console.log)
     const { breaches, done, refused, unknown, logs } = result
     console.log(`seed ${seed}: ${done} done, ${refused} refused, ${unknown} unknown, ${breaches.length} breaches`)
     for (const { promise, detail } of breaches) console.log(`  ${promise}: ${detail}`)
--- a/soak/src/soak.test.ts
+++ b/soak/src/soak.test.ts
@@ -12,6 +12,13 @@
   t.true(done > 100, `${done} done`)
 })
 
+test('no guarantee is broken while the store is restored from copies beside other faults', async t => {
+  const options = { seed: 11, seconds: 8, gateways: 3, callers: 9, restores: 2 }
+  const { breaches, done, logs } = await runSoak(options, line => t.log(line))
+  t.deepEqual(breaches, [], `logs in ${logs}`)
+  t.true(done > 100, `${done} done`)
+})
+
 /** A record with one write that its caller saw as `done`. */
 const recordOfWrite = () => {
   const record = createSoakRecord()
--- a/soak/src/soak.ts
+++ b/soak/src/soak.ts
@@ -10,13 +10,21 @@
 import { startSoakCaller } from './soak-callers.js'
 import type { SoakCaller } from './soak-callers.js'
 import { injectFaults } from './soak-faults.js'
+import { restoreStore } from './soak-restores.js'
 import { checkSoakRecord, createSoakRecord } from './soak-record.js'
 import type { Breach, SoakRecord } from './soak-record.js'
 import { keyOf, routes, startSoakEnvironment, workspaces } from './soak-environment.js'
 import type { SoakEnvironment } from './soak-environment.js'
 
 /** Options of a run. `seconds` is the duration of fault injection; `callers` and `gateways` are counts. */
-export type SoakOptions = { seed: number, seconds: number, gateways: number, callers: number }
+export type SoakOptions = {
+  seed: number
+  seconds: number
+  gateways: number
+  callers: number
+  /** Restores of the store from a copy, beside the faults. */
+  restores?: number
+}
 
 /** Result of a run: breaches, and statements and transactions by outcome. */
 export type SoakResult = {
@@ -91,12 +99,16 @@
   const callers = startCallers(environment, options, record)
   const faultLog = createFaultLog(folder, log)
   // Faults have their own random source, so that a seed gives the same faults whatever the timing of the processes.
-  await injectFaults({
-    ...environment,
-    changeConfiguration: operators.changeConfiguration,
-    withdrawKey: operators.withdrawKey,
-    log: faultLog.writeLine
-  }, createRandom(options.seed), options.seconds * 1000)
+  const durationMs = options.seconds * 1000
+  await Promise.all([
+    injectFaults({
+      ...environment,
+      changeConfiguration: operators.changeConfiguration,
+      withdrawKey: operators.withdrawKey,
+      log: faultLog.writeLine
+    }, createRandom(options.seed), durationMs),
+    restoreStore(environment, createRandom(~options.seed), options.restores ?? 0, durationMs, faultLog.writeLine)
+  ])
   faultLog.writeLine('all faults reverted')
   await checkRecovery(callers, operators.isWithdrawn, record)
 
