--- a/packages/gateway/src/coordination/primaries/group-monitor.ts
+++ b/packages/gateway/src/coordination/primaries/group-monitor.ts
@@ -159,13 +159,14 @@
   const checkGroup = async (group: string) => {
     const versioned = fleetState.group(group)
     if (versioned === undefined) return await storeFirstRecord(group)
-    if (!isConfirmed(versioned, fleetState) && !hasEarlierUseEnded()) return
+    const isRecordConfirmed = isConfirmed(versioned, fleetState)
+    if (!isRecordConfirmed && !hasEarlierUseEnded()) return
     if (versioned.record.phase === 'changing') {
       if (shouldContinue(group, versioned)) await changePrimary(options, group, versioned, 'unfinished')
       return
     }
-    if (isMonitorOf(group) && isConfirmed(versioned, fleetState)) await copyRecorder.check(group, versioned)
-    const reason = isConfirmed(versioned, fleetState) ? await reasonToChange(group, versioned.record) : 'unconfirmed'
+    if (isMonitorOf(group) && isRecordConfirmed) await copyRecorder.check(group, versioned)
+    const reason = isRecordConfirmed ? await reasonToChange(group, versioned.record) : 'unconfirmed'
     if (reason === undefined || !isMonitorOf(group)) return
     const latest = fleetState.group(group)
     if (latest !== undefined && latest.record.primary === versioned.record.primary) {
--- a/packages/gateway/src/coordination/store/restorable-store.ts
+++ b/packages/gateway/src/coordination/store/restorable-store.ts
@@ -2,9 +2,9 @@
  * The platform's store as one that may be restored from an earlier copy at any time.
  *
  * After a restore, the store gives out revisions and ids of leases again that it had given out before, for other
- * changes and other processes. Here they are combined with the epoch of the answer, so that the old ones are never
- * mistaken for new ones: a write on the condition of an earlier epoch's revision is refused, a lease of an earlier
- * epoch has ended, and the history after an earlier epoch's revision is gone.
+ * changes and other processes. Here revisions are combined with the epoch of the answer, and leases have ids of this
+ * process, so that the old ones are never mistaken for new ones: a write on the condition of an earlier epoch's
+ * revision is refused, a lease of an earlier epoch has ended, and the history after its revisions is gone.
  */
 import { Err, Ok, typedError } from '@egretyoke/common'
 import type { Result, TypedError } from '@egretyoke/common'
@@ -17,9 +17,17 @@
 
 const noAnswer = (message: string) => Err(typedError('noAnswer' as const, message))
 
+/** A lease with the store's id. */
+type Lease = { storeId: number, epoch: number }
+
+/** Leases that are kept. A process uses one; those that it could not bind its record to end by themselves. */
+const maxLeases = 64
+
 /** Wraps the adapter's store. */
 export const createRestorableStore = (store: PlatformStore): SharedStore => {
   let newestEpoch = 0
+  let lastLeaseId = 0
+  const leases = new Map<number, Lease>()
 
   /** An answer that was given before the newest known restore is none: what it says may be gone. */
   const dated = async <T, R extends string>(
@@ -33,9 +41,15 @@
     return Ok({ value, epoch })
   }
 
-  /** True for a revision or lease id from before the newest known restore. One from a peer may be of a later epoch. */
+  /** True for a revision from before the newest known restore. One from a peer may be of a later epoch. */
   const isGone = (revision: number) => revision !== 0 && epochOf(revision) < newestEpoch
 
+  /** The lease, unless it ended with an earlier epoch. */
+  const leaseOf = (leaseId: number): Lease | undefined => {
+    const lease = leases.get(leaseId)
+    return lease?.epoch === newestEpoch ? lease : undefined
+  }
+
   const combineEntry = (epoch: number, entry: StoredEntry): StoredEntry =>
     ({ ...entry, revision: combineRevision(epoch, entry.revision) })
 
@@ -55,15 +69,19 @@
 
   const compareAndSwap: SharedStore['compareAndSwap'] = async (swap, timeoutMs) => {
     const { expectedRevision, leaseId = 0 } = swap
-    if (isGone(leaseId)) return noAnswer('the lease ended when the store was restored, the call is not made')
+    const lease = leaseOf(leaseId)
+    if (leaseId !== 0 && lease === undefined) {
+      return noAnswer('the lease ended when the store was restored, the call is not made')
+    }
     const answer = await dated(store.compareAndSwap({
       ...swap,
       expectedRevision: isGone(expectedRevision) ? unusedRevision : withinEpoch(expectedRevision),
-      leaseId: withinEpoch(leaseId)
+      leaseId: lease?.storeId ?? 0
     }, timeoutMs))
     if (answer.err) return answer
     const { value, epoch } = answer.val
-    const isBaseGone = [expectedRevision, leaseId].some(base => base !== 0 && epochOf(base) !== epoch)
+    const hasOtherBase = expectedRevision !== 0 && epochOf(expectedRevision) !== epoch
+    const isBaseGone = hasOtherBase || (lease !== undefined && lease.epoch !== epoch)
     if (value.swapped && isBaseGone) return noAnswer('the store was restored before the write')
     return Ok({
       ...value,
@@ -73,14 +91,16 @@
   }
 
   const keepAlive: SharedStore['keepAlive'] = async (leaseId, timeoutMs) => {
-    if (isGone(leaseId)) return Ok(false)
-    const answer = await dated(store.keepAlive(withinEpoch(leaseId), timeoutMs))
-    return answer.map(({ value, epoch }) => value && epoch === epochOf(leaseId))
+    const lease = leaseOf(leaseId)
+    if (lease === undefined) return Ok(false)
+    const answer = await dated(store.keepAlive(lease.storeId, timeoutMs))
+    return answer.map(({ value, epoch }) => value && epoch === lease.epoch)
   }
 
   const revokeLease: SharedStore['revokeLease'] = async (leaseId, timeoutMs) => {
-    if (isGone(leaseId)) return Ok(false)
-    return (await dated(store.revokeLease(withinEpoch(leaseId), timeoutMs))).map(({ value }) => value)
+    const lease = leaseOf(leaseId)
+    if (lease === undefined) return Ok(false)
+    return (await dated(store.revokeLease(lease.storeId, timeoutMs))).map(({ value }) => value)
   }
 
   return {
@@ -89,8 +109,11 @@
     get: async (...args) =>
       (await dated(store.get(...args))).map(({ epoch, value }) => value && combineEntry(epoch, value)),
     compareAndSwap,
-    grantLease: async (...args) =>
-      (await dated(store.grantLease(...args))).map(({ epoch, value }) => combineRevision(epoch, value)),
+    grantLease: async (...args) => (await dated(store.grantLease(...args))).map(({ epoch, value }) => {
+      leases.set(++lastLeaseId, { storeId: value, epoch })
+      leases.delete(lastLeaseId - maxLeases)
+      return lastLeaseId
+    }),
     keepAlive,
     revokeLease,
     close: store.close
--- a/packages/gateway/src/coordination/store/shared-store.ts
+++ b/packages/gateway/src/coordination/store/shared-store.ts
@@ -40,7 +40,7 @@
   close: () => void
 }
 
-/** Store operations. Revisions and ids of leases are combined with the epoch, see `store-revision.ts`. */
+/** Store operations. Revisions are combined with the epoch, and leases have ids of this process. */
 export type SharedStore = Pick<Platform, 'get' | 'compareAndSwap' | 'grantLease' | 'keepAlive' | 'revokeLease'> & {
   /** `staleOk`: the entries may be older than the store's, and changes after `revision` may be missing. */
   list: (prefix: string, timeoutMs: number, options?: { staleOk: boolean }) => Promise<Result<Listing, StoreError>>
