--- a/review/standins-3/deployment.mjs
+++ b/review/standins-3/deployment.mjs
@@ -78,15 +78,18 @@
   cloudApi: { address: cloudAddress, ratePerS: 50, duties: ['failover'], dutyPerS: 50 }
 })
 
-const isReady = ip => new Promise(resolve => {
-  const request = get({ host: ip, port: ports.ready, path: '/api/readiness', timeout: 500 }, response => {
+/** Status of a readiness check; undefined without an answer in time. */
+const checkReadiness = (ip, timeout) => new Promise(resolve => {
+  const request = get({ host: ip, port: ports.ready, path: '/api/readiness', timeout }, response => {
     response.resume()
-    resolve(response.statusCode === 200)
+    resolve(response.statusCode)
   })
   request.on('timeout', () => request.destroy())
-  request.on('error', () => resolve(false))
+  request.on('error', () => resolve(undefined))
 })
 
+const readinessTimeoutMs = 500
+
 /**
  * Runs one gateway, and starts it again a moment after it has ended, as the platform does. `ends` lists how its
  * processes ended by themselves: not by a signal of the script.
@@ -98,7 +101,14 @@
   let isStopped = false
   let isExpected = false
 
-  const gateway = { ...options, file, child: undefined, ends: [], isReady: () => isReady(options.ip) }
+  const gateway = {
+    ...options,
+    file,
+    child: undefined,
+    ends: [],
+    isReady: async () => await checkReadiness(options.ip, readinessTimeoutMs) === 200,
+    isAnswering: async timeoutMs => await checkReadiness(options.ip, timeoutMs) !== undefined
+  }
   const start = () => {
     if (isStopped) return
     const child = spawn(program === 'node' ? process.execPath : program, words, {
