--- a/review/standins-3/deployment.mjs
+++ b/review/standins-3/deployment.mjs
@@ -18,6 +18,9 @@
 
 export const sleepMs = ms => new Promise(resolve => setTimeout(resolve, ms))
 
+const liveChildren = new Set()
+process.once('exit', () => { for (const child of liveChildren) child.kill('SIGKILL') })
+
 /** Waits until the condition holds; false after the timeout. */
 export const waitUntil = async (isMet, timeoutMs, pollMs = 50) => {
   const deadlineMs = performance.now() + timeoutMs
@@ -115,11 +118,13 @@
       cwd: root, env: { PATH: process.env.PATH, [settingsVariable]: file }, stdio: ['ignore', 'pipe', 'pipe']
     })
     let errorText = ''
+    liveChildren.add(child)
     isExpected = false
     gateway.child = child
     child.stdout.on('data', chunk => onLog?.(options.name, chunk.toString()))
     child.stderr.on('data', chunk => { errorText = (errorText + chunk).slice(0, 20_000) })
     child.on('exit', (code, signal) => {
+      liveChildren.delete(child)
       gateway.child = undefined
       if (!isExpected) gateway.ends.push({ how: signal ?? `exit code ${code}`, errorText })
       setTimeout(start, restartDelayMs)
--- a/review/standins-3/record.mjs
+++ b/review/standins-3/record.mjs
@@ -32,11 +32,13 @@
   const closers = []
   const onClose = close => { closers.unshift(close) }
   const closeAll = async () => { for (const close of closers.splice(0)) await close() }
-  const watchdog = setTimeout(async () => {
-    write('the script took too long')
+  const giveUp = async reason => {
+    write(reason)
     await closeAll()
     process.exit(verdicts.couldNotRun)
-  }, 110_000)
+  }
+  const watchdog = setTimeout(() => giveUp('the script took too long'), 110_000)
+  for (const signal of ['SIGHUP', 'SIGINT', 'SIGTERM']) process.once(signal, () => giveUp(`ended by ${signal}`))
   let verdict = verdicts.couldNotRun
   try {
     verdict = await play(onClose)
