--- a/review/14/play.mjs
+++ b/review/14/play.mjs
@@ -1,129 +1,106 @@
 /**
- * A crowd of well-behaved callers: each opens one session and prepares 250 short statements, as client libraries do.
- * The process permits each session and statement, and runs out of memory before it refuses any.
+ * A route of the kind `bounded_staleness` that permits no staleness, while replicas fall behind: its reads lack commits
+ * that were acknowledged long before.
  */
-import { startPlainDatabase } from '../../soak/dist/plain-database.js'
+import { startSoakDatabases } from '../../soak/dist/soak-databases.js'
 import { openSession } from '../standins-3/caller.mjs'
-import { ports, residentBytes, startDeployment, waitUntil } from '../standins-3/deployment.mjs'
+import { ports, sleepMs, startDeployment, waitUntil } from '../standins-3/deployment.mjs'
 import { createRecord, hasTrouble, runScript, verdicts } from '../standins-3/record.mjs'
 
 const write = createRecord(import.meta.url)
 
-const memoryMb = 350
-const rounds = 3
-const minMachines = 2
-const tenantCount = 8
-const sessionCount = hasTrouble ? 2800 : 100
-const statementsPerSession = 250
-/** Sessions that are being opened at a time. */
-const openers = 8
-const mebibyte = 1024 * 1024
+/** Replicas apply what they receive 20 ms late, by the sheet, and 50 times as late under the disruption. */
+const usualLagMs = 20
+const lagMs = hasTrouble ? 50 * usualLagMs : usualLagMs
+const maxStalenessMs = 0
+const rounds = 100
+/** Time from the acknowledgement of a commit to the first read after it. */
+const readAfterMs = 150
+const readsPerRound = 4
 
-const keyOf = tenant => `key-of-yard-${tenant}`
+const service = 'bookings'
+const zones = { quay: 'north', yard: 'south', dock: 'west' }
+const route = { service, timeoutMs: 1200, targetLatencyMs: 500, priority: 1 }
 const configuration = {
   version: 1,
-  routes: [{
-    database: 'slots', routeType: 'primary', service: 'bookings', timeoutMs: 800, targetLatencyMs: 300, priority: 1
-  }],
-  services: [{ name: 'bookings', maxConns: 32 }],
+  routes: [
+    { ...route, database: 'slots', routeType: 'primary', maxStalenessMs: 0 },
+    { ...route, database: 'boards', routeType: 'bounded_staleness', maxStalenessMs }
+  ],
+  services: [{ name: service, maxConns: 32 }],
   limits: { txIdleMs: 3000 },
-  tenants: Array.from({ length: tenantCount }, (_, tenant) =>
-    ({ name: `yard-${tenant}`, apiKeys: [keyOf(tenant)], ratePerS: 200, burstSize: 400 }))
+  tenants: [{ name: 'yard', apiKeys: ['key-of-yard'], ratePerS: 500, burstSize: 500 }]
 }
-const entryOf = database => ({
-  service: 'bookings',
-  address: database.address,
-  zone: 'quay',
+
+const entryOf = ({ dataCentre, port, role, startedAtMs }) => ({
+  service,
+  address: `127.0.0.1:${port}`,
+  zone: dataCentre,
   version: '1',
   slots: 3,
   state: 'ready',
   coldRemainingMs: 0,
   seqNum: 1,
-  dbRole: 'primary',
-  born: Date.now()
+  dbRole: role,
+  born: startedAtMs
 })
 
-const preparations = Array.from({ length: statementsPerSession }, (_, index) =>
-  `QUERY 5c0e7a21d94b36f8 PREPARE statement-${String(index).padStart(3, '0')} READ q2c\r\n`).join('')
-const answerTimeoutMs = 20_000
-
-/** Sends the preparations in one piece; resolves with the number that were acknowledged. */
-const prepareAll = ({ socket }) => new Promise(resolve => {
-  let last = ''
-  let acknowledged = 0
-  const finish = () => {
-    clearTimeout(timer)
-    resolve(acknowledged)
-  }
-  const timer = setTimeout(finish, answerTimeoutMs)
-  socket.removeAllListeners('data')
-  socket.on('data', chunk => {
-    const parts = (last + chunk.toString('latin1')).split('COMPLETE -')
-    last = parts.at(-1).slice(-'COMPLETE -'.length)
-    acknowledged += parts.length - 1
-    if (acknowledged >= statementsPerSession) finish()
-  })
-  socket.on('close', finish)
-  socket.write(preparations)
-})
-
-const readFrom = async ({ ip }, id) => {
-  const caller = await openSession(ip, ports.front, 'slots', keyOf(0))
-  const answer = await caller?.send(`QUERY ${id} READ 1a4`)
-  caller?.close()
-  return answer === undefined ? 'no session' : answer.code || answer.state
-}
-
-/** Opens the crowd until the process ends, or all its sessions are open. */
-const playRound = async (round, gateway) => {
-  const say = text => write(`${gateway.name} round ${round}: ${text}`)
-  await waitUntil(async () => await readFrom(gateway, `before-${round}`) === 'COMPLETE', 10_000, 200)
-  const endsBefore = gateway.ends.length
-  const callers = []
-  const counts = { acknowledged: 0, refused: 0, notAcknowledged: 0 }
-  let peakBytes = 0
-  const sampling = setInterval(() => { peakBytes = Math.max(peakBytes, residentBytes(gateway.pid())) }, 50)
-  const open = async first => {
-    for (let index = first; index < sessionCount && gateway.ends.length === endsBefore; index += openers) {
-      const caller = await openSession(gateway.ip, ports.front, 'slots', keyOf(index % tenantCount))
-      if (caller === undefined) counts.refused++
-      else {
-        callers.push(caller)
-        const acknowledged = await prepareAll(caller)
-        counts.acknowledged += acknowledged
-        counts.notAcknowledged += acknowledged < statementsPerSession ? 1 : 0
-      }
-    }
-  }
-  await Promise.all(Array.from({ length: openers }, (_, first) => open(first)))
-  clearInterval(sampling)
-  say(`${callers.length} sessions opened, ${counts.acknowledged} statements prepared, ${counts.refused} sessions ` +
-    `refused, ${counts.notAcknowledged} cut short, resident memory at most ` +
-    `${Math.round(peakBytes / mebibyte)} of ${memoryMb} MB`)
-  for (const { how, errorText } of gateway.ends.slice(endsBefore)) {
-    const [reason = ''] = /FATAL ERROR:.*/.exec(errorText) ?? []
-    say(`the process ended by itself, ${how}: ${reason}`)
-  }
-  for (const caller of callers) caller.close()
-  if (!await waitUntil(gateway.isReady, 15_000)) throw new Error(`${gateway.name} does not come back`)
-}
+const open = async ({ ip }, database) => await openSession(ip, ports.front, database, 'key-of-yard')
 
 await runScript(write, async onClose => {
-  const database = await startPlainDatabase()
-  onClose(database.close)
+  const record = { sent: new Map(), executed: [] }
+  const group = await startSoakDatabases({
+    service, dataCentres: Object.keys(zones), record, random: { chance: () => false }, lagMs: () => lagMs
+  })
+  onClose(group.close)
   const deployment = await startDeployment({
     configuration,
-    entries: { 'i-primary': entryOf(database) },
-    zoneOf: ['quay', 'yard'],
-    zones: { quay: 'north', yard: 'south' }
+    entries: Object.fromEntries(group.databases.map(database => [database.id, entryOf(database)])),
+    zoneOf: Object.keys(zones),
+    zones,
+    onFailover: group.promote
   })
   onClose(deployment.close)
   if (!deployment.isUp) return verdicts.couldNotRun
-  const { gateways } = deployment
-  for (let round = 1; round <= rounds; round++) {
-    await Promise.all(gateways.map(async gateway => await playRound(round, gateway)))
+  const writer = await open(deployment.gateways[0], 'slots')
+  const readers = await Promise.all(deployment.gateways.map(gateway => open(gateway, 'boards')))
+
+  /** Writes by time of their acknowledgement. */
+  const commits = []
+  let number = 0
+  const commit = async () => {
+    const id = `w${++number}`
+    const answer = await writer.send(`QUERY ${id} WRITE 1a4 data`)
+    if (answer.code === 'COMPLETE') commits.push({ id, acknowledgedAtMs: performance.now() })
+    return answer.code === 'COMPLETE'
+  }
+  if (!await waitUntil(commit, 8000)) return verdicts.couldNotRun
+  await sleepMs(2 * lagMs)
+
+  /** A read must see each commit that was acknowledged more than `maxStalenessMs` before its first byte. */
+  const read = async reader => {
+    const id = `r${++number}`
+    const nowMs = performance.now()
+    const due = commits.filter(({ acknowledgedAtMs }) => acknowledgedAtMs < nowMs - maxStalenessMs)
+    record.sent.set(id, { mustSee: due.slice(-1).map(last => last.id) })
+    const ageMs = Math.round(nowMs - (due.at(-1)?.acknowledgedAtMs ?? nowMs))
+    const answer = await reader.send(`QUERY ${id} READ 1a4`)
+    return { id, ageMs, isServed: answer.code === 'COMPLETE' }
+  }
+  const reads = []
+  for (let round = 0; round < rounds; round++) {
+    await commit()
+    await sleepMs(readAfterMs)
+    for (let index = 0; index < readsPerRound; index++) reads.push(await read(readers[index % readers.length]))
+  }
+  const stale = reads.flatMap(({ id, ageMs, isServed }) => {
+    const run = record.executed.findLast(({ requestId }) => requestId === id)
+    return isServed && run?.missing ? [{ id, ageMs, ...run }] : []
+  })
+  for (const { id, ageMs, database, missing } of stale.slice(0, 20)) {
+    write(`read ${id} ran on ${database}, which lacks ${missing}, acknowledged ${ageMs} ms before its first byte`)
   }
-  const endedOften = gateways.filter(({ ends }) => ends.length >= rounds).length
-  write(`${endedOften} of ${gateways.length} machines on which processes ended by themselves ${rounds} times or more`)
-  return endedOften >= minMachines ? verdicts.broken : verdicts.held
+  write(`${commits.length} commits acknowledged, ${reads.filter(({ isServed }) => isServed).length} of ` +
+    `${reads.length} reads served, ${stale.length} of them without a commit that they must see`)
+  return stale.length > 0 ? verdicts.broken : verdicts.held
 })
--- a/review/standins-3/deployment.mjs
+++ b/review/standins-3/deployment.mjs
@@ -158,7 +158,8 @@
  * Starts a store with the configuration and the databases' entries, and the gateways of the given zones.
  * `onFailover` receives the id of a database that is to become the primary.
  */
-export const startDeployment = async ({ configuration, entries, zoneOf, zones, onFailover, onLog, proxyStore }) => {
+export const startDeployment = async options => {
+  const { configuration, entries, zoneOf, zones, onFailover, onLog, proxyStore, cloudAddress } = options
   const folder = mkdtempSync(join(tmpdir(), 'egretyoke-review-'))
   const store = await startStoreStandin({ pageSize: 500, ...onFailover && { onFailover } })
   store.write('op/config', configuration)
@@ -168,7 +169,7 @@
     const ip = await freeAddress()
     const storeAddress = await proxyStore?.(store.address, index) ?? store.address
     gateways.push(runGateway({
-      name: `edge-${zone}-${index + 1}`, ip, zone, zones, storeAddress, cloudAddress: store.address
+      name: `edge-${zone}-${index + 1}`, ip, zone, zones, storeAddress, cloudAddress: cloudAddress ?? store.address
     }, folder, onLog))
   }
   const isUp = await waitUntil(async () =>
