Positions: a position requested after the read arrived is new enough for any bound

What callers saw: on a bounded_staleness route with maxStalenessMs 1, reads through gateways that do not hold the primary took 200 ms on average and up to 540 ms, with 20 up to 450 ms, with no bound 10 ms.

Cause: the age of a position was compared with the bound when its reply arrived; a reply is older than 1 ms by its way alone, so the request was repeated every 50 ms for 40% of the read's time. The primary's holder replied with positions of up to 150 ms.

Ruled out: the databases and the queue. The same reads without a bound, and those through the primary's holder, took 10 ms.

Change: a position counts if it covers the commits confirmed until maxStalenessMs before the read arrived. The request names the age that is of use; the reply's age is counted back from the arrival of the request, which earlier versions read soundly, too.

--- a/packages/gateway/src/coordination/routing/peer-positions.test.ts
+++ b/packages/gateway/src/coordination/routing/peer-positions.test.ts
@@ -44,6 +44,29 @@
   t.is(sampleFromPeer(undefined, requestedAt), undefined)
 })
 
+// Guards against a position that was read for a request and seems older than the request, by the time that it took.
+test('the age of a position is counted back from the arrival of the request for it', async t => {
+  const time = { nowMs: 100 }
+  const clock = createAgeClock(() => time.nowMs, () => time.nowMs)
+  const requested: number[] = []
+  const replyTo = async (readAtMs: number, maxAgeMs?: number) => {
+    time.nowMs = 100
+    const readPosition = async (_group: string, requestedMs: number) => {
+      requested.push(requestedMs)
+      time.nowMs = 140
+      return { position: '1.7', coversUntil: { monotonicMs: readAtMs, wallMs: readAtMs } }
+    }
+    const handle = createRelayHandler({ clock, readPosition } as unknown as RelayHandlerOptions)
+    const askPosition = { group: 'g', ...maxAgeMs !== undefined && { maxAgeMs } }
+    return (await handle({ number: '1', askPosition } as unknown as Parameters<typeof handle>[0]))?.position
+  }
+  t.deepEqual(await replyTo(110, 0), { position: '1.7', ageMs: 0 })
+  t.deepEqual(await replyTo(70, 60), { position: '1.7', ageMs: 30 })
+  // A gateway of an earlier version names no age.
+  t.deepEqual(await replyTo(70), { position: '1.7', ageMs: 30 })
+  t.deepEqual(requested, [0, 60, 150])
+})
+
 // Guards against a confirmed write whose position is lost among others, so that its session reads without it.
 test('a reply of a holder whose position is none counts as lost, and any other one is used', async t => {
   const state = { position: '' }
--- a/packages/gateway/src/coordination/routing/relay-handler.ts
+++ b/packages/gateway/src/coordination/routing/relay-handler.ts
@@ -2,12 +2,15 @@
  * Handles requests from other gateways.
  */
 import type { RelayMessages } from '@egretyoke/protocol'
+import { msBetween } from '../../state/contact.js'
 import type { AgeClock } from '../../state/contact.js'
 import { isPosition } from '../../state/position.js'
 import type { FleetState } from '../../state/fleet-state.js'
 import type { ControlCommands } from '../connections/control-commands.js'
+import { maxSharedAgeMs } from '../primaries/group-positions.js'
 import type { GroupPositions } from '../primaries/group-positions.js'
 import type { GroupRecords } from '../primaries/group-records.js'
+import type { ReadPrimaryPosition } from '../primaries/primary-position.js'
 import type { Holders } from '../connections/holders.js'
 import type { Usage } from '../usage/usage.js'
 import type { TokenAllocator } from '../limits/token-allocator.js'
@@ -21,7 +24,8 @@
   fleetState: FleetState
   records: GroupRecords
   holders: Holders
-  positions: GroupPositions
+  positions: Pick<GroupPositions, 'newest'>
+  readPosition: ReadPrimaryPosition
   allocator: TokenAllocator
   control: ControlCommands
   clock: AgeClock
@@ -30,10 +34,6 @@
   isReady: () => boolean
 }
 
-/** A position younger than this is returned without a status request to the primary. */
-const freshPositionMs = 150
-/** Shorter than the requester waits for a position. An older one that is known must still reach it in time. */
-const statusTimeoutMs = { unknown: 300, known: 150 } as const
 const probeTimeoutMs = 500
 /** How long a primary's new work is paused for a handover; the group record is changed within this time. */
 const handoverPauseMs = 2000
@@ -41,39 +41,9 @@
 
 type Reply = Omit<RelayMessages.RelayReply, 'number'>
 
-/**
- * Newest position of a group's primary and its age, as of now if this gateway can use and query the primary. An older
- * position is returned otherwise: the requester decides whether its age is permitted. Undefined if none is known.
- */
-export const readPrimaryPosition = async (
-  {
-    fleetState, records, positions, control, clock
-  }: Pick<RelayHandlerOptions, 'fleetState' | 'records' | 'positions' | 'control' | 'clock'>,
-  group: string
-): Promise<{ position: string, ageMs: number } | undefined> => {
-  const newestKnown = () => {
-    const sample = positions.newest(group)
-    const ageMs = sample === undefined ? Infinity : clock.ageMs(sample.coversUntil)
-    return sample === undefined || ageMs === Infinity ? undefined : { position: sample.position, ageMs }
-  }
-  const primary = fleetState.group(group)?.record.primary ?? ''
-  const database = fleetState.databases().get(primary)
-  if (database === undefined || !await records.becomeUser(group, primary)) return newestKnown()
-  const known = newestKnown()
-  if (known !== undefined && known.ageMs < freshPositionMs) return known
-  const coversUntil = clock.now()
-  const status = await control.run(
-    database, { kind: 'status' }, known === undefined ? statusTimeoutMs.unknown : statusTimeoutMs.known
-  )
-  if (status.err || !records.canUse(group, primary)) return newestKnown()
-  const position = status.val.appliedPosition
-  positions.record(group, { position, coversUntil })
-  return { position, ageMs: clock.ageMs(coversUntil) }
-}
-
 /** Creates the handler. It returns undefined for requests that get no reply. */
 export const createRelayHandler = (options: RelayHandlerOptions) => {
-  const { fleetState, records, holders, allocator, control, isReady } = options
+  const { fleetState, records, holders, allocator, control, clock, isReady } = options
 
   /** A position that cannot be compared would be lost among others, and a read could miss its session's writes. */
   const run = async (request: StatementRequest): Promise<StatementOutcome> => {
@@ -82,10 +52,15 @@
     return isComparable ? await holders.run(request) : notRun('lagging')
   }
 
-  const positionOf = async ({ group }: RelayMessages.AskPosition__Output): Promise<Reply> => {
-    const read = await readPrimaryPosition(options, group)
-    const { position, ageMs } = read ?? { position: '', ageMs: 0 }
-    return { position: { position, ageMs: Math.ceil(ageMs) } }
+  const positionOf = async (
+    { group, maxAgeMs = maxSharedAgeMs }: RelayMessages.AskPosition__Output
+  ): Promise<Reply> => {
+    const arrivedAt = clock.now()
+    const sample = await options.readPosition(group, maxAgeMs)
+    // Counted back from the arrival, so that a position that was read for the request covers the time of the request.
+    const ageMs = sample === undefined ? Infinity : Math.max(0, msBetween(sample.coversUntil, arrivedAt))
+    if (sample === undefined || ageMs === Infinity) return { position: { position: '', ageMs: 0 } }
+    return { position: { position: sample.position, ageMs: Math.ceil(ageMs) } }
   }
 
   const stopPrimary = async ({ group, revision, finish }: RelayMessages.StopPrimary__Output): Promise<Reply> => {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -13,7 +13,7 @@
 import { fallbackLimits } from './coordination/limits/fallback-limits.js'
 import { createGroupMonitor } from './coordination/primaries/group-monitor.js'
 import { createGroupPositions } from './coordination/primaries/group-positions.js'
-import type { PositionSample } from './coordination/primaries/group-positions.js'
+import { createPrimaryPositionReader } from './coordination/primaries/primary-position.js'
 import { createGroupRecords } from './coordination/primaries/group-records.js'
 import { createHolderChoice } from './coordination/routing/holder-choice.js'
 import { createHolders, defaultMaxConnections } from './coordination/connections/holders.js'
@@ -23,7 +23,7 @@
 import { createMembership } from './coordination/membership/membership.js'
 import { createReadiness, maxReadyContactAgeMs } from './coordination/membership/readiness.js'
 import { createPositionQuery } from './coordination/routing/position-query.js'
-import { createRelayHandler, readPrimaryPosition } from './coordination/routing/relay-handler.js'
+import { createRelayHandler } from './coordination/routing/relay-handler.js'
 import { limitRelayedBytes } from './coordination/routing/relayed-bytes.js'
 import { balancerDetectionMs, drainEndMs, drainPhaseAt, startsNewWork } from './coordination/sessions/drain-schedule.js'
 import { openSession } from './coordination/sessions/session.js'
@@ -156,14 +156,18 @@
     log
   })
 
-  const readPositionLocally = async (group: string): Promise<PositionSample | undefined> => {
-    const read = await readPrimaryPosition({ fleetState, records, positions, control: controlCommands, clock }, group)
-    return read && positions.newest(group)
-  }
   const queryPosition = createPositionQuery({
-    self: self.name, fleetState, holders: holderChoice, relay: links, clock, readLocally: readPositionLocally
+    self: self.name,
+    fleetState,
+    holders: holderChoice,
+    relay: links,
+    clock,
+    readLocally: async (group, maxAgeMs) => await readPosition(group, maxAgeMs)
   })
   const positions = createGroupPositions(clock, queryPosition)
+  const readPosition = createPrimaryPositionReader({
+    fleetState, records, positions, control: controlCommands, clock
+  })
 
   const isFirstHolder = (database: Database) => contact.ageMs() < maxReadyContactAgeMs &&
     holderChoice.candidates(database, [])[0]?.name === self.name
@@ -245,6 +249,7 @@
     records,
     holders: { ...holders, run: limitRelayedBytes(account, holders.run) },
     positions,
+    readPosition,
     allocator: tokenAllocator,
     control: controlCommands,
     contact,
--- a/packages/gateway/src/state/contact.ts
+++ b/packages/gateway/src/state/contact.ts
@@ -13,6 +13,13 @@
 /** One instant, read on both clocks. */
 export type ClockReading = { monotonicMs: number, wallMs: number }
 
+/** Milliseconds from one reading to a later one; Infinity when the clocks disagree. Negative for an earlier one. */
+export const msBetween = (from: ClockReading, to: ClockReading): number => {
+  const monotonicPassedMs = to.monotonicMs - from.monotonicMs
+  const wallPassedMs = to.wallMs - from.wallMs
+  return Math.abs(monotonicPassedMs - wallPassedMs) > maxClockDisagreementMs ? Infinity : monotonicPassedMs
+}
+
 /** Measures ages on the monotonic clock, checked against the wall clock. */
 export type AgeClock = {
   now: () => ClockReading
@@ -21,14 +28,10 @@
 }
 
 /** Creates an age clock. */
-export const createAgeClock = (monotonic: Clock = monotonicMs, wall: Clock = Date.now): AgeClock => ({
-  now: () => ({ monotonicMs: monotonic(), wallMs: wall() }),
-  ageMs: moment => {
-    const monotonicAgeMs = monotonic() - moment.monotonicMs
-    const wallAgeMs = wall() - moment.wallMs
-    return Math.abs(monotonicAgeMs - wallAgeMs) > maxClockDisagreementMs ? Infinity : monotonicAgeMs
-  }
-})
+export const createAgeClock = (monotonic: Clock = monotonicMs, wall: Clock = Date.now): AgeClock => {
+  const now = () => ({ monotonicMs: monotonic(), wallMs: wall() })
+  return { now, ageMs: moment => msBetween(moment, now()) }
+}
 
 /** Contact of this gateway with the store. */
 export type Contact = {
