Staleness: a bound of 0 is a bound, and no bound is written as none

Cause: 0 stood for "no bound" in the configuration (a missing value was decoded as 0), the route, the statement, the message between gateways, the holder and the estimate of the replicas' lag.

Ruled out: the positions.

Change: no bound is the absence of the bound in each type and message; 0 means all commits confirmed before the statement arrives. Primary routes have 0, whatever the configuration says. Gateways of an earlier version get at least 1 in the old field where a replica may run the statement; 0 from them is taken for a bound. A route without maxStalenessMs has no bound, as before.

Changed tests: replica-lag.test expected that the bound 0 tolerates any lag, which was the fault; it now expects that for no bound, and 0 for 0. The request of the holder's tests has no bound where a replica may run it; it had 0, in the same meaning.

--- a/packages/gateway/src/coordination/connections/database-holder.ts
+++ b/packages/gateway/src/coordination/connections/database-holder.ts
@@ -122,7 +122,8 @@
     if (request.needsPrimary) return ''
     const { maxStalenessMs, ownPosition } = request
     const waitMs = request.timeoutMs * maxPositionWaitFraction
-    const freshPosition = maxStalenessMs > 0 ? await positions.require(group, maxStalenessMs, waitMs) : ''
+    if (maxStalenessMs === undefined) return ownPosition
+    const freshPosition = await positions.require(group, maxStalenessMs, waitMs)
     if (freshPosition === undefined) return undefined
     return laterPosition(freshPosition, ownPosition)
   }
--- a/packages/gateway/src/coordination/routing/holder-calls.ts
+++ b/packages/gateway/src/coordination/routing/holder-calls.ts
@@ -6,7 +6,7 @@
 import type { Member } from '../../state/stored-records.js'
 import type { GatewayLocation } from './holder-choice.js'
 import type { RelayCalls, RelayReply } from './relay-calls.js'
-import { isRead, notRun, opensTransaction, outcomeIn, unknownOutcome } from '../sessions/statement.js'
+import { isRead, notRun, opensTransaction, outcomeIn, runMessageOf, unknownOutcome } from '../sessions/statement.js'
 import type { StatementOutcome, StatementRequest } from '../sessions/statement.js'
 import type { UsageCounter } from '../usage/usage-counter.js'
 
@@ -52,7 +52,7 @@
   const run = async (holder: Member, request: StatementRequest): Promise<StatementOutcome> => {
     if (holder.name === self.name) return await runLocally(request)
     const forwardedAtMs = performance.now()
-    const reply = await relay.call(holder, { run: request }, request.timeoutMs + relayAllowanceMs)
+    const reply = await relay.call(holder, { run: runMessageOf(request) }, request.timeoutMs + relayAllowanceMs)
     if (reply.ok && hasUsablePosition(reply.val)) {
       const outcome = reply.val.statement ? outcomeIn(reply.val.statement) : notRun('moved')
       usage?.countSent(processName(holder), request, outcome, forwardedAtMs)
--- a/packages/gateway/src/coordination/routing/relay-handler.ts
+++ b/packages/gateway/src/coordination/routing/relay-handler.ts
@@ -14,7 +14,7 @@
 import type { Holders } from '../connections/holders.js'
 import type { Usage } from '../usage/usage.js'
 import type { TokenAllocator } from '../limits/token-allocator.js'
-import { notRun, replyOf } from '../sessions/statement.js'
+import { notRun, replyOf, requestIn } from '../sessions/statement.js'
 import type { StatementOutcome, StatementRequest } from '../sessions/statement.js'
 import { replyToFollower } from '../store/follower-replies.js'
 import type { FollowerRepliesOptions } from '../store/follower-replies.js'
@@ -83,7 +83,7 @@
   }
 
   return async (request: RelayMessages.RelayRequest__Output): Promise<Reply | undefined> => {
-    if (request.run) return { statement: replyOf(await run(request.run)) }
+    if (request.run) return { statement: replyOf(await run(requestIn(request.run))) }
     if (request.takeTokens) return { tokens: allocator.allocate(request.takeTokens) }
     if (request.askPosition) return await positionOf(request.askPosition)
     if (request.stopPrimary) return await stopPrimary(request.stopPrimary)
--- a/packages/gateway/src/coordination/routing/replica-lag.test.ts
+++ b/packages/gateway/src/coordination/routing/replica-lag.test.ts
@@ -45,7 +45,8 @@
 
 test('what a read tolerates is the age of the own commit, up to the permitted staleness', t => {
   const lag = createReplicaLag()
-  t.is(lag.toleratedMs({ ...bounded, maxStalenessMs: 0 }, 0), Infinity)
+  t.is(lag.toleratedMs({ ...bounded, maxStalenessMs: undefined }, 0), Infinity)
+  t.is(lag.toleratedMs({ ...bounded, maxStalenessMs: 0 }, 0), 0)
   t.is(lag.toleratedMs({ ...bounded, ownPosition: '1.9' }, 0), 1200)
   for (let number = 1; number <= 500; number++) lag.recordPrimary('bookings', `1.${number}`, number * 20)
   t.is(lag.toleratedMs({ ...bounded, ownPosition: '1.495' }, 10_000), 100)
--- a/packages/gateway/src/coordination/routing/replica-lag.ts
+++ b/packages/gateway/src/coordination/routing/replica-lag.ts
@@ -69,7 +69,7 @@
   }
 
   const toleratedMs: ReplicaLag['toleratedMs'] = ({ group, ownPosition, maxStalenessMs }, nowMs) => Math.min(
-    maxStalenessMs > 0 ? maxStalenessMs * requiredAgeFraction : Infinity,
+    maxStalenessMs === undefined ? Infinity : maxStalenessMs * requiredAgeFraction,
     ownPosition === '' ? Infinity : ageOf(group, ownPosition, nowMs)
   )
 
--- a/packages/gateway/src/coordination/sessions/session-state.test.ts
+++ b/packages/gateway/src/coordination/sessions/session-state.test.ts
@@ -93,7 +93,8 @@
       values: state.values(),
       needsPrimary: true,
       ownPosition: name,
-      maxStalenessMs: 1e9,
+      earlierMaxStalenessMs: 1e9,
+      staleness: { maxMs: 1e9 },
       timeoutMs: 1e9,
       maxQueuedMs: 1e9,
       priority: 1e9
--- a/packages/gateway/src/coordination/sessions/statement.ts
+++ b/packages/gateway/src/coordination/sessions/statement.ts
@@ -3,8 +3,42 @@
  */
 import type { RelayMessages } from '@egretyoke/protocol'
 
+type RunStatement = RelayMessages.RunStatement__Output
+
 /** A statement to be run at one database. */
-export type StatementRequest = RelayMessages.RunStatement__Output
+export type StatementRequest = Omit<RunStatement, 'earlierMaxStalenessMs' | 'staleness'> & {
+  /**
+   * The data must include all commits confirmed longer ago than this. 0: all that were confirmed before the statement
+   * arrives. Undefined: no bound.
+   */
+  maxStalenessMs: number | undefined
+}
+
+/** Range of the bound in messages of earlier versions, which take 0 for no bound where replicas may run a statement. */
+const earlierBoundsMs = { min: 1, max: 2 ** 32 - 1 } as const
+
+const earlierMaxStalenessMs = ({ maxStalenessMs, needsPrimary }: StatementRequest): number => {
+  if (maxStalenessMs === undefined || (needsPrimary && maxStalenessMs === 0)) return 0
+  const { min, max } = earlierBoundsMs
+  return Math.max(min, Math.min(max, Math.floor(maxStalenessMs)))
+}
+
+/** The message that has another gateway run the statement. */
+export const runMessageOf = (request: StatementRequest): RelayMessages.RunStatement => {
+  const { maxStalenessMs, ...rest } = request
+  const staleness = maxStalenessMs === undefined ? {} : { maxMs: maxStalenessMs }
+  return { ...rest, staleness, earlierMaxStalenessMs: earlierMaxStalenessMs(request) }
+}
+
+/** A bound that is no bound could hide commits from a read; the strictest one hides none. */
+const usableBoundMs = (maxMs: number): number => maxMs >= 0 ? maxMs : 0
+
+/** The statement in the message of another gateway. One of an earlier version may have sent 0 for any bound below 1. */
+export const requestIn = (message: RunStatement): StatementRequest => {
+  const { staleness, earlierMaxStalenessMs: earlierMs, ...rest } = message
+  const maxMs = staleness ? staleness.maxMs : earlierMs
+  return { ...rest, maxStalenessMs: maxMs === undefined ? undefined : usableBoundMs(maxMs) }
+}
 
 /** Why a statement was not run, failed, or has an unknown outcome. */
 export type StatementReason =
@@ -107,7 +141,9 @@
  * Outcome of a statement that ran at another gateway and whose result is too large to be returned. A write may be
  * committed; in a transaction it is not, because the session rolls back.
  */
-export const outcomeWithoutRows = (request: StatementRequest): StatementOutcome => {
+export const outcomeWithoutRows = (
+  request: Pick<StatementRequest, 'verb' | 'access' | 'transaction'>
+): StatementOutcome => {
   if (isRead(request)) return failed('tooLarge')
   const mayBeCommitted = request.transaction === 'SINGLE' || request.verb === 'COMMIT'
   return mayBeCommitted ? unknownOutcome('tooLarge') : notRun('tooLarge')
--- a/packages/gateway/src/state/configuration.ts
+++ b/packages/gateway/src/state/configuration.ts
@@ -17,8 +17,11 @@
   targetLatencyMs: number
   /** Queue priority; 0 is served first. */
   priority: number
-  /** Reads must see every commit that was confirmed longer ago than this; 0 on `primary` routes. */
-  maxStalenessMs: number
+  /**
+   * Reads must see every commit that was confirmed longer ago than this. 0: every commit confirmed before the read
+   * arrives, as always on `primary` routes. Undefined: no bound.
+   */
+  maxStalenessMs: number | undefined
   /** Whether callers without a known key are accepted. */
   openToAll: boolean
   /** Regions that the route's data may reach; empty means all. */
--- a/packages/gateway/src/testing/holder-environment.ts
+++ b/packages/gateway/src/testing/holder-environment.ts
@@ -62,7 +62,7 @@
   return { group, database, holder, times, logged, counted }
 }
 
-/** A write outside of a transaction, with the given changes. */
+/** A write outside of a transaction, with the given changes. What a replica may run has no staleness bound. */
 export const writeRequest = (changes: Partial<StatementRequest>): StatementRequest => ({
   requestId: 'r1',
   group: 'bookings',
@@ -78,7 +78,7 @@
   values: [],
   needsPrimary: true,
   ownPosition: '',
-  maxStalenessMs: 0,
+  maxStalenessMs: changes.needsPrimary === false ? undefined : 0,
   timeoutMs: 1000,
   maxQueuedMs: 1000,
   priority: 1,
--- a/packages/gateway/src/testing/router-environment.ts
+++ b/packages/gateway/src/testing/router-environment.ts
@@ -3,10 +3,11 @@
  */
 import { Ok } from '@egretyoke/common'
 import type { EventDefinition, EventFields } from '@egretyoke/common'
+import type { RelayMessages } from '@egretyoke/protocol'
 import { createHolderChoice } from '../coordination/routing/holder-choice.js'
 import type { RelayReply } from '../coordination/routing/relay-calls.js'
 import { createStatementRouter } from '../coordination/routing/statement-router.js'
-import { notRun, replyOf } from '../coordination/sessions/statement.js'
+import { notRun, replyOf, requestIn } from '../coordination/sessions/statement.js'
 import type { StatementOutcome, StatementRequest } from '../coordination/sessions/statement.js'
 import type { Database, Route } from '../state/configuration.js'
 import type { FleetState } from '../state/fleet-state.js'
@@ -141,7 +142,7 @@
     }),
     relay: {
       call: async (holder, { run: request }) => {
-        const statement = replyOf(await run(holder, request as StatementRequest))
+        const statement = replyOf(await run(holder, requestIn(request as RelayMessages.RunStatement__Output)))
         return Ok({ number: 1, statement } as unknown as RelayReply)
       }
     },
