Routing: reads with a short staleness bound run at the primary while that is not clearly slower

Change: the request for a position counts as network latency of the replicas if the bound is shorter than the way to the primary. The primary is tried first, as the nearest database is, until it is clearly slower. While the fleet has a gateway that does not announce that it reads new positions (readsNewPositions in its record), replicas count as lagging for reads with a bound below 150 ms.

Ruled out: always the primary for such reads. A full primary would refuse what its replicas can serve.

--- a/packages/gateway/src/coordination/routing/statement-router.test.ts
+++ b/packages/gateway/src/coordination/routing/statement-router.test.ts
@@ -98,6 +98,39 @@
   t.true(inVain < 48, `${inVain} attempts in vain for ${statements} reads`)
 })
 
+/** Sends reads that may lack no commit; returns the databases of the attempts for each. */
+const sendStrictReads = async (environment: Environment, count: number) => {
+  const databases: string[][] = []
+  for (let sent = 0; sent < count; sent++) {
+    const request = readRequest({ group: 'one', maxStalenessMs: 0 })
+    const routing = { request, route: routeTo('one', 'boundedStaleness'), regions: [], needsPrimary: false }
+    await environment.run(() => environment.router.route(routing))
+    databases.push(databasesOf(environment))
+  }
+  return databases
+}
+
+// Guards against reads that wait for a position of the primary before they run at a replica, or are declined there.
+test('a read whose bound is shorter than the way to the primary runs there, unless it is clearly slower', async t => {
+  const calm = createRouterEnvironment(30, groups, () => doneOutcome())
+  t.deepEqual(await sendStrictReads(calm, 5), Array(5).fill(['one-db-1']))
+  await calm.run(() => send(calm, 'one', 'boundedStaleness'))
+  t.deepEqual(databasesOf(calm), ['one-db-2'])
+  const busy = createRouterEnvironment(30, groups, (_holder, { database }) =>
+    doneOutcome(database === 'one-db-1' ? loadWith(100) : {}))
+  t.deepEqual(await sendStrictReads(busy, 2), [['one-db-1'], ['one-db-2']])
+})
+
+// Guards against reads that wait in vain for a new position from a gateway that passes on those that it knows.
+test('beside a gateway of an earlier version, a short bound leads to the primary, also if that is busy', async t => {
+  const environment = createRouterEnvironment(30, groups, (_holder, { database }) =>
+    doneOutcome(database === 'one-db-1' ? loadWith(100) : {}))
+  environment.members[7]!.readsNewPositions = undefined
+  t.deepEqual(await sendStrictReads(environment, 3), Array(3).fill(['one-db-1']))
+  await environment.run(() => send(environment, 'one', 'boundedStaleness'))
+  t.deepEqual(databasesOf(environment), ['one-db-2'])
+})
+
 // Guards against reads of a whole group that leave their region because one session has just written.
 test('after a replica lacked the commit of a session, other reads still go to the replica of the region', async t => {
   const environment = createRouterEnvironment(30, groups, (_holder, { database, ownPosition }) =>
--- a/packages/gateway/src/coordination/routing/statement-router.ts
+++ b/packages/gateway/src/coordination/routing/statement-router.ts
@@ -226,11 +226,12 @@
   /** Databases to try, best first. Replicas that are behind come last after a failure that another one may not have. */
   const candidatesFor = (routing: RoutingRequest, last: StatementReason | undefined): Database[] => {
     const toleratedMs = replicaLag.toleratedMs(routing.request, nowMs())
+    const { priority, maxStalenessMs } = routing.request
     const isBehind = (id: string) => !replicaLag.canServe(id, toleratedMs, nowMs())
     const cause = last === undefined ? undefined : causeOf(last)
     const includesBehind = cause !== undefined && cause !== 'overload' && cause !== 'lagging'
     const isEjected = (id: string) => outliers.isEjected(id, nowMs())
-    return databases.ranked({ ...routing, priority: routing.request.priority, isBehind, isEjected }, includesBehind)
+    return databases.ranked({ ...routing, priority, maxStalenessMs, isBehind, isEjected }, includesBehind)
   }
 
   /** Tries a single read that a database failed once at another one; returns the failure unless that serves it. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -72,7 +72,8 @@
     incarnation,
     draining: false,
     capacity: settings.capacity ?? {},
-    storesEpochs: true
+    storesEpochs: true,
+    readsNewPositions: true
   }
   const selfName = processName(self)
   const stopping = new AbortController()
--- a/packages/gateway/src/state/stored-records.ts
+++ b/packages/gateway/src/state/stored-records.ts
@@ -42,7 +42,9 @@
   /** Absent in the records of earlier versions only. */
   capacity: capacitySchema.catch({}).optional(),
   /** True if the gateway stores group records with their epoch; earlier versions do not. */
-  storesEpochs: z.boolean().optional().catch(undefined)
+  storesEpochs: z.boolean().optional().catch(undefined),
+  /** True if the gateway reads positions that are as new as they are requested; earlier versions do not. */
+  readsNewPositions: z.boolean().optional().catch(undefined)
 })
 
 /** A running gateway. Its record is attached to its lease and deleted when the lease ends. */
--- a/packages/gateway/src/testing/router-environment.ts
+++ b/packages/gateway/src/testing/router-environment.ts
@@ -55,7 +55,8 @@
     region: regions[dataCentre]!,
     address: `127.0.0.1:${number + 1}`,
     incarnation: 'a',
-    draining: false
+    draining: false,
+    readsNewPositions: true
   }
 }
 
@@ -127,6 +128,7 @@
     group: (group: string) => ({ record: { primary: `${group}-db-1`, phase: 'serving', term: 1 }, revision: 1 }),
     databases: () => databases,
     databasesOf: (group: string) => [...databases.values()].filter(database => database.group === group),
+    members: () => new Map(members.map(member => [member.name, member])),
     evacuated: () => new Map(),
     drainingSinceMs: () => undefined
   } as unknown as FleetState
