Primaries: a late reply does not show that a promotion left the term unchanged

Cause: whether the term had been unchanged for long enough was decided when the reply to a status request was read. A request of before the given time whose reply came late counted, although the promotion could still take effect after it.

Change: the time is taken when the status is requested.

--- a/packages/gateway/src/coordination/primaries/promotion.test.ts
+++ b/packages/gateway/src/coordination/primaries/promotion.test.ts
@@ -1,7 +1,7 @@
 /**
  * When a promotion counts as done: by the term that the database leads.
  */
-import { Err, Ok, typedError } from '@egretyoke/common'
+import { Err, Ok, sleepMs, typedError } from '@egretyoke/common'
 import test from 'ava'
 import type { ControlCommands } from '../connections/control-commands.js'
 import type { DatabaseStatus } from '../connections/database-connection.js'
@@ -14,13 +14,19 @@
 
 const accepted: PromoteDatabase = async () => Ok(undefined)
 
-/** Promotes a database whose status changes from `before` to `after` when 100 ms have passed. */
+/** Promotes a database whose status changes from `before` to `after` when 100 ms have passed; replies may be late. */
 const run = async (
-  before: DatabaseStatus, after: DatabaseStatus, unchangedAfterMs: number, promote: PromoteDatabase = accepted
+  before: DatabaseStatus, after: DatabaseStatus, unchangedAfterMs: number, promote = accepted, replyDelayMs = 0
 ) => {
   const startedAtMs = performance.now()
   const elapsedMs = () => performance.now() - startedAtMs
-  const control = { run: async () => Ok(elapsedMs() < 100 ? before : after) } as unknown as ControlCommands
+  const control = {
+    run: async () => {
+      const status = elapsedMs() < 100 ? before : after
+      await sleepMs(replyDelayMs)
+      return Ok(status)
+    }
+  } as unknown as ControlCommands
   const outcome = await promoteAndWait({ control, promote, log: () => {} }, {
     group: 'bookings',
     chosen: { database: { id: 'db-2' }, status: before } as Candidate,
@@ -46,6 +52,12 @@
   t.is((await run(statusOf('primary', 2), statusOf('primary', 4), 300)).primary?.status.term, 4)
 })
 
+// Guards against a status of before the promotion whose reply is read so late that the term seems unchanged.
+test('a status that was requested before the given time does not show that the term is unchanged', async t => {
+  const late = await run(statusOf('primary', 2), statusOf('primary', 4), 300, accepted, 400)
+  t.is(late.primary?.status.term, 4)
+})
+
 test('a term that is not the newest never counts, and a declined promotion is none', async t => {
   t.is((await run(statusOf('primary', 1), statusOf('primary', 1), 0)).primary, undefined)
   const declined = await run(
--- a/packages/gateway/src/coordination/primaries/promotion.ts
+++ b/packages/gateway/src/coordination/primaries/promotion.ts
@@ -47,10 +47,12 @@
   const requestedAtMs = performance.now()
   const hasLed = chosen.status.role === 'primary' && chosen.status.term === newestTerm
   while (performance.now() - requestedAtMs < becomePrimaryTimeoutMs) {
+    // A status tells only of the time at which it was requested, however late its reply is read.
+    const elapsedMs = performance.now() - requestedAtMs
     const candidate = await statusOf(control, chosen.database, statusTimeoutMs)
     if (candidate?.status.role === 'primary') {
       const { term } = candidate.status
-      const isUnchanged = hasLed && performance.now() - requestedAtMs >= unchangedAfterMs
+      const isUnchanged = hasLed && elapsedMs >= unchangedAfterMs
       if (term > newestTerm || (term === newestTerm && isUnchanged)) return candidate
     }
     await sleepMs(pollMs)
