Connections: long session values are remembered by digests, not kept

Cause: a pooled connection kept the texts of the values that are set on it, idle, after its session had ended; nothing counted or bounded them.

Ruled out: prepared statements, which are digests already, and the sessions' own state, which is counted and released.

Change: names and values of more than 64 characters are remembered by a digest, shorter ones by copies that keep nothing else in memory (set-values.ts). setupFor and recordDone work as before; three tests that built the map by hand use the new module and check the same.

--- a/packages/gateway/src/coordination/connections/connection-pool.test.ts
+++ b/packages/gateway/src/coordination/connections/connection-pool.test.ts
@@ -9,6 +9,7 @@
 import type { DatabaseConnection } from './database-connection.js'
 import { createPreparedStatements } from './prepared-statements.js'
 import type { PreparedStatement } from './prepared-statements.js'
+import { createSetValues } from './set-values.js'
 
 const fakeConnection = (): DatabaseConnection => {
   let isOpen = true
@@ -164,11 +165,13 @@
 const pooledWith = (values: Record<string, string>): PooledConnection => {
   const prepared = createPreparedStatements()
   prepared.add(readQ, prepared.nextName())
+  const set = createSetValues()
+  for (const [name, value] of Object.entries(values)) set.add({ name, value })
   return {
     number: 1,
     workspace: 'a',
     connection: fakeConnection(),
-    values: new Map(Object.entries(values)),
+    values: set,
     prepared,
     idleSinceMs: 0
   }
--- a/packages/gateway/src/coordination/connections/connection-pool.ts
+++ b/packages/gateway/src/coordination/connections/connection-pool.ts
@@ -10,6 +10,8 @@
 import { lingerMs } from './orphaned-connections.js'
 import { createPreparedStatements } from './prepared-statements.js'
 import type { PreparedStatement, PreparedStatements } from './prepared-statements.js'
+import { createSetValues } from './set-values.js'
+import type { SessionValue, SetValues } from './set-values.js'
 
 /** A connection of the pool and its tracked session state. */
 export type PooledConnection = {
@@ -17,14 +19,14 @@
   number: number
   workspace: string
   connection: DatabaseConnection
-  values: Map<string, string>
+  values: SetValues
   prepared: PreparedStatements
   idleSinceMs: number
 }
 
 /** Session state that a statement requires. */
 export type RequiredState = {
-  values: ReadonlyArray<{ name: string, value: string }>
+  values: readonly SessionValue[]
   prepared?: PreparedStatement
 }
 
@@ -90,11 +92,10 @@
 /** What brings a connection to the required session state. */
 export const setupFor = (pooled: PooledConnection, required: RequiredState): SessionSetup => {
   const commands: DatabaseCommand[] = []
-  const requiredNames = new Set(required.values.map(({ name }) => name))
-  const hasStaleValue = [...pooled.values.keys()].some(name => !requiredNames.has(name))
+  const hasStaleValue = pooled.values.hasOtherThan(required.values)
   if (hasStaleValue) commands.push({ kind: 'reset' })
   for (const { name, value } of required.values) {
-    if (hasStaleValue || pooled.values.get(name) !== value) commands.push({ kind: 'set', name, value })
+    if (hasStaleValue || !pooled.values.has({ name, value })) commands.push({ kind: 'set', name, value })
   }
   const { prepared } = required
   if (prepared === undefined) return { commands, preparedName: undefined }
@@ -109,7 +110,7 @@
 
 /** Updates the tracked session state after a command of `setupFor` succeeded. */
 export const recordDone = (pooled: PooledConnection, command: DatabaseCommand): void => {
-  if (command.kind === 'set') pooled.values.set(command.name, command.value)
+  if (command.kind === 'set') pooled.values.add(command)
   if (command.kind === 'prepare') pooled.prepared.add(command, command.name)
   if (command.kind === 'deallocate') pooled.prepared.remove(command.name)
   if (command.kind !== 'reset') return
@@ -180,7 +181,7 @@
       number: ++lastNumber,
       workspace,
       connection,
-      values: new Map(),
+      values: createSetValues(),
       prepared: createPreparedStatements(),
       idleSinceMs: nowMs()
     }
--- a/packages/gateway/src/coordination/connections/run-on-connection.test.ts
+++ b/packages/gateway/src/coordination/connections/run-on-connection.test.ts
@@ -41,7 +41,9 @@
     declinesZone && command.kind === 'set' && command.name === 'zone')
   const { outcome: declined } = await runOnConnection(pooled, request, '', 1000, () => {})
   t.deepEqual([declined.status, declined.reason], ['NOT_RUN', 'busy'])
-  t.deepEqual(pooled.values, values)
+  const variables = [...values].map(([name, value]) => ({ name, value }))
+  t.deepEqual(variables, [{ name: 'lang', value: 'es' }])
+  t.deepEqual(request.values.filter(pooled.values.has), variables)
   declinesZone = false
   t.is((await runOnConnection(pooled, writeRequest({}), '', 1000, () => {})).outcome.status, 'DONE')
   t.deepEqual([...values], [])
