Sessions: values and prepared statements keep copies, not parts of messages

Cause: a value is cut from the line of its request, and the runtime keeps the whole line for a part of 13 characters or more. The account counted the value's own bytes.

Ruled out: the reader of lines, which frees what it has handed over; the ids, which nobody keeps once a statement has ended.

Change: a session keeps copies of names and texts.

--- a/packages/gateway/src/coordination/sessions/session-state.ts
+++ b/packages/gateway/src/coordination/sessions/session-state.ts
@@ -1,11 +1,14 @@
 /**
  * Session variables and prepared statements of one caller's session. A session keeps them until it ends, and every
  * statement that it sends to another gateway carries them, so their sizes are limited before they are acknowledged.
+ * Names and texts are copies: one that is cut from a caller's message would keep all of it in memory, which no limit
+ * counts.
  */
 import { Buffer } from 'node:buffer'
 import { Err, Ok, typedError } from '@egretyoke/common'
 import type { Result, TypedError } from '@egretyoke/common'
 import type { ByteAccount } from '../../state/byte-account.js'
+import { detachedText } from '../../state/detached-text.js'
 import type { PreparedStatement } from '../connections/prepared-statements.js'
 
 const maxValues = 64
@@ -98,7 +101,7 @@
         formerBytes: countedBytes(name, values.get(name)),
         isOneTooMany: !values.has(name) && values.size >= maxValues
       })
-      if (admitted.ok) values.set(name, value)
+      if (admitted.ok) values.set(detachedText(name), detachedText(value))
       return admitted
     },
     prepare: (name, statement) => {
@@ -107,7 +110,7 @@
         formerBytes: countedBytes(name, prepared.get(name)?.shape),
         isOneTooMany: !prepared.has(name) && prepared.size >= maxPrepared
       })
-      if (admitted.ok) prepared.set(name, statement)
+      if (admitted.ok) prepared.set(detachedText(name), { ...statement, shape: detachedText(statement.shape) })
       return admitted
     },
     deallocate: name => {
