Fair queue: an item that has left is not kept

Cause: the queue of a workspace kept items that had left it until 64 more had left than waited; each holds its statement's result.

Change: an item is taken out of the array when it leaves. The marks and the compaction of removed items go.

--- a/packages/limits/src/fair-queue.ts
+++ b/packages/limits/src/fair-queue.ts
@@ -137,7 +137,7 @@
     if (queuedItems.size >= maxQueued) dropExpired()
     const hasCapacity = queuedItems.size < maxQueued || (scheduler.displacesWhenFull && displaceFor(workspace, weight))
     if (!hasCapacity) return refuse('queueFull', workspace)
-    enqueue({ item, workspace, weight, cost, deadlineMs, sequence: nextSequence++, isRemoved: false })
+    enqueue({ item, workspace, weight, cost, deadlineMs, sequence: nextSequence++ })
     return Ok(undefined)
   }
 
--- a/packages/limits/src/workspace-queue.ts
+++ b/packages/limits/src/workspace-queue.ts
@@ -16,7 +16,6 @@
   deadlineMs: number
   /** Arrival number over all workspaces. */
   sequence: number
-  isRemoved: boolean
 }
 
 /** The waiting items of one workspace. */
@@ -27,55 +26,43 @@
   push: (queued: QueuedItem<Item>) => void
   first: () => QueuedItem<Item> | undefined
   last: () => QueuedItem<Item> | undefined
+  /** Removes the item; nothing of it is kept, because what waits for its result can hold much memory. */
   remove: (queued: QueuedItem<Item>) => void
   all: () => Array<QueuedItem<Item>>
 }
 
-/** A queue is compacted when its removed items outnumber its waiting items by more than this. */
-const maxRemovedItems = 64
-
 /** Creates an empty queue. */
 export const createWorkspaceQueue = <Item>(
   workspace: string, order: ItemOrder = 'arrival'
 ): WorkspaceQueue<Item> => {
-  let items: Array<QueuedItem<Item>> = []
-  let head = 0
-  let waiting = 0
+  const items: Array<QueuedItem<Item>> = []
   let weight = 1
 
   const indexFor = ({ deadlineMs }: QueuedItem<Item>) => {
     let index = items.length
     if (order === 'arrival') return index
-    while (index > head && items[index - 1].deadlineMs > deadlineMs) index--
+    while (index > 0 && items[index - 1].deadlineMs > deadlineMs) index--
     return index
   }
 
   const push = (queued: QueuedItem<Item>) => {
     items.splice(indexFor(queued), 0, queued)
-    waiting++
     weight = queued.weight
   }
 
-  const first = () => {
-    while (head < items.length && items[head].isRemoved) head++
-    return items[head]
-  }
-
-  const last = () => {
-    while (items.length > head && items[items.length - 1].isRemoved) items.pop()
-    return items.length > head ? items[items.length - 1] : undefined
-  }
-
-  const all = () => items.slice(head).filter(({ isRemoved }) => !isRemoved)
-
   const remove = (queued: QueuedItem<Item>) => {
-    if (queued.isRemoved) return
-    queued.isRemoved = true
-    waiting--
-    if (items.length <= 2 * waiting + maxRemovedItems) return
-    items = all()
-    head = 0
+    const index = items.indexOf(queued)
+    if (index >= 0) items.splice(index, 1)
   }
 
-  return { workspace, weight: () => weight, size: () => waiting, push, first, last, remove, all }
+  return {
+    workspace,
+    weight: () => weight,
+    size: () => items.length,
+    push,
+    first: () => items[0],
+    last: () => items.at(-1),
+    remove,
+    all: () => [...items]
+  }
 }
