Tests: the heap that a test's objects take is measured in one place

Cause: two new tests had the same lines for a collection and a measurement.

Change: testing/heap-use.ts; the checks stay as they are.

--- a/packages/gateway/src/coordination/connections/set-values.test.ts
+++ b/packages/gateway/src/coordination/connections/set-values.test.ts
@@ -1,9 +1,8 @@
 /**
  * What a connection remembers of the session values that are set on it.
  */
-import { setFlagsFromString } from 'node:v8'
-import { runInNewContext } from 'node:vm'
 import test from 'ava'
+import { usedHeapBytes } from '../../testing/heap-use.js'
 import { createSetValues } from './set-values.js'
 
 const long = 'x'.repeat(1_000_000)
@@ -33,13 +32,7 @@
 
 // Guards against connections that keep the values of ended sessions in memory.
 test('the values of many connections take little memory, however long they were', t => {
-  setFlagsFromString('--expose-gc')
-  const collectGarbage = runInNewContext('gc')
-  const heldBytes = () => {
-    collectGarbage()
-    return process.memoryUsage().heapUsed
-  }
-  const before = heldBytes()
+  const before = usedHeapBytes()
   const connections = Array.from({ length: 100 }, (_, index) => {
     const values = createSetValues()
     for (let value = 0; value < 2; value++) {
@@ -48,6 +41,6 @@
     }
     return values
   })
-  const heldByAll = heldBytes() - before
+  const heldByAll = usedHeapBytes() - before
   t.true(heldByAll < 1_000_000, `${heldByAll} bytes of ${connections.length} connections`)
 })
--- a/packages/gateway/src/coordination/sessions/session-state.test.ts
+++ b/packages/gateway/src/coordination/sessions/session-state.test.ts
@@ -1,11 +1,10 @@
 /**
  * Limits of the state of sessions: what is refused, and that it changes nothing.
  */
-import { setFlagsFromString } from 'node:v8'
-import { runInNewContext } from 'node:vm'
 import test from 'ava'
 import { defaultMaxMessageBytes, relayProto } from '@egretyoke/protocol'
 import { createByteAccount } from '../../state/byte-account.js'
+import { usedHeapBytes } from '../../testing/heap-use.js'
 import { createSessionState, createStateBudget, maxEntryBytes } from './session-state.js'
 import type { SessionState } from './session-state.js'
 
@@ -43,21 +42,15 @@
 
 // Guards against short entries that keep the long messages in memory with which they arrived.
 test('an entry takes the memory of its name and text, however long the message was', t => {
-  setFlagsFromString('--expose-gc')
-  const collectGarbage = runInNewContext('gc')
-  const heldBytes = () => {
-    collectGarbage()
-    return process.memoryUsage().heapUsed
-  }
   const state = createSessionState(unlimited())
-  const before = heldBytes()
+  const before = usedHeapBytes()
   for (let index = 0; index < 60; index++) {
     const line = `${String(index).padEnd(512 * 1024, 'x')} value-of-the-session-${index} shape-of-the-statement`
     const [, name = '', shape = ''] = line.split(' ')
     t.is(reasonOf(state.set(name, shape)), 'kept')
     t.is(reasonOf(state.prepare(name, { access: 'read', shape })), 'kept')
   }
-  const held = heldBytes() - before
+  const held = usedHeapBytes() - before
   t.true(held < 1024 * 1024, `${held} bytes`)
   t.is(state.values().length, 60)
 })
